--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -88,7 +88,7 @@
 	Sender string
 }
 
-// Probe asks an engine for its exact current status.
+// Probe asks an engine for its latest load report, which lags.
 type Probe struct{ Engine string }
 
 // EngineName returns the name of the engine that the command goes to.
@@ -172,17 +172,18 @@
 	Current Fence
 }
 
-// Status answers a Probe exactly, or reports load on the engine's own with a lag.
+// Status answers a Probe with the latest load report. All its fields were true together at one moment, AsOf, which
+// lags. A report with a fence at or above a drained generation and no runs proves that the engine is empty for good.
 type Status struct {
 	Engine      string
 	Incarnation uint64
-	Fence       Fence
+	// AsOf is the moment of the report by the clock of the engine.
+	AsOf  time.Time
+	Fence Fence
 	// Configuration that the engine has, or is changing to.
 	Configuration Configuration
 	// Changing is set while the engine is out for a change.
 	Changing bool
-	// Exact is set on the answer to a Probe. Load reports are late.
-	Exact bool
 	// Running counts runs in the batch, Waiting those that the engine queues.
 	Running int
 	Waiting int
