Placement of one request: filters, scores in seconds, pick

A first usable form without tests. All scores share the unit of seconds of expected delay, so that a cached prefix is worth the reading time that it saves and no more. The speeds are defaults until the engine model states them.

--- /dev/null
+++ b/internal/placement/scores.go
@@ -0,0 +1,110 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/granitebay/granitebay/internal/engine"
+)
+
+// Names of the scores, as weights and reasons use them.
+const (
+	ScoreQueue    = "queue"
+	ScorePrompt   = "prompt"
+	ScorePrefix   = "prefix"
+	ScoreOutput   = "output"
+	ScoreOthers   = "others"
+	ScoreMemory   = "memory"
+	ScoreRecovery = "recovery"
+	ScoreZone     = "zone"
+)
+
+// situation is what the scores of one request share.
+type situation struct {
+	request  *Request
+	settings *Settings
+	// meanRunning is the mean number of runs of the engines that passed the filters.
+	meanRunning float64
+}
+
+// score estimates one part of the cost of an engine, in seconds.
+type score struct {
+	name    string
+	seconds func(s *situation, candidate *Engine, speed Speed) float64
+}
+
+var scores = []score{
+	{ScoreQueue, queueSeconds},
+	{ScorePrompt, promptSeconds},
+	{ScorePrefix, prefixSeconds},
+	{ScoreOutput, outputSeconds},
+	{ScoreOthers, othersSeconds},
+	{ScoreMemory, memorySeconds},
+	{ScoreRecovery, recoverySeconds},
+	{ScoreZone, zoneSeconds},
+}
+
+// queueSeconds is the time until the prompts that are already there are read.
+func queueSeconds(_ *situation, candidate *Engine, speed Speed) float64 {
+	return float64(candidate.PendingPromptTokens) / speed.PromptTokensPerSecond
+}
+
+// promptSeconds is the time to read the prompt.
+func promptSeconds(s *situation, _ *Engine, speed Speed) float64 {
+	return float64(s.request.PromptTokens) / speed.PromptTokensPerSecond
+}
+
+// prefixSeconds is the reading time saved by a cached prefix, as a negative cost. An engine that has many more runs
+// than the mean gains nothing, so that a hot prefix cannot draw everything to one engine.
+func prefixSeconds(s *situation, candidate *Engine, speed Speed) float64 {
+	bound := math.Ceil(s.settings.PrefixLoadBound * (s.meanRunning + 1))
+	if float64(candidate.Running) >= bound {
+		return 0
+	}
+	cached := min(candidate.CachedTokens, s.request.PromptTokens)
+	return -float64(cached) / speed.PromptTokensPerSecond
+}
+
+// outputSeconds is the time to produce the answer in the batch that would result.
+func outputSeconds(s *situation, candidate *Engine, speed Speed) float64 {
+	return float64(s.request.OutputTokens) * stepSeconds(speed, candidate.Running+1)
+}
+
+// othersSeconds is the delay that the request imposes on the runs that are already there: reading its prompt holds
+// their steps up, and a larger batch makes each of their steps longer.
+func othersSeconds(s *situation, candidate *Engine, speed Speed) float64 {
+	uncached := max(0, s.request.PromptTokens-candidate.CachedTokens)
+	reading := float64(uncached) / speed.PromptTokensPerSecond * float64(candidate.Running)
+	remaining := min(s.request.OutputTokens*candidate.Running, candidate.PendingOutputTokens)
+	return reading + float64(remaining)*speed.StepSecondsPerRun
+}
+
+// memorySeconds grows as the KV memory fills beyond comfort.
+func memorySeconds(s *situation, candidate *Engine, _ Speed) float64 {
+	if candidate.MemoryTotal <= 0 || s.settings.MemoryComfort >= 1 {
+		return 0
+	}
+	share := float64(candidate.MemoryUsed+memoryNeed(s.request)) / float64(candidate.MemoryTotal)
+	excess := max(0, share-s.settings.MemoryComfort) / (1 - s.settings.MemoryComfort)
+	return excess * excess * s.settings.MemoryPenaltySeconds
+}
+
+// recoverySeconds makes an engine that has just come back take up work slowly.
+func recoverySeconds(s *situation, candidate *Engine, _ Speed) float64 {
+	return candidate.Recovering * float64(candidate.Running) * s.settings.RecoveryPenaltySeconds
+}
+
+// zoneSeconds prefers engines near the caller.
+func zoneSeconds(s *situation, candidate *Engine, _ Speed) float64 {
+	if s.request.Zone == "" || candidate.Zone == "" || s.request.Zone == candidate.Zone {
+		return 0
+	}
+	return s.settings.OtherZoneSeconds
+}
+
+// stepSeconds is the time of one output token in a batch.
+func stepSeconds(speed Speed, runs int) float64 {
+	return speed.StepSeconds + speed.StepSecondsPerRun*float64(max(0, runs-1))
+}
+
+// speedOf returns the speed of an engine.
+func speedOf(settings *Settings, role engine.Role) Speed { return settings.Speeds[role] }
--- /dev/null
+++ b/internal/placement/settings.go
@@ -0,0 +1,25 @@
+package placement
+
+import "github.com/granitebay/granitebay/internal/engine"
+
+// DefaultSettings returns settings for the engines that the stand-ins model.
+func DefaultSettings() Settings {
+	return Settings{
+		Speeds: map[engine.Role]Speed{
+			engine.RolePrefill: {PromptTokensPerSecond: 8000, StepSeconds: 0.012, StepSecondsPerRun: 0.003, Slots: 8},
+			engine.RoleDecode:  {PromptTokensPerSecond: 2000, StepSeconds: 0.012, StepSecondsPerRun: 0.0005, Slots: 64},
+		},
+		PrefixLoadBound:        1.5,
+		MemoryComfort:          0.8,
+		MemoryPenaltySeconds:   2,
+		RecoveryPenaltySeconds: 0.5,
+		OtherZoneSeconds:       0.003,
+	}
+}
+
+func (s Settings) weight(score string) float64 {
+	if weight, found := s.Weights[score]; found {
+		return weight
+	}
+	return 1
+}
