--- /dev/null
+++ b/internal/roleplan/meter.go
@@ -0,0 +1,110 @@
+package roleplan
+
+import (
+	"fmt"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// Arrival is a request as the meter counts it.
+type Arrival struct {
+	// Class is a name of the requests of like shape; ShapeClass makes one.
+	Class string
+	// PromptTokens without those that are probably cached, and the expected OutputTokens.
+	PromptTokens int
+	OutputTokens int
+	Deadline     time.Duration
+	Worth        float64
+}
+
+// Meter measures demand by class. The zero time of the first Tick starts it.
+type Meter struct {
+	settings MeterSettings
+	last     time.Time
+	started  time.Time
+	classes  map[string]*classMeter
+}
+
+// classMeter counts one class since the last tick.
+type classMeter struct {
+	demand       ClassDemand
+	requests     int
+	promptTokens int
+	outputTokens int
+	lastArrival  time.Time
+}
+
+// NewMeter returns a meter that starts now.
+func NewMeter(now time.Time, settings MeterSettings) *Meter {
+	return &Meter{settings: settings, last: now, started: now, classes: map[string]*classMeter{}}
+}
+
+// ShapeClass names the class of requests of about the same size, by powers of four, and the same deadline.
+func ShapeClass(promptTokens, outputTokens int, deadline time.Duration) string {
+	return fmt.Sprintf("p%d-o%d-%s", sizeStep(promptTokens), sizeStep(outputTokens), deadline)
+}
+
+// sizeStep returns the upper end of the power of four that holds a size.
+func sizeStep(size int) int {
+	steps := (bits.Len(uint(max(0, size))) + 1) / 2
+	return 1 << (2 * steps)
+}
+
+// Record counts a request that arrived.
+func (m *Meter) Record(now time.Time, arrival Arrival) {
+	class, known := m.classes[arrival.Class]
+	if !known {
+		class = &classMeter{demand: ClassDemand{Name: arrival.Class}}
+		m.classes[arrival.Class] = class
+	}
+	class.demand.Deadline = arrival.Deadline
+	class.demand.Worth = arrival.Worth
+	class.requests++
+	class.promptTokens += arrival.PromptTokens
+	class.outputTokens += arrival.OutputTokens
+	class.lastArrival = now
+}
+
+// Tick folds what was counted since the last tick into the averages.
+func (m *Meter) Tick(now time.Time) {
+	elapsed := now.Sub(m.last)
+	if elapsed <= 0 {
+		return
+	}
+	m.last = now
+	for name, class := range m.classes {
+		if now.Sub(class.lastArrival) > m.settings.Forget {
+			delete(m.classes, name)
+			continue
+		}
+		class.fold(elapsed, m.memory(now))
+	}
+}
+
+// memory returns the settings with memories that are no longer than the meter has run, so that a young meter does not
+// take the time before its start for quiet.
+func (m *Meter) memory(now time.Time) MeterSettings {
+	settings := m.settings
+	age := now.Sub(m.started)
+	settings.FastMemory = min(settings.FastMemory, age)
+	settings.SlowMemory = min(settings.SlowMemory, age)
+	return settings
+}
+
+func (c *classMeter) fold(elapsed time.Duration, settings MeterSettings) {
+	seconds := elapsed.Seconds()
+	c.demand.Requests.observe(float64(c.requests)/seconds, elapsed, settings)
+	c.demand.PromptTokens.observe(float64(c.promptTokens)/seconds, elapsed, settings)
+	c.demand.OutputTokens.observe(float64(c.outputTokens)/seconds, elapsed, settings)
+	c.requests, c.promptTokens, c.outputTokens = 0, 0, 0
+}
+
+// Demand returns the demand as of the last tick, by name of class. The caller adds the queues.
+func (m *Meter) Demand() Demand {
+	names := lo.Keys(m.classes)
+	slices.Sort(names)
+	return Demand{Classes: lo.Map(names, func(name string, _ int) ClassDemand { return m.classes[name].demand })}
+}
