--- /dev/null
+++ b/internal/dispatch/overload.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/engine"
+)
+
+// overload tells whether a request should be given up at once, why, and after which time it is worth asking again.
+func (c *Core) overload(now time.Time, entry *request) (reason string, wait time.Duration, shed bool) {
+	wait = c.expectedWait(entry)
+	if c.queue.length() >= c.settings.MaxQueued {
+		return fmt.Sprintf("The queue of this router is full: %d requests wait.", c.queue.length()), wait, true
+	}
+	policy := entry.policy
+	if policy.MaxQueued > 0 && c.queue.lengthOfRule(policy.Rule) >= policy.MaxQueued {
+		return fmt.Sprintf("The queue of rule %s is full: %d requests wait.", policy.Rule, policy.MaxQueued), wait, true
+	}
+	if policy.MaxInFlight > 0 && c.inFlight(entry.work.GetTenant(), policy.Rule) > policy.MaxInFlight {
+		return fmt.Sprintf("Tenant %s has its limit of %d requests under rule %s.", entry.work.GetTenant(), policy.MaxInFlight, policy.Rule), wait, true
+	}
+	remaining := entry.deadline.Sub(now)
+	if wait+c.expectedService(entry) > remaining {
+		return fmt.Sprintf("The expected wait of %s leaves no time to answer within %s.", wait.Round(time.Millisecond), remaining.Round(time.Millisecond)), wait, true
+	}
+	return "", 0, false
+}
+
+// inFlight counts the requests of a tenant under a rule that have not ended.
+func (c *Core) inFlight(tenant, rule string) int {
+	count := 0
+	for _, entry := range c.order {
+		if !entry.ended() && entry.work.GetTenant() == tenant && entry.policy.Rule == rule {
+			count++
+		}
+	}
+	return count
+}
+
+// expectedWait estimates how long the request will be in the queue: the work before it over the slots that it may use.
+func (c *Core) expectedWait(entry *request) time.Duration {
+	slots := 0
+	for _, name := range c.names {
+		state := c.engines[name]
+		if c.mayServe(entry, state) {
+			slots += c.settings.Placement.Speeds[state.view.Configuration.Role].Slots
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	var ahead time.Duration
+	for _, item := range c.queue.waiting {
+		if item.entry.policy.Priority >= entry.policy.Priority && item.entry != entry {
+			ahead += c.expectedService(item.entry)
+		}
+	}
+	return ahead / time.Duration(slots)
+}
+
+// expectedService estimates the time from dispatch to the end of the answer at the engine that suits best.
+func (c *Core) expectedService(entry *request) time.Duration {
+	best := time.Duration(0)
+	for _, name := range c.names {
+		state := c.engines[name]
+		if !c.mayServe(entry, state) {
+			continue
+		}
+		speed := c.settings.Placement.Speeds[state.view.Configuration.Role]
+		uncached := max(0, int(entry.work.GetPromptTokens())-c.cachedTokens(entry, name))
+		seconds := float64(uncached)/speed.PromptTokensPerSecond + float64(entry.work.GetMaxTokens())*speed.StepSeconds
+		service := time.Duration(seconds * float64(time.Second))
+		if best == 0 || service < best {
+			best = service
+		}
+	}
+	return best
+}
+
+// mayServe tells whether an engine can serve a request as far as lasting reasons go.
+func (c *Core) mayServe(entry *request, state *engineState) bool {
+	view := state.view
+	if !view.Owned || view.Leaving || view.Configuration.Role == engine.RoleNone {
+		return false
+	}
+	return view.Configuration.Model == entry.work.GetModel() && contains(entry.policy.Groups, view.Group)
+}
+
+// contains tells whether a list of groups allows a group; an empty list allows all.
+func contains(groups []string, group string) bool {
+	if len(groups) == 0 {
+		return true
+	}
+	for _, each := range groups {
+		if each == group {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/schedule.go
@@ -0,0 +1,212 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/core"
+	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/placement"
+)
+
+// maxCandidatesShown bounds the candidates in a decision.
+const maxCandidatesShown = 8
+
+// schedule dispatches waiting requests, in the order of the queue, to engines that have room. A request that finds no
+// room does not hold up those after it, unless they want the same group and model and role of engines.
+func (c *Core) schedule(now time.Time, effects *core.Effects) {
+	if c.stopping || c.queue.length() == 0 {
+		return
+	}
+	blocked := make(map[string]bool)
+	for _, entry := range c.queue.entries() {
+		class := placementClass(entry)
+		if blocked[class] {
+			continue
+		}
+		if !c.place(now, entry, effects) {
+			blocked[class] = true
+		}
+	}
+}
+
+// placementClass groups requests that compete for the same engines.
+func placementClass(entry *request) string {
+	return fmt.Sprintf("%s\x00%v\x00%s\x00%v", entry.work.GetModel(), entry.policy.Groups, entry.work.GetAdapter(), entry.excluded)
+}
+
+// placementRequest is a request as placement sees it.
+func placementRequest(entry *request) placement.Request {
+	return placement.Request{
+		ID:              entry.id(),
+		AllowedGroups:   entry.policy.Groups,
+		Model:           entry.work.GetModel(),
+		Adapter:         entry.work.GetAdapter(),
+		PromptTokens:    int(entry.work.GetPromptTokens()),
+		OutputTokens:    int(entry.work.GetMaxTokens()) - len(entry.tokens),
+		ExcludedEngines: entry.excluded,
+	}
+}
+
+// place chooses an engine for a waiting request and dispatches it; false if there is no room.
+func (c *Core) place(now time.Time, entry *request, effects *core.Effects) bool {
+	result := placement.Place(placementRequest(entry), c.placementEngines(now, entry), c.settings.Placement)
+	if result.Engine == "" {
+		return false
+	}
+	state := c.engines[result.Engine]
+	c.queue.remove(entry)
+	entry.engine = result.Engine
+	entry.incarnation = state.view.Incarnation
+	entry.failures = 0
+	c.reserve(entry)
+	c.prefixes.RecordDispatch(entry.engine, entry.incarnation, entry.work.GetPrefixBlocks())
+	effects.Decide(c.dispatchDecision(now, entry, result))
+	if entry.repeatable() {
+		c.submit(now, entry, effects)
+		return true
+	}
+	c.claim(now, entry, &granitebayv1.ClaimValue{Engine: entry.engine, EngineIncarnation: entry.incarnation}, effects)
+	return true
+}
+
+// dispatchDecision records why an engine was chosen.
+func (c *Core) dispatchDecision(now time.Time, entry *request, result placement.Result) decision.Record {
+	candidates := result.Candidates
+	if len(candidates) > maxCandidatesShown {
+		candidates = candidates[:maxCandidatesShown]
+	}
+	return decision.Record{
+		Kind:       decision.KindDispatch,
+		Subject:    entry.id(),
+		Outcome:    result.Engine,
+		Reason:     result.Reason,
+		Candidates: candidates,
+		Inputs: map[string]string{
+			"rule":          entry.policy.Rule,
+			"prompt_tokens": fmt.Sprint(entry.work.GetPromptTokens()),
+			"max_tokens":    fmt.Sprint(entry.work.GetMaxTokens()),
+			"waited":        now.Sub(entry.arrived).Round(time.Millisecond).String(),
+		},
+		ConfigRevision: c.configRevision(),
+	}
+}
+
+// submit sends a Submit to the chosen engine.
+func (c *Core) submit(now time.Time, entry *request, effects *core.Effects) {
+	entry.phase = phaseSubmitted
+	entry.submitted = true
+	entry.retryAt = now.Add(c.settings.ResendInterval)
+	work := entry.work
+	command := engine.Submit{
+		Engine:              entry.engine,
+		ExpectedIncarnation: entry.incarnation,
+		ExpectedGeneration:  c.generationOf(entry.engine),
+		RequestID:           entry.id(),
+		Model:               work.GetModel(),
+		Adapter:             work.GetAdapter(),
+		Prompt:              work.GetPrompt(),
+		PromptDigest:        work.GetPromptDigest(),
+		PromptTokens:        work.GetPromptTokens(),
+		PrefixBlocks:        work.GetPrefixBlocks(),
+		MaxTokens:           work.GetMaxTokens(),
+		Priority:            entry.policy.Priority,
+		StreamOffset:        uint32(len(entry.tokens)),
+	}
+	if entry.repeatable() {
+		command.ContinueFrom = uint32(len(entry.tokens))
+		command.PriorTokens = entry.tokens
+	}
+	effects.Command(command)
+}
+
+// generationOf returns the generation of the record of an engine.
+func (c *Core) generationOf(name string) uint64 {
+	if state := c.engines[name]; state != nil {
+		return state.view.Generation
+	}
+	return 0
+}
+
+// attach asks the engine for the stream of a run that may exist.
+func (c *Core) attach(now time.Time, entry *request, effects *core.Effects) {
+	entry.phase = phaseAttaching
+	entry.submitted = true
+	entry.retryAt = now.Add(c.settings.ResendInterval)
+	effects.Command(engine.Attach{
+		Engine:              entry.engine,
+		ExpectedIncarnation: entry.incarnation,
+		RequestID:           entry.id(),
+		StreamOffset:        uint32(len(entry.tokens)),
+	})
+}
+
+// resume takes up a run that another router began.
+func (c *Core) resume(now time.Time, entry *request, message *granitebayv1.Generate, effects *core.Effects) {
+	entry.engine = message.GetRun().GetEngine()
+	entry.incarnation = message.GetRun().GetEngineIncarnation()
+	entry.started = len(entry.tokens) > 0
+	if !entry.repeatable() {
+		c.padTokens(entry, message.GetResumeOffset())
+	}
+	c.reserve(entry)
+	effects.Decide(decision.Record{
+		Kind:           decision.KindRetry,
+		Subject:        entry.id(),
+		Outcome:        entry.engine,
+		Reason:         fmt.Sprintf("The agent came from another router: the run at %s is taken up at token %d.", entry.engine, message.GetResumeOffset()),
+		ConfigRevision: c.configRevision(),
+	})
+	c.attach(now, entry, effects)
+}
+
+// padTokens stands in for tokens that the agent has and did not send along.
+func (c *Core) padTokens(entry *request, offset uint32) {
+	for uint32(len(entry.tokens)) < offset {
+		entry.tokens = append(entry.tokens, "")
+	}
+}
+
+// retry repeats the command that got no answer.
+func (c *Core) retry(now time.Time, entry *request, effects *core.Effects) {
+	entry.retryAt = time.Time{}
+	switch entry.phase {
+	case phaseSubmitted:
+		c.submit(now, entry, effects)
+	case phaseAttaching, phaseRunning:
+		c.attach(now, entry, effects)
+	case phaseCancelling:
+		c.sendCancel(now, entry, effects)
+	}
+}
+
+// requeue puts a request back into the queue, away from the engine that did not run it to the end.
+func (c *Core) requeue(now time.Time, entry *request, avoid string, reason string, effects *core.Effects) {
+	c.release(entry)
+	entry.engine = ""
+	entry.incarnation = 0
+	entry.phase = phaseQueued
+	entry.started = false
+	entry.retryAt = time.Time{}
+	if avoid != "" {
+		entry.excluded = append(entry.excluded, avoid)
+	}
+	effects.Decide(decision.Record{
+		Kind:           decision.KindRetry,
+		Subject:        entry.id(),
+		Outcome:        "queue",
+		Reason:         reason,
+		ConfigRevision: c.configRevision(),
+	})
+	if c.stopping {
+		c.move(now, entry, effects)
+		return
+	}
+	if !c.servesEver(now, entry) {
+		entry.excluded = nil
+	}
+	c.queue.push(entry)
+	c.schedule(now, effects)
+}
