--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -34,7 +34,7 @@
 	Generation uint64 `json:"generation"`
 }
 
-// Command is one of Submit, Attach, Cancel, Order and Probe.
+// Command is one of Submit, Attach, Cancel, Order, Probe, WatchCache, ExportKV and ImportKV.
 type Command interface{ EngineName() string }
 
 // Submit starts a run. The engine joins the run instead if it already has one of that request id, and refuses if the
@@ -123,7 +123,7 @@
 	RefusalUnknownRun  Refusal = "unknown-run" // Attach to a run that the engine does not have
 )
 
-// Event is one of Tokens, Refused, Cancelled, OrderResult, Status and Unreachable.
+// Event is one of Tokens, Refused, Cancelled, OrderResult, Status, CacheEvent, KVExported, KVImported and Unreachable.
 type Event interface{ EngineName() string }
 
 // Tokens carries tokens of a run.
