--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -36,11 +36,13 @@
 		return decision.Candidate{Name: each.engine.Name, Score: -each.seconds}
 	})
 	best := ranked[0]
+	speed := settings.Speeds[best.engine.Configuration.Role]
 	return Result{
-		Engine:       best.engine.Name,
-		DelaySeconds: firstTokenSeconds(&request, best.engine, &settings),
-		Candidates:   append(candidates, removed...),
-		Reason:       reasonForBest(best, len(ranked)),
+		Engine:            best.engine.Name,
+		FirstTokenSeconds: firstTokenSeconds(&request, best.engine, speed),
+		FinishSeconds:     finishSeconds(&request, best.engine, speed),
+		Candidates:        append(candidates, removed...),
+		Reason:            reasonForBest(best, len(ranked)),
 	}
 }
 
@@ -77,7 +79,7 @@
 
 func (s *situation) score(candidate *Engine) scored {
 	result := scored{engine: candidate, tie: tieBreak(s.settings.Seed, s.request.ID, candidate.Name)}
-	speed := speedOf(s.settings, candidate.Configuration.Role)
+	speed := s.settings.Speeds[candidate.Configuration.Role]
 	for _, each := range scores {
 		part := s.settings.weight(each.name) * each.seconds(s, candidate, speed)
 		result.parts = append(result.parts, part)
@@ -92,14 +94,6 @@
 	return xxhash.Sum64String(fmt.Sprintf("%d/%s/%s", seed, request, engineName))
 }
 
-// firstTokenSeconds is the expected time to the first token.
-func firstTokenSeconds(request *Request, candidate *Engine, settings *Settings) float64 {
-	speed := speedOf(settings, candidate.Configuration.Role)
-	uncached := max(0, request.PromptTokens-candidate.CachedTokens)
-	reading := float64(candidate.PendingPromptTokens+uncached) / speed.PromptTokensPerSecond
-	return reading + stepSeconds(speed, candidate.Running+1)
-}
-
 func reasonForBest(best scored, count int) string {
 	var parts []string
 	for index, each := range scores {
--- a/internal/placement/scores.go
+++ b/internal/placement/scores.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"math"
-
-	"github.com/granitebay/granitebay/internal/engine"
-)
+import "math"
 
 // Names of the scores, as weights and reasons use them.
 const (
@@ -15,6 +11,7 @@
 	ScoreOthers   = "others"
 	ScoreMemory   = "memory"
 	ScoreRecovery = "recovery"
+	ScoreLate     = "late"
 	ScoreZone     = "zone"
 )
 
@@ -40,17 +37,18 @@
 	{ScoreOthers, othersSeconds},
 	{ScoreMemory, memorySeconds},
 	{ScoreRecovery, recoverySeconds},
+	{ScoreLate, lateSeconds},
 	{ScoreZone, zoneSeconds},
 }
 
 // queueSeconds is the time until the prompts that are already there are read.
 func queueSeconds(_ *situation, candidate *Engine, speed Speed) float64 {
-	return float64(candidate.PendingPromptTokens) / speed.PromptTokensPerSecond
+	return readingSeconds(speed, candidate.PendingPromptTokens, candidate.Running)
 }
 
 // promptSeconds is the time to read the prompt.
-func promptSeconds(s *situation, _ *Engine, speed Speed) float64 {
-	return float64(s.request.PromptTokens) / speed.PromptTokensPerSecond
+func promptSeconds(s *situation, candidate *Engine, speed Speed) float64 {
+	return readingSeconds(speed, s.request.PromptTokens, candidate.Running)
 }
 
 // prefixSeconds is the reading time saved by a cached prefix, as a negative cost. An engine that has many more runs
@@ -60,8 +58,7 @@
 	if float64(candidate.Running) >= bound {
 		return 0
 	}
-	cached := min(candidate.CachedTokens, s.request.PromptTokens)
-	return -float64(cached) / speed.PromptTokensPerSecond
+	return -readingSeconds(speed, min(candidate.CachedTokens, s.request.PromptTokens), candidate.Running)
 }
 
 // outputSeconds is the time to produce the answer in the batch that would result.
@@ -78,6 +75,14 @@
 	return reading + float64(remaining)*speed.StepSecondsPerRun
 }
 
+// lateSeconds is a penalty when the answer is expected after its deadline.
+func lateSeconds(s *situation, candidate *Engine, speed Speed) float64 {
+	if s.request.SecondsLeft == 0 || finishSeconds(s.request, candidate, speed) <= s.request.SecondsLeft {
+		return 0
+	}
+	return s.settings.LatePenaltySeconds
+}
+
 // memorySeconds grows as the KV memory fills beyond comfort.
 func memorySeconds(s *situation, candidate *Engine, _ Speed) float64 {
 	if candidate.MemoryTotal <= 0 || s.settings.MemoryComfort >= 1 {
@@ -106,5 +111,24 @@
 	return speed.StepSeconds + speed.StepSecondsPerRun*float64(max(0, runs-1))
 }
 
-// speedOf returns the speed of an engine.
-func speedOf(settings *Settings, role engine.Role) Speed { return settings.Speeds[role] }
+// readingSeconds is the time to read prompt tokens beside a batch of so many runs, which gain a token in each step.
+func readingSeconds(speed Speed, tokens, runs int) float64 {
+	reading := float64(tokens) / speed.PromptTokensPerSecond
+	if speed.ChunkTokens <= 0 {
+		return reading
+	}
+	return reading + float64(tokens)/float64(speed.ChunkTokens)*stepSeconds(speed, runs)
+}
+
+// firstTokenSeconds is the expected time to the first token.
+func firstTokenSeconds(request *Request, candidate *Engine, speed Speed) float64 {
+	uncached := max(0, request.PromptTokens-candidate.CachedTokens)
+	return readingSeconds(speed, candidate.PendingPromptTokens+uncached, candidate.Running) +
+		stepSeconds(speed, candidate.Running+1)
+}
+
+// finishSeconds is the expected time to the end of the answer.
+func finishSeconds(request *Request, candidate *Engine, speed Speed) float64 {
+	return firstTokenSeconds(request, candidate, speed) +
+		float64(max(0, request.OutputTokens-1))*stepSeconds(speed, candidate.Running+1)
+}
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -6,13 +6,18 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Speeds: map[engine.Role]Speed{
-			engine.RolePrefill: {PromptTokensPerSecond: 8000, StepSeconds: 0.012, StepSecondsPerRun: 0.003, Slots: 8},
-			engine.RoleDecode:  {PromptTokensPerSecond: 2000, StepSeconds: 0.012, StepSecondsPerRun: 0.0005, Slots: 64},
+			engine.RolePrefill: {
+				PromptTokensPerSecond: 16000, ChunkTokens: 4096, StepSeconds: 0.021, StepSecondsPerRun: 0.001, Slots: 8,
+			},
+			engine.RoleDecode: {
+				PromptTokensPerSecond: 6000, ChunkTokens: 256, StepSeconds: 0.0152, StepSecondsPerRun: 0.0002, Slots: 64,
+			},
 		},
 		PrefixLoadBound:        1.5,
 		MemoryComfort:          0.8,
 		MemoryPenaltySeconds:   2,
 		RecoveryPenaltySeconds: 0.5,
+		LatePenaltySeconds:     5,
 		OtherZoneSeconds:       0.003,
 	}
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -20,6 +20,8 @@
 	// PromptTokens is the length of the prompt, and OutputTokens the expected length of the answer.
 	PromptTokens int
 	OutputTokens int
+	// SecondsLeft is the time until the deadline of the request. Zero is no deadline.
+	SecondsLeft float64
 	// ExcludedEngines are not to be tried again, for example because they refused the request.
 	ExcludedEngines []string
 }
@@ -58,6 +60,9 @@
 type Speed struct {
 	// PromptTokensPerSecond is the rate at which prompts are read.
 	PromptTokensPerSecond float64
+	// ChunkTokens are the prompt tokens that are read in one step. Each step also gives every other run a token. Zero
+	// reads whole prompts in one step.
+	ChunkTokens int
 	// StepSeconds is the time of one output token with one run, and StepSecondsPerRun what each further run adds.
 	StepSeconds       float64
 	StepSecondsPerRun float64
@@ -79,6 +84,8 @@
 	MemoryPenaltySeconds float64
 	// RecoveryPenaltySeconds is the cost of an engine that has just come back, for each run that it already has.
 	RecoveryPenaltySeconds float64
+	// LatePenaltySeconds is the cost of an engine at which the answer is expected after its deadline.
+	LatePenaltySeconds float64
 	// OtherZoneSeconds is the cost of an engine in another zone than the caller.
 	OtherZoneSeconds float64
 	// Seed breaks ties.
@@ -89,8 +96,9 @@
 type Result struct {
 	// Engine that was chosen; empty when every engine was filtered out.
 	Engine string
-	// DelaySeconds is the expected time to the first token at that engine.
-	DelaySeconds float64
+	// FirstTokenSeconds and FinishSeconds are the expected times to the first token and to the end of the answer there.
+	FirstTokenSeconds float64
+	FinishSeconds     float64
 	// Candidates, best first, then those that were filtered out, by name.
 	Candidates []decision.Candidate
 	// Reason is one plain sentence.
