--- /dev/null
+++ b/internal/configuration/examples.go
@@ -0,0 +1,35 @@
+package configuration
+
+import (
+	"embed"
+
+	"github.com/cockroachdb/errors"
+)
+
+//go:embed examples/*.yaml
+var examples embed.FS
+
+// The names of the shipped examples.
+const (
+	ExampleFes      = "fes"
+	ExampleMagnolia = "magnolia"
+)
+
+// ExampleNames lists the shipped examples.
+func ExampleNames() []string { return []string{ExampleFes, ExampleMagnolia} }
+
+// ExampleYAML returns the text of a shipped example.
+func ExampleYAML(name string) ([]byte, error) {
+	data, err := examples.ReadFile("examples/" + name + ".yaml")
+	return data, errors.Wrapf(err, "read the example %s", name)
+}
+
+// Example returns a shipped example.
+func Example(name string) (Document, error) {
+	data, err := ExampleYAML(name)
+	if err != nil {
+		return Document{}, err
+	}
+	document, faults := ParseAndValidate(data)
+	return document, errors.Wrapf(faults.orNil(), "read the example %s", name)
+}
--- /dev/null
+++ b/internal/configuration/field.go
@@ -0,0 +1,42 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Kind is a kind of objects in a document.
+type Kind string
+
+// The kinds of objects.
+const (
+	KindModel       Kind = "model"
+	KindGroup       Kind = "group"
+	KindRule        Kind = "rule"
+	KindTenant      Kind = "tenant"
+	KindEngineLabel Kind = "engine-label"
+)
+
+// Field names the smallest part of a document that edits change as a whole: one object, or one label of one engine.
+type Field struct {
+	Kind Kind `json:"kind"`
+	// Name of the object or of the engine.
+	Name string `json:"name"`
+	// Label is the key of the label; only for KindEngineLabel.
+	Label string `json:"label,omitempty"`
+}
+
+// String returns the field in words, for example "rule quick" or "label pool of engine engine-a-1".
+func (f Field) String() string {
+	if f.Kind == KindEngineLabel {
+		return fmt.Sprintf("label %s of engine %s", f.Label, f.Name)
+	}
+	return fmt.Sprintf("%s %s", f.Kind, f.Name)
+}
+
+// FieldChange is a field that an edit changed.
+type FieldChange struct {
+	Field Field `json:"field"`
+	// Before is the value that the edit replaced; empty when the field was not there.
+	Before json.RawMessage `json:"before,omitempty"`
+}
