--- a/internal/ownership/lease.go
+++ b/internal/ownership/lease.go
@@ -97,7 +97,7 @@
 // checkLapse drops the lease and all authority when the lease has ended by the clock of this router. A renewal that is
 // answered later does not bring it back: another router may have had the shards meanwhile.
 func (c *Core) checkLapse(now time.Time, effects *core.Effects) {
-	if c.lease.id == 0 || c.reached(now, c.lease.validUntil) == false {
+	if c.lease.id == 0 || !c.reached(now, c.lease.validUntil) {
 		return
 	}
 	effects.Ask(c.ids.Next(), platform.RevokeLease{Lease: c.lease.id})
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -12,6 +12,7 @@
 package ownership
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/granitebay/granitebay/internal/ownership/backoff"
 	"github.com/granitebay/granitebay/internal/ownership/mirror"
 	"github.com/granitebay/granitebay/internal/platform"
+	"github.com/samber/lo"
 )
 
 // RequestOwner marks the platform requests of this core.
@@ -93,14 +95,18 @@
 
 // SetEngines takes all engines of the fleet. Shards exist for the zones that have engines.
 func (c *Core) SetEngines(now time.Time, engines []Engine) {
-	c.engineZone = make(map[string]string, len(engines))
+	zones := lo.SliceToMap(engines, func(engine Engine) (string, string) { return engine.Name, engine.Zone })
+	if maps.Equal(zones, c.engineZone) {
+		return
+	}
+	c.engineZone = zones
 	for _, shard := range c.shards {
 		shard.engines = 0
 	}
 	for _, engine := range engines {
-		c.engineZone[engine.Name] = engine.Zone
 		c.shardOf(now, engine).engines++
 	}
+	c.version++
 	c.wake = now
 }
 
