--- a/internal/standin/enginemodel/handle.go
+++ b/internal/standin/enginemodel/handle.go
@@ -59,7 +59,6 @@
 		m.attach(known, client, submit.StreamOffset)
 		return
 	}
-	m.sequence++
 	r := &run{
 		submit:     submit,
 		state:      runWaiting,
--- a/internal/standin/enginemodel/model.go
+++ b/internal/standin/enginemodel/model.go
@@ -34,7 +34,6 @@
 	tombstones expiryQueue
 	waiting    waitingQueue
 	batch      batch
-	sequence   uint64
 
 	cache     prefixCache
 	cacheLog  cacheLog
@@ -77,6 +76,9 @@
 // Configuration returns the configuration that the engine has, or is changing to.
 func (m *Model) Configuration() engine.Configuration { return m.configuration }
 
+// Runs returns the number of runs in the batch and in the queue, as they are now.
+func (m *Model) Runs() (running, waiting int) { return m.batch.size(), m.waiting.len() }
+
 // Crashed tells whether the engine crashed. It then does nothing more; the harness starts a new Model with a higher
 // incarnation in its place.
 func (m *Model) Crashed() bool { return m.crashed }
--- a/internal/standin/enginemodel/run.go
+++ b/internal/standin/enginemodel/run.go
@@ -21,9 +21,8 @@
 
 // run is what the engine knows of one request id. Offsets count tokens of the whole answer.
 type run struct {
-	submit   engine.Submit
-	state    runState
-	sequence uint64
+	submit engine.Submit
+	state  runState
 	// started tells whether it ever entered the batch.
 	started bool
 	// prefillLeft is the number of tokens still to be read.
--- a/internal/standin/enginemodel/settings.go
+++ b/internal/standin/enginemodel/settings.go
@@ -29,6 +29,14 @@
 	StepPerRun time.Duration
 }
 
+// Faster returns the profile with its speeds multiplied by a factor.
+func (p RoleProfile) Faster(factor float64) RoleProfile {
+	p.PrefillTokensPerSecond *= factor
+	p.StepBase = time.Duration(float64(p.StepBase) / factor)
+	p.StepPerRun = time.Duration(float64(p.StepPerRun) / factor)
+	return p
+}
+
 // Settings of one engine. The figures of DefaultSettings are assumed, of the order that is commonly reported for a
 // model of some ten billion parameters on one accelerator. None of them was measured.
 type Settings struct {
--- a/internal/standin/engineserver/process.go
+++ b/internal/standin/engineserver/process.go
@@ -57,7 +57,7 @@
 	p.settings.Start = now
 	p.settings.Incarnation = max(p.settings.Incarnation+1, uint64(now.UnixMilli()))
 	p.model = enginemodel.New(p.settings, p.random)
-	p.logger.WithField("incarnation", p.settings.Incarnation).Info("engine: started")
+	p.logger.WithField("incarnation", p.settings.Incarnation).Info("engine stand-in: Started.")
 	p.schedule()
 }
 
@@ -80,7 +80,7 @@
 		}
 	}
 	if p.model.Crashed() {
-		p.logger.Warn("engine: crashed during a change")
+		p.logger.Warn("engine stand-in: Crashed during a change.")
 		p.stopModel()
 		p.restart = time.AfterFunc(p.restartAfter, p.start)
 		return
@@ -118,7 +118,7 @@
 	if p.model == nil {
 		return
 	}
-	p.logger.Warn("engine: crashed on demand")
+	p.logger.Warn("engine stand-in: Crashed on demand.")
 	p.model.Kill(time.Now())
 	p.stopModel()
 	p.restart = time.AfterFunc(restartAfter, p.start)
@@ -144,6 +144,17 @@
 	return p.model.Incarnation()
 }
 
+// runs returns the number of runs that have not ended.
+func (p *process) runs() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.model == nil {
+		return 0
+	}
+	running, waiting := p.model.Runs()
+	return running + waiting
+}
+
 // commandOf makes a command when the incarnation and the generation of the engine are known.
 type commandOf func(incarnation, generation uint64) engine.Command
 
--- a/internal/standin/engineserver/server.go
+++ b/internal/standin/engineserver/server.go
@@ -67,6 +67,9 @@
 	return s.process.incarnation()
 }
 
+// Runs returns the number of runs that have not ended.
+func (s *Server) Runs() int { return s.process.runs() }
+
 // Crash ends the engine now, as a crash of its process does, and starts it again after a while.
 func (s *Server) Crash(restartAfter time.Duration) { s.process.crash(restartAfter) }
 
