--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -51,7 +51,7 @@
 		c.refuse(now, entry, reason, wait, true, effects)
 		return AdmissionTaken
 	}
-	c.arrivals.add(now, entry)
+	c.demand.add(now, entry, c.bestCached(entry))
 	c.queue.push(entry)
 	c.schedule(now, effects)
 	if !entry.ended() {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -8,6 +8,7 @@
 	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/engine"
 	"github.com/granitebay/granitebay/internal/placement"
+	"github.com/granitebay/granitebay/internal/roleplan"
 )
 
 // Settings of a dispatch core. Zero values are replaced by the defaults named at each field.
@@ -135,11 +136,10 @@
 	engines  map[string]*engineState
 	names    []string
 	prefixes *placement.PrefixTable
-	arrivals arrivalMeter
+	demand   demandMeters
 
 	nextHousekeeping time.Time
 	stopping         bool
-	placementDirty   bool
 }
 
 // New returns a dispatch core.
@@ -153,6 +153,7 @@
 		queue:    newFairQueue(),
 		engines:  make(map[string]*engineState),
 		prefixes: placement.NewPrefixTable(settings.PrefixBlocksPerEngine),
+		demand:   demandMeters{settings: roleplan.DefaultMeterSettings()},
 	}
 }
 
--- a/internal/dispatch/engines.go
+++ b/internal/dispatch/engines.go
@@ -108,6 +108,17 @@
 	return c.prefixes.CachedBlocks(name, entry.work.GetPrefixBlocks()) * engine.PrefixBlockTokens
 }
 
+// bestCached is the most of the prompt that any owned engine probably has.
+func (c *Core) bestCached(entry *request) int {
+	best := 0
+	for _, name := range c.names {
+		if c.mayServe(entry, c.engines[name]) {
+			best = max(best, c.cachedTokens(entry, name))
+		}
+	}
+	return best
+}
+
 // recovering falls from 1 to 0 over the recovery time.
 func (c *Core) recovering(now time.Time, state *engineState) float64 {
 	if state.recoveringSince.IsZero() {
--- /dev/null
+++ b/internal/router/digest.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/core"
+	"github.com/granitebay/granitebay/internal/membership"
+)
+
+// recordsPerMessage bounds the engine records in one message.
+const recordsPerMessage = 64
+
+// tickDigest tells the other routers how much room the engines of this one have.
+func (c *Core) tickDigest(now time.Time, effects *core.Effects) {
+	if now.Before(c.nextDigest) {
+		return
+	}
+	c.nextDigest = now.Add(c.settings.DigestInterval)
+	c.digestSequence++
+	digest := &granitebayv1.PoolDigest{
+		Sequence: c.digestSequence,
+		Pools:    c.dispatch.Pools(now),
+		Leaving:  c.stopping,
+		Demand:   c.dispatch.Demand(now),
+	}
+	c.owners.HandleDigest(now, c.settings.Self, digest)
+	c.broadcast(&granitebayv1.Envelope{Body: &granitebayv1.Envelope_PoolDigest{PoolDigest: digest}}, effects)
+}
+
+// broadcast sends a body to all other live routers, each in an envelope of its own.
+func (c *Core) broadcast(envelope *granitebayv1.Envelope, effects *core.Effects) {
+	for _, member := range c.others() {
+		effects.Send(member.Name, member.Address, &granitebayv1.Envelope{Body: envelope.Body})
+	}
+}
+
+// others lists the routers that are not known to be dead, without this one.
+func (c *Core) others() []membership.Member {
+	return lo.Filter(c.members.Members(), func(member membership.Member, _ int) bool {
+		return member.Name != c.settings.Self.GetName() && member.State != membership.StateDead
+	})
+}
+
+// spreadRecords tells the other routers of engine records that changed, so that they need not wait for their watch.
+func (c *Core) spreadRecords(effects *core.Effects) {
+	changed := c.roles.TakeChangedRecords()
+	if len(changed) == 0 {
+		return
+	}
+	c.enginesChanged = true
+	own := lo.Filter(changed, func(record *granitebayv1.EngineRecord, _ int) bool {
+		return c.roles.EngineState(record.GetEngine()).Epoch != 0
+	})
+	for _, part := range lo.Chunk(own, recordsPerMessage) {
+		c.broadcast(&granitebayv1.Envelope{Body: &granitebayv1.Envelope_EngineRecords{EngineRecords: &granitebayv1.EngineRecords{Records: part}}}, effects)
+	}
+}
+
+// tickRecords sends all records to one random router, so that one that missed a change learns it even while the
+// key-value service is down.
+func (c *Core) tickRecords(now time.Time, effects *core.Effects) {
+	if now.Before(c.nextRecords) {
+		return
+	}
+	c.nextRecords = now.Add(c.settings.RecordsInterval)
+	others := c.others()
+	records := c.roles.Records()
+	if len(others) == 0 || len(records) == 0 {
+		return
+	}
+	peer := others[c.random.IntN(len(others))]
+	for _, part := range lo.Chunk(records, recordsPerMessage) {
+		effects.Send(peer.Name, peer.Address, &granitebayv1.Envelope{Body: &granitebayv1.Envelope_EngineRecords{EngineRecords: &granitebayv1.EngineRecords{Records: part}}})
+	}
+}
--- /dev/null
+++ b/internal/router/engines.go
@@ -0,0 +1,264 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/granitebay/granitebay/internal/configuration"
+	"github.com/granitebay/granitebay/internal/core"
+	"github.com/granitebay/granitebay/internal/dispatch"
+	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/membership"
+	"github.com/granitebay/granitebay/internal/ownership"
+	"github.com/granitebay/granitebay/internal/platform"
+	"github.com/granitebay/granitebay/internal/rolecontrol"
+)
+
+// engineInfo is what this router knows of an engine besides its record.
+type engineInfo struct {
+	member platform.Member
+	// listed is set while the membership list has the engine.
+	listed bool
+	// incarnation is the highest that any event told of.
+	incarnation uint64
+	// status is the latest load report; reported is set once there is one.
+	status   engine.Status
+	reported bool
+	group    string
+}
+
+// listPoll is the read of the membership list that is under way.
+type listPoll struct {
+	ids     *core.RequestIDs
+	pending platform.RequestID
+}
+
+// tickMembers reads the membership list now and then.
+func (c *Core) tickMembers(now time.Time, effects *core.Effects) {
+	if now.Before(c.nextMembers) {
+		return
+	}
+	c.nextMembers = now.Add(c.settings.MembersInterval)
+	if c.list.ids == nil {
+		c.list.ids = core.NewRequestIDs(requestOwner)
+	}
+	c.list.pending = c.list.ids.Next()
+	effects.Ask(c.list.pending, platform.ListMembers{})
+}
+
+// handleMemberList takes the membership list.
+func (c *Core) handleMemberList(now time.Time, response platform.Response, effects *core.Effects) {
+	if response.ID != c.list.pending || response.Failure != platform.FailureNone {
+		return
+	}
+	routers := lo.Filter(response.Members, func(member platform.Member, _ int) bool { return member.Kind == platform.MemberRouter })
+	c.members.HandlePlatformMembers(now, routers, effects)
+	listed := make(map[string]bool)
+	for _, member := range response.Members {
+		if member.Kind == platform.MemberEngine {
+			listed[member.Name] = true
+			c.noteListed(now, member)
+		}
+	}
+	for _, name := range c.engineNames {
+		if !listed[name] && c.engines[name].listed {
+			c.engines[name].listed = false
+			c.enginesChanged = true
+		}
+	}
+}
+
+// noteListed takes one engine of the membership list.
+func (c *Core) noteListed(now time.Time, member platform.Member) {
+	info := c.engines[member.Name]
+	if info == nil {
+		info = &engineInfo{}
+		c.engines[member.Name] = info
+		c.engineNames = append(c.engineNames, member.Name)
+		slices.Sort(c.engineNames)
+		c.nextProbe = now
+	}
+	if !info.listed || info.member.Leaving != member.Leaving || info.member.Address != member.Address || info.incarnation < member.Incarnation {
+		c.enginesChanged = true
+	}
+	info.listed = true
+	info.member = member
+	info.incarnation = max(info.incarnation, member.Incarnation)
+	c.roles.SetKnownEngine(now, member.Name, member.Zone, member.Incarnation)
+	c.applyEngineZones(now)
+}
+
+// applyEngineZones hands the engines to ownership, and the authority over them to role control.
+func (c *Core) applyEngineZones(now time.Time) {
+	engines := lo.Map(c.engineNames, func(name string, _ int) ownership.Engine {
+		return ownership.Engine{Name: name, Zone: c.engines[name].member.Zone}
+	})
+	c.ownership.SetEngines(now, engines)
+	for _, name := range c.engineNames {
+		epoch, held := c.ownership.Authority(now, name)
+		c.roles.SetAuthority(now, name, epoch, held)
+	}
+}
+
+// EngineAddress returns the host:port of an engine, or an empty string.
+func (c *Core) EngineAddress(name string) string {
+	if info := c.engines[name]; info != nil {
+		return info.member.Address
+	}
+	return ""
+}
+
+// noteEngine takes what an event tells of an engine.
+func (c *Core) noteEngine(_ time.Time, event engine.Event) {
+	info := c.engines[event.EngineName()]
+	if info == nil {
+		return
+	}
+	switch event := event.(type) {
+	case engine.Status:
+		c.noteStatus(info, event)
+	case engine.Tokens:
+		c.noteIncarnation(info, event.Incarnation)
+	case engine.Refused:
+		c.noteIncarnation(info, event.Incarnation)
+	case engine.OrderResult:
+		c.noteIncarnation(info, event.Incarnation)
+	case engine.Cancelled:
+		c.noteIncarnation(info, event.Incarnation)
+	}
+}
+
+// noteStatus takes a load report unless it is older than the one that is known.
+func (c *Core) noteStatus(info *engineInfo, status engine.Status) {
+	c.noteIncarnation(info, status.Incarnation)
+	if status.Incarnation < info.incarnation || (info.reported && !status.AsOf.After(info.status.AsOf)) {
+		return
+	}
+	changed := !info.reported || info.status.Fence.Generation != status.Fence.Generation || info.status.Changing != status.Changing
+	info.status = status
+	info.reported = true
+	if changed {
+		c.enginesChanged = true
+	}
+}
+
+// noteIncarnation forgets the report of an engine that restarted.
+func (c *Core) noteIncarnation(info *engineInfo, incarnation uint64) {
+	if incarnation <= info.incarnation {
+		return
+	}
+	info.incarnation = incarnation
+	info.reported = info.reported && info.status.Incarnation >= incarnation
+	c.enginesChanged = true
+}
+
+// tickProbes asks the engines that this router owns for their load reports.
+func (c *Core) tickProbes(now time.Time, effects *core.Effects) {
+	if now.Before(c.nextProbe) {
+		return
+	}
+	c.nextProbe = now.Add(c.settings.ProbeInterval)
+	for _, name := range c.engineNames {
+		if c.engines[name].listed && (c.owns(name) || !c.engines[name].reported) {
+			effects.Command(engine.Probe{Engine: name})
+		}
+	}
+}
+
+// owns tells whether this router is the one that sends new work to an engine.
+func (c *Core) owns(name string) bool {
+	order := c.ownership.DispatchOrder(name)
+	return len(order) > 0 && order[0] == c.settings.Self.GetName()
+}
+
+// applyEngines hands the view of all engines to dispatch.
+func (c *Core) applyEngines(now time.Time, effects *core.Effects) {
+	views := make([]dispatch.EngineView, 0, len(c.engineNames))
+	for _, name := range c.engineNames {
+		views = append(views, c.engineView(name))
+	}
+	c.dispatch.SetEngines(now, views, effects)
+}
+
+// engineView joins what is known of an engine.
+func (c *Core) engineView(name string) dispatch.EngineView {
+	info := c.engines[name]
+	info.group = c.groupOf(name)
+	view := dispatch.EngineView{
+		Name:        name,
+		Zone:        info.member.Zone,
+		Group:       info.group,
+		Incarnation: info.incarnation,
+		Leaving:     info.member.Leaving || !info.listed,
+		Owned:       c.owns(name) && !c.stopping,
+		MemoryTotal: info.status.MemoryTotal,
+	}
+	record, ok := c.roles.Record(name)
+	if !ok {
+		return view
+	}
+	view.Generation = record.GetGeneration()
+	view.Configuration = engine.Configuration{
+		Role:         engine.Role(record.GetRole()),
+		Model:        record.GetModel(),
+		ModelVersion: record.GetModelVersion(),
+		Adapters:     record.GetAdapters(),
+	}
+	view.Draining = record.GetDraining()
+	view.Changing = info.reported && info.status.Changing
+	view.Ready = info.reported && !info.status.Changing && info.status.Fence.Generation == record.GetGeneration()
+	return view
+}
+
+// groupOf returns the name of the group that selects an engine, or an empty string.
+func (c *Core) groupOf(name string) string {
+	snapshot := c.configuration.Snapshot()
+	if snapshot == nil {
+		return ""
+	}
+	group, ok := snapshot.GroupOf(name, c.platformLabels(name))
+	if !ok {
+		return ""
+	}
+	return group.Name
+}
+
+// platformLabels returns the labels of an engine from the membership list, with its zone.
+func (c *Core) platformLabels(name string) map[string]string {
+	member := c.engines[name].member
+	return lo.Assign(member.Labels, map[string]string{configuration.LabelZone: member.Zone})
+}
+
+// initialTarget gives an engine without a record its first configuration: the first model of its group, in a role such
+// that the engines of the group begin evenly split, by name.
+func (c *Core) initialTarget(name string) (rolecontrol.Target, bool) {
+	snapshot := c.configuration.Snapshot()
+	if snapshot == nil || c.engines[name] == nil {
+		return rolecontrol.Target{}, false
+	}
+	group, ok := snapshot.GroupOf(name, c.platformLabels(name))
+	if !ok || len(group.Models) == 0 || len(group.RolePolicy.AllowedRoles) == 0 {
+		return rolecontrol.Target{}, false
+	}
+	roles := group.RolePolicy.AllowedRoles
+	served := group.Models[0]
+	return rolecontrol.Target{
+		Configuration: engine.Configuration{
+			Role:         roles[c.rankInGroup(name, group.Name)%len(roles)],
+			Model:        served.Model,
+			ModelVersion: served.Version,
+			Adapters:     served.Adapters,
+		},
+		Reason: "First configuration of an engine of group " + group.Name + ".",
+	}, true
+}
+
+// rankInGroup counts the engines of a group before this one, by name.
+func (c *Core) rankInGroup(name, group string) int {
+	return lo.CountBy(c.engineNames, func(other string) bool { return other < name && c.groupOf(other) == group })
+}
+
+// memberState names the state of a router for people.
+func memberState(member membership.Member) string { return member.State.String() }
