--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -87,7 +87,7 @@
 		forwarded: make(map[string]*forward),
 		planSeen:  make(map[string]planMark),
 		changedAt: make(map[string]time.Time),
-		capacity:  roleplan.NewCapacity(roleplan.DefaultCapacitySettings()),
+		capacity:  roleplan.NewCapacity(planSpeeds(settings.Placement.Speeds)),
 	}
 	c.newCores()
 	return c
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -12,6 +12,7 @@
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/engine"
 	"github.com/granitebay/granitebay/internal/membership"
+	"github.com/granitebay/granitebay/internal/placement"
 	"github.com/granitebay/granitebay/internal/rendezvous"
 	"github.com/granitebay/granitebay/internal/rolecontrol"
 	"github.com/granitebay/granitebay/internal/roleplan"
@@ -270,3 +271,15 @@
 		Reason:        "The configuration of group " + group.Name + " wants another model, version, adapter or role.",
 	}, true
 }
+
+// planSpeeds are the speeds of placement as the planner takes them.
+func planSpeeds(speeds map[engine.Role]placement.Speed) map[engine.Role]roleplan.Speed {
+	return lo.MapValues(speeds, func(speed placement.Speed, _ engine.Role) roleplan.Speed {
+		return roleplan.Speed{
+			PromptTokensPerSecond: speed.PromptTokensPerSecond,
+			StepSeconds:           speed.StepSeconds,
+			StepSecondsPerRun:     speed.StepSecondsPerRun,
+			Slots:                 speed.Slots,
+		}
+	})
+}
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -33,3 +33,6 @@
 func (c *Core) Stopped(now time.Time) bool {
 	return c.stopping && c.dispatch.Active() == 0 && now.Sub(c.stoppedAt) >= c.settings.StopGrace
 }
+
+// Ready tells whether this router takes requests.
+func (c *Core) Ready() bool { return !c.stopping && c.configuration.Snapshot() != nil }
