--- a/internal/agent/scenario_test.go
+++ b/internal/agent/scenario_test.go
@@ -165,6 +165,21 @@
 	}
 }
 
+func TestTwoOwnersOfOneAttempt(t *testing.T) {
+	h := newHarness(t, nil)
+	sent, _ := h.mustSubmit(1, work())
+	id := sent.Work.RequestId
+	h.progress("r8", piece(id, 1, "e1", 0, tokens("t", 0, 2), 0))
+	h.progress("r9", piece(id, 1, "e2", 2, tokens("u", 2, 4), 0)) // began with other tokens than r8
+	if len(h.answers[1]) != 2 {
+		t.Fatalf("two texts were mixed: %v", h.answers[1])
+	}
+	h.progress("r8", piece(id, 1, "e1", 2, tokens("t", 2, 4), 4))
+	if !h.finished[1] || !slices.Equal(h.answers[1], tokens("t", 0, 4)) {
+		t.Fatalf("got %v", h.answers[1])
+	}
+}
+
 func TestOwnerChangesEngineWithinOneAttempt(t *testing.T) {
 	h := newHarness(t, nil)
 	sent, _ := h.mustSubmit(1, work())
