--- a/internal/platformclient/client.go
+++ b/internal/platformclient/client.go
@@ -45,7 +45,7 @@
 	// WatchSilence is how long a watch may send nothing before it counts as broken; zero means five seconds.
 	WatchSilence time.Duration
 	// Deliver takes responses and DeliverWatch changes of watches. They are called from many goroutines; those of one
-	// watch come in order.
+	// watch come in order. They must not block for long and must not call Close, which waits for them.
 	Deliver      func(platform.Response)
 	DeliverWatch func(platform.WatchEvent)
 	// Logger is required.
--- a/internal/platformclient/requests.go
+++ b/internal/platformclient/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/platform"
@@ -82,6 +83,16 @@
 	return platform.Response{Failure: platform.FailureUnknown}
 }
 
+// newTransactionBody makes nil values empty, because the wire format knows no absent value.
+func newTransactionBody(request platform.Transaction) transactionBody {
+	body := transactionBody(request)
+	body.Puts = lo.Map(request.Puts, func(put platform.Put, _ int) platform.Put {
+		put.Value = append([]byte{}, put.Value...)
+		return put
+	})
+	return body
+}
+
 // newExchange puts a request into HTTP.
 func newExchange(request platform.Request) (exchange, error) {
 	post := func(path string, body any) (exchange, error) {
@@ -93,7 +104,7 @@
 	case platform.List:
 		return post("/v1/kv/list", listBody(request))
 	case platform.Transaction:
-		return post("/v1/kv/transaction", transactionBody(request))
+		return post("/v1/kv/transaction", newTransactionBody(request))
 	case platform.GrantLease:
 		return post("/v1/kv/lease/grant", grantBody{TTLMilliseconds: request.TTL.Milliseconds()})
 	case platform.KeepAlive:
--- a/internal/standin/platformmodel/model.go
+++ b/internal/standin/platformmodel/model.go
@@ -114,7 +114,7 @@
 func (m *Model) Entries(prefix string) []platform.Entry { return m.store.list(prefix) }
 
 // History returns the commits of the key-value service, oldest first: all of them with Settings.RecordAllCommits, and
-// else those that are kept for watches. The caller must not change them.
+// else at least the latest Settings.HistoryLength. The caller must not change them.
 func (m *Model) History() []Commit { return m.store.commits }
 
 // DisconnectClient forgets the watches and the unanswered requests of a client that is gone. A request that was
--- a/internal/standin/platformmodel/store.go
+++ b/internal/standin/platformmodel/store.go
@@ -11,6 +11,9 @@
 	"github.com/granitebay/granitebay/internal/platform"
 )
 
+// historySlack is how many times the history length may be held, so that old commits are dropped in bulk.
+const historySlack = 2
+
 // Commit is one change of the key-value service. Revisions have no gaps.
 type Commit struct {
 	Revision uint64    `json:"revision"`
@@ -105,7 +108,7 @@
 
 func (s *store) record(commit Commit) {
 	s.commits = append(s.commits, commit)
-	if s.recordAll || len(s.commits) <= s.historyLength {
+	if s.recordAll || len(s.commits) <= historySlack*s.historyLength {
 		return
 	}
 	s.commits = slices.Clone(s.commits[len(s.commits)-s.historyLength:])
--- a/internal/standin/platformmodel/watch.go
+++ b/internal/standin/platformmodel/watch.go
@@ -14,24 +14,27 @@
 // watch is an open watch.
 type watch struct {
 	callKey
-	prefix string
+	// opening is the call that asked for the watch.
+	opening *call
+	prefix  string
 	// after is the newest revision that the client has or did not ask for.
 	after uint64
 	// lastDue keeps events in order when the delay of the service shrinks.
 	lastDue time.Time
 }
 
-// openWatch answers that the watch is open and sends the changes since its revision.
+// openWatch answers that the watch is open and sends the changes since its revision. A revision that was never reached is
+// refused like one that is too old: it is from a state that is lost.
 func (m *Model) openWatch(received *call, request platform.Watch) {
 	if received.answered {
 		return
 	}
-	if request.FromRevision < m.store.compacted() {
+	if request.FromRevision < m.store.compacted() || request.FromRevision > m.store.revision {
 		refusal := platform.Response{Failure: platform.FailureCompacted, Revision: m.store.revision}
 		m.schedule(m.now.Add(m.faults.delay()), eventAnswer, received, func() { m.answer(received, refusal) })
 		return
 	}
-	opened := &watch{callKey: received.callKey, prefix: request.Prefix, after: request.FromRevision}
+	opened := &watch{callKey: received.callKey, opening: received, prefix: request.Prefix, after: request.FromRevision}
 	m.watches[opened.callKey] = opened
 	opened.lastDue = m.now.Add(m.faults.delay())
 	response := platform.Response{Revision: m.store.revision}
@@ -80,11 +83,16 @@
 	m.abandon(func(subject *call) bool { return subject.callKey == key })
 }
 
-// closeWatches ends all watches and tells their clients.
+// closeWatches ends all watches and tells their clients. Those that do not know yet that the watch was open hear it as
+// the failure of their request.
 func (m *Model) closeWatches() {
 	for _, key := range m.sortedWatches() {
-		closed := platform.WatchEvent{ID: key.id, Revision: m.watches[key].after, Closed: true}
+		watching := m.watches[key]
 		delete(m.watches, key)
+		if !watching.opening.answered {
+			continue
+		}
+		closed := platform.WatchEvent{ID: key.id, Revision: watching.after, Closed: true}
 		m.deliveries = append(m.deliveries, Delivery{Client: key.client, Watch: &closed})
 	}
 }
--- a/internal/standin/platformserver/keyvalue.go
+++ b/internal/standin/platformserver/keyvalue.go
@@ -13,13 +13,14 @@
 	"github.com/granitebay/granitebay/internal/platform"
 )
 
-// caller names the client of a request, for rate limits and the history. It is part of the inputs.
-type caller struct {
+// Caller names the client of a request, for rate limits and the history. It is exported because the
+// HTTP library finds headers in exported parts of inputs only.
+type Caller struct {
 	Client string `header:"X-Client-Name" doc:"Name of the client; its address when empty."`
 }
 
 // Resolve falls back to the address of the client.
-func (c *caller) Resolve(ctx huma.Context) []error {
+func (c *Caller) Resolve(ctx huma.Context) []error {
 	if c.Client == "" {
 		host, _, err := net.SplitHostPort(ctx.RemoteAddr())
 		c.Client = lo.Ternary(err == nil, host, ctx.RemoteAddr())
@@ -28,31 +29,59 @@
 }
 
 type getInput struct {
-	caller
+	Caller
 	Body struct {
 		Key string `json:"key" minLength:"1"`
 	}
 }
 
 type listInput struct {
-	caller
+	Caller
 	Body struct {
 		Prefix string `json:"prefix" doc:"Empty for all keys."`
 	}
 }
 
 type transactionInput struct {
-	caller
+	Caller
 	Body struct {
 		Compares []platform.Compare `json:"compares,omitempty"`
-		Puts     []platform.Put     `json:"puts,omitempty"`
+		Puts     []putBody          `json:"puts,omitempty"`
 		Deletes  []string           `json:"deletes,omitempty"`
 	}
 }
 
+// putBody is platform.Put as a client sends it.
+type putBody struct {
+	Key   string      `json:"key"`
+	Value base64Value `json:"value"`
+	Lease uint64      `json:"lease,omitempty"`
+}
+
+// base64Value is a value that may be empty, which the check of the HTTP library for base64 does not allow.
+type base64Value []byte
+
+// Schema describes a value.
+func (base64Value) Schema(huma.Registry) *huma.Schema {
+	return &huma.Schema{
+		Type:               huma.TypeString,
+		Description:        "Base64 with padding; empty for an empty value.",
+		Pattern:            `^([A-Za-z0-9+/]{4})*([A-Za-z0-9+/]{2}==|[A-Za-z0-9+/]{3}=)?$`,
+		PatternDescription: "base64 with padding",
+	}
+}
+
+// request returns the transaction as the model takes it.
+func (t *transactionInput) request() platform.Transaction {
+	puts := lo.Map(t.Body.Puts, func(put putBody, _ int) platform.Put {
+		return platform.Put{Key: put.Key, Value: put.Value, Lease: put.Lease}
+	})
+	return platform.Transaction{Compares: t.Body.Compares, Puts: puts, Deletes: t.Body.Deletes}
+}
+
 // Resolve refuses a transaction that writes a key twice.
 func (t *transactionInput) Resolve(ctx huma.Context) []error {
-	errs := t.caller.Resolve(ctx)
+	errs := t.Caller.Resolve(ctx)
 	seen := map[string]bool{}
 	check := func(location, key string) {
 		if key == "" || seen[key] {
@@ -74,14 +103,14 @@
 }
 
 type grantInput struct {
-	caller
+	Caller
 	Body struct {
 		TTLMilliseconds int64 `json:"ttlMilliseconds" minimum:"1" maximum:"86400000"`
 	}
 }
 
 type leaseInput struct {
-	caller
+	Caller
 	Body struct {
 		Lease uint64 `json:"lease" minimum:"1"`
 	}
@@ -120,7 +149,7 @@
 		})
 	huma.Register(api, operation(http.MethodPost, "/v1/kv/transaction", "Write at one revision if all conditions hold"),
 		func(ctx context.Context, input *transactionInput) (*transactionOutput, error) {
-			response, err := s.ask(ctx, input.Client, platform.Transaction(input.Body))
+			response, err := s.ask(ctx, input.Client, input.request())
 			if err != nil {
 				return nil, err
 			}
--- a/internal/standin/platformserver/members.go
+++ b/internal/standin/platformserver/members.go
@@ -13,7 +13,7 @@
 	"github.com/granitebay/granitebay/internal/standin/platformmodel"
 )
 
-type membersInput struct{ caller }
+type membersInput struct{ Caller }
 
 type membersOutput struct {
 	Body struct {
@@ -33,7 +33,7 @@
 }
 
 type registerInput struct {
-	caller
+	Caller
 	Body memberBody
 }
 
@@ -44,12 +44,12 @@
 }
 
 type removeInput struct {
-	caller
+	Caller
 	Name string `path:"name"`
 }
 
 type leavingInput struct {
-	caller
+	Caller
 	Name string `path:"name"`
 	Body struct {
 		Leaving bool `json:"leaving"`
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -121,6 +121,7 @@
 	deliveries := s.model.TakeDeliveries()
 	if err := s.saveState(); err != nil {
 		s.options.Logger.WithError(err).Error(logPrefix + "State not saved, answers withheld.")
+		s.withhold(deliveries)
 		return
 	}
 	for _, delivery := range deliveries {
@@ -144,8 +145,24 @@
 	case events <- *delivery.Watch:
 	default:
 		s.options.Logger.WithField("client", delivery.Client).Warn(logPrefix + "Watch too far behind, closed.")
-		s.model.CancelWatch(delivery.Client, delivery.Watch.ID)
-		delete(s.watches, delivery.Watch.ID)
+		s.breakWatch(delivery.Client, delivery.Watch.ID)
+	}
+}
+
+// withhold drops deliveries. Watches break, because they must not miss a change.
+func (s *Server) withhold(deliveries []platformmodel.Delivery) {
+	for _, delivery := range deliveries {
+		if delivery.Watch != nil {
+			s.breakWatch(delivery.Client, delivery.Watch.ID)
+		}
+	}
+}
+
+// breakWatch ends a watch after the events that were handed to it.
+func (s *Server) breakWatch(client string, id platform.RequestID) {
+	s.model.CancelWatch(client, id)
+	if events, found := s.watches[id]; found {
+		delete(s.watches, id)
 		close(events)
 	}
 }
--- a/internal/standin/platformserver/watch.go
+++ b/internal/standin/platformserver/watch.go
@@ -13,7 +13,7 @@
 )
 
 type watchInput struct {
-	caller
+	Caller
 	Prefix string `query:"prefix" doc:"Empty for all keys."`
 	From   uint64 `query:"from" doc:"Changes after this revision are wanted."`
 }
--- a/internal/standin/platformserver/weights.go
+++ b/internal/standin/platformserver/weights.go
@@ -10,7 +10,7 @@
 )
 
 type fetchInput struct {
-	caller
+	Caller
 	Body struct {
 		Model   string `json:"model" minLength:"1"`
 		Version string `json:"version,omitempty"`
