--- a/internal/standin/platformmodel/faults_test.go
+++ b/internal/standin/platformmodel/faults_test.go
@@ -109,6 +109,39 @@
 	}
 }
 
+func TestWatchStaysInOrderWhenServiceSpeedsUp(t *testing.T) {
+	tests := []struct {
+		desc   string
+		second func(f *fixture)
+	}{
+		{desc: "second write is fast", second: func(f *fixture) {
+			f.pass(time.Second)
+			f.model.SetSlow(0)
+			f.send(put("b", "2", 0))
+		}},
+		{desc: "second write is applied when the first change is due", second: func(f *fixture) {
+			f.model.SetSlow(4 * time.Second)
+			f.send(put("b", "2", 0))
+			f.model.SetSlow(2 * time.Second)
+			f.pass(time.Second)
+			f.model.SetSlow(0)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFixture(t, unlimitedSettings())
+			f.ask(platform.Watch{})
+			f.model.SetSlow(2 * time.Second)
+			f.send(put("a", "1", 0))
+			test.second(f)
+			events := watchEvents(append(f.model.TakeDeliveries(), f.pass(time.Hour)...))
+			if len(events) != 2 || events[0].Revision != 1 || events[1].Revision != 2 {
+				t.Errorf("events %+v", events)
+			}
+		})
+	}
+}
+
 func TestSlowerThanClientTimeout(t *testing.T) {
 	settings := unlimitedSettings()
 	settings.ClientTimeout = time.Second
--- a/internal/standin/platformmodel/membership.go
+++ b/internal/standin/platformmodel/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -88,6 +89,15 @@
 	return true
 }
 
+// SetMembershipLag changes how late changes of the list become visible, for changes from now on.
+func (m *Model) SetMembershipLag(now time.Time, lag time.Duration) {
+	m.advanceMembership(now)
+	m.membership.lag = max(lag, 0)
+}
+
+// MembershipLag returns how late changes of the list become visible.
+func (m *Model) MembershipLag() time.Duration { return m.membership.lag }
+
 // Members returns the visible membership list in order of name, without any limit.
 func (m *Model) Members(now time.Time) []platform.Member {
 	m.advanceMembership(now)
@@ -107,7 +117,7 @@
 // announce makes a change visible after the lag.
 func (m *Model) announce(change memberChange) {
 	change.visibleAt = m.now.Add(m.membership.lag)
-	m.membership.changes = append(m.membership.changes, change)
+	m.membership.insert(change)
 	m.membership.show(m.now)
 	m.stateVersion++
 }
@@ -148,13 +158,19 @@
 	}
 }
 
-// insert keeps the changes in order of time; a change goes after others of the same time.
+// insert keeps the changes in order of time. A change goes after others of the same time, and never before an earlier one
+// of the same machine, also when the lag has shrunk.
 func (l *membership) insert(change memberChange) {
+	for _, earlier := range l.changes {
+		if earlier.member.Name == change.member.Name && earlier.visibleAt.After(change.visibleAt) {
+			change.visibleAt = earlier.visibleAt
+		}
+	}
 	place := len(l.changes)
 	for place > 0 && l.changes[place-1].visibleAt.After(change.visibleAt) {
 		place--
 	}
-	l.changes = append(l.changes[:place], append([]memberChange{change}, l.changes[place:]...)...)
+	l.changes = slices.Insert(l.changes, place, change)
 }
 
 func (l *membership) show(now time.Time) {
--- a/internal/standin/platformmodel/model_test.go
+++ b/internal/standin/platformmodel/model_test.go
@@ -298,6 +298,21 @@
 	visible(false, false, "removed")
 }
 
+func TestMembershipLagShrinks(t *testing.T) {
+	f := newFixture(t, unlimitedSettings())
+	f.model.RegisterMember(f.now, platform.Member{Name: "engine-1"})
+	f.model.SetMembershipLag(f.now, 0)
+	f.model.RegisterMember(f.now, platform.Member{Name: "engine-2"})
+	f.model.RemoveMember(f.now, "engine-1")
+	if got := f.model.Members(f.now); len(got) != 1 || got[0].Name != "engine-2" {
+		t.Errorf("members %+v, want only engine-2", got)
+	}
+	f.pass(3 * time.Second)
+	if got := f.model.Members(f.now); len(got) != 1 {
+		t.Errorf("members %+v: a removal must not be overtaken by what it removes", got)
+	}
+}
+
 func TestWeights(t *testing.T) {
 	settings := unlimitedSettings()
 	settings.Weights = platformmodel.WeightSettings{
--- a/internal/standin/platformserver/faults.go
+++ b/internal/standin/platformserver/faults.go
@@ -6,15 +6,17 @@
 	"time"
 
 	"github.com/danielgtaylor/huma/v2"
+	"github.com/samber/lo"
 
 	"github.com/granitebay/granitebay/internal/standin/platformmodel"
 )
 
-// faultSwitches are the faults of the key-value service. Those that are not given stay as they are.
+// faultSwitches are the faults of the key-value service and the lag of the membership list. Those that are not given stay as they are.
 type faultSwitches struct {
-	Outage                *bool    `json:"outage,omitempty" doc:"The service is down."`
-	SlowMilliseconds      *int64   `json:"slowMilliseconds,omitempty" minimum:"0" maximum:"600000" doc:"Extra time of each request."`
-	LostAnswerProbability *float64 `json:"lostAnswerProbability,omitempty" minimum:"0" maximum:"1" doc:"Share of answers lost."`
+	Outage                    *bool    `json:"outage,omitempty" doc:"The service is down."`
+	SlowMilliseconds          *int64   `json:"slowMilliseconds,omitempty" minimum:"0" maximum:"600000" doc:"Extra time of each request."`
+	MembershipLagMilliseconds *int64   `json:"membershipLagMilliseconds,omitempty" minimum:"0" maximum:"3600000" doc:"Lag of the list."`
+	LostAnswerProbability     *float64 `json:"lostAnswerProbability,omitempty" minimum:"0" maximum:"1" doc:"Share of answers lost."`
 }
 
 type faultsInput struct{ Body faultSwitches }
@@ -23,13 +25,14 @@
 
 func (s *Server) registerFaults(api huma.API) {
 	huma.Register(api, operation(http.MethodGet, "/v1/faults", "Read which faults are on"),
-		func(context.Context, *struct{}) (*faultsOutput, error) { return newFaults(s.faults()), nil })
-	huma.Register(api, operation(http.MethodPut, "/v1/faults", "Switch faults of the key-value service"),
+		func(context.Context, *struct{}) (*faultsOutput, error) {
+			return &faultsOutput{Body: s.readFaults()}, nil
+		})
+	huma.Register(api, operation(http.MethodPut, "/v1/faults", "Switch faults"),
 		func(_ context.Context, input *faultsInput) (*faultsOutput, error) {
 			s.Step(input.Body.apply)
-			faults := s.faults()
-			s.options.Logger.WithField("faults", faults).Info(logPrefix + "Faults switched.")
-			return newFaults(faults), nil
+			s.options.Logger.Info(logPrefix + "Faults switched.")
+			return &faultsOutput{Body: s.readFaults()}, nil
 		})
 	huma.Register(api, operation(http.MethodPost, "/v1/faults/restart", "Restart the key-value service"),
 		func(context.Context, *struct{}) (*struct{}, error) {
@@ -45,22 +48,23 @@
 	if f.LostAnswerProbability != nil {
 		model.SetLostAnswerProbability(*f.LostAnswerProbability)
 	}
+	if f.MembershipLagMilliseconds != nil {
+		model.SetMembershipLag(now, time.Duration(*f.MembershipLagMilliseconds)*time.Millisecond)
+	}
 	if f.Outage != nil {
 		model.SetOutage(now, *f.Outage)
 	}
 }
 
-func (s *Server) faults() platformmodel.Faults {
+// readFaults returns all switches as they are.
+func (s *Server) readFaults() faultSwitches {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.model.Faults()
-}
-
-func newFaults(faults platformmodel.Faults) *faultsOutput {
-	slow := faults.Slow.Milliseconds()
-	return &faultsOutput{Body: faultSwitches{
-		Outage:                &faults.Outage,
-		SlowMilliseconds:      &slow,
-		LostAnswerProbability: &faults.LostAnswerProbability,
-	}}
+	faults := s.model.Faults()
+	return faultSwitches{
+		Outage:                    lo.ToPtr(faults.Outage),
+		SlowMilliseconds:          lo.ToPtr(faults.Slow.Milliseconds()),
+		MembershipLagMilliseconds: lo.ToPtr(s.model.MembershipLag().Milliseconds()),
+		LostAnswerProbability:     lo.ToPtr(faults.LostAnswerProbability),
+	}
 }
--- a/internal/standin/platformserver/keyvalue.go
+++ b/internal/standin/platformserver/keyvalue.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"github.com/granitebay/granitebay/internal/platform"
+	"github.com/granitebay/granitebay/internal/standin/platformmodel"
 )
 
 // Caller names the client of a request, for rate limits and the history. It is exported because the
@@ -130,6 +131,12 @@
 	}
 }
 
+type historyOutput struct {
+	Body struct {
+		Commits []platformmodel.Commit `json:"commits"`
+	}
+}
+
 type leaseOutput struct {
 	Body struct {
 		Revision        uint64 `json:"revision"`
@@ -159,6 +166,14 @@
 			return output, nil
 		})
 	s.registerLeases(api)
+	huma.Register(api, operation(http.MethodGet, "/v1/kv/history", "Read the kept commits, whatever faults are on"),
+		func(context.Context, *struct{}) (*historyOutput, error) {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			output := &historyOutput{}
+			output.Body.Commits = append([]platformmodel.Commit{}, s.model.History()...)
+			return output, nil
+		})
 }
 
 func (s *Server) registerLeases(api huma.API) {
--- a/internal/standin/standincommand/platform.go
+++ b/internal/standin/standincommand/platform.go
@@ -28,6 +28,7 @@
 	ClientRate   float64 `default:"50" help:"Requests a second that each service takes from one client; 0 for no limit."`
 	ClientBurst  int     `default:"100" help:"Requests that each service takes at once from one client after a quiet time."`
 	History      int     `default:"1000" help:"Commits that are kept for watches."`
+	AllHistory   bool    `help:"Keep all commits for /v1/kv/history."`
 
 	OutageAnswer string `default:"refuse" enum:"refuse,silent" help:"What requests get in an outage: refuse or silent."`
 	OutageLeases string `default:"keep" enum:"keep,expire" help:"Whether leases expire in an outage: keep or expire."`
@@ -89,6 +90,7 @@
 	}
 	settings.MembershipLimits = settings.KeyValueLimits
 	settings.HistoryLength = c.History
+	settings.RecordAllCommits = c.AllHistory
 	settings.OutageAnswer = platformmodel.OutageAnswer(c.OutageAnswer)
 	settings.OutageLeases = platformmodel.OutageLeases(c.OutageLeases)
 	settings.MembershipLag = c.MembershipLag
