--- /dev/null
+++ b/internal/experiment/enginestate.go
@@ -0,0 +1,82 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/placement"
+)
+
+// phase is where an engine is in a change of role.
+type phase int
+
+const (
+	phaseServing  phase = iota
+	phaseDraining       // no new work; waits until a load report shows that it is empty
+	phaseChanging       // the order was sent; waits for a load report that shows it ready
+)
+
+// engineState is what the front knows of an engine.
+type engineState struct {
+	name          string
+	configuration engine.Configuration
+	generation    uint64
+	phase         phase
+	target        engine.Role
+	changedAt     time.Time
+
+	running             int
+	pendingPromptTokens int
+	pendingOutputTokens int
+	memoryUsed          int
+	memoryTotal         int
+	reading             placement.ReadingMeter
+	// report is the last load report, which lags.
+	report engine.Status
+}
+
+func newEngineState(name string, configuration engine.Configuration) *engineState {
+	return &engineState{
+		name:          name,
+		configuration: configuration,
+		memoryTotal:   engineSettings(name).MemoryTokens,
+	}
+}
+
+// placement returns the engine as placement sees it.
+func (s *engineState) placement(now time.Time) placement.Engine {
+	return placement.Engine{
+		Name:                s.name,
+		Configuration:       s.configuration,
+		Draining:            s.phase == phaseDraining,
+		Changing:            s.phase == phaseChanging,
+		Running:             s.running,
+		PendingPromptTokens: s.pendingPromptTokens,
+		PendingOutputTokens: s.pendingOutputTokens,
+		MemoryUsed:          s.memoryUsed,
+		MemoryTotal:         s.memoryTotal,
+		ReadingShare:        s.reading.Share(now),
+	}
+}
+
+func (s *engineState) reserve(next *call) {
+	s.running++
+	s.pendingPromptTokens += next.uncached
+	s.pendingOutputTokens += next.request.OutputTokens
+	s.memoryUsed += next.request.PromptTokens + next.request.OutputTokens
+}
+
+// started counts the prompt of a run as read.
+func (s *engineState) started(running *call) { s.pendingPromptTokens -= running.uncached }
+
+func (s *engineState) progress(tokens int) { s.pendingOutputTokens -= tokens }
+
+// release takes a run that ended out of the counts.
+func (s *engineState) release(running *call) {
+	s.running--
+	if running.firstToken.IsZero() {
+		s.pendingPromptTokens -= running.uncached
+	}
+	s.pendingOutputTokens -= running.request.OutputTokens - running.received
+	s.memoryUsed -= running.request.PromptTokens + running.request.OutputTokens
+}
--- a/internal/placement/scores.go
+++ b/internal/placement/scores.go
@@ -9,6 +9,7 @@
 	ScorePrefix   = "prefix"
 	ScoreOutput   = "output"
 	ScoreOthers   = "others"
+	ScoreRole     = "role"
 	ScoreMemory   = "memory"
 	ScoreRecovery = "recovery"
 	ScoreLate     = "late"
@@ -35,6 +36,7 @@
 	{ScorePrefix, prefixSeconds},
 	{ScoreOutput, outputSeconds},
 	{ScoreOthers, othersSeconds},
+	{ScoreRole, roleSeconds},
 	{ScoreMemory, memorySeconds},
 	{ScoreRecovery, recoverySeconds},
 	{ScoreLate, lateSeconds},
@@ -63,7 +65,7 @@
 
 // outputSeconds is the time to produce the answer in the batch that would result.
 func outputSeconds(s *situation, candidate *Engine, speed Speed) float64 {
-	return float64(s.request.OutputTokens) * stepSeconds(speed, candidate.Running+1)
+	return float64(s.request.OutputTokens) * tokenSeconds(candidate, speed)
 }
 
 // othersSeconds is the delay that the request imposes on the runs that are already there: reading its prompt holds
@@ -75,6 +77,14 @@
 	return reading + float64(remaining)*speed.StepSecondsPerRun
 }
 
+// roleSeconds is the time of the engine that the request takes from later ones: little when the engine's role suits the
+// request. A slot counts as its part of the whole engine.
+func roleSeconds(s *situation, candidate *Engine, speed Speed) float64 {
+	uncached := max(0, s.request.PromptTokens-candidate.CachedTokens)
+	return float64(uncached)/speed.PromptTokensPerSecond +
+		float64(s.request.OutputTokens)*stepSeconds(speed, speed.Slots)/float64(speed.Slots)
+}
+
 // lateSeconds is a penalty when the answer is expected after its deadline.
 func lateSeconds(s *situation, candidate *Engine, speed Speed) float64 {
 	if s.request.SecondsLeft == 0 || finishSeconds(s.request, candidate, speed) <= s.request.SecondsLeft {
@@ -130,5 +140,14 @@
 // finishSeconds is the expected time to the end of the answer.
 func finishSeconds(request *Request, candidate *Engine, speed Speed) float64 {
 	return firstTokenSeconds(request, candidate, speed) +
-		float64(max(0, request.OutputTokens-1))*stepSeconds(speed, candidate.Running+1)
+		float64(max(0, request.OutputTokens-1))*tokenSeconds(candidate, speed)
+}
+
+// greatestReadingShare keeps the time between tokens bounded.
+const greatestReadingShare = 0.9
+
+// tokenSeconds is the expected time between two tokens of a further run, with the prompts that are read in between.
+func tokenSeconds(candidate *Engine, speed Speed) float64 {
+	share := min(greatestReadingShare, max(0, candidate.ReadingShare))
+	return stepSeconds(speed, candidate.Running+1) / (1 - share)
 }
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -13,6 +13,7 @@
 				PromptTokensPerSecond: 6000, ChunkTokens: 256, StepSeconds: 0.0152, StepSecondsPerRun: 0.0002, Slots: 64,
 			},
 		},
+		Weights:                map[string]float64{ScoreRole: 4},
 		PrefixLoadBound:        1.5,
 		MemoryComfort:          0.8,
 		MemoryPenaltySeconds:   2,
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -50,6 +50,9 @@
 	// is unknown.
 	MemoryUsed  int
 	MemoryTotal int
+	// ReadingShare is the share of its time, from 0 to 1, that the engine lately spent reading prompts, which holds up the
+	// tokens of all its runs. A ReadingMeter measures it.
+	ReadingShare float64
 	// CachedTokens is how many leading tokens of the request's prompt the engine probably has cached.
 	CachedTokens int
 	// Recovering runs from 1, just back after a failure or a change, down to 0, fully trusted.
