--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -51,6 +51,7 @@
 		ConfigRevision: c.configRevision(),
 	})
 	if result.Value.GetWithdrawn() {
+		entry.withdrawn = true
 		c.giveUp(now, entry, granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN, withdrawnReason(entry), effects)
 		return
 	}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,314 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/claim"
+	"github.com/granitebay/granitebay/internal/core"
+	"github.com/granitebay/granitebay/internal/engine"
+)
+
+// harness drives a dispatch core with two engines and notes what it asks for.
+type harness struct {
+	t       *testing.T
+	core    *Core
+	now     time.Time
+	effects core.Effects
+	claims  []string
+}
+
+func (h *harness) Propose(_ time.Time, instance string, value *granitebayv1.ClaimValue, _ time.Time, _ *core.Effects) {
+	h.claims = append(h.claims, instance+"="+claimName(value))
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{t: t, now: time.Unix(1_700_000_000, 0)}
+	settings := Settings{Self: "router-1", PolicyFor: func(work *granitebayv1.Work) (Policy, bool) {
+		return Policy{Rule: "all", Weight: 1, MaxQueued: 8}, work.GetLabels()["class"] != "unmatched"
+	}}
+	h.core = New(settings, h, rand.New(rand.NewPCG(1, 1)))
+	h.setEngines(1, "engine-1", "engine-2")
+	return h
+}
+
+func (h *harness) setEngines(generation uint64, names ...string) {
+	views := lo.Map(names, func(name string, _ int) EngineView {
+		return EngineView{
+			Name: name, Incarnation: 1, Generation: generation, Ready: true, Owned: true,
+			Configuration: engine.Configuration{Role: engine.RoleDecode, Model: "m"},
+		}
+	})
+	h.core.SetEngines(h.now, views, &h.effects)
+}
+
+func (h *harness) generate(id string, repeatable bool, change func(*granitebayv1.Generate)) Admission {
+	message := &granitebayv1.Generate{
+		Work:            &granitebayv1.Work{RequestId: id, Tenant: "t", Model: "m", PromptTokens: 10, MaxTokens: 4, Repeatable: repeatable},
+		Attempt:         1,
+		RemainingMillis: 10_000,
+		AgentName:       "agent-1",
+	}
+	if change != nil {
+		change(message)
+	}
+	h.effects.Reset()
+	return h.core.HandleGenerate(h.now, message, &h.effects)
+}
+
+func (h *harness) event(event engine.Event) {
+	h.effects.Reset()
+	h.core.HandleEngineEvent(h.now, event, &h.effects)
+}
+
+func (h *harness) pass(duration time.Duration) {
+	h.effects.Reset()
+	for end := h.now.Add(duration); h.now.Before(end); {
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.core.Tick(h.now, &h.effects)
+	}
+}
+
+func (h *harness) submits() []engine.Submit {
+	return lo.FilterMap(h.effects.Engine, func(command engine.Command, _ int) (engine.Submit, bool) {
+		submit, ok := command.(engine.Submit)
+		return submit, ok
+	})
+}
+
+func (h *harness) cancels() []engine.Cancel {
+	return lo.FilterMap(h.effects.Engine, func(command engine.Command, _ int) (engine.Cancel, bool) {
+		cancel, ok := command.(engine.Cancel)
+		return cancel, ok
+	})
+}
+
+func (h *harness) outcomes() []granitebayv1.OutcomeKind {
+	return lo.FilterMap(h.effects.Messages, func(message core.Message, _ int) (granitebayv1.OutcomeKind, bool) {
+		outcome := message.Envelope.GetOutcome()
+		return outcome.GetKind(), outcome != nil
+	})
+}
+
+func (h *harness) tokens() []string {
+	return lo.FlatMap(h.effects.Messages, func(message core.Message, _ int) []string {
+		return message.Envelope.GetProgress().GetTokens()
+	})
+}
+
+func (h *harness) expect(desc string, got, want any) {
+	h.t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		h.t.Fatalf("%s: got %v, want %v", desc, got, want)
+	}
+}
+
+// chosen submits a request and returns the engine that got it.
+func (h *harness) chosen(id string, repeatable bool) string {
+	h.t.Helper()
+	h.generate(id, repeatable, nil)
+	if !repeatable {
+		h.decide(id, h.core.requests[id].engine, false)
+	}
+	h.expect("submits", len(h.submits()), 1)
+	return h.submits()[0].Engine
+}
+
+// decide ends a claim.
+func (h *harness) decide(instance, engineName string, withdrawn bool) {
+	h.effects.Reset()
+	value := &granitebayv1.ClaimValue{Engine: engineName, EngineIncarnation: 1, Withdrawn: withdrawn}
+	h.core.HandleClaimResult(h.now, claim.Result{RequestID: instance, Decided: true, Value: value}, &h.effects)
+}
+
+const (
+	notRun  = granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
+	unknown = granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
+	failed  = granitebayv1.OutcomeKind_OUTCOME_KIND_FAILED
+)
+
+func TestAnswerIsRelayedAndKept(t *testing.T) {
+	h := newHarness(t)
+	chosen := h.chosen("t/a", true)
+	h.event(engine.Tokens{Engine: chosen, Incarnation: 1, RequestID: "t/a", Offset: 0, Tokens: []string{"w", "x"}})
+	h.event(engine.Tokens{Engine: chosen, Incarnation: 1, RequestID: "t/a", Offset: 1, Tokens: []string{"x", "y", "z"}, Finished: true, Total: 4})
+	h.expect("tokens after an overlap", h.tokens(), []string{"y", "z"})
+	h.generate("t/a", true, func(message *granitebayv1.Generate) { message.Attempt = 2 })
+	h.expect("a repeated message gets the kept answer", h.tokens(), []string{"w", "x", "y", "z"})
+	h.expect("and starts nothing", len(h.effects.Engine), 0)
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		desc       string
+		refusal    engine.Refusal
+		repeatable bool
+		wantSubmit bool
+		wantCancel bool
+	}{
+		{"repeatable work leaves an engine of another generation", engine.RefusalGeneration, true, true, false},
+		{"repeatable work leaves a full engine", engine.RefusalFull, true, true, false},
+		{"repeatable work leaves a restarted engine", engine.RefusalIncarnation, true, true, false},
+		{"claimed work gets a tombstone before another engine is claimed", engine.RefusalGeneration, false, false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			h := newHarness(t)
+			first := h.chosen("t/a", test.repeatable)
+			h.event(engine.Refused{Engine: first, Incarnation: 1, Generation: 2, RequestID: "t/a", Refusal: test.refusal})
+			h.expect("submitted again", len(h.submits()) == 1, test.wantSubmit)
+			h.expect("cancelled", len(h.cancels()) == 1, test.wantCancel)
+			if test.wantSubmit && test.refusal != engine.RefusalIncarnation {
+				h.expect("elsewhere", h.submits()[0].Engine != first, true)
+			}
+		})
+	}
+}
+
+func TestClaimedWorkMovesOnlyAfterTombstone(t *testing.T) {
+	h := newHarness(t)
+	first := h.chosen("t/a", false)
+	h.event(engine.Refused{Engine: first, Incarnation: 1, Generation: 2, RequestID: "t/a", Refusal: engine.RefusalGeneration})
+	h.event(engine.Cancelled{Engine: first, Incarnation: 1, RequestID: "t/a"})
+	other := lo.Ternary(first == "engine-1", "engine-2", "engine-1")
+	h.expect("claims", h.claims, []string{"t/a=" + first, "t/a#1=" + other})
+	h.decide("t/a#1", other, false)
+	h.expect("submitted to the claimed engine", h.submits()[0].Engine, other)
+}
+
+func TestClaimDecidedForAnotherEngine(t *testing.T) {
+	h := newHarness(t)
+	h.generate("t/a", false, nil)
+	h.expect("nothing runs before the claim", len(h.effects.Engine), 0)
+	h.decide("t/a", "engine-9", false)
+	h.expect("the run of the other router is joined", h.submits()[0].Engine, "engine-9")
+}
+
+func TestUndecidedClaims(t *testing.T) {
+	tests := []struct {
+		desc     string
+		proposed bool
+		want     granitebayv1.OutcomeKind
+	}{
+		{"no acceptor was asked to accept: surely not run by this router", false, notRun},
+		{"an acceptor may have accepted: another router may run it", true, unknown},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			h := newHarness(t)
+			h.generate("t/a", false, nil)
+			h.effects.Reset()
+			h.core.HandleClaimResult(h.now, claim.Result{RequestID: "t/a", Failure: claim.FailureNoMajority, Proposed: test.proposed}, &h.effects)
+			h.expect("outcome", h.outcomes(), []granitebayv1.OutcomeKind{test.want})
+		})
+	}
+}
+
+func TestDeadlines(t *testing.T) {
+	tests := []struct {
+		desc       string
+		repeatable bool
+		answer     engine.Event
+		want       []granitebayv1.OutcomeKind
+	}{
+		{"the engine confirms that the run did not start", true, engine.Cancelled{Incarnation: 1, RequestID: "t/a"}, []granitebayv1.OutcomeKind{notRun}},
+		{"the engine says that the run had started", true, engine.Cancelled{Incarnation: 1, RequestID: "t/a", Started: true}, []granitebayv1.OutcomeKind{failed}},
+		{"the engine restarted meanwhile: claimed work may have run", false, engine.Cancelled{Incarnation: 2, RequestID: "t/a"}, []granitebayv1.OutcomeKind{unknown}},
+		{"the engine does not answer", true, nil, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			h := newHarness(t)
+			chosen := h.chosen("t/a", test.repeatable)
+			h.pass(9950 * time.Millisecond)
+			h.expect("cancelled shortly before the deadline", len(h.cancels()) > 0, true)
+			switch answer := test.answer.(type) {
+			case engine.Cancelled:
+				answer.Engine = chosen
+				h.event(answer)
+				h.expect("outcome", h.outcomes(), test.want)
+			default:
+				h.pass(200 * time.Millisecond)
+				h.expect("outcome at the deadline", h.outcomes(), []granitebayv1.OutcomeKind{unknown})
+			}
+		})
+	}
+}
+
+func TestQueuedRequestIsNotRun(t *testing.T) {
+	h := newHarness(t)
+	h.chosen("t/running", true)
+	h.setEngines(1)
+	h.setEngines(1, "engine-1", "engine-2")
+	for name := range h.core.engines {
+		h.core.engines[name].view.Draining = true
+	}
+	h.generate("t/a", true, nil)
+	h.expect("nothing submitted", len(h.submits()), 0)
+	h.effects.Reset()
+	h.core.HandleCancel(h.now, &granitebayv1.Cancel{RequestId: "t/a"}, &h.effects)
+	h.expect("outcome", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
+	h.generate("t/a", true, nil)
+	h.expect("a late repeated message gets the same outcome", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
+}
+
+func TestUnreachableEngine(t *testing.T) {
+	h := newHarness(t)
+	first := h.chosen("t/a", true)
+	h.event(engine.Tokens{Engine: first, Incarnation: 1, RequestID: "t/a", Tokens: []string{"w"}})
+	for range 3 {
+		h.event(engine.Unreachable{Engine: first, RequestID: "t/a", Reason: "broken"})
+	}
+	h.expect("goes on at the other engine", len(h.submits()), 1)
+	h.expect("from the token that is there", h.submits()[0].ContinueFrom, 1)
+
+	claimed := h.chosen("t/b", false)
+	for range 9 {
+		h.event(engine.Unreachable{Engine: claimed, RequestID: "t/b", Reason: "broken"})
+	}
+	h.expect("claimed work never starts a second run", len(h.submits()), 0)
+}
+
+func TestStopMovesRequests(t *testing.T) {
+	h := newHarness(t)
+	h.chosen("t/a", true)
+	h.effects.Reset()
+	h.core.Stop(h.now, &h.effects)
+	moved := lo.CountBy(h.effects.Messages, func(message core.Message) bool { return message.Envelope.GetMoved() != nil })
+	h.expect("moved", moved, 1)
+	h.expect("active", h.core.Active(), 0)
+	h.generate("t/b", true, nil)
+	h.expect("new work is sent elsewhere", h.effects.Messages[0].Envelope.GetOutcome().GetElsewhere(), true)
+}
+
+func TestResumeAtOffset(t *testing.T) {
+	h := newHarness(t)
+	h.generate("t/a", false, func(message *granitebayv1.Generate) {
+		message.ResumeOffset = 2
+		message.Run = &granitebayv1.RunReference{Engine: "engine-2", EngineIncarnation: 1}
+	})
+	h.expect("attached", h.effects.Engine[0], engine.Attach{Engine: "engine-2", ExpectedIncarnation: 1, RequestID: "t/a", StreamOffset: 2})
+	h.event(engine.Tokens{Engine: "engine-2", Incarnation: 1, RequestID: "t/a", Offset: 2, Tokens: []string{"y", "z"}, Finished: true, Total: 4})
+	h.expect("only the rest is sent", h.tokens(), []string{"y", "z"})
+}
+
+func TestFairQueue(t *testing.T) {
+	entry := func(tenant string, priority int32, weight float64) *request {
+		return &request{work: &granitebayv1.Work{Tenant: tenant, MaxTokens: 10}, policy: Policy{Priority: priority, Weight: weight}}
+	}
+	q := newFairQueue()
+	for range 4 {
+		q.push(entry("flood", 1, 1))
+	}
+	q.push(entry("small", 1, 1))
+	q.push(entry("urgent", 2, 1))
+	order := lo.Map(q.entries(), func(each *request, _ int) string { return each.work.GetTenant() })
+	if fmt.Sprint(order) != "[urgent flood small flood flood flood]" {
+		t.Fatalf("got %v", order)
+	}
+}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -64,6 +64,7 @@
 		Step:             entry.outcome.GetStep(),
 		Peer:             entry.outcome.GetPeer(),
 		Elsewhere:        entry.outcome.GetElsewhere(),
+		EveryAttempt:     entry.withdrawn,
 	}
 	c.send(entry, &granitebayv1.Envelope{Body: &granitebayv1.Envelope_Outcome{Outcome: outcome}}, effects)
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -66,6 +66,9 @@
 	// callerGone is set when nobody waits for the answer.
 	callerGone bool
 
+	// withdrawn is set when the claim shows that no attempt ever runs.
+	withdrawn bool
+
 	endedAt time.Time
 	outcome *granitebayv1.Outcome
 }
