--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,114 @@
+// Package logging sets up the logs of every program: short sentences, each with the fixed prefix of the part that says it.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Formats of logs.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
+// Names of the fields that every line has.
+const (
+	fieldPart    = "part"
+	fieldProcess = "process"
+)
+
+// Options of a logger.
+type Options struct {
+	// Level is debug, info, warn or error.
+	Level string
+	// Format is FormatText or FormatJSON.
+	Format string
+	// Process is the name of the process; lines in JSON carry it.
+	Process string
+	Output  io.Writer
+}
+
+// New returns the logger of a process.
+func New(options Options) (*logrus.Logger, error) {
+	level, err := logrus.ParseLevel(options.Level)
+	if err != nil {
+		return nil, errors.Wrap(err, "step set up logs")
+	}
+	logger := logrus.New()
+	logger.SetLevel(level)
+	logger.SetOutput(options.Output)
+	switch options.Format {
+	case FormatText:
+		logger.SetFormatter(textFormatter{})
+	case FormatJSON:
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+		logger.AddHook(processHook{process: options.Process})
+	default:
+		return nil, errors.Newf("step set up logs: format %q must be %s or %s", options.Format, FormatText, FormatJSON)
+	}
+	return logger, nil
+}
+
+// Part returns the logger of one part of a program. Its lines begin with the name of the part.
+func Part(logger logrus.FieldLogger, part string) *logrus.Entry { return logger.WithField(fieldPart, part) }
+
+// processHook adds the name of the process to each line.
+type processHook struct{ process string }
+
+// Levels is part of logrus.Hook.
+func (processHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire is part of logrus.Hook.
+func (h processHook) Fire(entry *logrus.Entry) error {
+	entry.Data[fieldProcess] = h.process
+	return nil
+}
+
+// textFormatter writes "time LEVEL part: Sentence. key=value".
+type textFormatter struct{}
+
+// timeFormat is RFC 3339 with milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// Format is part of logrus.Formatter.
+func (textFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	var line strings.Builder
+	line.WriteString(entry.Time.Format(timeFormat))
+	fmt.Fprintf(&line, " %-5s ", strings.ToUpper(levelName(entry.Level)))
+	if part, found := entry.Data[fieldPart]; found {
+		fmt.Fprintf(&line, "%v: ", part)
+	}
+	line.WriteString(strings.ReplaceAll(entry.Message, "\n", `\n`))
+	for _, name := range slices.Sorted(maps.Keys(entry.Data)) {
+		if name != fieldPart {
+			fmt.Fprintf(&line, " %s=%s", name, quoted(fmt.Sprint(entry.Data[name])))
+		}
+	}
+	line.WriteByte('\n')
+	return []byte(line.String()), nil
+}
+
+// levelName shortens "warning".
+func levelName(level logrus.Level) string {
+	if level == logrus.WarnLevel {
+		return "warn"
+	}
+	return level.String()
+}
+
+// quoted puts quotes around a value that would not read as one word.
+func quoted(value string) string {
+	if value == "" || strings.ContainsAny(value, " =\"\n\t") {
+		return strconv.Quote(value)
+	}
+	return value
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,47 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestLines(t *testing.T) {
+	cases := []struct {
+		desc, format, level string
+		want                string
+	}{
+		{"text", FormatText, "info", ` INFO  transport: Lost the stream to a peer. error="step send: x" peer=router-a-1` + "\n"},
+		{"json", FormatJSON, "info", `"part":"transport"`},
+		{"below the level", FormatText, "warn", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			var output bytes.Buffer
+			logger, err := New(Options{Level: c.level, Format: c.format, Process: "agent-1", Output: &output})
+			if err != nil {
+				t.Fatal(err)
+			}
+			Part(logger, "transport").WithError(errors.New("step send: x")).WithField("peer", "router-a-1").Info("Lost the stream to a peer.")
+			if !strings.Contains(output.String(), c.want) || (c.want == "") != (output.Len() == 0) {
+				t.Fatalf("got %q, want %q", output.String(), c.want)
+			}
+			if c.format == FormatJSON {
+				var fields map[string]any
+				if err := json.Unmarshal(output.Bytes(), &fields); err != nil || fields["process"] != "agent-1" {
+					t.Fatalf("got %v, %v", fields, err)
+				}
+			}
+		})
+	}
+}
+
+func TestBadOptions(t *testing.T) {
+	for _, options := range []Options{{Level: "loud", Format: FormatText}, {Level: "info", Format: "xml"}} {
+		if _, err := New(options); err == nil {
+			t.Errorf("%+v passes", options)
+		}
+	}
+}
