--- /dev/null
+++ b/cmd/granitebay-lab/main.go
@@ -0,0 +1,42 @@
+// Command granitebay-lab holds what developers and newcomers need: stand-ins of the platform and of engines.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/granitebay/granitebay/internal/command"
+	"github.com/granitebay/granitebay/internal/logging"
+	"github.com/granitebay/granitebay/internal/standin/standincommand"
+)
+
+const name = "granitebay-lab"
+
+// commandLine is the command line of the lab.
+type commandLine struct {
+	LogLevel  string           `default:"info" enum:"debug,info,warn,error" help:"Least level that is logged."`
+	LogFormat string           `default:"text" enum:"text,json" help:"Format of logs."`
+	Version   kong.VersionFlag `help:"Print the version and exit."`
+
+	Engine   standincommand.EngineCommand   `cmd:"" help:"Run a stand-in of a model engine."`
+	Platform standincommand.PlatformCommand `cmd:"" help:"Run a stand-in of the platform."`
+}
+
+func main() {
+	var parsed commandLine
+	selected := command.Parse(name, "Stand-ins, load, simulation and experiments for granitebay.", &parsed)
+	command.Exit(name, run(selected, parsed))
+}
+
+func run(selected *kong.Context, parsed commandLine) error {
+	logger, err := logging.New(logging.Options{Level: parsed.LogLevel, Format: parsed.LogFormat, Process: name, Output: os.Stderr})
+	if err != nil {
+		return command.BadInput(err)
+	}
+	ctx, cancel := command.Context()
+	defer cancel()
+	selected.BindTo(ctx, (*context.Context)(nil))
+	return selected.Run(logger)
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -59,7 +59,9 @@
 }
 
 // Part returns the logger of one part of a program. Its lines begin with the name of the part.
-func Part(logger logrus.FieldLogger, part string) *logrus.Entry { return logger.WithField(fieldPart, part) }
+func Part(logger logrus.FieldLogger, part string) *logrus.Entry {
+	return logger.WithField(fieldPart, part)
+}
 
 // processHook adds the name of the process to each line.
 type processHook struct{ process string }
--- a/internal/routerprogram/program.go
+++ b/internal/routerprogram/program.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
@@ -17,18 +18,18 @@
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/engineclient"
+	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/membership"
 	"github.com/granitebay/granitebay/internal/platformclient"
 	"github.com/granitebay/granitebay/internal/router"
 	"github.com/granitebay/granitebay/internal/runner"
+	"github.com/granitebay/granitebay/internal/settings"
 	"github.com/granitebay/granitebay/internal/transport"
 )
 
 const (
-	// logPrefix begins each log sentence of the router.
-	logPrefix = "router: "
-	// decisionsKept bounds the decisions that a router keeps.
-	decisionsKept = 4096
+	// logPart is the prefix of the log lines of the program.
+	logPart = "router"
 	// stopCheckInterval is how often a stopping router looks whether it is done.
 	stopCheckInterval = 50 * time.Millisecond
 	// readHeaderTimeout bounds the time to read the header of an HTTP request.
@@ -37,26 +38,18 @@
 
 // Options of a router program.
 type Options struct {
-	// Name and Zone of the process.
-	Name string
-	Zone string
-	// ListenPeers is the host:port for other processes, ListenAdmin that for operators.
-	ListenPeers string
-	ListenAdmin string
-	// AdvertisePeers is the host:port that peers are told; that of ListenPeers when empty.
-	AdvertisePeers string
-	// Platform is the URL of the platform, or several with commas between.
-	Platform string
-	// Routers are the routers that are known from the start. They hold the claims.
-	Routers []membership.Member
-	Logger  *logrus.Logger
-	// OnDecision takes each decision; nil for none.
+	Settings settings.RouterSettings
+	Logger   *logrus.Logger
+	// PeersListener is used in place of a listener at Settings.ListenPeers; nil opens one.
+	PeersListener net.Listener
+	// OnDecision takes each decision; nil for none. It must not block.
 	OnDecision func(decision.Record)
 }
 
 // Program is a running router.
 type Program struct {
 	options  Options
+	logger   *logrus.Entry
 	injector *do.RootScope
 
 	core      *router.Core
@@ -75,17 +68,19 @@
 
 // Start starts a router. It returns once both ports are open.
 func Start(options Options) (*Program, error) {
-	peers, err := net.Listen("tcp", options.ListenPeers)
+	name := options.Settings.Name
+	peers, err := openPeers(options)
 	if err != nil {
-		return nil, errors.Wrapf(err, "step listen for peers: router %s", options.Name)
+		return nil, err
 	}
-	admin, err := net.Listen("tcp", options.ListenAdmin)
+	admin, err := net.Listen("tcp", options.Settings.ListenAdmin)
 	if err != nil {
 		_ = peers.Close()
-		return nil, errors.Wrapf(err, "step listen for operators: router %s", options.Name)
+		return nil, errors.Wrapf(err, "step listen for operators: router %s", name)
 	}
 	p := &Program{
 		options:   options,
+		logger:    logging.Part(options.Logger, logPart),
 		addresses: Addresses{Peers: peers.Addr().String(), Admin: admin.Addr().String()},
 		failed:    make(chan error, 2),
 	}
@@ -96,10 +91,19 @@
 	}
 	p.serve(peers, admin)
 	p.runner.Start()
-	options.Logger.WithFields(logrus.Fields{"router": options.Name, "peers": p.addresses.Peers, "admin": p.addresses.Admin}).Info(logPrefix + "Serving.")
+	p.logger.WithFields(logrus.Fields{"router": name, "peers": p.addresses.Peers, "admin": p.addresses.Admin}).Info("Serving.")
 	return p, nil
 }
 
+// openPeers returns the listener for peers.
+func openPeers(options Options) (net.Listener, error) {
+	if options.PeersListener != nil {
+		return options.PeersListener, nil
+	}
+	listener, err := net.Listen("tcp", options.Settings.ListenPeers)
+	return listener, errors.Wrapf(err, "step listen for peers: router %s", options.Settings.Name)
+}
+
 // assemble makes the parts and connects them.
 func (p *Program) assemble() error {
 	p.injector = do.New()
@@ -114,7 +118,7 @@
 	do.Provide(p.injector, newPlatformClient)
 	var err error
 	if p.platform, err = do.Invoke[*platformclient.Client](p.injector); err != nil {
-		return errors.Wrapf(err, "step assemble: router %s", p.options.Name)
+		return errors.Wrapf(err, "step assemble: router %s", p.options.Settings.Name)
 	}
 	p.core = do.MustInvoke[*router.Core](p.injector)
 	p.runner = do.MustInvoke[*runner.Runner](p.injector)
@@ -127,27 +131,30 @@
 
 // self names the process. The incarnation is its start time, which grows with each start.
 func (p *Program) self() *granitebayv1.Peer {
-	address := p.options.AdvertisePeers
+	address := p.options.Settings.AdvertisePeers
 	if address == "" {
 		address = p.addresses.Peers
 	}
 	return &granitebayv1.Peer{
-		Name:        p.options.Name,
+		Name:        p.options.Settings.Name,
 		Incarnation: uint64(time.Now().UnixNano()),
 		Address:     address,
-		Zone:        p.options.Zone,
+		Zone:        p.options.Settings.Zone,
 	}
 }
 
 func newCore(injector do.Injector) (*router.Core, error) {
 	options := do.MustInvoke[Options](injector)
 	self := do.MustInvoke[*granitebayv1.Peer](injector)
-	settings := router.Settings{Self: self, StartedAt: time.Now(), Seeds: options.Routers}
-	return router.New(settings, rand.New(rand.NewPCG(self.GetIncarnation(), rand.Uint64()))), nil
+	seeds := lo.Map(options.Settings.Peers, func(peer settings.Peer, _ int) membership.Member {
+		return membership.Member{Name: peer.Name, Address: peer.Address, Zone: peer.Zone}
+	})
+	return router.New(router.Settings{Self: self, StartedAt: time.Now(), Seeds: seeds}, rand.New(rand.NewPCG(self.GetIncarnation(), rand.Uint64()))), nil
 }
 
 func newDecisions(injector do.Injector) (*decisionlog.Log, error) {
-	return decisionlog.New(do.MustInvoke[Options](injector).Name, decisionsKept), nil
+	options := do.MustInvoke[Options](injector)
+	return decisionlog.New(options.Settings.Name, options.Settings.KeptDecisions), nil
 }
 
 func newRunner(injector do.Injector) (*runner.Runner, error) {
@@ -180,8 +187,9 @@
 	drive := do.MustInvoke[*runner.Runner](injector)
 	options := do.MustInvoke[Options](injector)
 	return platformclient.New(platformclient.Options{
-		Endpoint:     options.Platform,
-		Name:         options.Name,
+		Endpoint:     options.Settings.Platform.Endpoint,
+		Name:         options.Settings.Name,
+		Timeout:      options.Settings.Platform.RequestTimeout.Duration(),
 		Deliver:      drive.HandlePlatformResponse,
 		DeliverWatch: drive.HandlePlatformWatch,
 		Logger:       options.Logger,
@@ -204,7 +212,7 @@
 	p.servers = append(p.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			p.failed <- errors.Wrapf(err, "step serve: router %s at %s", p.options.Name, listener.Addr())
+			p.failed <- errors.Wrapf(err, "step serve: router %s at %s", p.options.Settings.Name, listener.Addr())
 		}
 	}()
 }
@@ -228,7 +236,7 @@
 			return
 		}
 	}
-	p.options.Logger.WithField("router", p.options.Name).Info(logPrefix + "Stopped; all requests were handed on.")
+	p.logger.WithField("router", p.options.Settings.Name).Info("Stopped; all requests were handed on.")
 	p.Close()
 }
 
