--- a/internal/engineclient/client_test.go
+++ b/internal/engineclient/client_test.go
@@ -96,8 +96,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(server.Close)
+	f := newClient(t, server.Handler())
+	f.server = server
+	return f
+}
+
+// newClient connects a client to a handler in place of an engine.
+func newClient(t *testing.T, handler http.Handler) *fixture {
+	t.Helper()
 	network := newPipeNetwork()
-	httpServer := &http.Server{Handler: server.Handler()}
+	httpServer := &http.Server{Handler: handler}
 	go func() { _ = httpServer.Serve(network) }()
 	events := make(chan engine.Event, 1<<16)
 	client := engineclient.New(engineclient.Options{
@@ -108,10 +117,9 @@
 	client.SetAddress(testEngine, "engine:80")
 	t.Cleanup(func() {
 		client.Close()
-		server.Close()
 		_ = httpServer.Close()
 	})
-	return &fixture{Client: client, network: network, server: server, events: events}
+	return &fixture{Client: client, network: network, events: events}
 }
 
 // next returns the next event.
@@ -299,3 +307,86 @@
 		}
 	})
 }
+
+func TestClientGivesUpASilentEngine(t *testing.T) {
+	tests := []struct {
+		desc    string
+		command engine.Command
+		// header tells whether the engine begins to answer.
+		header bool
+	}{
+		{"no answer to a probe", engine.Probe{Engine: testEngine}, false},
+		{"no answer to a submit", engine.Submit{Engine: testEngine, RequestID: "fes/01J"}, false},
+		{"silent stream", engine.Submit{Engine: testEngine, RequestID: "fes/01J"}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newClient(t, http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+					_, _ = io.Copy(io.Discard, request.Body) // the server sees only then that the caller goes away
+					if test.header {
+						_ = http.NewResponseController(response).Flush()
+					}
+					<-request.Context().Done()
+				}))
+				f.Do(test.command)
+				unreachable := next[engine.Unreachable](t, f)
+				if unreachable.NotSent || unreachable.After != engineclient.DefaultTimeout {
+					t.Fatalf("got %+v", unreachable)
+				}
+			})
+		})
+	}
+}
+
+func TestClientIsSilentOnceClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nil)
+		f.order(t, 1, engine.RoleDecode)
+		f.Do(f.submit("fes/01J", 4000))
+		next[engine.Tokens](t, f)
+		f.Close()
+		delivered := len(f.events)
+		f.Do(engine.Probe{Engine: testEngine})
+		time.Sleep(time.Minute)
+		if len(f.events) != delivered {
+			t.Fatalf("%d events after Close", len(f.events)-delivered)
+		}
+	})
+}
+
+func TestClientTransfersKV(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nil)
+		f.order(t, 1, engine.RoleDecode)
+		f.Do(engine.ImportKV{
+			Engine: testEngine, ExpectedIncarnation: f.server.Incarnation(), TransferID: 9, Model: "roast", Blocks: []uint64{1 << 63, 2},
+		})
+		if imported := next[engine.KVImported](t, f); imported.TransferID != 9 || imported.Blocks != 2 || imported.Refusal != "" {
+			t.Fatalf("got %+v", imported)
+		}
+		f.Do(engine.ExportKV{Engine: testEngine, Blocks: []uint64{1 << 63, 2, 3}})
+		exported := next[engine.KVExported](t, f)
+		if len(exported.Blocks) != 2 || exported.Blocks[0] != 1<<63 || exported.Model != "roast" {
+			t.Fatalf("got %+v", exported)
+		}
+	})
+}
+
+func TestClientWatchesTheCache(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, func(s *enginemodel.Settings) { s.CacheEventLossProbability = 0 })
+		f.order(t, 1, engine.RoleDecode)
+		f.Do(engine.WatchCache{Engine: testEngine})
+		time.Sleep(time.Second)
+		submit := f.submit("fes/01J", 1)
+		submit.Prompt = strings.Repeat("blend ", 300)
+		f.Do(submit)
+		f.answer(t, submit, 0)
+		event := next[engine.CacheEvent](t, f)
+		want := engine.PrefixBlocks(submit.Model, submit.Prompt)
+		if event.Sequence != 1 || len(event.Stored) != 1 || event.Stored[0] != want[0] {
+			t.Fatalf("got %+v, want %v stored", event, want)
+		}
+	})
+}
--- a/internal/standin/enginemodel/model_test.go
+++ b/internal/standin/enginemodel/model_test.go
@@ -288,6 +288,37 @@
 	}
 }
 
+func TestTokensComeInTime(t *testing.T) {
+	const step = 16 * time.Millisecond
+	tests := []struct {
+		desc     string
+		interval int
+		// want is the number of tokens that were sent after each step.
+		want []uint32
+	}{
+		{"each step", 1, []uint32{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}},
+		{"every fourth step, and at once the first and the last", 4, []uint32{1, 1, 1, 4, 4, 4, 4, 8, 8, 10}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			b := newBench(func(s *Settings) {
+				s.TokenEventInterval = test.interval
+				s.Decode = RoleProfile{Slots: 2, PrefillTokensPerSecond: 1e12, ChunkTokens: 100, StepBase: step}
+			})
+			b.do(submit("r", 1, 10))
+			sent := uint32(0)
+			for i, want := range test.want {
+				for _, event := range b.wait(step) {
+					sent += uint32(len(event.(engine.Tokens).Tokens))
+				}
+				if sent != want {
+					t.Fatalf("%d tokens after step %d, want %d", sent, i+1, want)
+				}
+			}
+		})
+	}
+}
+
 func TestFinishedAnswerIsKeptForAWhile(t *testing.T) {
 	b := newBench(nil)
 	b.do(submit("r", 10, 20))
