--- a/internal/standin/standincommand/engine.go
+++ b/internal/standin/standincommand/engine.go
@@ -88,7 +88,7 @@
 	go func() { failed <- serving.Serve(listener) }()
 	defer func() { _ = serving.Close() }()
 
-	registration, err := c.register(listener.Addr().String(), logger)
+	registration, err := c.register(listener.Addr().String(), server, logger)
 	if err != nil {
 		return err
 	}
@@ -137,6 +137,7 @@
 // registration keeps an engine on the membership list. Nil keeps it off.
 type registration struct {
 	client  *platformclient.Client
+	server  *engineserver.Server
 	member  platform.Member
 	leaving atomic.Bool
 	stop    context.CancelFunc
@@ -145,7 +146,7 @@
 }
 
 // register begins to keep the engine on the membership list, if there is a platform.
-func (c *EngineCommand) register(listening string, logger *logrus.Logger) (*registration, error) {
+func (c *EngineCommand) register(listening string, server *engineserver.Server, logger *logrus.Logger) (*registration, error) {
 	if c.Platform == "" {
 		return nil, nil
 	}
@@ -160,6 +161,7 @@
 	keeping, stop := context.WithCancel(context.Background())
 	r := &registration{
 		client: client,
+		server: server,
 		member: platform.Member{Name: c.Name, Kind: platform.MemberEngine, Zone: c.Zone, Address: address, Labels: c.Label},
 		stop:   stop,
 		ended:  make(chan struct{}),
@@ -175,6 +177,7 @@
 // current is what the membership list is told.
 func (r *registration) current() platform.Member {
 	member := r.member
+	member.Incarnation = r.server.Incarnation()
 	member.Leaving = r.leaving.Load()
 	return member
 }
