--- a/internal/ownership/mirror/mirror.go
+++ b/internal/ownership/mirror/mirror.go
@@ -29,7 +29,7 @@
 type Settings struct {
 	// Prefix of the keys.
 	Prefix string
-	// RequestTimeout is how long a List may take before it is asked again.
+	// RequestTimeout is how long a List, or the opening of a watch, may take before it is asked again.
 	RequestTimeout time.Duration
 	// ResyncInterval is the time between two Lists while the watch works, against changes that the watch missed.
 	ResyncInterval time.Duration
@@ -64,8 +64,11 @@
 	listSentAt time.Time
 	listAt     time.Time
 	listFailed bool
-	watch      platform.RequestID
-	watchAt    time.Time
+	// watch is the open watch, or the one that is being opened until watchOpen.
+	watch       platform.RequestID
+	watchOpen   bool
+	watchSentAt time.Time
+	watchAt     time.Time
 }
 
 // New returns an empty mirror, which asks for its first List at the first Tick.
@@ -144,8 +147,13 @@
 		m.listSentAt = now
 		effects.Ask(m.list, platform.List{Prefix: m.settings.Prefix})
 	}
+	if m.opening() && !now.Before(m.watchSentAt.Add(m.settings.RequestTimeout)) {
+		m.restartWatch(now, platform.FailureUnknown, 0)
+	}
 	if m.watch == 0 && m.Ready() && !now.Before(m.watchAt) {
 		m.watch = m.ids.Next()
+		m.watchOpen = false
+		m.watchSentAt = now
 		effects.Ask(m.watch, platform.Watch{Prefix: m.settings.Prefix, FromRevision: m.revision})
 	}
 }
@@ -156,6 +164,9 @@
 	if m.list != 0 {
 		wake = m.listSentAt.Add(m.settings.RequestTimeout)
 	}
+	if m.opening() {
+		wake = core.Earliest(wake, m.watchSentAt.Add(m.settings.RequestTimeout))
+	}
 	if m.watch == 0 && m.Ready() {
 		wake = core.Earliest(wake, m.watchAt)
 	}
@@ -175,6 +186,7 @@
 		if response.Failure != platform.FailureNone {
 			m.restartWatch(now, response.Failure, response.RetryAfter)
 		}
+		m.watchOpen = true
 		return true
 	default:
 		return false
@@ -186,6 +198,7 @@
 	if event.ID == 0 || event.ID != m.watch {
 		return false
 	}
+	m.watchOpen = true
 	m.watchBackoff.Reset()
 	changed := map[string]bool{}
 	for _, entry := range event.Changed {
@@ -204,6 +217,9 @@
 	return true
 }
 
+// opening tells whether a watch was asked for and did not answer yet.
+func (m *Mirror) opening() bool { return m.watch != 0 && !m.watchOpen }
+
 func (m *Mirror) handleList(now time.Time, response platform.Response) {
 	if response.Failure != platform.FailureNone {
 		m.delayList(now, response.RetryAfter)
--- a/internal/ownership/order.go
+++ b/internal/ownership/order.go
@@ -19,21 +19,21 @@
 // ShardKey returns the key of the shard of an engine in the key-value service; empty when the engine is not known.
 // While this router has authority, the key's modification revision is the epoch.
 func (c *Core) ShardKey(engine string) string {
-	zone, known := c.engineZone[engine]
-	if !known {
+	shard := c.engineShard[engine]
+	if shard == nil {
 		return ""
 	}
-	return ShardPrefix + c.Shard(engine, zone)
+	return shard.key
 }
 
 // DispatchOrder returns the live routers that may dispatch to an engine, first the one that does: those of the
 // engine's zone or, when it has none, all. It is empty when the engine is not known. The caller must not change it.
 func (c *Core) DispatchOrder(engine string) []string {
-	zone, known := c.engineZone[engine]
-	if !known {
+	shard := c.engineShard[engine]
+	if shard == nil {
 		return nil
 	}
-	return c.shards[c.Shard(engine, zone)].order
+	return shard.order
 }
 
 // shardOf returns the shard of an engine, which it makes when it is new.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -54,7 +54,9 @@
 
 	members    []Router
 	engineZone map[string]string
-	shards     map[string]*shard
+	// engineShard is the shard of each engine.
+	engineShard map[string]*shard
+	shards      map[string]*shard
 	// shardNames are the keys of shards, sorted.
 	shardNames []string
 	version    uint64
@@ -73,9 +75,8 @@
 			Prefix:         ShardPrefix,
 			RequestTimeout: settings.RequestTimeout,
 		}, ids, random),
-		backoff:    backoff.Backoff{Base: DefaultBackoffBase, Max: DefaultBackoffMax},
-		engineZone: map[string]string{},
-		shards:     map[string]*shard{},
+		backoff: backoff.Backoff{Base: DefaultBackoffBase, Max: DefaultBackoffMax},
+		shards:  map[string]*shard{},
 	}
 }
 
@@ -100,11 +101,14 @@
 		return
 	}
 	c.engineZone = zones
+	c.engineShard = make(map[string]*shard, len(engines))
 	for _, shard := range c.shards {
 		shard.engines = 0
 	}
 	for _, engine := range engines {
-		c.shardOf(now, engine).engines++
+		shard := c.shardOf(now, engine)
+		shard.engines++
+		c.engineShard[engine.Name] = shard
 	}
 	c.version++
 	c.wake = now
@@ -150,12 +154,8 @@
 
 // Authority tells whether this router may order the engine now, and under which epoch.
 func (c *Core) Authority(now time.Time, engine string) (epoch uint64, held bool) {
-	zone, known := c.engineZone[engine]
-	if !known || !c.lease.valid(now) {
-		return 0, false
-	}
-	shard := c.shards[c.Shard(engine, zone)]
-	if shard == nil || shard.epoch == 0 {
+	shard := c.engineShard[engine]
+	if shard == nil || shard.epoch == 0 || !c.lease.valid(now) {
 		return 0, false
 	}
 	return shard.epoch, true
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -39,6 +39,8 @@
 	freeSince time.Time
 	// epoch under which this router has authority; zero when it has none.
 	epoch uint64
+	// gainedAt is when this router got its authority.
+	gainedAt time.Time
 	// releasing is the epoch that this router is giving back; zero when it is giving none back. What is being given
 	// back is never used again, even if the answer is lost.
 	releasing uint64
@@ -98,12 +100,13 @@
 		shard.epoch = 0
 		c.version++
 	case shard.epoch == 0 && mine && entry.CreateRevision != shard.releasing && c.lease.valid(now):
-		c.gain(shard, entry.CreateRevision, effects)
+		c.gain(now, shard, entry.CreateRevision, effects)
 	}
 }
 
-func (c *Core) gain(shard *shard, epoch uint64, effects *core.Effects) {
+func (c *Core) gain(now time.Time, shard *shard, epoch uint64, effects *core.Effects) {
 	shard.epoch = epoch
+	shard.gainedAt = now
 	c.version++
 	if rank(shard.order, c.settings.Self) == 0 {
 		shard.handOnDelay = c.settings.HandOnDelay
@@ -153,7 +156,7 @@
 	if len(shard.order) == 0 || shard.order[0] == c.settings.Self {
 		return
 	}
-	if !c.reached(now, shard.firstSince.Add(shard.handOnDelay)) {
+	if !c.reached(now, shard.firstSince.Add(shard.handOnDelay)) || !c.reached(now, shard.gainedAt.Add(shard.handOnDelay)) {
 		return
 	}
 	c.decide(shard, shard.epoch, shard.order[0], "another router is now first in the order of the shard", effects)
--- a/internal/rolecontrol/commit.go
+++ b/internal/rolecontrol/commit.go
@@ -42,7 +42,7 @@
 		return
 	}
 	c.startCommit(now, control, Record{
-		Configuration: target.Configuration,
+		Configuration: canonical(target.Configuration),
 		Generation:    1,
 		Reason:        target.Reason,
 	}, effects)
--- a/internal/rolecontrol/record.go
+++ b/internal/rolecontrol/record.go
@@ -53,14 +53,20 @@
 // sameConfiguration compares configurations. The order of adapters does not matter.
 func sameConfiguration(a, b engine.Configuration) bool {
 	return a.Role == b.Role && a.Model == b.Model && a.ModelVersion == b.ModelVersion &&
-		slices.Equal(sortedAdapters(a.Adapters), sortedAdapters(b.Adapters))
+		slices.Equal(canonicalAdapters(a.Adapters), canonicalAdapters(b.Adapters))
 }
 
-func sortedAdapters(adapters []string) []string {
-	if slices.IsSorted(adapters) {
-		return adapters
+// canonical returns a configuration with its adapters sorted and each named once.
+func canonical(configuration engine.Configuration) engine.Configuration {
+	configuration.Adapters = canonicalAdapters(configuration.Adapters)
+	return configuration
+}
+
+func canonicalAdapters(adapters []string) []string {
+	if len(adapters) == 0 {
+		return nil
 	}
-	return slices.Sorted(slices.Values(adapters))
+	return slices.Compact(slices.Sorted(slices.Values(adapters)))
 }
 
 // toMessage maps a record to the message that routers exchange.
--- a/internal/rolecontrol/rolecontrol.go
+++ b/internal/rolecontrol/rolecontrol.go
@@ -114,6 +114,7 @@
 // change that was withdrawn because the engine did not become empty is tried again after RedrainDelay while it is wanted.
 func (c *Core) SetTarget(now time.Time, engineName string, target Target, effects *core.Effects) {
 	control := c.control(engineName)
+	target.Configuration = canonical(target.Configuration)
 	if control.target != nil && sameConfiguration(control.target.Configuration, target.Configuration) {
 		return
 	}
