--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -10,7 +10,6 @@
 	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/dispatch"
 	"github.com/granitebay/granitebay/internal/engine"
-	"github.com/granitebay/granitebay/internal/membership"
 	"github.com/granitebay/granitebay/internal/ownership"
 	"github.com/granitebay/granitebay/internal/platform"
 	"github.com/granitebay/granitebay/internal/rolecontrol"
@@ -260,5 +259,3 @@
 	return lo.CountBy(c.engineNames, func(other string) bool { return other < name && c.groupOf(other) == group })
 }
 
-// memberState names the state of a router for people.
-func memberState(member membership.Member) string { return member.State.String() }
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -71,7 +71,7 @@
 		AllowedRoles: policy.AllowedRoles,
 		Floors:       policy.Floors,
 		ChangeCost:   policy.ChangeCost,
-		MinDwell:     policy.MinimumDwell.Duration(),
+		MinDwell:     policy.MinimumDwell.Std(),
 		MaxChanging:  policy.MaximumChanging,
 	}
 }
