--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -39,6 +39,7 @@
 	for _, name := range sorted(lo.Keys(listed)) {
 		c.list(listed[name], effects)
 	}
+	c.table.revision++
 }
 
 // list takes one router of the platform's list.
@@ -88,23 +89,9 @@
 	}
 }
 
-// contactable returns the names of routers to contact, sorted: seeds, listed ones and dead members, as far as they are
-// not known to live. Contacting the dead heals cuts.
-func (c *Core) contactable() []string {
-	names := lo.Filter(c.table.names, func(name string, _ int) bool {
-		return c.table.records[name].health == healthDead
-	})
-	for name := range c.contacts {
-		if _, known := c.table.records[name]; !known {
-			names = append(names, name)
-		}
-	}
-	return sorted(names)
-}
-
 // contactInterval is the time between two contacts. It is short while no other member is known.
 func (c *Core) contactInterval() time.Duration {
-	if len(c.peers()) == 0 {
+	if len(c.derive().peers) == 0 {
 		return c.settings.GossipInterval
 	}
 	return c.settings.ProbeInterval
@@ -112,7 +99,7 @@
 
 // tickContacts contacts the next routers in turn. A missing answer has no consequence.
 func (c *Core) tickContacts(now time.Time, effects *core.Effects) {
-	names := c.contactable()
+	names := c.derive().contactable
 	if len(names) == 0 || now.Sub(c.lastContact) < c.contactInterval() {
 		return
 	}
@@ -121,7 +108,7 @@
 		c.contactCursor = names[c.random.IntN(len(names))]
 	}
 	count := 1
-	if len(c.peers()) == 0 {
+	if len(c.derive().peers) == 0 {
 		count = min(c.settings.GossipPeers, len(names))
 	}
 	for range count {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -37,6 +37,8 @@
 	quick     []string
 	quickSent int
 
+	derived derived
+
 	contacts      map[string]contact
 	contactCursor string
 	lastContact   time.Time
@@ -154,6 +156,7 @@
 		return
 	}
 	c.probes, c.relays = nil, nil
+	c.table.revision++
 	for _, name := range c.table.names {
 		if suspect := c.table.records[name]; suspect.health == healthSuspect {
 			suspect.deadline = now.Add(c.settings.SuspicionTimeout)
@@ -167,13 +170,11 @@
 	for _, open := range c.probes {
 		c.wake = core.Earliest(c.wake, open.due())
 	}
-	for _, name := range c.table.names {
-		c.wake = core.Earliest(c.wake, c.table.records[name].deadline)
-	}
+	c.wake = core.Earliest(c.wake, c.derive().deadline)
 	if c.hasNews() {
 		c.wake = core.Earliest(c.wake, c.lastGossip.Add(c.settings.GossipInterval))
 	}
-	if len(c.contactable()) > 0 {
+	if len(c.derive().contactable) > 0 {
 		c.wake = core.Earliest(c.wake, c.lastContact.Add(c.contactInterval()))
 	}
 	if c.wake.Before(now) {
@@ -181,16 +182,9 @@
 	}
 }
 
-// peers returns the other members that are not dead, sorted by name.
-func (c *Core) peers() []string {
-	return lo.Filter(c.table.names, func(name string, _ int) bool {
-		return name != c.self.member.Name && c.table.records[name].health != healthDead
-	})
-}
-
 // randomPeers returns up to n other members that are not dead and are not among the excluded.
 func (c *Core) randomPeers(n int, excluded ...string) []string {
-	candidates := c.shuffled(lo.Without(c.peers(), excluded...))
+	candidates := c.shuffled(lo.Without(c.derive().peers, excluded...))
 	return candidates[:min(n, len(candidates))]
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -224,7 +224,7 @@
 				return target, true
 			}
 		}
-		c.order, c.next = c.shuffled(c.peers()), 0
+		c.order, c.next = c.shuffled(c.derive().peers), 0
 	}
 	return nil, false
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -84,6 +84,8 @@
 	names []string
 	// version grows when the exported members change.
 	version uint64
+	// revision grows with each change, also one that does not show in the exported members.
+	revision uint64
 	// digest combines the hashes of all members that are not dead.
 	digest uint64
 	// all and live are the exported members; nil after a change.
@@ -120,6 +122,7 @@
 	t.digest ^= changed.hash()
 	apply()
 	t.digest ^= changed.hash()
+	t.revision++
 	after := changed.exported()
 	if before == after {
 		return
@@ -132,6 +135,7 @@
 
 // changed notes that the exported members changed.
 func (t *table) changed() {
+	t.revision++
 	t.version++
 	t.all, t.live = nil, nil
 }
--- a/internal/membership/updates.go
+++ b/internal/membership/updates.go
@@ -187,6 +187,9 @@
 
 // tickDeadlines makes suspects dead and forgets the dead, when it is time.
 func (c *Core) tickDeadlines(now time.Time, effects *core.Effects) {
+	if earliest := c.derive().deadline; earliest.IsZero() || now.Before(earliest) {
+		return
+	}
 	for _, name := range sorted(c.table.names) {
 		known := c.table.records[name]
 		if known.deadline.IsZero() || now.Before(known.deadline) {
