--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -18,6 +18,9 @@
 	StateDead    State = "dead"
 )
 
+// String returns the state as operators see it.
+func (s State) String() string { return string(s) }
+
 // Member is one router.
 type Member struct {
 	Name string
