--- a/internal/engine/text_test.go
+++ b/internal/engine/text_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"flag"
 	"slices"
 	"strings"
 	"testing"
@@ -8,6 +9,14 @@
 	"pgregory.net/rapid"
 )
 
+// TestMain fixes the seed of the properties; -rapid.seed on the command line overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
 func TestAnswerTokensAreFixed(t *testing.T) {
 	// Engines and checkers of different builds must agree on answers, so the text of one is pinned.
 	const want = "mapo mivo neza faro"
--- a/internal/engineclient/call.go
+++ b/internal/engineclient/call.go
@@ -59,7 +59,7 @@
 		Reason:    err.Error(),
 		After:     time.Since(c.begin),
 	}
-	c.client.logger.WithField("engine", unreachable.Engine).WithError(err).Debug("engine client: No answer.")
+	c.client.logger.WithField("engine", unreachable.Engine).WithError(err).Debug("No answer.")
 	c.client.emit(unreachable)
 }
 
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -12,8 +12,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/logging"
 )
 
+// logPart begins the lines of the log.
+const logPart = "engine client"
+
 // DefaultTimeout is the time-out when Options give none.
 const DefaultTimeout = 5 * time.Second
 
@@ -83,7 +87,7 @@
 		http:      options.HTTPClient,
 		deliver:   options.Deliver,
 		timeout:   options.Timeout,
-		logger:    options.Logger.WithField("part", "engine-client"),
+		logger:    logging.Part(options.Logger, logPart),
 		context:   ctx,
 		cancel:    cancel,
 		addresses: make(map[string]string),
--- a/internal/standin/enginemodel/property_test.go
+++ b/internal/standin/enginemodel/property_test.go
@@ -1,6 +1,7 @@
 package enginemodel
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -11,6 +12,14 @@
 	"github.com/granitebay/granitebay/internal/engine"
 )
 
+// TestMain fixes the seed of the properties; -rapid.seed on the command line overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
 // step is one command of a schedule, after a pause.
 type step struct {
 	pause   time.Duration
--- a/internal/standin/engineserver/process.go
+++ b/internal/standin/engineserver/process.go
@@ -9,9 +9,13 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/standin/enginemodel"
 )
 
+// logPart begins the lines of the log.
+const logPart = "engine stand-in"
+
 // process drives a model with the clock and hands its events to the mailboxes of its clients. It plays the part of the
 // operating system too: when the model crashes, it cuts all clients off and starts a new incarnation after a while.
 type process struct {
@@ -37,7 +41,7 @@
 		settings:     options.Model,
 		random:       rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		restartAfter: options.RestartAfter,
-		logger:       options.Logger.WithField("engine", options.Model.Name),
+		logger:       logging.Part(options.Logger, logPart).WithField("engine", options.Model.Name),
 		mailboxes:    make(map[string]*mailbox),
 		streams:      make(map[string]string),
 	}
@@ -57,7 +61,7 @@
 	p.settings.Start = now
 	p.settings.Incarnation = max(p.settings.Incarnation+1, uint64(now.UnixMilli()))
 	p.model = enginemodel.New(p.settings, p.random)
-	p.logger.WithField("incarnation", p.settings.Incarnation).Info("engine stand-in: Started.")
+	p.logger.WithField("incarnation", p.settings.Incarnation).Info("Started.")
 	p.schedule()
 }
 
@@ -80,7 +84,7 @@
 		}
 	}
 	if p.model.Crashed() {
-		p.logger.Warn("engine stand-in: Crashed during a change.")
+		p.logger.Warn("Crashed during a change.")
 		p.stopModel()
 		p.restart = time.AfterFunc(p.restartAfter, p.start)
 		return
@@ -118,7 +122,7 @@
 	if p.model == nil {
 		return
 	}
-	p.logger.Warn("engine stand-in: Crashed on demand.")
+	p.logger.Warn("Crashed on demand.")
 	p.model.Kill(time.Now())
 	p.stopModel()
 	p.restart = time.AfterFunc(restartAfter, p.start)
--- a/internal/standin/standincommand/engine.go
+++ b/internal/standin/standincommand/engine.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/platform"
 	"github.com/granitebay/granitebay/internal/platformclient"
 	"github.com/granitebay/granitebay/internal/standin/enginemodel"
@@ -81,7 +82,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "engine %s: listen at %s", c.Name, c.Listen)
 	}
-	logger.WithFields(logrus.Fields{"engine": c.Name, "address": listener.Addr().String()}).Info("engine stand-in: Serving.")
+	c.log(logger).WithField("address", listener.Addr().String()).Info("Serving.")
 
 	serving := &http.Server{Handler: server.Handler()}
 	failed := make(chan error, 1)
@@ -100,10 +101,15 @@
 	registration.leave()
 	c.awaitIdle(server)
 	registration.remove()
-	logger.WithField("engine", c.Name).Info("engine stand-in: Stopped.")
+	c.log(logger).Info("Stopped.")
 	return nil
 }
 
+// log returns the logger of the engine.
+func (c *EngineCommand) log(logger *logrus.Logger) *logrus.Entry {
+	return logging.Part(logger, "engine stand-in").WithField("engine", c.Name)
+}
+
 // awaitIdle waits until nothing has run for a while, but no longer than Drain.
 func (c *EngineCommand) awaitIdle(server *engineserver.Server) {
 	ticker := time.NewTicker(idleCheckInterval)
@@ -165,7 +171,7 @@
 		member: platform.Member{Name: c.Name, Kind: platform.MemberEngine, Zone: c.Zone, Address: address, Labels: c.Label},
 		stop:   stop,
 		ended:  make(chan struct{}),
-		logger: logger.WithField("engine", c.Name),
+		logger: c.log(logger),
 	}
 	go func() {
 		defer close(r.ended)
@@ -189,7 +195,7 @@
 	}
 	r.leaving.Store(true)
 	if _, err := r.client.RegisterMember(context.Background(), r.current()); err != nil {
-		r.logger.WithError(err).Warn("engine stand-in: Leaving was not told to the platform.")
+		r.logger.WithError(err).Warn("Leaving was not told to the platform.")
 	}
 }
 
@@ -201,7 +207,7 @@
 	r.stop()
 	<-r.ended
 	if err := r.client.RemoveMember(context.Background(), r.member.Name); err != nil {
-		r.logger.WithError(err).Warn("engine stand-in: Not taken off the membership list.")
+		r.logger.WithError(err).Warn("Not taken off the membership list.")
 	}
 	r.client.Close()
 }
