Dispatch: claimed work is not submitted once an engine may have forgotten its run

Change: age of the id is checked before a claim and before a Submit; later only Attach. Ruled out: a longer memory at engines, which we cannot demand.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -20,6 +20,13 @@
 	c.claims.Propose(now, entry.instanceID(), value, entry.deadline, effects)
 }
 
+// tooOld tells whether an engine may have forgotten that it ran the request. Work that may not be repeated is never
+// submitted from then on.
+func (c *Core) tooOld(now time.Time, entry *request) bool {
+	created, err := claim.CreatedAt(entry.id())
+	return err != nil || now.Sub(created) >= c.settings.EngineMemory
+}
+
 // nextInstance leaves an engine that surely will not run the request, and claims another one or withdraws the request.
 func (c *Core) nextInstance(now time.Time, entry *request, effects *core.Effects) {
 	entry.instance++
@@ -71,6 +78,10 @@
 		c.sendCancel(now, entry, effects)
 		return
 	}
+	if c.tooOld(now, entry) {
+		c.attach(now, entry, effects)
+		return
+	}
 	c.submit(now, entry, effects)
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -31,6 +31,9 @@
 	RecoveryTime time.Duration
 	// CircuitTime is how long an engine gets nothing after it failed. Default 2 s.
 	CircuitTime time.Duration
+	// EngineMemory is how long engines surely remember a request id. Work that may not be repeated is submitted only
+	// while its id is younger, so that an engine which has run it still knows. Default 50 s; engines promise 60 s.
+	EngineMemory time.Duration
 	// MaxQueued bounds the queue over all rules. Default 1000.
 	MaxQueued int
 	// PrefixBlocksPerEngine bounds what is remembered of the prefix cache of an engine. Default 4096 blocks.
@@ -52,6 +55,7 @@
 	defaultCancelLead           = 100 * time.Millisecond
 	defaultRecoveryTime         = 5 * time.Second
 	defaultCircuitTime          = 2 * time.Second
+	defaultEngineMemory         = 50 * time.Second
 	defaultMaxQueued            = 1000
 	defaultPrefixBlocks         = 4096
 )
@@ -66,6 +70,7 @@
 	s.CancelLead = orDefault(s.CancelLead, defaultCancelLead)
 	s.RecoveryTime = orDefault(s.RecoveryTime, defaultRecoveryTime)
 	s.CircuitTime = orDefault(s.CircuitTime, defaultCircuitTime)
+	s.EngineMemory = orDefault(s.EngineMemory, defaultEngineMemory)
 	s.MaxQueued = orDefault(s.MaxQueued, defaultMaxQueued)
 	s.PrefixBlocksPerEngine = orDefault(s.PrefixBlocksPerEngine, defaultPrefixBlocks)
 	if s.Placement.Speeds == nil {
@@ -94,6 +99,9 @@
 	Weight float64
 	// MaxInFlight bounds the requests of one tenant at one owner; zero is no bound.
 	MaxInFlight int
+	// EngineMemory is how long engines surely remember a request id. Work that may not be repeated is submitted only
+	// while its id is younger, so that an engine which has run it still knows. Default 50 s; engines promise 60 s.
+	EngineMemory time.Duration
 	// MaxQueued bounds the queue of the rule at one owner; zero is no bound.
 	MaxQueued int
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/oklog/ulid/v2"
 	"github.com/samber/lo"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
@@ -28,7 +29,7 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, now: time.Unix(1_700_000_000, 0)}
+	h := &harness{t: t, now: time.UnixMilli(int64(ulid.MustParse("01HF7YAT00000000000000000A").Time()))}
 	settings := Settings{Self: "router-1", PolicyFor: func(work *granitebayv1.Work) (Policy, bool) {
 		return Policy{Rule: "all", Weight: 1, MaxQueued: 8}, work.GetLabels()["class"] != "unmatched"
 	}}
@@ -134,11 +135,11 @@
 
 func TestAnswerIsRelayedAndKept(t *testing.T) {
 	h := newHarness(t)
-	chosen := h.chosen("t/a", true)
-	h.event(engine.Tokens{Engine: chosen, Incarnation: 1, RequestID: "t/a", Offset: 0, Tokens: []string{"w", "x"}})
-	h.event(engine.Tokens{Engine: chosen, Incarnation: 1, RequestID: "t/a", Offset: 1, Tokens: []string{"x", "y", "z"}, Finished: true, Total: 4})
+	chosen := h.chosen("t/01HF7YAT00000000000000000A", true)
+	h.event(engine.Tokens{Engine: chosen, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Offset: 0, Tokens: []string{"w", "x"}})
+	h.event(engine.Tokens{Engine: chosen, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Offset: 1, Tokens: []string{"x", "y", "z"}, Finished: true, Total: 4})
 	h.expect("tokens after an overlap", h.tokens(), []string{"y", "z"})
-	h.generate("t/a", true, func(message *granitebayv1.Generate) { message.Attempt = 2 })
+	h.generate("t/01HF7YAT00000000000000000A", true, func(message *granitebayv1.Generate) { message.Attempt = 2 })
 	h.expect("a repeated message gets the kept answer", h.tokens(), []string{"w", "x", "y", "z"})
 	h.expect("and starts nothing", len(h.effects.Engine), 0)
 }
@@ -159,8 +160,8 @@
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			h := newHarness(t)
-			first := h.chosen("t/a", test.repeatable)
-			h.event(engine.Refused{Engine: first, Incarnation: 1, Generation: 2, RequestID: "t/a", Refusal: test.refusal})
+			first := h.chosen("t/01HF7YAT00000000000000000A", test.repeatable)
+			h.event(engine.Refused{Engine: first, Incarnation: 1, Generation: 2, RequestID: "t/01HF7YAT00000000000000000A", Refusal: test.refusal})
 			h.expect("submitted again", len(h.submits()) == 1, test.wantSubmit)
 			h.expect("cancelled", len(h.cancels()) == 1, test.wantCancel)
 			if test.wantSubmit && test.refusal != engine.RefusalIncarnation {
@@ -172,23 +173,33 @@
 
 func TestClaimedWorkMovesOnlyAfterTombstone(t *testing.T) {
 	h := newHarness(t)
-	first := h.chosen("t/a", false)
-	h.event(engine.Refused{Engine: first, Incarnation: 1, Generation: 2, RequestID: "t/a", Refusal: engine.RefusalGeneration})
-	h.event(engine.Cancelled{Engine: first, Incarnation: 1, RequestID: "t/a"})
+	first := h.chosen("t/01HF7YAT00000000000000000A", false)
+	h.event(engine.Refused{Engine: first, Incarnation: 1, Generation: 2, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalGeneration})
+	h.event(engine.Cancelled{Engine: first, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A"})
 	other := lo.Ternary(first == "engine-1", "engine-2", "engine-1")
-	h.expect("claims", h.claims, []string{"t/a=" + first, "t/a#1=" + other})
-	h.decide("t/a#1", other, false)
+	h.expect("claims", h.claims, []string{"t/01HF7YAT00000000000000000A=" + first, "t/01HF7YAT00000000000000000A#1=" + other})
+	h.decide("t/01HF7YAT00000000000000000A#1", other, false)
 	h.expect("submitted to the claimed engine", h.submits()[0].Engine, other)
 }
 
 func TestClaimDecidedForAnotherEngine(t *testing.T) {
 	h := newHarness(t)
-	h.generate("t/a", false, nil)
+	h.generate("t/01HF7YAT00000000000000000A", false, nil)
 	h.expect("nothing runs before the claim", len(h.effects.Engine), 0)
-	h.decide("t/a", "engine-9", false)
+	h.decide("t/01HF7YAT00000000000000000A", "engine-9", false)
 	h.expect("the run of the other router is joined", h.submits()[0].Engine, "engine-9")
 }
 
+func TestOldClaimIsNotSubmittedAgain(t *testing.T) {
+	h := newHarness(t)
+	h.generate("t/01HF7YAT00000000000000000A", false, nil)
+	h.now = h.now.Add(time.Minute)
+	h.decide("t/01HF7YAT00000000000000000A", "engine-1", false)
+	h.expect("no submit to an engine that may have forgotten the run", len(h.submits()), 0)
+	h.event(engine.Refused{Engine: "engine-1", Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalUnknownRun})
+	h.expect("outcome", h.outcomes(), []granitebayv1.OutcomeKind{unknown})
+}
+
 func TestUndecidedClaims(t *testing.T) {
 	tests := []struct {
 		desc     string
@@ -201,9 +212,9 @@
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			h := newHarness(t)
-			h.generate("t/a", false, nil)
+			h.generate("t/01HF7YAT00000000000000000A", false, nil)
 			h.effects.Reset()
-			h.core.HandleClaimResult(h.now, claim.Result{RequestID: "t/a", Failure: claim.FailureNoMajority, Proposed: test.proposed}, &h.effects)
+			h.core.HandleClaimResult(h.now, claim.Result{RequestID: "t/01HF7YAT00000000000000000A", Failure: claim.FailureNoMajority, Proposed: test.proposed}, &h.effects)
 			h.expect("outcome", h.outcomes(), []granitebayv1.OutcomeKind{test.want})
 		})
 	}
@@ -216,15 +227,15 @@
 		answer     engine.Event
 		want       []granitebayv1.OutcomeKind
 	}{
-		{"the engine confirms that the run did not start", true, engine.Cancelled{Incarnation: 1, RequestID: "t/a"}, []granitebayv1.OutcomeKind{notRun}},
-		{"the engine says that the run had started", true, engine.Cancelled{Incarnation: 1, RequestID: "t/a", Started: true}, []granitebayv1.OutcomeKind{failed}},
-		{"the engine restarted meanwhile: claimed work may have run", false, engine.Cancelled{Incarnation: 2, RequestID: "t/a"}, []granitebayv1.OutcomeKind{unknown}},
+		{"the engine confirms that the run did not start", true, engine.Cancelled{Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A"}, []granitebayv1.OutcomeKind{notRun}},
+		{"the engine says that the run had started", true, engine.Cancelled{Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Started: true}, []granitebayv1.OutcomeKind{failed}},
+		{"the engine restarted meanwhile: claimed work may have run", false, engine.Cancelled{Incarnation: 2, RequestID: "t/01HF7YAT00000000000000000A"}, []granitebayv1.OutcomeKind{unknown}},
 		{"the engine does not answer", true, nil, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			h := newHarness(t)
-			chosen := h.chosen("t/a", test.repeatable)
+			chosen := h.chosen("t/01HF7YAT00000000000000000A", test.repeatable)
 			h.pass(9950 * time.Millisecond)
 			h.expect("cancelled shortly before the deadline", len(h.cancels()) > 0, true)
 			switch answer := test.answer.(type) {
@@ -242,58 +253,58 @@
 
 func TestQueuedRequestIsNotRun(t *testing.T) {
 	h := newHarness(t)
-	h.chosen("t/running", true)
+	h.chosen("t/01HF7YAT00000000000000000C", true)
 	h.setEngines(1)
 	h.setEngines(1, "engine-1", "engine-2")
 	for name := range h.core.engines {
 		h.core.engines[name].view.Draining = true
 	}
-	h.generate("t/a", true, nil)
+	h.generate("t/01HF7YAT00000000000000000A", true, nil)
 	h.expect("nothing submitted", len(h.submits()), 0)
 	h.effects.Reset()
-	h.core.HandleCancel(h.now, &granitebayv1.Cancel{RequestId: "t/a"}, &h.effects)
+	h.core.HandleCancel(h.now, &granitebayv1.Cancel{RequestId: "t/01HF7YAT00000000000000000A"}, &h.effects)
 	h.expect("outcome", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
-	h.generate("t/a", true, nil)
+	h.generate("t/01HF7YAT00000000000000000A", true, nil)
 	h.expect("a late repeated message gets the same outcome", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
 }
 
 func TestUnreachableEngine(t *testing.T) {
 	h := newHarness(t)
-	first := h.chosen("t/a", true)
-	h.event(engine.Tokens{Engine: first, Incarnation: 1, RequestID: "t/a", Tokens: []string{"w"}})
+	first := h.chosen("t/01HF7YAT00000000000000000A", true)
+	h.event(engine.Tokens{Engine: first, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Tokens: []string{"w"}})
 	for range 3 {
-		h.event(engine.Unreachable{Engine: first, RequestID: "t/a", Reason: "broken"})
+		h.event(engine.Unreachable{Engine: first, RequestID: "t/01HF7YAT00000000000000000A", Reason: "broken"})
 	}
 	h.expect("goes on at the other engine", len(h.submits()), 1)
 	h.expect("from the token that is there", h.submits()[0].ContinueFrom, 1)
 
-	claimed := h.chosen("t/b", false)
+	claimed := h.chosen("t/01HF7YAT00000000000000000B", false)
 	for range 9 {
-		h.event(engine.Unreachable{Engine: claimed, RequestID: "t/b", Reason: "broken"})
+		h.event(engine.Unreachable{Engine: claimed, RequestID: "t/01HF7YAT00000000000000000B", Reason: "broken"})
 	}
 	h.expect("claimed work never starts a second run", len(h.submits()), 0)
 }
 
 func TestStopMovesRequests(t *testing.T) {
 	h := newHarness(t)
-	h.chosen("t/a", true)
+	h.chosen("t/01HF7YAT00000000000000000A", true)
 	h.effects.Reset()
 	h.core.Stop(h.now, &h.effects)
 	moved := lo.CountBy(h.effects.Messages, func(message core.Message) bool { return message.Envelope.GetMoved() != nil })
 	h.expect("moved", moved, 1)
 	h.expect("active", h.core.Active(), 0)
-	h.generate("t/b", true, nil)
+	h.generate("t/01HF7YAT00000000000000000B", true, nil)
 	h.expect("new work is sent elsewhere", h.effects.Messages[0].Envelope.GetOutcome().GetElsewhere(), true)
 }
 
 func TestResumeAtOffset(t *testing.T) {
 	h := newHarness(t)
-	h.generate("t/a", false, func(message *granitebayv1.Generate) {
+	h.generate("t/01HF7YAT00000000000000000A", false, func(message *granitebayv1.Generate) {
 		message.ResumeOffset = 2
 		message.Run = &granitebayv1.RunReference{Engine: "engine-2", EngineIncarnation: 1}
 	})
-	h.expect("attached", h.effects.Engine[0], engine.Attach{Engine: "engine-2", ExpectedIncarnation: 1, RequestID: "t/a", StreamOffset: 2})
-	h.event(engine.Tokens{Engine: "engine-2", Incarnation: 1, RequestID: "t/a", Offset: 2, Tokens: []string{"y", "z"}, Finished: true, Total: 4})
+	h.expect("attached", h.effects.Engine[0], engine.Attach{Engine: "engine-2", ExpectedIncarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", StreamOffset: 2})
+	h.event(engine.Tokens{Engine: "engine-2", Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Offset: 2, Tokens: []string{"y", "z"}, Finished: true, Total: 4})
 	h.expect("only the rest is sent", h.tokens(), []string{"y", "z"})
 }
 
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -56,6 +56,10 @@
 	if result.Engine == "" {
 		return false
 	}
+	if !entry.repeatable() && c.tooOld(now, entry) {
+		c.giveUp(now, entry, granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN, "The request waited so long that engines may have forgotten an earlier run of it.", effects)
+		return true
+	}
 	state := c.engines[result.Engine]
 	c.queue.remove(entry)
 	entry.engine = result.Engine
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -176,6 +176,10 @@
 		c.requeue(now, entry, "", fmt.Sprintf("Engine %s has no run of this request.", entry.engine), effects)
 		return
 	}
+	if c.tooOld(now, entry) {
+		c.giveUp(now, entry, granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN, fmt.Sprintf("Engine %s has no run of this request, but it may have run it and forgotten.", entry.engine), effects)
+		return
+	}
 	c.submit(now, entry, effects)
 }
 
