--- /dev/null
+++ b/internal/configuration/diff.go
@@ -0,0 +1,87 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/samber/lo"
+)
+
+// Difference is one field that differs between two specs.
+type Difference struct {
+	Field Field `json:"field"`
+	// Text says what changed, in words.
+	Text string `json:"text"`
+}
+
+// String returns the difference in words.
+func (d Difference) String() string { return d.Text }
+
+// Diff returns what changes from one spec to another, in words, in order of field.
+func Diff(before, after Spec) ([]Difference, error) {
+	beforeValues, err := fieldsOf(normalize(before))
+	if err != nil {
+		return nil, err
+	}
+	afterValues, err := fieldsOf(normalize(after))
+	if err != nil {
+		return nil, err
+	}
+	changed := changedFields(beforeValues, afterValues)
+	return lo.Map(changed, func(field Field, _ int) Difference {
+		return Difference{Field: field, Text: describe(field, beforeValues[field], afterValues[field])}
+	}), nil
+}
+
+// describe says how one field changes.
+func describe(field Field, before, after json.RawMessage) string {
+	switch {
+	case before == nil && field.Kind == KindEngineLabel:
+		return fmt.Sprintf("%s: set to %s", field, after)
+	case before == nil:
+		return fmt.Sprintf("%s: added", field)
+	case after == nil:
+		return fmt.Sprintf("%s: removed", field)
+	case field.Kind == KindEngineLabel:
+		return fmt.Sprintf("%s: %s -> %s", field, before, after)
+	}
+	return fmt.Sprintf("%s: %s", field, strings.Join(describeLeaves(before, after), "; "))
+}
+
+// describeLeaves says which values within an object change.
+func describeLeaves(before, after json.RawMessage) []string {
+	beforeLeaves, afterLeaves := leavesOf(before), leavesOf(after)
+	paths := sortedKeys(lo.Assign(beforeLeaves, afterLeaves))
+	return lo.FilterMap(paths, func(path string, _ int) (string, bool) {
+		old, now := beforeLeaves[path], afterLeaves[path]
+		text := fmt.Sprintf("%s %s -> %s", path, lo.CoalesceOrEmpty(old, "nothing"), lo.CoalesceOrEmpty(now, "nothing"))
+		return text, old != now
+	})
+}
+
+// leavesOf returns the values of an object by path. Lists are values as a whole.
+func leavesOf(object json.RawMessage) map[string]string {
+	result := map[string]string{}
+	var tree any
+	decoder := json.NewDecoder(bytes.NewReader(object))
+	decoder.UseNumber()
+	if decoder.Decode(&tree) == nil {
+		collectLeaves("", tree, result)
+	}
+	return result
+}
+
+func collectLeaves(path string, value any, into map[string]string) {
+	object, isObject := value.(map[string]any)
+	if !isObject {
+		if value != nil {
+			into[path] = quote(value)
+		}
+		return
+	}
+	for name, inner := range object {
+		collectLeaves(join(path, name), inner, into)
+	}
+}
--- /dev/null
+++ b/internal/configuration/edit.go
@@ -0,0 +1,164 @@
+package configuration
+
+import (
+	"fmt"
+)
+
+// EditKind tells what an Edit does.
+type EditKind string
+
+// The kinds of edits.
+const (
+	EditSetLabel    EditKind = "set-label"    // set one label of one engine
+	EditRemoveLabel EditKind = "remove-label" // remove one label of one engine
+	EditPut         EditKind = "put"          // add or replace one object
+	EditDelete      EditKind = "delete"       // remove one object by kind and name
+	EditApply       EditKind = "apply"        // replace the whole spec
+)
+
+// Edit is one change of a document. Kind tells which other fields count.
+type Edit struct {
+	Kind EditKind `json:"kind"`
+	// Engine and Label name the label of EditSetLabel and EditRemoveLabel.
+	Engine string `json:"engine,omitempty"`
+	Label  string `json:"label,omitempty"`
+	// Value of EditSetLabel.
+	Value string `json:"value,omitempty"`
+	// Object and Name name the object of EditDelete.
+	Object Kind   `json:"object,omitempty"`
+	Name   string `json:"name,omitempty"`
+	// Exactly one of these is the object of EditPut.
+	Model  *Model  `json:"model,omitempty"`
+	Group  *Group  `json:"group,omitempty"`
+	Rule   *Rule   `json:"rule,omitempty"`
+	Tenant *Tenant `json:"tenant,omitempty"`
+	// Spec of EditApply.
+	Spec *Spec `json:"spec,omitempty"`
+}
+
+// SetLabel returns the edit that sets one label of an engine.
+func SetLabel(engineName, label, value string) Edit {
+	return Edit{Kind: EditSetLabel, Engine: engineName, Label: label, Value: value}
+}
+
+// RemoveLabel returns the edit that removes one label of an engine.
+func RemoveLabel(engineName, label string) Edit {
+	return Edit{Kind: EditRemoveLabel, Engine: engineName, Label: label}
+}
+
+// Apply returns the edit that replaces the whole spec.
+func Apply(spec Spec) Edit { return Edit{Kind: EditApply, Spec: &spec} }
+
+// Delete returns the edit that removes one object.
+func Delete(kind Kind, name string) Edit { return Edit{Kind: EditDelete, Object: kind, Name: name} }
+
+// PutGroup returns the edit that adds or replaces a group.
+func PutGroup(group Group) Edit { return Edit{Kind: EditPut, Group: &group} }
+
+// PutRule returns the edit that adds or replaces a rule.
+func PutRule(rule Rule) Edit { return Edit{Kind: EditPut, Rule: &rule} }
+
+// PutModel returns the edit that adds or replaces a model.
+func PutModel(model Model) Edit { return Edit{Kind: EditPut, Model: &model} }
+
+// PutTenant returns the edit that adds or replaces a tenant.
+func PutTenant(tenant Tenant) Edit { return Edit{Kind: EditPut, Tenant: &tenant} }
+
+// ApplyEdits makes edits one after the other. The error is FieldErrors with all edits that make no sense. The result
+// may still be an invalid document.
+func ApplyEdits(base Spec, edits []Edit) (Spec, error) {
+	values, err := fieldsOf(base)
+	if err != nil {
+		return Spec{}, err
+	}
+	var faults FieldErrors
+	for i, edit := range edits {
+		values, faults = applyEdit(values, edit, fmt.Sprintf("edits[%d]", i), faults)
+	}
+	if err := faults.orNil(); err != nil {
+		return Spec{}, err
+	}
+	return values.spec()
+}
+
+// applyEdit makes one edit and adds its faults.
+func applyEdit(values fieldValues, edit Edit, path string, faults FieldErrors) (fieldValues, FieldErrors) {
+	fault := func(field string, value any, problem, allowed string) {
+		faults = append(faults, FieldError{Field: path + field, Value: quote(value), Problem: problem, Allowed: allowed})
+	}
+	switch edit.Kind {
+	case EditSetLabel, EditRemoveLabel:
+		if edit.Engine == "" || edit.Label == "" {
+			fault("", nil, "names no label", "engine and label")
+			break
+		}
+		field := Field{Kind: KindEngineLabel, Name: edit.Engine, Label: edit.Label}
+		if edit.Kind == EditRemoveLabel {
+			delete(values, field)
+			break
+		}
+		if err := values.put(field, edit.Value); err != nil {
+			fault(".value", edit.Value, err.Error(), "")
+		}
+	case EditPut:
+		field, object, err := edit.object()
+		if err == nil {
+			err = values.put(field, object)
+		}
+		if err != nil {
+			fault("", nil, err.Error(), "one of model, group, rule and tenant")
+		}
+	case EditDelete:
+		field := Field{Kind: edit.Object, Name: edit.Name}
+		if _, exists := values[field]; !exists {
+			fault(".name", edit.Name, fmt.Sprintf("there is no %s", field), "an object that exists")
+		}
+		delete(values, field)
+	case EditApply:
+		return applyWhole(values, edit, fault), faults
+	default:
+		fault(".kind", edit.Kind, "is not a kind of edit", "set-label, remove-label, put, delete, apply")
+	}
+	return values, faults
+}
+
+// applyWhole replaces all fields.
+func applyWhole(values fieldValues, edit Edit, fault func(field string, value any, problem, allowed string)) fieldValues {
+	if edit.Spec == nil {
+		fault(".spec", nil, "is missing", "a whole spec")
+		return values
+	}
+	whole, err := fieldsOf(normalize(*edit.Spec))
+	if err != nil {
+		fault(".spec", nil, err.Error(), "a whole spec")
+		return values
+	}
+	return whole
+}
+
+// object returns the field and the value of EditPut.
+func (e Edit) object() (Field, any, error) {
+	var field Field
+	var object any
+	count := 0
+	choose := func(kind Kind, name string, value any) {
+		field, object = Field{Kind: kind, Name: name}, value
+		count++
+	}
+	if e.Model != nil {
+		choose(KindModel, e.Model.Name, e.Model)
+	}
+	if e.Group != nil {
+		choose(KindGroup, e.Group.Name, e.Group)
+	}
+	if e.Rule != nil {
+		choose(KindRule, e.Rule.Name, e.Rule)
+	}
+	if e.Tenant != nil {
+		choose(KindTenant, e.Tenant.Name, e.Tenant)
+	}
+	if count != 1 {
+		return Field{}, nil, fmt.Errorf("has %d objects", count)
+	}
+	return field, object, nil
+}
--- /dev/null
+++ b/internal/configuration/fields.go
@@ -0,0 +1,111 @@
+package configuration
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+)
+
+// fieldValues holds a spec as one JSON value for each field. An absent field has no entry.
+type fieldValues map[Field]json.RawMessage
+
+// fieldsOf takes a spec apart.
+func fieldsOf(spec Spec) (fieldValues, error) {
+	values := fieldValues{}
+	spec = normalize(spec)
+	err := errors.Join(
+		putAll(values, KindModel, spec.Models, func(m Model) string { return m.Name }),
+		putAll(values, KindGroup, spec.Groups, func(g Group) string { return g.Name }),
+		putAll(values, KindRule, spec.Rules, func(r Rule) string { return r.Name }),
+		putAll(values, KindTenant, spec.Tenants, func(t Tenant) string { return t.Name }),
+	)
+	for engineName, labels := range spec.EngineLabels {
+		for label, value := range labels {
+			err = errors.Join(err, values.put(Field{Kind: KindEngineLabel, Name: engineName, Label: label}, value))
+		}
+	}
+	return values, errors.Wrap(err, "take the configuration apart")
+}
+
+// spec puts a spec together again.
+func (v fieldValues) spec() (Spec, error) {
+	spec := Spec{EngineLabels: map[string]map[string]string{}}
+	var err error
+	for _, field := range v.sorted() {
+		err = errors.Join(err, spec.take(field, v[field]))
+	}
+	return normalize(spec), errors.Wrap(err, "put the configuration together")
+}
+
+// take adds one field to a spec.
+func (s *Spec) take(field Field, value json.RawMessage) error {
+	switch field.Kind {
+	case KindModel:
+		return appendDecoded(&s.Models, value)
+	case KindGroup:
+		return appendDecoded(&s.Groups, value)
+	case KindRule:
+		return appendDecoded(&s.Rules, value)
+	case KindTenant:
+		return appendDecoded(&s.Tenants, value)
+	case KindEngineLabel:
+		return s.takeLabel(field, value)
+	default:
+		return errors.Newf("unknown kind of object %q", field.Kind)
+	}
+}
+
+func (s *Spec) takeLabel(field Field, value json.RawMessage) error {
+	if s.EngineLabels[field.Name] == nil {
+		s.EngineLabels[field.Name] = map[string]string{}
+	}
+	var text string
+	err := json.Unmarshal(value, &text)
+	s.EngineLabels[field.Name][field.Label] = text
+	return err
+}
+
+// put sets one field.
+func (v fieldValues) put(field Field, value any) error {
+	data, err := json.Marshal(value)
+	v[field] = data
+	return err
+}
+
+// sorted returns the fields in order.
+func (v fieldValues) sorted() []Field {
+	fields := lo.Keys(v)
+	slices.SortFunc(fields, compareFields)
+	return fields
+}
+
+// changedFields returns the fields that differ between two specs, in order.
+func changedFields(before, after fieldValues) []Field {
+	all := lo.Assign(before, after)
+	return lo.Filter(all.sorted(), func(field Field, _ int) bool {
+		return !bytes.Equal(before[field], after[field])
+	})
+}
+
+func compareFields(a, b Field) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Label, b.Label))
+}
+
+func putAll[T any](values fieldValues, kind Kind, objects []T, name func(T) string) error {
+	var err error
+	for _, object := range objects {
+		err = errors.Join(err, values.put(Field{Kind: kind, Name: name(object)}, object))
+	}
+	return err
+}
+
+func appendDecoded[T any](list *[]T, value json.RawMessage) error {
+	var object T
+	err := json.Unmarshal(value, &object)
+	*list = append(*list, object)
+	return err
+}
--- /dev/null
+++ b/internal/configuration/merge.go
@@ -0,0 +1,85 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/samber/lo"
+)
+
+// Conflict is a field that two edits changed to different values.
+type Conflict struct {
+	Field Field `json:"field"`
+	// Revision and ChangeID of the other edit. Empty when the history no longer tells it.
+	Revision uint64 `json:"revision"`
+	ChangeID string `json:"changeID"`
+	Author   string `json:"author,omitempty"`
+	// Mine and Theirs are the two values; empty when that edit removed the field.
+	Mine   json.RawMessage `json:"mine,omitempty"`
+	Theirs json.RawMessage `json:"theirs,omitempty"`
+}
+
+// String names the field and the other edit in one sentence.
+func (c Conflict) String() string {
+	by := c.ChangeID
+	if c.Author != "" {
+		by += " by " + c.Author
+	}
+	return fmt.Sprintf("%s was also changed by edit %s (revision %d): theirs %s, mine %s",
+		c.Field, by, c.Revision, orRemoved(c.Theirs), orRemoved(c.Mine))
+}
+
+func orRemoved(value json.RawMessage) string {
+	return lo.Ternary(len(value) == 0, "removed", string(value))
+}
+
+// Merge joins two descendants of one base, field by field. Where only one of them changed a field, that change holds;
+// where both did and differ, theirs holds and the conflict is returned. The result has the status of theirs.
+func Merge(base, mine, theirs Document) (Document, []Conflict, error) {
+	baseValues, err := fieldsOf(base.Spec)
+	if err != nil {
+		return Document{}, nil, err
+	}
+	mineValues, err := fieldsOf(mine.Spec)
+	if err != nil {
+		return Document{}, nil, err
+	}
+	theirValues, err := fieldsOf(theirs.Spec)
+	if err != nil {
+		return Document{}, nil, err
+	}
+	var conflicts []Conflict
+	merged := lo.Assign(theirValues)
+	for _, field := range changedFields(baseValues, mineValues) {
+		mineValue, theirValue := mineValues[field], theirValues[field]
+		theyChanged := !bytes.Equal(baseValues[field], theirValue)
+		if theyChanged && !bytes.Equal(mineValue, theirValue) {
+			conflicts = append(conflicts, conflictOf(theirs, base.Revision, field, mineValue, theirValue))
+			continue
+		}
+		if mineValue == nil {
+			delete(merged, field)
+			continue
+		}
+		merged[field] = mineValue
+	}
+	spec, err := merged.spec()
+	return Document{Spec: spec, Status: theirs.Status}, conflicts, err
+}
+
+// conflictOf describes a conflict and finds the latest edit after the base that changed the field.
+func conflictOf(theirs Document, baseRevision uint64, field Field, mine, their json.RawMessage) Conflict {
+	conflict := Conflict{Field: field, Mine: mine, Theirs: their}
+	for _, change := range theirs.History {
+		if change.Revision > baseRevision && change.touches(field) {
+			conflict.Revision, conflict.ChangeID, conflict.Author = change.Revision, change.ChangeID, change.Author
+			return conflict
+		}
+	}
+	return conflict
+}
+
+func (c Change) touches(field Field) bool {
+	return lo.ContainsBy(c.Fields, func(changed FieldChange) bool { return changed.Field == field })
+}
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -184,22 +184,3 @@
 	value, has := l.platform[key]
 	return value, has
 }
-
-// normalize returns the spec with the objects of each kind in order of name, so that equal content has equal bytes.
-func normalize(spec Spec) Spec {
-	spec.Models = sortedBy(spec.Models, func(m Model) string { return m.Name })
-	spec.Groups = sortedBy(spec.Groups, func(g Group) string { return g.Name })
-	spec.Rules = sortedBy(spec.Rules, func(r Rule) string { return r.Name })
-	spec.Tenants = sortedBy(spec.Tenants, func(t Tenant) string { return t.Name })
-	spec.EngineLabels = lo.PickBy(spec.EngineLabels, func(_ string, of map[string]string) bool { return len(of) > 0 })
-	return spec
-}
-
-// sortedBy returns a sorted copy that is never nil.
-func sortedBy[T any](values []T, key func(T) string) []T {
-	result := append(make([]T, 0, len(values)), values...)
-	slices.SortFunc(result, func(a, b T) int {
-		return lo.Ternary(key(a) < key(b), -1, lo.Ternary(key(a) > key(b), 1, 0))
-	})
-	return result
-}
