--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -53,25 +53,22 @@
 // Active returns the number of live requests.
 func (c *Core) Active() int { return len(c.requests) }
 
-// RequestID returns the id of the live request that a call waits for.
-func (c *Core) RequestID(call uint64) (string, bool) {
-	entry, found := c.byCall[call]
-	if !found {
-		return "", false
-	}
-	return entry.id, true
-}
-
 // Submit takes a request of a caller. The call is a number that the caller's events will carry; it must not be in use.
 // The error is an *InvalidRequestError or a *ConflictError; after it no event comes.
 func (c *Core) Submit(now time.Time, callNumber uint64, asked CallerRequest, effects *core.Effects) error {
+	_, err := c.SubmitForID(now, callNumber, asked, effects)
+	return err
+}
+
+// SubmitForID is Submit that returns the id of the request, which a call may share with another one.
+func (c *Core) SubmitForID(now time.Time, callNumber uint64, asked CallerRequest, effects *core.Effects) (string, error) {
 	errs := asked.validate(now, c.settings)
 	ulid, keyError := identity(now, asked, c.settings, c.random)
 	if keyError != nil {
 		errs = append(field.ErrorList{keyError}, errs...)
 	}
 	if len(errs) > 0 {
-		return &InvalidRequestError{Fields: errs}
+		return "", &InvalidRequestError{Fields: errs}
 	}
 	if asked.Deadline.IsZero() {
 		asked.Deadline = now.Add(c.settings.DefaultDeadline)
@@ -82,21 +79,21 @@
 	c.ended.expire(now)
 
 	if live := c.findLive(key, work.GetRequestId()); live != nil {
-		return c.join(live, asked.IdempotencyKey, work, waiting, effects)
+		return live.id, c.join(live, asked.IdempotencyKey, work, waiting, effects)
 	}
 	if kept := c.findEnded(key, work.GetRequestId()); kept != nil {
 		if !sameWork(kept.work, work) {
-			return &ConflictError{IdempotencyKey: asked.IdempotencyKey}
+			return "", &ConflictError{IdempotencyKey: asked.IdempotencyKey}
 		}
 		if kept.answered {
 			waiting.deliver(kept.tokens, true, effects)
-			return nil
+			return kept.id, nil
 		}
 		c.start(now, c.revive(kept, key, work, waiting), effects)
-		return nil
+		return kept.id, nil
 	}
 	c.start(now, c.newRequest(key, work, waiting), effects)
-	return nil
+	return work.GetRequestId(), nil
 }
 
 // joinKey is the name under which calls share a request; empty without an idempotency key.
