--- a/internal/agentserver/helpers_test.go
+++ b/internal/agentserver/helpers_test.go
@@ -106,4 +106,3 @@
 	}
 	return response.StatusCode, response.Header, string(data)
 }
-
