--- a/internal/experiment/enginestate.go
+++ b/internal/experiment/enginestate.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// nextRole is the role that the engine has, or is changing to.
+func (s *engineState) nextRole() engine.Role {
+	if s.phase == phaseServing {
+		return s.configuration.Role
+	}
+	return s.target
+}
+
 func (s *engineState) reserve(next *call) {
 	s.running++
 	s.pendingPromptTokens += next.uncached
--- a/internal/experiment/placers.go
+++ b/internal/experiment/placers.go
@@ -28,7 +28,7 @@
 	}
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(request.ID))
-	return placement.Result{Engine: open[int(hash.Sum64()%uint64(len(open)))]}
+	return placeAt(open[int(hash.Sum64()%uint64(len(open)))], request, engines, p.settings)
 }
 
 // reportPlacer takes the engine with the least load by its last report, which lags.
@@ -42,7 +42,8 @@
 	if len(open) == 0 {
 		return placement.Result{}
 	}
-	return placement.Result{Engine: lo.MinBy(open, func(a, b string) bool { return p.load(a) < p.load(b) })}
+	chosen := lo.MinBy(open, func(a, b string) bool { return p.load(a) < p.load(b) })
+	return placeAt(chosen, request, engines, p.settings)
 }
 
 // load is the share of slots in use by the last report.
@@ -52,6 +53,12 @@
 	return float64(state.report.Running+state.report.Waiting) / float64(slots)
 }
 
+// placeAt is the result for a given engine, so that baselines give up late requests like the placement of routers.
+func placeAt(name string, request placement.Request, engines []placement.Engine, settings placement.Settings) placement.Result {
+	only := lo.Filter(engines, func(each placement.Engine, _ int) bool { return each.Name == name })
+	return placement.Place(request, only, settings)
+}
+
 // openEngines returns the engines that no filter removes, by name.
 func openEngines(request placement.Request, engines []placement.Engine, settings placement.Settings) []string {
 	result := placement.Place(request, engines, settings)
--- a/internal/roleplan/goodput.go
+++ b/internal/roleplan/goodput.go
@@ -33,18 +33,16 @@
 // leastSeconds keeps the ratio of engine times defined.
 const leastSeconds = 1e-9
 
-// resolve turns demand into loads. rate picks one number of the averages; the queue counts as if it arrived evenly over
-// the horizon. The loads are sorted by how much better prefill engines serve them than decode engines.
+// resolve turns demand into loads. rate picks one number of the averages; the queue counts as further arrivals. The loads are sorted by how much better prefill engines serve them than decode engines.
 func (c *Capacity) resolve(demand Demand, rate func(Averages) float64, settings Settings) []load {
 	loads := lo.FilterMap(demand.Classes, func(class ClassDemand, _ int) (load, bool) {
 		requests := rate(class.Requests)
 		if requests <= 0 {
 			return load{}, false
 		}
-		queued := settings.QueueWeight * float64(class.Queued) / settings.Horizon.Seconds()
 		result := load{
 			name:         class.Name,
-			requests:     requests + queued,
+			requests:     requests + queuedRate(class.Queued, settings),
 			promptTokens: rate(class.PromptTokens) / requests,
 			outputTokens: rate(class.OutputTokens) / requests,
 			deadline:     class.Deadline,
@@ -61,6 +59,14 @@
 	return loads
 }
 
+// queuedRate is the rate of requests that works the queue off in the wanted time.
+func queuedRate(queued int, settings Settings) float64 {
+	if settings.QueueClear <= 0 {
+		return 0
+	}
+	return float64(queued) / settings.QueueClear.Seconds()
+}
+
 // fits tells whether the engines have the time for all loads. Prefill engines take the loads that they serve best
 // until they are full, decode engines the rest: with two roles no other way of sharing fits more.
 func fits(loads []load, engines split) bool {
--- a/internal/roleplan/plan.go
+++ b/internal/roleplan/plan.go
@@ -142,7 +142,8 @@
 func (p *planner) gain(present, candidate option) float64 {
 	fast := p.gainOf(p.fast, present, candidate)
 	slow := p.gainOf(p.slow, present, candidate)
-	return (fast+slow)/2 - p.settings.Confidence*math.Abs(fast-slow)/2
+	mean := p.settings.FastWeight*fast + (1-p.settings.FastWeight)*slow
+	return mean - p.settings.Confidence*(mean-min(fast, slow))
 }
 
 // gainOf is the gain under one load: the engines that change are missing first and serve in their new role then.
--- a/internal/roleplan/types.go
+++ b/internal/roleplan/types.go
@@ -94,15 +94,18 @@
 	// ChangeTime is how long an engine is out for a change, and DrainTime how long it takes to run empty before that.
 	ChangeTime time.Duration
 	DrainTime  time.Duration
+	// FastWeight is the weight of the fast averages in the gain, from 0 to 1; the slow ones have the rest.
+	FastWeight float64
 	// Confidence is how much of the difference between what the fast and the slow averages promise is taken off the
-	// gain: 0 takes their mean, 1 the lower of both.
+	// gain: 0 takes their weighted mean, 1 the lower of both.
 	Confidence float64
 	// Hysteresis is the share of the expected goodput that a change must gain at least.
 	Hysteresis float64
 	// TargetUtilization is the share of the engines' time that can be sold without answers being late.
 	TargetUtilization float64
-	// QueueWeight scales how much the queue counts as demand of the horizon.
-	QueueWeight float64
+	// QueueClear is the time in which the queue should be worked off: the queue counts as further demand over that time.
+	// Zero leaves the queue out.
+	QueueClear time.Duration
 }
 
 // DefaultSettings returns settings for engines that change role in seconds.
@@ -111,9 +114,10 @@
 		Horizon:           60 * time.Second,
 		ChangeTime:        8 * time.Second,
 		DrainTime:         3 * time.Second,
+		FastWeight:        0.5,
 		Confidence:        0.5,
 		Hysteresis:        0.01,
 		TargetUtilization: 0.9,
-		QueueWeight:       1,
+		QueueClear:        60 * time.Second,
 	}
 }
