--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -82,7 +82,8 @@
 	}
 	var document any
 	if err := yaml.UnmarshalStrict(data, &document); err != nil {
-		return path, nil, errors.Wrapf(err, "step parse settings %s", path)
+		problem := field.Invalid(field.NewPath("settings"), path, "must be YAML: "+err.Error())
+		return path, nil, &InvalidError{Source: path, Fields: field.ErrorList{problem}}
 	}
 	if document == nil {
 		document = map[string]any{}
