--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -68,3 +68,27 @@
 		pool.PendingOutputTokens += uint64(item.entry.work.GetMaxTokens())
 	}
 }
+
+// RuleLoad counts the requests of one rule at this owner.
+type RuleLoad struct {
+	Running int
+	Waiting int
+}
+
+// Load counts the requests that have not ended, by rule.
+func (c *Core) Load() map[string]RuleLoad {
+	loads := make(map[string]RuleLoad)
+	for _, entry := range c.order {
+		if entry.ended() || entry.phase == phaseAnswered {
+			continue
+		}
+		load := loads[entry.policy.Rule]
+		if entry.phase == phaseQueued {
+			load.Waiting++
+		} else {
+			load.Running++
+		}
+		loads[entry.policy.Rule] = load
+	}
+	return loads
+}
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -66,11 +66,15 @@
 	planSequence   uint64
 	planSeen       map[string]planMark
 	changedAt      map[string]time.Time
-	nextMembers    time.Time
-	nextDigest     time.Time
-	nextProbe      time.Time
-	nextPlan       time.Time
-	nextRecords    time.Time
+	// lastPlan is the latest plan by group, in one sentence.
+	lastPlan map[string]string
+	// seen are the label sets of requests that came to this router.
+	seen        labelSets
+	nextMembers time.Time
+	nextDigest  time.Time
+	nextProbe   time.Time
+	nextPlan    time.Time
+	nextRecords time.Time
 
 	stopping  bool
 	stoppedAt time.Time
@@ -87,6 +91,7 @@
 		forwarded: make(map[string]*forward),
 		planSeen:  make(map[string]planMark),
 		changedAt: make(map[string]time.Time),
+		lastPlan:  make(map[string]string),
 		capacity:  roleplan.NewCapacity(planSpeeds(settings.Placement.Speeds)),
 	}
 	c.newCores()
@@ -172,7 +177,9 @@
 	case *granitebayv1.Envelope_Ping, *granitebayv1.Envelope_PingAck, *granitebayv1.Envelope_PingRequest:
 		c.members.HandleEnvelope(now, envelope, effects)
 	case *granitebayv1.Envelope_ClaimPrepare, *granitebayv1.Envelope_ClaimAccept:
-		c.acceptor.Handle(now, envelope, effects)
+		if !c.members.Superseded() {
+			c.acceptor.Handle(now, envelope, effects)
+		}
 	case *granitebayv1.Envelope_ClaimPromise, *granitebayv1.Envelope_ClaimAccepted, *granitebayv1.Envelope_ClaimRefused:
 		c.takeClaims(now, c.proposer.HandleEnvelope(now, envelope, effects), effects)
 	case *granitebayv1.Envelope_ConfigurationDigest, *granitebayv1.Envelope_ConfigurationFetch, *granitebayv1.Envelope_ConfigurationSnapshot:
@@ -257,6 +264,7 @@
 	wake = core.Earliest(wake, c.ownership.NextWake())
 	wake = core.Earliest(wake, c.roles.NextWake())
 	wake = core.Earliest(wake, c.proposer.NextWake())
+	wake = core.Earliest(wake, c.acceptor.NextWake())
 	wake = core.Earliest(wake, c.dispatch.NextWake())
 	for _, own := range []time.Time{c.nextMembers, c.nextProbe, c.nextDigest, c.nextPlan, c.nextRecords} {
 		wake = core.Earliest(wake, own)
@@ -266,6 +274,10 @@
 
 // settle hands on what one core learned to those that need it.
 func (c *Core) settle(now time.Time, effects *core.Effects) {
+	if c.members.Superseded() && !c.stopping {
+		// Another process of this name is newer: this one must not vote, own or order anything any more.
+		c.Stop(now, effects)
+	}
 	if version := c.members.Version(); version != c.memberVersion {
 		c.memberVersion = version
 		c.applyMembers(now)
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -258,4 +258,3 @@
 func (c *Core) rankInGroup(name, group string) int {
 	return lo.CountBy(c.engineNames, func(other string) bool { return other < name && c.groupOf(other) == group })
 }
-
--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -179,7 +179,9 @@
 	if snapshot == nil {
 		return dispatch.Policy{}, false
 	}
-	rule, ok := snapshot.RuleFor(requestLabels(work))
+	labels := requestLabels(work)
+	c.seen.add(labels)
+	rule, ok := snapshot.RuleFor(labels)
 	if !ok {
 		return dispatch.Policy{}, false
 	}
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -164,6 +164,7 @@
 		},
 		ConfigRevision: c.configuration.Revision(),
 	})
+	c.lastPlan[group.Name] = plan.Reason
 	c.planSequence++
 	targets := &granitebayv1.RoleTargets{
 		Group:    group.Name,
