Admin API: types, handlers and client

Cause: the command line needs one API that every router serves. Ruled out: reading edits with schemas made by reflection; the types of the configuration write themselves (durations), and their own parser reports all faults at once. Change: paths, types, Backend, Register, filters, stream of decisions, and a client that tries several routers. Conclusion: outcomes of edits, filters and the stream are tested over loopback.

--- /dev/null
+++ b/internal/adminapi/api_test.go
@@ -0,0 +1,203 @@
+package adminapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"github.com/granitebay/granitebay/internal/configuration"
+	"github.com/granitebay/granitebay/internal/decision"
+)
+
+// fakeBackend gives fixed answers.
+type fakeBackend struct {
+	Backend
+	document configuration.Document
+	proposed configuration.ProposeResult
+	waitErr  error
+	kept     []decision.Record
+	news     chan decision.Record
+}
+
+func (b *fakeBackend) FleetStatus(context.Context) (FleetStatus, error) {
+	return FleetStatus{Router: "router-a-1"}, nil
+}
+func (b *fakeBackend) Engines(context.Context) ([]EngineStatus, error) {
+	return nil, errors.New("the router is starting")
+}
+func (b *fakeBackend) Configuration(context.Context) (configuration.Document, error) {
+	return b.document, nil
+}
+func (b *fakeBackend) KnownEngines(context.Context) ([]configuration.EngineInfo, error) {
+	return []configuration.EngineInfo{{Name: "engine-a-1", Labels: map[string]string{"zone": "zone-a"}}}, nil
+}
+func (b *fakeBackend) KnownRequests(context.Context) ([]map[string]string, error) {
+	return []map[string]string{{"class": "quick", "repeatable": "true"}}, nil
+}
+func (b *fakeBackend) Propose(_ context.Context, request configuration.EditRequest) (configuration.ProposeResult, error) {
+	result := b.proposed
+	result.ChangeID = request.ChangeID
+	return result, b.waitErr
+}
+func (b *fakeBackend) Decisions(since uint64) []decision.Record {
+	return DecisionFilter{Since: since}.Select(b.kept)
+}
+func (b *fakeBackend) FollowDecisions() (<-chan decision.Record, func()) { return b.news, func() {} }
+
+// serve starts the API on loopback and returns its address.
+func serve(t *testing.T, backend Backend) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	Register(humago.New(mux, huma.DefaultConfig("granitebay", "1")), backend)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// fesDocument returns the example of Fès at a revision.
+func fesDocument(t *testing.T, revision uint64) configuration.Document {
+	t.Helper()
+	document, err := configuration.Example(configuration.ExampleFes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	document.Revision = revision
+	return document
+}
+
+func TestEditOutcomes(t *testing.T) {
+	label := []configuration.Edit{configuration.SetLabel("engine-a-1", "pool", "x")}
+	unknownGroup := configuration.DefaultRule()
+	unknownGroup.Name, unknownGroup.Groups, unknownGroup.Precedence = "urgent", []string{"nowhere"}, 99
+	tests := []struct {
+		desc     string
+		proposed configuration.ProposeResult
+		waitErr  error
+		request  configuration.EditRequest
+		dryRun   bool
+		want     EditOutcome
+	}{
+		{desc: "accepted", proposed: configuration.ProposeResult{Accepted: true, Revision: 4}, want: EditAccepted},
+		{desc: "nothing to change", proposed: configuration.ProposeResult{Accepted: true, Unchanged: true}, want: EditUnchanged},
+		{desc: "conflict", proposed: configuration.ProposeResult{Conflicts: []configuration.Conflict{{ChangeID: "other"}}}, want: EditConflict},
+		{desc: "old base", proposed: configuration.ProposeResult{Err: configuration.ErrUnknownBase}, want: EditConflict},
+		{desc: "invalid", proposed: configuration.ProposeResult{Err: configuration.FieldErrors{{Field: "spec"}}}, want: EditInvalid},
+		{desc: "store down", proposed: configuration.ProposeResult{Err: configuration.ErrStoreUnavailable}, want: EditUnavailable},
+		{desc: "answer lost", proposed: configuration.ProposeResult{Err: configuration.ErrOutcomeUnknown}, want: EditUnknown},
+		{desc: "wait ended", waitErr: context.DeadlineExceeded, want: EditUnknown},
+		{desc: "dry run", dryRun: true, request: configuration.EditRequest{BaseRevision: 3, Edits: label}, want: EditPreview},
+		{
+			desc: "dry run of an invalid edit", dryRun: true, want: EditInvalid,
+			request: configuration.EditRequest{BaseRevision: 3, Edits: []configuration.Edit{configuration.PutRule(unknownGroup)}},
+		},
+		{desc: "dry run on an unknown base", dryRun: true, request: configuration.EditRequest{BaseRevision: 9, Edits: label}, want: EditConflict},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			backend := &fakeBackend{document: fesDocument(t, 3), proposed: test.proposed, waitErr: test.waitErr}
+			client := NewClient([]string{"127.0.0.1:1", serve(t, backend)}, http.DefaultClient)
+			request := test.request
+			request.ChangeID = "mine"
+			result, err := client.Edit(t.Context(), request, test.dryRun)
+			if err != nil || result.Outcome != test.want || result.ChangeID != "mine" {
+				t.Fatalf("result %+v, %v; want %s", result, err, test.want)
+			}
+			if test.want == EditPreview && len(result.Consequences.EngineMoves) != 1 {
+				t.Errorf("consequences %+v, want engine-a-1 to leave its group", result.Consequences)
+			}
+		})
+	}
+}
+
+func TestEditOfUnknownForm(t *testing.T) {
+	address := serve(t, &fakeBackend{document: fesDocument(t, 3)})
+	body := `{"changeID": "mine", "edits": [{"kind": "put", "rule": {"name": "x", "urgent": true, "priority": "high"}}]}`
+	response, err := http.Post("http://"+address+PathConfigEdits, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusUnprocessableEntity {
+		t.Errorf("status %d", response.StatusCode)
+	}
+}
+
+func TestClientReadsAndReportsErrors(t *testing.T) {
+	client := NewClient([]string{"127.0.0.1:1", serve(t, &fakeBackend{document: fesDocument(t, 3)})}, http.DefaultClient)
+	document, err := client.Configuration(t.Context())
+	if err != nil || document.Revision != 3 || len(document.Rules) != 4 {
+		t.Errorf("configuration %d with %d rules, %v", document.Revision, len(document.Rules), err)
+	}
+	_, err = client.Engines(t.Context())
+	if err == nil || !strings.Contains(err.Error(), "the router is starting") {
+		t.Errorf("error %v, want the reason of the router", err)
+	}
+}
+
+func TestDecisionsAreFilteredAndFollowed(t *testing.T) {
+	records := []decision.Record{
+		{Sequence: 1, Kind: decision.KindDispatch, Subject: "req-1", Outcome: "engine-a-1"},
+		{Sequence: 2, Kind: decision.KindDispatch, Subject: "req-2", Outcome: "engine-a-2"},
+		{Sequence: 3, Kind: decision.KindOrder, Subject: "engine-a-1", Inputs: map[string]string{InputGroup: "counter"}},
+		{Sequence: 4, Kind: decision.KindOutcome, Subject: "req-1"},
+	}
+	tests := []struct {
+		desc   string
+		filter DecisionFilter
+		want   []uint64
+	}{
+		{"all", DecisionFilter{}, []uint64{1, 2, 3, 4}},
+		{"since", DecisionFilter{Since: 2}, []uint64{3, 4}},
+		{"kind", DecisionFilter{Kind: "dispatch"}, []uint64{1, 2}},
+		{"engine as outcome and as subject", DecisionFilter{Engine: "engine-a-1"}, []uint64{1, 3}},
+		{"group as input", DecisionFilter{Group: "counter"}, []uint64{3}},
+		{"request", DecisionFilter{Request: "req-1"}, []uint64{1, 4}},
+		{"subject and kind", DecisionFilter{Subject: "req-1", Kind: "outcome"}, []uint64{4}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			// Two records are kept, and all four come on the channel: the first two twice.
+			backend := &fakeBackend{kept: records[:2], news: make(chan decision.Record, len(records))}
+			for _, record := range records {
+				backend.news <- record
+			}
+			close(backend.news)
+			client := NewClient([]string{"127.0.0.1:1", serve(t, backend)}, http.DefaultClient)
+			var got []uint64
+			_ = client.FollowDecisions(t.Context(), test.filter, func(record decision.Record) error {
+				got = append(got, record.Sequence)
+				return nil
+			})
+			checkSequences(t, "followed", got, test.want)
+
+			backend.kept = records
+			list, err := client.Decisions(t.Context(), test.filter)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = nil
+			for _, record := range list.Decisions {
+				got = append(got, record.Sequence)
+			}
+			checkSequences(t, "listed", got, test.want)
+		})
+	}
+}
+
+func checkSequences(t *testing.T, what string, got, want []uint64) {
+	t.Helper()
+	if len(got) != len(want) {
+		t.Fatalf("%s %v, want %v", what, got, want)
+	}
+	for i := range got {
+		if got[i] != want[i] {
+			t.Fatalf("%s %v, want %v", what, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/adminapi/client.go
@@ -0,0 +1,200 @@
+package adminapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/granitebay/granitebay/internal/configuration"
+)
+
+// Client asks routers. It tries the addresses in order and goes to the next one when a router cannot be reached or is
+// not ready.
+type Client struct {
+	addresses []string
+	http      *http.Client
+}
+
+// NewClient returns a client of routers at addresses host:port.
+func NewClient(addresses []string, httpClient *http.Client) *Client {
+	return &Client{addresses: addresses, http: httpClient}
+}
+
+// Addresses returns the addresses of the routers.
+func (c *Client) Addresses() []string { return c.addresses }
+
+// StatusError is a response that reports an error.
+type StatusError struct {
+	// Router is the address of the router that answered.
+	Router string
+	// Status is the HTTP status.
+	Status int
+	Detail string
+}
+
+// Error tells which router answered what.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("router %s answered %d %s: %s", e.Router, e.Status, http.StatusText(e.Status), e.Detail)
+}
+
+// FleetStatus returns the status of the fleet.
+func (c *Client) FleetStatus(ctx context.Context) (FleetStatus, error) {
+	return get[FleetStatus](ctx, c, PathStatus, nil)
+}
+
+// Engines returns all engines.
+func (c *Client) Engines(ctx context.Context) ([]EngineStatus, error) {
+	return get[[]EngineStatus](ctx, c, PathEngines, nil)
+}
+
+// Groups returns all groups.
+func (c *Client) Groups(ctx context.Context) ([]GroupStatus, error) {
+	return get[[]GroupStatus](ctx, c, PathGroups, nil)
+}
+
+// Rules returns all rules in the order in which they are tried.
+func (c *Client) Rules(ctx context.Context) ([]RuleStatus, error) {
+	return get[[]RuleStatus](ctx, c, PathRules, nil)
+}
+
+// Routers returns all routers.
+func (c *Client) Routers(ctx context.Context) ([]RouterStatus, error) {
+	return get[[]RouterStatus](ctx, c, PathRouters, nil)
+}
+
+// Configuration returns the document in force.
+func (c *Client) Configuration(ctx context.Context) (configuration.Document, error) {
+	return get[configuration.Document](ctx, c, PathConfig, nil)
+}
+
+// ConfigStatus tells how far the configuration got around.
+func (c *Client) ConfigStatus(ctx context.Context) (ConfigStatus, error) {
+	return get[ConfigStatus](ctx, c, PathConfigStatus, nil)
+}
+
+// ConfigHistory returns the latest edits, newest first.
+func (c *Client) ConfigHistory(ctx context.Context) (ConfigHistory, error) {
+	return get[ConfigHistory](ctx, c, PathConfigHistory, nil)
+}
+
+// Decisions returns the kept decisions that a filter selects.
+func (c *Client) Decisions(ctx context.Context, filter DecisionFilter) (DecisionList, error) {
+	return get[DecisionList](ctx, c, PathDecisions, filter.Query())
+}
+
+// Explain returns what the router knows of a request.
+func (c *Client) Explain(ctx context.Context, request string) (Explanation, error) {
+	return get[Explanation](ctx, c, PathExplain, url.Values{"request": {request}})
+}
+
+// Edit proposes an edit, or previews it in a dry run. It goes on to the next router as long as the outcome is unknown or
+// the router unavailable, which is safe because the change id makes a second proposal the same edit.
+func (c *Client) Edit(ctx context.Context, request configuration.EditRequest, dryRun bool) (EditResult, error) {
+	query := url.Values{}
+	if dryRun {
+		query.Set("dryRun", "true")
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return EditResult{}, errors.Wrap(err, "encode the edit")
+	}
+	settled := func(status int) bool {
+		return status != http.StatusServiceUnavailable && status != http.StatusGatewayTimeout
+	}
+	data, err := c.try(ctx, call{method: http.MethodPost, path: PathConfigEdits, query: query, body: body, settled: settled})
+	var result EditResult
+	if json.Unmarshal(data, &result) == nil && result.Outcome != "" {
+		return result, nil
+	}
+	return result, err
+}
+
+// call is one request to whichever router answers it.
+type call struct {
+	method, path string
+	query        url.Values
+	body         []byte
+	// settled tells whether a response with a status is the last word.
+	settled func(status int) bool
+}
+
+// get reads a value.
+func get[T any](ctx context.Context, c *Client, path string, query url.Values) (T, error) {
+	var value T
+	settled := func(status int) bool { return status != http.StatusServiceUnavailable }
+	data, err := c.try(ctx, call{method: http.MethodGet, path: path, query: query, settled: settled})
+	if err != nil {
+		return value, err
+	}
+	return value, errors.Wrapf(json.Unmarshal(data, &value), "decode the response to %s", path)
+}
+
+// try asks one router after the other until one settles the call. It returns the body of the last response, and the
+// errors of all routers when none settled it.
+func (c *Client) try(ctx context.Context, request call) ([]byte, error) {
+	failures := errors.New("no address of a router was given")
+	var last []byte
+	for i, address := range c.addresses {
+		status, data, err := c.once(ctx, address, request)
+		if err == nil || (status != 0 && request.settled(status)) {
+			return data, err
+		}
+		if data != nil {
+			last = data
+		}
+		failures = lo.Ternary(i == 0, err, errors.Join(failures, err))
+	}
+	return last, failures
+}
+
+// once asks one router and returns the status and the body of its response.
+func (c *Client) once(ctx context.Context, address string, request call) (int, []byte, error) {
+	response, err := c.send(ctx, address, request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "read the response of router %s", address)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		err = statusError(address, response.StatusCode, data)
+	}
+	return response.StatusCode, data, err
+}
+
+func (c *Client) send(ctx context.Context, address string, request call) (*http.Response, error) {
+	target := url.URL{Scheme: "http", Host: address, Path: request.path, RawQuery: request.query.Encode()}
+	outgoing, err := http.NewRequestWithContext(ctx, request.method, target.String(), bytes.NewReader(request.body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask router %s", address)
+	}
+	if request.body != nil {
+		outgoing.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.http.Do(outgoing)
+	return response, errors.Wrapf(err, "ask router %s", address)
+}
+
+// statusError reads the detail of an error response.
+func statusError(address string, status int, data []byte) error {
+	var problem struct {
+		Detail string `json:"detail"`
+		Error  string `json:"error"`
+	}
+	if json.Unmarshal(data, &problem) != nil {
+		problem.Detail = string(data)
+	}
+	if problem.Detail == "" {
+		problem.Detail = problem.Error
+	}
+	return &StatusError{Router: address, Status: status, Detail: problem.Detail}
+}
--- /dev/null
+++ b/internal/adminapi/filter.go
@@ -0,0 +1,65 @@
+package adminapi
+
+import (
+	"net/url"
+	"strconv"
+
+	"github.com/samber/lo"
+
+	"github.com/granitebay/granitebay/internal/decision"
+)
+
+// Names of the inputs of a decision that filters look at.
+const (
+	InputRequest = "request"
+	InputEngine  = "engine"
+	InputGroup   = "group"
+)
+
+// DecisionFilter selects decisions. Empty fields select all.
+type DecisionFilter struct {
+	Kind string `query:"kind" doc:"Kind of decisions, for example dispatch."`
+	// Subject is the exact subject.
+	Subject string `query:"subject" doc:"Exact subject of the decisions."`
+	// Engine, Group and Request select decisions that name them as subject, outcome or input.
+	Engine  string `query:"engine" doc:"Decisions about this engine."`
+	Group   string `query:"group" doc:"Decisions about this group."`
+	Request string `query:"request" doc:"Decisions about this request id."`
+	// Since selects decisions with a higher sequence.
+	Since uint64 `query:"since" doc:"Only decisions with a higher sequence."`
+}
+
+// Matches tells whether the filter selects a decision.
+func (f DecisionFilter) Matches(record decision.Record) bool {
+	return record.Sequence > f.Since &&
+		(f.Kind == "" || f.Kind == string(record.Kind)) &&
+		(f.Subject == "" || f.Subject == record.Subject) &&
+		names(record, InputEngine, f.Engine) &&
+		names(record, InputGroup, f.Group) &&
+		names(record, InputRequest, f.Request)
+}
+
+// names tells whether a decision names a value as subject, outcome or input.
+func names(record decision.Record, input, value string) bool {
+	return value == "" || record.Subject == value || record.Outcome == value || record.Inputs[input] == value
+}
+
+// Query returns the filter as the query of a URL.
+func (f DecisionFilter) Query() url.Values {
+	query := url.Values{}
+	fields := map[string]string{
+		"kind": f.Kind, "subject": f.Subject, InputEngine: f.Engine, InputGroup: f.Group, InputRequest: f.Request,
+		"since": lo.Ternary(f.Since == 0, "", strconv.FormatUint(f.Since, 10)),
+	}
+	for name, value := range fields {
+		if value != "" {
+			query.Set(name, value)
+		}
+	}
+	return query
+}
+
+// Select returns the decisions that a filter selects.
+func (f DecisionFilter) Select(records []decision.Record) []decision.Record {
+	return lo.Filter(records, func(record decision.Record, _ int) bool { return f.Matches(record) })
+}
--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -13,27 +13,36 @@
 	"sigs.k8s.io/yaml"
 )
 
+// wholeDocument stands for the path of faults that belong to no field.
+const wholeDocument = "(document)"
+
 // Parse reads a document in YAML or JSON. What is not given has its default. The error is FieldErrors with all faults
 // of form at once: unknown fields and values of a wrong type. The document holds what could be read, so that Validate
 // can find the other faults too.
-func Parse(data []byte) (Document, error) {
+func Parse(data []byte) (Document, error) { return parse[Document](data) }
+
+// ParseEditRequest reads an edit in YAML or JSON. The error is FieldErrors as for Parse.
+func ParseEditRequest(data []byte) (EditRequest, error) { return parse[EditRequest](data) }
+
+// parse reads a value and collects all faults of form.
+func parse[T any](data []byte) (T, error) {
+	var value T
 	data, err := yaml.YAMLToJSONStrict(data)
 	if err != nil {
-		return Document{}, FieldErrors{{Field: "(document)", Problem: err.Error(), Allowed: "YAML or JSON without repeated keys"}}
+		return value, FieldErrors{{Field: wholeDocument, Problem: err.Error(), Allowed: "YAML or JSON without repeated keys"}}
 	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.UseNumber()
 	var tree any
 	if err := decoder.Decode(&tree); err != nil {
-		return Document{}, FieldErrors{{Field: "(document)", Problem: err.Error(), Allowed: "YAML or JSON"}}
+		return value, FieldErrors{{Field: wholeDocument, Problem: err.Error(), Allowed: "YAML or JSON"}}
 	}
 	var shape shapeCheck
-	tree = shape.check("", tree, reflect.TypeFor[Document]())
-	document, err := decodeTree(tree)
-	if err != nil {
-		shape.faults = append(shape.faults, FieldError{Field: "(document)", Problem: err.Error()})
+	tree = shape.check("", tree, reflect.TypeFor[T]())
+	if err := decodeTree(tree, &value); err != nil {
+		shape.faults = append(shape.faults, FieldError{Field: wholeDocument, Problem: err.Error()})
 	}
-	return document, shape.faults.orNil()
+	return value, shape.faults.orNil()
 }
 
 // ParseAndValidate reads a document and returns all its faults at once.
@@ -53,13 +62,16 @@
 // Encode writes a document as JSON. Equal documents give equal bytes.
 func Encode(document Document) ([]byte, error) { return json.Marshal(document) }
 
-// decodeTree turns a tree that has the right shape into a document.
-func decodeTree(tree any) (Document, error) {
+// decodeTree turns a tree that has the right shape into a value.
+func decodeTree(tree, value any) error {
+	if tree == (omitted{}) {
+		return nil
+	}
 	data, err := json.Marshal(tree)
 	if err != nil {
-		return Document{}, err
+		return err
 	}
-	return Decode(data)
+	return json.Unmarshal(data, value)
 }
 
 // shapeCheck compares a tree of JSON values with a Go type and collects all differences.
@@ -73,8 +85,11 @@
 	if value == nil {
 		return nil
 	}
-	if kind == reflect.TypeFor[Duration]() {
+	switch kind {
+	case reflect.TypeFor[Duration]():
 		return s.checkDuration(path, value)
+	case reflect.TypeFor[json.RawMessage]():
+		return value
 	}
 	switch kind.Kind() {
 	case reflect.Pointer:
@@ -92,7 +107,7 @@
 
 // fault notes a difference and returns the mark of an omitted value.
 func (s *shapeCheck) fault(path string, value any, problem, allowed string) any {
-	field := lo.CoalesceOrEmpty(path, "(document)")
+	field := lo.CoalesceOrEmpty(path, wholeDocument)
 	s.faults = append(s.faults, FieldError{Field: field, Value: quote(value), Problem: problem, Allowed: allowed})
 	return omitted{}
 }
--- a/internal/configuration/propose.go
+++ b/internal/configuration/propose.go
@@ -43,6 +43,8 @@
 type ProposeResult struct {
 	ChangeID string
 	Accepted bool
+	// Unchanged is set with Accepted when there was nothing to change.
+	Unchanged bool
 	// Revision that the edit made when it was accepted, or that it was merged with otherwise.
 	Revision uint64
 	// Conflicts with other edits; the edit was not accepted.
--- a/internal/configuration/propose_core.go
+++ b/internal/configuration/propose_core.go
@@ -157,7 +157,7 @@
 	}
 	if next.Revision == current.Revision {
 		// Nothing changes. There is nothing to write.
-		c.finish(now, ProposeResult{Accepted: true, Revision: current.Revision})
+		c.finish(now, ProposeResult{Accepted: true, Unchanged: true, Revision: current.Revision})
 		return
 	}
 	snapshot, err := Compile(next)
