Admin API, metrics and health of the router

Cause: operators drive and watch the fleet through any router. Change: backend of the admin API over the core, Prometheus collector, readiness.

--- a/internal/routerprogram/admin.go
+++ b/internal/routerprogram/admin.go
@@ -4,8 +4,14 @@
 	"net/http"
 	"time"
 
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/command"
 )
 
 // adminHandler serves operators: health, metrics and the admin API.
@@ -16,7 +22,11 @@
 	})
 	mux.HandleFunc("GET /readyz", p.serveReady)
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collector{program: p}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	config := huma.DefaultConfig("granitebay router", command.Version())
+	config.CreateHooks = nil
+	adminapi.Register(humago.New(mux, config), backend{program: p})
 	return mux
 }
 
--- a/internal/routerprogram/program.go
+++ b/internal/routerprogram/program.go
@@ -61,6 +61,7 @@
 	servers   []*http.Server
 	addresses Addresses
 	failed    chan error
+	edits     editWaiters
 }
 
 // Addresses are where a router listens.
