Command line for operators

Cause: operators drive the system only by labels and selectors, through any router. Ruled out: commands to single engines; order, drain, restart and cordon answer with the label to set instead. Conclusion: a file with five faults prints all five and exits 2; disjoint edits of two operators both hold and a conflict names the other edit (tested over loopback with a fake router).

--- /dev/null
+++ b/internal/operator/edit.go
@@ -0,0 +1,170 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/configuration"
+)
+
+// waitInterval is the time between two looks at whether a revision is in force everywhere.
+const waitInterval = 200 * time.Millisecond
+
+// editFlags are the flags of all commands that edit the configuration.
+type editFlags struct {
+	Author   string        `help:"Who makes the edit, for the history." env:"USER"`
+	ChangeID string        `help:"Change id of an earlier try whose outcome is unknown; by default a new one."`
+	DryRun   bool          `help:"Only show what the edit would do."`
+	Wait     time.Duration `help:"Wait so long until the edit is in force everywhere."`
+}
+
+// propose proposes an edit and prints what became of it.
+func (f editFlags) propose(s *session, ctx context.Context, base uint64, edits []configuration.Edit) error {
+	request := configuration.EditRequest{ChangeID: f.ChangeID, Author: f.Author, BaseRevision: base, Edits: edits}
+	if request.ChangeID == "" {
+		request.ChangeID = ulid.Make().String()
+	}
+	result, err := s.client.Edit(ctx, request, f.DryRun)
+	if err != nil {
+		return errors.Wrapf(err, "propose edit %s", request.ChangeID)
+	}
+	if err := s.print(result, func(writer io.Writer) error { return printResult(writer, result) }); err != nil {
+		return err
+	}
+	if err := resultError(result); err != nil {
+		return err
+	}
+	if f.DryRun || f.Wait <= 0 {
+		return nil
+	}
+	return waitInForce(s, result.Revision, f.Wait)
+}
+
+// printResult writes the result of an edit for people.
+func printResult(writer io.Writer, result adminapi.EditResult) error {
+	switch result.Outcome {
+	case adminapi.EditAccepted:
+		fmt.Fprintf(writer, "accepted as revision %d (change %s)\n", result.Revision, result.ChangeID)
+	case adminapi.EditUnchanged:
+		fmt.Fprintf(writer, "nothing to change; revision %d stays\n", result.Revision)
+	case adminapi.EditPreview:
+		printConsequences(writer, *result.Consequences)
+	}
+	return nil
+}
+
+func printConsequences(writer io.Writer, consequences configuration.Consequences) {
+	if len(consequences.Differences) == 0 {
+		fmt.Fprintln(writer, "nothing would change")
+	}
+	printList(writer, "changes", consequences.Differences)
+	printList(writer, "engines that change their group", consequences.EngineMoves)
+	printList(writer, "requests that change their rule", consequences.RequestMoves)
+	printList(writer, "warnings", consequences.Warnings)
+}
+
+// resultError returns why an edit was not accepted, or nil.
+func resultError(result adminapi.EditResult) error {
+	switch result.Outcome {
+	case adminapi.EditAccepted, adminapi.EditUnchanged, adminapi.EditPreview:
+		return nil
+	case adminapi.EditInvalid:
+		if len(result.Faults) > 0 {
+			return faultsError("the edit is not valid", result.Faults)
+		}
+		return badInput(errors.New(result.Error))
+	case adminapi.EditConflict:
+		return conflictError(result)
+	case adminapi.EditUnknown:
+		return errors.Newf("%s; run the same command again with --change-id %s", result.Error, result.ChangeID)
+	default:
+		return errors.Newf("the edit was not accepted: %s", result.Error)
+	}
+}
+
+// conflictError names each field and the other edit.
+func conflictError(result adminapi.EditResult) error {
+	lines := []string{result.Error}
+	for _, conflict := range result.Conflicts {
+		lines = append(lines, "  "+conflict.String())
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
+
+// faultsError lists faults, one in a line.
+func faultsError(heading string, faults configuration.FieldErrors) error {
+	lines := []string{fmt.Sprintf("%s: %d faults", heading, len(faults))}
+	for _, fault := range faults {
+		lines = append(lines, "  "+fault.Error())
+	}
+	return badInput(errors.New(strings.Join(lines, "\n")))
+}
+
+// waitInForce waits until a revision is in force everywhere.
+func waitInForce(s *session, revision uint64, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(s.context, wait)
+	defer cancel()
+	for {
+		status, err := s.client.ConfigStatus(ctx)
+		if err == nil && status.InForceEverywhere >= revision {
+			fmt.Fprintf(s.stderr, "revision %d is in force everywhere\n", revision)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("revision %d is accepted and not yet known to be in force everywhere after %s; see %s config status", revision, wait, Name)
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+// labelCommand sets and removes labels.
+type labelCommand struct {
+	Engine labelEngineCommand `cmd:"" help:"Set or remove labels of one engine: KEY=VALUE sets, KEY- removes."`
+}
+
+type labelEngineCommand struct {
+	editFlags
+	Name   string   `arg:"" help:"Name of the engine."`
+	Labels []string `arg:"" help:"KEY=VALUE to set a label, KEY- to remove it." placeholder:"KEY=VALUE|KEY-"`
+}
+
+// Run edits the labels of an engine.
+func (l labelEngineCommand) Run(s *session) error {
+	edits, err := labelEdits(l.Name, l.Labels)
+	if err != nil {
+		return badInput(err)
+	}
+	ctx, cancel := s.limited()
+	defer cancel()
+	document, err := s.client.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	return l.propose(s, ctx, document.Revision, edits)
+}
+
+// labelEdits turns KEY=VALUE and KEY- into edits.
+func labelEdits(engineName string, arguments []string) ([]configuration.Edit, error) {
+	var edits []configuration.Edit
+	for _, argument := range arguments {
+		key, value, sets := strings.Cut(argument, "=")
+		removed, removes := strings.CutSuffix(argument, "-")
+		switch {
+		case sets && key != "":
+			edits = append(edits, configuration.SetLabel(engineName, key, value))
+		case !sets && removes && removed != "":
+			edits = append(edits, configuration.RemoveLabel(engineName, removed))
+		default:
+			return nil, errors.Newf("%q is neither KEY=VALUE nor KEY-", argument)
+		}
+	}
+	return edits, nil
+}
--- /dev/null
+++ b/internal/operator/files.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/configuration"
+)
+
+// fileFlag names a file with a configuration.
+type fileFlag struct {
+	File string `help:"File with the configuration, YAML or JSON; - for the standard input." short:"f" required:"" placeholder:"FILE"`
+}
+
+// read reads and checks the file. All faults are in the one error.
+func (f fileFlag) read() (configuration.Document, error) {
+	data, err := f.data()
+	if err != nil {
+		return configuration.Document{}, badInput(errors.Wrap(err, "read the configuration"))
+	}
+	document, faults := configuration.ParseAndValidate(data)
+	if len(faults) > 0 {
+		return configuration.Document{}, faultsError(f.File+" is not valid", faults)
+	}
+	return document, nil
+}
+
+func (f fileFlag) data() ([]byte, error) {
+	if f.File == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(f.File)
+}
+
+// base returns the revision that a file was made from: the one in its status, or the one in force when it has none.
+func base(s *session, ctx context.Context, document configuration.Document) (uint64, error) {
+	if document.Revision > 0 {
+		return document.Revision, nil
+	}
+	current, err := s.client.Configuration(ctx)
+	return current.Revision, err
+}
+
+// applyCommand puts the configuration of a file in force. Edits of others since the revision in the file's status are
+// kept, as long as they touch other fields.
+type applyCommand struct {
+	fileFlag
+	editFlags
+}
+
+// Run applies the file.
+func (a applyCommand) Run(s *session) error {
+	document, err := a.read()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := s.limited()
+	defer cancel()
+	revision, err := base(s, ctx, document)
+	if err != nil {
+		return err
+	}
+	return a.propose(s, ctx, revision, []configuration.Edit{configuration.Apply(document.Spec)})
+}
+
+// diffCommand shows what applying a file would do.
+type diffCommand struct{ fileFlag }
+
+// Run previews the file.
+func (d diffCommand) Run(s *session) error {
+	return applyCommand{fileFlag: d.fileFlag, editFlags: editFlags{DryRun: true}}.Run(s)
+}
+
+// validateCommand checks a file.
+type validateCommand struct{ fileFlag }
+
+// Run checks the file.
+func (v validateCommand) Run(s *session) error {
+	document, err := v.read()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(s.stdout, "%s is valid: %d models, %d groups, %d rules, %d tenants, labels on %d engines\n",
+		v.File, len(document.Models), len(document.Groups), len(document.Rules), len(document.Tenants), len(document.EngineLabels))
+	return err
+}
--- /dev/null
+++ b/internal/operator/output.go
@@ -0,0 +1,98 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/jedib0t/go-pretty/v6/text"
+	"github.com/samber/lo"
+	"sigs.k8s.io/yaml"
+)
+
+// outputFormat is how values are printed.
+type outputFormat string
+
+// The output formats.
+const (
+	outputTable outputFormat = "table"
+	outputJSON  outputFormat = "json"
+	outputYAML  outputFormat = "yaml"
+)
+
+// print writes a value as JSON or YAML, or calls the function that prints it for people.
+func (s *session) print(value any, forPeople func(io.Writer) error) error {
+	switch s.output {
+	case outputJSON:
+		return printJSON(s.stdout, value)
+	case outputYAML:
+		return printYAML(s.stdout, value)
+	default:
+		return forPeople(s.stdout)
+	}
+}
+
+func printJSON(writer io.Writer, value any) error {
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func printYAML(writer io.Writer, value any) error {
+	data, err := yaml.Marshal(value)
+	if err != nil {
+		return err
+	}
+	_, err = writer.Write(data)
+	return err
+}
+
+// printTable writes rows under a header, without lines between them.
+func printTable(writer io.Writer, header table.Row, rows []table.Row) error {
+	output := table.NewWriter()
+	style := table.StyleDefault
+	style.Options = table.OptionsNoBordersAndSeparators
+	style.Format.Header = text.FormatUpper
+	style.Box.PaddingLeft = ""
+	style.Box.PaddingRight = "  "
+	output.SetStyle(style)
+	output.AppendHeader(header)
+	output.AppendRows(rows)
+	lines := strings.Split(output.Render(), "\n")
+	trimmed := lo.Map(lines, func(line string, _ int) string { return strings.TrimRight(line, " ") })
+	_, err := fmt.Fprintln(writer, strings.Join(trimmed, "\n"))
+	return err
+}
+
+// printList writes a heading and one line for each entry, or nothing when there are none.
+func printList[T any](writer io.Writer, heading string, entries []T) {
+	if len(entries) == 0 {
+		return
+	}
+	fmt.Fprintln(writer, heading)
+	for _, entry := range entries {
+		fmt.Fprintf(writer, "  %v\n", entry)
+	}
+}
+
+// counts writes numbers by name, in order of name, as in "decode 8, prefill 4".
+func counts(numbers map[string]int) string {
+	return joinSorted(numbers, ", ", func(name string, number int) string { return fmt.Sprintf("%s %d", name, number) })
+}
+
+// pairs writes labels in order of key, as in "pool=counter,zone=zone-a".
+func pairs(labels map[string]string) string {
+	return joinSorted(labels, ",", func(key, value string) string { return key + "=" + value })
+}
+
+func joinSorted[V any](values map[string]V, separator string, write func(key string, value V) string) string {
+	keys := lo.Keys(values)
+	slices.Sort(keys)
+	return strings.Join(lo.Map(keys, func(key string, _ int) string { return write(key, values[key]) }), separator)
+}
+
+// orNone writes a dash for nothing.
+func orNone(value string) string { return lo.CoalesceOrEmpty(value, "-") }
--- /dev/null
+++ b/internal/operator/refused.go
@@ -0,0 +1,43 @@
+package operator
+
+import (
+	"strings"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+)
+
+// refusedCommand stands for commands to a single engine, which do not exist.
+type refusedCommand struct {
+	Arguments []string `arg:"" optional:"" passthrough:""`
+}
+
+// Run says which label or field to set instead.
+func (r refusedCommand) Run(chosen *kong.Context) error {
+	name, found := lo.Find(r.Arguments, func(argument string) bool { return !strings.HasPrefix(argument, "-") })
+	if !found {
+		name = "ENGINE"
+	}
+	verb := chosen.Command()
+	verb, _, _ = strings.Cut(verb, " ")
+	return badInput(errors.Newf("there is no command %q: engines take no commands, only labels and selectors move them.\n%s",
+		verb, strings.ReplaceAll(instead(verb), "ENGINE", name)))
+}
+
+// instead names the edit that has the effect of a command.
+func instead(verb string) string {
+	switch verb {
+	case "order":
+		return "To change roles, edit rolePolicy (allowedRoles, floors) of the engine's group: granitebay apply -f FILE.\n" +
+			"To change the model of one engine, move it to a group with that model: granitebay label engine ENGINE pool=GROUP"
+	case "restart":
+		return "Engines are restarted by the platform. To let one run empty first, take it out of its group, as far as its\n" +
+			"group selects the label pool: granitebay label engine ENGINE pool-"
+	case "uncordon":
+		return "To give an engine new work, set the label that its group selects: granitebay label engine ENGINE pool=GROUP"
+	default:
+		return "To let an engine run empty, take it out of its group by removing the label that the group selects:\n" +
+			"granitebay label engine ENGINE pool-\nSee the selectors with: granitebay get groups"
+	}
+}
