--- /dev/null
+++ b/internal/simulation/check_liveness.go
@@ -0,0 +1,130 @@
+package simulation
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Bounds of liveness.
+const (
+	// outcomeBound is how long after its deadline a caller may wait for its outcome.
+	outcomeBound = 2 * time.Second
+	// ownedBound is how long after the last fault each engine that runs has taken an order.
+	ownedBound = 20 * time.Second
+)
+
+// answeredShare is the share of the calls that could be answered which must be, in percent.
+const answeredShare = 95
+
+// checkLiveness finds calls that did not end within the bound after their deadline, and engines without an owner.
+func checkLiveness(history *History) []Violation {
+	return slices.Concat(checkCallsEnd(history), checkEnginesOwned(history))
+}
+
+// checkCallsEnd finds calls without an ending in time. An agent that is absent cannot tell an outcome: its calls count
+// from its return.
+func checkCallsEnd(history *History) []Violation {
+	var violations []Violation
+	away := history.absences(outcomeBound)
+	for _, checked := range history.calls() {
+		limit := checked.asked.Deadline + outcomeBound
+		late := checked.endedAt(history) > limit && history.End > limit
+		excused := away.overlaps(checked.asked.Agent, window{from: limit - outcomeBound, until: limit})
+		unended := len(checked.ended) == 0 && history.End > limit
+		if late && !excused || unended {
+			violations = append(violations, Violation{Promise: PromiseLiveness, At: limit,
+				Subjects: []string{checked.asked.RequestID},
+				Reason: fmt.Sprintf("caller %d of %s has no outcome %v after its deadline", checked.asked.Call,
+					checked.asked.RequestID, outcomeBound)})
+		}
+	}
+	return violations
+}
+
+// checkEnginesOwned finds engines that run at the end and had no order accepted within the bound after the last fault
+// or their start.
+func checkEnginesOwned(history *History) []Violation {
+	var violations []Violation
+	started := map[string]EngineChanged{}
+	owned := map[string]bool{}
+	for _, observation := range history.Observations {
+		switch seen := observation.(type) {
+		case EngineChanged:
+			delete(owned, seen.Engine)
+			delete(started, seen.Engine)
+			if seen.State == EngineStarted {
+				started[seen.Engine] = seen
+			}
+		case OrderReceived:
+			if seen.Accepted && seen.At <= max(history.FaultsEnd, started[seen.Engine].At)+ownedBound {
+				owned[seen.Engine] = true
+			}
+		}
+	}
+	for _, name := range sortedKeys(started) {
+		limit := max(history.FaultsEnd, started[name].At) + ownedBound
+		if !owned[name] && limit <= history.End {
+			violations = append(violations, Violation{Promise: PromiseLiveness, At: limit, Subjects: []string{name},
+				Reason: fmt.Sprintf("%s/%d has accepted no order %v after the last fault", name,
+					started[name].Incarnation, ownedBound)})
+		}
+	}
+	return violations
+}
+
+// answerable tells whether a call could have been answered. Not counted are calls whose caller went away, whose agent
+// was absent while they were open, and calls for work that may not be repeated whose engine crashed in the run.
+func answerable(checked *call, history *History, away absences, crashed map[string]bool) bool {
+	span := window{from: checked.asked.At, until: checked.endedAt(history)}
+	switch {
+	case checked.ending() == EndLeft, checked.ending() == EndBroken:
+		return false
+	case away.overlaps(checked.asked.Agent, span):
+		return false
+	case !checked.asked.Repeatable && crashed[checked.asked.RequestID]:
+		return false
+	}
+	return true
+}
+
+// countAnswered counts the calls that could be answered, and those of them that were.
+func countAnswered(history *History) (answered, could int) {
+	crashed := map[string]bool{}
+	for _, ended := range observations[RunEnded](history) {
+		if ended.Ending == RunCrashed {
+			crashed[ended.RequestID] = true
+		}
+	}
+	away := history.absences(0)
+	for _, checked := range history.calls() {
+		if !answerable(checked, history, away, crashed) {
+			continue
+		}
+		could++
+		if checked.ending() == EndAnswered {
+			answered++
+		}
+	}
+	return answered, could
+}
+
+// checkAnswered finds a run in which less was answered than the share that must be.
+func checkAnswered(history *History) []Violation {
+	answered, could := countAnswered(history)
+	if answered*100 >= could*answeredShare {
+		return nil
+	}
+	return []Violation{{Promise: PromiseAnswered, At: history.End,
+		Reason: fmt.Sprintf("%d of %d calls were answered, less than %d %%", answered, could, answeredShare)}}
+}
+
+// sortedKeys returns the keys of a map in order.
+func sortedKeys[V any](values map[string]V) []string {
+	keys := make([]string, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
