--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -20,6 +20,7 @@
 	PromisePlannedStopCutsNone Promise = "a planned stop cuts no request"
 	PromiseConfiguration       Promise = "an accepted configuration is in force everywhere within seconds and never reverts"
 	PromiseLiveness            Promise = "after the last fault every request ends and every engine is owned"
+	PromiseRetriesBounded      Promise = "retries of a request are bounded"
 	PromiseAnswered            Promise = "each run answers what it could"
 )
 
@@ -61,6 +62,7 @@
 		CheckerFunc(checkConfiguration),
 		CheckerFunc(checkEdits),
 		CheckerFunc(checkLiveness),
+		CheckerFunc(checkRetries),
 		CheckerFunc(checkAnswered),
 	}
 }
--- a/internal/simulation/checker_test.go
+++ b/internal/simulation/checker_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -169,6 +170,12 @@
 			process(1, "router-a-1", ProcessStopping), process(31, "router-a-1", ProcessTimedOut)}},
 		{desc: "unknown after a kill", checker: checkPlannedStop, history: []Observation{
 			fault(0, 2, FaultKill, VariantNone, "router-a-1"), asked(1, 1, true), ended(3, 1, EndUnknown)}},
+		{desc: "failed after another caller went away", checker: checkPlannedStop, history: []Observation{asked(1, 1, true),
+			otherCaller, ended(3, 2, EndLeft), ended(3, 1, EndFailed)}},
+		{desc: "failed together with another caller", checker: checkPlannedStop, broken: true, history: []Observation{
+			asked(1, 1, true), otherCaller, ended(3, 2, EndFailed), ended(3, 1, EndFailed)}},
+		{desc: "failed before another caller went away", checker: checkPlannedStop, broken: true, history: []Observation{
+			asked(1, 1, true), otherCaller, ended(3, 1, EndFailed), ended(4, 2, EndLeft)}},
 		{desc: "not run without a fault", checker: checkPlannedStop,
 			history: []Observation{asked(1, 1, true), ended(3, 1, EndNotRun)}},
 
@@ -195,6 +202,10 @@
 		{desc: "engine ordered", checker: checkLiveness,
 			history: []Observation{engineState(0, EngineStarted), order(1, 3, 1, engine.RoleDecode)}},
 
+		{desc: "submitted without end", checker: checkRetries, broken: true,
+			history: slices.Repeat([]Observation{submitted(1)}, maximumSubmits+1)},
+		{desc: "submitted some times", checker: checkRetries, history: slices.Repeat([]Observation{submitted(1)}, maximumSubmits)},
+
 		{desc: "everything refused", checker: checkAnswered, broken: true,
 			history: []Observation{asked(1, 1, true), ended(2, 1, EndNotRun)}},
 		{desc: "caller left", checker: checkAnswered, history: []Observation{asked(1, 1, true), ended(2, 1, EndLeft)}},
--- a/internal/simulation/report.go
+++ b/internal/simulation/report.go
@@ -28,7 +28,10 @@
 	Broken   int `json:"broken"`
 	// AnsweredShare is the lowest share of a run of the calls that could be answered, in percent.
 	AnsweredShare float64 `json:"lowest_answered_percent"`
-	Violations    int     `json:"violations"`
+	// Changes counts changes of role or model that engines took, Edits the edits that operators were told are accepted.
+	Changes    int `json:"changes"`
+	Edits      int `json:"edits"`
+	Violations int `json:"violations"`
 	// Faults is the number of faults injected by kind.
 	Faults map[FaultKind]int `json:"faults"`
 	// Trace is the digest of all events of all seeds in order.
@@ -47,6 +50,8 @@
 		summary.Failed += result.Endings[EndFailed]
 		summary.Left += result.Endings[EndLeft]
 		summary.Broken += result.Endings[EndBroken]
+		summary.Changes += result.Changes
+		summary.Edits += result.Edits
 		summary.Violations += len(result.Violations)
 		if result.Could > 0 {
 			summary.AnsweredShare = min(summary.AnsweredShare, 100*float64(result.AnsweredOfCould)/float64(result.Could))
