--- a/internal/simulation/check_liveness.go
+++ b/internal/simulation/check_liveness.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/configuration"
 )
 
 // Bounds of liveness.
@@ -12,14 +14,48 @@
 	outcomeBound = 2 * time.Second
 	// ownedBound is how long after the last fault each engine that runs has taken an order.
 	ownedBound = 20 * time.Second
+	// changeBound is how long after the last fault, or after the edit if that is later, the first engine takes a version
+	// of the model that operators chose.
+	changeBound = 30 * time.Second
 )
 
 // answeredShare is the share of the calls that could be answered which must be, in percent.
 const answeredShare = 95
 
-// checkLiveness finds calls that did not end within the bound after their deadline, and engines without an owner.
+// checkLiveness finds calls that did not end within the bound after their deadline, engines without an owner, and
+// edits that no engine followed.
 func checkLiveness(history *History) []Violation {
-	return slices.Concat(checkCallsEnd(history), checkEnginesOwned(history))
+	return slices.Concat(checkCallsEnd(history), checkEnginesOwned(history), checkVersionFollowed(history))
+}
+
+// checkVersionFollowed finds a version of the model that operators chose and that no engine has within the bound.
+func checkVersionFollowed(history *History) []Violation {
+	stored := storedDocuments(history)
+	if len(stored) == 0 {
+		return nil
+	}
+	version := versionOf(stored[len(stored)-1])
+	since := stored[len(stored)-1].at
+	for index := len(stored) - 1; index >= 0 && versionOf(stored[index]) == version; index-- {
+		since = stored[index].at
+	}
+	limit := max(since, history.FaultsEnd) + changeBound
+	followed := slices.ContainsFunc(observations[OrderReceived](history), func(order OrderReceived) bool {
+		return order.Accepted && order.Configuration.ModelVersion == version && order.At >= since && order.At <= limit
+	})
+	if followed || since == 0 || limit > history.End {
+		return nil
+	}
+	return []Violation{{Promise: PromiseLiveness, At: limit, Subjects: []string{configurationSubject, configuration.StoreKey},
+		Reason: fmt.Sprintf("no engine has version %s of the model, which the configuration wants since %v", version, since)}}
+}
+
+// versionOf returns the version of the model that a configuration wants.
+func versionOf(stored storedDocument) string {
+	if len(stored.document.Groups) == 0 || len(stored.document.Groups[0].Models) == 0 {
+		return ""
+	}
+	return stored.document.Groups[0].Models[0].Version
 }
 
 // checkCallsEnd finds calls without an ending in time. An agent that is absent cannot tell an outcome: its calls count
--- a/internal/simulation/checker_test.go
+++ b/internal/simulation/checker_test.go
@@ -1,10 +1,12 @@
 package simulation
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/engine"
 	"github.com/granitebay/granitebay/internal/platform"
 )
@@ -44,6 +46,13 @@
 		{Key: recordPrefix + "engine-a-1", Value: []byte(record), CreateRevision: 1, ModRevision: revision}}}
 }
 
+// stored is a configuration with a version of the model and engine-a-1 in a pool.
+func stored(at float64, revision int, version, pool string) StoreCommitted {
+	document := fmt.Sprintf(`{"spec":{"groups":[{"models":[{"version":%q}]}],"engineLabels":{"engine-a-1":{"pool":%q}}},`+
+		`"status":{"revision":%d,"changeID":"change-%d"}}`, version, pool, revision, revision)
+	return StoreCommitted{Seen: seconds(at), Changed: []platform.Entry{{Key: configuration.StoreKey, Value: []byte(document)}}}
+}
+
 func process(at float64, name string, state ProcessState) ProcessChanged {
 	return ProcessChanged{Seen: seconds(at), Process: name, Incarnation: 1, State: state}
 }
@@ -84,6 +93,15 @@
 	joined := submitted(9)
 	joined.New = false
 	otherCaller := asked(2, 2, true)
+	secondStored := stored(2, 3, "1", "serving")
+	secondStored.Changed[0].Value = stored(1, 2, "1", "serving").Changed[0].Value
+	versionOrder := order(5, 3, 2, engine.RoleDecode)
+	versionOrder.Configuration.ModelVersion = "2"
+	secondAccepted := accepted(3, 2)
+	secondAccepted.ChangeID = "change-2"
+	lostAccepted := accepted(3, 2)
+	lostAccepted.ChangeID = "change-9"
+	lostAccepted.Revision = 9
 	restarted := engineState(3, EngineStarted)
 	restarted.Incarnation = 2
 
@@ -190,6 +208,21 @@
 		{desc: "went back long after a restart", checker: checkConfiguration, broken: true, history: []Observation{accepted(1, 2),
 			process(2, "router-a-1", ProcessKilled), process(3, "router-a-1", ProcessStarted), read(9, 1)}},
 
+		{desc: "accepted but not stored", checker: checkEdits, broken: true,
+			history: []Observation{stored(0, 1, "1", "serving"), lostAccepted}},
+		{desc: "accepted and stored twice", checker: checkEdits, broken: true,
+			history: []Observation{stored(0, 1, "1", "serving"), stored(1, 2, "1", "serving"), secondStored, secondAccepted}},
+		{desc: "accepted and stored", checker: checkEdits,
+			history: []Observation{stored(0, 1, "1", "serving"), stored(1, 2, "1", "serving"), secondAccepted}},
+		{desc: "stored revision goes back", checker: checkEdits, broken: true,
+			history: []Observation{stored(0, 2, "1", "serving"), stored(1, 1, "1", "serving")}},
+		{desc: "new work at an engine in reserve", checker: checkEdits, broken: true, history: []Observation{
+			stored(0, 1, "1", "serving"), stored(1, 2, "1", "reserve"), secondAccepted, submitted(9)}},
+		{desc: "new work at an engine in reserve before the bound", checker: checkEdits, history: []Observation{
+			stored(0, 1, "1", "serving"), stored(1, 2, "1", "reserve"), secondAccepted, submitted(7)}},
+		{desc: "new work at an engine that serves again", checker: checkEdits, history: []Observation{stored(0, 1, "1", "serving"),
+			stored(1, 2, "1", "reserve"), secondAccepted, stored(8, 3, "1", "serving"), submitted(9)}},
+
 		{desc: "no outcome", checker: checkLiveness, broken: true, history: []Observation{asked(1, 1, true)}},
 		{desc: "late outcome", checker: checkLiveness, broken: true,
 			history: []Observation{asked(1, 1, true), ended(15, 1, EndUnknown)}},
@@ -199,6 +232,10 @@
 		{desc: "engine never ordered", checker: checkLiveness, broken: true, history: []Observation{engineState(0, EngineStarted)}},
 		{desc: "engine not ordered after its restart", checker: checkLiveness, broken: true, history: []Observation{
 			engineState(0, EngineStarted), order(1, 3, 1, engine.RoleDecode), restarted}},
+		{desc: "version that no engine follows", checker: checkLiveness, broken: true,
+			history: []Observation{stored(0, 1, "1", "serving"), stored(2, 2, "2", "serving"), order(1, 3, 1, engine.RoleDecode)}},
+		{desc: "version that an engine follows", checker: checkLiveness,
+			history: []Observation{stored(0, 1, "1", "serving"), stored(2, 2, "2", "serving"), versionOrder}},
 		{desc: "engine ordered", checker: checkLiveness,
 			history: []Observation{engineState(0, EngineStarted), order(1, 3, 1, engine.RoleDecode)}},
 
--- a/internal/simulation/enginehost.go
+++ b/internal/simulation/enginehost.go
@@ -21,6 +21,9 @@
 	staleDelay = 6 * time.Second
 )
 
+// simulatedSlots are the runs that an engine takes at once, fewer than usual so that requests wait in queues.
+var simulatedSlots = map[engine.Role]int{engine.RolePrefill: 2, engine.RoleDecode: 4}
+
 // clientName names one incarnation of a process at engines and at the platform.
 func clientName(process string, incarnation uint64) string {
 	return fmt.Sprintf("%s/%d", process, incarnation)
@@ -86,6 +89,7 @@
 	settings := enginemodel.DefaultSettings(e.machine.Name, e.incarnation)
 	settings.Start = e.clock.read(e.world.now)
 	settings.RoleChangeTime, settings.WeightLoadTime = simulatedRoleChange, simulatedWeightLoad
+	settings.Prefill.Slots, settings.Decode.Slots = simulatedSlots[engine.RolePrefill], simulatedSlots[engine.RoleDecode]
 	settings.TokenEventInterval = tokenEventInterval
 	settings.Observer = &engineObserver{host: e}
 	e.model = enginemodel.New(settings, newRandom(e.world.seed^e.incarnation<<32, streamEngines+stream(hashName(e.machine.Name))))
--- a/internal/simulation/fault.go
+++ b/internal/simulation/fault.go
@@ -89,6 +89,11 @@
 	VariantSlow        Variant = "slow"
 	VariantRateLimited Variant = "rate-limited"
 
+	// VariantMidOrder hits the first router that sends an order, with the order still in its buffers, VariantMidWrite
+	// the first that sends a write to the key-value service, with the write on its way.
+	VariantMidOrder Variant = "mid-order"
+	VariantMidWrite Variant = "mid-write"
+
 	VariantAnyMoment Variant = "any-moment"
 	VariantMidChange Variant = "mid-change"
 
--- a/internal/simulation/operators.go
+++ b/internal/simulation/operators.go
@@ -31,6 +31,8 @@
 	editTimeout = 6 * time.Second
 	// usualEdits is the number of edits in every run, besides one that makes engines change.
 	usualEdits = 2
+	// changesWithin is the time from the first faults within which the edit comes that makes all engines change.
+	changesWithin = 12 * time.Second
 	// editTries bounds the routers through which one edit is proposed.
 	editTries = 5
 )
@@ -68,8 +70,9 @@
 			o.edit(firstOperator, drawEdits(o.world.deployment, o.random))
 		})
 	}
-	o.world.at(between(o.random, faultsBegin, faultsEnd), func() {
+	o.world.at(between(o.random, faultsBegin, faultsBegin+changesWithin), func() {
 		group := drawGroup(o.world.deployment, o.random)
+		group.Models[0].Version = simulatedVersions[1]
 		o.edit(firstOperator, []configuration.Edit{configuration.PutGroup(group)})
 	})
 	o.world.after(readInterval, o.read)
--- a/internal/simulation/platformhost.go
+++ b/internal/simulation/platformhost.go
@@ -85,6 +85,9 @@
 func (p *platformHost) send(sender *processHost, asked core.PlatformRequest) {
 	key := askedKey{client: sender.client(), id: asked.ID}
 	p.world.trace.value(p.world.now, "platform request", key.client, asked.Request)
+	if _, writes := asked.Request.(platform.Transaction); writes {
+		p.world.sending(sender, VariantMidWrite)
+	}
 	p.clients[key.client] = sender
 	p.pending[key] = true
 	p.world.after(platformTimeout, func() {
@@ -95,7 +98,7 @@
 	if p.world.network.isCut(sender.endpoint, platformEndpoint) {
 		return
 	}
-	p.world.after(p.world.network.delay(sender.endpoint, platformEndpoint), func() { p.receive(key, asked.Request) })
+	p.world.after(p.world.network.delay(sender.endpoint, platformEndpoint)+sender.stalled(), func() { p.receive(key, asked.Request) })
 }
 
 // receive takes a request that arrived.
@@ -194,14 +197,13 @@
 
 // register puts a machine on the membership list.
 func (p *platformHost) register(machine Machine, incarnation uint64) {
-	p.model.SetLeaving(p.now(), machine.Name, false)
 	p.model.RegisterMember(p.now(), member(machine, incarnation))
 	p.flush()
 }
 
-// setLeaving marks a machine as leaving.
-func (p *platformHost) setLeaving(name string) {
-	p.model.SetLeaving(p.now(), name, true)
+// setLeaving marks a machine as leaving, or takes that back when it was replaced.
+func (p *platformHost) setLeaving(name string, leaving bool) {
+	p.model.SetLeaving(p.now(), name, leaving)
 	p.flush()
 }
 
--- a/internal/simulation/process.go
+++ b/internal/simulation/process.go
@@ -79,6 +79,7 @@
 	p.inbox, p.wakeAt, p.warned, p.stalledUntil = nil, 0, map[string]bool{}, 0
 	p.node = p.world.newNode(p)
 	p.world.observe(ProcessChanged{Seen: p.world.seen(), Process: p.machine.Name, Incarnation: p.incarnation, State: ProcessStarted})
+	p.world.platform.setLeaving(p.machine.Name, false)
 	p.world.platform.register(p.machine, p.incarnation)
 	p.do(func(now time.Time, effects *core.Effects) { p.node.Tick(now, effects) })
 }
@@ -222,7 +223,7 @@
 	p.stopping = true
 	w := p.world
 	w.observe(ProcessChanged{Seen: w.seen(), Process: p.machine.Name, Incarnation: p.incarnation, State: ProcessStopping})
-	w.platform.setLeaving(p.machine.Name)
+	w.platform.setLeaving(p.machine.Name, true)
 	p.do(func(now time.Time, effects *core.Effects) { p.node.(stopper).Stop(now, effects) })
 	p.awaitStopped(p.incarnation, w.now+stopGrace, startAgain)
 }
--- a/internal/simulation/promise_test.go
+++ b/internal/simulation/promise_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // fixedSeeds are the seeds of the tests: each kind of fault alone, and some pairs and mixes.
@@ -60,7 +62,8 @@
 	for _, deployment := range Deployments() {
 		t.Run(deployment.Name, func(t *testing.T) {
 			summary := summarize(deployment, fixedRuns()[deployment.Name])
-			if summary.Answered == 0 || summary.Left == 0 || summary.Broken == 0 || summary.Changes == 0 || summary.Edits == 0 {
+			if lo.Min([]int{summary.Answered, summary.NotRun, summary.Left, summary.Broken, summary.Changes, summary.Edits,
+				summary.Fenced, summary.Takeovers}) == 0 {
 				t.Errorf("too little happened: %+v", summary)
 			}
 			for _, kind := range append(FaultKinds(), FaultPlannedStop) {
--- a/internal/simulation/report.go
+++ b/internal/simulation/report.go
@@ -29,8 +29,11 @@
 	// AnsweredShare is the lowest share of a run of the calls that could be answered, in percent.
 	AnsweredShare float64 `json:"lowest_answered_percent"`
 	// Changes counts changes of role or model that engines took, Edits the edits that operators were told are accepted.
-	Changes    int `json:"changes"`
-	Edits      int `json:"edits"`
+	Changes int `json:"changes"`
+	Edits   int `json:"edits"`
+	// Fenced counts orders that engines refused, Takeovers shards that found a new owner.
+	Fenced     int `json:"orders_refused"`
+	Takeovers  int `json:"takeovers"`
 	Violations int `json:"violations"`
 	// Faults is the number of faults injected by kind.
 	Faults map[FaultKind]int `json:"faults"`
@@ -52,6 +55,8 @@
 		summary.Broken += result.Endings[EndBroken]
 		summary.Changes += result.Changes
 		summary.Edits += result.Edits
+		summary.Fenced += result.Fenced
+		summary.Takeovers += result.Takeovers
 		summary.Violations += len(result.Violations)
 		if result.Could > 0 {
 			summary.AnsweredShare = min(summary.AnsweredShare, 100*float64(result.AnsweredOfCould)/float64(result.Could))
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"strings"
 	"time"
 
 	"github.com/samber/lo"
@@ -21,6 +22,9 @@
 	// Changes is the number of orders that changed an engine after its first, Edits that of accepted edits.
 	Changes int
 	Edits   int
+	// Fenced is the number of orders that engines refused, Takeovers that of shards which found a new owner.
+	Fenced    int
+	Takeovers int
 	// Could is the number of calls that could be answered, and AnsweredOfCould that of those which were.
 	Could           int
 	AnsweredOfCould int
@@ -49,6 +53,8 @@
 	result.Changes = lo.CountBy(observations[OrderReceived](w.history), func(order OrderReceived) bool {
 		return order.Changes && order.Fence.Generation > 1
 	})
+	result.Fenced = lo.CountBy(observations[OrderReceived](w.history), func(order OrderReceived) bool { return !order.Accepted })
+	result.Takeovers = countTakeovers(w.history)
 	result.Edits = len(observations[ConfigurationAccepted](w.history))
 	return result
 }
@@ -84,3 +90,20 @@
 		return observation.When() <= max(violation.At, 0)+time.Millisecond
 	})
 }
+
+// countTakeovers counts the shards that found an owner after their first.
+func countTakeovers(history *History) int {
+	created := map[string]int{}
+	takeovers := 0
+	for _, commit := range observations[StoreCommitted](history) {
+		for _, entry := range commit.Changed {
+			if !strings.HasPrefix(entry.Key, shardPrefix) || entry.CreateRevision != commit.Revision {
+				continue
+			}
+			if created[entry.Key]++; created[entry.Key] > 1 {
+				takeovers++
+			}
+		}
+	}
+	return takeovers
+}
--- a/internal/simulation/schedule.go
+++ b/internal/simulation/schedule.go
@@ -91,9 +91,11 @@
 	longest := longestOutage
 	switch kind {
 	case FaultKill:
-		longest, fault.Target = longestKill, drawProcess(deployment, random)
+		longest = longestKill
+		fault.Variant, fault.Target = drawMoment(deployment, random)
 	case FaultPause:
-		longest, fault.Target = longestPause, drawProcess(deployment, random)
+		longest = longestPause
+		fault.Variant, fault.Target = drawMoment(deployment, random)
 	case FaultCut:
 		longest = longestCut
 		drawCut(&fault, deployment, random)
@@ -145,6 +147,15 @@
 	return stops
 }
 
+// drawMoment draws when a process is hit: at any moment, or while it sends something that matters.
+func drawMoment(deployment Deployment, random *rand.Rand) (variant Variant, target string) {
+	variant = pick(random, VariantAnyMoment, VariantAnyMoment, VariantMidOrder, VariantMidWrite)
+	if variant == VariantAnyMoment {
+		target = drawProcess(deployment, random)
+	}
+	return variant, target
+}
+
 // drawProcess draws a process to hit, mostly a router.
 func drawProcess(deployment Deployment, random *rand.Rand) string {
 	if random.IntN(5) == 0 {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -25,6 +25,10 @@
 	trace      *trace
 	history    *History
 
+	// waiting are faults that hit the first router that sends something, hits the processes that faults hit.
+	waiting []Fault
+	hits    map[Fault]*processHost
+
 	network   *network
 	platform  *platformHost
 	engines   map[string]*engineHost
@@ -38,7 +42,7 @@
 func newWorld(seed uint64, deployment Deployment, times phases, schedule []Fault, newRouter nodeFactory) *world {
 	w := &world{seed: seed, newRouter: newRouter, phases: times, deployment: deployment, schedule: schedule, trace: newTrace(),
 		history: &History{FaultsEnd: times.faultsEnd, End: times.end}, engines: map[string]*engineHost{},
-		processes: map[string]*processHost{}}
+		processes: map[string]*processHost{}, hits: map[Fault]*processHost{}}
 	w.network = &network{random: newRandom(seed, streamNetwork), deployment: deployment}
 	clocks := newRandom(seed, streamClocks)
 	w.platform = newPlatformHost(w)
@@ -159,6 +163,9 @@
 		return
 	}
 	w.trace.value(w.now, "command", sender.machine.Name, command)
+	if _, orders := command.(engine.Order); orders {
+		w.sending(sender, VariantMidOrder)
+	}
 	sent := sentCommand{client: sender.client(), sender: sender, command: command, sentAt: w.now}
 	if w.network.isCut(sender.endpoint, receiver.endpoint) {
 		receiver.unreachable(sent, brokenAfter, w.network.chance(notSentPerMille))
