--- a/internal/simulation/callers.go
+++ b/internal/simulation/callers.go
@@ -12,11 +12,12 @@
 // agentNode is the core of an agent as callers use it.
 type agentNode interface {
 	core.Node
-	Submit(now time.Time, call uint64, request agent.CallerRequest, effects *core.Effects) error
+	SubmitForID(now time.Time, call uint64, request agent.CallerRequest, effects *core.Effects) (string, error)
 	CallerGone(now time.Time, call uint64, effects *core.Effects)
-	RequestID(call uint64) (string, bool)
 }
 
+var _ agentNode = (*stoppableAgent)(nil)
+
 // askAgainAfterKill is how long a caller waits until it asks again when its agent was killed.
 const askAgainAfterKill = 300 * time.Millisecond
 
@@ -98,15 +99,14 @@
 	node := made.host.node.(agentNode)
 	request := made.request
 	request.Deadline = made.host.clock.read(deadline)
-	if err := node.Submit(now, made.number, request, effects); err != nil {
-		c.observeAsked(made)
-		c.end(made, EndNotRun, err.Error())
-		return
-	}
+	id, err := node.SubmitForID(now, made.number, request, effects)
 	if made.requestID == "" {
-		made.requestID, _ = node.RequestID(made.number)
+		made.requestID = id
 		c.observeAsked(made)
 	}
+	if err != nil {
+		c.end(made, EndNotRun, err.Error())
+	}
 }
 
 // observeAsked notes a call, once.
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -25,6 +25,11 @@
 	simulatedRedrainDelay = 3 * time.Second
 )
 
+var (
+	_ stopper    = (*router.Core)(nil)
+	_ configured = (*router.Core)(nil)
+)
+
 // newRouter makes the core of a router.
 func newRouter(host *processHost) core.Node {
 	seeds := lo.Map(host.world.deployment.Routers, func(machine Machine, _ int) membership.Member {
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/samber/lo"
 )
@@ -84,10 +83,17 @@
 	return found
 }
 
-// shortestHistory returns what was seen of the subjects of a violation up to it, with all faults.
+// shortestHistory returns what was seen of the subjects of a violation up to it. Routers that show the same revision as
+// before are left out.
 func (r Result) shortestHistory(violation Violation) []Observation {
+	shown := map[string]uint64{}
 	return lo.Filter(r.History.about(violation.Subjects), func(observation Observation, _ int) bool {
-		return observation.When() <= max(violation.At, 0)+time.Millisecond
+		read, reads := observation.(ConfigurationRead)
+		repeated := reads && shown[read.Router] == read.Revision
+		if reads {
+			shown[read.Router] = read.Revision
+		}
+		return !repeated && observation.When() <= violation.At
 	})
 }
 
