--- a/internal/roleplan/averages.go
+++ b/internal/roleplan/averages.go
@@ -24,7 +24,7 @@
 
 // DefaultMeterSettings returns memories that suit swings within minutes.
 func DefaultMeterSettings() MeterSettings {
-	return MeterSettings{FastMemory: 8 * time.Second, SlowMemory: 40 * time.Second, Forget: 10 * time.Minute}
+	return MeterSettings{FastMemory: 3 * time.Second, SlowMemory: 40 * time.Second, Forget: 10 * time.Minute}
 }
 
 // observe adds a rate that was measured over a time.
--- a/internal/roleplan/types.go
+++ b/internal/roleplan/types.go
@@ -116,8 +116,8 @@
 		DrainTime:         3 * time.Second,
 		FastWeight:        1,
 		Confidence:        0,
-		Hysteresis:        0.01,
+		Hysteresis:        0.05,
 		TargetUtilization: 0.9,
-		QueueClear:        60 * time.Second,
+		QueueClear:        20 * time.Second,
 	}
 }
