--- a/internal/roleplan/types.go
+++ b/internal/roleplan/types.go
@@ -114,10 +114,10 @@
 		Horizon:           60 * time.Second,
 		ChangeTime:        8 * time.Second,
 		DrainTime:         3 * time.Second,
-		FastWeight:        0.5,
-		Confidence:        0.5,
-		Hysteresis:        0.01,
+		FastWeight:        1,
+		Confidence:        0,
+		Hysteresis:        0.05,
 		TargetUtilization: 0.9,
-		QueueClear:        60 * time.Second,
+		QueueClear:        20 * time.Second,
 	}
 }
