--- a/cmd/granitebay-lab/main.go
+++ b/cmd/granitebay-lab/main.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/granitebay/granitebay/internal/command"
+	"github.com/granitebay/granitebay/internal/experiment"
 	"github.com/granitebay/granitebay/internal/logging"
+	"github.com/granitebay/granitebay/internal/simulation"
 	"github.com/granitebay/granitebay/internal/standin/standincommand"
 )
 
@@ -20,8 +23,10 @@
 	LogFormat string           `default:"text" enum:"text,json" help:"Format of logs."`
 	Version   kong.VersionFlag `help:"Print the version and exit."`
 
-	Engine   standincommand.EngineCommand   `cmd:"" help:"Run a stand-in of a model engine."`
-	Platform standincommand.PlatformCommand `cmd:"" help:"Run a stand-in of the platform."`
+	Engine     standincommand.EngineCommand   `cmd:"" help:"Run a stand-in of a model engine."`
+	Platform   standincommand.PlatformCommand `cmd:"" help:"Run a stand-in of the platform."`
+	Simulate   simulation.Command             `cmd:"" help:"Prove the promises by deterministic simulation under failure."`
+	Experiment experiment.Command             `cmd:"" help:"Measure goodput and role changes against baselines."`
 }
 
 func main() {
@@ -38,5 +43,6 @@
 	ctx, cancel := command.Context()
 	defer cancel()
 	selected.BindTo(ctx, (*context.Context)(nil))
+	selected.BindTo(os.Stdout, (*io.Writer)(nil))
 	return selected.Run(logger)
 }
