Dispatch: no hot loop on refusals; plan: engines out for a change are counted from owners' reports

Change: tombstoned engines are not asked again, returns to the queue are delayed, digests name unready engines.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -171,6 +171,28 @@
 	}
 }
 
+func TestTombstonedEnginesAreNotAskedAgain(t *testing.T) {
+	h := newHarness(t)
+	first := h.chosen("t/01HF7YAT00000000000000000A", true)
+	h.event(engine.Refused{Engine: first, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalCancelled})
+	second := h.submits()[0].Engine
+	h.expect("another engine is asked", second != first, true)
+	h.event(engine.Refused{Engine: second, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalCancelled})
+	h.expect("nothing more is submitted", len(h.submits()), 0)
+	h.expect("outcome", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
+}
+
+func TestRefusedRequestDoesNotGoRoundWithoutPause(t *testing.T) {
+	h := newHarness(t)
+	asked := h.chosen("t/01HF7YAT00000000000000000A", true)
+	submits := 0
+	for range 100 {
+		h.event(engine.Refused{Engine: asked, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalUnknownRun})
+		submits += len(h.submits())
+	}
+	h.expect("submits without a pause", submits, returnsWithoutDelay)
+}
+
 func TestClaimedWorkMovesOnlyAfterTombstone(t *testing.T) {
 	h := newHarness(t)
 	first := h.chosen("t/01HF7YAT00000000000000000A", false)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -61,6 +61,11 @@
 	retryAt      time.Time
 	lastProgress time.Time
 	excluded     []string
+	// tombstoned lists the engines that never run the request because it was cancelled there.
+	tombstoned []string
+	// returns counts how often the request came back to the queue; notBefore delays the next try.
+	returns   int
+	notBefore time.Time
 	// cancelReason is why the run is being cancelled.
 	cancelReason string
 	// callerGone is set when nobody waits for the answer.
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
@@ -23,7 +24,7 @@
 	blocked := make(map[string]bool)
 	for _, entry := range c.queue.entries() {
 		class := placementClass(entry)
-		if blocked[class] {
+		if blocked[class] || now.Before(entry.notBefore) {
 			continue
 		}
 		if !c.place(now, entry, effects) {
@@ -34,7 +35,7 @@
 
 // placementClass groups requests that compete for the same engines.
 func placementClass(entry *request) string {
-	return fmt.Sprintf("%s\x00%v\x00%s\x00%v", entry.work.GetModel(), entry.policy.Groups, entry.work.GetAdapter(), entry.excluded)
+	return fmt.Sprintf("%s\x00%v\x00%s\x00%v\x00%v", entry.work.GetModel(), entry.policy.Groups, entry.work.GetAdapter(), entry.excluded, entry.tombstoned)
 }
 
 // placementRequest is a request as placement sees it.
@@ -46,7 +47,7 @@
 		Adapter:         entry.work.GetAdapter(),
 		PromptTokens:    int(entry.work.GetPromptTokens()),
 		OutputTokens:    int(entry.work.GetMaxTokens()) - len(entry.tokens),
-		ExcludedEngines: entry.excluded,
+		ExcludedEngines: slices.Concat(entry.excluded, entry.tombstoned),
 	}
 }
 
@@ -211,6 +212,42 @@
 	if !c.servesEver(now, entry) {
 		entry.excluded = nil
 	}
+	if !c.servesEver(now, entry) {
+		c.giveUpUnserved(now, entry, effects)
+		return
+	}
+	c.delayReturn(now, entry)
 	c.queue.push(entry)
 	c.schedule(now, effects)
 }
+
+// The delay of a request that comes back to the queue often, which doubles each time.
+const (
+	returnsWithoutDelay = 2
+	firstReturnDelay    = 50 * time.Millisecond
+	longestReturnDelay  = 2 * time.Second
+	maximumDoublings    = 8
+)
+
+// delayReturn keeps a request that engines refuse again and again from going round without a pause.
+func (c *Core) delayReturn(now time.Time, entry *request) {
+	entry.returns++
+	if entry.returns <= returnsWithoutDelay {
+		return
+	}
+	doublings := min(entry.returns-returnsWithoutDelay-1, maximumDoublings)
+	entry.notBefore = now.Add(min(firstReturnDelay<<doublings, longestReturnDelay))
+}
+
+// giveUpUnserved ends a request that no engine of this router can run any more.
+func (c *Core) giveUpUnserved(now time.Time, entry *request, effects *core.Effects) {
+	const reason = "No engine of this router can run the request: it was cancelled there before, or the engines are gone."
+	kind := granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
+	switch {
+	case len(entry.tokens) > 0:
+		kind = granitebayv1.OutcomeKind_OUTCOME_KIND_FAILED
+	case entry.submitted:
+		kind = granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
+	}
+	c.giveUp(now, entry, kind, reason, effects)
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -200,6 +200,9 @@
 	}
 	if entry.repeatable() {
 		entry.submitted = false
+		if event.Refusal == engine.RefusalCancelled {
+			entry.tombstoned = append(entry.tombstoned, event.Engine)
+		}
 		c.requeue(now, entry, "", fmt.Sprintf("Engine %s refused the request: %s.", entry.engine, event.Refusal), effects)
 		return
 	}
--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -108,6 +108,17 @@
 	return digests
 }
 
+// UnreadyEngines returns the engines that their owners report as not serving.
+func (t *Table) UnreadyEngines(now time.Time) map[string]bool {
+	unready := make(map[string]bool)
+	for _, digest := range t.Digests(now) {
+		for _, name := range digest.GetUnreadyEngines() {
+			unready[name] = true
+		}
+	}
+	return unready
+}
+
 // Request is what the choice needs to know of a request.
 type Request struct {
 	ID           string
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -21,15 +21,27 @@
 	c.nextDigest = now.Add(c.settings.DigestInterval)
 	c.digestSequence++
 	digest := &granitebayv1.PoolDigest{
-		Sequence: c.digestSequence,
-		Pools:    c.dispatch.Pools(now),
-		Leaving:  c.stopping,
-		Demand:   c.dispatch.Demand(now),
+		Sequence:       c.digestSequence,
+		Pools:          c.dispatch.Pools(now),
+		Leaving:        c.stopping,
+		Demand:         c.dispatch.Demand(now),
+		UnreadyEngines: c.unreadyOwned(),
 	}
 	c.owners.HandleDigest(now, c.settings.Self, digest)
 	c.broadcast(&granitebayv1.Envelope{Body: &granitebayv1.Envelope_PoolDigest{PoolDigest: digest}}, effects)
 }
 
+// unreadyOwned lists the owned engines that do not serve as their record says.
+func (c *Core) unreadyOwned() []string {
+	return lo.Filter(c.engineNames, func(name string, _ int) bool {
+		if !c.owns(name) || !c.engines[name].listed {
+			return false
+		}
+		view := c.engineView(name)
+		return !view.Ready || view.Draining || view.Changing
+	})
+}
+
 // broadcast sends a body to all other live routers, each in an envelope of its own.
 func (c *Core) broadcast(envelope *granitebayv1.Envelope, effects *core.Effects) {
 	for _, member := range c.others() {
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -77,7 +77,8 @@
 }
 
 // planEngines lists the engines of a group that serve a model.
-func (c *Core) planEngines(_ time.Time, group, model string) []roleplan.Engine {
+func (c *Core) planEngines(now time.Time, group, model string) []roleplan.Engine {
+	unready := c.owners.UnreadyEngines(now)
 	var engines []roleplan.Engine
 	for _, name := range c.engineNames {
 		record, ok := c.roles.Record(name)
@@ -88,7 +89,7 @@
 		engines = append(engines, roleplan.Engine{
 			Name:      name,
 			Role:      view.Configuration.Role,
-			Changing:  view.Draining || view.Changing,
+			Changing:  view.Draining || unready[name],
 			Target:    c.changeTarget(name, view.Configuration.Role, view.Draining),
 			ChangedAt: c.changedAt[name],
 			Unusable:  view.Leaving,
@@ -221,7 +222,7 @@
 	if snapshot == nil {
 		return
 	}
-	changing := c.changingByGroup()
+	changing := c.changingByGroup(now)
 	for _, name := range c.engineNames {
 		record, ok := c.roles.Record(name)
 		_, held := c.ownership.Authority(now, name)
@@ -239,12 +240,13 @@
 	}
 }
 
-// changingByGroup counts the engines of each group that are out for a change.
-func (c *Core) changingByGroup() map[string]int {
+// changingByGroup counts the engines of each group that are out for a change, as their records and their owners tell.
+func (c *Core) changingByGroup(now time.Time) map[string]int {
+	unready := c.owners.UnreadyEngines(now)
 	changing := make(map[string]int)
 	for _, name := range c.engineNames {
 		view := c.engineView(name)
-		if view.Group != "" && (view.Draining || view.Changing || (view.Generation > 0 && !view.Ready && !view.Leaving)) {
+		if view.Group != "" && !view.Leaving && (view.Draining || unready[name]) {
 			changing[view.Group]++
 		}
 	}
