Dispatch: no submit under a draining generation; answers keep their base offset

Change: submit refuses draining records and moves the claim by a tombstone; answers have a base, below which the engine streams again. Ruled out: waiting at the engine (it has no notion of draining).

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -114,7 +114,7 @@
 		c.sendMoved(entry, effects)
 	default:
 		c.sendAccepted(entry, effects)
-		c.sendProgress(now, entry, message.GetResumeOffset(), effects)
+		c.sendFrom(now, entry, message.GetResumeOffset(), effects)
 	}
 	return true
 }
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -97,9 +97,9 @@
 
 // cancelQueued stops a request that is at no engine. Repeatable work that ran partway elsewhere has failed.
 func (c *Core) cancelQueued(now time.Time, entry *request, effects *core.Effects) {
-	if entry.submitted || len(entry.tokens) > 0 {
+	if entry.submitted || entry.length() > 0 {
 		kind := granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
-		if len(entry.tokens) > 0 {
+		if entry.length() > 0 {
 			kind = granitebayv1.OutcomeKind_OUTCOME_KIND_FAILED
 		}
 		c.giveUp(now, entry, kind, entry.cancelReason+" It had run partway.", effects)
@@ -131,7 +131,7 @@
 // endCancelled goes on after the engine confirmed that the request is stopped there.
 func (c *Core) endCancelled(now time.Time, entry *request, started bool, effects *core.Effects) {
 	switch {
-	case started || len(entry.tokens) > 0:
+	case started || entry.length() > 0:
 		reason := entry.cancelReason
 		if reason == "" {
 			reason = "The run was stopped."
@@ -147,7 +147,7 @@
 // failUnconfirmed gives up a request whose cancel was not confirmed in time.
 func (c *Core) failUnconfirmed(now time.Time, entry *request, effects *core.Effects) {
 	kind := granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
-	if len(entry.tokens) > 0 {
+	if entry.length() > 0 {
 		kind = granitebayv1.OutcomeKind_OUTCOME_KIND_FAILED
 	}
 	c.giveUp(now, entry, kind, entry.cancelReason+" The stop was not confirmed in time.", effects)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -204,7 +204,7 @@
 		c.retry(now, entry, effects)
 	}
 	if now.Sub(entry.lastProgress) >= c.settings.KeepAliveInterval {
-		c.sendProgress(now, entry, uint32(len(entry.tokens)), effects)
+		c.sendProgress(now, entry, entry.length(), effects)
 	}
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -204,6 +204,17 @@
 	h.expect("submitted to the claimed engine", h.submits()[0].Engine, other)
 }
 
+func TestDrainingEngineGetsNoSubmit(t *testing.T) {
+	h := newHarness(t)
+	h.generate("t/01HF7YAT00000000000000000A", false, nil)
+	chosen := h.core.requests["t/01HF7YAT00000000000000000A"].engine
+	h.core.engines[chosen].view.Generation = 2
+	h.core.engines[chosen].view.Draining = true
+	h.decide("t/01HF7YAT00000000000000000A", chosen, false)
+	h.expect("no submit under the draining generation", len(h.submits()), 0)
+	h.expect("a tombstone lets another engine be claimed", len(h.cancels()), 1)
+}
+
 func TestClaimDecidedForAnotherEngine(t *testing.T) {
 	h := newHarness(t)
 	h.generate("t/01HF7YAT00000000000000000A", false, nil)
@@ -328,6 +339,10 @@
 	h.expect("attached", h.effects.Engine[0], engine.Attach{Engine: "engine-2", ExpectedIncarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", StreamOffset: 2})
 	h.event(engine.Tokens{Engine: "engine-2", Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Offset: 2, Tokens: []string{"y", "z"}, Finished: true, Total: 4})
 	h.expect("only the rest is sent", h.tokens(), []string{"y", "z"})
+
+	h.generate("t/01HF7YAT00000000000000000A", false, func(message *granitebayv1.Generate) { message.AgentName = "agent-2" })
+	h.expect("another agent that has nothing gets the whole answer from the engine", h.effects.Engine[0],
+		engine.Attach{Engine: "engine-2", ExpectedIncarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", StreamOffset: 0})
 }
 
 func TestFairQueue(t *testing.T) {
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -22,7 +22,22 @@
 		return
 	}
 	if message.GetMissing() {
-		c.sendProgress(now, entry, message.GetOffset(), effects)
+		c.sendFrom(now, entry, message.GetOffset(), effects)
+	}
+}
+
+// sendFrom tells the agent the tokens from an offset on. Tokens before the base come from the engine once more.
+func (c *Core) sendFrom(now time.Time, entry *request, offset uint32, effects *core.Effects) {
+	if offset >= entry.base {
+		c.sendProgress(now, entry, offset, effects)
+		return
+	}
+	entry.base = offset
+	entry.tokens = nil
+	entry.complete = false
+	if entry.phase == phaseAnswered || entry.phase == phaseRunning || entry.phase == phaseAttaching {
+		c.reserve(entry)
+		c.attach(now, entry, effects)
 	}
 }
 
@@ -83,7 +98,7 @@
 // sendProgress tells the agent the tokens from an offset on; none if it has them all.
 func (c *Core) sendProgress(now time.Time, entry *request, offset uint32, effects *core.Effects) {
 	entry.lastProgress = now
-	total := uint32(len(entry.tokens))
+	total := entry.length()
 	for {
 		until := min(total, offset+maxTokensPerMessage)
 		if offset > until {
@@ -95,7 +110,7 @@
 			Attempt:   entry.attempt,
 			Run:       entry.run(),
 			Offset:    offset,
-			Tokens:    entry.tokens[offset:until:until],
+			Tokens:    entry.tokens[offset-entry.base : until-entry.base : until-entry.base],
 			Started:   entry.started,
 		}
 		if last && entry.complete {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -53,7 +53,9 @@
 	reserved bool
 	started  bool
 
-	// tokens is the answer so far, from offset zero.
+	// tokens is the answer so far, from offset base. The base is above zero when the agent came from another router with
+	// tokens that it did not send along.
+	base     uint32
 	tokens   []string
 	complete bool
 
@@ -86,6 +88,9 @@
 // repeatable tells whether the work may run more than once.
 func (r *request) repeatable() bool { return r.work.GetRepeatable() }
 
+// length is the number of tokens that the agent has or can get from here.
+func (r *request) length() uint32 { return r.base + uint32(len(r.tokens)) }
+
 // instanceSeparator stands between a request id and the number of its claim instance.
 const instanceSeparator = "#"
 
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -99,8 +99,13 @@
 	}
 }
 
-// submit sends a Submit to the chosen engine.
+// submit sends a Submit to the chosen engine. It never names the generation of a draining record: the engine would take
+// the request, and the change that waits for it to be empty would cut it.
 func (c *Core) submit(now time.Time, entry *request, effects *core.Effects) {
+	if state := c.engines[entry.engine]; state != nil && state.view.Draining {
+		c.leaveDraining(now, entry, effects)
+		return
+	}
 	entry.phase = phaseSubmitted
 	entry.submitted = true
 	entry.retryAt = now.Add(c.settings.ResendInterval)
@@ -118,7 +123,7 @@
 		PrefixBlocks:        work.GetPrefixBlocks(),
 		MaxTokens:           work.GetMaxTokens(),
 		Priority:            entry.policy.Priority,
-		StreamOffset:        uint32(len(entry.tokens)),
+		StreamOffset:        entry.length(),
 	}
 	if entry.repeatable() {
 		command.ContinueFrom = uint32(len(entry.tokens))
@@ -127,6 +132,15 @@
 	effects.Command(command)
 }
 
+// leaveDraining takes a request away from an engine that began to drain before the request was submitted.
+func (c *Core) leaveDraining(now time.Time, entry *request, effects *core.Effects) {
+	if entry.repeatable() {
+		c.requeue(now, entry, "", fmt.Sprintf("Engine %s drains before a change.", entry.engine), effects)
+		return
+	}
+	c.sendCancel(now, entry, effects)
+}
+
 // generationOf returns the generation of the record of an engine.
 func (c *Core) generationOf(name string) uint64 {
 	if state := c.engines[name]; state != nil {
@@ -144,7 +158,7 @@
 		Engine:              entry.engine,
 		ExpectedIncarnation: entry.incarnation,
 		RequestID:           entry.id(),
-		StreamOffset:        uint32(len(entry.tokens)),
+		StreamOffset:        entry.length(),
 	})
 }
 
@@ -152,9 +166,9 @@
 func (c *Core) resume(now time.Time, entry *request, message *granitebayv1.Generate, effects *core.Effects) {
 	entry.engine = message.GetRun().GetEngine()
 	entry.incarnation = message.GetRun().GetEngineIncarnation()
-	entry.started = len(entry.tokens) > 0
+	entry.started = message.GetResumeOffset() > 0
 	if !entry.repeatable() {
-		c.padTokens(entry, message.GetResumeOffset())
+		entry.base = message.GetResumeOffset()
 	}
 	c.reserve(entry)
 	effects.Decide(decision.Record{
@@ -167,13 +181,6 @@
 	c.attach(now, entry, effects)
 }
 
-// padTokens stands in for tokens that the agent has and did not send along.
-func (c *Core) padTokens(entry *request, offset uint32) {
-	for uint32(len(entry.tokens)) < offset {
-		entry.tokens = append(entry.tokens, "")
-	}
-}
-
 // retry repeats the command that got no answer.
 func (c *Core) retry(now time.Time, entry *request, effects *core.Effects) {
 	entry.retryAt = time.Time{}
@@ -244,7 +251,7 @@
 	const reason = "No engine of this router can run the request: it was cancelled there before, or the engines are gone."
 	kind := granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
 	switch {
-	case len(entry.tokens) > 0:
+	case entry.length() > 0:
 		kind = granitebayv1.OutcomeKind_OUTCOME_KIND_FAILED
 	case entry.submitted:
 		kind = granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -44,7 +44,7 @@
 	if entry == nil || event.Incarnation != entry.incarnation || entry.complete {
 		return
 	}
-	have := uint32(len(entry.tokens))
+	have := entry.length()
 	if event.Error != "" {
 		c.handleCut(now, entry, event.Error, effects)
 		return
@@ -57,10 +57,10 @@
 	if skip := have - event.Offset; skip < uint32(len(event.Tokens)) {
 		entry.tokens = append(entry.tokens, event.Tokens[skip:]...)
 	}
-	if event.Finished && uint32(len(entry.tokens)) == event.Total {
+	if event.Finished && entry.length() == event.Total {
 		entry.complete = true
 	}
-	if uint32(len(entry.tokens)) > have || entry.complete {
+	if entry.length() > have || entry.complete {
 		c.sendProgress(now, entry, have, effects)
 	}
 	if entry.complete {
@@ -87,7 +87,7 @@
 		Kind:           decision.KindOutcome,
 		Subject:        entry.id(),
 		Outcome:        "answered",
-		Reason:         fmt.Sprintf("Engine %s produced %d tokens, %s after the request came to this router.", entry.engine, len(entry.tokens), now.Sub(entry.arrived).Round(time.Millisecond)),
+		Reason:         fmt.Sprintf("Engine %s produced %d tokens, %s after the request came to this router.", entry.engine, entry.length(), now.Sub(entry.arrived).Round(time.Millisecond)),
 		ConfigRevision: c.configRevision(),
 	})
 	c.schedule(now, effects)
@@ -100,7 +100,7 @@
 		return
 	}
 	if entry.repeatable() {
-		c.requeue(now, entry, "", fmt.Sprintf("Engine %s ended the run (%s); it goes on at another engine from token %d.", entry.engine, cause, len(entry.tokens)), effects)
+		c.requeue(now, entry, "", fmt.Sprintf("Engine %s ended the run (%s); it goes on at another engine from token %d.", entry.engine, cause, entry.length()), effects)
 		return
 	}
 	c.failRun(now, entry, fmt.Sprintf("Engine %s ended the run partway: %s. It may not be repeated.", entry.engine, cause), effects)
@@ -109,7 +109,7 @@
 // failRun gives up a request that ran partway.
 func (c *Core) failRun(now time.Time, entry *request, reason string, effects *core.Effects) {
 	kind := granitebayv1.OutcomeKind_OUTCOME_KIND_FAILED
-	if len(entry.tokens) == 0 && !entry.started {
+	if entry.length() == 0 && !entry.started {
 		kind = granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
 	}
 	c.giveUp(now, entry, kind, reason, effects)
@@ -186,7 +186,7 @@
 // handleLostRun deals with an engine that restarted and forgot the run, if it had it.
 func (c *Core) handleLostRun(now time.Time, entry *request, effects *core.Effects) {
 	if entry.repeatable() {
-		c.requeue(now, entry, "", fmt.Sprintf("Engine %s restarted; the run goes on from token %d.", entry.engine, len(entry.tokens)), effects)
+		c.requeue(now, entry, "", fmt.Sprintf("Engine %s restarted; the run goes on from token %d.", entry.engine, entry.length()), effects)
 		return
 	}
 	c.failRun(now, entry, fmt.Sprintf("Engine %s restarted. The request may have run and may not be repeated.", entry.engine), effects)
@@ -234,5 +234,5 @@
 		return
 	}
 	c.fail(now, event.Engine)
-	c.requeue(now, entry, event.Engine, fmt.Sprintf("Engine %s does not answer (%s); another engine goes on from token %d.", event.Engine, event.Reason, len(entry.tokens)), effects)
+	c.requeue(now, entry, event.Engine, fmt.Sprintf("Engine %s does not answer (%s); another engine goes on from token %d.", event.Engine, event.Reason, entry.length()), effects)
 }
