Dispatch: waiting requests go to an owner with room; claimed work joins a run at a draining engine

Change: after 300 ms in a queue another owner with free slots gets the request, if nothing of it was submitted or claimed; draining engines get an Attach first.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -52,6 +52,7 @@
 		return AdmissionTaken
 	}
 	c.demand.add(now, entry, c.bestCached(entry))
+	entry.queuedAt = now
 	c.queue.push(entry)
 	c.schedule(now, effects)
 	if !entry.ended() {
@@ -73,6 +74,7 @@
 	r.attempt = message.GetAttempt()
 	r.agentName = message.GetAgentName()
 	r.agentAddress = message.GetAgentAddress()
+	r.hops = message.GetHops()
 	r.deadline = now.Add(time.Duration(message.GetRemainingMillis()) * time.Millisecond)
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -41,6 +41,10 @@
 	Placement             placement.Settings
 	// PolicyFor returns the policy for a piece of work, or false if no rule matches it.
 	PolicyFor func(work *granitebayv1.Work) (Policy, bool)
+	// RerouteAfter is how long a request waits here before another owner is looked for. Default 300 ms.
+	RerouteAfter time.Duration
+	// Reroute passes a waiting request to another owner, if one can take it; nil for never.
+	Reroute func(now time.Time, message *granitebayv1.Generate, effects *core.Effects) bool
 	// ConfigRevision returns the configuration revision in force, for decisions.
 	ConfigRevision func() uint64
 }
@@ -55,6 +59,7 @@
 	defaultCancelLead           = 100 * time.Millisecond
 	defaultRecoveryTime         = 5 * time.Second
 	defaultCircuitTime          = 2 * time.Second
+	defaultRerouteAfter         = 300 * time.Millisecond
 	defaultEngineMemory         = 50 * time.Second
 	defaultMaxQueued            = 1000
 	defaultPrefixBlocks         = 4096
@@ -70,6 +75,7 @@
 	s.CancelLead = orDefault(s.CancelLead, defaultCancelLead)
 	s.RecoveryTime = orDefault(s.RecoveryTime, defaultRecoveryTime)
 	s.CircuitTime = orDefault(s.CircuitTime, defaultCircuitTime)
+	s.RerouteAfter = orDefault(s.RerouteAfter, defaultRerouteAfter)
 	s.EngineMemory = orDefault(s.EngineMemory, defaultEngineMemory)
 	s.MaxQueued = orDefault(s.MaxQueued, defaultMaxQueued)
 	s.PrefixBlocksPerEngine = orDefault(s.PrefixBlocksPerEngine, defaultPrefixBlocks)
@@ -200,6 +206,9 @@
 	if entry.ended() {
 		return
 	}
+	if entry.phase == phaseQueued && now.Sub(entry.queuedAt) >= c.settings.RerouteAfter && c.reroute(now, entry, effects) {
+		return
+	}
 	if !entry.retryAt.IsZero() && !now.Before(entry.retryAt) {
 		c.retry(now, entry, effects)
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -212,6 +212,9 @@
 	h.core.engines[chosen].view.Draining = true
 	h.decide("t/01HF7YAT00000000000000000A", chosen, false)
 	h.expect("no submit under the draining generation", len(h.submits()), 0)
+	h.expect("a run through another router would be joined", h.effects.Engine[0],
+		engine.Attach{Engine: chosen, ExpectedIncarnation: 1, RequestID: "t/01HF7YAT00000000000000000A"})
+	h.event(engine.Refused{Engine: chosen, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalUnknownRun})
 	h.expect("a tombstone lets another engine be claimed", len(h.cancels()), 1)
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -68,6 +68,9 @@
 	// returns counts how often the request came back to the queue; notBefore delays the next try.
 	returns   int
 	notBefore time.Time
+	// queuedAt is when the request came into the queue, or when another owner was last looked for.
+	queuedAt time.Time
+	hops     uint32
 	// cancelReason is why the run is being cancelled.
 	cancelReason string
 	// callerGone is set when nobody waits for the answer.
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -102,7 +102,7 @@
 // submit sends a Submit to the chosen engine. It never names the generation of a draining record: the engine would take
 // the request, and the change that waits for it to be empty would cut it.
 func (c *Core) submit(now time.Time, entry *request, effects *core.Effects) {
-	if state := c.engines[entry.engine]; state != nil && state.view.Draining {
+	if c.draining(entry.engine) {
 		c.leaveDraining(now, entry, effects)
 		return
 	}
@@ -132,13 +132,20 @@
 	effects.Command(command)
 }
 
-// leaveDraining takes a request away from an engine that began to drain before the request was submitted.
+// draining tells whether the record of an engine says that it drains.
+func (c *Core) draining(name string) bool {
+	state := c.engines[name]
+	return state != nil && state.view.Draining
+}
+
+// leaveDraining takes a request away from an engine that began to drain before the request was submitted. Claimed work may
+// already run there through another router, which an Attach finds out without starting it.
 func (c *Core) leaveDraining(now time.Time, entry *request, effects *core.Effects) {
 	if entry.repeatable() {
 		c.requeue(now, entry, "", fmt.Sprintf("Engine %s drains before a change.", entry.engine), effects)
 		return
 	}
-	c.sendCancel(now, entry, effects)
+	c.attach(now, entry, effects)
 }
 
 // generationOf returns the generation of the record of an engine.
@@ -224,6 +231,7 @@
 		return
 	}
 	c.delayReturn(now, entry)
+	entry.queuedAt = now
 	c.queue.push(entry)
 	c.schedule(now, effects)
 }
--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -151,6 +151,30 @@
 	return Choice{}, false
 }
 
+// ChooseFree returns an owner that has free slots for a request by its latest digest, or false.
+func (t *Table) ChooseFree(now time.Time, request Request, live func(name string) bool) (Choice, bool) {
+	for _, group := range request.Groups {
+		free := lo.Filter(t.serving(now, request, group, live), func(each *owner, _ int) bool {
+			return each.freeSlots(group, request.Model) > 0
+		})
+		if len(free) > 0 {
+			return t.pick(request, group, free), true
+		}
+	}
+	return Choice{}, false
+}
+
+// freeSlots counts the slots of a group and model that are neither taken nor wanted by the queue.
+func (o *owner) freeSlots(group, model string) int {
+	free := -o.sentRuns
+	for _, pool := range o.digest.GetPools() {
+		if pool.GetGroup() == group && pool.GetModel() == model {
+			free += int(pool.GetSlots()) - int(pool.GetRunning()) - int(pool.GetQueued())
+		}
+	}
+	return free
+}
+
 // serving lists the owners that have engines of a group for a request.
 func (t *Table) serving(now time.Time, request Request, group string, live func(name string) bool) []*owner {
 	var serving []*owner
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -133,6 +133,7 @@
 	settings.Self = c.settings.Self.GetName()
 	settings.Placement = c.settings.Placement
 	settings.PolicyFor = c.policyFor
+	settings.Reroute = c.reroute
 	settings.ConfigRevision = c.configuration.Revision
 	return settings
 }
--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -78,15 +78,7 @@
 		c.refuse(message, "No owner took the request.", true, effects)
 		return
 	}
-	choice, ok := c.owners.Choose(now, ingress.Request{
-		ID:           work.GetRequestId(),
-		Model:        work.GetModel(),
-		Groups:       policy.Groups,
-		PromptTokens: int(work.GetPromptTokens()),
-		OutputTokens: int(work.GetMaxTokens()),
-		PrefixBlocks: work.GetPrefixBlocks(),
-		Excluded:     excluded,
-	}, c.live)
+	choice, ok := c.owners.Choose(now, ingressRequest(work, policy, excluded), c.live)
 	if !ok {
 		c.refuse(message, "No engine that serves model "+work.GetModel()+" under rule "+policy.Rule+" is known to be ready.", true, effects)
 		return
@@ -103,6 +95,34 @@
 	c.pass(now, message, choice.Name, choice.Address, effects)
 }
 
+// ingressRequest is what the choice of an owner needs to know.
+func ingressRequest(work *granitebayv1.Work, policy dispatch.Policy, excluded []string) ingress.Request {
+	return ingress.Request{
+		ID:           work.GetRequestId(),
+		Model:        work.GetModel(),
+		Groups:       policy.Groups,
+		PromptTokens: int(work.GetPromptTokens()),
+		OutputTokens: int(work.GetMaxTokens()),
+		PrefixBlocks: work.GetPrefixBlocks(),
+		Excluded:     excluded,
+	}
+}
+
+// reroute passes a request that waits at this owner to one that has room. It implements dispatch.Settings.Reroute.
+func (c *Core) reroute(now time.Time, message *granitebayv1.Generate, effects *core.Effects) bool {
+	policy, ok := c.policyFor(message.GetWork())
+	if !ok || message.GetHops() >= maximumHops {
+		return false
+	}
+	request := ingressRequest(message.GetWork(), policy, []string{c.settings.Self.GetName()})
+	choice, ok := c.owners.ChooseFree(now, request, c.live)
+	if !ok {
+		return false
+	}
+	c.pass(now, message, choice.Name, choice.Address, effects)
+	return true
+}
+
 // pass hands a request to an owner, which may be this router.
 func (c *Core) pass(now time.Time, message *granitebayv1.Generate, owner, address string, effects *core.Effects) {
 	c.remember(now, message, owner, address)
