Agent: a router that moved a request is avoided for five seconds

Cause: a router also says Moved for a repeated message about a request that it has closed; avoiding it for 30 s was too long. Change: only a Moved that ends a live attempt counts, and for 5 s.

--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -175,11 +175,11 @@
 }
 
 func (c *Core) handleMoved(now time.Time, from *granitebayv1.Peer, moved *granitebayv1.Moved, effects *core.Effects) {
-	c.routers.leaving(now, from.GetName(), from.GetIncarnation())
 	entry := c.requests[moved.GetRequestId()]
-	if entry == nil || entry.cancelled || moved.GetAttempt() != entry.latest().number {
+	if entry == nil || entry.cancelled || entry.latest().refused || moved.GetAttempt() != entry.latest().number {
 		return
 	}
+	c.routers.leaving(now, from.GetName(), from.GetIncarnation())
 	entry.name(moved.GetRun())
 	entry.latest().refused = true
 	c.retry(now, entry, causeMoved, from.GetName(), effects)
--- a/internal/agent/routers.go
+++ b/internal/agent/routers.go
@@ -36,6 +36,7 @@
 	zone    string
 	base    time.Duration
 	maximum time.Duration
+	moved   time.Duration
 	ordered []*routerState
 	byName  map[string]*routerState
 }
@@ -47,6 +48,7 @@
 		zone:    settings.Zone,
 		base:    settings.RouterAvoidance,
 		maximum: settings.RouterAvoidanceMax,
+		moved:   settings.LeavingAvoidance,
 		ordered: ordered,
 		byName:  lo.KeyBy(ordered, func(router *routerState) string { return router.Name }),
 	}
@@ -115,7 +117,7 @@
 // leaving avoids a router that said that it stops.
 func (t *routerTable) leaving(now time.Time, name string, incarnation uint64) {
 	if router := t.byName[name]; router != nil {
-		router.leavingUntil = now.Add(t.maximum)
+		router.leavingUntil = now.Add(t.moved)
 		router.leavingIncarnation = incarnation
 	}
 }
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -49,8 +49,10 @@
 	BackoffMax time.Duration
 	// RouterAvoidance is how long a router is avoided after its first failure (1 s); it doubles with each one after.
 	RouterAvoidance time.Duration
-	// RouterAvoidanceMax bounds that time (30 s). It is also how long a router that leaves is avoided.
+	// RouterAvoidanceMax bounds that time (30 s).
 	RouterAvoidanceMax time.Duration
+	// LeavingAvoidance is how long a router is avoided after it moved a request (5 s).
+	LeavingAvoidance time.Duration
 
 	// DefaultDeadline is the time that a request gets when its caller names no deadline (60 s).
 	DefaultDeadline time.Duration
@@ -93,6 +95,7 @@
 	setDefault(&s.BackoffMax, 2*time.Second)
 	setDefault(&s.RouterAvoidance, time.Second)
 	setDefault(&s.RouterAvoidanceMax, 30*time.Second)
+	setDefault(&s.LeavingAvoidance, 5*time.Second)
 	setDefault(&s.DefaultDeadline, time.Minute)
 	setDefault(&s.MaxDeadline, 15*time.Minute)
 	setDefault(&s.CancelLead, 200*time.Millisecond)
