Configuration: slow polls by all routers; tests of checks, merge, history and start

Cause: if no watcher could reach the store and the router that accepted an edit died at once, nobody found the edit. Change: all routers read the store, but so seldom that together they ask no more than the three watchers. Conclusion: tests cover validation by field, merge, history, selectors, start during an outage and damaged documents.

--- a/internal/configuration/core_test.go
+++ b/internal/configuration/core_test.go
@@ -6,11 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
+	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
 	"github.com/granitebay/granitebay/internal/core"
-	"github.com/granitebay/granitebay/internal/platform"
 )
 
 // drawFaults draws how much goes wrong.
@@ -166,109 +167,126 @@
 	}
 }
 
-// ask lets a lone router propose one edit and returns it with its core.
-func ask(t *testing.T) (*Core, *platformScript) {
+// accepted lets a fleet accept the example of Fès as revision 1 and spread it.
+func accepted(t *testing.T, fleet *fleet) {
 	t.Helper()
-	script := &platformScript{now: time.Unix(1_700_000_000, 0)}
-	lone := NewCore(DefaultSettings("router-a-1", 1), rand.New(rand.NewPCG(1, 1)))
-	lone.Propose(script.now, EditRequest{ChangeID: "mine", Edits: []Edit{SetLabel("engine-a-1", "pool", "x")}}, &script.effects)
-	return lone, script
-}
-
-// platformScript answers the requests of one core.
-type platformScript struct {
-	now     time.Time
-	effects core.Effects
+	example, err := Example(ExampleFes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fleet.propose(fleet.nodes[0], EditRequest{ChangeID: "first", Edits: []Edit{Apply(example.Spec)}})
+	fleet.run(10 * time.Second)
+	if !fleet.inForceEverywhere(1) {
+		t.Fatal("revision 1 is not in force everywhere")
+	}
 }
 
-// answer answers the latest request of the kind that matches.
-func (s *platformScript) answer(t *testing.T, c *Core, matches func(platform.Request) bool, response platform.Response) {
-	t.Helper()
-	for i := len(s.effects.Platform) - 1; i >= 0; i-- {
-		if matches(s.effects.Platform[i].Request) {
-			response.ID = s.effects.Platform[i].ID
-			c.HandlePlatformResponse(s.now, response, &s.effects)
-			return
+// TestWatchersWithoutStore lets a router accept an edit and die at once, while no router that watches the store can
+// reach it.
+func TestWatchersWithoutStore(t *testing.T) {
+	fleet := newFleet(3, 6, 1, faults{})
+	accepted(t, fleet)
+	var others []*modelNode
+	for _, node := range fleet.nodes {
+		if _, watches := fleet.watches[node.name]; watches {
+			fleet.cut[node.name] = true
+		} else if !node.readOnly {
+			others = append(others, node)
 		}
 	}
-	t.Fatal("the core did not ask")
+	if len(fleet.cut) != DefaultSettings("", 0).Watchers {
+		t.Fatalf("%d routers watch the store", len(fleet.cut))
+	}
+	fleet.faults.messageLost = 1
+	fleet.propose(others[0], EditRequest{ChangeID: "second", BaseRevision: 1, Edits: []Edit{RemoveLabel("engine-a-1", "pool")}})
+	fleet.run(50 * time.Millisecond)
+	fleet.cut[others[0].name] = true
+	fleet.restart(others[0])
+	fleet.faults.messageLost = 0
+	fleet.run(45 * time.Second)
+	if len(fleet.written) != 2 || !fleet.inForceEverywhere(2) {
+		t.Errorf("%d writes; revision 2 is not in force everywhere", len(fleet.written))
+	}
 }
 
-// pass lets time pass in which the store gives no answer.
-func (s *platformScript) pass(c *Core, wait time.Duration) {
-	for end := s.now.Add(wait); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
-		c.Tick(s.now, &s.effects)
+// TestStartDuringOutage restarts a router while the store is down and one of its peers is behind.
+func TestStartDuringOutage(t *testing.T) {
+	fleet := newFleet(4, 5, 1, faults{})
+	accepted(t, fleet)
+	fleet.down = true
+	restarted, agent := fleet.nodes[2], fleet.nodes[5]
+	fleet.restart(restarted)
+	fleet.restart(agent)
+	fleet.run(1500 * time.Millisecond)
+	if restarted.core.Snapshot() != nil {
+		t.Error("the router did not wait for the store")
+	}
+	if agent.core.Revision() != 1 {
+		t.Error("the agent has not learned the configuration from routers")
+	}
+	fleet.run(2 * time.Second)
+	if restarted.core.Revision() != 1 {
+		t.Error("the router has not learned the configuration from its peers")
 	}
 }
 
-func isRead(request platform.Request) bool  { _, is := request.(platform.Get); return is }
-func isWrite(request platform.Request) bool { _, is := request.(platform.Transaction); return is }
+func TestInForceNamesLaggards(t *testing.T) {
+	fleet := newFleet(5, 4, 0, faults{})
+	accepted(t, fleet)
+	names := []string{"router-003", "router-000", "router-001", "router-002"}
+	if lowest, laggards := fleet.nodes[1].core.InForce(names); lowest != 1 || len(laggards) != 0 {
+		t.Errorf("lowest %d, laggards %v", lowest, laggards)
+	}
+	fleet.down, fleet.faults.messageLost = true, 1
+	fleet.restart(fleet.nodes[3])
+	fleet.run(5 * time.Second)
+	want := Applied{Process: "router-003"}
+	if lowest, laggards := fleet.nodes[1].core.InForce(names); lowest != 0 || len(laggards) != 1 || laggards[0] != want {
+		t.Errorf("lowest %d, laggards %v, want %v", lowest, laggards, want)
+	}
+}
 
-func TestProposeWithoutAnswers(t *testing.T) {
+// TestDamagedDocumentsAreRefused sends documents that must not be put in force.
+func TestDamagedDocumentsAreRefused(t *testing.T) {
+	example, err := Example(ExampleFes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	example.Revision = 9
+	valid, err := Encode(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	example.Groups = nil
+	invalid, err := Encode(example)
+	if err != nil {
+		t.Fatal(err)
+	}
 	tests := []struct {
-		desc string
-		play func(t *testing.T, c *Core, script *platformScript)
-		want error
+		desc     string
+		document []byte
+		digest   uint64
+		want     uint64
 	}{
-		{
-			desc: "the store never answers a read: surely not accepted",
-			play: func(*testing.T, *Core, *platformScript) {},
-			want: ErrStoreUnavailable,
-		},
-		{
-			desc: "the answer to the write is lost and the store is down from then on: unknown",
-			play: func(t *testing.T, c *Core, script *platformScript) {
-				script.answer(t, c, isRead, platform.Response{Revision: 4})
-				script.answer(t, c, isWrite, platform.Response{Failure: platform.FailureUnknown})
-			},
-			want: ErrOutcomeUnknown,
-		},
-		{
-			desc: "the write gets no answer until the edit is given up: unknown",
-			play: func(t *testing.T, c *Core, script *platformScript) {
-				script.pass(c, 19*time.Second)
-				script.answer(t, c, isRead, platform.Response{Revision: 4})
-			},
-			want: ErrOutcomeUnknown,
-		},
-		{
-			desc: "the store refuses the write and is down from then on: surely not accepted",
-			play: func(t *testing.T, c *Core, script *platformScript) {
-				script.answer(t, c, isRead, platform.Response{Revision: 4})
-				script.answer(t, c, isWrite, platform.Response{Failure: platform.FailureRateLimited, RetryAfter: time.Second})
-			},
-			want: ErrStoreUnavailable,
-		},
-		{
-			desc: "a write in doubt, then another writer came first: surely not accepted",
-			play: func(t *testing.T, c *Core, script *platformScript) {
-				script.answer(t, c, isRead, platform.Response{Revision: 4})
-				script.answer(t, c, isWrite, platform.Response{Failure: platform.FailureUnknown})
-				script.pass(c, time.Second)
-				theirs, _, err := Preview(Document{}, EditRequest{ChangeID: "theirs", Edits: []Edit{SetLabel("engine-b-1", "pool", "x")}}, script.now)
-				if err != nil {
-					t.Fatal(err)
-				}
-				value, err := Encode(theirs)
-				if err != nil {
-					t.Fatal(err)
-				}
-				script.answer(t, c, isRead, platform.Response{
-					Revision: 5, Entries: []platform.Entry{{Key: StoreKey, Value: value, ModRevision: 5}},
-				})
-				script.answer(t, c, isWrite, platform.Response{Failure: platform.FailureUnavailable})
-			},
-			want: ErrStoreUnavailable,
-		},
+		{"whole", valid, xxhash.Sum64(valid), 9},
+		{"cut off", valid[:len(valid)-9], xxhash.Sum64(valid), 0},
+		{"not JSON", valid[:len(valid)-9], xxhash.Sum64(valid[:len(valid)-9]), 0},
+		{"not valid", invalid, xxhash.Sum64(invalid), 0},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			lone, script := ask(t)
-			test.play(t, lone, script)
-			script.pass(lone, 25*time.Second)
-			results := lone.TakeResults()
-			if len(results) != 1 || results[0].Accepted || !errors.Is(results[0].Err, test.want) {
-				t.Errorf("results %+v, want the error %q", results, test.want)
+			settings := DefaultSettings("agent-a-1", 1)
+			settings.ReadOnly = true
+			agent := NewCore(settings, rand.New(rand.NewPCG(1, 1)))
+			var effects core.Effects
+			agent.HandleEnvelope(time.Unix(1_700_000_000, 0), &granitebayv1.Envelope{
+				From: &granitebayv1.Peer{Name: "router-a-1"},
+				Body: &granitebayv1.Envelope_ConfigurationSnapshot{ConfigurationSnapshot: &granitebayv1.ConfigurationSnapshot{
+					Revision: 9, Digest: test.digest, Document: test.document,
+				}},
+			}, &effects)
+			if agent.Revision() != test.want || len(effects.Decisions) != 1 {
+				t.Errorf("revision %d with %d decisions, want %d with 1", agent.Revision(), len(effects.Decisions), test.want)
 			}
 		})
 	}
--- a/internal/configuration/model_test.go
+++ b/internal/configuration/model_test.go
@@ -71,7 +71,9 @@
 	nodes    []*modelNode
 	byName   map[string]*modelNode
 	// down is set during an outage of the store.
-	down     bool
+	down bool
+	// cut are the nodes that cannot reach the store.
+	cut      map[string]bool
 	entry    *platform.Entry
 	revision uint64
 	// written are the documents that took effect, in order.
@@ -86,7 +88,7 @@
 func newFleet(seed uint64, routers, agents int, faults faults) *fleet {
 	f := &fleet{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), faults: faults,
-		byName: map[string]*modelNode{}, watches: map[string]platform.RequestID{}, proposed: map[string]int{},
+		byName: map[string]*modelNode{}, watches: map[string]platform.RequestID{}, proposed: map[string]int{}, cut: map[string]bool{},
 	}
 	for i := range routers + agents {
 		node := &modelNode{name: fmt.Sprintf("router-%03d", i), readOnly: i >= routers}
@@ -207,7 +209,7 @@
 // serve lets a request take effect.
 func (f *fleet) serve(node *modelNode, request core.PlatformRequest) platform.Response {
 	response := platform.Response{ID: request.ID, Revision: f.revision}
-	if f.down {
+	if f.down || f.cut[node.name] {
 		response.Failure = platform.FailureUnavailable
 		return response
 	}
@@ -245,6 +247,9 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
+		if f.cut[name] {
+			continue
+		}
 		node, id, entry := f.byName[name], f.watches[name], *f.entry
 		if f.chance(f.faults.watchLost) {
 			continue
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -30,13 +30,20 @@
 	refusedRevision uint64
 }
 
-// readsStore tells whether this process has to ask the store now: it has just started, is one of the few watchers, or
-// hears no peers.
-func (c *Core) readsStore(now time.Time) bool {
-	if c.settings.ReadOnly {
-		return false
+// followsStore tells whether this process has to follow the store closely: it has just started, is one of the few
+// watchers, or hears no peers.
+func (c *Core) followsStore(now time.Time) bool {
+	return c.needsFirstAnswer() || c.store.watcher || c.isolated(now)
+}
+
+// pollInterval is the time between two reads. Routers that do not follow the store closely read it so seldom that all of
+// them together ask no more than the watchers do. So a new document is found even if no watcher can reach the store.
+func (c *Core) pollInterval(now time.Time) time.Duration {
+	if c.followsStore(now) {
+		return c.jitter(c.settings.PollInterval)
 	}
-	return c.needsFirstAnswer() || c.store.watcher || !now.Before(c.isolatedAt())
+	all := c.settings.PollInterval * time.Duration(len(c.peers)+1) / time.Duration(c.settings.Watchers)
+	return time.Duration(float64(all) * 2 * c.random.Float64())
 }
 
 // needsFirstAnswer tells whether this process has heard of a document neither from the store nor from peers.
@@ -49,30 +56,36 @@
 	c.store.watcher = lo.Contains(rendezvous.Top(StoreKey, lo.Uniq(names), c.settings.Watchers), c.settings.Self)
 }
 
-// isolatedAt is when this process counts as cut off from its peers if it hears nothing.
-func (c *Core) isolatedAt() time.Time { return c.gossip.lastHeard.Add(c.settings.IsolationTimeout) }
+// isolated tells whether this process counts as cut off, because it has heard no peer for some time.
+func (c *Core) isolated(now time.Time) bool {
+	return now.Sub(c.gossip.lastHeard) >= c.settings.IsolationTimeout
+}
 
 // wakeStore tells when the reader has something to do.
 func (c *Core) wakeStore() time.Time {
-	switch {
-	case c.settings.ReadOnly:
+	if c.settings.ReadOnly {
 		return time.Time{}
-	case c.store.readID != 0:
+	}
+	if c.store.readID != 0 {
 		return c.store.readDeadline
-	case c.needsFirstAnswer() || c.store.watcher || c.store.nextRead.After(c.isolatedAt()):
-		return c.store.nextRead
-	default:
-		return c.isolatedAt()
 	}
+	return c.store.nextRead
 }
 
 // tickStore reads the store when that is due.
 func (c *Core) tickStore(now time.Time, effects *core.Effects) {
+	if c.settings.ReadOnly {
+		return
+	}
 	if c.store.readID != 0 && !now.Before(c.store.readDeadline) {
 		c.store.readID = 0
 		c.readFailed(now, 0)
 	}
-	if c.store.readID != 0 || now.Before(c.store.nextRead) || !c.readsStore(now) {
+	if c.followsStore(now) && c.store.nextRead.Sub(now) > 2*c.settings.PollInterval {
+		// It did not follow the store when the time of the next read was set.
+		c.store.nextRead = now
+	}
+	if c.store.readID != 0 || now.Before(c.store.nextRead) {
 		return
 	}
 	c.store.readID = c.ids.Next()
@@ -83,7 +96,11 @@
 // readFailed sets the time of the next read.
 func (c *Core) readFailed(now time.Time, retryAfter time.Duration) {
 	c.store.failures++
-	c.store.nextRead = now.Add(c.backoff(c.store.failures, retryAfter))
+	wait := c.backoff(c.store.failures, retryAfter)
+	if !c.followsStore(now) {
+		wait = max(wait, c.pollInterval(now))
+	}
+	c.store.nextRead = now.Add(wait)
 }
 
 // backoff returns how long to wait after some failures in a row: doubling, with jitter, within bounds.
@@ -113,7 +130,7 @@
 	}
 	c.store.failures = 0
 	c.store.answered = true
-	c.store.nextRead = now.Add(c.jitter(c.settings.PollInterval))
+	c.store.nextRead = now.Add(c.pollInterval(now))
 	for _, entry := range response.Entries {
 		c.offerEntry(now, entry, "the store", effects)
 	}
@@ -124,7 +141,7 @@
 // watchStore opens a watch if this process has to and has none. Just after the start it waits to learn of its peers,
 // because every router takes itself for a watcher as long as it knows no other.
 func (c *Core) watchStore(now time.Time, fromRevision uint64, effects *core.Effects) {
-	if c.store.watchID != 0 || !c.readsStore(now) {
+	if c.store.watchID != 0 || !(c.store.watcher || c.isolated(now)) {
 		return
 	}
 	if len(c.peers) == 0 && now.Before(c.startDeadline) {
