--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -115,6 +115,51 @@
 	}
 }
 
+// serveBroken starts a server that closes each connection without a response.
+func serveBroken(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestEditOverSeveralRouters(t *testing.T) {
+	unavailable := configuration.ProposeResult{Err: configuration.ErrStoreUnavailable}
+	unknown := configuration.ProposeResult{Err: configuration.ErrOutcomeUnknown}
+	accepted := configuration.ProposeResult{Accepted: true, Revision: 4}
+	answering := func(result configuration.ProposeResult) func(*testing.T) string {
+		return func(t *testing.T) string { return serve(t, &fakeBackend{proposed: result}) }
+	}
+	unreachable := func(*testing.T) string { return "127.0.0.1:1" }
+	tests := []struct {
+		desc    string
+		routers []func(*testing.T) string
+		// want is empty when an error is wanted.
+		want EditOutcome
+	}{
+		{"unavailable, then accepted", []func(*testing.T) string{answering(unavailable), answering(accepted)}, EditAccepted},
+		{"unknown, then accepted", []func(*testing.T) string{answering(unknown), answering(accepted)}, EditAccepted},
+		{"unknown, then unavailable", []func(*testing.T) string{answering(unknown), answering(unavailable)}, EditUnknown},
+		{"broken connection, then unavailable", []func(*testing.T) string{serveBroken, answering(unavailable)}, EditUnknown},
+		{"broken connection, then unreachable", []func(*testing.T) string{serveBroken, unreachable}, EditUnknown},
+		{"unreachable, then unavailable", []func(*testing.T) string{unreachable, answering(unavailable)}, EditUnavailable},
+		{"unreachable", []func(*testing.T) string{unreachable}, ""},
+		{"no routers", nil, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			var addresses []string
+			for _, start := range test.routers {
+				addresses = append(addresses, start(t))
+			}
+			result, err := NewClient(addresses, http.DefaultClient).Edit(t.Context(), configuration.EditRequest{ChangeID: "mine"}, false)
+			if result.Outcome != test.want || (err != nil) != (test.want == "") {
+				t.Errorf("result %+v, %v; want %q", result, err, test.want)
+			}
+		})
+	}
+}
+
 func TestEditOfUnknownForm(t *testing.T) {
 	address := serve(t, &fakeBackend{document: fesDocument(t, 3)})
 	body := `{"changeID": "mine", "edits": [{"kind": "put", "rule": {"name": "x", "urgent": true, "priority": "high"}}]}`
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -94,64 +94,37 @@
 	return get[Explanation](ctx, c, PathExplain, url.Values{"request": {request}})
 }
 
-// Edit proposes an edit, or previews it in a dry run. It goes on to the next router as long as the outcome is unknown or
-// the router unavailable, which is safe because the change id makes a second proposal the same edit.
-func (c *Client) Edit(ctx context.Context, request configuration.EditRequest, dryRun bool) (EditResult, error) {
-	query := url.Values{}
-	if dryRun {
-		query.Set("dryRun", "true")
-	}
-	body, err := json.Marshal(request)
-	if err != nil {
-		return EditResult{}, errors.Wrap(err, "encode the edit")
-	}
-	settled := func(status int) bool {
-		return status != http.StatusServiceUnavailable && status != http.StatusGatewayTimeout
-	}
-	data, err := c.try(ctx, call{method: http.MethodPost, path: PathConfigEdits, query: query, body: body, settled: settled})
-	var result EditResult
-	if json.Unmarshal(data, &result) == nil && result.Outcome != "" {
-		return result, nil
-	}
-	return result, err
-}
-
 // call is one request to whichever router answers it.
 type call struct {
 	method, path string
 	query        url.Values
 	body         []byte
-	// settled tells whether a response with a status is the last word.
-	settled func(status int) bool
 }
 
 // get reads a value.
 func get[T any](ctx context.Context, c *Client, path string, query url.Values) (T, error) {
 	var value T
-	settled := func(status int) bool { return status != http.StatusServiceUnavailable }
-	data, err := c.try(ctx, call{method: http.MethodGet, path: path, query: query, settled: settled})
+	data, err := c.try(ctx, call{method: http.MethodGet, path: path, query: query})
 	if err != nil {
 		return value, err
 	}
 	return value, errors.Wrapf(json.Unmarshal(data, &value), "decode the response to %s", path)
 }
 
-// try asks one router after the other until one settles the call. It returns the body of the last response, and the
-// errors of all routers when none settled it.
+// errNoAddress is the error of a client without addresses.
+var errNoAddress = errors.New("no address of a router was given")
+
+// try asks one router after the other until one answers that is ready. It returns the errors of all when none does.
 func (c *Client) try(ctx context.Context, request call) ([]byte, error) {
-	failures := errors.New("no address of a router was given")
-	var last []byte
+	failures := errNoAddress
 	for i, address := range c.addresses {
 		status, data, err := c.once(ctx, address, request)
-		if err == nil || (status != 0 && request.settled(status)) {
+		if err == nil || (status != 0 && status != http.StatusServiceUnavailable) {
 			return data, err
 		}
-		if data != nil {
-			last = data
-		}
 		failures = lo.Ternary(i == 0, err, errors.Join(failures, err))
 	}
-	return last, failures
+	return nil, failures
 }
 
 // once asks one router and returns the status and the body of its response.
--- a/internal/configuration/validate_test.go
+++ b/internal/configuration/validate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -148,6 +149,34 @@
 	}
 }
 
+func TestWarnings(t *testing.T) {
+	document, faults := ParseAndValidate([]byte(validText))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	document.Rules[0].Groups = []string{"desk"}
+	for i := 1; i <= 5; i++ {
+		document.EngineLabels[fmt.Sprintf("engine-x-%d", i)] = map[string]string{"pool": "desk"}
+	}
+	got := Warnings(document, []EngineInfo{{Name: "engine-b-1"}, {Name: "engine-a-1"}})
+	want := []string{
+		"engine engine-b-1: no group selects it",
+		`group desk: its selector "pool in (desk, spare)" matches no engine`,
+		"rule quick: none of its groups has an engine",
+		"engineLabels: there are labels on engines that do not exist now: engine-x-1, engine-x-2, engine-x-3 and 2 more",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got  %q\nwant %q", got, want)
+	}
+	document.Rules = document.Rules[:1]
+	got = RequestWarnings(document, []map[string]string{
+		{"class": "slow"}, {"class": "quick", "model": "review"},
+	})
+	if want := []string{"requests {class=slow}: no rule selects them"}; !slices.Equal(got, want) {
+		t.Errorf("got  %q\nwant %q", got, want)
+	}
+}
+
 // drawSelector draws a selector over a few keys and values.
 func drawSelector(t *rapid.T, name string) labels.Selector {
 	requirement := rapid.Custom(func(t *rapid.T) string {
--- a/internal/configuration/warnings.go
+++ b/internal/configuration/warnings.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
+	"strings"
 
 	"github.com/samber/lo"
 )
@@ -66,15 +66,20 @@
 	return warnings
 }
 
+// shownNames is the most engines that one warning names.
+const shownNames = 3
+
 func labelWarnings(snapshot *Snapshot, engines []EngineInfo) []string {
 	known := lo.Map(engines, func(e EngineInfo, _ int) string { return e.Name })
-	var warnings []string
-	for _, name := range sortedKeys(snapshot.document.EngineLabels) {
-		if !slices.Contains(known, name) {
-			warnings = append(warnings, fmt.Sprintf("engineLabels %s: there is no such engine now", name))
-		}
+	unknown, _ := lo.Difference(sortedKeys(snapshot.document.EngineLabels), known)
+	if len(unknown) == 0 {
+		return nil
 	}
-	return warnings
+	text := strings.Join(unknown[:min(shownNames, len(unknown))], ", ")
+	if more := len(unknown) - shownNames; more > 0 {
+		text += fmt.Sprintf(" and %d more", more)
+	}
+	return []string{"engineLabels: there are labels on engines that do not exist now: " + text}
 }
 
 // RequestWarnings returns the request classes that no rule selects, and those whose rule has no group that serves their
--- a/internal/operator/output.go
+++ b/internal/operator/output.go
@@ -80,7 +80,9 @@
 
 // counts writes numbers by name, in order of name, as in "decode 8, prefill 4".
 func counts(numbers map[string]int) string {
-	return joinSorted(numbers, ", ", func(name string, number int) string { return fmt.Sprintf("%s %d", name, number) })
+	return joinSorted(numbers, ", ", func(name string, number int) string {
+		return fmt.Sprintf("%s %d", lo.CoalesceOrEmpty(name, "none"), number)
+	})
 }
 
 // pairs writes labels in order of key, as in "pool=counter,zone=zone-a".
