--- a/internal/simulation/checker_test.go
+++ b/internal/simulation/checker_test.go
@@ -36,6 +36,10 @@
 	return RunStarted{Seen: seconds(at), Engine: "engine-a-1", Incarnation: incarnation, RequestID: "fes/1"}
 }
 
+func runEnded(at float64) RunEnded {
+	return RunEnded{Seen: seconds(at), Engine: "engine-a-1", Incarnation: 1, RequestID: "fes/1", Ending: RunCancelled}
+}
+
 func granted(at float64, epoch uint64) StoreCommitted {
 	return StoreCommitted{Seen: seconds(at), Revision: epoch, Changed: []platform.Entry{
 		{Key: shardPrefix + "a", CreateRevision: epoch, ModRevision: epoch}}}
@@ -194,6 +198,12 @@
 			asked(1, 1, true), otherCaller, ended(3, 2, EndFailed), ended(3, 1, EndFailed)}},
 		{desc: "failed before another caller went away", checker: checkPlannedStop, broken: true, history: []Observation{
 			asked(1, 1, true), otherCaller, ended(3, 1, EndFailed), ended(4, 2, EndLeft)}},
+		{desc: "late", checker: checkPlannedStop, history: []Observation{asked(1, 1, true), started(9, 1),
+			runEnded(10.9), ended(11, 1, EndFailed)}},
+		{desc: "stuck until the deadline", checker: checkPlannedStop, broken: true, history: []Observation{asked(1, 1, true),
+			started(2, 1), runEnded(3), ended(11, 1, EndFailed)}},
+		{desc: "cut before the deadline", checker: checkPlannedStop, broken: true, history: []Observation{asked(1, 1, true),
+			started(2, 1), runEnded(3), ended(3, 1, EndFailed)}},
 		{desc: "not run without a fault", checker: checkPlannedStop,
 			history: []Observation{asked(1, 1, true), ended(3, 1, EndNotRun)}},
 
