--- a/internal/experiment/deployments.go
+++ b/internal/experiment/deployments.go
@@ -68,7 +68,7 @@
 			Floors:      map[engine.Role]int{engine.RolePrefill: 1, engine.RoleDecode: 1},
 			ChangeCost:  5,
 			MinDwell:    15 * time.Second,
-			MaxChanging: 4,
+			MaxChanging: 6,
 		},
 		classes: []class{
 			{
