Engine stand-in: a run log

Cause: checkers of separate processes need to know what an engine really ran; the observer of the model was open to code in the same process only. Ruled out: an endpoint, because a checker may ask when the engine is gone or under fault. Tested by internal/processtest.

--- a/internal/standin/standincommand/engine.go
+++ b/internal/standin/standincommand/engine.go
@@ -49,6 +49,8 @@
 	LoadReportLag      time.Duration `default:"500ms" help:"Time until a load report can be read."`
 	CacheEventLoss     float64       `default:"0.05" help:"Share of cache events that are lost, 0 to 1."`
 
+	RunLog string `type:"path" help:"File to which each start and end of a run is appended, as lines of JSON."`
+
 	InitialRole  string `enum:",prefill,decode" default:"" help:"Role before the first order; only to measure an engine without routers."`
 	InitialModel string `help:"Model before the first order; only to measure an engine without routers."`
 }
@@ -68,8 +70,17 @@
 // Run serves until the context ends. Then the engine tells the membership list that it leaves, waits for its runs to
 // end, and takes itself off the list.
 func (c *EngineCommand) Run(ctx context.Context, logger *logrus.Logger) error {
+	settings := c.settings()
+	if c.RunLog != "" {
+		runs, err := openRunLog(c.RunLog)
+		if err != nil {
+			return errors.Wrapf(err, "engine %s", c.Name)
+		}
+		defer runs.close()
+		settings.Observer = runs
+	}
 	server, err := engineserver.New(engineserver.Options{
-		Model:        c.settings(),
+		Model:        settings,
 		Seed:         c.Seed,
 		RestartAfter: c.RestartAfter,
 		Logger:       logger,
