--- a/internal/processtest/fleet.go
+++ b/internal/processtest/fleet.go
@@ -17,12 +17,8 @@
 	"github.com/granitebay/granitebay/internal/standin/standincommand"
 )
 
-const (
-	// pollInterval is the pause between two looks at a process that is not ready.
-	pollInterval = 50 * time.Millisecond
-	// stopPatience bounds the time for which Stop lets a process end.
-	stopPatience = 5 * time.Second
-)
+// pollInterval is the pause between two looks at a process that is not ready.
+const pollInterval = 50 * time.Millisecond
 
 // Options of a fleet.
 type Options struct {
