--- a/cmd/granitebay-lab/main.go
+++ b/cmd/granitebay-lab/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/granitebay/granitebay/internal/bench"
 	"github.com/granitebay/granitebay/internal/command"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/standin/standincommand"
@@ -22,6 +23,7 @@
 
 	Engine   standincommand.EngineCommand   `cmd:"" help:"Run a stand-in of a model engine."`
 	Platform standincommand.PlatformCommand `cmd:"" help:"Run a stand-in of the platform."`
+	Bench    bench.BenchCommand             `cmd:"" help:"Measure what agent and routers add to a request. Run it within the module."`
 }
 
 func main() {
