--- a/cmd/granitebay-lab/main.go
+++ b/cmd/granitebay-lab/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/granitebay/granitebay/internal/bench"
 	"github.com/granitebay/granitebay/internal/command"
 	"github.com/granitebay/granitebay/internal/demo"
 	"github.com/granitebay/granitebay/internal/experiment"
@@ -29,6 +30,7 @@
 	Platform   standincommand.PlatformCommand `cmd:"" help:"Run a stand-in of the platform."`
 	Simulate   simulation.Command             `cmd:"" help:"Prove the promises by deterministic simulation under failure."`
 	Experiment experiment.Command             `cmd:"" help:"Measure goodput and role changes against baselines."`
+	Bench      bench.BenchCommand             `cmd:"" help:"Measure what agent and routers add to a request. Run it within the module."`
 }
 
 func main() {
--- a/internal/configuration/core.go
+++ b/internal/configuration/core.go
@@ -233,6 +233,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decode the configuration")
 	}
+	if document.Revision == 0 {
+		return nil, errors.New("check the configuration: status.revision is 0, allowed is 1 or more")
+	}
 	snapshot, err := Compile(document)
 	if err != nil {
 		return nil, errors.Wrap(err, "compile the configuration")
--- a/internal/configuration/core_test.go
+++ b/internal/configuration/core_test.go
@@ -293,3 +293,10 @@
 		})
 	}
 }
+
+// TestDocumentWithoutRevisionIsRefused: a router that took such a document stopped with a nil dereference.
+func TestDocumentWithoutRevisionIsRefused(t *testing.T) {
+	if _, err := compileEncoded([]byte(`{"spec":{},"status":{"revision":0}}`)); err == nil {
+		t.Error("a stored document without a revision was taken")
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -121,17 +121,27 @@
 	t.client.CloseIdleConnections()
 }
 
+// lost reports a peer whose stream broke: it may have died, and messages may be lost.
+func (r *receiver) lost(sender string) {
+	if sender != "" && r.transport.context.Err() == nil {
+		r.transport.options.Unreachable(sender)
+	}
+}
+
 // receiver serves the streams that peers open.
 type receiver struct{ transport *Transport }
 
 // Exchange hands each envelope of a stream on until the peer closes it.
 func (r *receiver) Exchange(_ context.Context, stream *connect.ClientStream[granitebayv1.EnvelopeBatch]) (*connect.Response[granitebayv1.ExchangeResponse], error) {
+	sender := ""
 	for stream.Receive() {
 		for _, envelope := range stream.Msg().GetEnvelopes() {
+			sender = envelope.GetFrom().GetName()
 			r.transport.options.Deliver(envelope)
 		}
 	}
 	if err := stream.Err(); err != nil {
+		r.lost(sender)
 		return nil, err
 	}
 	return connect.NewResponse(&granitebayv1.ExchangeResponse{}), nil
