Dispatch: a decided claim is not submitted to an engine that closed meanwhile

Change: closedTo covers draining, leaving and groups; an Attach finds a run of another router, else a tombstone frees the claim.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -99,11 +99,11 @@
 	}
 }
 
-// submit sends a Submit to the chosen engine. It never names the generation of a draining record: the engine would take
-// the request, and the change that waits for it to be empty would cut it.
+// submit sends a Submit to the chosen engine. It never goes to an engine that is closed to new work: under the
+// generation of a draining record the engine would take the request, and the change that waits for it would cut it.
 func (c *Core) submit(now time.Time, entry *request, effects *core.Effects) {
-	if c.draining(entry.engine) {
-		c.leaveDraining(now, entry, effects)
+	if c.closedTo(entry) {
+		c.leaveClosed(now, entry, effects)
 		return
 	}
 	entry.phase = phaseSubmitted
@@ -132,17 +132,21 @@
 	effects.Command(command)
 }
 
-// draining tells whether the record of an engine says that it drains.
-func (c *Core) draining(name string) bool {
-	state := c.engines[name]
-	return state != nil && state.view.Draining
+// closedTo tells whether the chosen engine takes no new work of a request: it drains, it leaves, or the configuration no
+// longer lets it serve the request.
+func (c *Core) closedTo(entry *request) bool {
+	state := c.engines[entry.engine]
+	if state == nil {
+		return true
+	}
+	return state.view.Draining || state.view.Leaving || !contains(entry.policy.Groups, state.view.Group)
 }
 
-// leaveDraining takes a request away from an engine that began to drain before the request was submitted. Claimed work may
-// already run there through another router, which an Attach finds out without starting it.
-func (c *Core) leaveDraining(now time.Time, entry *request, effects *core.Effects) {
+// leaveClosed takes a request away from an engine that closed before the request was submitted. Claimed work may already
+// run there through another router, which an Attach finds out without starting it.
+func (c *Core) leaveClosed(now time.Time, entry *request, effects *core.Effects) {
 	if entry.repeatable() {
-		c.requeue(now, entry, "", fmt.Sprintf("Engine %s drains before a change.", entry.engine), effects)
+		c.requeue(now, entry, "", fmt.Sprintf("Engine %s takes no new work: it drains, leaves or serves other requests now.", entry.engine), effects)
 		return
 	}
 	c.attach(now, entry, effects)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -180,7 +180,7 @@
 		c.giveUp(now, entry, granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN, fmt.Sprintf("Engine %s has no run of this request, but it may have run it and forgotten.", entry.engine), effects)
 		return
 	}
-	if c.draining(entry.engine) {
+	if c.closedTo(entry) {
 		// The claim is for this engine alone: a tombstone there lets another engine be claimed.
 		c.sendCancel(now, entry, effects)
 		return
