--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -49,8 +49,10 @@
 	ids      *core.RequestIDs
 	mirror   *mirror.Mirror
 	lease    lease
-	backoff  backoff.Backoff
-	stopping bool
+	// holderValue is the value of the shards that this router holds.
+	holderValue []byte
+	backoff     backoff.Backoff
+	stopping    bool
 
 	members    []Router
 	engineZone map[string]string
@@ -68,9 +70,10 @@
 	settings = settings.withDefaults()
 	ids := core.NewRequestIDs(RequestOwner)
 	return &Core{
-		settings: settings,
-		random:   random,
-		ids:      ids,
+		settings:    settings,
+		random:      random,
+		ids:         ids,
+		holderValue: encodeHolder(settings),
 		mirror: mirror.New(mirror.Settings{
 			Prefix:         ShardPrefix,
 			RequestTimeout: settings.RequestTimeout,
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"bytes"
 	"encoding/json"
 	"strconv"
 	"time"
@@ -119,15 +120,17 @@
 
 // isMine tells whether an entry was written under the present lease of this router.
 func (c *Core) isMine(entry platform.Entry) bool {
-	var holder Holder
-	if json.Unmarshal(entry.Value, &holder) != nil {
-		return false
-	}
-	return holder == c.holder() && c.lease.id != 0 && entry.Lease == c.lease.id
+	return c.lease.id != 0 && entry.Lease == c.lease.id && bytes.Equal(entry.Value, c.holderValue)
 }
 
-func (c *Core) holder() Holder {
-	return Holder{Router: c.settings.Self, Incarnation: c.settings.Incarnation}
+// encodeHolder returns the value of the shards of a router. It is compared with what the service holds at every step, so
+// it is made once.
+func encodeHolder(settings Settings) []byte {
+	value, err := json.Marshal(Holder{Router: settings.Self, Incarnation: settings.Incarnation})
+	if err != nil {
+		return nil // a Holder always marshals
+	}
+	return value
 }
 
 // considerClaim claims a free shard when it is this router's turn.
@@ -141,13 +144,9 @@
 	if !c.reached(now, free) || !c.reached(now, settled) || !c.reached(now, shard.retryAt) {
 		return
 	}
-	value, err := json.Marshal(c.holder())
-	if err != nil {
-		return // a Holder always marshals
-	}
 	c.askShard(now, shard, requestClaim, platform.Transaction{
 		Compares: []platform.Compare{{Key: shard.key}},
-		Puts:     []platform.Put{{Key: shard.key, Value: value, Lease: c.lease.id}},
+		Puts:     []platform.Put{{Key: shard.key, Value: c.holderValue, Lease: c.lease.id}},
 	}, effects)
 }
 
