Leaving engines are known through peers; unanswered submits are looked for; unserved requests move on

Change: digests name leaving engines; failed reads of the list are repeated sooner; a Submit without an answer at a closed engine becomes an Attach; a request without engines is moved.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -236,7 +236,7 @@
 	c.stopping = true
 	for _, entry := range c.order {
 		if !entry.ended() {
-			c.move(now, entry, effects)
+			c.move(now, entry, reasonStopping, effects)
 		}
 	}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -182,6 +182,26 @@
 	h.expect("outcome", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
 }
 
+func TestUnansweredSubmitAtClosedEngineIsLookedFor(t *testing.T) {
+	h := newHarness(t)
+	chosen := h.chosen("t/01HF7YAT00000000000000000A", true)
+	h.core.engines[chosen].view.Leaving = true
+	h.pass(1100 * time.Millisecond)
+	h.expect("the run is looked for where it may be", h.effects.Engine[0],
+		engine.Attach{Engine: chosen, ExpectedIncarnation: 1, RequestID: "t/01HF7YAT00000000000000000A"})
+}
+
+func TestRequestMovesOnWhenNoEngineIsLeft(t *testing.T) {
+	h := newHarness(t)
+	chosen := h.chosen("t/01HF7YAT00000000000000000A", true)
+	for name := range h.core.engines {
+		h.core.engines[name].view.Owned = false
+	}
+	h.event(engine.Refused{Engine: chosen, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalChanging})
+	moved := lo.CountBy(h.effects.Messages, func(message core.Message) bool { return message.Envelope.GetMoved() != nil })
+	h.expect("moved", moved, 1)
+}
+
 func TestRefusedRequestDoesNotGoRoundWithoutPause(t *testing.T) {
 	h := newHarness(t)
 	asked := h.chosen("t/01HF7YAT00000000000000000A", true)
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -125,13 +125,16 @@
 	}
 }
 
+// reasonStopping is why requests are moved at a planned stop.
+const reasonStopping = "This router is stopping: the agent goes on through another router."
+
 // move tells the agent to go on through another router, and forgets the request.
-func (c *Core) move(now time.Time, entry *request, effects *core.Effects) {
+func (c *Core) move(now time.Time, entry *request, reason string, effects *core.Effects) {
 	effects.Decide(decision.Record{
 		Kind:           decision.KindRetry,
 		Subject:        entry.id(),
 		Outcome:        "moved",
-		Reason:         "This router is stopping: the agent goes on through another router.",
+		Reason:         reason,
 		ConfigRevision: c.configRevision(),
 	})
 	c.sendMoved(entry, effects)
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -197,6 +197,11 @@
 	entry.retryAt = time.Time{}
 	switch entry.phase {
 	case phaseSubmitted:
+		if c.closedTo(entry) {
+			// The engine may have taken the Submit before it closed.
+			c.attach(now, entry, effects)
+			return
+		}
 		c.submit(now, entry, effects)
 	case phaseAttaching, phaseRunning:
 		c.attach(now, entry, effects)
@@ -224,7 +229,7 @@
 		ConfigRevision: c.configRevision(),
 	})
 	if c.stopping {
-		c.move(now, entry, effects)
+		c.move(now, entry, reasonStopping, effects)
 		return
 	}
 	if !c.servesEver(now, entry) {
@@ -258,9 +263,14 @@
 	entry.notBefore = now.Add(min(firstReturnDelay<<doublings, longestReturnDelay))
 }
 
-// giveUpUnserved ends a request that no engine of this router can run any more.
+// giveUpUnserved leaves a request that no engine of this router can run any more. Another router may have one, unless the
+// request was cancelled at an engine before.
 func (c *Core) giveUpUnserved(now time.Time, entry *request, effects *core.Effects) {
-	const reason = "No engine of this router can run the request: it was cancelled there before, or the engines are gone."
+	if len(entry.tombstoned) == 0 {
+		c.move(now, entry, "The engines of this router no longer serve the request: the agent goes on through another router.", effects)
+		return
+	}
+	const reason = "The request was cancelled before at every engine of this router that could run it."
 	kind := granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
 	switch {
 	case entry.length() > 0:
--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -119,6 +119,17 @@
 	return unready
 }
 
+// LeavingEngines returns the engines that any router reports as leaving, with the incarnation that leaves.
+func (t *Table) LeavingEngines(now time.Time) map[string]uint64 {
+	leaving := make(map[string]uint64)
+	for _, digest := range t.Digests(now) {
+		for _, engine := range digest.GetLeavingEngines() {
+			leaving[engine.GetName()] = max(leaving[engine.GetName()], engine.GetIncarnation())
+		}
+	}
+	return leaving
+}
+
 // Request is what the choice needs to know of a request.
 type Request struct {
 	ID           string
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -187,6 +187,7 @@
 		c.configuration.HandleEnvelope(now, envelope, effects)
 	case *granitebayv1.Envelope_PoolDigest:
 		c.owners.HandleDigest(now, envelope.GetFrom(), body.PoolDigest)
+		c.noteLeaving(now)
 	case *granitebayv1.Envelope_EngineRecords:
 		c.roles.LearnRecords(now, body.EngineRecords.GetRecords())
 		c.enginesChanged = true
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -26,6 +26,7 @@
 		Leaving:        c.stopping,
 		Demand:         c.dispatch.Demand(now),
 		UnreadyEngines: c.unreadyOwned(),
+		LeavingEngines: c.leavingEngines(),
 	}
 	c.owners.HandleDigest(now, c.settings.Self, digest)
 	c.broadcast(&granitebayv1.Envelope{Body: &granitebayv1.Envelope_PoolDigest{PoolDigest: digest}}, effects)
@@ -42,6 +43,14 @@
 	})
 }
 
+// leavingEngines lists the engines that this router's membership list shows as leaving or has dropped.
+func (c *Core) leavingEngines() []*granitebayv1.LeavingEngine {
+	return lo.FilterMap(c.engineNames, func(name string, _ int) (*granitebayv1.LeavingEngine, bool) {
+		info := c.engines[name]
+		return &granitebayv1.LeavingEngine{Name: name, Incarnation: info.incarnation}, info.member.Leaving || !info.listed
+	})
+}
+
 // broadcast sends a body to all other live routers, each in an envelope of its own.
 func (c *Core) broadcast(envelope *granitebayv1.Envelope, effects *core.Effects) {
 	for _, member := range c.others() {
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -26,6 +26,8 @@
 	status   engine.Status
 	reported bool
 	group    string
+	// toldLeaving is set while another router's list shows this incarnation as leaving.
+	toldLeaving bool
 }
 
 // listPoll is the read of the membership list that is under way.
@@ -34,6 +36,9 @@
 	pending platform.RequestID
 }
 
+// listRetryDelay is the pause after a failed read of the membership list.
+const listRetryDelay = 500 * time.Millisecond
+
 // tickMembers reads the membership list now and then.
 func (c *Core) tickMembers(now time.Time, effects *core.Effects) {
 	if now.Before(c.nextMembers) {
@@ -49,7 +54,11 @@
 
 // handleMemberList takes the membership list.
 func (c *Core) handleMemberList(now time.Time, response platform.Response, effects *core.Effects) {
-	if response.ID != c.list.pending || response.Failure != platform.FailureNone {
+	if response.ID != c.list.pending {
+		return
+	}
+	if response.Failure != platform.FailureNone {
+		c.nextMembers = core.Earliest(c.nextMembers, now.Add(max(listRetryDelay, response.RetryAfter)))
 		return
 	}
 	routers := lo.Filter(response.Members, func(member platform.Member, _ int) bool { return member.Kind == platform.MemberRouter })
@@ -153,6 +162,20 @@
 	c.enginesChanged = true
 }
 
+// noteLeaving takes what other routers' lists show, because this router may be cut off from the platform.
+func (c *Core) noteLeaving(now time.Time) {
+	leaving := c.owners.LeavingEngines(now)
+	for _, name := range c.engineNames {
+		info := c.engines[name]
+		incarnation, told := leaving[name]
+		told = told && incarnation >= info.incarnation
+		if told != info.toldLeaving {
+			info.toldLeaving = told
+			c.enginesChanged = true
+		}
+	}
+}
+
 // tickProbes asks the engines that this router owns for their load reports.
 func (c *Core) tickProbes(now time.Time, effects *core.Effects) {
 	if now.Before(c.nextProbe) {
@@ -190,7 +213,7 @@
 		Zone:        info.member.Zone,
 		Group:       info.group,
 		Incarnation: info.incarnation,
-		Leaving:     info.member.Leaving || !info.listed,
+		Leaving:     info.member.Leaving || !info.listed || info.toldLeaving,
 		Owned:       c.owns(name) && !c.stopping,
 		MemoryTotal: info.status.MemoryTotal,
 	}
