--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -28,7 +28,9 @@
 	cut     bool
 	waiting []platformmodel.Delivery
 	// asked counts the requests to the platform by kind.
-	asked     map[string]int
+	asked map[string]int
+	// renewedAt is when the latest KeepAlive was asked for.
+	renewedAt time.Time
 	decisions []decision.Record
 }
 
@@ -173,6 +175,9 @@
 	n.decisions = append(n.decisions, effects.Decisions...)
 	for _, asked := range effects.Platform {
 		n.asked[fmt.Sprintf("%T", asked.Request)]++
+		if _, renewal := asked.Request.(platform.KeepAlive); renewal {
+			n.renewedAt = n.clock(w.now)
+		}
 		if n.cut {
 			response := platform.Response{ID: asked.ID, Failure: platform.FailureUnavailable}
 			n.waiting = append(n.waiting, platformmodel.Delivery{Client: n.name, Response: &response})
