Role control: targets go out of date; both cores skip ticks when nothing is due

Cause: a router that had given up authority kept the target of its time, and would have carried it out when it got the authority back, against changes made meanwhile. A target is now forgotten with the authority, after TargetLifetime and on withdrawal; the role plan gives it again while it wants it.

--- a/internal/ownership/mirror/mirror.go
+++ b/internal/ownership/mirror/mirror.go
@@ -83,9 +83,14 @@
 		watchBackoff: backoff.Backoff{Base: DefaultBackoffBase, Max: DefaultBackoffMax},
 		keys:         map[string]known{},
 		changed:      map[string]bool{},
+		listAt:       AtOnce(),
 	}
 }
 
+// AtOnce is a time that is past by any clock: what is due then is due at the first Tick. It is not the zero time, which
+// means never.
+func AtOnce() time.Time { return time.Unix(0, 0) }
+
 // Ready tells whether the keys were listed at least once.
 func (m *Mirror) Ready() bool { return m.ready }
 
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -80,6 +80,7 @@
 		}, ids, random),
 		backoff: backoff.Backoff{Base: DefaultBackoffBase, Max: DefaultBackoffMax},
 		shards:  map[string]*shard{},
+		wake:    mirror.AtOnce(),
 	}
 }
 
@@ -134,7 +135,11 @@
 }
 
 // Tick runs what is due.
-func (c *Core) Tick(now time.Time, effects *core.Effects) { c.advance(now, effects) }
+func (c *Core) Tick(now time.Time, effects *core.Effects) {
+	if !c.wake.IsZero() && !now.Before(c.wake) {
+		c.advance(now, effects)
+	}
+}
 
 // NextWake tells when Tick is due next.
 func (c *Core) NextWake() time.Time { return c.wake }
--- a/internal/rolecontrol/commit.go
+++ b/internal/rolecontrol/commit.go
@@ -229,6 +229,7 @@
 	case before.Draining:
 		c.counts.Withdrawn++
 		control.redrainAt = now.Add(c.settings.RedrainDelay)
+		control.target = nil
 		c.decide(control, decision.KindWithdraw, string(after.Role), after.Reason, after, effects)
 	default:
 		c.decide(control, decision.KindEngine, "first record", after.Reason, after, effects)
--- a/internal/rolecontrol/control.go
+++ b/internal/rolecontrol/control.go
@@ -37,7 +37,9 @@
 	// epoch under which this router has authority; zero when it has none.
 	epoch  uint64
 	target *Target
-	status engine.Status
+	// targetAt is when the target was last given.
+	targetAt time.Time
+	status   engine.Status
 	// statusAt is when the latest load report came, probedAt when the latest probe was sent.
 	statusAt, probedAt time.Time
 
@@ -102,6 +104,10 @@
 // adoptEpoch begins anew under another epoch. Zero means that this router has no authority any more. A commit that is
 // under way is kept until another epoch makes it void, in case this router gets the same authority again.
 func (c *Core) adoptEpoch(control *engineControl, epoch uint64) {
+	target := control.target
+	if control.epoch != 0 {
+		target = nil
+	}
 	pending := control.commit
 	if pending != nil && epoch != 0 && pending.proposal.Epoch != epoch {
 		c.dropCommit(control)
@@ -112,7 +118,8 @@
 		zone:        control.zone,
 		incarnation: control.incarnation,
 		epoch:       epoch,
-		target:      control.target,
+		target:      target,
+		targetAt:    control.targetAt,
 		status:      control.status,
 		statusAt:    control.statusAt,
 		commit:      pending,
@@ -223,17 +230,29 @@
 		control.failures = 0
 		control.crashDelay.Reset()
 	}
-	if control.target != nil && !sameConfiguration(control.target.Configuration, record.Configuration) {
-		if c.reached(now, control, control.redrainAt) && c.reached(now, control, control.commitAt) {
-			c.commitDrain(now, control, record, effects)
-			return
-		}
+	if c.wantsChange(now, control, record) {
+		c.commitDrain(now, control, record, effects)
+	}
+	if control.commit != nil {
+		return
 	}
 	if c.reached(now, control, control.statusAt.Add(c.settings.IdleProbeInterval)) {
 		c.probe(now, control, c.settings.IdleProbeInterval, effects)
 	}
 }
 
+// wantsChange tells whether the target differs from the record. An outdated target is dropped.
+func (c *Core) wantsChange(now time.Time, control *engineControl, record Record) bool {
+	if control.target == nil || sameConfiguration(control.target.Configuration, record.Configuration) {
+		return false
+	}
+	if !now.Before(control.targetAt.Add(c.settings.TargetLifetime)) {
+		control.target = nil
+		return false
+	}
+	return true
+}
+
 // isReady tells whether a load report shows the engine serving as its record says.
 func (e *engineControl) isReady(record Record) bool {
 	return e.status.Incarnation == e.incarnation && e.status.Fence.Generation == record.Generation &&
--- a/internal/rolecontrol/property_test.go
+++ b/internal/rolecontrol/property_test.go
@@ -38,11 +38,11 @@
 			}
 		}
 		heal(w)
-		for _, e := range w.engines {
-			w.setTarget(e.name, configNew)
-		}
 		// An engine that was set aside gets another order only after DefaultSetAsideRetry.
 		for end := w.now.Add(DefaultSetAsideRetry + 5*time.Minute); w.now.Before(end); {
+			for _, e := range w.engines {
+				w.setTarget(e.name, configNew)
+			}
 			w.run(30 * time.Second)
 			if lo.EveryBy(w.engines, servesNew) {
 				break
--- a/internal/rolecontrol/rolecontrol.go
+++ b/internal/rolecontrol/rolecontrol.go
@@ -110,11 +110,16 @@
 }
 
 // SetTarget tells what the role plan wants of an engine. A change of the configuration is carried out when this router
-// has authority and the engine serves. A target equal to the record withdraws a change that is not yet carried out. A
-// change that was withdrawn because the engine did not become empty is tried again after RedrainDelay while it is wanted.
+// has authority and the engine serves. A target equal to the record withdraws a change that is not yet carried out. The
+// target is forgotten when the change is withdrawn, when it cannot start within TargetLifetime and when the authority
+// ends, and is ignored for RedrainDelay after a withdrawal: the role plan gives it again while it wants it.
 func (c *Core) SetTarget(now time.Time, engineName string, target Target, effects *core.Effects) {
 	control := c.control(engineName)
 	target.Configuration = canonical(target.Configuration)
+	if now.Before(control.redrainAt) {
+		return
+	}
+	control.targetAt = now
 	if control.target != nil && sameConfiguration(control.target.Configuration, target.Configuration) {
 		return
 	}
@@ -196,6 +201,9 @@
 
 // Tick runs what is due.
 func (c *Core) Tick(now time.Time, effects *core.Effects) {
+	if wake := c.NextWake(); wake.IsZero() || now.Before(wake) {
+		return
+	}
 	for _, name := range c.names {
 		control := c.engines[name]
 		if !control.wake.IsZero() && !now.Before(control.wake) {
--- a/internal/rolecontrol/settings.go
+++ b/internal/rolecontrol/settings.go
@@ -20,6 +20,7 @@
 	DefaultStableAfter       = 2 * time.Minute
 	DefaultSetAsideRetry     = 10 * time.Minute
 	DefaultRedrainDelay      = time.Minute
+	DefaultTargetLifetime    = time.Minute
 	defaultBackoffBase       = 200 * time.Millisecond
 	defaultBackoffMax        = 5 * time.Second
 )
@@ -56,8 +57,12 @@
 	StableAfter time.Duration
 	// SetAsideRetry is how long an engine stays set aside before it gets one more order.
 	SetAsideRetry time.Duration
-	// RedrainDelay is how long an engine is left alone after a change of it was withdrawn.
+	// RedrainDelay is how long an engine is left alone after a change of it was withdrawn: targets that come before are
+	// ignored.
 	RedrainDelay time.Duration
+	// TargetLifetime is how long a change may wait for its start. After that the target is dropped as outdated; the role
+	// plan gives it again if it still wants it.
+	TargetLifetime time.Duration
 }
 
 func (s Settings) withDefaults() Settings {
@@ -72,6 +77,7 @@
 	s.MaxCrashBackoff = lo.CoalesceOrEmpty(s.MaxCrashBackoff, DefaultMaxCrashBackoff)
 	s.StableAfter = lo.CoalesceOrEmpty(s.StableAfter, DefaultStableAfter)
 	s.SetAsideRetry = lo.CoalesceOrEmpty(s.SetAsideRetry, DefaultSetAsideRetry)
+	s.TargetLifetime = lo.CoalesceOrEmpty(s.TargetLifetime, DefaultTargetLifetime)
 	s.RedrainDelay = lo.CoalesceOrEmpty(s.RedrainDelay, DefaultRedrainDelay)
 	return s
 }
