Capacity: command of the lab that measures control at growing sizes

Real router cores run on virtual time among hollow routers, which run the real membership and configuration cores.

--- a/cmd/granitebay-lab/main.go
+++ b/cmd/granitebay-lab/main.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/granitebay/granitebay/internal/bench"
+	"github.com/granitebay/granitebay/internal/capacity"
 	"github.com/granitebay/granitebay/internal/command"
 	"github.com/granitebay/granitebay/internal/demo"
 	"github.com/granitebay/granitebay/internal/experiment"
@@ -31,6 +32,7 @@
 	Simulate   simulation.Command             `cmd:"" help:"Prove the promises by deterministic simulation under failure."`
 	Experiment experiment.Command             `cmd:"" help:"Measure goodput and role changes against baselines."`
 	Bench      bench.BenchCommand             `cmd:"" help:"Measure what agent and routers add to a request. Run it within the module."`
+	Capacity   capacity.Command               `cmd:"" help:"Measure what control costs a router at growing sizes of the fleet."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/capacity/hollow.go
@@ -0,0 +1,184 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/samber/lo"
+
+	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/configuration"
+	"github.com/granitebay/granitebay/internal/core"
+	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/membership"
+	"github.com/granitebay/granitebay/internal/platform"
+)
+
+// hollowNode is a router without engines: real membership and configuration, and messages to the real routers like those
+// of a router whose engines are in use.
+type hollowNode struct {
+	self          *granitebayv1.Peer
+	members       *membership.Core
+	configuration *configuration.Core
+	version       uint64
+	random        *rand.Rand
+
+	pools   []*granitebayv1.Pool
+	demand  []*granitebayv1.DemandClass
+	records []*granitebayv1.EngineRecords
+	// counted tells which routers are real: digests and records are sent to no others.
+	counted     func(name string) bool
+	sequence    uint64
+	nextDigest  time.Time
+	nextRecords time.Time
+}
+
+// Intervals of a router at which hollow routers send digests and records.
+const (
+	digestInterval  = 500 * time.Millisecond
+	recordsInterval = 2 * time.Second
+	// recordsPerMessage bounds the engine records in one message.
+	recordsPerMessage = 64
+)
+
+// newHollowNode returns the node of a hollow router that owns some engines.
+func newHollowNode(self *granitebayv1.Peer, seeds []membership.Member, owned []*granitebayv1.EngineRecord, records []*granitebayv1.EngineRecords, random *rand.Rand) *hollowNode {
+	return &hollowNode{
+		self: self,
+		members: membership.New(membership.Settings{
+			Self:  membership.Member{Name: self.GetName(), Address: self.GetAddress(), Zone: self.GetZone(), Incarnation: self.GetIncarnation()},
+			Seeds: seeds,
+		}, newRandom(random)),
+		configuration: configuration.NewCore(configuration.DefaultSettings(self.GetName(), self.GetIncarnation()), newRandom(random)),
+		random:        random,
+		pools:         poolsOf(owned),
+		demand:        demandOf(owned),
+		records:       records,
+	}
+}
+
+func newRandom(random *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+}
+
+// poolsOf sums engines up, half used.
+func poolsOf(owned []*granitebayv1.EngineRecord) []*granitebayv1.Pool {
+	type key struct{ model, role string }
+	pools := make(map[key]*granitebayv1.Pool)
+	var ordered []*granitebayv1.Pool
+	for _, record := range owned {
+		at := key{record.GetModel(), record.GetRole()}
+		if pools[at] == nil {
+			pools[at] = &granitebayv1.Pool{Group: record.GetModel(), Model: record.GetModel(), Role: record.GetRole()}
+			ordered = append(ordered, pools[at])
+		}
+		slots := uint32(lo.Ternary(record.GetRole() == string(engine.RolePrefill), 4, 32))
+		pools[at].Engines++
+		pools[at].Slots += slots
+		pools[at].Running += slots / 2
+		pools[at].PendingPromptTokens += 700
+		pools[at].PendingOutputTokens += 5000
+	}
+	return ordered
+}
+
+// demandOf is a class of demand for each model of the engines.
+func demandOf(owned []*granitebayv1.EngineRecord) []*granitebayv1.DemandClass {
+	models := lo.CountValues(lo.Map(owned, func(record *granitebayv1.EngineRecord, _ int) string { return record.GetModel() }))
+	var classes []*granitebayv1.DemandClass
+	for index := range modelCount {
+		model := modelName(index)
+		if engines := float64(models[model]); engines > 0 {
+			classes = append(classes, &granitebayv1.DemandClass{
+				Group: model, Model: model, Name: "prompt 1024, output 256, deadline 30s",
+				RequestsFast: engines, RequestsSlow: engines,
+				PromptTokensFast: 900 * engines, PromptTokensSlow: 900 * engines,
+				OutputTokensFast: 300 * engines, OutputTokensSlow: 300 * engines,
+				DeadlineMillis: 30_000,
+			})
+		}
+	}
+	return classes
+}
+
+// HandleEnvelope implements core.Node.
+func (n *hollowNode) HandleEnvelope(now time.Time, envelope *granitebayv1.Envelope, effects *core.Effects) {
+	switch envelope.GetBody().(type) {
+	case *granitebayv1.Envelope_Ping, *granitebayv1.Envelope_PingAck, *granitebayv1.Envelope_PingRequest:
+		n.members.HandleEnvelope(now, envelope, effects)
+	case *granitebayv1.Envelope_ConfigurationDigest, *granitebayv1.Envelope_ConfigurationFetch, *granitebayv1.Envelope_ConfigurationSnapshot:
+		n.configuration.HandleEnvelope(now, envelope, effects)
+	}
+	n.settle(now)
+}
+
+// HandlePeerUnreachable implements core.Node.
+func (n *hollowNode) HandlePeerUnreachable(time.Time, string, *core.Effects) {}
+
+// HandleEngineEvent implements core.Node.
+func (n *hollowNode) HandleEngineEvent(time.Time, engine.Event, *core.Effects) {}
+
+// HandlePlatformResponse implements core.Node.
+func (n *hollowNode) HandlePlatformResponse(now time.Time, response platform.Response, effects *core.Effects) {
+	n.configuration.HandlePlatformResponse(now, response, effects)
+}
+
+// HandlePlatformWatch implements core.Node.
+func (n *hollowNode) HandlePlatformWatch(now time.Time, event platform.WatchEvent, effects *core.Effects) {
+	n.configuration.HandlePlatformWatch(now, event, effects)
+}
+
+// Tick implements core.Node.
+func (n *hollowNode) Tick(now time.Time, effects *core.Effects) {
+	n.members.Tick(now, effects)
+	n.configuration.Tick(now, effects)
+	n.settle(now)
+	if !now.Before(n.nextDigest) {
+		n.nextDigest = now.Add(digestInterval)
+		n.sendDigest(effects)
+	}
+	if !now.Before(n.nextRecords) {
+		n.nextRecords = now.Add(recordsInterval)
+		n.sendRecords(effects)
+	}
+}
+
+// NextWake implements core.Node.
+func (n *hollowNode) NextWake() time.Time {
+	wake := core.Earliest(n.members.NextWake(), n.configuration.NextWake())
+	return core.Earliest(wake, core.Earliest(n.nextDigest, n.nextRecords))
+}
+
+// settle hands the live routers to the configuration.
+func (n *hollowNode) settle(now time.Time) {
+	if n.members.Version() == n.version {
+		return
+	}
+	n.version = n.members.Version()
+	n.configuration.SetPeers(now, lo.FilterMap(n.members.Live(), func(member membership.Member, _ int) (configuration.Peer, bool) {
+		return configuration.Peer{Name: member.Name, Address: member.Address, Incarnation: member.Incarnation}, member.Name != n.self.GetName()
+	}))
+}
+
+// sendDigest tells the real routers how much room the engines of this one have.
+func (n *hollowNode) sendDigest(effects *core.Effects) {
+	n.sequence++
+	digest := &granitebayv1.PoolDigest{Sequence: n.sequence, Pools: n.pools, Demand: n.demand}
+	for _, member := range n.members.Live() {
+		if n.counted(member.Name) {
+			effects.Send(member.Name, member.Address, &granitebayv1.Envelope{Body: &granitebayv1.Envelope_PoolDigest{PoolDigest: digest}})
+		}
+	}
+}
+
+// sendRecords sends all records to a random router.
+func (n *hollowNode) sendRecords(effects *core.Effects) {
+	live := n.members.Live()
+	peer := live[n.random.IntN(len(live))]
+	if !n.counted(peer.Name) {
+		return
+	}
+	for _, part := range n.records {
+		effects.Send(peer.Name, peer.Address, &granitebayv1.Envelope{Body: &granitebayv1.Envelope_EngineRecords{EngineRecords: part}})
+	}
+}
