Router: engine groups and views are worked out only when something they depend on changed

Cause: each membership list handed all engines to ownership once for each engine, and each answer of the store, each records message and each edit matched every engine against every group: quadratic and per-message work. Ruled out: doing it less often, which only delays changes. Change: zones are applied once a list, and only if they changed; the group of an engine is kept until its labels or the selection (selectors and operators' labels) change; records cause new views only if they changed.

--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -58,7 +58,10 @@
 
 	memberVersion    uint64
 	ownershipVersion uint64
-	configRevision   uint64
+	// selection is the hash of the selection of engines at selectionRevision; dispatch knows appliedSelection.
+	selection         uint64
+	selectionRevision uint64
+	appliedSelection  uint64
 	// enginesChanged is set when the views that dispatch has are out of date.
 	enginesChanged bool
 
@@ -189,7 +192,6 @@
 		c.owners.HandleDigest(now, envelope.GetFrom(), body.PoolDigest)
 	case *granitebayv1.Envelope_EngineRecords:
 		c.roles.LearnRecords(now, body.EngineRecords.GetRecords())
-		c.enginesChanged = true
 	case *granitebayv1.Envelope_RoleTargets:
 		c.handleTargets(now, envelope.GetFrom(), body.RoleTargets, effects)
 	}
@@ -220,7 +222,6 @@
 		c.configuration.HandlePlatformResponse(now, response, effects)
 	case ownerRoleControl:
 		c.roles.HandlePlatformResponse(now, response, effects)
-		c.enginesChanged = true
 	case requestOwner:
 		c.handleMemberList(now, response, effects)
 	}
@@ -236,7 +237,6 @@
 		c.configuration.HandlePlatformWatch(now, event, effects)
 	case ownerRoleControl:
 		c.roles.HandlePlatformWatch(now, event, effects)
-		c.enginesChanged = true
 	}
 	c.settle(now, effects)
 }
@@ -283,8 +283,8 @@
 		c.memberVersion = version
 		c.applyMembers(now)
 	}
-	if revision := c.configuration.Revision(); revision != c.configRevision {
-		c.configRevision = revision
+	if selection := c.engineSelection(); selection != c.appliedSelection {
+		c.appliedSelection = selection
 		c.enginesChanged = true
 	}
 	c.applyAuthority(now)
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -1,9 +1,12 @@
 package router
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"github.com/granitebay/granitebay/internal/configuration"
@@ -25,7 +28,9 @@
 	// status is the latest load report; reported is set once there is one.
 	status   engine.Status
 	reported bool
-	group    string
+	// group selects the engine, as of the selection with the hash groupSelection.
+	group          string
+	groupSelection uint64
 }
 
 // listPoll is the read of the membership list that is under way.
@@ -55,12 +60,16 @@
 	routers := lo.Filter(response.Members, func(member platform.Member, _ int) bool { return member.Kind == platform.MemberRouter })
 	c.members.HandlePlatformMembers(now, routers, effects)
 	listed := make(map[string]bool)
+	zonesChanged := false
 	for _, member := range response.Members {
 		if member.Kind == platform.MemberEngine {
 			listed[member.Name] = true
-			c.noteListed(now, member)
+			zonesChanged = c.noteListed(now, member) || zonesChanged
 		}
 	}
+	if zonesChanged {
+		c.applyEngineZones(now)
+	}
 	for _, name := range c.engineNames {
 		if !listed[name] && c.engines[name].listed {
 			c.engines[name].listed = false
@@ -69,15 +78,21 @@
 	}
 }
 
-// noteListed takes one engine of the membership list.
-func (c *Core) noteListed(now time.Time, member platform.Member) {
+// noteListed takes one engine of the membership list, and tells whether it is new or in another zone than before.
+func (c *Core) noteListed(now time.Time, member platform.Member) (zoneChanged bool) {
 	info := c.engines[member.Name]
 	if info == nil {
 		info = &engineInfo{}
 		c.engines[member.Name] = info
-		c.engineNames = append(c.engineNames, member.Name)
-		slices.Sort(c.engineNames)
+		at, _ := slices.BinarySearch(c.engineNames, member.Name)
+		c.engineNames = slices.Insert(c.engineNames, at, member.Name)
 		c.nextProbe = now
+		zoneChanged = true
+	}
+	zoneChanged = zoneChanged || info.member.Zone != member.Zone
+	if zoneChanged || !maps.Equal(info.member.Labels, member.Labels) {
+		info.groupSelection = 0
+		c.enginesChanged = true
 	}
 	if !info.listed || info.member.Leaving != member.Leaving || info.member.Address != member.Address || info.incarnation < member.Incarnation {
 		c.enginesChanged = true
@@ -86,7 +101,7 @@
 	info.member = member
 	info.incarnation = max(info.incarnation, member.Incarnation)
 	c.roles.SetKnownEngine(now, member.Name, member.Zone, member.Incarnation)
-	c.applyEngineZones(now)
+	return zoneChanged
 }
 
 // applyEngineZones hands the engines to ownership, and the authority over them to role control.
@@ -184,11 +199,10 @@
 // engineView joins what is known of an engine.
 func (c *Core) engineView(name string) dispatch.EngineView {
 	info := c.engines[name]
-	info.group = c.groupOf(name)
 	view := dispatch.EngineView{
 		Name:        name,
 		Zone:        info.member.Zone,
-		Group:       info.group,
+		Group:       c.groupOf(name),
 		Incarnation: info.incarnation,
 		Leaving:     info.member.Leaving || !info.listed,
 		Owned:       c.owns(name) && !c.stopping,
@@ -211,17 +225,38 @@
 	return view
 }
 
-// groupOf returns the name of the group that selects an engine, or an empty string.
+// groupOf returns the name of the group that selects an engine, or an empty string. It is worked out anew only after
+// the labels of the engine or the selection of engines by groups changed.
 func (c *Core) groupOf(name string) string {
 	snapshot := c.configuration.Snapshot()
 	if snapshot == nil {
 		return ""
 	}
-	group, ok := snapshot.GroupOf(name, c.platformLabels(name))
-	if !ok {
-		return ""
+	info := c.engines[name]
+	if selection := c.engineSelection(); info.groupSelection != selection {
+		group, _ := snapshot.GroupOf(name, c.platformLabels(name))
+		info.group, info.groupSelection = group.Name, selection
+	}
+	return info.group
+}
+
+// engineSelection returns a hash of what decides which group selects which engine: the selectors of the groups and the
+// labels of the operators. Zero before the first configuration.
+func (c *Core) engineSelection() uint64 {
+	snapshot := c.configuration.Snapshot()
+	if snapshot == nil || snapshot.Revision() == c.selectionRevision {
+		return c.selection
+	}
+	c.selectionRevision = snapshot.Revision()
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, group := range snapshot.Groups() {
+		_, _ = fmt.Fprintf(&digest, "%q %q\n", group.Name, group.EngineSelector)
 	}
-	return group.Name
+	// Maps are printed in order of their keys.
+	_, _ = fmt.Fprintf(&digest, "%q", snapshot.Document().EngineLabels)
+	c.selection = digest.Sum64() | 1
+	return c.selection
 }
 
 // platformLabels returns the labels of an engine from the membership list, with its zone.
--- /dev/null
+++ b/internal/router/engines_test.go
@@ -0,0 +1,115 @@
+package router
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/configuration"
+	"github.com/granitebay/granitebay/internal/core"
+	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/platform"
+)
+
+// testCore is a router core with a clock.
+type testCore struct {
+	t    *testing.T
+	core *Core
+	now  time.Time
+}
+
+func newTestCore(t *testing.T) *testCore {
+	t.Helper()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	self := &granitebayv1.Peer{Name: "router-a-1", Incarnation: 1, Address: "a:1", Zone: "zone-a"}
+	test := &testCore{t: t, core: New(Settings{Self: self, StartedAt: now}, rand.New(rand.NewPCG(1, 1))), now: now}
+	test.tick(time.Second)
+	return test
+}
+
+// tick moves the time on and returns the effects.
+func (c *testCore) tick(step time.Duration) *core.Effects {
+	c.now = c.now.Add(step)
+	effects := &core.Effects{}
+	c.core.Tick(c.now, effects)
+	return effects
+}
+
+// list answers the latest read of the membership list.
+func (c *testCore) list(members ...platform.Member) {
+	c.core.HandlePlatformResponse(c.now, platform.Response{ID: c.core.list.pending, Members: members}, &core.Effects{})
+}
+
+// configure puts a document in force, as a peer sends it.
+func (c *testCore) configure(revision uint64, groupSelector string, labels map[string]map[string]string) {
+	c.t.Helper()
+	snapshot, err := configuration.Compile(configuration.Document{
+		Spec: configuration.Spec{
+			Models: []configuration.Model{{Name: "m", Versions: []string{"1"}}},
+			Groups: []configuration.Group{{
+				Name: "fast", EngineSelector: groupSelector,
+				Models:     []configuration.GroupModel{{Model: "m", Version: "1"}},
+				RolePolicy: configuration.RolePolicy{AllowedRoles: engine.Roles()},
+			}},
+			EngineLabels: labels,
+		},
+		Status: configuration.Status{Revision: revision, ChangeID: "change"},
+	})
+	if err != nil {
+		c.t.Fatalf("compile: %v", err)
+	}
+	document, err := configuration.Encode(snapshot.Document())
+	if err != nil {
+		c.t.Fatalf("encode: %v", err)
+	}
+	c.now = c.now.Add(time.Minute) // past the wait of a starting process for the store
+	c.core.HandleEnvelope(c.now, &granitebayv1.Envelope{
+		From: &granitebayv1.Peer{Name: "router-b-1"},
+		Body: &granitebayv1.Envelope_ConfigurationSnapshot{ConfigurationSnapshot: &granitebayv1.ConfigurationSnapshot{
+			Revision: revision, Digest: snapshot.Digest(), Document: document,
+		}},
+	}, &core.Effects{})
+	if got := c.core.Configuration().Revision(); got != revision {
+		c.t.Fatalf("revision %d is in force, want %d", got, revision)
+	}
+}
+
+func TestGroupFollowsLabelsAndSelectors(t *testing.T) {
+	listed := func(pool string) platform.Member {
+		return platform.Member{Name: "engine-1", Kind: platform.MemberEngine, Zone: "zone-a", Labels: map[string]string{"pool": pool}}
+	}
+	tests := []struct {
+		desc   string
+		change func(c *testCore)
+		want   string
+	}{
+		{"unchanged", func(*testCore) {}, "fast"},
+		{"selector edited", func(c *testCore) { c.configure(2, "pool=b", nil) }, ""},
+		{"edit of something else", func(c *testCore) { c.configure(2, "pool=a", nil) }, "fast"},
+		{"label of the operators", func(c *testCore) {
+			c.configure(2, "pool=a", map[string]map[string]string{"engine-1": {"pool": "b"}})
+		}, ""},
+		{"label of the platform", func(c *testCore) { c.list(listed("b")) }, ""},
+		{"zone of the platform", func(c *testCore) {
+			c.configure(2, "zone=zone-b", nil)
+			moved := listed("a")
+			moved.Zone = "zone-b"
+			c.list(moved)
+		}, "fast"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := newTestCore(t)
+			c.configure(1, "pool=a", nil)
+			c.list(listed("a"))
+			if got := c.core.engineView("engine-1").Group; got != "fast" {
+				t.Fatalf("group %q before the change", got)
+			}
+			test.change(c)
+			if got := c.core.engineView("engine-1").Group; got != test.want {
+				t.Errorf("group %q, want %q", got, test.want)
+			}
+		})
+	}
+}
