Router: digests go to the zone only, and sums between zones and regions, beyond 24 routers

Cause: every router sent its digest to every other each 500 ms: at 320 nodes an owner sent 382 kB/s and received 246 kB/s. Ruled out: only sending less often, which makes the choice of owners blind; a tree over the whole fleet, in which every router still gets all digests (docs/design/scale.md). Change: internal/poolspread. Up to 24 routers nothing changes. Beyond, a digest goes to the zone each 2 s; the router that stands for the zone sums up for the region, the one for the region for the other regions; sums pass down a tree in the zone. Ingress compares one zone or region with two owners of its own zone and enters it through an owner named in the sum. Planners of groups are chosen among the routers that stand for zones, which alone hear of all demand.

--- a/internal/capacity/hollow.go
+++ b/internal/capacity/hollow.go
@@ -12,6 +12,7 @@
 	"github.com/granitebay/granitebay/internal/engine"
 	"github.com/granitebay/granitebay/internal/membership"
 	"github.com/granitebay/granitebay/internal/platform"
+	"github.com/granitebay/granitebay/internal/poolspread"
 )
 
 // hollowNode is a router without engines: real membership and configuration, and messages to the real routers like those
@@ -28,14 +29,14 @@
 	records []*granitebayv1.EngineRecords
 	// counted tells which routers are real: digests and records are sent to no others.
 	counted     func(name string) bool
+	spread      *poolspread.Core
 	sequence    uint64
 	nextDigest  time.Time
 	nextRecords time.Time
 }
 
-// Intervals of a router at which hollow routers send digests and records.
+// What hollow routers do as routers do.
 const (
-	digestInterval  = 500 * time.Millisecond
 	recordsInterval = 2 * time.Second
 	// recordsPerMessage bounds the engine records in one message.
 	recordsPerMessage = 64
@@ -49,6 +50,7 @@
 			Self:  membership.Member{Name: self.GetName(), Address: self.GetAddress(), Zone: self.GetZone(), Incarnation: self.GetIncarnation()},
 			Seeds: seeds,
 		}, newRandom(random)),
+		spread:        poolspread.New(poolspread.Settings{Self: self}),
 		configuration: configuration.NewCore(configuration.DefaultSettings(self.GetName(), self.GetIncarnation()), newRandom(random)),
 		random:        random,
 		pools:         poolsOf(owned),
@@ -108,6 +110,10 @@
 		n.members.HandleEnvelope(now, envelope, effects)
 	case *granitebayv1.Envelope_ConfigurationDigest, *granitebayv1.Envelope_ConfigurationFetch, *granitebayv1.Envelope_ConfigurationSnapshot:
 		n.configuration.HandleEnvelope(now, envelope, effects)
+	case *granitebayv1.Envelope_PoolDigest:
+		n.spread.HandleDigest(now, envelope.GetFrom(), envelope.GetPoolDigest())
+	case *granitebayv1.Envelope_PoolSums:
+		n.spread.HandleSums(now, envelope.GetPoolSums(), effects)
 	}
 	n.settle(now)
 }
@@ -134,8 +140,8 @@
 	n.configuration.Tick(now, effects)
 	n.settle(now)
 	if !now.Before(n.nextDigest) {
-		n.nextDigest = now.Add(digestInterval)
-		n.sendDigest(effects)
+		n.nextDigest = now.Add(n.spread.Interval())
+		n.sendDigest(now, effects)
 	}
 	if !now.Before(n.nextRecords) {
 		n.nextRecords = now.Add(recordsInterval)
@@ -158,17 +164,15 @@
 	n.configuration.SetPeers(now, lo.FilterMap(n.members.Live(), func(member membership.Member, _ int) (configuration.Peer, bool) {
 		return configuration.Peer{Name: member.Name, Address: member.Address, Incarnation: member.Incarnation}, member.Name != n.self.GetName()
 	}))
+	n.spread.SetRouters(lo.Map(n.members.Live(), func(member membership.Member, _ int) poolspread.Router {
+		return poolspread.Router{Name: member.Name, Address: member.Address, Zone: member.Zone, Live: true}
+	}))
 }
 
-// sendDigest tells the real routers how much room the engines of this one have.
-func (n *hollowNode) sendDigest(effects *core.Effects) {
+// sendDigest tells how much room the engines of this router have.
+func (n *hollowNode) sendDigest(now time.Time, effects *core.Effects) {
 	n.sequence++
-	digest := &granitebayv1.PoolDigest{Sequence: n.sequence, Pools: n.pools, Demand: n.demand}
-	for _, member := range n.members.Live() {
-		if n.counted(member.Name) {
-			effects.Send(member.Name, member.Address, &granitebayv1.Envelope{Body: &granitebayv1.Envelope_PoolDigest{PoolDigest: digest}})
-		}
-	}
+	n.spread.Send(now, &granitebayv1.PoolDigest{Sequence: n.sequence, Pools: n.pools, Demand: n.demand}, effects)
 }
 
 // sendRecords sends all records to a random router.
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -11,6 +11,7 @@
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
 	"github.com/granitebay/granitebay/internal/ownership"
+	"github.com/granitebay/granitebay/internal/poolspread"
 	"github.com/granitebay/granitebay/internal/rendezvous"
 )
 
@@ -170,7 +171,6 @@
 // realRouters chooses the routers to run for real: in the first zone the one that owns the most engines, the one that is
 // first by rendezvous hash for the sums of the zone, and the planner of the first group.
 func (w *world) realRouters() map[string]string {
-	all := lo.Map(w.deployment.routers, func(peer *granitebayv1.Peer, _ int) string { return peer.GetName() })
 	zone := zoneName(0)
 	inZone := lo.FilterMap(w.deployment.routers, func(peer *granitebayv1.Peer, _ int) (string, bool) {
 		return peer.GetName(), peer.GetZone() == zone
@@ -178,8 +178,8 @@
 	owner := slices.MaxFunc(inZone, func(a, b string) int { return len(w.ownedBy(a)) - len(w.ownedBy(b)) })
 	chosen := map[string]string{owner: "owner"}
 	for name, role := range map[string]string{
-		rendezvous.First("plan/"+modelName(0), all): "planner",
-		representative(zone, inZone):                "representative",
+		rendezvous.First("plan/"+modelName(0), w.planners()): "planner",
+		poolspread.Representative(zone, inZone):              "representative",
 	} {
 		if chosen[name] == "" {
 			chosen[name] = role
@@ -190,8 +190,14 @@
 	return chosen
 }
 
-// representative is the router that stands for its zone.
-func representative(zone string, names []string) string { return rendezvous.First("zone/"+zone, names) }
+// planners are the routers among which planners are chosen.
+func (w *world) planners() []string {
+	spread := poolspread.New(poolspread.Settings{Self: w.deployment.routers[0]})
+	spread.SetRouters(lo.Map(w.deployment.routers, func(peer *granitebayv1.Peer, _ int) poolspread.Router {
+		return poolspread.Router{Name: peer.GetName(), Zone: peer.GetZone(), Live: true}
+	}))
+	return spread.Planners()
+}
 
 // newSource returns the random source of a run.
 func newSource(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -45,6 +45,9 @@
 	// sent is what this router sent to the owner since the digest.
 	sentRuns   int
 	sentTokens int
+	// doors and region are set for the sum of another zone or region.
+	doors  []*granitebayv1.PoolDoor
+	region bool
 }
 
 // Table holds the latest digest of each owner. It is not safe for use by several goroutines.
@@ -53,6 +56,8 @@
 	random   *rand.Rand
 	owners   map[string]*owner
 	names    []string
+	// sums are other zones and regions whose owners are not known one by one.
+	sums []*owner
 }
 
 // NewTable returns an empty table.
@@ -97,7 +102,7 @@
 	t.names = lo.Without(t.names, name)
 }
 
-// Digests returns the digests that count now, by name of owner.
+// Digests returns the digests that count now, by name of owner, and then the sums of other zones and regions.
 func (t *Table) Digests(now time.Time) []*granitebayv1.PoolDigest {
 	var digests []*granitebayv1.PoolDigest
 	for _, name := range t.names {
@@ -105,6 +110,9 @@
 			digests = append(digests, known.digest)
 		}
 	}
+	for _, sum := range t.sums {
+		digests = append(digests, sum.digest)
+	}
 	return digests
 }
 
@@ -143,10 +151,11 @@
 func (t *Table) Choose(now time.Time, request Request, live func(name string) bool) (Choice, bool) {
 	for _, group := range request.Groups {
 		serving := t.serving(now, request, group, live)
-		if len(serving) == 0 {
+		sums := t.servingSums(request, group, live)
+		if len(serving) == 0 && len(sums) == 0 {
 			continue
 		}
-		return t.pick(request, group, serving), true
+		return t.pick(request, group, serving, sums, live), true
 	}
 	return Choice{}, false
 }
@@ -198,10 +207,11 @@
 	})
 }
 
-// pick compares a sample of the owners and takes the cheapest.
-func (t *Table) pick(request Request, group string, serving []*owner) Choice {
+// pick compares a sample of the owners and of the sums, and takes the cheapest.
+func (t *Table) pick(request Request, group string, serving, sums []*owner, live func(name string) bool) Choice {
 	affine := affineOwner(request, serving)
 	sample := t.sample(serving, affine)
+	sample = append(sample, t.sampleSums(sums, lo.Ternary(len(serving) > 0, sampledSums, sampledSumsAlone))...)
 	costs := make(map[string]float64, len(sample))
 	for _, each := range sample {
 		costs[each.name] = t.cost(request, group, each, each == affine)
@@ -210,9 +220,10 @@
 	best := sample[0]
 	best.sentRuns++
 	best.sentTokens += request.PromptTokens
+	name, address := t.enter(best, request, live)
 	return Choice{
-		Name:    best.name,
-		Address: best.address,
+		Name:    name,
+		Address: address,
 		Candidates: lo.Map(sample, func(each *owner, _ int) decision.Candidate {
 			return decision.Candidate{Name: each.name, Score: -costs[each.name]}
 		}),
@@ -223,7 +234,7 @@
 // affineOwner returns the owner to which requests with the same start of the prompt go, so that it finds the prefix in
 // a cache. Nil without a prefix.
 func affineOwner(request Request, serving []*owner) *owner {
-	if len(request.PrefixBlocks) == 0 {
+	if len(request.PrefixBlocks) == 0 || len(serving) == 0 {
 		return nil
 	}
 	names := lo.Map(serving, func(each *owner, _ int) string { return each.name })
@@ -265,7 +276,7 @@
 	slots := lo.SumBy(each.digest.GetPools(), func(pool *granitebayv1.Pool) float64 { return float64(pool.GetSlots()) })
 	cost := best + queue/max(1, slots)
 	if each.zone != t.settings.Zone {
-		cost += t.settings.Placement.OtherZoneSeconds
+		cost += t.settings.Placement.OtherZoneSeconds * lo.Ternary(each.region, otherRegionFactor, 1.0)
 	}
 	return cost
 }
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -20,6 +20,7 @@
 	"github.com/granitebay/granitebay/internal/membership"
 	"github.com/granitebay/granitebay/internal/ownership"
 	"github.com/granitebay/granitebay/internal/platform"
+	"github.com/granitebay/granitebay/internal/poolspread"
 	"github.com/granitebay/granitebay/internal/rolecontrol"
 	"github.com/granitebay/granitebay/internal/roleplan"
 )
@@ -48,6 +49,7 @@
 	claimView     claim.View
 	dispatch      *dispatch.Core
 	owners        *ingress.Table
+	spread        *poolspread.Core
 	capacity      *roleplan.Capacity
 
 	engines      map[string]*engineInfo
@@ -122,6 +124,7 @@
 	c.acceptor = claim.NewAcceptor(claim.AcceptorSettings{StartedAt: c.settings.StartedAt, View: c.claimView})
 	c.proposer = claim.NewProposer(claim.ProposerSettings{Name: self.GetName(), Incarnation: self.GetIncarnation(), Address: c.addressOf}, c.newRandom())
 	c.dispatch = dispatch.New(c.dispatchSettings(), c, c.newRandom())
+	c.spread = poolspread.New(poolspread.Settings{Self: self, Interval: c.settings.DigestInterval})
 	c.owners = ingress.NewTable(ingress.Settings{Zone: self.GetZone(), Placement: c.settings.Placement}, c.newRandom())
 }
 
@@ -189,7 +192,9 @@
 	case *granitebayv1.Envelope_ConfigurationDigest, *granitebayv1.Envelope_ConfigurationFetch, *granitebayv1.Envelope_ConfigurationSnapshot:
 		c.configuration.HandleEnvelope(now, envelope, effects)
 	case *granitebayv1.Envelope_PoolDigest:
-		c.owners.HandleDigest(now, envelope.GetFrom(), body.PoolDigest)
+		c.handleDigest(now, envelope.GetFrom(), body.PoolDigest)
+	case *granitebayv1.Envelope_PoolSums:
+		c.handleSums(now, body.PoolSums, effects)
 	case *granitebayv1.Envelope_EngineRecords:
 		c.roles.LearnRecords(now, body.EngineRecords.GetRecords())
 	case *granitebayv1.Envelope_RoleTargets:
@@ -305,6 +310,7 @@
 		peer := configuration.Peer{Name: member.Name, Address: member.Address, Incarnation: member.Incarnation}
 		return peer, member.Name != c.settings.Self.GetName()
 	}))
+	c.spreadAmong()
 	for _, member := range c.members.Members() {
 		if member.State == membership.StateDead {
 			c.owners.Forget(member.Name)
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -8,17 +8,18 @@
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
 	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/membership"
+	"github.com/granitebay/granitebay/internal/poolspread"
 )
 
 // recordsPerMessage bounds the engine records in one message.
 const recordsPerMessage = 64
 
-// tickDigest tells the other routers how much room the engines of this one have.
+// tickDigest tells other routers how much room the engines of this one have.
 func (c *Core) tickDigest(now time.Time, effects *core.Effects) {
 	if now.Before(c.nextDigest) {
 		return
 	}
-	c.nextDigest = now.Add(c.settings.DigestInterval)
+	c.nextDigest = now.Add(c.spread.Interval())
 	c.digestSequence++
 	digest := &granitebayv1.PoolDigest{
 		Sequence:       c.digestSequence,
@@ -28,7 +29,30 @@
 		UnreadyEngines: c.unreadyOwned(),
 	}
 	c.owners.HandleDigest(now, c.settings.Self, digest)
-	c.broadcast(&granitebayv1.Envelope{Body: &granitebayv1.Envelope_PoolDigest{PoolDigest: digest}}, effects)
+	c.spread.Send(now, digest, effects)
+	c.owners.SetSums(now, c.spread.Sums(now))
+}
+
+// handleDigest takes what another owner tells of its engines.
+func (c *Core) handleDigest(now time.Time, from *granitebayv1.Peer, digest *granitebayv1.PoolDigest) {
+	c.owners.HandleDigest(now, from, digest)
+	c.spread.HandleDigest(now, from, digest)
+}
+
+// handleSums takes what is told of other zones and regions.
+func (c *Core) handleSums(now time.Time, sums *granitebayv1.PoolSums, effects *core.Effects) {
+	c.spread.HandleSums(now, sums, effects)
+	c.owners.SetSums(now, c.spread.Sums(now))
+}
+
+// spreadAmong tells who the routers are among which digests are spread.
+func (c *Core) spreadAmong() {
+	known := lo.Filter(c.members.Members(), func(member membership.Member, _ int) bool { return member.State != membership.StateDead })
+	c.spread.SetRouters(lo.Map(known, func(member membership.Member, _ int) poolspread.Router {
+		return poolspread.Router{
+			Name: member.Name, Address: member.Address, Zone: member.Zone, Live: member.State != membership.StateLeaving,
+		}
+	}))
 }
 
 // unreadyOwned lists the owned engines that do not serve as their record says.
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -11,7 +11,6 @@
 	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/engine"
-	"github.com/granitebay/granitebay/internal/membership"
 	"github.com/granitebay/granitebay/internal/placement"
 	"github.com/granitebay/granitebay/internal/rendezvous"
 	"github.com/granitebay/granitebay/internal/rolecontrol"
@@ -44,10 +43,10 @@
 	}
 }
 
-// plansFor tells whether this router is the planner of a group: the first live router by rendezvous hash.
+// plansFor tells whether this router is the planner of a group: the first by rendezvous hash of those that hear of all
+// demand.
 func (c *Core) plansFor(group string) bool {
-	names := lo.Map(c.members.Live(), func(member membership.Member, _ int) string { return member.Name })
-	return rendezvous.First("plan/"+group, names) == c.settings.Self.GetName()
+	return rendezvous.First("plan/"+group, c.spread.Planners()) == c.settings.Self.GetName()
 }
 
 // planGroup plans each model of a group, and sends what is to change.
