--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -20,6 +20,7 @@
 	"github.com/granitebay/granitebay/internal/membership"
 	"github.com/granitebay/granitebay/internal/ownership"
 	"github.com/granitebay/granitebay/internal/platform"
+	"github.com/granitebay/granitebay/internal/poolspread"
 	"github.com/granitebay/granitebay/internal/rolecontrol"
 	"github.com/granitebay/granitebay/internal/roleplan"
 )
@@ -48,6 +49,7 @@
 	claimView     claim.View
 	dispatch      *dispatch.Core
 	owners        *ingress.Table
+	spread        *poolspread.Core
 	capacity      *roleplan.Capacity
 
 	engines      map[string]*engineInfo
@@ -58,7 +60,10 @@
 
 	memberVersion    uint64
 	ownershipVersion uint64
-	configRevision   uint64
+	// selection is the hash of the selection of engines at selectionRevision; dispatch knows appliedSelection.
+	selection         uint64
+	selectionRevision uint64
+	appliedSelection  uint64
 	// enginesChanged is set when the views that dispatch has are out of date.
 	enginesChanged bool
 
@@ -119,6 +124,7 @@
 	c.acceptor = claim.NewAcceptor(claim.AcceptorSettings{StartedAt: c.settings.StartedAt, View: c.claimView})
 	c.proposer = claim.NewProposer(claim.ProposerSettings{Name: self.GetName(), Incarnation: self.GetIncarnation(), Address: c.addressOf}, c.newRandom())
 	c.dispatch = dispatch.New(c.dispatchSettings(), c, c.newRandom())
+	c.spread = poolspread.New(poolspread.Settings{Self: self, Interval: c.settings.DigestInterval})
 	c.owners = ingress.NewTable(ingress.Settings{Zone: self.GetZone(), Placement: c.settings.Placement}, c.newRandom())
 }
 
@@ -186,11 +192,12 @@
 	case *granitebayv1.Envelope_ConfigurationDigest, *granitebayv1.Envelope_ConfigurationFetch, *granitebayv1.Envelope_ConfigurationSnapshot:
 		c.configuration.HandleEnvelope(now, envelope, effects)
 	case *granitebayv1.Envelope_PoolDigest:
-		c.owners.HandleDigest(now, envelope.GetFrom(), body.PoolDigest)
+		c.handleDigest(now, envelope.GetFrom(), body.PoolDigest)
 		c.noteLeaving(now)
+	case *granitebayv1.Envelope_PoolSums:
+		c.handleSums(now, body.PoolSums, effects)
 	case *granitebayv1.Envelope_EngineRecords:
 		c.roles.LearnRecords(now, body.EngineRecords.GetRecords())
-		c.enginesChanged = true
 	case *granitebayv1.Envelope_RoleTargets:
 		c.handleTargets(now, envelope.GetFrom(), body.RoleTargets, effects)
 	}
@@ -221,7 +228,6 @@
 		c.configuration.HandlePlatformResponse(now, response, effects)
 	case ownerRoleControl:
 		c.roles.HandlePlatformResponse(now, response, effects)
-		c.enginesChanged = true
 	case requestOwner:
 		c.handleMemberList(now, response, effects)
 	}
@@ -237,7 +243,6 @@
 		c.configuration.HandlePlatformWatch(now, event, effects)
 	case ownerRoleControl:
 		c.roles.HandlePlatformWatch(now, event, effects)
-		c.enginesChanged = true
 	}
 	c.settle(now, effects)
 }
@@ -284,8 +289,8 @@
 		c.memberVersion = version
 		c.applyMembers(now)
 	}
-	if revision := c.configuration.Revision(); revision != c.configRevision {
-		c.configRevision = revision
+	if selection := c.engineSelection(); selection != c.appliedSelection {
+		c.appliedSelection = selection
 		c.enginesChanged = true
 	}
 	c.applyAuthority(now)
@@ -306,6 +311,7 @@
 		peer := configuration.Peer{Name: member.Name, Address: member.Address, Incarnation: member.Incarnation}
 		return peer, member.Name != c.settings.Self.GetName()
 	}))
+	c.spreadAmong()
 	for _, member := range c.members.Members() {
 		if member.State == membership.StateDead {
 			c.owners.Forget(member.Name)
