Placement: no penalty for late answers; stricter admission at dispatch

The penalty sent short requests to prefill engines when decode engines were busy, where they made long ones late. Admission at dispatch now wants the expected finish within 0.9 of the time left.

--- a/internal/experiment/command.go
+++ b/internal/experiment/command.go
@@ -15,11 +15,12 @@
 
 // Options are what all experiments take.
 type Options struct {
-	Deployment string `enum:"fes,magnolia" default:"fes" help:"Deployment whose fleet and traffic are run: ${enum}."`
-	Seed       uint64 `default:"1" help:"Seed of the workload."`
-	Seeds      int    `default:"1" help:"Number of seeds to run, from the first on."`
-	Report     string `help:"File for an HTML page with plots of the first seed." type:"path"`
-	Parallel   int    `help:"Number of runs at once; half of the processors if not given."`
+	Deployment string  `enum:"fes,magnolia" default:"fes" help:"Deployment whose fleet and traffic are run: ${enum}."`
+	Seed       uint64  `default:"1" help:"Seed of the workload."`
+	Seeds      int     `default:"1" help:"Number of seeds to run, from the first on."`
+	Load       float64 `default:"1" help:"Factor on the rates of all arrivals."`
+	Report     string  `help:"File for an HTML page with plots of the first seed." type:"path"`
+	Parallel   int     `help:"Number of runs at once; half of the processors if not given."`
 }
 
 func (o *Options) parallel() int {
@@ -43,7 +44,7 @@
 	}
 	var comparisons []*comparison
 	for offset := range max(1, c.Seeds) {
-		workload := place.workload(c.Seed+uint64(offset), 1)
+		workload := place.workload(c.Seed+uint64(offset), c.Load)
 		compared, err := compare(ctx, workload, c.variants(workload), c.parallel())
 		if err != nil {
 			return err
--- a/internal/experiment/front.go
+++ b/internal/experiment/front.go
@@ -175,9 +175,9 @@
 	return true
 }
 
-// lateFactor is by how much the expected time may exceed the time left before a request is given up, as the estimate
-// errs.
-const lateFactor = 1.2
+// lateFactor is the part of the time left that the expected time may take. Taking requests that are hardly in time
+// makes others late.
+const lateFactor = 0.9
 
 func (f *front) placementRequest(now time.Time, next *call) placement.Request {
 	return placement.Request{
@@ -185,7 +185,6 @@
 		Model:        modelName,
 		PromptTokens: next.request.PromptTokens,
 		OutputTokens: next.request.OutputTokens,
-		SecondsLeft:  next.secondsLeft(now),
 	}
 }
 
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -124,7 +124,7 @@
 		change(&changed)
 		result = append(result, variant{family: name, policy: changed})
 	}
-	for _, score := range []string{placement.ScorePrefix, placement.ScoreRole, placement.ScoreOthers, placement.ScoreLate} {
+	for _, score := range []string{placement.ScorePrefix, placement.ScoreRole, placement.ScoreOthers, placement.ScoreOutput} {
 		add("without_"+score+"_score", func(p *policy) { p.placement = withoutScore(score) })
 	}
 	add("without_admission", func(p *policy) { p.front.admission = false })
--- a/internal/placement/scores.go
+++ b/internal/placement/scores.go
@@ -12,7 +12,6 @@
 	ScoreRole     = "role"
 	ScoreMemory   = "memory"
 	ScoreRecovery = "recovery"
-	ScoreLate     = "late"
 	ScoreZone     = "zone"
 )
 
@@ -39,7 +38,6 @@
 	{ScoreRole, roleSeconds},
 	{ScoreMemory, memorySeconds},
 	{ScoreRecovery, recoverySeconds},
-	{ScoreLate, lateSeconds},
 	{ScoreZone, zoneSeconds},
 }
 
@@ -85,14 +83,6 @@
 		float64(s.request.OutputTokens)*stepSeconds(speed, speed.Slots)/float64(speed.Slots)
 }
 
-// lateSeconds is a penalty when the answer is expected after its deadline.
-func lateSeconds(s *situation, candidate *Engine, speed Speed) float64 {
-	if s.request.SecondsLeft == 0 || finishSeconds(s.request, candidate, speed) <= s.request.SecondsLeft {
-		return 0
-	}
-	return s.settings.LatePenaltySeconds
-}
-
 // memorySeconds grows as the KV memory fills beyond comfort.
 func memorySeconds(s *situation, candidate *Engine, _ Speed) float64 {
 	if candidate.MemoryTotal <= 0 || s.settings.MemoryComfort >= 1 {
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -18,7 +18,6 @@
 		MemoryComfort:          0.8,
 		MemoryPenaltySeconds:   2,
 		RecoveryPenaltySeconds: 0.5,
-		LatePenaltySeconds:     5,
 		OtherZoneSeconds:       0.003,
 	}
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -20,8 +20,6 @@
 	// PromptTokens is the length of the prompt, and OutputTokens the expected length of the answer.
 	PromptTokens int
 	OutputTokens int
-	// SecondsLeft is the time until the deadline of the request. Zero is no deadline.
-	SecondsLeft float64
 	// ExcludedEngines are not to be tried again, for example because they refused the request.
 	ExcludedEngines []string
 }
@@ -87,8 +85,6 @@
 	MemoryPenaltySeconds float64
 	// RecoveryPenaltySeconds is the cost of an engine that has just come back, for each run that it already has.
 	RecoveryPenaltySeconds float64
-	// LatePenaltySeconds is the cost of an engine at which the answer is expected after its deadline.
-	LatePenaltySeconds float64
 	// OtherZoneSeconds is the cost of an engine in another zone than the caller.
 	OtherZoneSeconds float64
 	// Seed breaks ties.
