--- a/internal/dispatch/engines.go
+++ b/internal/dispatch/engines.go
@@ -39,9 +39,14 @@
 		c.setEngine(now, view)
 	}
 	for name, state := range c.engines {
-		if !known[name] {
-			state.view.Owned = false
-			state.view.Leaving = true
+		if known[name] {
+			continue
+		}
+		state.view.Owned = false
+		state.view.Leaving = true
+		if state.running == 0 {
+			delete(c.engines, name)
+			c.prefixes.Forget(name)
 		}
 	}
 	c.names = lo.Keys(c.engines)
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -21,8 +21,9 @@
 // engineInfo is what this router knows of an engine besides its record.
 type engineInfo struct {
 	member platform.Member
-	// listed is set while the membership list has the engine.
-	listed bool
+	// listed is set while the membership list has the engine, unlistedAt when it was dropped.
+	listed     bool
+	unlistedAt time.Time
 	// incarnation is the highest that any event told of.
 	incarnation uint64
 	// status is the latest load report; reported is set once there is one.
@@ -76,15 +77,35 @@
 			zonesChanged = c.noteListed(now, member) || zonesChanged
 		}
 	}
-	if zonesChanged {
-		c.applyEngineZones(now)
-	}
 	for _, name := range c.engineNames {
-		if !listed[name] && c.engines[name].listed {
-			c.engines[name].listed = false
+		if info := c.engines[name]; !listed[name] && info.listed {
+			info.listed = false
+			info.unlistedAt = now
 			c.enginesChanged = true
 		}
 	}
+	if c.forgetEngines(now) || zonesChanged {
+		c.applyEngineZones(now)
+	}
+}
+
+// unlistedRetention is how long an engine is remembered after the membership list dropped it.
+const unlistedRetention = 10 * time.Minute
+
+// forgetEngines drops engines that the list dropped long ago, and tells whether there were any.
+func (c *Core) forgetEngines(now time.Time) bool {
+	gone := lo.Filter(c.engineNames, func(name string, _ int) bool {
+		info := c.engines[name]
+		return !info.listed && now.Sub(info.unlistedAt) >= unlistedRetention
+	})
+	for _, name := range gone {
+		delete(c.engines, name)
+		delete(c.changedAt, name)
+		c.roles.RemoveEngine(name)
+	}
+	c.engineNames = lo.Without(c.engineNames, gone...)
+	c.enginesChanged = c.enginesChanged || len(gone) > 0
+	return len(gone) > 0
 }
 
 // noteListed takes one engine of the membership list, and tells whether it is new or in another zone than before.
--- a/internal/router/engines_test.go
+++ b/internal/router/engines_test.go
@@ -113,3 +113,17 @@
 		})
 	}
 }
+
+func TestEnginesThatLeftAreForgotten(t *testing.T) {
+	test := newTestCore(t)
+	test.list(platform.Member{Name: "engine-a-1", Kind: platform.MemberEngine, Zone: "zone-a", Incarnation: 1})
+	test.list()
+	if got := len(test.core.Engines()); got != 1 {
+		t.Fatalf("got %d engines just after the list dropped one, want 1", got)
+	}
+	test.now = test.now.Add(unlistedRetention)
+	test.list()
+	if got := len(test.core.Engines()); got != 0 {
+		t.Errorf("got %d engines long after the list dropped one, want 0", got)
+	}
+}
