--- a/internal/rolecontrol/rolecontrol.go
+++ b/internal/rolecontrol/rolecontrol.go
@@ -109,6 +109,18 @@
 	}
 }
 
+// RemoveEngine forgets an engine that is no longer of the fleet. Its record stays.
+func (c *Core) RemoveEngine(engineName string) {
+	control := c.engines[engineName]
+	if control == nil {
+		return
+	}
+	c.dropCommit(control)
+	delete(c.engines, engineName)
+	c.names = lo.Without(c.names, engineName)
+	c.wakeKnown = false
+}
+
 // SetTarget tells what the role plan wants of an engine. A change of the configuration is carried out when this router
 // has authority and the engine serves. A target equal to the record withdraws a change that is not yet carried out. The
 // target is forgotten when the change is withdrawn, when it cannot start within TargetLifetime and when the authority
