Ownership: a stop during a renewal gives the lease back

Cause: Stop waited for the renewal that was under way and took its answer for that of the revocation, so that the shards stayed bound to a live lease for up to 10 s. Found by reading; the new test failed first (8 shards still held).

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -151,6 +151,9 @@
 	}
 	c.stopping = true
 	c.dropShards("the router stops", effects)
+	// The answer to a renewal that is under way no longer matters.
+	c.lease.request = 0
+	c.lease.dueAt = now
 	c.advance(now, effects)
 }
 
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -145,6 +145,23 @@
 	}
 }
 
+func TestStopDuringARenewalGivesTheShardsBack(t *testing.T) {
+	w := newWorld(newRandom(), "zone-a")
+	w.run(10 * time.Second)
+	w.model.SetSlow(time.Second)
+	n := w.node("router-1")
+	for n.core.lease.request == 0 {
+		w.run(10 * time.Millisecond)
+	}
+	effects := &core.Effects{}
+	n.core.Stop(w.now, effects)
+	w.perform(n, *effects)
+	w.run(2 * time.Second)
+	if held := w.model.Entries(ShardPrefix); len(held) > 0 || !n.core.Stopped() {
+		t.Errorf("%d shards are still held, stopped is %v", len(held), n.core.Stopped())
+	}
+}
+
 func TestShortAbsenceMovesNothing(t *testing.T) {
 	w := newWorld(newRandom(), "zone-a", "zone-a", "zone-b")
 	w.run(10 * time.Second)
