--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -171,3 +171,15 @@
 		})
 	}
 }
+
+// TestInstancesHaveTheTimeOfTheirRequest: acceptors refused every instance after the first as invalid.
+func TestInstancesHaveTheTimeOfTheirRequest(t *testing.T) {
+	first, err := claim.CreatedAt("t/01HF7YAT00000000000000000A")
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := claim.CreatedAt("t/01HF7YAT00000000000000000A" + claim.InstanceSeparator + "1")
+	if err != nil || !second.Equal(first) {
+		t.Errorf("got %v and %v, want %v", second, err, first)
+	}
+}
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -5,6 +5,7 @@
 	"time"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/claim"
 	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/engine"
 )
@@ -17,7 +18,7 @@
 
 // requestOfInstance returns the request id of a claim instance.
 func requestOfInstance(instance string) string {
-	id, _, _ := strings.Cut(instance, instanceSeparator)
+	id, _, _ := strings.Cut(instance, claim.InstanceSeparator)
 	return id
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/claim"
 )
 
 // phase is where a request stands at its owner.
@@ -94,15 +95,12 @@
 // length is the number of tokens that the agent has or can get from here.
 func (r *request) length() uint32 { return r.base + uint32(len(r.tokens)) }
 
-// instanceSeparator stands between a request id and the number of its claim instance.
-const instanceSeparator = "#"
-
 // instanceID names the current claim instance.
 func (r *request) instanceID() string {
 	if r.instance == 0 {
 		return r.id()
 	}
-	return r.id() + instanceSeparator + strconv.FormatUint(uint64(r.instance), 10)
+	return r.id() + claim.InstanceSeparator + strconv.FormatUint(uint64(r.instance), 10)
 }
 
 // run returns the reference of the chosen run, or nil.
