Simulation: the check of model versions looks at what engines have

Change: the check is replaced by one over the state of the engines at the bound, which the case of a version that nobody follows still breaks.

--- a/internal/simulation/check_liveness.go
+++ b/internal/simulation/check_liveness.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,16 +41,31 @@
 		since = stored[index].at
 	}
 	limit := max(since, history.FaultsEnd) + changeBound
-	followed := slices.ContainsFunc(observations[OrderReceived](history), func(order OrderReceived) bool {
-		return order.Accepted && order.Configuration.ModelVersion == version && order.At >= since && order.At <= limit
-	})
-	if followed || since == 0 || limit > history.End {
+	if since == 0 || limit > history.End || slices.Contains(versionsAt(history, limit), version) {
 		return nil
 	}
 	return []Violation{{Promise: PromiseLiveness, At: limit, Subjects: []string{configurationSubject, configuration.StoreKey},
 		Reason: fmt.Sprintf("no engine has version %s of the model, which the configuration wants since %v", version, since)}}
 }
 
+// versionsAt returns the versions that the engines had at a moment, by the latest order that each accepted since its start.
+func versionsAt(history *History, moment time.Duration) []string {
+	versions := map[string]string{}
+	for _, observation := range history.Observations {
+		switch seen := observation.(type) {
+		case EngineChanged:
+			if seen.At <= moment && seen.State == EngineStarted {
+				delete(versions, seen.Engine)
+			}
+		case OrderReceived:
+			if seen.At <= moment && seen.Accepted {
+				versions[seen.Engine] = seen.Configuration.ModelVersion
+			}
+		}
+	}
+	return slices.Collect(maps.Values(versions))
+}
+
 // versionOf returns the version of the model that a configuration wants.
 func versionOf(stored storedDocument) string {
 	if len(stored.document.Groups) == 0 || len(stored.document.Groups[0].Models) == 0 {
--- a/internal/simulation/checker_test.go
+++ b/internal/simulation/checker_test.go
@@ -244,6 +244,8 @@
 			engineState(0, EngineStarted), order(1, 3, 1, engine.RoleDecode), restarted}},
 		{desc: "version that no engine follows", checker: checkLiveness, broken: true,
 			history: []Observation{stored(0, 1, "1", "serving"), stored(2, 2, "2", "serving"), order(1, 3, 1, engine.RoleDecode)}},
+		{desc: "version that operators went back to, which an engine never left", checker: checkLiveness,
+			history: []Observation{stored(0, 1, "2", "serving"), versionOrder, stored(6, 2, "1", "serving"), stored(7, 3, "2", "serving")}},
 		{desc: "version that an engine follows", checker: checkLiveness,
 			history: []Observation{stored(0, 1, "1", "serving"), stored(2, 2, "2", "serving"), versionOrder}},
 		{desc: "engine ordered", checker: checkLiveness,
