Transport: a message goes out in one frame

Cause: connect writes the prefix of a message and the message into the body of a client stream one after the other. Each write became a frame with a system call here and a wake-up at the peer. Ruled out: fewer hops; unary calls, which would cost a response each. Change: the HTTP client of the transport wraps the body by a reader that hands out prefix and message together.

--- a/internal/transport/sender.go
+++ b/internal/transport/sender.go
@@ -19,7 +19,7 @@
 }
 
 func newSender(transport *Transport, key peerKey) *sender {
-	client := granitebayv1connect.NewPeerServiceClient(transport.client, "http://"+key.address, connect.WithGRPC())
+	client := granitebayv1connect.NewPeerServiceClient(messageClient{client: transport.client}, "http://"+key.address, connect.WithGRPC())
 	return &sender{
 		transport: transport,
 		key:       key,
