Claims follow tombstones safely; changes of weights ask the weight store

Change 1: the engine's confirmation decides; a started run is told as failed; ids older than the memory of engines are unknown. Change 2: a change of model, version or adapters asks the weight store for leave before the engine is drained.

--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -140,6 +140,8 @@
 		c.giveUp(now, entry, granitebayv1.OutcomeKind_OUTCOME_KIND_FAILED, reason+" It had run partway.", effects)
 	case entry.repeatable():
 		c.giveUp(now, entry, granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN, entry.cancelReason+" The engine confirmed that it was not run.", effects)
+	case c.tooOld(now, entry):
+		c.giveUp(now, entry, granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN, entry.cancelReason+" The engine may have run it and forgotten.", effects)
 	default:
 		c.nextInstance(now, entry, effects)
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -251,6 +251,16 @@
 	}
 }
 
+func TestCancelledRunThatHadStartedIsNotClaimedElsewhere(t *testing.T) {
+	h := newHarness(t)
+	first := h.chosen("t/01HF7YAT00000000000000000A", false)
+	h.event(engine.Refused{Engine: first, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalCancelled})
+	h.expect("the engine is asked whether the run had started", len(h.cancels()), 1)
+	h.event(engine.Cancelled{Engine: first, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Started: true})
+	h.expect("outcome", h.outcomes(), []granitebayv1.OutcomeKind{failed})
+	h.expect("claims", len(h.claims), 1)
+}
+
 func TestClaimDecidedForAnotherEngine(t *testing.T) {
 	h := newHarness(t)
 	h.generate("t/01HF7YAT00000000000000000A", false, nil)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -211,11 +211,8 @@
 		c.requeue(now, entry, "", fmt.Sprintf("Engine %s refused the request: %s.", entry.engine, event.Refusal), effects)
 		return
 	}
-	if event.Refusal == engine.RefusalCancelled {
-		c.nextInstance(now, entry, effects)
-		return
-	}
-	// The claim is for this engine alone: a tombstone there lets another engine be claimed.
+	// The claim is for this engine alone: a tombstone there lets another engine be claimed. If there is one already, its
+	// confirmation tells whether the run had started before.
 	entry.cancelReason = ""
 	c.sendCancel(now, entry, effects)
 }
--- a/internal/rolecontrol/control.go
+++ b/internal/rolecontrol/control.go
@@ -48,6 +48,7 @@
 	wake    time.Time
 	// waitsForRecords is set while the copy of the records may be older than the epoch.
 	waitsForRecords bool
+	weights         weightLeave
 	commit          *commit
 	commitAt        time.Time
 
@@ -230,7 +231,7 @@
 		control.failures = 0
 		control.crashDelay.Reset()
 	}
-	if c.wantsChange(now, control, record) {
+	if c.wantsChange(now, control, record) && c.mayLoad(now, control, record, effects) {
 		c.commitDrain(now, control, record, effects)
 	}
 	if control.commit != nil {
@@ -262,7 +263,7 @@
 func (c *Core) awaitReady(now time.Time, control *engineControl, effects *core.Effects) {
 	control.setPhase(PhaseChanging, "accepted its record and is not ready yet")
 	if control.readyDeadline.IsZero() {
-		control.readyDeadline = now.Add(c.settings.ReadyTimeout)
+		control.readyDeadline = now.Add(max(c.settings.ReadyTimeout, loadTimeFactor*control.weights.loadTime))
 	}
 	if c.reached(now, control, control.readyDeadline) {
 		control.confirmed = confirmation{}
@@ -283,6 +284,7 @@
 	control.readyGeneration = record.Generation
 	control.readyIncarnation = control.incarnation
 	control.readySince = now
+	control.weights = weightLeave{}
 	if control.changeGeneration == record.Generation {
 		c.counts.Done++
 		control.changeGeneration = 0
--- a/internal/rolecontrol/rolecontrol.go
+++ b/internal/rolecontrol/rolecontrol.go
@@ -172,6 +172,10 @@
 		return
 	}
 	delete(c.requests, response.ID)
+	if c.handleWeightsResponse(now, control, response, effects) {
+		c.advance(now, control, effects)
+		return
+	}
 	c.handleCommitResponse(now, control, response)
 	c.takeMirror(now, effects)
 	c.advance(now, control, effects)
--- a/internal/rolecontrol/script_test.go
+++ b/internal/rolecontrol/script_test.go
@@ -61,6 +61,9 @@
 		case platform.Get:
 			s.asked = asked.ID
 			short = append(short, "get")
+		case platform.FetchWeights:
+			s.asked = asked.ID
+			short = append(short, "weights "+request.Version)
 		case platform.Transaction:
 			s.asked = asked.ID
 			var record Record
@@ -164,6 +167,8 @@
 	unchanged := func(s *script) {
 		s.answer(platform.Response{Revision: 9, Entries: []platform.Entry{storedRecord(configPrefill, 3, false, 5)}})
 	}
+	newVersion := configPrefill
+	newVersion.ModelVersion = "2"
 	wantDecode := func(s *script) { s.serving(); s.target(configDecode) }
 	draining := func(s *script) { s.committed(storedRecord(configPrefill, 4, true, 10)) }
 	crashThrice := func(s *script) { s.restart(); s.restart(); s.restart() }
@@ -190,6 +195,14 @@
 			{func(s *script) { s.committed(storedRecord(configDecode, 5, false, 11)) }, 0, "order 5:decode1 under 7 to 1"},
 			{func(s *script) { s.accept(); s.report(configDecode, 0) }, 0, ""},
 		}, phase: PhaseServing},
+		{desc: "a change of version asks the weight store before the engine is drained", steps: []scriptStep{
+			{func(s *script) { s.serving(); s.target(newVersion) }, 0, "weights 2"},
+			{func(s *script) {
+				s.answer(platform.Response{Failure: platform.FailureRateLimited, RetryAfter: 3 * time.Second})
+			}, 2 * time.Second, ""},
+			{nothing, time.Second, "weights 2"},
+			{func(s *script) { s.answer(platform.Response{Duration: time.Second}) }, 0, "commit 4:prefill1! if 5 and 7"},
+		}, phase: PhaseServing},
 		{desc: "a drain that is not empty in time is withdrawn", steps: []scriptStep{
 			{wantDecode, 0, "commit 4:prefill1! if 5 and 7"},
 			{draining, 0, "order 4:prefill1 under 7 to 1"},
