--- a/internal/simulation/history.go
+++ b/internal/simulation/history.go
@@ -59,6 +59,9 @@
 	return c.ended[0].At
 }
 
+// hasty tells whether the caller hardly waits.
+func (c *call) hasty() bool { return c.asked.Deadline-c.asked.At <= longestHaste }
+
 // calls returns the calls in the order in which they were asked.
 func (h *History) calls() []*call {
 	var ordered []*call
--- a/internal/simulation/workload.go
+++ b/internal/simulation/workload.go
@@ -13,14 +13,18 @@
 // Shape of the workload.
 const (
 	// Shares of calls in a thousand: work that may not be repeated, calls with a key among the others, calls that are
-	// asked again with the same key, callers that go away.
+	// asked again with the same key, callers that go away, callers that hardly wait.
 	oncePerMille  = 300
 	keyedPerMille = 250
 	againPerMille = 400
 	leavePerMille = 40
+	hastyPerMille = 120
 	// Deadlines from the moment of the call.
 	shortestDeadline = 8 * time.Second
 	longestDeadline  = 20 * time.Second
+	// Deadlines of callers that hardly wait, whose requests are often given up just before or after they start.
+	shortestHaste = 60 * time.Millisecond
+	longestHaste  = 1500 * time.Millisecond
 	// longestAgain is the longest time until a call is asked again.
 	longestAgain = 6 * time.Second
 )
@@ -57,6 +61,9 @@
 func drawCall(at time.Duration, shifted bool, deployment Deployment, random *rand.Rand) plannedCall {
 	planned := plannedCall{at: at, agent: pick(random, names(deployment.Agents)...),
 		patience: between(random, shortestDeadline, longestDeadline)}
+	if random.IntN(perMille) < hastyPerMille {
+		planned.patience = between(random, shortestHaste, longestHaste)
+	}
 	planned.request = drawRequest(shifted, deployment, random)
 	keyed := !planned.request.Repeatable || random.IntN(perMille) < keyedPerMille
 	if keyed {
