Dispatch: an undecided claim ends while not run can still be proved

The claim was given up at the deadline itself; agents cancel 200 ms before, which turns an undecided claim into unknown. Ruled out: giving up sooner, because holders that are frozen or restarting come back. Change: a claim that places work is given up 400 ms before the deadline, or a third of the time left if that is less. The outcome is then not run, as HandleClaimResult already proves when the own value was never sent. Test: TestClaimEndsBeforeTheAgentCancels failed first (10 s and 300 ms of as much).

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -17,7 +17,24 @@
 		entry.phase = phaseWithdrawing
 	}
 	entry.retryAt = time.Time{}
-	c.claims.Propose(now, entry.instanceID(), value, entry.deadline, effects)
+	c.claims.Propose(now, entry.instanceID(), value, claimDeadline(now, entry), effects)
+}
+
+// An undecided claim ends before the deadline of its request by claimLead, or by a share of the time that is left if that
+// is less. Agents cancel 200 ms, or a fifth of the whole time, before the deadline; an outcome that comes by then still
+// proves that the request was not run, a later one does not.
+const (
+	claimLead      = 400 * time.Millisecond
+	claimLeadShare = 3
+)
+
+// claimDeadline is when the current claim of a request is given up.
+func claimDeadline(now time.Time, entry *request) time.Time {
+	if entry.phase == phaseWithdrawing {
+		return entry.deadline
+	}
+	left := max(entry.deadline.Sub(now), 0)
+	return entry.deadline.Add(-min(claimLead, left/claimLeadShare))
 }
 
 // tooOld tells whether an engine may have forgotten that it ran the request. Work that may not be repeated is never
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -22,9 +22,12 @@
 	now     time.Time
 	effects core.Effects
 	claims  []string
+	// claimDeadline is the deadline of the latest claim.
+	claimDeadline time.Time
 }
 
-func (h *harness) Propose(_ time.Time, instance string, value *granitebayv1.ClaimValue, _ time.Time, _ *core.Effects) {
+func (h *harness) Propose(_ time.Time, instance string, value *granitebayv1.ClaimValue, deadline time.Time, _ *core.Effects) {
+	h.claimDeadline = deadline
 	h.claims = append(h.claims, instance+"="+claimName(value))
 }
 
@@ -295,6 +298,29 @@
 	}
 }
 
+// An agent cancels 200 ms, or a fifth of the whole time, before the deadline. A claim that found no majority must end
+// before that, while it still proves that the request was not run.
+func TestClaimEndsBeforeTheAgentCancels(t *testing.T) {
+	for _, test := range []struct {
+		desc          string
+		remaining     time.Duration
+		latest, least time.Duration
+	}{
+		{desc: "long deadline", remaining: 10 * time.Second, latest: 9700 * time.Millisecond, least: 9 * time.Second},
+		{desc: "short deadline", remaining: 300 * time.Millisecond, latest: 220 * time.Millisecond, least: 100 * time.Millisecond},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			h := newHarness(t)
+			h.generate("t/01HF7YAT00000000000000000A", false, func(message *granitebayv1.Generate) {
+				message.RemainingMillis = test.remaining.Milliseconds()
+			})
+			if got := h.claimDeadline.Sub(h.now); got > test.latest || got < test.least {
+				t.Errorf("the claim ends after %s, want %s to %s", got, test.least, test.latest)
+			}
+		})
+	}
+}
+
 func TestDeadlines(t *testing.T) {
 	tests := []struct {
 		desc       string
