--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -174,11 +174,11 @@
 // ChooseFree returns an owner that has free slots for a request by its latest digest, or false.
 func (t *Table) ChooseFree(now time.Time, request Request, live func(name string) bool) (Choice, bool) {
 	for _, group := range request.Groups {
-		free := lo.Filter(t.serving(now, request, group, live), func(each *owner, _ int) bool {
-			return each.freeSlots(group, request.Model) > 0
-		})
-		if len(free) > 0 {
-			return t.pick(request, group, free, nil, live), true
+		hasRoom := func(each *owner, _ int) bool { return each.freeSlots(group, request.Model) > 0 }
+		free := lo.Filter(t.serving(now, request, group, live), hasRoom)
+		sums := lo.Filter(t.servingSums(request, group, live), hasRoom)
+		if len(free) > 0 || len(sums) > 0 {
+			return t.pick(request, group, free, sums, live), true
 		}
 	}
 	return Choice{}, false
