Router: the membership list is read seldom in a large fleet, and changes are told to the others

Cause: each router read the whole list each 2 s: 407 kB/s and 1.3% of a core at 320 nodes and 5,200 workers. Ruled out: a few readers for all (one read in 2 s alone is over a node's budget); more lag for everybody. Change: beyond 64 members the interval grows with the members (414 s at that size), so that the fleet together reads 0.8 times a second; what changed between two reads is told to all, and ranks by the time of the read. Reads of whole prefixes of the key-value service are put off the same way (mirror: 250 ms a key, 22 min for 5,200). The capacity command counts reads of whole lists at their interval now, since a window of 20 s may meet none.

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -5,14 +5,17 @@
 	"runtime"
 	"runtime/metrics"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/samber/lo"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
 	"github.com/granitebay/granitebay/internal/ownership"
+	"github.com/granitebay/granitebay/internal/ownership/mirror"
 	"github.com/granitebay/granitebay/internal/poolspread"
 	"github.com/granitebay/granitebay/internal/rendezvous"
+	"github.com/granitebay/granitebay/internal/router"
 )
 
 // Phases of one measurement, in virtual time.
@@ -127,6 +130,7 @@
 			return float64(count) / window.Seconds()
 		}),
 	}
+	h.addWholeReads(&result)
 	total := func(kinds map[string]rate) float64 {
 		return lo.SumBy(lo.Values(kinds), func(each rate) float64 { return each.Bytes })
 	}
@@ -134,6 +138,24 @@
 	return result
 }
 
+// addWholeReads adds the reads of whole lists at the intervals at which the router makes them, because a window is too
+// short to meet one.
+func (h *host) addWholeReads(result *Result) {
+	node := h.node.(*router.Core)
+	for kind, bytes := range h.meter.wholeReads {
+		interval := node.MembersInterval()
+		if kind != listMembers {
+			keys := result.Workers
+			if strings.HasSuffix(kind, ownership.ShardPrefix) {
+				keys = 0
+			}
+			interval = mirror.ResyncAfter(mirror.DefaultResyncInterval, keys)
+		}
+		result.RequestsByKind[kind] = 1 / interval.Seconds()
+		result.ReceivedByKind["answer to "+kind] = rate{Messages: 1 / interval.Seconds(), Bytes: float64(bytes) / interval.Seconds()}
+	}
+}
+
 // dropHost drops the core of a router and returns the memory that this frees, in MB.
 func dropHost(h *host) float64 {
 	before := liveHeap()
--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -142,7 +142,7 @@
 	}
 	for _, request := range h.effects.Platform {
 		if h.meter != nil {
-			h.meter.countRequest(request.Request)
+			h.meter.countRequest(request.ID, request.Request)
 		}
 		w.askPlatform(h.peer.GetName(), request.ID, request.Request)
 	}
@@ -199,7 +199,7 @@
 func (w *world) deliverPlatform(to *host, delivery platformmodel.Delivery) {
 	if response := delivery.Response; response != nil {
 		if to.meter != nil {
-			response = receiveJSON(to.meter, "platform responses", response)
+			response = to.meter.receiveResponse(response)
 		}
 		w.step(to, func(effects *core.Effects) { to.node.HandlePlatformResponse(w.now, *response, effects) })
 		return
--- a/internal/ownership/mirror/mirror.go
+++ b/internal/ownership/mirror/mirror.go
@@ -23,15 +23,23 @@
 	DefaultResyncInterval = 2 * time.Minute
 	DefaultBackoffBase    = 200 * time.Millisecond
 	DefaultBackoffMax     = 5 * time.Second
+	// resyncPerKey is the least time between two Lists for each key, so that their bytes a second do not grow.
+	resyncPerKey = 250 * time.Millisecond
 )
 
+// ResyncAfter is the time from one List of some keys to the next while the watch works.
+func ResyncAfter(interval time.Duration, keys int) time.Duration {
+	return max(interval, time.Duration(keys)*resyncPerKey)
+}
+
 // Settings of a Mirror. Zero durations take the defaults.
 type Settings struct {
 	// Prefix of the keys.
 	Prefix string
 	// RequestTimeout is how long a List, or the opening of a watch, may take before it is asked again.
 	RequestTimeout time.Duration
-	// ResyncInterval is the time between two Lists while the watch works, against changes that the watch missed.
+	// ResyncInterval is the time between two Lists while the watch works, against changes that the watch missed. It is
+	// longer for many keys: see ResyncAfter.
 	ResyncInterval time.Duration
 }
 
@@ -232,7 +240,7 @@
 	}
 	m.listBackoff.Reset()
 	m.listFailed = false
-	m.listAt = now.Add(m.settings.ResyncInterval)
+	m.listAt = now.Add(ResyncAfter(m.settings.ResyncInterval, len(response.Entries)))
 	present := map[string]bool{}
 	for _, entry := range response.Entries {
 		present[entry.Key] = true
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -194,6 +194,8 @@
 	case *granitebayv1.Envelope_PoolDigest:
 		c.handleDigest(now, envelope.GetFrom(), body.PoolDigest)
 		c.noteLeaving(now)
+	case *granitebayv1.Envelope_MemberNews:
+		c.handleNews(now, body.MemberNews)
 	case *granitebayv1.Envelope_PoolSums:
 		c.handleSums(now, body.PoolSums, effects)
 	case *granitebayv1.Envelope_EngineRecords:
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
+	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
 	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/dispatch"
@@ -34,12 +35,17 @@
 	// group selects the engine, as of the selection with the hash groupSelection.
 	group          string
 	groupSelection uint64
+	// newsAt and readAt are when the list was read from which another router, or this one, has it.
+	newsAt, readAt time.Time
 }
 
 // listPoll is the read of the membership list that is under way.
 type listPoll struct {
 	ids     *core.RequestIDs
 	pending platform.RequestID
+	askedAt time.Time
+	// done is set once the list was read.
+	done bool
 }
 
 // listRetryDelay is the pause after a failed read of the membership list.
@@ -50,11 +56,12 @@
 	if now.Before(c.nextMembers) {
 		return
 	}
-	c.nextMembers = now.Add(c.settings.MembersInterval)
+	c.nextMembers = now.Add(c.settings.MembersInterval) // put off once the list is there
 	if c.list.ids == nil {
 		c.list.ids = core.NewRequestIDs(requestOwner)
 	}
 	c.list.pending = c.list.ids.Next()
+	c.list.askedAt = now
 	effects.Ask(c.list.pending, platform.ListMembers{})
 }
 
@@ -69,24 +76,45 @@
 	}
 	routers := lo.Filter(response.Members, func(member platform.Member, _ int) bool { return member.Kind == platform.MemberRouter })
 	c.members.HandlePlatformMembers(now, routers, effects)
-	listed := make(map[string]bool)
+	news := c.applyList(now, response.Members)
+	c.nextMembers = c.list.askedAt.Add(c.spreadOut(c.MembersInterval()))
+	if c.list.done && c.MembersInterval() > c.settings.MembersInterval {
+		c.tellNews(news, effects)
+	}
+	c.list.done = true
+}
+
+// applyList takes the engines of a list that this router read, and returns what is new of them.
+func (c *Core) applyList(now time.Time, members []platform.Member) []*granitebayv1.ListedEngine {
+	var news []*granitebayv1.ListedEngine
+	listed := make(map[string]bool, len(members))
 	zonesChanged := false
-	for _, member := range response.Members {
-		if member.Kind == platform.MemberEngine {
-			listed[member.Name] = true
-			zonesChanged = c.noteListed(now, member) || zonesChanged
+	for _, member := range members {
+		if member.Kind != platform.MemberEngine {
+			continue
 		}
+		listed[member.Name] = true
+		if c.heardLater(member.Name) {
+			continue
+		}
+		changed, zoneChanged := c.noteListed(now, member)
+		zonesChanged = zonesChanged || zoneChanged
+		if changed {
+			news = append(news, listedEngine(member))
+		}
+		c.engines[member.Name].readAt = c.list.askedAt
 	}
 	for _, name := range c.engineNames {
-		if info := c.engines[name]; !listed[name] && info.listed {
-			info.listed = false
-			info.unlistedAt = now
-			c.enginesChanged = true
+		if !listed[name] && c.engines[name].listed && !c.heardLater(name) {
+			c.unlist(now, name)
+			c.engines[name].readAt = c.list.askedAt
+			news = append(news, &granitebayv1.ListedEngine{Name: name, Gone: true})
 		}
 	}
 	if c.forgetEngines(now) || zonesChanged {
 		c.applyEngineZones(now)
 	}
+	return news
 }
 
 // unlistedRetention is how long an engine is remembered after the membership list dropped it.
@@ -108,8 +136,16 @@
 	return len(gone) > 0
 }
 
-// noteListed takes one engine of the membership list, and tells whether it is new or in another zone than before.
-func (c *Core) noteListed(now time.Time, member platform.Member) (zoneChanged bool) {
+// unlist notes that the list no longer has an engine.
+func (c *Core) unlist(now time.Time, name string) {
+	c.engines[name].listed = false
+	c.engines[name].unlistedAt = now
+	c.enginesChanged = true
+}
+
+// noteListed takes one engine of the membership list. It tells whether anything changed, and whether the engine is new or
+// in another zone than before.
+func (c *Core) noteListed(now time.Time, member platform.Member) (changed, zoneChanged bool) {
 	info := c.engines[member.Name]
 	if info == nil {
 		info = &engineInfo{}
@@ -122,16 +158,17 @@
 	zoneChanged = zoneChanged || info.member.Zone != member.Zone
 	if zoneChanged || !maps.Equal(info.member.Labels, member.Labels) {
 		info.groupSelection = 0
-		c.enginesChanged = true
+		changed = true
 	}
 	if !info.listed || info.member.Leaving != member.Leaving || info.member.Address != member.Address || info.incarnation < member.Incarnation {
-		c.enginesChanged = true
+		changed = true
 	}
+	c.enginesChanged = c.enginesChanged || changed
 	info.listed = true
 	info.member = member
 	info.incarnation = max(info.incarnation, member.Incarnation)
 	c.roles.SetKnownEngine(now, member.Name, member.Zone, member.Incarnation)
-	return zoneChanged
+	return changed, zoneChanged
 }
 
 // applyEngineZones hands the engines to ownership, and the authority over them to role control.
--- a/internal/router/engines_test.go
+++ b/internal/router/engines_test.go
@@ -127,3 +127,15 @@
 		t.Errorf("got %d engines long after the list dropped one, want 0", got)
 	}
 }
+
+func noEffects() *core.Effects { return &core.Effects{} }
+
+// pingOf is the first message of a router.
+func pingOf(name string) *granitebayv1.Envelope {
+	self := &granitebayv1.Peer{Name: name, Incarnation: 1, Address: name + ":1", Zone: "zone-a"}
+	return &granitebayv1.Envelope{From: self, Body: &granitebayv1.Envelope_Ping{Ping: &granitebayv1.Ping{
+		Updates: []*granitebayv1.MemberUpdate{{
+			Name: name, Incarnation: 1, Address: self.GetAddress(), Zone: self.GetZone(), State: granitebayv1.MemberState_MEMBER_STATE_ALIVE,
+		}},
+	}}}
+}
