--- a/internal/adminapi/backend.go
+++ b/internal/adminapi/backend.go
@@ -15,6 +15,8 @@
 	Groups(ctx context.Context) ([]GroupStatus, error)
 	Rules(ctx context.Context) ([]RuleStatus, error)
 	Routers(ctx context.Context) ([]RouterStatus, error)
+	// RouterView shows what only this router knows.
+	RouterView(ctx context.Context) (RouterView, error)
 
 	// Configuration returns the document in force; the zero document before the first.
 	Configuration(ctx context.Context) (configuration.Document, error)
@@ -31,4 +33,7 @@
 	Decisions(since uint64) []decision.Record
 	// FollowDecisions returns a channel of new decisions and a function that ends it.
 	FollowDecisions() (<-chan decision.Record, func())
+	// FollowOthers hands the kept and the new decisions of the other live routers to take, until the context ends. It is
+	// called from many goroutines. The function that it returns names the live routers that are not followed now.
+	FollowOthers(ctx context.Context, filter StreamFilter, take func(decision.Record)) (notFollowed func() []string)
 }
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -69,6 +69,11 @@
 	return get[[]RouterStatus](ctx, c, PathRouters, nil)
 }
 
+// RouterView returns what only the router that answers knows.
+func (c *Client) RouterView(ctx context.Context) (RouterView, error) {
+	return get[RouterView](ctx, c, PathRouterView, nil)
+}
+
 // Configuration returns the document in force.
 func (c *Client) Configuration(ctx context.Context) (configuration.Document, error) {
 	return get[configuration.Document](ctx, c, PathConfig, nil)
--- a/internal/adminapi/doc.go
+++ b/internal/adminapi/doc.go
@@ -9,6 +9,7 @@
 	PathGroups          = "/admin/v1/groups"
 	PathRules           = "/admin/v1/rules"
 	PathRouters         = "/admin/v1/routers"
+	PathRouterView      = "/admin/v1/router"
 	PathConfig          = "/admin/v1/config"
 	PathConfigStatus    = "/admin/v1/config/status"
 	PathConfigHistory   = "/admin/v1/config/history"
--- a/internal/adminapi/filter.go
+++ b/internal/adminapi/filter.go
@@ -29,6 +29,36 @@
 	Since uint64 `query:"since" doc:"Only decisions with a higher sequence."`
 }
 
+// StreamFilter selects what a stream of decisions carries.
+type StreamFilter struct {
+	DecisionFilter
+	// Fleet asks for the decisions of all live routers; otherwise the stream carries those of the router that is asked.
+	Fleet bool `query:"fleet" doc:"Decisions of all live routers, not only of this one."`
+	// Latest bounds the kept decisions at the start, for each router; zero is no bound.
+	Latest int `query:"latest" minimum:"0" doc:"At the start, only so many of the latest kept decisions of each router."`
+}
+
+// Kept returns the kept decisions with which a stream starts.
+func (f StreamFilter) Kept(records []decision.Record) []decision.Record {
+	selected := f.Select(records)
+	if f.Latest > 0 && len(selected) > f.Latest {
+		return selected[len(selected)-f.Latest:]
+	}
+	return selected
+}
+
+// Query returns the filter as the query of a URL.
+func (f StreamFilter) Query() url.Values {
+	query := f.DecisionFilter.Query()
+	if f.Fleet {
+		query.Set("fleet", "true")
+	}
+	if f.Latest > 0 {
+		query.Set("latest", strconv.Itoa(f.Latest))
+	}
+	return query
+}
+
 // Matches tells whether the filter selects a decision.
 func (f DecisionFilter) Matches(record decision.Record) bool {
 	return record.Sequence > f.Since &&
--- a/internal/adminapi/follow.go
+++ b/internal/adminapi/follow.go
@@ -16,9 +16,22 @@
 // maximumEventBytes bounds one event on a stream.
 const maximumEventBytes = 1 << 20
 
-// FollowDecisions hands decisions to a function as they fall, until the context ends, the function returns an error or
-// the stream breaks. It follows the first router that answers.
+// StreamHandler takes the events of a stream. An error of it ends the stream.
+type StreamHandler struct {
+	Decision func(decision.Record) error
+	// Heartbeat may be nil.
+	Heartbeat func(Heartbeat) error
+}
+
+// FollowDecisions hands decisions of the first router that answers to a function as they fall, until the context ends,
+// the function returns an error or the stream breaks.
 func (c *Client) FollowDecisions(ctx context.Context, filter DecisionFilter, handle func(decision.Record) error) error {
+	return c.Follow(ctx, StreamFilter{DecisionFilter: filter}, StreamHandler{Decision: handle})
+}
+
+// Follow hands the events of the stream of the first router that answers to a handler, until the context ends, the
+// handler returns an error or the stream breaks.
+func (c *Client) Follow(ctx context.Context, filter StreamFilter, handler StreamHandler) error {
 	var failures error
 	for _, address := range c.addresses {
 		response, err := c.send(ctx, address, call{method: http.MethodGet, path: PathDecisionsStream, query: filter.Query()})
@@ -31,13 +44,13 @@
 			data, _ := io.ReadAll(response.Body)
 			return statusError(address, response.StatusCode, data)
 		}
-		return errors.Wrapf(readEvents(response.Body, handle), "follow the decisions of router %s", address)
+		return errors.Wrapf(readEvents(response.Body, handler), "follow the decisions of router %s", address)
 	}
 	return failures
 }
 
 // readEvents reads server-sent events.
-func readEvents(stream io.Reader, handle func(decision.Record) error) error {
+func readEvents(stream io.Reader, handler StreamHandler) error {
 	scanner := bufio.NewScanner(stream)
 	scanner.Buffer(nil, maximumEventBytes)
 	event := ""
@@ -47,14 +60,10 @@
 			event = name
 		}
 		data, isData := strings.CutPrefix(line, "data: ")
-		if !isData || event != eventDecision {
+		if !isData {
 			continue
 		}
-		var record decision.Record
-		if err := json.Unmarshal([]byte(data), &record); err != nil {
-			return errors.Wrap(err, "decode a decision")
-		}
-		if err := handle(record); err != nil {
+		if err := handler.handle(event, []byte(data)); err != nil {
 			return err
 		}
 	}
@@ -63,3 +72,23 @@
 	}
 	return io.ErrUnexpectedEOF
 }
+
+// handle decodes one event and hands it on. Events of unknown names are left out.
+func (h StreamHandler) handle(event string, data []byte) error {
+	switch {
+	case event == eventDecision:
+		var record decision.Record
+		if err := json.Unmarshal(data, &record); err != nil {
+			return errors.Wrap(err, "decode a decision")
+		}
+		return h.Decision(record)
+	case event == eventHeartbeat && h.Heartbeat != nil:
+		var heartbeat Heartbeat
+		if err := json.Unmarshal(data, &heartbeat); err != nil {
+			return errors.Wrap(err, "decode a heartbeat")
+		}
+		return h.Heartbeat(heartbeat)
+	default:
+		return nil
+	}
+}
--- a/internal/adminapi/register.go
+++ b/internal/adminapi/register.go
@@ -36,6 +36,7 @@
 	registerGet(api, PathGroups, "groups", "All groups of engines", backend.Groups)
 	registerGet(api, PathRules, "rules", "All rules, in the order in which they are tried", backend.Rules)
 	registerGet(api, PathRouters, "routers", "All routers", backend.Routers)
+	registerGet(api, PathRouterView, "router", "What only this router knows", backend.RouterView)
 }
 
 func registerConfiguration(api huma.API, backend Backend) {
@@ -81,7 +82,7 @@
 	})
 	stream := huma.Operation{OperationID: "decisions-stream", Method: http.MethodGet, Path: PathDecisionsStream, Summary: "Decisions as they fall"}
 	events := map[string]any{eventDecision: decision.Record{}, eventHeartbeat: Heartbeat{}}
-	sse.Register(api, stream, events, func(ctx context.Context, filter *DecisionFilter, send sse.Sender) {
+	sse.Register(api, stream, events, func(ctx context.Context, filter *StreamFilter, send sse.Sender) {
 		streamDecisions(ctx, backend, *filter, send)
 	})
 }
--- a/internal/adminapi/stream.go
+++ b/internal/adminapi/stream.go
@@ -15,38 +15,89 @@
 	eventHeartbeat = "heartbeat"
 )
 
-// heartbeatInterval is the time between two heartbeats on a stream.
-const heartbeatInterval = 5 * time.Second
+const (
+	// heartbeatInterval is the time between two heartbeats on a stream.
+	heartbeatInterval = 5 * time.Second
+	// othersBuffer bounds the decisions of other routers that wait for a client.
+	othersBuffer = 1024
+)
+
+// decisionStream is one client that follows decisions.
+type decisionStream struct {
+	backend Backend
+	filter  StreamFilter
+	send    sse.Sender
+	// sent is the last sequence of this router that was looked at.
+	sent uint64
+	// others are decisions of other routers, already filtered there.
+	others      chan decision.Record
+	notFollowed func() []string
+}
 
 // streamDecisions sends the kept decisions that a filter selects and then the new ones, until the client goes away.
-func streamDecisions(ctx context.Context, backend Backend, filter DecisionFilter, send sse.Sender) {
+func streamDecisions(ctx context.Context, backend Backend, filter StreamFilter, send sse.Sender) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	records, stop := backend.FollowDecisions()
 	defer stop()
+	stream := &decisionStream{backend: backend, filter: filter, send: send, notFollowed: func() []string { return nil }}
 	// The heartbeat at the start lets the client see that the stream is open.
-	if send.Data(Heartbeat{Time: time.Now()}) != nil {
+	if stream.heartbeat(time.Now()) != nil {
 		return
 	}
-	sent := filter.Since
-	forward := func(record decision.Record) error {
-		if record.Sequence <= sent {
-			return nil
-		}
-		sent = record.Sequence
-		if !filter.Matches(record) {
-			return nil
-		}
-		return send.Data(record)
+	if stream.kept() != nil {
+		return
 	}
-	for _, record := range backend.Decisions(filter.Since) {
-		if forward(record) != nil {
-			return
+	if filter.Fleet {
+		stream.followOthers(ctx)
+	}
+	stream.follow(ctx, records)
+}
+
+// kept sends the decisions with which the stream starts.
+func (s *decisionStream) kept() error {
+	kept := s.backend.Decisions(s.filter.Since)
+	for _, record := range s.filter.Kept(kept) {
+		if err := s.send.Data(record); err != nil {
+			return err
 		}
 	}
-	followDecisions(ctx, records, send, forward)
+	s.sent = s.filter.Since
+	if len(kept) > 0 {
+		s.sent = kept[len(kept)-1].Sequence
+	}
+	return nil
+}
+
+// forward sends a new decision of this router, unless it was among the kept ones.
+func (s *decisionStream) forward(record decision.Record) error {
+	if record.Sequence <= s.sent {
+		return nil
+	}
+	s.sent = record.Sequence
+	if !s.filter.Matches(record) {
+		return nil
+	}
+	return s.send.Data(record)
+}
+
+func (s *decisionStream) heartbeat(now time.Time) error {
+	return s.send.Data(Heartbeat{Time: now, NotFollowed: s.notFollowed()})
+}
+
+// followOthers has the decisions of the other routers put into a channel.
+func (s *decisionStream) followOthers(ctx context.Context) {
+	s.others = make(chan decision.Record, othersBuffer)
+	s.notFollowed = s.backend.FollowOthers(ctx, s.filter, func(record decision.Record) {
+		select {
+		case s.others <- record:
+		case <-ctx.Done():
+		}
+	})
 }
 
-// followDecisions forwards new decisions.
-func followDecisions(ctx context.Context, records <-chan decision.Record, send sse.Sender, forward func(decision.Record) error) {
+// follow forwards new decisions.
+func (s *decisionStream) follow(ctx context.Context, records <-chan decision.Record) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -58,9 +109,11 @@
 			if !open {
 				return
 			}
-			err = forward(record)
+			err = s.forward(record)
+		case record := <-s.others:
+			err = s.send.Data(record)
 		case now := <-ticker.C:
-			err = send.Data(Heartbeat{Time: now})
+			err = s.heartbeat(now)
 		}
 		if err != nil {
 			return
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -26,10 +26,10 @@
 	LiveRouters  int            `json:"liveRouters"`
 	Engines      int            `json:"engines"`
 	EngineStates map[string]int `json:"engineStates"`
-	// Requests that run or wait at this router.
+	// Requests that run or wait, at all routers that answered.
 	RunningRequests int `json:"runningRequests"`
 	WaitingRequests int `json:"waitingRequests"`
-	// RoleChanges that this router ordered since it started.
+	// RoleChanges that the routers that answered ordered since they started.
 	RoleChanges int `json:"roleChanges"`
 	// Warnings in plain sentences.
 	Warnings []string `json:"warnings"`
@@ -45,7 +45,8 @@
 	Owner string `json:"owner"`
 	// Labels of the platform and of the operators together.
 	Labels map[string]string `json:"labels"`
-	// State is "ready", "draining", "changing", "starting", "unreachable", "leaving" or "set-aside".
+	// State is "ready", "draining", "changing", "starting", "unreachable", "leaving" or "set-aside", as the owner has it.
+	// It is "unknown" when the owner did not answer.
 	State string `json:"state"`
 	// Role, model, version and adapters that the engine has.
 	Role         string   `json:"role"`
@@ -91,11 +92,37 @@
 	RequestSelector string   `json:"requestSelector"`
 	Groups          []string `json:"groups"`
 	Priority        int32    `json:"priority"`
-	// RunningRequests and WaitingRequests at this router.
+	// RunningRequests and WaitingRequests at all routers that answered.
 	RunningRequests int `json:"runningRequests"`
 	WaitingRequests int `json:"waitingRequests"`
 }
 
+// RouterView is what only the router that answers knows. The routers ask each other for it to show the whole fleet.
+type RouterView struct {
+	Router      string `json:"router"`
+	Incarnation uint64 `json:"incarnation"`
+	// Engines that the router owns.
+	Engines []EngineStatus `json:"engines"`
+	// Requests at the router, by rule.
+	Requests map[string]RequestCount `json:"requests"`
+	// Plans that the router made, the latest of each group.
+	Plans map[string]PlanNote `json:"plans"`
+	// RoleChanges that the router ordered since it started.
+	RoleChanges int `json:"roleChanges"`
+}
+
+// RequestCount counts requests at a router.
+type RequestCount struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
+
+// PlanNote is a role plan in one plain sentence.
+type PlanNote struct {
+	Sentence string    `json:"sentence"`
+	MadeAt   time.Time `json:"madeAt"`
+}
+
 // RouterStatus is one router as another sees it.
 type RouterStatus struct {
 	Name        string `json:"name"`
@@ -175,4 +202,6 @@
 // Heartbeat shows on a quiet stream that the router is there.
 type Heartbeat struct {
 	Time time.Time `json:"time"`
+	// NotFollowed are the live routers whose decisions are missing from a stream of the whole fleet.
+	NotFollowed []string `json:"notFollowed,omitempty"`
 }
--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -108,6 +108,14 @@
 	return digests
 }
 
+// AdminAddress returns the address of the admin API of an owner from its latest digest, however old; empty when unknown.
+func (t *Table) AdminAddress(name string) string {
+	if known := t.owners[name]; known != nil {
+		return known.digest.GetAdminAddress()
+	}
+	return ""
+}
+
 // UnreadyEngines returns the engines that their owners report as not serving.
 func (t *Table) UnreadyEngines(now time.Time) map[string]bool {
 	unready := make(map[string]bool)
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -66,8 +66,8 @@
 	planSequence   uint64
 	planSeen       map[string]planMark
 	changedAt      map[string]time.Time
-	// lastPlan is the latest plan by group, in one sentence.
-	lastPlan map[string]string
+	// lastPlan is the latest plan that this router made, by group.
+	lastPlan map[string]Plan
 	// seen are the label sets of requests that came to this router.
 	seen        labelSets
 	nextMembers time.Time
@@ -91,7 +91,7 @@
 		forwarded: make(map[string]*forward),
 		planSeen:  make(map[string]planMark),
 		changedAt: make(map[string]time.Time),
-		lastPlan:  make(map[string]string),
+		lastPlan:  make(map[string]Plan),
 		capacity:  roleplan.NewCapacity(planSpeeds(settings.Placement.Speeds)),
 	}
 	c.newCores()
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -26,6 +26,7 @@
 		Leaving:        c.stopping,
 		Demand:         c.dispatch.Demand(now),
 		UnreadyEngines: c.unreadyOwned(),
+		AdminAddress:   c.settings.AdminAddress,
 	}
 	c.owners.HandleDigest(now, c.settings.Self, digest)
 	c.broadcast(&granitebayv1.Envelope{Body: &granitebayv1.Envelope_PoolDigest{PoolDigest: digest}}, effects)
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -165,7 +165,7 @@
 		},
 		ConfigRevision: c.configuration.Revision(),
 	})
-	c.lastPlan[group.Name] = plan.Reason
+	c.lastPlan[group.Name] = Plan{Sentence: plan.Reason, MadeAt: now}
 	c.planSequence++
 	targets := &granitebayv1.RoleTargets{
 		Group:    group.Name,
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -18,6 +18,8 @@
 type Settings struct {
 	// Self names this process.
 	Self *granitebayv1.Peer
+	// AdminAddress is host:port of the admin API, which the other routers are told; empty when there is none.
+	AdminAddress string
 	// StartedAt is the time at which the process started.
 	StartedAt time.Time
 	// Seeds are the routers of the static settings, this one included or not. They also are the holders of claims.
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -75,8 +75,19 @@
 // Load returns the requests at this router by rule.
 func (c *Core) Load() map[string]dispatch.RuleLoad { return c.dispatch.Load() }
 
-// LastPlan returns the latest plan of a group that this router made or heard of, in one sentence.
-func (c *Core) LastPlan(group string) string { return c.lastPlan[group] }
+// Plan is a role plan of a group, for people.
+type Plan struct {
+	// Sentence is the plan in one plain sentence; empty before the first.
+	Sentence string
+	// MadeAt is when this router made it.
+	MadeAt time.Time
+}
+
+// LastPlan returns the latest plan of a group that this router made. Another router may have made a later one.
+func (c *Core) LastPlan(group string) Plan { return c.lastPlan[group] }
+
+// AdminAddress returns host:port of the admin API of a router, or an empty string before its first digest.
+func (c *Core) AdminAddress(router string) string { return c.owners.AdminAddress(router) }
 
 // KnownRequests returns the label sets of recent requests, each once.
 func (c *Core) KnownRequests() []map[string]string { return slices.Clone(c.seen.sets) }
--- a/internal/routerprogram/backend.go
+++ b/internal/routerprogram/backend.go
@@ -30,6 +30,8 @@
 	stateUnreachable = "unreachable"
 	stateLeaving     = "leaving"
 	stateSetAside    = "set-aside"
+	// stateUnknown is that of an engine whose owner did not answer.
+	stateUnknown = "unknown"
 )
 
 // reportStaleAfter is the age at which an engine without a new load report counts as unreachable.
@@ -48,8 +50,22 @@
 }
 
 // FleetStatus implements adminapi.Backend.
-func (b backend) FleetStatus(context.Context) (adminapi.FleetStatus, error) {
-	return read(b, fleetStatus), nil
+func (b backend) FleetStatus(ctx context.Context) (adminapi.FleetStatus, error) {
+	status := read(b, fleetStatus)
+	fleet := b.fleet(ctx)
+	engines := fleet.joinEngines(read(b, engineStatuses))
+	status.EngineStates = lo.CountValuesBy(engines, func(each adminapi.EngineStatus) string { return each.State })
+	status.RunningRequests, status.WaitingRequests, status.RoleChanges = 0, 0, 0
+	for _, view := range fleet.views {
+		requests := lo.Values(view.Requests)
+		status.RunningRequests += lo.SumBy(requests, func(count adminapi.RequestCount) int { return count.Running })
+		status.WaitingRequests += lo.SumBy(requests, func(count adminapi.RequestCount) int { return count.Waiting })
+		status.RoleChanges += view.RoleChanges
+	}
+	for _, name := range fleet.missing {
+		status.Warnings = append(status.Warnings, "router "+name+": it did not answer, so its requests are not counted and its engines are shown as unknown")
+	}
+	return status, nil
 }
 
 func fleetStatus(now time.Time, c *router.Core) adminapi.FleetStatus {
@@ -75,7 +91,7 @@
 		Warnings:              []string{},
 	}
 	if snapshot := c.Configuration().Snapshot(); snapshot != nil {
-		status.Warnings = configuration.Warnings(snapshot.Document(), knownEngines(now, c))
+		status.Warnings = append(status.Warnings, configuration.Warnings(snapshot.Document(), knownEngines(now, c))...)
 	}
 	return status
 }
@@ -83,8 +99,8 @@
 func isAlive(member membership.Member) bool { return member.State == membership.StateAlive }
 
 // Engines implements adminapi.Backend.
-func (b backend) Engines(context.Context) ([]adminapi.EngineStatus, error) {
-	return read(b, engineStatuses), nil
+func (b backend) Engines(ctx context.Context) ([]adminapi.EngineStatus, error) {
+	return b.fleet(ctx).joinEngines(read(b, engineStatuses)), nil
 }
 
 func engineStatuses(now time.Time, c *router.Core) []adminapi.EngineStatus {
@@ -141,16 +157,18 @@
 }
 
 // Groups implements adminapi.Backend.
-func (b backend) Groups(context.Context) ([]adminapi.GroupStatus, error) {
-	return read(b, groupStatuses), nil
+func (b backend) Groups(ctx context.Context) ([]adminapi.GroupStatus, error) {
+	fleet := b.fleet(ctx)
+	engines := fleet.joinEngines(read(b, engineStatuses))
+	return read(b, func(_ time.Time, c *router.Core) []adminapi.GroupStatus {
+		return groupStatuses(c.Configuration().Snapshot(), engines, fleet)
+	}), nil
 }
 
-func groupStatuses(now time.Time, c *router.Core) []adminapi.GroupStatus {
-	snapshot := c.Configuration().Snapshot()
+func groupStatuses(snapshot *configuration.Snapshot, engines []adminapi.EngineStatus, fleet fleetView) []adminapi.GroupStatus {
 	if snapshot == nil {
 		return []adminapi.GroupStatus{}
 	}
-	engines := engineStatuses(now, c)
 	return lo.Map(snapshot.Groups(), func(group configuration.Group, _ int) adminapi.GroupStatus {
 		members := lo.Filter(engines, func(each adminapi.EngineStatus, _ int) bool { return each.Group == group.Name })
 		return adminapi.GroupStatus{
@@ -167,28 +185,29 @@
 			RunningRequests: lo.SumBy(members, func(each adminapi.EngineStatus) int { return each.RunningRequests }),
 			WaitingRequests: lo.SumBy(members, func(each adminapi.EngineStatus) int { return each.WaitingRequests }),
 			ChangeCost:      group.RolePolicy.ChangeCost,
-			Plan:            c.LastPlan(group.Name),
+			Plan:            fleet.plan(group.Name),
 		}
 	})
 }
 
 // Rules implements adminapi.Backend.
-func (b backend) Rules(context.Context) ([]adminapi.RuleStatus, error) {
+func (b backend) Rules(ctx context.Context) ([]adminapi.RuleStatus, error) {
+	fleet := b.fleet(ctx)
 	return read(b, func(_ time.Time, c *router.Core) []adminapi.RuleStatus {
 		snapshot := c.Configuration().Snapshot()
 		if snapshot == nil {
 			return []adminapi.RuleStatus{}
 		}
-		loads := c.Load()
 		return lo.Map(snapshot.Rules(), func(rule configuration.Rule, _ int) adminapi.RuleStatus {
+			requests := fleet.requests(rule.Name)
 			return adminapi.RuleStatus{
 				Name:            rule.Name,
 				Precedence:      rule.Precedence,
 				RequestSelector: rule.RequestSelector,
 				Groups:          rule.Groups,
 				Priority:        rule.Priority,
-				RunningRequests: loads[rule.Name].Running,
-				WaitingRequests: loads[rule.Name].Waiting,
+				RunningRequests: requests.Running,
+				WaitingRequests: requests.Waiting,
 			}
 		})
 	}), nil
@@ -206,6 +225,7 @@
 				Zone:           member.Zone,
 				Incarnation:    member.Incarnation,
 				Address:        member.Address,
+				AdminAddress:   c.AdminAddress(member.Name),
 				State:          string(member.State),
 				ConfigRevision: lo.ValueOr(behind, member.Name, c.Configuration().Revision()),
 				OwnedEngines:   owned[member.Name],
--- a/internal/routerprogram/program.go
+++ b/internal/routerprogram/program.go
@@ -62,6 +62,7 @@
 	addresses Addresses
 	failed    chan error
 	edits     editWaiters
+	views     fleetViews
 }
 
 // Addresses are where a router listens.
@@ -150,7 +151,27 @@
 	seeds := lo.Map(options.Settings.Peers, func(peer settings.Peer, _ int) membership.Member {
 		return membership.Member{Name: peer.Name, Address: peer.Address, Zone: peer.Zone}
 	})
-	return router.New(router.Settings{Self: self, StartedAt: time.Now(), Seeds: seeds}, rand.New(rand.NewPCG(self.GetIncarnation(), rand.Uint64()))), nil
+	addresses := do.MustInvoke[*Program](injector).addresses
+	return router.New(router.Settings{
+		Self:         self,
+		AdminAddress: reachable(addresses.Admin, self.GetAddress()),
+		StartedAt:    time.Now(),
+		Seeds:        seeds,
+	}, rand.New(rand.NewPCG(self.GetIncarnation(), rand.Uint64()))), nil
+}
+
+// reachable returns the address of a listener as others reach it: one that listens at all interfaces is reached at the
+// host at which peers reach the process.
+func reachable(listening, peers string) string {
+	host, port, err := net.SplitHostPort(listening)
+	if err != nil || !net.ParseIP(host).IsUnspecified() {
+		return listening
+	}
+	peersHost, _, err := net.SplitHostPort(peers)
+	if err != nil {
+		return listening
+	}
+	return net.JoinHostPort(peersHost, port)
 }
 
 func newDecisions(injector do.Injector) (*decisionlog.Log, error) {
