--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -28,6 +28,9 @@
 func (b *fakeBackend) FleetStatus(context.Context) (FleetStatus, error) {
 	return FleetStatus{Router: "router-a-1"}, nil
 }
+func (b *fakeBackend) RouterView(context.Context) (RouterView, error) {
+	return RouterView{Router: "router-a-1"}, nil
+}
 func (b *fakeBackend) Engines(context.Context) ([]EngineStatus, error) {
 	return nil, errors.New("the router is starting")
 }
--- a/internal/adminapi/register.go
+++ b/internal/adminapi/register.go
@@ -65,25 +65,36 @@
 }
 
 func registerDecisions(api huma.API, backend Backend) {
+	RegisterDecisionLog(api, func(ctx context.Context) (string, error) {
+		view, err := backend.RouterView(ctx)
+		return view.Router, err
+	}, backend.Decisions)
+	stream := huma.Operation{OperationID: "decisions-stream", Method: http.MethodGet, Path: PathDecisionsStream, Summary: "Decisions as they fall"}
+	events := map[string]any{eventDecision: decision.Record{}, eventHeartbeat: Heartbeat{}}
+	sse.Register(api, stream, events, func(ctx context.Context, filter *StreamFilter, send sse.Sender) {
+		streamDecisions(ctx, backend, *filter, send)
+	})
+}
+
+// RegisterDecisionLog adds the handlers that read the kept decisions of one process, which may be an agent: the list, and
+// those about one request. Process returns the name of the process, latest its decisions with a sequence above since.
+func RegisterDecisionLog(api huma.API, process func(context.Context) (string, error), latest func(since uint64) []decision.Record) {
 	list := huma.Operation{OperationID: "decisions", Method: http.MethodGet, Path: PathDecisions, Summary: "The kept decisions, oldest first"}
 	huma.Register(api, list, func(_ context.Context, filter *DecisionFilter) (*typedBody[DecisionList], error) {
-		return &typedBody[DecisionList]{Body: DecisionList{Decisions: filter.Select(backend.Decisions(filter.Since))}}, nil
+		return &typedBody[DecisionList]{Body: DecisionList{Decisions: filter.Select(latest(filter.Since))}}, nil
 	})
-	explain := huma.Operation{OperationID: "explain", Method: http.MethodGet, Path: PathExplain, Summary: "What this router decided about one request"}
+	explain := huma.Operation{OperationID: "explain", Method: http.MethodGet, Path: PathExplain, Summary: "What this process decided about one request"}
 	huma.Register(api, explain, func(ctx context.Context, input *explainInput) (*typedBody[Explanation], error) {
-		status, err := backend.FleetStatus(ctx)
+		name, err := process(ctx)
 		if err != nil {
 			return nil, unavailable(err)
 		}
-		filter := DecisionFilter{Request: input.Request}
-		return &typedBody[Explanation]{Body: Explanation{
-			Request: input.Request, Router: status.Router, Decisions: filter.Select(backend.Decisions(0)),
-		}}, nil
-	})
-	stream := huma.Operation{OperationID: "decisions-stream", Method: http.MethodGet, Path: PathDecisionsStream, Summary: "Decisions as they fall"}
-	events := map[string]any{eventDecision: decision.Record{}, eventHeartbeat: Heartbeat{}}
-	sse.Register(api, stream, events, func(ctx context.Context, filter *StreamFilter, send sse.Sender) {
-		streamDecisions(ctx, backend, *filter, send)
+		kept := latest(0)
+		explanation := Explanation{Request: input.Request, Router: name, Decisions: DecisionFilter{Request: input.Request}.Select(kept)}
+		if len(kept) > 0 {
+			explanation.KeptSince = kept[0].Time
+		}
+		return &typedBody[Explanation]{Body: explanation}, nil
 	})
 }
 
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -81,8 +81,9 @@
 	WaitingRequests int `json:"waitingRequests"`
 	// ChangeCost in answers per role change.
 	ChangeCost float64 `json:"changeCost"`
-	// Plan is the latest role plan in one plain sentence.
-	Plan string `json:"plan"`
+	// Plan is the latest role plan in one plain sentence, and PlanMadeAt its time. Both are empty before the first.
+	Plan       string    `json:"plan"`
+	PlanMadeAt time.Time `json:"planMadeAt,omitzero"`
 }
 
 // RuleStatus is one rule as a router sees it, in the order in which rules are tried.
@@ -190,11 +191,13 @@
 	Decisions []decision.Record `json:"decisions"`
 }
 
-// Explanation is what one router knows of one request.
+// Explanation is what one process knows of one request.
 type Explanation struct {
 	Request string `json:"request"`
-	// Router that answers.
+	// Router that answers, or agent.
 	Router string `json:"router"`
+	// KeptSince is the time of the oldest decision that the process still has; zero when it has none.
+	KeptSince time.Time `json:"keptSince,omitzero"`
 	// Decisions about the request, oldest first.
 	Decisions []decision.Record `json:"decisions"`
 }
--- /dev/null
+++ b/internal/adminpage/page.go
@@ -0,0 +1,40 @@
+// Package adminpage is the page on a router's admin port: zones, engines, requests, groups, routers and decisions as they
+// fall, in words. It is embedded and loads nothing from elsewhere.
+package adminpage
+
+import (
+	"embed"
+	"io/fs"
+	"net/http"
+)
+
+//go:embed assets
+var embedded embed.FS
+
+// securityPolicy lets the page load and ask only the router that served it.
+const securityPolicy = "default-src 'none'; script-src 'self'; style-src 'self'; connect-src 'self'; img-src data:; " +
+	"base-uri 'none'; form-action 'none'; frame-ancestors 'none'"
+
+// Register adds the page at "/" and its files under "/page/".
+func Register(mux *http.ServeMux) {
+	files, err := fs.Sub(embedded, "assets")
+	if err != nil {
+		panic(err) // the folder is embedded
+	}
+	serve := secured(http.FileServerFS(files))
+	mux.Handle("GET /{$}", serve)
+	mux.Handle("GET /page/", http.StripPrefix("/page", serve))
+}
+
+// secured adds the headers that keep the page apart from other sites.
+func secured(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		header := writer.Header()
+		header.Set("Content-Security-Policy", securityPolicy)
+		header.Set("X-Content-Type-Options", "nosniff")
+		header.Set("Referrer-Policy", "no-referrer")
+		// A router of another version may answer next.
+		header.Set("Cache-Control", "no-cache")
+		next.ServeHTTP(writer, request)
+	})
+}
--- a/internal/agentprogram/program.go
+++ b/internal/agentprogram/program.go
@@ -190,6 +190,8 @@
 	options := do.MustInvoke[Options](injector)
 	return agentserver.New(agentserver.Settings{
 		Version:          options.Version,
+		Name:             options.Settings.Name,
+		Decisions:        do.MustInvoke[*decisionlog.Log](injector).Latest,
 		DefaultTenant:    options.Settings.DefaultTenant,
 		MaxBodyBytes:     options.Settings.MaxBodyBytes,
 		DefaultMaxTokens: options.Settings.DefaultMaxTokens,
--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -3,6 +3,7 @@
 package agentserver
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -12,8 +13,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/granitebay/granitebay/internal/adminapi"
 	"github.com/granitebay/granitebay/internal/agent"
 	"github.com/granitebay/granitebay/internal/core"
+	"github.com/granitebay/granitebay/internal/decision"
 )
 
 // Defaults of Settings.
@@ -45,6 +48,9 @@
 	DefaultMaxTokens uint32
 	// StopRetryAfter is what callers are told while the agent stops. Default 1 s.
 	StopRetryAfter time.Duration
+	// Name of the agent, and its kept decisions with a sequence above since, for operators. Nil serves none.
+	Name      string
+	Decisions func(since uint64) []decision.Record
 	// Registry takes the metrics. Default: one of its own.
 	Registry *prometheus.Registry
 }
@@ -99,7 +105,11 @@
 	server.mux.HandleFunc("GET /healthz", server.serveHealth)
 	server.mux.HandleFunc("GET /readyz", server.serveReady)
 	server.mux.Handle("GET /metrics", promhttp.HandlerFor(settings.Registry, promhttp.HandlerOpts{}))
-	server.registerOperations(humago.New(server.mux, server.humaConfig()))
+	api := humago.New(server.mux, server.humaConfig())
+	server.registerOperations(api)
+	if settings.Decisions != nil {
+		adminapi.RegisterDecisionLog(api, func(context.Context) (string, error) { return settings.Name, nil }, settings.Decisions)
+	}
 	return server
 }
 
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -26,6 +26,12 @@
 	KindEngine        Kind = "engine"        // an engine was found ready, changing, crashed or set aside
 )
 
+// Kinds are all kinds, those about requests first.
+var Kinds = []Kind{
+	KindRoute, KindQueue, KindDispatch, KindShed, KindRetry, KindOutcome, KindClaim, KindDrain, KindOrder, KindWithdraw,
+	KindPlan, KindOwnership, KindConfiguration, KindMembership, KindEngine,
+}
+
 // Candidate is one alternative that was weighed.
 type Candidate struct {
 	// Name of the engine, router or role.
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -41,6 +41,10 @@
 func (configHistoryCommand) Run(s *session) error {
 	header := table.Row{"Revision", "Time", "Author", "Change", "Fields"}
 	return show(s, s.client.ConfigHistory, func(writer io.Writer, history adminapi.ConfigHistory) error {
+		if len(history.Changes) == 0 {
+			fmt.Fprintln(writer, "no edit is recorded")
+			return nil
+		}
 		return printTable(writer, header, lo.Map(history.Changes, func(change configuration.Change, _ int) table.Row {
 			when := time.UnixMilli(change.UnixMillis).UTC().Format(time.RFC3339)
 			return table.Row{change.Revision, when, orNone(change.Author), change.ChangeID, fieldSummary(change.Fields)}
--- a/internal/operator/decisions.go
+++ b/internal/operator/decisions.go
@@ -1,12 +1,10 @@
 package operator
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
 
@@ -17,17 +15,37 @@
 	"github.com/granitebay/granitebay/internal/decision"
 )
 
-// timeLayout of decisions.
-const timeLayout = "15:04:05.000"
+const (
+	// timeLayout of decisions.
+	timeLayout = "15:04:05.000"
+	// followedAtStart is how many earlier decisions --follow shows by default.
+	followedAtStart = 20
+	// overlap bounds the decisions of each router that may fall between the list and the stream.
+	overlap = 1000
+)
 
-// decisionsCommand shows decisions of one router.
+// decisionsCommand shows the decisions of all routers.
 type decisionsCommand struct {
-	Follow  bool   `help:"Go on showing decisions as they fall."`
-	Kind    string `help:"Only this kind, for example route, dispatch, order or plan."`
-	Engine  string `help:"Only decisions about this engine."`
-	Group   string `help:"Only decisions about this group."`
-	Request string `help:"Only decisions about this request."`
-	Subject string `help:"Only decisions with exactly this subject."`
+	Follow     bool   `help:"Go on showing decisions as they fall." short:"f"`
+	Last       int    `help:"Only so many of the latest; by default all that are kept, or 20 with --follow."`
+	ThisRouter bool   `help:"Only decisions of the router that is asked, not of all."`
+	Kind       string `help:"Only this kind, for example route, dispatch, order or plan."`
+	Engine     string `help:"Only decisions about this engine."`
+	Group      string `help:"Only decisions about this group."`
+	Request    string `help:"Only decisions about this request."`
+	Subject    string `help:"Only decisions with exactly this subject."`
+}
+
+// Validate checks what the types of the flags cannot say.
+func (d decisionsCommand) Validate() error {
+	if d.Last < 0 {
+		return errors.Newf("--last is %d, allowed is 0 or more", d.Last)
+	}
+	if d.Kind != "" && !slices.Contains(decision.Kinds, decision.Kind(d.Kind)) {
+		names := lo.Map(decision.Kinds, func(kind decision.Kind, _ int) string { return string(kind) })
+		return errors.Newf("--kind: there is no kind %q; the kinds are %s", d.Kind, strings.Join(names, ", "))
+	}
+	return nil
 }
 
 func (d decisionsCommand) filter() adminapi.DecisionFilter {
@@ -36,17 +54,18 @@
 
 // Run shows the decisions.
 func (d decisionsCommand) Run(s *session) error {
-	if d.Follow {
-		return d.follow(s)
-	}
-	ctx, cancel := s.limited()
-	defer cancel()
-	list, err := s.client.Decisions(ctx, d.filter())
+	records, err := d.list(s)
 	if err != nil {
 		return err
 	}
-	return s.print(list, func(writer io.Writer) error {
-		for _, record := range list.Decisions {
+	if d.Follow {
+		return d.follow(s, records)
+	}
+	if len(records) == 0 {
+		fmt.Fprintln(s.stderr, "no decision that is kept fits")
+	}
+	return s.print(adminapi.DecisionList{Decisions: d.latest(records, d.Last)}, func(writer io.Writer) error {
+		for _, record := range d.latest(records, d.Last) {
 			if err := printDecision(writer, record); err != nil {
 				return err
 			}
@@ -55,10 +74,72 @@
 	})
 }
 
-// follow shows decisions until the operator interrupts.
-func (d decisionsCommand) follow(s *session) error {
-	err := s.client.FollowDecisions(s.context, d.filter(), func(record decision.Record) error {
-		return s.printStreamed(record)
+// latest returns the last of the records; all when last is zero.
+func (d decisionsCommand) latest(records []decision.Record, last int) []decision.Record {
+	if last == 0 || len(records) <= last {
+		return records
+	}
+	return records[len(records)-last:]
+}
+
+// list returns the kept decisions, in order of time. Routers that did not answer are named on the standard error.
+func (d decisionsCommand) list(s *session) ([]decision.Record, error) {
+	ctx, cancel := s.limited()
+	defer cancel()
+	if d.ThisRouter {
+		list, err := s.client.Decisions(ctx, d.filter())
+		return list.Decisions, err
+	}
+	processes, gaps := routerProcesses(ctx, s)
+	answers := askAll(ctx, processes, func(ctx context.Context, client *adminapi.Client) (adminapi.DecisionList, error) {
+		return client.Decisions(ctx, d.filter())
+	})
+	var records []decision.Record
+	failures := 0
+	for _, answer := range answers {
+		if answer.err != nil {
+			failures++
+			gaps = append(gaps, answer.process.gap(answer.err))
+		}
+		records = append(records, answer.value.Decisions...)
+	}
+	if failures == len(answers) {
+		return nil, errors.Newf("no router answered: %s", strings.Join(gaps, "; "))
+	}
+	printList(s.stderr, "missing", gaps)
+	return inOrder(records), nil
+}
+
+// follow shows the latest decisions and then new ones, until the operator interrupts.
+func (d decisionsCommand) follow(s *session, earlier []decision.Record) error {
+	seen := make(map[string]decision.Record)
+	for _, record := range earlier {
+		seen[record.Process] = record
+	}
+	for _, record := range d.latest(earlier, lo.CoalesceOrEmpty(d.Last, followedAtStart)) {
+		if err := s.printStreamed(record); err != nil {
+			return err
+		}
+	}
+	missing := ""
+	filter := adminapi.StreamFilter{DecisionFilter: d.filter(), Fleet: !d.ThisRouter, Latest: overlap}
+	err := s.client.Follow(s.context, filter, adminapi.StreamHandler{
+		Decision: func(record decision.Record) error {
+			// A process that started again counts from 1, later.
+			if last, found := seen[record.Process]; found && record.Sequence <= last.Sequence && !record.Time.After(last.Time) {
+				return nil
+			}
+			seen[record.Process] = record
+			return s.printStreamed(record)
+		},
+		Heartbeat: func(heartbeat adminapi.Heartbeat) error {
+			now := strings.Join(heartbeat.NotFollowed, ", ")
+			if now != missing {
+				fmt.Fprintf(s.stderr, "%s missing are the decisions of: %s\n", heartbeat.Time.UTC().Format(timeLayout), lo.CoalesceOrEmpty(now, "no router any more"))
+			}
+			missing = now
+			return nil
+		},
 	})
 	if s.context.Err() != nil {
 		return nil
@@ -86,88 +167,3 @@
 		record.Time.UTC().Format(timeLayout), record.Process, record.Kind, record.Subject, outcome, record.Reason)
 	return err
 }
-
-// explainCommand shows all decisions about one request, from all routers that can be asked.
-type explainCommand struct {
-	Request string `arg:"" help:"Id of the request."`
-}
-
-// explained is what all routers know of a request.
-type explained struct {
-	Request   string            `json:"request"`
-	Decisions []decision.Record `json:"decisions"`
-	// Unasked are the routers that could not be asked.
-	Unasked []string `json:"unasked,omitempty"`
-}
-
-// Run shows the decisions about the request.
-func (e explainCommand) Run(s *session) error {
-	ctx, cancel := s.limited()
-	defer cancel()
-	result := e.collect(ctx, s)
-	if len(result.Decisions) == 0 {
-		return errors.Newf("no router that was asked has a decision about request %s%s", e.Request,
-			lo.Ternary(len(result.Unasked) == 0, "", "; not asked: "+strings.Join(result.Unasked, ", ")))
-	}
-	return s.print(result, func(writer io.Writer) error { return printExplained(writer, result) })
-}
-
-// collect asks every router for its decisions and puts them in order of time.
-func (e explainCommand) collect(ctx context.Context, s *session) explained {
-	result := explained{Request: e.Request}
-	for _, address := range routerAddresses(ctx, s) {
-		client := adminapi.NewClient([]string{address}, http.DefaultClient)
-		explanation, err := client.Explain(ctx, e.Request)
-		if err != nil {
-			result.Unasked = append(result.Unasked, address)
-			continue
-		}
-		result.Decisions = append(result.Decisions, explanation.Decisions...)
-	}
-	result.Decisions = lo.UniqBy(result.Decisions, func(record decision.Record) string {
-		return fmt.Sprintf("%s/%d", record.Process, record.Sequence)
-	})
-	slices.SortStableFunc(result.Decisions, func(a, b decision.Record) int {
-		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Process, b.Process), cmp.Compare(a.Sequence, b.Sequence))
-	})
-	return result
-}
-
-// routerAddresses returns the given addresses and those of all routers that a router knows.
-func routerAddresses(ctx context.Context, s *session) []string {
-	addresses := slices.Clone(s.client.Addresses())
-	routers, err := s.client.Routers(ctx)
-	if err != nil {
-		return addresses
-	}
-	for _, router := range routers {
-		if router.AdminAddress != "" {
-			addresses = append(addresses, router.AdminAddress)
-		}
-	}
-	return lo.Uniq(addresses)
-}
-
-func printExplained(writer io.Writer, result explained) error {
-	fmt.Fprintf(writer, "request %s: %d decisions\n", result.Request, len(result.Decisions))
-	for _, record := range result.Decisions {
-		if err := printDecision(writer, record); err != nil {
-			return err
-		}
-		for _, candidate := range record.Candidates {
-			fmt.Fprintf(writer, "    %s\n", describeCandidate(candidate))
-		}
-		if len(record.Inputs) > 0 {
-			fmt.Fprintf(writer, "    inputs %s\n", pairs(record.Inputs))
-		}
-	}
-	printList(writer, "routers that could not be asked", result.Unasked)
-	return nil
-}
-
-func describeCandidate(candidate decision.Candidate) string {
-	if candidate.FilteredBy != "" {
-		return fmt.Sprintf("%s left out by %s", candidate.Name, candidate.FilteredBy)
-	}
-	return fmt.Sprintf("%s scored %.3f", candidate.Name, candidate.Score)
-}
--- a/internal/operator/edit.go
+++ b/internal/operator/edit.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
+	"github.com/samber/lo"
 
 	"github.com/granitebay/granitebay/internal/adminapi"
 	"github.com/granitebay/granitebay/internal/configuration"
@@ -148,6 +149,9 @@
 	if err != nil {
 		return err
 	}
+	if engines, err := s.client.Engines(ctx); err == nil && !lo.ContainsBy(engines, func(each adminapi.EngineStatus) bool { return each.Name == l.Name }) {
+		fmt.Fprintf(s.stderr, "note: no engine %s is known now; the labels count once one of this name is there\n", l.Name)
+	}
 	return l.propose(s, ctx, document.Revision, edits)
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
 	"github.com/granitebay/granitebay/internal/adminapi"
 	"github.com/granitebay/granitebay/internal/command"
@@ -36,7 +38,7 @@
 	Validate  validateCommand  `cmd:"" help:"Check a file, without a router."`
 	Config    configCommand    `cmd:"" help:"Show how far the configuration got around, and its edits."`
 	Decisions decisionsCommand `cmd:"" help:"Show what the system decided and why."`
-	Explain   explainCommand   `cmd:"" help:"Show all decisions about one request."`
+	Explain   explainCommand   `cmd:"" help:"Show all decisions about one request, from all processes that it touched."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
 
 	Order    refusedCommand `cmd:"" hidden:""`
@@ -97,8 +99,9 @@
 	if err != nil {
 		return report(stderr, badInput(errors.Newf("%s (try %s --help)", err, Name)))
 	}
+	addresses := lo.Map(parsed.Router, func(address string, _ int) string { return hostPort(address) })
 	current := &session{
-		context: ctx, client: adminapi.NewClient(parsed.Router, http.DefaultClient),
+		context: ctx, client: adminapi.NewClient(addresses, http.DefaultClient),
 		stdout: stdout, stderr: stderr, output: outputFormat(parsed.Output), timeout: parsed.Timeout,
 	}
 	return report(stderr, chosen.Run(current))
@@ -113,6 +116,11 @@
 	)
 }
 
+// hostPort takes the host:port out of an address that was copied as a URL.
+func hostPort(address string) string {
+	return strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/")
+}
+
 // report prints an error and returns the exit code that fits.
 func report(stderr io.Writer, err error) int {
 	if err == nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -32,6 +32,9 @@
 func (r *fakeRouter) FleetStatus(context.Context) (adminapi.FleetStatus, error) {
 	return adminapi.FleetStatus{Router: r.name, Zone: "zone-a", Ready: true, Engines: 12, EngineStates: map[string]int{"ready": 12}}, nil
 }
+func (r *fakeRouter) RouterView(context.Context) (adminapi.RouterView, error) {
+	return adminapi.RouterView{Router: r.name}, nil
+}
 func (r *fakeRouter) Engines(context.Context) ([]adminapi.EngineStatus, error) {
 	return []adminapi.EngineStatus{{Name: "engine-a-1", Group: "counter", Role: "prefill", MemoryUsed: 1, MemoryTotal: 4}}, nil
 }
--- a/internal/operator/show.go
+++ b/internal/operator/show.go
@@ -27,8 +27,8 @@
 		fmt.Fprintf(writer, "configuration   revision %d, %s\n", status.ConfigRevision, everywhere)
 		fmt.Fprintf(writer, "routers         %d live\n", status.LiveRouters)
 		fmt.Fprintf(writer, "engines         %d (%s)\n", status.Engines, counts(status.EngineStates))
-		fmt.Fprintf(writer, "requests        %d running, %d waiting at this router\n", status.RunningRequests, status.WaitingRequests)
-		fmt.Fprintf(writer, "role changes    %d ordered by this router\n", status.RoleChanges)
+		fmt.Fprintf(writer, "requests        %d running, %d waiting\n", status.RunningRequests, status.WaitingRequests)
+		fmt.Fprintf(writer, "role changes    %d since the routers started\n", status.RoleChanges)
 		printList(writer, "warnings", status.Warnings)
 		return nil
 	})
@@ -36,10 +36,10 @@
 
 // getCommand shows objects.
 type getCommand struct {
-	Engines getEngines `cmd:"" help:"Show all engines."`
-	Groups  getGroups  `cmd:"" help:"Show all groups."`
-	Rules   getRules   `cmd:"" help:"Show all rules, in the order in which they are tried."`
-	Routers getRouters `cmd:"" help:"Show all routers."`
+	Engines getEngines `cmd:"" aliases:"engine" help:"Show all engines."`
+	Groups  getGroups  `cmd:"" aliases:"group" help:"Show all groups."`
+	Rules   getRules   `cmd:"" aliases:"rule" help:"Show all rules, in the order in which they are tried."`
+	Routers getRouters `cmd:"" aliases:"router" help:"Show all routers."`
 	Config  getConfig  `cmd:"" help:"Show the configuration in force, as a file for apply."`
 }
 
--- a/internal/routerprogram/admin.go
+++ b/internal/routerprogram/admin.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/adminpage"
 	"github.com/granitebay/granitebay/internal/command"
 )
 
@@ -27,6 +28,7 @@
 	config := huma.DefaultConfig("granitebay router", command.Version())
 	config.CreateHooks = nil
 	adminapi.Register(humago.New(mux, config), backend{program: p})
+	adminpage.Register(mux)
 	return mux
 }
 
--- a/internal/routerprogram/backend.go
+++ b/internal/routerprogram/backend.go
@@ -170,6 +170,7 @@
 		return []adminapi.GroupStatus{}
 	}
 	return lo.Map(snapshot.Groups(), func(group configuration.Group, _ int) adminapi.GroupStatus {
+		plan := fleet.plan(group.Name)
 		members := lo.Filter(engines, func(each adminapi.EngineStatus, _ int) bool { return each.Group == group.Name })
 		return adminapi.GroupStatus{
 			Name:           group.Name,
@@ -185,7 +186,8 @@
 			RunningRequests: lo.SumBy(members, func(each adminapi.EngineStatus) int { return each.RunningRequests }),
 			WaitingRequests: lo.SumBy(members, func(each adminapi.EngineStatus) int { return each.WaitingRequests }),
 			ChangeCost:      group.RolePolicy.ChangeCost,
-			Plan:            fleet.plan(group.Name),
+			Plan:            plan.Sentence,
+			PlanMadeAt:      plan.MadeAt,
 		}
 	})
 }
--- a/internal/routerprogram/fleetview.go
+++ b/internal/routerprogram/fleetview.go
@@ -165,12 +165,12 @@
 }
 
 // plan returns the latest plan of a group.
-func (v fleetView) plan(group string) string {
+func (v fleetView) plan(group string) adminapi.PlanNote {
 	latest := adminapi.PlanNote{}
 	for _, view := range v.views {
 		if note := view.Plans[group]; note.MadeAt.After(latest.MadeAt) {
 			latest = note
 		}
 	}
-	return latest.Sentence
+	return latest
 }
