--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -26,10 +26,10 @@
 	LiveRouters  int            `json:"liveRouters"`
 	Engines      int            `json:"engines"`
 	EngineStates map[string]int `json:"engineStates"`
-	// Requests that run or wait at this router.
+	// Requests that run or wait, at all routers that answered.
 	RunningRequests int `json:"runningRequests"`
 	WaitingRequests int `json:"waitingRequests"`
-	// RoleChanges that this router ordered since it started.
+	// RoleChanges that the routers that answered ordered since they started.
 	RoleChanges int `json:"roleChanges"`
 	// Warnings in plain sentences.
 	Warnings []string `json:"warnings"`
@@ -45,7 +45,8 @@
 	Owner string `json:"owner"`
 	// Labels of the platform and of the operators together.
 	Labels map[string]string `json:"labels"`
-	// State is "ready", "draining", "changing", "starting", "unreachable", "leaving" or "set-aside".
+	// State is "ready", "draining", "changing", "starting", "unreachable", "leaving" or "set-aside", as the owner has it.
+	// It is "unknown" when the owner did not answer.
 	State string `json:"state"`
 	// Role, model, version and adapters that the engine has.
 	Role         string   `json:"role"`
@@ -80,8 +81,9 @@
 	WaitingRequests int `json:"waitingRequests"`
 	// ChangeCost in answers per role change.
 	ChangeCost float64 `json:"changeCost"`
-	// Plan is the latest role plan in one plain sentence.
-	Plan string `json:"plan"`
+	// Plan is the latest role plan in one plain sentence, and PlanMadeAt its time. Both are empty before the first.
+	Plan       string    `json:"plan"`
+	PlanMadeAt time.Time `json:"planMadeAt,omitzero"`
 }
 
 // RuleStatus is one rule as a router sees it, in the order in which rules are tried.
@@ -91,11 +93,37 @@
 	RequestSelector string   `json:"requestSelector"`
 	Groups          []string `json:"groups"`
 	Priority        int32    `json:"priority"`
-	// RunningRequests and WaitingRequests at this router.
+	// RunningRequests and WaitingRequests at all routers that answered.
 	RunningRequests int `json:"runningRequests"`
 	WaitingRequests int `json:"waitingRequests"`
 }
 
+// RouterView is what only the router that answers knows. The routers ask each other for it to show the whole fleet.
+type RouterView struct {
+	Router      string `json:"router"`
+	Incarnation uint64 `json:"incarnation"`
+	// Engines that the router owns.
+	Engines []EngineStatus `json:"engines"`
+	// Requests at the router, by rule.
+	Requests map[string]RequestCount `json:"requests"`
+	// Plans that the router made, the latest of each group.
+	Plans map[string]PlanNote `json:"plans"`
+	// RoleChanges that the router ordered since it started.
+	RoleChanges int `json:"roleChanges"`
+}
+
+// RequestCount counts requests at a router.
+type RequestCount struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
+
+// PlanNote is a role plan in one plain sentence.
+type PlanNote struct {
+	Sentence string    `json:"sentence"`
+	MadeAt   time.Time `json:"madeAt"`
+}
+
 // RouterStatus is one router as another sees it.
 type RouterStatus struct {
 	Name        string `json:"name"`
@@ -163,11 +191,13 @@
 	Decisions []decision.Record `json:"decisions"`
 }
 
-// Explanation is what one router knows of one request.
+// Explanation is what one process knows of one request.
 type Explanation struct {
 	Request string `json:"request"`
-	// Router that answers.
+	// Router that answers, or agent.
 	Router string `json:"router"`
+	// KeptSince is the time of the oldest decision that the process still has; zero when it has none.
+	KeptSince time.Time `json:"keptSince,omitzero"`
 	// Decisions about the request, oldest first.
 	Decisions []decision.Record `json:"decisions"`
 }
@@ -175,4 +205,6 @@
 // Heartbeat shows on a quiet stream that the router is there.
 type Heartbeat struct {
 	Time time.Time `json:"time"`
+	// NotFollowed are the live routers whose decisions are missing from a stream of the whole fleet.
+	NotFollowed []string `json:"notFollowed,omitempty"`
 }
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -28,6 +28,7 @@
 		Demand:         c.dispatch.Demand(now),
 		UnreadyEngines: c.unreadyOwned(),
 		LeavingEngines: c.leavingEngines(),
+		AdminAddress:   c.settings.AdminAddress,
 	}
 	c.owners.HandleDigest(now, c.settings.Self, digest)
 	c.spread.Send(now, digest, effects)
