Router: engines that only another router asks show as unknown, not as unreachable

Cause: only the owner of an engine asks it for load reports, so at every other router the last report grows old, and 'granitebay get engines' and 'status' showed healthy engines of two zones out of three as unreachable. Ruled out: a fault of the engines; their owners showed them as ready. Change: an engine with an old report is unreachable only at its owner, or when nobody owns it; else its state is unknown.

--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -45,7 +45,8 @@
 	Owner string `json:"owner"`
 	// Labels of the platform and of the operators together.
 	Labels map[string]string `json:"labels"`
-	// State is "ready", "draining", "changing", "starting", "unreachable", "leaving" or "set-aside".
+	// State is "ready", "draining", "changing", "starting", "unreachable", "leaving", "set-aside", or "unknown" when only
+	// its owner gets its load reports.
 	State string `json:"state"`
 	// Role, model, version and adapters that the engine has.
 	Role         string   `json:"role"`
--- a/internal/routerprogram/backend.go
+++ b/internal/routerprogram/backend.go
@@ -28,6 +28,8 @@
 	stateChanging    = "changing"
 	stateStarting    = "starting"
 	stateUnreachable = "unreachable"
+	// stateUnknown is the state of an engine that only its owner, another router, asks for load reports.
+	stateUnknown = "unknown"
 	stateLeaving     = "leaving"
 	stateSetAside    = "set-aside"
 )
@@ -89,11 +91,11 @@
 
 func engineStatuses(now time.Time, c *router.Core) []adminapi.EngineStatus {
 	return lo.Map(c.Engines(), func(overview router.EngineOverview, _ int) adminapi.EngineStatus {
-		return engineStatus(now, overview)
+		return engineStatus(now, c.Self().GetName(), overview)
 	})
 }
 
-func engineStatus(now time.Time, overview router.EngineOverview) adminapi.EngineStatus {
+func engineStatus(now time.Time, self string, overview router.EngineOverview) adminapi.EngineStatus {
 	view := overview.View
 	status := adminapi.EngineStatus{
 		Name:            view.Name,
@@ -101,7 +103,7 @@
 		Group:           view.Group,
 		Owner:           overview.Owner,
 		Labels:          overview.Labels,
-		State:           engineState(now, overview),
+		State:           engineState(now, self, overview),
 		Role:            string(view.Configuration.Role),
 		Model:           view.Configuration.Model,
 		ModelVersion:    view.Configuration.ModelVersion,
@@ -119,8 +121,8 @@
 	return status
 }
 
-// engineState names the state of an engine.
-func engineState(now time.Time, overview router.EngineOverview) string {
+// engineState names the state of an engine as this router, self, knows it.
+func engineState(now time.Time, self string, overview router.EngineOverview) string {
 	view := overview.View
 	switch {
 	case view.Leaving:
@@ -132,7 +134,7 @@
 	case view.Changing:
 		return stateChanging
 	case overview.Reported && now.Sub(overview.Status.AsOf) > reportStaleAfter:
-		return stateUnreachable
+		return lo.Ternary(overview.Owner == "" || overview.Owner == self, stateUnreachable, stateUnknown)
 	case !view.Ready:
 		return stateStarting
 	default:
