--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -246,3 +246,16 @@
 		}
 	}
 }
+
+func TestClientTakesAddressesAndURLs(t *testing.T) {
+	address := serve(t, &fakeBackend{})
+	for _, given := range []string{address, "http://" + address, "http://" + address + "/"} {
+		client := NewClient([]string{given}, http.DefaultClient)
+		if _, err := client.FleetStatus(t.Context()); err != nil {
+			t.Errorf("status from %q: %v", given, err)
+		}
+		if got := client.Addresses(); len(got) != 1 || got[0] != address {
+			t.Errorf("addresses of %q are %q, want %q", given, got, address)
+		}
+	}
+}
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
@@ -22,9 +23,14 @@
 	http      *http.Client
 }
 
-// NewClient returns a client of routers at addresses host:port.
+// NewClient returns a client of routers at addresses host:port or http://host:port.
 func NewClient(addresses []string, httpClient *http.Client) *Client {
-	return &Client{addresses: addresses, http: httpClient}
+	return &Client{addresses: lo.Map(addresses, func(address string, _ int) string { return hostPort(address) }), http: httpClient}
+}
+
+// hostPort reduces a URL to its host:port.
+func hostPort(address string) string {
+	return strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/")
 }
 
 // Addresses returns the addresses of the routers.
