--- a/internal/routerprogram/backend.go
+++ b/internal/routerprogram/backend.go
@@ -29,9 +29,9 @@
 	stateStarting    = "starting"
 	stateUnreachable = "unreachable"
 	// stateUnknown is the state of an engine that only its owner, another router, asks for load reports.
-	stateUnknown = "unknown"
-	stateLeaving     = "leaving"
-	stateSetAside    = "set-aside"
+	stateUnknown  = "unknown"
+	stateLeaving  = "leaving"
+	stateSetAside = "set-aside"
 )
 
 // reportStaleAfter is the age at which an engine without a new load report counts as unreachable.
