Page, decisions over all routers: tests; rare kinds are not pushed out of the start of a stream

A browser at 360 and 1280 px showed no changes of roles in the list, because the latest records of a router are nearly all about requests; the start of a stream is now bounded by kind.

--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -23,6 +23,8 @@
 	waitErr  error
 	kept     []decision.Record
 	news     chan decision.Record
+	// others are decisions of another router.
+	others []decision.Record
 }
 
 func (b *fakeBackend) FleetStatus(context.Context) (FleetStatus, error) {
@@ -53,6 +55,16 @@
 }
 func (b *fakeBackend) FollowDecisions() (<-chan decision.Record, func()) { return b.news, func() {} }
 
+// FollowOthers hands out the decisions of the other router, and then counts a third one as not followed.
+func (b *fakeBackend) FollowOthers(ctx context.Context, _ StreamFilter, take func(decision.Record)) func() []string {
+	go func() {
+		for _, record := range b.others {
+			take(record)
+		}
+	}()
+	return func() []string { return []string{"router-c-1"} }
+}
+
 // serve starts the API on loopback and returns its address.
 func serve(t *testing.T, backend Backend) string {
 	t.Helper()
@@ -262,3 +274,47 @@
 		}
 	}
 }
+
+func TestStreamOfTheFleet(t *testing.T) {
+	own := decision.Record{Sequence: 1, Process: "router-a-1", Kind: decision.KindPlan}
+	other := decision.Record{Sequence: 1, Process: "router-b-1", Kind: decision.KindPlan}
+	backend := &fakeBackend{kept: []decision.Record{own}, news: make(chan decision.Record), others: []decision.Record{other}}
+	client := NewClient([]string{serve(t, backend)}, http.DefaultClient)
+	enough := errors.New("both came")
+	var got []string
+	err := client.Follow(t.Context(), StreamFilter{Fleet: true}, StreamHandler{Decision: func(record decision.Record) error {
+		got = append(got, record.Process)
+		if len(got) == 2 {
+			return enough
+		}
+		return nil
+	}})
+	if !errors.Is(err, enough) || got[0] != "router-a-1" || got[1] != "router-b-1" {
+		t.Errorf("got %v, %v", got, err)
+	}
+}
+
+func TestStartOfAStream(t *testing.T) {
+	records := []decision.Record{
+		{Sequence: 1, Kind: decision.KindPlan}, {Sequence: 2, Kind: decision.KindRoute}, {Sequence: 3, Kind: decision.KindRoute},
+		{Sequence: 4, Kind: decision.KindRoute},
+	}
+	tests := []struct {
+		desc   string
+		filter StreamFilter
+		want   []uint64
+	}{
+		{"no bound", StreamFilter{}, []uint64{1, 2, 3, 4}},
+		{"routine decisions leave room for rare ones", StreamFilter{Latest: 2}, []uint64{1, 3, 4}},
+		{"with a filter", StreamFilter{Latest: 1, DecisionFilter: DecisionFilter{Kind: "route"}}, []uint64{4}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			var got []uint64
+			for _, record := range test.filter.Kept(records) {
+				got = append(got, record.Sequence)
+			}
+			checkSequences(t, "kept", got, test.want)
+		})
+	}
+}
--- a/internal/adminapi/filter.go
+++ b/internal/adminapi/filter.go
@@ -34,17 +34,22 @@
 	DecisionFilter
 	// Fleet asks for the decisions of all live routers; otherwise the stream carries those of the router that is asked.
 	Fleet bool `query:"fleet" doc:"Decisions of all live routers, not only of this one."`
-	// Latest bounds the kept decisions at the start, for each router; zero is no bound.
-	Latest int `query:"latest" minimum:"0" doc:"At the start, only so many of the latest kept decisions of each router."`
+	// Latest bounds the kept decisions of each kind at the start, for each router, so that the decisions that come with
+	// every request do not push out rare ones; zero is no bound.
+	Latest int `query:"latest" minimum:"0" doc:"At the start, only so many of the latest kept decisions of each kind and router."`
 }
 
 // Kept returns the kept decisions with which a stream starts.
 func (f StreamFilter) Kept(records []decision.Record) []decision.Record {
 	selected := f.Select(records)
-	if f.Latest > 0 && len(selected) > f.Latest {
-		return selected[len(selected)-f.Latest:]
+	if f.Latest == 0 {
+		return selected
 	}
-	return selected
+	ofKind := lo.CountValuesBy(selected, func(record decision.Record) decision.Kind { return record.Kind })
+	return lo.Filter(selected, func(record decision.Record, _ int) bool {
+		ofKind[record.Kind]--
+		return ofKind[record.Kind] < f.Latest
+	})
 }
 
 // Query returns the filter as the query of a URL.
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -149,6 +149,8 @@
 	InForceHere uint64 `json:"inForceHere"`
 	// InForceEverywhere is the lowest revision in force at any live router.
 	InForceEverywhere uint64 `json:"inForceEverywhere"`
+	// LiveRouters counts the routers that this takes in.
+	LiveRouters int `json:"liveRouters"`
 	// Laggards are the live routers that are behind.
 	Laggards []configuration.Applied `json:"laggards"`
 }
--- a/internal/adminpage/assets/decisions.js
+++ b/internal/adminpage/assets/decisions.js
@@ -3,8 +3,10 @@
 import { clock, kinds, kindWords } from "./words.js";
 
 const keptPerKind = 300; // so that routine decisions do not push out rare ones
+const askedPerKind = 50; // of each router, at the start
 const shown = 60;
 const drawInterval = 500;
+const silence = 12000; // heartbeats come each 5 s
 const fleetChanges = "!fleet";
 const everything = "!all";
 
@@ -15,7 +17,7 @@
 let changed = false;
 let arrived = 0; // since the pause began
 let notFollowed = [];
-let connected = false;
+let lastEvent = 0; // zero while the stream is broken
 
 const key = (record) => `${record.process}/${record.sequence}/${record.time}`;
 
@@ -44,14 +46,17 @@
 
 // connect opens the stream. The browser opens it again when it breaks; records that come twice are known by their keys.
 function connect() {
-  const source = new EventSource(`admin/v1/decisions/stream?fleet=true&latest=${keptPerKind}`);
-  source.addEventListener("decision", (event) => take(JSON.parse(event.data)));
+  const source = new EventSource(`admin/v1/decisions/stream?fleet=true&latest=${askedPerKind}`);
+  source.addEventListener("decision", (event) => {
+    lastEvent = Date.now();
+    take(JSON.parse(event.data));
+  });
   source.addEventListener("heartbeat", (event) => {
     notFollowed = JSON.parse(event.data).notFollowed ?? [];
-    connected = true;
+    lastEvent = Date.now();
   });
   source.addEventListener("error", () => {
-    connected = false;
+    lastEvent = 0;
     if (source.readyState === EventSource.CLOSED) setTimeout(connect, 2000);
   });
 }
@@ -81,6 +86,7 @@
 
 function showState() {
   const parts = [];
+  const connected = Date.now() - lastEvent < silence;
   if (!connected) parts.push("Not connected: new decisions are not shown.");
   else if (paused) parts.push(`Paused; ${arrived} new ones wait.`);
   else parts.push("Live, newest first. Choose one to see what was weighed.");
--- a/internal/adminpage/assets/fleet.js
+++ b/internal/adminpage/assets/fleet.js
@@ -56,7 +56,7 @@
   const bar = element("div", "bar", fill);
   bar.setAttribute("aria-hidden", "true");
   return element("li", `engine ${each.role === "prefill" || each.role === "decode" ? each.role : ""}`,
-    element("div", "first", element("b", "", each.name), element("span", "", each.role === "none" || !each.role ? "no role yet" : each.role)),
+    element("div", "first", element("b", "", each.name), element("span", "role", each.role === "none" || !each.role ? "no role yet" : each.role)),
     element("div", className, `${sign} ${words}`),
     element("div", "", `${each.runningRequests} running, ${each.waitingRequests} waiting`),
     bar,
--- a/internal/adminpage/assets/words.js
+++ b/internal/adminpage/assets/words.js
@@ -4,7 +4,7 @@
 export const kinds = {
   plan: { words: "New role plan" },
   drain: { words: "Engine takes no new work" },
-  order: { words: "Engine told to change" },
+  order: { words: "Order sent to an engine" },
   withdraw: { words: "Change given up" },
   engine: { words: "State of an engine" },
   ownership: { words: "Authority over engines" },
--- a/internal/agentserver/server_test.go
+++ b/internal/agentserver/server_test.go
@@ -14,6 +14,7 @@
 	"github.com/samber/lo"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/decision"
 )
 
 func TestAnswers(t *testing.T) {
@@ -267,3 +268,34 @@
 		}
 	}
 }
+
+func TestDecisionsForOperators(t *testing.T) {
+	kept := []decision.Record{{Sequence: 1, Subject: "cafe-1/1", Reason: "The answer is whole."}, {Sequence: 2, Subject: "cafe-1/2"}}
+	cases := []struct {
+		desc, path string
+		status     int
+		want       string
+	}{
+		{"list", "/admin/v1/decisions?subject=cafe-1/2", http.StatusOK, `"sequence":2`},
+		{"one request", "/admin/v1/explain?request=cafe-1/1", http.StatusOK, `"reason":"The answer is whole."`},
+		{"name of the agent", "/admin/v1/explain?request=cafe-1/9", http.StatusOK, `"router":"agent-1"`},
+		{"no request", "/admin/v1/explain", http.StatusUnprocessableEntity, "query.request"},
+	}
+	_, _, url := start(t, func(settings *Settings) {
+		settings.Name = "agent-1"
+		settings.Decisions = func(uint64) []decision.Record { return kept }
+	}, answerInTwo)
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			response, err := http.Get(url + c.path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			body, _ := io.ReadAll(response.Body)
+			if response.StatusCode != c.status || !strings.Contains(string(body), c.want) {
+				t.Errorf("status %d, %s", response.StatusCode, body)
+			}
+		})
+	}
+}
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -26,7 +26,7 @@
 	return show(s, s.client.ConfigStatus, func(writer io.Writer, status adminapi.ConfigStatus) error {
 		fmt.Fprintf(writer, "accepted             revision %d (change %s)\n", status.Accepted, orNone(status.ChangeID))
 		fmt.Fprintf(writer, "in force here        revision %d\n", status.InForceHere)
-		fmt.Fprintf(writer, "in force everywhere  revision %d\n", status.InForceEverywhere)
+		fmt.Fprintf(writer, "in force everywhere  revision %d (%d live routers)\n", status.InForceEverywhere, status.LiveRouters)
 		laggards := lo.Map(status.Laggards, func(laggard configuration.Applied, _ int) string {
 			return fmt.Sprintf("%s has revision %d", laggard.Process, laggard.Revision)
 		})
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -27,6 +27,8 @@
 	mutex     sync.Mutex
 	document  configuration.Document
 	decisions []decision.Record
+	// routers that it knows, itself included or not.
+	routers []adminapi.RouterStatus
 }
 
 func (r *fakeRouter) FleetStatus(context.Context) (adminapi.FleetStatus, error) {
@@ -38,7 +40,9 @@
 func (r *fakeRouter) Engines(context.Context) ([]adminapi.EngineStatus, error) {
 	return []adminapi.EngineStatus{{Name: "engine-a-1", Group: "counter", Role: "prefill", MemoryUsed: 1, MemoryTotal: 4}}, nil
 }
-func (r *fakeRouter) Routers(context.Context) ([]adminapi.RouterStatus, error) { return nil, nil }
+func (r *fakeRouter) Routers(context.Context) ([]adminapi.RouterStatus, error) {
+	return r.routers, nil
+}
 func (r *fakeRouter) Configuration(context.Context) (configuration.Document, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -122,6 +126,10 @@
 		},
 		{desc: "neither label nor removal", arguments: []string{"label", "engine", "engine-a-1", "pool"}, code: 2, stderr: []string{"neither"}},
 		{desc: "label of the platform", arguments: []string{"label", "engine", "engine-a-1", "zone=zone-b"}, code: 2, stderr: []string{"spec.engineLabels[engine-a-1][zone]"}},
+		{desc: "one kind of object in the singular", arguments: []string{"get", "engine"}, stdout: []string{"engine-a-1"}},
+		{desc: "label of an unknown engine", arguments: []string{"label", "engine", "engine-z-9", "pool=x"}, stdout: []string{"accepted"}, stderr: []string{"no engine engine-z-9 is known"}},
+		{desc: "unknown kind of decisions", arguments: []string{"decisions", "--kind", "reboot"}, code: 2, stderr: []string{`no kind "reboot"`, "plan"}},
+		{desc: "no decision", arguments: []string{"decisions", "--kind", "plan"}, stderr: []string{"no decision that is kept fits"}},
 		{desc: "missing file", arguments: []string{"apply", "-f", "testdata/none.yaml"}, code: 2, stderr: []string{"none.yaml"}},
 		{desc: "unknown request", arguments: []string{"explain", "req-9"}, code: 1, stderr: []string{"no router"}},
 		{
@@ -160,6 +168,14 @@
 	}
 }
 
+// TestAddressAsURL takes an address as the demo and browsers show it.
+func TestAddressAsURL(t *testing.T) {
+	code, stdout, stderr := runLine(t, "http://"+serve(t, &fakeRouter{name: "router-a-1"})+"/", "status")
+	if code != 0 || !strings.Contains(stdout, "router-a-1") {
+		t.Errorf("exit code %d, %q, %q", code, stdout, stderr)
+	}
+}
+
 func TestNoRouterAnswers(t *testing.T) {
 	code, _, stderr := runLine(t, unreachable, "status")
 	if code != 1 || !strings.Contains(stderr, "ask router "+unreachable) {
--- a/internal/routerprogram/backend.go
+++ b/internal/routerprogram/backend.go
@@ -251,7 +251,7 @@
 	return read(b, func(_ time.Time, c *router.Core) adminapi.ConfigStatus {
 		lowest, laggards := c.ConfigurationInForce()
 		revision := c.Configuration().Revision()
-		status := adminapi.ConfigStatus{Accepted: revision, InForceHere: revision, InForceEverywhere: lowest, Laggards: laggards}
+		status := adminapi.ConfigStatus{Accepted: revision, InForceHere: revision, InForceEverywhere: lowest, LiveRouters: lo.CountBy(c.Members(), isAlive), Laggards: laggards}
 		if snapshot := c.Configuration().Snapshot(); snapshot != nil {
 			status.ChangeID = snapshot.Document().ChangeID
 		}
