Admin addresses of routers whose digests do not come here are asked for on the port for peers

Digests go to one zone only beyond 24 routers, so explain, the page and the stream of all decisions knew only the routers of a zone. Ruled out: the address in the sums of zones, which name only some routers. The views of owners are asked for less often in a large fleet.

--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -52,7 +52,7 @@
 func (e explainCommand) collect(ctx context.Context, s *session) explained {
 	processes, gaps := routerProcesses(ctx, s)
 	processes = append(processes, lo.Map(e.Agent, func(address string, _ int) process {
-		return process{name: "agent", address: hostPort(address)}
+		return process{name: "agent", address: address}
 	})...)
 	answers := askAll(ctx, processes, func(ctx context.Context, client *adminapi.Client) (adminapi.Explanation, error) {
 		return client.Explain(ctx, e.Request)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,12 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
-	"github.com/samber/lo"
 
 	"github.com/granitebay/granitebay/internal/adminapi"
 	"github.com/granitebay/granitebay/internal/command"
@@ -99,9 +97,8 @@
 	if err != nil {
 		return report(stderr, badInput(errors.Newf("%s (try %s --help)", err, Name)))
 	}
-	addresses := lo.Map(parsed.Router, func(address string, _ int) string { return hostPort(address) })
 	current := &session{
-		context: ctx, client: adminapi.NewClient(addresses, http.DefaultClient),
+		context: ctx, client: adminapi.NewClient(parsed.Router, http.DefaultClient),
 		stdout: stdout, stderr: stderr, output: outputFormat(parsed.Output), timeout: parsed.Timeout,
 	}
 	return report(stderr, chosen.Run(current))
@@ -116,11 +113,6 @@
 	)
 }
 
-// hostPort takes the host:port out of an address that was copied as a URL.
-func hostPort(address string) string {
-	return strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/")
-}
-
 // report prints an error and returns the exit code that fits.
 func report(stderr io.Writer, err error) int {
 	if err == nil {
--- a/internal/routerprogram/admin_test.go
+++ b/internal/routerprogram/admin_test.go
@@ -66,7 +66,7 @@
 		await(t, process.Name+" does not show all engines as ready", func() bool {
 			status, err := client.FleetStatus(t.Context())
 			return err == nil && status.EngineStates["ready"] == 6 && !lo.SomeBy(status.Warnings, func(warning string) bool {
-				return strings.HasPrefix(warning, "router ")
+				return strings.HasPrefix(warning, "routers ")
 			})
 		})
 		page, err := http.Get("http://" + process.Address + "/")
--- a/internal/routerprogram/backend.go
+++ b/internal/routerprogram/backend.go
@@ -62,9 +62,7 @@
 		status.WaitingRequests += lo.SumBy(requests, func(count adminapi.RequestCount) int { return count.Waiting })
 		status.RoleChanges += view.RoleChanges
 	}
-	for _, name := range fleet.missing {
-		status.Warnings = append(status.Warnings, "router "+name+": it did not answer, so its requests are not counted and its engines are shown as unknown")
-	}
+	status.Warnings = append(status.Warnings, fleet.warnings()...)
 	return status, nil
 }
 
@@ -216,7 +214,8 @@
 }
 
 // Routers implements adminapi.Backend.
-func (b backend) Routers(context.Context) ([]adminapi.RouterStatus, error) {
+func (b backend) Routers(ctx context.Context) ([]adminapi.RouterStatus, error) {
+	addresses := lo.SliceToMap(b.others(ctx), func(other otherRouter) (string, string) { return other.name, other.admin })
 	return read(b, func(_ time.Time, c *router.Core) []adminapi.RouterStatus {
 		owned := lo.CountValuesBy(c.Engines(), func(each router.EngineOverview) string { return each.Owner })
 		_, laggards := c.ConfigurationInForce()
@@ -227,7 +226,7 @@
 				Zone:           member.Zone,
 				Incarnation:    member.Incarnation,
 				Address:        member.Address,
-				AdminAddress:   c.AdminAddress(member.Name),
+				AdminAddress:   lo.CoalesceOrEmpty(addresses[member.Name], c.AdminAddress(member.Name)),
 				State:          string(member.State),
 				ConfigRevision: lo.ValueOr(behind, member.Name, c.Configuration().Revision()),
 				OwnedEngines:   owned[member.Name],
--- a/internal/routerprogram/fleetdecisions.go
+++ b/internal/routerprogram/fleetdecisions.go
@@ -10,7 +10,6 @@
 
 	"github.com/granitebay/granitebay/internal/adminapi"
 	"github.com/granitebay/granitebay/internal/decision"
-	"github.com/granitebay/granitebay/internal/router"
 )
 
 // followRetryInterval is the time between two looks at which routers are to be followed.
@@ -37,9 +36,7 @@
 	return follower.notFollowed
 }
 
-func (f *fleetFollower) others() []otherRouter {
-	return read(f.backend, func(_ time.Time, c *router.Core) []otherRouter { return othersOf(c) })
-}
+func (f *fleetFollower) others() []otherRouter { return read(f.backend, othersOf) }
 
 // notFollowed names the live routers whose stream is not open.
 func (f *fleetFollower) notFollowed() []string {
@@ -68,13 +65,16 @@
 	incarnation := uint64(0)
 	for ; ctx.Err() == nil; pause(ctx) {
 		other, found := lo.Find(f.others(), func(other otherRouter) bool { return other.name == name })
-		if !found || other.address == "" {
+		if !found {
+			continue
+		}
+		if other = f.backend.program.adminAddresses.complete(ctx, []otherRouter{other})[0]; other.admin == "" {
 			continue
 		}
 		if other.incarnation != incarnation {
 			incarnation, filter.Since = other.incarnation, 0
 		}
-		client := adminapi.NewClient([]string{other.address}, http.DefaultClient)
+		client := adminapi.NewClient([]string{other.admin}, http.DefaultClient)
 		_ = client.Follow(ctx, filter, adminapi.StreamHandler{
 			Decision: func(record decision.Record) error {
 				filter.Since = record.Sequence
--- a/internal/routerprogram/fleetview.go
+++ b/internal/routerprogram/fleetview.go
@@ -2,42 +2,27 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/samber/lo"
 
 	"github.com/granitebay/granitebay/internal/adminapi"
-	"github.com/granitebay/granitebay/internal/membership"
 	"github.com/granitebay/granitebay/internal/router"
 )
 
 const (
 	// viewTimeout bounds the time in which another router gives its view.
 	viewTimeout = time.Second
-	// viewAge is how long the views of the other routers are used again, so that several readers cost one round.
-	viewAge = 500 * time.Millisecond
+	// viewAge is how long the views of the other routers are used again, for each group of viewsPerAge routers, so that
+	// several readers cost one round and a large fleet is asked less often.
+	viewAge     = 500 * time.Millisecond
+	viewsPerAge = 16
 )
 
-// otherRouter is another live router.
-type otherRouter struct {
-	name        string
-	incarnation uint64
-	// address of its admin API; empty while it is not known.
-	address string
-}
-
-// othersOf lists the other routers that are not known to be dead.
-func othersOf(c *router.Core) []otherRouter {
-	live := lo.Filter(c.Members(), func(member membership.Member, _ int) bool {
-		return member.State != membership.StateDead && member.Name != c.Self().GetName()
-	})
-	return lo.Map(live, func(member membership.Member, _ int) otherRouter {
-		return otherRouter{name: member.Name, incarnation: member.Incarnation, address: c.AdminAddress(member.Name)}
-	})
-}
-
 // fleetView is what the routers know together.
 type fleetView struct {
 	// views by name of router, the one of this router included.
@@ -57,7 +42,7 @@
 func (f *fleetViews) get(ctx context.Context, others []otherRouter) fleetView {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if time.Since(f.taken) > viewAge {
+	if time.Since(f.taken) > viewAge*time.Duration(1+len(others)/viewsPerAge) {
 		f.kept = askViews(ctx, others)
 		f.taken = time.Now()
 	}
@@ -72,11 +57,11 @@
 	answers := make([]*adminapi.RouterView, len(others))
 	var waiting sync.WaitGroup
 	for index, other := range others {
-		if other.address == "" {
+		if other.admin == "" {
 			continue
 		}
 		waiting.Go(func() {
-			view, err := adminapi.NewClient([]string{other.address}, http.DefaultClient).RouterView(ctx)
+			view, err := adminapi.NewClient([]string{other.admin}, http.DefaultClient).RouterView(ctx)
 			// Another process may have got the port of one that is gone.
 			if err == nil && view.Router == other.name {
 				answers[index] = &view
@@ -97,8 +82,7 @@
 
 // fleet returns the views of all live routers, this one included.
 func (b backend) fleet(ctx context.Context) fleetView {
-	others := read(b, func(_ time.Time, c *router.Core) []otherRouter { return othersOf(c) })
-	asked := b.program.views.get(ctx, others)
+	asked := b.program.views.get(ctx, b.others(ctx))
 	own := read(b, routerView)
 	return fleetView{views: lo.Assign(asked.views, map[string]adminapi.RouterView{own.Router: own}), missing: asked.missing}
 }
@@ -174,3 +158,18 @@
 	}
 	return latest
 }
+
+// namedMissing is the most missing routers that a warning names.
+const namedMissing = 4
+
+// warnings says in a sentence which routers are missing.
+func (v fleetView) warnings() []string {
+	if len(v.missing) == 0 {
+		return nil
+	}
+	named := strings.Join(lo.Slice(v.missing, 0, namedMissing), ", ")
+	if more := len(v.missing) - namedMissing; more > 0 {
+		named += fmt.Sprintf(" and %d more", more)
+	}
+	return []string{"routers that did not answer: " + named + "; their requests are not counted and their engines are shown as unknown"}
+}
--- a/internal/routerprogram/fleetview_test.go
+++ b/internal/routerprogram/fleetview_test.go
@@ -80,9 +80,49 @@
 		return strings.TrimPrefix(server.URL, "http://")
 	}
 	view := askViews(t.Context(), []otherRouter{
-		{name: "r1", address: answering("r1")}, {name: "r2", address: answering("other")}, {name: "r3"}, {name: "r4", address: "127.0.0.1:1"},
+		{name: "r1", admin: answering("r1")}, {name: "r2", admin: answering("other")}, {name: "r3"}, {name: "r4", admin: "127.0.0.1:1"},
 	})
 	if _, found := view.views["r1"]; !found || !slices.Equal(view.missing, []string{"r2", "r3", "r4"}) {
 		t.Errorf("views %v, missing %v", view.views, view.missing)
 	}
 }
+
+// TestAskForAdminAddresses asks routers whose digests do not come here.
+func TestAskForAdminAddresses(t *testing.T) {
+	asked := 0
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		asked++
+		_, _ = writer.Write([]byte("10.0.0.7:7190"))
+	}))
+	defer server.Close()
+	peers := strings.TrimPrefix(server.URL, "http://")
+	var addresses adminAddresses
+	tests := []struct {
+		desc  string
+		other otherRouter
+		want  string
+		asked int
+	}{
+		{"told by a digest", otherRouter{name: "r1", incarnation: 1, peers: peers, admin: "10.0.0.1:7190"}, "10.0.0.1:7190", 0},
+		{"asked", otherRouter{name: "r2", incarnation: 1, peers: peers}, "10.0.0.7:7190", 1},
+		{"remembered", otherRouter{name: "r2", incarnation: 1, peers: peers}, "10.0.0.7:7190", 1},
+		{"asked again after a restart", otherRouter{name: "r2", incarnation: 2, peers: peers}, "10.0.0.7:7190", 2},
+		{"no answer", otherRouter{name: "r3", incarnation: 1, peers: "127.0.0.1:1"}, "", 2},
+	}
+	for _, test := range tests {
+		got := addresses.complete(t.Context(), []otherRouter{test.other})[0].admin
+		if got != test.want || asked != test.asked {
+			t.Errorf("%s: got %q after %d requests, want %q after %d", test.desc, got, asked, test.want, test.asked)
+		}
+	}
+}
+
+func TestWarningsOfMissingRouters(t *testing.T) {
+	if got := (fleetView{}).warnings(); len(got) != 0 {
+		t.Errorf("warnings %q", got)
+	}
+	got := fleetView{missing: []string{"r1", "r2", "r3", "r4", "r5", "r6"}}.warnings()
+	if len(got) != 1 || !strings.Contains(got[0], "r1, r2, r3, r4 and 2 more") {
+		t.Errorf("warnings %q", got)
+	}
+}
--- a/internal/routerprogram/program.go
+++ b/internal/routerprogram/program.go
@@ -63,6 +63,8 @@
 	failed    chan error
 	edits     editWaiters
 	views     fleetViews
+	// adminAddresses are those of other routers.
+	adminAddresses adminAddresses
 }
 
 // Addresses are where a router listens.
@@ -225,6 +227,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	mux := http.NewServeMux()
 	mux.Handle(p.transport.Handler())
+	mux.HandleFunc("GET "+pathAdminAddress, p.serveAdminAddress)
 	p.start(&http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout}, peers)
 	p.start(&http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, admin)
 }
