Transport: log lines have their prefix at routers too

Cause: only the agent gave the transport a logger with a part, so the router's lines of lost streams had no prefix. Change: the transport sets its part itself.

--- a/internal/agentprogram/program.go
+++ b/internal/agentprogram/program.go
@@ -29,8 +29,6 @@
 const (
 	// logPart is the prefix of the log lines of the program.
 	logPart = "agent"
-	// transportLogPart is the prefix of those of its transport.
-	transportLogPart = "transport"
 	// readHeaderTimeout bounds the time to read the header of an HTTP request of a peer.
 	readHeaderTimeout = 5 * time.Second
 	// flushTime is left to the last messages to routers before the transport closes.
@@ -182,7 +180,7 @@
 		Self:        do.MustInvoke[*granitebayv1.Peer](injector),
 		Deliver:     steps.HandleEnvelope,
 		Unreachable: steps.HandlePeerUnreachable,
-		Logger:      logging.Part(do.MustInvoke[Options](injector).Logger, transportLogPart),
+		Logger:      do.MustInvoke[Options](injector).Logger,
 	}), nil
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -15,9 +15,12 @@
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
 	"github.com/granitebay/granitebay/gen/granitebay/v1/granitebayv1connect"
 	"github.com/granitebay/granitebay/internal/core"
+	"github.com/granitebay/granitebay/internal/logging"
 )
 
 const (
+	// logPart is the prefix of the log lines of a transport.
+	logPart = "transport"
 	// queueLength bounds the envelopes that wait for one peer.
 	queueLength = 4096
 	// maxBatch bounds the envelopes that go into one message on the wire.
@@ -62,6 +65,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	ctx, cancel := context.WithCancel(context.Background())
+	options.Logger = logging.Part(options.Logger, logPart)
 	return &Transport{
 		options: options,
 		client:  &http.Client{Transport: &http.Transport{Protocols: protocols, DialContext: dialer.DialContext}},
