Rules: deadlines, tokens a second, context of a model and the zone of callers take effect

Cause: the operating page listed accepted fields without effect; bad input must not be taken silently.

--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -171,6 +171,7 @@
 		AgentName:       c.settings.Name,
 		AgentAddress:    c.settings.Address,
 		MaySwitchEngine: entry.work.GetRepeatable(),
+		DeadlineNamed:   entry.deadlineNamed,
 	}
 	if entry.work.GetRepeatable() {
 		held := len(entry.answer.tokens)
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -11,6 +11,7 @@
 	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/engine"
 	"github.com/granitebay/granitebay/internal/platform"
+	"github.com/samber/lo"
 	"k8s.io/apimachinery/pkg/util/validation/field"
 )
 
@@ -70,11 +71,13 @@
 	if len(errs) > 0 {
 		return "", &InvalidRequestError{Fields: errs}
 	}
-	if asked.Deadline.IsZero() {
+	deadlineNamed := !asked.Deadline.IsZero()
+	if !deadlineNamed {
 		asked.Deadline = now.Add(c.settings.DefaultDeadline)
 	}
 	work := asked.work(asked.Tenant + "/" + ulid.String())
-	waiting := &call{number: callNumber, deadline: asked.Deadline}
+	work.Labels = withZone(work.GetLabels(), c.settings.Zone)
+	waiting := &call{number: callNumber, deadline: asked.Deadline, deadlineNamed: deadlineNamed}
 	key := joinKey(asked)
 	c.ended.expire(now)
 
@@ -96,6 +99,17 @@
 	return work.GetRequestId(), nil
 }
 
+// labelZone is the label that tells rules the zone of the caller.
+const labelZone = "zone"
+
+// withZone adds the zone of the agent to the labels, unless the caller gave one.
+func withZone(labels map[string]string, zone string) map[string]string {
+	if _, given := labels[labelZone]; given || zone == "" {
+		return labels
+	}
+	return lo.Assign(labels, map[string]string{labelZone: zone})
+}
+
 // joinKey is the name under which calls share a request; empty without an idempotency key.
 func joinKey(asked CallerRequest) string {
 	if asked.IdempotencyKey == "" {
@@ -135,13 +149,14 @@
 func (c *Core) newRequest(key string, work *granitebayv1.Work, waiting *call) *request {
 	c.sequence++
 	return &request{
-		id:       work.GetRequestId(),
-		key:      key,
-		work:     work,
-		sequence: c.sequence,
-		deadline: waiting.deadline,
-		calls:    []*call{waiting},
-		answer:   newAnswer(work.GetMaxTokens(), !work.GetRepeatable()),
+		id:            work.GetRequestId(),
+		key:           key,
+		work:          work,
+		sequence:      c.sequence,
+		deadline:      waiting.deadline,
+		deadlineNamed: waiting.deadlineNamed,
+		calls:         []*call{waiting},
+		answer:        newAnswer(work.GetMaxTokens(), !work.GetRepeatable()),
 	}
 }
 
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -12,6 +12,8 @@
 type call struct {
 	number   uint64
 	deadline time.Time
+	// deadlineNamed is set when the caller named the deadline.
+	deadlineNamed bool
 	// delivered is the number of tokens that the caller got.
 	delivered uint32
 }
@@ -53,6 +55,8 @@
 	work     *granitebayv1.Work
 	sequence uint64
 	deadline time.Time
+	// deadlineNamed is set when the caller named the deadline; otherwise the rules may set an earlier one.
+	deadlineNamed bool
 	// cancelAt is when the request is cancelled if it has not started.
 	cancelAt time.Time
 	calls    []*call
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -38,11 +38,16 @@
 		return AdmissionTaken
 	}
 	entry.policy = policy
+	applyDeadline(entry, message)
 	if message.GetRun() != nil {
 		c.insert(now, entry)
 		c.resume(now, entry, message, effects)
 		return AdmissionTaken
 	}
+	if reason := tooLong(entry); reason != "" {
+		c.refuse(now, entry, reason, 0, false, effects)
+		return AdmissionTaken
+	}
 	if !c.servesEver(now, entry) {
 		return AdmissionElsewhere
 	}
@@ -107,7 +112,7 @@
 	}
 	if newer {
 		entry.follow(now, message)
-		entry.callerGone = false
+		applyDeadline(entry, message)
 	}
 	switch {
 	case entry.outcome != nil:
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -110,6 +110,15 @@
 	EngineMemory time.Duration
 	// MaxQueued bounds the queue of the rule at one owner; zero is no bound.
 	MaxQueued int
+	// TokensPerSecond bounds the tokens of prompt and answer that one tenant may ask for at one owner, over some seconds;
+	// zero is no bound.
+	TokensPerSecond float64
+	// DefaultDeadline is the time that a request gets whose caller named no deadline, MaximumDeadline the most that a caller
+	// gets. Zero is no bound.
+	DefaultDeadline time.Duration
+	MaximumDeadline time.Duration
+	// MaximumContextTokens bounds prompt and answer together; zero is no bound.
+	MaximumContextTokens int
 }
 
 // Claims decides at which engine work that may not be repeated runs. The result comes back by HandleClaimResult.
@@ -151,6 +160,7 @@
 	names    []string
 	prefixes *placement.PrefixTable
 	demand   demandMeters
+	limits   tokenLimits
 
 	nextHousekeeping time.Time
 	stopping         bool
@@ -181,6 +191,7 @@
 		c.keep(now, entry, effects)
 	}
 	c.dropEnded(now)
+	c.limits.drop(now)
 	c.schedule(now, effects)
 	c.armHousekeeping(now)
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -423,6 +423,46 @@
 		engine.Attach{Engine: "engine-2", ExpectedIncarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", StreamOffset: 0})
 }
 
+func TestRulesBoundRequests(t *testing.T) {
+	tests := []struct {
+		desc       string
+		policy     Policy
+		named      bool
+		wantReason string
+		wantWithin time.Duration
+	}{
+		{"a caller without a deadline gets that of the rule", Policy{DefaultDeadline: 3 * time.Second, MaximumDeadline: time.Minute}, false, "", 3 * time.Second},
+		{"a named deadline is cut to the longest of the rule", Policy{DefaultDeadline: time.Second, MaximumDeadline: 4 * time.Second}, true, "", 4 * time.Second},
+		{"a shorter deadline stays", Policy{MaximumDeadline: time.Minute}, true, "", 10 * time.Second},
+		{"a request beyond the context of its model", Policy{MaximumContextTokens: 13}, true, "Prompt and answer take 14 tokens together; model m allows 13.", 10 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			h := newHarness(t)
+			h.core.settings.PolicyFor = func(*granitebayv1.Work) (Policy, bool) { return test.policy, true }
+			h.generate("t/01HF7YAT00000000000000000A", true, func(message *granitebayv1.Generate) { message.DeadlineNamed = test.named })
+			entry := h.core.requests["t/01HF7YAT00000000000000000A"]
+			h.expect("reason", entry.outcome.GetReason(), test.wantReason)
+			h.expect("deadline", entry.deadline.Sub(h.now), test.wantWithin)
+		})
+	}
+}
+
+func TestTokensPerSecondOfATenant(t *testing.T) {
+	h := newHarness(t)
+	h.core.settings.PolicyFor = func(*granitebayv1.Work) (Policy, bool) { return Policy{TokensPerSecond: 7}, true }
+	answers := ""
+	for index := range 4 {
+		h.generate(fmt.Sprintf("t/01HF7YAT0000000000000000%02d", index), true, nil)
+		answers += fmt.Sprint(len(h.outcomes()))
+	}
+	h.expect("two requests of 14 tokens fit a burst of 35, the others are shed", answers, "0011")
+	h.expect("with a time to come back", h.effects.Messages[0].Envelope.GetOutcome().GetRetryAfterMillis() >= 100, true)
+	h.now = h.now.Add(5 * time.Second)
+	h.generate("t/01HF7YAT000000000000000009", true, nil)
+	h.expect("later there is room again", len(h.outcomes()), 0)
+}
+
 func TestFairQueue(t *testing.T) {
 	entry := func(tenant string, priority int32, weight float64) *request {
 		return &request{work: &granitebayv1.Work{Tenant: tenant, MaxTokens: 10}, policy: Policy{Priority: priority, Weight: weight}}
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -21,6 +21,9 @@
 		return fmt.Sprintf("Tenant %s has its limit of %d requests under rule %s.", entry.work.GetTenant(), policy.MaxInFlight, policy.Rule), wait, true
 	}
 	remaining := entry.deadline.Sub(now)
+	if untilTokens, ok := c.limits.take(now, entry); !ok {
+		return fmt.Sprintf("Tenant %s has used its %g tokens a second under rule %s.", entry.work.GetTenant(), policy.TokensPerSecond, policy.Rule), untilTokens, true
+	}
 	if wait+c.expectedService(entry) > remaining {
 		return fmt.Sprintf("The expected wait of %s leaves no time to answer within %s.", wait.Round(time.Millisecond), remaining.Round(time.Millisecond)), wait, true
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -74,8 +74,6 @@
 	hops     uint32
 	// cancelReason is why the run is being cancelled.
 	cancelReason string
-	// callerGone is set when nobody waits for the answer.
-	callerGone bool
 
 	// withdrawn is set when the claim shows that no attempt ever runs.
 	withdrawn bool
--- a/internal/dispatch/reroute.go
+++ b/internal/dispatch/reroute.go
@@ -23,6 +23,7 @@
 		AgentAddress:    entry.agentAddress,
 		Hops:            entry.hops,
 		MaySwitchEngine: entry.repeatable(),
+		DeadlineNamed:   true,
 	}
 	if !c.settings.Reroute(now, message, effects) {
 		return false
--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -206,6 +206,7 @@
 		return dispatch.Policy{}, false
 	}
 	tenant := snapshot.Tenant(work.GetTenant())
+	model, _ := snapshot.Model(work.GetModel())
 	limits := snapshot.LimitsOf(rule, work.GetTenant())
 	return dispatch.Policy{
 		Rule:        rule.Name,
@@ -214,6 +215,11 @@
 		Weight:      rule.Weight * tenant.Weight,
 		MaxInFlight: limits.MaximumInFlight,
 		MaxQueued:   rule.MaximumQueue,
+
+		TokensPerSecond:      limits.TokensPerSecond,
+		DefaultDeadline:      rule.DefaultDeadline.Std(),
+		MaximumDeadline:      rule.MaximumDeadline.Std(),
+		MaximumContextTokens: model.MaximumContextTokens,
 	}, true
 }
 
