--- a/internal/experiment/clairvoyant.go
+++ b/internal/experiment/clairvoyant.go
@@ -20,8 +20,8 @@
 	// step is the length of a step, and window the time over which arrivals are averaged around it.
 	step   time.Duration
 	window time.Duration
-	// moveCost is the further cost of moving one engine, in answers.
-	moveCost float64
+	// cached is the part of the shared prefixes that counts as cached.
+	cached float64
 	// lead is how long before a step its changes begin.
 	lead time.Duration
 	// goodputs holds the expected goodput by step and number of prefill engines.
@@ -68,7 +68,7 @@
 func (f *foresight) moveLoss(step, from, to int) float64 {
 	moves := math.Abs(float64(to - from))
 	share := f.goodputs[step][to] / float64(f.workload.Engines)
-	return moves * (f.moveCost + share*(f.settings.ChangeTime+f.settings.DrainTime).Seconds())
+	return moves * share * (f.settings.ChangeTime + f.settings.DrainTime).Seconds()
 }
 
 func bestState(values []float64) int {
@@ -93,7 +93,7 @@
 	result := make([][]float64, steps)
 	for step := range result {
 		middle := time.Duration(step)*f.step + f.step/2
-		demand := demandBetween(f.workload, middle-f.window/2, middle+f.window/2)
+		demand := f.demandBetween(middle-f.window/2, middle+f.window/2)
 		result[step] = make([]float64, f.workload.Engines+1)
 		for prefill := range result[step] {
 			engines := map[engine.Role]float64{
@@ -106,21 +106,20 @@
 	return result
 }
 
-// demandBetween is the true demand of a stretch of time, by class. Of prefixes that are shared, the part counts that a
-// cache can not have: all but the shared blocks.
-func demandBetween(workload *Workload, from, to time.Duration) roleplan.Demand {
-	from, to = max(0, from), min(workload.Duration, to)
+// demandBetween is the true demand of a stretch of time, by class.
+func (f *foresight) demandBetween(from, to time.Duration) roleplan.Demand {
+	from, to = max(0, from), min(f.workload.Duration, to)
 	seconds := max(1, (to - from).Seconds())
 	classes := map[string]*roleplan.ClassDemand{}
 	var demand roleplan.Demand
-	for _, request := range workload.between(from, to) {
+	for _, request := range f.workload.between(from, to) {
 		class, known := classes[request.Class]
 		if !known {
 			class = &roleplan.ClassDemand{Name: request.Class, Deadline: request.TimeLimit}
 			classes[request.Class] = class
 		}
 		class.Requests.Slow += 1 / seconds
-		class.PromptTokens.Slow += float64(request.PromptTokens-request.SharedTokens) / seconds
+		class.PromptTokens.Slow += (float64(request.PromptTokens) - f.cached*float64(request.SharedTokens)) / seconds
 		class.OutputTokens.Slow += float64(request.OutputTokens) / seconds
 	}
 	for _, name := range sortedKeys(classes) {
--- a/internal/experiment/curve.go
+++ b/internal/experiment/curve.go
@@ -88,9 +88,6 @@
 	return result
 }
 
-// steady is a constant rate.
-func steady(rate float64) curve { return curve{points: []point{{at: 0, rate: rate}}} }
-
 // steps makes a curve from pairs of a time and the rate from then on.
 func steps(pairs ...point) curve {
 	var result curve
--- a/internal/experiment/deployments.go
+++ b/internal/experiment/deployments.go
@@ -72,8 +72,8 @@
 		},
 		classes: []class{
 			{
-				name: "verdict", prompt: tokenRange{3000, 7000}, output: tokenRange{6, 18},
-				timeLimit: 5 * time.Second, sharedPrefix: tokenRange{1000, 2000}, owners: 120,
+				name: "verdict", prompt: tokenRange{4000, 8000}, output: tokenRange{6, 18},
+				timeLimit: 5 * time.Second, sharedPrefix: tokenRange{1500, 4000}, owners: 200,
 				rate: curve{
 					points: steps(
 						point{0, 27}, point{150 * time.Second, 3}, point{320 * time.Second, 28},
--- a/internal/experiment/front.go
+++ b/internal/experiment/front.go
@@ -52,6 +52,8 @@
 	admission bool
 	// fair shares between tenants; otherwise the queue is in order of arrival.
 	fair bool
+	// prefixes takes cached prefixes into account.
+	prefixes bool
 	// priorities puts classes of a higher priority first.
 	priorities bool
 }
@@ -105,6 +107,9 @@
 }
 
 func (f *front) cachedTokens(name string, request *Request) int {
+	if !f.settings.prefixes {
+		return 0
+	}
 	return f.prefixes.CachedBlocks(name, request.PrefixBlocks) * engine.PrefixBlockTokens
 }
 
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -67,13 +67,14 @@
 // reactiveCooldown is the time between two changes of the threshold controller.
 const reactiveCooldown = 3 * time.Second
 
-// clairvoyantPolicies follow schedules that were made with knowledge of all arrivals, of which the best counts.
+// clairvoyantPolicies follow schedules that were made with knowledge of all arrivals, of which the best counts. They
+// differ in how smooth the schedule is, when changes begin, and how much of the shared prefixes counts as cached.
 func clairvoyantPolicies(workload *Workload) []variant {
 	var result []variant
 	for _, window := range []time.Duration{10 * time.Second, 30 * time.Second} {
 		for _, lead := range []time.Duration{0, scheduleStep} {
-			for _, moveCost := range []float64{0, 10} {
-				result = append(result, clairvoyantVariant(workload, window, lead, moveCost))
+			for _, cached := range []float64{0, 0.5, 1} {
+				result = append(result, clairvoyantVariant(workload, window, lead, cached))
 			}
 		}
 	}
@@ -83,7 +84,7 @@
 // scheduleStep is the length of the steps of a clairvoyant schedule.
 const scheduleStep = 5 * time.Second
 
-func clairvoyantVariant(workload *Workload, window, lead time.Duration, moveCost float64) variant {
+func clairvoyantVariant(workload *Workload, window, lead time.Duration, cached float64) variant {
 	plan := foresight{
 		workload: workload,
 		capacity: roleplan.NewCapacity(roleSpeeds()),
@@ -91,11 +92,11 @@
 		step:     scheduleStep,
 		window:   window,
 		lead:     lead,
-		moveCost: moveCost,
+		cached:   cached,
 	}
 	schedule := plan.schedule()
 	return variant{family: PolicyClairvoyant, policy: policy{
-		name:    fmt.Sprintf("clairvoyant_%s_%s_%.0f", window, lead, moveCost),
+		name:    fmt.Sprintf("clairvoyant_%s_%s_%.1f", window, lead, cached),
 		prefill: schedule[0],
 		control: &scheduledController{prefill: schedule, step: scheduleStep, out: workload.Engines / 2},
 		front:   fullFront,
@@ -124,10 +125,11 @@
 		change(&changed)
 		result = append(result, variant{family: name, policy: changed})
 	}
-	for _, score := range []string{placement.ScorePrefix, placement.ScoreRole, placement.ScoreOthers, placement.ScoreOutput} {
+	for _, score := range []string{placement.ScoreRole, placement.ScoreOthers, placement.ScoreOutput} {
 		add("without_"+score+"_score", func(p *policy) { p.placement = withoutScore(score) })
 	}
 	add("without_admission", func(p *policy) { p.front.admission = false })
+	add("without_prefixes", func(p *policy) { p.front.prefixes = false })
 	add("without_fairness", func(p *policy) { p.front.fair = false })
 	add("without_priorities", func(p *policy) { p.front.priorities = false })
 	add("without_hysteresis", func(p *policy) { p.control = planWith(workload, func(s *roleplan.Settings) { s.Hysteresis = 0 }) })
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -23,7 +23,7 @@
 }
 
 // fullFront is a front with all its parts.
-var fullFront = frontSettings{admission: true, fair: true, priorities: true}
+var fullFront = frontSettings{admission: true, fair: true, prefixes: true, priorities: true}
 
 // periodicInterval is the time between load reports that the front asks for, and between looks at its queue.
 const periodicInterval = 250 * time.Millisecond
