--- a/internal/experiment/deployments.go
+++ b/internal/experiment/deployments.go
@@ -72,26 +72,26 @@
 		},
 		classes: []class{
 			{
-				name: "verdict", prompt: tokenRange{4000, 8000}, output: tokenRange{6, 18},
-				timeLimit: 5 * time.Second, sharedPrefix: tokenRange{1500, 4000}, owners: 200,
+				name: "verdict", prompt: tokenRange{2500, 5500}, output: tokenRange{6, 18},
+				timeLimit: 5 * time.Second, sharedPrefix: tokenRange{1000, 2500}, owners: 200,
 				rate: curve{
 					points: steps(
-						point{0, 27}, point{150 * time.Second, 3}, point{320 * time.Second, 28},
-						point{470 * time.Second, 3}, point{600 * time.Second, 3},
+						point{0, 40}, point{150 * time.Second, 4}, point{320 * time.Second, 42},
+						point{470 * time.Second, 4}, point{600 * time.Second, 4},
 					).points,
-					bursts: []burst{{230 * time.Second, 8 * time.Second, 14}, {540 * time.Second, 8 * time.Second, 14}},
-				}.then(point{660 * time.Second, 27}, point{780 * time.Second, 27}, point{780 * time.Second, 4}),
+					bursts: []burst{{230 * time.Second, 8 * time.Second, 20}, {540 * time.Second, 8 * time.Second, 20}},
+				}.then(point{660 * time.Second, 40}, point{780 * time.Second, 40}, point{780 * time.Second, 6}),
 			},
 			{
-				name: "question", prompt: tokenRange{40, 240}, output: tokenRange{150, 350},
-				timeLimit: 12 * time.Second, owners: 400,
+				name: "question", prompt: tokenRange{40, 240}, output: tokenRange{200, 400},
+				timeLimit: 14 * time.Second, owners: 400,
 				rate: curve{
 					points: steps(
-						point{0, 6}, point{150 * time.Second, 68}, point{320 * time.Second, 6},
-						point{470 * time.Second, 68}, point{600 * time.Second, 68},
+						point{0, 4}, point{150 * time.Second, 57}, point{320 * time.Second, 4},
+						point{470 * time.Second, 58}, point{600 * time.Second, 58},
 					).points,
 					wave: wave{period: 240 * time.Second, depth: 0.06},
-				}.then(point{660 * time.Second, 6}, point{780 * time.Second, 6}, point{780 * time.Second, 64}),
+				}.then(point{660 * time.Second, 5}, point{780 * time.Second, 5}, point{780 * time.Second, 54}),
 			},
 		},
 	}
