Ingress: only the shared part of a prompt counts as cached

Cause: the owner to which the start of a prompt belongs was taken to have all complete blocks of the prompt cached, also when the prompt was never seen. A long prompt then seemed free to read there, whatever the role of its engines.

Change: the table remembers the blocks of the latest requests and counts the leading blocks that a prompt shares with them.

--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -34,6 +34,13 @@
 
 const defaultStaleAfter = 10 * time.Second
 
+const (
+	// seenBlocks bounds the prompt blocks that are remembered.
+	seenBlocks = 16384
+	// seenKey is the one key of the table of seen blocks.
+	seenKey = "seen"
+)
+
 // owner is what is known of one owner.
 type owner struct {
 	name        string
@@ -56,6 +63,8 @@
 	random   *rand.Rand
 	owners   map[string]*owner
 	names    []string
+	// seen holds the prompt blocks of the latest requests. What a prompt shares with them its affine owner has cached.
+	seen *placement.PrefixTable
 	// sums are other zones and regions whose owners are not known one by one.
 	sums []*owner
 }
@@ -65,7 +74,12 @@
 	if settings.StaleAfter == 0 {
 		settings.StaleAfter = defaultStaleAfter
 	}
-	return &Table{settings: settings, random: random, owners: make(map[string]*owner)}
+	return &Table{
+		settings: settings,
+		random:   random,
+		owners:   make(map[string]*owner),
+		seen:     placement.NewPrefixTable(seenBlocks),
+	}
 }
 
 // HandleDigest takes a digest unless it is older than the one that is known.
@@ -231,9 +245,11 @@
 	affine := affineOwner(request, serving)
 	sample := t.sample(serving, affine)
 	sample = append(sample, t.sampleSums(sums, lo.Ternary(len(serving) > 0, sampledSums, sampledSumsAlone))...)
+	shared := t.seen.CachedBlocks(seenKey, request.PrefixBlocks) * engine.PrefixBlockTokens
+	t.seen.RecordDispatch(seenKey, 0, request.PrefixBlocks)
 	costs := make(map[string]float64, len(sample))
 	for _, each := range sample {
-		costs[each.name] = t.cost(request, group, each, each == affine)
+		costs[each.name] = t.cost(request, group, each, lo.Ternary(each == affine, shared, 0))
 	}
 	slices.SortStableFunc(sample, func(a, b *owner) int { return cmp.Compare(costs[a.name], costs[b.name]) })
 	best := sample[0]
@@ -273,8 +289,9 @@
 	return drawn
 }
 
-// cost estimates the delay at an owner in seconds: the least over the roles of its engines, and its queue.
-func (t *Table) cost(request Request, group string, each *owner, affine bool) float64 {
+// cost estimates the delay at an owner in seconds: the least over the roles of its engines, and its queue. The owner
+// probably has so many tokens of the prompt cached.
+func (t *Table) cost(request Request, group string, each *owner, cachedTokens int) float64 {
 	best := -1.0
 	queue := 0.0
 	for _, pool := range each.digest.GetPools() {
@@ -288,7 +305,7 @@
 		if pool.GetEngines() == 0 {
 			continue
 		}
-		if cost := t.poolCost(request, pool, each, affine); best < 0 || cost < best {
+		if cost := t.poolCost(request, pool, each, cachedTokens); best < 0 || cost < best {
 			best = cost
 		}
 	}
@@ -301,13 +318,10 @@
 }
 
 // poolCost estimates the delay in one pool of an owner.
-func (t *Table) poolCost(request Request, pool *granitebayv1.Pool, each *owner, affine bool) float64 {
+func (t *Table) poolCost(request Request, pool *granitebayv1.Pool, each *owner, cachedTokens int) float64 {
 	speed := t.settings.Placement.Speeds[engine.Role(pool.GetRole())]
 	engines := float64(pool.GetEngines())
-	uncached := float64(request.PromptTokens)
-	if affine {
-		uncached = max(0, uncached-float64(len(request.PrefixBlocks)*engine.PrefixBlockTokens))
-	}
+	uncached := max(0, float64(request.PromptTokens-cachedTokens))
 	waiting := float64(pool.GetPendingPromptTokens()) + float64(each.sentTokens)
 	running := (float64(pool.GetRunning()) + float64(each.sentRuns)) / engines
 	reading := (waiting/engines + uncached) / speed.PromptTokensPerSecond
