Simulation: overlapping pauses of one process end together

A running process with stuck buffers is no fault of the list. Change: the buffers empty when the process goes on.

--- a/internal/simulation/process.go
+++ b/internal/simulation/process.go
@@ -115,6 +115,8 @@
 		return
 	}
 	p.state = processRunning
+	// Another pause of the same process that overlaps this one ends with it, and so do its full buffers.
+	p.stalledUntil = 0
 	p.world.observe(ProcessChanged{Seen: p.world.seen(), Process: p.machine.Name, Incarnation: p.incarnation, State: ProcessResumed})
 	waiting := p.inbox
 	p.inbox = nil
