--- a/internal/experiment/command.go
+++ b/internal/experiment/command.go
@@ -11,6 +11,8 @@
 // Command is the command line of the experiments, for kong. Run of its parts wants a context and a writer bound.
 type Command struct {
 	MixShift MixShiftCommand `cmd:"" name:"mix-shift" help:"Goodput and role changes while the mix of prompts and answers swings, against baselines."`
+	Overload OverloadCommand `cmd:"" help:"Goodput as the load grows beyond what the fleet can do."`
+	Flood    FloodCommand    `cmd:"" help:"What tenants within their share lose to one that floods."`
 }
 
 // Options are what all experiments take.
@@ -63,7 +65,7 @@
 			return err
 		}
 	}
-	return writeSummary(out, line)
+	return writeJSON(out, line)
 }
 
 func (c *MixShiftCommand) variants(workload *Workload) []variant {
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -63,8 +63,8 @@
 
 func percent(share float64) string { return fmt.Sprintf("%.1f%%", share*100) }
 
-// writeSummary writes the last line.
-func writeSummary(out io.Writer, line summary) error {
+// writeJSON writes the last line.
+func writeJSON(out io.Writer, line any) error {
 	encoded, err := json.Marshal(line)
 	if err != nil {
 		return errors.Wrap(err, "experiment: encode the summary")
