Experiment: tenants above their share give way first

Fair queueing alone had no effect, since requests that would be late are given up before a queue builds. Now a tenant above its share of the lately given work may use less of the slack before its deadlines.

--- a/internal/experiment/front.go
+++ b/internal/experiment/front.go
@@ -44,6 +44,7 @@
 	settings frontSettings
 	speeds   placement.Settings
 	meter    *roleplan.Meter
+	shares   *tenantShares
 }
 
 // frontSettings turn parts of the front off, for ablations.
@@ -70,6 +71,7 @@
 		placer:   placer,
 		settings: settings,
 		speeds:   placement.DefaultSettings(),
+		shares:   newTenantShares(),
 		meter:    roleplan.NewMeter(epoch, roleplan.DefaultMeterSettings()),
 	}
 	for number, name := range fleet.names {
@@ -170,12 +172,13 @@
 	if result.Engine == "" {
 		return false
 	}
-	if f.settings.admission && result.FinishSeconds > lateFactor*next.secondsLeft(now) {
+	if f.settings.admission && result.FinishSeconds > f.allowedSeconds(now, next) {
 		f.queue.remove(next)
 		next.shed = true
 		return true
 	}
 	f.queue.remove(next)
+	f.shares.record(now, next.request.Tenant, queueCost(next.request))
 	f.submit(now, next, f.engines[f.fleet.index[result.Engine]])
 	return true
 }
@@ -184,6 +187,17 @@
 // makes others late.
 const lateFactor = 0.9
 
+// allowedSeconds is how long the answer may be expected to take. Tenants above their fair share leave a part of the slack
+// to the others, so that they are the ones who are given up first when engines become slow.
+func (f *front) allowedSeconds(now time.Time, next *call) float64 {
+	allowed := lateFactor * next.secondsLeft(now)
+	if !f.settings.fair {
+		return allowed
+	}
+	best := min(allowed, f.bestFinish(next))
+	return best + f.shares.slack(now, next.request.Tenant)*(allowed-best)
+}
+
 func (f *front) placementRequest(now time.Time, next *call) placement.Request {
 	return placement.Request{
 		ID:           next.request.ID,
--- /dev/null
+++ b/internal/experiment/shares.go
@@ -0,0 +1,62 @@
+package experiment
+
+import (
+	"math"
+	"time"
+)
+
+// tenantShares measures which part of the work that was lately given to engines each tenant had.
+type tenantShares struct {
+	work map[string]float64
+	last time.Time
+}
+
+// Constants of fair shares.
+const (
+	// shareMemory is the time in which work fades to 1/e.
+	shareMemory = 10 * time.Second
+	// shareTolerance is how far above an equal share a tenant may be without giving way.
+	shareTolerance = 1.2
+	// shareExponent is how sharply a tenant above its share gives way.
+	shareExponent = 3
+	// leastSlack is the part of the slack that the heaviest tenant may use.
+	leastSlack = 0
+	// leastWork is the work below which a tenant does not count as active.
+	leastWork = 1
+)
+
+func newTenantShares() *tenantShares { return &tenantShares{work: map[string]float64{}} }
+
+// record counts work that was given to an engine.
+func (t *tenantShares) record(now time.Time, tenant string, work float64) {
+	t.fade(now)
+	t.work[tenant] += work
+}
+
+// slack is the part of the slack before its deadlines that a tenant may use: 1 for tenants within their share.
+func (t *tenantShares) slack(now time.Time, tenant string) float64 {
+	t.fade(now)
+	total, active := 0.0, 0
+	for _, name := range sortedKeys(t.work) {
+		total += t.work[name]
+		active++
+	}
+	if active < 2 || t.work[tenant] <= 0 {
+		return 1
+	}
+	over := t.work[tenant] * float64(active) / total / shareTolerance
+	return max(leastSlack, min(1, math.Pow(over, -shareExponent)))
+}
+
+func (t *tenantShares) fade(now time.Time) {
+	elapsed := now.Sub(t.last)
+	t.last = now
+	factor := math.Exp(-elapsed.Seconds() / shareMemory.Seconds())
+	for tenant, work := range t.work {
+		if work*factor < leastWork {
+			delete(t.work, tenant)
+			continue
+		}
+		t.work[tenant] = work * factor
+	}
+}
