--- a/internal/dispatch/engines.go
+++ b/internal/dispatch/engines.go
@@ -54,6 +54,18 @@
 	c.schedule(now, effects)
 }
 
+// UpdateEngines takes the router's view of some engines. What is known of the others stays.
+func (c *Core) UpdateEngines(now time.Time, views []EngineView, effects *core.Effects) {
+	for _, view := range views {
+		if _, known := c.engines[view.Name]; !known {
+			at, _ := slices.BinarySearch(c.names, view.Name)
+			c.names = slices.Insert(c.names, at, view.Name)
+		}
+		c.setEngine(now, view)
+	}
+	c.schedule(now, effects)
+}
+
 // setEngine takes the view of one engine.
 func (c *Core) setEngine(now time.Time, view EngineView) {
 	state, ok := c.engines[view.Name]
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -66,6 +66,8 @@
 	appliedSelection  uint64
 	// enginesChanged is set when the views that dispatch has are out of date.
 	enginesChanged bool
+	// changedEngines are single engines whose views are out of date.
+	changedEngines []string
 
 	digestSequence uint64
 	recordHashes   recordHashes
@@ -302,8 +304,12 @@
 	c.spreadRecords(effects)
 	if c.enginesChanged {
 		c.enginesChanged = false
+		c.changedEngines = c.changedEngines[:0]
 		c.applyEngines(now, effects)
 	}
+	if len(c.changedEngines) > 0 {
+		c.applyChangedEngines(now, effects)
+	}
 }
 
 // applyMembers hands the live routers to the cores that hash over them.
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -221,7 +221,7 @@
 	info.status = status
 	info.reported = true
 	if changed {
-		c.enginesChanged = true
+		c.changedEngines = append(c.changedEngines, status.Engine)
 	}
 }
 
@@ -249,14 +249,14 @@
 	}
 }
 
-// tickProbes asks the engines that this router owns for their load reports.
+// tickProbes asks the engines that this router owns for their load reports, and once each engine that it may own.
 func (c *Core) tickProbes(now time.Time, effects *core.Effects) {
 	if now.Before(c.nextProbe) {
 		return
 	}
 	c.nextProbe = now.Add(c.settings.ProbeInterval)
 	for _, name := range c.engineNames {
-		if c.engines[name].listed && (c.owns(name) || !c.engines[name].reported) {
+		if c.engines[name].listed && (c.owns(name) || !c.engines[name].reported && c.mayOwn(name)) {
 			effects.Command(engine.Probe{Engine: name})
 		}
 	}
@@ -268,6 +268,12 @@
 	return len(order) > 0 && order[0] == c.settings.Self.GetName()
 }
 
+// mayOwn tells whether this router may come to own an engine, so that it should know the engine before. In a small fleet
+// every router gets to know every engine.
+func (c *Core) mayOwn(name string) bool {
+	return !c.largeFleet() || slices.Contains(c.ownership.DispatchOrder(name), c.settings.Self.GetName())
+}
+
 // applyEngines hands the view of all engines to dispatch.
 func (c *Core) applyEngines(now time.Time, effects *core.Effects) {
 	views := make([]dispatch.EngineView, 0, len(c.engineNames))
@@ -277,6 +283,13 @@
 	c.dispatch.SetEngines(now, views, effects)
 }
 
+// applyChangedEngines hands the views of the engines whose load reports brought something new to dispatch.
+func (c *Core) applyChangedEngines(now time.Time, effects *core.Effects) {
+	known := lo.Filter(lo.Uniq(c.changedEngines), func(name string, _ int) bool { return c.engines[name] != nil })
+	c.changedEngines = c.changedEngines[:0]
+	c.dispatch.UpdateEngines(now, lo.Map(known, func(name string, _ int) dispatch.EngineView { return c.engineView(name) }), effects)
+}
+
 // engineView joins what is known of an engine.
 func (c *Core) engineView(name string) dispatch.EngineView {
 	info := c.engines[name]
--- a/internal/router/engines_test.go
+++ b/internal/router/engines_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -139,3 +140,56 @@
 		}},
 	}}}
 }
+
+func TestProbesOfEnginesThatDidNotReport(t *testing.T) {
+	tests := []struct {
+		desc    string
+		engines int
+		// want counts the engines of the other zone that are probed.
+		want int
+	}{
+		{"a small fleet: all", 20, 10},
+		{"a large fleet: those that this router may own", 200, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := newTestCore(t)
+			other := pingOf("router-b-1")
+			other.GetPing().GetUpdates()[0].Zone = "zone-b"
+			c.core.HandleEnvelope(c.now, other, noEffects())
+			var members []platform.Member
+			for index := range test.engines {
+				zone := []string{"zone-a", "zone-b"}[index%2]
+				members = append(members, engineMember(fmt.Sprintf("engine-%s-%03d", zone, index), zone))
+			}
+			c.list(members...)
+			probed := map[string]int{}
+			for _, command := range c.tick(time.Second).Engine {
+				if probe, ok := command.(engine.Probe); ok {
+					probed[c.core.engines[probe.Engine].member.Zone]++
+				}
+			}
+			if probed["zone-a"] != test.engines/2 || probed["zone-b"] != test.want {
+				t.Errorf("probed %v, want %d of zone-a and %d of zone-b", probed, test.engines/2, test.want)
+			}
+		})
+	}
+}
+
+func TestAReportChangesTheViewOfItsEngine(t *testing.T) {
+	c := newTestCore(t)
+	c.list(engineMember("engine-1", "zone-a"), engineMember("engine-2", "zone-a"))
+	c.core.HandleEnvelope(c.now, recordsEnvelope([]*granitebayv1.EngineRecord{
+		{Engine: "engine-1", Generation: 1, Role: "prefill", Model: "m"}, {Engine: "engine-2", Generation: 1, Role: "prefill", Model: "m"},
+	}), noEffects())
+	c.core.HandleEngineEvent(c.now, engine.Status{
+		Engine: "engine-2", Incarnation: 1, AsOf: c.now, Fence: engine.Fence{Epoch: 1, Generation: 1},
+	}, noEffects())
+	ready := map[string]uint32{}
+	for _, pool := range c.core.dispatch.Pools(c.now) {
+		ready[pool.GetRole()] += pool.GetEngines()
+	}
+	if ready["prefill"] != 1 {
+		t.Errorf("dispatch knows %d ready engines, want 1", ready["prefill"])
+	}
+}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -24,15 +24,18 @@
 // what lets the routers together read the list as often as one router of a small fleet does. Each router tells the others
 // what changed between its reads.
 func (c *Core) MembersInterval() time.Duration {
-	routers := max(1, len(c.members.Live()))
-	if routers+len(c.engineNames) <= membersReadOften {
+	if !c.largeFleet() {
 		return c.settings.MembersInterval
 	}
+	routers := max(1, len(c.members.Live()))
 	share := time.Duration(routers+len(c.engineNames)) * readPerMember
 	together := time.Duration(routers) * c.settings.MembersInterval
 	return max(c.settings.MembersInterval, min(share, together))
 }
 
+// largeFleet tells whether there are too many members for each router to read all and ask all often.
+func (c *Core) largeFleet() bool { return len(c.members.Live())+len(c.engineNames) > membersReadOften }
+
 // spreadOut returns a time between half and one and a half of an interval, so that routers do not read in step. The
 // configured interval is kept as it is.
 func (c *Core) spreadOut(interval time.Duration) time.Duration {
