--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/danielgtaylor/huma/v2"
@@ -318,3 +319,22 @@
 		})
 	}
 }
+
+func TestKeptSince(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	process := DecidingProcess{Name: "agent-a-1", StartedAt: start}
+	tests := []struct {
+		desc string
+		kept []decision.Record
+		want time.Time
+	}{
+		{"no decision yet", nil, start},
+		{"all since the start", []decision.Record{{Sequence: 1, Time: start.Add(time.Hour)}}, start},
+		{"older ones dropped", []decision.Record{{Sequence: 9, Time: start.Add(time.Hour)}}, start.Add(time.Hour)},
+	}
+	for _, test := range tests {
+		if got := process.keptSince(test.kept); !got.Equal(test.want) {
+			t.Errorf("%s: got %s, want %s", test.desc, got, test.want)
+		}
+	}
+}
--- a/internal/adminapi/register.go
+++ b/internal/adminapi/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/sse"
@@ -65,9 +66,9 @@
 }
 
 func registerDecisions(api huma.API, backend Backend) {
-	RegisterDecisionLog(api, func(ctx context.Context) (string, error) {
+	RegisterDecisionLog(api, func(ctx context.Context) (DecidingProcess, error) {
 		view, err := backend.RouterView(ctx)
-		return view.Router, err
+		return DecidingProcess{Name: view.Router, StartedAt: view.StartedAt}, err
 	}, backend.Decisions)
 	stream := huma.Operation{OperationID: "decisions-stream", Method: http.MethodGet, Path: PathDecisionsStream, Summary: "Decisions as they fall"}
 	events := map[string]any{eventDecision: decision.Record{}, eventHeartbeat: Heartbeat{}}
@@ -76,25 +77,38 @@
 	})
 }
 
+// DecidingProcess is a process that keeps decisions.
+type DecidingProcess struct {
+	Name string
+	// StartedAt is when it started; it kept none before.
+	StartedAt time.Time
+}
+
+// keptSince is the time from which a process has all its decisions.
+func (p DecidingProcess) keptSince(kept []decision.Record) time.Time {
+	if len(kept) == 0 || kept[0].Sequence <= 1 {
+		return p.StartedAt
+	}
+	return kept[0].Time
+}
+
 // RegisterDecisionLog adds the handlers that read the kept decisions of one process, which may be an agent: the list, and
-// those about one request. Process returns the name of the process, latest its decisions with a sequence above since.
-func RegisterDecisionLog(api huma.API, process func(context.Context) (string, error), latest func(since uint64) []decision.Record) {
+// those about one request. Latest returns its decisions with a sequence above since.
+func RegisterDecisionLog(api huma.API, process func(context.Context) (DecidingProcess, error), latest func(since uint64) []decision.Record) {
 	list := huma.Operation{OperationID: "decisions", Method: http.MethodGet, Path: PathDecisions, Summary: "The kept decisions, oldest first"}
 	huma.Register(api, list, func(_ context.Context, filter *DecisionFilter) (*typedBody[DecisionList], error) {
 		return &typedBody[DecisionList]{Body: DecisionList{Decisions: filter.Select(latest(filter.Since))}}, nil
 	})
 	explain := huma.Operation{OperationID: "explain", Method: http.MethodGet, Path: PathExplain, Summary: "What this process decided about one request"}
 	huma.Register(api, explain, func(ctx context.Context, input *explainInput) (*typedBody[Explanation], error) {
-		name, err := process(ctx)
+		self, err := process(ctx)
 		if err != nil {
 			return nil, unavailable(err)
 		}
 		kept := latest(0)
-		explanation := Explanation{Request: input.Request, Router: name, Decisions: DecisionFilter{Request: input.Request}.Select(kept)}
-		if len(kept) > 0 {
-			explanation.KeptSince = kept[0].Time
-		}
-		return &typedBody[Explanation]{Body: explanation}, nil
+		return &typedBody[Explanation]{Body: Explanation{
+			Request: input.Request, Router: self.Name, KeptSince: self.keptSince(kept), Decisions: DecisionFilter{Request: input.Request}.Select(kept),
+		}}, nil
 	})
 }
 
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -100,8 +100,9 @@
 
 // RouterView is what only the router that answers knows. The routers ask each other for it to show the whole fleet.
 type RouterView struct {
-	Router      string `json:"router"`
-	Incarnation uint64 `json:"incarnation"`
+	Router      string    `json:"router"`
+	Incarnation uint64    `json:"incarnation"`
+	StartedAt   time.Time `json:"startedAt"`
 	// Engines that the router owns.
 	Engines []EngineStatus `json:"engines"`
 	// Requests at the router, by rule.
@@ -198,7 +199,7 @@
 	Request string `json:"request"`
 	// Router that answers, or agent.
 	Router string `json:"router"`
-	// KeptSince is the time of the oldest decision that the process still has; zero when it has none.
+	// KeptSince is the time from which the process has all its decisions.
 	KeptSince time.Time `json:"keptSince,omitzero"`
 	// Decisions about the request, oldest first.
 	Decisions []decision.Record `json:"decisions"`
--- a/internal/agentserver/server.go
+++ b/internal/agentserver/server.go
@@ -108,7 +108,10 @@
 	api := humago.New(server.mux, server.humaConfig())
 	server.registerOperations(api)
 	if settings.Decisions != nil {
-		adminapi.RegisterDecisionLog(api, func(context.Context) (string, error) { return settings.Name, nil }, settings.Decisions)
+		startedAt := time.Now()
+		adminapi.RegisterDecisionLog(api, func(context.Context) (adminapi.DecidingProcess, error) {
+			return adminapi.DecidingProcess{Name: settings.Name, StartedAt: startedAt}, nil
+		}, settings.Decisions)
 	}
 	return server
 }
--- a/internal/operator/decisions.go
+++ b/internal/operator/decisions.go
@@ -135,7 +135,8 @@
 		Heartbeat: func(heartbeat adminapi.Heartbeat) error {
 			now := strings.Join(heartbeat.NotFollowed, ", ")
 			if now != missing {
-				fmt.Fprintf(s.stderr, "%s missing are the decisions of: %s\n", heartbeat.Time.UTC().Format(timeLayout), lo.CoalesceOrEmpty(now, "no router any more"))
+				fmt.Fprintf(s.stderr, "%s %s\n", heartbeat.Time.UTC().Format(timeLayout),
+					lo.Ternary(now == "", "the decisions of all live routers come again", "missing are the decisions of "+now))
 			}
 			missing = now
 			return nil
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -17,6 +17,7 @@
 
 	"github.com/granitebay/granitebay/internal/adminapi"
 	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/membership"
 )
 
 // processTimeout bounds the time in which one of several processes answers.
@@ -90,15 +91,23 @@
 		explanation.Router, explanation.KeptSince.UTC().Format(time.RFC3339))}
 }
 
+// stateDead is the state of a router that is held to be dead.
+const stateDead = string(membership.StateDead)
+
 // process is a router or agent to ask.
 type process struct {
 	// name is empty for a given address whose router is not known yet.
 	name    string
 	address string
+	// dead is set for a router that is held to be dead.
+	dead bool
 }
 
 // gap tells why a process did not answer.
 func (p process) gap(err error) string {
+	if p.address == "" && p.dead {
+		return p.name + " was not asked: it is dead, and its decisions with it"
+	}
 	if p.address == "" {
 		return fmt.Sprintf("%s was not asked: its admin address is not known", p.name)
 	}
@@ -112,7 +121,7 @@
 		gaps = append(gaps, fmt.Sprintf("only the given routers were asked, because none listed the others: %v", err))
 	}
 	processes = lo.Map(routers, func(router adminapi.RouterStatus, _ int) process {
-		return process{name: router.Name, address: router.AdminAddress}
+		return process{name: router.Name, address: router.AdminAddress, dead: router.State == stateDead}
 	})
 	listed := lo.Map(processes, func(each process, _ int) string { return each.address })
 	for _, address := range s.client.Addresses() {
--- a/internal/operator/explain_test.go
+++ b/internal/operator/explain_test.go
@@ -29,14 +29,14 @@
 	came := time.Unix(1_700_000_000, 0).UTC()
 	request := "cafe-1/" + ulid.MustNew(ulid.Timestamp(came), strings.NewReader("0123456789")).String()
 	record := func(process string, after time.Duration, reason string) decision.Record {
-		return decision.Record{Sequence: 2, Time: came.Add(after), Process: process, Kind: decision.KindRoute, Subject: request, Reason: reason}
+		return decision.Record{Sequence: 8, Time: came.Add(after), Process: process, Kind: decision.KindRoute, Subject: request, Reason: reason}
 	}
-	earlier := decision.Record{Sequence: 1, Time: came.Add(-time.Minute), Process: "router-b-1", Kind: decision.KindPlan, Subject: "counter"}
+	earlier := decision.Record{Sequence: 7, Time: came.Add(-time.Minute), Process: "router-b-1", Kind: decision.KindPlan, Subject: "counter"}
 	owner := &fakeRouter{name: "router-b-1", decisions: []decision.Record{earlier, record("router-b-1", 2*time.Millisecond, "Second.")}}
 	agent := &fakeRouter{name: "agent-a-1", decisions: []decision.Record{record("agent-a-1", 3*time.Millisecond, "Third.")}}
 	asked := &fakeRouter{name: "router-a-1", decisions: []decision.Record{record("router-a-1", time.Millisecond, "First.")}}
 	asked.routers = []adminapi.RouterStatus{
-		{Name: "router-b-1", AdminAddress: serve(t, owner)}, {Name: "router-c-1", AdminAddress: unreachable}, {Name: "router-d-1"},
+		{Name: "router-b-1", AdminAddress: serve(t, owner)}, {Name: "router-c-1", AdminAddress: unreachable}, {Name: "router-d-1"}, {Name: "router-e-1", State: "dead"},
 	}
 	address := serve(t, asked)
 
@@ -46,7 +46,7 @@
 	}
 	checkOrder(t, stdout, "3 decisions", "First.", "Second.", "Third.", "gaps",
 		"router-a-1 has decisions only since 2023-11-14T22:13:20Z, which is after the request came",
-		"router-c-1 at "+unreachable+" did not answer", "router-d-1 was not asked: its admin address is not known")
+		"router-c-1 at "+unreachable+" did not answer", "router-d-1 was not asked: its admin address is not known", "router-e-1 was not asked: it is dead")
 	if strings.Contains(stdout, "router-b-1 has decisions only since") || strings.Contains(stdout, "--agent") {
 		t.Errorf("a gap is named that is none: %q", stdout)
 	}
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -60,6 +60,9 @@
 // Self names this process.
 func (c *Core) Self() *granitebayv1.Peer { return c.settings.Self }
 
+// StartedAt is the time at which this process started.
+func (c *Core) StartedAt() time.Time { return c.settings.StartedAt }
+
 // Stopping tells whether a planned stop has begun.
 func (c *Core) Stopping() bool { return c.stopping }
 
--- a/internal/routerprogram/fleetview.go
+++ b/internal/routerprogram/fleetview.go
@@ -97,6 +97,7 @@
 	view := adminapi.RouterView{
 		Router:      name,
 		Incarnation: c.Self().GetIncarnation(),
+		StartedAt:   c.StartedAt(),
 		Engines: lo.Filter(engineStatuses(now, c), func(each adminapi.EngineStatus, _ int) bool {
 			return each.Owner == name
 		}),
