Dispatch: answers that come too late are given up early; tenants above their share give way while others wait

Change: full time left; slack only while another tenant's request waits. Ruled out: shedding in the queue alone, which sees the engine's load too late.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -161,6 +161,7 @@
 	prefixes *placement.PrefixTable
 	demand   demandMeters
 	limits   tokenLimits
+	shares   *tenantShares
 
 	nextHousekeeping time.Time
 	stopping         bool
@@ -177,6 +178,7 @@
 		queue:    newFairQueue(),
 		engines:  make(map[string]*engineState),
 		prefixes: placement.NewPrefixTable(settings.PrefixBlocksPerEngine),
+		shares:   newTenantShares(),
 		demand:   demandMeters{settings: roleplan.DefaultMeterSettings()},
 	}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -463,6 +463,35 @@
 	h.expect("later there is room again", len(h.outcomes()), 0)
 }
 
+func TestLateAnswersAreGivenUpEarly(t *testing.T) {
+	h := newHarness(t)
+	h.generate("t/01HF7YAT00000000000000000A", true, func(message *granitebayv1.Generate) {
+		message.Work.MaxTokens = 1000
+		message.RemainingMillis = 1000
+	})
+	h.expect("outcome at once", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
+}
+
+func TestTenantsAboveTheirShareLeaveSlack(t *testing.T) {
+	shares := newTenantShares()
+	now := time.Unix(1_700_000_000, 0)
+	give := func(tenant string, weight float64, tokens uint32) {
+		shares.record(now, &request{work: &granitebayv1.Work{Tenant: tenant, MaxTokens: tokens}, policy: Policy{Weight: weight}})
+	}
+	give("small", 1, 10)
+	give("flood", 1, 90)
+	give("heavy", 9, 90)
+	if got := shares.slack(now, "small"); got != 1 {
+		t.Errorf("a tenant within its share has slack %v, want 1", got)
+	}
+	if got := shares.slack(now, "heavy"); got != 1 {
+		t.Errorf("a tenant of weight 9 with 9 parts of 19 has slack %v, want 1", got)
+	}
+	if got := shares.slack(now, "flood"); got > 0.1 {
+		t.Errorf("a tenant far above its share has slack %v, want at most 0.1", got)
+	}
+}
+
 func TestFairQueue(t *testing.T) {
 	entry := func(tenant string, priority int32, weight float64) *request {
 		return &request{work: &granitebayv1.Work{Tenant: tenant, MaxTokens: 10}, policy: Policy{Priority: priority, Weight: weight}}
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/engine"
 )
 
@@ -30,6 +32,31 @@
 	return "", 0, false
 }
 
+// allowedSeconds is how long the answer may be expected to take at the engine that was found. While others wait, tenants
+// above their fair share leave a part of the slack to them, so that they are given up first when engines become slow.
+func (c *Core) allowedSeconds(now time.Time, entry *request) float64 {
+	allowed := entry.deadline.Sub(now).Seconds()
+	if !c.othersWait(entry) {
+		return allowed
+	}
+	best := min(allowed, c.expectedService(entry).Seconds())
+	return best + c.shares.slack(now, entry.work.GetTenant())*(allowed-best)
+}
+
+// othersWait tells whether a request of another tenant is in the queue.
+func (c *Core) othersWait(entry *request) bool {
+	return slices.ContainsFunc(c.queue.waiting, func(item *queued) bool {
+		return item.entry.work.GetTenant() != entry.work.GetTenant()
+	})
+}
+
+// refuseLate gives up a request whose answer would come too late even at the best engine.
+func (c *Core) refuseLate(now time.Time, entry *request, seconds float64, effects *core.Effects) {
+	reason := fmt.Sprintf("The answer would take %.2f s at the best engine, which leaves too little of the %.2f s to the deadline.", seconds, entry.deadline.Sub(now).Seconds())
+	wait := time.Duration(seconds * float64(time.Second))
+	c.refuse(now, entry, reason, wait, true, effects)
+}
+
 // inFlight counts the requests of a tenant under a rule that have not ended.
 func (c *Core) inFlight(tenant, rule string) int {
 	count := 0
--- a/internal/dispatch/reroute.go
+++ b/internal/dispatch/reroute.go
@@ -8,11 +8,15 @@
 	"github.com/granitebay/granitebay/internal/decision"
 )
 
+// untouched tells whether nothing of a request was submitted or claimed here, and nothing ran elsewhere.
+func (c *Core) untouched(entry *request) bool {
+	return !entry.submitted && entry.instance == 0 && entry.length() == 0
+}
+
 // reroute passes a waiting request to another owner. Only a request of which nothing was submitted or claimed here may go.
 func (c *Core) reroute(now time.Time, entry *request, effects *core.Effects) bool {
 	entry.queuedAt = now
-	untouched := !entry.submitted && entry.instance == 0 && entry.length() == 0
-	if c.settings.Reroute == nil || !untouched {
+	if c.settings.Reroute == nil || !c.untouched(entry) {
 		return false
 	}
 	message := &granitebayv1.Generate{
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -61,8 +61,13 @@
 		c.giveUp(now, entry, granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN, "The request waited so long that engines may have forgotten an earlier run of it.", effects)
 		return true
 	}
+	if c.untouched(entry) && result.FinishSeconds > c.allowedSeconds(now, entry) {
+		c.refuseLate(now, entry, result.FinishSeconds, effects)
+		return true
+	}
 	state := c.engines[result.Engine]
 	c.queue.remove(entry)
+	c.shares.record(now, entry)
 	entry.engine = result.Engine
 	entry.incarnation = state.view.Incarnation
 	entry.failures = 0
