Role plan: believe the fast average only beyond chance; demand within shares

The two gains of the fast and the slow averages gave way to one choice for each class: the fast average counts where it differs by more than 2.5 standard deviations, else the slow one. Requests of tenants above their share count as demand in part.

--- a/internal/experiment/clairvoyant.go
+++ b/internal/experiment/clairvoyant.go
@@ -118,11 +118,13 @@
 			class = &roleplan.ClassDemand{Name: request.Class, Deadline: request.TimeLimit}
 			classes[request.Class] = class
 		}
-		class.Requests.Slow += 1 / seconds
-		class.PromptTokens.Slow += (float64(request.PromptTokens) - f.cached*float64(request.SharedTokens)) / seconds
-		class.OutputTokens.Slow += float64(request.OutputTokens) / seconds
+		class.Requests.Fast += 1 / seconds
+		class.PromptTokens.Fast += (float64(request.PromptTokens) - f.cached*float64(request.SharedTokens)) / seconds
+		class.OutputTokens.Fast += float64(request.OutputTokens) / seconds
 	}
 	for _, name := range sortedKeys(classes) {
+		class := classes[name]
+		class.Requests.Slow, class.PromptTokens.Slow, class.OutputTokens.Slow = class.Requests.Fast, class.PromptTokens.Fast, class.OutputTokens.Fast
 		demand.Classes = append(demand.Classes, *classes[name])
 	}
 	return demand
--- a/internal/experiment/front.go
+++ b/internal/experiment/front.go
@@ -89,6 +89,7 @@
 		PromptTokens: request.PromptTokens - f.bestCached(request),
 		OutputTokens: request.OutputTokens,
 		Deadline:     request.TimeLimit,
+		Share:        f.shares.demand(now, request.Tenant),
 	})
 	if f.settings.admission && f.hopeless(now, arrived) {
 		arrived.shed = true
--- a/internal/experiment/shares.go
+++ b/internal/experiment/shares.go
@@ -16,7 +16,7 @@
 	// shareMemory is the time in which work fades to 1/e.
 	shareMemory = 10 * time.Second
 	// shareTolerance is how far above an equal share a tenant may be without giving way.
-	shareTolerance = 1.2
+	shareTolerance = 1.5
 	// shareExponent is how sharply a tenant above its share gives way.
 	shareExponent = 3
 	// leastSlack is the part of the slack that the heaviest tenant may use.
@@ -35,17 +35,26 @@
 
 // slack is the part of the slack before its deadlines that a tenant may use: 1 for tenants within their share.
 func (t *tenantShares) slack(now time.Time, tenant string) float64 {
+	return max(leastSlack, math.Pow(t.within(now, tenant), shareExponent))
+}
+
+// demand is the part of a tenant's requests that counts as demand for the role plan.
+func (t *tenantShares) demand(now time.Time, tenant string) float64 {
+	return max(leastSlack, t.within(now, tenant))
+}
+
+// within is the part of a tenant's work that is within its share.
+func (t *tenantShares) within(now time.Time, tenant string) float64 {
 	t.fade(now)
-	total, active := 0.0, 0
+	total := 0.0
 	for _, name := range sortedKeys(t.work) {
 		total += t.work[name]
-		active++
 	}
-	if active < 2 || t.work[tenant] <= 0 {
+	if len(t.work) < 2 || t.work[tenant] <= 0 {
 		return 1
 	}
-	over := t.work[tenant] * float64(active) / total / shareTolerance
-	return max(leastSlack, min(1, math.Pow(over, -shareExponent)))
+	equal := total / float64(len(t.work))
+	return min(1, shareTolerance*equal/t.work[tenant])
 }
 
 func (t *tenantShares) fade(now time.Time) {
--- a/internal/roleplan/goodput.go
+++ b/internal/roleplan/goodput.go
@@ -33,9 +33,11 @@
 // leastSeconds keeps the ratio of engine times defined.
 const leastSeconds = 1e-9
 
-// resolve turns demand into loads. rate picks one number of the averages; the queue counts as further arrivals. The loads are sorted by how much better prefill engines serve them than decode engines.
-func (c *Capacity) resolve(demand Demand, rate func(Averages) float64, settings Settings) []load {
+// resolve turns demand into loads; the queue counts as further arrivals. The loads are sorted by how much better prefill
+// engines serve them than decode engines.
+func (c *Capacity) resolve(demand Demand, settings Settings) []load {
 	loads := lo.FilterMap(demand.Classes, func(class ClassDemand, _ int) (load, bool) {
+		rate := believedAverage(class.Requests, settings)
 		requests := rate(class.Requests)
 		if requests <= 0 {
 			return load{}, false
@@ -59,6 +61,16 @@
 	return loads
 }
 
+// believedAverage chooses between the averages of a class. The variance of an exponential average of random arrivals is
+// their rate over twice the memory.
+func believedAverage(requests Averages, settings Settings) func(Averages) float64 {
+	deviation := math.Sqrt(requests.Slow / (2 * settings.FastMemory.Seconds()))
+	if math.Abs(requests.Fast-requests.Slow) > settings.Confidence*deviation {
+		return func(a Averages) float64 { return a.Fast }
+	}
+	return func(a Averages) float64 { return a.Slow }
+}
+
 // queuedRate is the rate of requests that works the queue off in the wanted time.
 func queuedRate(queued int, settings Settings) float64 {
 	if settings.QueueClear <= 0 {
--- a/internal/roleplan/meter.go
+++ b/internal/roleplan/meter.go
@@ -1,6 +1,7 @@
 package roleplan
 
 import (
+	"cmp"
 	"fmt"
 	"math/bits"
 	"slices"
@@ -18,6 +19,8 @@
 	OutputTokens int
 	Deadline     time.Duration
 	Worth        float64
+	// Share is the part of the request that counts as demand, less than 1 for a tenant above its share. Zero counts as 1.
+	Share float64
 }
 
 // Meter measures demand by class. The zero time of the first Tick starts it.
@@ -31,9 +34,9 @@
 // classMeter counts one class since the last tick.
 type classMeter struct {
 	demand       ClassDemand
-	requests     int
-	promptTokens int
-	outputTokens int
+	requests     float64
+	promptTokens float64
+	outputTokens float64
 	lastArrival  time.Time
 }
 
@@ -62,9 +65,10 @@
 	}
 	class.demand.Deadline = arrival.Deadline
 	class.demand.Worth = arrival.Worth
-	class.requests++
-	class.promptTokens += arrival.PromptTokens
-	class.outputTokens += arrival.OutputTokens
+	share := cmp.Or(arrival.Share, 1)
+	class.requests += share
+	class.promptTokens += share * float64(arrival.PromptTokens)
+	class.outputTokens += share * float64(arrival.OutputTokens)
 	class.lastArrival = now
 }
 
@@ -96,9 +100,9 @@
 
 func (c *classMeter) fold(elapsed time.Duration, settings MeterSettings) {
 	seconds := elapsed.Seconds()
-	c.demand.Requests.observe(float64(c.requests)/seconds, elapsed, settings)
-	c.demand.PromptTokens.observe(float64(c.promptTokens)/seconds, elapsed, settings)
-	c.demand.OutputTokens.observe(float64(c.outputTokens)/seconds, elapsed, settings)
+	c.demand.Requests.observe(c.requests/seconds, elapsed, settings)
+	c.demand.PromptTokens.observe(c.promptTokens/seconds, elapsed, settings)
+	c.demand.OutputTokens.observe(c.outputTokens/seconds, elapsed, settings)
 	c.requests, c.promptTokens, c.outputTokens = 0, 0, 0
 }
 
--- a/internal/roleplan/plan.go
+++ b/internal/roleplan/plan.go
@@ -18,9 +18,7 @@
 	engines  []Engine
 	policy   Policy
 	settings Settings
-	// fast and slow are the loads by the two averages.
-	fast []load
-	slow []load
+	loads    []load
 }
 
 // option is one split that the group could have.
@@ -45,8 +43,7 @@
 		engines:  lo.Filter(engines, func(each Engine, _ int) bool { return !each.Unusable }),
 		policy:   policy,
 		settings: settings,
-		fast:     capacity.resolve(demand, func(a Averages) float64 { return a.Fast }, settings),
-		slow:     capacity.resolve(demand, func(a Averages) float64 { return a.Slow }, settings),
+		loads:    capacity.resolve(demand, settings),
 	}
 	slices.SortFunc(p.engines, func(a, b Engine) int { return cmp.Compare(a.Name, b.Name) })
 	return p.plan()
@@ -57,9 +54,9 @@
 	best := p.bestOption(present)
 	result := Plan{
 		Wanted:        map[engine.Role]int{engine.RolePrefill: best.prefill, engine.RoleDecode: best.decode},
-		Goodput:       p.meanGoodput(splitOf(present)),
-		WantedGoodput: p.meanGoodput(splitOf(best)),
-		Utilization:   utilization(p.fast, splitOf(present)),
+		Goodput:       p.goodput(splitOf(present)),
+		WantedGoodput: p.goodput(splitOf(best)),
+		Utilization:   utilization(p.loads, splitOf(present)),
 	}
 	if best.moves == 0 {
 		result.Reason = fmt.Sprintf("The split of %s stays: no other gains enough.", describe(present))
@@ -134,20 +131,12 @@
 
 // leastGain is what an option must gain beyond its cost, against changes back and forth.
 func (p *planner) leastGain(candidate option) float64 {
-	return p.settings.Hysteresis * p.meanGoodput(splitOf(candidate)) * p.settings.Horizon.Seconds()
+	return p.settings.Hysteresis * p.goodput(splitOf(candidate)) * p.settings.Horizon.Seconds()
 }
 
-// gain is what an option is expected to bring over the horizon. What the two averages promise may differ; the settings
-// say how far the lower promise counts.
+// gain is what an option is expected to bring over the horizon: the engines that change are missing first and serve in
+// their new role then.
 func (p *planner) gain(present, candidate option) float64 {
-	fast := p.gainOf(p.fast, present, candidate)
-	slow := p.gainOf(p.slow, present, candidate)
-	mean := p.settings.FastWeight*fast + (1-p.settings.FastWeight)*slow
-	return mean - p.settings.Confidence*(mean-min(fast, slow))
-}
-
-// gainOf is the gain under one load: the engines that change are missing first and serve in their new role then.
-func (p *planner) gainOf(loads []load, present, candidate option) float64 {
 	waves := math.Ceil(float64(candidate.moves) / float64(max(1, p.policy.MaxChanging)))
 	out := min(p.settings.Horizon, time.Duration(waves)*(p.settings.ChangeTime+p.settings.DrainTime))
 	during := splitOf(present)
@@ -157,16 +146,14 @@
 	} else {
 		during.prefill -= missing
 	}
-	before := goodput(loads, splitOf(present), p.settings)
-	meanwhile := goodput(loads, during, p.settings)
-	after := goodput(loads, splitOf(candidate), p.settings)
+	before := p.goodput(splitOf(present))
+	meanwhile := p.goodput(during)
+	after := p.goodput(splitOf(candidate))
 	return (after-before)*(p.settings.Horizon-out).Seconds() + (meanwhile-before)*out.Seconds()
 }
 
-// meanGoodput is the expected goodput of a split under both averages.
-func (p *planner) meanGoodput(engines split) float64 {
-	return (goodput(p.fast, engines, p.settings) + goodput(p.slow, engines, p.settings)) / 2
-}
+// goodput is the expected goodput of a split.
+func (p *planner) goodput(engines split) float64 { return goodput(p.loads, engines, p.settings) }
 
 func splitOf(counts option) split {
 	return split{prefill: float64(counts.prefill), decode: float64(counts.decode)}
--- a/internal/roleplan/types.go
+++ b/internal/roleplan/types.go
@@ -94,11 +94,11 @@
 	// ChangeTime is how long an engine is out for a change, and DrainTime how long it takes to run empty before that.
 	ChangeTime time.Duration
 	DrainTime  time.Duration
-	// FastWeight is the weight of the fast averages in the gain, from 0 to 1; the slow ones have the rest.
-	FastWeight float64
-	// Confidence is how much of the difference between what the fast and the slow averages promise is taken off the
-	// gain: 0 takes their weighted mean, 1 the lower of both.
+	// Confidence is by how many standard deviations the fast average of a class must differ from the slow one to be
+	// believed; otherwise the difference is taken for chance and the slow one counts. Arrivals are taken to be random.
 	Confidence float64
+	// FastMemory is the memory of the fast averages, from which their deviation follows.
+	FastMemory time.Duration
 	// Hysteresis is the share of the expected goodput that a change must gain at least.
 	Hysteresis float64
 	// TargetUtilization is the share of the engines' time that can be sold without answers being late.
@@ -114,8 +114,8 @@
 		Horizon:           60 * time.Second,
 		ChangeTime:        8 * time.Second,
 		DrainTime:         3 * time.Second,
-		FastWeight:        1,
-		Confidence:        0,
+		Confidence:        2.5,
+		FastMemory:        DefaultMeterSettings().FastMemory,
 		Hysteresis:        0.05,
 		TargetUtilization: 0.9,
 		QueueClear:        20 * time.Second,
