--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -396,6 +396,32 @@
 	h.expect("claimed work never starts a second run", len(h.submits()), 0)
 }
 
+func TestRestartedEngineEndsItsRuns(t *testing.T) {
+	tests := []struct {
+		desc       string
+		repeatable bool
+		want       string
+	}{
+		{"repeatable work goes on", true, "submits 1 outcomes []"},
+		{"other work is told at once", false, "submits 0 outcomes [OUTCOME_KIND_FAILED]"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			h := newHarness(t)
+			chosen := h.chosen("t/01HF7YAT00000000000000000A", test.repeatable)
+			h.event(engine.Tokens{Engine: chosen, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Tokens: []string{"w"}})
+			h.effects.Reset()
+			views := lo.Map(h.core.names, func(name string, _ int) EngineView {
+				view := h.core.engines[name].view
+				view.Incarnation = lo.Ternary[uint64](name == chosen, 2, 1)
+				return view
+			})
+			h.core.SetEngines(h.now, views, &h.effects)
+			h.expect("effects", fmt.Sprintf("submits %d outcomes %v", len(h.submits()), h.outcomes()), test.want)
+		})
+	}
+}
+
 func TestStopMovesRequests(t *testing.T) {
 	h := newHarness(t)
 	h.chosen("t/01HF7YAT00000000000000000A", true)
--- a/internal/dispatch/engines.go
+++ b/internal/dispatch/engines.go
@@ -51,6 +51,7 @@
 	}
 	c.names = lo.Keys(c.engines)
 	slices.Sort(c.names)
+	c.leaveRestarted(now, effects)
 	c.schedule(now, effects)
 }
 
@@ -66,6 +67,17 @@
 	c.schedule(now, effects)
 }
 
+// leaveRestarted goes on with the requests whose engine is known to have restarted: it forgot their runs.
+func (c *Core) leaveRestarted(now time.Time, effects *core.Effects) {
+	for _, entry := range slices.Clone(c.order) {
+		state := c.engines[entry.engine]
+		atEngine := entry.phase == phaseSubmitted || entry.phase == phaseAttaching || entry.phase == phaseRunning || entry.phase == phaseCancelling
+		if state != nil && atEngine && entry.incarnation < state.view.Incarnation {
+			c.handleLostRun(now, entry, effects)
+		}
+	}
+}
+
 // setEngine takes the view of one engine.
 func (c *Core) setEngine(now time.Time, view EngineView) {
 	state, ok := c.engines[view.Name]
