Claims: change the view of holders

Cause: the holders of claims were the static list of routers, so that machines that replace others under new names never voted. Change: a record of views in the key-value service, sealing of the earlier holders before a view is committed, and the wiring in the router.

--- a/internal/claim/proposal.go
+++ b/internal/claim/proposal.go
@@ -39,6 +39,10 @@
 	accepted      *granitebayv1.Ballot
 	acceptedValue *granitebayv1.ClaimValue
 	acceptedBy    int
+	// behind holds the acceptors that do not vote in this view now, but may later. blockedByView is set while they keep
+	// the ballots from a quorum.
+	behind        map[string]bool
+	blockedByView bool
 	// excluded holds the acceptors that vote on no ballot of this id, and why.
 	excluded map[string]granitebayv1.ClaimRefusal
 	// proposed is set once an accept of the own value was sent.
@@ -55,12 +59,14 @@
 	p.candidate = nil
 	p.votes = make(map[string]bool)
 	p.outbid = make(map[string]bool)
+	p.behind = make(map[string]bool)
 	p.accepted, p.acceptedValue, p.acceptedBy = nil, nil, 0
 }
 
 // beginAccepting enters phase 2. An accepted value that was reported must be completed; else the own value is free.
 func (p *proposal) beginAccepting() {
 	p.phase = phaseAccepting
+	p.blockedByView = false
 	p.votes = make(map[string]bool)
 	p.candidate = p.own
 	if p.accepted != nil {
@@ -74,7 +80,7 @@
 	if p.votes[from] {
 		return
 	}
-	p.votes[from] = true
+	p.addVote(from)
 	reported := promise.GetAcceptedBallot()
 	if reported == nil {
 		return
@@ -87,6 +93,12 @@
 	}
 }
 
+// addVote counts a promise or vote of this phase.
+func (p *proposal) addVote(from string) {
+	p.votes[from] = true
+	delete(p.behind, from)
+}
+
 // hasQuorum tells whether enough acceptors voted in this phase.
 func (p *proposal) hasQuorum() bool { return len(p.votes) >= quorum(p.acceptors) }
 
@@ -102,7 +114,7 @@
 func (p *proposal) canWin() bool {
 	open := lo.CountBy(p.acceptors, func(holder Holder) bool {
 		_, excluded := p.excluded[holder.Name]
-		return !excluded && !p.outbid[holder.Name]
+		return !excluded && !p.outbid[holder.Name] && !p.behind[holder.Name]
 	})
 	return open >= quorum(p.acceptors)
 }
@@ -119,13 +131,19 @@
 		p.failure = FailureInvalid
 	case lo.Contains(refusals, granitebayv1.ClaimRefusal_CLAIM_REFUSAL_EXPIRED):
 		p.failure = FailureExpired
-	case lo.Contains(refusals, granitebayv1.ClaimRefusal_CLAIM_REFUSAL_FORGOTTEN):
-		p.failure = FailureForgotten
 	default:
-		p.failure = FailureView
+		p.failure = FailureForgotten
 	}
 }
 
+// setView makes the proposal one of another view. What acceptors of the old view refused does not count in the new one.
+func (p *proposal) setView(view View) {
+	p.view = view.Version
+	p.acceptors = view.Acceptors(p.requestID)
+	p.excluded = make(map[string]granitebayv1.ClaimRefusal)
+	p.blockedByView = len(p.acceptors) == 0
+}
+
 // waiting returns the acceptors whose vote is still wanted in this phase.
 func (p *proposal) waiting() []Holder {
 	return lo.Filter(p.acceptors, func(holder Holder, _ int) bool {
--- a/internal/claim/proposer.go
+++ b/internal/claim/proposer.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
 	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/decision"
@@ -51,6 +53,9 @@
 	Incarnation uint64
 	// Address returns the host:port of a holder, or the empty string while it is unknown.
 	Address func(name string) string
+	// ViewOf returns the view of a request id as far as it is known. When it is left out, a proposal stays in the view
+	// that it began with.
+	ViewOf func(requestID string) View
 	// RetryInterval is the time after which an unanswered message is sent again. Default: DefaultRetryInterval.
 	RetryInterval time.Duration
 	// MaxBackoff bounds the wait of a proposer that was outbid. Default: DefaultMaxBackoff.
@@ -92,16 +97,14 @@
 	}
 	opened := &proposal{
 		requestID: requestID,
-		view:      view.Version,
-		acceptors: view.Acceptors(requestID),
 		own:       value,
 		deadline:  deadline,
-		excluded:  make(map[string]granitebayv1.ClaimRefusal),
 	}
+	opened.setView(view)
 	p.proposals[requestID] = opened
 	if _, err := CreatedAt(requestID); err != nil {
 		opened.failure = FailureInvalid
-	} else if len(opened.acceptors) == 0 {
+	} else if len(opened.acceptors) == 0 && p.settings.ViewOf == nil {
 		opened.failure = FailureView
 	}
 	if opened.failure != FailureNone {
@@ -161,8 +164,8 @@
 	case open.failure != FailureNone:
 		return p.fail(open, open.failure, effects)
 	case !now.Before(open.deadline):
-		return p.fail(open, FailureNoMajority, effects)
-	case open.phase == phaseBackoff || len(open.outbid) > 0:
+		return p.fail(open, lo.Ternary(open.blockedByView, FailureView, FailureNoMajority), effects)
+	case open.phase == phaseBackoff || len(open.outbid) > 0 || len(open.acceptors) == 0:
 		p.beginBallot(now, open, effects)
 	default:
 		p.send(now, open, effects)
@@ -197,7 +200,7 @@
 	if open == nil {
 		return nil
 	}
-	open.votes[from] = true
+	open.addVote(from)
 	if open.hasQuorum() {
 		return p.decide(open, open.candidate, effects)
 	}
@@ -218,6 +221,12 @@
 		open.outbid[from] = true
 	case granitebayv1.ClaimRefusal_CLAIM_REFUSAL_FUTURE, granitebayv1.ClaimRefusal_CLAIM_REFUSAL_UNSPECIFIED:
 		return nil // sent again at the next wake
+	case granitebayv1.ClaimRefusal_CLAIM_REFUSAL_VIEW:
+		if open.votes[from] {
+			return nil // it voted in this phase before or after it refused
+		}
+		open.behind[from] = true
+		open.blockedByView = open.blockedByView || !open.canWin()
 	default:
 		open.exclude(from, refused.GetRefusal())
 		if open.failure != FailureNone {
@@ -242,6 +251,11 @@
 
 // beginBallot starts phase 1 with a ballot that this process has never used, for this id or any other.
 func (p *Proposer) beginBallot(now time.Time, open *proposal, effects *core.Effects) {
+	if p.settings.ViewOf != nil {
+		if view := p.settings.ViewOf(open.requestID); view.Version != open.view {
+			open.setView(view)
+		}
+	}
 	p.round++
 	open.begin(&granitebayv1.Ballot{
 		Round:               p.round,
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -1,13 +1,9 @@
 package router
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
@@ -25,7 +21,7 @@
 	"github.com/granitebay/granitebay/internal/roleplan"
 )
 
-// requestOwner marks the platform requests of the router itself. The other cores have 1 to 3.
+// requestOwner marks the platform requests of the router itself. The other cores have 1 to 3 and 5.
 const requestOwner = 4
 
 // Owner numbers of the platform requests of the joined cores.
@@ -46,7 +42,7 @@
 	roles         *rolecontrol.Core
 	acceptor      *claim.Acceptor
 	proposer      *claim.Proposer
-	claimView     claim.View
+	claimViews    *claim.ViewControl
 	dispatch      *dispatch.Core
 	owners        *ingress.Table
 	spread        *poolspread.Core
@@ -94,7 +90,6 @@
 	c := &Core{
 		settings:  settings,
 		random:    random,
-		claimView: claimView(settings),
 		engines:   make(map[string]*engineInfo),
 		forwarded: make(map[string]*forward),
 		planSeen:  make(map[string]planMark),
@@ -124,11 +119,10 @@
 	roles.ShardKey = c.ownership.ShardKey
 	roles.InitialTarget = c.initialTarget
 	c.roles = rolecontrol.New(roles, c.newRandom())
-	c.acceptor = claim.NewAcceptor(claim.AcceptorSettings{StartedAt: c.settings.StartedAt, View: c.claimView})
-	c.proposer = claim.NewProposer(claim.ProposerSettings{Name: self.GetName(), Incarnation: self.GetIncarnation(), Address: c.addressOf}, c.newRandom())
 	c.dispatch = dispatch.New(c.dispatchSettings(), c, c.newRandom())
 	c.spread = poolspread.New(poolspread.Settings{Self: self, Interval: c.settings.DigestInterval})
 	c.owners = ingress.NewTable(ingress.Settings{Zone: self.GetZone(), Placement: c.settings.Placement}, c.newRandom())
+	c.newClaims()
 }
 
 // newRandom derives a random source.
@@ -147,34 +141,6 @@
 	return settings
 }
 
-// claimView makes the view of claim holders from the static settings. Its version is a hash of the names, so that
-// routers with other settings refuse each other's claims.
-func claimView(settings Settings) claim.View {
-	holders := lo.Map(settings.Seeds, func(seed membership.Member, _ int) claim.Holder {
-		return claim.Holder{Name: seed.Name, Zone: seed.Zone}
-	})
-	self := claim.Holder{Name: settings.Self.GetName(), Zone: settings.Self.GetZone()}
-	holders = lo.Uniq(append(holders, self))
-	slices.SortFunc(holders, func(a, b claim.Holder) int { return strings.Compare(a.Name, b.Name) })
-	return claim.View{Version: xxhash.Sum64String(fmt.Sprint(holders)), Holders: holders}
-}
-
-// addressOf returns the address of a router, or an empty string.
-func (c *Core) addressOf(name string) string {
-	if name == c.settings.Self.GetName() {
-		return c.settings.Self.GetAddress()
-	}
-	if member, ok := c.members.Lookup(name); ok {
-		return member.Address
-	}
-	return ""
-}
-
-// Propose implements dispatch.Claims.
-func (c *Core) Propose(now time.Time, instance string, value *granitebayv1.ClaimValue, deadline time.Time, effects *core.Effects) {
-	c.proposer.Propose(now, instance, value, c.claimView, deadline, effects)
-}
-
 // HandleEnvelope takes a message from a peer.
 func (c *Core) HandleEnvelope(now time.Time, envelope *granitebayv1.Envelope, effects *core.Effects) {
 	switch body := envelope.GetBody().(type) {
@@ -186,12 +152,10 @@
 		c.dispatch.HandleProgressed(now, body.Progressed, effects)
 	case *granitebayv1.Envelope_Ping, *granitebayv1.Envelope_PingAck, *granitebayv1.Envelope_PingRequest:
 		c.members.HandleEnvelope(now, envelope, effects)
-	case *granitebayv1.Envelope_ClaimPrepare, *granitebayv1.Envelope_ClaimAccept:
-		if !c.members.Superseded() {
-			c.acceptor.Handle(now, envelope, effects)
-		}
-	case *granitebayv1.Envelope_ClaimPromise, *granitebayv1.Envelope_ClaimAccepted, *granitebayv1.Envelope_ClaimRefused:
-		c.takeClaims(now, c.proposer.HandleEnvelope(now, envelope, effects), effects)
+	case *granitebayv1.Envelope_ClaimPrepare, *granitebayv1.Envelope_ClaimAccept, *granitebayv1.Envelope_ClaimPromise,
+		*granitebayv1.Envelope_ClaimAccepted, *granitebayv1.Envelope_ClaimRefused, *granitebayv1.Envelope_ClaimSeal,
+		*granitebayv1.Envelope_ClaimSealed, *granitebayv1.Envelope_ClaimViews:
+		c.handleClaims(now, envelope, effects)
 	case *granitebayv1.Envelope_ConfigurationDigest, *granitebayv1.Envelope_ConfigurationFetch, *granitebayv1.Envelope_ConfigurationSnapshot:
 		c.configuration.HandleEnvelope(now, envelope, effects)
 	case *granitebayv1.Envelope_PoolDigest:
@@ -235,6 +199,8 @@
 		c.configuration.HandlePlatformResponse(now, response, effects)
 	case ownerRoleControl:
 		c.roles.HandlePlatformResponse(now, response, effects)
+	case claim.ViewRequestOwner:
+		c.claimViews.HandlePlatformResponse(now, response, effects)
 	case requestOwner:
 		c.handleMemberList(now, response, effects)
 	}
@@ -260,8 +226,7 @@
 	c.configuration.Tick(now, effects)
 	c.ownership.Tick(now, effects)
 	c.roles.Tick(now, effects)
-	c.acceptor.Tick(now)
-	c.takeClaims(now, c.proposer.Tick(now, effects), effects)
+	c.tickClaims(now, effects)
 	c.dispatch.Tick(now, effects)
 	c.settle(now, effects)
 	c.tickMembers(now, effects)
@@ -277,8 +242,7 @@
 	wake := core.Earliest(c.members.NextWake(), c.configuration.NextWake())
 	wake = core.Earliest(wake, c.ownership.NextWake())
 	wake = core.Earliest(wake, c.roles.NextWake())
-	wake = core.Earliest(wake, c.proposer.NextWake())
-	wake = core.Earliest(wake, c.acceptor.NextWake())
+	wake = core.Earliest(wake, c.claimsWake())
 	wake = core.Earliest(wake, c.dispatch.NextWake())
 	for _, own := range []time.Time{c.nextMembers, c.nextProbe, c.nextDigest, c.nextPlan, c.nextRecords} {
 		wake = core.Earliest(wake, own)
@@ -323,6 +287,7 @@
 		return peer, member.Name != c.settings.Self.GetName()
 	}))
 	c.spreadAmong()
+	c.applyClaimMembers(now, live)
 	for _, member := range c.members.Members() {
 		if member.State == membership.StateDead {
 			c.owners.Forget(member.Name)
@@ -345,13 +310,6 @@
 	c.enginesChanged = true
 }
 
-// takeClaims hands decided claims to dispatch.
-func (c *Core) takeClaims(now time.Time, results []claim.Result, effects *core.Effects) {
-	for _, result := range results {
-		c.dispatch.HandleClaimResult(now, result, effects)
-	}
-}
-
 // live tells whether a router takes new work.
 func (c *Core) live(name string) bool {
 	if name == c.settings.Self.GetName() {
