--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -22,7 +22,7 @@
 	AdminAddress string
 	// StartedAt is the time at which the process started.
 	StartedAt time.Time
-	// Seeds are the routers of the static settings, this one included or not. They also are the holders of claims.
+	// Seeds are the routers of the static settings, this one included or not. They also are the first holders of claims.
 	Seeds []membership.Member
 	// MembersInterval is the time between two reads of the platform's membership list. Default 2 s.
 	MembersInterval time.Duration
