Router: settings of the claim view

Cause: the times of a change of view were fixed. Change: Settings.Claims, with the defaults of internal/claim. Conclusion: no behaviour changes.

--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -14,13 +14,18 @@
 // newClaims makes the cores of claims.
 func (c *Core) newClaims() {
 	self := c.settings.Self
-	c.acceptor = claim.NewAcceptor(claim.AcceptorSettings{StartedAt: c.settings.StartedAt})
-	c.claimViews = claim.NewViewControl(claim.ViewSettings{
-		Self:     self.GetName(),
-		Holders:  claimHolders(c.settings),
-		Acceptor: c.acceptor,
-		Address:  c.addressOf,
-	}, c.newRandom())
+	settings := c.settings.Claims
+	c.acceptor = claim.NewAcceptor(claim.AcceptorSettings{
+		StartedAt:            c.settings.StartedAt,
+		Window:               settings.Window,
+		ClockSkew:            settings.ClockSkew,
+		ConfirmationLifetime: settings.ConfirmationLifetime,
+	})
+	settings.Self = self.GetName()
+	settings.Holders = claimHolders(c.settings)
+	settings.Acceptor = c.acceptor
+	settings.Address = c.addressOf
+	c.claimViews = claim.NewViewControl(settings, c.newRandom())
 	c.proposer = claim.NewProposer(claim.ProposerSettings{
 		Name:        self.GetName(),
 		Incarnation: self.GetIncarnation(),
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/claim"
 	"github.com/granitebay/granitebay/internal/dispatch"
 	"github.com/granitebay/granitebay/internal/membership"
 	"github.com/granitebay/granitebay/internal/ownership"
@@ -37,6 +38,9 @@
 	// StopGrace is the least time between the announcement of a planned stop and its end. Default 1.5 s.
 	StopGrace time.Duration
 
+	// Claims sets the times of changes of the claim view. The router fills in the rest.
+	Claims claim.ViewSettings
+
 	Dispatch    dispatch.Settings
 	Membership  membership.Settings
 	Ownership   ownership.Settings
