--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -11,7 +11,8 @@
 	ListenAdmin string `json:"listenAdmin"`
 	// Platform says where the services of the platform are.
 	Platform Platform `json:"platform"`
-	// Peers are other routers to begin with; more come from the membership list. Naming the router itself does no harm.
+	// Peers are other routers to begin with; more come from the membership list. At the first start of a fleet they become
+	// the first holders of claims, so name the router itself too.
 	Peers []Peer `json:"peers"`
 }
 
