Router: a process that was paused first reads what changed; requests with a tombstone go to another owner

Change: a gap of 1.5 s between steps holds new work for 300 ms and reads the membership list anew; such requests are rerouted, else refused as elsewhere.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -165,6 +165,8 @@
 
 	nextHousekeeping time.Time
 	stopping         bool
+	// holdUntil is until when no new work goes to engines.
+	holdUntil time.Time
 }
 
 // New returns a dispatch core.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -183,6 +183,7 @@
 	h.event(engine.Refused{Engine: second, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalCancelled})
 	h.expect("nothing more is submitted", len(h.submits()), 0)
 	h.expect("outcome", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
+	h.expect("another owner may have an engine without tombstone", h.core.requests["t/01HF7YAT00000000000000000A"].outcome.GetElsewhere(), true)
 }
 
 func TestUnansweredSubmitAtClosedEngineIsLookedFor(t *testing.T) {
@@ -422,6 +423,16 @@
 	}
 }
 
+func TestHoldAfterPause(t *testing.T) {
+	h := newHarness(t)
+	h.core.Hold(h.now.Add(time.Second))
+	h.generate("t/01HF7YAT00000000000000000A", true, nil)
+	h.generate("t/01HF7YAT00000000000000000B", false, nil)
+	h.expect("nothing goes to an engine", len(h.effects.Engine), 0)
+	h.pass(1100 * time.Millisecond)
+	h.expect("the work goes out afterwards", len(h.submits())+len(h.claims), 2)
+}
+
 func TestStopMovesRequests(t *testing.T) {
 	h := newHarness(t)
 	h.chosen("t/01HF7YAT00000000000000000A", true)
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -15,10 +15,14 @@
 // maxCandidatesShown bounds the candidates in a decision.
 const maxCandidatesShown = 8
 
+// Hold keeps new work from engines until a moment, for a process that was not run for a while and must first hear what
+// changed meanwhile.
+func (c *Core) Hold(until time.Time) { c.holdUntil = until }
+
 // schedule dispatches waiting requests, in the order of the queue, to engines that have room. A request that finds no
 // room does not hold up those after it, unless they want the same group and model and role of engines.
 func (c *Core) schedule(now time.Time, effects *core.Effects) {
-	if c.stopping || c.queue.length() == 0 {
+	if c.stopping || c.queue.length() == 0 || now.Before(c.holdUntil) {
 		return
 	}
 	blocked := make(map[string]bool)
@@ -107,6 +111,11 @@
 // submit sends a Submit to the chosen engine. It never goes to an engine that is closed to new work: under the
 // generation of a draining record the engine would take the request, and the change that waits for it would cut it.
 func (c *Core) submit(now time.Time, entry *request, effects *core.Effects) {
+	if now.Before(c.holdUntil) {
+		entry.phase = phaseSubmitted
+		entry.retryAt = c.holdUntil
+		return
+	}
 	if c.closedTo(entry) {
 		c.leaveClosed(now, entry, effects)
 		return
@@ -275,13 +284,17 @@
 		c.move(now, entry, "The engines of this router no longer serve the request: the agent goes on through another router.", effects)
 		return
 	}
+	if c.reroute(now, entry, effects) {
+		return
+	}
 	const reason = "The request was cancelled before at every engine of this router that could run it."
-	kind := granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
-	switch {
-	case entry.length() > 0:
+	if c.untouched(entry) {
+		c.refuse(now, entry, reason, 0, true, effects)
+		return
+	}
+	kind := granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
+	if entry.length() > 0 {
 		kind = granitebayv1.OutcomeKind_OUTCOME_KIND_FAILED
-	case entry.submitted:
-		kind = granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
 	}
 	c.giveUp(now, entry, kind, reason, effects)
 }
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -84,6 +84,8 @@
 
 	stopping  bool
 	stoppedAt time.Time
+	// lastStep is when the core was last called.
+	lastStep time.Time
 }
 
 // New returns the core of a router.
@@ -143,8 +145,27 @@
 	return settings
 }
 
+// Bounds of a pause of the process.
+const (
+	// pauseBound is the time without a step after which the process was surely paused: the digest alone is due sooner.
+	pauseBound = 1500 * time.Millisecond
+	// resumeHold is how long a process that was paused sends no new work to engines: what arrived meanwhile, such as word of
+	// engines that leave, is read first.
+	resumeHold = 300 * time.Millisecond
+)
+
+// noteStep notices that the process was paused, and reads again what may have changed.
+func (c *Core) noteStep(now time.Time) {
+	if !c.lastStep.IsZero() && now.Sub(c.lastStep) >= pauseBound {
+		c.dispatch.Hold(now.Add(resumeHold))
+		c.nextMembers = now
+	}
+	c.lastStep = now
+}
+
 // HandleEnvelope takes a message from a peer.
 func (c *Core) HandleEnvelope(now time.Time, envelope *granitebayv1.Envelope, effects *core.Effects) {
+	c.noteStep(now)
 	switch body := envelope.GetBody().(type) {
 	case *granitebayv1.Envelope_Generate:
 		c.handleGenerate(now, body.Generate, effects)
@@ -179,6 +200,7 @@
 
 // HandlePeerUnreachable takes word that messages to a peer were lost.
 func (c *Core) HandlePeerUnreachable(now time.Time, peer string, effects *core.Effects) {
+	c.noteStep(now)
 	c.members.HandlePeerUnreachable(now, peer, effects)
 	c.configuration.HandlePeerUnreachable(now, peer, effects)
 	c.settle(now, effects)
@@ -186,6 +208,7 @@
 
 // HandleEngineEvent takes an event from an engine.
 func (c *Core) HandleEngineEvent(now time.Time, event engine.Event, effects *core.Effects) {
+	c.noteStep(now)
 	c.noteEngine(now, event)
 	c.roles.HandleEngineEvent(now, event, effects)
 	c.dispatch.HandleEngineEvent(now, event, effects)
@@ -194,6 +217,7 @@
 
 // HandlePlatformResponse takes the answer to a request to the platform.
 func (c *Core) HandlePlatformResponse(now time.Time, response platform.Response, effects *core.Effects) {
+	c.noteStep(now)
 	switch core.Owner(response.ID) {
 	case ownerOwnership:
 		c.ownership.HandlePlatformResponse(now, response, effects)
@@ -211,6 +235,7 @@
 
 // HandlePlatformWatch takes changes of a watch.
 func (c *Core) HandlePlatformWatch(now time.Time, event platform.WatchEvent, effects *core.Effects) {
+	c.noteStep(now)
 	switch core.Owner(event.ID) {
 	case ownerOwnership:
 		c.ownership.HandlePlatformWatch(now, event, effects)
@@ -224,6 +249,7 @@
 
 // Tick runs what is due.
 func (c *Core) Tick(now time.Time, effects *core.Effects) {
+	c.noteStep(now)
 	c.members.Tick(now, effects)
 	c.configuration.Tick(now, effects)
 	c.ownership.Tick(now, effects)
