--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -15,6 +15,7 @@
 		},
 		Weights:                map[string]float64{ScoreRole: 4},
 		PrefixLoadBound:        1.5,
+		HoldUpLimitSeconds:     12,
 		MemoryComfort:          0.8,
 		MemoryPenaltySeconds:   2,
 		RecoveryPenaltySeconds: 0.5,
