Large fleets: slower sums, reads and routine probes

Cause: 24 kB/s of control at an owner of 85 engines and 18 at the router that stands for a zone, against 10. Change: 8 routine probes a second; role control probes serving engines less often when it has more than 16; sums each 8 s, those of regions each 24 s; list reads by 150 ms a member, resyncs by 500 ms a key; 3 named applied revisions beside the vector; changes of the configuration are made from kept fields.

--- a/internal/configuration/applied_vector.go
+++ b/internal/configuration/applied_vector.go
@@ -15,8 +15,8 @@
 	vectorFrom = 32
 	// vectorNamed and vectorRefresh are the most entries with names in such a digest, and those of them sent in turn.
 	// They serve receivers that know other routers.
-	vectorNamed   = 8
-	vectorRefresh = 2
+	vectorNamed   = 3
+	vectorRefresh = 1
 )
 
 // everyone returns the names of all routers, this one included, in order.
--- a/internal/configuration/delta.go
+++ b/internal/configuration/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -29,7 +30,7 @@
 	if base == 0 || base >= document.Revision || base < document.OldestBase() {
 		return nil, false
 	}
-	values, err := fieldsOf(document.Spec)
+	values, err := s.fieldValues()
 	if err != nil {
 		return nil, false
 	}
@@ -52,10 +53,11 @@
 	if err := json.Unmarshal(encoded, &received); err != nil {
 		return nil, errors.Wrap(err, "decode the changes of the configuration")
 	}
-	values, err := fieldsOf(s.document.Spec)
+	before, err := s.fieldValues()
 	if err != nil {
 		return nil, err
 	}
+	values := maps.Clone(before)
 	for _, changed := range received.Fields {
 		if changed.Value == nil {
 			delete(values, changed.Field)
@@ -75,5 +77,17 @@
 		status.ChangeID = received.Changes[0].ChangeID
 	}
 	snapshot, err := Compile(Document{Spec: spec, Status: status})
-	return snapshot, errors.Wrap(err, "compile the changed configuration")
+	if err != nil {
+		return nil, errors.Wrap(err, "compile the changed configuration")
+	}
+	snapshot.values = values
+	return snapshot, nil
+}
+
+// fieldValues returns the fields of the document. The caller must not change them.
+func (s *Snapshot) fieldValues() (fieldValues, error) {
+	if s.values != nil {
+		return s.values, nil
+	}
+	return fieldsOf(s.document.Spec)
 }
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -16,6 +16,8 @@
 	digest   uint64
 	groups   []compiledGroup
 	rules    []compiledRule
+	// values are the fields of the document, if the snapshot was made of changes.
+	values fieldValues
 	// Objects by name.
 	groupsByName  map[string]Group
 	rulesByName   map[string]Rule
--- a/internal/ownership/mirror/mirror.go
+++ b/internal/ownership/mirror/mirror.go
@@ -24,7 +24,7 @@
 	DefaultBackoffBase    = 200 * time.Millisecond
 	DefaultBackoffMax     = 5 * time.Second
 	// resyncPerKey is the least time between two Lists for each key, so that their bytes a second do not grow.
-	resyncPerKey = 250 * time.Millisecond
+	resyncPerKey = 500 * time.Millisecond
 )
 
 // ResyncAfter is the time from one List of some keys to the next while the watch works.
--- a/internal/poolspread/poolspread.go
+++ b/internal/poolspread/poolspread.go
@@ -28,12 +28,12 @@
 	ZoneInterval = 2 * time.Second
 	// sumInterval is the time between two sums of a zone, regionInterval between two of a region and between two
 	// messages down the tree of a zone.
-	sumInterval    = 4 * time.Second
-	regionInterval = 8 * time.Second
+	sumInterval    = 8 * time.Second
+	regionInterval = 24 * time.Second
 	// staleAfter is the age at which the digest of an owner no longer counts in a sum.
 	staleAfter = 10 * time.Second
 	// SumStaleAfter is the age at which a sum no longer counts.
-	SumStaleAfter = 30 * time.Second
+	SumStaleAfter = 60 * time.Second
 	// zoneRefresh is the age at which a digest is sent again although little has changed.
 	zoneRefresh = 6 * time.Second
 	// emptyDigests is how often a digest that tells of nothing is sent before it is left out.
--- a/internal/rolecontrol/control.go
+++ b/internal/rolecontrol/control.go
@@ -109,6 +109,7 @@
 	if control.epoch != 0 {
 		target = nil
 	}
+	c.countHeld(control.epoch, epoch)
 	pending := control.commit
 	if pending != nil && epoch != 0 && pending.proposal.Epoch != epoch {
 		c.dropCommit(control)
@@ -131,6 +132,16 @@
 	c.wakeKnown = false
 }
 
+// countHeld keeps the number of engines over which this router has authority.
+func (c *Core) countHeld(before, after uint64) {
+	if before == 0 && after != 0 {
+		c.held++
+	}
+	if before != 0 && after == 0 {
+		c.held--
+	}
+}
+
 // checkAuthority asks for the authority anew. It is called last thing before each order and each commit.
 func (c *Core) checkAuthority(now time.Time, control *engineControl) bool {
 	epoch, held := c.settings.Authority(now, control.name)
@@ -237,8 +248,8 @@
 	if control.commit != nil {
 		return
 	}
-	if c.reached(now, control, control.statusAt.Add(c.settings.IdleProbeInterval)) {
-		c.probe(now, control, c.settings.IdleProbeInterval, effects)
+	if idle := c.idleInterval(); c.reached(now, control, control.statusAt.Add(idle)) {
+		c.probe(now, control, idle, effects)
 	}
 }
 
@@ -260,6 +271,21 @@
 		!e.status.Changing && sameConfiguration(e.status.Configuration, record.Configuration)
 }
 
+// freelyProbed is the number of engines that are probed at IdleProbeInterval while they serve. With more of them, each
+// waits for idleProbeShare times their number.
+const (
+	freelyProbed   = 16
+	idleProbeShare = 250 * time.Millisecond
+)
+
+// idleInterval is the time after the latest report of a serving engine at which it is probed.
+func (c *Core) idleInterval() time.Duration {
+	if c.held <= freelyProbed {
+		return c.settings.IdleProbeInterval
+	}
+	return max(c.settings.IdleProbeInterval, time.Duration(c.held)*idleProbeShare)
+}
+
 func (c *Core) awaitReady(now time.Time, control *engineControl, effects *core.Effects) {
 	control.setPhase(PhaseChanging, "accepted its record and is not ready yet")
 	if control.readyDeadline.IsZero() {
--- a/internal/rolecontrol/rolecontrol.go
+++ b/internal/rolecontrol/rolecontrol.go
@@ -61,6 +61,8 @@
 	// requests finds the engine of a request to the key-value service.
 	requests map[platform.RequestID]*engineControl
 	counts   Counts
+	// held counts the engines over which this router has authority.
+	held int
 	// wake is the earliest wake of all engines, when wakeKnown.
 	wake      time.Time
 	wakeKnown bool
@@ -116,6 +118,7 @@
 		return
 	}
 	c.dropCommit(control)
+	c.countHeld(control.epoch, 0)
 	delete(c.engines, engineName)
 	c.names = lo.Without(c.names, engineName)
 	c.wakeKnown = false
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -250,7 +250,7 @@
 }
 
 // routineProbes bounds the engines in order that a router of a large fleet probes in one ProbeInterval; they take turns.
-const routineProbes = 16
+const routineProbes = 8
 
 // tickProbes asks the engines that this router owns for their load reports, and once each engine that it may own.
 func (c *Core) tickProbes(now time.Time, effects *core.Effects) {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -11,7 +11,7 @@
 const (
 	// readPerMember is how much the time between two reads of the membership list grows with each member, so that the
 	// bytes of the list that a router reads a second do not grow with the fleet.
-	readPerMember = 75 * time.Millisecond
+	readPerMember = 150 * time.Millisecond
 	// membersReadOften is the most members whose list each router reads at the configured interval.
 	membersReadOften = 64
 	// newsPerRead bounds the changes that one read tells of. The others learn the rest from their own reads.
