--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -128,6 +128,10 @@
 	for _, score := range []string{placement.ScoreRole, placement.ScoreOthers, placement.ScoreOutput} {
 		add("without_"+score+"_score", func(p *policy) { p.placement = withoutScore(score) })
 	}
+	add("without_hold_up_limit", func(p *policy) {
+		p.placement = placement.DefaultSettings()
+		p.placement.HoldUpLimitSeconds = 0
+	})
 	add("without_admission", func(p *policy) { p.front.admission = false })
 	add("without_prefixes", func(p *policy) { p.front.prefixes = false })
 	add("without_fairness", func(p *policy) { p.front.fair = false })
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -1,7 +1,5 @@
 package placement
 
-import "os"
-import "strconv"
 import "github.com/granitebay/granitebay/internal/engine"
 
 // DefaultSettings returns settings for the engines that the stand-ins model.
@@ -17,7 +15,7 @@
 		},
 		Weights:                map[string]float64{ScoreRole: 4},
 		PrefixLoadBound:        1.5,
-		HoldUpLimitSeconds:     HUL(),
+		HoldUpLimitSeconds:     12,
 		MemoryComfort:          0.8,
 		MemoryPenaltySeconds:   2,
 		RecoveryPenaltySeconds: 0.5,
@@ -31,5 +29,3 @@
 	}
 	return 1
 }
-
-func HUL() float64 { v, _ := strconv.ParseFloat(os.Getenv("HUL"), 64); return v }
