--- a/internal/experiment/controllers.go
+++ b/internal/experiment/controllers.go
@@ -27,14 +27,21 @@
 	policy   roleplan.Policy
 	settings roleplan.Settings
 	capacity *roleplan.Capacity
+	// learn corrects the capacity by what engines do.
+	learn bool
 }
 
 func newPlanController(policy roleplan.Policy, settings roleplan.Settings) *planController {
-	return &planController{policy: policy, settings: settings, capacity: roleplan.NewCapacity(roleSpeeds())}
+	return &planController{policy: policy, settings: settings, capacity: roleplan.NewCapacity(roleSpeeds()), learn: true}
 }
 
 func (c *planController) decide(now time.Time, f *front) []roleplan.Change {
 	demand := f.demand(now)
+	for _, each := range f.engines {
+		if observation, busy := each.observe(controlInterval); busy && c.learn {
+			c.capacity.Learn(observation)
+		}
+	}
 	if now.Sub(epoch) < warmUp {
 		return nil
 	}
--- a/internal/experiment/enginestate.go
+++ b/internal/experiment/enginestate.go
@@ -5,6 +5,7 @@
 
 	"github.com/granitebay/granitebay/internal/engine"
 	"github.com/granitebay/granitebay/internal/placement"
+	"github.com/granitebay/granitebay/internal/roleplan"
 )
 
 // phase is where an engine is in a change of role.
@@ -31,6 +32,7 @@
 	memoryUsed          int
 	memoryTotal         int
 	reading             placement.ReadingMeter
+	done                workDone
 	// report is the last load report, which lags.
 	report engine.Status
 }
@@ -75,9 +77,15 @@
 }
 
 // started counts the prompt of a run as read.
-func (s *engineState) started(running *call) { s.pendingPromptTokens -= running.uncached }
+func (s *engineState) started(running *call) {
+	s.pendingPromptTokens -= running.uncached
+	s.done.promptTokens += running.uncached
+}
 
-func (s *engineState) progress(tokens int) { s.pendingOutputTokens -= tokens }
+func (s *engineState) progress(tokens int) {
+	s.pendingOutputTokens -= tokens
+	s.done.outputTokens += tokens
+}
 
 // release takes a run that ended out of the counts.
 func (s *engineState) release(running *call) {
@@ -88,3 +96,27 @@
 	s.pendingOutputTokens -= running.request.OutputTokens - running.received
 	s.memoryUsed -= running.request.PromptTokens + running.request.OutputTokens
 }
+
+// workDone counts what an engine did since the last look at it.
+type workDone struct {
+	promptTokens int
+	outputTokens int
+	// running is the number of runs at the last look.
+	running int
+}
+
+// observe returns what the engine did since the last look, if it had work at both looks.
+func (s *engineState) observe(elapsed time.Duration) (roleplan.Observation, bool) {
+	done := s.done
+	s.done = workDone{running: s.running}
+	if s.phase != phaseServing || done.running == 0 || s.running == 0 {
+		return roleplan.Observation{}, false
+	}
+	return roleplan.Observation{
+		Role:         s.configuration.Role,
+		BusyTime:     elapsed,
+		PromptTokens: done.promptTokens,
+		OutputTokens: done.outputTokens,
+		MeanRuns:     float64(done.running+s.running) / 2,
+	}, true
+}
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -137,6 +137,11 @@
 	add("without_fairness", func(p *policy) { p.front.fair = false })
 	add("without_priorities", func(p *policy) { p.front.priorities = false })
 	add("without_hysteresis", func(p *policy) { p.control = planWith(workload, func(s *roleplan.Settings) { s.Hysteresis = 0 }) })
+	add("without_learning", func(p *policy) {
+		control := newPlanController(workload.Policy, planSettings())
+		control.learn = false
+		p.control = control
+	})
 	add("without_queue_in_plan", func(p *policy) { p.control = planWith(workload, func(s *roleplan.Settings) { s.QueueClear = 0 }) })
 	return result
 }
--- a/internal/roleplan/capacity.go
+++ b/internal/roleplan/capacity.go
@@ -1,6 +1,7 @@
 package roleplan
 
 import (
+	"math"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/engine"
@@ -28,7 +29,9 @@
 const (
 	leastFactor    = 0.25
 	greatestFactor = 2
-	learnMemory    = 60 * time.Second
+	// learnMemory is engine time.
+	learnMemory     = 10 * time.Minute
+	factorTolerance = 0.2
 )
 
 // NewCapacity returns a capacity with stated speeds.
@@ -40,31 +43,43 @@
 	return &Capacity{speeds: speeds, factors: factors}
 }
 
-// Observation is what the engines of one role did while they were busy without a pause.
+// Observation is what engines of one role did while they had work without a pause.
 type Observation struct {
 	Role engine.Role
-	// BusyTime is summed over the engines, and counts only while the batch was at least half full or a prompt waited.
-	BusyTime     time.Duration
+	// BusyTime is summed over the engines.
+	BusyTime time.Duration
+	// PromptTokens that were read, without cached ones, and OutputTokens that were produced in that time.
 	PromptTokens int
 	OutputTokens int
+	// MeanRuns is the mean number of runs in a batch.
+	MeanRuns float64
 }
 
-// Learn corrects the stated speed of a role by what its engines did.
+// Learn corrects the stated speed of a role by what its engines did: the time that the stated speeds give for the work,
+// over the time that it took.
 func (c *Capacity) Learn(observation Observation) {
 	speed, known := c.speeds[observation.Role]
 	if !known || observation.BusyTime <= 0 {
 		return
 	}
+	runs := max(1, int(observation.MeanRuns+0.5))
 	stated := float64(observation.PromptTokens)/speed.PromptTokensPerSecond +
-		float64(observation.OutputTokens)*speed.outputSeconds(speed.Slots)
+		float64(observation.OutputTokens)*speed.outputSeconds(runs)
 	reached := stated / observation.BusyTime.Seconds()
 	factor := c.factors[observation.Role]
 	factor += (reached - factor) * weightOf(observation.BusyTime, learnMemory)
 	c.factors[observation.Role] = min(greatestFactor, max(leastFactor, factor))
 }
 
-// Factor returns how much of the stated speed engines of a role really reached.
-func (c *Capacity) Factor(role engine.Role) float64 { return c.factors[role] }
+// Factor is how much of the stated speed engines of a role are taken to reach. Small differences come from the mix of the
+// moment, so the stated speed counts until what was learned differs from it by more than a tolerance.
+func (c *Capacity) Factor(role engine.Role) float64 {
+	learned := c.factors[role]
+	if math.Abs(learned-1) <= factorTolerance {
+		return 1
+	}
+	return learned
+}
 
 // outputSeconds is the engine time of one output token in a batch of so many runs.
 func (s Speed) outputSeconds(runs int) float64 { return s.stepSeconds(runs) / float64(runs) }
@@ -94,5 +109,5 @@
 	speed := c.speeds[role]
 	runs := speed.batch(class.promptTokens, class.outputTokens, class.deadline)
 	stated := class.promptTokens/speed.PromptTokensPerSecond + class.outputTokens*speed.outputSeconds(runs)
-	return stated / c.factors[role]
+	return stated / c.Factor(role)
 }
