--- a/cmd/granitebay-agent/main.go
+++ b/cmd/granitebay-agent/main.go
@@ -3,10 +3,8 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 
@@ -15,7 +13,6 @@
 
 	"github.com/granitebay/granitebay/internal/agentprogram"
 	"github.com/granitebay/granitebay/internal/command"
-	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/settings"
 )
 
@@ -75,24 +72,13 @@
 	if err := settings.Load(parsed.Settings, parsed.overrides(), loaded); err != nil {
 		return err
 	}
-	logger, err := logging.New(logging.Options{Level: loaded.Logging.Level, Format: loaded.Logging.Format, Process: loaded.Name, Output: os.Stderr})
+	logger, err := command.Logger(loaded.Process)
 	if err != nil {
-		return command.BadInput(err)
+		return err
 	}
 	program, err := agentprogram.Start(agentprogram.Options{Settings: *loaded, Logger: logger, Version: command.Version()})
 	if err != nil {
 		return err
 	}
-	ctx, cancel := command.Context()
-	defer cancel()
-	select {
-	case err := <-program.Failed():
-		program.Close()
-		return err
-	case <-ctx.Done():
-	}
-	stopping, done := context.WithTimeout(context.Background(), loaded.StopTimeout.Duration())
-	defer done()
-	program.Stop(stopping)
-	return nil
+	return command.RunUntilStopped(program, loaded.StopTimeout.Duration())
 }
--- a/cmd/granitebay-router/main.go
+++ b/cmd/granitebay-router/main.go
@@ -2,13 +2,9 @@
 package main
 
 import (
-	"context"
-	"os"
-
 	"github.com/alecthomas/kong"
 
 	"github.com/granitebay/granitebay/internal/command"
-	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/routerprogram"
 	"github.com/granitebay/granitebay/internal/settings"
 )
@@ -54,24 +50,13 @@
 	if err := settings.Load(parsed.Settings, parsed.overrides(), loaded); err != nil {
 		return err
 	}
-	logger, err := logging.New(logging.Options{Level: loaded.Logging.Level, Format: loaded.Logging.Format, Process: loaded.Name, Output: os.Stderr})
+	logger, err := command.Logger(loaded.Process)
 	if err != nil {
-		return command.BadInput(err)
+		return err
 	}
 	program, err := routerprogram.Start(routerprogram.Options{Settings: *loaded, Logger: logger})
 	if err != nil {
 		return err
 	}
-	ctx, cancel := command.Context()
-	defer cancel()
-	select {
-	case err := <-program.Failed():
-		program.Close()
-		return err
-	case <-ctx.Done():
-	}
-	stopping, done := context.WithTimeout(context.Background(), loaded.StopTimeout.Duration())
-	defer done()
-	program.Stop(stopping)
-	return nil
+	return command.RunUntilStopped(program, loaded.StopTimeout.Duration())
 }
--- a/internal/agentprogram/program.go
+++ b/internal/agentprogram/program.go
@@ -22,6 +22,7 @@
 	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/runner"
+	"github.com/granitebay/granitebay/internal/serving"
 	"github.com/granitebay/granitebay/internal/settings"
 	"github.com/granitebay/granitebay/internal/transport"
 )
@@ -29,8 +30,6 @@
 const (
 	// logPart is the prefix of the log lines of the program.
 	logPart = "agent"
-	// readHeaderTimeout bounds the time to read the header of an HTTP request of a peer.
-	readHeaderTimeout = 5 * time.Second
 	// flushTime is left to the last messages to routers before the transport closes.
 	flushTime = 100 * time.Millisecond
 )
@@ -61,28 +60,27 @@
 	transport *transport.Transport
 	server    *agentserver.Server
 	decisions *decisionlog.Log
-	peersHTTP *http.Server
+	ports     *serving.Group
 	callers   *http.Server
-	failed    chan error
 }
 
 // Start starts an agent. It returns once both ports are open.
 func Start(options Options) (*Program, error) {
 	name := options.Settings.Name
-	peers, err := openPeers(options)
+	peers, err := serving.Listen(options.PeersListener, options.Settings.ListenPeers, "listen for peers", "agent "+name)
 	if err != nil {
 		return nil, err
 	}
-	callers, err := net.Listen("tcp", options.Settings.ListenCallers)
+	callers, err := serving.Listen(nil, options.Settings.ListenCallers, "listen for callers", "agent "+name)
 	if err != nil {
 		_ = peers.Close()
-		return nil, errors.Wrapf(err, "step listen for callers: agent %s", name)
+		return nil, err
 	}
 	p := &Program{
 		options:   options,
 		logger:    logging.Part(options.Logger, logPart),
 		addresses: Addresses{Peers: peers.Addr().String(), Callers: callers.Addr().String()},
-		failed:    make(chan error, 2),
+		ports:     serving.NewGroup("agent " + name),
 	}
 	if err := p.assemble(); err != nil {
 		_ = peers.Close()
@@ -95,15 +93,6 @@
 	return p, nil
 }
 
-// openPeers returns the listener for peers.
-func openPeers(options Options) (net.Listener, error) {
-	if options.PeersListener != nil {
-		return options.PeersListener, nil
-	}
-	listener, err := net.Listen("tcp", options.Settings.ListenPeers)
-	return listener, errors.Wrapf(err, "step listen for peers: agent %s", options.Settings.Name)
-}
-
 // assemble makes the parts and connects them.
 func (p *Program) assemble() error {
 	p.injector = do.New()
@@ -207,22 +196,11 @@
 
 // serve opens both ports to their handlers.
 func (p *Program) serve(peers, callers net.Listener) {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
 	mux := http.NewServeMux()
 	mux.Handle(p.transport.Handler())
-	p.peersHTTP = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout}
 	p.callers = p.server.HTTPServer()
-	go p.run(p.peersHTTP, peers)
-	go p.run(p.callers, callers)
-}
-
-// run serves on a listener until the program ends.
-func (p *Program) run(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		p.failed <- errors.Wrapf(err, "step serve: agent %s at %s", p.options.Settings.Name, listener.Addr())
-	}
+	p.ports.Serve(serving.PeersServer(mux), peers)
+	p.ports.Serve(p.callers, callers)
 }
 
 // Addresses returns where the agent listens.
@@ -232,7 +210,7 @@
 func (p *Program) Decisions() *decisionlog.Log { return p.decisions }
 
 // Failed delivers an error when a port of the agent stops serving.
-func (p *Program) Failed() <-chan error { return p.failed }
+func (p *Program) Failed() <-chan error { return p.ports.Failed() }
 
 // Stop ends the agent as planned: it takes no new requests and finishes those that run. At the end of the context it
 // cancels what is left.
@@ -257,5 +235,5 @@
 	time.Sleep(flushTime)
 	p.runner.Close()
 	p.transport.Close()
-	_ = p.peersHTTP.Close()
+	p.ports.Close()
 }
--- a/internal/routerprogram/program.go
+++ b/internal/routerprogram/program.go
@@ -23,6 +23,7 @@
 	"github.com/granitebay/granitebay/internal/platformclient"
 	"github.com/granitebay/granitebay/internal/router"
 	"github.com/granitebay/granitebay/internal/runner"
+	"github.com/granitebay/granitebay/internal/serving"
 	"github.com/granitebay/granitebay/internal/settings"
 	"github.com/granitebay/granitebay/internal/transport"
 )
@@ -32,8 +33,6 @@
 	logPart = "router"
 	// stopCheckInterval is how often a stopping router looks whether it is done.
 	stopCheckInterval = 50 * time.Millisecond
-	// readHeaderTimeout bounds the time to read the header of an HTTP request.
-	readHeaderTimeout = 5 * time.Second
 )
 
 // Options of a router program.
@@ -58,9 +57,8 @@
 	engines   *engineclient.Client
 	platform  *platformclient.Client
 	decisions *decisionlog.Log
-	servers   []*http.Server
+	ports     *serving.Group
 	addresses Addresses
-	failed    chan error
 	edits     editWaiters
 	views     fleetViews
 	// adminAddresses are those of other routers.
@@ -73,20 +71,20 @@
 // Start starts a router. It returns once both ports are open.
 func Start(options Options) (*Program, error) {
 	name := options.Settings.Name
-	peers, err := openPeers(options)
+	peers, err := serving.Listen(options.PeersListener, options.Settings.ListenPeers, "listen for peers", "router "+name)
 	if err != nil {
 		return nil, err
 	}
-	admin, err := net.Listen("tcp", options.Settings.ListenAdmin)
+	admin, err := serving.Listen(nil, options.Settings.ListenAdmin, "listen for operators", "router "+name)
 	if err != nil {
 		_ = peers.Close()
-		return nil, errors.Wrapf(err, "step listen for operators: router %s", name)
+		return nil, err
 	}
 	p := &Program{
 		options:   options,
 		logger:    logging.Part(options.Logger, logPart),
 		addresses: Addresses{Peers: peers.Addr().String(), Admin: admin.Addr().String()},
-		failed:    make(chan error, 2),
+		ports:     serving.NewGroup("router " + name),
 	}
 	if err := p.assemble(); err != nil {
 		_ = peers.Close()
@@ -99,15 +97,6 @@
 	return p, nil
 }
 
-// openPeers returns the listener for peers.
-func openPeers(options Options) (net.Listener, error) {
-	if options.PeersListener != nil {
-		return options.PeersListener, nil
-	}
-	listener, err := net.Listen("tcp", options.Settings.ListenPeers)
-	return listener, errors.Wrapf(err, "step listen for peers: router %s", options.Settings.Name)
-}
-
 // assemble makes the parts and connects them.
 func (p *Program) assemble() error {
 	p.injector = do.New()
@@ -222,31 +211,18 @@
 
 // serve opens the ports for peers and operators.
 func (p *Program) serve(peers, admin net.Listener) {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
 	mux := http.NewServeMux()
 	mux.Handle(p.transport.Handler())
 	mux.HandleFunc("GET "+pathAdminAddress, p.serveAdminAddress)
-	p.start(&http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout}, peers)
-	p.start(&http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, admin)
-}
-
-// start serves on a listener until the program ends.
-func (p *Program) start(server *http.Server, listener net.Listener) {
-	p.servers = append(p.servers, server)
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			p.failed <- errors.Wrapf(err, "step serve: router %s at %s", p.options.Settings.Name, listener.Addr())
-		}
-	}()
+	p.ports.Serve(serving.PeersServer(mux), peers)
+	p.ports.Serve(serving.PlainServer(p.adminHandler()), admin)
 }
 
 // Addresses returns where the router listens.
 func (p *Program) Addresses() Addresses { return p.addresses }
 
 // Failed delivers an error when a port of the router stops serving.
-func (p *Program) Failed() <-chan error { return p.failed }
+func (p *Program) Failed() <-chan error { return p.ports.Failed() }
 
 // Stop ends the router as planned: its requests are handed on first. It gives up at the end of the context.
 func (p *Program) Stop(ctx context.Context) {
@@ -275,9 +251,7 @@
 // Close ends the router at once.
 func (p *Program) Close() {
 	p.runner.Close()
-	for _, server := range p.servers {
-		_ = server.Close()
-	}
+	p.ports.Close()
 	p.transport.Close()
 	p.engines.Close()
 	p.platform.Close()
