--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -28,26 +28,15 @@
 		}
 	}
 	entry := newRequest(now, message)
-	if c.stopping {
-		c.refuse(now, entry, "This router is stopping.", 0, true, effects)
-		return AdmissionTaken
-	}
-	policy, ok := c.settings.PolicyFor(entry.work)
-	if !ok {
-		c.refuse(now, entry, "No rule of the configuration matches the labels of the request.", 0, false, effects)
+	if reason, elsewhere := c.unacceptable(entry, message); reason != "" {
+		c.refuse(now, entry, reason, 0, elsewhere, effects)
 		return AdmissionTaken
 	}
-	entry.policy = policy
-	applyDeadline(entry, message)
 	if message.GetRun() != nil {
 		c.insert(now, entry)
 		c.resume(now, entry, message, effects)
 		return AdmissionTaken
 	}
-	if reason := tooLong(entry); reason != "" {
-		c.refuse(now, entry, reason, 0, false, effects)
-		return AdmissionTaken
-	}
 	if !c.servesEver(now, entry) {
 		return AdmissionElsewhere
 	}
@@ -56,6 +45,27 @@
 		c.refuse(now, entry, reason, wait, true, effects)
 		return AdmissionTaken
 	}
+	c.enqueue(now, entry, effects)
+	return AdmissionTaken
+}
+
+// unacceptable takes the policy of a request, and tells why the request cannot be taken whatever the load, and whether another
+// router may take it. The reason is empty if the request is fine.
+func (c *Core) unacceptable(entry *request, message *granitebayv1.Generate) (reason string, elsewhere bool) {
+	if c.stopping {
+		return "This router is stopping.", true
+	}
+	policy, ok := c.settings.PolicyFor(entry.work)
+	if !ok {
+		return "No rule of the configuration matches the labels of the request.", false
+	}
+	entry.policy = policy
+	applyDeadline(entry, message)
+	return tooLong(entry), false
+}
+
+// enqueue puts an admitted request into the queue, counts its demand and dispatches what can be.
+func (c *Core) enqueue(now time.Time, entry *request, effects *core.Effects) {
 	c.demand.add(now, entry, c.bestCached(entry))
 	entry.queuedAt = now
 	c.queue.push(entry)
@@ -63,7 +73,6 @@
 	if !entry.ended() {
 		c.sendAccepted(entry, effects)
 	}
-	return AdmissionTaken
 }
 
 // newRequest makes the entry of a message.
