--- a/internal/experiment/front.go
+++ b/internal/experiment/front.go
@@ -44,7 +44,9 @@
 	settings frontSettings
 	speeds   placement.Settings
 	meter    *roleplan.Meter
-	shares   *tenantShares
+	// given is the work that was given to engines by tenant, and offered what arrived.
+	given   *tenantShares
+	offered *tenantShares
 }
 
 // frontSettings turn parts of the front off, for ablations.
@@ -71,7 +73,8 @@
 		placer:   placer,
 		settings: settings,
 		speeds:   placement.DefaultSettings(),
-		shares:   newTenantShares(),
+		given:    newTenantShares(),
+		offered:  newTenantShares(),
 		meter:    roleplan.NewMeter(epoch, roleplan.DefaultMeterSettings()),
 	}
 	for number, name := range fleet.names {
@@ -84,12 +87,13 @@
 func (f *front) arrive(now time.Time, request *Request) *call {
 	arrived := &call{request: request, arrived: now}
 	f.calls[request.ID] = arrived
+	f.offered.record(now, request.Tenant, queueCost(request))
 	f.meter.Record(now, roleplan.Arrival{
 		Class:        request.Class,
 		PromptTokens: request.PromptTokens - f.bestCached(request),
 		OutputTokens: request.OutputTokens,
 		Deadline:     request.TimeLimit,
-		Share:        f.shares.demand(now, request.Tenant),
+		Share:        f.offered.demand(now, request.Tenant),
 	})
 	if f.settings.admission && f.hopeless(now, arrived) {
 		arrived.shed = true
@@ -179,7 +183,7 @@
 		return true
 	}
 	f.queue.remove(next)
-	f.shares.record(now, next.request.Tenant, queueCost(next.request))
+	f.given.record(now, next.request.Tenant, queueCost(next.request))
 	f.submit(now, next, f.engines[f.fleet.index[result.Engine]])
 	return true
 }
@@ -196,7 +200,7 @@
 		return allowed
 	}
 	best := min(allowed, f.bestFinish(next))
-	return best + f.shares.slack(now, next.request.Tenant)*(allowed-best)
+	return best + f.given.slack(now, next.request.Tenant)*(allowed-best)
 }
 
 func (f *front) placementRequest(now time.Time, next *call) placement.Request {
--- a/internal/experiment/rolechange.go
+++ b/internal/experiment/rolechange.go
@@ -83,14 +83,14 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// demand returns what arrives, with the queues.
+// demand returns what arrives, with the queues of tenants within their share.
 func (f *front) demand(now time.Time) roleplan.Demand {
 	f.meter.Tick(now)
 	demand := f.meter.Demand()
 	for index := range demand.Classes {
 		class := &demand.Classes[index]
 		for _, each := range f.queue.all() {
-			if each.request.Class == class.Name {
+			if each.request.Class == class.Name && f.offered.demand(now, each.request.Tenant) == 1 {
 				class.Queued++
 				class.QueueAge = max(class.QueueAge, now.Sub(each.arrived))
 			}
--- a/internal/experiment/shares.go
+++ b/internal/experiment/shares.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// tenantShares measures which part of the work that was lately given to engines each tenant had.
+// tenantShares measures how much work each tenant lately had.
 type tenantShares struct {
 	work map[string]float64
 	last time.Time
@@ -15,8 +15,8 @@
 const (
 	// shareMemory is the time in which work fades to 1/e.
 	shareMemory = 10 * time.Second
-	// shareTolerance is how far above an equal share a tenant may be without giving way.
-	shareTolerance = 1.4
+	// shareTolerance is how far above the mean of the others a tenant may be without giving way.
+	shareTolerance = 1.5
 	// shareExponent is how sharply a tenant above its share gives way.
 	shareExponent = 3
 	// leastSlack is the part of the slack that the heaviest tenant may use.
@@ -27,7 +27,7 @@
 
 func newTenantShares() *tenantShares { return &tenantShares{work: map[string]float64{}} }
 
-// record counts work that was given to an engine.
+// record counts work.
 func (t *tenantShares) record(now time.Time, tenant string, work float64) {
 	t.fade(now)
 	t.work[tenant] += work
@@ -43,7 +43,7 @@
 	return max(leastSlack, t.within(now, tenant))
 }
 
-// within is the part of a tenant's work that is within its share.
+// within is the part of a tenant's work that is within its share: as much as the others have on average, and a little.
 func (t *tenantShares) within(now time.Time, tenant string) float64 {
 	t.fade(now)
 	total := 0.0
@@ -53,8 +53,8 @@
 	if len(t.work) < 2 || t.work[tenant] <= 0 {
 		return 1
 	}
-	equal := total / float64(len(t.work))
-	return min(1, shareTolerance*equal/t.work[tenant])
+	others := (total - t.work[tenant]) / float64(len(t.work)-1)
+	return min(1, shareTolerance*others/t.work[tenant])
 }
 
 func (t *tenantShares) fade(now time.Time) {
