--- a/internal/roleplan/averages.go
+++ b/internal/roleplan/averages.go
@@ -27,10 +27,14 @@
 	return MeterSettings{FastMemory: 3 * time.Second, SlowMemory: 40 * time.Second, Forget: 10 * time.Minute}
 }
 
-// observe adds a rate that was measured over a time.
-func (a *Averages) observe(rate float64, elapsed time.Duration, settings MeterSettings) {
-	a.Fast += (rate - a.Fast) * weightOf(elapsed, settings.FastMemory)
-	a.Slow += (rate - a.Slow) * weightOf(elapsed, settings.SlowMemory)
+// observe adds a rate that was measured over a time. Until the averages are as old as their memory, they are plain means.
+func (a *Averages) observe(rate float64, elapsed, age time.Duration, settings MeterSettings) {
+	a.Fast += (rate - a.Fast) * youngWeight(elapsed, settings.FastMemory, age)
+	a.Slow += (rate - a.Slow) * youngWeight(elapsed, settings.SlowMemory, age)
+}
+
+func youngWeight(elapsed, memory, age time.Duration) float64 {
+	return max(weightOf(elapsed, memory), elapsed.Seconds()/age.Seconds())
 }
 
 // weightOf is the weight of the newest measurement in an exponential average.
--- a/internal/roleplan/changes.go
+++ b/internal/roleplan/changes.go
@@ -31,6 +31,21 @@
 	})
 }
 
+// assignments gives a role to each engine that has none.
+func (p *planner) assignments(serving, present option) []Change {
+	free := lo.Filter(p.engines, func(each Engine, _ int) bool { return p.nextRole(each) == engine.RoleNone && !each.Changing })
+	prefill := present.prefill - serving.prefill
+	return lo.Map(free, func(each Engine, index int) Change {
+		to := lo.Ternary(index < prefill, engine.RolePrefill, engine.RoleDecode)
+		return Change{
+			Engine: each.Name,
+			From:   engine.RoleNone,
+			To:     to,
+			Reason: fmt.Sprintf("%s has no role yet and is to be %s.", each.Name, to),
+		}
+	})
+}
+
 // freeChanges is how many further engines may be out.
 func (p *planner) freeChanges() int {
 	changing := lo.CountBy(p.engines, func(each Engine) bool { return each.Changing })
--- a/internal/roleplan/meter.go
+++ b/internal/roleplan/meter.go
@@ -84,25 +84,15 @@
 			delete(m.classes, name)
 			continue
 		}
-		class.fold(elapsed, m.memory(now))
+		class.fold(elapsed, now.Sub(m.started), m.settings)
 	}
 }
 
-// memory returns the settings with memories that are no longer than the meter has run, so that a young meter does not
-// take the time before its start for quiet.
-func (m *Meter) memory(now time.Time) MeterSettings {
-	settings := m.settings
-	age := now.Sub(m.started)
-	settings.FastMemory = min(settings.FastMemory, age)
-	settings.SlowMemory = min(settings.SlowMemory, age)
-	return settings
-}
-
-func (c *classMeter) fold(elapsed time.Duration, settings MeterSettings) {
+func (c *classMeter) fold(elapsed, age time.Duration, settings MeterSettings) {
 	seconds := elapsed.Seconds()
-	c.demand.Requests.observe(c.requests/seconds, elapsed, settings)
-	c.demand.PromptTokens.observe(c.promptTokens/seconds, elapsed, settings)
-	c.demand.OutputTokens.observe(c.outputTokens/seconds, elapsed, settings)
+	c.demand.Requests.observe(c.requests/seconds, elapsed, age, settings)
+	c.demand.PromptTokens.observe(c.promptTokens/seconds, elapsed, age, settings)
+	c.demand.OutputTokens.observe(c.outputTokens/seconds, elapsed, age, settings)
 	c.requests, c.promptTokens, c.outputTokens = 0, 0, 0
 }
 
--- a/internal/roleplan/plan.go
+++ b/internal/roleplan/plan.go
@@ -50,7 +50,8 @@
 }
 
 func (p *planner) plan() Plan {
-	present := p.present()
+	serving, unassigned := p.present()
+	present := p.assign(serving, unassigned)
 	best := p.bestOption(present)
 	result := Plan{
 		Wanted:        map[engine.Role]int{engine.RolePrefill: best.prefill, engine.RoleDecode: best.decode},
@@ -58,27 +59,58 @@
 		WantedGoodput: p.goodput(splitOf(best)),
 		Utilization:   utilization(p.loads, splitOf(present)),
 	}
+	result.Changes = p.assignments(serving, present)
 	if best.moves == 0 {
 		result.Reason = fmt.Sprintf("The split of %s stays: no other gains enough.", describe(present))
 		return result
 	}
-	result.Changes = p.changes(present, best)
+	result.Changes = append(result.Changes, p.changes(present, best)...)
 	result.Reason = p.reason(present, best)
 	return result
 }
 
-// present is the split when the changes that are under way have ended.
-func (p *planner) present() option {
-	var result option
+// present is the split when the changes that are under way have ended, and the number of engines without a role.
+func (p *planner) present() (serving option, unassigned int) {
 	for _, each := range p.engines {
 		switch p.nextRole(each) {
 		case engine.RolePrefill:
-			result.prefill++
+			serving.prefill++
 		case engine.RoleDecode:
-			result.decode++
+			serving.decode++
+		default:
+			unassigned++
 		}
 	}
-	return result
+	return serving, unassigned
+}
+
+// assign adds the engines without a role where they bring most, floors first. That costs nothing, as they serve nobody.
+func (p *planner) assign(serving option, unassigned int) option {
+	best := serving
+	for added := range unassigned + 1 {
+		candidate := option{prefill: serving.prefill + added, decode: serving.decode + unassigned - added}
+		missing, leastMissing := p.missing(candidate), p.missing(best)
+		better := p.goodput(splitOf(candidate)) > p.goodput(splitOf(best))
+		if added == 0 || missing < leastMissing || (missing == leastMissing && better) {
+			best = candidate
+		}
+	}
+	return best
+}
+
+// missing counts the engines that a split lacks to the floors, and those in roles that are not allowed.
+func (p *planner) missing(candidate option) int {
+	count := 0
+	for _, each := range []struct {
+		role  engine.Role
+		count int
+	}{{engine.RolePrefill, candidate.prefill}, {engine.RoleDecode, candidate.decode}} {
+		count += max(0, p.policy.Floors[each.role]-each.count)
+		if !p.roleListed(each.role) {
+			count += each.count
+		}
+	}
+	return count
 }
 
 func (p *planner) nextRole(each Engine) engine.Role {
