--- a/internal/experiment/command.go
+++ b/internal/experiment/command.go
@@ -35,7 +35,7 @@
 // MixShiftCommand compares policies while the mix swings.
 type MixShiftCommand struct {
 	Options  `embed:""`
-	Policies []string `help:"Families of policies to run; all if not given."`
+	Policies []string `help:"Policies or single variants to run; all if not given."`
 }
 
 // Run runs the experiment and writes tables and, as the last line, JSON.
@@ -78,5 +78,7 @@
 	if len(c.Policies) == 0 {
 		return all
 	}
-	return lo.Filter(all, func(each variant, _ int) bool { return lo.Contains(c.Policies, each.family) })
+	return lo.Filter(all, func(each variant, _ int) bool {
+		return lo.Contains(c.Policies, each.family) || lo.Contains(c.Policies, each.policy.name)
+	})
 }
