--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -15,7 +15,7 @@
 		t.Fatal(err)
 	}
 	roles := lo.Map(results, func(r Result, _ int) string { return r.Role })
-	for _, role := range []string{"owner", "representative", "planner"} {
+	for _, role := range []string{"owner", "representative", "planner", "watcher"} {
 		if !strings.Contains(strings.Join(roles, ", "), role) {
 			t.Errorf("no router is the %s among %v", role, roles)
 		}
@@ -90,3 +90,15 @@
 		}
 	}
 }
+
+func TestEditsAreInForceAfterTheLossOfAZone(t *testing.T) {
+	results, err := Measure(Options{Nodes: 34, Workers: 170, Seed: 1, LoseZone: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, result := range results {
+		if result.InForce <= 0 || result.InForce > budgetInForce {
+			t.Errorf("%s: edits in force after %v", result.Role, result.InForce)
+		}
+	}
+}
--- a/internal/capacity/command.go
+++ b/internal/capacity/command.go
@@ -34,6 +34,7 @@
 	Workers       int    `default:"5200" help:"Engines at the largest size."`
 	ShardsPerZone int    `help:"Shards into which the engines of a zone are divided; the default of the routers if not given."`
 	Seed          uint64 `default:"1" help:"Seed of the run."`
+	LoseZone      bool   `help:"Lose all hollow routers of one zone at the start of the measured time."`
 }
 
 // summary is the last line of the output: the worst of the real routers at the largest size.
@@ -56,6 +57,7 @@
 	for _, part := range sizes {
 		measured, err := Measure(Options{
 			Nodes: max(c.Nodes/part, 1), Workers: max(c.Workers/part, 1), ShardsPerZone: c.ShardsPerZone, Seed: c.Seed,
+			LoseZone: c.LoseZone,
 		})
 		if err != nil {
 			return errors.Wrapf(err, "step measure 1/%d of the size", part)
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
+	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/ownership"
 	"github.com/granitebay/granitebay/internal/ownership/mirror"
 	"github.com/granitebay/granitebay/internal/poolspread"
@@ -68,6 +69,8 @@
 	// ShardsPerZone; zero is the default of ownership.
 	ShardsPerZone int
 	Seed          uint64
+	// LoseZone takes all hollow routers of another zone away at the start of the window.
+	LoseZone bool
 }
 
 // Measure runs one size and returns a result for each real router.
@@ -84,6 +87,9 @@
 	for _, h := range real {
 		h.meter.reset()
 	}
+	if options.LoseZone {
+		w.loseZone()
+	}
 	before := readProcessor()
 	if err := w.runWindow(); err != nil {
 		return nil, err
@@ -100,6 +106,19 @@
 	return results, nil
 }
 
+// loseZone takes the hollow routers of the zone away that is the last by number. What is sent to them is lost; edits count
+// as in force everywhere once the others have them.
+func (w *world) loseZone() {
+	zone := w.deployment.routers[min(zoneCount, len(w.order))-1].GetZone()
+	for _, h := range w.order {
+		if h.meter == nil && h.peer.GetZone() == zone {
+			delete(w.hosts, h.peer.GetName())
+			h.lost = true
+			w.edits.hosts--
+		}
+	}
+}
+
 // runWindow runs the measured time, with edits at their rate.
 func (w *world) runWindow() error {
 	var failure error
@@ -194,23 +213,22 @@
 }
 
 // realRouters chooses the routers to run for real: in the first zone the one that owns the most engines, the one that is
-// first by rendezvous hash for the sums of the zone, and the planner of the first group.
+// first by rendezvous hash for the sums of the zone, the planner of the first group, and one of the few that watch the
+// configuration in the key-value service.
 func (w *world) realRouters() map[string]string {
 	zone := zoneName(0)
 	inZone := lo.FilterMap(w.deployment.routers, func(peer *granitebayv1.Peer, _ int) (string, bool) {
 		return peer.GetName(), peer.GetZone() == zone
 	})
 	owner := slices.MaxFunc(inZone, func(a, b string) int { return len(w.ownedBy(a)) - len(w.ownedBy(b)) })
+	all := lo.Map(w.deployment.routers, func(peer *granitebayv1.Peer, _ int) string { return peer.GetName() })
 	chosen := map[string]string{owner: "owner"}
-	for name, role := range map[string]string{
-		rendezvous.First("plan/"+modelName(0), w.planners()): "planner",
-		poolspread.Representative(zone, inZone):              "representative",
+	for _, each := range []struct{ name, role string }{
+		{rendezvous.First("plan/"+modelName(0), w.planners()), "planner"},
+		{poolspread.Representative(zone, inZone), "representative"},
+		{rendezvous.First(configuration.StoreKey, all), "watcher"},
 	} {
-		if chosen[name] == "" {
-			chosen[name] = role
-		} else {
-			chosen[name] += ", " + role
-		}
+		chosen[each.name] = strings.TrimPrefix(chosen[each.name]+", "+each.role, ", ")
 	}
 	return chosen
 }
--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -33,6 +33,8 @@
 	// revision of the configuration in force tells the revision that the node has.
 	revision func() uint64
 	seen     uint64
+	// lost hosts no longer run.
+	lost bool
 }
 
 // world runs all hosts on virtual time.
@@ -96,6 +98,9 @@
 
 // step runs one input of a host and carries out what it asks for.
 func (w *world) step(h *host, input func(effects *core.Effects)) {
+	if h.lost {
+		return
+	}
 	h.effects.Reset()
 	if h.meter != nil {
 		h.meter.time(func() { input(&h.effects) })
@@ -128,7 +133,7 @@
 
 // tick runs the tick of a host unless it was replaced by an earlier one.
 func (w *world) tick(h *host, wake time.Time) {
-	if !h.wakeAt.Equal(wake) {
+	if !h.wakeAt.Equal(wake) || h.lost {
 		return
 	}
 	h.wakeAt = time.Time{}
