Experiment: the dispatch core of the routers runs as a policy; dispatch counts what engines read

Cause: the experiment measured a front of its own; the product's dispatch lacked its measure of reading and counted cached prompts as unread. Change: policy granitebay_dispatch_core runs dispatch.Core (queue, admission, placement, demand) for one router over all engines; dispatch keeps a reading meter for each engine and counts uncached prompts only. The test of refusals follows the request to whatever engine it is at.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -208,9 +208,10 @@
 
 func TestRefusedRequestDoesNotGoRoundWithoutPause(t *testing.T) {
 	h := newHarness(t)
-	asked := h.chosen("t/01HF7YAT00000000000000000A", true)
+	h.chosen("t/01HF7YAT00000000000000000A", true)
 	submits := 0
 	for range 100 {
+		asked := h.core.requests["t/01HF7YAT00000000000000000A"].engine
 		h.event(engine.Refused{Engine: asked, Incarnation: 1, RequestID: "t/01HF7YAT00000000000000000A", Refusal: engine.RefusalUnknownRun})
 		submits += len(h.submits())
 	}
--- a/internal/dispatch/engines.go
+++ b/internal/dispatch/engines.go
@@ -19,6 +19,7 @@
 	pendingPromptTokens int
 	pendingOutputTokens int
 	memoryUsed          int
+	reading             placement.ReadingMeter
 	// circuitUntil is set after failures; recoveringSince when the engine came back.
 	circuitUntil    time.Time
 	recoveringSince time.Time
@@ -127,6 +128,7 @@
 		PendingOutputTokens: state.pendingOutputTokens,
 		MemoryUsed:          state.memoryUsed,
 		MemoryTotal:         view.MemoryTotal,
+		ReadingShare:        state.reading.Share(now),
 		CachedTokens:        c.cachedTokens(entry, view.Name),
 		Recovering:          c.recovering(now, state),
 	}
@@ -168,7 +170,7 @@
 	state.pendingOutputTokens += int(entry.work.GetMaxTokens())
 	state.memoryUsed += memoryNeed(entry)
 	if !entry.started {
-		state.pendingPromptTokens += int(entry.work.GetPromptTokens())
+		state.pendingPromptTokens += entry.uncached
 	}
 }
 
@@ -183,7 +185,7 @@
 	state.pendingOutputTokens -= int(entry.work.GetMaxTokens())
 	state.memoryUsed -= memoryNeed(entry)
 	if !entry.started {
-		state.pendingPromptTokens -= int(entry.work.GetPromptTokens())
+		state.pendingPromptTokens -= entry.uncached
 	}
 }
 
@@ -193,7 +195,7 @@
 		return
 	}
 	if state := c.engines[entry.engine]; state != nil && entry.reserved {
-		state.pendingPromptTokens -= int(entry.work.GetPromptTokens())
+		state.pendingPromptTokens -= entry.uncached
 	}
 	entry.started = true
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -50,6 +50,8 @@
 	instance uint32
 	// submitted is set once a Submit went out whose fate was not settled as "did not run".
 	submitted bool
+	// uncached is the part of the prompt that was expected to be read at the engine.
+	uncached int
 	// reserved is set while the request counts at its engine.
 	reserved bool
 	started  bool
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -75,6 +75,8 @@
 	entry.engine = result.Engine
 	entry.incarnation = state.view.Incarnation
 	entry.failures = 0
+	entry.uncached = max(0, int(entry.work.GetPromptTokens())-c.cachedTokens(entry, entry.engine))
+	state.reading.Record(now, entry.uncached, c.settings.Placement.Speeds[state.view.Configuration.Role])
 	c.reserve(entry)
 	c.prefixes.RecordDispatch(entry.engine, entry.incarnation, entry.work.GetPrefixBlocks())
 	effects.Decide(c.dispatchDecision(now, entry, result))
--- a/internal/experiment/command.go
+++ b/internal/experiment/command.go
@@ -69,7 +69,10 @@
 }
 
 func (c *MixShiftCommand) variants(workload *Workload) []variant {
-	all := []variant{{family: PolicyGranitebay, policy: granitebayPolicy(workload)}}
+	all := []variant{
+		{family: PolicyGranitebay, policy: granitebayPolicy(workload)},
+		{family: PolicyDispatchCore, policy: dispatchCorePolicy(workload)},
+	}
 	all = append(all, reactivePolicies(workload)...)
 	all = append(all, staticPolicies(workload)...)
 	all = append(all, clairvoyantPolicies(workload)...)
--- a/internal/experiment/front.go
+++ b/internal/experiment/front.go
@@ -41,6 +41,8 @@
 	calls    map[string]*call
 	prefixes *placement.PrefixTable
 	placer   placer
+	// owner takes the place of the queue and of the placer when the dispatch core of the routers is run.
+	owner    *owner
 	settings frontSettings
 	speeds   placement.Settings
 	meter    *roleplan.Meter
@@ -95,6 +97,10 @@
 		Deadline:     request.TimeLimit,
 		Share:        f.offered.demand(now, request.Tenant),
 	})
+	if f.owner != nil {
+		f.owner.arrive(now, request)
+		return arrived
+	}
 	if f.settings.admission && f.hopeless(now, arrived) {
 		arrived.shed = true
 		return arrived
@@ -158,6 +164,9 @@
 
 // schedule gives queued requests to engines until one finds none.
 func (f *front) schedule(now time.Time) {
+	if f.owner != nil {
+		return
+	}
 	for {
 		next := f.queue.head()
 		if next == nil || !f.dispatch(now, next) {
@@ -222,12 +231,18 @@
 	return result
 }
 
-func (f *front) submit(now time.Time, next *call, target *engineState) {
-	next.uncached = max(1, next.request.PromptTokens-f.cachedTokens(target.name, next.request))
-	next.engine = target.name
+// countSubmit counts a request at the engine that gets it.
+func (f *front) countSubmit(now time.Time, next *call, name string) {
+	target := f.engines[f.fleet.index[name]]
+	next.uncached = max(1, next.request.PromptTokens-f.cachedTokens(name, next.request))
+	next.engine = name
 	target.reserve(next)
 	target.reading.Record(now, next.uncached, f.speeds.Speeds[target.configuration.Role])
-	f.prefixes.RecordDispatch(target.name, incarnation, next.request.PrefixBlocks)
+	f.prefixes.RecordDispatch(name, incarnation, next.request.PrefixBlocks)
+}
+
+func (f *front) submit(now time.Time, next *call, target *engineState) {
+	f.countSubmit(now, next, target.name)
 	f.send(now, engine.Submit{
 		Engine:              target.name,
 		ExpectedIncarnation: incarnation,
@@ -256,6 +271,9 @@
 }
 
 func (f *front) handleEvent(now time.Time, event engine.Event) {
+	if f.owner != nil {
+		defer f.owner.handle(now, event)
+	}
 	switch typed := event.(type) {
 	case engine.Tokens:
 		f.handleTokens(now, typed)
@@ -299,11 +317,16 @@
 	}
 	f.engines[f.fleet.index[event.Engine]].release(running)
 	running.engine = ""
-	f.queue.push(running)
+	if f.owner == nil {
+		f.queue.push(running)
+	}
 }
 
 // periodic gives up what can no longer be answered in time, and asks engines for their load.
 func (f *front) periodic(now time.Time) {
+	if f.owner != nil {
+		f.owner.tick(now)
+	}
 	if f.settings.admission {
 		for _, each := range f.queue.all() {
 			if f.bestFinish(each) > each.secondsLeft(now) {
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -10,12 +10,14 @@
 
 // Names of policies in tables and JSON.
 const (
-	PolicyGranitebay  = "granitebay"
-	PolicyReactive    = "reactive"
-	PolicyBestStatic  = "best_static"
-	PolicyClairvoyant = "clairvoyant"
-	PolicyRandom      = "random_placement"
-	PolicyByReport    = "least_load_by_report"
+	PolicyGranitebay = "granitebay"
+	// PolicyDispatchCore is granitebay with the dispatch core of the routers in place of the front of the experiment.
+	PolicyDispatchCore = "granitebay_dispatch_core"
+	PolicyReactive     = "reactive"
+	PolicyBestStatic   = "best_static"
+	PolicyClairvoyant  = "clairvoyant"
+	PolicyRandom       = "random_placement"
+	PolicyByReport     = "least_load_by_report"
 )
 
 // variant is a named policy of a family. Of a family, the variant with the highest goodput counts.
@@ -34,6 +36,14 @@
 	}
 }
 
+// dispatchCorePolicy is granitebay with the very code of the routers: queue, admission, placement and demand.
+func dispatchCorePolicy(workload *Workload) policy {
+	result := granitebayPolicy(workload)
+	result.name = PolicyDispatchCore
+	result.dispatchCore = true
+	return result
+}
+
 // staticPolicies is every split that leaves an engine to both roles.
 func staticPolicies(workload *Workload) []variant {
 	var result []variant
--- a/internal/experiment/rolechange.go
+++ b/internal/experiment/rolechange.go
@@ -20,6 +20,7 @@
 	state.phase = phaseDraining
 	state.target = change.To
 	f.order(now, state, state.configuration)
+	f.showOwner(now)
 }
 
 func (f *front) order(now time.Time, state *engineState, wanted engine.Configuration) {
@@ -45,6 +46,7 @@
 		if status.Running+status.Waiting == 0 && state.running == 0 {
 			state.phase = phaseChanging
 			f.order(now, state, configuration(state.target))
+			f.showOwner(now)
 		}
 	case phaseChanging:
 		if !status.Changing {
@@ -52,11 +54,19 @@
 			state.configuration = status.Configuration
 			state.changedAt = now
 			f.prefixes.Forget(state.name)
+			f.showOwner(now)
 			f.schedule(now)
 		}
 	}
 }
 
+// showOwner tells the dispatch core that an engine changed, where it is run.
+func (f *front) showOwner(now time.Time) {
+	if f.owner != nil {
+		f.owner.showEngines(now)
+	}
+}
+
 // planEngines returns the engines as the role plan sees them.
 func (f *front) planEngines() []roleplan.Engine {
 	result := make([]roleplan.Engine, 0, len(f.engines))
@@ -85,6 +95,9 @@
 
 // demand returns what arrives, with the queues of tenants within their share.
 func (f *front) demand(now time.Time) roleplan.Demand {
+	if f.owner != nil {
+		return f.owner.demand(now)
+	}
 	f.meter.Tick(now)
 	demand := f.meter.Demand()
 	for index := range demand.Classes {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -14,6 +14,8 @@
 	prefill int
 	control controller
 	front   frontSettings
+	// dispatchCore runs the dispatch core of the routers in place of the queue of the front.
+	dispatchCore bool
 	// placer makes the placement; nil takes that of routers.
 	placer func(f *front) placer
 	// placement settings for ablations.
@@ -55,6 +57,9 @@
 	if how.placer != nil {
 		front.placer = how.placer(front)
 	}
+	if how.dispatchCore {
+		front.owner = newOwner(front, how.placement, workload.Seed)
+	}
 	result := &run{workload: workload, policy: how, front: front}
 	result.loop()
 	return result
