Simulation: the fixed seeds kill an agent in a call again

Cause: after the schedules got harder, no fixed run killed an agent while its caller waited, and TestRunsExercise said so.

--- a/internal/simulation/promise_test.go
+++ b/internal/simulation/promise_test.go
@@ -10,7 +10,7 @@
 )
 
 // fixedSeeds are the seeds of the tests: each kind of fault alone, and some pairs and mixes.
-var fixedSeeds = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 14, 20, 27, 33, 37, 45, 60}
+var fixedSeeds = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 14, 20, 27, 33, 37, 45, 54, 60}
 
 // fixedRuns runs the fixed seeds of both deployments once for all tests.
 var fixedRuns = sync.OnceValue(func() map[string][]Result {
