--- a/internal/simulation/check_authority.go
+++ b/internal/simulation/check_authority.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Keys of the key-value service that the checker of authority reads.
@@ -23,8 +25,12 @@
 
 // authorityChecker follows the store and the engines.
 type authorityChecker struct {
-	// granted holds the epochs that the store gave out: the create revisions of shard keys.
+	// granted holds the epochs that the store gave out: the create revisions of shard keys. holding holds the present
+	// epoch of each shard key.
 	granted map[uint64]time.Duration
+	holding map[string]uint64
+	// latest is the latest generation that was committed of each engine.
+	latest map[string]uint64
 	// committed is the highest epoch under which a record of an engine was committed, accepted the highest under which
 	// the present incarnation of an engine accepted an order.
 	committed map[string]uint64
@@ -34,10 +40,12 @@
 	violations []Violation
 }
 
-// checkAuthority finds accepted orders of an epoch that the store never gave out, of a generation that nobody
-// committed, or of an epoch older than one under which this engine was already ordered or its record committed.
+// checkAuthority finds records of engines that were committed under an epoch which had ended, or that do not have the next
+// generation. It finds accepted orders of an epoch that the store never gave out, of a generation that nobody committed,
+// or of an epoch older than one under which this engine was already ordered or its record committed.
 func checkAuthority(history *History) []Violation {
-	checker := &authorityChecker{granted: map[uint64]time.Duration{}, committed: map[string]uint64{},
+	checker := &authorityChecker{granted: map[uint64]time.Duration{}, holding: map[string]uint64{},
+		latest: map[string]uint64{}, committed: map[string]uint64{},
 		accepted: map[string]uint64{}, records: map[generationKey]bool{}}
 	for _, observation := range history.Observations {
 		switch seen := observation.(type) {
@@ -56,9 +64,13 @@
 
 // commit takes a commit of the store.
 func (c *authorityChecker) commit(seen StoreCommitted) {
+	for _, key := range seen.Deleted {
+		delete(c.holding, key)
+	}
 	for _, entry := range seen.Changed {
 		if strings.HasPrefix(entry.Key, shardPrefix) && entry.CreateRevision == seen.Revision {
 			c.granted[entry.CreateRevision] = seen.At
+			c.holding[entry.Key] = entry.CreateRevision
 		}
 		name, ok := strings.CutPrefix(entry.Key, recordPrefix)
 		if !ok {
@@ -66,12 +78,27 @@
 		}
 		var record storedRecord
 		if json.Unmarshal(entry.Value, &record) == nil {
+			c.record(seen, name, record)
 			c.records[generationKey{engine: name, generation: record.Generation}] = true
 			c.committed[name] = max(c.committed[name], record.Epoch)
 		}
 	}
 }
 
+// record takes a committed record.
+func (c *authorityChecker) record(seen StoreCommitted, name string, record storedRecord) {
+	held := lo.Contains(lo.Values(c.holding), record.Epoch)
+	next := record.Generation == c.latest[name]+1
+	c.latest[name] = record.Generation
+	if held && next {
+		return
+	}
+	c.violations = append(c.violations, Violation{Promise: PromiseNoOrderWithoutLease, At: seen.At,
+		Subjects: []string{name, recordPrefix + name},
+		Reason: fmt.Sprintf("generation %d of %s was committed under epoch %d (epoch in force: %t, next generation: %t)",
+			record.Generation, name, record.Epoch, held, next)})
+}
+
 // order takes an order that reached an engine.
 func (c *authorityChecker) order(seen OrderReceived) {
 	if !seen.Accepted {
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -12,6 +12,7 @@
 	lossPerMille      = 2
 	duplicatePerMille = 5
 	overtakePerMille  = 10
+	lateCopyPerMille  = 2
 	perMille          = 1000
 	// lateAfterCutPerMille is the share of envelopes that arrive after a cut instead of being lost, unreachablePerMille
 	// that of undelivered ones of which the sender hears.
@@ -22,6 +23,8 @@
 	// jitter is the largest usual extra delay, overtakenDelay the largest of a message that others overtake.
 	jitter         = 300 * time.Microsecond
 	overtakenDelay = 80 * time.Millisecond
+	// latestCopy is the longest time until a copy arrives that was held back somewhere.
+	latestCopy = 8 * time.Second
 	// brokenAfter is how long a sender tries to get through a cut before it gives up a connection.
 	brokenAfter = 2 * time.Second
 	// cutRetry is the time between two tries to get a late envelope through a cut.
@@ -96,7 +99,8 @@
 	return delay + time.Duration(n.random.Int64N(int64(jitter)))
 }
 
-// arrivals draws the delays after which copies of an envelope arrive: none if it is lost, two if it is repeated.
+// arrivals draws the delays after which copies of an envelope arrive: none if it is lost, several if it is
+// repeated, at times long after.
 func (n *network) arrivals(from, to endpoint) []time.Duration {
 	if n.chance(lossPerMille) {
 		return nil
@@ -105,10 +109,14 @@
 	if n.chance(overtakePerMille) {
 		first += time.Duration(n.random.Int64N(int64(overtakenDelay)))
 	}
-	if !n.chance(duplicatePerMille) {
-		return []time.Duration{first}
+	arrivals := []time.Duration{first}
+	if n.chance(duplicatePerMille) {
+		arrivals = append(arrivals, first+time.Duration(n.random.Int64N(int64(overtakenDelay))))
 	}
-	return []time.Duration{first, first + time.Duration(n.random.Int64N(int64(overtakenDelay)))}
+	if n.chance(lateCopyPerMille) {
+		arrivals = append(arrivals, between(n.random, overtakenDelay, latestCopy))
+	}
+	return arrivals
 }
 
 // chance draws whether something with a chance of so many in a thousand happens.
