--- a/internal/simulation/schedule.go
+++ b/internal/simulation/schedule.go
@@ -83,8 +83,8 @@
 		for range 1 + random.IntN(3) {
 			schedule = append(schedule, drawFault(kind, deployment, random))
 		}
-		if kind == FaultKill && random.IntN(2) == 0 {
-			schedule = append(schedule, drawKillTogether(deployment, random)...)
+		if kind == FaultKill {
+			schedule = append(schedule, drawMoreKills(deployment, random)...)
 		}
 	}
 	schedule = append(schedule, drawPlannedStops(deployment, random)...)
@@ -121,16 +121,22 @@
 	return fault
 }
 
-// drawKillTogether draws kills of half of the routers at nearly the same moment, each of which starts again by itself.
-func drawKillTogether(deployment Deployment, random *rand.Rand) []Fault {
+// drawMoreKills draws the kill of an agent, and at times kills of half of the routers at nearly the same moment, each of
+// which starts again by itself.
+func drawMoreKills(deployment Deployment, random *rand.Rand) []Fault {
+	agent := Fault{Kind: FaultKill, Variant: VariantAnyMoment, Target: pick(random, names(deployment.Agents)...)}
+	agent.From, agent.Until = drawWindow(random, longestKill)
+	if random.IntN(2) == 0 {
+		return []Fault{agent}
+	}
 	routers := names(deployment.Routers)
 	random.Shuffle(len(routers), func(i, j int) { routers[i], routers[j] = routers[j], routers[i] })
 	from := between(random, faultsBegin, faultsEnd-longestKill-together)
-	return lo.Map(routers[:len(routers)/2], func(target string, _ int) Fault {
+	return append(lo.Map(routers[:len(routers)/2], func(target string, _ int) Fault {
 		at := from + between(random, 0, together)
 		return Fault{Kind: FaultKill, Variant: VariantAnyMoment, Target: target, From: at,
 			Until: at + between(random, shortestFault, longestKill)}
-	})
+	}), agent)
 }
 
 // drawCut draws what a cut separates.
