Dispatch: another agent's cancel stops nothing; refusals that no router can better are final at once

Change: a cancel counts only from the agent that has the request; refusals say whether another router may do better. Tests failed first.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -28,8 +28,8 @@
 		}
 	}
 	entry := newRequest(now, message)
-	if reason, elsewhere := c.unacceptable(entry, message); reason != "" {
-		c.refuse(now, entry, reason, 0, elsewhere, effects)
+	if refused := c.unacceptable(entry, message); refused != nil {
+		c.refuse(now, entry, refused, effects)
 		return AdmissionTaken
 	}
 	if message.GetRun() != nil {
@@ -41,27 +41,29 @@
 		return AdmissionElsewhere
 	}
 	c.insert(now, entry)
-	if reason, wait, shed := c.overload(now, entry); shed {
-		c.refuse(now, entry, reason, wait, true, effects)
+	if refused := c.overload(now, entry); refused != nil {
+		c.refuse(now, entry, refused, effects)
 		return AdmissionTaken
 	}
 	c.enqueue(now, entry, effects)
 	return AdmissionTaken
 }
 
-// unacceptable takes the policy of a request, and tells why the request cannot be taken whatever the load, and whether another
-// router may take it. The reason is empty if the request is fine.
-func (c *Core) unacceptable(entry *request, message *granitebayv1.Generate) (reason string, elsewhere bool) {
+// unacceptable takes the policy of a request, and returns why the request cannot be taken whatever the load, or nil.
+func (c *Core) unacceptable(entry *request, message *granitebayv1.Generate) *refusal {
 	if c.stopping {
-		return "This router is stopping.", true
+		return &refusal{reason: "This router is stopping.", elsewhere: true}
 	}
 	policy, ok := c.settings.PolicyFor(entry.work)
 	if !ok {
-		return "No rule of the configuration matches the labels of the request.", false
+		return &refusal{reason: "No rule of the configuration matches the labels of the request."}
 	}
 	entry.policy = policy
 	applyDeadline(entry, message)
-	return tooLong(entry), false
+	if reason := tooLong(entry); reason != "" {
+		return &refusal{reason: reason}
+	}
+	return nil
 }
 
 // enqueue puts an admitted request into the queue, counts its demand and dispatches what can be.
@@ -159,21 +161,21 @@
 }
 
 // refuse gives a request up that never ran here.
-func (c *Core) refuse(now time.Time, entry *request, reason string, retryAfter time.Duration, elsewhere bool, effects *core.Effects) {
+func (c *Core) refuse(now time.Time, entry *request, refused *refusal, effects *core.Effects) {
 	c.queue.remove(entry)
 	effects.Decide(decision.Record{
 		Kind:           decision.KindShed,
 		Subject:        entry.id(),
 		Outcome:        "not run",
-		Reason:         reason,
+		Reason:         refused.reason,
 		ConfigRevision: c.configRevision(),
 	})
 	c.end(now, entry, &granitebayv1.Outcome{
 		Kind:             granitebayv1.OutcomeKind_OUTCOME_KIND_NOT_RUN,
-		Reason:           reason,
-		RetryAfterMillis: max(retryAfter, minimumRetryAfter).Milliseconds(),
+		Reason:           refused.reason,
+		RetryAfterMillis: max(refused.wait, minimumRetryAfter).Milliseconds(),
 		Step:             "admission",
-		Elsewhere:        elsewhere,
+		Elsewhere:        refused.elsewhere,
 	}, effects)
 }
 
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -29,6 +29,10 @@
 		c.cancelUnknown(now, message, effects)
 		return
 	}
+	if message.GetAgentName() != "" && message.GetAgentName() != entry.agentName {
+		// The same request came through another agent since, whose caller still waits.
+		return
+	}
 	entry.attempt = max(entry.attempt, message.GetAttempt())
 	if entry.outcome != nil {
 		c.sendOutcome(entry, effects)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -381,6 +381,17 @@
 	h.expect("a late repeated message gets the same outcome", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
 }
 
+func TestCancelOfAnotherAgentStopsNothing(t *testing.T) {
+	h := newHarness(t)
+	h.chosen("t/01HF7YAT00000000000000000A", true)
+	h.generate("t/01HF7YAT00000000000000000A", true, func(message *granitebayv1.Generate) { message.AgentName = "agent-2" })
+	h.effects.Reset()
+	h.core.HandleCancel(h.now, &granitebayv1.Cancel{RequestId: "t/01HF7YAT00000000000000000A", AgentName: "agent-1"}, &h.effects)
+	h.expect("the run goes on for the newer agent", len(h.cancels()), 0)
+	h.core.HandleCancel(h.now, &granitebayv1.Cancel{RequestId: "t/01HF7YAT00000000000000000A", AgentName: "agent-2"}, &h.effects)
+	h.expect("its own cancel stops it", len(h.cancels()), 1)
+}
+
 func TestUnreachableEngine(t *testing.T) {
 	h := newHarness(t)
 	first := h.chosen("t/01HF7YAT00000000000000000A", true)
@@ -508,6 +519,7 @@
 		message.RemainingMillis = 1000
 	})
 	h.expect("outcome at once", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
+	h.expect("no other router is asked in vain", h.core.requests["t/01HF7YAT00000000000000000A"].outcome.GetElsewhere(), false)
 }
 
 func TestTenantsAboveTheirShareLeaveSlack(t *testing.T) {
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -9,27 +9,45 @@
 	"github.com/granitebay/granitebay/internal/engine"
 )
 
-// overload tells whether a request should be given up at once, why, and after which time it is worth asking again.
-func (c *Core) overload(now time.Time, entry *request) (reason string, wait time.Duration, shed bool) {
-	wait = c.expectedWait(entry)
+// refusal is why a request is given up before it runs.
+type refusal struct {
+	reason string
+	// wait is the time after which it is worth asking again.
+	wait time.Duration
+	// elsewhere is set if another router may take the request now. Without it the outcome is final at once.
+	elsewhere bool
+}
+
+// overload returns why a request should be given up at once, or nil.
+func (c *Core) overload(now time.Time, entry *request) *refusal {
+	wait := c.expectedWait(entry)
+	policy := entry.policy
+	tenant := entry.work.GetTenant()
 	if c.queue.length() >= c.settings.MaxQueued {
-		return fmt.Sprintf("The queue of this router is full: %d requests wait.", c.queue.length()), wait, true
+		return &refusal{fmt.Sprintf("The queue of this router is full: %d requests wait.", c.queue.length()), wait, true}
 	}
-	policy := entry.policy
 	if policy.MaxQueued > 0 && c.queue.lengthOfRule(policy.Rule) >= policy.MaxQueued {
-		return fmt.Sprintf("The queue of rule %s is full: %d requests wait.", policy.Rule, policy.MaxQueued), wait, true
+		return &refusal{fmt.Sprintf("The queue of rule %s is full: %d requests wait.", policy.Rule, policy.MaxQueued), wait, true}
 	}
-	if policy.MaxInFlight > 0 && c.inFlight(entry.work.GetTenant(), policy.Rule) > policy.MaxInFlight {
-		return fmt.Sprintf("Tenant %s has its limit of %d requests under rule %s.", entry.work.GetTenant(), policy.MaxInFlight, policy.Rule), wait, true
+	if policy.MaxInFlight > 0 && c.inFlight(tenant, policy.Rule) > policy.MaxInFlight {
+		return &refusal{fmt.Sprintf("Tenant %s has its limit of %d requests under rule %s.", tenant, policy.MaxInFlight, policy.Rule), wait, false}
 	}
-	remaining := entry.deadline.Sub(now)
 	if untilTokens, ok := c.limits.take(now, entry); !ok {
-		return fmt.Sprintf("Tenant %s has used its %g tokens a second under rule %s.", entry.work.GetTenant(), policy.TokensPerSecond, policy.Rule), untilTokens, true
+		return &refusal{fmt.Sprintf("Tenant %s has used its %g tokens a second under rule %s.", tenant, policy.TokensPerSecond, policy.Rule), untilTokens, false}
 	}
-	if wait+c.expectedService(entry) > remaining {
-		return fmt.Sprintf("The expected wait of %s leaves no time to answer within %s.", wait.Round(time.Millisecond), remaining.Round(time.Millisecond)), wait, true
+	return c.noTime(now, entry, wait)
+}
+
+// noTime returns a refusal if a request cannot be answered in time. Without a queue here no other router can do better.
+func (c *Core) noTime(now time.Time, entry *request, wait time.Duration) *refusal {
+	remaining := entry.deadline.Sub(now)
+	service := c.expectedService(entry)
+	if wait+service <= remaining {
+		return nil
 	}
-	return "", 0, false
+	reason := fmt.Sprintf("The expected wait of %s and the answer of %s do not fit into the %s to the deadline.",
+		wait.Round(time.Millisecond), service.Round(time.Millisecond), remaining.Round(time.Millisecond))
+	return &refusal{reason, wait, service <= remaining}
 }
 
 // allowedSeconds is how long the answer may be expected to take at the engine that was found. While others wait, tenants
@@ -53,8 +71,8 @@
 // refuseLate gives up a request whose answer would come too late even at the best engine.
 func (c *Core) refuseLate(now time.Time, entry *request, seconds float64, effects *core.Effects) {
 	reason := fmt.Sprintf("The answer would take %.2f s at the best engine, which leaves too little of the %.2f s to the deadline.", seconds, entry.deadline.Sub(now).Seconds())
-	wait := time.Duration(seconds * float64(time.Second))
-	c.refuse(now, entry, reason, wait, true, effects)
+	elsewhere := c.expectedService(entry) <= entry.deadline.Sub(now)
+	c.refuse(now, entry, &refusal{reason, time.Duration(seconds * float64(time.Second)), elsewhere}, effects)
 }
 
 // inFlight counts the requests of a tenant under a rule that have not ended.
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -291,7 +291,7 @@
 	}
 	const reason = "The request was cancelled before at every engine of this router that could run it."
 	if c.untouched(entry) {
-		c.refuse(now, entry, reason, 0, true, effects)
+		c.refuse(now, entry, &refusal{reason: reason, elsewhere: true}, effects)
 		return
 	}
 	kind := granitebayv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
