--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -12,7 +12,7 @@
 const (
 	PolicyGranitebay = "granitebay"
 	// PolicyDispatchCore is granitebay with the dispatch core of the routers in place of the front of the experiment.
-	PolicyDispatchCore = "granitebay_dispatch_core"
+	PolicyDispatchCore = "dispatch_core"
 	PolicyReactive     = "reactive"
 	PolicyBestStatic   = "best_static"
 	PolicyClairvoyant  = "clairvoyant"
