Agent: the word of an owner counts for those that passed the request on

Change: a request carries the owners that passed it on, and a refusal names them. Test failed first.

--- a/internal/agent/outcome.go
+++ b/internal/agent/outcome.go
@@ -108,7 +108,9 @@
 	}
 	if about := r.numbered(outcome.GetAttempt()); about != nil {
 		about.answeredFrom(peer{name: from.GetName(), address: from.GetAddress()})
-		about.notRun = !about.disputed
+		about.notRun = true
+		about.cleared = append(about.cleared, from.GetName())
+		about.cleared = append(about.cleared, outcome.GetPassedBy()...)
 	}
 }
 
@@ -249,7 +251,7 @@
 		if to.name == "" {
 			to = peer{name: sent.router, address: sent.address}
 		}
-		if !sent.notRun && !asked[to.name] {
+		if !sent.provedNotRun() && !asked[to.name] {
 			asked[to.name] = true
 			c.sendCancel(to, entry.cancel(sent.number), effects)
 		}
--- a/internal/agent/outcome_test.go
+++ b/internal/agent/outcome_test.go
@@ -36,6 +36,12 @@
 			h.accepted("r9", id, 1)
 			h.outcome(router, with(said(1, notRun), id))
 		}, unknown},
+		{"an owner that passed the request on, and the next one sheds it", true, func(h *harness, id, router string) {
+			h.accepted("r9", id, 1)
+			outcome := with(said(1, notRun), id)
+			outcome.PassedBy = []string{"r9"}
+			h.outcome(router, outcome)
+		}, notRun},
 		{"unknown from the router", true, func(h *harness, id, router string) {
 			h.outcome(router, with(said(1, unknown), id))
 		}, unknown},
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
@@ -29,8 +30,10 @@
 	resumeOffset uint32
 	// answeredBy is the first router that answered for the attempt; empty before.
 	answeredBy peer
-	// disputed is set when a second router answered too, so that the word of one does not prove what the other does.
-	disputed bool
+	// answerers are the routers that answered for the attempt, and cleared those of which it is proved that they did not
+	// and will not run it. The word of one router does not prove what another does.
+	answerers []string
+	cleared   []string
 	// tokens is set once the attempt brought tokens.
 	tokens bool
 	// notRun is set when a router proved that this attempt did not and will not run at an engine.
@@ -100,7 +103,9 @@
 	if a.answeredBy.name == "" {
 		a.answeredBy = from
 	}
-	a.disputed = a.disputed || a.answeredBy.name != from.name
+	if !slices.Contains(a.answerers, from.name) {
+		a.answerers = append(a.answerers, from.name)
+	}
 }
 
 // latest returns the attempt that is waited for.
@@ -126,7 +131,12 @@
 	if r.started || r.answer.length() > 0 {
 		return false
 	}
-	return r.withdrawn || lo.EveryBy(r.attempts, func(a attempt) bool { return a.notRun })
+	return r.withdrawn || lo.EveryBy(r.attempts, func(a attempt) bool { return a.provedNotRun() })
+}
+
+// provedNotRun tells whether every router that answered for the attempt is proved not to run it.
+func (a *attempt) provedNotRun() bool {
+	return a.notRun && lo.Every(a.cleared, a.answerers)
 }
 
 // due tells when the request must be looked at next.
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -91,6 +91,7 @@
 	r.agentName = message.GetAgentName()
 	r.agentAddress = message.GetAgentAddress()
 	r.hops = message.GetHops()
+	r.passedBy = message.GetPassedBy()
 	r.deadline = now.Add(time.Duration(message.GetRemainingMillis()) * time.Millisecond)
 }
 
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -80,6 +80,7 @@
 		Peer:             entry.outcome.GetPeer(),
 		Elsewhere:        entry.outcome.GetElsewhere(),
 		EveryAttempt:     entry.withdrawn,
+		PassedBy:         entry.passedBy,
 	}
 	c.send(entry, &granitebayv1.Envelope{Body: &granitebayv1.Envelope_Outcome{Outcome: outcome}}, effects)
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -74,6 +74,8 @@
 	// queuedAt is when the request came into the queue, or when another owner was last looked for.
 	queuedAt time.Time
 	hops     uint32
+	// passedBy names the owners that had the attempt before and passed it on.
+	passedBy []string
 	// cancelReason is why the run is being cancelled.
 	cancelReason string
 
--- a/internal/dispatch/reroute.go
+++ b/internal/dispatch/reroute.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
@@ -26,6 +27,7 @@
 		AgentName:       entry.agentName,
 		AgentAddress:    entry.agentAddress,
 		Hops:            entry.hops,
+		PassedBy:        append(slices.Clone(entry.passedBy), c.settings.Self),
 		MaySwitchEngine: entry.repeatable(),
 		DeadlineNamed:   true,
 	}
