--- a/internal/corecheck/corecheck.go
+++ b/internal/corecheck/corecheck.go
@@ -12,7 +12,7 @@
 // Cores lists the packages that must be pure, below internal/.
 var Cores = []string{
 	"agent", "claim", "configuration", "core", "dispatch", "ingress", "membership", "ownership", "ownership/backoff",
-	"ownership/mirror", "placement", "rendezvous", "rolecontrol", "roleplan", "router",
+	"ownership/mirror", "placement", "poolspread", "rendezvous", "rolecontrol", "roleplan", "router",
 	"standin/enginemodel", "standin/platformmodel",
 }
 
