--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -9,7 +9,6 @@
 	"github.com/samber/lo"
 
 	granitebayv1 "github.com/granitebay/granitebay/gen/granitebay/v1"
-	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/core"
 	"github.com/granitebay/granitebay/internal/dispatch"
 	"github.com/granitebay/granitebay/internal/engine"
