Dispatch: the refusal of one attempt is not told of a later one

Change: a cancel of a later attempt is treated as one of an unknown request: only the claim can prove it. Test failed first.

--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -33,6 +33,11 @@
 		// The same request came through another agent since, whose caller still waits.
 		return
 	}
+	if entry.ended() && message.GetAttempt() > entry.attempt {
+		// What became of an earlier attempt here proves nothing about a later one, which went elsewhere.
+		c.cancelUnknown(now, message, effects)
+		return
+	}
 	entry.attempt = max(entry.attempt, message.GetAttempt())
 	if entry.outcome != nil {
 		c.sendOutcome(entry, effects)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -218,6 +218,16 @@
 	h.expect("submits without a pause", submits, returnsWithoutDelay)
 }
 
+func TestRefusalOfAnEarlierAttemptProvesNothingOfALaterOne(t *testing.T) {
+	h := newHarness(t)
+	h.generate("t/01HF7YAT00000000000000000A", false, func(message *granitebayv1.Generate) { message.RemainingMillis = 1 })
+	h.expect("the first attempt is refused", h.outcomes(), []granitebayv1.OutcomeKind{notRun})
+	h.effects.Reset()
+	h.core.HandleCancel(h.now, &granitebayv1.Cancel{RequestId: "t/01HF7YAT00000000000000000A", Attempt: 2, AgentName: "agent-1"}, &h.effects)
+	h.expect("nothing is said of the second", len(h.outcomes()), 0)
+	h.expect("the claim is to tell", h.claims, []string{"t/01HF7YAT00000000000000000A=withdrawn"})
+}
+
 func TestCancelOfAnotherAgentStopsNothing(t *testing.T) {
 	h := newHarness(t)
 	h.chosen("t/01HF7YAT00000000000000000A", true)
