--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -187,6 +187,13 @@
 	v.gateways.Heard(time.Now(), name)
 }
 
+// Unheard tells that another gateway stands by and will not be heard any more.
+func (v *View) Unheard(name string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.gateways.Unheard(name)
+}
+
 // Leave takes the own gateway off the list.
 func (v *View) Leave() {
 	v.mutex.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	g.handler = forward.NewHandler(forward.DefaultSettings(), ports.Protocol, ports.Workers, g.dispatcher, g.metrics)
 	own := member.Gateway{
 		Name: settings.Name, Address: settings.ListenCallers, PeerAddress: settings.ListenPeers, Zone: settings.Zone,
+		Cores: settings.Cores,
 	}
 	control := roles.DefaultControllerSettings()
 	control.Holder = settings.Name
@@ -89,7 +90,9 @@
 	g.registration = member.NewRegistration(registrationSettings, ports.Store, own,
 		logging.Part(logger, "member"), func() { g.replica.Renew() }, g.controller.Leased)
 	g.view = cluster.NewView(ports.Decoder, g, member.NewList(own), backend.NewRoster(rosterOf(settings)), g.registration.Key(), logging.Part(logger, "cluster"))
-	g.replica = store.NewReplica(ports.Store, everything, store.DefaultReplicaSettings(), g.view,
+	replication := store.DefaultReplicaSettings()
+	replication.Unhurried = member.IsRegistration
+	g.replica = store.NewReplica(ports.Store, everything, replication, g.view,
 		bootstrap.NewClient(settings.Seeds).Fetch)
 	g.metrics.watch(g)
 	return g
@@ -166,7 +169,11 @@
 
 // Hear is part of loadshare.Source.
 func (g *Gateway) Hear(message *loadshare.Message) {
-	g.view.Heard(message.Sender)
+	if message.StandsBy {
+		g.view.Unheard(message.Sender)
+	} else {
+		g.view.Heard(message.Sender)
+	}
 	g.dispatcher.Hear(message)
 }
 
@@ -187,7 +194,7 @@
 // resolve returns the addresses to which callers of a zone connect.
 func (g *Gateway) resolve(string) ([]string, time.Duration) {
 	var addresses []string
-	for _, gateway := range g.view.Reachable() {
+	for _, gateway := range member.Entries(g.view.Reachable(), member.DefaultEntrySettings()) {
 		addresses = append(addresses, gateway.Address)
 	}
 	return addresses, time.Duration(g.addressTTL.Load())
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/retrybudget"
@@ -33,7 +34,26 @@
 	serving := g.view.Serving()
 	g.dispatcher.SetGateways(len(serving))
 	g.replica.SetReaders(len(serving))
-	g.sharing.SetPeers(peersOf(g.settings.Name, serving))
+	g.sharing.SetAudience(audienceOf(g.settings.Name, serving, member.Entries(serving, member.DefaultEntrySettings())))
+}
+
+// audienceOf returns whom a gateway tells what. Those to which callers are sent tell each other what they do, and the others
+// that they live.
+func audienceOf(own string, serving, entries []member.Gateway) loadshare.Audience {
+	isEntry := map[string]bool{}
+	for _, entry := range entries {
+		isEntry[entry.Name] = true
+	}
+	audience := loadshare.Audience{Peers: peersOf(own, entries), StandsBy: !isEntry[own]}
+	if audience.StandsBy {
+		return audience
+	}
+	for _, gateway := range serving {
+		if !isEntry[gateway.Name] {
+			audience.Listeners = append(audience.Listeners, gateway.PeerAddress)
+		}
+	}
+	return audience
 }
 
 // peersOf returns the addresses of the other gateways in the order of a ring that begins after the own one, so that a bounded
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,6 +10,8 @@
 	Name   string
 	Zone   string
 	Region string
+	// Cores is the processor capacity that this process may use, in cores.
+	Cores float64
 	// ListenCallers, ListenReady, ListenDirectory and ListenMetrics are host:port.
 	ListenCallers   string
 	ListenReady     string
@@ -45,6 +47,7 @@
 // DefaultSettings returns settings without names and addresses.
 func DefaultSettings() *Settings {
 	return &Settings{
+		Cores:          1,
 		Grace:          8 * time.Second,
 		AddressTTL:     3 * time.Second,
 		MaxAddressTTL:  5 * time.Second,
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -55,6 +55,8 @@
 	Changing []Changing
 	// Failed workers were set aside by the sender since the last message, because they did not answer.
 	Failed []string
+	// StandsBy is set in the last message of a sender that tells its life no more.
+	StandsBy bool
 }
 
 // Encode returns the bytes of a message.
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// Audience says whom an exchange tells what.
+type Audience struct {
+	// Peers are told everything, in this order up to the bound of the settings.
+	Peers []string
+	// Listeners are told only that the gateway lives.
+	Listeners []string
+	// StandsBy is set for a gateway that tells its changes but not that it lives.
+	StandsBy bool
+}
+
 // Exchange sends and receives datagrams.
 type Exchange struct {
 	settings Settings
@@ -54,11 +64,17 @@
 	socket   *net.UDPConn
 	urgent   chan struct{}
 	changed  chan struct{}
-	peers    chan []string
-
+	audience chan Audience
 	epoch    int64
 	sequence uint64
-	targets  []*net.UDPAddr
+
+	// What follows is used by Send alone.
+	peers     []*net.UDPAddr
+	listeners []*net.UDPAddr
+	standsBy  bool
+	lastSent  time.Time
+	lastFull  time.Time
+	lastAlive time.Time
 }
 
 // NewExchange opens the socket of an exchange.
@@ -73,7 +89,7 @@
 	}
 	return &Exchange{
 		settings: settings, source: source, logger: logger, socket: socket, epoch: time.Now().UnixNano(),
-		urgent: make(chan struct{}, 1), changed: make(chan struct{}, 1), peers: make(chan []string, 1),
+		urgent: make(chan struct{}, 1), changed: make(chan struct{}, 1), audience: make(chan Audience, 1),
 	}, nil
 }
 
@@ -89,16 +105,16 @@
 	}
 }
 
-// SetPeers replaces the addresses that are told.
-func (e *Exchange) SetPeers(addresses []string) {
+// SetAudience replaces those that are told.
+func (e *Exchange) SetAudience(audience Audience) {
 	for {
 		select {
-		case e.peers <- addresses:
+		case e.audience <- audience:
 			return
 		default:
 		}
 		select {
-		case <-e.peers:
+		case <-e.audience:
 		default:
 		}
 	}
@@ -132,32 +148,32 @@
 
 // Send tells changes until the context ends, and that the gateway lives when there are none.
 func (e *Exchange) Send(ctx context.Context) {
-	var lastSent, lastFull time.Time
 	heartbeat := time.NewTimer(e.settings.Heartbeat)
 	defer heartbeat.Stop()
 	for {
-		heartbeat.Reset(max(e.settings.Heartbeat-time.Since(lastSent), 0))
+		heartbeat.Reset(max(e.settings.Heartbeat-time.Since(e.lastSent), 0))
+		alive := heartbeat.C
+		if e.standsBy {
+			alive = nil
+		}
 		delay := e.settings.UrgentDelay
 		select {
 		case <-ctx.Done():
 			return
-		case addresses := <-e.peers:
-			e.setTargets(addresses)
+		case audience := <-e.audience:
+			e.setAudience(audience)
 			continue
 		case <-e.urgent:
-		case <-heartbeat.C:
+		case <-alive:
 		case <-e.changed:
-			delay = max(e.settings.Interval-time.Since(lastSent), delay)
+			delay = max(e.settings.Interval-time.Since(e.lastSent), delay)
 		}
 		if !e.gather(ctx, delay) {
 			return
 		}
-		lastSent = time.Now()
-		full := lastSent.Sub(lastFull) >= e.settings.FullEvery
-		if full {
-			lastFull = lastSent
-		}
-		e.tell(full)
+		e.lastSent = time.Now()
+		e.tell()
+		e.tellAlive()
 	}
 }
 
@@ -174,33 +190,62 @@
 	return true
 }
 
-// setTargets resolves the addresses of peers.
-func (e *Exchange) setTargets(addresses []string) {
-	e.targets = e.targets[:0]
-	for _, address := range addresses[:min(len(addresses), e.settings.MaxPeers)] {
+// setAudience takes those that are told. A gateway that begins to stand by says so to all that have heard it.
+func (e *Exchange) setAudience(audience Audience) {
+	if audience.StandsBy && !e.standsBy {
+		e.send(Message{StandsBy: true}, e.peers, e.listeners)
+	}
+	e.standsBy = audience.StandsBy
+	e.peers = e.resolve(audience.Peers[:min(len(audience.Peers), e.settings.MaxPeers)])
+	e.listeners = e.resolve(audience.Listeners)
+}
+
+// resolve returns addresses as the socket takes them.
+func (e *Exchange) resolve(addresses []string) []*net.UDPAddr {
+	var resolved []*net.UDPAddr
+	for _, address := range addresses {
 		target, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
 			e.logger.WithError(err).WithField("peer", address).Warn("The address of a peer can't be read.")
 			continue
 		}
-		e.targets = append(e.targets, target)
+		resolved = append(resolved, target)
 	}
+	return resolved
 }
 
-// tell sends one message to all peers. Datagrams that can't be sent are lost, as others are on the way.
-func (e *Exchange) tell(full bool) {
+// tell sends what has changed to the peers, and everything once in a while.
+func (e *Exchange) tell() {
+	full := e.lastSent.Sub(e.lastFull) >= e.settings.FullEvery
+	if full {
+		e.lastFull = e.lastSent
+	}
 	message := e.source.Drain(full)
-	if len(e.targets) == 0 {
+	message.Full = full
+	e.send(message, e.peers)
+}
+
+// tellAlive tells the listeners that the gateway lives, as often as its heartbeat.
+func (e *Exchange) tellAlive() {
+	if len(e.listeners) == 0 || e.lastSent.Sub(e.lastAlive) < e.settings.Heartbeat {
 		return
 	}
+	e.lastAlive = e.lastSent
+	e.send(Message{}, e.listeners)
+}
+
+// send sends one message. Datagrams that can't be sent are lost, as others are on the way.
+func (e *Exchange) send(message Message, audiences ...[]*net.UDPAddr) {
 	e.sequence++
-	message.Sender, message.Epoch, message.Sequence, message.Full = e.settings.Name, e.epoch, e.sequence, full
+	message.Sender, message.Epoch, message.Sequence = e.settings.Name, e.epoch, e.sequence
 	encoded, err := message.Encode()
 	if err != nil {
 		e.logger.WithError(err).Error("A message to peers can't be written.")
 		return
 	}
-	for _, target := range e.targets {
-		_, _ = e.socket.WriteToUDP(encoded, target)
+	for _, targets := range audiences {
+		for _, target := range targets {
+			_, _ = e.socket.WriteToUDP(encoded, target)
+		}
 	}
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -96,30 +96,74 @@
 	return len(m.heard)
 }
 
-func TestPeersHearChangesAndHeartbeats(t *testing.T) {
+// exchangePair returns two exchanges that run until the test ends, and what each has heard.
+func exchangePair(t *testing.T) (exchanges [2]*Exchange, sources [2]*memorySource) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var sources [2]memorySource
-	var exchanges [2]*Exchange
+	t.Cleanup(cancel)
 	for i := range exchanges {
 		settings := DefaultSettings()
 		settings.Name, settings.Listen, settings.Heartbeat = string(rune('a'+i)), "127.0.0.1:0", 30*time.Millisecond
-		exchange, err := NewExchange(settings, &sources[i], logrus.New())
+		sources[i] = &memorySource{}
+		exchange, err := NewExchange(settings, sources[i], logrus.New())
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer exchange.Close()
+		t.Cleanup(exchange.Close)
 		exchanges[i] = exchange
 		go exchange.Receive()
 		go exchange.Send(ctx)
 	}
-	exchanges[0].SetPeers([]string{exchanges[1].socket.LocalAddr().String()})
-	exchanges[0].Changed(true)
+	return exchanges, sources
+}
+
+// address returns where an exchange is reached.
+func address(exchange *Exchange) string { return exchange.socket.LocalAddr().String() }
+
+// waitForMessages waits until a source has heard a number of messages.
+func waitForMessages(t *testing.T, source *memorySource, count int) {
+	t.Helper()
 	for range 200 {
-		if sources[1].count() >= 5 {
+		if source.count() >= count {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	t.Fatalf("heard %d messages", sources[1].count())
+	t.Fatalf("heard %d messages, want %d", source.count(), count)
+}
+
+func TestPeersHearChangesAndHeartbeats(t *testing.T) {
+	exchanges, sources := exchangePair(t)
+	exchanges[0].SetAudience(Audience{Peers: []string{address(exchanges[1])}})
+	exchanges[0].Changed(true)
+	waitForMessages(t, sources[1], 5)
+}
+
+func TestListenersHearThatAGatewayLivesUntilItStandsBy(t *testing.T) {
+	exchanges, sources := exchangePair(t)
+	exchanges[0].SetAudience(Audience{Listeners: []string{address(exchanges[1])}})
+	waitForMessages(t, sources[1], 3)
+	exchanges[0].SetAudience(Audience{StandsBy: true})
+	heard := func() (messages []*Message) {
+		sources[1].mutex.Lock()
+		defer sources[1].mutex.Unlock()
+		return append(messages, sources[1].heard...)
+	}
+	for range 200 {
+		if messages := heard(); messages[len(messages)-1].StandsBy {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	count := sources[1].count()
+	time.Sleep(100 * time.Millisecond)
+	messages := heard()
+	if len(messages) != count || !messages[count-1].StandsBy {
+		t.Errorf("%d messages after %d, the last one says that the sender stands by: %t", len(messages), count, messages[count-1].StandsBy)
+	}
+	for _, message := range messages {
+		if len(message.Loads) > 0 {
+			t.Error("a listener was told loads")
+		}
+	}
 }
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -22,6 +22,8 @@
 	// PeerAddress takes datagrams of other gateways, host:port.
 	PeerAddress string `json:"peerAddress"`
 	Zone        string `json:"zone"`
+	// Cores is the processor capacity, in cores.
+	Cores float64 `json:"cores"`
 	// Leaving gateways finish what they have and get no new callers.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -89,22 +91,31 @@
 // suspectAfter is how long a gateway may be silent that was heard before. It tells of itself four times in that time.
 const suspectAfter = 900 * time.Millisecond
 
-// Reachable returns the gateways to which callers are sent: those that serve, without those that have fallen silent. When most
-// have, the fault is on the own side and nobody is suspected.
+// Reachable returns the gateways that serve, without those that have fallen silent. When most of those that were heard have,
+// the fault is on the own side and nobody is suspected.
 func (l *List) Reachable(now time.Time) []Gateway {
 	serving := l.Serving(now)
 	var reachable []Gateway
+	heard, silent := 0, 0
 	for _, gateway := range serving {
-		if gateway.Name == l.own.Name || !l.silent(now, gateway.Name) {
-			reachable = append(reachable, gateway)
+		if _, before := l.heard[gateway.Name]; before {
+			heard++
 		}
+		if gateway.Name != l.own.Name && l.silent(now, gateway.Name) {
+			silent++
+			continue
+		}
+		reachable = append(reachable, gateway)
 	}
-	if 2*len(reachable) <= len(serving) {
+	if 2*silent > heard {
 		return serving
 	}
 	return reachable
 }
 
+// Unheard tells that a gateway stands by and will not be heard any more.
+func (l *List) Unheard(name string) { delete(l.heard, name) }
+
 // silent tells whether a gateway that was heard before has not been for too long.
 func (l *List) silent(now time.Time, name string) bool {
 	heard, before := l.heard[name]
--- a/internal/member/list_test.go
+++ b/internal/member/list_test.go
@@ -89,3 +89,20 @@
 		t.Errorf("most silent: %s", got)
 	}
 }
+
+// TestGatewaysThatStandByAreNotSuspected guards a large fleet, in which only those are heard to which callers are sent.
+func TestGatewaysThatStandByAreNotSuspected(t *testing.T) {
+	list := listOf(t, "b", "c", "d", "e", "f", "g")
+	for _, name := range []string{"b", "c", "d"} {
+		list.Heard(epoch, name)
+	}
+	list.Unheard("d")
+	later := epoch.Add(suspectAfter + time.Millisecond)
+	list.Heard(later, "c")
+	if got := names(list.Reachable(later)); got != "[a c d e f g]" {
+		t.Errorf("one of those that are heard is silent: %s", got)
+	}
+	if got := names(list.Reachable(later.Add(time.Minute))); got != "[a b c d e f g]" {
+		t.Errorf("all that are heard are silent: %s", got)
+	}
+}
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -18,6 +18,12 @@
 	Wait time.Duration
 	// Settle is a pause after changes, so that those that come together are read together.
 	Settle time.Duration
+	// Unhurried tells whether changes of a key may be told late. Nil is none.
+	Unhurried func(key string) bool
+	// UnhurriedPerReader is the pause after changes of unhurried keys alone, for each process that watches, and
+	// LongestUnhurried bounds it.
+	UnhurriedPerReader time.Duration
+	LongestUnhurried   time.Duration
 	// FirstPause and LongestPause bound the pause after a failed call; it doubles and is jittered.
 	FirstPause   time.Duration
 	LongestPause time.Duration
@@ -30,6 +36,9 @@
 		Settle:       40 * time.Millisecond,
 		FirstPause:   100 * time.Millisecond,
 		LongestPause: 600 * time.Millisecond,
+
+		UnhurriedPerReader: 10 * time.Millisecond,
+		LongestUnhurried:   time.Second,
 	}
 }
 
@@ -217,16 +226,44 @@
 	case err != nil:
 		return err
 	}
+	pause := r.settle(events)
 	if fresh := r.fresh(events, at); len(fresh) > 0 {
 		r.consumer.Apply(fresh)
 	}
 	r.consumer.Current()
-	if len(events) > 0 {
-		sleep(ctx, r.share(r.settings.Settle))
-	}
+	sleep(ctx, pause)
 	return nil
 }
 
+// settle returns the pause after changes that were not noted yet. When every process of a large fleet starts at once, each
+// registration and each new record is a change for all of them: without a longer pause their calls grow with the square of
+// the fleet. The pause delays only what comes after those changes.
+func (r *Replica) settle(events []Event) time.Duration {
+	if len(events) == 0 {
+		return 0
+	}
+	pause := r.share(r.settings.Settle)
+	for _, event := range events {
+		if !r.unhurried(event) {
+			return pause
+		}
+	}
+	longer := time.Duration(r.readers.Load()) * r.settings.UnhurriedPerReader
+	return max(pause, min(longer, r.settings.LongestUnhurried))
+}
+
+// unhurried tells whether those that come after a change may be told late: it concerns an unhurried key, or an item that was
+// not there before. A large fleet that starts has many of these, and none that is waited for.
+func (r *Replica) unhurried(event Event) bool {
+	if r.settings.Unhurried != nil && r.settings.Unhurried(event.Key) {
+		return true
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, known := r.known[event.Key]
+	return !known && !event.Deleted
+}
+
 // fresh notes events and drops those that the list has told already: pages of a list are read at different revisions.
 func (r *Replica) fresh(events []Event, at int64) []Event {
 	r.mutex.Lock()
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -224,3 +224,32 @@
 	store.events <- func(int64) ([]Event, int64, error) { return nil, 0, errors.New("cut") }
 	recorded.eventually(t, "a=8")
 }
+
+// TestManyReadersGatherUnhurriedChanges guards against the calls of a large fleet that starts at once growing with its square.
+func TestManyReadersGatherUnhurriedChanges(t *testing.T) {
+	settings := DefaultReplicaSettings()
+	settings.Unhurried = func(key string) bool { return strings.HasPrefix(key, "registrations/") }
+	calm := Event{Item: Item{Key: "registrations/a"}}
+	urgent := Event{Item: Item{Key: "configuration"}}
+	added := Event{Item: Item{Key: "workers/new"}}
+	for _, test := range []struct {
+		name    string
+		readers int
+		events  []Event
+		want    time.Duration
+	}{
+		{"few readers", 2, []Event{calm}, 40 * time.Millisecond},
+		{"more readers", 20, []Event{calm, calm}, 200 * time.Millisecond},
+		{"many readers", 300, []Event{calm}, time.Second},
+		{"no change", 300, nil, 0},
+		{"new items", 300, []Event{calm, added}, time.Second},
+		{"one change is urgent", 300, []Event{calm, urgent}, 300 * time.Millisecond},
+	} {
+		replica := NewReplica(nil, "", settings, &recorder{}, nil)
+		replica.SetReaders(test.readers)
+		replica.replace(Snapshot{Items: []Item{urgent.Item}})
+		if got := replica.settle(test.events); got != test.want {
+			t.Errorf("%s: the pause is %s, want %s", test.name, got, test.want)
+		}
+	}
+}
