--- a/cmd/granitebay-gateway/main.go
+++ b/cmd/granitebay-gateway/main.go
@@ -1,9 +1,9 @@
-// Command granitebay-gateway runs one gateway, the one program of a machine. All gateways of a fleet are alike.
+// Command granitebay-gateway is the one program of a machine: it tells callers where to connect and takes their requests to
+// workers.
 package main
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,8 +13,8 @@
 
 	"github.com/granitebay/granitebay/internal/command"
 	"github.com/granitebay/granitebay/internal/gateway"
-	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/logging"
+	"github.com/granitebay/granitebay/internal/settings"
 	"github.com/granitebay/granitebay/platform"
 )
 
@@ -25,46 +25,32 @@
 
 // flags are the flags of the program.
 type flags struct {
-	Settings string `help:"Settings file (JSON)." env:"${settings_variable}" required:"" type:"path"`
-	Check    bool   `help:"Check the settings and exit."`
+	Settings string           `help:"Settings file (YAML)." env:"${settings_variable}" required:"" type:"path"`
+	Check    bool             `help:"Check the settings and exit."`
+	Version  kong.VersionFlag `help:"Print the version."`
 }
 
 func main() {
 	var parsed flags
-	kong.Parse(&parsed, kong.Name(name), kong.Description("Serves callers and takes their requests to workers."),
-		kong.Vars{"settings_variable": platform.SettingsVariable})
-	if err := run(parsed); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		os.Exit(1)
-	}
+	command.Parse(name, "Serves callers and takes their requests to workers.", &parsed, kong.Vars{"settings_variable": settings.PathVariable})
+	command.Exit(name, run(parsed))
 }
 
 func run(parsed flags) error {
 	hangups := command.Hangups()
-	settings, err := platform.LoadSettings(parsed.Settings)
+	given, err := settings.Load(parsed.Settings)
 	if err != nil || parsed.Check {
-		return err
+		return command.BadInput(err)
 	}
 	output := logging.NewAsyncWriter(os.Stdout, logLines)
 	defer output.Close()
 	logger, err := logging.New(logging.Options{
-		Level: settings.LogLevel, Format: logging.FormatText, Process: settings.Name, Output: output,
+		Level: given.LogLevel, Format: logging.FormatText, Process: given.Name, Output: output,
 	})
 	if err != nil {
 		return err
 	}
-	client := httpclient.New(httpclient.DefaultSettings())
-	workers := platform.NewWorkers(client)
-	program := gateway.New(*settings, gateway.Ports{
-		Store:            platform.NewStore(settings.StoreAddress),
-		Decoder:          platform.Decoder{},
-		Protocol:         platform.Callers{},
-		Workers:          workers,
-		Orderer:          workers,
-		ForgetWorkers:    client.Forget,
-		ReadyHandler:     platform.ReadyHandler,
-		DirectoryHandler: platform.DirectoryHandler,
-	}, logger)
+	program := platform.NewGateway(*given, logger)
 	if err := program.Start(); err != nil {
 		return err
 	}
@@ -77,10 +63,10 @@
 
 // reload reads the settings anew. Bad ones are logged and change nothing.
 func reload(path string, program *gateway.Gateway, logger *logrus.Logger) {
-	settings, err := platform.LoadSettings(path)
+	given, err := settings.Load(path)
 	if err != nil {
 		logging.Part(logger, "gateway").WithError(err).Error("The settings can't be read; the old ones stay in force.")
 		return
 	}
-	program.Reload(*settings)
+	program.Reload(*given)
 }
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -16,14 +16,14 @@
 	"github.com/granitebay/granitebay/internal/configuration"
 )
 
-// Client asks routers. It tries the addresses in order and goes to the next one when a router cannot be reached or is
+// Client asks gateways. It tries the addresses in order and goes to the next one when a gateway cannot be reached or is
 // not ready.
 type Client struct {
 	addresses []string
 	http      *http.Client
 }
 
-// NewClient returns a client of routers at addresses host:port or http://host:port.
+// NewClient returns a client of gateways at addresses host:port or http://host:port.
 func NewClient(addresses []string, httpClient *http.Client) *Client {
 	return &Client{addresses: lo.Map(addresses, func(address string, _ int) string { return hostPort(address) }), http: httpClient}
 }
@@ -33,31 +33,31 @@
 	return strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/")
 }
 
-// Addresses returns the addresses of the routers.
+// Addresses returns the addresses of the gateways.
 func (c *Client) Addresses() []string { return c.addresses }
 
 // StatusError is a response that reports an error.
 type StatusError struct {
-	// Router is the address of the router that answered.
-	Router string
+	// Gateway is the address of the gateway that answered.
+	Gateway string
 	// Status is the HTTP status.
 	Status int
 	Detail string
 }
 
-// Error tells which router answered what.
+// Error tells which gateway answered what.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("router %s answered %d %s: %s", e.Router, e.Status, http.StatusText(e.Status), e.Detail)
+	return fmt.Sprintf("gateway %s answered %d %s: %s", e.Gateway, e.Status, http.StatusText(e.Status), e.Detail)
 }
 
-// FleetStatus returns the status of the fleet.
-func (c *Client) FleetStatus(ctx context.Context) (FleetStatus, error) {
-	return get[FleetStatus](ctx, c, PathStatus, nil)
+// Status returns the status of the gateway that answers.
+func (c *Client) Status(ctx context.Context) (GatewayStatus, error) {
+	return get[GatewayStatus](ctx, c, PathStatus, nil)
 }
 
-// Engines returns all engines.
-func (c *Client) Engines(ctx context.Context) ([]EngineStatus, error) {
-	return get[[]EngineStatus](ctx, c, PathEngines, nil)
+// Workers returns all workers.
+func (c *Client) Workers(ctx context.Context) ([]WorkerStatus, error) {
+	return get[[]WorkerStatus](ctx, c, PathWorkers, nil)
 }
 
 // Groups returns all groups.
@@ -65,19 +65,14 @@
 	return get[[]GroupStatus](ctx, c, PathGroups, nil)
 }
 
-// Rules returns all rules in the order in which they are tried.
+// Rules returns all rules in force.
 func (c *Client) Rules(ctx context.Context) ([]RuleStatus, error) {
 	return get[[]RuleStatus](ctx, c, PathRules, nil)
 }
 
-// Routers returns all routers.
-func (c *Client) Routers(ctx context.Context) ([]RouterStatus, error) {
-	return get[[]RouterStatus](ctx, c, PathRouters, nil)
-}
-
-// RouterView returns what only the router that answers knows.
-func (c *Client) RouterView(ctx context.Context) (RouterView, error) {
-	return get[RouterView](ctx, c, PathRouterView, nil)
+// Gateways returns all gateways.
+func (c *Client) Gateways(ctx context.Context) ([]PeerStatus, error) {
+	return get[[]PeerStatus](ctx, c, PathGateways, nil)
 }
 
 // Configuration returns the document in force.
@@ -85,11 +80,6 @@
 	return get[configuration.Document](ctx, c, PathConfig, nil)
 }
 
-// ConfigStatus tells how far the configuration got around.
-func (c *Client) ConfigStatus(ctx context.Context) (ConfigStatus, error) {
-	return get[ConfigStatus](ctx, c, PathConfigStatus, nil)
-}
-
 // ConfigHistory returns the latest edits, newest first.
 func (c *Client) ConfigHistory(ctx context.Context) (ConfigHistory, error) {
 	return get[ConfigHistory](ctx, c, PathConfigHistory, nil)
@@ -100,12 +90,12 @@
 	return get[DecisionList](ctx, c, PathDecisions, filter.Query())
 }
 
-// Explain returns what the router knows of a request.
+// Explain returns what the gateway knows of a request.
 func (c *Client) Explain(ctx context.Context, request string) (Explanation, error) {
 	return get[Explanation](ctx, c, PathExplain, url.Values{"request": {request}})
 }
 
-// call is one request to whichever router answers it.
+// call is one request to whichever gateway answers it.
 type call struct {
 	method, path string
 	query        url.Values
@@ -123,9 +113,9 @@
 }
 
 // errNoAddress is the error of a client without addresses.
-var errNoAddress = errors.New("no address of a router was given")
+var errNoAddress = errors.New("no address of a gateway was given")
 
-// try asks one router after the other until one answers that is ready. It returns the errors of all when none does.
+// try asks one gateway after the other until one answers that is ready. It returns the errors of all when none does.
 func (c *Client) try(ctx context.Context, request call) ([]byte, error) {
 	failures := errNoAddress
 	for i, address := range c.addresses {
@@ -138,7 +128,7 @@
 	return nil, failures
 }
 
-// once asks one router and returns the status and the body of its response.
+// once asks one gateway and returns the status and the body of its response.
 func (c *Client) once(ctx context.Context, address string, request call) (int, []byte, error) {
 	response, err := c.send(ctx, address, request)
 	if err != nil {
@@ -147,7 +137,7 @@
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, nil, errors.Wrapf(err, "read the response of router %s", address)
+		return 0, nil, errors.Wrapf(err, "read the response of gateway %s", address)
 	}
 	if response.StatusCode >= http.StatusBadRequest {
 		err = statusError(address, response.StatusCode, data)
@@ -159,13 +149,13 @@
 	target := url.URL{Scheme: "http", Host: address, Path: request.path, RawQuery: request.query.Encode()}
 	outgoing, err := http.NewRequestWithContext(ctx, request.method, target.String(), bytes.NewReader(request.body))
 	if err != nil {
-		return nil, errors.Wrapf(err, "ask router %s", address)
+		return nil, errors.Wrapf(err, "ask gateway %s", address)
 	}
 	if request.body != nil {
 		outgoing.Header.Set("Content-Type", "application/json")
 	}
 	response, err := c.http.Do(outgoing)
-	return response, errors.Wrapf(err, "ask router %s", address)
+	return response, errors.Wrapf(err, "ask gateway %s", address)
 }
 
 // statusError reads the detail of an error response.
@@ -180,5 +170,5 @@
 	if problem.Detail == "" {
 		problem.Detail = problem.Error
 	}
-	return &StatusError{Router: address, Status: status, Detail: problem.Detail}
+	return &StatusError{Gateway: address, Status: status, Detail: problem.Detail}
 }
--- a/internal/adminapi/client_edit.go
+++ b/internal/adminapi/client_edit.go
@@ -12,9 +12,9 @@
 	"github.com/granitebay/granitebay/internal/configuration"
 )
 
-// Edit proposes an edit, or previews it in a dry run. It goes on to the next router as long as the outcome is open, which
-// is safe because the change id makes a second proposal the same edit. If one router may have accepted the edit and no
-// other settles it, the outcome is EditUnknown. The error is set when no router gave a result and none can have accepted.
+// Edit proposes an edit, or previews it in a dry run. It goes on to the next gateway as long as the outcome is open, which
+// is safe because the change id makes a second proposal the same edit. If one gateway may have accepted the edit and no
+// other settles it, the outcome is EditUnknown. The error is set when no gateway gave a result and none can have accepted.
 func (c *Client) Edit(ctx context.Context, request configuration.EditRequest, dryRun bool) (EditResult, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -35,18 +35,18 @@
 	return attempts.end()
 }
 
-// editAttempts collects what several routers said of one edit.
+// editAttempts collects what several gateways said of one edit.
 type editAttempts struct {
 	dryRun   bool
 	changeID string
 	// result is the latest one.
 	result EditResult
-	// inDoubt is set when a router may have accepted the edit.
+	// inDoubt is set when a gateway may have accepted the edit.
 	inDoubt  bool
 	failures error
 }
 
-// note takes the response of one router and tells whether it settles the edit.
+// note takes the response of one gateway and tells whether it settles the edit.
 func (a *editAttempts) note(data []byte, err error) (settled bool) {
 	var result EditResult
 	if json.Unmarshal(data, &result) != nil || result.Outcome == "" {
@@ -66,13 +66,13 @@
 	}
 }
 
-// end returns what is known when no router settled the edit.
+// end returns what is known when no gateway settled the edit.
 func (a *editAttempts) end() (EditResult, error) {
 	switch {
 	case a.inDoubt && a.result.Outcome != EditUnknown:
 		return EditResult{
 			Outcome: EditUnknown, ChangeID: a.changeID,
-			Error: errors.Wrap(a.failureOrResult(), "a router may have accepted the edit").Error(),
+			Error: errors.Wrap(a.failureOrResult(), "a gateway may have accepted the edit").Error(),
 		}, nil
 	case a.result.Outcome != "":
 		return a.result, nil
--- a/internal/adminapi/filter.go
+++ b/internal/adminapi/filter.go
@@ -12,17 +12,17 @@
 // Names of the inputs of a decision that filters look at.
 const (
 	InputRequest = "request"
-	InputEngine  = "engine"
+	InputWorker  = "worker"
 	InputGroup   = "group"
 )
 
 // DecisionFilter selects decisions. Empty fields select all.
 type DecisionFilter struct {
-	Kind string `query:"kind" doc:"Kind of decisions, for example dispatch."`
+	Kind string `query:"kind" doc:"Kind of decisions, for example request."`
 	// Subject is the exact subject.
 	Subject string `query:"subject" doc:"Exact subject of the decisions."`
-	// Engine, Group and Request select decisions that name them as subject, outcome or input.
-	Engine  string `query:"engine" doc:"Decisions about this engine."`
+	// Worker, Group and Request select decisions that name them as subject, outcome or input.
+	Worker  string `query:"worker" doc:"Decisions about this worker."`
 	Group   string `query:"group" doc:"Decisions about this group."`
 	Request string `query:"request" doc:"Decisions about this request id."`
 	// Since selects decisions with a higher sequence.
@@ -32,11 +32,9 @@
 // StreamFilter selects what a stream of decisions carries.
 type StreamFilter struct {
 	DecisionFilter
-	// Fleet asks for the decisions of all live routers; otherwise the stream carries those of the router that is asked.
-	Fleet bool `query:"fleet" doc:"Decisions of all live routers, not only of this one."`
-	// Latest bounds the kept decisions of each kind at the start, for each router, so that the decisions that come with
+	// Latest bounds the kept decisions of each kind at the start, so that the decisions that come with
 	// every request do not push out rare ones; zero is no bound.
-	Latest int `query:"latest" minimum:"0" doc:"At the start, only so many of the latest kept decisions of each kind and router."`
+	Latest int `query:"latest" minimum:"0" doc:"At the start, only so many of the latest kept decisions of each kind."`
 }
 
 // Kept returns the kept decisions with which a stream starts.
@@ -55,9 +53,6 @@
 // Query returns the filter as the query of a URL.
 func (f StreamFilter) Query() url.Values {
 	query := f.DecisionFilter.Query()
-	if f.Fleet {
-		query.Set("fleet", "true")
-	}
 	if f.Latest > 0 {
 		query.Set("latest", strconv.Itoa(f.Latest))
 	}
@@ -69,7 +64,7 @@
 	return record.Sequence > f.Since &&
 		(f.Kind == "" || f.Kind == string(record.Kind)) &&
 		(f.Subject == "" || f.Subject == record.Subject) &&
-		names(record, InputEngine, f.Engine) &&
+		names(record, InputWorker, f.Worker) &&
 		names(record, InputGroup, f.Group) &&
 		names(record, InputRequest, f.Request)
 }
@@ -83,7 +78,7 @@
 func (f DecisionFilter) Query() url.Values {
 	query := url.Values{}
 	fields := map[string]string{
-		"kind": f.Kind, "subject": f.Subject, InputEngine: f.Engine, InputGroup: f.Group, InputRequest: f.Request,
+		"kind": f.Kind, "subject": f.Subject, InputWorker: f.Worker, InputGroup: f.Group, InputRequest: f.Request,
 		"since": lo.Ternary(f.Since == 0, "", strconv.FormatUint(f.Since, 10)),
 	}
 	for name, value := range fields {
--- a/internal/adminapi/follow.go
+++ b/internal/adminapi/follow.go
@@ -23,13 +23,13 @@
 	Heartbeat func(Heartbeat) error
 }
 
-// FollowDecisions hands decisions of the first router that answers to a function as they fall, until the context ends,
+// FollowDecisions hands decisions of the first gateway that answers to a function as they fall, until the context ends,
 // the function returns an error or the stream breaks.
 func (c *Client) FollowDecisions(ctx context.Context, filter DecisionFilter, handle func(decision.Record) error) error {
 	return c.Follow(ctx, StreamFilter{DecisionFilter: filter}, StreamHandler{Decision: handle})
 }
 
-// Follow hands the events of the stream of the first router that answers to a handler, until the context ends, the
+// Follow hands the events of the stream of the first gateway that answers to a handler, until the context ends, the
 // handler returns an error or the stream breaks.
 func (c *Client) Follow(ctx context.Context, filter StreamFilter, handler StreamHandler) error {
 	var failures error
@@ -44,7 +44,7 @@
 			data, _ := io.ReadAll(response.Body)
 			return statusError(address, response.StatusCode, data)
 		}
-		return errors.Wrapf(readEvents(response.Body, handler), "follow the decisions of router %s", address)
+		return errors.Wrapf(readEvents(response.Body, handler), "follow the decisions of gateway %s", address)
 	}
 	return failures
 }
--- a/internal/adminapi/register.go
+++ b/internal/adminapi/register.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/sse"
@@ -32,22 +31,17 @@
 }
 
 func registerFleet(api huma.API, backend Backend) {
-	registerGet(api, PathStatus, "status", "Status of the fleet", backend.FleetStatus)
-	registerGet(api, PathEngines, "engines", "All engines", backend.Engines)
-	registerGet(api, PathGroups, "groups", "All groups of engines", backend.Groups)
-	registerGet(api, PathRules, "rules", "All rules, in the order in which they are tried", backend.Rules)
-	registerGet(api, PathRouters, "routers", "All routers", backend.Routers)
-	registerGet(api, PathRouterView, "router", "What only this router knows", backend.RouterView)
+	registerGet(api, PathStatus, "status", "Status of this gateway", backend.Status)
+	registerGet(api, PathWorkers, "workers", "All workers", backend.Workers)
+	registerGet(api, PathGroups, "groups", "All groups of workers", backend.Groups)
+	registerGet(api, PathRules, "rules", "All rules in force", backend.Rules)
+	registerGet(api, PathGateways, "gateways", "All gateways", backend.Gateways)
 }
 
 func registerConfiguration(api huma.API, backend Backend) {
-	registerGet(api, PathConfigStatus, "config-status", "How far the configuration got around", backend.ConfigStatus)
-	registerJSON(api, PathConfig, "config", "The configuration in force", func(ctx context.Context) (any, error) {
-		return backend.Configuration(ctx)
-	})
-	registerJSON(api, PathConfigHistory, "config-history", "The latest edits, newest first", func(ctx context.Context) (any, error) {
-		document, err := backend.Configuration(ctx)
-		return ConfigHistory{Changes: document.History}, err
+	registerJSON(api, PathConfig, "config", "The configuration by labels in force", func() any { return backend.Document() })
+	registerJSON(api, PathConfigHistory, "config-history", "The latest edits, newest first", func() any {
+		return ConfigHistory{Changes: backend.Document().History}
 	})
 	operation := huma.Operation{
 		OperationID: "config-edits", Method: http.MethodPost, Path: PathConfigEdits,
@@ -66,10 +60,14 @@
 }
 
 func registerDecisions(api huma.API, backend Backend) {
-	RegisterDecisionLog(api, func(ctx context.Context) (DecidingProcess, error) {
-		view, err := backend.RouterView(ctx)
-		return DecidingProcess{Name: view.Router, StartedAt: view.StartedAt}, err
-	}, backend.Decisions)
+	list := huma.Operation{OperationID: "decisions", Method: http.MethodGet, Path: PathDecisions, Summary: "The kept decisions, oldest first"}
+	huma.Register(api, list, func(_ context.Context, filter *DecisionFilter) (*typedBody[DecisionList], error) {
+		return &typedBody[DecisionList]{Body: DecisionList{Decisions: filter.Select(backend.Decisions(filter.Since))}}, nil
+	})
+	explain := huma.Operation{OperationID: "explain", Method: http.MethodGet, Path: PathExplain, Summary: "What this gateway decided about one request"}
+	huma.Register(api, explain, func(_ context.Context, input *explainInput) (*typedBody[Explanation], error) {
+		return &typedBody[Explanation]{Body: explanationOf(backend, input.Request)}, nil
+	})
 	stream := huma.Operation{OperationID: "decisions-stream", Method: http.MethodGet, Path: PathDecisionsStream, Summary: "Decisions as they fall"}
 	events := map[string]any{eventDecision: decision.Record{}, eventHeartbeat: Heartbeat{}}
 	sse.Register(api, stream, events, func(ctx context.Context, filter *StreamFilter, send sse.Sender) {
@@ -77,39 +75,17 @@
 	})
 }
 
-// DecidingProcess is a process that keeps decisions.
-type DecidingProcess struct {
-	Name string
-	// StartedAt is when it started; it kept none before.
-	StartedAt time.Time
-}
-
-// keptSince is the time from which a process has all its decisions.
-func (p DecidingProcess) keptSince(kept []decision.Record) time.Time {
-	if len(kept) == 0 || kept[0].Sequence <= 1 {
-		return p.StartedAt
+// explanationOf returns what a gateway knows of one request.
+func explanationOf(backend Backend, request string) Explanation {
+	status := backend.Status()
+	kept := backend.Decisions(0)
+	since := status.StartedAt
+	if len(kept) > 0 && kept[0].Sequence > 1 {
+		since = kept[0].Time
+	}
+	return Explanation{
+		Request: request, Gateway: status.Gateway, KeptSince: since, Decisions: DecisionFilter{Request: request}.Select(kept),
 	}
-	return kept[0].Time
-}
-
-// RegisterDecisionLog adds the handlers that read the kept decisions of one process, which may be an agent: the list, and
-// those about one request. Latest returns its decisions with a sequence above since.
-func RegisterDecisionLog(api huma.API, process func(context.Context) (DecidingProcess, error), latest func(since uint64) []decision.Record) {
-	list := huma.Operation{OperationID: "decisions", Method: http.MethodGet, Path: PathDecisions, Summary: "The kept decisions, oldest first"}
-	huma.Register(api, list, func(_ context.Context, filter *DecisionFilter) (*typedBody[DecisionList], error) {
-		return &typedBody[DecisionList]{Body: DecisionList{Decisions: filter.Select(latest(filter.Since))}}, nil
-	})
-	explain := huma.Operation{OperationID: "explain", Method: http.MethodGet, Path: PathExplain, Summary: "What this process decided about one request"}
-	huma.Register(api, explain, func(ctx context.Context, input *explainInput) (*typedBody[Explanation], error) {
-		self, err := process(ctx)
-		if err != nil {
-			return nil, unavailable(err)
-		}
-		kept := latest(0)
-		return &typedBody[Explanation]{Body: Explanation{
-			Request: input.Request, Router: self.Name, KeptSince: self.keptSince(kept), Decisions: DecisionFilter{Request: input.Request}.Select(kept),
-		}}, nil
-	})
 }
 
 // explainInput names a request.
@@ -118,35 +94,25 @@
 }
 
 // registerGet adds a handler for a value whose schema is made by reflection.
-func registerGet[T any](api huma.API, path, name, summary string, read func(context.Context) (T, error)) {
+func registerGet[T any](api huma.API, path, name, summary string, read func() T) {
 	operation := huma.Operation{OperationID: name, Method: http.MethodGet, Path: path, Summary: summary}
-	huma.Register(api, operation, func(ctx context.Context, _ *struct{}) (*typedBody[T], error) {
-		value, err := read(ctx)
-		if err != nil {
-			return nil, unavailable(err)
-		}
-		return &typedBody[T]{Body: value}, nil
+	huma.Register(api, operation, func(context.Context, *struct{}) (*typedBody[T], error) {
+		return &typedBody[T]{Body: read()}, nil
 	})
 }
 
 // registerJSON adds a handler for a value that writes itself as JSON.
-func registerJSON(api huma.API, path, name, summary string, read func(context.Context) (any, error)) {
+func registerJSON(api huma.API, path, name, summary string, read func() any) {
 	operation := huma.Operation{OperationID: name, Method: http.MethodGet, Path: path, Summary: summary}
-	huma.Register(api, operation, func(ctx context.Context, _ *struct{}) (*jsonBody, error) {
-		value, err := read(ctx)
-		if err != nil {
-			return nil, unavailable(err)
-		}
-		return encodeBody(http.StatusOK, value)
+	huma.Register(api, operation, func(context.Context, *struct{}) (*jsonBody, error) {
+		return encodeBody(http.StatusOK, read())
 	})
 }
 
 func encodeBody(status int, value any) (*jsonBody, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return nil, huma.Error500InternalServerError("encode the response", err)
+		return nil, huma.Error500InternalServerError("step encode the response", err)
 	}
 	return &jsonBody{ContentType: "application/json", Status: status, Body: data}, nil
 }
-
-func unavailable(err error) error { return huma.Error503ServiceUnavailable(err.Error()) }
--- a/internal/adminapi/stream.go
+++ b/internal/adminapi/stream.go
@@ -15,32 +15,23 @@
 	eventHeartbeat = "heartbeat"
 )
 
-const (
-	// heartbeatInterval is the time between two heartbeats on a stream.
-	heartbeatInterval = 5 * time.Second
-	// othersBuffer bounds the decisions of other routers that wait for a client.
-	othersBuffer = 1024
-)
+// heartbeatInterval is the time between two heartbeats on a stream.
+const heartbeatInterval = 5 * time.Second
 
 // decisionStream is one client that follows decisions.
 type decisionStream struct {
 	backend Backend
 	filter  StreamFilter
 	send    sse.Sender
-	// sent is the last sequence of this router that was looked at.
+	// sent is the last sequence that was looked at.
 	sent uint64
-	// others are decisions of other routers, already filtered there.
-	others      chan decision.Record
-	notFollowed func() []string
 }
 
 // streamDecisions sends the kept decisions that a filter selects and then the new ones, until the client goes away.
 func streamDecisions(ctx context.Context, backend Backend, filter StreamFilter, send sse.Sender) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	records, stop := backend.FollowDecisions()
 	defer stop()
-	stream := &decisionStream{backend: backend, filter: filter, send: send, notFollowed: func() []string { return nil }}
+	stream := &decisionStream{backend: backend, filter: filter, send: send}
 	// The heartbeat at the start lets the client see that the stream is open.
 	if stream.heartbeat(time.Now()) != nil {
 		return
@@ -48,9 +39,6 @@
 	if stream.kept() != nil {
 		return
 	}
-	if filter.Fleet {
-		stream.followOthers(ctx)
-	}
 	stream.follow(ctx, records)
 }
 
@@ -69,7 +57,7 @@
 	return nil
 }
 
-// forward sends a new decision of this router, unless it was among the kept ones.
+// forward sends a new decision, unless it was among the kept ones.
 func (s *decisionStream) forward(record decision.Record) error {
 	if record.Sequence <= s.sent {
 		return nil
@@ -82,18 +70,7 @@
 }
 
 func (s *decisionStream) heartbeat(now time.Time) error {
-	return s.send.Data(Heartbeat{Time: now, NotFollowed: s.notFollowed()})
-}
-
-// followOthers has the decisions of the other routers put into a channel.
-func (s *decisionStream) followOthers(ctx context.Context) {
-	s.others = make(chan decision.Record, othersBuffer)
-	s.notFollowed = s.backend.FollowOthers(ctx, s.filter, func(record decision.Record) {
-		select {
-		case s.others <- record:
-		case <-ctx.Done():
-		}
-	})
+	return s.send.Data(Heartbeat{Time: now})
 }
 
 // follow forwards new decisions.
@@ -110,8 +87,6 @@
 				return
 			}
 			err = s.forward(record)
-		case record := <-s.others:
-			err = s.send.Data(record)
 		case now := <-ticker.C:
 			err = s.heartbeat(now)
 		}
--- a/internal/adminpage/assets/decisions.js
+++ b/internal/adminpage/assets/decisions.js
@@ -1,9 +1,9 @@
-// Follows the decisions of all routers and shows them, newest first.
+// Follows the decisions of this gateway and shows them, newest first.
 import { element, find } from "./dom.js";
 import { clock, kinds, kindWords } from "./words.js";
 
 const keptPerKind = 300; // so that routine decisions do not push out rare ones
-const askedPerKind = 50; // of each router, at the start
+const askedPerKind = 50; // at the start
 const shown = 60;
 const drawInterval = 500;
 const silence = 12000; // heartbeats come each 5 s
@@ -16,7 +16,6 @@
 let paused = false;
 let changed = false;
 let arrived = 0; // since the pause began
-let notFollowed = [];
 let lastEvent = 0; // zero while the stream is broken
 
 const key = (record) => `${record.process}/${record.sequence}/${record.time}`;
@@ -46,13 +45,12 @@
 
 // connect opens the stream. The browser opens it again when it breaks; records that come twice are known by their keys.
 function connect() {
-  const source = new EventSource(`admin/v1/decisions/stream?fleet=true&latest=${askedPerKind}`);
+  const source = new EventSource(`admin/v1/decisions/stream?latest=${askedPerKind}`);
   source.addEventListener("decision", (event) => {
     lastEvent = Date.now();
     take(JSON.parse(event.data));
   });
-  source.addEventListener("heartbeat", (event) => {
-    notFollowed = JSON.parse(event.data).notFollowed ?? [];
+  source.addEventListener("heartbeat", () => {
     lastEvent = Date.now();
   });
   source.addEventListener("error", () => {
@@ -66,7 +64,6 @@
   known.add(key(record));
   const list = kept.get(record.kind) ?? [];
   kept.set(record.kind, list);
-  // Records of different routers come nearly in order.
   let place = 0;
   while (place < list.length && list[place].time > record.time) place += 1;
   list.splice(place, 0, record);
@@ -90,7 +87,6 @@
   if (!connected) parts.push("Not connected: new decisions are not shown.");
   else if (paused) parts.push(`Paused; ${arrived} new ones wait.`);
   else parts.push("Live, newest first. Choose one to see what was weighed.");
-  if (connected && notFollowed.length > 0) parts.push(`Missing are the decisions of ${notFollowed.join(", ")}.`);
   const text = parts.join(" ");
   // Only real changes, so that screen readers are not told each half second.
   if (find("stream-state").textContent !== text) find("stream-state").textContent = text;
@@ -106,8 +102,7 @@
 }
 
 function mentions(record, wanted) {
-  const texts = [record.subject, record.outcome, record.process, ...Object.values(record.inputs ?? {}),
-    ...(record.candidates ?? []).map((candidate) => candidate.name)];
+  const texts = [record.subject, record.outcome, record.process, ...Object.values(record.inputs ?? {})];
   return texts.some((text) => text && text.toLowerCase().includes(wanted));
 }
 
@@ -150,23 +145,16 @@
 }
 
 function detail(record) {
-  const candidates = (record.candidates ?? []).map((candidate) => {
-    const text = candidate.filteredBy ? `left out: ${candidate.filteredBy}` : `score ${candidate.score.toFixed(3)}`;
-    return [candidate.name, text, candidate.name === record.outcome];
-  });
   const facts = [["decided by", record.process]];
-  if (record.configRevision) facts.push(["configuration", `revision ${record.configRevision}`]);
-  if (record.epoch) facts.push(["authority", `epoch ${record.epoch}`]);
+  if (record.version) facts.push(["routes", `version ${record.version}`]);
+  if (record.fence) facts.push(["authority", `fence ${record.fence}`]);
   const inputs = Object.keys(record.inputs ?? {}).sort().map((name) => [name, record.inputs[name]]);
-  return element("div", "detail",
-    ...part("What was weighed (a higher score is better)", candidates), ...part("What counted", inputs), ...part("Where", facts));
+  return element("div", "detail", ...part("What counted", inputs), ...part("Where", facts));
 }
 
 function part(title, rows) {
   if (rows.length === 0) return [];
   const list = element("dl");
-  for (const [name, value, chosen] of rows) {
-    list.append(element("dt", chosen ? "chosen" : "", name), element("dd", chosen ? "chosen" : "", chosen ? `${value}, chosen` : value));
-  }
+  for (const [name, value] of rows) list.append(element("dt", "", name), element("dd", "", value));
   return [element("h3", "", title), list];
 }
--- a/internal/adminpage/assets/fleet.js
+++ b/internal/adminpage/assets/fleet.js
@@ -1,87 +1,78 @@
-// Shows zones, engines, groups, rules and routers.
+// Shows zones, workers, groups, rules and gateways.
 import { element, find, table } from "./dom.js";
-import { clock, count, counts, engineState, routerState } from "./words.js";
+import { count, counts, workerState } from "./words.js";
 
-// enginesShown bounds the engines of one zone on the page.
-const enginesShown = 24;
+// workersShown bounds the workers of one zone on the page.
+const workersShown = 24;
 
-export function showFleet({ status, engines, groups, rules, routers, configuration }) {
-  find("seen-from").textContent = `as ${status.router} in ${status.zone} sees it, version ${status.version}` +
-    (status.stopping ? "; this router is stopping" : status.ready ? "" : "; this router takes no requests yet");
-  find("summary").textContent = summary(status, configuration);
+export function showFleet({ status, workers, groups, rules, gateways }) {
+  find("seen-from").textContent = `as ${status.gateway} in ${status.zone} sees it, version ${status.version}` +
+    (status.stopping ? "; this gateway is stopping" : status.ready ? "" : "; this gateway takes no requests yet");
+  find("summary").textContent = summary(status);
   find("warnings").replaceChildren(...(status.warnings ?? []).map((warning) => element("li", "", warning)));
   find("groups").replaceChildren(...groups.map(group));
-  find("zones").replaceChildren(...zones(engines));
+  find("zones").replaceChildren(...zones(workers));
   find("rules").replaceChildren(table(ruleColumns, rules));
-  find("routers").replaceChildren(table(routerColumns, routers));
+  find("gateways").replaceChildren(table(gatewayColumns, gateways));
 }
 
-function summary(status, configuration) {
-  const behind = (configuration.laggards ?? []).map((laggard) => laggard.process);
-  const inForce = behind.length === 0 ? "in force everywhere" : `not yet in force at ${behind.join(", ")}`;
-  return `${count(status.engines, "engine")} (${counts(status.engineStates)}), ${count(status.liveRouters, "live router")}. ` +
-    `${count(status.runningRequests, "request")} running, ${status.waitingRequests} waiting. ` +
-    `Configuration revision ${configuration.accepted} is ${inForce}. ` +
-    `${count(status.roleChanges, "role change")} since the routers started.`;
+function summary(status) {
+  return `Workers: ${counts(status.workers) || "none"}. ${count(status.gateways, "gateway")}, of which ${status.entries} take callers. ` +
+    `${count(status.inHand, "request")} in hand here. Routes version ${status.routeVersion} and rules by labels revision ${status.revision} ` +
+    `are in force here; the store was followed ${status.storeAgeMillis} ms ago.` +
+    (status.givesOrders ? " This gateway gives the orders to change roles." : "");
 }
 
 function group(each) {
-  const engines = element("p", "", `${count(each.engines, "engine")}: ${counts(each.roles) || "none"}` +
-    (each.changing ? `; ${each.changing} of them out for a change` : ""));
-  const work = element("p", "quiet", `serves ${(each.models ?? []).join(", ")}; ${each.runningRequests} running and ${each.waitingRequests} waiting at its engines; selects engines by ${each.engineSelector}`);
-  const plan = element("p", "plan", each.plan ? `Latest plan, made at ${clock(each.planMadeAt)}: ${each.plan}` : "No change of roles was planned yet: the split fits the load.");
-  return element("div", "group", element("h3", "", each.name), engines, plan, work);
+  const workers = element("p", "", `${count(each.workers, "worker")}: ${counts(each.roles) || "none"}`);
+  const work = element("p", "quiet", `${each.running} running, ${each.readingTokens} prompt tokens to read` + (each.of ? `; selected from ${each.of}` : ""));
+  return element("div", "group", element("h3", "", each.name), workers, work);
 }
 
-function zones(engines) {
+function zones(workers) {
   const byZone = new Map();
-  for (const each of engines) byZone.set(each.zone, [...(byZone.get(each.zone) ?? []), each]);
+  for (const each of workers) byZone.set(each.zone, [...(byZone.get(each.zone) ?? []), each]);
   return [...byZone.keys()].sort().map((name) => zone(name, byZone.get(name)));
 }
 
-function zone(name, engines) {
-  const running = engines.reduce((sum, each) => sum + each.runningRequests, 0);
-  const hidden = engines.length - enginesShown;
+function zone(name, workers) {
+  const running = workers.reduce((sum, each) => sum + each.running, 0);
+  const hidden = workers.length - workersShown;
   return element("div", "zone",
-    element("h3", "", `${name}: ${count(engines.length, "engine")}, ${count(running, "request")} running`),
-    element("ul", "engines", ...engines.slice(0, enginesShown).map(engine)),
-    hidden > 0 ? element("p", "quiet", `and ${hidden} more; granitebay get engines lists all`) : null);
+    element("h3", "", `${name}: ${count(workers.length, "worker")}, ${count(running, "request")} running`),
+    element("ul", "workers", ...workers.slice(0, workersShown).map(worker)),
+    hidden > 0 ? element("p", "quiet", `and ${hidden} more; granitebay get workers lists all`) : null);
 }
 
-function engine(each) {
-  const [words, sign, className] = engineState(each.state);
-  const memory = each.memoryTotal > 0 ? Math.round((100 * each.memoryUsed) / each.memoryTotal) : 0;
+function worker(each) {
+  const [words, sign, className] = workerState(each.state);
+  const used = each.slots > 0 ? Math.min(100, Math.round((100 * each.running) / each.slots)) : 0;
   const fill = element("span");
-  fill.style.width = `${memory}%`;
+  fill.style.width = `${used}%`;
   const bar = element("div", "bar", fill);
   bar.setAttribute("aria-hidden", "true");
-  return element("li", `engine ${each.role === "prefill" || each.role === "decode" ? each.role : ""}`,
-    element("div", "first", element("b", "", each.name), element("span", "role", each.role === "none" || !each.role ? "no role yet" : each.role)),
+  return element("li", `worker ${each.role === "prefill" || each.role === "decode" ? each.role : ""}`,
+    element("div", "first", element("b", "", each.address), element("span", "role", each.role || each.service)),
     element("div", className, `${sign} ${words}`),
-    element("div", "", `${each.runningRequests} running, ${each.waitingRequests} waiting`),
+    element("div", "", `${each.running} running, ${each.readingTokens} tokens to read`),
     bar,
-    element("div", "quiet", `memory ${memory}% full; owner ${each.owner || "none"}`));
+    element("div", "quiet", `${used}% of ${count(each.slots, "slot")} in use; ${(each.groups ?? []).join(", ") || "no group by labels"}`));
 }
 
 const ruleColumns = [
   { title: "Rule", cell: (rule) => rule.name },
-  { title: "Takes", cell: (rule) => rule.requestSelector || "all other requests" },
+  { title: "Takes", cell: (rule) => rule.match },
   { title: "Groups", cell: (rule) => (rule.groups ?? []).join(", ") },
   { title: "Priority", number: true, cell: (rule) => rule.priority },
-  { title: "Running", number: true, cell: (rule) => rule.runningRequests },
-  { title: "Waiting", number: true, cell: (rule) => rule.waitingRequests },
+  { title: "Objective", number: true, cell: (rule) => `${rule.objectiveMs} ms` },
 ];
 
-const routerColumns = [
-  { title: "Router", cell: (router) => router.name },
-  { title: "Zone", cell: (router) => router.zone },
+const gatewayColumns = [
+  { title: "Gateway", cell: (gateway) => gateway.name },
+  { title: "Zone", cell: (gateway) => gateway.zone },
   {
     title: "State",
-    cell: (router) => {
-      const [words, sign, className] = routerState(router.state);
-      return element("span", className, `${sign} ${words}`);
-    },
+    cell: (gateway) => element("span", gateway.reachable ? "good" : "bad", gateway.reachable ? "● heard" : "✕ silent"),
   },
-  { title: "Configuration", number: true, cell: (router) => router.configRevision },
-  { title: "Engines owned", number: true, cell: (router) => router.ownedEngines },
+  { title: "Callers", cell: (gateway) => (gateway.entry ? "are sent here" : "stands by") },
 ];
--- a/internal/adminpage/assets/main.js
+++ b/internal/adminpage/assets/main.js
@@ -1,4 +1,4 @@
-// Asks the router each second and says so when it does not answer.
+// Asks the gateway each second and says so when it does not answer.
 import { followDecisions } from "./decisions.js";
 import { find } from "./dom.js";
 import { showFleet } from "./fleet.js";
@@ -7,14 +7,14 @@
 const pollInterval = 1000;
 const pollTimeout = 3000;
 const paths = {
-  status: "status", engines: "engines", groups: "groups", rules: "rules", routers: "routers", configuration: "config/status",
+  status: "status", workers: "workers", groups: "groups", rules: "rules", gateways: "gateways",
 };
 
 let lastAnswer = null;
 
 async function ask(path) {
   const response = await fetch(`admin/v1/${path}`, { signal: AbortSignal.timeout(pollTimeout), cache: "no-store" });
-  if (!response.ok) throw new Error(`${path}: the router answered ${response.status} ${response.statusText}`);
+  if (!response.ok) throw new Error(`${path}: the gateway answered ${response.status} ${response.statusText}`);
   return response.json();
 }
 
@@ -33,7 +33,7 @@
     return;
   }
   const since = lastAnswer ? `What you see is from ${clock(lastAnswer)}.` : "Nothing is known of the fleet yet.";
-  const text = `The router does not answer. ${since} Trying again each second.`;
+  const text = `The gateway does not answer. ${since} Trying again each second.`;
   if (banner.textContent !== text) banner.textContent = text;
   banner.hidden = false;
   console.warn(error);
--- a/internal/adminpage/page.go
+++ b/internal/adminpage/page.go
@@ -1,4 +1,4 @@
-// Package adminpage is the page on a router's admin port: zones, engines, requests, groups, routers and decisions as they
+// Package adminpage is the page on a gateway's admin port: zones, workers, groups, rules, gateways and decisions as they
 // fall, in words. It is embedded and loads nothing from elsewhere.
 package adminpage
 
@@ -11,7 +11,7 @@
 //go:embed assets
 var embedded embed.FS
 
-// securityPolicy lets the page load and ask only the router that served it.
+// securityPolicy lets the page load and ask only the gateway that served it.
 const securityPolicy = "default-src 'none'; script-src 'self'; style-src 'self'; connect-src 'self'; img-src data:; " +
 	"base-uri 'none'; form-action 'none'; frame-ancestors 'none'"
 
@@ -33,7 +33,7 @@
 		header.Set("Content-Security-Policy", securityPolicy)
 		header.Set("X-Content-Type-Options", "nosniff")
 		header.Set("Referrer-Policy", "no-referrer")
-		// A router of another version may answer next.
+		// A gateway of another version may answer next.
 		header.Set("Cache-Control", "no-cache")
 		next.ServeHTTP(writer, request)
 	})
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -32,6 +32,21 @@
 	Role  Role
 	// Draining workers take no new work.
 	Draining bool
+	// Labels that the worker tells of itself, with those of the operators on top.
+	Labels map[string]string
+	// Selected are the groups whose selectors select the worker, by name; it is a member of Group besides.
+	Selected []string
+}
+
+// Groups returns all groups of which the worker is a member.
+func (w *Worker) Groups() []string { return append([]string{w.Group}, w.Selected...) }
+
+// RoleGroup returns the group within which the role of the worker is planned: each worker has one.
+func (w *Worker) RoleGroup() string {
+	if len(w.Selected) > 0 {
+		return w.Selected[0]
+	}
+	return w.Group
 }
 
 // Set is a snapshot of all workers by their ids.
@@ -57,6 +72,8 @@
 
 // Demand is what a request asks of a worker.
 type Demand struct {
+	// Model that is to answer; empty when the request does not say, or says it in its header.
+	Model string
 	// PromptTokens and OutputTokens are zero for requests to plain workers.
 	PromptTokens int
 	OutputTokens int
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -141,8 +141,9 @@
 		b.workers[id] = known
 	}
 	for _, worker := range sortedByID(b.workers) {
-		group := worker.worker.Group
-		b.groups[group] = append(b.groups[group], worker)
+		for _, group := range worker.worker.Groups() {
+			b.groups[group] = append(b.groups[group], worker)
+		}
 	}
 }
 
@@ -195,6 +196,15 @@
 	return found && !known.worker.Draining && !known.health.ejected(now) && !known.changing(now)
 }
 
+// KeptOff tells whether a worker is set aside for its failures, and whether work is kept off it while it changes its role.
+func (b *Balancer) KeptOff(now time.Time, id string) (setAside, changing bool) {
+	known, found := b.workers[id]
+	if !found {
+		return false, false
+	}
+	return known.health.ejected(now), known.changing(now)
+}
+
 // SetChanging keeps work off a worker until a moment.
 func (b *Balancer) SetChanging(id string, until time.Time) {
 	if known, found := b.workers[id]; found {
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -48,8 +50,10 @@
 	ownKey   string
 	logger   logrus.FieldLogger
 
-	// version of the configuration in force.
-	version int64
+	// base is the configuration of routes and services in force, and byLabels that of groups and rules by labels; nil before
+	// the first.
+	base     *routing.Configuration
+	byLabels *routing.Configuration
 	// lostSince is when the store was lost; zero while it answers.
 	lostSince time.Time
 
@@ -60,6 +64,7 @@
 	mutex     sync.Mutex
 	gateways  *member.List
 	currentAt time.Time
+	document  configuration.Document
 }
 
 // NewView returns a view of nothing.
@@ -75,9 +80,8 @@
 	workers := backend.Set{}
 	for _, item := range items {
 		registered = registered || item.Key == v.ownKey
-		if v.decoder.IsConfiguration(item.Key) {
-			v.configure(item)
-		} else if worker := v.workerOf(item); worker != nil {
+		v.configure(item)
+		if worker := v.workerOf(item); worker != nil {
 			workers[worker.ID] = worker
 		}
 	}
@@ -111,7 +115,7 @@
 	workersChanged, gatewaysChanged := false, false
 	for _, event := range events {
 		workersChanged = v.applyWorker(event) || workersChanged
-		if !event.Deleted && v.decoder.IsConfiguration(event.Key) {
+		if !event.Deleted {
 			v.configure(event.Item)
 		}
 		if event.Key == roles.Key {
@@ -249,21 +253,81 @@
 	v.listener.WorkersChanged(workers)
 }
 
-// configure puts a configuration in force, unless it is not valid or not newer than the one in force.
+// configure takes an item that may hold one of the two parts of the configuration. A part that is not valid, or not newer
+// than the one in force, changes nothing.
 func (v *View) configure(item store.Item) {
-	configuration, err := v.decoder.Configuration(item.Value)
+	switch {
+	case v.decoder.IsConfiguration(item.Key):
+		v.configureBase(item)
+	case item.Key == configuration.StoreKey:
+		v.configureLabels(item)
+	}
+}
+
+// configureBase takes the routes and services.
+func (v *View) configureBase(item store.Item) {
+	base, err := v.decoder.Configuration(item.Value)
 	if err == nil {
-		err = configuration.Validate()
+		err = base.Validate()
 	}
 	if err != nil {
 		v.complain(err)
 		return
 	}
-	if configuration.Version <= v.version {
+	if v.base != nil && base.Version <= v.base.Version {
 		return
 	}
-	v.version = configuration.Version
-	v.listener.ConfigurationChanged(configuration)
+	v.base = base
+	v.tellConfiguration()
+}
+
+// configureLabels takes the groups and rules by labels.
+func (v *View) configureLabels(item store.Item) {
+	document, err := configuration.Decode(item.Value)
+	if err != nil {
+		v.complain(err)
+		return
+	}
+	snapshot, err := configuration.Compile(document)
+	if err != nil {
+		v.complain(err)
+		return
+	}
+	byLabels := snapshot.Routing()
+	if v.byLabels != nil && byLabels.Revision <= v.byLabels.Revision {
+		return
+	}
+	v.byLabels = byLabels
+	v.setDocument(document)
+	v.tellConfiguration()
+}
+
+// tellConfiguration tells both parts together. Without routes there is nothing to serve yet. Parts that do not fit each other,
+// as when a service is gone from which a group selects, leave the routes in force alone.
+func (v *View) tellConfiguration() {
+	if v.base == nil {
+		return
+	}
+	merged := v.base.WithLabels(v.byLabels)
+	if err := merged.Validate(); err != nil {
+		v.complain(errors.Wrap(err, "step join the routes with the rules by labels"))
+		merged = v.base
+	}
+	v.listener.ConfigurationChanged(merged)
+}
+
+// setDocument keeps the document of the groups and rules by labels.
+func (v *View) setDocument(document configuration.Document) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.document = document
+}
+
+// Document returns the document of the groups and rules by labels; the zero document before the first.
+func (v *View) Document() configuration.Document {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.document
 }
 
 // complain logs an item that can't be read. It stays as it was known.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -8,14 +8,9 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
-
-	"github.com/granitebay/granitebay/internal/logging"
-	"github.com/granitebay/granitebay/internal/settings"
 )
 
 // Exit codes of all programs.
@@ -71,39 +66,6 @@
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 }
 
-// Program is a running agent or router.
-type Program interface {
-	// Failed delivers an error when a port stops serving.
-	Failed() <-chan error
-	// Stop ends the program as planned, at the latest at the end of the context. Close ends it at once.
-	Stop(ctx context.Context)
-	Close()
-}
-
-// Logger makes the logger of a process from its settings.
-func Logger(process settings.Process) (*logrus.Logger, error) {
-	logger, err := logging.New(logging.Options{
-		Level: process.Logging.Level, Format: process.Logging.Format, Process: process.Name, Output: os.Stderr,
-	})
-	return logger, BadInput(err)
-}
-
-// RunUntilStopped waits for SIGINT or SIGTERM and then stops a program as planned, or returns when one of its ports fails.
-func RunUntilStopped(program Program, stopTimeout time.Duration) error {
-	ctx, cancel := Context()
-	defer cancel()
-	select {
-	case err := <-program.Failed():
-		program.Close()
-		return err
-	case <-ctx.Done():
-	}
-	stopping, done := context.WithTimeout(context.Background(), stopTimeout)
-	defer done()
-	program.Stop(stopping)
-	return nil
-}
-
 // Exit ends a program with the code that fits an error.
 func Exit(name string, err error) {
 	if err == nil {
@@ -133,23 +95,8 @@
 // codeOf returns the exit code of an error.
 func codeOf(err error) int {
 	var badInput *badInputError
-	var invalid *settings.InvalidError
-	if errors.As(err, &badInput) || errors.As(err, &invalid) || errors.Is(err, os.ErrNotExist) {
+	if errors.As(err, &badInput) || errors.Is(err, os.ErrNotExist) {
 		return ExitBadInput
 	}
 	return ExitFailed
 }
-
-// Overrides joins the flags that were given with fields that were set by path. Flags that are empty do not count.
-func Overrides(flags, set map[string]string) map[string]string {
-	overrides := make(map[string]string, len(flags)+len(set))
-	for path, value := range flags {
-		if value != "" {
-			overrides[path] = value
-		}
-	}
-	for path, value := range set {
-		overrides[path] = value
-	}
-	return overrides
-}
--- /dev/null
+++ b/internal/completions/completions_test.go
@@ -0,0 +1,80 @@
+package completions
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"golang.org/x/tools/txtar"
+	"k8s.io/apimachinery/pkg/labels"
+)
+
+// read returns what the protocol reads of a request, in the lines of the script.
+func read(head, body string) string {
+	r := httptest.NewRequest(http.MethodPost, Path, strings.NewReader(body))
+	for line := range strings.Lines(head) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		r.Header.Set(name, value)
+	}
+	set, speaks := Callers{}.Labels(r)
+	if !speaks {
+		return "error the request is none of the protocol"
+	}
+	request, err := Callers{}.Read(r)
+	if err == nil {
+		request.Body = []byte(body)
+		err = Callers{}.Complete(request)
+	}
+	if err != nil {
+		return "error " + strings.ReplaceAll(err.Error(), "\n", "\nerror ")
+	}
+	var parts []string
+	for _, part := range request.Demand.Parts {
+		parts = append(parts, fmt.Sprint(part.Tokens))
+	}
+	return fmt.Sprintf("labels %s\nid %s tenant %s patience %s once %t whole %t\ntokens %d,%d parts %s",
+		labels.Set(set), request.ID, request.Tenant, request.Patience, request.RunOnce, request.Whole,
+		request.Demand.PromptTokens, request.Demand.OutputTokens, strings.Join(parts, ","))
+}
+
+func TestRequestsAreRead(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/read.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for pair := range slices.Chunk(archive.Files, 2) {
+		name := strings.TrimSuffix(pair[0].Name, "/request")
+		t.Run(name, func(t *testing.T) {
+			head, body, _ := strings.Cut("\n"+string(pair[0].Data), "\n\n")
+			got := read(strings.TrimPrefix(head, "\n"), body)
+			for line := range strings.Lines(string(pair[1].Data)) {
+				if !strings.Contains(got, strings.TrimSpace(line)) {
+					t.Errorf("got\n%s\nwant %q among it", got, strings.TrimSpace(line))
+				}
+			}
+		})
+	}
+}
+
+func TestOtherRequestsAreNoneOfTheProtocol(t *testing.T) {
+	for _, r := range []*http.Request{
+		httptest.NewRequest(http.MethodGet, Path, nil), httptest.NewRequest(http.MethodPost, "/v1/other", nil),
+	} {
+		if _, speaks := (Callers{}).Labels(r); speaks {
+			t.Errorf("%s %s is taken for one", r.Method, r.URL)
+		}
+	}
+}
+
+func TestSameBeginningsHaveTheSameKey(t *testing.T) {
+	demand := func(prompt string) string {
+		body := Body{Model: "m", Prompt: prompt, SharedPrefixTokens: 2}
+		return body.demand().AffinityKey()
+	}
+	if demand("a b c") != demand("a b d") || demand("a b c") == demand("a c c") {
+		t.Error("prompts are told apart by something else than their shared beginning")
+	}
+}
--- a/internal/configuration/diff.go
+++ b/internal/configuration/diff.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/samber/lo"
+
+	"github.com/granitebay/granitebay/internal/strictyaml"
 )
 
 // Difference is one field that differs between two specs.
@@ -38,13 +40,13 @@
 // describe says how one field changes.
 func describe(field Field, before, after json.RawMessage) string {
 	switch {
-	case before == nil && field.Kind == KindEngineLabel:
+	case before == nil && field.Kind == KindWorkerLabel:
 		return fmt.Sprintf("%s: set to %s", field, after)
 	case before == nil:
 		return fmt.Sprintf("%s: added", field)
 	case after == nil:
 		return fmt.Sprintf("%s: removed", field)
-	case field.Kind == KindEngineLabel:
+	case field.Kind == KindWorkerLabel:
 		return fmt.Sprintf("%s: %s -> %s", field, before, after)
 	}
 	return fmt.Sprintf("%s: %s", field, strings.Join(describeLeaves(before, after), "; "))
@@ -53,7 +55,7 @@
 // describeLeaves says which values within an object change.
 func describeLeaves(before, after json.RawMessage) []string {
 	beforeLeaves, afterLeaves := leavesOf(before), leavesOf(after)
-	paths := sortedKeys(lo.Assign(beforeLeaves, afterLeaves))
+	paths := strictyaml.SortedKeys(lo.Assign(beforeLeaves, afterLeaves))
 	return lo.FilterMap(paths, func(path string, _ int) (string, bool) {
 		old, now := beforeLeaves[path], afterLeaves[path]
 		text := fmt.Sprintf("%s %s -> %s", path, lo.CoalesceOrEmpty(old, "nothing"), lo.CoalesceOrEmpty(now, "nothing"))
@@ -77,11 +79,11 @@
 	object, isObject := value.(map[string]any)
 	if !isObject {
 		if value != nil {
-			into[path] = quote(value)
+			into[path] = strictyaml.Quote(value)
 		}
 		return
 	}
 	for name, inner := range object {
-		collectLeaves(join(path, name), inner, into)
+		collectLeaves(strictyaml.Join(path, name), inner, into)
 	}
 }
--- a/internal/configuration/doc.go
+++ b/internal/configuration/doc.go
@@ -1,4 +1,4 @@
-// Package configuration holds the dynamic configuration of the fleet: the labels that operators put on engines, the
-// groups that select engines, the rules that select requests, and the models. It defines the document and its checks,
-// compiles it for fast matching, merges the edits of operators, and spreads accepted documents between processes.
+// Package configuration holds what operators decide by labels: the labels that they put on workers, the groups that select
+// workers and the rules that select requests. It defines the document and its checks, compiles it for the request path,
+// merges the edits of operators and brings them into the store.
 package configuration
--- a/internal/configuration/edit.go
+++ b/internal/configuration/edit.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+
+	"github.com/granitebay/granitebay/internal/strictyaml"
 )
 
 // EditKind tells what an Edit does.
@@ -9,8 +11,8 @@
 
 // The kinds of edits.
 const (
-	EditSetLabel    EditKind = "set-label"    // set one label of one engine
-	EditRemoveLabel EditKind = "remove-label" // remove one label of one engine
+	EditSetLabel    EditKind = "set-label"    // set one label of one worker
+	EditRemoveLabel EditKind = "remove-label" // remove one label of one worker
 	EditPut         EditKind = "put"          // add or replace one object
 	EditDelete      EditKind = "delete"       // remove one object by kind and name
 	EditApply       EditKind = "apply"        // replace the whole spec
@@ -19,8 +21,8 @@
 // Edit is one change of a document. Kind tells which other fields count.
 type Edit struct {
 	Kind EditKind `json:"kind"`
-	// Engine and Label name the label of EditSetLabel and EditRemoveLabel.
-	Engine string `json:"engine,omitempty"`
+	// Worker and Label name the label of EditSetLabel and EditRemoveLabel.
+	Worker string `json:"worker,omitempty"`
 	Label  string `json:"label,omitempty"`
 	// Value of EditSetLabel.
 	Value string `json:"value,omitempty"`
@@ -28,22 +30,20 @@
 	Object Kind   `json:"object,omitempty"`
 	Name   string `json:"name,omitempty"`
 	// Exactly one of these is the object of EditPut.
-	Model  *Model  `json:"model,omitempty"`
-	Group  *Group  `json:"group,omitempty"`
-	Rule   *Rule   `json:"rule,omitempty"`
-	Tenant *Tenant `json:"tenant,omitempty"`
+	Group *Group `json:"group,omitempty"`
+	Rule  *Rule  `json:"rule,omitempty"`
 	// Spec of EditApply.
 	Spec *Spec `json:"spec,omitempty"`
 }
 
-// SetLabel returns the edit that sets one label of an engine.
-func SetLabel(engineName, label, value string) Edit {
-	return Edit{Kind: EditSetLabel, Engine: engineName, Label: label, Value: value}
+// SetLabel returns the edit that sets one label of a worker.
+func SetLabel(address, label, value string) Edit {
+	return Edit{Kind: EditSetLabel, Worker: address, Label: label, Value: value}
 }
 
-// RemoveLabel returns the edit that removes one label of an engine.
-func RemoveLabel(engineName, label string) Edit {
-	return Edit{Kind: EditRemoveLabel, Engine: engineName, Label: label}
+// RemoveLabel returns the edit that removes one label of a worker.
+func RemoveLabel(address, label string) Edit {
+	return Edit{Kind: EditRemoveLabel, Worker: address, Label: label}
 }
 
 // Apply returns the edit that replaces the whole spec.
@@ -58,12 +58,6 @@
 // PutRule returns the edit that adds or replaces a rule.
 func PutRule(rule Rule) Edit { return Edit{Kind: EditPut, Rule: &rule} }
 
-// PutModel returns the edit that adds or replaces a model.
-func PutModel(model Model) Edit { return Edit{Kind: EditPut, Model: &model} }
-
-// PutTenant returns the edit that adds or replaces a tenant.
-func PutTenant(tenant Tenant) Edit { return Edit{Kind: EditPut, Tenant: &tenant} }
-
 // ApplyEdits makes edits one after the other. The error is FieldErrors with all edits that make no sense. The result
 // may still be an invalid document.
 func ApplyEdits(base Spec, edits []Edit) (Spec, error) {
@@ -75,7 +69,7 @@
 	for i, edit := range edits {
 		values, faults = applyEdit(values, edit, fmt.Sprintf("edits[%d]", i), faults)
 	}
-	if err := faults.orNil(); err != nil {
+	if err := faults.OrNil(); err != nil {
 		return Spec{}, err
 	}
 	return values.spec()
@@ -84,15 +78,15 @@
 // applyEdit makes one edit and adds its faults.
 func applyEdit(values fieldValues, edit Edit, path string, faults FieldErrors) (fieldValues, FieldErrors) {
 	fault := func(field string, value any, problem, allowed string) {
-		faults = append(faults, FieldError{Field: path + field, Value: quote(value), Problem: problem, Allowed: allowed})
+		faults = append(faults, FieldError{Field: path + field, Value: strictyaml.Quote(value), Problem: problem, Allowed: allowed})
 	}
 	switch edit.Kind {
 	case EditSetLabel, EditRemoveLabel:
-		if edit.Engine == "" || edit.Label == "" {
-			fault("", nil, "names no label", "engine and label")
+		if edit.Worker == "" || edit.Label == "" {
+			fault("", nil, "names no label", "worker and label")
 			break
 		}
-		field := Field{Kind: KindEngineLabel, Name: edit.Engine, Label: edit.Label}
+		field := Field{Kind: KindWorkerLabel, Name: edit.Worker, Label: edit.Label}
 		if edit.Kind == EditRemoveLabel {
 			delete(values, field)
 			break
@@ -106,7 +100,7 @@
 			err = values.put(field, object)
 		}
 		if err != nil {
-			fault("", nil, err.Error(), "one of model, group, rule and tenant")
+			fault("", nil, err.Error(), "one of group and rule")
 		}
 	case EditDelete:
 		field := Field{Kind: edit.Object, Name: edit.Name}
@@ -145,18 +139,12 @@
 		field, object = Field{Kind: kind, Name: name}, value
 		count++
 	}
-	if e.Model != nil {
-		choose(KindModel, e.Model.Name, e.Model)
-	}
 	if e.Group != nil {
 		choose(KindGroup, e.Group.Name, e.Group)
 	}
 	if e.Rule != nil {
 		choose(KindRule, e.Rule.Name, e.Rule)
 	}
-	if e.Tenant != nil {
-		choose(KindTenant, e.Tenant.Name, e.Tenant)
-	}
 	if count != 1 {
 		return Field{}, nil, fmt.Errorf("has %d objects", count)
 	}
--- a/internal/configuration/examples.go
+++ b/internal/configuration/examples.go
@@ -31,5 +31,5 @@
 		return Document{}, err
 	}
 	document, faults := ParseAndValidate(data)
-	return document, errors.Wrapf(faults.orNil(), "read the example %s", name)
+	return document, errors.Wrapf(faults.OrNil(), "read the example %s", name)
 }
--- a/internal/configuration/field.go
+++ b/internal/configuration/field.go
@@ -10,26 +10,24 @@
 
 // The kinds of objects.
 const (
-	KindModel       Kind = "model"
 	KindGroup       Kind = "group"
 	KindRule        Kind = "rule"
-	KindTenant      Kind = "tenant"
-	KindEngineLabel Kind = "engine-label"
+	KindWorkerLabel Kind = "worker-label"
 )
 
-// Field names the smallest part of a document that edits change as a whole: one object, or one label of one engine.
+// Field names the smallest part of a document that edits change as a whole: one object, or one label of one worker.
 type Field struct {
 	Kind Kind `json:"kind"`
-	// Name of the object or of the engine.
+	// Name of the object or address of the worker.
 	Name string `json:"name"`
-	// Label is the key of the label; only for KindEngineLabel.
+	// Label is the key of the label; only for KindWorkerLabel.
 	Label string `json:"label,omitempty"`
 }
 
-// String returns the field in words, for example "rule quick" or "label pool of engine engine-a-1".
+// String returns the field in words, for example "rule quick" or "label pool of worker 10.0.0.1:80".
 func (f Field) String() string {
-	if f.Kind == KindEngineLabel {
-		return fmt.Sprintf("label %s of engine %s", f.Label, f.Name)
+	if f.Kind == KindWorkerLabel {
+		return fmt.Sprintf("label %s of worker %s", f.Label, f.Name)
 	}
 	return fmt.Sprintf("%s %s", f.Kind, f.Name)
 }
--- a/internal/configuration/fields.go
+++ b/internal/configuration/fields.go
@@ -18,14 +18,12 @@
 	values := fieldValues{}
 	spec = normalize(spec)
 	err := errors.Join(
-		putAll(values, KindModel, spec.Models, func(m Model) string { return m.Name }),
 		putAll(values, KindGroup, spec.Groups, func(g Group) string { return g.Name }),
 		putAll(values, KindRule, spec.Rules, func(r Rule) string { return r.Name }),
-		putAll(values, KindTenant, spec.Tenants, func(t Tenant) string { return t.Name }),
 	)
-	for engineName, labels := range spec.EngineLabels {
+	for address, labels := range spec.WorkerLabels {
 		for label, value := range labels {
-			err = errors.Join(err, values.put(Field{Kind: KindEngineLabel, Name: engineName, Label: label}, value))
+			err = errors.Join(err, values.put(Field{Kind: KindWorkerLabel, Name: address, Label: label}, value))
 		}
 	}
 	return values, errors.Wrap(err, "take the configuration apart")
@@ -33,7 +31,7 @@
 
 // spec puts a spec together again.
 func (v fieldValues) spec() (Spec, error) {
-	spec := Spec{EngineLabels: map[string]map[string]string{}}
+	spec := Spec{WorkerLabels: map[string]map[string]string{}}
 	var err error
 	for _, field := range v.sorted() {
 		err = errors.Join(err, spec.take(field, v[field]))
@@ -44,15 +42,11 @@
 // take adds one field to a spec.
 func (s *Spec) take(field Field, value json.RawMessage) error {
 	switch field.Kind {
-	case KindModel:
-		return appendDecoded(&s.Models, value)
 	case KindGroup:
 		return appendDecoded(&s.Groups, value)
 	case KindRule:
 		return appendDecoded(&s.Rules, value)
-	case KindTenant:
-		return appendDecoded(&s.Tenants, value)
-	case KindEngineLabel:
+	case KindWorkerLabel:
 		return s.takeLabel(field, value)
 	default:
 		return errors.Newf("unknown kind of object %q", field.Kind)
@@ -60,12 +54,12 @@
 }
 
 func (s *Spec) takeLabel(field Field, value json.RawMessage) error {
-	if s.EngineLabels[field.Name] == nil {
-		s.EngineLabels[field.Name] = map[string]string{}
+	if s.WorkerLabels[field.Name] == nil {
+		s.WorkerLabels[field.Name] = map[string]string{}
 	}
 	var text string
 	err := json.Unmarshal(value, &text)
-	s.EngineLabels[field.Name][field.Label] = text
+	s.WorkerLabels[field.Name][field.Label] = text
 	return err
 }
 
--- a/internal/configuration/normalize.go
+++ b/internal/configuration/normalize.go
@@ -2,27 +2,24 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/samber/lo"
 
-	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/backend"
 )
 
 // normalize returns the spec in the one form that all specs of the same content have: objects in order of name, and
 // empty lists instead of missing ones. So equal content has equal bytes. The argument is not changed.
 func normalize(spec Spec) Spec {
-	spec.Models = sortedBy(spec.Models, func(m Model) string { return m.Name })
 	spec.Groups = sortedBy(spec.Groups, func(g Group) string { return g.Name })
 	spec.Rules = sortedBy(spec.Rules, func(r Rule) string { return r.Name })
-	spec.Tenants = sortedBy(spec.Tenants, func(t Tenant) string { return t.Name })
-	spec.EngineLabels = lo.PickBy(spec.EngineLabels, func(_ string, of map[string]string) bool { return len(of) > 0 })
-	for i := range spec.Models {
-		spec.Models[i].Versions = orEmpty(spec.Models[i].Versions)
-		spec.Models[i].Adapters = orEmpty(spec.Models[i].Adapters)
-	}
+	spec.WorkerLabels = lo.PickBy(spec.WorkerLabels, func(_ string, of map[string]string) bool { return len(of) > 0 })
 	for i := range spec.Groups {
-		normalizeGroup(&spec.Groups[i])
+		floors := map[backend.Role]int{}
+		maps.Copy(floors, spec.Groups[i].RoleFloors)
+		spec.Groups[i].RoleFloors = floors
 	}
 	for i := range spec.Rules {
 		spec.Rules[i].Groups = orEmpty(spec.Rules[i].Groups)
@@ -30,17 +27,6 @@
 	return spec
 }
 
-func normalizeGroup(group *Group) {
-	group.Models = slices.Clone(orEmpty(group.Models))
-	for i := range group.Models {
-		group.Models[i].Adapters = orEmpty(group.Models[i].Adapters)
-	}
-	group.RolePolicy.AllowedRoles = orEmpty(group.RolePolicy.AllowedRoles)
-	if group.RolePolicy.Floors == nil {
-		group.RolePolicy.Floors = map[engine.Role]int{}
-	}
-}
-
 // orEmpty returns an empty list for a missing one.
 func orEmpty[T any](list []T) []T {
 	if list == nil {
--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -1,48 +1,33 @@
 package configuration
 
 import (
-	"bytes"
 	"encoding/json"
-	"fmt"
-	"reflect"
-	"slices"
-	"strconv"
-	"strings"
 
-	"github.com/samber/lo"
-	"sigs.k8s.io/yaml"
+	"github.com/granitebay/granitebay/internal/strictyaml"
 )
 
-// wholeDocument stands for the path of faults that belong to no field.
-const wholeDocument = "(document)"
+// What readers of documents share with those of other files.
+type (
+	// FieldError is one fault, FieldErrors all of a document.
+	FieldError  = strictyaml.FieldError
+	FieldErrors = strictyaml.FieldErrors
+	// Duration is a time.Duration that is written as in "1m30s".
+	Duration = strictyaml.Duration
+)
 
 // Parse reads a document in YAML or JSON. What is not given has its default. The error is FieldErrors with all faults
-// of form at once: unknown fields and values of a wrong type. The document holds what could be read, so that Validate
-// can find the other faults too.
-func Parse(data []byte) (Document, error) { return parse[Document](data) }
+// of form at once. The document holds what could be read, so that Validate can find the other faults too.
+func Parse(data []byte) (Document, error) {
+	var document Document
+	err := strictyaml.Parse(data, &document)
+	return document, err
+}
 
 // ParseEditRequest reads an edit in YAML or JSON. The error is FieldErrors as for Parse.
-func ParseEditRequest(data []byte) (EditRequest, error) { return parse[EditRequest](data) }
-
-// parse reads a value and collects all faults of form.
-func parse[T any](data []byte) (T, error) {
-	var value T
-	data, err := yaml.YAMLToJSONStrict(data)
-	if err != nil {
-		return value, FieldErrors{{Field: wholeDocument, Problem: err.Error(), Allowed: "YAML or JSON without repeated keys"}}
-	}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.UseNumber()
-	var tree any
-	if err := decoder.Decode(&tree); err != nil {
-		return value, FieldErrors{{Field: wholeDocument, Problem: err.Error(), Allowed: "YAML or JSON"}}
-	}
-	var shape shapeCheck
-	tree = shape.check("", tree, reflect.TypeFor[T]())
-	if err := decodeTree(tree, &value); err != nil {
-		shape.faults = append(shape.faults, FieldError{Field: wholeDocument, Problem: err.Error()})
-	}
-	return value, shape.faults.orNil()
+func ParseEditRequest(data []byte) (EditRequest, error) {
+	var request EditRequest
+	err := strictyaml.Parse(data, &request)
+	return request, err
 }
 
 // ParseAndValidate reads a document and returns all its faults at once.
@@ -61,188 +46,3 @@
 
 // Encode writes a document as JSON. Equal documents give equal bytes.
 func Encode(document Document) ([]byte, error) { return json.Marshal(document) }
-
-// decodeTree turns a tree that has the right shape into a value.
-func decodeTree(tree, value any) error {
-	if tree == (omitted{}) {
-		return nil
-	}
-	data, err := json.Marshal(tree)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(data, value)
-}
-
-// shapeCheck compares a tree of JSON values with a Go type and collects all differences.
-type shapeCheck struct{ faults FieldErrors }
-
-// omitted stands for a value that does not fit its type.
-type omitted struct{}
-
-// check returns the part of the value that fits the type.
-func (s *shapeCheck) check(path string, value any, kind reflect.Type) any {
-	if value == nil {
-		return nil
-	}
-	switch kind {
-	case reflect.TypeFor[Duration]():
-		return s.checkDuration(path, value)
-	case reflect.TypeFor[json.RawMessage]():
-		return value
-	}
-	switch kind.Kind() {
-	case reflect.Pointer:
-		return s.check(path, value, kind.Elem())
-	case reflect.Struct:
-		return s.checkStruct(path, value, kind)
-	case reflect.Slice:
-		return s.checkSlice(path, value, kind)
-	case reflect.Map:
-		return s.checkMap(path, value, kind)
-	default:
-		return s.checkScalar(path, value, kind)
-	}
-}
-
-// fault notes a difference and returns the mark of an omitted value.
-func (s *shapeCheck) fault(path string, value any, problem, allowed string) any {
-	field := lo.CoalesceOrEmpty(path, wholeDocument)
-	s.faults = append(s.faults, FieldError{Field: field, Value: quote(value), Problem: problem, Allowed: allowed})
-	return omitted{}
-}
-
-func (s *shapeCheck) checkDuration(path string, value any) any {
-	var duration Duration
-	data, _ := json.Marshal(value)
-	if err := duration.UnmarshalJSON(data); err != nil {
-		return s.fault(path, value, "is not a duration", `text such as "250ms" or "1m30s"`)
-	}
-	return value
-}
-
-func (s *shapeCheck) checkStruct(path string, value any, kind reflect.Type) any {
-	object, isObject := value.(map[string]any)
-	if !isObject {
-		return s.fault(path, value, "is not an object", "fields "+strings.Join(fieldNames(kind), ", "))
-	}
-	known := fieldTypes(kind)
-	result := map[string]any{}
-	for _, name := range sortedKeys(object) {
-		fieldType, isKnown := known[name]
-		if !isKnown {
-			s.fault(join(path, name), nil, "is an unknown field", strings.Join(fieldNames(kind), ", "))
-			continue
-		}
-		if fitting := s.check(join(path, name), object[name], fieldType); fitting != (omitted{}) {
-			result[name] = fitting
-		}
-	}
-	return result
-}
-
-func (s *shapeCheck) checkSlice(path string, value any, kind reflect.Type) any {
-	list, isList := value.([]any)
-	if !isList {
-		return s.fault(path, value, "is not a list", "a list")
-	}
-	result := []any{}
-	for i, element := range list {
-		fitting := s.check(fmt.Sprintf("%s[%s]", path, elementName(element, i)), element, kind.Elem())
-		if fitting != (omitted{}) {
-			result = append(result, fitting)
-		}
-	}
-	return result
-}
-
-func (s *shapeCheck) checkMap(path string, value any, kind reflect.Type) any {
-	object, isObject := value.(map[string]any)
-	if !isObject {
-		return s.fault(path, value, "is not a map", "keys with values")
-	}
-	result := map[string]any{}
-	for _, key := range sortedKeys(object) {
-		if fitting := s.check(fmt.Sprintf("%s[%s]", path, key), object[key], kind.Elem()); fitting != (omitted{}) {
-			result[key] = fitting
-		}
-	}
-	return result
-}
-
-func (s *shapeCheck) checkScalar(path string, value any, kind reflect.Type) any {
-	switch kind.Kind() {
-	case reflect.String:
-		if _, isString := value.(string); !isString {
-			return s.fault(path, value, "is not a text", "text; put numbers and true or false in quotes")
-		}
-	case reflect.Float64:
-		if _, isNumber := value.(json.Number); !isNumber {
-			return s.fault(path, value, "is not a number", "a number")
-		}
-	default:
-		return s.checkInteger(path, value, kind)
-	}
-	return value
-}
-
-func (s *shapeCheck) checkInteger(path string, value any, kind reflect.Type) any {
-	number, isNumber := value.(json.Number)
-	var err error
-	if kind.Kind() == reflect.Uint64 {
-		_, err = strconv.ParseUint(number.String(), 10, 64)
-	} else {
-		_, err = strconv.ParseInt(number.String(), 10, kind.Bits())
-	}
-	if !isNumber || err != nil {
-		return s.fault(path, value, "is not a whole number", "a whole number")
-	}
-	return value
-}
-
-// elementName returns the name of an object in a list, or its place when it has none.
-func elementName(element any, place int) string {
-	if object, isObject := element.(map[string]any); isObject {
-		if name, isString := object["name"].(string); isString && name != "" {
-			return name
-		}
-	}
-	return strconv.Itoa(place)
-}
-
-// fieldTypes returns the types of the fields of a struct by their names in JSON.
-func fieldTypes(kind reflect.Type) map[string]reflect.Type {
-	result := map[string]reflect.Type{}
-	for i := range kind.NumField() {
-		name, _, _ := strings.Cut(kind.Field(i).Tag.Get("json"), ",")
-		result[name] = kind.Field(i).Type
-	}
-	return result
-}
-
-func fieldNames(kind reflect.Type) []string { return sortedKeys(fieldTypes(kind)) }
-
-func sortedKeys[V any](values map[string]V) []string {
-	keys := lo.Keys(values)
-	slices.Sort(keys)
-	return keys
-}
-
-func join(path, name string) string {
-	if path == "" {
-		return name
-	}
-	return path + "." + name
-}
-
-// quote writes a value as JSON, or nothing for no value.
-func quote(value any) string {
-	if value == nil {
-		return ""
-	}
-	data, err := json.Marshal(value)
-	if err != nil {
-		return fmt.Sprint(value)
-	}
-	return string(data)
-}
--- a/internal/configuration/propose.go
+++ b/internal/configuration/propose.go
@@ -1,30 +1,36 @@
 package configuration
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/granitebay/granitebay/internal/store"
 )
 
+// StoreKey is the key of the store that holds the document.
+const StoreKey = "granitebay/configuration"
+
+// MaximumDocumentBytes is the most that a document may take as JSON, its history included.
+const MaximumDocumentBytes = 1 << 20
+
 // The reasons for which an edit is not accepted, besides FieldErrors and conflicts.
 var (
 	// ErrStoreUnavailable means that the store did not answer in time. The edit was not accepted.
-	ErrStoreUnavailable = errors.New("the key-value service did not answer in time; the edit was not accepted")
+	ErrStoreUnavailable = errors.New("the store did not answer in time; the edit was not accepted")
 	// ErrOutcomeUnknown means that the answer to the write was lost and could not be read back. Proposing the same edit
 	// again with the same change id and base revision settles it.
-	ErrOutcomeUnknown = errors.New("the key-value service did not tell whether the edit was written; propose it again with the same change id")
+	ErrOutcomeUnknown = errors.New("the store did not tell whether the edit was written; propose it again with the same change id")
 	// ErrUnknownBase means that the base revision is too old to be merged, or does not exist.
 	ErrUnknownBase = errors.New("the base revision is unknown or too old; read the configuration and make the edit anew")
-	// ErrReadOnly means that this process does not accept edits.
-	ErrReadOnly = errors.New("this process does not accept edits; ask a router")
-	// ErrBusy means that too many edits are waiting.
-	ErrBusy = errors.New("too many edits are waiting; try again")
 	// ErrNoChangeID means that the edit has no change id.
 	ErrNoChangeID = errors.New("the edit has no change id")
 	// ErrTooLarge means that the document would become too large.
 	ErrTooLarge = errors.Newf("the configuration would take more than %d bytes", MaximumDocumentBytes)
 	// ErrUnreadable means that the store holds something that is not a document.
-	ErrUnreadable = errors.New("the key-value service holds a configuration that cannot be read")
+	ErrUnreadable = errors.New("the store holds a configuration that cannot be read")
 )
 
 // EditRequest is an edit of an operator.
@@ -77,53 +83,115 @@
 	if err != nil {
 		return Document{}, nil, err
 	}
-	return next, nil, Validate(next).orNil()
+	return next, nil, Validate(next).OrNil()
 }
 
-// proposalStep is what a proposal waits for.
-type proposalStep int
-
-const (
-	// stepIdle waits for retryAt to read the store.
-	stepIdle proposalStep = iota
-	// stepRead waits for the document in the store.
-	stepRead
-	// stepWrite waits for the answer to the compare-and-swap.
-	stepWrite
-)
-
-// String names the step for errors.
-func (s proposalStep) String() string {
-	return [...]string{"wait for the store", "read the store", "write the store"}[s]
-}
+// proposePause is the wait after a failed call to the store.
+const proposePause = 100 * time.Millisecond
 
 // proposal is an edit on its way into the store.
+//
+// Invariant: a write is conditional on the revision that was read before it, and the change id of the edit is looked for in
+// each document that is read, so that an edit is applied once even when the answer to a write is lost.
 type proposal struct {
+	store   store.Store
 	request EditRequest
-	// deadline is when the edit is given up.
-	deadline time.Time
-	step     proposalStep
-	// requestID is the outstanding request of the step, and requestDeadline when its answer counts as lost.
-	requestID       uint64
-	requestDeadline time.Time
-	// retryAt is when the store is read, in stepIdle.
-	retryAt  time.Time
-	failures int
-	// compared is the revision of the key that the latest write compared with, and written the snapshot that it wrote.
-	compared uint64
-	written  *Snapshot
-	// inDoubt is set while a write may still take effect, or has and was not found yet.
+	// inDoubt is set while a write may have taken effect, or still may.
 	inDoubt bool
+	// compared is the revision with which the write in doubt compared.
+	compared int64
 }
 
-// wake tells when the proposal has something to do.
-func (p *proposal) wake() time.Time {
-	wake := p.retryAt
-	if p.step != stepIdle {
-		wake = p.requestDeadline
+// Propose brings an edit into the store: it reads the document, makes the edit, and writes the result if nobody wrote
+// meanwhile. It tries until the context ends.
+func Propose(ctx context.Context, target store.Store, request EditRequest) ProposeResult {
+	return propose(ctx, target, request, proposePause)
+}
+
+// propose is Propose with the wait after a failed call.
+func propose(ctx context.Context, target store.Store, request EditRequest, pause time.Duration) ProposeResult {
+	if request.ChangeID == "" {
+		return ProposeResult{Err: ErrNoChangeID}
+	}
+	p := &proposal{store: target, request: request}
+	for ctx.Err() == nil {
+		if result, done := p.try(ctx); done {
+			result.ChangeID = request.ChangeID
+			return result
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	return ProposeResult{ChangeID: request.ChangeID, Err: lo.Ternary(p.inDoubt, ErrOutcomeUnknown, ErrStoreUnavailable)}
+}
+
+// try makes one round, and tells whether the result is final.
+func (p *proposal) try(ctx context.Context) (ProposeResult, bool) {
+	current, revision, err := Read(ctx, p.store)
+	if errors.Is(err, ErrUnreadable) {
+		return ProposeResult{Err: err}, true
+	}
+	if err != nil {
+		return ProposeResult{}, false
+	}
+	if change, found := current.FindChange(p.request.ChangeID); found {
+		return ProposeResult{Accepted: true, Revision: change.Revision}, true
+	}
+	if revision != p.compared {
+		// The key was written since, so that a write which compared with the older revision can't take effect any more.
+		p.inDoubt = false
+	}
+	next, conflicts, err := Preview(current, p.request, time.Now())
+	switch {
+	case err != nil || len(conflicts) > 0:
+		return ProposeResult{Revision: current.Revision, Conflicts: conflicts, Err: err}, true
+	case next.Revision == current.Revision:
+		return ProposeResult{Accepted: true, Unchanged: true, Revision: current.Revision}, true
+	}
+	return p.write(ctx, next, revision)
+}
+
+// write writes a document in place of the one at a revision.
+func (p *proposal) write(ctx context.Context, next Document, revision int64) (ProposeResult, bool) {
+	snapshot, err := Compile(next)
+	if err == nil && len(snapshot.encoded) > MaximumDocumentBytes {
+		err = ErrTooLarge
+	}
+	if err != nil {
+		return ProposeResult{Revision: next.Revision, Err: err}, true
+	}
+	_, err = p.store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: StoreKey, Revision: revision}},
+		Puts:       []store.Put{{Key: StoreKey, Value: snapshot.encoded}},
+	})
+	switch {
+	case err == nil:
+		return ProposeResult{Accepted: true, Revision: next.Revision}, true
+	case errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrBusy):
+		return ProposeResult{}, false
+	default:
+		p.inDoubt, p.compared = true, revision
+		return ProposeResult{}, false
+	}
+}
+
+// Read returns the document in the store with the revision of its key; the zero document and zero when there is none.
+func Read(ctx context.Context, from store.Store) (Document, int64, error) {
+	items, _, err := from.List(ctx, StoreKey)
+	if err != nil {
+		return Document{}, 0, errors.Wrap(err, "step read the configuration")
 	}
-	if p.deadline.Before(wake) {
-		return p.deadline
+	for _, item := range items {
+		if item.Key != StoreKey {
+			continue
+		}
+		document, err := Decode(item.Value)
+		if err != nil {
+			return Document{}, 0, errors.Mark(errors.Wrap(err, ErrUnreadable.Error()), ErrUnreadable)
+		}
+		return document, item.Revision, nil
 	}
-	return wake
+	return Document{}, 0, nil
 }
--- a/internal/configuration/rule.go
+++ b/internal/configuration/rule.go
@@ -1,21 +1,15 @@
 package configuration
 
-// Labels of requests that the system itself sets. Agents may add others.
+// Labels of requests and workers that the system itself sets.
 const (
-	// LabelTenant is the tenant of the caller.
+	// LabelTenant is the tenant of the caller; absent when there is none.
 	LabelTenant = "tenant"
-	// LabelClass is the class of the request, as the caller gave it.
-	LabelClass = "class"
-	// LabelModel is the name of the model.
-	LabelModel = "model"
-	// LabelAdapter is the name of the adapter; absent when there is none.
-	LabelAdapter = "adapter"
 	// LabelRepeatable is "true" when the work may run more than once and "false" otherwise.
 	LabelRepeatable = "repeatable"
-	// LabelZone is the zone of the caller for requests, and the zone of the machine for engines.
+	// LabelZone is the zone of a worker.
 	LabelZone = "zone"
-	// LabelEngine is the name of the engine; for engines only.
-	LabelEngine = "engine"
+	// LabelRole is the role of a worker that is an engine.
+	LabelRole = "role"
 )
 
 // Rule says how the requests that it selects are served.
@@ -27,28 +21,25 @@
 	// RequestSelector selects requests by label, in the selector syntax of Kubernetes, for example
 	// "class=quick,repeatable=true". An empty selector selects every request. Default: empty.
 	RequestSelector string `json:"requestSelector"`
-	// Groups that may serve the requests, most preferred first. Required, at least one.
-	Groups []string `json:"groups"`
-	// Priority of the requests at engines and in queues, from 0 to 9: higher runs earlier and is shed later.
-	// Default: 5.
-	Priority int32 `json:"priority"`
-	// DefaultDeadline is the time that a request has when its caller gave none. Default: 30s.
-	DefaultDeadline Duration `json:"defaultDeadline"`
-	// MaximumDeadline is the most time that a caller can ask for. Default: 10m.
-	MaximumDeadline Duration `json:"maximumDeadline"`
-	// Weight is the share of the rule in fair queueing, relative to other rules of the same priority. Default: 1.
-	Weight float64 `json:"weight"`
-	// PerTenant limits what each tenant may have under this rule.
-	PerTenant TenantLimits `json:"perTenant"`
-	// MaximumQueue is the most requests of the rule that wait at one owner. Default: 256.
-	MaximumQueue int `json:"maximumQueue"`
+	// Groups that serve the requests, each with its weight. Required, at least one.
+	Groups []GroupShare `json:"groups"`
+	// Priority of the requests at workers, from 0, the most urgent, to 9. Default: 5.
+	Priority int `json:"priority"`
+	// Timeout is the most time that a request has, whatever its caller asks for. Default: 30s.
+	Timeout Duration `json:"timeout"`
+	// Objective is the time within which the first token is wanted. Default: 1s.
+	Objective Duration `json:"objective"`
+	// MaximumAttempts is the largest number of workers on which one repeatable request may run. Default: 2.
+	MaximumAttempts int `json:"maximumAttempts"`
+	// TenantInFlight is the most requests of one tenant that are in hand at once, at all gateways together; zero is no
+	// limit. Default: 0.
+	TenantInFlight int `json:"tenantInFlight"`
 }
 
-// TenantLimits limits one tenant.
-type TenantLimits struct {
-	// MaximumInFlight is the most requests that run or wait at once, at one owner; zero means no limit. Default: 0.
-	MaximumInFlight int `json:"maximumInFlight"`
-	// TokensPerSecond is the most tokens of prompt and answer per second, at one owner, over a few seconds; zero means
-	// no limit. Default: 0.
-	TokensPerSecond float64 `json:"tokensPerSecond"`
+// GroupShare is the part of the requests of a rule that one group serves.
+type GroupShare struct {
+	// Group that serves the part. Required.
+	Group string `json:"group"`
+	// Weight of the part among all parts. Default: 1.
+	Weight int `json:"weight"`
 }
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -3,74 +3,66 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/routing"
 )
 
 // Snapshot is a compiled document. It never changes and may be used by several goroutines.
 type Snapshot struct {
 	document Document
 	encoded  []byte
-	digest   uint64
 	groups   []compiledGroup
 	rules    []compiledRule
-	// values are the fields of the document, if the snapshot was made of changes.
-	values fieldValues
-	// Objects by name.
-	groupsByName  map[string]Group
-	rulesByName   map[string]Rule
-	modelsByName  map[string]Model
-	tenantsByName map[string]Tenant
 }
 
 type compiledGroup struct {
 	group    Group
-	selector labels.Selector
+	selector Selector
 }
 
 type compiledRule struct {
 	rule     Rule
-	selector labels.Selector
+	selector Selector
 }
 
+// Selector is a parsed selector of labels. It implements routing.Selector.
+type Selector struct{ parsed labels.Selector }
+
+// MatchesLabels is part of routing.Selector.
+func (s Selector) MatchesLabels(set map[string]string) bool { return s.parsed.Matches(labels.Set(set)) }
+
 // Compile checks a document and prepares it for matching. The error is FieldErrors when the document is not valid.
 func Compile(document Document) (*Snapshot, error) {
-	if err := Validate(document).orNil(); err != nil {
+	if err := Validate(document).OrNil(); err != nil {
 		return nil, err
 	}
 	document.Spec = normalize(document.Spec)
 	encoded, err := Encode(document)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode the configuration")
-	}
-	snapshot := &Snapshot{
-		document:      document,
-		encoded:       encoded,
-		digest:        xxhash.Sum64(encoded),
-		groupsByName:  lo.KeyBy(document.Groups, func(g Group) string { return g.Name }),
-		rulesByName:   lo.KeyBy(document.Rules, func(r Rule) string { return r.Name }),
-		modelsByName:  lo.KeyBy(document.Models, func(m Model) string { return m.Name }),
-		tenantsByName: lo.KeyBy(document.Tenants, func(t Tenant) string { return t.Name }),
+		return nil, errors.Wrap(err, "step encode the configuration")
 	}
+	snapshot := &Snapshot{document: document, encoded: encoded}
 	return snapshot, snapshot.compileSelectors()
 }
 
 func (s *Snapshot) compileSelectors() error {
 	for _, group := range s.document.Groups {
-		selector, err := labels.Parse(group.EngineSelector)
+		selector, err := labels.Parse(group.WorkerSelector)
 		if err != nil {
-			return errors.Wrapf(err, "compile the selector of group %s", group.Name)
+			return errors.Wrapf(err, "step compile the selector of group %s", group.Name)
 		}
-		s.groups = append(s.groups, compiledGroup{group: group, selector: selector})
+		s.groups = append(s.groups, compiledGroup{group: group, selector: Selector{selector}})
 	}
 	for _, rule := range s.document.Rules {
 		selector, err := labels.Parse(rule.RequestSelector)
 		if err != nil {
-			return errors.Wrapf(err, "compile the selector of rule %s", rule.Name)
+			return errors.Wrapf(err, "step compile the selector of rule %s", rule.Name)
 		}
-		s.rules = append(s.rules, compiledRule{rule: rule, selector: selector})
+		s.rules = append(s.rules, compiledRule{rule: rule, selector: Selector{selector}})
 	}
 	slices.SortFunc(s.rules, func(a, b compiledRule) int {
 		return lo.Ternary(ruleBefore(a.rule, b.rule), -1, 1)
@@ -84,9 +76,6 @@
 // Revision returns the revision of the document.
 func (s *Snapshot) Revision() uint64 { return s.document.Revision }
 
-// Digest returns a hash of the document.
-func (s *Snapshot) Digest() uint64 { return s.digest }
-
 // Groups returns all groups by name. The caller must not change them.
 func (s *Snapshot) Groups() []Group { return s.document.Groups }
 
@@ -95,94 +84,57 @@
 	return lo.Map(s.rules, func(c compiledRule, _ int) Rule { return c.rule })
 }
 
-// Group returns the group of a name.
-func (s *Snapshot) Group(name string) (Group, bool) {
-	group, known := s.groupsByName[name]
-	return group, known
-}
-
-// Rule returns the rule of a name.
-func (s *Snapshot) Rule(name string) (Rule, bool) {
-	rule, known := s.rulesByName[name]
-	return rule, known
-}
-
-// Model returns the model of a name.
-func (s *Snapshot) Model(name string) (Model, bool) {
-	model, known := s.modelsByName[name]
-	return model, known
-}
-
-// Tenant returns the tenant of a name, with the defaults when the document does not name it.
-func (s *Snapshot) Tenant(name string) Tenant {
-	if tenant, known := s.tenantsByName[name]; known {
-		return tenant
-	}
-	return Tenant{Name: name, Weight: DefaultWeight}
-}
-
-// LimitsOf returns the limits that hold for a tenant under a rule.
-func (s *Snapshot) LimitsOf(rule Rule, tenant string) TenantLimits {
-	if own := s.tenantsByName[tenant].Limits; own != nil {
-		return *own
-	}
-	return rule.PerTenant
-}
-
-// GroupOf returns the group that selects an engine, by its name and the labels that the platform gave it.
-func (s *Snapshot) GroupOf(engineName string, platformLabels map[string]string) (Group, bool) {
-	view := engineLabels{name: engineName, operator: s.document.EngineLabels[engineName], platform: platformLabels}
-	for i := range s.groups {
-		if s.groups[i].selector.Matches(&view) {
-			return s.groups[i].group, true
+// GroupOf returns the group that selects a worker.
+func (s *Snapshot) GroupOf(worker WorkerInfo) (Group, bool) {
+	set := s.LabelsOf(worker)
+	for _, candidate := range s.groups {
+		if candidate.group.Service == worker.Service && candidate.selector.MatchesLabels(set) {
+			return candidate.group, true
 		}
 	}
 	return Group{}, false
 }
 
-// LabelsOf returns all labels of an engine: those of the platform, those of the operators on top, and its name.
-func (s *Snapshot) LabelsOf(engineName string, platformLabels map[string]string) map[string]string {
-	return lo.Assign(platformLabels, s.document.EngineLabels[engineName], map[string]string{LabelEngine: engineName})
+// LabelsOf returns all labels of a worker: its own and those of the operators on top.
+func (s *Snapshot) LabelsOf(worker WorkerInfo) map[string]string {
+	return lo.Assign(worker.Labels, s.document.WorkerLabels[worker.Address])
 }
 
 // RuleFor returns the rule that selects a request.
 func (s *Snapshot) RuleFor(requestLabels map[string]string) (Rule, bool) {
-	set := labels.Set(requestLabels)
-	for i := range s.rules {
-		if s.rules[i].selector.Matches(set) {
-			return s.rules[i].rule, true
-		}
+	found, selected := lo.Find(s.rules, func(c compiledRule) bool { return c.selector.MatchesLabels(requestLabels) })
+	return found.rule, selected
+}
+
+// Routing returns the groups and rules as the request path takes them. Groups whose services are not there have no members.
+func (s *Snapshot) Routing() *routing.Configuration {
+	compiled := &routing.Configuration{Revision: int64(s.Revision()), WorkerLabels: s.document.WorkerLabels}
+	for _, each := range s.groups {
+		compiled.Groups = append(compiled.Groups, routing.Group{
+			Name: each.group.Name, Of: each.group.Service, Selector: each.selector,
+			LeastOfRole: map[backend.Role]int(each.group.RoleFloors),
+		})
 	}
-	return Rule{}, false
-}
-
-// engineLabels joins the labels of an engine without copying them.
-type engineLabels struct {
-	name     string
-	operator map[string]string
-	platform map[string]string
-}
-
-// Has tells whether the engine has a label.
-func (l *engineLabels) Has(key string) bool {
-	_, has := l.Lookup(key)
-	return has
-}
-
-// Get returns the value of a label, or nothing.
-func (l *engineLabels) Get(key string) string {
-	value, _ := l.Lookup(key)
-	return value
-}
-
-// Lookup returns the value of a label and whether there is one.
-func (l *engineLabels) Lookup(key string) (string, bool) {
-	if key == LabelEngine {
-		return l.name, true
+	for _, each := range s.rules {
+		compiled.Rules = append(compiled.Rules, each.routing())
 	}
-	if value, has := l.operator[key]; has {
-		return value, true
+	return compiled
+}
+
+// routing returns a rule as the request path takes it.
+func (c compiledRule) routing() routing.Rule {
+	return routing.Rule{
+		Name:           c.rule.Name,
+		Match:          routing.LabelMatch{Selector: c.selector, Precedence: c.rule.Precedence},
+		Kind:           routing.KindStream,
+		Resumable:      true,
+		Timeout:        c.rule.Timeout.Std(),
+		Objective:      c.rule.Objective.Std(),
+		Priority:       c.rule.Priority,
+		MaxAttempts:    c.rule.MaximumAttempts,
+		TenantInFlight: c.rule.TenantInFlight,
+		Shares: lo.Map(c.rule.Groups, func(share GroupShare, _ int) routing.Share {
+			return routing.Share{Group: share.Group, Weight: share.Weight}
+		}),
 	}
-	value, has := l.platform[key]
-	return value, has
 }
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -10,7 +10,9 @@
 	"k8s.io/apimachinery/pkg/api/validate/content"
 	"k8s.io/apimachinery/pkg/labels"
 
-	"github.com/granitebay/granitebay/internal/engine"
+	"github.com/granitebay/granitebay/internal/backend"
+
+	"github.com/granitebay/granitebay/internal/strictyaml"
 )
 
 // Bounds of values.
@@ -32,17 +34,15 @@
 // Validate returns all faults of a document at once, in the order of its fields. It returns nil for a valid document.
 func Validate(document Document) FieldErrors {
 	check := &validator{spec: document.Spec}
-	check.models()
 	check.groups()
 	check.rules()
-	check.tenants()
-	check.engineLabels()
+	check.workerLabels()
 	return check.faults
 }
 
 // fault notes one fault. A nil value is not shown.
 func (v *validator) fault(field string, value any, problem, allowed string) {
-	v.faults = append(v.faults, FieldError{Field: field, Value: quote(value), Problem: problem, Allowed: allowed})
+	v.faults = append(v.faults, FieldError{Field: field, Value: strictyaml.Quote(value), Problem: problem, Allowed: allowed})
 }
 
 // names checks the names of the objects of one kind and returns the path of each object.
@@ -71,13 +71,6 @@
 	}
 }
 
-// positive checks that a number is above zero.
-func (v *validator) positive(field string, value float64) {
-	if !(value > 0) || math.IsInf(value, 0) {
-		v.fault(field, value, "is not positive", "a number above 0")
-	}
-}
-
 // texts checks that a list has no empty and no repeated entries.
 func (v *validator) texts(field string, values []string) {
 	seen := map[string]bool{}
@@ -89,52 +82,25 @@
 	}
 }
 
-func (v *validator) models() {
-	paths := v.names("models", lo.Map(v.spec.Models, func(m Model, _ int) string { return m.Name }))
-	for i, model := range v.spec.Models {
-		if len(model.Versions) == 0 {
-			v.fault(paths[i]+".versions", nil, "is missing", "at least one version")
+func (v *validator) workerLabels() {
+	for _, address := range strictyaml.SortedKeys(v.spec.WorkerLabels) {
+		path := fmt.Sprintf("spec.workerLabels[%s]", address)
+		if address == "" {
+			v.fault(path, nil, "has no worker", "the address of a worker")
 		}
-		v.texts(paths[i]+".versions", model.Versions)
-		v.texts(paths[i]+".adapters", model.Adapters)
-		v.atLeast(paths[i]+".maximumContextTokens", float64(model.MaximumContextTokens), 0)
-	}
-}
-
-func (v *validator) tenants() {
-	paths := v.names("tenants", lo.Map(v.spec.Tenants, func(t Tenant, _ int) string { return t.Name }))
-	for i, tenant := range v.spec.Tenants {
-		v.positive(paths[i]+".weight", tenant.Weight)
-		if tenant.Limits != nil {
-			v.limits(paths[i]+".limits", *tenant.Limits)
+		for _, key := range strictyaml.SortedKeys(v.spec.WorkerLabels[address]) {
+			v.workerLabel(path, key, v.spec.WorkerLabels[address][key])
 		}
 	}
 }
 
-func (v *validator) limits(field string, limits TenantLimits) {
-	v.atLeast(field+".maximumInFlight", float64(limits.MaximumInFlight), 0)
-	v.atLeast(field+".tokensPerSecond", limits.TokensPerSecond, 0)
-}
-
-func (v *validator) engineLabels() {
-	for _, name := range sortedKeys(v.spec.EngineLabels) {
-		path := fmt.Sprintf("spec.engineLabels[%s]", name)
-		if name == "" {
-			v.fault(path, nil, "has no engine", "the name of an engine")
-		}
-		for _, key := range sortedKeys(v.spec.EngineLabels[name]) {
-			v.engineLabel(path, key, v.spec.EngineLabels[name][key])
-		}
-	}
-}
-
-func (v *validator) engineLabel(path, key, value string) {
+func (v *validator) workerLabel(path, key, value string) {
 	field := fmt.Sprintf("%s[%s]", path, key)
 	if problems := content.IsLabelKey(key); len(problems) > 0 {
 		v.fault(field, key, "is not a key of a label", strings.Join(problems, "; "))
 	}
-	if key == LabelEngine || key == LabelZone {
-		v.fault(field, key, "is set by the platform", "any other key")
+	if key == LabelZone || key == LabelRole {
+		v.fault(field, key, "is set by the worker", "any other key")
 	}
 	if problems := content.IsLabelValue(value); len(problems) > 0 {
 		v.fault(field, value, "is not a value of a label", strings.Join(problems, "; "))
@@ -155,30 +121,14 @@
 	return selector
 }
 
-func (v *validator) roles(field string, policy RolePolicy) {
-	if len(policy.AllowedRoles) == 0 {
-		v.fault(field+".allowedRoles", nil, "is empty", "prefill, decode")
+// floors checks the least numbers of workers in each role.
+func (v *validator) floors(field string, floors map[backend.Role]int) {
+	for _, role := range []backend.Role{backend.RolePrefill, backend.RoleDecode} {
+		v.atLeast(fmt.Sprintf("%s[%s]", field, role), float64(floors[role]), 0)
 	}
-	for i, role := range policy.AllowedRoles {
-		if !lo.Contains(engine.Roles(), role) {
-			v.fault(fmt.Sprintf("%s.allowedRoles[%d]", field, i), role, "is not a role", "prefill, decode")
+	for role := range floors {
+		if role != backend.RolePrefill && role != backend.RoleDecode {
+			v.fault(fmt.Sprintf("%s[%s]", field, role), role, "is not a role", "prefill, decode")
 		}
 	}
-	for _, role := range sortedRoles(policy.Floors) {
-		path := fmt.Sprintf("%s.floors[%s]", field, role)
-		v.atLeast(path, float64(policy.Floors[role]), 0)
-		if !policy.Allows(role) {
-			v.fault(path, role, "is a floor for a role that is not allowed", "the roles in allowedRoles")
-		}
-	}
-	v.atLeast(field+".changeCost", policy.ChangeCost, 0)
-	v.atLeast(field+".maximumChanging", float64(policy.MaximumChanging), 0)
-	if policy.MinimumDwell < 0 {
-		v.fault(field+".minimumDwell", policy.MinimumDwell, "is negative", "a duration from 0s")
-	}
-}
-
-func sortedRoles(floors map[engine.Role]int) []engine.Role {
-	names := lo.MapKeys(floors, func(_ int, role engine.Role) string { return string(role) })
-	return lo.Map(sortedKeys(names), func(name string, _ int) engine.Role { return engine.Role(name) })
 }
--- a/internal/configuration/validate_selection.go
+++ b/internal/configuration/validate_selection.go
@@ -13,63 +13,31 @@
 func (v *validator) groups() {
 	paths := v.names("groups", lo.Map(v.spec.Groups, func(g Group, _ int) string { return g.Name }))
 	for i, group := range v.spec.Groups {
-		v.groupSelectors = append(v.groupSelectors, v.selector(paths[i]+".engineSelector", group.EngineSelector))
-		v.groupModels(paths[i]+".models", group.Models)
-		v.roles(paths[i]+".rolePolicy", group.RolePolicy)
-		v.groupOverlaps(paths[i]+".engineSelector", i)
-	}
-}
-
-// groupModels checks what a group says of models.
-func (v *validator) groupModels(field string, models []GroupModel) {
-	if len(models) == 0 {
-		v.fault(field, nil, "is missing", "at least one model")
-	}
-	seen := map[string]bool{}
-	for i, served := range models {
-		path := fmt.Sprintf("%s[%s]", field, lo.CoalesceOrEmpty(served.Model, fmt.Sprint(i)))
-		v.atLeast(path+".minimumEngines", float64(served.MinimumEngines), 0)
-		if seen[served.Model] {
-			v.fault(path+".model", served.Model, "is there twice", "each model once")
-		}
-		seen[served.Model] = true
-		v.groupModel(path, served)
-	}
-}
-
-// groupModel checks the references from a group to a model.
-func (v *validator) groupModel(path string, served GroupModel) {
-	model, known := lo.Find(v.spec.Models, func(m Model) bool { return m.Name == served.Model })
-	if !known {
-		v.fault(path+".model", served.Model, "is an unknown model", v.modelNames())
-		return
-	}
-	if !slices.Contains(model.Versions, served.Version) {
-		v.fault(path+".version", served.Version, "is an unknown version", strings.Join(model.Versions, ", "))
-	}
-	for i, adapter := range served.Adapters {
-		if !slices.Contains(model.Adapters, adapter) {
-			v.fault(fmt.Sprintf("%s.adapters[%d]", path, i), adapter, "is an unknown adapter", strings.Join(model.Adapters, ", "))
+		if group.Service == "" {
+			v.fault(paths[i]+".service", nil, "is missing", "the name of a service")
 		}
+		v.groupSelectors = append(v.groupSelectors, v.selector(paths[i]+".workerSelector", group.WorkerSelector))
+		v.floors(paths[i]+".roleFloors", group.RoleFloors)
+		v.groupOverlaps(paths[i]+".workerSelector", i)
 	}
 }
 
-// groupOverlaps checks that no engine can be selected by this group and an earlier one.
+// groupOverlaps checks that no worker can be selected by this group and an earlier one.
 func (v *validator) groupOverlaps(field string, place int) {
 	selector := v.groupSelectors[place]
 	if selector == nil {
 		return
 	}
 	for earlier, other := range v.groupSelectors[:place] {
-		if other == nil {
+		if other == nil || v.spec.Groups[earlier].Service != v.spec.Groups[place].Service {
 			continue
 		}
 		both := constrain(append(slices.Clone(requirementsOf(selector)), requirementsOf(other)...)...)
 		example, overlap := both.witness()
 		if overlap {
-			v.fault(field, v.spec.Groups[place].EngineSelector, fmt.Sprintf(
-				"can select an engine that group %s selects too (%s: %q), for example one with the labels {%s}",
-				v.spec.Groups[earlier].Name, "engineSelector", v.spec.Groups[earlier].EngineSelector, example),
+			v.fault(field, v.spec.Groups[place].WorkerSelector, fmt.Sprintf(
+				"can select a worker that group %s selects too (%s: %q), for example one with the labels {%s}",
+				v.spec.Groups[earlier].Name, "workerSelector", v.spec.Groups[earlier].WorkerSelector, example),
 				"selectors that demand different values of one label")
 		}
 	}
@@ -98,11 +66,6 @@
 	if !withRepeatable.satisfiable() {
 		v.fault(field, text, "can never match: the label repeatable is always true or false", "repeatable=true, repeatable=false")
 	}
-	for _, model := range pinnedModels(selector) {
-		if !lo.ContainsBy(v.spec.Models, func(m Model) bool { return m.Name == model }) {
-			v.fault(field, text, fmt.Sprintf("selects the unknown model %q", model), v.modelNames())
-		}
-	}
 	return selector
 }
 
@@ -115,49 +78,24 @@
 	return *requirement
 }
 
-// pinnedModels returns the models that a selector names.
-func pinnedModels(selector labels.Selector) []string {
-	return lo.FlatMap(requirementsOf(selector), func(requirement labels.Requirement, _ int) []string {
-		switch requirement.Operator() {
-		case selection.In, selection.Equals, selection.DoubleEquals:
-			if requirement.Key() == LabelModel {
-				return requirement.ValuesUnsorted()
-			}
-		}
-		return nil
-	})
-}
-
-// ruleGroups checks that the groups of a rule exist and serve the models that the rule selects.
+// ruleGroups checks that the groups of a rule exist and share its requests.
 func (v *validator) ruleGroups(field string, rule Rule) {
 	if len(rule.Groups) == 0 {
 		v.fault(field, nil, "is missing", "at least one group")
 		return
 	}
-	v.texts(field, rule.Groups)
-	var allowed []Group
-	for i, name := range rule.Groups {
-		group, known := lo.Find(v.spec.Groups, func(g Group) bool { return g.Name == name })
-		if !known {
-			v.fault(fmt.Sprintf("%s[%d]", field, i), name, "is an unknown group", v.groupNames())
-			continue
+	v.texts(field, lo.Map(rule.Groups, func(share GroupShare, _ int) string { return share.Group }))
+	total := 0
+	for i, share := range rule.Groups {
+		path := fmt.Sprintf("%s[%d]", field, i)
+		if !lo.ContainsBy(v.spec.Groups, func(g Group) bool { return g.Name == share.Group }) {
+			v.fault(path+".group", share.Group, "is an unknown group", v.groupNames())
 		}
-		allowed = append(allowed, group)
-	}
-	v.ruleModelsServed(field, rule, allowed)
-}
-
-func (v *validator) ruleModelsServed(field string, rule Rule, allowed []Group) {
-	selector, err := labels.Parse(rule.RequestSelector)
-	if err != nil || len(allowed) < len(rule.Groups) {
-		return
+		v.atLeast(path+".weight", float64(share.Weight), 0)
+		total += share.Weight
 	}
-	for _, model := range pinnedModels(selector) {
-		known := lo.ContainsBy(v.spec.Models, func(m Model) bool { return m.Name == model })
-		served := lo.SomeBy(allowed, func(g Group) bool { _, serves := g.Serves(model); return serves })
-		if known && !served {
-			v.fault(field, rule.Groups, fmt.Sprintf("do not serve the model %q that the rule selects", model), "a group that serves it")
-		}
+	if total <= 0 {
+		v.fault(field, nil, "share nothing", "at least one weight above 0")
 	}
 }
 
@@ -165,16 +103,14 @@
 	if rule.Priority < 0 || rule.Priority > MaximumPriority {
 		v.fault(path+".priority", rule.Priority, "is out of bounds", fmt.Sprintf("a whole number from 0 to %d", MaximumPriority))
 	}
-	if rule.DefaultDeadline <= 0 {
-		v.fault(path+".defaultDeadline", rule.DefaultDeadline, "is not positive", "a duration above 0s")
+	if rule.Timeout <= 0 {
+		v.fault(path+".timeout", rule.Timeout, "is not positive", "a duration above 0s")
 	}
-	if rule.MaximumDeadline < rule.DefaultDeadline {
-		v.fault(path+".maximumDeadline", rule.MaximumDeadline, "is below the default deadline",
-			fmt.Sprintf("a duration from %s", rule.DefaultDeadline))
+	if rule.Objective <= 0 {
+		v.fault(path+".objective", rule.Objective, "is not positive", "a duration above 0s")
 	}
-	v.positive(path+".weight", rule.Weight)
-	v.limits(path+".perTenant", rule.PerTenant)
-	v.atLeast(path+".maximumQueue", float64(rule.MaximumQueue), 0)
+	v.atLeast(path+".maximumAttempts", float64(rule.MaximumAttempts), 1)
+	v.atLeast(path+".tenantInFlight", float64(rule.TenantInFlight), 0)
 }
 
 // shadowed checks that no rule of higher precedence takes all requests of this one.
@@ -206,10 +142,6 @@
 	return a.Name < b.Name
 }
 
-func (v *validator) modelNames() string {
-	return strings.Join(lo.Map(v.spec.Models, func(m Model, _ int) string { return m.Name }), ", ")
-}
-
 func (v *validator) groupNames() string {
 	return strings.Join(lo.Map(v.spec.Groups, func(g Group, _ int) string { return g.Name }), ", ")
 }
--- a/internal/configuration/warnings.go
+++ b/internal/configuration/warnings.go
@@ -5,35 +5,34 @@
 	"strings"
 
 	"github.com/samber/lo"
+
+	"github.com/granitebay/granitebay/internal/strictyaml"
 )
 
-// EngineInfo is what the platform says of one engine.
-type EngineInfo struct {
-	Name string `json:"name"`
-	// Labels that the platform gave the engine, its zone included.
+// WorkerInfo is what a worker tells of itself.
+type WorkerInfo struct {
+	Address string `json:"address"`
+	Service string `json:"service"`
+	// Labels of the worker, its zone and its role included.
 	Labels map[string]string `json:"labels"`
 }
 
-// Warnings returns what is allowed but likely to be a mistake: engines that no group selects, groups that select no or
-// too few engines, labels on unknown engines, and rules whose groups are all empty. The document must be valid.
-func Warnings(document Document, engines []EngineInfo) []string {
+// Warnings returns what is allowed but likely to be a mistake: groups that select no or too few workers, labels on unknown
+// workers, and rules whose groups are all empty. The document must be valid.
+func Warnings(document Document, workers []WorkerInfo) []string {
 	snapshot, err := Compile(document)
 	if err != nil {
 		return nil
 	}
 	sizes := map[string]int{}
-	var warnings []string
-	for _, info := range sortedBy(engines, func(e EngineInfo) string { return e.Name }) {
-		group, selected := snapshot.GroupOf(info.Name, info.Labels)
-		if !selected {
-			warnings = append(warnings, fmt.Sprintf("engine %s: no group selects it", info.Name))
-			continue
+	for _, worker := range workers {
+		if group, selected := snapshot.GroupOf(worker); selected {
+			sizes[group.Name]++
 		}
-		sizes[group.Name]++
 	}
-	warnings = append(warnings, groupWarnings(snapshot, sizes)...)
+	warnings := groupWarnings(snapshot, sizes)
 	warnings = append(warnings, ruleWarnings(snapshot, sizes)...)
-	return append(warnings, labelWarnings(snapshot, engines)...)
+	return append(warnings, labelWarnings(snapshot, workers)...)
 }
 
 func groupWarnings(snapshot *Snapshot, sizes map[string]int) []string {
@@ -41,16 +40,13 @@
 	for _, group := range snapshot.Groups() {
 		size := sizes[group.Name]
 		if size == 0 {
-			warnings = append(warnings, fmt.Sprintf("group %s: its selector %q matches no engine", group.Name, group.EngineSelector))
+			warnings = append(warnings, fmt.Sprintf("group %s: its selector %q matches no worker of service %s",
+				group.Name, group.WorkerSelector, group.Service))
 			continue
 		}
-		models := lo.SumBy(group.Models, func(m GroupModel) int { return m.MinimumEngines })
-		if models > size {
-			warnings = append(warnings, fmt.Sprintf("group %s: the models need %d engines and it has %d", group.Name, models, size))
-		}
-		floors := lo.Sum(lo.Values(group.RolePolicy.Floors))
+		floors := lo.Sum(lo.Values(group.RoleFloors))
 		if floors > size {
-			warnings = append(warnings, fmt.Sprintf("group %s: the floors need %d engines and it has %d", group.Name, floors, size))
+			warnings = append(warnings, fmt.Sprintf("group %s: the floors need %d workers and it has %d", group.Name, floors, size))
 		}
 	}
 	return warnings
@@ -59,19 +55,19 @@
 func ruleWarnings(snapshot *Snapshot, sizes map[string]int) []string {
 	var warnings []string
 	for _, rule := range snapshot.Rules() {
-		if lo.EveryBy(rule.Groups, func(name string) bool { return sizes[name] == 0 }) {
-			warnings = append(warnings, fmt.Sprintf("rule %s: none of its groups has an engine", rule.Name))
+		if lo.EveryBy(rule.Groups, func(share GroupShare) bool { return sizes[share.Group] == 0 }) {
+			warnings = append(warnings, fmt.Sprintf("rule %s: none of its groups has a worker", rule.Name))
 		}
 	}
 	return warnings
 }
 
-// shownNames is the most engines that one warning names.
+// shownNames is the most workers that one warning names.
 const shownNames = 3
 
-func labelWarnings(snapshot *Snapshot, engines []EngineInfo) []string {
-	known := lo.Map(engines, func(e EngineInfo, _ int) string { return e.Name })
-	unknown, _ := lo.Difference(sortedKeys(snapshot.document.EngineLabels), known)
+func labelWarnings(snapshot *Snapshot, workers []WorkerInfo) []string {
+	known := lo.Map(workers, func(w WorkerInfo, _ int) string { return w.Address })
+	unknown, _ := lo.Difference(strictyaml.SortedKeys(snapshot.document.WorkerLabels), known)
 	if len(unknown) == 0 {
 		return nil
 	}
@@ -79,33 +75,17 @@
 	if more := len(unknown) - shownNames; more > 0 {
 		text += fmt.Sprintf(" and %d more", more)
 	}
-	return []string{"engineLabels: there are labels on engines that do not exist now: " + text}
+	return []string{"workerLabels: there are labels on workers that do not exist now: " + text}
 }
 
-// RequestWarnings returns the request classes that no rule selects, and those whose rule has no group that serves their
-// model. The document must be valid.
+// RequestWarnings returns the classes of requests that no rule selects. The document must be valid.
 func RequestWarnings(document Document, requests []map[string]string) []string {
 	snapshot, err := Compile(document)
 	if err != nil {
 		return nil
 	}
-	var warnings []string
-	for _, request := range requests {
-		rule, selected := snapshot.RuleFor(request)
-		if !selected {
-			warnings = append(warnings, fmt.Sprintf("requests {%s}: no rule selects them", formatLabels(request)))
-			continue
-		}
-		model, named := request[LabelModel]
-		if named && !lo.SomeBy(rule.Groups, func(name string) bool { return servesModel(snapshot, name, model) }) {
-			warnings = append(warnings, fmt.Sprintf("requests {%s}: no group of rule %s serves model %s", formatLabels(request), rule.Name, model))
-		}
-	}
-	return warnings
-}
-
-func servesModel(snapshot *Snapshot, groupName, model string) bool {
-	group, _ := snapshot.Group(groupName)
-	_, serves := group.Serves(model)
-	return serves
+	return lo.FilterMap(requests, func(request map[string]string, _ int) (string, bool) {
+		_, selected := snapshot.RuleFor(request)
+		return fmt.Sprintf("requests {%s}: no rule selects them", formatLabels(request)), !selected
+	})
 }
--- a/internal/configuration/what_if.go
+++ b/internal/configuration/what_if.go
@@ -6,9 +6,9 @@
 	"github.com/samber/lo"
 )
 
-// Move is an engine that changes its group, or a class of requests that changes its rule.
+// Move is a worker that changes its group, or a class of requests that changes its rule.
 type Move struct {
-	// Subject is the name of the engine, or the labels of the requests.
+	// Subject is the address of the worker, or the labels of the requests.
 	Subject string `json:"subject"`
 	// From and To are names of groups or rules; empty means none.
 	From string `json:"from"`
@@ -24,17 +24,17 @@
 type Consequences struct {
 	// Differences of the spec, in words.
 	Differences []Difference `json:"differences"`
-	// EngineMoves are the engines that change their group.
-	EngineMoves []Move `json:"engineMoves"`
+	// WorkerMoves are the workers that change their group.
+	WorkerMoves []Move `json:"workerMoves"`
 	// RequestMoves are the classes of requests that change their rule.
 	RequestMoves []Move `json:"requestMoves"`
 	// Warnings about the document after the edit.
 	Warnings []string `json:"warnings"`
 }
 
-// WhatIf returns what would follow if the document after took the place of the document before, for the given engines
+// WhatIf returns what would follow if the document after took the place of the document before, for the given workers
 // and classes of requests. The error is FieldErrors when the document after is not valid.
-func WhatIf(before, after Document, engines []EngineInfo, requests []map[string]string) (Consequences, error) {
+func WhatIf(before, after Document, workers []WorkerInfo, requests []map[string]string) (Consequences, error) {
 	newSnapshot, err := Compile(after)
 	if err != nil {
 		return Consequences{}, err
@@ -46,18 +46,18 @@
 	differences, err := Diff(before.Spec, after.Spec)
 	return Consequences{
 		Differences:  differences,
-		EngineMoves:  engineMoves(oldSnapshot, newSnapshot, engines),
+		WorkerMoves:  workerMoves(oldSnapshot, newSnapshot, workers),
 		RequestMoves: requestMoves(oldSnapshot, newSnapshot, requests),
-		Warnings:     append(Warnings(after, engines), RequestWarnings(after, requests)...),
+		Warnings:     append(Warnings(after, workers), RequestWarnings(after, requests)...),
 	}, err
 }
 
-func engineMoves(before, after *Snapshot, engines []EngineInfo) []Move {
-	sorted := sortedBy(engines, func(e EngineInfo) string { return e.Name })
-	return lo.FilterMap(sorted, func(info EngineInfo, _ int) (Move, bool) {
-		from, _ := before.GroupOf(info.Name, info.Labels)
-		to, _ := after.GroupOf(info.Name, info.Labels)
-		return Move{Subject: "engine " + info.Name, From: from.Name, To: to.Name}, from.Name != to.Name
+func workerMoves(before, after *Snapshot, workers []WorkerInfo) []Move {
+	sorted := sortedBy(workers, func(w WorkerInfo) string { return w.Address })
+	return lo.FilterMap(sorted, func(worker WorkerInfo, _ int) (Move, bool) {
+		from, _ := before.GroupOf(worker)
+		to, _ := after.GroupOf(worker)
+		return Move{Subject: "worker " + worker.Address, From: from.Name, To: to.Name}, from.Name != to.Name
 	})
 }
 
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -9,38 +9,16 @@
 
 // The kinds of decisions.
 const (
-	KindRoute         Kind = "route"         // an ingress router chose the owner that serves a request
-	KindQueue         Kind = "queue"         // an owner put a request into its queue
-	KindDispatch      Kind = "dispatch"      // an owner chose the engine that runs a request
-	KindShed          Kind = "shed"          // a request was given up before it ran
-	KindRetry         Kind = "retry"         // a request was sent again
-	KindOutcome       Kind = "outcome"       // a request reached its final outcome
-	KindClaim         Kind = "claim"         // the engine of a request that may not be repeated was decided
-	KindDrain         Kind = "drain"         // an engine was taken out of dispatch before a change
-	KindOrder         Kind = "order"         // an order was sent to an engine
-	KindWithdraw      Kind = "withdraw"      // a planned change was given up
-	KindPlan          Kind = "plan"          // the role plan was made anew
-	KindOwnership     Kind = "ownership"     // authority over engines was gained, lost or handed on
-	KindConfiguration Kind = "configuration" // a configuration revision was put in force
-	KindMembership    Kind = "membership"    // a member was found alive, suspect, leaving or dead
-	KindEngine        Kind = "engine"        // an engine was found ready, changing, crashed or set aside
+	KindRequest       Kind = "request"       // a request reached its end at a gateway
+	KindRefusal       Kind = "refusal"       // a request was given up before it ran
+	KindRole          Kind = "role"          // a worker was ordered to change its role, or was not
+	KindAuthority     Kind = "authority"     // a gateway gained or lost the right to give orders
+	KindConfiguration Kind = "configuration" // a configuration was put in force
+	KindHealth        Kind = "health"        // a worker was set aside
 )
 
 // Kinds are all kinds, those about requests first.
-var Kinds = []Kind{
-	KindRoute, KindQueue, KindDispatch, KindShed, KindRetry, KindOutcome, KindClaim, KindDrain, KindOrder, KindWithdraw,
-	KindPlan, KindOwnership, KindConfiguration, KindMembership, KindEngine,
-}
-
-// Candidate is one alternative that was weighed.
-type Candidate struct {
-	// Name of the engine, router or role.
-	Name string `json:"name"`
-	// Score of the candidate, higher is better. Zero when it was filtered out.
-	Score float64 `json:"score"`
-	// FilteredBy is the filter that removed the candidate; empty when it was scored.
-	FilteredBy string `json:"filteredBy,omitempty"`
-}
+var Kinds = []Kind{KindRequest, KindRefusal, KindRole, KindAuthority, KindConfiguration, KindHealth}
 
 // Record is one decision.
 type Record struct {
@@ -48,21 +26,22 @@
 	Sequence uint64 `json:"sequence"`
 	// Time at the deciding process.
 	Time time.Time `json:"time"`
-	// Process that decided, for example "router-a-1".
+	// Process that decided, for example "gateway-a-1".
 	Process string `json:"process"`
 	Kind    Kind   `json:"kind"`
-	// Subject is what the decision is about: a request id, an engine, a member or a group.
+	// Subject is what the decision is about: a request id, a worker or a group.
 	Subject string `json:"subject"`
-	// Outcome is what was chosen, for example an engine or a role.
+	// Outcome is what was chosen, for example a worker or a role.
 	Outcome string `json:"outcome,omitempty"`
 	// Reason is one plain sentence.
 	Reason string `json:"reason"`
-	// Candidates that were weighed, best first, then those that were filtered out.
-	Candidates []Candidate `json:"candidates,omitempty"`
 	// Inputs that mattered, by name.
 	Inputs map[string]string `json:"inputs,omitempty"`
-	// ConfigRevision in force when the decision was made.
-	ConfigRevision uint64 `json:"configRevision"`
-	// Epoch of the authority under which the decision was made; zero when it needed none.
-	Epoch uint64 `json:"epoch,omitempty"`
+	// Version of the routes in force when the decision was made.
+	Version int64 `json:"version,omitempty"`
+	// Fence of the authority under which the decision was made; zero when it needed none.
+	Fence int64 `json:"fence,omitempty"`
 }
+
+// Record returns the decision itself: a record is an entry of a log as it is.
+func (r Record) Record() Record { return r }
--- a/internal/decisionlog/log.go
+++ b/internal/decisionlog/log.go
@@ -11,42 +11,57 @@
 // followerBuffer bounds the records that wait for one follower; a slower one loses records and sees the gap in Sequence.
 const followerBuffer = 1024
 
-// Log is a bounded ring of records. It is safe for use by many goroutines.
+// Entry is a decision as its maker keeps it. Most entries are never read, so that the record is made only for a reader.
+type Entry interface {
+	// Record returns the decision without its number, time and process.
+	Record() decision.Record
+}
+
+// kept is an entry with what the log adds to it.
+type kept struct {
+	sequence uint64
+	time     time.Time
+	entry    Entry
+}
+
+// Log is a bounded ring of decisions. It is safe for use by many goroutines.
 type Log struct {
 	process  string
 	capacity int
 
-	mutex     sync.Mutex
-	records   []decision.Record
+	mu        sync.Mutex
+	entries   []kept
+	next      int
 	sequence  uint64
 	followers map[chan decision.Record]struct{}
 }
 
-// New returns a log of a process that keeps the latest capacity records.
+// New returns a log of a process that keeps the latest capacity decisions.
 func New(process string, capacity int) *Log {
-	return &Log{process: process, capacity: capacity, followers: make(map[chan decision.Record]struct{})}
+	return &Log{process: process, capacity: max(capacity, 1), followers: make(map[chan decision.Record]struct{})}
 }
 
-// Append numbers and stamps records, keeps them and hands them to the followers. It returns them as kept.
-func (l *Log) Append(now time.Time, records []decision.Record) []decision.Record {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	kept := make([]decision.Record, 0, len(records))
-	for _, record := range records {
-		l.sequence++
-		record.Sequence = l.sequence
-		record.Time = now
-		record.Process = l.process
-		l.records = append(l.records, record)
-		l.offer(record)
-		kept = append(kept, record)
+// Append numbers and stamps a decision, keeps it and hands it to the followers.
+func (l *Log) Append(now time.Time, entry Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequence++
+	added := kept{sequence: l.sequence, time: now, entry: entry}
+	if len(l.entries) < l.capacity {
+		l.entries = append(l.entries, added)
+	} else {
+		l.entries[l.next] = added
+		l.next = (l.next + 1) % l.capacity
 	}
-	l.trim()
-	return kept
+	l.offer(added)
 }
 
-// offer hands a record to each follower that has room.
-func (l *Log) offer(record decision.Record) {
+// offer hands a decision to each follower that has room.
+func (l *Log) offer(added kept) {
+	if len(l.followers) == 0 {
+		return
+	}
+	record := l.record(added)
 	for follower := range l.followers {
 		select {
 		case follower <- record:
@@ -55,36 +70,36 @@
 	}
 }
 
-// trim drops the oldest records. It lets the ring grow to twice its capacity, so that it copies seldom.
-func (l *Log) trim() {
-	if len(l.records) < 2*l.capacity {
-		return
-	}
-	l.records = append([]decision.Record(nil), l.records[len(l.records)-l.capacity:]...)
+// record completes the record of an entry.
+func (l *Log) record(k kept) decision.Record {
+	record := k.entry.Record()
+	record.Sequence, record.Time, record.Process = k.sequence, k.time, l.process
+	return record
 }
 
-// Latest returns the kept records with a sequence above since, oldest first.
+// Latest returns the kept decisions with a sequence above since, oldest first.
 func (l *Log) Latest(since uint64) []decision.Record {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var found []decision.Record
-	for _, record := range l.records {
-		if record.Sequence > since {
-			found = append(found, record)
+	for i := range l.entries {
+		k := l.entries[(l.next+i)%len(l.entries)]
+		if k.sequence > since {
+			found = append(found, l.record(k))
 		}
 	}
 	return found
 }
 
-// Follow returns a channel of new records and a function that ends it.
+// Follow returns a channel of new decisions and a function that ends it.
 func (l *Log) Follow() (<-chan decision.Record, func()) {
 	follower := make(chan decision.Record, followerBuffer)
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.followers[follower] = struct{}{}
 	return follower, func() {
-		l.mutex.Lock()
-		defer l.mutex.Unlock()
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		delete(l.followers, follower)
 	}
 }
--- /dev/null
+++ b/internal/decisionlog/log_test.go
@@ -0,0 +1,52 @@
+package decisionlog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/granitebay/granitebay/internal/decision"
+)
+
+// TestLatestKeepsTheNewestInOrder appends more than the log keeps.
+func TestLatestKeepsTheNewestInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 10).Draw(t, "capacity")
+		count := rapid.IntRange(0, 40).Draw(t, "count")
+		since := rapid.IntRange(0, 40).Draw(t, "since")
+		log := New("gateway-a", capacity)
+		for i := range count {
+			log.Append(time.Unix(int64(i), 0), decision.Record{Subject: fmt.Sprint(i + 1)})
+		}
+		got := log.Latest(uint64(since))
+		first := max(count-capacity, since)
+		if len(got) != max(count-first, 0) {
+			t.Fatalf("%d decisions, want those above %d of %d", len(got), first, count)
+		}
+		for i, record := range got {
+			want := uint64(first + i + 1)
+			if record.Sequence != want || record.Subject != fmt.Sprint(want) || record.Process != "gateway-a" {
+				t.Fatalf("decision %d is %+v", i, record)
+			}
+		}
+	})
+}
+
+func TestFollowersGetNewDecisionsAndASlowOneHoldsNobodyUp(t *testing.T) {
+	log := New("gateway-a", 4)
+	log.Append(time.Now(), decision.Record{Subject: "before"})
+	records, stop := log.Follow()
+	for i := range 2 * followerBuffer {
+		log.Append(time.Now(), decision.Record{Subject: fmt.Sprint(i)})
+	}
+	if first := <-records; first.Subject != "0" || first.Sequence != 2 {
+		t.Errorf("the first is %+v", first)
+	}
+	stop()
+	log.Append(time.Now(), decision.Record{})
+	if len(records) != followerBuffer-1 {
+		t.Errorf("%d decisions wait", len(records))
+	}
+}
--- a/internal/demo/changes.go
+++ b/internal/demo/changes.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 
 	"github.com/granitebay/granitebay/internal/decision"
@@ -10,73 +9,39 @@
 
 // changes turns the decisions on roles into sentences.
 type changes struct {
-	mutex     sync.Mutex
+	mu        sync.Mutex
 	sentences []string
-	// plans is the latest plan of each group, by its outcome: a plan is made anew every few seconds.
-	plans map[string]string
-	// underWay holds the engines that are on their way to another role.
-	underWay map[string]bool
-}
-
-func newChanges() *changes {
-	return &changes{plans: make(map[string]string), underWay: make(map[string]bool)}
 }
 
 // note takes a decision of any kind.
 func (c *changes) note(record decision.Record) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if sentence := c.sentence(record); sentence != "" {
-		c.sentences = append(c.sentences, sentence)
+	sentence := sentenceOf(record)
+	if sentence == "" {
+		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sentences = append(c.sentences, sentence)
 }
 
 // take returns the sentences since the last call.
 func (c *changes) take() []string {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	sentences := c.sentences
 	c.sentences = nil
 	return sentences
 }
 
-// sentence says what a decision means for the roles; empty if it means nothing new.
-func (c *changes) sentence(record decision.Record) string {
+// sentenceOf says what a decision means for the roles; empty if it means nothing.
+func sentenceOf(record decision.Record) string {
 	switch record.Kind {
-	case decision.KindPlan:
-		if c.plans[record.Subject] == record.Outcome {
-			return ""
-		}
-		c.plans[record.Subject] = record.Outcome
-		return fmt.Sprintf("New plan for the engines of group %s: %s", record.Subject, record.Reason)
-	case decision.KindDrain:
-		c.underWay[record.Subject] = true
-		return fmt.Sprintf("%s takes no new work and finishes what it has: %s", record.Subject, firstSentence(record.Reason))
-	case decision.KindWithdraw:
-		delete(c.underWay, record.Subject)
-		return fmt.Sprintf("%s stays as it is. %s", record.Subject, record.Reason)
-	}
-	return c.progress(record)
-}
-
-// progress says how far an engine is on its way to another role.
-func (c *changes) progress(record decision.Record) string {
-	if !c.underWay[record.Subject] {
+	case decision.KindRole:
+		return fmt.Sprintf("%s orders worker %s of group %s to become %s. %s",
+			record.Process, record.Subject, record.Inputs["group"], record.Inputs["role"], record.Reason)
+	case decision.KindAuthority:
+		return fmt.Sprintf("%s gives the orders from now on. %s", record.Process, record.Reason)
+	default:
 		return ""
 	}
-	role := record.Inputs["role"]
-	switch {
-	case record.Kind == decision.KindEngine && record.Outcome == "changing":
-		return fmt.Sprintf("%s is empty and goes out of service for some seconds to become %s.", record.Subject, role)
-	case record.Kind == decision.KindEngine && record.Outcome == "ready":
-		delete(c.underWay, record.Subject)
-		return fmt.Sprintf("%s serves again, as a %s engine.", record.Subject, role)
-	}
-	return ""
-}
-
-// firstSentence leaves out what the plan already said.
-func firstSentence(reason string) string {
-	sentence, _, _ := strings.Cut(reason, ". ")
-	return strings.TrimSuffix(sentence, ".") + "."
 }
--- a/internal/demo/command.go
+++ b/internal/demo/command.go
@@ -12,20 +12,15 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/deployment"
-	"github.com/granitebay/granitebay/internal/fleet"
 )
 
 const (
 	// lineInterval is the time between two lines.
 	lineInterval = time.Second
-	// startTimeout bounds the start of the fleet.
-	startTimeout = 2 * time.Minute
-	// roleChangeTime is how long an engine is out for a change of role.
-	roleChangeTime = 4 * time.Second
+	// startTimeout bounds the start of the deployment.
+	startTimeout = 30 * time.Second
 	// noMix stands for the mix when no more requests are sent.
 	noMix = "no new requests, waiting for answers"
-	// weightLoadTime is how long an engine loads its model. Real ones take minutes.
-	weightLoadTime = time.Second
 )
 
 // Command is the command line of the demo.
@@ -35,7 +30,7 @@
 	Seed       uint64        `default:"1" help:"Decides the requests and the faults of the stand-ins."`
 	Rate       float64       `default:"1" help:"Factor on the requests a second."`
 	// EngineSpeed above 1 leaves room to watch a rush without many late answers.
-	EngineSpeed float64 `default:"1.5" help:"Factor on the speed of the engines; 1 is what the role planner assumes."`
+	EngineSpeed float64 `default:"1.5" help:"Factor on the speed of the engines."`
 }
 
 // ErrPromiseBroken is the error of a demo in which a promise was broken.
@@ -58,7 +53,7 @@
 }
 
 // Run runs the demo until the time is over or the context ends. The last line is the summary as JSON.
-func (c *Command) Run(ctx context.Context, out io.Writer, logger *logrus.Logger) error {
+func (c *Command) Run(ctx context.Context, out io.Writer, around Surroundings, logger *logrus.Logger) error {
 	chosen, err := deployment.Find(c.Deployment)
 	if err != nil {
 		return err
@@ -69,42 +64,27 @@
 	}
 	show := display{out: out, workload: work}
 	show.introduction(chosen)
-	if err := show.policies(chosen); err != nil {
-		return err
-	}
-	counts, sentences := newTally(), newChanges()
-	running, err := c.start(ctx, chosen, counts, sentences, logger)
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	running, err := startSystem(starting, chosen, c.EngineSpeed, around, quieter(logger))
 	if err != nil {
 		return err
 	}
+	defer running.stop()
+	counts, sentences := newTally(), &changes{}
+	running.follow(sentences.note)
 	show.ready(chosen, running)
 	c.serve(ctx, show, newLoad(c.Seed, c.Rate, work, chosen.Model, running, counts), running, sentences)
 	last := counts.take(time.Now())
 	show.troubles(last.troubles)
-	last.summary.DuplicateRuns = running.Ledger().DuplicateRuns()
-	last.summary.RoleChanges = running.Ledger().RoleChanges()
-	running.Stop()
+	last.summary.DuplicateRuns = counts.duplicates(running.fleet.Runs())
+	last.summary.FalseNotRun = counts.falseNotRun(running.fleet.Runs())
+	last.summary.RoleChanges = running.fleet.Orders()
 	return show.end(last.summary)
 }
 
-// start starts the fleet.
-func (c *Command) start(ctx context.Context, chosen deployment.Deployment, counts *tally, sentences *changes, logger *logrus.Logger) (*fleet.Fleet, error) {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	return fleet.Start(ctx, fleet.Options{
-		Deployment:     chosen,
-		Seed:           c.Seed,
-		EngineSpeed:    c.EngineSpeed,
-		RoleChangeTime: roleChangeTime,
-		WeightLoadTime: weightLoadTime,
-		OnDecision:     sentences.note,
-		OnFinished:     counts.finished,
-		Logger:         quieter(logger),
-	})
-}
-
 // serve sends the load and prints a line a second, until the time is over and the answers are here.
-func (c *Command) serve(ctx context.Context, show display, sending *load, running *fleet.Fleet, sentences *changes) {
+func (c *Command) serve(ctx context.Context, show display, sending *load, running *system, sentences *changes) {
 	started := time.Now()
 	if c.For > 0 {
 		var cancel context.CancelFunc
@@ -126,7 +106,7 @@
 			if ctx.Err() == nil {
 				mix = show.mix(now.Sub(started))
 			}
-			show.line(now.Sub(started), mix, sending.tally.take(now), running.Ledger().Roles(now))
+			show.line(now.Sub(started), mix, sending.tally.take(now), rolesOf(running.fleet))
 			show.sentences(sentences.take())
 		case <-done:
 			return
--- a/internal/demo/display.go
+++ b/internal/demo/display.go
@@ -6,13 +6,11 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
-	"github.com/granitebay/granitebay/internal/configuration"
+	"github.com/granitebay/granitebay/internal/completions"
 	"github.com/granitebay/granitebay/internal/deployment"
-	"github.com/granitebay/granitebay/internal/engine"
-	"github.com/granitebay/granitebay/internal/fleet"
+	"github.com/granitebay/granitebay/internal/labfleet"
 )
 
 // display writes what a newcomer sees.
@@ -27,11 +25,11 @@
 }
 
 // line writes the state of one second. The mix is what is asked for.
-func (d display) line(elapsed time.Duration, mix string, state snapshot, roles fleet.Roles) {
+func (d display) line(elapsed time.Duration, mix string, state snapshot, roles roles) {
 	d.printf("%4.0fs | %s | sent %d answered %d waiting %d late %d%s | %s | %s",
 		elapsed.Seconds(), mix,
 		state.summary.Sent, state.summary.Answered, state.waiting, state.summary.Late, unanswered(state.summary),
-		seconds(state.p95), d.engines(state, roles))
+		seconds(state.p95), roles)
 	d.troubles(state.troubles)
 }
 
@@ -65,26 +63,22 @@
 	return text
 }
 
-// engines names the roles of the engines and what each role answered in the last second.
-func (d display) engines(state snapshot, roles fleet.Roles) string {
-	text := fmt.Sprintf("%d prefill: %s | %d decode: %s",
-		roles.Prefill, d.served(state, engine.RolePrefill), roles.Decode, d.served(state, engine.RoleDecode))
-	if roles.Changing > 0 {
-		text += fmt.Sprintf(" | %d changing", roles.Changing)
-	}
-	return text
+// roles counts the workers of each role.
+type roles struct{ prefill, decode, changing int }
+
+// rolesOf counts the workers of a fleet.
+func rolesOf(stand *labfleet.Fleet) roles {
+	prefill, decode, changing := stand.Stages()
+	return roles{prefill, decode, changing}
 }
 
-// served names the answers of one role by class.
-func (d display) served(state snapshot, role engine.Role) string {
-	parts := lo.FilterMap(d.workload.classes, func(each class, _ int) (string, bool) {
-		count := state.served[servedKey{class: each.name, role: role}]
-		return fmt.Sprintf("%d %s", count, each.title), count > 0
-	})
-	if len(parts) == 0 {
-		return "-"
+// String names the roles.
+func (r roles) String() string {
+	text := fmt.Sprintf("%d prefill, %d decode", r.prefill, r.decode)
+	if r.changing > 0 {
+		text += fmt.Sprintf(", %d changing", r.changing)
 	}
-	return strings.Join(parts, " ")
+	return text
 }
 
 // seconds writes a time to hundredths of a second; a dash for none.
@@ -98,43 +92,30 @@
 // trouble says in one sentence what became of a request that did not go well.
 func (r result) trouble() string {
 	what := lo.Ternary(r.wrong, "wrong answer", strings.ReplaceAll(string(r.outcome), "_", " "))
-	return fmt.Sprintf("%s request %s: %s: %s", r.order.kind.name, r.order.requestID(), what, r.detail)
+	return fmt.Sprintf("%s request %s: %s: %s", r.order.kind.name, r.order.id, what, r.detail)
 }
 
 // introduction says what is about to run.
 func (d display) introduction(chosen deployment.Deployment) {
-	d.printf("%s, all in this one process: %d zones, %d routers, %d engines, %d agents, which talk over loopback.",
-		chosen.Title, len(chosen.Zones), len(chosen.Routers), len(chosen.Engines), len(chosen.Agents))
-	d.printf("The engines and the platform are stand-ins. Loading a model takes an engine %s here (minutes in life), changing its role %s.",
-		weightLoadTime, roleChangeTime)
+	d.printf("%s, all in this one process: %d zones, %d gateways, %d engines, which talk over loopback.",
+		chosen.Title, len(chosen.Zones), len(chosen.Zones)*chosen.GatewaysPerZone, len(chosen.Workers))
+	d.printf("The engines and the store are stand-ins.")
 	d.printf("An engine in the prefill role reads long prompts fast; one in the decode role writes many answers at once.")
-}
-
-// policies says what the operators ask of a change of role.
-func (d display) policies(chosen deployment.Deployment) error {
-	document, err := configuration.Example(chosen.Configuration)
-	if err != nil {
-		return errors.Wrap(err, "read the configuration")
-	}
-	for _, group := range document.Groups {
-		policy := group.RolePolicy
-		d.printf("The operators let engines of group %s change their role if that gains %g answers in time, after %s in a role, at most %d at once.",
-			group.Name, policy.ChangeCost, policy.MinimumDwell, policy.MaximumChanging)
-	}
 	d.printf("Starting ...")
 	d.printf("")
-	return nil
 }
 
 // ready says what a newcomer can try, and how to read the lines.
-func (d display) ready(chosen deployment.Deployment, running *fleet.Fleet) {
-	d.printf("Ready. Ask an agent yourself:")
+func (d display) ready(chosen deployment.Deployment, running *system) {
+	first := running.settings[0]
+	d.printf("Ready. Ask a gateway yourself:")
 	d.printf("  curl -s http://%s%s -H 'Content-Type: application/json' -H '%s: visitor' -d '{\"model\": \"%s\", \"prompt\": \"Which roast suits this blend?\", \"max_tokens\": 12}'",
-		running.Agents()[0].Address, completionsPath, headerTenant, chosen.Model)
-	d.printf("Watch every decision of one router as it is made:")
-	d.printf("  go run ./cmd/granitebay decisions --follow --router %s", running.Routers()[0].Address)
+		first.ListenCallers, completions.Path, completions.HeaderTenant, chosen.Model)
+	d.printf("Watch every decision as it is made, in a terminal or on a page:")
+	d.printf("  go run ./cmd/granitebay decisions --follow --gateway %s", first.ListenAdmin)
+	d.printf("  http://%s/", first.ListenAdmin)
 	d.printf("")
-	d.printf("A line a second: what is asked for | requests so far | time in which 95 of 100 answers began | engines by role, and what they answered.")
+	d.printf("A line a second: what is asked for | requests so far | time in which 95 of 100 answers began | engines by role.")
 	d.printf("Below it, after >, why engines change their role.")
 	d.printf("")
 }
