--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -8,16 +8,17 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
+	"github.com/samber/lo"
 
-	"github.com/granitebay/granitebay/internal/fleet"
+	"github.com/granitebay/granitebay/internal/gateway"
 )
 
-// load sends requests to a fleet in open loop: it sends the next one whether or not the earlier ones were answered.
+// load sends requests to the gateways in open loop: it sends the next one whether or not the earlier ones were answered.
 type load struct {
 	workload workload
 	model    string
-	agents   []fleet.Process
-	ledger   *fleet.Ledger
+	// gateways are the addresses for callers.
+	gateways []string
 	tally    *tally
 	random   *rand.Rand
 	// factor scales the requests a second.
@@ -26,15 +27,14 @@
 	calling sync.WaitGroup
 }
 
-// idleConnections is how many idle connections to one agent are kept.
+// idleConnections is how many idle connections to one gateway are kept.
 const idleConnections = 256
 
-func newLoad(seed uint64, factor float64, work workload, model string, running *fleet.Fleet, counts *tally) *load {
+func newLoad(seed uint64, factor float64, work workload, model string, running *system, counts *tally) *load {
 	return &load{
 		workload: work,
 		model:    model,
-		agents:   running.Agents(),
-		ledger:   running.Ledger(),
+		gateways: lo.Map(running.settings, func(each gateway.Settings, _ int) string { return each.ListenCallers }),
 		tally:    counts,
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		factor:   factor,
@@ -60,23 +60,22 @@
 	}
 }
 
-// newOrder makes a request of a class. A tenant always calls the agent beside it.
+// newOrder makes a request of a class. Callers choose a gateway at random, as those do that ask the directory.
 func (l *load) newOrder(now time.Time, kind class) order {
-	index := l.random.IntN(len(l.workload.tenants))
-	tenant := l.workload.tenants[index]
+	tenant := l.workload.tenants[l.random.IntN(len(l.workload.tenants))]
 	return order{
 		kind:         kind,
 		tenant:       tenant,
-		key:          newKey(now, l.random),
+		id:           newID(now, l.random),
 		model:        l.model,
 		prompt:       prompt(kind, tenant, l.random),
 		answerTokens: max(1, spread(kind.answerTokens, l.random)),
-		agent:        l.agents[index%len(l.agents)].Address,
+		gateway:      l.gateways[l.random.IntN(len(l.gateways))],
 	}
 }
 
-// newKey returns an idempotency key that carries the time.
-func newKey(now time.Time, random *rand.Rand) string {
+// newID returns a request id that carries the time.
+func newID(now time.Time, random *rand.Rand) string {
 	var key ulid.ULID
 	// The error is for times after the year 10889.
 	_ = key.SetTime(ulid.Timestamp(now))
@@ -88,13 +87,10 @@
 
 // send makes a call in the background.
 func (l *load) send(asked order) {
-	if asked.kind.once {
-		l.ledger.ExpectOnce(time.Now(), asked.requestID())
-	}
 	l.tally.sent(asked)
 	l.calling.Go(func() {
 		got := l.caller.call(context.Background(), asked)
-		l.tally.ended(got, l.ledger.Runs(asked.requestID()))
+		l.tally.ended(got)
 	})
 }
 
--- a/internal/demo/stream.go
+++ b/internal/demo/stream.go
@@ -5,17 +5,15 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"strconv"
 	"time"
 )
 
 const (
-	// completionsPath is where agents take requests.
-	completionsPath = "/v1/completions"
 	// streamDone is the data of the last event of a whole answer.
 	streamDone = "[DONE]"
 	// maxEventBytes bounds one line of a stream.
 	maxEventBytes = 1 << 20
-	eventError    = "error"
 )
 
 // completionEvent is one event of a stream.
@@ -23,10 +21,6 @@
 	Choices []struct {
 		Text string `json:"text"`
 	} `json:"choices"`
-	Position struct {
-		Offset int `json:"offset"`
-		Tokens int `json:"tokens"`
-	} `json:"granitebay"`
 }
 
 // readStream reads an answer and compares it with the one that belongs to the request.
@@ -34,25 +28,21 @@
 	check := &answerCheck{expected: expectedAnswer(r.order)}
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
-	event := ""
+	number := 0
 	for lines.Scan() {
 		name, data, found := bytes.Cut(lines.Bytes(), []byte(": "))
 		switch {
 		case !found:
-			event = ""
-		case string(name) == "event":
-			event = string(data)
+		case string(name) == "id":
+			number, _ = strconv.Atoi(string(data))
 		case string(name) != "data":
-		case event == eventError:
-			r.ended(data)
-			return
 		case string(data) == streamDone:
 			r.whole = time.Since(started)
 			r.finish(check)
 			return
 		default:
 			before := check.held
-			r.take(check, data)
+			r.take(check, number, data)
 			if before == 0 && check.held > 0 && onFirstToken != nil {
 				onFirstToken(time.Since(started))
 			}
@@ -65,8 +55,8 @@
 }
 
 // take checks one piece of the answer.
-func (r *result) take(check *answerCheck, data []byte) {
-	if !check.take(data) {
+func (r *result) take(check *answerCheck, number int, data []byte) {
+	if !check.take(number, data) {
 		r.wrong = true
 		r.detail = check.problem
 	}
@@ -90,33 +80,21 @@
 	problem string
 }
 
-// take checks one event and tells whether it is right.
-func (a *answerCheck) take(data []byte) bool {
+// take checks one event, by its number in the stream, and tells whether it is right.
+func (a *answerCheck) take(number int, data []byte) bool {
 	var event completionEvent
 	if err := json.Unmarshal(data, &event); err != nil {
 		a.problem = "An event of the stream cannot be read: " + err.Error()
 		return false
 	}
-	until := a.held + event.Position.Tokens
-	if event.Position.Tokens == 0 {
-		return true
-	}
-	if event.Position.Offset != a.held || until > len(a.expected) || len(event.Choices) != 1 {
+	if number != a.held+1 || a.held >= len(a.expected) || len(event.Choices) != 1 {
 		a.problem = "A piece of the answer came out of order or after its end."
 		return false
 	}
-	text := event.Choices[0].Text
-	for _, token := range a.expected[a.held:until] {
-		if len(text) < len(token) || text[:len(token)] != token {
-			a.problem = "A word of the answer is not the one that belongs there."
-			return false
-		}
-		text = text[len(token):]
-	}
-	a.held = until
-	if text != "" {
-		a.problem = "A piece of the answer holds more words than it says."
+	if event.Choices[0].Text != a.expected[a.held] {
+		a.problem = "A word of the answer is not the one that belongs there."
 		return false
 	}
+	a.held++
 	return true
 }
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/samber/lo"
-
-	"github.com/granitebay/granitebay/internal/engine"
 )
 
 // firstTokenWindow is how far back the times to the first token go that a line sums up.
@@ -30,9 +28,9 @@
 	RoleChanges   int `json:"role_changes"`
 	// Late answers were whole and right, but came after they were wanted.
 	Late int `json:"late"`
-	// Untold counts those Unknown of which not even the agent said how they ended.
+	// Untold counts those Unknown of which not even the gateway said how they ended.
 	Untold int `json:"untold"`
-	// FalseNotRun counts those NotRun that an engine had begun to run.
+	// FalseNotRun counts those NotRun that a worker had begun to run.
 	FalseNotRun int `json:"false_not_run"`
 }
 
@@ -41,20 +39,15 @@
 	return s.WrongAnswers == 0 && s.DuplicateRuns == 0 && s.Untold == 0 && s.FalseNotRun == 0
 }
 
-// servedKey names answers of one class that were finished by engines of one role.
-type servedKey struct {
-	class string
-	role  engine.Role
-}
-
 // tally collects what happens. It is safe for use by many goroutines.
 type tally struct {
 	mutex   sync.Mutex
 	summary summary
-	// live holds the class of each request that is under way, by request id.
-	live map[string]string
-	// served counts the answers that engines finished since the last line.
-	served map[servedKey]int
+	// live counts the requests that are under way.
+	live int
+	// once holds the ids of work that may not be repeated, and notRun those of requests that were told not to have run.
+	once   map[string]bool
+	notRun map[string]bool
 	// firstTokens are the latest times to the first token.
 	firstTokens []firstToken
 	// troubles are sentences about requests that did not go well, since the last line.
@@ -67,7 +60,7 @@
 }
 
 func newTally() *tally {
-	return &tally{live: make(map[string]string), served: make(map[servedKey]int)}
+	return &tally{once: make(map[string]bool), notRun: make(map[string]bool)}
 }
 
 // sent notes a request that goes out.
@@ -75,15 +68,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.summary.Sent++
-	t.live[asked.requestID()] = asked.kind.name
-}
-
-// finished takes an answer that an engine finished.
-func (t *tally) finished(requestID string, role engine.Role) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if kind, live := t.live[requestID]; live {
-		t.served[servedKey{class: kind, role: role}]++
+	t.live++
+	if asked.kind.once {
+		t.once[asked.id] = true
 	}
 }
 
@@ -94,17 +81,17 @@
 	t.firstTokens = append(t.firstTokens, firstToken{at: now, wait: wait})
 }
 
-// ended takes how a request ended for its caller. runs tells how often engines began to run it.
-func (t *tally) ended(got result, runs int) {
+// ended takes how a request ended for its caller.
+func (t *tally) ended(got result) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	delete(t.live, got.order.requestID())
+	t.live--
 	switch got.outcome {
 	case outcomeAnswered:
 		t.summary.Answered++
 	case outcomeNotRun:
 		t.summary.NotRun++
-		t.summary.FalseNotRun += lo.Ternary(runs > 0, 1, 0)
+		t.notRun[got.order.id] = true
 	case outcomeFailed:
 		t.summary.Failed++
 	default:
@@ -118,11 +105,24 @@
 	}
 }
 
+// duplicates counts the runs beyond the first of work that may not be repeated, by the runs of each request.
+func (t *tally) duplicates(runs map[string]int) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return lo.SumBy(lo.Keys(t.once), func(id string) int { return max(runs[id]-1, 0) })
+}
+
+// falseNotRun counts the requests that were told not to have run, and have.
+func (t *tally) falseNotRun(runs map[string]int) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return lo.CountBy(lo.Keys(t.notRun), func(id string) bool { return runs[id] > 0 })
+}
+
 // snapshot is what one line shows.
 type snapshot struct {
 	summary  summary
 	waiting  int
-	served   map[servedKey]int
 	p95      time.Duration
 	troubles []string
 }
@@ -134,12 +134,10 @@
 	t.firstTokens = lo.DropWhile(t.firstTokens, func(each firstToken) bool { return now.Sub(each.at) > firstTokenWindow })
 	state := snapshot{
 		summary:  t.summary,
-		waiting:  len(t.live),
-		served:   t.served,
+		waiting:  t.live,
 		p95:      percentile95(t.firstTokens),
 		troubles: t.troubles,
 	}
-	t.served = make(map[servedKey]int)
 	t.troubles = nil
 	return state
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -1,11 +1,10 @@
-// Package deployment describes the fleets that granitebay is built for: their zones, machines, delays and the example
+// Package deployment describes the fleets that granitebay is built for: their zones, gateways and workers, and the example
 // configuration that goes with them.
 package deployment
 
 import (
 	"fmt"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
@@ -19,18 +18,15 @@
 	NameMagnolia = "magnolia"
 )
 
-const (
-	// routersPerZone is the same in all deployments.
-	routersPerZone = 2
-	zonePrefix     = "zone-"
-)
-
-// Machine is one machine of a deployment, which runs one process.
-type Machine struct {
-	// Name of the process, unique in the fleet, for example "engine-a-1".
+// Worker is one engine of a deployment.
+type Worker struct {
+	// Name of the worker, for example "engine-a-1".
 	Name string
-	// Zone in which it runs, for example "zone-a".
 	Zone string
+	// Pool is the label by which the groups of the example select it.
+	Pool string
+	// Reads is set for engines that begin by reading prompts.
+	Reads bool
 }
 
 // Deployment is one fleet.
@@ -41,45 +37,36 @@
 	Title string
 	// Zones of the fleet, all in one region.
 	Zones []string
-	// ZoneDelay is the delay one way between two zones, and ClientDelay the one between a client and any machine.
-	ZoneDelay   time.Duration
-	ClientDelay time.Duration
-	Routers     []Machine
-	Engines     []Machine
-	// Agents run beside the callers: the counter applications, or the dock schedulers.
-	Agents []Machine
+	// GatewaysPerZone and Workers of the fleet.
+	GatewaysPerZone int
+	Workers         []Worker
+	// Service that the workers belong to, and the Model that they serve.
+	Service string
+	Model   string
 	// Configuration is the name of the example configuration.
 	Configuration string
-	// Model that the engines serve.
-	Model string
 }
 
-// Fes is the deployment of Fès Roasters: four zones, 12 engines and 4 counter applications.
+// Fes is the deployment of Fès Roasters: four zones and 12 engines in one pool.
 func Fes() Deployment {
-	deployment := Deployment{
-		Name:          NameFes,
-		Title:         "Fès Roasters' Subscription Router Fleet",
-		Zones:         zones(4),
-		ZoneDelay:     1500 * time.Microsecond,
-		ClientDelay:   3 * time.Millisecond,
-		Configuration: configuration.ExampleFes,
-		Model:         "roast-verdict",
+	zones := zones(4)
+	return Deployment{
+		Name: NameFes, Title: "Fès Roasters' Subscription Router Fleet", Zones: zones, GatewaysPerZone: 1,
+		Service: "roastmind", Model: "roast-verdict", Configuration: configuration.ExampleFes,
+		Workers: workers(zones, []Worker{{Pool: "counter", Reads: true}, {Pool: "counter"}, {Pool: "counter"}}),
 	}
-	return deployment.populated(3, 1)
 }
 
-// Magnolia is the deployment of Magnolia Pallet Commons: three zones, 18 engines and 3 dock schedulers.
+// Magnolia is the deployment of Magnolia Pallet Commons: three zones and 18 engines in two pools.
 func Magnolia() Deployment {
-	deployment := Deployment{
-		Name:          NameMagnolia,
-		Title:         "Magnolia Pallet Commons Dispatch Router Fleet",
-		Zones:         zones(3),
-		ZoneDelay:     500 * time.Microsecond,
-		ClientDelay:   3 * time.Millisecond,
-		Configuration: configuration.ExampleMagnolia,
-		Model:         "dispatch",
+	zones := zones(3)
+	return Deployment{
+		Name: NameMagnolia, Title: "Magnolia Pallet Commons Dispatch Router Fleet", Zones: zones, GatewaysPerZone: 1,
+		Service: "dispatch-llm", Model: "dispatch", Configuration: configuration.ExampleMagnolia,
+		Workers: workers(zones, []Worker{
+			{Pool: "dock", Reads: true}, {Pool: "dock", Reads: true}, {Pool: "dock"}, {Pool: "dock"}, {Pool: "rates", Reads: true}, {Pool: "rates"},
+		}),
 	}
-	return deployment.populated(6, 1)
 }
 
 // All lists the deployments.
@@ -104,23 +91,16 @@
 
 // zones names zones by the letters of the alphabet.
 func zones(count int) []string {
-	return lo.Times(count, func(index int) string { return fmt.Sprintf("%s%c", zonePrefix, 'a'+index) })
-}
-
-// populated adds the machines: so many engines and agents in each zone.
-func (d Deployment) populated(engines, agents int) Deployment {
-	d.Routers = d.machines("router", routersPerZone)
-	d.Engines = d.machines("engine", engines)
-	d.Agents = d.machines("agent", agents)
-	return d
+	return lo.Times(count, func(index int) string { return fmt.Sprintf("zone-%c", 'a'+index) })
 }
 
-// machines makes machines of one kind, zone by zone, for example engine-a-1 to engine-a-3 in zone-a.
-func (d Deployment) machines(kind string, perZone int) []Machine {
-	return lo.FlatMap(d.Zones, func(zone string, _ int) []Machine {
-		return lo.Times(perZone, func(index int) Machine {
-			name := fmt.Sprintf("%s-%s-%d", kind, strings.TrimPrefix(zone, zonePrefix), index+1)
-			return Machine{Name: name, Zone: zone}
+// workers places the same workers in each zone, for example engine-a-1 to engine-a-3 in zone-a.
+func workers(zones []string, each []Worker) []Worker {
+	return lo.FlatMap(zones, func(zone string, _ int) []Worker {
+		return lo.Map(each, func(worker Worker, index int) Worker {
+			worker.Zone = zone
+			worker.Name = fmt.Sprintf("engine-%s-%d", strings.TrimPrefix(zone, "zone-"), index+1)
+			return worker
 		})
 	})
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -146,6 +146,8 @@
 // workers than its rule allows; a refusal is told only when no try may have run.
 type attempts struct {
 	rule *routing.Rule
+	// runOnce is set when the caller forbids that the request runs again.
+	runOnce bool
 	// unreachable counts workers to which nothing was sent.
 	unreachable int
 	// sent counts workers that the request reached, whether they ran it or not.
@@ -193,9 +195,12 @@
 	if a.runs == 0 {
 		return true
 	}
-	return a.rule.Repeatable() && a.runs < a.rule.MaxAttempts
+	return a.repeatable() && a.runs < a.rule.MaxAttempts
 }
 
+// repeatable tells whether the request may run more than once.
+func (a *attempts) repeatable() bool { return a.rule.Repeatable() && !a.runOnce }
+
 // granted takes a repeat from the budget when the request has reached a worker before.
 func (a *attempts) granted(repeats budget) bool {
 	return a.sent == 0 || a.prepaid.Swap(false) || repeats.spend()
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -48,12 +48,15 @@
 		}
 		c.attempts.record(worker, failed)
 		decided := c.attempts.next(failed, c.handler.dispatcher.Repeats(c.match.Group.Name))
-		if decided != nextAgain || (c.relay.started && !c.match.Rule.Resumable) {
+		if decided != nextAgain || (c.relay.started && !c.resumable()) {
 			return c.giveUp(failed, decided)
 		}
 	}
 }
 
+// resumable tells whether the stream may go on at another worker.
+func (c *call) resumable() bool { return c.match.Rule.Resumable && !c.attempts.runOnce }
+
 // direct tells whether the runner is to read the prompt itself: when it could not be read elsewhere, when its parts lie at an
 // engine that has read it in vain, or when no repeat is left for one more reading. The first reading that an engine takes up
 // is no repeat.
@@ -115,6 +118,7 @@
 	if placement.Reader != nil {
 		reader := placement.Reader.Worker
 		record.Reader = reader.ID
+		record.Score, record.Candidates = placement.Reader.Score, placement.Reader.Candidates
 		read, failed := c.readPrompt(ctx, placement)
 		record.ReadIn = time.Since(record.Begun)
 		if failed != failureNone {
@@ -131,6 +135,9 @@
 		prompt = read
 	}
 	record.Worker = runner.Worker.ID
+	if prompt == nil {
+		record.Score, record.Candidates = runner.Score, runner.Candidates
+	}
 	failed := c.runAt(ctx, runner, prompt, placement.FetchFrom)
 	if failed == failureNone {
 		c.handler.dispatcher.HasRead(runner.Worker, c.request)
@@ -204,7 +211,7 @@
 
 // patience returns how long to wait for the first sign of an answer before another worker is tried, or zero for no bound.
 func (c *call) patience() time.Duration {
-	if c.relay.started || !c.match.Rule.Repeatable() || c.attempts.runs+1 >= c.match.Rule.MaxAttempts {
+	if c.relay.started || !c.attempts.repeatable() || c.attempts.runs+1 >= c.match.Rule.MaxAttempts {
 		return 0
 	}
 	return time.Duration(patienceShare * float64(c.match.Rule.Objective))
@@ -222,7 +229,7 @@
 // better one.
 func (c *call) pass(answer *Answer) error {
 	defer answer.Body.Close()
-	if c.match.Rule.Kind == routing.KindStream && answer.Status == http.StatusOK {
+	if c.match.Rule.Kind == routing.KindStream && answer.Status == http.StatusOK && !c.request.Whole {
 		return c.passEvents(answer)
 	}
 	whole, err := readWhole(answer)
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -154,15 +154,18 @@
 }
 
 // assign counts work at a worker. The mutex is held.
-func (d *Dispatcher) assign(worker *backend.Worker, tokens int) *Assignment {
-	d.balancer.Begin(worker.ID, tokens)
-	d.sharing.loadChanged(worker.ID, tokens >= d.settings.UrgentTokens)
-	return &Assignment{Worker: worker, dispatcher: d, tokens: tokens}
+func (d *Dispatcher) assign(choice balance.Choice, tokens int) *Assignment {
+	d.balancer.Begin(choice.Worker.ID, tokens)
+	d.sharing.loadChanged(choice.Worker.ID, tokens >= d.settings.UrgentTokens)
+	return &Assignment{Worker: choice.Worker, Score: choice.Score, Candidates: choice.Candidates, dispatcher: d, tokens: tokens}
 }
 
 // Assignment is work that was given to a worker. It is used by one goroutine.
 type Assignment struct {
-	Worker     *backend.Worker
+	Worker *backend.Worker
+	// Score is the expected cost for which the worker was picked among Candidates.
+	Score      balance.Score
+	Candidates int
 	dispatcher *Dispatcher
 	// tokens that the worker reads before it answers.
 	tokens   int
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/tenantlimit"
 )
 
 // Settings of the request path.
@@ -40,7 +41,10 @@
 type Handler struct {
 	settings   Settings
 	protocol   Protocol
+	labelled   LabelledProtocol
 	workers    Workers
+	tenants    *tenantlimit.Limiter
+	recent     recentLabels
 	dispatcher *Dispatcher
 	observer   Observer
 
@@ -52,9 +56,19 @@
 
 // NewHandler returns a handler that knows no configuration and refuses every request.
 func NewHandler(settings Settings, protocol Protocol, workers Workers, dispatcher *Dispatcher, observer Observer) *Handler {
-	return &Handler{settings: settings, protocol: protocol, workers: workers, dispatcher: dispatcher, observer: observer}
+	return &Handler{
+		settings: settings, protocol: protocol, workers: workers, dispatcher: dispatcher, observer: observer,
+		tenants: tenantlimit.New(),
+	}
 }
 
+// ServeLabelled makes the handler serve requests that are matched by labels, besides those that are matched by path. It is
+// called before the first request.
+func (h *Handler) ServeLabelled(protocol LabelledProtocol) { h.labelled = protocol }
+
+// SetGateways tells how many gateways take requests, and so share what a tenant may have in hand.
+func (h *Handler) SetGateways(count int) { h.tenants.SetGateways(count) }
+
 // SetTable puts a configuration in force for the requests that come from now on.
 func (h *Handler) SetTable(table *routing.Table) {
 	h.dispatcher.SetGroups(table.Configuration().Groups)
@@ -118,12 +132,12 @@
 	if limits.MaxHeaderBytes > 0 && headBytes(incoming) > limits.MaxHeaderBytes {
 		return fail(writer, report, http.StatusRequestHeaderFieldsTooLarge, ReasonInvalid)
 	}
-	match, found := table.Match(incoming.Host, pathOf(incoming))
+	protocol, match, found := h.match(table, incoming)
 	if !found {
 		return fail(writer, report, http.StatusNotFound, ReasonNoRule)
 	}
 	report.Rule, report.Group, report.Version = match.Rule.Name, match.Group.Name, table.Configuration().Version
-	request, err := h.protocol.Read(incoming)
+	request, err := protocol.Read(incoming)
 	if err != nil {
 		report.Err = err
 		return fail(writer, report, http.StatusBadRequest, ReasonInvalid)
@@ -137,15 +151,40 @@
 		report.Err = err
 		return fail(writer, report, status, ReasonInvalid)
 	}
+	if err := protocol.Complete(request); err != nil {
+		report.Err = err
+		return fail(writer, report, http.StatusBadRequest, ReasonInvalid)
+	}
+	if !h.tenants.Begin(match.Rule.Name, request.Tenant, match.Rule.TenantInFlight) {
+		return refuse(writer, report, ReasonTenantLimit, h.settings.RefusedRetryAfter)
+	}
+	defer h.tenants.End(match.Rule.Name, request.Tenant)
 	h.dispatcher.CountRequest(match.Group.Name)
 	one := &call{
 		handler: h, writer: writer, request: request, match: match, deadline: deadline, report: report,
-		attempts: attempts{rule: match.Rule},
+		attempts: attempts{rule: match.Rule, runOnce: request.RunOnce},
 		relay:    relay{writer: writer, lastEvent: request.ResumeAfter},
 	}
 	return one.run(ctx)
 }
 
+// match returns the rule of a request, with the protocol in which its caller speaks: the path decides, or else the labels.
+func (h *Handler) match(table *routing.Table, incoming *http.Request) (Protocol, routing.Match, bool) {
+	if match, found := table.Match(incoming.Host, pathOf(incoming)); found {
+		return h.protocol, match, true
+	}
+	if h.labelled == nil {
+		return nil, routing.Match{}, false
+	}
+	labels, speaks := h.labelled.Labels(incoming)
+	if !speaks {
+		return nil, routing.Match{}, false
+	}
+	h.recent.note(labels)
+	match, found := table.MatchLabels(labels)
+	return h.labelled, match, found
+}
+
 // headBytes returns the size of the head of a request as it came.
 func headBytes(incoming *http.Request) int {
 	const separators = len(": ") + len("\r\n")
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -36,7 +36,7 @@
 	if !found {
 		return nil, false
 	}
-	return &Placement{Runner: d.assign(choice.Worker, 0)}, true
+	return &Placement{Runner: d.assign(choice, 0)}, true
 }
 
 // plan is a way to serve a request on engines, before any work is assigned.
@@ -66,19 +66,20 @@
 // carryOut assigns the work of a plan.
 func (d *Dispatcher) carryOut(prompt *prompt, chosen plan) *Placement {
 	placement := &Placement{}
-	reading := chosen.runner.Worker
+	choice := chosen.runner
 	if chosen.reader != nil {
-		reading = chosen.reader.Worker
+		choice = *chosen.reader
 	}
+	reading := choice.Worker
 	tokens := prompt.reading(reading).Tokens
 	if source := sourceFor(reading, prompt.holders); source != nil && source.ID != reading.ID {
 		placement.FetchFrom = source
 	}
 	if chosen.reader == nil {
-		placement.Runner = d.assign(reading, tokens)
+		placement.Runner = d.assign(choice, tokens)
 		return placement
 	}
-	placement.Reader = d.assign(reading, max(tokens, 1))
+	placement.Reader = d.assign(choice, max(tokens, 1))
 	d.keep(reading, prompt.shared, false)
 	return placement
 }
@@ -91,7 +92,7 @@
 	if !found {
 		return nil, false
 	}
-	return d.assign(choice.Worker, 0), true
+	return d.assign(choice, 0), true
 }
 
 // pickRunner picks the engine to which a prompt is moved from its reader.
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"github.com/granitebay/granitebay/internal/balance"
+)
 
 // Reason says why a gateway gave an answer of its own.
 type Reason string
@@ -18,6 +22,7 @@
 	ReasonBrokenOff   Reason = "the answer of the worker broke off"
 	ReasonCallerGone  Reason = "the caller left"
 	ReasonWorkerError Reason = "the worker answered with an error"
+	ReasonTenantLimit Reason = "the tenant has too many requests in hand"
 )
 
 // Report tells what became of one request.
@@ -49,6 +54,9 @@
 	Begun  time.Time
 	Ended  time.Time
 	ReadIn time.Duration
+	// Score is the expected cost for which the worker was picked, or its reader if there was one, among so many Candidates.
+	Score      balance.Score
+	Candidates int
 	// Failure is empty for a try that succeeded.
 	Failure string
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -27,12 +27,27 @@
 	Demand   backend.Demand
 	// ResumeAfter is the id of the last event that the caller of a stream already has, or empty.
 	ResumeAfter string
+	// RunOnce is set when the caller forbids that the request runs again, whatever its rule says.
+	RunOnce bool
+	// Tenant whose limits hold, or empty.
+	Tenant string
+	// Whole is set when the caller wants the answer in one piece where its rule would stream it.
+	Whole bool
 }
 
 // Protocol is how callers speak.
 type Protocol interface {
 	// Read takes the head of a request over, without its body. An error says what is wrong with it.
 	Read(request *http.Request) (*Request, error)
+	// Complete takes what the body of a request tells. An error says what is wrong with it.
+	Complete(request *Request) error
+}
+
+// LabelledProtocol is a protocol whose requests are matched by their labels.
+type LabelledProtocol interface {
+	Protocol
+	// Labels returns the labels of a request, or false when it is not one of the protocol.
+	Labels(request *http.Request) (map[string]string, bool)
 }
 
 // Prompt is a prompt that an engine has read and keeps for the engine that goes on with it.
--- a/internal/forward/rolechange.go
+++ b/internal/forward/rolechange.go
@@ -28,7 +28,8 @@
 		}
 		running, readingTokens := d.balancer.Load(id)
 		runningElsewhere, readingElsewhere := d.sharing.elsewhere(id)
-		engines[worker.Group] = append(engines[worker.Group], roles.Engine{
+		group := worker.RoleGroup()
+		engines[group] = append(engines[group], roles.Engine{
 			Worker:        worker,
 			Running:       running + runningElsewhere,
 			ReadingTokens: readingTokens + readingElsewhere,
--- /dev/null
+++ b/internal/forward/views.go
@@ -0,0 +1,84 @@
+package forward
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/granitebay/granitebay/internal/backend"
+)
+
+// WorkerView is one worker as this gateway sees it.
+type WorkerView struct {
+	Worker *backend.Worker
+	// Running requests of all gateways, and the prompt tokens that are still to be read for them.
+	Running       int
+	ReadingTokens int
+	// SetAside workers failed lately; Changing ones change their role.
+	SetAside bool
+	Changing bool
+}
+
+// Workers returns all workers by id.
+func (d *Dispatcher) Workers() []WorkerView {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.now()
+	var views []WorkerView
+	for _, id := range d.balancer.IDs() {
+		worker, _ := d.balancer.Worker(id)
+		running, readingTokens := d.balancer.Load(id)
+		runningElsewhere, readingElsewhere := d.sharing.elsewhere(id)
+		setAside, changing := d.balancer.KeptOff(now, id)
+		views = append(views, WorkerView{
+			Worker: worker, Running: running + runningElsewhere, ReadingTokens: readingTokens + readingElsewhere,
+			SetAside: setAside, Changing: changing,
+		})
+	}
+	return views
+}
+
+// maxRecentLabels bounds the label sets that are remembered.
+const maxRecentLabels = 64
+
+// recentLabels remembers the label sets of recent requests, each once. It is safe for concurrent use.
+type recentLabels struct {
+	mu   sync.Mutex
+	keys []string
+	sets map[string]map[string]string
+}
+
+// note remembers a label set; the oldest one goes when there are too many.
+func (r *recentLabels) note(labels map[string]string) {
+	var pairs []string
+	for name, value := range labels {
+		pairs = append(pairs, name+"="+value)
+	}
+	slices.Sort(pairs)
+	key := strings.Join(pairs, ",")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.sets[key]; known {
+		return
+	}
+	if r.sets == nil {
+		r.sets = map[string]map[string]string{}
+	}
+	if len(r.keys) >= maxRecentLabels {
+		delete(r.sets, r.keys[0])
+		r.keys = r.keys[1:]
+	}
+	r.keys = append(r.keys, key)
+	r.sets[key] = labels
+}
+
+// RecentLabels returns the label sets of recent requests, oldest first.
+func (h *Handler) RecentLabels() []map[string]string {
+	h.recent.mu.Lock()
+	defer h.recent.mu.Unlock()
+	var sets []map[string]string
+	for _, key := range h.recent.keys {
+		sets = append(sets, h.recent.sets[key])
+	}
+	return sets
+}
--- /dev/null
+++ b/internal/gateway/admin.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/samber/lo"
+
+	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/adminpage"
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/command"
+	"github.com/granitebay/granitebay/internal/configuration"
+	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/member"
+	"github.com/granitebay/granitebay/internal/routing"
+)
+
+// pathMetrics is where the figures are served, beside the API of the operators and its page.
+const pathMetrics = "/metrics"
+
+// adminHandler serves figures, the API of the operators and its page at one port. The API is made when it is asked for the
+// first time, because most gateways never are.
+func (g *Gateway) adminHandler() http.Handler {
+	api := sync.OnceValue(func() http.Handler {
+		mux := http.NewServeMux()
+		adminapi.Register(humago.New(mux, huma.DefaultConfig("granitebay", command.Version())), admin{g})
+		adminpage.Register(mux)
+		return mux
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pathMetrics {
+			g.metrics.ServeHTTP(w, r)
+			return
+		}
+		api().ServeHTTP(w, r)
+	})
+}
+
+// admin shows a gateway to operators. It implements adminapi.Backend.
+type admin struct{ *Gateway }
+
+// Status is part of adminapi.Backend.
+func (a admin) Status() adminapi.GatewayStatus {
+	serving := a.view.Serving()
+	entries := member.Entries(a.view.Reachable(), member.DefaultEntrySettings())
+	status := adminapi.GatewayStatus{
+		Gateway: a.settings.Name, Zone: a.settings.Zone, Version: command.Version(), StartedAt: a.startedAt, Time: time.Now(),
+		Ready: a.Ready(), Stopping: a.leaving.Load(), StoreAgeMillis: a.view.Staleness().Milliseconds(),
+		Gateways: len(serving), Entries: len(entries), Entry: isListed(entries, a.settings.Name),
+		GivesOrders: a.controller.GivesOrders(), InHand: a.handler.Active(),
+		Workers: lo.CountValuesBy(a.Workers(), func(w adminapi.WorkerStatus) string { return w.State }),
+	}
+	if table := a.handler.Table(); table != nil {
+		status.RouteVersion, status.Revision = table.Configuration().Version, uint64(table.Configuration().Revision)
+	}
+	if document := a.Document(); document.Revision > 0 {
+		status.Warnings = configuration.Warnings(document, a.KnownWorkers())
+	}
+	return status
+}
+
+// isListed tells whether a gateway is on a list.
+func isListed(gateways []member.Gateway, name string) bool {
+	return slices.ContainsFunc(gateways, func(gateway member.Gateway) bool { return gateway.Name == name })
+}
+
+// Workers is part of adminapi.Backend.
+func (a admin) Workers() []adminapi.WorkerStatus {
+	statuses := lo.Map(a.dispatcher.Workers(), func(seen forward.WorkerView, _ int) adminapi.WorkerStatus {
+		w := seen.Worker
+		return adminapi.WorkerStatus{
+			Address: w.Address, ID: w.ID, Service: w.Group, Groups: w.Selected, Zone: w.Zone, Labels: w.Labels, Role: string(w.Role),
+			State: stateOf(seen), Running: seen.Running, ReadingTokens: seen.ReadingTokens, Slots: w.Slots,
+		}
+	})
+	slices.SortFunc(statuses, func(x, y adminapi.WorkerStatus) int {
+		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.Address, y.Address))
+	})
+	return statuses
+}
+
+// stateOf names the state of a worker.
+func stateOf(seen forward.WorkerView) string {
+	switch {
+	case seen.Worker.Draining:
+		return adminapi.StateDraining
+	case seen.Changing:
+		return adminapi.StateChanging
+	case seen.SetAside:
+		return adminapi.StateSetAside
+	default:
+		return adminapi.StateReady
+	}
+}
+
+// Groups is part of adminapi.Backend.
+func (a admin) Groups() []adminapi.GroupStatus {
+	table := a.handler.Table()
+	if table == nil {
+		return []adminapi.GroupStatus{}
+	}
+	workers := a.dispatcher.Workers()
+	return lo.Map(table.Configuration().Groups, func(group routing.Group, _ int) adminapi.GroupStatus {
+		status := adminapi.GroupStatus{Name: group.Name, Of: group.Of, Roles: map[string]int{}}
+		for _, seen := range workers {
+			if !slices.Contains(seen.Worker.Groups(), group.Name) {
+				continue
+			}
+			status.Workers++
+			status.Running += seen.Running
+			status.ReadingTokens += seen.ReadingTokens
+			if seen.Worker.Role != backend.RoleNone {
+				status.Roles[string(seen.Worker.Role)]++
+			}
+		}
+		return status
+	})
+}
+
+// Rules is part of adminapi.Backend.
+func (a admin) Rules() []adminapi.RuleStatus {
+	table := a.handler.Table()
+	if table == nil {
+		return []adminapi.RuleStatus{}
+	}
+	selectors := lo.SliceToMap(a.Document().Rules, func(r configuration.Rule) (string, string) { return r.Name, r.RequestSelector })
+	return lo.Map(table.Configuration().Rules, func(rule routing.Rule, _ int) adminapi.RuleStatus {
+		return adminapi.RuleStatus{
+			Name: rule.Name, Match: describeMatch(rule, selectors), Priority: rule.Priority,
+			Groups:    lo.Map(rule.Shares, func(share routing.Share, _ int) string { return share.Group }),
+			TimeoutMs: rule.Timeout.Milliseconds(), ObjectiveMs: rule.Objective.Milliseconds(),
+		}
+	})
+}
+
+// describeMatch says which requests a rule is for. Selectors are those of the rules by labels.
+func describeMatch(rule routing.Rule, selectors map[string]string) string {
+	switch match := rule.Match.(type) {
+	case routing.PathMatch:
+		return match.Host + match.PathPrefix
+	default:
+		return lo.CoalesceOrEmpty(selectors[rule.Name], "all other labels")
+	}
+}
+
+// Gateways is part of adminapi.Backend.
+func (a admin) Gateways() []adminapi.PeerStatus {
+	reachable := a.view.Reachable()
+	entries := member.Entries(reachable, member.DefaultEntrySettings())
+	return lo.Map(a.view.Serving(), func(gateway member.Gateway, _ int) adminapi.PeerStatus {
+		return adminapi.PeerStatus{
+			Name: gateway.Name, Zone: gateway.Zone, Address: gateway.Address, AdminAddress: gateway.AdminAddress, Cores: gateway.Cores,
+			Entry: isListed(entries, gateway.Name), Reachable: isListed(reachable, gateway.Name),
+		}
+	})
+}
+
+// Document is part of adminapi.Backend.
+func (a admin) Document() configuration.Document { return a.view.Document() }
+
+// Propose is part of adminapi.Backend.
+func (a admin) Propose(ctx context.Context, request configuration.EditRequest) configuration.ProposeResult {
+	return configuration.Propose(ctx, a.ports.Store, request)
+}
+
+// KnownWorkers is part of adminapi.Backend.
+func (a admin) KnownWorkers() []configuration.WorkerInfo {
+	a.workersMu.Lock()
+	defer a.workersMu.Unlock()
+	return lo.MapToSlice(a.workers, func(_ string, w *backend.Worker) configuration.WorkerInfo {
+		return configuration.WorkerInfo{Address: w.Address, Service: w.Group, Labels: w.Labels}
+	})
+}
+
+// KnownRequests is part of adminapi.Backend.
+func (a admin) KnownRequests() []map[string]string { return a.handler.RecentLabels() }
+
+// Decisions is part of adminapi.Backend.
+func (a admin) Decisions(since uint64) []decision.Record { return a.decisions.Latest(since) }
+
+// FollowDecisions is part of adminapi.Backend.
+func (a admin) FollowDecisions() (<-chan decision.Record, func()) { return a.decisions.Follow() }
--- /dev/null
+++ b/internal/gateway/decisions.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/forward"
+)
+
+// keptDecisions is how many decisions a gateway keeps.
+const keptDecisions = 2048
+
+// decide notes a decision.
+func (g *Gateway) decide(record decision.Record) { g.decisions.Append(time.Now(), record) }
+
+// requestEntry is what is kept of a request that has ended. It holds no body.
+type requestEntry struct {
+	id      string
+	rule    string
+	group   string
+	version int64
+	status  int
+	reason  forward.Reason
+	took    time.Duration
+	first   time.Duration
+	tries   []forward.Try
+	err     error
+}
+
+// entryOf takes what is kept out of a report.
+func entryOf(report *forward.Report) requestEntry {
+	entry := requestEntry{
+		rule: report.Rule, group: report.Group, version: report.Version, status: report.Status, reason: report.Reason,
+		took: report.Ended.Sub(report.Arrived), tries: report.Tries, err: report.Err,
+	}
+	if report.Request != nil {
+		entry.id = report.Request.ID
+	}
+	if !report.FirstByte.IsZero() {
+		entry.first = report.FirstByte.Sub(report.Arrived)
+	}
+	return entry
+}
+
+// smooth tells whether the request was served at once.
+func (e requestEntry) smooth() bool { return e.reason == forward.ReasonServed && len(e.tries) == 1 }
+
+// Record is part of decisionlog.Entry.
+func (e requestEntry) Record() decision.Record {
+	record := decision.Record{
+		Kind: decision.KindRequest, Subject: e.id, Version: e.version, Outcome: strconv.Itoa(e.status),
+		Reason: fmt.Sprintf("Request of rule %s for group %s: %s.", e.rule, e.group, e.reason),
+		Inputs: e.inputs(),
+	}
+	if e.reason != forward.ReasonServed && len(e.tries) == 0 {
+		record.Kind = decision.KindRefusal
+	}
+	return record
+}
+
+// inputs are the facts about the request, times in milliseconds.
+func (e requestEntry) inputs() map[string]string {
+	inputs := map[string]string{
+		"rule": e.rule, adminapi.InputGroup: e.group, "took_ms": strconv.FormatInt(e.took.Milliseconds(), 10),
+	}
+	if e.first > 0 {
+		inputs["first_byte_ms"] = strconv.FormatInt(e.first.Milliseconds(), 10)
+	}
+	for i, try := range e.tries {
+		inputs["try"+strconv.Itoa(i+1)] = describeTry(try)
+		inputs[adminapi.InputWorker] = try.Worker
+	}
+	if e.err != nil {
+		inputs["error"] = e.err.Error()
+	}
+	return inputs
+}
+
+// describeTry says in a few words what one worker did with a request.
+func describeTry(try forward.Try) string {
+	text := fmt.Sprintf("worker %s in %d ms", try.Worker, try.Ended.Sub(try.Begun).Milliseconds())
+	if try.Reader != "" {
+		text = fmt.Sprintf("read by %s in %d ms, %s", try.Reader, try.ReadIn.Milliseconds(), text)
+	}
+	if try.Candidates > 0 {
+		text += fmt.Sprintf(", picked of %d for %s", try.Candidates, describeScore(try.Score))
+	}
+	if try.Failure != "" {
+		text += ": " + try.Failure
+	}
+	return text
+}
+
+// describeScore names the parts of an expected cost that are not zero.
+func describeScore(score balance.Score) string {
+	parts := []struct {
+		name    string
+		seconds float64
+	}{
+		{"queue", score.Queue}, {"reading", score.Reading}, {"hold-up", score.HoldUp}, {"transfer", score.Transfer},
+		{"distance", score.Distance}, {"doubt", score.Doubt},
+	}
+	text := fmt.Sprintf("%.1f ms expected", millisecondsPerSecond*score.Total())
+	for _, part := range parts {
+		if part.seconds != 0 {
+			text += fmt.Sprintf(", %s %.1f", part.name, millisecondsPerSecond*part.seconds)
+		}
+	}
+	return text
+}
+
+// millisecondsPerSecond turns seconds into milliseconds.
+const millisecondsPerSecond = 1000
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/logging"
 )
@@ -21,13 +21,14 @@
 
 // figures counts what becomes of requests and serves the counts as text. It implements forward.Observer.
 type figures struct {
-	set    *metrics.Set
-	logger *logrus.Entry
+	set       *metrics.Set
+	decisions *decisionlog.Log
+	logger    *logrus.Entry
 }
 
 // newFigures returns figures that are all zero.
-func newFigures(logger *logrus.Logger) *figures {
-	return &figures{set: metrics.NewSet(), logger: logging.Part(logger, "request")}
+func newFigures(decisions *decisionlog.Log, logger *logrus.Logger) *figures {
+	return &figures{set: metrics.NewSet(), decisions: decisions, logger: logging.Part(logger, "request")}
 }
 
 // watch adds figures that are read when they are asked for.
@@ -50,31 +51,23 @@
 		name = fmt.Sprintf(`%s{group=%q,failure=%q}`, metricTries, report.Group, try.Failure)
 		f.set.GetOrCreateCounter(name).Inc()
 	}
-	if report.Reason != forward.ReasonServed || len(report.Tries) > 1 {
-		f.log(report)
+	entry := entryOf(report)
+	f.decisions.Append(report.Ended, entry)
+	if !entry.smooth() {
+		f.log(entry)
 	}
 }
 
 // log writes one line about a request that did not go smoothly.
-func (f *figures) log(report *forward.Report) {
+func (f *figures) log(entry requestEntry) {
 	if !f.logger.Logger.IsLevelEnabled(logrus.InfoLevel) {
 		return
 	}
-	entry := f.logger.WithFields(logrus.Fields{
-		"rule": report.Rule, "status": report.Status, "reason": report.Reason, "version": report.Version,
-		"took_ms": report.Ended.Sub(report.Arrived).Milliseconds(),
-	})
-	if report.Request != nil {
-		entry = entry.WithField("id", report.Request.ID)
+	fields := logrus.Fields{"id": entry.id, "status": entry.status, "reason": entry.reason, "version": entry.version}
+	for name, value := range entry.inputs() {
+		fields[name] = value
 	}
-	for i, try := range report.Tries {
-		entry = entry.WithField("try"+strconv.Itoa(i+1), fmt.Sprintf("%s>%s %s in %d ms, read in %d ms",
-			try.Reader, try.Worker, try.Failure, try.Ended.Sub(try.Begun).Milliseconds(), try.ReadIn.Milliseconds()))
-	}
-	if report.Err != nil {
-		entry = entry.WithError(report.Err)
-	}
-	entry.Info("A request did not go smoothly.")
+	f.logger.WithFields(fields).Info("A request did not go smoothly.")
 }
 
 // ServeHTTP is part of http.Handler.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,11 +14,13 @@
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/bootstrap"
 	"github.com/granitebay/granitebay/internal/cluster"
+	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/roles"
+	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/store"
 )
 
@@ -27,6 +29,8 @@
 	Store    store.Store
 	Decoder  cluster.Decoder
 	Protocol forward.Protocol
+	// Labelled is the protocol of requests that are matched by labels; nil serves none.
+	Labelled forward.LabelledProtocol
 	Workers  forward.Workers
 	Orderer  roles.Orderer
 	// ForgetWorkers closes connections to workers whose addresses are not kept.
@@ -57,6 +61,14 @@
 	grace      atomic.Int64
 	addressTTL atomic.Int64
 
+	decisions *decisionlog.Log
+	startedAt time.Time
+
+	// workersMu guards the workers as they tell of themselves, and the configuration that puts them into groups.
+	workersMu     sync.Mutex
+	workers       backend.Set
+	configuration *routing.Configuration
+
 	leaving atomic.Bool
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -69,7 +81,9 @@
 // New puts a gateway together.
 func New(settings Settings, ports Ports, logger *logrus.Logger) *Gateway {
 	g := &Gateway{settings: settings, ports: ports, logger: logger, idle: newIdleConnections(defaultIdleTimeout, readHeaderTimeout)}
-	g.metrics = newFigures(logger)
+	g.startedAt = time.Now()
+	g.decisions = decisionlog.New(settings.Name, keptDecisions)
+	g.metrics = newFigures(g.decisions, logger)
 	g.grace.Store(int64(settings.Grace))
 	g.addressTTL.Store(int64(min(settings.AddressTTL, settings.MaxAddressTTL)))
 	dispatch := forward.DefaultDispatchSettings()
@@ -77,14 +91,17 @@
 	dispatch.Budget = budgetOf(settings)
 	g.dispatcher = forward.NewDispatcher(dispatch, time.Now)
 	g.handler = forward.NewHandler(forward.DefaultSettings(), ports.Protocol, ports.Workers, g.dispatcher, g.metrics)
+	if ports.Labelled != nil {
+		g.handler.ServeLabelled(ports.Labelled)
+	}
 	own := member.Gateway{
 		Name: settings.Name, Address: settings.ListenCallers, PeerAddress: settings.ListenPeers, Zone: settings.Zone,
-		Cores: settings.Cores,
+		Cores: settings.Cores, AdminAddress: settings.ListenAdmin,
 	}
 	control := roles.DefaultControllerSettings()
 	control.Holder = settings.Name
 	control.Authority.ThawPause = settings.ThawPause
-	g.controller = roles.NewController(control, ports.Store, ports.Orderer, g.dispatcher, logging.Part(logger, "roles"))
+	g.controller = roles.NewController(control, ports.Store, ports.Orderer, g.dispatcher, logging.Part(logger, "roles"), g.decide)
 	registrationSettings := member.DefaultRegistrationSettings()
 	registrationSettings.TTL = settings.LeaseTTL
 	g.registration = member.NewRegistration(registrationSettings, ports.Store, own,
@@ -122,7 +139,7 @@
 		{g.settings.ListenCallers, g.handler, g.idle.stateChanged},
 		{g.settings.ListenReady, g.ports.ReadyHandler(g.Ready), nil},
 		{g.settings.ListenDirectory, g.ports.DirectoryHandler(g.resolve), nil},
-		{g.settings.ListenMetrics, g.metrics, nil},
+		{g.settings.ListenAdmin, g.adminHandler(), nil},
 		{g.settings.ListenControl, bootstrap.Handler(g.replica.Snapshot), nil},
 	}
 	for _, service := range services {
@@ -257,3 +274,16 @@
 	}
 	g.tasks.Wait()
 }
+
+// Serves tells whether the gateway takes requests and knows workers that can run them.
+func (g *Gateway) Serves() bool {
+	g.workersMu.Lock()
+	defer g.workersMu.Unlock()
+	return g.Ready() && len(g.workers) > 0
+}
+
+// Decisions returns the decisions of the gateway.
+func (g *Gateway) Decisions() *decisionlog.Log { return g.decisions }
+
+// Close ends the gateway at once.
+func (g *Gateway) Close() { g.close() }
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/member"
@@ -12,15 +16,28 @@
 )
 
 // ConfigurationChanged is part of cluster.Listener.
-func (g *Gateway) ConfigurationChanged(configuration *routing.Configuration) {
-	g.handler.SetTable(routing.NewTable(configuration, g.handler.Table()))
-	g.idle.setTimeouts(configuration.Limits.IdleTimeout, configuration.Limits.HeaderTimeout)
-	logging.Part(g.logger, "gateway").WithField("version", configuration.Version).Info("Configuration in force.")
+func (g *Gateway) ConfigurationChanged(changed *routing.Configuration) {
+	g.handler.SetTable(routing.NewTable(changed, g.handler.Table()))
+	g.controller.SetGroups(changed.Groups)
+	g.idle.setTimeouts(changed.Limits.IdleTimeout, changed.Limits.HeaderTimeout)
+	logging.Part(g.logger, "gateway").WithFields(logrus.Fields{"version": changed.Version, "revision": changed.Revision}).
+		Info("Configuration in force.")
+	g.decide(decision.Record{
+		Kind: decision.KindConfiguration, Subject: "configuration", Outcome: fmt.Sprintf("version %d", changed.Version),
+		Reason: fmt.Sprintf("The store holds version %d of the routes and revision %d of the rules by labels.", changed.Version, changed.Revision),
+	})
+	g.workersMu.Lock()
+	defer g.workersMu.Unlock()
+	g.configuration = changed
+	g.selectWorkers()
 }
 
 // WorkersChanged is part of cluster.Listener.
 func (g *Gateway) WorkersChanged(workers backend.Set) {
-	g.dispatcher.SetWorkers(workers)
+	g.workersMu.Lock()
+	defer g.workersMu.Unlock()
+	g.workers = workers
+	g.selectWorkers()
 	addresses := map[string]bool{}
 	for _, worker := range workers {
 		addresses[worker.Address] = true
@@ -29,10 +46,14 @@
 	logging.Part(g.logger, "gateway").WithField("workers", len(workers)).Debug("Workers changed.")
 }
 
+// selectWorkers puts the workers into their groups. The mutex of the workers is held.
+func (g *Gateway) selectWorkers() { g.dispatcher.SetWorkers(g.configuration.Select(g.workers)) }
+
 // GatewaysChanged is part of cluster.Listener.
 func (g *Gateway) GatewaysChanged() {
 	serving := g.view.Serving()
 	g.dispatcher.SetGateways(len(serving))
+	g.handler.SetGateways(len(member.Entries(serving, member.DefaultEntrySettings())))
 	g.replica.SetReaders(len(serving))
 	g.sharing.SetAudience(audienceOf(g.settings.Name, serving, member.Entries(serving, member.DefaultEntrySettings())))
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,16 +7,15 @@
 // Settings of a gateway, read once at its start but for the parts that Reload takes.
 type Settings struct {
 	// Name of the gateway, unique in the fleet.
-	Name   string
-	Zone   string
-	Region string
+	Name string
+	Zone string
 	// Cores is the processor capacity that this process may use, in cores.
 	Cores float64
-	// ListenCallers, ListenReady, ListenDirectory and ListenMetrics are host:port.
+	// ListenCallers, ListenReady, ListenDirectory and ListenAdmin are host:port. ListenAdmin serves operators and figures.
 	ListenCallers   string
 	ListenReady     string
 	ListenDirectory string
-	ListenMetrics   string
+	ListenAdmin     string
 	// ListenPeers is host:port at which other gateways send datagrams.
 	ListenPeers string
 	// ListenControl is host:port at which other gateways ask for what this one knows; empty serves nobody.
--- /dev/null
+++ b/internal/labfleet/command.go
@@ -0,0 +1,51 @@
+package labfleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/deployment"
+	"github.com/granitebay/granitebay/internal/store"
+)
+
+// Connect returns a client of the store at an address.
+type Connect func(address string) store.Store
+
+// Command is the command line of the stand-ins.
+type Command struct {
+	Deployment string  `default:"fes" help:"Deployment to stand in for: fes or magnolia."`
+	Listen     string  `default:"127.0.0.1:7000" help:"Address at which the store serves."`
+	Speed      float64 `default:"1" help:"Factor on the speed of the engines."`
+}
+
+// Validate checks what the types of the flags cannot say. The error names everything that is wrong.
+func (c *Command) Validate() error {
+	_, err := deployment.Find(c.Deployment)
+	problems := errors.Wrap(err, "--deployment")
+	if c.Speed <= 0 {
+		problems = errors.Join(problems, errors.Newf("--speed is %g, allowed is more than 0", c.Speed))
+	}
+	return problems
+}
+
+// Run runs the stand-ins until the context ends.
+func (c *Command) Run(ctx context.Context, out io.Writer, connect Connect) error {
+	chosen, err := deployment.Find(c.Deployment)
+	if err != nil {
+		return err
+	}
+	running, err := Start(ctx, Options{Deployment: chosen, Listen: c.Listen, Speed: c.Speed, Connect: connect})
+	if err != nil {
+		return err
+	}
+	defer running.Stop()
+	fmt.Fprintf(out, "store %s\n", running.StoreAddress())
+	for i, each := range chosen.Workers {
+		fmt.Fprintf(out, "worker %s at %s\n", each.Name, running.workers[i].Address())
+	}
+	<-ctx.Done()
+	return nil
+}
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -22,6 +22,8 @@
 	// PeerAddress takes datagrams of other gateways, host:port.
 	PeerAddress string `json:"peerAddress"`
 	Zone        string `json:"zone"`
+	// AdminAddress serves operators, host:port.
+	AdminAddress string `json:"adminAddress,omitempty"`
 	// Cores is the processor capacity, in cores.
 	Cores float64 `json:"cores"`
 	// Leaving gateways finish what they have and get no new callers.
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -1,11 +1,14 @@
 package operator
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/samber/lo"
 
@@ -21,16 +24,61 @@
 
 type configStatusCommand struct{}
 
+// spread is how far the configuration got around.
+type spread struct {
+	// Newest revision that a gateway has in force, and Everywhere the one that all have that answered.
+	Newest     uint64 `json:"newest"`
+	Everywhere uint64 `json:"everywhere"`
+	Gateways   int    `json:"gateways"`
+	// Behind names the gateways that have an older one, and Silent those that did not answer.
+	Behind []string `json:"behind,omitempty"`
+	Silent []string `json:"silent,omitempty"`
+	// unknown is set when a gateway that another one lists did not answer.
+	unknown bool
+}
+
+// spreadOf asks all gateways which revision they have in force.
+func spreadOf(ctx context.Context, s *session) spread {
+	processes, gaps := gatewayProcesses(ctx, s)
+	answers := askAll(ctx, processes, func(ctx context.Context, client *adminapi.Client) (adminapi.GatewayStatus, error) {
+		return client.Status(ctx)
+	})
+	result := spread{Silent: gaps}
+	statuses := map[string]adminapi.GatewayStatus{}
+	for _, each := range answers {
+		if each.err != nil {
+			result.Silent = append(result.Silent, each.process.gap(each.err))
+			result.unknown = result.unknown || each.process.name != ""
+			continue
+		}
+		statuses[each.value.Gateway] = each.value
+		result.Newest = max(result.Newest, each.value.Revision)
+	}
+	result.Gateways, result.Everywhere = len(statuses), result.Newest
+	for name, status := range statuses {
+		result.Everywhere = min(result.Everywhere, status.Revision)
+		if status.Revision < result.Newest {
+			result.Behind = append(result.Behind, fmt.Sprintf("%s has revision %d", name, status.Revision))
+		}
+	}
+	slices.Sort(result.Behind)
+	return result
+}
+
 // Run shows how far the configuration got around.
 func (configStatusCommand) Run(s *session) error {
-	return show(s, s.client.ConfigStatus, func(writer io.Writer, status adminapi.ConfigStatus) error {
-		fmt.Fprintf(writer, "accepted             revision %d (change %s)\n", status.Accepted, orNone(status.ChangeID))
-		fmt.Fprintf(writer, "in force here        revision %d\n", status.InForceHere)
-		fmt.Fprintf(writer, "in force everywhere  revision %d (%d live routers)\n", status.InForceEverywhere, status.LiveRouters)
-		laggards := lo.Map(status.Laggards, func(laggard configuration.Applied, _ int) string {
-			return fmt.Sprintf("%s has revision %d", laggard.Process, laggard.Revision)
-		})
-		printList(writer, "behind", laggards)
+	read := func(ctx context.Context) (spread, error) {
+		found := spreadOf(ctx, s)
+		if found.Gateways == 0 {
+			return found, errors.Newf("no gateway answered: %s", strings.Join(found.Silent, "; "))
+		}
+		return found, nil
+	}
+	return show(s, read, func(writer io.Writer, found spread) error {
+		fmt.Fprintf(writer, "newest in force      revision %d\n", found.Newest)
+		fmt.Fprintf(writer, "in force everywhere  revision %d (%d gateways)\n", found.Everywhere, found.Gateways)
+		printList(writer, "behind", found.Behind)
+		printList(writer, "did not answer", found.Silent)
 		return nil
 	})
 }
--- a/internal/operator/decisions.go
+++ b/internal/operator/decisions.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
@@ -20,20 +22,22 @@
 	timeLayout = "15:04:05.000"
 	// followedAtStart is how many earlier decisions --follow shows by default.
 	followedAtStart = 20
-	// overlap bounds the decisions of each router that may fall between the list and the stream.
+	// overlap bounds the decisions of each gateway that may fall between the list and the stream.
 	overlap = 1000
+	// streamBuffer bounds the decisions that wait to be printed.
+	streamBuffer = 1024
 )
 
-// decisionsCommand shows the decisions of all routers.
+// decisionsCommand shows the decisions of all gateways.
 type decisionsCommand struct {
-	Follow     bool   `help:"Go on showing decisions as they fall." short:"f"`
-	Last       int    `help:"Only so many of the latest; by default all that are kept, or 20 with --follow."`
-	ThisRouter bool   `help:"Only decisions of the router that is asked, not of all."`
-	Kind       string `help:"Only this kind, for example route, dispatch, order or plan."`
-	Engine     string `help:"Only decisions about this engine."`
-	Group      string `help:"Only decisions about this group."`
-	Request    string `help:"Only decisions about this request."`
-	Subject    string `help:"Only decisions with exactly this subject."`
+	Follow      bool   `help:"Go on showing decisions as they fall." short:"f"`
+	Last        int    `help:"Only so many of the latest; by default all that are kept, or 20 with --follow."`
+	ThisGateway bool   `help:"Only decisions of the gateway that is asked, not of all."`
+	Kind        string `help:"Only this kind, for example request, refusal or role."`
+	Worker      string `help:"Only decisions about this worker."`
+	Group       string `help:"Only decisions about this group."`
+	Request     string `help:"Only decisions about this request."`
+	Subject     string `help:"Only decisions with exactly this subject."`
 }
 
 // Validate checks what the types of the flags cannot say.
@@ -49,7 +53,7 @@
 }
 
 func (d decisionsCommand) filter() adminapi.DecisionFilter {
-	return adminapi.DecisionFilter{Kind: d.Kind, Subject: d.Subject, Engine: d.Engine, Group: d.Group, Request: d.Request}
+	return adminapi.DecisionFilter{Kind: d.Kind, Subject: d.Subject, Worker: d.Worker, Group: d.Group, Request: d.Request}
 }
 
 // Run shows the decisions.
@@ -82,15 +86,15 @@
 	return records[len(records)-last:]
 }
 
-// list returns the kept decisions, in order of time. Routers that did not answer are named on the standard error.
+// list returns the kept decisions, in order of time. Gateways that did not answer are named on the standard error.
 func (d decisionsCommand) list(s *session) ([]decision.Record, error) {
 	ctx, cancel := s.limited()
 	defer cancel()
-	if d.ThisRouter {
+	if d.ThisGateway {
 		list, err := s.client.Decisions(ctx, d.filter())
 		return list.Decisions, err
 	}
-	processes, gaps := routerProcesses(ctx, s)
+	processes, gaps := gatewayProcesses(ctx, s)
 	answers := askAll(ctx, processes, func(ctx context.Context, client *adminapi.Client) (adminapi.DecisionList, error) {
 		return client.Decisions(ctx, d.filter())
 	})
@@ -104,7 +108,7 @@
 		records = append(records, answer.value.Decisions...)
 	}
 	if failures == len(answers) {
-		return nil, errors.Newf("no router answered: %s", strings.Join(gaps, "; "))
+		return nil, errors.Newf("no gateway answered: %s", strings.Join(gaps, "; "))
 	}
 	printList(s.stderr, "missing", gaps)
 	return inOrder(records), nil
@@ -121,31 +125,68 @@
 			return err
 		}
 	}
-	missing := ""
-	filter := adminapi.StreamFilter{DecisionFilter: d.filter(), Fleet: !d.ThisRouter, Latest: overlap}
-	err := s.client.Follow(s.context, filter, adminapi.StreamHandler{
-		Decision: func(record decision.Record) error {
+	records, ended := d.streams(s)
+	for {
+		select {
+		case <-s.context.Done():
+			return nil
+		case err := <-ended:
+			if err != nil {
+				return err
+			}
+		case record := <-records:
 			// A process that started again counts from 1, later.
 			if last, found := seen[record.Process]; found && record.Sequence <= last.Sequence && !record.Time.After(last.Time) {
-				return nil
+				continue
 			}
 			seen[record.Process] = record
-			return s.printStreamed(record)
-		},
-		Heartbeat: func(heartbeat adminapi.Heartbeat) error {
-			now := strings.Join(heartbeat.NotFollowed, ", ")
-			if now != missing {
-				fmt.Fprintf(s.stderr, "%s %s\n", heartbeat.Time.UTC().Format(timeLayout),
-					lo.Ternary(now == "", "the decisions of all live routers come again", "missing are the decisions of "+now))
+			if err := s.printStreamed(record); err != nil {
+				return err
 			}
-			missing = now
-			return nil
-		},
+		}
+	}
+}
+
+// streams follows each gateway. The second channel gets an error once no gateway is followed any more.
+func (d decisionsCommand) streams(s *session) (<-chan decision.Record, <-chan error) {
+	records, ended := make(chan decision.Record, streamBuffer), make(chan error, 1)
+	processes := []process{}
+	if !d.ThisGateway {
+		processes, _ = gatewayProcesses(s.context, s)
+	}
+	clients := lo.Map(processes, func(each process, _ int) *adminapi.Client {
+		return adminapi.NewClient([]string{each.address}, http.DefaultClient)
 	})
-	if s.context.Err() != nil {
-		return nil
+	if len(clients) == 0 {
+		clients = append(clients, s.client)
 	}
-	return err
+	var following sync.WaitGroup
+	for _, client := range clients {
+		following.Go(func() {
+			err := d.stream(s, client, records)
+			if s.context.Err() == nil {
+				fmt.Fprintf(s.stderr, "missing are the decisions of %s from now on: %v\n", strings.Join(client.Addresses(), ", "), err)
+			}
+		})
+	}
+	go func() {
+		following.Wait()
+		ended <- errors.New("no gateway is followed any more")
+	}()
+	return records, ended
+}
+
+// stream hands on the decisions of one gateway.
+func (d decisionsCommand) stream(s *session, client *adminapi.Client, records chan<- decision.Record) error {
+	filter := adminapi.StreamFilter{DecisionFilter: d.filter(), Latest: overlap}
+	return client.Follow(s.context, filter, adminapi.StreamHandler{Decision: func(record decision.Record) error {
+		select {
+		case records <- record:
+			return nil
+		case <-s.context.Done():
+			return s.context.Err()
+		}
+	}})
 }
 
 // printStreamed writes one decision of a stream: a line of JSON, a YAML document, or a line for people.
--- a/internal/operator/edit.go
+++ b/internal/operator/edit.go
@@ -66,7 +66,7 @@
 		fmt.Fprintln(writer, "nothing would change")
 	}
 	printList(writer, "changes", consequences.Differences)
-	printList(writer, "engines that change their group", consequences.EngineMoves)
+	printList(writer, "workers that change their group", consequences.WorkerMoves)
 	printList(writer, "requests that change their rule", consequences.RequestMoves)
 	printList(writer, "warnings", consequences.Warnings)
 }
@@ -113,8 +113,8 @@
 	ctx, cancel := context.WithTimeout(s.context, wait)
 	defer cancel()
 	for {
-		status, err := s.client.ConfigStatus(ctx)
-		if err == nil && status.InForceEverywhere >= revision {
+		found := spreadOf(ctx, s)
+		if found.Gateways > 0 && !found.unknown && found.Everywhere >= revision {
 			fmt.Fprintf(s.stderr, "revision %d is in force everywhere\n", revision)
 			return nil
 		}
@@ -128,17 +128,17 @@
 
 // labelCommand sets and removes labels.
 type labelCommand struct {
-	Engine labelEngineCommand `cmd:"" help:"Set or remove labels of one engine: KEY=VALUE sets, KEY- removes."`
+	Worker labelWorkerCommand `cmd:"" help:"Set or remove labels of one worker: KEY=VALUE sets, KEY- removes."`
 }
 
-type labelEngineCommand struct {
+type labelWorkerCommand struct {
 	editFlags
-	Name   string   `arg:"" help:"Name of the engine."`
+	Name   string   `arg:"" help:"Address of the worker, host:port."`
 	Labels []string `arg:"" help:"KEY=VALUE to set a label, KEY- to remove it." placeholder:"KEY=VALUE|KEY-"`
 }
 
-// Run edits the labels of an engine.
-func (l labelEngineCommand) Run(s *session) error {
+// Run edits the labels of a worker.
+func (l labelWorkerCommand) Run(s *session) error {
 	edits, err := labelEdits(l.Name, l.Labels)
 	if err != nil {
 		return badInput(err)
@@ -149,23 +149,23 @@
 	if err != nil {
 		return err
 	}
-	if engines, err := s.client.Engines(ctx); err == nil && !lo.ContainsBy(engines, func(each adminapi.EngineStatus) bool { return each.Name == l.Name }) {
-		fmt.Fprintf(s.stderr, "note: no engine %s is known now; the labels count once one of this name is there\n", l.Name)
+	if workers, err := s.client.Workers(ctx); err == nil && !lo.ContainsBy(workers, func(each adminapi.WorkerStatus) bool { return each.Address == l.Name }) {
+		fmt.Fprintf(s.stderr, "note: no worker at %s is known now; the labels count once one is there\n", l.Name)
 	}
 	return l.propose(s, ctx, document.Revision, edits)
 }
 
 // labelEdits turns KEY=VALUE and KEY- into edits.
-func labelEdits(engineName string, arguments []string) ([]configuration.Edit, error) {
+func labelEdits(workerName string, arguments []string) ([]configuration.Edit, error) {
 	var edits []configuration.Edit
 	for _, argument := range arguments {
 		key, value, sets := strings.Cut(argument, "=")
 		removed, removes := strings.CutSuffix(argument, "-")
 		switch {
 		case sets && key != "":
-			edits = append(edits, configuration.SetLabel(engineName, key, value))
+			edits = append(edits, configuration.SetLabel(workerName, key, value))
 		case !sets && removes && removed != "":
-			edits = append(edits, configuration.RemoveLabel(engineName, removed))
+			edits = append(edits, configuration.RemoveLabel(workerName, removed))
 		default:
 			return nil, errors.Newf("%q is neither KEY=VALUE nor KEY-", argument)
 		}
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -17,16 +17,14 @@
 
 	"github.com/granitebay/granitebay/internal/adminapi"
 	"github.com/granitebay/granitebay/internal/decision"
-	"github.com/granitebay/granitebay/internal/membership"
 )
 
 // processTimeout bounds the time in which one of several processes answers.
 const processTimeout = 5 * time.Second
 
-// explainCommand shows all decisions about one request, from all processes that it touched.
+// explainCommand shows all decisions about one request, from all gateways.
 type explainCommand struct {
-	Request string   `arg:"" help:"Id of the request."`
-	Agent   []string `help:"Agents to ask as well, host:port for callers; repeat it for several." placeholder:"HOST:PORT"`
+	Request string `arg:"" help:"Id of the request."`
 }
 
 // explained is what all processes know of a request.
@@ -43,7 +41,7 @@
 	defer cancel()
 	result := e.collect(ctx, s)
 	if len(result.Decisions) == 0 {
-		return errors.Newf("no router or agent that was asked has a decision about request %s%s", e.Request,
+		return errors.Newf("no gateway that was asked has a decision about request %s%s", e.Request,
 			strings.Join(lo.Map(result.Gaps, func(gap string, _ int) string { return "\n  " + gap }), ""))
 	}
 	return s.print(result, func(writer io.Writer) error { return printExplained(writer, result) })
@@ -51,10 +49,7 @@
 
 // collect asks all processes and puts their decisions in order of time.
 func (e explainCommand) collect(ctx context.Context, s *session) explained {
-	processes, gaps := routerProcesses(ctx, s)
-	processes = append(processes, lo.Map(e.Agent, func(address string, _ int) process {
-		return process{name: "agent", address: address}
-	})...)
+	processes, gaps := gatewayProcesses(ctx, s)
 	answers := askAll(ctx, processes, func(ctx context.Context, client *adminapi.Client) (adminapi.Explanation, error) {
 		return client.Explain(ctx, e.Request)
 	})
@@ -63,7 +58,7 @@
 	answered := make(map[string]bool)
 	for _, answer := range answers {
 		if answer.err == nil {
-			answered[answer.value.Router] = true
+			answered[answer.value.Gateway] = true
 			records = append(records, answer.value.Decisions...)
 			result.Gaps = append(result.Gaps, forgotten(e.Request, answer.value)...)
 		}
@@ -73,9 +68,6 @@
 			result.Gaps = append(result.Gaps, answer.process.gap(answer.err))
 		}
 	}
-	if len(e.Agent) == 0 {
-		result.Gaps = append(result.Gaps, "the agent of the caller was not asked; name it with --agent HOST:PORT")
-	}
 	result.Decisions = inOrder(records)
 	return result
 }
@@ -88,40 +80,32 @@
 		return nil
 	}
 	return []string{fmt.Sprintf("%s has decisions only since %s, which is after the request came",
-		explanation.Router, explanation.KeptSince.UTC().Format(time.RFC3339))}
+		explanation.Gateway, explanation.KeptSince.UTC().Format(time.RFC3339))}
 }
 
-// stateDead is the state of a router that is held to be dead.
-const stateDead = string(membership.StateDead)
-
-// process is a router or agent to ask.
+// process is a gateway to ask.
 type process struct {
-	// name is empty for a given address whose router is not known yet.
+	// name is empty for a given address whose gateway is not known yet.
 	name    string
 	address string
-	// dead is set for a router that is held to be dead.
-	dead bool
 }
 
 // gap tells why a process did not answer.
 func (p process) gap(err error) string {
-	if p.address == "" && p.dead {
-		return p.name + " was not asked: it is dead, and its decisions with it"
-	}
 	if p.address == "" {
 		return fmt.Sprintf("%s was not asked: its admin address is not known", p.name)
 	}
-	return fmt.Sprintf("%s at %s did not answer: %v", lo.CoalesceOrEmpty(p.name, "router"), p.address, err)
+	return fmt.Sprintf("%s at %s did not answer: %v", lo.CoalesceOrEmpty(p.name, "gateway"), p.address, err)
 }
 
-// routerProcesses returns the given addresses and all routers that a router knows, and what is missing.
-func routerProcesses(ctx context.Context, s *session) (processes []process, gaps []string) {
-	routers, err := s.client.Routers(ctx)
+// gatewayProcesses returns the given addresses and all gateways that a gateway knows, and what is missing.
+func gatewayProcesses(ctx context.Context, s *session) (processes []process, gaps []string) {
+	gateways, err := s.client.Gateways(ctx)
 	if err != nil {
-		gaps = append(gaps, fmt.Sprintf("only the given routers were asked, because none listed the others: %v", err))
+		gaps = append(gaps, fmt.Sprintf("only the given gateways were asked, because none listed the others: %v", err))
 	}
-	processes = lo.Map(routers, func(router adminapi.RouterStatus, _ int) process {
-		return process{name: router.Name, address: router.AdminAddress, dead: router.State == stateDead}
+	processes = lo.Map(gateways, func(gateway adminapi.PeerStatus, _ int) process {
+		return process{name: gateway.Name, address: gateway.AdminAddress}
 	})
 	listed := lo.Map(processes, func(each process, _ int) string { return each.address })
 	for _, address := range s.client.Addresses() {
@@ -178,9 +162,6 @@
 		if err := printDecision(writer, record); err != nil {
 			return err
 		}
-		for _, candidate := range record.Candidates {
-			fmt.Fprintf(writer, "    %s\n", describeCandidate(candidate))
-		}
 		if len(record.Inputs) > 0 {
 			fmt.Fprintf(writer, "    inputs %s\n", pairs(record.Inputs))
 		}
@@ -188,10 +169,3 @@
 	printList(writer, "gaps", result.Gaps)
 	return nil
 }
-
-func describeCandidate(candidate decision.Candidate) string {
-	if candidate.FilteredBy != "" {
-		return fmt.Sprintf("%s left out by %s", candidate.Name, candidate.FilteredBy)
-	}
-	return fmt.Sprintf("%s scored %.3f", candidate.Name, candidate.Score)
-}
--- a/internal/operator/files.go
+++ b/internal/operator/files.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(s.stdout, "%s is valid: %d models, %d groups, %d rules, %d tenants, labels on %d engines\n",
-		v.File, len(document.Models), len(document.Groups), len(document.Rules), len(document.Tenants), len(document.EngineLabels))
+	_, err = fmt.Fprintf(s.stdout, "%s is valid: %d groups, %d rules, labels on %d workers\n",
+		v.File, len(document.Groups), len(document.Rules), len(document.WorkerLabels))
 	return err
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,4 +1,4 @@
-// Package operator is the command line of operators. It talks to any router and changes the fleet only by changing
+// Package operator is the command line of operators. It talks to any gateway and changes the fleet only by changing
 // labels, selectors and the rest of the configuration.
 package operator
 
@@ -24,19 +24,19 @@
 
 // grammar is the whole command line.
 type grammar struct {
-	Router  []string      `help:"Routers to ask, host:port of their admin API; the next one is asked when one cannot be reached." default:"127.0.0.1:7190" env:"GRANITEBAY_ROUTER" sep:"," placeholder:"HOST:PORT"`
+	Gateway []string      `help:"Gateways to ask, host:port of their admin API; the next one is asked when one cannot be reached." default:"127.0.0.1:9464" env:"GRANITEBAY_GATEWAY" sep:"," placeholder:"HOST:PORT"`
 	Output  string        `help:"Output format: table, json or yaml." short:"o" enum:"table,json,yaml" default:"table"`
 	Timeout time.Duration `help:"How long to wait for one command." default:"30s"`
 
 	Status    statusCommand    `cmd:"" help:"Show the status of the fleet."`
-	Get       getCommand       `cmd:"" help:"Show engines, groups, rules, routers or the configuration."`
+	Get       getCommand       `cmd:"" help:"Show workers, groups, rules, gateways or the configuration."`
 	Label     labelCommand     `cmd:"" help:"Set or remove labels."`
 	Apply     applyCommand     `cmd:"" help:"Put the configuration of a file in force."`
 	Diff      diffCommand      `cmd:"" help:"Show what applying a file would do."`
-	Validate  validateCommand  `cmd:"" help:"Check a file, without a router."`
+	Validate  validateCommand  `cmd:"" help:"Check a file, without a gateway."`
 	Config    configCommand    `cmd:"" help:"Show how far the configuration got around, and its edits."`
 	Decisions decisionsCommand `cmd:"" help:"Show what the system decided and why."`
-	Explain   explainCommand   `cmd:"" help:"Show all decisions about one request, from all processes that it touched."`
+	Explain   explainCommand   `cmd:"" help:"Show all decisions about one request, from the gateway that served it."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
 
 	Order    refusedCommand `cmd:"" hidden:""`
@@ -98,7 +98,7 @@
 		return report(stderr, badInput(errors.Newf("%s (try %s --help)", err, Name)))
 	}
 	current := &session{
-		context: ctx, client: adminapi.NewClient(parsed.Router, http.DefaultClient),
+		context: ctx, client: adminapi.NewClient(parsed.Gateway, http.DefaultClient),
 		stdout: stdout, stderr: stderr, output: outputFormat(parsed.Output), timeout: parsed.Timeout,
 	}
 	return report(stderr, chosen.Run(current))
--- a/internal/operator/refused.go
+++ b/internal/operator/refused.go
@@ -8,7 +8,7 @@
 	"github.com/samber/lo"
 )
 
-// refusedCommand stands for commands to a single engine, which do not exist.
+// refusedCommand stands for commands to a single worker, which do not exist.
 type refusedCommand struct {
 	Arguments []string `arg:"" optional:"" passthrough:""`
 }
@@ -17,27 +17,27 @@
 func (r refusedCommand) Run(chosen *kong.Context) error {
 	name, found := lo.Find(r.Arguments, func(argument string) bool { return !strings.HasPrefix(argument, "-") })
 	if !found {
-		name = "ENGINE"
+		name = "WORKER"
 	}
 	verb := chosen.Command()
 	verb, _, _ = strings.Cut(verb, " ")
-	return badInput(errors.Newf("there is no command %q: engines take no commands, only labels and selectors move them.\n%s",
-		verb, strings.ReplaceAll(instead(verb), "ENGINE", name)))
+	return badInput(errors.Newf("there is no command %q: workers take no commands, only labels and selectors move them.\n%s",
+		verb, strings.ReplaceAll(instead(verb), "WORKER", name)))
 }
 
 // instead names the edit that has the effect of a command.
 func instead(verb string) string {
 	switch verb {
 	case "order":
-		return "To change roles, edit rolePolicy (allowedRoles, floors) of the engine's group: granitebay apply -f FILE.\n" +
-			"To change the model of one engine, move it to a group with that model: granitebay label engine ENGINE pool=GROUP"
+		return "To change roles, edit roleFloors of the worker's group: granitebay apply -f FILE.\n" +
+			"To move one worker, change its labels: granitebay label worker WORKER pool=GROUP"
 	case "restart":
-		return "Engines are restarted by the platform. To let one run empty first, take it out of its group, as far as its\n" +
-			"group selects the label pool: granitebay label engine ENGINE pool-"
+		return "Workers are restarted by the platform. To let one run empty first, take it out of its group, as far as its\n" +
+			"group selects the label pool: granitebay label worker WORKER pool-"
 	case "uncordon":
-		return "To give an engine new work, set the label that its group selects: granitebay label engine ENGINE pool=GROUP"
+		return "To give a worker new work, set the label that its group selects: granitebay label worker WORKER pool=GROUP"
 	default:
-		return "To let an engine run empty, take it out of its group by removing the label that the group selects:\n" +
-			"granitebay label engine ENGINE pool-\nSee the selectors with: granitebay get groups"
+		return "To let a worker run empty, take it out of its group by removing the label that the group selects:\n" +
+			"granitebay label worker WORKER pool-\nSee the selectors with: granitebay get groups"
 	}
 }
--- a/internal/operator/show.go
+++ b/internal/operator/show.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"strconv"
 	"strings"
 
 	"github.com/jedib0t/go-pretty/v6/table"
@@ -14,21 +13,21 @@
 	"github.com/granitebay/granitebay/internal/configuration"
 )
 
-// statusCommand shows the status of the fleet.
+// statusCommand shows the status of the gateway that answers.
 type statusCommand struct{}
 
 // Run shows the status.
 func (statusCommand) Run(s *session) error {
-	return show(s, s.client.FleetStatus, func(writer io.Writer, status adminapi.FleetStatus) error {
-		everywhere := lo.Ternary(status.ConfigRevisionInForce >= status.ConfigRevision, "in force everywhere",
-			fmt.Sprintf("lowest in force %d", status.ConfigRevisionInForce))
-		fmt.Fprintf(writer, "router          %s (%s), version %s\n", status.Router, status.Zone, status.Version)
+	return show(s, s.client.Status, func(writer io.Writer, status adminapi.GatewayStatus) error {
+		fmt.Fprintf(writer, "gateway         %s (%s), version %s\n", status.Gateway, status.Zone, status.Version)
 		fmt.Fprintf(writer, "ready           %t%s\n", status.Ready, lo.Ternary(status.Stopping, ", stopping", ""))
-		fmt.Fprintf(writer, "configuration   revision %d, %s\n", status.ConfigRevision, everywhere)
-		fmt.Fprintf(writer, "routers         %d live\n", status.LiveRouters)
-		fmt.Fprintf(writer, "engines         %d (%s)\n", status.Engines, counts(status.EngineStates))
-		fmt.Fprintf(writer, "requests        %d running, %d waiting\n", status.RunningRequests, status.WaitingRequests)
-		fmt.Fprintf(writer, "role changes    %d since the routers started\n", status.RoleChanges)
+		fmt.Fprintf(writer, "configuration   routes version %d, rules by labels revision %d; the store was followed %d ms ago\n",
+			status.RouteVersion, status.Revision, status.StoreAgeMillis)
+		fmt.Fprintf(writer, "gateways        %d, callers are sent to %d%s\n", status.Gateways, status.Entries,
+			lo.Ternary(status.Entry, ", this one among them", ""))
+		fmt.Fprintf(writer, "workers         %s\n", counts(status.Workers))
+		fmt.Fprintf(writer, "orders          %s\n", lo.Ternary(status.GivesOrders, "given by this gateway", "given by another gateway"))
+		fmt.Fprintf(writer, "requests        %d in hand here\n", status.InHand)
 		printList(writer, "warnings", status.Warnings)
 		return nil
 	})
@@ -36,11 +35,11 @@
 
 // getCommand shows objects.
 type getCommand struct {
-	Engines getEngines `cmd:"" aliases:"engine" help:"Show all engines."`
-	Groups  getGroups  `cmd:"" aliases:"group" help:"Show all groups."`
-	Rules   getRules   `cmd:"" aliases:"rule" help:"Show all rules, in the order in which they are tried."`
-	Routers getRouters `cmd:"" aliases:"router" help:"Show all routers."`
-	Config  getConfig  `cmd:"" help:"Show the configuration in force, as a file for apply."`
+	Workers  getWorkers  `cmd:"" aliases:"worker" help:"Show all workers."`
+	Groups   getGroups   `cmd:"" aliases:"group" help:"Show all groups."`
+	Rules    getRules    `cmd:"" aliases:"rule" help:"Show all rules, in the order in which they are tried."`
+	Gateways getGateways `cmd:"" aliases:"gateway" help:"Show all gateways."`
+	Config   getConfig   `cmd:"" help:"Show the configuration in force, as a file for apply."`
 }
 
 // show reads a value and prints it.
@@ -61,47 +60,35 @@
 	})
 }
 
-type getEngines struct {
+type getWorkers struct {
 	ShowLabels bool `help:"Show all labels."`
 }
 
-// Run shows the engines.
-func (g getEngines) Run(s *session) error {
-	header := table.Row{"Name", "Zone", "Group", "State", "Role", "Model", "Running", "Waiting", "Memory", "Owner", "Fence"}
+// Run shows the workers.
+func (g getWorkers) Run(s *session) error {
+	header := table.Row{"Address", "Service", "Groups", "Zone", "State", "Role", "Running", "Reading", "Slots", "ID"}
 	if g.ShowLabels {
 		header = append(header, "Labels")
 	}
-	return showTable(s, s.client.Engines, header, func(engine adminapi.EngineStatus) table.Row {
+	return showTable(s, s.client.Workers, header, func(worker adminapi.WorkerStatus) table.Row {
 		row := table.Row{
-			engine.Name, engine.Zone, orNone(engine.Group), engine.State, orNone(engine.Role),
-			orNone(engine.Model) + ":" + orNone(engine.ModelVersion), engine.RunningRequests, engine.WaitingRequests,
-			percent(engine.MemoryUsed, engine.MemoryTotal), orNone(engine.Owner),
-			fmt.Sprintf("%d.%d", engine.Epoch, engine.Generation),
+			worker.Address, worker.Service, orNone(strings.Join(worker.Groups, ",")), worker.Zone, worker.State, orNone(worker.Role),
+			worker.Running, worker.ReadingTokens, worker.Slots, worker.ID,
 		}
 		if g.ShowLabels {
-			row = append(row, pairs(engine.Labels))
+			row = append(row, pairs(worker.Labels))
 		}
 		return row
 	})
 }
 
-func percent(part, whole int) string {
-	if whole == 0 {
-		return "-"
-	}
-	return strconv.Itoa(100*part/whole) + "%"
-}
-
 type getGroups struct{}
 
 // Run shows the groups.
 func (getGroups) Run(s *session) error {
-	header := table.Row{"Name", "Engines", "Roles", "Changing", "Running", "Waiting", "Change cost", "Models", "Selector", "Plan"}
+	header := table.Row{"Name", "Of", "Workers", "Roles", "Running", "Reading"}
 	return showTable(s, s.client.Groups, header, func(group adminapi.GroupStatus) table.Row {
-		return table.Row{
-			group.Name, group.Engines, counts(group.Roles), group.Changing, group.RunningRequests, group.WaitingRequests,
-			group.ChangeCost, strings.Join(group.Models, ","), orNone(group.EngineSelector), orNone(group.Plan),
-		}
+		return table.Row{group.Name, orNone(group.Of), group.Workers, counts(group.Roles), group.Running, group.ReadingTokens}
 	})
 }
 
@@ -109,24 +96,23 @@
 
 // Run shows the rules.
 func (getRules) Run(s *session) error {
-	header := table.Row{"Name", "Precedence", "Selector", "Groups", "Priority", "Running", "Waiting"}
+	header := table.Row{"Name", "Match", "Groups", "Priority", "Timeout", "Objective"}
 	return showTable(s, s.client.Rules, header, func(rule adminapi.RuleStatus) table.Row {
 		return table.Row{
-			rule.Name, rule.Precedence, orNone(rule.RequestSelector), strings.Join(rule.Groups, ","), rule.Priority,
-			rule.RunningRequests, rule.WaitingRequests,
+			rule.Name, rule.Match, strings.Join(rule.Groups, ","), rule.Priority,
+			fmt.Sprintf("%d ms", rule.TimeoutMs), fmt.Sprintf("%d ms", rule.ObjectiveMs),
 		}
 	})
 }
 
-type getRouters struct{}
+type getGateways struct{}
 
-// Run shows the routers.
-func (getRouters) Run(s *session) error {
-	header := table.Row{"Name", "Zone", "State", "Configuration", "Engines", "Address", "Admin", "Incarnation"}
-	return showTable(s, s.client.Routers, header, func(router adminapi.RouterStatus) table.Row {
+// Run shows the gateways.
+func (getGateways) Run(s *session) error {
+	header := table.Row{"Name", "Zone", "Entry", "Reachable", "Cores", "Address", "Admin"}
+	return showTable(s, s.client.Gateways, header, func(gateway adminapi.PeerStatus) table.Row {
 		return table.Row{
-			router.Name, router.Zone, router.State, router.ConfigRevision, router.OwnedEngines, router.Address,
-			orNone(router.AdminAddress), router.Incarnation,
+			gateway.Name, gateway.Zone, gateway.Entry, gateway.Reachable, gateway.Cores, gateway.Address, orNone(gateway.AdminAddress),
 		}
 	})
 }
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -11,6 +11,8 @@
 
 	"github.com/granitebay/granitebay/internal/authority"
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/store"
 )
 
@@ -86,23 +88,46 @@
 	fleet    Fleet
 	logger   logrus.FieldLogger
 	planners map[string]*Planner
+	decide   func(decision.Record)
 
 	mutex     sync.Mutex
 	authority *authority.Authority
 	lease     int64
+	// floors are the least numbers of engines of each role, by group.
+	floors map[string]map[backend.Role]int
 	// vacant is set when nobody holds the key, and askAfter when this process may ask for it.
 	vacant   bool
 	askAfter time.Time
 }
 
 // NewController returns a controller that does nothing before Run.
-func NewController(settings ControllerSettings, store store.Store, orderer Orderer, fleet Fleet, logger logrus.FieldLogger) *Controller {
+func NewController(
+	settings ControllerSettings, store store.Store, orderer Orderer, fleet Fleet, logger logrus.FieldLogger, decide func(decision.Record),
+) *Controller {
 	return &Controller{
-		settings: settings, store: store, orderer: orderer, fleet: fleet, logger: logger,
+		settings: settings, store: store, orderer: orderer, fleet: fleet, logger: logger, decide: decide,
 		planners: map[string]*Planner{}, authority: authority.New(settings.Authority),
 	}
 }
 
+// SetGroups tells the least numbers of engines that each role keeps within each group.
+func (c *Controller) SetGroups(groups []routing.Group) {
+	floors := map[string]map[backend.Role]int{}
+	for _, group := range groups {
+		floors[group.Name] = group.LeastOfRole
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.floors = floors
+}
+
+// GivesOrders tells whether this process has the authority.
+func (c *Controller) GivesOrders() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.authority.Holds()
+}
+
 // Leased tells that the lease of the process was granted or renewed by a call that began at a moment.
 func (c *Controller) Leased(begun time.Time, lease int64, ttl time.Duration) {
 	c.mutex.Lock()
@@ -171,17 +196,25 @@
 		return
 	}
 	for group, engines := range c.fleet.Engines() {
-		planner, known := c.planners[group]
-		if !known {
-			planner = NewPlanner(c.settings.Planner)
-			c.planners[group] = planner
-		}
-		if change := planner.Next(now, engines); change != nil {
+		if change := c.planner(group).Next(now, engines); change != nil {
 			c.change(ctx, *change)
 		}
 	}
 }
 
+// planner returns the planner of a group with the floors of the moment.
+func (c *Controller) planner(group string) *Planner {
+	planner, known := c.planners[group]
+	if !known {
+		planner = NewPlanner(c.settings.Planner)
+		c.planners[group] = planner
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	planner.settings.LeastOfRole = c.floors[group]
+	return planner
+}
+
 // acquire asks for the key.
 func (c *Controller) acquire(ctx context.Context, lease int64) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
@@ -204,6 +237,10 @@
 	c.vacant = false
 	c.authority.Acquired(time.Now(), lease, revision)
 	c.logger.WithField("fence", revision).Info("This gateway gives the orders.")
+	c.decide(decision.Record{
+		Kind: decision.KindAuthority, Subject: Key, Outcome: c.settings.Holder, Fence: revision,
+		Reason: "Nobody held the key of the controller, and this gateway wrote it.",
+	})
 }
 
 // change keeps work off an engine and gives it its order.
@@ -221,9 +258,19 @@
 	if err != nil {
 		c.fleet.SetChanging(change.Worker.ID, change.Worker.Role)
 		log.WithError(err).Warn("An order was not taken.")
+		c.note(change, "not taken", "An order was not taken: "+err.Error()+".")
 		return
 	}
 	log.Info("An engine changes its role. " + change.Reason)
+	c.note(change, string(change.Role), change.Reason)
+}
+
+// note records a change of role as a decision.
+func (c *Controller) note(change Change, outcome, reason string) {
+	c.decide(decision.Record{
+		Kind: decision.KindRole, Subject: change.Worker.Address, Outcome: outcome, Reason: reason,
+		Inputs: map[string]string{"worker": change.Worker.ID, "group": change.Worker.RoleGroup(), "role": string(change.Role)},
+	})
 }
 
 // errNoAuthority is returned when the authority ended before the order was given.
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -36,8 +36,10 @@
 	Sustained time.Duration
 	// FullSlots is the share of slots in use from which engines that write have no room for the work of another one.
 	FullSlots float64
-	// LeastShare is the part of the engines that each role keeps, whatever the mix of the moment.
-	LeastShare float64
+	// LeastShare is the part of the engines that each role keeps, whatever the mix of the moment. LeastOfRole takes its place
+	// where operators give numbers.
+	LeastShare  float64
+	LeastOfRole map[backend.Role]int
 	// Pause between two changes.
 	Pause time.Duration
 }
@@ -131,7 +133,13 @@
 // canGive tells whether a side can do with one engine less.
 func (p *Planner) canGive(from, to side) bool {
 	left := len(from.engines) - 1
-	return left >= 1 && float64(left) >= p.settings.LeastShare*float64(len(from.engines)+len(to.engines))
+	if left < 1 {
+		return false
+	}
+	if len(p.settings.LeastOfRole) > 0 {
+		return left >= p.settings.LeastOfRole[from.engines[0].Worker.Role]
+	}
+	return float64(left) >= p.settings.LeastShare*float64(len(from.engines)+len(to.engines))
 }
 
 // sustained tells whether a shortage of a role has lasted.
--- a/internal/roles/planner_test.go
+++ b/internal/roles/planner_test.go
@@ -89,3 +89,16 @@
 		}
 	})
 }
+
+func TestFloorsOfOperatorsHold(t *testing.T) {
+	settings := DefaultSettings()
+	settings.LeastOfRole = map[backend.Role]int{backend.RoleDecode: 4}
+	for writers, want := range map[int]bool{4: false, 5: true} {
+		planner := NewPlanner(settings)
+		engines := fleetOf(20, writers, 40_000, 2)
+		planner.Next(epoch, engines)
+		if change := planner.Next(epoch.Add(time.Second), engines); (change != nil) != want {
+			t.Errorf("%d writers with a floor of 4: change %+v", writers, change)
+		}
+	}
+}
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -3,7 +3,12 @@
 package routing
 
 import (
+	"slices"
 	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/granitebay/granitebay/internal/backend"
 )
 
 // Kind says how often a request may run.
@@ -27,13 +32,35 @@
 	Weight int
 }
 
-// Rule says how the requests of one host below one path are served.
-type Rule struct {
-	Name string
+// Matcher says which requests a rule is for. It is a PathMatch or a LabelMatch.
+type Matcher interface{ isMatcher() }
+
+// PathMatch selects the requests of one host below one path. Among several the longest path wins.
+type PathMatch struct {
 	Host string
 	// PathPrefix begins and ends with a slash.
 	PathPrefix string
-	Kind       Kind
+}
+
+// LabelMatch selects requests by their labels. Among several the highest precedence wins, then the first name.
+type LabelMatch struct {
+	Selector   Selector
+	Precedence int
+}
+
+func (PathMatch) isMatcher()  {}
+func (LabelMatch) isMatcher() {}
+
+// Selector selects what has certain labels.
+type Selector interface {
+	MatchesLabels(labels map[string]string) bool
+}
+
+// Rule says how the requests that it matches are served.
+type Rule struct {
+	Name  string
+	Match Matcher
+	Kind  Kind
 	// Timeout bounds a request from its arrival to its end.
 	Timeout time.Duration
 	// Objective is the time within which the first byte of an answer is wanted.
@@ -48,6 +75,8 @@
 	Resumable bool
 	// Shares of the traffic, at least one.
 	Shares []Share
+	// TenantInFlight is the most requests of one tenant that all gateways together have in hand; zero is no limit.
+	TenantInFlight int
 }
 
 // Repeatable tells whether a request of the rule may run more than once.
@@ -71,9 +100,15 @@
 	RoleChange time.Duration
 }
 
-// Group is a set of interchangeable workers.
+// Group is a set of interchangeable workers: those that record themselves as its members, or those of another group that its
+// selector selects.
 type Group struct {
 	Name string
+	// Of is the group whose workers the selector selects from; empty for a group without a selector.
+	Of       string
+	Selector Selector
+	// LeastOfRole is the number of engines that each role keeps at the least.
+	LeastOfRole map[backend.Role]int
 	// MaxConnections is the number of connections that one worker accepts from all callers together.
 	MaxConnections int
 	// Engine is nil for groups of plain application workers.
@@ -94,9 +129,68 @@
 
 // Configuration is one revision of everything that an operator decides about the request path.
 type Configuration struct {
-	// Version rises with each change.
-	Version int64
-	Rules   []Rule
-	Groups  []Group
-	Limits  Limits
+	// Version of the routes and services, and Revision of the groups and rules by labels. Each rises with each change.
+	Version  int64
+	Revision int64
+	Rules    []Rule
+	Groups   []Group
+	Limits   Limits
+	// WorkerLabels are put on workers by operators, by address of the worker and key of the label.
+	WorkerLabels map[string]map[string]string
+}
+
+// WithLabels returns the configuration with groups and rules by labels besides its own. Groups take the engines of those from
+// which they select. Either part may be nil; nil is returned when both are.
+func (c *Configuration) WithLabels(byLabels *Configuration) *Configuration {
+	switch {
+	case byLabels == nil:
+		return c
+	case c == nil:
+		c = &Configuration{}
+	}
+	merged := *c
+	merged.Revision = byLabels.Revision
+	merged.WorkerLabels = byLabels.WorkerLabels
+	merged.Groups = slices.Clone(c.Groups)
+	for _, group := range byLabels.Groups {
+		merged.Groups = append(merged.Groups, c.selectedFrom(group))
+	}
+	merged.Rules = slices.Concat(c.Rules, byLabels.Rules)
+	return &merged
+}
+
+// selectedFrom gives a group what it takes over from the one from which it selects.
+func (c *Configuration) selectedFrom(group Group) Group {
+	for _, base := range c.Groups {
+		if base.Name == group.Of {
+			group.Engine, group.MaxConnections = base.Engine, base.MaxConnections
+			return group
+		}
+	}
+	return group
+}
+
+// Select returns the workers with the labels of the operators and the groups that select them. Workers are not changed.
+func (c *Configuration) Select(workers backend.Set) backend.Set {
+	if c == nil || (len(c.WorkerLabels) == 0 && !slices.ContainsFunc(c.Groups, func(g Group) bool { return g.Of != "" })) {
+		return workers
+	}
+	selected := make(backend.Set, len(workers))
+	for id, worker := range workers {
+		selected[id] = c.selectWorker(worker)
+	}
+	return selected
+}
+
+// selectWorker returns one worker with its labels and groups.
+func (c *Configuration) selectWorker(worker *backend.Worker) *backend.Worker {
+	labelled := *worker
+	labelled.Labels = lo.Assign(worker.Labels, c.WorkerLabels[worker.Address])
+	labelled.Selected = nil
+	for _, group := range c.Groups {
+		if group.Of == worker.Group && group.Selector != nil && group.Selector.MatchesLabels(labelled.Labels) {
+			labelled.Selected = append(labelled.Selected, group.Name)
+		}
+	}
+	return &labelled
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,8 +1,9 @@
 package routing
 
 import (
+	"cmp"
 	"net"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -13,11 +14,14 @@
 	groups        map[string]*Group
 	// byHost holds the entries of each host, the longest prefix first.
 	byHost map[string][]*entry
+	// byLabels holds the entries that match by labels, in the order in which they are tried.
+	byLabels []*entry
 }
 
 // entry is a rule with the state of its shares.
 type entry struct {
 	rule   *Rule
+	match  Matcher
 	shares *rotation
 }
 
@@ -41,15 +45,34 @@
 	}
 	for i := range configuration.Rules {
 		rule := &configuration.Rules[i]
-		host := strings.ToLower(rule.Host)
-		table.byHost[host] = append(table.byHost[host], &entry{rule: rule, shares: previous.rotationOf(rule)})
+		table.add(&entry{rule: rule, match: rule.Match, shares: previous.rotationOf(rule)})
 	}
-	for _, entries := range table.byHost {
-		sort.SliceStable(entries, func(a, b int) bool {
-			return len(entries[a].rule.PathPrefix) > len(entries[b].rule.PathPrefix)
+	table.sort()
+	return table
+}
+
+// add puts an entry where requests find it.
+func (t *Table) add(added *entry) {
+	switch match := added.match.(type) {
+	case PathMatch:
+		host := strings.ToLower(match.Host)
+		t.byHost[host] = append(t.byHost[host], added)
+	case LabelMatch:
+		t.byLabels = append(t.byLabels, added)
+	}
+}
+
+// sort brings the entries into the order in which they are tried.
+func (t *Table) sort() {
+	for _, entries := range t.byHost {
+		slices.SortStableFunc(entries, func(a, b *entry) int {
+			return cmp.Compare(len(b.match.(PathMatch).PathPrefix), len(a.match.(PathMatch).PathPrefix))
 		})
 	}
-	return table
+	slices.SortStableFunc(t.byLabels, func(a, b *entry) int {
+		before := cmp.Compare(b.match.(LabelMatch).Precedence, a.match.(LabelMatch).Precedence)
+		return cmp.Or(before, cmp.Compare(a.rule.Name, b.rule.Name))
+	})
 }
 
 // Configuration returns what the table was made of.
@@ -58,7 +81,21 @@
 // Match returns the rule with the longest prefix of the path among those of the host, and picks the group by the shares of
 // the rule. The host may carry a port.
 func (t *Table) Match(host, path string) (Match, bool) {
-	found := t.find(host, path)
+	return t.matchOf(t.find(host, path))
+}
+
+// MatchLabels returns the first rule that selects labels, and picks the group by the shares of the rule.
+func (t *Table) MatchLabels(labels map[string]string) (Match, bool) {
+	for _, candidate := range t.byLabels {
+		if candidate.match.(LabelMatch).Selector.MatchesLabels(labels) {
+			return t.matchOf(candidate)
+		}
+	}
+	return Match{}, false
+}
+
+// matchOf picks the group of an entry, which may be nil.
+func (t *Table) matchOf(found *entry) (Match, bool) {
 	if found == nil {
 		return Match{}, false
 	}
@@ -75,7 +112,7 @@
 		host = name
 	}
 	for _, candidate := range t.byHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, candidate.rule.PathPrefix) {
+		if strings.HasPrefix(path, candidate.match.(PathMatch).PathPrefix) {
 			return candidate
 		}
 	}
@@ -88,14 +125,34 @@
 	if t == nil {
 		return fresh
 	}
-	for _, candidate := range t.byHost[strings.ToLower(rule.Host)] {
-		if candidate.rule.PathPrefix == rule.PathPrefix && candidate.shares.same(rule.Shares) {
+	for _, candidate := range t.beside(rule) {
+		if candidate.shares.same(rule.Shares) {
 			return candidate.shares
 		}
 	}
 	return fresh
 }
 
+// beside returns the entries that stand where a rule does.
+func (t *Table) beside(rule *Rule) []*entry {
+	var found []*entry
+	switch match := rule.Match.(type) {
+	case PathMatch:
+		for _, candidate := range t.byHost[strings.ToLower(match.Host)] {
+			if candidate.match.(PathMatch).PathPrefix == match.PathPrefix {
+				found = append(found, candidate)
+			}
+		}
+	case LabelMatch:
+		for _, candidate := range t.byLabels {
+			if candidate.rule.Name == rule.Name {
+				found = append(found, candidate)
+			}
+		}
+	}
+	return found
+}
+
 // rotation deals requests to groups by smooth weighted round robin: after any number of requests each group is within one
 // request of its share.
 type rotation struct {
--- a/internal/routing/validate.go
+++ b/internal/routing/validate.go
@@ -24,6 +24,11 @@
 		}
 		groups[group.Name] = true
 	}
+	for i, group := range c.Groups {
+		if group.Of != "" && !groups[group.Of] {
+			add(fmt.Sprintf("groups[%d].of", i), "there is no group %q", group.Of)
+		}
+	}
 	for i := range c.Rules {
 		c.Rules[i].validate(fmt.Sprintf("rules[%d]", i), groups, add)
 	}
@@ -35,8 +40,17 @@
 
 // validate adds the faults of one rule.
 func (r *Rule) validate(path string, groups map[string]bool, add func(path, format string, args ...any)) {
-	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
-		add(path+".pathPrefix", "%q must begin and end with a slash", r.PathPrefix)
+	switch match := r.Match.(type) {
+	case PathMatch:
+		if !strings.HasPrefix(match.PathPrefix, "/") || !strings.HasSuffix(match.PathPrefix, "/") {
+			add(path+".pathPrefix", "%q must begin and end with a slash", match.PathPrefix)
+		}
+	case LabelMatch:
+		if match.Selector == nil {
+			add(path+".selector", "must be given")
+		}
+	default:
+		add(path+".match", "the rule must match by path or by labels")
 	}
 	if r.Timeout <= 0 {
 		add(path+".timeout", "%s must be above 0", r.Timeout)
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,197 @@
+// Package settings reads the settings of a gateway: a YAML file that is read at the start and whenever it changes. On the
+// users' machines the platform fills it from deploy/gateway.yaml.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/granitebay/granitebay/internal/gateway"
+	"github.com/granitebay/granitebay/internal/strictyaml"
+)
+
+// PathVariable names the environment variable with the path of the file.
+const PathVariable = "GRANITEBAY_CONFIG"
+
+// file is the form of the settings. Addresses are IP:PORT.
+type file struct {
+	// Name of the gateway, unique in the fleet. Required.
+	Name string `json:"name"`
+	// Zone of the gateway; near workers are preferred.
+	Zone string `json:"zone"`
+	// Cores is the processor capacity that the process may use.
+	Cores  float64 `json:"cores"`
+	Listen listen  `json:"listen"`
+	// Seeds are control addresses of other gateways; some may be stale or down.
+	Seeds []string `json:"seeds"`
+	// Store is the address of the store. Required.
+	Store   string  `json:"store"`
+	Timings timings `json:"timings"`
+	Retries retries `json:"retries"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"logLevel"`
+}
+
+// listen are the addresses at which a gateway serves.
+type listen struct {
+	// Callers, Ready, Directory and Peers are required.
+	Callers   string `json:"callers"`
+	Ready     string `json:"ready"`
+	Directory string `json:"directory"`
+	// Peers takes datagrams of other gateways.
+	Peers string `json:"peers"`
+	// Control answers other gateways; empty serves nobody.
+	Control string `json:"control"`
+	// Admin serves operators and figures; empty serves nobody.
+	Admin string `json:"admin"`
+}
+
+// timings are the durations that the surroundings of a gateway set.
+type timings struct {
+	// Grace is how long a planned stop may take.
+	Grace strictyaml.Duration `json:"grace"`
+	// AddressTTL is how long callers keep addresses, at most MaximumAddressTTL.
+	AddressTTL        strictyaml.Duration `json:"addressTTL"`
+	MaximumAddressTTL strictyaml.Duration `json:"maximumAddressTTL"`
+	// Lease is the time to live of leases in the store, at least MinimumLease.
+	Lease        strictyaml.Duration `json:"lease"`
+	MinimumLease strictyaml.Duration `json:"minimumLease"`
+	// Drain is how long a worker that leaves takes requests that are on their way.
+	Drain strictyaml.Duration `json:"drain"`
+	// Thaw is how long after a pause of the process no order is given.
+	Thaw strictyaml.Duration `json:"thaw"`
+}
+
+// retries bound the repeats of all gateways together within a window: a ratio of the requests and an allowance.
+type retries struct {
+	Ratio     float64             `json:"ratio"`
+	Allowance float64             `json:"allowance"`
+	Window    strictyaml.Duration `json:"window"`
+}
+
+// defaults returns a file in which only the required fields are missing.
+func defaults() file {
+	given := gateway.DefaultSettings()
+	return file{
+		Cores: given.Cores,
+		Timings: timings{
+			Grace: strictyaml.Duration(given.Grace), AddressTTL: strictyaml.Duration(given.AddressTTL),
+			MaximumAddressTTL: strictyaml.Duration(given.MaxAddressTTL), Lease: strictyaml.Duration(given.LeaseTTL),
+			Drain: strictyaml.Duration(given.DrainTime), Thaw: strictyaml.Duration(given.ThawPause),
+		},
+		Retries:  retries{Ratio: given.RetryRatio, Allowance: given.RetryAllowance, Window: strictyaml.Duration(given.RetryWindow)},
+		LogLevel: given.LogLevel,
+	}
+}
+
+// Load reads a settings file. The error names every field that is unknown, missing or out of range.
+func Load(path string) (*gateway.Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "step read the settings")
+	}
+	return Parse(content)
+}
+
+// Parse reads the content of a settings file.
+func Parse(content []byte) (*gateway.Settings, error) {
+	f := defaults()
+	err := strictyaml.Parse(content, &f)
+	var faults strictyaml.FieldErrors
+	errors.As(err, &faults)
+	if faults = append(faults, f.faults()...); len(faults) > 0 {
+		return nil, errors.Wrap(faults, "step check the settings")
+	}
+	return f.settings(), nil
+}
+
+// settings returns the file as the gateway takes it.
+func (f *file) settings() *gateway.Settings {
+	s := gateway.DefaultSettings()
+	s.Name, s.Zone, s.Cores = f.Name, f.Zone, f.Cores
+	s.ListenCallers, s.ListenReady, s.ListenDirectory = f.Listen.Callers, f.Listen.Ready, f.Listen.Directory
+	s.ListenPeers, s.ListenControl, s.ListenAdmin = f.Listen.Peers, f.Listen.Control, f.Listen.Admin
+	s.Seeds = slices.DeleteFunc(slices.Clone(f.Seeds), func(seed string) bool { return seed == f.Listen.Control })
+	s.StoreAddress = f.Store
+	s.Grace, s.DrainTime, s.ThawPause = f.Timings.Grace.Std(), f.Timings.Drain.Std(), f.Timings.Thaw.Std()
+	s.AddressTTL, s.MaxAddressTTL = f.Timings.AddressTTL.Std(), f.Timings.MaximumAddressTTL.Std()
+	s.LeaseTTL = max(f.Timings.Lease.Std(), f.Timings.MinimumLease.Std())
+	s.RetryRatio, s.RetryAllowance, s.RetryWindow = f.Retries.Ratio, f.Retries.Allowance, f.Retries.Window.Std()
+	s.LogLevel = f.LogLevel
+	return s
+}
+
+// faults returns everything that is missing or out of range.
+func (f *file) faults() strictyaml.FieldErrors {
+	c := &checker{}
+	if f.Name == "" {
+		c.add("name", f.Name, "is missing", "a name that no other gateway has")
+	}
+	c.positive("cores", f.Cores)
+	c.address("listen.callers", f.Listen.Callers, true)
+	c.address("listen.ready", f.Listen.Ready, true)
+	c.address("listen.directory", f.Listen.Directory, true)
+	c.address("listen.peers", f.Listen.Peers, true)
+	c.address("listen.control", f.Listen.Control, false)
+	c.address("listen.admin", f.Listen.Admin, false)
+	for i, seed := range f.Seeds {
+		c.address(fmt.Sprintf("seeds[%d]", i), seed, true)
+	}
+	c.address("store", f.Store, true)
+	c.duration("timings.grace", f.Timings.Grace, true)
+	c.duration("timings.addressTTL", f.Timings.AddressTTL, true)
+	c.duration("timings.maximumAddressTTL", f.Timings.MaximumAddressTTL, true)
+	c.duration("timings.lease", f.Timings.Lease, true)
+	c.duration("timings.minimumLease", f.Timings.MinimumLease, false)
+	c.duration("timings.drain", f.Timings.Drain, false)
+	c.duration("timings.thaw", f.Timings.Thaw, false)
+	c.atLeastZero("retries.ratio", f.Retries.Ratio)
+	c.atLeastZero("retries.allowance", f.Retries.Allowance)
+	c.duration("retries.window", f.Retries.Window, true)
+	if _, err := logrus.ParseLevel(f.LogLevel); err != nil {
+		c.add("logLevel", f.LogLevel, "is not a level", "debug, info, warn or error")
+	}
+	return c.faults
+}
+
+// checker collects faults.
+type checker struct{ faults strictyaml.FieldErrors }
+
+// add notes one fault.
+func (c *checker) add(field string, value any, problem, allowed string) {
+	c.faults = append(c.faults, strictyaml.FieldError{Field: field, Value: strictyaml.Quote(value), Problem: problem, Allowed: allowed})
+}
+
+// address checks IP:PORT.
+func (c *checker) address(field, value string, required bool) {
+	if value == "" && !required {
+		return
+	}
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		c.add(field, value, "is not an address", "IP:PORT")
+	}
+}
+
+func (c *checker) positive(field string, value float64) {
+	if !(value > 0) {
+		c.add(field, value, "is not positive", "a number above 0")
+	}
+}
+
+func (c *checker) atLeastZero(field string, value float64) {
+	if !(value >= 0) {
+		c.add(field, value, "is negative", "a number of at least 0")
+	}
+}
+
+func (c *checker) duration(field string, value strictyaml.Duration, positive bool) {
+	if value < 0 || (positive && value == 0) {
+		c.add(field, value, "is out of range", fmt.Sprintf("a duration above 0s, as in %s", 3*time.Second))
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/completion.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/granitebay/granitebay/internal/standin/answers"
+)
+
+// completionsPath is the path of completion requests.
+const completionsPath = "/v1/completions"
+
+// completion is a request for a completion.
+type completion struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens *int   `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// defaultMaxTokens is the length of an answer when a request does not give one.
+const defaultMaxTokens = 16
+
+// completionChunk is one event of a streamed answer, or a whole answer.
+type completionChunk struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+}
+
+// completionChoice is the only choice of an answer.
+type completionChoice struct {
+	Text  string `json:"text"`
+	Index int    `json:"index"`
+}
+
+// chunk returns an answer, or a part of one.
+func (c *completion) chunk(id, text string) completionChunk {
+	return completionChunk{ID: id, Object: "text_completion", Model: c.Model, Choices: []completionChoice{{Text: text}}}
+}
+
+// tokens returns the words of the answer.
+func (c *completion) tokens() []string {
+	count := defaultMaxTokens
+	if c.MaxTokens != nil {
+		count = *c.MaxTokens
+	}
+	return answers.AnswerTokens(answers.PromptDigest(c.Model, c.Prompt), 0, count)
+}
+
+// complete answers a completion request. Events are numbered from one, and the last one says that the answer is whole.
+func (w *Worker) complete(writer http.ResponseWriter, request *http.Request, id string, body []byte, fault WorkerFault) {
+	var wanted completion
+	if err := json.Unmarshal(body, &wanted); err != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if !wanted.Stream {
+		w.completeWhole(writer, request, id, &wanted)
+		return
+	}
+	writer.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(writer)
+	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	tokens := wanted.tokens()
+	for number := after + 1; number <= len(tokens)+1; number++ {
+		if !w.model.step(request.Context().Done()) {
+			return
+		}
+		if fault == WorkerCuts && number > after+2 {
+			_, _ = io.WriteString(writer, "id: "+strconv.Itoa(number)+"\nda")
+			_ = controller.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		data := []byte("[DONE]")
+		if number <= len(tokens) {
+			data, _ = json.Marshal(wanted.chunk(id, tokens[number-1]))
+		}
+		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, data)
+		_ = controller.Flush()
+	}
+}
+
+// completeWhole answers with one object.
+func (w *Worker) completeWhole(writer http.ResponseWriter, request *http.Request, id string, wanted *completion) {
+	tokens := wanted.tokens()
+	for range tokens {
+		if !w.model.step(request.Context().Done()) {
+			return
+		}
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(wanted.chunk(id, strings.Join(tokens, "")))
+}
--- a/internal/configuration/duration.go
+++ b/internal/strictyaml/duration.go
@@ -1,4 +1,4 @@
-package configuration
+package strictyaml
 
 import (
 	"encoding/json"
--- a/internal/configuration/field_error.go
+++ b/internal/strictyaml/field_error.go
@@ -1,4 +1,4 @@
-package configuration
+package strictyaml
 
 import (
 	"fmt"
@@ -43,8 +43,8 @@
 	return strings.Join(lines, "\n")
 }
 
-// orNil returns the faults as an error, or nil when there are none.
-func (e FieldErrors) orNil() error {
+// OrNil returns the faults as an error, or nil when there are none.
+func (e FieldErrors) OrNil() error {
 	if len(e) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/strictyaml/strictyaml_test.go
@@ -0,0 +1,33 @@
+package strictyaml
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+type sample struct {
+	Name  string   `json:"name"`
+	Ratio float64  `json:"ratio"`
+	Wait  Duration `json:"wait"`
+	Names []string `json:"names"`
+	Deep  struct {
+		Count int `json:"count"`
+	} `json:"deep"`
+}
+
+func TestParseKeepsDefaultsAndNamesAllFaults(t *testing.T) {
+	value := sample{Name: "default", Wait: Duration(time.Second)}
+	if err := Parse([]byte("ratio: 0.5\ndeep: {count: 3}\nnames: [a, b]"), &value); err != nil {
+		t.Fatal(err)
+	}
+	if value.Name != "default" || value.Wait.Std() != time.Second || value.Ratio != 0.5 || value.Deep.Count != 3 || len(value.Names) != 2 {
+		t.Errorf("got %+v", value)
+	}
+	err := Parse([]byte("name: 1\nratio: much\nwait: 3\nnames: a\ndeep: {count: 1.5, other: 1}"), &value)
+	for _, want := range []string{"name: 1", "ratio: \"much\"", "wait: 3", "names: \"a\"", "deep.count: 1.5", "deep.other"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v does not name %s", err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tenantlimit/tenantlimit_test.go
@@ -0,0 +1,43 @@
+package tenantlimit
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestShareIsNeverExceeded checks the invariant of Limiter, and that what ends makes room again.
+func TestShareIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := rapid.IntRange(1, 5).Draw(t, "gateways")
+		limit := rapid.IntRange(1, 9).Draw(t, "limit")
+		l := New()
+		l.SetGateways(gateways)
+		inHand := map[string]int{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			tenant := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "tenant")
+			if rapid.Bool().Draw(t, "end") && inHand[tenant] > 0 {
+				l.End("rule", tenant)
+				inHand[tenant]--
+				continue
+			}
+			share := (limit + gateways - 1) / gateways
+			granted := l.Begin("rule", tenant, limit)
+			if granted != (inHand[tenant] < share) {
+				t.Fatalf("tenant %s with %d of %d in hand: granted %t", tenant, inHand[tenant], share, granted)
+			}
+			if granted {
+				inHand[tenant]++
+			}
+		}
+	})
+}
+
+func TestNoTenantAndNoLimitAreNotBounded(t *testing.T) {
+	l := New()
+	for range 100 {
+		if !l.Begin("rule", "", 1) || !l.Begin("rule", "tenant", 0) {
+			t.Fatal("refused without a bound")
+		}
+	}
+}
