--- a/cmd/granitebay-lab/main.go
+++ b/cmd/granitebay-lab/main.go
@@ -12,6 +12,7 @@
 	"github.com/granitebay/granitebay/internal/demo"
 	"github.com/granitebay/granitebay/internal/labfleet"
 	"github.com/granitebay/granitebay/internal/logging"
+	"github.com/granitebay/granitebay/internal/soak"
 	"github.com/granitebay/granitebay/internal/store"
 	"github.com/granitebay/granitebay/platform"
 )
@@ -26,6 +27,7 @@
 
 	Demo  demo.Command     `cmd:"" help:"Run a whole deployment in this process, with live load and a shifting mix."`
 	Fleet labfleet.Command `cmd:"" help:"Run stand-ins of the store and the workers of a deployment."`
+	Soak  soak.Command     `cmd:"" help:"Run gateways as processes under faults and check the rules."`
 }
 
 func main() {
--- a/internal/labfleet/labfleet.go
+++ b/internal/labfleet/labfleet.go
@@ -50,7 +50,9 @@
 	f := &Fleet{deployment: options.Deployment, stand: fleet.NewFleet(), address: listener.Addr().String()}
 	f.server = &http.Server{Handler: f.stand.Store}
 	go func() { _ = f.server.Serve(listener) }()
-	f.stand.WriteRoutes(1, options.Deployment.Service, fleet.DefaultModel().MemoryTokens)
+	f.stand.Configure(fleet.Configuration{
+		Version: 1, Services: []fleet.Service{{Name: options.Deployment.Service, MemoryTokens: fleet.DefaultModel().MemoryTokens}},
+	})
 	labels := map[string]map[string]string{}
 	for _, each := range options.Deployment.Workers {
 		worker, err := f.stand.Start(workerOptions(options, each))
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,162 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/standin/fleet"
+)
+
+// start is when the histories of the tests begin.
+var start = time.Unix(1_700_000_000, 0)
+
+// at returns a moment of a history.
+func at(after time.Duration) time.Time { return start.Add(after) }
+
+// answered returns a request that was answered well, sent at a moment.
+func answered(id string, kind Kind, sent time.Duration) Request {
+	want := fleet.PlainAnswer(id, []byte("b"))
+	if kind == KindStream {
+		want = fleet.StreamAnswer(id, 3)
+	}
+	return Request{
+		Asked: fleet.Asked{ID: id}, Kind: kind, Sent: at(sent), Ended: at(sent + 100*time.Millisecond), Want: want,
+		Answer: fleet.Answered{Status: http.StatusOK, Signature: "s", Body: want},
+	}
+}
+
+// run returns one run of a request.
+func run(worker string, begun time.Duration) fleet.Run {
+	return fleet.Run{Worker: worker, Begun: at(begun)}
+}
+
+// TestEachCheckFindsItsBrokenRule gives each check a history in which nothing but its rule is broken, and one in which it is not.
+func TestEachCheckFindsItsBrokenRule(t *testing.T) {
+	broken := errors.New("EOF")
+	tests := []struct {
+		rule string
+		desc string
+		// change breaks the rule in a good history; excuse then adds what makes it allowed.
+		change func(h *History)
+		excuse func(h *History)
+	}{
+		{"TWICE", "work that runs once ran twice",
+			func(h *History) { h.Runs["r1"] = []fleet.Run{run("w1", 0), run("w2", time.Second)} },
+			func(h *History) { h.Requests[0].Kind = KindAgain }},
+		{"REFUSED", "what was refused ran",
+			func(h *History) {
+				h.Requests[0].Answer = fleet.Answered{Status: http.StatusServiceUnavailable}
+				h.Runs["r1"] = []fleet.Run{run("w1", 0)}
+			},
+			func(h *History) { h.Runs["r1"] = nil }},
+		{"MIXED", "the answer of another request",
+			func(h *History) { h.Requests[0].Answer.Body = "answer to r9" },
+			func(h *History) { h.Requests[0].Answer.Status = http.StatusBadGateway }},
+		{"MIXED", "an answer without a signature",
+			func(h *History) { h.Requests[0].Answer.Signature = "" },
+			func(h *History) { h.Requests[0].Answer.Status = http.StatusBadGateway }},
+		{"ORDER", "a stream that looks whole and is not",
+			func(h *History) { h.Requests[1].Answer.Body = fleet.StreamAnswer("r2", 2) },
+			func(h *History) {
+				h.Requests[1].Answer.Err = broken
+				h.Spans = []Span{{Fault: GatewayKill{}, Begun: at(0)}}
+			}},
+		{"ORDER", "a stream with an event twice",
+			func(h *History) {
+				h.Requests[1].Answer = fleet.Answered{Status: http.StatusOK, Body: fleet.Event("r2", 1) + fleet.Event("r2", 1), Err: broken}
+				h.Spans = []Span{{Fault: GatewayKill{}, Begun: at(0)}}
+			},
+			func(h *History) { h.Requests[1].Answer.Body = fleet.Event("r2", 1) + fleet.Event("r2", 2) }},
+		{"LOST", "a connection closed around planned work",
+			func(h *History) {
+				h.Requests[0].Answer = fleet.Answered{Err: broken}
+				h.Spans = []Span{{Fault: GatewayStop{}, Begun: at(0)}}
+			},
+			func(h *History) { h.Spans = append(h.Spans, Span{Fault: GatewayPause{}, Begun: at(0)}) }},
+		{"DRAIN", "work for a worker that left",
+			func(h *History) {
+				h.Departures = []Departure{{Worker: "w1", At: at(0)}}
+				h.Runs["r1"] = []fleet.Run{run("w1", drainTime+time.Millisecond)}
+			},
+			func(h *History) { h.Spans = []Span{{Fault: StoreCompact{}, Begun: at(0)}} }},
+		{"ONE", "two holders share a fence",
+			func(h *History) {
+				h.Orders = []fleet.Taken{{Holder: "a", Fence: 7}, {Holder: "b", Fence: 7, At: at(time.Hour)}}
+			},
+			func(h *History) { h.Orders[1].Fence = 8 }},
+		{"ONE", "a lower fence after a higher one",
+			func(h *History) {
+				h.Orders = []fleet.Taken{{Holder: "a", Fence: 7}, {Holder: "b", Fence: 6, At: at(time.Hour)}}
+			},
+			func(h *History) { h.Orders[1].Fence = 8 }},
+		{"ONE", "two holders within a lease",
+			func(h *History) {
+				h.Orders = []fleet.Taken{{Holder: "a", Fence: 7, At: at(0)}, {Holder: "b", Fence: 8, At: at(leaseTime - 1)}}
+			},
+			func(h *History) { h.Orders[1].At = at(leaseTime) }},
+		{"BUDGET", "more repeats than allowed",
+			func(h *History) {
+				for i := range retrySlack + 5 {
+					h.Arrivals = append(h.Arrivals, fleet.Arrival{ID: "r1", Service: servicePlain, At: at(time.Duration(i) * time.Millisecond)})
+				}
+			},
+			func(h *History) {
+				for i := range 30 {
+					h.Requests = append(h.Requests, answered(fmt.Sprint("more-", i), KindAgain, 0))
+				}
+			}},
+		{"CONFIG", "a configuration that comes late",
+			func(h *History) { h.Spread = []time.Duration{configTime + 1} },
+			func(h *History) { h.Spread[0] = configTime }},
+		{"RECOVER", "no service after everything has healed",
+			func(h *History) {
+				h.Quiet = []Span{{Begun: at(0), Ended: at(time.Second)}}
+				for i := range 40 {
+					r := answered(fmt.Sprint("more-", i), KindAgain, time.Millisecond)
+					r.Answer = fleet.Answered{Status: http.StatusServiceUnavailable}
+					h.Requests = append(h.Requests, r)
+				}
+			},
+			func(h *History) { h.Quiet[0].Begun, h.Quiet[0].Ended = at(time.Hour), at(time.Hour); h.Quiet = nil }},
+	}
+	for _, test := range tests {
+		t.Run(test.rule+" "+test.desc, func(t *testing.T) {
+			h := &History{Requests: []Request{answered("r1", KindOnce, 0), answered("r2", KindStream, 0)}, Runs: map[string][]fleet.Run{}}
+			if found := Check(h); len(found) > 0 {
+				t.Fatalf("a good history: %v", found)
+			}
+			test.change(h)
+			found := Check(h)
+			if len(found) == 0 || slices.ContainsFunc(found, func(v Violation) bool { return v.Rule != test.rule }) {
+				t.Errorf("found %v, want %s alone", found, test.rule)
+			}
+			test.excuse(h)
+			if found := Check(h); len(found) > 0 {
+				t.Errorf("it is allowed now, and yet: %v", found)
+			}
+		})
+	}
+}
+
+func TestRoundsAreDecidedByTheirSeed(t *testing.T) {
+	kinds := map[string]bool{}
+	for number := range 300 {
+		one, again := round(7, number, 4, 10), round(7, number, 4, 10)
+		if fmt.Sprint(one) != fmt.Sprint(again) {
+			t.Fatalf("round %d is another one the second time", number)
+		}
+		for _, each := range one {
+			kinds[fmt.Sprintf("%T", each.Fault)] = true
+			if each.At < 0 || each.At >= faultTime {
+				t.Errorf("a fault at %s", each.At)
+			}
+		}
+	}
+	if len(kinds) != 10 {
+		t.Errorf("only %d kinds of faults come: %v", len(kinds), kinds)
+	}
+}
--- /dev/null
+++ b/internal/soak/command.go
@@ -0,0 +1,221 @@
+package soak
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Command is the command line of the soak.
+type Command struct {
+	Deployment  string        `default:"fes" help:"Deployment whose shape the system has: fes or magnolia."`
+	For         time.Duration `default:"1m" help:"Time to inject faults; rounds of 12 s."`
+	Seed        uint64        `help:"Decides the faults and the requests; a new one by default."`
+	Rate        int           `default:"60" help:"Requests a second."`
+	Regressions bool          `help:"Play the seeds that once failed instead."`
+	Gateway     string        `help:"Program of the gateway; it is built by default, within the module." type:"path"`
+}
+
+// Validate checks what the types of the flags cannot say. The error names everything that is wrong.
+func (c *Command) Validate() error {
+	var problems error
+	if _, known := shapes[c.Deployment]; !known {
+		problems = errors.Newf("--deployment is %q, allowed are %s", c.Deployment, strings.Join(slices.Sorted(maps.Keys(shapes)), ", "))
+	}
+	if c.For < roundTime {
+		problems = errors.Join(problems, errors.Newf("--for is %s, allowed is %s or more", c.For, roundTime))
+	}
+	if c.Rate < 1 {
+		problems = errors.Join(problems, errors.Newf("--rate is %d, allowed is 1 or more", c.Rate))
+	}
+	return problems
+}
+
+// ErrBroken is the error of a soak that found a broken rule.
+var ErrBroken = errors.New("a rule was broken")
+
+// Run runs the soak until its time is over, a rule is broken, or the context ends.
+func (c *Command) Run(ctx context.Context, out io.Writer) error {
+	if c.Regressions {
+		return c.playRegressions(ctx, out)
+	}
+	if c.Seed == 0 {
+		c.Seed = uint64(time.Now().UnixNano())
+	}
+	return c.play(ctx, out)
+}
+
+// regressions are seeds that failed once, one a line: DEPLOYMENT SEED ROUNDS, then the cause.
+//
+//go:embed regressions.txt
+var regressions string
+
+// playRegressions plays each seed that failed once.
+func (c *Command) playRegressions(ctx context.Context, out io.Writer) error {
+	for line := range strings.Lines(regressions) {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		words := strings.Fields(line)
+		if len(words) < 4 {
+			return errors.Newf("step read the regressions: %q, wanted is DEPLOYMENT SEED ROUNDS CAUSE", line)
+		}
+		seed, seedErr := strconv.ParseUint(words[1], 10, 64)
+		rounds, roundsErr := strconv.Atoi(words[2])
+		if err := errors.Join(seedErr, roundsErr); err != nil {
+			return errors.Wrapf(err, "step read the regressions: %q", line)
+		}
+		one := Command{Deployment: words[0], Seed: seed, For: time.Duration(rounds) * roundTime, Rate: c.Rate, Gateway: c.Gateway}
+		if err := one.play(ctx, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play runs one seed.
+func (c *Command) play(ctx context.Context, out io.Writer) (err error) {
+	folder, err := os.MkdirTemp("", "granitebay-soak-")
+	if err != nil {
+		return errors.Wrap(err, "step make a folder for logs")
+	}
+	defer func() {
+		if err == nil {
+			_ = os.RemoveAll(folder)
+		}
+	}()
+	binary := c.Gateway
+	if binary == "" {
+		if binary, err = buildGateway(folder); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "soak --deployment %s --seed %d --for %s; logs in %s\n", c.Deployment, c.Seed, c.For, folder)
+	s, err := startSystem(ctx, shapes[c.Deployment], binary, folder)
+	if err != nil {
+		return err
+	}
+	defer s.stop()
+	calling, stopCalling := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.callers(calling, c.Seed, c.Rate)
+	}()
+	quiet, err := c.rounds(ctx, out, s)
+	stopCalling()
+	<-ended
+	if err != nil {
+		return err
+	}
+	return c.report(out, s.history(quiet), folder)
+}
+
+// rounds plays all rounds and returns the times in which the system had to serve.
+func (c *Command) rounds(ctx context.Context, out io.Writer, s *system) ([]Span, error) {
+	var quiet []Span
+	for number := range int(c.For / roundTime) {
+		faults := round(c.Seed, number, len(s.gateways), len(s.workers))
+		slices.SortStableFunc(faults, func(a, b Timed) int { return int(a.At - b.At) })
+		begun := time.Now()
+		for _, each := range faults {
+			sleep(ctx, time.Until(begun.Add(each.At)))
+			s.inject(each.Fault, calm(faults))
+		}
+		sleep(ctx, time.Until(begun.Add(faultTime)))
+		if err := s.heal(); err != nil {
+			return nil, err
+		}
+		sleep(ctx, recoverTime)
+		from := time.Now()
+		sleep(ctx, quietTime-recoverTime)
+		if ctx.Err() != nil {
+			return quiet, nil
+		}
+		quiet = append(quiet, Span{Begun: from, Ended: time.Now()})
+		fmt.Fprintf(out, "round %d: %s; %s\n", number, describe(faults), s.progress())
+		if found := Check(s.history(quiet)); len(found) > 0 {
+			return quiet, nil
+		}
+	}
+	return quiet, nil
+}
+
+// describe names the faults of a round.
+func describe(faults []Timed) string {
+	var texts []string
+	for _, each := range faults {
+		texts = append(texts, fmt.Sprintf("%.1fs %s", each.At.Seconds(), each.Fault))
+	}
+	return strings.Join(texts, ", ")
+}
+
+// progress counts what was seen so far.
+func (s *system) progress() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	served := 0
+	for _, r := range s.requests {
+		if r.Answer.Status == 200 && r.Answer.Err == nil {
+			served++
+		}
+	}
+	return fmt.Sprintf("%d requests, %d served, %d orders", len(s.requests), served, len(s.fleet.Orders()))
+}
+
+// shownViolations bounds what is printed of each kind.
+const shownViolations = 5
+
+// report prints the violations of a history, and keeps it beside the logs.
+func (c *Command) report(out io.Writer, h *History, folder string) error {
+	found := Check(h)
+	if len(found) == 0 {
+		fmt.Fprintf(out, "no rule was broken in %d requests\n", len(h.Requests))
+		return nil
+	}
+	for i, violation := range found {
+		if i < shownViolations {
+			fmt.Fprintln(out, violation)
+			fmt.Fprintln(out, "  "+h.of(violation.Subject))
+		}
+	}
+	fmt.Fprintf(out, "%d violations. Logs of all processes are kept in %s. Again: granitebay-lab soak --deployment %s --seed %d --for %s\n",
+		len(found), folder, c.Deployment, c.Seed, c.For)
+	_ = os.WriteFile(filepath.Join(folder, "violations.txt"), []byte(fmt.Sprintln(found)), 0o600)
+	return errors.Wrapf(ErrBroken, "soak: %d violations", len(found))
+}
+
+// of returns what is known of one request.
+func (h *History) of(id string) string {
+	for _, r := range h.Requests {
+		if r.Asked.ID == id {
+			return fmt.Sprintf("sent %s to %s, ended %s with %d %v; runs %+v", r.Sent.Format(clock), r.Gateway, r.Ended.Format(clock),
+				r.Answer.Status, r.Answer.Err, h.Runs[id])
+		}
+	}
+	return ""
+}
+
+// clock is how times are printed.
+const clock = "15:04:05.000"
+
+// sleep waits for a time or the end of the context.
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/soak/history.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/granitebay/granitebay/internal/standin/fleet"
+)
+
+// Kind is a kind of requests.
+type Kind string
+
+// The kinds of requests that the callers send.
+const (
+	KindOnce   Kind = "once"
+	KindAgain  Kind = "again"
+	KindStream Kind = "stream"
+)
+
+// Request is one request with what became of it.
+type Request struct {
+	Asked fleet.Asked
+	Kind  Kind
+	// Gateway is the address to which it was sent, and Sent and Ended bound it.
+	Gateway string
+	Sent    time.Time
+	Ended   time.Time
+	Answer  fleet.Answered
+	// Want is the whole answer that belongs to it.
+	Want string
+}
+
+// Span is a time in which something went wrong, or planned work was done.
+type Span struct {
+	Fault Fault
+	Begun time.Time
+	Ended time.Time
+}
+
+// Departure is a worker that was recorded as leaving.
+type Departure struct {
+	Worker string
+	At     time.Time
+}
+
+// History is everything that was seen from outside.
+type History struct {
+	Requests   []Request
+	Runs       map[string][]fleet.Run
+	Arrivals   []fleet.Arrival
+	Orders     []fleet.Taken
+	Spans      []Span
+	Departures []Departure
+	// Quiet are the times in which the system has to serve, and Spread how long each new configuration took to be in force
+	// everywhere while nothing went wrong.
+	Quiet  []Span
+	Spread []time.Duration
+}
+
+// Violation is a broken rule.
+type Violation struct {
+	// Rule is named as on the users' pages.
+	Rule string
+	// Subject is a request, a worker or a time.
+	Subject string
+	Detail  string
+}
+
+// String is one line.
+func (v Violation) String() string { return v.Rule + " " + v.Subject + ": " + v.Detail }
+
+// touch is how long around a fault a system counts as disturbed.
+const touch = 3 * time.Second
+
+// disturbed tells whether anything unplanned went wrong within a time, or shortly before.
+func (h *History) disturbed(from, until time.Time) bool {
+	for _, span := range h.Spans {
+		if !planned(span.Fault) && span.Begun.Before(until) && (span.Ended.IsZero() || span.Ended.Add(touch).After(from)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Mode is what a proxy does to the bytes that pass through it.
+type Mode string
+
+// The modes of a proxy.
+const (
+	ModePass Mode = "passes"
+	// ModeSilent holds all bytes of both directions up.
+	ModeSilent Mode = "silent"
+	// ModeOneWay holds up what comes back.
+	ModeOneWay Mode = "cut one way"
+	// ModeReset resets connections, also new ones.
+	ModeReset Mode = "reset"
+	// ModeSlow delays all bytes.
+	ModeSlow Mode = "slow"
+)
+
+const (
+	// slowDelay is the delay of ModeSlow for each piece of bytes.
+	slowDelay = 150 * time.Millisecond
+	// holdPoll is how often bytes that are held up look whether they may go on.
+	holdPoll  = 20 * time.Millisecond
+	pieceSize = 16 << 10
+)
+
+// proxy passes TCP connections on to a target, on loopback.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  Mode
+	conns map[net.Conn]bool
+}
+
+// newProxy starts a proxy to a target, host:port.
+func newProxy(target string) (*proxy, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrapf(err, "step start a proxy, peer %s", target)
+	}
+	p := &proxy{listener: listener, target: target, mode: ModePass, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// address returns where the proxy listens.
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes the mode. Connections that are there are reset by ModeReset.
+func (p *proxy) set(mode Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	if mode == ModeReset {
+		for conn := range p.conns {
+			reset(conn)
+		}
+	}
+}
+
+// current returns the mode.
+func (p *proxy) current() Mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// close ends the proxy and its connections.
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		_ = conn.Close()
+	}
+}
+
+// accept takes connections until the proxy is closed.
+func (p *proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.current() == ModeReset {
+			reset(conn)
+			continue
+		}
+		go p.serve(conn)
+	}
+}
+
+// serve passes one connection on.
+func (p *proxy) serve(near net.Conn) {
+	defer near.Close()
+	far, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		reset(near)
+		return
+	}
+	defer far.Close()
+	p.hold(near, true)
+	defer p.hold(near, false)
+	done := make(chan struct{}, 2)
+	go p.copy(far, near, false, done)
+	go p.copy(near, far, true, done)
+	<-done
+}
+
+// hold notes or forgets a connection.
+func (p *proxy) hold(conn net.Conn, held bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if held {
+		p.conns[conn] = true
+	} else {
+		delete(p.conns, conn)
+	}
+}
+
+// copy passes the bytes of one direction on.
+func (p *proxy) copy(into, from net.Conn, back bool, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	piece := make([]byte, pieceSize)
+	for {
+		n, err := from.Read(piece)
+		p.delay(back)
+		if n > 0 {
+			if _, err := into.Write(piece[:n]); err != nil {
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) || err != nil {
+			return
+		}
+	}
+}
+
+// delay waits as the mode wants it.
+func (p *proxy) delay(back bool) {
+	for {
+		switch mode := p.current(); {
+		case mode == ModeSilent || (mode == ModeOneWay && back):
+			time.Sleep(holdPoll)
+		case mode == ModeSlow:
+			time.Sleep(slowDelay)
+			return
+		default:
+			return
+		}
+	}
+}
+
+// reset closes a connection without a farewell.
+func reset(conn net.Conn) {
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,88 @@
+package soak
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestShortSoak plays one round with a fixed seed over real processes: a worker that never answers, and three of four gateways
+// that stand still.
+func TestShortSoak(t *testing.T) {
+	var out bytes.Buffer
+	command := Command{Deployment: "fes", Seed: 1, For: roundTime, Rate: 60}
+	if err := command.Run(t.Context(), &out); err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	if !strings.Contains(out.String(), "no rule was broken") {
+		t.Errorf("printed %s", out.String())
+	}
+}
+
+func TestFlagErrorsNameEverythingThatIsWrong(t *testing.T) {
+	err := (&Command{Deployment: "sydney", For: time.Second}).Validate()
+	for _, want := range []string{"--deployment", "sydney", "fes, magnolia", "--for", "1s", "--rate"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v does not contain %q", err, want)
+		}
+	}
+}
+
+// TestProxyModes sends bytes through a proxy whose mode changes.
+func TestProxyModes(t *testing.T) {
+	echo, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer echo.Close()
+	go func() {
+		for {
+			conn, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	p, err := newProxy(echo.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	tests := []struct {
+		mode  Mode
+		comes bool
+		least time.Duration
+	}{
+		{ModePass, true, 0}, {ModeSlow, true, 2 * slowDelay}, {ModeSilent, false, 0}, {ModeOneWay, false, 0}, {ModeReset, false, 0},
+	}
+	for _, test := range tests {
+		p.set(test.mode)
+		begun := time.Now()
+		if got := echoes(t, p.address()); got != test.comes {
+			t.Errorf("%s: an answer comes: %t", test.mode, got)
+		}
+		if took := time.Since(begun); took < test.least {
+			t.Errorf("%s: it took %s", test.mode, took)
+		}
+	}
+}
+
+// echoes tells whether a byte comes back within a while.
+func echoes(t *testing.T, address string) bool {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(600 * time.Millisecond))
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil
+}
--- /dev/null
+++ b/internal/standin/fleet/routes.go
@@ -0,0 +1,70 @@
+package fleet
+
+// Host is the host of the routes that the stand-in operators write.
+const Host = "shop.example"
+
+// Configuration is what the stand-in operators write.
+type Configuration struct {
+	Version int
+	// TimeoutMs of every route.
+	TimeoutMs int
+	Routes    []Route
+	Services  []Service
+}
+
+// Route sends the requests below a path to a service.
+type Route struct {
+	Name string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Kind is a word of the platform: idempotent, non_idempotent or stream.
+	Kind      string
+	Service   string
+	Resumable bool
+}
+
+// Service is a set of workers; those with memory are model engines.
+type Service struct {
+	Name string
+	// MemoryTokens is zero for plain workers.
+	MemoryTokens int
+}
+
+// What the operators say of every route and engine.
+const (
+	objectiveMs    = 300
+	maxAttempts    = 2
+	maxConnections = 1000
+	tokenBytes     = 163840
+	linkMbps       = 1e6
+)
+
+// Configure writes a configuration.
+func (f *Fleet) Configure(wanted Configuration) {
+	routes := []fields{}
+	for _, each := range wanted.Routes {
+		routes = append(routes, fields{
+			"name": each.Name, "host": Host, "pathPrefix": each.Prefix, "kind": each.Kind, "timeoutMs": wanted.TimeoutMs,
+			"targetLatencyMs": objectiveMs, "priority": 1, "service": each.Service, "maxAttempts": maxAttempts, "resumable": each.Resumable,
+		})
+	}
+	services := []fields{}
+	for _, each := range wanted.Services {
+		services = append(services, each.record())
+	}
+	f.Store.Put("op/config", fields{
+		"version": wanted.Version, "routes": routes, "services": services,
+		"limits": fields{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+// record is a service as operators write it.
+func (s Service) record() fields {
+	record := fields{"name": s.Name, "maxConns": maxConnections}
+	if s.MemoryTokens > 0 {
+		record["engine"] = fields{
+			"kvCapacity": s.MemoryTokens, "tokenKvBytes": tokenBytes, "linkMbps": linkMbps, "stride": 1, "kvTtlS": 5, "reconfigS": 1,
+		}
+	}
+	return record
+}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -26,6 +26,8 @@
 	Work time.Duration
 	// Events is how many events a stream has.
 	Events int
+	// Through returns the address at which others reach a worker that serves at another one; nil is the same.
+	Through func(address string) string
 	// Model makes the worker a model engine that answers completions; nil for one that takes Work for each event.
 	Model *ModelOptions
 }
@@ -56,6 +58,38 @@
 	mutex   sync.Mutex
 	workers map[string]*Worker
 	runs    map[string][]Run
+	// arrivals are the requests that reached workers, run or not, without readings; orders those that were taken.
+	arrivals []Arrival
+	orders   []Taken
+}
+
+// Arrival is a request that reached a worker.
+type Arrival struct {
+	ID      string
+	Service string
+	At      time.Time
+}
+
+// Taken is an order that a worker took.
+type Taken struct {
+	Worker string
+	Holder string
+	Fence  int64
+	At     time.Time
+}
+
+// Arrivals returns the arrivals at workers so far.
+func (f *Fleet) Arrivals() []Arrival {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]Arrival(nil), f.arrivals...)
+}
+
+// Orders returns the orders that workers took so far.
+func (f *Fleet) Orders() []Taken {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]Taken(nil), f.orders...)
 }
 
 // Run is one run of a request at a worker.
@@ -82,26 +116,6 @@
 	return runs
 }
 
-// WriteRoutes writes a configuration of the operators without routes, in which one service has model engines with memory for
-// so many tokens. Requests come by the rules by labels.
-func (f *Fleet) WriteRoutes(version int, service string, memoryTokens int) {
-	f.Store.Put("op/config", fields{
-		"version": version, "routes": []fields{},
-		"services": []fields{{
-			"name": service, "maxConns": maxConnections,
-			"engine": fields{"kvCapacity": memoryTokens, "tokenKvBytes": tokenBytes, "linkMbps": linkMbps, "stride": 1, "kvTtlS": 5, "reconfigS": 1},
-		}},
-		"limits": fields{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
-}
-
-// What the operators say of the engines.
-const (
-	maxConnections = 1000
-	tokenBytes     = 163840
-	linkMbps       = 1e6
-)
-
 // Worker is one worker.
 type Worker struct {
 	options WorkerOptions
@@ -130,8 +144,12 @@
 	if err != nil {
 		return nil, err
 	}
+	address := listener.Addr().String()
+	if options.Through != nil {
+		address = options.Through(address)
+	}
 	worker := &Worker{
-		options: options, fleet: f, address: listener.Addr().String(), stage: options.Stage, handles: map[string]bool{},
+		options: options, fleet: f, address: address, stage: options.Stage, handles: map[string]bool{},
 	}
 	if options.Model != nil {
 		worker.model = newModel(*options.Model)
@@ -157,6 +175,9 @@
 	})
 }
 
+// ID returns the id of the incarnation.
+func (w *Worker) ID() string { return w.options.ID }
+
 // Address returns host:port.
 func (w *Worker) Address() string { return w.address }
 
@@ -254,6 +275,7 @@
 		w.fence = body.Fence
 		w.orders++
 		w.holders = append(w.holders, body.Holder)
+		w.fleet.tookOrder(Taken{Worker: w.options.ID, Holder: body.Holder, Fence: body.Fence, At: time.Now()})
 		w.change(body.Stage)
 		writer.WriteHeader(http.StatusAccepted)
 	}
@@ -298,6 +320,9 @@
 		return
 	}
 	id := request.Header.Get("Request-Id")
+	if request.Header.Get("Stage") == "" {
+		w.fleet.arrived(Arrival{ID: id, Service: w.options.Service, At: time.Now()})
+	}
 	w.mutex.Lock()
 	full := w.busy >= w.options.Slots || w.changing
 	fault := w.fault
@@ -421,6 +446,20 @@
 	return worker != nil && worker.take(handle)
 }
 
+// arrived notes an arrival.
+func (f *Fleet) arrived(arrival Arrival) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.arrivals = append(f.arrivals, arrival)
+}
+
+// tookOrder notes an order.
+func (f *Fleet) tookOrder(taken Taken) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.orders = append(f.orders, taken)
+}
+
 // ran notes a run.
 func (f *Fleet) ran(id string, run Run) {
 	f.mutex.Lock()
