Explaining failures: causes from logs alone, bounded lines, alerts and a dashboard; gateways that stand by hear of changes later

- at most 20 lines a second for one reason, the rest counted in granitebay_log_lines_left_out_total; a 404 names what was asked for.

--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -54,6 +54,8 @@
 	// the first.
 	base     *routing.Configuration
 	byLabels *routing.Configuration
+	// registered is set once the own registration was seen. Before that it is on its way, and need not be made again.
+	registered bool
 	// lostSince is when the store was lost; zero while it answers.
 	lostSince time.Time
 
@@ -94,9 +96,15 @@
 	v.tellWorkers()
 	v.listener.GatewaysChanged()
 	v.resetController(items)
-	if !registered {
+	v.noteRegistration(registered)
+}
+
+// noteRegistration takes whether the own registration is there, and tells when it is gone.
+func (v *View) noteRegistration(present bool) {
+	if !present && v.registered {
 		v.listener.Unregistered()
 	}
+	v.registered = v.registered || present
 }
 
 // resetController tells who holds the key of the controller.
@@ -121,8 +129,8 @@
 		if event.Key == roles.Key {
 			v.listener.ControllerChanged(event.Value, event.Revision)
 		}
-		if event.Deleted && event.Key == v.ownKey {
-			v.listener.Unregistered()
+		if event.Key == v.ownKey {
+			v.noteRegistration(!event.Deleted)
 		}
 		gatewaysChanged = v.applyGateway(event) || gatewaysChanged
 	}
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -116,3 +116,19 @@
 		t.Errorf("told %+v", told)
 	}
 }
+
+// TestARegistrationOnItsWayIsNotMadeAgain guards against each gateway of a fleet that starts registering twice.
+func TestARegistrationOnItsWayIsNotMadeAgain(t *testing.T) {
+	view, told := newTestView()
+	own := store.Item{Key: view.ownKey, Value: []byte("{}"), Revision: 5}
+	view.Reset(nil)
+	if told.unregistered != 0 {
+		t.Error("a registration that is on its way was told to be gone")
+	}
+	view.Apply([]store.Event{{Item: own}})
+	view.Reset([]store.Item{own})
+	view.Reset(nil)
+	if told.unregistered != 1 {
+		t.Errorf("a registration that is gone was told %d times", told.unregistered)
+	}
+}
--- a/internal/docscheck/operating_test.go
+++ b/internal/docscheck/operating_test.go
@@ -177,3 +177,22 @@
 	})
 	return prefixes
 }
+
+// TestAlertsAndDashboardNameMetrics checks that the example files name metrics of the table, and that the dashboard shows each of them.
+func TestAlertsAndDashboardNameMetrics(t *testing.T) {
+	metric := regexp.MustCompile(`granitebay_[a-z_]+`)
+	rows := tableRows(t, section(t, read(t, operating), "## Metrics"))
+	for _, file := range []string{"examples/alerts.yaml", "examples/dashboard.json"} {
+		for _, name := range metric.FindAllString(read(t, file), -1) {
+			if rows[strings.TrimSuffix(name, "_bucket")] == nil {
+				t.Errorf("%s names %s, which is no metric", file, name)
+			}
+		}
+	}
+	dashboard := read(t, "examples/dashboard.json")
+	for name := range rows {
+		if !strings.Contains(dashboard, name) {
+			t.Errorf("the dashboard does not show %s", name)
+		}
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -100,7 +100,7 @@
 	if h.leaving.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	report := Report{Arrived: arrived}
+	report := Report{Arrived: arrived, Target: incoming.Host + pathOf(incoming)}
 	finish := h.serve(writer, incoming, &report)
 	report.Ended = time.Now()
 	h.observer.RequestEnded(&report)
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -29,6 +29,8 @@
 type Report struct {
 	// Request is nil for requests that were refused before they were read.
 	Request *Request
+	// Target is the host and the path for which the caller asked.
+	Target  string
 	Arrived time.Time
 	// FirstByte is when the first part of the answer was passed on; zero when there was none.
 	FirstByte time.Time
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -20,6 +20,7 @@
 // requestEntry is what is kept of a request that has ended. It holds no body.
 type requestEntry struct {
 	id      string
+	target  string
 	rule    string
 	group   string
 	version int64
@@ -35,7 +36,7 @@
 func entryOf(report *forward.Report) requestEntry {
 	entry := requestEntry{
 		rule: report.Rule, group: report.Group, version: report.Version, status: report.Status, reason: report.Reason,
-		took: report.Ended.Sub(report.Arrived), tries: report.Tries, err: report.Err,
+		took: report.Ended.Sub(report.Arrived), tries: report.Tries, err: report.Err, target: report.Target,
 	}
 	if report.Request != nil {
 		entry.id = report.Request.ID
@@ -67,6 +68,9 @@
 	inputs := map[string]string{
 		"rule": e.rule, adminapi.InputGroup: e.group, "took_ms": strconv.FormatInt(e.took.Milliseconds(), 10),
 	}
+	if e.rule == "" {
+		inputs["target"] = e.target
+	}
 	if e.first > 0 {
 		inputs["first_byte_ms"] = strconv.FormatInt(e.first.Milliseconds(), 10)
 	}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
@@ -17,6 +19,8 @@
 	metricRequests  = "granitebay_requests_total"
 	metricFirstByte = "granitebay_first_byte_seconds"
 	metricTries     = "granitebay_tries_total"
+	// metricLinesLeftOut counts log lines about requests that were left out because there were too many.
+	metricLinesLeftOut = "granitebay_log_lines_left_out_total"
 )
 
 // figures counts what becomes of requests and serves the counts as text. It implements forward.Observer.
@@ -24,11 +28,17 @@
 	set       *metrics.Set
 	decisions *decisionlog.Log
 	logger    *logrus.Entry
+
+	// mu guards the bounds of log lines.
+	mu     sync.Mutex
+	bounds map[forward.Reason]*rate.Limiter
 }
 
 // newFigures returns figures that are all zero.
 func newFigures(decisions *decisionlog.Log, logger *logrus.Logger) *figures {
-	return &figures{set: metrics.NewSet(), decisions: decisions, logger: logging.Part(logger, "request")}
+	return &figures{
+		set: metrics.NewSet(), decisions: decisions, logger: logging.Part(logger, "request"), bounds: map[forward.Reason]*rate.Limiter{},
+	}
 }
 
 // watch adds figures that are read when they are asked for.
@@ -53,11 +63,33 @@
 	}
 	entry := entryOf(report)
 	f.decisions.Append(report.Ended, entry)
-	if !entry.smooth() {
+	if !entry.smooth() && f.mayLog(report.Reason) {
 		f.log(entry)
 	}
 }
 
+// Bounds of the lines about requests with one reason.
+const (
+	linesPerSecond = 20
+	linesAtOnce    = 200
+)
+
+// mayLog takes a line from the bound of a reason. What is left out is counted; decisions have it all the same.
+func (f *figures) mayLog(reason forward.Reason) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	bound, known := f.bounds[reason]
+	if !known {
+		bound = rate.NewLimiter(linesPerSecond, linesAtOnce)
+		f.bounds[reason] = bound
+	}
+	if bound.Allow() {
+		return true
+	}
+	f.set.GetOrCreateCounter(fmt.Sprintf(`%s{reason=%q}`, metricLinesLeftOut, reason)).Inc()
+	return false
+}
+
 // log writes one line about a request that did not go smoothly.
 func (f *figures) log(entry requestEntry) {
 	if !f.logger.Logger.IsLevelEnabled(logrus.InfoLevel) {
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -53,9 +53,12 @@
 func (g *Gateway) GatewaysChanged() {
 	serving := g.view.Serving()
 	g.dispatcher.SetGateways(len(serving))
-	g.handler.SetGateways(len(member.Entries(serving, member.DefaultEntrySettings())))
 	g.replica.SetReaders(len(serving))
-	g.sharing.SetAudience(audienceOf(g.settings.Name, serving, member.Entries(serving, member.DefaultEntrySettings())))
+	entries := member.Entries(serving, member.DefaultEntrySettings())
+	g.handler.SetGateways(len(entries))
+	audience := audienceOf(g.settings.Name, serving, entries)
+	g.replica.SetCalm(audience.StandsBy)
+	g.sharing.SetAudience(audience)
 }
 
 // audienceOf returns whom a gateway tells what. Those to which callers are sent tell each other what they do, and the others
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -142,9 +142,9 @@
 	s.fleet.Configure(fleet.Configuration{
 		Version: s.version, TimeoutMs: s.timeoutMs,
 		Routes: []fleet.Route{
-			{Name: "once", Prefix: "/once/", Kind: "non_idempotent", Service: servicePlain},
-			{Name: "again", Prefix: "/again/", Kind: "idempotent", Service: servicePlain},
-			{Name: "stream", Prefix: "/stream/", Kind: "stream", Service: serviceEngine, Resumable: true},
+			{Name: "once", Prefix: "/once/", Kind: fleet.RouteRunsOnce, Service: servicePlain},
+			{Name: "again", Prefix: "/again/", Kind: fleet.RouteRepeatable, Service: servicePlain},
+			{Name: "stream", Prefix: "/stream/", Kind: fleet.RouteStreams, Service: serviceEngine, Resumable: true},
 		},
 		Services: []fleet.Service{{Name: servicePlain}, {Name: serviceEngine, MemoryTokens: fleet.DefaultModel().MemoryTokens}},
 	})
--- a/internal/standin/fleet/routes.go
+++ b/internal/standin/fleet/routes.go
@@ -16,13 +16,22 @@
 type Route struct {
 	Name string
 	// Prefix begins and ends with a slash.
-	Prefix string
-	// Kind is a word of the platform: idempotent, non_idempotent or stream.
-	Kind      string
+	Prefix    string
+	Kind      RouteKind
 	Service   string
 	Resumable bool
 }
 
+// RouteKind says how often the requests of a route may run, in the words of the platform.
+type RouteKind string
+
+// The kinds of routes.
+const (
+	RouteRunsOnce   RouteKind = "non_idempotent"
+	RouteRepeatable RouteKind = "idempotent"
+	RouteStreams    RouteKind = "stream"
+)
+
 // Service is a set of workers; those with memory are model engines.
 type Service struct {
 	Name string
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -49,6 +49,8 @@
 	WorkerCuts
 	// WorkerLapses lets the handles of prompts lapse at once.
 	WorkerLapses
+	// WorkerFull refuses everything.
+	WorkerFull
 )
 
 // Fleet is the workers with the store in which they record themselves.
@@ -324,7 +326,7 @@
 		w.fleet.arrived(Arrival{ID: id, Service: w.options.Service, At: time.Now()})
 	}
 	w.mutex.Lock()
-	full := w.busy >= w.options.Slots || w.changing
+	full := w.busy >= w.options.Slots || w.changing || w.fault == WorkerFull
 	fault := w.fault
 	stage := w.stage
 	if !full {
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -64,8 +64,9 @@
 	renew    chan struct{}
 	fallback Fallback
 
-	// readers is how many processes watch the same store.
+	// readers is how many processes watch the same store, and calm is set while this one may hear of every change late.
 	readers atomic.Int64
+	calm    atomic.Bool
 
 	mutex sync.Mutex
 	// known holds the items that the consumer was told; nil before the first list. Deleted ones stay as such.
@@ -113,6 +114,9 @@
 // after failures, so that all together stay within what the store answers.
 func (r *Replica) SetReaders(count int) { r.readers.Store(int64(count)) }
 
+// SetCalm tells whether this process may hear of every change late, by up to LongestUnhurried: one that nobody is sent to.
+func (r *Replica) SetCalm(calm bool) { r.calm.Store(calm) }
+
 // perReader is the time in which the store answers one call of each of two processes.
 const perReader = time.Millisecond
 
@@ -255,6 +259,9 @@
 // unhurried tells whether those that come after a change may be told late: it concerns an unhurried key, or an item that was
 // not there before. A large fleet that starts has many of these, and none that is waited for.
 func (r *Replica) unhurried(event Event) bool {
+	if r.calm.Load() {
+		return true
+	}
 	if r.settings.Unhurried != nil && r.settings.Unhurried(event.Key) {
 		return true
 	}
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -251,5 +251,9 @@
 		if got := replica.settle(test.events); got != test.want {
 			t.Errorf("%s: the pause is %s, want %s", test.name, got, test.want)
 		}
+		replica.SetCalm(true)
+		if got := replica.settle(test.events); len(test.events) > 0 && got != max(test.want, min(time.Duration(test.readers)*10*time.Millisecond, time.Second)) {
+			t.Errorf("%s: the pause of a process that stands by is %s", test.name, got)
+		}
 	}
 }
