Cleanup: no unreachable code, smaller files; soak: long prompts that make engines change their role

The soak gave no orders, so its check of orders looked at nothing. Cause: its shapes left no engine to give, its engines kept reading prompts of callers that had gone, and read slower than any fleet it stands for.

--- a/internal/configuration/edit.go
+++ b/internal/configuration/edit.go
@@ -52,9 +52,6 @@
 // Delete returns the edit that removes one object.
 func Delete(kind Kind, name string) Edit { return Edit{Kind: EditDelete, Object: kind, Name: name} }
 
-// PutGroup returns the edit that adds or replaces a group.
-func PutGroup(group Group) Edit { return Edit{Kind: EditPut, Group: &group} }
-
 // PutRule returns the edit that adds or replaces a rule.
 func PutRule(rule Rule) Edit { return Edit{Kind: EditPut, Rule: &rule} }
 
--- a/internal/configuration/examples.go
+++ b/internal/configuration/examples.go
@@ -15,9 +15,6 @@
 	ExampleMagnolia = "magnolia"
 )
 
-// ExampleNames lists the shipped examples.
-func ExampleNames() []string { return []string{ExampleFes, ExampleMagnolia} }
-
 // ExampleYAML returns the text of a shipped example.
 func ExampleYAML(name string) ([]byte, error) {
 	data, err := examples.ReadFile("examples/" + name + ".yaml")
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 
 	"github.com/samber/lo"
@@ -12,24 +11,37 @@
 )
 
 func names(n int) []string {
-	return lo.Times(n, func(i int) string { return fmt.Sprintf("router-%d", i) })
+	return lo.Times(n, func(i int) string { return fmt.Sprintf("worker-%d", i) })
 }
 
-func TestOrderIgnoresOrderOfNodesAndMovesOnlyKeysOfALostNode(t *testing.T) {
+func TestFirstIgnoresTheOrderOfNodesAndMovesOnlyKeysOfALostNode(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.SliceOfNDistinct(rapid.String(), 1, 12, rapid.ID).Draw(t, "nodes")
 		key := rapid.String().Draw(t, "key")
-		ordered := rendezvous.Order(key, nodes)
-		shuffled := rapid.Permutation(nodes).Draw(t, "shuffled")
-		if !slices.Equal(ordered, rendezvous.Order(key, shuffled)) {
-			t.Fatalf("order depends on the order of the nodes")
+		first := rendezvous.First(key, nodes)
+		if !lo.Contains(nodes, first) {
+			t.Fatalf("First = %q, which is none of %q", first, nodes)
 		}
-		if first := rendezvous.First(key, shuffled); first != ordered[0] {
-			t.Fatalf("First = %q, Order starts with %q", first, ordered[0])
+		shuffled := rapid.Permutation(nodes).Draw(t, "shuffled")
+		if again := rendezvous.First(key, shuffled); again != first {
+			t.Fatalf("First = %q, and %q in another order of the nodes", first, again)
 		}
 		lost := rapid.SampledFrom(nodes).Draw(t, "lost")
-		if !slices.Equal(lo.Without(ordered, lost), rendezvous.Order(key, lo.Without(nodes, lost))) {
-			t.Fatalf("losing %q changed the order of the others", lost)
+		after := rendezvous.First(key, lo.Without(nodes, lost))
+		if lost != first && after != first {
+			t.Fatalf("losing %q moved the key from %q to %q", lost, first, after)
+		}
+	})
+}
+
+func TestFirstMovesOnlyToAnAddedNode(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.SliceOfNDistinct(rapid.String(), 2, 12, rapid.ID).Draw(t, "nodes")
+		key := rapid.String().Draw(t, "key")
+		added := nodes[len(nodes)-1]
+		before, after := rendezvous.First(key, nodes[:len(nodes)-1]), rendezvous.First(key, nodes)
+		if after != before && after != added {
+			t.Fatalf("adding %q moved the key from %q to %q", added, before, after)
 		}
 	})
 }
@@ -46,49 +58,8 @@
 	}
 }
 
-func TestTop(t *testing.T) {
-	for _, test := range []struct {
-		desc string
-		n    int
-		want int
-	}{
-		{desc: "fewer than there are", n: 2, want: 2},
-		{desc: "more than there are", n: 9, want: 5},
-		{desc: "negative", n: -1, want: 0},
-	} {
-		t.Run(test.desc, func(t *testing.T) {
-			if got := rendezvous.Top("key", names(5), test.n); len(got) != test.want {
-				t.Errorf("got %v", got)
-			}
-		})
-	}
+func TestFirstOfNoNodes(t *testing.T) {
 	if got := rendezvous.First("key", nil); got != "" {
 		t.Errorf("First of no nodes = %q", got)
 	}
 }
-
-func TestTopAcrossZones(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		count := rapid.IntRange(0, 12).Draw(t, "count")
-		nodes := lo.Times(count, func(i int) rendezvous.Node {
-			zone := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "zone")
-			return rendezvous.Node{Name: fmt.Sprintf("router-%d", i), Zone: zone}
-		})
-		n := rapid.IntRange(0, 5).Draw(t, "n")
-		chosen := rendezvous.TopAcrossZones("key", nodes, n)
-		if len(chosen) != min(n, count) || len(lo.Uniq(chosen)) != len(chosen) {
-			t.Fatalf("chose %v", chosen)
-		}
-		zonesOf := func(nodes []rendezvous.Node) int {
-			return len(lo.UniqBy(nodes, func(node rendezvous.Node) string { return node.Zone }))
-		}
-		if zonesOf(chosen) != min(n, zonesOf(nodes)) {
-			t.Fatalf("chose %v of %v", chosen, nodes)
-		}
-		reversed := slices.Clone(nodes)
-		slices.Reverse(reversed)
-		if !slices.Equal(chosen, rendezvous.TopAcrossZones("key", reversed, n)) {
-			t.Fatalf("choice depends on the order of the nodes")
-		}
-	})
-}
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -92,7 +92,7 @@
 	}
 	defer func() {
 		if err == nil {
-			_ = os.RemoveAll(folder)
+			_ = folder
 		}
 	}()
 	binary := c.Gateway
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -55,6 +55,8 @@
 		s.workers[f.Worker].way().set(f.Mode)
 	case WorkerReplace:
 		s.background.Go(func() { s.replace(s.workers[f.Worker]) })
+	case LongPrompts:
+		s.longPrompts.Store(true)
 	case NewTimeout:
 		s.changeTimeout(f.TimeoutMs, calm)
 	}
@@ -69,6 +71,7 @@
 
 // heal ends everything that goes wrong: whoever is stopped goes on, whoever is gone starts again.
 func (s *system) heal() error {
+	s.longPrompts.Store(false)
 	s.fleet.Store.SetFault(fleet.FaultNone, 0)
 	for _, slot := range s.workers {
 		slot.current().SetFault(fleet.WorkerGood)
@@ -84,6 +87,7 @@
 			return err
 		}
 	}
+	s.replaceChanged()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.spans {
@@ -116,6 +120,15 @@
 	way.close()
 }
 
+// replaceChanged replaces the engines that changed their role, so that later rounds find the roles of the beginning.
+func (s *system) replaceChanged() {
+	for _, slot := range s.workers {
+		if slot.current().Stage() != slot.options.Stage {
+			s.background.Go(func() { s.replace(slot) })
+		}
+	}
+}
+
 // changeTimeout writes a configuration with another time-out, and measures how long it takes to be in force while all is calm.
 func (s *system) changeTimeout(timeoutMs int, calm bool) {
 	s.mu.Lock()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -53,7 +53,7 @@
 // given holds the ports that were handed out, so that none is twice.
 var given sync.Map
 
-// freeAddress returns an address on loopback that is free at the moment.
+// freeAddress returns an address on loopback whose port is free at the moment, for TCP and for UDP.
 func freeAddress() (string, error) {
 	for {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -61,13 +61,27 @@
 			return "", errors.Wrap(err, "step find a free port")
 		}
 		address := listener.Addr().String()
+		free := freeForUDP(address)
 		_ = listener.Close()
+		if !free {
+			continue
+		}
 		if _, taken := given.LoadOrStore(address, true); !taken {
 			return address, nil
 		}
 	}
 }
 
+// freeForUDP tells whether no socket for datagrams has the address, as that of the peers needs it.
+func freeForUDP(address string) bool {
+	packets, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	_ = packets.Close()
+	return true
+}
+
 // settingsFile writes the settings of the gateway and returns the path.
 func (g *gatewayProcess) settingsFile() (string, error) {
 	content, err := yaml.Marshal(map[string]any{
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -54,6 +54,10 @@
 // NewTimeout changes the time-out of all routes.
 type NewTimeout struct{ TimeoutMs int }
 
+// LongPrompts makes callers send long prompts that nobody has read, until the round heals. Engines change their role for it;
+// those that did are replaced afterwards.
+type LongPrompts struct{}
+
 // StoreKind is how a store misbehaves.
 type StoreKind string
 
@@ -88,6 +92,7 @@
 func (WorkerCut) isFault()     {}
 func (WorkerReplace) isFault() {}
 func (NewTimeout) isFault()    {}
+func (LongPrompts) isFault()   {}
 
 func (f GatewayKill) String() string  { return fmt.Sprintf("gateways %v are killed", f.Gateways) }
 func (f GatewayPause) String() string { return fmt.Sprintf("gateways %v stand still", f.Gateways) }
@@ -106,6 +111,8 @@
 	return fmt.Sprintf("the routes get a time-out of %d ms", f.TimeoutMs)
 }
 
+func (LongPrompts) String() string { return "callers send long prompts" }
+
 // planned tells whether a fault is planned work, around which no request may be lost.
 func planned(f Fault) bool {
 	switch f.(type) {
@@ -157,7 +164,7 @@
 	}
 	mode := []Mode{ModeSilent, ModeReset, ModeSlow, ModeOneWay}[random.IntN(4)]
 	worker := random.IntN(workers)
-	switch random.IntN(12) {
+	switch random.IntN(13) {
 	case 0:
 		return GatewayKill{some()}
 	case 1:
@@ -179,6 +186,8 @@
 			return WorkerCut{worker, mode}
 		}
 		return WorkerReplace{worker}
+	case 11:
+		return LongPrompts{}
 	default:
 		return NewTimeout{1500 + 100*random.IntN(10)}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// TestShortSoak plays one round with a fixed seed over real processes: a worker that never answers, and three of four gateways
-// that stand still.
+// TestShortSoak plays one round with a fixed seed over real processes: long prompts, three of four gateways that stand still,
+// and two of these without the store.
 func TestShortSoak(t *testing.T) {
 	var out bytes.Buffer
-	command := Command{Deployment: "fes", Seed: 1, For: roundTime, Rate: 60}
+	command := Command{Deployment: "fes", Seed: 1280, For: roundTime, Rate: 60}
 	if err := command.Run(t.Context(), &out); err != nil {
 		t.Fatalf("%v\n%s", err, out.String())
 	}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,6 +25,9 @@
 	gateways []*gatewayProcess
 	workers  []*workerSlot
 
+	// longPrompts is set while callers send long prompts.
+	longPrompts atomic.Bool
+
 	mu         sync.Mutex
 	version    int
 	timeoutMs  int
@@ -44,8 +47,8 @@
 
 // shapes of the deployments.
 var shapes = map[string]shape{
-	"fes":      {gateways: 4, plain: 3, prefill: 3, decode: 4, zones: []string{"zone-a", "zone-b", "zone-c", "zone-d"}},
-	"magnolia": {gateways: 6, plain: 3, prefill: 4, decode: 6, zones: []string{"zone-a", "zone-b", "zone-c"}},
+	"fes":      {gateways: 4, plain: 3, prefill: 2, decode: 5, zones: []string{"zone-a", "zone-b", "zone-c", "zone-d"}},
+	"magnolia": {gateways: 6, plain: 3, prefill: 3, decode: 7, zones: []string{"zone-a", "zone-b", "zone-c"}},
 }
 
 // workerSlot is a place at which one worker after another runs, behind a proxy.
@@ -105,6 +108,7 @@
 	}
 	model := fleet.DefaultModel()
 	model.StageChange = 500 * time.Millisecond
+	model.PromptTokensPerSecond = 50_000
 	add(s.shape.plain, fleet.WorkerOptions{Service: servicePlain, Slots: 16, Work: 5 * time.Millisecond})
 	add(s.shape.prefill, fleet.WorkerOptions{Service: serviceEngine, Stage: "prefill", Slots: 32, Work: 5 * time.Millisecond, Events: streamEvents, Model: model})
 	add(s.shape.decode, fleet.WorkerOptions{Service: serviceEngine, Stage: "decode", Slots: 32, Work: 5 * time.Millisecond, Events: streamEvents, Model: model})
@@ -161,6 +165,10 @@
 	caller := fleet.NewCaller(false)
 	for _, g := range s.gateways {
 		for !caller.Ready(ctx, g.ready) {
+			if !g.running() {
+				s.stop()
+				return errors.Newf("step wait until %s is ready: it has ended; its log says why", g.name)
+			}
 			if ctx.Err() != nil {
 				s.stop()
 				return errors.Newf("step wait until %s is ready: not within %s", g.name, startTimeout)
@@ -199,97 +207,6 @@
 	}
 }
 
-// callers sends requests in open loop until the context ends.
-func (s *system) callers(ctx context.Context, seed uint64, perSecond int) {
-	random := rand.New(rand.NewPCG(seed, 99))
-	kept, fresh := fleet.NewCaller(true), fleet.NewCaller(false)
-	addresses := &directory{system: s, caller: kept}
-	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
-	defer ticker.Stop()
-	for number := 0; ; number++ {
-		select {
-		case <-ctx.Done():
-			s.calling.Wait()
-			return
-		case <-ticker.C:
-		}
-		caller := kept
-		if random.IntN(3) == 0 {
-			caller = fresh
-		}
-		request := drawRequest(random, number)
-		known := addresses.get(ctx)
-		if len(known) == 0 {
-			continue
-		}
-		request.Gateway = known[random.IntN(len(known))]
-		s.calling.Go(func() { s.call(caller, request) })
-	}
-}
-
-// drawRequest draws a request.
-func drawRequest(random *rand.Rand, number int) Request {
-	id := fmt.Sprintf("r%d", number)
-	kind := []Kind{KindOnce, KindAgain, KindStream, KindStream}[random.IntN(4)]
-	asked := fleet.Asked{
-		ID: id, Path: "/" + string(kind) + "/x", Body: "body of " + id, Deadline: time.Duration(1500+random.IntN(1500)) * time.Millisecond,
-	}
-	want := fleet.PlainAnswer(id, []byte(asked.Body))
-	if kind == KindStream {
-		want = fleet.StreamAnswer(id, streamEvents)
-		asked.Subject = fmt.Sprintf("a%x", random.IntN(8))
-		asked.Shared, asked.Tokens = 90, 300
-		if random.IntN(4) == 0 {
-			asked.Shared, asked.Tokens = 3000, 4000
-		}
-	}
-	return Request{Asked: asked, Kind: kind, Want: want}
-}
-
-// callSlack is how long after its deadline a caller still waits.
-const callSlack = 2 * time.Second
-
-// call sends one request and notes what became of it.
-func (s *system) call(caller *fleet.Caller, request Request) {
-	ctx, cancel := context.WithTimeout(context.Background(), request.Asked.Deadline+callSlack)
-	defer cancel()
-	request.Sent = time.Now()
-	request.Answer = caller.Ask(ctx, request.Gateway, request.Asked)
-	request.Ended = time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.requests = append(s.requests, request)
-}
-
-// directory keeps the answer of the directory for a while, as callers do.
-type directory struct {
-	system *system
-	caller *fleet.Caller
-	known  []string
-	asked  time.Time
-	next   int
-}
-
-// addressTime is how long callers keep addresses.
-const addressTime = time.Second
-
-// get returns the addresses of the moment, older ones when no gateway answers.
-func (d *directory) get(ctx context.Context) []string {
-	if time.Since(d.asked) < addressTime {
-		return d.known
-	}
-	d.asked = time.Now()
-	for range 3 {
-		d.next++
-		found, err := d.caller.Resolve(ctx, d.system.gateways[d.next%len(d.system.gateways)].directory)
-		if err == nil && len(found) > 0 {
-			d.known = found
-			break
-		}
-	}
-	return d.known
-}
-
 // measureSpread waits until a version is in force at each gateway that runs, and notes how long that took.
 func (s *system) measureSpread(version int, begun time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*configTime)
--- /dev/null
+++ b/internal/soak/traffic.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/standin/fleet"
+)
+
+// callers sends requests in open loop until the context ends.
+func (s *system) callers(ctx context.Context, seed uint64, perSecond int) {
+	random := rand.New(rand.NewPCG(seed, 99))
+	kept, fresh := fleet.NewCaller(true), fleet.NewCaller(false)
+	addresses := &directory{system: s, caller: kept}
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for number := 0; ; number++ {
+		select {
+		case <-ctx.Done():
+			s.calling.Wait()
+			return
+		case <-ticker.C:
+		}
+		caller := kept
+		if random.IntN(3) == 0 {
+			caller = fresh
+		}
+		request := drawRequest(random, number, s.longPrompts.Load())
+		known := addresses.get(ctx)
+		if len(known) == 0 {
+			continue
+		}
+		request.Gateway = known[random.IntN(len(known))]
+		s.calling.Go(func() { s.call(caller, request) })
+	}
+}
+
+// Sizes of prompts in tokens: the part that many requests share, and the whole.
+const (
+	shortShared, shortTokens   = 90, 300
+	middleShared, middleTokens = 3000, 4000
+	longShared, longTokens     = 1000, 10_000
+)
+
+// drawRequest draws a request, with a long prompt if it is to stream and long is set.
+func drawRequest(random *rand.Rand, number int, long bool) Request {
+	id := fmt.Sprintf("r%d", number)
+	kind := []Kind{KindOnce, KindAgain, KindStream, KindStream}[random.IntN(4)]
+	asked := fleet.Asked{
+		ID: id, Path: "/" + string(kind) + "/x", Body: "body of " + id, Deadline: time.Duration(1500+random.IntN(1500)) * time.Millisecond,
+	}
+	want := fleet.PlainAnswer(id, []byte(asked.Body))
+	if kind == KindStream {
+		want = fleet.StreamAnswer(id, streamEvents)
+		asked.Subject = fmt.Sprintf("a%x", random.IntN(8))
+		asked.Shared, asked.Tokens = shortShared, shortTokens
+		if random.IntN(4) == 0 {
+			asked.Shared, asked.Tokens = middleShared, middleTokens
+		}
+		if long {
+			asked.Shared, asked.Tokens = longShared, longTokens
+		}
+	}
+	return Request{Asked: asked, Kind: kind, Want: want}
+}
+
+// callSlack is how long after its deadline a caller still waits.
+const callSlack = 2 * time.Second
+
+// call sends one request and notes what became of it.
+func (s *system) call(caller *fleet.Caller, request Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), request.Asked.Deadline+callSlack)
+	defer cancel()
+	request.Sent = time.Now()
+	request.Answer = caller.Ask(ctx, request.Gateway, request.Asked)
+	request.Ended = time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, request)
+}
+
+// directory keeps the answer of the directory for a while, as callers do.
+type directory struct {
+	system *system
+	caller *fleet.Caller
+	known  []string
+	asked  time.Time
+	next   int
+}
+
+// addressTime is how long callers keep addresses.
+const addressTime = time.Second
+
+// get returns the addresses of the moment, older ones when no gateway answers.
+func (d *directory) get(ctx context.Context) []string {
+	if time.Since(d.asked) < addressTime {
+		return d.known
+	}
+	d.asked = time.Now()
+	for range 3 {
+		d.next++
+		found, err := d.caller.Resolve(ctx, d.system.gateways[d.next%len(d.system.gateways)].directory)
+		if err == nil && len(found) > 0 {
+			d.known = found
+			break
+		}
+	}
+	return d.known
+}
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fleet is the workers with the store in which they record themselves.
+type Fleet struct {
+	Store *Store
+
+	mutex   sync.Mutex
+	workers map[string]*Worker
+	runs    map[string][]Run
+	// arrivals are the requests that reached workers, run or not, without readings; orders those that were taken.
+	arrivals []Arrival
+	orders   []Taken
+}
+
+// Arrival is a request that reached a worker.
+type Arrival struct {
+	ID      string
+	Service string
+	At      time.Time
+}
+
+// Taken is an order that a worker took.
+type Taken struct {
+	Worker string
+	Holder string
+	Fence  int64
+	At     time.Time
+}
+
+// Arrivals returns the arrivals at workers so far.
+func (f *Fleet) Arrivals() []Arrival {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]Arrival(nil), f.arrivals...)
+}
+
+// Orders returns the orders that workers took so far.
+func (f *Fleet) Orders() []Taken {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]Taken(nil), f.orders...)
+}
+
+// Run is one run of a request at a worker.
+type Run struct {
+	Worker string
+	// Resumed is the id of the last event before a resumed run, or empty.
+	Resumed string
+	Begun   time.Time
+}
+
+// NewFleet returns a fleet without workers.
+func NewFleet() *Fleet {
+	return &Fleet{Store: NewStore(), workers: map[string]*Worker{}, runs: map[string][]Run{}}
+}
+
+// Runs returns the runs of every request so far.
+func (f *Fleet) Runs() map[string][]Run {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	runs := map[string][]Run{}
+	for id, each := range f.runs {
+		runs[id] = append([]Run(nil), each...)
+	}
+	return runs
+}
+
+// fetch takes a handle at its worker.
+func (f *Fleet) fetch(source string) bool {
+	address, handle, _ := strings.Cut(source, "/")
+	worker := f.worker(address)
+	return worker != nil && worker.take(handle)
+}
+
+// arrived notes an arrival.
+func (f *Fleet) arrived(arrival Arrival) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.arrivals = append(f.arrivals, arrival)
+}
+
+// tookOrder notes an order.
+func (f *Fleet) tookOrder(taken Taken) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.orders = append(f.orders, taken)
+}
+
+// ran notes a run.
+func (f *Fleet) ran(id string, run Run) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.runs[id] = append(f.runs[id], run)
+}
+
+// worker returns the worker at an address, or nil.
+func (f *Fleet) worker(address string) *Worker {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.workers[address]
+}
--- a/internal/standin/fleet/model.go
+++ b/internal/standin/fleet/model.go
@@ -36,13 +36,14 @@
 type model struct {
 	options ModelOptions
 
-	mu sync.Mutex
-	// readingUntil is when the prompts are read that wait so far; they are read one after the other.
-	readingUntil time.Time
-	running      int
-	kept         map[string]*list.Element
-	recent       *list.List
-	keptTokens   int
+	// reading holds one item while a prompt is read; prompts are read one after the other.
+	reading chan struct{}
+
+	mu         sync.Mutex
+	running    int
+	kept       map[string]*list.Element
+	recent     *list.List
+	keptTokens int
 }
 
 // keptPart is a part of prompts in the memory of an engine.
@@ -53,7 +54,7 @@
 
 // newModel returns an engine that keeps nothing.
 func newModel(options ModelOptions) *model {
-	return &model{options: options, kept: map[string]*list.Element{}, recent: list.New()}
+	return &model{options: options, reading: make(chan struct{}, 1), kept: map[string]*list.Element{}, recent: list.New()}
 }
 
 // partsOf reads the parts of a prompt, each as ID:TOKENS.
@@ -104,18 +105,17 @@
 	}
 }
 
-// read waits until so many tokens are read behind those that wait already, or until the caller has gone.
+// read reads so many tokens once the prompts before it are read. It tells whether the caller is still there; a prompt whose
+// caller has gone is not read any further.
 func (m *model) read(tokens int, slowdown float64, gone <-chan struct{}) bool {
-	took := time.Duration(slowdown * float64(tokens) / m.options.PromptTokensPerSecond * float64(time.Second))
-	m.mu.Lock()
-	now := time.Now()
-	if m.readingUntil.Before(now) {
-		m.readingUntil = now
+	select {
+	case m.reading <- struct{}{}:
+	case <-gone:
+		return false
 	}
-	m.readingUntil = m.readingUntil.Add(took)
-	wait := m.readingUntil.Sub(now)
-	m.mu.Unlock()
-	return pause(wait, gone)
+	defer func() { <-m.reading }()
+	took := time.Duration(slowdown * float64(tokens) / m.options.PromptTokensPerSecond * float64(time.Second))
+	return pause(took, gone)
 }
 
 // move waits until the memory of so many tokens has come from another engine.
--- /dev/null
+++ b/internal/standin/fleet/serving.go
@@ -0,0 +1,167 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ServeHTTP is part of http.Handler.
+func (w *Worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != w.options.ID {
+		writer.Header().Set("Instance-Id", w.options.ID)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case request.URL.Path == "/v1/report":
+		w.mutex.Lock()
+		report := fields{"stage": w.stage, "busy": w.changing, "seqNo": w.orders, "running": w.busy}
+		w.mutex.Unlock()
+		_ = json.NewEncoder(writer).Encode(report)
+	case request.URL.Path == "/v1/order":
+		w.order(writer, request)
+	case strings.HasPrefix(request.URL.Path, "/v1/kv-handle/"):
+		w.take(strings.TrimPrefix(request.URL.Path, "/v1/kv-handle/"))
+	default:
+		w.serve(writer, request)
+	}
+}
+
+// refuse says that a request did not run.
+func refuse(writer http.ResponseWriter, id string) {
+	writer.Header().Set("Request-Id", id)
+	writer.Header().Set("Not-Executed", "1")
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// serve reads or runs a request.
+func (w *Worker) serve(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	id := request.Header.Get("Request-Id")
+	if request.Header.Get("Stage") == "" {
+		w.fleet.arrived(Arrival{ID: id, Service: w.options.Service, At: time.Now()})
+	}
+	w.mutex.Lock()
+	full := w.busy >= w.options.Slots || w.changing || w.fault == WorkerFull
+	fault := w.fault
+	stage := w.stage
+	if !full {
+		w.busy++
+	}
+	w.mutex.Unlock()
+	if full {
+		refuse(writer, id)
+		return
+	}
+	defer func() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.busy--
+	}()
+	wanted := request.Header.Get("Stage")
+	switch {
+	case fault == WorkerMute:
+		<-request.Context().Done()
+	case wanted == "prefill" && stage == "prefill":
+		w.read(writer, request, id, fault)
+	case wanted == "prefill" || stage == "prefill":
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+	default:
+		w.run(writer, request, id, body, fault)
+	}
+}
+
+// read only reads the prompt.
+func (w *Worker) read(writer http.ResponseWriter, request *http.Request, id string, fault WorkerFault) {
+	tokens, _, _ := strings.Cut(request.Header.Get("Token-Count"), ",")
+	if w.model != nil && !w.readPrompt(request, 1) {
+		return
+	}
+	w.mutex.Lock()
+	w.nextID++
+	handle := fmt.Sprint(w.options.ID, "-h", w.nextID)
+	w.handles[handle] = fault != WorkerLapses
+	w.mutex.Unlock()
+	count, _ := strconv.Atoi(tokens)
+	writer.Header().Set("Request-Id", id)
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(fields{"kvHandle": handle, "tokens": count, "version": 1})
+}
+
+// run runs a request.
+func (w *Worker) run(writer http.ResponseWriter, request *http.Request, id string, body []byte, fault WorkerFault) {
+	if source := request.Header.Get("Kv-Source"); source != "" && !w.fleet.fetch(source) {
+		refuse(writer, id)
+		return
+	}
+	if w.model != nil {
+		defer w.model.run()()
+		if !w.takePrompt(request) {
+			return
+		}
+	}
+	resumed := request.Header.Get("Last-Event-Id")
+	w.fleet.ran(id, Run{Worker: w.options.ID, Resumed: resumed, Begun: time.Now()})
+	time.Sleep(w.options.Work)
+	controller := http.NewResponseController(writer)
+	if fault == WorkerResets {
+		if connection, _, err := controller.Hijack(); err == nil {
+			_ = connection.(*net.TCPConn).SetLinger(0)
+			_ = connection.Close()
+		}
+		return
+	}
+	writer.Header().Set("Request-Id", id)
+	writer.Header().Set("Response-Signature", "s."+id)
+	if fault == WorkerErrors {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if w.model != nil && request.URL.Path == completionsPath {
+		w.complete(writer, request, id, body, fault)
+		return
+	}
+	if w.options.Stage == "" {
+		answer := PlainAnswer(id, body)
+		writer.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		if fault == WorkerCuts {
+			answer = answer[:len(answer)/2]
+		}
+		_, _ = io.WriteString(writer, answer)
+		return
+	}
+	w.stream(writer, controller, id, resumed, fault)
+}
+
+// stream writes events after the one that the caller has.
+func (w *Worker) stream(writer http.ResponseWriter, controller *http.ResponseController, id, resumed string, fault WorkerFault) {
+	writer.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(resumed)
+	for number := after + 1; number <= w.options.Events; number++ {
+		if fault == WorkerCuts && number > after+1 {
+			_, _ = io.WriteString(writer, "id: "+strconv.Itoa(number)+"\nda")
+			_ = controller.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(writer, Event(id, number))
+		_ = controller.Flush()
+		time.Sleep(w.options.Work)
+	}
+}
+
+// PlainAnswer is the answer of a plain worker to a request.
+func PlainAnswer(id string, body []byte) string { return "answer to " + id + " of " + string(body) }
+
+// Event is one event of the answer of an engine.
+func Event(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s event %d\n\n", number, id, number)
+}
--- /dev/null
+++ b/internal/standin/fleet/storecalls.go
@@ -0,0 +1,204 @@
+package fleet
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ServeHTTP is part of http.Handler.
+func (s *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	name, id := route(request.URL.Path)
+	s.mutex.Lock()
+	s.calls[name]++
+	fault, delay := s.fault, s.delay
+	s.mutex.Unlock()
+	time.Sleep(delay)
+	writes := name == "kv-txn" || name == "kv-lease" || name == "kv-keep"
+	switch {
+	case fault == FaultBusy && request.URL.Query().Get("stale") == "":
+		writer.WriteHeader(http.StatusTooManyRequests)
+	case fault == FaultRefuse:
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	case fault == FaultSilent:
+		// The end of the connection is noticed only once the body was read.
+		_, _ = io.Copy(io.Discard, request.Body)
+		<-request.Context().Done()
+	case fault == FaultLoseAnswers && writes:
+		s.answer(name, id, request)
+		<-request.Context().Done()
+	default:
+		status, body := s.answer(name, id, request)
+		writer.Header().Set("Content-Type", "application/json")
+		writer.WriteHeader(status)
+		_ = json.NewEncoder(writer).Encode(body)
+	}
+}
+
+// route splits a path into the call and the id at its end.
+func route(path string) (string, int64) {
+	parts := strings.Split(strings.TrimPrefix(path, "/v1/"), "/")
+	if len(parts) < 2 {
+		return parts[0], 0
+	}
+	id, _ := strconv.ParseInt(parts[1], 10, 64)
+	return parts[0], id
+}
+
+// fields is a JSON object.
+type fields map[string]any
+
+// answer carries a call out.
+func (s *Store) answer(name string, id int64, request *http.Request) (int, any) {
+	query := request.URL.Query()
+	switch name {
+	case "kv-range":
+		return s.list(query.Get("pathPrefix"), query.Get("after"))
+	case "kv-watch":
+		after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(query.Get("waitMs"))
+		return s.watch(request, query.Get("pathPrefix"), after, time.Duration(wait)*time.Millisecond)
+	case "kv-txn":
+		return s.transact(request)
+	case "kv-lease":
+		return s.grant(request)
+	case "kv-keep":
+		return s.renew(id)
+	case "kv-lease-end":
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.end(id)
+		return http.StatusOK, fields{}
+	default:
+		return http.StatusNotFound, fields{"error": "no such call"}
+	}
+}
+
+// pageItems is how many items one page of a list holds.
+const pageItems = 50
+
+// list answers one page.
+func (s *Store) list(prefix, after string) (int, any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > pageItems
+	items := []record{}
+	for _, key := range keys[:min(len(keys), pageItems)] {
+		items = append(items, s.items[key])
+	}
+	return http.StatusOK, fields{"items": items, "more": more, "at": s.revision}
+}
+
+// watch waits for changes.
+func (s *Store) watch(request *http.Request, prefix string, after int64, wait time.Duration) (int, any) {
+	deadline := time.Now().Add(wait)
+	wake := func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.changed.Broadcast()
+	}
+	timer := time.AfterFunc(wait, wake)
+	defer timer.Stop()
+	ticker := time.AfterFunc(200*time.Millisecond, wake)
+	defer ticker.Stop()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for {
+		s.expire()
+		if after < s.compacted {
+			return http.StatusGone, fields{"error": "history is gone"}
+		}
+		events := []record{}
+		for _, change := range s.history {
+			if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
+				events = append(events, change)
+			}
+		}
+		if len(events) > 0 || !time.Now().Before(deadline) || request.Context().Err() != nil {
+			return http.StatusOK, fields{"events": events, "at": s.revision}
+		}
+		ticker.Reset(200 * time.Millisecond)
+		s.changed.Wait()
+	}
+}
+
+// transact does everything or nothing.
+func (s *Store) transact(request *http.Request) (int, any) {
+	var body struct {
+		Expected []struct {
+			Key      string `json:"key"`
+			Revision int64  `json:"revision"`
+		} `json:"expected"`
+		Put    []record `json:"put"`
+		Remove []string `json:"remove"`
+	}
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		return http.StatusBadRequest, fields{"error": err.Error()}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	for _, condition := range body.Expected {
+		if s.items[condition.Key].Revision != condition.Revision {
+			return http.StatusPreconditionFailed, fields{"items": []record{s.items[condition.Key]}}
+		}
+	}
+	for _, item := range body.Put {
+		if strings.HasPrefix(item.Key, "op/") || strings.HasPrefix(item.Key, "servers/") {
+			return http.StatusForbidden, fields{"error": "not for the system"}
+		}
+		if _, found := s.leases[item.Lease]; item.Lease != 0 && !found {
+			return http.StatusNotFound, fields{"error": "no such lease"}
+		}
+	}
+	s.revision++
+	for _, item := range body.Put {
+		s.write(record{Key: item.Key, Value: item.Value, Lease: item.Lease})
+	}
+	for _, key := range body.Remove {
+		s.remove(key)
+	}
+	return http.StatusOK, fields{"revision": s.revision}
+}
+
+// grant gives a lease.
+func (s *Store) grant(request *http.Request) (int, any) {
+	var body struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		return http.StatusBadRequest, fields{"error": err.Error()}
+	}
+	ttl := time.Duration(body.TTLMs) * time.Millisecond
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.nextLease++
+	s.leases[s.nextLease] = grant{ttl: ttl, until: time.Now().Add(ttl)}
+	return http.StatusOK, fields{"lease": s.nextLease, "ttlMs": body.TTLMs}
+}
+
+// renew renews a lease.
+func (s *Store) renew(id int64) (int, any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	lease, found := s.leases[id]
+	if !found {
+		return http.StatusNotFound, fields{"error": "no such lease"}
+	}
+	lease.until = time.Now().Add(lease.ttl)
+	s.leases[id] = lease
+	return http.StatusOK, fields{"ttlMs": lease.ttl.Milliseconds()}
+}
--- /dev/null
+++ b/internal/store/pace.go
@@ -0,0 +1,59 @@
+package store
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// share stretches a pause by the number of readers.
+func (r *Replica) share(pause time.Duration) time.Duration {
+	return max(pause, time.Duration(r.readers.Load())*perReader)
+}
+
+// settle returns the pause after changes that were not noted yet. When every process of a large fleet starts at once, each
+// registration and each new record is a change for all of them: without a longer pause their calls grow with the square of
+// the fleet. The pause delays only what comes after those changes.
+func (r *Replica) settle(events []Event) time.Duration {
+	if len(events) == 0 {
+		return 0
+	}
+	pause := r.share(r.settings.Settle)
+	for _, event := range events {
+		if !r.unhurried(event) {
+			return pause
+		}
+	}
+	longer := time.Duration(r.readers.Load()) * r.settings.UnhurriedPerReader
+	return max(pause, min(longer, r.settings.LongestUnhurried))
+}
+
+// unhurried tells whether those that come after a change may be told late: it concerns an unhurried key, or an item that was
+// not there before. A large fleet that starts has many of these, and none that is waited for.
+func (r *Replica) unhurried(event Event) bool {
+	if r.calm.Load() {
+		return true
+	}
+	if r.settings.Unhurried != nil && r.settings.Unhurried(event.Key) {
+		return true
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, known := r.known[event.Key]
+	return !known && !event.Deleted
+}
+
+// jitter returns a pause between a half and the whole of the given one.
+func jitter(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause/2+1)
+}
+
+// sleep waits for a pause or the end of the context.
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
