--- /dev/null
+++ b/internal/bootstrap/bootstrap_test.go
@@ -0,0 +1,50 @@
+package bootstrap_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/granitebay/granitebay/internal/bootstrap"
+	"github.com/granitebay/granitebay/internal/store"
+)
+
+// gateway serves a snapshot of a revision, or none when it is negative, and returns its address.
+func gateway(t *testing.T, revision int64) string {
+	t.Helper()
+	server := httptest.NewServer(bootstrap.Handler(func() (store.Snapshot, bool) {
+		item := store.Item{Key: "servers/w", Value: []byte("{}"), Revision: revision}
+		return store.Snapshot{Items: []store.Item{item}, Revision: revision}, revision >= 0
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestFetchTakesTheNewestAnswer asks gateways of which some know less, nothing, or are gone.
+func TestFetchTakesTheNewestAnswer(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	nonsense := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) }))
+	t.Cleanup(nonsense.Close)
+	seeds := []string{
+		gateway(t, 4), gateway(t, 9), gateway(t, -1), strings.TrimPrefix(gone.URL, "http://"), strings.TrimPrefix(nonsense.URL, "http://"),
+	}
+	got, err := bootstrap.NewClient(seeds).Fetch(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Revision != 9 || len(got.Items) != 1 || got.Items[0].Key != "servers/w" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// TestFetchSaysWhenNobodyKnows asks a gateway that has only started.
+func TestFetchSaysWhenNobodyKnows(t *testing.T) {
+	if _, err := bootstrap.NewClient([]string{gateway(t, -1)}).Fetch(t.Context()); err == nil || !strings.Contains(err.Error(), "ask other gateways") {
+		t.Errorf("got %v", err)
+	}
+	if _, err := bootstrap.NewClient(nil).Fetch(t.Context()); err == nil {
+		t.Error("no error without anybody to ask")
+	}
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -118,11 +119,14 @@
 	return found
 }
 
-// checkOrders: holders do not share a fence, fences rise, and holders do not take turns within a lease.
+// checkOrders: holders do not share a fence, fences rise, and holders do not take turns within a lease. An order counts from
+// when it came to its worker, whenever it was carried out.
 func checkOrders(h *History) []Violation {
 	var found []Violation
 	holders := map[int64]string{}
-	for i, order := range h.Orders {
+	orders := slices.Clone(h.Orders)
+	slices.SortStableFunc(orders, func(a, b fleet.Taken) int { return a.At.Compare(b.At) })
+	for i, order := range orders {
 		if other, known := holders[order.Fence]; known && other != order.Holder {
 			found = append(found, Violation{"ONE", order.Worker, fmt.Sprintf("%s and %s share fence %d", other, order.Holder, order.Fence)})
 		}
@@ -130,7 +134,7 @@
 		if i == 0 {
 			continue
 		}
-		if before := h.Orders[i-1]; before.Holder != order.Holder {
+		if before := orders[i-1]; before.Holder != order.Holder {
 			found = append(found, checkTurn(before, order)...)
 		}
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -16,7 +16,7 @@
 	}
 	workerFaults = map[WorkerKind]fleet.WorkerFault{
 		WorkerErrors: fleet.WorkerErrors, WorkerResets: fleet.WorkerResets, WorkerMute: fleet.WorkerMute,
-		WorkerCuts: fleet.WorkerCuts, WorkerLapses: fleet.WorkerLapses,
+		WorkerCuts: fleet.WorkerCuts, WorkerLapses: fleet.WorkerLapses, WorkerLate: fleet.WorkerLateOrders,
 	}
 )
 
@@ -49,6 +49,8 @@
 		}
 	case StoreCompact:
 		s.fleet.Store.Compact()
+	case LeaseLapse:
+		s.fleet.Store.EndLeases()
 	case WorkerTrouble:
 		s.workers[f.Worker].current().SetFault(workerFaults[f.Kind])
 	case WorkerCut:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -36,6 +36,9 @@
 // StoreCompact makes the store forget its history.
 type StoreCompact struct{}
 
+// LeaseLapse ends the leases of all gateways.
+type LeaseLapse struct{}
+
 // WorkerTrouble makes a worker misbehave.
 type WorkerTrouble struct {
 	Worker int
@@ -80,6 +83,7 @@
 	WorkerMute   WorkerKind = "never answers"
 	WorkerCuts   WorkerKind = "breaks answers off"
 	WorkerLapses WorkerKind = "lets handles lapse"
+	WorkerLate   WorkerKind = "carries orders out late"
 )
 
 func (GatewayKill) isFault()   {}
@@ -88,6 +92,7 @@
 func (StoreTrouble) isFault()  {}
 func (StoreCut) isFault()      {}
 func (StoreCompact) isFault()  {}
+func (LeaseLapse) isFault()    {}
 func (WorkerTrouble) isFault() {}
 func (WorkerCut) isFault()     {}
 func (WorkerReplace) isFault() {}
@@ -104,6 +109,7 @@
 	return fmt.Sprintf("gateways %v and the store: %s", f.Gateways, f.Mode)
 }
 func (StoreCompact) String() string    { return "the store forgets its history" }
+func (LeaseLapse) String() string      { return "the leases of all gateways end" }
 func (f WorkerTrouble) String() string { return fmt.Sprintf("worker %d %s", f.Worker, f.Kind) }
 func (f WorkerCut) String() string     { return fmt.Sprintf("the way to worker %d: %s", f.Worker, f.Mode) }
 func (f WorkerReplace) String() string { return fmt.Sprintf("worker %d is replaced", f.Worker) }
@@ -177,9 +183,12 @@
 	case 6:
 		return StoreCut{some(), mode}
 	case 7:
+		if random.IntN(2) == 0 {
+			return LeaseLapse{}
+		}
 		return StoreCompact{}
 	case 8, 9:
-		kinds := []WorkerKind{WorkerErrors, WorkerResets, WorkerMute, WorkerCuts, WorkerLapses}
+		kinds := []WorkerKind{WorkerErrors, WorkerResets, WorkerMute, WorkerCuts, WorkerLapses, WorkerLate}
 		return WorkerTrouble{worker, kinds[random.IntN(len(kinds))]}
 	case 10:
 		if random.IntN(2) == 0 {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -30,7 +30,8 @@
 	Worker string
 	Holder string
 	Fence  int64
-	At     time.Time
+	// At is when the order came; it may have been carried out later.
+	At time.Time
 }
 
 // Arrivals returns the arrivals at workers so far.
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -158,6 +158,15 @@
 	}
 }
 
+// EndLeases ends all leases, as when nobody renewed them in time.
+func (s *Store) EndLeases() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id := range s.leases {
+		s.end(id)
+	}
+}
+
 // end ends one lease. The mutex is held.
 func (s *Store) end(id int64) {
 	delete(s.leases, id)
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -45,6 +45,8 @@
 	WorkerCuts
 	// WorkerLapses lets the handles of prompts lapse at once.
 	WorkerLapses
+	// WorkerLateOrders carries orders out lateOrder after they came.
+	WorkerLateOrders
 	// WorkerFull refuses everything.
 	WorkerFull
 )
@@ -142,6 +144,13 @@
 	w.fault = fault
 }
 
+// faulty tells whether the worker misbehaves in a way.
+func (w *Worker) faulty(fault WorkerFault) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.fault == fault
+}
+
 // Drain records that the worker leaves.
 func (w *Worker) Drain() {
 	w.mutex.Lock()
@@ -158,6 +167,9 @@
 	}
 }
 
+// lateOrder is by how much a worker with WorkerLateOrders is late; a lease may end meanwhile.
+const lateOrder = 1500 * time.Millisecond
+
 // order changes the stage.
 func (w *Worker) order(writer http.ResponseWriter, request *http.Request) {
 	var body struct {
@@ -171,6 +183,10 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	came := time.Now()
+	if w.faulty(WorkerLateOrders) {
+		time.Sleep(lateOrder)
+	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	switch {
@@ -186,7 +202,7 @@
 		w.fence = body.Fence
 		w.orders++
 		w.holders = append(w.holders, body.Holder)
-		w.fleet.tookOrder(Taken{Worker: w.options.ID, Holder: body.Holder, Fence: body.Fence, At: time.Now()})
+		w.fleet.tookOrder(Taken{Worker: w.options.ID, Holder: body.Holder, Fence: body.Fence, At: came})
 		w.change(body.Stage)
 		writer.WriteHeader(http.StatusAccepted)
 	}
