Gateways ask the engines what they keep when they start

Cause: what engines keep of prompts is told between gateways only as it changes.

Change: once the workers are known, a gateway asks up to 64 engines, 16 at a time and at most 500 ms each, for the events of what they keep; requests do not wait for it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,8 @@
 	Labelled forward.LabelledProtocol
 	Workers  forward.Workers
 	Orderer  roles.Orderer
+	// KeptParts tells what engines keep of prompts; nil leaves that to be learnt from requests.
+	KeptParts forward.KeptParts
 	// ForgetWorkers closes connections to workers whose addresses are not kept.
 	ForgetWorkers func(keep func(address string) bool)
 	// ReadyHandler serves the question whether the gateway takes requests.
@@ -68,6 +70,9 @@
 	workersMu     sync.Mutex
 	workers       backend.Set
 	configuration *routing.Configuration
+	// workersKnown is closed once there are workers in groups.
+	workersKnown chan struct{}
+	knowWorkers  sync.Once
 
 	leaving atomic.Bool
 	servers []*http.Server
@@ -82,6 +87,7 @@
 func New(settings Settings, ports Ports, logger *logrus.Logger) *Gateway {
 	g := &Gateway{settings: settings, ports: ports, logger: logger, idle: newIdleConnections(defaultIdleTimeout, readHeaderTimeout)}
 	g.startedAt = time.Now()
+	g.workersKnown = make(chan struct{})
 	g.decisions = decisionlog.New(settings.Name, keptDecisions)
 	g.metrics = newFigures(g.decisions, logger)
 	g.grace.Store(int64(settings.Grace))
@@ -162,6 +168,7 @@
 	g.tasks.Go(func() { g.replica.Run(ctx) })
 	g.tasks.Go(func() { g.registration.Run(ctx) })
 	g.tasks.Go(func() { g.controller.Run(ctx) })
+	g.tasks.Go(func() { g.learnKept(ctx) })
 	logging.Part(g.logger, "gateway").WithField("name", g.settings.Name).Info("Started.")
 	return nil
 }
--- /dev/null
+++ b/internal/gateway/kept.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/logging"
+)
+
+// Bounds of the questions what engines keep.
+const (
+	// keptTimeout bounds one question.
+	keptTimeout = 500 * time.Millisecond
+	// mostAsked bounds the engines that a gateway asks: with more of them each gateway asks some, drawn at random.
+	mostAsked = 64
+	// askedAtOnce bounds the questions under way.
+	askedAtOnce = 16
+)
+
+// learnKept asks the engines once what they keep of prompts, as soon as they are known: a gateway that starts again, or all of
+// them at once, else has every shared part read anew although it lies ready.
+func (g *Gateway) learnKept(ctx context.Context) {
+	if g.ports.KeptParts == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-g.workersKnown:
+	}
+	free := make(chan struct{}, askedAtOnce)
+	var asking sync.WaitGroup
+	for _, engine := range g.enginesToAsk() {
+		free <- struct{}{}
+		asking.Go(func() {
+			defer func() { <-free }()
+			g.learnFrom(ctx, engine)
+		})
+	}
+	asking.Wait()
+}
+
+// enginesToAsk returns the engines to ask, in random order.
+func (g *Gateway) enginesToAsk() []*backend.Worker {
+	var engines []*backend.Worker
+	for _, group := range g.dispatcher.Engines() {
+		for _, engine := range group {
+			engines = append(engines, engine.Worker)
+		}
+	}
+	rand.Shuffle(len(engines), func(a, b int) { engines[a], engines[b] = engines[b], engines[a] })
+	return engines[:min(len(engines), mostAsked)]
+}
+
+// learnFrom asks one engine. One that does not answer is not asked again: its parts become known as they are used.
+func (g *Gateway) learnFrom(ctx context.Context, engine *backend.Worker) {
+	ctx, cancel := context.WithTimeout(ctx, keptTimeout)
+	defer cancel()
+	parts, err := g.ports.KeptParts.Kept(ctx, engine)
+	if err != nil {
+		logging.Part(g.logger, "gateway").WithError(err).Debug("An engine did not tell what it keeps.")
+		return
+	}
+	g.dispatcher.Learn(engine.ID, parts)
+}
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -47,7 +47,12 @@
 }
 
 // selectWorkers puts the workers into their groups. The mutex of the workers is held.
-func (g *Gateway) selectWorkers() { g.dispatcher.SetWorkers(g.configuration.Select(g.workers)) }
+func (g *Gateway) selectWorkers() {
+	g.dispatcher.SetWorkers(g.configuration.Select(g.workers))
+	if g.configuration != nil && len(g.workers) > 0 {
+		g.knowWorkers.Do(func() { close(g.workersKnown) })
+	}
+}
 
 // GatewaysChanged is part of cluster.Listener.
 func (g *Gateway) GatewaysChanged() {
--- a/internal/standin/fleet/model.go
+++ b/internal/standin/fleet/model.go
@@ -44,6 +44,8 @@
 	kept       map[string]*list.Element
 	recent     *list.List
 	keptTokens int
+	// readTokens counts the tokens of prompts that were read.
+	readTokens int
 }
 
 // keptPart is a part of prompts in the memory of an engine.
@@ -105,6 +107,17 @@
 	}
 }
 
+// keptParts returns what the engine keeps, the parts used last at the end.
+func (m *model) keptParts() []keptPart {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var parts []keptPart
+	for element := m.recent.Back(); element != nil; element = element.Prev() {
+		parts = append(parts, element.Value.(keptPart))
+	}
+	return parts
+}
+
 // read reads so many tokens once the prompts before it are read. It tells whether the caller is still there; a prompt whose
 // caller has gone is not read any further.
 func (m *model) read(tokens int, slowdown float64, gone <-chan struct{}) bool {
@@ -114,6 +127,9 @@
 		return false
 	}
 	defer func() { <-m.reading }()
+	m.mu.Lock()
+	m.readTokens += tokens
+	m.mu.Unlock()
 	took := time.Duration(slowdown * float64(tokens) / m.options.PromptTokensPerSecond * float64(time.Second))
 	return pause(took, gone)
 }
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -24,6 +24,8 @@
 		report := fields{"stage": w.stage, "busy": w.changing, "seqNo": w.orders, "running": w.busy}
 		w.mutex.Unlock()
 		_ = json.NewEncoder(writer).Encode(report)
+	case request.URL.Path == "/v1/kv-events":
+		w.tellKept(writer)
 	case request.URL.Path == "/v1/order":
 		w.order(writer, request)
 	case strings.HasPrefix(request.URL.Path, "/v1/kv-handle/"):
@@ -33,6 +35,20 @@
 	}
 }
 
+// tellKept answers what the engine keeps, as events of parts that came, those used last at the end.
+func (w *Worker) tellKept(writer http.ResponseWriter) {
+	if w.model == nil {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	events := [][]any{}
+	for number, part := range w.model.keptParts() {
+		events = append(events, []any{number + 1, "+", "", part.id, part.tokens, ""})
+	}
+	answer := fields{"epoch": 1, "nextToken": len(events), "lost": false, "events": events}
+	_ = json.NewEncoder(writer).Encode(answer)
+}
+
 // refuse says that a request did not run.
 func refuse(writer http.ResponseWriter, id string) {
 	writer.Header().Set("Request-Id", id)
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -123,6 +123,13 @@
 	return w.stage
 }
 
+// ReadTokens returns how many tokens of prompts a model engine has read.
+func (w *Worker) ReadTokens() int {
+	w.model.mu.Lock()
+	defer w.model.mu.Unlock()
+	return w.model.readTokens
+}
+
 // Changing tells whether the worker is out for a change of its stage.
 func (w *Worker) Changing() bool {
 	w.mutex.Lock()
