--- a/internal/demo/workload.go
+++ b/internal/demo/workload.go
@@ -56,7 +56,7 @@
 
 const (
 	// turnPeriod is the time in which the rushes take one turn each.
-	turnPeriod = 80 * time.Second
+	turnPeriod = 40 * time.Second
 	// rushSharpness makes a rush stay at its height for most of its time: 1 would be half of a plain sine.
 	rushSharpness = 2
 	// lengthSpread is how far lengths are from their mean, at most.
@@ -69,8 +69,8 @@
 	return workload{
 		classes: []class{
 			{
-				name: "history", title: "histories", promptTokens: 6000, sharedTokens: 1024, answerTokens: 24,
-				wanted: 5 * time.Second, deadline: 30 * time.Second, base: 2, rush: 15, season: reading,
+				name: "history", title: "histories", promptTokens: 12000, sharedTokens: 1024, answerTokens: 24,
+				wanted: 5 * time.Second, deadline: 30 * time.Second, base: 2, rush: 26, season: reading,
 			},
 			{
 				name: "letter", title: "letters", promptTokens: 100, answerTokens: 280,
@@ -99,8 +99,8 @@
 	return workload{
 		classes: []class{
 			{
-				name: "manifest", title: "manifests", promptTokens: 9000, sharedTokens: 1024, answerTokens: 120,
-				wanted: 30 * time.Second, deadline: time.Minute, base: 2, rush: 8, season: reading,
+				name: "manifest", title: "manifests", promptTokens: 12000, sharedTokens: 1024, answerTokens: 120,
+				wanted: 30 * time.Second, deadline: time.Minute, base: 2, rush: 36, season: reading,
 			},
 			{
 				name: "rate-check", title: "rate checks", promptTokens: 60, answerTokens: 120,
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -108,7 +108,6 @@
 	}
 	model := fleet.DefaultModel()
 	model.StageChange = 500 * time.Millisecond
-	model.PromptTokensPerSecond = 50_000
 	add(s.shape.plain, fleet.WorkerOptions{Service: servicePlain, Slots: 16, Work: 5 * time.Millisecond})
 	add(s.shape.prefill, fleet.WorkerOptions{Service: serviceEngine, Stage: "prefill", Slots: 32, Work: 5 * time.Millisecond, Events: streamEvents, Model: model})
 	add(s.shape.decode, fleet.WorkerOptions{Service: serviceEngine, Stage: "decode", Slots: 32, Work: 5 * time.Millisecond, Events: streamEvents, Model: model})
