Engines as they are: their pace is learnt, roles follow the demand, patience follows what is expected

Placement, the planner and the patience with readers rested on constants of other engines (50,000 and 25,000 tokens a second, half of the engines for each role, 0.4 s and 0.1 ms a token).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/enginemodel"
 )
 
 // Query asks for a worker.
@@ -68,38 +69,30 @@
 
 // Settings of a balancer.
 type Settings struct {
-	// PromptTokensPerSecond is the rate at which engines read prompts, by role.
-	PromptTokensPerSecond map[backend.Role]float64
-	// SecondsPerRun is the delay that one run in progress adds at a worker with one slot for plain workers, and at any
-	// engine for the others.
-	SecondsPerRun map[backend.Role]float64
-	// HoldUpWeight is the part of the delay of each other answer that counts, by role.
-	HoldUpWeight map[backend.Role]float64
+	// SecondsPerRun is the delay that one run in progress adds at an engine; plain workers take the time of a run, shared by
+	// their slots.
+	SecondsPerRun float64
+	// HoldUpWeight is the part of the delay of each other answer that counts where prompts are read beside them. An engine does
+	// one thing at a time, so a second of reading delays each of its answers by up to a second.
+	HoldUpWeight float64
 	// OtherZoneSeconds is the cost of a worker in another zone.
 	OtherZoneSeconds float64
 	// Health of workers.
 	Health HealthSettings
 }
 
-// DefaultSettings suit engines of today's accelerators.
+// DefaultSettings count the delay of each answer alike.
 func DefaultSettings() Settings {
-	return Settings{
-		PromptTokensPerSecond: map[backend.Role]float64{backend.RolePrefill: 50_000, backend.RoleDecode: 25_000},
-		SecondsPerRun: map[backend.Role]float64{
-			backend.RoleNone: 0.030, backend.RolePrefill: 0.002, backend.RoleDecode: 0.002,
-		},
-		HoldUpWeight:     map[backend.Role]float64{backend.RoleDecode: 0.1},
-		OtherZoneSeconds: 0.010,
-		Health:           DefaultHealthSettings(),
-	}
+	return Settings{SecondsPerRun: 0.002, HoldUpWeight: 1, OtherZoneSeconds: 0.010, Health: DefaultHealthSettings()}
 }
 
 // Elsewhere tells what other gateways have at a worker.
-type Elsewhere func(worker string) (running, readingTokens int)
+type Elsewhere func(worker string) backend.Load
 
 // Balancer holds what one gateway knows of the workers.
 type Balancer struct {
 	settings  Settings
+	model     *enginemodel.Model
 	elsewhere Elsewhere
 	workers   map[string]*state
 	// groups holds the workers of each group by id.
@@ -109,18 +102,18 @@
 // state is one worker as this gateway sees it.
 type state struct {
 	worker *backend.Worker
-	// running counts the own requests at the worker.
-	running int
-	// readingTokens are the prompt tokens of those that have given no answer yet.
-	readingTokens int
-	health        health
+	// load is the own work at the worker.
+	load   backend.Load
+	health health
 	// changingUntil is how long work is kept off the worker, because it changes its role.
 	changingUntil time.Time
 }
 
-// New returns a balancer without workers.
-func New(settings Settings, elsewhere Elsewhere) *Balancer {
-	return &Balancer{settings: settings, elsewhere: elsewhere, workers: map[string]*state{}, groups: map[string][]*state{}}
+// New returns a balancer without workers. The model tells how fast they are; the caller feeds it.
+func New(settings Settings, model *enginemodel.Model, elsewhere Elsewhere) *Balancer {
+	return &Balancer{
+		settings: settings, model: model, elsewhere: elsewhere, workers: map[string]*state{}, groups: map[string][]*state{},
+	}
 }
 
 // SetWorkers replaces the workers. What is known of those that stay is kept.
@@ -147,18 +140,28 @@
 	}
 }
 
+// loadOf is the load of one request whose prompt has so many tokens to read.
+func loadOf(tokens int) backend.Load {
+	load := backend.Load{Running: 1, ReadingTokens: tokens}
+	if tokens > 0 {
+		load.Reading = 1
+	}
+	return load
+}
+
 // Begin notes that a request was sent to a worker. The tokens are those of its prompt that the worker reads.
 func (b *Balancer) Begin(id string, tokens int) {
 	if known, found := b.workers[id]; found {
-		known.running++
-		known.readingTokens += tokens
+		known.load = known.load.Plus(loadOf(tokens))
 	}
 }
 
 // Answered notes that a worker has read the tokens of a request.
 func (b *Balancer) Answered(id string, tokens int) {
 	if known, found := b.workers[id]; found {
-		known.readingTokens = max(known.readingTokens-tokens, 0)
+		read := loadOf(tokens)
+		read.Running = 0
+		known.load = known.load.Minus(read)
 	}
 }
 
@@ -169,7 +172,7 @@
 	if !found {
 		return false
 	}
-	known.running = max(known.running-1, 0)
+	known.load.Running = max(known.load.Running-1, 0)
 	return known.health.record(now, outcome, &b.settings.Health)
 }
 
@@ -182,12 +185,21 @@
 }
 
 // Load returns what this gateway has at a worker.
-func (b *Balancer) Load(id string) (running, readingTokens int) {
+func (b *Balancer) Load(id string) backend.Load {
 	known, found := b.workers[id]
 	if !found {
-		return 0, 0
+		return backend.Load{}
+	}
+	return known.load
+}
+
+// TotalLoad returns what all gateways have at a worker.
+func (b *Balancer) TotalLoad(id string) backend.Load {
+	load := b.Load(id)
+	if b.elsewhere != nil {
+		load = load.Plus(b.elsewhere(id))
 	}
-	return known.running, known.readingTokens
+	return load
 }
 
 // Usable tells whether a worker takes work and is not set aside.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/enginemodel"
 	"github.com/granitebay/granitebay/internal/rendezvous"
 )
 
@@ -19,7 +20,7 @@
 	var best *state
 	var bestScore Score
 	for _, candidate := range candidates {
-		score := b.score(query, candidate)
+		score := b.score(now, query, candidate)
 		if candidate.health.ejected(now) {
 			score.Doubt = b.settings.Health.DoubtSeconds
 		}
@@ -60,35 +61,48 @@
 }
 
 // score estimates the cost of one worker.
-func (b *Balancer) score(query Query, candidate *state) Score {
-	role := candidate.worker.Role
-	perRun := b.settings.SecondsPerRun[role]
-	if role == backend.RoleNone {
-		perRun /= float64(max(candidate.worker.Slots, 1))
+func (b *Balancer) score(now time.Time, query Query, candidate *state) Score {
+	worker := candidate.worker
+	class := enginemodel.ClassOf(worker)
+	estimate := b.model.Estimate(now, class)
+	load := b.TotalLoad(worker.ID)
+	var score Score
+	if worker.Role == backend.RoleNone {
+		score.Queue = float64(load.Running) * estimate.RunSeconds / float64(max(worker.Slots, 1))
+	} else {
+		perToken := estimate.SecondsPerToken * b.model.Slowness(now, class, worker.ID)
+		score.Queue = float64(load.Running)*b.settings.SecondsPerRun + float64(load.ReadingTokens)*perToken
+		score.addReading(query, worker, perToken)
 	}
-	running, readingTokens := candidate.running, candidate.readingTokens
-	if b.elsewhere != nil {
-		runningElsewhere, readingElsewhere := b.elsewhere(candidate.worker.ID)
-		running += runningElsewhere
-		readingTokens += readingElsewhere
+	if worker.Role == backend.RoleDecode {
+		score.HoldUp = score.Reading * b.settings.HoldUpWeight * float64(load.Running)
+		score.Queue += slotSeconds(estimate, load.Running, worker.Slots)
 	}
-	score := Score{Queue: float64(running) * perRun}
-	speed := b.settings.PromptTokensPerSecond[role]
-	if speed > 0 {
-		score.Queue += float64(readingTokens) / speed
-	}
-	if speed > 0 && query.Reading != nil {
-		reading := query.Reading(candidate.worker)
-		score.Reading = float64(reading.Tokens) / speed
-		score.HoldUp = score.Reading * b.settings.HoldUpWeight[role] * float64(running)
-		score.Transfer = reading.TransferSeconds
-	}
-	if query.Zone != "" && candidate.worker.Zone != query.Zone {
+	if query.Zone != "" && worker.Zone != query.Zone {
 		score.Distance = b.settings.OtherZoneSeconds
 	}
 	return score
 }
 
+// addReading adds what the prompt costs a worker that reads a token in a time.
+func (s *Score) addReading(query Query, worker *backend.Worker, perToken float64) {
+	if query.Reading == nil {
+		return
+	}
+	reading := query.Reading(worker)
+	s.Reading = float64(reading.Tokens) * perToken
+	s.Transfer = reading.TransferSeconds
+}
+
+// slotSeconds is how long a new run waits for a place among those that are running.
+func slotSeconds(estimate enginemodel.Estimate, running, slots int) float64 {
+	over := running + 1 - slots
+	if over <= 0 || slots <= 0 {
+		return 0
+	}
+	return float64(over) * estimate.RunSeconds / float64(slots)
+}
+
 // preferred returns the worker that wins ties: the same one for all gateways that know the same workers.
 func preferred(query Query, candidates []*state) *state {
 	key := query.Key
--- /dev/null
+++ b/internal/enginemodel/enginemodel_test.go
@@ -0,0 +1,190 @@
+package enginemodel
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/tools/txtar"
+	"pgregory.net/rapid"
+
+	"github.com/granitebay/granitebay/internal/backend"
+)
+
+// epoch is where the tests begin.
+var epoch = time.Unix(1000, 0)
+
+// classOf is the class of the engines of a role.
+func classOf(role string) Class { return Class{Group: "g", Role: backend.Role(role)} }
+
+// script plays one trace.
+type script struct {
+	t      *testing.T
+	model  *Model
+	now    time.Time
+	random *rand.Rand
+}
+
+// bounds reads LEAST..MOST.
+func (s *script) bounds(text string) (least, most float64) {
+	low, high, found := strings.Cut(text, "..")
+	least, lowErr := strconv.ParseFloat(low, 64)
+	most, highErr := strconv.ParseFloat(high, 64)
+	if !found || lowErr != nil || highErr != nil {
+		s.t.Fatalf("%q is not LEAST..MOST", text)
+	}
+	return least, most
+}
+
+// scaled reads NAME*FACTOR.
+func (s *script) scaled(text string) (string, float64) {
+	name, factor, found := strings.Cut(text, "*")
+	value, err := strconv.ParseFloat(factor, 64)
+	if text != "" && (!found || err != nil) {
+		s.t.Fatalf("%q is not NAME*FACTOR", text)
+	}
+	return name, value
+}
+
+// duration reads a duration.
+func (s *script) duration(text string) time.Duration {
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return value
+}
+
+// number reads a number, or nothing as zero.
+func (s *script) number(text string) int {
+	if text == "" {
+		return 0
+	}
+	value, err := strconv.Atoi(text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return value
+}
+
+// observe makes up readings and shows them to the model.
+func (s *script) observe(role string, workers int, words []string) {
+	options := map[string]string{"tokens": "4000..4000"}
+	for _, word := range words {
+		name, value, _ := strings.Cut(word, "=")
+		options[name] = value
+	}
+	least, most := s.bounds(options["tokens"])
+	slow, slowFactor := s.scaled(options["slow"])
+	outliers, outlierFactor := s.scaled(options["outliers"])
+	count, every := s.number(options["readings"]), s.duration(options["every"])
+	for i := range count {
+		id := fmt.Sprintf("w%d", i%workers)
+		reading := Reading{Ahead: s.number(options["ahead"]), Tokens: int(least) + s.random.IntN(int(most-least)+1)}
+		seconds := float64(reading.Ahead+reading.Tokens) / float64(s.number(options["pace"]))
+		if id == slow {
+			seconds *= slowFactor
+		}
+		if wanted := s.number(outliers); wanted > 0 && i%(count/wanted) == 0 {
+			seconds *= outlierFactor
+		}
+		reading.Took = s.duration(options["start"]) + time.Duration(seconds*float64(time.Second))
+		s.now = s.now.Add(every)
+		s.model.ObserveReading(s.now, classOf(role), id, reading)
+	}
+}
+
+// line plays one line.
+func (s *script) line(text string) {
+	words := strings.Fields(text)
+	switch words[0] {
+	case "observe":
+		s.observe(words[1], s.number(words[2]), words[3:])
+	case "pause":
+		s.now = s.now.Add(s.duration(words[1]))
+	case "pace":
+		s.expect(text, 1/s.model.Estimate(s.now, classOf(words[1])).SecondsPerToken, words[2])
+	case "start":
+		s.expect(text, 1000*s.model.Estimate(s.now, classOf(words[1])).StartSeconds, words[2])
+	case "slowness":
+		s.expect(text, s.model.Slowness(s.now, classOf(words[1]), words[2]), words[3])
+	default:
+		s.t.Fatalf("unknown line %q", text)
+	}
+}
+
+// expect compares a value with its bounds.
+func (s *script) expect(text string, got float64, within string) {
+	if least, most := s.bounds(within); got < least || got > most {
+		s.t.Errorf("%s: got %.4g", text, got)
+	}
+}
+
+func TestTraces(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/traces.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range archive.Files {
+		t.Run(file.Name, func(t *testing.T) {
+			s := &script{t: t, model: New(), now: epoch, random: rand.New(rand.NewPCG(1, 2))}
+			for line := range strings.Lines(string(file.Data)) {
+				s.line(line)
+			}
+		})
+	}
+}
+
+// TestEstimatesAreSane shows arbitrary observations: estimates stay finite, positive, and grow with the work.
+func TestEstimatesAreSane(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model, now := New(), epoch
+		roles := []string{"prefill", "decode"}
+		for range rapid.IntRange(0, 60).Draw(t, "readings") {
+			now = now.Add(time.Duration(rapid.Int64Range(-1e9, 60e9).Draw(t, "pause")))
+			model.ObserveReading(now, classOf(rapid.SampledFrom(roles).Draw(t, "role")), "w", Reading{
+				Ahead:  rapid.IntRange(-10, 1e6).Draw(t, "ahead"),
+				Tokens: rapid.IntRange(-10, 1e6).Draw(t, "tokens"),
+				Took:   time.Duration(rapid.Int64Range(-1e9, 1e12).Draw(t, "took")),
+			})
+			model.ObserveRun(now, classOf("decode"), time.Duration(rapid.Int64Range(-1e9, 1e12).Draw(t, "run")))
+		}
+		for _, role := range roles {
+			estimate := model.Estimate(now, classOf(role))
+			for _, value := range []float64{estimate.StartSeconds, estimate.SecondsPerToken, estimate.RunSeconds} {
+				if !(value >= 0 && value < 1e6) {
+					t.Fatalf("%s: %+v", role, estimate)
+				}
+			}
+			if estimate.SecondsPerToken == 0 {
+				t.Fatalf("%s: reading takes no time: %+v", role, estimate)
+			}
+			if slowness := model.Slowness(now, classOf(role), "w"); slowness < 1 {
+				t.Fatalf("slowness %v", slowness)
+			}
+		}
+	})
+}
+
+// TestTheModelConverges shows readings of one pace, whatever it is: a few dozen are enough.
+func TestTheModelConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pace := rapid.Float64Range(2_000, 1_000_000).Draw(t, "pace")
+		model, now := New(), epoch
+		for i := range 60 {
+			now = now.Add(50 * time.Millisecond)
+			tokens := rapid.IntRange(2000, 20_000).Draw(t, "tokens")
+			took := 0.008 + float64(tokens)/pace
+			model.ObserveReading(now, classOf("prefill"), fmt.Sprint(i%3), Reading{
+				Tokens: tokens, Took: time.Duration(took * float64(time.Second)),
+			})
+		}
+		got := 1 / model.Estimate(now, classOf("prefill")).SecondsPerToken
+		if got < pace*0.8 || got > pace*1.25 {
+			t.Fatalf("learnt %.0f tokens a second of engines that read %.0f", got, pace)
+		}
+	})
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -171,7 +171,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.relay.onAnswer = runner.answered
-	if patience := c.patience(); patience > 0 {
+	if patience := c.patience(runner); patience > 0 {
 		timer := time.AfterFunc(patience, func() { c.leave(cancel) })
 		defer timer.Stop()
 		c.relay.onAnswer = func() {
@@ -210,11 +210,12 @@
 const patienceShare = 0.6
 
 // patience returns how long to wait for the first sign of an answer before another worker is tried, or zero for no bound.
-func (c *call) patience() time.Duration {
+func (c *call) patience(runner *Assignment) time.Duration {
 	if c.relay.started || !c.attempts.repeatable() || c.attempts.runs+1 >= c.match.Rule.MaxAttempts {
 		return 0
 	}
-	return time.Duration(patienceShare * float64(c.match.Rule.Objective))
+	expected := time.Duration((runner.Score.Queue + runner.Score.Reading) * nanosecondsPerSecond)
+	return time.Duration(patienceShare*float64(c.match.Rule.Objective)) + patienceFactor*expected
 }
 
 // leave gives up a silent worker if there is a repeat for another one. Otherwise the worker may still answer.
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/enginemodel"
 	"github.com/granitebay/granitebay/internal/residency"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -17,9 +18,9 @@
 	Zone string
 	// ApartSeconds is the cost of having a prompt read by an engine of its own: one more call and the move.
 	ApartSeconds float64
-	// LongReadingTokens is the length from which reading makes pauses in other answers that are too long, at the cost of
+	// LongReading is the time from which reading makes pauses in other answers that are too long, at the cost of
 	// LongReadingSeconds.
-	LongReadingTokens  int
+	LongReading        time.Duration
 	LongReadingSeconds float64
 	// UrgentTokens is the length from which other gateways are told of a reading at once.
 	UrgentTokens int
@@ -38,7 +39,7 @@
 func DefaultDispatchSettings() DispatchSettings {
 	return DispatchSettings{
 		ApartSeconds:       0.012,
-		LongReadingTokens:  1500,
+		LongReading:        60 * time.Millisecond,
 		LongReadingSeconds: 0.5,
 		UrgentTokens:       1500,
 		LeastSharedTokens:  500,
@@ -55,6 +56,7 @@
 	now      func() time.Time
 
 	mutex     sync.Mutex
+	model     *enginemodel.Model
 	balancer  *balance.Balancer
 	residency *residency.Table
 	sharing   *sharing
@@ -62,20 +64,24 @@
 	gateways  int
 	// engines holds the engines of each group.
 	engines map[string]*routing.Engine
+	offered map[string]*offered
 }
 
 // NewDispatcher returns a dispatcher that knows no workers yet.
 func NewDispatcher(settings DispatchSettings, now func() time.Time) *Dispatcher {
 	shared := newSharing()
+	model := enginemodel.New()
 	return &Dispatcher{
 		settings:  settings,
 		now:       now,
-		balancer:  balance.New(settings.Balance, shared.elsewhere),
+		model:     model,
+		balancer:  balance.New(settings.Balance, model, shared.elsewhere),
 		residency: residency.New(),
 		sharing:   shared,
 		budgets:   map[string]*retrybudget.Budget{},
 		gateways:  1,
 		engines:   map[string]*routing.Engine{},
+		offered:   map[string]*offered{},
 	}
 }
 
@@ -96,7 +102,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.balancer.SetWorkers(workers)
-	d.residency.ForgetWorkers(func(worker string) bool { return workers[worker] != nil })
+	present := func(worker string) bool { return workers[worker] != nil }
+	d.residency.ForgetWorkers(present)
+	d.model.ForgetWorkers(present)
 }
 
 // SetGateways tells how many gateways share the budget of repeats.
@@ -155,9 +163,14 @@
 
 // assign counts work at a worker. The mutex is held.
 func (d *Dispatcher) assign(choice balance.Choice, tokens int) *Assignment {
-	d.balancer.Begin(choice.Worker.ID, tokens)
-	d.sharing.loadChanged(choice.Worker.ID, tokens >= d.settings.UrgentTokens)
-	return &Assignment{Worker: choice.Worker, Score: choice.Score, Candidates: choice.Candidates, dispatcher: d, tokens: tokens}
+	worker := choice.Worker
+	ahead := d.balancer.TotalLoad(worker.ID)
+	d.balancer.Begin(worker.ID, tokens)
+	d.sharing.loadChanged(worker.ID, tokens >= d.settings.UrgentTokens)
+	return &Assignment{
+		Worker: worker, Score: choice.Score, Candidates: choice.Candidates, dispatcher: d, tokens: tokens,
+		ahead: ahead.ReadingTokens, begun: d.now(),
+	}
 }
 
 // Assignment is work that was given to a worker. It is used by one goroutine.
@@ -167,20 +180,44 @@
 	Score      balance.Score
 	Candidates int
 	dispatcher *Dispatcher
-	// tokens that the worker reads before it answers.
-	tokens   int
-	finished bool
+	// tokens that the worker reads before it answers, and those of others that it was to read before.
+	tokens, ahead int
+	begun         time.Time
+	finished      bool
 }
 
 // answered notes that the worker has read the prompt.
 func (a *Assignment) answered() {
-	a.dispatcher.mutex.Lock()
-	defer a.dispatcher.mutex.Unlock()
-	a.dispatcher.balancer.Answered(a.Worker.ID, a.tokens)
-	a.dispatcher.sharing.loadChanged(a.Worker.ID, false)
+	d := a.dispatcher
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	a.observeReading()
+	d.balancer.Answered(a.Worker.ID, a.tokens)
+	d.sharing.loadChanged(a.Worker.ID, false)
 	a.tokens = 0
 }
 
+// observeReading tells the model how long the worker took to read the prompt. The mutex is held.
+func (a *Assignment) observeReading() {
+	now := a.dispatcher.now()
+	a.dispatcher.model.ObserveReading(now, enginemodel.ClassOf(a.Worker), a.Worker.ID, enginemodel.Reading{
+		Ahead: a.ahead, Tokens: a.tokens, Took: now.Sub(a.begun),
+	})
+}
+
+// Patience with a worker that gives no sign: a base, and so many times what its queue and the reading were expected to take.
+const (
+	patienceBase         = 400 * time.Millisecond
+	patienceFactor       = 4
+	nanosecondsPerSecond = float64(time.Second)
+)
+
+// patience is how long the worker may give no sign before it is taken to have failed.
+func (a *Assignment) patience() time.Duration {
+	expected := a.Score.Queue + a.Score.Reading
+	return patienceBase + time.Duration(patienceFactor*expected*nanosecondsPerSecond)
+}
+
 // finish notes the end of the work, once.
 func (a *Assignment) finish(outcome balance.Outcome) {
 	if a == nil {
@@ -197,8 +234,16 @@
 		return
 	}
 	a.finished = true
-	a.dispatcher.balancer.Answered(a.Worker.ID, a.tokens)
-	if a.dispatcher.balancer.End(a.dispatcher.now(), a.Worker.ID, outcome) {
+	d, now := a.dispatcher, a.dispatcher.now()
+	if outcome == balance.OutcomeSilent && now.Sub(a.begun) < a.patience() {
+		// It may only be busy: the time of the request was over before the worker was late.
+		outcome = balance.OutcomeNone
+	}
+	if outcome == balance.OutcomeGood {
+		d.model.ObserveRun(now, enginemodel.ClassOf(a.Worker), now.Sub(a.begun))
+	}
+	d.balancer.Answered(a.Worker.ID, a.tokens)
+	if d.balancer.End(now, a.Worker.ID, outcome) {
 		a.dispatcher.sharing.setAside(a.Worker.ID, outcome)
 	}
 	a.dispatcher.sharing.loadChanged(a.Worker.ID, false)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -453,6 +453,8 @@
 			return whole(200, lastEvents), nil
 		}}
 		workers.read = func(_ context.Context, number int, worker *backend.Worker) (*Prompt, error) {
+			// Engines that read in no time would not be asked to read apart again: the pace is learnt.
+			time.Sleep(100 * time.Millisecond)
 			return &Prompt{Reader: worker, Handle: fmt.Sprint(number)}, nil
 		}
 		rule := routing.Rule{Kind: routing.KindStream}
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -48,6 +48,14 @@
 	seconds float64
 }
 
+// reads returns the engine that reads the prompt.
+func (p plan) reads() *backend.Worker {
+	if p.reader != nil {
+		return p.reader.Worker
+	}
+	return p.runner.Worker
+}
+
 // placeOnEngines picks an engine to write the answer, and one to read the prompt before where that is expected to be cheaper.
 func (d *Dispatcher) placeOnEngines(request *Request, group *routing.Group, excluded []string, direct bool) (*Placement, bool) {
 	prompt := d.promptOf(request, group)
@@ -60,7 +68,11 @@
 	if !found {
 		return nil, false
 	}
-	return d.carryOut(prompt, best), true
+	placement := d.carryOut(prompt, best)
+	if len(excluded) == 0 {
+		d.countOffered(best.reads(), prompt.reading(best.reads()).Tokens)
+	}
+	return placement, true
 }
 
 // carryOut assigns the work of a plan.
@@ -111,7 +123,7 @@
 		return plan{}, false
 	}
 	seconds := choice.Score.Total()
-	if tokens := prompt.reading(choice.Worker).Tokens; tokens > d.settings.LongReadingTokens {
+	if choice.Score.Reading > d.settings.LongReading.Seconds() {
 		seconds += d.settings.LongReadingSeconds
 	}
 	return plan{runner: choice, seconds: seconds}, true
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/enginemodel"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
@@ -63,8 +64,8 @@
 	}
 	reading := balance.Reading{Tokens: readingWork(total, total)}
 	if len(p.holders) > 0 {
-		speed := settings.Balance.PromptTokensPerSecond[worker.Role]
-		reading.TransferSeconds = settings.RereadWeight * float64(p.shared.tokens) / speed
+		estimate := p.dispatcher.model.Estimate(p.dispatcher.now(), enginemodel.ClassOf(worker))
+		reading.TransferSeconds = settings.RereadWeight * float64(p.shared.tokens) * estimate.SecondsPerToken
 	}
 	return reading
 }
--- a/internal/forward/reading.go
+++ b/internal/forward/reading.go
@@ -11,9 +11,9 @@
 func (c *call) readPrompt(ctx context.Context, placement *Placement) (*Prompt, failure) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := time.AfterFunc(readPatience(c.request.Demand.PromptTokens), func() { cancel(errSilent) })
-	defer timer.Stop()
 	reader := placement.Reader
+	timer := time.AfterFunc(reader.patience(), func() { cancel(errSilent) })
+	defer timer.Stop()
 	prompt, err := c.handler.workers.ReadPrompt(ctx, reader.Worker, c.request, ReadOptions{
 		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: urgencyOf(c.request.Demand),
 	})
@@ -22,6 +22,7 @@
 		c.reads++
 	}
 	if failed == failureNone {
+		reader.answered()
 		c.handler.dispatcher.HasRead(reader.Worker, c.request)
 	} else {
 		c.handler.dispatcher.HasNotRead(reader.Worker, c.request)
@@ -49,17 +50,6 @@
 	return leastUrgency
 }
 
-// Patience with an engine that reads a prompt.
-const (
-	readPatienceBase     = 400 * time.Millisecond
-	readPatiencePerToken = 100 * time.Microsecond
-)
-
-// readPatience is how long an engine may take to read a prompt before another one is asked.
-func readPatience(tokens int) time.Duration {
-	return readPatienceBase + time.Duration(tokens)*readPatiencePerToken
-}
-
 // releaseTimeout bounds the freeing of a prompt that nobody uses.
 const releaseTimeout = time.Second
 
--- a/internal/forward/rolechange.go
+++ b/internal/forward/rolechange.go
@@ -16,27 +16,36 @@
 	until time.Time
 }
 
-// Engines is part of roles.Fleet.
-func (d *Dispatcher) Engines() map[string][]roles.Engine {
+// Groups is part of roles.Fleet.
+func (d *Dispatcher) Groups() map[string]*roles.Group {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	engines := map[string][]roles.Engine{}
+	groups := map[string]*roles.Group{}
 	for _, id := range d.balancer.IDs() {
 		worker, _ := d.balancer.Worker(id)
 		if d.engines[worker.Group] == nil {
 			continue
 		}
-		running, readingTokens := d.balancer.Load(id)
-		runningElsewhere, readingElsewhere := d.sharing.elsewhere(id)
-		group := worker.RoleGroup()
-		engines[group] = append(engines[group], roles.Engine{
-			Worker:        worker,
-			Running:       running + runningElsewhere,
-			ReadingTokens: readingTokens + readingElsewhere,
-			Usable:        d.balancer.Usable(d.now(), id),
-		})
+		name := worker.RoleGroup()
+		group, found := groups[name]
+		if !found {
+			group = &roles.Group{ReadingDemand: d.readingDemand(name, worker.Group)}
+			groups[name] = group
+		}
+		group.Engines = append(group.Engines, d.engineOf(worker))
+	}
+	return groups
+}
+
+// engineOf is what planners know of an engine. The mutex is held.
+func (d *Dispatcher) engineOf(worker *backend.Worker) roles.Engine {
+	engine := roles.Engine{
+		Worker: worker, Load: d.balancer.TotalLoad(worker.ID), Usable: d.balancer.Usable(d.now(), worker.ID),
+	}
+	if change, found := d.sharing.changing[worker.ID]; found && d.now().Before(change.until) {
+		engine.Becoming = change.role
 	}
-	return engines
+	return engine
 }
 
 // SetChanging is part of roles.Fleet.
--- a/internal/forward/sharing.go
+++ b/internal/forward/sharing.go
@@ -32,10 +32,7 @@
 }
 
 // elsewhere is a balance.Elsewhere.
-func (s *sharing) elsewhere(worker string) (running, readingTokens int) {
-	load := s.board.Load(worker)
-	return load.Running, load.ReadingTokens
-}
+func (s *sharing) elsewhere(worker string) backend.Load { return s.board.Load(worker) }
 
 // loadChanged notes that the own load of a worker has changed.
 func (s *sharing) loadChanged(worker string, urgent bool) {
@@ -78,11 +75,14 @@
 	defer d.mutex.Unlock()
 	message := loadshare.Message{Kept: d.sharing.kept, Failed: d.sharing.failed, Changing: d.changing()}
 	for _, worker := range d.toTell(full) {
-		running, readingTokens := d.balancer.Load(worker)
-		if full && running == 0 && readingTokens == 0 {
+		load := d.balancer.Load(worker)
+		if full && load == (backend.Load{}) {
 			continue
 		}
-		message.Loads = append(message.Loads, loadshare.Load{Worker: worker, Running: running, ReadingTokens: readingTokens})
+		message.Loads = append(message.Loads, loadshare.LoadAt(worker, load))
+	}
+	if full {
+		message.Offered = d.toTellOffered()
 	}
 	d.sharing.kept, d.sharing.failed = nil, nil
 	clear(d.sharing.changed)
--- a/internal/forward/views.go
+++ b/internal/forward/views.go
@@ -11,9 +11,8 @@
 // WorkerView is one worker as this gateway sees it.
 type WorkerView struct {
 	Worker *backend.Worker
-	// Running requests of all gateways, and the prompt tokens that are still to be read for them.
-	Running       int
-	ReadingTokens int
+	// Load of all gateways.
+	Load backend.Load
 	// SetAside workers failed lately; Changing ones change their role.
 	SetAside bool
 	Changing bool
@@ -27,12 +26,9 @@
 	var views []WorkerView
 	for _, id := range d.balancer.IDs() {
 		worker, _ := d.balancer.Worker(id)
-		running, readingTokens := d.balancer.Load(id)
-		runningElsewhere, readingElsewhere := d.sharing.elsewhere(id)
 		setAside, changing := d.balancer.KeptOff(now, id)
 		views = append(views, WorkerView{
-			Worker: worker, Running: running + runningElsewhere, ReadingTokens: readingTokens + readingElsewhere,
-			SetAside: setAside, Changing: changing,
+			Worker: worker, Load: d.balancer.TotalLoad(id), SetAside: setAside, Changing: changing,
 		})
 	}
 	return views
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -78,7 +78,7 @@
 		w := seen.Worker
 		return adminapi.WorkerStatus{
 			Address: w.Address, ID: w.ID, Service: w.Group, Groups: w.Selected, Zone: w.Zone, Labels: w.Labels, Role: string(w.Role),
-			State: stateOf(seen), Running: seen.Running, ReadingTokens: seen.ReadingTokens, Slots: w.Slots,
+			State: stateOf(seen), Running: seen.Load.Running, ReadingTokens: seen.Load.ReadingTokens, Slots: w.Slots,
 		}
 	})
 	slices.SortFunc(statuses, func(x, y adminapi.WorkerStatus) int {
@@ -115,8 +115,8 @@
 				continue
 			}
 			status.Workers++
-			status.Running += seen.Running
-			status.ReadingTokens += seen.ReadingTokens
+			status.Running += seen.Load.Running
+			status.ReadingTokens += seen.Load.ReadingTokens
 			if seen.Worker.Role != backend.RoleNone {
 				status.Roles[string(seen.Worker.Role)]++
 			}
--- a/internal/gateway/kept.go
+++ b/internal/gateway/kept.go
@@ -46,8 +46,8 @@
 // enginesToAsk returns the engines to ask, in random order.
 func (g *Gateway) enginesToAsk() []*backend.Worker {
 	var engines []*backend.Worker
-	for _, group := range g.dispatcher.Engines() {
-		for _, engine := range group {
+	for _, group := range g.dispatcher.Groups() {
+		for _, engine := range group.Engines {
 			engines = append(engines, engine.Worker)
 		}
 	}
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -9,15 +9,28 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/granitebay/granitebay/internal/backend"
 )
 
 // Load is the work that one gateway has at one worker.
 type Load struct {
-	_       struct{} `cbor:",toarray"`
-	Worker  string
-	Running int
-	// ReadingTokens are prompt tokens that are still to be read.
+	_      struct{} `cbor:",toarray"`
+	Worker string
+	// Running requests, and Reading among them whose prompt is still to be read, with ReadingTokens to read.
+	Running       int
 	ReadingTokens int
+	Reading       int
+}
+
+// load is the load without its worker.
+func (l Load) load() backend.Load {
+	return backend.Load{Running: l.Running, Reading: l.Reading, ReadingTokens: l.ReadingTokens}
+}
+
+// LoadAt returns a load as it is told.
+func LoadAt(worker string, load backend.Load) Load {
+	return Load{Worker: worker, Running: load.Running, Reading: load.Reading, ReadingTokens: load.ReadingTokens}
 }
 
 // Kept tells that a worker keeps a part of prompts, or is about to.
@@ -51,6 +64,8 @@
 	Full  bool
 	Loads []Load
 	Kept  []Kept
+	// Offered work by groups, told with Full.
+	Offered []Offered
 	// Changing workers, by the word of the gateway that gives orders.
 	Changing []Changing
 	// Failed workers were set aside by the sender since the last message, because they did not answer.
@@ -80,7 +95,7 @@
 // Board holds what the other gateways told. It is a pure state machine and not safe for concurrent use.
 type Board struct {
 	senders map[string]*sender
-	totals  map[string]Load
+	totals  map[string]backend.Load
 }
 
 // sender is what one gateway told.
@@ -88,12 +103,13 @@
 	epoch    int64
 	sequence uint64
 	heard    time.Time
-	loads    map[string]Load
+	loads    map[string]backend.Load
+	offered  map[string]*Rate
 }
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{senders: map[string]*sender{}, totals: map[string]Load{}}
+	return &Board{senders: map[string]*sender{}, totals: map[string]backend.Load{}}
 }
 
 // Apply takes a message, and tells whether it was newer than what was known.
@@ -102,7 +118,7 @@
 	known, found := b.senders[message.Sender]
 	if !found || message.Epoch > known.epoch {
 		b.remove(message.Sender)
-		known = &sender{epoch: message.Epoch, loads: map[string]Load{}}
+		known = &sender{epoch: message.Epoch, loads: map[string]backend.Load{}, offered: map[string]*Rate{}}
 		b.senders[message.Sender] = known
 	}
 	if message.Epoch < known.epoch || message.Sequence <= known.sequence {
@@ -111,17 +127,37 @@
 	known.sequence, known.heard = message.Sequence, now
 	if message.Full {
 		for worker := range known.loads {
-			b.replace(known, Load{Worker: worker})
+			b.replace(known, worker, backend.Load{})
 		}
 	}
 	for _, load := range message.Loads {
-		b.replace(known, load)
+		b.replace(known, load.Worker, load.load())
+	}
+	for _, offered := range message.Offered {
+		rate, found := known.offered[offered.Group]
+		if !found {
+			rate = &Rate{}
+			known.offered[offered.Group] = rate
+		}
+		rate.Update(now, offered.Tokens)
 	}
 	return true
 }
 
+// Offered returns the tokens a second that callers offer for a group through the other gateways.
+func (b *Board) Offered(now time.Time, group string) float64 {
+	b.expire(now)
+	total := 0.0
+	for _, known := range b.senders {
+		if rate, found := known.offered[group]; found {
+			total += rate.PerSecond()
+		}
+	}
+	return total
+}
+
 // Load returns the work that the other gateways have at a worker.
-func (b *Board) Load(worker string) Load { return b.totals[worker] }
+func (b *Board) Load(worker string) backend.Load { return b.totals[worker] }
 
 // Senders returns how many gateways told something lately.
 func (b *Board) Senders(now time.Time) int {
@@ -130,20 +166,17 @@
 }
 
 // replace puts the load of a sender at a worker in place of the old one.
-func (b *Board) replace(from *sender, load Load) {
-	old := from.loads[load.Worker]
-	total := b.totals[load.Worker]
-	total.Running += load.Running - old.Running
-	total.ReadingTokens += load.ReadingTokens - old.ReadingTokens
-	b.totals[load.Worker] = total
-	if total.Running == 0 && total.ReadingTokens == 0 {
-		delete(b.totals, load.Worker)
+func (b *Board) replace(from *sender, worker string, load backend.Load) {
+	total := b.totals[worker].Minus(from.loads[worker]).Plus(load)
+	b.totals[worker] = total
+	if total == (backend.Load{}) {
+		delete(b.totals, worker)
 	}
-	if load.Running == 0 && load.ReadingTokens == 0 {
-		delete(from.loads, load.Worker)
+	if load == (backend.Load{}) {
+		delete(from.loads, worker)
 		return
 	}
-	from.loads[load.Worker] = load
+	from.loads[worker] = load
 }
 
 // remove forgets a sender.
@@ -153,7 +186,7 @@
 		return
 	}
 	for worker := range known.loads {
-		b.replace(known, Load{Worker: worker})
+		b.replace(known, worker, backend.Load{})
 	}
 	delete(b.senders, name)
 }
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -51,8 +51,8 @@
 
 // Fleet is what the controller sees of the engines.
 type Fleet interface {
-	// Engines returns the engines of each group.
-	Engines() map[string][]Engine
+	// Groups returns the groups of engines.
+	Groups() map[string]*Group
 	// SetChanging keeps work off an engine at all gateways until its record tells the role; with the role that it has, the
 	// change is given up.
 	SetChanging(worker string, role backend.Role)
@@ -88,6 +88,7 @@
 	fleet    Fleet
 	logger   logrus.FieldLogger
 	planners map[string]*Planner
+	underway underway
 	decide   func(decision.Record)
 
 	mutex     sync.Mutex
@@ -106,7 +107,7 @@
 ) *Controller {
 	return &Controller{
 		settings: settings, store: store, orderer: orderer, fleet: fleet, logger: logger, decide: decide,
-		planners: map[string]*Planner{}, authority: authority.New(settings.Authority),
+		planners: map[string]*Planner{}, underway: underway{changes: map[string]*takenChange{}}, authority: authority.New(settings.Authority),
 	}
 }
 
@@ -195,8 +196,11 @@
 	if !may {
 		return
 	}
-	for group, engines := range c.fleet.Engines() {
-		if change := c.planner(group).Next(now, engines); change != nil {
+	groups := c.fleet.Groups()
+	c.underway.settle(groups)
+	c.confirm(ctx, now)
+	for name, group := range groups {
+		if change := c.planner(name).Next(now, group); change != nil {
 			c.change(ctx, *change)
 		}
 	}
--- a/internal/roles/orders.go
+++ b/internal/roles/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/decision"
@@ -21,12 +22,18 @@
 	}
 	err := c.order(ctx, change)
 	log := c.logger.WithFields(logrus.Fields{"engine": change.Worker.ID, "role": change.Role})
+	if errors.Is(err, errChanging) {
+		c.underway.add(time.Now(), change)
+		log.Info("An engine is changing its role already.")
+		return
+	}
 	if err != nil {
 		c.fleet.SetChanging(change.Worker.ID, change.Worker.Role)
 		log.WithError(err).Warn("An order was not taken.")
 		c.note(change, "not taken", "An order was not taken: "+err.Error()+".")
 		return
 	}
+	c.underway.add(time.Now(), change)
 	log.Info("An engine changes its role. " + change.Reason)
 	c.note(change, string(change.Role), change.Reason)
 }
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -3,7 +3,9 @@
 package roles
 
 import (
-	"sort"
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -12,11 +14,27 @@
 // Engine is what the planner knows of one engine.
 type Engine struct {
 	Worker *backend.Worker
-	// Running counts the requests of all gateways there, and ReadingTokens the prompt tokens that are still to be read.
-	Running       int
-	ReadingTokens int
+	// Load of all gateways.
+	Load backend.Load
 	// Usable engines take work now.
 	Usable bool
+	// Becoming is the role that the engine was ordered to take, or empty.
+	Becoming backend.Role
+}
+
+// role is the one that the engine has, or will have soon.
+func (e Engine) role() backend.Role {
+	if e.Becoming != backend.RoleNone {
+		return e.Becoming
+	}
+	return e.Worker.Role
+}
+
+// Group is what the planner knows of the engines whose roles are planned together.
+type Group struct {
+	Engines []Engine
+	// ReadingDemand is how many engines that only read would be busy with the prompts that callers offer.
+	ReadingDemand float64
 }
 
 // Change is a role that an engine is to take.
@@ -28,14 +46,16 @@
 
 // Settings of a planner.
 type Settings struct {
-	// ReadingTokensPerSecond is the pace of an engine that reads.
-	ReadingTokensPerSecond float64
-	// Backlog is the mean time that prompts wait, from which there are too few readers.
-	Backlog time.Duration
-	// Sustained is how long it must be above Backlog.
-	Sustained time.Duration
-	// FullSlots is the share of slots in use from which engines that write have no room for the work of another one.
-	FullSlots float64
+	// Smoothing is the time over which the demand for writers is averaged.
+	Smoothing time.Duration
+	// Memory is the time after which a peak of the demand counts 1/e.
+	Memory time.Duration
+	// Room is by how much the capacity of a role is to exceed the peak of its demand.
+	Room float64
+	// LeastUse is the part of the readers that must have been busy for more of them to be made, and FullUse the part of the
+	// places of writers.
+	LeastUse float64
+	FullUse  float64
 	// LeastShare is the part of the engines that each role keeps, whatever the mix of the moment. LeastOfRole takes its place
 	// where operators give numbers.
 	LeastShare  float64
@@ -47,84 +67,86 @@
 // DefaultSettings of a planner.
 func DefaultSettings() Settings {
 	return Settings{
-		ReadingTokensPerSecond: 50_000,
-		Backlog:                250 * time.Millisecond,
-		Sustained:              700 * time.Millisecond,
-		FullSlots:              0.4,
-		LeastShare:             0.5,
-		Pause:                  700 * time.Millisecond,
+		Smoothing:  time.Second,
+		Memory:     20 * time.Second,
+		Room:       1.4,
+		LeastUse:   0.4,
+		FullUse:    0.9,
+		LeastShare: 1.0 / 3,
+		Pause:      700 * time.Millisecond,
 	}
 }
 
-// Planner plans the roles of the engines of one group. It is a pure state machine and not safe for concurrent use.
+// Planner plans the roles of the engines of one group. Writers get the engines that the peak of the runs needs, with room for
+// growth; all others read where prompts keep the readers busy, because an engine that reads serves all prompts while a writer
+// without runs serves nobody. It is a pure state machine and not safe for concurrent use.
 //
 // Invariant: a change leaves each role its least share of the usable engines, and at least one.
 type Planner struct {
-	settings   Settings
-	shortSince map[backend.Role]time.Time
-	notBefore  time.Time
+	settings Settings
+	// reading and writing are the peaks of the demand, in engines.
+	reading, writing peak
+	// runs are the runs of the moment, averaged.
+	runs      average
+	notBefore time.Time
 }
 
 // NewPlanner returns a planner that has seen nothing.
-func NewPlanner(settings Settings) *Planner {
-	return &Planner{settings: settings, shortSince: map[backend.Role]time.Time{}}
-}
+func NewPlanner(settings Settings) *Planner { return &Planner{settings: settings} }
 
-// side sums up the engines of one role.
+// side sums up the engines that have a role or will have it soon.
 type side struct {
-	engines       []Engine
-	running       int
-	slots         int
-	readingTokens int
+	role  backend.Role
+	count int
+	slots int
+	// runs that the engines are writing.
+	runs int
+	// ready engines have the role and take work; one of them may be given away. Engines that are set aside for their failures
+	// are not ready, and count all the same: they come back.
+	ready []Engine
 }
 
-// of returns the usable engines of a role.
+// of returns the engines of a role.
 func of(engines []Engine, role backend.Role) side {
-	var s side
+	s := side{role: role}
 	for _, engine := range engines {
-		if engine.Worker.Role != role || !engine.Usable || engine.Worker.Draining {
+		if engine.Worker.Role == role {
+			// Engines that are about to change finish what they run.
+			s.runs += min(engine.Load.Writing(), engine.Worker.Slots)
+		}
+		if engine.role() != role || engine.Worker.Draining {
 			continue
 		}
-		s.engines = append(s.engines, engine)
-		s.running += engine.Running
+		s.count++
 		s.slots += engine.Worker.Slots
-		s.readingTokens += engine.ReadingTokens
+		if engine.Usable {
+			s.ready = append(s.ready, engine)
+		}
 	}
 	return s
 }
 
-// backlog is the mean time that prompts wait at the engines of a side.
-func (p *Planner) backlog(s side) time.Duration {
-	if len(s.engines) == 0 {
-		return time.Hour
+// Next returns the next change, or nil.
+func (p *Planner) Next(now time.Time, group *Group) *Change {
+	readers, writers := of(group.Engines, backend.RolePrefill), of(group.Engines, backend.RoleDecode)
+	if writers.slots == 0 {
+		return nil
 	}
-	seconds := float64(s.readingTokens) / (float64(len(s.engines)) * p.settings.ReadingTokensPerSecond)
-	return time.Duration(seconds * float64(time.Second))
-}
-
-// usedWithout is the share of slots in use when one engine of a side is taken away.
-func usedWithout(s side) float64 {
-	count := len(s.engines)
-	if count < 2 || s.slots == 0 {
-		return 1
+	slots := float64(writers.slots) / float64(writers.count)
+	running := p.runs.update(now, float64(writers.runs)/slots, p.settings.Smoothing)
+	writing := p.writing.update(now, running, p.settings.Memory)
+	reading := p.reading.update(now, group.ReadingDemand, p.settings.Memory)
+	if now.Before(p.notBefore) {
+		return nil
 	}
-	return float64(s.running) / (float64(s.slots) * float64(count-1) / float64(count))
-}
-
-// Next returns the next change, or nil.
-func (p *Planner) Next(now time.Time, engines []Engine) *Change {
-	readers, writers := of(engines, backend.RolePrefill), of(engines, backend.RoleDecode)
-	fewReaders := p.backlog(readers) > p.settings.Backlog && usedWithout(writers) < p.settings.FullSlots
-	fewWriters := usedWithout(writers) > 2*p.settings.FullSlots && p.backlog(readers) < p.settings.Backlog/4
-	fewReaders = p.sustained(now, backend.RolePrefill, fewReaders)
-	fewWriters = p.sustained(now, backend.RoleDecode, fewWriters)
+	busyReaders := reading > p.settings.LeastUse*float64(readers.count)
+	room := float64(writers.count-1) >= p.settings.Room*writing
+	fullWriters := running > p.settings.FullUse*float64(writers.count)
 	switch {
-	case now.Before(p.notBefore):
-		return nil
-	case fewReaders && p.canGive(writers, readers):
-		return p.change(now, writers, backend.RolePrefill, "Prompts wait for readers while engines that write have room.")
-	case fewWriters && p.canGive(readers, writers):
-		return p.change(now, readers, backend.RoleDecode, "Engines that write are full while readers have nothing to wait for.")
+	case busyReaders && room && p.canGive(writers, readers):
+		return p.change(now, writers, backend.RolePrefill, "The prompts that come keep readers busy while writers have room.")
+	case fullWriters && p.canGive(readers, writers):
+		return p.change(now, readers, backend.RoleDecode, "Runs fill the writers.")
 	default:
 		return nil
 	}
@@ -132,39 +154,24 @@
 
 // canGive tells whether a side can do with one engine less.
 func (p *Planner) canGive(from, to side) bool {
-	left := len(from.engines) - 1
-	if left < 1 {
+	left := from.count - 1
+	if left < 1 || len(from.ready) == 0 {
 		return false
 	}
 	if len(p.settings.LeastOfRole) > 0 {
-		return left >= p.settings.LeastOfRole[from.engines[0].Worker.Role]
-	}
-	return float64(left) >= p.settings.LeastShare*float64(len(from.engines)+len(to.engines))
-}
-
-// sustained tells whether a shortage of a role has lasted.
-func (p *Planner) sustained(now time.Time, role backend.Role, short bool) bool {
-	if !short {
-		delete(p.shortSince, role)
-		return false
-	}
-	since, known := p.shortSince[role]
-	if !known {
-		p.shortSince[role] = now
-		return false
+		return left >= p.settings.LeastOfRole[from.role]
 	}
-	return now.Sub(since) >= p.settings.Sustained
+	return float64(left) >= p.settings.LeastShare*float64(from.count+to.count)
 }
 
 // change picks the engine with the least to do.
 func (p *Planner) change(now time.Time, from side, role backend.Role, reason string) *Change {
-	sort.Slice(from.engines, func(a, b int) bool {
-		one, other := from.engines[a], from.engines[b]
-		if one.Running+one.ReadingTokens/1000 != other.Running+other.ReadingTokens/1000 {
-			return one.Running+one.ReadingTokens/1000 < other.Running+other.ReadingTokens/1000
-		}
-		return one.Worker.ID < other.Worker.ID
+	least := slices.MinFunc(from.ready, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(a.work(), b.work()), strings.Compare(a.Worker.ID, b.Worker.ID))
 	})
 	p.notBefore = now.Add(p.settings.Pause)
-	return &Change{Worker: from.engines[0].Worker, Role: role, Reason: reason}
+	return &Change{Worker: least.Worker, Role: role, Reason: reason}
 }
+
+// work is how much an engine has to do, in requests; a request is taken to read a thousand tokens.
+func (e Engine) work() int { return e.Load.Running + e.Load.ReadingTokens/1000 }
