Under overload prompts that others crowd out are read after those in time

The time until the first event is estimated from the learnt model (start, tokens ahead, reading, a free place). A request that is expected too late because of others, or of its own earlier tries, is sent with the least priority: engines read it when nothing else waits, and it does not count as work ahead of others. Gateways tell each other deferred tokens apart. Nothing is refused or held.

Tests: TestPromptsThatOthersCrowdOutGiveWay and TestDeferredPromptsDelayNoOthers; neither can pass without the change.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -24,6 +24,8 @@
 	Key string
 	// Reading estimates what the prompt would cost a worker. Nil is nothing.
 	Reading func(worker *backend.Worker) Reading
+	// Deferred prompts are read after all others.
+	Deferred bool
 	// Zone of the preferred workers.
 	Zone string
 	// Excluded workers are not to be tried again.
@@ -50,6 +52,9 @@
 	Transfer float64
 	// Distance is the cost of another zone.
 	Distance float64
+	// Answer is when the worker is expected to give its first sign, and Wait the part of it in which others come first. They are
+	// no part of the cost.
+	Answer, Wait float64
 	// Doubt is the cost of a worker that is set aside, and used because too few others are left.
 	Doubt float64
 }
@@ -140,28 +145,31 @@
 	}
 }
 
-// loadOf is the load of one request whose prompt has so many tokens to read.
-func loadOf(tokens int) backend.Load {
-	load := backend.Load{Running: 1, ReadingTokens: tokens}
-	if tokens > 0 {
-		load.Reading = 1
+// LoadOf is the load of one request whose prompt has so many tokens to read.
+func LoadOf(tokens int, deferred bool) backend.Load {
+	load := backend.Load{Running: 1}
+	switch {
+	case tokens <= 0:
+	case deferred:
+		load.Reading, load.DeferredTokens = 1, tokens
+	default:
+		load.Reading, load.ReadingTokens = 1, tokens
 	}
 	return load
 }
 
-// Begin notes that a request was sent to a worker. The tokens are those of its prompt that the worker reads.
-func (b *Balancer) Begin(id string, tokens int) {
+// Begin notes that a request was sent to a worker.
+func (b *Balancer) Begin(id string, load backend.Load) {
 	if known, found := b.workers[id]; found {
-		known.load = known.load.Plus(loadOf(tokens))
+		known.load = known.load.Plus(load)
 	}
 }
 
-// Answered notes that a worker has read the tokens of a request.
-func (b *Balancer) Answered(id string, tokens int) {
+// Answered notes that a worker has read the prompt of a request, which still runs there.
+func (b *Balancer) Answered(id string, load backend.Load) {
 	if known, found := b.workers[id]; found {
-		read := loadOf(tokens)
-		read.Running = 0
-		known.load = known.load.Minus(read)
+		load.Running = 0
+		known.load = known.load.Minus(load)
 	}
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -64,7 +64,7 @@
 		balancer.SetWorkers(set)
 		for id := range set {
 			for range rapid.IntRange(0, 4).Draw(t, "failures of "+id) {
-				balancer.Begin(id, 0)
+				balancer.Begin(id, LoadOf(0, false))
 				balancer.End(epoch, id, OutcomeBroken)
 			}
 		}
@@ -90,7 +90,7 @@
 	if choice, _ := balancer.Pick(epoch, query); choice.Worker.Zone != "z0" {
 		t.Fatalf("the near worker was not preferred: %+v", choice)
 	}
-	balancer.Begin("-0", 0)
+	balancer.Begin("-0", LoadOf(0, false))
 	balancer.End(epoch, "-0", OutcomeUnreachable)
 	if choice, _ := balancer.Pick(epoch, query); choice.Worker.ID == "-0" {
 		t.Fatal("a worker that can't be reached was picked")
@@ -105,7 +105,7 @@
 	set := engines(backend.RoleDecode, 4)
 	balancer.SetWorkers(set)
 	for id := range set {
-		balancer.Begin(id, 0)
+		balancer.Begin(id, LoadOf(0, false))
 		balancer.End(epoch, id, OutcomeUnreachable)
 	}
 	if _, found := balancer.Pick(epoch, Query{Request: "r", Group: "g", Role: backend.RoleDecode}); !found {
@@ -117,7 +117,7 @@
 	balancer := New(DefaultSettings(), enginemodel.New(), nil)
 	set := engines(backend.RoleDecode, 2)
 	balancer.SetWorkers(set)
-	balancer.Begin("decode-0", 100)
+	balancer.Begin("decode-0", LoadOf(100, false))
 	balancer.SetWorkers(set.Clone())
 	if balancer.workers["decode-0"].load.Running != 1 {
 		t.Fatal("the running request was forgotten")
@@ -171,7 +171,7 @@
 	for range 100 {
 		now = now.Add(10 * time.Millisecond)
 		choice, _ := balancer.Pick(now, Query{Request: "r", Group: "g", Role: backend.RoleDecode})
-		balancer.Begin(choice.Worker.ID, 0)
+		balancer.Begin(choice.Worker.ID, LoadOf(0, false))
 		outcome := OutcomeGood
 		if choice.Worker.ID == "decode-0" {
 			outcome = OutcomeFull
@@ -196,7 +196,7 @@
 	balancer.SetWorkers(engines(backend.RoleDecode, 6))
 	for i := 1; i < 6; i++ {
 		id := fmt.Sprint("decode-", i)
-		balancer.Begin(id, 0)
+		balancer.Begin(id, LoadOf(0, false))
 		balancer.End(epoch, id, OutcomeUnreachable)
 	}
 	choice, _ := balancer.Pick(epoch, Query{Request: "r", Group: "g", Role: backend.RoleDecode})
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -71,12 +71,17 @@
 		score.Queue = float64(load.Running) * estimate.RunSeconds / float64(max(worker.Slots, 1))
 	} else {
 		perToken := estimate.SecondsPerToken * b.model.Slowness(now, class, worker.ID)
-		score.Queue = float64(load.Running)*b.settings.SecondsPerRun + float64(load.ReadingTokens)*perToken
+		score.Queue = float64(load.Running)*b.settings.SecondsPerRun + float64(tokensAhead(query, load))*perToken
 		score.addReading(query, worker, perToken)
+		score.Wait = float64(tokensAhead(query, load)) * perToken
+		score.Answer = estimate.StartSeconds + score.Wait + score.Reading
 	}
 	if worker.Role == backend.RoleDecode {
-		score.HoldUp = score.Reading * b.settings.HoldUpWeight * float64(load.Running)
-		score.Queue += slotSeconds(estimate, load.Running, worker.Slots)
+		wait := slotSeconds(estimate, load.Writing(), worker.Slots)
+		score.HoldUp = score.Reading * b.settings.HoldUpWeight * float64(load.Writing())
+		score.Queue += wait
+		score.Wait += wait
+		score.Answer += wait
 	}
 	if query.Zone != "" && worker.Zone != query.Zone {
 		score.Distance = b.settings.OtherZoneSeconds
@@ -84,6 +89,14 @@
 	return score
 }
 
+// tokensAhead is what a worker reads before the prompt of a query.
+func tokensAhead(query Query, load backend.Load) int {
+	if query.Deferred {
+		return load.ReadingTokens + load.DeferredTokens
+	}
+	return load.ReadingTokens
+}
+
 // addReading adds what the prompt costs a worker that reads a token in a time.
 func (s *Score) addReading(query Query, worker *backend.Worker, perToken float64) {
 	if query.Reading == nil {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -38,7 +38,7 @@
 		if time.Until(c.deadline) < c.handler.settings.LeastTime {
 			return c.giveUp(failureDeadline, c.attempts.final(failureDeadline))
 		}
-		placement, found := c.handler.dispatcher.Place(c.request, c.match.Group, c.attempts.excluded, c.direct())
+		placement, found := c.handler.dispatcher.Place(c.request, c.match.Group, c.placeOptions())
 		if !found {
 			return c.giveUp(failureRefused, c.attempts.final(failureRefused))
 		}
@@ -54,6 +54,14 @@
 	}
 }
 
+// placeOptions say how the request may be placed now.
+func (c *call) placeOptions() PlaceOptions {
+	options := PlaceOptions{Excluded: c.attempts.excluded, Direct: c.direct()}
+	options.Objective = c.match.Rule.Objective
+	options.Left = options.Objective - time.Since(c.report.Arrived)
+	return options
+}
+
 // resumable tells whether the stream may go on at another worker.
 func (c *call) resumable() bool { return c.match.Rule.Resumable && !c.attempts.runOnce }
 
@@ -138,7 +146,9 @@
 	if prompt == nil {
 		record.Score, record.Candidates = runner.Score, runner.Candidates
 	}
-	failed := c.runAt(ctx, runner, prompt, placement.FetchFrom)
+	failed := c.runAt(ctx, runner, RunOptions{
+		Deadline: c.deadline, Prompt: prompt, FetchFrom: c.fetchFrom(prompt, placement.FetchFrom), Deferred: placement.Deferred,
+	})
 	if failed == failureNone {
 		c.handler.dispatcher.HasRead(runner.Worker, c.request)
 	}
@@ -167,7 +177,7 @@
 }
 
 // runAt has a worker run the request and passes its answer on.
-func (c *call) runAt(ctx context.Context, runner *Assignment, prompt *Prompt, keeper *backend.Worker) failure {
+func (c *call) runAt(ctx context.Context, runner *Assignment, options RunOptions) failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.relay.onAnswer = runner.answered
@@ -179,16 +189,15 @@
 			runner.answered()
 		}
 	}
-	answer, err := c.handler.workers.Run(ctx, runner.Worker, c.request, RunOptions{
-		Deadline: c.deadline, Prompt: prompt, FetchFrom: c.fetchFrom(prompt, keeper), ResumeAfter: c.relay.lastEvent,
-	})
+	options.ResumeAfter = c.relay.lastEvent
+	answer, err := c.handler.workers.Run(ctx, runner.Worker, c.request, options)
 	if err == nil {
 		err = c.pass(answer)
 	}
 	failed := classify(ctx, err)
 	if failed != failureNone {
 		c.report.Err = err
-		c.release(prompt)
+		c.release(options.Prompt)
 	}
 	runner.finish(failed.outcome())
 	return failed
@@ -211,10 +220,10 @@
 
 // patience returns how long to wait for the first sign of an answer before another worker is tried, or zero for no bound.
 func (c *call) patience(runner *Assignment) time.Duration {
-	if c.relay.started || !c.attempts.repeatable() || c.attempts.runs+1 >= c.match.Rule.MaxAttempts {
+	if runner.deferred || c.relay.started || !c.attempts.repeatable() || c.attempts.runs+1 >= c.match.Rule.MaxAttempts {
 		return 0
 	}
-	expected := time.Duration((runner.Score.Queue + runner.Score.Reading) * nanosecondsPerSecond)
+	expected := time.Duration(runner.Score.Answer * nanosecondsPerSecond)
 	return time.Duration(patienceShare*float64(c.match.Rule.Objective)) + patienceFactor*expected
 }
 
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -162,13 +162,14 @@
 }
 
 // assign counts work at a worker. The mutex is held.
-func (d *Dispatcher) assign(choice balance.Choice, tokens int) *Assignment {
+func (d *Dispatcher) assign(choice balance.Choice, tokens int, deferred bool) *Assignment {
 	worker := choice.Worker
 	ahead := d.balancer.TotalLoad(worker.ID)
-	d.balancer.Begin(worker.ID, tokens)
+	load := balance.LoadOf(tokens, deferred)
+	d.balancer.Begin(worker.ID, load)
 	d.sharing.loadChanged(worker.ID, tokens >= d.settings.UrgentTokens)
 	return &Assignment{
-		Worker: worker, Score: choice.Score, Candidates: choice.Candidates, dispatcher: d, tokens: tokens,
+		Worker: worker, Score: choice.Score, Candidates: choice.Candidates, dispatcher: d, load: load, deferred: deferred,
 		ahead: ahead.ReadingTokens, begun: d.now(),
 	}
 }
@@ -180,10 +181,13 @@
 	Score      balance.Score
 	Candidates int
 	dispatcher *Dispatcher
-	// tokens that the worker reads before it answers, and those of others that it was to read before.
-	tokens, ahead int
-	begun         time.Time
-	finished      bool
+	// load that the work is at the worker, and the tokens of others that it was to read before.
+	load  backend.Load
+	ahead int
+	// deferred work waits until the worker has nothing else to read.
+	deferred bool
+	begun    time.Time
+	finished bool
 }
 
 // answered notes that the worker has read the prompt.
@@ -192,16 +196,19 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	a.observeReading()
-	d.balancer.Answered(a.Worker.ID, a.tokens)
+	d.balancer.Answered(a.Worker.ID, a.load)
 	d.sharing.loadChanged(a.Worker.ID, false)
-	a.tokens = 0
+	a.load = backend.Load{}
 }
 
 // observeReading tells the model how long the worker took to read the prompt. The mutex is held.
 func (a *Assignment) observeReading() {
+	if a.deferred {
+		return
+	}
 	now := a.dispatcher.now()
 	a.dispatcher.model.ObserveReading(now, enginemodel.ClassOf(a.Worker), a.Worker.ID, enginemodel.Reading{
-		Ahead: a.ahead, Tokens: a.tokens, Took: now.Sub(a.begun),
+		Ahead: a.ahead, Tokens: a.load.ReadingTokens, Took: now.Sub(a.begun),
 	})
 }
 
@@ -214,8 +221,7 @@
 
 // patience is how long the worker may give no sign before it is taken to have failed.
 func (a *Assignment) patience() time.Duration {
-	expected := a.Score.Queue + a.Score.Reading
-	return patienceBase + time.Duration(patienceFactor*expected*nanosecondsPerSecond)
+	return patienceBase + time.Duration(patienceFactor*a.Score.Answer*nanosecondsPerSecond)
 }
 
 // finish notes the end of the work, once.
@@ -235,14 +241,14 @@
 	}
 	a.finished = true
 	d, now := a.dispatcher, a.dispatcher.now()
-	if outcome == balance.OutcomeSilent && now.Sub(a.begun) < a.patience() {
+	if outcome == balance.OutcomeSilent && (a.deferred || now.Sub(a.begun) < a.patience()) {
 		// It may only be busy: the time of the request was over before the worker was late.
 		outcome = balance.OutcomeNone
 	}
 	if outcome == balance.OutcomeGood {
 		d.model.ObserveRun(now, enginemodel.ClassOf(a.Worker), now.Sub(a.begun))
 	}
-	d.balancer.Answered(a.Worker.ID, a.tokens)
+	d.balancer.Answered(a.Worker.ID, a.load)
 	if d.balancer.End(now, a.Worker.ID, outcome) {
 		a.dispatcher.sharing.setAside(a.Worker.ID, outcome)
 	}
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -15,17 +17,29 @@
 	// FetchFrom keeps the shared part of the prompt, from where the one that reads it takes it; or nil.
 	FetchFrom *backend.Worker
 	Runner    *Assignment
+	// Deferred is set when the answer is expected too late for its objective: the prompt is read after those that are in time.
+	Deferred bool
+}
+
+// PlaceOptions restrict where a request is placed.
+type PlaceOptions struct {
+	// Excluded workers are passed over.
+	Excluded []string
+	// Direct has the runner read the prompt itself.
+	Direct bool
+	// Objective is the time within which the answer is to begin, and Left what is left of it, less than zero when the request is
+	// late. Requests without an objective have zero.
+	Objective, Left time.Duration
 }
 
-// Place picks the workers for a request, or returns false when there are none. Workers in excluded are passed over. With
-// direct set the runner reads the prompt itself.
-func (d *Dispatcher) Place(request *Request, group *routing.Group, excluded []string, direct bool) (*Placement, bool) {
+// Place picks the workers for a request, or returns false when there are none.
+func (d *Dispatcher) Place(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if group.Engine == nil {
-		return d.placePlain(request, group, excluded)
+		return d.placePlain(request, group, options.Excluded)
 	}
-	return d.placeOnEngines(request, group, excluded, direct)
+	return d.placeOnEngines(request, group, options)
 }
 
 // placePlain picks a plain worker.
@@ -36,7 +50,7 @@
 	if !found {
 		return nil, false
 	}
-	return &Placement{Runner: d.assign(choice, 0)}, true
+	return &Placement{Runner: d.assign(choice, 0, false)}, true
 }
 
 // plan is a way to serve a request on engines, before any work is assigned.
@@ -44,8 +58,16 @@
 	// reader is nil when the runner reads the prompt.
 	reader *balance.Choice
 	runner balance.Choice
-	// seconds is the estimated cost of the plan.
-	seconds float64
+	// seconds is the estimated cost of the plan, firstEvent the time until the answer begins, and wait the part of it in which
+	// others come first.
+	seconds, firstEvent, wait float64
+}
+
+// crowdedOut tells whether the answer is expected too late, and would be in time if the request had come alone. One that is too
+// long for its objective gives way to nobody: that would not make it better, and it is the most valuable of its kind.
+func (p plan) crowdedOut(options PlaceOptions) bool {
+	alone := p.firstEvent - p.wait
+	return options.Objective > 0 && p.firstEvent > options.Left.Seconds() && alone <= options.Objective.Seconds()
 }
 
 // reads returns the engine that reads the prompt.
@@ -56,28 +78,41 @@
 	return p.runner.Worker
 }
 
-// placeOnEngines picks an engine to write the answer, and one to read the prompt before where that is expected to be cheaper.
-func (d *Dispatcher) placeOnEngines(request *Request, group *routing.Group, excluded []string, direct bool) (*Placement, bool) {
+// placeOnEngines picks an engine to write the answer, and one to read the prompt before where that is expected to be cheaper. A
+// request whose answer is expected too late gives way to those that are in time.
+func (d *Dispatcher) placeOnEngines(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	prompt := d.promptOf(request, group)
-	best, found := d.planDirect(prompt, excluded)
-	if !direct {
-		if apart, possible := d.planApart(prompt, excluded); possible && (!found || apart.seconds < best.seconds) {
-			best, found = apart, true
-		}
+	best, found := d.bestPlan(prompt, options)
+	if found && best.crowdedOut(options) {
+		prompt.deferred = true
+		best, found = d.bestPlan(prompt, options)
 	}
 	if !found {
 		return nil, false
 	}
 	placement := d.carryOut(prompt, best)
-	if len(excluded) == 0 {
+	if len(options.Excluded) == 0 {
 		d.countOffered(best.reads(), prompt.reading(best.reads()).Tokens)
 	}
 	return placement, true
 }
 
+// bestPlan returns the cheapest plan, or false when there is none.
+func (d *Dispatcher) bestPlan(prompt *prompt, options PlaceOptions) (plan, bool) {
+	best, found := d.planDirect(prompt, options.Excluded)
+	if options.Direct {
+		return best, found
+	}
+	apart, possible := d.planApart(prompt, options.Excluded)
+	if possible && (!found || apart.seconds < best.seconds) {
+		return apart, true
+	}
+	return best, found
+}
+
 // carryOut assigns the work of a plan.
 func (d *Dispatcher) carryOut(prompt *prompt, chosen plan) *Placement {
-	placement := &Placement{}
+	placement := &Placement{Deferred: prompt.deferred}
 	choice := chosen.runner
 	if chosen.reader != nil {
 		choice = *chosen.reader
@@ -88,10 +123,10 @@
 		placement.FetchFrom = source
 	}
 	if chosen.reader == nil {
-		placement.Runner = d.assign(choice, tokens)
+		placement.Runner = d.assign(choice, tokens, prompt.deferred)
 		return placement
 	}
-	placement.Reader = d.assign(choice, max(tokens, 1))
+	placement.Reader = d.assign(choice, max(tokens, 1), prompt.deferred)
 	d.keep(reading, prompt.shared, false)
 	return placement
 }
@@ -104,7 +139,7 @@
 	if !found {
 		return nil, false
 	}
-	return d.assign(choice, 0), true
+	return d.assign(choice, 0, false), true
 }
 
 // pickRunner picks the engine to which a prompt is moved from its reader.
@@ -126,7 +161,7 @@
 	if choice.Score.Reading > d.settings.LongReading.Seconds() {
 		seconds += d.settings.LongReadingSeconds
 	}
-	return plan{runner: choice, seconds: seconds}, true
+	return plan{runner: choice, seconds: seconds, firstEvent: choice.Score.Answer, wait: choice.Score.Wait}, true
 }
 
 // planApart has one engine read the prompt and another one write the answer.
@@ -141,7 +176,12 @@
 	if !found {
 		return plan{}, false
 	}
-	return plan{reader: &reader, runner: runner, seconds: reader.Score.Total() + runner.Score.Total() + d.settings.ApartSeconds}, true
+	return plan{
+		reader: &reader, runner: runner,
+		seconds:    reader.Score.Total() + runner.Score.Total() + d.settings.ApartSeconds,
+		firstEvent: reader.Score.Answer + runner.Score.Answer,
+		wait:       reader.Score.Wait + runner.Score.Wait,
+	}, true
 }
 
 // residencyShare is the part of the memory of an engine that is counted on for parts which nobody uses at the moment.
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -63,7 +63,7 @@
 				message.Loads = append(message.Loads, loadshare.Load{Worker: fmt.Sprint(backend.RolePrefill, i), ReadingTokens: c.prefillReads})
 			}
 			dispatcher.Hear(message)
-			placement, found := dispatcher.Place(&Request{ID: "r", Demand: c.demand}, engineGroup, nil, false)
+			placement, found := dispatcher.Place(&Request{ID: "r", Demand: c.demand}, engineGroup, PlaceOptions{})
 			if !found || (placement.Reader != nil) != c.wantApart {
 				t.Fatalf("got %+v, want it apart: %v", placement, c.wantApart)
 			}
@@ -75,19 +75,19 @@
 	dispatcher := newEngineDispatcher()
 	demand := backend.Demand{PromptTokens: 12_000, Parts: []backend.Part{{ID: "a", Tokens: 8000}, {ID: "b", Tokens: 4000}}}
 	request := &Request{ID: "r", Demand: demand}
-	first, _ := dispatcher.Place(request, engineGroup, nil, false)
+	first, _ := dispatcher.Place(request, engineGroup, PlaceOptions{})
 	if first.FetchFrom != nil {
 		t.Fatal("a part that nobody keeps is fetched")
 	}
 	dispatcher.HasRead(first.Reader.Worker, request)
-	again, _ := dispatcher.Place(&Request{ID: "s", Demand: demand}, engineGroup, nil, false)
+	again, _ := dispatcher.Place(&Request{ID: "s", Demand: demand}, engineGroup, PlaceOptions{})
 	if again.Reader.Worker != first.Reader.Worker || again.FetchFrom != nil {
 		t.Fatalf("the engine that keeps the part was not chosen: %+v", again)
 	}
 	busy := &loadshare.Message{Sender: "other", Epoch: 1, Sequence: 1}
 	busy.Loads = []loadshare.Load{{Worker: first.Reader.Worker.ID, ReadingTokens: 100_000}}
 	dispatcher.Hear(busy)
-	other, _ := dispatcher.Place(&Request{ID: "t", Demand: demand}, engineGroup, nil, false)
+	other, _ := dispatcher.Place(&Request{ID: "t", Demand: demand}, engineGroup, PlaceOptions{})
 	if other.Reader == nil || other.Reader.Worker == first.Reader.Worker || other.FetchFrom != first.Reader.Worker {
 		t.Fatalf("the part was not fetched from a busy engine: %+v", other)
 	}
@@ -98,7 +98,7 @@
 	notified := 0
 	one.ShareWith(func(bool) { notified++ })
 	request := &Request{ID: "r", Demand: longPrompt}
-	placement, _ := one.Place(request, engineGroup, nil, false)
+	placement, _ := one.Place(request, engineGroup, PlaceOptions{})
 	one.HasRead(placement.Reader.Worker, request)
 	message := one.Drain(false)
 	if notified == 0 || len(message.Loads) == 0 || len(message.Kept) == 0 {
@@ -137,7 +137,7 @@
 	dispatcher := newEngineDispatcher()
 	request := &Request{ID: "r", Demand: longPrompt}
 	before, _ := dispatcher.PlaceRunner(request, engineGroup, nil, &backend.Worker{})
-	placement, _ := dispatcher.Place(request, engineGroup, nil, false)
+	placement, _ := dispatcher.Place(request, engineGroup, PlaceOptions{})
 	if placement.Reader == nil || placement.Runner != nil {
 		t.Fatalf("the runner was picked before the prompt was read: %+v", placement)
 	}
@@ -166,3 +166,55 @@
 		previous = urgency
 	}
 }
+
+// TestPromptsThatOthersCrowdOutGiveWay guards against the collapse of goodput under overload, when every prompt is read in its turn
+// and all answers are late.
+func TestPromptsThatOthersCrowdOutGiveWay(t *testing.T) {
+	cases := []struct {
+		desc            string
+		tokens          int
+		waiting         int
+		objective, left time.Duration
+		want            bool
+	}{
+		{"nothing waits", 4000, 0, 400 * time.Millisecond, 400 * time.Millisecond, false},
+		{"others come first for too long", 4000, 50_000, 400 * time.Millisecond, 400 * time.Millisecond, true},
+		{"others come first, and there is time", 4000, 50_000, 4 * time.Second, 4 * time.Second, false},
+		{"there is no objective", 4000, 50_000, 0, 0, false},
+		{"it is too long in itself", 40_000, 50_000, 400 * time.Millisecond, 400 * time.Millisecond, false},
+		{"earlier tries took the time", 4000, 0, 400 * time.Millisecond, -time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			dispatcher := newEngineDispatcher()
+			hear(dispatcher, backend.RolePrefill, 0, c.waiting)
+			message := &loadshare.Message{Sender: "third", Epoch: 1, Sequence: 1}
+			for i := range 3 {
+				message.Loads = append(message.Loads, loadshare.Load{Worker: fmt.Sprint(backend.RoleDecode, i), Running: 20, ReadingTokens: c.waiting})
+			}
+			dispatcher.Hear(message)
+			demand := backend.Demand{PromptTokens: c.tokens, Parts: []backend.Part{{ID: "own", Tokens: c.tokens}}}
+			placement, found := dispatcher.Place(&Request{ID: "r", Demand: demand}, engineGroup, PlaceOptions{Objective: c.objective, Left: c.left})
+			if !found || placement.Deferred != c.want {
+				t.Fatalf("deferred: %v, want %v", placement.Deferred, c.want)
+			}
+		})
+	}
+}
+
+// TestDeferredPromptsDelayNoOthers shows that what waits behind all others does not count for those.
+func TestDeferredPromptsDelayNoOthers(t *testing.T) {
+	dispatcher := newEngineDispatcher()
+	message := &loadshare.Message{Sender: "other", Epoch: 1, Sequence: 1}
+	for _, role := range []backend.Role{backend.RolePrefill, backend.RoleDecode} {
+		for i := range 3 {
+			message.Loads = append(message.Loads, loadshare.Load{Worker: fmt.Sprint(role, i), Running: 1, Reading: 1, DeferredTokens: 500_000})
+		}
+	}
+	dispatcher.Hear(message)
+	options := PlaceOptions{Objective: 400 * time.Millisecond, Left: 400 * time.Millisecond}
+	placement, found := dispatcher.Place(&Request{ID: "r", Demand: longPrompt}, engineGroup, options)
+	if !found || placement.Deferred {
+		t.Fatalf("got %+v", placement)
+	}
+}
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -13,6 +13,8 @@
 	request    *Request
 	group      *routing.Group
 	shared     sharedPart
+	// deferred prompts are read after all others.
+	deferred bool
 	// holders keep the shared part.
 	holders []holder
 }
@@ -42,6 +44,7 @@
 func (p *prompt) query(role backend.Role, zone string, excluded []string) balance.Query {
 	return balance.Query{
 		Request: p.request.ID, Group: p.group.Name, Role: role, Key: p.shared.key, Zone: zone, Excluded: excluded,
+		Deferred: p.deferred,
 	}
 }
 
--- a/internal/forward/reading.go
+++ b/internal/forward/reading.go
@@ -12,10 +12,12 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	reader := placement.Reader
-	timer := time.AfterFunc(reader.patience(), func() { cancel(errSilent) })
-	defer timer.Stop()
+	if !reader.deferred {
+		timer := time.AfterFunc(reader.patience(), func() { cancel(errSilent) })
+		defer timer.Stop()
+	}
 	prompt, err := c.handler.workers.ReadPrompt(ctx, reader.Worker, c.request, ReadOptions{
-		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: urgencyOf(c.request.Demand),
+		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.urgency(c.request.Demand),
 	})
 	failed := classify(ctx, err)
 	if failed != failureRefused && failed != failureMoved && failed != failureUnreachable {
@@ -39,6 +41,17 @@
 // leastUrgency is that of the longest prompts.
 const leastUrgency = 7
 
+// urgencyDeferred is that of prompts whose answers are expected too late.
+const urgencyDeferred = 9
+
+// urgency is that of reading the prompt of a placed request.
+func (p *Placement) urgency(demand backend.Demand) int {
+	if p.Deferred {
+		return urgencyDeferred
+	}
+	return urgencyOf(demand)
+}
+
 // urgencyOf returns the urgency of reading a prompt, by what is its own.
 func urgencyOf(demand backend.Demand) int {
 	own := demand.PromptTokens - sharedPartOf(demand).tokens
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -68,6 +68,8 @@
 	FetchFrom *backend.Worker
 	// ResumeAfter is the id of the last event that the caller has, or empty.
 	ResumeAfter string
+	// Deferred runs give way to all others.
+	Deferred bool
 }
 
 // ReadOptions say how an engine is to read a prompt.
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -21,16 +21,23 @@
 	Running       int
 	ReadingTokens int
 	Reading       int
+	// DeferredTokens of prompts that are read only while nothing else waits.
+	DeferredTokens int
 }
 
 // load is the load without its worker.
 func (l Load) load() backend.Load {
-	return backend.Load{Running: l.Running, Reading: l.Reading, ReadingTokens: l.ReadingTokens}
+	return backend.Load{
+		Running: l.Running, Reading: l.Reading, ReadingTokens: l.ReadingTokens, DeferredTokens: l.DeferredTokens,
+	}
 }
 
 // LoadAt returns a load as it is told.
 func LoadAt(worker string, load backend.Load) Load {
-	return Load{Worker: worker, Running: load.Running, Reading: load.Reading, ReadingTokens: load.ReadingTokens}
+	return Load{
+		Worker: worker, Running: load.Running, Reading: load.Reading, ReadingTokens: load.ReadingTokens,
+		DeferredTokens: load.DeferredTokens,
+	}
 }
 
 // Kept tells that a worker keeps a part of prompts, or is about to.
