--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -143,6 +144,10 @@
 	room := float64(writers.count-1) >= p.settings.Room*writing
 	fullWriters := running > p.settings.FullUse*float64(writers.count)
 	switch {
+	case p.fewer(readers, writers) && p.canGive(writers, readers):
+		return p.change(now, writers, backend.RolePrefill, "There are fewer readers than the least share.")
+	case p.fewer(writers, readers) && p.canGive(readers, writers):
+		return p.change(now, readers, backend.RoleDecode, "There are fewer writers than the least share.")
 	case busyReaders && room && p.canGive(writers, readers):
 		return p.change(now, writers, backend.RolePrefill, "The prompts that come keep readers busy while writers have room.")
 	case fullWriters && p.canGive(readers, writers):
@@ -152,16 +157,20 @@
 	}
 }
 
-// canGive tells whether a side can do with one engine less.
-func (p *Planner) canGive(from, to side) bool {
-	left := from.count - 1
-	if left < 1 || len(from.ready) == 0 {
-		return false
-	}
+// fewer tells whether a side has fewer engines than its least share, because some were lost.
+func (p *Planner) fewer(few, many side) bool { return few.count < p.least(few.role, few.count+many.count) }
+
+// least is how many of the engines keep a role.
+func (p *Planner) least(role backend.Role, engines int) int {
 	if len(p.settings.LeastOfRole) > 0 {
-		return left >= p.settings.LeastOfRole[from.role]
+		return max(p.settings.LeastOfRole[role], 1)
 	}
-	return float64(left) >= p.settings.LeastShare*float64(from.count+to.count)
+	return max(int(math.Ceil(p.settings.LeastShare*float64(engines))), 1)
+}
+
+// canGive tells whether a side can do with one engine less.
+func (p *Planner) canGive(from, to side) bool {
+	return len(from.ready) > 0 && from.count-1 >= p.least(from.role, from.count+to.count)
 }
 
 // change picks the engine with the least to do.
