Shared parts form a tree, and requests' own parts fill the memory of engines

The table took all shared parts of a prompt as one, so a new part under a known root counted as nothing known; and it counted shared parts alone, although own parts are a third of what passes through the memory of an engine, so it took parts to be kept that had given way long before.

A prompt's shared parts are a path; an engine keeps as much of it as it has without a gap; what is behind is read, or fetched from the engine that keeps most. Own parts are told and take their place in the order in which parts give way; 0.95 of the memory is counted on.

Found by the property test while the change was made: a filling of an engine whose parts were all forgotten.

--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -5,6 +5,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
@@ -119,15 +120,13 @@
 	}
 	reading := choice.Worker
 	tokens := prompt.reading(reading).Tokens
-	if source := sourceFor(reading, prompt.holders); source != nil && source.ID != reading.ID {
-		placement.FetchFrom = source
-	}
+	placement.FetchFrom = prompt.source(reading)
 	if chosen.reader == nil {
 		placement.Runner = d.assign(choice, tokens, prompt.deferred)
 		return placement
 	}
 	placement.Reader = d.assign(choice, max(tokens, 1), prompt.deferred)
-	d.keep(reading, prompt.shared, false)
+	d.keep(reading, prompt.request.Demand, false)
 	return placement
 }
 
@@ -185,7 +184,7 @@
 }
 
 // residencyShare is the part of the memory of an engine that is counted on for parts which nobody uses at the moment.
-const residencyShare = 0.7
+const residencyShare = 0.95
 
 // capacityOf returns the tokens of shared parts that an engine is thought to keep.
 func (d *Dispatcher) capacityOf(worker *backend.Worker) int {
@@ -196,30 +195,41 @@
 	return int(residencyShare * float64(engine.MemoryTokens))
 }
 
-// keep notes that an engine keeps a shared part, or is about to, and tells the other gateways. The mutex is held.
-func (d *Dispatcher) keep(worker *backend.Worker, shared sharedPart, ready bool) {
-	if shared.key == "" || shared.tokens < d.settings.LeastSharedTokens {
-		return
+// keep notes that an engine keeps a prompt, or is about to, and tells the other gateways. The mutex is held.
+func (d *Dispatcher) keep(worker *backend.Worker, demand backend.Demand, ready bool) {
+	shared := sharedPrefixOf(demand, d.settings.LeastSharedTokens)
+	for i, link := range shared.links {
+		kept := loadshare.Kept{Worker: worker.ID, Key: link.key, Tokens: link.tokens, Ready: ready}
+		if ready && i == len(shared.links)-1 {
+			kept.Own = demand.PromptTokens - shared.tokens
+		}
+		d.noteKept(worker, kept)
+		d.sharing.partKept(kept)
 	}
-	d.residency.Keep(worker.ID, d.capacityOf(worker), shared.key, shared.tokens, ready)
-	d.sharing.partKept(worker.ID, shared, ready)
 }
 
-// HasRead notes that an engine has read the prompt of a request, and keeps its shared part from now on.
+// noteKept takes a kept part into the table.
+func (d *Dispatcher) noteKept(worker *backend.Worker, kept loadshare.Kept) {
+	d.residency.Keep(worker.ID, d.capacityOf(worker), kept.Key, kept.Tokens, kept.Ready)
+	d.residency.Fill(worker.ID, kept.Own)
+}
+
+// HasRead notes that an engine has read the prompt of a request, and keeps it from now on.
 func (d *Dispatcher) HasRead(worker *backend.Worker, request *Request) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.keep(worker, sharedPartOf(request.Demand), true)
+	d.keep(worker, request.Demand, true)
 }
 
 // HasNotRead notes that an engine failed to read the prompt of a request.
 func (d *Dispatcher) HasNotRead(worker *backend.Worker, request *Request) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	key := sharedPartOf(request.Demand).key
-	for _, known := range d.residency.Holders(key) {
-		if known.Worker == worker.ID && !known.Ready {
-			d.residency.Forget(worker.ID, key)
+	for _, link := range sharedPrefixOf(request.Demand, d.settings.LeastSharedTokens).links {
+		for _, known := range d.residency.Holders(link.key) {
+			if known.Worker == worker.ID && !known.Ready {
+				d.residency.Forget(worker.ID, link.key)
+			}
 		}
 	}
 }
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -109,7 +109,7 @@
 	if load := two.sharing.board.Load(placement.Reader.Worker.ID); load.ReadingTokens == 0 {
 		t.Error("the load was not heard")
 	}
-	if holders := two.usableHolders("a"); len(holders) != 1 || !holders[0].ready {
+	if holders := two.usableHolders([]link{{key: "a", tokens: 8000}}); len(holders) != 1 || holders[placement.Reader.Worker.ID].ready != 8000 {
 		t.Errorf("the kept part was not heard: %v", holders)
 	}
 	if again := one.Drain(false); len(again.Loads)+len(again.Kept) != 0 {
@@ -218,3 +218,52 @@
 		t.Fatalf("got %+v", placement)
 	}
 }
+
+// TestANewPartUnderAKnownRootCostsOnlyThePart shows that shared parts form a tree: an engine that keeps the root of a prompt reads
+// what is behind it, and one that keeps a part without its root reads everything.
+func TestANewPartUnderAKnownRootCostsOnlyThePart(t *testing.T) {
+	chain := func(ids ...string) backend.Demand {
+		demand := backend.Demand{}
+		for _, id := range ids {
+			demand.Parts = append(demand.Parts, backend.Part{ID: id, Tokens: 3000})
+			demand.PromptTokens += 3000
+		}
+		return demand
+	}
+	dispatcher := newEngineDispatcher()
+	known := func(id string) *backend.Worker {
+		worker, _ := dispatcher.balancer.Worker(id)
+		return worker
+	}
+	dispatcher.HasRead(known("prefill0"), &Request{ID: "a", Demand: chain("root", "leaf", "own-a")})
+	dispatcher.HasRead(known("prefill1"), &Request{ID: "b", Demand: chain("leaf-b", "own-b")})
+	cases := []struct {
+		desc   string
+		worker string
+		demand backend.Demand
+		// kept tokens at the worker, and from where the rest of what is shared is fetched.
+		kept  int
+		fetch string
+	}{
+		{"the whole path", "prefill0", chain("root", "leaf", "own"), 6000, ""},
+		{"a new leaf", "prefill0", chain("root", "other", "own"), 3000, ""},
+		{"a leaf without its root", "prefill1", chain("root", "leaf-b", "own"), 0, "prefill0"},
+		{"nothing, and the path is elsewhere", "prefill2", chain("root", "leaf", "own"), 0, "prefill0"},
+		{"an unknown root", "prefill0", chain("new", "leaf", "own"), 0, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			prompt := dispatcher.promptOf(&Request{ID: "r", Demand: c.demand}, engineGroup)
+			if got := prompt.holders[c.worker].tokens; got != c.kept {
+				t.Errorf("%d tokens are kept, want %d", got, c.kept)
+			}
+			got := ""
+			if source := prompt.source(known(c.worker)); source != nil {
+				got = source.ID
+			}
+			if got != c.fetch {
+				t.Errorf("the rest is fetched from %q, want %q", got, c.fetch)
+			}
+		})
+	}
+}
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"cmp"
+	"strings"
+
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/enginemodel"
@@ -12,29 +15,36 @@
 	dispatcher *Dispatcher
 	request    *Request
 	group      *routing.Group
-	shared     sharedPart
+	shared     sharedPrefix
 	// deferred prompts are read after all others.
 	deferred bool
-	// holders keep the shared part.
-	holders []holder
+	// holders keep the beginning of the prompt, by their ids.
+	holders map[string]holder
+	// longest is the most that a holder keeps, and longestReady the most that one can be asked for.
+	longest, longestReady int
 }
 
 // promptOf gathers what is known of a prompt. The mutex is held.
 func (d *Dispatcher) promptOf(request *Request, group *routing.Group) *prompt {
-	one := &prompt{dispatcher: d, request: request, group: group, shared: sharedPartOf(request.Demand)}
-	one.holders = d.usableHolders(one.shared.key)
-	if one.shared.tokens > 0 && one.shared.tokens < d.settings.LeastSharedTokens {
+	one := &prompt{dispatcher: d, request: request, group: group, shared: sharedPrefixOf(request.Demand, d.settings.LeastSharedTokens)}
+	if len(one.shared.links) > 0 {
+		one.holders = d.usableHolders(one.shared.links)
+	} else if one.shared.tokens > 0 {
 		one.holders = d.homesOf(one)
 	}
+	for _, each := range one.holders {
+		one.longest = max(one.longest, each.tokens)
+		one.longestReady = max(one.longestReady, each.ready)
+	}
 	return one
 }
 
 // homesOf returns the engines that are taken to keep a short shared part, which is not followed: the preferred ones.
-func (d *Dispatcher) homesOf(one *prompt) []holder {
-	var homes []holder
+func (d *Dispatcher) homesOf(one *prompt) map[string]holder {
+	homes := map[string]holder{}
 	for _, role := range []backend.Role{backend.RolePrefill, backend.RoleDecode} {
 		if home := d.balancer.Home(d.now(), one.query(role, "", nil)); home != nil {
-			homes = append(homes, holder{worker: home})
+			homes[home.ID] = holder{worker: home, tokens: one.shared.tokens}
 		}
 	}
 	return homes
@@ -51,36 +61,34 @@
 // reading is what the prompt costs an engine that reads it.
 func (p *prompt) reading(worker *backend.Worker) balance.Reading {
 	total := p.request.Demand.PromptTokens
-	rest := max(total-p.shared.tokens, 1)
-	fetchable := false
-	for _, each := range p.holders {
-		if each.worker.ID == worker.ID {
-			return balance.Reading{Tokens: readingWork(rest, total)}
-		}
-		fetchable = fetchable || each.ready
-	}
+	kept := p.holders[worker.ID].tokens
 	settings := &p.dispatcher.settings
-	if fetchable && p.group.Engine.LinkMbps > 0 {
-		bits := float64(p.shared.tokens) * float64(p.group.Engine.BytesPerToken) * 8
+	if p.longestReady > kept && p.group.Engine.LinkMbps > 0 {
+		bits := float64(p.longestReady-kept) * float64(p.group.Engine.BytesPerToken) * 8
 		seconds := settings.FetchWeight * bits / (p.group.Engine.LinkMbps * 1e6)
-		return balance.Reading{Tokens: readingWork(rest, total), TransferSeconds: seconds}
+		return balance.Reading{Tokens: p.work(p.longestReady), TransferSeconds: seconds}
 	}
-	reading := balance.Reading{Tokens: readingWork(total, total)}
-	if len(p.holders) > 0 {
+	reading := balance.Reading{Tokens: p.work(kept)}
+	if p.longest > kept && total > 0 {
 		estimate := p.dispatcher.model.Estimate(p.dispatcher.now(), enginemodel.ClassOf(worker))
-		reading.TransferSeconds = settings.RereadWeight * float64(p.shared.tokens) * estimate.SecondsPerToken
+		reading.TransferSeconds = settings.RereadWeight * float64(p.longest-kept) * estimate.SecondsPerToken
 	}
 	return reading
 }
 
+// work is that of reading what comes behind the tokens that are there already.
+func (p *prompt) work(kept int) int {
+	total := p.request.Demand.PromptTokens
+	return readingWork(max(total-kept, 1), total)
+}
+
 // move is what the prompt costs an engine that gets it from a reader.
 func (p *prompt) move(worker *backend.Worker) balance.Reading {
-	for _, each := range p.holders {
-		if each.worker.ID == worker.ID {
-			return balance.Reading{}
-		}
+	seconds := p.dispatcher.settings.MoveSeconds
+	if kept := p.holders[worker.ID].tokens; kept > 0 {
+		seconds *= 1 - float64(kept)/float64(p.longest)
 	}
-	return balance.Reading{TransferSeconds: p.dispatcher.settings.MoveSeconds}
+	return balance.Reading{TransferSeconds: seconds}
 }
 
 // attentionPerToken is by how much each token of context slows the reading of one token, relative to the time of a token at
@@ -93,50 +101,94 @@
 	return int(float64(tokens) * (1 + attentionPerToken*context))
 }
 
-// sharedPart is the beginning of a prompt that other prompts share.
-type sharedPart struct {
+// sharedPrefix is the beginning of a prompt that other prompts share, as a path in the tree of shared parts: a link is of use
+// only behind those before it.
+type sharedPrefix struct {
+	// key names the prompts that are worth keeping together.
 	key    string
 	tokens int
+	// links are the parts that are long enough to be followed over the engines.
+	links []link
 }
 
-// sharedPartOf returns the shared beginning of a prompt.
-func sharedPartOf(demand backend.Demand) sharedPart {
-	shared := sharedPart{key: demand.AffinityKey()}
+// link is a part of a shared prefix, with the tokens of short parts before it.
+type link struct {
+	key    string
+	tokens int
+}
+
+// sharedPrefixOf returns the shared beginning of a prompt. Parts below the least tokens are not followed by themselves.
+func sharedPrefixOf(demand backend.Demand, least int) sharedPrefix {
+	shared := sharedPrefix{key: demand.AffinityKey()}
+	pending := 0
 	for _, part := range demand.SharedParts() {
 		shared.tokens += part.Tokens
+		pending += part.Tokens
+		if part.Tokens >= least {
+			shared.links = append(shared.links, link{key: part.ID, tokens: pending})
+			pending = 0
+		}
 	}
 	return shared
 }
 
-// holder is an engine that keeps a shared part and can be asked for it.
+// holder is an engine that keeps the beginning of a prompt.
 type holder struct {
 	worker *backend.Worker
-	ready  bool
+	// tokens that the engine keeps, or is about to, and ready ones that it can be asked for.
+	tokens, ready int
 }
 
-// usableHolders returns the engines that keep a part and take work. The mutex is held.
-func (d *Dispatcher) usableHolders(key string) []holder {
-	var usable []holder
-	for _, known := range d.residency.Holders(key) {
-		worker, found := d.balancer.Worker(known.Worker)
-		if found && d.balancer.Usable(d.now(), known.Worker) {
-			usable = append(usable, holder{worker: worker, ready: known.Ready})
+// usableHolders returns the engines that keep the beginning of a prefix and take work. The mutex is held.
+func (d *Dispatcher) usableHolders(links []link) map[string]holder {
+	holders := map[string]holder{}
+	before := 0
+	for _, link := range links {
+		for _, known := range d.residency.Holders(link.key) {
+			one, found := holders[known.Worker]
+			if !found && before == 0 {
+				one.worker, found = d.balancer.Worker(known.Worker)
+				found = found && d.balancer.Usable(d.now(), known.Worker)
+			}
+			if !found || one.tokens < before {
+				continue
+			}
+			if known.Ready && one.ready == before {
+				one.ready += link.tokens
+			}
+			one.tokens += link.tokens
+			holders[known.Worker] = one
 		}
+		before += link.tokens
 	}
-	return usable
+	return holders
 }
 
-// sourceFor returns the engine from which a worker gets a shared part: itself, a ready holder of its zone, or any ready one.
-func sourceFor(worker *backend.Worker, holders []holder) *backend.Worker {
-	var source *backend.Worker
-	for _, each := range holders {
-		switch {
-		case each.worker.ID == worker.ID:
-			return worker
-		case !each.ready:
-		case source == nil || (source.Zone != worker.Zone && each.worker.Zone == worker.Zone):
-			source = each.worker
+// source returns the engine from which a worker takes what it does not keep of the prompt, or nil: the one that keeps most, in its
+// own zone if there is one.
+func (p *prompt) source(worker *backend.Worker) *backend.Worker {
+	var source holder
+	for _, each := range p.holders {
+		closer := source.worker != nil && each.ready == source.ready &&
+			cmp.Or(compareZones(worker, each.worker, source.worker), strings.Compare(each.worker.ID, source.worker.ID)) < 0
+		if each.ready > source.ready || closer {
+			source = each
 		}
 	}
-	return source
+	if source.worker == nil || source.ready <= p.holders[worker.ID].tokens {
+		return nil
+	}
+	return source.worker
+}
+
+// compareZones is less than zero when only the first of two engines is in the zone of a worker.
+func compareZones(worker, one, other *backend.Worker) int {
+	switch {
+	case one.Zone == other.Zone || (one.Zone != worker.Zone && other.Zone != worker.Zone):
+		return 0
+	case one.Zone == worker.Zone:
+		return -1
+	default:
+		return 1
+	}
 }
--- a/internal/forward/reading.go
+++ b/internal/forward/reading.go
@@ -54,7 +54,7 @@
 
 // urgencyOf returns the urgency of reading a prompt, by what is its own.
 func urgencyOf(demand backend.Demand) int {
-	own := demand.PromptTokens - sharedPartOf(demand).tokens
+	own := demand.PromptTokens - sharedPrefixOf(demand, 0).tokens
 	for _, class := range urgencyClasses {
 		if own <= class.tokens {
 			return class.urgency
--- a/internal/forward/sharing.go
+++ b/internal/forward/sharing.go
@@ -44,11 +44,11 @@
 }
 
 // partKept notes that a worker keeps a part.
-func (s *sharing) partKept(worker string, shared sharedPart, ready bool) {
+func (s *sharing) partKept(kept loadshare.Kept) {
 	if s.notify == nil || len(s.kept) >= maxUntoldParts {
 		return
 	}
-	s.kept = append(s.kept, loadshare.Kept{Worker: worker, Key: shared.key, Tokens: shared.tokens, Ready: ready})
+	s.kept = append(s.kept, kept)
 	s.notify(true)
 }
 
@@ -128,7 +128,7 @@
 	}
 	for _, kept := range message.Kept {
 		if worker, found := d.balancer.Worker(kept.Worker); found {
-			d.residency.Keep(worker.ID, d.capacityOf(worker), kept.Key, kept.Tokens, kept.Ready)
+			d.noteKept(worker, kept)
 		}
 	}
 	for _, changing := range message.Changing {
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -47,6 +47,8 @@
 	Key    string
 	Tokens int
 	Ready  bool
+	// Own tokens of the request, which no other one can use, and which the worker keeps all the same.
+	Own int
 }
 
 // Changing tells that work is kept off a worker, because it changes its role.
--- a/internal/residency/residency.go
+++ b/internal/residency/residency.go
@@ -28,7 +28,7 @@
 	parts    map[string]*list.Element
 }
 
-// part is one kept part.
+// part is one kept part. One without a key is of use for no other request.
 type part struct {
 	key    string
 	tokens int
@@ -57,6 +57,32 @@
 	kept.parts[key] = kept.recent.PushFront(&part{key: key, tokens: tokens, ready: ready})
 	kept.tokens += tokens
 	t.holders[key] = append(t.holders[key], worker)
+	t.shrink(worker, kept)
+}
+
+// maxFilling bounds the tokens of requests' own parts that are kept as one.
+const maxFilling = 5000
+
+// Fill notes that an engine keeps so many tokens that no other request can use. They give way as others do.
+func (t *Table) Fill(worker string, tokens int) {
+	kept, known := t.workers[worker]
+	if !known || tokens <= 0 {
+		return
+	}
+	kept.tokens += tokens
+	if front := kept.recent.Front(); front != nil && front.Value.(*part).takes(tokens) {
+		front.Value.(*part).tokens += tokens
+	} else {
+		kept.recent.PushFront(&part{tokens: tokens})
+	}
+	t.shrink(worker, kept)
+}
+
+// takes tells whether tokens that no other request can use are kept together with a part.
+func (p *part) takes(tokens int) bool { return p.key == "" && p.tokens+tokens <= maxFilling }
+
+// shrink drops what was used longest ago until the rest fits.
+func (t *Table) shrink(worker string, kept *memory) {
 	for kept.tokens > kept.capacity && kept.recent.Len() > 1 {
 		t.drop(worker, kept, kept.recent.Back())
 	}
@@ -99,8 +125,11 @@
 // drop forgets one part of one engine.
 func (t *Table) drop(worker string, kept *memory, element *list.Element) {
 	dropped := kept.recent.Remove(element).(*part)
-	delete(kept.parts, dropped.key)
 	kept.tokens -= dropped.tokens
+	if dropped.key == "" {
+		return
+	}
+	delete(kept.parts, dropped.key)
 	holders := t.holders[dropped.key]
 	for i, holder := range holders {
 		if holder == worker {
--- a/internal/residency/residency_test.go
+++ b/internal/residency/residency_test.go
@@ -10,8 +10,11 @@
 	"github.com/granitebay/granitebay/internal/residency"
 )
 
-// capacity of each engine in the tests, tokens.
-const capacity = 100
+// Capacities of engines in the tests, tokens.
+const (
+	capacity      = 100
+	largeCapacity = 20_000
+)
 
 // modelPart is a part that an engine of the model keeps.
 type modelPart struct {
@@ -35,7 +38,19 @@
 		return
 	}
 	parts = slices.Insert(parts, 0, modelPart{key: key, tokens: tokens, ready: ready})
-	for len(parts) > 1 && total(parts) > capacity {
+	for len(parts) > 1 && total(parts) > largeCapacity {
+		parts = parts[:len(parts)-1]
+	}
+	m[worker] = parts
+}
+
+// fill is residency.Table.Fill, for fillings that are too large to be kept as one.
+func (m model) fill(worker string, tokens int) {
+	if _, known := m[worker]; !known {
+		return
+	}
+	parts := slices.Insert(m[worker], 0, modelPart{tokens: tokens})
+	for len(parts) > 1 && total(parts) > largeCapacity {
 		parts = parts[:len(parts)-1]
 	}
 	m[worker] = parts
@@ -88,16 +103,20 @@
 		for range rapid.IntRange(1, 60).Draw(t, "changes") {
 			worker := rapid.SampledFrom(workers).Draw(t, "worker")
 			key := rapid.SampledFrom(keys).Draw(t, "key")
-			switch rapid.IntRange(0, 6).Draw(t, "change") {
+			switch rapid.IntRange(0, 7).Draw(t, "change") {
 			case 0:
 				table.Forget(worker, key)
 				plain.forget(worker, key)
 			case 1:
 				table.ForgetWorkers(func(other string) bool { return other != worker })
 				delete(plain, worker)
+			case 2:
+				tokens := rapid.IntRange(3000, 9000).Draw(t, "own")
+				table.Fill(worker, tokens)
+				plain.fill(worker, tokens)
 			default:
-				tokens, ready := rapid.IntRange(1, 120).Draw(t, "tokens"), rapid.Bool().Draw(t, "ready")
-				table.Keep(worker, capacity, key, tokens, ready)
+				tokens, ready := rapid.IntRange(1, 24_000).Draw(t, "tokens"), rapid.Bool().Draw(t, "ready")
+				table.Keep(worker, largeCapacity, key, tokens, ready)
 				plain.keep(worker, key, tokens, ready)
 			}
 			for _, each := range keys {
@@ -122,3 +141,21 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+// TestShortFillingsAreKeptAsOne guards against a table that grows with each request.
+func TestShortFillingsAreKeptAsOne(t *testing.T) {
+	table := residency.New()
+	table.Keep("w", largeCapacity, "first", 1000, true)
+	for range 180 {
+		table.Fill("w", 100)
+	}
+	if len(table.Holders("first")) != 1 {
+		t.Fatal("a part gave way although there was room")
+	}
+	for range 20 {
+		table.Fill("w", 100)
+	}
+	if len(table.Holders("first")) != 0 {
+		t.Fatal("a part is taken to be kept although newer tokens fill the memory")
+	}
+}
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -158,7 +158,9 @@
 }
 
 // fewer tells whether a side has fewer engines than its least share, because some were lost.
-func (p *Planner) fewer(few, many side) bool { return few.count < p.least(few.role, few.count+many.count) }
+func (p *Planner) fewer(few, many side) bool {
+	return few.count < p.least(few.role, few.count+many.count)
+}
 
 // least is how many of the engines keep a role.
 func (p *Planner) least(role backend.Role, engines int) int {
