--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -80,7 +80,7 @@
 
 // Planner plans the roles of the engines of one group. Writers get the engines that the peak of the runs needs, with room for
 // growth; all others read where prompts keep the readers busy, because an engine that reads serves all prompts while a writer
-// without runs serves nobody. It is a pure state machine and not safe for concurrent use.
+// without runs serves nobody. Before any demand is known, there are at least as many readers as writers. It is a pure state machine and not safe for concurrent use.
 //
 // Invariant: a change leaves each role its least share of the usable engines, and at least one.
 type Planner struct {
@@ -140,10 +140,13 @@
 	if now.Before(p.notBefore) {
 		return nil
 	}
+	unknown := reading == 0 && writing == 0
 	busyReaders := reading > p.settings.LeastUse*float64(readers.count)
 	room := float64(writers.count-1) >= p.settings.Room*writing
 	fullWriters := running > p.settings.FullUse*float64(writers.count)
 	switch {
+	case unknown && writers.count-readers.count >= 2 && p.canGive(writers, readers):
+		return p.change(now, writers, backend.RolePrefill, "Nothing is known of the mix yet, so each role gets half.")
 	case p.fewer(readers, writers) && p.canGive(writers, readers):
 		return p.change(now, writers, backend.RolePrefill, "There are fewer readers than the least share.")
 	case p.fewer(writers, readers) && p.canGive(readers, writers):
