--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -156,15 +156,26 @@
 }
 
 func TestShortPromptsAreReadFirst(t *testing.T) {
+	dispatcher := newEngineDispatcher()
 	previous := -1
-	for _, own := range []int{100, 2000, 8000, 50_000} {
-		demand := backend.Demand{PromptTokens: 10_000 + own, Parts: []backend.Part{{ID: "a", Tokens: 10_000}, {ID: "b", Tokens: own}}}
-		urgency := urgencyOf(demand)
-		if urgency <= previous || urgency > 9 {
-			t.Errorf("%d own tokens have the urgency %d after %d", own, urgency, previous)
+	for _, tokens := range []int{600, 3000, 8000, 50_000} {
+		demand := backend.Demand{PromptTokens: tokens, Parts: []backend.Part{{ID: fmt.Sprint("own", tokens), Tokens: tokens}}}
+		placement, found := dispatcher.Place(&Request{ID: "r", Demand: demand}, engineGroup, PlaceOptions{})
+		if !found {
+			t.Fatal("no engine")
+		}
+		if placement.Reader == nil {
+			placement.Reader = placement.Runner
+		}
+		urgency := placement.urgency()
+		if urgency <= previous || urgency >= urgencyDeferred {
+			t.Errorf("%d tokens have the urgency %d after %d", tokens, urgency, previous)
 		}
 		previous = urgency
 	}
+	if late := (&Placement{Deferred: true}).urgency(); late != urgencyDeferred {
+		t.Errorf("a late prompt has the urgency %d", late)
+	}
 }
 
 // TestPromptsThatOthersCrowdOutGiveWay guards against the collapse of goodput under overload, when every prompt is read in its turn
--- a/internal/forward/reading.go
+++ b/internal/forward/reading.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/granitebay/granitebay/internal/backend"
 )
 
 // readPrompt has an engine read the prompt.
@@ -17,7 +15,7 @@
 		defer timer.Stop()
 	}
 	prompt, err := c.handler.workers.ReadPrompt(ctx, reader.Worker, c.request, ReadOptions{
-		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.urgency(c.request.Demand),
+		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.urgency(),
 	})
 	failed := classify(ctx, err)
 	if failed != failureRefused && failed != failureMoved && failed != failureUnreachable {
@@ -35,28 +33,31 @@
 	return prompt, failed
 }
 
-// urgencyClasses are lengths up to which prompts are read with an urgency: short ones first, so that few wait for long ones.
-var urgencyClasses = []struct{ tokens, urgency int }{{1500, 1}, {4000, 3}, {10000, 5}}
+// urgencyClasses are times of reading up to which prompts are read with an urgency: short ones first, so that few wait for long
+// ones.
+var urgencyClasses = []struct {
+	seconds float64
+	urgency int
+}{{0.03, 1}, {0.08, 3}, {0.2, 5}}
 
-// leastUrgency is that of the longest prompts.
+// leastUrgency is that of the longest prompts that are in time.
 const leastUrgency = 7
 
 // urgencyDeferred is that of prompts whose answers are expected too late.
 const urgencyDeferred = 9
 
 // urgency is that of reading the prompt of a placed request.
-func (p *Placement) urgency(demand backend.Demand) int {
+func (p *Placement) urgency() int {
 	if p.Deferred {
 		return urgencyDeferred
 	}
-	return urgencyOf(demand)
+	return urgencyOf(p.Reader.Score.Reading)
 }
 
-// urgencyOf returns the urgency of reading a prompt, by what is its own.
-func urgencyOf(demand backend.Demand) int {
-	own := demand.PromptTokens - sharedPrefixOf(demand, 0).tokens
+// urgencyOf returns the urgency of a prompt that takes so long to read.
+func urgencyOf(seconds float64) int {
 	for _, class := range urgencyClasses {
-		if own <= class.tokens {
+		if seconds <= class.seconds {
 			return class.urgency
 		}
 	}
