Late prompts are never read by engines that write, and runs that wait for a place count as demand

Late prompts were read directly by writers, which always have room for reading between their steps; their streams took three times as long and filled the places, every prompt was then expected late for want of a place, and none was in time from 10 s to 17 s. One engine in 4 s was made a writer, because only runs with a place counted.

--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -105,7 +105,8 @@
 		return best, found
 	}
 	apart, possible := d.planApart(prompt, options.Excluded)
-	if possible && (!found || apart.seconds < best.seconds) {
+	// Prompts that are late do not slow the answers that are being written.
+	if possible && (!found || prompt.deferred || apart.seconds < best.seconds) {
 		return apart, true
 	}
 	return best, found
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -209,6 +209,9 @@
 			if !found || placement.Deferred != c.want {
 				t.Fatalf("deferred: %v, want %v", placement.Deferred, c.want)
 			}
+			if placement.Deferred && placement.Reader == nil {
+				t.Fatal("a late prompt is read by an engine that writes, and slows its answers")
+			}
 		})
 	}
 }
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -100,7 +100,7 @@
 	role  backend.Role
 	count int
 	slots int
-	// runs that the engines are writing.
+	// runs that the engines are writing, or that wait there for a place.
 	runs int
 	// ready engines have the role and take work; one of them may be given away. Engines that are set aside for their failures
 	// are not ready, and count all the same: they come back.
@@ -113,7 +113,7 @@
 	for _, engine := range engines {
 		if engine.Worker.Role == role {
 			// Engines that are about to change finish what they run.
-			s.runs += min(engine.Load.Writing(), engine.Worker.Slots)
+			s.runs += engine.Load.Writing()
 		}
 		if engine.role() != role || engine.Worker.Draining {
 			continue
