Late requests that wait for a place at a writer do not count ahead of others

With three times the load all requests were still expected late at times, because late runs that wait for a place were counted as runs before them, although workers let all others in first. Test: TestLateRunsAreNotAheadOfOthers failed first.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -149,6 +149,8 @@
 func LoadOf(tokens int, deferred bool) backend.Load {
 	load := backend.Load{Running: 1}
 	switch {
+	case tokens <= 0 && deferred:
+		load.Waiting = 1
 	case tokens <= 0:
 	case deferred:
 		load.Reading, load.DeferredTokens = 1, tokens
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -134,7 +134,7 @@
 			return reader.ID, failed.notRun()
 		}
 		found := false
-		runner, found = c.handler.dispatcher.PlaceRunner(c.request, c.match.Group, c.attempts.excluded, reader)
+		runner, found = c.handler.dispatcher.PlaceRunner(c.request, c.match.Group, c.attempts.excluded, placement.Reader)
 		if !found {
 			c.release(read)
 			c.endTry(record, "no runner: ", failureUnreachable)
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -132,14 +132,14 @@
 }
 
 // PlaceRunner picks the engine that goes on with a prompt which was read, or returns false when there is none.
-func (d *Dispatcher) PlaceRunner(request *Request, group *routing.Group, excluded []string, reader *backend.Worker) (*Assignment, bool) {
+func (d *Dispatcher) PlaceRunner(request *Request, group *routing.Group, excluded []string, reader *Assignment) (*Assignment, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	choice, found := d.pickRunner(d.promptOf(request, group), excluded, reader)
+	choice, found := d.pickRunner(d.promptOf(request, group), excluded, reader.Worker)
 	if !found {
 		return nil, false
 	}
-	return d.assign(choice, 0, false), true
+	return d.assign(choice, 0, reader.deferred), true
 }
 
 // pickRunner picks the engine to which a prompt is moved from its reader.
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/routing"
 )
@@ -115,7 +116,7 @@
 	if again := one.Drain(false); len(again.Loads)+len(again.Kept) != 0 {
 		t.Error("the same was told twice")
 	}
-	runner, _ := one.PlaceRunner(request, engineGroup, nil, placement.Reader.Worker)
+	runner, _ := one.PlaceRunner(request, engineGroup, nil, placement.Reader)
 	one.SetChanging(runner.Worker.ID, backend.RolePrefill)
 	message = one.Drain(false)
 	message.Sender, message.Epoch, message.Sequence = "one", 1, 2
@@ -136,7 +137,7 @@
 func TestAWorkerThatLeavesWhileAPromptIsReadGetsNoRequest(t *testing.T) {
 	dispatcher := newEngineDispatcher()
 	request := &Request{ID: "r", Demand: longPrompt}
-	before, _ := dispatcher.PlaceRunner(request, engineGroup, nil, &backend.Worker{})
+	before, _ := dispatcher.PlaceRunner(request, engineGroup, nil, &Assignment{Worker: &backend.Worker{}})
 	placement, _ := dispatcher.Place(request, engineGroup, PlaceOptions{})
 	if placement.Reader == nil || placement.Runner != nil {
 		t.Fatalf("the runner was picked before the prompt was read: %+v", placement)
@@ -149,7 +150,7 @@
 		set[id] = &changed
 	}
 	dispatcher.SetWorkers(set)
-	after, found := dispatcher.PlaceRunner(request, engineGroup, nil, placement.Reader.Worker)
+	after, found := dispatcher.PlaceRunner(request, engineGroup, nil, placement.Reader)
 	if !found || after.Worker.ID == before.Worker.ID {
 		t.Fatalf("picked %+v", after)
 	}
@@ -281,3 +282,27 @@
 		})
 	}
 }
+
+// TestLateRunsAreNotAheadOfOthers shows that a place for which only late requests wait is free for the others.
+func TestLateRunsAreNotAheadOfOthers(t *testing.T) {
+	for deferred, want := range map[bool]int{false: 1, true: 0} {
+		dispatcher := newEngineDispatcher()
+		reader := &Assignment{Worker: &backend.Worker{}, deferred: deferred}
+		runner, found := dispatcher.PlaceRunner(&Request{ID: "r", Demand: longPrompt}, engineGroup, nil, reader)
+		if !found {
+			t.Fatal("no runner")
+		}
+		load := dispatcher.balancer.TotalLoad(runner.Worker.ID)
+		if load.Running != 1 || load.Writing() != want {
+			t.Errorf("deferred %v: %+v counts as %d runs", deferred, load, load.Writing())
+		}
+		runner.answered()
+		if load = dispatcher.balancer.TotalLoad(runner.Worker.ID); load.Writing() != 1 {
+			t.Errorf("deferred %v: a run that has begun counts as %d", deferred, load.Writing())
+		}
+		runner.finish(balance.OutcomeGood)
+		if load = dispatcher.balancer.TotalLoad(runner.Worker.ID); load != (backend.Load{}) {
+			t.Errorf("deferred %v: %+v is left", deferred, load)
+		}
+	}
+}
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -23,12 +23,15 @@
 	Reading       int
 	// DeferredTokens of prompts that are read only while nothing else waits.
 	DeferredTokens int
+	// Waiting late requests that have not begun.
+	Waiting int
 }
 
 // load is the load without its worker.
 func (l Load) load() backend.Load {
 	return backend.Load{
 		Running: l.Running, Reading: l.Reading, ReadingTokens: l.ReadingTokens, DeferredTokens: l.DeferredTokens,
+		Waiting: l.Waiting,
 	}
 }
 
@@ -36,7 +39,7 @@
 func LoadAt(worker string, load backend.Load) Load {
 	return Load{
 		Worker: worker, Running: load.Running, Reading: load.Reading, ReadingTokens: load.ReadingTokens,
-		DeferredTokens: load.DeferredTokens,
+		DeferredTokens: load.DeferredTokens, Waiting: load.Waiting,
 	}
 }
 
