--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -120,7 +120,7 @@
 
 // try offers the request to the workers of a placement. It returns the worker that failed.
 func (c *call) try(ctx context.Context, placement *Placement) (string, failure) {
-	record := Try{Begun: time.Now()}
+	record := Try{Begun: time.Now(), Deferred: placement.Deferred}
 	runner := placement.Runner
 	var prompt *Prompt
 	if placement.Reader != nil {
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -59,6 +59,8 @@
 	// Score is the expected cost for which the worker was picked, or its reader if there was one, among so many Candidates.
 	Score      balance.Score
 	Candidates int
+	// Deferred is set when the answer was expected too late, so that all others went first.
+	Deferred bool
 	// Failure is empty for a try that succeeded.
 	Failure string
 }
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -93,6 +93,12 @@
 	if try.Candidates > 0 {
 		text += fmt.Sprintf(", picked of %d for %s", try.Candidates, describeScore(try.Score))
 	}
+	if try.Score.Answer > 0 {
+		text += fmt.Sprintf(", answer expected after %.0f ms", millisecondsPerSecond*try.Score.Answer)
+	}
+	if try.Deferred {
+		text += ", too late for its objective and so after all others"
+	}
 	if try.Failure != "" {
 		text += ": " + try.Failure
 	}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -19,6 +19,8 @@
 	metricRequests  = "granitebay_requests_total"
 	metricFirstByte = "granitebay_first_byte_seconds"
 	metricTries     = "granitebay_tries_total"
+	// metricDeferred counts requests that gave way to others because they were expected too late.
+	metricDeferred = "granitebay_deferred_total"
 	// metricLinesLeftOut counts log lines about requests that were left out because there were too many.
 	metricLinesLeftOut = "granitebay_log_lines_left_out_total"
 )
@@ -60,6 +62,9 @@
 	for _, try := range report.Tries {
 		name = fmt.Sprintf(`%s{group=%q,failure=%q}`, metricTries, report.Group, try.Failure)
 		f.set.GetOrCreateCounter(name).Inc()
+		if try.Deferred {
+			f.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q}`, metricDeferred, report.Rule)).Inc()
+		}
 	}
 	entry := entryOf(report)
 	f.decisions.Append(report.Ended, entry)
