--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -212,7 +212,7 @@
 	})
 }
 
-// Patience with a worker that gives no sign: a base, and so many times what its queue and the reading were expected to take.
+// Patience with an engine that gives no sign: a base, and so many times what its queue and the reading were expected to take.
 const (
 	patienceBase         = 400 * time.Millisecond
 	patienceFactor       = 4
@@ -224,6 +224,12 @@
 	return patienceBase + time.Duration(patienceFactor*a.Score.Answer*nanosecondsPerSecond)
 }
 
+// mayBeBusy tells whether a silent worker need not have failed: the time of the request was over before the worker was late. Of
+// plain workers no queue is expected.
+func (a *Assignment) mayBeBusy(now time.Time) bool {
+	return a.Worker.Role != backend.RoleNone && (a.deferred || now.Sub(a.begun) < a.patience())
+}
+
 // finish notes the end of the work, once.
 func (a *Assignment) finish(outcome balance.Outcome) {
 	if a == nil {
@@ -241,8 +247,7 @@
 	}
 	a.finished = true
 	d, now := a.dispatcher, a.dispatcher.now()
-	if outcome == balance.OutcomeSilent && (a.deferred || now.Sub(a.begun) < a.patience()) {
-		// It may only be busy: the time of the request was over before the worker was late.
+	if outcome == balance.OutcomeSilent && a.mayBeBusy(now) {
 		outcome = balance.OutcomeNone
 	}
 	if outcome == balance.OutcomeGood {
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -306,3 +306,22 @@
 		}
 	}
 }
+
+// TestASilentPlainWorkerIsSetAside guards against taking the silence of a plain worker for that of a busy engine: nothing is expected of
+// its queue, so that requests leave it after a part of their objective.
+func TestASilentPlainWorkerIsSetAside(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, role := range []backend.Role{backend.RoleNone, backend.RoleDecode} {
+		dispatcher := NewDispatcher(DefaultDispatchSettings(), func() time.Time { return now })
+		dispatcher.SetWorkers(backend.Set{"w": {ID: "w", Group: "g", Address: "w", Role: role, Slots: 6}})
+		for range 3 {
+			worker, _ := dispatcher.balancer.Worker("w")
+			assignment := dispatcher.assign(balance.Choice{Worker: worker}, 0, false)
+			now = now.Add(60 * time.Millisecond)
+			assignment.finish(balance.OutcomeSilent)
+		}
+		if usable, want := dispatcher.balancer.Usable(now, "w"), role == backend.RoleDecode; usable != want {
+			t.Errorf("role %q: usable %v, want %v", role, usable, want)
+		}
+	}
+}
