Few entries by zone, each telling all others what it does

Ruled out: a larger bound of peers alone (bytes between zones rise with the square of the entries).

Change: entries are two of each zone and as many more as the cores need that are asked for (asked for by nobody yet); no entry is left out of what is told; the allowance of repeats is shared by those that take requests, a quarter of it by those that stand by.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,7 +218,7 @@
 // resolve returns the addresses to which callers of a zone connect.
 func (g *Gateway) resolve(string) ([]string, time.Duration) {
 	var addresses []string
-	for _, gateway := range member.Entries(g.view.Reachable(), member.DefaultEntrySettings()) {
+	for _, gateway := range member.Entries(g.view.Reachable(), 0, member.DefaultEntrySettings()) {
 		addresses = append(addresses, gateway.Address)
 	}
 	return addresses, time.Duration(g.addressTTL.Load())
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,11 +58,11 @@
 // GatewaysChanged is part of cluster.Listener.
 func (g *Gateway) GatewaysChanged() {
 	serving := g.view.Serving()
-	g.dispatcher.SetGateways(len(serving))
 	g.replica.SetReaders(len(serving))
-	entries := member.Entries(serving, member.DefaultEntrySettings())
+	entries := member.Entries(serving, 0, member.DefaultEntrySettings())
 	g.handler.SetGateways(len(entries))
 	audience := audienceOf(g.settings.Name, serving, entries)
+	g.dispatcher.SetGateways(sharersOf(audience.StandsBy, len(entries), len(serving)))
 	g.replica.SetCalm(audience.StandsBy)
 	g.sharing.SetAudience(audience)
 }
@@ -85,19 +86,32 @@
 	return audience
 }
 
-// peersOf returns the addresses of the other gateways in the order of a ring that begins after the own one, so that a bounded
-// number of peers is another one for each gateway.
-func peersOf(own string, serving []member.Gateway) []string {
-	var before, after []string
-	for _, gateway := range serving {
-		switch {
-		case gateway.Name < own:
-			before = append(before, gateway.PeerAddress)
-		case gateway.Name > own:
-			after = append(after, gateway.PeerAddress)
+// peersOf returns the addresses of the other gateways.
+func peersOf(own string, gateways []member.Gateway) []string {
+	var peers []string
+	for _, gateway := range gateways {
+		if gateway.Name != own {
+			peers = append(peers, gateway.PeerAddress)
 		}
 	}
-	return append(after, before...)
+	return peers
+}
+
+// entriesAllowance is the part of the allowance of repeats that the entries have, where others stand by. The rest is for callers
+// that come to one of those with an old address.
+const entriesAllowance = 0.75
+
+// sharersOf returns by how many the allowance of repeats is divided to give the share of this gateway. The shares of all
+// together are the whole at the most.
+func sharersOf(standsBy bool, entries, serving int) int {
+	switch {
+	case entries >= serving:
+		return serving
+	case standsBy:
+		return int(math.Ceil(float64(serving-entries) / (1 - entriesAllowance)))
+	default:
+		return int(math.Ceil(float64(entries) / entriesAllowance))
+	}
 }
 
 // Reload takes settings that were read anew. Addresses and names stay as they were at the start.
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -31,8 +31,6 @@
 	FullEvery time.Duration
 	// Heartbeat is the longest time in which nothing is told.
 	Heartbeat time.Duration
-	// MaxPeers bounds the gateways that are told.
-	MaxPeers int
 }
 
 // DefaultSettings return settings without a name and an address.
@@ -42,13 +40,13 @@
 		UrgentDelay: 2 * time.Millisecond,
 		FullEvery:   time.Second,
 		Heartbeat:   225 * time.Millisecond,
-		MaxPeers:    16,
 	}
 }
 
 // Audience says whom an exchange tells what.
 type Audience struct {
-	// Peers are told everything, in this order up to the bound of the settings.
+	// Peers are told everything. None is left out: what one of them does not know of the queues of workers and of what they keep
+	// costs far more than its datagrams.
 	Peers []string
 	// Listeners are told only that the gateway lives.
 	Listeners []string
@@ -196,7 +194,7 @@
 		e.send(Message{StandsBy: true}, e.peers, e.listeners)
 	}
 	e.standsBy = audience.StandsBy
-	e.peers = e.resolve(audience.Peers[:min(len(audience.Peers), e.settings.MaxPeers)])
+	e.peers = e.resolve(audience.Peers)
 	e.listeners = e.resolve(audience.Listeners)
 }
 
--- a/internal/member/entry.go
+++ b/internal/member/entry.go
@@ -8,39 +8,51 @@
 // EntrySettings say how many gateways of a fleet take requests of callers. The fewer they are, the more each knows of the
 // load of the workers and of what they keep; the others stand by.
 type EntrySettings struct {
-	// EveryoneUpTo is the size of a fleet up to which every gateway is an entry.
+	// EveryoneUpTo is the size of a fleet up to which every gateway is an entry: so few tell each other everything anyway.
 	EveryoneUpTo int
-	// Least and Most bound the number of entries of larger fleets.
+	// LeastPerZone entries are in each zone as long as it has as many gateways, so that the loss of one leaves another one near.
+	LeastPerZone int
+	// Least is the number of entries of a fleet of few zones.
 	Least int
-	Most  int
-	// CapacityShare is the part of the processor capacity of all gateways that the entries have together.
-	CapacityShare float64
+	// Most is what the directory may name in one answer.
+	Most int
 }
 
-// DefaultEntrySettings suit fleets whose processors are sized for several times their traffic.
+// DefaultEntrySettings bear the loss of several entries at once, in any zone.
 func DefaultEntrySettings() EntrySettings {
-	return EntrySettings{EveryoneUpTo: 12, Least: 8, Most: 48, CapacityShare: 0.25}
+	return EntrySettings{EveryoneUpTo: 12, LeastPerZone: 2, Least: 6, Most: 64}
 }
 
-// Entries returns the gateways to which callers are sent, by name. It takes those of the largest capacity first and goes
-// round the zones among equals, so that every process that knows the same gateways picks the same ones.
-func Entries(gateways []Gateway, settings EntrySettings) []Gateway {
+// Entries returns the gateways to which callers are sent, by name: the least number of each zone, and more of them until they
+// have the cores that are needed. It takes those of the largest capacity first and goes round the zones among equals, so that
+// every process that knows the same gateways picks the same ones, and one that is lost is replaced in its own zone.
+func Entries(gateways []Gateway, neededCores float64, settings EntrySettings) []Gateway {
 	if len(gateways) <= settings.EveryoneUpTo {
 		return gateways
 	}
-	total := 0.0
-	for _, gateway := range gateways {
-		total += gateway.Cores
-	}
+	preferred := byPreference(gateways)
+	picked := make([]bool, len(preferred))
 	var entries []Gateway
 	cores := 0.0
-	for _, gateway := range byPreference(gateways) {
-		enough := len(entries) >= settings.Least && cores >= settings.CapacityShare*total
-		if enough || len(entries) >= settings.Most {
+	pick := func(i int) {
+		picked[i] = true
+		entries = append(entries, preferred[i])
+		cores += preferred[i].Cores
+	}
+	inZone := map[string]int{}
+	for i, gateway := range preferred {
+		if inZone[gateway.Zone] < settings.LeastPerZone && len(entries) < settings.Most {
+			inZone[gateway.Zone]++
+			pick(i)
+		}
+	}
+	for i := range preferred {
+		if len(entries) >= settings.Most || (len(entries) >= settings.Least && cores >= neededCores) {
 			break
 		}
-		entries = append(entries, gateway)
-		cores += gateway.Cores
+		if !picked[i] {
+			pick(i)
+		}
 	}
 	slices.SortFunc(entries, func(a, b Gateway) int { return cmp.Compare(a.Name, b.Name) })
 	return entries
