--- a/internal/adminpage/assets/words.js
+++ b/internal/adminpage/assets/words.js
@@ -6,6 +6,7 @@
   authority: { words: "Right to give orders" },
   configuration: { words: "Configuration in force" },
   health: { words: "Worker set aside" },
+  entry: { words: "Takes requests, or stands by" },
   refusal: { words: "Request given up before it ran" },
   request: { words: "Request ended", routine: true },
 };
--- /dev/null
+++ b/internal/changefeed/changefeed_test.go
@@ -0,0 +1,172 @@
+package changefeed_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/changefeed"
+	"github.com/granitebay/granitebay/internal/store"
+)
+
+// changingSource tells changes that a test sets.
+type changingSource struct {
+	changefeed.Source
+	mutex   sync.Mutex
+	changes store.Changes
+	silent  bool
+	changed chan struct{}
+	asked   int
+}
+
+func newSource(changes store.Changes) *changingSource {
+	return &changingSource{changes: changes, changed: make(chan struct{})}
+}
+
+func (s *changingSource) Changes(after int64) (store.Changes, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.asked++
+	told := s.changes
+	if after >= told.Revision {
+		told.Changed = nil
+	}
+	return told, !s.silent
+}
+
+func (s *changingSource) Changed() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.changed
+}
+
+// set replaces what is told.
+func (s *changingSource) set(changes store.Changes) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.changes = changes
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// count returns how often the source was asked.
+func (s *changingSource) count() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.asked
+}
+
+// serve serves a source with one entry and returns its address.
+func serve(t *testing.T, source changefeed.Source) string {
+	t.Helper()
+	server := httptest.NewServer(changefeed.Handler(source, func() []string { return []string{"entry"} }))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// at returns changes of one item.
+func at(revision int64) store.Changes {
+	return store.Changes{Changed: []store.Event{{Item: store.Item{Key: "k", Revision: revision}}}, Revision: revision}
+}
+
+// follow returns a follower in zone a of these tellers, and the entries that it was told.
+func follow(tellers ...changefeed.Teller) (*changefeed.Follower, func() []string) {
+	var mutex sync.Mutex
+	var told []string
+	follower := changefeed.NewFollower("me", "a", func(entries []string) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		told = entries
+	})
+	follower.SetTellers(tellers)
+	return follower, func() []string {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return told
+	}
+}
+
+func TestAQuestionIsAnsweredAsSoonAsThereIsAChange(t *testing.T) {
+	source := newSource(at(4))
+	follower, told := follow(changefeed.Teller{Name: "x", Zone: "a", Address: serve(t, source)})
+	changes, err := follower.Next(t.Context(), 3, time.Second)
+	if err != nil || changes.Revision != 4 || len(changes.Changed) != 1 {
+		t.Fatalf("got %+v, %v", changes, err)
+	}
+	if entries := told(); len(entries) != 1 || entries[0] != "entry" {
+		t.Errorf("told the entries %v", entries)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { source.set(at(5)) })
+	begun := time.Now()
+	if changes, err = follower.Next(t.Context(), 4, 5*time.Second); err != nil || changes.Revision != 5 || time.Since(begun) > 2*time.Second {
+		t.Errorf("got %+v, %v after %s", changes, err, time.Since(begun))
+	}
+	if changes, err = follower.Next(t.Context(), 5, 20*time.Millisecond); err != nil || len(changes.Changed) != 0 {
+		t.Errorf("without a change: %+v, %v", changes, err)
+	}
+}
+
+func TestTellersOfTheOwnZoneAreAskedByTurnsAndOthersWhenTheyFail(t *testing.T) {
+	near, otherNear, far := newSource(at(4)), newSource(at(4)), newSource(at(4))
+	follower, _ := follow(
+		changefeed.Teller{Name: "near", Zone: "a", Address: serve(t, near)},
+		changefeed.Teller{Name: "otherNear", Zone: "a", Address: serve(t, otherNear)},
+		changefeed.Teller{Name: "far", Zone: "b", Address: serve(t, far)},
+		changefeed.Teller{Name: "me", Zone: "a", Address: "127.0.0.1:1"},
+	)
+	ask := func(times int) {
+		t.Helper()
+		for range times {
+			if _, err := follower.Next(t.Context(), 3, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	ask(4)
+	if near.count() != 2 || otherNear.count() != 2 || far.count() != 0 {
+		t.Errorf("asked %d, %d and %d times", near.count(), otherNear.count(), far.count())
+	}
+	near.silent, otherNear.silent = true, true
+	if _, err := follower.Next(t.Context(), 3, 0); !errors.Is(err, store.ErrNobody) {
+		t.Errorf("both near ones are silent: %v", err)
+	}
+	ask(3)
+	if far.count() != 3 {
+		t.Errorf("the far one was asked %d times", far.count())
+	}
+}
+
+func TestTheStoreIsTriedNowAndThenWhenAllHaveLostIt(t *testing.T) {
+	lost := at(4)
+	lost.StoreLost = true
+	address := serve(t, newSource(lost))
+	follower, _ := follow(
+		changefeed.Teller{Name: "x", Zone: "a", Address: address}, changefeed.Teller{Name: "y", Zone: "a", Address: serve(t, newSource(lost))},
+	)
+	if _, err := follower.Next(t.Context(), 3, 0); !errors.Is(err, store.ErrNobody) {
+		t.Errorf("at first the store is to be tried: %v", err)
+	}
+	if changes, err := follower.Next(t.Context(), 3, 0); err != nil || !changes.StoreLost {
+		t.Errorf("then the one that has lost it is good enough: %+v, %v", changes, err)
+	}
+}
+
+func TestBadQuestionsAreSaidSo(t *testing.T) {
+	address := serve(t, newSource(at(4)))
+	for _, query := range []string{"", "?after=x&hold=0", "?after=1&hold=-1"} {
+		response, err := http.Get("http://" + address + "/changes" + query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusBadRequest || !strings.Contains(string(body), "whole numbers") {
+			t.Errorf("%s: %d %s", query, response.StatusCode, body)
+		}
+	}
+}
--- a/internal/bootstrap/bootstrap_test.go
+++ b/internal/changefeed/snapshot_test.go
@@ -1,4 +1,4 @@
-package bootstrap_test
+package changefeed_test
 
 import (
 	"net/http"
@@ -6,17 +6,25 @@
 	"strings"
 	"testing"
 
-	"github.com/granitebay/granitebay/internal/bootstrap"
+	"github.com/granitebay/granitebay/internal/changefeed"
 	"github.com/granitebay/granitebay/internal/store"
 )
 
+// snapshotSource tells a snapshot of a revision, or none when it is negative.
+type snapshotSource struct {
+	changefeed.Source
+	revision int64
+}
+
+func (s snapshotSource) Snapshot() (store.Snapshot, bool) {
+	item := store.Item{Key: "servers/w", Value: []byte("{}"), Revision: s.revision}
+	return store.Snapshot{Items: []store.Item{item}, Revision: s.revision}, s.revision >= 0
+}
+
 // gateway serves a snapshot of a revision, or none when it is negative, and returns its address.
 func gateway(t *testing.T, revision int64) string {
 	t.Helper()
-	server := httptest.NewServer(bootstrap.Handler(func() (store.Snapshot, bool) {
-		item := store.Item{Key: "servers/w", Value: []byte("{}"), Revision: revision}
-		return store.Snapshot{Items: []store.Item{item}, Revision: revision}, revision >= 0
-	}))
+	server := httptest.NewServer(changefeed.Handler(snapshotSource{revision: revision}, func() []string { return nil }))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
@@ -30,7 +38,7 @@
 	seeds := []string{
 		gateway(t, 4), gateway(t, 9), gateway(t, -1), strings.TrimPrefix(gone.URL, "http://"), strings.TrimPrefix(nonsense.URL, "http://"),
 	}
-	got, err := bootstrap.NewClient(seeds).Fetch(t.Context())
+	got, err := changefeed.NewSeeds(seeds).Fetch(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,10 +49,10 @@
 
 // TestFetchSaysWhenNobodyKnows asks a gateway that has only started.
 func TestFetchSaysWhenNobodyKnows(t *testing.T) {
-	if _, err := bootstrap.NewClient([]string{gateway(t, -1)}).Fetch(t.Context()); err == nil || !strings.Contains(err.Error(), "ask other gateways") {
+	if _, err := changefeed.NewSeeds([]string{gateway(t, -1)}).Fetch(t.Context()); err == nil || !strings.Contains(err.Error(), "ask other gateways") {
 		t.Errorf("got %v", err)
 	}
-	if _, err := bootstrap.NewClient(nil).Fetch(t.Context()); err == nil {
+	if _, err := changefeed.NewSeeds(nil).Fetch(t.Context()); err == nil {
 		t.Error("no error without anybody to ask")
 	}
 }
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -175,6 +175,35 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	v.currentAt = time.Now()
+	v.gateways.Connected(v.currentAt)
+}
+
+// Connected tells that the store has answered this process.
+func (v *View) Connected() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.gateways.Connected(time.Now())
+}
+
+// Told takes the names of the entries as another gateway hears them.
+func (v *View) Told(entries []string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.gateways.Told(time.Now(), entries)
+}
+
+// Resumed tells that this process has stood still.
+func (v *View) Resumed() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.gateways.Resumed(time.Now())
+}
+
+// Entries returns the gateways to which callers are sent, and those that serve and have fallen silent.
+func (v *View) Entries() (entries, suspects []member.Gateway) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Entries(time.Now())
 }
 
 // Serving returns the gateways that serve callers.
@@ -184,7 +213,14 @@
 	return v.gateways.Serving(time.Now())
 }
 
-// Reachable returns the gateways to which callers are sent.
+// ServingCount returns how many gateways serve callers.
+func (v *View) ServingCount() int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.ServingCount(time.Now())
+}
+
+// Reachable returns the gateways that serve callers and have not fallen silent.
 func (v *View) Reachable() []member.Gateway {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -15,10 +15,11 @@
 	KindAuthority     Kind = "authority"     // a gateway gained or lost the right to give orders
 	KindConfiguration Kind = "configuration" // a configuration was put in force
 	KindHealth        Kind = "health"        // a worker was set aside
+	KindEntry         Kind = "entry"         // a gateway began or ceased to take requests of callers
 )
 
 // Kinds are all kinds, those about requests first.
-var Kinds = []Kind{KindRequest, KindRefusal, KindRole, KindAuthority, KindConfiguration, KindHealth}
+var Kinds = []Kind{KindRequest, KindRefusal, KindRole, KindAuthority, KindConfiguration, KindHealth, KindEntry}
 
 // Record is one decision.
 type Record struct {
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -50,7 +50,7 @@
 // Status is part of adminapi.Backend.
 func (a admin) Status() adminapi.GatewayStatus {
 	serving := a.view.Serving()
-	entries := member.Entries(a.view.Reachable(), 0, member.DefaultEntrySettings())
+	entries := a.Entries()
 	status := adminapi.GatewayStatus{
 		Gateway: a.settings.Name, Zone: a.settings.Zone, Version: command.Version(), StartedAt: a.startedAt, Time: time.Now(),
 		Ready: a.Ready(), Stopping: a.leaving.Load(), StoreAgeMillis: a.view.Staleness().Milliseconds(),
@@ -154,7 +154,7 @@
 // Gateways is part of adminapi.Backend.
 func (a admin) Gateways() []adminapi.PeerStatus {
 	reachable := a.view.Reachable()
-	entries := member.Entries(reachable, 0, member.DefaultEntrySettings())
+	entries := a.Entries()
 	return lo.Map(a.view.Serving(), func(gateway member.Gateway, _ int) adminapi.PeerStatus {
 		return adminapi.PeerStatus{
 			Name: gateway.Name, Zone: gateway.Zone, Address: gateway.Address, AdminAddress: gateway.AdminAddress, Cores: gateway.Cores,
--- /dev/null
+++ b/internal/gateway/entries.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"github.com/granitebay/granitebay/internal/changefeed"
+	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/loadshare"
+	"github.com/granitebay/granitebay/internal/logging"
+	"github.com/granitebay/granitebay/internal/member"
+)
+
+// entrySet is what this gateway has last taken the entries to be.
+type entrySet struct {
+	mu sync.Mutex
+	// current are the entries, suspects those that serve and have fallen silent, and serving counts all.
+	current, suspects []member.Gateway
+	serving           int
+	// takesRequests is set while this gateway is an entry, and since when that is so or not.
+	takesRequests bool
+	since         time.Time
+}
+
+// Times of the watch of the entries.
+const (
+	// entryTick is how often an entry looks at the others: a part of the silence after which a gateway is suspected. A gateway that
+	// stands by is told of changes, and looks by itself calmTicks times as rarely.
+	entryTick = 200 * time.Millisecond
+	calmTicks = 5
+	// standstill is the time between two looks, beyond the tick, from which on this process has stood still.
+	standstill = 400 * time.Millisecond
+	// briefAfter is how long a gateway is an entry before it renews a short lease, and calmAfter how long it stands by before it
+	// renews a long one: each change is two calls to the store, and a fleet that starts changes its mind some times.
+	briefAfter = time.Second
+	calmAfter  = 5 * time.Second
+)
+
+// watchEntries follows who takes requests until the context ends.
+func (g *Gateway) watchEntries(ctx context.Context) {
+	last := time.Now()
+	for {
+		tick := entryTick
+		if !g.takesRequests() {
+			tick *= calmTicks
+		}
+		timer := time.NewTimer(tick)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		now := time.Now()
+		if now.Sub(last) > tick+standstill {
+			g.view.Resumed()
+		}
+		last = now
+		g.GatewaysChanged()
+		g.adaptLease(now)
+	}
+}
+
+// takesRequests tells whether this gateway is an entry.
+func (g *Gateway) takesRequests() bool {
+	g.entries.mu.Lock()
+	defer g.entries.mu.Unlock()
+	return g.entries.takesRequests
+}
+
+// Entries returns the gateways to which callers are sent, by name.
+func (g *Gateway) Entries() []member.Gateway {
+	g.entries.mu.Lock()
+	defer g.entries.mu.Unlock()
+	return g.entries.current
+}
+
+// entryNames returns their names.
+func (g *Gateway) entryNames() []string { return namesOf(g.Entries()) }
+
+// entriesTold takes the names of the entries as another gateway hears them.
+func (g *Gateway) entriesTold(names []string) {
+	g.view.Told(names)
+	if !slices.Equal(names, g.entryNames()) {
+		g.GatewaysChanged()
+	}
+}
+
+// namesOf returns the names of gateways.
+func namesOf(gateways []member.Gateway) []string {
+	return lo.Map(gateways, func(gateway member.Gateway, _ int) string { return gateway.Name })
+}
+
+// GatewaysChanged is part of cluster.Listener. It tells all parts who takes requests, if that has changed.
+func (g *Gateway) GatewaysChanged() {
+	g.entries.mu.Lock()
+	defer g.entries.mu.Unlock()
+	entries, suspects := g.view.Entries()
+	serving := g.view.ServingCount()
+	if slices.Equal(entries, g.entries.current) && slices.Equal(suspects, g.entries.suspects) && serving == g.entries.serving {
+		return
+	}
+	moved := !slices.Equal(entries, g.entries.current)
+	g.entries.current, g.entries.suspects, g.entries.serving = entries, suspects, serving
+	audience := audienceOf(g.settings.Name, entries, suspects)
+	g.noteRole(!audience.StandsBy, len(entries), serving)
+	g.replica.SetReaders(serving)
+	g.replica.SetCalm(audience.StandsBy)
+	if moved {
+		g.replica.Wake()
+	}
+	g.follower.SetTellers(lo.Map(entries, func(entry member.Gateway, _ int) changefeed.Teller {
+		return changefeed.Teller{Name: entry.Name, Zone: entry.Zone, Address: entry.ControlAddress}
+	}))
+	g.handler.SetGateways(len(entries))
+	g.dispatcher.SetGateways(sharersOf(audience.StandsBy, len(entries), serving))
+	g.sharing.SetAudience(audience)
+}
+
+// noteRole notes whether this gateway takes requests.
+func (g *Gateway) noteRole(takesRequests bool, entries, serving int) {
+	if takesRequests == g.entries.takesRequests && !g.entries.since.IsZero() {
+		return
+	}
+	g.entries.takesRequests, g.entries.since = takesRequests, time.Now()
+	outcome := "stands by"
+	if takesRequests {
+		outcome = "takes requests"
+		g.learnKeptAgain()
+	}
+	logging.Part(g.logger, "member").WithFields(logrus.Fields{"entries": entries, "gateways": serving}).
+		Infof("This gateway %s.", outcome)
+	g.decide(decision.Record{
+		Kind: decision.KindEntry, Subject: g.settings.Name, Outcome: outcome,
+		Reason: fmt.Sprintf("Callers are sent to %d of %d gateways, so that each of them knows the work of all others.", entries, serving),
+	})
+}
+
+// adaptLease renews a short lease while this gateway takes requests, because its loss has to be noticed, and a long one otherwise.
+func (g *Gateway) adaptLease(now time.Time) {
+	g.entries.mu.Lock()
+	takesRequests, lasted := g.entries.takesRequests, now.Sub(g.entries.since)
+	g.entries.mu.Unlock()
+	switch {
+	case takesRequests && lasted >= briefAfter:
+		g.registration.SetBrief(true)
+	case !takesRequests && lasted >= calmAfter:
+		g.registration.SetBrief(false)
+	}
+}
+
+// leased tells the controller of the lease with which it may hold its key: that of a gateway that takes requests. One that stands
+// by has a lease so long that nobody could follow it in time.
+func (g *Gateway) leased(begun time.Time, lease int64, ttl time.Duration) {
+	g.view.Connected()
+	if ttl > g.settings.LeaseTTL {
+		lease = 0
+	}
+	g.controller.Leased(begun, lease, ttl)
+}
+
+// audienceOf returns whom a gateway tells what it does: the entries, and those that have fallen silent, which else would never hear
+// that they are heard again.
+func audienceOf(own string, entries, suspects []member.Gateway) loadshare.Audience {
+	isEntry := slices.ContainsFunc(entries, func(entry member.Gateway) bool { return entry.Name == own })
+	return loadshare.Audience{Peers: append(peersOf(own, entries), peersOf(own, suspects)...), StandsBy: !isEntry}
+}
+
+// peersOf returns the addresses of the other gateways.
+func peersOf(own string, gateways []member.Gateway) []string {
+	var peers []string
+	for _, gateway := range gateways {
+		if gateway.Name != own {
+			peers = append(peers, gateway.PeerAddress)
+		}
+	}
+	return peers
+}
+
+// entriesAllowance is the part of the allowance of repeats that the entries have, where others stand by. The rest is for callers
+// that come to one of those with an old address.
+const entriesAllowance = 0.75
+
+// sharersOf returns by how many the allowance of repeats is divided to give the share of this gateway. The shares of all
+// together are the whole at the most.
+func sharersOf(standsBy bool, entries, serving int) int {
+	switch {
+	case entries >= serving:
+		return serving
+	case standsBy:
+		return int(math.Ceil(float64(serving-entries) / (1 - entriesAllowance)))
+	default:
+		return int(math.Ceil(float64(entries) / entriesAllowance))
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
-	"github.com/granitebay/granitebay/internal/bootstrap"
+	"github.com/granitebay/granitebay/internal/changefeed"
 	"github.com/granitebay/granitebay/internal/cluster"
 	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
@@ -58,6 +58,8 @@
 	idle         *idleConnections
 	metrics      *figures
 	sharing      *loadshare.Exchange
+	follower     *changefeed.Follower
+	entries      entrySet
 
 	// grace and addressTTL are durations that Reload may change.
 	grace      atomic.Int64
@@ -73,6 +75,8 @@
 	// workersKnown is closed once there are workers in groups.
 	workersKnown chan struct{}
 	knowWorkers  sync.Once
+	// learn asks for what engines keep to be learnt.
+	learn chan struct{}
 
 	leaving atomic.Bool
 	servers []*http.Server
@@ -88,6 +92,7 @@
 	g := &Gateway{settings: settings, ports: ports, logger: logger, idle: newIdleConnections(defaultIdleTimeout, readHeaderTimeout)}
 	g.startedAt = time.Now()
 	g.workersKnown = make(chan struct{})
+	g.learn = make(chan struct{}, 1)
 	g.decisions = decisionlog.New(settings.Name, keptDecisions)
 	g.metrics = newFigures(g.decisions, logger)
 	g.grace.Store(int64(settings.Grace))
@@ -102,7 +107,7 @@
 	}
 	own := member.Gateway{
 		Name: settings.Name, Address: settings.ListenCallers, PeerAddress: settings.ListenPeers, Zone: settings.Zone,
-		Cores: settings.Cores, AdminAddress: settings.ListenAdmin,
+		ControlAddress: settings.ListenControl, Cores: settings.Cores, AdminAddress: settings.ListenAdmin,
 	}
 	control := roles.DefaultControllerSettings()
 	control.Holder = settings.Name
@@ -111,12 +116,14 @@
 	registrationSettings := member.DefaultRegistrationSettings()
 	registrationSettings.TTL = settings.LeaseTTL
 	g.registration = member.NewRegistration(registrationSettings, ports.Store, own,
-		logging.Part(logger, "member"), func() { g.replica.Renew() }, g.controller.Leased)
+		logging.Part(logger, "member"), func() { g.replica.Renew() }, g.leased)
 	g.view = cluster.NewView(ports.Decoder, g, member.NewList(own), backend.NewRoster(rosterOf(settings)), g.registration.Key(), logging.Part(logger, "cluster"))
 	replication := store.DefaultReplicaSettings()
 	replication.Unhurried = member.IsRegistration
 	g.replica = store.NewReplica(ports.Store, everything, replication, g.view,
-		bootstrap.NewClient(settings.Seeds).Fetch)
+		changefeed.NewSeeds(settings.Seeds).Fetch)
+	g.follower = changefeed.NewFollower(settings.Name, settings.Zone, g.entriesTold)
+	g.replica.SetFeed(g.follower)
 	g.metrics.watch(g)
 	return g
 }
@@ -146,7 +153,7 @@
 		{g.settings.ListenReady, g.ports.ReadyHandler(g.Ready), nil},
 		{g.settings.ListenDirectory, g.ports.DirectoryHandler(g.resolve), nil},
 		{g.settings.ListenAdmin, g.adminHandler(), nil},
-		{g.settings.ListenControl, bootstrap.Handler(g.replica.Snapshot), nil},
+		{g.settings.ListenControl, changefeed.Handler(g.replica, g.entryNames), nil},
 	}
 	for _, service := range services {
 		if service.address == "" {
@@ -168,6 +175,7 @@
 	g.tasks.Go(func() { g.replica.Run(ctx) })
 	g.tasks.Go(func() { g.registration.Run(ctx) })
 	g.tasks.Go(func() { g.controller.Run(ctx) })
+	g.tasks.Go(func() { g.watchEntries(ctx) })
 	g.tasks.Go(func() { g.learnKept(ctx) })
 	logging.Part(g.logger, "gateway").WithField("name", g.settings.Name).Info("Started.")
 	return nil
@@ -218,7 +226,7 @@
 // resolve returns the addresses to which callers of a zone connect.
 func (g *Gateway) resolve(string) ([]string, time.Duration) {
 	var addresses []string
-	for _, gateway := range member.Entries(g.view.Reachable(), 0, member.DefaultEntrySettings()) {
+	for _, gateway := range g.Entries() {
 		addresses = append(addresses, gateway.Address)
 	}
 	return addresses, time.Duration(g.addressTTL.Load())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -22,7 +22,7 @@
 	}
 	told := map[string]int{}
 	for _, gateway := range serving {
-		audience := audienceOf(gateway.Name, serving, entries)
+		audience := audienceOf(gateway.Name, entries, nil)
 		for _, peer := range audience.Peers {
 			told[peer]++
 		}
--- a/internal/gateway/kept.go
+++ b/internal/gateway/kept.go
@@ -14,14 +14,15 @@
 const (
 	// keptTimeout bounds one question.
 	keptTimeout = 500 * time.Millisecond
-	// mostAsked bounds the engines that a gateway asks: with more of them each gateway asks some, drawn at random.
-	mostAsked = 64
+	// mostAsked bounds the engines that a gateway asks: with more of them each gateway asks some, drawn at random. Ten or so
+	// entries ask each engine of a fleet of thousands a few times.
+	mostAsked = 512
 	// askedAtOnce bounds the questions under way.
 	askedAtOnce = 16
 )
 
-// learnKept asks the engines once what they keep of prompts, as soon as they are known: a gateway that starts again, or all of
-// them at once, else has every shared part read anew although it lies ready.
+// learnKept asks the engines what they keep of prompts, once they are known and whenever this gateway begins to take requests:
+// one that starts again, or all of them at once, else has every shared part read anew although it lies ready.
 func (g *Gateway) learnKept(ctx context.Context) {
 	if g.ports.KeptParts == nil {
 		return
@@ -31,6 +32,26 @@
 		return
 	case <-g.workersKnown:
 	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.learn:
+			g.askEngines(ctx)
+		}
+	}
+}
+
+// learnKeptAgain has the engines asked soon.
+func (g *Gateway) learnKeptAgain() {
+	select {
+	case g.learn <- struct{}{}:
+	default:
+	}
+}
+
+// askEngines asks each engine what it keeps.
+func (g *Gateway) askEngines(ctx context.Context) {
 	free := make(chan struct{}, askedAtOnce)
 	var asking sync.WaitGroup
 	for _, engine := range g.enginesToAsk() {
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -2,16 +2,13 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/decision"
-	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/logging"
-	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/routing"
 )
@@ -55,65 +52,6 @@
 	}
 }
 
-// GatewaysChanged is part of cluster.Listener.
-func (g *Gateway) GatewaysChanged() {
-	serving := g.view.Serving()
-	g.replica.SetReaders(len(serving))
-	entries := member.Entries(serving, 0, member.DefaultEntrySettings())
-	g.handler.SetGateways(len(entries))
-	audience := audienceOf(g.settings.Name, serving, entries)
-	g.dispatcher.SetGateways(sharersOf(audience.StandsBy, len(entries), len(serving)))
-	g.replica.SetCalm(audience.StandsBy)
-	g.sharing.SetAudience(audience)
-}
-
-// audienceOf returns whom a gateway tells what. Those to which callers are sent tell each other what they do, and the others
-// that they live.
-func audienceOf(own string, serving, entries []member.Gateway) loadshare.Audience {
-	isEntry := map[string]bool{}
-	for _, entry := range entries {
-		isEntry[entry.Name] = true
-	}
-	audience := loadshare.Audience{Peers: peersOf(own, entries), StandsBy: !isEntry[own]}
-	if audience.StandsBy {
-		return audience
-	}
-	for _, gateway := range serving {
-		if !isEntry[gateway.Name] {
-			audience.Listeners = append(audience.Listeners, gateway.PeerAddress)
-		}
-	}
-	return audience
-}
-
-// peersOf returns the addresses of the other gateways.
-func peersOf(own string, gateways []member.Gateway) []string {
-	var peers []string
-	for _, gateway := range gateways {
-		if gateway.Name != own {
-			peers = append(peers, gateway.PeerAddress)
-		}
-	}
-	return peers
-}
-
-// entriesAllowance is the part of the allowance of repeats that the entries have, where others stand by. The rest is for callers
-// that come to one of those with an old address.
-const entriesAllowance = 0.75
-
-// sharersOf returns by how many the allowance of repeats is divided to give the share of this gateway. The shares of all
-// together are the whole at the most.
-func sharersOf(standsBy bool, entries, serving int) int {
-	switch {
-	case entries >= serving:
-		return serving
-	case standsBy:
-		return int(math.Ceil(float64(serving-entries) / (1 - entriesAllowance)))
-	default:
-		return int(math.Ceil(float64(entries) / entriesAllowance))
-	}
-}
-
 // Reload takes settings that were read anew. Addresses and names stay as they were at the start.
 func (g *Gateway) Reload(settings Settings) {
 	g.grace.Store(int64(settings.Grace))
@@ -146,7 +84,7 @@
 // ControllerChanged is part of cluster.Listener.
 func (g *Gateway) ControllerChanged(value []byte, revision int64) {
 	rank := 0
-	for i, gateway := range g.view.Serving() {
+	for i, gateway := range g.Entries() {
 		if gateway.Name == g.settings.Name {
 			rank = i
 		}
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -82,7 +82,7 @@
 	Changing []Changing
 	// Failed workers were set aside by the sender since the last message, because they did not answer.
 	Failed []string
-	// StandsBy is set in the last message of a sender that tells its life no more.
+	// StandsBy is set by a sender to which no callers are sent. It tells its work, but not that it lives.
 	StandsBy bool
 }
 
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -48,8 +48,6 @@
 	// Peers are told everything. None is left out: what one of them does not know of the queues of workers and of what they keep
 	// costs far more than its datagrams.
 	Peers []string
-	// Listeners are told only that the gateway lives.
-	Listeners []string
 	// StandsBy is set for a gateway that tells its changes but not that it lives.
 	StandsBy bool
 }
@@ -67,12 +65,10 @@
 	sequence uint64
 
 	// What follows is used by Send alone.
-	peers     []*net.UDPAddr
-	listeners []*net.UDPAddr
-	standsBy  bool
-	lastSent  time.Time
-	lastFull  time.Time
-	lastAlive time.Time
+	peers    []*net.UDPAddr
+	standsBy bool
+	lastSent time.Time
+	lastFull time.Time
 }
 
 // NewExchange opens the socket of an exchange.
@@ -171,7 +167,6 @@
 		}
 		e.lastSent = time.Now()
 		e.tell()
-		e.tellAlive()
 	}
 }
 
@@ -190,12 +185,12 @@
 
 // setAudience takes those that are told. A gateway that begins to stand by says so to all that have heard it.
 func (e *Exchange) setAudience(audience Audience) {
-	if audience.StandsBy && !e.standsBy {
-		e.send(Message{StandsBy: true}, e.peers, e.listeners)
-	}
+	begins := audience.StandsBy && !e.standsBy
 	e.standsBy = audience.StandsBy
+	if begins {
+		e.send(Message{})
+	}
 	e.peers = e.resolve(audience.Peers)
-	e.listeners = e.resolve(audience.Listeners)
 }
 
 // resolve returns addresses as the socket takes them.
@@ -220,30 +215,19 @@
 	}
 	message := e.source.Drain(full)
 	message.Full = full
-	e.send(message, e.peers)
+	e.send(message)
 }
 
-// tellAlive tells the listeners that the gateway lives, as often as its heartbeat.
-func (e *Exchange) tellAlive() {
-	if len(e.listeners) == 0 || e.lastSent.Sub(e.lastAlive) < e.settings.Heartbeat {
-		return
-	}
-	e.lastAlive = e.lastSent
-	e.send(Message{}, e.listeners)
-}
-
-// send sends one message. Datagrams that can't be sent are lost, as others are on the way.
-func (e *Exchange) send(message Message, audiences ...[]*net.UDPAddr) {
+// send sends one message to all peers. Datagrams that can't be sent are lost, as others are on the way.
+func (e *Exchange) send(message Message) {
 	e.sequence++
-	message.Sender, message.Epoch, message.Sequence = e.settings.Name, e.epoch, e.sequence
+	message.Sender, message.Epoch, message.Sequence, message.StandsBy = e.settings.Name, e.epoch, e.sequence, e.standsBy
 	encoded, err := message.Encode()
 	if err != nil {
 		e.logger.WithError(err).Error("A message to peers can't be written.")
 		return
 	}
-	for _, targets := range audiences {
-		for _, target := range targets {
-			_, _ = e.socket.WriteToUDP(encoded, target)
-		}
+	for _, target := range e.peers {
+		_, _ = e.socket.WriteToUDP(encoded, target)
 	}
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -139,11 +139,14 @@
 	waitForMessages(t, sources[1], 5)
 }
 
-func TestListenersHearThatAGatewayLivesUntilItStandsBy(t *testing.T) {
+// TestPeersHearThatAGatewayLivesUntilItStandsBy has a gateway stand by. From then on it tells only its changes, each with the word
+// that it stands by, so that nobody waits for it.
+func TestPeersHearThatAGatewayLivesUntilItStandsBy(t *testing.T) {
 	exchanges, sources := exchangePair(t)
-	exchanges[0].SetAudience(Audience{Listeners: []string{address(exchanges[1])}})
+	peers := []string{address(exchanges[1])}
+	exchanges[0].SetAudience(Audience{Peers: peers})
 	waitForMessages(t, sources[1], 3)
-	exchanges[0].SetAudience(Audience{StandsBy: true})
+	exchanges[0].SetAudience(Audience{Peers: peers, StandsBy: true})
 	heard := func() (messages []*Message) {
 		sources[1].mutex.Lock()
 		defer sources[1].mutex.Unlock()
@@ -161,9 +164,9 @@
 	if len(messages) != count || !messages[count-1].StandsBy {
 		t.Errorf("%d messages after %d, the last one says that the sender stands by: %t", len(messages), count, messages[count-1].StandsBy)
 	}
-	for _, message := range messages {
-		if len(message.Loads) > 0 {
-			t.Error("a listener was told loads")
-		}
+	exchanges[0].Changed(true)
+	waitForMessages(t, sources[1], count+1)
+	if messages := heard(); !messages[count].StandsBy || len(messages[count].Loads) == 0 {
+		t.Errorf("a change is told as %+v", messages[count])
 	}
 }
--- a/internal/member/entry.go
+++ b/internal/member/entry.go
@@ -27,10 +27,14 @@
 // have the cores that are needed. It takes those of the largest capacity first and goes round the zones among equals, so that
 // every process that knows the same gateways picks the same ones, and one that is lost is replaced in its own zone.
 func Entries(gateways []Gateway, neededCores float64, settings EntrySettings) []Gateway {
-	if len(gateways) <= settings.EveryoneUpTo {
-		return gateways
+	return pickEntries(byPreference(gateways), neededCores, settings)
+}
+
+// pickEntries is Entries of gateways in the order of preference.
+func pickEntries(preferred []Gateway, neededCores float64, settings EntrySettings) []Gateway {
+	if len(preferred) <= settings.EveryoneUpTo {
+		return byName(preferred)
 	}
-	preferred := byPreference(gateways)
 	picked := make([]bool, len(preferred))
 	var entries []Gateway
 	cores := 0.0
@@ -54,8 +58,12 @@
 			pick(i)
 		}
 	}
-	slices.SortFunc(entries, func(a, b Gateway) int { return cmp.Compare(a.Name, b.Name) })
-	return entries
+	return byName(entries)
+}
+
+// byName returns gateways by name.
+func byName(gateways []Gateway) []Gateway {
+	return slices.SortedFunc(slices.Values(gateways), func(a, b Gateway) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 // byPreference orders gateways by falling capacity, and those of one capacity by their place within their zone.
@@ -64,7 +72,7 @@
 		zone  string
 		cores float64
 	}
-	sorted := slices.SortedFunc(slices.Values(gateways), func(a, b Gateway) int { return cmp.Compare(a.Name, b.Name) })
+	sorted := byName(gateways)
 	places := make(map[string]int, len(sorted))
 	next := map[class]int{}
 	for _, gateway := range sorted {
--- a/internal/member/entry_test.go
+++ b/internal/member/entry_test.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -78,7 +77,7 @@
 		needed := rapid.Float64Range(0, 20).Draw(t, "needed")
 		settings := DefaultEntrySettings()
 		entries := Entries(gateways, needed, settings)
-		if got := Entries(rapid.Permutation(gateways).Draw(t, "order"), needed, settings); names(sorted(got)) != names(sorted(entries)) {
+		if got := Entries(rapid.Permutation(gateways).Draw(t, "order"), needed, settings); names(byName(got)) != names(byName(entries)) {
 			t.Fatalf("in another order %s, before %s", names(got), names(entries))
 		}
 		cores, all := map[string]float64{}, map[string]float64{}
@@ -106,8 +105,3 @@
 		}
 	})
 }
-
-// sorted returns gateways by name.
-func sorted(gateways []Gateway) []Gateway {
-	return slices.SortedFunc(slices.Values(gateways), func(a, b Gateway) int { return cmp.Compare(a.Name, b.Name) })
-}
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -3,7 +3,6 @@
 
 import (
 	"encoding/json"
-	"sort"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,7 +20,9 @@
 	Address string `json:"address"`
 	// PeerAddress takes datagrams of other gateways, host:port.
 	PeerAddress string `json:"peerAddress"`
-	Zone        string `json:"zone"`
+	// ControlAddress answers other gateways, host:port; empty answers nobody.
+	ControlAddress string `json:"controlAddress,omitempty"`
+	Zone           string `json:"zone"`
 	// AdminAddress serves operators, host:port.
 	AdminAddress string `json:"adminAddress,omitempty"`
 	// Cores is the processor capacity, in cores.
@@ -47,11 +48,27 @@
 	lastOutage time.Time
 	// heard holds when each other gateway was heard last.
 	heard map[string]time.Time
+
+	// preferred holds those that serve in the order in which they are picked as entries; nil when it is to be made anew.
+	preferred []Gateway
+
+	settings EntrySettings
+	// neededCores are those that the entries have together at least.
+	neededCores float64
+	// picked holds since when each entry is one, and unresponsive until when a gateway is passed over that was one and told
+	// nothing.
+	picked       map[string]time.Time
+	unresponsive map[string]time.Time
+	// connected is when this process was last answered, by the store or by another gateway that follows it.
+	connected time.Time
 }
 
 // NewList returns a list with only the own gateway.
 func NewList(own Gateway) *List {
-	return &List{own: own, gateways: map[string]Gateway{}, fading: map[string]time.Time{}, heard: map[string]time.Time{}}
+	return &List{
+		own: own, gateways: map[string]Gateway{}, fading: map[string]time.Time{}, heard: map[string]time.Time{},
+		settings: DefaultEntrySettings(), picked: map[string]time.Time{}, unresponsive: map[string]time.Time{},
+	}
 }
 
 // Reset replaces the registrations by those among the items.
@@ -88,31 +105,52 @@
 func (l *List) Outage(now time.Time) { l.lastOutage = now }
 
 // Heard tells that another gateway was heard.
-func (l *List) Heard(now time.Time, name string) { l.heard[name] = now }
+func (l *List) Heard(now time.Time, name string) {
+	l.heard[name] = now
+	delete(l.unresponsive, name)
+}
 
 // suspectAfter is how long a gateway may be silent that was heard before. It tells of itself four times in that time.
 const suspectAfter = 900 * time.Millisecond
 
-// Reachable returns the gateways that serve, without those that have fallen silent. When most of those that were heard have,
-// the fault is on the own side and nobody is suspected.
+// Reachable returns the gateways that serve, by name, without those that have fallen silent. When most of those that were heard
+// have, the fault is on the own side and nobody is suspected, unless this process is answered by others.
 func (l *List) Reachable(now time.Time) []Gateway {
-	serving := l.Serving(now)
-	var reachable []Gateway
+	reachable, _ := l.reach(now)
+	return byName(reachable)
+}
+
+// reach returns the gateways that serve and are reachable, in the order of preference, and those that have fallen silent.
+func (l *List) reach(now time.Time) (reachable, suspects []Gateway) {
+	serving := l.inPreference(now)
 	heard, silent := 0, 0
 	for _, gateway := range serving {
 		if _, before := l.heard[gateway.Name]; before {
 			heard++
 		}
-		if gateway.Name != l.own.Name && l.silent(now, gateway.Name) {
+		switch {
+		case gateway.Name != l.own.Name && l.silent(now, gateway.Name):
 			silent++
-			continue
+			suspects = append(suspects, gateway)
+		case now.Before(l.unresponsive[gateway.Name]):
+			suspects = append(suspects, gateway)
+		default:
+			reachable = append(reachable, gateway)
 		}
-		reachable = append(reachable, gateway)
 	}
-	if 2*silent > heard {
-		return serving
+	if 2*silent > heard && !l.isConnected(now) {
+		return serving, nil
 	}
-	return reachable
+	return reachable, suspects
+}
+
+// inPreference returns the gateways that serve in the order of preference.
+func (l *List) inPreference(now time.Time) []Gateway {
+	l.fade(now)
+	if l.preferred == nil {
+		l.preferred = byPreference(l.serving())
+	}
+	return l.preferred
 }
 
 // Unheard tells that a gateway stands by and will not be heard any more.
@@ -125,31 +163,41 @@
 }
 
 // Serving returns the gateways that serve callers, by name.
-func (l *List) Serving(now time.Time) []Gateway {
-	serving := map[string]Gateway{}
-	if !l.own.Leaving {
-		serving[l.own.Name] = l.own
-	}
-	for key, gateway := range l.gateways {
-		if until, fades := l.fading[key]; fades && now.After(until) {
+func (l *List) Serving(now time.Time) []Gateway { return byName(l.inPreference(now)) }
+
+// ServingCount returns how many these are.
+func (l *List) ServingCount(now time.Time) int { return len(l.inPreference(now)) }
+
+// fade takes gateways off the list whose registrations have been gone for long enough.
+func (l *List) fade(now time.Time) {
+	for key, until := range l.fading {
+		if now.After(until) {
 			delete(l.fading, key)
 			delete(l.gateways, key)
-			continue
+			l.preferred = nil
 		}
+	}
+}
+
+// serving returns the gateways that serve callers.
+func (l *List) serving() []Gateway {
+	serving := make([]Gateway, 0, len(l.gateways)+1)
+	if !l.own.Leaving {
+		serving = append(serving, l.own)
+	}
+	for _, gateway := range l.gateways {
 		if !gateway.Leaving && gateway.Name != l.own.Name {
-			serving[gateway.Name] = gateway
+			serving = append(serving, gateway)
 		}
 	}
-	sorted := make([]Gateway, 0, len(serving))
-	for _, gateway := range serving {
-		sorted = append(sorted, gateway)
-	}
-	sort.Slice(sorted, func(a, b int) bool { return sorted[a].Name < sorted[b].Name })
-	return sorted
+	return serving
 }
 
 // Leave takes the own gateway off the list.
-func (l *List) Leave() { l.own.Leaving = true }
+func (l *List) Leave() {
+	l.own.Leaving = true
+	l.preferred = nil
+}
 
 // put takes a registration.
 func (l *List) put(item store.Item) error {
@@ -158,7 +206,9 @@
 		return errors.Wrapf(err, "step read the registration %s", item.Key)
 	}
 	l.gateways[item.Key] = gateway
+	l.preferred = nil
 	delete(l.fading, item.Key)
+	delete(l.unresponsive, gateway.Name)
 	return nil
 }
 
@@ -176,6 +226,7 @@
 	}
 	delete(l.gateways, key)
 	delete(l.fading, key)
+	l.preferred = nil
 }
 
 // IsRegistration tells whether a key is that of a gateway.
--- /dev/null
+++ b/internal/member/picked.go
@@ -0,0 +1,73 @@
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// Times in which entries have to be heard.
+const (
+	// answerTime is how long a gateway that was picked as an entry may say nothing: the time in which it hears of the others
+	// that take requests, and they of it.
+	answerTime = 1500 * time.Millisecond
+	// unresponsiveTime is how long one that said nothing is passed over, unless it is heard or registers anew: longer than the
+	// lease of a gateway that stands by, so that a dead one is not picked twice.
+	unresponsiveTime = 20 * time.Second
+	// connectedTime is how long an answer shows that the own side is sound: longer than the time between two questions to the
+	// store, or to another gateway.
+	connectedTime = 2500 * time.Millisecond
+)
+
+// SetNeededCores tells how many cores the entries are to have together.
+func (l *List) SetNeededCores(cores float64) { l.neededCores = cores }
+
+// Connected tells that the store, or another gateway that follows it, has answered this process.
+func (l *List) Connected(now time.Time) { l.connected = now }
+
+// isConnected tells whether this process was answered of late.
+func (l *List) isConnected(now time.Time) bool {
+	return !l.connected.IsZero() && now.Sub(l.connected) < connectedTime
+}
+
+// Entries returns the gateways to which callers are sent, by name, and those that serve but have fallen silent. An entry that was
+// picked and says nothing is replaced by the next.
+func (l *List) Entries(now time.Time) (entries, suspects []Gateway) {
+	reachable, suspects := l.reach(now)
+	entries = pickEntries(reachable, l.neededCores, l.settings)
+	picked := make(map[string]time.Time, len(entries))
+	for _, entry := range entries {
+		since, before := l.picked[entry.Name]
+		if !before {
+			since = now
+		}
+		picked[entry.Name] = since
+		if _, heard := l.heard[entry.Name]; entry.Name != l.own.Name && !heard && now.Sub(since) > answerTime && l.isConnected(now) {
+			l.unresponsive[entry.Name] = now.Add(unresponsiveTime)
+		}
+	}
+	l.picked = picked
+	return entries, suspects
+}
+
+// Told takes the names of the entries that another gateway, which hears them, named just now.
+func (l *List) Told(now time.Time, entries []string) {
+	l.Connected(now)
+	for _, name := range entries {
+		l.Heard(now, name)
+	}
+	for name := range l.picked {
+		if name != l.own.Name && !slices.Contains(entries, name) {
+			l.unresponsive[name] = now.Add(suspectAfter)
+		}
+	}
+}
+
+// Resumed tells that this process has stood still: nobody is silent who could not be heard.
+func (l *List) Resumed(now time.Time) {
+	for name := range l.heard {
+		l.heard[name] = now
+	}
+	for name := range l.picked {
+		l.picked[name] = now
+	}
+}
--- /dev/null
+++ b/internal/member/picked_test.go
@@ -0,0 +1,148 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// largeList returns the list of a gateway of a fleet of 30 gateways in three zones, in which g00 to g05 are entries.
+func largeList(own string) *List {
+	list := NewList(gatewayOf(own))
+	for i := range 30 {
+		gateway := gatewayOf(fmt.Sprintf("g%02d", i))
+		list.gateways[KeyPrefix+gateway.Name] = gateway
+	}
+	return list
+}
+
+// gatewayOf returns a gateway whose zone follows from its number.
+func gatewayOf(name string) Gateway {
+	var number int
+	_, _ = fmt.Sscanf(name, "g%d", &number)
+	return Gateway{Name: name, Zone: string(rune('a' + number%3)), Cores: 0.4}
+}
+
+// hear tells the list at a moment that these were heard.
+func hear(list *List, now time.Time, heard ...string) {
+	list.Connected(now)
+	for _, name := range heard {
+		list.Heard(now, name)
+	}
+}
+
+// entriesAt returns the entries at a moment, and suspectsAt those that have fallen silent.
+func entriesAt(list *List, now time.Time) []Gateway {
+	entries, _ := list.Entries(now)
+	return entries
+}
+
+func suspectsAt(list *List, now time.Time) []Gateway {
+	_, suspects := list.Entries(now)
+	return suspects
+}
+
+const allEntries = "[g00 g01 g02 g03 g04 g05]"
+
+func TestASilentEntryIsReplacedInItsZone(t *testing.T) {
+	list := largeList("g00")
+	hear(list, epoch, "g01", "g02", "g03", "g04", "g05")
+	if got := names(entriesAt(list, epoch)); got != allEntries {
+		t.Fatalf("at first %s", got)
+	}
+	later := epoch.Add(suspectAfter + time.Millisecond)
+	hear(list, later, "g02", "g03", "g04", "g05")
+	if got := names(entriesAt(list, later)); got != "[g00 g02 g03 g04 g05 g07]" {
+		t.Fatalf("g01 silent: %s", got)
+	}
+	if got := names(suspectsAt(list, later)); got != "[g01]" {
+		t.Errorf("suspects %s", got)
+	}
+	// The one that took its place says nothing either.
+	later = later.Add(answerTime + time.Millisecond)
+	hear(list, later, "g02", "g03", "g04", "g05")
+	list.Entries(later)
+	if got := names(entriesAt(list, later)); got != "[g00 g02 g03 g04 g05 g10]" {
+		t.Fatalf("g07 silent too: %s", got)
+	}
+	hear(list, later, "g01")
+	if got := names(entriesAt(list, later)); got != allEntries {
+		t.Errorf("g01 is heard again: %s", got)
+	}
+}
+
+func TestAllEntriesAreReplacedOnlyWhenTheOwnSideIsSound(t *testing.T) {
+	list := largeList("g20")
+	list.Told(epoch, []string{"g00", "g01", "g02", "g03", "g04", "g05"})
+	list.Entries(epoch)
+	later := epoch.Add(connectedTime + time.Millisecond)
+	if got := names(entriesAt(list, later)); got != allEntries {
+		t.Errorf("nobody answers: %s", got)
+	}
+	list.Connected(later)
+	if got := names(entriesAt(list, later)); got != "[g06 g07 g08 g09 g10 g11]" {
+		t.Errorf("the store answers: %s", got)
+	}
+}
+
+func TestWhoStandsByFollowsWhatItIsTold(t *testing.T) {
+	list := largeList("g20")
+	list.Told(epoch, []string{"g00", "g01", "g02", "g03", "g04", "g05"})
+	list.Entries(epoch)
+	list.Told(epoch, []string{"g00", "g02", "g03", "g04", "g05", "g07"})
+	if got := names(entriesAt(list, epoch)); got != "[g00 g02 g03 g04 g05 g07]" {
+		t.Errorf("told that g01 is replaced: %s", got)
+	}
+}
+
+func TestNobodyIsSilentToAProcessThatStoodStill(t *testing.T) {
+	list := largeList("g00")
+	hear(list, epoch, "g01", "g02", "g03", "g04", "g05")
+	list.Entries(epoch)
+	later := epoch.Add(time.Minute)
+	list.Resumed(later)
+	list.Connected(later)
+	if got := names(entriesAt(list, later)); got != allEntries {
+		t.Errorf("just resumed: %s", got)
+	}
+}
+
+// TestEntriesSettle plays gateways that are heard or not, and checks that the own view comes to rest at entries that are all
+// heard, within the time in which those that say nothing are noticed one after the other.
+func TestEntriesSettle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := largeList("g00")
+		alive := map[string]bool{"g00": true}
+		for i := 1; i < 30; i++ {
+			alive[fmt.Sprintf("g%02d", i)] = rapid.IntRange(0, 2).Draw(t, "alive") > 0
+		}
+		now := epoch
+		// At most ten of each zone are tried in turn; none is tried twice within unresponsiveTime.
+		for range int(8 * answerTime / (100 * time.Millisecond)) {
+			now = now.Add(100 * time.Millisecond)
+			list.Connected(now)
+			for _, entry := range entriesAt(list, now) {
+				if alive[entry.Name] {
+					list.Heard(now, entry.Name)
+				}
+			}
+		}
+		count := 0
+		for _, entry := range entriesAt(list, now) {
+			if !alive[entry.Name] {
+				count++
+			}
+		}
+		living := map[string]int{}
+		for name, lives := range alive {
+			if lives {
+				living[gatewayOf(name).Zone]++
+			}
+		}
+		if count > 0 && living["a"] >= 2 && living["b"] >= 2 && living["c"] >= 2 {
+			t.Fatalf("%d of the entries %s say nothing", count, names(entriesAt(list, now)))
+		}
+	})
+}
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,7 +14,7 @@
 
 // RegistrationSettings of a registration.
 type RegistrationSettings struct {
-	// TTL of the lease.
+	// TTL of the lease of a gateway that takes requests.
 	TTL time.Duration
 	// Interval between two renewals.
 	Interval time.Duration
@@ -21,6 +22,8 @@
 	CallTimeout time.Duration
 	// Pause after a failed call.
 	Pause time.Duration
+	// CalmFactor is by how much all but the time of a call is longer for a gateway that stands by, whose loss nobody waits for.
+	CalmFactor time.Duration
 }
 
 // DefaultRegistrationSettings take a dead gateway off the list after three seconds.
@@ -30,6 +33,7 @@
 		Interval:    time.Second,
 		CallTimeout: 1200 * time.Millisecond,
 		Pause:       250 * time.Millisecond,
+		CalmFactor:  5,
 	}
 }
 
@@ -45,7 +49,11 @@
 	onLease func(begun time.Time, lease int64, ttl time.Duration)
 	again   chan struct{}
 	leave   chan struct{}
-	lease   int64
+	// brief is set for a gateway that takes requests.
+	brief atomic.Bool
+	// lease is that of the registration; 0 is none. It runs for ttl.
+	lease int64
+	ttl   time.Duration
 }
 
 // NewRegistration returns a registration that does nothing before Run.
@@ -65,6 +73,22 @@
 // Again registers anew, for example because the registration was seen to be gone.
 func (r *Registration) Again() { notify(r.again) }
 
+// SetBrief tells whether the others have to notice soon when this gateway is gone, because it takes requests. It begins as one
+// that nobody waits for.
+func (r *Registration) SetBrief(brief bool) {
+	if r.brief.Swap(brief) != brief {
+		r.Again()
+	}
+}
+
+// stretch returns a time of the settings as the role of the gateway has it.
+func (r *Registration) stretch(duration time.Duration) time.Duration {
+	if r.brief.Load() {
+		return duration
+	}
+	return duration * r.settings.CalmFactor
+}
+
 // Leave tells the other gateways that this one gets no new callers.
 func (r *Registration) Leave() { notify(r.leave) }
 
@@ -74,9 +98,9 @@
 	for ctx.Err() == nil {
 		err := r.step(ctx, registered)
 		registered = err == nil
-		pause := r.settings.Interval
+		pause := r.stretch(r.settings.Interval)
 		if err != nil {
-			pause = r.settings.Pause
+			pause = r.stretch(r.settings.Pause)
 			r.onTrouble()
 		}
 		if failed := err != nil; failed != failing {
@@ -103,6 +127,10 @@
 	ctx, cancel := context.WithTimeout(ctx, r.settings.CallTimeout)
 	defer cancel()
 	begun := time.Now()
+	if r.ttl != r.stretch(r.settings.TTL) {
+		// The old lease runs out with nothing that goes with it.
+		r.lease, registered = 0, false
+	}
 	if r.lease != 0 {
 		err := r.store.KeepAlive(ctx, r.lease)
 		if errors.Is(err, store.ErrLeaseExpired) {
@@ -111,15 +139,16 @@
 		} else if err != nil {
 			return err
 		} else {
-			r.onLease(begun, r.lease, r.settings.TTL)
+			r.onLease(begun, r.lease, r.ttl)
 		}
 	}
 	if r.lease == 0 {
-		lease, err := r.store.Grant(ctx, r.settings.TTL)
+		ttl := r.stretch(r.settings.TTL)
+		lease, err := r.store.Grant(ctx, ttl)
 		if err != nil {
 			return err
 		}
-		r.lease = lease.ID
+		r.lease, r.ttl = lease.ID, ttl
 		r.onLease(begun, lease.ID, lease.TTL)
 	}
 	if registered {
--- a/internal/member/registration_test.go
+++ b/internal/member/registration_test.go
@@ -18,14 +18,23 @@
 	store.Store
 	mutex   sync.Mutex
 	granted int64
+	lasting time.Duration
 	expired bool
 	puts    []store.Put
 }
 
-func (l *leaseStore) Grant(context.Context, time.Duration) (store.Lease, error) {
+// ttl returns for how long the last lease was granted.
+func (l *leaseStore) ttl() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.lasting
+}
+
+func (l *leaseStore) Grant(_ context.Context, ttl time.Duration) (store.Lease, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.granted++
+	l.lasting = ttl
 	l.expired = false
 	return store.Lease{ID: l.granted, TTL: time.Second}, nil
 }
@@ -103,3 +112,38 @@
 	registration.Leave()
 	wait("left", func(gateway Gateway, _ int64, _ int) bool { return gateway.Leaving })
 }
+
+// TestOnlyGatewaysThatTakeRequestsRenewAShortLease changes the role of a gateway and looks at the lease of its registration.
+func TestOnlyGatewaysThatTakeRequestsRenewAShortLease(t *testing.T) {
+	settings := DefaultRegistrationSettings()
+	keys := &leaseStore{}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	ttls := make(chan time.Duration, 100)
+	registration := NewRegistration(settings, keys, Gateway{Name: "a"}, logger, func() {},
+		func(_ time.Time, _ int64, _ time.Duration) { ttls <- keys.ttl() })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		registration.Run(ctx)
+		close(done)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	for i, want := range []time.Duration{settings.TTL * settings.CalmFactor, settings.TTL, settings.TTL * settings.CalmFactor} {
+		registration.SetBrief(i%2 == 1)
+		select {
+		case got := <-ttls:
+			if got != want {
+				t.Fatalf("change %d: the lease runs for %s, want %s", i, got, want)
+			}
+		case <-time.After(3 * time.Second):
+			t.Fatalf("change %d: no lease was granted", i)
+		}
+	}
+	if _, lease, _ := keys.last(); lease == 0 {
+		t.Error("the registration goes with no lease")
+	}
+}
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -26,6 +26,9 @@
 	// FirstPause and LongestPause bound the pause after a failed call; it doubles and is jittered.
 	FirstPause   time.Duration
 	LongestPause time.Duration
+	// FeedPause is the least time between two questions to the feed: changes that come together are asked for together, and a
+	// fleet of hundreds that starts asks a few times a second.
+	FeedPause time.Duration
 }
 
 // DefaultReplicaSettings keep calls few and catch up within a second after an outage.
@@ -38,6 +41,8 @@
 
 		UnhurriedPerReader: 10 * time.Millisecond,
 		LongestUnhurried:   time.Second,
+
+		FeedPause: 200 * time.Millisecond,
 	}
 }
 
@@ -62,6 +67,10 @@
 	consumer Consumer
 	renew    chan struct{}
 	fallback Fallback
+	// feed tells what other processes know; nil is nobody.
+	feed Feed
+	// followed is when the feed was asked last.
+	followed time.Time
 
 	// readers is how many processes watch the same store, and calm is set while this one may hear of every change late.
 	readers atomic.Int64
@@ -71,6 +80,14 @@
 	// known holds the items that the consumer was told; nil before the first list. Deleted ones stay as such.
 	known map[string]Event
 	after int64
+	// completeFrom is the revision after which no change is missing in known, deletions included.
+	completeFrom int64
+	// Between gapFrom and gapTo, both not included, items may have come and gone that lists did not show.
+	gapFrom, gapTo int64
+	// changed is closed at the next change.
+	changed chan struct{}
+	// storeLost is set while calls to the store fail.
+	storeLost bool
 	// doubted is set after a watch has failed. The store may have dropped changes that the watch did not hear, and one that
 	// begins anew would not tell of them, so that everything is listed first.
 	doubted bool
@@ -89,6 +106,7 @@
 func NewReplica(store Store, prefix string, settings ReplicaSettings, consumer Consumer, fallback Fallback) *Replica {
 	return &Replica{
 		store: store, prefix: prefix, settings: settings, consumer: consumer, renew: make(chan struct{}, 1), fallback: fallback,
+		changed: make(chan struct{}),
 	}
 }
 
@@ -99,21 +117,15 @@
 	if r.known == nil {
 		return Snapshot{}, false
 	}
-	snapshot := Snapshot{Revision: r.after}
-	for _, event := range r.known {
-		if !event.Deleted {
-			snapshot.Items = append(snapshot.Items, event.Item)
-		}
-	}
-	slices.SortFunc(snapshot.Items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	return snapshot, true
+	return Snapshot{Revision: r.after, Items: r.present()}, true
 }
 
 // SetReaders tells how many processes watch the same store. The more they are, the longer each gathers changes and waits
 // after failures, so that all together stay within what the store answers.
 func (r *Replica) SetReaders(count int) { r.readers.Store(int64(count)) }
 
-// SetCalm tells whether this process may hear of every change late, by up to LongestUnhurried: one that nobody is sent to.
+// SetCalm tells whether this process may hear of every change late, by up to LongestUnhurried: one that nobody is sent to. It
+// learns from its feed where there is one, and goes to the store only while nobody tells it anything.
 func (r *Replica) SetCalm(calm bool) { r.calm.Store(calm) }
 
 // perReader is the time in which the store answers one call of each of two processes.
@@ -131,9 +143,13 @@
 func (r *Replica) Run(ctx context.Context) {
 	pause := r.settings.FirstPause
 	for ctx.Err() == nil {
+		if r.followsFeed() && r.follow(ctx, feedWait) == nil {
+			continue
+		}
 		err := r.step(ctx)
 		if err == nil {
 			pause = r.settings.FirstPause
+			r.setStoreLost(false)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -142,15 +158,37 @@
 		if errors.Is(err, errRenewed) {
 			continue
 		}
+		r.setStoreLost(true)
 		r.consumer.Lost(err)
 		if r.known == nil && r.seed(ctx) {
 			continue
 		}
-		sleep(ctx, jitter(r.share(pause)))
+		r.bridge(ctx, jitter(r.share(pause)))
 		pause = min(2*pause, r.settings.LongestPause)
 	}
 }
 
+// followsFeed tells whether the replica learns from others in place of the store.
+func (r *Replica) followsFeed() bool { return r.feed != nil && r.known != nil && r.calm.Load() }
+
+// setStoreLost notes whether the store answers.
+func (r *Replica) setStoreLost(lost bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.storeLost = lost
+}
+
+// bridge spends the pause before the store is asked again with what others know: the store may turn away some processes and serve
+// others.
+func (r *Replica) bridge(ctx context.Context, pause time.Duration) {
+	end := time.Now().Add(pause)
+	if r.feed != nil && r.known != nil {
+		// Without an answer this process goes on with what it knows, as it does without a feed.
+		_ = r.follow(ctx, pause)
+	}
+	sleep(ctx, time.Until(end))
+}
+
 // errRenewed ends a watch that Renew interrupts.
 var errRenewed = errors.New("the watch was begun anew")
 
@@ -190,16 +228,72 @@
 	return true
 }
 
-// replace forgets everything and tells the consumer a snapshot.
+// maxDeleted bounds the deleted items that are remembered for those that learn from this process. A fleet that restarts each of
+// its processes and workers some times a day deletes about as many.
+const maxDeleted = 16 << 10
+
+// replace takes a snapshot in place of what was known and tells it to the consumer. What is known of a later revision stays: a
+// snapshot may be some seconds old, and nothing goes back.
 func (r *Replica) replace(snapshot Snapshot) {
 	known := make(map[string]Event, len(snapshot.Items))
 	for _, item := range snapshot.Items {
 		known[item.Key] = Event{Item: item}
 	}
 	r.mutex.Lock()
+	switch {
+	case r.known == nil:
+		r.completeFrom = snapshot.Revision
+	case snapshot.Revision > r.after && r.gapTo == 0:
+		r.gapFrom, r.gapTo = r.after, snapshot.Revision
+	case snapshot.Revision > r.after:
+		r.gapTo = max(r.gapTo, snapshot.Revision)
+	}
+	deleted := 0
+	for key, event := range r.known {
+		listed, found := known[key]
+		switch {
+		case event.Revision > snapshot.Revision && event.Revision > listed.Revision:
+			known[key] = event
+		case !found && event.Deleted:
+			known[key] = event
+		case !found:
+			known[key] = Event{Item: Item{Key: key, Revision: snapshot.Revision}, Deleted: true}
+		}
+		if known[key].Deleted {
+			deleted++
+		}
+	}
 	r.known, r.after = known, snapshot.Revision
+	if deleted > maxDeleted {
+		r.forgetDeleted()
+	}
+	items := r.present()
+	r.wake()
 	r.mutex.Unlock()
-	r.consumer.Reset(snapshot.Items)
+	r.consumer.Reset(items)
+}
+
+// forgetDeleted drops deleted items. Those that know less than this process have to be told everything. The mutex is held.
+func (r *Replica) forgetDeleted() {
+	r.completeFrom = r.after
+	for key, event := range r.known {
+		if event.Deleted {
+			r.completeFrom = max(r.completeFrom, event.Revision)
+			delete(r.known, key)
+		}
+	}
+}
+
+// present returns the items that are there, by key. The mutex is held.
+func (r *Replica) present() []Item {
+	var items []Item
+	for _, event := range r.known {
+		if !event.Deleted {
+			items = append(items, event.Item)
+		}
+	}
+	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	return items
 }
 
 // watch tells the consumer the next changes.
@@ -215,7 +309,11 @@
 		case <-stop:
 		}
 	}()
-	events, at, err := r.store.Watch(watchCtx, r.prefix, r.after, r.settings.Wait)
+	wait := r.settings.Wait
+	if r.followsFeed() {
+		wait = directWait
+	}
+	events, at, err := r.store.Watch(watchCtx, r.prefix, r.after, wait)
 	switch {
 	case errors.Is(err, ErrCompacted):
 		return r.list(ctx)
@@ -246,5 +344,8 @@
 		r.known[event.Key] = event
 		fresh = append(fresh, event)
 	}
+	if len(fresh) > 0 {
+		r.wake()
+	}
 	return fresh
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -35,7 +35,7 @@
 type Event struct {
 	Item
 	// Deleted is set when the item is gone; it has no value then.
-	Deleted bool
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Condition holds when the last change of a key has this revision. Zero means that the key is absent.
