Changes of role in proportion to the engines of a group

Cause: one change of role each 0.7 s, whatever the size.

Change: the pause is that of 18 engines, the largest group for which it was measured, and shorter in proportion in larger ones; changes that fall due within a tick are planned one after the other and ordered together; engines that take long are asked together, too. Groups of up to 18 engines change as before.

--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -196,14 +196,30 @@
 	if !may {
 		return
 	}
-	groups := c.fleet.Groups()
-	c.underway.settle(groups)
+	c.underway.settle(c.fleet.Groups())
 	c.confirm(ctx, now)
-	for name, group := range groups {
-		if change := c.planner(name).Next(now, group); change != nil {
-			c.change(ctx, *change)
+	c.carryOut(ctx, c.plan(now))
+}
+
+// mostAtOnce bounds the changes of one step: the engines of a group of a thousand that fall due within a tick.
+const mostAtOnce = 16
+
+// plan returns the changes that are due, and keeps work off their engines.
+func (c *Controller) plan(now time.Time) []Change {
+	var changes []Change
+	for len(changes) < mostAtOnce {
+		planned := len(changes)
+		for name, group := range c.fleet.Groups() {
+			if change := c.planner(name).Next(now, group); change != nil {
+				c.fleet.SetChanging(change.Worker.ID, change.Role)
+				changes = append(changes, *change)
+			}
+		}
+		if len(changes) == planned {
+			break
 		}
 	}
+	return changes
 }
 
 // planner returns the planner of a group with the floors of the moment.
--- a/internal/roles/controller_test.go
+++ b/internal/roles/controller_test.go
@@ -81,7 +81,7 @@
 	settings.Holder = "a"
 	settings.Clearing = time.Millisecond
 	settings.Authority.Handover = time.Millisecond
-	settings.Planner.Pause = 0
+	settings.Planner.Pause, settings.Planner.Tick = time.Nanosecond, 0
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	return NewController(settings, keys, orderer, fleet, logger, func(decision.Record) {})
--- a/internal/roles/orders.go
+++ b/internal/roles/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,9 +11,11 @@
 	"github.com/granitebay/granitebay/internal/decision"
 )
 
-// change keeps work off an engine and gives it its order.
-func (c *Controller) change(ctx context.Context, change Change) {
-	c.fleet.SetChanging(change.Worker.ID, change.Role)
+// carryOut gives engines their orders, once work has been kept off them for a while.
+func (c *Controller) carryOut(ctx context.Context, changes []Change) {
+	if len(changes) == 0 {
+		return
+	}
 	timer := time.NewTimer(c.settings.Clearing)
 	defer timer.Stop()
 	select {
@@ -20,7 +23,19 @@
 		return
 	case <-timer.C:
 	}
-	err := c.order(ctx, change)
+	answers := make([]error, len(changes))
+	var orders sync.WaitGroup
+	for i, change := range changes {
+		orders.Go(func() { answers[i] = c.order(ctx, change) })
+	}
+	orders.Wait()
+	for i, change := range changes {
+		c.settle(change, answers[i])
+	}
+}
+
+// settle takes the answer to an order.
+func (c *Controller) settle(change Change, err error) {
 	log := c.logger.WithFields(logrus.Fields{"engine": change.Worker.ID, "role": change.Role})
 	if errors.Is(err, errChanging) {
 		c.underway.add(time.Now(), change)
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -61,8 +61,12 @@
 	// where operators give numbers.
 	LeastShare  float64
 	LeastOfRole map[backend.Role]int
-	// Pause between two changes.
-	Pause time.Duration
+	// Pause between two changes among PauseEngines engines or fewer; among more it is shorter in proportion, so that a fleet of any
+	// size follows its mix in the same time.
+	Pause        time.Duration
+	PauseEngines int
+	// Tick is how often changes are asked for. Those that fall due in between are made together.
+	Tick time.Duration
 }
 
 // DefaultSettings of a planner.
@@ -75,6 +79,9 @@
 		FullUse:    0.9,
 		LeastShare: 1.0 / 3,
 		Pause:      700 * time.Millisecond,
+		// The largest group for which the pause was measured.
+		PauseEngines: 18,
+		Tick:         250 * time.Millisecond,
 	}
 }
 
@@ -90,6 +97,8 @@
 	// runs are the runs of the moment, averaged.
 	runs      average
 	notBefore time.Time
+	// engines is the size of the group.
+	engines int
 }
 
 // NewPlanner returns a planner that has seen nothing.
@@ -127,9 +136,10 @@
 	return s
 }
 
-// Next returns the next change, or nil.
+// Next returns the next change, or nil. It is asked again after a change, with the group as it is then.
 func (p *Planner) Next(now time.Time, group *Group) *Change {
 	readers, writers := of(group.Engines, backend.RolePrefill), of(group.Engines, backend.RoleDecode)
+	p.engines = readers.count + writers.count
 	if writers.slots == 0 {
 		return nil
 	}
@@ -183,9 +193,25 @@
 	least := slices.MinFunc(from.ready, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(a.work(), b.work()), strings.Compare(a.Worker.ID, b.Worker.ID))
 	})
-	p.notBefore = now.Add(p.settings.Pause)
+	p.postpone(now)
 	return &Change{Worker: least.Worker, Role: role, Reason: reason}
 }
 
+// postpone puts off the next change by the pause of a group of this size.
+func (p *Planner) postpone(now time.Time) {
+	pause := p.settings.Pause
+	if p.engines > p.settings.PauseEngines {
+		pause = pause * time.Duration(p.settings.PauseEngines) / time.Duration(p.engines)
+	}
+	from := now
+	if due := now.Add(-p.settings.Tick); pause < p.settings.Tick {
+		from = due
+		if p.notBefore.After(due) {
+			from = p.notBefore
+		}
+	}
+	p.notBefore = from.Add(pause)
+}
+
 // work is how much an engine has to do, in requests; a request is taken to read a thousand tokens.
 func (e Engine) work() int { return e.Load.Running + e.Load.ReadingTokens/1000 }
--- a/internal/roles/planner_test.go
+++ b/internal/roles/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -52,9 +53,10 @@
 		d.now = d.now.Add(250 * time.Millisecond)
 		d.group.ReadingDemand = reading
 		d.spread(runs)
-		if change := d.planner.Next(d.now, d.group); change != nil {
+		for change := d.planner.Next(d.now, d.group); change != nil; change = d.planner.Next(d.now, d.group) {
 			d.changes = append(d.changes, string(change.Role))
 			d.until[change.Worker.ID] = d.now.Add(2 * time.Second)
+			d.spread(runs)
 		}
 	}
 }
@@ -99,6 +101,7 @@
 				line = strings.TrimSpace(line)
 				var readers, writers int
 				if want, found := strings.CutPrefix(line, "changes "); found {
+					want = repeated(want)
 					if got := strings.Join(append(d.changes, "."), " "); got != want {
 						t.Errorf("changes to %s, want %s", got, want)
 					}
@@ -113,6 +116,23 @@
 	}
 }
 
+// repeated writes out roles that have a number before them.
+func repeated(changes string) string {
+	var all []string
+	times := 1
+	for word := range strings.FieldsSeq(changes) {
+		if number, err := strconv.Atoi(word); err == nil {
+			times = number
+			continue
+		}
+		for range times {
+			all = append(all, word)
+		}
+		times = 1
+	}
+	return strings.Join(all, " ")
+}
+
 // TestEachRoleKeepsItsShare plays random loads and carries every change out.
 func TestEachRoleKeepsItsShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/roles/underway.go
+++ b/internal/roles/underway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -41,27 +42,37 @@
 	}
 }
 
-// due returns a change that is to be confirmed, or nil.
-func (u *underway) due(now time.Time) *takenChange {
+// due returns the changes that are to be confirmed.
+func (u *underway) due(now time.Time) []*takenChange {
+	var due []*takenChange
 	for _, taken := range u.changes {
-		if now.Sub(taken.confirmed) >= confirmEvery {
-			return taken
+		if now.Sub(taken.confirmed) >= confirmEvery && len(due) < mostAtOnce {
+			due = append(due, taken)
 		}
 	}
-	return nil
+	return due
 }
 
-// confirm asks one engine that has been changing for a while, and keeps work off it as long as it says so.
+// confirm asks engines that have been changing for a while, and keeps work off them as long as they say so.
 func (c *Controller) confirm(ctx context.Context, now time.Time) {
-	taken := c.underway.due(now)
-	if taken == nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
 	defer cancel()
-	taken.confirmed = now
+	due := c.underway.due(now)
+	states, answers := make([]EngineState, len(due)), make([]error, len(due))
+	var questions sync.WaitGroup
+	for i, taken := range due {
+		taken.confirmed = now
+		questions.Go(func() { states[i], answers[i] = c.orderer.Inspect(ctx, taken.change.Worker) })
+	}
+	questions.Wait()
+	for i, taken := range due {
+		c.confirmed(taken, states[i], answers[i])
+	}
+}
+
+// confirmed takes what an engine that changes its role says of itself.
+func (c *Controller) confirmed(taken *takenChange, state EngineState, err error) {
 	worker, role := taken.change.Worker, taken.change.Role
-	state, err := c.orderer.Inspect(ctx, worker)
 	switch {
 	case err != nil:
 		c.logger.WithError(err).WithField("engine", worker.ID).Debug("An engine that changes its role did not tell its state.")
