The number of entries follows what they use of their limits

Cause: two entries a zone is a floor and no size: a fleet whose entries are loaded has to have more of them.

Change: each gateway measures what it uses of its processor, link and descriptors and tells it once a second; the gateway that gives orders says how many cores the entries need for a quarter of use (a burst of twice the load and the loss of half are borne together), at once when they have too little and after a minute when half would do, and writes that to the store under a condition. All gateways read it there, so they pick the same entries. Settings linkMbps and descriptors say the limits.

--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -143,7 +143,7 @@
 
 // applyGateway gives a change to the list of gateways, and tells whether it was one of it.
 func (v *View) applyGateway(event store.Event) bool {
-	if !member.IsRegistration(event.Key) {
+	if !member.Concerns(event.Key) {
 		return false
 	}
 	v.mutex.Lock()
@@ -213,6 +213,13 @@
 	return v.gateways.Serving(time.Now())
 }
 
+// EntryNeed returns the cores that the entries are to have together, and the revision of the store at which that was said.
+func (v *View) EntryNeed() (cores float64, revision int64) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Need()
+}
+
 // ServingCount returns how many gateways serve callers.
 func (v *View) ServingCount() int {
 	v.mutex.Lock()
--- a/internal/forward/sharing.go
+++ b/internal/forward/sharing.go
@@ -106,6 +106,13 @@
 	return changing
 }
 
+// PeersBusy returns what the other gateways use of their limits, by name.
+func (d *Dispatcher) PeersBusy() map[string]float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.sharing.board.Busy(d.now())
+}
+
 // toTell returns the workers whose load is to be told, in their order.
 func (d *Dispatcher) toTell(full bool) []string {
 	if full {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	sharing      *loadshare.Exchange
 	follower     *changefeed.Follower
 	entries      entrySet
+	usage        *usage
 
 	// grace and addressTTL are durations that Reload may change.
 	grace      atomic.Int64
@@ -91,6 +92,7 @@
 func New(settings Settings, ports Ports, logger *logrus.Logger) *Gateway {
 	g := &Gateway{settings: settings, ports: ports, logger: logger, idle: newIdleConnections(defaultIdleTimeout, readHeaderTimeout)}
 	g.startedAt = time.Now()
+	g.usage = newUsage(settings)
 	g.workersKnown = make(chan struct{})
 	g.learn = make(chan struct{}, 1)
 	g.decisions = decisionlog.New(settings.Name, keptDecisions)
@@ -176,6 +178,7 @@
 	g.tasks.Go(func() { g.registration.Run(ctx) })
 	g.tasks.Go(func() { g.controller.Run(ctx) })
 	g.tasks.Go(func() { g.watchEntries(ctx) })
+	g.tasks.Go(func() { g.sizeEntries(ctx) })
 	g.tasks.Go(func() { g.learnKept(ctx) })
 	logging.Part(g.logger, "gateway").WithField("name", g.settings.Name).Info("Started.")
 	return nil
@@ -197,7 +200,13 @@
 }
 
 // Drain is part of loadshare.Source.
-func (g *Gateway) Drain(full bool) loadshare.Message { return g.dispatcher.Drain(full) }
+func (g *Gateway) Drain(full bool) loadshare.Message {
+	message := g.dispatcher.Drain(full)
+	if full {
+		message.Busy = g.usage.busy()
+	}
+	return message
+}
 
 // Hear is part of loadshare.Source.
 func (g *Gateway) Hear(message *loadshare.Message) {
@@ -215,6 +224,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "step listen, address %s", address)
 	}
+	if address == g.settings.ListenCallers {
+		listener = g.usage.count(listener)
+	}
 	g.servers = append(g.servers, server)
 	g.tasks.Go(func() { _ = server.Serve(listener) })
 	return nil
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -11,6 +11,10 @@
 	Zone string
 	// Cores is the processor capacity that this process may use, in cores.
 	Cores float64
+	// LinkMbps is the bandwidth of the machine, and Descriptors how many files and connections the process may open; zero is
+	// unknown, and not a bound.
+	LinkMbps    float64
+	Descriptors int
 	// ListenCallers, ListenReady, ListenDirectory and ListenAdmin are host:port. ListenAdmin serves operators and figures.
 	ListenCallers   string
 	ListenReady     string
--- /dev/null
+++ b/internal/gateway/sizing.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/logging"
+	"github.com/granitebay/granitebay/internal/member"
+	"github.com/granitebay/granitebay/internal/store"
+)
+
+// sizeInterval is how often the need for entries is looked at: as often as gateways tell all that they do.
+const sizeInterval = time.Second
+
+// sizeEntries says how many cores the entries are to have together, while this gateway gives orders, until the context ends. The need
+// lies in the store, so that all gateways pick the same entries.
+func (g *Gateway) sizeEntries(ctx context.Context) {
+	sizer := member.NewSizer(member.DefaultSizerSettings())
+	ticker := time.NewTicker(sizeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !g.controller.GivesOrders() {
+			continue
+		}
+		need, revision := g.view.EntryNeed()
+		if cores, changed := sizer.Next(time.Now(), g.entriesBusy(), need); changed {
+			g.writeNeed(ctx, cores, revision)
+		}
+	}
+}
+
+// entriesBusy returns what the entries use of their limits.
+func (g *Gateway) entriesBusy() []member.Busy {
+	told := g.dispatcher.PeersBusy()
+	told[g.settings.Name] = g.usage.busy()
+	var busy []member.Busy
+	for _, entry := range g.Entries() {
+		busy = append(busy, member.Busy{Cores: entry.Cores, Share: told[entry.Name]})
+	}
+	return busy
+}
+
+// writeNeed writes the need, unless somebody else has written one meanwhile.
+func (g *Gateway) writeNeed(ctx context.Context, cores float64, revision int64) {
+	ctx, cancel := context.WithTimeout(ctx, sizeInterval)
+	defer cancel()
+	log := logging.Part(g.logger, "member").WithFields(logrus.Fields{"cores": fmt.Sprintf("%.1f", cores)})
+	value, err := json.Marshal(member.Need{Cores: cores})
+	if err == nil {
+		_, err = g.ports.Store.Commit(ctx, store.Transaction{
+			Conditions: []store.Condition{{Key: member.NeedKey, Revision: revision}},
+			Puts:       []store.Put{{Key: member.NeedKey, Value: value}},
+		})
+	}
+	if err != nil {
+		log.WithError(errors.Wrap(err, "step write the need for entries")).Warn("The number of entries stays as it is.")
+		return
+	}
+	log.Info("The entries are to have other cores together.")
+	g.decide(decision.Record{
+		Kind: decision.KindEntry, Subject: member.NeedKey, Outcome: fmt.Sprintf("%.1f cores", cores),
+		Reason: "What the entries use of their processors, links and descriptors asks for that many cores, with room for a burst and for losses.",
+	})
+}
--- /dev/null
+++ b/internal/gateway/usage.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// usage tells what the process uses of its limits: processor, link and descriptors. It is safe for concurrent use.
+type usage struct {
+	cores, linkMbps float64
+	descriptors     int
+	// received and sent count bytes on connections of callers, open counts these connections.
+	received, sent, open atomic.Int64
+
+	mu   sync.Mutex
+	at   time.Time
+	used totals
+	// share is that of the last measurement.
+	share float64
+}
+
+// totals are what was used since the start.
+type totals struct {
+	processor      time.Duration
+	received, sent int64
+}
+
+// usageInterval is the least time over which use is measured.
+const usageInterval = 500 * time.Millisecond
+
+// Costs of a request that the connections of callers do not show: what it brings is passed on to a worker, and so is the answer to
+// the caller, over the same link; and each connection of a caller needs one to a worker at most while it is served.
+const (
+	linkFactor       = 2
+	descriptorFactor = 2
+)
+
+// newUsage returns the use of a process that has just started.
+func newUsage(settings Settings) *usage {
+	return &usage{cores: settings.Cores, linkMbps: settings.LinkMbps, descriptors: settings.Descriptors, at: time.Now()}
+}
+
+// busy returns the part in use of the limit that is used most.
+func (u *usage) busy() float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	took := now.Sub(u.at)
+	if took < usageInterval {
+		return u.share
+	}
+	used := totals{processor: processorTime(), received: u.received.Load(), sent: u.sent.Load()}
+	u.share = u.shareOf(used, took)
+	u.at, u.used = now, used
+	return u.share
+}
+
+// shareOf returns the share of the limit that is used most, from what was used within a time.
+func (u *usage) shareOf(used totals, took time.Duration) float64 {
+	share := 0.0
+	if u.cores > 0 {
+		share = (used.processor - u.used.processor).Seconds() / took.Seconds() / u.cores
+	}
+	if u.linkMbps > 0 {
+		bytes := max(used.received-u.used.received, used.sent-u.used.sent) * linkFactor
+		share = max(share, float64(bytes)*8/took.Seconds()/(u.linkMbps*1e6))
+	}
+	if u.descriptors > 0 {
+		share = max(share, float64(u.open.Load()*descriptorFactor)/float64(u.descriptors))
+	}
+	return share
+}
+
+// processorTime returns the processor time of the process since its start.
+func processorTime() time.Duration {
+	var used syscall.Rusage
+	// It fails only for an unknown subject; without an answer the processor does not count.
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &used) != nil {
+		return 0
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// count returns a listener whose connections are counted.
+func (u *usage) count(listener net.Listener) net.Listener { return &countingListener{listener, u} }
+
+// countingListener counts the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	usage *usage
+}
+
+// Accept is part of net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.usage.open.Add(1)
+	return &countedConn{Conn: accepted, usage: l.usage}, nil
+}
+
+// countedConn counts its bytes.
+type countedConn struct {
+	net.Conn
+	usage  *usage
+	closed atomic.Bool
+}
+
+// Read is part of net.Conn.
+func (c *countedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.usage.received.Add(int64(n))
+	return n, err
+}
+
+// Write is part of net.Conn.
+func (c *countedConn) Write(buffer []byte) (int, error) {
+	n, err := c.Conn.Write(buffer)
+	c.usage.sent.Add(int64(n))
+	return n, err
+}
+
+// Close is part of net.Conn.
+func (c *countedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.usage.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -82,6 +82,8 @@
 	Changing []Changing
 	// Failed workers were set aside by the sender since the last message, because they did not answer.
 	Failed []string
+	// Busy is the part of its limits that the sender uses, of the one that is used most, told with Full.
+	Busy float64
 	// StandsBy is set by a sender to which no callers are sent. It tells its work, but not that it lives.
 	StandsBy bool
 }
@@ -117,6 +119,7 @@
 	heard    time.Time
 	loads    map[string]backend.Load
 	offered  map[string]*Rate
+	busy     float64
 }
 
 // NewBoard returns an empty board.
@@ -138,6 +141,7 @@
 	}
 	known.sequence, known.heard = message.Sequence, now
 	if message.Full {
+		known.busy = message.Busy
 		for worker := range known.loads {
 			b.replace(known, worker, backend.Load{})
 		}
@@ -168,6 +172,16 @@
 	return total
 }
 
+// Busy returns what the other gateways use of their limits, by name.
+func (b *Board) Busy(now time.Time) map[string]float64 {
+	b.expire(now)
+	busy := make(map[string]float64, len(b.senders))
+	for name, known := range b.senders {
+		busy[name] = known.busy
+	}
+	return busy
+}
+
 // Load returns the work that the other gateways have at a worker.
 func (b *Board) Load(worker string) backend.Load { return b.totals[worker] }
 
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -54,7 +54,8 @@
 
 	settings EntrySettings
 	// neededCores are those that the entries have together at least.
-	neededCores float64
+	neededCores  float64
+	needRevision int64
 	// picked holds since when each entry is one, and unresponsive until when a gateway is passed over that was one and told
 	// nothing.
 	picked       map[string]time.Time
@@ -81,6 +82,12 @@
 			faults = append(faults, l.put(item))
 		}
 	}
+	l.neededCores, l.needRevision = 0, 0
+	for _, item := range items {
+		if item.Key == NeedKey {
+			faults = append(faults, l.putNeed(item))
+		}
+	}
 	for key := range l.gateways {
 		if !present[key] {
 			l.lapse(now, key)
@@ -91,16 +98,35 @@
 
 // Apply takes one change of an item.
 func (l *List) Apply(now time.Time, event store.Event) error {
-	if !IsRegistration(event.Key) {
+	switch {
+	case event.Key == NeedKey && event.Deleted:
+		l.neededCores, l.needRevision = 0, event.Revision
 		return nil
-	}
-	if event.Deleted {
+	case event.Key == NeedKey:
+		return l.putNeed(event.Item)
+	case !IsRegistration(event.Key):
+		return nil
+	case event.Deleted:
 		l.lapse(now, event.Key)
 		return nil
+	default:
+		return l.put(event.Item)
 	}
-	return l.put(event.Item)
 }
 
+// putNeed takes the cores that the entries are to have together.
+func (l *List) putNeed(item store.Item) error {
+	var need Need
+	if err := json.Unmarshal(item.Value, &need); err != nil {
+		return errors.Wrapf(err, "step read the need %s", item.Key)
+	}
+	l.neededCores, l.needRevision = need.Cores, item.Revision
+	return nil
+}
+
+// Need returns the cores that the entries are to have together, and the revision of the store at which that was said.
+func (l *List) Need() (cores float64, revision int64) { return l.neededCores, l.needRevision }
+
 // Outage tells that the store failed.
 func (l *List) Outage(now time.Time) { l.lastOutage = now }
 
@@ -229,6 +255,9 @@
 	l.preferred = nil
 }
 
+// Concerns tells whether a change of a key is one of the list.
+func Concerns(key string) bool { return key == NeedKey || IsRegistration(key) }
+
 // IsRegistration tells whether a key is that of a gateway.
 func IsRegistration(key string) bool {
 	return len(key) > len(KeyPrefix) && key[:len(KeyPrefix)] == KeyPrefix
--- a/internal/member/picked.go
+++ b/internal/member/picked.go
@@ -18,9 +18,6 @@
 	connectedTime = 2500 * time.Millisecond
 )
 
-// SetNeededCores tells how many cores the entries are to have together.
-func (l *List) SetNeededCores(cores float64) { l.neededCores = cores }
-
 // Connected tells that the store, or another gateway that follows it, has answered this process.
 func (l *List) Connected(now time.Time) { l.connected = now }
 
--- /dev/null
+++ b/internal/member/sizer_test.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/tools/txtar"
+
+	"github.com/granitebay/granitebay/internal/store"
+)
+
+// TestSizes plays the days of testdata/sizes.txtar on fake time.
+func TestSizes(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/sizes.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range archive.Files {
+		t.Run(file.Name, func(t *testing.T) { playSizes(t, string(file.Data)) })
+	}
+}
+
+// playSizes plays the lines of one day.
+func playSizes(t *testing.T, script string) {
+	sizer := NewSizer(DefaultSizerSettings())
+	now, need, changes := epoch, 0.0, 0
+	var entries []Busy
+	for line := range strings.Lines(script) {
+		line = strings.TrimSpace(line)
+		var count, seconds, wantChanges int
+		var share, wantNeed float64
+		switch {
+		case scan(line, "entries %d", &count):
+			entries = make([]Busy, count)
+		case scan(line, "for %ds busy %g", &seconds, &share):
+			for range seconds {
+				now = now.Add(time.Second)
+				for i := range entries {
+					entries[i] = Busy{Cores: 0.8, Share: share}
+				}
+				next, changed := sizer.Next(now, entries, need)
+				if changed {
+					need = next
+					changes++
+				}
+			}
+		case scan(line, "need %g changes %d", &wantNeed, &wantChanges):
+			if fmt.Sprintf("%.2f", need) != fmt.Sprintf("%.2f", wantNeed) || changes != wantChanges {
+				t.Errorf("%s: the need is %.2f after %d changes", line, need, changes)
+			}
+			changes = 0
+		default:
+			t.Fatalf("%q is no line of a day", line)
+		}
+	}
+}
+
+// scan reads a line of a form.
+func scan(line, form string, values ...any) bool {
+	count, err := fmt.Sscanf(line, form, values...)
+	return err == nil && count == len(values)
+}
+
+// TestNeedsAreFollowedFromTheStore changes the need and looks at the entries.
+func TestNeedsAreFollowedFromTheStore(t *testing.T) {
+	list := largeList("g00")
+	item := store.Item{Key: NeedKey, Value: []byte(`{"cores":3.9}`), Revision: 7}
+	if err := list.Apply(epoch, store.Event{Item: item}); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(entriesAt(list, epoch)); got != 10 {
+		t.Errorf("%d entries where 3.9 cores are needed of gateways of 0.4", got)
+	}
+	if _, revision := list.Need(); revision != 7 {
+		t.Errorf("the need is that of revision %d", revision)
+	}
+	if err := list.Apply(epoch, store.Event{Item: store.Item{Key: NeedKey, Revision: 8}, Deleted: true}); err != nil {
+		t.Fatal(err)
+	}
+	if got := names(entriesAt(list, epoch)); got != allEntries {
+		t.Errorf("without a need: %s", got)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,8 +26,11 @@
 	// Zone of the gateway; near workers are preferred.
 	Zone string `json:"zone"`
 	// Cores is the processor capacity that the process may use.
-	Cores  float64 `json:"cores"`
-	Listen listen  `json:"listen"`
+	Cores float64 `json:"cores"`
+	// LinkMbps is the bandwidth of the machine, and Descriptors how many files and connections the process may open; 0 is unknown.
+	LinkMbps    float64 `json:"linkMbps"`
+	Descriptors int     `json:"descriptors"`
+	Listen      listen  `json:"listen"`
 	// Seeds are control addresses of other gateways; some may be stale or down.
 	Seeds []string `json:"seeds"`
 	// Store is the address of the store. Required.
@@ -115,6 +118,7 @@
 func (f *file) settings() *gateway.Settings {
 	s := gateway.DefaultSettings()
 	s.Name, s.Zone, s.Cores = f.Name, f.Zone, f.Cores
+	s.LinkMbps, s.Descriptors = f.LinkMbps, f.Descriptors
 	s.ListenCallers, s.ListenReady, s.ListenDirectory = f.Listen.Callers, f.Listen.Ready, f.Listen.Directory
 	s.ListenPeers, s.ListenControl, s.ListenAdmin = f.Listen.Peers, f.Listen.Control, f.Listen.Admin
 	s.Seeds = slices.DeleteFunc(slices.Clone(f.Seeds), func(seed string) bool { return seed == f.Listen.Control })
@@ -134,6 +138,8 @@
 		c.add("name", f.Name, "is missing", "a name that no other gateway has")
 	}
 	c.positive("cores", f.Cores)
+	c.atLeastZero("linkMbps", f.LinkMbps)
+	c.atLeastZero("descriptors", float64(f.Descriptors))
 	c.address("listen.callers", f.Listen.Callers, true)
 	c.address("listen.ready", f.Listen.Ready, true)
 	c.address("listen.directory", f.Listen.Directory, true)
