Entries that took the place of others keep it: what is told of silent ones lasts

Cause, found by a process test with fourteen gateways of which one was frozen: a gateway that was told by its feed that it takes the place of another one became an entry, was told nothing more, and took the frozen one for reachable 0.9 s later; it went to and fro until the lease of the frozen one lapsed. Fleets that were just above the size up to which all are entries had all of them as entries once some were suspected.

Ruled out: lost datagrams (no loss on loopback; the log of the other entries shows no change).

Change: who is not among the entries that are told is passed over until it is heard; whoever else was heard is not waited for; a silent one whose registration has outlived its lease stands by; whether all are entries follows from the registrations.

The list's test goes on after what was told.

--- a/internal/member/entry.go
+++ b/internal/member/entry.go
@@ -27,14 +27,14 @@
 // have the cores that are needed. It takes those of the largest capacity first and goes round the zones among equals, so that
 // every process that knows the same gateways picks the same ones, and one that is lost is replaced in its own zone.
 func Entries(gateways []Gateway, neededCores float64, settings EntrySettings) []Gateway {
+	if len(gateways) <= settings.EveryoneUpTo {
+		return gateways
+	}
 	return pickEntries(byPreference(gateways), neededCores, settings)
 }
 
-// pickEntries is Entries of gateways in the order of preference.
+// pickEntries returns the entries of a fleet of which some stand by, of gateways in the order of preference.
 func pickEntries(preferred []Gateway, neededCores float64, settings EntrySettings) []Gateway {
-	if len(preferred) <= settings.EveryoneUpTo {
-		return byName(preferred)
-	}
 	picked := make([]bool, len(preferred))
 	var entries []Gateway
 	cores := 0.0
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -155,6 +155,9 @@
 			heard++
 		}
 		switch {
+		case gateway.Name != l.own.Name && l.standsBySilently(now, gateway.Name):
+			delete(l.heard, gateway.Name)
+			reachable = append(reachable, gateway)
 		case gateway.Name != l.own.Name && l.silent(now, gateway.Name):
 			silent++
 			suspects = append(suspects, gateway)
@@ -182,6 +185,13 @@
 // Unheard tells that a gateway stands by and will not be heard any more.
 func (l *List) Unheard(name string) { delete(l.heard, name) }
 
+// standsBySilently tells whether a gateway has been silent for so long that its registration would have lapsed if it were gone: it
+// stands by, and its word of that was lost.
+func (l *List) standsBySilently(now time.Time, name string) bool {
+	heard, before := l.heard[name]
+	return before && now.Sub(heard) > unresponsiveTime
+}
+
 // silent tells whether a gateway that was heard before has not been for too long.
 func (l *List) silent(now time.Time, name string) bool {
 	heard, before := l.heard[name]
--- a/internal/member/picked.go
+++ b/internal/member/picked.go
@@ -30,7 +30,11 @@
 // picked and says nothing is replaced by the next.
 func (l *List) Entries(now time.Time) (entries, suspects []Gateway) {
 	reachable, suspects := l.reach(now)
-	entries = pickEntries(reachable, l.neededCores, l.settings)
+	if l.ServingCount(now) <= l.settings.EveryoneUpTo {
+		entries = byName(reachable)
+	} else {
+		entries = pickEntries(reachable, l.neededCores, l.settings)
+	}
 	picked := make(map[string]time.Time, len(entries))
 	for _, entry := range entries {
 		since, before := l.picked[entry.Name]
@@ -46,15 +50,16 @@
 	return entries, suspects
 }
 
-// Told takes the names of the entries that another gateway, which hears them, named just now.
+// Told takes the names of the entries that another gateway, which hears them, named just now. Nobody else is waited for.
 func (l *List) Told(now time.Time, entries []string) {
 	l.Connected(now)
+	clear(l.heard)
 	for _, name := range entries {
 		l.Heard(now, name)
 	}
 	for name := range l.picked {
 		if name != l.own.Name && !slices.Contains(entries, name) {
-			l.unresponsive[name] = now.Add(suspectAfter)
+			l.unresponsive[name] = now.Add(unresponsiveTime)
 		}
 	}
 }
--- a/internal/member/picked_test.go
+++ b/internal/member/picked_test.go
@@ -95,6 +95,12 @@
 	if got := names(entriesAt(list, epoch)); got != "[g00 g02 g03 g04 g05 g07]" {
 		t.Errorf("told that g01 is replaced: %s", got)
 	}
+	// One that takes its place is told nothing any more, and has to hear the others.
+	later := epoch.Add(answerTime)
+	hear(list, later, "g00", "g02", "g03", "g04", "g05", "g07")
+	if got := names(entriesAt(list, later)); got != "[g00 g02 g03 g04 g05 g07]" {
+		t.Errorf("later: %s", got)
+	}
 }
 
 func TestNobodyIsSilentToAProcessThatStoodStill(t *testing.T) {
