The need for entries no longer feeds on itself

Change: more entries are asked for from half of the limits on, after two seconds, by half as many again, and once more only if the use came down by a tenth; the effect is awaited for five seconds.

--- a/internal/gateway/sizing.go
+++ b/internal/gateway/sizing.go
@@ -70,6 +70,6 @@
 	log.Info("The entries are to have other cores together.")
 	g.decide(decision.Record{
 		Kind: decision.KindEntry, Subject: member.NeedKey, Outcome: fmt.Sprintf("%.1f cores", cores),
-		Reason: "What the entries use of their processors, links and descriptors asks for that many cores, with room for a burst and for losses.",
+		Reason: "What the entries use of their processors, links and descriptors asks for that many cores.",
 	})
 }
--- a/internal/member/sizer.go
+++ b/internal/member/sizer.go
@@ -13,20 +13,28 @@
 
 // SizerSettings of a sizer.
 type SizerSettings struct {
-	// TargetBusy is the part of their limits that entries use in calm times: with a quarter a burst of twice the load and the loss
-	// of half of the entries are borne together.
-	TargetBusy float64
-	// LessBelow is the part of the need of before below which fewer entries are wanted, once that has lasted for LessAfter: a set
-	// that grows and shrinks moves callers.
+	// MoreFrom is the part of their limits that entries use together from which on more are wanted, once that has lasted for
+	// MoreAfter: with half a burst of one and a half times the load and the loss of a quarter of the entries are borne together.
+	MoreFrom  float64
+	MoreAfter time.Duration
+	// LessBelow is the part below which fewer do, once that has lasted for LessAfter: a set that grows and shrinks moves callers.
 	LessBelow float64
 	LessAfter time.Duration
-	// MoreBy is by how much more than needed is asked for, so that growing demand moves the set a few times only.
-	MoreBy float64
+	// Step is by how many times the cores change at once.
+	Step float64
+	// Settle is how long after a change its effect is awaited: callers keep the addresses of before for some seconds.
+	Settle time.Duration
+	// Effect is the part to which a growth has to bring the use for another one to follow. What entries tell each other grows with
+	// their number, so that more of them may make things worse.
+	Effect float64
 }
 
-// DefaultSizerSettings grow at once and shrink slowly.
+// DefaultSizerSettings grow within two seconds and shrink slowly.
 func DefaultSizerSettings() SizerSettings {
-	return SizerSettings{TargetBusy: 0.25, LessBelow: 0.5, LessAfter: time.Minute, MoreBy: 1.25}
+	return SizerSettings{
+		MoreFrom: 0.5, MoreAfter: 2 * time.Second, LessBelow: 0.15, LessAfter: time.Minute, Step: 1.5, Settle: 5 * time.Second,
+		Effect: 0.9,
+	}
 }
 
 // Busy is what one entry uses of its limits.
@@ -38,11 +46,14 @@
 
 // Sizer says how many cores the entries need. It is a pure state machine.
 //
-// Invariant: what it asks for is at least what the demand of the moment takes at TargetBusy, if that is more than the entries have.
+// Invariants: it asks for more only from MoreFrom on, and for more again only if the growth before brought the use down.
 type Sizer struct {
 	settings SizerSettings
-	// lowSince is since when less would do; zero when it would not.
-	lowSince time.Time
+	// highSince and lowSince are since when more are wanted, and fewer would do; zero when not.
+	highSince, lowSince time.Time
+	// changedAt is when the cores were changed last, and usedBefore what was used before a growth.
+	changedAt  time.Time
+	usedBefore float64
 }
 
 // NewSizer returns a sizer that has seen nothing.
@@ -50,25 +61,40 @@
 
 // Next returns the cores that the entries are to have, given what they use and the need in force, and whether that is to change.
 func (s *Sizer) Next(now time.Time, entries []Busy, need float64) (float64, bool) {
-	demand, have := 0.0, 0.0
+	used, have := 0.0, 0.0
 	for _, entry := range entries {
-		demand += entry.Cores * entry.Share / s.settings.TargetBusy
+		used += entry.Cores * entry.Share
 		have += entry.Cores
 	}
-	if demand > have && demand > need {
-		s.lowSince = time.Time{}
-		return demand * s.settings.MoreBy, true
-	}
-	if need == 0 || demand > s.settings.LessBelow*need {
-		s.lowSince = time.Time{}
+	if have == 0 {
 		return need, false
 	}
-	if s.lowSince.IsZero() {
-		s.lowSince = now
+	used /= have
+	high := lasting(&s.highSince, now, used >= s.settings.MoreFrom, s.settings.MoreAfter)
+	low := lasting(&s.lowSince, now, need > 0 && used < s.settings.LessBelow, s.settings.LessAfter)
+	if !s.changedAt.IsZero() && now.Sub(s.changedAt) < s.settings.Settle {
+		return need, false
 	}
-	if now.Sub(s.lowSince) < s.settings.LessAfter {
+	switch {
+	case high && (s.usedBefore == 0 || used < s.settings.Effect*s.usedBefore):
+		s.changedAt, s.usedBefore = now, used
+		return have * s.settings.Step, true
+	case low:
+		s.changedAt, s.usedBefore, s.lowSince = now, 0, time.Time{}
+		return need / s.settings.Step, true
+	default:
 		return need, false
 	}
-	s.lowSince = time.Time{}
-	return demand * s.settings.MoreBy, true
+}
+
+// lasting keeps since when something holds, and tells whether it has held for long enough.
+func lasting(since *time.Time, now time.Time, holds bool, long time.Duration) bool {
+	if !holds {
+		*since = time.Time{}
+		return false
+	}
+	if since.IsZero() {
+		*since = now
+	}
+	return now.Sub(*since) >= long
 }
