Callers are told only of gateways that are known to live

A gateway that stands by is registered for 15 s after its end; when the entries of its zone fell silent it was the next to be picked, and it was named for up to 1.5 s, until its silence showed.

Ruled out: shorter leases of those that stand by (renewals of 283 gateways; a dead one would still be named for three seconds).

Change: callers are told the entries that were heard, by the own ear or by that of a gateway that tells; one that knows of none names itself, because it can serve. Which are picked is worked out as before.

Test: member.TestOnlyGatewaysThatLiveAreNamed (before, g07, which had said nothing, was named).

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -39,8 +39,8 @@
 	Changed() <-chan struct{}
 }
 
-// Handler answers what this gateway knows. Entries names the gateways to which it sends callers.
-func Handler(source Source, entries func() []string) http.Handler {
+// Handler answers what this gateway knows. Entries names those of this gateway, and which of them it has heard.
+func Handler(source Source, entries func() (all, sound []string)) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathSnapshot, func(w http.ResponseWriter, _ *http.Request) { tellSnapshot(w, source) })
 	mux.HandleFunc("GET "+pathChanges, func(w http.ResponseWriter, r *http.Request) { tellChanges(w, r, source, entries) })
@@ -48,7 +48,7 @@
 }
 
 // tellChanges answers one question for changes.
-func tellChanges(w http.ResponseWriter, r *http.Request, source Source, entries func() []string) {
+func tellChanges(w http.ResponseWriter, r *http.Request, source Source, entries func() (all, sound []string)) {
 	query := r.URL.Query()
 	after, afterErr := strconv.ParseInt(query.Get(paramAfter), 10, 64)
 	waitMs, waitErr := strconv.ParseInt(query.Get(paramWait), 10, 64)
@@ -73,7 +73,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	changes.Entries = entries()
+	changes.Entries, changes.Sound = entries()
 	w.Header().Set("Content-Type", "application/json")
 	// An error is that of a peer that has left.
 	_ = json.NewEncoder(w).Encode(changes)
--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -64,7 +65,7 @@
 // serve serves a source with one entry and returns its address.
 func serve(t *testing.T, source changefeed.Source) string {
 	t.Helper()
-	server := httptest.NewServer(changefeed.Handler(source, func() []string { return []string{"entry"} }))
+	server := httptest.NewServer(changefeed.Handler(source, func() (all, sound []string) { return []string{"entry", "new"}, []string{"entry"} }))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
@@ -78,10 +79,10 @@
 func follow(tellers ...changefeed.Teller) (*changefeed.Follower, func() []string) {
 	var mutex sync.Mutex
 	var told []string
-	follower := changefeed.NewFollower("me", "a", func(entries []string) {
+	follower := changefeed.NewFollower("me", "a", func(entries, sound []string) {
 		mutex.Lock()
 		defer mutex.Unlock()
-		told = entries
+		told = append(slices.Clone(entries), sound...)
 	})
 	follower.SetTellers(tellers)
 	return follower, func() []string {
@@ -98,7 +99,7 @@
 	if err != nil || changes.Revision != 4 || len(changes.Changed) != 1 {
 		t.Fatalf("got %+v, %v", changes, err)
 	}
-	if entries := told(); len(entries) != 1 || entries[0] != "entry" {
+	if entries := told(); !slices.Equal(entries, []string{"entry", "new", "entry"}) {
 		t.Errorf("told the entries %v", entries)
 	}
 	time.AfterFunc(50*time.Millisecond, func() { source.set(at(5)) })
--- a/internal/changefeed/follower.go
+++ b/internal/changefeed/follower.go
@@ -23,8 +23,8 @@
 type Follower struct {
 	asker
 	name, zone string
-	// told is called with the names of the entries in each answer.
-	told func(entries []string)
+	// told is called with the names of the entries in each answer, and of those that the teller has heard.
+	told func(entries, sound []string)
 
 	// mu guards what follows.
 	mu      sync.Mutex
@@ -37,7 +37,7 @@
 }
 
 // NewFollower returns the follower of a gateway. Told is given the entries that each answer names.
-func NewFollower(name, zone string, told func(entries []string)) *Follower {
+func NewFollower(name, zone string, told func(entries, sound []string)) *Follower {
 	settings := httpclient.DefaultSettings()
 	settings.MaxIdlePerAddress = 1
 	settings.IdleTimeout = idleTime
@@ -92,7 +92,7 @@
 			f.avoid(teller, time.Now())
 			continue
 		}
-		f.told(changes.Entries)
+		f.told(changes.Entries, changes.Sound)
 		if changes.StoreLost && f.mayTryStore(time.Now()) {
 			f.avoid(teller, time.Now())
 			return store.Changes{}, store.ErrNobody
--- a/internal/changefeed/snapshot_test.go
+++ b/internal/changefeed/snapshot_test.go
@@ -24,7 +24,7 @@
 // gateway serves a snapshot of a revision, or none when it is negative, and returns its address.
 func gateway(t *testing.T, revision int64) string {
 	t.Helper()
-	server := httptest.NewServer(changefeed.Handler(snapshotSource{revision: revision}, func() []string { return nil }))
+	server := httptest.NewServer(changefeed.Handler(snapshotSource{revision: revision}, func() (all, sound []string) { return nil, nil }))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -185,11 +185,18 @@
 	v.gateways.Connected(time.Now())
 }
 
-// Told takes the names of the entries as another gateway hears them.
-func (v *View) Told(entries []string) {
+// Told takes the names of the entries of another gateway, and of those among them that it has heard.
+func (v *View) Told(entries, sound []string) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.gateways.Told(time.Now(), entries)
+	v.gateways.Told(time.Now(), entries, sound)
+}
+
+// Named returns the gateways that callers are told.
+func (v *View) Named() []member.Gateway {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Named(time.Now())
 }
 
 // Resumed tells that this process has stood still.
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -85,9 +85,14 @@
 // entryNames returns their names.
 func (g *Gateway) entryNames() []string { return namesOf(g.Entries()) }
 
-// entriesTold takes the names of the entries as another gateway hears them.
-func (g *Gateway) entriesTold(names []string) {
-	g.view.Told(names)
+// entriesToTell returns the names of the entries, and of those among them that are known to live.
+func (g *Gateway) entriesToTell() (all, sound []string) {
+	return g.entryNames(), namesOf(g.view.Named())
+}
+
+// entriesTold takes the names of the entries of another gateway, and of those among them that it has heard.
+func (g *Gateway) entriesTold(names, sound []string) {
+	g.view.Told(names, sound)
 	if !slices.Equal(names, g.entryNames()) {
 		g.GatewaysChanged()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,7 +155,7 @@
 		{g.settings.ListenReady, g.ports.ReadyHandler(g.Ready), nil},
 		{g.settings.ListenDirectory, g.ports.DirectoryHandler(g.resolve), nil},
 		{g.settings.ListenAdmin, g.adminHandler(), nil},
-		{g.settings.ListenControl, changefeed.Handler(g.replica, g.entryNames), nil},
+		{g.settings.ListenControl, changefeed.Handler(g.replica, g.entriesToTell), nil},
 	}
 	for _, service := range services {
 		if service.address == "" {
@@ -238,7 +238,7 @@
 // resolve returns the addresses to which callers of a zone connect.
 func (g *Gateway) resolve(string) ([]string, time.Duration) {
 	var addresses []string
-	for _, gateway := range g.Entries() {
+	for _, gateway := range g.view.Named() {
 		addresses = append(addresses, gateway.Address)
 	}
 	return addresses, time.Duration(g.addressTTL.Load())
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -60,6 +60,8 @@
 	// nothing.
 	picked       map[string]time.Time
 	unresponsive map[string]time.Time
+	// sound holds until when a gateway is known to live, by its own word or by that of a gateway that heard it.
+	sound map[string]time.Time
 	// connected is when this process was last answered, by the store or by another gateway that follows it.
 	connected time.Time
 }
@@ -69,6 +71,7 @@
 	return &List{
 		own: own, gateways: map[string]Gateway{}, fading: map[string]time.Time{}, heard: map[string]time.Time{},
 		settings: DefaultEntrySettings(), picked: map[string]time.Time{}, unresponsive: map[string]time.Time{},
+		sound: map[string]time.Time{},
 	}
 }
 
@@ -133,6 +136,7 @@
 // Heard tells that another gateway was heard.
 func (l *List) Heard(now time.Time, name string) {
 	l.heard[name] = now
+	l.sound[name] = now.Add(suspectAfter)
 	delete(l.unresponsive, name)
 }
 
@@ -183,7 +187,10 @@
 }
 
 // Unheard tells that a gateway stands by and will not be heard any more.
-func (l *List) Unheard(name string) { delete(l.heard, name) }
+func (l *List) Unheard(name string) {
+	delete(l.heard, name)
+	delete(l.sound, name)
+}
 
 // standsBySilently tells whether a gateway has been silent for so long that its registration would have lapsed if it were gone: it
 // stands by, and its word of that was lost.
--- a/internal/member/picked.go
+++ b/internal/member/picked.go
@@ -16,6 +16,8 @@
 	// connectedTime is how long an answer shows that the own side is sound: longer than the time between two questions to the
 	// store, or to another gateway.
 	connectedTime = 2500 * time.Millisecond
+	// toldTime is how long the word of another gateway counts that one lives: a question, two that fail and one more.
+	toldTime = 2500 * time.Millisecond
 )
 
 // Connected tells that the store, or another gateway that follows it, has answered this process.
@@ -50,13 +52,18 @@
 	return entries, suspects
 }
 
-// Told takes the names of the entries that another gateway, which hears them, named just now. Nobody else is waited for.
-func (l *List) Told(now time.Time, entries []string) {
+// Told takes the names of the entries of another gateway that hears them, and of those among them that it has heard. Nobody else is
+// waited for.
+func (l *List) Told(now time.Time, entries, sound []string) {
 	l.Connected(now)
 	clear(l.heard)
 	for _, name := range entries {
 		l.Heard(now, name)
 	}
+	clear(l.sound)
+	for _, name := range sound {
+		l.sound[name] = now.Add(toldTime)
+	}
 	for name := range l.picked {
 		if name != l.own.Name && !slices.Contains(entries, name) {
 			l.unresponsive[name] = now.Add(unresponsiveTime)
@@ -64,6 +71,19 @@
 	}
 }
 
+// Named returns the gateways that callers are told, by name: the entries that are known to live. A gateway that knows of none names
+// itself, because it can serve. A registration is no sign of life: one that stands by keeps it long after it is gone.
+func (l *List) Named(now time.Time) []Gateway {
+	entries, _ := l.Entries(now)
+	named := slices.DeleteFunc(entries, func(entry Gateway) bool {
+		return entry.Name != l.own.Name && now.After(l.sound[entry.Name])
+	})
+	if len(named) == 0 && !l.own.Leaving {
+		return []Gateway{l.own}
+	}
+	return named
+}
+
 // Resumed tells that this process has stood still: nobody is silent who could not be heard.
 func (l *List) Resumed(now time.Time) {
 	for name := range l.heard {
--- a/internal/member/picked_test.go
+++ b/internal/member/picked_test.go
@@ -75,7 +75,7 @@
 
 func TestAllEntriesAreReplacedOnlyWhenTheOwnSideIsSound(t *testing.T) {
 	list := largeList("g20")
-	list.Told(epoch, []string{"g00", "g01", "g02", "g03", "g04", "g05"})
+	list.Told(epoch, []string{"g00", "g01", "g02", "g03", "g04", "g05"}, nil)
 	list.Entries(epoch)
 	later := epoch.Add(connectedTime + time.Millisecond)
 	if got := names(entriesAt(list, later)); got != allEntries {
@@ -89,9 +89,9 @@
 
 func TestWhoStandsByFollowsWhatItIsTold(t *testing.T) {
 	list := largeList("g20")
-	list.Told(epoch, []string{"g00", "g01", "g02", "g03", "g04", "g05"})
+	list.Told(epoch, []string{"g00", "g01", "g02", "g03", "g04", "g05"}, nil)
 	list.Entries(epoch)
-	list.Told(epoch, []string{"g00", "g02", "g03", "g04", "g05", "g07"})
+	list.Told(epoch, []string{"g00", "g02", "g03", "g04", "g05", "g07"}, nil)
 	if got := names(entriesAt(list, epoch)); got != "[g00 g02 g03 g04 g05 g07]" {
 		t.Errorf("told that g01 is replaced: %s", got)
 	}
@@ -103,6 +103,31 @@
 	}
 }
 
+// TestOnlyGatewaysThatLiveAreNamed guards against naming machines that have long been off: those that stood by are registered for long.
+func TestOnlyGatewaysThatLiveAreNamed(t *testing.T) {
+	entry := largeList("g00")
+	if got := names(entry.Named(epoch)); got != "[g00]" {
+		t.Errorf("nobody was heard: %s", got)
+	}
+	hear(entry, epoch, "g01", "g02", "g03", "g04", "g05")
+	if got := names(entry.Named(epoch)); got != allEntries {
+		t.Errorf("all were heard: %s", got)
+	}
+	later := epoch.Add(suspectAfter + time.Millisecond)
+	hear(entry, later, "g02", "g03", "g04", "g05")
+	if got := names(entry.Named(later)); got != "[g00 g02 g03 g04 g05]" {
+		t.Errorf("g07 was picked in place of g01 and said nothing yet: %s", got)
+	}
+	standBy := largeList("g20")
+	standBy.Told(epoch, []string{"g00", "g02", "g03", "g04", "g05", "g07"}, []string{"g00", "g02", "g03", "g04", "g05"})
+	if got := names(standBy.Named(epoch)); got != "[g00 g02 g03 g04 g05]" {
+		t.Errorf("told that g07 said nothing yet: %s", got)
+	}
+	if got := names(standBy.Named(epoch.Add(toldTime + time.Millisecond))); got != "[g20]" {
+		t.Errorf("told nothing any more: %s", got)
+	}
+}
+
 func TestNobodyIsSilentToAProcessThatStoodStill(t *testing.T) {
 	list := largeList("g00")
 	hear(list, epoch, "g01", "g02", "g03", "g04", "g05")
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -21,6 +21,8 @@
 	StoreLost bool `json:"storeLost,omitempty"`
 	// Entries are the names of the gateways to which the teller sends callers.
 	Entries []string `json:"entries"`
+	// Sound are those among them that the teller has heard.
+	Sound []string `json:"sound"`
 }
 
 // Feed tells what other processes know of the store.
