Usage of tenants is counted once, agreed through the store, and reported

The holder of the controller's key adds up a window 1.2 s after its end, writes the sum under a condition on the ledger before the first call, and sends only what is written. Windows follow the middle of the clocks of all entries.

--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -14,6 +14,7 @@
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/store"
+	"github.com/granitebay/granitebay/internal/usage"
 )
 
 // Decoder says what the items that operators and workers write mean.
@@ -38,6 +39,8 @@
 	GatewaysChanged()
 	// ControllerChanged tells who holds the key of the controller; a value of nil is nobody.
 	ControllerChanged(value []byte, revision int64)
+	// UsageAgreed tells the ledger of the usage.
+	UsageAgreed(value []byte)
 	// Unregistered tells that the registration of this gateway is gone.
 	Unregistered()
 }
@@ -87,6 +90,9 @@
 		if worker := v.workerOf(item); worker != nil {
 			workers[worker.ID] = worker
 		}
+		if item.Key == usage.Key {
+			v.listener.UsageAgreed(item.Value)
+		}
 	}
 	v.mutex.Lock()
 	v.complain(v.gateways.Reset(time.Now(), items))
@@ -130,6 +136,9 @@
 		if event.Key == roles.Key {
 			v.listener.ControllerChanged(event.Value, event.Revision)
 		}
+		if event.Key == usage.Key && !event.Deleted {
+			v.listener.UsageAgreed(event.Value)
+		}
 		if event.Key == v.ownKey {
 			v.noteRegistration(!event.Deleted)
 		}
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -48,6 +48,7 @@
 func (r *recorder) WorkersChanged(workers backend.Set)      { r.workers = len(workers) }
 func (r *recorder) GatewaysChanged()                        {}
 func (r *recorder) ControllerChanged(value []byte, _ int64) { r.controller = string(value) }
+func (r *recorder) UsageAgreed([]byte)                      {}
 func (r *recorder) Unregistered()                           { r.unregistered++ }
 
 const ownKey = member.KeyPrefix + "a"
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -16,10 +16,12 @@
 	KindConfiguration Kind = "configuration" // a configuration was put in force
 	KindHealth        Kind = "health"        // a worker was set aside
 	KindEntry         Kind = "entry"         // a gateway began or ceased to take requests of callers
+	KindUsage         Kind = "usage"         // the usage of a window was reported
+	KindCapacity      Kind = "capacity"      // workers of a zone were ordered
 )
 
 // Kinds are all kinds, those about requests first.
-var Kinds = []Kind{KindRequest, KindRefusal, KindRole, KindAuthority, KindConfiguration, KindHealth, KindEntry}
+var Kinds = []Kind{KindRequest, KindRefusal, KindRole, KindAuthority, KindConfiguration, KindHealth, KindEntry, KindUsage, KindCapacity}
 
 // Record is one decision.
 type Record struct {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// reachedWorker tells whether a worker has the request, and has not refused it.
+func (f failure) reachedWorker() bool {
+	switch f {
+	case failureUnreachable, failureRefused, failureMoved:
+		return false
+	default:
+		return true
+	}
+}
+
 // outcome is what the failure shows of the health of the worker.
 func (f failure) outcome() balance.Outcome {
 	switch f {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -25,6 +25,8 @@
 	readFailures int
 	// readAt is the engine that has read the prompt in vain: its handle was refused, but the parts may still be there.
 	readAt *backend.Worker
+	// counted is set once the request has begun to run, and so counts as used.
+	counted bool
 	// lastError is the answer of a worker that failed, to be passed on when there is no better one.
 	lastError *wholeAnswer
 }
@@ -180,13 +182,17 @@
 func (c *call) runAt(ctx context.Context, runner *Assignment, options RunOptions) failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c.relay.onAnswer = runner.answered
+	c.relay.onAnswer = func() {
+		runner.answered()
+		c.countUsed()
+	}
 	if patience := c.patience(runner); patience > 0 {
 		timer := time.AfterFunc(patience, func() { c.leave(cancel) })
 		defer timer.Stop()
 		c.relay.onAnswer = func() {
 			timer.Stop()
 			runner.answered()
+			c.countUsed()
 		}
 	}
 	options.ResumeAfter = c.relay.lastEvent
@@ -199,10 +205,23 @@
 		c.report.Err = err
 		c.release(options.Prompt)
 	}
+	if c.match.Group.Engine == nil && failed.reachedWorker() {
+		c.countUsed()
+	}
 	runner.finish(failed.outcome())
 	return failed
 }
 
+// countUsed counts the request for its tenant, once however often it runs: engines begin with the first token, plain workers as soon
+// as they have the request.
+func (c *call) countUsed() {
+	if c.counted || c.request.Tenant == "" || c.handler.began == nil {
+		return
+	}
+	c.counted = true
+	c.handler.began(c.request.Tenant)
+}
+
 // fetchFrom returns the engine from which the runner takes what is kept of the prompt, or nil.
 func (c *call) fetchFrom(prompt *Prompt, keeper *backend.Worker) *backend.Worker {
 	switch {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -49,6 +49,7 @@
 	dispatcher *Dispatcher
 	observer   Observer
 	fresh      func() bool
+	began      func(tenant string)
 
 	table    atomic.Pointer[routing.Table]
 	leaving  atomic.Bool
@@ -72,6 +73,9 @@
 // is called before the first request.
 func (h *Handler) SetFreshness(fresh func() bool) { h.fresh = fresh }
 
+// CountUsage tells the handler whom to tell that a request of a tenant has begun to run. It is called before the first request.
+func (h *Handler) CountUsage(began func(tenant string)) { h.began = began }
+
 // SetGateways tells how many gateways take requests, and so share what a tenant may have in hand.
 func (h *Handler) SetGateways(count int) { h.tenants.SetGateways(count) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/store"
+	"github.com/granitebay/granitebay/internal/usage"
 )
 
 // Ports are how the surroundings of a gateway speak.
@@ -33,6 +34,8 @@
 	Labelled forward.LabelledProtocol
 	Workers  forward.Workers
 	Orderer  roles.Orderer
+	// Usage takes reports of the usage of tenants; nil when there are none.
+	Usage usage.Sender
 	// KeptParts tells what engines keep of prompts; nil leaves that to be learnt from requests.
 	KeptParts forward.KeptParts
 	// ForgetWorkers closes connections to workers whose addresses are not kept.
@@ -60,7 +63,8 @@
 	sharing      *loadshare.Exchange
 	follower     *changefeed.Follower
 	entries      entrySet
-	usage        *usage
+	limitUse     *limitUse
+	used         *usedCounts
 
 	// grace and addressTTL are durations that Reload may change.
 	grace      atomic.Int64
@@ -92,7 +96,7 @@
 func New(settings Settings, ports Ports, logger *logrus.Logger) *Gateway {
 	g := &Gateway{settings: settings, ports: ports, logger: logger, idle: newIdleConnections(defaultIdleTimeout, readHeaderTimeout)}
 	g.startedAt = time.Now()
-	g.usage = newUsage(settings)
+	g.limitUse = newLimitUse(settings)
 	g.workersKnown = make(chan struct{})
 	g.learn = make(chan struct{}, 1)
 	g.decisions = decisionlog.New(settings.Name, keptDecisions)
@@ -127,6 +131,7 @@
 		changefeed.NewSeeds(settings.Seeds).Fetch)
 	g.follower = changefeed.NewFollower(settings.Name, settings.Zone, g.entriesTold)
 	g.replica.SetFeed(g.follower)
+	g.used = newUsedCounts(g)
 	g.metrics.watch(g)
 	return g
 }
@@ -181,6 +186,9 @@
 	g.tasks.Go(func() { g.watchEntries(ctx) })
 	g.tasks.Go(func() { g.sizeEntries(ctx) })
 	g.tasks.Go(func() { g.learnKept(ctx) })
+	if g.used.reporter != nil {
+		g.tasks.Go(func() { g.used.reporter.Run(ctx) })
+	}
 	logging.Part(g.logger, "gateway").WithField("name", g.settings.Name).Info("Started.")
 	return nil
 }
@@ -204,8 +212,9 @@
 func (g *Gateway) Drain(full bool) loadshare.Message {
 	message := g.dispatcher.Drain(full)
 	if full {
-		message.Busy = g.usage.busy()
+		message.Busy = g.limitUse.busy()
 	}
+	g.used.tell(&message, full)
 	return message
 }
 
@@ -216,6 +225,7 @@
 	} else {
 		g.view.Heard(message.Sender)
 	}
+	g.used.hear(message)
 	g.dispatcher.Hear(message)
 }
 
@@ -226,7 +236,7 @@
 		return errors.Wrapf(err, "step listen, address %s", address)
 	}
 	if address == g.settings.ListenCallers {
-		listener = g.usage.count(listener)
+		listener = g.limitUse.count(listener)
 	}
 	g.servers = append(g.servers, server)
 	g.tasks.Go(func() { _ = server.Serve(listener) })
--- a/internal/gateway/usage.go
+++ b/internal/gateway/limits.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// usage tells what the process uses of its limits: processor, link and descriptors. It is safe for concurrent use.
-type usage struct {
+// limitUse tells what the process uses of its limits: processor, link and descriptors. It is safe for concurrent use.
+type limitUse struct {
 	cores, linkMbps float64
 	descriptors     int
 	// received and sent count bytes on connections of callers, open counts these connections.
@@ -38,13 +38,13 @@
 	descriptorFactor = 2
 )
 
-// newUsage returns the use of a process that has just started.
-func newUsage(settings Settings) *usage {
-	return &usage{cores: settings.Cores, linkMbps: settings.LinkMbps, descriptors: settings.Descriptors, at: time.Now()}
+// newLimitUse returns the use of a process that has just started.
+func newLimitUse(settings Settings) *limitUse {
+	return &limitUse{cores: settings.Cores, linkMbps: settings.LinkMbps, descriptors: settings.Descriptors, at: time.Now()}
 }
 
 // busy returns the part in use of the limit that is used most.
-func (u *usage) busy() float64 {
+func (u *limitUse) busy() float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
@@ -59,7 +59,7 @@
 }
 
 // shareOf returns the share of the limit that is used most, from what was used within a time.
-func (u *usage) shareOf(used totals, took time.Duration) float64 {
+func (u *limitUse) shareOf(used totals, took time.Duration) float64 {
 	share := 0.0
 	if u.cores > 0 {
 		share = (used.processor - u.used.processor).Seconds() / took.Seconds() / u.cores
@@ -85,12 +85,12 @@
 }
 
 // count returns a listener whose connections are counted.
-func (u *usage) count(listener net.Listener) net.Listener { return &countingListener{listener, u} }
+func (u *limitUse) count(listener net.Listener) net.Listener { return &countingListener{listener, u} }
 
 // countingListener counts the connections that it accepts.
 type countingListener struct {
 	net.Listener
-	usage *usage
+	usage *limitUse
 }
 
 // Accept is part of net.Listener.
@@ -106,7 +106,7 @@
 // countedConn counts its bytes.
 type countedConn struct {
 	net.Conn
-	usage  *usage
+	usage  *limitUse
 	closed atomic.Bool
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -45,6 +45,11 @@
 	DrainTime time.Duration
 	// ThawPause is how long after a pause of the process no order is given.
 	ThawPause time.Duration
+	// DutiesAddress is host:port at which the platform takes the calls that one gateway makes for all; empty makes none.
+	DutiesAddress string
+	// UsageWindow is the length of the windows in which the usage of tenants is reported, zero for none, and UsageDue how long after
+	// its end a report is wanted.
+	UsageWindow, UsageDue time.Duration
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
--- a/internal/gateway/sizing.go
+++ b/internal/gateway/sizing.go
@@ -43,7 +43,7 @@
 // entriesBusy returns what the entries use of their limits.
 func (g *Gateway) entriesBusy() []member.Busy {
 	told := g.dispatcher.PeersBusy()
-	told[g.settings.Name] = g.usage.busy()
+	told[g.settings.Name] = g.limitUse.busy()
 	var busy []member.Busy
 	for _, entry := range g.Entries() {
 		busy = append(busy, member.Busy{Cores: entry.Cores, Share: told[entry.Name]})
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/usage"
 )
 
 // Load is the work that one gateway has at one worker.
@@ -86,6 +87,10 @@
 	Busy float64
 	// StandsBy is set by a sender to which no callers are sent. It tells its work, but not that it lives.
 	StandsBy bool
+	// WallMs is the time of day at the sender, in milliseconds since the start of 1970.
+	WallMs int64
+	// Used is what tenants have used.
+	Used []usage.Count
 }
 
 // Encode returns the bytes of a message.
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -129,6 +129,13 @@
 	return c.authority.Holds()
 }
 
+// Authority tells whether this process may call in the name of the fleet at this moment, and its fence.
+func (c *Controller) Authority() (fence int64, may bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.authority.MayOrder(time.Now())
+}
+
 // Leased tells that the lease of the process was granted or renewed by a call that began at a moment.
 func (c *Controller) Leased(begun time.Time, lease int64, ttl time.Duration) {
 	c.mutex.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,7 @@
 	Store   string  `json:"store"`
 	Timings timings `json:"timings"`
 	Retries retries `json:"retries"`
+	Duties  duties  `json:"duties"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel"`
 }
@@ -80,6 +81,16 @@
 	Window    strictyaml.Duration `json:"window"`
 }
 
+// duties are the calls to the platform that one gateway makes for all.
+type duties struct {
+	// Address takes the calls; empty makes none.
+	Address string `json:"address"`
+	// UsageWindow is the length of the windows in which the usage of tenants is reported, 0s for none, and UsageDue how long after
+	// its end a report is wanted.
+	UsageWindow strictyaml.Duration `json:"usageWindow"`
+	UsageDue    strictyaml.Duration `json:"usageDue"`
+}
+
 // defaults returns a file in which only the required fields are missing.
 func defaults() file {
 	given := gateway.DefaultSettings()
@@ -131,6 +142,7 @@
 	s.LeaseTTL = max(f.Timings.Lease.Std(), f.Timings.MinimumLease.Std())
 	s.RetryRatio, s.RetryAllowance, s.RetryWindow = f.Retries.Ratio, f.Retries.Allowance, f.Retries.Window.Std()
 	s.ConfigurationAge = f.Timings.Configuration.Std()
+	s.DutiesAddress, s.UsageWindow, s.UsageDue = f.Duties.Address, f.Duties.UsageWindow.Std(), f.Duties.UsageDue.Std()
 	s.LogLevel = f.LogLevel
 	return s
 }
@@ -165,6 +177,9 @@
 	c.atLeastZero("retries.ratio", f.Retries.Ratio)
 	c.atLeastZero("retries.allowance", f.Retries.Allowance)
 	c.duration("retries.window", f.Retries.Window, true)
+	c.address("duties.address", f.Duties.Address, false)
+	c.duration("duties.usageWindow", f.Duties.UsageWindow, false)
+	c.duration("duties.usageDue", f.Duties.UsageDue, false)
 	if _, err := logrus.ParseLevel(f.LogLevel); err != nil {
 		c.add("logLevel", f.LogLevel, "is not a level", "debug, info, warn or error")
 	}
