The first holder waits for nobody, and one that leaves gives the key up

Change: the store keeps who held the key of late. Orders to engines wait as before after any holder. A gateway that stops deletes the key after the order under way.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -10,6 +10,9 @@
 	// Handover is how long after it got the key a holder waits with its first order. The one before it may have given its last
 	// order just before its lease ended, and two holders must not give orders within this time.
 	Handover time.Duration
+	// CallHandover is how long a holder that was none of late waits with its first call to the platform, which bars only holders
+	// that take turns: as long as a call of the one before may be on its way beyond the end of its lease.
+	CallHandover time.Duration
 	// Margin by which a holder counts its lease shorter than the store does.
 	Margin time.Duration
 	// TickInterval is how often Tick is called. A longer pause shows that the process stood still.
@@ -22,6 +25,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Handover:     3500 * time.Millisecond,
+		CallHandover: time.Second,
 		Margin:       700 * time.Millisecond,
 		TickInterval: 250 * time.Millisecond,
 		ThawPause:    300 * time.Millisecond,
@@ -30,9 +34,9 @@
 
 // Authority of one process.
 //
-// Invariants: MayOrder grants only while the lease with which the key goes is valid at the store, whenever the process stood
-// still before the call; never within Handover of getting the key; and each grant of the key has a fence of its own, higher
-// than all before.
+// Invariants: MayOrder and MayCall grant only while the lease with which the key goes is valid at the store, whenever the process
+// stood still before the call; MayOrder never within Handover of getting a key that somebody held before; and each grant of the key
+// has a fence of its own, higher than all before.
 type Authority struct {
 	settings Settings
 	// lease that is valid until a moment by the own clock.
@@ -41,8 +45,9 @@
 	// heldWith is the lease with which the key goes; zero when the key is not held.
 	heldWith int64
 	fence    int64
-	notUntil time.Time
-	lastTick time.Time
+	// orderFrom and callFrom are when the first order and the first call may be given, and notUntil keeps back both.
+	orderFrom, callFrom, notUntil time.Time
+	lastTick                      time.Time
 }
 
 // New returns an authority that holds nothing.
@@ -53,10 +58,29 @@
 	a.lease, a.validUntil = lease, begun.Add(ttl)
 }
 
+// Succession says who held the key before.
+type Succession int
+
+// The successions.
+const (
+	// Returning holders held the key of late, or may have.
+	Returning Succession = iota
+	// Following holders did not.
+	Following
+	// First holders are those before whom there was none.
+	First
+)
+
 // Acquired tells that the key was written with a lease, at the revision that is its fence.
-func (a *Authority) Acquired(now time.Time, lease, revision int64) {
+func (a *Authority) Acquired(now time.Time, lease, revision int64, succession Succession) {
 	a.heldWith, a.fence = lease, revision
-	a.postpone(now.Add(a.settings.Handover))
+	a.orderFrom, a.callFrom = now.Add(a.settings.Handover), now.Add(a.settings.Handover)
+	switch succession {
+	case First:
+		a.orderFrom, a.callFrom = now, now
+	case Following:
+		a.callFrom = now.Add(a.settings.CallHandover)
+	}
 }
 
 // Lost tells that the key is not held any more.
@@ -65,6 +89,9 @@
 // Holds tells whether the key is held, as far as is known.
 func (a *Authority) Holds() bool { return a.heldWith != 0 && a.heldWith == a.lease }
 
+// Fence of the key that is held, or zero.
+func (a *Authority) Fence() int64 { return a.fence }
+
 // Tick notices that the process stood still.
 func (a *Authority) Tick(now time.Time) {
 	if !a.lastTick.IsZero() && now.Sub(a.lastTick) > 2*a.settings.TickInterval {
@@ -75,8 +102,18 @@
 
 // MayOrder tells whether an order may be given at this moment, and its fence.
 func (a *Authority) MayOrder(now time.Time) (int64, bool) {
+	return a.may(now, a.orderFrom)
+}
+
+// MayCall tells whether the platform may be called at this moment in the name of all, and the fence of the call.
+func (a *Authority) MayCall(now time.Time) (int64, bool) {
+	return a.may(now, a.callFrom)
+}
+
+// may tells whether the lease is valid, the handover over, and the process has not stood still of late.
+func (a *Authority) may(now, from time.Time) (int64, bool) {
 	a.Tick(now)
-	if !a.Holds() || now.Before(a.notUntil) || !now.Add(a.settings.Margin).Before(a.validUntil) {
+	if !a.Holds() || now.Before(from) || now.Before(a.notUntil) || !now.Add(a.settings.Margin).Before(a.validUntil) {
 		return 0, false
 	}
 	return a.fence, true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -275,6 +275,7 @@
 	g.handler.Leave()
 	g.view.Leave()
 	g.registration.Leave()
+	g.controller.Resign()
 	time.Sleep(serveWhileLeaving)
 	g.handler.Stop()
 	end := begun.Add(time.Duration(g.grace.Load()) - stopMargin)
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -90,6 +91,8 @@
 	planners map[string]*Planner
 	underway underway
 	decide   func(decision.Record)
+	// resigned is set once the process leaves: it gives the key up and asks for it no more.
+	resigned atomic.Bool
 
 	mutex     sync.Mutex
 	authority *authority.Authority
@@ -133,7 +136,7 @@
 func (c *Controller) Authority() (fence int64, may bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.authority.MayOrder(time.Now())
+	return c.authority.MayCall(time.Now())
 }
 
 // Leased tells that the lease of the process was granted or renewed by a call that began at a moment.
@@ -157,7 +160,7 @@
 	}
 	// Also settles a call whose answer was lost.
 	if !c.authority.Holds() && held.Lease == c.lease {
-		c.authority.Acquired(now, held.Lease, revision)
+		c.authority.Acquired(now, held.Lease, revision, authority.Returning)
 	}
 }
 
@@ -186,6 +189,10 @@
 
 // step asks for the key when it is free, or gives the next order.
 func (c *Controller) step(ctx context.Context) {
+	if c.resigned.Load() {
+		c.release(ctx)
+		return
+	}
 	now := time.Now()
 	c.mutex.Lock()
 	c.authority.Tick(now)
@@ -242,34 +249,6 @@
 	return planner
 }
 
-// acquire asks for the key.
-func (c *Controller) acquire(ctx context.Context, lease int64) {
-	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
-	defer cancel()
-	value, err := json.Marshal(holding{Holder: c.settings.Holder, Lease: lease})
-	if err != nil {
-		c.logger.WithError(err).Error("The key of the controller can't be written.")
-		return
-	}
-	revision, err := c.store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Key: Key}}, Puts: []store.Put{{Key: Key, Value: value, Lease: lease}},
-	})
-	if err != nil {
-		// A lost answer is settled by the watch, which tells who holds the key.
-		c.logger.WithError(err).Debug("The key of the controller was not got.")
-		return
-	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.vacant = false
-	c.authority.Acquired(time.Now(), lease, revision)
-	c.logger.WithField("fence", revision).Info("This gateway gives the orders.")
-	c.decide(decision.Record{
-		Kind: decision.KindAuthority, Subject: Key, Outcome: c.settings.Holder, Fence: revision,
-		Reason: "Nobody held the key of the controller, and this gateway wrote it.",
-	})
-}
-
 // errNoAuthority is returned when the authority ended before the order was given.
 var errNoAuthority = errors.New("the authority ended before the order")
 
--- /dev/null
+++ b/internal/roles/holder.go
@@ -0,0 +1,118 @@
+package roles
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/authority"
+	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/store"
+)
+
+// HistoryKey holds who held the key of late. It goes with no lease.
+const HistoryKey = "controllers"
+
+// keptHolders is how many holders the history names: more than can take turns within a lease.
+const keptHolders = 4
+
+// history names the last holders of the key, the newest first.
+type history struct {
+	Holders []string `json:"holders"`
+}
+
+// succession says what a process is to those before it. One that follows itself takes no turn.
+func (h history) succession(name string) authority.Succession {
+	switch {
+	case len(h.Holders) == 0:
+		return authority.First
+	case slices.Contains(h.Holders[1:], name):
+		return authority.Returning
+	default:
+		return authority.Following
+	}
+}
+
+// with returns the history with one more holder.
+func (h history) with(name string) history {
+	holders := slices.DeleteFunc(slices.Clone(h.Holders), func(each string) bool { return each == name })
+	holders = slices.Insert(holders, 0, name)
+	return history{Holders: holders[:min(len(holders), keptHolders)]}
+}
+
+// acquire asks for the key.
+func (c *Controller) acquire(ctx context.Context, lease int64) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
+	defer cancel()
+	before, transaction, err := c.claim(ctx, lease)
+	if err != nil {
+		c.logger.WithError(err).Warn("The key of the controller can't be asked for.")
+		return
+	}
+	revision, err := c.store.Commit(ctx, transaction)
+	if err != nil {
+		// A lost answer is settled by the watch, which tells who holds the key.
+		c.logger.WithError(err).Debug("The key of the controller was not got.")
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.vacant = false
+	c.authority.Acquired(time.Now(), lease, revision, before.succession(c.settings.Holder))
+	c.logger.WithField("fence", revision).Info("This gateway gives the orders.")
+	c.decide(decision.Record{
+		Kind: decision.KindAuthority, Subject: Key, Outcome: c.settings.Holder, Fence: revision,
+		Reason: "Nobody held the key of the controller, and this gateway wrote it.",
+	})
+}
+
+// claim returns who held the key of late, and the transaction that takes it.
+func (c *Controller) claim(ctx context.Context, lease int64) (history, store.Transaction, error) {
+	var before history
+	items, _, err := c.store.List(ctx, HistoryKey)
+	if err != nil {
+		return before, store.Transaction{}, errors.Wrap(err, "step read the history of holders")
+	}
+	revision := int64(0)
+	for _, item := range items {
+		if item.Key != HistoryKey {
+			continue
+		}
+		revision = item.Revision
+		if err := json.Unmarshal(item.Value, &before); err != nil {
+			return before, store.Transaction{}, errors.Wrap(err, "step decode the history of holders")
+		}
+	}
+	held, heldErr := json.Marshal(holding{Holder: c.settings.Holder, Lease: lease})
+	after, afterErr := json.Marshal(before.with(c.settings.Holder))
+	return before, store.Transaction{
+		Conditions: []store.Condition{{Key: Key}, {Key: HistoryKey, Revision: revision}},
+		Puts:       []store.Put{{Key: Key, Value: held, Lease: lease}, {Key: HistoryKey, Value: after}},
+	}, errors.Join(heldErr, afterErr)
+}
+
+// Resign has the key given up before the process leaves, after the order that is under way, so that the next holder need not wait for
+// the end of a lease.
+func (c *Controller) Resign() { c.resigned.Store(true) }
+
+// release gives the key up. Without an answer it goes with its lease.
+func (c *Controller) release(ctx context.Context) {
+	c.mutex.Lock()
+	fence, held := c.authority.Fence(), c.authority.Holds()
+	c.authority.Lost()
+	c.mutex.Unlock()
+	if !held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
+	defer cancel()
+	_, err := c.store.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: Key, Revision: fence}}, Deletes: []string{Key}})
+	if err != nil {
+		c.logger.WithError(err).Warn("The key of the controller was not given up; it goes with its lease.")
+		return
+	}
+	c.logger.Info("The key of the controller was given up.")
+}
