Workers are ordered by what the demand keeps busy; the holder is told by all

Change: a pure plan (the cheapest that bears the loss of any one zone's spot workers), a need that follows what the demand keeps busy and takes what was provided as enough until it has watched it, and an executor that orders differences, gives workers back only as far as those present are enough without them, and orders again what did not come. All gateways tell what they do to the one that gives orders too, which agrees on windows 1.9 s after it got the key at the earliest.

Tests: calls that are lost, late and doubled, two holders, reclaims; scripted needs; plans that bear losses.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -32,6 +32,8 @@
 	Role  Role
 	// Draining workers take no new work.
 	Draining bool
+	// Spot workers cost less, and may be taken away.
+	Spot bool
 	// Labels that the worker tells of itself, with those of the operators on top.
 	Labels map[string]string
 	// Selected are the groups whose selectors select the worker, by name; it is a member of Group besides.
--- /dev/null
+++ b/internal/capacity/executor.go
@@ -0,0 +1,303 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"github.com/granitebay/granitebay/internal/decision"
+)
+
+// ErrRefused is returned by an Orderer when no such workers are to be had now.
+var ErrRefused = errors.New("no such workers are to be had now")
+
+// Order asks for a number of workers of one kind in a zone.
+type Order struct {
+	Group, Zone string
+	Spot        bool
+	Workers     int
+	// Holder gives the order, and Fence tells its authority from older ones.
+	Holder string
+	Fence  int64
+}
+
+// Orderer carries orders to the platform.
+type Orderer interface {
+	// OrderWorkers returns nil once the order was taken. After other errors than ErrRefused it may be carried out later.
+	OrderWorkers(ctx context.Context, order Order) error
+}
+
+// Group is what is seen of the workers of a group.
+type Group struct {
+	Name  string
+	Offer Offer
+	// Boot is how long an ordered worker takes until it serves.
+	Boot time.Duration
+	// Present workers by zone, without those that leave.
+	Present Plan
+	// Busy is how many workers the demand of the moment keeps busy.
+	Busy float64
+}
+
+// Fleet shows the groups whose workers may be ordered.
+type Fleet interface{ CapacityGroups() []Group }
+
+// Settings of an executor.
+type Settings struct {
+	// Holder is the name of the process, unique in the fleet.
+	Holder string
+	Need   NeedSettings
+	// Tick is how often the workers are looked at.
+	Tick time.Duration
+	// CallTimeout bounds one call.
+	CallTimeout time.Duration
+	// Again is how long after an order, beyond the boot, it is given again when the workers are not there; and RefusedPause how long
+	// after it was refused.
+	Again, RefusedPause time.Duration
+	// DryAfter is how long spot workers of a zone are refused or missing before others are ordered in their place.
+	DryAfter time.Duration
+}
+
+// DefaultSettings returns settings without a holder.
+func DefaultSettings() Settings {
+	return Settings{
+		Need:         DefaultNeedSettings(),
+		Tick:         250 * time.Millisecond,
+		CallTimeout:  1500 * time.Millisecond,
+		Again:        3 * time.Second,
+		RefusedPause: time.Second,
+		DryAfter:     15 * time.Second,
+	}
+}
+
+// Executor has the workers ordered that are needed, while this process has the authority.
+type Executor struct {
+	settings Settings
+	fleet    Fleet
+	orderer  Orderer
+	// authority tells whether this process may call, and its fence.
+	authority func() (int64, bool)
+	logger    logrus.FieldLogger
+	decide    func(decision.Record)
+
+	// needs and lines belong to the loop.
+	needs map[string]*Need
+	plans map[string]planned
+	lines map[line]*lineState
+	fence int64
+
+	mu     sync.Mutex
+	status []Status
+}
+
+// line is one number that can be ordered.
+type line struct {
+	group, zone string
+	spot        bool
+}
+
+// lineState is what was ordered there.
+type lineState struct {
+	// ordered is the number of the last order that was taken under the present fence; negative when there was none.
+	ordered int
+	// notBefore is when the next order may be given.
+	notBefore time.Time
+	// shortSince is since when fewer workers are there than were wanted; zero when all are.
+	shortSince time.Time
+}
+
+// planned is the last plan of a group, and what it was made of.
+type planned struct {
+	offer Offer
+	need  int
+	plan  Plan
+}
+
+// Status is what an executor knows of a group.
+type Status struct {
+	Group         string
+	Busy          float64
+	Need          int
+	Present, Plan Plan
+	Offer         Offer
+}
+
+// NewExecutor returns an executor that does nothing before Run.
+func NewExecutor(
+	settings Settings, fleet Fleet, orderer Orderer, authority func() (int64, bool), logger logrus.FieldLogger, decide func(decision.Record),
+) *Executor {
+	return &Executor{
+		settings: settings, fleet: fleet, orderer: orderer, authority: authority, logger: logger, decide: decide,
+		needs: map[string]*Need{}, plans: map[string]planned{}, lines: map[line]*lineState{},
+	}
+}
+
+// Status returns what is known of each group.
+func (e *Executor) Status() []Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.status
+}
+
+// calmTicks is by how much rarer a process looks at the workers that may not order any.
+const calmTicks = 4
+
+// Run orders workers until the context ends.
+func (e *Executor) Run(ctx context.Context) {
+	ticker := time.NewTicker(e.settings.Tick)
+	defer ticker.Stop()
+	for tick := 0; ; tick++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		// Those that give no orders only follow what is needed, to go on from there.
+		if _, may := e.authority(); may || tick%calmTicks == 0 {
+			e.Step(ctx, time.Now())
+		}
+	}
+}
+
+// Step follows the demand, and gives the orders that are due while this process may.
+func (e *Executor) Step(ctx context.Context, now time.Time) {
+	fence, may := e.authority()
+	if may && fence != e.fence {
+		e.fence = fence
+		clear(e.lines)
+	}
+	var status []Status
+	for _, group := range e.fleet.CapacityGroups() {
+		need, known := e.need(now, group)
+		plan := e.plan(group.Name, e.available(now, group), need)
+		status = append(status, Status{
+			Group: group.Name, Busy: group.Busy, Need: need, Present: group.Present, Plan: plan, Offer: group.Offer,
+		})
+		if may {
+			e.follow(ctx, now, group, plan, spareOf(group, need, known))
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.status = status
+}
+
+// need returns how many workers of a group are needed, and whether that is known.
+func (e *Executor) need(now time.Time, group Group) (int, bool) {
+	need, found := e.needs[group.Name]
+	if !found {
+		need = NewNeed(e.settings.Need)
+		e.needs[group.Name] = need
+	}
+	return need.Update(now, group.Busy, group.Present.WithoutDearestZone())
+}
+
+// plan returns the plan of a group, which is made anew only when something has changed.
+func (e *Executor) plan(group string, offer Offer, need int) Plan {
+	last, found := e.plans[group]
+	if !found || last.need != need || !last.offer.same(offer) {
+		last = planned{offer: offer, need: need, plan: NewPlan(offer, need)}
+		e.plans[group] = last
+	}
+	return last.plan
+}
+
+// available returns the offer without the spot workers that have not come for long.
+func (e *Executor) available(now time.Time, group Group) Offer {
+	offer := group.Offer
+	offer.Zones = lo.Map(offer.Zones, func(zone Zone, _ int) Zone {
+		state, found := e.lines[line{group.Name, zone.Name, true}]
+		dry := found && !state.shortSince.IsZero() && now.Sub(state.shortSince) > e.settings.DryAfter
+		zone.NoSpot = zone.NoSpot || dry
+		return zone
+	})
+	return offer
+}
+
+// spareOf returns how many workers may be given back: none before it is known what is needed.
+func spareOf(group Group, need int, known bool) int {
+	if !known {
+		return 0
+	}
+	return max(group.Present.Total()-need, 0)
+}
+
+// follow gives the orders that bring the workers of a group nearer to the plan. Workers are given back only as far as those that
+// are there are enough without them.
+func (e *Executor) follow(ctx context.Context, now time.Time, group Group, plan Plan, spare int) {
+	for _, zone := range group.Offer.Zones {
+		have, want := group.Present[zone.Name], plan[zone.Name]
+		e.adjust(ctx, now, group, line{group.Name, zone.Name, true}, have.Spot, want.Spot, &spare)
+		e.adjust(ctx, now, group, line{group.Name, zone.Name, false}, have.Kept, want.Kept, &spare)
+	}
+}
+
+// adjust orders one number if that is due.
+func (e *Executor) adjust(ctx context.Context, now time.Time, group Group, at line, have, want int, spare *int) {
+	state, found := e.lines[at]
+	if !found {
+		state = &lineState{ordered: -1}
+		e.lines[at] = state
+	}
+	e.noteShort(now, state, have, want)
+	if want < have {
+		given := min(have-want, *spare)
+		*spare -= given
+		want = have - given
+	}
+	settled := have == want && (state.ordered < 0 || state.ordered == want)
+	if settled || now.Before(state.notBefore) {
+		return
+	}
+	fence, may := e.authority()
+	if !may || fence != e.fence {
+		return
+	}
+	order := Order{Group: at.group, Zone: at.zone, Spot: at.spot, Workers: want, Holder: e.settings.Holder, Fence: fence}
+	callCtx, cancel := context.WithTimeout(ctx, e.settings.CallTimeout)
+	defer cancel()
+	err := e.orderer.OrderWorkers(callCtx, order)
+	state.notBefore = now.Add(group.Boot + e.settings.Again)
+	if err != nil {
+		state.notBefore = now.Add(e.settings.RefusedPause)
+	} else {
+		state.ordered = want
+	}
+	e.note(group, order, have, err)
+}
+
+// noteShort notes since when workers are missing.
+func (e *Executor) noteShort(now time.Time, state *lineState, have, want int) {
+	switch {
+	case have >= want:
+		state.shortSince = time.Time{}
+	case state.shortSince.IsZero():
+		state.shortSince = now
+	}
+}
+
+// note records an order as a decision.
+func (e *Executor) note(group Group, order Order, have int, err error) {
+	kind := "kept"
+	if order.Spot {
+		kind = "spot"
+	}
+	log := e.logger.WithFields(logrus.Fields{"group": order.Group, "zone": order.Zone, "kind": kind, "workers": order.Workers, "have": have, "busy": fmt.Sprintf("%.1f", group.Busy), "need": e.needs[group.Name].current})
+	record := decision.Record{
+		Kind: decision.KindCapacity, Subject: order.Group + " in " + order.Zone, Outcome: fmt.Sprintf("%d %s workers", order.Workers, kind),
+		Reason: "The demand needs another number of workers than there are.", Fence: order.Fence,
+		Inputs: map[string]string{"have": fmt.Sprint(have), "kind": kind},
+	}
+	if err != nil {
+		log.WithError(err).Warn("Workers were not ordered.")
+		record.Reason = "Workers were not ordered: " + err.Error() + "."
+	} else {
+		log.Info("Workers were ordered.")
+	}
+	e.decide(record)
+}
--- /dev/null
+++ b/internal/capacity/executor_test.go
@@ -0,0 +1,301 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/tools/txtar"
+	"pgregory.net/rapid"
+
+	"github.com/granitebay/granitebay/internal/decision"
+)
+
+var epoch = time.Unix(1000, 0)
+
+const tick = 250 * time.Millisecond
+
+func TestNeed(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/need.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range archive.Files {
+		t.Run(file.Name, func(t *testing.T) {
+			need := NewNeed(DefaultNeedSettings())
+			now, busy, present, got, known := epoch, 0.0, 0, 0, false
+			for line := range strings.Lines(string(file.Data)) {
+				words := strings.Fields(line)
+				switch words[0] {
+				case "at":
+					until := epoch.Add(time.Duration(number(t, words[1]) * float64(time.Second)))
+					for ; now.Before(until); now = now.Add(tick) {
+						got, known = need.Update(now, busy, present)
+					}
+					busy, present = number(t, words[3]), int(number(t, words[5]))
+					got, known = need.Update(now, busy, present)
+				case "unknown":
+					if known {
+						t.Errorf("%d are needed, want unknown", got)
+					}
+				case "need":
+					if want := int(number(t, words[1])); got != want || !known {
+						t.Errorf("%d are needed, known %v, want %d at %s", got, known, want, now.Sub(epoch))
+					}
+				default:
+					t.Fatalf("%q is no step", line)
+				}
+			}
+		})
+	}
+}
+
+func number(t *testing.T, text string) float64 {
+	t.Helper()
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+// platform is what orders workers, with workers that boot and leave. Calls may be lost, or carried out late.
+type platform struct {
+	t     *rapid.T
+	now   time.Time
+	offer Offer
+	// ordered holds the numbers in force, and present the workers that are there.
+	ordered, present Plan
+	// boots are workers that are on their way.
+	boots []boot
+	late  []Order
+	dry   map[string]time.Time
+	busy  float64
+	calls int
+	// healthy is set once calls are carried out at once.
+	healthy bool
+}
+
+type boot struct {
+	zone string
+	spot bool
+	at   time.Time
+}
+
+const bootTime = 4 * time.Second
+
+func (p *platform) CapacityGroups() []Group {
+	present := Plan{}
+	for zone, count := range p.present {
+		present[zone] = count
+	}
+	return []Group{{Name: "g", Offer: p.offer, Boot: bootTime, Present: present, Busy: p.busy}}
+}
+
+func (p *platform) OrderWorkers(_ context.Context, order Order) error {
+	p.calls++
+	if p.healthy {
+		return p.take(order)
+	}
+	switch rapid.SampledFrom([]string{"done", "done", "done", "lost", "late", "unanswered"}).Draw(p.t, "call") {
+	case "done":
+		return p.take(order)
+	case "late":
+		p.late = append(p.late, order)
+	case "unanswered":
+		_ = p.take(order)
+	}
+	return errors.New("no answer")
+}
+
+// take carries out an order.
+func (p *platform) take(order Order) error {
+	count := p.ordered[order.Zone]
+	if order.Spot {
+		if p.now.Before(p.dry[order.Zone]) && order.Workers > count.Spot {
+			return ErrRefused
+		}
+		count.Spot = order.Workers
+	} else {
+		count.Kept = order.Workers
+	}
+	p.ordered[order.Zone] = count
+	return nil
+}
+
+// advance has workers boot and leave.
+func (p *platform) advance() {
+	p.now = p.now.Add(tick)
+	for _, zone := range p.offer.Zones {
+		p.advanceKind(zone.Name, false)
+		p.advanceKind(zone.Name, true)
+	}
+	var waiting []boot
+	for _, each := range p.boots {
+		if each.at.After(p.now) {
+			waiting = append(waiting, each)
+			continue
+		}
+		p.add(each.zone, each.spot, 1)
+	}
+	p.boots = waiting
+}
+
+// add changes how many workers are present.
+func (p *platform) add(zone string, spot bool, n int) {
+	count := p.present[zone]
+	if spot {
+		count.Spot += n
+	} else {
+		count.Kept += n
+	}
+	p.present[zone] = count
+}
+
+// advanceKind starts or ends workers of one kind.
+func (p *platform) advanceKind(zone string, spot bool) {
+	have, want := p.present[zone].Kept, p.ordered[zone].Kept
+	if spot {
+		have, want = p.present[zone].Spot, p.ordered[zone].Spot
+	}
+	for _, each := range p.boots {
+		if each.zone == zone && each.spot == spot {
+			have++
+		}
+	}
+	if want < have {
+		p.add(zone, spot, max(want-have, -p.kindPresent(zone, spot)))
+	}
+	for range want - have {
+		p.boots = append(p.boots, boot{zone, spot, p.now.Add(bootTime)})
+	}
+}
+
+func (p *platform) kindPresent(zone string, spot bool) int {
+	if spot {
+		return p.present[zone].Spot
+	}
+	return p.present[zone].Kept
+}
+
+// reclaim takes the spot workers of a zone away, for a while.
+func (p *platform) reclaim(zone string, forTime time.Duration) {
+	count := p.ordered[zone]
+	count.Spot = 0
+	p.ordered[zone] = count
+	p.present[zone] = Count{Kept: p.present[zone].Kept}
+	p.dry[zone] = p.now.Add(forTime)
+}
+
+func newPlatform(t *rapid.T) *platform {
+	p := &platform{
+		t: t, now: epoch, ordered: Plan{}, present: Plan{}, dry: map[string]time.Time{},
+		offer: Offer{Least: 1, Most: 36, SpotPrice: 0.22},
+	}
+	for i, price := range []float64{1, 0.8, 1.25, 0.9} {
+		name := fmt.Sprint("z", i)
+		p.offer.Zones = append(p.offer.Zones, Zone{Name: name, Price: price})
+		p.ordered[name], p.present[name] = Count{Kept: 18}, Count{Kept: 18}
+	}
+	return p
+}
+
+func newTestExecutor(p *platform, authority func() (int64, bool)) *Executor {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return NewExecutor(DefaultSettings(), p, p, authority, logger, func(decision.Record) {})
+}
+
+// Whatever becomes of calls, whoever holds the authority and whatever is taken away: the workers that are there are never given back
+// below the need, and once all is well they are those of the plan, without further calls.
+func TestOrdersHeal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlatform(t)
+		holder, fence := 0, int64(1)
+		var executors []*Executor
+		for i := range 2 {
+			executors = append(executors, newTestExecutor(p, func() (int64, bool) { return fence, holder == i }))
+		}
+		step := func() {
+			p.advance()
+			for _, e := range executors {
+				e.Step(context.Background(), p.now)
+			}
+		}
+		for range rapid.IntRange(10, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 24).Draw(t, "event") {
+			case 0:
+				holder, fence = 1-holder, fence+1
+			case 1:
+				zone := rapid.SampledFrom(p.offer.Zones).Draw(t, "zone").Name
+				p.reclaim(zone, time.Duration(rapid.IntRange(0, 12).Draw(t, "dry"))*time.Second)
+			case 2:
+				p.busy = rapid.Float64Range(0, 45).Draw(t, "busy")
+			case 3:
+				for _, order := range p.late {
+					_ = p.take(order)
+				}
+				p.late = nil
+			}
+			step()
+		}
+		p.healthy = true
+		for range int(2 * time.Minute / tick) {
+			step()
+		}
+		calls := p.calls
+		for range int(30 * time.Second / tick) {
+			step()
+		}
+		status := executors[holder].Status()[0]
+		if fmt.Sprint(p.present) != fmt.Sprint(status.Plan) {
+			t.Fatalf("there are %v, planned %v for %d", p.present, status.Plan, status.Need)
+		}
+		if p.calls != calls {
+			t.Fatalf("%d calls although all is as planned", p.calls-calls)
+		}
+	})
+}
+
+func TestWorkersAreGivenBackOnlyOnceOthersAreThere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlatform(t)
+		p.healthy = true
+		e := newTestExecutor(p, func() (int64, bool) { return 1, true })
+		for range int(20 * time.Second / tick) {
+			p.advance()
+			e.Step(context.Background(), p.now)
+			if total := p.present.Total(); total < 72 {
+				t.Fatalf("%d of 72 workers are left after %s", total, p.now.Sub(epoch))
+			}
+		}
+		if spots := p.present["z0"].Spot; spots == 0 || p.present["z0"].Kept != 1 {
+			t.Fatalf("there are %v", p.present)
+		}
+	})
+}
+
+func TestZonesWithoutSpotWorkersAreServedByOthers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlatform(t)
+		p.healthy = true
+		for _, zone := range p.offer.Zones {
+			p.dry[zone.Name] = epoch.Add(time.Hour)
+		}
+		e := newTestExecutor(p, func() (int64, bool) { return 1, true })
+		for range int(time.Minute / tick) {
+			p.busy = 30
+			p.advance()
+			e.Step(context.Background(), p.now)
+		}
+		if total := p.present.Total(); total < 50 || p.present["z0"].Spot != 0 {
+			t.Fatalf("there are %v", p.present)
+		}
+	})
+}
--- /dev/null
+++ b/internal/capacity/need.go
@@ -0,0 +1,105 @@
+package capacity
+
+import (
+	"math"
+	"time"
+)
+
+// NeedSettings say how many workers a demand needs.
+type NeedSettings struct {
+	// Use is the part of its time for which a worker is to be busy at the peak of the demand: queues grow beyond it.
+	Use float64
+	// Settle is how long the number of workers has to stay as it is at a start before it is taken to be what was provided.
+	Settle time.Duration
+	// Learn is how long the demand is watched before fewer workers than were provided are taken to be enough.
+	Learn time.Duration
+	// Memory is for how long a peak of the demand counts.
+	Memory time.Duration
+	// Step is the part of the need by which it has to fall for workers to be given back: each change has what leaving ones keep
+	// read again.
+	Step float64
+}
+
+// DefaultNeedSettings returns the settings that measured best.
+func DefaultNeedSettings() NeedSettings {
+	return NeedSettings{Use: 0.6, Settle: 1500 * time.Millisecond, Learn: 20 * time.Second, Memory: 40 * time.Second, Step: 0.15}
+}
+
+// Need follows how many workers of a group are needed. Until the demand is known, as many as were provided are. It is a pure state
+// machine and not safe for concurrent use.
+type Need struct {
+	settings NeedSettings
+	// steadySince is since when the number of workers has not grown before any demand was seen, and demandSince since when there is
+	// one.
+	steadySince, demandSince time.Time
+	peaks                    []peak
+	current                  int
+}
+
+// peak is the highest demand of a span of time.
+type peak struct {
+	from  time.Time
+	value float64
+}
+
+// spans is in how many spans the memory is divided.
+const spans = 8
+
+// NewNeed returns the need of a group of which nothing was seen.
+func NewNeed(settings NeedSettings) *Need { return &Need{settings: settings} }
+
+// Update takes how many workers the demand of the moment keeps busy, and how many are there whatever zone loses its spot workers. It
+// returns how many are needed, and false while not even that is known.
+func (n *Need) Update(now time.Time, busy float64, present int) (int, bool) {
+	wanted := int(math.Ceil(n.highest(now, busy) / n.settings.Use))
+	if n.demandSince.IsZero() {
+		n.provided(now, busy, present)
+	}
+	switch {
+	case !n.known(now):
+		n.current = max(n.current, wanted)
+	case wanted > n.current:
+		n.current = wanted
+	case float64(wanted) < (1-n.settings.Step)*float64(n.current):
+		n.current = wanted
+	}
+	return n.current, n.settled(now)
+}
+
+// settled tells whether it is known what was provided.
+func (n *Need) settled(now time.Time) bool {
+	return !n.steadySince.IsZero() && now.Sub(n.steadySince) >= n.settings.Settle
+}
+
+// provided notes the workers that are there before any demand is seen: somebody has taken them to be enough.
+func (n *Need) provided(now time.Time, busy float64, present int) {
+	if present > n.current && !n.settled(now) {
+		n.current, n.steadySince = present, now
+	}
+	if busy > 0 {
+		n.demandSince = now
+	}
+}
+
+// known tells whether the demand was watched for long enough.
+func (n *Need) known(now time.Time) bool {
+	return !n.demandSince.IsZero() && now.Sub(n.demandSince) >= n.settings.Learn
+}
+
+// highest returns the highest demand within the memory.
+func (n *Need) highest(now time.Time, busy float64) float64 {
+	span := n.settings.Memory / spans
+	if len(n.peaks) == 0 || now.Sub(n.peaks[len(n.peaks)-1].from) >= span {
+		n.peaks = append(n.peaks, peak{from: now})
+	}
+	last := &n.peaks[len(n.peaks)-1]
+	last.value = max(last.value, busy)
+	for len(n.peaks) > 1 && now.Sub(n.peaks[0].from) > n.settings.Memory {
+		n.peaks = n.peaks[1:]
+	}
+	highest := 0.0
+	for _, each := range n.peaks {
+		highest = max(highest, each.value)
+	}
+	return highest
+}
--- /dev/null
+++ b/internal/capacity/plan_test.go
@@ -0,0 +1,87 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// offers draws what may be ordered.
+func offers(t *rapid.T) Offer {
+	offer := Offer{SpotPrice: rapid.Float64Range(0.05, 1.2).Draw(t, "spot price")}
+	offer.Least = rapid.IntRange(0, 4).Draw(t, "least")
+	offer.Most = offer.Least + rapid.IntRange(0, 30).Draw(t, "room")
+	for i := range rapid.IntRange(1, 6).Draw(t, "zones") {
+		offer.Zones = append(offer.Zones, Zone{
+			Name: fmt.Sprint("z", i), Price: rapid.Float64Range(0.5, 2).Draw(t, "price"), NoSpot: rapid.IntRange(0, 4).Draw(t, "no spot") == 0,
+		})
+	}
+	return offer
+}
+
+func TestAPlanKeepsToTheOfferAndBearsTheLossOfAZone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offer := offers(t)
+		need := rapid.IntRange(0, 150).Draw(t, "need")
+		plan := NewPlan(offer, need)
+		possible := offer.Most * len(offer.Zones)
+		for _, zone := range offer.Zones {
+			count := plan[zone.Name]
+			if count.Total() < offer.Least || count.Total() > offer.Most || (zone.NoSpot && count.Spot > 0) {
+				t.Fatalf("zone %s has %+v", zone.Name, count)
+			}
+		}
+		// Kept workers alone would do where there are enough.
+		if left := plan.WithoutDearestZone(); left < min(need, possible) {
+			t.Fatalf("%d workers are left of %d needed and %d possible: %v", left, need, possible, plan)
+		}
+		more := NewPlan(offer, need+rapid.IntRange(1, 20).Draw(t, "more"))
+		if more.WithoutDearestZone() < min(plan.WithoutDearestZone(), need) {
+			t.Fatalf("with more need there are fewer workers: %v, %v", plan, more)
+		}
+		kept := Plan{}
+		for _, zone := range offer.Zones {
+			kept[zone.Name] = Count{Kept: offer.Least}
+		}
+		if need <= offer.Least*len(offer.Zones) && plan.Cost(offer) > kept.Cost(offer)+1e-9 {
+			t.Fatalf("the least that there may be is enough, and %v costs more", plan)
+		}
+	})
+}
+
+func TestSpotWorkersAreUsedWhereTheyPay(t *testing.T) {
+	offer := Offer{
+		Zones: []Zone{{Name: "a", Price: 1}, {Name: "b", Price: 0.8}, {Name: "c", Price: 1.25}, {Name: "d", Price: 0.9}},
+		Least: 1, Most: 36, SpotPrice: 0.22,
+	}
+	for _, c := range []struct {
+		desc        string
+		change      func(*Offer)
+		need        int
+		kept, spots int
+	}{
+		{"a zone's may go", func(*Offer) {}, 71, 4, 90},
+		{"dear spot workers", func(o *Offer) { o.SpotPrice = 0.9 }, 71, 71, 0},
+		{"nowhere to be had", func(o *Offer) {
+			for i := range o.Zones {
+				o.Zones[i].NoSpot = true
+			}
+		}, 71, 71, 0},
+		{"in two zones only", func(o *Offer) { o.Zones[0].NoSpot, o.Zones[1].NoSpot = true, true }, 40, 5, 70},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			changed := offer
+			changed.Zones = append([]Zone{}, offer.Zones...)
+			c.change(&changed)
+			plan := NewPlan(changed, c.need)
+			kept, spots := 0, 0
+			for _, count := range plan {
+				kept, spots = kept+count.Kept, spots+count.Spot
+			}
+			if kept != c.kept || spots != c.spots {
+				t.Errorf("got %d kept and %d spot workers, want %d and %d: %v", kept, spots, c.kept, c.spots, plan)
+			}
+		})
+	}
+}
--- a/internal/forward/rolechange.go
+++ b/internal/forward/rolechange.go
@@ -37,6 +37,24 @@
 	return groups
 }
 
+// Busy returns how many workers of a group the work of the moment keeps busy: engines by the prompts that callers offer and the
+// places that runs take, plain workers by their runs.
+func (d *Dispatcher) Busy(group string) float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	busy := 0.0
+	if d.engines[group] != nil {
+		busy = d.readingDemand(group, group)
+	}
+	for _, id := range d.balancer.IDs() {
+		worker, _ := d.balancer.Worker(id)
+		if worker.Group == group && worker.Slots > 0 {
+			busy += float64(d.balancer.TotalLoad(id).Writing()) / float64(worker.Slots)
+		}
+	}
+	return busy
+}
+
 // engineOf is what planners know of an engine. The mutex is held.
 func (d *Dispatcher) engineOf(worker *backend.Worker) roles.Engine {
 	engine := roles.Engine{
--- /dev/null
+++ b/internal/gateway/capacity.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/granitebay/granitebay/internal/capacity"
+	"github.com/granitebay/granitebay/internal/routing"
+)
+
+// CapacityGroups is part of capacity.Fleet.
+func (g *Gateway) CapacityGroups() []capacity.Group {
+	table := g.handler.Table()
+	if table == nil {
+		return nil
+	}
+	var groups []capacity.Group
+	for _, group := range table.Configuration().Groups {
+		if group.Scaling != nil {
+			groups = append(groups, g.capacityOf(group))
+		}
+	}
+	return groups
+}
+
+// capacityOf returns what is seen of the workers of a group.
+func (g *Gateway) capacityOf(group routing.Group) capacity.Group {
+	seen := capacity.Group{
+		Name: group.Name, Boot: group.Scaling.Boot, Present: capacity.Plan{}, Busy: g.dispatcher.Busy(group.Name),
+		Offer: capacity.Offer{Least: group.Scaling.Least, Most: group.Scaling.Most, SpotPrice: group.Scaling.SpotPrice},
+	}
+	for zone, price := range group.Scaling.ZonePrices {
+		seen.Offer.Zones = append(seen.Offer.Zones, capacity.Zone{Name: zone, Price: price, NoSpot: group.Scaling.SpotPrice <= 0})
+	}
+	slices.SortFunc(seen.Offer.Zones, func(a, b capacity.Zone) int { return strings.Compare(a.Name, b.Name) })
+	for _, view := range g.dispatcher.Workers() {
+		w := view.Worker
+		if w.Group != group.Name || w.Draining {
+			continue
+		}
+		count := seen.Present[w.Zone]
+		if w.Spot {
+			count.Spot++
+		} else {
+			count.Kept++
+		}
+		seen.Present[w.Zone] = count
+	}
+	return seen
+}
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -24,6 +24,9 @@
 	// current are the entries, suspects those that serve and have fallen silent, and serving counts all.
 	current, suspects []member.Gateway
 	serving           int
+	// holder gives the orders for all, and told is who this gateway tells what it does.
+	holder string
+	told   []string
 	// takesRequests is set while this gateway is an entry, and since when that is so or not.
 	takesRequests bool
 	since         time.Time
@@ -109,12 +112,13 @@
 	defer g.entries.mu.Unlock()
 	entries, suspects := g.view.Entries()
 	serving := g.view.ServingCount()
-	if slices.Equal(entries, g.entries.current) && slices.Equal(suspects, g.entries.suspects) && serving == g.entries.serving {
+	audience := audienceOf(g.settings.Name, entries, suspects, g.holderOf(g.entries.holder))
+	if slices.Equal(entries, g.entries.current) && slices.Equal(suspects, g.entries.suspects) && serving == g.entries.serving &&
+		slices.Equal(audience.Peers, g.entries.told) {
 		return
 	}
 	moved := !slices.Equal(entries, g.entries.current)
-	g.entries.current, g.entries.suspects, g.entries.serving = entries, suspects, serving
-	audience := audienceOf(g.settings.Name, entries, suspects)
+	g.entries.current, g.entries.suspects, g.entries.serving, g.entries.told = entries, suspects, serving, audience.Peers
 	g.noteRole(!audience.StandsBy, len(entries), serving)
 	g.replica.SetReaders(serving)
 	g.replica.SetCalm(audience.StandsBy)
@@ -129,6 +133,20 @@
 	g.sharing.SetAudience(audience)
 }
 
+// setHolder notes who gives the orders for all, and tells whether that has changed.
+func (g *Gateway) setHolder(name string) bool {
+	g.entries.mu.Lock()
+	defer g.entries.mu.Unlock()
+	changed := name != g.entries.holder
+	g.entries.holder = name
+	return changed
+}
+
+// holderOf returns the gateway of a name among those that serve, or none.
+func (g *Gateway) holderOf(name string) []member.Gateway {
+	return lo.Filter(g.view.Serving(), func(gateway member.Gateway, _ int) bool { return gateway.Name == name })
+}
+
 // noteRole notes whether this gateway takes requests.
 func (g *Gateway) noteRole(takesRequests bool, entries, serving int) {
 	if takesRequests == g.entries.takesRequests && !g.entries.since.IsZero() {
@@ -171,11 +189,12 @@
 	g.controller.Leased(begun, lease, ttl)
 }
 
-// audienceOf returns whom a gateway tells what it does: the entries, and those that have fallen silent, which else would never hear
-// that they are heard again.
-func audienceOf(own string, entries, suspects []member.Gateway) loadshare.Audience {
+// audienceOf returns whom a gateway tells what it does: the entries, those that have fallen silent, which else would never hear that
+// they are heard again, and the one that gives the orders for all, which need not be an entry in the eyes of each.
+func audienceOf(own string, entries, suspects, holder []member.Gateway) loadshare.Audience {
 	isEntry := slices.ContainsFunc(entries, func(entry member.Gateway) bool { return entry.Name == own })
-	return loadshare.Audience{Peers: append(peersOf(own, entries), peersOf(own, suspects)...), StandsBy: !isEntry}
+	told := lo.UniqBy(slices.Concat(entries, suspects, holder), func(gateway member.Gateway) string { return gateway.Name })
+	return loadshare.Audience{Peers: peersOf(own, told), StandsBy: !isEntry}
 }
 
 // peersOf returns the addresses of the other gateways.
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 
@@ -9,9 +10,11 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/granitebay/granitebay/internal/capacity"
 	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/logging"
+	"github.com/granitebay/granitebay/internal/usage"
 )
 
 // Names of the figures.
@@ -30,6 +33,8 @@
 	set       *metrics.Set
 	decisions *decisionlog.Log
 	logger    *logrus.Entry
+	// duties writes the figures of what this gateway does for all; nil writes none.
+	duties func(w io.Writer)
 
 	// mu guards the bounds of log lines.
 	mu     sync.Mutex
@@ -51,6 +56,54 @@
 	f.set.NewGauge("granitebay_requests_in_hand", func() float64 { return float64(g.handler.Active()) })
 }
 
+// Names of the figures of duties.
+const (
+	metricWindows = "granitebay_usage_windows_total"
+	metricWorkers = "granitebay_workers"
+	metricBusy    = "granitebay_workers_busy"
+)
+
+// watchDuties adds the figures of what this gateway does for all.
+func (f *figures) watchDuties(reporter *usage.Reporter, executor *capacity.Executor) {
+	f.duties = func(w io.Writer) {
+		if reporter != nil {
+			writeWindows(w, reporter.Figures())
+		}
+		if executor != nil {
+			writeWorkers(w, executor.Status())
+		}
+	}
+}
+
+// writeWindows writes what became of windows of usage.
+func writeWindows(w io.Writer, counted usage.Figures) {
+	for _, each := range []struct {
+		outcome string
+		n       int
+	}{
+		{"agreed", counted.Agreed}, {"sent", counted.Sent}, {"late", counted.Late}, {"failed", counted.Failed},
+		{"superseded", counted.Refused},
+	} {
+		metrics.WriteCounterUint64(w, fmt.Sprintf(`%s{outcome=%q}`, metricWindows, each.outcome), uint64(each.n))
+	}
+}
+
+// writeWorkers writes how many workers there are and should be.
+func writeWorkers(w io.Writer, groups []capacity.Status) {
+	for _, group := range groups {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`%s{group=%q}`, metricBusy, group.Group), group.Busy)
+		for _, zone := range group.Offer.Zones {
+			for state, count := range map[string]capacity.Count{"present": group.Present[zone.Name], "wanted": group.Plan[zone.Name]} {
+				name := func(kind string) string {
+					return fmt.Sprintf(`%s{group=%q,zone=%q,kind=%q,state=%q}`, metricWorkers, group.Group, zone.Name, kind, state)
+				}
+				metrics.WriteGaugeUint64(w, name("kept"), uint64(count.Kept))
+				metrics.WriteGaugeUint64(w, name("spot"), uint64(count.Spot))
+			}
+		}
+	}
+}
+
 // RequestEnded is part of forward.Observer.
 func (f *figures) RequestEnded(report *forward.Report) {
 	name := fmt.Sprintf(`%s{rule=%q,status="%d",reason=%q}`, metricRequests, report.Rule, report.Status, report.Reason)
@@ -110,4 +163,7 @@
 // ServeHTTP is part of http.Handler.
 func (f *figures) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
 	f.set.WritePrometheus(writer)
+	if f.duties != nil {
+		f.duties(writer)
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/capacity"
 	"github.com/granitebay/granitebay/internal/changefeed"
 	"github.com/granitebay/granitebay/internal/cluster"
 	"github.com/granitebay/granitebay/internal/decisionlog"
@@ -36,6 +37,8 @@
 	Orderer  roles.Orderer
 	// Usage takes reports of the usage of tenants; nil when there are none.
 	Usage usage.Sender
+	// Capacity takes orders of workers; nil when there are none.
+	Capacity capacity.Orderer
 	// KeptParts tells what engines keep of prompts; nil leaves that to be learnt from requests.
 	KeptParts forward.KeptParts
 	// ForgetWorkers closes connections to workers whose addresses are not kept.
@@ -65,6 +68,7 @@
 	entries      entrySet
 	limitUse     *limitUse
 	used         *usedCounts
+	capacity     *capacity.Executor
 
 	// grace and addressTTL are durations that Reload may change.
 	grace      atomic.Int64
@@ -132,7 +136,13 @@
 	g.follower = changefeed.NewFollower(settings.Name, settings.Zone, g.entriesTold)
 	g.replica.SetFeed(g.follower)
 	g.used = newUsedCounts(g)
+	if ports.Capacity != nil {
+		settings := capacity.DefaultSettings()
+		settings.Holder = g.settings.Name
+		g.capacity = capacity.NewExecutor(settings, g, ports.Capacity, g.controller.Authority, logging.Part(logger, "capacity"), g.decide)
+	}
 	g.metrics.watch(g)
+	g.metrics.watchDuties(g.used.reporter, g.capacity)
 	return g
 }
 
@@ -186,6 +196,9 @@
 	g.tasks.Go(func() { g.watchEntries(ctx) })
 	g.tasks.Go(func() { g.sizeEntries(ctx) })
 	g.tasks.Go(func() { g.learnKept(ctx) })
+	if g.capacity != nil {
+		g.tasks.Go(func() { g.capacity.Run(ctx) })
+	}
 	if g.used.reporter != nil {
 		g.tasks.Go(func() { g.used.reporter.Run(ctx) })
 	}
@@ -214,7 +227,7 @@
 	if full {
 		message.Busy = g.limitUse.busy()
 	}
-	g.used.tell(&message, full)
+	g.used.tell(&message, full, !g.takesRequests())
 	return message
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -22,7 +22,7 @@
 	}
 	told := map[string]int{}
 	for _, gateway := range serving {
-		audience := audienceOf(gateway.Name, entries, nil)
+		audience := audienceOf(gateway.Name, entries, nil, nil)
 		for _, peer := range audience.Peers {
 			told[peer]++
 		}
@@ -76,3 +76,13 @@
 		t.Error("a connection was closed while a request was in hand")
 	}
 }
+
+func TestTheOneThatGivesOrdersIsToldWhatAllDo(t *testing.T) {
+	entries := []member.Gateway{{Name: "a", PeerAddress: "1"}, {Name: "b", PeerAddress: "2"}}
+	holder := member.Gateway{Name: "c", PeerAddress: "3"}
+	for own, want := range map[string]string{"a": "[2 3]", "b": "[1 3]", "c": "[1 2]", "d": "[1 2 3]"} {
+		if told := audienceOf(own, entries, entries[:1], []member.Gateway{holder}); fmt.Sprint(told.Peers) != want {
+			t.Errorf("%s tells %v, want %s", own, told.Peers, want)
+		}
+	}
+}
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -10,6 +10,7 @@
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/retrybudget"
+	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
@@ -93,6 +94,9 @@
 		}
 	}
 	g.controller.KeyChanged(time.Now(), value, revision, rank)
+	if g.setHolder(roles.HolderOf(value)) {
+		g.GatewaysChanged()
+	}
 }
 
 // Unregistered is part of cluster.Listener.
--- a/internal/gateway/used.go
+++ b/internal/gateway/used.go
@@ -40,8 +40,9 @@
 	return u
 }
 
-// tell adds to a message what the other gateways are to know: everything, or what has changed.
-func (u *usedCounts) tell(message *loadshare.Message, full bool) {
+// tell adds to a message what the other gateways are to know: everything, or what has changed. A gateway that stands by may tell
+// nothing for long after it.
+func (u *usedCounts) tell(message *loadshare.Message, full, standsBy bool) {
 	if u.tally == nil {
 		return
 	}
@@ -51,7 +52,7 @@
 		message.WallMs = now.UnixMilli()
 		message.Used = u.tally.All(now)
 		u.toldAt = now
-	case now.Sub(u.toldAt) >= usedInterval:
+	case standsBy || now.Sub(u.toldAt) >= usedInterval:
 		message.Used = u.tally.Untold()
 		u.toldAt = now
 	}
--- a/internal/roles/holder.go
+++ b/internal/roles/holder.go
@@ -19,6 +19,15 @@
 // keptHolders is how many holders the history names: more than can take turns within a lease.
 const keptHolders = 4
 
+// HolderOf returns the name of the process that holds the key, from its value; empty when nobody does.
+func HolderOf(value []byte) string {
+	var held holding
+	if value == nil || json.Unmarshal(value, &held) != nil {
+		return ""
+	}
+	return held.Holder
+}
+
 // history names the last holders of the key, the newest first.
 type history struct {
 	Holders []string `json:"holders"`
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -116,6 +116,20 @@
 	MaxConnections int
 	// Engine is nil for groups of plain application workers.
 	Engine *Engine
+	// Scaling says what workers may be ordered; nil is none.
+	Scaling *Scaling
+}
+
+// Scaling says what workers of a group may be ordered.
+type Scaling struct {
+	// Least and Most workers of a zone.
+	Least, Most int
+	// Boot is how long an ordered worker takes until it serves.
+	Boot time.Duration
+	// SpotPrice is the price of a worker that may be taken away, as a part of that of others; zero when there are none.
+	SpotPrice float64
+	// ZonePrices are the prices of a worker for a second, by zone.
+	ZonePrices map[string]float64
 }
 
 // Limits bound what a caller may send.
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -33,6 +33,9 @@
 	Window, Due time.Duration
 	// Settle is how long after its end a window is agreed on: until then all have told what they counted.
 	Settle time.Duration
+	// Hear is how long after it got the authority a process agrees on windows: until then the others have learnt of it and told it
+	// what they counted.
+	Hear time.Duration
 	// Tick is how often windows are looked at, and LongestPause bounds the pause after failed calls, which doubles.
 	Tick, LongestPause time.Duration
 	// CallTimeout bounds one call.
@@ -43,7 +46,9 @@
 func DefaultSettings() Settings {
 	return Settings{
 		// A message that tells everything each second, and its way.
-		Settle:       1200 * time.Millisecond,
+		Settle: 1200 * time.Millisecond,
+		// Those that stand by hear of the new holder within a question to the feed (0.7 s), and then tell everything within a second.
+		Hear:         1900 * time.Millisecond,
 		Tick:         250 * time.Millisecond,
 		LongestPause: 2 * time.Second,
 		CallTimeout:  1500 * time.Millisecond,
@@ -64,6 +69,7 @@
 
 	// What follows is used by one goroutine, but for what mu guards.
 	fence   int64
+	since   time.Time
 	refused int64
 	// known is set once the ledger was read under the fence.
 	known    bool
@@ -129,9 +135,9 @@
 		return
 	}
 	if fence != r.fence {
-		r.fence, r.known = fence, false
+		r.fence, r.since, r.known = fence, moment, false
 	}
-	if err := r.work(ctx); err != nil {
+	if err := r.work(ctx, moment.Sub(r.since) >= r.settings.Hear); err != nil {
 		r.failed(moment, err)
 		return
 	}
@@ -152,13 +158,16 @@
 	r.logger.WithError(err).WithField("pause", r.pause).Warn("The usage was not reported. It is tried again.")
 }
 
-// work does what is due.
-func (r *Reporter) work(ctx context.Context) error {
+// work does what is due. Before all were heard it sends what others have agreed on.
+func (r *Reporter) work(ctx context.Context, heard bool) error {
 	if !r.known {
 		if err := r.read(ctx); err != nil {
 			return err
 		}
 	}
+	if !heard {
+		return r.send(ctx)
+	}
 	if err := r.agree(ctx); err != nil {
 		// The ledger may have changed, or may yet.
 		r.known = false
