Spot workers beyond the need, and orders that follow a changed number at once

Cause: at a start, spot workers were ordered for the few workers that had registered by then, and the next order waited for their boot: kept ones were paid for until a second before the traffic. Workers ordered meanwhile counted as provided (78 needed in place of 71).

Change: an order for another number waits half a second only; where there were no spot workers at first those that come are not counted as provided; zones are replanned only while too few workers are there; and a reserve of spot workers, the smaller the dearer they are, bears what the loss of one zone does not cover.

--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -56,11 +56,15 @@
 	Tick time.Duration
 	// CallTimeout bounds one call.
 	CallTimeout time.Duration
-	// Again is how long after an order, beyond the boot, it is given again when the workers are not there; and RefusedPause how long
-	// after it was refused.
-	Again, RefusedPause time.Duration
-	// DryAfter is how long spot workers of a zone are refused or missing before others are ordered in their place.
+	// Again is how long after an order, beyond the boot, it is given again when the workers are not there; RefusedPause how long
+	// after it was refused; and ChangePause how long after an order one for another number is given.
+	Again, RefusedPause, ChangePause time.Duration
+	// DryAfter is how long spot workers of a zone are missing before others are ordered in their place, if those that are there are
+	// too few.
 	DryAfter time.Duration
+	// Reserve is the part of the need for which spot workers are ordered besides, where they cost nothing; the dearer they are, the
+	// fewer. They bear what the loss of one zone does not cover: crashes, workers that leave, bursts until others have booted.
+	Reserve float64
 }
 
 // DefaultSettings returns settings without a holder.
@@ -71,7 +75,9 @@
 		CallTimeout:  1500 * time.Millisecond,
 		Again:        3 * time.Second,
 		RefusedPause: time.Second,
-		DryAfter:     15 * time.Second,
+		ChangePause:  500 * time.Millisecond,
+		DryAfter:     5 * time.Second,
+		Reserve:      0.4,
 	}
 }
 
@@ -105,8 +111,8 @@
 type lineState struct {
 	// ordered is the number of the last order that was taken under the present fence; negative when there was none.
 	ordered int
-	// notBefore is when the next order may be given.
-	notBefore time.Time
+	// changeFrom is when the next order may be given, and notBefore when one for the same number may.
+	changeFrom, notBefore time.Time
 	// shortSince is since when fewer workers are there than were wanted; zero when all are.
 	shortSince time.Time
 }
@@ -174,7 +180,7 @@
 	var status []Status
 	for _, group := range e.fleet.CapacityGroups() {
 		need, known := e.need(now, group)
-		plan := e.plan(group.Name, e.available(now, group), need)
+		plan := e.plan(group.Name, e.available(now, group, need), need)
 		status = append(status, Status{
 			Group: group.Name, Busy: group.Busy, Need: need, Present: group.Present, Plan: plan, Offer: group.Offer,
 		})
@@ -194,22 +200,27 @@
 		need = NewNeed(e.settings.Need)
 		e.needs[group.Name] = need
 	}
-	return need.Update(now, group.Busy, group.Present.WithoutDearestZone())
+	return need.Update(now, group.Busy, group.Present)
 }
 
 // plan returns the plan of a group, which is made anew only when something has changed.
 func (e *Executor) plan(group string, offer Offer, need int) Plan {
 	last, found := e.plans[group]
 	if !found || last.need != need || !last.offer.same(offer) {
-		last = planned{offer: offer, need: need, plan: NewPlan(offer, need)}
+		plan := NewPlan(offer, need).WithReserve(offer, int(e.settings.Reserve*(1-offer.SpotPrice)*float64(need)))
+		last = planned{offer: offer, need: need, plan: plan}
 		e.plans[group] = last
 	}
 	return last.plan
 }
 
-// available returns the offer without the spot workers that have not come for long.
-func (e *Executor) available(now time.Time, group Group) Offer {
+// available returns the offer without the spot workers that have not come for long. While those that are there are enough, the plan
+// stays: a zone that has lost its own gets them back.
+func (e *Executor) available(now time.Time, group Group, need int) Offer {
 	offer := group.Offer
+	if group.Present.Total() >= need {
+		return offer
+	}
 	offer.Zones = lo.Map(offer.Zones, func(zone Zone, _ int) Zone {
 		state, found := e.lines[line{group.Name, zone.Name, true}]
 		dry := found && !state.shortSince.IsZero() && now.Sub(state.shortSince) > e.settings.DryAfter
@@ -251,7 +262,7 @@
 		want = have - given
 	}
 	settled := have == want && (state.ordered < 0 || state.ordered == want)
-	if settled || now.Before(state.notBefore) {
+	if settled || now.Before(state.changeFrom) || (want == state.ordered && now.Before(state.notBefore)) {
 		return
 	}
 	fence, may := e.authority()
@@ -263,8 +274,10 @@
 	defer cancel()
 	err := e.orderer.OrderWorkers(callCtx, order)
 	state.notBefore = now.Add(group.Boot + e.settings.Again)
+	state.changeFrom = now.Add(e.settings.ChangePause)
 	if err != nil {
 		state.notBefore = now.Add(e.settings.RefusedPause)
+		state.changeFrom = state.notBefore
 	} else {
 		state.ordered = want
 	}
--- a/internal/capacity/executor_test.go
+++ b/internal/capacity/executor_test.go
@@ -36,10 +36,10 @@
 				case "at":
 					until := epoch.Add(time.Duration(number(t, words[1]) * float64(time.Second)))
 					for ; now.Before(until); now = now.Add(tick) {
-						got, known = need.Update(now, busy, present)
+						got, known = need.Update(now, busy, Plan{"z": {Kept: present}})
 					}
 					busy, present = number(t, words[3]), int(number(t, words[5]))
-					got, known = need.Update(now, busy, present)
+					got, known = need.Update(now, busy, Plan{"z": {Kept: present}})
 				case "unknown":
 					if known {
 						t.Errorf("%d are needed, want unknown", got)
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -34,6 +34,8 @@
 	steadySince, demandSince time.Time
 	peaks                    []peak
 	current                  int
+	// withSpots is set when there were spot workers at first.
+	withSpots bool
 }
 
 // peak is the highest demand of a span of time.
@@ -48,9 +50,9 @@
 // NewNeed returns the need of a group of which nothing was seen.
 func NewNeed(settings NeedSettings) *Need { return &Need{settings: settings} }
 
-// Update takes how many workers the demand of the moment keeps busy, and how many are there whatever zone loses its spot workers. It
-// returns how many are needed, and false while not even that is known.
-func (n *Need) Update(now time.Time, busy float64, present int) (int, bool) {
+// Update takes how many workers the demand of the moment keeps busy, and those that are there. It returns how many are needed, and
+// false while not even that is known.
+func (n *Need) Update(now time.Time, busy float64, present Plan) (int, bool) {
 	wanted := int(math.Ceil(n.highest(now, busy) / n.settings.Use))
 	if n.demandSince.IsZero() {
 		n.provided(now, busy, present)
@@ -72,9 +74,18 @@
 }
 
 // provided notes the workers that are there before any demand is seen: somebody has taken them to be enough.
-func (n *Need) provided(now time.Time, busy float64, present int) {
-	if present > n.current && !n.settled(now) {
-		n.current, n.steadySince = present, now
+//
+// Where there were no spot workers at first, those that come were ordered meanwhile and do not count.
+func (n *Need) provided(now time.Time, busy float64, present Plan) {
+	enough := present.Kept()
+	if n.current == 0 {
+		n.withSpots = enough < present.Total()
+	}
+	if n.withSpots {
+		enough = present.WithoutDearestZone()
+	}
+	if enough > n.current && !n.settled(now) {
+		n.current, n.steadySince = enough, now
 	}
 	if busy > 0 {
 		n.demandSince = now
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/samber/lo"
@@ -29,6 +30,33 @@
 	SpotPrice float64
 }
 
+// WithReserve returns the plan with so many more spot workers, as evenly as the zones allow.
+func (p Plan) WithReserve(offer Offer, reserve int) Plan {
+	plan := maps.Clone(p)
+	for reserve > 0 {
+		zone, found := emptiest(plan, offer)
+		if !found {
+			break
+		}
+		count := plan[zone]
+		count.Spot++
+		plan[zone] = count
+		reserve--
+	}
+	return plan
+}
+
+// emptiest returns the zone with the fewest spot workers among those that may have more.
+func emptiest(plan Plan, offer Offer) (string, bool) {
+	zones := lo.Filter(offer.Zones, func(zone Zone, _ int) bool { return !zone.NoSpot && plan[zone.Name].Total() < offer.Most })
+	if len(zones) == 0 {
+		return "", false
+	}
+	return slices.MinFunc(zones, func(a, b Zone) int {
+		return cmp.Or(cmp.Compare(plan[a.Name].Spot, plan[b.Name].Spot), cmp.Compare(a.Price, b.Price))
+	}).Name, true
+}
+
 // same tells whether two offers are the same.
 func (o Offer) same(other Offer) bool {
 	return o.Least == other.Least && o.Most == other.Most && o.SpotPrice == other.SpotPrice && slices.Equal(o.Zones, other.Zones)
@@ -46,6 +74,9 @@
 // Total is the number of workers of all zones.
 func (p Plan) Total() int { return lo.SumBy(lo.Values(p), Count.Total) }
 
+// Kept is the number of workers of all zones that stay.
+func (p Plan) Kept() int { return lo.SumBy(lo.Values(p), func(c Count) int { return c.Kept }) }
+
 // WithoutDearestZone is the number of workers that are left when the zone with most spot workers loses them.
 func (p Plan) WithoutDearestZone() int {
 	most := lo.Max(lo.Map(lo.Values(p), func(c Count, _ int) int { return c.Spot }))
