Workers that have not registered yet are not taken away

Change: before the records are certain (3.5 s after a start or an outage of the store) only more spot workers are ordered.

--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -40,6 +40,8 @@
 	Boot time.Duration
 	// Present workers by zone, without those that leave.
 	Present Plan
+	// Certain is set while the records of the workers are known to be complete.
+	Certain bool
 	// Busy is how many workers the demand of the moment keeps busy.
 	Busy float64
 }
@@ -185,7 +187,7 @@
 			Group: group.Name, Busy: group.Busy, Need: need, Present: group.Present, Plan: plan, Offer: group.Offer,
 		})
 		if may {
-			e.follow(ctx, now, group, plan, spareOf(group, need, known))
+			e.follow(ctx, now, group, plan, need, known && group.Certain)
 		}
 	}
 	e.mu.Lock()
@@ -200,7 +202,7 @@
 		need = NewNeed(e.settings.Need)
 		e.needs[group.Name] = need
 	}
-	return need.Update(now, group.Busy, group.Present)
+	return need.Update(now, group.Busy, group.Present, group.Certain)
 }
 
 // plan returns the plan of a group, which is made anew only when something has changed.
@@ -230,21 +232,19 @@
 	return offer
 }
 
-// spareOf returns how many workers may be given back: none before it is known what is needed.
-func spareOf(group Group, need int, known bool) int {
-	if !known {
-		return 0
-	}
-	return max(group.Present.Total()-need, 0)
-}
-
 // follow gives the orders that bring the workers of a group nearer to the plan. Workers are given back only as far as those that
-// are there are enough without them.
-func (e *Executor) follow(ctx context.Context, now time.Time, group Group, plan Plan, spare int) {
+// are there are enough without them, and only while it is certain how many are there: an order names a number, and one for the few that
+// are seen would take the others away. Before that, spot workers are ordered as more of the others show.
+func (e *Executor) follow(ctx context.Context, now time.Time, group Group, plan Plan, need int, certain bool) {
+	spare := max(group.Present.Total()-need, 0)
 	for _, zone := range group.Offer.Zones {
 		have, want := group.Present[zone.Name], plan[zone.Name]
-		e.adjust(ctx, now, group, line{group.Name, zone.Name, true}, have.Spot, want.Spot, &spare)
-		e.adjust(ctx, now, group, line{group.Name, zone.Name, false}, have.Kept, want.Kept, &spare)
+		if certain || want.Spot > have.Spot {
+			e.adjust(ctx, now, group, line{group.Name, zone.Name, true}, have.Spot, want.Spot, &spare)
+		}
+		if certain {
+			e.adjust(ctx, now, group, line{group.Name, zone.Name, false}, have.Kept, want.Kept, &spare)
+		}
 	}
 }
 
--- a/internal/capacity/executor_test.go
+++ b/internal/capacity/executor_test.go
@@ -36,10 +36,10 @@
 				case "at":
 					until := epoch.Add(time.Duration(number(t, words[1]) * float64(time.Second)))
 					for ; now.Before(until); now = now.Add(tick) {
-						got, known = need.Update(now, busy, Plan{"z": {Kept: present}})
+						got, known = need.Update(now, busy, Plan{"z": {Kept: present}}, true)
 					}
 					busy, present = number(t, words[3]), int(number(t, words[5]))
-					got, known = need.Update(now, busy, Plan{"z": {Kept: present}})
+					got, known = need.Update(now, busy, Plan{"z": {Kept: present}}, true)
 				case "unknown":
 					if known {
 						t.Errorf("%d are needed, want unknown", got)
@@ -78,6 +78,8 @@
 	dry   map[string]time.Time
 	busy  float64
 	calls int
+	// unsure is set while records may be missing.
+	unsure bool
 	// healthy is set once calls are carried out at once.
 	healthy bool
 }
@@ -95,7 +97,7 @@
 	for zone, count := range p.present {
 		present[zone] = count
 	}
-	return []Group{{Name: "g", Offer: p.offer, Boot: bootTime, Present: present, Busy: p.busy}}
+	return []Group{{Name: "g", Offer: p.offer, Boot: bootTime, Present: present, Busy: p.busy, Certain: !p.unsure}}
 }
 
 func (p *platform) OrderWorkers(_ context.Context, order Order) error {
@@ -299,3 +301,33 @@
 		}
 	})
 }
+
+// TestWorkersThatHaveNotRegisteredYetAreNotTakenAway starts a fleet whose workers show one after another.
+func TestWorkersThatHaveNotRegisteredYetAreNotTakenAway(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlatform(t)
+		p.healthy = true
+		all := p.present
+		p.present = Plan{}
+		e := newTestExecutor(p, func() (int64, bool) { return 1, true })
+		for i := range 16 {
+			p.unsure = i < 14
+			for zone, count := range all {
+				shown := count.Kept
+				if p.unsure {
+					shown = rapid.IntRange(0, count.Kept).Draw(t, "shown")
+				}
+				if shown > p.present[zone].Kept {
+					p.present[zone] = Count{Kept: shown, Spot: p.present[zone].Spot}
+				}
+			}
+			p.now = p.now.Add(tick)
+			e.Step(context.Background(), p.now)
+			for zone, count := range p.ordered {
+				if count.Kept < all[zone].Kept {
+					t.Fatalf("%d kept workers of zone %s were ordered before all had shown", count.Kept, zone)
+				}
+			}
+		}
+	})
+}
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -50,12 +50,12 @@
 // NewNeed returns the need of a group of which nothing was seen.
 func NewNeed(settings NeedSettings) *Need { return &Need{settings: settings} }
 
-// Update takes how many workers the demand of the moment keeps busy, and those that are there. It returns how many are needed, and
-// false while not even that is known.
-func (n *Need) Update(now time.Time, busy float64, present Plan) (int, bool) {
+// Update takes how many workers the demand of the moment keeps busy, and those that are there, which are all only if that is certain.
+// It returns how many are needed, and false while not even that is known.
+func (n *Need) Update(now time.Time, busy float64, present Plan, certain bool) (int, bool) {
 	wanted := int(math.Ceil(n.highest(now, busy) / n.settings.Use))
 	if n.demandSince.IsZero() {
-		n.provided(now, busy, present)
+		n.provided(now, busy, present, certain)
 	}
 	switch {
 	case !n.known(now):
@@ -76,7 +76,7 @@
 // provided notes the workers that are there before any demand is seen: somebody has taken them to be enough.
 //
 // Where there were no spot workers at first, those that come were ordered meanwhile and do not count.
-func (n *Need) provided(now time.Time, busy float64, present Plan) {
+func (n *Need) provided(now time.Time, busy float64, present Plan, certain bool) {
 	enough := present.Kept()
 	if n.current == 0 {
 		n.withSpots = enough < present.Total()
@@ -84,8 +84,8 @@
 	if n.withSpots {
 		enough = present.WithoutDearestZone()
 	}
-	if enough > n.current && !n.settled(now) {
-		n.current, n.steadySince = enough, now
+	if !n.settled(now) && (enough > n.current || !certain) {
+		n.current, n.steadySince = max(enough, n.current), now
 	}
 	if busy > 0 {
 		n.demandSince = now
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -68,6 +68,8 @@
 	mutex     sync.Mutex
 	gateways  *member.List
 	currentAt time.Time
+	// lostAt is when the store was lost last, or the start.
+	lostAt time.Time
 	// answeredAt is when the store answered anything, to this process or to another that tells this one.
 	answeredAt time.Time
 	document   configuration.Document
@@ -77,7 +79,7 @@
 func NewView(
 	decoder Decoder, listener Listener, gateways *member.List, roster *backend.Roster, ownKey string, logger logrus.FieldLogger,
 ) *View {
-	return &View{decoder: decoder, listener: listener, ownKey: ownKey, logger: logger, roster: roster, gateways: gateways}
+	return &View{decoder: decoder, listener: listener, ownKey: ownKey, logger: logger, roster: roster, gateways: gateways, lostAt: time.Now()}
 }
 
 // Reset is part of store.Consumer.
@@ -174,7 +176,8 @@
 	v.rosterMutex.Unlock()
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.gateways.Outage(time.Now())
+	v.lostAt = time.Now()
+	v.gateways.Outage(v.lostAt)
 }
 
 // Current is part of store.Consumer.
@@ -213,6 +216,14 @@
 	return !v.answeredAt.IsZero() && time.Since(v.answeredAt) < within
 }
 
+// Steady tells for how long the store has not been lost, by this process or those that tell it: records that went meanwhile are
+// written anew within some seconds.
+func (v *View) Steady() time.Duration {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return time.Since(v.lostAt)
+}
+
 // Named returns the gateways that callers are told.
 func (v *View) Named() []member.Gateway {
 	v.mutex.Lock()
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -3,11 +3,16 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/granitebay/granitebay/internal/capacity"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
+// recordsBack is how long after an outage of the store, or the start, the records of workers may be missing that live: the pages say
+// two seconds, and a heartbeat besides.
+const recordsBack = 3500 * time.Millisecond
+
 // CapacityGroups is part of capacity.Fleet.
 func (g *Gateway) CapacityGroups() []capacity.Group {
 	table := g.handler.Table()
@@ -27,7 +32,8 @@
 func (g *Gateway) capacityOf(group routing.Group) capacity.Group {
 	seen := capacity.Group{
 		Name: group.Name, Boot: group.Scaling.Boot, Present: capacity.Plan{}, Busy: g.dispatcher.Busy(group.Name),
-		Offer: capacity.Offer{Least: group.Scaling.Least, Most: group.Scaling.Most, SpotPrice: group.Scaling.SpotPrice},
+		Certain: g.view.Steady() > recordsBack,
+		Offer:   capacity.Offer{Least: group.Scaling.Least, Most: group.Scaling.Most, SpotPrice: group.Scaling.SpotPrice},
 	}
 	for zone, price := range group.Scaling.ZonePrices {
 		seen.Offer.Zones = append(seen.Offer.Zones, capacity.Zone{Name: zone, Price: price, NoSpot: group.Scaling.SpotPrice <= 0})
