A holder that stood by gives no workers back for want of demand

A gateway that stands by became holder while the store turned others away; it had watched the requests of its own callers alone, took 24 of 118 workers to be enough, and gave the rest back while spot workers were not to be had.

Change: only a gateway that hears of the work of all follows what is needed; one that begins to watches the demand anew, and what is there is enough until it has. TestOneThatStoodByGivesNothingBack fails without it.

--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -42,6 +42,8 @@
 	Present Plan
 	// Certain is set while the records of the workers are known to be complete.
 	Certain bool
+	// Informed is set while this process hears of the work of all gateways. One that stands by sees only a part of the demand.
+	Informed bool
 	// Busy is how many workers the demand of the moment keeps busy.
 	Busy float64
 }
@@ -186,7 +188,7 @@
 		status = append(status, Status{
 			Group: group.Name, Busy: group.Busy, Need: need, Present: group.Present, Plan: plan, Offer: group.Offer,
 		})
-		if may {
+		if may && group.Informed {
 			e.follow(ctx, now, group, plan, need, known && group.Certain)
 		}
 	}
@@ -195,10 +197,11 @@
 	e.status = status
 }
 
-// need returns how many workers of a group are needed, and whether that is known.
+// need returns how many workers of a group are needed, and whether that is known. A process that has not heard of all begins anew: what
+// is there is enough until it has watched the demand.
 func (e *Executor) need(now time.Time, group Group) (int, bool) {
 	need, found := e.needs[group.Name]
-	if !found {
+	if !found || !group.Informed {
 		need = NewNeed(e.settings.Need)
 		e.needs[group.Name] = need
 	}
--- a/internal/capacity/executor_test.go
+++ b/internal/capacity/executor_test.go
@@ -78,6 +78,8 @@
 	dry   map[string]time.Time
 	busy  float64
 	calls int
+	// standsBy is set while the executors hear of a part of the demand only.
+	standsBy bool
 	// unsure is set while records may be missing.
 	unsure bool
 	// healthy is set once calls are carried out at once.
@@ -97,7 +99,7 @@
 	for zone, count := range p.present {
 		present[zone] = count
 	}
-	return []Group{{Name: "g", Offer: p.offer, Boot: bootTime, Present: present, Busy: p.busy, Certain: !p.unsure}}
+	return []Group{{Name: "g", Offer: p.offer, Boot: bootTime, Present: present, Busy: p.busy, Certain: !p.unsure, Informed: !p.standsBy}}
 }
 
 func (p *platform) OrderWorkers(_ context.Context, order Order) error {
@@ -331,3 +333,31 @@
 		}
 	})
 }
+
+// TestOneThatStoodByGivesNothingBack guards against a new holder that has seen the demand of its own callers alone: it gave 66 of 118
+// workers back, and the rest collapsed.
+func TestOneThatStoodByGivesNothingBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlatform(t)
+		p.healthy = true
+		holder := 0
+		first := newTestExecutor(p, func() (int64, bool) { return 1, holder == 0 })
+		next := newTestExecutor(p, func() (int64, bool) { return 2, holder == 1 })
+		for range int(40 * time.Second / tick) {
+			p.advance()
+			p.busy, p.standsBy = 43, false
+			first.Step(context.Background(), p.now)
+			p.busy, p.standsBy = 0.1, true
+			next.Step(context.Background(), p.now)
+		}
+		before := p.present.Total()
+		holder, p.busy, p.standsBy = 1, 30, false
+		for range int(10 * time.Second / tick) {
+			p.advance()
+			next.Step(context.Background(), p.now)
+			if p.present.Total() < before {
+				t.Fatalf("%d workers of %d are left", p.present.Total(), before)
+			}
+		}
+	})
+}
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -32,8 +32,9 @@
 func (g *Gateway) capacityOf(group routing.Group) capacity.Group {
 	seen := capacity.Group{
 		Name: group.Name, Boot: group.Scaling.Boot, Present: capacity.Plan{}, Busy: g.dispatcher.Busy(group.Name),
-		Certain: g.view.Steady() > recordsBack,
-		Offer:   capacity.Offer{Least: group.Scaling.Least, Most: group.Scaling.Most, SpotPrice: group.Scaling.SpotPrice},
+		Certain:  g.view.Steady() > recordsBack,
+		Informed: g.takesRequests() || g.controller.GivesOrders(),
+		Offer:    capacity.Offer{Least: group.Scaling.Least, Most: group.Scaling.Most, SpotPrice: group.Scaling.SpotPrice},
 	}
 	for zone, price := range group.Scaling.ZonePrices {
 		seen.Offer.Zones = append(seen.Offer.Zones, capacity.Zone{Name: zone, Price: price, NoSpot: group.Scaling.SpotPrice <= 0})
