--- a/internal/adminapi/backend.go
+++ b/internal/adminapi/backend.go
@@ -15,6 +15,10 @@
 	Groups() []GroupStatus
 	Rules() []RuleStatus
 	Gateways() []PeerStatus
+	// Tenants, Capacity and Usage show whose requests are served, the workers that can be ordered, and what was reported.
+	Tenants() []TenantStatus
+	Capacity() []CapacityStatus
+	Usage() UsageStatus
 	// Document returns the configuration by labels in force; the zero document before the first.
 	Document() configuration.Document
 	// Propose brings an edit into the store and waits for its result.
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -75,6 +75,21 @@
 	return get[[]PeerStatus](ctx, c, PathGateways, nil)
 }
 
+// Tenants returns all tenants.
+func (c *Client) Tenants(ctx context.Context) ([]TenantStatus, error) {
+	return get[[]TenantStatus](ctx, c, PathTenants, nil)
+}
+
+// Capacity returns the workers that can be ordered.
+func (c *Client) Capacity(ctx context.Context) ([]CapacityStatus, error) {
+	return get[[]CapacityStatus](ctx, c, PathCapacity, nil)
+}
+
+// Usage returns what became of windows of usage.
+func (c *Client) Usage(ctx context.Context) (UsageStatus, error) {
+	return get[UsageStatus](ctx, c, PathUsage, nil)
+}
+
 // Configuration returns the document in force.
 func (c *Client) Configuration(ctx context.Context) (configuration.Document, error) {
 	return get[configuration.Document](ctx, c, PathConfig, nil)
--- a/internal/adminapi/register.go
+++ b/internal/adminapi/register.go
@@ -36,6 +36,9 @@
 	registerGet(api, PathGroups, "groups", "All groups of workers", backend.Groups)
 	registerGet(api, PathRules, "rules", "All rules in force", backend.Rules)
 	registerGet(api, PathGateways, "gateways", "All gateways", backend.Gateways)
+	registerGet(api, PathTenants, "tenants", "All tenants, without their keys", backend.Tenants)
+	registerGet(api, PathCapacity, "capacity", "The workers that can be ordered, by zone", backend.Capacity)
+	registerGet(api, PathUsage, "usage", "What became of windows of usage at this gateway", backend.Usage)
 }
 
 func registerConfiguration(api huma.API, backend Backend) {
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -101,6 +101,52 @@
 	Reachable bool `json:"reachable"`
 }
 
+// TenantStatus is one tenant of the configuration in force. Keys are counted and never shown.
+type TenantStatus struct {
+	Name string `json:"name"`
+	Keys int    `json:"keys"`
+	// Priority of its requests, 0 the most urgent; nil where that of their rule holds.
+	Priority *int `json:"priority,omitempty"`
+	// RouteVersion of the configuration in which the tenant stands so.
+	RouteVersion int64 `json:"routeVersion"`
+}
+
+// CapacityStatus is what one gateway knows of the workers of a zone that can be ordered.
+type CapacityStatus struct {
+	Group string `json:"group"`
+	Zone  string `json:"zone"`
+	// Kept and Spot workers that are there, and that are wanted.
+	Kept       int `json:"kept"`
+	Spot       int `json:"spot"`
+	WantedKept int `json:"wantedKept"`
+	WantedSpot int `json:"wantedSpot"`
+	// Price of a kept worker of the zone for a second.
+	Price float64 `json:"price"`
+	// Busy workers of the whole group, by the demand of the moment, and how many it needs.
+	Busy   float64 `json:"busy"`
+	Needed int     `json:"needed"`
+}
+
+// UsageStatus is what one gateway has done about windows of usage, and the requests that it knows of those which are not agreed on.
+type UsageStatus struct {
+	Gateway string `json:"gateway"`
+	// Agreed and Sent windows, those of them that were Late, calls that Failed, and times when another gateway had taken over.
+	Agreed     int `json:"agreed"`
+	Sent       int `json:"sent"`
+	Late       int `json:"late"`
+	Failed     int `json:"failed"`
+	Superseded int `json:"superseded"`
+	// Open windows with their requests of all tenants, the oldest first.
+	Open []OpenWindow `json:"open"`
+}
+
+// OpenWindow is a window that is not agreed on.
+type OpenWindow struct {
+	Window   int64 `json:"window"`
+	Requests int64 `json:"requests"`
+	Tenants  int   `json:"tenants"`
+}
+
 // ConfigHistory lists the latest edits, newest first.
 type ConfigHistory struct {
 	Changes []configuration.Change `json:"changes"`
--- /dev/null
+++ b/internal/gateway/admin_duties.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"github.com/samber/lo"
+
+	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/tenant"
+)
+
+// Tenants is part of adminapi.Backend.
+func (a admin) Tenants() []adminapi.TenantStatus {
+	table := a.handler.Table()
+	if table == nil || table.Configuration().Tenants == nil {
+		return []adminapi.TenantStatus{}
+	}
+	return lo.Map(table.Configuration().Tenants.Tenants(), func(t *tenant.Tenant, _ int) adminapi.TenantStatus {
+		status := adminapi.TenantStatus{Name: t.Name(), Keys: t.Keys(), RouteVersion: table.Configuration().Version}
+		if priority, given := t.Priority(); given {
+			status.Priority = &priority
+		}
+		return status
+	})
+}
+
+// Capacity is part of adminapi.Backend.
+func (a admin) Capacity() []adminapi.CapacityStatus {
+	statuses := []adminapi.CapacityStatus{}
+	if a.capacity == nil {
+		return statuses
+	}
+	for _, group := range a.capacity.Status() {
+		for _, zone := range group.Offer.Zones {
+			present, wanted := group.Present[zone.Name], group.Plan[zone.Name]
+			statuses = append(statuses, adminapi.CapacityStatus{
+				Group: group.Group, Zone: zone.Name, Price: zone.Price, Busy: group.Busy, Needed: group.Need,
+				Kept: present.Kept, Spot: present.Spot, WantedKept: wanted.Kept, WantedSpot: wanted.Spot,
+			})
+		}
+	}
+	return statuses
+}
+
+// Usage is part of adminapi.Backend.
+func (a admin) Usage() adminapi.UsageStatus {
+	status := adminapi.UsageStatus{Gateway: a.settings.Name, Open: []adminapi.OpenWindow{}}
+	if a.used.reporter != nil {
+		done := a.used.reporter.Figures()
+		status.Agreed, status.Sent, status.Late, status.Failed, status.Superseded = done.Agreed, done.Sent, done.Late, done.Failed, done.Refused
+	}
+	if a.used.tally != nil {
+		for _, window := range a.used.tally.Open() {
+			requests := a.used.tally.Sum(window)
+			status.Open = append(status.Open, adminapi.OpenWindow{
+				Window: window, Requests: lo.Sum(lo.Values(requests)), Tenants: len(requests),
+			})
+		}
+	}
+	return status
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,7 +29,7 @@
 	Timeout time.Duration `help:"How long to wait for one command." default:"30s"`
 
 	Status    statusCommand    `cmd:"" help:"Show the status of the fleet."`
-	Get       getCommand       `cmd:"" help:"Show workers, groups, rules, gateways or the configuration."`
+	Get       getCommand       `cmd:"" help:"Show workers, groups, rules, gateways, tenants, capacity, usage or the configuration."`
 	Label     labelCommand     `cmd:"" help:"Set or remove labels."`
 	Apply     applyCommand     `cmd:"" help:"Put the configuration of a file in force."`
 	Diff      diffCommand      `cmd:"" help:"Show what applying a file would do."`
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -16,6 +16,22 @@
 	// arrivals are the requests that reached workers, run or not, without readings; orders those that were taken.
 	arrivals []Arrival
 	orders   []Taken
+	// heads are what every call about a request has told of its caller.
+	heads []Head
+}
+
+// Head is what a call about a request, be it a run or a reading, tells of its caller.
+type Head struct {
+	ID string
+	// Tenant of the caller, and Key if it was passed on.
+	Tenant, Key string
+}
+
+// Heads returns what calls have told of callers so far.
+func (f *Fleet) Heads() []Head {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]Head(nil), f.heads...)
 }
 
 // Arrival is a request that reached a worker.
@@ -86,6 +102,13 @@
 	f.arrivals = append(f.arrivals, arrival)
 }
 
+// told notes what a call tells of its caller.
+func (f *Fleet) told(head Head) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.heads = append(f.heads, head)
+}
+
 // tookOrder notes an order.
 func (f *Fleet) tookOrder(taken Taken) {
 	f.mutex.Lock()
--- a/internal/standin/fleet/routes.go
+++ b/internal/standin/fleet/routes.go
@@ -10,6 +10,8 @@
 	TimeoutMs int
 	Routes    []Route
 	Services  []Service
+	// Tenants are the keys of each tenant; nil is a configuration without tenants.
+	Tenants map[string][]string
 }
 
 // Route sends the requests below a path to a service.
@@ -61,10 +63,18 @@
 	for _, each := range wanted.Services {
 		services = append(services, each.record())
 	}
-	f.Store.Put("op/config", fields{
+	record := fields{
 		"version": wanted.Version, "routes": routes, "services": services,
 		"limits": fields{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if wanted.Tenants != nil {
+		tenants := []fields{}
+		for name, keys := range wanted.Tenants {
+			tenants = append(tenants, fields{"name": name, "apiKeys": keys})
+		}
+		record["tenants"] = tenants
+	}
+	f.Store.Put("op/config", record)
 }
 
 // record is a service as operators write it.
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -63,6 +63,7 @@
 		return
 	}
 	id := request.Header.Get("Request-Id")
+	w.fleet.told(Head{ID: id, Tenant: request.Header.Get("Tenant"), Key: request.Header.Get("Api-Key")})
 	if request.Header.Get("Stage") == "" {
 		w.fleet.arrived(Arrival{ID: id, Service: w.options.Service, At: time.Now()})
 	}
--- a/internal/usage/tally.go
+++ b/internal/usage/tally.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -165,6 +166,13 @@
 	return Count{Gateway: from.gateway, Epoch: from.epoch, Window: window, Requests: requests}
 }
 
+// Open returns the windows that were counted for and are not agreed on, the oldest first.
+func (t *Tally) Open() []int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Sorted(maps.Keys(t.counts))
+}
+
 // Sum returns the requests of all gateways in a window, by tenant.
 func (t *Tally) Sum(window int64) map[string]int64 {
 	t.mu.Lock()
