--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -515,7 +515,7 @@
 	}
 	objective := 250 * time.Millisecond
 	rule := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Objective: objective}
-	b := newBench(t, benchOptions{rule: rule, engine: true, allowance: 10, demand: backend.Demand{PromptTokens: 20_000}}, workers)
+	b := newBench(t, benchOptions{rule: rule, engine: true, allowance: 10, demand: backend.Demand{PromptTokens: 4_000}}, workers)
 	response, _, err := b.get(t)
 	if err != nil || response.StatusCode != http.StatusOK || len(workers.readAt) < 2 {
 		t.Fatalf("got %v, %v after %d readings", response, err, len(workers.readAt))
