--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -250,20 +250,23 @@
 	return due
 }
 
-// send reports the windows that are agreed on, the oldest first.
+// send reports the windows that are agreed on, the oldest first. One that gets no answer does not hold up the others.
 func (r *Reporter) send(ctx context.Context) error {
+	var failed error
 	for _, report := range r.ledger.Reports {
 		if r.isTaken(report.Window) {
 			continue
 		}
 		if fence, may := r.authority(); !may || fence != r.fence {
-			return nil
+			break
 		}
-		if err := r.sendOne(ctx, report); err != nil {
+		err := r.sendOne(ctx, report)
+		if errors.Is(err, ErrSuperseded) {
 			return err
 		}
+		failed = errors.CombineErrors(failed, err)
 	}
-	return nil
+	return failed
 }
 
 // sendOne reports one window.
