An engine that answers errors is set aside as one whose answers break off

Change: an error of an engine counts as an answer that broke off, two of which set it aside; the others are told of an engine that is.

--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -259,12 +259,16 @@
 	if outcome == balance.OutcomeSilent && a.mayBeBusy(now) {
 		outcome = balance.OutcomeNone
 	}
+	if outcome == balance.OutcomeError && a.Worker.Role != backend.RoleNone {
+		// An engine that answers an error has failed itself; with plain workers it is as often the fault of the request.
+		outcome = balance.OutcomeBroken
+	}
 	if outcome == balance.OutcomeGood {
 		d.model.ObserveRun(now, enginemodel.ClassOf(a.Worker), now.Sub(a.begun))
 	}
 	d.balancer.Answered(a.Worker.ID, a.load)
 	if d.balancer.End(now, a.Worker.ID, outcome) {
-		a.dispatcher.sharing.setAside(a.Worker.ID, outcome)
+		a.dispatcher.sharing.setAside(a.Worker, outcome)
 	}
 	a.dispatcher.sharing.loadChanged(a.Worker.ID, false)
 }
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -325,3 +325,27 @@
 		}
 	}
 }
+
+// TestAnEngineThatAnswersErrorsIsSetAside guards against engines that say they are well and fail all requests: four errors at each gateway
+// set one aside, and no gateway told another. An error of a plain worker is as often the fault of its request.
+func TestAnEngineThatAnswersErrorsIsSetAside(t *testing.T) {
+	for _, role := range []backend.Role{backend.RoleNone, backend.RoleDecode} {
+		now := time.Unix(1000, 0)
+		dispatcher := NewDispatcher(DefaultDispatchSettings(), func() time.Time { return now })
+		dispatcher.ShareWith(func(bool) {})
+		dispatcher.SetWorkers(backend.Set{"w": {ID: "w", Group: "g", Address: "w", Role: role, Slots: 6}})
+		for range 2 {
+			worker, _ := dispatcher.balancer.Worker("w")
+			assignment := dispatcher.assign(balance.Choice{Worker: worker}, 0, false, 0)
+			now = now.Add(60 * time.Millisecond)
+			assignment.finish(balance.OutcomeError)
+		}
+		engine := role == backend.RoleDecode
+		if usable := dispatcher.balancer.Usable(now, "w"); usable == engine {
+			t.Errorf("role %q: usable %v after two errors", role, usable)
+		}
+		if told := dispatcher.Drain(false).Failed; (len(told) == 1) != engine {
+			t.Errorf("role %q: the others are told of %v", role, told)
+		}
+	}
+}
--- a/internal/forward/sharing.go
+++ b/internal/forward/sharing.go
@@ -52,13 +52,15 @@
 	s.notify(true)
 }
 
-// setAside notes that a worker was set aside. Only what other gateways would see too is told: a worker that does not answer.
-func (s *sharing) setAside(worker string, outcome balance.Outcome) {
-	unanswered := outcome == balance.OutcomeUnreachable || outcome == balance.OutcomeSilent
-	if s.notify == nil || !unanswered || len(s.failed) >= maxUntoldParts {
+// setAside notes that a worker was set aside. Only what other gateways would see too is told: a worker that does not answer, and an
+// engine whose answers fail.
+func (s *sharing) setAside(worker *backend.Worker, outcome balance.Outcome) {
+	seen := outcome == balance.OutcomeUnreachable || outcome == balance.OutcomeSilent ||
+		(outcome == balance.OutcomeBroken && worker.Role != backend.RoleNone)
+	if s.notify == nil || !seen || len(s.failed) >= maxUntoldParts {
 		return
 	}
-	s.failed = append(s.failed, worker)
+	s.failed = append(s.failed, worker.ID)
 	s.notify(true)
 }
 
