--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -504,7 +504,9 @@
 // quick questions were answered by another one just after it.
 func TestASilentEngineLeavesTimeForAnother(t *testing.T) {
 	workers := &fakeWorkers{
-		run: func(context.Context, int, *backend.Worker, RunOptions) (*Answer, error) { return whole(200, "answer"), nil },
+		run: func(context.Context, int, *backend.Worker, RunOptions) (*Answer, error) {
+			return whole(200, "answer"), nil
+		},
 		read: func(ctx context.Context, number int, worker *backend.Worker) (*Prompt, error) {
 			if number == 1 {
 				<-ctx.Done()
