Spot workers are not ordered by records that may have lapsed

Cause, by reading: while records were not certain, spot workers were ordered as more workers showed. That is right in a fleet that is new; a gateway that begins to hear of all work in an outage of the store, with the records of most workers gone, would have ordered the number for the few that showed, and so had the others taken away.

Change: only a fleet that is new (nobody had given orders when this gateway first listed the store, in its first five seconds) has workers ordered before records are certain, and counts kept workers alone as provided; what is there at first counts until it has been complete for a while, whatever demand there is. TestWorkersWhoseRecordsHaveLapsedAreNotTakenAway fails without the condition.

--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -42,6 +42,8 @@
 	Present Plan
 	// Certain is set while the records of the workers are known to be complete.
 	Certain bool
+	// New is set in the first moments of the whole fleet: no spot workers are there that do not show yet.
+	New bool
 	// Informed is set while this process hears of the work of all gateways. One that stands by sees only a part of the demand.
 	Informed bool
 	// Busy is how many workers the demand of the moment keeps busy.
@@ -205,7 +207,7 @@
 		need = NewNeed(e.settings.Need)
 		e.needs[group.Name] = need
 	}
-	return need.Update(now, group.Busy, group.Present, group.Certain)
+	return need.Update(now, group)
 }
 
 // plan returns the plan of a group, which is made anew only when something has changed.
@@ -237,12 +239,12 @@
 
 // follow gives the orders that bring the workers of a group nearer to the plan. Workers are given back only as far as those that
 // are there are enough without them, and only while it is certain how many are there: an order names a number, and one for the few that
-// are seen would take the others away. Before that, spot workers are ordered as more of the others show.
+// are seen would take the others away. Before that, a fleet that is new has spot workers ordered as more of the kept ones show.
 func (e *Executor) follow(ctx context.Context, now time.Time, group Group, plan Plan, need int, certain bool) {
 	spare := max(group.Present.Total()-need, 0)
 	for _, zone := range group.Offer.Zones {
 		have, want := group.Present[zone.Name], plan[zone.Name]
-		if certain || want.Spot > have.Spot {
+		if certain || (e.needs[group.Name].isNew && want.Spot > have.Spot) {
 			e.adjust(ctx, now, group, line{group.Name, zone.Name, true}, have.Spot, want.Spot, &spare)
 		}
 		if certain {
@@ -303,7 +305,10 @@
 	if order.Spot {
 		kind = "spot"
 	}
-	log := e.logger.WithFields(logrus.Fields{"group": order.Group, "zone": order.Zone, "kind": kind, "workers": order.Workers, "have": have, "busy": fmt.Sprintf("%.1f", group.Busy), "need": e.needs[group.Name].current})
+	log := e.logger.WithFields(logrus.Fields{
+		"group": order.Group, "zone": order.Zone, "kind": kind, "workers": order.Workers, "have": have,
+		"busy": fmt.Sprintf("%.1f", group.Busy), "need": e.needs[group.Name].current,
+	})
 	record := decision.Record{
 		Kind: decision.KindCapacity, Subject: order.Group + " in " + order.Zone, Outcome: fmt.Sprintf("%d %s workers", order.Workers, kind),
 		Reason: "The demand needs another number of workers than there are.", Fence: order.Fence,
--- a/internal/capacity/executor_test.go
+++ b/internal/capacity/executor_test.go
@@ -36,10 +36,10 @@
 				case "at":
 					until := epoch.Add(time.Duration(number(t, words[1]) * float64(time.Second)))
 					for ; now.Before(until); now = now.Add(tick) {
-						got, known = need.Update(now, busy, Plan{"z": {Kept: present}}, true)
+						got, known = need.Update(now, Group{Busy: busy, Present: Plan{"z": {Kept: present}}, Certain: true, New: true})
 					}
 					busy, present = number(t, words[3]), int(number(t, words[5]))
-					got, known = need.Update(now, busy, Plan{"z": {Kept: present}}, true)
+					got, known = need.Update(now, Group{Busy: busy, Present: Plan{"z": {Kept: present}}, Certain: true, New: true})
 				case "unknown":
 					if known {
 						t.Errorf("%d are needed, want unknown", got)
@@ -80,6 +80,8 @@
 	calls int
 	// standsBy is set while the executors hear of a part of the demand only.
 	standsBy bool
+	// isNew is set in the first moments of the fleet.
+	isNew bool
 	// unsure is set while records may be missing.
 	unsure bool
 	// healthy is set once calls are carried out at once.
@@ -99,7 +101,7 @@
 	for zone, count := range p.present {
 		present[zone] = count
 	}
-	return []Group{{Name: "g", Offer: p.offer, Boot: bootTime, Present: present, Busy: p.busy, Certain: !p.unsure, Informed: !p.standsBy}}
+	return []Group{{Name: "g", Offer: p.offer, Boot: bootTime, Present: present, Busy: p.busy, Certain: !p.unsure, Informed: !p.standsBy, New: p.isNew && p.now.Sub(epoch) < 5*time.Second}}
 }
 
 func (p *platform) OrderWorkers(_ context.Context, order Order) error {
@@ -199,7 +201,7 @@
 
 func newPlatform(t *rapid.T) *platform {
 	p := &platform{
-		t: t, now: epoch, ordered: Plan{}, present: Plan{}, dry: map[string]time.Time{},
+		t: t, now: epoch, ordered: Plan{}, present: Plan{}, dry: map[string]time.Time{}, isNew: true,
 		offer: Offer{Least: 1, Most: 36, SpotPrice: 0.22},
 	}
 	for i, price := range []float64{1, 0.8, 1.25, 0.9} {
@@ -361,3 +363,33 @@
 		}
 	})
 }
+
+// TestWorkersWhoseRecordsHaveLapsedAreNotTakenAway has a process that knows nothing get the authority while the records of most workers are
+// gone with an outage of the store.
+func TestWorkersWhoseRecordsHaveLapsedAreNotTakenAway(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlatform(t)
+		p.healthy = true
+		p.isNew = false
+		for _, zone := range p.offer.Zones {
+			p.ordered[zone.Name] = Count{Kept: 1, Spot: 25}
+			p.present[zone.Name] = Count{Kept: rapid.IntRange(0, 1).Draw(t, "kept"), Spot: rapid.IntRange(0, 25).Draw(t, "spot")}
+		}
+		e := newTestExecutor(p, func() (int64, bool) { return 2, true })
+		for i := range 20 {
+			p.unsure = i < 14
+			if !p.unsure {
+				for _, zone := range p.offer.Zones {
+					p.present[zone.Name] = Count{Kept: 1, Spot: 25}
+				}
+			}
+			p.now = p.now.Add(tick)
+			e.Step(context.Background(), p.now)
+			for zone, count := range p.ordered {
+				if count.Total() < 25 {
+					t.Fatalf("%+v were ordered in zone %s", count, zone)
+				}
+			}
+		}
+	})
+}
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -29,13 +29,12 @@
 // machine and not safe for concurrent use.
 type Need struct {
 	settings NeedSettings
-	// steadySince is since when the number of workers has not grown before any demand was seen, and demandSince since when there is
-	// one.
+	// steadySince is since when the number of workers at first has not grown, and demandSince since when there is a demand.
 	steadySince, demandSince time.Time
 	peaks                    []peak
 	current                  int
-	// withSpots is set when there were spot workers at first.
-	withSpots bool
+	// isNew is set when the fleet was new at first.
+	isNew bool
 }
 
 // peak is the highest demand of a span of time.
@@ -50,12 +49,14 @@
 // NewNeed returns the need of a group of which nothing was seen.
 func NewNeed(settings NeedSettings) *Need { return &Need{settings: settings} }
 
-// Update takes how many workers the demand of the moment keeps busy, and those that are there, which are all only if that is certain.
-// It returns how many are needed, and false while not even that is known.
-func (n *Need) Update(now time.Time, busy float64, present Plan, certain bool) (int, bool) {
-	wanted := int(math.Ceil(n.highest(now, busy) / n.settings.Use))
-	if n.demandSince.IsZero() {
-		n.provided(now, busy, present, certain)
+// Update takes what is seen of the group. It returns how many workers are needed, and false while not even that is known.
+func (n *Need) Update(now time.Time, seen Group) (int, bool) {
+	wanted := int(math.Ceil(n.highest(now, seen.Busy) / n.settings.Use))
+	if !n.settled(now) {
+		n.provided(now, seen)
+	}
+	if n.demandSince.IsZero() && seen.Busy > 0 {
+		n.demandSince = now
 	}
 	switch {
 	case !n.known(now):
@@ -73,23 +74,19 @@
 	return !n.steadySince.IsZero() && now.Sub(n.steadySince) >= n.settings.Settle
 }
 
-// provided notes the workers that are there before any demand is seen: somebody has taken them to be enough.
-//
-// Where there were no spot workers at first, those that come were ordered meanwhile and do not count.
-func (n *Need) provided(now time.Time, busy float64, present Plan, certain bool) {
-	enough := present.Kept()
-	if n.current == 0 {
-		n.withSpots = enough < present.Total()
+// provided notes the workers that are there at first: somebody has taken them to be enough. In a fleet that is new the
+// spot workers that come were ordered meanwhile, and do not count.
+func (n *Need) provided(now time.Time, seen Group) {
+	if n.current == 0 && n.steadySince.IsZero() {
+		n.isNew, n.steadySince = seen.New, now
 	}
-	if n.withSpots {
-		enough = present.WithoutDearestZone()
+	enough := seen.Present.WithoutDearestZone()
+	if n.isNew {
+		enough = seen.Present.Kept()
 	}
-	if !n.settled(now) && (enough > n.current || !certain) {
+	if enough > n.current || enough == 0 || !seen.Certain {
 		n.current, n.steadySince = max(enough, n.current), now
 	}
-	if busy > 0 {
-		n.demandSince = now
-	}
 }
 
 // known tells whether the demand was watched for long enough.
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -68,6 +69,9 @@
 	mutex     sync.Mutex
 	gateways  *member.List
 	currentAt time.Time
+	// listedAt is when the store was listed first, and fleetIsNew is set when nobody had given orders by then.
+	listedAt   time.Time
+	fleetIsNew bool
 	// lostAt is when the store was lost last, or the start.
 	lostAt time.Time
 	// answeredAt is when the store answered anything, to this process or to another that tells this one.
@@ -97,6 +101,10 @@
 		}
 	}
 	v.mutex.Lock()
+	if v.listedAt.IsZero() {
+		v.listedAt = time.Now()
+		v.fleetIsNew = !slices.ContainsFunc(items, func(item store.Item) bool { return item.Key == roles.HistoryKey })
+	}
 	v.complain(v.gateways.Reset(time.Now(), items))
 	v.mutex.Unlock()
 	v.rosterMutex.Lock()
@@ -216,6 +224,13 @@
 	return !v.answeredAt.IsZero() && time.Since(v.answeredAt) < within
 }
 
+// IsNew tells whether the whole fleet started within a time: nobody had ever given orders when this process first listed the store.
+func (v *View) IsNew(within time.Duration) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.fleetIsNew && time.Since(v.listedAt) < within
+}
+
 // Steady tells for how long the store has not been lost, by this process or those that tell it: records that went meanwhile are
 // written anew within some seconds.
 func (v *View) Steady() time.Duration {
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -13,6 +13,10 @@
 // two seconds, and a heartbeat besides.
 const recordsBack = 3500 * time.Millisecond
 
+// startTime is how long a fleet is new: until its first workers have recorded themselves, and before spot workers that it orders have
+// booted.
+const startTime = 5 * time.Second
+
 // CapacityGroups is part of capacity.Fleet.
 func (g *Gateway) CapacityGroups() []capacity.Group {
 	table := g.handler.Table()
@@ -33,6 +37,7 @@
 	seen := capacity.Group{
 		Name: group.Name, Boot: group.Scaling.Boot, Present: capacity.Plan{}, Busy: g.dispatcher.Busy(group.Name),
 		Certain:  g.view.Steady() > recordsBack,
+		New:      g.view.IsNew(startTime),
 		Informed: g.takesRequests() || g.controller.GivesOrders(),
 		Offer:    capacity.Offer{Least: group.Scaling.Least, Most: group.Scaling.Most, SpotPrice: group.Scaling.SpotPrice},
 	}
