Spot workers come in the places of kept ones, and are missed only once they had their time

Change: a zone is ordered as many spot workers as the kept ones leave places for, and more as those go.

Test: TestAllThatArePlannedAreThereSoon fails without the places being counted.

--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -119,10 +119,17 @@
 	ordered int
 	// changeFrom is when the next order may be given, and notBefore when one for the same number may.
 	changeFrom, notBefore time.Time
+	// refused is set when the last order was.
+	refused bool
 	// shortSince is since when fewer workers are there than were wanted; zero when all are.
 	shortSince time.Time
 }
 
+// isDry tells whether workers have been missing for a while, and the last order had its time or was refused.
+func (l *lineState) isDry(now time.Time, after time.Duration) bool {
+	return !l.shortSince.IsZero() && now.Sub(l.shortSince) > after && (l.refused || now.Sub(l.notBefore) > after)
+}
+
 // planned is the last plan of a group, and what it was made of.
 type planned struct {
 	offer Offer
@@ -230,8 +237,9 @@
 	}
 	offer.Zones = lo.Map(offer.Zones, func(zone Zone, _ int) Zone {
 		state, found := e.lines[line{group.Name, zone.Name, true}]
-		dry := found && !state.shortSince.IsZero() && now.Sub(state.shortSince) > e.settings.DryAfter
-		zone.NoSpot = zone.NoSpot || dry
+		if found && state.isDry(now, e.settings.DryAfter) {
+			zone.NoSpot, offer.OneLost = true, true
+		}
 		return zone
 	})
 	return offer
@@ -244,6 +252,8 @@
 	spare := max(group.Present.Total()-need, 0)
 	for _, zone := range group.Offer.Zones {
 		have, want := group.Present[zone.Name], plan[zone.Name]
+		// Workers that are to go take the places of those that are to come.
+		want.Spot = min(want.Spot, max(group.Offer.Most-have.Kept, 0))
 		if certain || (e.needs[group.Name].isNew && want.Spot > have.Spot) {
 			e.adjust(ctx, now, group, line{group.Name, zone.Name, true}, have.Spot, want.Spot, &spare)
 		}
@@ -280,6 +290,7 @@
 	err := e.orderer.OrderWorkers(callCtx, order)
 	state.notBefore = now.Add(group.Boot + e.settings.Again)
 	state.changeFrom = now.Add(e.settings.ChangePause)
+	state.refused = errors.Is(err, ErrRefused)
 	if err != nil {
 		state.notBefore = now.Add(e.settings.RefusedPause)
 		state.changeFrom = state.notBefore
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -28,6 +28,16 @@
 	Least, Most int
 	// SpotPrice is the price of a spot worker as a part of that of a kept one.
 	SpotPrice float64
+	// OneLost is set while a zone has lost its spot workers: the loss of another one at the same time is not planned for.
+	OneLost bool
+}
+
+// left returns how many workers of a plan are left after the loss that is planned for.
+func (o Offer) left(plan Plan) int {
+	if o.OneLost {
+		return plan.Total()
+	}
+	return plan.WithoutDearestZone()
 }
 
 // WithReserve returns the plan with so many more spot workers, as evenly as the zones allow.
@@ -59,7 +69,7 @@
 
 // same tells whether two offers are the same.
 func (o Offer) same(other Offer) bool {
-	return o.Least == other.Least && o.Most == other.Most && o.SpotPrice == other.SpotPrice && slices.Equal(o.Zones, other.Zones)
+	return o.OneLost == other.OneLost && o.Least == other.Least && o.Most == other.Most && o.SpotPrice == other.SpotPrice && slices.Equal(o.Zones, other.Zones)
 }
 
 // Count is a number of workers of each kind.
@@ -109,7 +119,7 @@
 
 // better tells whether a plan meets the need more fully than another one, or as fully at less cost.
 func better(plan, other Plan, offer Offer, need int) bool {
-	met, otherMet := min(plan.WithoutDearestZone(), need), min(other.WithoutDearestZone(), need)
+	met, otherMet := min(offer.left(plan), need), min(offer.left(other), need)
 	return cmp.Or(cmp.Compare(otherMet, met), cmp.Compare(plan.Cost(offer), other.Cost(offer))) < 0
 }
 
@@ -126,13 +136,16 @@
 			continue
 		}
 		room := min(limit, offer.Most-offer.Least, need+limit-plan.Total())
+		if offer.OneLost {
+			room = min(room, need-plan.Total())
+		}
 		if room > 0 {
 			plan[zone.Name] = Count{Kept: offer.Least, Spot: room}
 		}
 	}
 	for _, zone := range byPrice {
 		count := plan[zone.Name]
-		if short := need - plan.WithoutDearestZone(); short > 0 {
+		if short := need - offer.left(plan); short > 0 {
 			count.Kept += min(short, offer.Most-count.Total())
 			plan[zone.Name] = count
 		}
