Labels of completions carry the tenant of the key

Cause, by reading: where the configuration has tenants, rules by labels still selected on the tenant that the caller claimed to be. The tenant of its key goes first now. Only completions are concerned; paths of the platform are matched before.

--- a/internal/completions/completions.go
+++ b/internal/completions/completions.go
@@ -19,6 +19,7 @@
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/tenant"
 )
 
 // Path of the API.
@@ -67,7 +68,8 @@
 }
 
 // Labels is part of forward.LabelledProtocol. Labels that can't be read are left out here, and named by Read.
-func (Callers) Labels(r *http.Request) (map[string]string, bool) {
+// The tenant of a key goes before what the caller says.
+func (Callers) Labels(r *http.Request, owner *tenant.Tenant) (map[string]string, bool) {
 	if r.Method != http.MethodPost || r.URL.Path != Path {
 		return nil, false
 	}
@@ -75,6 +77,9 @@
 	if tenant := r.Header.Get(HeaderTenant); tenant != "" {
 		labels[configuration.LabelTenant] = tenant
 	}
+	if owner != nil {
+		labels[configuration.LabelTenant] = owner.Name()
+	}
 	repeatable, _ := repeatableOf(r.Header.Get(HeaderRepeatable))
 	labels[configuration.LabelRepeatable] = strconv.FormatBool(repeatable)
 	return labels, true
--- a/internal/completions/completions_test.go
+++ b/internal/completions/completions_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"github.com/granitebay/granitebay/internal/configuration"
+	"github.com/granitebay/granitebay/internal/tenant"
 	"golang.org/x/tools/txtar"
 	"k8s.io/apimachinery/pkg/labels"
 )
@@ -19,7 +21,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
 		r.Header.Set(name, value)
 	}
-	set, speaks := Callers{}.Labels(r)
+	set, speaks := Callers{}.Labels(r, nil)
 	if !speaks {
 		return "error the request is none of the protocol"
 	}
@@ -63,7 +65,7 @@
 	for _, r := range []*http.Request{
 		httptest.NewRequest(http.MethodGet, Path, nil), httptest.NewRequest(http.MethodPost, "/v1/other", nil),
 	} {
-		if _, speaks := (Callers{}).Labels(r); speaks {
+		if _, speaks := (Callers{}).Labels(r, nil); speaks {
 			t.Errorf("%s %s is taken for one", r.Method, r.URL)
 		}
 	}
@@ -78,3 +80,20 @@
 		t.Error("prompts are told apart by something else than their shared beginning")
 	}
 }
+
+// TestTheTenantOfAKeyGoesBeforeWhatTheCallerSays guards against rules that select on a tenant which the caller only claims to be.
+func TestTheTenantOfAKeyGoesBeforeWhatTheCallerSays(t *testing.T) {
+	table, err := tenant.NewTable([]tenant.Grant{{Name: "roasters", Keys: []string{"key-1"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := httptest.NewRequest(http.MethodPost, Path, nil)
+	r.Header.Set(HeaderTenant, "cafes")
+	r.Header.Set("Authorization", "Bearer key-1")
+	owner, _ := table.Find(Callers{}.Key(r))
+	for want, owner := range map[string]*tenant.Tenant{"roasters": owner, "cafes": nil} {
+		if labels, _ := (Callers{}).Labels(r, owner); labels[configuration.LabelTenant] != want {
+			t.Errorf("got %v, want tenant %s", labels, want)
+		}
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -210,7 +210,12 @@
 	if h.labelled == nil {
 		return nil, routing.Match{}, false
 	}
-	labels, speaks := h.labelled.Labels(incoming)
+	var owner *tenant.Tenant
+	if tenants := table.Configuration().Tenants; tenants != nil {
+		// A request whose key is unknown is denied once its rule is known.
+		owner, _ = tenants.Find(h.labelled.Key(incoming))
+	}
+	labels, speaks := h.labelled.Labels(incoming, owner)
 	if !speaks {
 		return nil, routing.Match{}, false
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/tenant"
 )
 
 // Request is one request as a caller sent it. It is not changed once it was read.
@@ -48,8 +49,9 @@
 // LabelledProtocol is a protocol whose requests are matched by their labels.
 type LabelledProtocol interface {
 	Protocol
-	// Labels returns the labels of a request, or false when it is not one of the protocol.
-	Labels(request *http.Request) (map[string]string, bool)
+	// Labels returns the labels of a request, or false when it is not one of the protocol. The owner is the tenant whose key the
+	// caller has, or nil where none is known.
+	Labels(request *http.Request, owner *tenant.Tenant) (map[string]string, bool)
 }
 
 // Prompt is a prompt that an engine has read and keeps for the engine that goes on with it.
