--- a/internal/completions/completions_test.go
+++ b/internal/completions/completions_test.go
@@ -8,10 +8,11 @@
 	"strings"
 	"testing"
 
-	"github.com/granitebay/granitebay/internal/configuration"
-	"github.com/granitebay/granitebay/internal/tenant"
 	"golang.org/x/tools/txtar"
 	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/granitebay/granitebay/internal/configuration"
+	"github.com/granitebay/granitebay/internal/tenant"
 )
 
 // read returns what the protocol reads of a request, in the lines of the script.
