--- a/internal/adminpage/assets/words.js
+++ b/internal/adminpage/assets/words.js
@@ -7,6 +7,8 @@
   configuration: { words: "Configuration in force" },
   health: { words: "Worker set aside" },
   entry: { words: "Takes requests, or stands by" },
+  usage: { words: "Usage of a window reported" },
+  capacity: { words: "Workers ordered" },
   refusal: { words: "Request given up before it ran" },
   request: { words: "Request ended", routine: true },
 };
