--- a/internal/capacity/executor_test.go
+++ b/internal/capacity/executor_test.go
@@ -415,3 +415,32 @@
 		}
 	})
 }
+
+// TestSpotWorkersThatHaveJustComeStay starts a fleet with more kept workers than a zone may have, which show one after another: spot workers
+// that were ordered meanwhile stay until the demand was watched.
+func TestSpotWorkersThatHaveJustComeStay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlatform(t)
+		p.healthy = true
+		p.offer.Most = 30
+		shown := 0
+		e := newTestExecutor(p, func() (int64, bool) { return 1, true })
+		most := map[string]int{}
+		for i := range int(18 * time.Second / tick) {
+			p.unsure = i < 14
+			shown = min(shown+rapid.IntRange(1, 9).Draw(t, "shown"), 50)
+			for _, zone := range p.offer.Zones {
+				p.ordered[zone.Name] = Count{Kept: 50, Spot: p.ordered[zone.Name].Spot}
+				p.present[zone.Name] = Count{Kept: shown, Spot: p.ordered[zone.Name].Spot}
+			}
+			p.now = p.now.Add(tick)
+			e.Step(context.Background(), p.now)
+			for zone, count := range p.ordered {
+				if count.Spot < most[zone] {
+					t.Fatalf("zone %s has %d of %d spot workers left", zone, count.Spot, most[zone])
+				}
+				most[zone] = count.Spot
+			}
+		}
+	})
+}
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -59,7 +59,7 @@
 		n.demandSince = now
 	}
 	switch {
-	case !n.known(now):
+	case !n.watched(now):
 		n.current = max(n.current, wanted)
 	case wanted > n.current:
 		n.current = wanted
@@ -89,8 +89,8 @@
 	}
 }
 
-// known tells whether the demand was watched for long enough.
-func (n *Need) known(now time.Time) bool {
+// watched tells whether the demand was watched for long enough.
+func (n *Need) watched(now time.Time) bool {
 	return !n.demandSince.IsZero() && now.Sub(n.demandSince) >= n.settings.Learn
 }
 
