Spot workers wait until most records show; those that stand by follow no demand

Each gateway summed up 3,000 workers each second, also those that follow no demand; and in the first second full zones look empty, so that spot workers were ordered, whose records go to all.

Change: only a gateway that hears of all work looks at the workers; a new fleet orders spot workers from 2.5 s after its first list on.

--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -44,13 +44,14 @@
 	Certain bool
 	// New is set in the first moments of the whole fleet: no spot workers are there that do not show yet.
 	New bool
-	// Informed is set while this process hears of the work of all gateways. One that stands by sees only a part of the demand.
-	Informed bool
+	// Shown is set once the records of most workers have had the time to show.
+	Shown bool
 	// Busy is how many workers the demand of the moment keeps busy.
 	Busy float64
 }
 
-// Fleet shows the groups whose workers may be ordered.
+// Fleet shows the groups whose workers may be ordered. It shows none to a process that does not hear of the work of all gateways: one that
+// stands by sees only a part of the demand.
 type Fleet interface{ CapacityGroups() []Group }
 
 // Settings of an executor.
@@ -191,13 +192,18 @@
 		clear(e.lines)
 	}
 	var status []Status
-	for _, group := range e.fleet.CapacityGroups() {
+	groups := e.fleet.CapacityGroups()
+	if len(groups) == 0 {
+		// One that begins to hear of all watches anew: what is there is enough until it has.
+		clear(e.needs)
+	}
+	for _, group := range groups {
 		need, known := e.need(now, group)
 		plan := e.plan(group.Name, e.available(now, group, need), need)
 		status = append(status, Status{
 			Group: group.Name, Busy: group.Busy, Need: need, Present: group.Present, Plan: plan, Offer: group.Offer,
 		})
-		if may && group.Informed {
+		if may {
 			e.follow(ctx, now, group, plan, need, known && group.Certain)
 		}
 	}
@@ -206,11 +212,10 @@
 	e.status = status
 }
 
-// need returns how many workers of a group are needed, and whether that is known. A process that has not heard of all begins anew: what
-// is there is enough until it has watched the demand.
+// need returns how many workers of a group are needed, and whether that is known.
 func (e *Executor) need(now time.Time, group Group) (int, bool) {
 	need, found := e.needs[group.Name]
-	if !found || !group.Informed {
+	if !found {
 		need = NewNeed(e.settings.Need)
 		e.needs[group.Name] = need
 	}
@@ -258,7 +263,7 @@
 			// Those that have just booted are not given back before it is known what they are worth.
 			want.Spot = max(want.Spot, have.Spot)
 		}
-		if certain || (e.needs[group.Name].isNew && want.Spot > have.Spot) {
+		if certain || (group.Shown && e.needs[group.Name].isNew && want.Spot > have.Spot) {
 			e.adjust(ctx, now, group, line{group.Name, zone.Name, true}, have.Spot, want.Spot, &spare)
 		}
 		if certain {
--- a/internal/capacity/executor_test.go
+++ b/internal/capacity/executor_test.go
@@ -97,11 +97,14 @@
 const bootTime = 4 * time.Second
 
 func (p *platform) CapacityGroups() []Group {
+	if p.standsBy {
+		return nil
+	}
 	present := Plan{}
 	for zone, count := range p.present {
 		present[zone] = count
 	}
-	return []Group{{Name: "g", Offer: p.offer, Boot: bootTime, Present: present, Busy: p.busy, Certain: !p.unsure, Informed: !p.standsBy, New: p.isNew && p.now.Sub(epoch) < 5*time.Second}}
+	return []Group{{Name: "g", Offer: p.offer, Boot: bootTime, Present: present, Busy: p.busy, Shown: true, Certain: !p.unsure, New: p.isNew && p.now.Sub(epoch) < 5*time.Second}}
 }
 
 func (p *platform) OrderWorkers(_ context.Context, order Order) error {
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -13,6 +13,10 @@
 // two seconds, and a heartbeat besides.
 const recordsBack = 3500 * time.Millisecond
 
+// recordsShow is how long after the start most workers have recorded themselves: two heartbeats. Before that a zone that is full looks
+// empty.
+const recordsShow = 2500 * time.Millisecond
+
 // startTime is how long a fleet is new: until its first workers have recorded themselves, and before spot workers that it orders have
 // booted.
 const startTime = 5 * time.Second
@@ -20,7 +24,7 @@
 // CapacityGroups is part of capacity.Fleet.
 func (g *Gateway) CapacityGroups() []capacity.Group {
 	table := g.handler.Table()
-	if table == nil {
+	if table == nil || !(g.takesRequests() || g.controller.GivesOrders()) {
 		return nil
 	}
 	var groups []capacity.Group
@@ -36,10 +40,8 @@
 func (g *Gateway) capacityOf(group routing.Group) capacity.Group {
 	seen := capacity.Group{
 		Name: group.Name, Boot: group.Scaling.Boot, Present: capacity.Plan{}, Busy: g.dispatcher.Busy(group.Name),
-		Certain:  g.view.Steady() > recordsBack,
-		New:      g.view.IsNew(startTime),
-		Informed: g.takesRequests() || g.controller.GivesOrders(),
-		Offer:    capacity.Offer{Least: group.Scaling.Least, Most: group.Scaling.Most, SpotPrice: group.Scaling.SpotPrice},
+		Shown: g.view.Steady() > recordsShow, Certain: g.view.Steady() > recordsBack, New: g.view.IsNew(startTime),
+		Offer: capacity.Offer{Least: group.Scaling.Least, Most: group.Scaling.Most, SpotPrice: group.Scaling.SpotPrice},
 	}
 	for zone, price := range group.Scaling.ZonePrices {
 		seen.Offer.Zones = append(seen.Offer.Zones, capacity.Zone{Name: zone, Price: price, NoSpot: group.Scaling.SpotPrice <= 0})
