Requests at which a worker broke off are named by what they ask for

Change: a digest of tenant, method, host, target and body in the line and the decision of each request at which a worker broke off. Nothing is reckoned for others. Ruled out: the digest of every request (processor time on each), headers (a header of a trace differs each time).

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -175,6 +175,10 @@
 	if failed != failureNone {
 		record.Failure = prefix + failed.String()
 	}
+	if failed == failureBroken && c.report.Asked == nil {
+		digest := c.request.asked()
+		c.report.Asked = &digest
+	}
 	c.report.Tries = append(c.report.Tries, record)
 }
 
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/poison"
 )
 
 // Reason says why a gateway gave an answer of its own.
@@ -47,6 +48,9 @@
 	Tries []Try
 	// Err is the last error, or nil.
 	Err error
+	// Asked is the digest of what was asked for, and known only of requests at which a worker broke off: requests with other ids may
+	// ask for the same.
+	Asked *poison.Digest
 }
 
 // Try is one worker to which a request was offered.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/tenant"
 )
 
@@ -36,6 +37,11 @@
 	Whole bool
 }
 
+// asked returns the digest of what a request asks for.
+func (r *Request) asked() poison.Digest {
+	return poison.Asked{Tenant: r.Tenant, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}.Digest()
+}
+
 // Protocol is how callers speak.
 type Protocol interface {
 	// Key returns the key with which a caller shows whose request it is, or nothing. It is not kept with the request.
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -9,6 +9,7 @@
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/poison"
 )
 
 // keptDecisions is how many decisions a gateway keeps.
@@ -30,13 +31,14 @@
 	first   time.Duration
 	tries   []forward.Try
 	err     error
+	asked   *poison.Digest
 }
 
 // entryOf takes what is kept out of a report.
 func entryOf(report *forward.Report) requestEntry {
 	entry := requestEntry{
 		rule: report.Rule, group: report.Group, version: report.Version, status: report.Status, reason: report.Reason,
-		took: report.Ended.Sub(report.Arrived), tries: report.Tries, err: report.Err, target: report.Target,
+		took: report.Ended.Sub(report.Arrived), tries: report.Tries, err: report.Err, target: report.Target, asked: report.Asked,
 	}
 	if report.Request != nil {
 		entry.id = report.Request.ID
@@ -68,9 +70,12 @@
 	inputs := map[string]string{
 		"rule": e.rule, adminapi.InputGroup: e.group, "took_ms": strconv.FormatInt(e.took.Milliseconds(), 10),
 	}
-	if e.rule == "" {
+	if e.rule == "" || e.asked != nil {
 		inputs["target"] = e.target
 	}
+	if e.asked != nil {
+		inputs["asked"] = e.asked.String()
+	}
 	if e.first > 0 {
 		inputs["first_byte_ms"] = strconv.FormatInt(e.first.Milliseconds(), 10)
 	}
