--- /dev/null
+++ b/internal/standin/fleet/crash.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"time"
+)
+
+// CrashingBody ends each worker that begins to run a request whose body contains it.
+const CrashingBody = "ends its worker"
+
+// Times of a worker that has crashed.
+const (
+	// crashDelay is between the beginning of the run and the end of the worker.
+	crashDelay = 30 * time.Millisecond
+	// crashLapse is how long the record of a worker that has crashed stays: some heartbeats.
+	crashLapse = 800 * time.Millisecond
+	// crashPause is how long a worker is away before it is back at its address, with another id.
+	crashPause = 600 * time.Millisecond
+)
+
+// Crash is the end of a worker under a request.
+type Crash struct {
+	Worker string
+	// ID of the request that has ended it.
+	ID string
+	At time.Time
+}
+
+// Crashes returns the ends of workers under requests so far, in their order.
+func (f *Fleet) Crashes() []Crash {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]Crash(nil), f.crashes...)
+}
+
+// endsWorker tells whether a request ends the worker that runs it.
+func endsWorker(body []byte) bool { return bytes.Contains(body, []byte(CrashingBody)) }
+
+// crashUnder ends the worker under a request: everything that it runs breaks off, its address refuses connections, and its record
+// lapses. It is back at its address after a while.
+func (w *Worker) crashUnder(id string) {
+	time.Sleep(crashDelay)
+	w.mutex.Lock()
+	crashed := w.crashed
+	w.crashed = true
+	w.mutex.Unlock()
+	if crashed {
+		return
+	}
+	w.fleet.crashed(Crash{Worker: w.options.ID, ID: id, At: time.Now()})
+	_ = w.server.Close()
+	time.AfterFunc(crashLapse, func() { w.fleet.Store.Delete("servers/" + w.options.ID) })
+	time.AfterFunc(crashPause, w.comeBack)
+}
+
+// comeBack starts the worker again with another id, unless the stand-in was stopped.
+func (w *Worker) comeBack() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.stopped {
+		return
+	}
+	listener, err := net.Listen("tcp4", w.listens)
+	if err != nil {
+		// Somebody else has the port: the worker stays away.
+		return
+	}
+	options := w.options
+	options.ID += "'"
+	w.next = w.fleet.serve(options, listener, w.address)
+}
+
+// crashed notes the end of a worker under a request.
+func (f *Fleet) crashed(crash Crash) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.crashes = append(f.crashes, crash)
+}
+
+// serve adds a worker that listens already, and records it.
+func (f *Fleet) serve(options WorkerOptions, listener net.Listener, address string) *Worker {
+	worker := &Worker{
+		options: options, fleet: f, address: address, listens: listener.Addr().String(), stage: options.Stage, handles: map[string]bool{},
+	}
+	if options.Model != nil {
+		worker.model = newModel(*options.Model)
+	}
+	worker.server = &http.Server{Handler: worker}
+	go func() { _ = worker.server.Serve(listener) }()
+	f.mutex.Lock()
+	f.workers[worker.address] = worker
+	f.mutex.Unlock()
+	worker.record()
+	return worker
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -18,6 +18,8 @@
 	orders   []Taken
 	// heads are what every call about a request has told of its caller.
 	heads []Head
+	// crashes are the ends of workers under requests.
+	crashes []Crash
 }
 
 // Head is what a call about a request, be it a run or a reading, tells of its caller.
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -56,7 +56,8 @@
 	options WorkerOptions
 	fleet   *Fleet
 	server  *http.Server
-	address string
+	// address at which others reach the worker, and the one at which it listens.
+	address, listens string
 
 	mutex    sync.Mutex
 	stage    string
@@ -71,6 +72,9 @@
 	// changing is set while the worker is out for a change of its stage.
 	changing bool
 	model    *model
+	// crashed is set once the worker has ended under a request, and stopped once it is not to come back; next is its next life.
+	crashed, stopped bool
+	next             *Worker
 }
 
 // Start adds a worker to the fleet and records it.
@@ -83,19 +87,7 @@
 	if options.Through != nil {
 		address = options.Through(address)
 	}
-	worker := &Worker{
-		options: options, fleet: f, address: address, stage: options.Stage, handles: map[string]bool{},
-	}
-	if options.Model != nil {
-		worker.model = newModel(*options.Model)
-	}
-	worker.server = &http.Server{Handler: worker}
-	go func() { _ = worker.server.Serve(listener) }()
-	f.mutex.Lock()
-	f.workers[worker.address] = worker
-	f.mutex.Unlock()
-	worker.record()
-	return worker, nil
+	return f.serve(options, listener, address), nil
 }
 
 // record writes the record of the worker into the store.
@@ -166,8 +158,15 @@
 	w.record()
 }
 
-// Stop ends the worker; with crash its record stays.
+// Stop ends the worker, and its next lives; with crash its record stays.
 func (w *Worker) Stop(crash bool) {
+	w.mutex.Lock()
+	w.stopped = true
+	next := w.next
+	w.mutex.Unlock()
+	if next != nil {
+		next.Stop(crash)
+	}
 	_ = w.server.Close()
 	if !crash {
 		w.fleet.Store.Delete("servers/" + w.options.ID)
