Requests that end workers are barred, everywhere and for good

Each repeat of its caller has an id of its own, at any gateway, and so was a first try again: two tries by maxAttempts, two more by the caller's own retry, each one more engine with all that it ran. Class: a query of death (poison message) without memory across requests and nodes. Ruled out: engines that end under load or right after they came back (the stand-ins bear the load and come back warm, and the test fails all the same); a tighter budget of repeats (each arrival is a first try); counting by request id (new each time). Change: internal/poison. A connection that breaks makes the gateway ask whether the worker's address still listens; if it refuses, or the record goes without a word, the worker ended under all requests that broke off there, named by a digest of tenant, method, host, target and body. Gateways tell each other the pairs of worker and digest, which merge in any order. After three different workers without a good end between a request is barred, unless another suspect ran at each of them: then it runs apart once more. Ends under a barred request are put down to it and speak against no other. The bar lies in the store, so that it outlasts all gateways; the caller gets 422 at once. Digests are reckoned only while anything is suspected. Operators: get barred, release, decisions of kind bar.

--- a/internal/adminapi/backend.go
+++ b/internal/adminapi/backend.go
@@ -5,6 +5,7 @@
 
 	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/poison"
 )
 
 // Backend is what a gateway gives to the API.
@@ -19,6 +20,10 @@
 	Tenants() []TenantStatus
 	Capacity() []CapacityStatus
 	Usage() UsageStatus
+	// Barred shows the requests that go to no worker, because workers ended under them.
+	Barred() []BarredStatus
+	// Release forgets what speaks against a request, everywhere. It tells whether the request was barred.
+	Release(ctx context.Context, asked poison.Digest) (bool, error)
 	// Document returns the configuration by labels in force; the zero document before the first.
 	Document() configuration.Document
 	// Propose brings an edit into the store and waits for its result.
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -80,6 +80,22 @@
 	return get[[]TenantStatus](ctx, c, PathTenants, nil)
 }
 
+// Barred returns the requests that go to no worker.
+func (c *Client) Barred(ctx context.Context) ([]BarredStatus, error) {
+	return get[[]BarredStatus](ctx, c, PathBarred, nil)
+}
+
+// Release lets a barred request go to workers again. Releasing it twice is the same.
+func (c *Client) Release(ctx context.Context, asked string) (ReleaseResult, error) {
+	var result ReleaseResult
+	path := PathBarred + "/" + asked
+	data, err := c.try(ctx, call{method: http.MethodDelete, path: path})
+	if err != nil {
+		return result, err
+	}
+	return result, errors.Wrapf(json.Unmarshal(data, &result), "decode the response to %s", path)
+}
+
 // Capacity returns the workers that can be ordered.
 func (c *Client) Capacity(ctx context.Context) ([]CapacityStatus, error) {
 	return get[[]CapacityStatus](ctx, c, PathCapacity, nil)
--- a/internal/adminapi/doc.go
+++ b/internal/adminapi/doc.go
@@ -10,6 +10,7 @@
 	PathRules           = "/admin/v1/rules"
 	PathGateways        = "/admin/v1/gateways"
 	PathTenants         = "/admin/v1/tenants"
+	PathBarred          = "/admin/v1/barred"
 	PathCapacity        = "/admin/v1/capacity"
 	PathUsage           = "/admin/v1/usage"
 	PathConfig          = "/admin/v1/config"
--- a/internal/adminapi/register.go
+++ b/internal/adminapi/register.go
@@ -10,6 +10,7 @@
 
 	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/poison"
 )
 
 // jsonBody is a body that is already JSON. The types of the configuration write themselves, so a schema made by
@@ -37,6 +38,8 @@
 	registerGet(api, PathRules, "rules", "All rules in force", backend.Rules)
 	registerGet(api, PathGateways, "gateways", "All gateways", backend.Gateways)
 	registerGet(api, PathTenants, "tenants", "All tenants, without their keys", backend.Tenants)
+	registerGet(api, PathBarred, "barred", "The requests that go to no worker, because workers ended under them", backend.Barred)
+	registerRelease(api, backend)
 	registerGet(api, PathCapacity, "capacity", "The workers that can be ordered, by zone", backend.Capacity)
 	registerGet(api, PathUsage, "usage", "What became of windows of usage at this gateway", backend.Usage)
 }
@@ -78,6 +81,29 @@
 	})
 }
 
+// releaseInput names a request by its digest.
+type releaseInput struct {
+	Asked string `path:"asked" doc:"Digest of the request, as the list of barred ones has it."`
+}
+
+// registerRelease adds the handler that releases a barred request.
+func registerRelease(api huma.API, backend Backend) {
+	operation := huma.Operation{
+		OperationID: "release", Method: http.MethodDelete, Path: PathBarred + "/{asked}", Summary: "Let a barred request go to workers again",
+	}
+	huma.Register(api, operation, func(ctx context.Context, input *releaseInput) (*typedBody[ReleaseResult], error) {
+		asked, err := poison.ParseDigest(input.Asked)
+		if err != nil {
+			return nil, huma.Error422UnprocessableEntity(err.Error())
+		}
+		wasBarred, err := backend.Release(ctx, asked)
+		if err != nil {
+			return nil, huma.Error503ServiceUnavailable("the store did not take the release", err)
+		}
+		return &typedBody[ReleaseResult]{Body: ReleaseResult{Asked: input.Asked, WasBarred: wasBarred}}, nil
+	})
+}
+
 // explanationOf returns what a gateway knows of one request.
 func explanationOf(backend Backend, request string) Explanation {
 	status := backend.Status()
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -199,3 +199,24 @@
 type Heartbeat struct {
 	Time time.Time `json:"time"`
 }
+
+// BarredStatus is a request that goes to no worker.
+type BarredStatus struct {
+	// Asked is the digest of the request, by which it is released.
+	Asked string `json:"asked"`
+	Rule  string `json:"rule"`
+	// Tenant of the caller; empty where the configuration has none.
+	Tenant string `json:"tenant"`
+	// Workers that ended under it, by their ids.
+	Workers []string `json:"workers"`
+	// Times it was barred, this one included.
+	Times int       `json:"times"`
+	Until time.Time `json:"until"`
+}
+
+// ReleaseResult is what became of a release.
+type ReleaseResult struct {
+	Asked string `json:"asked"`
+	// WasBarred is false when the gateway knew of no bar in the store.
+	WasBarred bool `json:"wasBarred"`
+}
--- a/internal/adminpage/assets/words.js
+++ b/internal/adminpage/assets/words.js
@@ -9,6 +9,7 @@
   entry: { words: "Takes requests, or stands by" },
   usage: { words: "Usage of a window reported" },
   capacity: { words: "Workers ordered" },
+  bar: { words: "Requests that end workers" },
   refusal: { words: "Request given up before it ran" },
   request: { words: "Request ended", routine: true },
 };
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -30,6 +30,9 @@
 	Zone string
 	// Excluded workers are not to be tried again.
 	Excluded []string
+	// Apart is set for a request that may have ended a worker. Such ones are spread over the workers that cost little more than the
+	// cheapest, by this key: those that ran beside each other at one worker do not meet again at the next, and are told apart.
+	Apart string
 }
 
 // Reading is what a prompt costs a worker.
@@ -82,13 +85,16 @@
 	HoldUpWeight float64
 	// OtherZoneSeconds is the cost of a worker in another zone.
 	OtherZoneSeconds float64
+	// ApartSeconds is how much more than the cheapest a worker may cost for a request that is to be apart from others: a third of the
+	// tightest objective of the users' deployments, 0.25 s.
+	ApartSeconds float64
 	// Health of workers.
 	Health HealthSettings
 }
 
 // DefaultSettings count the delay of each answer alike.
 func DefaultSettings() Settings {
-	return Settings{SecondsPerRun: 0.002, HoldUpWeight: 1, OtherZoneSeconds: 0.010, Health: DefaultHealthSettings()}
+	return Settings{SecondsPerRun: 0.002, HoldUpWeight: 1, OtherZoneSeconds: 0.010, ApartSeconds: 0.08, Health: DefaultHealthSettings()}
 }
 
 // Elsewhere tells what other gateways have at a worker.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -20,17 +20,40 @@
 	var best *state
 	var bestScore Score
 	for _, candidate := range candidates {
-		score := b.score(now, query, candidate)
-		if candidate.health.ejected(now) {
-			score.Doubt = b.settings.Health.DoubtSeconds
-		}
+		score := b.scoreInDoubt(now, query, candidate)
 		if best == nil || cheaper(score, bestScore, candidate == first) {
 			best, bestScore = candidate, score
 		}
 	}
+	if query.Apart != "" {
+		best, bestScore = b.apart(now, query, candidates, bestScore)
+	}
 	return Choice{Worker: best.worker, Score: bestScore, Candidates: len(candidates)}, true
 }
 
+// apart returns the candidate that the key of a query prefers among those that cost little more than the cheapest.
+func (b *Balancer) apart(now time.Time, query Query, candidates []*state, cheapest Score) (*state, Score) {
+	near := map[string]*state{}
+	var addresses []string
+	for _, candidate := range candidates {
+		if b.scoreInDoubt(now, query, candidate).Total() <= cheapest.Total()+b.settings.ApartSeconds {
+			near[candidate.worker.Address] = candidate
+			addresses = append(addresses, candidate.worker.Address)
+		}
+	}
+	chosen := near[rendezvous.First(query.Apart, addresses)]
+	return chosen, b.scoreInDoubt(now, query, chosen)
+}
+
+// scoreInDoubt estimates the cost of one worker, with that of one that is set aside.
+func (b *Balancer) scoreInDoubt(now time.Time, query Query, candidate *state) Score {
+	score := b.score(now, query, candidate)
+	if candidate.health.ejected(now) {
+		score.Doubt = b.settings.Health.DoubtSeconds
+	}
+	return score
+}
+
 // cheaper compares two scores; the candidate wins a tie if it is preferred.
 func cheaper(score, best Score, preferred bool) bool {
 	if score.Total() == best.Total() {
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/member"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/store"
@@ -42,6 +44,9 @@
 	ControllerChanged(value []byte, revision int64)
 	// UsageAgreed tells the ledger of the usage.
 	UsageAgreed(value []byte)
+	// BarsListed gives all bars of requests, and BarChanged one that has changed.
+	BarsListed(items []store.Item)
+	BarChanged(event store.Event)
 	// Unregistered tells that the registration of this gateway is gone.
 	Unregistered()
 }
@@ -90,7 +95,11 @@
 func (v *View) Reset(items []store.Item) {
 	registered := false
 	workers := backend.Set{}
+	var bars []store.Item
 	for _, item := range items {
+		if strings.HasPrefix(item.Key, poison.Prefix) {
+			bars = append(bars, item)
+		}
 		registered = registered || item.Key == v.ownKey
 		v.configure(item)
 		if worker := v.workerOf(item); worker != nil {
@@ -100,6 +109,7 @@
 			v.listener.UsageAgreed(item.Value)
 		}
 	}
+	v.listener.BarsListed(bars)
 	v.mutex.Lock()
 	if v.listedAt.IsZero() {
 		v.listedAt = time.Now()
@@ -143,6 +153,9 @@
 		if !event.Deleted {
 			v.configure(event.Item)
 		}
+		if strings.HasPrefix(event.Key, poison.Prefix) {
+			v.listener.BarChanged(event)
+		}
 		if event.Key == roles.Key {
 			v.listener.ControllerChanged(event.Value, event.Revision)
 		}
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -49,6 +49,8 @@
 func (r *recorder) GatewaysChanged()                        {}
 func (r *recorder) ControllerChanged(value []byte, _ int64) { r.controller = string(value) }
 func (r *recorder) UsageAgreed([]byte)                      {}
+func (r *recorder) BarsListed([]store.Item)                 {}
+func (r *recorder) BarChanged(store.Event)                  {}
 func (r *recorder) Unregistered()                           { r.unregistered++ }
 
 const ownKey = member.KeyPrefix + "a"
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -18,10 +18,11 @@
 	KindEntry         Kind = "entry"         // a gateway began or ceased to take requests of callers
 	KindUsage         Kind = "usage"         // the usage of a window was reported
 	KindCapacity      Kind = "capacity"      // workers of a zone were ordered
+	KindBar           Kind = "bar"           // a request was suspected of ending workers, barred, cleared or released
 )
 
 // Kinds are all kinds, those about requests first.
-var Kinds = []Kind{KindRequest, KindRefusal, KindRole, KindAuthority, KindConfiguration, KindHealth, KindEntry, KindUsage, KindCapacity}
+var Kinds = []Kind{KindRequest, KindRefusal, KindRole, KindAuthority, KindConfiguration, KindHealth, KindEntry, KindUsage, KindCapacity, KindBar}
 
 // Record is one decision.
 type Record struct {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
@@ -17,6 +18,7 @@
 	match    routing.Match
 	deadline time.Time
 	report   *Report
+	identity *identity
 	attempts attempts
 	relay    relay
 	// reads counts the readings that engines took up.
@@ -46,6 +48,7 @@
 		}
 		worker, failed := c.try(ctx, placement)
 		if failed == failureNone {
+			c.identity.endedWell()
 			return finishWhole
 		}
 		c.attempts.record(worker, failed)
@@ -53,17 +56,28 @@
 		if decided != nextAgain || (c.relay.started && !c.resumable()) {
 			return c.giveUp(failed, decided)
 		}
+		if c.identity.is(poison.Barred) {
+			return c.giveUp(failed, c.attempts.final(failed))
+		}
 	}
 }
 
 // placeOptions say how the request may be placed now.
 func (c *call) placeOptions() PlaceOptions {
-	options := PlaceOptions{Excluded: c.attempts.excluded, Direct: c.direct()}
+	options := PlaceOptions{Excluded: c.attempts.excluded, Direct: c.direct(), Apart: c.apart()}
 	options.Objective = c.match.Rule.Objective
 	options.Left = options.Objective - time.Since(c.report.Arrived)
 	return options
 }
 
+// apart returns the key by which a suspect is placed apart from other suspects; empty for other requests.
+func (c *call) apart() string {
+	if c.identity.is(poison.Suspected) {
+		return c.identity.asked().String()
+	}
+	return ""
+}
+
 // resumable tells whether the stream may go on at another worker.
 func (c *call) resumable() bool { return c.match.Rule.Resumable && !c.attempts.runOnce }
 
@@ -176,7 +190,7 @@
 		record.Failure = prefix + failed.String()
 	}
 	if failed == failureBroken && c.report.Asked == nil {
-		digest := c.request.asked()
+		digest := c.identity.asked()
 		c.report.Asked = &digest
 	}
 	c.report.Tries = append(c.report.Tries, record)
@@ -209,6 +223,9 @@
 		c.report.Err = err
 		c.release(options.Prompt)
 	}
+	if failed == failureBroken {
+		c.identity.broke(runner.Worker, err)
+	}
 	if c.match.Group.Engine == nil && failed.reachedWorker() {
 		c.countUsed()
 	}
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -188,8 +188,10 @@
 	deferred bool
 	// objective within which the answer is wanted; zero when there is none.
 	objective time.Duration
-	begun     time.Time
-	finished  bool
+	// apart is the key by which a suspect is spread; empty for other requests.
+	apart    string
+	begun    time.Time
+	finished bool
 }
 
 // answered notes that the worker has read the prompt.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/tenant"
 	"github.com/granitebay/granitebay/internal/tenantlimit"
@@ -48,6 +49,7 @@
 	recent     recentLabels
 	dispatcher *Dispatcher
 	observer   Observer
+	guard      *poison.Guard
 	fresh      func() bool
 	began      func(tenant string)
 
@@ -73,6 +75,9 @@
 // is called before the first request.
 func (h *Handler) SetFreshness(fresh func() bool) { h.fresh = fresh }
 
+// GuardWorkers has a guard keep requests that end workers from further ones. It is called before the first request.
+func (h *Handler) GuardWorkers(guard *poison.Guard) { h.guard = guard }
+
 // CountUsage tells the handler whom to tell that a request of a tenant has begun to run. It is called before the first request.
 func (h *Handler) CountUsage(began func(tenant string)) { h.began = began }
 
@@ -172,13 +177,20 @@
 		report.Err = err
 		return fail(writer, report, http.StatusBadRequest, ReasonInvalid)
 	}
+	identity := &identity{guard: h.guard, request: request, rule: match.Rule.Name}
+	if standing, bar := identity.standing(); standing == poison.Barred {
+		report.Asked = &identity.digest
+		report.Err = errors.Newf("step admit: %d workers ended under it: %s; it is barred until %s", len(bar.Workers),
+			strings.Join(bar.Workers, ", "), bar.Until.UTC().Format(time.RFC3339))
+		return fail(writer, report, http.StatusUnprocessableEntity, ReasonBarred)
+	}
 	if !h.tenants.Begin(match.Rule.Name, request.Tenant, match.Rule.TenantInFlight) {
 		return refuse(writer, report, ReasonTenantLimit, h.settings.RefusedRetryAfter)
 	}
 	defer h.tenants.End(match.Rule.Name, request.Tenant)
 	h.dispatcher.CountRequest(match.Group.Name)
 	one := &call{
-		handler: h, writer: writer, request: request, match: match, deadline: deadline, report: report,
+		handler: h, writer: writer, request: request, match: match, deadline: deadline, report: report, identity: identity,
 		attempts: attempts{rule: match.Rule, runOnce: request.RunOnce},
 		relay:    relay{writer: writer, lastEvent: request.ResumeAfter},
 	}
--- /dev/null
+++ b/internal/forward/identity.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/httpclient"
+	"github.com/granitebay/granitebay/internal/poison"
+)
+
+// identity is a request as the guard of the workers knows it. Its digest is reckoned only once it is needed: on most days never.
+type identity struct {
+	// guard is nil where none keeps requests from workers.
+	guard   *poison.Guard
+	request *Request
+	rule    string
+
+	digest  poison.Digest
+	isKnown bool
+}
+
+// asked returns the digest of the request.
+func (i *identity) asked() poison.Digest {
+	if !i.isKnown {
+		i.digest, i.isKnown = i.request.asked(), true
+	}
+	return i.digest
+}
+
+// standing returns what the guard holds of the request, with its bar if it is barred.
+func (i *identity) standing() (poison.Standing, poison.Bar) {
+	if i.guard == nil || !i.guard.Watches() {
+		return poison.Clear, poison.Bar{}
+	}
+	return i.guard.Standing(i.asked())
+}
+
+// is tells whether the guard holds something of the request.
+func (i *identity) is(wanted poison.Standing) bool {
+	standing, _ := i.standing()
+	return standing == wanted
+}
+
+// broke tells the guard of a connection to a worker that broke under the request. An answer that is not valid shows a worker that lives.
+func (i *identity) broke(worker *backend.Worker, err error) {
+	var transport *httpclient.Error
+	if i.guard == nil || !errors.As(err, &transport) {
+		return
+	}
+	i.guard.Broke(worker, i.asked(), i.rule, i.request.Tenant)
+}
+
+// endedWell tells the guard of a good end of the request.
+func (i *identity) endedWell() {
+	if !i.is(poison.Clear) {
+		i.guard.EndedWell(i.asked())
+	}
+}
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -28,6 +28,8 @@
 	Excluded []string
 	// Direct has the runner read the prompt itself.
 	Direct bool
+	// Apart is set for a request under which a worker has ended: such ones are spread over workers by this key.
+	Apart string
 	// Objective is the time within which the answer is to begin, and Left what is left of it, less than zero when the request is
 	// late. Requests without an objective have zero.
 	Objective, Left time.Duration
@@ -47,6 +49,7 @@
 func (d *Dispatcher) placePlain(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	choice, found := d.balancer.Pick(d.now(), balance.Query{
 		Request: request.ID, Group: group.Name, Role: backend.RoleNone, Zone: d.settings.Zone, Excluded: options.Excluded,
+		Apart: options.Apart,
 	})
 	if !found {
 		return nil, false
@@ -83,6 +86,7 @@
 // request whose answer is expected too late gives way to those that are in time.
 func (d *Dispatcher) placeOnEngines(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	prompt := d.promptOf(request, group)
+	prompt.apart = options.Apart
 	best, found := d.bestPlan(prompt, options)
 	if found && best.crowdedOut(options) {
 		prompt.deferred = true
@@ -127,6 +131,7 @@
 		return placement
 	}
 	placement.Reader = d.assign(choice, max(tokens, 1), prompt.deferred, objective)
+	placement.Reader.apart = prompt.apart
 	d.keep(reading, prompt.request.Demand, false)
 	return placement
 }
@@ -135,7 +140,9 @@
 func (d *Dispatcher) PlaceRunner(request *Request, group *routing.Group, excluded []string, reader *Assignment) (*Assignment, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	choice, found := d.pickRunner(d.promptOf(request, group), excluded, reader.Worker)
+	prompt := d.promptOf(request, group)
+	prompt.apart = reader.apart
+	choice, found := d.pickRunner(prompt, excluded, reader.Worker)
 	if !found {
 		return nil, false
 	}
--- a/internal/forward/reading.go
+++ b/internal/forward/reading.go
@@ -29,6 +29,9 @@
 		c.report.Err = err
 		c.readFailures++
 	}
+	if failed == failureBroken {
+		c.identity.broke(reader.Worker, err)
+	}
 	reader.finish(failed.outcome())
 	return prompt, failed
 }
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -26,6 +26,7 @@
 	ReasonCallerGone  Reason = "the caller left"
 	ReasonWorkerError Reason = "the worker answered with an error"
 	ReasonTenantLimit Reason = "the tenant has too many requests in hand"
+	ReasonBarred      Reason = "the request is barred, because workers ended under it"
 )
 
 // Report tells what became of one request.
@@ -48,8 +49,8 @@
 	Tries []Try
 	// Err is the last error, or nil.
 	Err error
-	// Asked is the digest of what was asked for, and known only of requests at which a worker broke off: requests with other ids may
-	// ask for the same.
+	// Asked is the digest of what was asked for, and known only of requests at which a worker broke off and of those that are barred:
+	// requests with other ids may ask for the same.
 	Asked *poison.Digest
 }
 
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -26,6 +26,9 @@
 	metricDeferred = "granitebay_deferred_total"
 	// metricLinesLeftOut counts log lines about requests that were left out because there were too many.
 	metricLinesLeftOut = "granitebay_log_lines_left_out_total"
+	// metricWorkerEnds counts workers that ended under requests of this gateway, and metricBarred is how many requests are barred.
+	metricWorkerEnds = "granitebay_worker_ends_total"
+	metricBarred     = "granitebay_barred_requests"
 )
 
 // figures counts what becomes of requests and serves the counts as text. It implements forward.Observer.
@@ -53,9 +56,15 @@
 	f.set.NewGauge("granitebay_store_age_seconds", func() float64 { return g.view.Staleness().Seconds() })
 	f.set.NewGauge("granitebay_gateways", func() float64 { return float64(len(g.view.Serving())) })
 	f.set.NewGauge("granitebay_gateways_reachable", func() float64 { return float64(len(g.view.Reachable())) })
+	f.set.NewGauge(metricBarred, func() float64 { return float64(len(g.bars.guard.Bars())) })
 	f.set.NewGauge("granitebay_requests_in_hand", func() float64 { return float64(g.handler.Active()) })
 }
 
+// workerEnded counts a worker of a group that ended under requests.
+func (f *figures) workerEnded(group string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q}`, metricWorkerEnds, group)).Inc()
+}
+
 // Names of the figures of duties.
 const (
 	metricWindows = "granitebay_usage_windows_total"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/member"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/store"
@@ -41,6 +42,8 @@
 	Capacity capacity.Orderer
 	// KeptParts tells what engines keep of prompts; nil leaves that to be learnt from requests.
 	KeptParts forward.KeptParts
+	// Prober asks whether workers have ended.
+	Prober poison.Prober
 	// ForgetWorkers closes connections to workers whose addresses are not kept.
 	ForgetWorkers func(keep func(address string) bool)
 	// ReadyHandler serves the question whether the gateway takes requests.
@@ -68,6 +71,7 @@
 	entries      entrySet
 	limitUse     *limitUse
 	used         *usedCounts
+	bars         *bars
 	capacity     *capacity.Executor
 
 	// grace and addressTTL are durations that Reload may change.
@@ -113,6 +117,8 @@
 	g.dispatcher = forward.NewDispatcher(dispatch, time.Now)
 	g.handler = forward.NewHandler(forward.DefaultSettings(), ports.Protocol, ports.Workers, g.dispatcher, g.metrics)
 	g.handler.SetFreshness(func() bool { return g.view.IsFresh(settings.ConfigurationAge) })
+	g.bars = newBars(g, ports.Prober)
+	g.handler.GuardWorkers(g.bars.guard)
 	if ports.Labelled != nil {
 		g.handler.ServeLabelled(ports.Labelled)
 	}
@@ -196,6 +202,7 @@
 	g.tasks.Go(func() { g.watchEntries(ctx) })
 	g.tasks.Go(func() { g.sizeEntries(ctx) })
 	g.tasks.Go(func() { g.learnKept(ctx) })
+	g.tasks.Go(func() { g.bars.run(ctx) })
 	if g.capacity != nil {
 		g.tasks.Go(func() { g.capacity.Run(ctx) })
 	}
@@ -216,6 +223,7 @@
 	}
 	g.sharing = exchange
 	g.dispatcher.ShareWith(exchange.Changed)
+	g.bars.guard.ShareWith(exchange.Changed)
 	g.tasks.Go(func() { exchange.Send(ctx) })
 	g.tasks.Go(exchange.Receive)
 	return nil
@@ -227,6 +235,7 @@
 	if full {
 		message.Busy = g.limitUse.busy()
 	}
+	message.Poison = g.bars.guard.Tell(full)
 	g.used.tell(&message, full, !g.takesRequests())
 	return message
 }
@@ -239,6 +248,7 @@
 		g.view.Heard(message.Sender)
 	}
 	g.used.hear(message)
+	g.bars.guard.Hear(message.Poison)
 	g.dispatcher.Hear(message)
 }
 
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -40,6 +40,7 @@
 	defer g.workersMu.Unlock()
 	g.workers = workers
 	g.selectWorkers()
+	g.bars.guard.SetWorkers(workers)
 	addresses := map[string]bool{}
 	for _, worker := range workers {
 		addresses[worker.Address] = true
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -6,7 +6,10 @@
 	"context"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Step names how far a request came before it failed.
@@ -106,3 +109,34 @@
 	exchange := newExchange(ctx, c.pool, connection, request)
 	return exchange.run()
 }
+
+// settleTime is how long a connection that was opened to a process which is just ending stays open at the most: the listener of a process
+// may outlive its connections by some milliseconds.
+const settleTime = 50 * time.Millisecond
+
+// Refuses tells whether nothing listens at an address: it refuses connections. A connection that opens rests for a later request. One
+// that is closed at once is tried again once, since the process may just end, or have too many. The error is that of a connection that
+// neither opens nor is refused.
+func (c *Client) Refuses(ctx context.Context, address string) (bool, error) {
+	for tries := 0; ; tries++ {
+		opened, err := c.pool.open(ctx, address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true, nil
+		}
+		if err != nil {
+			return false, &Error{Step: StepConnect, Peer: address, Cause: err}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(settleTime):
+		}
+		if quiet(opened.Conn) {
+			c.pool.put(opened, c.settings.IdleTimeout)
+			return false, nil
+		}
+		_ = opened.Close()
+		if tries > 0 {
+			return false, nil
+		}
+	}
+}
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/usage"
 )
 
@@ -91,6 +92,8 @@
 	WallMs int64
 	// Used is what tenants have used.
 	Used []usage.Count
+	// Poison is what is held of requests that may end workers.
+	Poison poison.Told
 }
 
 // Encode returns the bytes of a message.
--- /dev/null
+++ b/internal/operator/barred.go
@@ -0,0 +1,47 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/poison"
+)
+
+type getBarred struct{}
+
+// Run shows the barred requests.
+func (getBarred) Run(s *session) error {
+	header := table.Row{"Request", "Rule", "Tenant", "Workers that ended", "Times", "Until"}
+	return showTable(s, s.client.Barred, header, func(bar adminapi.BarredStatus) table.Row {
+		return table.Row{
+			bar.Asked, orNone(bar.Rule), orNone(bar.Tenant), strings.Join(bar.Workers, ","), bar.Times, bar.Until.UTC().Format(time.RFC3339),
+		}
+	})
+}
+
+// releaseCommand lets a barred request go to workers again.
+type releaseCommand struct {
+	Asked string `arg:"" name:"request" help:"Digest of the request, from granitebay get barred."`
+}
+
+// Run releases the request.
+func (r releaseCommand) Run(s *session) error {
+	if _, err := poison.ParseDigest(r.Asked); err != nil {
+		return badInput(err)
+	}
+	release := func(ctx context.Context) (adminapi.ReleaseResult, error) { return s.client.Release(ctx, r.Asked) }
+	return show(s, release, func(w io.Writer, result adminapi.ReleaseResult) error {
+		outcome := "is released; it is barred again at the next three ends of workers under it"
+		if !result.WasBarred {
+			outcome = "was not barred"
+		}
+		_, err := fmt.Fprintf(w, "request %s %s\n", result.Asked, outcome)
+		return err
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,7 +29,7 @@
 	Timeout time.Duration `help:"How long to wait for one command." default:"30s"`
 
 	Status    statusCommand    `cmd:"" help:"Show the status of the fleet."`
-	Get       getCommand       `cmd:"" help:"Show workers, groups, rules, gateways, tenants, capacity, usage or the configuration."`
+	Get       getCommand       `cmd:"" help:"Show workers, groups, rules, gateways, tenants, barred requests, capacity, usage or the configuration."`
 	Label     labelCommand     `cmd:"" help:"Set or remove labels."`
 	Apply     applyCommand     `cmd:"" help:"Put the configuration of a file in force."`
 	Diff      diffCommand      `cmd:"" help:"Show what applying a file would do."`
@@ -37,6 +37,7 @@
 	Config    configCommand    `cmd:"" help:"Show how far the configuration got around, and its edits."`
 	Decisions decisionsCommand `cmd:"" help:"Show what the system decided and why."`
 	Explain   explainCommand   `cmd:"" help:"Show all decisions about one request, from the gateway that served it."`
+	Release   releaseCommand   `cmd:"" help:"Let a barred request go to workers again."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
 
 	Order    refusedCommand `cmd:"" hidden:""`
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -18,6 +18,7 @@
 	"github.com/granitebay/granitebay/internal/adminapi"
 	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/poison"
 )
 
 // fakeGateway keeps the configuration in memory.
@@ -39,6 +40,12 @@
 func (g *fakeGateway) Workers() []adminapi.WorkerStatus {
 	return []adminapi.WorkerStatus{{Address: "w1", Groups: []string{"counter"}, Role: "prefill", Running: 3}}
 }
+func (g *fakeGateway) Barred() []adminapi.BarredStatus {
+	return []adminapi.BarredStatus{{Asked: barredRequest, Rule: "quick", Workers: []string{"i-1", "i-2", "i-3"}, Times: 1, Until: time.Unix(1_700_000_000, 0)}}
+}
+func (g *fakeGateway) Release(_ context.Context, asked poison.Digest) (bool, error) {
+	return asked.String() == barredRequest, nil
+}
 func (g *fakeGateway) Gateways() []adminapi.PeerStatus { return g.gateways }
 func (g *fakeGateway) Document() configuration.Document {
 	g.mutex.Lock()
@@ -92,6 +99,9 @@
 	return code, out.String(), errs.String()
 }
 
+// barredRequest is the digest of the request that the fake gateway has barred.
+const barredRequest = "00112233445566778899aabbccddeeff"
+
 // unreachable is an address on which nothing listens.
 const unreachable = "127.0.0.1:1"
 
@@ -124,6 +134,10 @@
 		{desc: "unknown kind of decisions", arguments: []string{"decisions", "--kind", "reboot"}, code: 2, stderr: []string{`no kind "reboot"`, "role"}},
 		{desc: "no decision", arguments: []string{"decisions", "--kind", "role"}, stderr: []string{"no decision that is kept fits"}},
 		{desc: "missing file", arguments: []string{"apply", "-f", "testdata/none.yaml"}, code: 2, stderr: []string{"none.yaml"}},
+		{desc: "barred requests", arguments: []string{"get", "barred"}, stdout: []string{barredRequest, "quick", "i-1,i-2,i-3", "2023-11-14T22:13:20Z"}},
+		{desc: "release", arguments: []string{"release", barredRequest}, stdout: []string{"request " + barredRequest + " is released"}},
+		{desc: "release of another", arguments: []string{"release", strings.Repeat("0", 32)}, stdout: []string{"was not barred"}},
+		{desc: "release of no digest", arguments: []string{"release", "r-7"}, code: 2, stderr: []string{`digest: "r-7" is not allowed; 32 hexadecimal digits`}},
 		{desc: "unknown request", arguments: []string{"explain", "req-9"}, code: 1, stderr: []string{"no gateway"}},
 		{
 			desc: "command to one worker", arguments: []string{"drain", "w2", "--force"}, code: 2,
--- a/internal/operator/show.go
+++ b/internal/operator/show.go
@@ -40,6 +40,7 @@
 	Rules    getRules    `cmd:"" aliases:"rule" help:"Show all rules, in the order in which they are tried."`
 	Gateways getGateways `cmd:"" aliases:"gateway" help:"Show all gateways."`
 	Tenants  getTenants  `cmd:"" aliases:"tenant" help:"Show all tenants, without their keys."`
+	Barred   getBarred   `cmd:"" help:"Show the requests that go to no worker, because workers ended under them."`
 	Capacity getCapacity `cmd:"" help:"Show the workers that can be ordered: there, wanted, and why."`
 	Usage    getUsage    `cmd:"" help:"Show what became of windows of usage at the gateway that answers."`
 	Config   getConfig   `cmd:"" help:"Show the configuration in force, as a file for apply."`
--- /dev/null
+++ b/internal/poison/guard.go
@@ -0,0 +1,284 @@
+package poison
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/backend"
+)
+
+// Prober asks whether a worker has ended.
+type Prober interface {
+	// Refuses tells whether nothing listens at the address of a worker any more. An error says that it could not be told.
+	Refuses(ctx context.Context, worker *backend.Worker) (bool, error)
+}
+
+// Event is one step of what is held of a request. It is one of the types below.
+type Event interface{ isEvent() }
+
+// WorkerEnded is the end of a worker under some requests of this gateway.
+type WorkerEnded struct {
+	Worker *backend.Worker
+	// Asked are the requests of this gateway that it was running.
+	Asked []Digest
+	// By says what showed it.
+	By string
+}
+
+// Made is a bar that this gateway has made, and Heard one that another gateway told.
+type (
+	Made  struct{ Bar Bar }
+	Heard struct{ Bar Bar }
+)
+
+// Cleared is a request that ran to a good end after workers had ended under it.
+type Cleared struct {
+	Asked Digest
+	// WasBarred is set when it was barred, and is not any more.
+	WasBarred bool
+}
+
+func (WorkerEnded) isEvent() {}
+func (Made) isEvent()        {}
+func (Heard) isEvent()       {}
+func (Cleared) isEvent()     {}
+
+// Times of a guard.
+const (
+	// probeTimeout bounds the question whether a worker has ended: a connection within a region, some times over.
+	probeTimeout = 400 * time.Millisecond
+	// recordTime is how long after an answer broke off the record of its worker may go, to count as its end: three heartbeats of the
+	// users' workers, 1.2 s each, and their way.
+	recordTime = 4500 * time.Millisecond
+	// endedTime is how long an end is remembered for answers that break off later than the first: the bounds of silence of a connection.
+	endedTime = 5 * time.Second
+)
+
+// What shows the end of a worker.
+const (
+	byRefusal = "its address refuses connections"
+	byRecord  = "its record is gone, and it did not say that it leaves"
+)
+
+// Guard keeps requests that end workers from further workers. It is safe for concurrent use.
+type Guard struct {
+	prober Prober
+	now    func() time.Time
+	// tell is told of each event; it must not wait, nor call the guard.
+	tell func(Event)
+	// watches is set while anything is held of any request.
+	watches atomic.Bool
+
+	mu    sync.Mutex
+	table *Table
+	// broken are the workers at which answers broke off, and recorded those whose records are there; nil before the first.
+	broken   map[string]*brokenWorker
+	recorded backend.Set
+	// notify says that there is something to tell other gateways; nil tells nobody.
+	notify func(urgent bool)
+	tidied time.Time
+}
+
+// brokenWorker is a worker at which answers broke off.
+type brokenWorker struct {
+	worker *backend.Worker
+	since  time.Time
+	// ended is set once the worker is known to have ended, and probing while that is asked.
+	ended, probing bool
+	requests       map[Digest]request
+}
+
+// request is what is told of a request to operators.
+type request struct{ rule, tenant string }
+
+// NewGuard returns a guard that knows nothing. Tell is told of each event.
+func NewGuard(settings Settings, prober Prober, now func() time.Time, tell func(Event)) *Guard {
+	return &Guard{prober: prober, now: now, tell: tell, table: NewTable(settings), broken: map[string]*brokenWorker{}}
+}
+
+// ShareWith tells whom to notify that there is something to tell other gateways. Notify must not wait.
+func (g *Guard) ShareWith(notify func(urgent bool)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.notify = notify
+}
+
+// Watches tells whether anything is held of any request. Otherwise no digest need be reckoned.
+func (g *Guard) Watches() bool { return g.watches.Load() }
+
+// Standing returns what is held of a request, with its bar if it is barred.
+func (g *Guard) Standing(asked Digest) (Standing, Bar) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Standing(g.now(), asked)
+}
+
+// Broke notes that the connection to a worker broke under a request. It is found out beside whether the worker has ended. The end of
+// one that leaves was planned: it said so, or took its record back and served on.
+func (g *Guard) Broke(worker *backend.Worker, asked Digest, rule, tenant string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if recorded := g.recorded[worker.ID]; g.recorded != nil && (recorded == nil || recorded.Draining) && g.broken[worker.ID] == nil {
+		return
+	}
+	now := g.now()
+	known, found := g.broken[worker.ID]
+	if !found {
+		known = &brokenWorker{worker: worker, requests: map[Digest]request{}}
+		g.broken[worker.ID] = known
+	}
+	known.since = now
+	known.requests[asked] = request{rule, tenant}
+	switch {
+	case known.ended:
+		g.endedLocked(known, byRefusal)
+	case !known.probing:
+		known.probing = true
+		go g.probe(known)
+	}
+}
+
+// probe finds out whether a worker has ended.
+func (g *Guard) probe(known *brokenWorker) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	refuses, err := g.prober.Refuses(ctx, known.worker)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known.probing = false
+	switch {
+	case known.ended || err != nil:
+		// Without an answer the record of the worker will tell.
+	case refuses:
+		g.endedLocked(known, byRefusal)
+	default:
+		// It lives: the connection alone broke.
+		delete(g.broken, known.worker.ID)
+	}
+}
+
+// SetWorkers takes the workers that are recorded. The end of one at which answers broke off is shown by its record, too.
+func (g *Guard) SetWorkers(workers backend.Set) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.recorded = workers
+	now := g.now()
+	for id, known := range g.broken {
+		recorded := workers[id]
+		switch {
+		case now.Sub(known.since) > recordTime, recorded != nil && recorded.Draining:
+			delete(g.broken, id)
+		case recorded == nil && !known.ended:
+			g.endedLocked(known, byRecord)
+		}
+	}
+}
+
+// endedLocked notes that a worker has ended under the requests that broke off there. The mutex is held.
+func (g *Guard) endedLocked(known *brokenWorker, by string) {
+	known.ended = true
+	event := WorkerEnded{Worker: known.worker, By: by}
+	var made []Bar
+	for asked, what := range known.requests {
+		event.Asked = append(event.Asked, asked)
+		bar, barred := g.table.Ended(g.now(), End{Asked: asked, Worker: known.worker.ID}, what.rule, what.tenant)
+		if barred {
+			made = append(made, bar)
+		}
+	}
+	clear(known.requests)
+	g.tell(event)
+	g.changed(made)
+}
+
+// changed tells of bars that were made here, and notifies of the change. The mutex is held.
+func (g *Guard) changed(made []Bar) {
+	for _, bar := range made {
+		g.tell(Made{bar})
+	}
+	g.watches.Store(!g.table.Empty())
+	if g.notify != nil {
+		g.notify(true)
+	}
+}
+
+// EndedWell notes that a request ran to a good end.
+func (g *Guard) EndedWell(asked Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before, made := g.table.EndedWell(g.now(), asked)
+	if before == Clear {
+		return
+	}
+	g.tell(Cleared{Asked: asked, WasBarred: before == Barred})
+	g.changed(made)
+}
+
+// Bar bars a request by the word of the store.
+func (g *Guard) Bar(bar Bar) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.now().Before(bar.Until) && g.table.Bar(g.now(), bar) {
+		g.tell(Heard{bar})
+	}
+	g.watches.Store(!g.table.Empty())
+}
+
+// Release forgets all that speaks against a request, and tells whether it was barred.
+func (g *Guard) Release(asked Digest) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Release(g.now(), asked)
+}
+
+// Bars returns the requests that are barred.
+func (g *Guard) Bars() []Bar {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Bars(g.now())
+}
+
+// tidyInterval is how often what does not count any more is forgotten.
+const tidyInterval = 10 * time.Second
+
+// Tell returns what other gateways are to know: what is new, or everything.
+func (g *Guard) Tell(full bool) Told {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if full && now.Sub(g.tidied) >= tidyInterval {
+		g.tidied = now
+		g.tidy(now)
+	}
+	return g.table.Tell(now, full)
+}
+
+// tidy forgets what does not count any more. The mutex is held.
+func (g *Guard) tidy(now time.Time) {
+	g.table.Tidy(now)
+	for id, known := range g.broken {
+		if now.Sub(known.since) > max(endedTime, recordTime) && !known.probing {
+			delete(g.broken, id)
+		}
+	}
+	g.watches.Store(!g.table.Empty())
+}
+
+// Hear takes what another gateway told.
+func (g *Guard) Hear(told Told) {
+	if len(told.Ends)+len(told.EndedWell)+len(told.Bars) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	heard, made := g.table.Hear(g.now(), told)
+	for _, bar := range heard {
+		g.tell(Heard{bar})
+	}
+	g.watches.Store(!g.table.Empty())
+	if len(made) > 0 {
+		g.changed(made)
+	}
+}
--- /dev/null
+++ b/internal/poison/record.go
@@ -0,0 +1,49 @@
+package poison
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Prefix of the keys of bars in the store. They go with no lease: a bar outlives all gateways.
+const Prefix = "barred/"
+
+// KeyOf returns the key of the bar of a request.
+func KeyOf(asked Digest) string { return Prefix + asked.String() }
+
+// record is a bar as it lies in the store. Its key names the request.
+type record struct {
+	Rule    string    `json:"rule,omitempty"`
+	Tenant  string    `json:"tenant,omitempty"`
+	Workers []string  `json:"workers"`
+	Times   int       `json:"times"`
+	Until   time.Time `json:"until"`
+}
+
+// Encode returns a bar as it lies in the store.
+func (b Bar) Encode() ([]byte, error) {
+	value, err := json.Marshal(record{Rule: b.Rule, Tenant: b.Tenant, Workers: b.Workers, Times: b.Times, Until: b.Until.UTC().Round(0)})
+	return value, errors.Wrap(err, "step encode a bar")
+}
+
+// AskedOf returns the request whose bar a key holds.
+func AskedOf(key string) (Digest, error) {
+	asked, err := ParseDigest(strings.TrimPrefix(key, Prefix))
+	return asked, errors.Wrapf(err, "step read a bar, key %s", key)
+}
+
+// DecodeBar reads a bar.
+func DecodeBar(key string, value []byte) (Bar, error) {
+	asked, err := AskedOf(key)
+	if err != nil {
+		return Bar{}, err
+	}
+	var read record
+	if err := json.Unmarshal(value, &read); err != nil {
+		return Bar{}, errors.Wrapf(err, "step read a bar, key %s", key)
+	}
+	return Bar{Asked: asked, Rule: read.Rule, Tenant: read.Tenant, Workers: read.Workers, Times: read.Times, Until: read.Until}, nil
+}
