Ends under requests are judged once all have told theirs

Cause: the third end of a request was judged as it was noted, before those of others that ran at the same worker: who of two that had run at the same three workers came first was barred, and its bar took the ends back from the other (a script of the new tests: two that ran beside each other were not told apart). Had it been the wrong one, the right one would have ended three more. Change: a suspect is judged 0.2 s after the last end that was heard of it, those with most ends first; until then it is refused (503, come back). Ends that are put down to a barred request are not forgotten but explained: five ends bar a request whatever else ran there.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -56,7 +56,7 @@
 		if decided != nextAgain || (c.relay.started && !c.resumable()) {
 			return c.giveUp(failed, decided)
 		}
-		if c.identity.is(poison.Barred) {
+		if c.identity.is(poison.Judged, poison.Barred) {
 			return c.giveUp(failed, c.attempts.final(failed))
 		}
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -25,6 +25,8 @@
 	StoppingRetryAfter time.Duration
 	// RefusedRetryAfter is told to callers when no worker takes their request.
 	RefusedRetryAfter time.Duration
+	// JudgedRetryAfter is told to callers whose request may have ended workers, until that is judged: a little longer than it takes.
+	JudgedRetryAfter time.Duration
 	// LeastTime is the remaining time below which a request is not offered to a worker.
 	LeastTime time.Duration
 }
@@ -35,6 +37,7 @@
 		NotReadyRetryAfter: 200 * time.Millisecond,
 		StoppingRetryAfter: 10 * time.Millisecond,
 		RefusedRetryAfter:  150 * time.Millisecond,
+		JudgedRetryAfter:   250 * time.Millisecond,
 		LeastTime:          15 * time.Millisecond,
 	}
 }
@@ -178,7 +181,11 @@
 		return fail(writer, report, http.StatusBadRequest, ReasonInvalid)
 	}
 	identity := &identity{guard: h.guard, request: request, rule: match.Rule.Name}
-	if standing, bar := identity.standing(); standing == poison.Barred {
+	standing, bar := identity.standing()
+	switch standing {
+	case poison.Judged:
+		return refuse(writer, report, ReasonJudged, h.settings.JudgedRetryAfter)
+	case poison.Barred:
 		report.Asked = &identity.digest
 		report.Err = errors.Newf("step admit: %d workers ended under it: %s; it is barred until %s", len(bar.Workers),
 			strings.Join(bar.Workers, ", "), bar.Until.UTC().Format(time.RFC3339))
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -35,10 +37,10 @@
 	return i.guard.Standing(i.asked())
 }
 
-// is tells whether the guard holds something of the request.
-func (i *identity) is(wanted poison.Standing) bool {
+// is tells whether the guard holds one of some things of the request.
+func (i *identity) is(wanted ...poison.Standing) bool {
 	standing, _ := i.standing()
-	return standing == wanted
+	return slices.Contains(wanted, standing)
 }
 
 // broke tells the guard of a connection to a worker that broke under the request. An answer that is not valid shows a worker that lives.
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -26,6 +26,7 @@
 	ReasonCallerGone  Reason = "the caller left"
 	ReasonWorkerError Reason = "the worker answered with an error"
 	ReasonTenantLimit Reason = "the tenant has too many requests in hand"
+	ReasonJudged      Reason = "workers ended under the request, and it is being judged"
 	ReasonBarred      Reason = "the request is barred, because workers ended under it"
 )
 
--- a/internal/gateway/bars.go
+++ b/internal/gateway/bars.go
@@ -85,7 +85,7 @@
 		})
 	case poison.Made:
 		b.logger.WithFields(fieldsOf(e.Bar)).Warn("A request is barred: workers ended under it.")
-		b.decide(e.Bar, "barred", "So many workers ended under the request, and it never ended well.")
+		b.decide(e.Bar, "barred", "Workers ended under the request, one after the other, and it never ended well.")
 		b.want(wantedBar{bar: e.Bar, due: time.Now()})
 	case poison.Heard:
 		b.logger.WithFields(fieldsOf(e.Bar)).Info("A request is barred, as the store or another gateway tells.")
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -79,6 +79,8 @@
 	// notify says that there is something to tell other gateways; nil tells nobody.
 	notify func(urgent bool)
 	tidied time.Time
+	// judging is set while a judgement is due.
+	judging bool
 }
 
 // brokenWorker is a worker at which answers broke off.
@@ -180,40 +182,59 @@
 func (g *Guard) endedLocked(known *brokenWorker, by string) {
 	known.ended = true
 	event := WorkerEnded{Worker: known.worker, By: by}
-	var made []Bar
 	for asked, what := range known.requests {
 		event.Asked = append(event.Asked, asked)
-		bar, barred := g.table.Ended(g.now(), End{Asked: asked, Worker: known.worker.ID}, what.rule, what.tenant)
-		if barred {
-			made = append(made, bar)
-		}
+		g.table.Ended(g.now(), End{Asked: asked, Worker: known.worker.ID}, what.rule, what.tenant)
 	}
 	clear(known.requests)
 	g.tell(event)
-	g.changed(made)
+	g.changed()
 }
 
-// changed tells of bars that were made here, and notifies of the change. The mutex is held.
-func (g *Guard) changed(made []Bar) {
-	for _, bar := range made {
-		g.tell(Made{bar})
+// changed has the other gateways told, and what is to be judged judged. The mutex is held.
+func (g *Guard) changed() {
+	if g.notify != nil {
+		g.notify(true)
 	}
+	g.judgeLater()
+}
+
+// judgeLater has judged what is to be judged, once it is due. The mutex is held.
+func (g *Guard) judgeLater() {
 	g.watches.Store(!g.table.Empty())
-	if g.notify != nil {
+	next := g.table.NextJudgement()
+	if g.judging || next.IsZero() {
+		return
+	}
+	g.judging = true
+	time.AfterFunc(max(next.Sub(g.now()), 0)+time.Millisecond, g.judge)
+}
+
+// judge bars those against which enough speaks.
+func (g *Guard) judge() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.judging = false
+	bars := g.table.Judge(g.now())
+	for _, bar := range bars {
+		g.tell(Made{bar})
+	}
+	if len(bars) > 0 && g.notify != nil {
 		g.notify(true)
 	}
+	g.judgeLater()
 }
 
 // EndedWell notes that a request ran to a good end.
 func (g *Guard) EndedWell(asked Digest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before, made := g.table.EndedWell(g.now(), asked)
+	before := g.table.EndedWell(g.now(), asked)
 	if before == Clear {
 		return
 	}
 	g.tell(Cleared{Asked: asked, WasBarred: before == Barred})
-	g.changed(made)
+	g.changed()
 }
 
 // Bar bars a request by the word of the store.
@@ -273,12 +294,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	heard, made := g.table.Hear(g.now(), told)
-	for _, bar := range heard {
+	for _, bar := range g.table.Hear(g.now(), told) {
 		g.tell(Heard{bar})
 	}
-	g.watches.Store(!g.table.Empty())
-	if len(made) > 0 {
-		g.changed(made)
-	}
+	g.judgeLater()
 }
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -11,9 +11,12 @@
 type Settings struct {
 	// Ends is how many workers end under a request before it is barred. The users' rule counts from the third.
 	Ends int
-	// SharedEnds is how many end before it is barred although another suspect ran at each of them: two more, so that with the retry
-	// in which they are told apart the three that the users' rule leaves are enough.
-	SharedEnds int
+	// MostEnds is how many end before it is barred although others may have ended them: two more, which the three retries that the users'
+	// rule leaves allow. One that does no harm is tried four times at the most, by two gateways.
+	MostEnds int
+	// Settle is how long after an end it is waited for what other gateways have to tell of it, before anything is barred for it: some
+	// times what a datagram takes between regions.
+	Settle time.Duration
 	// Bar is how long a request is barred for the first time; each further time it is barred twice as long, up to LongestBar. Each
 	// release may cost a worker.
 	Bar, LongestBar time.Duration
@@ -30,8 +33,8 @@
 // DefaultSettings suit the users' deployments.
 func DefaultSettings() Settings {
 	return Settings{
-		Ends: 3, SharedEnds: 5, Bar: 10 * time.Minute, LongestBar: 24 * time.Hour, Memory: 10 * time.Minute, Trust: 3 * time.Second,
-		MostSuspects: 4096, MostBarred: 1024, MostTold: 128,
+		Ends: 3, MostEnds: 5, Settle: 200 * time.Millisecond, Bar: 10 * time.Minute, LongestBar: 24 * time.Hour, Memory: 10 * time.Minute,
+		Trust: 3 * time.Second, MostSuspects: 4096, MostBarred: 1024, MostTold: 128,
 	}
 }
 
@@ -44,6 +47,8 @@
 	Clear Standing = iota
 	// Suspected is one under which a worker has ended.
 	Suspected
+	// Judged is one under which so many ended that it may be barred once all have told what they saw: within Settle.
+	Judged
 	// Barred is one that goes to no worker.
 	Barred
 )
@@ -64,7 +69,7 @@
 type suspect struct {
 	// ends are the workers that ended under it, with when that was heard.
 	ends map[string]time.Time
-	// last is when anything was heard of it.
+	// last is when an end or a bar was heard of last.
 	last time.Time
 	// times it was barred, and until when it is.
 	times int
@@ -86,18 +91,18 @@
 
 // Table holds which requests workers ended under. It is a pure state machine: it has no clock, and it is not safe for concurrent use.
 //
-// An end is one incarnation of a worker; hearing of it again changes nothing, so that tables which have heard the same agree, in
-// whatever order they heard it.
+// An end is one incarnation of a worker; hearing of it again changes nothing, so that tables which have heard the same hold the same,
+// in whatever order they heard it. An end under a request that is or was barred is put down to that one: it is explained, and does not
+// count against others that ran there.
 //
-// Invariants: a request is barred only after Ends different workers ended under it since it last ended well, none of which ended under a
-// request that was barred before; an end under a barred request speaks against no other.
+// Invariant: a request is barred only after Ends different workers ended under it since it last ended well.
 type Table struct {
 	settings Settings
 	suspects map[Digest]*suspect
 	// under are the suspects that ran at each worker that ended.
 	under map[string]map[Digest]bool
-	// explained are the workers whose end is put down to a barred request, with when that was known.
-	explained map[string]time.Time
+	// pending are the suspects that are to be judged once nothing more is heard of them for Settle.
+	pending map[Digest]bool
 	// untold are the ends that were not told yet.
 	untold []End
 }
@@ -105,11 +110,11 @@
 // NewTable returns a table that knows nothing.
 func NewTable(settings Settings) *Table {
 	return &Table{
-		settings: settings, suspects: map[Digest]*suspect{}, under: map[string]map[Digest]bool{}, explained: map[string]time.Time{},
+		settings: settings, suspects: map[Digest]*suspect{}, under: map[string]map[Digest]bool{}, pending: map[Digest]bool{},
 	}
 }
 
-// Empty tells whether no request is suspected or barred.
+// Empty tells whether nothing is held of any request.
 func (t *Table) Empty() bool { return len(t.suspects) == 0 }
 
 // Standing returns what is held of a request, with the workers that ended under it and, of one that is barred, until when.
@@ -122,36 +127,28 @@
 	switch {
 	case now.Before(known.until):
 		return Barred, known.bar(asked)
-	case len(known.ends) > 0:
+	case t.pending[asked] && t.enough(asked, known):
+		return Judged, known.bar(asked)
+	case known.times > 0 || len(t.unexplained(asked, known)) > 0:
 		return Suspected, known.bar(asked)
 	default:
 		return Clear, Bar{}
 	}
 }
 
-// Ended notes that a worker ended under a request of a rule and a tenant at this gateway, and returns the bar if the request is barred
-// for it.
-func (t *Table) Ended(now time.Time, end End, rule, tenant string) (Bar, bool) {
-	isNew := t.note(now, end, true)
-	known, found := t.suspects[end.Asked]
-	if !found {
-		return Bar{}, false
+// Ended notes that a worker ended under a request of a rule and a tenant at this gateway.
+func (t *Table) Ended(now time.Time, end End, rule, tenant string) {
+	t.note(now, end, true)
+	if known, found := t.suspects[end.Asked]; found {
+		known.rule, known.tenant = rule, tenant
 	}
-	known.rule, known.tenant = rule, tenant
-	if !isNew {
-		return Bar{}, false
-	}
-	return t.judge(now, end.Asked, known)
 }
 
-// note takes one end, own or by the word of another gateway. It tells whether it speaks against the request and was not known.
-func (t *Table) note(now time.Time, end End, own bool) bool {
+// note takes one end, own or by the word of another gateway.
+func (t *Table) note(now time.Time, end End, own bool) {
 	known, found := t.suspects[end.Asked]
 	if found && !own && now.Sub(known.goodAt) < t.settings.Trust {
-		return false
-	}
-	if _, explained := t.explained[end.Worker]; explained && !(found && known.times > 0) {
-		return false
+		return
 	}
 	if !found {
 		t.makeRoom(now)
@@ -160,17 +157,16 @@
 	}
 	t.lapse(now, end.Asked, known)
 	if _, again := known.ends[end.Worker]; again {
-		return false
+		return
 	}
 	known.goodAt = time.Time{}
 	t.addEnd(now, end.Asked, known, end.Worker)
 	if len(t.untold) < t.settings.MostSuspects {
 		t.untold = append(t.untold, end)
 	}
-	if now.Before(known.until) {
-		t.explain(now, end.Asked, known)
+	if !now.Before(known.until) {
+		t.pending[end.Asked] = true
 	}
-	return true
 }
 
 // addEnd notes that a worker ended under a suspect.
@@ -182,88 +178,132 @@
 	t.under[worker][asked] = true
 }
 
-// judge bars a suspect if enough speaks against it.
-func (t *Table) judge(now time.Time, asked Digest, known *suspect) (Bar, bool) {
-	ends := len(known.ends)
-	if now.Before(known.until) || ends < t.settings.Ends || (ends < t.settings.SharedEnds && t.rivalled(asked, known)) {
-		return Bar{}, false
-	}
-	known.times++
-	length := min(t.settings.Bar<<min(known.times-1, 16), t.settings.LongestBar)
-	known.until, known.last = now.Add(length), now
-	t.explain(now, asked, known)
-	return known.bar(asked), true
+// unexplained returns the workers whose ends under a suspect are not put down to another request.
+func (t *Table) unexplained(asked Digest, known *suspect) []string {
+	var workers []string
+	for worker := range known.ends {
+		if !t.explained(worker, asked) {
+			workers = append(workers, worker)
+		}
+	}
+	return workers
 }
 
-// rivalled tells whether another suspect ran at each of the workers that ended under one, so that either may have ended them.
-func (t *Table) rivalled(asked Digest, known *suspect) bool {
-	var rivals map[Digest]bool
-	for worker := range known.ends {
-		if rivals == nil {
-			rivals = maps.Clone(t.under[worker])
-			delete(rivals, asked)
-			continue
+// explained tells whether the end of a worker is put down to another request than a suspect.
+func (t *Table) explained(worker string, asked Digest) bool {
+	for other := range t.under[worker] {
+		if other != asked && t.suspects[other].times > 0 {
+			return true
 		}
+	}
+	return false
+}
+
+// enough tells whether enough speaks against a suspect to bar it.
+func (t *Table) enough(asked Digest, known *suspect) bool {
+	if len(known.ends) >= t.settings.MostEnds {
+		return true
+	}
+	unexplained := t.unexplained(asked, known)
+	if known.times > 0 {
+		// It was barred before: one end more is enough.
+		return len(known.ends) >= t.settings.Ends
+	}
+	return len(unexplained) >= t.settings.Ends && !t.rivalled(asked, unexplained)
+}
+
+// rivalled tells whether another suspect ran at each of the workers, so that either may have ended them.
+func (t *Table) rivalled(asked Digest, workers []string) bool {
+	rivals := maps.Clone(t.under[workers[0]])
+	delete(rivals, asked)
+	for _, worker := range workers[1:] {
 		maps.DeleteFunc(rivals, func(other Digest, _ bool) bool { return !t.under[worker][other] })
 	}
 	return len(rivals) > 0
 }
 
-// explain puts the ends under a barred request down to it: they speak against no other one any more.
-func (t *Table) explain(now time.Time, asked Digest, known *suspect) {
-	for worker := range known.ends {
-		t.explained[worker] = now
-		for other := range t.under[worker] {
-			if other != asked {
-				t.forgetEnd(other, worker)
-			}
+// Judge bars those against which enough speaks and of which nothing more was heard for Settle, and returns their bars. Those under which
+// most workers ended come first: their bars explain the ends under the others.
+func (t *Table) Judge(now time.Time) []Bar {
+	var due []Digest
+	for asked := range t.pending {
+		if now.Sub(t.suspects[asked].last) >= t.settings.Settle {
+			due = append(due, asked)
+			delete(t.pending, asked)
 		}
 	}
+	slices.SortFunc(due, func(a, b Digest) int {
+		return cmp.Or(len(t.suspects[b].ends)-len(t.suspects[a].ends), slices.Compare(a[:], b[:]))
+	})
+	var bars []Bar
+	for _, asked := range due {
+		known := t.suspects[asked]
+		if now.Before(known.until) || !t.enough(asked, known) {
+			continue
+		}
+		known.times++
+		known.last = now
+		known.until = now.Add(min(t.settings.Bar<<min(known.times-1, 16), t.settings.LongestBar))
+		bars = append(bars, known.bar(asked))
+	}
+	return bars
 }
 
-// forgetEnd takes an end back from a suspect, unless it was barred itself.
-func (t *Table) forgetEnd(asked Digest, worker string) {
-	known := t.suspects[asked]
-	if known == nil || known.times > 0 {
-		return
-	}
-	delete(known.ends, worker)
-	delete(t.under[worker], asked)
-	if len(known.ends) == 0 && known.goodAt.IsZero() {
-		delete(t.suspects, asked)
+// NextJudgement returns when something is to be judged next, or the zero time.
+func (t *Table) NextJudgement() time.Time {
+	var next time.Time
+	for asked := range t.pending {
+		at := t.suspects[asked].last.Add(t.settings.Settle)
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
 	}
+	return next
 }
 
-// EndedWell notes that a request ran to a good end: no worker ended because of it. It returns what was held of it before, and the bars
-// of those that are told apart from it by that.
-func (t *Table) EndedWell(now time.Time, asked Digest) (before Standing, bars []Bar) {
-	before, _ = t.Standing(now, asked)
-	known := t.suspects[asked]
-	if before == Clear {
-		return before, nil
-	}
-	for _, other := range t.pardon(now, asked, known) {
-		if rival := t.suspects[other]; rival != nil && rival.times == 0 {
-			if bar, barred := t.judge(now, other, rival); barred {
-				bars = append(bars, bar)
-			}
+// EndedWell notes that a request ran to a good end: no worker ended because of it. It returns what was held of it before.
+func (t *Table) EndedWell(now time.Time, asked Digest) Standing {
+	known, found := t.suspects[asked]
+	if !found || (len(known.ends) == 0 && known.times == 0) {
+		return Clear
+	}
+	before, _ := t.Standing(now, asked)
+	others := t.pardon(now, asked, known)
+	for other := range others {
+		if rival := t.suspects[other]; rival.times == 0 {
+			// What could not be told apart before may be now.
+			t.pending[other] = true
 		}
 	}
-	return before, bars
+	return before
+}
+
+// pardon forgets all that speaks against a request, and passes over what others still tell of that. It returns the other suspects that
+// ran where workers ended under it.
+func (t *Table) pardon(now time.Time, asked Digest, known *suspect) map[Digest]bool {
+	others := t.drop(asked)
+	t.suspects[asked] = &suspect{ends: map[string]time.Time{}, last: now, goodAt: now, released: known.until}
+	return others
 }
 
 // drop forgets a suspect, and returns the others that ran at the workers that ended under it.
-func (t *Table) drop(asked Digest) []Digest {
+func (t *Table) drop(asked Digest) map[Digest]bool {
 	others := map[Digest]bool{}
 	for worker := range t.suspects[asked].ends {
-		delete(t.under[worker], asked)
+		t.forgetEnd(asked, worker)
 		maps.Copy(others, t.under[worker])
-		if len(t.under[worker]) == 0 {
-			delete(t.under, worker)
-		}
 	}
 	delete(t.suspects, asked)
-	return slices.SortedFunc(maps.Keys(others), func(a, b Digest) int { return slices.Compare(a[:], b[:]) })
+	delete(t.pending, asked)
+	return others
+}
+
+// forgetEnd forgets that a worker ended under a suspect, as far as others are concerned.
+func (t *Table) forgetEnd(asked Digest, worker string) {
+	delete(t.under[worker], asked)
+	if len(t.under[worker]) == 0 {
+		delete(t.under, worker)
+	}
 }
 
 // sameBar is by how much the ends of one bar differ as gateways tell it: their clocks, and the time that messages take.
@@ -286,7 +326,7 @@
 	for _, worker := range bar.Workers {
 		t.addEnd(now, bar.Asked, known, worker)
 	}
-	t.explain(now, bar.Asked, known)
+	delete(t.pending, bar.Asked)
 	return isNew
 }
 
@@ -300,14 +340,6 @@
 	return now.Before(known.until)
 }
 
-// pardon forgets all that speaks against a request, and passes over what others still tell of that. It returns the other suspects that
-// ran where workers ended under it.
-func (t *Table) pardon(now time.Time, asked Digest, known *suspect) []Digest {
-	others := t.drop(asked)
-	t.suspects[asked] = &suspect{ends: map[string]time.Time{}, last: now, goodAt: now, released: known.until}
-	return others
-}
-
 // Bars returns the requests that are barred, those that were barred last at the end.
 func (t *Table) Bars(now time.Time) []Bar {
 	var bars []Bar
@@ -328,10 +360,7 @@
 	for worker, heard := range known.ends {
 		if now.Sub(heard) > t.settings.Memory {
 			delete(known.ends, worker)
-			delete(t.under[worker], asked)
-			if len(t.under[worker]) == 0 {
-				delete(t.under, worker)
-			}
+			t.forgetEnd(asked, worker)
 		}
 	}
 }
@@ -346,7 +375,6 @@
 			t.drop(asked)
 		}
 	}
-	maps.DeleteFunc(t.explained, func(_ string, known time.Time) bool { return now.Sub(known) > t.settings.Memory })
 }
 
 // makeRoom drops the oldest eighth when there are too many: suspects, and those that are or were barred, each by themselves.
--- /dev/null
+++ b/internal/poison/table_test.go
@@ -0,0 +1,178 @@
+package poison
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/tools/txtar"
+	"pgregory.net/rapid"
+)
+
+// tableRun plays one script.
+type tableRun struct {
+	now   time.Time
+	table *Table
+}
+
+// digestNamed returns the digest of a request of a name.
+func digestNamed(name string) Digest { return Asked{Target: name}.Digest() }
+
+// settle lets time pass until everything is judged.
+func (r *tableRun) settle() {
+	r.now = r.now.Add(r.table.settings.Settle)
+	r.table.Judge(r.now)
+}
+
+// step plays one line, and returns what is wrong.
+func (r *tableRun) step(words []string) string {
+	verb, names := words[0], words[1:]
+	switch verb {
+	case "ended":
+		for _, name := range names[1:] {
+			r.table.Ended(r.now, End{Asked: digestNamed(name), Worker: names[0]}, "rule", "")
+		}
+		r.settle()
+	case "well":
+		r.table.EndedWell(r.now, digestNamed(names[0]))
+		r.settle()
+	case "wait":
+		passed, err := time.ParseDuration(names[0])
+		if err != nil {
+			return err.Error()
+		}
+		r.now = r.now.Add(passed)
+		r.table.Tidy(r.now)
+	case "release":
+		r.table.Release(r.now, digestNamed(names[0]))
+	case "told":
+		left, err := time.ParseDuration(names[1])
+		if err != nil {
+			return err.Error()
+		}
+		r.table.Hear(r.now, Told{Bars: []ToldBar{{Asked: digestNamed(names[0]), Workers: []string{"far"}, Times: 1, LeftMs: left.Milliseconds()}}})
+	case "tell":
+		told := r.table.Tell(r.now, len(names) > 0)
+		r.table = NewTable(DefaultSettings())
+		r.table.Hear(r.now, told)
+		r.settle()
+	case "clear", "suspected", "barred":
+		want := map[string]Standing{"clear": Clear, "suspected": Suspected, "barred": Barred}[verb]
+		for _, name := range names {
+			if got, bar := r.table.Standing(r.now, digestNamed(name)); got != want {
+				return fmt.Sprintf("%s has standing %d: %+v", name, got, bar)
+			}
+		}
+	default:
+		return "unknown verb " + verb
+	}
+	return ""
+}
+
+func TestTableScripts(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/table.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, script := range archive.Files {
+		t.Run(script.Name, func(t *testing.T) {
+			run := &tableRun{now: time.Unix(1_700_000_000, 0), table: NewTable(DefaultSettings())}
+			for number, line := range strings.Split(string(script.Data), "\n") {
+				words := strings.Fields(line)
+				if len(words) == 0 {
+					continue
+				}
+				if wrong := run.step(words); wrong != "" {
+					t.Fatalf("line %d, %s: %s", number+1, line, wrong)
+				}
+			}
+		})
+	}
+}
+
+// TestWhoWasNotThreeTimesThereIsNotBarred plays ends, good ends and messages between three tables, some of them lost or doubled.
+func TestWhoWasNotThreeTimesThereIsNotBarred(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_700_000_000, 0)
+		settings := DefaultSettings()
+		tables := []*Table{NewTable(settings), NewTable(settings), NewTable(settings)}
+		// since are the workers that ended under each request since it ended well anywhere.
+		since := map[Digest]map[string]bool{}
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for range steps {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			table := tables[rapid.IntRange(0, 2).Draw(t, "table")]
+			asked := digestNamed(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "request"))
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0, 1, 2:
+				worker := fmt.Sprint("w", rapid.IntRange(0, 7).Draw(t, "worker"))
+				table.Ended(now, End{Asked: asked, Worker: worker}, "", "")
+				if since[asked] == nil {
+					since[asked] = map[string]bool{}
+				}
+				since[asked][worker] = true
+			case 3:
+				table.EndedWell(now, asked)
+			default:
+				told := table.Tell(now, rapid.Bool().Draw(t, "full"))
+				for range rapid.IntRange(0, 2).Draw(t, "copies") {
+					tables[rapid.IntRange(0, 2).Draw(t, "hearer")].Hear(now, told)
+				}
+			}
+			table.Judge(now)
+			for i, each := range tables {
+				for _, bar := range each.Bars(now) {
+					if len(since[bar.Asked]) < settings.Ends {
+						t.Fatalf("table %d bars %v after the ends of %v", i, bar, since[bar.Asked])
+					}
+				}
+			}
+		}
+	})
+}
+
+// TestTablesStayBounded has very many requests suspected and barred.
+func TestTablesStayBounded(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	settings := DefaultSettings()
+	settings.MostSuspects, settings.MostBarred = 64, 32
+	table := NewTable(settings)
+	for i := range 2000 {
+		now = now.Add(time.Millisecond)
+		asked := digestNamed(fmt.Sprint(i))
+		for worker := range 1 + i%3 {
+			table.Ended(now, End{Asked: asked, Worker: fmt.Sprint(i, "-", worker)}, "", "")
+		}
+		now = now.Add(settings.Settle)
+		table.Judge(now)
+	}
+	if suspects, bars := len(table.suspects), len(table.Bars(now)); suspects > 96 || bars > 32 || len(table.under) > 3*96 {
+		t.Errorf("%d are kept, %d of them barred, with %d workers", suspects, bars, len(table.under))
+	}
+	last, _ := table.Standing(now, digestNamed("1997"))
+	if last != Barred {
+		t.Error("one that was barred last is forgotten")
+	}
+	if told := table.Tell(now, true); len(told.Ends) > settings.MostTold || len(told.Bars) > settings.MostTold {
+		t.Errorf("%d ends and %d bars are told at once", len(told.Ends), len(told.Bars))
+	}
+}
+
+// TestBarsAreReadAsTheyWereWritten writes a bar as the store holds it.
+func TestBarsAreReadAsTheyWereWritten(t *testing.T) {
+	bar := Bar{Asked: digestNamed("a"), Rule: "quick", Tenant: "cafes", Workers: []string{"w1", "w2"}, Times: 2, Until: time.Unix(1_700_000_000, 0).UTC()}
+	value, err := bar.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := DecodeBar(KeyOf(bar.Asked), value)
+	if err != nil || fmt.Sprint(read) != fmt.Sprint(bar) {
+		t.Errorf("%+v was read as %+v: %v", bar, read, err)
+	}
+	for key, value := range map[string]string{KeyOf(bar.Asked): "{", Prefix + "xyz": "{}"} {
+		if _, err := DecodeBar(key, []byte(value)); err == nil {
+			t.Errorf("%s with %q was read", key, value)
+		}
+	}
+}
--- a/internal/poison/told.go
+++ b/internal/poison/told.go
@@ -90,12 +90,11 @@
 	return ends
 }
 
-// Hear takes what another gateway told. It returns the bars that are new to this one, and those that follow from what it has heard and
-// that nobody has told.
-func (t *Table) Hear(now time.Time, told Told) (heard, made []Bar) {
+// Hear takes what another gateway told, and returns the bars that are new to this one.
+func (t *Table) Hear(now time.Time, told Told) []Bar {
+	var heard []Bar
 	for _, asked := range told.EndedWell {
-		_, bars := t.EndedWell(now, asked)
-		made = append(made, bars...)
+		t.EndedWell(now, asked)
 	}
 	for _, each := range told.Bars {
 		bar := Bar{
@@ -107,12 +106,7 @@
 		}
 	}
 	for _, end := range told.Ends {
-		if !t.note(now, end, false) {
-			continue
-		}
-		if bar, barred := t.judge(now, end.Asked, t.suspects[end.Asked]); barred {
-			made = append(made, bar)
-		}
+		t.note(now, end, false)
 	}
-	return heard, made
+	return heard
 }
