Soak: one request ends each worker that runs it, beside all other faults

An address that takes connections and closes them at once no longer counts as a worker that lives: behind a proxy the record of the worker tells.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -114,9 +114,12 @@
 // may outlive its connections by some milliseconds.
 const settleTime = 50 * time.Millisecond
 
+// errClosed is returned for an address that takes connections and closes them at once.
+var errClosed = errors.New("connections open and are closed at once")
+
 // Refuses tells whether nothing listens at an address: it refuses connections. A connection that opens rests for a later request. One
-// that is closed at once is tried again once, since the process may just end, or have too many. The error is that of a connection that
-// neither opens nor is refused.
+// that is closed at once is tried again once, since the process may just end. The error is that of a connection that neither opens nor is
+// refused, or is closed at once again: the process may have too many, or something else may listen in its place.
 func (c *Client) Refuses(ctx context.Context, address string) (bool, error) {
 	for tries := 0; ; tries++ {
 		opened, err := c.pool.open(ctx, address)
@@ -136,7 +139,7 @@
 		}
 		_ = opened.Close()
 		if tries > 0 {
-			return false, nil
+			return false, &Error{Step: StepConnect, Peer: address, Cause: errClosed}
 		}
 	}
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -17,6 +17,8 @@
 	retryRatio   = 0.2
 	retrySlack   = 50
 	retryWindow  = 10 * time.Second
+	crashEnds    = 3
+	crashRetries = 3
 	configTime   = 2 * time.Second
 	servedShare  = 0.95
 	leastInQuiet = 20
@@ -27,7 +29,7 @@
 
 // checks are all rules, in the order in which they are reported.
 var checks = []check{
-	checkOnce, checkRefused, checkAnswers, checkLost, checkDrain, checkOrders, checkBudget, checkConfiguration, checkService,
+	checkOnce, checkRefused, checkAnswers, checkLost, checkDrain, checkOrders, checkBudget, checkConfiguration, checkService, checkCrashing, checkBarred,
 }
 
 // Check returns all broken rules of a history.
@@ -66,7 +68,7 @@
 func checkAnswers(h *History) []Violation {
 	var found []Violation
 	for _, r := range h.Requests {
-		if r.Answer.Status != http.StatusOK {
+		if r.Answer.Status != http.StatusOK || r.Crashing > 0 {
 			continue
 		}
 		switch {
@@ -234,7 +236,7 @@
 		sent, served := 0, 0
 		var failed []string
 		for _, r := range h.Requests {
-			if r.Sent.Before(quiet.Begun) || r.Sent.After(quiet.Ended) {
+			if r.Sent.Before(quiet.Begun) || r.Sent.After(quiet.Ended) || r.Crashing > 0 {
 				continue
 			}
 			sent++
@@ -250,3 +252,50 @@
 	}
 	return found
 }
+
+// checkCrashing: once three workers ended under a request, few of its retries reach workers that were sent a while later by gateways
+// that nothing else disturbs.
+func checkCrashing(h *History) []Violation {
+	reached := map[string]bool{}
+	for _, head := range h.Heads {
+		reached[head.ID] = true
+	}
+	crashing := map[string]int{}
+	for _, r := range h.Requests {
+		crashing[r.Asked.ID] = r.Crashing
+	}
+	ends := map[int][]time.Time{}
+	for _, crash := range h.Crashes {
+		which := crashing[crash.ID]
+		ends[which] = append(ends[which], crash.At)
+	}
+	besides := func(f Fault) bool { _, itself := f.(CrashingRequest); return !itself && !planned(f) }
+	late := map[int]int{}
+	for _, r := range h.Requests {
+		at := ends[r.Crashing]
+		if r.Crashing == 0 || len(at) < crashEnds || !reached[r.Asked.ID] || h.disturbedBy(besides, r.Sent.Add(-touch), r.Sent) {
+			continue
+		}
+		if r.Sent.After(at[crashEnds-1].Add(touch)) {
+			late[r.Crashing]++
+		}
+	}
+	var found []Violation
+	for which, count := range late {
+		if count > crashRetries {
+			found = append(found, Violation{"BUDGET", fmt.Sprintf("crashing request %d", which), fmt.Sprintf("%d retries reached workers later than %s after three had ended; %d ended in all", count, touch, len(ends[which]))})
+		}
+	}
+	return found
+}
+
+// checkBarred: a request that does no harm is not barred.
+func checkBarred(h *History) []Violation {
+	var found []Violation
+	for _, r := range h.Requests {
+		if r.Crashing == 0 && r.Answer.Status == http.StatusUnprocessableEntity {
+			found = append(found, Violation{"DENIED", r.Asked.ID, "it does no harm and was barred: " + r.Answer.Body})
+		}
+	}
+	return found
+}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -59,6 +59,9 @@
 		s.background.Go(func() { s.replace(s.workers[f.Worker]) })
 	case LongPrompts:
 		s.longPrompts.Store(true)
+	case CrashingRequest:
+		s.crashing.Add(1)
+		s.crashes.Store(true)
 	case NewTimeout:
 		s.changeTimeout(f.TimeoutMs, calm)
 	}
@@ -74,6 +77,7 @@
 // heal ends everything that goes wrong: whoever is stopped goes on, whoever is gone starts again.
 func (s *system) heal() error {
 	s.longPrompts.Store(false)
+	s.crashes.Store(false)
 	s.fleet.Store.SetFault(fleet.FaultNone, 0)
 	for _, slot := range s.workers {
 		slot.current().SetFault(fleet.WorkerGood)
@@ -147,7 +151,7 @@
 func (w *workerSlot) current() *fleet.Worker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.worker
+	return w.worker.Latest()
 }
 
 // way returns the proxy before the worker of a slot.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -61,6 +61,10 @@
 // those that did are replaced afterwards.
 type LongPrompts struct{}
 
+// CrashingRequest makes callers send one request again and again that ends each worker that runs it, until the round heals; and now and
+// then for good.
+type CrashingRequest struct{}
+
 // StoreKind is how a store misbehaves.
 type StoreKind string
 
@@ -99,6 +103,8 @@
 func (NewTimeout) isFault()    {}
 func (LongPrompts) isFault()   {}
 
+func (CrashingRequest) isFault() {}
+
 func (f GatewayKill) String() string  { return fmt.Sprintf("gateways %v are killed", f.Gateways) }
 func (f GatewayPause) String() string { return fmt.Sprintf("gateways %v stand still", f.Gateways) }
 func (f GatewayStop) String() string {
@@ -117,7 +123,8 @@
 	return fmt.Sprintf("the routes get a time-out of %d ms", f.TimeoutMs)
 }
 
-func (LongPrompts) String() string { return "callers send long prompts" }
+func (LongPrompts) String() string     { return "callers send long prompts" }
+func (CrashingRequest) String() string { return "a request ends each worker that runs it" }
 
 // planned tells whether a fault is planned work, around which no request may be lost.
 func planned(f Fault) bool {
@@ -156,7 +163,20 @@
 		at := time.Duration(random.Int64N(int64(faultTime / 2)))
 		faults = append(faults, Timed{At: at, Fault: draw(random, gateways, workers)})
 	}
-	return faults
+	return append(faults, crashing(seed, number)...)
+}
+
+// crashingStream is the stream of random numbers that decides about crashing requests: one of its own, so that the faults of older seeds
+// stay as they were.
+const crashingStream = 1 << 32
+
+// crashing returns the crashing request of a round: one in three has one.
+func crashing(seed uint64, number int) []Timed {
+	random := rand.New(rand.NewPCG(seed, crashingStream+uint64(number)))
+	if random.IntN(3) > 0 {
+		return nil
+	}
+	return []Timed{{At: time.Duration(random.Int64N(int64(faultTime / 2))), Fault: CrashingRequest{}}}
 }
 
 // draw draws one fault.
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -27,6 +27,9 @@
 
 	// longPrompts is set while callers send long prompts.
 	longPrompts atomic.Bool
+	// crashes is set while callers often send a request that ends workers, and crashing how many such ones there were.
+	crashes  atomic.Bool
+	crashing atomic.Int64
 
 	mu         sync.Mutex
 	version    int
@@ -201,6 +204,7 @@
 	defer s.mu.Unlock()
 	return &History{
 		Requests: append([]Request(nil), s.requests...), Runs: s.fleet.Runs(), Arrivals: s.fleet.Arrivals(), Orders: s.fleet.Orders(),
+		Crashes: s.fleet.Crashes(), Heads: s.fleet.Heads(),
 		Spans: append([]Span(nil), s.spans...), Departures: append([]Departure(nil), s.departures...), Quiet: quiet,
 		Spread: append([]time.Duration(nil), s.spread...),
 	}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -12,6 +12,7 @@
 // callers sends requests in open loop until the context ends.
 func (s *system) callers(ctx context.Context, seed uint64, perSecond int) {
 	random := rand.New(rand.NewPCG(seed, 99))
+	crashing := rand.New(rand.NewPCG(seed, crashingStream))
 	kept, fresh := fleet.NewCaller(true), fleet.NewCaller(false)
 	addresses := &directory{system: s, caller: kept}
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
@@ -28,6 +29,7 @@
 			caller = fresh
 		}
 		request := drawRequest(random, number, s.longPrompts.Load())
+		s.maybeCrashing(crashing, &request)
 		known := addresses.get(ctx)
 		if len(known) == 0 {
 			continue
@@ -66,6 +68,39 @@
 	return Request{Asked: asked, Kind: kind, Want: want}
 }
 
+// One in so many requests repeats the crashing one of the round, and one in so many any of those before, for good.
+const (
+	crashingEvery = 12
+	againEvery    = 150
+)
+
+// maybeCrashing turns some requests into repeats of those that end workers: their id is new, and all else the same.
+func (s *system) maybeCrashing(random *rand.Rand, request *Request) {
+	known := int(s.crashing.Load())
+	now, again := random.IntN(crashingEvery) == 0, random.IntN(againEvery) == 0
+	switch {
+	case known == 0 || request.Kind == KindOnce:
+		return
+	case s.crashes.Load() && now:
+		request.Crashing = known
+	case again:
+		request.Crashing = 1 + random.IntN(known)
+	default:
+		return
+	}
+	request.Asked.Body = fmt.Sprintf("number %d %s", request.Crashing, fleet.CrashingBody)
+	request.Want = ""
+	// Each of them is of one kind.
+	request.Kind = KindStream
+	if request.Crashing%2 == 0 {
+		request.Kind = KindAgain
+		request.Asked.Tokens = 0
+	} else if request.Asked.Tokens == 0 {
+		request.Asked.Subject, request.Asked.Shared, request.Asked.Tokens = "a0", shortShared, shortTokens
+	}
+	request.Asked.Path = "/" + string(request.Kind) + "/x"
+}
+
 // callSlack is how long after its deadline a caller still waits.
 const callSlack = 2 * time.Second
 
--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -72,6 +72,17 @@
 	w.next = w.fleet.serve(options, listener, w.address)
 }
 
+// Latest returns the life of the worker of the moment: itself, or the last one in which it came back.
+func (w *Worker) Latest() *Worker {
+	w.mutex.Lock()
+	next := w.next
+	w.mutex.Unlock()
+	if next == nil {
+		return w
+	}
+	return next.Latest()
+}
+
 // crashed notes the end of a worker under a request.
 func (f *Fleet) crashed(crash Crash) {
 	f.mutex.Lock()
