Leases, entries and the view go by a clock that counts sleep

Change: internal/boottime (CLOCK_BOOTTIME), handed to the controller, the registration, the view, the watch of the entries, the clock of usage and the guard of the workers. A difference between both clocks is logged as a suspension with its length. Ruled out: all of the code on that clock (timers of the language go by the steady one; each reading is a system call). No machine was suspended for real.

--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -196,3 +196,78 @@
 		}
 	})
 }
+
+// turnsAsleep plays two processes on one key whose machines are suspended between any two steps, and returns what is wrong with their
+// orders. Each goes by a clock that counts the time asleep, or by one that stands still meanwhile.
+func turnsAsleep(t *rapid.T, countsSleep bool) string {
+	settings := DefaultSettings()
+	processes := []*Authority{New(settings), New(settings)}
+	slept, asleep := make([]time.Duration, 2), make([]time.Time, 2)
+	holder, leaseUntil, revision := -1, epoch, int64(0)
+	var lastOrder time.Time
+	lastHolder, lastFence := -1, int64(0)
+	now := epoch
+	for range 200 {
+		now = now.Add(settings.TickInterval)
+		if holder >= 0 && now.After(leaseUntil) {
+			holder = -1
+		}
+		for i, process := range processes {
+			if now.Before(asleep[i]) {
+				continue
+			}
+			if rapid.IntRange(0, 40).Draw(t, "sleep") == 0 {
+				length := time.Duration(rapid.IntRange(1, 9000).Draw(t, "for")) * time.Millisecond
+				asleep[i] = now.Add(length)
+				slept[i] += length
+				continue
+			}
+			clock := now
+			if !countsSleep {
+				clock = now.Add(-slept[i])
+			}
+			if holder < 0 {
+				revision++
+				holder, leaseUntil = i, now.Add(ttl)
+				process.Leased(clock, revision, ttl)
+				process.Acquired(clock, revision, revision, Following)
+			}
+			if holder == i && rapid.IntRange(0, 3).Draw(t, "renew") > 0 {
+				leaseUntil = now.Add(ttl)
+				process.Leased(clock, revision, ttl)
+			}
+			fence, may := process.MayOrder(clock)
+			if !may {
+				continue
+			}
+			if i != lastHolder && lastHolder >= 0 && now.Sub(lastOrder) < ttl {
+				return "holders took turns within " + now.Sub(lastOrder).String()
+			}
+			if fence < lastFence {
+				return "a fence fell"
+			}
+			lastOrder, lastHolder, lastFence = now, i, fence
+		}
+	}
+	return ""
+}
+
+// TestTwoHoldersNeverTakeTurnsThoughEitherSleeps goes by the clock that counts sleep.
+func TestTwoHoldersNeverTakeTurnsThoughEitherSleeps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if wrong := turnsAsleep(t, true); wrong != "" {
+			t.Fatal(wrong)
+		}
+	})
+}
+
+// TestAClockThatStandsStillAsleepIsFound shows that the property above can fail: with the steady clock holders take turns.
+func TestAClockThatStandsStillAsleepIsFound(t *testing.T) {
+	found := false
+	for seed := range 200 {
+		found = found || rapid.Custom(func(t *rapid.T) string { return turnsAsleep(t, false) }).Example(seed) != ""
+	}
+	if !found {
+		t.Error("no play of 200 shows holders that take turns")
+	}
+}
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/boottime"
 	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/poison"
@@ -57,6 +58,8 @@
 	listener Listener
 	ownKey   string
 	logger   logrus.FieldLogger
+	// now counts the time in which the machine is suspended: all that the view holds may have changed meanwhile.
+	now func() time.Time
 
 	// base is the configuration of routes and services in force, and byLabels that of groups and rules by labels; nil before
 	// the first.
@@ -88,7 +91,10 @@
 func NewView(
 	decoder Decoder, listener Listener, gateways *member.List, roster *backend.Roster, ownKey string, logger logrus.FieldLogger,
 ) *View {
-	return &View{decoder: decoder, listener: listener, ownKey: ownKey, logger: logger, roster: roster, gateways: gateways, lostAt: time.Now()}
+	return &View{
+		decoder: decoder, listener: listener, ownKey: ownKey, logger: logger, now: boottime.Now, roster: roster, gateways: gateways,
+		lostAt: boottime.Now(),
+	}
 }
 
 // Reset is part of store.Consumer.
@@ -112,13 +118,13 @@
 	v.listener.BarsListed(bars)
 	v.mutex.Lock()
 	if v.listedAt.IsZero() {
-		v.listedAt = time.Now()
+		v.listedAt = v.now()
 		v.fleetIsNew = !slices.ContainsFunc(items, func(item store.Item) bool { return item.Key == roles.HistoryKey })
 	}
-	v.complain(v.gateways.Reset(time.Now(), items))
+	v.complain(v.gateways.Reset(v.now(), items))
 	v.mutex.Unlock()
 	v.rosterMutex.Lock()
-	v.roster.Reset(time.Now(), workers)
+	v.roster.Reset(v.now(), workers)
 	v.rosterMutex.Unlock()
 	v.tellWorkers()
 	v.listener.GatewaysChanged()
@@ -182,34 +188,34 @@
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.complain(v.gateways.Apply(time.Now(), event))
+	v.complain(v.gateways.Apply(v.now(), event))
 	return true
 }
 
 // Lost is part of store.Consumer.
 func (v *View) Lost(err error) {
 	if v.lostSince.IsZero() {
-		v.lostSince = time.Now()
+		v.lostSince = v.now()
 		v.logger.WithError(err).Warn("The store was lost; serving goes on with what is known.")
 	}
 	v.rosterMutex.Lock()
-	v.roster.Outage(time.Now())
+	v.roster.Outage(v.now())
 	v.rosterMutex.Unlock()
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.lostAt = time.Now()
+	v.lostAt = v.now()
 	v.gateways.Outage(v.lostAt)
 }
 
 // Current is part of store.Consumer.
 func (v *View) Current() {
 	if !v.lostSince.IsZero() {
-		v.logger.WithField("after_ms", time.Since(v.lostSince).Milliseconds()).Info("The store is back.")
+		v.logger.WithField("after_ms", v.now().Sub(v.lostSince).Milliseconds()).Info("The store is back.")
 		v.lostSince = time.Time{}
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.currentAt = time.Now()
+	v.currentAt = v.now()
 	v.answeredAt = v.currentAt
 	v.gateways.Connected(v.currentAt)
 }
@@ -218,7 +224,7 @@
 func (v *View) Connected() {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.answeredAt = time.Now()
+	v.answeredAt = v.now()
 	v.gateways.Connected(v.answeredAt)
 }
 
@@ -226,7 +232,7 @@
 func (v *View) Told(entries, sound []string) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.gateways.Told(time.Now(), entries, sound)
+	v.gateways.Told(v.now(), entries, sound)
 }
 
 // IsFresh tells whether the store, or another gateway that has not lost it, has answered within a time. Without an answer the
@@ -234,14 +240,14 @@
 func (v *View) IsFresh(within time.Duration) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return !v.answeredAt.IsZero() && time.Since(v.answeredAt) < within
+	return !v.answeredAt.IsZero() && v.now().Sub(v.answeredAt) < within
 }
 
 // IsNew tells whether the whole fleet started within a time: nobody had ever given orders when this process first listed the store.
 func (v *View) IsNew(within time.Duration) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.fleetIsNew && time.Since(v.listedAt) < within
+	return v.fleetIsNew && v.now().Sub(v.listedAt) < within
 }
 
 // Steady tells for how long the store has not been lost, by this process or those that tell it: records that went meanwhile are
@@ -249,35 +255,35 @@
 func (v *View) Steady() time.Duration {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return time.Since(v.lostAt)
+	return v.now().Sub(v.lostAt)
 }
 
 // Named returns the gateways that callers are told.
 func (v *View) Named() []member.Gateway {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.gateways.Named(time.Now())
+	return v.gateways.Named(v.now())
 }
 
 // Resumed tells that this process has stood still.
 func (v *View) Resumed() {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.gateways.Resumed(time.Now())
+	v.gateways.Resumed(v.now())
 }
 
 // Entries returns the gateways to which callers are sent, and those that serve and have fallen silent.
 func (v *View) Entries() (entries, suspects []member.Gateway) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.gateways.Entries(time.Now())
+	return v.gateways.Entries(v.now())
 }
 
 // Serving returns the gateways that serve callers.
 func (v *View) Serving() []member.Gateway {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.gateways.Serving(time.Now())
+	return v.gateways.Serving(v.now())
 }
 
 // EntryNeed returns the cores that the entries are to have together, and the revision of the store at which that was said.
@@ -291,21 +297,21 @@
 func (v *View) ServingCount() int {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.gateways.ServingCount(time.Now())
+	return v.gateways.ServingCount(v.now())
 }
 
 // Reachable returns the gateways that serve callers and have not fallen silent.
 func (v *View) Reachable() []member.Gateway {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.gateways.Reachable(time.Now())
+	return v.gateways.Reachable(v.now())
 }
 
 // Heard tells that another gateway was heard.
 func (v *View) Heard(name string) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.gateways.Heard(time.Now(), name)
+	v.gateways.Heard(v.now(), name)
 }
 
 // Unheard tells that another gateway stands by and will not be heard any more.
@@ -326,7 +332,7 @@
 func (v *View) Staleness() time.Duration {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return time.Since(v.currentAt)
+	return v.now().Sub(v.currentAt)
 }
 
 // applyWorker takes a change of the record of a worker, and tells whether it was one.
@@ -340,7 +346,7 @@
 	defer v.rosterMutex.Unlock()
 	switch {
 	case event.Deleted:
-		v.roster.Remove(time.Now(), id)
+		v.roster.Remove(v.now(), id)
 	case worker != nil:
 		v.roster.Put(worker)
 	}
@@ -362,7 +368,7 @@
 func (v *View) tellWorkers() {
 	v.rosterMutex.Lock()
 	defer v.rosterMutex.Unlock()
-	now := time.Now()
+	now := v.now()
 	workers, next := v.roster.InUse(now)
 	if !next.IsZero() {
 		time.AfterFunc(next.Sub(now)+time.Millisecond, v.tellWorkers)
--- a/internal/gateway/bars.go
+++ b/internal/gateway/bars.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/boottime"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/poison"
@@ -66,7 +67,7 @@
 		gateway: g, logger: logging.Part(g.logger, "poison"), stored: map[poison.Digest]storedBar{}, wanted: map[poison.Digest]wantedBar{},
 		wake: make(chan struct{}, 1),
 	}
-	b.guard = poison.NewGuard(poison.DefaultSettings(), prober, time.Now, b.note)
+	b.guard = poison.NewGuard(poison.DefaultSettings(), prober, boottime.Now, b.note)
 	return b
 }
 
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
+	"github.com/granitebay/granitebay/internal/boottime"
 	"github.com/granitebay/granitebay/internal/changefeed"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/loadshare"
@@ -40,6 +41,8 @@
 	calmTicks = 5
 	// standstill is the time between two looks, beyond the tick, from which on this process has stood still.
 	standstill = 400 * time.Millisecond
+	// leastSleep is the shortest time asleep that is told: the clocks are read one after the other, a turn of the processor apart.
+	leastSleep = 50 * time.Millisecond
 	// briefAfter is how long a gateway is an entry before it renews a short lease, and calmAfter how long it stands by before it
 	// renews a long one: each change is two calls to the store, and a fleet that starts changes its mind some times.
 	briefAfter = time.Second
@@ -48,7 +51,8 @@
 
 // watchEntries follows who takes requests until the context ends.
 func (g *Gateway) watchEntries(ctx context.Context) {
-	last := time.Now()
+	last := boottime.Now()
+	asleep := boottime.NewWatch()
 	for {
 		tick := entryTick
 		if !g.takesRequests() {
@@ -61,7 +65,10 @@
 			return
 		case <-timer.C:
 		}
-		now := time.Now()
+		now := boottime.Now()
+		if slept := asleep.Slept(); slept > leastSleep {
+			logging.Part(g.logger, "gateway").WithField("for_ms", slept.Milliseconds()).Warn("The machine was suspended.")
+		}
 		if now.Sub(last) > tick+standstill {
 			g.view.Resumed()
 		}
@@ -152,7 +159,7 @@
 	if takesRequests == g.entries.takesRequests && !g.entries.since.IsZero() {
 		return
 	}
-	g.entries.takesRequests, g.entries.since = takesRequests, time.Now()
+	g.entries.takesRequests, g.entries.since = takesRequests, boottime.Now()
 	outcome := "stands by"
 	if takesRequests {
 		outcome = "takes requests"
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/boottime"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/retrybudget"
@@ -94,7 +95,7 @@
 			rank = i
 		}
 	}
-	g.controller.KeyChanged(time.Now(), value, revision, rank)
+	g.controller.KeyChanged(boottime.Now(), value, revision, rank)
 	if g.setHolder(roles.HolderOf(value)) {
 		g.GatewaysChanged()
 	}
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/granitebay/granitebay/internal/boottime"
 	"github.com/granitebay/granitebay/internal/store"
 )
 
@@ -45,7 +46,7 @@
 	logger   logrus.FieldLogger
 	// onTrouble is called when the store can't be reached.
 	onTrouble func()
-	// onLease is told of each lease that was granted or renewed.
+	// onLease is told of each lease that was granted or renewed, with the moment at which the call began by the clock that counts sleep.
 	onLease func(begun time.Time, lease int64, ttl time.Duration)
 	again   chan struct{}
 	leave   chan struct{}
@@ -126,7 +127,7 @@
 func (r *Registration) step(ctx context.Context, registered bool) error {
 	ctx, cancel := context.WithTimeout(ctx, r.settings.CallTimeout)
 	defer cancel()
-	begun := time.Now()
+	begun := boottime.Now()
 	if r.ttl != r.stretch(r.settings.TTL) {
 		// The old lease runs out with nothing that goes with it.
 		r.lease, registered = 0, false
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -12,6 +12,7 @@
 
 	"github.com/granitebay/granitebay/internal/authority"
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/boottime"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/store"
@@ -69,6 +70,8 @@
 	OrderTimeout time.Duration
 	Planner      Settings
 	Authority    authority.Settings
+	// Now is the clock of the lease and of the orders. It has to count the time in which the machine is suspended.
+	Now func() time.Time
 }
 
 // DefaultControllerSettings return settings without a holder.
@@ -78,6 +81,7 @@
 		OrderTimeout: 1500 * time.Millisecond,
 		Planner:      DefaultSettings(),
 		Authority:    authority.DefaultSettings(),
+		Now:          boottime.Now,
 	}
 }
 
@@ -136,7 +140,7 @@
 func (c *Controller) Authority() (fence int64, may bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.authority.MayCall(time.Now())
+	return c.authority.MayCall(c.settings.Now())
 }
 
 // Leased tells that the lease of the process was granted or renewed by a call that began at a moment.
@@ -193,7 +197,7 @@
 		c.release(ctx)
 		return
 	}
-	now := time.Now()
+	now := c.settings.Now()
 	c.mutex.Lock()
 	c.authority.Tick(now)
 	ask := c.vacant && c.lease != 0 && !now.Before(c.askAfter)
--- a/internal/roles/controller_test.go
+++ b/internal/roles/controller_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/boottime"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/store"
 )
@@ -112,12 +113,12 @@
 func TestOrdersCarryTheAuthorityAndTheCountOfTheEngine(t *testing.T) {
 	keys, orderer, fleet := &keyStore{revision: 41}, &recordingOrderer{state: EngineState{Role: backend.RoleDecode, Orders: 7}}, &shortOfReaders{}
 	controller := newTestController(keys, orderer, fleet)
-	controller.KeyChanged(time.Now(), nil, 0, 0)
+	controller.KeyChanged(boottime.Now(), nil, 0, 0)
 	step(controller, 3)
 	if len(orderer.orders) != 0 {
 		t.Fatal("an order without a lease")
 	}
-	controller.Leased(time.Now(), 5, time.Minute)
+	controller.Leased(boottime.Now(), 5, time.Minute)
 	step(controller, 4)
 	if len(orderer.orders) == 0 {
 		t.Fatal("no order although prompts wait")
@@ -127,7 +128,7 @@
 		t.Errorf("got %+v", first)
 	}
 	given := len(orderer.orders)
-	controller.KeyChanged(time.Now(), []byte(`{"holder":"b","lease":9}`), 50, 0)
+	controller.KeyChanged(boottime.Now(), []byte(`{"holder":"b","lease":9}`), 50, 0)
 	step(controller, 3)
 	if len(orderer.orders) != given {
 		t.Error("an order after another process got the key")
@@ -137,8 +138,8 @@
 func TestALostAnswerIsSettledByTheWatch(t *testing.T) {
 	keys, orderer := &keyStore{revision: 9, loseAnswer: true}, &recordingOrderer{state: EngineState{Role: backend.RoleDecode}}
 	controller := newTestController(keys, orderer, &shortOfReaders{})
-	controller.Leased(time.Now(), 5, time.Minute)
-	controller.KeyChanged(time.Now(), nil, 0, 0)
+	controller.Leased(boottime.Now(), 5, time.Minute)
+	controller.KeyChanged(boottime.Now(), nil, 0, 0)
 	step(controller, 3)
 	if len(orderer.orders) != 0 {
 		t.Fatal("an order although it is not known who holds the key")
@@ -147,7 +148,7 @@
 	if err := json.Unmarshal(keys.value, &held); err != nil || held.Lease != 5 {
 		t.Fatalf("the key holds %s", keys.value)
 	}
-	controller.KeyChanged(time.Now(), keys.value, keys.revision, 0)
+	controller.KeyChanged(boottime.Now(), keys.value, keys.revision, 0)
 	step(controller, 3)
 	if len(orderer.orders) == 0 || orderer.orders[0].Fence != 10 {
 		t.Errorf("got %+v", orderer.orders)
@@ -158,8 +159,8 @@
 	orderer := &recordingOrderer{state: EngineState{Role: backend.RoleDecode}, err: errors.New("refused")}
 	fleet := &shortOfReaders{}
 	controller := newTestController(&keyStore{}, orderer, fleet)
-	controller.Leased(time.Now(), 5, time.Minute)
-	controller.KeyChanged(time.Now(), nil, 0, 0)
+	controller.Leased(boottime.Now(), 5, time.Minute)
+	controller.KeyChanged(boottime.Now(), nil, 0, 0)
 	step(controller, 4)
 	if len(fleet.changing) < 2 || fleet.changing[0] != backend.RolePrefill || fleet.changing[1] != backend.RoleDecode {
 		t.Errorf("work was kept off and given again as %v", fleet.changing)
@@ -169,8 +170,8 @@
 func TestABusyEngineGetsNoOrder(t *testing.T) {
 	orderer := &recordingOrderer{state: EngineState{Role: backend.RoleDecode, Busy: true}}
 	controller := newTestController(&keyStore{}, orderer, &shortOfReaders{})
-	controller.Leased(time.Now(), 5, time.Minute)
-	controller.KeyChanged(time.Now(), nil, 0, 0)
+	controller.Leased(boottime.Now(), 5, time.Minute)
+	controller.KeyChanged(boottime.Now(), nil, 0, 0)
 	step(controller, 4)
 	if len(orderer.orders) != 0 {
 		t.Errorf("got %+v", orderer.orders)
@@ -219,8 +220,8 @@
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
 		c := NewController(settings, keys, &recordingOrderer{}, &shortOfReaders{}, logger, func(decision.Record) {})
-		c.Leased(time.Now(), 5, time.Hour)
-		c.KeyChanged(time.Now(), nil, 0, 0)
+		c.Leased(boottime.Now(), 5, time.Hour)
+		c.KeyChanged(boottime.Now(), nil, 0, 0)
 		c.step(context.Background())
 		_, atOnce := c.Authority()
 		time.Sleep(30 * time.Millisecond)
--- a/internal/roles/holder.go
+++ b/internal/roles/holder.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -70,7 +69,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.vacant = false
-	c.authority.Acquired(time.Now(), lease, revision, before.succession(c.settings.Holder))
+	c.authority.Acquired(c.settings.Now(), lease, revision, before.succession(c.settings.Holder))
 	c.logger.WithField("fence", revision).Info("This gateway gives the orders.")
 	c.decide(decision.Record{
 		Kind: decision.KindAuthority, Subject: Key, Outcome: c.settings.Holder, Fence: revision,
--- a/internal/roles/orders.go
+++ b/internal/roles/orders.go
@@ -38,7 +38,7 @@
 func (c *Controller) settle(change Change, err error) {
 	log := c.logger.WithFields(logrus.Fields{"engine": change.Worker.ID, "role": change.Role})
 	if errors.Is(err, errChanging) {
-		c.underway.add(time.Now(), change)
+		c.underway.add(c.settings.Now(), change)
 		log.Info("An engine is changing its role already.")
 		return
 	}
@@ -48,7 +48,7 @@
 		c.note(change, "not taken", "An order was not taken: "+err.Error()+".")
 		return
 	}
-	c.underway.add(time.Now(), change)
+	c.underway.add(c.settings.Now(), change)
 	log.Info("An engine changes its role. " + change.Reason)
 	c.note(change, string(change.Role), change.Reason)
 }
@@ -73,7 +73,7 @@
 		return errChanging
 	}
 	c.mutex.Lock()
-	fence, may := c.authority.MayOrder(time.Now())
+	fence, may := c.authority.MayOrder(c.settings.Now())
 	c.mutex.Unlock()
 	if !may {
 		return errNoAuthority
--- a/internal/usage/clock.go
+++ b/internal/usage/clock.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/boottime"
 )
 
 // tellTime is how long the clock of another gateway counts after it was heard: some messages that tell everything.
@@ -32,13 +34,11 @@
 	return &Clock{read: read, others: map[string]reading{}}
 }
 
-// ReadClocks returns a function that reads the clocks of the machine.
+// ReadClocks returns a function that reads the clocks of the machine. The steady one counts the time in which it is suspended: else the
+// distances to the clocks of others, which went on, would be off by that.
 func ReadClocks() func() (steady time.Duration, wall time.Time) {
-	begun := time.Now()
-	return func() (time.Duration, time.Time) {
-		now := time.Now()
-		return now.Sub(begun), now.Round(0)
-	}
+	begun := boottime.Now()
+	return func() (time.Duration, time.Time) { return boottime.Now().Sub(begun), time.Now().Round(0) }
 }
 
 // Heard takes the time of day that another gateway tells in a message which has just come.
