Bars: ends of one moment count once, and good ends and releases void what was before them

Causes, each found by a new test: a request that is asked often runs at many workers; when these ended at one moment (a rack) it was barred for it (50 of 50 refused afterwards). A release, or a good end, was told for 3 s and voided ends that came after it, at each gateway in turn: 14 more workers ended after a release. A bar that was made within 2 s of a release was taken for the old one. A gateway that barred by the word of others did not know the rule. Change: ends closer than 30 ms count as one; ends, good ends and bars are told with their age, and a good end voids what was before it alone; a bar is known by when it was made; one whose rule is not known here is written by those that know it.

--- a/internal/gateway/bars.go
+++ b/internal/gateway/bars.go
@@ -87,7 +87,12 @@
 	case poison.Made:
 		b.logger.WithFields(fieldsOf(e.Bar)).Warn("A request is barred: workers ended under it.")
 		b.decide(e.Bar, "barred", "Workers ended under the request, one after the other, and it never ended well.")
-		b.want(wantedBar{bar: e.Bar, due: time.Now()})
+		due := time.Now()
+		if e.Bar.Rule == "" {
+			// One that has seen the request itself knows more of it, and writes first.
+			due = due.Add(barHearsay)
+		}
+		b.want(wantedBar{bar: e.Bar, due: due})
 	case poison.Heard:
 		b.logger.WithFields(fieldsOf(e.Bar)).Info("A request is barred, as the store or another gateway tells.")
 		b.decide(e.Bar, "told", "The store or another gateway tells that the request is barred.")
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -86,7 +86,8 @@
 // brokenWorker is a worker at which answers broke off.
 type brokenWorker struct {
 	worker *backend.Worker
-	since  time.Time
+	// first and since are when the first and the last connection broke.
+	first, since time.Time
 	// ended is set once the worker is known to have ended, and probing while that is asked.
 	ended, probing bool
 	requests       map[Digest]request
@@ -128,7 +129,7 @@
 	now := g.now()
 	known, found := g.broken[worker.ID]
 	if !found {
-		known = &brokenWorker{worker: worker, requests: map[Digest]request{}}
+		known = &brokenWorker{worker: worker, first: now, requests: map[Digest]request{}}
 		g.broken[worker.ID] = known
 	}
 	known.since = now
@@ -184,7 +185,7 @@
 	event := WorkerEnded{Worker: known.worker, By: by}
 	for asked, what := range known.requests {
 		event.Asked = append(event.Asked, asked)
-		g.table.Ended(g.now(), End{Asked: asked, Worker: known.worker.ID}, what.rule, what.tenant)
+		g.table.Ended(g.now(), known.first, End{Asked: asked, Worker: known.worker.ID}, what.rule, what.tenant)
 	}
 	clear(known.requests)
 	g.tell(event)
@@ -229,7 +230,8 @@
 func (g *Guard) EndedWell(asked Digest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := g.table.EndedWell(g.now(), asked)
+	now := g.now()
+	before := g.table.EndedWell(now, now, asked)
 	if before == Clear {
 		return
 	}
@@ -247,11 +249,13 @@
 	g.watches.Store(!g.table.Empty())
 }
 
-// Release forgets all that speaks against a request, and tells whether it was barred.
+// Release voids all that speaks against a request, and tells whether it was barred.
 func (g *Guard) Release(asked Digest) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Release(g.now(), asked)
+	wasBarred := g.table.Release(g.now(), asked)
+	g.changed()
+	return wasBarred
 }
 
 // Bars returns the requests that are barred.
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -20,12 +20,15 @@
 	Tenant  string    `json:"tenant,omitempty"`
 	Workers []string  `json:"workers"`
 	Times   int       `json:"times"`
+	Since   time.Time `json:"since"`
 	Until   time.Time `json:"until"`
 }
 
 // Encode returns a bar as it lies in the store.
 func (b Bar) Encode() ([]byte, error) {
-	value, err := json.Marshal(record{Rule: b.Rule, Tenant: b.Tenant, Workers: b.Workers, Times: b.Times, Until: b.Until.UTC().Round(0)})
+	value, err := json.Marshal(record{
+		Rule: b.Rule, Tenant: b.Tenant, Workers: b.Workers, Times: b.Times, Since: b.Since.UTC(), Until: b.Until.UTC(),
+	})
 	return value, errors.Wrap(err, "step encode a bar")
 }
 
@@ -45,5 +48,7 @@
 	if err := json.Unmarshal(value, &read); err != nil {
 		return Bar{}, errors.Wrapf(err, "step read a bar, key %s", key)
 	}
-	return Bar{Asked: asked, Rule: read.Rule, Tenant: read.Tenant, Workers: read.Workers, Times: read.Times, Until: read.Until}, nil
+	return Bar{
+		Asked: asked, Rule: read.Rule, Tenant: read.Tenant, Workers: read.Workers, Times: read.Times, Since: read.Since, Until: read.Until,
+	}, nil
 }
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -14,6 +14,10 @@
 	// MostEnds is how many end before it is barred although others may have ended them: two more, which the three retries that the users'
 	// rule leaves allow. One that does no harm is tried four times at the most, by two gateways.
 	MostEnds int
+	// Moment is how far apart two ends are at the least to count as two: a kill of a zone or a rack ends many workers within some
+	// milliseconds, and a request that is asked often ran at several of them. One that ends workers itself takes longer from one try to
+	// the next.
+	Moment time.Duration
 	// Settle is how long after an end it is waited for what other gateways have to tell of it, before anything is barred for it: some
 	// times what a datagram takes between regions.
 	Settle time.Duration
@@ -22,8 +26,9 @@
 	Bar, LongestBar time.Duration
 	// Memory is how long an end counts against a request that does not come again: longer than a caller repeats by itself.
 	Memory time.Duration
-	// Trust is how long after a request ended well what others tell against it is passed over: some messages that tell everything.
-	Trust time.Duration
+	// Trust is how long it is remembered that a request ended well, which voids what others still tell of before: many messages that tell
+	// everything. It is told for GoodTold.
+	Trust, GoodTold time.Duration
 	// MostSuspects and MostBarred bound what is kept; the oldest go first.
 	MostSuspects, MostBarred int
 	// MostTold bounds the ends, and the bars, in one message: 128 ends take some 4 KB of a datagram.
@@ -33,8 +38,9 @@
 // DefaultSettings suit the users' deployments.
 func DefaultSettings() Settings {
 	return Settings{
-		Ends: 3, MostEnds: 5, Settle: 200 * time.Millisecond, Bar: 10 * time.Minute, LongestBar: 24 * time.Hour, Memory: 10 * time.Minute,
-		Trust: 3 * time.Second, MostSuspects: 4096, MostBarred: 1024, MostTold: 128,
+		Ends: 3, MostEnds: 5, Moment: 30 * time.Millisecond, Settle: 200 * time.Millisecond, Bar: 10 * time.Minute,
+		LongestBar: 24 * time.Hour, Memory: 10 * time.Minute, Trust: 30 * time.Second, GoodTold: 3 * time.Second, MostSuspects: 4096, MostBarred: 1024,
+		MostTold: 128,
 	}
 }
 
@@ -62,22 +68,21 @@
 	Workers []string
 	// Times it was barred, this one included.
 	Times int
-	Until time.Time
+	// Since when it is barred, and Until when.
+	Since, Until time.Time
 }
 
 // suspect is what is known of one request.
 type suspect struct {
-	// ends are the workers that ended under it, with when that was heard.
+	// ends are the workers that ended under it, with when their connections broke, or when that was heard.
 	ends map[string]time.Time
 	// last is when an end or a bar was heard of last.
 	last time.Time
-	// times it was barred, and until when it is.
-	times int
-	until time.Time
-	// goodAt is when it ended well, or was released, or zero.
+	// times it was barred, since when and until when.
+	times        int
+	since, until time.Time
+	// goodAt is when it ended well last, or was released: ends and bars of before are void. Zero is never.
 	goodAt time.Time
-	// released is until when it was barred when it was released: who has not heard of the release still tells that bar.
-	released time.Time
 	// rule and tenant are empty until this gateway has seen the request itself, or heard of its bar.
 	rule, tenant string
 }
@@ -85,7 +90,7 @@
 // bar returns a suspect as a bar.
 func (s *suspect) bar(asked Digest) Bar {
 	return Bar{
-		Asked: asked, Rule: s.rule, Tenant: s.tenant, Workers: slices.Sorted(maps.Keys(s.ends)), Times: s.times, Until: s.until,
+		Asked: asked, Rule: s.rule, Tenant: s.tenant, Workers: slices.Sorted(maps.Keys(s.ends)), Times: s.times, Since: s.since, Until: s.until,
 	}
 }
 
@@ -95,7 +100,8 @@
 // in whatever order they heard it. An end under a request that is or was barred is put down to that one: it is explained, and does not
 // count against others that ran there.
 //
-// Invariant: a request is barred only after Ends different workers ended under it since it last ended well.
+// Invariant: a request is barred only after Ends different workers ended under it, each Moment or more after the one before, since it last
+// ended well.
 type Table struct {
 	settings Settings
 	suspects map[Digest]*suspect
@@ -136,18 +142,18 @@
 	}
 }
 
-// Ended notes that a worker ended under a request of a rule and a tenant at this gateway.
-func (t *Table) Ended(now time.Time, end End, rule, tenant string) {
-	t.note(now, end, true)
+// Ended notes that a worker ended under a request of a rule and a tenant at this gateway, whose connection broke at a moment before.
+func (t *Table) Ended(now, broke time.Time, end End, rule, tenant string) {
+	t.note(now, broke, end)
 	if known, found := t.suspects[end.Asked]; found {
 		known.rule, known.tenant = rule, tenant
 	}
 }
 
-// note takes one end, own or by the word of another gateway.
-func (t *Table) note(now time.Time, end End, own bool) {
+// note takes one end of a moment.
+func (t *Table) note(now, at time.Time, end End) {
 	known, found := t.suspects[end.Asked]
-	if found && !own && now.Sub(known.goodAt) < t.settings.Trust {
+	if found && !at.After(known.goodAt) {
 		return
 	}
 	if !found {
@@ -159,8 +165,8 @@
 	if _, again := known.ends[end.Worker]; again {
 		return
 	}
-	known.goodAt = time.Time{}
-	t.addEnd(now, end.Asked, known, end.Worker)
+	t.addEnd(at, end.Asked, known, end.Worker)
+	known.last = now
 	if len(t.untold) < t.settings.MostSuspects {
 		t.untold = append(t.untold, end)
 	}
@@ -169,9 +175,9 @@
 	}
 }
 
-// addEnd notes that a worker ended under a suspect.
-func (t *Table) addEnd(now time.Time, asked Digest, known *suspect, worker string) {
-	known.ends[worker], known.last = now, now
+// addEnd notes that a worker ended under a suspect at a moment.
+func (t *Table) addEnd(at time.Time, asked Digest, known *suspect, worker string) {
+	known.ends[worker] = at
 	if t.under[worker] == nil {
 		t.under[worker] = map[Digest]bool{}
 	}
@@ -201,15 +207,26 @@
 
 // enough tells whether enough speaks against a suspect to bar it.
 func (t *Table) enough(asked Digest, known *suspect) bool {
-	if len(known.ends) >= t.settings.MostEnds {
+	if known.times > 0 || t.moments(known, slices.Collect(maps.Keys(known.ends))) >= t.settings.MostEnds {
+		// Of one that was barred before, one end more is enough.
 		return true
 	}
 	unexplained := t.unexplained(asked, known)
-	if known.times > 0 {
-		// It was barred before: one end more is enough.
-		return len(known.ends) >= t.settings.Ends
+	return t.moments(known, unexplained) >= t.settings.Ends && !t.rivalled(asked, unexplained)
+}
+
+// moments returns how many of the ends of workers under a suspect are Moment or more after the one before that counts.
+func (t *Table) moments(known *suspect, workers []string) int {
+	slices.SortFunc(workers, func(a, b string) int { return known.ends[a].Compare(known.ends[b]) })
+	count := 0
+	var last time.Time
+	for _, worker := range workers {
+		if at := known.ends[worker]; count == 0 || at.Sub(last) >= t.settings.Moment {
+			count++
+			last = at
+		}
 	}
-	return len(unexplained) >= t.settings.Ends && !t.rivalled(asked, unexplained)
+	return count
 }
 
 // rivalled tells whether another suspect ran at each of the workers, so that either may have ended them.
@@ -242,7 +259,7 @@
 			continue
 		}
 		known.times++
-		known.last = now
+		known.since, known.last = now, now
 		known.until = now.Add(min(t.settings.Bar<<min(known.times-1, 16), t.settings.LongestBar))
 		bars = append(bars, known.bar(asked))
 	}
@@ -261,41 +278,54 @@
 	return next
 }
 
-// EndedWell notes that a request ran to a good end: no worker ended because of it. It returns what was held of it before.
-func (t *Table) EndedWell(now time.Time, asked Digest) Standing {
+// EndedWell notes that a request ran to a good end at a moment: no worker ended because of it until then. It returns what was held of it
+// before, if that is void now.
+func (t *Table) EndedWell(now, at time.Time, asked Digest) Standing {
 	known, found := t.suspects[asked]
-	if !found || (len(known.ends) == 0 && known.times == 0) {
+	if !found || !at.After(known.goodAt) || (len(known.ends) == 0 && known.times == 0) {
 		return Clear
 	}
 	before, _ := t.Standing(now, asked)
-	others := t.pardon(now, asked, known)
-	for other := range others {
+	for other := range t.pardon(at, asked, known) {
 		if rival := t.suspects[other]; rival.times == 0 {
 			// What could not be told apart before may be now.
 			t.pending[other] = true
 		}
 	}
+	if after, _ := t.Standing(now, asked); after != Clear {
+		return Clear
+	}
 	return before
 }
 
-// pardon forgets all that speaks against a request, and passes over what others still tell of that. It returns the other suspects that
-// ran where workers ended under it.
-func (t *Table) pardon(now time.Time, asked Digest, known *suspect) map[Digest]bool {
-	others := t.drop(asked)
-	t.suspects[asked] = &suspect{ends: map[string]time.Time{}, last: now, goodAt: now, released: known.until}
+// pardon voids all that speaks against a request up to a moment. It returns the other suspects that ran where workers ended under it.
+func (t *Table) pardon(at time.Time, asked Digest, known *suspect) map[Digest]bool {
+	others := map[Digest]bool{}
+	for worker, ended := range known.ends {
+		if ended.After(at) {
+			continue
+		}
+		delete(known.ends, worker)
+		t.forgetEnd(asked, worker)
+		maps.Copy(others, t.under[worker])
+	}
+	if !known.since.After(at) {
+		known.times, known.since, known.until = 0, time.Time{}, time.Time{}
+	}
+	if len(known.ends) == 0 {
+		delete(t.pending, asked)
+	}
+	known.goodAt = at
 	return others
 }
 
-// drop forgets a suspect, and returns the others that ran at the workers that ended under it.
-func (t *Table) drop(asked Digest) map[Digest]bool {
-	others := map[Digest]bool{}
+// drop forgets a suspect.
+func (t *Table) drop(asked Digest) {
 	for worker := range t.suspects[asked].ends {
 		t.forgetEnd(asked, worker)
-		maps.Copy(others, t.under[worker])
 	}
 	delete(t.suspects, asked)
 	delete(t.pending, asked)
-	return others
 }
 
 // forgetEnd forgets that a worker ended under a suspect, as far as others are concerned.
@@ -306,13 +336,18 @@
 	}
 }
 
-// sameBar is by how much the ends of one bar differ as gateways tell it: their clocks, and the time that messages take.
+// sameBar is by how much the beginning of one bar differs as gateways tell it: their clocks, and the time that messages take.
 const sameBar = 2 * time.Second
 
 // Bar bars a request by the word of another gateway or of the store. It tells whether that is new.
 func (t *Table) Bar(now time.Time, bar Bar) bool {
 	known, found := t.suspects[bar.Asked]
-	if found && (!bar.Until.After(known.until.Add(sameBar)) || !bar.Until.After(known.released.Add(sameBar))) {
+	if found && known.times > 0 && known.rule == "" {
+		// It was barred here by the word of others, who did not tell of its rule.
+		known.rule, known.tenant = bar.Rule, bar.Tenant
+	}
+	isKnown := found && now.Before(known.until) && bar.Times <= known.times
+	if isKnown || (found && (!bar.Since.After(known.goodAt) || !bar.Since.After(known.since.Add(sameBar)))) {
 		return false
 	}
 	if !found {
@@ -321,23 +356,36 @@
 		t.suspects[bar.Asked] = known
 	}
 	isNew := !now.Before(known.until)
-	known.times, known.until, known.goodAt = max(bar.Times, 1), bar.Until, time.Time{}
+	known.times, known.since, known.until = max(bar.Times, 1), minTime(bar.Since, now), bar.Until
 	known.rule, known.tenant, known.last = bar.Rule, bar.Tenant, now
 	for _, worker := range bar.Workers {
-		t.addEnd(now, bar.Asked, known, worker)
+		if _, heard := known.ends[worker]; !heard {
+			t.addEnd(bar.Since, bar.Asked, known, worker)
+		}
 	}
 	delete(t.pending, bar.Asked)
 	return isNew
 }
 
-// Release forgets all that speaks against a request. It tells whether it was barred.
+// minTime returns the earlier of two moments.
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Release voids all that speaks against a request. It tells whether it was barred.
 func (t *Table) Release(now time.Time, asked Digest) bool {
 	known, found := t.suspects[asked]
 	if !found {
 		return false
 	}
+	wasBarred := now.Before(known.until)
+	// The clock of the one that made the bar may be ahead.
+	known.since = time.Time{}
 	t.pardon(now, asked, known)
-	return now.Before(known.until)
+	return wasBarred
 }
 
 // Bars returns the requests that are barred, those that were barred last at the end.
@@ -369,7 +417,7 @@
 func (t *Table) Tidy(now time.Time) {
 	for asked, known := range t.suspects {
 		t.lapse(now, asked, known)
-		idle := known.times == 0 && len(known.ends) == 0 && now.Sub(known.goodAt) >= t.settings.Trust && now.After(known.released)
+		idle := known.times == 0 && len(known.ends) == 0 && now.Sub(known.goodAt) >= t.settings.Trust
 		over := known.times > 0 && now.Sub(known.until) > t.settings.LongestBar
 		if idle || over {
 			t.drop(asked)
--- a/internal/poison/told.go
+++ b/internal/poison/told.go
@@ -12,6 +12,8 @@
 	Asked Digest
 	// Worker is the id of its incarnation.
 	Worker string
+	// AgoMs is how long before it is told the worker ended, in milliseconds: clocks differ.
+	AgoMs int64
 }
 
 // ToldBar is a bar as gateways tell each other, whose clocks differ.
@@ -22,8 +24,16 @@
 	Tenant  string
 	Workers []string
 	Times   int
-	// LeftMs is for how much longer the request is barred, in milliseconds.
-	LeftMs int64
+	// AgoMs is for how long the request is barred, and LeftMs for how much longer, in milliseconds.
+	AgoMs, LeftMs int64
+}
+
+// ToldGood is a good end of a request after workers had ended under it, or its release.
+type ToldGood struct {
+	_     struct{} `cbor:",toarray"`
+	Asked Digest
+	// AgoMs is how long before it is told that was, in milliseconds.
+	AgoMs int64
 }
 
 // Told is what one gateway tells the others of requests that may end workers. A lost message is made good by the next one that tells
@@ -31,8 +41,8 @@
 type Told struct {
 	_    struct{} `cbor:",toarray"`
 	Ends []End
-	// EndedWell are requests that ran to a good end after a worker had ended under them.
-	EndedWell []Digest
+	// EndedWell are requests that ran to a good end.
+	EndedWell []ToldGood
 	Bars      []ToldBar
 }
 
@@ -43,24 +53,33 @@
 	if t.Empty() {
 		return told
 	}
-	told.Ends = t.untold
+	ends := t.untold
 	if full {
-		told.Ends = t.latestEnds()
+		ends = t.latestEnds()
+	}
+	for _, end := range ends[:min(len(ends), t.settings.MostTold)] {
+		known := t.suspects[end.Asked]
+		if known == nil {
+			continue
+		}
+		if at, counts := known.ends[end.Worker]; counts {
+			end.AgoMs = now.Sub(at).Milliseconds()
+			told.Ends = append(told.Ends, end)
+		}
 	}
 	t.untold = nil
 	for asked, known := range t.suspects {
-		if now.Sub(known.goodAt) < t.settings.Trust {
-			told.EndedWell = append(told.EndedWell, asked)
+		if ago := now.Sub(known.goodAt); ago < t.settings.GoodTold {
+			told.EndedWell = append(told.EndedWell, ToldGood{Asked: asked, AgoMs: ago.Milliseconds()})
 		}
 	}
 	bars := t.Bars(now)
 	for _, bar := range bars[max(len(bars)-t.settings.MostTold, 0):] {
 		told.Bars = append(told.Bars, ToldBar{
 			Asked: bar.Asked, Rule: bar.Rule, Tenant: bar.Tenant, Workers: bar.Workers, Times: bar.Times,
-			LeftMs: bar.Until.Sub(now).Milliseconds(),
+			AgoMs: now.Sub(bar.Since).Milliseconds(), LeftMs: bar.Until.Sub(now).Milliseconds(),
 		})
 	}
-	told.Ends = told.Ends[:min(len(told.Ends), t.settings.MostTold)]
 	told.EndedWell = told.EndedWell[:min(len(told.EndedWell), t.settings.MostTold)]
 	return told
 }
@@ -83,8 +102,8 @@
 	slices.SortFunc(all, func(a, b heard) int {
 		return cmp.Or(b.at.Compare(a.at), slices.Compare(a.Asked[:], b.Asked[:]), cmp.Compare(a.Worker, b.Worker))
 	})
-	ends := make([]End, 0, min(len(all), t.settings.MostTold))
-	for _, each := range all[:min(len(all), t.settings.MostTold)] {
+	ends := make([]End, 0, len(all))
+	for _, each := range all {
 		ends = append(ends, each.End)
 	}
 	return ends
@@ -92,21 +111,22 @@
 
 // Hear takes what another gateway told, and returns the bars that are new to this one.
 func (t *Table) Hear(now time.Time, told Told) []Bar {
+	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	var heard []Bar
-	for _, asked := range told.EndedWell {
-		t.EndedWell(now, asked)
+	for _, good := range told.EndedWell {
+		t.EndedWell(now, ago(good.AgoMs), good.Asked)
 	}
 	for _, each := range told.Bars {
 		bar := Bar{
 			Asked: each.Asked, Rule: each.Rule, Tenant: each.Tenant, Workers: each.Workers, Times: each.Times,
-			Until: now.Add(time.Duration(each.LeftMs) * time.Millisecond),
+			Since: ago(each.AgoMs), Until: ago(-each.LeftMs),
 		}
 		if t.Bar(now, bar) {
 			heard = append(heard, bar)
 		}
 	}
 	for _, end := range told.Ends {
-		t.note(now, end, false)
+		t.note(now, ago(end.AgoMs), end)
 	}
 	return heard
 }
