A request that gave a silent worker up is suspected of its end

Cause (the same elsewhere, found by reading): a gateway gives an engine up that shows no event for 0.4 of the objective, and closes the connection. An engine that ends a moment later has no connection of that request to break, and the end counted against all others. Change: a try that was given up for silence is noted, too; it counts once the end of the worker is shown, by others or by its record. Test: TestOneThatGaveASilentWorkerUpIsSuspectedOfItsEnd.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -223,9 +223,7 @@
 		c.report.Err = err
 		c.release(options.Prompt)
 	}
-	if failed == failureBroken {
-		c.identity.broke(runner.Worker, err)
-	}
+	c.identity.failed(runner.Worker, failed, err)
 	if c.match.Group.Engine == nil && failed.reachedWorker() {
 		c.countUsed()
 	}
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -43,13 +43,19 @@
 	return slices.Contains(wanted, standing)
 }
 
-// broke tells the guard of a connection to a worker that broke under the request. An answer that is not valid shows a worker that lives.
-func (i *identity) broke(worker *backend.Worker, err error) {
-	var transport *httpclient.Error
-	if i.guard == nil || !errors.As(err, &transport) {
+// failed tells the guard of a try that failed: of a connection to a worker that broke under the request, or of a worker that was given up
+// for its silence. An answer that is not valid shows a worker that lives.
+func (i *identity) failed(worker *backend.Worker, failed failure, err error) {
+	if i.guard == nil {
 		return
 	}
-	i.guard.Broke(worker, i.asked(), i.rule, i.request.Tenant)
+	var transport *httpclient.Error
+	switch {
+	case failed == failureBroken && errors.As(err, &transport):
+		i.guard.Broke(worker, i.asked(), i.rule, i.request.Tenant)
+	case failed == failureSilent:
+		i.guard.Left(worker, i.asked(), i.rule, i.request.Tenant)
+	}
 }
 
 // endedWell tells the guard of a good end of the request.
--- a/internal/forward/reading.go
+++ b/internal/forward/reading.go
@@ -29,9 +29,7 @@
 		c.report.Err = err
 		c.readFailures++
 	}
-	if failed == failureBroken {
-		c.identity.broke(reader.Worker, err)
-	}
+	c.identity.failed(reader.Worker, failed, err)
 	reader.finish(failed.outcome())
 	return prompt, failed
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -83,10 +83,10 @@
 	judging bool
 }
 
-// brokenWorker is a worker at which answers broke off.
+// brokenWorker is a worker at which answers broke off, or that was given up for its silence.
 type brokenWorker struct {
 	worker *backend.Worker
-	// first and since are when the first and the last connection broke.
+	// first is when the first connection broke, zero before, and since when a request was noted last.
 	first, since time.Time
 	// ended is set once the worker is known to have ended, and probing while that is asked.
 	ended, probing bool
@@ -123,17 +123,13 @@
 func (g *Guard) Broke(worker *backend.Worker, asked Digest, rule, tenant string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if recorded := g.recorded[worker.ID]; g.recorded != nil && (recorded == nil || recorded.Draining) && g.broken[worker.ID] == nil {
+	if g.leaves(worker) {
 		return
 	}
-	now := g.now()
-	known, found := g.broken[worker.ID]
-	if !found {
-		known = &brokenWorker{worker: worker, first: now, requests: map[Digest]request{}}
-		g.broken[worker.ID] = known
+	known := g.note(worker, asked, rule, tenant)
+	if known.first.IsZero() {
+		known.first = g.now()
 	}
-	known.since = now
-	known.requests[asked] = request{rule, tenant}
 	switch {
 	case known.ended:
 		g.endedLocked(known, byRefusal)
@@ -143,6 +139,41 @@
 	}
 }
 
+// Left notes that a silent worker was given up under a request. Should the worker turn out to end, it may have ended it all the same.
+func (g *Guard) Left(worker *backend.Worker, asked Digest, rule, tenant string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaves(worker) {
+		return
+	}
+	if known := g.note(worker, asked, rule, tenant); known.ended {
+		g.endedLocked(known, byRefusal)
+	}
+}
+
+// leaves tells whether a worker leaves as planned: it said so, or took its record back and serves on. The mutex is held.
+func (g *Guard) leaves(worker *backend.Worker) bool {
+	recorded := g.recorded[worker.ID]
+	return g.recorded != nil && (recorded == nil || recorded.Draining) && g.broken[worker.ID] == nil
+}
+
+// mostNoted bounds the requests that are noted of one worker: more than run at one, with those that gave it up.
+const mostNoted = 512
+
+// note notes a request at a worker that may have ended. The mutex is held.
+func (g *Guard) note(worker *backend.Worker, asked Digest, rule, tenant string) *brokenWorker {
+	known, found := g.broken[worker.ID]
+	if !found {
+		known = &brokenWorker{worker: worker, requests: map[Digest]request{}}
+		g.broken[worker.ID] = known
+	}
+	known.since = g.now()
+	if len(known.requests) < mostNoted {
+		known.requests[asked] = request{rule, tenant}
+	}
+	return known
+}
+
 // probe finds out whether a worker has ended.
 func (g *Guard) probe(known *brokenWorker) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -183,6 +214,9 @@
 func (g *Guard) endedLocked(known *brokenWorker, by string) {
 	known.ended = true
 	event := WorkerEnded{Worker: known.worker, By: by}
+	if known.first.IsZero() {
+		known.first = g.now()
+	}
 	for asked, what := range known.requests {
 		event.Asked = append(event.Asked, asked)
 		g.table.Ended(g.now(), known.first, End{Asked: asked, Worker: known.worker.ID}, what.rule, what.tenant)
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -193,3 +193,28 @@
 		}
 	})
 }
+
+// TestOneThatGaveASilentWorkerUpIsSuspectedOfItsEnd has a request be given up by workers that end a moment later, as others show.
+func TestOneThatGaveASilentWorkerUpIsSuspectedOfItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := recorded("w1", "w2", "lives")
+		g := newGuarded(workers)
+		g.prober.ended["w1"] = true
+		slow, other := digestNamed("slow"), digestNamed("other")
+		for _, worker := range workers {
+			g.Left(worker, slow, "rule", "")
+		}
+		time.Sleep(time.Second)
+		g.Broke(workers["w1"], other, "rule", "")
+		settle()
+		g.SetWorkers(backend.Set{"w1": workers["w1"], "lives": workers["lives"]})
+		if got, bar := g.Standing(slow); got != Suspected || fmt.Sprint(bar.Workers) != "[w1 w2]" {
+			t.Errorf("the standing is %d: %+v", got, bar)
+		}
+		time.Sleep(2 * recordTime)
+		g.SetWorkers(backend.Set{"w1": workers["w1"]})
+		if _, bar := g.Standing(slow); len(bar.Workers) != 2 {
+			t.Errorf("a worker that went long after counts: %+v", bar)
+		}
+	})
+}
