Bars and good ends are told once when they are new, and with all else each second

Cause: each message, some hundred a second under load, told all bars and all good ends of the last 3 s (by reading). Change: what is new goes with the next message, everything with the one a second that tells everything.

--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -109,14 +109,16 @@
 	under map[string]map[Digest]bool
 	// pending are the suspects that are to be judged once nothing more is heard of them for Settle.
 	pending map[Digest]bool
-	// untold are the ends that were not told yet.
+	// untold are the ends that were not told yet, and news the requests whose bar or good end was not.
 	untold []End
+	news   map[Digest]bool
 }
 
 // NewTable returns a table that knows nothing.
 func NewTable(settings Settings) *Table {
 	return &Table{
 		settings: settings, suspects: map[Digest]*suspect{}, under: map[string]map[Digest]bool{}, pending: map[Digest]bool{},
+		news: map[Digest]bool{},
 	}
 }
 
@@ -262,6 +264,7 @@
 		known.since, known.last = now, now
 		known.until = now.Add(min(t.settings.Bar<<min(known.times-1, 16), t.settings.LongestBar))
 		bars = append(bars, known.bar(asked))
+		t.news[asked] = true
 	}
 	return bars
 }
@@ -316,6 +319,7 @@
 		delete(t.pending, asked)
 	}
 	known.goodAt = at
+	t.news[asked] = true
 	return others
 }
 
@@ -326,6 +330,7 @@
 	}
 	delete(t.suspects, asked)
 	delete(t.pending, asked)
+	delete(t.news, asked)
 }
 
 // forgetEnd forgets that a worker ended under a suspect, as far as others are concerned.
--- a/internal/poison/told.go
+++ b/internal/poison/told.go
@@ -50,7 +50,7 @@
 // the one that told them may be gone.
 func (t *Table) Tell(now time.Time, full bool) Told {
 	var told Told
-	if t.Empty() {
+	if t.Empty() || (!full && len(t.untold)+len(t.news) == 0) {
 		return told
 	}
 	ends := t.untold
@@ -67,23 +67,30 @@
 			told.Ends = append(told.Ends, end)
 		}
 	}
-	t.untold = nil
 	for asked, known := range t.suspects {
-		if ago := now.Sub(known.goodAt); ago < t.settings.GoodTold {
+		if ago := now.Sub(known.goodAt); ago < t.settings.GoodTold && (full || t.news[asked]) && len(told.EndedWell) < t.settings.MostTold {
 			told.EndedWell = append(told.EndedWell, ToldGood{Asked: asked, AgoMs: ago.Milliseconds()})
 		}
 	}
 	bars := t.Bars(now)
 	for _, bar := range bars[max(len(bars)-t.settings.MostTold, 0):] {
-		told.Bars = append(told.Bars, ToldBar{
-			Asked: bar.Asked, Rule: bar.Rule, Tenant: bar.Tenant, Workers: bar.Workers, Times: bar.Times,
-			AgoMs: now.Sub(bar.Since).Milliseconds(), LeftMs: bar.Until.Sub(now).Milliseconds(),
-		})
+		if full || t.news[bar.Asked] {
+			told.Bars = append(told.Bars, toldBar(now, bar))
+		}
 	}
-	told.EndedWell = told.EndedWell[:min(len(told.EndedWell), t.settings.MostTold)]
+	t.untold = nil
+	clear(t.news)
 	return told
 }
 
+// toldBar returns a bar as it is told.
+func toldBar(now time.Time, bar Bar) ToldBar {
+	return ToldBar{
+		Asked: bar.Asked, Rule: bar.Rule, Tenant: bar.Tenant, Workers: bar.Workers, Times: bar.Times,
+		AgoMs: now.Sub(bar.Since).Milliseconds(), LeftMs: bar.Until.Sub(now).Milliseconds(),
+	}
+}
+
 // latestEnds returns the ends that count, those heard last first. Those under barred requests are told with the bars.
 func (t *Table) latestEnds() []End {
 	type heard struct {
