--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,16 +9,27 @@
 	"time"
 )
 
-// TestShortSoak plays one round with a fixed seed over real processes: long prompts, three of four gateways that stand still,
-// and two of these without the store.
+// TestShortSoak plays fixed seeds over real processes.
 func TestShortSoak(t *testing.T) {
-	var out bytes.Buffer
-	command := Command{Deployment: "fes", Seed: 1280, For: roundTime, Rate: 60}
-	if err := command.Run(t.Context(), &out); err != nil {
-		t.Fatalf("%v\n%s", err, out.String())
-	}
-	if !strings.Contains(out.String(), "no rule was broken") {
-		t.Errorf("printed %s", out.String())
+	for _, test := range []struct {
+		faults     string
+		deployment string
+		seed       uint64
+		rounds     int
+	}{
+		{"long prompts, three of four gateways that stand still, and two of these without the store", "fes", 1280, 1},
+		{"a request that ends workers, the store forgets its history, and all gateways are killed", "fes", 3937, 2},
+	} {
+		t.Run(test.faults, func(t *testing.T) {
+			var out bytes.Buffer
+			command := Command{Deployment: test.deployment, Seed: test.seed, For: time.Duration(test.rounds) * roundTime, Rate: 60}
+			if err := command.Run(t.Context(), &out); err != nil {
+				t.Fatalf("%v\n%s", err, out.String())
+			}
+			if !strings.Contains(out.String(), "no rule was broken") {
+				t.Errorf("printed %s", out.String())
+			}
+		})
 	}
 }
 
