--- /dev/null
+++ b/internal/cluster/gateways.go
@@ -0,0 +1,122 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/granitebay/granitebay/internal/member"
+)
+
+// Connected tells that the store has answered this process.
+func (v *View) Connected() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.answeredAt = v.now()
+	v.gateways.Connected(v.answeredAt)
+}
+
+// Told takes the names of the entries of another gateway, and of those among them that it has heard.
+func (v *View) Told(entries, sound []string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.gateways.Told(v.now(), entries, sound)
+}
+
+// IsFresh tells whether the store, or another gateway that has not lost it, has answered within a time. Without an answer the
+// configuration may be out of date.
+func (v *View) IsFresh(within time.Duration) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return !v.answeredAt.IsZero() && v.now().Sub(v.answeredAt) < within
+}
+
+// IsNew tells whether the whole fleet started within a time: nobody had ever given orders when this process first listed the store.
+func (v *View) IsNew(within time.Duration) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.fleetIsNew && v.now().Sub(v.listedAt) < within
+}
+
+// Steady tells for how long the store has not been lost, by this process or those that tell it: records that went meanwhile are
+// written anew within some seconds.
+func (v *View) Steady() time.Duration {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.now().Sub(v.lostAt)
+}
+
+// Named returns the gateways that callers are told.
+func (v *View) Named() []member.Gateway {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Named(v.now())
+}
+
+// Resumed tells that this process has stood still.
+func (v *View) Resumed() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.gateways.Resumed(v.now())
+}
+
+// Entries returns the gateways to which callers are sent, and those that serve and have fallen silent.
+func (v *View) Entries() (entries, suspects []member.Gateway) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Entries(v.now())
+}
+
+// Serving returns the gateways that serve callers.
+func (v *View) Serving() []member.Gateway {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Serving(v.now())
+}
+
+// EntryNeed returns the cores that the entries are to have together, and the revision of the store at which that was said.
+func (v *View) EntryNeed() (cores float64, revision int64) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Need()
+}
+
+// ServingCount returns how many gateways serve callers.
+func (v *View) ServingCount() int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.ServingCount(v.now())
+}
+
+// Reachable returns the gateways that serve callers and have not fallen silent.
+func (v *View) Reachable() []member.Gateway {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Reachable(v.now())
+}
+
+// Heard tells that another gateway was heard.
+func (v *View) Heard(name string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.gateways.Heard(v.now(), name)
+}
+
+// Unheard tells that another gateway stands by and will not be heard any more.
+func (v *View) Unheard(name string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.gateways.Unheard(name)
+}
+
+// Leave takes the own gateway off the list.
+func (v *View) Leave() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.gateways.Leave()
+}
+
+// Staleness returns how long ago the view was known to be current.
+func (v *View) Staleness() time.Duration {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.now().Sub(v.currentAt)
+}
