Gateways that take requests tell those that do so beside them

Cause: who takes the place of a silent entry may be heard late by some (a busy machine), which pass it over for 20 s and pick the next. The next takes requests in its own eyes; the others, once they have heard the first, tell it nothing any more, so that it hears none of them, takes them for silent and picks entries of its own among those that stand by. Change: a gateway that says that it takes requests, and is no entry here, is told all that entries are told. It hears of the others, and who is preferred to it, within a heartbeat. Ruled out: a shorter time of passing over (a dead gateway would be picked again and again); a longer time to answer (a place is empty for longer).

--- a/internal/cluster/gateways.go
+++ b/internal/cluster/gateways.go
@@ -65,6 +65,13 @@
 	return v.gateways.Entries(v.now())
 }
 
+// Claimants returns the gateways that say that they take requests and are no entries in the eyes of this one.
+func (v *View) Claimants() []member.Gateway {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Claimants(v.now())
+}
+
 // Serving returns the gateways that serve callers.
 func (v *View) Serving() []member.Gateway {
 	v.mutex.Lock()
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -119,7 +119,7 @@
 	defer g.entries.mu.Unlock()
 	entries, suspects := g.view.Entries()
 	serving := g.view.ServingCount()
-	audience := audienceOf(g.settings.Name, entries, suspects, g.holderOf(g.entries.holder))
+	audience := audienceOf(g.settings.Name, entries, slices.Concat(suspects, g.view.Claimants()), g.holderOf(g.entries.holder))
 	if slices.Equal(entries, g.entries.current) && slices.Equal(suspects, g.entries.suspects) && serving == g.entries.serving &&
 		slices.Equal(audience.Peers, g.entries.told) {
 		return
@@ -196,11 +196,12 @@
 	g.controller.Leased(begun, lease, ttl)
 }
 
-// audienceOf returns whom a gateway tells what it does: the entries, those that have fallen silent, which else would never hear that
-// they are heard again, and the one that gives the orders for all, which need not be an entry in the eyes of each.
-func audienceOf(own string, entries, suspects, holder []member.Gateway) loadshare.Audience {
+// audienceOf returns whom a gateway tells what it does: the entries, those in doubt, and the one that gives the orders for all, which need
+// not be an entry in the eyes of each. In doubt are those that have fallen silent, which else would never hear that they are heard again,
+// and those that take requests and are no entries here, which else would never hear that others are.
+func audienceOf(own string, entries, inDoubt, holder []member.Gateway) loadshare.Audience {
 	isEntry := slices.ContainsFunc(entries, func(entry member.Gateway) bool { return entry.Name == own })
-	told := lo.UniqBy(slices.Concat(entries, suspects, holder), func(gateway member.Gateway) string { return gateway.Name })
+	told := lo.UniqBy(slices.Concat(entries, inDoubt, holder), func(gateway member.Gateway) string { return gateway.Name })
 	return loadshare.Audience{Peers: peersOf(own, told), StandsBy: !isEntry}
 }
 
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -46,8 +46,9 @@
 	// fading holds until when a gateway without a registration stays on the list.
 	fading     map[string]time.Time
 	lastOutage time.Time
-	// heard holds when each other gateway was heard last.
-	heard map[string]time.Time
+	// heard holds when each other gateway was heard last, by its own word or by that of another, and claims when each told last by
+	// its own that it takes requests.
+	heard, claims map[string]time.Time
 
 	// preferred holds those that serve in the order in which they are picked as entries; nil when it is to be made anew.
 	preferred []Gateway
@@ -69,7 +70,7 @@
 // NewList returns a list with only the own gateway.
 func NewList(own Gateway) *List {
 	return &List{
-		own: own, gateways: map[string]Gateway{}, fading: map[string]time.Time{}, heard: map[string]time.Time{},
+		own: own, gateways: map[string]Gateway{}, fading: map[string]time.Time{}, heard: map[string]time.Time{}, claims: map[string]time.Time{},
 		settings: DefaultEntrySettings(), picked: map[string]time.Time{}, unresponsive: map[string]time.Time{},
 		sound: map[string]time.Time{},
 	}
@@ -133,8 +134,14 @@
 // Outage tells that the store failed.
 func (l *List) Outage(now time.Time) { l.lastOutage = now }
 
-// Heard tells that another gateway was heard.
+// Heard tells that another gateway said that it takes requests.
 func (l *List) Heard(now time.Time, name string) {
+	l.claims[name] = now
+	l.hear(now, name)
+}
+
+// hear notes that a gateway was heard, by its own word or by that of another.
+func (l *List) hear(now time.Time, name string) {
 	l.heard[name] = now
 	l.sound[name] = now.Add(suspectAfter)
 	delete(l.unresponsive, name)
@@ -189,6 +196,7 @@
 // Unheard tells that a gateway stands by and will not be heard any more.
 func (l *List) Unheard(name string) {
 	delete(l.heard, name)
+	delete(l.claims, name)
 	delete(l.sound, name)
 }
 
--- a/internal/member/picked.go
+++ b/internal/member/picked.go
@@ -58,7 +58,7 @@
 	l.Connected(now)
 	clear(l.heard)
 	for _, name := range entries {
-		l.Heard(now, name)
+		l.hear(now, name)
 	}
 	clear(l.sound)
 	for _, name := range sound {
@@ -84,6 +84,16 @@
 	return named
 }
 
+// Claimants returns the gateways that said of late that they take requests and are no entries in the eyes of this one, by name. Who took
+// the place of an entry may have been heard late by some: without a word of the others it would go on beside them.
+func (l *List) Claimants(now time.Time) []Gateway {
+	return slices.DeleteFunc(l.Serving(now), func(gateway Gateway) bool {
+		claimed, known := l.claims[gateway.Name]
+		_, picked := l.picked[gateway.Name]
+		return gateway.Name == l.own.Name || picked || !known || now.Sub(claimed) > suspectAfter
+	})
+}
+
 // Resumed tells that this process has stood still: nobody is silent who could not be heard.
 func (l *List) Resumed(now time.Time) {
 	for name := range l.heard {
