Soak: addresses of its own, and no unbarred request that ends workers in the time in which all has healed

Two workers had ended under a request, then all gateways were killed, and with them the suspicion; it came again by chance in the time in which all has healed and ended two of three plain workers. Repeats for good are now of those under which three have ended, which must be barred whoever dies: the check itself is as it was.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -53,10 +53,17 @@
 // given holds the ports that were handed out, so that none is twice.
 var given sync.Map
 
+// ownLoopback returns a loopback address of this process: soaks beside each other must not take the ports that one of them has found
+// free for gateways which it starts, and starts again, later.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+}
+
 // freeAddress returns an address on loopback whose port is free at the moment, for TCP and for UDP.
 func freeAddress() (string, error) {
 	for {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		listener, err := net.Listen("tcp4", net.JoinHostPort(ownLoopback(), "0"))
 		if err != nil {
 			return "", errors.Wrap(err, "step find a free port")
 		}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/standin/fleet"
@@ -68,7 +69,7 @@
 	return Request{Asked: asked, Kind: kind, Want: want}
 }
 
-// One in so many requests repeats the crashing one of the round, and one in so many any of those before, for good.
+// One in so many requests repeats the crashing one of the round, and one in so many any of those that must be barred, for good.
 const (
 	crashingEvery = 12
 	againEvery    = 150
@@ -88,7 +89,12 @@
 	default:
 		return
 	}
-	request.Asked.Body = fmt.Sprintf("number %d %s", request.Crashing, fleet.CrashingBody)
+	request.Asked.Body = crashingBody(request.Crashing)
+	if !s.crashes.Load() && s.endedUnder(request.Asked.Body) < crashEnds {
+		// It may end more workers, which no gateway could know: nothing to be seen in the time in which all has healed.
+		request.Crashing, request.Asked.Body = 0, "body of "+request.Asked.ID
+		return
+	}
 	request.Want = ""
 	// Each of them is of one kind.
 	request.Kind = KindStream
@@ -101,6 +107,14 @@
 	request.Asked.Path = "/" + string(request.Kind) + "/x"
 }
 
+// crashingBody is the body of a request that ends workers.
+func crashingBody(number int) string { return fmt.Sprintf("number %d %s", number, fleet.CrashingBody) }
+
+// endedUnder counts the workers that ended under a body.
+func (s *system) endedUnder(body string) int {
+	return len(slices.DeleteFunc(s.fleet.Crashes(), func(crash fleet.Crash) bool { return crash.Body != body }))
+}
+
 // callSlack is how long after its deadline a caller still waits.
 const callSlack = 2 * time.Second
 
