--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/standin/fleet"
 )
 
@@ -69,7 +71,7 @@
 	return Request{Asked: asked, Kind: kind, Want: want}
 }
 
-// One in so many requests repeats the crashing one of the round, and one in so many any of those that must be barred, for good.
+// One in so many requests repeats the crashing one of the round, and one in so many any of those whose bar the store holds, for good.
 const (
 	crashingEvery = 12
 	againEvery    = 150
@@ -89,30 +91,34 @@
 	default:
 		return
 	}
-	request.Asked.Body = crashingBody(request.Crashing)
-	if !s.crashes.Load() && s.endedUnder(request.Asked.Body) < crashEnds {
-		// It may end more workers, which no gateway could know: nothing to be seen in the time in which all has healed.
-		request.Crashing, request.Asked.Body = 0, "body of "+request.Asked.ID
-		return
-	}
-	request.Want = ""
+	body := crashingBody(request.Crashing)
 	// Each of them is of one kind.
-	request.Kind = KindStream
+	kind := KindStream
 	if request.Crashing%2 == 0 {
-		request.Kind = KindAgain
+		kind = KindAgain
+	}
+	path := "/" + string(kind) + "/x"
+	if !s.crashes.Load() && !s.isBarred(path, body) {
+		// It may end more workers, which no gateway could know: all that knew of it may have been killed.
+		request.Crashing = 0
+		return
+	}
+	request.Kind, request.Want = kind, ""
+	request.Asked.Path, request.Asked.Body = path, body
+	if kind == KindAgain {
 		request.Asked.Tokens = 0
 	} else if request.Asked.Tokens == 0 {
 		request.Asked.Subject, request.Asked.Shared, request.Asked.Tokens = "a0", shortShared, shortTokens
 	}
-	request.Asked.Path = "/" + string(request.Kind) + "/x"
 }
 
 // crashingBody is the body of a request that ends workers.
 func crashingBody(number int) string { return fmt.Sprintf("number %d %s", number, fleet.CrashingBody) }
 
-// endedUnder counts the workers that ended under a body.
-func (s *system) endedUnder(body string) int {
-	return len(slices.DeleteFunc(s.fleet.Crashes(), func(crash fleet.Crash) bool { return crash.Body != body }))
+// isBarred tells whether the store holds the bar of a request.
+func (s *system) isBarred(path, body string) bool {
+	asked := poison.Asked{Method: http.MethodPost, Host: fleet.Host, Target: path, Body: []byte(body)}.Digest()
+	return slices.Contains(s.fleet.Store.Keys(poison.Prefix), poison.KeyOf(asked))
 }
 
 // callSlack is how long after its deadline a caller still waits.
--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -23,10 +23,9 @@
 // Crash is the end of a worker under a request.
 type Crash struct {
 	Worker string
-	// ID and Body of the request that has ended it.
-	ID   string
-	Body string
-	At   time.Time
+	// ID of the request that has ended it.
+	ID string
+	At time.Time
 }
 
 // Crashes returns the ends of workers under requests so far, in their order.
@@ -41,7 +40,7 @@
 
 // crashUnder ends the worker under a request: everything that it runs breaks off, its address refuses connections, and its record
 // lapses. It is back at its address after a while.
-func (w *Worker) crashUnder(id string, body []byte) {
+func (w *Worker) crashUnder(id string) {
 	time.Sleep(crashDelay)
 	w.mutex.Lock()
 	crashed := w.crashed
@@ -50,7 +49,7 @@
 	if crashed {
 		return
 	}
-	w.fleet.crashed(Crash{Worker: w.options.ID, ID: id, Body: string(body), At: time.Now()})
+	w.fleet.crashed(Crash{Worker: w.options.ID, ID: id, At: time.Now()})
 	_ = w.server.Close()
 	time.AfterFunc(crashLapse, func() { w.fleet.Store.Delete("servers/" + w.options.ID) })
 	time.AfterFunc(crashPause, w.comeBack)
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -129,7 +129,7 @@
 	resumed := request.Header.Get("Last-Event-Id")
 	w.fleet.ran(id, Run{Worker: w.options.ID, Resumed: resumed, Begun: time.Now()})
 	if endsWorker(body) {
-		w.crashUnder(id, body)
+		w.crashUnder(id)
 		return
 	}
 	time.Sleep(w.options.Work)
