A bar is written only while it holds, and can be released before it is written

Cause (by reading the change anew): a gateway that hears of a bar writes it 1.5 s later if the store does not hold it. If the request had ended well or was released meanwhile, the void bar came into the store, and back to all. A bar that was not in the store yet could not be released. Change: before it is written it is asked whether it holds; a release without a bar in the store voids it here, and the others hear of that as of a good end.

--- a/internal/gateway/bars.go
+++ b/internal/gateway/bars.go
@@ -193,8 +193,11 @@
 }
 
 // change carries out one change. A conflict is the change of another gateway, which the store will tell; after other failures the change
-// is tried again.
+// is tried again. A bar that does not hold any more, because the request ended well or was released, is not written.
 func (b *bars) change(ctx context.Context, change wantedBar) {
+	if standing, _ := b.guard.Standing(change.bar.Asked); !change.remove && standing != poison.Barred {
+		return
+	}
 	err := b.commit(ctx, change)
 	if err == nil || errors.Is(err, store.ErrConflict) {
 		return
@@ -245,7 +248,8 @@
 	_, found := b.stored[asked]
 	b.mu.Unlock()
 	if !found {
-		return false, nil
+		// It may be on its way to the store: the other entries hear of the release as of a good end.
+		return b.released(asked), nil
 	}
 	if err := b.commit(ctx, wantedBar{bar: poison.Bar{Asked: asked}, remove: true}); err != nil {
 		return false, err
@@ -254,15 +258,17 @@
 	return true, nil
 }
 
-// released takes note that the store does not hold a bar any more.
-func (b *bars) released(asked poison.Digest) {
+// released takes note that the store does not hold a bar any more, and tells whether it was in force here.
+func (b *bars) released(asked poison.Digest) bool {
 	b.mu.Lock()
 	delete(b.stored, asked)
 	b.mu.Unlock()
-	if b.guard.Release(asked) {
+	wasBarred := b.guard.Release(asked)
+	if wasBarred {
 		b.logger.WithField("asked", asked).Info("A request is released.")
 		b.decide(poison.Bar{Asked: asked}, "released", "The store holds no bar of the request any more.")
 	}
+	return wasBarred
 }
 
 // Barred is part of adminapi.Backend.
