The end of a worker is told and counted once

Cause (by reading the change anew): each connection that broke after the end was known told it again, so that the log had a line and the metric one more for each request that ran there. Test: failed first with five events in place of one. No decision changes.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -210,8 +210,10 @@
 	}
 }
 
-// endedLocked notes that a worker has ended under the requests that broke off there. The mutex is held.
+// endedLocked notes that a worker has ended under the requests that broke off there. The end itself is told once, with those that were
+// noted by then. The mutex is held.
 func (g *Guard) endedLocked(known *brokenWorker, by string) {
+	isNew := !known.ended
 	known.ended = true
 	event := WorkerEnded{Worker: known.worker, By: by}
 	if known.first.IsZero() {
@@ -222,7 +224,9 @@
 		g.table.Ended(g.now(), known.first, End{Asked: asked, Worker: known.worker.ID}, what.rule, what.tenant)
 	}
 	clear(known.requests)
-	g.tell(event)
+	if isNew {
+		g.tell(event)
+	}
 	g.changed()
 }
 
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -218,3 +218,24 @@
 		}
 	})
 }
+
+// TestAnEndIsToldOnce has more connections break once a worker is known to have ended, as those of all its requests do.
+func TestAnEndIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := recorded("w1")
+		g := newGuarded(workers)
+		g.prober.ended["w1"] = true
+		for i := range 5 {
+			asked := digestNamed(fmt.Sprint(i))
+			g.Broke(workers["w1"], asked, "rule", "")
+			time.Sleep(3 * time.Millisecond)
+			synctest.Wait()
+			if got, _ := g.Standing(asked); got != Suspected {
+				t.Errorf("the standing of request %d is %d", i, got)
+			}
+		}
+		if told := fmt.Sprint(g.events); told != "[poison.WorkerEnded]" {
+			t.Errorf("told %s", told)
+		}
+	})
+}
