--- a/internal/absence/absence.go
+++ b/internal/absence/absence.go
@@ -28,7 +28,7 @@
 
 // Table holds which engines have ended. It is a pure state machine and not safe for concurrent use.
 //
-// Invariants: only engines of the last SetWorkers are absent; an absence is over at the word that the engine answers, or after Mark without
+// Invariants: only engines with records are absent; an absence is over at the word that the engine answers, or after Mark without
 // a word; it is confirmed only by a connection that this process itself saw refused.
 type Table struct {
 	settings Settings
@@ -125,12 +125,10 @@
 	return engines
 }
 
-// SetWorkers forgets engines without records, and learns from those that came back, which it returns.
-func (t *Table) SetWorkers(now time.Time, set backend.Set) []Return {
-	for id := range t.absent {
-		if set[id] == nil {
-			delete(t.absent, id)
-		}
+// Change forgets engines whose records are gone, and learns from those that came back, which it returns.
+func (t *Table) Change(now time.Time, changes backend.Changes) []Return {
+	for _, id := range changes.Gone {
+		delete(t.absent, id)
 	}
 	for id, until := range t.trusted {
 		if !now.Before(until) {
@@ -141,9 +139,9 @@
 		return nil
 	}
 	var returns []Return
-	for id, worker := range set {
+	for _, worker := range changes.Put {
 		before, found := t.ended[worker.Address]
-		if !found || before.id == id {
+		if !found || before.id == worker.ID {
 			continue
 		}
 		if away := now.Sub(before.since); away <= t.settings.LongestReturn {
--- a/internal/absence/absence_test.go
+++ b/internal/absence/absence_test.go
@@ -31,7 +31,7 @@
 		{"nobody says anything", func(*Table, *backend.Worker) {}, settings.Mark, false},
 		{"it is said again", func(table *Table, worker *backend.Worker) { table.Refused(epoch.Add(time.Second), worker, false) }, settings.Mark, true},
 		{"it answers", func(table *Table, worker *backend.Worker) { table.Answers(epoch, worker) }, 0, false},
-		{"its record goes", func(table *Table, _ *backend.Worker) { table.SetWorkers(epoch, nil) }, 0, false},
+		{"its record goes", func(table *Table, _ *backend.Worker) { table.Change(epoch, backend.Changes{Gone: []string{"a"}}) }, 0, false},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			table, worker := New(settings), engine("a", "x")
@@ -73,14 +73,14 @@
 	now := epoch
 	for i := range 10 {
 		before, after := engine(fmt.Sprint("a", i), "x"), engine(fmt.Sprint("a", i+1), "x")
-		table.SetWorkers(now, backend.Set{before.ID: before})
+		table.Change(now, backend.Changes{Put: []*backend.Worker{before}})
 		table.Refused(now, before, true)
 		if at, learnt := table.BackAt(before.ID); learnt != (i > 0) || at.Sub(now) < time.Second || at.Sub(now) > 4*time.Second {
 			t.Errorf("life %d: expected back in %s, learnt: %v", i, at.Sub(now), learnt)
 		}
 		now = now.Add(2 * time.Second)
-		table.SetWorkers(now, backend.Set{})
-		returned := table.SetWorkers(now, backend.Set{after.ID: after})
+		table.Change(now, backend.Changes{Gone: []string{before.ID}})
+		returned := table.Change(now, backend.Changes{Put: []*backend.Worker{after}})
 		if len(returned) != 1 || returned[0].Away != 2*time.Second {
 			t.Fatalf("life %d: returned %+v", i, returned)
 		}
@@ -113,7 +113,7 @@
 				delete(heard, worker.ID)
 				delete(own, worker.ID)
 			default:
-				table.SetWorkers(now, set)
+				table.Change(now, set.Since(nil))
 			}
 			for id := range set {
 				absent, confirmed := table.Absent(now, id)
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -3,6 +3,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 )
 
@@ -22,8 +23,11 @@
 // Worker is one incarnation of a process that runs requests.
 type Worker struct {
 	// ID is new at every start of the worker.
-	ID    string
-	Group string
+	ID string
+	// Record is the name under which the worker records itself and which requests to it carry. It may keep that when it starts again.
+	// Empty is the ID.
+	Record string
+	Group  string
 	// Address is host:port.
 	Address string
 	Zone    string
@@ -40,6 +44,21 @@
 	Selected []string
 }
 
+// RecordName returns the name under which the worker records itself.
+func (w *Worker) RecordName() string {
+	if w.Record == "" {
+		return w.ID
+	}
+	return w.Record
+}
+
+// Equal tells whether two descriptions of a worker say the same.
+func (w *Worker) Equal(other *Worker) bool {
+	return w == other || (w.ID == other.ID && w.Record == other.Record && w.Group == other.Group && w.Address == other.Address &&
+		w.Zone == other.Zone && w.Slots == other.Slots && w.Role == other.Role && w.Draining == other.Draining && w.Spot == other.Spot &&
+		maps.Equal(w.Labels, other.Labels) && slices.Equal(w.Selected, other.Selected))
+}
+
 // Groups returns all groups of which the worker is a member.
 func (w *Worker) Groups() []string { return append([]string{w.Group}, w.Selected...) }
 
--- a/internal/backend/roster_test.go
+++ b/internal/backend/roster_test.go
@@ -18,8 +18,8 @@
 		return roster
 	}
 	inUse := func(roster *Roster, now time.Time) int {
-		workers, _ := roster.InUse(now)
-		return len(workers)
+		roster.Changes(now)
+		return len(roster.told)
 	}
 	roster := fill()
 	roster.Remove(epoch, "ready")
@@ -28,10 +28,10 @@
 	}
 	roster = fill()
 	roster.Outage(epoch)
-	roster.Reset(epoch.Add(time.Second), Set{})
-	workers, next := roster.InUse(epoch.Add(time.Second))
-	if len(workers) != 1 || workers["ready"] == nil {
-		t.Errorf("after an outage: %v", workers)
+	roster.Reset(epoch.Add(time.Second), nil)
+	_, next := roster.Changes(epoch.Add(time.Second))
+	if len(roster.told) != 1 || roster.told["ready"] == nil {
+		t.Errorf("after an outage: %v", roster.told)
 	}
 	if want := epoch.Add(time.Second + settings.FadeTime); !next.Equal(want) {
 		t.Errorf("the next one fades at %s, want %s", next, want)
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -9,6 +9,8 @@
 
 import (
 	"iter"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -29,6 +31,10 @@
 	Deferred bool
 	// Zone of the preferred workers.
 	Zone string
+	// Near are workers that keep a part of the prompt, by id. They are looked at also where not all workers are.
+	Near []string
+	// Gather has prompts whose key is not worth a worker of its own kept together by zones, so that few connections serve them.
+	Gather bool
 	// Excluded workers are not to be tried again.
 	Excluded []string
 	// Apart is set for a request that may have ended a worker. Such ones go only to as many workers as the role can lose, and are spread
@@ -94,6 +100,8 @@
 	ApartSeconds float64
 	// Risk bounds the workers that such requests may end.
 	Risk RiskSettings
+	// Shortlist bounds the workers that are looked at.
+	Shortlist ShortlistSettings
 	// Health of workers.
 	Health HealthSettings
 }
@@ -102,7 +110,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		SecondsPerRun: 0.002, HoldUpWeight: 1, OtherZoneSeconds: 0.010, ApartSeconds: 0.08, Risk: DefaultRiskSettings(),
-		Health: DefaultHealthSettings(),
+		Shortlist: DefaultShortlistSettings(), Health: DefaultHealthSettings(),
 	}
 }
 
@@ -115,8 +123,9 @@
 	model     *enginemodel.Model
 	elsewhere Elsewhere
 	workers   map[string]*state
-	// groups holds the workers of each group by id.
-	groups map[string][]*state
+	// loaded are the workers at which this gateway has work.
+	loaded map[string]*state
+	pools  pools
 	losses losses
 }
 
@@ -130,40 +139,62 @@
 	goneUntil time.Time
 	// changingUntil is how long work is kept off the worker, because it changes its role.
 	changingUntil time.Time
-	// seen is set once the worker is no newcomer any more.
-	seen bool
+	// place is that in the rings, which the address decides.
+	place uint64
 }
 
 // New returns a balancer without workers. The model tells how fast they are; the caller feeds it.
 func New(settings Settings, model *enginemodel.Model, elsewhere Elsewhere) *Balancer {
 	return &Balancer{
-		settings: settings, model: model, elsewhere: elsewhere, workers: map[string]*state{}, groups: map[string][]*state{},
-		losses: losses{workers: map[string]*loss{}},
+		settings: settings, model: model, elsewhere: elsewhere, workers: map[string]*state{}, loaded: map[string]*state{},
+		pools: newPools(), losses: losses{workers: map[string]*loss{}},
 	}
 }
 
 // SetWorkers replaces the workers. What is known of those that stay is kept.
 func (b *Balancer) SetWorkers(set backend.Set) {
-	previous := b.workers
-	b.workers = map[string]*state{}
-	b.groups = map[string][]*state{}
-	for id, worker := range set {
-		known, found := previous[id]
+	before := make(backend.Set, len(b.workers))
+	for id, known := range b.workers {
+		before[id] = known.worker
+	}
+	b.Change(set.Since(before))
+}
+
+// Change takes workers that are new, described anew or gone. What is known of the others stays as it is.
+func (b *Balancer) Change(changes backend.Changes) {
+	for _, id := range changes.Gone {
+		if known, found := b.workers[id]; found {
+			b.pools.remove(known)
+			delete(b.workers, id)
+			delete(b.loaded, id)
+		}
+	}
+	for _, worker := range changes.Put {
+		known, found := b.workers[worker.ID]
 		if !found {
-			known = &state{worker: worker}
+			known = &state{}
+			b.workers[worker.ID] = known
+			b.losses.newcomers = append(b.losses.newcomers, known)
 		}
-		if known.worker.Role != worker.Role {
+		if found && known.worker.Role != worker.Role {
 			// The change of role is over.
 			known.changingUntil = time.Time{}
 		}
+		b.describe(known, worker)
+	}
+}
+
+// describe gives a worker another description, and the place in the pools that goes with it.
+func (b *Balancer) describe(known *state, worker *backend.Worker) {
+	if known.worker != nil && hasPlaceOf(known.worker, worker) {
 		known.worker = worker
-		b.workers[id] = known
+		return
 	}
-	for _, worker := range sortedByID(b.workers) {
-		for _, group := range worker.worker.Groups() {
-			b.groups[group] = append(b.groups[group], worker)
-		}
+	if known.worker != nil {
+		b.pools.remove(known)
 	}
+	known.worker = worker
+	b.pools.add(known)
 }
 
 // LoadOf is the load of one request whose prompt has so many tokens to read.
@@ -185,14 +216,28 @@
 func (b *Balancer) Begin(id string, load backend.Load) {
 	if known, found := b.workers[id]; found {
 		known.load = known.load.Plus(load)
+		b.noteLoad(known)
+	}
+}
+
+// noteLoad keeps the list of the workers at which there is work.
+func (b *Balancer) noteLoad(known *state) {
+	if known.load == (backend.Load{}) {
+		delete(b.loaded, known.worker.ID)
+		return
 	}
+	b.loaded[known.worker.ID] = known
 }
 
+// Loaded returns the ids of the workers at which this gateway has work, in their order.
+func (b *Balancer) Loaded() []string { return slices.Sorted(maps.Keys(b.loaded)) }
+
 // Answered notes that a worker has read the prompt of a request, which still runs there.
 func (b *Balancer) Answered(id string, load backend.Load) {
 	if known, found := b.workers[id]; found {
 		load.Running = 0
 		known.load = known.load.Minus(load)
+		b.noteLoad(known)
 	}
 }
 
@@ -204,6 +249,7 @@
 		return false
 	}
 	known.load.Running = max(known.load.Running-1, 0)
+	b.noteLoad(known)
 	return known.health.record(now, outcome, &b.settings.Health)
 }
 
@@ -226,17 +272,33 @@
 
 // TotalLoad returns what all gateways have at a worker.
 func (b *Balancer) TotalLoad(id string) backend.Load {
-	load := b.Load(id)
-	if b.elsewhere != nil {
-		load = load.Plus(b.elsewhere(id))
+	known, found := b.workers[id]
+	if !found {
+		known = &state{worker: &backend.Worker{ID: id}}
 	}
-	return load
+	return b.loadAt(known)
+}
+
+// loadAt returns what all gateways have at a worker.
+func (b *Balancer) loadAt(known *state) backend.Load {
+	if b.elsewhere == nil {
+		return known.load
+	}
+	return known.load.Plus(b.elsewhere(known.worker.ID))
 }
 
 // Usable tells whether a worker takes work and is not set aside.
 func (b *Balancer) Usable(now time.Time, id string) bool {
 	known, found := b.workers[id]
-	return found && !known.worker.Draining && !known.health.ejected(now) && !known.gone(now) && !known.changing(now)
+	return found && known.usable(now)
+}
+
+// usable tells whether the worker takes work and is not set aside.
+func (s *state) usable(now time.Time) bool { return s.takesWork(now) && !s.health.ejected(now) }
+
+// takesWork tells whether the worker takes work, be it set aside or not.
+func (s *state) takesWork(now time.Time) bool {
+	return !s.worker.Draining && !s.gone(now) && !s.changing(now)
 }
 
 // KeptOff tells whether a worker is set aside for its failures, and whether work is kept off it while it changes its role.
@@ -266,14 +328,15 @@
 // Replace puts another description in place of that of a worker, which has changed its role. Work is not kept off it any more.
 func (b *Balancer) Replace(worker *backend.Worker) {
 	if known, found := b.workers[worker.ID]; found {
-		known.worker, known.changingUntil = worker, time.Time{}
+		known.changingUntil = time.Time{}
+		b.describe(known, worker)
 	}
 }
 
-// OfGroup returns the workers of a group.
+// OfGroup returns the workers of a group, ordered by id.
 func (b *Balancer) OfGroup(group string) iter.Seq[*backend.Worker] {
 	return func(yield func(*backend.Worker) bool) {
-		for _, known := range b.groups[group] {
+		for _, known := range b.pools.groups[group] {
 			if !yield(known.worker) {
 				return
 			}
@@ -302,16 +365,34 @@
 
 // IDs returns the ids of all workers in their order.
 func (b *Balancer) IDs() []string {
-	var ids []string
-	for _, each := range sortedByID(b.workers) {
-		ids = append(ids, each.worker.ID)
+	return slices.Sorted(maps.Keys(b.workers))
+}
+
+// Count returns how many workers a group has.
+func (b *Balancer) Count(group string) int { return len(b.pools.groups[group]) }
+
+// Engines tells of each worker of a group, ordered by id, what all gateways have there and whether it takes work.
+func (b *Balancer) Engines(now time.Time, group string) iter.Seq2[*backend.Worker, Standing] {
+	return func(yield func(*backend.Worker, Standing) bool) {
+		for _, known := range b.pools.groups[group] {
+			if !yield(known.worker, Standing{Load: b.loadAt(known), Usable: known.usable(now)}) {
+				return
+			}
+		}
 	}
-	return ids
+}
+
+// Standing is what is known of a worker at a moment.
+type Standing struct {
+	// Load of all gateways.
+	Load backend.Load
+	// Usable workers take work and are not set aside.
+	Usable bool
 }
 
 // Home returns the worker at which prompts of a key are kept together while nothing speaks against it, or nil.
 func (b *Balancer) Home(now time.Time, query Query) *backend.Worker {
-	if home := preferred(query, b.filter(now, query)); home != nil {
+	if home := b.list(now, query).home; home != nil {
 		return home.worker
 	}
 	return nil
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -13,49 +12,52 @@
 // Pick returns the cheapest worker for a query, or false when every worker was filtered out.
 func (b *Balancer) Pick(now time.Time, query Query) (Choice, bool) {
 	candidates := b.candidates(now, query)
-	if len(candidates) == 0 {
+	if len(candidates.states) == 0 {
 		return Choice{}, false
 	}
-	first := preferred(query, candidates)
+	estimate := b.model.Estimate(now, enginemodel.Class{Group: candidates.states[0].worker.Group, Role: query.Role})
 	var best *state
 	var bestScore Score
-	for _, candidate := range candidates {
-		score := b.scoreInDoubt(now, query, candidate)
-		if best == nil || cheaper(score, bestScore, candidate == first) {
+	for _, candidate := range candidates.states {
+		score := b.scoreInDoubt(now, query, candidate, estimate)
+		if best == nil || cheaper(score, bestScore, candidate == candidates.home) {
 			best, bestScore = candidate, score
 		}
 	}
 	if query.Apart != "" {
-		best, bestScore = b.apart(now, query, candidates, bestScore)
+		best, bestScore = b.apart(now, query, candidates.states, bestScore, estimate)
 	}
-	return Choice{Worker: best.worker, Score: bestScore, Candidates: len(candidates)}, true
+	return Choice{Worker: best.worker, Score: bestScore, Candidates: len(candidates.states)}, true
 }
 
-// candidates returns the workers that may take the request.
-func (b *Balancer) candidates(now time.Time, query Query) []*state {
+// candidates returns the workers that are looked at for the request.
+func (b *Balancer) candidates(now time.Time, query Query) shortlist {
 	if query.Apart != "" {
-		return b.atRisk(now, query)
+		states := b.atRisk(now, query)
+		return shortlist{states: states, home: preferred(query, states)}
 	}
-	return b.filter(now, query)
+	return b.list(now, query)
 }
 
 // apart returns the candidate that the key of a query prefers among those that cost little more than the cheapest.
-func (b *Balancer) apart(now time.Time, query Query, candidates []*state, cheapest Score) (*state, Score) {
+func (b *Balancer) apart(
+	now time.Time, query Query, candidates []*state, cheapest Score, estimate enginemodel.Estimate,
+) (*state, Score) {
 	near := map[string]*state{}
 	var addresses []string
 	for _, candidate := range candidates {
-		if b.scoreInDoubt(now, query, candidate).Total() <= cheapest.Total()+b.settings.ApartSeconds {
+		if b.scoreInDoubt(now, query, candidate, estimate).Total() <= cheapest.Total()+b.settings.ApartSeconds {
 			near[candidate.worker.Address] = candidate
 			addresses = append(addresses, candidate.worker.Address)
 		}
 	}
 	chosen := near[rendezvous.First(query.Apart, addresses)]
-	return chosen, b.scoreInDoubt(now, query, chosen)
+	return chosen, b.scoreInDoubt(now, query, chosen, estimate)
 }
 
 // scoreInDoubt estimates the cost of one worker, with that of one that is set aside.
-func (b *Balancer) scoreInDoubt(now time.Time, query Query, candidate *state) Score {
-	score := b.score(now, query, candidate)
+func (b *Balancer) scoreInDoubt(now time.Time, query Query, candidate *state, estimate enginemodel.Estimate) Score {
+	score := b.score(now, query, candidate, estimate)
 	if candidate.health.ejected(now) {
 		score.Doubt = b.settings.Health.DoubtSeconds
 	}
@@ -74,9 +76,9 @@
 // few others are left.
 func (b *Balancer) filter(now time.Time, query Query) []*state {
 	var healthy, ejected []*state
-	for _, candidate := range b.groups[query.Group] {
+	for _, candidate := range b.pools.groups[query.Group] {
 		switch {
-		case candidate.worker.Draining || candidate.worker.Role != query.Role || candidate.changing(now) || candidate.gone(now):
+		case candidate.worker.Role != query.Role || !candidate.takesWork(now):
 		case slices.Contains(query.Excluded, candidate.worker.ID):
 		case candidate.health.ejected(now):
 			ejected = append(ejected, candidate)
@@ -84,6 +86,11 @@
 			healthy = append(healthy, candidate)
 		}
 	}
+	return b.withEjected(healthy, ejected)
+}
+
+// withEjected returns the healthy workers, and those that are set aside where too few others are left.
+func (b *Balancer) withEjected(healthy, ejected []*state) []*state {
 	least := float64(len(healthy)+len(ejected)) * b.settings.Health.LeastHealthyShare
 	if len(healthy) == 0 || float64(len(healthy)) < least {
 		return append(healthy, ejected...)
@@ -92,16 +99,14 @@
 }
 
 // score estimates the cost of one worker.
-func (b *Balancer) score(now time.Time, query Query, candidate *state) Score {
+func (b *Balancer) score(now time.Time, query Query, candidate *state, estimate enginemodel.Estimate) Score {
 	worker := candidate.worker
-	class := enginemodel.ClassOf(worker)
-	estimate := b.model.Estimate(now, class)
-	load := b.TotalLoad(worker.ID)
+	load := b.loadAt(candidate)
 	var score Score
 	if worker.Role == backend.RoleNone {
 		score.Queue = float64(load.Running) * estimate.RunSeconds / float64(max(worker.Slots, 1))
 	} else {
-		perToken := estimate.SecondsPerToken * b.model.Slowness(now, class, worker.ID)
+		perToken := estimate.SecondsPerToken * b.model.Slowness(now, enginemodel.ClassOf(worker), worker.ID)
 		score.Queue = float64(load.Running)*b.settings.SecondsPerRun + float64(tokensAhead(query, load))*perToken
 		score.addReading(query, worker, perToken)
 		score.Wait = float64(tokensAhead(query, load)) * perToken
@@ -170,13 +175,3 @@
 	}
 	return result
 }
-
-// sortedByID orders workers, so that nothing depends on the order of a map.
-func sortedByID(workers map[string]*state) []*state {
-	sorted := make([]*state, 0, len(workers))
-	for _, each := range workers {
-		sorted = append(sorted, each)
-	}
-	sort.Slice(sorted, func(a, b int) bool { return sorted[a].worker.ID < sorted[b].worker.ID })
-	return sorted
-}
--- a/internal/balance/risk.go
+++ b/internal/balance/risk.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -47,6 +48,8 @@
 	workers map[string]*loss
 	// backAfter is how long the last one took that came back; zero before.
 	backAfter time.Duration
+	// newcomers have come since Returned was called last.
+	newcomers []*state
 	// counting is set once newcomers can be told from those that were there before.
 	counting bool
 }
@@ -73,20 +76,20 @@
 			continue
 		}
 		back := func(other *state) bool {
-			return other.worker.Address == each.worker.Address && b.losses.workers[other.worker.ID] == nil
+			return b.losses.workers[other.worker.ID] == nil && slices.Contains(other.worker.Groups(), each.worker.Group)
 		}
-		if slices.ContainsFunc(b.groups[each.worker.Group], back) {
+		if slices.ContainsFunc(b.pools.addresses[each.worker.Address], back) {
 			b.isBack(now, each)
 		}
 	}
-	for _, newcomer := range sortedByID(b.workers) {
-		isNew := !newcomer.seen
-		newcomer.seen = true
-		if !isNew || !b.losses.counting {
-			continue
-		}
-		if replaced := b.firstAway(newcomer); replaced != nil {
-			b.isBack(now, replaced)
+	newcomers := b.losses.newcomers
+	b.losses.newcomers = nil
+	if b.losses.counting {
+		slices.SortFunc(newcomers, func(one, other *state) int { return strings.Compare(one.worker.ID, other.worker.ID) })
+		for _, newcomer := range newcomers {
+			if replaced := b.firstAway(newcomer); replaced != nil {
+				b.isBack(now, replaced)
+			}
 		}
 	}
 	// Those that are there when the first ones are known are no newcomers.
@@ -120,7 +123,7 @@
 func (b *Balancer) upAndAway(now time.Time, query Query) (map[string]*state, []time.Time) {
 	up := map[string]*state{}
 	var away []time.Time
-	for _, candidate := range b.groups[query.Group] {
+	for _, candidate := range b.pools.groups[query.Group] {
 		lost := b.losses.workers[candidate.worker.ID]
 		isUp := lost == nil || now.Sub(lost.at) >= b.settings.Risk.Away
 		if !isUp || candidate.worker.Draining || candidate.worker.Role != query.Role || candidate.changing(now) {
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -37,8 +37,8 @@
 type Listener interface {
 	// ConfigurationChanged gives a configuration that was validated.
 	ConfigurationChanged(configuration *routing.Configuration)
-	// WorkersChanged gives all workers.
-	WorkersChanged(workers backend.Set)
+	// WorkersChanged tells which workers are new, described anew or gone.
+	WorkersChanged(changes backend.Changes)
 	// GatewaysChanged tells that the list of gateways has changed.
 	GatewaysChanged()
 	// ControllerChanged tells who holds the key of the controller; a value of nil is nobody.
@@ -79,9 +79,10 @@
 	// lostSince is when the store was lost; zero while it answers.
 	lostSince time.Time
 
-	// rosterMutex guards the roster and the telling of it.
+	// rosterMutex guards the roster and the telling of it, and fadesAt, when it is told next for a worker that fades out.
 	rosterMutex sync.Mutex
 	roster      *backend.Roster
+	fadesAt     time.Time
 
 	mutex     sync.Mutex
 	gateways  *member.List
@@ -109,7 +110,7 @@
 // Reset is part of store.Consumer.
 func (v *View) Reset(items []store.Item) {
 	registered, revision := false, int64(0)
-	workers := backend.Set{}
+	var workers []*backend.Worker
 	var bars []store.Item
 	for _, item := range items {
 		if strings.HasPrefix(item.Key, poison.Prefix) {
@@ -120,7 +121,7 @@
 		}
 		v.configure(item)
 		if worker := v.workerOf(item); worker != nil {
-			workers[worker.ID] = worker
+			workers = append(workers, worker)
 		}
 		if item.Key == usage.Key {
 			v.listener.UsageAgreed(item.Value)
@@ -271,16 +272,19 @@
 	return worker
 }
 
-// tellWorkers tells the workers in use, now and whenever one fades out.
+// tellWorkers tells what has changed of the workers in use, now and whenever one fades out.
 func (v *View) tellWorkers() {
 	v.rosterMutex.Lock()
 	defer v.rosterMutex.Unlock()
 	now := v.now()
-	workers, next := v.roster.InUse(now)
-	if !next.IsZero() {
+	changes, next := v.roster.Changes(now)
+	if !next.IsZero() && !next.Equal(v.fadesAt) {
+		v.fadesAt = next
 		time.AfterFunc(next.Sub(now)+time.Millisecond, v.tellWorkers)
 	}
-	v.listener.WorkersChanged(workers)
+	if !changes.Empty() {
+		v.listener.WorkersChanged(changes)
+	}
 }
 
 // complain logs an item that can't be read. It stays as it was known.
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -48,7 +48,10 @@
 func (r *recorder) ConfigurationChanged(configuration *routing.Configuration) {
 	r.versions = append(r.versions, configuration.Version)
 }
-func (r *recorder) WorkersChanged(workers backend.Set)      { r.workers = len(workers) }
+func (r *recorder) WorkersChanged(changes backend.Changes) {
+	r.workers += len(changes.Put) - len(changes.Gone)
+}
+
 func (r *recorder) GatewaysChanged()                        {}
 func (r *recorder) ControllerChanged(value []byte, _ int64) { r.controller = string(value) }
 func (r *recorder) UsageAgreed([]byte)                      {}
@@ -96,15 +99,14 @@
 }
 
 func TestWorkersWithoutRecordsFadeAfterAnOutage(t *testing.T) {
-	view, _ := newTestView()
+	view, told := newTestView()
 	view.Reset([]store.Item{put("worker/1", "x").Item})
 	view.Lost(errors.New("lost"))
 	view.Reset(nil)
 	inUse := func() int {
 		view.rosterMutex.Lock()
 		defer view.rosterMutex.Unlock()
-		workers, _ := view.roster.InUse(time.Now())
-		return len(workers)
+		return told.workers
 	}
 	if inUse() != 1 {
 		t.Error("the worker was lost with the store")
--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -171,13 +171,9 @@
 	slownessSteps = 2.0
 )
 
-// ForgetWorkers drops workers that are not kept.
-func (m *Model) ForgetWorkers(keep func(id string) bool) {
+// ForgetWorker drops what was observed of one worker in particular.
+func (m *Model) ForgetWorker(id string) {
 	for _, known := range m.classes {
-		for id := range known.workers {
-			if !keep(id) {
-				delete(known.workers, id)
-			}
-		}
+		delete(known.workers, id)
 	}
 }
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -66,6 +66,8 @@
 	// engines holds the engines of each group.
 	engines map[string]*routing.Engine
 	offered map[string]*offered
+	// recorded are the workers as they were told, without what is known of them beyond that.
+	recorded backend.Set
 }
 
 // NewDispatcher returns a dispatcher that knows no workers yet. Its budgets of repeats go by boottime.
@@ -88,6 +90,7 @@
 		known:     newEngines(),
 		engines:   map[string]*routing.Engine{},
 		offered:   map[string]*offered{},
+		recorded:  backend.Set{},
 	}
 }
 
@@ -107,18 +110,34 @@
 func (d *Dispatcher) SetWorkers(workers backend.Set) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	workers = d.known.withTaken(d.now(), workers)
-	d.known.noteWriters(workers)
-	d.known.returned = append(d.known.returned, d.known.absent.SetWorkers(d.now(), workers)...)
-	d.balancer.SetWorkers(workers)
+	d.changeWorkers(workers.Since(d.recorded))
+}
+
+// ChangeWorkers takes workers that are new, described anew or gone. Its work does not grow with the number of the others.
+func (d *Dispatcher) ChangeWorkers(changes backend.Changes) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.changeWorkers(changes)
+}
+
+// changeWorkers is ChangeWorkers with the mutex held.
+func (d *Dispatcher) changeWorkers(changes backend.Changes) {
+	now := d.now()
+	changes.Apply(d.recorded)
+	changes.Put = d.known.withTaken(now, changes.Put, changes.Gone)
+	d.known.expireChanges(now, d.balancer)
+	d.known.noteWriters(changes.Put)
+	d.known.returned = append(d.known.returned, d.known.absent.Change(now, changes)...)
+	d.balancer.Change(changes)
 	d.known.revive()
 	if len(d.known.changes) > 0 || len(d.known.absent.Engines()) > 0 {
 		d.known.tellNews()
 	}
-	d.balancer.Returned(d.now())
-	present := func(worker string) bool { return workers[worker] != nil }
-	d.residency.ForgetWorkers(present)
-	d.model.ForgetWorkers(present)
+	d.balancer.Returned(now)
+	for _, id := range changes.Gone {
+		d.residency.ForgetWorker(id)
+		d.model.ForgetWorker(id)
+	}
 }
 
 // WorkerEnded notes that a worker ended under a request, so long ago.
--- a/internal/forward/engines.go
+++ b/internal/forward/engines.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/absence"
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -52,7 +54,7 @@
 const lossTime = 10 * time.Millisecond
 
 // noteWriters notes in which groups engines write.
-func (e *engines) noteWriters(workers backend.Set) {
+func (e *engines) noteWriters(workers []*backend.Worker) {
 	for _, worker := range workers {
 		if worker.Role == backend.RoleDecode {
 			for _, group := range worker.Groups() {
@@ -77,27 +79,39 @@
 	e.revived = make(chan struct{})
 }
 
-// withTaken returns workers with the roles that engines have taken and their records do not tell yet.
-func (e *engines) withTaken(now time.Time, workers backend.Set) backend.Set {
-	for id, change := range e.changes {
-		_, taken := e.taken[id]
-		if worker := workers[id]; worker == nil || (!taken && worker.Role == change.role) || !now.Before(change.until) {
-			delete(e.changes, id)
-		}
+// withTaken returns workers that were put with the roles that they have taken and their records do not tell yet, and drops what is known of
+// those that are gone.
+func (e *engines) withTaken(now time.Time, put []*backend.Worker, gone []string) []*backend.Worker {
+	for _, id := range gone {
+		delete(e.changes, id)
+		delete(e.taken, id)
 	}
-	if len(e.taken) == 0 {
-		return workers
+	described := put
+	for i, worker := range put {
+		taken, isTaken := e.taken[worker.ID]
+		switch {
+		case isTaken && taken.role != worker.Role:
+			if len(described) > 0 && &described[0] == &put[0] {
+				described = slices.Clone(put)
+			}
+			described[i] = withRole(worker, taken.role)
+		case isTaken:
+			delete(e.taken, worker.ID)
+		}
+		if change, changes := e.changes[worker.ID]; changes && ((!isTaken && worker.Role == change.role) || !now.Before(change.until)) {
+			delete(e.changes, worker.ID)
+		}
 	}
-	workers = workers.Clone()
-	for id, taken := range e.taken {
-		worker := workers[id]
-		if worker == nil || worker.Role == taken.role {
-			delete(e.taken, id)
-			continue
+	return described
+}
+
+// expireChanges drops changes of roles that took too long.
+func (e *engines) expireChanges(now time.Time, balancer *balance.Balancer) {
+	for id, change := range e.changes {
+		if _, found := balancer.Worker(id); !found || !now.Before(change.until) {
+			delete(e.changes, id)
 		}
-		workers[id] = withRole(worker, taken.role)
 	}
-	return workers
 }
 
 // withRole returns a worker with another role.
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -49,7 +49,7 @@
 func (d *Dispatcher) placePlain(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	choice, found := d.balancer.Pick(d.now(), balance.Query{
 		Request: request.ID, Group: group.Name, Role: backend.RoleNone, Zone: d.settings.Zone, Excluded: options.Excluded,
-		Apart: options.Apart,
+		Apart: options.Apart, Gather: true,
 	})
 	if !found {
 		return nil, false
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -24,6 +26,8 @@
 	begun bool
 	// holders keep the beginning of the prompt, by their ids.
 	holders map[string]holder
+	// near are the ids of these, some of them where they are many.
+	near []string
 	// longest is the most that a holder keeps, and longestReady the most that one can be asked for.
 	longest, longestReady int
 }
@@ -36,6 +40,7 @@
 	} else if one.shared.tokens > 0 {
 		one.holders = d.homesOf(one)
 	}
+	one.near = slices.Sorted(maps.Keys(one.holders))
 	for _, each := range one.holders {
 		one.longest = max(one.longest, each.tokens)
 		one.longestReady = max(one.longestReady, each.ready)
@@ -58,7 +63,7 @@
 func (p *prompt) query(role backend.Role, zone string, excluded []string) balance.Query {
 	return balance.Query{
 		Request: p.request.ID, Group: p.group.Name, Role: role, Key: p.shared.key, Zone: zone, Excluded: excluded,
-		Deferred: p.deferred, Apart: p.apart, Begun: p.begun,
+		Deferred: p.deferred, Apart: p.apart, Begun: p.begun, Near: p.near, Gather: len(p.shared.links) == 0,
 	}
 }
 
--- a/internal/forward/rolechange.go
+++ b/internal/forward/rolechange.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/roles"
 )
 
@@ -21,21 +22,23 @@
 func (d *Dispatcher) Groups() map[string]*roles.Group {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	now := d.now()
 	groups := map[string]*roles.Group{}
-	for _, id := range d.balancer.IDs() {
-		worker, _ := d.balancer.Worker(id)
-		if d.engines[worker.Group] == nil {
-			continue
-		}
-		name := worker.RoleGroup()
-		group, found := groups[name]
-		if !found {
-			group = &roles.Group{
-				ReadingDemand: d.readingDemand(name, worker.Group), Wrote: d.known.wrote[name], RoleChange: d.engines[worker.Group].RoleChange,
+	for service, engine := range d.engines {
+		for worker, standing := range d.balancer.Engines(now, service) {
+			if worker.Group != service {
+				continue
+			}
+			name := worker.RoleGroup()
+			group, found := groups[name]
+			if !found {
+				group = &roles.Group{
+					Engines: make([]roles.Engine, 0, d.balancer.Count(service)), ReadingDemand: d.readingDemand(name, service), Wrote: d.known.wrote[name], RoleChange: engine.RoleChange,
+				}
+				groups[name] = group
 			}
-			groups[name] = group
+			group.Engines = append(group.Engines, d.engineOf(now, worker, standing))
 		}
-		group.Engines = append(group.Engines, d.engineOf(worker))
 	}
 	return groups
 }
@@ -49,24 +52,21 @@
 	if d.engines[group] != nil {
 		busy = d.readingDemand(group, group)
 	}
-	for _, id := range d.balancer.IDs() {
-		worker, _ := d.balancer.Worker(id)
+	for worker, standing := range d.balancer.Engines(d.now(), group) {
 		if worker.Group == group && worker.Slots > 0 {
-			busy += float64(d.balancer.TotalLoad(id).Writing()) / float64(worker.Slots)
+			busy += float64(standing.Load.Writing()) / float64(worker.Slots)
 		}
 	}
 	return busy
 }
 
 // engineOf is what planners know of an engine. The mutex is held.
-func (d *Dispatcher) engineOf(worker *backend.Worker) roles.Engine {
-	engine := roles.Engine{
-		Worker: worker, Load: d.balancer.TotalLoad(worker.ID), Usable: d.balancer.Usable(d.now(), worker.ID),
-	}
-	if change, found := d.known.changes[worker.ID]; found && d.now().Before(change.until) {
+func (d *Dispatcher) engineOf(now time.Time, worker *backend.Worker, standing balance.Standing) roles.Engine {
+	engine := roles.Engine{Worker: worker, Load: standing.Load, Usable: standing.Usable}
+	if change, found := d.known.changes[worker.ID]; found && now.Before(change.until) {
 		engine.Becoming = change.role
 	}
-	_, engine.Gone = d.known.absent.Absent(d.now(), worker.ID)
+	_, engine.Gone = d.known.absent.Absent(now, worker.ID)
 	if at, learnt := d.known.absent.BackAt(worker.ID); learnt {
 		engine.BackAt = at
 	}
--- /dev/null
+++ b/internal/forward/scale_test.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/loadshare"
+	"github.com/granitebay/granitebay/internal/routing"
+)
+
+// fleetSizes are the numbers of engines at which the cost of one step is compared: the largest fleet that one gateway served before, the
+// fleet of today, and twice that.
+var fleetSizes = []int{130, 1_000, 10_000, 20_000}
+
+// fleetOf returns engines of both roles in six zones.
+func fleetOf(engines int) backend.Set {
+	set := make(backend.Set, engines)
+	for i := range engines {
+		role := backend.RoleDecode
+		if i%5 < 2 {
+			role = backend.RolePrefill
+		}
+		id := fmt.Sprintf("i-%08x", uint32(i)*2654435761)
+		set[id] = &backend.Worker{
+			ID: id, Group: "g", Address: fmt.Sprintf("10.%d.%d.%d:8000", i>>16&255, i>>8&255, i&255), Zone: fmt.Sprint("zone-", i%6),
+			Slots: 12, Role: role,
+		}
+	}
+	return set
+}
+
+// newFleetDispatcher returns a dispatcher of zone-1 that knows a fleet.
+func newFleetDispatcher(set backend.Set) *Dispatcher {
+	settings := DefaultDispatchSettings()
+	settings.Zone = "zone-1"
+	dispatcher := NewDispatcher(settings, time.Now)
+	dispatcher.SetGroups([]routing.Group{*engineGroup})
+	dispatcher.SetWorkers(set)
+	return dispatcher
+}
+
+// fleetRequest returns the request of a number: one in six is long, with a shared part that some hundred others share.
+func fleetRequest(number int) *Request {
+	demand := backend.Demand{PromptTokens: 400, Parts: []backend.Part{{ID: fmt.Sprint("short-", number%32), Tokens: 90}, {ID: "own", Tokens: 310}}}
+	if number%6 == 0 {
+		demand = backend.Demand{
+			PromptTokens: 17_000, Parts: []backend.Part{{ID: fmt.Sprint("long-", number%1000), Tokens: 13_300}, {ID: "own", Tokens: 3700}},
+		}
+	}
+	return &Request{ID: fmt.Sprint("request-", number), Demand: demand}
+}
+
+// BenchmarkPlace places requests one after the other, each of which is done before the next but one hundred comes.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			dispatcher := newFleetDispatcher(fleetOf(size))
+			var under []*Assignment
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				request := fleetRequest(i)
+				placement, found := dispatcher.Place(request, engineGroup, PlaceOptions{Objective: time.Second, Left: time.Second})
+				if !found {
+					b.Fatal("no engine")
+				}
+				runner := placement.Runner
+				if placement.Reader != nil {
+					dispatcher.HasRead(placement.Reader.Worker, request)
+					placement.Reader.finish(balance.OutcomeGood)
+					runner, _ = dispatcher.PlaceRunner(request, engineGroup, nil, placement.Reader)
+				}
+				if under = append(under, runner); len(under) > 100 {
+					under[0].finish(balance.OutcomeGood)
+					under = under[1:]
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTellAll gathers everything that other gateways are told once a second, with a hundred requests under way.
+func BenchmarkTellAll(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			dispatcher := newFleetDispatcher(fleetOf(size))
+			for i := range 100 {
+				dispatcher.Place(fleetRequest(i), engineGroup, PlaceOptions{})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				dispatcher.Drain(true)
+			}
+		})
+	}
+}
+
+// BenchmarkGroups gathers what the planner of roles looks at.
+func BenchmarkGroups(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			dispatcher := newFleetDispatcher(fleetOf(size))
+			dispatcher.Hear(&loadshare.Message{Sender: "other", Epoch: 1, Sequence: 1})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				dispatcher.Groups()
+			}
+		})
+	}
+}
+
+// BenchmarkOneChange has the record of one engine change.
+func BenchmarkOneChange(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			set := fleetOf(size)
+			dispatcher := newFleetDispatcher(set)
+			var ids []string
+			for id := range set {
+				ids = append(ids, id)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				changed := *set[ids[i%len(ids)]]
+				changed.Draining = !changed.Draining
+				set[changed.ID] = &changed
+				dispatcher.ChangeWorkers(backend.Changes{Put: []*backend.Worker{&changed}})
+			}
+		})
+	}
+}
--- a/internal/forward/sharing.go
+++ b/internal/forward/sharing.go
@@ -82,11 +82,7 @@
 		Refused: d.sharing.refused, Answering: d.sharing.answering,
 	}
 	for _, worker := range d.toTell(full) {
-		load := d.balancer.Load(worker)
-		if full && load == (backend.Load{}) {
-			continue
-		}
-		message.Loads = append(message.Loads, loadshare.LoadAt(worker, load))
+		message.Loads = append(message.Loads, loadshare.LoadAt(worker, d.balancer.Load(worker)))
 	}
 	if full {
 		message.Offered = d.toTellOffered()
@@ -121,10 +117,10 @@
 	return d.sharing.board.Busy(d.now())
 }
 
-// toTell returns the workers whose load is to be told, in their order.
+// toTell returns the workers whose load is to be told, in their order: those at which there is any, or those at which it has changed.
 func (d *Dispatcher) toTell(full bool) []string {
 	if full {
-		return d.balancer.IDs()
+		return d.balancer.Loaded()
 	}
 	workers := make([]string, 0, len(d.sharing.changed))
 	for worker := range d.sharing.changed {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,8 +48,8 @@
 	Prober poison.Prober
 	// Identify returns the id of the worker that answers at the address of another one, by the path of its health.
 	Identify func(ctx context.Context, worker *backend.Worker, path string) (string, error)
-	// ForgetWorkers closes connections to workers whose addresses are not kept.
-	ForgetWorkers func(keep func(address string) bool)
+	// ForgetAddress closes resting connections to an address at which no worker is any more.
+	ForgetAddress func(address string)
 	// ReadyHandler serves the question whether the gateway takes requests.
 	ReadyHandler func(ready func() bool) http.Handler
 	// DirectoryHandler serves the question where callers of a zone connect.
@@ -88,8 +88,10 @@
 	startedAt time.Time
 
 	// workersMu guards the workers as they tell of themselves, and the configuration that puts them into groups.
-	workersMu     sync.Mutex
-	workers       backend.Set
+	workersMu sync.Mutex
+	workers   backend.Set
+	// addresses counts the workers at each address.
+	addresses     map[string]int
 	configuration *routing.Configuration
 	// workersKnown is closed once there are workers in groups.
 	workersKnown chan struct{}
@@ -111,6 +113,7 @@
 	g.limitUse = newLimitUse(settings)
 	g.workersKnown = make(chan struct{})
 	g.learn = make(chan struct{}, 1)
+	g.workers, g.addresses = backend.Set{}, map[string]int{}
 	g.decisions = decisionlog.New(settings.Name, keptDecisions)
 	g.metrics = newFigures(g.decisions, logger)
 	g.grace.Store(int64(settings.Grace))
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -38,23 +38,49 @@
 }
 
 // WorkersChanged is part of cluster.Listener.
-func (g *Gateway) WorkersChanged(workers backend.Set) {
+func (g *Gateway) WorkersChanged(changes backend.Changes) {
 	g.workersMu.Lock()
 	defer g.workersMu.Unlock()
-	g.workers = workers
-	g.selectWorkers()
-	g.bars.guard.SetWorkers(workers)
-	addresses := map[string]bool{}
-	for _, worker := range workers {
-		addresses[worker.Address] = true
+	g.countAddresses(changes)
+	changes.Apply(g.workers)
+	g.dispatcher.ChangeWorkers(g.configuration.SelectChanges(changes))
+	g.noteWorkersKnown()
+	g.bars.guard.ChangeWorkers(changes)
+	logging.Part(g.logger, "gateway").WithField("workers", len(g.workers)).Debug("Workers changed.")
+}
+
+// countAddresses takes workers that are to be changed, and closes the connections to addresses at which none is left. The mutex of the
+// workers is held.
+func (g *Gateway) countAddresses(changes backend.Changes) {
+	left := func(id string) {
+		before := g.workers[id]
+		if before == nil {
+			return
+		}
+		if g.addresses[before.Address]--; g.addresses[before.Address] == 0 {
+			delete(g.addresses, before.Address)
+		}
+	}
+	for _, worker := range changes.Put {
+		left(worker.ID)
+		g.addresses[worker.Address]++
+	}
+	for _, id := range changes.Gone {
+		left(id)
+		if before := g.workers[id]; before != nil && g.addresses[before.Address] == 0 {
+			g.ports.ForgetAddress(before.Address)
+		}
 	}
-	g.ports.ForgetWorkers(func(address string) bool { return addresses[address] })
-	logging.Part(g.logger, "gateway").WithField("workers", len(workers)).Debug("Workers changed.")
 }
 
-// selectWorkers puts the workers into their groups. The mutex of the workers is held.
+// selectWorkers puts all workers into their groups. The mutex of the workers is held.
 func (g *Gateway) selectWorkers() {
 	g.dispatcher.SetWorkers(g.configuration.Select(g.workers))
+	g.noteWorkersKnown()
+}
+
+// noteWorkersKnown notes that there are workers in groups. The mutex of the workers is held.
+func (g *Gateway) noteWorkersKnown() {
 	if g.configuration != nil && len(g.workers) > 0 {
 		g.knowWorkers.Do(func() { close(g.workersKnown) })
 	}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -97,8 +97,8 @@
 	return &Client{settings: settings, pool: newPool(settings)}
 }
 
-// Forget closes the resting connections to addresses that are not kept.
-func (c *Client) Forget(keep func(address string) bool) { c.pool.forget(keep) }
+// Forget closes the resting connections to an address.
+func (c *Client) Forget(address string) { c.pool.forget(address) }
 
 // Opened returns how many connections were opened so far.
 func (c *Client) Opened() int64 { return c.pool.opened.Load() }
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -144,20 +144,15 @@
 	p.idle[address] = kept
 }
 
-// forget closes connections to addresses that are not kept.
-func (p *pool) forget(keep func(address string) bool) {
+// forget closes the connections to an address that rest.
+func (p *pool) forget(address string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for address, connections := range p.idle {
-		if keep(address) {
-			continue
-		}
-		for _, each := range connections {
-			_ = each.Close()
-		}
-		delete(p.idle, address)
-		delete(p.restLimits, address)
+	for _, each := range p.idle[address] {
+		_ = each.Close()
 	}
+	delete(p.idle, address)
+	delete(p.restLimits, address)
 }
 
 // quiet tells whether nothing has arrived on a connection that rests: neither its end nor bytes that belong to no request.
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -214,14 +214,18 @@
 	}
 }
 
-// SetWorkers takes the workers that are recorded. The end of one at which answers broke off is shown by its record, too.
-func (g *Guard) SetWorkers(workers backend.Set) {
+// ChangeWorkers takes what has changed of the workers that are recorded. The end of one at which answers broke off is shown by its record,
+// too.
+func (g *Guard) ChangeWorkers(changes backend.Changes) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.recorded = workers
+	if g.recorded == nil {
+		g.recorded = backend.Set{}
+	}
+	changes.Apply(g.recorded)
 	now := g.now()
 	for id, known := range g.broken {
-		recorded := workers[id]
+		recorded := g.recorded[id]
 		switch {
 		case now.Sub(known.since) > recordTime, recorded != nil && recorded.Draining:
 			delete(g.broken, id)
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -59,7 +59,7 @@
 		defer g.mu.Unlock()
 		g.events = append(g.events, fmt.Sprintf("%T", event))
 	})
-	g.SetWorkers(workers)
+	setRecorded(g, workers)
 	return g
 }
 
@@ -69,6 +69,9 @@
 	synctest.Wait()
 }
 
+// setRecorded has a guard know these workers in place of those before.
+func setRecorded(g *guarded, workers backend.Set) { g.ChangeWorkers(workers.Since(g.recorded)) }
+
 // recorded are some workers.
 func recorded(ids ...string) backend.Set {
 	set := backend.Set{}
@@ -118,14 +121,14 @@
 		g.prober.end("says-so")
 		leaving := *workers["says-so"]
 		leaving.Draining = true
-		g.SetWorkers(backend.Set{"lives": workers["lives"], "silent": workers["silent"], "says-so": &leaving})
+		setRecorded(g, backend.Set{"lives": workers["lives"], "silent": workers["silent"], "says-so": &leaving})
 		asked := digestNamed("asked")
 		for _, worker := range workers {
 			g.Broke(worker, asked, "rule", "")
 		}
 		settle()
 		time.Sleep(2 * recordTime)
-		g.SetWorkers(backend.Set{"lives": workers["lives"]})
+		setRecorded(g, backend.Set{"lives": workers["lives"]})
 		settle()
 		if got, bar := g.Standing(asked); got != Clear || g.Watches() {
 			t.Errorf("the standing is %d: %+v", got, bar)
@@ -145,7 +148,7 @@
 		if got, _ := g.Standing(asked); got != Clear {
 			t.Errorf("before the record went the standing is %d", got)
 		}
-		g.SetWorkers(backend.Set{})
+		setRecorded(g, backend.Set{})
 		if got, _ := g.Standing(asked); got != Suspected {
 			t.Errorf("then it is %d", got)
 		}
@@ -215,12 +218,12 @@
 		time.Sleep(time.Second)
 		g.Broke(workers["w1"], other, "rule", "")
 		settle()
-		g.SetWorkers(backend.Set{"w1": workers["w1"], "lives": workers["lives"]})
+		setRecorded(g, backend.Set{"w1": workers["w1"], "lives": workers["lives"]})
 		if got, bar := g.Standing(slow); got != Suspected || fmt.Sprint(bar.Workers) != "[w1 w2]" {
 			t.Errorf("the standing is %d: %+v", got, bar)
 		}
 		time.Sleep(2 * recordTime)
-		g.SetWorkers(backend.Set{"w1": workers["w1"]})
+		setRecorded(g, backend.Set{"w1": workers["w1"]})
 		if _, bar := g.Standing(slow); len(bar.Workers) != 2 {
 			t.Errorf("a worker that went long after counts: %+v", bar)
 		}
--- a/internal/residency/residency.go
+++ b/internal/residency/residency.go
@@ -99,17 +99,16 @@
 	}
 }
 
-// ForgetWorkers drops the engines that are not kept.
-func (t *Table) ForgetWorkers(keep func(worker string) bool) {
-	for worker, kept := range t.workers {
-		if keep(worker) {
-			continue
-		}
-		for element := kept.recent.Front(); element != nil; element = kept.recent.Front() {
-			t.drop(worker, kept, element)
-		}
-		delete(t.workers, worker)
+// ForgetWorker drops an engine with all that it keeps.
+func (t *Table) ForgetWorker(worker string) {
+	kept, known := t.workers[worker]
+	if !known {
+		return
+	}
+	for element := kept.recent.Front(); element != nil; element = kept.recent.Front() {
+		t.drop(worker, kept, element)
 	}
+	delete(t.workers, worker)
 }
 
 // Holders returns the engines that keep a part, in the order in which they got it.
--- a/internal/residency/residency_test.go
+++ b/internal/residency/residency_test.go
@@ -108,7 +108,7 @@
 				table.Forget(worker, key)
 				plain.forget(worker, key)
 			case 1:
-				table.ForgetWorkers(func(other string) bool { return other != worker })
+				table.ForgetWorker(worker)
 				delete(plain, worker)
 			case 2:
 				tokens := rapid.IntRange(3000, 9000).Draw(t, "own")
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -193,7 +193,7 @@
 
 // Select returns the workers with the labels of the operators and the groups that select them. Workers are not changed.
 func (c *Configuration) Select(workers backend.Set) backend.Set {
-	if c == nil || (len(c.WorkerLabels) == 0 && !slices.ContainsFunc(c.Groups, func(g Group) bool { return g.Of != "" })) {
+	if !c.selects() {
 		return workers
 	}
 	selected := make(backend.Set, len(workers))
@@ -203,6 +203,19 @@
 	return selected
 }
 
+// selects tells whether workers get labels or groups besides their own.
+func (c *Configuration) selects() bool {
+	return c != nil && (len(c.WorkerLabels) > 0 || slices.ContainsFunc(c.Groups, func(g Group) bool { return g.Of != "" }))
+}
+
+// SelectChanges is Select for workers that have changed.
+func (c *Configuration) SelectChanges(changes backend.Changes) backend.Changes {
+	if c.selects() {
+		changes.Put = lo.Map(changes.Put, func(worker *backend.Worker, _ int) *backend.Worker { return c.selectWorker(worker) })
+	}
+	return changes
+}
+
 // selectWorker returns one worker with its labels and groups.
 func (c *Configuration) selectWorker(worker *backend.Worker) *backend.Worker {
 	labelled := *worker
