A registration that comes or goes moves only its own place among the gateways

Change: classes of one capacity in one zone, each by name, from which the order is read off as far as it is needed; only gateways that were heard are looked at for silence; who is named to callers is taken to be the same for 50 ms.

--- a/internal/cluster/gateways.go
+++ b/internal/cluster/gateways.go
@@ -79,6 +79,13 @@
 	return v.gateways.Serving(v.now())
 }
 
+// Find returns a gateway that serves callers by its name, or false.
+func (v *View) Find(name string) (member.Gateway, bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.gateways.Find(v.now(), name)
+}
+
 // EntryNeed returns the cores that the entries are to have together, and the revision of the store at which that was said.
 func (v *View) EntryNeed() (cores float64, revision int64) {
 	v.mutex.Lock()
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -34,8 +34,15 @@
 	since         time.Time
 	// sharers is by how many the allowance of repeats was last divided here.
 	sharers int
+	// named are the gateways that callers are told, as they were at a moment; the zero moment is out of date.
+	named   []member.Gateway
+	namedAt time.Time
 }
 
+// namedFor is how long the gateways that callers are told are taken to be the same, unless the list changes: a small part of the silence
+// after which one is suspected. Hundreds of questions a second ask for them.
+const namedFor = 50 * time.Millisecond
+
 // Times of the watch of the entries.
 const (
 	// entryTick is how often an entry looks at the others: a part of the silence after which a gateway is suspected. A gateway that
@@ -98,9 +105,19 @@
 // entryNames returns their names.
 func (g *Gateway) entryNames() []string { return namesOf(g.Entries()) }
 
+// named returns the gateways that callers are told.
+func (g *Gateway) named() []member.Gateway {
+	g.entries.mu.Lock()
+	defer g.entries.mu.Unlock()
+	if now := boottime.Now(); now.Sub(g.entries.namedAt) >= namedFor {
+		g.entries.named, g.entries.namedAt = g.view.Named(), now
+	}
+	return g.entries.named
+}
+
 // entriesToTell returns the names of the entries, and of those among them that are known to live.
 func (g *Gateway) entriesToTell() (all, sound []string) {
-	return g.entryNames(), namesOf(g.view.Named())
+	return g.entryNames(), namesOf(g.named())
 }
 
 // entriesTold takes the names of the entries of another gateway, and of those among them that it has heard.
@@ -114,7 +131,7 @@
 // isChosen tells whether this gateway is the one for a key among those that take requests and are known to live. Gateways that know the same
 // ones agree without a message.
 func (g *Gateway) isChosen(key string) bool {
-	return rendezvous.First(key, namesOf(g.view.Named())) == g.settings.Name
+	return rendezvous.First(key, namesOf(g.named())) == g.settings.Name
 }
 
 // namesOf returns the names of gateways.
@@ -126,6 +143,7 @@
 func (g *Gateway) GatewaysChanged() {
 	g.entries.mu.Lock()
 	defer g.entries.mu.Unlock()
+	g.entries.namedAt = time.Time{}
 	entries, suspects := g.view.Entries()
 	serving := g.view.ServingCount()
 	claimants := g.view.Claimants()
@@ -161,7 +179,10 @@
 
 // holderOf returns the gateway of a name among those that serve, or none.
 func (g *Gateway) holderOf(name string) []member.Gateway {
-	return lo.Filter(g.view.Serving(), func(gateway member.Gateway, _ int) bool { return gateway.Name == name })
+	if holder, serves := g.view.Find(name); serves {
+		return []member.Gateway{holder}
+	}
+	return nil
 }
 
 // noteRole notes whether this gateway takes requests.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -289,7 +289,7 @@
 // resolve returns the addresses to which callers of a zone connect.
 func (g *Gateway) resolve(string) ([]string, time.Duration) {
 	var addresses []string
-	for _, gateway := range g.view.Named() {
+	for _, gateway := range g.named() {
 		addresses = append(addresses, gateway.Address)
 	}
 	return addresses, time.Duration(g.addressTTL.Load())
--- a/internal/member/entry.go
+++ b/internal/member/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 )
 
@@ -30,32 +31,41 @@
 	if len(gateways) <= settings.EveryoneUpTo {
 		return gateways
 	}
-	return pickEntries(byPreference(gateways), neededCores, settings)
+	preferred := newPreference(gateways)
+	return pickEntries(preferred.all(), preferred.zones, neededCores, settings)
 }
 
-// pickEntries returns the entries of a fleet of which some stand by, of gateways in the order of preference.
-func pickEntries(preferred []Gateway, neededCores float64, settings EntrySettings) []Gateway {
-	picked := make([]bool, len(preferred))
+// pickEntries returns the entries of a fleet of which some stand by, of gateways in the order of preference. Zones counts the gateways of
+// each zone; some of them may not be among the gateways.
+func pickEntries(preferred iter.Seq[Gateway], zones map[string]int, neededCores float64, settings EntrySettings) []Gateway {
+	picked := map[string]bool{}
 	var entries []Gateway
 	cores := 0.0
-	pick := func(i int) {
-		picked[i] = true
-		entries = append(entries, preferred[i])
-		cores += preferred[i].Cores
+	pick := func(gateway Gateway) {
+		picked[gateway.Name] = true
+		entries = append(entries, gateway)
+		cores += gateway.Cores
 	}
 	inZone := map[string]int{}
-	for i, gateway := range preferred {
-		if inZone[gateway.Zone] < settings.LeastPerZone && len(entries) < settings.Most {
-			inZone[gateway.Zone]++
-			pick(i)
+	left := len(zones)
+	for gateway := range preferred {
+		if left == 0 || len(entries) >= settings.Most {
+			break
+		}
+		if inZone[gateway.Zone] >= settings.LeastPerZone {
+			continue
 		}
+		if inZone[gateway.Zone]++; inZone[gateway.Zone] == min(settings.LeastPerZone, zones[gateway.Zone]) {
+			left--
+		}
+		pick(gateway)
 	}
-	for i := range preferred {
+	for gateway := range preferred {
 		if len(entries) >= settings.Most || (len(entries) >= settings.Least && cores >= neededCores) {
 			break
 		}
-		if !picked[i] {
-			pick(i)
+		if !picked[gateway.Name] {
+			pick(gateway)
 		}
 	}
 	return byName(entries)
@@ -65,23 +75,3 @@
 func byName(gateways []Gateway) []Gateway {
 	return slices.SortedFunc(slices.Values(gateways), func(a, b Gateway) int { return cmp.Compare(a.Name, b.Name) })
 }
-
-// byPreference orders gateways by falling capacity, and those of one capacity by their place within their zone.
-func byPreference(gateways []Gateway) []Gateway {
-	type class struct {
-		zone  string
-		cores float64
-	}
-	sorted := byName(gateways)
-	places := make(map[string]int, len(sorted))
-	next := map[class]int{}
-	for _, gateway := range sorted {
-		c := class{gateway.Zone, gateway.Cores}
-		places[gateway.Name] = next[c]
-		next[c]++
-	}
-	slices.SortStableFunc(sorted, func(a, b Gateway) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(places[a.Name], places[b.Name]), cmp.Compare(a.Zone, b.Zone))
-	})
-	return sorted
-}
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -3,6 +3,8 @@
 
 import (
 	"encoding/json"
+	"iter"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,8 +52,8 @@
 	// its own that it takes requests.
 	heard, claims map[string]time.Time
 
-	// preferred holds those that serve in the order in which they are picked as entries; nil when it is to be made anew.
-	preferred []Gateway
+	// preferred holds those that serve in the order in which they are picked as entries.
+	preferred *preference
 
 	settings EntrySettings
 	// neededCores are those that the entries have together at least.
@@ -71,11 +73,19 @@
 func NewList(own Gateway) *List {
 	return &List{
 		own: own, gateways: map[string]Gateway{}, fading: map[string]time.Time{}, heard: map[string]time.Time{}, claims: map[string]time.Time{},
-		settings: DefaultEntrySettings(), picked: map[string]time.Time{}, unresponsive: map[string]time.Time{},
+		preferred: newPreference(servingOnly(own)), settings: DefaultEntrySettings(), picked: map[string]time.Time{}, unresponsive: map[string]time.Time{},
 		sound: map[string]time.Time{},
 	}
 }
 
+// servingOnly returns a gateway if it serves.
+func servingOnly(gateway Gateway) []Gateway {
+	if gateway.Leaving {
+		return nil
+	}
+	return []Gateway{gateway}
+}
+
 // Reset replaces the registrations by those among the items.
 func (l *List) Reset(now time.Time, items []store.Item) error {
 	present := map[string]bool{}
@@ -154,43 +164,43 @@
 // have, the fault is on the own side and nobody is suspected, unless this process is answered by others.
 func (l *List) Reachable(now time.Time) []Gateway {
 	reachable, _ := l.reach(now)
-	return byName(reachable)
+	return byName(slices.Collect(reachable))
 }
 
-// reach returns the gateways that serve and are reachable, in the order of preference, and those that have fallen silent.
-func (l *List) reach(now time.Time) (reachable, suspects []Gateway) {
-	serving := l.inPreference(now)
+// reach returns the gateways that serve and are reachable, in the order of preference, and those that have fallen silent, by name. It looks
+// only at those of which something was heard: they are the few that take requests.
+func (l *List) reach(now time.Time) (reachable iter.Seq[Gateway], suspects []Gateway) {
+	l.fade(now)
 	heard, silent := 0, 0
-	for _, gateway := range serving {
-		if _, before := l.heard[gateway.Name]; before {
-			heard++
+	suspected := map[string]bool{}
+	for name := range l.heard {
+		if _, serves := l.Find(now, name); !serves {
+			continue
 		}
+		heard++
 		switch {
-		case gateway.Name != l.own.Name && l.standsBySilently(now, gateway.Name):
-			delete(l.heard, gateway.Name)
-			reachable = append(reachable, gateway)
-		case gateway.Name != l.own.Name && l.silent(now, gateway.Name):
+		case name == l.own.Name:
+		case l.standsBySilently(now, name):
+			delete(l.heard, name)
+		case l.silent(now, name):
 			silent++
-			suspects = append(suspects, gateway)
-		case now.Before(l.unresponsive[gateway.Name]):
-			suspects = append(suspects, gateway)
-		default:
-			reachable = append(reachable, gateway)
+			suspected[name] = true
 		}
 	}
 	if 2*silent > heard && !l.isConnected(now) {
-		return serving, nil
+		return l.preferred.all(), nil
 	}
-	return reachable, suspects
-}
-
-// inPreference returns the gateways that serve in the order of preference.
-func (l *List) inPreference(now time.Time) []Gateway {
-	l.fade(now)
-	if l.preferred == nil {
-		l.preferred = byPreference(l.serving())
+	for name, until := range l.unresponsive {
+		if now.Before(until) {
+			suspected[name] = true
+		}
 	}
-	return l.preferred
+	for name := range suspected {
+		if gateway, serves := l.Find(now, name); serves {
+			suspects = append(suspects, gateway)
+		}
+	}
+	return l.preferred.without(suspected), byName(suspects)
 }
 
 // Unheard tells that a gateway stands by and will not be heard any more.
@@ -214,40 +224,49 @@
 }
 
 // Serving returns the gateways that serve callers, by name.
-func (l *List) Serving(now time.Time) []Gateway { return byName(l.inPreference(now)) }
+func (l *List) Serving(now time.Time) []Gateway {
+	l.fade(now)
+	return byName(slices.Collect(l.preferred.all()))
+}
+
+// Find returns a gateway that serves callers by its name, or false.
+func (l *List) Find(now time.Time, name string) (Gateway, bool) {
+	l.fade(now)
+	if name == l.own.Name {
+		return l.own, !l.own.Leaving
+	}
+	gateway, known := l.gateways[KeyPrefix+name]
+	return gateway, known && !gateway.Leaving
+}
 
 // ServingCount returns how many these are.
-func (l *List) ServingCount(now time.Time) int { return len(l.inPreference(now)) }
+func (l *List) ServingCount(now time.Time) int {
+	l.fade(now)
+	return l.preferred.count
+}
 
 // fade takes gateways off the list whose registrations have been gone for long enough.
 func (l *List) fade(now time.Time) {
 	for key, until := range l.fading {
 		if now.After(until) {
 			delete(l.fading, key)
-			delete(l.gateways, key)
-			l.preferred = nil
+			l.drop(key)
 		}
 	}
 }
 
-// serving returns the gateways that serve callers.
-func (l *List) serving() []Gateway {
-	serving := make([]Gateway, 0, len(l.gateways)+1)
-	if !l.own.Leaving {
-		serving = append(serving, l.own)
+// drop takes a registration off the list.
+func (l *List) drop(key string) {
+	if gateway, known := l.gateways[key]; known && gateway.Name != l.own.Name {
+		l.preferred.remove(gateway)
 	}
-	for _, gateway := range l.gateways {
-		if !gateway.Leaving && gateway.Name != l.own.Name {
-			serving = append(serving, gateway)
-		}
-	}
-	return serving
+	delete(l.gateways, key)
 }
 
 // Leave takes the own gateway off the list.
 func (l *List) Leave() {
+	l.preferred.remove(l.own)
 	l.own.Leaving = true
-	l.preferred = nil
 }
 
 // IsListed tells whether the own gateway serves and its registration was there when the store told last.
@@ -264,13 +283,21 @@
 	if err := json.Unmarshal(item.Value, &gateway); err != nil {
 		return errors.Wrapf(err, "step read the registration %s", item.Key)
 	}
-	l.gateways[item.Key] = gateway
-	l.preferred = nil
+	l.register(item.Key, gateway)
 	delete(l.fading, item.Key)
 	delete(l.unresponsive, gateway.Name)
 	return nil
 }
 
+// register puts a gateway on the list in place of what was registered under its key.
+func (l *List) register(key string, gateway Gateway) {
+	l.drop(key)
+	l.gateways[key] = gateway
+	if !gateway.Leaving && gateway.Name != l.own.Name {
+		l.preferred.add(gateway)
+	}
+}
+
 // lapse takes a registration that is gone off the list, at once or after a while.
 func (l *List) lapse(now time.Time, key string) {
 	gateway, known := l.gateways[key]
@@ -283,9 +310,8 @@
 		}
 		return
 	}
-	delete(l.gateways, key)
+	l.drop(key)
 	delete(l.fading, key)
-	l.preferred = nil
 }
 
 // Concerns tells whether a change of a key is one of the list.
--- a/internal/member/picked.go
+++ b/internal/member/picked.go
@@ -33,9 +33,9 @@
 func (l *List) Entries(now time.Time) (entries, suspects []Gateway) {
 	reachable, suspects := l.reach(now)
 	if l.ServingCount(now) <= l.settings.EveryoneUpTo {
-		entries = byName(reachable)
+		entries = byName(slices.Collect(reachable))
 	} else {
-		entries = pickEntries(reachable, l.neededCores, l.settings)
+		entries = pickEntries(reachable, l.preferred.zones, l.neededCores, l.settings)
 	}
 	picked := make(map[string]time.Time, len(entries))
 	for _, entry := range entries {
@@ -87,11 +87,17 @@
 // Claimants returns the gateways that said of late that they take requests and are no entries in the eyes of this one, by name. Who took
 // the place of an entry may have been heard late by some: without a word of the others it would go on beside them.
 func (l *List) Claimants(now time.Time) []Gateway {
-	return slices.DeleteFunc(l.Serving(now), func(gateway Gateway) bool {
-		claimed, known := l.claims[gateway.Name]
-		_, picked := l.picked[gateway.Name]
-		return gateway.Name == l.own.Name || picked || !known || now.Sub(claimed) > suspectAfter
-	})
+	var claimants []Gateway
+	for name, claimed := range l.claims {
+		_, picked := l.picked[name]
+		if name == l.own.Name || picked || now.Sub(claimed) > suspectAfter {
+			continue
+		}
+		if gateway, serves := l.Find(now, name); serves {
+			claimants = append(claimants, gateway)
+		}
+	}
+	return byName(claimants)
 }
 
 // Resumed tells that this process has stood still: nobody is silent who could not be heard.
--- a/internal/member/picked_test.go
+++ b/internal/member/picked_test.go
@@ -13,7 +13,7 @@
 	list := NewList(gatewayOf(own))
 	for i := range 30 {
 		gateway := gatewayOf(fmt.Sprintf("g%02d", i))
-		list.gateways[KeyPrefix+gateway.Name] = gateway
+		list.register(KeyPrefix+gateway.Name, gateway)
 	}
 	return list
 }
