Those that stand by hold one shard of the workers, and a feed tells changes in their order

Cause: each process listed the store before it followed others (986 x 3.6 MB over 1,000 Mbit/s are 29 s, 54,000 calls), held each of 10,004 records, and was told each change of them; a question walked and sorted all that was known and each change woke all who waited; a whole answer had 1.05 s, which 3.6 MB over 20 Mbit/s do not keep, and ended in one more list.

Ruled out: no workers at all for those that stand by (one that is picked, or that callers still ask, would serve nobody for the time of a list); a larger time for whole answers alone (it grows with the fleet).

Change: keys of workers are divided into shards by a hash; a process that stands by holds the one of its seat, 64 to 384 records, whose number follows the records by powers of two. A list ends before the workers once its first pages have shown that others take requests; the feed tells the rest, and is waited for for 3 s while it starts itself. What is known is kept in the order of changes, so that an answer costs what it tells; those whom a change does not concern are not answered; the body of an answer has a time of its own. An answer tells for how long the store has answered nothing to the teller, and one for whom that is three quarters of the bound of configurations is left for another zone or the store. A question waits a quarter of that bound, 0.7 s at the least.

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,10 +21,15 @@
 // pathChanges is where gateways tell what has changed.
 const pathChanges = "/changes"
 
-// Parameters of a question for changes: a revision, and for how many milliseconds an answer may be held until there is something to tell.
+// Parameters of a question for changes: a revision, for how many milliseconds an answer may be held until there is something to tell, and of
+// what the asker knows a part: the number of shards, its seat among them, the last key that is known besides, and whether all is wanted.
 const (
-	paramAfter = "after"
-	paramWait  = "hold"
+	paramAfter  = "after"
+	paramWait   = "hold"
+	paramShards = "shards"
+	paramSeat   = "seat"
+	paramUpto   = "upto"
+	paramAll    = "all"
 )
 
 // maxWait bounds the wait of one question.
@@ -33,8 +39,8 @@
 type Source interface {
 	// Snapshot returns everything, or false when nothing is known.
 	Snapshot() (store.Snapshot, bool)
-	// Changes returns what came after a revision, or false when the gateway does not follow the store itself.
-	Changes(after int64) (store.Changes, bool)
+	// Changes returns what the one that asks does not know, or false when the gateway does not follow the store itself.
+	Changes(question store.Question) (store.Changes, bool)
 	// Changed returns a channel that is closed when there is more to tell.
 	Changed() <-chan struct{}
 }
@@ -49,26 +55,12 @@
 
 // tellChanges answers one question for changes.
 func tellChanges(w http.ResponseWriter, r *http.Request, source Source, entries func() (all, sound []string)) {
-	query := r.URL.Query()
-	after, afterErr := strconv.ParseInt(query.Get(paramAfter), 10, 64)
-	waitMs, waitErr := strconv.ParseInt(query.Get(paramWait), 10, 64)
-	if afterErr != nil || waitErr != nil || waitMs < 0 {
-		http.Error(w, paramAfter+" and "+paramWait+" have to be whole numbers, the second of at least 0", http.StatusBadRequest)
+	question, err := questionOf(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	changed := source.Changed()
-	changes, known := source.Changes(after)
-	if known && !changes.Full && len(changes.Changed) == 0 {
-		timer := time.NewTimer(min(time.Duration(waitMs)*time.Millisecond, maxWait))
-		defer timer.Stop()
-		select {
-		case <-r.Context().Done():
-			// Its caller has left, or this gateway stops and has no news for a caller who still waits.
-		case <-timer.C:
-		case <-changed:
-		}
-		changes, known = source.Changes(after)
-	}
+	changes, known := await(r.Context(), question, source, entries)
 	if !known {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -79,19 +71,96 @@
 	_ = json.NewEncoder(w).Encode(changes)
 }
 
-// answerSlack is how much longer than its wait a question may take.
-const answerSlack = 350 * time.Millisecond
+// await returns what is to be told, as soon as there is something or after the wait of a question. Changes that do not concern the one that
+// asks, and there are many of them in a large fleet, wake nobody else.
+func await(
+	ctx context.Context, question store.Question, source Source, entries func() (all, sound []string),
+) (store.Changes, bool) {
+	timer := time.NewTimer(min(question.Wait, maxWait))
+	defer timer.Stop()
+	before, _ := entries()
+	for {
+		changed := source.Changed()
+		changes, known := source.Changes(question)
+		if !known || changes.Full || changes.Whole || len(changes.Changed) > 0 {
+			return changes, known
+		}
+		if now, _ := entries(); !slices.Equal(now, before) {
+			return changes, known
+		}
+		select {
+		case <-ctx.Done():
+			// Its caller has left, or this gateway stops and has no news for a caller who still waits.
+			return source.Changes(question)
+		case <-timer.C:
+			return source.Changes(question)
+		case <-changed:
+		}
+	}
+}
 
-// changes asks one gateway what came after a revision.
-func (a asker) changes(ctx context.Context, address string, after int64, wait time.Duration) (store.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
-	defer cancel()
+// errQuestion says what a question has to be.
+var errQuestion = errors.New(paramAfter + ", " + paramWait + ", " + paramShards + " and " + paramSeat + " have to be whole numbers, all but " +
+	paramAfter + " of at least 0, " + paramShards + " zero or a power of two")
+
+// questionOf reads a question. What a question does not say of shards is that of one that knows all.
+func questionOf(query url.Values) (store.Question, error) {
+	question := store.Question{Shards: 1, Upto: query.Get(paramUpto), All: query.Get(paramAll) != ""}
+	after, afterErr := strconv.ParseInt(query.Get(paramAfter), 10, 64)
+	waitMs, waitErr := strconv.ParseInt(query.Get(paramWait), 10, 64)
+	if afterErr != nil || waitErr != nil || waitMs < 0 {
+		return question, errQuestion
+	}
+	question.After, question.Wait = after, time.Duration(waitMs)*time.Millisecond
+	if shards := query.Get(paramShards); shards != "" {
+		number, err := strconv.ParseUint(shards, 10, 31)
+		if err != nil || number&(number-1) != 0 {
+			return question, errQuestion
+		}
+		question.Shards = int(number)
+	}
+	if seat := query.Get(paramSeat); seat != "" {
+		number, err := strconv.ParseUint(seat, 10, 64)
+		if err != nil {
+			return question, errQuestion
+		}
+		question.Seat = number
+	}
+	return question, nil
+}
+
+// queryOf spells a question.
+func queryOf(question store.Question) url.Values {
 	query := url.Values{
-		paramAfter: {strconv.FormatInt(after, 10)},
-		paramWait:  {strconv.FormatInt(wait.Milliseconds(), 10)},
+		paramAfter: {strconv.FormatInt(question.After, 10)}, paramWait: {strconv.FormatInt(question.Wait.Milliseconds(), 10)},
+		paramShards: {strconv.Itoa(question.Shards)}, paramSeat: {strconv.FormatUint(question.Seat, 10)},
+	}
+	if question.Upto != "" {
+		query.Set(paramUpto, question.Upto)
+	}
+	if question.All {
+		query.Set(paramAll, "1")
 	}
+	return query
+}
+
+// Times of an answer.
+const (
+	// answerSlack is how much longer than its wait the head of an answer may take.
+	answerSlack = 350 * time.Millisecond
+	// bodyTime is how long the rest may take: the changes of a whole shard and of the list of gateways, some hundred kilobytes, over a link of
+	// ten megabits a second that others use, too. A shorter time would have each gateway that is not served within it list the store.
+	bodyTime = 4 * time.Second
+)
+
+// changes asks one gateway a question.
+func (a asker) changes(ctx context.Context, address string, question store.Question) (store.Changes, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(question.Wait+answerSlack, cancel)
+	defer timer.Stop()
 	var changes store.Changes
-	err := a.ask(ctx, address, pathChanges+"?"+query.Encode(), &changes)
+	err := a.ask(ctx, address, pathChanges+"?"+queryOf(question).Encode(), &changes, func() { timer.Reset(bodyTime) })
 	return changes, errors.Wrapf(err, "step ask for changes, peer %s", address)
 }
 
@@ -101,8 +170,8 @@
 // errNotTold is returned for an answer that tells nothing.
 var errNotTold = errors.New("the gateway does not tell")
 
-// ask asks one question and decodes the answer.
-func (a asker) ask(ctx context.Context, address, target string, answer any) error {
+// ask asks one question and decodes the answer. Begun is called once its head is there; nil calls nothing.
+func (a asker) ask(ctx context.Context, address, target string, answer any, begun func()) error {
 	response, err := a.client.Do(ctx, address, &httpclient.Request{
 		Method: http.MethodGet, Target: target, Host: address, Header: http.Header{},
 	})
@@ -113,5 +182,8 @@
 	if response.Status != http.StatusOK {
 		return errNotTold
 	}
+	if begun != nil {
+		begun()
+	}
 	return decode(response.Body, answer)
 }
--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -30,12 +30,12 @@
 	return &changingSource{changes: changes, changed: make(chan struct{})}
 }
 
-func (s *changingSource) Changes(after int64) (store.Changes, bool) {
+func (s *changingSource) Changes(question store.Question) (store.Changes, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.asked++
 	told := s.changes
-	if after >= told.Revision {
+	if question.After >= told.Revision {
 		told.Changed = nil
 	}
 	return told, !s.silent
@@ -71,6 +71,11 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// question asks what came after a revision.
+func question(after int64, wait time.Duration) store.Question {
+	return store.Question{After: after, Wait: wait, Shards: 1}
+}
+
 // at returns changes of one item.
 func at(revision int64) store.Changes {
 	return store.Changes{Changed: []store.Event{{Item: store.Item{Key: "k", Revision: revision}}}, Revision: revision}
@@ -96,7 +101,7 @@
 func TestAQuestionIsAnsweredAsSoonAsThereIsAChange(t *testing.T) {
 	source := newSource(at(4))
 	follower, told := follow(changefeed.Teller{Name: "x", Zone: "a", Address: serve(t, source)})
-	changes, err := follower.Next(t.Context(), 3, time.Second)
+	changes, err := follower.Next(t.Context(), question(3, time.Second))
 	if err != nil || changes.Revision != 4 || len(changes.Changed) != 1 {
 		t.Fatalf("got %+v, %v", changes, err)
 	}
@@ -105,10 +110,10 @@
 	}
 	time.AfterFunc(50*time.Millisecond, func() { source.set(at(5)) })
 	begun := time.Now()
-	if changes, err = follower.Next(t.Context(), 4, 5*time.Second); err != nil || changes.Revision != 5 || time.Since(begun) > 2*time.Second {
+	if changes, err = follower.Next(t.Context(), question(4, 5*time.Second)); err != nil || changes.Revision != 5 || time.Since(begun) > 2*time.Second {
 		t.Errorf("got %+v, %v after %s", changes, err, time.Since(begun))
 	}
-	if changes, err = follower.Next(t.Context(), 5, 20*time.Millisecond); err != nil || len(changes.Changed) != 0 {
+	if changes, err = follower.Next(t.Context(), question(5, 20*time.Millisecond)); err != nil || len(changes.Changed) != 0 {
 		t.Errorf("without a change: %+v, %v", changes, err)
 	}
 }
@@ -124,7 +129,7 @@
 	ask := func(times int) {
 		t.Helper()
 		for range times {
-			if _, err := follower.Next(t.Context(), 3, 0); err != nil {
+			if _, err := follower.Next(t.Context(), question(3, 0)); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -134,7 +139,7 @@
 		t.Errorf("asked %d, %d and %d times", near.count(), otherNear.count(), far.count())
 	}
 	near.silent, otherNear.silent = true, true
-	if _, err := follower.Next(t.Context(), 3, 0); !errors.Is(err, store.ErrNobody) {
+	if _, err := follower.Next(t.Context(), question(3, 0)); !errors.Is(err, store.ErrNobody) {
 		t.Errorf("both near ones are silent: %v", err)
 	}
 	ask(3)
@@ -150,10 +155,10 @@
 	follower, _ := follow(
 		changefeed.Teller{Name: "x", Zone: "a", Address: address}, changefeed.Teller{Name: "y", Zone: "a", Address: serve(t, newSource(lost))},
 	)
-	if _, err := follower.Next(t.Context(), 3, 0); !errors.Is(err, store.ErrNobody) {
+	if _, err := follower.Next(t.Context(), question(3, 0)); !errors.Is(err, store.ErrNobody) {
 		t.Errorf("at first the store is to be tried: %v", err)
 	}
-	if changes, err := follower.Next(t.Context(), 3, 0); err != nil || !changes.StoreLost {
+	if changes, err := follower.Next(t.Context(), question(3, 0)); err != nil || !changes.StoreLost {
 		t.Errorf("then the one that has lost it is good enough: %+v, %v", changes, err)
 	}
 }
@@ -185,3 +190,43 @@
 		}
 	}
 }
+
+// TestATellerThatTheStoreDoesNotAnswerIsLeftForOthers guards against a configuration that those of a zone hear of late: both entries of the
+// zone were cut off from the store, which shows only once their calls have run into time-outs, and answered until then that nothing is new.
+func TestATellerThatTheStoreDoesNotAnswerIsLeftForOthers(t *testing.T) {
+	unanswered := func(ms int64) store.Changes { return store.Changes{Revision: 4, Unanswered: &ms} }
+	near, otherNear, far := newSource(unanswered(500)), newSource(unanswered(500)), newSource(at(9))
+	follower, _ := follow(
+		changefeed.Teller{Name: "near", Zone: "a", Address: serve(t, near)},
+		changefeed.Teller{Name: "otherNear", Zone: "a", Address: serve(t, otherNear)},
+		changefeed.Teller{Name: "far", Zone: "b", Address: serve(t, far)},
+	)
+	follower.SetBound(2 * time.Second)
+	if changes, err := follower.Next(t.Context(), question(4, 0)); err != nil || changes.Revision != 4 {
+		t.Errorf("the store answered them half a second ago: %+v, %v", changes, err)
+	}
+	near.set(unanswered(1600))
+	otherNear.set(unanswered(1700))
+	if _, err := follower.Next(t.Context(), question(4, 0)); !errors.Is(err, store.ErrNobody) {
+		t.Errorf("both of the zone are cut off, and the store may be tried: %v", err)
+	}
+	if changes, err := follower.Next(t.Context(), question(4, 0)); err != nil || changes.Revision != 9 {
+		t.Errorf("then one of another zone is asked: %+v, %v", changes, err)
+	}
+	far.set(unanswered(1800))
+	if changes, err := follower.Next(t.Context(), question(4, 0)); err != nil || *changes.Unanswered != 1800 {
+		t.Errorf("if the store answers nobody, they are good enough: %+v, %v", changes, err)
+	}
+}
+
+// TestChangesThatDoNotConcernTheAskerAreNotTold has a teller wake those that wait for changes of which they are told nothing.
+func TestChangesThatDoNotConcernTheAskerAreNotTold(t *testing.T) {
+	source := newSource(at(4))
+	follower, _ := follow(changefeed.Teller{Name: "x", Zone: "a", Address: serve(t, source)})
+	time.AfterFunc(30*time.Millisecond, func() { source.set(store.Changes{Revision: 4}) })
+	begun := time.Now()
+	changes, err := follower.Next(t.Context(), question(4, 150*time.Millisecond))
+	if waited := time.Since(begun); err != nil || len(changes.Changed) != 0 || waited < 140*time.Millisecond {
+		t.Errorf("got %+v, %v after %s", changes, err, waited)
+	}
+}
--- a/internal/changefeed/follower.go
+++ b/internal/changefeed/follower.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/store"
 )
@@ -34,6 +36,8 @@
 	turn    int
 	// storeAfter is when the store itself may be tried, while all tellers have lost it.
 	storeAfter time.Time
+	// answeredWithin is how lately the store has to have answered a teller; zero bounds nothing.
+	answeredWithin time.Duration
 }
 
 // NewFollower returns the follower of a gateway. Told is given the entries that each answer names.
@@ -69,36 +73,71 @@
 	}
 }
 
+// answeredShare is the part of the time within which changes have to be known after which a teller that the store does not answer counts as
+// cut off from it. A teller renews its registration each second, so that a sound one is younger; and what is left of the time is enough to
+// ask another one.
+const answeredShare = 0.75
+
+// SetBound tells within which time changes have to be known.
+func (f *Follower) SetBound(bound time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answeredWithin = time.Duration(answeredShare * float64(bound))
+}
+
+// isCutOff tells whether the store has not answered a teller for long, although that does not know yet that it has lost it.
+func (f *Follower) isCutOff(changes store.Changes) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answeredWithin > 0 && changes.Unanswered != nil && time.Duration(*changes.Unanswered)*time.Millisecond > f.answeredWithin
+}
+
 // Times of a follower.
 const (
 	// avoidTime is how long a teller that failed is passed over; as long as a killed process takes to start again.
 	avoidTime = 2 * time.Second
+	// startTime is how long one is passed over that tells nothing yet: it lists the store, or finds out that it is asked.
+	startTime = 300 * time.Millisecond
 	// mostAsked bounds the tellers that are asked in vain before the store is.
 	mostAsked = 2
 	// storePause is how often the store itself is tried while all tellers have lost it.
 	storePause = 2500 * time.Millisecond
 )
 
-// Next is part of store.Feed.
-func (f *Follower) Next(ctx context.Context, after int64, wait time.Duration) (store.Changes, error) {
+// Next is part of store.Feed. A teller that seems to be cut off from the store is good enough only while no other one is better off and the
+// store itself is not to be tried.
+func (f *Follower) Next(ctx context.Context, question store.Question) (store.Changes, error) {
+	var doubtful *store.Changes
 	for range mostAsked {
 		teller, found := f.next(time.Now())
 		if !found {
-			return store.Changes{}, store.ErrNobody
+			break
 		}
-		changes, err := f.changes(ctx, teller.Address, after, wait)
+		changes, err := f.changes(ctx, teller.Address, question)
 		if err != nil {
 			// The next one is asked; that this one does not tell shows in the entries of its peers.
-			f.avoid(teller, time.Now())
+			f.avoid(teller, err)
 			continue
 		}
 		f.told(changes.Entries, changes.Sound)
-		if changes.StoreLost && f.mayTryStore(time.Now()) {
-			f.avoid(teller, time.Now())
+		if !changes.StoreLost && !f.isCutOff(changes) {
+			return changes, nil
+		}
+		if !changes.StoreLost {
+			// Others of its zone may be cut off with it: those of other zones come next.
+			f.avoid(teller, nil)
+			doubtful = &changes
+			continue
+		}
+		if f.mayTryStore(time.Now()) {
+			f.avoid(teller, nil)
 			return store.Changes{}, store.ErrNobody
 		}
 		return changes, nil
 	}
+	if doubtful != nil && !f.mayTryStore(time.Now()) {
+		return *doubtful, nil
+	}
 	return store.Changes{}, store.ErrNobody
 }
 
@@ -126,8 +165,12 @@
 	return near[f.turn%len(near)], true
 }
 
-// avoid passes a teller over for a while.
-func (f *Follower) avoid(teller Teller, now time.Time) {
+// avoid passes a teller over for a while, given the error of its answer or nil.
+func (f *Follower) avoid(teller Teller, err error) {
+	now, pause := time.Now(), avoidTime
+	if errors.Is(err, errNotTold) {
+		pause = startTime
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for address, until := range f.avoided {
@@ -135,7 +178,7 @@
 			delete(f.avoided, address)
 		}
 	}
-	f.avoided[teller.Address] = now.Add(avoidTime)
+	f.avoided[teller.Address] = now.Add(pause)
 }
 
 // mayTryStore tells whether it is time to try the store itself although a teller has lost it: the store may turn away the tellers
--- a/internal/changefeed/snapshot.go
+++ b/internal/changefeed/snapshot.go
@@ -77,7 +77,7 @@
 // snapshot asks one gateway, and returns nil when it does not know.
 func (s *Seeds) snapshot(ctx context.Context, address string) *store.Snapshot {
 	var snapshot store.Snapshot
-	if s.ask(ctx, address, pathSnapshot, &snapshot) != nil {
+	if s.ask(ctx, address, pathSnapshot, &snapshot, nil) != nil {
 		return nil
 	}
 	return &snapshot
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -245,6 +245,7 @@
 // by has a lease so long that nobody could follow it in time.
 func (g *Gateway) leased(begun time.Time, lease int64, ttl time.Duration) {
 	g.view.Connected()
+	g.replica.Answered()
 	if ttl > g.settings.LeaseTTL {
 		lease = 0
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/netdial"
 	"github.com/granitebay/granitebay/internal/poison"
+	"github.com/granitebay/granitebay/internal/rendezvous"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -112,8 +113,8 @@
 	g.accepting = newAccepting(logging.Part(logger, "gateway"))
 	g.limitUse = newLimitUse(settings)
 	g.workersKnown = make(chan struct{})
-	g.learn = make(chan struct{}, 1)
 	g.workers, g.addresses = backend.Set{}, map[string]int{}
+	g.learn = make(chan struct{}, 1)
 	g.decisions = decisionlog.New(settings.Name, keptDecisions)
 	g.metrics = newFigures(g.decisions, logger)
 	g.grace.Store(int64(settings.Grace))
@@ -149,10 +150,17 @@
 	g.view = cluster.NewView(ports.Decoder, g, member.NewList(own), backend.NewRoster(rosterOf(settings)), g.registration.Key(), logging.Part(logger, "cluster"))
 	replication := store.DefaultReplicaSettings()
 	replication.Unhurried = member.IsRegistration
+	replication.Sharded = func(key string) bool {
+		_, isWorker := ports.Decoder.WorkerID(key)
+		return isWorker
+	}
+	replication.Seat = rendezvous.Hash(settings.Name)
 	g.replica = store.NewReplica(ports.Store, everything, replication, g.view,
 		changefeed.NewSeeds(settings.Seeds).Fetch)
 	g.follower = changefeed.NewFollower(settings.Name, settings.Zone, g.entriesTold)
+	g.follower.SetBound(settings.ConfigurationAge)
 	g.replica.SetFeed(g.follower)
+	g.replica.SetKnownWithin(settings.ConfigurationAge)
 	g.replica.SetFreshFor(retrybudget.FreshFor(settings.RetryWindow))
 	g.used = newUsedCounts(g)
 	if ports.Capacity != nil {
--- a/internal/gateway/repeats_test.go
+++ b/internal/gateway/repeats_test.go
@@ -70,6 +70,10 @@
 
 func (w *waitingStore) List(context.Context, string) ([]store.Item, int64, error) { return nil, 1, nil }
 
+func (w *waitingStore) ListUntil(context.Context, string, func([]store.Item) bool) ([]store.Item, int64, bool, error) {
+	return nil, 1, true, nil
+}
+
 func (w *waitingStore) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) ([]store.Event, int64, error) {
 	w.waits <- wait
 	<-ctx.Done()
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -45,6 +45,9 @@
 // Slot returns the one of so many slots that is a key's.
 func Slot(key string, slots int) int { return int(weight(key, "") % uint64(slots)) }
 
+// Hash returns a number that is a key's.
+func Hash(key string) uint64 { return weight(key, "") }
+
 // compare puts the higher weight first, and the lower name first among equal weights.
 func compare(a, b scored) int {
 	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node, b.node))
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,12 +13,19 @@
 type Changes struct {
 	// Full is set when the changes are all items there are, because the teller does not know what happened since the revision.
 	Full bool `json:"full,omitempty"`
-	// Changed items, each with its latest change, by key.
+	// Changed items, each with its latest change, in the order of the changes.
 	Changed []Event `json:"changed,omitempty"`
 	// Revision up to which everything is told.
 	Revision int64 `json:"revision"`
 	// StoreLost is set while the teller can't reach the store itself.
 	StoreLost bool `json:"storeLost,omitempty"`
+	// Shards is of how many shards the items that are divided are those of one, and Whole is set when all of that shard are told, because
+	// the one that asked held another.
+	Shards int  `json:"shards,omitempty"`
+	Whole  bool `json:"whole,omitempty"`
+	// Unanswered is for how long the store has answered no call of the teller, in milliseconds; nil when it never did or does not say. A
+	// teller that was cut off finds out only when a call has run into its time-out.
+	Unanswered *int64 `json:"unansweredMs,omitempty"`
 	// Age is how long ago the teller knew all changes for sure, in milliseconds; nil when it never did or does not say.
 	Age *int64 `json:"ageMs,omitempty"`
 	// Entries are the names of the gateways to which the teller sends callers.
@@ -29,11 +34,25 @@
 	Sound []string `json:"sound"`
 }
 
+// Question is what a process asks a feed.
+type Question struct {
+	// After is the revision up to which everything is known.
+	After int64
+	// Wait is how long an answer may be held until there is something to tell.
+	Wait time.Duration
+	// Shards is of how many shards the one of the Seat is known; zero is none, and then only the keys up to Upto are known of the rest.
+	Shards int
+	Seat   uint64
+	Upto   string
+	// All is set when all shards are wanted.
+	All bool
+}
+
 // Feed tells what other processes know of the store.
 type Feed interface {
-	// Next returns what has changed after a revision as soon as there is something, or after the wait. ErrNobody means that no
-	// process that can be asked follows the store.
-	Next(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+	// Next returns what has changed as soon as there is something, or after the wait. ErrNobody means that no process that can be asked
+	// follows the store.
+	Next(ctx context.Context, question Question) (Changes, error)
 }
 
 // ErrNobody is returned by a feed when nobody tells anything.
@@ -44,13 +63,19 @@
 
 // Waits of a replica that follows a feed.
 const (
-	// feedWait bounds one question, so that a teller that dies or freezes is noticed within a second and a half; a third of the
-	// least bound within which configurations are in force.
-	feedWait = 700 * time.Millisecond
+	// leastFeedWait and feedWaitShare bound one question, so that a teller that dies or freezes is noticed in time to ask another one twice:
+	// after a quarter of the time within which changes have to be known, and at the least within a second and a half.
+	leastFeedWait = 700 * time.Millisecond
+	feedWaitShare = 0.25
 	// directWait bounds a watch of the store by a process that would rather follow a feed, and so the time until it asks again.
 	directWait = 2 * time.Second
 )
 
+// feedWait returns how long a question may wait for changes.
+func (r *Replica) feedWait() time.Duration {
+	return max(leastFeedWait, time.Duration(feedWaitShare*float64(r.knownWithin.Load())))
+}
+
 // SetFeed makes the replica learn from other processes while it is calm, and while the store does not answer. It is called before
 // Run.
 func (r *Replica) SetFeed(feed Feed) { r.feed = feed }
@@ -58,11 +83,13 @@
 // follow takes the next changes from the feed.
 func (r *Replica) follow(ctx context.Context, wait time.Duration) error {
 	r.mutex.Lock()
-	after := r.after
+	question := Question{
+		After: r.after, Wait: wait, Shards: r.shards, Seat: r.settings.Seat, Upto: r.listed, All: !r.calm.Load(),
+	}
 	r.mutex.Unlock()
 	sleep(ctx, time.Until(r.followed.Add(r.settings.FeedPause)))
 	begun := boottime.Now()
-	changes, err := r.feed.Next(ctx, after, wait)
+	changes, err := r.feed.Next(ctx, question)
 	r.followed = time.Now()
 	if err != nil {
 		return err
@@ -70,12 +97,14 @@
 	if changes.StoreLost {
 		r.consumer.Lost(errToldLost)
 	}
-	if changes.Full {
-		r.replace(changes.snapshot())
+	if changes.Full || changes.Whole {
+		r.replace(r.told(changes))
 	} else if fresh := r.fresh(changes.Changed, changes.Revision); len(fresh) > 0 {
 		r.consumer.Apply(fresh)
 	}
 	if !changes.StoreLost {
+		// The teller has told all that came after what was known here, whatever an own watch has missed.
+		r.doubted = false
 		r.consumer.Current(r.knownSince(changes.knownAt(begun)))
 	}
 	return nil
@@ -90,40 +119,84 @@
 	return begun.Add(-time.Duration(*c.Age) * time.Millisecond)
 }
 
-// snapshot returns the changes as all there is.
-func (c Changes) snapshot() Snapshot {
-	snapshot := Snapshot{Revision: c.Revision}
-	for _, change := range c.Changed {
-		if !change.Deleted {
-			snapshot.Items = append(snapshot.Items, change.Item)
+// told returns the items that there are after changes that tell everything, or everything of a shard.
+func (r *Replica) told(changes Changes) Snapshot {
+	snapshot := Snapshot{Revision: changes.Revision, Shards: changes.Shards}
+	latest := map[string]Event{}
+	if !changes.Full {
+		r.mutex.Lock()
+		for key, event := range r.known.latest {
+			if !r.isSharded(key) {
+				latest[key] = event
+			}
+		}
+		r.mutex.Unlock()
+	}
+	for _, change := range changes.Changed {
+		if change.Revision >= latest[change.Key].Revision {
+			latest[change.Key] = change
+		}
+	}
+	for _, event := range latest {
+		if !event.Deleted {
+			snapshot.Items = append(snapshot.Items, event.Item)
 		}
 	}
 	return snapshot
 }
 
-// Changes returns what the replica knows that came after a revision, or false when it does not follow the store and so must not
-// be learnt from.
-func (r *Replica) Changes(after int64) (Changes, bool) {
+// Changes returns what the replica knows that the one that asks does not, or false when it does not follow the store, or does not know all
+// of it, and so must not be learnt from.
+func (r *Replica) Changes(question Question) (Changes, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.known == nil || r.calm.Load() {
+	if r.known == nil || r.calm.Load() || r.shards != 1 {
 		return Changes{}, false
 	}
-	changes := Changes{Revision: r.after, Full: !r.tellsAllAfter(after), StoreLost: r.storeLost}
-	if !r.knownAt.IsZero() {
-		// Rounded up, so that it is never said to be younger than it is.
-		age := boottime.Now().Sub(r.knownAt).Milliseconds() + 1
-		changes.Age = &age
+	changes := Changes{Revision: r.after, Full: !r.tellsAllAfter(question.After), StoreLost: r.storeLost, Shards: 1}
+	if !question.All {
+		changes.Shards = shardsFor(r.sharded, question.Shards)
 	}
-	for _, event := range r.known {
-		if event.Revision > after || (changes.Full && !event.Deleted) {
+	changes.Whole = changes.Shards != question.Shards
+	now := boottime.Now()
+	changes.Age, changes.Unanswered = millisecondsSince(r.knownAt, now), millisecondsSince(r.answeredAt, now)
+	if changes.Full || changes.Whole {
+		changes.Changed = r.wholeFor(question, changes)
+		return changes, true
+	}
+	for event := range r.known.after(question.After) {
+		if !r.isSharded(event.Key) || inShard(event.Key, question.Seat, changes.Shards) {
 			changes.Changed = append(changes.Changed, event)
 		}
 	}
-	slices.SortFunc(changes.Changed, func(a, b Event) int { return strings.Compare(a.Key, b.Key) })
 	return changes, true
 }
 
+// wholeFor returns the changes for one that is told everything, or everything of a shard. The mutex is held.
+func (r *Replica) wholeFor(question Question, changes Changes) []Event {
+	var told []Event
+	for event := range r.known.after(0) {
+		isSharded := r.isSharded(event.Key)
+		isNews := changes.Full || event.Revision > question.After || (question.Shards == 0 && event.Key > question.Upto)
+		switch {
+		case isSharded && !event.Deleted && inShard(event.Key, question.Seat, changes.Shards):
+			told = append(told, event)
+		case !isSharded && isNews && !(changes.Full && event.Deleted):
+			told = append(told, event)
+		}
+	}
+	return told
+}
+
+// millisecondsSince returns the time since a moment, rounded up, so that nothing is said to be younger than it is; nil for the zero moment.
+func millisecondsSince(moment, now time.Time) *int64 {
+	if moment.IsZero() {
+		return nil
+	}
+	since := now.Sub(moment).Milliseconds() + 1
+	return &since
+}
+
 // tellsAllAfter tells whether no change after a revision is missing in what is known. The mutex is held.
 func (r *Replica) tellsAllAfter(revision int64) bool {
 	return revision >= r.completeFrom && (revision <= r.gapFrom || revision >= r.gapTo)
--- a/internal/store/feed_test.go
+++ b/internal/store/feed_test.go
@@ -17,7 +17,7 @@
 	asked int
 }
 
-func (f *scriptedFeed) Next(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
+func (f *scriptedFeed) Next(ctx context.Context, question Question) (Changes, error) {
 	f.mutex.Lock()
 	f.asked++
 	next := f.next
@@ -25,7 +25,7 @@
 	if next == nil {
 		return Changes{}, ErrNobody
 	}
-	changes, err := next(after)
+	changes, err := next(question.After)
 	if err == nil && len(changes.Changed) == 0 {
 		sleep(ctx, 5*time.Millisecond)
 	}
@@ -75,7 +75,7 @@
 	if watches != 0 {
 		t.Errorf("the store was watched %d times while others told", watches)
 	}
-	if _, follows := replica.Changes(0); follows {
+	if _, follows := replica.Changes(Question{Shards: 1}); follows {
 		t.Error("one that does not follow the store tells others")
 	}
 	feed.script(nil)
@@ -114,7 +114,7 @@
 	recorded.eventually(t, "a=3")
 	store.events <- func(int64) ([]Event, int64, error) { return nil, 0, ErrBusy }
 	recorded.eventually(t, "a=6")
-	if changes, follows := replica.Changes(5); !follows || !changes.StoreLost {
+	if changes, follows := replica.Changes(Question{After: 5, Shards: 1}); !follows || !changes.StoreLost {
 		t.Errorf("it tells %+v, %t, and not that it has lost the store", changes, follows)
 	}
 }
@@ -158,7 +158,7 @@
 		told.replace(Snapshot{})
 		learn := func(teller *Replica) {
 			after := told.after
-			changes, follows := teller.Changes(after)
+			changes, follows := teller.Changes(Question{After: after, Shards: 1})
 			if !follows {
 				return
 			}
@@ -212,10 +212,10 @@
 		replica.fresh([]Event{{Item: Item{Key: fmt.Sprint(i), Revision: int64(i + 2)}, Deleted: true}}, int64(i+2))
 	}
 	replica.replace(Snapshot{Revision: maxDeleted + 9})
-	if len(replica.known) > 0 {
-		t.Errorf("%d deleted items are remembered", len(replica.known))
+	if len(replica.known.latest) > 0 {
+		t.Errorf("%d deleted items are remembered", len(replica.known.latest))
 	}
-	if changes, _ := replica.Changes(5); !changes.Full {
+	if changes, _ := replica.Changes(Question{After: 5, Shards: 1}); !changes.Full {
 		t.Error("one that knows little is told the latest changes only")
 	}
 }
--- a/internal/store/known_test.go
+++ b/internal/store/known_test.go
@@ -23,6 +23,11 @@
 	return []Item{item("a", 3)}, 5, nil
 }
 
+func (q *quietStore) ListUntil(ctx context.Context, prefix string, _ func([]Item) bool) ([]Item, int64, bool, error) {
+	items, at, err := q.List(ctx, prefix)
+	return items, at, true, err
+}
+
 func (q *quietStore) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) ([]Event, int64, error) {
 	q.mutex.Lock()
 	q.waits = append(q.waits, wait)
@@ -103,12 +108,12 @@
 	if err := teller.step(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	if changes, tells := teller.Changes(0); !tells || changes.Age != nil {
+	if changes, tells := teller.Changes(Question{Shards: 1}); !tells || changes.Age != nil {
 		t.Error("one that knows nothing for sure told an age")
 	}
 	known := boottime.Now().Add(-3 * time.Second)
 	teller.knownSince(known)
-	changes, _ := teller.Changes(0)
+	changes, _ := teller.Changes(Question{Shards: 1})
 	told, feed := &knownRecorder{}, &scriptedFeed{}
 	feed.script(func(int64) (Changes, error) { return changes, nil })
 	follower := NewReplica(&quietStore{}, "", DefaultReplicaSettings(), told, nil)
--- a/internal/store/pace.go
+++ b/internal/store/pace.go
@@ -39,8 +39,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	_, known := r.known[event.Key]
-	return !known && !event.Deleted
+	return r.known.get(event.Key).Key == "" && !event.Deleted
 }
 
 // jitter returns a pause between a half and the whole of the given one.
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +28,10 @@
 	// FirstPause and LongestPause bound the pause after a failed call; it doubles and is jittered.
 	FirstPause   time.Duration
 	LongestPause time.Duration
+	// Sharded tells which keys are divided into shards, of which a process that is calm holds one. Nil is none.
+	Sharded func(key string) bool
+	// Seat names the shard of this process for any number of shards.
+	Seat uint64
 	// FeedPause is the least time between two questions to the feed: changes that come together are asked for together, and a
 	// fleet of hundreds that starts asks a few times a second.
 	FeedPause time.Duration
@@ -80,13 +84,23 @@
 	calm    atomic.Bool
 	// freshFor is how old what is known may become while the store answers; zero does not bound it.
 	freshFor atomic.Int64
+	// knownWithin is within which time changes have to be known; zero bounds nothing.
+	knownWithin atomic.Int64
 	// hastened is set when the next watch is to wait as shortly as it can.
 	hastened atomic.Bool
 
 	mutex sync.Mutex
 	// known holds the items that the consumer was told; nil before the first list. Deleted ones stay as such.
-	known map[string]Event
+	known *table
 	after int64
+	// shards is of how many shards this process holds its own: one is everything, and zero nothing of what is divided. With none, listed
+	// is the last key of the rest that was listed.
+	shards int
+	listed string
+	// begunAt is when this process began without a shard.
+	begunAt time.Time
+	// sharded counts the items that are divided and there.
+	sharded int
 	// completeFrom is the revision after which no change is missing in known, deletions included.
 	completeFrom int64
 	// Between gapFrom and gapTo, both not included, items may have come and gone that lists did not show.
@@ -95,6 +109,8 @@
 	changed chan struct{}
 	// knownAt is the moment of boottime up to which all changes are known for sure; zero before the first.
 	knownAt time.Time
+	// answeredAt is when the store answered any call of this process, by boottime; zero before the first.
+	answeredAt time.Time
 	// storeLost is set while calls to the store fail.
 	storeLost bool
 	// doubted is set after a watch has failed. The store may have dropped changes that the watch did not hear, and one that
@@ -109,6 +125,8 @@
 type Snapshot struct {
 	Items    []Item `json:"items"`
 	Revision int64  `json:"revision"`
+	// Shards is of how many shards the items hold one, of what is divided into shards; zero and one are all.
+	Shards int `json:"shards,omitempty"`
 }
 
 // NewReplica returns a replica that does nothing before Run.
@@ -126,7 +144,14 @@
 	if r.known == nil {
 		return Snapshot{}, false
 	}
-	return Snapshot{Revision: r.after, Items: r.present()}, true
+	return Snapshot{Revision: r.after, Items: r.known.present(), Shards: r.shards}, true
+}
+
+// Answered tells that the store has answered a call of this process, be it one of the replica or not.
+func (r *Replica) Answered() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.answeredAt = boottime.Now()
 }
 
 // SetReaders tells how many processes watch the same store. The more they are, the longer each gathers changes and waits
@@ -141,6 +166,9 @@
 // no longer than that allows. Each bound that is shorter than the wait of a watch costs a quiet store one call a bound.
 func (r *Replica) SetFreshFor(bound time.Duration) { r.freshFor.Store(int64(bound)) }
 
+// SetKnownWithin tells within which time changes have to be known everywhere.
+func (r *Replica) SetKnownWithin(bound time.Duration) { r.knownWithin.Store(int64(bound)) }
+
 // Hasten makes the next watch of the store short, so that it is soon known for sure that nothing else has changed. One that is waiting
 // goes on: it is called for what a watch has told.
 func (r *Replica) Hasten() { r.hastened.Store(true) }
@@ -160,8 +188,14 @@
 func (r *Replica) Run(ctx context.Context) {
 	pause := r.settings.FirstPause
 	for ctx.Err() == nil {
-		if r.followsFeed() && r.follow(ctx, feedWait) == nil {
-			continue
+		if r.followsFeed() {
+			if r.follow(ctx, r.feedWait()) == nil {
+				continue
+			}
+			if r.awaitsShard() {
+				sleep(ctx, jitter(r.share(shardPause)))
+				continue
+			}
 		}
 		err := r.step(ctx)
 		if err == nil {
@@ -188,6 +222,19 @@
 // followsFeed tells whether the replica learns from others in place of the store.
 func (r *Replica) followsFeed() bool { return r.feed != nil && r.known != nil && r.calm.Load() }
 
+// Times of a process that has begun without its shard.
+const (
+	// shardPatience is how long its feed is waited for: those that tell it list everything first, within what a start may take.
+	shardPatience = 3 * time.Second
+	// shardPause is the pause between two questions that nobody answers.
+	shardPause = 150 * time.Millisecond
+)
+
+// awaitsShard tells whether a process that knows nothing of what is divided waits for its feed, and does not list the store yet.
+func (r *Replica) awaitsShard() bool {
+	return r.shards == 0 && boottime.Now().Sub(r.begunAt) < shardPatience
+}
+
 // setStoreLost notes whether the store answers.
 func (r *Replica) setStoreLost(lost bool) {
 	r.mutex.Lock()
@@ -209,9 +256,10 @@
 // errRenewed ends a watch that Renew interrupts.
 var errRenewed = errors.New("the watch was begun anew")
 
-// step lists when nothing is known, and watches otherwise.
+// step lists when nothing is known, or not all of what is needed, and watches otherwise.
 func (r *Replica) step(ctx context.Context) error {
-	if r.known == nil || r.doubted {
+	isPart := r.shards == 0 || (r.shards > 1 && !r.calm.Load())
+	if r.known == nil || r.doubted || isPart {
 		return r.list(ctx)
 	}
 	err := r.watch(ctx)
@@ -219,12 +267,26 @@
 	return err
 }
 
-// list tells the consumer everything anew.
+// list tells the consumer everything anew. A process that turns out to be calm before it has come to what is divided into shards leaves
+// that to its feed: a fleet that starts at once else lists every record once for each process.
 func (r *Replica) list(ctx context.Context) error {
-	items, at, err := r.store.List(ctx, r.prefix)
+	var rest string
+	enough := func(items []Item) bool {
+		if r.known != nil || r.feed == nil || rest != "" || r.settings.Sharded == nil || !r.settings.Sharded(items[len(items)-1].Key) {
+			return false
+		}
+		rest = r.introduce(items)
+		return r.calm.Load()
+	}
+	items, at, whole, err := r.store.ListUntil(ctx, r.prefix, enough)
 	if err != nil {
 		return err
 	}
+	r.Answered()
+	if !whole {
+		r.begin(r.undivided(items), at, rest)
+		return nil
+	}
 	r.replace(Snapshot{Items: items, Revision: at})
 	r.doubted = false
 	// A list may be some seconds old; the watch that goes on from it tells what came since.
@@ -232,6 +294,47 @@
 	return nil
 }
 
+// introduce tells the consumer the items that are not divided into shards, before the others are listed, and returns the last key of them.
+func (r *Replica) introduce(items []Item) string {
+	undivided := r.undivided(items)
+	events := make([]Event, len(undivided))
+	for i, item := range undivided {
+		events[i] = Event{Item: item}
+	}
+	r.consumer.Apply(events)
+	if len(undivided) == 0 {
+		return items[0].Key
+	}
+	return undivided[len(undivided)-1].Key
+}
+
+// undivided returns the items that are not divided into shards.
+func (r *Replica) undivided(items []Item) []Item {
+	return slices.DeleteFunc(slices.Clone(items), func(item Item) bool { return r.isSharded(item.Key) })
+}
+
+// isSharded tells whether a key is divided into shards.
+func (r *Replica) isSharded(key string) bool {
+	return r.settings.Sharded != nil && r.settings.Sharded(key)
+}
+
+// begin takes the items that were listed up to a key, without any that are divided.
+func (r *Replica) begin(items []Item, at int64, listed string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.known, r.after, r.completeFrom = newTable(eventsOf(items)), at, at
+	r.shards, r.sharded, r.listed, r.begunAt = 0, 0, listed, boottime.Now()
+}
+
+// eventsOf returns items as changes.
+func eventsOf(items []Item) []Event {
+	events := make([]Event, len(items))
+	for i, item := range items {
+		events[i] = Event{Item: item}
+	}
+	return events
+}
+
 // seed takes what another process knows, and tells whether there was one. It is doubted: the store is listed once it answers.
 func (r *Replica) seed(ctx context.Context) bool {
 	if r.fallback == nil {
@@ -253,11 +356,54 @@
 // replace takes a snapshot in place of what was known and tells it to the consumer. What is known of a later revision stays: a
 // snapshot may be some seconds old, and nothing goes back.
 func (r *Replica) replace(snapshot Snapshot) {
+	snapshot.Shards = max(snapshot.Shards, 1)
+	r.mutex.Lock()
+	if snapshot.Shards != 1 || (r.known != nil && r.shards != 1) {
+		r.restart(snapshot)
+	} else {
+		r.merge(snapshot)
+	}
+	r.after, r.shards = snapshot.Revision, snapshot.Shards
+	if r.known.deleted > maxDeleted {
+		r.forgetDeleted()
+	}
+	items := r.known.present()
+	r.sharded = 0
+	for _, item := range items {
+		if r.isSharded(item.Key) {
+			r.sharded++
+		}
+	}
+	r.wake()
+	r.mutex.Unlock()
+	r.consumer.Reset(items)
+}
+
+// restart takes a snapshot for what was known of another number of shards. It forgets what came and went before. The mutex is held.
+func (r *Replica) restart(snapshot Snapshot) {
+	events := eventsOf(snapshot.Items)
+	if r.known != nil {
+		listed := make(map[string]int64, len(events))
+		for _, event := range events {
+			listed[event.Key] = event.Revision
+		}
+		for event := range r.known.after(snapshot.Revision) {
+			isOurs := !r.isSharded(event.Key) || inShard(event.Key, r.settings.Seat, snapshot.Shards)
+			if isOurs && event.Revision > listed[event.Key] {
+				events = append(events, event)
+			}
+		}
+	}
+	r.known, r.completeFrom = newTable(events), snapshot.Revision
+	r.gapFrom, r.gapTo = 0, 0
+}
+
+// merge takes a snapshot of everything, and remembers what was known before and is gone. The mutex is held.
+func (r *Replica) merge(snapshot Snapshot) {
 	known := make(map[string]Event, len(snapshot.Items))
 	for _, item := range snapshot.Items {
 		known[item.Key] = Event{Item: item}
 	}
-	r.mutex.Lock()
 	switch {
 	case r.known == nil:
 		r.completeFrom = snapshot.Revision
@@ -266,53 +412,24 @@
 	case snapshot.Revision > r.after:
 		r.gapTo = max(r.gapTo, snapshot.Revision)
 	}
-	deleted := 0
-	for key, event := range r.known {
-		listed, found := known[key]
-		switch {
-		case event.Revision > snapshot.Revision && event.Revision > listed.Revision:
-			known[key] = event
-		case !found && event.Deleted:
-			known[key] = event
-		case !found:
-			known[key] = Event{Item: Item{Key: key, Revision: snapshot.Revision}, Deleted: true}
-		}
-		if known[key].Deleted {
-			deleted++
+	if r.known != nil {
+		for key, event := range r.known.latest {
+			listed, found := known[key]
+			switch {
+			case event.Revision > snapshot.Revision && event.Revision > listed.Revision:
+				known[key] = event
+			case !found && event.Deleted:
+				known[key] = event
+			case !found:
+				known[key] = Event{Item: Item{Key: key, Revision: snapshot.Revision}, Deleted: true}
+			}
 		}
 	}
-	r.known, r.after = known, snapshot.Revision
-	if deleted > maxDeleted {
-		r.forgetDeleted()
-	}
-	items := r.present()
-	r.wake()
-	r.mutex.Unlock()
-	r.consumer.Reset(items)
+	r.known = newTable(slices.Collect(maps.Values(known)))
 }
 
 // forgetDeleted drops deleted items. Those that know less than this process have to be told everything. The mutex is held.
-func (r *Replica) forgetDeleted() {
-	r.completeFrom = r.after
-	for key, event := range r.known {
-		if event.Deleted {
-			r.completeFrom = max(r.completeFrom, event.Revision)
-			delete(r.known, key)
-		}
-	}
-}
-
-// present returns the items that are there, by key. The mutex is held.
-func (r *Replica) present() []Item {
-	var items []Item
-	for _, event := range r.known {
-		if !event.Deleted {
-			items = append(items, event.Item)
-		}
-	}
-	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	return items
-}
+func (r *Replica) forgetDeleted() { r.completeFrom = max(r.after, r.known.forgetDeleted()) }
 
 // watch tells the consumer the next changes.
 func (r *Replica) watch(ctx context.Context) error {
@@ -337,6 +454,7 @@
 	case err != nil:
 		return err
 	}
+	r.Answered()
 	pause := r.settle(events)
 	if fresh := r.fresh(events, at); len(fresh) > 0 {
 		r.consumer.Apply(fresh)
@@ -393,10 +511,13 @@
 	r.after = max(at, r.after)
 	var fresh []Event
 	for _, event := range events {
-		if event.Revision <= r.known[event.Key].Revision {
+		before := r.known.get(event.Key)
+		isOthers := r.isSharded(event.Key) && !inShard(event.Key, r.settings.Seat, r.shards)
+		if event.Revision <= before.Revision || isOthers {
 			continue
 		}
-		r.known[event.Key] = event
+		r.countSharded(before, event)
+		r.known.put(event)
 		fresh = append(fresh, event)
 	}
 	if len(fresh) > 0 {
@@ -404,3 +525,16 @@
 	}
 	return fresh
 }
+
+// countSharded keeps count of the items that are divided and there. The mutex is held.
+func (r *Replica) countSharded(before, after Event) {
+	if !r.isSharded(after.Key) {
+		return
+	}
+	if before.Key != "" && !before.Deleted {
+		r.sharded--
+	}
+	if !after.Deleted {
+		r.sharded++
+	}
+}
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -30,6 +30,11 @@
 	return next()
 }
 
+func (f *fakeStore) ListUntil(ctx context.Context, prefix string, _ func([]Item) bool) ([]Item, int64, bool, error) {
+	items, at, err := f.List(ctx, prefix)
+	return items, at, true, err
+}
+
 func (f *fakeStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) ([]Event, int64, error) {
 	f.mutex.Lock()
 	f.after = append(f.after, after)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -73,6 +73,9 @@
 	// items, or is. When the store is too busy for linearizable reads the items may be some seconds old; a watch from the
 	// revision tells what came since.
 	List(ctx context.Context, prefix string) ([]Item, int64, error)
+	// ListUntil is List, by pages in the order of the keys. It ends early once enough, which is given all items so far and may be nil, says
+	// so after a page that others follow; then the items are not the whole.
+	ListUntil(ctx context.Context, prefix string, enough func(items []Item) bool) (items []Item, at int64, whole bool, err error)
 	// Watch waits for changes below a prefix after a revision. It returns the revision to go on from, and no events when
 	// there were none for so long.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
--- a/internal/usage/model_test.go
+++ b/internal/usage/model_test.go
@@ -182,6 +182,10 @@
 	return nil
 }
 
+func (w *world) ListUntil(context.Context, string, func([]store.Item) bool) ([]store.Item, int64, bool, error) {
+	return nil, 0, false, nil
+}
+
 func (w *world) List(context.Context, string) ([]store.Item, int64, error) {
 	if outcome := w.interfere(); outcome != "answered" {
 		return nil, 0, errNoAnswer
