A worker that starts again under its record is another one; records that can't be used name none

Change: the id of a worker within the product names its start (record and moment), so that whatever was believed or told of the one before concerns nobody any more: load, kept parts, role, risk, pace, ends. On the wire it goes by its record. An engine whose report names another start is another worker. A record that can't be used takes the worker it named out of use at once and leaves the others alone; complaints are counted, and logged within bounds. New records may be told late by the feed: a fleet that starts was asked for them five times a second by each gateway that stands by.

The pause in which an entry gathers changes grew with the fleet without a bound, 1 ms for each gateway: at most a tenth of the time within which changes have to be known.

--- a/internal/backend/roster.go
+++ b/internal/backend/roster.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// Drop takes note that a record says nothing that can be used any more: its worker is not in use from now on.
+func (r *Roster) Drop(name string) {
+	if worker, known := r.recorded[name]; known {
+		delete(r.recorded, name)
+		r.touched[worker.ID] = nil
+	}
+}
+
 // Changes returns what has changed of the workers in use since the last call, and when the next one fades out; the zero time is never.
 func (r *Roster) Changes(now time.Time) (Changes, time.Time) {
 	var next time.Time
--- a/internal/backend/roster_test.go
+++ b/internal/backend/roster_test.go
@@ -44,3 +44,24 @@
 		t.Error("a worker that recorded itself again is not in use")
 	}
 }
+
+// TestAWorkerThatStartsAgainUnderItsRecordIsAnother has a worker start again, and then its record say nothing that can be used.
+func TestAWorkerThatStartsAgainUnderItsRecordIsAnother(t *testing.T) {
+	roster, now := NewRoster(RosterSettings{}), time.Unix(1000, 0)
+	roster.Put(&Worker{ID: "i@1", Record: "i", Address: "a"})
+	roster.Put(&Worker{ID: "other", Record: "other", Address: "b"})
+	roster.Changes(now)
+	roster.Put(&Worker{ID: "i@2", Record: "i", Address: "a"})
+	changes, _ := roster.Changes(now)
+	if len(changes.Gone) != 1 || changes.Gone[0] != "i@1" || len(changes.Put) != 1 || changes.Put[0].ID != "i@2" {
+		t.Errorf("started again: %+v", changes)
+	}
+	roster.Drop("i")
+	changes, _ = roster.Changes(now)
+	if len(changes.Gone) != 1 || changes.Gone[0] != "i@2" || len(changes.Put) != 0 {
+		t.Errorf("unreadable: %+v", changes)
+	}
+	if changes, _ = roster.Changes(now); !changes.Empty() {
+		t.Errorf("nothing has changed: %+v", changes)
+	}
+}
--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -71,8 +71,9 @@
 	_ = json.NewEncoder(w).Encode(changes)
 }
 
-// await returns what is to be told, as soon as there is something or after the wait of a question. Changes that do not concern the one that
-// asks, and there are many of them in a large fleet, wake nobody else.
+// await returns what is to be told, as soon as there is something that is waited for or after the wait of a question. Changes that do not
+// concern the one that asks, and there are many of them in a large fleet, wake nobody else; and a fleet that starts is told of all that come
+// a few times a second at the most.
 func await(
 	ctx context.Context, question store.Question, source Source, entries func() (all, sound []string),
 ) (store.Changes, bool) {
@@ -82,7 +83,8 @@
 	for {
 		changed := source.Changed()
 		changes, known := source.Changes(question)
-		if !known || changes.Full || changes.Whole || len(changes.Changed) > 0 {
+		isNews := len(changes.Changed) > 0 && !changes.Unhurried
+		if !known || changes.Full || changes.Whole || isNews {
 			return changes, known
 		}
 		if now, _ := entries(); !slices.Equal(now, before) {
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -6,9 +6,11 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/boottime"
@@ -63,6 +65,9 @@
 	listener Listener
 	ownKey   string
 	logger   logrus.FieldLogger
+	// complaints bounds the lines about items that can't be read, and unreadable counts those.
+	complaints *rate.Limiter
+	unreadable atomic.Int64
 	// now counts the time in which the machine is suspended: all that the view holds may have changed meanwhile.
 	now func() time.Time
 
@@ -103,7 +108,7 @@
 ) *View {
 	return &View{
 		decoder: decoder, listener: listener, ownKey: ownKey, logger: logger, now: boottime.Now, roster: roster, gateways: gateways,
-		lostAt: boottime.Now(),
+		lostAt: boottime.Now(), complaints: rate.NewLimiter(complaintsPerSecond, complaintsAtOnce),
 	}
 }
 
@@ -257,6 +262,8 @@
 		v.roster.Remove(v.now(), id)
 	case worker != nil:
 		v.roster.Put(worker)
+	default:
+		v.roster.Drop(id)
 	}
 	return true
 }
@@ -287,9 +294,22 @@
 	}
 }
 
-// complain logs an item that can't be read. It stays as it was known.
+// Bounds of the lines about items that can't be read: anybody may write records, and each is read again with each list.
+const (
+	complaintsPerSecond = 1
+	complaintsAtOnce    = 20
+)
+
+// complain counts an item that can't be read, and logs it within bounds. The configuration stays as it was known; a record names no worker.
 func (v *View) complain(err error) {
-	if err != nil {
+	if err == nil {
+		return
+	}
+	v.unreadable.Add(1)
+	if v.complaints.Allow() {
 		v.logger.WithError(err).Error("An item of the store can't be read.")
 	}
 }
+
+// Unreadable returns how many items could not be read so far, each time that they were told.
+func (v *View) Unreadable() int64 { return v.unreadable.Load() }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -180,7 +180,7 @@
 		return nil
 	}
 	id, err := w.gateway.ports.Identify(ctx, worker, path)
-	if err == nil && id != worker.ID {
+	if err == nil && id != worker.RecordName() {
 		return roles.ErrOtherWorker
 	}
 	return err
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -65,6 +65,8 @@
 	f.set.NewGauge("granitebay_store_age_seconds", func() float64 { return g.view.Staleness().Seconds() })
 	f.set.NewGauge("granitebay_gateways", func() float64 { return float64(len(g.view.Serving())) })
 	f.set.NewGauge("granitebay_gateways_reachable", func() float64 { return float64(len(g.view.Reachable())) })
+	f.set.NewGauge("granitebay_workers_known", func() float64 { return float64(g.knownWorkers()) })
+	f.set.NewGauge("granitebay_unreadable_items_total", func() float64 { return float64(g.view.Unreadable()) })
 	f.set.NewGauge(metricBarred, func() float64 { return float64(len(g.bars.guard.Bars())) })
 	f.set.NewGauge("granitebay_requests_in_hand", func() float64 { return float64(g.handler.Active()) })
 	f.budgets = g.dispatcher.Budgets
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -376,6 +376,13 @@
 	return g.Ready() && len(g.workers) > 0
 }
 
+// knownWorkers returns how many workers the gateway knows: all while it takes requests, a shard of them while it stands by.
+func (g *Gateway) knownWorkers() int {
+	g.workersMu.Lock()
+	defer g.workersMu.Unlock()
+	return len(g.workers)
+}
+
 // Decisions returns the decisions of the gateway.
 func (g *Gateway) Decisions() *decisionlog.Log { return g.decisions }
 
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -23,6 +23,8 @@
 	// the one that asked held another.
 	Shards int  `json:"shards,omitempty"`
 	Whole  bool `json:"whole,omitempty"`
+	// Unhurried is set when all that has changed may be told late: nobody waits for records and registrations that were not there before.
+	Unhurried bool `json:"-"`
 	// Unanswered is for how long the store has answered no call of the teller, in milliseconds; nil when it never did or does not say. A
 	// teller that was cut off finds out only when a call has run into its time-out.
 	Unanswered *int64 `json:"unansweredMs,omitempty"`
@@ -164,14 +166,23 @@
 		changes.Changed = r.wholeFor(question, changes)
 		return changes, true
 	}
+	changes.Unhurried = true
 	for event := range r.known.after(question.After) {
 		if !r.isSharded(event.Key) || inShard(event.Key, question.Seat, changes.Shards) {
 			changes.Changed = append(changes.Changed, event)
+			changes.Unhurried = changes.Unhurried && r.mayBeLate(event)
 		}
 	}
 	return changes, true
 }
 
+// mayBeLate tells whether nobody waits for a change: it is the first of its item, which is a record of a worker or an unhurried one. The
+// mutex is held.
+func (r *Replica) mayBeLate(event Event) bool {
+	isCalm := r.isSharded(event.Key) || (r.settings.Unhurried != nil && r.settings.Unhurried(event.Key))
+	return isCalm && !event.Deleted && r.known.isFirst(event.Key)
+}
+
 // wholeFor returns the changes for one that is told everything, or everything of a shard. The mutex is held.
 func (r *Replica) wholeFor(question Question, changes Changes) []Event {
 	var told []Event
--- a/internal/store/pace.go
+++ b/internal/store/pace.go
@@ -6,9 +6,17 @@
 	"time"
 )
 
-// share stretches a pause by the number of readers.
+// settleShare is the part of the time within which changes have to be known that may be spent on gathering them. The number of readers alone
+// would take all of it in a fleet of thousands.
+const settleShare = 0.1
+
+// share stretches a pause by the number of readers, as far as the bound of changes allows.
 func (r *Replica) share(pause time.Duration) time.Duration {
-	return max(pause, time.Duration(r.readers.Load())*perReader)
+	longer := time.Duration(r.readers.Load()) * perReader
+	if bound := r.knownWithin.Load(); bound > 0 {
+		longer = min(longer, time.Duration(settleShare*float64(bound)))
+	}
+	return max(pause, longer)
 }
 
 // settle returns the pause after changes that were not noted yet. When every process of a large fleet starts at once, each
--- a/internal/store/shard_test.go
+++ b/internal/store/shard_test.go
@@ -219,3 +219,45 @@
 		})
 	}
 }
+
+// TestNewRecordsAreToldWithoutHurry asks what may be told late: records and registrations that were not there before, and nothing else.
+func TestNewRecordsAreToldWithoutHurry(t *testing.T) {
+	teller, _ := newSharded(nil, 0)
+	teller.settings.Unhurried = func(key string) bool { return strings.HasPrefix(key, "gateways/") }
+	teller.replace(Snapshot{Items: []Item{item("configuration", 1), item("workers/0", 2)}, Revision: 2})
+	for i, test := range []struct {
+		event Event
+		want  bool
+	}{
+		{Event{Item: item("workers/1", 0)}, true},
+		{Event{Item: item("gateways/a", 0)}, true},
+		{Event{Item: item("configuration", 0)}, false},
+		{Event{Item: item("workers/0", 0)}, false},
+		{Event{Item: item("workers/1", 0)}, false},
+		{Event{Item: item("gateways/a", 0), Deleted: true}, false},
+		{Event{Item: item("gateways/a", 0)}, true},
+	} {
+		revision := int64(i + 3)
+		test.event.Revision = revision
+		teller.fresh([]Event{test.event}, revision)
+		if changes, _ := teller.Changes(Question{After: revision - 1, Shards: 1}); changes.Unhurried != test.want || len(changes.Changed) != 1 {
+			t.Errorf("change %d, %+v: told late %t", i, changes.Changed, changes.Unhurried)
+		}
+	}
+}
+
+// TestGatheringChangesLeavesTimeToKnowThem bounds the pause of an entry of a fleet of any size.
+func TestGatheringChangesLeavesTimeToKnowThem(t *testing.T) {
+	for _, test := range []struct {
+		readers int
+		bound   time.Duration
+		want    time.Duration
+	}{{12, 5 * time.Second, 40 * time.Millisecond}, {300, 5 * time.Second, 300 * time.Millisecond}, {5000, 5 * time.Second, 500 * time.Millisecond}, {5000, 0, 5 * time.Second}} {
+		replica, _ := newSharded(nil, 0)
+		replica.SetReaders(test.readers)
+		replica.SetKnownWithin(test.bound)
+		if got := replica.share(40 * time.Millisecond); got != test.want {
+			t.Errorf("%d readers: the pause is %s, want %s", test.readers, got, test.want)
+		}
+	}
+}
--- a/internal/store/table.go
+++ b/internal/store/table.go
@@ -14,6 +14,8 @@
 type table struct {
 	latest map[string]Event
 	order  []place
+	// changed are the items of which more than one change was heard since they came.
+	changed map[string]bool
 	// deleted counts the items that are known to be gone.
 	deleted int
 }
@@ -26,7 +28,7 @@
 
 // newTable returns a table of some changes.
 func newTable(events []Event) *table {
-	t := &table{latest: make(map[string]Event, len(events))}
+	t := &table{latest: make(map[string]Event, len(events)), changed: map[string]bool{}}
 	for _, event := range events {
 		t.latest[event.Key] = event
 	}
@@ -37,9 +39,18 @@
 // get returns the latest change of an item; the zero event when none is known.
 func (t *table) get(key string) Event { return t.latest[key] }
 
+// isFirst tells whether the latest change of an item is its first one, as far as is known.
+func (t *table) isFirst(key string) bool { return !t.changed[key] }
+
 // put takes a change.
 func (t *table) put(event Event) {
-	if t.latest[event.Key].Deleted {
+	before, known := t.latest[event.Key]
+	if known && !before.Deleted && !event.Deleted {
+		t.changed[event.Key] = true
+	} else {
+		delete(t.changed, event.Key)
+	}
+	if before.Deleted {
 		t.deleted--
 	}
 	if event.Deleted {
