--- a/internal/gateway/kept.go
+++ b/internal/gateway/kept.go
@@ -37,7 +37,10 @@
 		case <-ctx.Done():
 			return
 		case <-g.learn:
-			g.askEngines(ctx)
+			// One that took itself for an entry before it knew the others has nothing to learn for.
+			if g.takesRequests() {
+				g.askEngines(ctx)
+			}
 		}
 	}
 }
