--- a/internal/gateway/accepting.go
+++ b/internal/accepting/accepting.go
@@ -1,4 +1,6 @@
-package gateway
+// Package accepting tells whether new connections of callers are accepted, by what accepts them: a process may be said to be ready while
+// its loop stands still, has no descriptors left or can't keep up with the queue.
+package accepting
 
 import (
 	"net"
@@ -11,8 +13,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// accepting tells whether connections of callers are accepted, by what accepts them. It is safe for concurrent use.
-type accepting struct {
+// Loop is the loop that accepts the connections of a listener. It is safe for concurrent use.
+type Loop struct {
 	logger *logrus.Entry
 
 	mu sync.Mutex
@@ -44,76 +46,76 @@
 	errBacklog       = errors.New("the queue of new connections is full")
 )
 
-// newAccepting returns one for a gateway that does not listen yet.
-func newAccepting(logger *logrus.Entry) *accepting { return &accepting{logger: logger} }
+// New returns the loop of a process that does not listen yet.
+func New(logger *logrus.Entry) *Loop { return &Loop{logger: logger} }
 
-// watch returns a listener whose acceptances are seen.
-func (a *accepting) watch(listener net.Listener) net.Listener {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.since = time.Now()
+// Watch returns a listener whose acceptances are seen.
+func (l *Loop) Watch(listener net.Listener) net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.since = time.Now()
 	if conn, isRaw := listener.(syscall.Conn); isRaw {
 		raw, err := conn.SyscallConn()
 		if err == nil {
-			a.raw = raw
+			l.raw = raw
 		}
 	}
-	return &watchedListener{listener, a}
+	return &watchedListener{listener, l}
 }
 
 // watchedListener tells when it is asked for connections.
 type watchedListener struct {
 	net.Listener
-	accepting *accepting
+	loop *Loop
 }
 
 // Accept is part of net.Listener.
 func (l *watchedListener) Accept() (net.Conn, error) {
-	l.accepting.turn(true, nil)
+	l.loop.turn(true, nil)
 	conn, err := l.Listener.Accept()
-	l.accepting.turn(false, err)
+	l.loop.turn(false, err)
 	return conn, err
 }
 
 // turn notes that the loop begins or ends to wait for a connection.
-func (a *accepting) turn(waits bool, failed error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.waits, a.since = waits, time.Now()
+func (l *Loop) turn(waits bool, failed error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waits, l.since = waits, time.Now()
 	if !waits {
-		a.failed = failed
+		l.failed = failed
 	}
 }
 
-// able tells whether connections are accepted at the moment, and logs when that changes.
-func (a *accepting) able(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	unable := a.check(now)
+// Able tells whether connections are accepted at the moment, and logs when that changes.
+func (l *Loop) Able(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	unable := l.check(now)
 	switch {
-	case unable != nil && a.unable == nil:
-		a.logger.WithError(unable).Warn("New connections of callers are not accepted; the gateway is not ready.")
-	case unable == nil && a.unable != nil:
-		a.logger.Info("New connections of callers are accepted again.")
+	case unable != nil && l.unable == nil:
+		l.logger.WithError(unable).Warn("New connections of callers are not accepted; the gateway is not ready.")
+	case unable == nil && l.unable != nil:
+		l.logger.Info("New connections of callers are accepted again.")
 	}
-	a.unable = unable
+	l.unable = unable
 	return unable == nil
 }
 
 // check returns why no connections are accepted, or nil. The mutex is held.
-func (a *accepting) check(now time.Time) error {
+func (l *Loop) check(now time.Time) error {
 	switch {
-	case a.raw == nil:
+	case l.raw == nil:
 		return errNotListening
-	case a.waits:
-	case a.failed != nil:
-		return errors.Wrap(a.failed, "step accept")
-	case now.Sub(a.since) > acceptPause:
+	case l.waits:
+	case l.failed != nil:
+		return errors.Wrap(l.failed, "step accept")
+	case now.Sub(l.since) > acceptPause:
 		return errStalled
 	}
 	found := errNotListening
 	// It fails only for a socket that is closed.
-	_ = a.raw.Control(func(descriptor uintptr) {
+	_ = l.raw.Control(func(descriptor uintptr) {
 		found = errors.CombineErrors(descriptorsLeft(int(descriptor)), roomInBacklog(int(descriptor)))
 	})
 	return found
--- a/internal/gateway/accepting_test.go
+++ b/internal/accepting/accepting_test.go
@@ -1,4 +1,4 @@
-package gateway
+package accepting
 
 import (
 	"net"
@@ -13,25 +13,25 @@
 )
 
 // listenFor returns a listener that is watched, and what watches it.
-func listenFor(t *testing.T) (*accepting, net.Listener, *net.TCPListener) {
+func listenFor(t *testing.T) (*Loop, net.Listener, *net.TCPListener) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	watching := newAccepting(logrus.NewEntry(logrus.New()))
-	if watching.able(time.Now()) {
+	watching := New(logrus.NewEntry(logrus.New()))
+	if watching.Able(time.Now()) {
 		t.Error("connections are accepted before anything listens")
 	}
-	return watching, watching.watch(listener), listener.(*net.TCPListener)
+	return watching, watching.Watch(listener), listener.(*net.TCPListener)
 }
 
 // becomes waits until connections are accepted, or are not.
-func (a *accepting) becomes(t *testing.T, want bool, within time.Duration) {
+func (a *Loop) becomes(t *testing.T, want bool, within time.Duration) {
 	t.Helper()
 	for begun := time.Now(); time.Since(begun) < within; time.Sleep(5 * time.Millisecond) {
-		if a.able(time.Now()) == want {
+		if a.Able(time.Now()) == want {
 			return
 		}
 	}
@@ -72,12 +72,12 @@
 		if _, err := failing.Accept(); !errors.Is(err, syscall.EMFILE) {
 			t.Fatalf("got %v", err)
 		}
-		if watching.able(time.Now()) {
+		if watching.Able(time.Now()) {
 			t.Error("connections count as accepted right after a failure")
 		}
 	}
 	watching.turn(true, nil)
-	if !watching.able(time.Now()) {
+	if !watching.Able(time.Now()) {
 		t.Error("a loop that waits for connections does not count as accepting")
 	}
 }
@@ -100,7 +100,7 @@
 	}
 	// The loop counts as one that waits; that it takes nothing shows in the queue alone.
 	watching.turn(true, nil)
-	if !watching.able(time.Now()) {
+	if !watching.Able(time.Now()) {
 		t.Error("nothing waits, and connections do not count as accepted")
 	}
 	for range backlog + 1 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/granitebay/granitebay/internal/accepting"
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/capacity"
 	"github.com/granitebay/granitebay/internal/changefeed"
@@ -70,7 +71,7 @@
 	registration *member.Registration
 	controller   *roles.Controller
 	callers      *callerServer
-	accepting    *accepting
+	accepting    *accepting.Loop
 	metrics      *figures
 	sharing      *loadshare.Exchange
 	follower     *changefeed.Follower
@@ -110,7 +111,7 @@
 func New(settings Settings, ports Ports, logger *logrus.Logger) *Gateway {
 	g := &Gateway{settings: settings, ports: ports, logger: logger}
 	g.startedAt = time.Now()
-	g.accepting = newAccepting(logging.Part(logger, "gateway"))
+	g.accepting = accepting.New(logging.Part(logger, "gateway"))
 	g.limitUse = newLimitUse(settings)
 	g.workersKnown = make(chan struct{})
 	g.workers, g.addresses = backend.Set{}, map[string]int{}
@@ -286,12 +287,12 @@
 
 // serveCallers serves callers, and sees what accepts their connections.
 func (g *Gateway) serveCallers(listener net.Listener) error {
-	return g.callers.serve(g.accepting.watch(listener))
+	return g.callers.serve(g.accepting.Watch(listener))
 }
 
 // Ready tells whether the gateway takes requests, and new connections for them.
 func (g *Gateway) Ready() bool {
-	return g.handler.Table() != nil && !g.leaving.Load() && g.accepting.able(time.Now())
+	return g.handler.Table() != nil && !g.leaving.Load() && g.accepting.Able(time.Now())
 }
 
 // resolve returns the addresses to which callers of a zone connect.
