Move: the connections of callers have a package of their own, with their invariants at its head

internal/gateway gives accepting, bounds, last looks, stops and leaving callers to internal/callers: its server is told of by an observer and counts traffic, in place of the figures and the use of limits of a gateway. No logic has changed. The test of who closed a connection reads what the observer was told; that the figures count it by who ended it is a test of its own.

--- a/internal/gateway/callers_bench_test.go
+++ b/internal/callers/bench_test.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"net"
@@ -15,7 +15,7 @@
 		b.Fatal(err)
 	}
 	bench.listener.Listener = listener
-	go func() { _ = bench.serve(listener) }()
+	go func() { _ = bench.Serve(listener) }()
 	return bench
 }
 
--- a/internal/gateway/connbounds.go
+++ b/internal/callers/bounds.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"io"
@@ -13,7 +13,7 @@
 )
 
 // timedOut tells whether a reading that timed out gives the connection up, and notes who does.
-func (c *callerConn) timedOut() bool {
+func (c *connection) timedOut() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -25,20 +25,20 @@
 		c.closer.Store(int32(forward.CloserHead))
 	default:
 		c.closer.Store(int32(forward.CloserRest))
-		c.server.figures.restedOut()
+		c.server.observer.RestedOut()
 	}
 	return true
 }
 
 // bounded tells whether the connection is under a bound of its own.
-func (c *callerConn) bounded() bool {
+func (c *connection) bounded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.phase != phaseInHand
 }
 
 // until returns when a reading is given up; zero is never. The mutex is held.
-func (c *callerConn) until() time.Time {
+func (c *connection) until() time.Time {
 	if c.phase == phaseInHand {
 		return c.given
 	}
@@ -67,7 +67,7 @@
 }
 
 // renew sets the deadline that holds now, also for a reading that waits.
-func (c *callerConn) renew() {
+func (c *connection) renew() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// It fails only for a connection that is closed, as the next reading will.
@@ -75,7 +75,7 @@
 }
 
 // set sets a deadline, unless it is set already. The mutex is held.
-func (c *callerConn) set(deadline time.Time) error {
+func (c *connection) set(deadline time.Time) error {
 	if deadline.Equal(c.deadline) {
 		return nil
 	}
@@ -85,7 +85,7 @@
 
 // prolonged tells whether the bound was raised since it began to run, so that the connection goes on. One that was lowered holds for
 // connections that begin to rest from then on.
-func (c *callerConn) prolonged() bool {
+func (c *connection) prolonged() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bound = max(c.bound, c.server.boundOf(c.phase))
@@ -96,7 +96,7 @@
 // look reads what has come, without waiting and whatever the deadline is: a reading whose deadline has passed does not try, though bytes
 // may have come before, as after a standstill of the process; and a stop may set one at any moment. Only the goroutine that reads the
 // connection may call it. It returns os.ErrDeadlineExceeded when there is nothing.
-func (c *callerConn) look(buffer []byte) (int, error) {
+func (c *connection) look(buffer []byte) (int, error) {
 	conn, isRaw := c.Conn.(syscall.Conn)
 	if !isRaw {
 		return 0, os.ErrDeadlineExceeded
--- a/internal/gateway/callerconn.go
+++ b/internal/callers/conn.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"context"
@@ -29,14 +29,14 @@
 	phaseInHand
 )
 
-// callerConn is a connection of a caller. It counts its bytes, bounds its own rest and the coming of heads, and knows who of this side
+// connection is a connection of a caller. It counts its bytes, bounds its own rest and the coming of heads, and knows who of this side
 // ended it.
 //
 // Invariant: only the goroutine that reads the connection ends it for its bounds or because the gateway stops, after a last look that
 // found no byte. A timer or another goroutine would close a connection whose next request has just come.
-type callerConn struct {
+type connection struct {
 	net.Conn
-	server *callerServer
+	server *Server
 
 	// mu guards what bounds the reading.
 	mu    sync.Mutex
@@ -58,13 +58,13 @@
 	handed, answered atomic.Bool
 }
 
-// newCallerConn returns a connection that was just accepted.
-func newCallerConn(accepted net.Conn, server *callerServer) *callerConn {
-	return &callerConn{Conn: accepted, server: server, since: time.Now(), bound: server.boundOf(phaseNew)}
+// newConnection returns a connection that was just accepted.
+func newConnection(accepted net.Conn, server *Server) *connection {
+	return &connection{Conn: accepted, server: server, since: time.Now(), bound: server.boundOf(phaseNew)}
 }
 
 // Read is part of net.Conn. It reports a timeout only when a bound has passed and nothing had come then.
-func (c *callerConn) Read(buffer []byte) (int, error) {
+func (c *connection) Read(buffer []byte) (int, error) {
 	c.renew()
 	for {
 		n, err := c.Conn.Read(buffer)
@@ -88,8 +88,8 @@
 }
 
 // took notes what a reading into so many bytes brought.
-func (c *callerConn) took(n, room int, err error) {
-	c.server.usage.received.Add(int64(n))
+func (c *connection) took(n, room int, err error) {
+	c.server.traffic.Received.Add(int64(n))
 	if n > 0 {
 		c.heard(room)
 	}
@@ -108,7 +108,7 @@
 const watchBytes = 1
 
 // heard notes that bytes have come. The bound of a first head goes on from the opening.
-func (c *callerConn) heard(room int) {
+func (c *connection) heard(room int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.phase {
@@ -123,9 +123,9 @@
 }
 
 // Write is part of net.Conn.
-func (c *callerConn) Write(buffer []byte) (int, error) {
+func (c *connection) Write(buffer []byte) (int, error) {
 	n, err := c.Conn.Write(buffer)
-	c.server.usage.sent.Add(int64(n))
+	c.server.traffic.Sent.Add(int64(n))
 	if n > 0 {
 		c.answered.Store(true)
 	}
@@ -133,7 +133,7 @@
 }
 
 // SetReadDeadline is part of net.Conn. Bounds of the connection that end earlier go on.
-func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+func (c *connection) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.given = deadline
@@ -141,12 +141,12 @@
 }
 
 // SetDeadline is part of net.Conn.
-func (c *callerConn) SetDeadline(deadline time.Time) error {
+func (c *connection) SetDeadline(deadline time.Time) error {
 	return errors.CombineErrors(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
 }
 
 // CloseWrite ends what is sent, so that net/http can have an answer arrive before it closes a connection with unread bytes.
-func (c *callerConn) CloseWrite() error {
+func (c *connection) CloseWrite() error {
 	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
 		return half.CloseWrite()
 	}
@@ -155,18 +155,18 @@
 
 // Close is part of net.Conn. A request that has begun to come and was not handed to the handler is told to the figures: nobody else
 // knows of it.
-func (c *callerConn) Close() error {
+func (c *connection) Close() error {
 	if !c.closed.Swap(true) {
 		c.server.remove(c)
 		if inHand, unheard := c.unanswered(); !unheard && !c.handed.Load() && !c.answered.Load() {
-			c.server.figures.headUnanswered(c.closedBy(), c.RemoteAddr().String(), inHand)
+			c.server.observer.HeadUnanswered(c.closedBy(), c.RemoteAddr().String(), inHand)
 		}
 	}
 	return c.Conn.Close()
 }
 
 // unanswered returns for how long a request has been coming, and whether none has begun to.
-func (c *callerConn) unanswered() (inHand time.Duration, unheard bool) {
+func (c *connection) unanswered() (inHand time.Duration, unheard bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return time.Since(c.since), c.phase == phaseNew || c.phase == phaseResting
@@ -174,7 +174,7 @@
 
 // leftWhileAhead tells whether the other side has ended the connection after it had sent the first byte of the next head: net/http reads
 // no further while a request is in hand, and does not see it.
-func (c *callerConn) leftWhileAhead() bool {
+func (c *connection) leftWhileAhead() bool {
 	c.mu.Lock()
 	ahead := c.ahead
 	c.mu.Unlock()
@@ -183,7 +183,7 @@
 }
 
 // closedBy returns who ended the connection. What this side closes without a name is closed by its end.
-func (c *callerConn) closedBy() forward.Closer {
+func (c *connection) closedBy() forward.Closer {
 	closer := forward.Closer(c.closer.Load())
 	if closer == forward.CloserCaller && c.closed.Load() && !c.failed.Load() {
 		return forward.CloserStop
@@ -194,7 +194,7 @@
 // stateChanged is the ConnState hook of the server of callers. net/http calls it from the goroutine that reads the connection, while no
 // other reads.
 func stateChanged(conn net.Conn, state http.ConnState) {
-	c, ofCaller := conn.(*callerConn)
+	c, ofCaller := conn.(*connection)
 	if !ofCaller {
 		return
 	}
@@ -213,7 +213,7 @@
 }
 
 // enter begins a phase.
-func (c *callerConn) enter(next phase) {
+func (c *connection) enter(next phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -230,7 +230,7 @@
 }
 
 // begin begins a phase with a bound of its own. The mutex is held.
-func (c *callerConn) begin(next phase) {
+func (c *connection) begin(next phase) {
 	c.phase, c.since, c.bound = next, time.Now(), c.server.boundOf(next)
 }
 
@@ -242,9 +242,9 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// closerOf returns who ended the connection on which the request of a context came.
-func closerOf(ctx context.Context) forward.Closer {
-	if conn, known := ctx.Value(connKey{}).(*callerConn); known {
+// CloserOf returns who ended the connection on which the request of a context came.
+func CloserOf(ctx context.Context) forward.Closer {
+	if conn, known := ctx.Value(connKey{}).(*connection); known {
 		return conn.closedBy()
 	}
 	return forward.CloserCaller
@@ -253,7 +253,7 @@
 // handing returns a handler that notes on the connections of callers that a request is in hand.
 func handing(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, known := r.Context().Value(connKey{}).(*callerConn); known {
+		if conn, known := r.Context().Value(connKey{}).(*connection); known {
 			conn.handed.Store(true)
 		}
 		handler.ServeHTTP(w, r)
--- a/internal/gateway/leaving.go
+++ b/internal/callers/leaving.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"context"
@@ -14,11 +14,11 @@
 // has come.
 const lookInterval = 200 * time.Millisecond
 
-// untilCallerLeaves returns a handler whose requests end once their caller has closed its connection. The server sees that by itself only
+// UntilCallerLeaves returns a handler whose requests end once their caller has closed its connection. The server sees that by itself only
 // until the first byte of the next request has come: it reads no further before the first one is answered.
-func untilCallerLeaves(handler http.Handler) http.Handler {
+func UntilCallerLeaves(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, known := r.Context().Value(connKey{}).(*callerConn)
+		conn, known := r.Context().Value(connKey{}).(*connection)
 		if !known {
 			handler.ServeHTTP(w, r)
 			return
--- a/internal/gateway/callers_test.go
+++ b/internal/callers/server_test.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"bufio"
@@ -18,7 +18,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
 )
 
@@ -106,10 +105,38 @@
 	return &heldConn{accepted.(*net.TCPConn), &l.before, &l.after, &l.look}, nil
 }
 
+// counted keeps what an observer was told.
+type counted struct {
+	mu   sync.Mutex
+	told []string
+}
+
+// RestedOut is part of Observer.
+func (c *counted) RestedOut() { c.add("rested out") }
+
+// HeadUnanswered is part of Observer.
+func (c *counted) HeadUnanswered(closedBy forward.Closer, _ string, _ time.Duration) {
+	c.add("closed by " + closedBy.String())
+}
+
+func (c *counted) add(told string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = append(c.told, told)
+}
+
+// String returns all that was told.
+func (c *counted) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return strings.Join(c.told, ", ")
+}
+
 // callerBench is a server of callers whose connections can be held. Its handler stands for one that passes requests on to workers.
 type callerBench struct {
-	*callerServer
+	*Server
 	listener *heldListener
+	counted  *counted
 	// ran holds the paths of the requests that reached the handler.
 	ran sync.Map
 	// turn is what comes before the answer to pathTurn.
@@ -128,9 +155,8 @@
 	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	b := &callerBench{listener: &heldListener{Listener: listener}}
-	figures := newFigures(decisionlog.New("a", 16), logger)
-	b.callerServer = newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	b := &callerBench{listener: &heldListener{Listener: listener}, counted: &counted{}}
+	b.Server = NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.ran.Store(r.URL.Path, true)
 		switch r.URL.Path {
 		case pathTurn:
@@ -140,10 +166,10 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(w, "served")
-	}), newLimitUse(Settings{}), figures, logrus.NewEntry(logger))
-	b.setTimeouts(between, first)
-	go func() { _ = b.serve(b.listener) }()
-	t.Cleanup(b.close)
+	}), &Traffic{}, b.counted, logrus.NewEntry(logger))
+	b.SetTimeouts(between, first)
+	go func() { _ = b.Serve(b.listener) }()
+	t.Cleanup(b.Close)
 	return b
 }
 
@@ -152,8 +178,8 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		(&Gateway{callers: b.callerServer}).shutDown(time.Now().Add(testPatience))
-		b.close()
+		ShutDown(time.Now().Add(testPatience), b.Server)
+		b.Close()
 	}()
 	return ended
 }
@@ -290,7 +316,7 @@
 		b := newCallerBench(t, testBound, testBound)
 		kept, fresh := b.dial(t), b.dial(t)
 		kept.ask(t, "/1")
-		b.setTimeouts(time.Hour, time.Hour)
+		b.SetTimeouts(time.Hour, time.Hour)
 		time.Sleep(testStall)
 		kept.ask(t, "/2")
 		fresh.ask(t, "/3")
@@ -309,7 +335,7 @@
 	if earlier.closedWithin(2 * testBound) {
 		t.Error("a connection was closed within its bound")
 	}
-	b.setTimeouts(testBound, 0)
+	b.SetTimeouts(testBound, 0)
 	lowered, fresh, atWork := b.dial(t), b.dial(t), b.dial(t)
 	lowered.ask(t, "/2")
 	b.turn = func() { time.Sleep(testStall) }
@@ -323,7 +349,7 @@
 	if earlier.closedWithin(time.Millisecond) {
 		t.Error("a lowered bound closed a connection that rested before")
 	}
-	b.setTimeouts(0, testBound)
+	b.SetTimeouts(0, testBound)
 	if !b.dial(t).closedWithin(testStall) {
 		t.Error("the bound of the first head was not changed")
 	}
@@ -368,7 +394,7 @@
 	if _, err := net.Dial("tcp4", b.listener.Addr().String()); err == nil {
 		t.Error("a stopped server takes connections")
 	}
-	if open := b.usage.open.Load(); open != 0 {
+	if open := b.traffic.Open.Load(); open != 0 {
 		t.Errorf("%d connections are open", open)
 	}
 }
@@ -439,12 +465,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		side := newSideServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		side := NewSideServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			<-r.Context().Done()
 			_, _ = io.WriteString(w, "nothing new")
-		}), newFigures(decisionlog.New("a", 16), logger), logrus.NewEntry(logger))
-		b := &callerBench{callerServer: side, listener: &heldListener{Listener: listener}}
-		go func() { _ = side.serve(b.listener) }()
+		}), &counted{}, logrus.NewEntry(logger))
+		b := &callerBench{Server: side, listener: &heldListener{Listener: listener}}
+		go func() { _ = side.Serve(b.listener) }()
 		asker := b.dial(t)
 		if err := asker.send(headOf("/1")); err != nil {
 			t.Fatal(err)
@@ -474,7 +500,7 @@
 		<-handled
 		for _, grace := range []time.Duration{lasting, -lasting} {
 			begun := time.Now()
-			(&Gateway{callers: b.callerServer}).shutDown(begun.Add(grace))
+			ShutDown(begun.Add(grace), b.Server)
 			least := max(grace, silenceWhileStopping)
 			if took := time.Since(begun); took < least || took > least+silenceWhileStopping {
 				t.Errorf("with %v of the grace the stop took %v", grace, took)
@@ -554,7 +580,7 @@
 		}
 		own, other := net.Pipe()
 		defer other.Close()
-		conn := newCallerConn(brokenConn{own}, b.callerServer)
+		conn := newConnection(brokenConn{own}, b.Server)
 		b.add(conn)
 		if _, err := conn.Read(make([]byte, 10)); !errors.Is(err, syscall.ETIMEDOUT) {
 			t.Errorf("got %v", err)
@@ -581,10 +607,10 @@
 		{"the caller, with a head under way", half, func(_ *callerBench, caller *testCaller) {
 			_ = caller.Conn.(*net.TCPConn).SetLinger(0) // The connection is reset.
 			_ = caller.Close()
-		}, `closed_by="caller"} 1`},
-		{"the bound on heads", half, func(*callerBench, *testCaller) {}, `closed_by="bound on heads"} 1`},
-		{"the end of a stop", half, func(b *callerBench, _ *testCaller) { b.close() }, `closed_by="stop"} 1`},
-		{"the bound on rest", headOf("/1"), func(*callerBench, *testCaller) {}, metricRestedOut + " 1"},
+		}, "closed by caller"},
+		{"the bound on heads", half, func(*callerBench, *testCaller) {}, "closed by bound on heads"},
+		{"the end of a stop", half, func(b *callerBench, _ *testCaller) { b.Close() }, "closed by stop"},
+		{"the bound on rest", headOf("/1"), func(*callerBench, *testCaller) {}, "rested out"},
 		{"the handler, which reports by itself", headOf(pathAbort), func(*callerBench, *testCaller) {}, ""},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
@@ -596,14 +622,12 @@
 			time.Sleep(testBound / 2) // The head is read.
 			c.end(b, caller)
 			_ = caller.closedWithin(testPatience)
-			for begun := time.Now(); b.usage.open.Load() > 0 && time.Since(begun) < testPatience; {
+			for begun := time.Now(); b.traffic.Open.Load() > 0 && time.Since(begun) < testPatience; {
 				time.Sleep(testBound / 10)
 			}
 			time.Sleep(testBound / 2) // What is counted is counted after that.
-			var text strings.Builder
-			b.figures.set.WritePrometheus(&text)
-			if lines := strings.TrimSpace(text.String()); !strings.HasSuffix(lines, c.want) || strings.Contains(lines, "\n") || (c.want == "" && lines != "") {
-				t.Errorf("counted %q, want %q", lines, c.want)
+			if got := b.counted.String(); got != c.want {
+				t.Errorf("counted %q, want %q", got, c.want)
 			}
 		})
 	}
@@ -617,7 +641,7 @@
 		for _, phase := range []phase{phaseNew, phaseResting, phaseHead, phaseInHand} {
 			own, other := net.Pipe()
 			defer other.Close()
-			conn := newCallerConn(own, b.callerServer)
+			conn := newConnection(own, b.Server)
 			b.add(conn)
 			conn.enter(phase)
 			if phase == phaseHead {
@@ -656,15 +680,15 @@
 func TestAStopAnswersQuestionsThatHaveCome(t *testing.T) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	side := newSideServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "told") }),
-		newFigures(decisionlog.New("a", 16), logger), logrus.NewEntry(logger))
+	side := NewSideServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "told") }),
+		&counted{}, logrus.NewEntry(logger))
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	held := &heldListener{Listener: listener}
-	go func() { _ = side.serve(held) }()
-	t.Cleanup(side.close)
+	go func() { _ = side.Serve(held) }()
+	t.Cleanup(side.Close)
 	asker := (&callerBench{listener: held}).dial(t)
 	asker.ask(t, "/1")
 	time.Sleep(testBound) // The connection rests.
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -207,8 +206,8 @@
 	return fields
 }
 
-// restedOut counts a connection that the bound on resting connections closed.
-func (f *figures) restedOut() { f.set.GetOrCreateCounter(metricRestedOut).Inc() }
+// RestedOut is part of callers.Observer.
+func (f *figures) RestedOut() { f.set.GetOrCreateCounter(metricRestedOut).Inc() }
 
 // countUnanswered counts a request whose caller got no whole answer.
 func (f *figures) countUnanswered(closedBy forward.Closer) {
@@ -241,8 +240,8 @@
 	return forward.Reason("unanswered: " + closedBy.String())
 }
 
-// headUnanswered counts a request whose connection ended before its head was there, or before it was handed on, and writes a line.
-func (f *figures) headUnanswered(closedBy forward.Closer, peer string, inHand time.Duration) {
+// HeadUnanswered is part of callers.Observer. It counts the request, and writes a line.
+func (f *figures) HeadUnanswered(closedBy forward.Closer, peer string, inHand time.Duration) {
 	f.countUnanswered(closedBy)
 	if !f.mayLog(unansweredReason(closedBy)) {
 		return
@@ -252,15 +251,6 @@
 	}).Info("A connection ended with its request unanswered.")
 }
 
-// errorLines takes the lines that servers of net/http write, of panics among others, into the log.
-type errorLines struct{ logger *logrus.Entry }
-
-// Write is part of io.Writer.
-func (e errorLines) Write(line []byte) (int, error) {
-	e.logger.Error(strings.TrimSpace(string(line)))
-	return len(line), nil
-}
-
 // ServeHTTP is part of http.Handler.
 func (f *figures) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
 	f.set.WritePrometheus(writer)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/granitebay/granitebay/internal/accepting"
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/callers"
 	"github.com/granitebay/granitebay/internal/capacity"
 	"github.com/granitebay/granitebay/internal/changefeed"
 	"github.com/granitebay/granitebay/internal/cluster"
@@ -70,7 +71,7 @@
 	replica      *store.Replica
 	registration *member.Registration
 	controller   *roles.Controller
-	callers      *callerServer
+	callers      *callers.Server
 	accepting    *accepting.Loop
 	metrics      *figures
 	sharing      *loadshare.Exchange
@@ -102,7 +103,7 @@
 	learn chan struct{}
 
 	leaving atomic.Bool
-	servers []*callerServer
+	servers []*callers.Server
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 }
@@ -127,8 +128,8 @@
 	g.dispatcher.WatchBudgets(g.budgetUsedUp)
 	g.handler = forward.NewHandler(forward.DefaultSettings(), ports.Protocol, ports.Workers, g.dispatcher, g.metrics)
 	g.handler.SetFreshness(func() bool { return g.view.IsFresh(settings.ConfigurationAge) })
-	g.handler.NameClosers(closerOf)
-	g.callers = newCallerServer(untilCallerLeaves(g.handler), g.limitUse, g.metrics, logging.Part(logger, "gateway"))
+	g.handler.NameClosers(callers.CloserOf)
+	g.callers = callers.NewServer(callers.UntilCallerLeaves(g.handler), &g.limitUse.traffic, g.metrics, logging.Part(logger, "gateway"))
 	g.bars = newBars(g, ports.Prober)
 	g.handler.GuardWorkers(g.bars.guard)
 	g.handler.ChooseForSuspects(g.isChosen)
@@ -177,15 +178,6 @@
 // everything is the prefix of all keys: one watch serves configuration, workers and gateways.
 const everything = ""
 
-// defaultIdleTimeout bounds resting connections before a configuration is known.
-const defaultIdleTimeout = 15 * time.Second
-
-// Server limits that no configuration changes.
-const (
-	maxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 10 * time.Second
-)
-
 // Start listens and begins to serve.
 func (g *Gateway) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -207,8 +199,8 @@
 		if service.address == "" {
 			continue
 		}
-		server := newSideServer(service.handler, g.metrics, logging.Part(g.logger, "gateway"))
-		if err := g.listen(service.address, server.serve); err != nil {
+		server := callers.NewSideServer(service.handler, g.metrics, logging.Part(g.logger, "gateway"))
+		if err := g.listen(service.address, server.Serve); err != nil {
 			g.close()
 			return err
 		}
@@ -287,7 +279,7 @@
 
 // serveCallers serves callers, and sees what accepts their connections.
 func (g *Gateway) serveCallers(listener net.Listener) error {
-	return g.callers.serve(g.accepting.Watch(listener))
+	return g.callers.Serve(g.accepting.Watch(listener))
 }
 
 // Ready tells whether the gateway takes requests, and new connections for them.
@@ -331,41 +323,20 @@
 	for g.handler.Active() > 0 && time.Now().Before(end) {
 		time.Sleep(stopPoll)
 	}
-	g.shutDown(end)
+	callers.ShutDown(end, append(g.servers, g.callers)...)
 	lines.WithField("unfinished", g.handler.Active()).Info("Stopped.")
 	g.close()
 }
 
-// silenceWhileStopping is how long a new connection on which nothing has come may stay open after a stop began to close connections: its
-// first request may be on its way. Nothing else in a stop waits for silent callers.
-const silenceWhileStopping = 300 * time.Millisecond
-
-// shutDown closes the listeners and the connections that rest, and waits until a time for those on which a request or a head has begun to
-// come; when that has passed, for as long as for new connections. Before this moment no connection is closed from this side: a request may
-// be on its way on any of them.
-func (g *Gateway) shutDown(end time.Time) {
-	if least := time.Now().Add(silenceWhileStopping); end.Before(least) {
-		end = least
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	var servers sync.WaitGroup
-	servers.Go(func() { g.callers.shutDown(ctx) })
-	for _, server := range g.servers {
-		servers.Go(func() { server.shutDown(ctx) })
-	}
-	servers.Wait()
-}
-
 // close ends everything at once.
 func (g *Gateway) close() {
 	g.cancel()
 	if g.sharing != nil {
 		g.sharing.Close()
 	}
-	g.callers.close()
+	g.callers.Close()
 	for _, server := range g.servers {
-		server.close()
+		server.Close()
 	}
 	g.tasks.Wait()
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,17 +2,18 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/callers"
 )
 
 // limitUse tells what the process uses of its limits: processor, link and descriptors. It is safe for concurrent use.
 type limitUse struct {
 	cores, linkMbps float64
 	descriptors     int
-	// received and sent count bytes on connections of callers, open counts these connections.
-	received, sent, open atomic.Int64
+	// traffic is that of the connections of callers.
+	traffic callers.Traffic
 
 	mu   sync.Mutex
 	at   time.Time
@@ -51,7 +52,7 @@
 	if took < usageInterval {
 		return u.share
 	}
-	used := totals{processor: processorTime(), received: u.received.Load(), sent: u.sent.Load()}
+	used := totals{processor: processorTime(), received: u.traffic.Received.Load(), sent: u.traffic.Sent.Load()}
 	u.share = u.shareOf(used, took)
 	u.at, u.used = now, used
 	return u.share
@@ -68,7 +69,7 @@
 		share = max(share, float64(bytes)*8/took.Seconds()/(u.linkMbps*1e6))
 	}
 	if u.descriptors > 0 {
-		share = max(share, float64(u.open.Load()*descriptorFactor)/float64(u.descriptors))
+		share = max(share, float64(u.traffic.Open.Load()*descriptorFactor)/float64(u.descriptors))
 	}
 	return share
 }
