--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -66,6 +66,8 @@
 	// engines holds the engines of each group.
 	engines map[string]*routing.Engine
 	offered map[string]*offered
+	// chosen is told of each choice; nil is nobody.
+	chosen func(took time.Duration, candidates int)
 	// recorded are the workers as they were told, without what is known of them beyond that.
 	recorded backend.Set
 }
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -39,12 +39,33 @@
 func (d *Dispatcher) Place(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	begun := time.Now()
+	place := d.placeOnEngines
 	if group.Engine == nil {
-		return d.placePlain(request, group, options)
+		place = d.placePlain
+	}
+	placement, found := place(request, group, options)
+	if d.chosen != nil {
+		d.chosen(time.Since(begun), placement.candidates())
+	}
+	return placement, found
+}
+
+// candidates returns how many workers were looked at for the first call of a placement; none without one.
+func (p *Placement) candidates() int {
+	switch {
+	case p == nil:
+		return 0
+	case p.Reader != nil:
+		return p.Reader.Candidates
+	default:
+		return p.Runner.Candidates
 	}
-	return d.placeOnEngines(request, group, options)
 }
 
+// WatchChoices tells whom to tell how long each choice of workers took, and how many were looked at. It is called before the first request.
+func (d *Dispatcher) WatchChoices(chosen func(took time.Duration, candidates int)) { d.chosen = chosen }
+
 // placePlain picks a plain worker.
 func (d *Dispatcher) placePlain(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	choice, found := d.balancer.Pick(d.now(), balance.Query{
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -16,6 +16,7 @@
 	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/logging"
+	"github.com/granitebay/granitebay/internal/store"
 	"github.com/granitebay/granitebay/internal/usage"
 )
 
@@ -42,6 +43,8 @@
 	set       *metrics.Set
 	decisions *decisionlog.Log
 	logger    *logrus.Entry
+	// choice and candidates are those of choices of workers.
+	choice, candidates *metrics.Histogram
 	// budgets returns the budgets of repeats; nil returns none.
 	budgets func() []forward.BudgetView
 	// duties writes the figures of what this gateway does for all; nil writes none.
@@ -54,8 +57,10 @@
 
 // newFigures returns figures that are all zero.
 func newFigures(decisions *decisionlog.Log, logger *logrus.Logger) *figures {
+	set := metrics.NewSet()
 	return &figures{
-		set: metrics.NewSet(), decisions: decisions, logger: logging.Part(logger, "request"), bounds: map[forward.Reason]*rate.Limiter{},
+		set: set, decisions: decisions, logger: logging.Part(logger, "request"), bounds: map[forward.Reason]*rate.Limiter{},
+		choice: set.NewHistogram(metricChoice), candidates: set.NewHistogram(metricCandidates),
 	}
 }
 
@@ -71,6 +76,24 @@
 	f.budgets = g.dispatcher.Budgets
 }
 
+// Names of the figures of what grows with the fleet.
+const (
+	metricStoreCalls = "granitebay_store_calls_total"
+	metricChoice     = "granitebay_choice_seconds"
+	metricCandidates = "granitebay_choice_candidates"
+)
+
+// storeCalled counts a call to the store.
+func (f *figures) storeCalled(call store.Call, _ time.Duration, err error) {
+	f.set.GetOrCreateCounter(fmt.Sprintf(`%s{call=%q,failed="%t"}`, metricStoreCalls, call, err != nil)).Inc()
+}
+
+// chosen notes how long the choice of workers for a request took, and how many were looked at last.
+func (f *figures) chosen(took time.Duration, candidates int) {
+	f.choice.Update(took.Seconds())
+	f.candidates.Update(float64(candidates))
+}
+
 // workerEnded counts a worker of a group that ended under requests.
 func (f *figures) workerEnded(group string) {
 	f.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q}`, metricWorkerEnds, group)).Inc()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,8 @@
 	g.learn = make(chan struct{}, 1)
 	g.decisions = decisionlog.New(settings.Name, keptDecisions)
 	g.metrics = newFigures(g.decisions, logger)
+	g.ports.Store = store.Counted(ports.Store, g.metrics.storeCalled)
+	ports.Store = g.ports.Store
 	g.grace.Store(int64(settings.Grace))
 	g.addressTTL.Store(int64(min(settings.AddressTTL, settings.MaxAddressTTL)))
 	dispatch := forward.DefaultDispatchSettings()
@@ -126,6 +128,7 @@
 	dispatch.Budget = budgetOf(settings)
 	g.dispatcher = forward.NewDispatcher(dispatch, time.Now)
 	g.dispatcher.WatchBudgets(g.budgetUsedUp)
+	g.dispatcher.WatchChoices(g.metrics.chosen)
 	g.handler = forward.NewHandler(forward.DefaultSettings(), ports.Protocol, ports.Workers, g.dispatcher, g.metrics)
 	g.handler.SetFreshness(func() bool { return g.view.IsFresh(settings.ConfigurationAge) })
 	g.handler.NameClosers(callers.CloserOf)
