A precaution that can't even the roles is none

Change: half of the engines for each role where that takes no more than one and a half times the square root (1 of 12, 12 of 130, 15 of 163), and none otherwise.

--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -193,7 +193,7 @@
 	room := float64(writers.live-1) >= p.settings.Room*writing && !p.rescues.calm(now)
 	fullWriters := running > p.settings.FullUse*float64(writers.count)
 	switch {
-	case unknown && writers.count-readers.count >= 2 && p.canGive(writers, readers) && p.takesPrecaution():
+	case unknown && writers.count-readers.count >= 2 && p.canGive(writers, readers) && p.takesPrecaution((writers.count-readers.count)/2):
 		return p.change(now, writers, backend.RolePrefill, "Nothing is known of the mix yet, so each role gets half.")
 	case p.fewer(readers, writers) && p.canGive(writers, readers) && (readers.count == 0 || !p.rescues.calm(now)):
 		return p.change(now, writers, backend.RolePrefill, "There are fewer readers than the least share.")
@@ -208,11 +208,15 @@
 	}
 }
 
-// takesPrecaution counts a change for a demand that is not known yet, and tells whether it may be made. What a demand that is not known may
-// need beyond the shares that the engines have grows with its spread, and that with the square root of its size, as in staffing by the
-// square root; a fleet of ten thousand engines is not to be ordered about by the hundreds for nothing.
-func (p *Planner) takesPrecaution() bool {
-	if float64(p.precautions*p.precautions) >= float64(p.engines) {
+// precautionFactor times the square root of the number of engines is the most that are moved for a demand that is not known yet: the spread
+// of a demand grows with the square root of its size, as in staffing by the square root.
+const precautionFactor = 1.5
+
+// takesPrecaution counts a change for a demand that is not known yet, and tells whether it may be made: so many more are missing until both
+// roles have half. Where that takes more than the bound, a part of it would make no difference, and a fleet of ten thousand engines would
+// be ordered about by the hundreds for nothing.
+func (p *Planner) takesPrecaution(missing int) bool {
+	if float64(p.precautions+missing) > precautionFactor*math.Sqrt(float64(p.engines)) {
 		return false
 	}
 	p.precautions++
