A store that forgets its history is listed by one, and costs those that stand by only what has changed

Cause: each entry lists everything when the history is gone, 55 calls each, some 26 times. What came and went between two lists is not seen, so that whoever knew a revision in between was told everything: 420 kB, and between is where each stand-by is that asks two tellers by turns. 82 of them at each of twelve entries filled their links and memory. It held while a whole answer was small. Beside that, a stand-by that is told nothing took itself for up to date, because the store answered its renewals.

Change: the answer to one in between has the changes since before the list, and says from when to when; what the one that asks knows of that time and is not told is gone. Of the entries one lists, by rendezvous; the others ask it, and list only if it does not know more within a second. Sixteen large answers at a time, whose head is sent before they wait. Renewals count as news only where a gateway follows the store itself.

Ruled out: no pause between watches (each change within the milliseconds of a call still ends in a list, more often); stale lists (their revision may be forgotten, too).

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -48,13 +48,20 @@
 // Handler answers what this gateway knows. Entries names those of this gateway, and which of them it has heard.
 func Handler(source Source, entries func() (all, sound []string)) http.Handler {
 	mux := http.NewServeMux()
+	large := make(chan struct{}, largeAtOnce)
 	mux.HandleFunc("GET "+pathSnapshot, func(w http.ResponseWriter, _ *http.Request) { tellSnapshot(w, source) })
-	mux.HandleFunc("GET "+pathChanges, func(w http.ResponseWriter, r *http.Request) { tellChanges(w, r, source, entries) })
+	mux.HandleFunc("GET "+pathChanges, func(w http.ResponseWriter, r *http.Request) { tellChanges(w, r, source, entries, large) })
 	return mux
 }
 
+// largeAtOnce is how many answers with everything, or with a whole shard, are on their way at a moment: hundreds of gateways may ask for them
+// at once, and each answer takes some megabytes until it is sent.
+const largeAtOnce = 16
+
 // tellChanges answers one question for changes.
-func tellChanges(w http.ResponseWriter, r *http.Request, source Source, entries func() (all, sound []string)) {
+func tellChanges(
+	w http.ResponseWriter, r *http.Request, source Source, entries func() (all, sound []string), large chan struct{},
+) {
 	question, err := questionOf(r.URL.Query())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -65,8 +72,22 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	changes.Entries, changes.Sound = entries()
 	w.Header().Set("Content-Type", "application/json")
+	if changes.Full || changes.Whole {
+		// The one that asks hears that its answer comes, and waits for it as long as for a body. An error is that of a peer that has left.
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case large <- struct{}{}:
+			defer func() { <-large }()
+		case <-r.Context().Done():
+			return
+		}
+		// What was gathered before the wait may be old by now. An answer without a body tells nothing.
+		if changes, known = source.Changes(question); !known {
+			return
+		}
+	}
+	changes.Entries, changes.Sound = entries()
 	// An error is that of a peer that has left.
 	_ = json.NewEncoder(w).Encode(changes)
 }
--- a/internal/changefeed/follower.go
+++ b/internal/changefeed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -109,7 +110,7 @@
 func (f *Follower) Next(ctx context.Context, question store.Question) (store.Changes, error) {
 	var doubtful *store.Changes
 	for range mostAsked {
-		teller, found := f.next(time.Now())
+		teller, found := f.next(time.Now(), question.Teller)
 		if !found {
 			break
 		}
@@ -141,10 +142,17 @@
 	return store.Changes{}, store.ErrNobody
 }
 
-// next returns the teller whose turn it is: one of the own zone, or else of any, that has not failed of late.
-func (f *Follower) next(now time.Time) (Teller, bool) {
+// next returns the teller of a name, or without one that whose turn it is: one of the own zone, or else of any, that has not failed of late.
+func (f *Follower) next(now time.Time, name string) (Teller, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if name != "" {
+		at := slices.IndexFunc(f.tellers, func(teller Teller) bool { return teller.Name == name && !now.Before(f.avoided[teller.Address]) })
+		if at < 0 {
+			return Teller{}, false
+		}
+		return f.tellers[at], true
+	}
 	f.turn++
 	var near, far []Teller
 	for _, teller := range f.tellers {
--- a/internal/cluster/gateways.go
+++ b/internal/cluster/gateways.go
@@ -6,12 +6,16 @@
 	"github.com/granitebay/granitebay/internal/member"
 )
 
-// Connected tells that the store has answered this process.
-func (v *View) Connected() {
+// Connected tells that the store has answered this process. It makes what is known of the configuration fresh only where this process follows
+// the store itself: one that learns from others may be answered by the store, and be told nothing.
+func (v *View) Connected(followsStore bool) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.answeredAt = v.now()
-	v.gateways.Connected(v.answeredAt)
+	now := v.now()
+	if followsStore {
+		v.answeredAt = now
+	}
+	v.gateways.Connected(now)
 }
 
 // Told takes the names of the entries of another gateway, and of those among them that it has heard.
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -208,3 +208,26 @@
 		}
 	}
 }
+
+// TestOneThatIsToldNothingKnowsThatItsConfigurationMayBeOld has the store answer the renewals of a gateway that learns from others, while
+// those tell it nothing: it must not deny what a newer configuration allows.
+func TestOneThatIsToldNothingKnowsThatItsConfigurationMayBeOld(t *testing.T) {
+	view, _ := newTestView()
+	now := time.Unix(1000, 0)
+	view.now = func() time.Time { return now }
+	view.Current(now)
+	now = now.Add(4 * time.Second)
+	view.Connected(false)
+	if view.IsFresh(3 * time.Second) {
+		t.Error("a renewal made it fresh")
+	}
+	view.Current(now)
+	if !view.IsFresh(3 * time.Second) {
+		t.Error("it was told, and is not fresh")
+	}
+	now = now.Add(4 * time.Second)
+	view.Connected(true)
+	if !view.IsFresh(3 * time.Second) {
+		t.Error("one that follows the store itself was answered, and is not fresh")
+	}
+}
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -136,6 +136,15 @@
 	return rendezvous.First(key, namesOf(g.named())) == g.settings.Name
 }
 
+// lister returns which gateway lists the store for all that take requests, and whether it is this one. Those that know the same ones agree.
+func (g *Gateway) lister() (string, bool) {
+	name := rendezvous.First(listerKey, namesOf(g.named()))
+	return name, name == g.settings.Name
+}
+
+// listerKey chooses the gateway that lists the store for all.
+const listerKey = "lister"
+
 // namesOf returns the names of gateways.
 func namesOf(gateways []member.Gateway) []string {
 	return lo.Map(gateways, func(gateway member.Gateway, _ int) string { return gateway.Name })
@@ -249,7 +258,7 @@
 // leased tells the controller of the lease with which it may hold its key: that of a gateway that takes requests. One that stands
 // by has a lease so long that nobody could follow it in time.
 func (g *Gateway) leased(begun time.Time, lease int64, ttl time.Duration) {
-	g.view.Connected()
+	g.view.Connected(g.takesRequests())
 	g.replica.Answered()
 	if ttl > g.settings.LeaseTTL {
 		lease = 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,6 +168,7 @@
 	g.follower = changefeed.NewFollower(settings.Name, settings.Zone, g.entriesTold)
 	g.follower.SetBound(settings.ConfigurationAge)
 	g.replica.SetFeed(g.follower)
+	g.replica.SetLister(g.lister)
 	g.replica.SetKnownWithin(settings.ConfigurationAge)
 	g.replica.SetFreshFor(retrybudget.FreshFor(settings.RetryWindow))
 	g.used = newUsedCounts(g)
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,10 @@
 	Revision int64 `json:"revision"`
 	// StoreLost is set while the teller can't reach the store itself.
 	StoreLost bool `json:"storeLost,omitempty"`
+	// After and Until are set when lists of the teller may have hidden items that came and went between these revisions: the changes are all
+	// after the first one, and what the one that asks knows of a revision between both and is not told is gone.
+	After int64 `json:"after,omitempty"`
+	Until int64 `json:"until,omitempty"`
 	// Shards is of how many shards the items that are divided are those of one, and Whole is set when all of that shard are told, because
 	// the one that asked held another.
 	Shards int  `json:"shards,omitempty"`
@@ -48,6 +53,8 @@
 	Upto   string
 	// All is set when all shards are wanted.
 	All bool
+	// Teller is the name of the process that is to be asked; empty is any.
+	Teller string
 }
 
 // Feed tells what other processes know of the store.
@@ -84,24 +91,32 @@
 
 // follow takes the next changes from the feed.
 func (r *Replica) follow(ctx context.Context, wait time.Duration) error {
-	r.mutex.Lock()
-	question := Question{
-		After: r.after, Wait: wait, Shards: r.shards, Seat: r.settings.Seat, Upto: r.listed, All: !r.calm.Load(),
-	}
-	r.mutex.Unlock()
 	sleep(ctx, time.Until(r.followed.Add(r.settings.FeedPause)))
 	begun := boottime.Now()
-	changes, err := r.feed.Next(ctx, question)
+	changes, err := r.feed.Next(ctx, r.question(wait))
 	r.followed = time.Now()
 	if err != nil {
 		return err
 	}
+	r.take(begun, changes)
+	return nil
+}
+
+// question asks for what came after what is known.
+func (r *Replica) question(wait time.Duration) Question {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return Question{After: r.after, Wait: wait, Shards: r.shards, Seat: r.settings.Seat, Upto: r.listed, All: !r.calm.Load()}
+}
+
+// take takes what a feed told, to a question that was begun at a moment.
+func (r *Replica) take(begun time.Time, changes Changes) {
 	if changes.StoreLost {
 		r.consumer.Lost(errToldLost)
 	}
 	if changes.Full || changes.Whole {
 		r.replace(r.told(changes))
-	} else if fresh := r.fresh(changes.Changed, changes.Revision); len(fresh) > 0 {
+	} else if fresh := r.fresh(slices.Concat(r.hidden(changes), changes.Changed), changes.Revision); len(fresh) > 0 {
 		r.consumer.Apply(fresh)
 	}
 	if !changes.StoreLost {
@@ -109,9 +124,55 @@
 		r.doubted = false
 		r.consumer.Current(r.knownSince(changes.knownAt(begun)))
 	}
-	return nil
 }
 
+// hidden returns the ends of items that are known here and went without being seen by the teller.
+func (r *Replica) hidden(changes Changes) []Event {
+	if changes.Until == 0 {
+		return nil
+	}
+	told := make(map[string]bool, len(changes.Changed))
+	for _, change := range changes.Changed {
+		told[change.Key] = true
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var gone []Event
+	for event := range r.known.after(changes.After) {
+		if event.Revision < changes.Until && !event.Deleted && !told[event.Key] {
+			gone = append(gone, Event{Item: Item{Key: event.Key, Revision: changes.Until}, Deleted: true})
+		}
+	}
+	return gone
+}
+
+// learnInstead takes from another process what a list would tell, after the store has forgotten the changes that come next. Of all that watch
+// the store one lists it, and the others learn from that one: a list of a large fleet is dozens of calls. It tells whether that went well.
+func (r *Replica) learnInstead(ctx context.Context) bool {
+	if r.feed == nil || r.lister == nil {
+		return false
+	}
+	lister, isOwn := r.lister()
+	if isOwn || lister == "" {
+		return false
+	}
+	question := r.question(listWait)
+	question.Teller = lister
+	begun := boottime.Now()
+	changes, err := r.feed.Next(ctx, question)
+	if err != nil || changes.StoreLost || changes.Revision <= question.After {
+		return false
+	}
+	r.take(begun, changes)
+	return true
+}
+
+// listWait is how long the one that lists the store for others is waited for: dozens of calls of some milliseconds.
+const listWait = time.Second
+
+// SetLister tells which process lists the store for all that watch it, by its name, and whether it is this one. It is called before Run.
+func (r *Replica) SetLister(lister func() (name string, isOwn bool)) { r.lister = lister }
+
 // knownAt returns the moment up to which the changes are all for sure, for a question that was begun at another one: the teller said its
 // age later. It is zero when that is not known.
 func (c Changes) knownAt(begun time.Time) time.Time {
@@ -155,7 +216,7 @@
 	if r.known == nil || r.calm.Load() || r.shards != 1 {
 		return Changes{}, false
 	}
-	changes := Changes{Revision: r.after, Full: !r.tellsAllAfter(question.After), StoreLost: r.storeLost, Shards: 1}
+	changes := Changes{Revision: r.after, Full: question.After < r.completeFrom, StoreLost: r.storeLost, Shards: 1}
 	if !question.All {
 		changes.Shards = shardsFor(r.sharded, question.Shards)
 	}
@@ -167,6 +228,10 @@
 		return changes, true
 	}
 	changes.Unhurried = true
+	if question.After > r.gapFrom && question.After < r.gapTo {
+		changes.After, changes.Until, changes.Unhurried = r.gapFrom, r.gapTo, false
+		question.After = r.gapFrom
+	}
 	for event := range r.known.after(question.After) {
 		if !r.isSharded(event.Key) || inShard(event.Key, question.Seat, changes.Shards) {
 			changes.Changed = append(changes.Changed, event)
@@ -208,11 +273,6 @@
 	return &since
 }
 
-// tellsAllAfter tells whether no change after a revision is missing in what is known. The mutex is held.
-func (r *Replica) tellsAllAfter(revision int64) bool {
-	return revision >= r.completeFrom && (revision <= r.gapFrom || revision >= r.gapTo)
-}
-
 // Changed returns a channel that is closed when the replica takes the next changes.
 func (r *Replica) Changed() <-chan struct{} {
 	r.mutex.Lock()
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -76,6 +76,8 @@
 	fallback Fallback
 	// feed tells what other processes know; nil is nobody.
 	feed Feed
+	// lister tells which process lists the store for all; nil is each for itself.
+	lister func() (name string, isOwn bool)
 	// followed is when the feed was asked last.
 	followed time.Time
 
@@ -448,6 +450,9 @@
 	events, at, err := r.store.Watch(watchCtx, r.prefix, r.after, wait)
 	switch {
 	case errors.Is(err, ErrCompacted):
+		if r.learnInstead(ctx) {
+			return nil
+		}
 		return r.list(ctx)
 	case err != nil && context.Cause(watchCtx) != nil && ctx.Err() == nil:
 		return errRenewed
--- a/internal/store/shard_test.go
+++ b/internal/store/shard_test.go
@@ -261,3 +261,71 @@
 		}
 	}
 }
+
+// TestOneListsForAllAfterTheHistoryIsGone has the store forget its history. The process that lists it for all does; another one that watches
+// it learns from that one, and lists it itself only if that one tells nothing.
+func TestOneListsForAllAfterTheHistoryIsGone(t *testing.T) {
+	compacted := func(int64) ([]Event, int64, error) { return nil, 0, ErrCompacted }
+	for _, test := range []struct {
+		desc  string
+		told  Changes
+		err   error
+		lists int
+	}{
+		{"the lister tells", Changes{Changed: []Event{{Item: item("b", 7)}}, Revision: 8, Shards: 1}, nil, 0},
+		{"the lister knows no more", Changes{Revision: 5, Shards: 1}, nil, 1},
+		{"the lister does not answer", Changes{}, ErrNobody, 1},
+	} {
+		lists := 0
+		store := &fakeStore{events: make(chan func(int64) ([]Event, int64, error), 1)}
+		store.lists = []func() ([]Item, int64, error){func() ([]Item, int64, error) {
+			lists++
+			return []Item{item("a", 3), item("b", 7)}, 8, nil
+		}}
+		replica, recorded := newSharded(store, 0)
+		replica.replace(Snapshot{Items: []Item{item("a", 3)}, Revision: 5})
+		asked := ""
+		replica.SetFeed(scriptFeed(func(question Question) (Changes, error) {
+			asked = question.Teller
+			return test.told, test.err
+		}))
+		replica.SetLister(func() (string, bool) { return "one", false })
+		store.events <- compacted
+		if err := replica.watch(t.Context()); err != nil || lists != test.lists || asked != "one" || recorded.String() != "a=3 b=7" {
+			t.Errorf("%s: %v, %d lists, asked %q, told %s", test.desc, err, lists, asked, recorded)
+		}
+	}
+}
+
+// scriptFeed answers each question by a function.
+type scriptFeed func(question Question) (Changes, error)
+
+// Next is part of Feed.
+func (f scriptFeed) Next(_ context.Context, question Question) (Changes, error) { return f(question) }
+
+// TestAListOfATellerCostsThoseThatLearnOnlyWhatHasChanged guards against hundreds of gateways being told everything each time the store forgets
+// its history: lists hide what came and went between two of them, and those that learn know revisions in between from others.
+func TestAListOfATellerCostsThoseThatLearnOnlyWhatHasChanged(t *testing.T) {
+	teller, _ := newSharded(nil, 0)
+	var items []Item
+	for i := range 1_000 {
+		items = append(items, item(fmt.Sprint("gateways/", i), int64(i+1)))
+	}
+	teller.replace(Snapshot{Items: items, Revision: 1_000})
+	teller.replace(Snapshot{Items: append(items, item("configuration", 1_040)), Revision: 1_050})
+	told, recorded := newSharded(nil, 0)
+	told.replace(Snapshot{Items: append(items, item("came-and-went", 1_010)), Revision: 1_020})
+	told.SetFeed(askedFeed(func(question Question) (Changes, bool) {
+		changes, known := teller.Changes(question)
+		if changes.Full || len(changes.Changed) > 2 {
+			t.Errorf("told %d changes, everything: %t", len(changes.Changed), changes.Full)
+		}
+		return changes, known
+	}))
+	if err := told.follow(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+	if held := recorded.String(); strings.Contains(held, "came-and-went") || !strings.Contains(held, "configuration=1040") || told.after != 1_050 {
+		t.Errorf("it holds %s", held)
+	}
+}
