A silent worker is left only if there is another

Found by platform.TestAStopCutsNoRequest beside load 68 on 16 cores: one of twelve streams got 502 after 169 ms. Traced by its log: the only worker of the role was taken to be silent, the try was given up with a repeat at hand, and nobody else could be asked. It has nothing to do with the stop.

Change: another worker that takes work is looked for before one is given up. Test: the only worker of a group answers after 300 ms; 502 before, its answer now.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -182,7 +182,7 @@
 	silence := &silence{}
 	c.relay.mayPass = silence.end
 	if patience := c.patience(runner); patience > 0 {
-		timer := time.AfterFunc(patience, func() { c.leave(silence, cancel) })
+		timer := time.AfterFunc(patience, func() { c.leave(silence, cancel, runner.Worker.ID) })
 		defer timer.Stop()
 	}
 	options.ResumeAfter = c.relay.lastEvent
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -311,6 +311,26 @@
 	}
 }
 
+// TestTheOnlyWorkerIsNotLeft has the only worker of a group be silent for longer than others are waited for. Nobody else could answer, so
+// that it is waited for.
+func TestTheOnlyWorkerIsNotLeft(t *testing.T) {
+	rule := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Objective: 50 * time.Millisecond}
+	b := newBench(t, benchOptions{rule: rule, allowance: 10}, &fakeWorkers{run: func(ctx context.Context, _ int, _ *backend.Worker, _ RunOptions) (*Answer, error) {
+		select {
+		case <-ctx.Done():
+			return silent(ctx)
+		case <-time.After(300 * time.Millisecond):
+			return whole(200, "late"), nil
+		}
+	}})
+	only := &backend.Worker{ID: "only", Group: "g", Address: "only", Slots: 4}
+	b.handler.dispatcher.SetWorkers(backend.Set{only.ID: only})
+	response, body, err := b.get(t)
+	if err != nil || response.StatusCode != 200 || body != "late" {
+		t.Errorf("got %v, %q, %v", response, body, err)
+	}
+}
+
 // lateReader gives its bytes once a context has ended, and then fails as a connection that was closed.
 type lateReader struct {
 	ctx  context.Context
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -66,6 +66,17 @@
 // WatchChoices tells whom to tell how long each choice of workers took, and how many were looked at. It is called before the first request.
 func (d *Dispatcher) WatchChoices(chosen func(took time.Duration, candidates int)) { d.chosen = chosen }
 
+// hasOther tells whether another worker than some could run a request.
+func (d *Dispatcher) hasOther(request *Request, group *routing.Group, excluded []string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	query := balance.Query{Request: request.ID, Group: group.Name, Role: backend.RoleDecode, Zone: d.settings.Zone, Excluded: excluded, Gather: true}
+	if group.Engine == nil {
+		query.Role = backend.RoleNone
+	}
+	return d.balancer.Home(d.now(), query) != nil
+}
+
 // placePlain picks a plain worker.
 func (d *Dispatcher) placePlain(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	choice, found := d.balancer.Pick(d.now(), balance.Query{
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,9 +15,12 @@
 	return runner.patience()
 }
 
-// leave gives up a silent worker if there is a repeat for another one. Otherwise the worker may still answer.
-func (c *call) leave(silence *silence, cancel context.CancelCauseFunc) {
+// leave gives up a silent worker if there are another one and a repeat for it. Otherwise the worker may still answer.
+func (c *call) leave(silence *silence, cancel context.CancelCauseFunc, worker string) {
 	silence.leave(func() bool {
+		if !c.handler.dispatcher.hasOther(c.request, c.match.Group, append(slices.Clone(c.attempts.excluded), worker)) {
+			return false
+		}
 		if !c.handler.dispatcher.Repeats(c.match.Group.Name).spend() {
 			return false
 		}
