--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -226,15 +226,21 @@
 
 // Times of a process that has begun without its shard.
 const (
-	// shardPatience is how long its feed is waited for: those that tell it list everything first, within what a start may take.
-	shardPatience = 3 * time.Second
+	// shardPatience is how long its feed is waited for: those that tell it list everything first, within what a start may take. It is no more
+	// than shardPatienceShare of the time within which changes have to be known, since nothing new is heard meanwhile.
+	shardPatience      = 3 * time.Second
+	shardPatienceShare = 0.4
 	// shardPause is the pause between two questions that nobody answers.
 	shardPause = 150 * time.Millisecond
 )
 
 // awaitsShard tells whether a process that knows nothing of what is divided waits for its feed, and does not list the store yet.
 func (r *Replica) awaitsShard() bool {
-	return r.shards == 0 && boottime.Now().Sub(r.begunAt) < shardPatience
+	patience := shardPatience
+	if bound := r.knownWithin.Load(); bound > 0 {
+		patience = min(patience, time.Duration(shardPatienceShare*float64(bound)))
+	}
+	return r.shards == 0 && boottime.Now().Sub(r.begunAt) < patience
 }
 
 // setStoreLost notes whether the store answers.
