Who stands by leaves lists of the store to those that tell it

Cause: tellers that have lost the store let each of those that ask try it, once in 2.5 s; the history being gone, each try became a list of everything, 3.6 MB for each of 926. It held while few stood by and the list was short.

Change: one that holds its shard and was told something within two fifths of the bound of changes does not list, but asks its tellers again; a watch of its own lasts half of that time at the most. Test: none while it is told, one after nobody has told it for long.

--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -106,6 +106,7 @@
 
 // take takes what a feed told, to a question that was begun at a moment.
 func (r *Replica) take(begun time.Time, changes Changes) {
+	r.toldAt = boottime.Now()
 	if changes.StoreLost {
 		r.consumer.Lost(errToldLost)
 	}
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -99,8 +99,8 @@
 	// is the last key of the rest that was listed.
 	shards int
 	listed string
-	// begunAt is when this process began without a shard.
-	begunAt time.Time
+	// begunAt is when this process began without a shard, and toldAt when a feed told it something, or that there was nothing.
+	begunAt, toldAt time.Time
 	// sharded counts the items that are divided and there.
 	sharded int
 	// completeFrom is the revision after which no change is missing in known, deletions included.
@@ -236,11 +236,22 @@
 
 // awaitsShard tells whether a process that knows nothing of what is divided waits for its feed, and does not list the store yet.
 func (r *Replica) awaitsShard() bool {
-	patience := shardPatience
+	return r.shards == 0 && boottime.Now().Sub(r.begunAt) < r.patience()
+}
+
+// patience is how long a process that is calm goes without its feed before it lists the store.
+func (r *Replica) patience() time.Duration {
 	if bound := r.knownWithin.Load(); bound > 0 {
-		patience = min(patience, time.Duration(shardPatienceShare*float64(bound)))
+		return min(shardPatience, time.Duration(shardPatienceShare*float64(bound)))
 	}
-	return r.shards == 0 && boottime.Now().Sub(r.begunAt) < patience
+	return shardPatience
+}
+
+// mayList tells whether the whole store may be listed. One that is calm, holds its shard and was told something of late leaves that to those
+// that tell it: each of them may try the store when its tellers have lost it, and hundreds of lists at once take longer than the bound of
+// changes.
+func (r *Replica) mayList() bool {
+	return !r.followsFeed() || r.shards == 0 || boottime.Now().Sub(r.toldAt) >= r.patience()
 }
 
 // setStoreLost notes whether the store answers.
@@ -272,13 +283,23 @@
 		return nil
 	}
 	if r.known == nil || r.doubted || isPart {
-		return r.list(ctx)
+		return r.listOrWait(ctx)
 	}
 	err := r.watch(ctx)
 	r.doubted = err != nil
 	return err
 }
 
+// listOrWait lists, or leaves that to the feed, which is asked next.
+func (r *Replica) listOrWait(ctx context.Context) error {
+	if r.mayList() {
+		return r.list(ctx)
+	}
+	r.doubted = true
+	sleep(ctx, jitter(shardPause))
+	return nil
+}
+
 // list tells the consumer everything anew. A process that turns out to be calm before it has come to what is divided into shards leaves
 // that to its feed: a fleet that starts at once else lists every record once for each process.
 func (r *Replica) list(ctx context.Context) error {
@@ -463,7 +484,7 @@
 		if r.learnInstead(ctx) {
 			return nil
 		}
-		return r.list(ctx)
+		return r.listOrWait(ctx)
 	case err != nil && context.Cause(watchCtx) != nil && ctx.Err() == nil:
 		return errRenewed
 	case err != nil:
@@ -486,7 +507,7 @@
 func (r *Replica) waitOfWatch() time.Duration {
 	wait := r.settings.Wait
 	if r.followsFeed() {
-		wait = directWait
+		wait = min(directWait, r.patience()/2)
 	}
 	if r.hastened.Swap(false) {
 		return min(wait, leastWait)
--- a/internal/store/shard_test.go
+++ b/internal/store/shard_test.go
@@ -360,3 +360,31 @@
 		}
 	}
 }
+
+// TestWhoStandsByLeavesListsToItsTellers has the tellers of one that stands by lose the store, which forgets its history. It tries the store
+// and does not list it while it is told something, and does once nobody has told it anything for long.
+func TestWhoStandsByLeavesListsToItsTellers(t *testing.T) {
+	lists := 0
+	store := &fakeStore{events: make(chan func(int64) ([]Event, int64, error), 1)}
+	store.lists = []func() ([]Item, int64, error){func() ([]Item, int64, error) {
+		lists++
+		return []Item{item("a", 3)}, 8, nil
+	}}
+	replica, _ := newSharded(store, 0)
+	replica.SetKnownWithin(250 * time.Millisecond)
+	replica.replace(Snapshot{Items: []Item{item("a", 3)}, Revision: 5})
+	replica.SetCalm(true)
+	lost := Changes{Revision: 5, Shards: 1, StoreLost: true}
+	replica.SetFeed(scriptFeed(func(Question) (Changes, error) { return lost, nil }))
+	if err := replica.follow(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []int{0, 1} {
+		store.events <- func(int64) ([]Event, int64, error) { return nil, 0, ErrCompacted }
+		replica.doubted = false
+		if err := replica.step(t.Context()); err != nil || lists != want {
+			t.Errorf("%d lists, want %d: %v", lists, want, err)
+		}
+		time.Sleep(replica.patience())
+	}
+}
