Those that stand by ask tellers of other zones before the store, and not the one that lists for all

Cause, by reading: tellers that have lost the store send each of those that ask to the store, whose history is gone; and there each asked the one entry that lists for all, 926 at once for an answer with the whole configuration: some five seconds of its link. That was meant for the twelve that watch.

Change: only those that watch the store themselves ask the lister. A teller that has lost the store is put behind the others for half a second, not passed over for two, and one of another zone is asked at once, without a wait; a try of the store takes 0.3 s in place of a second while tellers tell something.

--- a/internal/changefeed/follower.go
+++ b/internal/changefeed/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +33,8 @@
 	tellers []Teller
 	// avoided holds until when a teller that failed is asked only if there is no other one.
 	avoided map[string]time.Time
+	// doubted holds until when a teller that has lost the store, or seems to, is asked only if there is no better one.
+	doubted map[string]time.Time
 	turn    int
 	// storeAfter is when the store itself may be tried, while all tellers have lost it.
 	storeAfter time.Time
@@ -47,7 +48,7 @@
 	settings.MaxIdlePerAddress = 1
 	settings.IdleTimeout = idleTime
 	return &Follower{
-		asker: asker{httpclient.New(settings)}, name: name, zone: zone, told: told, avoided: map[string]time.Time{},
+		asker: asker{httpclient.New(settings)}, name: name, zone: zone, told: told, avoided: map[string]time.Time{}, doubted: map[string]time.Time{},
 		turn: spread(name),
 	}
 }
@@ -99,17 +100,23 @@
 	avoidTime = 2 * time.Second
 	// startTime is how long one is passed over that tells nothing yet: it lists the store, or finds out that it is asked.
 	startTime = 300 * time.Millisecond
-	// mostAsked bounds the tellers that are asked in vain before the store is.
-	mostAsked = 2
+	// doubtTime is how long one that has lost the store is put behind others: an outage of some machines lasts longer, and so does what
+	// it takes to notice it, but when all have lost the store each may be the first to have it back.
+	doubtTime = 500 * time.Millisecond
+	// mostAsked bounds the tellers that are asked before the store is, and mostFailed those of them that do not answer: each takes longer than
+	// a question.
+	mostAsked  = 4
+	mostFailed = 2
 	// storePause is how often the store itself is tried while all tellers have lost it.
 	storePause = 2500 * time.Millisecond
 )
 
-// Next is part of store.Feed. A teller that seems to be cut off from the store is good enough only while no other one is better off and the
-// store itself is not to be tried.
+// Next is part of store.Feed. A teller that has lost the store, or seems to be cut off from it, is good enough only while no other one is
+// better off and the store itself is not to be tried.
 func (f *Follower) Next(ctx context.Context, question store.Question) (store.Changes, error) {
 	var doubtful *store.Changes
-	for range mostAsked {
+	failed := 0
+	for asked := 0; asked < mostAsked && failed < mostFailed; asked++ {
 		teller, found := f.next(time.Now(), question.Teller)
 		if !found {
 			break
@@ -118,23 +125,16 @@
 		if err != nil {
 			// The next one is asked; that this one does not tell shows in the entries of its peers.
 			f.avoid(teller, err)
+			failed++
 			continue
 		}
 		f.told(changes.Entries, changes.Sound)
 		if !changes.StoreLost && !f.isCutOff(changes) {
 			return changes, nil
 		}
-		if !changes.StoreLost {
-			// Others of its zone may be cut off with it: those of other zones come next.
-			f.avoid(teller, nil)
-			doubtful = &changes
-			continue
-		}
-		if f.mayTryStore(time.Now()) {
-			f.avoid(teller, nil)
-			return store.Changes{}, store.ErrNobody
-		}
-		return changes, nil
+		// Others of its zone may have lost the store with it: those of other zones come next, and need not be waited for.
+		f.doubt(teller)
+		doubtful, question.Wait = &changes, 0
 	}
 	if doubtful != nil && !f.mayTryStore(time.Now()) {
 		return *doubtful, nil
@@ -142,35 +142,38 @@
 	return store.Changes{}, store.ErrNobody
 }
 
-// next returns the teller of a name, or without one that whose turn it is: one of the own zone, or else of any, that has not failed of late.
+// next returns the teller of a name, or without one that whose turn it is: one of the own zone, or else of any, that has not failed of late,
+// and that has not lost the store if there is one.
 func (f *Follower) next(now time.Time, name string) (Teller, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if name != "" {
-		at := slices.IndexFunc(f.tellers, func(teller Teller) bool { return teller.Name == name && !now.Before(f.avoided[teller.Address]) })
-		if at < 0 {
-			return Teller{}, false
-		}
-		return f.tellers[at], true
-	}
 	f.turn++
-	var near, far []Teller
+	var near, far, doubted []Teller
 	for _, teller := range f.tellers {
 		switch {
 		case now.Before(f.avoided[teller.Address]):
+		case name != "" && teller.Name != name:
+		case now.Before(f.doubted[teller.Address]):
+			doubted = append(doubted, teller)
 		case teller.Zone == f.zone:
 			near = append(near, teller)
 		default:
 			far = append(far, teller)
 		}
 	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return Teller{}, false
+	for _, tellers := range [][]Teller{near, far, doubted} {
+		if len(tellers) > 0 {
+			return tellers[f.turn%len(tellers)], true
+		}
 	}
-	return near[f.turn%len(near)], true
+	return Teller{}, false
+}
+
+// doubt puts a teller behind the others for a while.
+func (f *Follower) doubt(teller Teller) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubted[teller.Address] = time.Now().Add(doubtTime)
 }
 
 // avoid passes a teller over for a while, given the error of its answer or nil.
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -78,6 +78,8 @@
 	feedWait = 700 * time.Millisecond
 	// directWait bounds a watch of the store by a process that would rather follow a feed, and so the time until it asks again.
 	directWait = 2 * time.Second
+	// tryWait bounds a watch of the store by one that was told something of late, and only finds out whether the store serves it.
+	tryWait = 300 * time.Millisecond
 )
 
 // SetFeed makes the replica learn from other processes while it is calm, and while the store does not answer. It is called before
@@ -145,7 +147,8 @@
 // learnInstead takes from another process what a list would tell, after the store has forgotten the changes that come next. Of all that watch
 // the store one lists it, and the others learn from that one: a list of a large fleet is dozens of calls. It tells whether that went well.
 func (r *Replica) learnInstead(ctx context.Context) bool {
-	if r.feed == nil || r.lister == nil {
+	if r.feed == nil || r.lister == nil || r.calm.Load() {
+		// One that is calm has its own tellers: hundreds of questions at once are more than the one that lists can answer.
 		return false
 	}
 	lister, isOwn := r.lister()
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -507,7 +507,10 @@
 func (r *Replica) waitOfWatch() time.Duration {
 	wait := r.settings.Wait
 	if r.followsFeed() {
-		wait = min(directWait, r.patience()/2)
+		wait = directWait
+		if !r.mayList() {
+			wait = tryWait
+		}
 	}
 	if r.hastened.Swap(false) {
 		return min(wait, leastWait)
