Workers are told before the configuration that makes a process ready

Traced by the log of the gateway: its configuration came into force 2 ms before, and a list tells it ahead of the workers, so that a process held up in between is ready and knows none. Change: the workers of a list are told first. Test: fails on the order of before.

--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -124,7 +124,6 @@
 		if item.Key == v.ownKey {
 			registered, revision = true, item.Revision
 		}
-		v.configure(item)
 		if worker := v.workerOf(item); worker != nil {
 			workers = append(workers, worker)
 		}
@@ -143,7 +142,11 @@
 	v.rosterMutex.Lock()
 	v.roster.Reset(v.now(), workers)
 	v.rosterMutex.Unlock()
+	// A configuration makes the process ready: whoever asks from then on is to find workers.
 	v.tellWorkers()
+	for _, item := range items {
+		v.configure(item)
+	}
 	v.listener.GatewaysChanged()
 	v.resetController(items)
 	v.noteRegistration(registered, revision)
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -36,17 +36,20 @@
 
 // recorder keeps what it was told.
 type recorder struct {
-	versions     []int64
-	workers      int
-	unregistered int
-	confirmed    time.Time
-	fleetIsNew   bool
-	registered   int
-	controller   string
+	versions []int64
+	// workersBefore is how many workers were known when a configuration was told last.
+	workersBefore int
+	workers       int
+	unregistered  int
+	confirmed     time.Time
+	fleetIsNew    bool
+	registered    int
+	controller    string
 }
 
 func (r *recorder) ConfigurationChanged(configuration *routing.Configuration) {
 	r.versions = append(r.versions, configuration.Version)
+	r.workersBefore = r.workers
 }
 func (r *recorder) WorkersChanged(changes backend.Changes) {
 	r.workers += len(changes.Put) - len(changes.Gone)
@@ -231,3 +234,13 @@
 		t.Error("one that follows the store itself was answered, and is not fresh")
 	}
 }
+
+// TestWorkersAreKnownBeforeTheConfiguration guards against a gateway that is ready and knows no workers, for as long as the process is held up
+// between both.
+func TestWorkersAreKnownBeforeTheConfiguration(t *testing.T) {
+	view, told := newTestView()
+	view.Reset([]store.Item{put("configuration", "333").Item, put("worker/1", "x").Item})
+	if told.workersBefore != 1 {
+		t.Errorf("%d workers were known when the configuration was told", told.workersBefore)
+	}
+}
