Notices of workers are seen: that they leave, and for how long they want no requests

Cause in question: workers speak of themselves in their answers, and nothing of ours shows it. No choice of a worker depends on them yet.

--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -47,6 +47,8 @@
 	choice, candidates *metrics.Histogram
 	// budgets returns the budgets of repeats; nil returns none.
 	budgets func() []forward.BudgetView
+	// notices tells which tries went to workers against what these had said; nil tells none.
+	notices *notices
 	// duties writes the figures of what this gateway does for all; nil writes none.
 	duties func(w io.Writer)
 
@@ -99,6 +101,39 @@
 	f.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q}`, metricWorkerEnds, group)).Inc()
 }
 
+// Names of the figures of what workers say of themselves in their answers.
+const (
+	metricNotices           = "granitebay_worker_notices_total"
+	metricNoticesUnreadable = "granitebay_worker_notices_unreadable_total"
+	// metricAgainstNotice counts tries that were sent to workers which had said that they want none.
+	metricAgainstNotice = "granitebay_tries_against_notice_total"
+)
+
+// noticeHeard counts what a worker of a group said of itself.
+func (f *figures) noticeHeard(group, what string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q,notice=%q}`, metricNotices, group, what)).Inc()
+}
+
+// noticeUnreadable counts an answer in which a worker said of itself what can't be read.
+func (f *figures) noticeUnreadable() { f.set.GetOrCreateCounter(metricNoticesUnreadable).Inc() }
+
+// countAgainstNotices counts the tries of a request that went to workers which had said that they want none.
+func (f *figures) countAgainstNotices(report *forward.Report) {
+	if f.notices == nil {
+		return
+	}
+	for _, try := range report.Tries {
+		for _, sent := range []struct {
+			worker string
+			at     time.Time
+		}{{try.Reader, try.Begun}, {try.Worker, try.Begun.Add(try.ReadIn)}} {
+			if what := f.notices.against(sent.worker, sent.at); what != "" {
+				f.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q,notice=%q}`, metricAgainstNotice, report.Group, what)).Inc()
+			}
+		}
+	}
+}
+
 // Names of the figures of budgets of repeats.
 const (
 	metricRepeats        = "granitebay_repeats_total"
@@ -179,6 +214,7 @@
 			f.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q}`, metricDeferred, report.Rule)).Inc()
 		}
 	}
+	f.countAgainstNotices(report)
 	entry := entryOf(report)
 	f.decisions.Append(report.Ended, entry)
 	if report.Unanswered {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	Prober poison.Prober
 	// Identify returns the id of the worker that answers at the address of another one, by the path of its health.
 	Identify func(ctx context.Context, worker *backend.Worker, path string) (string, error)
+	// WatchNotices tells whom to tell what workers say of themselves in their answers, and what of it can't be read; nil tells nobody.
+	WatchNotices func(heard func(worker *backend.Worker, notice backend.Notice, err error))
 	// ForgetAddress closes resting connections to an address at which no worker is any more.
 	ForgetAddress func(address string)
 	// ReadyHandler serves the question whether the gateway takes requests.
@@ -82,6 +84,7 @@
 	used         *usedCounts
 	bars         *bars
 	engines      *engineWatch
+	notices      *notices
 	capacity     *capacity.Executor
 
 	// grace and addressTTL are durations that Reload may change.
@@ -151,6 +154,11 @@
 	control.Authority.ThawPause = settings.ThawPause
 	g.controller = roles.NewController(control, ports.Store, ports.Orderer, g.dispatcher, logging.Part(logger, "roles"), g.decide)
 	g.engines = newEngineWatch(g)
+	g.notices = newNotices(g)
+	g.metrics.notices = g.notices
+	if ports.WatchNotices != nil {
+		ports.WatchNotices(g.notices.hear)
+	}
 	registrationSettings := member.DefaultRegistrationSettings()
 	registrationSettings.TTL = settings.LeaseTTL
 	g.registration = member.NewRegistration(registrationSettings, ports.Store, own,
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -16,6 +16,8 @@
 	// arrivals are the requests that reached workers, run or not; orders those that were taken.
 	arrivals []Arrival
 	orders   []Taken
+	// notices are the answers in which workers spoke of themselves.
+	notices []Notice
 	// heads are what every call about a request has told of its caller.
 	heads []Head
 	// crashes are the ends of workers under requests.
@@ -70,11 +72,37 @@
 type Arrival struct {
 	ID      string
 	Service string
+	Worker  string
 	// Reading is set when only the prompt is to be read.
 	Reading bool
 	At      time.Time
 }
 
+// Notice is what a worker said of itself in the answer to a request.
+type Notice struct {
+	ID     string
+	Worker string
+	// Leaving is set if it said that it leaves, and Rest is for how long it asked to be left alone.
+	Leaving bool
+	Rest    time.Duration
+	// At is when the answer began, which arrives later.
+	At time.Time
+}
+
+// Notices returns what workers said of themselves so far.
+func (f *Fleet) Notices() []Notice {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]Notice(nil), f.notices...)
+}
+
+// gaveNotice notes what a worker said of itself.
+func (f *Fleet) gaveNotice(notice Notice) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.notices = append(f.notices, notice)
+}
+
 // Taken is an order that a worker took.
 type Taken struct {
 	Worker string
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -14,6 +14,9 @@
 
 // ServeHTTP is part of http.Handler.
 func (w *Worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if w.says() {
+		writer.Header().Set("Server-Leaving", "1")
+	}
 	switch request.URL.Path {
 	case "/v1/report":
 		// Whoever answers at the address, also where another one was meant.
@@ -40,6 +43,23 @@
 	}
 }
 
+// says tells whether the answers of the worker say that it leaves.
+func (w *Worker) says() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.leaving
+}
+
+// rests returns the rest for which the worker asks now, or zero.
+func (w *Worker) rests() time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if time.Now().After(w.restUntil) {
+		return 0
+	}
+	return w.rest
+}
+
 // report tells how the worker is.
 func (w *Worker) report(writer http.ResponseWriter) {
 	w.mutex.Lock()
@@ -83,7 +103,16 @@
 	}
 	id := request.Header.Get("Request-Id")
 	w.fleet.told(Head{ID: id, Tenant: request.Header.Get("Tenant"), Key: request.Header.Get("Api-Key")})
-	w.fleet.arrived(Arrival{ID: id, Service: w.options.Service, Reading: request.Header.Get("Stage") != "", At: time.Now()})
+	w.fleet.arrived(Arrival{ID: id, Service: w.options.Service, Worker: w.options.ID, Reading: request.Header.Get("Stage") != "", At: time.Now()})
+	if rest := w.rests(); rest > 0 {
+		w.fleet.gaveNotice(Notice{ID: id, Worker: w.options.ID, Rest: rest, At: time.Now()})
+		writer.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+		refuse(writer, id)
+		return
+	}
+	if w.says() {
+		w.fleet.gaveNotice(Notice{ID: id, Worker: w.options.ID, Leaving: true, At: time.Now()})
+	}
 	w.mutex.Lock()
 	w.asked++
 	shed := w.fault == WorkerSheds && w.asked%shedTakes != 0
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -78,6 +78,11 @@
 	nextID   int
 	holders  []string
 	draining bool
+	// leaving is set while all answers say that the worker leaves, be it recorded or not. restUntil is until when it refuses everything and
+	// asks for rest, each time for rest.
+	leaving   bool
+	rest      time.Duration
+	restUntil time.Time
 	// changing is set while the worker is out for a change of its stage.
 	changing bool
 	model    *model
@@ -159,11 +164,26 @@
 	return w.fault == fault
 }
 
-// Drain records that the worker leaves.
+// SayLeaving makes the worker say in all its answers that it leaves. Its record goes on to say that it is ready.
+func (w *Worker) SayLeaving() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.leaving = true
+}
+
+// Shed makes the worker refuse everything for a time; each time it asks to be left alone for the rest that is given, with the header in
+// seconds.
+func (w *Worker) Shed(lasting, rest time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.rest, w.restUntil = rest, time.Now().Add(lasting)
+}
+
+// Drain records that the worker leaves, and has its answers say so.
 func (w *Worker) Drain() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.draining = true
+	w.draining, w.leaving = true, true
 	w.record()
 }
 
