Workers that say in their answers that they leave are drained

The word now goes to the roster, the one place that says which workers take new work, so that choices, retries, suspects, roles and capacity see the same. It holds for one life of the worker whatever records and lists say, a word in a record too, and other gateways are told at once.

Ruled out: a mark in the dispatcher alone (guard, capacity and planner go by the roster's changes, and a stale list would have undone it); a field more in the messages between gateways (the build before could read none of them: a numbered map beside them is passed over instead).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -52,6 +52,16 @@
 	return w.Record
 }
 
+// Leaving returns the worker as one that takes no new work.
+func (w *Worker) Leaving() *Worker {
+	if w.Draining {
+		return w
+	}
+	leaving := *w
+	leaving.Draining = true
+	return &leaving
+}
+
 // Equal tells whether two descriptions of a worker say the same.
 func (w *Worker) Equal(other *Worker) bool {
 	return w == other || (w.ID == other.ID && w.Record == other.Record && w.Group == other.Group && w.Address == other.Address &&
--- a/internal/backend/roster.go
+++ b/internal/backend/roster.go
@@ -14,13 +14,16 @@
 // Roster is the list of workers as the store told it. It is a pure state machine and not safe for concurrent use.
 //
 // Invariants: a worker is in use only while its record is there, or for FadeTime after a record went that said it was ready, if that was
-// within OutageMemory of an outage; and each record names one incarnation at a time.
+// within OutageMemory of an outage; each record names one incarnation at a time; and an incarnation that said that it leaves is draining,
+// whatever its record says: that may be late by as long as the store is away.
 type Roster struct {
 	settings RosterSettings
 	// recorded are the workers by the names of their records, and fading those without a record, by id.
 	recorded   map[string]*Worker
 	fading     map[string]fadingWorker
 	lastOutage time.Time
+	// leaving is when incarnations said that they leave, in their records or ahead of them, by id.
+	leaving map[string]time.Time
 	// told are the workers in use as Changes told them last, and touched the ids of those of which that may be out of date.
 	told    Set
 	touched map[string]*Worker
@@ -35,7 +38,8 @@
 // NewRoster returns an empty roster.
 func NewRoster(settings RosterSettings) *Roster {
 	return &Roster{
-		settings: settings, recorded: map[string]*Worker{}, fading: map[string]fadingWorker{}, told: Set{}, touched: map[string]*Worker{},
+		settings: settings, recorded: map[string]*Worker{}, fading: map[string]fadingWorker{}, leaving: map[string]time.Time{}, told: Set{},
+		touched: map[string]*Worker{},
 	}
 }
 
@@ -54,21 +58,74 @@
 		}
 	}
 	for _, worker := range workers {
-		r.Put(worker)
+		r.Put(now, worker)
 	}
 }
 
 // Put takes the record of a worker. One that started again under the same name takes the place of the one before, of which nothing holds
 // any more.
-func (r *Roster) Put(worker *Worker) {
+func (r *Roster) Put(now time.Time, worker *Worker) {
 	if before := r.recorded[worker.RecordName()]; before != nil && before.ID != worker.ID {
 		r.touched[before.ID] = nil
 	}
+	if worker.Draining {
+		r.noteLeaving(now, worker.ID)
+	}
+	if _, leaves := r.leaving[worker.ID]; leaves {
+		worker = worker.Leaving()
+	}
 	r.recorded[worker.RecordName()] = worker
 	delete(r.fading, worker.ID)
 	r.touched[worker.ID] = worker
 }
 
+// leavingMemory is how long the word of a worker that it leaves is kept once the worker is not in use any more. An old record of it may come
+// again, from a list that is late or a store that has lost changes; after this time a worker that leaves has ended.
+const leavingMemory = 10 * time.Minute
+
+// noteLeaving keeps that an incarnation leaves, which nothing undoes, and tells whether that is news.
+func (r *Roster) noteLeaving(now time.Time, id string) bool {
+	if _, known := r.leaving[id]; known {
+		return false
+	}
+	for other, said := range r.leaving {
+		if now.Sub(said) > leavingMemory && r.inUse(other) == nil {
+			delete(r.leaving, other)
+		}
+	}
+	r.leaving[id] = now
+	return true
+}
+
+// Leaves takes the word of an incarnation that it leaves, ahead of its record, and tells whether a worker in use takes no new work for it
+// from now on.
+func (r *Roster) Leaves(now time.Time, id string) bool {
+	worker := r.inUse(id)
+	if !r.noteLeaving(now, id) || worker == nil || worker.Draining {
+		return false
+	}
+	worker = worker.Leaving()
+	if faded, fades := r.fading[id]; fades {
+		r.fading[id] = fadingWorker{worker: worker, until: faded.until}
+	} else {
+		r.recorded[worker.RecordName()] = worker
+	}
+	r.touched[id] = worker
+	return true
+}
+
+// inUse returns the worker in use with an id, as it is known now, or nil.
+func (r *Roster) inUse(id string) *Worker {
+	if faded, fades := r.fading[id]; fades {
+		return faded.worker
+	}
+	worker := r.told[id]
+	if touched, changed := r.touched[id]; changed {
+		worker = touched
+	}
+	return worker
+}
+
 // Remove takes note that a record is gone.
 func (r *Roster) Remove(now time.Time, name string) {
 	worker, known := r.recorded[name]
--- a/internal/backend/roster_test.go
+++ b/internal/backend/roster_test.go
@@ -13,8 +13,8 @@
 	ready, draining := &Worker{ID: "ready"}, &Worker{ID: "draining", Draining: true}
 	fill := func() *Roster {
 		roster := NewRoster(settings)
-		roster.Put(ready)
-		roster.Put(draining)
+		roster.Put(epoch, ready)
+		roster.Put(epoch, draining)
 		return roster
 	}
 	inUse := func(roster *Roster, now time.Time) int {
@@ -39,7 +39,7 @@
 	if inUse(roster, next) != 0 {
 		t.Error("a worker without a record stays in use for too long")
 	}
-	roster.Put(ready)
+	roster.Put(epoch, ready)
 	if inUse(roster, next) != 1 {
 		t.Error("a worker that recorded itself again is not in use")
 	}
@@ -48,10 +48,10 @@
 // TestAWorkerThatStartsAgainUnderItsRecordIsAnother has a worker start again, and then its record say nothing that can be used.
 func TestAWorkerThatStartsAgainUnderItsRecordIsAnother(t *testing.T) {
 	roster, now := NewRoster(RosterSettings{}), time.Unix(1000, 0)
-	roster.Put(&Worker{ID: "i@1", Record: "i", Address: "a"})
-	roster.Put(&Worker{ID: "other", Record: "other", Address: "b"})
+	roster.Put(now, &Worker{ID: "i@1", Record: "i", Address: "a"})
+	roster.Put(now, &Worker{ID: "other", Record: "other", Address: "b"})
 	roster.Changes(now)
-	roster.Put(&Worker{ID: "i@2", Record: "i", Address: "a"})
+	roster.Put(now, &Worker{ID: "i@2", Record: "i", Address: "a"})
 	changes, _ := roster.Changes(now)
 	if len(changes.Gone) != 1 || changes.Gone[0] != "i@1" || len(changes.Put) != 1 || changes.Put[0].ID != "i@2" {
 		t.Errorf("started again: %+v", changes)
@@ -65,3 +65,67 @@
 		t.Errorf("nothing has changed: %+v", changes)
 	}
 }
+
+// TestAWorkerThatSaidThatItLeavesIsDraining guards against what may come after the word of a worker: its old record, alone or with a list, as
+// while the store is behind or has come back from a copy; that its record goes around an outage; and its next life.
+func TestAWorkerThatSaidThatItLeavesIsDraining(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ready := &Worker{ID: "i@1", Record: "i", Address: "a"}
+	for _, test := range []struct {
+		desc  string
+		after func(roster *Roster)
+		// wantIDs are the workers in use, and want whether the first is draining.
+		wantID string
+		want   bool
+	}{
+		{"nothing else", func(*Roster) {}, "i@1", true},
+		{"its record again", func(r *Roster) { r.Put(now, ready) }, "i@1", true},
+		{"a list with its record", func(r *Roster) { r.Reset(now, []*Worker{ready}) }, "i@1", true},
+		{"its record goes and comes again", func(r *Roster) { r.Remove(now, "i"); r.Changes(now); r.Put(now, ready) }, "i@1", true},
+		{"its record goes around an outage", func(r *Roster) { r.Outage(now); r.Remove(now, "i") }, "", false},
+		{"its next life", func(r *Roster) { r.Put(now, &Worker{ID: "i@2", Record: "i", Address: "a"}) }, "i@2", false},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			for word, leave := range map[string]func(roster *Roster) bool{
+				"answer": func(r *Roster) bool { return r.Leaves(now, "i@1") },
+				"record": func(r *Roster) bool { r.Put(now, ready.Leaving()); return true },
+			} {
+				roster := NewRoster(RosterSettings{FadeTime: time.Second, OutageMemory: time.Second})
+				roster.Put(now, ready)
+				roster.Changes(now)
+				if !leave(roster) || roster.Leaves(now, "i@1") {
+					t.Errorf("%s: the word is news once", word)
+				}
+				test.after(roster)
+				roster.Changes(now)
+				inUse := ""
+				for id, worker := range roster.told {
+					inUse = id
+					if worker.Draining != test.want {
+						t.Errorf("%s: %+v", word, worker)
+					}
+				}
+				if inUse != test.wantID || len(roster.told) > 1 {
+					t.Errorf("%s: in use are %v, want %q", word, roster.told, test.wantID)
+				}
+			}
+		})
+	}
+}
+
+// TestAFadingWorkerThatLeavesIsDraining has a worker whose record went around an outage say that it leaves.
+func TestAFadingWorkerThatLeavesIsDraining(t *testing.T) {
+	now := time.Unix(1000, 0)
+	roster := NewRoster(RosterSettings{FadeTime: time.Second, OutageMemory: time.Second})
+	roster.Put(now, &Worker{ID: "i"})
+	roster.Outage(now)
+	roster.Remove(now, "i")
+	roster.Changes(now)
+	if !roster.Leaves(now, "i") {
+		t.Error("the word is no news")
+	}
+	changes, _ := roster.Changes(now)
+	if len(changes.Put) != 1 || !changes.Put[0].Draining {
+		t.Errorf("%+v", changes)
+	}
+}
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -264,13 +264,24 @@
 	case event.Deleted:
 		v.roster.Remove(v.now(), id)
 	case worker != nil:
-		v.roster.Put(worker)
+		v.roster.Put(v.now(), worker)
 	default:
 		v.roster.Drop(id)
 	}
 	return true
 }
 
+// WorkerLeaves takes the word of an incarnation of a worker that it leaves, ahead of its record, and tells whether that is news.
+func (v *View) WorkerLeaves(id string) bool {
+	v.rosterMutex.Lock()
+	news := v.roster.Leaves(v.now(), id)
+	v.rosterMutex.Unlock()
+	if news {
+		v.tellWorkers()
+	}
+	return news
+}
+
 // workerOf decodes the record of a worker. It returns nil for other items and for records that can't be read.
 func (v *View) workerOf(item store.Item) *backend.Worker {
 	id, isWorker := v.decoder.WorkerID(item.Key)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -262,6 +262,7 @@
 	g.sharing = exchange
 	g.dispatcher.ShareWith(exchange.Changed)
 	g.bars.guard.ShareWith(exchange.Changed)
+	g.notices.shareWith(exchange.Changed)
 	g.tasks.Go(func() { exchange.Send(ctx) })
 	g.tasks.Go(exchange.Receive)
 	return nil
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -10,6 +10,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/logging"
 )
 
@@ -19,7 +20,14 @@
 	noticeBackOff = "back off"
 )
 
-// notices hears what workers say of themselves in their answers, and tells operators of it. It is safe for concurrent use.
+// Sources of a word, as lines name them.
+const (
+	sourceAnswer = "answer"
+	sourcePeer   = "another gateway"
+)
+
+// notices hears what workers say of themselves in their answers, has it heeded, and tells the other gateways and operators of it. It is safe
+// for concurrent use.
 type notices struct {
 	gateway *Gateway
 	logger  logrus.FieldLogger
@@ -29,6 +37,16 @@
 	mu sync.Mutex
 	// workers are those that said something, by the ids of their incarnations.
 	workers map[string]*heardOf
+	// untold are workers of which the other gateways are to be told that they leave, with how often they were told.
+	untold []untoldLeaving
+	// notify tells that there is something to tell; nil tells nobody.
+	notify func(urgent bool)
+}
+
+// untoldLeaving is a worker that leaves.
+type untoldLeaving struct {
+	id    string
+	times int
 }
 
 // heardOf is what one worker has said.
@@ -62,6 +80,9 @@
 	if notice.Empty() {
 		return
 	}
+	if notice.Leaving && n.gateway.view.WorkerLeaves(worker.ID) {
+		n.tellPeers(worker.ID)
+	}
 	begins := n.note(time.Now(), worker.ID, notice)
 	if notice.Leaving {
 		n.gateway.metrics.noticeHeard(worker.Group, noticeLeaving)
@@ -70,7 +91,7 @@
 		n.gateway.metrics.noticeHeard(worker.Group, noticeBackOff)
 	}
 	if begins.Leaving {
-		n.tell(worker, noticeLeaving, "The worker says in an answer that it leaves.", nil)
+		n.tell(worker, noticeLeaving, "The worker says that it leaves.", map[string]string{"source": sourceAnswer})
 	}
 	if begins.BackOff > 0 {
 		n.tell(worker, noticeBackOff, "The worker wants no requests of this gateway for a time.",
@@ -123,6 +144,81 @@
 	n.gateway.decide(decision.Record{Kind: decision.KindHealth, Subject: worker.ID, Outcome: what, Reason: reason, Inputs: inputs})
 }
 
+// tellPeers has the other gateways told that a worker leaves: it is true for all, and saves each of them a request.
+func (n *notices) tellPeers(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.notify == nil || len(n.untold) >= mostUntold {
+		return
+	}
+	n.untold = append(n.untold, untoldLeaving{id: id})
+	n.notify(true)
+}
+
+// Bounds of what other gateways are told.
+const (
+	// mostUntold bounds the workers that are named in one datagram; the others are heard of by their own answers.
+	mostUntold = 256
+	// leavingTells is how often a worker is named, at once and then once a second, since datagrams are lost now and then.
+	leavingTells = 4
+)
+
+// shareWith has what is to be told gathered. Notify must not wait.
+func (n *notices) shareWith(notify func(urgent bool)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.notify = notify
+}
+
+// drain returns the workers of which other gateways are to be told that they leave: those that are new, and with full set once more those
+// of which they were told lately.
+func (n *notices) drain(full bool) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var told []string
+	var left []untoldLeaving
+	for _, each := range n.untold {
+		if each.times == 0 || full {
+			told = append(told, each.id)
+			each.times++
+		}
+		if each.times < leavingTells {
+			left = append(left, each)
+		}
+	}
+	n.untold = left
+	return told
+}
+
+// DrainSupplement is part of loadshare.Source.
+func (g *Gateway) DrainSupplement(full bool) loadshare.Supplement {
+	return loadshare.Supplement{Leaving: g.notices.drain(full)}
+}
+
+// HearSupplement is part of loadshare.Source. A worker that is named there drains here as well, whether this gateway had an answer of it
+// or not.
+func (g *Gateway) HearSupplement(supplement *loadshare.Supplement) {
+	for _, id := range supplement.Leaving {
+		if g.view.WorkerLeaves(id) {
+			g.notices.tellHeard(id)
+		}
+	}
+}
+
+// tellHeard writes that another gateway heard a worker say that it leaves.
+func (n *notices) tellHeard(id string) {
+	if worker := n.gateway.worker(id); worker != nil {
+		n.tell(worker, noticeLeaving, "The worker says that it leaves.", map[string]string{"source": sourcePeer})
+	}
+}
+
+// worker returns a worker that is in use, or nil.
+func (g *Gateway) worker(id string) *backend.Worker {
+	g.workersMu.Lock()
+	defer g.workersMu.Unlock()
+	return g.workers[id]
+}
+
 // against returns which word of a worker speaks against a request that was sent to it at a moment, or nothing.
 func (n *notices) against(id string, at time.Time) string {
 	n.mu.Lock()
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -15,6 +15,9 @@
 	Drain(full bool) Message
 	// Hear takes what a peer told.
 	Hear(message *Message)
+	// DrainSupplement returns what is to be told beside that, again with full set, and HearSupplement takes what a peer told so.
+	DrainSupplement(full bool) Supplement
+	HearSupplement(supplement *Supplement)
 }
 
 // Settings of an exchange.
@@ -131,13 +134,26 @@
 		if err != nil {
 			continue
 		}
-		message, err := Decode(buffer[:count])
-		if err != nil {
+		if err := e.receive(buffer[:count]); err != nil {
 			e.logger.WithError(err).WithField("peer", from).Warn("A message of a peer can't be read.")
-			continue
 		}
+	}
+}
+
+// receive takes one datagram.
+func (e *Exchange) receive(encoded []byte) error {
+	if isSupplement(encoded) {
+		supplement, err := DecodeSupplement(encoded)
+		if err == nil {
+			e.source.HearSupplement(supplement)
+		}
+		return err
+	}
+	message, err := Decode(encoded)
+	if err == nil {
 		e.source.Hear(message)
 	}
+	return err
 }
 
 // Send tells changes until the context ends, and that the gateway lives when there are none.
@@ -216,6 +232,7 @@
 	message := e.source.Drain(full)
 	message.Full = full
 	e.send(message)
+	e.sendSupplement(e.source.DrainSupplement(full))
 }
 
 // send sends one message to all peers. Datagrams that can't be sent are lost, as others are on the way.
@@ -227,6 +244,24 @@
 		e.logger.WithError(err).Error("A message to peers can't be written.")
 		return
 	}
+	e.sendToPeers(encoded)
+}
+
+// sendSupplement sends a supplement to all peers, if it tells anything.
+func (e *Exchange) sendSupplement(supplement Supplement) {
+	if supplement.Empty() {
+		return
+	}
+	encoded, err := supplement.Encode()
+	if err != nil {
+		e.logger.WithError(err).Error("A supplement to peers can't be written.")
+		return
+	}
+	e.sendToPeers(encoded)
+}
+
+// sendToPeers sends a datagram to all peers.
+func (e *Exchange) sendToPeers(encoded []byte) {
 	for _, target := range e.peers {
 		_, _ = e.socket.WriteToUDP(encoded, target)
 	}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -84,6 +84,10 @@
 
 func (m *memorySource) Drain(bool) Message { return Message{Loads: []Load{{Worker: "w", Running: 1}}} }
 
+func (m *memorySource) DrainSupplement(bool) Supplement { return Supplement{} }
+
+func (m *memorySource) HearSupplement(*Supplement) {}
+
 func (m *memorySource) Hear(message *Message) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- /dev/null
+++ b/internal/loadshare/supplement.go
@@ -0,0 +1,43 @@
+package loadshare
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Supplement is what a gateway tells the others beside its messages. Its fields are numbered, so that builds pass over those that they do
+// not know, and take those that are missing for empty. What is new to tell comes in here: a Message of another length could not be read by
+// the build before, which would lose all that it tells, and that its sender lives.
+type Supplement struct {
+	// Leaving are workers that said in answers to the sender that they leave.
+	Leaving []string `cbor:"1,keyasint,omitempty"`
+}
+
+// Empty tells whether there is nothing to tell.
+func (s *Supplement) Empty() bool { return len(s.Leaving) == 0 }
+
+// Encode returns the bytes of a supplement.
+func (s *Supplement) Encode() ([]byte, error) {
+	encoded, err := cbor.Marshal(s)
+	return encoded, errors.Wrap(err, "step encode a supplement to a peer")
+}
+
+// DecodeSupplement reads a supplement.
+func DecodeSupplement(encoded []byte) (*Supplement, error) {
+	var supplement Supplement
+	if err := cbor.Unmarshal(encoded, &supplement); err != nil {
+		return nil, errors.Wrap(err, "step decode a supplement of a peer")
+	}
+	return &supplement, nil
+}
+
+// Datagrams begin with the type of what they hold: a map is a supplement, everything else a message.
+const (
+	majorTypeShift = 5
+	majorTypeMap   = 5
+)
+
+// isSupplement tells whether a datagram holds a supplement.
+func isSupplement(encoded []byte) bool {
+	return len(encoded) > 0 && encoded[0]>>majorTypeShift == majorTypeMap
+}
--- /dev/null
+++ b/internal/loadshare/supplement_test.go
@@ -0,0 +1,41 @@
+package loadshare
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// TestSupplementsOfOtherBuilds reads a supplement of a build that tells more, and one of a build that tells nothing this one knows.
+func TestSupplementsOfOtherBuilds(t *testing.T) {
+	type newer struct {
+		Leaving []string       `cbor:"1,keyasint,omitempty"`
+		More    map[string]int `cbor:"77,keyasint,omitempty"`
+	}
+	for _, sent := range []newer{{Leaving: []string{"w"}, More: map[string]int{"a": 1}}, {More: map[string]int{"a": 1}}} {
+		encoded, err := cbor.Marshal(sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !isSupplement(encoded) {
+			t.Error("it is taken for a message")
+		}
+		read, err := DecodeSupplement(encoded)
+		if err != nil || !slices.Equal(read.Leaving, sent.Leaving) {
+			t.Errorf("%+v, %v", read, err)
+		}
+	}
+}
+
+// TestMessagesAreNoSupplements keeps both kinds of datagrams apart.
+func TestMessagesAreNoSupplements(t *testing.T) {
+	message, err := (&Message{Sender: "a"}).Encode()
+	if err != nil || isSupplement(message) || isSupplement(nil) {
+		t.Errorf("a message is taken for a supplement: %v", err)
+	}
+	supplement, err := (&Supplement{Leaving: []string{"w"}}).Encode()
+	if err != nil || !isSupplement(supplement) {
+		t.Errorf("a supplement is taken for a message: %v", err)
+	}
+}
