Soak: workers that leave by their answers alone, and workers that ask for rest

Two new checks, from what callers and workers see: nothing reaches a worker through a gateway later than the time to drain after that passed on its word, and at most two requests of a gateway within a rest.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -181,6 +181,33 @@
 				h.Runs["r1"] = []fleet.Run{run("w1", drainTime+time.Millisecond)}
 			},
 			func(h *History) { h.Spans = []Span{{Fault: StoreCompact{}, Begun: at(0)}} }},
+		{"DRAIN", "work for a worker that had said that it leaves",
+			func(h *History) {
+				h.Gateways = []string{"g"}
+				h.Requests[0].Gateway = "g"
+				h.Runs["r1"] = []fleet.Run{run("w1", 0)}
+				h.Notices = []fleet.Notice{{ID: "r1", Worker: "w1", Leaving: true, At: at(0)}}
+				late := answered("r9", KindAgain, drainTime+time.Second)
+				late.Gateway = "g"
+				h.Requests = append(h.Requests, late)
+				h.Arrivals = append(h.Arrivals, fleet.Arrival{ID: "r9", Worker: "w1", At: at(drainTime + time.Second)})
+			},
+			func(h *History) {
+				h.Spans = []Span{{Fault: GatewayFreeze{Gateway: 0}, Begun: at(time.Second), Ended: at(2 * time.Second)}}
+			}},
+		{"BUDGET", "requests for a worker that had asked for rest",
+			func(h *History) {
+				h.Gateways = []string{"g"}
+				h.Requests[0].Gateway = "g"
+				h.Notices = []fleet.Notice{{ID: "r1", Worker: "w1", Rest: 2 * time.Second, At: at(0)}}
+				for i := range 3 {
+					more := answered(fmt.Sprint("rest-", i), KindAgain, time.Second)
+					more.Gateway = "g"
+					h.Requests = append(h.Requests, more)
+					h.Arrivals = append(h.Arrivals, fleet.Arrival{ID: more.Asked.ID, Worker: "w1", At: at(time.Second)})
+				}
+			},
+			func(h *History) { h.Ends = []End{{Gateway: "g", At: at(500 * time.Millisecond), Asked: true}} }},
 		{"ONE", "two holders share a fence",
 			func(h *History) {
 				h.Orders = []fleet.Taken{{Holder: "a", Fence: 7}, {Holder: "b", Fence: 7, At: at(time.Hour)}}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -65,6 +65,9 @@
 	Runs     map[string][]fleet.Run
 	Arrivals []fleet.Arrival
 	Orders   []fleet.Taken
+	// Notices are what workers said of themselves, and Gateways the addresses of gateways by their numbers.
+	Notices  []fleet.Notice
+	Gateways []string
 	// Crashes are the ends of workers under requests, and Heads all calls at workers.
 	Crashes    []fleet.Crash
 	Heads      []fleet.Head
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -66,6 +66,9 @@
 	case NewTimeout:
 		s.change(calm, func() { s.timeoutMs = f.TimeoutMs })
 	default:
+		if s.injectNotice(fault) {
+			return
+		}
 		s.injectSeries(fault, calm)
 	}
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -131,7 +131,7 @@
 // planned tells whether a fault is planned work, around which no request may be lost.
 func planned(f Fault) bool {
 	switch f.(type) {
-	case GatewayStop, GatewayReload, WorkerReplace, NewTimeout, NewIdle:
+	case GatewayStop, GatewayReload, WorkerReplace, WorkerSaysLeaving, NewTimeout, NewIdle:
 		return true
 	default:
 		return false
@@ -169,7 +169,8 @@
 		faults = append(faults, Timed{At: at, Fault: draw(random, gateways, workers)})
 	}
 	faults = append(faults, crashing(seed, number)...)
-	return append(faults, series(seed, number, gateways, workers)...)
+	faults = append(faults, series(seed, number, gateways, workers)...)
+	return append(faults, noticesOf(seed, number, workers)...)
 }
 
 // crashingStream is the stream of random numbers that decides about crashing requests: one of its own, so that the faults of older seeds
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -237,7 +237,9 @@
 // history returns what was seen so far.
 func (s *system) history(quiet []Span) *History {
 	var ends []End
+	var addresses []string
 	for _, g := range s.gateways {
+		addresses = append(addresses, g.callers)
 		ends = append(ends, g.endings()...)
 	}
 	s.mu.Lock()
@@ -245,7 +247,7 @@
 	return &History{
 		Seen: time.Now(), Ends: ends, Worked: s.fleet.Worked(),
 		Requests: append([]Request(nil), s.requests...), Runs: s.fleet.Runs(), Arrivals: s.fleet.Arrivals(), Orders: s.fleet.Orders(),
-		Crashes: s.fleet.Crashes(), Heads: s.fleet.Heads(),
+		Crashes: s.fleet.Crashes(), Heads: s.fleet.Heads(), Notices: s.fleet.Notices(), Gateways: addresses,
 		Spans: append([]Span(nil), s.spans...), Departures: append([]Departure(nil), s.departures...), Quiet: quiet,
 		Spread: append([]time.Duration(nil), s.spread...),
 	}
