--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -51,7 +51,7 @@
 	for range 1 + random.IntN(4) {
 		at := time.Duration(random.Int64N(int64(faultTime / 2)))
 		worker := random.IntN(workers)
-		var fault Fault = WorkerSaysLeaving{worker, time.Duration(1000+random.IntN(2000)) * time.Millisecond}
+		var fault Fault = WorkerSaysLeaving{worker, drainTime + time.Duration(500+random.IntN(2500))*time.Millisecond}
 		if random.IntN(2) == 0 {
 			fault = WorkerRests{worker, time.Duration(500+random.IntN(4000)) * time.Millisecond, time.Duration(200+random.IntN(3000)) * time.Millisecond}
 		}
