--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -45,8 +45,10 @@
 
 // Store is a linearizable key-value store with leases and watches.
 type Store struct {
-	mutex    sync.Mutex
-	changed  *sync.Cond
+	mutex   sync.Mutex
+	changed *sync.Cond
+	// era rises each time that the store comes back from an older copy.
+	era      int64
 	revision int64
 	items    map[string]record
 	history  []record
@@ -69,7 +71,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	store := &Store{items: map[string]record{}, leases: map[int64]grant{}, calls: map[string]int{}}
+	store := &Store{era: 1, items: map[string]record{}, leases: map[int64]grant{}, calls: map[string]int{}}
 	store.changed = sync.NewCond(&store.mutex)
 	return store
 }
--- a/internal/standin/fleet/storecalls.go
+++ b/internal/standin/fleet/storecalls.go
@@ -34,6 +34,7 @@
 	default:
 		status, body := s.answer(name, id, request)
 		writer.Header().Set("Content-Type", "application/json")
+		writer.Header().Set("Store-Era", strconv.FormatInt(s.Era(), 10))
 		writer.WriteHeader(status)
 		_ = json.NewEncoder(writer).Encode(body)
 	}
@@ -117,7 +118,7 @@
 	defer s.mutex.Unlock()
 	for {
 		s.expire()
-		if after < s.compacted {
+		if after < s.compacted || after > s.revision {
 			return http.StatusGone, fields{"error": "history is gone"}
 		}
 		events := []record{}
--- /dev/null
+++ b/internal/standin/fleet/storecopy.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"maps"
+	"strings"
+	"time"
+)
+
+// Copy is what a store held at a moment.
+type Copy struct {
+	revision int64
+	items    map[string]record
+	leases   map[int64]grant
+}
+
+// Copy returns a copy of what the store holds.
+func (s *Store) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	return Copy{revision: s.revision, items: maps.Clone(s.items), leases: maps.Clone(s.leases)}
+}
+
+// Restore has the store come back from a copy, in the next era. What was written since is gone and revisions are given out again. It returns
+// the items of operators and workers that are gone or older now, with which those write them again.
+func (s *Store) Restore(copied Copy) []Lost {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var lost []Lost
+	for _, key := range differing(s.items, copied.items) {
+		if isOfOthers(key) {
+			current, found := s.items[key]
+			lost = append(lost, Lost{Key: key, value: current.Value, gone: !found})
+		}
+	}
+	s.era++
+	s.revision = copied.revision
+	s.items, s.leases = maps.Clone(copied.items), maps.Clone(copied.leases)
+	s.history, s.compacted = nil, copied.revision
+	for id, lease := range s.leases {
+		// Nobody could renew it meanwhile.
+		lease.until = time.Now().Add(lease.ttl)
+		s.leases[id] = lease
+	}
+	s.changed.Broadcast()
+	return lost
+}
+
+// differing returns the keys of items that are not the same in two sets.
+func differing(one, other map[string]record) []string {
+	var keys []string
+	for key, item := range one {
+		if other[key].Revision != item.Revision {
+			keys = append(keys, key)
+		}
+	}
+	for key := range other {
+		if _, found := one[key]; !found {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// isOfOthers tells whether operators or workers write a key.
+func isOfOthers(key string) bool {
+	return strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/")
+}
+
+// Lost is an item of operators or workers as it was before the store came back.
+type Lost struct {
+	Key   string
+	value []byte
+	gone  bool
+}
+
+// WriteAgain has operators and workers write what they had written.
+func (s *Store) WriteAgain(lost ...Lost) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, each := range lost {
+		s.revision++
+		if each.gone {
+			s.remove(each.Key)
+			continue
+		}
+		// The value went through those who stand between when it was written first.
+		rewrite := s.rewrite
+		s.rewrite = nil
+		s.write(record{Key: each.Key, Value: each.value})
+		s.rewrite = rewrite
+	}
+}
+
+// Era returns how often the store has come back, counted from one.
+func (s *Store) Era() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era
+}
