--- a/internal/adminpage/assets/words.js
+++ b/internal/adminpage/assets/words.js
@@ -10,6 +10,7 @@
   usage: { words: "Usage of a window reported" },
   capacity: { words: "Workers ordered" },
   bar: { words: "Requests that end workers" },
+  store: { words: "The store came back older" },
   refusal: { words: "Request given up before it ran" },
   request: { words: "Request ended", routine: true },
 };
--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -47,7 +47,12 @@
 	fence    int64
 	// orderFrom and callFrom are when the first order and the first call may be given, and notUntil keeps back both.
 	orderFrom, callFrom, notUntil time.Time
-	lastTick                      time.Time
+	// ttl is that of leases. restoredAt is when the store came back from an older copy, and isDoubted is set until it has told since who
+	// holds the key.
+	ttl        time.Duration
+	restoredAt time.Time
+	isDoubted  bool
+	lastTick   time.Time
 }
 
 // New returns an authority that holds nothing.
@@ -55,9 +60,17 @@
 
 // Leased tells that a lease was granted or renewed by a call that began at a moment.
 func (a *Authority) Leased(begun time.Time, lease int64, ttl time.Duration) {
-	a.lease, a.validUntil = lease, begun.Add(ttl)
+	a.lease, a.validUntil, a.ttl = lease, begun.Add(ttl), ttl
 }
 
+// Restored tells that the store has come back from an older copy. Somebody else may have got the key in what is gone, and goes on until its
+// lease ends by its own clock or it hears of this; so nothing is granted until the store has told who holds the key, and one that gets it
+// from now on waits for that lease besides.
+func (a *Authority) Restored(now time.Time) { a.restoredAt, a.isDoubted = now, true }
+
+// Confirmed tells that the store, come back, holds the key for this process as before, with the fence that it has now.
+func (a *Authority) Confirmed(fence int64) { a.fence, a.isDoubted = fence, false }
+
 // Succession says who held the key before.
 type Succession int
 
@@ -81,6 +94,19 @@
 	case Following:
 		a.callFrom = now.Add(a.settings.CallHandover)
 	}
+	a.isDoubted = false
+	if !a.restoredAt.IsZero() {
+		from := a.restoredAt.Add(a.ttl + a.settings.Handover)
+		a.orderFrom, a.callFrom = later(a.orderFrom, from), later(a.callFrom, from)
+	}
+}
+
+// later returns the later of two moments.
+func later(one, other time.Time) time.Time {
+	if one.After(other) {
+		return one
+	}
+	return other
 }
 
 // Lost tells that the key is not held any more.
@@ -113,7 +139,7 @@
 // may tells whether the lease is valid, the handover over, and the process has not stood still of late.
 func (a *Authority) may(now, from time.Time) (int64, bool) {
 	a.Tick(now)
-	if !a.Holds() || now.Before(from) || now.Before(a.notUntil) || !now.Add(a.settings.Margin).Before(a.validUntil) {
+	if !a.Holds() || a.isDoubted || now.Before(from) || now.Before(a.notUntil) || !now.Add(a.settings.Margin).Before(a.validUntil) {
 		return 0, false
 	}
 	return a.fence, true
--- a/internal/backend/roster.go
+++ b/internal/backend/roster.go
@@ -9,6 +9,9 @@
 	FadeTime time.Duration
 	// OutageMemory is how long after an outage missing records are put down to it.
 	OutageMemory time.Duration
+	// LostTime is how long a worker stays in use whose record is gone since the store came back from an older copy: it came after the copy
+	// was made, and has not left, but the store does not know it yet.
+	LostTime time.Duration
 }
 
 // Roster is the list of workers as the store told it. It is a pure state machine and not safe for concurrent use.
@@ -22,6 +25,8 @@
 	recorded   map[string]*Worker
 	fading     map[string]fadingWorker
 	lastOutage time.Time
+	// lostUntil is until when records that are gone are taken to be lost with what the store held.
+	lostUntil time.Time
 	// leaving is when incarnations said that they leave, in their records or ahead of them, by id.
 	leaving map[string]time.Time
 	// told are the workers in use as Changes told them last, and touched the ids of those of which that may be out of date.
@@ -46,6 +51,9 @@
 // Outage tells that the store failed.
 func (r *Roster) Outage(now time.Time) { r.lastOutage = now }
 
+// Restored tells that the store has come back from an older copy, before its records are told.
+func (r *Roster) Restored(now time.Time) { r.lostUntil = now.Add(r.settings.OutageMemory) }
+
 // Reset replaces all records by those of these workers.
 func (r *Roster) Reset(now time.Time, workers []*Worker) {
 	present := make(map[string]bool, len(workers))
@@ -135,8 +143,12 @@
 	delete(r.recorded, name)
 	r.touched[worker.ID] = nil
 	recent := !r.lastOutage.IsZero() && now.Sub(r.lastOutage) < r.settings.OutageMemory
+	lasting := r.settings.FadeTime
+	if now.Before(r.lostUntil) {
+		recent, lasting = true, r.settings.LostTime
+	}
 	if recent && !worker.Draining {
-		r.fading[worker.ID] = fadingWorker{worker: worker, until: now.Add(r.settings.FadeTime)}
+		r.fading[worker.ID] = fadingWorker{worker: worker, until: now.Add(lasting)}
 		r.touched[worker.ID] = worker
 	}
 }
--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -21,10 +21,11 @@
 // pathChanges is where gateways tell what has changed.
 const pathChanges = "/changes"
 
-// Parameters of a question for changes: a revision, for how many milliseconds an answer may be held until there is something to tell, and of
+// Parameters of a question for changes: the number of a revision and its era, for how many milliseconds an answer may be held until there is something to tell, and of
 // what the asker knows a part: the number of shards, its seat among them, the last key that is known besides, and whether all is wanted.
 const (
 	paramAfter  = "after"
+	paramEra    = "era"
 	paramWait   = "hold"
 	paramShards = "shards"
 	paramSeat   = "seat"
@@ -123,7 +124,7 @@
 }
 
 // errQuestion says what a question has to be.
-var errQuestion = errors.New(paramAfter + ", " + paramWait + ", " + paramShards + " and " + paramSeat + " have to be whole numbers, all but " +
+var errQuestion = errors.New(paramAfter + ", " + paramEra + ", " + paramWait + ", " + paramShards + " and " + paramSeat + " have to be whole numbers, all but " +
 	paramAfter + " of at least 0, " + paramShards + " zero or a power of two")
 
 // questionOf reads a question. What a question does not say of shards is that of one that knows all.
@@ -134,7 +135,15 @@
 	if afterErr != nil || waitErr != nil || waitMs < 0 {
 		return question, errQuestion
 	}
-	question.After, question.Wait = after, time.Duration(waitMs)*time.Millisecond
+	question.After, question.Wait = store.NewRevision(0, after), time.Duration(waitMs)*time.Millisecond
+	question.AnyEra = query.Get(paramEra) == ""
+	if !question.AnyEra {
+		era, err := strconv.ParseInt(query.Get(paramEra), 10, 64)
+		if err != nil || era < 0 || era >= store.MostEras {
+			return question, errQuestion
+		}
+		question.After = store.NewRevision(era, after)
+	}
 	if shards := query.Get(paramShards); shards != "" {
 		number, err := strconv.ParseUint(shards, 10, 31)
 		if err != nil || number&(number-1) != 0 {
@@ -155,7 +164,7 @@
 // queryOf spells a question.
 func queryOf(question store.Question) url.Values {
 	query := url.Values{
-		paramAfter: {strconv.FormatInt(question.After, 10)}, paramWait: {strconv.FormatInt(question.Wait.Milliseconds(), 10)},
+		paramAfter: {strconv.FormatInt(question.After.Number(), 10)}, paramEra: {strconv.FormatInt(question.After.Era(), 10)}, paramWait: {strconv.FormatInt(question.Wait.Milliseconds(), 10)},
 		paramShards: {strconv.Itoa(question.Shards)}, paramSeat: {strconv.FormatUint(question.Seat, 10)},
 	}
 	if question.Upto != "" {
@@ -184,6 +193,7 @@
 	defer timer.Stop()
 	var changes store.Changes
 	err := a.ask(ctx, address, pathChanges+"?"+queryOf(question).Encode(), &changes, func() { timer.Reset(bodyTime) })
+	changes.Adopt(question.After.Era())
 	return changes, errors.Wrapf(err, "step ask for changes, peer %s", address)
 }
 
--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -72,12 +72,12 @@
 }
 
 // question asks what came after a revision.
-func question(after int64, wait time.Duration) store.Question {
+func question(after store.Revision, wait time.Duration) store.Question {
 	return store.Question{After: after, Wait: wait, Shards: 1}
 }
 
 // at returns changes of one item.
-func at(revision int64) store.Changes {
+func at(revision store.Revision) store.Changes {
 	return store.Changes{Changed: []store.Event{{Item: store.Item{Key: "k", Revision: revision}}}, Revision: revision}
 }
 
--- a/internal/changefeed/snapshot.go
+++ b/internal/changefeed/snapshot.go
@@ -80,5 +80,6 @@
 	if s.ask(ctx, address, pathSnapshot, &snapshot, nil) != nil {
 		return nil
 	}
+	snapshot.Adopt(0)
 	return &snapshot
 }
--- a/internal/changefeed/snapshot_test.go
+++ b/internal/changefeed/snapshot_test.go
@@ -13,7 +13,7 @@
 // snapshotSource tells a snapshot of a revision, or none when it is negative.
 type snapshotSource struct {
 	changefeed.Source
-	revision int64
+	revision store.Revision
 }
 
 func (s snapshotSource) Snapshot() (store.Snapshot, bool) {
@@ -22,7 +22,7 @@
 }
 
 // gateway serves a snapshot of a revision, or none when it is negative, and returns its address.
-func gateway(t *testing.T, revision int64) string {
+func gateway(t *testing.T, revision store.Revision) string {
 	t.Helper()
 	server := httptest.NewServer(changefeed.Handler(snapshotSource{revision: revision}, func() (all, sound []string) { return nil, nil }))
 	t.Cleanup(server.Close)
--- a/internal/cluster/gateways.go
+++ b/internal/cluster/gateways.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/member"
+	"github.com/granitebay/granitebay/internal/store"
 )
 
 // Connected tells that the store has answered this process. It makes what is known of the configuration fresh only where this process follows
@@ -91,7 +92,7 @@
 }
 
 // EntryNeed returns the cores that the entries are to have together, and the revision of the store at which that was said.
-func (v *View) EntryNeed() (cores float64, revision int64) {
+func (v *View) EntryNeed() (cores float64, revision store.Revision) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	return v.gateways.Need()
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -44,7 +44,7 @@
 	// GatewaysChanged tells that the list of gateways has changed.
 	GatewaysChanged()
 	// ControllerChanged tells who holds the key of the controller; a value of nil is nobody.
-	ControllerChanged(value []byte, revision int64)
+	ControllerChanged(value []byte, revision store.Revision)
 	// UsageAgreed tells the ledger of the usage.
 	UsageAgreed(value []byte)
 	// BarsListed gives all bars of requests, and BarChanged one that has changed.
@@ -52,6 +52,8 @@
 	BarChanged(event store.Event)
 	// Unregistered tells that the registration of this gateway is gone.
 	Unregistered()
+	// StoreRestored tells that the store has come back from an older copy, in an era. What it holds is told next.
+	StoreRestored(era int64)
 	// Registered tells that the registration of this gateway was seen, or that it was written anew.
 	Registered()
 	// Confirmed tells that the store held the registration of this gateway at a moment of boottime, and that all changes of the
@@ -80,7 +82,7 @@
 	// ownSeen is when the registration that is there was first seen, in the state of ownRevision; zero while there is none. Before it the
 	// store need not have held it.
 	ownSeen     time.Time
-	ownRevision int64
+	ownRevision store.Revision
 	// lostSince is when the store was lost; zero while it answers.
 	lostSince time.Time
 
@@ -114,7 +116,7 @@
 
 // Reset is part of store.Consumer.
 func (v *View) Reset(items []store.Item) {
-	registered, revision := false, int64(0)
+	registered, revision := false, store.Revision(0)
 	var workers []*backend.Worker
 	var bars []store.Item
 	for _, item := range items {
@@ -152,8 +154,22 @@
 	v.noteRegistration(registered, revision)
 }
 
+// Restored is part of store.Consumer. What is missing in the store from now on may only be lost with what it held: workers and gateways that
+// came after the copy was made have not left, and write that they are there again.
+func (v *View) Restored(era int64) {
+	now := v.now()
+	v.rosterMutex.Lock()
+	v.roster.Restored(now)
+	v.rosterMutex.Unlock()
+	v.mutex.Lock()
+	v.lostAt = now
+	v.gateways.Restored(now)
+	v.mutex.Unlock()
+	v.listener.StoreRestored(era)
+}
+
 // noteRegistration takes whether the own registration is there and when it was written, and tells when it is gone.
-func (v *View) noteRegistration(present bool, revision int64) {
+func (v *View) noteRegistration(present bool, revision store.Revision) {
 	switch {
 	case !present:
 		v.ownSeen = time.Time{}
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -55,12 +55,13 @@
 	r.workers += len(changes.Put) - len(changes.Gone)
 }
 
-func (r *recorder) GatewaysChanged()                        {}
-func (r *recorder) ControllerChanged(value []byte, _ int64) { r.controller = string(value) }
-func (r *recorder) UsageAgreed([]byte)                      {}
-func (r *recorder) BarsListed([]store.Item)                 {}
-func (r *recorder) BarChanged(store.Event)                  {}
-func (r *recorder) Unregistered()                           { r.unregistered++ }
+func (r *recorder) StoreRestored(int64)                              {}
+func (r *recorder) GatewaysChanged()                                 {}
+func (r *recorder) ControllerChanged(value []byte, _ store.Revision) { r.controller = string(value) }
+func (r *recorder) UsageAgreed([]byte)                               {}
+func (r *recorder) BarsListed([]store.Item)                          {}
+func (r *recorder) BarChanged(store.Event)                           {}
+func (r *recorder) Unregistered()                                    { r.unregistered++ }
 func (r *recorder) Confirmed(at time.Time, fleetIsNew bool) {
 	r.confirmed, r.fleetIsNew = at, fleetIsNew
 }
@@ -162,7 +163,7 @@
 			t.Errorf("%s it vouches for %v, expected %v", when, told.confirmed, want)
 		}
 	}
-	own := func(revision int64) store.Event {
+	own := func(revision store.Revision) store.Event {
 		return store.Event{Item: store.Item{Key: ownKey, Value: []byte(`{"name":"a"}`), Revision: revision}}
 	}
 	pass := func() { now = now.Add(time.Second) }
--- a/internal/configuration/propose.go
+++ b/internal/configuration/propose.go
@@ -99,7 +99,7 @@
 	// inDoubt is set while a write may have taken effect, or still may.
 	inDoubt bool
 	// compared is the revision with which the write in doubt compared.
-	compared int64
+	compared store.Revision
 }
 
 // Propose brings an edit into the store: it reads the document, makes the edit, and writes the result if nobody wrote
@@ -154,7 +154,7 @@
 }
 
 // write writes a document in place of the one at a revision.
-func (p *proposal) write(ctx context.Context, next Document, revision int64) (ProposeResult, bool) {
+func (p *proposal) write(ctx context.Context, next Document, revision store.Revision) (ProposeResult, bool) {
 	snapshot, err := Compile(next)
 	if err == nil && len(snapshot.encoded) > MaximumDocumentBytes {
 		err = ErrTooLarge
@@ -178,7 +178,7 @@
 }
 
 // Read returns the document in the store with the revision of its key; the zero document and zero when there is none.
-func Read(ctx context.Context, from store.Store) (Document, int64, error) {
+func Read(ctx context.Context, from store.Store) (Document, store.Revision, error) {
 	items, _, err := from.List(ctx, StoreKey)
 	if err != nil {
 		return Document{}, 0, errors.Wrap(err, "step read the configuration")
--- a/internal/configuration/propose_test.go
+++ b/internal/configuration/propose_test.go
@@ -34,14 +34,14 @@
 type memoryStore struct {
 	store.Store
 	value    []byte
-	revision int64
+	revision store.Revision
 	faults   []fault
 	late     *store.Transaction
 	// reads are scripted to fail so many times.
 	failReads int
 }
 
-func (m *memoryStore) List(context.Context, string) ([]store.Item, int64, error) {
+func (m *memoryStore) List(context.Context, string) ([]store.Item, store.Revision, error) {
 	m.catchUp()
 	if m.failReads > 0 {
 		m.failReads--
@@ -53,7 +53,7 @@
 	return []store.Item{{Key: StoreKey, Value: m.value, Revision: m.revision}}, m.revision, nil
 }
 
-func (m *memoryStore) Commit(_ context.Context, wanted store.Transaction) (int64, error) {
+func (m *memoryStore) Commit(_ context.Context, wanted store.Transaction) (store.Revision, error) {
 	m.catchUp()
 	next := faultNone
 	if len(m.faults) > 0 {
--- /dev/null
+++ b/internal/configuration/restore_test.go
@@ -0,0 +1,64 @@
+package configuration
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// TestLostEditsAreWrittenAgain has the store hold no document, an earlier one, the same, a later one, and one that went another way.
+func TestLostEditsAreWrittenAgain(t *testing.T) {
+	edit := func(to *memoryStore, id, label string) Document {
+		t.Helper()
+		current, _, err := Read(context.Background(), to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		result := Propose(t.Context(), to, EditRequest{ChangeID: id, BaseRevision: current.Revision, Edits: []Edit{SetLabel("10.0.0.1:80", "tier", label)}})
+		if !result.Accepted {
+			t.Fatalf("%s: %+v", id, result)
+		}
+		document, _, err := Read(context.Background(), to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return document
+	}
+	held := &memoryStore{}
+	first := edit(held, "one", "a")
+	earlier := *held
+	edit(held, "two", "b")
+	known := edit(held, "three", "c")
+	current := *held
+	edit(held, "four", "d")
+	later := *held
+	other := earlier
+	edit(&other, "another", "z")
+	for _, test := range []struct {
+		desc     string
+		store    memoryStore
+		written  bool
+		diverged bool
+		revision uint64
+	}{
+		{"no document", memoryStore{}, true, false, 3},
+		{"an earlier one", earlier, true, false, 3},
+		{"the same", current, false, false, 3},
+		{"a later one", later, false, false, 4},
+		{"one that went another way", other, false, true, 2},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			written, err := Restore(t.Context(), &test.store, known)
+			if written != test.written || errors.Is(err, ErrDiverged) != test.diverged || (err != nil && !test.diverged) {
+				t.Errorf("written %t, %v", written, err)
+			}
+			if document, _, err := Read(t.Context(), &test.store); err != nil || document.Revision != test.revision {
+				t.Errorf("the store holds revision %d, %v", document.Revision, err)
+			}
+		})
+	}
+	if first.Revision != 1 {
+		t.Errorf("the first revision is %d", first.Revision)
+	}
+}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -19,10 +19,11 @@
 	KindUsage         Kind = "usage"         // the usage of a window was reported
 	KindCapacity      Kind = "capacity"      // workers of a zone were ordered
 	KindBar           Kind = "bar"           // a request was suspected of ending workers, barred, cleared or released
+	KindStore         Kind = "store"         // the store came back from an older copy
 )
 
 // Kinds are all kinds, those about requests first.
-var Kinds = []Kind{KindRequest, KindRefusal, KindRole, KindAuthority, KindConfiguration, KindHealth, KindEntry, KindUsage, KindCapacity, KindBar}
+var Kinds = []Kind{KindRequest, KindRefusal, KindRole, KindAuthority, KindConfiguration, KindHealth, KindEntry, KindUsage, KindCapacity, KindBar, KindStore}
 
 // Record is one decision.
 type Record struct {
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -170,7 +170,7 @@
 
 // Propose is part of adminapi.Backend.
 func (a admin) Propose(ctx context.Context, request configuration.EditRequest) configuration.ProposeResult {
-	return configuration.Propose(ctx, a.ports.Store, request)
+	return a.propose(ctx, request)
 }
 
 // KnownWorkers is part of adminapi.Backend.
--- a/internal/gateway/bars.go
+++ b/internal/gateway/bars.go
@@ -35,7 +35,7 @@
 
 // storedBar is a bar that the store holds.
 type storedBar struct {
-	revision int64
+	revision store.Revision
 	until    time.Time
 }
 
@@ -320,6 +320,18 @@
 	g.bars.released(asked)
 }
 
+// restored has all bars that the store held written again unless it still holds them: it came back from an older copy. None of them is
+// released for that.
+func (b *bars) restored() {
+	due := time.Now().Add(barHearsay)
+	b.mu.Lock()
+	clear(b.stored)
+	b.mu.Unlock()
+	for _, bar := range b.guard.Bars() {
+		b.want(wantedBar{bar: bar, due: due})
+	}
+}
+
 // hold takes a bar that the store holds.
 func (b *bars) hold(item store.Item) (poison.Digest, bool) {
 	bar, err := poison.DecodeBar(item.Key, item.Value)
--- a/internal/gateway/bars_test.go
+++ b/internal/gateway/bars_test.go
@@ -23,11 +23,11 @@
 }
 
 // Commit is part of store.Store.
-func (s *barStore) Commit(_ context.Context, transaction store.Transaction) (int64, error) {
+func (s *barStore) Commit(_ context.Context, transaction store.Transaction) (store.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commits = append(s.commits, transaction)
-	return int64(len(s.commits)), nil
+	return store.Revision(len(s.commits)), nil
 }
 
 // newTestBars returns the bars of a gateway that does nothing else.
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -83,8 +83,13 @@
 	metricStoreCalls = "granitebay_store_calls_total"
 	metricChoice     = "granitebay_choice_seconds"
 	metricCandidates = "granitebay_choice_candidates"
+	// metricRestored counts returns of the store from an older copy.
+	metricRestored = "granitebay_store_restored_total"
 )
 
+// storeRestored counts a return of the store.
+func (f *figures) storeRestored() { f.set.GetOrCreateCounter(metricRestored).Inc() }
+
 // storeCalled counts a call to the store.
 func (f *figures) storeCalled(call store.Call, _ time.Duration, err error) {
 	f.set.GetOrCreateCounter(fmt.Sprintf(`%s{call=%q,failed="%t"}`, metricStoreCalls, call, err != nil)).Inc()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,8 @@
 	Identify func(ctx context.Context, worker *backend.Worker, path string) (string, error)
 	// WatchNotices tells whom to tell what workers say of themselves in their answers, and what of it can't be read; nil tells nobody.
 	WatchNotices func(heard func(worker *backend.Worker, notice backend.Notice, err error))
+	// WatchEra tells whom to tell that the store says that it has come back from an older copy; nil tells nobody.
+	WatchEra func(heard func(era int64))
 	// ForgetAddress closes resting connections to an address at which no worker is any more.
 	ForgetAddress func(address string)
 	// ReadyHandler serves the question whether the gateway takes requests.
@@ -104,8 +106,12 @@
 	workersKnown chan struct{}
 	knowWorkers  sync.Once
 	// learn asks for what engines keep to be learnt, and keptAsker asks other gateways for it.
-	learn     chan struct{}
-	keptAsker *keptshare.Asker
+	learn chan struct{}
+	// restoring asks for what the store has lost to be written again.
+	restoring chan struct{}
+	// lacksEdits is set while the store may have lost edits of operators that are in force here.
+	lacksEdits atomic.Bool
+	keptAsker  *keptshare.Asker
 
 	leaving atomic.Bool
 	servers []*callers.Server
@@ -122,6 +128,7 @@
 	g.workersKnown = make(chan struct{})
 	g.workers, g.addresses = backend.Set{}, map[string]int{}
 	g.learn = make(chan struct{}, 1)
+	g.restoring = make(chan struct{}, 1)
 	g.keptAsker = keptshare.New()
 	g.decisions = decisionlog.New(settings.Name, keptDecisions)
 	g.metrics = newFigures(g.decisions, logger)
@@ -185,6 +192,9 @@
 		settings.Holder = g.settings.Name
 		g.capacity = capacity.NewExecutor(settings, g, ports.Capacity, g.controller.Authority, logging.Part(logger, "capacity"), g.decide)
 	}
+	if ports.WatchEra != nil {
+		ports.WatchEra(g.eraHeard)
+	}
 	g.metrics.watch(g)
 	g.metrics.watchDuties(g.used.reporter, g.capacity)
 	return g
@@ -233,6 +243,7 @@
 	g.tasks.Go(func() { g.learnKept(ctx) })
 	g.tasks.Go(func() { g.bars.run(ctx) })
 	g.tasks.Go(func() { g.engines.run(ctx) })
+	g.tasks.Go(func() { g.restoreDocuments(ctx) })
 	if g.capacity != nil {
 		g.tasks.Go(func() { g.capacity.Run(ctx) })
 	}
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -13,6 +13,7 @@
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/store"
 )
 
 // ConfigurationChanged is part of cluster.Listener.
@@ -98,6 +99,10 @@
 // outageMemory is how long after an outage missing records of workers are put down to it.
 const outageMemory = 1500 * time.Millisecond
 
+// lostTime is how long a worker is used whose record the store has lost with an older copy. It writes its record again with one of its next
+// heartbeats, some of which may be lost; one that has ended meanwhile is found by its connections.
+const lostTime = 5 * time.Second
+
 // fadeShare is the part of the time to drain for which a worker without a record stays in use after an outage.
 const fadeShare = 0.6
 
@@ -106,6 +111,7 @@
 	return backend.RosterSettings{
 		FadeTime:     time.Duration(fadeShare * float64(settings.DrainTime)),
 		OutageMemory: outageMemory,
+		LostTime:     lostTime,
 	}
 }
 
@@ -117,7 +123,7 @@
 }
 
 // ControllerChanged is part of cluster.Listener.
-func (g *Gateway) ControllerChanged(value []byte, revision int64) {
+func (g *Gateway) ControllerChanged(value []byte, revision store.Revision) {
 	rank := 0
 	for i, gateway := range g.Entries() {
 		if gateway.Name == g.settings.Name {
--- a/internal/gateway/repeats_test.go
+++ b/internal/gateway/repeats_test.go
@@ -68,13 +68,15 @@
 	waits chan time.Duration
 }
 
-func (w *waitingStore) List(context.Context, string) ([]store.Item, int64, error) { return nil, 1, nil }
+func (w *waitingStore) List(context.Context, string) ([]store.Item, store.Revision, error) {
+	return nil, 1, nil
+}
 
-func (w *waitingStore) ListUntil(context.Context, string, func([]store.Item) bool) ([]store.Item, int64, bool, error) {
+func (w *waitingStore) ListUntil(context.Context, string, func([]store.Item) bool) ([]store.Item, store.Revision, bool, error) {
 	return nil, 1, true, nil
 }
 
-func (w *waitingStore) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) ([]store.Event, int64, error) {
+func (w *waitingStore) Watch(ctx context.Context, _ string, _ store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 	w.waits <- wait
 	<-ctx.Done()
 	return nil, 0, ctx.Err()
@@ -84,6 +86,7 @@
 type ignorant struct{}
 
 func (ignorant) Reset([]store.Item)  {}
+func (ignorant) Restored(int64)      {}
 func (ignorant) Apply([]store.Event) {}
 func (ignorant) Lost(error)          {}
 func (ignorant) Current(time.Time)   {}
--- a/internal/gateway/sizing.go
+++ b/internal/gateway/sizing.go
@@ -41,6 +41,9 @@
 		need, revision := g.view.EntryNeed()
 		if cores, changed := sizer.Next(time.Now(), g.entriesBusy(), need); changed {
 			g.writeNeed(ctx, cores, revision)
+		} else if need > 0 && revision == 0 {
+			// The store has lost it.
+			g.writeNeed(ctx, need, revision)
 		}
 	}
 }
@@ -57,7 +60,7 @@
 }
 
 // writeNeed writes the need, unless somebody else has written one meanwhile.
-func (g *Gateway) writeNeed(ctx context.Context, cores float64, revision int64) {
+func (g *Gateway) writeNeed(ctx context.Context, cores float64, revision store.Revision) {
 	ctx, cancel := context.WithTimeout(ctx, sizeInterval)
 	defer cancel()
 	log := logging.Part(g.logger, "member").WithFields(logrus.Fields{"cores": fmt.Sprintf("%.1f", cores)})
--- a/internal/gateway/used.go
+++ b/internal/gateway/used.go
@@ -80,4 +80,7 @@
 		return
 	}
 	g.used.tally.Agreed(ledger.Next)
+	if g.used.reporter != nil {
+		g.used.reporter.Heard(ledger)
+	}
 }
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -48,6 +48,8 @@
 	// fading holds until when a gateway without a registration stays on the list.
 	fading     map[string]time.Time
 	lastOutage time.Time
+	// isRestored is set until the first list of a store that came back from an older copy.
+	isRestored bool
 	// heard holds when each other gateway was heard last, by its own word or by that of another, and claims when each told last by
 	// its own that it takes requests.
 	heard, claims map[string]time.Time
@@ -58,7 +60,7 @@
 	settings EntrySettings
 	// neededCores are those that the entries have together at least.
 	neededCores  float64
-	needRevision int64
+	needRevision store.Revision
 	// picked holds since when each entry is one, and unresponsive until when a gateway is passed over that was one and told
 	// nothing.
 	picked       map[string]time.Time
@@ -96,12 +98,18 @@
 			faults = append(faults, l.put(item))
 		}
 	}
+	needed := l.neededCores
 	l.neededCores, l.needRevision = 0, 0
 	for _, item := range items {
 		if item.Key == NeedKey {
 			faults = append(faults, l.putNeed(item))
 		}
 	}
+	if l.isRestored && l.needRevision == 0 {
+		// Whoever gives the orders writes it again. Without it fewer gateways would take requests until then.
+		l.neededCores = needed
+	}
+	l.isRestored = false
 	for key := range l.gateways {
 		if !present[key] {
 			l.lapse(now, key)
@@ -139,11 +147,18 @@
 }
 
 // Need returns the cores that the entries are to have together, and the revision of the store at which that was said.
-func (l *List) Need() (cores float64, revision int64) { return l.neededCores, l.needRevision }
+func (l *List) Need() (cores float64, revision store.Revision) { return l.neededCores, l.needRevision }
 
 // Outage tells that the store failed.
 func (l *List) Outage(now time.Time) { l.lastOutage = now }
 
+// Restored tells that the store has come back from an older copy, before its registrations are told: those that are missing may only be
+// lost, and are written again.
+func (l *List) Restored(now time.Time) {
+	l.Outage(now)
+	l.isRestored = true
+}
+
 // Heard tells that another gateway said that it takes requests.
 func (l *List) Heard(now time.Time, name string) {
 	l.claims[name] = now
--- a/internal/member/registration_test.go
+++ b/internal/member/registration_test.go
@@ -48,11 +48,11 @@
 	return nil
 }
 
-func (l *leaseStore) Commit(_ context.Context, transaction store.Transaction) (int64, error) {
+func (l *leaseStore) Commit(_ context.Context, transaction store.Transaction) (store.Revision, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.puts = append(l.puts, transaction.Puts...)
-	return int64(len(l.puts)), nil
+	return store.Revision(len(l.puts)), nil
 }
 
 // last returns the last registration and how many there were.
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -105,7 +105,10 @@
 
 	mutex     sync.Mutex
 	authority *authority.Authority
-	lease     int64
+	// held is the revision of the key that this process holds, and era that of the store as far as is known.
+	held  store.Revision
+	era   int64
+	lease int64
 	// floors are the least numbers of engines of each role, by group.
 	floors map[string]map[backend.Role]int
 	// vacant is set when nobody holds the key, and askAfter when this process may ask for it.
@@ -161,7 +164,7 @@
 }
 
 // KeyChanged tells who holds the key; a value of nil is nobody. Rank orders the processes that may ask for it when it is free.
-func (c *Controller) KeyChanged(now time.Time, value []byte, revision int64, rank int) {
+func (c *Controller) KeyChanged(now time.Time, value []byte, revision store.Revision, rank int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.vacant = value == nil
@@ -171,12 +174,29 @@
 		c.authority.Lost()
 		return
 	}
-	// Also settles a call whose answer was lost.
-	if !c.authority.Holds() && held.Lease == c.lease {
-		c.authority.Acquired(now, held.Lease, revision, authority.Returning)
+	switch {
+	case held.Lease != c.lease:
+	case !c.authority.Holds():
+		// Also settles a call whose answer was lost.
+		c.authority.Acquired(now, held.Lease, revision.Fence(), authority.Returning)
+		c.held = revision
+	case revision.Era() >= c.era:
+		c.authority.Confirmed(revision.Fence())
+		c.held = revision
 	}
 }
 
+// Restored tells that the store has come back from an older copy, in an era. Who holds the key is told next.
+func (c *Controller) Restored(now time.Time, era int64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if era <= c.era {
+		return
+	}
+	c.era = era
+	c.authority.Restored(now)
+}
+
 // rankDelay is by how much later the next process asks for a free key.
 const rankDelay = 700 * time.Millisecond
 
--- a/internal/roles/controller_test.go
+++ b/internal/roles/controller_test.go
@@ -21,14 +21,14 @@
 type keyStore struct {
 	store.Store
 	mutex    sync.Mutex
-	revision int64
+	revision store.Revision
 	value    []byte
 	history  []byte
 	// loseAnswer carries the next commit out without an answer.
 	loseAnswer bool
 }
 
-func (k *keyStore) List(context.Context, string) ([]store.Item, int64, error) {
+func (k *keyStore) List(context.Context, string) ([]store.Item, store.Revision, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if k.history == nil {
@@ -37,7 +37,7 @@
 	return []store.Item{{Key: HistoryKey, Value: k.history, Revision: k.revision}}, k.revision, nil
 }
 
-func (k *keyStore) Commit(_ context.Context, transaction store.Transaction) (int64, error) {
+func (k *keyStore) Commit(_ context.Context, transaction store.Transaction) (store.Revision, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if len(transaction.Deletes) > 0 && transaction.Conditions[0].Revision == k.revision {
--- a/internal/roles/holder.go
+++ b/internal/roles/holder.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// firstEra is the last era that may be that of a store which never came back from a copy: eras are counted from zero or one.
+const firstEra = 1
+
+// successionIn returns what a process is to those before it in an era: in a later one the history may lack the last of them.
+func successionIn(era int64, known authority.Succession) authority.Succession {
+	if era > firstEra {
+		return authority.Returning
+	}
+	return known
+}
+
 // with returns the history with one more holder.
 func (h history) with(name string) history {
 	holders := slices.DeleteFunc(slices.Clone(h.Holders), func(each string) bool { return each == name })
@@ -69,10 +80,12 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.vacant = false
-	c.authority.Acquired(c.settings.Now(), lease, revision, before.succession(c.settings.Holder))
-	c.logger.WithField("fence", revision).Info("This gateway gives the orders.")
+	fence := revision.Fence()
+	c.authority.Acquired(c.settings.Now(), lease, fence, successionIn(revision.Era(), before.succession(c.settings.Holder)))
+	c.held = revision
+	c.logger.WithField("fence", fence).Info("This gateway gives the orders.")
 	c.decide(decision.Record{
-		Kind: decision.KindAuthority, Subject: Key, Outcome: c.settings.Holder, Fence: revision,
+		Kind: decision.KindAuthority, Subject: Key, Outcome: c.settings.Holder, Fence: fence,
 		Reason: "Nobody held the key of the controller, and this gateway wrote it.",
 	})
 }
@@ -84,7 +97,7 @@
 	if err != nil {
 		return before, store.Transaction{}, errors.Wrap(err, "step read the history of holders")
 	}
-	revision := int64(0)
+	revision := store.Revision(0)
 	for _, item := range items {
 		if item.Key != HistoryKey {
 			continue
@@ -112,7 +125,7 @@
 // release gives the key up. Without an answer it goes with its lease.
 func (c *Controller) release(ctx context.Context) {
 	c.mutex.Lock()
-	fence, held := c.authority.Fence(), c.authority.Holds()
+	revision, held := c.held, c.authority.Holds()
 	c.authority.Lost()
 	c.mutex.Unlock()
 	if !held {
@@ -120,7 +133,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
 	defer cancel()
-	_, err := c.store.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: Key, Revision: fence}}, Deletes: []string{Key}})
+	_, err := c.store.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: Key, Revision: revision}}, Deletes: []string{Key}})
 	if err != nil {
 		c.logger.WithError(err).Warn("The key of the controller was not given up; it goes with its lease.")
 		return
--- a/internal/store/counted.go
+++ b/internal/store/counted.go
@@ -33,7 +33,7 @@
 func (c counted) note(call Call, begun time.Time, err error) { c.observe(call, time.Since(begun), err) }
 
 // List is part of Store.
-func (c counted) List(ctx context.Context, prefix string) ([]Item, int64, error) {
+func (c counted) List(ctx context.Context, prefix string) ([]Item, Revision, error) {
 	begun := time.Now()
 	items, at, err := c.store.List(ctx, prefix)
 	c.note(CallList, begun, err)
@@ -41,7 +41,7 @@
 }
 
 // ListUntil is part of Store.
-func (c counted) ListUntil(ctx context.Context, prefix string, enough func([]Item) bool) ([]Item, int64, bool, error) {
+func (c counted) ListUntil(ctx context.Context, prefix string, enough func([]Item) bool) ([]Item, Revision, bool, error) {
 	begun := time.Now()
 	items, at, whole, err := c.store.ListUntil(ctx, prefix, enough)
 	c.note(CallList, begun, err)
@@ -49,7 +49,7 @@
 }
 
 // Watch is part of Store.
-func (c counted) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error) {
+func (c counted) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error) {
 	begun := time.Now()
 	events, at, err := c.store.Watch(ctx, prefix, after, wait)
 	c.note(CallWatch, begun, err)
@@ -57,7 +57,7 @@
 }
 
 // Commit is part of Store.
-func (c counted) Commit(ctx context.Context, transaction Transaction) (int64, error) {
+func (c counted) Commit(ctx context.Context, transaction Transaction) (Revision, error) {
 	begun := time.Now()
 	revision, err := c.store.Commit(ctx, transaction)
 	c.note(CallCommit, begun, err)
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -17,13 +17,15 @@
 	// Changed items, each with its latest change, in the order of the changes.
 	Changed []Event `json:"changed,omitempty"`
 	// Revision up to which everything is told.
-	Revision int64 `json:"revision"`
+	Revision Revision `json:"revision"`
+	// Era is that of all revisions, which are told without it; nil when the teller does not say.
+	Era *int64 `json:"era,omitempty"`
 	// StoreLost is set while the teller can't reach the store itself.
 	StoreLost bool `json:"storeLost,omitempty"`
 	// After and Until are set when lists of the teller may have hidden items that came and went between these revisions: the changes are all
 	// after the first one, and what the one that asks knows of a revision between both and is not told is gone.
-	After int64 `json:"after,omitempty"`
-	Until int64 `json:"until,omitempty"`
+	After Revision `json:"after,omitempty"`
+	Until Revision `json:"until,omitempty"`
 	// Shards is of how many shards the items that are divided are those of one, and Whole is set when all of that shard are told, because
 	// the one that asked held another.
 	Shards int  `json:"shards,omitempty"`
@@ -44,7 +46,9 @@
 // Question is what a process asks a feed.
 type Question struct {
 	// After is the revision up to which everything is known.
-	After int64
+	After Revision
+	// AnyEra is set when the one that asks does not say of which era that is: then it is that of the one that answers.
+	AnyEra bool
 	// Wait is how long an answer may be held until there is something to tell.
 	Wait time.Duration
 	// Shards is of how many shards the one of the Seat is known; zero is none, and then only the keys up to Upto are known of the rest.
@@ -95,7 +99,9 @@
 	if err != nil {
 		return err
 	}
-	r.take(begun, changes)
+	if !r.take(begun, changes) {
+		return ErrNobody
+	}
 	return nil
 }
 
@@ -106,8 +112,14 @@
 	return Question{After: r.after, Wait: wait, Shards: r.shards, Seat: r.settings.Seat, Upto: r.listed, All: !r.calm.Load()}
 }
 
-// take takes what a feed told, to a question that was begun at a moment.
-func (r *Replica) take(begun time.Time, changes Changes) {
+// take takes what a feed told, to a question that was begun at a moment. It tells whether that was of the era that is known, or a later one.
+func (r *Replica) take(begun time.Time, changes Changes) bool {
+	r.mutex.Lock()
+	behind := r.behind(changes.Revision)
+	r.mutex.Unlock()
+	if behind {
+		return false
+	}
 	r.toldAt = boottime.Now()
 	if changes.StoreLost {
 		r.consumer.Lost(errToldLost)
@@ -122,6 +134,7 @@
 		r.doubted = false
 		r.consumer.Current(r.knownSince(changes.knownAt(begun)))
 	}
+	return true
 }
 
 // hidden returns the ends of items that are known here and went without being seen by the teller.
@@ -162,8 +175,7 @@
 	if err != nil || changes.StoreLost || changes.Revision <= question.After {
 		return false
 	}
-	r.take(begun, changes)
-	return true
+	return r.take(begun, changes)
 }
 
 // listWait is how long the one that lists the store for others is waited for: dozens of calls of some milliseconds.
@@ -212,10 +224,13 @@
 func (r *Replica) Changes(question Question) (Changes, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.known == nil || r.calm.Load() || r.shards != 1 {
+	if question.AnyEra {
+		question.After = question.After.in(r.after.Era())
+	}
+	if r.known == nil || r.calm.Load() || r.shards != 1 || question.After.Era() > r.after.Era() {
 		return Changes{}, false
 	}
-	changes := Changes{Revision: r.after, Full: question.After < r.completeFrom, StoreLost: r.storeLost, Shards: 1}
+	changes := Changes{Revision: r.after, Era: eraOf(r.after), Full: question.After < r.completeFrom, StoreLost: r.storeLost, Shards: 1}
 	if !question.All {
 		changes.Shards = shardsFor(r.sharded, question.Shards)
 	}
--- a/internal/store/feed_test.go
+++ b/internal/store/feed_test.go
@@ -13,7 +13,7 @@
 // scriptedFeed is a feed that a test scripts. Without a script nobody tells anything.
 type scriptedFeed struct {
 	mutex sync.Mutex
-	next  func(after int64) (Changes, error)
+	next  func(after Revision) (Changes, error)
 	asked int
 }
 
@@ -33,7 +33,7 @@
 }
 
 // script replaces what is told.
-func (f *scriptedFeed) script(next func(after int64) (Changes, error)) {
+func (f *scriptedFeed) script(next func(after Revision) (Changes, error)) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.next = next
@@ -42,15 +42,15 @@
 // TestACalmReplicaAsksTheStoreOnlyWhileNobodyTells counts the calls to the store of a replica that follows a feed.
 func TestACalmReplicaAsksTheStoreOnlyWhileNobodyTells(t *testing.T) {
 	store := &fakeStore{
-		lists:  []func() ([]Item, int64, error){listed(5, item("a", 3))},
-		events: make(chan func(int64) ([]Event, int64, error), 4),
+		lists:  []func() ([]Item, Revision, error){listed(5, item("a", 3))},
+		events: make(chan func(Revision) ([]Event, Revision, error), 4),
 	}
 	recorded := &recorder{}
 	settings := DefaultReplicaSettings()
 	settings.Settle = time.Millisecond
 	replica := NewReplica(store, "", settings, recorded, nil)
 	feed := &scriptedFeed{}
-	feed.script(func(after int64) (Changes, error) {
+	feed.script(func(after Revision) (Changes, error) {
 		if after < 8 {
 			return Changes{Changed: []Event{{Item: item("b", 7)}, {Item: item("a", 8), Deleted: true}}, Revision: 8}, nil
 		}
@@ -79,7 +79,7 @@
 		t.Error("one that does not follow the store tells others")
 	}
 	feed.script(nil)
-	store.events <- func(after int64) ([]Event, int64, error) {
+	store.events <- func(after Revision) ([]Event, Revision, error) {
 		if after != 8 {
 			t.Errorf("the store is watched after %d, and 8 is known", after)
 		}
@@ -91,15 +91,17 @@
 // TestAReplicaWhoseStoreTurnsItAwayLearnsFromOthers has the store fail for a gateway that takes requests.
 func TestAReplicaWhoseStoreTurnsItAwayLearnsFromOthers(t *testing.T) {
 	store := &fakeStore{
-		lists: []func() ([]Item, int64, error){
-			listed(5, item("a", 3)), func() ([]Item, int64, error) { return nil, 0, ErrBusy },
+		lists: []func() ([]Item, Revision, error){
+			listed(5, item("a", 3)), func() ([]Item, Revision, error) { return nil, 0, ErrBusy },
 		},
-		events: make(chan func(int64) ([]Event, int64, error), 4),
+		events: make(chan func(Revision) ([]Event, Revision, error), 4),
 	}
 	recorded := &recorder{}
 	replica := NewReplica(store, "", DefaultReplicaSettings(), recorded, nil)
 	feed := &scriptedFeed{}
-	feed.script(func(int64) (Changes, error) { return Changes{Changed: []Event{{Item: item("a", 6)}}, Revision: 6}, nil })
+	feed.script(func(Revision) (Changes, error) {
+		return Changes{Changed: []Event{{Item: item("a", 6)}}, Revision: 6}, nil
+	})
 	replica.SetFeed(feed)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -112,7 +114,7 @@
 		<-done
 	})
 	recorded.eventually(t, "a=3")
-	store.events <- func(int64) ([]Event, int64, error) { return nil, 0, ErrBusy }
+	store.events <- func(Revision) ([]Event, Revision, error) { return nil, 0, ErrBusy }
 	recorded.eventually(t, "a=6")
 	if changes, follows := replica.Changes(Question{After: 5, Shards: 1}); !follows || !changes.StoreLost {
 		t.Errorf("it tells %+v, %t, and not that it has lost the store", changes, follows)
@@ -135,7 +137,7 @@
 func TestOneThatIsToldHoldsWhatTheTellersHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var history []Event
-		items := func(at int64) []Item {
+		items := func(at Revision) []Item {
 			latest := map[string]Event{}
 			for _, event := range history[:at] {
 				latest[event.Key] = event
@@ -162,7 +164,7 @@
 			if !follows {
 				return
 			}
-			told.feed = &scriptedFeed{next: func(int64) (Changes, error) { return changes, nil }}
+			told.feed = &scriptedFeed{next: func(Revision) (Changes, error) { return changes, nil }}
 			before := told.after
 			if err := told.follow(context.Background(), 0); err != nil {
 				t.Fatal(err)
@@ -176,15 +178,15 @@
 			replica := tellers[teller]
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
-				revision := int64(len(history) + 1)
+				revision := Revision(len(history) + 1)
 				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
 				history = append(history, Event{Item: item(key, revision), Deleted: rapid.Bool().Draw(t, "deleted")})
 			case 2:
 				if replica.known != nil {
-					replica.fresh(history[replica.after:], int64(len(history)))
+					replica.fresh(history[replica.after:], Revision(len(history)))
 				}
 			case 3:
-				replica.replace(Snapshot{Items: items(int64(len(history))), Revision: int64(len(history))})
+				replica.replace(Snapshot{Items: items(Revision(len(history))), Revision: Revision(len(history))})
 			case 4:
 				tellers[teller] = newTeller()
 			case 5:
@@ -192,12 +194,12 @@
 			}
 		}
 		for _, replica := range tellers {
-			replica.replace(Snapshot{Items: items(int64(len(history))), Revision: int64(len(history))})
+			replica.replace(Snapshot{Items: items(Revision(len(history))), Revision: Revision(len(history))})
 		}
 		learn(tellers[0])
 		learn(tellers[1])
 		wanted := &recorder{}
-		wanted.Reset(items(int64(len(history))))
+		wanted.Reset(items(Revision(len(history))))
 		if recorded.String() != wanted.String() {
 			t.Fatalf("told %q, the store holds %q", recorded, wanted)
 		}
@@ -209,7 +211,7 @@
 	replica := NewReplica(nil, "", DefaultReplicaSettings(), &recorder{}, nil)
 	replica.replace(Snapshot{Revision: 1})
 	for i := range maxDeleted + 2 {
-		replica.fresh([]Event{{Item: Item{Key: fmt.Sprint(i), Revision: int64(i + 2)}, Deleted: true}}, int64(i+2))
+		replica.fresh([]Event{{Item: Item{Key: fmt.Sprint(i), Revision: Revision(i + 2)}, Deleted: true}}, Revision(i+2))
 	}
 	replica.replace(Snapshot{Revision: maxDeleted + 9})
 	if len(replica.known.latest) > 0 {
--- a/internal/store/known_test.go
+++ b/internal/store/known_test.go
@@ -19,16 +19,16 @@
 	cut bool
 }
 
-func (q *quietStore) List(context.Context, string) ([]Item, int64, error) {
+func (q *quietStore) List(context.Context, string) ([]Item, Revision, error) {
 	return []Item{item("a", 3)}, 5, nil
 }
 
-func (q *quietStore) ListUntil(ctx context.Context, prefix string, _ func([]Item) bool) ([]Item, int64, bool, error) {
+func (q *quietStore) ListUntil(ctx context.Context, prefix string, _ func([]Item) bool) ([]Item, Revision, bool, error) {
 	items, at, err := q.List(ctx, prefix)
 	return items, at, true, err
 }
 
-func (q *quietStore) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) ([]Event, int64, error) {
+func (q *quietStore) Watch(ctx context.Context, _ string, _ Revision, wait time.Duration) ([]Event, Revision, error) {
 	q.mutex.Lock()
 	q.waits = append(q.waits, wait)
 	cut := q.cut
@@ -115,7 +115,7 @@
 	teller.knownSince(known)
 	changes, _ := teller.Changes(Question{Shards: 1})
 	told, feed := &knownRecorder{}, &scriptedFeed{}
-	feed.script(func(int64) (Changes, error) { return changes, nil })
+	feed.script(func(Revision) (Changes, error) { return changes, nil })
 	follower := NewReplica(&quietStore{}, "", DefaultReplicaSettings(), told, nil)
 	follower.SetFeed(feed)
 	asked := boottime.Now()
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -56,6 +56,9 @@
 type Consumer interface {
 	// Reset replaces everything that was told before.
 	Reset(items []Item)
+	// Restored tells that the store has come back from an older copy, in an era. What it holds is told next; changes that were told before
+	// are gone unless it holds them.
+	Restored(era int64)
 	// Apply tells changes in the order of their revisions.
 	Apply(events []Event)
 	// Lost tells that the store failed; what was told before may be out of date from here on.
@@ -94,7 +97,7 @@
 	mutex sync.Mutex
 	// known holds the items that the consumer was told; nil before the first list. Deleted ones stay as such.
 	known *table
-	after int64
+	after Revision
 	// shards is of how many shards this process holds its own: one is everything, and zero nothing of what is divided. With none, listed
 	// is the last key of the rest that was listed.
 	shards int
@@ -104,9 +107,9 @@
 	// sharded counts the items that are divided and there.
 	sharded int
 	// completeFrom is the revision after which no change is missing in known, deletions included.
-	completeFrom int64
+	completeFrom Revision
 	// Between gapFrom and gapTo, both not included, items may have come and gone that lists did not show.
-	gapFrom, gapTo int64
+	gapFrom, gapTo Revision
 	// changed is closed at the next change.
 	changed chan struct{}
 	// knownAt is the moment of boottime up to which all changes are known for sure; zero before the first.
@@ -125,8 +128,10 @@
 
 // Snapshot is what a replica knows at a revision.
 type Snapshot struct {
-	Items    []Item `json:"items"`
-	Revision int64  `json:"revision"`
+	Items    []Item   `json:"items"`
+	Revision Revision `json:"revision"`
+	// Era is that of all revisions, which are told without it; nil when the teller does not say.
+	Era *int64 `json:"era,omitempty"`
 	// Shards is of how many shards the items hold one, of what is divided into shards; zero and one are all.
 	Shards int `json:"shards,omitempty"`
 }
@@ -146,7 +151,7 @@
 	if r.known == nil {
 		return Snapshot{}, false
 	}
-	return Snapshot{Revision: r.after, Items: r.known.present(), Shards: r.shards}, true
+	return Snapshot{Revision: r.after, Era: eraOf(r.after), Items: r.known.present(), Shards: r.shards}, true
 }
 
 // Answered tells that the store has answered a call of this process, be it one of the replica or not.
@@ -352,7 +357,7 @@
 }
 
 // begin takes the items that were listed up to a key, without any that are divided.
-func (r *Replica) begin(items []Item, at int64, listed string) {
+func (r *Replica) begin(items []Item, at Revision, listed string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.known, r.after, r.completeFrom = newTable(eventsOf(items)), at, at
@@ -391,7 +396,14 @@
 func (r *Replica) replace(snapshot Snapshot) {
 	snapshot.Shards = max(snapshot.Shards, 1)
 	r.mutex.Lock()
-	if snapshot.Shards != 1 || (r.known != nil && r.shards != 1) {
+	if r.behind(snapshot.Revision) {
+		r.mutex.Unlock()
+		return
+	}
+	isRestored := r.restoredIn(snapshot)
+	if isRestored {
+		r.resume(snapshot)
+	} else if snapshot.Shards != 1 || (r.known != nil && r.shards != 1) {
 		r.restart(snapshot)
 	} else {
 		r.merge(snapshot)
@@ -409,6 +421,9 @@
 	}
 	r.wake()
 	r.mutex.Unlock()
+	if isRestored {
+		r.consumer.Restored(snapshot.Revision.Era())
+	}
 	r.consumer.Reset(items)
 }
 
@@ -416,7 +431,7 @@
 func (r *Replica) restart(snapshot Snapshot) {
 	events := eventsOf(snapshot.Items)
 	if r.known != nil {
-		listed := make(map[string]int64, len(events))
+		listed := make(map[string]Revision, len(events))
 		for _, event := range events {
 			listed[event.Key] = event.Revision
 		}
@@ -544,9 +559,12 @@
 }
 
 // fresh notes events and drops those that the list has told already: pages of a list are read at different revisions.
-func (r *Replica) fresh(events []Event, at int64) []Event {
+func (r *Replica) fresh(events []Event, at Revision) []Event {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.behind(at) {
+		return nil
+	}
 	r.after = max(at, r.after)
 	var fresh []Event
 	for _, event := range events {
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -15,12 +15,12 @@
 type fakeStore struct {
 	Store
 	mutex  sync.Mutex
-	lists  []func() ([]Item, int64, error)
-	events chan func(after int64) ([]Event, int64, error)
-	after  []int64
+	lists  []func() ([]Item, Revision, error)
+	events chan func(after Revision) ([]Event, Revision, error)
+	after  []Revision
 }
 
-func (f *fakeStore) List(context.Context, string) ([]Item, int64, error) {
+func (f *fakeStore) List(context.Context, string) ([]Item, Revision, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	next := f.lists[0]
@@ -30,12 +30,12 @@
 	return next()
 }
 
-func (f *fakeStore) ListUntil(ctx context.Context, prefix string, _ func([]Item) bool) ([]Item, int64, bool, error) {
+func (f *fakeStore) ListUntil(ctx context.Context, prefix string, _ func([]Item) bool) ([]Item, Revision, bool, error) {
 	items, at, err := f.List(ctx, prefix)
 	return items, at, true, err
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) ([]Event, int64, error) {
+func (f *fakeStore) Watch(ctx context.Context, _ string, after Revision, _ time.Duration) ([]Event, Revision, error) {
 	f.mutex.Lock()
 	f.after = append(f.after, after)
 	f.mutex.Unlock()
@@ -50,10 +50,17 @@
 // recorder is a consumer that keeps the items it was told.
 type recorder struct {
 	mutex sync.Mutex
+	eras  []int64
 	items map[string]string
 	lost  int
 }
 
+func (r *recorder) Restored(era int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.eras = append(r.eras, era)
+}
+
 func (r *recorder) Reset(items []Item) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -108,7 +115,7 @@
 }
 
 // item returns an item whose value names its revision.
-func item(key string, revision int64) Item {
+func item(key string, revision Revision) Item {
 	return Item{Key: key, Value: fmt.Append(nil, revision), Revision: revision}
 }
 
@@ -133,20 +140,20 @@
 }
 
 // listed answers a list.
-func listed(at int64, items ...Item) func() ([]Item, int64, error) {
-	return func() ([]Item, int64, error) { return items, at, nil }
+func listed(at Revision, items ...Item) func() ([]Item, Revision, error) {
+	return func() ([]Item, Revision, error) { return items, at, nil }
 }
 
 func TestReplicaFollowsChangesAndIgnoresOldOnes(t *testing.T) {
-	store := &fakeStore{lists: []func() ([]Item, int64, error){listed(5, item("a", 3), item("b", 7))}, events: make(chan func(int64) ([]Event, int64, error), 4)}
+	store := &fakeStore{lists: []func() ([]Item, Revision, error){listed(5, item("a", 3), item("b", 7))}, events: make(chan func(Revision) ([]Event, Revision, error), 4)}
 	_, recorded := runReplica(t, store, nil)
 	recorded.eventually(t, "a=3 b=7")
 	// The second page of the list was read at 7: the change at 6 is older than what it told.
-	store.events <- func(int64) ([]Event, int64, error) {
+	store.events <- func(Revision) ([]Event, Revision, error) {
 		return []Event{{Item: item("b", 6)}, {Item: item("a", 8), Deleted: true}, {Item: item("c", 9)}}, 9, nil
 	}
 	recorded.eventually(t, "b=7 c=9")
-	store.events <- func(after int64) ([]Event, int64, error) {
+	store.events <- func(after Revision) ([]Event, Revision, error) {
 		if after != 9 {
 			t.Errorf("went on after %d", after)
 		}
@@ -157,20 +164,20 @@
 
 func TestReplicaListsAgainWhenHistoryIsGone(t *testing.T) {
 	store := &fakeStore{
-		lists:  []func() ([]Item, int64, error){listed(5, item("a", 3), item("b", 4)), listed(20, item("a", 15))},
-		events: make(chan func(int64) ([]Event, int64, error), 4),
+		lists:  []func() ([]Item, Revision, error){listed(5, item("a", 3), item("b", 4)), listed(20, item("a", 15))},
+		events: make(chan func(Revision) ([]Event, Revision, error), 4),
 	}
 	_, recorded := runReplica(t, store, nil)
 	recorded.eventually(t, "a=3 b=4")
-	store.events <- func(int64) ([]Event, int64, error) { return nil, 0, ErrCompacted }
+	store.events <- func(Revision) ([]Event, Revision, error) { return nil, 0, ErrCompacted }
 	recorded.eventually(t, "a=15")
 }
 
 func TestReplicaStartsWithWhatOthersKnowWhileTheStoreIsAway(t *testing.T) {
-	away := func() ([]Item, int64, error) { return nil, 0, errors.New("away") }
+	away := func() ([]Item, Revision, error) { return nil, 0, errors.New("away") }
 	back := make(chan struct{})
-	store := &fakeStore{events: make(chan func(int64) ([]Event, int64, error), 4)}
-	store.lists = []func() ([]Item, int64, error){func() ([]Item, int64, error) {
+	store := &fakeStore{events: make(chan func(Revision) ([]Event, Revision, error), 4)}
+	store.lists = []func() ([]Item, Revision, error){func() ([]Item, Revision, error) {
 		select {
 		case <-back:
 			return []Item{item("a", 3), item("b", 5)}, 5, nil
@@ -191,7 +198,7 @@
 }
 
 func TestRenewBeginsAWaitingWatchAnew(t *testing.T) {
-	store := &fakeStore{lists: []func() ([]Item, int64, error){listed(5)}, events: make(chan func(int64) ([]Event, int64, error))}
+	store := &fakeStore{lists: []func() ([]Item, Revision, error){listed(5)}, events: make(chan func(Revision) ([]Event, Revision, error))}
 	replica, recorded := runReplica(t, store, nil)
 	watches := func() int {
 		store.mutex.Lock()
@@ -221,12 +228,12 @@
 // them, and a watch that begins anew waits for the next ones.
 func TestReplicaListsAfterAWatchFailed(t *testing.T) {
 	store := &fakeStore{
-		lists:  []func() ([]Item, int64, error){listed(5, item("a", 3)), listed(9, item("a", 8))},
-		events: make(chan func(int64) ([]Event, int64, error), 4),
+		lists:  []func() ([]Item, Revision, error){listed(5, item("a", 3)), listed(9, item("a", 8))},
+		events: make(chan func(Revision) ([]Event, Revision, error), 4),
 	}
 	_, recorded := runReplica(t, store, nil)
 	recorded.eventually(t, "a=3")
-	store.events <- func(int64) ([]Event, int64, error) { return nil, 0, errors.New("cut") }
+	store.events <- func(Revision) ([]Event, Revision, error) { return nil, 0, errors.New("cut") }
 	recorded.eventually(t, "a=8")
 }
 
--- a/internal/store/shard_test.go
+++ b/internal/store/shard_test.go
@@ -30,7 +30,7 @@
 		present := map[string]Item{}
 		var history []Event
 		change := func(key string, deleted bool) {
-			event := Event{Item: item(key, int64(len(history)+1)), Deleted: deleted}
+			event := Event{Item: item(key, Revision(len(history)+1)), Deleted: deleted}
 			history = append(history, event)
 			if delete(present, key); !deleted {
 				present[key] = event.Item
@@ -43,7 +43,7 @@
 			}
 			return all
 		}
-		list := func(r *Replica) { r.replace(Snapshot{Items: items(), Revision: int64(len(history))}) }
+		list := func(r *Replica) { r.replace(Snapshot{Items: items(), Revision: Revision(len(history))}) }
 		newTeller := func() *Replica {
 			teller, _ := newSharded(nil, 0)
 			return teller
@@ -77,7 +77,7 @@
 				change(rapid.SampledFrom([]string{"a", "z"}).Draw(t, "key"), rapid.Bool().Draw(t, "deleted"))
 			case 3:
 				if teller := tellers[number]; teller.known != nil {
-					teller.fresh(history[teller.after:], int64(len(history)))
+					teller.fresh(history[teller.after:], Revision(len(history)))
 				}
 			case 4:
 				list(tellers[number])
@@ -140,7 +140,7 @@
 	pages int
 }
 
-func (p *pagedStore) ListUntil(_ context.Context, _ string, enough func([]Item) bool) ([]Item, int64, bool, error) {
+func (p *pagedStore) ListUntil(_ context.Context, _ string, enough func([]Item) bool) ([]Item, Revision, bool, error) {
 	all := []Item{
 		item("configuration", 1), item("gateways/a", 2), item("gateways/b", 3), item("workers/1", 4), item("workers/2", 5), item("workers/3", 6),
 		item("workers/4", 7), item("z", 8),
@@ -171,7 +171,7 @@
 // tell it changes start, too. It lists nothing more, waits for them, and gets its shard and what it has not listed from them.
 func TestWhoStandsByListsNoWorkers(t *testing.T) {
 	paged := &pagedStore{}
-	paged.events = make(chan func(int64) ([]Event, int64, error))
+	paged.events = make(chan func(Revision) ([]Event, Revision, error))
 	replica, _ := newSharded(paged, 7)
 	told := &standsByOnceToldOf{replica: replica, recorder: recorder{items: map[string]string{}}}
 	replica.consumer = told
@@ -206,13 +206,13 @@
 			teller, _ := newSharded(nil, 0)
 			var items []Item
 			for i := range size {
-				items = append(items, item(fmt.Sprint("workers/", i), int64(i+1)))
+				items = append(items, item(fmt.Sprint("workers/", i), Revision(i+1)))
 			}
-			teller.replace(Snapshot{Items: items, Revision: int64(size)})
+			teller.replace(Snapshot{Items: items, Revision: Revision(size)})
 			shards := shardsFor(size, 0)
 			b.ResetTimer()
 			for i := range b.N {
-				revision := int64(size + i + 1)
+				revision := Revision(size + i + 1)
 				teller.fresh([]Event{{Item: item(items[i%size].Key, revision)}}, revision)
 				teller.Changes(Question{After: revision - 1, Shards: shards, Seat: 5})
 			}
@@ -237,7 +237,7 @@
 		{Event{Item: item("gateways/a", 0), Deleted: true}, false},
 		{Event{Item: item("gateways/a", 0)}, true},
 	} {
-		revision := int64(i + 3)
+		revision := Revision(i + 3)
 		test.event.Revision = revision
 		teller.fresh([]Event{test.event}, revision)
 		if changes, _ := teller.Changes(Question{After: revision - 1, Shards: 1}); changes.Unhurried != test.want || len(changes.Changed) != 1 {
@@ -265,7 +265,7 @@
 // TestOneListsForAllAfterTheHistoryIsGone has the store forget its history. The process that lists it for all does; another one that watches
 // it learns from that one, and lists it itself only if that one tells nothing.
 func TestOneListsForAllAfterTheHistoryIsGone(t *testing.T) {
-	compacted := func(int64) ([]Event, int64, error) { return nil, 0, ErrCompacted }
+	compacted := func(Revision) ([]Event, Revision, error) { return nil, 0, ErrCompacted }
 	for _, test := range []struct {
 		desc  string
 		told  Changes
@@ -277,8 +277,8 @@
 		{"the lister does not answer", Changes{}, ErrNobody, 1},
 	} {
 		lists := 0
-		store := &fakeStore{events: make(chan func(int64) ([]Event, int64, error), 1)}
-		store.lists = []func() ([]Item, int64, error){func() ([]Item, int64, error) {
+		store := &fakeStore{events: make(chan func(Revision) ([]Event, Revision, error), 1)}
+		store.lists = []func() ([]Item, Revision, error){func() ([]Item, Revision, error) {
 			lists++
 			return []Item{item("a", 3), item("b", 7)}, 8, nil
 		}}
@@ -309,7 +309,7 @@
 	teller, _ := newSharded(nil, 0)
 	var items []Item
 	for i := range 1_000 {
-		items = append(items, item(fmt.Sprint("gateways/", i), int64(i+1)))
+		items = append(items, item(fmt.Sprint("gateways/", i), Revision(i+1)))
 	}
 	teller.replace(Snapshot{Items: items, Revision: 1_000})
 	teller.replace(Snapshot{Items: append(items, item("configuration", 1_040)), Revision: 1_050})
@@ -337,11 +337,11 @@
 		teller, _ := newSharded(nil, 0)
 		var items []Item
 		for i := range 1_000 {
-			items = append(items, item(fmt.Sprint("workers/", i), int64(i+1)))
+			items = append(items, item(fmt.Sprint("workers/", i), Revision(i+1)))
 		}
 		teller.replace(Snapshot{Items: items, Revision: 1_000})
 		lists := 0
-		replica, _ := newSharded(&fakeStore{lists: []func() ([]Item, int64, error){func() ([]Item, int64, error) {
+		replica, _ := newSharded(&fakeStore{lists: []func() ([]Item, Revision, error){func() ([]Item, Revision, error) {
 			lists++
 			return items, 1_000, nil
 		}}}, 3)
@@ -365,8 +365,8 @@
 // and does not list it while it is told something, and does once nobody has told it anything for long.
 func TestWhoStandsByLeavesListsToItsTellers(t *testing.T) {
 	lists := 0
-	store := &fakeStore{events: make(chan func(int64) ([]Event, int64, error), 1)}
-	store.lists = []func() ([]Item, int64, error){func() ([]Item, int64, error) {
+	store := &fakeStore{events: make(chan func(Revision) ([]Event, Revision, error), 1)}
+	store.lists = []func() ([]Item, Revision, error){func() ([]Item, Revision, error) {
 		lists++
 		return []Item{item("a", 3)}, 8, nil
 	}}
@@ -380,7 +380,7 @@
 		t.Fatal(err)
 	}
 	for _, want := range []int{0, 1} {
-		store.events <- func(int64) ([]Event, int64, error) { return nil, 0, ErrCompacted }
+		store.events <- func(Revision) ([]Event, Revision, error) { return nil, 0, ErrCompacted }
 		replica.doubted = false
 		if err := replica.step(t.Context()); err != nil || lists != want {
 			t.Errorf("%d lists, want %d: %v", lists, want, err)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,9 @@
 var (
 	// ErrCompacted is returned by Watch when changes after the revision are not kept any more.
 	ErrCompacted = errors.New("the history of the store after this revision is gone")
+	// ErrRestored is returned when the store came back from an older copy while it was called, and by late answers of before. What the
+	// call did may be gone.
+	ErrRestored = errors.New("the store has come back from an older copy")
 	// ErrConflict is returned by Commit when a condition does not hold.
 	ErrConflict = errors.New("a condition of the transaction does not hold")
 	// ErrBusy is returned when the store refuses a call because there are too many. Nothing was done.
@@ -26,7 +29,7 @@
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
 	// Revision of the last change of the item.
-	Revision int64 `json:"revision"`
+	Revision Revision `json:"revision"`
 	// Lease with which the item goes; 0 is none.
 	Lease int64 `json:"lease"`
 }
@@ -41,7 +44,7 @@
 // Condition holds when the last change of a key has this revision. Zero means that the key is absent.
 type Condition struct {
 	Key      string
-	Revision int64
+	Revision Revision
 }
 
 // Put writes one item.
@@ -72,15 +75,15 @@
 	// List returns the items below a prefix, and a revision from which to watch: every change after it is not yet in the
 	// items, or is. When the store is too busy for linearizable reads the items may be some seconds old; a watch from the
 	// revision tells what came since.
-	List(ctx context.Context, prefix string) ([]Item, int64, error)
+	List(ctx context.Context, prefix string) ([]Item, Revision, error)
 	// ListUntil is List, by pages in the order of the keys. It ends early once enough, which is given all items so far and may be nil, says
 	// so after a page that others follow; then the items are not the whole.
-	ListUntil(ctx context.Context, prefix string, enough func(items []Item) bool) (items []Item, at int64, whole bool, err error)
+	ListUntil(ctx context.Context, prefix string, enough func(items []Item) bool) (items []Item, at Revision, whole bool, err error)
 	// Watch waits for changes below a prefix after a revision. It returns the revision to go on from, and no events when
 	// there were none for so long.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error)
 	// Commit carries out a transaction and returns its revision.
-	Commit(ctx context.Context, transaction Transaction) (int64, error)
+	Commit(ctx context.Context, transaction Transaction) (Revision, error)
 	// Grant returns a new lease.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	// KeepAlive renews a lease.
--- a/internal/store/table.go
+++ b/internal/store/table.go
@@ -22,7 +22,7 @@
 
 // place is one change in the order.
 type place struct {
-	revision int64
+	revision Revision
 	key      string
 }
 
@@ -94,9 +94,9 @@
 }
 
 // after returns the latest changes of the items that have changed after a revision, in their order.
-func (t *table) after(revision int64) iter.Seq[Event] {
+func (t *table) after(revision Revision) iter.Seq[Event] {
 	return func(yield func(Event) bool) {
-		first, _ := slices.BinarySearchFunc(t.order, revision+1, func(p place, revision int64) int { return cmp.Compare(p.revision, revision) })
+		first, _ := slices.BinarySearchFunc(t.order, revision+1, func(p place, revision Revision) int { return cmp.Compare(p.revision, revision) })
 		for _, each := range t.order[first:] {
 			if event := t.latest[each.key]; event.Revision == each.revision && !yield(event) {
 				return
@@ -118,8 +118,8 @@
 }
 
 // forgetDeleted drops the items that are gone, and returns the revision of the last of them.
-func (t *table) forgetDeleted() int64 {
-	last := int64(0)
+func (t *table) forgetDeleted() Revision {
+	last := Revision(0)
 	for key, event := range t.latest {
 		if event.Deleted {
 			last = max(last, event.Revision)
--- a/internal/usage/model_test.go
+++ b/internal/usage/model_test.go
@@ -31,7 +31,7 @@
 	depth int
 
 	item     store.Item
-	revision int64
+	revision store.Revision
 	// late are commits that got no answer and are carried out later, if their condition still holds.
 	late []store.Transaction
 
@@ -150,7 +150,7 @@
 }
 
 // commit carries out a transaction.
-func (w *world) commit(transaction store.Transaction) (int64, error) {
+func (w *world) commit(transaction store.Transaction) (store.Revision, error) {
 	if transaction.Conditions[0].Revision != w.item.Revision {
 		return 0, store.ErrConflict
 	}
@@ -182,11 +182,11 @@
 	return nil
 }
 
-func (w *world) ListUntil(context.Context, string, func([]store.Item) bool) ([]store.Item, int64, bool, error) {
+func (w *world) ListUntil(context.Context, string, func([]store.Item) bool) ([]store.Item, store.Revision, bool, error) {
 	return nil, 0, false, nil
 }
 
-func (w *world) List(context.Context, string) ([]store.Item, int64, error) {
+func (w *world) List(context.Context, string) ([]store.Item, store.Revision, error) {
 	if outcome := w.interfere(); outcome != "answered" {
 		return nil, 0, errNoAnswer
 	}
@@ -196,7 +196,7 @@
 	return []store.Item{w.item}, w.revision, nil
 }
 
-func (w *world) Commit(_ context.Context, transaction store.Transaction) (int64, error) {
+func (w *world) Commit(_ context.Context, transaction store.Transaction) (store.Revision, error) {
 	switch w.interfere() {
 	case "answered":
 		return w.commit(transaction)
@@ -208,7 +208,7 @@
 	return 0, errNoAnswer
 }
 
-func (w *world) Watch(context.Context, string, int64, time.Duration) ([]store.Event, int64, error) {
+func (w *world) Watch(context.Context, string, store.Revision, time.Duration) ([]store.Event, store.Revision, error) {
 	return nil, 0, nil
 }
 func (w *world) Grant(context.Context, time.Duration) (store.Lease, error) { return store.Lease{}, nil }
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -74,13 +74,15 @@
 	// known is set once the ledger was read under the fence.
 	known    bool
 	ledger   Ledger
-	revision int64
+	revision store.Revision
 	pause    time.Duration
 	callFrom time.Time
 
 	mu sync.Mutex
 	// taken are the windows whose reports the platform has taken from this process, with the time; those that the ledger still has.
-	taken   map[int64]time.Time
+	taken map[int64]time.Time
+	// heard is the newest ledger that the store is known to have held. It may hold an older one, after it has come back from a copy.
+	heard   Ledger
 	figures Figures
 }
 
@@ -196,19 +198,37 @@
 		r.ledger, r.revision = ledger, item.Revision
 	}
 	r.known = true
-	return nil
+	return r.restore(ctx)
 }
 
-// mostAtOnce bounds the windows that are agreed on in one step.
-const mostAtOnce = 24
+// Heard takes a ledger that the store holds.
+func (r *Reporter) Heard(ledger Ledger) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ledger.Next > r.heard.Next {
+		r.heard = ledger
+	}
+}
 
-// agree writes the windows that are over into the store.
-func (r *Reporter) agree(ctx context.Context) error {
-	added := r.due()
-	if len(added) == 0 {
+// restore writes the newest ledger again if the store holds an older one: its windows are agreed on, and may be reported.
+func (r *Reporter) restore(ctx context.Context) error {
+	r.mu.Lock()
+	heard := r.heard
+	r.mu.Unlock()
+	if heard.Next <= r.ledger.Next {
 		return nil
 	}
-	next := r.ledger.with(added, r.isTaken)
+	r.logger.WithFields(logrus.Fields{"held": r.ledger.Next, "known": heard.Next}).Warn("The store holds an older ledger of the usage. It is written again.")
+	r.known = false
+	if err := r.write(ctx, heard); err != nil {
+		return err
+	}
+	r.known = true
+	return nil
+}
+
+// write writes a ledger in place of the one that was read.
+func (r *Reporter) write(ctx context.Context, next Ledger) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "step write the ledger of the usage")
@@ -222,6 +242,23 @@
 		return errors.Wrap(err, "step write the ledger of the usage")
 	}
 	r.ledger, r.revision = next, revision
+	r.Heard(next)
+	return nil
+}
+
+// mostAtOnce bounds the windows that are agreed on in one step.
+const mostAtOnce = 24
+
+// agree writes the windows that are over into the store.
+func (r *Reporter) agree(ctx context.Context) error {
+	added := r.due()
+	if len(added) == 0 {
+		return nil
+	}
+	next := r.ledger.with(added, r.isTaken)
+	if err := r.write(ctx, next); err != nil {
+		return err
+	}
 	r.forgetTaken()
 	r.tally.Agreed(next.Next)
 	r.count(func(f *Figures) { f.Agreed += len(added) })
