--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -98,11 +98,6 @@
 	if err != nil {
 		return errors.Wrap(err, "step make a folder for logs")
 	}
-	defer func() {
-		if err == nil {
-			_ = folder
-		}
-	}()
 	binary := c.Gateway
 	if binary == "" {
 		if binary, err = buildGateway(folder); err != nil {
@@ -122,6 +117,7 @@
 	watching, stopWatching := context.WithCancel(ctx)
 	var watched sync.WaitGroup
 	watched.Go(func() { s.watchOwn(watching) })
+	watched.Go(func() { s.keepCopies(watching) })
 	defer watched.Wait()
 	defer stopWatching()
 	calling, stopCalling := context.WithCancel(ctx)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -48,6 +48,8 @@
 		for _, i := range f.Gateways {
 			s.gateways[i].proxy.Set(f.Mode)
 		}
+	case StoreRestored:
+		s.restore(f)
 	case StoreCompact:
 		s.fleet.Store.Compact()
 	case LeaseLapse:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -170,7 +170,8 @@
 	}
 	faults = append(faults, crashing(seed, number)...)
 	faults = append(faults, series(seed, number, gateways, workers)...)
-	return append(faults, noticesOf(seed, number, workers)...)
+	faults = append(faults, noticesOf(seed, number, workers)...)
+	return append(faults, returns(seed, number)...)
 }
 
 // crashingStream is the stream of random numbers that decides about crashing requests: one of its own, so that the faults of older seeds
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -40,6 +40,7 @@
 	stood []string
 
 	mu         sync.Mutex
+	copies     []datedCopy
 	version    int
 	timeoutMs  int
 	idleMs     int
--- a/internal/standin/fleet/storecopy.go
+++ b/internal/standin/fleet/storecopy.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -30,7 +31,7 @@
 	for _, key := range differing(s.items, copied.items) {
 		if isOfOthers(key) {
 			current, found := s.items[key]
-			lost = append(lost, Lost{Key: key, value: current.Value, gone: !found})
+			lost = append(lost, Lost{Key: key, value: current.Value, gone: !found, copied: copied.revision})
 		}
 	}
 	s.era++
@@ -72,13 +73,23 @@
 	Key   string
 	value []byte
 	gone  bool
+	// copied is the revision of the copy.
+	copied int64
 }
 
-// WriteAgain has operators and workers write what they had written.
+// isNewer tells whether an item was changed since the copy came back. The mutex is held.
+func (s *Store) isNewer(lost Lost) bool {
+	return slices.ContainsFunc(s.history, func(change record) bool { return change.Key == lost.Key && change.Revision > lost.copied })
+}
+
+// WriteAgain has operators and workers write what they had written, unless they have written something newer.
 func (s *Store) WriteAgain(lost ...Lost) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, each := range lost {
+		if s.isNewer(each) {
+			continue
+		}
 		s.revision++
 		if each.gone {
 			s.remove(each.Key)
