--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -26,6 +26,7 @@
 	Gateways    int           `help:"Gateways in place of those of the deployment; 0 has it as it is."`
 	Regressions bool          `help:"Play the seeds that once failed instead."`
 	Gateway     string        `help:"Program of the gateway; it is built by default, within the module." type:"path"`
+	Before      string        `help:"Program of the build before: all gateways begin with it, and each round replaces them one after the other, forward and back in turn." type:"path"`
 }
 
 // Validate checks what the types of the flags cannot say. The error names everything that is wrong.
@@ -109,7 +110,7 @@
 		size.gateways = c.Gateways
 	}
 	fmt.Fprintf(out, "soak --deployment %s --seed %d --for %s --gateways %d; logs in %s\n", c.Deployment, c.Seed, c.For, size.gateways, folder)
-	s, err := startSystem(ctx, size, binary, folder)
+	s, err := startSystem(ctx, size, builds{before: c.Before, own: binary}, folder)
 	if err != nil {
 		return err
 	}
@@ -164,7 +165,7 @@
 func (c *Command) rounds(ctx context.Context, out io.Writer, s *system) ([]Span, error) {
 	var quiet []Span
 	for number := range int(c.For / roundTime) {
-		faults := round(c.Seed, number, len(s.gateways), len(s.workers))
+		faults := append(round(c.Seed, number, len(s.gateways), len(s.workers)), s.builds.upgrade(number)...)
 		slices.SortStableFunc(faults, func(a, b Timed) int { return int(a.At - b.At) })
 		begun := time.Now()
 		for _, each := range faults {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -48,6 +48,8 @@
 		for _, i := range f.Gateways {
 			s.gateways[i].proxy.Set(f.Mode)
 		}
+	case GatewayUpgrade:
+		s.replaceGateways(f)
 	case StoreRestored:
 		s.restore(f)
 	case StoreCompact:
@@ -174,7 +176,11 @@
 // calm tells whether nothing unplanned happens in a round, and no gateway stops.
 func calm(faults []Timed) bool {
 	return !slices.ContainsFunc(faults, func(each Timed) bool {
-		_, stops := each.Fault.(GatewayStop)
-		return stops || !planned(each.Fault)
+		switch each.Fault.(type) {
+		case GatewayStop, GatewayUpgrade:
+			return true
+		default:
+			return !planned(each.Fault)
+		}
 	})
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -131,7 +131,7 @@
 // planned tells whether a fault is planned work, around which no request may be lost.
 func planned(f Fault) bool {
 	switch f.(type) {
-	case GatewayStop, GatewayReload, WorkerReplace, WorkerSaysLeaving, NewTimeout, NewIdle:
+	case GatewayStop, GatewayReload, WorkerReplace, WorkerSaysLeaving, GatewayUpgrade, NewTimeout, NewIdle:
 		return true
 	default:
 		return false
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -22,6 +22,7 @@
 // system is gateways as processes, with stand-ins of the store, the workers and the callers in this process.
 type system struct {
 	shape    shape
+	builds   builds
 	fleet    *fleet.Fleet
 	store    *httptest.Server
 	gateways []*gatewayProcess
@@ -81,8 +82,8 @@
 const streamEvents = 6
 
 // startSystem starts everything and waits until each gateway is ready.
-func startSystem(ctx context.Context, of shape, binary, folder string) (*system, error) {
-	s := &system{shape: of, fleet: fleet.NewFleet(), timeoutMs: 2500, front: newFront()}
+func startSystem(ctx context.Context, of shape, programs builds, folder string) (*system, error) {
+	s := &system{shape: of, builds: programs, fleet: fleet.NewFleet(), timeoutMs: 2500, front: newFront()}
 	s.store = httptest.NewServer(s.fleet.Store)
 	for i, service := range s.services() {
 		slot := &workerSlot{number: i, options: service}
@@ -95,7 +96,7 @@
 	s.configure()
 	for i := range of.gateways {
 		zone := of.zones[i%len(of.zones)]
-		g, err := newGatewayProcess(binary, fmt.Sprintf("gateway-%d", i), zone, folder, strings.TrimPrefix(s.store.URL, "http://"))
+		g, err := newGatewayProcess(programs.first(), fmt.Sprintf("gateway-%d", i), zone, folder, strings.TrimPrefix(s.store.URL, "http://"))
 		if err != nil {
 			s.stop()
 			return nil, err
--- /dev/null
+++ b/internal/soak/upgrade.go
@@ -0,0 +1,67 @@
+package soak
+
+import "fmt"
+
+// GatewayUpgrade replaces all gateways one after the other by those of another build: each is stopped as planned and started with the other
+// program.
+type GatewayUpgrade struct{ Build Build }
+
+// Build is one of the two programs of a soak that changes between them.
+type Build string
+
+// The builds.
+const (
+	BuildBefore Build = "build before"
+	BuildNow    Build = "build now"
+)
+
+func (GatewayUpgrade) isFault() {}
+
+func (f GatewayUpgrade) String() string {
+	return fmt.Sprintf("all gateways are replaced by those of the %s one after the other", f.Build)
+}
+
+// builds are the programs between which a soak changes to and fro; without one before there is nothing to change.
+type builds struct{ before, own string }
+
+// first returns the program with which all gateways begin.
+func (b builds) first() string {
+	if b.before != "" {
+		return b.before
+	}
+	return b.own
+}
+
+// upgrade returns the replacement of a round, or nothing.
+func (b builds) upgrade(number int) []Timed {
+	if b.before == "" {
+		return nil
+	}
+	build := BuildNow
+	if number%2 == 1 {
+		build = BuildBefore
+	}
+	return []Timed{{Fault: GatewayUpgrade{build}}}
+}
+
+// replaceGateways replaces the gateways one after the other.
+func (s *system) replaceGateways(f GatewayUpgrade) {
+	program := s.builds.own
+	if f.Build == BuildBefore {
+		program = s.builds.before
+	}
+	s.background.Go(func() {
+		for _, g := range s.gateways {
+			_ = g.stop()
+			g.setProgram(program)
+			_ = g.start()
+		}
+	})
+}
+
+// setProgram has the gateway run another program from its next start on.
+func (g *gatewayProcess) setProgram(program string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.binary = program
+}
