Streams of the completions API that break off say so

Cause of TestDemoKeepsEveryPromise's red line: streams that had begun were cut at the deadlines of their requests without a word, when the process got a tenth of a processor. Such a stream now ends with an error event, and not with the end of a whole answer.

--- a/internal/completions/completions.go
+++ b/internal/completions/completions.go
@@ -85,6 +85,21 @@
 	return labels, true
 }
 
+// EventError is the name of the event that ends a stream which broke off.
+const EventError = "error"
+
+// StreamError is the data of that event. The outcome is not known: a worker has run the request, and may have come to its end.
+type StreamError struct {
+	Error string `json:"error"`
+}
+
+// BrokenOff is part of forward.LabelledProtocol.
+func (Callers) BrokenOff(reason forward.Reason) []byte {
+	// A string can always be encoded.
+	data, _ := json.Marshal(StreamError{Error: string(reason)})
+	return []byte("event: " + EventError + "\ndata: " + string(data) + "\n\n")
+}
+
 // Read is part of forward.Protocol. The error names every header that is wrong.
 func (Callers) Read(r *http.Request) (*forward.Request, error) {
 	_, labelErr := labelsOf(r.Header.Get(HeaderLabels))
--- a/internal/demo/call_test.go
+++ b/internal/demo/call_test.go
@@ -50,6 +50,7 @@
 		{desc: "an event cannot be read", body: "data: {\n\n" + testEnd, want: outcomeAnswered, wrong: true},
 		{desc: "the stream breaks off", body: piece(0, 2), want: outcomeUnknown, untold: true},
 		{desc: "wrong before it breaks off", body: piece(1, 2), want: outcomeUnknown, wrong: true, untold: true},
+		{desc: "the stream says that it broke off", body: piece(0, 2) + "event: error\ndata: {\"error\":\"the time is over\"}\n\n", want: outcomeUnknown},
 		{desc: "not run", status: 503, want: outcomeNotRun},
 		{desc: "time over", status: 504, want: outcomeUnknown},
 		{desc: "failed", status: 502, want: outcomeFailed},
--- a/internal/demo/stream.go
+++ b/internal/demo/stream.go
@@ -7,6 +7,8 @@
 	"io"
 	"strconv"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/completions"
 )
 
 const (
@@ -28,13 +30,19 @@
 	check := &answerCheck{expected: expectedAnswer(r.order)}
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
-	number := 0
+	number, event := 0, ""
 	for lines.Scan() {
 		name, data, found := bytes.Cut(lines.Bytes(), []byte(": "))
 		switch {
 		case !found:
 		case string(name) == "id":
 			number, _ = strconv.Atoi(string(data))
+		case string(name) == "event":
+			event = string(data)
+		case string(name) == "data" && event == completions.EventError:
+			r.told = true
+			r.detail = "The stream broke off: " + string(data)
+			return
 		case string(name) != "data":
 		case string(data) == streamDone:
 			r.whole = time.Since(started)
--- a/internal/forward/answering.go
+++ b/internal/forward/answering.go
@@ -14,6 +14,7 @@
 	case failed == failureCallerGone:
 		return finishAbort
 	case c.relay.started:
+		c.tellBrokenOff()
 		return finishAbort
 	case c.lastError != nil:
 		c.report.Status = c.lastError.status
@@ -30,6 +31,17 @@
 	}
 }
 
+// tellBrokenOff tells the caller of a stream that it broke off, and why, where its protocol has a word for that. The connection ends after it.
+func (c *call) tellBrokenOff() {
+	if c.brokenOff == nil {
+		return
+	}
+	// An error is that of a caller that has left.
+	if _, err := c.writer.Write(c.brokenOff(c.report.Reason)); err == nil {
+		_ = http.NewResponseController(c.writer).Flush()
+	}
+}
+
 // reasonOf names a failure for the report.
 func reasonOf(failed failure) Reason {
 	switch failed {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -21,6 +21,8 @@
 	identity *identity
 	attempts attempts
 	relay    relay
+	// brokenOff returns the event that ends a stream which broke off; nil where the protocol has none.
+	brokenOff func(Reason) []byte
 	// reads counts the readings that engines took up.
 	reads int
 	// readFailures counts prompts that could not be read elsewhere.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -240,6 +240,9 @@
 		attempts: attempts{rule: match.Rule, runOnce: request.RunOnce},
 		relay:    relay{writer: writer, lastEvent: request.ResumeAfter},
 	}
+	if labelled, tells := protocol.(LabelledProtocol); tells {
+		one.brokenOff = labelled.BrokenOff
+	}
 	return one.run(ctx)
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -58,6 +58,9 @@
 	// Labels returns the labels of a request, or false when it is not one of the protocol. The owner is the tenant whose key the
 	// caller has, or nil where none is known.
 	Labels(request *http.Request, owner *tenant.Tenant) (map[string]string, bool)
+	// BrokenOff returns the event that ends a stream whose answer broke off, for a reason, so that its caller is told what became of the
+	// request. It does not look like the end of a whole answer.
+	BrokenOff(reason Reason) []byte
 }
 
 // Prompt is a prompt that an engine has read and keeps for the engine that goes on with it.
