--- a/internal/forward/awaiting.go
+++ b/internal/forward/awaiting.go
@@ -4,6 +4,8 @@
 	"context"
 	"hash/fnv"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/pause"
 )
 
 // outlook is why no worker takes a request now, and when one is expected to.
@@ -43,7 +45,7 @@
 	}
 	// Those that wait do not reach the first worker together: it would have to refuse them again.
 	spread := time.Duration(fraction(c.request.ID) * float64(wakeSpread))
-	if !pauseFor(ctx, min(expected.at.Sub(now)+spread, latest.Sub(now))) {
+	if !pause.For(ctx, min(expected.at.Sub(now)+spread, latest.Sub(now))) {
 		return false
 	}
 	c.attempts.askAgain()
@@ -67,18 +69,6 @@
 	return false
 }
 
-// pauseFor waits for a time, and tells whether the request still goes on.
-func pauseFor(ctx context.Context, lasting time.Duration) bool {
-	timer := time.NewTimer(lasting)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Bounds of the time after which callers are asked to come back while no worker takes their requests.
 const (
 	// wordTime is added to when a worker is expected: a question to it, and the word of its answer to all gateways.
--- a/internal/gateway/restoring.go
+++ b/internal/gateway/restoring.go
@@ -12,6 +12,7 @@
 	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/logging"
+	"github.com/granitebay/granitebay/internal/pause"
 	"github.com/granitebay/granitebay/internal/store"
 )
 
@@ -56,11 +57,11 @@
 			return
 		case <-g.restoring:
 		}
-		if !g.takesRequests() || !wait(ctx, time.Duration(g.turn())*restoreTurn) {
+		if !g.takesRequests() || !pause.For(ctx, time.Duration(g.turn())*restoreTurn) {
 			continue
 		}
 		for !g.restoreDocument(ctx) {
-			if !wait(ctx, restorePause) {
+			if !pause.For(ctx, restorePause) {
 				return
 			}
 		}
@@ -108,7 +109,7 @@
 	for {
 		if g.lacksEdits.Load() && !g.restoreDocument(ctx) {
 			g.lacksEdits.Store(true)
-			if !wait(ctx, restorePause) {
+			if !pause.For(ctx, restorePause) {
 				return configuration.ProposeResult{Err: ctx.Err()}
 			}
 			continue
@@ -119,15 +120,3 @@
 		}
 	}
 }
-
-// wait waits for a time, and tells whether the context goes on.
-func wait(ctx context.Context, lasting time.Duration) bool {
-	timer := time.NewTimer(lasting)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/pause"
 )
 
 // Command is the command line of the soak.
@@ -253,11 +255,4 @@
 const clock = "15:04:05.000"
 
 // sleep waits for a time or the end of the context.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
+func sleep(ctx context.Context, lasting time.Duration) { pause.For(ctx, lasting) }
--- a/internal/store/pace.go
+++ b/internal/store/pace.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/pause"
 )
 
 // settleShare is the part of the time within which changes have to be known that may be spent on gathering them. The number of readers alone
@@ -56,11 +58,4 @@
 }
 
 // sleep waits for a pause or the end of the context.
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
+func sleep(ctx context.Context, lasting time.Duration) { pause.For(ctx, lasting) }
