--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -83,8 +83,9 @@
 	metricStoreCalls = "granitebay_store_calls_total"
 	metricChoice     = "granitebay_choice_seconds"
 	metricCandidates = "granitebay_choice_candidates"
-	// metricRestored counts returns of the store from an older copy.
+	// metricRestored counts returns of the store from an older copy, and metricOutdated answers of before that came after one.
 	metricRestored = "granitebay_store_restored_total"
+	metricOutdated = "granitebay_store_answers_outdated_total"
 )
 
 // storeRestored counts a return of the store.
@@ -93,8 +94,18 @@
 // storeCalled counts a call to the store.
 func (f *figures) storeCalled(call store.Call, _ time.Duration, err error) {
 	f.set.GetOrCreateCounter(fmt.Sprintf(`%s{call=%q,failed="%t"}`, metricStoreCalls, call, err != nil)).Inc()
+	if !errors.Is(err, store.ErrRestored) {
+		return
+	}
+	f.set.GetOrCreateCounter(metricOutdated).Inc()
+	if f.mayLog(outdatedReason) {
+		f.logger.WithError(err).WithField("call", call).Warn("An answer of the store is of before it came back from an older copy, and is not taken.")
+	}
 }
 
+// outdatedReason is the reason under which the lines about such answers are bounded.
+const outdatedReason forward.Reason = "outdated answer of the store"
+
 // chosen notes how long the choice of workers for a request took, and how many were looked at last.
 func (f *figures) chosen(took time.Duration, candidates int) {
 	f.choice.Update(took.Seconds())
