A ready answer is delivered though its gateway stood still

Cause: the bound on writing an answer runs from the start of the request (its time and 2 s more), and was over before anything could be written. It now begins anew when an answer is ready after the time of its request.

--- a/internal/forward/answering.go
+++ b/internal/forward/answering.go
@@ -18,6 +18,7 @@
 		return finishAbort
 	case c.lastError != nil:
 		c.report.Status = c.lastError.status
+		allowWriting(c.writer, c.deadline)
 		c.lastError.write(c.writer)
 		return finishWhole
 	case decided == nextRefuse:
@@ -81,6 +82,7 @@
 		return &WorkerError{Status: whole.status}
 	}
 	c.report.Status, c.report.Reason, c.report.FirstByte = whole.status, ReasonServed, time.Now()
+	allowWriting(c.writer, c.deadline)
 	whole.write(c.writer)
 	return nil
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -132,6 +132,7 @@
 	}
 	report := Report{Arrived: arrived, Target: incoming.Host + pathOf(incoming), Caller: incoming.RemoteAddr}
 	finish := h.serveGuarded(writer, incoming, &report)
+	allowWriting(writer, report.deadline)
 	report.Ended = time.Now()
 	h.noteUnanswered(incoming.Context(), &report, finish)
 	h.observer.RequestEnded(&report)
@@ -208,6 +209,7 @@
 	}
 	report.Request = request
 	deadline := deadlineOf(report.Arrived, match.Rule, request)
+	report.deadline = deadline
 	ctx, cancel := context.WithDeadlineCause(incoming.Context(), deadline, errDeadline)
 	defer cancel()
 	status, err := boundedReadBody(writer, incoming, request, limits.MaxBodyBytes, deadline)
@@ -319,6 +321,16 @@
 // would otherwise hold its request in hand for as long as its connection stands.
 const writeSlack = 2 * time.Second
 
+// allowWriting has the time in which an answer may be written begin anew if it is ready after the time of its request: this process may have
+// stood still for longer than the bound of before, and would close the connection in place of the answer. Most answers are written once
+// their handler has returned.
+func allowWriting(writer http.ResponseWriter, deadline time.Time) {
+	if now := time.Now(); now.After(deadline) {
+		// An error is that of a writer without a connection, which has nobody to wait for.
+		_ = http.NewResponseController(writer).SetWriteDeadline(now.Add(writeSlack))
+	}
+}
+
 // boundedReadBody reads the body of a request within the time of the request, and bounds the time in which its answer is written.
 func boundedReadBody(writer http.ResponseWriter, incoming *http.Request, request *Request, limit int64, deadline time.Time) (int, error) {
 	connection := http.NewResponseController(writer)
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -89,8 +89,10 @@
 	// FirstByte is when the first part of the answer was passed on; zero when there was none.
 	FirstByte time.Time
 	Ended     time.Time
-	Rule      string
-	Group     string
+	// deadline is when the time of the request is over; zero of one that was refused before that was known.
+	deadline time.Time
+	Rule     string
+	Group    string
 	// Version of the configuration under which the request was served.
 	Version int64
 	Status  int
