--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -135,15 +135,15 @@
 	if afterErr != nil || waitErr != nil || waitMs < 0 {
 		return question, errQuestion
 	}
-	question.After, question.Wait = store.NewRevision(0, after), time.Duration(waitMs)*time.Millisecond
-	question.AnyEra = query.Get(paramEra) == ""
-	if !question.AnyEra {
-		era, err := strconv.ParseInt(query.Get(paramEra), 10, 64)
-		if err != nil || era < 0 || era >= store.MostEras {
+	question.Wait = time.Duration(waitMs) * time.Millisecond
+	era := int64(0)
+	if question.AnyEra = query.Get(paramEra) == ""; !question.AnyEra {
+		var err error
+		if era, err = strconv.ParseInt(query.Get(paramEra), 10, 64); err != nil || era < 0 || era >= store.MostEras {
 			return question, errQuestion
 		}
-		question.After = store.NewRevision(era, after)
 	}
+	question.After = store.NewRevision(era, max(after, 0))
 	if shards := query.Get(paramShards); shards != "" {
 		number, err := strconv.ParseUint(shards, 10, 31)
 		if err != nil || number&(number-1) != 0 {
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -14,7 +14,7 @@
 	KindRole          Kind = "role"          // a worker was ordered to change its role, or was not
 	KindAuthority     Kind = "authority"     // a gateway gained or lost the right to give orders
 	KindConfiguration Kind = "configuration" // a configuration was put in force
-	KindHealth        Kind = "health"        // a worker was set aside
+	KindHealth        Kind = "health"        // a worker was set aside, or said that it leaves or wants no requests
 	KindEntry         Kind = "entry"         // a gateway began or ceased to take requests of callers
 	KindUsage         Kind = "usage"         // the usage of a window was reported
 	KindCapacity      Kind = "capacity"      // workers of a zone were ordered
