--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -52,14 +52,14 @@
 	return w.Record
 }
 
-// Leaving returns the worker as one that takes no new work.
-func (w *Worker) Leaving() *Worker {
+// AsDraining returns the worker as one that takes no new work.
+func (w *Worker) AsDraining() *Worker {
 	if w.Draining {
 		return w
 	}
-	leaving := *w
-	leaving.Draining = true
-	return &leaving
+	draining := *w
+	draining.Draining = true
+	return &draining
 }
 
 // Equal tells whether two descriptions of a worker say the same.
--- a/internal/backend/roster.go
+++ b/internal/backend/roster.go
@@ -80,7 +80,7 @@
 		r.noteLeaving(now, worker.ID)
 	}
 	if _, leaves := r.leaving[worker.ID]; leaves {
-		worker = worker.Leaving()
+		worker = worker.AsDraining()
 	}
 	r.recorded[worker.RecordName()] = worker
 	delete(r.fading, worker.ID)
@@ -112,7 +112,7 @@
 	if !r.noteLeaving(now, id) || worker == nil || worker.Draining {
 		return false
 	}
-	worker = worker.Leaving()
+	worker = worker.AsDraining()
 	if faded, fades := r.fading[id]; fades {
 		r.fading[id] = fadingWorker{worker: worker, until: faded.until}
 	} else {
--- a/internal/backend/roster_test.go
+++ b/internal/backend/roster_test.go
@@ -88,7 +88,7 @@
 		t.Run(test.desc, func(t *testing.T) {
 			for word, leave := range map[string]func(roster *Roster) bool{
 				"answer": func(r *Roster) bool { return r.Leaves(now, "i@1") },
-				"record": func(r *Roster) bool { r.Put(now, ready.Leaving()); return true },
+				"record": func(r *Roster) bool { r.Put(now, ready.AsDraining()); return true },
 			} {
 				roster := NewRoster(RosterSettings{FadeTime: time.Second, OutageMemory: time.Second})
 				roster.Put(now, ready)
