The history of holders names the era in which it was written

A holder that finds the history of an earlier era waits as one that may take turns; before, each holder did in any era after the first, for good: late calls for nothing after each handover. TestHowLongAHolderWaits plays a store that comes back twice.

--- a/internal/roles/controller_test.go
+++ b/internal/roles/controller_test.go
@@ -209,7 +209,8 @@
 }
 
 // TestHowLongAHolderWaits plays holders one after another: the first ever waits for nobody, one that follows itself or is new waits
-// shortly before it calls the platform, and one that may take turns waits as long as it does with orders.
+// shortly before it calls the platform, and one that may take turns waits as long as it does with orders. So does one that finds no history of
+// the era of the store.
 func TestHowLongAHolderWaits(t *testing.T) {
 	keys := &keyStore{}
 	wait := func(name string) string {
@@ -240,9 +241,15 @@
 			return "late"
 		}
 	}
-	for _, c := range []struct{ name, want string }{
-		{"a", "at once"}, {"a", "soon"}, {"b", "soon"}, {"a", "late"}, {"c", "soon"}, {"d", "soon"}, {"e", "soon"}, {"b", "soon"}, {"d", "late"},
+	for _, c := range []struct {
+		name, want string
+		// era of the store, which comes back with the history that it has.
+		era int64
+	}{
+		{"a", "at once", 1}, {"a", "soon", 1}, {"b", "soon", 1}, {"a", "late", 1}, {"c", "soon", 1}, {"d", "soon", 1}, {"e", "soon", 1}, {"b", "soon", 1}, {"d", "late", 1},
+		{"f", "late", 2}, {"f", "soon", 2}, {"g", "soon", 2}, {"f", "late", 2}, {"h", "late", 3}, {"i", "soon", 3},
 	} {
+		keys.revision = store.NewRevision(c.era, keys.revision.Number())
 		if got := wait(c.name); got != c.want {
 			t.Errorf("%s calls %s, want %s", c.name, got, c.want)
 		}
--- a/internal/roles/holder.go
+++ b/internal/roles/holder.go
@@ -30,11 +30,18 @@
 // history names the last holders of the key, the newest first.
 type history struct {
 	Holders []string `json:"holders"`
+	// Era of the store in which it was written. One of an earlier era may lack the last holders: the store has come back from an older copy.
+	Era int64 `json:"era,omitempty"`
 }
 
-// succession says what a process is to those before it. One that follows itself takes no turn.
-func (h history) succession(name string) authority.Succession {
+// firstEra is the last era that may be that of a store which never came back from a copy: eras are counted from zero or one.
+const firstEra = 1
+
+// succession says what a process is to those before it, in an era of the store. One that follows itself takes no turn.
+func (h history) succession(name string, era int64) authority.Succession {
 	switch {
+	case era > firstEra && h.Era != era:
+		return authority.Returning
 	case len(h.Holders) == 0:
 		return authority.First
 	case slices.Contains(h.Holders[1:], name):
@@ -44,22 +51,11 @@
 	}
 }
 
-// firstEra is the last era that may be that of a store which never came back from a copy: eras are counted from zero or one.
-const firstEra = 1
-
-// successionIn returns what a process is to those before it in an era: in a later one the history may lack the last of them.
-func successionIn(era int64, known authority.Succession) authority.Succession {
-	if era > firstEra {
-		return authority.Returning
-	}
-	return known
-}
-
-// with returns the history with one more holder.
-func (h history) with(name string) history {
+// with returns the history with one more holder, as it is written in an era.
+func (h history) with(name string, era int64) history {
 	holders := slices.DeleteFunc(slices.Clone(h.Holders), func(each string) bool { return each == name })
 	holders = slices.Insert(holders, 0, name)
-	return history{Holders: holders[:min(len(holders), keptHolders)]}
+	return history{Holders: holders[:min(len(holders), keptHolders)], Era: era}
 }
 
 // acquire asks for the key.
@@ -81,7 +77,7 @@
 	defer c.mutex.Unlock()
 	c.vacant = false
 	fence := revision.Fence()
-	c.authority.Acquired(c.settings.Now(), lease, fence, successionIn(revision.Era(), before.succession(c.settings.Holder)))
+	c.authority.Acquired(c.settings.Now(), lease, fence, before.succession(c.settings.Holder, revision.Era()))
 	c.held = revision
 	c.logger.WithField("fence", fence).Info("This gateway gives the orders.")
 	c.decide(decision.Record{
@@ -93,7 +89,7 @@
 // claim returns who held the key of late, and the transaction that takes it.
 func (c *Controller) claim(ctx context.Context, lease int64) (history, store.Transaction, error) {
 	var before history
-	items, _, err := c.store.List(ctx, HistoryKey)
+	items, at, err := c.store.List(ctx, HistoryKey)
 	if err != nil {
 		return before, store.Transaction{}, errors.Wrap(err, "step read the history of holders")
 	}
@@ -108,7 +104,7 @@
 		}
 	}
 	held, heldErr := json.Marshal(holding{Holder: c.settings.Holder, Lease: lease})
-	after, afterErr := json.Marshal(before.with(c.settings.Holder))
+	after, afterErr := json.Marshal(before.with(c.settings.Holder, at.Era()))
 	return before, store.Transaction{
 		Conditions: []store.Condition{{Key: Key}, {Key: HistoryKey, Revision: revision}},
 		Puts:       []store.Put{{Key: Key, Value: held, Lease: lease}, {Key: HistoryKey, Value: after}},
