--- a/internal/store/shard_test.go
+++ b/internal/store/shard_test.go
@@ -41,6 +41,7 @@
 			for _, each := range present {
 				all = append(all, each)
 			}
+			slices.SortFunc(all, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 			return all
 		}
 		list := func(r *Replica) { r.replace(Snapshot{Items: items(), Revision: Revision(len(history))}) }
