--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -49,6 +49,8 @@
 	budgets func() []forward.BudgetView
 	// notices tells which tries went to workers against what these had said; nil tells none.
 	notices *notices
+	// workerLimits counts the tries that went to workers with limits; nil counts none.
+	workerLimits *workerLimits
 	// duties writes the figures of what this gateway does for all; nil writes none.
 	duties func(w io.Writer)
 
@@ -123,6 +125,8 @@
 	metricNoticesUnreadable = "granitebay_worker_notices_unreadable_total"
 	// metricAgainstNotice counts tries that were sent to workers which had said that they want none.
 	metricAgainstNotice = "granitebay_tries_against_notice_total"
+	// metricUnderLimit counts tries that were sent to workers while these named limits.
+	metricUnderLimit = "granitebay_tries_under_limit_total"
 )
 
 // noticeHeard counts what a worker of a group said of itself.
@@ -143,6 +147,9 @@
 			worker string
 			at     time.Time
 		}{{try.Reader, try.Begun}, {try.Worker, try.Begun.Add(try.ReadIn)}} {
+			if f.workerLimits.count(sent.worker, sent.at) {
+				f.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q}`, metricUnderLimit, report.Group)).Inc()
+			}
 			if what := f.notices.against(sent.worker, sent.at); what != "" {
 				f.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q,notice=%q}`, metricAgainstNotice, report.Group, what)).Inc()
 			}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,7 @@
 	bars         *bars
 	engines      *engineWatch
 	notices      *notices
+	workerLimits *workerLimits
 	capacity     *capacity.Executor
 
 	// grace and addressTTL are durations that Reload may change.
@@ -162,7 +163,8 @@
 	g.controller = roles.NewController(control, ports.Store, ports.Orderer, g.dispatcher, logging.Part(logger, "roles"), g.decide)
 	g.engines = newEngineWatch(g)
 	g.notices = newNotices(g)
-	g.metrics.notices = g.notices
+	g.workerLimits = newWorkerLimits(g)
+	g.metrics.notices, g.metrics.workerLimits = g.notices, g.workerLimits
 	if ports.WatchNotices != nil {
 		ports.WatchNotices(g.notices.hear)
 	}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -18,6 +18,7 @@
 const (
 	noticeLeaving = "leaving"
 	noticeBackOff = "back off"
+	noticeLimit   = "limit"
 )
 
 // Sources of a word, as lines name them.
@@ -77,7 +78,10 @@
 			n.logger.WithError(err).WithField("worker", worker.ID).Warn("What a worker says of itself can't be read.")
 		}
 	}
-	if notice.Empty() {
+	if notice.Limit > 0 || !notice.Asked.IsZero() {
+		n.gateway.workerLimits.hear(worker, notice)
+	}
+	if !notice.Leaving && notice.BackOff == 0 {
 		return
 	}
 	if notice.Leaving && n.gateway.view.WorkerLeaves(worker.ID) {
