--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -85,6 +85,8 @@
 	// Leaving is set if it said that it leaves, and Rest is for how long it asked to be left alone.
 	Leaving bool
 	Rest    time.Duration
+	// Limit is how many requests a second it said that it takes; zero if it named no limit.
+	Limit float64
 	// At is when the answer began, which arrives later.
 	At time.Time
 }
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -50,6 +50,13 @@
 	return w.leaving
 }
 
+// limited returns the limit that the worker names now, or zero.
+func (w *Worker) limited() float64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.limit
+}
+
 // rests returns the rest for which the worker asks now, or zero.
 func (w *Worker) rests() time.Duration {
 	w.mutex.Lock()
@@ -104,6 +111,10 @@
 	id := request.Header.Get("Request-Id")
 	w.fleet.told(Head{ID: id, Tenant: request.Header.Get("Tenant"), Key: request.Header.Get("Api-Key")})
 	w.fleet.arrived(Arrival{ID: id, Service: w.options.Service, Worker: w.options.ID, Reading: request.Header.Get("Stage") != "", At: time.Now()})
+	if limit := w.limited(); limit > 0 {
+		w.fleet.gaveNotice(Notice{ID: id, Worker: w.options.ID, Limit: limit, At: time.Now()})
+		writer.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	if rest := w.rests(); rest > 0 {
 		w.fleet.gaveNotice(Notice{ID: id, Worker: w.options.ID, Rest: rest, At: time.Now()})
 		writer.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -83,6 +83,8 @@
 	leaving   bool
 	rest      time.Duration
 	restUntil time.Time
+	// limit is how many requests a second the answers say that the worker takes; zero names none.
+	limit float64
 	// changing is set while the worker is out for a change of its stage.
 	changing bool
 	model    *model
@@ -179,6 +181,14 @@
 	w.rest, w.restUntil = rest, time.Now().Add(lasting)
 }
 
+// Limit makes the worker name in its answers how many requests a second it takes of all together; zero names no limit any more. It takes
+// more all the same.
+func (w *Worker) Limit(perSecond float64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.limit = perSecond
+}
+
 // Drain records that the worker leaves, and has its answers say so.
 func (w *Worker) Drain() {
 	w.mutex.Lock()
