--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,7 +33,7 @@
 
 // checks are all rules, in the order in which they are reported.
 var checks = []check{
-	checkOnce, checkRefused, checkAnswers, checkLost, checkClosed, checkEnds, checkGone, checkDrain, checkLeaving, checkRest, checkOrders, checkBudget, checkConfiguration, checkService, checkCrashing, checkBarred,
+	checkOnce, checkRefused, checkAnswers, checkLost, checkClosed, checkEnds, checkGone, checkDrain, checkLeaving, checkRest, checkLimits, checkOrders, checkBudget, checkConfiguration, checkService, checkCrashing, checkBarred,
 }
 
 // Check returns all broken rules of a history.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -208,6 +208,21 @@
 				}
 			},
 			func(h *History) { h.Ends = []End{{Gateway: "g", At: at(500 * time.Millisecond), Asked: true}} }},
+		{"LIMIT", "more requests than a worker takes",
+			func(h *History) {
+				h.Gateways = []string{"g"}
+				h.Requests[0].Gateway = "g"
+				h.Limits = []fleet.Limited{{Worker: "w1", PerSecond: 0.4, At: at(0)}}
+				h.Notices = []fleet.Notice{{ID: "r1", Worker: "w1", Limit: 0.4, At: at(0)}}
+				for i := range 8 {
+					more := answered(fmt.Sprint("limit-", i), KindAgain, 4*time.Second)
+					more.Gateway = "g"
+					h.Requests = append(h.Requests, more)
+					h.Arrivals = append(h.Arrivals, fleet.Arrival{ID: more.Asked.ID, Worker: "w1", At: at(4 * time.Second)})
+				}
+				h.Seen = at(time.Minute)
+			},
+			func(h *History) { h.Limits[0].PerSecond, h.Notices[0].Limit = 2, 2 }},
 		{"ONE", "two holders share a fence",
 			func(h *History) {
 				h.Orders = []fleet.Taken{{Holder: "a", Fence: 7}, {Holder: "b", Fence: 7, At: at(time.Hour)}}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -66,7 +66,9 @@
 	Arrivals []fleet.Arrival
 	Orders   []fleet.Taken
 	// Notices are what workers said of themselves, and Gateways the addresses of gateways by their numbers.
-	Notices  []fleet.Notice
+	Notices []fleet.Notice
+	// Limits are when workers began to name limits, and others or none, in their order.
+	Limits   []fleet.Limited
 	Gateways []string
 	// Crashes are the ends of workers under requests, and Heads all calls at workers.
 	Crashes    []fleet.Crash
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -72,6 +72,8 @@
 		})
 	case WorkerRests:
 		s.workers[f.Worker].current().Shed(f.For, f.Rest)
+	case WorkerLimits:
+		s.injectLimit(f)
 	default:
 		return false
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -131,7 +131,7 @@
 // planned tells whether a fault is planned work, around which no request may be lost.
 func planned(f Fault) bool {
 	switch f.(type) {
-	case GatewayStop, GatewayReload, WorkerReplace, WorkerSaysLeaving, GatewayUpgrade, NewTimeout, NewIdle:
+	case GatewayStop, GatewayReload, WorkerReplace, WorkerSaysLeaving, WorkerLimits, GatewayUpgrade, NewTimeout, NewIdle:
 		return true
 	default:
 		return false
@@ -171,6 +171,7 @@
 	faults = append(faults, crashing(seed, number)...)
 	faults = append(faults, series(seed, number, gateways, workers)...)
 	faults = append(faults, noticesOf(seed, number, workers)...)
+	faults = append(faults, limitsOf(seed, number, workers)...)
 	return append(faults, returns(seed, number)...)
 }
 
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -249,7 +249,7 @@
 	return &History{
 		Seen: time.Now(), Ends: ends, Worked: s.fleet.Worked(),
 		Requests: append([]Request(nil), s.requests...), Runs: s.fleet.Runs(), Arrivals: s.fleet.Arrivals(), Orders: s.fleet.Orders(),
-		Crashes: s.fleet.Crashes(), Heads: s.fleet.Heads(), Notices: s.fleet.Notices(), Gateways: addresses,
+		Crashes: s.fleet.Crashes(), Heads: s.fleet.Heads(), Notices: s.fleet.Notices(), Limits: s.fleet.Limits(), Gateways: addresses,
 		Spans: append([]Span(nil), s.spans...), Departures: append([]Departure(nil), s.departures...), Quiet: quiet,
 		Spread: append([]time.Duration(nil), s.spread...),
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -18,6 +18,8 @@
 	orders   []Taken
 	// notices are the answers in which workers spoke of themselves.
 	notices []Notice
+	// limits are when workers began to name limits, and others or none.
+	limits []Limited
 	// heads are what every call about a request has told of its caller.
 	heads []Head
 	// crashes are the ends of workers under requests.
@@ -105,6 +107,28 @@
 	f.notices = append(f.notices, notice)
 }
 
+// Limited is that a worker names a limit from a moment on.
+type Limited struct {
+	Worker string
+	// PerSecond is zero if it names none any more.
+	PerSecond float64
+	At        time.Time
+}
+
+// Limits returns when workers began to name limits so far, in their order.
+func (f *Fleet) Limits() []Limited {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]Limited(nil), f.limits...)
+}
+
+// namesLimit notes that a worker names a limit.
+func (f *Fleet) namesLimit(limited Limited) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.limits = append(f.limits, limited)
+}
+
 // Taken is an order that a worker took.
 type Taken struct {
 	Worker string
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -187,6 +187,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.limit = perSecond
+	w.fleet.namesLimit(Limited{Worker: w.options.ID, PerSecond: perSecond, At: time.Now()})
 }
 
 // Drain records that the worker leaves, and has its answers say so.
