A share of repeats needs a stay on the list that the others must have seen

A gateway whose registration the store lost within 7 s of making it, as with an older copy, had its share from the seventh second on for as long as it had been listed, although another one that reads the list as rarely as a confirmation allows had never counted it. Callers saw nothing; workers could get more repeats than allowed. Now it must have been listed and confirmed over that time.

--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -65,6 +65,17 @@
 	Running       int `json:"running"`
 	ReadingTokens int `json:"readingTokens"`
 	Slots         int `json:"slots"`
+	// Limit is how many requests the worker says that it takes; nil if it does not say.
+	Limit *LimitStatus `json:"limit,omitempty"`
+}
+
+// LimitStatus is how many requests a worker takes, as it named it in answers.
+type LimitStatus struct {
+	// PerSecond is what it takes of all gateways together, and Part which part of that this gateway may send, from 0 to 1.
+	PerSecond float64 `json:"perSecond"`
+	Part      float64 `json:"part"`
+	// HeardAgoMs is how long ago the worker said so last, to this gateway or another, in milliseconds.
+	HeardAgoMs int64 `json:"heardAgoMs"`
 }
 
 // GroupStatus is one group of workers as a gateway sees it.
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/quota"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 )
@@ -56,10 +55,3 @@
 	defer d.mutex.Unlock()
 	return d.balancer.Spend(d.now(), worker)
 }
-
-// QuotaOf returns what this gateway may send to a worker that names a limit, or false if it names none.
-func (d *Dispatcher) QuotaOf(worker string) (balance.Quota, bool) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.balancer.QuotaOf(worker)
-}
--- a/internal/forward/views.go
+++ b/internal/forward/views.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
 )
 
 // WorkerView is one worker as this gateway sees it.
@@ -18,6 +19,8 @@
 	Changing bool
 	// BacksOff is set for workers that want no requests of this gateway now.
 	BacksOff bool
+	// Quota is what this gateway may send to a worker that names a limit; nil if it names none.
+	Quota *balance.Quota
 }
 
 // Workers returns all workers by id.
@@ -29,8 +32,12 @@
 	for _, id := range d.balancer.IDs() {
 		worker, _ := d.balancer.Worker(id)
 		setAside, changing := d.balancer.KeptOff(now, id)
+		var quota *balance.Quota
+		if limited, found := d.balancer.QuotaOf(id); found {
+			quota = &limited
+		}
 		views = append(views, WorkerView{
-			Worker: worker, Load: d.balancer.TotalLoad(id), SetAside: setAside, Changing: changing,
+			Quota: quota, Worker: worker, Load: d.balancer.TotalLoad(id), SetAside: setAside, Changing: changing,
 			BacksOff: now.Before(d.balancer.BacksOffUntil(id)),
 		})
 	}
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -76,9 +76,13 @@
 func (a admin) Workers() []adminapi.WorkerStatus {
 	statuses := lo.Map(a.dispatcher.Workers(), func(seen forward.WorkerView, _ int) adminapi.WorkerStatus {
 		w := seen.Worker
+		var limit *adminapi.LimitStatus
+		if q := seen.Quota; q != nil {
+			limit = &adminapi.LimitStatus{PerSecond: q.PerSecond, Part: q.Part, HeardAgoMs: time.Since(q.Heard).Milliseconds()}
+		}
 		return adminapi.WorkerStatus{
 			Address: w.Address, ID: w.ID, Service: w.Group, Groups: w.Selected, Zone: w.Zone, Labels: w.Labels, Role: string(w.Role),
-			State: stateOf(seen), Running: seen.Load.Running, ReadingTokens: seen.Load.ReadingTokens, Slots: w.Slots,
+			State: stateOf(seen), Running: seen.Load.Running, ReadingTokens: seen.Load.ReadingTokens, Slots: w.Slots, Limit: limit,
 		}
 	})
 	slices.SortFunc(statuses, func(x, y adminapi.WorkerStatus) int {
--- a/internal/operator/show.go
+++ b/internal/operator/show.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/samber/lo"
@@ -70,14 +71,14 @@
 
 // Run shows the workers.
 func (g getWorkers) Run(s *session) error {
-	header := table.Row{"Address", "Service", "Groups", "Zone", "State", "Role", "Running", "Reading", "Slots", "ID"}
+	header := table.Row{"Address", "Service", "Groups", "Zone", "State", "Role", "Running", "Reading", "Slots", "Limit", "ID"}
 	if g.ShowLabels {
 		header = append(header, "Labels")
 	}
 	return showTable(s, s.client.Workers, header, func(worker adminapi.WorkerStatus) table.Row {
 		row := table.Row{
 			worker.Address, worker.Service, orNone(strings.Join(worker.Groups, ",")), worker.Zone, worker.State, orNone(worker.Role),
-			worker.Running, worker.ReadingTokens, worker.Slots, worker.ID,
+			worker.Running, worker.ReadingTokens, worker.Slots, limit(worker.Limit), worker.ID,
 		}
 		if g.ShowLabels {
 			row = append(row, pairs(worker.Labels))
@@ -86,6 +87,15 @@
 	})
 }
 
+// limit is how many requests a second a worker takes, how many of them this gateway may send, and how old that is.
+func limit(status *adminapi.LimitStatus) string {
+	if status == nil {
+		return orNone("")
+	}
+	age := time.Duration(status.HeardAgoMs) * time.Millisecond
+	return fmt.Sprintf("%.3g/s, %.3g here, %s ago", status.PerSecond, status.PerSecond*status.Part, age.Round(100*time.Millisecond))
+}
+
 type getGroups struct{}
 
 // Run shows the groups.
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -207,3 +207,14 @@
 		}
 	}
 }
+
+// TestAStayOnTheListThatNobodyNeedHaveSeenGivesNoShare has the store lose a registration soon after it was made: another gateway that reads the
+// list as rarely as a confirmation allows has not seen it, and divides by fewer.
+func TestAStayOnTheListThatNobodyNeedHaveSeenGivesNoShare(t *testing.T) {
+	share := confirmed(4, 6*time.Second)
+	for after := 7 * time.Second; after <= 14*time.Second; after += time.Second {
+		if got := share.At(start.Add(after)); got != 0 {
+			t.Errorf("%s after a stay of 6 s began it has %v", after, got)
+		}
+	}
+}
--- a/internal/retrybudget/share.go
+++ b/internal/retrybudget/share.go
@@ -104,7 +104,8 @@
 // At returns the share of a moment.
 func (s *Share) At(now time.Time) float64 {
 	s.settle(now)
-	if s.since.IsZero() || now.Sub(s.since) < s.valid() || now.Sub(s.confirmed) > s.valid() {
+	// It was on the list for as long as a confirmation counts: a shorter stay may be seen by nobody.
+	if s.since.IsZero() || now.Sub(s.since) < s.valid() || s.confirmed.Sub(s.since) < s.valid() || now.Sub(s.confirmed) > s.valid() {
 		return 0
 	}
 	return 1 / float64(s.sharers)
