The bound of a tenant's requests in hand is divided so that the parts are the bound

What callers saw: a tenant could have 18 requests in hand where the operators allow 10 (9 gateways; 18 of 17, 72 of 64, measured on the code before), since each gateway rounded its part up, and more while some did not hear the others. Now the parts come from quota: by the list in the store and by rank, 10 of 10. A bound below the number of gateways is still one each: without lending, a gateway that has no part would turn away tenants that have nothing in hand; open.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -74,7 +74,7 @@
 func NewHandler(settings Settings, protocol Protocol, workers Workers, dispatcher *Dispatcher, observer Observer) *Handler {
 	return &Handler{
 		settings: settings, protocol: protocol, workers: workers, dispatcher: dispatcher, observer: observer,
-		tenants: tenantlimit.New(),
+		tenants: tenantlimit.New(dispatcher.places),
 	}
 }
 
@@ -96,9 +96,6 @@
 // the caller. It is called before the first request.
 func (h *Handler) NameClosers(closer func(ctx context.Context) Closer) { h.closer = closer }
 
-// SetGateways tells how many gateways take requests, and so share what a tenant may have in hand.
-func (h *Handler) SetGateways(count int) { h.tenants.SetGateways(count) }
-
 // SetTable puts a configuration in force for the requests that come from now on.
 func (h *Handler) SetTable(table *routing.Table) {
 	h.dispatcher.SetGroups(table.Configuration().Groups)
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -49,6 +49,16 @@
 	return d.balancer.Unlimit(worker, d.now().Add(-ago))
 }
 
+// places returns how many of a bound of places belong to this gateway.
+func (d *Dispatcher) places(key string, bound int) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.holders == nil {
+		return bound
+	}
+	return d.holders.Places(d.repeats.now(), key, bound)
+}
+
 // MayAsk takes a question from what this gateway may send to a worker, if that names a limit, and tells whether there was one left.
 func (d *Dispatcher) MayAsk(worker string) bool {
 	d.mutex.Lock()
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -178,7 +178,6 @@
 	g.follower.SetTellers(lo.Map(entries, func(entry member.Gateway, _ int) changefeed.Teller {
 		return changefeed.Teller{Name: entry.Name, Zone: entry.Zone, Address: entry.ControlAddress}
 	}))
-	g.handler.SetGateways(len(entries))
 	g.setSharers(audience.StandsBy, len(entries), len(suspects)+len(claimants), serving)
 	g.sharing.SetAudience(audience)
 }
--- a/internal/quota/holders.go
+++ b/internal/quota/holders.go
@@ -115,6 +115,19 @@
 	return 1 / float64(holders)
 }
 
+// Places returns how many of a bound of places the own gateway has. All together have as many as the bound, or one each where it is less than
+// the number of gateways: callers come to any of them, and one without a place would turn away tenants that have nothing in hand. It goes on
+// without the store, as serving does.
+func (h *Holders) Places(now time.Time, key string, bound int) int {
+	h.expire(now)
+	gateways := max(len(h.ordered), 1)
+	places := bound / gateways
+	if rank := h.rank(key); rank >= 0 && rank < bound%gateways {
+		places++
+	}
+	return max(places, 1)
+}
+
 // Gateways returns how many gateways count.
 func (h *Holders) Gateways(now time.Time) int {
 	h.expire(now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -240,3 +240,19 @@
 		f.now = f.now.Add(500 * time.Millisecond)
 	}
 }
+
+// TestPlacesAreTheBoundTogether adds what the gateways of a settled fleet have of bounds of places.
+func TestPlacesAreTheBoundTogether(t *testing.T) {
+	for _, gateways := range []int{1, 3, 9, 60} {
+		f := settled(gateways, 1)
+		for _, bound := range []int{1, 2, 9, 10, 17, 64, 200} {
+			sum := 0
+			for _, g := range f.gateways {
+				sum += g.holders.Places(f.now, "rule/tenant", bound)
+			}
+			if want := max(bound, gateways); sum != want {
+				t.Errorf("%d gateways have %d of %d places, expected %d", gateways, sum, bound, want)
+			}
+		}
+	}
+}
--- a/internal/tenantlimit/tenantlimit.go
+++ b/internal/tenantlimit/tenantlimit.go
@@ -12,22 +12,18 @@
 
 // Limiter counts the requests in hand of one gateway. It is safe for concurrent use.
 //
-// Invariant: after each Begin that grants, the requests of a tenant under a rule are at most the share of this gateway,
-// which is the bound divided by the number of gateways, rounded up.
+// Invariant: after each Begin that grants, the requests of a tenant under a rule are at most the share of this gateway.
 type Limiter struct {
+	// share returns which share of a bound is this gateway's.
+	share func(key string, bound int) int
+
 	mu       sync.Mutex
-	gateways int
 	inFlight map[key]int
 }
 
-// New returns a limiter of the only gateway.
-func New() *Limiter { return &Limiter{gateways: 1, inFlight: map[key]int{}} }
-
-// SetGateways tells how many gateways share each bound.
-func (l *Limiter) SetGateways(n int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.gateways = max(n, 1)
+// New returns a limiter with nothing in hand. Share returns which share of a bound, named by a key, is this gateway's.
+func New(share func(key string, bound int) int) *Limiter {
+	return &Limiter{share: share, inFlight: map[key]int{}}
 }
 
 // Begin counts a request, or returns false when the tenant has as many as it may. A limit of zero is none.
@@ -35,10 +31,13 @@
 	if tenant == "" {
 		return true
 	}
+	share := 0
+	if limit > 0 {
+		share = l.share(rule+"/"+tenant, limit)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := key{rule, tenant}
-	share := (limit + l.gateways - 1) / l.gateways
 	if limit > 0 && l.inFlight[k] >= share {
 		return false
 	}
--- a/internal/tenantlimit/tenantlimit_test.go
+++ b/internal/tenantlimit/tenantlimit_test.go
@@ -9,10 +9,9 @@
 // TestShareIsNeverExceeded checks the invariant of Limiter, and that what ends makes room again.
 func TestShareIsNeverExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		gateways := rapid.IntRange(1, 5).Draw(t, "gateways")
-		limit := rapid.IntRange(1, 9).Draw(t, "limit")
-		l := New()
-		l.SetGateways(gateways)
+		share := rapid.IntRange(1, 9).Draw(t, "share")
+		limit := share + rapid.IntRange(0, 9).Draw(t, "of others")
+		l := New(func(string, int) int { return share })
 		inHand := map[string]int{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			tenant := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "tenant")
@@ -21,7 +20,6 @@
 				inHand[tenant]--
 				continue
 			}
-			share := (limit + gateways - 1) / gateways
 			granted := l.Begin("rule", tenant, limit)
 			if granted != (inHand[tenant] < share) {
 				t.Fatalf("tenant %s with %d of %d in hand: granted %t", tenant, inHand[tenant], share, granted)
@@ -34,7 +32,7 @@
 }
 
 func TestNoTenantAndNoLimitAreNotBounded(t *testing.T) {
-	l := New()
+	l := New(func(_ string, bound int) int { return bound })
 	for range 100 {
 		if !l.Begin("rule", "", 1) || !l.Begin("rule", "tenant", 0) {
 			t.Fatal("refused without a bound")
