--- a/internal/quota/holders.go
+++ b/internal/quota/holders.go
@@ -26,9 +26,11 @@
 	valid time.Duration
 	// gateways are those that may hold parts, and those that are gone until when they count.
 	gateways map[string]time.Time
-	// ordered are their names, as they are now, and ranks the places of the own one for keys.
+	// ordered are their names, as they are now, ranks the places of the own one for keys, and next when the next of those that are gone does
+	// not count any more; zero when none is.
 	ordered []string
 	ranks   map[string]int
+	next    time.Time
 	// since is when the own gateway came onto the list, or was confirmed first after a gap; zero while it is not on it.
 	since     time.Time
 	confirmed time.Time
@@ -70,13 +72,16 @@
 
 // order takes those off the list that do not count any more.
 func (h *Holders) order(now time.Time) {
-	h.ordered = h.ordered[:0]
+	h.ordered, h.next = h.ordered[:0], time.Time{}
 	for name, until := range h.gateways {
 		if !until.IsZero() && !now.Before(until) {
 			delete(h.gateways, name)
 			continue
 		}
 		h.ordered = append(h.ordered, name)
+		if !until.IsZero() && (h.next.IsZero() || until.Before(h.next)) {
+			h.next = until
+		}
 	}
 	clear(h.ranks)
 }
@@ -136,11 +141,8 @@
 
 // expire notes that some do not count any more.
 func (h *Holders) expire(now time.Time) {
-	for _, until := range h.gateways {
-		if !until.IsZero() && !now.Before(until) {
-			h.order(now)
-			return
-		}
+	if !h.next.IsZero() && !now.Before(h.next) {
+		h.order(now)
 	}
 }
 
