--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -10,7 +10,6 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/decision"
-	"github.com/granitebay/granitebay/internal/loadshare"
 	"github.com/granitebay/granitebay/internal/logging"
 )
 
@@ -197,24 +196,6 @@
 	return told
 }
 
-// DrainSupplement is part of loadshare.Source.
-func (g *Gateway) DrainSupplement(full bool) loadshare.Supplement {
-	asks, loans := g.dispatcher.DrainLoans()
-	return loadshare.Supplement{Leaving: g.notices.drain(full), Limits: g.workerLimits.drain(full), Asks: asks, Loans: loans}
-}
-
-// HearSupplement is part of loadshare.Source. A worker that is named there drains here as well, whether this gateway had an answer of it
-// or not.
-func (g *Gateway) HearSupplement(supplement *loadshare.Supplement) {
-	for _, id := range supplement.Leaving {
-		if g.view.WorkerLeaves(id) {
-			g.notices.tellHeard(id)
-		}
-	}
-	g.workerLimits.hearPeer(supplement.Limits)
-	g.dispatcher.HearLoans(supplement.Asks, supplement.Loans)
-}
-
 // tellHeard writes that another gateway heard a worker say that it leaves.
 func (n *notices) tellHeard(id string) {
 	if worker := n.gateway.worker(id); worker != nil {
