--- a/internal/gateway/workerlimits.go
+++ b/internal/gateway/workerlimits.go
@@ -42,8 +42,8 @@
 	urgent bool
 }
 
-// overTells is how often others are told that a limit is over: for longer than the links between gateways are usually cut, as one that missed
-// it would leave the worker alone.
+// overTells is how often others are told that a limit is over, once a second: for longer than the links between gateways are usually cut. One
+// that holds no part and misses all of them would leave the worker alone until its next life.
 const overTells = 30
 
 // newWorkerLimits knows of no limit.
--- a/internal/quota/holders.go
+++ b/internal/quota/holders.go
@@ -1,9 +1,10 @@
-// Package quota divides bounds that all gateways keep together. No message is needed for it: who holds which part follows from the list
-// of gateways in the store.
+// Package quota divides bounds that all gateways keep together. Who holds which part follows from the list of gateways in the store, without
+// a message. What a gateway holds and does not need it lends to others.
 //
-// Invariant: in no window does the sum over all gateways pass the rate of a bound times the window, and what may be kept besides: the rate of
-// Burst, or one where that is less. It holds whatever starts, ends, freezes, is cut off or reads an old list, as long as a list that was
-// confirmed at a moment holds all changes up to then. While gateways know different rates of a bound, the largest of them counts.
+// Invariant: in no window does the sum over all gateways pass the rate of a bound times the window and LoanLife, and what may be kept besides:
+// what the rate brings in Burst, or one request where that is less. It holds whatever starts, ends, freezes, is cut off or reads an old list,
+// and whatever becomes of messages, as long as a list that was confirmed at a moment holds all changes up to then. While gateways know
+// different rates of a bound, the largest of them counts.
 package quota
 
 import (
@@ -24,7 +25,7 @@
 	own string
 	// valid is how long a confirmation counts.
 	valid time.Duration
-	// gateways are those that may hold parts, and those that are gone until when they count.
+	// gateways are those that may hold parts, by name, with a zero time, and those that are gone, with the time until which they count.
 	gateways map[string]time.Time
 	// ordered are their names, as they are now, ranks the places of the own one for keys, and next when the next of those that are gone does
 	// not count any more; zero when none is.
