--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,64 @@
+// Package admission decides what happens to a request of a group of engines before it is placed: it starts with an urgency, waits, or is
+// refused. The decisions are pure functions of what is passed in; a Controller has no clock, no goroutine and no randomness, and is not
+// safe for concurrent use.
+package admission
+
+import "time"
+
+// Request describes a request that wants to start.
+type Request struct {
+	// ID identifies the request. It spreads the times at which refused callers return.
+	ID    string
+	Group string
+	// Priority is the priority of the rule, or of the tenant if it has one; 0 is the most urgent.
+	Priority int
+	// Tenant is empty if the configuration has no tenants.
+	Tenant string
+	// Tokens is the work of the request: the tokens to prefill and to generate.
+	Tokens int
+	// Arrived is when the request arrived, Objective the time from then within which its response should start, and Deadline when its
+	// caller leaves.
+	Arrived   time.Time
+	Objective time.Duration
+	Deadline  time.Time
+}
+
+// Outlook is what is expected of a request if it starts now.
+type Outlook struct {
+	// Start is the expected time until the first event, and QueueWait the part of it that is spent behind other requests.
+	Start, QueueWait time.Duration
+	// FreeAt is when a slot is expected to be free for the request; zero if one is free now.
+	FreeAt time.Time
+}
+
+// Decision is what happens to a request. It is a Start, a Wait or a Refuse.
+type Decision interface{ isDecision() }
+
+// Start lets the request be placed.
+type Start struct {
+	// Urgency orders the queues of engines, from 0 for the first to 9 for the last; DefaultUrgency where nothing is contended.
+	Urgency int
+	// Reason says in one sentence why the urgency is not the default; empty if it is.
+	Reason string
+}
+
+// Wait holds the request at the gateway.
+type Wait struct {
+	// Until is when the request is decided on again, at the latest.
+	Until  time.Time
+	Reason string
+}
+
+// Refuse tells the caller that the request did not run.
+type Refuse struct {
+	// RetryAfter is the time after which room is expected.
+	RetryAfter time.Duration
+	Reason     string
+}
+
+func (Start) isDecision()  {}
+func (Wait) isDecision()   {}
+func (Refuse) isDecision() {}
+
+// DefaultUrgency is the urgency that engines assume for requests without one.
+const DefaultUrgency = 5
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -60,6 +60,8 @@
 	writer http.ResponseWriter
 	// onResponse is called at the first event of each worker's response.
 	onResponse func()
+	// onEvent is called for each event that a worker sends, in order; may be nil.
+	onEvent func()
 	// acceptResponse is called before onResponse. It marks the response as started and reports whether it may be forwarded.
 	acceptResponse func() bool
 	// started is set once the headers have been written.
@@ -89,6 +91,9 @@
 			accepted = true
 			r.onResponse()
 		}
+		if r.onEvent != nil {
+			r.onEvent()
+		}
 		if r.isDuplicate(event) {
 			continue
 		}
