--- /dev/null
+++ b/internal/enginemodel/pace.go
@@ -0,0 +1,175 @@
+package enginemodel
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/backend"
+)
+
+// Parameters of the pace of an engine.
+const (
+	// paceSlot is the time over which the intervals of an engine are averaged, so that a stall counts by its duration and not by the number
+	// of responses that it holds up.
+	paceSlot = 250 * time.Millisecond
+	// paceSlots is the number of slots whose median is the pace, and paceMinSlots the number from which it is known.
+	paceSlots    = 24
+	paceMinSlots = 2
+	// paceRetention is the age from which a slot no longer counts.
+	paceRetention = decayTime
+	// typicalWeight is the number of slots as which the typical pace of the class counts at each engine.
+	typicalWeight = 1.0
+	// alikeFactor is the relative pace up to which an engine counts as alike to its class, because the load alone makes such a difference.
+	alikeFactor = 1.2
+)
+
+// slot is the mean interval between events in a span of time at one engine.
+type slot struct {
+	start   time.Time
+	seconds float64
+}
+
+// pace is the interval between events of the responses at one engine. It is the median of the last slots in which the engine sent events, so
+// that a stall which fills less than half of them does not count.
+type pace struct {
+	closed []slot
+	// start, sum and count describe the slot in progress.
+	start      time.Time
+	sum, count float64
+	// logMedian is the logarithm of the median of closed in seconds.
+	logMedian float64
+}
+
+// add adds an interval that ended now.
+func (p *pace) add(now time.Time, seconds float64) {
+	if now.Sub(p.start) >= paceSlot || now.Before(p.start) {
+		p.close(now)
+		p.start, p.sum, p.count = now, 0, 0
+	}
+	p.sum += seconds
+	p.count++
+}
+
+// close ends the slot in progress and updates the median.
+func (p *pace) close(now time.Time) {
+	if p.count == 0 {
+		return
+	}
+	p.closed = append(p.closed, slot{start: p.start, seconds: p.sum / p.count})
+	oldest := max(len(p.closed)-paceSlots, 0)
+	for oldest < len(p.closed) && now.Sub(p.closed[oldest].start) > paceRetention {
+		oldest++
+	}
+	p.closed = slices.Delete(p.closed, 0, oldest)
+	if len(p.closed) == 0 {
+		return
+	}
+	var sorted [paceSlots]float64
+	for i, each := range p.closed {
+		sorted[i] = each.seconds
+	}
+	values := sorted[:len(p.closed)]
+	slices.Sort(values)
+	p.logMedian = math.Log(values[(len(values)-1)/2])
+}
+
+// known reports whether the engine has sent enough events recently.
+func (p *pace) known(now time.Time) bool {
+	return len(p.closed) >= paceMinSlots && now.Sub(p.closed[len(p.closed)-1].start) <= paceRetention
+}
+
+// logSeconds returns the logarithm of the interval, given that of the class.
+func (p *pace) logSeconds(typical float64) float64 {
+	n := float64(len(p.closed))
+	return (n*p.logMedian + typicalWeight*typical) / (n + typicalWeight)
+}
+
+// typicalPace is the geometric mean of the paces of all engines of a class whose paces are known.
+type typicalPace struct {
+	logSeconds float64
+	engines    int
+	computedAt time.Time
+}
+
+// typical returns the logarithm of the typical interval of the class in seconds, or false if no engine's pace is known.
+func (c *classStats) typical(now time.Time) (float64, bool) {
+	cached := &c.typicalPace
+	if age := now.Sub(cached.computedAt); age >= paceSlot || age < 0 || cached.engines == 0 {
+		*cached = typicalPace{computedAt: now}
+		sum := 0.0
+		for _, worker := range c.workers {
+			if worker.pace.known(now) {
+				sum += worker.pace.logMedian
+				cached.engines++
+			}
+		}
+		if cached.engines > 0 {
+			cached.logSeconds = sum / float64(cached.engines)
+		}
+	}
+	return cached.logSeconds, cached.engines > 0
+}
+
+// logInterval returns the logarithm of the expected interval between events at an engine in seconds, or false if it is unknown. An engine that
+// is not clearly faster or slower than its class has the interval of the class.
+func (c *classStats) logInterval(now time.Time, worker *workerStats) (float64, bool) {
+	typical, found := c.typical(now)
+	if !found || worker == nil || !worker.pace.known(now) {
+		return typical, found
+	}
+	own := worker.pace.logSeconds(typical)
+	if math.Abs(own-typical) < math.Log(alikeFactor) {
+		return typical, true
+	}
+	return own, true
+}
+
+// PaceFactor returns how many times as long as is typical of its class an engine takes for an event. It is 1 unless the engine is clearly
+// faster or slower.
+func (m *Model) PaceFactor(now time.Time, worker *backend.Worker) float64 {
+	stats, found := m.classes[ClassOf(worker)]
+	if !found {
+		return 1
+	}
+	logInterval, found := stats.logInterval(now, stats.workers[worker.ID])
+	if !found {
+		return 1
+	}
+	typical, _ := stats.typical(now)
+	return math.Exp(logInterval - typical)
+}
+
+// workerOf returns the observations of a worker, and creates them if needed.
+func (c *classStats) workerOf(id string) *workerStats {
+	worker, found := c.workers[id]
+	if !found {
+		worker = &workerStats{}
+		c.workers[id] = worker
+	}
+	return worker
+}
+
+// RelativePace returns the time that a decode engine takes for an event, or a prefill engine for a prompt, relative to what is typical of its
+// group and role. It reports false, with a factor of 1, as long as too little has been observed. The factor has an error of about a tenth.
+func (m *Model) RelativePace(now time.Time, worker *backend.Worker) (factor float64, known bool) {
+	stats, found := m.classes[ClassOf(worker)]
+	if !found {
+		return 1, false
+	}
+	observed, found := stats.workers[worker.ID]
+	if !found {
+		return 1, false
+	}
+	if worker.Role == backend.RolePrefill {
+		if observed.logSlowdown.weightAt(now) < slowdownMinSamples {
+			return 1, false
+		}
+		return math.Exp(observed.logSlowdown.value(now, 0)), true
+	}
+	typical, found := stats.typical(now)
+	if !found || !observed.pace.known(now) {
+		return 1, false
+	}
+	return math.Exp(observed.pace.logSeconds(typical) - typical), true
+}
--- /dev/null
+++ b/internal/enginemodel/stalls.go
@@ -0,0 +1,123 @@
+package enginemodel
+
+import (
+	"math"
+	"time"
+)
+
+// The thresholds of the stall distribution are intervals relative to the pace of the engine: a geometric series.
+const (
+	firstThreshold  = 0.8
+	thresholdFactor = 1.2
+	thresholdCount  = 18
+	// stallPriorSeconds is the time without stalls as which the prior counts.
+	stallPriorSeconds = 5.0
+	// stallAging is the time after which the observations are aged.
+	stallAging = time.Second
+)
+
+// thresholds are the thresholds.
+var thresholds = func() (result [thresholdCount]float64) {
+	for i := range result {
+		result[i] = firstThreshold * math.Pow(thresholdFactor, float64(i))
+	}
+	return result
+}()
+
+// stalls counts how often and for how long the intervals between events exceed the pace of their engine. The engines of a class share it:
+// stalls come from neighbors on the same machine, which any engine may get.
+type stalls struct {
+	// seconds is the time observed, and paceSeconds the time that it would have taken at the pace of the engines.
+	seconds, paceSeconds float64
+	// atLevel is the time spent in intervals that exceed exactly the first i thresholds.
+	atLevel [thresholdCount + 1]float64
+	// onsets counts, by threshold, the intervals that exceed it and whose predecessors in the same response did not. followedBy is the time
+	// of the intervals with a predecessor, at the pace of the engine, by the level of the predecessor.
+	onsets     [thresholdCount]float64
+	followedBy [thresholdCount + 1]float64
+	agedAt     time.Time
+}
+
+// noLevel is the level before the first interval of a response.
+const noLevel = -1
+
+// levelOf returns how many thresholds a relative interval exceeds.
+func levelOf(relative float64) int {
+	level := 0
+	for level < thresholdCount && relative >= thresholds[level] {
+		level++
+	}
+	return level
+}
+
+// add adds an interval, given the level of the preceding one of the response. It returns its own level.
+func (s *stalls) add(now time.Time, seconds, paceSeconds float64, before int) int {
+	s.age(now)
+	level := levelOf(seconds / paceSeconds)
+	s.seconds += seconds
+	s.paceSeconds += paceSeconds
+	s.atLevel[level] += seconds
+	if before == noLevel {
+		return level
+	}
+	s.followedBy[before] += paceSeconds
+	for i := before; i < level; i++ {
+		s.onsets[i]++
+	}
+	return level
+}
+
+// age reduces the weight of older observations.
+func (s *stalls) age(now time.Time) {
+	if now.Sub(s.agedAt) < stallAging && !s.agedAt.IsZero() {
+		return
+	}
+	factor := decay(s.agedAt, now)
+	s.agedAt = now
+	s.seconds *= factor
+	s.paceSeconds *= factor
+	for _, counts := range [][]float64{s.atLevel[:], s.followedBy[:], s.onsets[:]} {
+		for i := range counts {
+			counts[i] *= factor
+		}
+	}
+}
+
+// meanFactor returns the mean interval relative to the pace; at least 1.
+func (s *stalls) meanFactor() float64 {
+	return max((s.seconds+stallPriorSeconds)/(s.paceSeconds+stallPriorSeconds), 1)
+}
+
+// exceeding returns the share of time in which intervals exceed the pace by a factor, and how often a second such a time begins. Both fall
+// with the factor.
+func (s *stalls) exceeding(factor float64) (share, perSecond float64) {
+	if !(factor > firstThreshold) {
+		return 1, 0
+	}
+	position := math.Log(factor/firstThreshold) / math.Log(thresholdFactor)
+	low := min(int(position), thresholdCount-1)
+	high := min(low+1, thresholdCount-1)
+	fraction := min(position-float64(low), 1)
+	shareLow, rateLow := s.exceedingThreshold(low)
+	shareHigh, rateHigh := s.exceedingThreshold(high)
+	return shareLow + fraction*(shareHigh-shareLow), rateLow + fraction*(rateHigh-rateLow)
+}
+
+// exceedingThreshold is exceeding for one threshold.
+func (s *stalls) exceedingThreshold(threshold int) (share, perSecond float64) {
+	above, atRisk := 0.0, stallPriorSeconds
+	for i, seconds := range s.atLevel {
+		if i > threshold {
+			above += seconds
+		}
+	}
+	for _, seconds := range s.followedBy[:threshold] {
+		atRisk += seconds
+	}
+	for i := threshold; i < thresholdCount; i++ {
+		// Responses in which a stall changes in strength cross a high threshold more often than a low one.
+		atRisk += s.followedBy[i]
+		perSecond = max(perSecond, s.onsets[i]/atRisk)
+	}
+	return above / (s.seconds + stallPriorSeconds), perSecond
+}
