balance: choose decode engines by the risks of pauses, late ends and late starts

Cause: the choice of a decode engine ignored its pace. Of the responses with 24 events on engines that take 107 ms for one, 59 in 100 were in time, on those that take 44 ms 99 in 100; 63 in 100 ran on the slow ones, though the fast ones had room.

Change: the score has the costs of three risks: a pause over the objective (also of the responses that a prefill holds up), an end after the deadline, and a start that is late for want of a slot. The number of events comes from the hint of the request, which the platform's header carries, or is learnt for each rule. The relay's events feed the model.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -110,6 +110,8 @@
 	// PromptTokens and OutputTokens are zero for requests to plain workers.
 	PromptTokens int
 	OutputTokens int
+	// ExpectedOutputTokens is the caller's estimate of the number of tokens of the response; zero if unknown. OutputTokens is their limit.
+	ExpectedOutputTokens int
 	// Segments are the segments of the prompt in order. Only later requests of the same session may share the last one.
 	Segments []Segment
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,6 +28,8 @@
 	Key string
 	// PrefillCost estimates the prefill cost of the prompt at a worker. Nil means no cost.
 	PrefillCost func(worker *backend.Worker) PrefillCost
+	// Answer describes the response that the request wants from a decode engine; zero if unknown.
+	Answer enginemodel.Answer
 	// Deferred prompts are prefilled after all others.
 	Deferred bool
 	// Zone is the preferred zone.
@@ -67,18 +69,26 @@
 	Interference float64
 	// Transfer is the cost of transferring or recomputing tokens that other workers have cached.
 	Transfer float64
+	// PauseRisk is the cost of the risk that a pause of the response, or of one that the worker is decoding, exceeds its objective. LateEnd is
+	// the cost of the risk that the response ends after the deadline.
+	PauseRisk, LateEnd float64
+	// LateStart is the cost of the risk that the response starts late because it waits for a slot.
+	LateStart float64
 	// ZoneCost is the cost of crossing zones.
 	ZoneCost float64
 	// TimeToFirstToken is the expected time to the first token, and QueueWait is the part of it that is spent queueing.
 	// They are not part of the total.
 	TimeToFirstToken, QueueWait float64
+	// Forecast is the expected course of the response at a decode engine. It is not part of the total.
+	Forecast enginemodel.Forecast
 	// EjectedPenalty is the penalty of an ejected worker that is used because too few healthy workers are left.
 	EjectedPenalty float64
 }
 
 // Total returns the total cost in seconds.
 func (s Score) Total() float64 {
-	return s.Queue + s.Prefill + s.Interference + s.Transfer + s.ZoneCost + s.EjectedPenalty
+	return s.Queue + s.Prefill + s.Interference + s.Transfer + s.PauseRisk + s.LateEnd + s.LateStart +
+		s.ZoneCost + s.EjectedPenalty
 }
 
 // Choice is a picked worker and its score.
@@ -97,6 +107,9 @@
 	// InterferenceWeight is the share of the prefill time by which each response that the worker is decoding is delayed,
 	// between 0 and 1.
 	InterferenceWeight float64
+	// PauseSeconds is the cost of a response with a pause over its objective, LateEndSeconds that of one that ends after the deadline, and
+	// LateStartSeconds that of one that starts late for want of a slot.
+	PauseSeconds, LateEndSeconds, LateStartSeconds float64
 	// OtherZoneSeconds is the cost of a worker in another zone.
 	OtherZoneSeconds float64
 	// SuspectSpreadSeconds is the maximum cost above the cheapest worker at which a suspect may be placed.
@@ -114,7 +127,8 @@
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
 	return Settings{
-		SecondsPerRequest: 0.002, InterferenceWeight: 1, OtherZoneSeconds: 0.010, SuspectSpreadSeconds: 0.08, Risk: DefaultRiskSettings(),
+		SecondsPerRequest: 0.002, InterferenceWeight: 1, PauseSeconds: 0.2, LateEndSeconds: 0.3, LateStartSeconds: 0.6, OtherZoneSeconds: 0.010,
+		SuspectSpreadSeconds: 0.08, Risk: DefaultRiskSettings(),
 		Shortlist: DefaultShortlistSettings(), Health: DefaultHealthSettings(), BackOff: DefaultBackOffSettings(),
 	}
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -114,11 +114,12 @@
 		score.TimeToFirstToken = estimate.BaseSeconds + score.QueueWait + score.Prefill
 	}
 	if worker.Role == backend.RoleDecode {
-		wait := slotWaitSeconds(estimate, load.Decoding(), worker.Slots)
+		wait := slotWaitSeconds(estimate, load.Decoding(), worker.Slots) * b.model.PaceFactor(now, worker)
 		score.Interference = score.Prefill * b.settings.InterferenceWeight * float64(load.Decoding())
 		score.Queue += wait
 		score.QueueWait += wait
 		score.TimeToFirstToken += wait
+		b.addRisks(now, query, worker, load, wait, &score)
 	}
 	if query.Zone != "" && worker.Zone != query.Zone {
 		score.ZoneCost = b.settings.OtherZoneSeconds
--- a/internal/enginemodel/forecast.go
+++ b/internal/enginemodel/forecast.go
@@ -13,6 +13,8 @@
 	Events, MaxEvents float64
 	// Spread is the standard deviation of the logarithm of the number of events.
 	Spread float64
+	// StartWithin is the time within which the first event is wanted; zero if there is no such objective, negative if it is missed.
+	StartWithin time.Duration
 	// PauseObjective is the target for the longest pause between two events; zero if there is none.
 	PauseObjective time.Duration
 	// Remaining is the time until the caller's deadline; zero if there is none.
@@ -98,6 +100,22 @@
 	}
 }
 
+// LateStartRisk returns the probability that the first event is late if it is expected to wait for a slot for the given time. It is 0 without
+// a wait.
+func (a Answer) LateStartRisk(wait time.Duration) float64 {
+	switch {
+	case wait <= 0 || a.StartWithin == 0:
+		return 0
+	case a.StartWithin < 0:
+		return 1
+	default:
+		return normalDistribution(math.Log(wait.Seconds()/a.StartWithin.Seconds()) / waitSpread)
+	}
+}
+
+// waitSpread is the standard deviation of the logarithm of a wait for a slot relative to what was expected.
+const waitSpread = 0.7
+
 // minSpread is the lower bound of the spread of the number of events.
 const minSpread = 0.1
 
--- a/internal/enginemodel/pace.go
+++ b/internal/enginemodel/pace.go
@@ -13,13 +13,13 @@
 	// paceSlot is the time over which the intervals of an engine are averaged, so that a stall counts by its duration and not by the number
 	// of responses that it holds up.
 	paceSlot = 250 * time.Millisecond
-	// paceSlots is the number of slots whose median is the pace, and paceMinSlots the number from which it is known.
+	// paceSlots is the number of slots whose median is the pace. As long as there are fewer than paceFewSlots, the one in progress counts too.
 	paceSlots    = 24
-	paceMinSlots = 2
+	paceFewSlots = 4
 	// paceRetention is the age from which a slot no longer counts.
 	paceRetention = decayTime
 	// typicalWeight is the number of slots as which the typical pace of the class counts at each engine.
-	typicalWeight = 1.0
+	typicalWeight = 0.5
 	// alikeFactor is the relative pace up to which an engine counts as alike to its class, because the load alone makes such a difference.
 	alikeFactor = 1.2
 )
@@ -37,8 +37,9 @@
 	// start, sum and count describe the slot in progress.
 	start      time.Time
 	sum, count float64
-	// logMedian is the logarithm of the median of closed in seconds.
+	// logMedian is the logarithm of the median in seconds, of slots slots.
 	logMedian float64
+	slots     int
 }
 
 // add adds an interval that ended now.
@@ -49,6 +50,9 @@
 	}
 	p.sum += seconds
 	p.count++
+	if len(p.closed) < paceFewSlots {
+		p.update(append(p.closed, slot{start: p.start, seconds: p.sum / p.count}))
+	}
 }
 
 // close ends the slot in progress and updates the median.
@@ -62,26 +66,32 @@
 		oldest++
 	}
 	p.closed = slices.Delete(p.closed, 0, oldest)
-	if len(p.closed) == 0 {
+	p.update(p.closed)
+}
+
+// update updates the median.
+func (p *pace) update(last []slot) {
+	p.slots = len(last)
+	if len(last) == 0 {
 		return
 	}
 	var sorted [paceSlots]float64
-	for i, each := range p.closed {
+	for i, each := range last {
 		sorted[i] = each.seconds
 	}
-	values := sorted[:len(p.closed)]
+	values := sorted[:len(last)]
 	slices.Sort(values)
 	p.logMedian = math.Log(values[(len(values)-1)/2])
 }
 
-// known reports whether the engine has sent enough events recently.
+// known reports whether the engine has sent events recently.
 func (p *pace) known(now time.Time) bool {
-	return len(p.closed) >= paceMinSlots && now.Sub(p.closed[len(p.closed)-1].start) <= paceRetention
+	return p.slots > 0 && now.Sub(p.start) <= paceRetention
 }
 
 // logSeconds returns the logarithm of the interval, given that of the class.
 func (p *pace) logSeconds(typical float64) float64 {
-	n := float64(len(p.closed))
+	n := float64(p.slots)
 	return (n*p.logMedian + typicalWeight*typical) / (n + typicalWeight)
 }
 
--- a/internal/enginemodel/stalls.go
+++ b/internal/enginemodel/stalls.go
@@ -11,7 +11,7 @@
 	thresholdFactor = 1.2
 	thresholdCount  = 18
 	// stallPriorSeconds is the time without stalls as which the prior counts.
-	stallPriorSeconds = 5.0
+	stallPriorSeconds = 1.0
 	// stallAging is the time after which the observations are aged.
 	stallAging = time.Second
 )
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -92,6 +92,7 @@
 	}
 	options.Objective = c.match.Rule.Objective
 	options.Remaining = options.Objective - time.Since(c.report.Arrived)
+	options.Rule, options.Deadline = c.match.Rule, c.deadline
 	return options
 }
 
@@ -147,6 +148,7 @@
 	if failure == failureNone {
 		c.handler.dispatcher.RecordPrefilled(runner.Worker, c.request)
 	}
+	record.Course = runner.course()
 	c.recordAttempt(record, "", failure)
 	if prompt != nil && failure == failureRefused {
 		c.prefilledEngine = prompt.Engine
@@ -184,6 +186,7 @@
 		runner.responseStarted()
 		c.countUsage()
 	}
+	c.relay.onEvent = runner.eventArrived
 	gate := &responseGate{}
 	c.relay.acceptResponse = gate.accept
 	if timeout := c.responseTimeout(runner); timeout > 0 {
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -59,6 +59,7 @@
 
 	mutex       sync.Mutex
 	model       *enginemodel.Model
+	lengths     *enginemodel.Lengths
 	balancer    *balance.Balancer
 	prefixCache *prefixcache.Table
 	peers       *peerExchange
@@ -69,6 +70,8 @@
 	demand       map[string]*demandCounter
 	// onPlacement is called after each placement; may be nil.
 	onPlacement func(took time.Duration, candidates int)
+	// onInterval is called after each event of an engine's response but the first; may be nil.
+	onInterval func(group string, interval time.Duration)
 	// saturationCache caches, by group, when its workers accept requests again. lastReservedSlot is the last Retry-After time that was
 	// announced to a caller of a rate-limited group.
 	saturationCache  map[string]cachedSaturation
@@ -93,6 +96,7 @@
 		settings:         settings,
 		now:              now,
 		model:            model,
+		lengths:          enginemodel.NewLengths(),
 		balancer:         balance.New(settings.Balance, model, peers.peerLoad),
 		prefixCache:      prefixcache.New(),
 		peers:            peers,
@@ -217,6 +221,9 @@
 	suspectKey string
 	startedAt  time.Time
 	finished   bool
+	// wanted is the response that the request wants of the decode engine, or nil. stream observes the response; it is set only at decode engines.
+	wanted *wantedResponse
+	stream *enginemodel.Stream
 }
 
 // responseStarted records that the worker has started to respond, so its prompt, if any, is prefilled.
@@ -291,6 +298,7 @@
 	}
 	if outcome == balance.OutcomeGood {
 		d.model.ObserveRequest(now, enginemodel.ClassOf(a.Worker), now.Sub(a.startedAt))
+		a.observeLength(now)
 	}
 	d.balancer.PrefillDone(a.Worker.ID, a.load)
 	if d.balancer.End(now, a.Worker.ID, outcome) {
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -33,6 +33,10 @@
 	// Objective is the time within which the answer should start, and Remaining what remains of it, negative if the request is late. Both are
 	// zero if there is no objective.
 	Objective, Remaining time.Duration
+	// Rule is the rule of the request, and Deadline when its caller leaves. They are zero if unknown; engines are then picked regardless of their
+	// pace.
+	Rule     *routing.Rule
+	Deadline time.Time
 }
 
 // Place picks the workers for a request, or returns false if there are none.
@@ -123,6 +127,7 @@
 func (d *Dispatcher) placeOnEngines(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	prompt := d.newPromptContext(request, group)
 	prompt.suspectKey = options.SuspectKey
+	prompt.wanted = d.newWantedResponse(request, group, options)
 	best, found := d.bestPlan(prompt, options)
 	if found && best.delayedByQueue(options) {
 		prompt.deferred = true
@@ -164,12 +169,12 @@
 	tokens := prompt.prefillCost(engine).Tokens
 	placement.FetchFrom = prompt.fetchSource(engine)
 	if chosen.prefill == nil {
-		placement.Runner = d.assign(choice, tokens, prompt.deferred, objective)
+		placement.Runner = d.assign(choice, tokens, prompt.deferred, objective).observeEvents(prompt.wanted)
 		return placement
 	}
 	// A load without tokens would count as a request that decodes or waits to decode, but this engine only prefills it.
 	placement.Prefill = d.assign(choice, max(tokens, 1), prompt.deferred, objective)
-	placement.Prefill.suspectKey = prompt.suspectKey
+	placement.Prefill.suspectKey, placement.Prefill.wanted = prompt.suspectKey, prompt.wanted
 	d.recordCached(engine, prompt.request.Demand, false)
 	return placement
 }
@@ -179,12 +184,12 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	prompt := d.newPromptContext(request, group)
-	prompt.suspectKey, prompt.prefilled = prefill.suspectKey, true
+	prompt.suspectKey, prompt.prefilled, prompt.wanted = prefill.suspectKey, true, prefill.wanted
 	choice, found := d.pickRunner(prompt, excluded, prefill.Worker)
 	if !found {
 		return nil, false
 	}
-	return d.assign(choice, 0, prefill.deferred, prefill.objective), true
+	return d.assign(choice, 0, prefill.deferred, prefill.objective).observeEvents(prefill.wanted), true
 }
 
 // pickRunner picks the decode engine for a prompt that source prefills.
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -24,6 +24,8 @@
 	suspectKey string
 	// prefilled is set once the prompt has been prefilled.
 	prefilled bool
+	// wanted is the response that the request wants; nil if unknown.
+	wanted *wantedResponse
 	// holders are the engines that have cached a prefix of the prompt, by id.
 	holders map[string]cacheHolder
 	// holderIDs are the sorted ids of the holders.
@@ -63,6 +65,7 @@
 // query returns a query for an engine of a role.
 func (p *promptContext) query(role backend.Role, zone string, excluded []string) balance.Query {
 	return balance.Query{
+		Answer:  p.wanted.answer(p.dispatcher.now()),
 		Request: p.request.ID, Group: p.group.Name, Role: role, Key: p.shared.affinityKey, Zone: zone, Excluded: excluded,
 		Deferred: p.deferred, SuspectKey: p.suspectKey, Prefilled: p.prefilled, Holders: p.holderIDs, Concentrate: len(p.shared.segments) == 0,
 	}
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -151,6 +151,8 @@
 	Candidates int
 	// Deferred is set if the answer was expected too late, so that prompts that were not deferred were prefilled first.
 	Deferred bool
+	// Course is the course of the response at a decode engine; zero otherwise.
+	Course Course
 	// Failure is empty if the attempt succeeded.
 	Failure string
 }
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -122,12 +122,26 @@
 	if attempt.Deferred {
 		text += ", too late for its objective and therefore deferred"
 	}
+	text += describeCourse(attempt.Course)
 	if attempt.Failure != "" {
 		text += ": " + attempt.Failure
 	}
 	return text
 }
 
+// describeCourse describes the events of a response and what was expected of them; empty if there is nothing to tell.
+func describeCourse(course forward.Course) string {
+	if course.Events < 2 {
+		return ""
+	}
+	text := fmt.Sprintf(", %d events, longest pause %d ms", course.Events, course.LongestPause.Milliseconds())
+	if course.Expected.Interval > 0 {
+		text += fmt.Sprintf("; expected one every %d ms, pause risk %.2f, late end %.2f",
+			course.Expected.Interval.Milliseconds(), course.Expected.PauseRisk, course.Expected.DeadlineRisk)
+	}
+	return text
+}
+
 // describeScore lists the non-zero components of an expected cost.
 func describeScore(score balance.Score) string {
 	components := []struct {
@@ -135,7 +149,8 @@
 		seconds float64
 	}{
 		{"queue", score.Queue}, {"reading", score.Prefill}, {"hold-up", score.Interference}, {"transfer", score.Transfer},
-		{"distance", score.ZoneCost}, {"doubt", score.EjectedPenalty},
+		{"pause risk", score.PauseRisk}, {"late end", score.LateEnd}, {"late start", score.LateStart}, {"distance", score.ZoneCost},
+		{"doubt", score.EjectedPenalty},
 	}
 	text := fmt.Sprintf("%.1f ms expected", millisecondsPerSecond*score.Total())
 	for _, component := range components {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,6 +152,7 @@
 	g.dispatcher.ShareLimits(settings.Name)
 	g.dispatcher.OnBudgetExhausted(g.logBudgetExhausted)
 	g.dispatcher.OnPlacement(g.metrics.observeChoice)
+	g.dispatcher.OnInterval(g.metrics.pace.observeInterval)
 	g.handler = forward.NewHandler(forward.DefaultSettings(), dependencies.Protocol, dependencies.Workers, g.dispatcher, g.metrics)
 	g.handler.SetFreshness(func() bool { return g.view.IsFresh(settings.ConfigurationAge) })
 	g.handler.SetCloserFunc(callers.CloserOf)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,8 @@
 	logger    *logrus.Entry
 	// choice and candidates observe the duration of worker choices and the number of candidates.
 	choice, candidates *metrics.Histogram
+	// pace observes the pace of engines.
+	pace *paceMetrics
 	// budgets returns the retry budgets; may be nil.
 	budgets func() []forward.BudgetView
 	// notices tells which attempts were made on workers that had asked for no requests; may be nil.
@@ -66,7 +68,7 @@
 	set := metrics.NewSet()
 	return &gatewayMetrics{
 		set: set, decisions: decisions, logger: logging.Component(logger, "request"), logLimiters: map[forward.Reason]*rate.Limiter{},
-		choice: set.NewHistogram(metricChoice), candidates: set.NewHistogram(metricCandidates),
+		choice: set.NewHistogram(metricChoice), candidates: set.NewHistogram(metricCandidates), pace: &paceMetrics{set: set},
 	}
 }
 
@@ -238,6 +240,7 @@
 		m.set.GetOrCreateHistogram(name).Update(report.FirstByte.Sub(report.Arrived).Seconds())
 	}
 	for _, attempt := range report.Attempts {
+		m.pace.observeCourse(report.Group, attempt.Course)
 		name = fmt.Sprintf(`%s{group=%q,failure=%q}`, metricAttempts, report.Group, attempt.Failure)
 		m.set.GetOrCreateCounter(name).Inc()
 		if attempt.Deferred {
