Capacity: the need follows the averaged demand, and on-demand workers only cover what must remain

A plan for 105 workers that must remain after a further loss does not fit into the spot workers of the zones, so some 45 on-demand workers were ordered at 5.5 times the price, while 12 to 25 workers were busy.

Change: the demand is averaged over half of a boot time, its peak counts for three boot times (12 s at the least) instead of 40 s, and the demand counts as known after the same time instead of 20 s. A plan has the need at the target utilization in all, and what must remain after the loss of a zone at 0.9; until the demand is known, the initial number remains even then. A fleet that was there before its first holder knows no initial number: nothing is ordered until it has watched some demand, and nothing is given back before the retention time.

Plans are tested with both numbers of the need.

--- a/internal/capacity/estimator.go
+++ b/internal/capacity/estimator.go
@@ -11,10 +11,15 @@
 	TargetUtilization float64
 	// StableTime is how long the number of workers must not grow after a start until it is taken as the initial number.
 	StableTime time.Duration
-	// ObservationTime is how long after the first demand the need may not fall.
-	ObservationTime time.Duration
-	// PeakRetention is how long a peak of the demand counts.
-	PeakRetention time.Duration
+	// SmoothingBoots is the time constant of the averaged demand in boot times. MinSmoothing and MaxSmoothing bound it.
+	SmoothingBoots             float64
+	MinSmoothing, MaxSmoothing time.Duration
+	// RetentionBoots is how long a peak of the averaged demand counts, in boot times, and MinRetention its minimum. A worker that is removed in
+	// a trough and needed again is missing for a boot time.
+	RetentionBoots float64
+	MinRetention   time.Duration
+	// IdleTime is how long after its start a new fleet without demand keeps all workers.
+	IdleTime time.Duration
 	// MinDecrease is the minimum relative decrease of the need before workers are removed, because the remaining workers have to recompute the
 	// prefixes that removed ones had cached.
 	MinDecrease float64
@@ -22,20 +27,39 @@
 
 // DefaultEstimatorSettings returns the default settings.
 func DefaultEstimatorSettings() EstimatorSettings {
-	return EstimatorSettings{TargetUtilization: 0.6, StableTime: 1500 * time.Millisecond, ObservationTime: 20 * time.Second, PeakRetention: 40 * time.Second, MinDecrease: 0.15}
+	return EstimatorSettings{
+		TargetUtilization: 0.6, StableTime: 1500 * time.Millisecond, SmoothingBoots: 0.5, MinSmoothing: time.Second, MaxSmoothing: 5 * time.Second,
+		RetentionBoots: 3, MinRetention: 12 * time.Second, IdleTime: 20 * time.Second, MinDecrease: 0.15,
+	}
+}
+
+// smoothing returns the time constant of the averaged demand.
+func (s EstimatorSettings) smoothing(bootTime time.Duration) time.Duration {
+	return min(max(time.Duration(s.SmoothingBoots*float64(bootTime)), s.MinSmoothing), s.MaxSmoothing)
+}
+
+// retention returns how long a peak of the averaged demand counts. It is also how long the demand must be watched before workers are removed.
+func (s EstimatorSettings) retention(bootTime time.Duration) time.Duration {
+	return max(time.Duration(s.RetentionBoots*float64(bootTime)), s.MinRetention)
 }
 
-// Estimator estimates how many workers a group needs. Until the demand is known, that is at least the number present at the start. It
-// is a pure state machine and not safe for concurrent use.
+// Estimator estimates how many workers a group needs: the peak of the averaged demand, over the target utilization. Until the demand was
+// watched for a while, a new fleet needs at least its initial workers, and a fleet that was there before keeps the workers that it has. It is
+// a pure state machine and not safe for concurrent use.
 type Estimator struct {
 	settings EstimatorSettings
+	// retention is how long a peak counts.
+	retention time.Duration
 	// stableSince is since when the initial number of workers has not grown, and demandSince is when demand was first seen.
 	stableSince, demandSince time.Time
-	peaks                    []peakBucket
-	// need is the number of workers that the group needs.
-	need int
-	// newFleet is set if the fleet was new at the first update.
-	newFleet bool
+	// average is the averaged demand at averagedAt.
+	average    float64
+	averagedAt time.Time
+	peaks      []peakBucket
+	// need is the number of workers that the group needs, and initial the number at the start of a new fleet.
+	need, initial int
+	// started is set with the first update, and newFleet if the fleet was new then.
+	started, newFleet bool
 }
 
 // peakBucket holds the peak demand of an interval.
@@ -44,17 +68,24 @@
 	value float64
 }
 
-// peakBuckets is the number of intervals in PeakRetention.
+// peakBuckets is the number of intervals in the retention time of peaks.
 const peakBuckets = 8
 
+// demandDelay is how many time constants of the average pass from the first demand until a fleet that is not new goes by it.
+const demandDelay = 3
+
 // NewEstimator returns an estimator without observations.
 func NewEstimator(settings EstimatorSettings) *Estimator { return &Estimator{settings: settings} }
 
-// Update adds an observation of the group. It returns the number of workers needed, and whether the number of initial workers, which
-// limits it, is known yet.
+// Update adds an observation of the group. It returns the number of workers needed, and whether that is known yet.
 func (e *Estimator) Update(now time.Time, group Group) (int, bool) {
-	required := int(math.Ceil(e.peakDemand(now, group.Busy) / e.settings.TargetUtilization))
-	if !e.initialKnown(now) {
+	if !e.started {
+		e.started, e.newFleet, e.stableSince = true, group.NewFleet, now
+	}
+	e.retention = e.settings.retention(group.BootTime)
+	smoothing := e.settings.smoothing(group.BootTime)
+	required := int(math.Ceil(e.peakDemand(now, e.averageDemand(now, group.Busy, smoothing)) / e.settings.TargetUtilization))
+	if e.newFleet && !e.initialKnown(now) {
 		e.trackInitial(now, group)
 	}
 	if e.demandSince.IsZero() && group.Busy > 0 {
@@ -68,52 +99,75 @@
 	case float64(required) < (1-e.settings.MinDecrease)*float64(e.need):
 		e.need = required
 	}
-	return e.need, e.initialKnown(now)
+	return e.need, e.known(now, demandDelay*smoothing)
+}
+
+// known reports whether the need is known: that of a new fleet with the number of its initial workers, that of another with its demand.
+func (e *Estimator) known(now time.Time, demandDelay time.Duration) bool {
+	if e.newFleet {
+		return e.initialKnown(now)
+	}
+	return !e.demandSince.IsZero() && now.Sub(e.demandSince) >= demandDelay
 }
 
 // initialKnown reports whether the number of initial workers is known.
 func (e *Estimator) initialKnown(now time.Time) bool {
-	return !e.stableSince.IsZero() && now.Sub(e.stableSince) >= e.settings.StableTime
+	return now.Sub(e.stableSince) >= e.settings.StableTime
 }
 
-// trackInitial tracks the number of workers present at the start. In a new fleet spot workers do not count, because they may have been
-// ordered since. In others the largest number of spot workers of a zone does not count, because plans allow for their loss.
+// trackInitial tracks the number of workers present at the start of a new fleet. Spot workers do not count, because they may have been
+// ordered since.
 func (e *Estimator) trackInitial(now time.Time, group Group) {
-	if e.need == 0 && e.stableSince.IsZero() {
-		e.newFleet, e.stableSince = group.NewFleet, now
-	}
-	baseline := group.Present.WithoutLargestSpotZone()
-	if e.newFleet {
-		baseline = group.Present.OnDemand()
-	}
-	if baseline > e.need || baseline == 0 || !group.RecordsComplete {
-		e.need, e.stableSince = max(baseline, e.need), now
+	initial := group.Present.OnDemand()
+	if initial > e.need || initial == 0 || !group.RecordsComplete {
+		e.need, e.stableSince = max(initial, e.need), now
+		e.initial = e.need
 	}
 }
 
-// observed reports whether demand was first seen at least ObservationTime ago.
+// observed reports whether demand was first seen at least the retention time ago.
 func (e *Estimator) observed(now time.Time) bool {
-	return !e.demandSince.IsZero() && now.Sub(e.demandSince) >= e.settings.ObservationTime
+	return !e.demandSince.IsZero() && now.Sub(e.demandSince) >= e.retention
 }
 
-// mayRemoveSurplus reports whether workers beyond the plan may be removed: ObservationTime after the first demand, or as long after the
-// start if there was none. The second case lets a group without demand drop the replacements of lost spot workers.
+// mayRemoveSurplus reports whether workers beyond the plan may be removed: the retention time after the first demand, or IdleTime after the
+// start of a new fleet if there was none. The second case lets a group without demand drop the replacements of lost spot workers.
 func (e *Estimator) mayRemoveSurplus(now time.Time) bool {
 	if e.demandSince.IsZero() {
-		return !e.stableSince.IsZero() && now.Sub(e.stableSince) >= e.settings.ObservationTime
+		return e.newFleet && now.Sub(e.stableSince) >= e.settings.IdleTime
 	}
 	return e.observed(now)
 }
 
-// peakDemand adds a demand and returns the peak within PeakRetention.
-func (e *Estimator) peakDemand(now time.Time, busy float64) float64 {
-	bucketTime := e.settings.PeakRetention / peakBuckets
+// afterLoss returns how many of the needed workers must remain after the loss of a zone, given the share that the demand requires. A new
+// fleet keeps its initial number even then until the demand was watched.
+func (e *Estimator) afterLoss(now time.Time, share float64) int {
+	remaining := int(math.Ceil(share * float64(e.need)))
+	if !e.observed(now) {
+		remaining = max(remaining, e.initial)
+	}
+	return min(remaining, e.need)
+}
+
+// averageDemand adds a demand and returns the exponentially weighted average.
+func (e *Estimator) averageDemand(now time.Time, busy float64, smoothing time.Duration) float64 {
+	weight := 0.0
+	if !e.averagedAt.IsZero() {
+		weight = math.Exp(-now.Sub(e.averagedAt).Seconds() / smoothing.Seconds())
+	}
+	e.average, e.averagedAt = weight*e.average+(1-weight)*busy, now
+	return e.average
+}
+
+// peakDemand adds an averaged demand and returns the peak within the retention time.
+func (e *Estimator) peakDemand(now time.Time, demand float64) float64 {
+	bucketTime := e.retention / peakBuckets
 	if len(e.peaks) == 0 || now.Sub(e.peaks[len(e.peaks)-1].start) >= bucketTime {
 		e.peaks = append(e.peaks, peakBucket{start: now})
 	}
 	last := &e.peaks[len(e.peaks)-1]
-	last.value = max(last.value, busy)
-	for len(e.peaks) > 1 && now.Sub(e.peaks[0].start) > e.settings.PeakRetention {
+	last.value = max(last.value, demand)
+	for len(e.peaks) > 1 && now.Sub(e.peaks[0].start) > e.retention {
 		e.peaks = e.peaks[1:]
 	}
 	highest := 0.0
--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -58,6 +58,8 @@
 	// Holder is the name of the process, unique in the fleet.
 	Holder    string
 	Estimator EstimatorSettings
+	// LossUtilization is the utilization that workers may have after one zone has lost its spot workers, until others have booted.
+	LossUtilization float64
 	// TickInterval is how often the executor runs.
 	TickInterval time.Duration
 	// CallTimeout limits the duration of one order to the platform.
@@ -82,6 +84,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Estimator:        DefaultEstimatorSettings(),
+		LossUtilization:  0.9,
 		TickInterval:     250 * time.Millisecond,
 		CallTimeout:      1500 * time.Millisecond,
 		RetryDelay:       3 * time.Second,
@@ -144,7 +147,7 @@
 // cachedPlan is the last plan of a group with its inputs.
 type cachedPlan struct {
 	offer Offer
-	need  int
+	need  Need
 	plan  Plan
 }
 
@@ -209,12 +212,12 @@
 	}
 	for _, group := range groups {
 		need, known := e.estimate(now, group)
-		plan := e.plan(group.Name, e.availableOffer(now, group, need), need)
+		plan := e.plan(group.Name, e.availableOffer(now, group, need.Total), need)
 		status = append(status, Status{
-			Group: group.Name, Busy: group.Busy, Need: need, Present: group.Present, Plan: plan, Offer: group.Offer,
+			Group: group.Name, Busy: group.Busy, Need: need.Total, Present: group.Present, Plan: plan, Offer: group.Offer,
 		})
 		if mayOrder {
-			e.reconcile(ctx, now, group, plan, need, known && group.RecordsComplete)
+			e.reconcile(ctx, now, group, plan, need.Total, known && group.RecordsComplete)
 		}
 	}
 	e.mutex.Lock()
@@ -223,20 +226,21 @@
 }
 
 // estimate updates the estimator of a group, and returns the result.
-func (e *Executor) estimate(now time.Time, group Group) (int, bool) {
+func (e *Executor) estimate(now time.Time, group Group) (Need, bool) {
 	estimator, found := e.estimators[group.Name]
 	if !found {
 		estimator = NewEstimator(e.settings.Estimator)
 		e.estimators[group.Name] = estimator
 	}
-	return estimator.Update(now, group)
+	total, known := estimator.Update(now, group)
+	return Need{Total: total, AfterLoss: estimator.afterLoss(now, e.settings.Estimator.TargetUtilization/e.settings.LossUtilization)}, known
 }
 
 // plan returns the plan of a group, which is computed again only if its inputs changed.
-func (e *Executor) plan(group string, offer Offer, need int) Plan {
+func (e *Executor) plan(group string, offer Offer, need Need) Plan {
 	cached, found := e.plans[group]
 	if !found || cached.need != need || !cached.offer.equal(offer) {
-		plan := NewPlan(offer, need).WithReserve(offer, int(e.settings.ReserveShare*(1-offer.SpotPrice)*float64(need)))
+		plan := NewPlan(offer, need).WithReserve(offer, int(e.settings.ReserveShare*(1-offer.SpotPrice)*float64(need.Total)))
 		cached = cachedPlan{offer: offer, need: need, plan: plan}
 		e.plans[group] = cached
 	}
--- a/internal/capacity/executor_test.go
+++ b/internal/capacity/executor_test.go
@@ -39,10 +39,10 @@
 				case "at":
 					end := epoch.Add(time.Duration(parseNumber(t, words[1]) * float64(time.Second)))
 					for ; now.Before(end); now = now.Add(tick) {
-						got, known = estimator.Update(now, Group{Busy: busy, Present: Plan{"z": {OnDemand: present}}, RecordsComplete: true, NewFleet: true})
+						got, known = estimator.Update(now, Group{Busy: busy, BootTime: bootTime, Present: Plan{"z": {OnDemand: present}}, RecordsComplete: true, NewFleet: true})
 					}
 					busy, present = parseNumber(t, words[3]), int(parseNumber(t, words[5]))
-					got, known = estimator.Update(now, Group{Busy: busy, Present: Plan{"z": {OnDemand: present}}, RecordsComplete: true, NewFleet: true})
+					got, known = estimator.Update(now, Group{Busy: busy, BootTime: bootTime, Present: Plan{"z": {OnDemand: present}}, RecordsComplete: true, NewFleet: true})
 				case "unknown":
 					if known {
 						t.Errorf("at %s: need %d is known, want unknown", now.Sub(epoch), got)
@@ -483,3 +483,79 @@
 		}
 	})
 }
+
+// TestRestartOrdersNothingBeforeTheDemandIsKnown guards against orders of a holder that knows no demand yet, after all gateways were killed and
+// zones had lost their spot workers: unknown demand is not high demand, and what is there stays.
+func TestRestartOrdersNothingBeforeTheDemandIsKnown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newFakePlatform(t)
+		p.reliable, p.newFleet = true, false
+		for _, zone := range p.offer.Zones {
+			count := Count{OnDemand: rapid.IntRange(0, 3).Draw(t, "on-demand"), Spot: rapid.IntRange(0, 25).Draw(t, "spot")}
+			p.ordered[zone.Name], p.present[zone.Name] = count, count
+		}
+		e := newTestExecutor(p, func() (int64, bool) { return 2, true })
+		for range int(40 * time.Second / tick) {
+			p.advance()
+			e.Step(context.Background(), p.now)
+		}
+		if p.calls != 0 {
+			t.Fatalf("%d orders without any demand, want 0", p.calls)
+		}
+		p.busy = 10
+		for range int(5 * time.Second / tick) {
+			p.advance()
+			e.Step(context.Background(), p.now)
+		}
+		if p.calls != 0 {
+			t.Fatalf("%d orders within 5 s of the first demand, want 0", p.calls)
+		}
+		before := Plan{}
+		for zone, count := range p.present {
+			before[zone] = count
+		}
+		for range int(6 * time.Second / tick) {
+			p.advance()
+			e.Step(context.Background(), p.now)
+			for zone, count := range p.ordered {
+				if count.Spot < before[zone].Spot || count.OnDemand < before[zone].OnDemand {
+					t.Fatalf("%+v are ordered in zone %s before the demand was watched, want at least %+v", count, zone, before[zone])
+				}
+			}
+		}
+		for range int(20 * time.Second / tick) {
+			p.advance()
+			e.Step(context.Background(), p.now)
+		}
+		if status := e.Status()[0]; p.present.Total() < 17 || fmt.Sprint(p.present) != fmt.Sprint(status.Plan) {
+			t.Fatalf("present %v for a demand of 10, want the plan %v with at least 17 workers", p.present, status.Plan)
+		}
+	})
+}
+
+// TestSwingsCauseFewOrders guards against orders that follow kinds of requests which take turns within the boot time.
+func TestSwingsCauseFewOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newFakePlatform(t)
+		p.reliable = true
+		period := time.Duration(rapid.IntRange(8, 60).Draw(t, "period in ticks")) * tick
+		low, high := rapid.Float64Range(5, 20).Draw(t, "low"), rapid.Float64Range(20, 40).Draw(t, "high")
+		e := newTestExecutor(p, func() (int64, bool) { return 1, true })
+		calls := 0
+		for i := range int(3 * time.Minute / tick) {
+			p.busy = low
+			if (time.Duration(i)*tick/(period/2))%2 == 1 {
+				p.busy = high
+			}
+			p.advance()
+			e.Step(context.Background(), p.now)
+			if time.Duration(i)*tick == time.Minute {
+				calls = p.calls
+			}
+		}
+		// Half of the longest period, 7.5 s, is shorter than the retention time of peaks.
+		if p.calls-calls > 16 {
+			t.Fatalf("%d orders in 2 minutes of a demand that swings between %.0f and %.0f every %s, want at most 16", p.calls-calls, low, high, period)
+		}
+	})
+}
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -105,12 +105,20 @@
 	return cost
 }
 
-// NewPlan returns a cheap plan that provides the needed workers even if one zone loses its spot workers, or without such a loss while
-// SpotLost is set. If the offer is too small, it provides as many as possible.
+// Need is the number of workers that a group needs.
+type Need struct {
+	// Total is the number of workers with which the group runs at its target utilization.
+	Total int
+	// AfterLoss is the number of workers that must remain if one zone loses its spot workers. It is at most Total.
+	AfterLoss int
+}
+
+// NewPlan returns a cheap plan that provides the needed workers, and of them Need.AfterLoss even if one zone loses its spot workers. While
+// SpotLost is set, it does not allow for such a loss. If the offer is too small, it provides as many as possible.
 //
 // Invariants: each zone has between MinPerZone and MaxPerZone workers, and the plan for a larger need also covers a smaller one, as far as
 // the offer allows.
-func NewPlan(offer Offer, need int) Plan {
+func NewPlan(offer Offer, need Need) Plan {
 	var best Plan
 	for spotLimit := range offer.MaxPerZone + 1 {
 		plan := planWithLimit(offer, need, spotLimit)
@@ -121,35 +129,44 @@
 	return best
 }
 
-// isBetterPlan reports whether a plan covers more of the need than another one, or the same at a lower cost.
-func isBetterPlan(plan, other Plan, offer Offer, need int) bool {
-	covered, otherCovered := min(offer.remaining(plan), need), min(offer.remaining(other), need)
-	return cmp.Or(cmp.Compare(otherCovered, covered), cmp.Compare(plan.Cost(offer), other.Cost(offer))) < 0
+// missing returns how many workers a plan lacks for the need.
+func (o Offer) missing(plan Plan, need Need) int {
+	return max(need.Total-plan.Total(), need.AfterLoss-o.remaining(plan), 0)
+}
+
+// isBetterPlan reports whether a plan covers more of the need than another one, first after a loss, or the same at a lower cost.
+func isBetterPlan(plan, other Plan, offer Offer, need Need) bool {
+	return cmp.Or(
+		cmp.Compare(min(offer.remaining(other), need.AfterLoss), min(offer.remaining(plan), need.AfterLoss)),
+		cmp.Compare(min(other.Total(), need.Total), min(plan.Total(), need.Total)),
+		cmp.Compare(plan.Cost(offer), other.Cost(offer)),
+	) < 0
 }
 
 // planWithLimit returns a plan with at most spotLimit spot workers per zone, which fills the zones in the order of their prices.
-func planWithLimit(offer Offer, need, spotLimit int) Plan {
+func planWithLimit(offer Offer, need Need, spotLimit int) Plan {
 	plan := Plan{}
 	for _, zone := range offer.Zones {
 		plan[zone.Name] = Count{OnDemand: offer.MinPerZone}
 	}
 	byPrice := slices.SortedStableFunc(slices.Values(offer.Zones), func(a, b Zone) int { return cmp.Compare(a.Price, b.Price) })
-	// Add spot workers up to the limit, as long as they add to the workers that remain after a loss.
+	wanted := max(need.Total, need.AfterLoss+spotLimit)
+	if offer.SpotLost {
+		wanted = need.Total
+	}
+	// Add spot workers up to the limit, as long as they are needed, or add to the workers that remain after a loss.
 	for _, zone := range byPrice {
 		if zone.SpotUnavailable {
 			continue
 		}
-		spot := min(spotLimit, offer.MaxPerZone-offer.MinPerZone, need+spotLimit-plan.Total())
-		if offer.SpotLost {
-			spot = min(spot, need-plan.Total())
-		}
+		spot := min(spotLimit, offer.MaxPerZone-offer.MinPerZone, wanted-plan.Total())
 		if spot > 0 {
 			plan[zone.Name] = Count{OnDemand: offer.MinPerZone, Spot: spot}
 		}
 	}
 	for _, zone := range byPrice {
 		count := plan[zone.Name]
-		if missing := need - offer.remaining(plan); missing > 0 {
+		if missing := offer.missing(plan, need); missing > 0 {
 			count.OnDemand += min(missing, offer.MaxPerZone-count.Total())
 			plan[zone.Name] = count
 		}
--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -26,7 +26,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		offer := drawOffer(t)
 		need := rapid.IntRange(0, 150).Draw(t, "need")
-		plan := NewPlan(offer, need)
+		plan := NewPlan(offer, Need{need, need})
 		possible := offer.MaxPerZone * len(offer.Zones)
 		for _, zone := range offer.Zones {
 			count := plan[zone.Name]
@@ -38,7 +38,8 @@
 		if remaining := plan.WithoutLargestSpotZone(); remaining < min(need, possible) {
 			t.Fatalf("%d workers remain after a loss, of %d needed and %d possible: %v", remaining, need, possible, plan)
 		}
-		more := NewPlan(offer, need+rapid.IntRange(1, 20).Draw(t, "more"))
+		larger := need + rapid.IntRange(1, 20).Draw(t, "more")
+		more := NewPlan(offer, Need{larger, larger})
 		if more.WithoutLargestSpotZone() < min(plan.WithoutLargestSpotZone(), need) {
 			t.Fatalf("a larger need results in fewer workers after a loss: %v, %v", plan, more)
 		}
@@ -77,7 +78,7 @@
 			changed := offer
 			changed.Zones = append([]Zone{}, offer.Zones...)
 			c.change(&changed)
-			plan := NewPlan(changed, c.need)
+			plan := NewPlan(changed, Need{c.need, c.need})
 			onDemand, spot := 0, 0
 			for _, count := range plan {
 				onDemand, spot = onDemand+count.OnDemand, spot+count.Spot
@@ -88,3 +89,20 @@
 		})
 	}
 }
+
+// TestOnDemandWorkersDoNotReplaceSpotWorkersForTheLossOfAZone guards against on-demand workers that are paid for all the time only to have the
+// target utilization after the loss of a zone, and against plans that don't have what is needed before and after one.
+func TestOnDemandWorkersDoNotReplaceSpotWorkersForTheLossOfAZone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offer := drawOffer(t)
+		total := rapid.IntRange(0, 150).Draw(t, "need")
+		need := Need{Total: total, AfterLoss: rapid.IntRange(0, total).Draw(t, "after a loss")}
+		plan, possible := NewPlan(offer, need), offer.MaxPerZone*len(offer.Zones)
+		if plan.Total() < min(total, possible) || plan.WithoutLargestSpotZone() < min(need.AfterLoss, possible) {
+			t.Fatalf("%v has %d workers, and %d after a loss, want %+v as far as %d allow", plan, plan.Total(), plan.WithoutLargestSpotZone(), need, possible)
+		}
+		if strict := NewPlan(offer, Need{total, total}); total <= possible && plan.Cost(offer) > strict.Cost(offer)+1e-9 {
+			t.Fatalf("%v costs %g, more than %v, which also covers the need and costs %g", plan, plan.Cost(offer), strict, strict.Cost(offer))
+		}
+	})
+}
--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -24,8 +24,11 @@
 		// The limit of a zone includes workers that are not removed yet.
 		target.Spot = min(target.Spot, max(group.Offer.MaxPerZone-current.OnDemand, 0))
 		if !e.estimators[group.Name].mayRemoveSurplus(now) {
-			// New spot workers stay until the demand is known.
+			// New spot workers stay until the demand is known, and all workers of a fleet that was there before.
 			target.Spot = max(target.Spot, current.Spot)
+			if !e.estimators[group.Name].newFleet {
+				target.OnDemand = max(target.OnDemand, current.OnDemand)
+			}
 		}
 		if certain || (group.MostRegistered && e.estimators[group.Name].newFleet && target.Spot > current.Spot) {
 			e.adjustPool(ctx, now, group, poolKey{group.Name, zone.Name, true}, current.Spot, target.Spot, &surplus)
