Capacity: spot workers of other zones replace those that a zone refuses

Change: the zone keeps its number in the plan, and is asked again each second as before; meanwhile the others get as many spot workers more as it lacks.

--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -263,3 +263,21 @@
 	})
 	return offer
 }
+
+// withReplacements returns the plan with additional spot workers in place of those that zones have refused. The zones keep their number in
+// the plan, so that they are asked again.
+func (e *Executor) withReplacements(group Group, plan Plan) Plan {
+	offer, missing := group.Offer, 0
+	offer.Zones = lo.Map(offer.Zones, func(zone Zone, _ int) Zone {
+		state, found := e.pools[poolKey{group.Name, zone.Name, true}]
+		if found && state.refused {
+			missing += max(plan[zone.Name].Spot-group.Present[zone.Name].Spot, 0)
+			zone.SpotUnavailable = true
+		}
+		return zone
+	})
+	if missing == 0 {
+		return plan
+	}
+	return plan.WithReserve(offer, missing)
+}
--- a/internal/capacity/executor_test.go
+++ b/internal/capacity/executor_test.go
@@ -533,6 +533,68 @@
 	})
 }
 
+// TestReclaimedZoneIsReplacedBySpotWorkersOfOthers guards against fewer workers than planned, and against on-demand workers in their place,
+// while one zone has no spot workers for a while, and against giving back those of the other zones before it has them again.
+func TestReclaimedZoneIsReplacedBySpotWorkersOfOthers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newFakePlatform(t)
+		p.reliable, p.busy = true, 24
+		e := newTestExecutor(p, func() (int64, bool) { return 1, true })
+		step := func() {
+			p.advance()
+			e.Step(context.Background(), p.now)
+		}
+		for range int(40 * time.Second / tick) {
+			step()
+		}
+		planned, onDemand := p.present.Total(), p.present.OnDemand()
+		zone := rapid.SampledFrom(p.offer.Zones).Draw(t, "zone").Name
+		p.reclaim(zone, 10*time.Second)
+		for range int(6 * time.Second / tick) {
+			step()
+		}
+		for i := range int(30 * time.Second / tick) {
+			step()
+			if total := p.present.Total(); total < planned*9/10 {
+				t.Fatalf("%d workers are present %s after zone %s was reclaimed, want at least 9 in 10 of %d", total, 6*time.Second+time.Duration(i)*tick, zone, planned)
+			}
+			if p.present.OnDemand() > onDemand {
+				t.Fatalf("%d on-demand workers are present, want at most %d", p.present.OnDemand(), onDemand)
+			}
+		}
+		if p.present[zone].Spot == 0 || p.present.Total() != planned {
+			t.Fatalf("present: %v, want spot workers in zone %s again, and %d workers in all", p.present, zone, planned)
+		}
+	})
+}
+
+// TestNothingIsReleasedRightAfterTheLossOfAZone guards against spot workers that are given back in the moment in which another zone loses its
+// own, and are ordered again a second later.
+func TestNothingIsReleasedRightAfterTheLossOfAZone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newFakePlatform(t)
+		p.reliable, p.busy = true, 24
+		e := newTestExecutor(p, func() (int64, bool) { return 1, true })
+		step := func() {
+			p.advance()
+			e.Step(context.Background(), p.now)
+		}
+		// Until the next step would release workers.
+		for e.estimators["g"] == nil || !e.estimators["g"].mayRemoveSurplus(p.now.Add(tick)) {
+			step()
+		}
+		zone := rapid.SampledFrom(p.offer.Zones).Draw(t, "zone").Name
+		p.reclaim(zone, 10*time.Second)
+		remaining := p.present.Total()
+		for range int(4 * time.Second / tick) {
+			step()
+			if total := p.present.Total(); total < remaining {
+				t.Fatalf("%d workers are present within 4 s after the loss of zone %s, want at least %d", total, zone, remaining)
+			}
+		}
+	})
+}
+
 // TestSwingsCauseFewOrders guards against orders that follow kinds of requests which take turns within the boot time.
 func TestSwingsCauseFewOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
