--- a/internal/capacity/estimator.go
+++ b/internal/capacity/estimator.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -149,6 +150,14 @@
 	return min(remaining, e.need)
 }
 
+// reason returns why the group needs its number of workers.
+func (e *Estimator) reason(now time.Time) string {
+	if e.need <= e.initial && !e.observed(now) {
+		return "the number at the start, until the demand has been watched for " + e.retention.String()
+	}
+	return fmt.Sprintf("the averaged demand of the last %s kept up to %.1f workers busy", e.retention, e.peak())
+}
+
 // averageDemand adds a demand and returns the exponentially weighted average.
 func (e *Estimator) averageDemand(now time.Time, busy float64, smoothing time.Duration) float64 {
 	weight := 0.0
@@ -170,6 +179,11 @@
 	for len(e.peaks) > 1 && now.Sub(e.peaks[0].start) > e.retention {
 		e.peaks = e.peaks[1:]
 	}
+	return e.peak()
+}
+
+// peak returns the highest averaged demand within the retention time.
+func (e *Estimator) peak() float64 {
 	highest := 0.0
 	for _, bucket := range e.peaks {
 		highest = max(highest, bucket.value)
--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -153,8 +154,9 @@
 
 // Status is the state of a group for operators.
 type Status struct {
-	Group         string
-	Busy          float64
+	Group string
+	// Busy is the number of workers that the current demand keeps busy, and Average its average over about half of a boot time.
+	Busy, Average float64
 	Need          int
 	Present, Plan Plan
 	Offer         Offer
@@ -214,7 +216,7 @@
 		need, known := e.estimate(now, group)
 		plan := e.plan(group.Name, e.availableOffer(now, group, need.Total), need)
 		status = append(status, Status{
-			Group: group.Name, Busy: group.Busy, Need: need.Total, Present: group.Present, Plan: plan, Offer: group.Offer,
+			Group: group.Name, Busy: group.Busy, Average: e.estimators[group.Name].average, Need: need.Total, Present: group.Present, Plan: plan, Offer: group.Offer,
 		})
 		if mayOrder {
 			e.reconcile(ctx, now, group, plan, need.Total, known && group.RecordsComplete)
@@ -232,7 +234,13 @@
 		estimator = NewEstimator(e.settings.Estimator)
 		e.estimators[group.Name] = estimator
 	}
+	before := estimator.need
 	total, known := estimator.Update(now, group)
+	if _, mayOrder := e.authority(); mayOrder && total != before {
+		e.logger.WithFields(logrus.Fields{
+			"group": group.Name, "need": total, "before": before, "have": group.Present.Total(), "busy": fmt.Sprintf("%.1f", group.Busy), "known": known,
+		}).Info("The need for workers changed: " + estimator.reason(now) + ".")
+	}
 	return Need{Total: total, AfterLoss: estimator.afterLoss(now, e.settings.Estimator.TargetUtilization/e.settings.LossUtilization)}, known
 }
 
--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -147,7 +147,7 @@
 	} else {
 		state.lastOrdered = target
 	}
-	e.recordOrder(group, order, current, err)
+	e.recordOrder(now, group, order, current, err)
 }
 
 // isBooting reports whether workers of the last order are not present yet and not overdue.
@@ -187,19 +187,22 @@
 }
 
 // recordOrder logs the result of an order, and records it as a decision.
-func (e *Executor) recordOrder(group Group, order Order, current int, err error) {
+func (e *Executor) recordOrder(now time.Time, group Group, order Order, current int, err error) {
 	kind := "kept"
 	if order.Spot {
 		kind = "spot"
 	}
+	estimator := e.estimators[group.Name]
 	log := e.logger.WithFields(logrus.Fields{
 		"group": order.Group, "zone": order.Zone, "kind": kind, "workers": order.Workers, "have": current,
-		"busy": fmt.Sprintf("%.1f", group.Busy), "need": e.estimators[group.Name].need,
+		"busy": fmt.Sprintf("%.1f", group.Busy), "need": estimator.need,
 	})
 	record := decision.Record{
 		Kind: decision.KindCapacity, Subject: order.Group + " in " + order.Zone, Outcome: fmt.Sprintf("%d %s workers", order.Workers, kind),
-		Reason: "The plan has a different number of workers.", Fence: order.Fence,
-		Inputs: map[string]string{"have": fmt.Sprint(current), "kind": kind},
+		Reason: fmt.Sprintf("The plan for %d workers has a different number: %s.", estimator.need, estimator.reason(now)), Fence: order.Fence,
+		Inputs: map[string]string{
+			"have": fmt.Sprint(current), "kind": kind, "need": fmt.Sprint(estimator.need), "busy": fmt.Sprintf("%.1f", group.Busy),
+		},
 	}
 	if err != nil {
 		log.WithError(err).Warn("The order of workers failed.")
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -186,6 +186,8 @@
 	metricWindows = "granitebay_usage_windows_total"
 	metricWorkers = "granitebay_workers"
 	metricBusy    = "granitebay_workers_busy"
+	metricAverage = "granitebay_workers_busy_average"
+	metricNeeded  = "granitebay_workers_needed"
 )
 
 // registerFleetTasks adds the metrics of usage reporting and capacity orders.
@@ -217,6 +219,8 @@
 func writeCapacity(w io.Writer, groups []capacity.Status) {
 	for _, group := range groups {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`%s{group=%q}`, metricBusy, group.Group), group.Busy)
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`%s{group=%q}`, metricAverage, group.Group), group.Average)
+		metrics.WriteGaugeUint64(w, fmt.Sprintf(`%s{group=%q}`, metricNeeded, group.Group), uint64(group.Need))
 		for _, zone := range group.Offer.Zones {
 			for state, count := range map[string]capacity.Count{"present": group.Present[zone.Name], "wanted": group.Plan[zone.Name]} {
 				name := func(kind string) string {
