Roles: slow decode engines are exchanged for faster prefill engines

Cause (docs/design/engine-pace.md): a third of the engines of a deployment take 2.4 times as long for an event, and half of the responses of many events that they decode have a pause that is too long. Prompts that are short lose nothing at a slow prefill engine.

Change: an engine has a pace, relative to what is typical of its group. Whatever changes a role takes the slowest engine for prefill and the fastest for decode, and the idlest of those that are alike, as before. Without a need to change, pairs are exchanged: a decode engine that was clearly slower for 2 s and a prefill engine that is 1.5 times as fast; a tenth of the engines at a time, each once in 30 s, none while decode engines would be full, and at most seven in ten prefill engines are slow, because long prompts need the others.

--- a/internal/forward/rolechange.go
+++ b/internal/forward/rolechange.go
@@ -65,6 +65,9 @@
 	if change, found := d.engineState.pendingRoles[worker.ID]; found && now.Before(change.expiresAt) {
 		engine.TargetRole = change.role
 	}
+	if pace, known := d.model.RelativePace(now, worker); known {
+		engine.Pace = pace
+	}
 	_, engine.Ended = d.engineState.engineHealth.Absent(now, worker.ID)
 	if at, known := d.engineState.engineHealth.ExpectedReturn(worker.ID); known {
 		engine.ExpectedAt = at
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -3,10 +3,8 @@
 package roles
 
 import (
-	"cmp"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -17,6 +15,8 @@
 	Worker *backend.Worker
 	// Load is the combined load from all gateways.
 	Load backend.Load
+	// Pace is the time that the engine takes for an event, relative to what is typical of its group; 0 if unknown.
+	Pace float64
 	// Usable is set if the engine is in service, not backing off and not ejected.
 	Usable bool
 	// TargetRole is the role that the engine was ordered to take, or empty.
@@ -95,6 +95,13 @@
 	// MaxRecoveryHold is the maximum hold. The hold doubles with each further loss of decode engines that requires a recovery, and is reset
 	// to RecoveryHold if more than twice its length passes between two recoveries.
 	MaxRecoveryHold time.Duration
+	// PaceDelay is how long a decode engine must be clearly slower than typical before it is exchanged for a faster prefill engine, and
+	// PaceHold how long engines that were exchanged are not exchanged again.
+	PaceDelay, PaceHold time.Duration
+	// MaxExchangeShare is the share of the engines that may change their role at a time because of their pace.
+	MaxExchangeShare float64
+	// MaxSlowPrefillShare is the share of prefill engines that may be clearly slower than typical after an exchange.
+	MaxSlowPrefillShare float64
 }
 
 // DefaultSettings returns the default settings of a planner.
@@ -111,6 +118,10 @@
 		TickInterval:          250 * time.Millisecond,
 		RecoveryHold:          5 * time.Second,
 		MaxRecoveryHold:       time.Minute,
+		PaceDelay:             2 * time.Second,
+		PaceHold:              30 * time.Second,
+		MaxExchangeShare:      0.1,
+		MaxSlowPrefillShare:   0.7,
 	}
 }
 
@@ -130,7 +141,10 @@
 	nextChange time.Time
 	// groupSize is the number of engines in the group.
 	groupSize int
-	recovery  recoveryState
+	// changing is the number of engines that change their role.
+	changing int
+	recovery recoveryState
+	paces    paceState
 	// earlyChanges counts the changes made before any demand was seen.
 	earlyChanges int
 }
@@ -152,6 +166,10 @@
 	// ready engines have the role and are usable, so one of them can change. Engines that are ejected for failures are not ready, but
 	// are counted, because they come back.
 	ready []Engine
+	// engines are all of them.
+	engines []Engine
+	// changing is the number of engines that were ordered to take the role and do not have it yet.
+	changing int
 }
 
 // summarize returns the summary of a role.
@@ -166,6 +184,10 @@
 			continue
 		}
 		summary.count++
+		summary.engines = append(summary.engines, engine)
+		if engine.Worker.Role != role {
+			summary.changing++
+		}
 		summary.slots += engine.Worker.Slots
 		if !engine.Ended || (now.Before(engine.ExpectedAt) && engine.ExpectedAt.Before(now.Add(group.RoleChangeTime))) {
 			summary.live++
@@ -182,7 +204,8 @@
 // Next returns the next change, or nil. The caller applies a change to the group before it calls Next again.
 func (p *Planner) Next(now time.Time, group *Group) *Change {
 	prefill, decode := summarize(now, group, backend.RolePrefill), summarize(now, group, backend.RoleDecode)
-	p.groupSize = prefill.count + decode.count
+	p.groupSize, p.changing = prefill.count+decode.count, prefill.changing+decode.changing
+	p.paces.update(now, group.Engines, &p.settings)
 	if decode.slots == 0 {
 		return nil
 	}
@@ -191,7 +214,7 @@
 	decodePeak := p.decodePeak.update(now, decodeLoad, p.settings.PeakDecay)
 	prefillPeak := p.prefillPeak.update(now, group.PrefillDemand, p.settings.PeakDecay)
 	if now.Before(p.nextChange) {
-		return nil
+		return p.exchange(now, prefill, decode)
 	}
 	noDemand := prefillPeak == 0 && decodePeak == 0
 	prefillBusy := prefillPeak > p.settings.MaxPrefillUse*float64(prefill.count)
@@ -199,17 +222,17 @@
 	decodeFull := decodeLoad > p.settings.MaxDecodeUse*float64(decode.count)
 	switch {
 	case noDemand && decode.count-prefill.count >= 2 && p.canSpare(decode, prefill) && p.allowEarlyChange((decode.count-prefill.count)/2):
-		return p.change(now, decode, backend.RolePrefill, "No demand is known yet, so each role gets half of the engines.")
+		return p.change(now, p.toPrefill(decode, prefill), backend.RolePrefill, "No demand is known yet, so each role gets half of the engines.")
 	case p.belowMin(prefill, decode) && p.canSpare(decode, prefill) && (prefill.count == 0 || !p.recovery.holds(now)):
-		return p.change(now, decode, backend.RolePrefill, "There are fewer prefill engines than the minimum.")
+		return p.change(now, p.toPrefill(decode, prefill), backend.RolePrefill, "There are fewer prefill engines than the minimum.")
 	case p.belowMin(decode, prefill) && p.canSpare(prefill, decode):
-		return p.change(now, prefill, backend.RoleDecode, "There are fewer decode engines than the minimum.")
+		return p.change(now, prefill.ready, backend.RoleDecode, "There are fewer decode engines than the minimum.")
 	case prefillBusy && decodeHasHeadroom && p.canSpare(decode, prefill):
-		return p.change(now, decode, backend.RolePrefill, "Prompts keep the prefill engines busy, and the decode engines have headroom.")
+		return p.change(now, p.toPrefill(decode, prefill), backend.RolePrefill, "Prompts keep the prefill engines busy, and the decode engines have headroom.")
 	case decodeFull && p.canSpare(prefill, decode):
-		return p.change(now, prefill, backend.RoleDecode, "The decode engines are full.")
+		return p.change(now, prefill.ready, backend.RoleDecode, "The decode engines are full.")
 	default:
-		return nil
+		return p.exchange(now, prefill, decode)
 	}
 }
 
@@ -245,13 +268,12 @@
 	return len(from.ready) > 0 && from.live-1 >= p.minEngines(from.role, from.count+to.count)
 }
 
-// change moves the engine with the least work to another role.
-func (p *Planner) change(now time.Time, from roleSummary, role backend.Role, reason string) *Change {
-	idlest := slices.MinFunc(from.ready, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(a.workload(), b.workload()), strings.Compare(a.Worker.ID, b.Worker.ID))
-	})
+// change moves the slowest engine to the prefill role, or the fastest to the decode role, and the one with the least work of those that are
+// alike.
+func (p *Planner) change(now time.Time, candidates []Engine, role backend.Role, reason string) *Change {
+	engine := slices.MinFunc(candidates, p.paces.compare(role))
 	p.delayNextChange(now)
-	return &Change{Worker: idlest.Worker, Role: role, Reason: reason}
+	return &Change{Worker: engine.Worker, Role: role, Reason: reason}
 }
 
 // delayNextChange applies the change interval for the size of the group. An interval shorter than a tick is counted from the time at which
--- a/internal/roles/recovery.go
+++ b/internal/roles/recovery.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -95,7 +94,7 @@
 	slices.SortFunc(candidates, func(a, b Engine) int {
 		return cmp.Or(
 			cmp.Compare(p.recovery.failureRank(now, a.Worker.ID), p.recovery.failureRank(now, b.Worker.ID)),
-			cmp.Compare(a.workload(), b.workload()), strings.Compare(a.Worker.ID, b.Worker.ID),
+			p.paces.compare(backend.RoleDecode)(a, b),
 		)
 	})
 	p.recovery.record(now, &p.settings)
