Roles: the paces of a group are updated once for each step

Each change of a step went over the paces of all engines again, and allocated a set of them. They are updated once for each time, and the set is made only if an engine is gone. A step of the planner on 5,200 engines is measured by BenchmarkNext.

--- a/internal/roles/pace.go
+++ b/internal/roles/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -15,6 +16,8 @@
 
 // paceState tracks the paces of the engines of a group, and the changes that were made because of them.
 type paceState struct {
+	// updatedAt is the time of the last update.
+	updatedAt time.Time
 	// known holds the last known pace of each engine.
 	known map[string]enginePace
 	// slowSince maps decode engines that are clearly slower than typical to the time since when they are.
@@ -44,33 +47,39 @@
 	}
 }
 
-// update records the paces of the engines, and forgets those of engines that are gone.
+// update records the paces of the engines, once for each time, and forgets those of engines that are gone.
 func (s *paceState) update(now time.Time, engines []Engine, settings *Settings) {
 	if s.known == nil {
 		s.known, s.slowSince, s.exchangedAt = map[string]enginePace{}, map[string]time.Time{}, map[string]time.Time{}
 	}
-	present := make(map[string]bool, len(engines))
+	if now.Equal(s.updatedAt) {
+		return
+	}
+	s.updatedAt = now
 	for _, engine := range engines {
-		id := engine.Worker.ID
-		present[id] = true
 		s.record(engine)
+		id := engine.Worker.ID
 		switch isSlow := engine.Worker.Role == backend.RoleDecode && s.of(engine) >= clearPaceRatio; {
 		case !isSlow:
 			delete(s.slowSince, id)
 		case s.slowSince[id].IsZero():
 			s.slowSince[id] = now
 		}
-		if now.Sub(s.exchangedAt[id]) >= settings.PaceHold {
-			delete(s.exchangedAt, id)
-		}
 	}
-	for id := range s.known {
-		if !present[id] {
-			delete(s.known, id)
-			delete(s.slowSince, id)
-			delete(s.exchangedAt, id)
-		}
+	maps.DeleteFunc(s.exchangedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= settings.PaceHold })
+	if len(s.known) > len(engines) {
+		s.forgetOthers(engines)
+	}
+}
+
+// forgetOthers forgets all but the given engines.
+func (s *paceState) forgetOthers(engines []Engine) {
+	present := make(map[string]bool, len(engines))
+	for _, engine := range engines {
+		present[engine.Worker.ID] = true
 	}
+	maps.DeleteFunc(s.known, func(id string, _ enginePace) bool { return !present[id] })
+	maps.DeleteFunc(s.slowSince, func(id string, _ time.Time) bool { return !present[id] })
 }
 
 // of returns the pace of an engine, 1 if it was never known.
--- a/internal/roles/pace_test.go
+++ b/internal/roles/pace_test.go
@@ -175,3 +175,16 @@
 		t.Errorf("the paces of %d engines are kept, want at most those of %d", size, len(s.group.Engines))
 	}
 }
+
+// BenchmarkNext measures a step of the planner in a large group whose engines differ in their pace.
+func BenchmarkNext(b *testing.B) {
+	engines := newEngines(2000, 3200, 10)
+	for i := range engines {
+		engines[i].Pace = 1 + float64(i%3)/2
+	}
+	group, now, planner := &Group{Engines: engines, PrefillDemand: 500}, epoch, NewPlanner(DefaultSettings())
+	for b.Loop() {
+		now = now.Add(250 * time.Millisecond)
+		planner.Next(now, group)
+	}
+}
