Roles: slow prefill engines are counted without a list of all engines

The summaries of both roles copied each engine once more. The count goes over the group instead, and only where an exchange or a change to prefill is considered.

--- a/internal/roles/pace.go
+++ b/internal/roles/pace.go
@@ -109,7 +109,7 @@
 
 // exchange returns the next change of an exchange of a slow decode engine for a faster prefill engine, or nil. The slow engine changes first,
 // and the faster one immediately afterwards.
-func (p *Planner) exchange(now time.Time, prefill, decode roleSummary) *Change {
+func (p *Planner) exchange(now time.Time, group *Group, prefill, decode roleSummary) *Change {
 	if p.paces.partnerDue {
 		p.paces.partnerDue = false
 		if fast, found := p.fastPrefill(prefill); found && p.canSpare(prefill, decode) {
@@ -125,7 +125,7 @@
 	}
 	slow, found := p.slowDecode(now, decode)
 	fast, fastFound := p.fastPrefill(prefill)
-	if !found || !fastFound || p.paces.of(slow) < clearPaceRatio*p.paces.of(fast) || p.slowPrefills(prefill) >= p.maxSlowPrefills(prefill) {
+	if !found || !fastFound || p.paces.of(slow) < clearPaceRatio*p.paces.of(fast) || !p.allowsSlowPrefill(group, prefill) {
 		return nil
 	}
 	p.paces.partnerDue = true
@@ -160,8 +160,8 @@
 }
 
 // toPrefill returns the engines of which one may become a prefill engine: those that are not clearly slow, if enough prefill engines are.
-func (p *Planner) toPrefill(decode, prefill roleSummary) []Engine {
-	if p.slowPrefills(prefill) < p.maxSlowPrefills(prefill) {
+func (p *Planner) toPrefill(group *Group, decode, prefill roleSummary) []Engine {
+	if p.allowsSlowPrefill(group, prefill) {
 		return decode.ready
 	}
 	faster := slices.DeleteFunc(slices.Clone(decode.ready), func(engine Engine) bool { return p.paces.of(engine) >= clearPaceRatio })
@@ -171,20 +171,15 @@
 	return faster
 }
 
-// slowPrefills returns the number of prefill engines that are clearly slower than typical.
-func (p *Planner) slowPrefills(prefill roleSummary) int {
+// allowsSlowPrefill reports whether one more prefill engine may be clearly slower than typical: some must not, because long prompts need them.
+func (p *Planner) allowsSlowPrefill(group *Group, prefill roleSummary) bool {
 	slow := 0
-	for _, engine := range prefill.engines {
-		if p.paces.of(engine) >= clearPaceRatio {
+	for _, engine := range group.Engines {
+		if engine.targetRole() == backend.RolePrefill && !engine.Worker.Draining && p.paces.of(engine) >= clearPaceRatio {
 			slow++
 		}
 	}
-	return slow
-}
-
-// maxSlowPrefills returns how many of the prefill engines may be clearly slower than typical, because long prompts need the others.
-func (p *Planner) maxSlowPrefills(prefill roleSummary) int {
-	return int(math.Ceil(p.settings.MaxSlowPrefillShare * float64(prefill.count)))
+	return float64(slow) < p.settings.MaxSlowPrefillShare*float64(prefill.count)
 }
 
 // changeForPace returns a change that is made because of the pace of an engine.
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -166,8 +166,6 @@
 	// ready engines have the role and are usable, so one of them can change. Engines that are ejected for failures are not ready, but
 	// are counted, because they come back.
 	ready []Engine
-	// engines are all of them.
-	engines []Engine
 	// changing is the number of engines that were ordered to take the role and do not have it yet.
 	changing int
 }
@@ -184,7 +182,6 @@
 			continue
 		}
 		summary.count++
-		summary.engines = append(summary.engines, engine)
 		if engine.Worker.Role != role {
 			summary.changing++
 		}
@@ -214,7 +211,7 @@
 	decodePeak := p.decodePeak.update(now, decodeLoad, p.settings.PeakDecay)
 	prefillPeak := p.prefillPeak.update(now, group.PrefillDemand, p.settings.PeakDecay)
 	if now.Before(p.nextChange) {
-		return p.exchange(now, prefill, decode)
+		return p.exchange(now, group, prefill, decode)
 	}
 	noDemand := prefillPeak == 0 && decodePeak == 0
 	prefillBusy := prefillPeak > p.settings.MaxPrefillUse*float64(prefill.count)
@@ -222,17 +219,17 @@
 	decodeFull := decodeLoad > p.settings.MaxDecodeUse*float64(decode.count)
 	switch {
 	case noDemand && decode.count-prefill.count >= 2 && p.canSpare(decode, prefill) && p.allowEarlyChange((decode.count-prefill.count)/2):
-		return p.change(now, p.toPrefill(decode, prefill), backend.RolePrefill, "No demand is known yet, so each role gets half of the engines.")
+		return p.change(now, p.toPrefill(group, decode, prefill), backend.RolePrefill, "No demand is known yet, so each role gets half of the engines.")
 	case p.belowMin(prefill, decode) && p.canSpare(decode, prefill) && (prefill.count == 0 || !p.recovery.holds(now)):
-		return p.change(now, p.toPrefill(decode, prefill), backend.RolePrefill, "There are fewer prefill engines than the minimum.")
+		return p.change(now, p.toPrefill(group, decode, prefill), backend.RolePrefill, "There are fewer prefill engines than the minimum.")
 	case p.belowMin(decode, prefill) && p.canSpare(prefill, decode):
 		return p.change(now, prefill.ready, backend.RoleDecode, "There are fewer decode engines than the minimum.")
 	case prefillBusy && decodeHasHeadroom && p.canSpare(decode, prefill):
-		return p.change(now, p.toPrefill(decode, prefill), backend.RolePrefill, "Prompts keep the prefill engines busy, and the decode engines have headroom.")
+		return p.change(now, p.toPrefill(group, decode, prefill), backend.RolePrefill, "Prompts keep the prefill engines busy, and the decode engines have headroom.")
 	case decodeFull && p.canSpare(prefill, decode):
 		return p.change(now, prefill.ready, backend.RoleDecode, "The decode engines are full.")
 	default:
-		return p.exchange(now, prefill, decode)
+		return p.exchange(now, group, prefill, decode)
 	}
 }
 
