Roles: slow engines are exchanged also while the decode role has its minimum

Slow ones that are found afterwards stayed, as an exchange began with the engine that leaves the decode role, which that may not spare.

Change: the faster engine joins the decode role first if that role has its minimum. The planner looks for pairs only while a slow decode engine is known.

What exchanges gain is not measured yet.

--- a/internal/roles/pace.go
+++ b/internal/roles/pace.go
@@ -26,8 +26,8 @@
 	exchangedAt map[string]time.Time
 	// exchanged is set once engines changed their role because of their pace.
 	exchanged bool
-	// partnerDue is set while the second change of an exchange is missing.
-	partnerDue bool
+	// partnerRole is the role to take by the second engine of an exchange, of which the first has changed; otherwise empty.
+	partnerRole backend.Role
 }
 
 // enginePace is the pace of an engine in the given role.
@@ -107,29 +107,43 @@
 	}
 }
 
-// exchange returns the next change of an exchange of a slow decode engine for a faster prefill engine, or nil. The slow engine changes first,
-// and the faster one immediately afterwards.
+// exchange returns the next change of an exchange of a slow decode engine for a faster prefill engine, or nil. The second change follows the
+// first immediately.
 func (p *Planner) exchange(now time.Time, group *Group, prefill, decode roleSummary) *Change {
-	if p.paces.partnerDue {
-		p.paces.partnerDue = false
-		if fast, found := p.fastPrefill(prefill); found && p.canSpare(prefill, decode) {
-			return p.changeForPace(now, fast, backend.RoleDecode, "It is clearly faster than a decode engine that became a prefill engine.")
-		}
+	if len(p.paces.slowSince) == 0 && p.paces.partnerRole == backend.RoleNone {
 		return nil
 	}
-	if p.changing >= max(int(p.settings.MaxExchangeShare*float64(p.groupSize)), 2) || !p.canSpare(decode, prefill) {
-		return nil
+	slow, hasSlow := p.slowDecode(now, decode)
+	fast, hasFast := p.fastPrefill(prefill)
+	if role := p.paces.partnerRole; role != backend.RoleNone {
+		p.paces.partnerRole = backend.RoleNone
+		switch {
+		case role == backend.RoleDecode && hasFast && p.canSpare(prefill, decode):
+			return p.changeForPace(now, fast, role)
+		case role == backend.RolePrefill && hasSlow && p.canSpare(decode, prefill):
+			return p.changeForPace(now, slow, role)
+		default:
+			return nil
+		}
 	}
-	if available := decode.live - decode.changing - 1; p.decodeLoad.value > p.settings.MaxDecodeUse*float64(available) {
+	isClear := hasSlow && hasFast && p.paces.of(slow) >= clearPaceRatio*p.paces.of(fast)
+	if !isClear || p.changing >= max(int(p.settings.MaxExchangeShare*float64(p.groupSize)), 2) || !p.allowsSlowPrefill(group, prefill) {
 		return nil
 	}
-	slow, found := p.slowDecode(now, decode)
-	fast, fastFound := p.fastPrefill(prefill)
-	if !found || !fastFound || p.paces.of(slow) < clearPaceRatio*p.paces.of(fast) || !p.allowsSlowPrefill(group, prefill) {
+	available := decode.live - decode.changing - 1
+	switch {
+	case p.decodeLoad.value > p.settings.MaxDecodeUse*float64(available):
+		return nil
+	case p.canSpare(decode, prefill):
+		p.paces.partnerRole = backend.RoleDecode
+		return p.changeForPace(now, slow, backend.RolePrefill)
+	case p.canSpare(prefill, decode):
+		// The decode role has its minimum, so the faster engine joins it first.
+		p.paces.partnerRole = backend.RolePrefill
+		return p.changeForPace(now, fast, backend.RoleDecode)
+	default:
 		return nil
 	}
-	p.paces.partnerDue = true
-	return p.changeForPace(now, slow, backend.RolePrefill, "It is clearly slower than a prefill engine, which becomes a decode engine.")
 }
 
 // slowDecode returns the slowest decode engine that has been clearly slower than typical for PaceDelay.
@@ -182,8 +196,12 @@
 	return float64(slow) < p.settings.MaxSlowPrefillShare*float64(prefill.count)
 }
 
-// changeForPace returns a change that is made because of the pace of an engine.
-func (p *Planner) changeForPace(now time.Time, engine Engine, role backend.Role, reason string) *Change {
+// changeForPace returns a change of an exchange.
+func (p *Planner) changeForPace(now time.Time, engine Engine, role backend.Role) *Change {
 	p.paces.exchanged, p.paces.exchangedAt[engine.Worker.ID] = true, now
+	reason := "It is clearly slower than a prefill engine, which becomes a decode engine."
+	if role == backend.RoleDecode {
+		reason = "It is clearly faster than a decode engine, which becomes a prefill engine."
+	}
 	return &Change{Worker: engine.Worker, Role: role, Reason: reason}
 }
--- a/internal/roles/pace_test.go
+++ b/internal/roles/pace_test.go
@@ -106,6 +106,18 @@
 	}
 }
 
+// TestSlowEnginesAreExchangedAtTheMinimum guards against slow engines that keep the decode role because it has only its minimum of engines.
+func TestSlowEnginesAreExchangedAtTheMinimum(t *testing.T) {
+	s := newPaceTest(t, 60, 30, 2.4)
+	changes := s.run(40, 20, 100)
+	if slow := s.slow(backend.RoleDecode); slow > 2 {
+		t.Errorf("%d of 30 decode engines are slow, want at most 2", slow)
+	}
+	if changes > 24 {
+		t.Errorf("%d changes, want at most 24", changes)
+	}
+}
+
 // TestAlikeEnginesChangeAsWithoutPaces guards against changes that depend on differences of the paces within their error.
 func TestAlikeEnginesChangeAsWithoutPaces(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
