--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -58,6 +59,8 @@
 	// Holder is the name of the process, unique in the fleet.
 	Holder    string
 	Estimator EstimatorSettings
+	// LossUtilization is the utilization that workers may have after one zone has lost its spot workers, until others have booted.
+	LossUtilization float64
 	// TickInterval is how often the executor runs.
 	TickInterval time.Duration
 	// CallTimeout limits the duration of one order to the platform.
@@ -82,6 +85,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Estimator:        DefaultEstimatorSettings(),
+		LossUtilization:  0.9,
 		TickInterval:     250 * time.Millisecond,
 		CallTimeout:      1500 * time.Millisecond,
 		RetryDelay:       3 * time.Second,
@@ -144,14 +148,15 @@
 // cachedPlan is the last plan of a group with its inputs.
 type cachedPlan struct {
 	offer Offer
-	need  int
+	need  Need
 	plan  Plan
 }
 
 // Status is the state of a group for operators.
 type Status struct {
-	Group         string
-	Busy          float64
+	Group string
+	// Busy is the number of workers that the current demand keeps busy, and Average its average over about half of a boot time.
+	Busy, Average float64
 	Need          int
 	Present, Plan Plan
 	Offer         Offer
@@ -209,12 +214,12 @@
 	}
 	for _, group := range groups {
 		need, known := e.estimate(now, group)
-		plan := e.plan(group.Name, e.availableOffer(now, group, need), need)
+		plan := e.plan(group.Name, e.availableOffer(now, group, need.Total), need)
 		status = append(status, Status{
-			Group: group.Name, Busy: group.Busy, Need: need, Present: group.Present, Plan: plan, Offer: group.Offer,
+			Group: group.Name, Busy: group.Busy, Average: e.estimators[group.Name].average, Need: need.Total, Present: group.Present, Plan: plan, Offer: group.Offer,
 		})
 		if mayOrder {
-			e.reconcile(ctx, now, group, plan, need, known && group.RecordsComplete)
+			e.reconcile(ctx, now, group, plan, need.Total, known && group.RecordsComplete)
 		}
 	}
 	e.mutex.Lock()
@@ -223,20 +228,27 @@
 }
 
 // estimate updates the estimator of a group, and returns the result.
-func (e *Executor) estimate(now time.Time, group Group) (int, bool) {
+func (e *Executor) estimate(now time.Time, group Group) (Need, bool) {
 	estimator, found := e.estimators[group.Name]
 	if !found {
 		estimator = NewEstimator(e.settings.Estimator)
 		e.estimators[group.Name] = estimator
 	}
-	return estimator.Update(now, group)
+	before := estimator.need
+	total, known := estimator.Update(now, group)
+	if _, mayOrder := e.authority(); mayOrder && total != before {
+		e.logger.WithFields(logrus.Fields{
+			"group": group.Name, "need": total, "before": before, "have": group.Present.Total(), "busy": fmt.Sprintf("%.1f", group.Busy), "known": known,
+		}).Info("The need for workers changed: " + estimator.reason(now) + ".")
+	}
+	return Need{Total: total, AfterLoss: estimator.afterLoss(now, e.settings.Estimator.TargetUtilization/e.settings.LossUtilization)}, known
 }
 
 // plan returns the plan of a group, which is computed again only if its inputs changed.
-func (e *Executor) plan(group string, offer Offer, need int) Plan {
+func (e *Executor) plan(group string, offer Offer, need Need) Plan {
 	cached, found := e.plans[group]
 	if !found || cached.need != need || !cached.offer.equal(offer) {
-		plan := NewPlan(offer, need).WithReserve(offer, int(e.settings.ReserveShare*(1-offer.SpotPrice)*float64(need)))
+		plan := NewPlan(offer, need).WithReserve(offer, int(e.settings.ReserveShare*(1-offer.SpotPrice)*float64(need.Total)))
 		cached = cachedPlan{offer: offer, need: need, plan: plan}
 		e.plans[group] = cached
 	}
@@ -259,3 +271,21 @@
 	})
 	return offer
 }
+
+// withReplacements returns the plan with additional spot workers in place of those that zones have refused. The zones keep their number in
+// the plan, so that they are asked again.
+func (e *Executor) withReplacements(group Group, plan Plan) Plan {
+	offer, missing := group.Offer, 0
+	offer.Zones = lo.Map(offer.Zones, func(zone Zone, _ int) Zone {
+		state, found := e.pools[poolKey{group.Name, zone.Name, true}]
+		if found && state.refused {
+			missing += max(plan[zone.Name].Spot-group.Present[zone.Name].Spot, 0)
+			zone.SpotUnavailable = true
+		}
+		return zone
+	})
+	if missing == 0 {
+		return plan
+	}
+	return plan.WithReserve(offer, missing)
+}
