--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -6,23 +6,26 @@
 
 // Run describes a run under way.
 type Run struct {
-	Group string
+	// Group is the group of the engine, and Zone its zone.
+	Group, Zone string
+	// Rule is the name of the rule that the request matched.
+	Rule string
 	// Engine is the ID of the engine that runs the request, and Backup that of the engine that holds a copy; empty if there is none.
 	Engine, Backup string
 	// Resumable is set if the rule and the caller allow a new run that continues after the last event.
 	Resumable bool
 	// Tokens is the size of the state of the run.
 	Tokens int
-	// Interval is the expected time between two events at the engine, and Expected the expected duration of the whole run.
-	Interval, Expected time.Duration
-	// LastEvent is when the last event arrived, and Deadline when the caller leaves.
-	LastEvent, Deadline time.Time
+	// Started is set once the caller has an event after which the run can continue.
+	Started bool
+	// Deadline is when the caller leaves.
+	Deadline time.Time
 }
 
 // Decision is what happens to a run. It is a Keep, a Resume, a FromCopy or a GiveUp.
 type Decision interface{ isDecision() }
 
-// Keep leaves the run as it is and decides again at Recheck.
+// Keep leaves the run as it is and decides again at Recheck; never if that is zero.
 type Keep struct{ Recheck time.Time }
 
 // Resume starts a new run after the last event at another engine.
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -71,6 +71,8 @@
 	Objective time.Duration
 	// EventGapObjective is the target for the longest pause between two events of a stream.
 	EventGapObjective time.Duration
+	// Patience is the time without an event after which callers give up a stream; zero if unknown.
+	Patience time.Duration
 	// Priority is the priority class of the rule, 0 being the most urgent.
 	Priority int
 	// MaxAttempts is the maximum number of workers that may execute one request.
@@ -102,6 +104,8 @@
 	TokensPerEvent int
 	// HandleTTL is how long the KV cache of a prefilled prompt is kept for the decode engine.
 	HandleTTL time.Duration
+	// KeepsCopies is set if an engine sends the state of a run to another one while it runs, if a request asks for it.
+	KeepsCopies bool
 	// RoleChangeTime is how long a role change takes.
 	RoleChangeTime time.Duration
 }
