Continue runs elsewhere: from a copy, or after the last event when a run stalls

The dispatcher asks for a copy (Kv-Backup) at a decode engine other than the runner, in another zone if the ends are concentrated in one. A watch beside the relay notices a stall; it counts only time in which the relay waits for the engine. The connection is closed and what it still sends is dropped before the continuation starts. A continuation takes a retry from the budget, is no further run for the limits of the rule, and leaves the run as it was if the copy is missing. Copies are asked for only where the configuration says that the engines keep them.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -322,6 +322,12 @@
 	return !s.worker.Draining && !s.unreachable(now) && !s.changingRole(now)
 }
 
+// InService reports whether a worker is available for a request that it expects, regardless of its back-off time and its rate limit.
+func (b *Balancer) InService(now time.Time, id string) bool {
+	state, found := b.workers[id]
+	return found && state.inService(now)
+}
+
 // Skipped reports whether a worker is skipped because it is ejected or unreachable, and whether it is changing its
 // role.
 func (b *Balancer) Skipped(now time.Time, id string) (ejected, changingRole bool) {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -16,6 +16,7 @@
 var (
 	errDeadline = errors.New("the request deadline has passed")
 	errSilent   = errors.New("the worker was silent for too long")
+	errStalled  = errors.New("the worker stopped sending events")
 )
 
 // failureKind classifies how an attempt failed.
@@ -32,6 +33,8 @@
 	failureMisdirected
 	// failureSilent means that the worker did not start to respond within the response timeout. The request may have run.
 	failureSilent
+	// failureStalled means that the worker stopped sending events within a response that could continue at another worker.
+	failureStalled
 	// failureBroken means that the connection broke or the response was malformed. The request may have run.
 	failureBroken
 	// failureError means that the worker returned an error response. The request may have run.
@@ -49,6 +52,7 @@
 	failureRefused:     "refused",
 	failureMisdirected: "moved",
 	failureSilent:      "silent",
+	failureStalled:     "stalled",
 	failureBroken:      "broken",
 	failureError:       "error",
 	failureDeadline:    "deadline",
@@ -64,7 +68,7 @@
 // decisionFail; after failureCallerGone, there is no caller left to respond to, and giveUp aborts the connection.
 func (f failureKind) mayHaveRun() bool {
 	switch f {
-	case failureSilent, failureBroken, failureError:
+	case failureSilent, failureStalled, failureBroken, failureError:
 		return true
 	default:
 		return false
@@ -90,7 +94,7 @@
 		return balance.OutcomeUnreachable
 	case failureRefused:
 		return balance.OutcomeRefused
-	case failureSilent, failureDeadline:
+	case failureSilent, failureStalled, failureDeadline:
 		return balance.OutcomeTimeout
 	case failureBroken:
 		return balance.OutcomeMalformed
@@ -110,6 +114,8 @@
 		switch {
 		case errors.Is(cause, errSilent):
 			return failureSilent
+		case errors.Is(cause, errStalled):
+			return failureStalled
 		case errors.Is(cause, errDeadline):
 			return failureDeadline
 		default:
@@ -227,6 +233,11 @@
 	return a.repeatable() && a.possibleRuns < a.rule.MaxAttempts
 }
 
+// allowsResume reports whether the limits and the rule allow another attempt after a run that is in progress.
+func (a *attempts) allowsResume() bool {
+	return a.reached+1 < maxReachedWorkers && a.repeatable() && a.possibleRuns+1 < a.rule.MaxAttempts
+}
+
 // repeatable reports whether the request may run more than once.
 func (a *attempts) repeatable() bool { return a.rule.Repeatable() && !a.runOnce }
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -116,6 +116,9 @@
 // runner was found.
 func (c *call) attempt(ctx context.Context, placement *Placement) (string, failureKind) {
 	record := Attempt{Start: time.Now(), Deferred: placement.Deferred}
+	if c.relay.started {
+		record.Continues = ContinuesLastEvent
+	}
 	runner := placement.Runner
 	var prompt *PrefilledPrompt
 	if placement.Prefill != nil {
@@ -141,9 +144,14 @@
 	if prompt == nil {
 		record.Score, record.Candidates = runner.Score, runner.Candidates
 	}
+	held := c.keepCopy(runner)
+	if held != nil {
+		record.Backup = held.engine.ID
+	}
 	failure := c.runOn(ctx, runner, RunOptions{
 		Deadline: c.deadline, Prompt: prompt, FetchFrom: c.fetchFrom(prompt, placement.FetchFrom), Deferred: placement.Deferred,
-	})
+		Backup: backupOf(held),
+	}, held)
 	if failure == failureNone {
 		c.handler.dispatcher.RecordPrefilled(runner.Worker, c.request)
 	}
@@ -151,7 +159,7 @@
 	if prompt != nil && failure == failureRefused {
 		c.prefilledEngine = prompt.Engine
 	}
-	return record.Worker, failure
+	return record.Worker, c.continueFromCopy(ctx, held, runner.Worker, failure)
 }
 
 // asNotRun returns the failure of a request whose prefill call failed. Failures that would mean that the request may have run become
@@ -176,10 +184,13 @@
 	c.report.Attempts = append(c.report.Attempts, record)
 }
 
-// runOn runs the request at a worker and forwards the response.
-func (c *call) runOn(ctx context.Context, runner *Assignment, options RunOptions) failureKind {
+// runOn runs the request at a worker and forwards the response. Held is the copy that the run gets, or nil.
+func (c *call) runOn(ctx context.Context, runner *Assignment, options RunOptions, held *runCopy) failureKind {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	start := time.Now()
+	c.relay.watch = c.watchStalls(cancel, runner.Worker, held)
+	defer c.relay.watch.stop()
 	c.relay.onResponse = func() {
 		runner.responseStarted()
 		c.countUsage()
@@ -196,9 +207,12 @@
 		err = c.forwardResponse(response)
 	}
 	failure := classify(ctx, err)
-	if failure != failureNone {
+	switch {
+	case failure != failureNone:
 		c.report.Err = err
 		c.releasePrompt(options.Prompt)
+	case c.copyable():
+		c.handler.dispatcher.recordStream(c.match.Rule.Name, time.Since(start))
 	}
 	c.guarded.reportFailure(runner.Worker, failure, err)
 	c.handler.dispatcher.recordIfRefused(runner.Worker, err)
--- /dev/null
+++ b/internal/forward/continuation.go
@@ -0,0 +1,270 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/migration"
+	"github.com/granitebay/granitebay/internal/poison"
+	"github.com/granitebay/granitebay/internal/routing"
+)
+
+// Continuation says from what an attempt continues a response that another worker began.
+type Continuation string
+
+// The kinds of continuations. ContinuesNothing is an attempt from the start.
+const (
+	ContinuesNothing   Continuation = ""
+	ContinuesLastEvent Continuation = "last event"
+	ContinuesCopy      Continuation = "copy"
+)
+
+// runCopy is a copy of the state of a run, kept by another engine while the run is in progress.
+type runCopy struct {
+	engine *backend.Worker
+	held   migration.Copy
+}
+
+// backupOf returns the engine that holds the copy, or nil.
+func backupOf(held *runCopy) *backend.Worker {
+	if held == nil {
+		return nil
+	}
+	return held.engine
+}
+
+// migrationRun describes the run at a worker to the policy. The mutex is not needed.
+func (c *call) migrationRun(worker *backend.Worker, held *runCopy) migration.Run {
+	run := migration.Run{
+		Group: worker.Group, Zone: worker.Zone, Rule: c.match.Rule.Name, Engine: worker.ID, Resumable: c.resumable(),
+		Tokens:  c.request.Demand.PromptTokens + c.request.Demand.OutputTokens,
+		Started: c.relay.started && c.relay.lastEvent != "", Deadline: c.deadline,
+	}
+	if held != nil {
+		run.Backup = held.engine.ID
+	}
+	return run
+}
+
+// copyable reports whether engines could keep copies of the runs of this request.
+func (c *call) copyable() bool {
+	engine := c.match.Group.Engine
+	return engine != nil && engine.KeepsCopies && c.isStream() && !c.resumable()
+}
+
+// isStream reports whether the response is a stream of events.
+func (c *call) isStream() bool {
+	return c.match.Rule.Kind == routing.KindStream && !c.request.Unstreamed
+}
+
+// keepCopy decides whether the run at a worker gets a copy, and picks the engine that keeps it. It returns nil for none.
+func (c *call) keepCopy(runner *Assignment) *runCopy {
+	if !c.copyable() || !c.guarded.hasStatus(poison.Clear, poison.Excused) {
+		return nil
+	}
+	return c.handler.dispatcher.keepCopy(c.request, c.match, c.migrationRun(runner.Worker, nil))
+}
+
+// keepCopy decides whether a run gets a copy, and picks the engine that keeps it. It returns nil for none.
+func (d *Dispatcher) keepCopy(request *Request, match routing.Match, run migration.Run) *runCopy {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.now()
+	held, wanted := d.migration.Copy(now, run, match.Group.Engine.BytesPerToken)
+	if !wanted {
+		return nil
+	}
+	query := balance.Query{
+		Request: request.ID, Group: match.Group.Name, Role: backend.RoleDecode, Zone: run.Zone, Excluded: []string{run.Engine},
+	}
+	if held.OtherZone {
+		query.PrefillCost = func(worker *backend.Worker) balance.PrefillCost {
+			if worker.Zone == run.Zone {
+				return balance.PrefillCost{TransferSeconds: sameZoneSeconds}
+			}
+			return balance.PrefillCost{}
+		}
+	}
+	choice, found := d.balancer.Pick(now, query)
+	if !found || choice.Worker.ID == run.Engine {
+		d.migration.Release(held)
+		return nil
+	}
+	return &runCopy{engine: choice.Worker, held: held}
+}
+
+// sameZoneSeconds is the cost of keeping a copy in the zone whose engines end.
+const sameZoneSeconds = 1.0
+
+// releaseCopy frees the bytes of a copy after its run.
+func (d *Dispatcher) releaseCopy(held *runCopy) {
+	if held == nil {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.migration.Release(held.held)
+}
+
+// MigrationTotals returns the counts of copies.
+func (d *Dispatcher) MigrationTotals() migration.Totals {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.migration.Totals()
+}
+
+// assignCopy assigns a run to the engine that holds its copy, or returns false if the engine is not available.
+func (d *Dispatcher) assignCopy(held *runCopy) (*Assignment, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	worker, found := d.balancer.Worker(held.engine.ID)
+	if !found || worker.Role != backend.RoleDecode || !d.balancer.InService(d.now(), worker.ID) {
+		return nil, false
+	}
+	return d.assign(balance.Choice{Worker: worker}, 0, false, 0), true
+}
+
+// recordStream records how long a complete stream of a rule took, from the start of its attempt.
+func (d *Dispatcher) recordStream(rule string, took time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.migration.ObserveRun(rule, took)
+}
+
+// recordEngines updates which engines may end under their runs. An engine that leaves as announced counts as one that ends, because its runs
+// may outlast it. The mutex is held.
+func (d *Dispatcher) recordEngines(now time.Time, changes backend.Changes) {
+	risk := d.migration.Risk()
+	for _, id := range changes.Removed {
+		risk.Ended(now, id)
+		risk.Remove(id)
+	}
+	for _, worker := range changes.Updated {
+		if worker.Role == backend.RoleNone {
+			continue
+		}
+		risk.Add(worker.ID, worker.Group, worker.Zone)
+		if worker.Draining {
+			risk.Ended(now, worker.ID)
+		}
+	}
+}
+
+// decideOnStall returns what happens to a stalled run. A retry is not taken from the budget yet.
+func (d *Dispatcher) decideOnStall(run migration.Run, means migration.Means) migration.Decision {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.migration.Stalled(d.now(), run, means)
+}
+
+// decideOnBreak returns what happens to a run whose connection broke. A retry is not taken from the budget yet.
+func (d *Dispatcher) decideOnBreak(run migration.Run, means migration.Means) migration.Decision {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.migration.Broken(d.now(), run, means)
+}
+
+// takeRetry takes a retry from the budget unless one has been taken for the next attempt.
+func (c *call) takeRetry() bool {
+	return c.attempts.retryPrepaid.Swap(false) || c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry()
+}
+
+// watchStalls returns the watch for the response of a worker, or nil if it can't be continued elsewhere.
+func (c *call) watchStalls(cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy) *stallWatch {
+	rule := c.match.Rule
+	if rule.Patience <= 0 || c.match.Group.Engine == nil || !c.isStream() {
+		return nil
+	}
+	if held == nil && (!c.resumable() || !c.attempts.allowsResume()) {
+		return nil
+	}
+	return &stallWatch{
+		detector: migration.NewStallDetector(migration.DefaultStallSettings(), rule.Patience, 0),
+		decide: func(time.Time) (bool, time.Duration) {
+			return c.decideOnStall(cancel, worker, held)
+		},
+	}
+}
+
+// decideOnStall abandons a stalled response if the run can continue elsewhere and the budget has a retry for it. Otherwise it returns when
+// to decide again, zero for never. It runs while the goroutine of the call waits for the worker.
+func (c *call) decideOnStall(cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy) (bool, time.Duration) {
+	dispatcher := c.handler.dispatcher
+	run := c.migrationRun(worker, held)
+	means := migration.Means{Retry: true}
+	if held == nil {
+		means.Elsewhere = dispatcher.hasAlternative(c.request, c.match.Group, append(slices.Clone(c.attempts.excluded), worker.ID))
+	}
+	decision := dispatcher.decideOnStall(run, means)
+	if _, keeps := decision.(migration.Keep); !keeps && !c.takeRetry() {
+		means.Retry = false
+		decision = dispatcher.decideOnStall(run, means)
+	}
+	if keep, keeps := decision.(migration.Keep); keeps {
+		if keep.Recheck.IsZero() {
+			return false, 0
+		}
+		return false, max(keep.Recheck.Sub(dispatcher.now()), time.Millisecond)
+	}
+	c.attempts.retryPrepaid.Store(true)
+	cancel(errStalled)
+	return true, 0
+}
+
+// continueFromCopy continues a run that broke or stalled at the engine that holds its copy. The connection to the first engine has been
+// closed. It returns the failure of the first engine if the run could not be continued there, so that it ends as without a copy.
+func (c *call) continueFromCopy(ctx context.Context, held *runCopy, worker *backend.Worker, failure failureKind) failureKind {
+	if held == nil {
+		return failure
+	}
+	defer c.handler.dispatcher.releaseCopy(held)
+	if failure != failureBroken && failure != failureStalled {
+		return failure
+	}
+	c.guarded.awaitProbe(ctx)
+	runner, reason := c.assignCopy(ctx, held, worker)
+	if runner == nil {
+		c.report.Attempts[len(c.report.Attempts)-1].NotContinued = reason
+		return failure
+	}
+	record := Attempt{Start: time.Now(), Worker: runner.Worker.ID, Continues: ContinuesCopy}
+	continued := c.runOn(ctx, runner, RunOptions{Deadline: c.deadline, Continue: true}, nil)
+	c.recordAttempt(record, "", continued)
+	switch continued {
+	case failureNone, failureDeadline, failureCallerGone:
+		return continued
+	default:
+		return failure
+	}
+}
+
+// assignCopy assigns the run of a worker to the engine that holds its copy, and takes a retry for it. It returns nil and why if the run may
+// not continue there.
+func (c *call) assignCopy(ctx context.Context, held *runCopy, worker *backend.Worker) (*Assignment, string) {
+	dispatcher := c.handler.dispatcher
+	if ctx.Err() != nil {
+		return nil, "the caller or its time is gone"
+	}
+	if !c.guarded.hasStatus(poison.Clear, poison.Excused) {
+		return nil, "workers ended under the request"
+	}
+	switch decision := dispatcher.decideOnBreak(c.migrationRun(worker, held), migration.Means{Retry: true}).(type) {
+	case migration.FromCopy:
+	case migration.GiveUp:
+		return nil, decision.Reason
+	default:
+		return nil, "the run may not continue from a copy"
+	}
+	runner, found := dispatcher.assignCopy(held)
+	if !found {
+		return nil, "the engine with the copy is not available"
+	}
+	if !c.takeRetry() {
+		runner.finish(balance.OutcomeNone)
+		return nil, "the budget of retries is used up"
+	}
+	return runner, ""
+}
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/boottime"
 	"github.com/granitebay/granitebay/internal/enginemodel"
+	"github.com/granitebay/granitebay/internal/migration"
 	"github.com/granitebay/granitebay/internal/prefixcache"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -73,6 +74,8 @@
 	// announced to a caller of a rate-limited group.
 	saturationCache  map[string]cachedSaturation
 	lastReservedSlot map[string]time.Time
+	// migration decides on runs under way.
+	migration *migration.Policy
 	// limits is this gateway's share of the workers' rate limits; nil if this gateway uses the limits alone.
 	limits *quotaShares
 	// records are the workers as recorded in the store, without the roles that engines reported themselves.
@@ -100,6 +103,7 @@
 		engineState:      newEngineState(),
 		engineGroups:     map[string]*routing.Engine{},
 		demand:           map[string]*demandCounter{},
+		migration:        migration.NewPolicy(migration.DefaultSettings()),
 		saturationCache:  map[string]cachedSaturation{},
 		lastReservedSlot: map[string]time.Time{},
 		records:          backend.Set{},
@@ -139,6 +143,7 @@
 	changes.Updated = d.engineState.applyReportedRoles(now, changes.Updated, changes.Removed)
 	d.engineState.expirePendingRoles(now, d.balancer)
 	d.engineState.recordDecoders(changes.Updated)
+	d.recordEngines(now, changes)
 	d.engineState.reregistered = append(d.engineState.reregistered, d.engineState.engineHealth.ApplyChanges(now, changes)...)
 	d.balancer.Change(changes)
 	// The change may have brought an engine back.
@@ -159,6 +164,7 @@
 	defer d.mutex.Unlock()
 	now := d.now()
 	d.balancer.RecordCrash(now, now.Add(-sinceEnd), worker)
+	d.migration.Risk().Ended(now, worker)
 }
 
 // suspectTurn describes when a suspect request may run.
@@ -295,6 +301,9 @@
 	d.balancer.PrefillDone(a.Worker.ID, a.load)
 	if d.balancer.End(now, a.Worker.ID, outcome) {
 		a.dispatcher.peers.workerEjected(a.Worker, outcome)
+		if outcome == balance.OutcomeTimeout {
+			d.migration.Risk().Ended(now, a.Worker.ID)
+		}
 	}
 	a.dispatcher.peers.loadChanged(a.Worker.ID, false)
 }
--- a/internal/forward/enginestate.go
+++ b/internal/forward/enginestate.go
@@ -183,6 +183,7 @@
 	}
 	now := d.now()
 	isNew := d.engineState.engineHealth.Refused(now, worker, firsthand)
+	d.migration.Risk().Ended(now, id)
 	d.balancer.SetUnreachable(now, id, d.engineState.engineHealth.Until(id))
 	if firsthand && d.peers.notify != nil && len(d.peers.refused) < maxPendingNotices {
 		d.peers.refused = append(d.peers.refused, id)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -64,6 +64,8 @@
 	onEvent func()
 	// acceptResponse is called before onResponse. It marks the response as started and reports whether it may be forwarded.
 	acceptResponse func() bool
+	// watch is told when the relay waits for the worker; nil if nothing watches for stalls.
+	watch *stallWatch
 	// started is set once the headers have been written.
 	started   bool
 	firstByte time.Time
@@ -76,7 +78,11 @@
 	events := eventstream.NewReader(response.Body, maxEventBytes)
 	accepted := false
 	for {
+		r.watch.wait()
 		event, err := events.Next()
+		if !r.watch.received() {
+			return errStalled
+		}
 		if errors.Is(err, io.EOF) {
 			r.writeHead(response)
 			return nil
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -151,6 +151,12 @@
 	Candidates int
 	// Deferred is set if the answer was expected too late, so that prompts that were not deferred were prefilled first.
 	Deferred bool
+	// Backup is the engine that was to keep a copy of the run, or empty.
+	Backup string
+	// Continues says from what the attempt continues the response of an earlier one.
+	Continues Continuation
+	// NotContinued is why the run was not continued from its copy; empty if it was, or needed no continuation.
+	NotContinued string
 	// Failure is empty if the attempt succeeded.
 	Failure string
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -82,6 +82,11 @@
 	FetchFrom *backend.Worker
 	// ResumeAfter is the id of the last event that the caller has, or empty.
 	ResumeAfter string
+	// Backup is the engine that keeps a copy of the state of the run while it runs, or nil.
+	Backup *backend.Worker
+	// Continue is set if the worker holds a copy of the state of a run of this request, and continues that run after ResumeAfter. A worker
+	// without the copy refuses the request.
+	Continue bool
 	// Deferred is set if the run yields to all runs that are not deferred.
 	Deferred bool
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -70,6 +70,10 @@
 	if err != nil {
 		return err
 	}
+	if c.relay.started {
+		// The caller has the beginning of a stream, which another response must not follow.
+		return &WorkerError{Status: buffered.status}
+	}
 	// The result is ignored: a complete response is served even if the worker was just abandoned as silent.
 	c.relay.acceptResponse()
 	c.relay.onResponse()
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -119,12 +119,21 @@
 	if attempt.Score.TimeToFirstToken > 0 {
 		text += fmt.Sprintf(", answer expected after %.0f ms", millisecondsPerSecond*attempt.Score.TimeToFirstToken)
 	}
+	if attempt.Backup != "" {
+		text += ", copy kept by " + attempt.Backup
+	}
+	if attempt.Continues != forward.ContinuesNothing {
+		text += ", continuing from the " + string(attempt.Continues)
+	}
 	if attempt.Deferred {
 		text += ", too late for its objective and therefore deferred"
 	}
 	if attempt.Failure != "" {
 		text += ": " + attempt.Failure
 	}
+	if attempt.NotContinued != "" {
+		text += ", not continued: " + attempt.NotContinued
+	}
 	return text
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -79,6 +79,9 @@
 	m.set.NewGauge("granitebay_unreadable_items_total", func() float64 { return float64(g.view.Unreadable()) })
 	m.set.NewGauge(metricBarred, func() float64 { return float64(len(g.barSyncer.guard.Bars())) })
 	m.set.NewGauge("granitebay_requests_in_hand", func() float64 { return float64(g.handler.Active()) })
+	m.set.NewGauge(metricCopies, func() float64 { return float64(g.dispatcher.MigrationTotals().Copies) })
+	m.set.NewGauge(metricCopyBytes, func() float64 { return float64(g.dispatcher.MigrationTotals().CopyBytes) })
+	m.set.NewGauge(metricCopiesOverLimit, func() float64 { return float64(g.dispatcher.MigrationTotals().CopiesOverLimit) })
 	m.budgets = g.dispatcher.Budgets
 }
 
@@ -229,6 +232,26 @@
 	}
 }
 
+// Names of metrics about runs that continue at another worker.
+const (
+	// metricContinuations counts attempts that continued a response which another worker began.
+	metricContinuations = "granitebay_continuations_total"
+	// metricCopies counts the copies of runs that engines were asked to keep, metricCopyBytes their expected size, and metricCopiesOverLimit
+	// those that the limit on the size of all copies prevented.
+	metricCopies          = "granitebay_run_copies_total"
+	metricCopyBytes       = "granitebay_run_copy_bytes_total"
+	metricCopiesOverLimit = "granitebay_run_copies_over_limit_total"
+)
+
+// countContinuation counts an attempt that continued a response.
+func (m *gatewayMetrics) countContinuation(group string, attempt forward.Attempt) {
+	outcome := "ended"
+	if attempt.Failure != "" {
+		outcome = attempt.Failure
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q,from=%q,outcome=%q}`, metricContinuations, group, attempt.Continues, outcome)).Inc()
+}
+
 // RequestEnded implements forward.Observer.
 func (m *gatewayMetrics) RequestEnded(report *forward.Report) {
 	name := fmt.Sprintf(`%s{rule=%q,status="%d",reason=%q}`, metricRequests, report.Rule, report.Status, report.Reason)
@@ -240,6 +263,9 @@
 	for _, attempt := range report.Attempts {
 		name = fmt.Sprintf(`%s{group=%q,failure=%q}`, metricAttempts, report.Group, attempt.Failure)
 		m.set.GetOrCreateCounter(name).Inc()
+		if attempt.Continues != forward.ContinuesNothing {
+			m.countContinuation(report.Group, attempt)
+		}
 		if attempt.Deferred {
 			m.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q}`, metricDeferred, report.Rule)).Inc()
 		}
--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -98,6 +98,7 @@
 func (f *Fleet) startOn(options WorkerOptions, listener net.Listener, address string) *Worker {
 	worker := &Worker{
 		options: options, fleet: f, address: address, listenAddress: listener.Addr().String(), stage: options.Stage, handles: map[string]bool{},
+		copies: map[string]int{},
 	}
 	if options.Model != nil {
 		worker.model = newEngineModel(*options.Model)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -157,7 +157,9 @@
 	Worker string
 	// Resumed is the Last-Event-Id of a resumed run, or empty.
 	Resumed string
-	Begun   time.Time
+	// Continued is set if the run continued another worker's run from a copy, which makes it a part of that run.
+	Continued bool
+	Begun     time.Time
 }
 
 // NewFleet returns a fleet without workers and with an empty store.
--- a/internal/standin/fleet/routes.go
+++ b/internal/standin/fleet/routes.go
@@ -45,6 +45,8 @@
 	Name string
 	// MemoryTokens is the prompt cache capacity of the engines; zero for plain workers.
 	MemoryTokens int
+	// Backups is set if the engines keep copies of each other's runs.
+	Backups bool
 }
 
 // Fixed values of the generated configuration.
@@ -98,6 +100,7 @@
 	if s.MemoryTokens > 0 {
 		record["engine"] = jsonObject{
 			"kvCapacity": s.MemoryTokens, "tokenKvBytes": tokenBytes, "linkMbps": linkMbps, "stride": 1, "kvTtlS": 5, "reconfigS": 1,
+			"backups": s.Backups,
 		}
 	}
 	return record
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -177,7 +177,9 @@
 
 // serveRun runs a request.
 func (w *Worker) serveRun(writer http.ResponseWriter, request *http.Request, id string, body []byte, fault WorkerFault) {
-	if source := request.Header.Get("Kv-Source"); source != "" && !w.fleet.consumeHandle(source) {
+	source := request.Header.Get("Kv-Source")
+	continued := source == w.address+"/"+id
+	if continued && !w.takeCopy(id) || source != "" && !continued && !w.fleet.consumeHandle(source) {
 		refuse(writer, id)
 		return
 	}
@@ -188,7 +190,7 @@
 		}
 	}
 	resumed := request.Header.Get("Last-Event-Id")
-	w.fleet.recordRun(id, Run{Worker: w.options.ID, Resumed: resumed, Begun: time.Now()})
+	w.fleet.recordRun(id, Run{Worker: w.options.ID, Resumed: resumed, Continued: continued, Begun: time.Now()})
 	if crashesWorker(body) {
 		w.crashOn(id)
 		return
@@ -245,14 +247,46 @@
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if fault == WorkerStalls && number > after+eventsBeforeStall {
+			<-request.Context().Done()
+			return
+		}
 		_, _ = io.WriteString(writer, Event(id, number))
 		_ = controller.Flush()
+		w.sendCopy(request, id, number)
 		if !waitFor(step, request.Context().Done()) {
 			return
 		}
 	}
 }
 
+// eventsBeforeStall is the number of events that WorkerStalls sends.
+const eventsBeforeStall = 5
+
+// sendCopy sends the state of a run after an event to the worker that the request names as its backup, if any. The copy of a run that has
+// ended is dropped.
+func (w *Worker) sendCopy(request *http.Request, id string, number int) {
+	backup := w.fleet.worker(request.Header.Get("Kv-Backup"))
+	if backup == nil || backup.hasFault(WorkerKeepsNoCopies) {
+		return
+	}
+	backup.mutex.Lock()
+	defer backup.mutex.Unlock()
+	backup.copies[id] = number
+	if number == w.options.Events {
+		delete(backup.copies, id)
+	}
+}
+
+// takeCopy removes the copy of a run and reports whether there was one.
+func (w *Worker) takeCopy(id string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	_, found := w.copies[id]
+	delete(w.copies, id)
+	return found
+}
+
 // PlainAnswer returns the answer of a plain worker to a request.
 func PlainAnswer(id string, body []byte) string { return "answer to " + id + " of " + string(body) }
 
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -52,6 +52,10 @@
 	WorkerLateOrders
 	// WorkerFull refuses all requests.
 	WorkerFull
+	// WorkerStalls sends the first events of a stream and then nothing, and keeps the connection open.
+	WorkerStalls
+	// WorkerKeepsNoCopies has no room for copies of other workers' runs.
+	WorkerKeepsNoCopies
 	// WorkerSheds accepts only one in shedAcceptsOneIn requests.
 	WorkerSheds
 )
@@ -75,6 +79,8 @@
 	fault        WorkerFault
 	requestCount int
 	handles      map[string]bool
+	// copies holds how many events each copied run of another worker had made, by request ID.
+	copies       map[string]int
 	nextID       int
 	orderHolders []string
 	draining     bool
