--- a/internal/migration/policy.go
+++ b/internal/migration/policy.go
@@ -4,8 +4,9 @@
 
 // Settings configure a Policy.
 type Settings struct {
-	// MinLossProbability is the probability of losing the engine from which a copy is worth its transfer.
-	MinLossProbability float64
+	// MinLossPerGigabyte is the probability of losing the engine from which a copy of a gigabyte is worth its transfer. It is proportional to
+	// the size of the copy.
+	MinLossPerGigabyte float64
 	// MinExpected is the shortest expected duration of a run that gets a copy: the copy arrives some tenths of a second after the start.
 	MinExpected time.Duration
 	// MaxCopyBytes bounds the bytes of all copies of this gateway together.
@@ -19,7 +20,7 @@
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
 	return Settings{
-		MinLossProbability: 0.03, MinExpected: 400 * time.Millisecond, MaxCopyBytes: 1 << 30, MinRestart: 150 * time.Millisecond,
+		MinLossPerGigabyte: 0.05, MinExpected: 200 * time.Millisecond, MaxCopyBytes: 1 << 30, MinRestart: 150 * time.Millisecond,
 		Recheck: 200 * time.Millisecond,
 	}
 }
@@ -86,11 +87,11 @@
 	if run.Resumable || run.Tokens <= 0 || bytesPerToken <= 0 || expected < p.settings.MinExpected {
 		return Copy{}, false
 	}
+	bytes := int64(run.Tokens) * int64(bytesPerToken)
 	probability, zonal := p.risk.Estimate(now, run.Group, run.Zone, expected)
-	if probability < p.settings.MinLossProbability {
+	if probability <= 0 || probability < p.settings.MinLossPerGigabyte*float64(bytes)/bytesPerGigabyte {
 		return Copy{}, false
 	}
-	bytes := int64(run.Tokens) * int64(bytesPerToken)
 	if p.copyBytes+bytes > p.settings.MaxCopyBytes {
 		p.totals.CopiesOverLimit++
 		return Copy{}, false
@@ -101,6 +102,8 @@
 	return Copy{Bytes: bytes, OtherZone: zonal}, true
 }
 
+const bytesPerGigabyte = 1e9
+
 // Release frees the bytes of a copy whose run has ended.
 func (p *Policy) Release(held Copy) { p.copyBytes -= held.Bytes }
 
--- a/internal/migration/risk.go
+++ b/internal/migration/risk.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// riskWindow is the time for which the end of an engine raises the risk of others.
-const riskWindow = 10 * time.Second
+// riskWindow is the time for which the end of an engine raises the risk of others. Ends come in groups, some tens of seconds apart.
+const riskWindow = 30 * time.Second
 
 // maxTrackedEnds bounds the ends that a Risk holds. The oldest are dropped first.
 const maxTrackedEnds = 1024
