--- a/internal/migration/policy.go
+++ b/internal/migration/policy.go
@@ -20,7 +20,7 @@
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
 	return Settings{
-		MinLossPerGigabyte: 0.05, MinExpected: 200 * time.Millisecond, MaxCopyBytes: 1 << 30, MinRestart: 150 * time.Millisecond,
+		MinLossPerGigabyte: 0.05, MinExpected: 200 * time.Millisecond, MaxCopyBytes: 8 << 30, MinRestart: 150 * time.Millisecond,
 		Recheck: 200 * time.Millisecond,
 	}
 }
