--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -153,6 +153,12 @@
 	Deferred bool
 	// Course is the course of the response at a decode engine; zero otherwise.
 	Course Course
+	// Backup is the engine that was to keep a copy of the run, or empty.
+	Backup string
+	// Continues says from what the attempt continues the response of an earlier one.
+	Continues Continuation
+	// NotContinued is why the run was not continued from its copy; empty if it was, or needed no continuation.
+	NotContinued string
 	// Failure is empty if the attempt succeeded.
 	Failure string
 }
