Learn the load and the role changes of engines after a start of all gateways

Ruled out: engines over-full with runs of the killed gateways (first event 30 ms after the prefill, as before the kill), connections, response timeouts (some 20 of 2,500).

Change: entries ask the engines for their reports, their own share first, and tell each other by a supplement; an engine that changes its role is skipped and asked again, one of unknown load counts as half full, and reported load counts less with its age. Reports of another incarnation have no effect.

Some gateways still took others that had just started for warm.

--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/granitebay/granitebay/internal/prefixcache"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/warmup"
 )
 
 // DispatchSettings configure the placement of requests.
@@ -77,6 +78,8 @@
 	limits *quotaShares
 	// records are the workers as recorded in the store, without the roles that engines reported themselves.
 	records backend.Set
+	// warmup holds what engines reported about their load after a start of all gateways.
+	warmup *warmup.Table
 }
 
 // NewDispatcher returns a dispatcher without workers. Its retry budgets and its shares of rate limits use the clock since boot.
@@ -89,11 +92,10 @@
 func newDispatcher(settings DispatchSettings, now, sinceBoot func() time.Time) *Dispatcher {
 	peers := newPeerExchange()
 	model := enginemodel.New()
-	return &Dispatcher{
+	d := &Dispatcher{
 		settings:         settings,
 		now:              now,
 		model:            model,
-		balancer:         balance.New(settings.Balance, model, peers.peerLoad),
 		prefixCache:      prefixcache.New(),
 		peers:            peers,
 		retries:          newRetryBudgets(settings.Budget, sinceBoot),
@@ -103,7 +105,10 @@
 		saturationCache:  map[string]cachedSaturation{},
 		lastReservedSlot: map[string]time.Time{},
 		records:          backend.Set{},
+		warmup:           warmup.New(warmup.DefaultSettings()),
 	}
+	d.balancer = balance.New(settings.Balance, model, func(id string) backend.Load { return peers.peerLoad(id).Plus(d.warmupLoad(id)) })
+	return d
 }
 
 // SetGroups replaces the groups.
@@ -150,6 +155,7 @@
 	for _, id := range changes.Removed {
 		d.prefixCache.ForgetWorker(id)
 		d.model.ForgetWorker(id)
+		d.warmup.Forget(id)
 	}
 }
 
--- a/internal/forward/enginestate.go
+++ b/internal/forward/enginestate.go
@@ -205,6 +205,9 @@
 		d.peers.recovered = append(d.peers.recovered, id)
 		d.peers.notify(true)
 	}
+	if d.engineState.pendingRoles[id].isInherited && !changing && role == worker.Role {
+		d.cancelRoleChange(worker)
+	}
 	_, isReported := d.engineState.reportedRoles[id]
 	// Roles that agree with the record, and roles that no gateway ordered, are ignored.
 	if changing || (!isReported && (role == worker.Role || d.engineState.pendingRoles[id].role != role)) {
@@ -217,6 +220,14 @@
 	}
 }
 
+// cancelRoleChange ends the role change of an engine that has kept its role. The mutex is held.
+func (d *Dispatcher) cancelRoleChange(worker *backend.Worker) {
+	delete(d.engineState.pendingRoles, worker.ID)
+	d.balancer.SetRoleChange(worker.ID, time.Time{})
+	d.engineState.signalRecovered()
+	d.engineState.notifyChange()
+}
+
 // markAlive marks an engine as up, and reports whether it was considered down. The mutex is held.
 func (d *Dispatcher) markAlive(worker *backend.Worker) bool {
 	now := d.now()
--- a/internal/forward/peers.go
+++ b/internal/forward/peers.go
@@ -23,6 +23,8 @@
 	// refused are engines that refused a connection, recovered those that respond again, and newRoles those that reported a new role.
 	refused, recovered []string
 	newRoles           []peersync.RoleReport
+	// engineReports are the reports of engines to send to the other gateways.
+	engineReports []timedReport
 	// notify signals that there is something to send; nil if nothing is sent.
 	notify func(urgent bool)
 }
@@ -80,6 +82,7 @@
 func (d *Dispatcher) TakeUpdate(full bool) peersync.Message {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.warmup.Expire(d.now())
 	message := peersync.Message{
 		CachedSegments: d.peers.cachedPrefixes, Failed: d.peers.ejected, RoleChanges: d.pendingRoleChanges(), RoleReports: d.peers.newRoles,
 		Refused: d.peers.refused, Recovered: d.peers.recovered,
--- a/internal/forward/rolechange.go
+++ b/internal/forward/rolechange.go
@@ -16,6 +16,8 @@
 	role backend.Role
 	// readyAt is when the change is expected to be complete, and expiresAt when it is no longer considered pending.
 	readyAt, expiresAt time.Time
+	// isInherited is set if a gateway that has ended gave the order, so that the role is only assumed.
+	isInherited bool
 }
 
 // Groups implements roles.Fleet.
--- a/internal/gateway/cachedsegments.go
+++ b/internal/gateway/cachedsegments.go
@@ -26,6 +26,9 @@
 	// maxGatewaysQueried is how many gateways to query. One is enough, unless it has only just become an entry and knows no
 	// cached segments yet.
 	maxGatewaysQueried = 4
+	// gatewayPatience is how long the engines are not queried because a gateway may still respond. It is short: gateways
+	// that start at the same time respond late, if at all.
+	gatewayPatience = 50 * time.Millisecond
 )
 
 // learnCachedSegments learns which prompt segments engines cache, once the engines are known and whenever this gateway
@@ -47,11 +50,14 @@
 			return
 		case <-g.learnTrigger:
 			// The trigger may be outdated: a starting gateway considers itself an entry until it knows the others.
-			if !g.isEntry() || g.learnFromGateways(ctx) > 0 {
+			if !g.isEntry() || g.learnFromGateways(ctx, gatewayPatience) > 0 {
 				continue
 			}
+			var queries sync.WaitGroup
+			queries.Go(func() { g.learnEngineLoad(ctx) })
 			g.learnFromEngines(ctx)
-			g.learnFromGateways(ctx)
+			queries.Wait()
+			g.learnFromGateways(ctx, engineQueryTimeout)
 		}
 	}
 }
@@ -65,25 +71,38 @@
 }
 
 // learnFromGateways queries some current and previous entries for cached prompt segments and returns how many segments
-// were new.
-func (g *Gateway) learnFromGateways(ctx context.Context) int {
-	var queries sync.WaitGroup
+// were new. It waits for the responses no longer than patience; later ones are still used.
+func (g *Gateway) learnFromGateways(ctx context.Context, patience time.Duration) int {
 	var learned atomic.Int64
+	var queries sync.WaitGroup
 	for _, address := range g.gatewaysToQuery() {
-		queries.Go(func() {
-			segments, err := g.cacheClient.Query(ctx, address)
-			if err != nil {
-				logging.Component(g.logger, "gateway").WithError(err).WithField("peer", address).Debug("Querying a gateway for cached prompt segments failed.")
-				return
-			}
-			learned.Add(int64(g.dispatcher.MergeCache(segments)))
-		})
+		queries.Go(func() { learned.Add(int64(g.learnFromGateway(ctx, address))) })
+	}
+	done := make(chan struct{})
+	g.tasks.Go(func() {
+		queries.Wait()
+		close(done)
+	})
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
 	}
-	queries.Wait()
 	logging.Component(g.logger, "gateway").WithField("segments", learned.Load()).Info("Learned cached prompt segments from other gateways.")
 	return int(learned.Load())
 }
 
+// learnFromGateway queries one gateway for cached prompt segments and returns how many were new.
+func (g *Gateway) learnFromGateway(ctx context.Context, address string) int {
+	segments, err := g.cacheClient.Query(ctx, address)
+	if err != nil {
+		logging.Component(g.logger, "gateway").WithError(err).WithField("peer", address).Debug("Querying a gateway for cached prompt segments failed.")
+		return 0
+	}
+	return g.dispatcher.MergeCache(segments)
+}
+
 // gatewaysToQuery returns the addresses of the gateways to query, in random order with the previous entries first.
 func (g *Gateway) gatewaysToQuery() []string {
 	g.entries.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,7 +41,8 @@
 	// Labelled is the protocol of requests that are routed by labels; nil disables it.
 	Labelled forward.LabelledProtocol
 	Workers  forward.Workers
-	Orderer  roles.Orderer
+	// Orderer sends orders to engines and asks for their state; if nil, their state is not asked for after a start.
+	Orderer roles.Orderer
 	// Usage receives the usage reports of tenants; nil disables reporting.
 	Usage usage.Sender
 	// Capacity orders workers from the platform; nil disables orders.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -93,6 +93,14 @@
 	metricOutdatedAnswers = "granitebay_store_answers_outdated_total"
 )
 
+// metricEngineReports counts the engines that were asked for their load after a start of all gateways.
+const metricEngineReports = "granitebay_engine_reports_total"
+
+// countEngineReport counts an engine that was asked for its load, and whether it failed to answer.
+func (m *gatewayMetrics) countEngineReport(failed bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{failed="%t"}`, metricEngineReports, failed)).Inc()
+}
+
 // countStoreRestore counts a restore of the store.
 func (m *gatewayMetrics) countStoreRestore() { m.set.GetOrCreateCounter(metricStoreRestores).Inc() }
 
--- a/internal/gateway/supplement.go
+++ b/internal/gateway/supplement.go
@@ -5,7 +5,10 @@
 // TakeSupplement implements peersync.Source.
 func (g *Gateway) TakeSupplement(full bool) peersync.Supplement {
 	requests, loans := g.dispatcher.TakeLoans()
-	return peersync.Supplement{Leaving: g.notices.takeUpdate(full), Limits: g.workerLimits.takeUpdate(full), LoanRequests: requests, Loans: loans}
+	return peersync.Supplement{
+		Leaving: g.notices.takeUpdate(full), Limits: g.workerLimits.takeUpdate(full), LoanRequests: requests, Loans: loans,
+		EngineReports: g.dispatcher.TakeEngineReports(),
+	}
 }
 
 // ApplySupplement implements peersync.Source. A worker that another gateway announces as leaving is
@@ -17,5 +20,6 @@
 		}
 	}
 	g.workerLimits.handlePeer(supplement.Limits)
+	g.dispatcher.ApplyEngineReports(supplement.EngineReports)
 	g.dispatcher.ApplyLoans(supplement.LoanRequests, supplement.Loans)
 }
--- a/internal/peersync/supplement.go
+++ b/internal/peersync/supplement.go
@@ -16,6 +16,21 @@
 	// LoanRequests ask for a part of other gateways' shares of rate limits, and Loans grant it.
 	LoanRequests []LoanRequest `cbor:"3,keyasint,omitempty"`
 	Loans        []Loan        `cbor:"4,keyasint,omitempty"`
+	// EngineReports lists engines that reported their state to the sender after a start of all gateways.
+	EngineReports []EngineReport `cbor:"5,keyasint,omitempty"`
+}
+
+// EngineReport is what an engine reported about itself to the sender.
+type EngineReport struct {
+	_      struct{} `cbor:",toarray"`
+	Worker string
+	Role   string
+	// Changing is set while the engine changes its role.
+	Changing bool
+	// Running counts the requests that run or wait at the engine, from all gateways.
+	Running int
+	// AgeMs is the age of the report in milliseconds when it is sent.
+	AgeMs int64
 }
 
 // LoanRequest asks the other gateways for a loan of requests at workers with rate limits.
@@ -54,7 +69,7 @@
 
 // Empty reports whether there is nothing to send.
 func (s *Supplement) Empty() bool {
-	return len(s.Leaving) == 0 && len(s.Limits) == 0 && len(s.LoanRequests) == 0 && len(s.Loans) == 0
+	return len(s.Leaving) == 0 && len(s.Limits) == 0 && len(s.LoanRequests) == 0 && len(s.Loans) == 0 && len(s.EngineReports) == 0
 }
 
 // Encode returns the encoding of a supplement.
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -40,6 +40,8 @@
 	Orders int64
 	// Busy is set while the engine carries out an order.
 	Busy bool
+	// Running counts the requests that run or wait at the engine.
+	Running int
 }
 
 // ErrWorkerReplaced is returned if another worker answers at the address of an engine, which means that the engine has ended.
