Tell a gateway that has just started from a warm one, and keep callers off standby gateways

And a gateway took another one that had just started for warm, as it had a few cached segments, so it asked no engine; the engines' lists were asked for only after 300 ms of waiting for gateways that were not up.

--- a/internal/cachesync/cachesync.go
+++ b/internal/cachesync/cachesync.go
@@ -9,6 +9,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,9 +33,12 @@
 	requestTimeout = 500 * time.Millisecond
 )
 
-// Handler serves the cached segments that source returns. It must return those of each engine in the order of their use,
-// the least recently used first.
-func Handler(source func(limit int) []peersync.CachedSegment) http.Handler {
+// headerUptime is the time since the start of the responding gateway, in milliseconds.
+const headerUptime = "Uptime-Ms"
+
+// Handler serves the cached segments that source returns, and the uptime of this gateway. The source must return the
+// segments of each engine in the order of their use, the least recently used first.
+func Handler(source func(limit int) []peersync.CachedSegment, uptime func() time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		encoded, err := cbor.Marshal(source(maxSegments))
 		if err != nil {
@@ -42,6 +46,7 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/cbor")
+		w.Header().Set(headerUptime, strconv.FormatInt(uptime().Milliseconds(), 10))
 		// A write error means that the peer has disconnected.
 		_, _ = w.Write(encoded)
 	})
@@ -53,8 +58,23 @@
 // New returns a Client.
 func New() *Client { return &Client{httpclient.New(httpclient.DefaultSettings())} }
 
-// Query returns the cached segments that the gateway at the address knows.
-func (c *Client) Query(ctx context.Context, address string) ([]peersync.CachedSegment, error) {
+// Answer is what another gateway knows.
+type Answer struct {
+	Segments []peersync.CachedSegment
+	// Uptime is the time since the start of the other gateway; negative if it runs a version that does not tell.
+	Uptime time.Duration
+}
+
+// warmUptime is the uptime from which a gateway knows the load of the engines from its own requests and its peers.
+const warmUptime = 2 * time.Second
+
+// Warm reports whether the other gateway has served long enough to know the load of the engines.
+func (a *Answer) Warm() bool {
+	return a.Uptime >= warmUptime || (a.Uptime < 0 && len(a.Segments) > 0)
+}
+
+// Query returns what the gateway at the address knows.
+func (c *Client) Query(ctx context.Context, address string) (*Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	response, err := c.client.Do(ctx, address, &httpclient.Request{Method: http.MethodGet, Target: Path, Host: address, Header: http.Header{}})
@@ -66,7 +86,12 @@
 	if err != nil || response.Status != http.StatusOK {
 		return nil, errors.Newf("query cached segments, peer %s: status %d, read error %v", address, response.Status, err)
 	}
-	var segments []peersync.CachedSegment
-	err = cbor.Unmarshal(content, &segments)
-	return segments, errors.Wrapf(err, "query cached segments, peer %s: decode response, limited to %d bytes", address, maxResponseBytes)
+	answer := &Answer{Uptime: -1}
+	if uptimeMs, err := strconv.ParseInt(response.Header.Get(headerUptime), 10, 64); err == nil {
+		answer.Uptime = time.Duration(uptimeMs) * time.Millisecond
+	}
+	if err := cbor.Unmarshal(content, &answer.Segments); err != nil {
+		return nil, errors.Wrapf(err, "query cached segments, peer %s: decode response, limited to %d bytes", address, maxResponseBytes)
+	}
+	return answer, nil
 }
--- a/internal/gateway/cachedsegments.go
+++ b/internal/gateway/cachedsegments.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -50,11 +49,17 @@
 			return
 		case <-g.learnTrigger:
 			// The trigger may be outdated: a starting gateway considers itself an entry until it knows the others.
-			if !g.isEntry() || g.learnFromGateways(ctx, gatewayPatience) > 0 {
+			if !g.isEntry() {
+				continue
+			}
+			learned, isWarm := g.learnFromGateways(ctx, gatewayPatience)
+			if learned > 0 && isWarm {
 				continue
 			}
 			var queries sync.WaitGroup
-			queries.Go(func() { g.learnEngineLoad(ctx) })
+			if !isWarm {
+				queries.Go(func() { g.learnEngineLoad(ctx) })
+			}
 			g.learnFromEngines(ctx)
 			queries.Wait()
 			g.learnFromGateways(ctx, engineQueryTimeout)
@@ -70,37 +75,47 @@
 	}
 }
 
-// learnFromGateways queries some current and previous entries for cached prompt segments and returns how many segments
-// were new. It waits for the responses no longer than patience; later ones are still used.
-func (g *Gateway) learnFromGateways(ctx context.Context, patience time.Duration) int {
-	var learned atomic.Int64
-	var queries sync.WaitGroup
-	for _, address := range g.gatewaysToQuery() {
-		queries.Go(func() { learned.Add(int64(g.learnFromGateway(ctx, address))) })
+// learnFromGateways queries some current and previous entries for cached prompt segments. It returns how many segments were
+// new, and whether a gateway responded that knows the load of the engines. It waits no longer than patience; later
+// responses are still used.
+func (g *Gateway) learnFromGateways(ctx context.Context, patience time.Duration) (learned int, isWarm bool) {
+	type result struct {
+		learned int
+		isWarm  bool
+	}
+	addresses := g.gatewaysToQuery()
+	results := make(chan result, len(addresses))
+	for _, address := range addresses {
+		g.tasks.Go(func() {
+			learned, isWarm := g.learnFromGateway(ctx, address)
+			results <- result{learned, isWarm}
+		})
 	}
-	done := make(chan struct{})
-	g.tasks.Go(func() {
-		queries.Wait()
-		close(done)
-	})
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
+	for range addresses {
+		select {
+		case r := <-results:
+			learned, isWarm = learned+r.learned, isWarm || r.isWarm
+		case <-timer.C:
+			return learned, isWarm
+		}
 	}
-	logging.Component(g.logger, "gateway").WithField("segments", learned.Load()).Info("Learned cached prompt segments from other gateways.")
-	return int(learned.Load())
+	return learned, isWarm
 }
 
-// learnFromGateway queries one gateway for cached prompt segments and returns how many were new.
-func (g *Gateway) learnFromGateway(ctx context.Context, address string) int {
-	segments, err := g.cacheClient.Query(ctx, address)
+// learnFromGateway queries one gateway for cached prompt segments. It returns how many were new and whether that gateway
+// knows the load of the engines.
+func (g *Gateway) learnFromGateway(ctx context.Context, address string) (learned int, isWarm bool) {
+	log := logging.Component(g.logger, "gateway").WithField("peer", address)
+	answer, err := g.cacheClient.Query(ctx, address)
 	if err != nil {
-		logging.Component(g.logger, "gateway").WithError(err).WithField("peer", address).Debug("Querying a gateway for cached prompt segments failed.")
-		return 0
+		log.WithError(err).Debug("Querying a gateway for cached prompt segments failed.")
+		return 0, false
 	}
-	return g.dispatcher.MergeCache(segments)
+	learned = g.dispatcher.MergeCache(answer.Segments)
+	log.WithField("segments", learned).WithField("warm", answer.Warm()).Info("Learned cached prompt segments from another gateway.")
+	return learned, answer.Warm()
 }
 
 // gatewaysToQuery returns the addresses of the gateways to query, in random order with the previous entries first.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -270,10 +270,13 @@
 func (g *Gateway) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", changefeed.Handler(g.replica, g.feedEntries))
-	mux.Handle("GET "+cachesync.Path, cachesync.Handler(g.dispatcher.CachedSegments))
+	mux.Handle("GET "+cachesync.Path, cachesync.Handler(g.dispatcher.CachedSegments, g.uptime))
 	return mux
 }
 
+// uptime returns the time since the start of this gateway.
+func (g *Gateway) uptime() time.Duration { return time.Since(g.startedAt) }
+
 // startLoadExchange starts the exchange of updates with the other gateways.
 func (g *Gateway) startLoadExchange(ctx context.Context) error {
 	settings := peersync.DefaultSettings()
@@ -337,6 +340,7 @@
 
 // resolve returns the addresses that callers connect to and how long to cache them. They are the same for all zones.
 func (g *Gateway) resolve(string) ([]string, time.Duration) {
+	g.awaitEntries()
 	var addresses []string
 	for _, gateway := range g.advertised() {
 		addresses = append(addresses, gateway.Address)
