Directory: respond with the first entries, and let callers keep them briefly

Change: wait only for the first entry, or 0.1 s for half of them, and give these addresses a life of 0.3 s until most entries are known.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -8,48 +8,51 @@
 
 // Timing of the directory of a gateway that has just started.
 const (
-	// directoryPatience is how long a caller waits for the addresses, less than callers allow for a response.
-	directoryPatience = 600 * time.Millisecond
-	// directorySettleTime is how long after its start a gateway makes callers wait at all: as long as an entry may take to
-	// send its first heartbeat.
+	// directorySettleTime is how long after its start a gateway may not know yet which entries are alive: as long as an
+	// entry may take to send its first heartbeat.
 	directorySettleTime = 1500 * time.Millisecond
-	// directoryPollInterval is how often to check whether the entries are known.
+	// noEntryPatience is how long a caller waits for the first entry, less than callers allow for a response, and
+	// fewEntriesPatience how long for half of them.
+	noEntryPatience    = 600 * time.Millisecond
+	fewEntriesPatience = 100 * time.Millisecond
+	// directoryPollInterval is how often to check which entries are alive.
 	directoryPollInterval = 10 * time.Millisecond
-	// settledShare is the share of the entries that must be known to be alive.
-	settledShare = 0.75
+	// unsettledAddressTTL is how long callers keep addresses while most entries are not known to be alive.
+	unsettledAddressTTL = 300 * time.Millisecond
 )
 
-// awaitEntries waits until most entries are known to be alive, if this gateway has just started. Without it, gateways
-// that all start at once would direct callers to themselves, where neither the load nor the caches of the engines are
-// known, for as long as callers keep the addresses.
-func (g *Gateway) awaitEntries() {
-	deadline := boottime.Now().Add(directoryPatience)
-	for g.uptime() < directorySettleTime && !g.entriesSettled() && boottime.Now().Before(deadline) {
+// awaitEntries waits until entries are known to be alive, if this gateway has just started, and returns for how long
+// callers may keep the addresses at most. Without it, gateways that all start at once would direct callers to themselves,
+// where neither the load nor the caches of the engines are known.
+func (g *Gateway) awaitEntries() time.Duration {
+	began := boottime.Now()
+	for {
+		waited := boottime.Now().Sub(began)
+		live, entries := g.liveEntries()
+		switch {
+		case g.uptime() >= directorySettleTime, entries > 0 && 4*live >= 3*entries:
+			return time.Duration(g.addressTTL.Load())
+		case waited >= noEntryPatience, live > 0 && waited >= fewEntriesPatience, live > 0 && 2*live >= entries:
+			return min(unsettledAddressTTL, time.Duration(g.addressTTL.Load()))
+		}
 		time.Sleep(directoryPollInterval)
 	}
 }
 
-// entriesSettled reports whether most entries are known to be alive.
-func (g *Gateway) entriesSettled() bool {
+// liveEntries returns how many entries are known to be alive, and how many there are; zero until this gateway knows the
+// others.
+func (g *Gateway) liveEntries() (live, entries int) {
 	if g.handler.Table() == nil {
-		// This gateway knows no others yet.
-		return false
+		return 0, 0
+	}
+	names := map[string]bool{}
+	for _, entry := range g.Entries() {
+		names[entry.Name] = true
 	}
-	live := 0
 	for _, gateway := range g.advertised() {
-		if g.isSelected(gateway.Name) {
+		if names[gateway.Name] {
 			live++
 		}
 	}
-	return float64(live) >= settledShare*float64(len(g.Entries()))
-}
-
-// isSelected reports whether a gateway is an entry.
-func (g *Gateway) isSelected(name string) bool {
-	for _, entry := range g.Entries() {
-		if entry.Name == name {
-			return true
-		}
-	}
-	return false
+	return live, len(names)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -340,12 +340,12 @@
 
 // resolve returns the addresses that callers connect to and how long to cache them. They are the same for all zones.
 func (g *Gateway) resolve(string) ([]string, time.Duration) {
-	g.awaitEntries()
+	addressTTL := g.awaitEntries()
 	var addresses []string
 	for _, gateway := range g.advertised() {
 		addresses = append(addresses, gateway.Address)
 	}
-	return addresses, time.Duration(g.addressTTL.Load())
+	return addresses, addressTTL
 }
 
 // Timing of a graceful stop.
