--- a/internal/cachesync/cachesync.go
+++ b/internal/cachesync/cachesync.go
@@ -58,23 +58,12 @@
 // New returns a Client.
 func New() *Client { return &Client{httpclient.New(httpclient.DefaultSettings())} }
 
-// Answer is what another gateway knows.
-type Answer struct {
-	Segments []peersync.CachedSegment
-	// Uptime is the time since the start of the other gateway; negative if it runs a version that does not tell.
-	Uptime time.Duration
-}
-
 // warmUptime is the uptime from which a gateway knows the load of the engines from its own requests and its peers.
 const warmUptime = 2 * time.Second
 
-// Warm reports whether the other gateway has served long enough to know the load of the engines.
-func (a *Answer) Warm() bool {
-	return a.Uptime >= warmUptime || (a.Uptime < 0 && len(a.Segments) > 0)
-}
-
-// Query returns what the gateway at the address knows.
-func (c *Client) Query(ctx context.Context, address string) (*Answer, error) {
+// Query returns the cached segments that the gateway at the address knows. It calls onWarm before it reads them, which
+// may take long, if that gateway has served long enough to know the load of the engines.
+func (c *Client) Query(ctx context.Context, address string, onWarm func()) ([]peersync.CachedSegment, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	response, err := c.client.Do(ctx, address, &httpclient.Request{Method: http.MethodGet, Target: Path, Host: address, Header: http.Header{}})
@@ -82,16 +71,21 @@
 		return nil, errors.Wrapf(err, "query cached segments, peer %s", address)
 	}
 	defer response.Body.Close()
+	uptime, uptimeErr := strconv.ParseInt(response.Header.Get(headerUptime), 10, 64)
+	if uptimeErr == nil && response.Status == http.StatusOK && time.Duration(uptime)*time.Millisecond >= warmUptime {
+		onWarm()
+	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil || response.Status != http.StatusOK {
 		return nil, errors.Newf("query cached segments, peer %s: status %d, read error %v", address, response.Status, err)
 	}
-	answer := &Answer{Uptime: -1}
-	if uptimeMs, err := strconv.ParseInt(response.Header.Get(headerUptime), 10, 64); err == nil {
-		answer.Uptime = time.Duration(uptimeMs) * time.Millisecond
-	}
-	if err := cbor.Unmarshal(content, &answer.Segments); err != nil {
+	var segments []peersync.CachedSegment
+	if err := cbor.Unmarshal(content, &segments); err != nil {
 		return nil, errors.Wrapf(err, "query cached segments, peer %s: decode response, limited to %d bytes", address, maxResponseBytes)
 	}
-	return answer, nil
+	if uptimeErr != nil && len(segments) > 0 {
+		// The gateway runs a version that does not tell its uptime.
+		onWarm()
+	}
+	return segments, nil
 }
--- a/internal/cachesync/cachesync_test.go
+++ b/internal/cachesync/cachesync_test.go
@@ -21,9 +21,9 @@
 
 func TestQueryReturnsCachedSegments(t *testing.T) {
 	known := []peersync.CachedSegment{{Worker: "w", Key: "k", Tokens: 13_300, Ready: true}, {Worker: "v", Key: "l", Tokens: 700}}
-	handler := Handler(func(int) []peersync.CachedSegment { return known }, func() time.Duration { return 1500 * time.Millisecond })
-	got, err := New().Query(t.Context(), startServer(t, handler))
-	if err != nil || !reflect.DeepEqual(got.Segments, known) || got.Uptime != 1500*time.Millisecond {
+	handler := Handler(func(int) []peersync.CachedSegment { return known }, func() time.Duration { return 0 })
+	got, err := New().Query(t.Context(), startServer(t, handler), func() {})
+	if err != nil || !reflect.DeepEqual(got, known) {
 		t.Errorf("got %+v, error %v, want %+v", got, err, known)
 	}
 }
@@ -33,28 +33,47 @@
 func TestWarmGatewayHasServedForAWhile(t *testing.T) {
 	segments := []peersync.CachedSegment{{Worker: "w", Key: "k", Tokens: 700}}
 	for _, test := range []struct {
-		answer Answer
+		segments []peersync.CachedSegment
+		// uptime is negative for a version that does not tell it.
+		uptime time.Duration
 		want   bool
 	}{
-		{Answer{Segments: segments, Uptime: 300 * time.Millisecond}, false},
-		{Answer{Uptime: time.Minute}, true},
-		{Answer{Segments: segments, Uptime: -1}, true},
-		{Answer{Uptime: -1}, false},
+		{segments, 300 * time.Millisecond, false},
+		{nil, time.Minute, true},
+		{segments, -1, true},
+		{nil, -1, false},
 	} {
-		if got := test.answer.Warm(); got != test.want {
-			t.Errorf("%+v: warm %t", test.answer, got)
+		handler := Handler(func(int) []peersync.CachedSegment { return test.segments }, func() time.Duration { return test.uptime })
+		address := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if test.uptime < 0 {
+				w = withoutUptime{w}
+			}
+			handler.ServeHTTP(w, r)
+		}))
+		isWarm := false
+		if _, err := New().Query(t.Context(), address, func() { isWarm = true }); err != nil || isWarm != test.want {
+			t.Errorf("uptime %v, %d segments: warm %t, error %v", test.uptime, len(test.segments), isWarm, err)
 		}
 	}
 }
 
+// withoutUptime is a response writer that drops the uptime, as older versions do not send it.
+type withoutUptime struct{ http.ResponseWriter }
+
+// Write implements http.ResponseWriter.
+func (w withoutUptime) Write(content []byte) (int, error) {
+	w.Header().Del(headerUptime)
+	return w.ResponseWriter.Write(content)
+}
+
 func TestQueryReportsInvalidResponses(t *testing.T) {
 	for name, handler := range map[string]http.HandlerFunc{
 		"error status":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 		"not CBOR":        func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("nonsense")) },
 		"other CBOR type": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte{0x05}) },
 	} {
-		if answer, err := New().Query(t.Context(), startServer(t, handler)); err == nil || answer != nil || !strings.Contains(err.Error(), "query cached segments") {
-			t.Errorf("%s: got %v, error %v, want an error that names the query", name, answer, err)
+		if segments, err := New().Query(t.Context(), startServer(t, handler), func() {}); err == nil || len(segments) > 0 || !strings.Contains(err.Error(), "query cached segments") {
+			t.Errorf("%s: got segments %v, error %v, want an error that names the query", name, segments, err)
 		}
 	}
 }
--- a/internal/gateway/cachedsegments.go
+++ b/internal/gateway/cachedsegments.go
@@ -57,7 +57,7 @@
 				continue
 			}
 			var queries sync.WaitGroup
-			if !isWarm {
+			if !isWarm && !g.view.IsNewFleet(newFleetWindow) {
 				queries.Go(func() { g.learnEngineLoad(ctx) })
 			}
 			g.learnFromEngines(ctx)
@@ -75,47 +75,49 @@
 	}
 }
 
-// learnFromGateways queries some current and previous entries for cached prompt segments. It returns how many segments were
-// new, and whether a gateway responded that knows the load of the engines. It waits no longer than patience; later
-// responses are still used.
+// learnFromGateways queries some current and previous entries for cached prompt segments, and waits for their responses no
+// longer than patience. It returns how many segments were new, and whether a gateway responded that knows the load of the
+// engines. If one does, its segments are waited for; later responses of others are still used.
 func (g *Gateway) learnFromGateways(ctx context.Context, patience time.Duration) (learned int, isWarm bool) {
-	type result struct {
-		learned int
-		isWarm  bool
-	}
 	addresses := g.gatewaysToQuery()
-	results := make(chan result, len(addresses))
+	learnedCounts, warm := make(chan int, len(addresses)), make(chan struct{}, len(addresses))
 	for _, address := range addresses {
 		g.tasks.Go(func() {
-			learned, isWarm := g.learnFromGateway(ctx, address)
-			results <- result{learned, isWarm}
+			learnedCounts <- g.learnFromGateway(ctx, address, func() { warm <- struct{}{} })
 		})
 	}
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	for range addresses {
+	for remaining := len(addresses); remaining > 0; {
 		select {
-		case r := <-results:
-			learned, isWarm = learned+r.learned, isWarm || r.isWarm
+		case count := <-learnedCounts:
+			learned += count
+			remaining--
+		case <-warm:
+			isWarm = true
+			timer.Reset(engineQueryTimeout)
 		case <-timer.C:
 			return learned, isWarm
 		}
+		if isWarm && learned > 0 {
+			break
+		}
 	}
-	return learned, isWarm
+	return learned, isWarm || len(warm) > 0
 }
 
-// learnFromGateway queries one gateway for cached prompt segments. It returns how many were new and whether that gateway
-// knows the load of the engines.
-func (g *Gateway) learnFromGateway(ctx context.Context, address string) (learned int, isWarm bool) {
+// learnFromGateway queries one gateway for cached prompt segments and returns how many were new. It calls onWarm if that
+// gateway knows the load of the engines.
+func (g *Gateway) learnFromGateway(ctx context.Context, address string, onWarm func()) int {
 	log := logging.Component(g.logger, "gateway").WithField("peer", address)
-	answer, err := g.cacheClient.Query(ctx, address)
+	segments, err := g.cacheClient.Query(ctx, address, onWarm)
 	if err != nil {
 		log.WithError(err).Debug("Querying a gateway for cached prompt segments failed.")
-		return 0, false
+		return 0
 	}
-	learned = g.dispatcher.MergeCache(answer.Segments)
-	log.WithField("segments", learned).WithField("warm", answer.Warm()).Info("Learned cached prompt segments from another gateway.")
-	return learned, answer.Warm()
+	learned := g.dispatcher.MergeCache(segments)
+	log.WithField("segments", learned).Info("Learned cached prompt segments from another gateway.")
+	return learned
 }
 
 // gatewaysToQuery returns the addresses of the gateways to query, in random order with the previous entries first.
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -21,21 +21,44 @@
 	unsettledAddressTTL = 300 * time.Millisecond
 )
 
+// directoryStep is what to do with a request to the directory.
+type directoryStep int
+
+const (
+	// directoryWaits keeps the caller waiting.
+	directoryWaits directoryStep = iota
+	// directoryAnswersBriefly responds with addresses that callers keep for unsettledAddressTTL.
+	directoryAnswersBriefly
+	// directoryAnswers responds with addresses that callers keep as long as configured.
+	directoryAnswers
+)
+
+// nextDirectoryStep returns what to do with a request that has waited for some time at a gateway with the given uptime,
+// which knows that some entries are alive. The number of entries is zero until the gateway knows the others.
+func nextDirectoryStep(uptime, waited time.Duration, live, entries int) directoryStep {
+	switch {
+	case uptime >= directorySettleTime, entries > 0 && 4*live >= 3*entries:
+		return directoryAnswers
+	case waited >= noEntryPatience, live > 0 && waited >= fewEntriesPatience, live > 0 && 2*live >= entries:
+		return directoryAnswersBriefly
+	default:
+		return directoryWaits
+	}
+}
+
 // awaitEntries waits until entries are known to be alive, if this gateway has just started, and returns for how long
-// callers may keep the addresses at most. Without it, gateways that all start at once would direct callers to themselves,
-// where neither the load nor the caches of the engines are known.
+// callers may keep the addresses. Without it, gateways that all start at once would direct callers to themselves, where
+// neither the load nor the caches of the engines are known.
 func (g *Gateway) awaitEntries() time.Duration {
-	began := boottime.Now()
-	for {
-		waited := boottime.Now().Sub(began)
+	ttl := time.Duration(g.addressTTL.Load())
+	for began := boottime.Now(); ; time.Sleep(directoryPollInterval) {
 		live, entries := g.liveEntries()
-		switch {
-		case g.uptime() >= directorySettleTime, entries > 0 && 4*live >= 3*entries:
-			return time.Duration(g.addressTTL.Load())
-		case waited >= noEntryPatience, live > 0 && waited >= fewEntriesPatience, live > 0 && 2*live >= entries:
-			return min(unsettledAddressTTL, time.Duration(g.addressTTL.Load()))
+		switch nextDirectoryStep(g.uptime(), boottime.Now().Sub(began), live, entries) {
+		case directoryAnswers:
+			return ttl
+		case directoryAnswersBriefly:
+			return min(unsettledAddressTTL, ttl)
 		}
-		time.Sleep(directoryPollInterval)
 	}
 }
 
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -20,6 +20,10 @@
 // engineReportAge is the assumed age of a report when it arrives: engines report their state as it was a moment before.
 const engineReportAge = 100 * time.Millisecond
 
+// newFleetWindow is how long after the first list of the store a fleet counts as new: no gateway has sent requests to the
+// engines before.
+const newFleetWindow = time.Minute
+
 // learnEngineLoad asks engines for their load and their role, after a start at which no other gateway knew them. Each
 // entry asks its share of the engines first and then those of which no other entry has told it.
 func (g *Gateway) learnEngineLoad(ctx context.Context) {
--- /dev/null
+++ b/internal/gateway/warmup_test.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/roles"
+	"github.com/granitebay/granitebay/internal/routing"
+)
+
+// reportingEngines answers Inspect for engines w0, w1, ... It implements roles.Orderer.
+type reportingEngines struct {
+	roles.Orderer
+	mu    sync.Mutex
+	asked map[string]int
+}
+
+// Inspect implements roles.Orderer. Engine w1 does not answer, w2 fails, and w3 has been replaced.
+func (r *reportingEngines) Inspect(ctx context.Context, worker *backend.Worker) (roles.EngineState, error) {
+	r.mu.Lock()
+	r.asked[worker.ID]++
+	r.mu.Unlock()
+	switch worker.ID {
+	case "w1":
+		<-ctx.Done()
+		return roles.EngineState{}, ctx.Err()
+	case "w2":
+		return roles.EngineState{}, errors.New("inspect")
+	case "w3":
+		return roles.EngineState{}, errors.Wrap(roles.ErrWorkerReplaced, "inspect")
+	default:
+		time.Sleep(5 * time.Millisecond)
+		return roles.EngineState{Role: worker.Role, Running: 7}, nil
+	}
+}
+
+// newEngineGateway returns a gateway with decode engines w0, w1, ...
+func newEngineGateway(engines int, orderer roles.Orderer) *Gateway {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	settings := Settings{Name: "a", LeaseTTL: time.Second, RetryWindow: time.Second}
+	g := New(settings, Dependencies{Decoder: nopDecoder{}, PromptCache: &cacheQueryCounter{}, Orderer: orderer}, logger)
+	g.dispatcher.SetGroups([]routing.Group{{Name: "g", Engine: &routing.Engine{}}})
+	g.configuration = &routing.Configuration{}
+	var workers []*backend.Worker
+	for i := range engines {
+		id := fmt.Sprint("w", i)
+		workers = append(workers, &backend.Worker{ID: id, Group: "g", Role: backend.RoleDecode, Address: id, Slots: 32})
+	}
+	g.WorkersChanged(backend.Changes{Updated: workers})
+	return g
+}
+
+// TestStartWithoutPeersAsksEachEngineOnce guards against a start of all gateways that leaves the load of engines unknown,
+// asks an engine more than once, or waits for one that does not answer.
+func TestStartWithoutPeersAsksEachEngineOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const engines = 200
+		orderer := &reportingEngines{asked: map[string]int{}}
+		g := newEngineGateway(engines, orderer)
+		g.entries.isEntry = true
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.learnCachedSegments(ctx)
+		g.triggerLearning()
+		time.Sleep(50 * time.Millisecond)
+		if share := g.dispatcher.KnownShare(); share < 0.9 || share == 1 {
+			t.Errorf("after 50 ms the load of %f is known", share)
+		}
+		time.Sleep(probeTimeout)
+		if share := g.dispatcher.KnownShare(); share != 1 {
+			t.Errorf("after the warm-up the load of %f is known", share)
+		}
+		for i := range engines {
+			if id := fmt.Sprint("w", i); orderer.asked[id] != 1 {
+				t.Errorf("%s was asked %d times", id, orderer.asked[id])
+			}
+		}
+		// Becoming an entry once more is no start.
+		g.triggerLearning()
+		time.Sleep(time.Second)
+		if orderer.asked["w0"] != 1 {
+			t.Errorf("w0 was asked %d times", orderer.asked["w0"])
+		}
+		cancel()
+	})
+}
+
+// TestStandbyAsksNoEngine guards against calls of the hundreds of gateways that receive no callers.
+func TestStandbyAsksNoEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		orderer := &reportingEngines{asked: map[string]int{}}
+		g := newEngineGateway(4, orderer)
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.learnCachedSegments(ctx)
+		g.triggerLearning()
+		time.Sleep(time.Second)
+		if len(orderer.asked) > 0 {
+			t.Errorf("asked %v", orderer.asked)
+		}
+		cancel()
+	})
+}
