--- a/internal/cachesync/cachesync_test.go
+++ b/internal/cachesync/cachesync_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/granitebay/granitebay/internal/peersync"
 )
@@ -20,19 +21,58 @@
 
 func TestQueryReturnsCachedSegments(t *testing.T) {
 	known := []peersync.CachedSegment{{Worker: "w", Key: "k", Tokens: 13_300, Ready: true}, {Worker: "v", Key: "l", Tokens: 700}}
-	got, err := New().Query(t.Context(), startServer(t, Handler(func(int) []peersync.CachedSegment { return known })))
+	handler := Handler(func(int) []peersync.CachedSegment { return known }, func() time.Duration { return 0 })
+	got, err := New().Query(t.Context(), startServer(t, handler), func() {})
 	if err != nil || !reflect.DeepEqual(got, known) {
 		t.Errorf("got %+v, error %v, want %+v", got, err, known)
 	}
 }
 
+// TestWarmGatewayHasServedForAWhile guards against a gateway that takes another one, which started at the same time, for
+// one that knows the load of the engines, and against asking all engines because the others run an older version.
+func TestWarmGatewayHasServedForAWhile(t *testing.T) {
+	segments := []peersync.CachedSegment{{Worker: "w", Key: "k", Tokens: 700}}
+	for _, test := range []struct {
+		segments []peersync.CachedSegment
+		// uptime is negative for a version that does not tell it.
+		uptime time.Duration
+		want   bool
+	}{
+		{segments, 300 * time.Millisecond, false},
+		{nil, time.Minute, true},
+		{segments, -1, true},
+		{nil, -1, false},
+	} {
+		handler := Handler(func(int) []peersync.CachedSegment { return test.segments }, func() time.Duration { return test.uptime })
+		address := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if test.uptime < 0 {
+				w = withoutUptime{w}
+			}
+			handler.ServeHTTP(w, r)
+		}))
+		isWarm := false
+		if _, err := New().Query(t.Context(), address, func() { isWarm = true }); err != nil || isWarm != test.want {
+			t.Errorf("uptime %v, %d segments: warm %t, error %v", test.uptime, len(test.segments), isWarm, err)
+		}
+	}
+}
+
+// withoutUptime is a response writer that drops the uptime, as older versions do not send it.
+type withoutUptime struct{ http.ResponseWriter }
+
+// Write implements http.ResponseWriter.
+func (w withoutUptime) Write(content []byte) (int, error) {
+	w.Header().Del(headerUptime)
+	return w.ResponseWriter.Write(content)
+}
+
 func TestQueryReportsInvalidResponses(t *testing.T) {
 	for name, handler := range map[string]http.HandlerFunc{
 		"error status":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 		"not CBOR":        func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("nonsense")) },
 		"other CBOR type": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte{0x05}) },
 	} {
-		if segments, err := New().Query(t.Context(), startServer(t, handler)); err == nil || len(segments) > 0 || !strings.Contains(err.Error(), "query cached segments") {
+		if segments, err := New().Query(t.Context(), startServer(t, handler), func() {}); err == nil || len(segments) > 0 || !strings.Contains(err.Error(), "query cached segments") {
 			t.Errorf("%s: got segments %v, error %v, want an error that names the query", name, segments, err)
 		}
 	}
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/granitebay/granitebay/internal/prefixcache"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/warmup"
 )
 
 // DispatchSettings configure the placement of requests.
@@ -83,6 +84,8 @@
 	limits *quotaShares
 	// records are the workers as recorded in the store, without the roles that engines reported themselves.
 	records backend.Set
+	// warmup holds what engines reported about their load after a start of all gateways.
+	warmup *warmup.Table
 }
 
 // NewDispatcher returns a dispatcher without workers. Its retry budgets and its shares of rate limits use the clock since boot.
@@ -95,12 +98,11 @@
 func newDispatcher(settings DispatchSettings, now, sinceBoot func() time.Time) *Dispatcher {
 	peers := newPeerExchange()
 	model := enginemodel.New()
-	return &Dispatcher{
+	d := &Dispatcher{
 		settings:         settings,
 		now:              now,
 		model:            model,
 		lengths:          enginemodel.NewLengths(),
-		balancer:         balance.New(settings.Balance, model, peers.peerLoad),
 		prefixCache:      prefixcache.New(),
 		peers:            peers,
 		retries:          newRetryBudgets(settings.Budget, sinceBoot),
@@ -111,7 +113,10 @@
 		saturationCache:  map[string]cachedSaturation{},
 		lastReservedSlot: map[string]time.Time{},
 		records:          backend.Set{},
+		warmup:           warmup.New(warmup.DefaultSettings()),
 	}
+	d.balancer = balance.New(settings.Balance, model, func(id string) backend.Load { return peers.peerLoad(id).Plus(d.warmupLoad(id)) })
+	return d
 }
 
 // SetGroups replaces the groups.
@@ -159,6 +164,7 @@
 	for _, id := range changes.Removed {
 		d.prefixCache.ForgetWorker(id)
 		d.model.ForgetWorker(id)
+		d.warmup.Forget(id)
 	}
 }
 
--- a/internal/gateway/cachedsegments.go
+++ b/internal/gateway/cachedsegments.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -26,6 +25,9 @@
 	// maxGatewaysQueried is how many gateways to query. One is enough, unless it has only just become an entry and knows no
 	// cached segments yet.
 	maxGatewaysQueried = 4
+	// gatewayPatience is how long the engines are not queried because a gateway may still respond. It is short: gateways
+	// that start at the same time respond late, if at all.
+	gatewayPatience = 50 * time.Millisecond
 )
 
 // learnCachedSegments learns which prompt segments engines cache, once the engines are known and whenever this gateway
@@ -47,11 +49,20 @@
 			return
 		case <-g.learnTrigger:
 			// The trigger may be outdated: a starting gateway considers itself an entry until it knows the others.
-			if !g.isEntry() || g.learnFromGateways(ctx) > 0 {
+			if !g.isEntry() {
 				continue
 			}
+			learned, isWarm := g.learnFromGateways(ctx, gatewayPatience)
+			if learned > 0 && isWarm {
+				continue
+			}
+			var queries sync.WaitGroup
+			if !isWarm && !g.view.IsNewFleet(newFleetWindow) {
+				queries.Go(func() { g.learnEngineLoad(ctx) })
+			}
 			g.learnFromEngines(ctx)
-			g.learnFromGateways(ctx)
+			queries.Wait()
+			g.learnFromGateways(ctx, engineQueryTimeout)
 		}
 	}
 }
@@ -64,24 +75,49 @@
 	}
 }
 
-// learnFromGateways queries some current and previous entries for cached prompt segments and returns how many segments
-// were new.
-func (g *Gateway) learnFromGateways(ctx context.Context) int {
-	var queries sync.WaitGroup
-	var learned atomic.Int64
-	for _, address := range g.gatewaysToQuery() {
-		queries.Go(func() {
-			segments, err := g.cacheClient.Query(ctx, address)
-			if err != nil {
-				logging.Component(g.logger, "gateway").WithError(err).WithField("peer", address).Debug("Querying a gateway for cached prompt segments failed.")
-				return
-			}
-			learned.Add(int64(g.dispatcher.MergeCache(segments)))
+// learnFromGateways queries some current and previous entries for cached prompt segments, and waits for their responses no
+// longer than patience. It returns how many segments were new, and whether a gateway responded that knows the load of the
+// engines. If one does, its segments are waited for; later responses of others are still used.
+func (g *Gateway) learnFromGateways(ctx context.Context, patience time.Duration) (learned int, isWarm bool) {
+	addresses := g.gatewaysToQuery()
+	learnedCounts, warm := make(chan int, len(addresses)), make(chan struct{}, len(addresses))
+	for _, address := range addresses {
+		g.tasks.Go(func() {
+			learnedCounts <- g.learnFromGateway(ctx, address, func() { warm <- struct{}{} })
 		})
 	}
-	queries.Wait()
-	logging.Component(g.logger, "gateway").WithField("segments", learned.Load()).Info("Learned cached prompt segments from other gateways.")
-	return int(learned.Load())
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for remaining := len(addresses); remaining > 0; {
+		select {
+		case count := <-learnedCounts:
+			learned += count
+			remaining--
+		case <-warm:
+			isWarm = true
+			timer.Reset(engineQueryTimeout)
+		case <-timer.C:
+			return learned, isWarm
+		}
+		if isWarm && learned > 0 {
+			break
+		}
+	}
+	return learned, isWarm || len(warm) > 0
+}
+
+// learnFromGateway queries one gateway for cached prompt segments and returns how many were new. It calls onWarm if that
+// gateway knows the load of the engines.
+func (g *Gateway) learnFromGateway(ctx context.Context, address string, onWarm func()) int {
+	log := logging.Component(g.logger, "gateway").WithField("peer", address)
+	segments, err := g.cacheClient.Query(ctx, address, onWarm)
+	if err != nil {
+		log.WithError(err).Debug("Querying a gateway for cached prompt segments failed.")
+		return 0
+	}
+	learned := g.dispatcher.MergeCache(segments)
+	log.WithField("segments", learned).Info("Learned cached prompt segments from another gateway.")
+	return learned
 }
 
 // gatewaysToQuery returns the addresses of the gateways to query, in random order with the previous entries first.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,7 +41,8 @@
 	// Labelled is the protocol of requests that are routed by labels; nil disables it.
 	Labelled forward.LabelledProtocol
 	Workers  forward.Workers
-	Orderer  roles.Orderer
+	// Orderer sends orders to engines and asks for their state; if nil, their state is not asked for after a start.
+	Orderer roles.Orderer
 	// Usage receives the usage reports of tenants; nil disables reporting.
 	Usage usage.Sender
 	// Capacity orders workers from the platform; nil disables orders.
@@ -270,10 +271,13 @@
 func (g *Gateway) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", changefeed.Handler(g.replica, g.feedEntries))
-	mux.Handle("GET "+cachesync.Path, cachesync.Handler(g.dispatcher.CachedSegments))
+	mux.Handle("GET "+cachesync.Path, cachesync.Handler(g.dispatcher.CachedSegments, g.uptime))
 	return mux
 }
 
+// uptime returns the time since the start of this gateway.
+func (g *Gateway) uptime() time.Duration { return time.Since(g.startedAt) }
+
 // startLoadExchange starts the exchange of updates with the other gateways.
 func (g *Gateway) startLoadExchange(ctx context.Context) error {
 	settings := peersync.DefaultSettings()
@@ -337,11 +341,12 @@
 
 // resolve returns the addresses that callers connect to and how long to cache them. They are the same for all zones.
 func (g *Gateway) resolve(string) ([]string, time.Duration) {
+	addressTTL := g.awaitEntries()
 	var addresses []string
 	for _, gateway := range g.advertised() {
 		addresses = append(addresses, gateway.Address)
 	}
-	return addresses, time.Duration(g.addressTTL.Load())
+	return addresses, addressTTL
 }
 
 // Timing of a graceful stop.
