Admission: forecasts by urgency, promises to returning callers

The wait of a request for a slot is the part of the queue that does not yield to it, over the share of the slots that more urgent requests leave. Gateways tell each other what they have at the queues, and whom they told to return, while there is contention.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -21,6 +21,8 @@
 	Arrived   time.Time
 	Objective time.Duration
 	Deadline  time.Time
+	// Expires is when a response is worth nothing to a caller that is told to return.
+	Expires time.Time
 	// Key returns a number by which the request is recognized when its caller returns after a refusal. It is called only if needed; nil if
 	// the request can't be recognized.
 	Key func() uint64
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 )
@@ -16,14 +17,19 @@
 	ShareWindow time.Duration
 	// MaxWaitFraction is the fraction of the time until its caller leaves for which a request waits at the gateway.
 	MaxWaitFraction float64
-	// MinRetryAfter is the shortest Retry-After time.
-	MinRetryAfter time.Duration
+	// MinRetryAfter is the shortest Retry-After time, and MaxRetryFraction the longest as a fraction of the time of the request that is left.
+	// Callers don't wait longer.
+	MinRetryAfter    time.Duration
+	MaxRetryFraction float64
+	// PromisedShare is the share of the slots that become free that is promised to callers who return.
+	PromisedShare float64
 }
 
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
 	return Settings{
 		FloorShare: 0.1, ShareSlack: 2, ShareWindow: 3 * time.Second, MaxWaitFraction: 0.25, MinRetryAfter: 150 * time.Millisecond,
+		MaxRetryFraction: 0.33, PromisedShare: 0.25,
 	}
 }
 
@@ -60,7 +66,10 @@
 	sizes      map[int]*sizeTracker
 	usage      *tenantUsage
 	promises   promiseBook
-	waiting    urgencyCounts
+	// queued is what this gateway has at the queues of decode engines, and peers what the others have.
+	queued  queueCounts
+	peers   map[string]*peerCounts
+	fadedAt time.Time
 }
 
 // class holds the requests that share a floor.
@@ -110,58 +119,49 @@
 		return Start{Urgency: DefaultUrgency}
 	}
 	large := group.isLarge(request)
-	overShare := group.usage.exceedsShare(now, request.Tenant, c.settings.ShareSlack)
-	late := outlook.late(now, request)
-	if outlook.FreeAt.IsZero() && !late {
+	decision := c.decide(now, group, request, outlook, large)
+	if _, started := decision.(Start); started {
 		group.usage.add(now, request.Tenant, request.Tokens)
+	}
+	return decision
+}
+
+// decide is Decide for a controlled group.
+func (c *Controller) decide(now time.Time, group *groupState, request Request, outlook Outlook, large bool) Decision {
+	late, full := outlook.late(now, request), !outlook.FreeAt.IsZero()
+	if !full && !late {
 		return Start{Urgency: DefaultUrgency}
 	}
 	rank := group.rankOf(request.Priority)
-	if late && !outlook.FreeAt.IsZero() {
-		if decision := c.holdBack(now, group, request, outlook); decision != nil {
-			return decision
-		}
+	start := func(urgency int, why string) Decision {
+		return Start{Urgency: urgency, Reason: fmt.Sprintf("priority %d: %s", request.Priority, why)}
 	}
-	group.usage.add(now, request.Tenant, request.Tokens)
-	return c.start(group, request, class{rank: rank, late: late, large: large}, overShare)
-}
-
-// start returns the decision for a request that is placed although there is contention.
-func (c *Controller) start(group *groupState, request Request, of class, overShare bool) Start {
-	if group.floorOf(of).take(request.Tokens, c.settings.FloorShare) {
-		return Start{
-			Urgency: inTimeUrgencies[0][0],
-			Reason:  fmt.Sprintf("priority %d: within the floor that is kept for its class", request.Priority),
-		}
+	if late && full && !request.Committed && group.promises.redeem(now, request.key) {
+		return start(inTimeUrgencies[rank][1], "its caller returned when told")
 	}
-	if of.late {
-		return Start{
-			Urgency: lateUrgencies[of.rank],
-			Reason:  fmt.Sprintf("priority %d: it is late because of others and yields to requests in time", request.Priority),
-		}
+	if group.floorOf(class{rank: rank, late: late, large: large}).take(request.Tokens, c.settings.FloorShare) {
+		return start(inTimeUrgencies[0][0], "within the floor that is kept for its class")
 	}
-	if overShare {
-		return Start{
-			Urgency: inTimeUrgencies[of.rank][1],
-			Reason:  fmt.Sprintf("priority %d: its tenant exceeds its share", request.Priority),
+	if late && full && !request.Committed {
+		if decision := c.holdBack(now, group, request, outlook); decision != nil {
+			return decision
 		}
 	}
-	return Start{
-		Urgency: inTimeUrgencies[of.rank][0],
-		Reason:  fmt.Sprintf("priority %d: in time although slots are taken", request.Priority),
+	switch {
+	case late:
+		return start(lateUrgencies[rank], "it is late because of others and yields to requests in time")
+	case group.usage.exceedsShare(now, request.Tenant, c.settings.ShareSlack):
+		return start(inTimeUrgencies[rank][1], "its tenant exceeds its share")
+	default:
+		return start(inTimeUrgencies[rank][0], "in time although slots are taken")
 	}
 }
 
-// holdBack returns a Wait or a Refuse for a late request for which no slot is free, or nil to start it. A request that returned when told is
-// started.
+// holdBack returns a Wait or a Refuse for a late request for which no slot is free, or nil to start it.
 func (c *Controller) holdBack(now time.Time, group *groupState, request Request, outlook Outlook) Decision {
-	if request.Committed || group.promises.redeem(now, request.key) {
-		return nil
-	}
 	patience := request.Deadline.Sub(now)
 	if outlook.YieldingStart > patience {
-		at := group.promises.reserve(now.Add(c.retryAfter(outlook, patience)), outlook.SlotInterval, request.key)
-		return Refuse{RetryAfter: at.Sub(now), Reason: fmt.Sprintf(
+		return Refuse{RetryAfter: c.retryAfter(now, group, request, outlook), Reason: fmt.Sprintf(
 			"its answer is expected to start after %d ms, but its caller leaves after %d ms",
 			outlook.YieldingStart.Milliseconds(), patience.Milliseconds())}
 	}
@@ -177,9 +177,24 @@
 // minWait is the shortest wait that is worth another decision.
 const minWait = 20 * time.Millisecond
 
-// retryAfter returns the time after which a request that returns is expected to start before its caller leaves.
-func (c *Controller) retryAfter(outlook Outlook, patience time.Duration) time.Duration {
-	return max(outlook.YieldingStart-max(patience, 0), c.settings.MinRetryAfter)
+// retryAfter returns the time after which a request that returns is expected to start before its caller leaves, and promises room to as many
+// callers as PromisedShare allows. Callers without a promise are told times up to the longest that they wait.
+func (c *Controller) retryAfter(now time.Time, group *groupState, request Request, outlook Outlook) time.Duration {
+	longest := max(time.Duration(c.settings.MaxRetryFraction*float64(request.Expires.Sub(now))), c.settings.MinRetryAfter)
+	wanted := min(max(outlook.YieldingStart-max(request.Deadline.Sub(now), 0), c.settings.MinRetryAfter), longest)
+	interval := time.Duration(float64(outlook.SlotInterval) / c.settings.PromisedShare)
+	if at, promised := group.promises.reserve(now.Add(wanted), now.Add(longest), interval, request.key); promised {
+		return at.Sub(now)
+	}
+	return wanted + time.Duration(hashFraction(request.ID)*float64(longest-wanted))
+}
+
+// hashFraction returns a pseudo-random number in [0, 1) that depends only on the id.
+func hashFraction(id string) float64 {
+	const parts = 1 << 16
+	digest := fnv.New64a()
+	_, _ = digest.Write([]byte(id))
+	return float64(digest.Sum64()%parts) / parts
 }
 
 // key returns the number by which the request is recognized, or zero.
--- /dev/null
+++ b/internal/admission/controller_test.go
@@ -0,0 +1,198 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// start is when all tests begin.
+var start = time.Unix(1000, 0)
+
+// newTestController returns a controller of group g with three priorities.
+func newTestController() *Controller {
+	controller := NewController(DefaultSettings())
+	controller.SetPriorities(map[string][]int{"g": {0, 3, 9}})
+	return controller
+}
+
+// drawRequest draws a request that arrived at the start.
+func drawRequest(t *rapid.T) Request {
+	return Request{
+		Group: "g", Priority: rapid.SampledFrom([]int{0, 3, 9}).Draw(t, "priority"), Tenant: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "tenant"),
+		Tokens: rapid.IntRange(1, 10_000).Draw(t, "tokens"), Arrived: start,
+		Objective: time.Duration(rapid.IntRange(1, 1000).Draw(t, "objective")) * time.Millisecond,
+		Deadline:  start.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "patience")) * time.Millisecond),
+		Waited:    rapid.Bool().Draw(t, "waited"), Committed: rapid.Bool().Draw(t, "committed"),
+	}
+}
+
+// drawOutlook draws an outlook. A slot is free in half of them.
+func drawOutlook(t *rapid.T) Outlook {
+	queue := time.Duration(rapid.IntRange(0, 4000).Draw(t, "queue")) * time.Millisecond
+	outlook := Outlook{
+		QueueWait: queue, Start: queue + time.Duration(rapid.IntRange(1, 800).Draw(t, "unloaded"))*time.Millisecond,
+		Prefills: rapid.Bool().Draw(t, "prefills"), SlotInterval: time.Millisecond,
+	}
+	outlook.YieldingStart = outlook.Start + time.Duration(rapid.IntRange(0, 2000).Draw(t, "yielded"))*time.Millisecond
+	if rapid.Bool().Draw(t, "full") {
+		outlook.FreeAt = start.Add(queue)
+	}
+	return outlook
+}
+
+// TestNothingIsHeldBackWhileThereIsRoom guards against refusals and waits although a slot is free, a second wait, a wait past the time at
+// which the caller leaves, and refusals of requests that a worker may have worked for.
+func TestNothingIsHeldBackWhileThereIsRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		controller := newTestController()
+		for range rapid.IntRange(1, 20).Draw(t, "requests") {
+			request, outlook := drawRequest(t), drawOutlook(t)
+			switch decision := controller.Decide(start, request, outlook).(type) {
+			case Start:
+				if decision.Urgency < 0 || decision.Urgency >= urgencies {
+					t.Fatalf("urgency %d is out of range", decision.Urgency)
+				}
+				if outlook.FreeAt.IsZero() && !outlook.late(start, request) && decision != (Start{Urgency: DefaultUrgency}) {
+					t.Fatalf("got %+v without contention", decision)
+				}
+			case Wait:
+				if outlook.FreeAt.IsZero() || request.Waited || request.Committed || !decision.Until.Before(request.Deadline) || !decision.Until.After(start) {
+					t.Fatalf("%+v for %+v, %+v", decision, request, outlook)
+				}
+			case Refuse:
+				if outlook.FreeAt.IsZero() || request.Committed || outlook.YieldingStart <= request.Deadline.Sub(start) || decision.RetryAfter <= 0 {
+					t.Fatalf("%+v for %+v, %+v", decision, request, outlook)
+				}
+			}
+		}
+	})
+}
+
+// TestNoClassStarves guards against a class, the largest tenth of a kind included, whose requests are refused or wait behind others for ever: of
+// its tokens at least the floor starts with the urgency of the most urgent class, up to one request.
+func TestNoClassStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		controller := newTestController()
+		total, granted, largest := map[class]int{}, map[class]int{}, map[class]int{}
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			request, outlook := drawRequest(t), drawOutlook(t)
+			outlook.FreeAt = start.Add(outlook.QueueWait)
+			state := controller.groups["g"]
+			sizes := sizeTracker{}
+			if known := state.sizes[request.Priority]; known != nil {
+				sizes = *known
+			}
+			of := class{rank: state.rankOf(request.Priority), late: outlook.late(start, request), large: sizes.add(request.Tokens)}
+			decision := controller.Decide(start, request, outlook)
+			total[of] += request.Tokens
+			largest[of] = max(largest[of], request.Tokens)
+			if started, isStart := decision.(Start); isStart && started.Urgency == inTimeUrgencies[0][0] {
+				granted[of] += request.Tokens
+			}
+		}
+		for of, tokens := range total {
+			if want := DefaultSettings().FloorShare*float64(tokens) - float64(largest[of]); float64(granted[of]) < want-1 {
+				t.Fatalf("class %+v: %d of %d tokens are most urgent, want %.0f", of, granted[of], tokens, want)
+			}
+		}
+	})
+}
+
+// TestUrgentDoesNotPayForLessUrgent guards against a request in time that yields to one of a less urgent rule, beyond the floor, and against
+// less urgent requests that preempt urgent ones which started without contention.
+func TestUrgentDoesNotPayForLessUrgent(t *testing.T) {
+	for rank := range ranks {
+		for _, urgency := range append(inTimeUrgencies[rank][:], lateUrgencies[rank]) {
+			if rank > 0 && urgency < DefaultUrgency {
+				t.Errorf("rank %d has urgency %d, before the default %d", rank, urgency, DefaultUrgency)
+			}
+			for less := rank + 1; less < ranks; less++ {
+				if inTime := inTimeUrgencies[rank][0]; inTime >= inTimeUrgencies[less][0] {
+					t.Errorf("rank %d has urgency %d, rank %d has %d", rank, inTime, less, inTimeUrgencies[less][0])
+				}
+			}
+			if lateUrgencies[rank] <= inTimeUrgencies[rank][0] {
+				t.Errorf("rank %d: late requests do not yield", rank)
+			}
+		}
+		if rank > 0 && lateUrgencies[rank] < lateUrgencies[rank-1] {
+			t.Errorf("late requests of rank %d are more urgent than those of rank %d", rank, rank-1)
+		}
+	}
+}
+
+// TestWithoutPrioritiesNothingIsDecided guards against a changed decision in groups whose configuration distinguishes no priorities, and
+// against priorities that stay in force after the configuration dropped them.
+func TestWithoutPrioritiesNothingIsDecided(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		controller := newTestController()
+		controller.SetPriorities(map[string][]int{"g": {4, 4}, "h": {1, 2}})
+		request, outlook := drawRequest(t), drawOutlook(t)
+		if decision := controller.Decide(start, request, outlook); decision != (Start{Urgency: DefaultUrgency}) {
+			t.Fatalf("got %+v", decision)
+		}
+		if controller.Controls("g") || !controller.Controls("h") {
+			t.Fatal("the wrong groups are controlled")
+		}
+	})
+}
+
+// TestPrioritiesOutliveTheStore guards against a gateway that forgets priorities while it can't read the configuration, and one whose counts
+// are lost whenever the configuration is read again.
+func TestPrioritiesOutliveTheStore(t *testing.T) {
+	controller := newTestController()
+	controller.Sent(start, "g", 7)
+	controller.SetPriorities(map[string][]int{"g": {0, 9}})
+	if order := controller.OrderOf(start, "g", 1); order.YieldingShare != 1 {
+		t.Errorf("order %+v after the configuration was read again, want that all yield", order)
+	}
+	late := Outlook{Start: time.Second, QueueWait: time.Second, YieldingStart: time.Second, FreeAt: start.Add(time.Second)}
+	for _, now := range []time.Time{start, start.Add(time.Hour)} {
+		request := Request{Group: "g", Priority: 9, Arrived: now, Objective: time.Millisecond, Deadline: now.Add(5 * time.Second), Committed: true, Tokens: 1}
+		late.FreeAt = now.Add(time.Second)
+		if decision := controller.Decide(now, request, late).(Start); !IsLate(decision.Urgency) {
+			t.Errorf("got %+v", decision)
+		}
+	}
+}
+
+// TestReturnWhenToldIsRecognized guards against a second refusal of a caller that returned when it was told to, against callers that return
+// early and gain by it, and against a promise that is redeemed twice.
+func TestReturnWhenToldIsRecognized(t *testing.T) {
+	controller := newTestController()
+	full := Outlook{Start: 3 * time.Second, QueueWait: 3 * time.Second, YieldingStart: 3 * time.Second, SlotInterval: 10 * time.Millisecond}
+	decide := func(now time.Time) Decision {
+		full.FreeAt = now.Add(3 * time.Second)
+		return controller.Decide(now, Request{
+			Group: "g", Priority: 0, Arrived: now, Objective: 3100 * time.Millisecond, Deadline: now.Add(2 * time.Second), Key: func() uint64 { return 7 },
+			Expires: now.Add(8 * time.Second),
+		}, full)
+	}
+	// An answer in time starts although it is expected after its caller leaves: only late requests are refused.
+	if _, isStart := decide(start).(Start); !isStart {
+		t.Fatal("a request in time was held back")
+	}
+	decideLate := func(now time.Time) Decision {
+		full.FreeAt = now.Add(3 * time.Second)
+		return controller.Decide(now, Request{
+			Group: "g", Priority: 0, Arrived: now, Objective: 200 * time.Millisecond, Deadline: now.Add(2 * time.Second), Key: func() uint64 { return 7 },
+			Expires: now.Add(8 * time.Second),
+		}, full)
+	}
+	refused, isRefused := decideLate(start).(Refuse)
+	if !isRefused || refused.RetryAfter < time.Second {
+		t.Fatalf("got %+v, want a refusal until room is expected", refused)
+	}
+	if _, isRefused := decideLate(start.Add(refused.RetryAfter / 2)).(Refuse); !isRefused {
+		t.Fatal("a caller that returned early was let in")
+	}
+	due := controller.groups["g"].promises.due[7]
+	if _, isStart := decideLate(due).(Start); !isStart {
+		t.Fatal("a caller that returned when told was held back")
+	}
+	if _, isRefused := decideLate(due).(Refuse); !isRefused {
+		t.Fatal("a promise was redeemed twice")
+	}
+}
--- a/internal/admission/floor.go
+++ b/internal/admission/floor.go
@@ -7,6 +7,8 @@
 
 // take adds the tokens of a request and reports whether the request is granted by the floor.
 func (f *floor) take(tokens int, share float64) bool {
+	// A request without known tokens is work, too.
+	tokens = max(tokens, 1)
 	f.credit += share * float64(tokens)
 	if f.credit < float64(tokens) {
 		return false
--- a/internal/admission/promises.go
+++ b/internal/admission/promises.go
@@ -6,6 +6,8 @@
 type promiseBook struct {
 	last time.Time
 	due  map[uint64]time.Time
+	// outgoing are the promises to send to the other gateways.
+	outgoing []uint64
 }
 
 // promiseTolerance is how late a caller may return. It covers the way to the caller and back.
@@ -14,19 +16,27 @@
 // maxPromises bounds the number of promises that are remembered.
 const maxPromises = 4096
 
-// reserve returns the time at which a caller should return: the wanted time, or the interval after the last reserved one if that is later.
-func (p *promiseBook) reserve(wanted time.Time, interval time.Duration, key func() uint64) time.Time {
-	if next := p.last.Add(interval); next.After(wanted) {
-		wanted = next
+// reserve returns the time at which a caller should return: the earliest, or the interval after the last promised time if that is later. It
+// returns false, and promises nothing, if that is after the latest.
+func (p *promiseBook) reserve(earliest, latest time.Time, interval time.Duration, key func() uint64) (time.Time, bool) {
+	at := earliest
+	if next := p.last.Add(interval); next.After(at) {
+		at = next
 	}
-	p.last = wanted
-	p.record(key(), wanted)
-	return wanted
+	if at.After(latest) {
+		return time.Time{}, false
+	}
+	p.last = at
+	if promised := key(); promised != 0 {
+		p.record(promised, at)
+		p.outgoing = append(p.outgoing, promised)
+	}
+	return at, true
 }
 
 // record remembers that the caller of a request was told to return at a time.
 func (p *promiseBook) record(key uint64, at time.Time) {
-	if key == 0 || len(p.due) >= maxPromises {
+	if len(p.due) >= maxPromises {
 		return
 	}
 	if p.due == nil {
@@ -54,3 +64,38 @@
 	delete(p.due, returned)
 	return true
 }
+
+// Promise tells that the caller of a request was told to return.
+type Promise struct {
+	Group string
+	Key   uint64
+	// After is the time until then, from when the promise is sent.
+	After time.Duration
+}
+
+// maxOutgoingPromises bounds the promises that are sent at a time. Callers return to any gateway, and those that are left out are decided
+// on like others.
+const maxOutgoingPromises = 64
+
+// TakePromises returns the promises that were made since the last call.
+func (c *Controller) TakePromises(now time.Time) []Promise {
+	var promises []Promise
+	for name, group := range c.groups {
+		for _, key := range group.promises.outgoing {
+			if at, stands := group.promises.due[key]; stands && len(promises) < maxOutgoingPromises {
+				promises = append(promises, Promise{Group: name, Key: key, After: at.Sub(now)})
+			}
+		}
+		group.promises.outgoing = nil
+	}
+	return promises
+}
+
+// ApplyPromises records promises that another gateway made.
+func (c *Controller) ApplyPromises(now time.Time, promises []Promise) {
+	for _, promise := range promises {
+		if group, found := c.groups[promise.Group]; found {
+			group.promises.record(promise.Key, now.Add(promise.After))
+		}
+	}
+}
--- a/internal/admission/tenants.go
+++ b/internal/admission/tenants.go
@@ -32,9 +32,6 @@
 	u.total += float64(tokens)
 }
 
-// fadeInterval is how often the counts are faded.
-const fadeInterval = 50 * time.Millisecond
-
 // fade reduces all counts by the time since the last call.
 func (u *tenantUsage) fade(now time.Time) {
 	elapsed := now.Sub(u.at)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -157,7 +157,7 @@
 		return 0
 	}
 	ahead := max(float64(excess)*(1-query.YieldingShare), 1)
-	return ahead * estimate.ServiceSeconds / float64(slots)
+	return ahead * estimate.ServiceSeconds / float64(slots) / (1 - query.UrgentLoad)
 }
 
 // preferredWorker returns the worker that wins ties. It is the same on all gateways with the same workers.
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/ctxsleep"
 	"github.com/granitebay/granitebay/internal/enginemodel"
+	"github.com/granitebay/granitebay/internal/peersync"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
@@ -57,7 +59,7 @@
 // placeAdmitted picks the engines for a request of a group that distinguishes priorities, if admission lets it start. The mutex is held.
 func (d *Dispatcher) placeAdmitted(prompt *promptContext, options PlaceOptions) (*Placement, bool) {
 	group := prompt.group.Name
-	prompt.yieldingShare = d.admission.YieldingShare(group, d.admission.InTimeUrgency(group, options.Admission.Priority))
+	prompt.order = d.admission.OrderOf(d.now(), group, d.admission.InTimeUrgency(group, options.Admission.Priority))
 	best, found := d.bestPlan(prompt, options)
 	if !found {
 		return nil, false
@@ -66,7 +68,7 @@
 	yielding := best
 	if best.delayedByQueue(options) {
 		prompt.deferred, prompt.behindWaiting = true, true
-		prompt.yieldingShare = d.admission.YieldingShare(group, d.admission.LateUrgency(group, options.Admission.Priority))
+		prompt.order = d.admission.OrderOf(d.now(), group, d.admission.LateUrgency(group, options.Admission.Priority))
 		yielding, _ = d.bestPlan(prompt, options)
 		outlook.YieldingStart = secondsDuration(yielding.timeToFirstEvent)
 		prompt.deferred = false
@@ -122,14 +124,14 @@
 // enterQueue counts a request that was sent to a decode engine as waiting there. The mutex is held.
 func (d *Dispatcher) enterQueue(runner *Assignment, urgency int) {
 	runner.urgency, runner.queued = urgency, true
-	d.admission.Sent(runner.Worker.Group, urgency)
+	d.admission.Sent(d.now(), runner.Worker.Group, urgency)
 }
 
-// leaveQueue ends the count of enterQueue. The mutex is held.
-func (a *Assignment) leaveQueue() {
+// leaveQueue ends the count of enterQueue, because the response started or the attempt ended. The mutex is held.
+func (a *Assignment) leaveQueue(started bool) {
 	if a.queued {
 		a.queued = false
-		a.dispatcher.admission.Left(a.Worker.Group, a.urgency)
+		a.dispatcher.admission.Left(a.dispatcher.now(), a.Worker.Group, a.urgency, started)
 	}
 }
 
@@ -138,7 +140,7 @@
 	request := admission.Request{
 		ID: c.request.ID, Group: c.match.Group.Name, Priority: c.match.Rule.Priority, Tenant: c.request.Tenant,
 		Tokens:  c.request.Demand.PromptTokens + outputWeight*c.request.Demand.OutputTokens,
-		Arrived: c.report.Arrived, Objective: c.match.Rule.Objective, Deadline: c.deadline, Waited: c.hasWaited,
+		Arrived: c.report.Arrived, Objective: c.match.Rule.Objective, Deadline: c.deadline, Expires: c.deadline, Waited: c.hasWaited,
 		Committed: c.prefills > 0 || c.attempts.possibleRuns > 0 || c.relay.started,
 		Key:       func() uint64 { digest := c.guarded.requestDigest(); return binary.BigEndian.Uint64(digest[:]) },
 	}
@@ -171,8 +173,68 @@
 		return true, c.giveUp(failure, c.attempts.final(failure))
 	case admission.Refuse:
 		c.report.HeldBack = "refused: " + decision.Reason
+		c.handler.dispatcher.announcePromise()
 		return true, respondRetryAfter(c.writer, c.report, ReasonNoRoom, decision.RetryAfter.Round(time.Millisecond))
 	default:
 		return false, connKeep
 	}
 }
+
+// tenSeconds is the time over which the rates in updates are counted, so that whole numbers tell them well enough.
+const tenSeconds = 10
+
+// TakeQueued returns what is to be sent to the other gateways: the promises since the last call and, if full is set, what this gateway has at
+// the queues of decode engines.
+func (d *Dispatcher) TakeQueued(full bool) ([]peersync.Queued, []peersync.Promise) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.now()
+	var queued []peersync.Queued
+	if full {
+		for _, count := range d.admission.Counts(now) {
+			queued = append(queued, peersync.Queued{
+				Group: count.Group, Urgency: count.Urgency, Waiting: count.Waiting,
+				SentPer10s: int(math.Round(count.Sent * tenSeconds)), StartedPer10s: int(math.Round(count.Started * tenSeconds)),
+			})
+		}
+	}
+	var promises []peersync.Promise
+	for _, promise := range d.admission.TakePromises(now) {
+		promises = append(promises, peersync.Promise{Group: promise.Group, Key: promise.Key, AfterMs: promise.After.Milliseconds()})
+	}
+	return queued, promises
+}
+
+// ApplyQueued applies what another gateway has at the queues of decode engines, and its promises.
+func (d *Dispatcher) ApplyQueued(sender string, queued []peersync.Queued, promises []peersync.Promise) {
+	if sender == "" {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.now()
+	if len(queued) > 0 {
+		counts := make([]admission.Count, 0, len(queued))
+		for _, count := range queued {
+			counts = append(counts, admission.Count{
+				Group: count.Group, Urgency: count.Urgency, Waiting: count.Waiting,
+				Sent: float64(count.SentPer10s) / tenSeconds, Started: float64(count.StartedPer10s) / tenSeconds,
+			})
+		}
+		d.admission.ApplyPeer(now, sender, counts)
+	}
+	for _, promise := range promises {
+		d.admission.ApplyPromises(now, []admission.Promise{{
+			Group: promise.Group, Key: promise.Key, After: time.Duration(promise.AfterMs) * time.Millisecond,
+		}})
+	}
+}
+
+// announcePromise signals that a promise is to be sent to the other gateways, because the caller may return to any of them.
+func (d *Dispatcher) announcePromise() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.peers.notify != nil {
+		d.peers.notify(false)
+	}
+}
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -230,7 +230,7 @@
 	d := a.dispatcher
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	a.leaveQueue()
+	a.leaveQueue(true)
 	a.observePrefill()
 	d.balancer.PrefillDone(a.Worker.ID, a.load)
 	d.peers.loadChanged(a.Worker.ID, false)
@@ -288,7 +288,7 @@
 		return
 	}
 	a.finished = true
-	a.leaveQueue()
+	a.leaveQueue(false)
 	d, now := a.dispatcher, a.dispatcher.now()
 	if outcome == balance.OutcomeTimeout && a.mayBeBusy(now) {
 		outcome = balance.OutcomeNone
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -196,7 +196,7 @@
 	defer d.mutex.Unlock()
 	prompt := d.newPromptContext(request, group)
 	prompt.suspectKey, prompt.prefilled = prefill.suspectKey, true
-	prompt.yieldingShare = d.admission.YieldingShare(group.Name, prefill.urgency)
+	prompt.order = d.admission.OrderOf(d.now(), group.Name, prefill.urgency)
 	choice, found := d.pickRunner(prompt, excluded, prefill.Worker)
 	if !found {
 		return nil, false
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/enginemodel"
@@ -20,9 +21,9 @@
 	shared     sharedPrefix
 	// deferred is set if the prompt is prefilled only after all prompts that are not deferred.
 	deferred bool
-	// yieldingShare is the share of the requests waiting for slots that yield to this one, and behindWaiting is set if it waits behind the
-	// deferred ones.
-	yieldingShare float64
+	// order is the place of the request in the queues of decode engines; the zero value if it is that of its arrival. behindWaiting is set if
+	// it waits behind the deferred ones.
+	order         admission.Order
 	behindWaiting bool
 	// suspectKey spreads suspect requests over workers; empty for other requests.
 	suspectKey string
@@ -68,7 +69,7 @@
 func (p *promptContext) query(role backend.Role, zone string, excluded []string) balance.Query {
 	return balance.Query{
 		Request: p.request.ID, Group: p.group.Name, Role: role, Key: p.shared.affinityKey, Zone: zone, Excluded: excluded,
-		YieldingShare: p.yieldingShare, BehindWaiting: p.behindWaiting,
+		YieldingShare: p.order.YieldingShare, UrgentLoad: p.order.UrgentLoad, BehindWaiting: p.behindWaiting,
 		Deferred: p.deferred, SuspectKey: p.suspectKey, Prefilled: p.prefilled, Holders: p.holderIDs, Concentrate: len(p.shared.segments) == 0,
 	}
 }
--- a/internal/gateway/supplement.go
+++ b/internal/gateway/supplement.go
@@ -5,7 +5,14 @@
 // TakeSupplement implements peersync.Source.
 func (g *Gateway) TakeSupplement(full bool) peersync.Supplement {
 	requests, loans := g.dispatcher.TakeLoans()
-	return peersync.Supplement{Leaving: g.notices.takeUpdate(full), Limits: g.workerLimits.takeUpdate(full), LoanRequests: requests, Loans: loans}
+	supplement := peersync.Supplement{
+		Leaving: g.notices.takeUpdate(full), Limits: g.workerLimits.takeUpdate(full), LoanRequests: requests, Loans: loans,
+	}
+	supplement.Queued, supplement.Promises = g.dispatcher.TakeQueued(full)
+	if len(supplement.Queued)+len(supplement.Promises) > 0 {
+		supplement.Sender = g.settings.Name
+	}
+	return supplement
 }
 
 // ApplySupplement implements peersync.Source. A worker that another gateway announces as leaving is
@@ -18,4 +25,5 @@
 	}
 	g.workerLimits.handlePeer(supplement.Limits)
 	g.dispatcher.ApplyLoans(supplement.LoanRequests, supplement.Loans)
+	g.dispatcher.ApplyQueued(supplement.Sender, supplement.Queued, supplement.Promises)
 }
--- a/internal/peersync/supplement.go
+++ b/internal/peersync/supplement.go
@@ -16,6 +16,30 @@
 	// LoanRequests ask for a part of other gateways' shares of rate limits, and Loans grant it.
 	LoanRequests []LoanRequest `cbor:"3,keyasint,omitempty"`
 	Loans        []Loan        `cbor:"4,keyasint,omitempty"`
+	// Sender is set if Queued or Promises are.
+	Sender string `cbor:"5,keyasint,omitempty"`
+	// Queued is what the sender has at the queues of decode engines. Promises are the callers that it told to return since the last
+	// supplement.
+	Queued   []Queued  `cbor:"6,keyasint,omitempty"`
+	Promises []Promise `cbor:"7,keyasint,omitempty"`
+}
+
+// Queued is what one gateway has at the queues of the decode engines of a group with one urgency.
+type Queued struct {
+	_                struct{} `cbor:",toarray"`
+	Group            string
+	Urgency, Waiting int
+	// SentPer10s and StartedPer10s are how many requests were sent to the queues and started to run, in 10 seconds.
+	SentPer10s, StartedPer10s int
+}
+
+// Promise tells that the sender refused a request and told its caller to return after a time.
+type Promise struct {
+	_     struct{} `cbor:",toarray"`
+	Group string
+	// Key recognizes the request.
+	Key     uint64
+	AfterMs int64
 }
 
 // LoanRequest asks the other gateways for a loan of requests at workers with rate limits.
@@ -54,7 +78,8 @@
 
 // Empty reports whether there is nothing to send.
 func (s *Supplement) Empty() bool {
-	return len(s.Leaving) == 0 && len(s.Limits) == 0 && len(s.LoanRequests) == 0 && len(s.Loans) == 0
+	return len(s.Leaving) == 0 && len(s.Limits) == 0 && len(s.LoanRequests) == 0 && len(s.Loans) == 0 && len(s.Queued) == 0 &&
+		len(s.Promises) == 0
 }
 
 // Encode returns the encoding of a supplement.
