--- /dev/null
+++ b/internal/forward/admission_test.go
@@ -0,0 +1,233 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/granitebay/granitebay/internal/admission"
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/enginemodel"
+	"github.com/granitebay/granitebay/internal/peersync"
+	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/tenant"
+)
+
+// admissionOptions returns the placement options of a request that has just arrived.
+func admissionOptions(dispatcher *Dispatcher, id string, priority int, objective time.Duration) PlaceOptions {
+	now := dispatcher.now()
+	return PlaceOptions{Objective: objective, Remaining: objective, Admission: admission.Request{
+		ID: id, Group: "g", Priority: priority, Tokens: 800, Arrived: now, Objective: objective,
+		Deadline: now.Add(2 * time.Second), Expires: now.Add(8 * time.Second),
+	}}
+}
+
+// drawLoads draws the loads that another gateway has at the engines.
+func drawLoads(t *rapid.T, maxRunning int) *peersync.Message {
+	message := &peersync.Message{Sender: "other", Epoch: 1, Sequence: 1, Full: true}
+	for _, role := range []backend.Role{backend.RolePrefill, backend.RoleDecode} {
+		for i := range 3 {
+			message.Loads = append(message.Loads, peersync.Load{
+				Worker: fmt.Sprint(role, i), Running: rapid.IntRange(0, maxRunning).Draw(t, "running"),
+				PrefillTokens: rapid.IntRange(0, 60_000).Draw(t, "queued"), Waiting: rapid.IntRange(0, 5).Draw(t, "waiting"),
+			})
+		}
+	}
+	return message
+}
+
+// describePlacement returns what a placement decided.
+func describePlacement(p *Placement, found bool) string {
+	if !found {
+		return "none"
+	}
+	text := fmt.Sprint(p.Deferred, p.Urgency, p.HeldBack, p.FetchFrom)
+	for _, assigned := range []*Assignment{p.Prefill, p.Runner} {
+		if assigned != nil {
+			text += fmt.Sprint(" ", assigned.Worker.ID, assigned.Score, assigned.load, assigned.deferred)
+		}
+	}
+	return text
+}
+
+// TestWithoutDifferentPrioritiesPlacementIsUnchanged guards against an admission that changes placements where the configuration does not
+// call for it: where all priorities of a group are equal.
+func TestWithoutDifferentPrioritiesPlacementIsUnchanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plain, equal := newEngineDispatcher(), newEngineDispatcher()
+		equal.setPriorities(map[string][]int{"g": {5, 5, 5}, "other": {0, 1}})
+		message := drawLoads(t, 90)
+		plain.ApplyUpdate(message)
+		equal.ApplyUpdate(message)
+		for i := range rapid.IntRange(1, 10).Draw(t, "requests") {
+			objective := time.Duration(rapid.IntRange(0, 900).Draw(t, "objective")) * time.Millisecond
+			request := &Request{ID: fmt.Sprint(i), Demand: rapid.SampledFrom([]backend.Demand{shortPrompt, longPrompt}).Draw(t, "demand")}
+			options := admissionOptions(plain, request.ID, i%3, objective)
+			want, wantFound := plain.Place(request, engineGroup, options)
+			got, found := equal.Place(request, engineGroup, options)
+			if describePlacement(got, found) != describePlacement(want, wantFound) {
+				t.Fatalf("got %s, want %s", describePlacement(got, found), describePlacement(want, wantFound))
+			}
+			if want.Urgency != defaultUrgency(want.Deferred) {
+				t.Fatalf("urgency %d", want.Urgency)
+			}
+		}
+	})
+}
+
+// TestWithoutContentionPlacementIsUnchanged guards against an admission that changes placements while slots are free and answers are in
+// time.
+func TestWithoutContentionPlacementIsUnchanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plain, controlled := newEngineDispatcher(), newEngineDispatcher()
+		controlled.setPriorities(map[string][]int{"g": {0, 1, 2}})
+		message := drawLoads(t, 20)
+		plain.ApplyUpdate(message)
+		controlled.ApplyUpdate(message)
+		for i := range rapid.IntRange(1, 10).Draw(t, "requests") {
+			request := &Request{ID: fmt.Sprint(i), Demand: rapid.SampledFrom([]backend.Demand{shortPrompt, longPrompt}).Draw(t, "demand")}
+			options := admissionOptions(plain, request.ID, i%3, time.Hour)
+			want, wantFound := plain.Place(request, engineGroup, options)
+			got, found := controlled.Place(request, engineGroup, options)
+			if describePlacement(got, found) != describePlacement(want, wantFound) {
+				t.Fatalf("got %s, want %s", describePlacement(got, found), describePlacement(want, wantFound))
+			}
+		}
+	})
+}
+
+// newContendedDispatcher returns a dispatcher whose decode engines hold the given number of requests each, and whose service takes 1 s.
+func newContendedDispatcher(running int) *Dispatcher {
+	dispatcher := newEngineDispatcher()
+	dispatcher.setPriorities(map[string][]int{"g": {0, 2}})
+	for i := range 3 {
+		worker, _ := dispatcher.balancer.Worker(fmt.Sprint(backend.RoleDecode, i))
+		for range 50 {
+			dispatcher.model.ObserveRequest(dispatcher.now(), enginemodel.ClassOf(worker), time.Second)
+		}
+	}
+	hearLoad(dispatcher, backend.RoleDecode, running, 0)
+	return dispatcher
+}
+
+// TestContendedPlacementFollowsPriorities guards against urgent requests that run with the urgency of less urgent ones where slots are
+// taken, and against hopeless requests whose prompts are prefilled for nothing.
+func TestContendedPlacementFollowsPriorities(t *testing.T) {
+	cases := []struct {
+		desc      string
+		running   int
+		priority  int
+		objective time.Duration
+		want      string
+	}{
+		{"a slot is free", 20, 0, time.Second, "5"},
+		{"urgent in time", 34, 0, time.Second, "1"},
+		{"less urgent in time", 34, 2, time.Second, "5"},
+		{"urgent and late", 60, 0, 300 * time.Millisecond, "8"},
+		{"less urgent and late", 60, 2, 300 * time.Millisecond, "9"},
+		{"hopeless", 200, 2, 300 * time.Millisecond, "refused"},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			dispatcher := newContendedDispatcher(c.running)
+			options := admissionOptions(dispatcher, "r", c.priority, c.objective)
+			options.Admission.Waited = true
+			placement, found := dispatcher.Place(&Request{ID: "r", Demand: shortPrompt}, engineGroup, options)
+			if !found {
+				t.Fatal("no placement")
+			}
+			got := fmt.Sprint(placement.Urgency)
+			if refused, isRefused := placement.HeldBack.(admission.Refuse); isRefused {
+				got = "refused"
+				if refused.RetryAfter < 500*time.Millisecond || refused.RetryAfter > 8*time.Second/3 {
+					t.Errorf("Retry-After %v, want the time until room is expected, at most a third of what is left", refused.RetryAfter)
+				}
+			}
+			if got != c.want {
+				t.Fatalf("got %s, want %s: %+v", got, c.want, placement)
+			}
+		})
+	}
+}
+
+// TestRefusedRequestsAreDemand guards against planners that see only what was let in: refusals would hide the demand that new engines are
+// needed for.
+func TestRefusedRequestsAreDemand(t *testing.T) {
+	demandOf := func(running int) (int64, bool) {
+		dispatcher := newContendedDispatcher(running)
+		placement, _ := dispatcher.Place(&Request{ID: "r", Demand: longPrompt}, engineGroup, admissionOptions(dispatcher, "r", 2, time.Second))
+		total := int64(0)
+		for _, offered := range dispatcher.TakeUpdate(true).Offered {
+			total += offered.Tokens
+		}
+		_, refused := placement.HeldBack.(admission.Refuse)
+		return total, refused
+	}
+	served, refused := demandOf(0)
+	if refused || served == 0 {
+		t.Fatalf("demand %d, refused %v without load", served, refused)
+	}
+	if asked, refused := demandOf(400); !refused || asked != served {
+		t.Fatalf("demand %d, refused %v without room; want %d and a refusal", asked, refused, served)
+	}
+}
+
+// TestPrioritiesOfTenantsAndRules guards against priorities of rules and tenants that no decision reads, and tenants that count at public
+// rules.
+func TestPrioritiesOfTenantsAndRules(t *testing.T) {
+	urgent := 1
+	tenants, err := tenant.NewTable([]tenant.KeyGrant{{Name: "a", Keys: []string{"k"}, Priority: &urgent}, {Name: "b", Keys: []string{"l"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	configuration := &routing.Configuration{
+		Tenants: tenants, Groups: []routing.Group{*engineGroup, {Name: "plain"}, {Name: "public", Engine: engineGroup.Engine}},
+		Rules: []routing.Rule{
+			{Name: "r", Priority: 4, Shares: []routing.Share{{Group: "g", Weight: 1}, {Group: "plain", Weight: 1}}},
+			{Name: "p", Priority: 2, Public: true, Shares: []routing.Share{{Group: "public", Weight: 1}}},
+		},
+	}
+	if got := fmt.Sprint(prioritiesOf(configuration)); got != "map[g:[4 1] public:[2]]" {
+		t.Errorf("got %s", got)
+	}
+}
+
+// TestGatewaysShareQueuesAndPromises guards against counts of queues that do not reach the other gateways, ones that outlive a silent
+// gateway, and promises that only the gateway which made them keeps.
+func TestGatewaysShareQueuesAndPromises(t *testing.T) {
+	sender, receiver := newContendedDispatcher(60), newContendedDispatcher(60)
+	options := admissionOptions(sender, "r", 2, 300*time.Millisecond)
+	options.Admission.Committed = true
+	if placement, found := sender.Place(&Request{ID: "r", Demand: shortPrompt}, engineGroup, options); !found || !placement.Deferred {
+		t.Fatalf("got %+v", placement)
+	}
+	queued, _ := sender.TakeQueued(true)
+	if placed := len(queued); placed > 1 {
+		t.Fatalf("%d counts, want at most one", placed)
+	}
+	receiver.ApplyQueued("sender", []peersync.Queued{{Group: "g", Urgency: 9, Waiting: 10, SentPer10s: 100, StartedPer10s: 10}}, nil)
+	if order := receiver.admission.OrderOf(receiver.now(), "g", 1); order.YieldingShare != 1 {
+		t.Errorf("order %+v, want that all yield", order)
+	}
+	if order := receiver.admission.OrderOf(receiver.now().Add(4*time.Second), "g", 1); order != (admission.Order{}) {
+		t.Errorf("order %+v after the sender fell silent, want none", order)
+	}
+	hopeless := admissionOptions(sender, "s", 2, 300*time.Millisecond)
+	hopeless.Admission.Deadline = sender.now().Add(time.Millisecond)
+	hopeless.Admission.Key = func() uint64 { return 42 }
+	placement, _ := sender.Place(&Request{ID: "s", Demand: shortPrompt}, engineGroup, hopeless)
+	if _, refused := placement.HeldBack.(admission.Refuse); !refused {
+		t.Fatalf("got %+v, want a refusal", placement)
+	}
+	_, promises := sender.TakeQueued(false)
+	if len(promises) != 1 || promises[0].Key != 42 || promises[0].AfterMs <= 0 {
+		t.Fatalf("promises %+v", promises)
+	}
+	promises[0].AfterMs = 0
+	receiver.ApplyQueued("sender", nil, promises)
+	if placement, _ := receiver.Place(&Request{ID: "t", Demand: shortPrompt}, engineGroup, hopeless); placement.HeldBack != nil || placement.UrgencyReason == "" {
+		t.Errorf("a caller that returned when told by another gateway got %+v", placement)
+	}
+}
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -36,7 +36,9 @@
 	// unanswered holds closed_by, step, peer and passed_on_to of a request without a complete response; nil otherwise.
 	unanswered map[string]string
 	roleLoss   *forward.RoleLoss
-	ended      time.Time
+	// heldBack says why the request waited at the gateway or was refused for lack of room.
+	heldBack string
+	ended    time.Time
 }
 
 // newRequestDecision extracts the decision log entry from a report.
@@ -44,7 +46,7 @@
 	d := requestDecision{
 		rule: report.Rule, group: report.Group, version: report.Version, status: report.Status, reason: report.Reason,
 		duration: report.Ended.Sub(report.Arrived), attempts: report.Attempts, err: report.Err, target: report.Target, digest: report.RequestDigest,
-		roleLoss: report.Loss, ended: report.Ended,
+		roleLoss: report.Loss, heldBack: report.HeldBack, ended: report.Ended,
 	}
 	if report.Request != nil {
 		d.id = report.Request.ID
@@ -101,6 +103,9 @@
 		inputs["role_gone"] = fmt.Sprintf("%d writers ended, %d engines are becoming writers, %d read; expected back in %d ms",
 			d.roleLoss.LostDecoders, d.roleLoss.Changing, d.roleLoss.PrefillEngines, d.roleLoss.ExpectedAt.Sub(d.ended).Milliseconds())
 	}
+	if d.heldBack != "" {
+		inputs["held_back"] = d.heldBack
+	}
 	if d.err != nil {
 		inputs["error"] = d.err.Error()
 	}
@@ -122,6 +127,9 @@
 	if attempt.Deferred {
 		text += ", too late for its objective and therefore deferred"
 	}
+	if attempt.UrgencyReason != "" {
+		text += fmt.Sprintf(", urgency %d at the engine (%s)", attempt.Urgency, attempt.UrgencyReason)
+	}
 	if attempt.Failure != "" {
 		text += ": " + attempt.Failure
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,10 @@
 	metricAttempts  = "granitebay_tries_total"
 	// metricDeferred counts requests that were deferred because they were expected to miss their objective.
 	metricDeferred = "granitebay_deferred_total"
+	// metricUrgency counts attempts that did not have the default urgency at the engine, because there was contention. metricHeldBack counts
+	// requests that waited at the gateway or were refused for lack of room.
+	metricUrgency  = "granitebay_urgency_total"
+	metricHeldBack = "granitebay_held_back_total"
 	// metricLinesLeftOut counts log lines about requests that were dropped by rate limiting.
 	metricLinesLeftOut = "granitebay_log_lines_left_out_total"
 	// metricWorkerEnds counts workers that terminated while running requests of this gateway. metricBarred is the number
@@ -240,10 +244,16 @@
 	for _, attempt := range report.Attempts {
 		name = fmt.Sprintf(`%s{group=%q,failure=%q}`, metricAttempts, report.Group, attempt.Failure)
 		m.set.GetOrCreateCounter(name).Inc()
+		if attempt.UrgencyReason != "" {
+			m.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q,urgency="%d"}`, metricUrgency, report.Rule, attempt.Urgency)).Inc()
+		}
 		if attempt.Deferred {
 			m.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q}`, metricDeferred, report.Rule)).Inc()
 		}
 	}
+	if report.HeldBack != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q,refused="%t"}`, metricHeldBack, report.Rule, report.Reason == forward.ReasonNoRoom)).Inc()
+	}
 	m.countAttemptsByNotice(report)
 	request := newRequestDecision(report)
 	m.decisions.Append(report.Ended, request)
