Admission: order by tenant and rule, forecasts of prefill queues by urgency

A tenant's priority takes precedence over that of the rule, which orders the requests of equal tenants.

The forecast now counts only the tokens that do not yield, as for slots.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -3,15 +3,38 @@
 // safe for concurrent use.
 package admission
 
-import "time"
+import (
+	"cmp"
+	"fmt"
+	"time"
+)
+
+// Priority is the configured urgency of requests; lower numbers are more urgent. That of the tenant takes precedence over that of the rule.
+type Priority struct {
+	// Tenant is the priority of the tenant, or of the rule if the tenant has none.
+	Tenant int
+	Rule   int
+}
+
+// Compare returns a negative number if p is more urgent than other, a positive one if it is less urgent, and zero otherwise.
+func (p Priority) Compare(other Priority) int {
+	return cmp.Or(cmp.Compare(p.Tenant, other.Tenant), cmp.Compare(p.Rule, other.Rule))
+}
+
+// String returns the priority as it appears in reasons.
+func (p Priority) String() string {
+	if p.Tenant == p.Rule {
+		return fmt.Sprintf("priority %d", p.Rule)
+	}
+	return fmt.Sprintf("priority %d of the tenant, %d of the rule", p.Tenant, p.Rule)
+}
 
 // Request describes a request that wants to start.
 type Request struct {
 	// ID identifies the request. It spreads the times at which refused callers return.
-	ID    string
-	Group string
-	// Priority is the priority of the rule, or of the tenant if it has one; 0 is the most urgent.
-	Priority int
+	ID       string
+	Group    string
+	Priority Priority
 	// Tenant is empty if the configuration has no tenants.
 	Tenant string
 	// Tokens is the work of the request: the tokens to prefill and to generate.
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -33,15 +33,14 @@
 	}
 }
 
-// The urgencies of contended requests by the rank of their priorities. A tenant that exceeds its share takes the second one. Ranks other than
-// the first are no more urgent than DefaultUrgency, so that their requests never preempt urgent ones that started without contention.
+// The urgencies of contended requests by the rank of their priorities. A tenant that exceeds its share takes the second one.
 var (
-	inTimeUrgencies = [ranks][2]int{{1, 2}, {5, 6}, {7, 8}}
-	lateUrgencies   = [ranks]int{8, 9, 9}
+	inTimeUrgencies = [ranks][2]int{{1, 2}, {3, 4}, {5, 6}, {7, 7}}
+	lateUrgencies   = [ranks]int{8, 8, 9, 9}
 )
 
 // ranks is the number of ranks into which the priorities of a group are divided.
-const ranks = 3
+const ranks = 4
 
 // IsLate reports whether an urgency is that of a request that is late.
 func IsLate(urgency int) bool { return urgency >= lateUrgencies[0] }
@@ -61,13 +60,13 @@
 // groupState is the state of one group.
 type groupState struct {
 	// priorities are the different priorities in ascending order, two at least.
-	priorities []int
+	priorities []Priority
 	floors     map[class]*floor
-	sizes      map[int]*sizeTracker
+	sizes      map[Priority]*sizeTracker
 	usage      *tenantUsage
 	promises   promiseBook
-	// queued is what this gateway has at the queues of decode engines, and peers what the others have.
-	queued  queueCounts
+	// queued is what this gateway has at the queues of the engines, and peers what the others have.
+	queued  queues
 	peers   map[string]*peerCounts
 	fadedAt time.Time
 }
@@ -85,14 +84,14 @@
 
 // SetPriorities sets the priorities that the configuration uses in each group. Groups with fewer than two are not controlled. The state of
 // groups that remain is kept.
-func (c *Controller) SetPriorities(priorities map[string][]int) {
+func (c *Controller) SetPriorities(priorities map[string][]Priority) {
 	for group := range c.groups {
 		if len(priorities[group]) < 2 {
 			delete(c.groups, group)
 		}
 	}
 	for group, used := range priorities {
-		used = slices.Compact(slices.Sorted(slices.Values(used)))
+		used = slices.Compact(slices.SortedFunc(slices.Values(used), Priority.Compare))
 		if len(used) < 2 {
 			delete(c.groups, group)
 			continue
@@ -100,7 +99,7 @@
 		state, found := c.groups[group]
 		if !found {
 			state = &groupState{
-				floors: map[class]*floor{}, sizes: map[int]*sizeTracker{},
+				floors: map[class]*floor{}, sizes: map[Priority]*sizeTracker{},
 				usage: newTenantUsage(c.settings.ShareWindow),
 			}
 			c.groups[group] = state
@@ -130,11 +129,11 @@
 func (c *Controller) decide(now time.Time, group *groupState, request Request, outlook Outlook, large bool) Decision {
 	late, full := outlook.late(now, request), !outlook.FreeAt.IsZero()
 	if !full && !late {
-		return Start{Urgency: DefaultUrgency}
+		return Start{Urgency: group.uncontendedUrgency(now, request.Priority)}
 	}
 	rank := group.rankOf(request.Priority)
 	start := func(urgency int, why string) Decision {
-		return Start{Urgency: urgency, Reason: fmt.Sprintf("priority %d: %s", request.Priority, why)}
+		return Start{Urgency: urgency, Reason: fmt.Sprintf("%s: %s", request.Priority, why)}
 	}
 	if late && full && !request.Committed && group.promises.redeem(now, request.key) {
 		return start(inTimeUrgencies[rank][1], "its caller returned when told")
@@ -157,6 +156,16 @@
 	}
 }
 
+// uncontendedUrgency returns the urgency of requests for which there is room. While others are ordered it is that of their rank, so that none
+// is preempted by a less urgent one when the memory of its engine runs out.
+func (g *groupState) uncontendedUrgency(now time.Time, priority Priority) int {
+	g.fade(now)
+	if !g.queued.contended() {
+		return DefaultUrgency
+	}
+	return inTimeUrgencies[g.rankOf(priority)][0]
+}
+
 // holdBack returns a Wait or a Refuse for a late request for which no slot is free, or nil to start it.
 func (c *Controller) holdBack(now time.Time, group *groupState, request Request, outlook Outlook) Decision {
 	patience := request.Deadline.Sub(now)
@@ -206,7 +215,7 @@
 }
 
 // InTimeUrgency returns the urgency of contended requests in time with a priority, and LateUrgency that of late ones.
-func (c *Controller) InTimeUrgency(group string, priority int) int {
+func (c *Controller) InTimeUrgency(group string, priority Priority) int {
 	if state, found := c.groups[group]; found {
 		return inTimeUrgencies[state.rankOf(priority)][0]
 	}
@@ -214,7 +223,7 @@
 }
 
 // LateUrgency returns the urgency of late requests with a priority.
-func (c *Controller) LateUrgency(group string, priority int) int {
+func (c *Controller) LateUrgency(group string, priority Priority) int {
 	if state, found := c.groups[group]; found {
 		return lateUrgencies[state.rankOf(priority)]
 	}
@@ -229,8 +238,8 @@
 }
 
 // rankOf returns the rank of a priority; unknown ones take that of the next known one.
-func (g *groupState) rankOf(priority int) int {
-	index, _ := slices.BinarySearch(g.priorities, priority)
+func (g *groupState) rankOf(priority Priority) int {
+	index, _ := slices.BinarySearchFunc(g.priorities, priority, Priority.Compare)
 	index = min(index, len(g.priorities)-1)
 	if len(g.priorities) <= ranks {
 		return index
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -8,9 +8,19 @@
 // urgencies is the number of urgencies that engines distinguish.
 const urgencies = 10
 
-// queueCounts counts the requests of a group at the queues of decode engines, by urgency.
+// Queue is a kind of queue at the engines of a group.
+type Queue int
+
+// The queues. That for prefills at prefill engines is counted in tokens, that for slots at decode engines in requests.
+const (
+	QueueSlots Queue = iota
+	QueuePrefills
+	queueKinds
+)
+
+// queueCounts counts the work of a group at one kind of queue, by urgency.
 type queueCounts struct {
-	// waiting are in a queue now. sent and started are how many were sent there and started to run, a second.
+	// waiting is in a queue now. sent and started are how much was sent there and started to run, a second.
 	waiting       [urgencies]int
 	sent, started [urgencies]float64
 }
@@ -36,25 +46,40 @@
 	}
 }
 
-// Sent records that a request was sent to the queue of a decode engine of a group.
-func (c *Controller) Sent(now time.Time, group string, urgency int) {
-	if state, found := c.groups[group]; found && urgency >= 0 && urgency < urgencies {
+// Work is what a request puts into a queue: one request for QueueSlots, the tokens to prefill for QueuePrefills.
+type Work struct {
+	Group   string
+	Queue   Queue
+	Urgency int
+	Amount  int
+}
+
+// valid reports whether the queue and the urgency exist.
+func (w Work) valid() bool {
+	return w.Queue >= 0 && w.Queue < queueKinds && w.Urgency >= 0 && w.Urgency < urgencies
+}
+
+// Sent records that work was sent to a queue.
+func (c *Controller) Sent(now time.Time, work Work) {
+	if state, found := c.groups[work.Group]; found && work.valid() {
 		state.fade(now)
-		state.queued.waiting[urgency]++
-		state.queued.sent[urgency] += 1 / rateWindow.Seconds()
+		counts := &state.queued[work.Queue]
+		counts.waiting[work.Urgency] += work.Amount
+		counts.sent[work.Urgency] += float64(work.Amount) / rateWindow.Seconds()
 	}
 }
 
-// Left records that a request that was sent has left the queue: its answer started, or the attempt ended.
-func (c *Controller) Left(now time.Time, group string, urgency int, started bool) {
-	state, found := c.groups[group]
-	if !found || urgency < 0 || urgency >= urgencies {
+// Left records that work has left its queue: the prompt was prefilled, the answer started, or the attempt ended.
+func (c *Controller) Left(now time.Time, work Work, started bool) {
+	state, found := c.groups[work.Group]
+	if !found || !work.valid() {
 		return
 	}
 	state.fade(now)
-	state.queued.waiting[urgency] = max(state.queued.waiting[urgency]-1, 0)
+	counts := &state.queued[work.Queue]
+	counts.waiting[work.Urgency] = max(counts.waiting[work.Urgency]-work.Amount, 0)
 	if started {
-		state.queued.started[urgency] += 1 / rateWindow.Seconds()
+		counts.started[work.Urgency] += float64(work.Amount) / rateWindow.Seconds()
 	}
 }
 
@@ -68,7 +93,9 @@
 		return
 	}
 	g.fadedAt = now
-	g.queued.fade(elapsed)
+	for queue := range g.queued {
+		g.queued[queue].fade(elapsed)
+	}
 	for name, peer := range g.peers {
 		if now.Sub(peer.at) > peerTimeout {
 			delete(g.peers, name)
@@ -76,22 +103,20 @@
 	}
 }
 
-// Count is what one gateway has at the queues of the decode engines of a group with one urgency.
+// Count is what one gateway has at one kind of queue of a group with one urgency.
 type Count struct {
-	Group   string
-	Urgency int
-	Waiting int
-	// Sent and Started are how many requests were sent to the queues and started to run, a second.
+	Work
+	// Sent and Started are how much was sent to the queues and started to run, a second.
 	Sent, Started float64
 }
 
-// minRate is the rate below which nothing is sent to the other gateways.
+// minRate is the rate of requests below which a group is not contended.
 const minRate = 0.1
 
-// contended reports whether requests were ordered lately.
-func (q *queueCounts) contended() bool {
+// contended reports whether requests were ordered in the queues for slots lately.
+func (q *queues) contended() bool {
 	for urgency := range urgencies {
-		if urgency != DefaultUrgency && q.sent[urgency] >= minRate {
+		if urgency != DefaultUrgency && q[QueueSlots].sent[urgency] >= minRate {
 			return true
 		}
 	}
@@ -106,23 +131,29 @@
 		if !state.queued.contended() {
 			continue
 		}
-		for urgency := range urgencies {
-			count := Count{
-				Group: group, Urgency: urgency, Waiting: state.queued.waiting[urgency],
-				Sent: state.queued.sent[urgency], Started: state.queued.started[urgency],
-			}
-			if count.Waiting > 0 || count.Sent >= minRate || count.Started >= minRate {
-				counts = append(counts, count)
+		for queue := range queueKinds {
+			counted := &state.queued[queue]
+			for urgency := range urgencies {
+				count := Count{
+					Work: Work{Group: group, Queue: queue, Urgency: urgency, Amount: counted.waiting[urgency]},
+					Sent: counted.sent[urgency], Started: counted.started[urgency],
+				}
+				if count.Amount > 0 || count.Sent >= minRate || count.Started >= minRate {
+					counts = append(counts, count)
+				}
 			}
 		}
 	}
 	return counts
 }
 
+// queues are the counts of all kinds of queues.
+type queues [queueKinds]queueCounts
+
 // peerCounts is what another gateway has in one group.
 type peerCounts struct {
 	at     time.Time
-	queued queueCounts
+	queued queues
 }
 
 // peerTimeout is how long the counts of a silent gateway count.
@@ -135,7 +166,7 @@
 	}
 	for _, count := range counts {
 		state, found := c.groups[count.Group]
-		if !found || count.Urgency < 0 || count.Urgency >= urgencies {
+		if !found || !count.valid() {
 			continue
 		}
 		if state.peers == nil {
@@ -146,21 +177,22 @@
 			peer = &peerCounts{at: now}
 			state.peers[name] = peer
 		}
-		peer.queued.waiting[count.Urgency] = max(count.Waiting, 0)
-		peer.queued.sent[count.Urgency], peer.queued.started[count.Urgency] = count.Sent, count.Started
+		counted := &peer.queued[count.Queue]
+		counted.waiting[count.Urgency] = max(count.Amount, 0)
+		counted.sent[count.Urgency], counted.started[count.Urgency] = count.Sent, count.Started
 	}
 }
 
-// Order is the place of a request in the queues of decode engines.
+// Order is the place of a request in one kind of queue.
 type Order struct {
-	// YieldingShare is the share of the waiting requests that yield to it.
+	// YieldingShare is the share of the waiting work that yields to it.
 	YieldingShare float64
-	// UrgentLoad is the share of the slots that become free that more urgent requests take, which arrive later.
+	// UrgentLoad is the share of what the engines do that more urgent requests take, which arrive later.
 	UrgentLoad float64
 }
 
-// Bounds of Order: maxUrgentLoad keeps forecasts finite, and a queue that is done within minQueue tells nothing of the load, because slots
-// are free at other engines.
+// Bounds of Order: maxUrgentLoad keeps forecasts finite, and a queue that is done within minQueue tells nothing of the load, because there is
+// room at other engines.
 const (
 	maxUrgentLoad = 0.95
 	minQueue      = 100 * time.Millisecond
@@ -168,26 +200,31 @@
 
 // OrderOf returns the place of requests of a group with an urgency; the zero Order if nothing is known. Requests of the same urgency are
 // served in order of arrival.
-func (c *Controller) OrderOf(now time.Time, group string, urgency int) Order {
+func (c *Controller) OrderOf(now time.Time, group string, queue Queue, urgency int) Order {
 	state, found := c.groups[group]
 	if !found {
 		return Order{}
 	}
 	state.fade(now)
-	all := state.queued
+	all := state.queued[queue]
 	for _, peer := range state.peers {
-		all.add(&peer.queued)
+		all.add(&peer.queued[queue])
 	}
+	return all.orderOf(urgency)
+}
+
+// orderOf returns the place of an urgency.
+func (q *queueCounts) orderOf(urgency int) Order {
 	total, yielding := 0, 0
 	sent, started := 0.0, 0.0
 	for other := range urgencies {
-		total += all.waiting[other]
-		started += all.started[other]
+		total += q.waiting[other]
+		started += q.started[other]
 		switch {
 		case other > urgency:
-			yielding += all.waiting[other]
+			yielding += q.waiting[other]
 		case other < urgency:
-			sent += all.sent[other]
+			sent += q.sent[other]
 		}
 	}
 	if total == 0 {
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -30,8 +30,9 @@
 	PrefillCost func(worker *backend.Worker) PrefillCost
 	// Deferred prompts are prefilled after all others.
 	Deferred bool
-	// YieldingShare is the share of the requests waiting for slots at decode engines that yield to this one, from 0 to 1. UrgentLoad is the
-	// share of the slots becoming free that more urgent requests take, which arrive later; it is below 1.
+	// YieldingShare is the share of the work waiting at the engines that yields to this request, from 0 to 1: of the prompts at prefill
+	// engines, of the requests waiting for slots at decode engines. UrgentLoad is the share of what the engines do that more urgent requests
+	// take, which arrive later; it is below 1.
 	YieldingShare, UrgentLoad float64
 	// BehindWaiting is set if the request waits for a slot behind the low-priority ones that wait already.
 	BehindWaiting bool
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -108,9 +108,10 @@
 		score.Queue = float64(load.Running) * estimate.ServiceSeconds / float64(max(worker.Slots, 1))
 	} else {
 		perToken := estimate.SecondsPerToken * b.model.Slowdown(now, enginemodel.ClassOf(worker), worker.ID)
-		score.Queue = float64(load.Running)*b.settings.SecondsPerRequest + float64(tokensAhead(query, load))*perToken
+		ahead := tokensAhead(query, worker.Role, load) * perToken
+		score.Queue = float64(load.Running)*b.settings.SecondsPerRequest + ahead
 		score.addPrefill(query, worker, perToken)
-		score.QueueWait = float64(tokensAhead(query, load)) * perToken
+		score.QueueWait = ahead
 		score.TimeToFirstToken = estimate.BaseSeconds + score.QueueWait + score.Prefill
 	}
 	if worker.Role == backend.RoleDecode {
@@ -128,11 +129,15 @@
 }
 
 // tokensAhead returns how many tokens the worker prefills before the prompt of the query.
-func tokensAhead(query Query, load backend.Load) int {
+func tokensAhead(query Query, role backend.Role, load backend.Load) float64 {
+	tokens := load.PrefillTokens
 	if query.Deferred {
-		return load.PrefillTokens + load.DeferredTokens
+		tokens += load.DeferredTokens
 	}
-	return load.PrefillTokens
+	if role != backend.RolePrefill {
+		return float64(tokens)
+	}
+	return float64(tokens) * (1 - query.YieldingShare) / (1 - query.UrgentLoad)
 }
 
 // addPrefill adds the prefill cost of the prompt at a worker with the given time per token.
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -14,64 +14,62 @@
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
-// prioritiesOf returns the priorities of the requests of each group of engines: those of its rules and those of tenants.
-func prioritiesOf(configuration *routing.Configuration) map[string][]int {
-	priorities := map[string][]int{}
+// prioritiesOf returns the priorities of the requests of each group of engines.
+func prioritiesOf(configuration *routing.Configuration) map[string][]admission.Priority {
+	priorities := map[string][]admission.Priority{}
 	for i := range configuration.Groups {
-		if group := &configuration.Groups[i]; group.Engine != nil {
-			priorities[group.Name] = groupPriorities(configuration, group.Name)
+		if configuration.Groups[i].Engine != nil {
+			priorities[configuration.Groups[i].Name] = nil
 		}
 	}
-	return priorities
-}
-
-// groupPriorities returns the priorities of the requests of one group.
-func groupPriorities(configuration *routing.Configuration, group string) []int {
-	var priorities []int
-	hasTenants := false
+	tenants := configuration.Tenants.Priorities()
 	for i := range configuration.Rules {
 		rule := &configuration.Rules[i]
 		for _, share := range rule.Shares {
-			if share.Group == group {
-				priorities = append(priorities, rule.Priority)
-				hasTenants = hasTenants || (!rule.Public && configuration.Tenants != nil)
+			if _, isEngines := priorities[share.Group]; isEngines {
+				priorities[share.Group] = append(priorities[share.Group], rulePriorities(rule, tenants)...)
 			}
 		}
 	}
-	if !hasTenants {
-		return priorities
+	return priorities
+}
+
+// rulePriorities returns the priorities of the requests of a rule, given those of the tenants. Tenants without one are nil there.
+func rulePriorities(rule *routing.Rule, tenants []*int) []admission.Priority {
+	if rule.Public || len(tenants) == 0 {
+		return []admission.Priority{{Tenant: rule.Priority, Rule: rule.Priority}}
 	}
-	for _, owner := range configuration.Tenants.Tenants() {
-		if priority, given := owner.Priority(); given {
-			priorities = append(priorities, priority)
+	var priorities []admission.Priority
+	for _, tenant := range tenants {
+		priority := admission.Priority{Tenant: rule.Priority, Rule: rule.Priority}
+		if tenant != nil {
+			priority.Tenant = *tenant
 		}
+		priorities = append(priorities, priority)
 	}
 	return priorities
 }
 
 // setPriorities sets the priorities of the requests of each group.
-func (d *Dispatcher) setPriorities(priorities map[string][]int) {
+func (d *Dispatcher) setPriorities(priorities map[string][]admission.Priority) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.admission.SetPriorities(priorities)
 }
 
-// placeAdmitted picks the engines for a request of a group that distinguishes priorities, if admission lets it start. The mutex is held.
+// placeAdmitted picks the engines for a request of a group that distinguishes priorities, if admission lets it start. Without contention it
+// picks as for any other request. The mutex is held.
 func (d *Dispatcher) placeAdmitted(prompt *promptContext, options PlaceOptions) (*Placement, bool) {
-	group := prompt.group.Name
-	prompt.order = d.admission.OrderOf(d.now(), group, d.admission.InTimeUrgency(group, options.Admission.Priority))
 	best, found := d.bestPlan(prompt, options)
 	if !found {
 		return nil, false
 	}
-	outlook := d.outlookOf(prompt, best)
 	yielding := best
-	if best.delayedByQueue(options) {
-		prompt.deferred, prompt.behindWaiting = true, true
-		prompt.order = d.admission.OrderOf(d.now(), group, d.admission.LateUrgency(group, options.Admission.Priority))
-		yielding, _ = d.bestPlan(prompt, options)
+	outlook := d.outlookOf(prompt, best)
+	if best.slotWait > 0 || best.delayedByQueue(options) {
+		best, yielding = d.orderedPlans(prompt, options)
+		outlook = d.outlookOf(prompt, best)
 		outlook.YieldingStart = secondsDuration(yielding.timeToFirstEvent)
-		prompt.deferred = false
 	}
 	// Requests that are refused are demand, too.
 	d.countPromptDemand(prompt, yielding, options)
@@ -86,6 +84,29 @@
 	}
 }
 
+// orderedPlans returns the cheapest plans of a request that is ordered by its priority: one for the case that it is in time and, if it is late,
+// one for the case that it yields to all that are in time.
+func (d *Dispatcher) orderedPlans(prompt *promptContext, options PlaceOptions) (best, yielding plan) {
+	group, priority, now := prompt.group.Name, options.Admission.Priority, d.now()
+	estimate := d.model.Estimate(now, enginemodel.Class{Group: group, Role: backend.RolePrefill})
+	prefillSeconds := float64(prompt.prefillWork(prompt.longestCached)) * estimate.SecondsPerToken
+	prompt.slotOrder = d.admission.OrderOf(now, group, admission.QueueSlots, d.admission.InTimeUrgency(group, priority))
+	prompt.prefillOrder = d.admission.OrderOf(now, group, admission.QueuePrefills, urgencyOf(prefillSeconds))
+	best, _ = d.bestPlan(prompt, options)
+	if !best.delayedByQueue(options) {
+		return best, best
+	}
+	late := d.admission.LateUrgency(group, priority)
+	inTimeSlots, inTimePrefills := prompt.slotOrder, prompt.prefillOrder
+	prompt.deferred, prompt.behindWaiting = true, true
+	prompt.slotOrder = d.admission.OrderOf(now, group, admission.QueueSlots, late)
+	prompt.prefillOrder = d.admission.OrderOf(now, group, admission.QueuePrefills, late)
+	yielding, _ = d.bestPlan(prompt, options)
+	prompt.deferred, prompt.behindWaiting = false, false
+	prompt.slotOrder, prompt.prefillOrder = inTimeSlots, inTimePrefills
+	return best, yielding
+}
+
 // outlookOf returns what is expected of a request by its plan.
 func (d *Dispatcher) outlookOf(prompt *promptContext, chosen plan) admission.Outlook {
 	outlook := admission.Outlook{
@@ -121,32 +142,34 @@
 	return time.Duration(seconds * nanosecondsPerSecond)
 }
 
-// enterQueue counts a request that was sent to a decode engine as waiting there. The mutex is held.
-func (d *Dispatcher) enterQueue(runner *Assignment, urgency int) {
-	runner.urgency, runner.queued = urgency, true
-	d.admission.Sent(d.now(), runner.Worker.Group, urgency)
+// enterQueue counts work that was sent to a worker as waiting there. The mutex is held.
+func (d *Dispatcher) enterQueue(assigned *Assignment, work admission.Work) {
+	work.Group = assigned.Worker.Group
+	assigned.queued = work
+	d.admission.Sent(d.now(), work)
 }
 
 // leaveQueue ends the count of enterQueue, because the response started or the attempt ended. The mutex is held.
 func (a *Assignment) leaveQueue(started bool) {
-	if a.queued {
-		a.queued = false
-		a.dispatcher.admission.Left(a.dispatcher.now(), a.Worker.Group, a.urgency, started)
+	if a.queued != (admission.Work{}) {
+		a.dispatcher.admission.Left(a.dispatcher.now(), a.queued, started)
+		a.queued = admission.Work{}
 	}
 }
 
 // admissionRequest describes the request to the admission.
 func (c *call) admissionRequest() admission.Request {
 	request := admission.Request{
-		ID: c.request.ID, Group: c.match.Group.Name, Priority: c.match.Rule.Priority, Tenant: c.request.Tenant,
-		Tokens:  c.request.Demand.PromptTokens + outputWeight*c.request.Demand.OutputTokens,
-		Arrived: c.report.Arrived, Objective: c.match.Rule.Objective, Deadline: c.deadline, Expires: c.deadline, Waited: c.hasWaited,
+		ID: c.request.ID, Group: c.match.Group.Name, Tenant: c.request.Tenant,
+		Priority: admission.Priority{Tenant: c.match.Rule.Priority, Rule: c.match.Rule.Priority},
+		Tokens:   c.request.Demand.PromptTokens + outputWeight*c.request.Demand.OutputTokens,
+		Arrived:  c.report.Arrived, Objective: c.match.Rule.Objective, Deadline: c.deadline, Expires: c.deadline, Waited: c.hasWaited,
 		Committed: c.prefills > 0 || c.attempts.possibleRuns > 0 || c.relay.started,
 		Key:       func() uint64 { digest := c.guarded.requestDigest(); return binary.BigEndian.Uint64(digest[:]) },
 	}
 	if c.request.tenantPriority != nil {
 		if priority, given := c.request.tenantPriority.Priority(); given {
-			request.Priority = priority
+			request.Priority.Tenant = priority
 		}
 	}
 	if patience := c.match.Rule.Patience; patience > 0 {
@@ -193,7 +216,7 @@
 	if full {
 		for _, count := range d.admission.Counts(now) {
 			queued = append(queued, peersync.Queued{
-				Group: count.Group, Urgency: count.Urgency, Waiting: count.Waiting,
+				Group: count.Group, Queue: int(count.Queue), Urgency: count.Urgency, Waiting: count.Amount,
 				SentPer10s: int(math.Round(count.Sent * tenSeconds)), StartedPer10s: int(math.Round(count.Started * tenSeconds)),
 			})
 		}
@@ -205,7 +228,7 @@
 	return queued, promises
 }
 
-// ApplyQueued applies what another gateway has at the queues of decode engines, and its promises.
+// ApplyQueued applies what another gateway has at the queues of engines, and its promises.
 func (d *Dispatcher) ApplyQueued(sender string, queued []peersync.Queued, promises []peersync.Promise) {
 	if sender == "" {
 		return
@@ -217,7 +240,7 @@
 		counts := make([]admission.Count, 0, len(queued))
 		for _, count := range queued {
 			counts = append(counts, admission.Count{
-				Group: count.Group, Urgency: count.Urgency, Waiting: count.Waiting,
+				Work: admission.Work{Group: count.Group, Queue: admission.Queue(count.Queue), Urgency: count.Urgency, Amount: count.Waiting},
 				Sent: float64(count.SentPer10s) / tenSeconds, Started: float64(count.StartedPer10s) / tenSeconds,
 			})
 		}
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -218,9 +218,9 @@
 	objective time.Duration
 	// suspectKey spreads suspect requests over workers; empty for other requests.
 	suspectKey string
-	// urgency orders the queue of the decode engine. queued is set while the request is counted as waiting there.
+	// urgency orders the queue of the decode engine. queued is what the request is counted for at the queue of the worker; zero if it is not.
 	urgency   int
-	queued    bool
+	queued    admission.Work
 	startedAt time.Time
 	finished  bool
 }
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -180,12 +180,15 @@
 	placement.FetchFrom = prompt.fetchSource(engine)
 	if chosen.prefill == nil {
 		placement.Runner = d.assign(choice, tokens, prompt.deferred, objective)
-		d.enterQueue(placement.Runner, start.Urgency)
+		d.enterQueue(placement.Runner, admission.Work{Queue: admission.QueueSlots, Urgency: start.Urgency, Amount: 1})
 		return placement
 	}
 	// A load without tokens would count as a request that decodes or waits to decode, but this engine only prefills it.
 	placement.Prefill = d.assign(choice, max(tokens, 1), prompt.deferred, objective)
 	placement.Prefill.suspectKey, placement.Prefill.urgency = prompt.suspectKey, start.Urgency
+	d.enterQueue(placement.Prefill, admission.Work{
+		Queue: admission.QueuePrefills, Urgency: placement.prefillUrgency(), Amount: placement.Prefill.load.PrefillTokens + placement.Prefill.load.DeferredTokens,
+	})
 	d.recordCached(engine, prompt.request.Demand, false)
 	return placement
 }
@@ -196,13 +199,13 @@
 	defer d.mutex.Unlock()
 	prompt := d.newPromptContext(request, group)
 	prompt.suspectKey, prompt.prefilled = prefill.suspectKey, true
-	prompt.order = d.admission.OrderOf(d.now(), group.Name, prefill.urgency)
+	prompt.slotOrder = d.admission.OrderOf(d.now(), group.Name, admission.QueueSlots, prefill.urgency)
 	choice, found := d.pickRunner(prompt, excluded, prefill.Worker)
 	if !found {
 		return nil, false
 	}
 	runner := d.assign(choice, 0, prefill.deferred, prefill.objective)
-	d.enterQueue(runner, prefill.urgency)
+	d.enterQueue(runner, admission.Work{Queue: admission.QueueSlots, Urgency: prefill.urgency, Amount: 1})
 	return runner, true
 }
 
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -17,7 +17,7 @@
 		defer timer.Stop()
 	}
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
-		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.urgency(),
+		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.prefillUrgency(),
 	})
 	failure := classify(ctx, err)
 	if failure != failureRefused && failure != failureMisdirected && failure != failureUnreachable {
@@ -58,9 +58,12 @@
 	return admission.DefaultUrgency
 }
 
-// urgency returns the urgency for prefilling the prompt of a placed request.
-func (p *Placement) urgency() int {
-	if p.Deferred {
+// prefillUrgency returns the urgency for prefilling the prompt of a placed request.
+func (p *Placement) prefillUrgency() int {
+	switch {
+	case p.Deferred && admission.IsLate(p.Urgency):
+		return p.Urgency
+	case p.Deferred:
 		return urgencyDeferred
 	}
 	return urgencyOf(p.Prefill.Score.Prefill)
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -21,10 +21,10 @@
 	shared     sharedPrefix
 	// deferred is set if the prompt is prefilled only after all prompts that are not deferred.
 	deferred bool
-	// order is the place of the request in the queues of decode engines; the zero value if it is that of its arrival. behindWaiting is set if
-	// it waits behind the deferred ones.
-	order         admission.Order
-	behindWaiting bool
+	// slotOrder and prefillOrder are the places of the request in the queues of decode and prefill engines; zero if they are those of its
+	// arrival. behindWaiting is set if it waits for a slot behind the deferred ones.
+	slotOrder, prefillOrder admission.Order
+	behindWaiting           bool
 	// suspectKey spreads suspect requests over workers; empty for other requests.
 	suspectKey string
 	// prefilled is set once the prompt has been prefilled.
@@ -67,9 +67,13 @@
 
 // query returns a query for an engine of a role.
 func (p *promptContext) query(role backend.Role, zone string, excluded []string) balance.Query {
+	order := p.slotOrder
+	if role == backend.RolePrefill {
+		order = p.prefillOrder
+	}
 	return balance.Query{
 		Request: p.request.ID, Group: p.group.Name, Role: role, Key: p.shared.affinityKey, Zone: zone, Excluded: excluded,
-		YieldingShare: p.order.YieldingShare, UrgentLoad: p.order.UrgentLoad, BehindWaiting: p.behindWaiting,
+		YieldingShare: order.YieldingShare, UrgentLoad: order.UrgentLoad, BehindWaiting: p.behindWaiting,
 		Deferred: p.deferred, SuspectKey: p.suspectKey, Prefilled: p.prefilled, Holders: p.holderIDs, Concentrate: len(p.shared.segments) == 0,
 	}
 }
--- a/internal/peersync/supplement.go
+++ b/internal/peersync/supplement.go
@@ -18,19 +18,20 @@
 	Loans        []Loan        `cbor:"4,keyasint,omitempty"`
 	// Sender is set if Queued or Promises are.
 	Sender string `cbor:"5,keyasint,omitempty"`
-	// Queued is what the sender has at the queues of decode engines. Promises are the callers that it told to return since the last
+	// Queued is what the sender has at the queues of engines. Promises are the callers that it told to return since the last
 	// supplement.
 	Queued   []Queued  `cbor:"6,keyasint,omitempty"`
 	Promises []Promise `cbor:"7,keyasint,omitempty"`
 }
 
-// Queued is what one gateway has at the queues of the decode engines of a group with one urgency.
+// Queued is what one gateway has at one kind of queue of the engines of a group with one urgency. Queue has the values of admission.Queue.
 type Queued struct {
-	_                struct{} `cbor:",toarray"`
-	Group            string
-	Urgency, Waiting int
-	// SentPer10s and StartedPer10s are how many requests were sent to the queues and started to run, in 10 seconds.
-	SentPer10s, StartedPer10s int
+	_              struct{} `cbor:",toarray"`
+	Group          string
+	Queue, Urgency int
+	// Waiting is in the queues, in requests or tokens. SentPer10s and StartedPer10s are how much was sent there and started to run, in 10
+	// seconds.
+	Waiting, SentPer10s, StartedPer10s int
 }
 
 // Promise tells that the sender refused a request and told its caller to return after a time.
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -111,6 +111,28 @@
 	return t.duplicateKeys
 }
 
+// Priorities returns the different priorities of the tenants; nil stands for tenants without one. A nil Table has none.
+func (t *Table) Priorities() []*int {
+	if t == nil {
+		return nil
+	}
+	var priorities []*int
+	for _, tenant := range t.tenants {
+		if !slices.ContainsFunc(priorities, func(known *int) bool { return samePriority(known, tenant.priority) }) {
+			priorities = append(priorities, tenant.priority)
+		}
+	}
+	return priorities
+}
+
+// samePriority reports whether two priorities are equal or both missing.
+func samePriority(a, b *int) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 // Tenants returns all tenants sorted by name. The caller must not modify the slice.
 func (t *Table) Tenants() []*Tenant { return t.tenants }
 
