Admission: callers that all engines refused are promised room

They were told the fixed 150 ms, all of them. Their times are now spread over the slots that become free, and a late request whose caller returned when told goes before late ones also where only the prompts wait.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -129,13 +129,13 @@
 func (c *Controller) decide(now time.Time, group *groupState, request Request, outlook Outlook, large bool) Decision {
 	late, full := outlook.late(now, request), !outlook.FreeAt.IsZero()
 	if !full && !late {
-		return Start{Urgency: group.uncontendedUrgency(now, request.Priority)}
+		return group.startUncontended(now, request.Priority)
 	}
 	rank := group.rankOf(request.Priority)
 	start := func(urgency int, why string) Decision {
 		return Start{Urgency: urgency, Reason: fmt.Sprintf("%s: %s", request.Priority, why)}
 	}
-	if late && full && !request.Committed && group.promises.redeem(now, request.key) {
+	if late && !request.Committed && group.promises.redeem(now, request.key) {
 		return start(inTimeUrgencies[rank][1], "its caller returned when told")
 	}
 	if group.floorOf(class{rank: rank, late: late, large: large}).take(request.Tokens, c.settings.FloorShare) {
@@ -156,14 +156,14 @@
 	}
 }
 
-// uncontendedUrgency returns the urgency of requests for which there is room. While others are ordered it is that of their rank, so that none
-// is preempted by a less urgent one when the memory of its engine runs out.
-func (g *groupState) uncontendedUrgency(now time.Time, priority Priority) int {
+// startUncontended returns the decision for a request for which there is room. While others are ordered it has the urgency of its rank, so
+// that none is preempted by a less urgent one when the memory of its engine runs out.
+func (g *groupState) startUncontended(now time.Time, priority Priority) Start {
 	g.fade(now)
 	if !g.queued.contended() {
-		return DefaultUrgency
+		return Start{Urgency: DefaultUrgency}
 	}
-	return inTimeUrgencies[g.rankOf(priority)][0]
+	return Start{Urgency: inTimeUrgencies[g.rankOf(priority)][0], Reason: fmt.Sprintf("%s: other requests of the group are ordered", priority)}
 }
 
 // holdBack returns a Wait or a Refuse for a late request for which no slot is free, or nil to start it.
@@ -198,6 +198,16 @@
 	return wanted + time.Duration(hashFraction(request.ID)*float64(longest-wanted))
 }
 
+// PromiseReturn returns the time after which the caller of a request that all tried engines refused should return, and promises it room then.
+// It returns false for groups that are not controlled.
+func (c *Controller) PromiseReturn(now time.Time, request Request, slotInterval time.Duration) (time.Duration, bool) {
+	group, found := c.groups[request.Group]
+	if !found {
+		return 0, false
+	}
+	return c.retryAfter(now, group, request, Outlook{SlotInterval: slotInterval}), true
+}
+
 // hashFraction returns a pseudo-random number in [0, 1) that depends only on the id.
 func hashFraction(id string) float64 {
 	const parts = 1 << 16
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -195,3 +195,66 @@
 		t.Fatal("a promise was redeemed twice")
 	}
 }
+
+// TestOthersKeepTheirRankWhileSomeAreOrdered guards against urgent requests that started at a free slot and are preempted by less urgent ones
+// which were ordered, and against an order that outlasts the contention.
+func TestOthersKeepTheirRankWhileSomeAreOrdered(t *testing.T) {
+	controller := newTestController()
+	decide := func(now time.Time) Decision {
+		return controller.Decide(now, Request{Group: "g", Tokens: 1, Arrived: now, Objective: time.Second, Deadline: now.Add(time.Second)},
+			Outlook{Start: time.Millisecond, YieldingStart: time.Millisecond})
+	}
+	if decision := decide(start); decision != (Start{Urgency: DefaultUrgency}) {
+		t.Errorf("got %+v before", decision)
+	}
+	controller.Sent(start, Work{Group: "g", Urgency: inTimeUrgencies[1][0], Amount: 1})
+	if decision := decide(start.Add(time.Second)).(Start); decision.Urgency != inTimeUrgencies[0][0] || decision.Reason == "" {
+		t.Errorf("got %+v while others are ordered", decision)
+	}
+	if decision := decide(start.Add(10 * time.Second)); decision != (Start{Urgency: DefaultUrgency}) {
+		t.Errorf("got %+v after", decision)
+	}
+}
+
+// TestTenantTakesPrecedence guards against a priority of a tenant that does not precede that of the rule, and one that hides those of rules
+// where all tenants have it.
+func TestTenantTakesPrecedence(t *testing.T) {
+	controller := NewController(DefaultSettings())
+	controller.SetPriorities(map[string][]Priority{"g": {{1, 0}, {1, 1}, {1, 2}, {0, 2}}})
+	previous := -1
+	for _, priority := range []Priority{{0, 2}, {1, 0}, {1, 1}, {1, 2}} {
+		urgency := controller.InTimeUrgency("g", priority)
+		if urgency <= previous {
+			t.Errorf("%v has urgency %d, the one before %d", priority, urgency, previous)
+		}
+		previous = urgency
+	}
+}
+
+// TestPromisesAreSpread guards against promises for more room than becomes free, and Retry-After times that callers do not wait.
+func TestPromisesAreSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		controller := newTestController()
+		interval := time.Duration(rapid.IntRange(1, 50).Draw(t, "interval")) * time.Millisecond
+		perWindow := map[int64]int{}
+		for i := range rapid.IntRange(1, 300).Draw(t, "refusals") {
+			key := uint64(i + 1)
+			after, _ := controller.PromiseReturn(start, Request{
+				ID: rapid.String().Draw(t, "id"), Group: "g", Deadline: start.Add(2 * time.Second), Expires: start.Add(6 * time.Second),
+				Key: func() uint64 { return key },
+			}, interval)
+			if after < DefaultSettings().MinRetryAfter || after > 2*time.Second {
+				t.Fatalf("Retry-After %v", after)
+			}
+			if at, promised := controller.groups["g"].promises.due[key]; promised {
+				perWindow[at.Sub(start).Milliseconds()/100]++
+			}
+		}
+		most := int(DefaultSettings().PromisedShare*float64(100*time.Millisecond)/float64(interval)) + 1
+		for window, n := range perWindow {
+			if n > most {
+				t.Fatalf("%d promises in window %d, want at most %d", n, window, most)
+			}
+		}
+	})
+}
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -80,6 +80,7 @@
 		}
 		return d.assignPlan(prompt, best, options.Objective, decision), true
 	default:
+		d.announcePromise()
 		return &Placement{HeldBack: decision}, true
 	}
 }
@@ -119,22 +120,37 @@
 	}
 	now := d.now()
 	outlook.FreeAt = now.Add(secondsDuration(chosen.slotWait))
-	estimate := d.model.Estimate(now, enginemodel.ClassOf(chosen.runner.Worker))
-	if slots := d.decodeSlots(prompt.group.Name); slots > 0 {
-		outlook.SlotInterval = secondsDuration(estimate.ServiceSeconds * float64(d.gatewayCount()) / float64(slots))
-	}
+	outlook.SlotInterval = d.slotInterval(prompt.group.Name)
 	return outlook
 }
 
-// decodeSlots returns the slots of all decode engines of a group that are in service. It is called only when the chosen engine is full.
-func (d *Dispatcher) decodeSlots(group string) int {
+// slotInterval returns the mean time between two slots of decode engines that become free for requests of this gateway; zero if no engine is
+// in service. It is called only when there is contention, since it iterates over all engines of the group.
+func (d *Dispatcher) slotInterval(group string) time.Duration {
 	slots := 0
 	for worker, status := range d.balancer.WorkerStatuses(d.now(), group) {
 		if worker.Role == backend.RoleDecode && status.Usable {
 			slots += worker.Slots
 		}
 	}
-	return slots
+	if slots == 0 {
+		return 0
+	}
+	estimate := d.model.Estimate(d.now(), enginemodel.Class{Group: group, Role: backend.RoleDecode})
+	return secondsDuration(estimate.ServiceSeconds * float64(d.gatewayCount()) / float64(slots))
+}
+
+// promiseReturn returns the time after which the caller of a request that all tried engines refused should return, or false if the group is
+// not controlled.
+func (d *Dispatcher) promiseReturn(request admission.Request) (time.Duration, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.admission.Controls(request.Group) {
+		return 0, false
+	}
+	after, promised := d.admission.PromiseReturn(d.now(), request, d.slotInterval(request.Group))
+	d.announcePromise()
+	return after, promised
 }
 
 // secondsDuration converts seconds.
@@ -196,7 +212,6 @@
 		return true, c.giveUp(failure, c.attempts.final(failure))
 	case admission.Refuse:
 		c.report.HeldBack = "refused: " + decision.Reason
-		c.handler.dispatcher.announcePromise()
 		return true, respondRetryAfter(c.writer, c.report, ReasonNoRoom, decision.RetryAfter.Round(time.Millisecond))
 	default:
 		return false, connKeep
@@ -253,10 +268,9 @@
 	}
 }
 
-// announcePromise signals that a promise is to be sent to the other gateways, because the caller may return to any of them.
+// announcePromise signals that a promise may have to be sent to the other gateways, because the caller may return to any of them. The mutex is
+// held.
 func (d *Dispatcher) announcePromise() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
 	if d.peers.notify != nil {
 		d.peers.notify(false)
 	}
--- a/internal/forward/availability.go
+++ b/internal/forward/availability.go
@@ -90,7 +90,11 @@
 func (c *call) refuseWithRetryAfter() connAction {
 	expected, known := c.unavailability()
 	if !known {
-		return respondRetryAfter(c.writer, c.report, ReasonNoWorker, c.handler.settings.RefusedRetryAfter)
+		after, promised := c.handler.dispatcher.promiseReturn(c.admissionRequest())
+		if !promised {
+			after = c.handler.settings.RefusedRetryAfter
+		}
+		return respondRetryAfter(c.writer, c.report, ReasonNoWorker, after.Round(time.Millisecond))
 	}
 	if expected.saturation.PerSecond > 0 {
 		expected.expectedAt = c.handler.dispatcher.reserveSlot(c.match.Group.Name, expected.saturation, c.deadline)
