--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,6 +32,12 @@
 	Answer enginemodel.Answer
 	// Deferred prompts are prefilled after all others.
 	Deferred bool
+	// YieldingShare is the share of the work waiting at the engines that yields to this request, from 0 to 1: of the prompts at prefill
+	// engines, of the requests waiting for slots at decode engines. UrgentLoad is the share of what the engines do that more urgent requests
+	// take, which arrive later; it is below 1.
+	YieldingShare, UrgentLoad float64
+	// BehindWaiting is set if the request waits for a slot behind the low-priority ones that wait already.
+	BehindWaiting bool
 	// Zone is the preferred zone.
 	Zone string
 	// Holders lists the IDs of workers that have some segments of the prompt cached. They are candidates even if the role is
@@ -81,6 +87,8 @@
 	TimeToFirstToken, QueueWait float64
 	// Forecast is the expected course of the response at a decode engine. It is not part of the total.
 	Forecast enginemodel.Forecast
+	// SlotWait is the part of QueueWait until a slot of a decode engine is free; zero if one is.
+	SlotWait float64
 	// EjectedPenalty is the penalty of an ejected worker that is used because too few healthy workers are left.
 	EjectedPenalty float64
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -108,16 +108,18 @@
 		score.Queue = float64(load.Running) * estimate.ServiceSeconds / float64(max(worker.Slots, 1))
 	} else {
 		perToken := estimate.SecondsPerToken * b.model.Slowdown(now, enginemodel.ClassOf(worker), worker.ID)
-		score.Queue = float64(load.Running)*b.settings.SecondsPerRequest + float64(tokensAhead(query, load))*perToken
+		ahead := tokensAhead(query, worker.Role, load) * perToken
+		score.Queue = float64(load.Running)*b.settings.SecondsPerRequest + ahead
 		score.addPrefill(query, worker, perToken)
-		score.QueueWait = float64(tokensAhead(query, load)) * perToken
+		score.QueueWait = ahead
 		score.TimeToFirstToken = estimate.BaseSeconds + score.QueueWait + score.Prefill
 	}
 	if worker.Role == backend.RoleDecode {
-		wait := slotWaitSeconds(estimate, load.Decoding(), worker.Slots) * b.model.PaceFactor(now, worker)
+		wait := slotWaitSeconds(estimate, query, load, worker.Slots) * b.model.PaceFactor(now, worker)
 		score.Interference = score.Prefill * b.settings.InterferenceWeight * float64(load.Decoding())
 		score.Queue += wait
 		score.QueueWait += wait
+		score.SlotWait = wait
 		score.TimeToFirstToken += wait
 		b.addRisks(now, query, worker, load, wait, &score)
 	}
@@ -128,11 +130,15 @@
 }
 
 // tokensAhead returns how many tokens the worker prefills before the prompt of the query.
-func tokensAhead(query Query, load backend.Load) int {
+func tokensAhead(query Query, role backend.Role, load backend.Load) float64 {
+	tokens := load.PrefillTokens
 	if query.Deferred {
-		return load.PrefillTokens + load.DeferredTokens
+		tokens += load.DeferredTokens
 	}
-	return load.PrefillTokens
+	if role != backend.RolePrefill {
+		return float64(tokens)
+	}
+	return float64(tokens) * (1 - query.YieldingShare) / (1 - query.UrgentLoad)
 }
 
 // addPrefill adds the prefill cost of the prompt at a worker with the given time per token.
@@ -145,14 +151,19 @@
 	s.Transfer = prefill.TransferSeconds
 }
 
-// slotWaitSeconds returns the expected time until a decode engine that decodes the given number of requests has a free
-// slot for another one.
-func slotWaitSeconds(estimate enginemodel.Estimate, running, slots int) float64 {
+// slotWaitSeconds returns the expected time until a decode engine with the given load has a free slot for the request of a query. Requests
+// that run don't yield, so that it takes one slot to become free at least.
+func slotWaitSeconds(estimate enginemodel.Estimate, query Query, load backend.Load, slots int) float64 {
+	running := load.Decoding()
+	if query.BehindWaiting {
+		running += load.Waiting
+	}
 	excess := running + 1 - slots
 	if excess <= 0 || slots <= 0 {
 		return 0
 	}
-	return float64(excess) * estimate.ServiceSeconds / float64(slots)
+	ahead := max(float64(excess)*(1-query.YieldingShare), 1)
+	return ahead * estimate.ServiceSeconds / float64(slots) / (1 - query.UrgentLoad)
 }
 
 // preferredWorker returns the worker that wins ties. It is the same on all gateways with the same workers.
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/migration"
@@ -231,7 +232,7 @@
 		return failure
 	}
 	record := Attempt{Start: time.Now(), Worker: runner.Worker.ID, Continues: ContinuesCopy}
-	continued := c.runOn(ctx, runner, RunOptions{Deadline: c.deadline, Continue: true}, nil)
+	continued := c.runOn(ctx, runner, RunOptions{Deadline: c.deadline, Continue: true, Urgency: admission.DefaultUrgency}, nil)
 	c.recordAttempt(record, "", continued)
 	switch continued {
 	case failureNone, failureDeadline, failureCallerGone:
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/boottime"
@@ -66,6 +67,7 @@
 	prefixCache *prefixcache.Table
 	peers       *peerExchange
 	retries     *retryBudgets
+	admission   *admission.Controller
 	engineState *engineState
 	// engineGroups holds the engine settings of each group.
 	engineGroups map[string]*routing.Engine
@@ -106,6 +108,7 @@
 		prefixCache:      prefixcache.New(),
 		peers:            peers,
 		retries:          newRetryBudgets(settings.Budget, sinceBoot),
+		admission:        admission.NewController(admission.DefaultSettings()),
 		engineState:      newEngineState(),
 		engineGroups:     map[string]*routing.Engine{},
 		demand:           map[string]*demandCounter{},
@@ -231,8 +234,11 @@
 	objective time.Duration
 	// suspectKey spreads suspect requests over workers; empty for other requests.
 	suspectKey string
-	startedAt  time.Time
-	finished   bool
+	// urgency orders the queue of the decode engine. queued is what the request is counted for at the queue of the worker; zero if it is not.
+	urgency   int
+	queued    admission.Work
+	startedAt time.Time
+	finished  bool
 	// wanted is the response that the request wants of the decode engine, or nil. stream observes the response; it is set only at decode engines.
 	wanted *wantedResponse
 	stream *enginemodel.Stream
@@ -243,6 +249,7 @@
 	d := a.dispatcher
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	a.leaveQueue(true)
 	a.observePrefill()
 	d.balancer.PrefillDone(a.Worker.ID, a.load)
 	d.peers.loadChanged(a.Worker.ID, false)
@@ -300,6 +307,7 @@
 		return
 	}
 	a.finished = true
+	a.leaveQueue(false)
 	d, now := a.dispatcher, a.dispatcher.now()
 	if outcome == balance.OutcomeTimeout && a.mayBeBusy(now) {
 		outcome = balance.OutcomeNone
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/peersync"
@@ -20,6 +21,11 @@
 	Runner    *Assignment
 	// Deferred is set if the answer is expected after its objective. The prompt is then prefilled after those that are on time.
 	Deferred bool
+	// Urgency orders the queue of the decode engine; admission.DefaultUrgency unless there is contention. UrgencyReason says why it is not.
+	Urgency       int
+	UrgencyReason string
+	// HeldBack is set if the request is not placed now: an admission.Wait or an admission.Refuse. Prefill and Runner are nil then.
+	HeldBack admission.Decision
 }
 
 // PlaceOptions constrain the placement of a request.
@@ -37,6 +43,8 @@
 	// pace.
 	Rule     *routing.Rule
 	Deadline time.Time
+	// Admission describes the request to the admission of groups whose requests have different priorities.
+	Admission admission.Request
 }
 
 // Place picks the workers for a request, or returns false if there are none.
@@ -58,7 +66,7 @@
 // candidates returns how many workers were considered for the first call of a placement; zero if p is nil.
 func (p *Placement) candidates() int {
 	switch {
-	case p == nil:
+	case p == nil || p.HeldBack != nil:
 		return 0
 	case p.Prefill != nil:
 		return p.Prefill.Candidates
@@ -94,7 +102,7 @@
 	if !found {
 		return nil, false
 	}
-	return &Placement{Runner: d.assign(choice, 0, false, options.Objective)}, true
+	return &Placement{Runner: d.assign(choice, 0, false, options.Objective), Urgency: admission.DefaultUrgency}, true
 }
 
 // plan is a candidate placement of a request on engines. No work is assigned yet.
@@ -103,8 +111,8 @@
 	prefill *balance.Choice
 	runner  balance.Choice
 	// seconds is the estimated cost of the plan, timeToFirstEvent the time until the answer starts, and queueWait the part of it spent
-	// behind other requests.
-	seconds, timeToFirstEvent, queueWait float64
+	// behind other requests. slotWait is the part of queueWait until the runner has a free slot.
+	seconds, timeToFirstEvent, queueWait, slotWait float64
 }
 
 // delayedByQueue reports whether the answer is expected too late only because of other requests. A prompt that would miss its objective
@@ -128,6 +136,9 @@
 	prompt := d.newPromptContext(request, group)
 	prompt.suspectKey = options.SuspectKey
 	prompt.wanted = d.newWantedResponse(request, group, options)
+	if d.admission.Controls(group.Name) {
+		return d.placeAdmitted(prompt, options)
+	}
 	best, found := d.bestPlan(prompt, options)
 	if found && best.delayedByQueue(options) {
 		prompt.deferred = true
@@ -136,12 +147,16 @@
 	if !found {
 		return nil, false
 	}
-	placement := d.assignPlan(prompt, best, options.Objective)
-	// A placement with excluded workers is a retry, and the prompt was counted when it was first placed.
-	if len(options.Excluded) == 0 {
-		d.countDemand(best.prefillEngine(), prompt.prefillCost(best.prefillEngine()).Tokens)
+	d.countPromptDemand(prompt, best, options)
+	return d.assignPlan(prompt, best, options.Objective, admission.Start{Urgency: defaultUrgency(prompt.deferred)}), true
+}
+
+// countPromptDemand counts the demand for prefilling a prompt. A placement with excluded workers is a retry, and the prompt was counted when
+// it was first placed.
+func (d *Dispatcher) countPromptDemand(prompt *promptContext, chosen plan, options PlaceOptions) {
+	if len(options.Excluded) == 0 && !options.Admission.Waited {
+		d.countDemand(chosen.prefillEngine(), prompt.prefillCost(chosen.prefillEngine()).Tokens)
 	}
-	return placement, true
 }
 
 // bestPlan returns the cheapest plan, or false if there is none.
@@ -159,8 +174,8 @@
 }
 
 // assignPlan assigns the work of a plan.
-func (d *Dispatcher) assignPlan(prompt *promptContext, chosen plan, objective time.Duration) *Placement {
-	placement := &Placement{Deferred: prompt.deferred}
+func (d *Dispatcher) assignPlan(prompt *promptContext, chosen plan, objective time.Duration, start admission.Start) *Placement {
+	placement := &Placement{Deferred: prompt.deferred, Urgency: start.Urgency, UrgencyReason: start.Reason}
 	choice := chosen.runner
 	if chosen.prefill != nil {
 		choice = *chosen.prefill
@@ -170,11 +185,15 @@
 	placement.FetchFrom = prompt.fetchSource(engine)
 	if chosen.prefill == nil {
 		placement.Runner = d.assign(choice, tokens, prompt.deferred, objective).observeEvents(prompt.wanted)
+		d.enterQueue(placement.Runner, admission.Work{Queue: admission.QueueSlots, Urgency: start.Urgency, Amount: 1})
 		return placement
 	}
 	// A load without tokens would count as a request that decodes or waits to decode, but this engine only prefills it.
 	placement.Prefill = d.assign(choice, max(tokens, 1), prompt.deferred, objective)
-	placement.Prefill.suspectKey, placement.Prefill.wanted = prompt.suspectKey, prompt.wanted
+	placement.Prefill.suspectKey, placement.Prefill.wanted, placement.Prefill.urgency = prompt.suspectKey, prompt.wanted, start.Urgency
+	d.enterQueue(placement.Prefill, admission.Work{
+		Queue: admission.QueuePrefills, Urgency: placement.prefillUrgency(), Amount: placement.Prefill.load.PrefillTokens + placement.Prefill.load.DeferredTokens,
+	})
 	d.recordCached(engine, prompt.request.Demand, false)
 	return placement
 }
@@ -185,11 +204,14 @@
 	defer d.mutex.Unlock()
 	prompt := d.newPromptContext(request, group)
 	prompt.suspectKey, prompt.prefilled, prompt.wanted = prefill.suspectKey, true, prefill.wanted
+	prompt.slotOrder = d.admission.OrderOf(d.now(), group.Name, admission.QueueSlots, prefill.urgency)
 	choice, found := d.pickRunner(prompt, excluded, prefill.Worker)
 	if !found {
 		return nil, false
 	}
-	return d.assign(choice, 0, prefill.deferred, prefill.objective).observeEvents(prefill.wanted), true
+	runner := d.assign(choice, 0, prefill.deferred, prefill.objective).observeEvents(prefill.wanted)
+	d.enterQueue(runner, admission.Work{Queue: admission.QueueSlots, Urgency: prefill.urgency, Amount: 1})
+	return runner, true
 }
 
 // pickRunner picks the decode engine for a prompt that source prefills.
@@ -211,7 +233,7 @@
 	if choice.Score.Prefill > d.settings.LongPrefill.Seconds() {
 		seconds += d.settings.LongPrefillSeconds
 	}
-	return plan{runner: choice, seconds: seconds, timeToFirstEvent: choice.Score.TimeToFirstToken, queueWait: choice.Score.QueueWait}, true
+	return plan{runner: choice, seconds: seconds, timeToFirstEvent: choice.Score.TimeToFirstToken, queueWait: choice.Score.QueueWait, slotWait: choice.Score.SlotWait}, true
 }
 
 // planDisaggregated plans to prefill on one engine and decode on another.
@@ -231,6 +253,7 @@
 		seconds:          prefill.Score.Total() + runner.Score.Total() + d.settings.DisaggregationSeconds,
 		timeToFirstEvent: prefill.Score.TimeToFirstToken + runner.Score.TimeToFirstToken,
 		queueWait:        prefill.Score.QueueWait + runner.Score.QueueWait,
+		slotWait:         runner.Score.SlotWait,
 	}, true
 }
 
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/admission"
 )
 
 // prefill has an engine compute the KV cache of the prompt.
@@ -15,7 +17,7 @@
 		defer timer.Stop()
 	}
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
-		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.urgency(),
+		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.prefillUrgency(),
 	})
 	failure := classify(ctx, err)
 	if failure != failureRefused && failure != failureMisdirected && failure != failureUnreachable {
@@ -48,9 +50,20 @@
 // urgencyDeferred is the urgency of prompts whose answers are expected too late.
 const urgencyDeferred = 9
 
-// urgency returns the urgency for prefilling the prompt of a placed request.
-func (p *Placement) urgency() int {
-	if p.Deferred {
+// defaultUrgency returns the urgency at decode engines of requests whose group distinguishes no priorities.
+func defaultUrgency(deferred bool) int {
+	if deferred {
+		return urgencyDeferred
+	}
+	return admission.DefaultUrgency
+}
+
+// prefillUrgency returns the urgency for prefilling the prompt of a placed request.
+func (p *Placement) prefillUrgency() int {
+	switch {
+	case p.Deferred && admission.IsLate(p.Urgency):
+		return p.Urgency
+	case p.Deferred:
 		return urgencyDeferred
 	}
 	return urgencyOf(p.Prefill.Score.Prefill)
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/enginemodel"
@@ -20,6 +21,10 @@
 	shared     sharedPrefix
 	// deferred is set if the prompt is prefilled only after all prompts that are not deferred.
 	deferred bool
+	// slotOrder and prefillOrder are the places of the request in the queues of decode and prefill engines; zero if they are those of its
+	// arrival. behindWaiting is set if it waits for a slot behind the deferred ones.
+	slotOrder, prefillOrder admission.Order
+	behindWaiting           bool
 	// suspectKey spreads suspect requests over workers; empty for other requests.
 	suspectKey string
 	// prefilled is set once the prompt has been prefilled.
@@ -64,9 +69,14 @@
 
 // query returns a query for an engine of a role.
 func (p *promptContext) query(role backend.Role, zone string, excluded []string) balance.Query {
+	order := p.slotOrder
+	if role == backend.RolePrefill {
+		order = p.prefillOrder
+	}
 	return balance.Query{
 		Answer:  p.wanted.answer(p.dispatcher.now()),
 		Request: p.request.ID, Group: p.group.Name, Role: role, Key: p.shared.affinityKey, Zone: zone, Excluded: excluded,
+		YieldingShare: order.YieldingShare, UrgentLoad: order.UrgentLoad, BehindWaiting: p.behindWaiting,
 		Deferred: p.deferred, SuspectKey: p.suspectKey, Prefilled: p.prefilled, Holders: p.holderIDs, Concentrate: len(p.shared.segments) == 0,
 	}
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -34,6 +34,8 @@
 	RunOnce bool
 	// Tenant is the tenant whose limits apply, or empty.
 	Tenant string
+	// tenantPriority overrides the priority of the rule; nil if the request has no tenant.
+	tenantPriority interface{ Priority() (int, bool) }
 	// Unstreamed is set if the caller wants a single response although the rule would stream it.
 	Unstreamed bool
 }
@@ -87,8 +89,8 @@
 	// Continue is set if the worker holds a copy of the state of a run of this request, and continues that run after ResumeAfter. A worker
 	// without the copy refuses the request.
 	Continue bool
-	// Deferred is set if the run yields to all runs that are not deferred.
-	Deferred bool
+	// Urgency orders the queue of the engine, from 0 for the first to 9 for the last; admission.DefaultUrgency is what engines assume.
+	Urgency int
 }
 
 // PrefillOptions configure how an engine prefills a prompt.
--- a/internal/peersync/supplement.go
+++ b/internal/peersync/supplement.go
@@ -18,6 +18,12 @@
 	Loans        []Loan        `cbor:"4,keyasint,omitempty"`
 	// EngineReports lists engines that reported their state to the sender after a start of all gateways.
 	EngineReports []EngineReport `cbor:"5,keyasint,omitempty"`
+	// Sender is set if Queued or Promises are.
+	Sender string `cbor:"6,keyasint,omitempty"`
+	// Queued is what the sender has at the queues of engines. Promises are the callers that it told to return since the last
+	// supplement.
+	Queued   []Queued  `cbor:"7,keyasint,omitempty"`
+	Promises []Promise `cbor:"8,keyasint,omitempty"`
 }
 
 // EngineReport is what an engine reported about itself to the sender.
@@ -33,6 +39,25 @@
 	AgeMs int64
 }
 
+// Queued is what one gateway has at one kind of queue of the engines of a group with one urgency. Queue has the values of admission.Queue.
+type Queued struct {
+	_              struct{} `cbor:",toarray"`
+	Group          string
+	Queue, Urgency int
+	// Waiting is in the queues, in requests or tokens. SentPer10s and StartedPer10s are how much was sent there and started to run, in 10
+	// seconds.
+	Waiting, SentPer10s, StartedPer10s int
+}
+
+// Promise tells that the sender refused a request and told its caller to return after a time.
+type Promise struct {
+	_     struct{} `cbor:",toarray"`
+	Group string
+	// Key recognizes the request.
+	Key     uint64
+	AfterMs int64
+}
+
 // LoanRequest asks the other gateways for a loan of requests at workers with rate limits.
 type LoanRequest struct {
 	_        struct{} `cbor:",toarray"`
@@ -69,7 +94,8 @@
 
 // Empty reports whether there is nothing to send.
 func (s *Supplement) Empty() bool {
-	return len(s.Leaving) == 0 && len(s.Limits) == 0 && len(s.LoanRequests) == 0 && len(s.Loans) == 0 && len(s.EngineReports) == 0
+	return len(s.Leaving) == 0 && len(s.Limits) == 0 && len(s.LoanRequests) == 0 && len(s.Loans) == 0 && len(s.Queued) == 0 &&
+		len(s.Promises) == 0 && len(s.EngineReports) == 0
 }
 
 // Encode returns the encoding of a supplement.
