enginemodel: the prefill pace of a worker from the time for its tokens

Cause: of the late first events most had prefills that took longer than expected, at engines that count as alike: for short prompts nearly all of the time is the base time of the network, so that a slow engine looks like its class.

Change: the relative time of a worker is that for the tokens, without the base time, weighed with the square of its share.

--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -116,8 +116,16 @@
 	ownShare := float64(sample.Tokens) / tokens
 	weight := ownShare * ownShare * ownShare * ownShare
 	stats.prefill.add(now, tokens, seconds, weight)
-	worker := stats.workerOf(id)
-	worker.logSlowdown.add(now, math.Log(seconds/predicted), weight)
+	stats.workerOf(id).observePrefill(now, expected, tokens, seconds, weight)
+}
+
+// observePrefill records a prefill relative to the estimate of the class. Only the time for the tokens counts, as the base time is mostly that of
+// the network, and the weight is the square of its share.
+func (w *workerStats) observePrefill(now time.Time, expected Estimate, tokens, seconds, weight float64) {
+	perTokens := expected.SecondsPerToken * tokens
+	share := perTokens / (expected.BaseSeconds + perTokens)
+	factor := min(max((seconds-expected.BaseSeconds)/perTokens, 1/clipFactor), clipFactor)
+	w.logSlowdown.add(now, math.Log(factor), weight*share*share)
 }
 
 // ObserveRequest records the time for which a request occupied a worker.
@@ -173,7 +181,7 @@
 // A worker is clearly faster or slower if the logarithm of its relative time is at least a slowdownLogStep away from zero, over observations
 // with a decayed weight of at least slowdownMinSamples. The logarithm is rounded to the middle of such a step.
 const (
-	slowdownMinSamples = 5.0
+	slowdownMinSamples = 2.0
 	slowdownLogStep    = 0.223 // a factor of 1.25
 )
 
