Retries: a reserve for responses that have begun, none spent on unreachable engines

A request without a response can be sent again by its caller; a response that has begun can't.

In groups of engines, requests without a response leave half of what the budget stores beyond one retry to those that have one. An attempt of which nothing arrived leaves its retry to the next one.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -200,6 +200,8 @@
 	}
 	if failure == failureUnreachable {
 		a.unreachable++
+		// Nothing arrived at a worker, so the retry that the attempt took, if any, is left for the next one.
+		a.retryPrepaid.Store(a.reached > 0)
 	} else {
 		a.reached++
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -76,7 +76,7 @@
 		}
 		c.guarded.awaitProbe(ctx)
 		c.attempts.record(worker, failure)
-		decided := c.attempts.decide(failure, c.handler.dispatcher.RetryBudget(c.match.Group.Name))
+		decided := c.attempts.decide(failure, c.retryBudget())
 		if decided != decisionRetry || (c.relay.started && !c.resumable()) {
 			c.guarded.delayFailure(ctx)
 			return c.giveUp(failure, decided)
@@ -108,7 +108,7 @@
 	case c.prefills == 0 || c.match.Group.Engine == nil:
 		return false
 	default:
-		return !c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry()
+		return !c.retryBudget().takeRetry()
 	}
 }
 
--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -186,6 +186,7 @@
 			if want := events(0, 8); c.wantWhole != (err == nil && body == want) {
 				t.Errorf("got %q, %v", body, err)
 			}
+			f.server.Close()
 			if runs := len(f.workers.runOptions); runs != c.wantRuns {
 				t.Errorf("%d runs", runs)
 			}
@@ -209,6 +210,7 @@
 	if _, _, err := f.get(t); err != nil {
 		t.Fatal(err)
 	}
+	f.server.Close()
 	first, second := f.workers.runOptions[0], f.workers.runOptions[1]
 	if first.Backup == nil || first.Backup.ID == f.workers.ranAt[0] || first.Backup.ID != f.workers.ranAt[1] {
 		t.Errorf("ran at %v with the backup %v", f.workers.ranAt, first.Backup)
