A response that has begun is not deferred

Cause: a stream that continues elsewhere was placed by the objective of its first event, which is long past, so its prompt was put behind all that were on time, while its caller leaves after 2 s without an event.

After the first event the placement has no objective.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/httpclient"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
@@ -295,3 +296,20 @@
 	}
 	return count
 }
+
+// TestBegunStreamIsNotDeferred guards against a stream that continues behind all requests that are on time, because its first event is long
+// due: its caller leaves after a short silence.
+func TestBegunStreamIsNotDeferred(t *testing.T) {
+	rule := &routing.Rule{Objective: 300 * time.Millisecond}
+	c := &call{
+		match: routing.Match{Rule: rule, Group: &routing.Group{}}, report: &Report{Arrived: time.Now().Add(-time.Second)},
+		attempts: attempts{rule: rule},
+	}
+	if options := c.placeOptions(poison.Clear); options.Objective != rule.Objective || options.Remaining >= 0 {
+		t.Errorf("before the first event: %+v", options)
+	}
+	c.relay.started = true
+	if options := c.placeOptions(poison.Clear); options.Objective != 0 || options.Remaining != 0 {
+		t.Errorf("after the first event: %+v", options)
+	}
+}
