--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -76,7 +76,7 @@
 		}
 		c.guarded.awaitProbe(ctx)
 		c.attempts.record(worker, failure)
-		decided := c.attempts.decide(failure, c.retryBudget())
+		decided := c.attempts.decide(failure, c.handler.dispatcher.RetryBudget(c.match.Group.Name))
 		if decided != decisionRetry || (c.relay.started && !c.resumable()) {
 			c.guarded.delayFailure(ctx)
 			return c.giveUp(failure, decided)
@@ -112,7 +112,7 @@
 	case c.prefills == 0 || c.match.Group.Engine == nil:
 		return false
 	default:
-		return !c.retryBudget().takeRetry()
+		return !c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry()
 	}
 }
 
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -169,23 +169,7 @@
 
 // takeRetry takes a retry from the budget unless one has been taken for the next attempt.
 func (c *call) takeRetry() bool {
-	return c.attempts.retryPrepaid.Swap(false) || c.retryBudget().takeRetry()
-}
-
-// retryBudget returns the budget for the next attempt.
-func (c *call) retryBudget() RetryBudget {
-	if c.relay.started {
-		return c.handler.dispatcher.RetryBudget(c.match.Group.Name)
-	}
-	return c.unreservedBudget()
-}
-
-// unreservedBudget returns the budget for requests without a response. In groups of engines it leaves a part to responses that have begun,
-// because a caller without one can send its request again.
-func (c *call) unreservedBudget() RetryBudget {
-	budget := c.handler.dispatcher.RetryBudget(c.match.Group.Name)
-	budget.leavesReserve = c.match.Group.Engine != nil
-	return budget
+	return c.attempts.retryPrepaid.Swap(false) || c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry()
 }
 
 // watchStalls returns the watch for the response of a worker, or nil if it can't be continued elsewhere.
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -21,7 +21,7 @@
 		if !c.handler.dispatcher.hasAlternative(c.request, c.match.Group, append(slices.Clone(c.attempts.excluded), worker)) {
 			return false
 		}
-		if !c.unreservedBudget().takeRetry() {
+		if !c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry() {
 			return false
 		}
 		c.attempts.retryPrepaid.Store(true)
--- a/internal/forward/retrybudget.go
+++ b/internal/forward/retrybudget.go
@@ -171,8 +171,6 @@
 type RetryBudget struct {
 	dispatcher *Dispatcher
 	group      string
-	// leavesReserve is set if a part of the budget is left for responses that have begun.
-	leavesReserve bool
 }
 
 // takeRetry implements retrySource. It reports an exhausted budget without holding the mutex, so that a blocked log does not block other
@@ -191,11 +189,7 @@
 	defer r.dispatcher.mutex.Unlock()
 	budgets, now := r.dispatcher.retries, r.dispatcher.retries.now()
 	budget, share := budgets.forGroup(r.group), budgets.share.At(now)
-	spend := budget.Spend
-	if r.leavesReserve {
-		spend = budget.SpendUnreserved
-	}
-	if spend(now, share) {
+	if budget.Spend(now, share) {
 		return true, nil
 	}
 	if !budgets.shouldReportExhausted(budget, now) {
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -94,21 +94,9 @@
 }
 
 // Spend takes one retry from the budget and reports whether there was one.
-func (b *Budget) Spend(now time.Time, share float64) bool { return b.spendAbove(now, share, 0) }
-
-// SpendUnreserved takes one retry from the budget, but not from the half of what it may store beyond one retry, which is reserved for Spend. It
-// reports whether there was one.
-func (b *Budget) SpendUnreserved(now time.Time, share float64) bool {
-	return b.spendAbove(now, share, max(b.capacity()-1, 0)*reservedFraction)
-}
-
-// reservedFraction is the fraction of the capacity beyond one retry that SpendUnreserved leaves.
-const reservedFraction = 0.5
-
-// spendAbove takes one retry if the given credit is left after it.
-func (b *Budget) spendAbove(now time.Time, share, reserve float64) bool {
+func (b *Budget) Spend(now time.Time, share float64) bool {
 	b.Accrue(now, share)
-	if b.credits < 1+reserve {
+	if b.credits < 1 {
 		b.denied++
 		return false
 	}
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -43,14 +43,9 @@
 				budget.CountRequest(now, share)
 				requests = append(requests, now)
 			}
-			for budget.SpendUnreserved(now, share) {
+			for budget.Spend(now, share) {
 				retries = append(retries, now)
 			}
-			if rapid.Bool().Draw(t, "reserve") {
-				for budget.Spend(now, share) {
-					retries = append(retries, now)
-				}
-			}
 		}
 		for _, first := range retries {
 			retried := countBetween(retries, first, first.Add(settings.Window))
@@ -231,28 +226,3 @@
 		}
 	}
 }
-
-// TestReserveIsLeft guards against retries of refused requests that leave none for responses which have begun, and against a reserve that
-// keeps a small budget from granting any.
-func TestReserveIsLeft(t *testing.T) {
-	for _, c := range []struct {
-		allowance              float64
-		wantFirst, wantReserve int
-	}{{40, 10, 10}, {4, 1, 1}, {2, 1, 0}} {
-		budget := New(Settings{Allowance: c.allowance, Window: 10 * time.Second, Safety: 1})
-		for second := range 30 {
-			budget.Accrue(epoch.Add(time.Duration(second)*time.Second), 1)
-		}
-		now := epoch.Add(29 * time.Second)
-		first, reserve := 0, 0
-		for budget.SpendUnreserved(now, 1) {
-			first++
-		}
-		for budget.Spend(now, 1) {
-			reserve++
-		}
-		if first != c.wantFirst || reserve != c.wantReserve {
-			t.Errorf("allowance %v: %d and then %d from the reserve, want %d and %d", c.allowance, first, reserve, c.wantFirst, c.wantReserve)
-		}
-	}
-}
