Copies: drawn by request, and one for each engine at most

Cause: copies have no part in the load that placements are estimated from, so all gateways sent them to the engines that were cheapest at that moment, and new runs as well.

Backup draws an engine by the id of the request, of the wanted zone first. The copies of a gateway are limited to its share of one for each engine of the group.

--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -73,31 +73,23 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.now()
-	held, wanted := d.migration.Copy(now, run, match.Group.Engine.BytesPerToken)
+	gateways := max(d.retries.share.GatewayCount(d.retries.now()), 1)
+	limit := max(copiesPerEngine*d.balancer.Count(match.Group.Name)/gateways, 1)
+	held, wanted := d.migration.Copy(now, run, match.Group.Engine.BytesPerToken, limit)
 	if !wanted {
 		return nil
 	}
-	query := balance.Query{
-		Request: request.ID, Group: match.Group.Name, Role: backend.RoleDecode, Zone: run.Zone, Excluded: []string{run.Engine},
-	}
-	if held.OtherZone {
-		query.PrefillCost = func(worker *backend.Worker) balance.PrefillCost {
-			if worker.Zone == run.Zone {
-				return balance.PrefillCost{TransferSeconds: sameZoneSeconds}
-			}
-			return balance.PrefillCost{}
-		}
-	}
-	choice, found := d.balancer.Pick(now, query)
-	if !found || choice.Worker.ID == run.Engine {
+	query := balance.Query{Request: request.ID, Group: match.Group.Name, Role: backend.RoleDecode, Excluded: []string{run.Engine}}
+	backup, found := d.balancer.Backup(now, query, func(zone string) bool { return (zone == run.Zone) != held.OtherZone })
+	if !found {
 		d.migration.Release(held)
 		return nil
 	}
-	return &runCopy{engine: choice.Worker, held: held}
+	return &runCopy{engine: backup, held: held}
 }
 
-// sameZoneSeconds is the cost of keeping a copy in the zone whose engines end.
-const sameZoneSeconds = 1.0
+// copiesPerEngine is the number of copies for each engine of a group that all gateways together ask for at a time.
+const copiesPerEngine = 1
 
 // releaseCopy frees the bytes of a copy after its run.
 func (d *Dispatcher) releaseCopy(held *runCopy) {
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -140,6 +140,9 @@
 	}
 }
 
+// maxCopies is the limit on the number of copies in the scripts.
+const maxCopies = 3
+
 // copyScript plays one script of copies.
 type copyScript struct {
 	t      *testing.T
@@ -195,7 +198,7 @@
 	s.policy.ObserveRun(rule, parseDuration(s.t, rule))
 	held, wanted := s.policy.Copy(now, Run{
 		Group: "g", Zone: fields[2], Rule: rule, Resumable: fields[1] == "resumable", Tokens: s.number(fields[4]), Deadline: now.Add(time.Minute),
-	}, 1000)
+	}, 1000, maxCopies)
 	got := "none"
 	if wanted {
 		s.held = append(s.held, held)
@@ -242,7 +245,7 @@
 				policy.Risk().Remove(id)
 			case 3:
 				run := Run{Group: "g", Zone: "x", Rule: "r", Tokens: rapid.IntRange(1, 5000).Draw(t, "tokens"), Deadline: now.Add(time.Minute)}
-				if granted, wanted := policy.Copy(now, run, 1); wanted {
+				if granted, wanted := policy.Copy(now, run, 1, maxCopies); wanted {
 					held = append(held, granted)
 				}
 			case 4:
@@ -255,7 +258,7 @@
 			for _, each := range held {
 				total += each.Bytes
 			}
-			if inUse := policy.Totals().CopyBytesInUse; inUse != total || inUse > settings.MaxCopyBytes {
+			if inUse := policy.Totals().CopyBytesInUse; inUse != total || inUse > settings.MaxCopyBytes || len(held) > maxCopies {
 				t.Fatalf("step %d: %d bytes in use, %d held", step, inUse, total)
 			}
 			if probability, _ := policy.Risk().Estimate(now, "g", "x", 2*time.Second); probability < 0 || probability > 1 {
--- a/internal/migration/policy.go
+++ b/internal/migration/policy.go
@@ -27,12 +27,13 @@
 
 // Policy decides on the runs of one gateway. It is a pure state machine and not safe for concurrent use.
 //
-// Invariants: the copies in use never exceed MaxCopyBytes; a run that may be resumed gets no copy.
+// Invariants: the copies in use never exceed MaxCopyBytes, nor their number the limit at the time of the last one; a run that may be resumed gets no copy.
 type Policy struct {
 	settings Settings
 	risk     *Risk
-	// copyBytes is the size of the copies in use.
+	// copyBytes is the size of the copies in use, and copyCount their number.
 	copyBytes int64
+	copyCount int
 	// durations holds the smoothed durations of complete runs by rule.
 	durations map[string]time.Duration
 	totals    Totals
@@ -40,7 +41,7 @@
 
 // Totals counts what the policy decided since the start.
 type Totals struct {
-	// Copies is the number of copies, and CopyBytes their expected size. CopiesOverLimit counts the copies that MaxCopyBytes prevented.
+	// Copies is the number of copies, and CopyBytes their expected size. CopiesOverLimit counts the copies that a limit prevented.
 	Copies, CopyBytes, CopiesOverLimit int64
 	// CopyBytesInUse is the expected size of the copies of current runs.
 	CopyBytesInUse int64
@@ -81,8 +82,9 @@
 	OtherZone bool
 }
 
-// Copy decides whether a run that is about to start gets a copy, and reserves its bytes.
-func (p *Policy) Copy(now time.Time, run Run, bytesPerToken int) (Copy, bool) {
+// Copy decides whether a run that is about to start gets a copy, and reserves its bytes. MaxCopies bounds the copies in use: each copy is
+// transferred in several parts a second, which delay the other transfers of both engines.
+func (p *Policy) Copy(now time.Time, run Run, bytesPerToken, maxCopies int) (Copy, bool) {
 	expected := min(p.durations[run.Rule], run.Deadline.Sub(now))
 	if run.Resumable || run.Tokens <= 0 || bytesPerToken <= 0 || expected < p.settings.MinExpected {
 		return Copy{}, false
@@ -92,11 +94,12 @@
 	if probability <= 0 || probability < p.settings.MinLossPerGigabyte*float64(bytes)/bytesPerGigabyte {
 		return Copy{}, false
 	}
-	if p.copyBytes+bytes > p.settings.MaxCopyBytes {
+	if p.copyBytes+bytes > p.settings.MaxCopyBytes || p.copyCount >= maxCopies {
 		p.totals.CopiesOverLimit++
 		return Copy{}, false
 	}
 	p.copyBytes += bytes
+	p.copyCount++
 	p.totals.Copies++
 	p.totals.CopyBytes += bytes
 	return Copy{Bytes: bytes, OtherZone: zonal}, true
@@ -105,7 +108,10 @@
 const bytesPerGigabyte = 1e9
 
 // Release frees the bytes of a copy whose run has ended.
-func (p *Policy) Release(held Copy) { p.copyBytes -= held.Bytes }
+func (p *Policy) Release(held Copy) {
+	p.copyBytes -= held.Bytes
+	p.copyCount--
+}
 
 // Means says what could continue a run now.
 type Means struct {
