--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -254,6 +254,20 @@
 		{"CONFIG", "configuration takes effect too late",
 			func(h *History) { h.ConfigDelays = []time.Duration{maxConfigDelay + 1} },
 			func(h *History) { h.ConfigDelays[0] = maxConfigDelay }},
+		{"RECOVER", "little service after all gateways were killed at once",
+			func(h *History) {
+				h.Spans = []Span{{Fault: HerdKill{}, Begun: timeAt(0), Ended: timeAt(time.Second)}}
+				for i := range 40 {
+					r := answered(fmt.Sprint("herd-", i), KindIdempotent, time.Second+herdStartTime+time.Millisecond)
+					if i%2 == 0 {
+						r.Response = fleet.Response{Status: http.StatusServiceUnavailable}
+					}
+					h.Requests = append(h.Requests, r)
+				}
+			},
+			func(h *History) {
+				h.Spans = append(h.Spans, Span{Fault: StoreFault{StoreSilent}, Begun: timeAt(time.Second)})
+			}},
 		{"RECOVER", "no service after all faults have ended",
 			func(h *History) {
 				h.QuietPeriods = []Span{{Begun: timeAt(0), Ended: timeAt(time.Second)}}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -165,7 +165,10 @@
 // drawRound returns the faults of a round. They depend on the seed, the number of the round and the size of the system alone.
 func drawRound(seed uint64, number, gateways, workers int) []ScheduledFault {
 	random := rand.New(rand.NewPCG(seed, uint64(number)))
-	var faults []ScheduledFault
+	faults, isOnly := drawHerdKill(seed, number)
+	if isOnly {
+		return faults
+	}
 	for range 1 + random.IntN(maxFaults) {
 		at := time.Duration(random.Int64N(int64(faultTime / 2)))
 		faults = append(faults, ScheduledFault{At: at, Fault: drawFault(random, gateways, workers)})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,7 @@
 		{"resets at a worker, silenced connections of the store, a worker, clients and control ports", "fes", 6177, 1},
 		{"gateway restarts while all workers refuse most requests", "fes", 6003, 1},
 		{"crashing request, store compaction, all gateways killed", "fes", 3937, 2},
+		{"all gateways killed at once while engines change their roles, slow store", "fes", 10_016, 1},
 	} {
 		t.Run(test.faults, func(t *testing.T) {
 			var out bytes.Buffer
