Revert "Directory: a gateway without a configuration advertises nobody"

Callers whose directory fails go by addresses that they kept from before: two small gateways of one zone, entries a minute earlier, got 257 and 312 requests in 2.8 s in place of 146, and refused 157 and 235 in place of 95.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -11,9 +11,6 @@
 	// directorySettleTime is how long after its start a gateway may not know yet which entries are alive: as long as an
 	// entry may take to send its first heartbeat.
 	directorySettleTime = 1500 * time.Millisecond
-	// notReadyPatience is how long a caller waits for a gateway without a configuration. It is short, since the caller
-	// then asks another gateway.
-	notReadyPatience = 150 * time.Millisecond
 	// noEntryPatience is how long a caller waits for the first entry, less than callers allow for a response, and
 	// fewEntriesPatience how long for half of them.
 	noEntryPatience    = 600 * time.Millisecond
@@ -30,8 +27,6 @@
 const (
 	// directoryWaits keeps the caller waiting.
 	directoryWaits directoryStep = iota
-	// directoryFails responds without addresses, so that the caller asks another gateway.
-	directoryFails
 	// directoryAnswersBriefly responds with addresses that callers keep for unsettledAddressTTL.
 	directoryAnswersBriefly
 	// directoryAnswers responds with addresses that callers keep as long as configured.
@@ -42,11 +37,7 @@
 // which knows that some entries are alive. The number of entries is zero until the gateway knows the others.
 func nextDirectoryStep(uptime, waited time.Duration, live, entries int) directoryStep {
 	switch {
-	case entries == 0 && (uptime >= directorySettleTime || waited >= notReadyPatience):
-		return directoryFails
-	case entries == 0:
-		return directoryWaits
-	case uptime >= directorySettleTime, 4*live >= 3*entries:
+	case uptime >= directorySettleTime, entries > 0 && 4*live >= 3*entries:
 		return directoryAnswers
 	case waited >= noEntryPatience, live > 0 && waited >= fewEntriesPatience, live > 0 && 2*live >= entries:
 		return directoryAnswersBriefly
@@ -55,20 +46,18 @@
 	}
 }
 
-// awaitEntries waits until entries are known to be alive, if this gateway has just started. It returns for how long callers
-// may keep the addresses, or false if this gateway has no configuration and must not be used. Without it, gateways that
-// all start at once would direct callers to themselves, where neither the load nor the caches of the engines are known.
-func (g *Gateway) awaitEntries() (time.Duration, bool) {
+// awaitEntries waits until entries are known to be alive, if this gateway has just started, and returns for how long
+// callers may keep the addresses. Without it, gateways that all start at once would direct callers to themselves, where
+// neither the load nor the caches of the engines are known.
+func (g *Gateway) awaitEntries() time.Duration {
 	ttl := time.Duration(g.addressTTL.Load())
 	for began := boottime.Now(); ; time.Sleep(directoryPollInterval) {
 		live, entries := g.liveEntries()
 		switch nextDirectoryStep(g.uptime(), boottime.Now().Sub(began), live, entries) {
 		case directoryAnswers:
-			return ttl, true
+			return ttl
 		case directoryAnswersBriefly:
-			return min(unsettledAddressTTL, ttl), true
-		case directoryFails:
-			return 0, false
+			return min(unsettledAddressTTL, ttl)
 		}
 	}
 }
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -22,8 +22,7 @@
 		{"half of the entries", young, 0, 4, 8, directoryAnswersBriefly},
 		{"most entries", young, 0, 6, 8, directoryAnswers},
 		{"the only gateway", young, 0, 1, 1, directoryAnswers},
-		{"store unavailable", young, notReadyPatience, 0, 0, directoryFails},
-		{"store unavailable for long", old, 0, 0, 0, directoryFails},
+		{"store unavailable", young, noEntryPatience, 0, 0, directoryAnswersBriefly},
 		{"all entries gone", young, noEntryPatience, 0, 8, directoryAnswersBriefly},
 		{"not young any more", old, 0, 0, 8, directoryAnswers},
 	} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -338,13 +338,9 @@
 	return g.handler.Table() != nil && !g.leaving.Load() && g.accepting.Accepting(time.Now())
 }
 
-// resolve returns the addresses that callers connect to and how long to cache them, or none while this gateway has no
-// configuration. They are the same for all zones.
+// resolve returns the addresses that callers connect to and how long to cache them. They are the same for all zones.
 func (g *Gateway) resolve(string) ([]string, time.Duration) {
-	addressTTL, isUsable := g.awaitEntries()
-	if !isUsable {
-		return nil, 0
-	}
+	addressTTL := g.awaitEntries()
 	var addresses []string
 	for _, gateway := range g.advertised() {
 		addresses = append(addresses, gateway.Address)
