Revert "Hold requests for the first configuration instead of refusing them"

What was refused at once came back 0.2 s later and found an entry; what is held goes to slow gateways again.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -7,7 +7,6 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,10 +22,6 @@
 type Settings struct {
 	// NotReadyRetryAfter is the Retry-After time while no configuration is loaded.
 	NotReadyRetryAfter time.Duration
-	// MaxNotReadyWait is how long a request waits for the first configuration before it is refused, and NotReadyWaitPeriod how long after
-	// the creation of the handler requests wait at all: a configuration that takes longer is not expected soon.
-	MaxNotReadyWait    time.Duration
-	NotReadyWaitPeriod time.Duration
 	// StoppingRetryAfter is the Retry-After time of a gateway that is shutting down.
 	StoppingRetryAfter time.Duration
 	// RefusedRetryAfter is the Retry-After time if no worker accepts the request.
@@ -45,8 +40,6 @@
 func DefaultSettings() Settings {
 	return Settings{
 		NotReadyRetryAfter: 200 * time.Millisecond,
-		MaxNotReadyWait:    300 * time.Millisecond,
-		NotReadyWaitPeriod: time.Second,
 		StoppingRetryAfter: 10 * time.Millisecond,
 		RefusedRetryAfter:  150 * time.Millisecond,
 		VerdictRetryAfter:  250 * time.Millisecond,
@@ -71,11 +64,6 @@
 	closerOf             func(ctx context.Context) Closer
 	exclusive            exclusiveRuns
 
-	createdAt time.Time
-	// hasTable is closed once there is a routing table.
-	hasTable     chan struct{}
-	hasTableOnce sync.Once
-
 	table            atomic.Pointer[routing.Table]
 	closeConnections atomic.Bool
 	stopping         atomic.Bool
@@ -86,7 +74,6 @@
 func NewHandler(settings Settings, protocol Protocol, workers Workers, dispatcher *Dispatcher, observer Observer) *Handler {
 	return &Handler{
 		settings: settings, protocol: protocol, workers: workers, dispatcher: dispatcher, observer: observer,
-		createdAt: time.Now(), hasTable: make(chan struct{}),
 		tenants: tenantlimit.New(dispatcher.concurrencyShareOf),
 	}
 }
@@ -112,23 +99,6 @@
 func (h *Handler) SetTable(table *routing.Table) {
 	h.dispatcher.SetGroups(table.Configuration().Groups)
 	h.table.Store(table)
-	h.hasTableOnce.Do(func() { close(h.hasTable) })
-}
-
-// awaitTable returns the routing table. While there is none, it waits for a short time, and returns nil if that is over.
-func (h *Handler) awaitTable(ctx context.Context) *routing.Table {
-	wait := min(h.settings.MaxNotReadyWait, h.settings.NotReadyWaitPeriod-time.Since(h.createdAt))
-	if table := h.table.Load(); table != nil || wait <= 0 || h.stopping.Load() {
-		return table
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-h.hasTable:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return h.table.Load()
 }
 
 // Table returns the current routing table, or nil.
@@ -205,7 +175,7 @@
 
 // serve handles one request.
 func (h *Handler) serve(writer http.ResponseWriter, incoming *http.Request, report *Report) connAction {
-	table := h.awaitTable(incoming.Context())
+	table := h.table.Load()
 	switch {
 	case table == nil:
 		return respondRetryAfter(writer, report, ReasonNotReady, h.settings.NotReadyRetryAfter)
