--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -72,6 +72,8 @@
 	queued  queues
 	peers   map[string]*peerCounts
 	fadedAt time.Time
+	// orderedAt is when a request was last ordered here because there was no room for it or it was late.
+	orderedAt time.Time
 }
 
 // class holds the requests that share a floor.
@@ -135,6 +137,7 @@
 	if !full && !late {
 		return group.startUncontended(now, request.Priority)
 	}
+	group.orderedAt = now
 	rank := group.rankOf(request.Priority)
 	start := func(urgency int, why string) Decision {
 		return Start{Urgency: urgency, Reason: fmt.Sprintf("%s: %s", request.Priority, why)}
@@ -164,7 +167,7 @@
 // that none is preempted by a less urgent one when the memory of its engine runs out.
 func (g *groupState) startUncontended(now time.Time, priority Priority) Start {
 	g.fade(now)
-	if !g.queued.contended() {
+	if !g.contended(now) {
 		return Start{Urgency: DefaultUrgency}
 	}
 	return Start{Urgency: inTimeUrgencies[g.rankOf(priority)][0], Reason: fmt.Sprintf("%s: other requests of the group are ordered", priority)}
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -49,14 +49,19 @@
 		controller := newTestController()
 		for range rapid.IntRange(1, 20).Draw(t, "requests") {
 			request, outlook := drawRequest(t), drawOutlook(t)
+			ordered := controller.groups["g"].contended(start)
 			switch decision := controller.Decide(start, request, outlook).(type) {
 			case Start:
 				if decision.Urgency < 0 || decision.Urgency >= urgencies {
 					t.Fatalf("urgency %d is out of range", decision.Urgency)
 				}
-				if outlook.FreeAt.IsZero() && !outlook.late(start, request, 1) && decision != (Start{Urgency: DefaultUrgency}) {
+				hasRoom := outlook.FreeAt.IsZero() && !outlook.late(start, request, 1)
+				if hasRoom && !ordered && decision != (Start{Urgency: DefaultUrgency}) {
 					t.Fatalf("got %+v without contention", decision)
 				}
+				if inTime := controller.InTimeUrgency("g", request.Priority); hasRoom && ordered && decision.Urgency != inTime {
+					t.Fatalf("got %+v while others are ordered, want urgency %d", decision, inTime)
+				}
 			case Wait:
 				if outlook.FreeAt.IsZero() || request.Waited || request.Committed || !decision.Until.Before(request.Deadline) || !decision.Until.After(start) {
 					t.Fatalf("%+v for %+v, %+v", decision, request, outlook)
@@ -197,22 +202,38 @@
 }
 
 // TestOthersKeepTheirRankWhileSomeAreOrdered guards against urgent requests that started at a free slot and are preempted by less urgent ones
-// which were ordered, and against an order that outlasts the contention.
+// which were ordered, and against an order that feeds on itself and outlasts the contention, here or at the other gateways.
 func TestOthersKeepTheirRankWhileSomeAreOrdered(t *testing.T) {
-	controller := newTestController()
-	decide := func(now time.Time) Decision {
-		return controller.Decide(now, Request{Group: "g", Tokens: 1, Arrived: now, Objective: time.Second, Deadline: now.Add(time.Second)},
-			Outlook{Start: time.Millisecond, YieldingStart: time.Millisecond})
+	controller, other := newTestController(), newTestController()
+	decide := func(c *Controller, now time.Time, outlook Outlook) Start {
+		decision := c.Decide(now, Request{Group: "g", Tokens: 1, Arrived: now, Objective: time.Second, Deadline: now.Add(time.Second)}, outlook).(Start)
+		c.Sent(now, slotOf(decision.Urgency))
+		return decision
 	}
-	if decision := decide(start); decision != (Start{Urgency: DefaultUrgency}) {
+	room := Outlook{Start: time.Millisecond, YieldingStart: time.Millisecond}
+	if decision := decide(controller, start, room); decision != (Start{Urgency: DefaultUrgency}) {
 		t.Errorf("got %+v before", decision)
 	}
-	controller.Sent(start, Work{Group: "g", Urgency: inTimeUrgencies[1][0], Amount: 1})
-	if decision := decide(start.Add(time.Second)).(Start); decision.Urgency != inTimeUrgencies[0][0] || decision.Reason == "" {
-		t.Errorf("got %+v while others are ordered", decision)
+	full := room
+	full.FreeAt = start.Add(time.Millisecond)
+	decide(controller, start, full)
+	other.ApplyPeer(start, "c", controller.Counts(start))
+	for _, c := range []*Controller{controller, other} {
+		if decision := decide(c, start.Add(contentionTime/2), room); decision.Urgency != inTimeUrgencies[0][0] || decision.Reason == "" {
+			t.Errorf("got %+v while others are ordered", decision)
+		}
 	}
-	if decision := decide(start.Add(10 * time.Second)); decision != (Start{Urgency: DefaultUrgency}) {
-		t.Errorf("got %+v after", decision)
+	for at := contentionTime; at < 2*peerTimeout; at += contentionTime / 4 {
+		now := start.Add(at)
+		if counts := controller.Counts(now); len(counts) > 0 {
+			t.Errorf("counts are sent after the contention: %+v", counts)
+		}
+		if decision := decide(controller, now, room); decision != (Start{Urgency: DefaultUrgency}) {
+			t.Errorf("got %+v after %v", decision, at)
+		}
+		if decision := decide(other, now, room); at > peerTimeout && decision != (Start{Urgency: DefaultUrgency}) {
+			t.Errorf("got %+v at the other gateway after %v", decision, at)
+		}
 	}
 }
 
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -110,25 +110,28 @@
 	Sent, Started float64
 }
 
-// minRate is the rate of requests below which a group is not contended.
+// minRate is the rate below which a count is not sent.
 const minRate = 0.1
 
-// contended reports whether requests were ordered in the queues for slots lately.
-func (q *queues) contended() bool {
-	for urgency := range urgencies {
-		if urgency != DefaultUrgency && q[QueueSlots].sent[urgency] >= minRate {
-			return true
-		}
-	}
-	return false
+// contentionTime is how long there is contention in a group after a request was ordered. It bridges the time between two requests of a
+// gateway.
+const contentionTime = time.Second
+
+// ordersItself reports whether this gateway ordered a request of the group lately. Requests that have the urgency of their rank only because
+// others are ordered don't count, or there would be no end.
+func (g *groupState) ordersItself(now time.Time) bool {
+	return !g.orderedAt.IsZero() && now.Sub(g.orderedAt) < contentionTime
 }
 
+// contended reports whether this or another gateway ordered a request of the group lately.
+func (g *groupState) contended(now time.Time) bool { return g.ordersItself(now) || len(g.peers) > 0 }
+
 // Counts returns the counts of this gateway in the groups with contention.
 func (c *Controller) Counts(now time.Time) []Count {
 	var counts []Count
 	for group, state := range c.groups {
 		state.fade(now)
-		if !state.queued.contended() {
+		if !state.ordersItself(now) {
 			continue
 		}
 		for queue := range queueKinds {
