--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -124,8 +124,11 @@
 	}
 	large := group.isLarge(request)
 	decision := c.decide(now, group, request, outlook, large)
-	if _, started := decision.(Start); started {
+	switch decision.(type) {
+	case Start:
 		group.usage.add(now, request.Tenant, request.Tokens)
+	case Refuse:
+		group.countRefused(now)
 	}
 	return decision
 }
@@ -212,6 +215,7 @@
 	if !found {
 		return 0, false
 	}
+	group.countRefused(now)
 	return c.retryAfter(now, group, request, Outlook{SlotInterval: slotInterval}), true
 }
 
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -11,10 +11,12 @@
 // Queue is a kind of queue at the engines of a group.
 type Queue int
 
-// The queues. That for prefills at prefill engines is counted in tokens, that for slots at decode engines in requests.
+// The queues. That for prefills at prefill engines is counted in tokens, that for slots at decode engines in requests. Requests that are
+// refused are counted as sent to queueRefused, where none waits.
 const (
 	QueueSlots Queue = iota
 	QueuePrefills
+	queueRefused
 	queueKinds
 )
 
@@ -83,6 +85,26 @@
 	}
 }
 
+// countRefused counts a refused request.
+func (g *groupState) countRefused(now time.Time) {
+	g.fade(now)
+	g.queued[queueRefused].sent[DefaultUrgency] += 1 / rateWindow.Seconds()
+}
+
+// RefusedPerSecond returns how many requests of a group all gateways refuse, a second. They are demand that no engine sees.
+func (c *Controller) RefusedPerSecond(now time.Time, group string) float64 {
+	state, found := c.groups[group]
+	if !found {
+		return 0
+	}
+	state.fade(now)
+	refused := state.queued[queueRefused].sent[DefaultUrgency]
+	for _, peer := range state.peers {
+		refused += peer.queued[queueRefused].sent[DefaultUrgency]
+	}
+	return refused
+}
+
 // fadeInterval is how often rates and counts of tokens are reduced.
 const fadeInterval = 50 * time.Millisecond
 
--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -1,7 +1,11 @@
 package forward
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -183,6 +187,17 @@
 	if asked, refused := demandOf(400); !refused || asked != served {
 		t.Fatalf("demand %d, refused %v without room; want %d and a refusal", asked, refused, served)
 	}
+	dispatcher := newContendedDispatcher(400)
+	before := dispatcher.Utilization("g")
+	for i := range 32 {
+		id := fmt.Sprint("r", i)
+		options := admissionOptions(dispatcher, id, 2, 300*time.Millisecond)
+		dispatcher.Place(&Request{ID: id, Demand: shortPrompt}, engineGroup, options)
+	}
+	// Requests of 1 s, 32 a second, need the 32 slots of one engine; the floor lets some of them in.
+	if added := dispatcher.Utilization("g") - before; added < 0.8 || added > 1.2 {
+		t.Errorf("32 requests a second without room add %.2f engines of demand, want about 1", added)
+	}
 }
 
 // TestPrioritiesOfTenantsAndRules guards against priorities of rules and tenants that no decision reads, and tenants that count at public
@@ -248,3 +263,62 @@
 		t.Errorf("a caller that returned when told by another gateway got %+v", placement)
 	}
 }
+
+// newFullFixture returns a fixture whose decode engines of 4 slots hold the given number of requests each and take 1 s for one.
+func newFullFixture(t *testing.T, running int) *fixture {
+	t.Helper()
+	workers := &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
+		return wholeResponse(http.StatusOK, "ok"), nil
+	}}
+	f := newFixture(t, fixtureOptions{
+		engine: true, demand: longPrompt,
+		rule: routing.Rule{Kind: routing.KindRepeatable, Objective: 300 * time.Millisecond, Timeout: 8 * time.Second, Patience: 2 * time.Second, Priority: 2},
+	}, workers)
+	dispatcher := f.handler.dispatcher
+	dispatcher.setPriorities(rulesOf(map[string][]int{"g": {0, 2}}))
+	for range 50 {
+		dispatcher.model.ObserveRequest(dispatcher.now(), enginemodel.Class{Group: "g", Role: backend.RoleDecode}, time.Second)
+	}
+	hearLoad(dispatcher, backend.RoleDecode, running, 0)
+	return f
+}
+
+// TestHopelessRequestIsRefusedAtOnce guards against requests that are held, or prefilled, although no engine can start them before their
+// callers leave.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	f := newFullFixture(t, 60)
+	response, body, err := f.get(t)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, string(ReasonNoRoom)) {
+		t.Fatalf("got %v, %q, %v", response, body, err)
+	}
+	after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if err != nil || after < 1 || after > 8.0/3 {
+		t.Errorf("Retry-After %q, want the time until room is expected, at most a third of what is left", response.Header.Get("Retry-After"))
+	}
+	if len(f.workers.prefilledAt)+len(f.workers.ranAt) > 0 {
+		t.Error("a worker was asked")
+	}
+	if !strings.HasPrefix(f.reports.last.HeldBack, "refused: ") {
+		t.Errorf("the report says %q", f.reports.last.HeldBack)
+	}
+}
+
+// TestLateRequestWaitsBeforeItsPrefill guards against prompts that are prefilled long before a slot is free for them, and requests that wait
+// more than once.
+func TestLateRequestWaitsBeforeItsPrefill(t *testing.T) {
+	f := newFullFixture(t, 5)
+	begin := time.Now()
+	response, _, err := f.get(t)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("got %v, %v", response, err)
+	}
+	if took := time.Since(begin); took < 100*time.Millisecond || took > time.Second {
+		t.Errorf("it took %v, want one wait of at most a quarter of 2 s", took)
+	}
+	if !strings.HasPrefix(f.reports.last.HeldBack, "waited for room: ") {
+		t.Errorf("the report says %q", f.reports.last.HeldBack)
+	}
+	if len(f.workers.runOptions) != 1 || f.workers.runOptions[0].Urgency != 8 || f.workers.prefillOptions[0].Urgency != 8 {
+		t.Errorf("run options %+v, want the urgency of a late request of the second rank", f.workers.runOptions)
+	}
+}
--- a/internal/forward/rolechange.go
+++ b/internal/forward/rolechange.go
@@ -5,6 +5,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/enginemodel"
 	"github.com/granitebay/granitebay/internal/roles"
 )
 
@@ -43,7 +44,8 @@
 	return groups
 }
 
-// Utilization returns the load of a group in workers: the occupied slots, and for engines also the prefill demand.
+// Utilization returns the load of a group in workers: the occupied slots, and for engines also the prefill demand and the slots that refused
+// requests would occupy.
 func (d *Dispatcher) Utilization(group string) float64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -51,11 +53,17 @@
 	if d.engineGroups[group] != nil {
 		busy = d.prefillDemand(group, group)
 	}
+	slots := 0
 	for worker, status := range d.balancer.WorkerStatuses(d.now(), group) {
 		if worker.Group == group && worker.Slots > 0 {
 			busy += float64(status.Load.Decoding()) / float64(worker.Slots)
+			slots = max(slots, worker.Slots)
 		}
 	}
+	if refused := d.admission.RefusedPerSecond(d.now(), group); refused > 0 && slots > 0 {
+		service := d.model.Estimate(d.now(), enginemodel.Class{Group: group, Role: backend.RoleDecode}).ServiceSeconds
+		busy += refused * service / float64(slots)
+	}
 	return busy
 }
 
--- a/internal/gateway/decisions_test.go
+++ b/internal/gateway/decisions_test.go
@@ -22,3 +22,22 @@
 		t.Errorf("description of an attempt that was not deferred: %q", text)
 	}
 }
+
+// TestDecisionsTellWhyRequestsWereOrderedOrHeldBack guards against decision records that do not tell why a request had its urgency, waited or
+// was refused.
+func TestDecisionsTellWhyRequestsWereOrderedOrHeldBack(t *testing.T) {
+	report := &forward.Report{
+		Reason: forward.ReasonNoRoom, Status: 503, HeldBack: "refused: its answer is expected to start after 3000 ms",
+		Attempts: []forward.Attempt{{Worker: "w", Urgency: 8, UrgencyReason: "priority 2: it is late"}, {Worker: "v", Urgency: 5}},
+	}
+	inputs := newRequestDecision(report).Record().Inputs
+	if inputs["held_back"] != report.HeldBack {
+		t.Errorf("held_back is %q", inputs["held_back"])
+	}
+	if !strings.Contains(inputs["try1"], "urgency 8 at the engine (priority 2: it is late)") {
+		t.Errorf("the first attempt is described as %q", inputs["try1"])
+	}
+	if strings.Contains(inputs["try2"], "urgency") {
+		t.Errorf("the second attempt, which was not ordered, is described as %q", inputs["try2"])
+	}
+}
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -30,3 +30,26 @@
 		}
 	}
 }
+
+// TestOrderedAndHeldBackRequestsAreCounted guards against contention that operators can't see in the metrics.
+func TestOrderedAndHeldBackRequestsAreCounted(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	m := newGatewayMetrics(decisionlog.New("a", 16), logger)
+	m.RequestEnded(&forward.Report{Rule: "r", Reason: forward.ReasonNoRoom, HeldBack: "refused: no room"})
+	m.RequestEnded(&forward.Report{Rule: "r", Reason: forward.ReasonServed, HeldBack: "waited for room: no slot", Attempts: []forward.Attempt{
+		{Worker: "w", Urgency: 3, UrgencyReason: "in time"}, {Worker: "v", Urgency: 5},
+	}})
+	var text strings.Builder
+	m.set.WritePrometheus(&text)
+	for _, want := range []string{
+		metricHeldBack + `{rule="r",refused="true"} 1`, metricHeldBack + `{rule="r",refused="false"} 1`, metricUrgency + `{rule="r",urgency="3"} 1`,
+	} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%s is missing in %s", want, text.String())
+		}
+	}
+	if strings.Contains(text.String(), `urgency="5"`) {
+		t.Error("an attempt that was not ordered is counted")
+	}
+}
