--- a/internal/adminapi/backend.go
+++ b/internal/adminapi/backend.go
@@ -21,6 +21,8 @@
 	Tenants() []TenantStatus
 	Capacity() []CapacityStatus
 	Usage() UsageStatus
+	// Queues returns what waits for engines in groups that distinguish priorities.
+	Queues() []QueueStatus
 	// Barred returns the requests that are not sent to workers, because workers exited while serving them.
 	Barred() []BarredStatus
 	// Release clears the failures recorded for a request at all gateways. It reports whether the request was barred.
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -106,6 +106,11 @@
 	return get[UsageStatus](ctx, c, PathUsage, nil)
 }
 
+// Queues returns what waits for engines, as the gateway that responds knows it.
+func (c *Client) Queues(ctx context.Context) ([]QueueStatus, error) {
+	return get[[]QueueStatus](ctx, c, PathQueues, nil)
+}
+
 // Configuration returns the current configuration document.
 func (c *Client) Configuration(ctx context.Context) (configuration.Document, error) {
 	return get[configuration.Document](ctx, c, PathConfig, nil)
--- a/internal/adminapi/doc.go
+++ b/internal/adminapi/doc.go
@@ -13,6 +13,7 @@
 	PathBarred          = "/admin/v1/barred"
 	PathCapacity        = "/admin/v1/capacity"
 	PathUsage           = "/admin/v1/usage"
+	PathQueues          = "/admin/v1/queues"
 	PathConfig          = "/admin/v1/config"
 	PathConfigHistory   = "/admin/v1/config/history"
 	PathConfigEdits     = "/admin/v1/config/edits"
--- a/internal/adminapi/register.go
+++ b/internal/adminapi/register.go
@@ -41,6 +41,7 @@
 	registerGet(api, PathBarred, "barred", "Requests that are not sent to workers, because workers exited while serving them", backend.Barred)
 	registerRelease(api, backend)
 	registerGet(api, PathCapacity, "capacity", "Workers that can be ordered, by zone", backend.Capacity)
+	registerGet(api, PathQueues, "queues", "What waits for engines, by group and urgency", backend.Queues)
 	registerGet(api, PathUsage, "usage", "State of usage reports at this gateway", backend.Usage)
 }
 
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -237,3 +237,17 @@
 	// WasBarred reports whether the store had a bar for the request.
 	WasBarred bool `json:"wasBarred"`
 }
+
+// QueueStatus is what waits for the engines of a group with one urgency.
+type QueueStatus struct {
+	Group string `json:"group"`
+	// Queue is "slots" for requests that wait for a decode engine, "prefills" for tokens that wait for a prefill engine, or "refused" for
+	// requests that were refused, where none waits.
+	Queue string `json:"queue" enum:"slots,prefills,refused"`
+	// Urgency orders the queue, from 0 for the first to 9 for the last.
+	Urgency int `json:"urgency"`
+	Waiting int `json:"waiting"`
+	// SentPerSecond and StartedPerSecond are averages of about a second.
+	SentPerSecond    float64 `json:"sentPerSecond"`
+	StartedPerSecond float64 `json:"startedPerSecond"`
+}
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -20,6 +22,18 @@
 	queueKinds
 )
 
+// String returns the name of the queue as operators see it.
+func (q Queue) String() string {
+	switch q {
+	case QueueSlots:
+		return "slots"
+	case QueuePrefills:
+		return "prefills"
+	default:
+		return "refused"
+	}
+}
+
 // queueCounts counts the work of a group at one kind of queue, by urgency.
 type queueCounts struct {
 	// waiting is in a queue now. sent and started are how much was sent there and started to run, a second.
@@ -157,16 +171,38 @@
 			continue
 		}
 		for queue := range queueKinds {
-			counted := &state.queued[queue]
-			for urgency := range urgencies {
-				count := Count{
-					Work: Work{Group: group, Queue: queue, Urgency: urgency, Amount: counted.waiting[urgency]},
-					Sent: counted.sent[urgency], Started: counted.started[urgency],
-				}
-				if count.Amount > 0 || count.Sent >= minRate || count.Started >= minRate {
-					counts = append(counts, count)
-				}
+			counts = append(counts, state.queued[queue].list(group, queue)...)
+		}
+	}
+	return counts
+}
+
+// Totals returns the counts of all gateways, by group, queue and urgency, whether there is contention or not.
+func (c *Controller) Totals(now time.Time) []Count {
+	var totals []Count
+	for _, group := range slices.Sorted(maps.Keys(c.groups)) {
+		state := c.groups[group]
+		state.fade(now)
+		for queue := range queueKinds {
+			sum := state.queued[queue]
+			for _, peer := range state.peers {
+				sum.add(&peer.queued[queue])
 			}
+			totals = append(totals, sum.list(group, queue)...)
+		}
+	}
+	return totals
+}
+
+// list returns the counts that are not zero.
+func (q *queueCounts) list(group string, queue Queue) []Count {
+	var counts []Count
+	for urgency := range urgencies {
+		count := Count{
+			Work: Work{Group: group, Queue: queue, Urgency: urgency, Amount: q.waiting[urgency]}, Sent: q.sent[urgency], Started: q.started[urgency],
+		}
+		if count.Amount > 0 || count.Sent >= minRate || count.Started >= minRate {
+			counts = append(counts, count)
 		}
 	}
 	return counts
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -269,6 +269,13 @@
 	return queued, promises
 }
 
+// Queues returns what all gateways that were heard lately have at the queues of engines, in the groups that distinguish priorities.
+func (d *Dispatcher) Queues() []admission.Count {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.admission.Totals(d.now())
+}
+
 // ApplyQueued applies what another gateway has at the queues of engines, and its promises.
 func (d *Dispatcher) ApplyQueued(sender string, queued []peersync.Queued, promises []peersync.Promise) {
 	if sender == "" {
--- a/internal/gateway/admin_tenants.go
+++ b/internal/gateway/admin_tenants.go
@@ -4,6 +4,7 @@
 	"github.com/samber/lo"
 
 	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/tenant"
 )
 
@@ -57,3 +58,12 @@
 	}
 	return status
 }
+
+// Queues implements adminapi.Backend.
+func (a admin) Queues() []adminapi.QueueStatus {
+	return lo.Map(a.dispatcher.Queues(), func(c admission.Count, _ int) adminapi.QueueStatus {
+		return adminapi.QueueStatus{
+			Group: c.Group, Queue: c.Queue.String(), Urgency: c.Urgency, Waiting: c.Amount, SentPerSecond: c.Sent, StartedPerSecond: c.Started,
+		}
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,7 +29,7 @@
 	Timeout time.Duration `help:"Time limit for one command." default:"30s"`
 
 	Status    statusCommand    `cmd:"" help:"Show the status of the fleet."`
-	Get       getCommand       `cmd:"" help:"Show workers, groups, rules, gateways, tenants, barred requests, capacity, usage or the configuration."`
+	Get       getCommand       `cmd:"" help:"Show workers, groups, rules, gateways, tenants, barred requests, capacity, queues, usage or the configuration."`
 	Label     labelCommand     `cmd:"" help:"Set or remove labels."`
 	Apply     applyCommand     `cmd:"" help:"Apply the configuration in a file."`
 	Diff      diffCommand      `cmd:"" help:"Show what applying a file would change."`
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -43,6 +43,9 @@
 func (g *fakeGateway) Barred() []adminapi.BarredStatus {
 	return []adminapi.BarredStatus{{Digest: barredRequest, Rule: "quick", Workers: []string{"i-1", "i-2", "i-3"}, Times: 1, Until: time.Unix(1_700_000_000, 0)}}
 }
+func (g *fakeGateway) Queues() []adminapi.QueueStatus {
+	return []adminapi.QueueStatus{{Group: "counter", Queue: "slots", Urgency: 8, Waiting: 31, SentPerSecond: 12.34, StartedPerSecond: 9}}
+}
 func (g *fakeGateway) Release(_ context.Context, digest poison.Digest) (bool, error) {
 	return digest.String() == barredRequest, nil
 }
@@ -136,6 +139,7 @@
 		{desc: "no decision", arguments: []string{"decisions", "--kind", "role"}, stderr: []string{"no matching decisions"}},
 		{desc: "missing file", arguments: []string{"apply", "-f", "testdata/none.yaml"}, code: 2, stderr: []string{"none.yaml"}},
 		{desc: "barred requests", arguments: []string{"get", "barred"}, stdout: []string{barredRequest, "quick", "i-1,i-2,i-3", "2023-11-14T22:13:20Z"}},
+		{desc: "queues", arguments: []string{"get", "queues"}, stdout: []string{"counter", "slots", "8", "31", "12.3", "9.0"}},
 		{desc: "release", arguments: []string{"release", barredRequest}, stdout: []string{"request " + barredRequest + " is released"}},
 		{desc: "release of another", arguments: []string{"release", strings.Repeat("0", 32)}, stdout: []string{"was not barred"}},
 		{desc: "release of no digest", arguments: []string{"release", "r-7"}, code: 2, stderr: []string{`digest: "r-7" is not allowed; 32 hexadecimal digits`}},
--- a/internal/operator/resources.go
+++ b/internal/operator/resources.go
@@ -36,6 +36,16 @@
 	})
 }
 
+type getQueues struct{}
+
+// Run shows what waits for engines.
+func (getQueues) Run(s *session) error {
+	header := table.Row{"Group", "Queue", "Urgency", "Waiting", "Sent/s", "Started/s"}
+	return showTable(s, s.client.Queues, header, func(q adminapi.QueueStatus) table.Row {
+		return table.Row{q.Group, q.Queue, q.Urgency, q.Waiting, fmt.Sprintf("%.1f", q.SentPerSecond), fmt.Sprintf("%.1f", q.StartedPerSecond)}
+	})
+}
+
 type getUsage struct{}
 
 // Run shows the state of usage reports.
--- a/internal/operator/show.go
+++ b/internal/operator/show.go
@@ -43,6 +43,7 @@
 	Tenants  getTenants  `cmd:"" aliases:"tenant" help:"Show all tenants, without their keys."`
 	Barred   getBarred   `cmd:"" help:"Show requests that are not sent to workers, because workers exited while serving them."`
 	Capacity getCapacity `cmd:"" help:"Show existing and wanted workers by zone, with price and demand."`
+	Queues   getQueues   `cmd:"" help:"Show what waits for engines, by group and urgency, where requests have different priorities."`
 	Usage    getUsage    `cmd:"" help:"Show the state of usage reports at the gateway that responds."`
 	Config   getConfig   `cmd:"" help:"Show the current configuration, in the format that apply reads."`
 }
