--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -9,6 +9,9 @@
 
 // Settings configure a Controller.
 type Settings struct {
+	// Margin is the fraction of the objective within which an answer is expected that counts as in time although it waits for a slot.
+	// Otherwise the queue of requests in time grows to just the length at which about half of them are late.
+	Margin float64
 	// FloorShare is the share of the tokens of each class that starts with the urgency of the most urgent class, so that no class starves.
 	FloorShare float64
 	// ShareSlack is how many times its fair share of the tokens a tenant may use before its requests are ordered behind those of others.
@@ -28,8 +31,8 @@
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
 	return Settings{
-		FloorShare: 0.1, ShareSlack: 2, ShareWindow: 3 * time.Second, MaxWaitFraction: 0.25, MinRetryAfter: 150 * time.Millisecond,
-		MaxRetryFraction: 0.33, PromisedShare: 0.25,
+		Margin: 0.8, FloorShare: 0.1, ShareSlack: 2, ShareWindow: 3 * time.Second, MaxWaitFraction: 0.25, MinRetryAfter: 150 * time.Millisecond,
+		MaxRetryFraction: 0.33, PromisedShare: 0.1,
 	}
 }
 
@@ -69,6 +72,8 @@
 	queued  queues
 	peers   map[string]*peerCounts
 	fadedAt time.Time
+	// orderedAt is when a request was last ordered here because there was no room for it or it was late.
+	orderedAt time.Time
 }
 
 // class holds the requests that share a floor.
@@ -119,18 +124,23 @@
 	}
 	large := group.isLarge(request)
 	decision := c.decide(now, group, request, outlook, large)
-	if _, started := decision.(Start); started {
+	switch decision.(type) {
+	case Start:
 		group.usage.add(now, request.Tenant, request.Tokens)
+	case Refuse:
+		group.countRefused(now)
 	}
 	return decision
 }
 
 // decide is Decide for a controlled group.
 func (c *Controller) decide(now time.Time, group *groupState, request Request, outlook Outlook, large bool) Decision {
-	late, full := outlook.late(now, request), !outlook.FreeAt.IsZero()
+	full := !outlook.FreeAt.IsZero()
+	late := outlook.late(now, request, c.margin(full))
 	if !full && !late {
 		return group.startUncontended(now, request.Priority)
 	}
+	group.orderedAt = now
 	rank := group.rankOf(request.Priority)
 	start := func(urgency int, why string) Decision {
 		return Start{Urgency: urgency, Reason: fmt.Sprintf("%s: %s", request.Priority, why)}
@@ -160,7 +170,7 @@
 // that none is preempted by a less urgent one when the memory of its engine runs out.
 func (g *groupState) startUncontended(now time.Time, priority Priority) Start {
 	g.fade(now)
-	if !g.queued.contended() {
+	if !g.contended(now) {
 		return Start{Urgency: DefaultUrgency}
 	}
 	return Start{Urgency: inTimeUrgencies[g.rankOf(priority)][0], Reason: fmt.Sprintf("%s: other requests of the group are ordered", priority)}
@@ -205,6 +215,7 @@
 	if !found {
 		return 0, false
 	}
+	group.countRefused(now)
 	return c.retryAfter(now, group, request, Outlook{SlotInterval: slotInterval}), true
 }
 
@@ -240,11 +251,20 @@
 	return DefaultUrgency
 }
 
-// late reports whether the answer is expected too late only because of other requests. A request that would miss its objective at an idle
-// engine is not late, since yielding gains nothing.
-func (o Outlook) late(now time.Time, request Request) bool {
+// margin returns the fraction of the objective that counts as in time.
+func (c *Controller) margin(full bool) float64 {
+	if full {
+		return c.settings.Margin
+	}
+	return 1
+}
+
+// late reports whether the answer is expected after a fraction of the objective only because of other requests. A request that would miss its
+// objective at an idle engine is not late, since yielding gains nothing.
+func (o Outlook) late(now time.Time, request Request, margin float64) bool {
 	unloaded := o.Start - o.QueueWait
-	return request.Objective > 0 && now.Add(o.Start).After(request.Arrived.Add(request.Objective)) && unloaded <= request.Objective
+	latest := request.Arrived.Add(time.Duration(margin * float64(request.Objective)))
+	return request.Objective > 0 && now.Add(o.Start).After(latest) && unloaded <= request.Objective
 }
 
 // rankOf returns the rank of a priority; unknown ones take that of the next known one.
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -49,14 +49,19 @@
 		controller := newTestController()
 		for range rapid.IntRange(1, 20).Draw(t, "requests") {
 			request, outlook := drawRequest(t), drawOutlook(t)
+			ordered := controller.groups["g"].contended(start)
 			switch decision := controller.Decide(start, request, outlook).(type) {
 			case Start:
 				if decision.Urgency < 0 || decision.Urgency >= urgencies {
 					t.Fatalf("urgency %d is out of range", decision.Urgency)
 				}
-				if outlook.FreeAt.IsZero() && !outlook.late(start, request) && decision != (Start{Urgency: DefaultUrgency}) {
+				hasRoom := outlook.FreeAt.IsZero() && !outlook.late(start, request, 1)
+				if hasRoom && !ordered && decision != (Start{Urgency: DefaultUrgency}) {
 					t.Fatalf("got %+v without contention", decision)
 				}
+				if inTime := controller.InTimeUrgency("g", request.Priority); hasRoom && ordered && decision.Urgency != inTime {
+					t.Fatalf("got %+v while others are ordered, want urgency %d", decision, inTime)
+				}
 			case Wait:
 				if outlook.FreeAt.IsZero() || request.Waited || request.Committed || !decision.Until.Before(request.Deadline) || !decision.Until.After(start) {
 					t.Fatalf("%+v for %+v, %+v", decision, request, outlook)
@@ -70,6 +75,10 @@
 	})
 }
 
+// wantFloor is the share of the tokens of each class that must start with the most urgent. A class whose tenth is served is not starved by
+// any of the users' measures, and costs the most urgent a tenth of what the others ask for.
+const wantFloor = 0.1
+
 // TestNoClassStarves guards against a class, the largest tenth of a kind included, whose requests are refused or wait behind others for ever: of
 // its tokens at least the floor starts with the urgency of the most urgent class, up to one request.
 func TestNoClassStarves(t *testing.T) {
@@ -84,7 +93,7 @@
 			if known := state.sizes[request.Priority]; known != nil {
 				sizes = *known
 			}
-			of := class{rank: state.rankOf(request.Priority), late: outlook.late(start, request), large: sizes.add(request.Tokens)}
+			of := class{rank: state.rankOf(request.Priority), late: outlook.late(start, request, DefaultSettings().Margin), large: sizes.add(request.Tokens)}
 			decision := controller.Decide(start, request, outlook)
 			total[of] += request.Tokens
 			largest[of] = max(largest[of], request.Tokens)
@@ -93,7 +102,7 @@
 			}
 		}
 		for of, tokens := range total {
-			if want := DefaultSettings().FloorShare*float64(tokens) - float64(largest[of]); float64(granted[of]) < want-1 {
+			if want := wantFloor*float64(tokens) - float64(largest[of]); float64(granted[of]) < want-1 {
 				t.Fatalf("class %+v: %d of %d tokens are most urgent, want %.0f", of, granted[of], tokens, want)
 			}
 		}
@@ -165,7 +174,7 @@
 	decide := func(now time.Time) Decision {
 		full.FreeAt = now.Add(3 * time.Second)
 		return controller.Decide(now, Request{
-			Group: "g", Priority: Priority{}, Arrived: now, Objective: 3100 * time.Millisecond, Deadline: now.Add(2 * time.Second), Key: func() uint64 { return 7 },
+			Group: "g", Priority: Priority{}, Arrived: now, Objective: 4 * time.Second, Deadline: now.Add(2 * time.Second), Key: func() uint64 { return 7 },
 			Expires: now.Add(8 * time.Second),
 		}, full)
 	}
@@ -197,22 +206,38 @@
 }
 
 // TestOthersKeepTheirRankWhileSomeAreOrdered guards against urgent requests that started at a free slot and are preempted by less urgent ones
-// which were ordered, and against an order that outlasts the contention.
+// which were ordered, and against an order that feeds on itself and outlasts the contention, here or at the other gateways.
 func TestOthersKeepTheirRankWhileSomeAreOrdered(t *testing.T) {
-	controller := newTestController()
-	decide := func(now time.Time) Decision {
-		return controller.Decide(now, Request{Group: "g", Tokens: 1, Arrived: now, Objective: time.Second, Deadline: now.Add(time.Second)},
-			Outlook{Start: time.Millisecond, YieldingStart: time.Millisecond})
+	controller, other := newTestController(), newTestController()
+	decide := func(c *Controller, now time.Time, outlook Outlook) Start {
+		decision := c.Decide(now, Request{Group: "g", Tokens: 1, Arrived: now, Objective: time.Second, Deadline: now.Add(time.Second)}, outlook).(Start)
+		c.Sent(now, slotOf(decision.Urgency))
+		return decision
 	}
-	if decision := decide(start); decision != (Start{Urgency: DefaultUrgency}) {
+	room := Outlook{Start: time.Millisecond, YieldingStart: time.Millisecond}
+	if decision := decide(controller, start, room); decision != (Start{Urgency: DefaultUrgency}) {
 		t.Errorf("got %+v before", decision)
 	}
-	controller.Sent(start, Work{Group: "g", Urgency: inTimeUrgencies[1][0], Amount: 1})
-	if decision := decide(start.Add(time.Second)).(Start); decision.Urgency != inTimeUrgencies[0][0] || decision.Reason == "" {
-		t.Errorf("got %+v while others are ordered", decision)
+	full := room
+	full.FreeAt = start.Add(time.Millisecond)
+	decide(controller, start, full)
+	other.ApplyPeer(start, "c", controller.Counts(start))
+	for _, c := range []*Controller{controller, other} {
+		if decision := decide(c, start.Add(contentionTime/2), room); decision.Urgency != inTimeUrgencies[0][0] || decision.Reason == "" {
+			t.Errorf("got %+v while others are ordered", decision)
+		}
 	}
-	if decision := decide(start.Add(10 * time.Second)); decision != (Start{Urgency: DefaultUrgency}) {
-		t.Errorf("got %+v after", decision)
+	for at := contentionTime; at < 2*peerTimeout; at += contentionTime / 4 {
+		now := start.Add(at)
+		if counts := controller.Counts(now); len(counts) > 0 {
+			t.Errorf("counts are sent after the contention: %+v", counts)
+		}
+		if decision := decide(controller, now, room); decision != (Start{Urgency: DefaultUrgency}) {
+			t.Errorf("got %+v after %v", decision, at)
+		}
+		if decision := decide(other, now, room); at > peerTimeout && decision != (Start{Urgency: DefaultUrgency}) {
+			t.Errorf("got %+v at the other gateway after %v", decision, at)
+		}
 	}
 }
 
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -11,13 +13,27 @@
 // Queue is a kind of queue at the engines of a group.
 type Queue int
 
-// The queues. That for prefills at prefill engines is counted in tokens, that for slots at decode engines in requests.
+// The queues. That for prefills at prefill engines is counted in tokens, that for slots at decode engines in requests. Requests that are
+// refused are counted as sent to queueRefused, where none waits.
 const (
 	QueueSlots Queue = iota
 	QueuePrefills
+	queueRefused
 	queueKinds
 )
 
+// String returns the name of the queue as operators see it.
+func (q Queue) String() string {
+	switch q {
+	case QueueSlots:
+		return "slots"
+	case QueuePrefills:
+		return "prefills"
+	default:
+		return "refused"
+	}
+}
+
 // queueCounts counts the work of a group at one kind of queue, by urgency.
 type queueCounts struct {
 	// waiting is in a queue now. sent and started are how much was sent there and started to run, a second.
@@ -83,6 +99,26 @@
 	}
 }
 
+// countRefused counts a refused request.
+func (g *groupState) countRefused(now time.Time) {
+	g.fade(now)
+	g.queued[queueRefused].sent[DefaultUrgency] += 1 / rateWindow.Seconds()
+}
+
+// RefusedPerSecond returns how many requests of a group all gateways refuse, a second. They are demand that no engine sees.
+func (c *Controller) RefusedPerSecond(now time.Time, group string) float64 {
+	state, found := c.groups[group]
+	if !found {
+		return 0
+	}
+	state.fade(now)
+	refused := state.queued[queueRefused].sent[DefaultUrgency]
+	for _, peer := range state.peers {
+		refused += peer.queued[queueRefused].sent[DefaultUrgency]
+	}
+	return refused
+}
+
 // fadeInterval is how often rates and counts of tokens are reduced.
 const fadeInterval = 50 * time.Millisecond
 
@@ -110,38 +146,63 @@
 	Sent, Started float64
 }
 
-// minRate is the rate of requests below which a group is not contended.
+// minRate is the rate below which a count is not sent.
 const minRate = 0.1
 
-// contended reports whether requests were ordered in the queues for slots lately.
-func (q *queues) contended() bool {
-	for urgency := range urgencies {
-		if urgency != DefaultUrgency && q[QueueSlots].sent[urgency] >= minRate {
-			return true
-		}
-	}
-	return false
+// contentionTime is how long there is contention in a group after a request was ordered. It bridges the time between two requests of a
+// gateway.
+const contentionTime = time.Second
+
+// ordersItself reports whether this gateway ordered a request of the group lately. Requests that have the urgency of their rank only because
+// others are ordered don't count, or there would be no end.
+func (g *groupState) ordersItself(now time.Time) bool {
+	return !g.orderedAt.IsZero() && now.Sub(g.orderedAt) < contentionTime
 }
 
+// contended reports whether this or another gateway ordered a request of the group lately.
+func (g *groupState) contended(now time.Time) bool { return g.ordersItself(now) || len(g.peers) > 0 }
+
 // Counts returns the counts of this gateway in the groups with contention.
 func (c *Controller) Counts(now time.Time) []Count {
 	var counts []Count
 	for group, state := range c.groups {
 		state.fade(now)
-		if !state.queued.contended() {
+		if !state.ordersItself(now) {
 			continue
 		}
 		for queue := range queueKinds {
-			counted := &state.queued[queue]
-			for urgency := range urgencies {
-				count := Count{
-					Work: Work{Group: group, Queue: queue, Urgency: urgency, Amount: counted.waiting[urgency]},
-					Sent: counted.sent[urgency], Started: counted.started[urgency],
-				}
-				if count.Amount > 0 || count.Sent >= minRate || count.Started >= minRate {
-					counts = append(counts, count)
-				}
+			counts = append(counts, state.queued[queue].list(group, queue)...)
+		}
+	}
+	return counts
+}
+
+// Totals returns the counts of all gateways, by group, queue and urgency, whether there is contention or not.
+func (c *Controller) Totals(now time.Time) []Count {
+	var totals []Count
+	for _, group := range slices.Sorted(maps.Keys(c.groups)) {
+		state := c.groups[group]
+		state.fade(now)
+		for queue := range queueKinds {
+			sum := state.queued[queue]
+			for _, peer := range state.peers {
+				sum.add(&peer.queued[queue])
 			}
+			totals = append(totals, sum.list(group, queue)...)
+		}
+	}
+	return totals
+}
+
+// list returns the counts that are not zero.
+func (q *queueCounts) list(group string, queue Queue) []Count {
+	var counts []Count
+	for urgency := range urgencies {
+		count := Count{
+			Work: Work{Group: group, Queue: queue, Urgency: urgency, Amount: q.waiting[urgency]}, Sent: q.sent[urgency], Started: q.started[urgency],
+		}
+		if count.Amount > 0 || count.Sent >= minRate || count.Started >= minRate {
+			counts = append(counts, count)
 		}
 	}
 	return counts
