Keep the rule and the admission of streams that continue

The join of two changes left a stream that has begun without its rule and its admission, so that the engine for its rest was picked regardless of its pace. Only the objective ends with the first event.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -188,6 +188,11 @@
 			request.Priority.Tenant = priority
 		}
 	}
+	if c.relay.started {
+		// The caller has the first event, so that nothing is due by the objective.
+		request.Objective = 0
+		return request
+	}
 	if patience := c.match.Rule.Patience; patience > 0 {
 		if leaves := c.report.Arrived.Add(patience); leaves.Before(request.Deadline) {
 			request.Deadline = leaves
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -98,14 +98,13 @@
 	if status == poison.Suspected {
 		options.SuspectKey = c.guarded.requestDigest().String()
 	}
-	if c.relay.started {
-		// The objective is that of the first event, which the caller has.
-		return options
-	}
-	options.Objective = c.match.Rule.Objective
-	options.Remaining = options.Objective - time.Since(c.report.Arrived)
 	options.Rule, options.Deadline = c.match.Rule, c.deadline
 	options.Admission = c.admissionRequest()
+	if !c.relay.started {
+		// The objective is that of the first event.
+		options.Objective = c.match.Rule.Objective
+		options.Remaining = options.Objective - time.Since(c.report.Arrived)
+	}
 	return options
 }
 
--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -303,13 +303,14 @@
 	rule := &routing.Rule{Objective: 300 * time.Millisecond}
 	c := &call{
 		match: routing.Match{Rule: rule, Group: &routing.Group{}}, report: &Report{Arrived: time.Now().Add(-time.Second)},
-		attempts: attempts{rule: rule},
+		attempts: attempts{rule: rule}, request: &Request{},
 	}
 	if options := c.placeOptions(poison.Clear); options.Objective != rule.Objective || options.Remaining >= 0 {
 		t.Errorf("before the first event: %+v", options)
 	}
 	c.relay.started = true
-	if options := c.placeOptions(poison.Clear); options.Objective != 0 || options.Remaining != 0 {
+	options := c.placeOptions(poison.Clear)
+	if options.Objective != 0 || options.Remaining != 0 || options.Admission.Objective != 0 || options.Rule != rule {
 		t.Errorf("after the first event: %+v", options)
 	}
 }
