balance: a wait for a slot does not depend on the pace of the engine

The service time is learnt by class, and short responses make up most of it; to multiply it with the pace of an engine is more than is known. The tests that read the factor read the relative pace, which has to be within a tenth of 1 after a stall and after a recovery.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -114,7 +114,7 @@
 		score.TimeToFirstToken = estimate.BaseSeconds + score.QueueWait + score.Prefill
 	}
 	if worker.Role == backend.RoleDecode {
-		wait := slotWaitSeconds(estimate, load.Decoding(), worker.Slots) * b.model.PaceFactor(now, worker)
+		wait := slotWaitSeconds(estimate, load.Decoding(), worker.Slots)
 		score.Interference = score.Prefill * b.settings.InterferenceWeight * float64(load.Decoding())
 		score.Queue += wait
 		score.QueueWait += wait
