--- a/internal/gateway/decisions_test.go
+++ b/internal/gateway/decisions_test.go
@@ -22,3 +22,22 @@
 		t.Errorf("description of an attempt that was not deferred: %q", text)
 	}
 }
+
+// TestDescribeContinuation guards against decision records that do not tell from what a response was continued, and why it was not.
+func TestDescribeContinuation(t *testing.T) {
+	for _, c := range []struct {
+		attempt forward.Attempt
+		want    string
+	}{
+		{forward.Attempt{Worker: "w", Continues: forward.ContinuesCopy}, "worker w in 0 ms, continuing from the copy"},
+		{forward.Attempt{Worker: "w", Continues: forward.ContinuesLastEvent}, "worker w in 0 ms, continuing from the last event"},
+		{
+			forward.Attempt{Worker: "w", Backup: "b", Failure: "stalled", NotContinued: "the budget of retries is used up"},
+			"worker w in 0 ms, copy kept by b: stalled, not continued: the budget of retries is used up",
+		},
+	} {
+		if got := describeAttempt(c.attempt); got != c.want {
+			t.Errorf("got %q, want %q", got, c.want)
+		}
+	}
+}
