Capacity: the need falls by steps, and spot workers cover the whole of it after a loss

Change: a peak counts for five boot times (20 s at the least), the need falls by a quarter in a boot time at the most, and plans have the whole need after the loss of a zone as far as spot workers suffice; on-demand workers are planned for a use of 0.9 as before.

--- a/internal/capacity/estimator.go
+++ b/internal/capacity/estimator.go
@@ -24,13 +24,15 @@
 	// MinDecrease is the minimum relative decrease of the need before workers are removed, because the remaining workers have to recompute the
 	// prefixes that removed ones had cached.
 	MinDecrease float64
+	// MaxDecrease is the maximum relative decrease of the need within a boot time, so that the effect of a decrease is seen before the next one.
+	MaxDecrease float64
 }
 
 // DefaultEstimatorSettings returns the default settings.
 func DefaultEstimatorSettings() EstimatorSettings {
 	return EstimatorSettings{
 		TargetUtilization: 0.6, StableTime: 1500 * time.Millisecond, SmoothingBoots: 0.5, MinSmoothing: time.Second, MaxSmoothing: 5 * time.Second,
-		RetentionBoots: 3, MinRetention: 12 * time.Second, IdleTime: 20 * time.Second, MinDecrease: 0.15,
+		RetentionBoots: 5, MinRetention: 20 * time.Second, IdleTime: 20 * time.Second, MinDecrease: 0.15, MaxDecrease: 0.25,
 	}
 }
 
@@ -59,6 +61,8 @@
 	peaks      []peakBucket
 	// need is the number of workers that the group needs, and initial the number at the start of a new fleet.
 	need, initial int
+	// decreasedAt is when the need last fell.
+	decreasedAt time.Time
 	// started is set with the first update, and newFleet if the fleet was new then.
 	started, newFleet bool
 }
@@ -97,8 +101,9 @@
 		e.need = max(e.need, required)
 	case required > e.need:
 		e.need = required
-	case float64(required) < (1-e.settings.MinDecrease)*float64(e.need):
-		e.need = required
+	case float64(required) < (1-e.settings.MinDecrease)*float64(e.need) && now.Sub(e.decreasedAt) >= group.BootTime:
+		e.need = max(required, int(math.Floor((1-e.settings.MaxDecrease)*float64(e.need))))
+		e.decreasedAt = now
 	}
 	return e.need, e.known(now, demandDelay*smoothing)
 }
--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -248,7 +248,7 @@
 func (e *Executor) plan(group string, offer Offer, need Need) Plan {
 	cached, found := e.plans[group]
 	if !found || cached.need != need || !cached.offer.equal(offer) {
-		plan := NewPlan(offer, need).WithReserve(offer, int(e.settings.ReserveShare*(1-offer.SpotPrice)*float64(need.Total)))
+		plan := newTolerantPlan(offer, need).WithReserve(offer, int(e.settings.ReserveShare*(1-offer.SpotPrice)*float64(need.Total)))
 		cached = cachedPlan{offer: offer, need: need, plan: plan}
 		e.plans[group] = cached
 	}
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -129,6 +129,16 @@
 	return best
 }
 
+// newTolerantPlan returns a plan that has the total need even after the loss of a zone, as far as more spot workers suffice for that. It plans no
+// more on-demand workers than NewPlan, which would be paid for all the time.
+func newTolerantPlan(offer Offer, need Need) Plan {
+	plan, tolerant := NewPlan(offer, need), NewPlan(offer, Need{Total: need.Total, AfterLoss: need.Total})
+	if tolerant.OnDemand() <= plan.OnDemand() {
+		return tolerant
+	}
+	return plan
+}
+
 // missing returns how many workers a plan lacks for the need.
 func (o Offer) missing(plan Plan, need Need) int {
 	return max(need.Total-plan.Total(), need.AfterLoss-o.remaining(plan), 0)
--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -106,3 +106,20 @@
 		}
 	})
 }
+
+// TestTolerantPlanAddsNoOnDemandWorkers guards against on-demand workers that are planned only for the target utilization after a loss, and against
+// plans that lack spot workers for it although they would suffice.
+func TestTolerantPlanAddsNoOnDemandWorkers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offer := drawOffer(t)
+		total := rapid.IntRange(0, 150).Draw(t, "need")
+		need := Need{Total: total, AfterLoss: rapid.IntRange(0, total).Draw(t, "after a loss")}
+		plan, least := newTolerantPlan(offer, need), NewPlan(offer, need)
+		if plan.OnDemand() > least.OnDemand() {
+			t.Fatalf("%v has %d on-demand workers, want at most %d", plan, plan.OnDemand(), least.OnDemand())
+		}
+		if plan.WithoutLargestSpotZone() < least.WithoutLargestSpotZone() && plan.WithoutLargestSpotZone() < total {
+			t.Fatalf("%d workers of %v remain after a loss, want at least %d", plan.WithoutLargestSpotZone(), plan, least.WithoutLargestSpotZone())
+		}
+	})
+}
