--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -166,11 +166,11 @@
 	}
 }
 
-// startUncontended returns the decision for a request for which there is room. While others are ordered it has the urgency of its rank, so
+// startUncontended returns the decision for a request for which there is room. While this gateway orders others it has the urgency of its rank, so
 // that none is preempted by a less urgent one when the memory of its engine runs out.
 func (g *groupState) startUncontended(now time.Time, priority Priority) Start {
 	g.fade(now)
-	if !g.contended(now) {
+	if !g.ordersItself(now) {
 		return Start{Urgency: DefaultUrgency}
 	}
 	return Start{Urgency: inTimeUrgencies[g.rankOf(priority)][0], Reason: fmt.Sprintf("%s: other requests of the group are ordered", priority)}
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -159,9 +159,6 @@
 	return !g.orderedAt.IsZero() && now.Sub(g.orderedAt) < contentionTime
 }
 
-// contended reports whether this or another gateway ordered a request of the group lately.
-func (g *groupState) contended(now time.Time) bool { return g.ordersItself(now) || len(g.peers) > 0 }
-
 // Counts returns the counts of this gateway in the groups with contention.
 func (c *Controller) Counts(now time.Time) []Count {
 	var counts []Count
