Copies: a bound in the settings, none by default

It is read at the start of a process, not at a reload. Groups whose configuration doesn't say that engines keep copies have none in any case.

--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -34,8 +34,10 @@
 	FetchWeight     float64
 	// TransferSeconds is the cost of transferring a prefilled prompt to a decode engine that has not cached its shared prefix.
 	TransferSeconds float64
-	Balance         balance.Settings
-	Budget          retrybudget.Settings
+	// CopyBytes bounds the size of the copies of runs that engines keep for this gateway; zero asks for none.
+	CopyBytes int64
+	Balance   balance.Settings
+	Budget    retrybudget.Settings
 }
 
 // DefaultDispatchSettings returns the default settings, except for the zone and the budget.
@@ -103,7 +105,7 @@
 		engineState:      newEngineState(),
 		engineGroups:     map[string]*routing.Engine{},
 		demand:           map[string]*demandCounter{},
-		migration:        migration.NewPolicy(migration.DefaultSettings()),
+		migration:        migration.NewPolicy(migration.DefaultSettings(settings.CopyBytes)),
 		saturationCache:  map[string]cachedSaturation{},
 		lastReservedSlot: map[string]time.Time{},
 		records:          backend.Set{},
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -162,6 +162,7 @@
 	settings := DefaultDispatchSettings()
 	// A budget stores at most half of its allowance; double it so that options.allowance retries are available.
 	settings.Budget = retrybudget.Settings{Ratio: 0, Allowance: 2 * options.allowance, Window: 10 * time.Second, Safety: 1}
+	settings.CopyBytes = 1 << 30
 	dispatcher := NewDispatcher(settings, time.Now)
 	accrueFully(dispatcher)
 	set := backend.Set{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,6 +148,7 @@
 	dispatch := forward.DefaultDispatchSettings()
 	dispatch.Zone = settings.Zone
 	dispatch.Budget = budgetSettings(settings)
+	dispatch.CopyBytes = settings.CopyBytes
 	g.dispatcher = forward.NewDispatcher(dispatch, time.Now)
 	g.dispatcher.ShareLimits(settings.Name)
 	g.dispatcher.OnBudgetExhausted(g.logBudgetExhausted)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -45,6 +45,8 @@
 	RetryRatio     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
+	// CopyBytes bounds the size of the copies of runs that engines keep for this gateway; zero asks for none.
+	CopyBytes int64
 	// LeaseTTL is the time to live of leases in the store.
 	LeaseTTL time.Duration
 	// ConfigurationAge is the maximum age of a configuration that may be used to reject a request as not allowed.
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -109,7 +109,7 @@
 		t.Run(file.Name, func(t *testing.T) {
 			run := Run{Engine: "a", Started: true, Deadline: epoch.Add(5 * time.Second)}
 			means := Means{Retry: true}
-			policy := NewPolicy(DefaultSettings())
+			policy := NewPolicy(DefaultSettings(copyBytes))
 			for _, fields := range lines(file.Data) {
 				switch fields[0] {
 				case "backup":
@@ -140,6 +140,9 @@
 	}
 }
 
+// copyBytes is the limit on the size of all copies in the scripts.
+const copyBytes = 8 << 30
+
 // maxCopies is the limit on the number of copies in the scripts.
 const maxCopies = 3
 
@@ -216,7 +219,7 @@
 func TestCopies(t *testing.T) {
 	for _, file := range scripts(t, "copies") {
 		t.Run(file.Name, func(t *testing.T) {
-			script := &copyScript{t: t, policy: NewPolicy(DefaultSettings()), ended: map[string]int{}}
+			script := &copyScript{t: t, policy: NewPolicy(DefaultSettings(copyBytes)), ended: map[string]int{}}
 			for _, fields := range lines(file.Data) {
 				script.play(fields)
 			}
@@ -227,7 +230,7 @@
 // TestCopyBytesAreBounded guards against copies above the limit, and against a limit that leaks when engines come and go.
 func TestCopyBytesAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		settings := DefaultSettings()
+		settings := DefaultSettings(copyBytes)
 		settings.MaxCopyBytes = 10_000
 		policy := NewPolicy(settings)
 		policy.ObserveRun("r", 2*time.Second)
@@ -267,3 +270,14 @@
 		}
 	})
 }
+
+// TestNoCopiesWithoutLimit guards against copies at a gateway that is set to ask for none.
+func TestNoCopiesWithoutLimit(t *testing.T) {
+	policy := NewPolicy(DefaultSettings(0))
+	policy.Risk().Add("a", "g", "x")
+	policy.Risk().Ended(epoch, "a")
+	policy.ObserveRun("r", 2*time.Second)
+	if held, wanted := policy.Copy(epoch, Run{Group: "g", Zone: "x", Rule: "r", Tokens: 1, Deadline: epoch.Add(time.Minute)}, 1, maxCopies); wanted {
+		t.Errorf("got %+v", held)
+	}
+}
--- a/internal/migration/policy.go
+++ b/internal/migration/policy.go
@@ -9,7 +9,7 @@
 	MinLossPerGigabyte float64
 	// MinExpected is the shortest expected duration of a run that gets a copy: the copy arrives some tenths of a second after the start.
 	MinExpected time.Duration
-	// MaxCopyBytes bounds the bytes of all copies of this gateway together.
+	// MaxCopyBytes bounds the bytes of all copies of this gateway together; zero allows none.
 	MaxCopyBytes int64
 	// MinRestart is the shortest time before the deadline that is worth continuing elsewhere.
 	MinRestart time.Duration
@@ -17,10 +17,10 @@
 	Recheck time.Duration
 }
 
-// DefaultSettings returns the default settings.
-func DefaultSettings() Settings {
+// DefaultSettings returns the default settings with a bound on the bytes of all copies.
+func DefaultSettings(maxCopyBytes int64) Settings {
 	return Settings{
-		MinLossPerGigabyte: 0.05, MinExpected: 200 * time.Millisecond, MaxCopyBytes: 8 << 30, MinRestart: 150 * time.Millisecond,
+		MinLossPerGigabyte: 0.05, MinExpected: 200 * time.Millisecond, MaxCopyBytes: maxCopyBytes, MinRestart: 150 * time.Millisecond,
 		Recheck: 200 * time.Millisecond,
 	}
 }
@@ -94,6 +94,9 @@
 	if probability <= 0 || probability < p.settings.MinLossPerGigabyte*float64(bytes)/bytesPerGigabyte {
 		return Copy{}, false
 	}
+	if p.settings.MaxCopyBytes == 0 {
+		return Copy{}, false
+	}
 	if p.copyBytes+bytes > p.settings.MaxCopyBytes || p.copyCount >= maxCopies {
 		p.totals.CopiesOverLimit++
 		return Copy{}, false
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,7 @@
 	Store   string           `json:"store"`
 	Timings timingSettings   `json:"timings"`
 	Retries retrySettings    `json:"retries"`
+	Copies  copySettings     `json:"copies"`
 	Duties  platformSettings `json:"duties"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel"`
@@ -86,6 +87,12 @@
 	Window    strictyaml.Duration `json:"window"`
 }
 
+// copySettings limit the copies of runs that engines keep for this gateway, in groups whose engines keep copies.
+type copySettings struct {
+	// Bytes bounds the size of all copies; 0 asks for none.
+	Bytes int64 `json:"bytes"`
+}
+
 // platformSettings configure the calls to the platform that one gateway makes on behalf of all.
 type platformSettings struct {
 	// Address receives the calls; empty disables them.
@@ -146,6 +153,7 @@
 	s.AddressTTL, s.MaxAddressTTL = f.Timings.AddressTTL.Std(), f.Timings.MaximumAddressTTL.Std()
 	s.LeaseTTL = max(f.Timings.Lease.Std(), f.Timings.MinimumLease.Std())
 	s.RetryRatio, s.RetryAllowance, s.RetryWindow = f.Retries.Ratio, f.Retries.Allowance, f.Retries.Window.Std()
+	s.CopyBytes = f.Copies.Bytes
 	s.ConfigurationAge = f.Timings.Configuration.Std()
 	s.PlatformAddress, s.UsageWindow, s.UsageDue = f.Duties.Address, f.Duties.UsageWindow.Std(), f.Duties.UsageDue.Std()
 	s.LogLevel = f.LogLevel
@@ -182,6 +190,7 @@
 	v.checkNotNegative("retries.ratio", f.Retries.Ratio)
 	v.checkNotNegative("retries.allowance", f.Retries.Allowance)
 	v.checkDuration("retries.window", f.Retries.Window, true)
+	v.checkNotNegative("copies.bytes", float64(f.Copies.Bytes))
 	v.checkAddress("duties.address", f.Duties.Address, false)
 	v.checkDuration("duties.usageWindow", f.Duties.UsageWindow, false)
 	v.checkDuration("duties.usageDue", f.Duties.UsageDue, false)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,8 +33,8 @@
 		want       []string
 	}{
 		{"required fields", "{}", []string{"name:", "listen.callers:", "listen.ready:", "listen.directory:", "listen.peers:", "store:"}},
-		{"invalid values", minimalSettings + "cores: -1\nlogLevel: loud\ntimings: {grace: 0s, thaw: -1s}\nretries: {ratio: -1, window: soon}\n",
-			[]string{"cores: -1", `logLevel: "loud"`, "timings.grace", "timings.thaw", "retries.ratio", "retries.window"}},
+		{"invalid values", minimalSettings + "cores: -1\nlogLevel: loud\ntimings: {grace: 0s, thaw: -1s}\ncopies: {bytes: -1}\nretries: {ratio: -1, window: soon}\n",
+			[]string{"cores: -1", `logLevel: "loud"`, "timings.grace", "timings.thaw", "retries.ratio", "retries.window", "copies.bytes"}},
 		{"unknown field", minimalSettings + "zones: a\n", []string{"zones"}},
 		{"invalid YAML", "[", []string{"(document)"}},
 	}
