enginemodel: classes without a known pace are visited once per slot

The typical pace of a class was only kept while the pace of some engine was known. Otherwise each forecast, of which a placement makes one or more for each candidate, visited all engines of the class: in a group whose responses have one event, always. The absence of paces is now kept like a pace, and the first known pace ends it at once.

--- a/internal/enginemodel/pace.go
+++ b/internal/enginemodel/pace.go
@@ -102,10 +102,21 @@
 	computedAt time.Time
 }
 
-// typical returns the logarithm of the typical interval of the class in seconds, or false if no engine's pace is known.
+// observeInterval records an interval between events at a worker of the class.
+func (c *classStats) observeInterval(now time.Time, worker *workerStats, seconds float64) {
+	wasKnown := worker.pace.known(now)
+	worker.pace.add(now, seconds)
+	if !wasKnown && c.typicalPace.engines == 0 {
+		// The first known pace counts at once.
+		c.typicalPace = typicalPace{}
+	}
+}
+
+// typical returns the logarithm of the typical interval of the class in seconds, or false if no engine's pace is known. It visits the engines at
+// most once per paceSlot and after the first known pace.
 func (c *classStats) typical(now time.Time) (float64, bool) {
 	cached := &c.typicalPace
-	if age := now.Sub(cached.computedAt); age >= paceSlot || age < 0 || cached.engines == 0 {
+	if age := now.Sub(cached.computedAt); age >= paceSlot || age < 0 {
 		*cached = typicalPace{computedAt: now}
 		sum := 0.0
 		for _, worker := range c.workers {
--- a/internal/enginemodel/pace_test.go
+++ b/internal/enginemodel/pace_test.go
@@ -166,6 +166,24 @@
 	}
 }
 
+// TestUnknownPacesAreSoughtOncePerSlot guards against forecasts that each visit all engines of a class while no pace is known, as in a group whose
+// responses have one event, and against a first interval that is noticed late for that.
+func TestUnknownPacesAreSoughtOncePerSlot(t *testing.T) {
+	model, engines := New(), newEngines(44*time.Millisecond, 44*time.Millisecond)
+	play(model, engines, 0, 44*time.Millisecond, 1)
+	stats := model.classes[ClassOf(engines[0].worker)]
+	model.Forecast(epoch.Add(time.Second), engines[0].worker, summary, backend.Load{})
+	soughtAt := stats.typicalPace.computedAt
+	model.Forecast(epoch.Add(1100*time.Millisecond), engines[1].worker, summary, backend.Load{})
+	if !stats.typicalPace.computedAt.Equal(soughtAt) {
+		t.Error("a forecast visited all engines again within a slot")
+	}
+	play(model, engines[:1], 1110*time.Millisecond, 1200*time.Millisecond, 2)
+	if forecast := model.Forecast(epoch.Add(1200*time.Millisecond), engines[1].worker, summary, backend.Load{}); forecast.Interval == 0 {
+		t.Error("the first interval of the class is not known at once")
+	}
+}
+
 // TestPrefillRaisesPauses guards against a forecast that ignores the prefills which the engine does between events.
 func TestPrefillRaisesPauses(t *testing.T) {
 	engines := newEngines(44*time.Millisecond, 44*time.Millisecond)
--- a/internal/enginemodel/stream.go
+++ b/internal/enginemodel/stream.go
@@ -41,7 +41,7 @@
 			s.level = s.class.stalls.add(now, seconds, math.Exp(s.worker.pace.logSeconds(typical)), s.level)
 		}
 	}
-	s.worker.pace.add(now, seconds)
+	s.class.observeInterval(now, s.worker, seconds)
 	return interval
 }
 
