--- a/internal/balance/risk_test.go
+++ b/internal/balance/risk_test.go
@@ -29,10 +29,10 @@
 type fleetEngine struct {
 	worker   *backend.Worker
 	interval time.Duration
-	// stalled returns by which factor the interval is longer at a time after the epoch.
-	stalled func(at time.Duration) float64
-	running int
-	waiting []func()
+	// transient returns by which factor the interval is longer at a time after the epoch.
+	transient func(at time.Duration) float64
+	running   int
+	waiting   []func()
 }
 
 // fleetGateway is one gateway of a fleet.
@@ -71,17 +71,17 @@
 // fleetSlots is the number of slots of each engine.
 const fleetSlots = 16
 
-// newFleet returns a fleet of four gateways before engines with the given intervals between events. stallShare is the share of the time in which
+// newFleet returns a fleet of four gateways before engines with the given intervals between events. transientShare is the share of the time in which
 // an engine takes 2.5 times as long, for 0.6 s at a time.
-func newFleet(settings Settings, stallShare float64, intervals ...time.Duration) *fleet {
+func newFleet(settings Settings, transientShare float64, intervals ...time.Duration) *fleet {
 	f := &fleet{now: epoch, engines: map[string]*fleetEngine{}, random: rand.New(rand.NewPCG(1, 2)), answers: map[string][]fleetAnswer{}}
 	workers := backend.Set{}
 	for i, interval := range intervals {
 		id := fmt.Sprintf("e%02d", i)
 		worker := &backend.Worker{ID: id, Group: "g", Address: id, Role: backend.RoleDecode, Slots: fleetSlots}
 		workers[id] = worker
-		f.engines[id] = &fleetEngine{worker: worker, interval: interval, stalled: func(at time.Duration) float64 {
-			if rand.New(rand.NewPCG(uint64(i), uint64(at/(600*time.Millisecond)))).Float64() < stallShare {
+		f.engines[id] = &fleetEngine{worker: worker, interval: interval, transient: func(at time.Duration) float64 {
+			if rand.New(rand.NewPCG(uint64(i), uint64(at/(600*time.Millisecond)))).Float64() < transientShare {
 				return 2.5
 			}
 			return 1
@@ -143,7 +143,7 @@
 	send = func() {
 		stream.Event(f.now)
 		if sent++; sent < events {
-			f.after(time.Duration(float64(engine.interval)*engine.stalled(f.now.Sub(epoch))), send)
+			f.after(time.Duration(float64(engine.interval)*engine.transient(f.now.Sub(epoch))), send)
 			return
 		}
 		gateway.model.ObserveRequest(f.now, enginemodel.ClassOf(choice.Worker), f.now.Sub(placedAt))
@@ -246,7 +246,7 @@
 }
 
 // TestLongAnswersAvoidSlowEngines guards against answers with pauses over 200 ms because a third of the engines is 2.4 times slower and one
-// engine in seven is stalled at a time: 19 of 20 long answers have to be in time, for the fast engines have room for all of them. Slow engines
+// engine in seven is in a transient slowdown at a time: 19 of 20 long answers have to be in time, for the fast engines have room for all of them. Slow engines
 // still have to give a good part of the short answers, which lose nothing there.
 func TestLongAnswersAvoidSlowEngines(t *testing.T) {
 	f := newFleet(DefaultSettings(), 0.15, unevenIntervals()...)
@@ -284,9 +284,9 @@
 	}
 }
 
-// TestStallsSpreadEvenly guards against gateways that all run to the engines which seem best at the moment: among alike engines, one in seven of
-// which is stalled at a time, none may get 1.5 times its part, and as many answers have to be in time as by load alone.
-func TestStallsSpreadEvenly(t *testing.T) {
+// TestTransientsSpreadEvenly guards against gateways that all run to the engines which seem best at the moment: among alike engines, one in seven of
+// which is in a transient slowdown at a time, none may get 1.5 times its part, and as many answers have to be in time as by load alone.
+func TestTransientsSpreadEvenly(t *testing.T) {
 	byLoad, byRisk := newFleet(withoutRisks(), 1.0/7, alikeIntervals(60*time.Millisecond)...), newFleet(DefaultSettings(), 1.0/7, alikeIntervals(60*time.Millisecond)...)
 	for _, f := range []*fleet{byLoad, byRisk} {
 		f.offer("long", 60, 24)
@@ -306,7 +306,7 @@
 	}
 }
 
-// TestAlikeEnginesAreChosenByLoad guards against a pace that changes the choice among alike engines without stalls.
+// TestAlikeEnginesAreChosenByLoad guards against a pace that changes the choice among alike engines without transient slowdowns.
 func TestAlikeEnginesAreChosenByLoad(t *testing.T) {
 	byLoad, byRisk := newFleet(withoutRisks(), 0, alikeIntervals(60*time.Millisecond)...), newFleet(DefaultSettings(), 0, alikeIntervals(60*time.Millisecond)...)
 	for _, f := range []*fleet{byLoad, byRisk} {
--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -72,7 +72,7 @@
 	prefill     regression
 	serviceTime decayingMean
 	workers     map[string]*workerStats
-	stalls      stalls
+	transients  transients
 	typicalPace typicalPace
 }
 
--- a/internal/enginemodel/forecast.go
+++ b/internal/enginemodel/forecast.go
@@ -44,7 +44,7 @@
 	}
 	interval := math.Exp(logInterval)
 	intervals := answer.intervals(answer.Events)
-	mean := interval * stats.stalls.meanFactor()
+	mean := interval * stats.transients.meanFactor()
 	forecast := Forecast{Interval: duration(mean), End: duration(mean * intervals)}
 	if intervals == 0 {
 		return forecast
@@ -55,7 +55,7 @@
 		if load.PrefillTokens > 0 {
 			held = float64(load.PrefillTokens) * m.secondsPerToken(now, worker)
 		}
-		forecast.PauseRisk = roundRisk(stats.stalls.pauseRisk(interval, held, intervals, answer.PauseObjective.Seconds()))
+		forecast.PauseRisk = roundRisk(stats.transients.pauseRisk(interval, held, intervals, answer.PauseObjective.Seconds()))
 	}
 	return forecast
 }
@@ -72,8 +72,8 @@
 		return 0
 	}
 	interval := math.Exp(logInterval)
-	with, _ := stats.stalls.exceeding((objective.Seconds() - prefillSeconds) / interval)
-	without, _ := stats.stalls.exceeding(objective.Seconds() / interval)
+	with, _ := stats.transients.exceeding((objective.Seconds() - prefillSeconds) / interval)
+	without, _ := stats.transients.exceeding(objective.Seconds() / interval)
 	return roundRisk(max(with-without, 0))
 }
 
@@ -124,9 +124,9 @@
 
 // pauseRisk returns the probability that at least one of the intervals of a response exceeds the objective. The first is longer by the time
 // that the engine is held up with prefilling.
-func (s *stalls) pauseRisk(interval, held, intervals, objective float64) float64 {
-	_, perSecond := s.exceeding(objective / interval)
-	share, _ := s.exceeding((objective - held) / interval)
+func (t *transients) pauseRisk(interval, held, intervals, objective float64) float64 {
+	_, perSecond := t.exceeding(objective / interval)
+	share, _ := t.exceeding((objective - held) / interval)
 	return 1 - (1-share)*math.Exp(-perSecond*interval*max(intervals-1, 0))
 }
 
--- a/internal/enginemodel/pace.go
+++ b/internal/enginemodel/pace.go
@@ -10,7 +10,7 @@
 
 // Parameters of the pace of an engine.
 const (
-	// paceSlot is the time over which the intervals of an engine are averaged, so that a stall counts by its duration and not by the number
+	// paceSlot is the time over which the intervals of an engine are averaged, so that a transient slowdown counts by its duration and not by the number
 	// of responses that it holds up.
 	paceSlot = 250 * time.Millisecond
 	// paceSlots is the number of slots whose median is the pace. As long as there are fewer than paceFewSlots, the one in progress counts too.
@@ -31,7 +31,7 @@
 }
 
 // pace is the interval between events of the responses at one engine. It is the median of the last slots in which the engine sent events, so
-// that a stall which fills less than half of them does not count.
+// that a transient slowdown which fills less than half of them does not count.
 type pace struct {
 	closed []slot
 	// start, sum and count describe the slot in progress.
--- a/internal/enginemodel/pace_test.go
+++ b/internal/enginemodel/pace_test.go
@@ -12,19 +12,19 @@
 	"github.com/granitebay/granitebay/internal/backend"
 )
 
-// simulatedEngine sends the events of its responses at a fixed interval, except in stalls.
+// simulatedEngine sends the events of its responses at a fixed interval, except in transient slowdowns.
 type simulatedEngine struct {
 	worker   *backend.Worker
 	interval time.Duration
-	// stalled returns by which factor the interval is longer at a time after the start.
-	stalled func(at time.Duration) float64
+	// transient returns by which factor the interval is longer at a time after the start.
+	transient func(at time.Duration) float64
 }
 
-// noStalls is an engine without stalls.
-func noStalls(time.Duration) float64 { return 1 }
+// noTransients is an engine without transient slowdowns.
+func noTransients(time.Duration) float64 { return 1 }
 
-// randomStalls returns stalls that last span, multiply the interval by factor and take a share of the time, at random.
-func randomStalls(seed uint64, span time.Duration, share, factor float64) func(at time.Duration) float64 {
+// randomTransients returns transient slowdowns that last span, multiply the interval by factor and take a share of the time, at random.
+func randomTransients(seed uint64, span time.Duration, share, factor float64) func(at time.Duration) float64 {
 	return func(at time.Duration) float64 {
 		if rand.New(rand.NewPCG(seed, uint64(at/span))).Float64() < share {
 			return factor
@@ -40,7 +40,7 @@
 		id := fmt.Sprintf("w%d", i)
 		engines = append(engines, &simulatedEngine{
 			worker:   &backend.Worker{ID: id, Group: "g", Address: id, Role: backend.RoleDecode, Slots: 32},
-			interval: interval, stalled: noStalls,
+			interval: interval, transient: noTransients,
 		})
 	}
 	return engines
@@ -54,7 +54,7 @@
 			stream := model.NewStream(engine.worker)
 			for range events {
 				stream.Event(epoch.Add(at))
-				at += time.Duration(float64(engine.interval) * engine.stalled(at))
+				at += time.Duration(float64(engine.interval) * engine.transient(at))
 			}
 		}
 	}
@@ -77,8 +77,8 @@
 	}
 }
 
-// TestPaceOfSlowEngines guards against a third of the engines being 2.4 times slower without being noticed, and against taking them for stalled:
-// a slow engine without stalls keeps every pause within the objective.
+// TestPaceOfSlowEngines guards against a third of the engines being 2.4 times slower without being noticed, and against taking their pace for a
+// transient slowdown: a slow engine without any keeps every pause within the objective.
 func TestPaceOfSlowEngines(t *testing.T) {
 	engines := newEngines(44*time.Millisecond, 44*time.Millisecond, 107*time.Millisecond)
 	model, end := New(), 6*time.Second
@@ -95,7 +95,7 @@
 			t.Errorf("engine %d: interval %v, want %v", i, forecast.Interval, engine.interval)
 		}
 		if forecast.PauseRisk > 0.02 {
-			t.Errorf("engine %d: pause risk %.2f without stalls", i, forecast.PauseRisk)
+			t.Errorf("engine %d: pause risk %.2f without transient slowdowns", i, forecast.PauseRisk)
 		}
 	}
 	hurried := summary
@@ -108,20 +108,20 @@
 	}
 }
 
-// TestForecastOfStalls guards against risks that differ by more than a tenth from the share of responses that get a pause over their
-// objective, if one engine in seven is stalled at any time, for 0.6 s, to 2.5 times its interval.
-func TestForecastOfStalls(t *testing.T) {
+// TestForecastOfTransients guards against risks that differ by more than a tenth from the share of responses that get a pause over their
+// objective, if one engine in seven takes 2.5 times its interval at any time, for 0.6 s.
+func TestForecastOfTransients(t *testing.T) {
 	engines := newEngines(44*time.Millisecond, 44*time.Millisecond, 44*time.Millisecond, 44*time.Millisecond, 107*time.Millisecond, 107*time.Millisecond)
 	for i, engine := range engines {
-		engine.stalled = randomStalls(uint64(i), 600*time.Millisecond, 1.0/7, 2.5)
+		engine.transient = randomTransients(uint64(i), 600*time.Millisecond, 1.0/7, 2.5)
 	}
 	model, end := New(), 20*time.Second
 	play(model, engines, 0, end, 24)
 	now := epoch.Add(end)
 	if risk := model.Forecast(now, engines[0].worker, summary, backend.Load{}).PauseRisk; risk > 0.05 {
-		t.Errorf("fast engine: pause risk %.2f, but a stalled interval is only 110 ms", risk)
+		t.Errorf("fast engine: pause risk %.2f, but an interval in a transient slowdown is only 110 ms", risk)
 	}
-	// A response of 23 intervals of 107 ms overlaps 5 spans of 0.6 s on the mean, each stalled with a probability of 1/7.
+	// A response of 23 intervals of 107 ms overlaps 5 spans of 0.6 s on the mean, each in a transient slowdown with a probability of 1/7.
 	want := 1 - math.Pow(6.0/7, 5)
 	if risk := model.Forecast(now, engines[5].worker, summary, backend.Load{}).PauseRisk; math.Abs(risk-want) > 0.1 {
 		t.Errorf("slow engine: pause risk %.2f, want %.2f", risk, want)
@@ -131,10 +131,10 @@
 	}
 }
 
-// TestStallIsNoPace guards against a stall of 0.6 s that makes an engine count as slow after it.
-func TestStallIsNoPace(t *testing.T) {
+// TestTransientIsNoPace guards against a transient slowdown of 0.6 s that makes an engine count as slow after it.
+func TestTransientIsNoPace(t *testing.T) {
 	engines := newEngines(44*time.Millisecond, 44*time.Millisecond, 44*time.Millisecond)
-	engines[0].stalled = func(at time.Duration) float64 {
+	engines[0].transient = func(at time.Duration) float64 {
 		if at >= 5*time.Second && at < 5600*time.Millisecond {
 			return 6
 		}
@@ -143,7 +143,7 @@
 	model, end := New(), 6*time.Second
 	play(model, engines, 0, end, 24)
 	if factor, known := model.RelativePace(epoch.Add(end), engines[0].worker); !known || factor > 1.1 {
-		t.Errorf("relative pace %.2f after a stall, want 1 to within a tenth", factor)
+		t.Errorf("relative pace %.2f after a transient slowdown, want 1 to within a tenth", factor)
 	}
 }
 
--- a/internal/enginemodel/stream.go
+++ b/internal/enginemodel/stream.go
@@ -12,7 +12,7 @@
 	class  *classStats
 	worker *workerStats
 	last   time.Time
-	// level is the stall level of the last interval, or noLevel.
+	// level is the level of the last interval, as levelOf returns it, or noLevel.
 	level   int
 	events  int
 	longest time.Duration
@@ -36,9 +36,9 @@
 	s.longest = max(s.longest, interval)
 	seconds := interval.Seconds()
 	if s.worker.pace.known(now) {
-		// Before its pace is known, a slow engine could be taken for a stalled one.
+		// Before its pace is known, a slow engine could be taken for one in a transient slowdown.
 		if typical, found := s.class.typical(now); found {
-			s.level = s.class.stalls.add(now, seconds, math.Exp(s.worker.pace.logSeconds(typical)), s.level)
+			s.level = s.class.transients.add(now, seconds, math.Exp(s.worker.pace.logSeconds(typical)), s.level)
 		}
 	}
 	s.class.observeInterval(now, s.worker, seconds)
--- a/internal/enginemodel/stalls.go
+++ b/internal/enginemodel/transients.go
@@ -5,18 +5,18 @@
 	"time"
 )
 
-// The thresholds of the stall distribution are intervals relative to the pace of the engine: a geometric series.
+// Parameters of the distribution of transient slowdowns. Its thresholds are factors of the pace of the engine, in a geometric series.
 const (
 	firstThreshold  = 0.8
 	thresholdFactor = 1.2
 	thresholdCount  = 18
-	// stallPriorSeconds is the time without stalls as which the prior counts.
-	stallPriorSeconds = 1.0
-	// stallAging is the time after which the observations are aged.
-	stallAging = time.Second
+	// transientPriorSeconds is the time without transient slowdowns as which the prior counts.
+	transientPriorSeconds = 1.0
+	// transientAging is the time after which the observations are aged.
+	transientAging = time.Second
 )
 
-// thresholds are the thresholds.
+// thresholds holds the thresholds in ascending order.
 var thresholds = func() (result [thresholdCount]float64) {
 	for i := range result {
 		result[i] = firstThreshold * math.Pow(thresholdFactor, float64(i))
@@ -24,9 +24,9 @@
 	return result
 }()
 
-// stalls counts how often and for how long the intervals between events exceed the pace of their engine. The engines of a class share it:
-// stalls come from neighbors on the same machine, which any engine may get.
-type stalls struct {
+// transients counts how often and for how long the intervals between events exceed the pace of their engine. The engines of a class share it:
+// transient slowdowns come from neighbors on the same machine, which any engine may get.
+type transients struct {
 	// seconds is the time observed, and paceSeconds the time that it would have taken at the pace of the engines.
 	seconds, paceSeconds float64
 	// atLevel is the time spent in intervals that exceed exactly the first i thresholds.
@@ -51,32 +51,32 @@
 }
 
 // add adds an interval, given the level of the preceding one of the response. It returns its own level.
-func (s *stalls) add(now time.Time, seconds, paceSeconds float64, before int) int {
-	s.age(now)
+func (t *transients) add(now time.Time, seconds, paceSeconds float64, before int) int {
+	t.age(now)
 	level := levelOf(seconds / paceSeconds)
-	s.seconds += seconds
-	s.paceSeconds += paceSeconds
-	s.atLevel[level] += seconds
+	t.seconds += seconds
+	t.paceSeconds += paceSeconds
+	t.atLevel[level] += seconds
 	if before == noLevel {
 		return level
 	}
-	s.followedBy[before] += paceSeconds
+	t.followedBy[before] += paceSeconds
 	for i := before; i < level; i++ {
-		s.onsets[i]++
+		t.onsets[i]++
 	}
 	return level
 }
 
 // age reduces the weight of older observations.
-func (s *stalls) age(now time.Time) {
-	if now.Sub(s.agedAt) < stallAging && !s.agedAt.IsZero() {
+func (t *transients) age(now time.Time) {
+	if now.Sub(t.agedAt) < transientAging && !t.agedAt.IsZero() {
 		return
 	}
-	factor := decay(s.agedAt, now)
-	s.agedAt = now
-	s.seconds *= factor
-	s.paceSeconds *= factor
-	for _, counts := range [][]float64{s.atLevel[:], s.followedBy[:], s.onsets[:]} {
+	factor := decay(t.agedAt, now)
+	t.agedAt = now
+	t.seconds *= factor
+	t.paceSeconds *= factor
+	for _, counts := range [][]float64{t.atLevel[:], t.followedBy[:], t.onsets[:]} {
 		for i := range counts {
 			counts[i] *= factor
 		}
@@ -84,13 +84,13 @@
 }
 
 // meanFactor returns the mean interval relative to the pace; at least 1.
-func (s *stalls) meanFactor() float64 {
-	return max((s.seconds+stallPriorSeconds)/(s.paceSeconds+stallPriorSeconds), 1)
+func (t *transients) meanFactor() float64 {
+	return max((t.seconds+transientPriorSeconds)/(t.paceSeconds+transientPriorSeconds), 1)
 }
 
 // exceeding returns the share of time in which intervals exceed the pace by a factor, and how often a second such a time begins. Both fall
 // with the factor.
-func (s *stalls) exceeding(factor float64) (share, perSecond float64) {
+func (t *transients) exceeding(factor float64) (share, perSecond float64) {
 	if !(factor > firstThreshold) {
 		return 1, 0
 	}
@@ -98,26 +98,26 @@
 	low := min(int(position), thresholdCount-1)
 	high := min(low+1, thresholdCount-1)
 	fraction := min(position-float64(low), 1)
-	shareLow, rateLow := s.exceedingThreshold(low)
-	shareHigh, rateHigh := s.exceedingThreshold(high)
+	shareLow, rateLow := t.exceedingThreshold(low)
+	shareHigh, rateHigh := t.exceedingThreshold(high)
 	return shareLow + fraction*(shareHigh-shareLow), rateLow + fraction*(rateHigh-rateLow)
 }
 
 // exceedingThreshold is exceeding for one threshold.
-func (s *stalls) exceedingThreshold(threshold int) (share, perSecond float64) {
-	above, atRisk := 0.0, stallPriorSeconds
-	for i, seconds := range s.atLevel {
+func (t *transients) exceedingThreshold(threshold int) (share, perSecond float64) {
+	above, atRisk := 0.0, transientPriorSeconds
+	for i, seconds := range t.atLevel {
 		if i > threshold {
 			above += seconds
 		}
 	}
-	for _, seconds := range s.followedBy[:threshold] {
+	for _, seconds := range t.followedBy[:threshold] {
 		atRisk += seconds
 	}
 	for i := threshold; i < thresholdCount; i++ {
-		// Responses in which a stall changes in strength cross a high threshold more often than a low one.
-		atRisk += s.followedBy[i]
-		perSecond = max(perSecond, s.onsets[i]/atRisk)
+		// Responses in which a transient slowdown changes in strength cross a high threshold more often than a low one.
+		atRisk += t.followedBy[i]
+		perSecond = max(perSecond, t.onsets[i]/atRisk)
 	}
-	return above / (s.seconds + stallPriorSeconds), perSecond
+	return above / (t.seconds + transientPriorSeconds), perSecond
 }
