Dispatcher: prefills of removed workers are not observed

A prompt that was prefilled after its worker had been removed made the model create the observations of the worker anew, and nothing deleted them any more. They add to the engines that the typical pace of a class visits.

--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -258,9 +258,10 @@
 	a.load = backend.Load{}
 }
 
-// observePrefill updates the model with the prefill time of the worker. The mutex is held.
+// observePrefill updates the model with the prefill time of the worker, unless the worker was removed meanwhile and the model has forgotten it.
+// The mutex is held.
 func (a *Assignment) observePrefill() {
-	if a.deferred {
+	if _, found := a.dispatcher.balancer.Worker(a.Worker.ID); a.deferred || !found {
 		return
 	}
 	now := a.dispatcher.now()
--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -122,3 +122,25 @@
 		t.Errorf("got course %+v, want 4 events", course)
 	}
 }
+
+// TestRemovedWorkersAreNotObserved guards against observations of workers that were removed while they prefilled: nothing would delete
+// them any more.
+func TestRemovedWorkersAreNotObserved(t *testing.T) {
+	dispatcher, _, clock := newPaceDispatcher()
+	worker, _ := dispatcher.balancer.Worker("prefill0")
+	var assignments []*Assignment
+	for range 10 {
+		assignment := dispatcher.assign(balance.Choice{Worker: worker}, 0, false, 0)
+		assignment.load.PrefillTokens = 10_000
+		assignments = append(assignments, assignment)
+	}
+	dispatcher.ChangeWorkers(backend.Changes{Removed: []string{worker.ID}})
+	clock.now = clock.now.Add(5 * time.Second)
+	for _, assignment := range assignments {
+		assignment.responseStarted()
+		assignment.finish(balance.OutcomeGood)
+	}
+	if pace, known := dispatcher.model.RelativePace(clock.now, worker); known {
+		t.Errorf("the pace of a removed worker is known as %.2f, want unknown", pace)
+	}
+}
