Roles: one decode engine serves during an exchange

While the decode role had its minimum of one engine and no load, the faster engine was ordered to join it and the slow one to leave in the same step, so that no engine decoded until the first had changed its role. The load bounded this only if there was any.

--- a/internal/roles/pace.go
+++ b/internal/roles/pace.go
@@ -132,7 +132,7 @@
 	}
 	available := decode.live - decode.changing - 1
 	switch {
-	case p.decodeLoad.value > p.settings.MaxDecodeUse*float64(available):
+	case available < 1 || p.decodeLoad.value > p.settings.MaxDecodeUse*float64(available):
 		return nil
 	case p.canSpare(decode, prefill):
 		p.paces.partnerRole = backend.RoleDecode
--- a/internal/roles/pace_test.go
+++ b/internal/roles/pace_test.go
@@ -118,6 +118,29 @@
 	}
 }
 
+// TestExchangeLeavesOneDecodeEngine guards against an idle group whose only decode engine is exchanged, so that none serves until another has
+// changed its role.
+func TestExchangeLeavesOneDecodeEngine(t *testing.T) {
+	settings := DefaultSettings()
+	settings.MinEngines = map[backend.Role]int{backend.RolePrefill: 1, backend.RoleDecode: 1}
+	planner, group := NewPlanner(settings), &Group{Engines: newEngines(2, 1, 0)}
+	decode := &group.Engines[2]
+	decode.Pace = 2.4
+	for i := range 40 {
+		now := epoch.Add(time.Duration(i) * settings.TickInterval)
+		for change := planner.Next(now, group); change != nil; change = planner.Next(now, group) {
+			for j := range group.Engines {
+				if engine := &group.Engines[j]; engine.Worker == change.Worker {
+					engine.TargetRole, engine.Usable = change.Role, false
+				}
+			}
+		}
+		if decode.TargetRole != backend.RoleNone {
+			t.Fatalf("the only decode engine is ordered to take the role %s after %s", decode.TargetRole, now.Sub(epoch))
+		}
+	}
+}
+
 // TestAlikeEnginesChangeAsWithoutPaces guards against changes that depend on differences of the paces within their error.
 func TestAlikeEnginesChangeAsWithoutPaces(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
