Roles: a planner that was not asked for a time starts exchanges anew

A gateway that got the authority back went on with the second change of an exchange from before, and took engines for slow over the whole time in between, so that PaceDelay had passed for each at once. Also names the right error in the comment of errRoleInPlace.

--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -332,5 +332,5 @@
 // errNoAuthority is returned if the authority ended before the order was sent.
 var errNoAuthority = errors.New("the authority ended before the order was sent")
 
-// errChanging is returned if the engine already has or is taking the role.
+// errRoleInPlace is returned if the engine already has or is taking the role.
 var errRoleInPlace = errors.New("the engine already has or is taking the role")
--- a/internal/roles/pace.go
+++ b/internal/roles/pace.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// update records the paces of the engines, once for each time, and forgets those of engines that are gone.
+// update records the paces of the engines, once for each time, and forgets those of engines that are gone. After more than PaceDelay without an
+// update, engines have to be slow for PaceDelay anew.
 func (s *paceState) update(now time.Time, engines []Engine, settings *Settings) {
 	if s.known == nil {
 		s.known, s.slowSince, s.exchangedAt = map[string]enginePace{}, map[string]time.Time{}, map[string]time.Time{}
@@ -55,6 +56,11 @@
 	if now.Equal(s.updatedAt) {
 		return
 	}
+	if now.Sub(s.updatedAt) > settings.PaceDelay {
+		// Nothing is known of the time since then.
+		clear(s.slowSince)
+		s.partnerRole = backend.RoleNone
+	}
 	s.updatedAt = now
 	for _, engine := range engines {
 		s.record(engine)
--- a/internal/roles/pace_test.go
+++ b/internal/roles/pace_test.go
@@ -141,6 +141,25 @@
 	}
 }
 
+// TestPlannerForgetsExchangeWhileAnotherDecides guards against the second change of an exchange, or one for a slowness that may have ended, by
+// a planner that was not asked for a time because another gateway decided on roles.
+func TestPlannerForgetsExchangeWhileAnotherDecides(t *testing.T) {
+	s := newPaceTest(t, 45, 45, 2.4)
+	s.run(1, 8, 300)
+	for s.planner.paces.partnerRole == backend.RoleNone {
+		s.now = s.now.Add(250 * time.Millisecond)
+		s.load(300)
+		if s.now.Sub(epoch) > 10*time.Second {
+			t.Fatal("no exchange began")
+		}
+		s.planner.Next(s.now, s.group)
+	}
+	s.now = s.now.Add(time.Hour)
+	if changes := s.run(1, 8, 300); changes != 0 {
+		t.Errorf("%d changes a second after an hour without decisions, want 0: %v", changes, s.changes)
+	}
+}
+
 // TestAlikeEnginesChangeAsWithoutPaces guards against changes that depend on differences of the paces within their error.
 func TestAlikeEnginesChangeAsWithoutPaces(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
