--- a/internal/roles/pace.go
+++ b/internal/roles/pace.go
@@ -116,22 +116,19 @@
 // exchange returns the next change of an exchange of a slow decode engine for a faster prefill engine, or nil. The second change follows the
 // first immediately.
 func (p *Planner) exchange(now time.Time, group *Group, prefill, decode roleSummary) *Change {
-	if len(p.paces.slowSince) == 0 && p.paces.partnerRole == backend.RoleNone {
+	if p.paces.partnerRole != backend.RoleNone {
+		return p.endExchange(now, prefill, decode)
+	}
+	if len(p.paces.slowSince) == 0 {
 		return nil
 	}
+	return p.beginExchange(now, group, prefill, decode)
+}
+
+// beginExchange returns the first change of an exchange, or nil if none is due.
+func (p *Planner) beginExchange(now time.Time, group *Group, prefill, decode roleSummary) *Change {
 	slow, hasSlow := p.slowDecode(now, decode)
 	fast, hasFast := p.fastPrefill(prefill)
-	if role := p.paces.partnerRole; role != backend.RoleNone {
-		p.paces.partnerRole = backend.RoleNone
-		switch {
-		case role == backend.RoleDecode && hasFast && p.canSpare(prefill, decode):
-			return p.changeForPace(now, fast, role)
-		case role == backend.RolePrefill && hasSlow && p.canSpare(decode, prefill):
-			return p.changeForPace(now, slow, role)
-		default:
-			return nil
-		}
-	}
 	isClear := hasSlow && hasFast && p.paces.of(slow) >= clearPaceRatio*p.paces.of(fast)
 	if !isClear || p.changing >= max(int(p.settings.MaxExchangeShare*float64(p.groupSize)), 2) || !p.allowsSlowPrefill(group, prefill) {
 		return nil
@@ -152,6 +149,22 @@
 	}
 }
 
+// endExchange returns the second change of an exchange, or nil if no engine can make it any more.
+func (p *Planner) endExchange(now time.Time, prefill, decode roleSummary) *Change {
+	role := p.paces.partnerRole
+	p.paces.partnerRole = backend.RoleNone
+	if role == backend.RoleDecode {
+		if fast, found := p.fastPrefill(prefill); found && p.canSpare(prefill, decode) {
+			return p.changeForPace(now, fast, role)
+		}
+		return nil
+	}
+	if slow, found := p.slowDecode(now, decode); found && p.canSpare(decode, prefill) {
+		return p.changeForPace(now, slow, role)
+	}
+	return nil
+}
+
 // slowDecode returns the slowest decode engine that has been clearly slower than typical for PaceDelay.
 func (p *Planner) slowDecode(now time.Time, decode roleSummary) (Engine, bool) {
 	return p.first(decode.ready, backend.RolePrefill, func(engine Engine) bool {
