--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,8 +28,8 @@
 	Key string
 	// PrefillCost estimates the prefill cost of the prompt at a worker. Nil means no cost.
 	PrefillCost func(worker *backend.Worker) PrefillCost
-	// Answer describes the response that the request wants from a decode engine; zero if unknown.
-	Answer enginemodel.Answer
+	// Response describes the response that the request wants from a decode engine; zero if unknown.
+	Response enginemodel.Response
 	// Deferred prompts are prefilled after all others.
 	Deferred bool
 	// YieldingShare is the share of the work waiting at the engines that yields to this request, from 0 to 1: of the prompts at prefill
--- a/internal/balance/risk_test.go
+++ b/internal/balance/risk_test.go
@@ -19,8 +19,8 @@
 	engines  map[string]*fleetEngine
 	gateways []*fleetGateway
 	random   *rand.Rand
-	// answers are the finished answers, by kind.
-	answers map[string][]fleetAnswer
+	// responses are the finished responses, by kind.
+	responses map[string][]fleetResponse
 	// chosen lists the engines in the order in which they were picked.
 	chosen []string
 }
@@ -43,8 +43,8 @@
 	others map[string]backend.Load
 }
 
-// fleetAnswer is a finished answer.
-type fleetAnswer struct {
+// fleetResponse is a finished response.
+type fleetResponse struct {
 	engine                    string
 	waited, longest, duration time.Duration
 }
@@ -74,7 +74,7 @@
 // newFleet returns a fleet of four gateways before engines with the given intervals between events. transientShare is the share of the time in which
 // an engine takes 2.5 times as long, for 0.6 s at a time.
 func newFleet(settings Settings, transientShare float64, intervals ...time.Duration) *fleet {
-	f := &fleet{now: epoch, engines: map[string]*fleetEngine{}, random: rand.New(rand.NewPCG(1, 2)), answers: map[string][]fleetAnswer{}}
+	f := &fleet{now: epoch, engines: map[string]*fleetEngine{}, random: rand.New(rand.NewPCG(1, 2)), responses: map[string][]fleetResponse{}}
 	workers := backend.Set{}
 	for i, interval := range intervals {
 		id := fmt.Sprintf("e%02d", i)
@@ -118,7 +118,7 @@
 	f.after(50*time.Millisecond, f.exchange)
 }
 
-// offer sends requests of one kind at a mean rate a second, for answers of the given number of events.
+// offer sends requests of one kind at a mean rate a second, for responses of the given number of events.
 func (f *fleet) offer(kind string, perSecond float64, events int) {
 	f.after(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		f.offer(kind, perSecond, events)
@@ -126,12 +126,12 @@
 	})
 }
 
-// place places a request at a random gateway, runs it and records its answer.
+// place places a request at a random gateway, runs it and records its response.
 func (f *fleet) place(kind string, events int) {
 	gateway := f.gateways[f.random.IntN(len(f.gateways))]
 	choice, _ := gateway.balancer.Pick(f.now, Query{
 		Request: fmt.Sprint(kind, len(f.chosen)), Group: "g", Role: backend.RoleDecode,
-		Answer: enginemodel.Answer{Events: float64(events), Spread: 0.3, PauseObjective: 200 * time.Millisecond, Remaining: 8 * time.Second, StartWithin: 250 * time.Millisecond},
+		Response: enginemodel.Response{Events: float64(events), Spread: 0.3, PauseObjective: 200 * time.Millisecond, Remaining: 8 * time.Second, StartWithin: 250 * time.Millisecond},
 	})
 	f.chosen = append(f.chosen, choice.Worker.ID)
 	engine, load := f.engines[choice.Worker.ID], LoadOf(0, false)
@@ -148,7 +148,7 @@
 		}
 		gateway.model.ObserveRequest(f.now, enginemodel.ClassOf(choice.Worker), f.now.Sub(placedAt))
 		gateway.balancer.End(f.now, choice.Worker.ID, OutcomeGood)
-		f.answers[kind] = append(f.answers[kind], fleetAnswer{
+		f.responses[kind] = append(f.responses[kind], fleetResponse{
 			engine: choice.Worker.ID, waited: startedAt.Sub(placedAt), longest: stream.Longest(), duration: f.now.Sub(placedAt),
 		})
 		engine.running--
@@ -181,33 +181,33 @@
 	f.now = end
 }
 
-// inTime returns the share of the answers of a kind whose start, pauses and end were in time.
+// inTime returns the share of the responses of a kind whose start, pauses and end were in time.
 func (f *fleet) inTime(kind string) float64 {
 	count := 0
-	for _, answer := range f.answers[kind] {
-		if answer.waited < 250*time.Millisecond && answer.longest <= 200*time.Millisecond && answer.duration <= 8*time.Second {
+	for _, response := range f.responses[kind] {
+		if response.waited < 250*time.Millisecond && response.longest <= 200*time.Millisecond && response.duration <= 8*time.Second {
 			count++
 		}
 	}
-	return float64(count) / float64(max(len(f.answers[kind]), 1))
+	return float64(count) / float64(max(len(f.responses[kind]), 1))
 }
 
-// atSlow returns the share of the answers of a kind that slow engines gave.
+// atSlow returns the share of the responses of a kind that slow engines gave.
 func (f *fleet) atSlow(kind string) float64 {
 	count := 0
-	for _, answer := range f.answers[kind] {
-		if f.engines[answer.engine].interval > slowFrom {
+	for _, response := range f.responses[kind] {
+		if f.engines[response.engine].interval > slowFrom {
 			count++
 		}
 	}
-	return float64(count) / float64(max(len(f.answers[kind]), 1))
+	return float64(count) / float64(max(len(f.responses[kind]), 1))
 }
 
-// waitOf returns the quantile of the times for which answers of a kind waited for a slot.
+// waitOf returns the quantile of the times for which responses of a kind waited for a slot.
 func (f *fleet) waitOf(kind string, quantile float64) time.Duration {
 	var waits []time.Duration
-	for _, answer := range f.answers[kind] {
-		waits = append(waits, answer.waited)
+	for _, response := range f.responses[kind] {
+		waits = append(waits, response.waited)
 	}
 	slices.Sort(waits)
 	return waits[int(float64(len(waits)-1)*quantile)]
@@ -245,28 +245,28 @@
 	return settings
 }
 
-// TestLongAnswersAvoidSlowEngines guards against answers with pauses over 200 ms because a third of the engines is 2.4 times slower and one
-// engine in seven is in a transient slowdown at a time: 19 of 20 long answers have to be in time, for the fast engines have room for all of them. Slow engines
-// still have to give a good part of the short answers, which lose nothing there.
-func TestLongAnswersAvoidSlowEngines(t *testing.T) {
+// TestLongResponsesAvoidSlowEngines guards against responses with pauses over 200 ms because a third of the engines is 2.4 times slower and one
+// engine in seven is in a transient slowdown at a time: 19 of 20 long responses have to be in time, for the fast engines have room for all of
+// them. Slow engines still have to give a good part of the short responses, which lose nothing there.
+func TestLongResponsesAvoidSlowEngines(t *testing.T) {
 	f := newFleet(DefaultSettings(), 0.15, unevenIntervals()...)
 	f.offer("long", 45, 24)
 	f.offer("short", 90, 1)
 	f.run(30 * time.Second)
 	if share := f.inTime("long"); share < 0.95 {
-		t.Errorf("%.3f of the long answers in time, %.3f of them by slow engines; want 0.95 in time", share, f.atSlow("long"))
+		t.Errorf("%.3f of the long responses in time, %.3f of them by slow engines; want 0.95 in time", share, f.atSlow("long"))
 	}
 	if share := f.inTime("short"); share < 0.98 {
-		t.Errorf("%.3f of the short answers in time, want 0.98", share)
+		t.Errorf("%.3f of the short responses in time, want 0.98", share)
 	}
 	if share := f.atSlow("short"); share < 0.33 {
-		t.Errorf("slow engines gave %.2f of the short answers, want a third", share)
+		t.Errorf("slow engines gave %.2f of the short responses, want a third", share)
 	}
 }
 
-// TestSlowEnginesServeOverflow guards against slow engines that idle while requests wait for the fast ones: with a tenth more long answers than
+// TestSlowEnginesServeOverflow guards against slow engines that idle while requests wait for the fast ones: with a tenth more long responses than
 // the fast engines have room for, slow ones have to give one in twenty, as many have to be in time as by load alone, and 99 of 100 may wait for a
-// slot 250 ms longer than by load alone, the time in which an answer should begin.
+// slot 250 ms longer than by load alone, the time in which a response should begin.
 func TestSlowEnginesServeOverflow(t *testing.T) {
 	byLoad, byRisk := newFleet(withoutRisks(), 0.15, unevenIntervals()...), newFleet(DefaultSettings(), 0.15, unevenIntervals()...)
 	for _, f := range []*fleet{byLoad, byRisk} {
@@ -274,18 +274,18 @@
 		f.run(30 * time.Second)
 	}
 	if share := byRisk.atSlow("long"); share < 0.05 {
-		t.Errorf("slow engines gave %.2f of the answers, want one in twenty", share)
+		t.Errorf("slow engines gave %.2f of the responses, want one in twenty", share)
 	}
 	if byRisk.inTime("long") < byLoad.inTime("long") {
 		t.Errorf("%.3f in time by risk, %.3f by load alone", byRisk.inTime("long"), byLoad.inTime("long"))
 	}
 	if risk, load := byRisk.waitOf("long", 0.99), byLoad.waitOf("long", 0.99); risk > load+250*time.Millisecond {
-		t.Errorf("99 of 100 answers wait up to %v for a slot, and %v by load alone", risk, load)
+		t.Errorf("99 of 100 responses wait up to %v for a slot, and %v by load alone", risk, load)
 	}
 }
 
 // TestTransientsSpreadEvenly guards against gateways that all run to the engines which seem best at the moment: among alike engines, one in seven of
-// which is in a transient slowdown at a time, none may get 1.5 times its part, and as many answers have to be in time as by load alone.
+// which is in a transient slowdown at a time, none may get 1.5 times its part, and as many responses have to be in time as by load alone.
 func TestTransientsSpreadEvenly(t *testing.T) {
 	byLoad, byRisk := newFleet(withoutRisks(), 1.0/7, alikeIntervals(60*time.Millisecond)...), newFleet(DefaultSettings(), 1.0/7, alikeIntervals(60*time.Millisecond)...)
 	for _, f := range []*fleet{byLoad, byRisk} {
@@ -321,9 +321,9 @@
 	}
 }
 
-// TestRecoveredEngineGetsLongAnswersAgain guards against an engine that is avoided for ever after it was slow, since it gets no long answers from
+// TestRecoveredEngineGetsLongResponsesAgain guards against an engine that is avoided for ever after it was slow, since it gets no long responses from
 // which its pace could be learnt: the short ones have to suffice.
-func TestRecoveredEngineGetsLongAnswersAgain(t *testing.T) {
+func TestRecoveredEngineGetsLongResponsesAgain(t *testing.T) {
 	f := newFleet(DefaultSettings(), 0.15, unevenIntervals()...)
 	f.offer("long", 45, 24)
 	f.offer("short", 90, 2)
--- a/internal/enginemodel/forecast.go
+++ b/internal/enginemodel/forecast.go
@@ -7,8 +7,8 @@
 	"github.com/granitebay/granitebay/internal/backend"
 )
 
-// Answer describes the response that a request wants from an engine.
-type Answer struct {
+// Response describes the response that a request wants from an engine.
+type Response struct {
 	// Events is the expected number of events of the response, at least 1, and MaxEvents the most that it can have; zero if unknown.
 	Events, MaxEvents float64
 	// Spread is the standard deviation of the logarithm of the number of events.
@@ -33,9 +33,9 @@
 
 // Forecast returns the expected course of a response at a decode engine with the given load. Without observations it is zero. The risks are
 // rounded, so that engines whose risks are small are equal.
-func (m *Model) Forecast(now time.Time, worker *backend.Worker, answer Answer, load backend.Load) Forecast {
+func (m *Model) Forecast(now time.Time, worker *backend.Worker, response Response, load backend.Load) Forecast {
 	stats, found := m.classes[ClassOf(worker)]
-	if !found || answer.Events < 1 {
+	if !found || response.Events < 1 {
 		return Forecast{}
 	}
 	logInterval, found := stats.logInterval(now, stats.workers[worker.ID])
@@ -43,19 +43,19 @@
 		return Forecast{}
 	}
 	interval := math.Exp(logInterval)
-	intervals := answer.intervals(answer.Events)
+	intervals := response.intervals(response.Events)
 	mean := interval * stats.transients.meanFactor()
 	forecast := Forecast{Interval: duration(mean), End: duration(mean * intervals)}
 	if intervals == 0 {
 		return forecast
 	}
-	forecast.DeadlineRisk = roundRisk(answer.deadlineRisk(mean))
-	if answer.PauseObjective > 0 {
+	forecast.DeadlineRisk = roundRisk(response.deadlineRisk(mean))
+	if response.PauseObjective > 0 {
 		held := 0.0
 		if load.PrefillTokens > 0 {
 			held = float64(load.PrefillTokens) * m.secondsPerToken(now, worker)
 		}
-		forecast.PauseRisk = roundRisk(stats.transients.pauseRisk(interval, held, intervals, answer.PauseObjective.Seconds()))
+		forecast.PauseRisk = roundRisk(stats.transients.pauseRisk(interval, held, intervals, response.PauseObjective.Seconds()))
 	}
 	return forecast
 }
@@ -78,38 +78,38 @@
 }
 
 // intervals returns the number of intervals in a response of the given number of events, bounded by MaxEvents.
-func (a Answer) intervals(events float64) float64 {
-	if a.MaxEvents > 0 {
-		events = min(events, a.MaxEvents)
+func (r Response) intervals(events float64) float64 {
+	if r.MaxEvents > 0 {
+		events = min(events, r.MaxEvents)
 	}
 	return max(events-1, 0)
 }
 
 // deadlineRisk returns the probability that the last event comes after the deadline, if the number of events is lognormal and each takes the
 // given time.
-func (a Answer) deadlineRisk(secondsPerEvent float64) float64 {
-	remaining := a.Remaining.Seconds()
-	longest := a.intervals(math.MaxFloat64) * secondsPerEvent
-	switch expected := a.intervals(a.Events) * secondsPerEvent; {
-	case a.Remaining == 0 || (a.MaxEvents > 0 && longest <= remaining):
+func (r Response) deadlineRisk(secondsPerEvent float64) float64 {
+	remaining := r.Remaining.Seconds()
+	longest := r.intervals(math.MaxFloat64) * secondsPerEvent
+	switch expected := r.intervals(r.Events) * secondsPerEvent; {
+	case r.Remaining == 0 || (r.MaxEvents > 0 && longest <= remaining):
 		return 0
 	case remaining <= 0:
 		return 1
 	default:
-		return normalDistribution(math.Log(expected/remaining) / max(a.Spread, minSpread))
+		return normalDistribution(math.Log(expected/remaining) / max(r.Spread, minSpread))
 	}
 }
 
 // LateStartRisk returns the probability that the first event is late if it is expected to wait for a slot for the given time. It is 0 without
 // a wait.
-func (a Answer) LateStartRisk(wait time.Duration) float64 {
+func (r Response) LateStartRisk(wait time.Duration) float64 {
 	switch {
-	case wait <= 0 || a.StartWithin == 0:
+	case wait <= 0 || r.StartWithin == 0:
 		return 0
-	case a.StartWithin < 0:
+	case r.StartWithin < 0:
 		return 1
 	default:
-		return normalDistribution(math.Log(wait.Seconds()/a.StartWithin.Seconds()) / waitSpread)
+		return normalDistribution(math.Log(wait.Seconds()/r.StartWithin.Seconds()) / waitSpread)
 	}
 }
 
--- a/internal/enginemodel/pace_test.go
+++ b/internal/enginemodel/pace_test.go
@@ -60,11 +60,11 @@
 	}
 }
 
-// summary is an answer of 24 events whose caller accepts pauses of 200 ms and leaves after 8 s.
-var summary = Answer{Events: 24, Spread: 0.5, PauseObjective: 200 * time.Millisecond, Remaining: 8 * time.Second}
+// summary is a response of 24 events whose caller accepts pauses of 200 ms and leaves after 8 s.
+var summary = Response{Events: 24, Spread: 0.5, PauseObjective: 200 * time.Millisecond, Remaining: 8 * time.Second}
 
-// verdict is an answer of one event.
-var verdict = Answer{Events: 1, MaxEvents: 1, PauseObjective: 200 * time.Millisecond, Remaining: 2500 * time.Millisecond}
+// verdict is a response of one event.
+var verdict = Response{Events: 1, MaxEvents: 1, PauseObjective: 200 * time.Millisecond, Remaining: 2500 * time.Millisecond}
 
 // TestForecastWithoutObservations guards against risks of engines of which nothing is known.
 func TestForecastWithoutObservations(t *testing.T) {
@@ -214,29 +214,29 @@
 			now = now.Add(time.Duration(rapid.Int64Range(-1e8, 2e9).Draw(t, "pause")))
 			rapid.SampledFrom(streams).Draw(t, "stream").Event(now)
 		}
-		answer := Answer{
+		response := Response{
 			Events: rapid.Float64Range(0, 500).Draw(t, "expected"), MaxEvents: rapid.Float64Range(0, 500).Draw(t, "most"),
 			Spread:         rapid.Float64Range(0, 2).Draw(t, "spread"),
 			PauseObjective: time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "objective")),
 			Remaining:      time.Duration(rapid.Int64Range(-1e9, 1e10).Draw(t, "remaining")),
 		}
-		longer := answer
+		longer := response
 		longer.Events += rapid.Float64Range(0, 100).Draw(t, "more")
 		load := backend.Load{PrefillTokens: rapid.IntRange(0, 1e6).Draw(t, "queued")}
 		for _, engine := range engines {
-			forecast, later := model.Forecast(now, engine.worker, answer, load), model.Forecast(now, engine.worker, longer, load)
+			forecast, later := model.Forecast(now, engine.worker, response, load), model.Forecast(now, engine.worker, longer, load)
 			for _, risk := range []float64{
-				forecast.PauseRisk, forecast.DeadlineRisk, model.AddedPauseRisk(now, engine.worker, answer.PauseObjective, 0.1),
+				forecast.PauseRisk, forecast.DeadlineRisk, model.AddedPauseRisk(now, engine.worker, response.PauseObjective, 0.1),
 			} {
 				if !(risk >= 0 && risk <= 1) {
-					t.Fatalf("risk %v of %+v is not within 0 and 1", risk, answer)
+					t.Fatalf("risk %v of %+v is not within 0 and 1", risk, response)
 				}
 			}
 			if forecast.Interval < 0 || forecast.End < 0 {
 				t.Fatalf("negative times in %+v", forecast)
 			}
 			if later.PauseRisk < forecast.PauseRisk || later.DeadlineRisk < forecast.DeadlineRisk || later.End < forecast.End {
-				t.Fatalf("%v events: %+v; %v events: %+v", answer.Events, forecast, longer.Events, later)
+				t.Fatalf("%v events: %+v; %v events: %+v", response.Events, forecast, longer.Events, later)
 			}
 			if factor, _ := model.RelativePace(now, engine.worker); !(factor > 0 && factor < 1e9) {
 				t.Fatalf("relative pace %v", factor)
--- a/internal/forward/pace.go
+++ b/internal/forward/pace.go
@@ -45,20 +45,20 @@
 	return wanted
 }
 
-// answer returns the response as the model describes it. It is zero if w is nil.
-func (w *wantedResponse) answer(now time.Time) enginemodel.Answer {
+// forModel returns the response as the model describes it. It is zero if w is nil.
+func (w *wantedResponse) forModel(now time.Time) enginemodel.Response {
 	if w == nil {
-		return enginemodel.Answer{}
+		return enginemodel.Response{}
 	}
-	answer := enginemodel.Answer{Events: w.events, MaxEvents: w.maxEvents, Spread: w.spread, PauseObjective: w.pauseObjective}
+	response := enginemodel.Response{Events: w.events, MaxEvents: w.maxEvents, Spread: w.spread, PauseObjective: w.pauseObjective}
 	if !w.startBy.IsZero() {
 		// Zero would mean that there is no objective.
-		answer.StartWithin = cmp.Or(w.startBy.Sub(now), -1)
+		response.StartWithin = cmp.Or(w.startBy.Sub(now), -1)
 	}
 	if !w.deadline.IsZero() {
-		answer.Remaining = max(w.deadline.Sub(now), 1)
+		response.Remaining = max(w.deadline.Sub(now), 1)
 	}
-	return answer
+	return response
 }
 
 // observeEvents makes the assignment observe the events of a decode engine's response. The mutex is held.
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -74,8 +74,8 @@
 		order = p.prefillOrder
 	}
 	return balance.Query{
-		Answer:  p.wanted.answer(p.dispatcher.now()),
-		Request: p.request.ID, Group: p.group.Name, Role: role, Key: p.shared.affinityKey, Zone: zone, Excluded: excluded,
+		Response: p.wanted.forModel(p.dispatcher.now()),
+		Request:  p.request.ID, Group: p.group.Name, Role: role, Key: p.shared.affinityKey, Zone: zone, Excluded: excluded,
 		YieldingShare: order.YieldingShare, UrgentLoad: order.UrgentLoad, BehindWaiting: p.behindWaiting,
 		Deferred: p.deferred, SuspectKey: p.suspectKey, Prefilled: p.prefilled, Holders: p.holderIDs, Concentrate: len(p.shared.segments) == 0,
 	}
