--- a/internal/enginemodel/pace.go
+++ b/internal/enginemodel/pace.go
@@ -10,7 +10,7 @@
 
 // Parameters of the pace of an engine.
 const (
-	// paceSlot is the time over which the intervals of an engine are averaged, so that a stall counts by its duration and not by the number
+	// paceSlot is the time over which the intervals of an engine are averaged, so that a transient slowdown counts by its duration and not by the number
 	// of responses that it holds up.
 	paceSlot = 250 * time.Millisecond
 	// paceSlots is the number of slots whose median is the pace. As long as there are fewer than paceFewSlots, the one in progress counts too.
@@ -31,7 +31,7 @@
 }
 
 // pace is the interval between events of the responses at one engine. It is the median of the last slots in which the engine sent events, so
-// that a stall which fills less than half of them does not count.
+// that a transient slowdown which fills less than half of them does not count.
 type pace struct {
 	closed []slot
 	// start, sum and count describe the slot in progress.
@@ -102,10 +102,21 @@
 	computedAt time.Time
 }
 
-// typical returns the logarithm of the typical interval of the class in seconds, or false if no engine's pace is known.
+// observeInterval records an interval between events at a worker of the class.
+func (c *classStats) observeInterval(now time.Time, worker *workerStats, seconds float64) {
+	wasKnown := worker.pace.known(now)
+	worker.pace.add(now, seconds)
+	if !wasKnown && c.typicalPace.engines == 0 {
+		// The first known pace counts at once.
+		c.typicalPace = typicalPace{}
+	}
+}
+
+// typical returns the logarithm of the typical interval of the class in seconds, or false if no engine's pace is known. It visits the engines at
+// most once per paceSlot and after the first known pace.
 func (c *classStats) typical(now time.Time) (float64, bool) {
 	cached := &c.typicalPace
-	if age := now.Sub(cached.computedAt); age >= paceSlot || age < 0 || cached.engines == 0 {
+	if age := now.Sub(cached.computedAt); age >= paceSlot || age < 0 {
 		*cached = typicalPace{computedAt: now}
 		sum := 0.0
 		for _, worker := range c.workers {
--- a/internal/roles/pace_test.go
+++ b/internal/roles/pace_test.go
@@ -118,6 +118,48 @@
 	}
 }
 
+// TestExchangeLeavesOneDecodeEngine guards against an idle group whose only decode engine is exchanged, so that none serves until another has
+// changed its role.
+func TestExchangeLeavesOneDecodeEngine(t *testing.T) {
+	settings := DefaultSettings()
+	settings.MinEngines = map[backend.Role]int{backend.RolePrefill: 1, backend.RoleDecode: 1}
+	planner, group := NewPlanner(settings), &Group{Engines: newEngines(2, 1, 0)}
+	decode := &group.Engines[2]
+	decode.Pace = 2.4
+	for i := range 40 {
+		now := epoch.Add(time.Duration(i) * settings.TickInterval)
+		for change := planner.Next(now, group); change != nil; change = planner.Next(now, group) {
+			for j := range group.Engines {
+				if engine := &group.Engines[j]; engine.Worker == change.Worker {
+					engine.TargetRole, engine.Usable = change.Role, false
+				}
+			}
+		}
+		if decode.TargetRole != backend.RoleNone {
+			t.Fatalf("the only decode engine is ordered to take the role %s after %s", decode.TargetRole, now.Sub(epoch))
+		}
+	}
+}
+
+// TestPlannerForgetsExchangeWhileAnotherDecides guards against the second change of an exchange, or one for a slowness that may have ended, by
+// a planner that was not asked for a time because another gateway decided on roles.
+func TestPlannerForgetsExchangeWhileAnotherDecides(t *testing.T) {
+	s := newPaceTest(t, 45, 45, 2.4)
+	s.run(1, 8, 300)
+	for s.planner.paces.partnerRole == backend.RoleNone {
+		s.now = s.now.Add(250 * time.Millisecond)
+		s.load(300)
+		if s.now.Sub(epoch) > 10*time.Second {
+			t.Fatal("no exchange began")
+		}
+		s.planner.Next(s.now, s.group)
+	}
+	s.now = s.now.Add(time.Hour)
+	if changes := s.run(1, 8, 300); changes != 0 {
+		t.Errorf("%d changes a second after an hour without decisions, want 0: %v", changes, s.changes)
+	}
+}
+
 // TestAlikeEnginesChangeAsWithoutPaces guards against changes that depend on differences of the paces within their error.
 func TestAlikeEnginesChangeAsWithoutPaces(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
