warmup: remove the opening rule, which nothing calls

Table.Admits decided by which rank work is admitted while the load of engines becomes known. No code calls it, so it goes with the test of its rule, and the package comment no longer says that the gateway admits work by it.

--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -1,9 +1,7 @@
-// Package warmup decides what a gateway assumes about engines, and how much work it admits, after a start at which no
-// other gateway could tell it the load of the engines: the requests of the previous gateways may still run there, and
-// all callers return at once.
+// Package warmup decides what a gateway assumes about engines after a start at which no other gateway could tell it their
+// load: the requests of the previous gateways may still run there, and all callers return at once.
 //
-// Engines report their load themselves. Until then an engine counts as half full, and the gateway admits work at the
-// rate at which reports arrive, the most urgent first.
+// Engines report their load themselves. Until then an engine counts as half full.
 package warmup
 
 import "time"
@@ -148,9 +146,3 @@
 	share := min(float64(remaining)/float64(t.settings.LoadLifetime), 1)
 	return int(share * float64(state.running))
 }
-
-// Admits reports whether to admit work of the given rank among the given number of ranks, with 0 for the most urgent. The
-// most urgent work is always admitted, and each further rank once a larger share of the engines is known.
-func (t *Table) Admits(now time.Time, rank, ranks int) bool {
-	return rank <= 0 || ranks <= 0 || t.KnownShare(now)*float64(ranks) >= float64(rank)
-}
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -65,24 +65,6 @@
 	}
 }
 
-// TestUrgentWorkIsAdmittedFirst guards against less urgent work that takes the room before the urgent, and against urgent
-// work that waits for reports.
-func TestUrgentWorkIsAdmittedFirst(t *testing.T) {
-	table := warmup.New(warmup.DefaultSettings())
-	table.Begin(start, []string{"a", "b", "c"})
-	for known, id := range []string{"a", "b", "c"} {
-		for rank := range 3 {
-			if got, want := table.Admits(start, rank, 3), rank <= known; got != want {
-				t.Errorf("%d engines known, rank %d: admitted %t", known, rank, got)
-			}
-		}
-		table.Record(start, id, 0)
-	}
-	if !table.Admits(start, 2, 3) {
-		t.Error("not admitted although all engines are known")
-	}
-}
-
 // TestQueriesAreBounded guards against a start that asks an engine twice, asks too many, or asks one of which another
 // gateway has told.
 func TestQueriesAreBounded(t *testing.T) {
