capacity: workers that boot keep to the maximum of their zone

While workers of the plan are missing, a pool keeps its last order, so that workers which boot there replace those of another zone. The order was kept as it was given, also when the maximum of the zone had been lowered since: up to RetryDelay after the boot time, more workers were started than the operator allows. The kept order is now limited by what the maximum leaves beside the on-demand workers. Workers that are present are still removed only as far as others are there.

TestLoweredMaximumAppliesToBootingWorkers fails without the change.

--- a/internal/capacity/executor_test.go
+++ b/internal/capacity/executor_test.go
@@ -621,3 +621,36 @@
 		}
 	})
 }
+
+// TestLoweredMaximumAppliesToBootingWorkers guards against workers beyond the maximum of a zone that go on booting after it was lowered, while
+// others of the plan are missing.
+func TestLoweredMaximumAppliesToBootingWorkers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newFakePlatform(t)
+		p.reliable, p.busy = true, 24
+		e := newTestExecutor(p, func() (int64, bool) { return 1, true })
+		step := func() {
+			p.advance()
+			e.Step(context.Background(), p.now)
+		}
+		for range int(40 * time.Second / tick) {
+			step()
+		}
+		// A zone is lost while the demand rises, so that others boot spot workers in its place.
+		p.reclaim(rapid.SampledFrom(p.offer.Zones).Draw(t, "zone").Name, time.Minute)
+		p.busy = 60
+		for range int(time.Second / tick) {
+			step()
+		}
+		p.offer.MaxPerZone = rapid.IntRange(8, 20).Draw(t, "maximum")
+		// The time that MaxChangeRate leaves for the orders, less than the boot time.
+		for range int(2 * time.Second / tick) {
+			step()
+		}
+		for zone, count := range p.ordered {
+			if present := p.present[zone]; count.Spot > max(p.offer.MaxPerZone-present.OnDemand, present.Spot) {
+				t.Fatalf("%d spot workers are ordered in zone %s, where %+v are present, want at most %d in all", count.Spot, zone, present, p.offer.MaxPerZone)
+			}
+		}
+	})
+}
--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -116,8 +116,8 @@
 		target = current - surplus.take(key.spot, current-target)
 	}
 	if key.spot && surplus.overPlan < 0 && state.isBooting(now, current) {
-		// Workers that boot here may replace those that another zone lacks.
-		target = max(target, state.lastOrdered)
+		// Workers that boot here may replace those that another zone lacks, within the limit of this zone.
+		target = max(target, min(state.lastOrdered, group.Offer.MaxPerZone-group.Present[key.zone].OnDemand))
 	}
 	upToDate := current == target && (state.lastOrdered < 0 || state.lastOrdered == target)
 	if upToDate || now.Before(state.nextChange) || (target == state.lastOrdered && now.Before(state.nextRetry)) {
