cachesync: what counts as warm is the time as an entry, not the uptime

A gateway that becomes an entry asks no engine for its load if a gateway answers that has been up for 2 s, as that one knows the load from its own requests and its peers. Peers send their updates to entries only, so a standby gateway that became an entry a moment ago knows nothing, however long it has been up: when all entries are lost at once, the new ones took each other for warm, and none asked the engines.

The response now has the time for which the gateway has been an entry, or, of a standby gateway, was one the last time; the header is named by it.

TestTimeAsEntryIsWhatCountsAsWarm reported the uptime of an hour in each step before the change.

--- a/internal/cachesync/cachesync.go
+++ b/internal/cachesync/cachesync.go
@@ -33,12 +33,12 @@
 	requestTimeout = 500 * time.Millisecond
 )
 
-// headerUptime is the time since the start of the responding gateway, in milliseconds.
-const headerUptime = "Uptime-Ms"
+// headerEntryTime is how long the responding gateway has been an entry, in milliseconds.
+const headerEntryTime = "Entry-Ms"
 
-// Handler serves the cached segments that source returns, and the uptime of this gateway. The source must return the
-// segments of each engine in the order of their use, the least recently used first.
-func Handler(source func(limit int) []peersync.CachedSegment, uptime func() time.Duration) http.Handler {
+// Handler serves the cached segments that source returns, and how long this gateway has been an entry. The source must
+// return the segments of each engine in the order of their use, the least recently used first.
+func Handler(source func(limit int) []peersync.CachedSegment, entryTime func() time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		encoded, err := cbor.Marshal(source(maxSegments))
 		if err != nil {
@@ -46,7 +46,7 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/cbor")
-		w.Header().Set(headerUptime, strconv.FormatInt(uptime().Milliseconds(), 10))
+		w.Header().Set(headerEntryTime, strconv.FormatInt(entryTime().Milliseconds(), 10))
 		// A write error means that the peer has disconnected.
 		_, _ = w.Write(encoded)
 	})
@@ -58,11 +58,12 @@
 // New returns a Client.
 func New() *Client { return &Client{httpclient.New(httpclient.DefaultSettings())} }
 
-// warmUptime is the uptime from which a gateway knows the load of the engines from its own requests and its peers.
-const warmUptime = 2 * time.Second
+// warmEntryTime is how long a gateway must have been an entry to know the load of the engines from its own requests and its
+// peers, which send theirs only to entries.
+const warmEntryTime = 2 * time.Second
 
 // Query returns the cached segments that the gateway at the address knows. It calls onWarm before it reads them, which
-// may take long, if that gateway has served long enough to know the load of the engines.
+// may take long, if that gateway has been an entry long enough to know the load of the engines.
 func (c *Client) Query(ctx context.Context, address string, onWarm func()) ([]peersync.CachedSegment, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
@@ -71,8 +72,8 @@
 		return nil, errors.Wrapf(err, "query cached segments, peer %s", address)
 	}
 	defer response.Body.Close()
-	uptime, uptimeErr := strconv.ParseInt(response.Header.Get(headerUptime), 10, 64)
-	if uptimeErr == nil && response.Status == http.StatusOK && time.Duration(uptime)*time.Millisecond >= warmUptime {
+	entryTime, entryTimeErr := strconv.ParseInt(response.Header.Get(headerEntryTime), 10, 64)
+	if entryTimeErr == nil && response.Status == http.StatusOK && time.Duration(entryTime)*time.Millisecond >= warmEntryTime {
 		onWarm()
 	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
@@ -83,8 +84,8 @@
 	if err := cbor.Unmarshal(content, &segments); err != nil {
 		return nil, errors.Wrapf(err, "query cached segments, peer %s: decode response, limited to %d bytes", address, maxResponseBytes)
 	}
-	if uptimeErr != nil && len(segments) > 0 {
-		// The gateway runs a version that does not tell its uptime.
+	if entryTimeErr != nil && len(segments) > 0 {
+		// The gateway runs a version that does not tell how long it has been an entry.
 		onWarm()
 	}
 	return segments, nil
--- a/internal/cachesync/cachesync_test.go
+++ b/internal/cachesync/cachesync_test.go
@@ -28,41 +28,41 @@
 	}
 }
 
-// TestWarmGatewayHasServedForAWhile guards against a gateway that takes another one, which started at the same time, for
+// TestWarmGatewayHasBeenAnEntryForAWhile guards against a gateway that takes another one, which became an entry at the same time, for
 // one that knows the load of the engines, and against asking all engines because the others run an older version.
-func TestWarmGatewayHasServedForAWhile(t *testing.T) {
+func TestWarmGatewayHasBeenAnEntryForAWhile(t *testing.T) {
 	segments := []peersync.CachedSegment{{Worker: "w", Key: "k", Tokens: 700}}
 	for _, test := range []struct {
 		segments []peersync.CachedSegment
-		// uptime is negative for a version that does not tell it.
-		uptime time.Duration
-		want   bool
+		// entryTime is negative for a version that does not tell it.
+		entryTime time.Duration
+		want      bool
 	}{
 		{segments, 300 * time.Millisecond, false},
 		{nil, time.Minute, true},
 		{segments, -1, true},
 		{nil, -1, false},
 	} {
-		handler := Handler(func(int) []peersync.CachedSegment { return test.segments }, func() time.Duration { return test.uptime })
+		handler := Handler(func(int) []peersync.CachedSegment { return test.segments }, func() time.Duration { return test.entryTime })
 		address := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if test.uptime < 0 {
-				w = withoutUptime{w}
+			if test.entryTime < 0 {
+				w = withoutEntryTime{w}
 			}
 			handler.ServeHTTP(w, r)
 		}))
 		isWarm := false
 		if _, err := New().Query(t.Context(), address, func() { isWarm = true }); err != nil || isWarm != test.want {
-			t.Errorf("uptime %v, %d segments: warm %t, error %v", test.uptime, len(test.segments), isWarm, err)
+			t.Errorf("entry for %v, %d segments: warm %t, error %v", test.entryTime, len(test.segments), isWarm, err)
 		}
 	}
 }
 
-// withoutUptime is a response writer that drops the uptime, as older versions do not send it.
-type withoutUptime struct{ http.ResponseWriter }
+// withoutEntryTime is a response writer that drops the time as an entry, as older versions do not send it.
+type withoutEntryTime struct{ http.ResponseWriter }
 
 // Write implements http.ResponseWriter.
-func (w withoutUptime) Write(content []byte) (int, error) {
-	w.Header().Del(headerUptime)
+func (w withoutEntryTime) Write(content []byte) (int, error) {
+	w.Header().Del(headerEntryTime)
 	return w.ResponseWriter.Write(content)
 }
 
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -35,6 +35,8 @@
 	// isEntry is set while this gateway is an entry, and roleSince is when that last changed.
 	isEntry   bool
 	roleSince time.Time
+	// lastEntryTime is how long this gateway was an entry before it last became a standby gateway.
+	lastEntryTime time.Duration
 	// retryGatewayCount is the number by which the retry allowance was last divided.
 	retryGatewayCount int
 	// advertised caches the gateways advertised to callers; a zero advertisedAt invalidates it.
@@ -103,6 +105,16 @@
 	return g.entries.isEntry
 }
 
+// entryTime returns how long this gateway has been an entry, or how long it last was.
+func (g *Gateway) entryTime() time.Duration {
+	g.entries.mu.Lock()
+	defer g.entries.mu.Unlock()
+	if !g.entries.isEntry {
+		return g.entries.lastEntryTime
+	}
+	return boottime.Now().Sub(g.entries.roleSince)
+}
+
 // Entries returns the entries, sorted by name, including those not known to be alive. Callers are sent only to the
 // gateways that advertised returns.
 func (g *Gateway) Entries() []member.Gateway {
@@ -216,7 +228,11 @@
 	if isEntry == g.entries.isEntry && !g.entries.roleSince.IsZero() {
 		return
 	}
-	g.entries.isEntry, g.entries.roleSince = isEntry, boottime.Now()
+	now := boottime.Now()
+	if g.entries.isEntry {
+		g.entries.lastEntryTime = now.Sub(g.entries.roleSince)
+	}
+	g.entries.isEntry, g.entries.roleSince = isEntry, now
 	outcome := "stands by"
 	if isEntry {
 		outcome = "takes requests"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -272,7 +272,7 @@
 func (g *Gateway) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", changefeed.Handler(g.replica, g.feedEntries))
-	mux.Handle("GET "+cachesync.Path, cachesync.Handler(g.dispatcher.CachedSegments, g.uptime))
+	mux.Handle("GET "+cachesync.Path, cachesync.Handler(g.dispatcher.CachedSegments, g.entryTime))
 	return mux
 }
 
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/cachesync"
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
 )
@@ -109,3 +113,37 @@
 		cancel()
 	})
 }
+
+// TestTimeAsEntryIsWhatCountsAsWarm guards against a standby gateway that became an entry a moment ago, has run for long and knows no load, and
+// keeps other new entries from asking the engines, and against asking them although an entry of a moment ago knows the load.
+func TestTimeAsEntryIsWhatCountsAsWarm(t *testing.T) {
+	g := newEngineGateway(1, nil)
+	g.startedAt = time.Now().Add(-time.Hour)
+	handler := g.controlHandler()
+	check := func(step string, want time.Duration) {
+		t.Helper()
+		response := httptest.NewRecorder()
+		handler.ServeHTTP(response, httptest.NewRequest(http.MethodGet, cachesync.Path, nil))
+		ms, err := strconv.Atoi(response.Header().Get("Entry-Ms"))
+		if got := time.Duration(ms) * time.Millisecond; err != nil || got < want || got > want+time.Second {
+			t.Errorf("%s: an entry for %v, error %v, want %v", step, got, err, want)
+		}
+	}
+	// setRole changes the role, after the previous one has lasted for the given time.
+	setRole := func(isEntry bool, previous time.Duration) {
+		g.entries.mu.Lock()
+		defer g.entries.mu.Unlock()
+		g.entries.roleSince = g.entries.roleSince.Add(-previous)
+		g.updateEntryRole(isEntry, 1, 2)
+	}
+	setRole(false, 0)
+	check("standby", 0)
+	setRole(true, time.Minute)
+	check("new entry", 0)
+	setRole(false, 3*time.Second)
+	check("standby after 3 s as an entry", 3*time.Second)
+	setRole(true, time.Minute)
+	check("new entry again", 0)
+	g.entries.roleSince = g.entries.roleSince.Add(-4 * time.Second)
+	check("entry for 4 s", 4*time.Second)
+}
