gateway: a second warm-up is not reported

Only the first warm-up of a gateway asks engines. A gateway that becomes an entry again, and gets no answer of a warm one in time, still logged and recorded as a decision that the engines were asked for their load. It now does nothing.

TestStartWithoutPeersAsksEachEngineOnce counts the records; it found two before the change.

--- a/internal/forward/warmup.go
+++ b/internal/forward/warmup.go
@@ -21,11 +21,11 @@
 }
 
 // BeginWarmup starts to learn the state of engines that the previous gateways knew, from the engines themselves. The ids are in the order in
-// which NextUnreported returns them. Only the first call has an effect.
-func (d *Dispatcher) BeginWarmup(ids []string) {
+// which NextUnreported returns them. Only the first call has an effect, and returns true.
+func (d *Dispatcher) BeginWarmup(ids []string) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.warmup.Begin(d.now(), ids)
+	return d.warmup.Begin(d.now(), ids)
 }
 
 // NextUnreported returns an engine to ask for its report, or false if there is none left.
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -25,13 +25,15 @@
 const newFleetWindow = time.Minute
 
 // learnEngineLoad asks engines for their load and their role, after a start at which no other gateway knew them. Each
-// entry asks its share of the engines first and then those of which no other entry has told it.
+// entry asks its share of the engines first and then those of which no other entry has told it. Only the first call asks.
 func (g *Gateway) learnEngineLoad(ctx context.Context) {
 	if g.dependencies.Orderer == nil {
 		return
 	}
 	began := boottime.Now()
-	g.dispatcher.BeginWarmup(g.enginesByShare())
+	if !g.dispatcher.BeginWarmup(g.enginesByShare()) {
+		return
+	}
 	var queries sync.WaitGroup
 	for range maxConcurrentProbes {
 		queries.Go(func() {
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -94,6 +94,15 @@
 		if orderer.asked["w0"] != 1 {
 			t.Errorf("w0 was asked %d times", orderer.asked["w0"])
 		}
+		reports := 0
+		for _, record := range g.decisions.Latest(0) {
+			if record.Outcome == "warmed up" {
+				reports++
+			}
+		}
+		if reports != 1 {
+			t.Errorf("%d warm-ups are reported, want 1", reports)
+		}
 		cancel()
 	})
 }
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -52,10 +52,10 @@
 }
 
 // Begin starts the warm-up with the engines in the order in which they are to be asked. Only the first call has an
-// effect.
-func (t *Table) Begin(now time.Time, engines []string) {
+// effect, and returns true.
+func (t *Table) Begin(now time.Time, engines []string) bool {
 	if !t.begunAt.IsZero() {
-		return
+		return false
 	}
 	t.begunAt = now
 	for _, id := range engines {
@@ -64,6 +64,7 @@
 			t.queue = append(t.queue, id)
 		}
 	}
+	return true
 }
 
 // Next returns an engine to ask, or false if there is none left. Engines whose report has arrived from another gateway
