soak: name the kill of all gateways for what it does

The fault, its check and its constants were named by a metaphor. Streams, seeds and draws are unchanged, so that each seed plays the same rounds.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -256,9 +256,9 @@
 			func(h *History) { h.ConfigDelays[0] = maxConfigDelay }},
 		{"RECOVER", "little service after all gateways were killed at once",
 			func(h *History) {
-				h.Spans = []Span{{Fault: HerdKill{}, Begun: timeAt(0), Ended: timeAt(time.Second)}}
+				h.Spans = []Span{{Fault: AllGatewaysKill{}, Begun: timeAt(0), Ended: timeAt(time.Second)}}
 				for i := range 40 {
-					r := answered(fmt.Sprint("herd-", i), KindIdempotent, time.Second+herdStartTime+time.Millisecond)
+					r := answered(fmt.Sprint("start-", i), KindIdempotent, time.Second+startOfAllTime+time.Millisecond)
 					if i%2 == 0 {
 						r.Response = fleet.Response{Status: http.StatusServiceUnavailable}
 					}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -32,8 +32,8 @@
 		for _, i := range f.Gateways {
 			s.gateways[i].kill()
 		}
-	case HerdKill:
-		s.killHerd(f)
+	case AllGatewaysKill:
+		s.killAllGateways(f)
 	case GatewayPause:
 		for _, i := range f.Gateways {
 			s.gateways[i].signal(syscall.SIGSTOP)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -165,7 +165,7 @@
 // drawRound returns the faults of a round. They depend on the seed, the number of the round and the size of the system alone.
 func drawRound(seed uint64, number, gateways, workers int) []ScheduledFault {
 	random := rand.New(rand.NewPCG(seed, uint64(number)))
-	faults, isOnly := drawHerdKill(seed, number)
+	faults, isOnly := drawAllGatewaysKill(seed, number)
 	if isOnly {
 		return faults
 	}
