Do not take a slow caller for a slow engine

Cause, found in review by reading: the relay reads an event only once the one before has been forwarded, so that the time a caller takes to accept an event counted as the pace of the engine, as a transient slowdown of its class and as a pause that was seen.

An interval after an event whose forwarding took more than 5 ms counts for nothing.

--- a/internal/enginemodel/stream.go
+++ b/internal/enginemodel/stream.go
@@ -45,6 +45,9 @@
 	return interval
 }
 
+// Interrupt makes the time until the next event count for nothing, because it is not known when that event arrives.
+func (s *Stream) Interrupt() { s.last, s.level = time.Time{}, noLevel }
+
 // Events returns the number of events so far, and Longest the longest time between two of them.
 func (s *Stream) Events() int { return s.events }
 
--- a/internal/forward/pace.go
+++ b/internal/forward/pace.go
@@ -69,13 +69,20 @@
 	return a
 }
 
-// eventArrived records that an event of the response has arrived.
-func (a *Assignment) eventArrived() {
+// maxForwarding is the time that forwarding an event may take for the time until the next one to count as the engine's.
+const maxForwarding = 5 * time.Millisecond
+
+// eventArrived records that an event of the response has arrived. Forwarding is the time that the caller took to accept the one before, in which
+// the arrival of this one went unnoticed.
+func (a *Assignment) eventArrived(forwarding time.Duration) {
 	if a.stream == nil {
 		return
 	}
 	d := a.dispatcher
 	d.mutex.Lock()
+	if forwarding > maxForwarding {
+		a.stream.Interrupt()
+	}
 	interval := a.stream.Event(d.now())
 	d.mutex.Unlock()
 	if interval > 0 && d.onInterval != nil {
--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -42,7 +42,7 @@
 		wanted := &wantedResponse{rule: "r", hinted: 24, isWhole: true}
 		assignment := dispatcher.assign(balance.Choice{Worker: worker}, 0, false, 0).observeEvents(wanted)
 		for range 24 {
-			assignment.eventArrived()
+			assignment.eventArrived(0)
 			clock.now = clock.now.Add(interval)
 		}
 		assignment.finish(balance.OutcomeGood)
@@ -144,3 +144,25 @@
 		t.Errorf("the pace of a removed worker is known as %.2f, want unknown", pace)
 	}
 }
+
+// TestSlowCallersAreNotThePaceOfEngines guards against engines that count as slow because a caller accepts the events of its response slowly:
+// the gateway reads an event only once the one before has been forwarded.
+func TestSlowCallersAreNotThePaceOfEngines(t *testing.T) {
+	dispatcher, _, clock := newPaceDispatcher()
+	for _, id := range []string{"decode0", "decode1", "decode2"} {
+		respond(dispatcher, clock, id, 40*time.Millisecond, 4)
+	}
+	worker, _ := dispatcher.balancer.Worker("decode0")
+	assignment := dispatcher.assign(balance.Choice{Worker: worker}, 0, false, 0).observeEvents(&wantedResponse{rule: "r", hinted: 24})
+	const forwarding = 200 * time.Millisecond
+	for range 40 {
+		assignment.eventArrived(forwarding)
+		clock.now = clock.now.Add(forwarding)
+	}
+	if factor, known := dispatcher.model.RelativePace(clock.now, worker); known && factor > 1.2 {
+		t.Errorf("the relative pace is %.2f, want at most 1.2", factor)
+	}
+	if course := assignment.course(); course.LongestPause != 0 {
+		t.Errorf("the longest pause is %v, want none", course.LongestPause)
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -60,8 +60,8 @@
 	writer http.ResponseWriter
 	// onResponse is called at the first event of each worker's response.
 	onResponse func()
-	// onEvent is called for each event that a worker sends, in order; may be nil.
-	onEvent func()
+	// onEvent is called for each event that a worker sends, in order, with the time that forwarding the one before took; may be nil.
+	onEvent func(forwarding time.Duration)
 	// acceptResponse is called before onResponse. It marks the response as started and reports whether it may be forwarded.
 	acceptResponse func() bool
 	// watch is told when the relay waits for the worker; nil if nothing watches for stalls.
@@ -77,6 +77,7 @@
 func (r *relay) stream(response *Response) error {
 	events := eventstream.NewReader(response.Body, maxEventBytes)
 	accepted := false
+	var forwarding time.Duration
 	for {
 		r.watch.wait()
 		event, err := events.Next()
@@ -98,15 +99,18 @@
 			r.onResponse()
 		}
 		if r.onEvent != nil {
-			r.onEvent()
+			r.onEvent(forwarding)
+			forwarding = 0
 		}
 		if r.isDuplicate(event) {
 			continue
 		}
 		r.writeHead(response)
+		start := time.Now()
 		if err := r.writeEvent(event, !events.Buffered()); err != nil {
 			return err
 		}
+		forwarding = time.Since(start)
 	}
 }
 
