Continuations: a stalled run is kept while its copy can't be used

A stalled response was abandoned because a copy had been asked for, also when the engine that holds it had gone, drained or changed its role, or when workers had ended under the request. The continuation was then refused and the response cut, although its own engine may only have paused. The decision now sees the copy only if the run may continue from it at that moment; otherwise it looks again later, as without a copy.

TestStallWithoutTheBackupIsKept fails before this change: the caller got three of eight events.

Also a comment longer than a line of the package, and one on a mutex of another type.

--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -37,7 +37,7 @@
 	return held.engine
 }
 
-// migrationRun describes the run at a worker to the policy. The mutex is not needed.
+// migrationRun describes the run at a worker to the policy.
 func (c *call) migrationRun(worker *backend.Worker, held *runCopy) migration.Run {
 	run := migration.Run{
 		Group: worker.Group, Zone: worker.Zone, Rule: c.match.Rule.Name, Engine: worker.ID, Resumable: c.resumable(),
@@ -113,11 +113,28 @@
 func (d *Dispatcher) assignCopy(held *runCopy) (*Assignment, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	worker, found := d.copyHolder(held)
+	if !found {
+		return nil, false
+	}
+	return d.assign(balance.Choice{Worker: worker}, 0, false, 0), true
+}
+
+// copyHolder returns the engine that holds a copy, or false if it is not available. The mutex is held.
+func (d *Dispatcher) copyHolder(held *runCopy) (*backend.Worker, bool) {
 	worker, found := d.balancer.Worker(held.engine.ID)
 	if !found || worker.Role != backend.RoleDecode || !d.balancer.InService(d.now(), worker.ID) {
 		return nil, false
 	}
-	return d.assign(balance.Choice{Worker: worker}, 0, false, 0), true
+	return worker, true
+}
+
+// copyAvailable reports whether the engine that holds a copy is available.
+func (d *Dispatcher) copyAvailable(held *runCopy) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	_, found := d.copyHolder(held)
+	return found
 }
 
 // recordStream records how long a complete stream of a rule took, from the start of its attempt.
@@ -186,7 +203,7 @@
 // to decide again, zero for never. It runs while the goroutine of the call waits for the worker.
 func (c *call) decideOnStall(cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy) (bool, time.Duration) {
 	dispatcher := c.handler.dispatcher
-	run := c.migrationRun(worker, held)
+	run := c.migrationRun(worker, c.usableCopy(held))
 	means := migration.Means{Retry: true}
 	if held == nil {
 		means.Elsewhere = dispatcher.hasAlternative(c.request, c.match.Group, append(slices.Clone(c.attempts.excluded), worker.ID))
@@ -207,6 +224,14 @@
 	return true, 0
 }
 
+// usableCopy returns the copy if the run may continue from it now, or nil.
+func (c *call) usableCopy(held *runCopy) *runCopy {
+	if held == nil || !c.guarded.hasStatus(poison.Clear, poison.Excused) || !c.handler.dispatcher.copyAvailable(held) {
+		return nil
+	}
+	return held
+}
+
 // continueFromCopy continues a run that broke or stalled at the engine that holds its copy. The connection to the first engine has been
 // closed. It returns the failure of the first engine if the run could not be continued there, so that it ends as without a copy.
 func (c *call) continueFromCopy(ctx context.Context, held *runCopy, worker *backend.Worker, failure failureKind) failureKind {
--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -221,6 +221,52 @@
 	}
 }
 
+// pausingRun returns a fakeWorkers.run whose streams pause after the third event for longer than the limit of a stall, and end regularly.
+// BeforePause is called with the options of the run.
+func pausingRun(beforePause func(RunOptions)) func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
+	return func(ctx context.Context, _ int, _ *backend.Worker, options RunOptions) (*Response, error) {
+		reader, writer := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(writer, events(0, 3))
+			beforePause(options)
+			select {
+			case <-time.After(2 * continuationPatience):
+				_, _ = io.WriteString(writer, events(3, 8))
+				_ = writer.Close()
+			case <-ctx.Done():
+				_ = writer.CloseWithError(&httpclient.Error{Step: httpclient.StepReceive, Peer: "w", Cause: context.Cause(ctx)})
+			}
+		}()
+		return &Response{Status: http.StatusOK, Header: http.Header{}, ContentLength: -1, Body: reader}, nil
+	}
+}
+
+// TestStallWithoutTheBackupIsKept guards against a response that is cut because it was abandoned for a copy whose engine is gone, although
+// its own engine continues later.
+func TestStallWithoutTheBackupIsKept(t *testing.T) {
+	f := newContinuationFixture(t, false, &scriptedFleet{})
+	f.workers.run = pausingRun(func(options RunOptions) {
+		if options.Backup == nil {
+			t.Error("the run has no backup")
+			return
+		}
+		set := backend.Set{}
+		for i := range 3 {
+			id := fmt.Sprint(backend.RoleDecode, i)
+			set[id] = &backend.Worker{ID: id, Group: "g", Address: id, Role: backend.RoleDecode, Slots: 4}
+		}
+		delete(set, options.Backup.ID)
+		f.handler.dispatcher.SetWorkers(set)
+	})
+	if _, body, err := f.get(t); err != nil || body != events(0, 8) {
+		t.Errorf("got %q, %v", body, err)
+	}
+	f.server.Close()
+	if runs := len(f.workers.runOptions); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
 // TestContinuationTakesARetry guards against continuations beyond the budget of retries.
 func TestContinuationTakesARetry(t *testing.T) {
 	f := newContinuationFixture(t, false, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}})
--- a/internal/migration/policy.go
+++ b/internal/migration/policy.go
@@ -27,7 +27,8 @@
 
 // Policy decides on the runs of one gateway. It is a pure state machine and not safe for concurrent use.
 //
-// Invariants: the copies in use never exceed MaxCopyBytes, nor their number the limit at the time of the last one; a run that may be resumed gets no copy.
+// Invariants: the copies in use never exceed MaxCopyBytes, nor their number the limit at the time of the last one; a run that may be resumed
+// gets no copy.
 type Policy struct {
 	settings Settings
 	risk     *Risk
