Continuations: the rest of a run does not count as a whole one

A stream that continued from a copy was recorded with the time since its continuation as the duration of a complete run. The expected duration of the rule, and with it the estimated probability of losing the engine, became too short while engines ended, which is when copies are decided on.

TestContinuationIsNoWholeRun fails before this change: 0.9 s instead of 1 s are expected after one continuation. Policy.Expected gives the expected duration, which Policy.Copy computed inline.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -226,7 +226,7 @@
 	case failure != failureNone:
 		c.report.Err = err
 		c.releasePrompt(options.Prompt)
-	case c.copyable():
+	case c.copyable() && !options.Continue:
 		c.handler.dispatcher.recordStream(c.match.Rule.Name, time.Since(start))
 	}
 	c.guarded.reportFailure(runner.Worker, failure, err)
--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/httpclient"
+	"github.com/granitebay/granitebay/internal/migration"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 )
@@ -267,6 +268,21 @@
 	}
 }
 
+// TestContinuationIsNoWholeRun guards against an expected duration of runs that is too short because the rest of a run counted as a whole
+// one.
+func TestContinuationIsNoWholeRun(t *testing.T) {
+	f := newContinuationFixture(t, false, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}})
+	if _, _, err := f.get(t); err != nil {
+		t.Fatal(err)
+	}
+	f.server.Close()
+	dispatcher := f.handler.dispatcher
+	run := migration.Run{Group: "g", Engine: "decode0", Tokens: 1, Deadline: dispatcher.now().Add(time.Hour)}
+	if expected := dispatcher.migration.Expected(dispatcher.now(), run); expected != time.Second {
+		t.Errorf("runs are expected to last %v", expected)
+	}
+}
+
 // TestContinuationTakesARetry guards against continuations beyond the budget of retries.
 func TestContinuationTakesARetry(t *testing.T) {
 	f := newContinuationFixture(t, false, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}})
--- a/internal/migration/policy.go
+++ b/internal/migration/policy.go
@@ -65,6 +65,11 @@
 	p.durations[rule] = mean + time.Duration(durationWeight*float64(took-mean))
 }
 
+// Expected returns the expected duration of a run that is about to start, zero if none of its rule has been observed.
+func (p *Policy) Expected(now time.Time, run Run) time.Duration {
+	return min(p.durations[run.Rule], run.Deadline.Sub(now))
+}
+
 // Risk returns the risk of the engines.
 func (p *Policy) Risk() *Risk { return p.risk }
 
@@ -86,7 +91,7 @@
 // Copy decides whether a run that is about to start gets a copy, and reserves its bytes. MaxCopies bounds the copies in use: each copy is
 // transferred in several parts a second, which delay the other transfers of both engines.
 func (p *Policy) Copy(now time.Time, run Run, bytesPerToken, maxCopies int) (Copy, bool) {
-	expected := min(p.durations[run.Rule], run.Deadline.Sub(now))
+	expected := p.Expected(now, run)
 	if run.Resumable || run.Tokens <= 0 || bytesPerToken <= 0 || expected < p.settings.MinExpected {
 		return Copy{}, false
 	}
