Relay: a regular end that arrives as the run is abandoned is the end

When the timer of the stall watch abandoned a response just as its regular end arrived, the relay dropped the end and the run was continued at another engine, although the caller had all events. A copy is freed once its run has ended well, so that the continuation would have been refused and a whole response cut. Nothing has to be forwarded at the end, so it is taken even then. Events that arrive late are dropped as before.

Two new cases of TestContinuations fail before this change with a second run.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -35,6 +35,8 @@
 	endLate
 	// endRefused refuses the request.
 	endRefused
+	// endLateWhole sends nothing more until the connection is closed, and the regular end just then.
+	endLateWhole
 )
 
 // scriptedResponse sends events up to a number and ends.
@@ -74,6 +76,11 @@
 		b.done()
 		return 0, io.EOF
 	}
+	if b.end == endLateWhole {
+		<-b.ctx.Done()
+		b.done()
+		return 0, io.EOF
+	}
 	cause := error(io.ErrUnexpectedEOF)
 	if b.end == endStall || b.end == endLate {
 		<-b.ctx.Done()
@@ -173,6 +180,8 @@
 		{"an event broken midway is continued from the copy", false, []scriptedResponse{{3, endPartial}}, true, 2, ContinuesCopy},
 		{"a stall is continued from the copy", false, []scriptedResponse{{3, endStall}}, true, 2, ContinuesCopy},
 		{"late events of a stalled engine are dropped", false, []scriptedResponse{{3, endLate}}, true, 2, ContinuesCopy},
+		{"a regular end that arrives as the run is abandoned is the end", false, []scriptedResponse{{8, endLateWhole}}, true, 1, ContinuesNothing},
+		{"it is the end of a run that may be resumed, too", true, []scriptedResponse{{8, endLateWhole}}, true, 1, ContinuesNothing},
 		{"a copy that is missing leaves the run cut", false, []scriptedResponse{{3, endBreak}, {0, endRefused}}, false, 2, ContinuesCopy},
 		{"a copy is used once", false, []scriptedResponse{{3, endBreak}, {5, endBreak}}, false, 2, ContinuesCopy},
 		{"nothing is continued before the first event", false, []scriptedResponse{{0, endBreak}}, false, 1, ContinuesNothing},
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -80,13 +80,15 @@
 	for {
 		r.watch.wait()
 		event, err := events.Next()
-		if !r.watch.received() {
-			return errStalled
-		}
+		current := r.watch.received()
 		if errors.Is(err, io.EOF) {
+			// The stream is whole, even if the response was just abandoned: all its events have been forwarded.
 			r.writeHead(response)
 			return nil
 		}
+		if !current {
+			return errStalled
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/forward/stallwatch.go
+++ b/internal/forward/stallwatch.go
@@ -10,7 +10,7 @@
 // stallWatch watches one response for stalls. A nil watch does nothing.
 //
 // Invariants: a response is abandoned only while the relay waits for its worker, so time that the caller takes does not count; once it is
-// abandoned, nothing of it is forwarded.
+// abandoned, no event of it is forwarded.
 type stallWatch struct {
 	// decide is called when the response has stalled, with mu held. It returns true to abandon the response, or else when to call again; zero
 	// for never.
@@ -39,7 +39,7 @@
 	}
 }
 
-// received records that the worker sent an event or ended the response, and reports whether it may be forwarded.
+// received records that the worker sent an event or ended the response, and reports whether an event may be forwarded.
 func (w *stallWatch) received() bool {
 	if w == nil {
 		return true
