--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/httpclient"
+	"github.com/granitebay/granitebay/internal/migration"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 )
@@ -34,6 +35,8 @@
 	endLate
 	// endRefused refuses the request.
 	endRefused
+	// endLateWhole sends nothing more until the connection is closed, and the regular end just then.
+	endLateWhole
 )
 
 // scriptedResponse sends events up to a number and ends.
@@ -73,6 +76,11 @@
 		b.done()
 		return 0, io.EOF
 	}
+	if b.end == endLateWhole {
+		<-b.ctx.Done()
+		b.done()
+		return 0, io.EOF
+	}
 	cause := error(io.ErrUnexpectedEOF)
 	if b.end == endStall || b.end == endLate {
 		<-b.ctx.Done()
@@ -172,6 +180,8 @@
 		{"an event broken midway is continued from the copy", false, []scriptedResponse{{3, endPartial}}, true, 2, ContinuesCopy},
 		{"a stall is continued from the copy", false, []scriptedResponse{{3, endStall}}, true, 2, ContinuesCopy},
 		{"late events of a stalled engine are dropped", false, []scriptedResponse{{3, endLate}}, true, 2, ContinuesCopy},
+		{"a regular end that arrives as the run is abandoned is the end", false, []scriptedResponse{{8, endLateWhole}}, true, 1, ContinuesNothing},
+		{"it is the end of a run that may be resumed, too", true, []scriptedResponse{{8, endLateWhole}}, true, 1, ContinuesNothing},
 		{"a copy that is missing leaves the run cut", false, []scriptedResponse{{3, endBreak}, {0, endRefused}}, false, 2, ContinuesCopy},
 		{"a copy is used once", false, []scriptedResponse{{3, endBreak}, {5, endBreak}}, false, 2, ContinuesCopy},
 		{"nothing is continued before the first event", false, []scriptedResponse{{0, endBreak}}, false, 1, ContinuesNothing},
@@ -221,6 +231,67 @@
 	}
 }
 
+// pausingRun returns a fakeWorkers.run whose streams pause after the third event for longer than the limit of a stall, and end regularly.
+// BeforePause is called with the options of the run.
+func pausingRun(beforePause func(RunOptions)) func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
+	return func(ctx context.Context, _ int, _ *backend.Worker, options RunOptions) (*Response, error) {
+		reader, writer := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(writer, events(0, 3))
+			beforePause(options)
+			select {
+			case <-time.After(2 * continuationPatience):
+				_, _ = io.WriteString(writer, events(3, 8))
+				_ = writer.Close()
+			case <-ctx.Done():
+				_ = writer.CloseWithError(&httpclient.Error{Step: httpclient.StepReceive, Peer: "w", Cause: context.Cause(ctx)})
+			}
+		}()
+		return &Response{Status: http.StatusOK, Header: http.Header{}, ContentLength: -1, Body: reader}, nil
+	}
+}
+
+// TestStallWithoutTheBackupIsKept guards against a response that is cut because it was abandoned for a copy whose engine is gone, although
+// its own engine continues later.
+func TestStallWithoutTheBackupIsKept(t *testing.T) {
+	f := newContinuationFixture(t, false, &scriptedFleet{})
+	f.workers.run = pausingRun(func(options RunOptions) {
+		if options.Backup == nil {
+			t.Error("the run has no backup")
+			return
+		}
+		set := backend.Set{}
+		for i := range 3 {
+			id := fmt.Sprint(backend.RoleDecode, i)
+			set[id] = &backend.Worker{ID: id, Group: "g", Address: id, Role: backend.RoleDecode, Slots: 4}
+		}
+		delete(set, options.Backup.ID)
+		f.handler.dispatcher.SetWorkers(set)
+	})
+	if _, body, err := f.get(t); err != nil || body != events(0, 8) {
+		t.Errorf("got %q, %v", body, err)
+	}
+	f.server.Close()
+	if runs := len(f.workers.runOptions); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
+// TestContinuationIsNoWholeRun guards against an expected duration of runs that is too short because the rest of a run counted as a whole
+// one.
+func TestContinuationIsNoWholeRun(t *testing.T) {
+	f := newContinuationFixture(t, false, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}})
+	if _, _, err := f.get(t); err != nil {
+		t.Fatal(err)
+	}
+	f.server.Close()
+	dispatcher := f.handler.dispatcher
+	run := migration.Run{Group: "g", Engine: "decode0", Tokens: 1, Deadline: dispatcher.now().Add(time.Hour)}
+	if expected := dispatcher.migration.Expected(dispatcher.now(), run); expected != time.Second {
+		t.Errorf("runs are expected to last %v", expected)
+	}
+}
+
 // TestContinuationTakesARetry guards against continuations beyond the budget of retries.
 func TestContinuationTakesARetry(t *testing.T) {
 	f := newContinuationFixture(t, false, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}})
