Admission: counts of other gateways are bounded

A gateway took over the amounts and rates in a supplement as they came. A negative rate of refusals reduced the demand that the planners see, and large amounts overflowed the sums from which the place in a queue is forecast. Amounts and rates are now from 0 to 2^40.

--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -220,6 +220,17 @@
 // peerTimeout is how long the counts of a silent gateway count.
 const peerTimeout = 3 * time.Second
 
+// maxPeerCount bounds what another gateway may say to have in one queue, in requests or tokens, so that sums don't overflow.
+const maxPeerCount = 1 << 40
+
+// boundedRate returns a rate that another gateway sent, from 0 to maxPeerCount a second.
+func boundedRate(rate float64) float64 {
+	if !(rate > 0) {
+		return 0
+	}
+	return min(rate, maxPeerCount)
+}
+
 // ApplyPeer replaces the counts of another gateway.
 func (c *Controller) ApplyPeer(now time.Time, name string, counts []Count) {
 	for _, state := range c.groups {
@@ -239,8 +250,8 @@
 			state.peers[name] = peer
 		}
 		counted := &peer.queued[count.Queue]
-		counted.waiting[count.Urgency] = max(count.Amount, 0)
-		counted.sent[count.Urgency], counted.started[count.Urgency] = count.Sent, count.Started
+		counted.waiting[count.Urgency] = min(max(count.Amount, 0), maxPeerCount)
+		counted.sent[count.Urgency], counted.started[count.Urgency] = boundedRate(count.Sent), boundedRate(count.Started)
 	}
 }
 
