Admission: promises expire before the limit counts, and none is made without slots

Promises were removed only when a late request arrived, so expired ones could fill the limit and keep new ones out, and one that another gateway named for a time far away was never removed. While no engine is in service, when the interval between free slots is zero, room was promised to each refused caller at once; such callers are now spread like those beyond the promised share.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -202,7 +202,7 @@
 	longest := max(time.Duration(c.settings.MaxRetryFraction*float64(request.Expires.Sub(now))), c.settings.MinRetryAfter)
 	wanted := min(max(outlook.YieldingStart-max(request.Deadline.Sub(now), 0), c.settings.MinRetryAfter), longest)
 	interval := time.Duration(float64(outlook.SlotInterval) / c.settings.PromisedShare)
-	if at, promised := group.promises.reserve(now.Add(wanted), now.Add(longest), interval, request.key); promised {
+	if at, promised := group.promises.reserve(now, now.Add(wanted), now.Add(longest), interval, request.key); promised {
 		return at.Sub(now)
 	}
 	return wanted + time.Duration(hashFraction(request.ID)*float64(longest-wanted))
--- a/internal/admission/promises.go
+++ b/internal/admission/promises.go
@@ -16,9 +16,15 @@
 // maxPromises bounds the number of promises that are remembered.
 const maxPromises = 4096
 
+// maxPromiseTime is the longest time until a promise of another gateway is due. Longer ones are ignored.
+const maxPromiseTime = 10 * time.Minute
+
 // reserve returns the time at which a caller should return: the earliest, or the interval after the last promised time if that is later. It
-// returns false, and promises nothing, if that is after the latest.
-func (p *promiseBook) reserve(earliest, latest time.Time, interval time.Duration, key func() uint64) (time.Time, bool) {
+// returns false, and promises nothing, if that is after the latest or if no slot becomes free, which an interval of zero tells.
+func (p *promiseBook) reserve(now, earliest, latest time.Time, interval time.Duration, key func() uint64) (time.Time, bool) {
+	if interval <= 0 {
+		return time.Time{}, false
+	}
 	at := earliest
 	if next := p.last.Add(interval); next.After(at) {
 		at = next
@@ -28,14 +34,17 @@
 	}
 	p.last = at
 	if promised := key(); promised != 0 {
-		p.record(promised, at)
+		p.record(now, promised, at)
 		p.outgoing = append(p.outgoing, promised)
 	}
 	return at, true
 }
 
 // record remembers that the caller of a request was told to return at a time.
-func (p *promiseBook) record(key uint64, at time.Time) {
+func (p *promiseBook) record(now time.Time, key uint64, at time.Time) {
+	if len(p.due) >= maxPromises {
+		p.expire(now)
+	}
 	if len(p.due) >= maxPromises {
 		return
 	}
@@ -45,14 +54,19 @@
 	p.due[key] = at
 }
 
-// redeem reports whether a request returned when it was told to. Each promise is redeemed at most once, and one that is returned for early
-// stands.
-func (p *promiseBook) redeem(now time.Time, key func() uint64) bool {
-	for other, at := range p.due {
+// expire removes the promises whose callers can't return in time any more.
+func (p *promiseBook) expire(now time.Time) {
+	for key, at := range p.due {
 		if now.After(at.Add(promiseTolerance)) {
-			delete(p.due, other)
+			delete(p.due, key)
 		}
 	}
+}
+
+// redeem reports whether a request returned when it was told to. Each promise is redeemed at most once, and one that is returned for early
+// stands.
+func (p *promiseBook) redeem(now time.Time, key func() uint64) bool {
+	p.expire(now)
 	if len(p.due) == 0 {
 		return false
 	}
@@ -94,8 +108,8 @@
 // ApplyPromises records promises that another gateway made.
 func (c *Controller) ApplyPromises(now time.Time, promises []Promise) {
 	for _, promise := range promises {
-		if group, found := c.groups[promise.Group]; found {
-			group.promises.record(promise.Key, now.Add(promise.After))
+		if group, found := c.groups[promise.Group]; found && promise.After <= maxPromiseTime {
+			group.promises.record(now, promise.Key, now.Add(promise.After))
 		}
 	}
 }
