Admission: estimates of sizes leave zero and go with their priorities

The steps of the estimate are relative to it, so after a first request without known tokens it stayed at zero and all later requests of the priority counted as large. Estimates of priorities that the configuration no longer has are removed, since they added up over its changes.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 )
@@ -110,6 +111,7 @@
 			c.groups[group] = state
 		}
 		state.priorities = used
+		maps.DeleteFunc(state.sizes, func(priority Priority, _ *sizeTracker) bool { return !slices.Contains(used, priority) })
 	}
 }
 
--- a/internal/admission/floor.go
+++ b/internal/admission/floor.go
@@ -34,7 +34,8 @@
 // add adds a size and reports whether it is large. The threshold rises for each larger size and falls for each smaller one, by steps whose
 // ratio keeps it at the quantile.
 func (s *sizeTracker) add(tokens int) bool {
-	size := float64(tokens)
+	// The steps are relative to the threshold, which would stay at zero.
+	size := float64(max(tokens, 1))
 	s.seen++
 	if s.seen == 1 {
 		s.threshold = size
