Admission: no request is held back while another engine has a free slot

Only the engines of the cheapest plans were asked for a free slot. A plan that waits for a slot can be cheaper than one elsewhere, for the cached prompt or the pace of the engine, so a request was refused or waited although another engine had a slot. Before a request is held back all engines that it may use are looked at now; those with requests waiting for the slot don't count as free.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -62,6 +62,8 @@
 	YieldingStart time.Duration
 	// FreeAt is when a slot is expected to be free for the request; zero if one is free now.
 	FreeAt time.Time
+	// SlotFree reports whether an engine other than that of the plan has a free slot. It is called only if needed; nil if none has.
+	SlotFree func() bool
 	// Prefills is set if the prompt is prefilled apart from the slot that the request waits for.
 	Prefills bool
 	// SlotInterval is the mean time between two slots that become free for requests of this gateway.
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -178,19 +178,21 @@
 	return Start{Urgency: inTimeUrgencies[g.rankOf(priority)][0], Reason: fmt.Sprintf("%s: other requests of the group are ordered", priority)}
 }
 
-// holdBack returns a Wait or a Refuse for a late request for which no slot is free, or nil to start it.
+// holdBack returns a Wait or a Refuse for a late request whose plan has no free slot, or nil to start it.
 func (c *Controller) holdBack(now time.Time, group *groupState, request Request, outlook Outlook) Decision {
 	patience := request.Deadline.Sub(now)
-	if outlook.YieldingStart > patience {
-		return Refuse{RetryAfter: c.retryAfter(now, group, request, outlook), Reason: fmt.Sprintf(
-			"its answer is expected to start after %d ms, but its caller leaves after %d ms",
-			outlook.YieldingStart.Milliseconds(), patience.Milliseconds())}
-	}
+	refused := outlook.YieldingStart > patience
 	unloaded := outlook.Start - outlook.QueueWait
 	wait := min(outlook.QueueWait-unloaded, time.Duration(c.settings.MaxWaitFraction*float64(patience)))
-	if request.Waited || !outlook.Prefills || wait < minWait {
+	waits := !request.Waited && outlook.Prefills && wait >= minWait
+	if !refused && !waits || outlook.SlotFree != nil && outlook.SlotFree() {
 		return nil
 	}
+	if refused {
+		return Refuse{RetryAfter: c.retryAfter(now, group, request, outlook), Reason: fmt.Sprintf(
+			"its answer is expected to start after %d ms, but its caller leaves after %d ms",
+			outlook.YieldingStart.Milliseconds(), patience.Milliseconds())}
+	}
 	return Wait{Until: now.Add(wait), Reason: fmt.Sprintf(
 		"no slot is expected to be free for %d ms, and prefilling its prompt takes %d ms", outlook.QueueWait.Milliseconds(), unloaded.Milliseconds())}
 }
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/admission"
@@ -69,6 +70,7 @@
 	if best.slotWait > 0 || best.delayedByQueue(options) {
 		best, yielding = d.orderedPlans(prompt, options)
 		outlook = d.outlookOf(prompt, best)
+		outlook.SlotFree = func() bool { return d.hasFreeSlot(prompt.group.Name, options.Excluded) }
 		outlook.YieldingStart = secondsDuration(yielding.timeToFirstEvent)
 	}
 	// Requests that are refused are demand, too.
@@ -124,6 +126,16 @@
 	return outlook
 }
 
+// hasFreeSlot reports whether a decode engine that is not excluded has a slot for which no request waits. The mutex is held.
+func (d *Dispatcher) hasFreeSlot(group string, excluded []string) bool {
+	for worker, status := range d.balancer.WorkerStatuses(d.now(), group) {
+		if worker.Role == backend.RoleDecode && status.Usable && status.Load.Decoding()+status.Load.Waiting < worker.Slots && !slices.Contains(excluded, worker.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // slotInterval returns the mean time between two slots of decode engines that become free for requests of this gateway; zero if no engine is
 // in service. It is called only when there is contention, since it iterates over all engines of the group.
 func (d *Dispatcher) slotInterval(group string) time.Duration {
--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -322,3 +322,30 @@
 		t.Errorf("run options %+v, want the urgency of a late request of the second rank", f.workers.runOptions)
 	}
 }
+
+// TestNoRefusalWhileAnEngineHasAFreeSlot guards against refusals for want of a slot while a decode engine other than that of the cheapest plan
+// has one.
+func TestNoRefusalWhileAnEngineHasAFreeSlot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dispatcher := newContendedDispatcher(0)
+		message := drawLoads(t, 200)
+		message.Sequence = 2
+		dispatcher.ApplyUpdate(message)
+		for i := range rapid.IntRange(1, 10).Draw(t, "requests") {
+			free := ""
+			for worker, status := range dispatcher.balancer.WorkerStatuses(dispatcher.now(), "g") {
+				if worker.Role == backend.RoleDecode && status.Usable && status.Load.Decoding()+status.Load.Waiting < worker.Slots {
+					free = worker.ID
+				}
+			}
+			request := &Request{ID: fmt.Sprint(i), Demand: rapid.SampledFrom([]backend.Demand{shortPrompt, longPrompt}).Draw(t, "demand")}
+			objective := time.Duration(rapid.IntRange(1, 900).Draw(t, "objective")) * time.Millisecond
+			options := admissionOptions(dispatcher, request.ID, 2*(i%2), objective)
+			options.Admission.Deadline = dispatcher.now().Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "patience")) * time.Millisecond)
+			placement, found := dispatcher.Place(request, engineGroup, options)
+			if found && placement.HeldBack != nil && free != "" {
+				t.Fatalf("%+v although %s has a free slot", placement.HeldBack, free)
+			}
+		}
+	})
+}
