Admission: work sent before its group was controlled is not subtracted

A request that was sent while all priorities of its group were equal was subtracted from the counts of later ones when it ended after they differed. Work is counted at its end only if it was at its start.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -170,9 +170,13 @@
 	return time.Duration(seconds * nanosecondsPerSecond)
 }
 
-// enterQueue counts work that was sent to a worker as waiting there. The mutex is held.
+// enterQueue counts work that was sent to a worker as waiting there, if its group is controlled: work that is not counted now is not to be
+// subtracted if its group is controlled when it ends. The mutex is held.
 func (d *Dispatcher) enterQueue(assigned *Assignment, work admission.Work) {
 	work.Group = assigned.Worker.Group
+	if !d.admission.Controls(work.Group) {
+		return
+	}
 	assigned.queued = work
 	d.admission.Sent(d.now(), work)
 }
--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/enginemodel"
 	"github.com/granitebay/granitebay/internal/peersync"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -349,3 +350,24 @@
 		}
 	})
 }
+
+// TestQueueCountsEndWithTheirGroup guards against requests that were sent before the priorities of their group differed and, when they end, are
+// subtracted from the counts of those sent later.
+func TestQueueCountsEndWithTheirGroup(t *testing.T) {
+	dispatcher := newEngineDispatcher()
+	place := func(id string) *Assignment {
+		placement, _ := dispatcher.Place(&Request{ID: id, Demand: shortPrompt}, engineGroup, PlaceOptions{Colocated: true})
+		return placement.Runner
+	}
+	before := place("before")
+	dispatcher.setPriorities(rulesOf(map[string][]int{"g": {0, 2}}))
+	after := place("after")
+	before.finish(balance.OutcomeNone)
+	if counts := dispatcher.Queues(); len(counts) != 1 || counts[0].Amount != 1 {
+		t.Errorf("counts %+v, want the one request that was sent since", counts)
+	}
+	after.finish(balance.OutcomeNone)
+	if counts := dispatcher.Queues(); len(counts) != 1 || counts[0].Amount != 0 {
+		t.Errorf("counts %+v, want none waiting", counts)
+	}
+}
