Admission: the tokens that a caller names are bounded

Callers name the tokens of their requests in a header that takes any whole number. A negative one made the tokens of its tenant and the sum of all negative for a moment, so that any other tenant seemed to exceed its share; one near the largest whole number did the reverse. A request counts as 1 to 2^24 tokens now.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -118,12 +118,16 @@
 // Controls reports whether the configuration of a group distinguishes priorities.
 func (c *Controller) Controls(group string) bool { return c.groups[group] != nil }
 
+// maxRequestTokens bounds the work of one request, since callers name its tokens.
+const maxRequestTokens = 1 << 24
+
 // Decide decides on a request. The caller must place the request if the decision is a Start.
 func (c *Controller) Decide(now time.Time, request Request, outlook Outlook) Decision {
 	group, found := c.groups[request.Group]
 	if !found {
 		return Start{Urgency: DefaultUrgency}
 	}
+	request.Tokens = min(max(request.Tokens, 1), maxRequestTokens)
 	large := group.isLarge(request)
 	decision := c.decide(now, group, request, outlook, large)
 	switch decision.(type) {
@@ -239,7 +243,7 @@
 	return r.Key()
 }
 
-// InTimeUrgency returns the urgency of contended requests in time with a priority, and LateUrgency that of late ones.
+// InTimeUrgency returns the urgency of contended requests in time with a priority; DefaultUrgency for groups that are not controlled.
 func (c *Controller) InTimeUrgency(group string, priority Priority) int {
 	if state, found := c.groups[group]; found {
 		return inTimeUrgencies[state.rankOf(priority)][0]
@@ -247,7 +251,7 @@
 	return DefaultUrgency
 }
 
-// LateUrgency returns the urgency of late requests with a priority.
+// LateUrgency returns the urgency of late requests with a priority; DefaultUrgency for groups that are not controlled.
 func (c *Controller) LateUrgency(group string, priority Priority) int {
 	if state, found := c.groups[group]; found {
 		return lateUrgencies[state.rankOf(priority)]
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -283,3 +284,28 @@
 		}
 	})
 }
+
+// TestTokensOfCallersAreBounded guards against token counts, which callers name themselves, that are negative or overflow and change the shares
+// of other tenants.
+func TestTokensOfCallersAreBounded(t *testing.T) {
+	for _, tokens := range []int{math.MinInt, -1_000_000, math.MaxInt} {
+		controller := newTestController()
+		decide := func(tenant string, tokens int) Start {
+			request := Request{Group: "g", Tenant: tenant, Tokens: tokens, Priority: Priority{Rule: 9}, Arrived: start, Objective: time.Second, Committed: true}
+			return controller.Decide(start, request, Outlook{Start: time.Millisecond, FreeAt: start.Add(time.Millisecond)}).(Start)
+		}
+		decide("a", tokens)
+		if usage := controller.groups["g"].usage; usage.total < 1 || usage.total > 1e8 {
+			t.Errorf("%d tokens count as %.0f", tokens, usage.total)
+		}
+		if tokens > 0 {
+			continue
+		}
+		// The floor lets the tenth request of its class start with the most urgent.
+		for i := range 4 {
+			if got, want := decide("b", 1), decide("c", 1); got != want {
+				t.Errorf("%d tokens, request %d: equal tenants have %+v and %+v", tokens, i, got, want)
+			}
+		}
+	}
+}
