Admission: a wait announces no promise, and comments name their subject

Only a refusal can make a promise that the other gateways need. Promises of a supplement are applied in one call.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -51,7 +51,7 @@
 	return priorities
 }
 
-// setPriorities sets the priorities of the requests of each group.
+// setPriorities makes the admission control the groups whose requests have different priorities.
 func (d *Dispatcher) setPriorities(priorities map[string][]admission.Priority) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -82,7 +82,9 @@
 		}
 		return d.assignPlan(prompt, best, options.Objective, decision), true
 	default:
-		d.announcePromise()
+		if _, refused := decision.(admission.Refuse); refused {
+			d.announcePromise()
+		}
 		return &Placement{HeldBack: decision}, true
 	}
 }
@@ -274,7 +276,7 @@
 }
 
 // TakeQueued returns what is to be sent to the other gateways: the promises since the last call and, if full is set, what this gateway has at
-// the queues of decode engines.
+// the queues of engines.
 func (d *Dispatcher) TakeQueued(full bool) ([]peersync.Queued, []peersync.Promise) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -308,11 +310,11 @@
 	if len(queued) > 0 {
 		d.admission.ApplyPeer(now, sender, decodeCounts(queued))
 	}
+	var made []admission.Promise
 	for _, promise := range promises {
-		d.admission.ApplyPromises(now, []admission.Promise{{
-			Group: promise.Group, Key: promise.Key, After: time.Duration(promise.AfterMs) * time.Millisecond,
-		}})
+		made = append(made, admission.Promise{Group: promise.Group, Key: promise.Key, After: time.Duration(promise.AfterMs) * time.Millisecond})
 	}
+	d.admission.ApplyPromises(now, made)
 }
 
 // announcePromise signals that a promise may have to be sent to the other gateways, because the caller may return to any of them. The mutex is
