Admission: the number of gateways whose counts are kept is bounded

Counts were kept for each name that a supplement gave as its sender, for 3 s. Those of more than 4,096 names in a group are ignored; the silent are removed first, so that they keep no other out.

--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -223,6 +223,9 @@
 // maxPeerCount bounds what another gateway may say to have in one queue, in requests or tokens, so that sums don't overflow.
 const maxPeerCount = 1 << 40
 
+// maxPeers bounds the gateways whose counts are kept in one group.
+const maxPeers = 4096
+
 // boundedRate returns a rate that another gateway sent, from 0 to maxPeerCount a second.
 func boundedRate(rate float64) float64 {
 	if !(rate > 0) {
@@ -231,9 +234,10 @@
 	return min(rate, maxPeerCount)
 }
 
-// ApplyPeer replaces the counts of another gateway.
+// ApplyPeer replaces the counts of another gateway. Those of more than maxPeers are ignored.
 func (c *Controller) ApplyPeer(now time.Time, name string, counts []Count) {
 	for _, state := range c.groups {
+		state.fade(now)
 		delete(state.peers, name)
 	}
 	for _, count := range counts {
@@ -245,6 +249,9 @@
 			state.peers = map[string]*peerCounts{}
 		}
 		peer := state.peers[name]
+		if peer == nil && len(state.peers) >= maxPeers {
+			continue
+		}
 		if peer == nil {
 			peer = &peerCounts{at: now}
 			state.peers[name] = peer
--- a/internal/admission/waiting_test.go
+++ b/internal/admission/waiting_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"math"
 	"testing"
 )
@@ -26,3 +27,26 @@
 		}
 	}
 }
+
+// TestNumberOfPeersIsBounded guards against senders of ever new names whose counts take up memory and time of each decision, and against a
+// limit that keeps out a gateway which is known.
+func TestNumberOfPeersIsBounded(t *testing.T) {
+	controller := newTestController()
+	counts := []Count{{Work: Work{Group: "g", Urgency: 9, Amount: 1}}}
+	for i := range 2 * maxPeers {
+		controller.ApplyPeer(start, fmt.Sprint("peer", i), counts)
+	}
+	if peers := len(controller.groups["g"].peers); peers != maxPeers {
+		t.Errorf("counts of %d gateways are kept, want %d", peers, maxPeers)
+	}
+	counts[0].Amount = 7
+	controller.ApplyPeer(start, "peer0", counts)
+	if waiting := controller.groups["g"].peers["peer0"].queued[QueueSlots].waiting[9]; waiting != 7 {
+		t.Errorf("%d requests of a known gateway wait, want 7", waiting)
+	}
+	later := start.Add(2 * peerTimeout)
+	controller.ApplyPeer(later, "new", counts)
+	if controller.groups["g"].peers["new"] == nil {
+		t.Error("a gateway is kept out by others that are silent")
+	}
+}
