--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -68,7 +68,7 @@
 	floors     map[class]*floor
 	sizes      map[Priority]*sizeTracker
 	usage      *tenantUsage
-	promises   promiseBook
+	promises   returnPromises
 	// queued is what this gateway has at the queues of the engines, and peers what the others have.
 	queued  queues
 	peers   map[string]*peerCounts
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -207,7 +207,7 @@
 }
 
 // TestOthersKeepTheirRankWhileSomeAreOrdered guards against urgent requests that started at a free slot and are preempted by less urgent ones
-// which were ordered, and against an order that feeds on itself and outlasts the contention, here or at the other gateways.
+// which were ordered, and against an order that prolongs itself beyond the contention, here or at the other gateways.
 func TestOthersKeepTheirRankWhileSomeAreOrdered(t *testing.T) {
 	controller, other := newTestController(), newTestController()
 	decide := func(c *Controller, now time.Time, outlook Outlook) Start {
--- a/internal/admission/promises.go
+++ b/internal/admission/promises.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// promiseBook holds the times at which refused callers were told to return.
-type promiseBook struct {
+// returnPromises are the times at which refused callers were told to return.
+type returnPromises struct {
 	last time.Time
 	due  map[uint64]time.Time
 	// outgoing are the promises to send to the other gateways.
@@ -21,7 +21,7 @@
 
 // reserve returns the time at which a caller should return: the earliest, or the interval after the last promised time if that is later. It
 // returns false, and promises nothing, if that is after the latest or if no slot becomes free, which an interval of zero tells.
-func (p *promiseBook) reserve(now, earliest, latest time.Time, interval time.Duration, key func() uint64) (time.Time, bool) {
+func (p *returnPromises) reserve(now, earliest, latest time.Time, interval time.Duration, key func() uint64) (time.Time, bool) {
 	if interval <= 0 {
 		return time.Time{}, false
 	}
@@ -41,7 +41,7 @@
 }
 
 // record remembers that the caller of a request was told to return at a time.
-func (p *promiseBook) record(now time.Time, key uint64, at time.Time) {
+func (p *returnPromises) record(now time.Time, key uint64, at time.Time) {
 	if len(p.due) >= maxPromises {
 		p.expire(now)
 	}
@@ -55,7 +55,7 @@
 }
 
 // expire removes the promises whose callers can't return in time any more.
-func (p *promiseBook) expire(now time.Time) {
+func (p *returnPromises) expire(now time.Time) {
 	for key, at := range p.due {
 		if now.After(at.Add(promiseTolerance)) {
 			delete(p.due, key)
@@ -65,7 +65,7 @@
 
 // redeem reports whether a request returned when it was told to. Each promise is redeemed at most once, and one that is returned for early
 // stands.
-func (p *promiseBook) redeem(now time.Time, key func() uint64) bool {
+func (p *returnPromises) redeem(now time.Time, key func() uint64) bool {
 	p.expire(now)
 	if len(p.due) == 0 {
 		return false
