Demand: a prompt is counted once when all engines are tried again

Whether a prompt had been counted was told from the list of excluded engines, which is emptied when all that refused the request are tried again after a wait, so the prompt was counted as new demand each time. The call now says whether the request was placed before.

--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -16,6 +16,7 @@
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/enginemodel"
 	"github.com/granitebay/granitebay/internal/peersync"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/tenant"
 )
@@ -371,3 +372,27 @@
 		t.Errorf("counts %+v, want none waiting", counts)
 	}
 }
+
+// TestDemandIsCountedOnceForARequest guards against planners that see the prompt of a request again when all engines that refused it are
+// tried once more.
+func TestDemandIsCountedOnceForARequest(t *testing.T) {
+	dispatcher := newEngineDispatcher()
+	c := &call{
+		handler: &Handler{dispatcher: dispatcher}, request: &Request{ID: "r", Demand: longPrompt}, report: &Report{Arrived: dispatcher.now()},
+		match: routing.Match{Rule: &routing.Rule{}, Group: engineGroup},
+	}
+	place := func() int64 {
+		dispatcher.Place(c.request, engineGroup, c.placeOptions(poison.Clear))
+		total := int64(0)
+		for _, offered := range dispatcher.TakeUpdate(true).Offered {
+			total += offered.Tokens
+		}
+		return total
+	}
+	first := place()
+	c.attempts.record("prefill0", failureRefused)
+	c.attempts.reincludeRefused()
+	if again := place(); first == 0 || again != first {
+		t.Errorf("demand %d tokens, %d after the engines were tried again", first, again)
+	}
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -100,6 +100,7 @@
 	}
 	options.Rule, options.Deadline = c.match.Rule, c.deadline
 	options.Admission = c.admissionRequest()
+	options.DemandCounted = c.hasWaited || c.attempts.reached+c.attempts.unreachable > 0
 	if !c.relay.started {
 		// The objective is that of the first event.
 		options.Objective = c.match.Rule.Objective
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -39,6 +39,8 @@
 	// Objective is the time within which the answer should start, and Remaining what remains of it, negative if the request is late. Both are
 	// zero if there is no objective.
 	Objective, Remaining time.Duration
+	// DemandCounted is set if the demand of the prompt was counted at an earlier placement.
+	DemandCounted bool
 	// Rule is the rule of the request, and Deadline when its caller leaves. They are zero if unknown; engines are then picked regardless of their
 	// pace.
 	Rule     *routing.Rule
@@ -151,10 +153,10 @@
 	return d.assignPlan(prompt, best, options.Objective, admission.Start{Urgency: defaultUrgency(prompt.deferred)}), true
 }
 
-// countPromptDemand counts the demand for prefilling a prompt. A placement with excluded workers is a retry, and the prompt was counted when
-// it was first placed.
+// countPromptDemand counts the demand for prefilling a prompt, unless it was counted when the request was first placed. A placement with
+// excluded workers is a retry.
 func (d *Dispatcher) countPromptDemand(prompt *promptContext, chosen plan, options PlaceOptions) {
-	if len(options.Excluded) == 0 && !options.Admission.Waited {
+	if len(options.Excluded) == 0 && !options.DemandCounted {
 		d.countDemand(chosen.prefillEngine(), prompt.prefillCost(chosen.prefillEngine()).Tokens)
 	}
 }
