Admission: the outlook of a request is computed once

For a contended request it was computed for the plan before the order was known, too, and each time all engines of the group were looked at for the interval between free slots.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -66,13 +66,11 @@
 		return nil, false
 	}
 	yielding := best
-	outlook := d.outlookOf(prompt, best)
 	if best.slotWait > 0 || best.delayedByQueue(options) {
 		best, yielding = d.orderedPlans(prompt, options)
-		outlook = d.outlookOf(prompt, best)
-		outlook.SlotFree = func() bool { return d.hasFreeSlot(prompt.group.Name, options.Excluded) }
-		outlook.YieldingStart = secondsDuration(yielding.timeToFirstEvent)
 	}
+	outlook := d.outlookOf(prompt, best, yielding)
+	outlook.SlotFree = func() bool { return d.hasFreeSlot(prompt.group.Name, options.Excluded) }
 	// Requests that are refused are demand, too.
 	d.countPromptDemand(prompt, yielding, options)
 	switch decision := d.admission.Decide(d.now(), options.Admission, outlook).(type) {
@@ -112,13 +110,12 @@
 	return best, yielding
 }
 
-// outlookOf returns what is expected of a request by its plan.
-func (d *Dispatcher) outlookOf(prompt *promptContext, chosen plan) admission.Outlook {
+// outlookOf returns what is expected of a request by its plan and by that for the case that it yields.
+func (d *Dispatcher) outlookOf(prompt *promptContext, chosen, yielding plan) admission.Outlook {
 	outlook := admission.Outlook{
 		Start: secondsDuration(chosen.timeToFirstEvent), QueueWait: secondsDuration(chosen.queueWait),
-		Prefills: chosen.prefill != nil,
+		YieldingStart: secondsDuration(yielding.timeToFirstEvent), Prefills: chosen.prefill != nil,
 	}
-	outlook.YieldingStart = outlook.Start
 	if chosen.slotWait <= 0 {
 		return outlook
 	}
