--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 )
@@ -67,7 +68,7 @@
 	floors     map[class]*floor
 	sizes      map[Priority]*sizeTracker
 	usage      *tenantUsage
-	promises   promiseBook
+	promises   returnPromises
 	// queued is what this gateway has at the queues of the engines, and peers what the others have.
 	queued  queues
 	peers   map[string]*peerCounts
@@ -110,18 +111,23 @@
 			c.groups[group] = state
 		}
 		state.priorities = used
+		maps.DeleteFunc(state.sizes, func(priority Priority, _ *sizeTracker) bool { return !slices.Contains(used, priority) })
 	}
 }
 
 // Controls reports whether the configuration of a group distinguishes priorities.
 func (c *Controller) Controls(group string) bool { return c.groups[group] != nil }
 
+// maxRequestTokens bounds the work of one request, since callers name its tokens.
+const maxRequestTokens = 1 << 24
+
 // Decide decides on a request. The caller must place the request if the decision is a Start.
 func (c *Controller) Decide(now time.Time, request Request, outlook Outlook) Decision {
 	group, found := c.groups[request.Group]
 	if !found {
 		return Start{Urgency: DefaultUrgency}
 	}
+	request.Tokens = min(max(request.Tokens, 1), maxRequestTokens)
 	large := group.isLarge(request)
 	decision := c.decide(now, group, request, outlook, large)
 	switch decision.(type) {
@@ -176,19 +182,21 @@
 	return Start{Urgency: inTimeUrgencies[g.rankOf(priority)][0], Reason: fmt.Sprintf("%s: other requests of the group are ordered", priority)}
 }
 
-// holdBack returns a Wait or a Refuse for a late request for which no slot is free, or nil to start it.
+// holdBack returns a Wait or a Refuse for a late request whose plan has no free slot, or nil to start it.
 func (c *Controller) holdBack(now time.Time, group *groupState, request Request, outlook Outlook) Decision {
 	patience := request.Deadline.Sub(now)
-	if outlook.YieldingStart > patience {
-		return Refuse{RetryAfter: c.retryAfter(now, group, request, outlook), Reason: fmt.Sprintf(
-			"its answer is expected to start after %d ms, but its caller leaves after %d ms",
-			outlook.YieldingStart.Milliseconds(), patience.Milliseconds())}
-	}
+	refused := outlook.YieldingStart > patience
 	unloaded := outlook.Start - outlook.QueueWait
 	wait := min(outlook.QueueWait-unloaded, time.Duration(c.settings.MaxWaitFraction*float64(patience)))
-	if request.Waited || !outlook.Prefills || wait < minWait {
+	waits := !request.Waited && outlook.Prefills && wait >= minWait
+	if !refused && !waits || outlook.SlotFree != nil && outlook.SlotFree() {
 		return nil
 	}
+	if refused {
+		return Refuse{RetryAfter: c.retryAfter(now, group, request, outlook), Reason: fmt.Sprintf(
+			"its answer is expected to start after %d ms, but its caller leaves after %d ms",
+			outlook.YieldingStart.Milliseconds(), patience.Milliseconds())}
+	}
 	return Wait{Until: now.Add(wait), Reason: fmt.Sprintf(
 		"no slot is expected to be free for %d ms, and prefilling its prompt takes %d ms", outlook.QueueWait.Milliseconds(), unloaded.Milliseconds())}
 }
@@ -202,7 +210,7 @@
 	longest := max(time.Duration(c.settings.MaxRetryFraction*float64(request.Expires.Sub(now))), c.settings.MinRetryAfter)
 	wanted := min(max(outlook.YieldingStart-max(request.Deadline.Sub(now), 0), c.settings.MinRetryAfter), longest)
 	interval := time.Duration(float64(outlook.SlotInterval) / c.settings.PromisedShare)
-	if at, promised := group.promises.reserve(now.Add(wanted), now.Add(longest), interval, request.key); promised {
+	if at, promised := group.promises.reserve(now, now.Add(wanted), now.Add(longest), interval, request.key); promised {
 		return at.Sub(now)
 	}
 	return wanted + time.Duration(hashFraction(request.ID)*float64(longest-wanted))
@@ -235,7 +243,7 @@
 	return r.Key()
 }
 
-// InTimeUrgency returns the urgency of contended requests in time with a priority, and LateUrgency that of late ones.
+// InTimeUrgency returns the urgency of contended requests in time with a priority; DefaultUrgency for groups that are not controlled.
 func (c *Controller) InTimeUrgency(group string, priority Priority) int {
 	if state, found := c.groups[group]; found {
 		return inTimeUrgencies[state.rankOf(priority)][0]
@@ -243,7 +251,7 @@
 	return DefaultUrgency
 }
 
-// LateUrgency returns the urgency of late requests with a priority.
+// LateUrgency returns the urgency of late requests with a priority; DefaultUrgency for groups that are not controlled.
 func (c *Controller) LateUrgency(group string, priority Priority) int {
 	if state, found := c.groups[group]; found {
 		return lateUrgencies[state.rankOf(priority)]
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/admission"
@@ -50,7 +51,7 @@
 	return priorities
 }
 
-// setPriorities sets the priorities of the requests of each group.
+// setPriorities makes the admission control the groups whose requests have different priorities.
 func (d *Dispatcher) setPriorities(priorities map[string][]admission.Priority) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -65,12 +66,11 @@
 		return nil, false
 	}
 	yielding := best
-	outlook := d.outlookOf(prompt, best)
 	if best.slotWait > 0 || best.delayedByQueue(options) {
 		best, yielding = d.orderedPlans(prompt, options)
-		outlook = d.outlookOf(prompt, best)
-		outlook.YieldingStart = secondsDuration(yielding.timeToFirstEvent)
 	}
+	outlook := d.outlookOf(prompt, best, yielding)
+	outlook.SlotFree = func() bool { return d.hasFreeSlot(prompt.group.Name, options.Excluded) }
 	// Requests that are refused are demand, too.
 	d.countPromptDemand(prompt, yielding, options)
 	switch decision := d.admission.Decide(d.now(), options.Admission, outlook).(type) {
@@ -80,7 +80,9 @@
 		}
 		return d.assignPlan(prompt, best, options.Objective, decision), true
 	default:
-		d.announcePromise()
+		if _, refused := decision.(admission.Refuse); refused {
+			d.announcePromise()
+		}
 		return &Placement{HeldBack: decision}, true
 	}
 }
@@ -108,13 +110,12 @@
 	return best, yielding
 }
 
-// outlookOf returns what is expected of a request by its plan.
-func (d *Dispatcher) outlookOf(prompt *promptContext, chosen plan) admission.Outlook {
+// outlookOf returns what is expected of a request by its plan and by that for the case that it yields.
+func (d *Dispatcher) outlookOf(prompt *promptContext, chosen, yielding plan) admission.Outlook {
 	outlook := admission.Outlook{
 		Start: secondsDuration(chosen.timeToFirstEvent), QueueWait: secondsDuration(chosen.queueWait),
-		Prefills: chosen.prefill != nil,
+		YieldingStart: secondsDuration(yielding.timeToFirstEvent), Prefills: chosen.prefill != nil,
 	}
-	outlook.YieldingStart = outlook.Start
 	if chosen.slotWait <= 0 {
 		return outlook
 	}
@@ -124,6 +125,16 @@
 	return outlook
 }
 
+// hasFreeSlot reports whether a decode engine that is not excluded has a slot for which no request waits. The mutex is held.
+func (d *Dispatcher) hasFreeSlot(group string, excluded []string) bool {
+	for worker, status := range d.balancer.WorkerStatuses(d.now(), group) {
+		if worker.Role == backend.RoleDecode && status.Usable && status.Load.Decoding()+status.Load.Waiting < worker.Slots && !slices.Contains(excluded, worker.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // slotInterval returns the mean time between two slots of decode engines that become free for requests of this gateway; zero if no engine is
 // in service. It is called only when there is contention, since it iterates over all engines of the group.
 func (d *Dispatcher) slotInterval(group string) time.Duration {
@@ -158,9 +169,13 @@
 	return time.Duration(seconds * nanosecondsPerSecond)
 }
 
-// enterQueue counts work that was sent to a worker as waiting there. The mutex is held.
+// enterQueue counts work that was sent to a worker as waiting there, if its group is controlled: work that is not counted now is not to be
+// subtracted if its group is controlled when it ends. The mutex is held.
 func (d *Dispatcher) enterQueue(assigned *Assignment, work admission.Work) {
 	work.Group = assigned.Worker.Group
+	if !d.admission.Controls(work.Group) {
+		return
+	}
 	assigned.queued = work
 	d.admission.Sent(d.now(), work)
 }
@@ -258,7 +273,7 @@
 }
 
 // TakeQueued returns what is to be sent to the other gateways: the promises since the last call and, if full is set, what this gateway has at
-// the queues of decode engines.
+// the queues of engines.
 func (d *Dispatcher) TakeQueued(full bool) ([]peersync.Queued, []peersync.Promise) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -292,11 +307,11 @@
 	if len(queued) > 0 {
 		d.admission.ApplyPeer(now, sender, decodeCounts(queued))
 	}
+	var made []admission.Promise
 	for _, promise := range promises {
-		d.admission.ApplyPromises(now, []admission.Promise{{
-			Group: promise.Group, Key: promise.Key, After: time.Duration(promise.AfterMs) * time.Millisecond,
-		}})
+		made = append(made, admission.Promise{Group: promise.Group, Key: promise.Key, After: time.Duration(promise.AfterMs) * time.Millisecond})
 	}
+	d.admission.ApplyPromises(now, made)
 }
 
 // announcePromise signals that a promise may have to be sent to the other gateways, because the caller may return to any of them. The mutex is
--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -13,8 +13,10 @@
 
 	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/enginemodel"
 	"github.com/granitebay/granitebay/internal/peersync"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/tenant"
 )
@@ -322,3 +324,75 @@
 		t.Errorf("run options %+v, want the urgency of a late request of the second rank", f.workers.runOptions)
 	}
 }
+
+// TestNoRefusalWhileAnEngineHasAFreeSlot guards against refusals for want of a slot while a decode engine other than that of the cheapest plan
+// has one.
+func TestNoRefusalWhileAnEngineHasAFreeSlot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dispatcher := newContendedDispatcher(0)
+		message := drawLoads(t, 200)
+		message.Sequence = 2
+		dispatcher.ApplyUpdate(message)
+		for i := range rapid.IntRange(1, 10).Draw(t, "requests") {
+			free := ""
+			for worker, status := range dispatcher.balancer.WorkerStatuses(dispatcher.now(), "g") {
+				if worker.Role == backend.RoleDecode && status.Usable && status.Load.Decoding()+status.Load.Waiting < worker.Slots {
+					free = worker.ID
+				}
+			}
+			request := &Request{ID: fmt.Sprint(i), Demand: rapid.SampledFrom([]backend.Demand{shortPrompt, longPrompt}).Draw(t, "demand")}
+			objective := time.Duration(rapid.IntRange(1, 900).Draw(t, "objective")) * time.Millisecond
+			options := admissionOptions(dispatcher, request.ID, 2*(i%2), objective)
+			options.Admission.Deadline = dispatcher.now().Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "patience")) * time.Millisecond)
+			placement, found := dispatcher.Place(request, engineGroup, options)
+			if found && placement.HeldBack != nil && free != "" {
+				t.Fatalf("%+v although %s has a free slot", placement.HeldBack, free)
+			}
+		}
+	})
+}
+
+// TestQueueCountsEndWithTheirGroup guards against requests that were sent before the priorities of their group differed and, when they end, are
+// subtracted from the counts of those sent later.
+func TestQueueCountsEndWithTheirGroup(t *testing.T) {
+	dispatcher := newEngineDispatcher()
+	place := func(id string) *Assignment {
+		placement, _ := dispatcher.Place(&Request{ID: id, Demand: shortPrompt}, engineGroup, PlaceOptions{Colocated: true})
+		return placement.Runner
+	}
+	before := place("before")
+	dispatcher.setPriorities(rulesOf(map[string][]int{"g": {0, 2}}))
+	after := place("after")
+	before.finish(balance.OutcomeNone)
+	if counts := dispatcher.Queues(); len(counts) != 1 || counts[0].Amount != 1 {
+		t.Errorf("counts %+v, want the one request that was sent since", counts)
+	}
+	after.finish(balance.OutcomeNone)
+	if counts := dispatcher.Queues(); len(counts) != 1 || counts[0].Amount != 0 {
+		t.Errorf("counts %+v, want none waiting", counts)
+	}
+}
+
+// TestDemandIsCountedOnceForARequest guards against planners that see the prompt of a request again when all engines that refused it are
+// tried once more.
+func TestDemandIsCountedOnceForARequest(t *testing.T) {
+	dispatcher := newEngineDispatcher()
+	c := &call{
+		handler: &Handler{dispatcher: dispatcher}, request: &Request{ID: "r", Demand: longPrompt}, report: &Report{Arrived: dispatcher.now()},
+		match: routing.Match{Rule: &routing.Rule{}, Group: engineGroup},
+	}
+	place := func() int64 {
+		dispatcher.Place(c.request, engineGroup, c.placeOptions(poison.Clear))
+		total := int64(0)
+		for _, offered := range dispatcher.TakeUpdate(true).Offered {
+			total += offered.Tokens
+		}
+		return total
+	}
+	first := place()
+	c.attempts.record("prefill0", failureRefused)
+	c.attempts.reincludeRefused()
+	if again := place(); first == 0 || again != first {
+		t.Errorf("demand %d tokens, %d after the engines were tried again", first, again)
+	}
+}
