Stand-in: an engine without room for copies, set before the request

TestStreamWithoutCopyIsCutOnce failed in 2 of 3 runs beside load and passed alone: it took the room for copies away only once it saw the run, and the stand-in had copied the first event by then, so that continuing was right. The stand-in now has a switch of its own, which the test sets before the request; the engines go on cutting responses, where they were whole again before. What the test wants is as before.

--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -267,11 +267,14 @@
 // ended is dropped.
 func (w *Worker) sendCopy(request *http.Request, id string, number int) {
 	backup := w.fleet.worker(request.Header.Get("Kv-Backup"))
-	if backup == nil || backup.hasFault(WorkerKeepsNoCopies) {
+	if backup == nil {
 		return
 	}
 	backup.mutex.Lock()
 	defer backup.mutex.Unlock()
+	if backup.keepsNoCopies {
+		return
+	}
 	backup.copies[id] = number
 	if number == w.options.Events {
 		delete(backup.copies, id)
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -54,8 +54,6 @@
 	WorkerFull
 	// WorkerStalls sends the first events of a stream and then nothing, and keeps the connection open.
 	WorkerStalls
-	// WorkerKeepsNoCopies has no room for copies of other workers' runs.
-	WorkerKeepsNoCopies
 	// WorkerSheds accepts only one in shedAcceptsOneIn requests.
 	WorkerSheds
 )
@@ -79,11 +77,12 @@
 	fault        WorkerFault
 	requestCount int
 	handles      map[string]bool
-	// copies holds how many events each copied run of another worker had made, by request ID.
-	copies       map[string]int
-	nextID       int
-	orderHolders []string
-	draining     bool
+	// copies holds how many events each copied run of another worker had made, by request ID. With keepsNoCopies, there is no room for them.
+	copies        map[string]int
+	keepsNoCopies bool
+	nextID        int
+	orderHolders  []string
+	draining      bool
 	// leaving is set while all responses announce that the worker is leaving, whether or not its record says so. Until shedUntil,
 	// the worker refuses all requests with a Retry-After of retryAfter.
 	leaving    bool
@@ -124,6 +123,13 @@
 	})
 }
 
+// KeepNoCopies makes the worker have no room for copies of other workers' runs, whatever its fault is.
+func (w *Worker) KeepNoCopies() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.keepsNoCopies = true
+}
+
 // ID returns the ID of the incarnation.
 func (w *Worker) ID() string { return w.options.ID }
 
