--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -133,26 +133,9 @@
 	if c.relay.started {
 		record.Continues = ContinuesLastEvent
 	}
-	runner := placement.Runner
-	var prompt *PrefilledPrompt
-	if placement.Prefill != nil {
-		prefillEngine := placement.Prefill.Worker
-		record.PrefillEngine = prefillEngine.ID
-		record.Score, record.Candidates = placement.Prefill.Score, placement.Prefill.Candidates
-		prefilled, failure := c.prefill(ctx, placement)
-		record.PrefillTime = time.Since(record.Start)
-		if failure != failureNone {
-			c.recordAttempt(record, "read: ", failure)
-			return prefillEngine.ID, failure.asNotRun()
-		}
-		found := false
-		runner, found = c.handler.dispatcher.PlaceRunner(c.request, c.match.Group, c.attempts.excluded, placement.Prefill)
-		if !found {
-			c.releasePrompt(prefilled)
-			c.recordAttempt(record, "no runner: ", failureUnreachable)
-			return "", failureUnreachable
-		}
-		prompt = prefilled
+	runner, prompt, failure := c.prepareRunner(ctx, placement, &record)
+	if failure != failureNone {
+		return record.PrefillEngine, failure
 	}
 	record.Worker = runner.Worker.ID
 	if prompt == nil {
@@ -162,7 +145,7 @@
 	if held != nil {
 		record.Backup = held.engine.ID
 	}
-	failure := c.runOn(ctx, runner, RunOptions{
+	failure = c.runOn(ctx, runner, RunOptions{
 		Deadline: c.deadline, Prompt: prompt, FetchFrom: c.fetchFrom(prompt, placement.FetchFrom), Urgency: placement.Urgency,
 		Backup: backupOf(held),
 	}, held)
@@ -177,6 +160,30 @@
 	return record.Worker, c.continueFromCopy(ctx, held, runner.Worker, failure)
 }
 
+// prepareRunner returns the runner of a placement and, if a separate engine has to prefill it first, the prefilled prompt. A failure is recorded
+// as an attempt; the record names the prefill engine if that failed.
+func (c *call) prepareRunner(ctx context.Context, placement *Placement, record *Attempt) (*Assignment, *PrefilledPrompt, failureKind) {
+	if placement.Prefill == nil {
+		return placement.Runner, nil, failureNone
+	}
+	record.PrefillEngine = placement.Prefill.Worker.ID
+	record.Score, record.Candidates = placement.Prefill.Score, placement.Prefill.Candidates
+	prompt, failure := c.prefill(ctx, placement)
+	record.PrefillTime = time.Since(record.Start)
+	if failure != failureNone {
+		c.recordAttempt(*record, "read: ", failure)
+		return nil, nil, failure.asNotRun()
+	}
+	runner, found := c.handler.dispatcher.PlaceRunner(c.request, c.match.Group, c.attempts.excluded, placement.Prefill)
+	if !found {
+		c.releasePrompt(prompt)
+		c.recordAttempt(*record, "no runner: ", failureUnreachable)
+		record.PrefillEngine = ""
+		return nil, nil, failureUnreachable
+	}
+	return runner, prompt, failureNone
+}
+
 // asNotRun returns the failure of a request whose prefill call failed. Failures that would mean that the request may have run become
 // failureRefused, because a prefill call does not run the request.
 func (f failureKind) asNotRun() failureKind {
