--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -86,10 +86,6 @@
 	// the heartbeat timeout of gateways: each response lists the live entries, and a standby gateway replaces entries
 	// that are not reported live in time.
 	feedPollWait = 700 * time.Millisecond
-	// firstFeedPollWait is the wait of the requests after the first one, up to firstFeedPolls in total. The first one does
-	// not wait: a process that starts needs to know at once which entries are live, and soon which others have become so.
-	firstFeedPollWait = 150 * time.Millisecond
-	firstFeedPolls    = 5
 	// standbyWatchWait is the wait of a watch by a standby process whose feed has not answered for feedTimeout, and so the
 	// time until it retries the feed.
 	standbyWatchWait = 2 * time.Second
@@ -117,18 +113,6 @@
 	return nil
 }
 
-// feedWait returns the wait of the next request to the feed of a standby process.
-func (r *Replica) feedWait() time.Duration {
-	switch {
-	case r.feedAnswers == 0:
-		return 0
-	case r.feedAnswers < firstFeedPolls:
-		return firstFeedPollWait
-	default:
-		return feedPollWait
-	}
-}
-
 // newRequest returns a request for the changes after the current revision.
 func (r *Replica) newRequest(wait time.Duration) ChangesRequest {
 	r.mutex.Lock()
@@ -146,7 +130,6 @@
 		return false
 	}
 	r.feedAnsweredAt = boottime.Now()
-	r.feedAnswers = min(r.feedAnswers+1, firstFeedPolls)
 	if changes.StoreUnavailable {
 		r.consumer.StoreUnavailable(errUpstreamStoreUnavailable)
 	}
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -94,8 +94,8 @@
 	shortenNextWatch atomic.Bool
 
 	// mutex guards the fields below. Only the goroutine of Run writes them, except changed and storeAnsweredAt, which any
-	// goroutine may write. That goroutine may read its own fields without the mutex. It uses feedAnsweredAt, feedAnswers and
-	// mustList, which no other goroutine reads, always without it.
+	// goroutine may write. That goroutine may read its own fields without the mutex. It uses feedAnsweredAt and mustList, which
+	// no other goroutine reads, always without it.
 	mutex sync.Mutex
 	// table holds the items that the consumer has, and tombstones of deleted ones; nil before the first list.
 	table    *table
@@ -106,8 +106,6 @@
 	listedThrough string
 	// shardWaitStart is when this process began to wait for its shard, and feedAnsweredAt when the feed last answered.
 	shardWaitStart, feedAnsweredAt time.Time
-	// feedAnswers counts the responses of the feed, up to firstFeedPolls.
-	feedAnswers int
 	// shardedItems is the number of sharded items, without tombstones.
 	shardedItems int
 	// historyStart is the revision after which the table contains all changes, including deletions.
@@ -181,7 +179,7 @@
 	pause := r.settings.MinRetryPause
 	for ctx.Err() == nil {
 		if r.usesFeed() {
-			if r.pollFeed(ctx, r.feedWait()) == nil {
+			if r.pollFeed(ctx, feedPollWait) == nil {
 				continue
 			}
 			if r.awaitsShard() {
