--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -70,9 +70,9 @@
 	usage      *tenantUsage
 	promises   returnPromises
 	// queued is what this gateway has at the queues of the engines, and peers what the others have.
-	queued  queues
-	peers   map[string]*peerCounts
-	fadedAt time.Time
+	queued    queues
+	peers     map[string]*peerCounts
+	decayedAt time.Time
 	// orderedAt is when a request was last ordered here because there was no room for it or it was late.
 	orderedAt time.Time
 }
@@ -175,7 +175,7 @@
 // startUncontended returns the decision for a request for which there is room. While others are ordered it has the urgency of its rank, so
 // that none is preempted by a less urgent one when the memory of its engine runs out.
 func (g *groupState) startUncontended(now time.Time, priority Priority) Start {
-	g.fade(now)
+	g.decay(now)
 	if !g.contended(now) {
 		return Start{Urgency: DefaultUrgency}
 	}
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -44,8 +44,8 @@
 // rateWindow is the time over which rates are averaged.
 const rateWindow = time.Second
 
-// fade reduces the rates by the time since they were last reduced.
-func (q *queueCounts) fade(elapsed time.Duration) {
+// decay reduces the rates by the time since they were last reduced.
+func (q *queueCounts) decay(elapsed time.Duration) {
 	factor := math.Exp(-elapsed.Seconds() / rateWindow.Seconds())
 	for urgency := range urgencies {
 		q.sent[urgency] *= factor
@@ -78,7 +78,7 @@
 // Sent records that work was sent to a queue.
 func (c *Controller) Sent(now time.Time, work Work) {
 	if state, found := c.groups[work.Group]; found && work.valid() {
-		state.fade(now)
+		state.decay(now)
 		counts := &state.queued[work.Queue]
 		counts.waiting[work.Urgency] += work.Amount
 		counts.sent[work.Urgency] += float64(work.Amount) / rateWindow.Seconds()
@@ -91,7 +91,7 @@
 	if !found || !work.valid() {
 		return
 	}
-	state.fade(now)
+	state.decay(now)
 	counts := &state.queued[work.Queue]
 	counts.waiting[work.Urgency] = max(counts.waiting[work.Urgency]-work.Amount, 0)
 	if started {
@@ -101,7 +101,7 @@
 
 // countRefused counts a refused request.
 func (g *groupState) countRefused(now time.Time) {
-	g.fade(now)
+	g.decay(now)
 	g.queued[queueRefused].sent[DefaultUrgency] += 1 / rateWindow.Seconds()
 }
 
@@ -111,7 +111,7 @@
 	if !found {
 		return 0
 	}
-	state.fade(now)
+	state.decay(now)
 	refused := state.queued[queueRefused].sent[DefaultUrgency]
 	for _, peer := range state.peers {
 		refused += peer.queued[queueRefused].sent[DefaultUrgency]
@@ -119,18 +119,18 @@
 	return refused
 }
 
-// fadeInterval is how often rates and counts of tokens are reduced.
-const fadeInterval = 50 * time.Millisecond
+// decayInterval is how often rates and counts of tokens are reduced.
+const decayInterval = 50 * time.Millisecond
 
-// fade reduces the rates and removes the counts of silent gateways.
-func (g *groupState) fade(now time.Time) {
-	elapsed := now.Sub(g.fadedAt)
-	if elapsed < fadeInterval {
+// decay reduces the rates and removes the counts of silent gateways.
+func (g *groupState) decay(now time.Time) {
+	elapsed := now.Sub(g.decayedAt)
+	if elapsed < decayInterval {
 		return
 	}
-	g.fadedAt = now
+	g.decayedAt = now
 	for queue := range g.queued {
-		g.queued[queue].fade(elapsed)
+		g.queued[queue].decay(elapsed)
 	}
 	for name, peer := range g.peers {
 		if now.Sub(peer.at) > peerTimeout {
@@ -166,7 +166,7 @@
 func (c *Controller) Counts(now time.Time) []Count {
 	var counts []Count
 	for group, state := range c.groups {
-		state.fade(now)
+		state.decay(now)
 		if !state.ordersItself(now) {
 			continue
 		}
@@ -182,7 +182,7 @@
 	var totals []Count
 	for _, group := range slices.Sorted(maps.Keys(c.groups)) {
 		state := c.groups[group]
-		state.fade(now)
+		state.decay(now)
 		for queue := range queueKinds {
 			sum := state.queued[queue]
 			for _, peer := range state.peers {
@@ -237,7 +237,7 @@
 // ApplyPeer replaces the counts of another gateway. Those of more than maxPeers are ignored.
 func (c *Controller) ApplyPeer(now time.Time, name string, counts []Count) {
 	for _, state := range c.groups {
-		state.fade(now)
+		state.decay(now)
 		delete(state.peers, name)
 	}
 	for _, count := range counts {
@@ -284,7 +284,7 @@
 	if !found {
 		return Order{}
 	}
-	state.fade(now)
+	state.decay(now)
 	all := state.queued[queue]
 	for _, peer := range state.peers {
 		all.add(&peer.queued[queue])
