Relay: events that are ready late are written

Callers saw a connection closed without a response after a gateway had stood still, though an engine had sent the first events of the stream.

Cause: the write deadline of a response is the deadline of the request and writeGrace. It was extended for whole responses and errors that are ready later, not for the head and the events of a stream, so that the write of an event that had been read failed at once.

The extension is made before each late write, so a second standstill is covered as well. A stream is still cut at its deadline.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -238,7 +238,7 @@
 	current := &call{
 		handler: h, writer: writer, request: request, match: match, deadline: deadline, report: report, guarded: guarded,
 		attempts: attempts{rule: match.Rule, runOnce: request.RunOnce},
-		relay:    relay{writer: writer, lastEvent: request.ResumeAfter},
+		relay:    relay{writer: writer, deadline: deadline, lastEvent: request.ResumeAfter},
 	}
 	if labelled, isLabelled := protocol.(LabelledProtocol); isLabelled {
 		current.newTruncationEvent = labelled.TruncationEvent
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -58,6 +58,8 @@
 // Invariant: the caller gets complete events, each once and in order.
 type relay struct {
 	writer http.ResponseWriter
+	// deadline is that of the request. Events that are ready after it, for example after the process was suspended, are written as well.
+	deadline time.Time
 	// onResponse is called at the first event of each worker's response.
 	onResponse func()
 	// onEvent is called for each event that a worker sends, in order, with the time that forwarding the one before took; may be nil.
@@ -123,12 +125,14 @@
 	}
 	r.started = true
 	r.firstByte = time.Now()
+	extendWriteDeadline(r.writer, r.deadline)
 	copyHeaders(r.writer.Header(), response.Header)
 	r.writer.WriteHeader(response.Status)
 }
 
 // writeEvent writes one event, and flushes it if asked to.
 func (r *relay) writeEvent(event eventstream.Event, flush bool) error {
+	extendWriteDeadline(r.writer, r.deadline)
 	if _, err := r.writer.Write(event.Raw); err != nil {
 		return &CallerError{Cause: err}
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -38,6 +38,7 @@
 	if c.newTruncationEvent == nil {
 		return
 	}
+	extendWriteDeadline(c.writer, c.deadline)
 	// A write error means that the caller has disconnected.
 	if _, err := c.writer.Write(c.newTruncationEvent(c.report.Reason)); err == nil {
 		_ = http.NewResponseController(c.writer).Flush()
