Retry-After: the workers' own word where nothing else is known

Callers saw 503 with Retry-After 0.15 s while all workers had asked for no requests for 1.5 s: TestRetryAfterOfWorkersIsRespected/all, one caller in 1 of 4 whole runs.

Cause: the end of the first back-off was told only if all workers of the role were known to back off. A request that was refused by one worker, and that the retry budget allowed no other attempt, got the time for an unknown reason.

Evidence: repeating showed nothing (20 of 20 beside 5 busy threads, 36 of 36 beside 30). Trials on untouched code: gateways without the credit of a first start tell one caller each 0.15 s in 4 of 4 runs, in the same millisecond as 'The budget of repeats is used up. denied=1 granted=0 group=app'. The scenario of the test with a store that answers 150 or 300 ms later while the second gateway starts fails as listed, one caller at that gateway; with 0 and 50 ms it passes. Ruled out: the limit of four attempts (two workers a role), MinRetryAfter of the admission (the group is not controlled).

Change: if workers of the role back off and no other one has responded since the first of these back-offs began, its end is told. If one has, callers may return soon, as before.

--- a/internal/balance/backoff_test.go
+++ b/internal/balance/backoff_test.go
@@ -104,6 +104,13 @@
 		if strconv.Itoa(spent) != arguments[1] {
 			return fmt.Sprintf("spent %d requests", spent)
 		}
+	case "respond":
+		r.balancer.ResponseStarted(r.now, arguments[0])
+	case "likely-in":
+		until, likely := r.balancer.RoleBackOffUntil(r.now, "g", backend.RoleDecode)
+		if got := until.Sub(r.now).String(); (likely && got != arguments[0]) || (!likely && arguments[0] != "now") {
+			return fmt.Sprintf("likely to accept in %s, back-offs decide: %t", got, likely)
+		}
 	case "accepts-in":
 		full, allFull := r.balancer.RoleFullUntil(r.now, "g", backend.RoleDecode)
 		if got := full.Until.Sub(r.now).String(); (allFull && got != arguments[0]) || (!allFull && arguments[0] != "never") {
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -168,8 +168,9 @@
 	unreachableUntil time.Time
 	// The worker is skipped until roleChangeUntil because it is changing its role.
 	roleChangeUntil time.Time
-	// The worker has asked for no requests until backOffUntil.
-	backOffUntil time.Time
+	// backOff is the time for which the worker has asked for no requests, and respondedAt when it last started to respond to one.
+	backOff     backOff
+	respondedAt time.Time
 	// limit is the request rate limit that the worker has announced, or nil.
 	limit *workerLimit
 	// ringPosition is the hash of the address.
@@ -206,7 +207,7 @@
 	for _, worker := range changes.Updated {
 		state, found := b.workers[worker.ID]
 		if !found {
-			state = &workerState{backOffUntil: b.backOffs[worker.ID], limit: b.limits.byWorker[worker.ID]}
+			state = &workerState{backOff: b.backOffs[worker.ID], limit: b.limits.byWorker[worker.ID]}
 			b.workers[worker.ID] = state
 			b.crashes.added = append(b.crashes.added, state)
 		}
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -171,7 +171,7 @@
 // back-off time and its limit tell. If this gateway has no share of the limit, it is when the next request of any
 // gateway is due, since a retry may reach another gateway.
 func (s *workerState) acceptsFrom(now time.Time) time.Time {
-	from := s.backOffUntil
+	from := s.backOff.until
 	if s.limit == nil {
 		return from
 	}
--- a/internal/forward/availability.go
+++ b/internal/forward/availability.go
@@ -89,6 +89,11 @@
 // refuseWithRetryAfter tells the caller that its request did not run and when to retry.
 func (c *call) refuseWithRetryAfter() connAction {
 	expected, known := c.unavailability()
+	reason := ReasonBackOff
+	if !known {
+		expected.expectedAt, known = c.handler.dispatcher.backOffUntil(c.match.Group)
+		reason = ReasonOthersBackOff
+	}
 	if !known {
 		after, promised := c.handler.dispatcher.promiseReturn(c.admissionRequest())
 		if !promised {
@@ -101,7 +106,6 @@
 	}
 	after := max(expected.expectedAt.Sub(c.handler.dispatcher.now()), 0) + availabilityPropagationDelay
 	after += time.Duration(retryAfterJitter * hashFraction(c.request.ID) * float64(after))
-	reason := ReasonBackOff
 	switch {
 	case expected.loss != nil:
 		c.report.Loss = expected.loss
--- a/internal/forward/backoff_test.go
+++ b/internal/forward/backoff_test.go
@@ -47,6 +47,25 @@
 	}
 }
 
+// TestRetryAfterWithoutRetryBudget guards against telling a caller to return at once when the worker that refused its request backs off, the
+// retry budget allows no other attempt, and nothing shows that another worker accepts requests.
+func TestRetryAfterWithoutRetryBudget(t *testing.T) {
+	for _, engine := range []bool{false, true} {
+		var f *fixture
+		rule := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Objective: 300 * time.Millisecond}
+		f = newFixture(t, fixtureOptions{rule: rule, engine: engine}, backOffWorkers(&f, 2*time.Second, time.Minute))
+		for number := range 3 {
+			response, body, err := f.get(t)
+			if err != nil || response.StatusCode != http.StatusServiceUnavailable || len(f.workers.ranAt) != number+1 {
+				t.Fatalf("request %d: got %v, %v after %d attempts: %s", number, response, err, len(f.workers.ranAt), body)
+			}
+			if after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err != nil || after < 1.5 || after > 2.5 {
+				t.Errorf("request %d: Retry-After is %q, want the end of the first back-off", number, response.Header.Get("Retry-After"))
+			}
+		}
+	}
+}
+
 // TestRequestWaitsForShortBackOff guards against refusing a request although a worker's back-off ends well within its objective.
 func TestRequestWaitsForShortBackOff(t *testing.T) {
 	var f *fixture
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -253,6 +253,7 @@
 	defer d.mutex.Unlock()
 	a.leaveQueue(true)
 	a.observePrefill()
+	d.balancer.ResponseStarted(d.now(), a.Worker.ID)
 	d.balancer.PrefillDone(a.Worker.ID, a.load)
 	d.peers.loadChanged(a.Worker.ID, false)
 	a.load = backend.Load{}
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -22,6 +22,7 @@
 	ReasonInvalid           Reason = "the request is not valid"
 	ReasonNoWorker          Reason = "no worker takes the request now"
 	ReasonBackOff           Reason = "all workers asked for no requests for a time"
+	ReasonOthersBackOff     Reason = "workers asked for no requests for a time, and no other has responded since"
 	ReasonRateLimit         Reason = "all workers take only so many requests a second"
 	ReasonNoRoom            Reason = "no room is expected before the caller leaves"
 	ReasonRoleLost          Reason = "a role is gone: no engine writes answers now"
--- a/internal/forward/saturation.go
+++ b/internal/forward/saturation.go
@@ -38,6 +38,14 @@
 	return cached.RoleFull, !cached.Until.IsZero()
 }
 
+// backOffUntil returns when the first back-off of the workers that run requests of a group ends, or false if another worker is known to accept
+// requests. It iterates over all workers of the group.
+func (d *Dispatcher) backOffUntil(group *routing.Group) (time.Time, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.balancer.RoleBackOffUntil(d.now(), group.Name, runnerRole(group))
+}
+
 // runnerRole returns the role of the workers that run requests of a group.
 func runnerRole(group *routing.Group) backend.Role {
 	if group.Engine == nil {
