Soak: the report says when the workers of a request ended, and why

A stream that is cut may have lost its worker by a crash, under a request that is named, or by a planned exit. The report of a violation did not tell them apart.

--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/ctxsleep"
+	"github.com/granitebay/granitebay/internal/standin/fleet"
 )
 
 // Command is the command line of the soak.
@@ -244,13 +245,34 @@
 func (h *History) describeRequest(id string) string {
 	for _, r := range h.Requests {
 		if r.Request.ID == id {
-			return fmt.Sprintf("sent %s to %s, ended %s with %d %v; runs %+v", r.Sent.Format(timeFormat), r.Gateway, r.Ended.Format(timeFormat),
-				r.Response.Status, r.Response.Err, h.Runs[id])
+			return fmt.Sprintf("sent %s to %s, ended %s with %d %v; runs %+v; %s", r.Sent.Format(timeFormat), r.Gateway, r.Ended.Format(timeFormat),
+				r.Response.Status, r.Response.Err, h.Runs[id], strings.Join(h.workerEnds(h.Runs[id]), ", "))
 		}
 	}
 	return ""
 }
 
+// workerEnds describes when and why the workers of runs ended, to tell a crash from a planned exit.
+func (h *History) workerEnds(runs []fleet.Run) []string {
+	var ends []string
+	for _, run := range runs {
+		for _, crash := range h.Crashes {
+			if crash.Worker == run.Worker {
+				ends = append(ends, fmt.Sprintf("%s crashed %s under %s", crash.Worker, crash.At.Format(timeFormat), crash.ID))
+			}
+		}
+		for _, departure := range h.Departures {
+			if departure.Worker == run.Worker {
+				ends = append(ends, fmt.Sprintf("%s began to drain %s", departure.Worker, departure.At.Format(timeFormat)))
+			}
+		}
+	}
+	if len(ends) == 0 {
+		return []string{"no worker of it ended"}
+	}
+	return ends
+}
+
 // timeFormat is the format of printed times.
 const timeFormat = "15:04:05.000"
 
