Feed: large values are sent compressed

Cause: an entry sends the whole configuration to each standby gateway that follows it, 262 kB with 1,240 routes more, 350 kB in JSON. With the two gateways of a zone that have fast links cut off from the store, gateways with links of 10 Mbit/s take their places, and eight or nine bodies at once take 2.5 to 3.3 s. Other requests to that entry time out behind them, and their senders skip it for 2 s.

Evidence: trial logs each request to the feed (took=3.048s, bytes=263841). Ruled out: deferred changes, full and sharded transfers, calls of standby gateways to the store.

Builds before neither ask for it nor get it.

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -32,6 +32,9 @@
 	paramAllShards     = "all"
 )
 
+// paramCompressed is set by requesters that support compressed values, in requests for changes and snapshots.
+const paramCompressed = "compressed"
+
 // maxWait bounds the wait of a request.
 const maxWait = 10 * time.Second
 
@@ -49,26 +52,33 @@
 // and of those that it received heartbeats from.
 func Handler(source Source, entries func() (all, live []string)) http.Handler {
 	mux := http.NewServeMux()
-	largeResponseSlots := make(chan struct{}, maxLargeResponses)
-	mux.HandleFunc("GET "+pathSnapshot, func(w http.ResponseWriter, _ *http.Request) { serveSnapshot(w, source) })
-	mux.HandleFunc("GET "+pathChanges, func(w http.ResponseWriter, r *http.Request) { serveChanges(w, r, source, entries, largeResponseSlots) })
+	s := &server{source: source, entries: entries, compressor: newCompressor(), largeResponseSlots: make(chan struct{}, maxLargeResponses)}
+	mux.HandleFunc("GET "+pathSnapshot, s.serveSnapshot)
+	mux.HandleFunc("GET "+pathChanges, s.serveChanges)
 	return mux
 }
 
+// server serves snapshots and changes.
+type server struct {
+	source     Source
+	entries    func() (all, live []string)
+	compressor *compressor
+	// largeResponseSlots holds a value for each large response in progress.
+	largeResponseSlots chan struct{}
+}
+
 // maxLargeResponses bounds the memory for concurrent responses with all items or a whole shard, which hundreds of gateways
 // may request at once.
 const maxLargeResponses = 16
 
 // serveChanges handles a request for changes.
-func serveChanges(
-	w http.ResponseWriter, r *http.Request, source Source, entries func() (all, live []string), largeResponseSlots chan struct{},
-) {
+func (s *server) serveChanges(w http.ResponseWriter, r *http.Request) {
 	request, err := parseRequest(r.URL.Query())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	changes, served := awaitChanges(r.Context(), request, source, entries)
+	changes, served := awaitChanges(r.Context(), request, s.source, s.entries)
 	if !served {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -79,22 +89,29 @@
 		// disconnected.
 		_ = http.NewResponseController(w).Flush()
 		select {
-		case largeResponseSlots <- struct{}{}:
-			defer func() { <-largeResponseSlots }()
+		case s.largeResponseSlots <- struct{}{}:
+			defer func() { <-s.largeResponseSlots }()
 		case <-r.Context().Done():
 			return
 		}
 		// Get the changes again, as they may be outdated after the wait. Without a body, the requester rejects the
 		// response.
-		if changes, served = source.Changes(request); !served {
+		if changes, served = s.source.Changes(request); !served {
 			return
 		}
 	}
-	changes.Entries, changes.Live = entries()
+	changes.Entries, changes.Live = s.entries()
+	var response any = changes
+	if acceptsCompressed(r) {
+		response = s.compressor.changes(changes)
+	}
 	// An error means that the peer has disconnected.
-	_ = json.NewEncoder(w).Encode(changes)
+	_ = json.NewEncoder(w).Encode(response)
 }
 
+// acceptsCompressed reports whether the sender of a request supports compressed values.
+func acceptsCompressed(r *http.Request) bool { return r.URL.Query().Get(paramCompressed) != "" }
+
 // awaitChanges returns the changes as soon as one is not deferrable, all items or a whole shard must be sent, or the
 // entries change, and otherwise after the wait of the request. Changes that do not concern the requester, which are
 // frequent in large fleets, do not end the wait. Deferrable changes, of which a starting fleet produces many, are batched.
@@ -167,7 +184,7 @@
 func encodeRequest(request store.ChangesRequest) url.Values {
 	query := url.Values{
 		paramAfter: {strconv.FormatInt(request.After.Number(), 10)}, paramEra: {strconv.FormatInt(request.After.Era(), 10)}, paramWait: {strconv.FormatInt(request.Wait.Milliseconds(), 10)},
-		paramShards: {strconv.Itoa(request.Shards)}, paramShardHash: {strconv.FormatUint(request.ShardHash, 10)},
+		paramCompressed: {"1"}, paramShards: {strconv.Itoa(request.Shards)}, paramShardHash: {strconv.FormatUint(request.ShardHash, 10)},
 	}
 	if request.ListedThrough != "" {
 		query.Set(paramListedThrough, request.ListedThrough)
@@ -193,8 +210,12 @@
 	defer cancel()
 	timer := time.AfterFunc(request.Wait+headerTimeoutMargin, cancel)
 	defer timer.Stop()
-	var changes store.Changes
-	err := c.get(ctx, address, pathChanges+"?"+encodeRequest(request).Encode(), &changes, func() { timer.Reset(bodyTimeout) })
+	var response wireChanges
+	err := c.get(ctx, address, pathChanges+"?"+encodeRequest(request).Encode(), &response, func() { timer.Reset(bodyTimeout) })
+	if err != nil {
+		return store.Changes{}, errors.Wrapf(err, "request changes, peer %s", address)
+	}
+	changes, err := response.unpack()
 	changes.ResolveEra(request.After.Era())
 	return changes, errors.Wrapf(err, "request changes, peer %s", address)
 }
--- a/internal/changefeed/snapshot.go
+++ b/internal/changefeed/snapshot.go
@@ -23,15 +23,19 @@
 )
 
 // serveSnapshot handles a request for a snapshot.
-func serveSnapshot(w http.ResponseWriter, source Source) {
-	snapshot, found := source.Snapshot()
+func (s *server) serveSnapshot(w http.ResponseWriter, r *http.Request) {
+	snapshot, found := s.source.Snapshot()
 	if !found {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	var response any = snapshot
+	if acceptsCompressed(r) {
+		response = s.compressor.snapshot(snapshot)
+	}
 	// An error means that the peer has disconnected.
-	_ = json.NewEncoder(w).Encode(snapshot)
+	_ = json.NewEncoder(w).Encode(response)
 }
 
 // decode decodes a response body of limited size.
@@ -76,8 +80,12 @@
 
 // fetchFrom fetches the snapshot of one gateway, and returns nil on failure.
 func (s *Seeds) fetchFrom(ctx context.Context, address string) *store.Snapshot {
-	var snapshot store.Snapshot
-	if s.get(ctx, address, pathSnapshot, &snapshot, nil) != nil {
+	var response wireSnapshot
+	if s.get(ctx, address, pathSnapshot+"?"+paramCompressed+"=1", &response, nil) != nil {
+		return nil
+	}
+	snapshot, err := response.unpack()
+	if err != nil {
 		return nil
 	}
 	snapshot.ResolveEra(0)
