Replica: a restart of the watch that came during a list is dropped

After a restore of the store, most entries listed it twice within 4 ms: the response to the first list reports the restore, whose handling requests a restart of the watch. The request stayed pending, ended the next watch at once, and an interrupted watch requires a list.

--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -307,6 +307,7 @@
 		return err
 	}
 	r.RecordStoreResponse()
+	r.dropRestart()
 	if !complete {
 		r.startWithoutShard(r.unshardedItems(items), revision, listedThrough)
 		return nil
@@ -318,6 +319,15 @@
 	return nil
 }
 
+// dropRestart drops a pending restart of the watch. A list is as current as a restarted watch, which would cause another list: the response
+// that reports a restore of the store requests a restart, and is often that of the list itself.
+func (r *Replica) dropRestart() {
+	select {
+	case <-r.restartWatch:
+	default:
+	}
+}
+
 // loadFallback loads the items of another process and reports whether there were any. The replica still lists the store as
 // soon as that responds.
 func (r *Replica) loadFallback(ctx context.Context) bool {
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -231,6 +231,31 @@
 	t.Fatal("the watch was not restarted")
 }
 
+// TestRestartDuringListCausesNoOtherList guards against listing the store twice after a restore, which the response to the first list reports.
+func TestRestartDuringListCausesNoOtherList(t *testing.T) {
+	var replica *Replica
+	lists := 0
+	fake := &fakeStore{events: make(chan func(Revision) ([]Event, Revision, error))}
+	fake.lists = []func() ([]Item, Revision, error){func() ([]Item, Revision, error) {
+		lists++
+		replica.RestartWatch()
+		return []Item{item("a", 1)}, Revision(lists), nil
+	}}
+	replica = NewReplica(fake, "", DefaultReplicaSettings(), &recorder{}, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		replica.Run(ctx)
+	}()
+	fake.events <- func(after Revision) ([]Event, Revision, error) { return nil, after, nil }
+	cancel()
+	<-done
+	if lists != 1 {
+		t.Errorf("%d lists of the store", lists)
+	}
+}
+
 // TestReplicaListsAfterFailedWatch guards against missing changes that the store discarded when a watch failed, since a
 // new watch returns only later ones.
 func TestReplicaListsAfterFailedWatch(t *testing.T) {
