Feed: an upstream that does not serve is not a failed one

Standby gateways that were mistaken about the entries of their zone stayed so for more than ten seconds: they asked two gateways of the zone that were no entries, got 503 in 2 ms each, stopped after these two failures, and watched the store instead. From the store they hear registrations, but not who is alive, so they took the next two gateways of the zone for entries, and never asked those of other zones, which answer with the entries.

Change: a response without changes does not count as a failure, so the fourth request at the latest goes to another zone. Upstreams that do not respond count as before.

TestMistakenZoneAsksOtherZones fails before. In TestUpstreamsOfOwnZoneAlternateAndFailOver the first request after both upstreams of the zone became unavailable had to fail; that was the fault. It is now to be served by the other zone, as the three after it. That two failures end a request stands in TestFailedUpstreamsDelayRequestOnce, with upstreams that are down.

--- a/internal/changefeed/follower.go
+++ b/internal/changefeed/follower.go
@@ -110,15 +110,16 @@
 	// storeUnavailablePause is how long others are preferred to an upstream that cannot reach the store. It is short,
 	// because after an outage any upstream may be the first to reach the store again.
 	storeUnavailablePause = 500 * time.Millisecond
-	// maxRequests limits the upstreams queried before the store is called, and maxFailures the failed ones, as a failure
-	// takes longer than a response.
+	// maxRequests limits the upstreams queried before the store is called, and maxFailures those that failed without a
+	// response, which takes longer.
 	maxRequests = 4
 	maxFailures = 2
 	// storeAttemptInterval is the interval between attempts to call the store while no upstream can reach it.
 	storeAttemptInterval = 2500 * time.Millisecond
 )
 
-// Next implements store.Feed. It returns changes of an upstream that is cut off from the store only if no better one
+// Next implements store.Feed. Upstreams that respond without changes do not count as failed: they are not entries, so this
+// gateway is mistaken about its zone, and those of other zones tell it which gateways are. It returns changes of an upstream that is cut off from the store only if no better one
 // responds and the store itself is not due for an attempt.
 func (f *Follower) Next(ctx context.Context, request store.ChangesRequest) (store.Changes, error) {
 	var degraded *store.Changes
@@ -132,7 +133,9 @@
 		if err != nil {
 			// Query the next upstream. This one is only skipped here; the entries replace it once its heartbeats stop.
 			f.markFailed(upstream, err)
-			failed++
+			if !errors.Is(err, errUnavailable) {
+				failed++
+			}
 			continue
 		}
 		f.onEntries(changes.Entries, changes.Live)
