Feed: a registered entry is asked when no upstream serves

Change: after three responses of upstreams that are no entries it asks one that is, as far as registrations tell, its own zone first. It may be dead, so the others go first, and only one is asked in a round.

TestRegisteredEntryIsAskedWhenNoUpstreamServes fails without it.

--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -276,3 +276,23 @@
 		t.Errorf("got %+v, %v after %s", changes, err, waited)
 	}
 }
+
+// TestRegisteredEntryIsAskedWhenNoUpstreamServes guards against a gateway that is mistaken about the entries of all zones, and so asks in
+// vain for as long as it takes others for dead.
+func TestRegisteredEntryIsAskedWhenNoUpstreamServes(t *testing.T) {
+	var upstreams []changefeed.Upstream
+	for _, zone := range []string{"a", "a", "b", "b", "c", "c"} {
+		standby := newSource(changeAt(4))
+		standby.unavailable = true
+		upstreams = append(upstreams, changefeed.Upstream{Name: "standby", Zone: zone, Address: serve(t, standby)})
+	}
+	entry := newSource(changeAt(4))
+	follower, entries := newFollower(upstreams...)
+	follower.SetRegistered([]changefeed.Upstream{upstreams[0], {Name: "me", Zone: "a", Address: "127.0.0.1:1"}, {Name: "entry", Zone: "a", Address: serve(t, entry)}})
+	if _, err := follower.Next(t.Context(), requestAfter(3, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if reported := entries(); !slices.Contains(reported, "entry") {
+		t.Errorf("reported entries %v", reported)
+	}
+}
--- a/internal/changefeed/follower.go
+++ b/internal/changefeed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	// mu protects the following fields.
 	mu        sync.Mutex
 	upstreams []Upstream
+	// registered are the gateways that are entries as far as registrations tell, whether or not they are alive.
+	registered []Upstream
 	// failedUntil holds until when to skip upstreams that failed, by address.
 	failedUntil map[string]time.Time
 	// storeUnavailableUntil holds until when to prefer others to upstreams that cannot reach the store, by address.
@@ -80,6 +83,14 @@
 	}
 }
 
+// SetRegistered sets the gateways that are entries as far as registrations tell. One of them is asked when the upstreams are not entries,
+// because this gateway is mistaken about who is alive.
+func (f *Follower) SetRegistered(upstreams []Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registered = upstreams
+}
+
 // storeSilenceFraction is the fraction of the propagation bound after which an upstream without response from the store
 // is considered cut off. Upstreams renew their registration every second, so healthy ones are well below it. It leaves
 // time to query another upstream within the bound.
@@ -114,18 +125,23 @@
 	// response, which takes longer.
 	maxRequests = 4
 	maxFailures = 2
+	// maxNotServing is the number of responses of upstreams that are not entries after which a registered entry is queried.
+	maxNotServing = 3
 	// storeAttemptInterval is the interval between attempts to call the store while no upstream can reach it.
 	storeAttemptInterval = 2500 * time.Millisecond
 )
 
-// Next implements store.Feed. Upstreams that respond without changes do not count as failed: they are not entries, so this
-// gateway is mistaken about its zone, and those of other zones tell it which gateways are. It returns changes of an upstream that is cut off from the store only if no better one
-// responds and the store itself is not due for an attempt.
+// Next implements store.Feed. It returns changes of an upstream that is cut off from the store only if no better one
+// responds and the store itself is not due for an attempt. Upstreams that respond without changes do not count as failed:
+// they are not entries, so this gateway is mistaken about its zone, and those of other zones tell it which gateways are.
 func (f *Follower) Next(ctx context.Context, request store.ChangesRequest) (store.Changes, error) {
 	var degraded *store.Changes
-	failed := 0
+	failed, notServing := 0, 0
 	for requests := 0; requests < maxRequests && failed < maxFailures; requests++ {
 		upstream, found := f.pickUpstream(time.Now(), request.Upstream)
+		if notServing >= maxNotServing {
+			upstream, found = f.pickRegistered(time.Now())
+		}
 		if !found {
 			break
 		}
@@ -133,7 +149,9 @@
 		if err != nil {
 			// Query the next upstream. This one is only skipped here; the entries replace it once its heartbeats stop.
 			f.markFailed(upstream, err)
-			if !errors.Is(err, errUnavailable) {
+			if errors.Is(err, errUnavailable) {
+				notServing++
+			} else {
 				failed++
 			}
 			continue
@@ -181,6 +199,27 @@
 	return Upstream{}, false
 }
 
+// pickRegistered returns a registered entry that is not among the upstreams, from the own zone if possible. It skips those that failed
+// recently.
+func (f *Follower) pickRegistered(now time.Time) (Upstream, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var candidates []Upstream
+	for _, upstream := range f.registered {
+		if upstream.Address == "" || upstream.Name == f.name || now.Before(f.failedUntil[upstream.Address]) || slices.Contains(f.upstreams, upstream) {
+			continue
+		}
+		if upstream.Zone == f.zone {
+			return upstream, true
+		}
+		candidates = append(candidates, upstream)
+	}
+	if len(candidates) == 0 {
+		return Upstream{}, false
+	}
+	return candidates[f.rotation%len(candidates)], true
+}
+
 // markStoreUnavailable makes the follower prefer other upstreams for a while.
 func (f *Follower) markStoreUnavailable(upstream Upstream) {
 	f.mu.Lock()
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -176,7 +176,9 @@
 	g.entries.mu.Lock()
 	defer g.entries.mu.Unlock()
 	g.entries.advertisedAt = time.Time{}
-	g.dispatcher.SetHolders(gatewayNames(g.view.RegisteredEntries()))
+	registered := g.view.RegisteredEntries()
+	g.dispatcher.SetHolders(gatewayNames(registered))
+	g.feedFollower.SetRegistered(upstreamsOf(registered))
 	entries, suspects := g.view.Entries()
 	serving := g.view.ServingCount()
 	// Claimants are gateways that recently sent heartbeats as entries while this gateway does not consider them entries.
@@ -198,13 +200,18 @@
 	if entriesChanged {
 		g.replica.NotifyWaiters()
 	}
-	g.feedFollower.SetUpstreams(lo.Map(entries, func(entry member.Gateway, _ int) changefeed.Upstream {
-		return changefeed.Upstream{Name: entry.Name, Zone: entry.Zone, Address: entry.ControlAddress}
-	}))
+	g.feedFollower.SetUpstreams(upstreamsOf(entries))
 	g.setRetryGatewayCount(receivers.Standby, len(entries), len(suspects)+len(claimants), serving)
 	g.loadExchange.SetReceivers(receivers)
 }
 
+// upstreamsOf returns gateways as upstreams of the change feed.
+func upstreamsOf(gateways []member.Gateway) []changefeed.Upstream {
+	return lo.Map(gateways, func(gateway member.Gateway, _ int) changefeed.Upstream {
+		return changefeed.Upstream{Name: gateway.Name, Zone: gateway.Zone, Address: gateway.ControlAddress}
+	})
+}
+
 // setLeader records the name of the leader and reports whether it has changed.
 func (g *Gateway) setLeader(name string) bool {
 	g.entries.mu.Lock()
