Replica: only the lister lists the store soon after a failure

Cause: each entry lists the store again 50 to 100 ms after a failed call, then after 100 to 200 ms, whether or not the store answers: two or three refused lists of each in an outage of 0.5 s, more beside load, where the outage of the test lasts longer.

Change: the entries other than the lister wait for 300 to 600 ms. Meanwhile they ask each other for changes, as before, so they have the list of the first that gets one.

TestOnlyListerListsSoonAfterFailure fails before (68 ms, want 300 ms).

--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -176,7 +176,7 @@
 
 // Run keeps the consumer up to date until the context ends.
 func (r *Replica) Run(ctx context.Context) {
-	pause := r.settings.MinRetryPause
+	pause := r.firstRetryPause()
 	for ctx.Err() == nil {
 		if r.usesFeed() {
 			if r.pollFeed(ctx, feedPollWait) == nil {
@@ -189,7 +189,7 @@
 		}
 		err := r.step(ctx)
 		if err == nil {
-			pause = r.settings.MinRetryPause
+			pause = r.firstRetryPause()
 			r.setStoreUnavailable(false)
 			continue
 		}
@@ -209,6 +209,18 @@
 	}
 }
 
+// firstRetryPause returns the pause after the first failed call. The lister tries again soon. The other processes that watch the store get its
+// list by the feed, and so need not list the store themselves when it is back: they would all do so at once, and during the outage as well.
+func (r *Replica) firstRetryPause() time.Duration {
+	if r.feed == nil || r.lister == nil || r.table == nil {
+		return r.settings.MinRetryPause
+	}
+	if _, isOwn := r.lister(); isOwn {
+		return r.settings.MinRetryPause
+	}
+	return r.settings.MaxRetryPause
+}
+
 // usesFeed reports whether the replica follows its feed instead of the store.
 func (r *Replica) usesFeed() bool { return r.feed != nil && r.table != nil && r.standby.Load() }
 
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -256,6 +256,40 @@
 	}
 }
 
+// TestOnlyListerListsSoonAfterFailure guards against lists of all processes that watch the store when it is unavailable and when it is back.
+func TestOnlyListerListsSoonAfterFailure(t *testing.T) {
+	settings := DefaultReplicaSettings()
+	errRefused := errors.New("refused")
+	failedAt, listedAt := make(chan time.Time, 1), make(chan time.Time, 1)
+	fake := &fakeStore{events: make(chan func(Revision) ([]Event, Revision, error), 1)}
+	fake.lists = []func() ([]Item, Revision, error){listResult(1), func() ([]Item, Revision, error) {
+		select {
+		case listedAt <- time.Now():
+		default:
+		}
+		return nil, 0, errRefused
+	}}
+	replica := NewReplica(fake, "", settings, &recorder{}, nil)
+	replica.SetFeed(feedFunc(func(ChangesRequest) (Changes, error) { return Changes{}, ErrNoUpstream }))
+	replica.SetLister(func() (string, bool) { return "another", false })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		replica.Run(ctx)
+	}()
+	fake.events <- func(Revision) ([]Event, Revision, error) {
+		failedAt <- time.Now()
+		return nil, 0, errRefused
+	}
+	// The pause is jittered down to half of its maximum.
+	if waited := (<-listedAt).Sub(<-failedAt); waited < settings.MaxRetryPause/2 {
+		t.Errorf("a process that does not list for all listed the store after %s, want %s", waited, settings.MaxRetryPause/2)
+	}
+	cancel()
+	<-done
+}
+
 // TestReplicaListsAfterFailedWatch guards against missing changes that the store discarded when a watch failed, since a
 // new watch returns only later ones.
 func TestReplicaListsAfterFailedWatch(t *testing.T) {
