Soak: a request whose bar has expired is not repeated

Cause: the caller of the soak repeats a crashing request as long as the store lists its bar. After ten minutes the request is let through once, by design, and costs a worker.

No check is changed.

--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -176,12 +175,21 @@
 // crashingBody returns the body of a worker-crashing request.
 func crashingBody(number int) string { return fmt.Sprintf("number %d %s", number, fleet.CrashingBody) }
 
-// isBlocked reports whether the store lists a request as blocked.
+// isBlocked reports whether the store holds a bar of a request that stays in force while the request runs. Each expiry of a bar may cost a
+// worker, and the store keeps expired bars.
 func (s *system) isBlocked(path, body string) bool {
-	digest := poison.Request{Method: http.MethodPost, Host: fleet.Host, Target: path, Body: []byte(body)}.Digest()
-	return slices.Contains(s.fleet.Store.Keys(poison.BarPrefix), poison.BarKey(digest))
+	key := poison.BarKey(poison.Request{Method: http.MethodPost, Host: fleet.Host, Target: path, Body: []byte(body)}.Digest())
+	value, found := s.fleet.Store.Value(key)
+	if !found {
+		return false
+	}
+	bar, err := poison.DecodeBar(key, value)
+	return err == nil && bar.Until.After(time.Now().Add(maxDeadline+callSlack))
 }
 
+// maxDeadline bounds the deadlines of requests.
+const maxDeadline = 3 * time.Second
+
 // callSlack is how long after its deadline a client still waits.
 const callSlack = 2 * time.Second
 
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -127,6 +127,14 @@
 	return keys
 }
 
+// Value returns the value of a key, or false if the store has no such item.
+func (s *Store) Value(key string) ([]byte, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	item, found := s.items[key]
+	return item.Value, found
+}
+
 // Calls returns the number of calls by name.
 func (s *Store) Calls() map[string]int {
 	s.mutex.Lock()
