Comments: reasons and figures behind constants

Put back, in today's names: the safety of the retry budget and what is stored of it, the spread and the turns of suspects, the rate of changes of workers, the group for which the interval of role changes was measured, the timeout for cached segments, the jitter of requests that wait, the delay of a crash's report to the caller, the share of the objective in a response timeout.

Comments only.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -120,7 +120,8 @@
 	PauseSeconds, LateEndSeconds, LateStartSeconds float64
 	// OtherZoneSeconds is the cost of a worker in another zone.
 	OtherZoneSeconds float64
-	// SuspectSpreadSeconds is the maximum cost above the cheapest worker at which a suspect may be placed.
+	// SuspectSpreadSeconds is the maximum cost above the cheapest worker at which a suspect may be placed. The default is
+	// a third of the tightest objective of the users' deployments, 0.25 s.
 	SuspectSpreadSeconds float64
 	// Risk limits how many workers suspects may crash.
 	Risk RiskSettings
--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -23,7 +23,7 @@
 	CrashMemory time.Duration
 	// Sets is the maximum number of sets into which suspects are divided. If n workers may serve suspects, they are
 	// divided into Sets/n sets, rounded up, which take turns, so that a suspect that crashes workers runs beside few of
-	// the others.
+	// the others. Without turns, 3 of 50 simulations of a role of four workers barred a frequent request that does no harm.
 	Sets int
 	// Turn is the length of a turn, somewhat longer than a suspect needs to crash its worker.
 	Turn time.Duration
--- a/internal/cachesync/cachesync.go
+++ b/internal/cachesync/cachesync.go
@@ -29,7 +29,8 @@
 	// maxResponseBytes limits the size of a response.
 	maxResponseBytes = 16 << 20
 	// requestTimeout limits the time of a request. It must be short, because the gateway queries the engines if no
-	// other gateway responds, and clients wait meanwhile.
+	// other gateway responds, and clients wait meanwhile. The table for a thousand documents has some hundred kilobytes,
+	// 0.1 s of a link of 10 Mbit/s.
 	requestTimeout = 500 * time.Millisecond
 )
 
--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -74,7 +74,9 @@
 	// SpotTimeout is how long spot workers of a zone may be missing before other workers are ordered instead. It applies only while fewer
 	// workers are present than needed.
 	SpotTimeout time.Duration
-	// MaxChangeRate limits the workers ordered or removed per second in all groups, because the record of each is sent to every gateway.
+	// MaxChangeRate limits the workers ordered or removed per second in all groups, because the record of each is sent to every gateway: two
+	// records of some 600 bytes for each, at the default rate a twentieth of a link of 10 Mbit/s. 3,000 workers that were replaced within
+	// seconds kept configurations from gateways for 8 s.
 	MaxChangeRate float64
 	// ReserveShare determines the number of additional spot workers, which is ReserveShare*(1-SpotPrice) of the need. They cover crashes,
 	// drains, and bursts until new workers have booted.
--- a/internal/forward/availability.go
+++ b/internal/forward/availability.go
@@ -62,7 +62,7 @@
 }
 
 // wakeJitter is the interval over which requests that wait for a worker are sent. It is long enough for the response to the first of them
-// to arrive before the last is sent.
+// to arrive before the last is sent, and a quarter of the tightest objective of the users' deployments whose requests wait, 0.25 s.
 const wakeJitter = 60 * time.Millisecond
 
 // awaitRecovery waits, up to the timeout, until an engine of a lost role accepts requests. It reports whether one does.
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -272,7 +272,8 @@
 }
 
 // The response timeout of an engine is a base plus a multiple of the expected queueing and prefill time. The base is limited to a share of
-// the objective, so that another engine can still answer in time.
+// the objective, so that another engine can still answer in time. On a quiet day 50 of 16,000 short prompts take longer although their engine
+// is well.
 const (
 	responseTimeoutBase           = 400 * time.Millisecond
 	responseTimeoutObjectiveShare = 0.4
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -29,7 +29,8 @@
 }
 
 // peerNotifyDelay is how long the failure of a request that crashed a worker is withheld from its caller. Within that time the other
-// gateways receive the crash, so that they recognize an immediate retry.
+// gateways receive the crash, so that they recognize an immediate retry: a datagram is delayed by 2 ms to be batched, and takes some 20 ms
+// between regions.
 const peerNotifyDelay = 30 * time.Millisecond
 
 // requestDigest returns the digest of the request.
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -24,16 +24,18 @@
 }
 
 // DefaultSafety keeps retries within Ratio and Allowance although credit earned before a window may be spent in it, and
-// retries may arrive some time after they were granted.
+// retries may arrive some time after they were granted. At a steady load the credit from before is a fifth of the ratio:
+// 0.8 of 1.2 is 0.96.
 const DefaultSafety = 0.8
 
 const (
 	// storedFraction is the fraction of the allowance that may be stored; the rest is earned over a window. A larger
-	// value absorbs larger bursts of failures but takes longer to refill.
+	// value absorbs larger bursts of failures but takes longer to refill: 0.8 takes four windows.
 	storedFraction = 0.5
 	// capacitySlots is how many slots, in addition to the current one, count requests towards the capacity. With
 	// the current slot, they cover 2 s of a window of 10 s. A larger value absorbs larger bursts but requires a lower
-	// Safety, which limits sustained retries.
+	// Safety, which limits sustained retries. A gateway that has just started, without a share, stores a whole retry
+	// from about 3 requests per second on.
 	capacitySlots  = 19
 	slotsPerWindow = 100
 )
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -83,7 +83,8 @@
 	// MinEngines is the minimum number of engines per role. It replaces MinShare if it is not empty.
 	MinEngines map[backend.Role]int
 	// ChangeInterval is the minimum interval between changes in groups of up to ChangeIntervalEngines engines. In larger groups it shrinks
-	// in proportion, so that groups of any size adapt in the same time.
+	// in proportion, so that groups of any size adapt in the same time. The default of ChangeIntervalEngines is the largest group for which
+	// the interval was measured.
 	ChangeInterval        time.Duration
 	ChangeIntervalEngines int
 	// TickInterval is how often the planner runs. Changes that become due in between are made together.
