--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -296,3 +296,26 @@
 		t.Errorf("reported entries %v", reported)
 	}
 }
+
+// TestOutcomesAreReported guards against standby gateways that get no changes while no metric tells why.
+func TestOutcomesAreReported(t *testing.T) {
+	unavailable := changeAt(4)
+	unavailable.StoreUnavailable = true
+	standby := newSource(changeAt(4))
+	standby.unavailable = true
+	closed := httptest.NewServer(http.NotFoundHandler())
+	down := strings.TrimPrefix(closed.URL, "http://")
+	closed.Close()
+	for want, address := range map[changefeed.Outcome]string{
+		changefeed.OutcomeServed: serve(t, newSource(changeAt(4))), changefeed.OutcomeCutOff: serve(t, newSource(unavailable)),
+		changefeed.OutcomeNotServing: serve(t, standby), changefeed.OutcomeFailed: down,
+	} {
+		follower, _ := newFollower(changefeed.Upstream{Name: "x", Zone: "a", Address: address})
+		var outcomes []changefeed.Outcome
+		follower.OnOutcome(func(outcome changefeed.Outcome, _ time.Duration) { outcomes = append(outcomes, outcome) })
+		_, _ = follower.Next(t.Context(), requestAfter(3, 0))
+		if len(outcomes) == 0 || outcomes[0] != want {
+			t.Errorf("got outcomes %q, want %q", outcomes, want)
+		}
+	}
+}
--- a/internal/changefeed/follower.go
+++ b/internal/changefeed/follower.go
@@ -29,6 +29,8 @@
 	// onEntries is called with the entries named in each response, and those that the upstream received heartbeats
 	// from.
 	onEntries func(entries, live []string)
+	// onOutcome is called with the outcome of each request and its duration; may be nil.
+	onOutcome func(outcome Outcome, took time.Duration)
 
 	// mu protects the following fields.
 	mu        sync.Mutex
@@ -83,6 +85,43 @@
 	}
 }
 
+// Outcome is the outcome of a request to an upstream.
+type Outcome string
+
+// The outcomes of requests.
+const (
+	OutcomeServed Outcome = "served"
+	// OutcomeCutOff means that the upstream cannot reach the store.
+	OutcomeCutOff Outcome = "cut off"
+	// OutcomeNotServing means that the upstream is not an entry, or has not listed the store yet.
+	OutcomeNotServing Outcome = "not serving"
+	// OutcomeFailed means that the upstream did not respond in time, or not as expected.
+	OutcomeFailed Outcome = "failed"
+)
+
+// OnOutcome sets a function that is called with the outcome of each request and its duration, including the time that the upstream waited
+// for changes. It must be called before the first request.
+func (f *Follower) OnOutcome(onOutcome func(outcome Outcome, took time.Duration)) {
+	f.onOutcome = onOutcome
+}
+
+// reportOutcome passes on the outcome of a request.
+func (f *Follower) reportOutcome(started time.Time, changes store.Changes, err error) {
+	if f.onOutcome == nil {
+		return
+	}
+	outcome := OutcomeServed
+	switch {
+	case errors.Is(err, errUnavailable):
+		outcome = OutcomeNotServing
+	case err != nil:
+		outcome = OutcomeFailed
+	case changes.StoreUnavailable || f.isStoreSilent(changes):
+		outcome = OutcomeCutOff
+	}
+	f.onOutcome(outcome, time.Since(started))
+}
+
 // SetRegistered sets the gateways that are entries as far as registrations tell. One of them is asked when the upstreams are not entries,
 // because this gateway is mistaken about who is alive.
 func (f *Follower) SetRegistered(upstreams []Upstream) {
@@ -145,7 +184,9 @@
 		if !found {
 			break
 		}
+		started := time.Now()
 		changes, err := f.requestChanges(ctx, upstream.Address, request)
+		f.reportOutcome(started, changes, err)
 		if err != nil {
 			// Query the next upstream. This one is only skipped here; the entries replace it once its heartbeats stop.
 			f.markFailed(upstream, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,6 +196,7 @@
 		changefeed.NewSeeds(settings.Seeds).Fetch)
 	g.feedFollower = changefeed.NewFollower(settings.Name, settings.Zone, g.applyFeedEntries)
 	g.feedFollower.SetPropagationBound(settings.ConfigurationAge)
+	g.feedFollower.OnOutcome(g.metrics.countFeedRequest)
 	g.replica.SetFeed(g.feedFollower)
 	g.replica.SetLister(g.lister)
 	g.replica.SetPropagationBound(settings.ConfigurationAge)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/granitebay/granitebay/internal/capacity"
+	"github.com/granitebay/granitebay/internal/changefeed"
 	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/logging"
@@ -140,6 +141,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q}`, metricWorkerEnds, group)).Inc()
 }
 
+// Names of metrics about requests for changes to other gateways.
+const (
+	metricFeedRequests = "granitebay_feed_requests_total"
+	metricFeedSeconds  = "granitebay_feed_request_seconds"
+)
+
+// countFeedRequest counts a request for changes to another gateway.
+func (m *gatewayMetrics) countFeedRequest(outcome changefeed.Outcome, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{outcome=%q}`, metricFeedRequests, string(outcome))).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`%s{outcome=%q}`, metricFeedSeconds, string(outcome))).Update(took.Seconds())
+}
+
 // Names of metrics about worker notices.
 const (
 	metricNotices           = "granitebay_worker_notices_total"
