--- a/internal/changefeed/compression_test.go
+++ b/internal/changefeed/compression_test.go
@@ -33,11 +33,11 @@
 		if i > 0 {
 			content.WriteString(",")
 		}
-		fmt.Fprintf(&content, `{"name":"r-%08x","host":"ficu95.example","pathPrefix":"/%08x/%04x/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":300,"priority":1,"service":"huvo11a","maxAttempts":2,"public":false}`,
+		fmt.Fprintf(&content, `{"name":"r-%08x","host":"ficu95.example","beginning":"/%08x/%04x/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":300,"priority":1,"service":"huvo11a","maxAttempts":2,"public":false}`,
 			random.Uint32(), random.Uint32(), random.Uint32N(1<<16))
 	}
 	content.WriteString(`]}`)
-	return store.Item{Key: "op/config", Value: content.Bytes(), Revision: 5}
+	return store.Item{Key: "configuration", Value: content.Bytes(), Revision: 5}
 }
 
 // itemSource has one item.
@@ -137,8 +137,8 @@
 
 // TestInvalidCompressedValueIsRejected guards against taking a damaged value for an empty one.
 func TestInvalidCompressedValueIsRejected(t *testing.T) {
-	wire := wireChanges{Changed: []wireEvent{{Event: store.Event{Item: store.Item{Key: "op/config"}}, Compressed: []byte{0xff, 0xff}}}}
-	if _, err := wire.unpack(); err == nil || !strings.Contains(err.Error(), "op/config") {
+	wire := wireChanges{Changed: []wireEvent{{Event: store.Event{Item: store.Item{Key: "configuration"}}, Compressed: []byte{0xff, 0xff}}}}
+	if _, err := wire.unpack(); err == nil || !strings.Contains(err.Error(), "configuration") {
 		t.Errorf("got error %v", err)
 	}
 }
