--- a/internal/balance/backoff.go
+++ b/internal/balance/backoff.go
@@ -16,7 +16,7 @@
 // DefaultBackOffSettings returns the default settings.
 func DefaultBackOffSettings() BackOffSettings { return BackOffSettings{MaxDuration: 10 * time.Minute} }
 
-// backOff is the time for which a worker has asked for no requests, from its first request without a gap on.
+// backOff is the period for which a worker has asked for no requests. A repeated notice extends it and keeps its start.
 type backOff struct{ since, until time.Time }
 
 // backOffs maps the ID of a worker to its back-off. Entries outlive the registration of the worker.
