Observability: failed connections to workers, reports of ended engines, orders

Now there are counters for the three, a line a second with the number of workers and the causes, and a line that names the reporter. No logic is changed.

--- a/internal/forward/enginestate.go
+++ b/internal/forward/enginestate.go
@@ -32,6 +32,8 @@
 	hadDecoders map[string]bool
 	// onChange is called when an engine has to be queried or the state of an engine has changed; may be nil.
 	onChange func()
+	// onAbsenceReport is called with the name of a gateway that reports engines as ended, and their number; may be nil.
+	onAbsenceReport func(reporter string, engines int)
 }
 
 // newEngineState returns an empty state.
@@ -130,6 +132,13 @@
 	d.engineState.onChange = onChange
 }
 
+// OnAbsenceReport sets a callback for other gateways' reports of ended engines. It must not block.
+func (d *Dispatcher) OnAbsenceReport(onReport func(reporter string, engines int)) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.engineState.onAbsenceReport = onReport
+}
+
 // EngineQuery is an engine that should be queried.
 type EngineQuery struct {
 	Worker *backend.Worker
@@ -260,6 +269,9 @@
 // applyPeerEngines applies the engine state that another gateway sent. The mutex is held.
 func (d *Dispatcher) applyPeerEngines(message *peersync.Message) {
 	now := d.now()
+	if d.engineState.onAbsenceReport != nil && len(message.Refused) > 0 {
+		d.engineState.onAbsenceReport(message.Sender, len(message.Refused))
+	}
 	for _, id := range message.Refused {
 		d.recordRefused(id, false)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 	// WatchStoreRestores registers a callback for store responses that report a restore from a backup, with the era that
 	// the restore began. May be nil.
 	WatchStoreRestores func(handle func(era int64))
+	// WatchConnections registers a callback for failed connections to workers. May be nil.
+	WatchConnections func(handle func(address string, err error))
 	// CloseIdleConnections closes idle connections to an address that no worker uses any more.
 	CloseIdleConnections func(address string)
 	// ReadyHandler returns the handler of the readiness endpoint.
@@ -180,6 +182,11 @@
 	if dependencies.WatchNotices != nil {
 		dependencies.WatchNotices(g.notices.handle)
 	}
+	if dependencies.WatchConnections != nil {
+		dependencies.WatchConnections(newLinkTracker(g).connectionFailed)
+	}
+	g.dispatcher.OnAbsenceReport(g.metrics.countAbsenceReports)
+	g.controller.OnOrder(g.metrics.countOrder)
 	registrationSettings := member.DefaultRegistrationSettings()
 	registrationSettings.TTL = settings.LeaseTTL
 	g.registration = member.NewRegistration(registrationSettings, dependencies.Store, self,
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -50,6 +52,36 @@
 	return e.Step == StepConnect && errors.Is(e.Cause, syscall.ECONNREFUSED)
 }
 
+// FailureCause classifies why a connection to a worker failed.
+type FailureCause string
+
+// The causes.
+const (
+	CauseRefused FailureCause = "refused"
+	CauseReset   FailureCause = "reset"
+	CauseTimeout FailureCause = "timeout"
+	// CauseCancelled is a request that was given up, which says nothing about the connection.
+	CauseCancelled FailureCause = "cancelled"
+	CauseOther     FailureCause = "other"
+)
+
+// FailureCause returns why the connection failed.
+func (e *Error) FailureCause() FailureCause {
+	var network net.Error
+	switch {
+	case errors.Is(e.Cause, syscall.ECONNREFUSED):
+		return CauseRefused
+	case errors.Is(e.Cause, syscall.ECONNRESET), errors.Is(e.Cause, syscall.EPIPE), errors.Is(e.Cause, io.ErrUnexpectedEOF), errors.Is(e.Cause, io.EOF):
+		return CauseReset
+	case errors.Is(e.Cause, context.Canceled):
+		return CauseCancelled
+	case errors.Is(e.Cause, context.DeadlineExceeded), errors.As(e.Cause, &network) && network.Timeout():
+		return CauseTimeout
+	default:
+		return CauseOther
+	}
+}
+
 // Request is a request to a worker.
 type Request struct {
 	Method string
@@ -92,6 +124,8 @@
 type Client struct {
 	settings Settings
 	pool     *pool
+	// onFailure is called with each error of Do; may be nil.
+	onFailure func(address string, err error)
 }
 
 // New returns a client without open connections.
@@ -99,6 +133,9 @@
 	return &Client{settings: settings, pool: newPool(settings)}
 }
 
+// OnFailure sets a callback for each error of Do. It must be called before the first request, and the callback must not block.
+func (c *Client) OnFailure(onFailure func(address string, err error)) { c.onFailure = onFailure }
+
 // CloseIdle closes the idle connections to an address.
 func (c *Client) CloseIdle(address string) { c.pool.forget(address) }
 
@@ -109,6 +146,15 @@
 // was read to its end. If ctx ends, the connection is closed immediately, also while the body is read. Errors are of
 // type *Error.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
+	response, err := c.do(ctx, address, request)
+	if err != nil && c.onFailure != nil {
+		c.onFailure(address, err)
+	}
+	return response, err
+}
+
+// do is Do without the callback.
+func (c *Client) do(ctx context.Context, address string, request *Request) (*Response, error) {
 	connection, err := c.pool.take(ctx, address)
 	if err != nil {
 		return nil, &Error{Step: StepConnect, Peer: address, Cause: err}
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -100,6 +100,8 @@
 	planners       map[string]*Planner
 	pendingChanges pendingChanges
 	recordDecision func(decision.Record)
+	// onOrder is called with the outcome of each order; may be nil.
+	onOrder func(outcome string)
 	// wake triggers the next step immediately.
 	wake chan struct{}
 	// resigned is set when the process shuts down: it releases the controller key and does not acquire it again.
@@ -129,6 +131,9 @@
 	}
 }
 
+// OnOrder sets a callback for the outcome of each order: "accepted", "in place" or "failed". It must be called before Run.
+func (c *Controller) OnOrder(onOrder func(outcome string)) { c.onOrder = onOrder }
+
 // SetGroups sets the minimum numbers of engines per role from the configuration of the groups.
 func (c *Controller) SetGroups(groups []routing.Group) {
 	minEngines := map[string]map[backend.Role]int{}
--- a/internal/roles/orders.go
+++ b/internal/roles/orders.go
@@ -70,6 +70,9 @@
 
 // finishOrder records the result of an order, and resumes routing to the engine if the order failed.
 func (c *Controller) finishOrder(change Change, err error) {
+	if c.onOrder != nil {
+		c.onOrder(orderOutcome(err))
+	}
 	log := c.logger.WithFields(logrus.Fields{"engine": change.Worker.ID, "peer": change.Worker.Address, "role": change.Role})
 	if errors.Is(err, errRoleInPlace) {
 		c.pendingChanges.add(c.settings.Now(), change)
@@ -87,6 +90,18 @@
 	c.recordChange(change, string(change.Role), change.Reason)
 }
 
+// orderOutcome names the result of an order in metrics.
+func orderOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.Is(err, errRoleInPlace):
+		return "in place"
+	default:
+		return "failed"
+	}
+}
+
 // recordChange records a role change as a decision.
 func (c *Controller) recordChange(change Change, outcome, reason string) {
 	c.recordDecision(decision.Record{
