--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -12,6 +12,8 @@
 
 	mutex   sync.Mutex
 	workers map[string]*Worker
+	// aliases are further addresses of workers, with their registered addresses.
+	aliases map[string]string
 	runs    map[string][]Run
 	// arrivals are all requests that reached workers, including refused ones; orders are the accepted orders.
 	arrivals []Arrival
@@ -164,7 +166,7 @@
 
 // NewFleet returns a fleet without workers and with an empty store.
 func NewFleet() *Fleet {
-	return &Fleet{Store: NewStore(), workers: map[string]*Worker{}, runs: map[string][]Run{}}
+	return &Fleet{Store: NewStore(), workers: map[string]*Worker{}, aliases: map[string]string{}, runs: map[string][]Run{}}
 }
 
 // Runs returns the runs recorded so far, by request ID.
@@ -214,9 +216,19 @@
 	f.runs[id] = append(f.runs[id], run)
 }
 
-// worker returns the worker at an address, or nil.
+// AddAlias makes the worker at a registered address known under another one too, for example that of a proxy.
+func (f *Fleet) AddAlias(alias, registered string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.aliases[alias] = registered
+}
+
+// worker returns the worker at an address or alias, or nil.
 func (f *Fleet) worker(address string) *Worker {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if registered, isAlias := f.aliases[address]; isAlias {
+		address = registered
+	}
 	return f.workers[address]
 }
--- a/internal/standin/fleet/storecalls.go
+++ b/internal/standin/fleet/storecalls.go
@@ -11,7 +11,31 @@
 )
 
 // ServeHTTP implements http.Handler.
-func (s *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+func (s *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) { s.serve(writer, request, nil) }
+
+// View returns the store as one client sees it: rewrite modifies each value that is read through the handler.
+func (s *Store) View(rewrite func(key string, value []byte) []byte) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { s.serve(writer, request, rewrite) })
+}
+
+// rewriteItems modifies the values of the items in a response.
+func rewriteItems(body any, rewrite func(key string, value []byte) []byte) {
+	fields, isObject := body.(jsonObject)
+	if !isObject || rewrite == nil {
+		return
+	}
+	for _, name := range []string{"items", "events"} {
+		items, _ := fields[name].([]storeItem)
+		for i := range items {
+			if len(items[i].Value) > 0 {
+				items[i].Value = rewrite(items[i].Key, items[i].Value)
+			}
+		}
+	}
+}
+
+// serve serves a request. A rewrite function that is not nil modifies the values in the response.
+func (s *Store) serve(writer http.ResponseWriter, request *http.Request, rewrite func(key string, value []byte) []byte) {
 	name, id := splitPath(request.URL.Path)
 	s.mutex.Lock()
 	s.calls[name]++
@@ -33,6 +57,7 @@
 		<-request.Context().Done()
 	default:
 		status, body := s.handle(name, id, request)
+		rewriteItems(body, rewrite)
 		writer.Header().Set("Content-Type", "application/json")
 		writer.Header().Set("Store-Era", strconv.FormatInt(s.Era(), 10))
 		writer.WriteHeader(status)
--- a/internal/standin/netproxy/netproxy.go
+++ b/internal/standin/netproxy/netproxy.go
@@ -23,6 +23,12 @@
 	ModeOneWay Mode = "cut one way"
 	// ModeReset resets open connections and rejects new ones with a reset.
 	ModeReset Mode = "reset"
+	// ModeRefuse refuses new connections. Open ones live on.
+	ModeRefuse Mode = "refuses new connections"
+	// ModeCut resets open connections and refuses new ones.
+	ModeCut Mode = "cut with resets"
+	// ModeHang blocks open connections and does not answer attempts to open new ones.
+	ModeHang Mode = "cut silently"
 	// ModeSlow delays each read by SlowDelay.
 	ModeSlow Mode = "slow"
 )
@@ -37,13 +43,17 @@
 
 // Proxy forwards TCP connections from a loopback address to a target.
 type Proxy struct {
-	listener net.Listener
-	target   string
-
-	mu    sync.Mutex
-	mode  Mode
-	conns map[net.Conn]bool
-	pairs map[*connPair]bool
+	address string
+	target  string
+
+	mu   sync.Mutex
+	mode Mode
+	// listener is nil while new connections are refused or hang. unanswered holds the port while they hang; otherwise it is nil.
+	listener   net.Listener
+	unanswered *fullListener
+	closed     bool
+	conns      map[net.Conn]bool
+	pairs      map[*connPair]bool
 }
 
 // connPair is a proxied connection: the client side and the server side.
@@ -59,26 +69,60 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "start a proxy to %s", target)
 	}
-	p := &Proxy{listener: listener, target: target, mode: ModePass, conns: map[net.Conn]bool{}, pairs: map[*connPair]bool{}}
-	go p.accept()
+	p := &Proxy{
+		address: listener.Addr().String(), listener: listener, target: target, mode: ModePass, conns: map[net.Conn]bool{}, pairs: map[*connPair]bool{},
+	}
+	go p.accept(listener)
 	return p, nil
 }
 
 // Address returns the host:port on which the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
-// Set changes the mode. ModeReset also resets the open connections.
+// Set changes the mode. ModeReset and ModeCut also reset the open connections.
 func (p *Proxy) Set(mode Mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed || mode == p.mode {
+		return
+	}
 	p.mode = mode
-	if mode == ModeReset {
+	p.listenAs(mode)
+	if mode == ModeReset || mode == ModeCut {
 		for conn := range p.conns {
 			reset(conn)
 		}
 	}
 }
 
+// listenAs accepts new connections, refuses them, or leaves them unanswered. The mutex is held.
+func (p *Proxy) listenAs(mode Mode) {
+	if p.unanswered != nil {
+		p.unanswered.close()
+		p.unanswered = nil
+	}
+	accepts := mode != ModeRefuse && mode != ModeCut && mode != ModeHang
+	switch {
+	case accepts && p.listener == nil:
+		listener, err := listenAgain(p.address)
+		if err != nil {
+			panic(err)
+		}
+		p.listener = listener
+		go p.accept(listener)
+	case !accepts && p.listener != nil:
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	if mode == ModeHang {
+		unanswered, err := newFullListener(p.address)
+		if err != nil {
+			panic(err)
+		}
+		p.unanswered = unanswered
+	}
+}
+
 // Silence drops all further traffic on the open connections, in both directions. New connections are not affected.
 func (p *Proxy) Silence() {
 	p.mu.Lock()
@@ -97,9 +141,15 @@
 
 // Close closes the listener and all connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
+	if p.unanswered != nil {
+		p.unanswered.close()
+	}
 	for conn := range p.conns {
 		_ = conn.Close()
 	}
@@ -108,10 +158,10 @@
 	}
 }
 
-// accept accepts connections until the proxy is closed.
-func (p *Proxy) accept() {
+// accept accepts connections until the listener is closed.
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -183,7 +233,7 @@
 func (p *Proxy) applyDelay(toClient bool) {
 	for {
 		switch mode := p.currentMode(); {
-		case mode == ModeSilent || (mode == ModeOneWay && toClient):
+		case mode == ModeSilent || mode == ModeHang || (mode == ModeOneWay && toClient):
 			time.Sleep(blockedPollInterval)
 		case mode == ModeSlow:
 			time.Sleep(SlowDelay)
--- /dev/null
+++ b/internal/standin/workerpaths/workerpaths.go
@@ -0,0 +1,134 @@
+// Package workerpaths puts a proxy on each network path between a gateway and a worker of a simulated fleet, so that some gateways can be
+// cut off from some workers while all others reach them.
+package workerpaths
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/granitebay/granitebay/internal/standin/fleet"
+	"github.com/granitebay/granitebay/internal/standin/netproxy"
+)
+
+// workerPrefix begins the keys of the records of workers.
+const workerPrefix = "servers/"
+
+// Paths holds the paths of all gateways. It is safe for concurrent use.
+type Paths struct {
+	fleet *fleet.Fleet
+
+	mu    sync.Mutex
+	paths map[path]*link
+	// cuts are the faults on the paths of a gateway to the workers of a service; an empty service stands for all.
+	cuts map[cut]netproxy.Mode
+}
+
+// path identifies the path of a gateway to the worker registered at an address.
+type path struct{ gateway, address string }
+
+// cut identifies the paths of a gateway to the workers of a service.
+type cut struct{ gateway, service string }
+
+// link is the proxy on a path.
+type link struct {
+	proxy   *netproxy.Proxy
+	service string
+}
+
+// New returns the paths to the workers of a fleet.
+func New(f *fleet.Fleet) *Paths {
+	return &Paths{fleet: f, paths: map[path]*link{}, cuts: map[cut]netproxy.Mode{}}
+}
+
+// Store returns the store as a gateway sees it: with the addresses of its own paths as those of the workers.
+func (p *Paths) Store(gateway string) http.Handler {
+	return p.fleet.Store.View(func(key string, value []byte) []byte {
+		if !strings.HasPrefix(key, workerPrefix) {
+			return value
+		}
+		record := map[string]json.RawMessage{}
+		var address, service string
+		if json.Unmarshal(value, &record) != nil || json.Unmarshal(record["address"], &address) != nil {
+			return value
+		}
+		_ = json.Unmarshal(record["service"], &service)
+		proxied, err := p.proxyAddress(gateway, address, service)
+		if err != nil {
+			return value
+		}
+		record["address"], _ = json.Marshal(proxied)
+		rewritten, err := json.Marshal(record)
+		if err != nil {
+			return value
+		}
+		return rewritten
+	})
+}
+
+// proxyAddress returns the address of the proxy on a path, and starts it if it does not exist.
+func (p *Paths) proxyAddress(gateway, address, service string) (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := path{gateway, address}
+	if known, found := p.paths[id]; found {
+		return known.proxy.Address(), nil
+	}
+	proxy, err := netproxy.New(address)
+	if err != nil {
+		return "", err
+	}
+	p.paths[id] = &link{proxy: proxy, service: service}
+	p.fleet.AddAlias(proxy.Address(), address)
+	proxy.Set(p.mode(gateway, service))
+	return proxy.Address(), nil
+}
+
+// mode returns the fault on the paths of a gateway to a service. The mutex is held.
+func (p *Paths) mode(gateway, service string) netproxy.Mode {
+	for _, id := range []cut{{gateway, service}, {gateway, ""}} {
+		if mode, isCut := p.cuts[id]; isCut {
+			return mode
+		}
+	}
+	return netproxy.ModePass
+}
+
+// Set injects a fault on the paths of a gateway to the workers of a service, or of all services if it is empty. It also applies to
+// workers that start later.
+func (p *Paths) Set(gateway, service string, mode netproxy.Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if mode == netproxy.ModePass {
+		delete(p.cuts, cut{gateway, service})
+	} else {
+		p.cuts[cut{gateway, service}] = mode
+	}
+	var set sync.WaitGroup
+	for id, link := range p.paths {
+		if id.gateway == gateway && (service == "" || link.service == service) {
+			set.Go(func() { link.proxy.Set(mode) })
+		}
+	}
+	set.Wait()
+}
+
+// Heal removes all faults.
+func (p *Paths) Heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.cuts)
+	for _, link := range p.paths {
+		link.proxy.Set(netproxy.ModePass)
+	}
+}
+
+// Close closes all proxies.
+func (p *Paths) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, link := range p.paths {
+		link.proxy.Close()
+	}
+}
