Connections to workers: a moment of silence does not end them

Callers of a sound worker that fell silent for a second or so lost their connection: on Linux, TCP_USER_TIMEOUT also decides when keep-alive gives up, whatever the number of probes. With 2 s it gave up after one unanswered probe, 2 s after the last data, while the count of 2 said 3 s.

Connections to the store and between gateways keep their 2 s.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -109,7 +109,15 @@
 	MaxIdlePerAddress int
 }
 
-// DefaultSettings returns settings for workers in the same region.
+// WorkerSettings returns settings for workers in the same region. A worker may fall silent for a second or so and go on, so at least one of
+// three keep-alive probes a second apart reaches it outside of such a time.
+func WorkerSettings() Settings {
+	settings := DefaultSettings()
+	settings.UnacknowledgedTimeout = 4 * time.Second
+	return settings
+}
+
+// DefaultSettings returns settings for servers in the same region.
 func DefaultSettings() Settings {
 	return Settings{
 		ConnectTimeout:        300 * time.Millisecond,
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -227,3 +227,19 @@
 		t.Errorf("opened %d connections, want 3", client.ConnectionsOpened())
 	}
 }
+
+// TestMomentarySilenceIsTolerated guards against closing the connections of a worker that falls silent for a second or so: whenever its
+// silence begins, a keep-alive probe has to reach it before TCP_USER_TIMEOUT ends the connection.
+func TestMomentarySilenceIsTolerated(t *testing.T) {
+	const silence, firstProbe, interval = 1500 * time.Millisecond, time.Second, time.Second
+	limit := WorkerSettings().UnacknowledgedTimeout
+	for begin := time.Duration(0); begin < limit; begin += 10 * time.Millisecond {
+		answered := false
+		for probe := firstProbe; probe < limit; probe += interval {
+			answered = answered || probe < begin || probe >= begin+silence
+		}
+		if !answered {
+			t.Errorf("a silence of %s that begins %s after the last data leaves no probe answered before %s", silence, begin, limit)
+		}
+	}
+}
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -15,11 +15,11 @@
 const (
 	probeIdle     = time.Second
 	probeInterval = time.Second
-	probeCount    = 2
 )
 
-// New returns a dialer. Its connections fail if sent data stays unacknowledged for unacknowledgedTimeout, or if
-// keep-alive probes are not answered.
+// New returns a dialer. Its connections fail if sent data, or keep-alive probes, stay unanswered for unacknowledgedTimeout, which is rounded
+// up to whole seconds for the probes. Both are set alike because TCP_USER_TIMEOUT also decides when keep-alive gives up, whatever the number
+// of probes: a timeout that ends with the first probe would close the connection of a peer that was silent for a moment.
 func New(connectTimeout, unacknowledgedTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: connectTimeout,
@@ -27,12 +27,17 @@
 			Enable:   true,
 			Idle:     probeIdle,
 			Interval: probeInterval,
-			Count:    probeCount,
+			Count:    probeCount(unacknowledgedTimeout),
 		},
 		Control: userTimeoutControl(unacknowledgedTimeout),
 	}
 }
 
+// probeCount returns the number of probes after which keep-alive gives up at the timeout.
+func probeCount(timeout time.Duration) int {
+	return max(int((timeout-probeIdle+probeInterval-1)/probeInterval), 1)
+}
+
 // userTimeoutControl returns a Control function that sets TCP_USER_TIMEOUT.
 func userTimeoutControl(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
