Workers: connections through another gateway when the own path is lost

Cause: a gateway could not tell a lost path from a worker that has ended. Now it asks other gateways, over their control address, for a byte stream to the worker. If one connects, the path is lost and the stream is used in its place; if all are refused that still reach another worker of the group, the worker has ended; otherwise the refusal is not confirmed and believed by nobody. Attempts that get no answer are joined by such a request after a thirtieth of timings.contact, requests without an answer have the path checked, and connections from before a silent cut are not used again.

The gateway that read a request still runs the attempt: at most once, deadlines, tenants, budgets, limits, cancellation and streams are as before. Chunks with an end mark tell a closed connection from one that broke off. One hop, bounded by the descriptors of the relaying gateway. Orders are sent directly only, since workers take each machine for a holder. It takes effect with timings.contact; a fleet of older builds answers 404, and the own view counts as before.

--- a/internal/gateway/clusterlistener.go
+++ b/internal/gateway/clusterlistener.go
@@ -60,11 +60,13 @@
 		}
 		if g.workersAtAddress[previous.Address]--; g.workersAtAddress[previous.Address] == 0 {
 			delete(g.workersAtAddress, previous.Address)
+			delete(g.workerAtAddress, previous.Address)
 		}
 	}
 	for _, worker := range changes.Updated {
 		release(worker.ID)
 		g.workersAtAddress[worker.Address]++
+		g.workerAtAddress[worker.Address] = worker.ID
 	}
 	for _, id := range changes.Removed {
 		release(id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/granitebay/granitebay/internal/netdial"
 	"github.com/granitebay/granitebay/internal/peersync"
 	"github.com/granitebay/granitebay/internal/poison"
+	"github.com/granitebay/granitebay/internal/relay"
 	"github.com/granitebay/granitebay/internal/rendezvous"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/roles"
@@ -61,6 +62,8 @@
 	// WatchStoreRestores registers a callback for store responses that report a restore from a backup, with the era that
 	// the restore began. May be nil.
 	WatchStoreRestores func(handle func(era int64))
+	// Relay opens the connections to workers; nil if they are not relayed.
+	Relay *relay.Dialer
 	// WatchConnections registers a callback for failed connections to workers. May be nil.
 	WatchConnections func(handle func(address string, err error))
 	// CloseIdleConnections closes idle connections to an address that no worker uses any more.
@@ -110,7 +113,9 @@
 	workers   backend.Set
 	// workersAtAddress counts the workers at each address.
 	workersAtAddress map[string]int
-	configuration    *routing.Configuration
+	// workerAtAddress holds the id of the worker registered last at each address.
+	workerAtAddress map[string]string
+	configuration   *routing.Configuration
 	// workersKnown is closed once the first workers are assigned to groups.
 	workersKnown     chan struct{}
 	workersKnownOnce sync.Once
@@ -138,7 +143,7 @@
 	g.accepting = accepting.New(logging.Component(logger, "gateway"))
 	g.utilization = newUtilization(settings)
 	g.workersKnown = make(chan struct{})
-	g.workers, g.workersAtAddress = backend.Set{}, map[string]int{}
+	g.workers, g.workersAtAddress, g.workerAtAddress = backend.Set{}, map[string]int{}, map[string]string{}
 	g.learnTrigger = make(chan struct{}, 1)
 	g.restoreTrigger = make(chan struct{}, 1)
 	g.cacheClient = cachesync.New()
@@ -182,8 +187,12 @@
 	if dependencies.WatchNotices != nil {
 		dependencies.WatchNotices(g.notices.handle)
 	}
+	links := newLinkTracker(g)
 	if dependencies.WatchConnections != nil {
-		dependencies.WatchConnections(newLinkTracker(g).connectionFailed)
+		dependencies.WatchConnections(links.connectionFailed)
+	}
+	if dependencies.Relay != nil {
+		dependencies.Relay.SetSource(relaySource{g}, links.relayEvent)
 	}
 	g.dispatcher.OnAbsenceReport(g.metrics.countAbsenceReports)
 	g.controller.OnOrder(g.metrics.countOrder)
@@ -280,6 +289,9 @@
 func (g *Gateway) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", changefeed.Handler(g.replica, g.feedEntries))
+	if g.dependencies.Relay != nil {
+		mux.Handle("POST "+relay.Path, relay.NewHandler(g.dependencies.Relay))
+	}
 	mux.Handle("GET "+cachesync.Path, cachesync.Handler(g.dispatcher.CachedSegments, g.entryTime))
 	return mux
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -89,6 +89,7 @@
 	m.set.NewGauge(metricCopies, func() float64 { return float64(g.dispatcher.MigrationTotals().Copies) })
 	m.set.NewGauge(metricCopyBytes, func() float64 { return float64(g.dispatcher.MigrationTotals().CopyBytes) })
 	m.set.NewGauge(metricCopiesOverLimit, func() float64 { return float64(g.dispatcher.MigrationTotals().CopiesOverLimit) })
+	m.set.NewGauge(metricLostPaths, func() float64 { return float64(g.lostPaths()) })
 	m.budgets = g.dispatcher.Budgets
 }
 
--- /dev/null
+++ b/internal/gateway/relays.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/relay"
+)
+
+// relaySource implements relay.Source.
+type relaySource struct{ gateway *Gateway }
+
+// WorkerID implements relay.Source.
+func (s relaySource) WorkerID(address string) (string, bool) {
+	s.gateway.workersMu.Lock()
+	defer s.gateway.workersMu.Unlock()
+	id, found := s.gateway.workerAtAddress[address]
+	return id, found
+}
+
+// WorkerAddress implements relay.Source.
+func (s relaySource) WorkerAddress(id string) (string, bool) {
+	s.gateway.workersMu.Lock()
+	defer s.gateway.workersMu.Unlock()
+	worker, found := s.gateway.workers[id]
+	if !found {
+		return "", false
+	}
+	return worker.Address, true
+}
+
+// WorkerAddresses implements relay.Source.
+func (s relaySource) WorkerAddresses() []string {
+	return s.addresses(func(*backend.Worker) bool { return true })
+}
+
+// Siblings implements relay.Source.
+func (s relaySource) Siblings(address string) []string {
+	id, found := s.WorkerID(address)
+	if !found {
+		return nil
+	}
+	s.gateway.workersMu.Lock()
+	worker := s.gateway.workers[id]
+	s.gateway.workersMu.Unlock()
+	if worker == nil {
+		return nil
+	}
+	return s.addresses(func(other *backend.Worker) bool { return other.Group == worker.Group && other.Address != address })
+}
+
+// addresses returns the addresses of the selected workers, each once.
+func (s relaySource) addresses(isSelected func(worker *backend.Worker) bool) []string {
+	s.gateway.workersMu.Lock()
+	defer s.gateway.workersMu.Unlock()
+	var addresses []string
+	for _, worker := range s.gateway.workers {
+		if isSelected(worker) {
+			addresses = append(addresses, worker.Address)
+		}
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// Relays implements relay.Source. Only entries relay: a standby gateway knows a part of the workers.
+func (s relaySource) Relays() []relay.Peer {
+	var peers []relay.Peer
+	for _, entry := range s.gateway.advertised() {
+		if entry.Name != s.gateway.settings.Name && entry.ControlAddress != "" {
+			peers = append(peers, relay.Peer{Name: entry.Name, Zone: entry.Zone, Address: entry.ControlAddress})
+		}
+	}
+	return peers
+}
+
+// Names of the metrics about relayed connections.
+const (
+	metricLostPaths = "granitebay_worker_paths_lost"
+	metricRelays    = "granitebay_relays_total"
+)
+
+// relayEvent counts a relayed connection, or logs that paths to workers are lost or work again.
+func (t *linkTracker) relayEvent(event relay.Event) {
+	if event.Path == "" {
+		t.metrics.countRelay(event)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fields := logrus.Fields{"workers": event.LostPaths, "known": t.known(), "peer": event.Address}
+	switch now := time.Now(); {
+	case event.Path == relay.PathLost && now.Sub(t.lastLost) >= linkLogInterval:
+		t.lastLost = now
+		t.logger.WithFields(fields).WithField("through", event.Peer).
+			Warn("The path to a worker is lost; connections go through another gateway that reaches it.")
+	case event.Path == relay.PathRestored && event.LostPaths == 0:
+		t.logger.WithFields(fields).Info("All workers are reached directly again.")
+	}
+}
+
+// countRelay counts a relayed connection: of this gateway, or of another one that it serves.
+func (m *gatewayMetrics) countRelay(event relay.Event) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{for_others="%t",outcome=%q}`, metricRelays, event.Served, event.Outcome)).Inc()
+}
+
+// lostPaths returns the number of workers that this gateway reaches only through others.
+func (g *Gateway) lostPaths() int {
+	if g.dependencies.Relay == nil {
+		return 0
+	}
+	return g.dependencies.Relay.LostPaths()
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -60,10 +60,30 @@
 	// UsageWindow is the length of the windows for which the usage of tenants is reported, zero for none. UsageDue is
 	// how long after its end the report of a window is due.
 	UsageWindow, UsageDue time.Duration
+	// ContactTime is the time within which callers must be served again after this gateway has lost its paths to workers that other gateways
+	// reach. Zero disables connections through other gateways.
+	ContactTime time.Duration
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
 
+// Limits of the connections that a gateway relays for others.
+const (
+	// relayDescriptors is the number of descriptors of a relayed connection, and relayShare the inverse share of all descriptors for them.
+	relayDescriptors = 2
+	relayShare       = 4
+	// defaultMaxRelayed applies if the limit on descriptors is unknown.
+	defaultMaxRelayed = 256
+)
+
+// MaxRelayed returns the number of connections to workers that the gateway relays for others at a time.
+func (s *Settings) MaxRelayed() int {
+	if s.Descriptors == 0 {
+		return defaultMaxRelayed
+	}
+	return s.Descriptors / relayShare / relayDescriptors
+}
+
 // DefaultSettings returns the default settings, without names and addresses.
 func DefaultSettings() *Settings {
 	return &Settings{
--- a/internal/gateway/workerlinks.go
+++ b/internal/gateway/workerlinks.go
@@ -27,6 +27,8 @@
 	failed     map[httpclient.FailureCause]int
 	addresses  map[string]bool
 	lastLogged time.Time
+	// lastLost is when a line about a lost path was last logged.
+	lastLost time.Time
 }
 
 // newLinkTracker returns a tracker without failures.
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // Step is the step of a request that failed.
@@ -90,6 +92,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// DirectOnly keeps the request off connections that another process relays.
+	DirectOnly bool
 	// MatchResponse reports whether a response belongs to this request. Others are read and discarded. Nil accepts any
 	// response.
 	MatchResponse func(status int, header http.Header) bool
@@ -136,9 +140,54 @@
 	onFailure func(address string, err error)
 }
 
+// Dialer opens the connections of a client, and decides which idle ones may be used again. It must be safe for concurrent use.
+type Dialer interface {
+	// Dial opens a connection. If directOnly is set, no other process relays it.
+	Dial(ctx context.Context, address string, directOnly bool) (net.Conn, error)
+	// IsDirect reports whether no other process relays a connection.
+	IsDirect(conn net.Conn) bool
+	// Usable reports whether an idle connection to an address that was last used at a time may be used again.
+	Usable(conn net.Conn, address string, lastUsed time.Time) bool
+	// Suspect is called when a request got no answer from an address in time. It must not block.
+	Suspect(address string)
+	// Forget is called for an address that is not used any more.
+	Forget(address string)
+}
+
+// plainDialer only connects directly.
+type plainDialer struct{ dialer *net.Dialer }
+
+// Dial implements Dialer.
+func (d plainDialer) Dial(ctx context.Context, address string, _ bool) (net.Conn, error) {
+	return d.dialer.DialContext(ctx, "tcp4", address)
+}
+
+// IsDirect implements Dialer.
+func (plainDialer) IsDirect(net.Conn) bool { return true }
+
+// Usable implements Dialer.
+func (plainDialer) Usable(net.Conn, string, time.Time) bool { return true }
+
+// Suspect implements Dialer.
+func (plainDialer) Suspect(string) {}
+
+// Forget implements Dialer.
+func (plainDialer) Forget(string) {}
+
 // New returns a client without open connections.
 func New(settings Settings) *Client {
-	return &Client{settings: settings, pool: newPool(settings)}
+	return NewWithDialer(settings, plainDialer{netdial.New(settings.ConnectTimeout, settings.UnacknowledgedTimeout)})
+}
+
+// NewWithDialer returns a client that opens its connections with a dialer, which has its own timeouts.
+func NewWithDialer(settings Settings, dialer Dialer) *Client {
+	return &Client{settings: settings, pool: newPool(settings, dialer)}
+}
+
+// Keep keeps an open connection to an address for a later request.
+func (c *Client) Keep(conn net.Conn, address string) {
+	c.pool.opened.Add(1)
+	c.pool.put(newConnection(conn, address), c.settings.IdleTimeout)
 }
 
 // OnFailure sets a callback for each error of Do. It must be called before the first request, and the callback must not block.
@@ -163,7 +212,7 @@
 
 // do is Do without the callback.
 func (c *Client) do(ctx context.Context, address string, request *Request) (*Response, error) {
-	connection, err := c.pool.take(ctx, address)
+	connection, err := c.pool.take(ctx, address, request.DirectOnly)
 	if err != nil {
 		return nil, &Error{Step: StepConnect, Peer: address, Cause: err}
 	}
@@ -184,7 +233,7 @@
 // twice, for example because the process has too many connections or something else listens at the address.
 func (c *Client) RefusesConnections(ctx context.Context, address string) (bool, error) {
 	for attempt := 0; ; attempt++ {
-		conn, err := c.pool.open(ctx, address)
+		conn, err := c.pool.open(ctx, address, false)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return true, nil
 		}
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -129,6 +129,9 @@
 	if ctxErr := context.Cause(e.ctx); ctxErr != nil {
 		cause = ctxErr
 		e.dropSuspectConnections(step, ctxErr)
+		if !errors.Is(ctxErr, context.Canceled) {
+			e.pool.dialer.Suspect(e.connection.address)
+		}
 	}
 	return &Error{Step: step, Peer: e.connection.address, Cause: cause}
 }
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -4,14 +4,13 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // connection is a connection to a worker. It carries one request at a time.
@@ -30,7 +29,7 @@
 // pool keeps idle connections.
 type pool struct {
 	settings Settings
-	dialer   *net.Dialer
+	dialer   Dialer
 	opened   atomic.Int64
 
 	mutex sync.Mutex
@@ -41,25 +40,19 @@
 }
 
 // newPool returns an empty pool.
-func newPool(settings Settings) *pool {
-	return &pool{
-		settings: settings,
-		dialer:   netdial.New(settings.ConnectTimeout, settings.UnacknowledgedTimeout),
-		idle:     map[string][]*connection{},
-
-		idleLimits: map[string]time.Duration{},
-	}
+func newPool(settings Settings, dialer Dialer) *pool {
+	return &pool{settings: settings, dialer: dialer, idle: map[string][]*connection{}, idleLimits: map[string]time.Duration{}}
 }
 
-// take returns the idle connection that was used last, or opens one.
-func (p *pool) take(ctx context.Context, address string) (*connection, error) {
+// take returns the usable idle connection that was used last, or opens one. If directOnly is set, it returns none that is relayed.
+func (p *pool) take(ctx context.Context, address string, directOnly bool) (*connection, error) {
 	for {
-		conn := p.pop(address)
+		conn := p.pop(address, directOnly)
 		if conn == nil {
-			return p.open(ctx, address)
+			return p.open(ctx, address, directOnly)
 		}
 		now := time.Now()
-		if now.After(conn.idleDeadline) {
+		if now.After(conn.idleDeadline) || !p.dialer.Usable(conn.Conn, address, conn.idleSince) {
 			_ = conn.Close()
 			continue
 		}
@@ -67,7 +60,9 @@
 			return conn, nil
 		}
 		_ = conn.Close()
-		p.learnIdleLimit(address, now.Sub(conn.idleSince))
+		if p.dialer.IsDirect(conn.Conn) {
+			p.learnIdleLimit(address, now.Sub(conn.idleSince))
+		}
 	}
 }
 
@@ -86,26 +81,32 @@
 }
 
 // pop removes and returns the connection that was used last, or nil.
-func (p *pool) pop(address string) *connection {
+func (p *pool) pop(address string, directOnly bool) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for i := len(idle) - 1; i >= 0; i-- {
+		if conn := idle[i]; !directOnly || p.dialer.IsDirect(conn.Conn) {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return conn
+		}
 	}
-	last := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return last
+	return nil
 }
 
 // open dials a worker.
-func (p *pool) open(ctx context.Context, address string) (*connection, error) {
-	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
+func (p *pool) open(ctx context.Context, address string, directOnly bool) (*connection, error) {
+	conn, err := p.dialer.Dial(ctx, address, directOnly)
 	if err != nil {
 		return nil, errors.Wrap(err, "open connection")
 	}
 	p.opened.Add(1)
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	return newConnection(conn, address), nil
+}
+
+// newConnection returns a connection that has not been used.
+func newConnection(conn net.Conn, address string) *connection {
+	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferSize)}
 }
 
 // put keeps a connection for reuse for at most idleTimeout.
@@ -154,6 +155,7 @@
 	}
 	delete(p.idle, address)
 	delete(p.idleLimits, address)
+	p.dialer.Forget(address)
 }
 
 // nothingReceived reports whether an idle connection is open and has no unread data.
--- /dev/null
+++ b/internal/relay/handler.go
@@ -0,0 +1,179 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Handler relays connections for other gateways.
+type Handler struct {
+	dialer *Dialer
+	active atomic.Int64
+}
+
+// NewHandler returns a handler that connects directly with a dialer.
+func NewHandler(dialer *Dialer) *Handler { return &Handler{dialer: dialer} }
+
+// Active returns the number of connections that are being relayed.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !h.dialer.Enabled() || r.Header.Get("Upgrade") != protocolName {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	address, known := h.dialer.source().WorkerAddress(r.Header.Get(headerWorker))
+	if !known {
+		h.reject(w, OutcomeUnknown, resultUnknown, http.StatusNotFound)
+		return
+	}
+	worker, err := h.dialer.dialForPeer(r.Context(), address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		h.reject(w, OutcomeRefused, resultRefused, http.StatusBadGateway)
+	case err != nil:
+		h.reject(w, OutcomeUnreachable, resultUnreachable, http.StatusGatewayTimeout)
+	case h.active.Load() >= int64(h.dialer.settings.MaxRelayed):
+		_ = worker.Close()
+		h.reject(w, OutcomeNoRoom, resultNoRoom, http.StatusServiceUnavailable)
+	default:
+		h.dialer.observe(Event{Served: true, Outcome: OutcomeConnected})
+		h.relay(w, worker)
+	}
+}
+
+// reject answers that the connection is not relayed.
+func (h *Handler) reject(w http.ResponseWriter, outcome Outcome, result string, status int) {
+	h.dialer.observe(Event{Served: true, Outcome: outcome})
+	w.Header().Set(headerResult, result)
+	w.WriteHeader(status)
+}
+
+// relay forwards bytes between the requester and a worker until one of them closes its connection.
+func (h *Handler) relay(w http.ResponseWriter, worker net.Conn) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	defer worker.Close()
+	requester, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	defer requester.Close()
+	response := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocolName + "\r\n\r\n"
+	if _, err := io.WriteString(requester, response); err != nil {
+		return
+	}
+	var toWorker sync.WaitGroup
+	toWorker.Go(func() {
+		// The requester closes its connection when it gives the request up, so the worker must learn of it.
+		_, _ = io.CopyBuffer(onlyWriter{worker}, onlyReader{buffered.Reader}, make([]byte, bufferSize))
+		_ = worker.Close()
+		_ = requester.Close()
+	})
+	forwardChunks(requester, worker)
+	// Without the end mark, the requester takes the response for broken off.
+	_ = requester.Close()
+	toWorker.Wait()
+}
+
+// bufferSize is the size of the buffer of each direction. Headers and events are small.
+const bufferSize = 4 << 10
+
+// forwardChunks forwards the bytes of a worker in chunks, and an end mark if the worker closed its connection.
+func forwardChunks(requester io.Writer, worker io.Reader) {
+	output := bufio.NewWriterSize(requester, bufferSize+chunkOverhead)
+	chunks := httputil.NewChunkedWriter(output)
+	buffer := make([]byte, bufferSize)
+	for {
+		n, err := worker.Read(buffer)
+		if n > 0 {
+			if _, err := chunks.Write(buffer[:n]); err != nil {
+				return
+			}
+			if output.Flush() != nil {
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_ = chunks.Close()
+			_, _ = io.WriteString(output, "\r\n")
+			_ = output.Flush()
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// chunkOverhead bounds the size of the header and the end of a chunk.
+const chunkOverhead = 16
+
+// onlyWriter and onlyReader hide the other methods of a connection, so that io.CopyBuffer uses its buffer.
+type (
+	onlyWriter struct{ io.Writer }
+	onlyReader struct{ io.Reader }
+)
+
+// dialForPeer connects to a worker directly, on behalf of another gateway. A refused connection is returned as such only while this gateway
+// reaches another worker of the group: one that is cut off itself can't tell whether the worker has ended.
+func (d *Dialer) dialForPeer(ctx context.Context, address string) (net.Conn, error) {
+	if d.isUnreachable(address) {
+		return nil, errUnreachableAtPeer
+	}
+	timeout := peerDialFactor * d.settings.hedgeDelay(false)
+	conn, err := d.dialDirect(ctx, address, timeout)
+	if errors.Is(err, syscall.ECONNREFUSED) && !d.reachesAny(ctx, d.source().Siblings(address), timeout) {
+		return nil, errUnreachableAtPeer
+	}
+	return conn, err
+}
+
+const (
+	// peerDialFactor multiplies the hedge delay to get the time that a relaying gateway may take to connect to a worker.
+	peerDialFactor = 2
+	// maxControls is the number of other workers that are tried to tell whether this gateway is cut off.
+	maxControls = 3
+)
+
+// reachesAny reports whether this gateway connects to one of some workers. Its connection is kept for later use.
+func (d *Dialer) reachesAny(ctx context.Context, addresses []string, timeout time.Duration) bool {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), maxControls)]
+	reached := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			conn, err := d.dialDirect(ctx, address, timeout)
+			if err == nil {
+				d.keepConn(conn, address)
+			}
+			reached <- err == nil
+		}()
+	}
+	for range addresses {
+		if <-reached {
+			return true
+		}
+	}
+	return false
+}
+
+// isUnreachable reports whether the path of this gateway to an address is known to hang or to be lost, so that there is no point in trying.
+func (d *Dialer) isUnreachable(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	hungAt, hung := d.hungAt[address]
+	return d.paths.IsLost(address) || (hung && time.Since(hungAt) < d.settings.checkInterval())
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,9 @@
 	Configuration strictyaml.Duration `json:"configuration"`
 	// Drain is how long a leaving worker keeps accepting requests that are already on their way.
 	Drain strictyaml.Duration `json:"drain"`
+	// Contact is the time within which callers must be served again after the gateway has lost its paths to workers that other gateways reach;
+	// 0s disables connections through other gateways.
+	Contact strictyaml.Duration `json:"contact"`
 	// Thaw is how long after a suspension or stall of the process the gateway gives no orders.
 	Thaw strictyaml.Duration `json:"thaw"`
 }
@@ -150,6 +153,7 @@
 	s.Seeds = slices.DeleteFunc(slices.Clone(f.Seeds), func(seed string) bool { return seed == f.Listen.Control })
 	s.FirstStart, s.StoreAddress = f.FirstStart, f.Store
 	s.Grace, s.DrainTime, s.ResumeDelay = f.Timings.Grace.Std(), f.Timings.Drain.Std(), f.Timings.Thaw.Std()
+	s.ContactTime = f.Timings.Contact.Std()
 	s.AddressTTL, s.MaxAddressTTL = f.Timings.AddressTTL.Std(), f.Timings.MaximumAddressTTL.Std()
 	s.LeaseTTL = max(f.Timings.Lease.Std(), f.Timings.MinimumLease.Std())
 	s.RetryRatio, s.RetryAllowance, s.RetryWindow = f.Retries.Ratio, f.Retries.Allowance, f.Retries.Window.Std()
@@ -186,6 +190,7 @@
 	v.checkDuration("timings.minimumLease", f.Timings.MinimumLease, false)
 	v.checkDuration("timings.configuration", f.Timings.Configuration, true)
 	v.checkDuration("timings.drain", f.Timings.Drain, false)
+	v.checkDuration("timings.contact", f.Timings.Contact, false)
 	v.checkDuration("timings.thaw", f.Timings.Thaw, false)
 	v.checkNotNegative("retries.ratio", f.Retries.Ratio)
 	v.checkNotNegative("retries.allowance", f.Retries.Allowance)
--- a/internal/standin/fleet/storecalls.go
+++ b/internal/standin/fleet/storecalls.go
@@ -11,7 +11,9 @@
 )
 
 // ServeHTTP implements http.Handler.
-func (s *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) { s.serve(writer, request, nil) }
+func (s *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	s.serve(writer, request, nil)
+}
 
 // View returns the store as one client sees it: rewrite modifies each value that is read through the handler.
 func (s *Store) View(rewrite func(key string, value []byte) []byte) http.Handler {
