Role orders: pauses after failures, and other engines after one that failed

A planned change went to the same unreachable engine each time.

A recovery that no engine accepts is tried again after 50 ms, then after twice as long each time, up to 3 s; an order that was accepted ends that. Planned changes leave out engines that failed an order in the last 3 s. TestFailedRecoveriesPauseLonger failed before with 10,000 recoveries in 10 s of fake time, TestPlannedChangeAvoidsFailedEngines by the second order to the same engine.

--- a/internal/roles/orders.go
+++ b/internal/roles/orders.go
@@ -43,27 +43,38 @@
 	for i, change := range changes {
 		c.finishOrder(change, errs[i])
 	}
+	c.reportFailures(changes, errs)
 	if changes[0].Urgent {
 		c.reportRecovery(changes, errs)
 	}
 }
 
-// reportRecovery tells the planners for which engines the recovery order was not sent or not accepted, and in which groups no engine
-// accepted one.
+// isAccepted reports whether an engine has or takes the ordered role.
+func isAccepted(err error) bool { return err == nil || errors.Is(err, errRoleInPlace) }
+
+// reportFailures tells the planners which engines did not accept their orders.
+func (c *Controller) reportFailures(changes []Change, errs []error) {
+	now := c.settings.Now()
+	for i, change := range changes {
+		if !isAccepted(errs[i]) {
+			c.planner(change.Worker.RoleGroup()).OrderFailed(now, change.Worker.ID)
+		}
+	}
+}
+
+// reportRecovery tells the planners in which groups engines accepted a recovery order, and in which none did.
 func (c *Controller) reportRecovery(changes []Change, errs []error) {
 	now := c.settings.Now()
 	recovered := map[string]bool{}
 	for i, change := range changes {
 		group := change.Worker.RoleGroup()
-		accepted := errs[i] == nil || errors.Is(errs[i], errRoleInPlace)
-		recovered[group] = recovered[group] || accepted
-		if !accepted {
-			c.planner(group).OrderFailed(now, change.Worker.ID)
-		}
+		recovered[group] = recovered[group] || isAccepted(errs[i])
 	}
 	for group, accepted := range recovered {
-		if !accepted {
-			c.planner(group).RecoveryFailed()
+		if accepted {
+			c.planner(group).RecoverySucceeded()
+		} else {
+			c.planner(group).RecoveryFailed(now)
 		}
 	}
 }
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -202,6 +202,7 @@
 // Next returns the next change, or nil. The caller applies a change to the group before it calls Next again.
 func (p *Planner) Next(now time.Time, group *Group) *Change {
 	prefill, decode := summarize(now, group, backend.RolePrefill), summarize(now, group, backend.RoleDecode)
+	prefill.ready, decode.ready = p.withoutFailed(now, prefill.ready), p.withoutFailed(now, decode.ready)
 	p.groupSize, p.changing = prefill.count+decode.count, prefill.changing+decode.changing
 	p.paces.update(now, group.Engines, &p.settings)
 	if decode.slots == 0 {
@@ -234,6 +235,14 @@
 	}
 }
 
+// withoutFailed returns the engines that did not fail an order recently.
+func (p *Planner) withoutFailed(now time.Time, engines []Engine) []Engine {
+	if len(p.recovery.failedUntil) == 0 {
+		return engines
+	}
+	return slices.DeleteFunc(slices.Clone(engines), func(engine Engine) bool { return p.recovery.failureRank(now, engine.Worker.ID) > 0 })
+}
+
 // earlyChangeFactor limits the changes made before any demand is seen to this multiple of the square root of the group size, so their share
 // of the engines shrinks as groups grow: at most 9 changes in a group of 36 engines, and 15 in a group of 100.
 const earlyChangeFactor = 1.5
--- a/internal/roles/recovery.go
+++ b/internal/roles/recovery.go
@@ -17,6 +17,10 @@
 	hold time.Duration
 	// failedUntil maps the IDs of engines that failed an order to the time until which the others are tried first.
 	failedUntil map[string]time.Time
+	// retryAt is when the next recovery may be tried after one that no engine accepted, and retryPause how long that one was after the one
+	// before.
+	retryAt    time.Time
+	retryPause time.Duration
 	// previous is the state before the latest recovery.
 	previous *recoveryState
 }
@@ -24,7 +28,13 @@
 // orderFailureTimeout is how long an engine that failed an order is tried after the others.
 const orderFailureTimeout = 3 * time.Second
 
-// OrderFailed records that an engine failed a recovery order, so that other engines are tried next.
+// Pauses between recoveries that no engine accepts. The pause doubles each time, so that a controller that reaches no engine sends few orders.
+const (
+	initialRetryPause = 50 * time.Millisecond
+	maxRetryPause     = 3 * time.Second
+)
+
+// OrderFailed records that an engine failed an order, so that other engines are tried next.
 func (p *Planner) OrderFailed(now time.Time, worker string) {
 	if p.recovery.failedUntil == nil {
 		p.recovery.failedUntil = map[string]time.Time{}
@@ -37,8 +47,13 @@
 	p.recovery.failedUntil[worker] = now.Add(orderFailureTimeout)
 }
 
-// RecoveryFailed restores the hold from before the latest recovery, because no engine accepted its order.
-func (p *Planner) RecoveryFailed() {
+// RecoverySucceeded records that an engine accepted an order of the latest recovery.
+func (p *Planner) RecoverySucceeded() { p.recovery.retryAt, p.recovery.retryPause = time.Time{}, 0 }
+
+// RecoveryFailed records that no engine accepted an order of the latest recovery: it restores the hold from before, and delays the next one.
+func (p *Planner) RecoveryFailed(now time.Time) {
+	p.recovery.retryPause = min(max(2*p.recovery.retryPause, initialRetryPause), maxRetryPause)
+	p.recovery.retryAt = now.Add(p.recovery.retryPause)
 	if p.recovery.previous != nil {
 		p.recovery.lastAt, p.recovery.hold, p.recovery.previous = p.recovery.previous.lastAt, p.recovery.previous.hold, nil
 	}
@@ -79,7 +94,7 @@
 	prefill, decode := summarize(now, group, backend.RolePrefill), summarize(now, group, backend.RoleDecode)
 	live := prefill.live + decode.live
 	minDecode := p.minEngines(decode.role, live)
-	if !group.HadDecode || 2*decode.live > minDecode {
+	if !group.HadDecode || 2*decode.live > minDecode || now.Before(p.recovery.retryAt) {
 		return nil
 	}
 	minPrefill := p.minEngines(prefill.role, live)
--- a/internal/roles/recovery_test.go
+++ b/internal/roles/recovery_test.go
@@ -168,10 +168,50 @@
 			ordered[change.Worker.ID] = true
 			planner.OrderFailed(now, change.Worker.ID)
 		}
-		planner.RecoveryFailed()
+		planner.RecoveryFailed(now)
 		now = now.Add(2 * time.Second)
 	}
 	if planner.recovery.holds(now) {
 		t.Error("decode engines are held after a recovery that no engine accepted")
 	}
 }
+
+// TestFailedRecoveriesPauseLonger guards against a controller that reaches no engine and sends the same orders over and over.
+func TestFailedRecoveriesPauseLonger(t *testing.T) {
+	engines := newEngines(8, 4, 0)
+	for i := range engines {
+		engines[i].Ended = engines[i].Worker.Role == backend.RoleDecode
+	}
+	planner := NewPlanner(DefaultSettings())
+	group := &Group{Engines: engines, HadDecode: true, RoleChangeTime: time.Second}
+	const duration, maxRecoveries = 10 * time.Second, 10
+	recoveries := 0
+	for now := epoch; now.Before(epoch.Add(duration)); now = now.Add(time.Millisecond) {
+		if len(planner.Recover(now, group)) > 0 {
+			recoveries++
+			planner.RecoveryFailed(now)
+		}
+	}
+	if recoveries < 2 || recoveries > maxRecoveries {
+		t.Errorf("%d recoveries in %s, want 2 to %d", recoveries, duration, maxRecoveries)
+	}
+	planner.RecoverySucceeded()
+	if len(planner.Recover(epoch.Add(duration), group)) == 0 {
+		t.Error("no recovery after one that succeeded")
+	}
+}
+
+// TestPlannedChangeAvoidsFailedEngines guards against a controller that has lost its path to one engine and orders that one again each time.
+func TestPlannedChangeAvoidsFailedEngines(t *testing.T) {
+	planner := NewPlanner(DefaultSettings())
+	group := func() *Group { return &Group{Engines: newEngines(5, 7, 1), PrefillDemand: 5} }
+	first := planner.Next(epoch, group())
+	if first == nil {
+		t.Fatal("no change although prompts keep the prefill engines busy")
+	}
+	planner.OrderFailed(epoch, first.Worker.ID)
+	second := planner.Next(epoch.Add(time.Second), group())
+	if second == nil || second.Worker.ID == first.Worker.ID {
+		t.Errorf("after %s failed its order, got %+v", first.Worker.ID, second)
+	}
+}
