Controller: a gateway that reaches too few engines hands the key over

Its lease is renewed at the store, which it reaches.

A controller now releases the key while the gateway has lost its direct paths to more than half of the engines, as other gateways confirm, and does not acquire it meanwhile. Orders are never relayed: engines take each machine that orders for a holder of its own. If the store does not answer, it is tried again after pauses that double up to 2 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,6 +196,7 @@
 	}
 	g.dispatcher.OnAbsenceReport(g.metrics.countAbsenceReports)
 	g.controller.OnOrder(g.metrics.countOrder)
+	g.controller.SetReachability(g.reachesEngines)
 	registrationSettings := member.DefaultRegistrationSettings()
 	registrationSettings.TTL = settings.LeaseTTL
 	g.registration = member.NewRegistration(registrationSettings, dependencies.Store, self,
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -115,3 +115,24 @@
 	}
 	return g.dependencies.Relay.LostPaths()
 }
+
+// reachesEngines reports whether this gateway reaches at least half of the engines directly. Orders are not relayed, because engines take each
+// machine that orders for a holder of its own.
+func (g *Gateway) reachesEngines() bool {
+	if g.lostPaths() == 0 {
+		return true
+	}
+	engines, lost := 0, 0
+	g.workersMu.Lock()
+	defer g.workersMu.Unlock()
+	for _, worker := range g.workers {
+		if worker.Role == backend.RoleNone {
+			continue
+		}
+		engines++
+		if g.dependencies.Relay.IsLost(worker.Address) {
+			lost++
+		}
+	}
+	return 2*lost <= engines
+}
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -100,8 +100,13 @@
 	planners       map[string]*Planner
 	pendingChanges pendingChanges
 	recordDecision func(decision.Record)
+	// reachesEngines reports whether this process reaches enough engines to give orders; nil means that it does.
+	reachesEngines func() bool
 	// onOrder is called with the outcome of each order; may be nil.
 	onOrder func(outcome string)
+	// handoverAt is when the controller key may be handed over again after that failed, and handoverPause the pause before.
+	handoverAt    time.Time
+	handoverPause time.Duration
 	// wake triggers the next step immediately.
 	wake chan struct{}
 	// resigned is set when the process shuts down: it releases the controller key and does not acquire it again.
@@ -134,6 +139,10 @@
 // OnOrder sets a callback for the outcome of each order: "accepted", "in place" or "failed". It must be called before Run.
 func (c *Controller) OnOrder(onOrder func(outcome string)) { c.onOrder = onOrder }
 
+// SetReachability sets a function that reports whether this process reaches enough engines to give orders. While it does not, the controller
+// hands the controller key over and does not acquire it. It must be called before Run.
+func (c *Controller) SetReachability(reachesEngines func() bool) { c.reachesEngines = reachesEngines }
+
 // SetGroups sets the minimum numbers of engines per role from the configuration of the groups.
 func (c *Controller) SetGroups(groups []routing.Group) {
 	minEngines := map[string]map[backend.Role]int{}
@@ -252,7 +261,7 @@
 	}
 }
 
-// step releases the controller key after Resign, acquires a free key, or, if this process may give orders, recovers lost roles or confirms
+// step releases the controller key after Resign, hands it over while this process reaches too few engines, acquires a free key, or, if this process may give orders, recovers lost roles or confirms
 // pending changes and makes the next ones.
 func (c *Controller) step(ctx context.Context) {
 	if c.resigned.Load() {
@@ -260,6 +269,11 @@
 		return
 	}
 	now := c.settings.Now()
+	if c.reachesEngines != nil && !c.reachesEngines() {
+		c.handOver(ctx, now)
+		return
+	}
+	c.handoverPause, c.handoverAt = 0, time.Time{}
 	c.mutex.Lock()
 	c.authority.Tick(now)
 	acquire := c.keyFree && c.lease != 0 && !now.Before(c.acquireAfter)
--- a/internal/roles/controller_test.go
+++ b/internal/roles/controller_test.go
@@ -26,6 +26,9 @@
 	history  []byte
 	// loseResponse makes commits succeed but return an error.
 	loseResponse bool
+	// failCommits makes commits fail without effect, and failedCommits counts these.
+	failCommits   bool
+	failedCommits int
 }
 
 func (s *fakeStore) List(context.Context, string) ([]store.Item, store.Revision, error) {
@@ -40,6 +43,10 @@
 func (s *fakeStore) Commit(_ context.Context, transaction store.Transaction) (store.Revision, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.failCommits {
+		s.failedCommits++
+		return 0, errors.New("no response")
+	}
 	if len(transaction.Deletes) > 0 && transaction.Conditions[0].Revision == s.revision {
 		s.value = nil
 		return s.revision, nil
@@ -258,3 +265,42 @@
 		}
 	}
 }
+
+// TestKeyIsHandedOverWithoutEngines guards against a controller that keeps the key, or acquires it, while it reaches too few engines, and
+// against one that stops trying to hand it over because the store did not answer.
+func TestKeyIsHandedOverWithoutEngines(t *testing.T) {
+	keys, orderer, fleet := &fakeStore{revision: 41}, &recordingOrderer{state: EngineState{Role: backend.RoleDecode}}, &busyPrefillFleet{}
+	controller := newTestController(keys, orderer, fleet)
+	now := boottime.Now()
+	controller.settings.Now = func() time.Time { return now }
+	var reaches bool
+	controller.SetReachability(func() bool { return reaches })
+	controller.KeyChanged(now, nil, 0, 0)
+	controller.LeaseRenewed(now, 5, time.Minute)
+	runSteps(controller, 3)
+	if keys.value != nil {
+		t.Fatal("the key was acquired without engines in reach")
+	}
+	reaches = true
+	runSteps(controller, 1)
+	if keys.value == nil {
+		t.Fatal("the key was not acquired with engines in reach")
+	}
+	reaches, keys.failCommits = false, true
+	for range 20 {
+		runSteps(controller, 1)
+		now = now.Add(100 * time.Millisecond)
+	}
+	if attempts := keys.failedCommits; attempts < 2 || attempts > 5 {
+		t.Errorf("%d attempts to hand the key over in 2 s, want 2 to 5", attempts)
+	}
+	keys.failCommits = false
+	now = now.Add(2 * time.Second)
+	runSteps(controller, 1)
+	if keys.value != nil || controller.HasAuthority() {
+		t.Error("the key was not handed over")
+	}
+	if len(orderer.orders) > 0 {
+		t.Errorf("%d orders", len(orderer.orders))
+	}
+}
--- a/internal/roles/holder.go
+++ b/internal/roles/holder.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -119,6 +120,43 @@
 	c.Wake()
 }
 
+// maxHandoverPause is the longest pause between two attempts to hand the controller key over.
+const maxHandoverPause = 2 * time.Second
+
+// handOver deletes the controller key, so that a process that reaches the engines acquires it. Unlike at the end of the process, the lease is
+// renewed meanwhile, so a failure is followed by another attempt, with longer pauses each time.
+func (c *Controller) handOver(ctx context.Context, now time.Time) {
+	c.mutex.Lock()
+	c.authority.Tick(now)
+	revision, isHolder := c.keyRevision, c.authority.Holds()
+	c.mutex.Unlock()
+	if !isHolder || now.Before(c.handoverAt) {
+		return
+	}
+	c.handoverPause = min(max(2*c.handoverPause, c.settings.Authority.TickInterval), maxHandoverPause)
+	c.handoverAt = now.Add(c.handoverPause)
+	if err := c.deleteKey(ctx, revision); err != nil {
+		c.logger.WithError(err).Warn("This gateway reaches too few engines, and the controller key was not handed over.")
+		return
+	}
+	c.mutex.Lock()
+	c.authority.Lost()
+	c.mutex.Unlock()
+	c.logger.Warn("The controller key was released, since this gateway reaches too few engines.")
+	c.recordDecision(decision.Record{
+		Kind: decision.KindAuthority, Subject: ControllerKey, Outcome: "released",
+		Reason: "This gateway reaches too few engines to give orders, so it has released the controller key.",
+	})
+}
+
+// deleteKey deletes the controller key if it still has a revision.
+func (c *Controller) deleteKey(ctx context.Context, revision store.Revision) error {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
+	defer cancel()
+	_, err := c.store.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: ControllerKey, Revision: revision}}, Deletes: []string{ControllerKey}})
+	return err
+}
+
 // release deletes the controller key. If that fails, the key expires with its lease.
 func (c *Controller) release(ctx context.Context) {
 	c.mutex.Lock()
@@ -128,10 +166,7 @@
 	if !isHolder {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
-	defer cancel()
-	_, err := c.store.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: ControllerKey, Revision: revision}}, Deletes: []string{ControllerKey}})
-	if err != nil {
+	if err := c.deleteKey(ctx, revision); err != nil {
 		c.logger.WithError(err).Warn("The controller key was not released; it expires with its lease.")
 		return
 	}
