Ejections: shared only once the worker is known to be at fault

A gateway that is silently cut off sees timeouts at sound workers, ejects them and tells the others, each of which counts that as a timeout of its own: two reports, or one and a slow answer, and all avoid a sound worker.

An ejection because of timeouts, failed connections or broken answers is now judged first: this gateway connects to the worker (the worker is at fault), another gateway does and this one does not (the path is: the worker is readmitted here, for connections through the other gateway, and nobody hears of it), or nobody can tell (nothing is sent). Other gateways answer that a worker is silent, or refuses, only while they reach another worker of its group. Without relays an ejection is sent at once, as before.

TestEjectionIsSharedOnlyIfWorkerIsAtFault fails without the judgement: the ejection is sent before the fault is known. TestJudge has the cases by refused and by unanswered connections.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -297,6 +297,13 @@
 	}
 }
 
+// Readmit ends the ejection of a worker that turned out not to be at fault, and forgets its failures.
+func (b *Balancer) Readmit(id string) {
+	if state, found := b.workers[id]; found {
+		state.health = health{consecutiveRefusals: state.health.consecutiveRefusals}
+	}
+}
+
 // Load returns the load that this gateway has placed on a worker.
 func (b *Balancer) Load(id string) backend.Load {
 	state, found := b.workers[id]
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -76,6 +76,8 @@
 	demand       map[string]*demandCounter
 	// onPlacement is called after each placement; may be nil.
 	onPlacement func(took time.Duration, candidates int)
+	// judgeFailure finds out whether a worker or the path to it is at fault; nil takes the worker for it.
+	judgeFailure func(worker *backend.Worker, judged func(Fault))
 	// onInterval is called after each event of an engine's response but the first; may be nil.
 	onInterval func(group string, interval time.Duration)
 	// saturationCache caches, by group, when its workers accept requests again. lastReservedSlot is the last Retry-After time that was
@@ -327,10 +329,7 @@
 	}
 	d.balancer.PrefillDone(a.Worker.ID, a.load)
 	if d.balancer.End(now, a.Worker.ID, outcome) {
-		a.dispatcher.peers.workerEjected(a.Worker, outcome)
-		if outcome == balance.OutcomeTimeout {
-			d.migration.Risk().Ended(now, a.Worker.ID)
-		}
+		d.workerEjected(a.Worker, outcome)
 	}
 	a.dispatcher.peers.loadChanged(a.Worker.ID, false)
 }
--- a/internal/forward/enginestate_test.go
+++ b/internal/forward/enginestate_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/peersync"
 	"github.com/granitebay/granitebay/internal/roles"
@@ -342,3 +343,44 @@
 		}
 	}
 }
+
+// TestEjectionIsSharedOnlyIfWorkerIsAtFault guards against gateways that avoid a sound worker because one that has lost its path to it ejected
+// it, and against that one avoiding it although another gateway relays its connections.
+func TestEjectionIsSharedOnlyIfWorkerIsAtFault(t *testing.T) {
+	for _, test := range []struct {
+		fault            Fault
+		usable, isShared bool
+	}{
+		{FaultWorker, false, true},
+		{FaultUnknown, false, false},
+		{FaultPath, true, false},
+	} {
+		for _, outcome := range []balance.Outcome{balance.OutcomeTimeout, balance.OutcomeUnreachable, balance.OutcomeMalformed} {
+			pair := newGatewayPair()
+			cutOff := pair.gateways[0]
+			var judged func(Fault)
+			cutOff.JudgeFailures(func(_ *backend.Worker, done func(Fault)) { judged = done })
+			worker := pair.records[fmt.Sprint(backend.RoleDecode, 0)]
+			for judged == nil {
+				cutOff.mutex.Lock()
+				assignment := cutOff.assign(balance.Choice{Worker: worker}, 0, false, 0)
+				cutOff.mutex.Unlock()
+				pair.now = pair.now.Add(time.Second)
+				assignment.finish(outcome)
+			}
+			if sent := cutOff.TakeUpdate(false); len(sent.Failed) > 0 {
+				t.Errorf("outcome %d: %v was sent before the fault was known", outcome, sent.Failed)
+			}
+			judged(test.fault)
+			sent := cutOff.TakeUpdate(false)
+			if isShared := len(sent.Failed) > 0; isShared != test.isShared {
+				t.Errorf("outcome %d, fault %d: ejection sent: %t, want %t", outcome, test.fault, isShared, test.isShared)
+			}
+			for other, status := range cutOff.balancer.WorkerStatuses(pair.now, worker.Group) {
+				if other.ID == worker.ID && status.Usable != test.usable {
+					t.Errorf("outcome %d, fault %d: usable: %t, want %t", outcome, test.fault, status.Usable, test.usable)
+				}
+			}
+		}
+	}
+}
--- a/internal/forward/peers.go
+++ b/internal/forward/peers.go
@@ -58,18 +58,68 @@
 	p.notify(true)
 }
 
-// workerEjected records that a worker was ejected. Only failures that other gateways would see too are sent: workers that do not respond
-// and engines whose responses fail.
-func (p *peerExchange) workerEjected(worker *backend.Worker, outcome balance.Outcome) {
-	visibleToPeers := outcome == balance.OutcomeUnreachable || outcome == balance.OutcomeTimeout ||
+// isVisibleToPeers reports whether other gateways would see a failure, too: workers that do not respond and engines whose responses fail.
+func isVisibleToPeers(worker *backend.Worker, outcome balance.Outcome) bool {
+	return outcome == balance.OutcomeUnreachable || outcome == balance.OutcomeTimeout ||
 		(outcome == balance.OutcomeMalformed && worker.Role != backend.RoleNone)
-	if p.notify == nil || !visibleToPeers || len(p.ejected) >= maxPendingNotices {
+}
+
+// sendEjection sends the ejection of a worker to the other gateways.
+func (p *peerExchange) sendEjection(worker string) {
+	if p.notify == nil || len(p.ejected) >= maxPendingNotices {
 		return
 	}
-	p.ejected = append(p.ejected, worker.ID)
+	p.ejected = append(p.ejected, worker)
 	p.notify(true)
 }
 
+// Fault is what made requests to a worker fail.
+type Fault int
+
+// The faults.
+const (
+	// FaultUnknown is sent to no other gateway: what one gateway sees alone may be its own fault.
+	FaultUnknown Fault = iota
+	FaultWorker
+	// FaultPath means that this gateway alone does not reach the worker.
+	FaultPath
+)
+
+// JudgeFailures sets a function that finds out what made requests to a worker fail, and then calls judged, on another goroutine. It must be
+// called before the first request.
+func (d *Dispatcher) JudgeFailures(judge func(worker *backend.Worker, judged func(Fault))) {
+	d.judgeFailure = judge
+}
+
+// workerEjected records that this gateway has ejected a worker. The others learn of it once the worker is known to be at fault; a worker to
+// which only the path is lost is readmitted. The mutex is held.
+func (d *Dispatcher) workerEjected(worker *backend.Worker, outcome balance.Outcome) {
+	if d.judgeFailure == nil || outcome == balance.OutcomeError {
+		// An error response shows that the path works.
+		d.ejectionJudged(worker, outcome, FaultWorker)
+		return
+	}
+	d.judgeFailure(worker, func(fault Fault) {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		d.ejectionJudged(worker, outcome, fault)
+	})
+}
+
+// ejectionJudged records what made requests to an ejected worker fail. The mutex is held.
+func (d *Dispatcher) ejectionJudged(worker *backend.Worker, outcome balance.Outcome, fault Fault) {
+	if fault == FaultPath {
+		d.balancer.Readmit(worker.ID)
+		return
+	}
+	if fault == FaultWorker && isVisibleToPeers(worker, outcome) {
+		d.peers.sendEjection(worker.ID)
+	}
+	if outcome == balance.OutcomeTimeout {
+		d.migration.Risk().Ended(d.now(), worker.ID)
+	}
+}
+
 // NotifyUpdates makes the dispatcher collect updates for other gateways. The callback must not block.
 func (d *Dispatcher) NotifyUpdates(notify func(urgent bool)) {
 	d.mutex.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,6 +193,9 @@
 	}
 	if dependencies.Relay != nil {
 		dependencies.Relay.SetSource(relaySource{g}, links.relayEvent)
+		if settings.ContactTime > 0 {
+			g.dispatcher.JudgeFailures(g.judgeFailure)
+		}
 	}
 	g.dispatcher.OnAbsenceReport(g.metrics.countAbsenceReports)
 	g.controller.OnOrder(g.metrics.countOrder)
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/relay"
 )
 
@@ -136,3 +137,17 @@
 	}
 	return 2*lost <= engines
 }
+
+// judgeFailure finds out in the background whether a worker or the path to it made requests fail.
+func (g *Gateway) judgeFailure(worker *backend.Worker, judged func(forward.Fault)) {
+	go func() {
+		switch g.dependencies.Relay.Judge(worker.Address) {
+		case relay.VerdictWorker:
+			judged(forward.FaultWorker)
+		case relay.VerdictPath:
+			judged(forward.FaultPath)
+		case relay.VerdictUnknown:
+			judged(forward.FaultUnknown)
+		}
+	}()
+}
--- a/internal/relay/checks.go
+++ b/internal/relay/checks.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -32,16 +34,49 @@
 	}
 }
 
+// Verdict says what is wrong if requests to a worker fail.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictUnknown means that neither this gateway nor another one could tell.
+	VerdictUnknown Verdict = iota
+	// VerdictWorker means that the worker is at fault: this gateway connects to it, or others that reach its group do not.
+	VerdictWorker
+	// VerdictPath means that the direct path of this gateway is lost, while another one connects.
+	VerdictPath
+)
+
+// Judge finds out whether a worker or the direct path to it is at fault. It takes up to the connect timeout.
+func (d *Dialer) Judge(address string) Verdict {
+	if !d.Enabled() {
+		return VerdictWorker
+	}
+	if d.IsLost(address) {
+		return VerdictPath
+	}
+	return d.check(address)
+}
+
 // check connects to an address directly and, if that fails, asks other gateways. The connection is kept for later use.
-func (d *Dialer) check(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ConnectTimeout)
+func (d *Dialer) check(address string) Verdict {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ConnectTimeout+d.settings.hedgeDelay(false))
 	defer cancel()
 	conn, err := d.dialDirect(ctx, address, d.settings.hedgeDelay(false))
-	if err != nil {
-		conn, err = d.confirm(ctx, address, err)
-	}
 	if err == nil {
 		d.keepConn(conn, address)
+		return VerdictWorker
+	}
+	relayed, relayErr := d.dialRelay(ctx, address)
+	conn, _ = d.judge(address, err, dialed{relayed, relayErr})
+	switch {
+	case conn != nil:
+		d.keepConn(conn, address)
+		return VerdictPath
+	case errors.Is(relayErr, errRefusedAtPeer), errors.Is(relayErr, errSilentAtPeer), errors.Is(relayErr, errNoPeers):
+		return VerdictWorker
+	default:
+		return VerdictUnknown
 	}
 }
 
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -20,10 +20,11 @@
 	protocolName = "granitebay-relay"
 )
 
-// Values of headerResult: the worker refuses connections; the gateway can't tell, since it does not reach the worker; it does not know the
-// worker; or it relays as many connections as it may.
+// Values of headerResult: the worker refuses connections; it does not answer; the gateway can't tell, since it is cut off from the group; it
+// does not know the worker; or it relays as many connections as it may.
 const (
 	resultRefused     = "refused"
+	resultSilent      = "silent"
 	resultUnreachable = "unreachable"
 	resultUnknown     = "unknown"
 	resultNoRoom      = "no room"
@@ -31,7 +32,7 @@
 
 // resultErrors are the errors for the values of headerResult. Without a value, the gateway does not support relays.
 var resultErrors = map[string]error{
-	resultRefused: errRefusedAtPeer, resultUnreachable: errUnreachableAtPeer, resultUnknown: errPeerUnavailable,
+	resultRefused: errRefusedAtPeer, resultSilent: errSilentAtPeer, resultUnreachable: errUnreachableAtPeer, resultUnknown: errPeerUnavailable,
 	resultNoRoom: errPeerUnavailable, "": errUnsupported,
 }
 
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -22,6 +22,7 @@
 const (
 	OutcomeConnected   Outcome = "connected"
 	OutcomeRefused     Outcome = "refused"
+	OutcomeSilent      Outcome = "silent"
 	OutcomeUnreachable Outcome = "unreachable"
 	OutcomeNoRoom      Outcome = "no room"
 	OutcomeUnknown     Outcome = "unknown worker"
@@ -436,8 +437,8 @@
 type poll struct {
 	results chan dialed
 	pending int
-	// refused, unsupported and other count the failures.
-	refused, unsupported, other int
+	// refused, silent, unsupported and other count the failures.
+	refused, silent, unsupported, other int
 }
 
 // add counts a failure.
@@ -445,6 +446,8 @@
 	switch {
 	case errors.Is(err, errRefusedAtPeer):
 		p.refused++
+	case errors.Is(err, errSilentAtPeer):
+		p.silent++
 	case errors.Is(err, errUnsupported):
 		p.unsupported++
 	default:
@@ -457,6 +460,8 @@
 	switch {
 	case p.refused > 0:
 		return errRefusedAtPeer
+	case p.silent > 0:
+		return errSilentAtPeer
 	case p.other > 0:
 		return errUnreachableAtPeer
 	default:
@@ -485,7 +490,7 @@
 	switch outcome {
 	case OutcomeConnected:
 		delete(d.avoidedUntil, peer.Name)
-	case OutcomeRefused:
+	case OutcomeRefused, OutcomeSilent:
 	default:
 		d.avoidedUntil[peer.Name] = time.Now().Add(d.settings.checkInterval())
 	}
@@ -509,6 +514,8 @@
 		return OutcomeConnected
 	case errors.Is(err, errRefusedAtPeer):
 		return OutcomeRefused
+	case errors.Is(err, errSilentAtPeer):
+		return OutcomeSilent
 	case errors.Is(err, errUnreachableAtPeer):
 		return OutcomeUnreachable
 	default:
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -43,6 +43,8 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		h.reject(w, OutcomeRefused, resultRefused, http.StatusBadGateway)
+	case errors.Is(err, errSilentAtPeer):
+		h.reject(w, OutcomeSilent, resultSilent, http.StatusGatewayTimeout)
 	case err != nil:
 		h.reject(w, OutcomeUnreachable, resultUnreachable, http.StatusGatewayTimeout)
 	case h.active.Load() >= int64(h.dialer.settings.MaxRelayed):
@@ -127,18 +129,27 @@
 	onlyReader struct{ io.Reader }
 )
 
-// dialForPeer connects to a worker directly, on behalf of another gateway. A refused connection is returned as such only while this gateway
-// reaches another worker of the group: one that is cut off itself can't tell whether the worker has ended.
+// dialForPeer connects to a worker directly, on behalf of another gateway. The error says that the worker refuses connections or does not
+// answer only while this gateway reaches another worker of the group: one that is cut off itself can't tell.
 func (d *Dialer) dialForPeer(ctx context.Context, address string) (net.Conn, error) {
-	if d.isUnreachable(address) {
+	if d.IsLost(address) {
 		return nil, errUnreachableAtPeer
 	}
 	timeout := peerDialFactor * d.settings.hedgeDelay(false)
-	conn, err := d.dialDirect(ctx, address, timeout)
-	if errors.Is(err, syscall.ECONNREFUSED) && !d.reachesAny(ctx, d.source().Siblings(address), timeout) {
+	conn, err := net.Conn(nil), errSilentAtPeer
+	if !d.hungRecently(address) {
+		conn, err = d.dialDirect(ctx, address, timeout)
+	}
+	switch {
+	case err == nil:
+		return conn, nil
+	case !d.reachesAny(ctx, d.source().Siblings(address), timeout):
 		return nil, errUnreachableAtPeer
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, err
+	default:
+		return nil, errSilentAtPeer
 	}
-	return conn, err
 }
 
 const (
@@ -170,10 +181,10 @@
 	return false
 }
 
-// isUnreachable reports whether the path of this gateway to an address is known to hang or to be lost, so that there is no point in trying.
-func (d *Dialer) isUnreachable(address string) bool {
+// hungRecently reports whether an attempt of this gateway at an address got no answer a moment ago.
+func (d *Dialer) hungRecently(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	hungAt, hung := d.hungAt[address]
-	return d.paths.IsLost(address) || (hung && time.Since(hungAt) < d.settings.checkInterval())
+	return hung && time.Since(hungAt) < d.settings.checkInterval()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,8 +86,10 @@
 var (
 	// errRefusedAtPeer means that the worker refuses connections of another gateway.
 	errRefusedAtPeer = errors.New("the worker refuses the connections of another gateway")
-	// errUnreachableAtPeer means that another gateway does not reach the worker either.
-	errUnreachableAtPeer = errors.New("the other gateway does not reach the worker")
+	// errSilentAtPeer means that the worker does not answer another gateway, which reaches other workers of its group.
+	errSilentAtPeer = errors.New("the worker does not answer another gateway")
+	// errUnreachableAtPeer means that another gateway is cut off from the worker's group, too, and can't tell.
+	errUnreachableAtPeer = errors.New("the other gateway does not reach the worker's group")
 	// errPeerUnavailable means that another gateway does not relay now, and errUnsupported that it never does.
 	errPeerUnavailable = errors.New("the other gateway does not relay now")
 	errUnsupported     = errors.New("the other gateway does not support relays")
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -461,3 +461,57 @@
 		t.Error("the relayed connection is still used")
 	}
 }
+
+// TestJudge guards against taking a lost path for a fault of the worker, and the other way round, by refused and by unanswered connections.
+func TestJudge(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// own and others say how the worker answers this gateway and two others, and sibling whether the others reach another worker.
+		own, others string
+		sibling     bool
+		want        Verdict
+	}{
+		{"a sound path", "accepts", "accepts", true, VerdictWorker},
+		{"refused here only", "refuses", "accepts", true, VerdictPath},
+		{"no answer here only", "hangs", "accepts", true, VerdictPath},
+		{"refused everywhere", "refuses", "refuses", true, VerdictWorker},
+		{"no answer anywhere", "hangs", "hangs", true, VerdictWorker},
+		{"all cut off by resets", "refuses", "refuses", false, VerdictUnknown},
+		{"all cut off silently", "hangs", "hangs", false, VerdictUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			own := answering(t, test.own)
+			a := newNode(t, "a", map[string]string{"w": own, "v": closedAddress(t)}, 8)
+			for i := range 2 {
+				workers := map[string]string{"w": answering(t, test.others), "v": closedAddress(t)}
+				if test.sibling {
+					workers["v"] = startWorker(t, idle)
+				}
+				a.asks(newNode(t, fmt.Sprint("peer-", i), workers, 8))
+			}
+			if got := a.dialer.Judge(own); got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// answering returns the address of a worker that accepts or refuses connections, or does not answer.
+func answering(t *testing.T, how string) string {
+	t.Helper()
+	switch how {
+	case "refuses":
+		return closedAddress(t)
+	case "hangs":
+		proxy, err := netproxy.New(startWorker(t, idle))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(proxy.Close)
+		proxy.Set(netproxy.ModeHang)
+		return proxy.Address()
+	default:
+		return startWorker(t, idle)
+	}
+}
