Soak: gateways that are cut off from workers

Seeds from 11000 on draw cuts of the paths between gateways and workers: of one gateway, some, most or all of them, or all of a zone; to one service or to all; by resets, silently, or for new connections only; some heal and come again. Gateways have proxies of their own on each path there, and timings.contact with the current build. A new check holds the users' rule where no other unplanned fault interferes: from 2 s after a cut began, cut-off gateways serve at least two thirds as often as the others, or no more than ten and one in fifty fail.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -318,7 +318,7 @@
 func TestRoundsAreDeterministic(t *testing.T) {
 	kinds := map[string]bool{}
 	for number := range 300 {
-		first, second := drawRound(7, number, 4, 10), drawRound(7, number, 4, 10)
+		first, second := drawRound(7, number, 4, 10, 4), drawRound(7, number, 4, 10, 4)
 		if fmt.Sprint(first) != fmt.Sprint(second) {
 			t.Fatalf("round %d differs when drawn again", number)
 		}
@@ -333,3 +333,57 @@
 		t.Errorf("%d kinds of faults are drawn, want 19: %v", len(kinds), kinds)
 	}
 }
+
+// TestCheckBypass guards against a check that passes gateways which serve nobody while they are cut off, and against one that counts the time
+// that these have to find another way, or rounds with other faults.
+func TestCheckBypass(t *testing.T) {
+	begun := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	cut := Span{Fault: PathFault{Gateways: []int{0}, Duration: 5 * time.Second}, Begun: begun, Ended: begun.Add(5 * time.Second)}
+	requests := func(from time.Duration, served bool) []RequestRecord {
+		var records []RequestRecord
+		for i := range 40 {
+			sent := begun.Add(from + time.Duration(i)*10*time.Millisecond)
+			ok := fleet.Response{Status: http.StatusOK}
+			record := RequestRecord{Gateway: []string{"a", "b"}[i%2], Sent: sent, Ended: sent.Add(time.Millisecond), Response: ok}
+			if record.Gateway == "a" && !served {
+				record.Response.Status = http.StatusServiceUnavailable
+			}
+			records = append(records, record)
+		}
+		return records
+	}
+	other := Span{Fault: StoreCompaction{}, Begun: begun.Add(time.Second), Ended: begun.Add(2 * time.Second)}
+	for _, test := range []struct {
+		name     string
+		spans    []Span
+		requests []RequestRecord
+		want     int
+	}{
+		{"not served", []Span{cut}, requests(3*time.Second, false), 1},
+		{"served", []Span{cut}, requests(3*time.Second, true), 0},
+		{"too early", []Span{cut}, requests(time.Second, false), 0},
+		{"another fault", []Span{cut, other}, requests(3*time.Second, false), 0},
+	} {
+		history := &History{Gateways: []string{"a", "b"}, Spans: test.spans, Requests: test.requests}
+		if found := checkBypass(history); len(found) != test.want {
+			t.Errorf("%s: %v", test.name, found)
+		}
+	}
+}
+
+// TestOnlyNewSeedsCutPaths guards against other schedules of the seeds that failed before.
+func TestOnlyNewSeedsCutPaths(t *testing.T) {
+	hasCut := func(seed uint64) bool {
+		for number := range 20 {
+			for _, each := range drawRound(seed, number, 4, 10, 4) {
+				if _, isPathFault := each.Fault.(PathFault); isPathFault {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	if hasCut(firstPathSeed-1) || !hasCut(firstPathSeed) {
+		t.Errorf("cuts with seed %d: %t, with seed %d: %t", firstPathSeed-1, hasCut(firstPathSeed-1), firstPathSeed, hasCut(firstPathSeed))
+	}
+}
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -113,7 +113,7 @@
 		shape.gateways = c.Gateways
 	}
 	fmt.Fprintf(out, "soak --deployment %s --seed %d --for %s --gateways %d; logs in %s\n", c.Deployment, c.Seed, c.For, shape.gateways, directory)
-	s, err := startSystem(ctx, shape, builds{previous: c.Before, current: binary}, directory)
+	s, err := startSystem(ctx, shape, builds{previous: c.Before, current: binary}, directory, c.Seed >= firstPathSeed)
 	if err != nil {
 		return err
 	}
@@ -168,7 +168,7 @@
 func (c *Command) runRounds(ctx context.Context, out io.Writer, s *system) ([]Span, error) {
 	var quiet []Span
 	for number := range int(c.For / roundTime) {
-		faults := append(drawRound(c.Seed, number, len(s.gateways), len(s.workers)), s.builds.upgrade(number)...)
+		faults := append(drawRound(c.Seed, number, len(s.gateways), len(s.workers), len(s.shape.zones)), s.builds.upgrade(number)...)
 		slices.SortStableFunc(faults, func(a, b ScheduledFault) int { return int(a.At - b.At) })
 		start := time.Now()
 		for _, each := range faults {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -62,6 +62,8 @@
 		s.workers[f.Worker].currentWorker().SetFault(workerFaults[f.Kind])
 	case WorkerNetworkFault:
 		s.workers[f.Worker].currentProxy().Set(f.Mode)
+	case PathFault:
+		s.cutPaths(f)
 	case WorkerReplacement:
 		s.background.Go(func() { s.replaceWorker(s.workers[f.Worker]) })
 	case LongPrompts:
@@ -91,6 +93,7 @@
 	s.longPrompts.Store(false)
 	s.sendCrashing.Store(false)
 	s.doubleLoad.Store(false)
+	s.endPathFaults()
 	s.dialer.dropSilent()
 	s.fleet.Store.SetFault(fleet.FaultNone, 0)
 	for _, slot := range s.workers {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -19,7 +19,9 @@
 
 // gatewayProcess is a gateway that runs as a process and can be restarted.
 type gatewayProcess struct {
-	binary     string
+	binary string
+	// relayBuild is the binary whose settings have the time within which cut-off gateways serve; older builds refuse that setting.
+	relayBuild string
 	name       string
 	zone       string
 	folder     string
@@ -101,12 +103,16 @@
 
 // settingsFile writes the settings of the gateway and returns the path of the file.
 func (g *gatewayProcess) settingsFile() (string, error) {
-	content, err := yaml.Marshal(map[string]any{
+	settings := map[string]any{
 		"name": g.name, "zone": g.zone, "seeds": g.seeds, "store": g.storeProxy.Address(),
 		"listen": map[string]string{
 			"callers": g.callers, "ready": g.ready, "directory": g.directory, "control": g.control, "admin": g.admin, "peers": g.peers,
 		},
-	})
+	}
+	if g.binary == g.relayBuild {
+		settings["timings"] = map[string]string{"contact": bypassTime.String()}
+	}
+	content, err := yaml.Marshal(settings)
 	if err != nil {
 		return "", errors.Wrapf(err, "encode the settings of %s", g.name)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -163,9 +163,14 @@
 const maxFaults = 3
 
 // drawRound returns the faults of a round. They depend on the seed, the number of the round and the size of the system alone.
-func drawRound(seed uint64, number, gateways, workers int) []ScheduledFault {
+func drawRound(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
 	random := rand.New(rand.NewPCG(seed, uint64(number)))
-	faults, isOnly := drawAllGatewaysKill(seed, number)
+	faults, areOnly := drawPathFaults(seed, number, gateways, zones)
+	if areOnly {
+		return faults
+	}
+	kills, isOnly := drawAllGatewaysKill(seed, number)
+	faults = append(faults, kills...)
 	if isOnly {
 		return faults
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,6 +24,7 @@
 		{"gateway restarts while all workers refuse most requests", "fes", 6003, 1},
 		{"crashing request, store compaction, all gateways killed", "fes", 3937, 2},
 		{"all gateways killed at once while engines change their roles, slow store", "fes", 10_016, 1},
+		{"gateways cut off from workers", "fes", 11_001, 2},
 	} {
 		t.Run(test.faults, func(t *testing.T) {
 			var out bytes.Buffer
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -17,6 +17,7 @@
 	"github.com/granitebay/granitebay/internal/adminapi"
 	"github.com/granitebay/granitebay/internal/standin/fleet"
 	"github.com/granitebay/granitebay/internal/standin/netproxy"
+	"github.com/granitebay/granitebay/internal/standin/workerpaths"
 )
 
 // system consists of gateway processes and, within this process, the simulated store, workers and clients.
@@ -28,6 +29,9 @@
 	gateways []*gatewayProcess
 	workers  []*workerSlot
 	dialer   *callerDialer
+	// paths are the paths of gateways to workers, nil without path faults, and views the stores that show them.
+	paths *workerpaths.Paths
+	views []*httptest.Server
 
 	// longPrompts is set while clients send long prompts.
 	longPrompts atomic.Bool
@@ -54,6 +58,8 @@
 	configDelays []time.Duration
 	pendingCalls sync.WaitGroup
 	background   sync.WaitGroup
+	// healed is closed when the path faults of the round end; nil without any.
+	healed chan struct{}
 }
 
 // shape is the size of a system.
@@ -82,10 +88,13 @@
 // streamEvents is the number of events in a stream.
 const streamEvents = 6
 
-// startSystem starts all components and waits until the gateways are ready.
-func startSystem(ctx context.Context, shape shape, builds builds, folder string) (*system, error) {
+// startSystem starts all components and waits until the gateways are ready. If hasPaths is set, each gateway has its own paths to workers.
+func startSystem(ctx context.Context, shape shape, builds builds, folder string, hasPaths bool) (*system, error) {
 	s := &system{shape: shape, builds: builds, fleet: fleet.NewFleet(), timeoutMs: 2500, dialer: newCallerDialer()}
 	s.store = httptest.NewServer(s.fleet.Store)
+	if hasPaths {
+		s.paths = workerpaths.New(s.fleet)
+	}
 	for i, options := range s.workerOptions() {
 		slot := &workerSlot{number: i, options: options}
 		s.workers = append(s.workers, slot)
@@ -97,11 +106,16 @@
 	s.configure()
 	for i := range shape.gateways {
 		zone := shape.zones[i%len(shape.zones)]
-		g, err := newGatewayProcess(builds.initial(), fmt.Sprintf("gateway-%d", i), zone, folder, strings.TrimPrefix(s.store.URL, "http://"))
+		name, store := fmt.Sprintf("gateway-%d", i), strings.TrimPrefix(s.store.URL, "http://")
+		if s.paths != nil {
+			store = s.storeFor(name)
+		}
+		g, err := newGatewayProcess(builds.initial(), name, zone, folder, store)
 		if err != nil {
 			s.stop()
 			return nil, err
 		}
+		g.relayBuild = builds.current
 		s.gateways = append(s.gateways, g)
 	}
 	s.fleet.Store.Rewrite(s.proxyControlAddresses)
@@ -233,8 +247,13 @@
 			slot.proxy.Close()
 		}
 	}
-	s.store.CloseClientConnections()
-	s.store.Close()
+	for _, server := range append(s.views, s.store) {
+		server.CloseClientConnections()
+		server.Close()
+	}
+	if s.paths != nil {
+		s.paths.Close()
+	}
 }
 
 // history returns the observations so far.
