Relays: one hanging path does not cast doubt on all connections

A lost packet makes one path seem to hang, and all idle connections were given up for it. Connections from before are now distrusted only while two paths hang. Other workers of a group are found without sorting the whole fleet.

TestConnectionsFromBeforeSilentCutAreDistrusted failed before, with one hanging path.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,36 +37,30 @@
 
 // WorkerAddresses implements relay.Source.
 func (s relaySource) WorkerAddresses() []string {
-	return s.addresses(func(*backend.Worker) bool { return true })
+	s.gateway.workersMu.Lock()
+	defer s.gateway.workersMu.Unlock()
+	return slices.Collect(maps.Keys(s.gateway.workerAtAddress))
 }
 
 // Siblings implements relay.Source.
-func (s relaySource) Siblings(address string) []string {
-	id, found := s.WorkerID(address)
-	if !found {
-		return nil
-	}
+func (s relaySource) Siblings(address string, count int) []string {
 	s.gateway.workersMu.Lock()
-	worker := s.gateway.workers[id]
-	s.gateway.workersMu.Unlock()
+	defer s.gateway.workersMu.Unlock()
+	worker := s.gateway.workers[s.gateway.workerAtAddress[address]]
 	if worker == nil {
 		return nil
 	}
-	return s.addresses(func(other *backend.Worker) bool { return other.Group == worker.Group && other.Address != address })
-}
-
-// addresses returns the addresses of the selected workers, each once.
-func (s relaySource) addresses(isSelected func(worker *backend.Worker) bool) []string {
-	s.gateway.workersMu.Lock()
-	defer s.gateway.workersMu.Unlock()
-	var addresses []string
-	for _, worker := range s.gateway.workers {
-		if isSelected(worker) {
-			addresses = append(addresses, worker.Address)
+	var siblings []string
+	// The order of a map is random.
+	for _, other := range s.gateway.workers {
+		if other.Group == worker.Group && other.Address != address {
+			siblings = append(siblings, other.Address)
+		}
+		if len(siblings) >= count {
+			break
 		}
 	}
-	slices.Sort(addresses)
-	return slices.Compact(addresses)
+	return siblings
 }
 
 // Relays implements relay.Source. Only entries relay: a standby gateway knows a part of the workers.
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -143,7 +142,7 @@
 	switch {
 	case err == nil:
 		return conn, nil
-	case !d.reachesAny(ctx, d.source().Siblings(address), timeout):
+	case !d.reachesAny(ctx, d.source().Siblings(address, maxControls), timeout):
 		return nil, errUnreachableAtPeer
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, err
@@ -161,8 +160,6 @@
 
 // reachesAny reports whether this gateway connects to one of some workers. Its connection is kept for later use.
 func (d *Dialer) reachesAny(ctx context.Context, addresses []string, timeout time.Duration) bool {
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(len(addresses), maxControls)]
 	reached := make(chan bool, len(addresses))
 	for _, address := range addresses {
 		go func() {
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -12,7 +12,7 @@
 	lost     map[string]*lostPath
 	// restored holds the paths that were restored recently, so that those that are lost again are not tried as often.
 	restored map[string]restoredPath
-	// distrustBefore is when a path was last found to hang. Connections opened or last used before may hang as well.
+	// distrustBefore is when another path was last found to hang while some did. Connections that were last used before may hang as well.
 	distrustBefore time.Time
 	// silent counts the lost paths that hang.
 	silent int
@@ -31,6 +31,10 @@
 	pause time.Duration
 }
 
+// minSilentToDistrust is the number of paths that hang at a time from which connections on all paths are distrusted: a lost packet makes a
+// single path seem to hang.
+const minSilentToDistrust = 2
+
 // relapseFactor multiplies the bound to get how long a restored path is remembered.
 const relapseFactor = 5
 
@@ -42,9 +46,6 @@
 // Lost records that another gateway connected to the worker at an address while this one could not, and reports whether that is new. Silent
 // means that the attempt of this gateway got no answer.
 func (p *Paths) Lost(now time.Time, address string, silent bool) bool {
-	if silent {
-		p.distrustBefore = now
-	}
 	if _, known := p.lost[address]; known {
 		return false
 	}
@@ -56,6 +57,9 @@
 	if silent {
 		p.silent++
 	}
+	if silent && p.silent >= minSilentToDistrust {
+		p.distrustBefore = now
+	}
 	return true
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,9 +62,10 @@
 	WorkerID(address string) (string, bool)
 	// WorkerAddress returns the address of a worker.
 	WorkerAddress(id string) (string, bool)
-	// WorkerAddresses returns the addresses of all known workers, and Siblings those of the other workers of the same group.
+	// WorkerAddresses returns the addresses of all known workers.
 	WorkerAddresses() []string
-	Siblings(address string) []string
+	// Siblings returns the addresses of some other workers of the same group, in random order, at most count.
+	Siblings(address string, count int) []string
 	// Relays returns the gateways that serve requests and are known to be alive, without this one.
 	Relays() []Peer
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -46,12 +46,12 @@
 	return address, found
 }
 
-func (k *knowledge) WorkerAddresses() []string { return k.Siblings("") }
+func (k *knowledge) WorkerAddresses() []string { return k.Siblings("", len(k.workers)) }
 
-func (k *knowledge) Siblings(address string) []string {
+func (k *knowledge) Siblings(address string, count int) []string {
 	var siblings []string
 	for _, known := range k.workers {
-		if known != address {
+		if known != address && len(siblings) < count {
 			siblings = append(siblings, known)
 		}
 	}
@@ -386,7 +386,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	if a.dialer.Usable(&net.TCPConn{}, silent, opened) {
-		t.Error("a direct connection from before the cut is used")
+		t.Error("a direct connection on the lost path is used")
 	}
 	if !a.dialer.Usable(conn, silent, time.Now()) {
 		t.Error("the relayed connection is not used")
@@ -515,3 +515,18 @@
 		return startWorker(t, idle)
 	}
 }
+
+// TestConnectionsFromBeforeSilentCutAreDistrusted guards against requests that wait on connections to further workers, which hang like those
+// whose paths are known to be lost, and against giving up all connections for a packet that was lost on one path.
+func TestConnectionsFromBeforeSilentCutAreDistrusted(t *testing.T) {
+	paths := NewPaths(Settings{Bound: testBound})
+	now := time.Now()
+	paths.Lost(now, "a", true)
+	if !paths.Trusts("c", now.Add(-time.Second)) {
+		t.Error("a connection is distrusted after one path hung")
+	}
+	paths.Lost(now, "b", true)
+	if paths.Trusts("c", now.Add(-time.Second)) || !paths.Trusts("c", now.Add(time.Second)) {
+		t.Error("after two paths hung, connections from before must not be used, and later ones must")
+	}
+}
