--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -18,15 +18,13 @@
 // Handler relays connections for other gateways.
 type Handler struct {
 	dialer *Dialer
+	// active counts the connections that are being relayed.
 	active atomic.Int64
 }
 
 // NewHandler returns a handler that connects directly with a dialer.
 func NewHandler(dialer *Dialer) *Handler { return &Handler{dialer: dialer} }
 
-// Active returns the number of connections that are being relayed.
-func (h *Handler) Active() int64 { return h.active.Load() }
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !h.dialer.Enabled() || r.Header.Get("Upgrade") != protocolName {
--- /dev/null
+++ b/internal/relay/peers.go
@@ -0,0 +1,200 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/rendezvous"
+)
+
+// Numbers of gateways that are asked for one connection.
+const (
+	maxAskedPeers = 4
+	// minRefusals is the number of refusals after which no further gateway is asked: its path may be lost, too.
+	minRefusals = 3
+)
+
+// dialRelay connects through another gateway. Each further gateway is asked when the one before fails, or does not answer soon.
+func (d *Dialer) dialRelay(ctx context.Context, address string) (net.Conn, error) {
+	worker, known := d.source().WorkerID(address)
+	peers := d.rankedPeers(address)
+	if !known || len(peers) == 0 {
+		return nil, errNoPeers
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.settings.ConnectTimeout)
+	defer cancel()
+	p := &poll{peers: peers, results: make(chan dialed, len(peers)), ask: func(peer Peer) (net.Conn, error) { return d.askPeer(ctx, peer, worker) }}
+	patience := time.NewTicker(d.settings.hedgeDelay(false) / 2)
+	defer patience.Stop()
+	defer p.closeRest()
+	for p.askNext(); p.pending > 0; {
+		select {
+		case result := <-p.results:
+			if conn, done := p.add(result); done {
+				return conn, p.verdict()
+			}
+			p.askNext()
+		case <-patience.C:
+			p.askNext()
+		}
+	}
+	return nil, p.verdict()
+}
+
+// poll asks gateways for one connection, and collects their answers.
+type poll struct {
+	// peers are the gateways that have not been asked.
+	peers   []Peer
+	ask     func(peer Peer) (net.Conn, error)
+	results chan dialed
+	pending int
+	// connected is set once a gateway connected. refused, silent, unsupported and other count the failures.
+	connected                           bool
+	refused, silent, unsupported, other int
+}
+
+// askNext asks the next gateway, if there is one.
+func (p *poll) askNext() {
+	if len(p.peers) == 0 {
+		return
+	}
+	peer := p.peers[0]
+	p.peers = p.peers[1:]
+	p.pending++
+	go func() {
+		conn, err := p.ask(peer)
+		p.results <- dialed{conn, err}
+	}()
+}
+
+// add records an answer. It reports whether no further one is needed: a gateway connected, or enough are refused.
+func (p *poll) add(result dialed) (conn net.Conn, done bool) {
+	p.pending--
+	if result.err == nil {
+		p.connected = true
+		return result.conn, true
+	}
+	p.count(result.err)
+	return nil, p.refused >= minRefusals
+}
+
+// closeRest closes the connections of attempts that are still under way.
+func (p *poll) closeRest() {
+	if p.pending == 0 {
+		return
+	}
+	go func(pending int) {
+		for range pending {
+			closeResult(p.results)
+		}
+	}(p.pending)
+}
+
+// count counts a failure.
+func (p *poll) count(err error) {
+	switch {
+	case errors.Is(err, errRefusedAtPeer):
+		p.refused++
+	case errors.Is(err, errSilentAtPeer):
+		p.silent++
+	case errors.Is(err, errUnsupported):
+		p.unsupported++
+	default:
+		p.other++
+	}
+}
+
+// verdict returns the error, which is nil if a gateway connected. Gateways that do not support relays count as if there were none.
+func (p *poll) verdict() error {
+	switch {
+	case p.connected:
+		return nil
+	case p.refused > 0:
+		return errRefusedAtPeer
+	case p.silent > 0:
+		return errSilentAtPeer
+	case p.other > 0:
+		return errUnreachableAtPeer
+	default:
+		return errNoPeers
+	}
+}
+
+// askPeer asks a gateway for a connection to a worker.
+func (d *Dialer) askPeer(ctx context.Context, peer Peer, worker string) (net.Conn, error) {
+	conn, err := d.openRelayed(ctx, peer, worker)
+	outcome := relayOutcome(err)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// Another gateway answered first.
+		return conn, err
+	}
+	d.observe(Event{Outcome: outcome})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch outcome {
+	case OutcomeConnected:
+		delete(d.avoidedUntil, peer.Name)
+	case OutcomeRefused, OutcomeSilent:
+	default:
+		d.avoidedUntil[peer.Name] = time.Now().Add(d.settings.checkInterval())
+	}
+	return conn, err
+}
+
+// openRelayed opens a connection to a gateway and asks it to relay.
+func (d *Dialer) openRelayed(ctx context.Context, peer Peer, worker string) (net.Conn, error) {
+	conn, err := d.direct.DialContext(ctx, "tcp4", peer.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask gateway %s for a relay", peer.Name)
+	}
+	deadline, _ := ctx.Deadline()
+	relayed, err := upgrade(conn.(*net.TCPConn), peer, worker, deadline)
+	if err != nil {
+		return nil, err
+	}
+	return relayed, nil
+}
+
+// relayOutcome returns the outcome of an attempt through a relay.
+func relayOutcome(err error) Outcome {
+	switch {
+	case err == nil:
+		return OutcomeConnected
+	case errors.Is(err, errRefusedAtPeer):
+		return OutcomeRefused
+	case errors.Is(err, errSilentAtPeer):
+		return OutcomeSilent
+	case errors.Is(err, errUnreachableAtPeer):
+		return OutcomeUnreachable
+	default:
+		return OutcomeUnavailable
+	}
+}
+
+// rankedPeers returns the gateways to ask for a connection to an address: those of the own zone first, and last those that failed recently. The
+// order differs from address to address, so that all of them share the work.
+func (d *Dialer) rankedPeers(address string) []Peer {
+	peers := slices.Clone(d.source().Relays())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	rank := func(peer Peer) int {
+		switch {
+		case now.Before(d.avoidedUntil[peer.Name]):
+			return 2
+		case peer.Zone != d.settings.Zone:
+			return 1
+		default:
+			return 0
+		}
+	}
+	slices.SortFunc(peers, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(rendezvous.Hash(a.Name+" "+address), rendezvous.Hash(b.Name+" "+address)))
+	})
+	return peers[:min(len(peers), maxAskedPeers)]
+}
