Connections: those opened for checks do not pile up

Checks of paths, and the other workers that a gateway connects to before it says that one is refused, keep their connections for later requests. Beside a crashed worker each of its few siblings got one for each question, up to 32 idle ones at each gateway, and a worker accepts a limited number from all.

Such a connection is now kept only if no other one is idle. TestKeptConnectionsDoNotPileUp failed before: 5 of 5 were kept.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -184,9 +184,14 @@
 	return &Client{settings: settings, pool: newPool(settings, dialer)}
 }
 
-// Keep keeps an open connection to an address for a later request.
+// Keep keeps an open connection to an address for a later request. It closes the connection if another one is idle: workers accept a limited
+// number of connections from all gateways, and this one was not opened for a request.
 func (c *Client) Keep(conn net.Conn, address string) {
 	c.pool.opened.Add(1)
+	if c.pool.hasIdle(address) {
+		_ = conn.Close()
+		return
+	}
 	c.pool.put(newConnection(conn, address), c.settings.IdleTimeout)
 }
 
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -243,3 +243,25 @@
 		}
 	}
 }
+
+// TestKeptConnectionsDoNotPileUp guards against idle connections that are opened to check a worker, and use up the number that it accepts.
+func TestKeptConnectionsDoNotPileUp(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client := New(DefaultSettings())
+	address := listener.Addr().String()
+	for range 5 {
+		conn, err := net.Dial("tcp4", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		client.Keep(conn, address)
+	}
+	if idle := len(client.pool.idle[address]); idle != 1 {
+		t.Errorf("%d connections are kept, want 1", idle)
+	}
+}
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -131,6 +131,13 @@
 	p.idle[conn.address] = append(idle, conn)
 }
 
+// hasIdle reports whether there is an idle connection to an address.
+func (p *pool) hasIdle(address string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.idle[address]) > 0
+}
+
 // closeIdleBefore closes the connections to an address that have been idle since before a time.
 func (p *pool) closeIdleBefore(address string, before time.Time) {
 	p.mutex.Lock()
