Relays: lost paths are checked without a request that needs them

A lost path was tried again only as a request needed it. A gateway with few requests, or none for some engines, took its paths for lost long after the cut had healed: the metric and its alert stayed, and the gateway did not acquire the controller key.

Each lost path is now tried again by a timer, with the same pauses. TestRestoredPathIsUsedAgain no longer asks for a connection meanwhile; so it failed before (still lost after 6 s).

--- a/internal/relay/checks.go
+++ b/internal/relay/checks.go
@@ -80,19 +80,27 @@
 	}
 }
 
-// checkIfDue tries a lost path again in the background if that is due.
-func (d *Dialer) checkIfDue(address string) {
+// scheduleCheck tries a lost path again when that is due, and so on until it works: no request may need it meanwhile, while others depend on
+// whether it is lost. A check that was scheduled before the path was lost anew ends without an attempt, as none is due.
+func (d *Dialer) scheduleCheck(address string) {
 	d.mu.Lock()
-	due := d.paths.TakeCheck(time.Now(), address)
+	at, lost := d.paths.NextCheck(address)
 	d.mu.Unlock()
-	if !due {
+	if !lost {
 		return
 	}
-	go func() {
+	time.AfterFunc(time.Until(at), func() {
+		d.mu.Lock()
+		due := d.paths.TakeCheck(time.Now(), address)
+		d.mu.Unlock()
+		if !due {
+			return
+		}
 		if conn, err := d.dialDirect(context.Background(), address, d.settings.ConnectTimeout); err == nil {
 			d.keepConn(conn, address)
 		}
-	}()
+		d.scheduleCheck(address)
+	})
 }
 
 // sweep checks the paths to the workers whose paths are not known to be lost.
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -87,7 +87,6 @@
 		return d.dialDirect(ctx, address, d.settings.ConnectTimeout)
 	}
 	if d.IsLost(address) {
-		d.checkIfDue(address)
 		conn, err := d.dialRelay(ctx, address)
 		if err == nil {
 			return conn, nil
@@ -160,7 +159,6 @@
 	if !d.Enabled() {
 		return true
 	}
-	d.checkIfDue(address)
 	relayed, isRelayed := conn.(*Conn)
 	if !isRelayed {
 		d.mu.Lock()
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -67,6 +67,7 @@
 	d.mu.Unlock()
 	if isNew {
 		d.observe(Event{Path: PathLost, Address: address, Peer: peer, LostPaths: lost})
+		d.scheduleCheck(address)
 	}
 	if sweep {
 		go d.sweep()
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -102,6 +102,15 @@
 // Count returns the number of lost paths.
 func (p *Paths) Count() int { return len(p.lost) }
 
+// NextCheck returns when a lost path is due to be checked.
+func (p *Paths) NextCheck(address string) (at time.Time, lost bool) {
+	path, found := p.lost[address]
+	if !found {
+		return time.Time{}, false
+	}
+	return path.nextCheck, true
+}
+
 // TakeCheck reports whether a lost path is due to be checked, and schedules the next check.
 func (p *Paths) TakeCheck(now time.Time, address string) bool {
 	path, found := p.lost[address]
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -434,7 +434,8 @@
 	})
 }
 
-// TestRestoredPathIsUsedAgain guards against a gateway that keeps using relays after its own path works again.
+// TestRestoredPathIsUsedAgain guards against a gateway that keeps using relays after its own path works again, and against one that takes a path
+// for lost until the next request needs it.
 func TestRestoredPathIsUsedAgain(t *testing.T) {
 	real := startWorker(t, echo)
 	closed, free := bindAddress(t)
@@ -454,7 +455,6 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 2*testBound)
 	defer cancel()
 	for a.dialer.IsLost(closed) && ctx.Err() == nil {
-		a.dialer.Usable(conn, closed, time.Now())
 		time.Sleep(20 * time.Millisecond)
 	}
 	if a.dialer.IsLost(closed) || a.dialer.Usable(conn, closed, time.Now()) {
