Relays: few attempts join slow ones while no path is lost

On a gateway that is short of processor time, attempts to connect take long without any lost path, and each was joined by one through another gateway: more work at the worst moment. Four at a time are enough to find a lost path, whose state then holds for all. A gateway that is asked whether a worker has ended tries one other worker of the group first, not three at once.

TestSlowAttemptsAreNotAllJoinedByRelays fails without the bound.

--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -30,6 +30,8 @@
 	hungAt map[string]time.Time
 	// avoidedUntil holds, by name, until when gateways that did not connect are asked last.
 	avoidedUntil map[string]time.Time
+	// joins counts the attempts through relays that have joined direct ones.
+	joins int
 	// checkedAt is when the path to an address was last checked because of a failed request, and sweptAt when all paths were.
 	checkedAt map[string]time.Time
 	sweptAt   time.Time
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -156,19 +156,19 @@
 	maxControls = 3
 )
 
-// reachesAny reports whether this gateway connects to one of some workers. Its connection is kept for later use.
+// reachesAny reports whether this gateway connects to one of some workers. The first is tried alone, as it mostly answers.
 func (d *Dialer) reachesAny(ctx context.Context, addresses []string, timeout time.Duration) bool {
+	if len(addresses) == 0 {
+		return false
+	}
+	if d.reaches(ctx, addresses[0], timeout) {
+		return true
+	}
 	reached := make(chan bool, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			conn, err := d.dialDirect(ctx, address, timeout)
-			if err == nil {
-				d.keepConn(conn, address)
-			}
-			reached <- err == nil
-		}()
+	for _, address := range addresses[1:] {
+		go func() { reached <- d.reaches(ctx, address, timeout) }()
 	}
-	for range addresses {
+	for range addresses[1:] {
 		if <-reached {
 			return true
 		}
@@ -176,6 +176,15 @@
 	return false
 }
 
+// reaches reports whether this gateway connects to a worker directly. The connection is kept for later use.
+func (d *Dialer) reaches(ctx context.Context, address string, timeout time.Duration) bool {
+	conn, err := d.dialDirect(ctx, address, timeout)
+	if err == nil {
+		d.keepConn(conn, address)
+	}
+	return err == nil
+}
+
 // hungRecently reports whether an attempt of this gateway at an address got no answer a moment ago.
 func (d *Dialer) hungRecently(address string) bool {
 	d.mu.Lock()
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -52,6 +52,14 @@
 		result := <-direct
 		return result.conn, result.err
 	}
+	if !d.beginJoin() {
+		result := <-direct
+		if result.err == nil {
+			return result.conn, nil
+		}
+		return d.confirm(ctx, address, result.err)
+	}
+	defer d.endJoin()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	relayed := begin(func() (net.Conn, error) { return d.dialRelay(ctx, address) })
@@ -75,6 +83,28 @@
 	}
 }
 
+// maxDoubtfulJoins is the number of attempts through relays that may join direct ones at a time while no path is known to be lost: attempts
+// of a gateway that is short of processor time take long, too, and more of them would make it worse.
+const maxDoubtfulJoins = 4
+
+// beginJoin reports whether a relay may join a direct attempt. If so, endJoin must follow.
+func (d *Dialer) beginJoin() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.paths.Count() == 0 && d.joins >= maxDoubtfulJoins {
+		return false
+	}
+	d.joins++
+	return true
+}
+
+// endJoin ends what beginJoin allowed.
+func (d *Dialer) endJoin() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.joins--
+}
+
 // currentHedgeDelay returns the time after which a relay is tried too.
 func (d *Dialer) currentHedgeDelay() time.Duration {
 	d.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -530,3 +530,24 @@
 		t.Error("after two paths hung, connections from before must not be used, and later ones must")
 	}
 }
+
+// TestSlowAttemptsAreNotAllJoinedByRelays guards against a gateway that is short of processor time and opens a connection through another gateway
+// for each that takes long.
+func TestSlowAttemptsAreNotAllJoinedByRelays(t *testing.T) {
+	a := newNode(t, "a", nil, 8)
+	for i := range maxDoubtfulJoins + 1 {
+		if got, want := a.dialer.beginJoin(), i < maxDoubtfulJoins; got != want {
+			t.Errorf("attempt %d may be joined: %t, want %t", i, got, want)
+		}
+	}
+	a.dialer.recordLost("w", context.DeadlineExceeded, "b")
+	if !a.dialer.beginJoin() {
+		t.Error("with a lost path, an attempt may not be joined")
+	}
+	a.dialer.endJoin()
+	a.dialer.Forget("w")
+	a.dialer.endJoin()
+	if !a.dialer.beginJoin() {
+		t.Error("after another one ended, an attempt may not be joined")
+	}
+}
