Metrics: requests given up for silence count as timeouts

The cause of a request that was given up because its worker did not answer was "other", as its error is the gateway's own. TestFailureCauses failed before on the worker that is silent.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -38,6 +38,8 @@
 	// Peer is the address of the worker.
 	Peer  string
 	Cause error
+	// timedOut is set if the request was given up because no answer came in time.
+	timedOut bool
 }
 
 // Error implements error.
@@ -77,7 +79,7 @@
 		return CauseReset
 	case errors.Is(e.Cause, context.Canceled):
 		return CauseCancelled
-	case errors.Is(e.Cause, context.DeadlineExceeded), errors.As(e.Cause, &network) && network.Timeout():
+	case e.timedOut, errors.Is(e.Cause, context.DeadlineExceeded), errors.As(e.Cause, &network) && network.Timeout():
 		return CauseTimeout
 	default:
 		return CauseOther
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -265,3 +265,31 @@
 		t.Errorf("%d connections are kept, want 1", idle)
 	}
 }
+
+// TestFailureCauses guards against metrics in which a worker that does not answer can't be told from one that refuses or resets connections.
+func TestFailureCauses(t *testing.T) {
+	silent := startWorker(t, func(_ net.Conn, reader *bufio.Reader, _ int) { _, _ = io.Copy(io.Discard, reader) })
+	resets := startWorker(t, func(net.Conn, *bufio.Reader, int) {})
+	closed, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	errGivenUp := errors.New("given up")
+	for _, test := range []struct {
+		address string
+		want    FailureCause
+	}{
+		{silent, CauseTimeout}, {resets, CauseReset}, {closed.Addr().String(), CauseRefused},
+	} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		timer := time.AfterFunc(100*time.Millisecond, func() { cancel(errGivenUp) })
+		_, err := New(DefaultSettings()).Do(ctx, test.address, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+		timer.Stop()
+		cancel(nil)
+		var transport *Error
+		if !errors.As(err, &transport) || transport.FailureCause() != test.want {
+			t.Errorf("got %v, want cause %s", err, test.want)
+		}
+	}
+}
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -126,14 +126,15 @@
 func (e *exchange) fail(step Step, cause error) error {
 	e.stopWatch()
 	_ = e.connection.Close()
+	timedOut := false
 	if ctxErr := context.Cause(e.ctx); ctxErr != nil {
 		cause = ctxErr
 		e.dropSuspectConnections(step, ctxErr)
-		if !errors.Is(ctxErr, context.Canceled) {
+		if timedOut = !errors.Is(ctxErr, context.Canceled); timedOut {
 			e.pool.dialer.Suspect(e.connection.address)
 		}
 	}
-	return &Error{Step: step, Peer: e.connection.address, Cause: cause}
+	return &Error{Step: step, Peer: e.connection.address, Cause: cause, timedOut: timedOut}
 }
 
 // dropSuspectConnections closes the connections that were idle at the same time as one that got no response before the
