Observability: who was seen to end a request

A request whose context ended was counted as left by its caller, whatever had ended it, so that a fault of this side looked like a usual line.

The connection of a caller now ends the context of its request with a cause, the error that was seen (an end of stream, a reset), which the log line names. closed_by tells a caller that was seen to close from 'unknown', and names the bound on writing. Decisions and answers are unchanged.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -52,10 +52,12 @@
 	requestedDeadline, currentDeadline time.Time
 
 	closed atomic.Bool
-	// failed is set when a read failed or the peer closed the connection.
+	// failed is set when a read or a write failed or the peer closed the connection.
 	failed atomic.Bool
-	// closingSide is the forward.Closer that closed the connection; forward.CloserCaller if this side did not close it.
+	// closingSide is the forward.Closer on this side that closed the connection or made it unusable; forward.CloserUnknown if none did.
 	closingSide atomic.Int32
+	// cancelRequest ends the context of the active request with a cause; nil if there is none.
+	cancelRequest atomic.Pointer[context.CancelCauseFunc]
 	// inHandler is set while the handler runs; responseStarted is set once bytes were written for the current request.
 	inHandler, responseStarted atomic.Bool
 }
@@ -98,7 +100,7 @@
 	switch {
 	case err == nil || c.closed.Load():
 	case !isDeadlineExceeded(err):
-		c.failed.Store(true)
+		c.disconnected(err)
 	case c.abandonOnTimeout():
 		// Without this, net/http would answer a partial request line with 400. Close fails only if the connection is
 		// already closed.
@@ -134,9 +136,25 @@
 	if n > 0 {
 		c.responseStarted.Store(true)
 	}
+	switch {
+	case err == nil || c.closed.Load():
+	case isDeadlineExceeded(err):
+		c.closingSide.Store(int32(forward.CloserWriteTimeout))
+	default:
+		c.disconnected(err)
+	}
 	return n, err
 }
 
+// disconnected records that the connection ended from outside, and ends the context of the active request. net/http ends it too, but names
+// no cause.
+func (c *connection) disconnected(err error) {
+	c.failed.Store(true)
+	if cancel := c.cancelRequest.Load(); cancel != nil {
+		(*cancel)(&forward.DisconnectError{Cause: err})
+	}
+}
+
 // SetReadDeadline implements net.Conn. An earlier deadline from the connection's own timeouts stays in effect.
 func (c *connection) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
@@ -192,10 +210,16 @@
 // closingSide was closed by Server.Close at the end of shutdown.
 func (c *connection) closedBy() forward.Closer {
 	closer := forward.Closer(c.closingSide.Load())
-	if closer == forward.CloserCaller && c.closed.Load() && !c.failed.Load() {
+	switch {
+	case closer != forward.CloserUnknown:
+		return closer
+	case c.failed.Load():
+		return forward.CloserCaller
+	case c.closed.Load():
 		return forward.CloserShutdown
+	default:
+		return forward.CloserUnknown
 	}
-	return closer
 }
 
 // onConnState is the ConnState hook of the server. net/http calls it from the goroutine that reads the connection, while
@@ -254,7 +278,7 @@
 	if conn, ok := ctx.Value(connKey{}).(*connection); ok {
 		return conn.closedBy()
 	}
-	return forward.CloserCaller
+	return forward.CloserUnknown
 }
 
 // trackHandler returns a handler that marks the connection while a request is being handled.
--- a/internal/callers/disconnect.go
+++ b/internal/callers/disconnect.go
@@ -6,7 +6,10 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/granitebay/granitebay/internal/forward"
 )
 
 // disconnectPollInterval is how often the connection of an active request is polled for a disconnect. A
@@ -14,7 +17,11 @@
 // the system call is made only once data of the next request has arrived.
 const disconnectPollInterval = 200 * time.Millisecond
 
-// CancelOnDisconnect returns a handler that cancels the context of a request when its caller closes the connection.
+// errClosedWhilePipelined is the cause for which a request ends whose caller closed the connection after it sent part of the next request.
+var errClosedWhilePipelined = errors.New("the connection was closed behind the next request")
+
+// CancelOnDisconnect returns a handler that cancels the context of a request when its caller closes the connection, with a
+// forward.DisconnectError as the cause.
 // net/http detects that only until the first byte of the next request arrives, because it then stops reading until the
 // first request is answered.
 func CancelOnDisconnect(handler http.Handler) http.Handler {
@@ -24,14 +31,18 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
-		ctx, cancel := context.WithCancel(r.Context())
-		defer cancel()
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		conn.cancelRequest.Store(&cancel)
+		defer conn.cancelRequest.Store(nil)
 		var timer *time.Timer
 		timerSet := make(chan struct{})
 		timer = time.AfterFunc(disconnectPollInterval, func() {
 			<-timerSet
 			if conn.peerClosedWhilePipelined() {
-				cancel()
+				// The connection may already have its next request, so this does not use conn.cancelRequest.
+				conn.failed.Store(true)
+				cancel(&forward.DisconnectError{Cause: errClosedWhilePipelined})
 				return
 			}
 			if ctx.Err() == nil {
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -38,15 +39,20 @@
 	ReasonPanic             Reason = "the gateway failed while it served the request"
 )
 
-// Closer is why the connection of a caller was closed.
+// Closer is why the connection of a caller was closed, or its request ended.
 type Closer int32
 
-// The reasons for closing a connection. CloserCaller stands for everything outside the gateway: the caller, its machine, the network.
+// The reasons for closing a connection.
 const (
-	CloserCaller Closer = iota
+	// CloserUnknown means that nobody was seen to close the connection, although the context of its request ended.
+	CloserUnknown Closer = iota
+	// CloserCaller stands for everything outside the gateway: the caller, its machine, the network.
+	CloserCaller
 	// CloserIdleTimeout is the idle timeout, and CloserHeaderTimeout the timeout for reading the request headers.
 	CloserIdleTimeout
 	CloserHeaderTimeout
+	// CloserWriteTimeout is the time limit for writing a response, which the caller does not read.
+	CloserWriteTimeout
 	// CloserShutdown is the shutdown of the gateway.
 	CloserShutdown
 	// CloserTruncatedResponse closes a connection whose response was cut off at the worker, and CloserPanic one whose request caused a panic.
@@ -56,9 +62,11 @@
 
 // closerNames are the names of closers in logs and metrics.
 var closerNames = map[Closer]string{
+	CloserUnknown:           "unknown",
 	CloserCaller:            "caller",
 	CloserIdleTimeout:       "bound on rest",
 	CloserHeaderTimeout:     "bound on heads",
+	CloserWriteTimeout:      "bound on writing",
 	CloserShutdown:          "stop",
 	CloserTruncatedResponse: "broken answer",
 	CloserPanic:             "panic",
@@ -67,6 +75,19 @@
 // String returns the name of the closer as it appears in logs and metrics.
 func (c Closer) String() string { return closerNames[c] }
 
+// DisconnectError is the cause for which the context of a request ends when its connection was seen to end from outside. It is a
+// context.Canceled, because it says nothing about the worker.
+type DisconnectError struct{ Cause error }
+
+// Error implements error.
+func (d *DisconnectError) Error() string { return "the caller disconnected: " + d.Cause.Error() }
+
+// Unwrap returns the error of the connection.
+func (d *DisconnectError) Unwrap() error { return d.Cause }
+
+// Is reports whether the target is context.Canceled.
+func (d *DisconnectError) Is(target error) bool { return target == context.Canceled }
+
 // PanicError is a panic of the gateway while it served a request.
 type PanicError struct {
 	Value any
