Requests: a final response although the caller seems to be gone

Callers that closed the sending half of their connection after a whole request got nothing: the connection was closed without a byte, and so it was for any other reason for which the context of a request ended.

Cause: classify takes the end of a request's context for a caller that has left, and giveUp then aborted the connection. A gateway can't tell a half-closed connection from one that is gone, and it can't know every reason for which a context ends.

The connection is now aborted only if the response has started. Otherwise the caller is told 503 if nothing has reached a worker, and 502 if the request may have run, also where an attempt was interrupted. The work stops as before. To a caller that is gone the response costs one write.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -41,7 +41,7 @@
 	failureError
 	// failureDeadline means that the deadline of the request has passed.
 	failureDeadline
-	// failureCallerGone means that the caller has disconnected.
+	// failureCallerGone means that the caller has disconnected, or that the context of the request ended for an unknown reason.
 	failureCallerGone
 )
 
@@ -65,7 +65,7 @@
 // mayHaveRun reports whether the failure counts as a possible run of the request. After failureDeadline and
 // failureCallerGone the result is false although the worker may have run the request. This is safe because decide never
 // retries after them, and the caller is not told that the request did not run: after failureDeadline, final returns
-// decisionFail; after failureCallerGone, there is no caller left to respond to, and giveUp aborts the connection.
+// decisionFail; after failureCallerGone, it does if attempts.interrupted is set.
 func (f failureKind) mayHaveRun() bool {
 	switch f {
 	case failureSilent, failureStalled, failureBroken, failureError:
@@ -178,6 +178,8 @@
 	reached int
 	// possibleRuns counts workers that may have run the request.
 	possibleRuns int
+	// interrupted is set if the request was given up, because its caller is gone, after it may have reached a worker.
+	interrupted bool
 	// excluded are the ids of workers at which the request failed.
 	excluded []string
 	// refused are the excluded workers that refused the request.
@@ -210,6 +212,14 @@
 	}
 }
 
+// recordInterruption records that an attempt ended with an error because the caller is gone.
+func (a *attempts) recordInterruption(err error) {
+	var transport *httpclient.Error
+	if !errors.As(err, &transport) || !transport.NothingSent() {
+		a.interrupted = true
+	}
+}
+
 // reincludeRefused makes all workers that refused the request eligible again.
 func (a *attempts) reincludeRefused() {
 	a.excluded = slices.DeleteFunc(a.excluded, func(worker string) bool { return slices.Contains(a.refused, worker) })
@@ -250,7 +260,7 @@
 
 // final returns the decision when there is no further attempt.
 func (a *attempts) final(failure failureKind) decision {
-	if a.possibleRuns == 0 && failure != failureDeadline {
+	if a.possibleRuns == 0 && !a.interrupted && failure != failureDeadline {
 		return decisionNotRun
 	}
 	return decisionFail
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -230,6 +230,9 @@
 		err = c.forwardResponse(response)
 	}
 	failure := classify(ctx, err)
+	if failure == failureCallerGone {
+		c.attempts.recordInterruption(err)
+	}
 	switch {
 	case failure != failureNone:
 		c.report.Err = err
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -7,11 +7,12 @@
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
-// giveUp answers a request for which all attempts have failed, or aborts its connection.
+// giveUp answers a request for which all attempts have failed. It aborts the connection only if the response has started. A caller that
+// seems to be gone is answered as well: it may have closed only its sending half, and the context may have ended for another reason.
 func (c *call) giveUp(failure failureKind, decided decision) connAction {
 	c.report.Reason = reasonOf(failure)
 	switch {
-	case failure == failureCallerGone:
+	case c.relay.started && failure == failureCallerGone:
 		return connAbort
 	case c.relay.started:
 		c.writeTruncationEvent()
@@ -21,6 +22,10 @@
 		extendWriteDeadline(c.writer, c.deadline)
 		c.lastError.write(c.writer)
 		return connKeep
+	case failure == failureCallerGone && decided == decisionNotRun:
+		return respondRetryAfter(c.writer, c.report, ReasonCallerGone, c.handler.settings.RefusedRetryAfter)
+	case failure == failureCallerGone:
+		return respondError(c.writer, c.report, http.StatusBadGateway, ReasonCallerGone)
 	case decided == decisionNotRun:
 		return c.refuseWithRetryAfter()
 	case failure == failureDeadline && c.attempts.reached == 0:
