Requests: a panic before the response is answered

A panic of the handler closed the connection of its request without a byte, even if no response had started. It is now answered 500, which promises nothing about whether the request ran, and the connection is closed after it. Once a response has started, the connection is aborted as before, so that it never looks whole.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -143,12 +143,23 @@
 	defer func() {
 		if value := recover(); value != nil {
 			report.Reason, report.Err = ReasonPanic, &PanicError{Value: value, Stack: debug.Stack()}
-			action = connAbort
+			action = respondPanic(writer, report)
 		}
 	}()
 	return h.serve(writer, incoming, report)
 }
 
+// respondPanic answers a request that caused a panic, and may have run. It aborts the connection if a response has started.
+func respondPanic(writer http.ResponseWriter, report *Report) connAction {
+	if report.Status != 0 || !report.FirstByte.IsZero() {
+		return connAbort
+	}
+	header := writer.Header()
+	clear(header)
+	header.Set("Connection", "close")
+	return respondError(writer, report, http.StatusInternalServerError, ReasonPanic)
+}
+
 // recordUnanswered records whether the connection ended before the caller had a complete response, and why it was closed. Responses of the
 // gateway itself are still buffered here, so they are lost if the connection has closed.
 func (h *Handler) recordUnanswered(ctx context.Context, report *Report, action connAction) {
@@ -240,6 +251,7 @@
 		attempts: attempts{rule: match.Rule, runOnce: request.RunOnce},
 		relay:    relay{writer: writer, deadline: deadline, lastEvent: request.ResumeAfter},
 	}
+	current.relay.onStart = func() { report.FirstByte = time.Now() }
 	if labelled, isLabelled := protocol.(LabelledProtocol); isLabelled {
 		current.newTruncationEvent = labelled.TruncationEvent
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -68,9 +68,9 @@
 	acceptResponse func() bool
 	// watch is told when the relay waits for the worker; nil if nothing watches for stalls.
 	watch *stallWatch
-	// started is set once the headers have been written.
-	started   bool
-	firstByte time.Time
+	// started is set once the headers have been written, and onStart is called before that.
+	started bool
+	onStart func()
 	// lastEvent is the id of the last event that was sent to the caller, or empty.
 	lastEvent string
 }
@@ -124,7 +124,7 @@
 		return
 	}
 	r.started = true
-	r.firstByte = time.Now()
+	r.onStart()
 	extendWriteDeadline(r.writer, r.deadline)
 	copyHeaders(r.writer.Header(), response.Header)
 	r.writer.WriteHeader(response.Status)
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -110,7 +110,6 @@
 // forwardStream passes an event stream to the caller.
 func (c *call) forwardStream(response *Response) error {
 	err := c.relay.stream(response)
-	c.report.FirstByte = c.relay.firstByte
 	if c.relay.started {
 		c.report.Status, c.report.Reason = http.StatusOK, ReasonServed
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -317,7 +317,7 @@
 		return
 	}
 	if !request.servedAtFirstAttempt() && m.allowLog(report.Reason) {
-		m.logRequest(request)
+		m.logRequest(report, request)
 	}
 }
 
@@ -343,20 +343,27 @@
 	return false
 }
 
-// logRequest logs a request that was not served at the first attempt.
-func (m *gatewayMetrics) logRequest(request requestDecision) {
-	if !m.logger.Logger.IsLevelEnabled(logrus.InfoLevel) {
+// logRequest logs a request that was not served at the first attempt. The line is an error if the request caused a panic.
+func (m *gatewayMetrics) logRequest(report *forward.Report, request requestDecision) {
+	level := logrus.InfoLevel
+	if report.Reason == forward.ReasonPanic {
+		level = logrus.ErrorLevel
+	}
+	if !m.logger.Logger.IsLevelEnabled(level) {
 		return
 	}
-	m.logger.WithFields(requestFields(request)).Info("A request did not go smoothly.")
+	m.logger.WithFields(requestFields(report, request)).Log(level, "A request did not go smoothly.")
 }
 
-// requestFields returns the log fields of a request.
-func requestFields(request requestDecision) logrus.Fields {
+// requestFields returns the log fields of a request, with the stack trace if it caused a panic.
+func requestFields(report *forward.Report, request requestDecision) logrus.Fields {
 	fields := logrus.Fields{"id": request.id, "status": request.status, "reason": request.reason, "version": request.version}
 	for name, value := range request.inputs() {
 		fields[name] = value
 	}
+	if panicErr := new(forward.PanicError); errors.As(report.Err, &panicErr) {
+		fields["stack"] = string(panicErr.Stack)
+	}
 	return fields
 }
 
@@ -382,11 +389,7 @@
 	if !m.logger.Logger.IsLevelEnabled(level) {
 		return
 	}
-	fields := requestFields(request)
-	if panicErr := new(forward.PanicError); errors.As(report.Err, &panicErr) {
-		fields["stack"] = string(panicErr.Stack)
-	}
-	m.logger.WithFields(fields).Log(level, "A connection ended with its request unanswered.")
+	m.logger.WithFields(requestFields(report, request)).Log(level, "A connection ended with its request unanswered.")
 }
 
 // unansweredReason returns the rate limiting key of log lines about unanswered requests.
