Dispatcher: a panic frees the worker of its request

After a panic of the handler, the request stayed counted at its worker, which was then picked less often for as long as the process lived. An attempt and a prefill call now finish their assignment also if they end by a panic.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -210,6 +210,8 @@
 func (c *call) runOn(ctx context.Context, runner *Assignment, options RunOptions, held *runCopy) failureKind {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	isEnded := false
+	defer runner.finishUnless(&isEnded)
 	start := time.Now()
 	c.relay.watch = c.watchStalls(cancel, runner.Worker, held)
 	defer c.relay.watch.stop()
@@ -246,6 +248,7 @@
 		c.countUsage()
 	}
 	runner.finish(failure.outcome())
+	isEnded = true
 	return failure
 }
 
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -308,6 +308,13 @@
 	a.finishLocked(outcome)
 }
 
+// finishUnless finishes an assignment that has not ended, because of a panic: the request must not stay counted at the worker.
+func (a *Assignment) finishUnless(isEnded *bool) {
+	if !*isEnded {
+		a.finish(balance.OutcomeNone)
+	}
+}
+
 // finishLocked is finish with the mutex held.
 func (a *Assignment) finishLocked(outcome balance.Outcome) {
 	if a == nil || a.finished {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -12,6 +12,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	engine := placement.Prefill
+	isEnded := false
+	defer engine.finishUnless(&isEnded)
 	if !engine.deferred {
 		timer := time.AfterFunc(engine.responseTimeout(), func() { cancel(errSilent) })
 		defer timer.Stop()
@@ -34,6 +36,7 @@
 	c.guarded.reportFailure(engine.Worker, failure, err)
 	c.handler.dispatcher.recordIfRefused(engine.Worker, err)
 	engine.finish(failure.outcome())
+	isEnded = true
 	return prompt, failure
 }
 
--- a/internal/forward/unanswered_test.go
+++ b/internal/forward/unanswered_test.go
@@ -84,6 +84,30 @@
 	}
 }
 
+// TestPanicFreesWorker guards against a panic that leaves its request counted at a worker, which then gets fewer requests for good.
+func TestPanicFreesWorker(t *testing.T) {
+	panics := map[string]*fakeWorkers{
+		"run": {run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) { panic("test panic") }},
+		"prefill": {prefill: func(context.Context, int, *backend.Worker) (*PrefilledPrompt, error) {
+			panic("test panic")
+		}},
+	}
+	for name, workers := range panics {
+		f := newFixture(t, fixtureOptions{engine: true, demand: backend.Demand{PromptTokens: 5000, OutputTokens: 10}}, workers)
+		if _, _, err := f.get(t); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		dispatcher := f.handler.dispatcher
+		dispatcher.mutex.Lock()
+		for worker, status := range dispatcher.balancer.WorkerStatuses(dispatcher.now(), "g") {
+			if status.Load != (backend.Load{}) {
+				t.Errorf("panic in %s: worker %s has load %+v after the request", name, worker.ID, status.Load)
+			}
+		}
+		dispatcher.mutex.Unlock()
+	}
+}
+
 // lastReport waits for the report of a request.
 func (f *fixture) lastReport() Report {
 	for range 200 {
