Stop: unfinished requests are answered at the end of the grace period

A request that was still unfinished when the grace period of a stopping gateway was over ended with a closed connection, without a byte.

Cause: the server waited for the handlers and then closed all connections. No handler learned that the time was over.

A request that reached no worker is told 503, any other 502, both with 'the gateway is stopping'; a stream that has started ends with its truncation event. The cause is a context.Canceled, so connections to workers aren't blamed.

Existing tests are unchanged.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -45,8 +45,10 @@
 	idleTimeout, headerTimeout atomic.Int64
 	// shutdownStart is when shutdown began; nil before that.
 	shutdownStart atomic.Pointer[time.Time]
-	// cancelRequests cancels the contexts of all requests, so that long polls return; nil for a server for callers.
-	cancelRequests context.CancelFunc
+	// cancelRequests ends the contexts of all requests.
+	cancelRequests context.CancelCauseFunc
+	// hasLongPolls is set if contexts end as shutdown begins, so that long polls return, and not at its end.
+	hasLongPolls bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -75,6 +77,9 @@
 // wrapServer returns a Server that adds its own timeouts to those of an http.Server.
 func wrapServer(server *http.Server, traffic *Traffic, observer Observer, idleTimeout time.Duration) *Server {
 	s := &Server{server: server, traffic: traffic, observer: observer, conns: map[*connection]struct{}{}}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	s.cancelRequests = cancel
 	server.Handler = trackHandler(server.Handler)
 	server.ConnState, server.ConnContext = onConnState, connContext
 	s.idleTimeout.Store(int64(idleTimeout))
@@ -94,11 +99,8 @@
 // timeout and are not counted as caller traffic. At shutdown the contexts of its requests are cancelled, so that long
 // polls are answered.
 func NewInternalServer(handler http.Handler, observer Observer, logger *logrus.Entry) *Server {
-	ctx, cancel := context.WithCancel(context.Background())
-	server := newHTTPServer(handler, logger)
-	server.BaseContext = func(net.Listener) context.Context { return ctx }
-	internal := wrapServer(server, &Traffic{}, observer, noTimeout)
-	internal.cancelRequests = cancel
+	internal := wrapServer(newHTTPServer(handler, logger), &Traffic{}, observer, noTimeout)
+	internal.hasLongPolls = true
 	return internal
 }
 
@@ -159,8 +161,12 @@
 // transit. Shutdown does not wait for any other idle connection.
 const newConnGrace = 300 * time.Millisecond
 
+// abortGrace is how long requests that are unfinished at the deadline of shutdown have to be answered.
+const abortGrace = 200 * time.Millisecond
+
 // Shutdown closes the listeners and idle connections of the servers, and waits until a deadline for connections on which
-// a request has started to arrive. It waits at least newConnGrace. Apart from timeouts, no connection may be closed
+// a request has started to arrive. It waits at least newConnGrace. At the deadline it ends the contexts of the requests
+// with forward.ErrStopping, and waits for at most abortGrace longer. Apart from timeouts, no connection may be closed
 // from this side before the call, because a request may be in transit on any of them.
 func Shutdown(deadline time.Time, servers ...*Server) {
 	if earliest := time.Now().Add(newConnGrace); deadline.Before(earliest) {
@@ -181,16 +187,24 @@
 func (s *Server) shutdown(ctx context.Context) {
 	now := time.Now()
 	s.shutdownStart.Store(&now)
-	if s.cancelRequests != nil {
-		s.cancelRequests()
+	if s.hasLongPolls {
+		s.cancelRequests(forward.ErrStopping)
 	}
 	for _, conn := range s.stopAccepting() {
 		conn.refreshDeadline()
 	}
 	select {
 	case <-s.drained:
+		return
 	case <-ctx.Done():
 	}
+	s.cancelRequests(forward.ErrStopping)
+	timer := time.NewTimer(abortGrace)
+	defer timer.Stop()
+	select {
+	case <-s.drained:
+	case <-timer.C:
+	}
 }
 
 // stopAccepting closes the listener and returns the open connections.
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -19,6 +19,19 @@
 	errStalled  = errors.New("the worker stopped sending events")
 )
 
+// ErrStopping is the cause for which the contexts of requests end at the end of the grace period of a stopping gateway. It is a
+// context.Canceled, because it says nothing about workers.
+var ErrStopping error = stoppingError{}
+
+// stoppingError is the type of ErrStopping.
+type stoppingError struct{}
+
+// Error implements error.
+func (stoppingError) Error() string { return "the grace period of the gateway is over" }
+
+// Is reports whether the target is context.Canceled.
+func (stoppingError) Is(target error) bool { return target == context.Canceled }
+
 // failureKind classifies how an attempt failed.
 type failureKind int
 
@@ -43,6 +56,8 @@
 	failureDeadline
 	// failureCallerGone means that the caller has disconnected, or that the context of the request ended for an unknown reason.
 	failureCallerGone
+	// failureStopping means that the grace period of the gateway is over.
+	failureStopping
 )
 
 // failureNames are the names of failures in reports.
@@ -57,15 +72,16 @@
 	failureError:       "error",
 	failureDeadline:    "deadline",
 	failureCallerGone:  "caller gone",
+	failureStopping:    "gateway stopping",
 }
 
 // String returns the name of the failure as it appears in reports.
 func (f failureKind) String() string { return failureNames[f] }
 
-// mayHaveRun reports whether the failure counts as a possible run of the request. After failureDeadline and
-// failureCallerGone the result is false although the worker may have run the request. This is safe because decide never
-// retries after them, and the caller is not told that the request did not run: after failureDeadline, final returns
-// decisionFail; after failureCallerGone, it does if attempts.interrupted is set.
+// mayHaveRun reports whether the failure counts as a possible run of the request. After failures that end the
+// request, the result is false although the worker may have run it. This is safe because decide never retries after them,
+// and the caller is not told that the request did not run: after failureDeadline, final returns decisionFail; after the
+// others, it does if attempts.interrupted is set.
 func (f failureKind) mayHaveRun() bool {
 	switch f {
 	case failureSilent, failureStalled, failureBroken, failureError:
@@ -75,6 +91,16 @@
 	}
 }
 
+// endsRequest reports whether the failure ends the request, whatever its workers do.
+func (f failureKind) endsRequest() bool {
+	switch f {
+	case failureDeadline, failureCallerGone, failureStopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // mayHaveBeenAccepted reports whether the worker may have accepted the request.
 func (f failureKind) mayHaveBeenAccepted() bool {
 	switch f {
@@ -118,6 +144,8 @@
 			return failureStalled
 		case errors.Is(cause, errDeadline):
 			return failureDeadline
+		case errors.Is(cause, ErrStopping):
+			return failureStopping
 		default:
 			return failureCallerGone
 		}
@@ -178,7 +206,7 @@
 	reached int
 	// possibleRuns counts workers that may have run the request.
 	possibleRuns int
-	// interrupted is set if the request was given up, because its caller is gone, after it may have reached a worker.
+	// interrupted is set if the request was given up, not because of a worker, after it may have reached one.
 	interrupted bool
 	// excluded are the ids of workers at which the request failed.
 	excluded []string
@@ -212,7 +240,7 @@
 	}
 }
 
-// recordInterruption records that an attempt ended with an error because the caller is gone.
+// recordInterruption records that an attempt ended with an error because the request was given up.
 func (a *attempts) recordInterruption(err error) {
 	var transport *httpclient.Error
 	if !errors.As(err, &transport) || !transport.NothingSent() {
@@ -228,7 +256,7 @@
 
 // decide returns what to do after a failed attempt that has been recorded.
 func (a *attempts) decide(failure failureKind, retries retrySource) decision {
-	if failure == failureDeadline || failure == failureCallerGone || !a.allowsAnother() || !a.takeRetry(retries) {
+	if failure.endsRequest() || !a.allowsAnother() || !a.takeRetry(retries) {
 		return a.final(failure)
 	}
 	return decisionRetry
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -232,7 +232,7 @@
 		err = c.forwardResponse(response)
 	}
 	failure := classify(ctx, err)
-	if failure == failureCallerGone {
+	if failure.endsRequest() {
 		c.attempts.recordInterruption(err)
 	}
 	switch {
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -251,12 +251,10 @@
 	record := Attempt{Start: time.Now(), Worker: runner.Worker.ID, Continues: ContinuesCopy, Urgency: admission.DefaultUrgency}
 	continued := c.runOn(ctx, runner, RunOptions{Deadline: c.deadline, Continue: true, Urgency: admission.DefaultUrgency}, nil)
 	c.recordAttempt(record, "", continued)
-	switch continued {
-	case failureNone, failureDeadline, failureCallerGone:
+	if continued == failureNone || continued.endsRequest() {
 		return continued
-	default:
-		return failure
 	}
+	return failure
 }
 
 // assignCopy assigns the run of a worker to the engine that holds its copy, and takes a retry for it. It returns nil and why if the run may
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -24,8 +24,10 @@
 		return connKeep
 	case failure == failureCallerGone && decided == decisionNotRun:
 		return respondRetryAfter(c.writer, c.report, ReasonCallerGone, c.handler.settings.RefusedRetryAfter)
-	case failure == failureCallerGone:
-		return respondError(c.writer, c.report, http.StatusBadGateway, ReasonCallerGone)
+	case failure == failureStopping && decided == decisionNotRun:
+		return respondRetryAfter(c.writer, c.report, ReasonStopping, c.handler.settings.StoppingRetryAfter)
+	case failure == failureCallerGone || failure == failureStopping:
+		return respondError(c.writer, c.report, http.StatusBadGateway, c.report.Reason)
 	case decided == decisionNotRun:
 		return c.refuseWithRetryAfter()
 	case failure == failureDeadline && c.attempts.reached == 0:
@@ -55,6 +57,8 @@
 	switch failure {
 	case failureCallerGone:
 		return ReasonCallerGone
+	case failureStopping:
+		return ReasonStopping
 	case failureDeadline:
 		return ReasonTimeout
 	case failureError:
