Requests: one whose context has ended is not sent

A request whose context had ended before an attempt, since its caller had left or an earlier failure on the connection had ended the contexts of all that follow, was written to a worker and given up in the same millisecond. The worker might run it for nobody, and the caller could only be told that it may have run.

The client now sends nothing once the context has ended, and keeps the idle connection that it would have closed; the request path looks before it places an attempt, so that nothing is counted at a worker.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -50,6 +50,10 @@
 		if time.Until(c.deadline) < c.handler.settings.MinRemaining {
 			return c.giveUp(failureDeadline, c.attempts.final(failureDeadline))
 		}
+		if err := ctx.Err(); err != nil {
+			failure := classify(ctx, err)
+			return c.giveUp(failure, c.attempts.final(failure))
+		}
 		status, bar := c.guarded.status()
 		if status == poison.Pending || status == poison.Barred {
 			return c.refuseSuspect(ReasonVerdictPending)
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -207,9 +207,13 @@
 func (c *Client) ConnectionsOpened() int64 { return c.pool.opened.Load() }
 
 // Do sends a request and returns the response header. The body must be closed; the connection is kept only if the body
-// was read to its end. If ctx ends, the connection is closed immediately, also while the body is read. Errors are of
+// was read to its end. If ctx has ended, nothing is sent; if it ends later, the connection is closed immediately, also while the body is read. Errors are of
 // type *Error.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
+	if cause := context.Cause(ctx); cause != nil {
+		// This says nothing about the address, so onFailure is not called.
+		return nil, &Error{Step: StepConnect, Peer: address, Cause: cause}
+	}
 	response, err := c.do(ctx, address, request)
 	if err != nil && c.onFailure != nil {
 		c.onFailure(address, err)
