Requests: a refusal does not wait for the body

A request that was refused before its body was read (no rule, no configuration, an unknown key, a body over the limit) got its response only once the body had arrived. If that stalled, it got none: nothing bounded the wait, and a graceful stop closed the connection at its end.

Cause: net/http reads the rest of a body before it sends the response, and the read deadline of the request is set only once its body is read.

Responses to requests whose body was not read now wait for it for 50 ms, in which a body that is already on its way arrives and its connection is kept; otherwise the connection is closed after the response.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -22,6 +22,16 @@
 	}
 }
 
+// unreadBodyTime is how long the response to a request whose body was not read may be held back for the rest of the body. A body that is
+// already on its way arrives within it, and its connection can be kept.
+const unreadBodyTime = 50 * time.Millisecond
+
+// boundUnreadBody limits how long net/http waits for the rest of a body before it sends the response. It closes the connection after that.
+func boundUnreadBody(writer http.ResponseWriter) {
+	// Writers without a connection return an error, which is ignored.
+	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(unreadBodyTime))
+}
+
 // readBodyByDeadline reads the request body before the deadline, and sets the deadline for writing the response.
 func readBodyByDeadline(writer http.ResponseWriter, incoming *http.Request, request *Request, limit int64, deadline time.Time) (int, error) {
 	connection := http.NewResponseController(writer)
--- a/internal/forward/endedcontext_test.go
+++ b/internal/forward/endedcontext_test.go
@@ -15,7 +15,9 @@
 func TestEndedRequestReachesNoWorker(t *testing.T) {
 	for _, isEngine := range []bool{false, true} {
 		workers := &fakeWorkers{
-			run: func(ctx context.Context, _ int, _ *backend.Worker, _ RunOptions) (*Response, error) { return awaitCancel(ctx) },
+			run: func(ctx context.Context, _ int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+				return awaitCancel(ctx)
+			},
 			prefill: func(ctx context.Context, _ int, _ *backend.Worker) (*PrefilledPrompt, error) {
 				_, err := awaitCancel(ctx)
 				return nil, err
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -130,6 +130,9 @@
 	report := Report{Arrived: arrived, Target: incoming.Host + pathOf(incoming), Caller: incoming.RemoteAddr}
 	action := h.serveRecovering(writer, incoming, &report)
 	extendWriteDeadline(writer, report.deadline)
+	if incoming.ContentLength != 0 && !report.bodyRead {
+		boundUnreadBody(writer)
+	}
 	report.Ended = time.Now()
 	h.recordUnanswered(incoming.Context(), &report, action)
 	h.observer.RequestEnded(&report)
@@ -229,6 +232,7 @@
 		report.Err = err
 		return respondError(writer, report, status, bodyErrorReason(status))
 	}
+	report.bodyRead = true
 	if err := protocol.Complete(request); err != nil {
 		report.Err = err
 		return respondError(writer, report, http.StatusBadRequest, ReasonInvalid)
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -115,6 +115,8 @@
 	Ended     time.Time
 	// deadline is the deadline of the request; zero if the request was rejected before it was known.
 	deadline time.Time
+	// bodyRead is set once the body of the request was read to its end.
+	bodyRead bool
 	Rule     string
 	Group    string
 	// Version is the version of the configuration that served the request.
