Workers: a response to a request that could not be sent whole is read

A worker that refuses a request and closes the connection before it has read the whole body had its response thrown away: the caller of a request that runs once got 502 (it may have run) in place of another attempt.

Cause: requests with a body of up to 8 KB are written before the response is read, and a write that failed ended the exchange although the response lay unread. Larger ones, which are written concurrently, were not affected.

A failed write now leaves the connection to be read. If the worker has said nothing, the error is that of the write, as before; the connection is not used again.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -41,7 +41,7 @@
 	start      time.Time
 	// stopWatch stops watching the context.
 	stopWatch func() bool
-	// sent receives the result of a concurrent write, once; nil if the request was written synchronously.
+	// sent receives the result of a concurrent or failed write, once; nil if the request was written synchronously.
 	sent chan error
 }
 
@@ -53,11 +53,12 @@
 
 // run sends the request and reads the response header.
 func (e *exchange) run() (*Response, error) {
-	if err := e.send(); err != nil {
-		return nil, e.fail(StepSend, err)
-	}
+	sendErr := e.send()
 	for range maxSkippedResponses {
 		head, err := e.readHead()
+		if err != nil && sendErr != nil {
+			return nil, e.fail(StepSend, sendErr)
+		}
 		if err != nil {
 			return nil, e.fail(StepAwait, err)
 		}
@@ -74,14 +75,20 @@
 	return nil, e.fail(StepAwait, errUnmatchedResponses)
 }
 
-// send writes the request. Large requests are written concurrently with reading the response.
+// send writes the request. Large requests are written concurrently with reading the response. After an error, there may be a response to read:
+// a worker may refuse a request and close the connection before all of it has arrived.
 func (e *exchange) send() error {
-	if len(e.request.Body) <= maxSyncBodyBytes {
-		return e.write()
+	if len(e.request.Body) > maxSyncBodyBytes {
+		e.sent = make(chan error, 1)
+		go func() { e.sent <- e.write() }()
+		return nil
+	}
+	err := e.write()
+	if err != nil {
+		e.sent = make(chan error, 1)
+		e.sent <- err
 	}
-	e.sent = make(chan error, 1)
-	go func() { e.sent <- e.write() }()
-	return nil
+	return err
 }
 
 // write writes the header and the body.
