Relays: the response to a request that its worker did not read whole

A worker that refused or answered a large request before it had read the body had its response thrown away on a relayed connection, though not on a direct one: the requesting gateway saw a reset, took the request for one that may have run, and told the caller of one that runs once 502.

Cause: the relaying gateway closed both connections as soon as a write to the worker failed, whether or not a response lay unread; and it closed the requester's connection at the end of the response although the rest of the request lay unread there, which the kernel turns into a reset.

A failed write now ends only the forwarding of the request: its rest is read and dropped. At the end of the response the relaying gateway closes its sending half, and reads on until the requester closes, 0.5 s at the most.

TestResponseToUnreadRequestIsRelayed failed in all of its parts in 10 of 10 runs before (1 to 4, and 17 to 20, of 20 responses lost), and passes in 10 of 10.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -77,17 +77,42 @@
 	}
 	var toWorker sync.WaitGroup
 	toWorker.Go(func() {
+		forwardRequests(worker, buffered.Reader)
 		// The requester closes its connection when it gives the request up, so the worker must learn of it.
-		_, _ = io.CopyBuffer(onlyWriter{worker}, onlyReader{buffered.Reader}, make([]byte, bufferSize))
 		_ = worker.Close()
 		_ = requester.Close()
 	})
 	forwardChunks(requester, worker)
+	// This ends a write to a worker that no longer reads.
+	_ = worker.Close()
 	// Without the end mark, the requester takes the response for broken off.
-	_ = requester.Close()
+	closeSendingHalf(requester)
 	toWorker.Wait()
 }
 
+// forwardRequests forwards the bytes of a requester until it closes its connection. If the worker accepts no more of them, it may have responded
+// nevertheless, so the rest is read and dropped.
+func forwardRequests(worker io.Writer, requester io.Reader) {
+	buffer := make([]byte, bufferSize)
+	_, _ = io.CopyBuffer(onlyWriter{worker}, onlyReader{requester}, buffer)
+	_, _ = io.CopyBuffer(onlyWriter{io.Discard}, onlyReader{requester}, buffer)
+}
+
+// closeTimeout is how long a requester may take to close a connection whose worker has closed its own.
+const closeTimeout = 500 * time.Millisecond
+
+// closeSendingHalf ends the response, and the reading of the requests after closeTimeout. The kernel resets a connection that is closed while
+// it has unread data, and the end of the response would be lost with it.
+func closeSendingHalf(requester net.Conn) {
+	// Both fail only if the connection has been closed, which ends the reading, too.
+	_ = requester.SetReadDeadline(time.Now().Add(closeTimeout))
+	if half, ok := requester.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+		return
+	}
+	_ = requester.Close()
+}
+
 // bufferSize is the size of the buffer of each direction. Headers and events are small.
 const bufferSize = 4 << 10
 
