Relays: an attempt to connect ends with its request and is no evidence then

A request was held up to 0.25 s beyond its deadline, or after its caller had left, while an attempt to connect to a worker got no answer; and for 0.1 of the bound after it no other gateway was asked about that worker, so that further requests were told that nobody reaches it.

Cause: the race of a direct attempt and a relay waited for both without a look at the context of the request; and an attempt through a relay that had failed because its request ended was recorded as a gateway that does not answer, and as a worker of which nobody can tell.

The race now ends with the request; a direct attempt goes on and its connection is kept, as before. Attempts through relays have a time of their own, so the end of a request is told from a gateway that does not answer, and records nothing.

--- a/internal/relay/checks.go
+++ b/internal/relay/checks.go
@@ -60,8 +60,7 @@
 
 // check connects to an address directly and, if that fails, asks other gateways. The connection is kept for later use.
 func (d *Dialer) check(address string) Verdict {
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ConnectTimeout+d.settings.hedgeDelay(false))
-	defer cancel()
+	ctx := context.Background()
 	conn, err := d.dialDirect(ctx, address, d.settings.hedgeDelay(false))
 	if err == nil {
 		d.keepConn(conn, address)
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -83,7 +83,8 @@
 }
 
 // Dial opens a connection to the worker at an address. If directOnly is set, it does not use a relay. A refused connection is returned as
-// such only if another gateway is refused as well, or if there is no other gateway; otherwise the error is an UnconfirmedError.
+// such only if another gateway is refused as well, or if there is no other gateway; otherwise the error is an UnconfirmedError, or the cause of
+// ctx once that has ended.
 func (d *Dialer) Dial(ctx context.Context, address string, directOnly bool) (net.Conn, error) {
 	if directOnly || !d.Enabled() {
 		return d.dialDirect(ctx, address, d.settings.ConnectTimeout)
@@ -96,6 +97,9 @@
 		if errors.Is(err, errRefusedAtPeer) {
 			return nil, syscall.ECONNREFUSED
 		}
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
 	}
 	return d.dialBoth(ctx, address)
 }
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -18,7 +18,15 @@
 		return nil, &UnconfirmedError{Address: address, Cause: cause}
 	}
 	conn, err := d.dialRelay(ctx, address)
-	return d.judge(address, cause, dialed{conn, err})
+	return d.judgeFor(ctx, address, cause, dialed{conn, err})
+}
+
+// judgeFor is judge for a request. That it ended before another gateway answered tells nothing of the worker.
+func (d *Dialer) judgeFor(ctx context.Context, address string, cause error, relayed dialed) (net.Conn, error) {
+	if relayed.err != nil && ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	return d.judge(address, cause, relayed)
 }
 
 // judge combines the failure of a direct attempt with the result of a relay.
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -19,16 +19,18 @@
 	minRefusals = 3
 )
 
-// dialRelay connects through another gateway. Each further gateway is asked when the one before fails, or does not answer soon.
+// dialRelay connects through another gateway. Each further gateway is asked when the one before fails, or does not answer soon. The error is
+// the cause of ctx if that ends first.
 func (d *Dialer) dialRelay(ctx context.Context, address string) (net.Conn, error) {
 	worker, known := d.source().WorkerID(address)
 	peers := d.rankedPeers(address)
 	if !known || len(peers) == 0 {
 		return nil, errNoPeers
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.settings.ConnectTimeout)
+	// The attempts have a time of their own, so that a gateway is not taken for one that does not answer when the request ends.
+	attemptCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.ConnectTimeout)
 	defer cancel()
-	p := &poll{peers: peers, results: make(chan dialed, len(peers)), ask: func(peer Peer) (net.Conn, error) { return d.askPeer(ctx, peer, worker) }}
+	p := &poll{peers: peers, results: make(chan dialed, len(peers)), ask: func(peer Peer) (net.Conn, error) { return d.askPeer(attemptCtx, peer, worker) }}
 	patience := time.NewTicker(d.settings.hedgeDelay(false) / 2)
 	defer patience.Stop()
 	defer p.closeRest()
@@ -41,6 +43,8 @@
 			p.askNext()
 		case <-patience.C:
 			p.askNext()
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
 		}
 	}
 	return nil, p.verdict()
@@ -130,7 +134,7 @@
 	conn, err := d.openRelayed(ctx, peer, worker)
 	outcome := relayOutcome(err)
 	if errors.Is(ctx.Err(), context.Canceled) {
-		// Another gateway answered first.
+		// Another gateway answered first, or the request has ended.
 		return conn, err
 	}
 	d.observe(Event{Outcome: outcome})
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -41,23 +41,37 @@
 	case <-hedge.C:
 		return d.joinRelay(ctx, address, direct)
 	case <-ctx.Done():
-		go d.discard(direct, address)
-		return nil, context.Cause(ctx)
+		return d.abandon(ctx, address, direct)
+	}
+}
+
+// abandon leaves a direct attempt because its request has ended.
+func (d *Dialer) abandon(ctx context.Context, address string, direct attempt) (net.Conn, error) {
+	go d.discard(direct, address)
+	return nil, context.Cause(ctx)
+}
+
+// awaitDirect waits for a direct attempt until its request ends.
+func (d *Dialer) awaitDirect(ctx context.Context, address string, direct attempt) (net.Conn, error) {
+	select {
+	case result := <-direct:
+		return result.conn, result.err
+	case <-ctx.Done():
+		return d.abandon(ctx, address, direct)
 	}
 }
 
 // joinRelay joins a direct attempt that has got no answer yet by one through a relay, and returns the connection that is open first.
 func (d *Dialer) joinRelay(ctx context.Context, address string, direct attempt) (net.Conn, error) {
 	if d.isBefore(d.unknownUntil, address) {
-		result := <-direct
-		return result.conn, result.err
+		return d.awaitDirect(ctx, address, direct)
 	}
 	if !d.beginJoin() {
-		result := <-direct
-		if result.err == nil {
-			return result.conn, nil
+		conn, err := d.awaitDirect(ctx, address, direct)
+		if err == nil || ctx.Err() != nil {
+			return conn, err
 		}
-		return d.confirm(ctx, address, result.err)
+		return d.confirm(ctx, address, err)
 	}
 	defer d.endJoin()
 	ctx, cancel := context.WithCancel(ctx)
@@ -69,17 +83,17 @@
 			go closeResult(relayed)
 			return result.conn, nil
 		}
-		return d.judge(address, result.err, <-relayed)
+		return d.judgeFor(ctx, address, result.err, <-relayed)
 	case other := <-relayed:
 		if other.err == nil {
 			go d.judgeLate(address, direct, other.conn.(*Conn).Peer().Name)
 			return other.conn, nil
 		}
-		result := <-direct
-		if result.err == nil {
-			return result.conn, nil
+		conn, err := d.awaitDirect(ctx, address, direct)
+		if err == nil {
+			return conn, nil
 		}
-		return d.judge(address, result.err, other)
+		return d.judgeFor(ctx, address, err, other)
 	}
 }
 
