Start: a signal that comes as soon as callers can connect stops gracefully

A gateway that got SIGTERM right after its listeners opened was ended by the signal, with all connections that it had accepted: their requests got no answer.

Cause: the program installed the handler of SIGTERM after it had started the gateway, and until then the signal has its default action.

The handlers are installed before the settings are read. A SIGTERM that comes while the process starts leads to a graceful stop.

--- a/cmd/granitebay-gateway/main.go
+++ b/cmd/granitebay-gateway/main.go
@@ -2,10 +2,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
@@ -36,7 +33,10 @@
 }
 
 func run(parsed flags) error {
+	// Signals are handled before callers can connect, because each would otherwise end the process with all its connections.
 	hangups := command.NotifyHangup()
+	ctx, stop := command.Context()
+	defer stop()
 	config, err := settings.Load(parsed.Settings)
 	if err != nil || parsed.Check {
 		return command.BadInput(err)
@@ -53,8 +53,6 @@
 	if err := program.Start(); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	command.OnChange(ctx, hangups, parsed.Settings, func() { reload(parsed.Settings, program, logger) })
 	program.Stop()
 	return nil
