Logs: a broken output does not end the process

A gateway whose standard output has no reader any more was ended by SIGPIPE at the next line of its log, with all connections. Callers of requests in progress saw their connections closed without an answer.

Cause: the runtime ends a program that writes to a broken pipe at descriptor 1 or 2 unless the program handles or ignores the signal.

The gateway ignores SIGPIPE; the write fails and the line is lost.

--- a/cmd/granitebay-gateway/main.go
+++ b/cmd/granitebay-gateway/main.go
@@ -34,6 +34,7 @@
 
 func run(parsed flags) error {
 	// Signals are handled before callers can connect, because each would otherwise end the process with all its connections.
+	command.IgnoreBrokenOutput()
 	hangups := command.NotifyHangup()
 	ctx, stop := command.Context()
 	defer stop()
--- a/internal/command/reload.go
+++ b/internal/command/reload.go
@@ -19,6 +19,9 @@
 	return signals
 }
 
+// IgnoreBrokenOutput makes writes to a standard output without a reader fail. By default SIGPIPE would end the process.
+func IgnoreBrokenOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 // OnChange calls onChange after each hangup and after each change of the modification time of a file, until ctx ends.
 func OnChange(ctx context.Context, hangups <-chan os.Signal, path string, onChange func()) {
 	ticker := time.NewTicker(reloadPollInterval)
