Logs: a process ends although its output is blocked, and logs while it stops

A gateway whose output nobody reads did not end after SIGTERM: Close of the asynchronous writer waited for the write in progress without a bound. A line that was written during or after Close was sent on a closed channel: a panic, which ends the process.

Close waits 200 ms for a blocked output. The channel of lines is never closed; lines after Close are lost.

Requests were served beside a blocked output before as well.

--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // AsyncWriter passes lines to a slow output without blocking the caller. If the output does not keep up, lines are
@@ -13,18 +14,22 @@
 	output  io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
-	once    sync.Once
+	// closing is closed by Close, and done once the buffered lines are written. lines is never closed, because a line may
+	// be written during or after Close.
+	closing, done chan struct{}
+	once          sync.Once
 }
 
 // NewAsyncWriter returns a writer that buffers at most capacity lines.
 func NewAsyncWriter(output io.Writer, capacity int) *AsyncWriter {
-	writer := &AsyncWriter{output: output, lines: make(chan []byte, capacity), done: make(chan struct{})}
+	writer := &AsyncWriter{
+		output: output, lines: make(chan []byte, capacity), closing: make(chan struct{}), done: make(chan struct{}),
+	}
 	go writer.run()
 	return writer
 }
 
-// Write implements io.Writer. It copies the line and never fails.
+// Write implements io.Writer. It copies the line and never fails. Lines written after Close are lost.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	select {
 	case w.lines <- append([]byte(nil), line...):
@@ -37,22 +42,44 @@
 // Dropped returns the number of lines dropped so far.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the buffered lines and stops the writer. Write must not be called afterwards.
+// closeTimeout is how long Close waits for an output that blocks.
+const closeTimeout = 200 * time.Millisecond
+
+// Close writes the buffered lines and stops the writer. It gives up the lines that a blocked output doesn't take.
 func (w *AsyncWriter) Close() error {
-	w.once.Do(func() { close(w.lines) })
-	<-w.done
+	w.once.Do(func() { close(w.closing) })
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
 	return nil
 }
 
-// run writes buffered lines, and a line about dropped ones.
+// run writes lines until Close, and then those that are buffered.
 func (w *AsyncWriter) run() {
 	defer close(w.done)
 	var reported int64
-	for line := range w.lines {
-		if dropped := w.dropped.Load(); dropped > reported {
-			_, _ = fmt.Fprintf(w.output, "logging: %d lines were dropped because the output did not keep up.\n", dropped-reported)
-			reported = dropped
+	for {
+		select {
+		case line := <-w.lines:
+			reported = w.write(line, reported)
+		case <-w.closing:
+			for range len(w.lines) {
+				reported = w.write(<-w.lines, reported)
+			}
+			return
 		}
-		_, _ = w.output.Write(line)
 	}
 }
+
+// write writes a line, after one about the lines that were dropped since the last report. It returns the number reported.
+func (w *AsyncWriter) write(line []byte, reported int64) int64 {
+	dropped := w.dropped.Load()
+	if dropped > reported {
+		_, _ = fmt.Fprintf(w.output, "logging: %d lines were dropped because the output did not keep up.\n", dropped-reported)
+	}
+	_, _ = w.output.Write(line)
+	return dropped
+}
