Stop: the wait for requests leaves room for the shutdown within the grace period

A stopping gateway waited for its requests until half a second before the end of the grace period, and then shut its servers down, which takes 0.3 s for new connections and 0.2 s for final responses: the whole half second, so that a kill could come before the last response or the close.

The shutdown now begins 0.3 s earlier; requests in progress go on during it.

--- a/internal/callers/deadlines.go
+++ b/internal/callers/deadlines.go
@@ -48,7 +48,7 @@
 	case shutdownStart != nil && c.phase == phaseIdle:
 		end = c.timeoutStart
 	case shutdownStart != nil && c.phase == phaseNew:
-		end = earlier(end, shutdownStart.Add(newConnGrace))
+		end = earlier(end, shutdownStart.Add(NewConnGrace))
 	case c.timeout == noTimeout:
 		return c.requestedDeadline
 	}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -157,19 +157,19 @@
 	s.signalIfDrained()
 }
 
-// newConnGrace is how long a new connection without data stays open during shutdown, because its first request may be in
+// NewConnGrace is how long a new connection without data stays open during shutdown, because its first request may be in
 // transit. Shutdown does not wait for any other idle connection.
-const newConnGrace = 300 * time.Millisecond
+const NewConnGrace = 300 * time.Millisecond
 
 // abortGrace is how long requests that are unfinished at the deadline of shutdown have to be answered.
 const abortGrace = 200 * time.Millisecond
 
 // Shutdown closes the listeners and idle connections of the servers, and waits until a deadline for connections on which
-// a request has started to arrive. It waits at least newConnGrace. At the deadline it ends the contexts of the requests
+// a request has started to arrive. It waits at least NewConnGrace. At the deadline it ends the contexts of the requests
 // with forward.ErrStopping, and waits for at most abortGrace longer. Apart from timeouts, no connection may be closed
 // from this side before the call, because a request may be in transit on any of them.
 func Shutdown(deadline time.Time, servers ...*Server) {
-	if earliest := time.Now().Add(newConnGrace); deadline.Before(earliest) {
+	if earliest := time.Now().Add(NewConnGrace); deadline.Before(earliest) {
 		deadline = earliest
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -182,7 +182,7 @@
 }
 
 // shutdown closes the listener and idle connections, and waits for those on which a request has started to arrive. New
-// connections have newConnGrace to send their first request. Each connection is closed by the goroutine that reads it;
+// connections have NewConnGrace to send their first request. Each connection is closed by the goroutine that reads it;
 // http.Server.Shutdown could close one whose request was just read.
 func (s *Server) shutdown(ctx context.Context) {
 	now := time.Now()
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -36,7 +36,7 @@
 			caller.request(t, "/1")
 			s.requestDuringStall(t, caller, stallPoint, func() {
 				s.stop()
-				time.Sleep(newConnGrace / 3)
+				time.Sleep(NewConnGrace / 3)
 			})
 		})
 	}
@@ -46,7 +46,7 @@
 		caller := s.dial(t)
 		s.dial(t).request(t, "/2") // implies that the previous connection was accepted
 		s.stop()
-		time.Sleep(newConnGrace / 3)
+		time.Sleep(NewConnGrace / 3)
 		caller.request(t, "/3")
 	})
 	t.Run("shutdown after the first byte of the next request", func(t *testing.T) {
@@ -59,7 +59,7 @@
 			s.stop()
 		}
 		caller.request(t, pathHook)
-		time.Sleep(newConnGrace / 6)
+		time.Sleep(NewConnGrace / 6)
 		caller.finishRequest(t, nextRequest[1:])
 	})
 	t.Run("timeout increased while connections are idle", func(t *testing.T) {
@@ -266,7 +266,7 @@
 	caller.finishRequest(t, "body")
 	start := time.Now()
 	<-s.stop()
-	if took := time.Since(start); took > newConnGrace {
+	if took := time.Since(start); took > NewConnGrace {
 		t.Errorf("shutdown took %v", took)
 	}
 }
--- a/internal/callers/shutdown_test.go
+++ b/internal/callers/shutdown_test.go
@@ -33,7 +33,7 @@
 	}
 	active.request(t, pathHook)
 	<-done
-	if took := time.Since(start); took > newConnGrace {
+	if took := time.Since(start); took > NewConnGrace {
 		t.Errorf("shutdown took %v", took)
 	}
 	if _, err := net.Dial("tcp4", s.listener.Addr().String()); err == nil {
@@ -57,7 +57,7 @@
 		t.Fatal(err)
 	}
 	s.stop()
-	time.Sleep(newConnGrace / 3)
+	time.Sleep(NewConnGrace / 3)
 	s.listener.beforeFinalRead.open()
 	if err := caller.readResponse(); err != nil {
 		t.Errorf("a request that arrived before the final read got no response: %v", err)
@@ -67,7 +67,7 @@
 // TestShutdownWaitsForStartedRequests guards against a shutdown that cuts off requests and headers in progress, or a connection
 // that is just being accepted.
 func TestShutdownWaitsForStartedRequests(t *testing.T) {
-	const longRequest = 2 * newConnGrace
+	const longRequest = 2 * NewConnGrace
 	t.Run("an active request", func(t *testing.T) {
 		s := newTestServer(t, time.Hour, time.Hour)
 		s.onHook = func() {
@@ -97,7 +97,7 @@
 		}
 		<-blocked
 		s.stop()
-		time.Sleep(newConnGrace / 3)
+		time.Sleep(NewConnGrace / 3)
 		s.listener.afterAccept.open()
 		if err := caller.readResponse(); err != nil {
 			t.Error(err)
@@ -127,7 +127,7 @@
 			t.Error(err)
 		}
 		<-done
-		if took := time.Since(start); took > newConnGrace {
+		if took := time.Since(start); took > NewConnGrace {
 			t.Errorf("shutdown took %v", took)
 		}
 	})
@@ -146,8 +146,8 @@
 		for _, grace := range []time.Duration{longRequest, -longRequest} {
 			start := time.Now()
 			Shutdown(start.Add(grace), s.Server)
-			earliest := max(grace, newConnGrace)
-			if took := time.Since(start); took < earliest || took > earliest+newConnGrace {
+			earliest := max(grace, NewConnGrace)
+			if took := time.Since(start); took < earliest || took > earliest+NewConnGrace {
 				t.Errorf("with %v until the deadline, shutdown took %v", grace, took)
 			}
 		}
@@ -190,11 +190,11 @@
 	}
 	<-blocked
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), newConnGrace)
+		ctx, cancel := context.WithTimeout(context.Background(), NewConnGrace)
 		defer cancel()
 		internal.shutdown(ctx)
 	}()
-	time.Sleep(newConnGrace / 3)
+	time.Sleep(NewConnGrace / 3)
 	gated.afterRead.open()
 	if err := caller.readResponse(); err != nil {
 		t.Errorf("a received request got no response: %v", err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -398,7 +398,7 @@
 	time.Sleep(drainPeriod)
 	g.handler.Stop()
 	deadline := start.Add(time.Duration(g.gracePeriod.Load()) - stopMargin)
-	for g.handler.Active() > 0 && time.Now().Before(deadline) {
+	for g.handler.Active() > 0 && time.Now().Before(deadline.Add(-callers.NewConnGrace)) {
 		time.Sleep(stopPollInterval)
 	}
 	callers.Shutdown(deadline, append(g.internalServers, g.callers)...)
