Relays: connections without a request do not delay a planned stop

A gateway that relayed connections took its whole grace period to stop, 7.5 s of 8 s, although the last request on them had ended 2.3 s before.

Cause: a stop waits for each connection on which a request has arrived, and a relayed one counts as such until it ends; the relaying gateway can't tell a response that pauses from one that is over. The gateway that sends the requests can, but it closed an idle relayed connection only when it was about to use it again.

That gateway now closes them as soon as the relaying gateway leaves, and keeps none after a request that ends later. Those with a request on them stay open.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -200,6 +200,10 @@
 	if entriesChanged {
 		g.replica.NotifyWaiters()
 	}
+	if entriesChanged && g.dependencies.CloseUnusableConnections != nil {
+		// It asks for the entries, whose mutex is held here.
+		go g.dependencies.CloseUnusableConnections()
+	}
 	g.feedFollower.SetUpstreams(upstreamsOf(entries))
 	g.setRetryGatewayCount(receivers.Standby, len(entries), len(suspects)+len(claimants), serving)
 	g.loadExchange.SetReceivers(receivers)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	WatchConnections func(handle func(address string, err error))
 	// CloseIdleConnections closes idle connections to an address that no worker uses any more.
 	CloseIdleConnections func(address string)
+	// CloseUnusableConnections closes idle connections that are relayed by a gateway which no longer relays. May be nil.
+	CloseUnusableConnections func()
 	// ReadyHandler returns the handler of the readiness endpoint.
 	ReadyHandler func(ready func() bool) http.Handler
 	// DirectoryHandler returns the handler that tells callers of a zone which gateways to connect to and how long to cache
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -203,6 +203,9 @@
 // CloseIdle closes the idle connections to an address.
 func (c *Client) CloseIdle(address string) { c.pool.forget(address) }
 
+// CloseUnusable closes the idle connections that are relayed by a process which no longer relays, so that it need not wait for them to stop.
+func (c *Client) CloseUnusable() { c.pool.closeUnusable() }
+
 // ConnectionsOpened returns the number of connections opened so far.
 func (c *Client) ConnectionsOpened() int64 { return c.pool.opened.Load() }
 
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -111,11 +111,11 @@
 
 // put keeps a connection for reuse for at most idleTimeout.
 func (p *pool) put(conn *connection, idleTimeout time.Duration) {
-	if idleTimeout <= 0 || conn.reader.Buffered() > 0 {
+	now := time.Now()
+	if idleTimeout <= 0 || conn.reader.Buffered() > 0 || !p.dialer.Usable(conn.Conn, conn.address, now) {
 		_ = conn.Close()
 		return
 	}
-	now := time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if limit, found := p.idleLimits[conn.address]; found {
@@ -153,6 +153,37 @@
 	p.idle[address] = kept
 }
 
+// closeUnusable closes the idle relayed connections that may not be used again. The dialer is asked without the mutex, since it depends on parts
+// of the gateway that may call the pool.
+func (p *pool) closeUnusable() {
+	for _, conn := range p.removeRelayed() {
+		if !p.dialer.Usable(conn.Conn, conn.address, conn.idleSince) {
+			_ = conn.Close()
+			continue
+		}
+		p.mutex.Lock()
+		p.idle[conn.address] = append(p.idle[conn.address], conn)
+		p.mutex.Unlock()
+	}
+}
+
+// removeRelayed removes and returns the idle relayed connections.
+func (p *pool) removeRelayed() []*connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var relayed []*connection
+	for address, idle := range p.idle {
+		p.idle[address] = slices.DeleteFunc(idle, func(conn *connection) bool {
+			if p.dialer.IsDirect(conn.Conn) {
+				return false
+			}
+			relayed = append(relayed, conn)
+			return true
+		})
+	}
+	return relayed
+}
+
 // forget closes the idle connections to an address and forgets its idle limit.
 func (p *pool) forget(address string) {
 	p.mutex.Lock()
