Streams: an event is sent before the next one is complete

A caller got nothing, its connection was closed without a byte, although the worker had sent an event: when a part of the next event had come with it and the worker then broke off, or the deadline passed. Where the worker went on, the event was held back until the next one was complete.

Cause: a written event was flushed only if nothing more of the response was buffered, so a part of an event counted as one that follows at once. An abandoned response left what was written unsent, too: its connection was aborted with the events in the buffer of the server.

An event is now flushed unless the next one has come whole, and what has been written is flushed when a response ends with an error.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -41,8 +41,13 @@
 // bufferSize holds several events of typical size.
 const bufferSize = 2048
 
-// Buffered reports whether more data has already been received.
-func (r *Reader) Buffered() bool { return r.source.Buffered() > 0 }
+// HasEvent reports whether Next returns an event without waiting for the source.
+func (r *Reader) HasEvent() bool {
+	// Peek does not fail for bytes that are buffered.
+	received, _ := r.source.Peek(r.source.Buffered())
+	received = bytes.TrimLeft(received, "\r\n")
+	return bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n"))
+}
 
 var idField = []byte("id:")
 
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -70,3 +70,40 @@
 		}
 	})
 }
+
+// countedReader counts the reads of a stream, each of which returns a few bytes.
+type countedReader struct {
+	source io.Reader
+	reads  int
+}
+
+func (c *countedReader) Read(into []byte) (int, error) {
+	c.reads++
+	return c.source.Read(into[:min(len(into), 12)])
+}
+
+// TestHasEvent guards against a reader that promises an event and then waits for the rest of it or fails, and against one that never promises any.
+func TestHasEvent(t *testing.T) {
+	promised := 0
+	rapid.Check(t, func(t *rapid.T) {
+		lines := rapid.SliceOf(rapid.SampledFrom([]string{"id: 1\n", "data: abc\n", "\n", "\r\n", ": note\n", "x"})).Draw(t, "lines")
+		source := &countedReader{source: strings.NewReader(strings.Join(lines, ""))}
+		reader := NewReader(source, 1000)
+		for {
+			hasEvent, reads := reader.HasEvent(), source.reads
+			_, err := reader.Next()
+			if hasEvent && (err != nil || source.reads != reads) {
+				t.Fatalf("an event was promised, but there was %v after %d reads", err, source.reads-reads)
+			}
+			if hasEvent {
+				promised++
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+	if promised == 0 {
+		t.Error("no event was promised")
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -71,12 +71,24 @@
 	// started is set once the headers have been written.
 	started   bool
 	firstByte time.Time
+	// unflushed is set while events have been written that may not have been sent.
+	unflushed bool
 	// lastEvent is the id of the last event that was sent to the caller, or empty.
 	lastEvent string
 }
 
 // stream forwards the events of one worker. It returns nil at the regular end of the stream.
 func (r *relay) stream(response *Response) error {
+	err := r.forwardEvents(response)
+	if err != nil && r.unflushed {
+		// The caller gets what was written, whatever follows. A write error means that it has disconnected.
+		_ = r.flush()
+	}
+	return err
+}
+
+// forwardEvents is stream without the flush after an error.
+func (r *relay) forwardEvents(response *Response) error {
 	events := eventstream.NewReader(response.Body, maxEventBytes)
 	accepted := false
 	var forwarding time.Duration
@@ -111,7 +123,7 @@
 		}
 		r.writeHead(response)
 		start := time.Now()
-		if err := r.writeEvent(event, !events.Buffered()); err != nil {
+		if err := r.writeEvent(event, !events.HasEvent()); err != nil {
 			return err
 		}
 		forwarding = time.Since(start)
@@ -139,9 +151,16 @@
 	if event.ID != "" {
 		r.lastEvent = event.ID
 	}
+	r.unflushed = true
 	if !flush {
 		return nil
 	}
+	return r.flush()
+}
+
+// flush sends what has been written.
+func (r *relay) flush() error {
+	r.unflushed = false
 	if err := http.NewResponseController(r.writer).Flush(); err != nil {
 		return &CallerError{Cause: err}
 	}
