Requests: no further request on a connection whose context has ended

net/http derives the contexts of all requests on a connection from one, and ends that when reading fails. A connection that was kept after such a request would have each further request refused. The response to the request now closes it.

--- a/internal/forward/endedcontext_test.go
+++ b/internal/forward/endedcontext_test.go
@@ -35,6 +35,9 @@
 			t.Fatal(err)
 		}
 		_ = response.Body.Close()
+		if !response.Close {
+			t.Errorf("engine %t: the connection is kept, although the contexts of further requests on it have ended, too", isEngine)
+		}
 		if response.StatusCode != http.StatusServiceUnavailable || len(workers.ranAt)+len(workers.prefilledAt) > 0 {
 			t.Errorf("engine %t: got status %d; ran at %v, prefilled at %v", isEngine, response.StatusCode, workers.ranAt, workers.prefilledAt)
 		}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -11,6 +11,10 @@
 // seems to be gone is answered as well: it may have closed only its sending half, and the context may have ended for another reason.
 func (c *call) giveUp(failure failureKind, decided decision) connAction {
 	c.report.Reason = reasonOf(failure)
+	if failure == failureCallerGone {
+		// The contexts of all further requests on the connection have ended, too.
+		c.writer.Header().Set("Connection", "close")
+	}
 	switch {
 	case c.relay.started && failure == failureCallerGone:
 		return connAbort
@@ -22,12 +26,8 @@
 		extendWriteDeadline(c.writer, c.deadline)
 		c.lastError.write(c.writer)
 		return connKeep
-	case failure == failureCallerGone && decided == decisionNotRun:
-		return respondRetryAfter(c.writer, c.report, ReasonCallerGone, c.handler.settings.RefusedRetryAfter)
-	case failure == failureStopping && decided == decisionNotRun:
-		return respondRetryAfter(c.writer, c.report, ReasonStopping, c.handler.settings.StoppingRetryAfter)
 	case failure == failureCallerGone || failure == failureStopping:
-		return respondError(c.writer, c.report, http.StatusBadGateway, c.report.Reason)
+		return c.respondInterrupted(failure, decided)
 	case decided == decisionNotRun:
 		return c.refuseWithRetryAfter()
 	case failure == failureDeadline && c.attempts.reached == 0:
@@ -39,6 +39,18 @@
 	}
 }
 
+// respondInterrupted answers a request that was given up, not because of its workers or its time.
+func (c *call) respondInterrupted(failure failureKind, decided decision) connAction {
+	if decided != decisionNotRun {
+		return respondError(c.writer, c.report, http.StatusBadGateway, c.report.Reason)
+	}
+	after := c.handler.settings.RefusedRetryAfter
+	if failure == failureStopping {
+		after = c.handler.settings.StoppingRetryAfter
+	}
+	return respondRetryAfter(c.writer, c.report, c.report.Reason, after)
+}
+
 // writeTruncationEvent ends a stream that was cut off with an event that names the reason, if the caller's protocol has such an event. The
 // connection is closed after it.
 func (c *call) writeTruncationEvent() {
