Streams: the end of the caller's connection is not the end of the stream

A stream whose caller closed its sending half was cut at that moment and ended like a complete one: the caller could not tell that events were missing.

The client for workers passes the cause on in its error, and the relay took any error that is io.EOF for the end of the worker's response. For the same reason, a caller that left was counted as a reset of the worker's connection.

Callers that had left entirely were not affected, as nobody read the end.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -96,8 +96,9 @@
 		r.watch.wait()
 		event, err := events.Next()
 		current := r.watch.received()
-		if errors.Is(err, io.EOF) {
-			// The stream is whole, even if the response was just abandoned: all its events have been forwarded.
+		if err == io.EOF {
+			// The stream is whole, even if the response was just abandoned: all its events have been forwarded. A wrapped io.EOF is not its
+			// end, but says why it broke off.
 			r.writeHead(response)
 			return nil
 		}
