Requests: a worker is given up as silent only if another attempt can follow

Callers got 502 or 504 although a worker was about to respond: it had been given up as silent, and its response was lost, when no further attempt was possible, because the request had reached as many workers as it may (three had refused it) or too little time was left to start another one.

Cause: the response timeout looked at the attempts that the rule allows, and neither at the limit of workers tried nor at the time that a new attempt needs. It now applies only if the next attempt would be allowed, as for streams that stall.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -273,8 +273,8 @@
 	return a.repeatable() && a.possibleRuns < a.rule.MaxAttempts
 }
 
-// allowsResume reports whether the limits and the rule allow another attempt after a run that is in progress.
-func (a *attempts) allowsResume() bool {
+// allowsAfterRun reports whether the limits and the rule allow another attempt after a run that is in progress.
+func (a *attempts) allowsAfterRun() bool {
 	return a.reached+1 < maxReachedWorkers && a.repeatable() && a.possibleRuns+1 < a.rule.MaxAttempts
 }
 
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -188,7 +188,7 @@
 	if rule.Patience <= 0 || c.match.Group.Engine == nil || !c.isStream() {
 		return nil
 	}
-	if held == nil && (!c.resumable() || !c.attempts.allowsResume()) {
+	if held == nil && (!c.resumable() || !c.attempts.allowsAfterRun()) {
 		return nil
 	}
 	return &stallWatch{
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -7,12 +7,17 @@
 	"time"
 )
 
-// responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit.
+// responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit, because no other
+// attempt can follow.
 func (c *call) responseTimeout(runner *Assignment) time.Duration {
-	if runner.deferred || c.relay.started || !c.attempts.repeatable() || c.attempts.possibleRuns+1 >= c.match.Rule.MaxAttempts {
+	if runner.deferred || c.relay.started || !c.attempts.allowsAfterRun() {
 		return 0
 	}
-	return runner.responseTimeout()
+	timeout := runner.responseTimeout()
+	if time.Until(c.deadline)-timeout < c.handler.settings.MinRemaining {
+		return 0
+	}
+	return timeout
 }
 
 // abandonSilent abandons a silent worker if there is another worker and the budget has a retry for it. Otherwise the attempt continues.
