Tests: the stall of a body begins at its end

TestRequestAfterStalledBodyIsAnswered failed in 8 of 60 runs: 408 for the first request with a chunked body, where it wants 503. The test is wrong there: the stall began after the last byte of data, and if the last chunk came in a packet of its own, the body was not at its end when its deadline passed, so 408 is the right answer. The stall now begins once the end has been read, which is the case that the test is about, for both kinds of bodies; what is asserted is unchanged.

--- a/internal/forward/bodydeadline_test.go
+++ b/internal/forward/bodydeadline_test.go
@@ -15,16 +15,15 @@
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
-// stalledBody stalls once after its last byte, as a process does that is suspended there.
+// stalledBody stalls once at its end, as a process does that is suspended there.
 type stalledBody struct {
 	io.ReadCloser
-	left  int64
 	stall time.Duration
 }
 
 func (b *stalledBody) Read(into []byte) (int, error) {
 	n, err := b.ReadCloser.Read(into)
-	if b.left -= int64(n); b.left == 0 || errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) {
 		time.Sleep(b.stall)
 		b.stall = 0
 	}
@@ -46,7 +45,7 @@
 		var stalled atomic.Bool
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if !stalled.Swap(true) {
-				r.Body = &stalledBody{ReadCloser: r.Body, left: int64(len("a body")), stall: 2 * timeout}
+				r.Body = &stalledBody{ReadCloser: r.Body, stall: 2 * timeout}
 			}
 			f.handler.ServeHTTP(w, r)
 		}))
