Tenants: a request that was not sent is not counted

A request to plain workers was counted for its tenant although nothing had been sent to a worker: its deadline passed, its caller left, or the grace period of the gateway ended, while the connection to the worker was being opened. Its caller may have been told that it did not run.

Cause: the count went by the kind of the failure, and an end of the request says nothing about whether the worker has it. The error of the attempt does.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -165,13 +165,18 @@
 		}
 		return failureRefused
 	}
-	var transport *httpclient.Error
-	if errors.As(err, &transport) && transport.NothingSent() {
+	if nothingSent(err) {
 		return failureUnreachable
 	}
 	return failureBroken
 }
 
+// nothingSent reports whether an attempt failed before any part of the request can have reached the worker.
+func nothingSent(err error) bool {
+	var transport *httpclient.Error
+	return errors.As(err, &transport) && transport.NothingSent()
+}
+
 // decision is what to do after a failed attempt.
 type decision int
 
@@ -242,8 +247,7 @@
 
 // recordInterruption records that an attempt ended with an error because the request was given up.
 func (a *attempts) recordInterruption(err error) {
-	var transport *httpclient.Error
-	if !errors.As(err, &transport) || !transport.NothingSent() {
+	if !nothingSent(err) {
 		a.interrupted = true
 	}
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -248,7 +248,7 @@
 	}
 	c.guarded.reportFailure(runner.Worker, failure, err)
 	c.handler.dispatcher.recordIfRefused(runner.Worker, err)
-	if c.match.Group.Engine == nil && failure.mayHaveBeenAccepted() {
+	if c.match.Group.Engine == nil && failure.mayHaveBeenAccepted() && !nothingSent(err) {
 		c.countUsage()
 	}
 	runner.finish(failure.outcome())
