Streams: the end of the caller's connection is not the end of the stream

A caller that closed its sending half while it received a stream got a truncated stream with a regular end, and it was reported as served. A caller that left also counted as a connection to a worker that was reset.

Cause: the cause for which a request ends when its caller disconnects unwrapped to the error of the caller's connection, mostly io.EOF. The error of the worker's response, which carries this cause, was then taken for the end of that response. It no longer unwraps to it; the text still names it.

--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -76,15 +76,13 @@
 func (c Closer) String() string { return closerNames[c] }
 
 // DisconnectError is the cause for which the context of a request ends when its connection was seen to end from outside. It is a
-// context.Canceled, because it says nothing about the worker.
+// context.Canceled, because it says nothing about the worker. It does not unwrap to its cause, because an io.EOF of the caller's connection
+// must not be taken for the end of the worker's response.
 type DisconnectError struct{ Cause error }
 
 // Error implements error.
 func (d *DisconnectError) Error() string { return "the caller disconnected: " + d.Cause.Error() }
 
-// Unwrap returns the error of the connection.
-func (d *DisconnectError) Unwrap() error { return d.Cause }
-
 // Is reports whether the target is context.Canceled.
 func (d *DisconnectError) Is(target error) bool { return target == context.Canceled }
 
