--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -76,8 +76,8 @@
 func (c Closer) String() string { return closerNames[c] }
 
 // DisconnectError is the cause for which the context of a request ends when its connection was seen to end from outside. It is a
-// context.Canceled, because it says nothing about the worker. It does not unwrap to its cause: io.EOF would be taken for the end of the
-// response of a worker.
+// context.Canceled, because it says nothing about the worker. It does not unwrap to its cause, because an io.EOF of the caller's connection
+// must not be taken for the end of the worker's response.
 type DisconnectError struct{ Cause error }
 
 // Error implements error.
