Workers: a response that has arrived outlasts the time of its request

After a gateway had stood still past the timeout of its requests, callers were told 504, or their streams were cut, although the responses of the workers lay whole in the gateway's sockets: those of requests that run once had run.

Cause: at the end of a request's context its connection is closed by a function that does not look at what has arrived. After a standstill the timer and the response are due at once, and which of them came first was left to chance.

That function now looks: with nothing unread it closes at once, as before; with unread data the connection is closed 0.1 s later, so that what has arrived can still be read.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -210,8 +210,8 @@
 func (c *Client) ConnectionsOpened() int64 { return c.pool.opened.Load() }
 
 // Do sends a request and returns the response header. The body must be closed; the connection is kept only if the body
-// was read to its end. If ctx ends, the connection is closed immediately, also while the body is read. Errors are of
-// type *Error.
+// was read to its end. If ctx ends, the connection is closed, also while the body is read: immediately, or after
+// lateReadTime if there is unread data. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
 	response, err := c.do(ctx, address, request)
 	if err != nil && c.onFailure != nil {
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -47,8 +47,9 @@
 
 // newExchange prepares a request on a connection. From now on, the connection is closed when ctx ends.
 func newExchange(ctx context.Context, pool *pool, connection *connection, request *Request) *exchange {
-	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
-	return &exchange{ctx: ctx, pool: pool, connection: connection, request: request, start: time.Now(), stopWatch: stopWatch}
+	e := &exchange{ctx: ctx, pool: pool, connection: connection, request: request, start: time.Now()}
+	e.stopWatch = context.AfterFunc(ctx, e.abandon)
+	return e
 }
 
 // run sends the request and reads the response header.
--- a/internal/httpclient/unread_test.go
+++ b/internal/httpclient/unread_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestResponseToUnreadRequestIsRead guards against a response that is not read because its worker closed the connection before the rest of the
@@ -29,3 +33,79 @@
 		}
 	}
 }
+
+// TestResponseThatHasArrivedOutlastsItsRequest guards against a response that is dropped although it has arrived, because the time of its request
+// is over before it is read: after a suspension of the process both are due at once.
+func TestResponseThatHasArrivedOutlastsItsRequest(t *testing.T) {
+	const body = "a whole response"
+	for _, test := range []struct {
+		name, length, sent string
+		// ends is set if the worker closes its sending half, and whole if the response is read to its end.
+		ends, whole bool
+	}{
+		{"whole", fmt.Sprint("Content-Length: ", len(body), "\r\n"), body, false, true},
+		{"whole by its end", "Connection: close\r\n", "", true, true},
+		{"a part", fmt.Sprint("Content-Length: ", len(body), "\r\n"), body[:4], false, false},
+		{"nothing", fmt.Sprint("Content-Length: ", len(body), "\r\n"), "", false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			closed := make(chan time.Time, 1)
+			address := startWorker(t, func(connection net.Conn, reader *bufio.Reader, _ int) {
+				if _, _, err := readRequest(reader); err != nil {
+					return
+				}
+				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n"+test.length+"\r\n")
+				// The client has read the header, with what came with it.
+				time.Sleep(50 * time.Millisecond)
+				_, _ = io.WriteString(connection, test.sent)
+				if test.ends {
+					_ = connection.(*net.TCPConn).CloseWrite()
+				}
+				_, _ = io.Copy(io.Discard, reader)
+				closed <- time.Now()
+			})
+			ctx, cancel := context.WithCancelCause(t.Context())
+			client := New(DefaultSettings())
+			response, err := client.Do(ctx, address, &Request{Method: http.MethodGet, Target: "/", Host: "host.example", Header: http.Header{}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			ended := time.Now()
+			cancel(context.DeadlineExceeded)
+			time.Sleep(lateReadTime / 10)
+			got, err := io.ReadAll(response.Body)
+			if test.whole != (err == nil && string(got) == test.sent) {
+				t.Errorf("got %q, %v", got, err)
+			}
+			const slack = 100 * time.Millisecond
+			if took := (<-closed).Sub(ended); took > lateReadTime+slack {
+				t.Errorf("the worker saw the end after %s", took)
+			}
+		})
+	}
+}
+
+// TestEndedRequestIsNotReadForever guards against a worker that goes on with a request that has ended because nobody reads its response.
+func TestEndedRequestIsNotReadForever(t *testing.T) {
+	closed := make(chan struct{})
+	address := startWorker(t, func(connection net.Conn, reader *bufio.Reader, _ int) {
+		defer close(closed)
+		if _, _, err := readRequest(reader); err == nil {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 100_000))
+			_, _ = io.Copy(io.Discard, reader)
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	response, err := New(DefaultSettings()).Do(ctx, address, &Request{Method: http.MethodGet, Target: "/", Host: "host.example", Header: http.Header{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	cancel()
+	select {
+	case <-closed:
+	case <-time.After(4 * lateReadTime):
+		t.Error("the connection is still open")
+	}
+}
