--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -210,8 +210,8 @@
 func (c *Client) ConnectionsOpened() int64 { return c.pool.opened.Load() }
 
 // Do sends a request and returns the response header. The body must be closed; the connection is kept only if the body
-// was read to its end. If ctx has ended, nothing is sent; if it ends later, the connection is closed immediately, also while the body is read. Errors are of
-// type *Error.
+// was read to its end. If ctx has ended, nothing is sent. If it ends later, the connection is closed, also while the body
+// is read: immediately, or after lateReadTime if there is unread data. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
 	if cause := context.Cause(ctx); cause != nil {
 		// This says nothing about the address, so onFailure is not called.
