Stand-ins: callers see whether a gateway had read a request that it did not answer

A request whose connection ended without a response could have crossed the close, or have been read and dropped; only the second is a loss, and the soak could tell them apart only if a worker had got the request.

A kernel resets a connection that is closed with unread data, or that gets data after its close. An end of stream after the acknowledgement of all data means that the process had read them, which the state of the socket shows. All callers of the soak now send through CallerConn, which notes it; those that open a connection for each request still ask for its close. CallerConn can close the sending half after a request.

--- a/internal/soak/dialer.go
+++ b/internal/soak/dialer.go
@@ -140,3 +140,11 @@
 		return c.TCPConn.SyscallConn()
 	}
 }
+
+// CloseWrite closes the sending half. The gateway is not notified if the connection is silenced.
+func (c *callerConn) CloseWrite() error {
+	if c.isSilent() {
+		return nil
+	}
+	return c.TCPConn.CloseWrite()
+}
--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,6 +24,10 @@
 	// SharedPrefix identifies the shared part of the prompt.
 	SharedPrefix string
 	Deadline     time.Duration
+	// APIKey is the key of the client; empty if it sends none.
+	APIKey string
+	// Close asks the gateway to close the connection after the response.
+	Close bool
 }
 
 // Response is the response that a client received.
@@ -34,9 +39,11 @@
 	RetryAfter string
 	// Err is set if the response is incomplete.
 	Err error
+	// ReadByGateway is set if the gateway had read the whole request when it ended the connection without a response.
+	ReadByGateway bool
 }
 
-// Caller is a simulated client of the gateways, based on the HTTP client of the standard library.
+// Caller is a simulated client of the gateways. It asks directories with the HTTP client of the standard library.
 type Caller struct{ client *http.Client }
 
 // NewCaller returns a client that reuses connections, or opens a new one for each request.
@@ -81,18 +88,18 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// Do sends a request to a gateway and reads the whole response.
+// Do sends a request to a gateway on a new connection and reads the whole response.
 func (c *Caller) Do(ctx context.Context, gateway string, call Request) Response {
-	request, err := call.httpRequest(ctx, gateway)
+	conn, err := OpenCallerConn(ctx, gateway, func(ctx context.Context, gateway string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp4", gateway)
+	})
 	if err != nil {
 		return Response{Err: err}
 	}
-	response, err := c.client.Do(request)
-	if err != nil {
-		return Response{Err: err}
-	}
-	defer response.Body.Close()
-	return readResponse(response)
+	defer conn.Close()
+	call.Close = true
+	response, _ := conn.Do(ctx, call, NoHalfClose)
+	return response
 }
 
 // readResponse reads a response to its end.
@@ -110,9 +117,12 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Host = Host
+	request.Host, request.Close = Host, r.Close
 	request.Header.Set("Request-Id", r.ID)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	if r.APIKey != "" {
+		request.Header.Set("Api-Key", r.APIKey)
+	}
 	if r.PromptTokens > 0 {
 		request.Header.Set("Model", "m")
 		request.Header.Set("Token-Count", fmt.Sprintf("%d,30", r.PromptTokens))
--- a/internal/standin/fleet/poolingcaller.go
+++ b/internal/standin/fleet/poolingcaller.go
@@ -1,10 +1,8 @@
 package fleet
 
 import (
-	"bufio"
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -23,9 +21,8 @@
 
 // idleConn is a pooled connection.
 type idleConn struct {
-	net.Conn
-	reader *bufio.Reader
-	since  time.Time
+	*CallerConn
+	since time.Time
 }
 
 // NewPoolingCaller returns a client that opens connections with dial.
@@ -55,44 +52,23 @@
 // Do sends a request on one connection and reads the whole response. Idle connections that reusable rejects are closed. The
 // connection is closed if the context ends.
 func (c *PoolingCaller) Do(ctx context.Context, gateway string, call Request, choice ConnChoice, reusable func(since time.Time) bool) Response {
-	request, err := call.httpRequest(ctx, gateway)
-	if err != nil {
-		return Response{Err: err}
-	}
 	conn := c.takeIdle(gateway, choice, reusable)
 	if conn == nil {
-		opened, err := c.dial(ctx, gateway)
+		opened, err := OpenCallerConn(ctx, gateway, c.dial)
 		if err != nil {
-			return Response{Err: errors.Mark(err, ErrNotConnected)}
+			return Response{Err: err}
 		}
-		conn = &idleConn{Conn: opened, reader: bufio.NewReader(opened)}
+		conn = &idleConn{CallerConn: opened}
 	}
-	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	response, reuse := conn.exchange(request)
-	switch {
-	case !release():
-		response.Err = errors.CombineErrors(ctx.Err(), response.Err)
-	case reuse && response.Err == nil:
+	response, reuse := conn.Do(ctx, call, NoHalfClose)
+	if reuse {
 		c.putIdle(gateway, conn)
-	default:
+	} else {
 		_ = conn.Close()
 	}
 	return response
 }
 
-// exchange sends a request, reads the response, and reports whether the connection may be reused.
-func (c *idleConn) exchange(request *http.Request) (Response, bool) {
-	if err := request.Write(c); err != nil {
-		return Response{Err: err}, false
-	}
-	response, err := http.ReadResponse(c.reader, request)
-	if err != nil {
-		return Response{Err: err}, false
-	}
-	defer response.Body.Close()
-	return readResponse(response), !response.Close
-}
-
 // takeIdle returns an idle connection, or nil. It closes connections that are not reusable or were closed by the gateway.
 func (c *PoolingCaller) takeIdle(gateway string, choice ConnChoice, reusable func(since time.Time) bool) *idleConn {
 	if choice == ConnNew {
