Soak: a request that was read whole gets a response, whatever fault is near

checkUnanswered takes its place and also takes in every request that its gateway had read whole when it ended the connection without a response. The exceptions are those that it had: a gateway that was killed, a client that disconnected, timed out, or closed a silenced connection. A planned exit is none, nor is a standstill. No fault of the soak cuts the connections of clients, which lead straight to the gateways, so cut paths excuse nothing.

Two new kinds of clients are known to the checks, and none draws them yet. One half-closes its connection: it has to get a response, whole or cut after it has started, its work ends as if it had left, and it doesn't count as service that was denied. One sends at the very time at which its gateway may close the connection: it may cross the close, unless the gateway had read the request or a worker got it (RFC 9112, 9.3).

Without the new condition three of the new cases of TestChecks fail, as they did with the old check.

--- a/internal/soak/allgateways.go
+++ b/internal/soak/allgateways.go
@@ -98,7 +98,7 @@
 		}
 		sent, served := 0, 0
 		for _, r := range h.Requests {
-			if r.Sent.Before(from) || r.Sent.After(until) || r.CrashID > 0 || !r.AbandonedAt.IsZero() {
+			if r.Sent.Before(from) || r.Sent.After(until) || !r.countsAsService() {
 				continue
 			}
 			sent++
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,7 +33,7 @@
 
 // checks lists all rules in reporting order.
 var checks = []check{
-	checkNonIdempotent, checkRefusals, checkResponses, checkLostConnections, checkClosedConnections, checkExits, checkAbandoned, checkDrain, checkLeavingNotices, checkRetryAfter, checkLimits, checkOrders, checkRetryBudget, checkConfigDelays, checkRecovery, checkStartOfAll, checkBypass, checkCrashRetries, checkFalseBlocks,
+	checkNonIdempotent, checkRefusals, checkResponses, checkLostConnections, checkUnanswered, checkExits, checkAbandoned, checkDrain, checkLeavingNotices, checkRetryAfter, checkLimits, checkOrders, checkRetryBudget, checkConfigDelays, checkRecovery, checkStartOfAll, checkBypass, checkCrashRetries, checkFalseBlocks,
 }
 
 // Check returns all violations in a history.
@@ -96,13 +96,14 @@
 	return "MIXED"
 }
 
-// checkLostConnections: planned operations do not cause connections to close without a response.
+// checkLostConnections: planned operations do not cause connections to close without a complete response. It leaves out the requests near
+// any unplanned fault, which in most rounds are all from the first fault on; checkUnanswered covers these.
 func checkLostConnections(h *History) []Violation {
 	var found []Violation
 	for _, r := range h.Requests {
 		// A connection that could not be opened was not lost.
 		refused := r.Response.Err != nil && strings.Contains(r.Response.Err.Error(), "connection refused")
-		if r.Response.Err == nil || refused || !r.AbandonedAt.IsZero() || r.isOverdue() || h.hasUnplannedFault(r.Sent.Add(-recoveryMargin), r.Ended) {
+		if r.Response.Err == nil || refused || !r.AbandonedAt.IsZero() || r.isOverdue() || r.crossedClose() || r.wasCutHalfClosed() || h.hasUnplannedFault(r.Sent.Add(-recoveryMargin), r.Ended) {
 			continue
 		}
 		found = append(found, Violation{"LOST", r.Request.ID, fmt.Sprintf("connection to %s lost after %s: %v", r.Gateway, r.Ended.Sub(r.Sent), r.Response.Err)})
@@ -115,12 +116,18 @@
 	return r.Response.Status == http.StatusOK && r.Ended.Sub(r.Sent) >= min(r.Request.Deadline, minTimeout)
 }
 
+// wasCutHalfClosed reports whether a response ended after it had started to a client that seemed to have gone.
+func (r *RequestRecord) wasCutHalfClosed() bool {
+	return !r.HalfClosedAt.IsZero() && r.Response.Status != 0
+}
+
 // exitSlack is how long before the recorded exit of a killed process its connections may have closed.
 const exitSlack = 100 * time.Millisecond
 
-// checkClosedConnections: once a request has reached a worker, no gateway closes its connection without a response, except when
-// the gateway is killed. Clients of silenced connections time out and are not counted.
-func checkClosedConnections(h *History) []Violation {
+// checkUnanswered: a request that a gateway has read whole, or that has reached a worker, gets a response, whatever fault is near. The
+// exceptions are a gateway that was killed, a client that disconnected or waited in vain until its own timeout, and a silenced connection,
+// which its client closes. No fault cuts or resets the connections of clients, which lead straight to the gateways.
+func checkUnanswered(h *History) []Violation {
 	arrivals := map[string]time.Time{}
 	for _, arrival := range h.Arrivals {
 		arrivals[arrival.ID] = arrival.At
@@ -128,14 +135,16 @@
 	var found []Violation
 	for _, r := range h.Requests {
 		at, arrived := arrivals[r.Request.ID]
-		if r.Response.Err == nil || r.Response.Status != 0 || !arrived || !r.AbandonedAt.IsZero() || closedByCaller(r.Response.Err) {
+		isUnanswered := r.Response.Err != nil && r.Response.Status == 0 && (arrived || r.Response.ReadByGateway)
+		if !isUnanswered || !r.AbandonedAt.IsZero() || closedByCaller(r.Response.Err) || h.wasKilled(r.Gateway, r.Sent, r.Ended) {
 			continue
 		}
-		if h.wasKilled(r.Gateway, r.Sent, r.Ended) {
-			continue
+		reached := "no worker"
+		if arrived {
+			reached = fmt.Sprintf("a worker %s before", r.Ended.Sub(at))
 		}
-		found = append(found, Violation{"LOST", r.Request.ID, fmt.Sprintf("%s closed the connection after %s without a response, %s after the request had reached a worker: %v",
-			r.Gateway, r.Ended.Sub(r.Sent), r.Ended.Sub(at), r.Response.Err)})
+		found = append(found, Violation{"LOST", r.Request.ID, fmt.Sprintf("%s closed the connection after %s without a response, read whole: %t, half closed: %t, reached %s: %v",
+			r.Gateway, r.Ended.Sub(r.Sent), r.Response.ReadByGateway, !r.HalfClosedAt.IsZero(), reached, r.Response.Err)})
 	}
 	return found
 }
@@ -175,18 +184,18 @@
 	maxLateWorkShare = 0.25
 )
 
-// checkAbandoned: after clients have disconnected, few of their requests reach workers later than abandonGrace, and workers stop
-// processing those that are idempotent or resumable.
+// checkAbandoned: after clients have disconnected, or seem to because they closed the sending half of their connection, few of their
+// requests reach workers later than abandonGrace, and workers stop processing those that are idempotent or resumable.
 func checkAbandoned(h *History) []Violation {
 	abandoned := map[string]RequestRecord{}
 	for _, r := range h.Requests {
-		if !r.AbandonedAt.IsZero() && r.Kind != KindNonIdempotent && !h.hasUnplannedFault(r.AbandonedAt.Add(-recoveryMargin), r.AbandonedAt.Add(abandonGrace)) {
+		if left := r.leftAt(); !left.IsZero() && r.Kind != KindNonIdempotent && !h.hasUnplannedFault(left.Add(-recoveryMargin), left.Add(abandonGrace)) {
 			abandoned[r.Request.ID] = r
 		}
 	}
 	lateArrivals, longRunning, lateWork := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, arrival := range h.Arrivals {
-		if r, gone := abandoned[arrival.ID]; gone && arrival.At.After(r.AbandonedAt.Add(abandonGrace)) {
+		if r, gone := abandoned[arrival.ID]; gone && arrival.At.After(r.leftAt().Add(abandonGrace)) {
 			lateArrivals[arrival.ID] = true
 		}
 	}
@@ -195,7 +204,7 @@
 		if !gone {
 			continue
 		}
-		limit := r.AbandonedAt.Add(abandonGrace)
+		limit := r.leftAt().Add(abandonGrace)
 		if r.LongRunning && work.Begun.Add(fleet.LongWork).After(limit) {
 			longRunning[work.ID] = true
 		}
@@ -325,9 +334,10 @@
 	return times
 }
 
-// The services of the simulated workers.
+// The services of the simulated workers. serviceSplit is a second one of plain requests, which not all systems have.
 const (
 	servicePlain  = "app"
+	serviceSplit  = "app-b"
 	serviceEngine = "llm"
 )
 
@@ -343,10 +353,15 @@
 // a window earlier. It returns the highest count.
 func (h *History) requestsAround(service string, from time.Time) int {
 	highest := 0
+	belongs := func(r RequestRecord) bool { return serviceOf(r.Kind) == service }
+	if service == serviceSplit {
+		reached := h.reached(service)
+		belongs = func(r RequestRecord) bool { return reached[r.Request.ID] }
+	}
 	for _, begin := range []time.Time{from, from.Add(-retryWindow), from.Add(-retryWindow / 2)} {
 		count := 0
 		for _, r := range h.Requests {
-			if since := r.Sent.Sub(begin); serviceOf(r.Kind) == service && since >= 0 && since < retryWindow {
+			if since := r.Sent.Sub(begin); belongs(r) && since >= 0 && since < retryWindow {
 				count++
 			}
 		}
@@ -355,6 +370,17 @@
 	return highest
 }
 
+// reached returns the IDs of the requests that reached workers of a service.
+func (h *History) reached(service string) map[string]bool {
+	ids := map[string]bool{}
+	for _, arrival := range h.Arrivals {
+		if arrival.Service == service {
+			ids[arrival.ID] = true
+		}
+	}
+	return ids
+}
+
 // checkConfigDelays: in the absence of faults, a new configuration takes effect on all gateways within maxConfigDelay.
 func checkConfigDelays(h *History) []Violation {
 	var found []Violation
@@ -373,7 +399,7 @@
 		sent, served := 0, 0
 		var failed []string
 		for _, r := range h.Requests {
-			if r.Sent.Before(quiet.Begun) || r.Sent.After(quiet.Ended) || r.CrashID > 0 || !r.AbandonedAt.IsZero() {
+			if r.Sent.Before(quiet.Begun) || r.Sent.After(quiet.Ended) || !r.countsAsService() {
 				continue
 			}
 			sent++
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -110,6 +110,110 @@
 				h.Spans = []Span{{Fault: SilentConnections{}, Begun: timeAt(0)}}
 			},
 			func(h *History) { h.Requests[1].Response.Err = errClosedByCaller }},
+		{"LOST", "request that no worker got, but the gateway had read whole, during a standstill",
+			func(h *History) {
+				h.Requests[0].Response = fleet.Response{Err: broken, ReadByGateway: true}
+				h.Requests[0].Gateway = "g1"
+				h.Spans = []Span{{Fault: GatewayFreeze{}, Begun: timeAt(0)}}
+			},
+			func(h *History) { h.Requests[0].Response.ReadByGateway = false }},
+		{"LOST", "request that a planned exit cut, beside a standstill",
+			func(h *History) {
+				h.Requests[0].Response = fleet.Response{Err: broken, ReadByGateway: true}
+				h.Requests[0].Gateway = "g1"
+				h.Spans = []Span{{Fault: GatewayFreeze{}, Begun: timeAt(0)}, {Fault: GatewayStop{}, Begun: timeAt(0)}}
+				h.Exits = []ProcessExit{{Gateway: "g1", At: timeAt(50 * time.Millisecond), Expected: true}}
+			},
+			func(h *History) { h.Exits[0].Killed = true }},
+		{"LOST", "half-closed client without a response during a standstill",
+			func(h *History) {
+				h.Requests[0].Response = fleet.Response{Err: broken, ReadByGateway: true}
+				h.Requests[0].HalfClosedAt = timeAt(10 * time.Millisecond)
+				h.Spans = []Span{{Fault: GatewayFreeze{}, Begun: timeAt(0)}}
+			},
+			func(h *History) { h.Requests[0].Response = fleet.Response{Status: http.StatusBadGateway} }},
+		{"LOST", "half-closed client without a response, with planned operations only",
+			func(h *History) {
+				h.Requests[0].Response = fleet.Response{Err: broken}
+				h.Requests[0].HalfClosedAt = timeAt(10 * time.Millisecond)
+			},
+			func(h *History) { h.Requests[0].Response = fleet.Response{Status: http.StatusBadGateway} }},
+		{"LOST", "stream that breaks off, but not of a client that half-closed its connection",
+			func(h *History) {
+				h.Requests[1].Response = fleet.Response{Status: http.StatusOK, Body: fleet.Event("r2", 1), Err: broken}
+				h.Requests[1].Request.Deadline = time.Second
+			},
+			func(h *History) { h.Requests[1].HalfClosedAt = timeAt(10 * time.Millisecond) }},
+		{"ORDER", "stream of a half-closed client that ends normally but is incomplete",
+			func(h *History) {
+				h.Requests[1].Response.Body = fleet.StreamAnswer("r2", 2)
+				h.Requests[1].HalfClosedAt = timeAt(10 * time.Millisecond)
+			},
+			func(h *History) { h.Requests[1].Response.Err = broken }},
+		{"LOST", "request at a bound that the gateway had read whole",
+			func(h *History) {
+				h.Requests[0].Response = fleet.Response{Err: broken, ReadByGateway: true}
+				h.Requests[0].AtBound = true
+			},
+			func(h *History) { h.Requests[0].Response.ReadByGateway = false }},
+		{"LOST", "request at a bound that reached a worker",
+			func(h *History) {
+				h.Requests[0].Response = fleet.Response{Err: broken}
+				h.Requests[0].AtBound = true
+				h.Arrivals = []fleet.Arrival{{ID: "r1", At: timeAt(10 * time.Millisecond)}}
+			},
+			func(h *History) { h.Arrivals = nil }},
+		{"LOST", "request that hangs, at a bound or not",
+			func(h *History) {
+				h.Requests[0].Response = fleet.Response{Err: context.DeadlineExceeded}
+				h.Requests[0].AtBound = true
+			},
+			func(h *History) { h.Requests[0].Response.Err = broken }},
+		{"LOST", "request that no bound was near",
+			func(h *History) { h.Requests[0].Response = fleet.Response{Err: broken} },
+			func(h *History) { h.Requests[0].AtBound = true }},
+		{"RECOVER", "no service for clients at a bound",
+			func(h *History) {
+				h.QuietPeriods = []Span{{Begun: timeAt(0), Ended: timeAt(time.Second)}}
+				for i := range 40 {
+					r := answered(fmt.Sprint("more-", i), KindIdempotent, time.Millisecond)
+					r.AtBound = true
+					r.Response = fleet.Response{Status: http.StatusServiceUnavailable}
+					h.Requests = append(h.Requests, r)
+				}
+			},
+			func(h *History) {
+				for i := range h.Requests[2:] {
+					h.Requests[2+i].Response = fleet.Response{Err: broken}
+				}
+				for i := range 40 {
+					h.Requests = append(h.Requests, answered(fmt.Sprint("served-", i), KindIdempotent, time.Millisecond))
+				}
+			}},
+		{"GONE", "workers process requests long after their clients half-closed the connection",
+			func(h *History) {
+				for i := range 4 * (maxLateWork + 1) {
+					r := answered(fmt.Sprint("half-", i), KindStream, 0)
+					r.LongRunning, r.HalfClosedAt = true, r.Ended
+					h.Requests = append(h.Requests, r)
+					h.Work = append(h.Work, fleet.Work{ID: r.Request.ID, Begun: timeAt(0), Ended: r.Ended.Add(abandonGrace + time.Millisecond)})
+				}
+			},
+			func(h *History) { h.Spans = []Span{{Fault: GatewayPause{}, Begun: timeAt(0)}} }},
+		{"BUDGET", "retries at the second service of a split",
+			func(h *History) {
+				for i := range retrySlack + 3 {
+					h.Arrivals = append(h.Arrivals, fleet.Arrival{ID: "r1", Service: serviceSplit, At: timeAt(time.Duration(i) * time.Millisecond)})
+				}
+				for i := range 30 {
+					h.Requests = append(h.Requests, answered(fmt.Sprint("more-", i), KindIdempotent, 0))
+				}
+			},
+			func(h *History) {
+				for i := range 30 {
+					h.Arrivals = append(h.Arrivals, fleet.Arrival{ID: fmt.Sprint("more-", i), Service: serviceSplit, At: timeAt(0)})
+				}
+			}},
 		{"LOST", "stream aborted during a planned operation",
 			func(h *History) {
 				h.Requests[1].Response = fleet.Response{Status: http.StatusOK, Body: fleet.Event("r2", 1), Err: broken}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -31,10 +31,32 @@
 	// worker takes fleet.LongWork for the request.
 	AbandonedAt time.Time
 	LongRunning bool
+	// HalfClosedAt is when the client closed the sending half of its connection after the whole request; zero if it did not.
+	HalfClosedAt time.Time
+	// AtBound is set if the request was sent when the gateway was about to close the connection because of a timeout.
+	AtBound bool
 	// WantBody is the complete expected answer.
 	WantBody string
 }
 
+// crossedClose reports whether a request may have crossed the close of its connection by a timeout: the gateway has not read it whole.
+func (r *RequestRecord) crossedClose() bool {
+	return r.AtBound && r.Response.Err != nil && r.Response.Status == 0 && !r.Response.ReadByGateway && !closedByCaller(r.Response.Err)
+}
+
+// countsAsService reports whether a request has to be served if the system is well.
+func (r *RequestRecord) countsAsService() bool {
+	return r.CrashID == 0 && r.leftAt().IsZero() && !r.crossedClose()
+}
+
+// leftAt returns when the client disconnected, or seemed to, before the response was complete; zero if it did not.
+func (r *RequestRecord) leftAt() time.Time {
+	if !r.HalfClosedAt.IsZero() {
+		return r.HalfClosedAt
+	}
+	return r.AbandonedAt
+}
+
 // Span is a time span, such as that of a fault or of a quiet period.
 type Span struct {
 	Fault Fault
--- a/internal/soak/pathfaults.go
+++ b/internal/soak/pathfaults.go
@@ -170,7 +170,7 @@
 		}
 		var sent, served [2]int
 		for _, r := range h.Requests {
-			if r.Sent.Before(span.Begun.Add(bypassTime)) || r.Ended.After(span.Ended) || r.CrashID > 0 || !r.AbandonedAt.IsZero() {
+			if r.Sent.Before(span.Begun.Add(bypassTime)) || r.Ended.After(span.Ended) || !r.countsAsService() {
 				continue
 			}
 			side := 0
