Soak: configuration changes beside signals, and callers at the bounds

The soak drew changes of a timeout and of the idle bound only, seldom beside a signal, and its callers stayed clear of the bounds of their connections.

These systems have a second service of plain requests.

--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -113,7 +113,7 @@
 		shape.gateways = c.Gateways
 	}
 	fmt.Fprintf(out, "soak --deployment %s --seed %d --for %s --gateways %d; logs in %s\n", c.Deployment, c.Seed, c.For, shape.gateways, directory)
-	s, err := startSystem(ctx, shape, builds{previous: c.Before, current: binary}, directory, c.Seed >= firstPathSeed)
+	s, err := startSystem(ctx, shape, builds{previous: c.Before, current: binary}, directory, featuresOf(c.Seed))
 	if err != nil {
 		return err
 	}
@@ -125,6 +125,9 @@
 	defer watchers.Wait()
 	defer stopWatching()
 	trafficCtx, stopTraffic := context.WithCancel(ctx)
+	if s.variable != nil {
+		s.runBoundCallers(trafficCtx, c.Seed)
+	}
 	trafficDone := make(chan struct{})
 	go func() {
 		defer close(trafficDone)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -71,13 +71,11 @@
 	case CrashingRequest:
 		s.crashingCount.Add(1)
 		s.sendCrashing.Store(true)
-	case TimeoutChange:
-		s.changeConfiguration(calm, func() { s.timeoutMs = f.TimeoutMs })
 	default:
-		if s.injectNotice(fault) {
+		if s.injectNotice(fault) || s.injectChange(fault, calm) {
 			return
 		}
-		s.injectSeries(fault, calm)
+		s.injectSeries(fault)
 	}
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -133,7 +133,8 @@
 // isPlanned reports whether a fault is a planned operation, which must not cause lost requests.
 func isPlanned(f Fault) bool {
 	switch f.(type) {
-	case GatewayStop, GatewayReload, WorkerReplacement, WorkerLeavingNotice, WorkerLimitNotice, GatewayUpgrade, TimeoutChange, IdleTimeoutChange:
+	case GatewayStop, GatewayReload, WorkerReplacement, WorkerLeavingNotice, WorkerLimitNotice, GatewayUpgrade, TimeoutChange, IdleTimeoutChange,
+		ExtraRoutes, SplitChange, TenantChange, LimitChange:
 		return true
 	default:
 		return false
@@ -164,6 +165,15 @@
 
 // drawRound returns the faults of a round. They depend on the seed, the number of the round and the size of the system alone.
 func drawRound(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
+	changes, areOnly := drawChanges(seed, number, gateways)
+	if areOnly {
+		return changes
+	}
+	return append(drawOtherFaults(seed, number, gateways, workers, zones), changes...)
+}
+
+// drawOtherFaults returns the faults of a round other than configuration changes beside signals.
+func drawOtherFaults(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
 	random := rand.New(rand.NewPCG(seed, uint64(number)))
 	faults, areOnly := drawPathFaults(seed, number, gateways, zones)
 	if areOnly {
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -149,7 +149,7 @@
 const minIdleMs = 800
 
 // injectSeries starts a fault of a series.
-func (s *system) injectSeries(fault Fault, calm bool) {
+func (s *system) injectSeries(fault Fault) {
 	switch f := fault.(type) {
 	case GatewayReload:
 		s.gateways[f.Gateway].reload()
@@ -165,11 +165,6 @@
 			s.gateways[f.Gateway].kill()
 			_ = s.gateways[f.Gateway].start()
 		})
-	case IdleTimeoutChange:
-		s.changeConfiguration(calm, func() {
-			s.idleMs = f.IdleMs
-			s.idleTimeouts = append(s.idleTimeouts, idleTimeout{time.Now(), time.Duration(f.IdleMs) * time.Millisecond})
-		})
 	case SilentConnections:
 		s.silence(f)
 	case Overload:
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -52,6 +52,8 @@
 	idleMs       int
 	attempts     int
 	idleTimeouts []idleTimeout
+	// variable are the variable parts of the configuration; nil if the seed has none.
+	variable     *variableParts
 	requests     []RequestRecord
 	spans        []Span
 	departures   []Departure
@@ -88,13 +90,29 @@
 // streamEvents is the number of events in a stream.
 const streamEvents = 6
 
-// startSystem starts all components and waits until the gateways are ready. If hasPaths is set, each gateway has its own paths to workers.
-func startSystem(ctx context.Context, shape shape, builds builds, folder string, hasPaths bool) (*system, error) {
+// features are the parts of a system that only some seeds have.
+type features struct {
+	// paths gives each gateway its own paths to workers, and changes makes more of the configuration variable.
+	paths, changes bool
+}
+
+// featuresOf returns the features for a seed.
+func featuresOf(seed uint64) features {
+	return features{paths: seed >= firstPathSeed, changes: seed >= firstChangeSeed}
+}
+
+// startSystem starts all components and waits until the gateways are ready.
+func startSystem(ctx context.Context, shape shape, builds builds, folder string, has features) (*system, error) {
 	s := &system{shape: shape, builds: builds, fleet: fleet.NewFleet(), timeoutMs: 2500, dialer: newCallerDialer()}
 	s.store = httptest.NewServer(s.fleet.Store)
-	if hasPaths {
+	if has.paths {
 		s.paths = workerpaths.New(s.fleet)
 	}
+	if has.changes {
+		parts := initialParts()
+		s.variable = &parts
+		s.setIdle(initialIdleMs)
+	}
 	for i, options := range s.workerOptions() {
 		slot := &workerSlot{number: i, options: options}
 		s.workers = append(s.workers, slot)
@@ -161,6 +179,9 @@
 	add(s.shape.plain, fleet.WorkerOptions{Service: servicePlain, Slots: 16, Work: 5 * time.Millisecond})
 	add(s.shape.prefill, fleet.WorkerOptions{Service: serviceEngine, Stage: "prefill", Slots: 32, Work: 5 * time.Millisecond, Events: streamEvents, Model: model})
 	add(s.shape.decode, fleet.WorkerOptions{Service: serviceEngine, Stage: "decode", Slots: 32, Work: 5 * time.Millisecond, Events: streamEvents, Model: model})
+	if s.variable != nil {
+		add(splitWorkers, fleet.WorkerOptions{Service: serviceSplit, Slots: 16, Work: 5 * time.Millisecond})
+	}
 	return all
 }
 
@@ -192,7 +213,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.fleet.Configure(fleet.Configuration{
+	config := fleet.Configuration{
 		Version: s.version, TimeoutMs: s.timeoutMs, IdleMs: s.idleMs, MaxAttempts: s.attempts,
 		Routes: []fleet.Route{
 			{Name: "once", Prefix: "/once/", Kind: fleet.RouteRunsOnce, Service: servicePlain},
@@ -200,7 +221,11 @@
 			{Name: "stream", Prefix: "/stream/", Kind: fleet.RouteStreams, Service: serviceEngine, Resumable: true},
 		},
 		Services: []fleet.Service{{Name: servicePlain}, {Name: serviceEngine, MemoryTokens: fleet.DefaultModel().MemoryTokens}},
-	})
+	}
+	if s.variable != nil {
+		s.variable.extend(&config)
+	}
+	s.fleet.Configure(config)
 	return s.version
 }
 
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -193,10 +193,21 @@
 // callSlack is how long after its deadline a client still waits.
 const callSlack = 2 * time.Second
 
-// call sends a request and records the result. If abandonAfter is positive, the client disconnects after that time.
-func (s *system) call(request RequestRecord, abandonAfter time.Duration, do func(ctx context.Context, gateway string, call fleet.Request) fleet.Response) {
+// sendFunc sends a request to a gateway and returns its response.
+type sendFunc func(ctx context.Context, gateway string, call fleet.Request) fleet.Response
+
+// call sends a request and records the result.
+func (s *system) call(request RequestRecord, abandonAfter time.Duration, do sendFunc) {
+	s.recordRequest(s.send(request, abandonAfter, do))
+}
+
+// send sends a request and returns it with the result. If abandonAfter is positive, the client disconnects after that time.
+func (s *system) send(request RequestRecord, abandonAfter time.Duration, do sendFunc) RequestRecord {
 	ctx, cancel := context.WithTimeout(context.Background(), request.Request.Deadline+callSlack)
 	defer cancel()
+	if s.variable != nil {
+		request.Request.APIKey = callersKey
+	}
 	request.Sent = time.Now()
 	if abandonAfter > 0 {
 		timer := time.AfterFunc(abandonAfter, cancel)
@@ -207,6 +218,11 @@
 	if errors.Is(ctx.Err(), context.Canceled) && request.Response.Err != nil {
 		request.AbandonedAt = request.Ended
 	}
+	return request
+}
+
+// recordRequest records a request with its result.
+func (s *system) recordRequest(request RequestRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests = append(s.requests, request)
