--- a/internal/soak/changes.go
+++ b/internal/soak/changes.go
@@ -73,7 +73,7 @@
 
 // drawChanges returns the configuration changes of a round with the signals beside them, and whether they are its only faults. Seven rounds
 // in eight have some, and most of these have no other fault.
-func drawChanges(seed uint64, number, gateways int) (faults []ScheduledFault, areOnly bool) {
+func drawChanges(seed uint64, number, gateways, workers int) (faults []ScheduledFault, areOnly bool) {
 	random := rand.New(rand.NewPCG(seed, changeStream+uint64(number)))
 	variant := random.IntN(8)
 	if seed < firstChangeSeed || variant == 0 {
@@ -89,14 +89,33 @@
 		}
 		faults = append(faults, ScheduledFault{At: at, Fault: draw(random)})
 	}
+	return append(faults, drawSignals(random, changes, gateways, workers)...), variant > 2
+}
+
+// drawSignals returns what happens beside the changes: reloads and planned stops of gateways, quotas that workers name, and standstills.
+// About half of the signals go to the same gateway, so that it gets several of them at a time.
+func drawSignals(random *rand.Rand, changes []time.Duration, gateways, workers int) []ScheduledFault {
+	focus := random.IntN(gateways)
+	gateway := func() int {
+		if random.IntN(2) == 0 {
+			return focus
+		}
+		return random.IntN(gateways)
+	}
 	beside := func() time.Duration { return drawBeside(random, changes) }
+	var faults []ScheduledFault
 	for range random.IntN(4) {
-		faults = append(faults, ScheduledFault{At: beside(), Fault: GatewayReload{random.IntN(gateways)}})
+		faults = append(faults, ScheduledFault{At: beside(), Fault: GatewayReload{gateway()}})
 	}
 	for range random.IntN(3) {
-		faults = append(faults, ScheduledFault{At: beside(), Fault: GatewayStop{random.IntN(gateways)}})
+		faults = append(faults, ScheduledFault{At: beside(), Fault: GatewayStop{gateway()}})
+	}
+	for range max(0, random.IntN(5)-2) {
+		rate := func() float64 { return []float64{1.1, 5.4, 20}[random.IntN(3)] }
+		duration := time.Duration(1000+random.IntN(4000)) * time.Millisecond
+		faults = append(faults, ScheduledFault{At: beside(), Fault: WorkerLimitNotice{random.IntN(workers), rate(), rate(), duration}})
 	}
-	return append(faults, drawStandstills(random, gateways, beside)...), variant > 2
+	return append(faults, drawStandstills(random, gateways, gateway, beside)...)
 }
 
 // drawChangeTimes returns when the configuration changes: some single times, or a storm.
@@ -126,21 +145,21 @@
 }
 
 // drawStandstills returns the standstills of a round: none, one, several gateways at once, or a series.
-func drawStandstills(random *rand.Rand, gateways int, beside func() time.Duration) []ScheduledFault {
+func drawStandstills(random *rand.Rand, gateways int, gateway func() int, beside func() time.Duration) []ScheduledFault {
 	drawDuration := func(longest int) time.Duration { return time.Duration(100+random.IntN(longest-100)) * time.Millisecond }
 	var faults []ScheduledFault
 	switch random.IntN(4) {
 	case 0:
 	case 1:
-		faults = append(faults, ScheduledFault{At: beside(), Fault: GatewayFreeze{random.IntN(gateways), drawDuration(3000)}})
+		faults = append(faults, ScheduledFault{At: beside(), Fault: GatewayFreeze{gateway(), drawDuration(3000)}})
 	case 2:
 		at, duration := beside(), drawDuration(3000)
-		for _, gateway := range random.Perm(gateways)[:2+random.IntN(gateways-1)] {
-			faults = append(faults, ScheduledFault{At: at, Fault: GatewayFreeze{gateway, duration}})
+		for _, each := range random.Perm(gateways)[:2+random.IntN(gateways-1)] {
+			faults = append(faults, ScheduledFault{At: at, Fault: GatewayFreeze{each, duration}})
 		}
 	default:
 		for range 3 + random.IntN(6) {
-			faults = append(faults, ScheduledFault{At: beside(), Fault: GatewayFreeze{random.IntN(gateways), drawDuration(800)}})
+			faults = append(faults, ScheduledFault{At: beside(), Fault: GatewayFreeze{gateway(), drawDuration(800)}})
 		}
 	}
 	return faults
--- a/internal/soak/changes_test.go
+++ b/internal/soak/changes_test.go
@@ -37,12 +37,12 @@
 // TestChangesAreDrawn guards against a kind of change, signal or standstill that no seed draws, against rounds that differ when they are
 // drawn again, and against times and durations out of range.
 func TestChangesAreDrawn(t *testing.T) {
-	const seeds, gateways = 300, 4
+	const seeds, gateways, workers = 300, 4, 12
 	kinds, beside := map[string]int{}, map[string]int{}
 	large, storms, standstillsAtOnce, planned := 0, 0, 0, 0
 	for seed := uint64(firstChangeSeed); seed < firstChangeSeed+seeds; seed++ {
-		faults, areOnly := drawChanges(seed, 0, gateways)
-		again, _ := drawChanges(seed, 0, gateways)
+		faults, areOnly := drawChanges(seed, 0, gateways, workers)
+		again, _ := drawChanges(seed, 0, gateways, workers)
 		if fmt.Sprint(faults, areOnly) != fmt.Sprint(again, areOnly) {
 			t.Fatalf("seed %d: round differs when drawn again", seed)
 		}
@@ -59,7 +59,7 @@
 				if f.Duration < 100*time.Millisecond || f.Duration > 3*time.Second {
 					t.Errorf("seed %d: %s", seed, f)
 				}
-			case GatewayReload, GatewayStop:
+			case GatewayReload, GatewayStop, WorkerLimitNotice:
 			case ExtraRoutes:
 				changes++
 				if f.Count == largeConfiguration {
@@ -86,8 +86,8 @@
 			planned++
 		}
 	}
-	if len(kinds) != 9 {
-		t.Errorf("%d kinds of faults are drawn, want 9: %v", len(kinds), kinds)
+	if len(kinds) != 10 {
+		t.Errorf("%d kinds of faults are drawn, want 10: %v", len(kinds), kinds)
 	}
 	for name, count := range map[string]int{"large configurations": large, "storms": storms, "rounds with several standstills at once": standstillsAtOnce, "rounds without standstills": planned} {
 		if count < seeds/20 {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -165,7 +165,7 @@
 
 // drawRound returns the faults of a round. They depend on the seed, the number of the round and the size of the system alone.
 func drawRound(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
-	changes, areOnly := drawChanges(seed, number, gateways)
+	changes, areOnly := drawChanges(seed, number, gateways, workers)
 	if areOnly {
 		return changes
 	}
