--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -228,6 +229,9 @@
 	for service, peak := range h.peakRetries() {
 		fmt.Fprintf(out, "%s: peak of %s\n", service, peak)
 	}
+	if line := h.describeUnusualClients(); line != "" {
+		fmt.Fprintln(out, line)
+	}
 	if len(found) == 0 {
 		fmt.Fprintf(out, "no rule was broken in %d requests\n", len(h.Requests))
 		return nil
@@ -244,6 +248,34 @@
 	return errors.Wrapf(ErrViolations, "soak: %d violations", len(found))
 }
 
+// describeUnusualClients formats the counts of clients at bounds and of those that half-close their connections; empty without any.
+func (h *History) describeUnusualClients() string {
+	atBound, crossed, halfClosed, served, answered := 0, 0, 0, 0, 0
+	for _, r := range h.Requests {
+		if r.AtBound {
+			atBound++
+		}
+		if r.crossedClose() {
+			crossed++
+		}
+		if r.HalfClosedAt.IsZero() {
+			continue
+		}
+		halfClosed++
+		switch {
+		case r.Response.Status == http.StatusOK && r.Response.Err == nil:
+			served++
+		case r.Response.Status != 0:
+			answered++
+		}
+	}
+	if atBound+halfClosed == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d requests at a bound, of which %d crossed a close; %d of half-closed connections, of which %d were served and %d got another response or a part of one",
+		atBound, crossed, halfClosed, served, answered)
+}
+
 // describeRequest formats what is known of a request.
 func (h *History) describeRequest(id string) string {
 	for _, r := range h.Requests {
