Requests: a worker whose response has arrived is not abandoned

After a standstill of the gateway the timers of silent and stalled workers ran before the goroutines that read, and abandoned workers whose responses lay in the socket. It cost a repeat and a second run, and the callers of streams saw them cut when the repetition did not end in time.

A timer now looks before it abandons: an exchange counts its reads (httpclient.Arrivals), and the connection is polled for bytes and for its end.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 )
@@ -211,18 +212,22 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	start := time.Now()
-	c.relay.watch = c.watchStalls(cancel, runner.Worker, held)
+	options.Arrivals = &httpclient.Arrivals{}
+	c.relay.watch = c.watchStalls(cancel, runner.Worker, held, options.Arrivals)
 	defer c.relay.watch.stop()
 	c.relay.onResponse = func() {
 		runner.responseStarted()
 		c.countUsage()
 	}
 	c.relay.onEvent = runner.eventArrived
-	gate := &responseGate{}
+	gate := &responseGate{
+		timeout: c.responseTimeout(runner), silence: silence{arrivals: options.Arrivals},
+		tryAbandon: func() bool { return c.abandonSilent(cancel, runner.Worker.ID) },
+	}
 	c.relay.acceptResponse = gate.accept
-	if timeout := c.responseTimeout(runner); timeout > 0 {
-		timer := time.AfterFunc(timeout, func() { c.abandonSilent(gate, cancel, runner.Worker.ID) })
-		defer timer.Stop()
+	if gate.timeout > 0 {
+		gate.start()
+		defer gate.stop()
 	}
 	options.ResumeAfter = c.relay.lastEvent
 	response, err := c.handler.workers.Run(ctx, runner.Worker, c.request, options)
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -8,6 +8,7 @@
 	"github.com/granitebay/granitebay/internal/admission"
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/migration"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -182,8 +183,8 @@
 	return c.attempts.retryPrepaid.Swap(false) || c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry()
 }
 
-// watchStalls returns the watch for the response of a worker, or nil if it can't be continued elsewhere.
-func (c *call) watchStalls(cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy) *stallWatch {
+// watchStalls returns the watch for the response of a worker, or nil if it can't be continued elsewhere. Arrivals is what arrives of it.
+func (c *call) watchStalls(cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy, arrivals *httpclient.Arrivals) *stallWatch {
 	rule := c.match.Rule
 	if rule.Patience <= 0 || c.match.Group.Engine == nil || !c.isStream() {
 		return nil
@@ -193,6 +194,7 @@
 	}
 	return &stallWatch{
 		detector: migration.NewStallDetector(migration.DefaultStallSettings(), rule.Patience, 0),
+		silence:  silence{arrivals: arrivals},
 		decide: func(time.Time) (bool, time.Duration) {
 			return c.decideOnStall(cancel, worker, held)
 		},
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/admission"
+	"github.com/granitebay/granitebay/internal/httpclient"
 )
 
 // prefill has an engine compute the KV cache of the prompt.
@@ -12,12 +13,17 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	engine := placement.Prefill
+	arrivals := &httpclient.Arrivals{}
 	if !engine.deferred {
-		timer := time.AfterFunc(engine.responseTimeout(), func() { cancel(errSilent) })
-		defer timer.Stop()
+		gate := &responseGate{timeout: engine.responseTimeout(), silence: silence{arrivals: arrivals}, tryAbandon: func() bool {
+			cancel(errSilent)
+			return true
+		}}
+		gate.start()
+		defer gate.stop()
 	}
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
-		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.prefillUrgency(),
+		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.prefillUrgency(), Arrivals: arrivals,
 	})
 	failure := classify(ctx, err)
 	if failure != failureRefused && failure != failureMisdirected && failure != failureUnreachable {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/tenant"
 )
@@ -91,6 +92,8 @@
 	Continue bool
 	// Urgency orders the queue of the engine, from 0 for the first to 9 for the last; admission.DefaultUrgency is what engines assume.
 	Urgency int
+	// Arrivals is told where the response arrives; may be nil.
+	Arrivals *httpclient.Arrivals
 }
 
 // PrefillOptions configure how an engine prefills a prompt.
@@ -101,6 +104,8 @@
 	FetchFrom *backend.Worker
 	// Urgency orders the queue of the engine, from 0 for the first to 9 for the last.
 	Urgency int
+	// Arrivals is told where the response arrives; may be nil.
+	Arrivals *httpclient.Arrivals
 }
 
 // Workers sends requests to workers. Errors are of type *httpclient.Error, *Refusal or *InvalidResponse; other errors are treated like a
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -94,6 +94,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Arrivals is told where the response arrives; may be nil.
+	Arrivals *Arrivals
 	// DirectOnly keeps the request off connections that another process relays.
 	DirectOnly bool
 	// MatchResponse reports whether a response belongs to this request. Others are read and discarded. Nil accepts any
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -41,14 +41,20 @@
 	start      time.Time
 	// stopWatch stops watching the context.
 	stopWatch func() bool
+	// reads is what the reader of the connection reads from during the exchange.
+	reads countingReader
 	// sent receives the result of a concurrent write, once; nil if the request was written synchronously.
 	sent chan error
 }
 
 // newExchange prepares a request on a connection. From now on, the connection is closed when ctx ends.
 func newExchange(ctx context.Context, pool *pool, connection *connection, request *Request) *exchange {
-	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
-	return &exchange{ctx: ctx, pool: pool, connection: connection, request: request, start: time.Now(), stopWatch: stopWatch}
+	e := &exchange{ctx: ctx, pool: pool, connection: connection, request: request, start: time.Now()}
+	e.reads.conn = connection.Conn
+	connection.reader.Reset(&e.reads)
+	request.Arrivals.attach(&e.reads)
+	e.stopWatch = context.AfterFunc(ctx, func() { _ = connection.Close() })
+	return e
 }
 
 // run sends the request and reads the response header.
@@ -154,6 +160,10 @@
 		_ = e.connection.Close()
 		return
 	}
+	if e.connection.reader.Buffered() == 0 {
+		// An idle connection must not hold the exchange and its request.
+		e.connection.reader.Reset(e.connection.Conn)
+	}
 	e.pool.put(e.connection, e.idleTimeout(head.Header))
 }
 
