Requests: a deadline that is noticed late leaves a response that has arrived

After a standstill of the gateway beyond the deadline of a request, the end of its context closed the connection to the worker before the goroutine that reads had run, and the caller got 504 though the answer lay in the socket. Calls of the store, of peers and of engines with a time limit go the same way.

An exchange whose context ended at its deadline, more than 100 ms before that is noticed, waits until its reader has taken what has arrived, for 100 ms at most. A cancelled context closes the connection at once as before, and so does a deadline that is noticed in time.

--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/httpclient"
 )
 
 // responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit.
@@ -64,7 +66,7 @@
 		return
 	}
 	now, again := time.Now(), g.timeout
-	if !stoodStill(now, g.due) {
+	if !httpclient.StoodStill(now, g.due) {
 		again = g.silence.confirm()
 	}
 	if again > 0 {
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -9,12 +9,6 @@
 // silenceLookInterval is the time between two looks at what has arrived from a worker that seems silent.
 const silenceLookInterval = 10 * time.Millisecond
 
-// maxTimerDelay is how late a timer may run. Beyond it this process has stood still, as when it is suspended or gets no processor time.
-const maxTimerDelay = 100 * time.Millisecond
-
-// stoodStill reports whether this process has stood still, because a timer that was due at a time runs only now.
-func stoodStill(now, due time.Time) bool { return now.Sub(due) > maxTimerDelay }
-
 // silence confirms that a worker is silent whose time to send something has passed. It is not safe for concurrent use.
 //
 // Invariant: a worker is silent only if two successive looks found nothing that has arrived, and the same read in progress.
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -264,7 +264,7 @@
 // been sent until then.
 func TestLateTimerStartsPatienceAnew(t *testing.T) {
 	const patience = time.Hour
-	late := time.Now().Add(-2 * maxTimerDelay)
+	late := time.Now().Add(-2 * httpclient.MaxTimerDelay)
 	t.Run("silent", func(t *testing.T) {
 		abandoned := false
 		g := &responseGate{timeout: patience, tryAbandon: func() bool {
--- a/internal/forward/stallwatch.go
+++ b/internal/forward/stallwatch.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/migration"
 )
 
@@ -74,7 +75,7 @@
 		return
 	}
 	now := time.Now()
-	if stoodStill(now, w.due) {
+	if httpclient.StoodStill(now, w.due) {
 		w.patientSince = now
 	}
 	if w.waitingSince.IsZero() {
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -53,10 +53,40 @@
 	e.reads.conn = connection.Conn
 	connection.reader.Reset(&e.reads)
 	request.Arrivals.attach(&e.reads)
-	e.stopWatch = context.AfterFunc(ctx, func() { _ = connection.Close() })
+	e.stopWatch = context.AfterFunc(ctx, e.contextEnded)
 	return e
 }
 
+// Looks at the reader after a deadline that was noticed late: this process has stood still, and what has arrived may not have been read.
+const (
+	maxReaderLooks     = 10
+	readerLookInterval = 10 * time.Millisecond
+)
+
+// contextEnded closes the connection. It runs when the context ends.
+func (e *exchange) contextEnded() {
+	deadline, found := e.ctx.Deadline()
+	if found && errors.Is(e.ctx.Err(), context.DeadlineExceeded) && StoodStill(time.Now(), deadline) {
+		e.awaitReader()
+	}
+	_ = e.connection.Close()
+}
+
+// awaitReader waits a moment until the reader has taken what has arrived.
+func (e *exchange) awaitReader() {
+	arrivals := &Arrivals{}
+	arrivals.attach(&e.reads)
+	last, wasQuiet := arrivals.Quiet()
+	for range maxReaderLooks {
+		time.Sleep(readerLookInterval)
+		reads, quiet := arrivals.Quiet()
+		if quiet && wasQuiet && reads == last {
+			return
+		}
+		last, wasQuiet = reads, quiet
+	}
+}
+
 // run sends the request and reads the response header.
 func (e *exchange) run() (*Response, error) {
 	if err := e.send(); err != nil {
