Workers: a deadline that is noticed late ejects no worker

A gateway that stood still until the deadlines of its requests had passed counted each as a timeout of its worker. Two of them eject a worker, and the other gateways are told.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -250,10 +251,19 @@
 	if c.match.Group.Engine == nil && failure.mayHaveBeenAccepted() {
 		c.countUsage()
 	}
-	runner.finish(failure.outcome())
+	runner.finish(c.outcome(failure))
 	return failure
 }
 
+// outcome returns what a failure that was just noticed says about its worker. A deadline that is noticed late says nothing: this process has
+// stood still.
+func (c *call) outcome(failure failureKind) balance.Outcome {
+	if failure == failureDeadline && httpclient.StoodStill(time.Now(), c.deadline) {
+		return balance.OutcomeNone
+	}
+	return failure.outcome()
+}
+
 // countUsage counts the request for its tenant, at most once over all attempts. Requests to engines are counted from the first token,
 // requests to plain workers once a worker may have accepted them, even if it fails.
 func (c *call) countUsage() {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -39,7 +39,7 @@
 	}
 	c.guarded.reportFailure(engine.Worker, failure, err)
 	c.handler.dispatcher.recordIfRefused(engine.Worker, err)
-	engine.finish(failure.outcome())
+	engine.finish(c.outcome(failure))
 	return prompt, failure
 }
 
