--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 )
@@ -217,18 +219,22 @@
 	isEnded := false
 	defer runner.finishUnless(&isEnded)
 	start := time.Now()
-	c.relay.watch = c.watchStalls(cancel, runner.Worker, held)
+	options.Arrivals = &httpclient.Arrivals{}
+	c.relay.watch = c.watchStalls(cancel, runner.Worker, held, options.Arrivals)
 	defer c.relay.watch.stop()
 	c.relay.onResponse = func() {
 		runner.responseStarted()
 		c.countUsage()
 	}
 	c.relay.onEvent = runner.eventArrived
-	gate := &responseGate{}
+	gate := &responseGate{
+		timeout: c.responseTimeout(runner), silence: silence{arrivals: options.Arrivals},
+		tryAbandon: func() bool { return c.abandonSilent(cancel, runner.Worker.ID) },
+	}
 	c.relay.acceptResponse = gate.accept
-	if timeout := c.responseTimeout(runner); timeout > 0 {
-		timer := time.AfterFunc(timeout, func() { c.abandonSilent(gate, cancel, runner.Worker.ID) })
-		defer timer.Stop()
+	if gate.timeout > 0 {
+		gate.start()
+		defer gate.stop()
 	}
 	options.ResumeAfter = c.relay.lastEvent
 	response, err := c.handler.workers.Run(ctx, runner.Worker, c.request, options)
@@ -251,11 +257,20 @@
 	if c.match.Group.Engine == nil && failure.mayHaveBeenAccepted() && !nothingSent(err) {
 		c.countUsage()
 	}
-	runner.finish(failure.outcome())
+	runner.finish(c.outcome(failure))
 	isEnded = true
 	return failure
 }
 
+// outcome returns what a failure that was just noticed says about its worker. A deadline that is noticed late says nothing: this process has
+// stood still.
+func (c *call) outcome(failure failureKind) balance.Outcome {
+	if failure == failureDeadline && httpclient.StoodStill(time.Now(), c.deadline) {
+		return balance.OutcomeNone
+	}
+	return failure.outcome()
+}
+
 // countUsage counts the request for its tenant, at most once over all attempts. Requests to engines are counted from the first token,
 // requests to plain workers once a worker may have accepted them, even if it fails.
 func (c *call) countUsage() {
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -94,6 +94,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Arrivals is told where the response arrives; may be nil.
+	Arrivals *Arrivals
 	// DirectOnly keeps the request off connections that another process relays.
 	DirectOnly bool
 	// MatchResponse reports whether a response belongs to this request. Others are read and discarded. Nil accepts any
@@ -211,7 +213,7 @@
 
 // Do sends a request and returns the response header. The body must be closed; the connection is kept only if the body
 // was read to its end. If ctx has ended, nothing is sent. If it ends later, the connection is closed, also while the body
-// is read: immediately, or after lateReadTime if there is unread data. Errors are of type *Error.
+// is read; at a deadline, what has arrived is read first. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
 	if cause := context.Cause(ctx); cause != nil {
 		// This says nothing about the address, so onFailure is not called.
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -41,6 +41,8 @@
 	start      time.Time
 	// stopWatch stops watching the context.
 	stopWatch func() bool
+	// reads is what the reader of the connection reads from during the exchange.
+	reads countingReader
 	// sent receives the result of a concurrent or failed write, once; nil if the request was written synchronously.
 	sent chan error
 }
@@ -48,10 +50,53 @@
 // newExchange prepares a request on a connection. From now on, the connection is closed when ctx ends.
 func newExchange(ctx context.Context, pool *pool, connection *connection, request *Request) *exchange {
 	e := &exchange{ctx: ctx, pool: pool, connection: connection, request: request, start: time.Now()}
-	e.stopWatch = context.AfterFunc(ctx, e.abandon)
+	e.reads.conn = connection.Conn
+	connection.reader.Reset(&e.reads)
+	request.Arrivals.attach(&e.reads)
+	e.stopWatch = context.AfterFunc(ctx, e.contextEnded)
 	return e
 }
 
+// lateReadTime is how long a response that has arrived may still be read after the deadline of its request. It is short compared with the time
+// within which workers have to stop. readerLookInterval is the time between two looks at the reader.
+const (
+	lateReadTime       = 100 * time.Millisecond
+	readerLookInterval = 10 * time.Millisecond
+)
+
+// contextEnded closes the connection. It runs when the context ends.
+func (e *exchange) contextEnded() {
+	if e.mayHaveUnread() {
+		e.awaitReader()
+	}
+	_ = e.connection.Close()
+}
+
+// mayHaveUnread reports whether the context ended, but not by a cancellation, although part of the response has arrived, or its deadline was
+// noticed late: this process has stood still then, and its reader may not have run since.
+func (e *exchange) mayHaveUnread() bool {
+	if errors.Is(context.Cause(e.ctx), context.Canceled) {
+		return false
+	}
+	deadline, found := e.ctx.Deadline()
+	return found && StoodStill(time.Now(), deadline) || hasArrived(e.connection.Conn)
+}
+
+// awaitReader waits a moment until the reader has taken what has arrived.
+func (e *exchange) awaitReader() {
+	arrivals := &Arrivals{}
+	arrivals.attach(&e.reads)
+	last, wasQuiet := arrivals.Quiet()
+	for range lateReadTime / readerLookInterval {
+		time.Sleep(readerLookInterval)
+		reads, quiet := arrivals.Quiet()
+		if quiet && wasQuiet && reads == last {
+			return
+		}
+		last, wasQuiet = reads, quiet
+	}
+}
+
 // run sends the request and reads the response header.
 func (e *exchange) run() (*Response, error) {
 	sendErr := e.send()
@@ -162,6 +207,10 @@
 		_ = e.connection.Close()
 		return
 	}
+	if e.connection.reader.Buffered() == 0 {
+		// An idle connection must not hold the exchange and its request.
+		e.connection.reader.Reset(e.connection.Conn)
+	}
 	e.pool.put(e.connection, e.idleTimeout(head.Header))
 }
 
