--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -272,7 +272,7 @@
 	if atBound+halfClosed == 0 {
 		return ""
 	}
-	return fmt.Sprintf("%d requests at a bound, of which %d crossed a close; %d of half-closed connections, of which %d were served and %d got another response or a part of one",
+	return fmt.Sprintf("%d requests at a bound, of which %d crossed a close or came after it; %d of half-closed connections, of which %d were served and %d got another response or a part of one",
 		atBound, crossed, halfClosed, served, answered)
 }
 
