--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -10,6 +10,7 @@
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/standstill"
 )
 
 // call is one request in progress.
@@ -258,7 +259,7 @@
 // outcome returns what a failure that was just noticed says about its worker. A deadline that is noticed late says nothing: this process has
 // stood still.
 func (c *call) outcome(failure failureKind) balance.Outcome {
-	if failure == failureDeadline && httpclient.StoodStill(time.Now(), c.deadline) {
+	if failure == failureDeadline && standstill.IsLate(time.Now(), c.deadline) {
 		return balance.OutcomeNone
 	}
 	return failure.outcome()
--- a/internal/forward/latedeadline_test.go
+++ b/internal/forward/latedeadline_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
-	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/standstill"
 )
 
 // TestLateDeadlineBlamesNoWorker guards against workers that are ejected, here and at other gateways, because this process stood still until the
@@ -22,7 +22,7 @@
 		wantEjected bool
 	}{
 		{"a plain worker, in time", backend.RoleNone, 0, true},
-		{"a plain worker, late", backend.RoleNone, 2 * httpclient.MaxTimerDelay, false},
+		{"a plain worker, late", backend.RoleNone, 2 * standstill.MaxTimerDelay, false},
 		// Engines count as busy until their response timeout.
 		{"a prefill engine, late", backend.RolePrefill, 1500 * time.Millisecond, false},
 	} {
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/granitebay/granitebay/internal/httpclient"
+	"github.com/granitebay/granitebay/internal/standstill"
 )
 
 // responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit.
@@ -66,7 +66,7 @@
 		return
 	}
 	now, again := time.Now(), g.timeout
-	if !httpclient.StoodStill(now, g.due) {
+	if !standstill.IsLate(now, g.due) {
 		again = g.silence.confirm()
 	}
 	if again > 0 {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -16,6 +16,7 @@
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/migration"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/standstill"
 )
 
 // heldConn is a connection whose reading goroutine is held at one of its reads, as in a process that has stood still and runs its timers first.
@@ -264,7 +265,7 @@
 // been sent until then.
 func TestLateTimerStartsPatienceAnew(t *testing.T) {
 	const patience = time.Hour
-	late := time.Now().Add(-2 * httpclient.MaxTimerDelay)
+	late := time.Now().Add(-2 * standstill.MaxTimerDelay)
 	t.Run("silent", func(t *testing.T) {
 		abandoned := false
 		g := &responseGate{timeout: patience, tryAbandon: func() bool {
--- a/internal/forward/stallwatch.go
+++ b/internal/forward/stallwatch.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/migration"
+	"github.com/granitebay/granitebay/internal/standstill"
 )
 
 // stallWatch watches one response for stalls. A nil watch does nothing.
@@ -75,7 +75,7 @@
 		return
 	}
 	now := time.Now()
-	if httpclient.StoodStill(now, w.due) {
+	if standstill.IsLate(now, w.due) {
 		w.patientSince = now
 	}
 	if w.waitingSince.IsZero() {
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/standstill"
 )
 
 // maxSyncBodyBytes is the largest body that fits into socket buffers, so that writing it does not block on the peer.
@@ -66,7 +68,7 @@
 // contextEnded closes the connection. It runs when the context ends.
 func (e *exchange) contextEnded() {
 	deadline, found := e.ctx.Deadline()
-	if found && errors.Is(e.ctx.Err(), context.DeadlineExceeded) && StoodStill(time.Now(), deadline) {
+	if found && errors.Is(e.ctx.Err(), context.DeadlineExceeded) && standstill.IsLate(time.Now(), deadline) {
 		e.awaitReader()
 	}
 	_ = e.connection.Close()
--- a/internal/httpclient/late_test.go
+++ b/internal/httpclient/late_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/standstill"
 )
 
 // lateContext is a context whose deadline is noticed late, as after a standstill of the process.
@@ -25,7 +27,7 @@
 // lateAfter is when the deadline of a lateContext passes, and noticedAfter when it is noticed in these tests.
 const (
 	lateAfter    = 200 * time.Millisecond
-	noticedAfter = lateAfter + MaxTimerDelay + 50*time.Millisecond
+	noticedAfter = lateAfter + standstill.MaxTimerDelay + 50*time.Millisecond
 )
 
 // newLateContext returns a context whose deadline is noticed when end is called.
