Connections: an attempt that ends much later than its timeout is repeated

A gateway that stood still while it connected to a worker ran the timeout of the attempt before it saw that the connection was open. One such attempt ejects the worker, and a check of the path takes it for lost if another gateway connects. An attempt that ends more than 100 ms after its timeout is made once more.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -163,7 +163,7 @@
 
 // Dial implements Dialer.
 func (d plainDialer) Dial(ctx context.Context, address string, _ bool) (net.Conn, error) {
-	return d.dialer.DialContext(ctx, "tcp4", address)
+	return netdial.Dial(ctx, d.dialer, address, d.dialer.Timeout)
 }
 
 // IsDirect implements Dialer.
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -102,9 +102,7 @@
 
 // dialDirect connects without a relay and records the result.
 func (d *Dialer) dialDirect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conn, err := d.direct.DialContext(ctx, "tcp4", address)
+	conn, err := netdial.Dial(ctx, d.direct, address, timeout)
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return conn, err
 	}
