Connections: a deadline that is noticed late suspects no path

The request of a gateway that stood still beyond its deadline had the path to the worker checked, and closed the idle connections to it, as if something on the way had lost them.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -67,13 +67,18 @@
 
 // contextEnded closes the connection. It runs when the context ends.
 func (e *exchange) contextEnded() {
-	deadline, found := e.ctx.Deadline()
-	if found && errors.Is(e.ctx.Err(), context.DeadlineExceeded) && standstill.IsLate(time.Now(), deadline) {
+	if e.endedLate() {
 		e.awaitReader()
 	}
 	_ = e.connection.Close()
 }
 
+// endedLate reports whether the context, which has just ended, did so at a deadline that is noticed late.
+func (e *exchange) endedLate() bool {
+	deadline, found := e.ctx.Deadline()
+	return found && errors.Is(e.ctx.Err(), context.DeadlineExceeded) && standstill.IsLate(time.Now(), deadline)
+}
+
 // awaitReader waits a moment until the reader has taken what has arrived.
 func (e *exchange) awaitReader() {
 	arrivals := &Arrivals{}
@@ -167,8 +172,10 @@
 	timedOut := false
 	if ctxErr := context.Cause(e.ctx); ctxErr != nil {
 		cause = ctxErr
-		e.dropSuspectConnections(step, ctxErr)
-		if timedOut = !errors.Is(ctxErr, context.Canceled); timedOut {
+		timedOut = !errors.Is(ctxErr, context.Canceled)
+		// A deadline that is noticed late says nothing about the connection.
+		if timedOut && !e.endedLate() {
+			e.dropSuspectConnections(step)
 			e.pool.dialer.Suspect(e.connection.address)
 		}
 	}
@@ -179,8 +186,8 @@
 // request was given up. Whatever lost that connection, such as a middlebox that lost its state, may have lost all of
 // them, and each would delay a request. A cancelled request shows nothing, nor does a new connection: then it is the
 // worker that does not respond.
-func (e *exchange) dropSuspectConnections(step Step, cause error) {
-	if step != StepAwait || e.connection.idleSince.IsZero() || errors.Is(cause, context.Canceled) {
+func (e *exchange) dropSuspectConnections(step Step) {
+	if step != StepAwait || e.connection.idleSince.IsZero() {
 		return
 	}
 	e.pool.closeIdleBefore(e.connection.address, e.start)
--- a/internal/httpclient/late_test.go
+++ b/internal/httpclient/late_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/granitebay/granitebay/internal/netdial"
 	"github.com/granitebay/granitebay/internal/standstill"
 )
 
@@ -114,3 +115,55 @@
 		}
 	}
 }
+
+// suspectDialer records suspicions.
+type suspectDialer struct {
+	plainDialer
+	suspected chan string
+}
+
+func (d suspectDialer) Suspect(address string) { d.suspected <- address }
+
+// TestLateDeadlineSuspectsNoPath guards against a path that is checked, and idle connections that are closed, because this process stood still.
+// A deadline that is noticed in time does both.
+func TestLateDeadlineSuspectsNoPath(t *testing.T) {
+	for _, isLate := range []bool{false, true} {
+		address := startWorker(t, func(connection net.Conn, reader *bufio.Reader, number int) {
+			for served := 0; ; served++ {
+				if _, _, err := readRequest(reader); err != nil {
+					return
+				}
+				if served == 0 {
+					time.Sleep(50 * time.Millisecond)
+					_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}
+		})
+		dialer := suspectDialer{plainDialer{netdial.New(time.Second, time.Second)}, make(chan string, 1)}
+		client := NewWithDialer(DefaultSettings(), dialer)
+		var wg sync.WaitGroup
+		for range 2 {
+			wg.Go(func() { _, _ = io.ReadAll(get(t, client, address, nil).Body) })
+		}
+		wg.Wait()
+		var ctx context.Context
+		if late := newLateContext(); isLate {
+			time.AfterFunc(noticedAfter, late.end)
+			ctx = late
+		} else {
+			inTime, cancel := context.WithTimeout(context.Background(), lateAfter)
+			defer cancel()
+			ctx = inTime
+		}
+		_, err := client.Do(ctx, address, &Request{Method: http.MethodGet, Target: "/", Host: "host.example", Header: http.Header{}})
+		if !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("late %t: got %v", isLate, err)
+		}
+		if suspected := len(dialer.suspected) > 0; suspected == isLate {
+			t.Errorf("late %t: suspected %t", isLate, suspected)
+		}
+		if kept := client.pool.hasIdle(address); kept != isLate {
+			t.Errorf("late %t: idle connections kept %t", isLate, kept)
+		}
+	}
+}
