Requests: the patience with a worker is a type of the HTTP client

httpclient.Patience holds the timer, the looks at what has arrived and the standstill, so that calls of other peers can use it; the response gate is as it was. Stop waits for a call in progress, so a worker can't be abandoned, and a repeat taken, after its attempt has ended; that race was found by reading, no run showed it.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -222,14 +222,11 @@
 		c.countUsage()
 	}
 	c.relay.onEvent = runner.eventArrived
-	gate := &responseGate{
-		timeout: c.responseTimeout(runner), silence: silence{arrivals: options.Arrivals},
-		tryAbandon: func() bool { return c.abandonSilent(cancel, runner.Worker.ID) },
-	}
+	gate := &responseGate{}
 	c.relay.acceptResponse = gate.accept
-	if gate.timeout > 0 {
-		gate.start()
-		defer gate.stop()
+	if timeout := c.responseTimeout(runner); timeout > 0 {
+		patience := httpclient.NewPatience(timeout, options.Arrivals, func() { c.abandonSilent(gate, cancel, runner.Worker.ID) })
+		defer patience.Stop()
 	}
 	options.ResumeAfter = c.relay.lastEvent
 	response, err := c.handler.workers.Run(ctx, runner.Worker, c.request, options)
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -194,7 +194,7 @@
 	}
 	return &stallWatch{
 		detector: migration.NewStallDetector(migration.DefaultStallSettings(), rule.Patience, 0),
-		silence:  silence{arrivals: arrivals},
+		silence:  httpclient.NewSilence(arrivals),
 		decide: func(time.Time) (bool, time.Duration) {
 			return c.decideOnStall(cancel, worker, held)
 		},
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -15,12 +15,8 @@
 	engine := placement.Prefill
 	arrivals := &httpclient.Arrivals{}
 	if !engine.deferred {
-		gate := &responseGate{timeout: engine.responseTimeout(), silence: silence{arrivals: arrivals}, tryAbandon: func() bool {
-			cancel(errSilent)
-			return true
-		}}
-		gate.start()
-		defer gate.stop()
+		patience := httpclient.NewPatience(engine.responseTimeout(), arrivals, func() { cancel(errSilent) })
+		defer patience.Stop()
 	}
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
 		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.prefillUrgency(), Arrivals: arrivals,
--- a/internal/forward/stallwatch.go
+++ b/internal/forward/stallwatch.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/migration"
 	"github.com/granitebay/granitebay/internal/standstill"
 )
@@ -23,7 +24,7 @@
 	waitingSince time.Time
 	// patientSince is when the patience with the worker began anew, because this process had stood still.
 	patientSince time.Time
-	silence      silence
+	silence      httpclient.Silence
 	// begun is set once the first event of the response has arrived.
 	begun              bool
 	abandoned, stopped bool
@@ -86,7 +87,7 @@
 		w.checkAgain(now, left)
 		return
 	}
-	if again := w.silence.confirm(); again > 0 {
+	if again := w.silence.Confirm(); again > 0 {
 		w.checkAgain(now, again)
 		return
 	}
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -59,11 +59,8 @@
 	return e
 }
 
-// Looks at the reader after a deadline that was noticed late: this process has stood still, and what has arrived may not have been read.
-const (
-	maxReaderLooks     = 10
-	readerLookInterval = 10 * time.Millisecond
-)
+// maxReaderDelay bounds how long the reader may take, after a standstill of this process, to read what has arrived.
+const maxReaderDelay = 100 * time.Millisecond
 
 // contextEnded closes the connection. It runs when the context ends.
 func (e *exchange) contextEnded() {
@@ -79,18 +76,13 @@
 	return found && errors.Is(e.ctx.Err(), context.DeadlineExceeded) && standstill.IsLate(time.Now(), deadline)
 }
 
-// awaitReader waits a moment until the reader has taken what has arrived.
+// awaitReader waits until the reader has taken what has arrived, for maxReaderDelay at most.
 func (e *exchange) awaitReader() {
 	arrivals := &Arrivals{}
 	arrivals.attach(&e.reads)
-	last, wasQuiet := arrivals.Quiet()
-	for range maxReaderLooks {
-		time.Sleep(readerLookInterval)
-		reads, quiet := arrivals.Quiet()
-		if quiet && wasQuiet && reads == last {
-			return
-		}
-		last, wasQuiet = reads, quiet
+	silence, end := NewSilence(arrivals), time.Now().Add(maxReaderDelay)
+	for again := silence.Confirm(); again > 0 && time.Now().Before(end); again = silence.Confirm() {
+		time.Sleep(again)
 	}
 }
 
