Changes: an upstream whose response has arrived is not given up

After a standstill of a gateway the timeout of its request for changes ran before the goroutine that reads, so it gave the upstream up, skipped it for 2 s, asked another one, and fetched the same changes again. The timeout looks at what has arrived now, and starts anew after a standstill. A response whose parts keep arriving is bounded by 8 s more than its header.

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -202,16 +202,21 @@
 	// bodyTimeout bounds the rest of the response. It allows for slow links, since a gateway whose requests time out lists
 	// the store.
 	bodyTimeout = 4 * time.Second
+	// maxResponseTime bounds a response whose parts keep arriving, from the header's timeout on.
+	maxResponseTime = 2 * bodyTimeout
 )
 
 // requestChanges requests changes from a gateway.
 func (c peerClient) requestChanges(ctx context.Context, address string, request store.ChangesRequest) (store.Changes, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	headerTimeout := request.Wait + headerTimeoutMargin
+	ctx, cancel := context.WithTimeout(ctx, headerTimeout+maxResponseTime)
 	defer cancel()
-	timer := time.AfterFunc(request.Wait+headerTimeoutMargin, cancel)
-	defer timer.Stop()
+	arrivals := &httpclient.Arrivals{}
+	patience := httpclient.NewPatience(headerTimeout, arrivals, cancel)
+	defer patience.Stop()
 	var response wireChanges
-	err := c.get(ctx, address, pathChanges+"?"+encodeRequest(request).Encode(), &response, func() { timer.Reset(bodyTimeout) })
+	target := pathChanges + "?" + encodeRequest(request).Encode()
+	err := c.get(ctx, address, target, arrivals, &response, func() { patience.Reset(bodyTimeout) })
 	if err != nil {
 		return store.Changes{}, errors.Wrapf(err, "request changes, peer %s", address)
 	}
@@ -226,11 +231,11 @@
 // errUnavailable is returned if a gateway responds with an error status.
 var errUnavailable = errors.New("the gateway does not serve the requested data")
 
-// get sends a request and decodes the response into result. It calls onHeader, which may be nil, after the response
-// header.
-func (c peerClient) get(ctx context.Context, address, target string, result any, onHeader func()) error {
+// get sends a request and decodes the response, which arrives at arrivals, into result. It calls onHeader after the response header. Both may
+// be nil.
+func (c peerClient) get(ctx context.Context, address, target string, arrivals *httpclient.Arrivals, result any, onHeader func()) error {
 	response, err := c.client.Do(ctx, address, &httpclient.Request{
-		Method: http.MethodGet, Target: target, Host: address, Header: http.Header{},
+		Method: http.MethodGet, Target: target, Host: address, Header: http.Header{}, Arrivals: arrivals,
 	})
 	if err != nil {
 		return err
--- a/internal/changefeed/snapshot.go
+++ b/internal/changefeed/snapshot.go
@@ -81,7 +81,7 @@
 // fetchFrom fetches the snapshot of one gateway, and returns nil on failure.
 func (s *Seeds) fetchFrom(ctx context.Context, address string) *store.Snapshot {
 	var response wireSnapshot
-	if s.get(ctx, address, pathSnapshot+"?"+paramCompressed+"=1", &response, nil) != nil {
+	if s.get(ctx, address, pathSnapshot+"?"+paramCompressed+"=1", nil, &response, nil) != nil {
 		return nil
 	}
 	snapshot, err := response.unpack()
