--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -10,6 +10,7 @@
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/standstill"
 )
 
 // call is one request in progress.
@@ -227,14 +228,11 @@
 		c.countUsage()
 	}
 	c.relay.onEvent = runner.eventArrived
-	gate := &responseGate{
-		timeout: c.responseTimeout(runner), silence: silence{arrivals: options.Arrivals},
-		tryAbandon: func() bool { return c.abandonSilent(cancel, runner.Worker.ID) },
-	}
+	gate := &responseGate{}
 	c.relay.acceptResponse = gate.accept
-	if gate.timeout > 0 {
-		gate.start()
-		defer gate.stop()
+	if timeout := c.responseTimeout(runner); timeout > 0 {
+		patience := httpclient.NewPatience(timeout, options.Arrivals, func() { c.abandonSilent(gate, cancel, runner.Worker.ID) })
+		defer patience.Stop()
 	}
 	options.ResumeAfter = c.relay.lastEvent
 	response, err := c.handler.workers.Run(ctx, runner.Worker, c.request, options)
@@ -265,7 +263,7 @@
 // outcome returns what a failure that was just noticed says about its worker. A deadline that is noticed late says nothing: this process has
 // stood still.
 func (c *call) outcome(failure failureKind) balance.Outcome {
-	if failure == failureDeadline && httpclient.StoodStill(time.Now(), c.deadline) {
+	if failure == failureDeadline && standstill.IsLate(time.Now(), c.deadline) {
 		return balance.OutcomeNone
 	}
 	return failure.outcome()
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/standstill"
 )
 
 // maxSyncBodyBytes is the largest body that fits into socket buffers, so that writing it does not block on the peer.
@@ -57,12 +59,9 @@
 	return e
 }
 
-// lateReadTime is how long a response that has arrived may still be read after the deadline of its request. It is short compared with the time
-// within which workers have to stop. readerLookInterval is the time between two looks at the reader.
-const (
-	lateReadTime       = 100 * time.Millisecond
-	readerLookInterval = 10 * time.Millisecond
-)
+// lateReadTime bounds how long a response that has arrived may still be read after the deadline of its request. It is short compared with the
+// time within which workers have to stop.
+const lateReadTime = 100 * time.Millisecond
 
 // contextEnded closes the connection. It runs when the context ends.
 func (e *exchange) contextEnded() {
@@ -78,22 +77,22 @@
 	if errors.Is(context.Cause(e.ctx), context.Canceled) {
 		return false
 	}
+	return e.endedLate() || hasArrived(e.connection.Conn)
+}
+
+// endedLate reports whether the context, which has just ended, did so at a deadline that is noticed late.
+func (e *exchange) endedLate() bool {
 	deadline, found := e.ctx.Deadline()
-	return found && StoodStill(time.Now(), deadline) || hasArrived(e.connection.Conn)
+	return found && errors.Is(e.ctx.Err(), context.DeadlineExceeded) && standstill.IsLate(time.Now(), deadline)
 }
 
-// awaitReader waits a moment until the reader has taken what has arrived.
+// awaitReader waits until the reader has taken what has arrived, for lateReadTime at most.
 func (e *exchange) awaitReader() {
 	arrivals := &Arrivals{}
 	arrivals.attach(&e.reads)
-	last, wasQuiet := arrivals.Quiet()
-	for range lateReadTime / readerLookInterval {
-		time.Sleep(readerLookInterval)
-		reads, quiet := arrivals.Quiet()
-		if quiet && wasQuiet && reads == last {
-			return
-		}
-		last, wasQuiet = reads, quiet
+	silence, end := NewSilence(arrivals), time.Now().Add(lateReadTime)
+	for again := silence.Confirm(); again > 0 && time.Now().Before(end); again = silence.Confirm() {
+		time.Sleep(again)
 	}
 }
 
@@ -182,8 +181,10 @@
 	timedOut := false
 	if ctxErr := context.Cause(e.ctx); ctxErr != nil {
 		cause = ctxErr
-		e.dropSuspectConnections(step, ctxErr)
-		if timedOut = !errors.Is(ctxErr, context.Canceled); timedOut {
+		timedOut = !errors.Is(ctxErr, context.Canceled)
+		// A deadline that is noticed late says nothing about the connection.
+		if timedOut && !e.endedLate() {
+			e.dropSuspectConnections(step)
 			e.pool.dialer.Suspect(e.connection.address)
 		}
 	}
@@ -194,8 +195,8 @@
 // request was given up. Whatever lost that connection, such as a middlebox that lost its state, may have lost all of
 // them, and each would delay a request. A cancelled request shows nothing, nor does a new connection: then it is the
 // worker that does not respond.
-func (e *exchange) dropSuspectConnections(step Step, cause error) {
-	if step != StepAwait || e.connection.idleSince.IsZero() || errors.Is(cause, context.Canceled) {
+func (e *exchange) dropSuspectConnections(step Step) {
+	if step != StepAwait || e.connection.idleSince.IsZero() {
 		return
 	}
 	e.pool.closeIdleBefore(e.connection.address, e.start)
