Workers: a request that has ended is not sent

A request that had ended before an attempt, because its caller had left or its time was over, was sent to a worker nevertheless, and its connection was closed at once: the worker saw a request whose sender is gone, and a request that runs once counted as one that may have run.

Cause: the client looked at the context only from the sending on.

It now looks before a connection is taken, and again before the request is sent. The error is that of a request of which nothing was sent, so the caller is told truly that it has not run; a connection that was opened for it is kept.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -38,8 +38,8 @@
 	// Peer is the address of the worker.
 	Peer  string
 	Cause error
-	// timedOut is set if the request was given up because no answer came in time.
-	timedOut bool
+	// timedOut is set if the request was given up because no answer came in time, and unsent if it ended before it was sent.
+	timedOut, unsent bool
 }
 
 // Error implements error.
@@ -77,7 +77,7 @@
 		return CauseRefused
 	case errors.Is(e.Cause, syscall.ECONNRESET), errors.Is(e.Cause, syscall.EPIPE), errors.Is(e.Cause, io.ErrUnexpectedEOF), errors.Is(e.Cause, io.EOF):
 		return CauseReset
-	case errors.Is(e.Cause, context.Canceled):
+	case e.unsent, errors.Is(e.Cause, context.Canceled):
 		return CauseCancelled
 	case e.timedOut, errors.Is(e.Cause, context.DeadlineExceeded), errors.As(e.Cause, &network) && network.Timeout():
 		return CauseTimeout
@@ -220,12 +220,19 @@
 	return response, err
 }
 
-// do is Do without the callback.
+// do is Do without the callback. A request whose ctx has ended is not sent, and the error says so.
 func (c *Client) do(ctx context.Context, address string, request *Request) (*Response, error) {
+	if ctx.Err() != nil {
+		return nil, &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
+	}
 	connection, err := c.pool.take(ctx, address, request.DirectOnly)
 	if err != nil {
 		return nil, &Error{Step: StepConnect, Peer: address, Cause: err}
 	}
+	if ctx.Err() != nil {
+		c.pool.putBack(connection)
+		return nil, &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
+	}
 	exchange := newExchange(ctx, c.pool, connection, request)
 	return exchange.run()
 }
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -131,6 +131,18 @@
 	p.idle[conn.address] = append(idle, conn)
 }
 
+// putBack keeps a connection that was taken and not used.
+func (p *pool) putBack(conn *connection) {
+	if conn.idleSince.IsZero() {
+		p.put(conn, p.settings.IdleTimeout)
+		return
+	}
+	// It stays as old as it was, as the worker sees it.
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle[conn.address] = append(p.idle[conn.address], conn)
+}
+
 // hasIdle reports whether there is an idle connection to an address.
 func (p *pool) hasIdle(address string) bool {
 	p.mutex.Lock()
@@ -161,9 +173,7 @@
 			_ = conn.Close()
 			continue
 		}
-		p.mutex.Lock()
-		p.idle[conn.address] = append(p.idle[conn.address], conn)
-		p.mutex.Unlock()
+		p.putBack(conn)
 	}
 }
 
