Observability: relayed connections that a stop cuts

A gateway that reached the end of its grace period cut the requests of other gateways that it relayed, and said "unfinished=0": they are none of its own requests, and net/http no longer knows their connections.

The line of the stop now counts the connections that it still relays.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,7 +83,9 @@
 	dependencies Dependencies
 	logger       *logrus.Logger
 
-	handler       *forward.Handler
+	handler *forward.Handler
+	// relays is nil if connections to workers are not relayed.
+	relays        *relay.Handler
 	dispatcher    *forward.Dispatcher
 	view          *cluster.View
 	replica       *store.Replica
@@ -195,6 +197,7 @@
 	}
 	if dependencies.Relay != nil {
 		dependencies.Relay.SetSource(relaySource{g}, links.relayEvent)
+		g.relays = relay.NewHandler(dependencies.Relay)
 		if settings.ContactTime > 0 {
 			g.dispatcher.JudgeFailures(g.judgeFailure)
 		}
@@ -295,8 +298,8 @@
 func (g *Gateway) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", changefeed.Handler(g.replica, g.feedEntries))
-	if g.dependencies.Relay != nil {
-		mux.Handle("POST "+relay.Path, relay.NewHandler(g.dependencies.Relay))
+	if g.relays != nil {
+		mux.Handle("POST "+relay.Path, g.relays)
 	}
 	mux.Handle("GET "+cachesync.Path, cachesync.Handler(g.dispatcher.CachedSegments, g.entryTime))
 	return mux
@@ -404,7 +407,7 @@
 		time.Sleep(stopPollInterval)
 	}
 	callers.Shutdown(deadline, append(g.internalServers, g.callers)...)
-	log.WithField("unfinished", g.handler.Active()).Info("Stopped.")
+	log.WithFields(logrus.Fields{"unfinished": g.handler.Active(), "relayed": g.relayedConnections()}).Info("Stopped.")
 	g.close()
 }
 
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -104,6 +104,14 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{for_others="%t",outcome=%q}`, metricRelays, event.Served, event.Outcome)).Inc()
 }
 
+// relayedConnections returns the number of connections that this gateway relays for others.
+func (g *Gateway) relayedConnections() int64 {
+	if g.relays == nil {
+		return 0
+	}
+	return g.relays.Active()
+}
+
 // lostPaths returns the number of workers that this gateway reaches only through others.
 func (g *Gateway) lostPaths() int {
 	if g.dependencies.Relay == nil {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -25,6 +25,9 @@
 // NewHandler returns a handler that connects directly with a dialer.
 func NewHandler(dialer *Dialer) *Handler { return &Handler{dialer: dialer} }
 
+// Active returns the number of connections that are being relayed.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !h.dialer.Enabled() || r.Header.Get("Upgrade") != protocolName {
