Callers: an aborted response to an HTTP/1.0 request looks broken

A caller of HTTP/1.0 took a truncated stream for a complete one: such a response has no length and ends with its connection, which was closed in the ordinary way after an abort, too. The connection is now reset in this case.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -284,9 +284,27 @@
 // trackHandler returns a handler that marks the connection while a request is being handled.
 func trackHandler(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(*connection); ok {
-			conn.inHandler.Store(true)
+		conn, ok := r.Context().Value(connKey{}).(*connection)
+		if !ok {
+			handler.ServeHTTP(w, r)
+			return
 		}
+		conn.inHandler.Store(true)
+		isAborted := true
+		defer func() {
+			if isAborted && !r.ProtoAtLeast(1, 1) {
+				conn.resetOnClose()
+			}
+		}()
 		handler.ServeHTTP(w, r)
+		isAborted = false
 	})
 }
+
+// resetOnClose makes Close reset the connection. The end of the connection would complete a response without a length, as HTTP/1.0 has them.
+func (c *connection) resetOnClose() {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// This fails only if the connection is closed.
+		_ = conn.SetLinger(0)
+	}
+}
