Requests: 503 at the deadline if no worker can have run the request

A caller whose time was over while a connection to a worker was being opened, or during a prefill call, was told 504, which leaves open whether its request has run; so it could not repeat one that may run once. 503 came only if no attempt had been made at all.

Cause: the decision went by the number of attempts. What an attempt that the end of the request interrupted may have run is known by now (attempts.interrupted), and decides here as it does for callers that left and for a stop.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -229,7 +229,7 @@
 			return false, connKeep
 		}
 		failure := classify(ctx, ctx.Err())
-		return true, c.giveUp(failure, c.attempts.final(failure))
+		return true, c.giveUp(failure, c.attempts.final())
 	case admission.Refuse:
 		c.report.HeldBack = "refused: " + decision.Reason
 		return true, respondRetryAfter(c.writer, c.report, ReasonNoRoom, decision.RetryAfter.Round(time.Millisecond))
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -80,8 +80,7 @@
 
 // mayHaveRun reports whether the failure counts as a possible run of the request. After failures that end the
 // request, the result is false although the worker may have run it. This is safe because decide never retries after them,
-// and the caller is not told that the request did not run: after failureDeadline, final returns decisionFail; after the
-// others, it does if attempts.interrupted is set.
+// and final returns decisionFail if attempts.interrupted is set.
 func (f failureKind) mayHaveRun() bool {
 	switch f {
 	case failureSilent, failureStalled, failureBroken, failureError:
@@ -261,7 +260,7 @@
 // decide returns what to do after a failed attempt that has been recorded.
 func (a *attempts) decide(failure failureKind, retries retrySource) decision {
 	if failure.endsRequest() || !a.allowsAnother() || !a.takeRetry(retries) {
-		return a.final(failure)
+		return a.final()
 	}
 	return decisionRetry
 }
@@ -291,8 +290,8 @@
 }
 
 // final returns the decision when there is no further attempt.
-func (a *attempts) final(failure failureKind) decision {
-	if a.possibleRuns == 0 && !a.interrupted && failure != failureDeadline {
+func (a *attempts) final() decision {
+	if a.possibleRuns == 0 && !a.interrupted {
 		return decisionNotRun
 	}
 	return decisionFail
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -48,11 +48,11 @@
 	defer c.endExclusive()
 	for {
 		if time.Until(c.deadline) < c.handler.settings.MinRemaining {
-			return c.giveUp(failureDeadline, c.attempts.final(failureDeadline))
+			return c.giveUp(failureDeadline, c.attempts.final())
 		}
 		if err := ctx.Err(); err != nil {
 			failure := classify(ctx, err)
-			return c.giveUp(failure, c.attempts.final(failure))
+			return c.giveUp(failure, c.attempts.final())
 		}
 		status, bar := c.guarded.status()
 		if status == poison.Pending || status == poison.Barred {
@@ -67,7 +67,7 @@
 			if c.awaitWorker(ctx) {
 				continue
 			}
-			return c.giveUp(failureRefused, c.attempts.final(failureRefused))
+			return c.giveUp(failureRefused, c.attempts.final())
 		}
 		if !found {
 			if isDone, action := c.awaitTurn(ctx, options.SuspectKey); isDone {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -28,10 +28,10 @@
 		return connKeep
 	case failure == failureCallerGone || failure == failureStopping:
 		return c.respondInterrupted(failure, decided)
+	case failure == failureDeadline && decided == decisionNotRun:
+		return respondRetryAfter(c.writer, c.report, ReasonTimeout, c.handler.settings.RefusedRetryAfter)
 	case decided == decisionNotRun:
 		return c.refuseWithRetryAfter()
-	case failure == failureDeadline && c.attempts.reached == 0:
-		return respondRetryAfter(c.writer, c.report, ReasonTimeout, c.handler.settings.RefusedRetryAfter)
 	case failure == failureDeadline:
 		return respondError(c.writer, c.report, http.StatusGatewayTimeout, ReasonTimeout)
 	default:
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -22,7 +22,7 @@
 func (c *call) awaitTurn(ctx context.Context, suspectKey string) (bool, connAction) {
 	turn := c.handler.dispatcher.suspectTurn(c.match.Group, suspectKey, c.attempts.excluded)
 	if turn.Exhausted {
-		return true, c.giveUp(failureRefused, c.attempts.final(failureRefused))
+		return true, c.giveUp(failureRefused, c.attempts.final())
 	}
 	if c.isExclusive && c.attempts.possibleRuns > 0 && !turn.IsShort {
 		// Otherwise all waiting copies would reach the replacement worker at once.
@@ -38,6 +38,6 @@
 		return false, connKeep
 	case <-ctx.Done():
 		failure := classify(ctx, ctx.Err())
-		return true, c.giveUp(failure, c.attempts.final(failure))
+		return true, c.giveUp(failure, c.attempts.final())
 	}
 }
