Requests: a recovery or a loan that has come wins over its timer

A request that waits for an engine of a lost role, or for a loan of capacity, was refused although it had come, where the timer was due as well, as after a standstill: select takes one of two at random.

--- a/internal/forward/availability.go
+++ b/internal/forward/availability.go
@@ -67,15 +67,27 @@
 
 // awaitRecovery waits, up to the timeout, until an engine of a lost role accepts requests. It reports whether one does.
 func awaitRecovery(ctx context.Context, loss *RoleLoss, timeout time.Duration) bool {
+	return arrivesWithin(ctx, loss.Recovered, timeout)
+}
+
+// arrivesWithin reports whether a channel is closed within a timeout and before the context ends. After a standstill of this process both the
+// channel and the timer may be ready, and then the channel counts.
+func arrivesWithin(ctx context.Context, arrived <-chan struct{}, timeout time.Duration) bool {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-loss.Recovered:
+	case <-arrived:
 		return true
-	case <-timer.C:
 	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	}
+	select {
+	case <-arrived:
+		return true
+	default:
+		return false
 	}
-	return false
 }
 
 // Additions to the Retry-After time while no worker accepts requests.
--- a/internal/forward/ratelimits.go
+++ b/internal/forward/ratelimits.go
@@ -141,15 +141,7 @@
 	if !requested {
 		return false
 	}
-	timer := time.NewTimer(loanWait)
-	defer timer.Stop()
-	select {
-	case <-loanArrived:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
+	return arrivesWithin(ctx, loanArrived, loanWait)
 }
 
 // requestLoans queues a request for loans. It returns a channel that is closed when a loan arrives, or false if no request was queued.
