Requests: a worker is not given up too late for another one

After a standstill of the process the patience with a silent worker begins anew, so it could end when no time was left for another attempt: the response that was still to come was lost, and the caller got 504. Whether there is time was looked at only when the patience began. It is now looked at when it ends, too.

--- a/internal/forward/lastattempt_test.go
+++ b/internal/forward/lastattempt_test.go
@@ -50,3 +50,25 @@
 		})
 	}
 }
+
+// TestWorkerIsNotAbandonedTooLate guards against giving up a silent worker when the patience with it ends so late, after a standstill of the
+// process, that no time is left for another one.
+func TestWorkerIsNotAbandonedTooLate(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2}, allowance: 10}, &fakeWorkers{})
+		configuration := f.handler.Table().Configuration()
+		c := &call{
+			handler: f.handler, request: &Request{ID: "r"}, deadline: time.Now().Add(time.Minute),
+			match: routing.Match{Rule: &configuration.Rules[0], Group: &configuration.Groups[0]},
+		}
+		if late {
+			c.deadline = time.Now().Add(f.handler.settings.MinRemaining / 2)
+		}
+		gate := &responseGate{}
+		isCancelled := false
+		c.abandonSilent(gate, func(error) { isCancelled = true }, "0")
+		if gate.abandoned == late || isCancelled == late {
+			t.Errorf("late %t: abandoned %t, cancelled %t", late, gate.abandoned, isCancelled)
+		}
+	}
+}
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -20,9 +20,14 @@
 	return timeout
 }
 
-// abandonSilent abandons a silent worker if there is another worker and the budget has a retry for it. Otherwise the attempt continues.
+// abandonSilent abandons a silent worker if there is time for another one, there is one, and the budget has a retry for it. Otherwise the
+// attempt continues.
 func (c *call) abandonSilent(gate *responseGate, cancel context.CancelCauseFunc, worker string) {
 	gate.abandon(func() bool {
+		if time.Until(c.deadline) < c.handler.settings.MinRemaining {
+			// The patience began anew after a standstill.
+			return false
+		}
 		if !c.handler.dispatcher.hasAlternative(c.request, c.match.Group, append(slices.Clone(c.attempts.excluded), worker)) {
 			return false
 		}
