Workers: one look at the context before a connection is taken

Two fixes of one fault were merged, and the look that comes first did not mark its error as that of a request that was not sent: a request whose time was over counted as a connection that timed out.

TestEndedRequestIsNotSent failed in 2 of 2 runs of the package before, and passes in 3 of 3.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -215,9 +215,9 @@
 // was read to its end. If ctx has ended, nothing is sent. If it ends later, the connection is closed, also while the body
 // is read; at a deadline, what has arrived is read first. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
-	if cause := context.Cause(ctx); cause != nil {
+	if ctx.Err() != nil {
 		// This says nothing about the address, so onFailure is not called.
-		return nil, &Error{Step: StepConnect, Peer: address, Cause: cause}
+		return nil, &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
 	}
 	response, err := c.do(ctx, address, request)
 	if err != nil && c.onFailure != nil {
@@ -226,11 +226,8 @@
 	return response, err
 }
 
-// do is Do without the callback. A request whose ctx has ended is not sent, and the error says so.
+// do is Do without the callback and the first look at ctx.
 func (c *Client) do(ctx context.Context, address string, request *Request) (*Response, error) {
-	if ctx.Err() != nil {
-		return nil, &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
-	}
 	connection, err := c.pool.take(ctx, address, request.DirectOnly)
 	if err != nil {
 		return nil, &Error{Step: StepConnect, Peer: address, Cause: err}
