--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -222,11 +222,8 @@
 	return response, err
 }
 
-// do is Do without the callback. A request whose ctx has ended is not sent, and the error says so.
+// do is Do without the callback and the first look at ctx.
 func (c *Client) do(ctx context.Context, address string, request *Request) (*Response, error) {
-	if ctx.Err() != nil {
-		return nil, &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
-	}
 	connection, err := c.pool.take(ctx, address, request.DirectOnly)
 	if err != nil {
 		return nil, &Error{Step: StepConnect, Peer: address, Cause: err}
