Soak: its stores and proxies listen at an address of their own

The request had gone to 127.0.77.190:45069, where a gateway of an older build listened that a test of another system had left running. Its store had been at a port of 127.0.0.1 that the soak got later, so it registered in the soak's store and joined the fleet.

The store, its views and the proxies of the soak now listen at the loopback address of its process, as its gateways do. Workers themselves still listen there, but nobody is told their ports.

--- a/internal/soak/pathfaults.go
+++ b/internal/soak/pathfaults.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"time"
@@ -84,10 +83,13 @@
 }
 
 // storeFor returns the address of the store as a gateway sees it, which has its own paths to the workers.
-func (s *system) storeFor(name string) string {
-	view := httptest.NewServer(s.paths.Store(name))
+func (s *system) storeFor(name string) (string, error) {
+	view, err := serveLocally(s.paths.Store(name))
+	if err != nil {
+		return "", err
+	}
 	s.views = append(s.views, view)
-	return strings.TrimPrefix(view.URL, "http://")
+	return strings.TrimPrefix(view.URL, "http://"), nil
 }
 
 // cutPaths cuts paths until the duration of the fault is over, or all faults end.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -48,7 +48,7 @@
 
 // newGatewayProcess returns a gateway that is not running and reaches the store through a proxy.
 func newGatewayProcess(binary, name, zone, folder, store string) (*gatewayProcess, error) {
-	storeProxy, err := netproxy.New(store)
+	storeProxy, err := netproxy.NewAt(processLoopback(), store)
 	if err != nil {
 		return nil, err
 	}
@@ -58,7 +58,7 @@
 			return nil, err
 		}
 	}
-	g.controlProxy, err = netproxy.New(g.control)
+	g.controlProxy, err = netproxy.NewAt(processLoopback(), g.control)
 	return g, err
 }
 
@@ -66,7 +66,7 @@
 var assignedAddresses sync.Map
 
 // processLoopback returns a loopback address specific to this process. It keeps concurrent soaks from taking each other's ports
-// while gateways restart.
+// while gateways restart, and gateways that others left running from finding a store here at a port that theirs had.
 func processLoopback() string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -104,7 +105,10 @@
 // startSystem starts all components and waits until the gateways are ready.
 func startSystem(ctx context.Context, shape shape, builds builds, folder string, has features) (*system, error) {
 	s := &system{shape: shape, builds: builds, fleet: fleet.NewFleet(), timeoutMs: 2500, dialer: newCallerDialer()}
-	s.store = httptest.NewServer(s.fleet.Store)
+	var err error
+	if s.store, err = serveLocally(s.fleet.Store); err != nil {
+		return nil, err
+	}
 	if has.paths {
 		s.paths = workerpaths.New(s.fleet)
 	}
@@ -126,7 +130,10 @@
 		zone := shape.zones[i%len(shape.zones)]
 		name, store := fmt.Sprintf("gateway-%d", i), strings.TrimPrefix(s.store.URL, "http://")
 		if s.paths != nil {
-			store = s.storeFor(name)
+			if store, err = s.storeFor(name); err != nil {
+				s.stop()
+				return nil, err
+			}
 		}
 		g, err := newGatewayProcess(builds.initial(), name, zone, folder, store)
 		if err != nil {
@@ -151,6 +158,19 @@
 	return s, s.awaitReady(ctx)
 }
 
+// serveLocally serves a handler at the loopback address of this process.
+func serveLocally(handler http.Handler) (*httptest.Server, error) {
+	listener, err := net.Listen("tcp4", net.JoinHostPort(processLoopback(), "0"))
+	if err != nil {
+		return nil, errors.Wrap(err, "serve the store")
+	}
+	server := httptest.NewUnstartedServer(handler)
+	_ = server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	return server, nil
+}
+
 // seedGateways is the number of gateways that serve as seeds.
 const seedGateways = 2
 
@@ -195,7 +215,7 @@
 	var proxy *netproxy.Proxy
 	var proxyErr error
 	options.Through = func(address string) string {
-		if proxy, proxyErr = netproxy.New(address); proxyErr != nil {
+		if proxy, proxyErr = netproxy.NewAt(processLoopback(), address); proxyErr != nil {
 			return address
 		}
 		return proxy.Address()
--- a/internal/standin/netproxy/netproxy.go
+++ b/internal/standin/netproxy/netproxy.go
@@ -65,8 +65,11 @@
 }
 
 // New starts a proxy to a target, given as host:port.
-func New(target string) (*Proxy, error) {
-	port, err := reservePort()
+func New(target string) (*Proxy, error) { return NewAt("127.0.0.1", target) }
+
+// NewAt starts a proxy to a target, given as host:port, that listens at an IPv4 address.
+func NewAt(host, target string) (*Proxy, error) {
+	port, err := reservePort(host)
 	if err != nil {
 		return nil, errors.Wrapf(err, "start a proxy to %s", target)
 	}
--- a/internal/standin/netproxy/port.go
+++ b/internal/standin/netproxy/port.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
+	"net/netip"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -13,12 +13,17 @@
 // reservedPort is a loopback port that stays bound while nothing listens there, so that connections are refused and nobody else takes it.
 type reservedPort struct {
 	descriptor int
+	host       netip.Addr
 	number     int
 }
 
-// reservePort reserves a free port.
-func reservePort() (*reservedPort, error) {
-	p := &reservedPort{}
+// reservePort reserves a free port of an IPv4 address.
+func reservePort(host string) (*reservedPort, error) {
+	address, err := netip.ParseAddr(host)
+	if err != nil || !address.Is4() {
+		return nil, errors.Newf("reserve a port: host is %q, must be an IPv4 address", host)
+	}
+	p := &reservedPort{host: address}
 	descriptor, err := p.bind()
 	if err != nil {
 		return nil, err
@@ -39,7 +44,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "open a socket")
 	}
-	err = errors.Join(shareAddress(descriptor), unix.Bind(descriptor, &unix.SockaddrInet4{Port: p.number, Addr: [4]byte{127, 0, 0, 1}}))
+	err = errors.Join(shareAddress(descriptor), unix.Bind(descriptor, &unix.SockaddrInet4{Port: p.number, Addr: p.host.As4()}))
 	if err != nil {
 		_ = unix.Close(descriptor)
 		return 0, errors.Wrapf(err, "bind %s", p.address())
@@ -66,7 +71,7 @@
 }
 
 // address returns the host:port.
-func (p *reservedPort) address() string { return fmt.Sprint("127.0.0.1:", p.number) }
+func (p *reservedPort) address() string { return netip.AddrPortFrom(p.host, uint16(p.number)).String() }
 
 // free releases the port.
 func (p *reservedPort) free() { _ = unix.Close(p.descriptor) }
