--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -215,6 +215,10 @@
 // was read to its end. If ctx has ended, nothing is sent. If it ends later, the connection is closed, also while the body
 // is read; at a deadline, what has arrived is read first. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
+	if ctx.Err() != nil {
+		// This says nothing about the address, so onFailure is not called.
+		return nil, &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
+	}
 	response, err := c.do(ctx, address, request)
 	if err != nil && c.onFailure != nil {
 		c.onFailure(address, err)
