Soak: gateways have an address apart from the store and the proxies

The port had been found free and was handed out; since the store and the proxies moved to the address of the gateways, one of them could get it in between.

They have an address of their own now.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -65,17 +65,24 @@
 // assignedAddresses holds the addresses handed out, so that none is used twice.
 var assignedAddresses sync.Map
 
-// processLoopback returns a loopback address specific to this process. It keeps concurrent soaks from taking each other's ports
-// while gateways restart, and gateways that others left running from finding a store here at a port that theirs had.
-func processLoopback() string {
+// processLoopback returns a loopback address specific to this process, for its store and its proxies. It keeps gateways that others left running
+// from finding a store here at a port that theirs had.
+func processLoopback() string { return loopback(2) }
+
+// gatewayLoopback returns a loopback address specific to the gateways of this process. It keeps concurrent soaks, and the store and the proxies
+// of this one, from taking their ports while they restart.
+func gatewayLoopback() string { return loopback(1) }
+
+// loopback returns a loopback address of this process.
+func loopback(number int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, number)
 }
 
 // freeAddress returns a loopback address whose port is currently free for both TCP and UDP.
 func freeAddress() (string, error) {
 	for {
-		listener, err := net.Listen("tcp4", net.JoinHostPort(processLoopback(), "0"))
+		listener, err := net.Listen("tcp4", net.JoinHostPort(gatewayLoopback(), "0"))
 		if err != nil {
 			return "", errors.Wrap(err, "find a free port")
 		}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -7,7 +7,7 @@
 )
 
 // TestStoreListensAtOwnAddress guards against a store that a gateway of another system finds at a port that its own store had: it would join
-// the fleet.
+// the fleet. It also guards against a store or a proxy that takes the port of a gateway before the gateway listens there.
 func TestStoreListensAtOwnAddress(t *testing.T) {
 	store, err := serveLocally(http.NotFoundHandler())
 	if err != nil {
@@ -20,6 +20,9 @@
 	}
 	defer g.storeProxy.Close()
 	defer g.controlProxy.Close()
+	if host, _, err := net.SplitHostPort(g.callers); err != nil || host == processLoopback() {
+		t.Errorf("the gateway shares the address %s with the store and the proxies (%v)", host, err)
+	}
 	for name, address := range map[string]string{
 		"store": store.Listener.Addr().String(), "proxy of the store": g.storeProxy.Address(), "proxy of the control port": g.controlProxy.Address(),
 	} {
