Stand-in fleet: workers of several software versions sign their events

Workers with a version write it and their start into their record, and begin each event with a comment line that names it. Callers get the events as before, and the versions beside them. They can resume a stream with Last-Event-Id and Resumes, and leave after a number of events. A worker can restart under its id as another version.

Workers without a version behave as before: their events are not signed.

--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Request is a request of a simulated client.
@@ -26,6 +29,14 @@
 	Deadline     time.Duration
 	// APIKey is the key of the client; empty if it sends none.
 	APIKey string
+	// LastEventID is the id of the last event that the client has of the stream it resumes; empty for a new one. Resumes is the ID of the
+	// request that brought the first event of that stream.
+	LastEventID string
+	Resumes     string
+	// AbortAfter makes the client close the connection after a number of complete events; zero if it reads the whole response.
+	AbortAfter int
+	// OnEvent is called for each complete event that arrives; may be nil.
+	OnEvent func()
 	// Close asks the gateway to close the connection after the response.
 	Close bool
 }
@@ -34,7 +45,9 @@
 type Response struct {
 	Status    int
 	Signature string
-	Body      string
+	// Body is without the versions with which workers sign events. Versions are those of the complete events that are signed, in order.
+	Body     string
+	Versions []string
 	// RetryAfter is the Retry-After header of a refusal.
 	RetryAfter string
 	// Err is set if the response is incomplete.
@@ -102,15 +115,53 @@
 	return response
 }
 
-// readResponse reads a response to its end.
-func readResponse(response *http.Response) Response {
-	content, err := io.ReadAll(response.Body)
+// ErrAborted is the error of a response that the client did not read to its end.
+var ErrAborted = errors.New("the client has closed the connection after the events it wanted")
+
+// readResponse reads a response to its end, or until the client has the events that it wants.
+func (r Request) readResponse(response *http.Response) Response {
+	content, err := r.readBody(response.Body)
+	body, versions := splitVersions(content)
 	return Response{
-		Status: response.StatusCode, Signature: response.Header.Get("Response-Signature"), Body: string(content),
+		Status: response.StatusCode, Signature: response.Header.Get("Response-Signature"), Body: body, Versions: versions,
 		RetryAfter: response.Header.Get("Retry-After"), Err: err,
 	}
 }
 
+// readBody reads the body of a response.
+func (r Request) readBody(body io.Reader) (string, error) {
+	if r.AbortAfter == 0 && r.OnEvent == nil {
+		content, err := io.ReadAll(body)
+		return string(content), err
+	}
+	var content strings.Builder
+	reader := bufio.NewReader(body)
+	for events := 0; ; {
+		line, err := reader.ReadString('\n')
+		content.WriteString(line)
+		if err != nil {
+			return content.String(), ignoreEOF(err)
+		}
+		if line != "\n" {
+			continue
+		}
+		if r.OnEvent != nil {
+			r.OnEvent()
+		}
+		if events++; events == r.AbortAfter {
+			return content.String(), ErrAborted
+		}
+	}
+}
+
+// ignoreEOF returns nil for the regular end of a body.
+func ignoreEOF(err error) error {
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
+
 // httpRequest returns the HTTP request to a gateway.
 func (r Request) httpRequest(ctx context.Context, gateway string) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gateway+r.Path, strings.NewReader(r.Body))
@@ -123,6 +174,12 @@
 	if r.APIKey != "" {
 		request.Header.Set("Api-Key", r.APIKey)
 	}
+	if r.LastEventID != "" {
+		request.Header.Set("Last-Event-Id", r.LastEventID)
+	}
+	if r.Resumes != "" {
+		request.Header.Set("Resumes", r.Resumes)
+	}
 	if r.PromptTokens > 0 {
 		request.Header.Set("Model", "m")
 		request.Header.Set("Token-Count", fmt.Sprintf("%d,30", r.PromptTokens))
--- a/internal/standin/fleet/callerconn.go
+++ b/internal/standin/fleet/callerconn.go
@@ -40,7 +40,7 @@
 		return Response{Err: err}, false
 	}
 	release := context.AfterFunc(ctx, func() { _ = c.Close() })
-	response, reusable = c.exchange(request, halfCloseAfter)
+	response, reusable = c.exchange(request, call, halfCloseAfter)
 	if !release() {
 		response.Err = errors.CombineErrors(ctx.Err(), response.Err)
 		return response, false
@@ -52,7 +52,7 @@
 func (c *CallerConn) HalfClosedAt() time.Time { return c.halfClosedAt }
 
 // exchange sends a request, reads the response, and reports whether the connection may be reused.
-func (c *CallerConn) exchange(request *http.Request, halfCloseAfter time.Duration) (Response, bool) {
+func (c *CallerConn) exchange(request *http.Request, call Request, halfCloseAfter time.Duration) (Response, bool) {
 	if err := request.Write(c); err != nil {
 		return Response{Err: err}, false
 	}
@@ -68,7 +68,7 @@
 		return Response{Err: err, ReadByGateway: isEnd && readByPeer(c.Conn, !c.halfClosedAt.IsZero())}, false
 	}
 	defer response.Body.Close()
-	return readResponse(response), !response.Close && c.halfClosedAt.IsZero()
+	return call.readResponse(response), !response.Close && c.halfClosedAt.IsZero()
 }
 
 // closeWrite closes the sending half.
--- a/internal/standin/fleet/completion.go
+++ b/internal/standin/fleet/completion.go
@@ -81,7 +81,7 @@
 		if number <= len(tokens) {
 			data, _ = json.Marshal(req.chunk(id, tokens[number-1]))
 		}
-		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, data)
+		_, _ = fmt.Fprintf(writer, "%sid: %d\ndata: %s\n\n", w.signature(), number, data)
 		_ = controller.Flush()
 	}
 }
--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -76,6 +76,26 @@
 	w.successor = w.fleet.startOn(options, listener, w.address)
 }
 
+// RestartAs ends the worker without notice and starts it again at once under the same ID with another software version. Its record changes
+// after RecordLag. It does nothing if the worker has crashed or was stopped.
+func (w *Worker) RestartAs(version string) error {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.crashed || w.stopped || w.replaced {
+		return nil
+	}
+	w.crashed, w.replaced = true, true
+	_ = w.server.Close()
+	listener, err := net.Listen("tcp4", w.listenAddress)
+	if err != nil {
+		return err
+	}
+	options := w.options
+	options.Stage, options.Version = w.stage, version
+	w.successor = w.fleet.startOn(options, listener, w.address)
+	return nil
+}
+
 // Latest returns the current incarnation of the worker: itself, or the last restarted one.
 func (w *Worker) Latest() *Worker {
 	w.mutex.Lock()
@@ -100,6 +120,9 @@
 		options: options, fleet: f, address: address, listenAddress: listener.Addr().String(), stage: options.Stage, handles: map[string]bool{},
 		copies: map[string]int{},
 	}
+	if options.Version != "" {
+		worker.born = time.Now().UnixMilli()
+	}
 	if options.Model != nil {
 		worker.model = newEngineModel(*options.Model)
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -157,6 +157,8 @@
 // Run is one execution of a request by a worker.
 type Run struct {
 	Worker string
+	// Version is the software version of the worker.
+	Version string
 	// Resumed is the Last-Event-Id of a resumed run, or empty.
 	Resumed string
 	// Continued is set if the run continued another worker's run from a copy, which makes it a part of that run.
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -71,6 +71,9 @@
 func (w *Worker) writeReport(writer http.ResponseWriter) {
 	w.mutex.Lock()
 	report := jsonObject{"stage": w.stage, "busy": w.changingStage, "seqNo": w.orderCount, "running": w.busy}
+	if w.born > 0 {
+		report["born"] = w.born
+	}
 	w.mutex.Unlock()
 	_ = json.NewEncoder(writer).Encode(report)
 }
@@ -190,7 +193,7 @@
 		}
 	}
 	resumed := request.Header.Get("Last-Event-Id")
-	w.fleet.recordRun(id, Run{Worker: w.options.ID, Resumed: resumed, Continued: continued, Begun: time.Now()})
+	w.fleet.recordRun(id, Run{Worker: w.options.ID, Version: w.Version(), Resumed: resumed, Continued: continued, Begun: time.Now()})
 	if crashesWorker(body) {
 		w.crashOn(id)
 		return
@@ -251,7 +254,7 @@
 			<-request.Context().Done()
 			return
 		}
-		_, _ = io.WriteString(writer, Event(id, number))
+		_, _ = io.WriteString(writer, w.signature()+Event(id, number))
 		_ = controller.Flush()
 		w.sendCopy(request, id, number)
 		if !waitFor(step, request.Context().Done()) {
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -14,6 +14,9 @@
 	ID      string
 	Service string
 	Zone    string
+	// Version is the version of the worker's software. Workers with one sign each event of a stream with it, and record when they started;
+	// workers without one are of DefaultVersion and do neither.
+	Version string
 	// Stage is prefill or decode for engines, and empty for plain workers.
 	Stage string
 	// Slots is the number of concurrent requests; further ones are refused.
@@ -96,8 +99,15 @@
 	// crashed is set once a request has crashed the worker. stopped prevents a restart. successor is the restarted worker.
 	crashed, stopped bool
 	successor        *Worker
+	// replaced is set once another incarnation has taken over the record of the worker. born is when the worker started in Unix
+	// milliseconds; zero if its record does not tell.
+	replaced bool
+	born     int64
 }
 
+// DefaultVersion is the software version in the records of workers without a version of their own.
+const DefaultVersion = "v1"
+
 // Start starts a worker and registers it in the store.
 func (f *Fleet) Start(options WorkerOptions) (*Worker, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -113,14 +123,21 @@
 
 // writeRecord writes the worker's record to the store.
 func (w *Worker) writeRecord() {
+	if w.replaced {
+		return
+	}
 	state := "ready"
 	if w.draining {
 		state = "draining"
 	}
-	w.fleet.Store.Put("servers/"+w.options.ID, jsonObject{
-		"service": w.options.Service, "address": w.address, "zone": w.options.Zone, "version": "v1", "slots": w.options.Slots,
+	record := jsonObject{
+		"service": w.options.Service, "address": w.address, "zone": w.options.Zone, "version": w.Version(), "slots": w.options.Slots,
 		"state": state, "coldLeftMs": 0, "stage": w.stage, "seqNo": w.orderCount,
-	})
+	}
+	if w.born > 0 {
+		record["born"] = w.born
+	}
+	w.fleet.Store.Put("servers/"+w.options.ID, record)
 }
 
 // KeepNoCopies makes the worker have no room for copies of other workers' runs, whatever its fault is.
