--- a/internal/standin/fleet/callerconn.go
+++ b/internal/standin/fleet/callerconn.go
@@ -68,7 +68,12 @@
 		return Response{Err: err, ReadByGateway: isEnd && readByPeer(c.Conn, !c.halfClosedAt.IsZero())}, false
 	}
 	defer response.Body.Close()
-	return call.readResponse(response), !response.Close && c.halfClosedAt.IsZero()
+	result := call.readResponse(response)
+	if errors.Is(result.Err, ErrAborted) {
+		// Closing the body of an open connection would read the rest of the response.
+		_ = c.Close()
+	}
+	return result, !response.Close && c.halfClosedAt.IsZero()
 }
 
 // closeWrite closes the sending half.
