Soak: workers of two software versions, and callers that resume streams

A third of the streams takes longer; their callers lose a third of the connections, come back at another gateway after 0.09 to 2.8 s and name the try that brought the first event, up to twice.

The check of versions compares all events over all tries of a stream. The check of resumptions counts those that go on beside the new streams that begin, at gateways in touch. Resumptions do not count towards the share of requests that are served in quiet times: one whose version no gateway knows any more is refused.

--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -232,6 +232,9 @@
 	if line := h.describeUnusualClients(); line != "" {
 		fmt.Fprintln(out, line)
 	}
+	if c.Seed >= firstVersionSeed {
+		fmt.Fprintln(out, h.resumptionTotals())
+	}
 	if len(found) == 0 {
 		fmt.Fprintf(out, "no rule was broken in %d requests\n", len(h.Requests))
 		return nil
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -72,7 +72,7 @@
 		s.crashingCount.Add(1)
 		s.sendCrashing.Store(true)
 	default:
-		if s.injectNotice(fault) || s.injectChange(fault, calm) {
+		if s.injectNotice(fault) || s.injectChange(fault, calm) || s.injectVersion(fault) {
 			return
 		}
 		s.injectSeries(fault)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -41,9 +41,10 @@
 	command *exec.Cmd
 	done    chan struct{}
 	started time.Time
-	// stopRequested is set once the current process was asked to exit. exits are those of all processes so far.
+	// stopRequested is set once the current process was asked to exit. exits and starts are those of all processes so far.
 	stopRequested bool
 	exits         []ProcessExit
+	starts        []ProcessStart
 }
 
 // newGatewayProcess returns a gateway that is not running and reaches the store through a proxy.
@@ -148,6 +149,7 @@
 	if err := command.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", g.name)
 	}
+	g.starts = append(g.starts, ProcessStart{Gateway: g.callers, At: time.Now()})
 	done := make(chan struct{})
 	g.command, g.done, g.started, g.stopRequested = command, done, time.Now(), false
 	go func() {
@@ -186,6 +188,13 @@
 	return slices.Clone(g.exits)
 }
 
+// startRecords returns the starts so far.
+func (g *gatewayProcess) startRecords() []ProcessStart {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.starts)
+}
+
 // signal sends a signal to the process if it is running.
 func (g *gatewayProcess) signal(signal syscall.Signal) {
 	g.mu.Lock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -134,7 +134,7 @@
 func isPlanned(f Fault) bool {
 	switch f.(type) {
 	case GatewayStop, GatewayReload, WorkerReplacement, WorkerLeavingNotice, WorkerLimitNotice, GatewayUpgrade, TimeoutChange, IdleTimeoutChange,
-		ExtraRoutes, SplitChange, TenantChange, LimitChange:
+		ExtraRoutes, SplitChange, TenantChange, LimitChange, WorkerUpgrade:
 		return true
 	default:
 		return false
@@ -165,7 +165,12 @@
 
 // drawRound returns the faults of a round. They depend on the seed, the number of the round and the size of the system alone.
 func drawRound(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
+	versions, areOnly := drawVersionChanges(seed, number, gateways, workers)
+	if areOnly {
+		return versions
+	}
 	changes, areOnly := drawChanges(seed, number, gateways, workers)
+	changes = append(changes, versions...)
 	if areOnly {
 		return changes
 	}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -95,11 +95,13 @@
 type features struct {
 	// paths gives each gateway its own paths to workers, and changes makes more of the configuration variable.
 	paths, changes bool
+	// versions returns the software version of the next worker at the start; nil if workers have none.
+	versions func() string
 }
 
 // featuresOf returns the features for a seed.
 func featuresOf(seed uint64) features {
-	return features{paths: seed >= firstPathSeed, changes: seed >= firstChangeSeed}
+	return features{paths: seed >= firstPathSeed, changes: seed >= firstChangeSeed, versions: initialVersions(seed)}
 }
 
 // startSystem starts all components and waits until the gateways are ready.
@@ -118,6 +120,9 @@
 		s.setIdle(initialIdleMs)
 	}
 	for i, options := range s.workerOptions() {
+		if has.versions != nil {
+			options.Version = has.versions()
+		}
 		slot := &workerSlot{number: i, options: options}
 		s.workers = append(s.workers, slot)
 		if err := s.startWorker(slot); err != nil {
@@ -304,15 +309,17 @@
 // history returns the observations so far.
 func (s *system) history(quiet []Span) *History {
 	var exits []ProcessExit
+	var starts []ProcessStart
 	var addresses []string
 	for _, g := range s.gateways {
 		addresses = append(addresses, g.callers)
 		exits = append(exits, g.exitRecords()...)
+		starts = append(starts, g.startRecords()...)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &History{
-		CollectedAt: time.Now(), Exits: exits, Work: s.fleet.Worked(),
+		CollectedAt: time.Now(), Exits: exits, Starts: starts, Work: s.fleet.Worked(),
 		Requests: append([]RequestRecord(nil), s.requests...), Runs: s.fleet.Runs(), Arrivals: s.fleet.Arrivals(), Orders: s.fleet.Orders(),
 		Crashes: s.fleet.Crashes(), Heads: s.fleet.Heads(), Notices: s.fleet.Notices(), Limits: s.fleet.Limits(), Gateways: addresses,
 		Spans: append([]Span(nil), s.spans...), Departures: append([]Departure(nil), s.departures...), QuietPeriods: quiet,
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,7 @@
 	random := rand.New(rand.NewPCG(seed, 99))
 	crashingRandom := rand.New(rand.NewPCG(seed, crashingStream))
 	behaviorRandom := rand.New(rand.NewPCG(seed, seriesStream))
+	versionRandom := rand.New(rand.NewPCG(seed, versionStream))
 	unpooled, pooling := fleet.NewCaller(false), fleet.NewPoolingCaller(s.dialer.dial)
 	defer pooling.Close()
 	directory := &cachedDirectory{system: s, caller: fleet.NewCaller(true)}
@@ -44,15 +46,22 @@
 		}
 		request.Gateway = gateways[random.IntN(len(gateways))]
 		behavior := drawBehavior(behaviorRandom, &request)
+		call := s.call
+		if seed >= firstVersionSeed {
+			persists := drawPersistence(versionRandom, &request)
+			call = func(request RequestRecord, abandonAfter time.Duration, do sendFunc) {
+				s.callPersistently(request, abandonAfter, persists, directory.current, do)
+			}
+		}
 		if newConn {
-			s.pendingCalls.Go(func() { s.call(request, behavior.abandonAfter, unpooled.Do) })
+			s.pendingCalls.Go(func() { call(request, behavior.abandonAfter, unpooled.Do) })
 			continue
 		}
 		if idle := pooling.IdleGateways(); behavior.sticky && len(idle) > 0 {
 			request.Gateway = idle[behaviorRandom.IntN(len(idle))]
 		}
 		s.pendingCalls.Go(func() {
-			s.call(request, behavior.abandonAfter, func(ctx context.Context, gateway string, call fleet.Request) fleet.Response {
+			call(request, behavior.abandonAfter, func(ctx context.Context, gateway string, call fleet.Request) fleet.Response {
 				return pooling.Do(ctx, gateway, call, behavior.conn, s.mayReuse)
 			})
 		})
@@ -215,7 +224,8 @@
 	}
 	request.Response = do(ctx, request.Gateway, request.Request)
 	request.Ended = time.Now()
-	if errors.Is(ctx.Err(), context.Canceled) && request.Response.Err != nil {
+	leftOnPurpose := errors.Is(ctx.Err(), context.Canceled) && request.Response.Err != nil
+	if leftOnPurpose || errors.Is(request.Response.Err, fleet.ErrAborted) {
 		request.AbandonedAt = request.Ended
 	}
 	return request
@@ -232,9 +242,11 @@
 type cachedDirectory struct {
 	system    *system
 	caller    *fleet.Caller
-	addresses []string
 	fetchedAt time.Time
 	next      int
+
+	mu        sync.Mutex
+	addresses []string
 }
 
 // directoryTTL is the lifetime of cached addresses.
@@ -243,16 +255,25 @@
 // get returns the cached addresses and refreshes them when they have expired. It keeps them if no gateway answers.
 func (d *cachedDirectory) get(ctx context.Context) []string {
 	if time.Since(d.fetchedAt) < directoryTTL {
-		return d.addresses
+		return d.current()
 	}
 	d.fetchedAt = time.Now()
 	for range 3 {
 		d.next++
 		found, err := d.caller.Resolve(ctx, d.system.gateways[d.next%len(d.system.gateways)].directory)
 		if err == nil && len(found) > 0 {
+			d.mu.Lock()
 			d.addresses = found
+			d.mu.Unlock()
 			break
 		}
 	}
+	return d.current()
+}
+
+// current returns the cached addresses. Unlike get, it may be called while get runs.
+func (d *cachedDirectory) current() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	return d.addresses
 }
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -160,6 +160,13 @@
 	return w.stage
 }
 
+// Serves reports whether the worker runs and takes requests of a stage.
+func (w *Worker) Serves(stage string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.stage == stage && w.fault == WorkerGood && !w.crashed && !w.stopped && !w.leaving && !w.changingStage
+}
+
 // ReadTokens returns the number of prompt tokens that a model engine has processed.
 func (w *Worker) ReadTokens() int {
 	w.model.mu.Lock()
