Streams: the software versions of workers, attempts and resumptions are told

The line of a request names the version of each attempt, the version that began the stream, and whether it takes up a stream that an earlier request began, and whose. Counters show resumptions and attempts that continue a stream at another version, a gauge the workers of each version. The version is a typed field of the worker: the label may be overridden by operators.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -40,6 +40,8 @@
 	Draining bool
 	// Spot workers cost less and may be preempted.
 	Spot bool
+	// SoftwareVersion is the version of the worker's software as it registered; empty if unknown. Unlike a label, it can't be overridden.
+	SoftwareVersion string
 	// Labels are those reported by the worker, overridden by those that operators set.
 	Labels map[string]string
 	// Selected are the names of the groups whose selectors match the worker, in addition to Group.
@@ -68,7 +70,7 @@
 func (w *Worker) Equal(other *Worker) bool {
 	return w == other || (w.ID == other.ID && w.Record == other.Record && w.Group == other.Group && w.Address == other.Address &&
 		w.Zone == other.Zone && w.Slots == other.Slots && w.Role == other.Role && w.Draining == other.Draining && w.Spot == other.Spot &&
-		maps.Equal(w.Labels, other.Labels) && slices.Equal(w.Selected, other.Selected))
+		w.SoftwareVersion == other.SoftwareVersion && maps.Equal(w.Labels, other.Labels) && slices.Equal(w.Selected, other.Selected))
 }
 
 // Groups returns all groups that the worker belongs to.
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -144,7 +144,7 @@
 	if failure != failureNone {
 		return record.PrefillEngine, failure
 	}
-	record.Worker = runner.Worker.ID
+	record.Worker, record.SoftwareVersion = runner.Worker.ID, runner.Worker.SoftwareVersion
 	if prompt == nil {
 		record.Score, record.Candidates = runner.Score, runner.Candidates
 	}
@@ -228,6 +228,7 @@
 		c.countUsage()
 	}
 	c.relay.onEvent = runner.eventArrived
+	c.relay.onFirstEvent = func() { c.streamBegins(runner.Worker) }
 	gate := &responseGate{}
 	c.relay.acceptResponse = gate.accept
 	if timeout := c.responseTimeout(runner); timeout > 0 {
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -250,7 +250,10 @@
 		c.report.Attempts[len(c.report.Attempts)-1].NotContinued = reason
 		return failure
 	}
-	record := Attempt{Start: time.Now(), Worker: runner.Worker.ID, Continues: ContinuesCopy, Urgency: admission.DefaultUrgency}
+	record := Attempt{
+		Start: time.Now(), Worker: runner.Worker.ID, SoftwareVersion: runner.Worker.SoftwareVersion, Continues: ContinuesCopy,
+		Urgency: admission.DefaultUrgency,
+	}
 	continued := c.runOn(ctx, runner, RunOptions{Deadline: c.deadline, Continue: true, Urgency: admission.DefaultUrgency}, nil)
 	c.recordAttempt(record, "", continued)
 	if continued == failureNone || continued.endsRequest() {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -256,7 +256,7 @@
 	current := &call{
 		handler: h, writer: writer, request: request, match: match, deadline: deadline, report: report, guarded: guarded,
 		attempts: attempts{rule: match.Rule, runOnce: request.RunOnce},
-		relay:    relay{writer: writer, deadline: deadline, lastEvent: request.ResumeAfter},
+		relay:    relay{writer: writer, deadline: deadline, lastEvent: request.ResumeAfter, begun: request.ResumeAfter != ""},
 	}
 	current.relay.onStart = func() { report.FirstByte = time.Now() }
 	if labelled, isLabelled := protocol.(LabelledProtocol); isLabelled {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -62,6 +62,8 @@
 	deadline time.Time
 	// onResponse is called at the first event of each worker's response.
 	onResponse func()
+	// onFirstEvent is called before the first event of the stream is written, unless an earlier request brought it; may be nil.
+	onFirstEvent func()
 	// onEvent is called for each event that a worker sends, in order, with the time that forwarding the one before took; may be nil.
 	onEvent func(forwarding time.Duration)
 	// acceptResponse is called before onResponse. It marks the response as started and reports whether it may be forwarded.
@@ -71,6 +73,8 @@
 	// started is set once the headers have been written, and onStart is called before that.
 	started bool
 	onStart func()
+	// begun is set once the stream has its first event, from this request or an earlier one.
+	begun bool
 	// unflushed is set while events have been written that may not have been sent.
 	unflushed bool
 	// lastEvent is the id of the last event that was sent to the caller, or empty.
@@ -122,6 +126,7 @@
 		if r.isDuplicate(event) {
 			continue
 		}
+		r.announceFirstEvent()
 		r.writeHead(response)
 		start := time.Now()
 		if err := r.writeEvent(event, !events.HasEvent()); err != nil {
@@ -131,6 +136,17 @@
 	}
 }
 
+// announceFirstEvent calls onFirstEvent once.
+func (r *relay) announceFirstEvent() {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	if r.onFirstEvent != nil {
+		r.onFirstEvent()
+	}
+}
+
 // writeHead writes the status and the headers once.
 func (r *relay) writeHead(response *Response) {
 	if r.started {
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/poison"
+	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // Reason says how a request ended. Error responses of the gateway contain it.
@@ -133,8 +134,13 @@
 	HeldBack string
 	// Loss is the lost role for which the request was refused, or nil.
 	Loss *RoleLoss
+	// Stream is the software version that began the stream, and how it is known. It is zero if the caller got no event and has none.
+	Stream streamversion.Finding
 }
 
+// IsResumption reports whether the caller takes up a stream that an earlier request began.
+func (r *Report) IsResumption() bool { return r.Request != nil && r.Request.ResumeAfter != "" }
+
 // Step returns the step at which a request without a complete response ended.
 func (r *Report) Step() string {
 	switch {
@@ -165,6 +171,8 @@
 // Attempt is one attempt to serve a request at a worker.
 type Attempt struct {
 	Worker string
+	// SoftwareVersion is the version of the worker's software.
+	SoftwareVersion string
 	// PrefillEngine is the engine that prefilled the prompt, or empty.
 	PrefillEngine string
 	// Start and End are the bounds of the attempt; PrefillTime is how long the prefill took.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -31,6 +31,8 @@
 	Demand        backend.Demand
 	// ResumeAfter is the id of the last event of a stream that the caller already has, or empty.
 	ResumeAfter string
+	// Resumes is the id of the request that brought the first event of the stream that ResumeAfter continues; empty if the caller names none.
+	Resumes string
 	// RunOnce is set if the caller forbids running the request again, whatever the rule allows.
 	RunOnce bool
 	// Tenant is the tenant whose limits apply, or empty.
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -11,6 +11,7 @@
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/poison"
+	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // maxDecisions is the number of recent decisions that a gateway keeps.
@@ -39,6 +40,10 @@
 	// heldBack says why the request waited at the gateway or was refused for lack of room.
 	heldBack string
 	ended    time.Time
+	// resumeAfter and resumes name the last event and the first request of a stream that the request takes up; empty otherwise.
+	resumeAfter, resumes string
+	// stream is the software version that began the stream.
+	stream streamversion.Finding
 }
 
 // newRequestDecision extracts the decision log entry from a report.
@@ -46,10 +51,10 @@
 	d := requestDecision{
 		rule: report.Rule, group: report.Group, version: report.Version, status: report.Status, reason: report.Reason,
 		duration: report.Ended.Sub(report.Arrived), attempts: report.Attempts, err: report.Err, target: report.Target, digest: report.RequestDigest,
-		roleLoss: report.Loss, heldBack: report.HeldBack, ended: report.Ended,
+		roleLoss: report.Loss, heldBack: report.HeldBack, ended: report.Ended, stream: report.Stream,
 	}
 	if report.Request != nil {
-		d.id = report.Request.ID
+		d.id, d.resumeAfter, d.resumes = report.Request.ID, report.Request.ResumeAfter, report.Request.Resumes
 	}
 	if report.Unanswered {
 		d.unanswered = map[string]string{
@@ -62,9 +67,9 @@
 	return d
 }
 
-// servedAtFirstAttempt reports whether the first attempt served the request.
-func (d requestDecision) servedAtFirstAttempt() bool {
-	return d.reason == forward.ReasonServed && len(d.attempts) == 1
+// isUneventful reports whether the first attempt served the request, and no earlier request began its stream.
+func (d requestDecision) isUneventful() bool {
+	return d.reason == forward.ReasonServed && len(d.attempts) == 1 && d.resumeAfter == ""
 }
 
 // Record implements decisionlog.Entry.
@@ -103,6 +108,7 @@
 		inputs["role_gone"] = fmt.Sprintf("%d writers ended, %d engines are becoming writers, %d read; expected back in %d ms",
 			d.roleLoss.LostDecoders, d.roleLoss.Changing, d.roleLoss.PrefillEngines, d.roleLoss.ExpectedAt.Sub(d.ended).Milliseconds())
 	}
+	d.streamInputs(inputs)
 	if d.heldBack != "" {
 		inputs["held_back"] = d.heldBack
 	}
@@ -115,6 +121,9 @@
 // describeAttempt describes one attempt to run a request on a worker.
 func describeAttempt(attempt forward.Attempt) string {
 	text := fmt.Sprintf("worker %s in %d ms", attempt.Worker, attempt.End.Sub(attempt.Start).Milliseconds())
+	if attempt.SoftwareVersion != "" {
+		text = fmt.Sprintf("worker %s of version %s in %d ms", attempt.Worker, attempt.SoftwareVersion, attempt.End.Sub(attempt.Start).Milliseconds())
+	}
 	if attempt.PrefillEngine != "" {
 		text = fmt.Sprintf("read by %s in %d ms, %s", attempt.PrefillEngine, attempt.PrefillTime.Milliseconds(), text)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/store"
+	"github.com/granitebay/granitebay/internal/streamversion"
 	"github.com/granitebay/granitebay/internal/usage"
 )
 
@@ -60,6 +61,8 @@
 	notices *noticeTracker
 	// workerLimits counts attempts on workers with rate limits. It is nil if and only if notices is.
 	workerLimits *workerLimitTracker
+	// workersByVersion returns the number of workers of each group and software version; may be nil.
+	workersByVersion func() map[streamversion.Version]int
 	// writeFleetTasks writes the metrics of usage reporting and capacity orders; may be nil.
 	writeFleetTasks func(w io.Writer)
 
@@ -90,7 +93,7 @@
 	m.set.NewGauge(metricCopyBytes, func() float64 { return float64(g.dispatcher.MigrationTotals().CopyBytes) })
 	m.set.NewGauge(metricCopiesOverLimit, func() float64 { return float64(g.dispatcher.MigrationTotals().CopiesOverLimit) })
 	m.set.NewGauge(metricLostPaths, func() float64 { return float64(g.lostPaths()) })
-	m.budgets = g.dispatcher.Budgets
+	m.budgets, m.workersByVersion = g.dispatcher.Budgets, g.dispatcher.WorkersByVersion
 }
 
 // Names of metrics about the store and the choice of workers.
@@ -310,13 +313,14 @@
 		m.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q,refused="%t"}`, metricHeldBack, report.Rule, report.Reason == forward.ReasonNoRoom)).Inc()
 	}
 	m.countAttemptsByNotice(report)
+	m.countStream(report)
 	request := newRequestDecision(report)
 	m.decisions.Append(report.Ended, request)
 	if report.Unanswered {
 		m.recordUnanswered(report, request)
 		return
 	}
-	if !request.servedAtFirstAttempt() && m.allowLog(report.Reason) {
+	if !request.isUneventful() && m.allowLog(report.Reason) {
 		m.logRequest(report, request)
 	}
 }
@@ -417,4 +421,7 @@
 	if m.writeFleetTasks != nil {
 		m.writeFleetTasks(writer)
 	}
+	if m.workersByVersion != nil {
+		writeWorkerVersions(writer, m.workersByVersion())
+	}
 }
