Forward: a stream goes on only at the software version that began it

Cause: the version was a label that nothing read. No step that continues a stream looked at it: the next attempt after the last event, the engine that decodes a prefilled prompt, the question whether a stalled run could go on elsewhere, the engine that keeps a copy, and the turn of suspect requests.

Change: the first event that is forwarded binds the stream to the version of its worker; an attempt that failed before binds nothing. A query of the balancer has a function that says which workers are eligible, and all these steps set it. A sample of a large role that holds no eligible worker is followed by a look at the whole role. If no worker of the version is left, the stream ends at once, and the reason says so. Prompts may still be prefilled at another version, which sends no events.

TestContinuationKeepsSoftwareVersion failed in 7 of 7 parts before, TestStreamWithoutWorkerOfItsVersionEndsAtOnce in 1 of 1 run; both pass, also three times under the race detector.

--- a/internal/balance/backup.go
+++ b/internal/balance/backup.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -24,7 +23,7 @@
 	for i := range min(len(states), maxBackupProbes) {
 		state := states[(start+i)%len(states)]
 		worker := state.worker
-		if worker.Role != query.Role || !state.acceptsNow(now) || state.health.ejected(now) || slices.Contains(query.Excluded, worker.ID) {
+		if worker.Role != query.Role || !state.acceptsNow(now) || state.health.ejected(now) || !query.allows(worker) {
 			continue
 		}
 		if inPreferredZone(worker.Zone) {
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -48,6 +48,8 @@
 	Concentrate bool
 	// Excluded lists workers that must not be tried again.
 	Excluded []string
+	// Eligible reports whether a worker may serve the request at all; nil means that all may.
+	Eligible func(worker *backend.Worker) bool
 	// SuspectKey is set for a suspect, a request that may crash its worker. Among the workers that may serve suspects and
 	// whose cost is close to the cheapest, the key selects one, so that suspects that shared a worker are placed on
 	// different ones next. RiskSettings limits how many workers may serve suspects.
@@ -56,6 +58,11 @@
 	Prefilled bool
 }
 
+// allows reports whether the query may be served by a worker.
+func (q *Query) allows(worker *backend.Worker) bool {
+	return (q.Eligible == nil || q.Eligible(worker)) && !slices.Contains(q.Excluded, worker.ID)
+}
+
 // PrefillCost is the prefill cost of a prompt at a worker.
 type PrefillCost struct {
 	// Tokens is the number of tokens that the worker must prefill.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -80,7 +79,7 @@
 	for _, candidate := range b.index.byGroup[query.Group] {
 		switch {
 		case candidate.worker.Role != query.Role || !candidate.acceptsNow(now):
-		case slices.Contains(query.Excluded, candidate.worker.ID):
+		case !query.allows(candidate.worker):
 		case candidate.health.ejected(now):
 			ejected = append(ejected, candidate)
 		default:
--- a/internal/balance/shortlist.go
+++ b/internal/balance/shortlist.go
@@ -39,11 +39,14 @@
 // shortlistWorkers returns the workers that can accept the request: all of a small role, some of a large one.
 func (b *Balancer) shortlistWorkers(now time.Time, query Query) shortlist {
 	all := b.index.ring(ringKey{group: query.Group, role: query.Role})
-	if len(all.members) <= b.settings.Shortlist.ScanLimit {
-		states := b.eligibleWorkers(now, query)
-		return shortlist{states: states, preferred: preferredWorker(query, states)}
+	if len(all.members) > b.settings.Shortlist.ScanLimit {
+		// A sample of a large role may hold none of the workers that are eligible.
+		if sample := b.sampleRole(now, query, all); len(sample.states) > 0 || query.Eligible == nil {
+			return sample
+		}
 	}
-	return b.sampleRole(now, query, all)
+	states := b.eligibleWorkers(now, query)
+	return shortlist{states: states, preferred: preferredWorker(query, states)}
 }
 
 // sampleRole returns some workers of a large role: those with segments of the prompt cached, those that follow its
@@ -80,6 +83,10 @@
 	if query.Concentrate && len(zoneAffinity) > 0 {
 		result.preferred = preferredWorker(query, zoneAffinity)
 	}
+	if result.preferred == nil && len(result.states) > 0 {
+		// No worker near the key is available, or eligible.
+		result.preferred = preferredWorker(query, result.states)
+	}
 	return result
 }
 
@@ -117,7 +124,7 @@
 // add records a worker that can accept the request, and reports whether it is also healthy.
 func (c *candidateCollector) add(state *workerState) bool {
 	switch {
-	case !state.acceptsNow(c.now) || slices.Contains(c.query.Excluded, state.worker.ID):
+	case !state.acceptsNow(c.now) || !c.query.allows(state.worker):
 		return false
 	case state.health.ejected(c.now):
 		if !slices.Contains(c.ejected, state) {
--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -180,7 +180,7 @@
 func (b *Balancer) suspectTargets(query Query, live map[string]*workerState, capacity int) []*workerState {
 	var workers []*workerState
 	for _, address := range b.suspectOrder(query, live)[:min(capacity, len(live))] {
-		if !slices.Contains(query.Excluded, live[address].worker.ID) {
+		if query.allows(live[address].worker) {
 			workers = append(workers, live[address])
 		}
 	}
@@ -255,7 +255,7 @@
 func (b *Balancer) SuspectExhausted(now time.Time, query Query) bool {
 	live, missingSince := b.liveAndMissing(now, query)
 	capacity := min(b.suspectCapacity(len(live), len(missingSince)), len(live))
-	if capacity <= 0 || len(query.Excluded) == 0 {
+	if capacity <= 0 || (len(query.Excluded) == 0 && query.Eligible == nil) {
 		return false
 	}
 	return len(b.suspectTargets(query, live, capacity)) == 0
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -70,7 +70,7 @@
 		best, yielding = d.orderedPlans(prompt, options)
 	}
 	outlook := d.outlookOf(prompt, best, yielding)
-	outlook.SlotFree = func() bool { return d.hasFreeSlot(prompt.group.Name, options.Excluded) }
+	outlook.SlotFree = func() bool { return d.hasFreeSlot(prompt.group.Name, options) }
 	// Requests that are refused are demand, too.
 	d.countPromptDemand(prompt, yielding, options)
 	switch decision := d.admission.Decide(d.now(), options.Admission, outlook).(type) {
@@ -125,10 +125,11 @@
 	return outlook
 }
 
-// hasFreeSlot reports whether a decode engine that is not excluded has a slot for which no request waits. The mutex is held.
-func (d *Dispatcher) hasFreeSlot(group string, excluded []string) bool {
+// hasFreeSlot reports whether a decode engine that the options allow has a slot for which no request waits. The mutex is held.
+func (d *Dispatcher) hasFreeSlot(group string, options PlaceOptions) bool {
 	for worker, status := range d.balancer.WorkerStatuses(d.now(), group) {
-		if worker.Role == backend.RoleDecode && status.Usable && status.Load.Decoding()+status.Load.Waiting < worker.Slots && !slices.Contains(excluded, worker.ID) {
+		isFree := worker.Role == backend.RoleDecode && status.Usable && status.Load.Decoding()+status.Load.Waiting < worker.Slots
+		if isFree && !slices.Contains(options.Excluded, worker.ID) && isOfVersion(worker, options.Version) {
 			return true
 		}
 	}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -251,6 +251,11 @@
 	}
 }
 
+// failed returns the workers at which the request failed without being refused.
+func (a *attempts) failed() []string {
+	return slices.DeleteFunc(slices.Clone(a.excluded), func(worker string) bool { return slices.Contains(a.refused, worker) })
+}
+
 // reincludeRefused makes all workers that refused the request eligible again.
 func (a *attempts) reincludeRefused() {
 	a.excluded = slices.DeleteFunc(a.excluded, func(worker string) bool { return slices.Contains(a.refused, worker) })
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -11,6 +11,7 @@
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/standstill"
+	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // call is one request in progress.
@@ -26,6 +27,8 @@
 	relay    relay
 	// newTruncationEvent returns the event that ends a truncated stream; nil if the protocol has none.
 	newTruncationEvent func(Reason) []byte
+	// stream is the software version that began the stream; zero while it has not begun.
+	stream streamversion.Finding
 	// prefills counts prefill calls that an engine accepted.
 	prefills int
 	// prefillFailures counts failed prefill calls.
@@ -66,6 +69,9 @@
 		}
 		options := c.placeOptions(status)
 		placement, found := c.handler.dispatcher.Place(c.request, c.match.Group, options)
+		if !found && !c.handler.dispatcher.hasVersion(c.match.Group, options.Version, c.attempts.failed()) {
+			return c.endWithoutVersion()
+		}
 		if !found && options.SuspectKey == "" {
 			if c.awaitWorker(ctx) {
 				continue
@@ -73,7 +79,7 @@
 			return c.giveUp(failureRefused, c.attempts.final())
 		}
 		if !found {
-			if isDone, action := c.awaitTurn(ctx, options.SuspectKey); isDone {
+			if isDone, action := c.awaitTurn(ctx, options); isDone {
 				return action
 			}
 			continue
@@ -101,7 +107,7 @@
 
 // placeOptions returns the placement constraints for the next attempt. Suspect requests are kept on separate workers.
 func (c *call) placeOptions(status poison.Status) PlaceOptions {
-	options := PlaceOptions{Excluded: c.attempts.excluded, Colocated: c.decideColocation()}
+	options := PlaceOptions{Excluded: c.attempts.excluded, Version: c.boundVersion(), Colocated: c.decideColocation()}
 	if status == poison.Suspected {
 		options.SuspectKey = c.guarded.requestDigest().String()
 	}
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -12,6 +12,7 @@
 	"github.com/granitebay/granitebay/internal/migration"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // Continuation says from what an attempt continues a response that another worker began.
@@ -67,11 +68,12 @@
 	if !c.copyable() || !c.guarded.hasStatus(poison.Clear, poison.Excused) {
 		return nil
 	}
-	return c.handler.dispatcher.keepCopy(c.request, c.match, c.migrationRun(runner.Worker, nil))
+	return c.handler.dispatcher.keepCopy(c.request, c.match, c.migrationRun(runner.Worker, nil), versionOf(runner.Worker))
 }
 
-// keepCopy decides whether a run gets a copy, and picks the engine that keeps it. It returns nil for none.
-func (d *Dispatcher) keepCopy(request *Request, match routing.Match, run migration.Run) *runCopy {
+// keepCopy decides whether a run at a worker of a version gets a copy, and picks the engine of that version that keeps it. It returns nil for
+// none.
+func (d *Dispatcher) keepCopy(request *Request, match routing.Match, run migration.Run, version streamversion.Version) *runCopy {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.now()
@@ -81,7 +83,9 @@
 	if !wanted {
 		return nil
 	}
-	query := balance.Query{Request: request.ID, Group: match.Group.Name, Role: backend.RoleDecode, Excluded: []string{run.Engine}}
+	query := balance.Query{
+		Request: request.ID, Group: match.Group.Name, Role: backend.RoleDecode, Excluded: []string{run.Engine}, Eligible: ofVersion(&version),
+	}
 	backup, found := d.balancer.Backup(now, query, func(zone string) bool { return (zone == run.Zone) != held.OtherZone })
 	if !found {
 		d.migration.Release(held)
@@ -208,7 +212,7 @@
 	run := c.migrationRun(worker, c.usableCopy(held))
 	means := migration.Means{Retry: true}
 	if held == nil {
-		means.Elsewhere = dispatcher.hasAlternative(c.request, c.match.Group, append(slices.Clone(c.attempts.excluded), worker.ID))
+		means.Elsewhere = dispatcher.hasAlternative(c.request, c.match.Group, c.boundVersion(), append(slices.Clone(c.attempts.excluded), worker.ID))
 	}
 	decision := dispatcher.decideOnStall(run, means)
 	if _, keeps := decision.(migration.Keep); !keeps && !c.takeRetry() {
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/granitebay/granitebay/internal/prefixcache"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/streamversion"
 	"github.com/granitebay/granitebay/internal/warmup"
 )
 
@@ -194,13 +195,12 @@
 	Exhausted bool
 }
 
-// suspectTurn returns when a suspect request may run that was already tried at the excluded workers.
-func (d *Dispatcher) suspectTurn(group *routing.Group, suspectKey string, excluded []string) suspectTurn {
+// suspectTurn returns when a suspect request may run under the options of its placement.
+func (d *Dispatcher) suspectTurn(group *routing.Group, options PlaceOptions) suspectTurn {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	query := balance.Query{Group: group.Name, Role: backend.RoleDecode, SuspectKey: suspectKey, Excluded: excluded}
-	if group.Engine == nil {
-		query.Role = backend.RoleNone
+	query := balance.Query{
+		Group: group.Name, Role: runnerRole(group), SuspectKey: options.SuspectKey, Excluded: options.Excluded, Eligible: ofVersion(options.Version),
 	}
 	now := d.now()
 	wait := d.balancer.SuspectWait(now, query)
@@ -238,6 +238,8 @@
 	objective time.Duration
 	// suspectKey spreads suspect requests over workers; empty for other requests.
 	suspectKey string
+	// version restricts the engines that decode a prompt which this engine prefills; nil allows all.
+	version *streamversion.Version
 	// urgency orders the queue of the decode engine. queued is what the request is counted for at the queue of the worker; zero if it is not.
 	urgency   int
 	queued    admission.Work
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -8,6 +8,7 @@
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/peersync"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // Placement holds the worker of the next call for a request. The runner is the worker that runs the request; in a group of engines, it is
@@ -32,6 +33,8 @@
 type PlaceOptions struct {
 	// Excluded workers are not used.
 	Excluded []string
+	// Version restricts the workers that run the request to those of a software version; nil allows all.
+	Version *streamversion.Version
 	// Colocated makes the runner prefill the prompt itself.
 	Colocated bool
 	// SuspectKey is set for suspect requests. They are spread over workers by this key.
@@ -83,13 +86,13 @@
 	d.onPlacement = onPlacement
 }
 
-// hasAlternative reports whether a worker other than the excluded ones could run a request.
-func (d *Dispatcher) hasAlternative(request *Request, group *routing.Group, excluded []string) bool {
+// hasAlternative reports whether a worker of a version, nil for any, other than the excluded ones could run a request.
+func (d *Dispatcher) hasAlternative(request *Request, group *routing.Group, version *streamversion.Version, excluded []string) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	query := balance.Query{Request: request.ID, Group: group.Name, Role: backend.RoleDecode, Zone: d.settings.Zone, Excluded: excluded, Concentrate: true}
-	if group.Engine == nil {
-		query.Role = backend.RoleNone
+	query := balance.Query{
+		Request: request.ID, Group: group.Name, Role: runnerRole(group), Zone: d.settings.Zone, Excluded: excluded, Eligible: ofVersion(version),
+		Concentrate: true,
 	}
 	// Preferred returns nil if no worker is left.
 	return d.balancer.Preferred(d.now(), query) != nil
@@ -99,7 +102,7 @@
 func (d *Dispatcher) placePlain(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	choice, found := d.balancer.Pick(d.now(), balance.Query{
 		Request: request.ID, Group: group.Name, Role: backend.RoleNone, Zone: d.settings.Zone, Excluded: options.Excluded,
-		SuspectKey: options.SuspectKey, Concentrate: true,
+		SuspectKey: options.SuspectKey, Eligible: ofVersion(options.Version), Concentrate: true,
 	})
 	if !found {
 		return nil, false
@@ -136,7 +139,7 @@
 // too late yields to those that are on time.
 func (d *Dispatcher) placeOnEngines(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	prompt := d.newPromptContext(request, group)
-	prompt.suspectKey = options.SuspectKey
+	prompt.suspectKey, prompt.version = options.SuspectKey, options.Version
 	prompt.wanted = d.newWantedResponse(request, group, options)
 	if d.admission.Controls(group.Name) {
 		return d.placeAdmitted(prompt, options)
@@ -193,6 +196,7 @@
 	// A load without tokens would count as a request that decodes or waits to decode, but this engine only prefills it.
 	placement.Prefill = d.assign(choice, max(tokens, 1), prompt.deferred, objective)
 	placement.Prefill.suspectKey, placement.Prefill.wanted, placement.Prefill.urgency = prompt.suspectKey, prompt.wanted, start.Urgency
+	placement.Prefill.version = prompt.version
 	d.enterQueue(placement.Prefill, admission.Work{
 		Queue: admission.QueuePrefills, Urgency: placement.prefillUrgency(), Amount: placement.Prefill.load.PrefillTokens + placement.Prefill.load.DeferredTokens,
 	})
@@ -205,7 +209,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	prompt := d.newPromptContext(request, group)
-	prompt.suspectKey, prompt.prefilled, prompt.wanted = prefill.suspectKey, true, prefill.wanted
+	prompt.suspectKey, prompt.version, prompt.prefilled, prompt.wanted = prefill.suspectKey, prefill.version, true, prefill.wanted
 	prompt.slotOrder = d.admission.OrderOf(d.now(), group.Name, admission.QueueSlots, prefill.urgency)
 	choice, found := d.pickRunner(prompt, excluded, prefill.Worker)
 	if !found {
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -11,6 +11,7 @@
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/enginemodel"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // promptContext holds what is needed to place one prompt.
@@ -25,6 +26,8 @@
 	// arrival. behindWaiting is set if it waits for a slot behind the deferred ones.
 	slotOrder, prefillOrder admission.Order
 	behindWaiting           bool
+	// version restricts the decode engines to those of a software version; nil allows all. The prompt may be prefilled at another version.
+	version *streamversion.Version
 	// suspectKey spreads suspect requests over workers; empty for other requests.
 	suspectKey string
 	// prefilled is set once the prompt has been prefilled.
@@ -69,15 +72,16 @@
 
 // query returns a query for an engine of a role.
 func (p *promptContext) query(role backend.Role, zone string, excluded []string) balance.Query {
-	order := p.slotOrder
+	order, eligible := p.slotOrder, ofVersion(p.version)
 	if role == backend.RolePrefill {
-		order = p.prefillOrder
+		order, eligible = p.prefillOrder, nil
 	}
 	return balance.Query{
 		Response: p.wanted.forModel(p.dispatcher.now()),
 		Request:  p.request.ID, Group: p.group.Name, Role: role, Key: p.shared.affinityKey, Zone: zone, Excluded: excluded,
 		YieldingShare: order.YieldingShare, UrgentLoad: order.UrgentLoad, BehindWaiting: p.behindWaiting,
 		Deferred: p.deferred, SuspectKey: p.suspectKey, Prefilled: p.prefilled, Holders: p.holderIDs, Concentrate: len(p.shared.segments) == 0,
+		Eligible: eligible,
 	}
 }
 
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -28,7 +28,7 @@
 			// The patience began anew after a standstill.
 			return false
 		}
-		if !c.handler.dispatcher.hasAlternative(c.request, c.match.Group, append(slices.Clone(c.attempts.excluded), worker)) {
+		if !c.handler.dispatcher.hasAlternative(c.request, c.match.Group, c.boundVersion(), append(slices.Clone(c.attempts.excluded), worker)) {
 			return false
 		}
 		if !c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry() {
--- a/internal/forward/streamversion_test.go
+++ b/internal/forward/streamversion_test.go
@@ -9,9 +9,6 @@
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
-// reasonVersionGone is the reason of a stream that ends because no worker of its software version is left.
-const reasonVersionGone Reason = "no worker of the software version that began the stream is left"
-
 // setDecoders replaces the decode engines by one for each version. The addresses depend on the seed, so that different engines are preferred.
 func (f *fixture) setDecoders(seed int, versions ...string) {
 	changes := backend.Changes{}
@@ -104,7 +101,7 @@
 		t.Errorf("the caller learned it after %v of %v", took, timeout)
 	}
 	f.server.Close()
-	if reason := f.reports.last.Reason; reason != reasonVersionGone {
+	if reason := f.reports.last.Reason; reason != ReasonVersionGone {
 		t.Errorf("the reason is %q", reason)
 	}
 }
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -19,8 +19,8 @@
 // awaitTurn waits one poll interval for a suspect request's turn. It ends the request if it was tried at all workers at which it may run,
 // or if a crashed worker would have to be replaced first and the request has not run or is the exclusive copy. It reports whether the
 // request is done.
-func (c *call) awaitTurn(ctx context.Context, suspectKey string) (bool, connAction) {
-	turn := c.handler.dispatcher.suspectTurn(c.match.Group, suspectKey, c.attempts.excluded)
+func (c *call) awaitTurn(ctx context.Context, options PlaceOptions) (bool, connAction) {
+	turn := c.handler.dispatcher.suspectTurn(c.match.Group, options)
 	if turn.Exhausted {
 		return true, c.giveUp(failureRefused, c.attempts.final())
 	}
--- a/internal/gateway/streammetrics.go
+++ b/internal/gateway/streammetrics.go
@@ -41,7 +41,7 @@
 // writeWorkerVersions writes the number of workers of each group and version.
 func writeWorkerVersions(w io.Writer, counts map[streamversion.Version]int) {
 	for version, count := range counts {
-		metrics.WriteGaugeUint64(w, fmt.Sprintf(`%s{group=%q,version=%q}`, metricWorkersByVersion, version.Group, version.Software), uint64(count))
+		metrics.WriteGaugeUint64(w, fmt.Sprintf(`%s{group=%q,version=%q}`, metricWorkersByVersion, version.Service, version.Software), uint64(count))
 	}
 }
 
--- a/internal/streamversion/version.go
+++ b/internal/streamversion/version.go
@@ -6,9 +6,10 @@
 
 import "time"
 
-// Version is a group of workers and the version of their software.
+// Version is the service of workers and the version of their software.
 type Version struct {
-	Group string
+	// Service is the group that the workers registered for.
+	Service string
 	// Software is the version as the workers registered it; empty if they named none.
 	Software string
 }
