Balance: suspects of a version find a worker of it

Cause: a request under which an engine has ended may run at the first workers of the role only, as many as the role can lose. If none of these is of the stream's version, no worker was left, and the stream ended at once.

Change: if none of these workers is eligible, the first eligible one takes their place. Each version adds at most one worker to those at risk, instead of a set of its own (TestSuspectsFindEligibleWorkers).

--- a/internal/balance/eligible_test.go
+++ b/internal/balance/eligible_test.go
@@ -40,3 +40,35 @@
 		})
 	}
 }
+
+// TestSuspectsFindEligibleWorkers guards against suspects that are refused because all workers which the role can lose are of another kind, and
+// against kinds of workers that multiply the number of those at risk.
+func TestSuspectsFindEligibleWorkers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(DefaultSettings(), enginemodel.New(), nil)
+	set := decodeFleet(12)
+	b.SetWorkers(set)
+	atRisk := map[string]bool{}
+	for kind := range 4 {
+		isOfKind := func(worker *backend.Worker) bool { return worker.ID[len(worker.ID)-1]%4 == byte(kind) }
+		for i := range 40 {
+			query := Query{
+				Request: fmt.Sprint("r", i), SuspectKey: fmt.Sprint("k", i), Group: "g", Role: backend.RoleDecode, Eligible: isOfKind,
+			}
+			choice, found := b.Pick(now, query)
+			if !found || !isOfKind(choice.Worker) {
+				t.Fatalf("kind %d: picked %v, %t", kind, choice.Worker, found)
+			}
+			atRisk[choice.Worker.ID] = true
+		}
+	}
+	for i := range 40 {
+		if choice, found := b.Pick(now, Query{Request: fmt.Sprint("r", i), SuspectKey: fmt.Sprint("k", i), Group: "g", Role: backend.RoleDecode}); found {
+			atRisk[choice.Worker.ID] = true
+		}
+	}
+	// Three of twelve may be lost, and each kind but those of the three adds one.
+	if len(atRisk) > 3+3 {
+		t.Errorf("%d workers are at risk: %v", len(atRisk), atRisk)
+	}
+}
--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -176,11 +176,21 @@
 }
 
 // suspectTargets returns the live workers that may serve the suspect, at most capacity. Workers where it has been
-// tried are left out, and no others take their place.
+// tried are left out, and no others take their place. If none of them is eligible for the query, the first one that is
+// takes their place, so that each kind of worker adds at most one to those that suspects put at risk.
 func (b *Balancer) suspectTargets(query Query, live map[string]*workerState, capacity int) []*workerState {
 	var workers []*workerState
-	for _, address := range b.suspectOrder(query, live)[:min(capacity, len(live))] {
-		if query.allows(live[address].worker) {
+	hasEligible := false
+	for i, address := range b.suspectOrder(query, live) {
+		if i >= capacity && (hasEligible || query.Eligible == nil) {
+			break
+		}
+		worker := live[address].worker
+		if query.Eligible != nil && !query.Eligible(worker) {
+			continue
+		}
+		hasEligible = true
+		if !slices.Contains(query.Excluded, worker.ID) {
 			workers = append(workers, live[address])
 		}
 	}
