Streams: a worker whose id is used again is asked before a stream goes on there

Callers could see: events of two versions in a stream that goes on at a worker which was started again under its id with other software, as long as its record still shows the version before (a store that is down or slow). The id that a request names is that of the record, which both have, so the worker takes the request.

Change: before a stream that is bound to a version is sent to a worker whose incarnation isn't told by its id, the gateway asks for its report, which names the start. Another incarnation, or no answer within 250 ms, counts as a worker at which nothing was sent. Only continuations and resumptions ask, and only on sites whose workers use ids again.

Still open: a stream that begins at such a worker is taken for the version of the stale record.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -156,6 +156,11 @@
 	if prompt == nil {
 		record.Score, record.Candidates = runner.Score, runner.Candidates
 	}
+	if failure := c.confirmVersion(ctx, runner); failure != failureNone {
+		c.releasePrompt(prompt)
+		c.recordAttempt(record, "confirm: ", failure)
+		return record.Worker, failure
+	}
 	held := c.keepCopy(runner)
 	if held != nil {
 		record.Backup = held.engine.ID
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/tenant"
@@ -64,6 +65,7 @@
 	closerOf             func(ctx context.Context) Closer
 	exclusive            exclusiveRuns
 	streams              StreamVersions
+	confirm              func(ctx context.Context, worker *backend.Worker) error
 
 	table            atomic.Pointer[routing.Table]
 	closeConnections atomic.Bool
@@ -93,6 +95,13 @@
 // be called before the first request.
 func (h *Handler) SetStreamVersions(streams StreamVersions) { h.streams = streams }
 
+// SetConfirmation sets the function that asks a worker whether it still is the incarnation that its record describes. The error is a
+// *ReplacedError if it is another one. Streams that are bound to a software version ask workers whose ids are used again. It must be called
+// before the first request.
+func (h *Handler) SetConfirmation(confirm func(ctx context.Context, worker *backend.Worker) error) {
+	h.confirm = confirm
+}
+
 // OnTenantStart sets a callback for each request of a tenant that starts running. It must be called before the first request.
 func (h *Handler) OnTenantStart(onStart func(tenant string)) { h.onTenantStart = onStart }
 
--- a/internal/forward/streamversion.go
+++ b/internal/forward/streamversion.go
@@ -4,8 +4,12 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/streamversion"
 )
@@ -106,6 +110,42 @@
 	return &c.stream.Version
 }
 
+// ReplacedError reports that another incarnation of a worker, of unknown version, runs at its address under its id.
+type ReplacedError struct {
+	// Peer is the address of the worker.
+	Peer string
+}
+
+// Error implements error.
+func (r *ReplacedError) Error() string {
+	return "confirm, peer " + r.Peer + ": the worker was started again"
+}
+
+// confirmTimeout bounds the question whether a worker is still the same incarnation.
+const confirmTimeout = 250 * time.Millisecond
+
+// confirmVersion asks the worker of a stream that is bound to a version whether it is still the incarnation of that version. Workers that don't
+// use their ids again check the id of each request themselves. If the worker is not confirmed, the assignment is finished.
+func (c *call) confirmVersion(ctx context.Context, runner *Assignment) failureKind {
+	if c.handler.confirm == nil || !c.stream.IsKnown() || runner.Worker.ID == runner.Worker.RecordName() {
+		return failureNone
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	err := c.handler.confirm(ctx, runner.Worker)
+	if err == nil {
+		return failureNone
+	}
+	c.report.Err = err
+	failure := failureUnreachable
+	if replaced := new(ReplacedError); errors.As(err, &replaced) {
+		failure = failureMisdirected
+	}
+	// The request was not sent, so this says nothing about how the worker serves.
+	runner.finish(balance.OutcomeNone)
+	return failure
+}
+
 // endWithoutVersion ends a stream that no worker can continue, because none of its software version is left. Waiting would not help: workers
 // of an earlier version seldom come back.
 func (c *call) endWithoutVersion() connAction {
--- a/internal/forward/streamversion_test.go
+++ b/internal/forward/streamversion_test.go
@@ -240,3 +240,48 @@
 }
 
 func (w *firstWriteObserver) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// TestBoundStreamAsksReusedIDs guards against a stream that goes on at a worker which was started again under its id, as another software
+// version, before its record shows it, and against questions where the id of a request already tells the incarnation.
+func TestBoundStreamAsksReusedIDs(t *testing.T) {
+	for _, c := range []struct {
+		desc      string
+		record    string
+		confirm   error
+		wantAsked bool
+		wantWhole bool
+	}{
+		{"the same incarnation", "reused", nil, true, true},
+		{"another incarnation", "reused", &ReplacedError{Peer: "w"}, true, false},
+		{"no answer", "reused", io.ErrUnexpectedEOF, true, false},
+		{"ids are not used again", "", &ReplacedError{Peer: "w"}, false, true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			f := newContinuationFixture(t, true, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}})
+			f.setDecoders(0, "a", "a", "b")
+			for _, id := range []string{"engine-0-0", "engine-0-1", "engine-0-2"} {
+				worker, _ := f.handler.dispatcher.balancer.Worker(id)
+				reused := *worker
+				reused.Record = c.record
+				f.handler.dispatcher.ChangeWorkers(backend.Changes{Updated: []*backend.Worker{&reused}})
+			}
+			var asked []string
+			f.handler.SetConfirmation(func(_ context.Context, worker *backend.Worker) error {
+				asked = append(asked, worker.ID)
+				return c.confirm
+			})
+			_, body, err := f.get(t)
+			f.server.Close()
+			ranAt := f.workers.ranAt
+			if f.versionsRun()[0] == "b" {
+				t.Fatal("the stream began at the version with one engine, so the test checks nothing")
+			}
+			if whole := err == nil && body == events(0, 8); whole != c.wantWhole || (len(ranAt) == 2) != c.wantWhole {
+				t.Errorf("got %q, %v, ran at %v", body, err, ranAt)
+			}
+			if isAsked := len(asked) > 0; isAsked != c.wantAsked || (isAsked && asked[0] == ranAt[0]) {
+				t.Errorf("asked %v, ran at %v", asked, ranAt)
+			}
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,6 +173,9 @@
 	g.handler.SetCloserFunc(callers.CloserOf)
 	g.streams = newStreamVersions(g)
 	g.handler.SetStreamVersions(g.streams)
+	if dependencies.Orderer != nil {
+		g.handler.SetConfirmation(g.confirmWorker)
+	}
 	g.callers = callers.NewServer(callers.CancelOnDisconnect(g.handler), &g.utilization.traffic, g.metrics, logging.Component(logger, "gateway"))
 	g.barSyncer = newBarSyncer(g, dependencies.Prober)
 	g.handler.SetGuard(g.barSyncer.guard)
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -6,13 +6,16 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/boottime"
+	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/peersync"
 	"github.com/granitebay/granitebay/internal/rendezvous"
+	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/streamversion"
 	"github.com/granitebay/granitebay/internal/versionsync"
 )
@@ -298,3 +301,12 @@
 		s.share(records)
 	}
 }
+
+// confirmWorker asks a worker whether it still is the incarnation that its record describes.
+func (g *Gateway) confirmWorker(ctx context.Context, worker *backend.Worker) error {
+	_, err := g.dependencies.Orderer.Inspect(ctx, worker)
+	if errors.Is(err, roles.ErrWorkerReplaced) {
+		return &forward.ReplacedError{Peer: worker.Address}
+	}
+	return err
+}
