Completions: a caller names the request that began the stream it takes up

The interface had Last-Event-Id without a name for the attempt that began, so a stream could be taken up only while one software version served.

--- a/internal/completions/completions.go
+++ b/internal/completions/completions.go
@@ -38,6 +38,8 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderLastEvent is the ID of the last event that the caller of a repeatable stream has received.
 	HeaderLastEvent = "Last-Event-Id"
+	// HeaderResumes is the ID of the request that brought the first event of the stream that HeaderLastEvent continues.
+	HeaderResumes = "X-Granitebay-Resumes"
 )
 
 // DefaultMaxTokens is the limit on the length of a response if the request sets none.
@@ -117,6 +119,7 @@
 		Header:        http.Header{"Content-Type": {"application/json"}},
 		CallerTimeout: deadline,
 		ResumeAfter:   r.Header.Get(HeaderLastEvent),
+		Resumes:       r.Header.Get(HeaderResumes),
 		RunOnce:       !repeatable,
 		Tenant:        r.Header.Get(HeaderTenant),
 	}
--- a/internal/completions/completions_test.go
+++ b/internal/completions/completions_test.go
@@ -103,3 +103,14 @@
 		}
 	}
 }
+
+// TestResumptionNamesItsFirstRequest guards against a stream whose version can't be found because the name of the request that began it is lost.
+func TestResumptionNamesItsFirstRequest(t *testing.T) {
+	r := httptest.NewRequest(http.MethodPost, Path, nil)
+	r.Header.Set(HeaderLastEvent, "7")
+	r.Header.Set(HeaderResumes, "first")
+	request, err := Protocol{}.Read(r)
+	if err != nil || request.ResumeAfter != "7" || request.Resumes != "first" {
+		t.Errorf("got %+v, %v", request, err)
+	}
+}
