Requests: a prefill engine is given up as silent only if another attempt can follow

Callers got 503 "no worker takes the request now", or 502, some 0.2 s after they came, with most of their time left, although the engine that was reading their prompt was about to answer: beside load all engines answer late, the repeats of the group are used up soon, and each further prompt that was late was given up with nothing to follow.

Cause: the limit on the silence of an engine that prefills a prompt looked neither at the budget of repeats nor at the limit of workers tried nor at the time that a new attempt needs. For the worker that runs the request all three are looked at.

Fix: both limits follow the same conditions; the repeat is taken from the budget before the engine is given up.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -281,6 +281,11 @@
 	return a.reached+1 < maxReachedWorkers && a.repeatable() && a.possibleRuns+1 < a.rule.MaxAttempts
 }
 
+// allowsAfterPrefill reports whether the limits and the rule allow another attempt after a prefill call that is in progress.
+func (a *attempts) allowsAfterPrefill() bool {
+	return a.reached+1 < maxReachedWorkers && a.allowsAnother()
+}
+
 // repeatable reports whether the request may run more than once.
 func (a *attempts) repeatable() bool { return a.rule.Repeatable() && !a.runOnce }
 
--- a/internal/forward/lastattempt_test.go
+++ b/internal/forward/lastattempt_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
@@ -51,6 +52,57 @@
 	}
 }
 
+// TestLastPrefillIsNotAbandoned guards against giving up an engine that prefills slowly when no further attempt can follow: its caller is
+// refused, although the prompt is prefilled on time. If another attempt can follow, the engine is given up.
+func TestLastPrefillIsNotAbandoned(t *testing.T) {
+	const timeout = 3 * time.Second
+	minRemaining := DefaultSettings().MinRemaining
+	for _, c := range []struct {
+		desc         string
+		retries      float64
+		reached      int
+		minRemaining time.Duration
+		wantGivenUp  bool
+	}{
+		{desc: "another attempt can follow", retries: 10, minRemaining: minRemaining, wantGivenUp: true},
+		{desc: "no retry in the budget", minRemaining: minRemaining},
+		{desc: "the limit of workers tried", retries: 10, reached: maxReachedWorkers - 1, minRemaining: minRemaining},
+		{desc: "too little time left", retries: 10, minRemaining: timeout},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			workers := &fakeWorkers{prefill: func(ctx context.Context, _ int, worker *backend.Worker) (*PrefilledPrompt, error) {
+				select {
+				case <-time.After(prefillHold):
+					return &PrefilledPrompt{Engine: worker, Handle: "h"}, nil
+				case <-ctx.Done():
+					_, err := awaitCancel(ctx)
+					return nil, err
+				}
+			}}
+			rule := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Objective: 100 * time.Millisecond}
+			f := newFixture(t, fixtureOptions{rule: rule, engine: true, allowance: c.retries}, workers)
+			f.handler.settings.MinRemaining = c.minRemaining
+			configuration := f.handler.Table().Configuration()
+			call := &call{
+				handler: f.handler, request: &Request{ID: "r", Demand: backend.Demand{PromptTokens: 4_000}}, deadline: time.Now().Add(timeout),
+				match: routing.Match{Rule: &configuration.Rules[0], Group: &configuration.Groups[0]}, report: &Report{Arrived: time.Now()}, guarded: &guardedRequest{},
+			}
+			call.attempts.rule, call.attempts.reached = call.match.Rule, c.reached
+			placement, found := f.handler.dispatcher.Place(call.request, call.match.Group, call.placeOptions(poison.Clear))
+			if !found || placement.Prefill == nil {
+				t.Fatalf("got the placement %+v, want one with a prefill engine", placement)
+			}
+			want := failureNone
+			if c.wantGivenUp {
+				want = failureSilent
+			}
+			if _, failure := call.prefill(t.Context(), placement); failure != want {
+				t.Errorf("prefill failed as %q, want %q", failure, want)
+			}
+		})
+	}
+}
+
 // TestWorkerIsNotAbandonedTooLate guards against giving up a silent worker when the patience with it ends so late, after a standstill of the
 // process, that no time is left for another one.
 func TestWorkerIsNotAbandonedTooLate(t *testing.T) {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -16,8 +16,8 @@
 	isEnded := false
 	defer engine.finishUnless(&isEnded)
 	arrivals := &httpclient.Arrivals{}
-	if !engine.deferred {
-		patience := httpclient.NewPatience(engine.responseTimeout(), arrivals, func() { cancel(errSilent) })
+	if timeout := c.prefillTimeout(engine); timeout > 0 {
+		patience := httpclient.NewPatience(timeout, arrivals, func() { c.abandonSilent(&responseGate{}, cancel, engine.Worker.ID) })
 		defer patience.Stop()
 	}
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -10,11 +10,25 @@
 // responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit, because no other
 // attempt can follow.
 func (c *call) responseTimeout(runner *Assignment) time.Duration {
-	if runner.deferred || c.relay.started || !c.attempts.allowsAfterRun() {
+	if c.relay.started || !c.attempts.allowsAfterRun() {
 		return 0
 	}
-	timeout := runner.responseTimeout()
-	if time.Until(c.deadline)-timeout < c.handler.settings.MinRemaining {
+	return c.timeoutWithin(runner)
+}
+
+// prefillTimeout returns how long to wait for a prefilled prompt before trying another engine; zero means no limit, because no other attempt
+// can follow.
+func (c *call) prefillTimeout(engine *Assignment) time.Duration {
+	if !c.attempts.allowsAfterPrefill() {
+		return 0
+	}
+	return c.timeoutWithin(engine)
+}
+
+// timeoutWithin returns the response timeout of a worker, or zero if it has none or too little time would be left for another worker.
+func (c *call) timeoutWithin(worker *Assignment) time.Duration {
+	timeout := worker.responseTimeout()
+	if worker.deferred || time.Until(c.deadline)-timeout < c.handler.settings.MinRemaining {
 		return 0
 	}
 	return timeout
