Relays: other gateways that are silent for a moment confirm nothing

Callers got 503 "a role is gone: no engine writes answers now" at all gateways, and "no worker takes the request now" at a cut-off one, while all engines ran and two of three gateways reached them.

Cause: the gateways that are asked for relays were those known to be alive. When none had been heard for 0.9 s, beside load or after a standstill, there was nobody to ask, and a refused connection counted as confirmed, as in a system with one gateway. A cut-off gateway so took all engines for ended and told the others, which believed it.

Fix: if no other entry is known to be alive, the registered ones are asked. They answer if they run, so callers are served, too; without an answer nobody can tell, and nothing is believed or sent.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -10,6 +10,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/relay"
 )
 
@@ -63,10 +64,21 @@
 	return siblings
 }
 
-// Relays implements relay.Source. Only entries relay: a standby gateway knows a part of the workers.
+// Relays implements relay.Source. Only entries relay: a standby gateway knows a part of the workers. If no other entry is known to be alive, the
+// registered ones are returned: this gateway may not have heard them because of a standstill, and without any its own view of the workers would
+// count.
 func (s relaySource) Relays() []relay.Peer {
+	peers := s.peersAmong(s.gateway.advertised())
+	if len(peers) == 0 {
+		return s.peersAmong(s.gateway.view.RegisteredEntries())
+	}
+	return peers
+}
+
+// peersAmong returns the other gateways among some that serve requests of gateways.
+func (s relaySource) peersAmong(entries []member.Gateway) []relay.Peer {
 	var peers []relay.Peer
-	for _, entry := range s.gateway.advertised() {
+	for _, entry := range entries {
 		if entry.Name != s.gateway.settings.Name && entry.ControlAddress != "" {
 			peers = append(peers, relay.Peer{Name: entry.Name, Zone: entry.Zone, Address: entry.ControlAddress})
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,7 +66,8 @@
 	WorkerAddresses() []string
 	// Siblings returns the addresses of some other workers of the same group, in random order, at most count.
 	Siblings(address string, count int) []string
-	// Relays returns the gateways that serve requests and are known to be alive, without this one.
+	// Relays returns the gateways that serve requests and are known to be alive, without this one. If there are none, it returns those that
+	// should be alive: only a gateway without others takes its own view for the state of the workers.
 	Relays() []Peer
 }
 
