Relays: gateways that are not heard are asked last

A cut-off gateway refused all callers ("no other gateway could confirm") while a gateway that reaches all workers was running and serving, but was not heard by it for 0.9 s: it asked those alone that were heard, which were cut off, too.

Cause: the gateways known to be alive were taken for all that may relay. That others were asked when none was heard is a special case of it.

Fix: registered gateways that are not heard are candidates of last resort, and are not waited for if another gateway can tell.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -64,23 +64,22 @@
 	return siblings
 }
 
-// Relays implements relay.Source. Only entries relay: a standby gateway knows a part of the workers. If no other entry is known to be alive, the
-// registered ones are returned: this gateway may not have heard them because of a standstill, and without any its own view of the workers would
-// count.
+// Relays implements relay.Source. Only entries relay: a standby gateway knows a part of the workers. Besides those known to be alive, the
+// registered ones are returned: after a standstill, or beside load, gateways that serve are not heard for a moment.
 func (s relaySource) Relays() []relay.Peer {
-	peers := s.peersAmong(s.gateway.advertised())
-	if len(peers) == 0 {
-		return s.peersAmong(s.gateway.view.RegisteredEntries())
-	}
-	return peers
+	live := s.gateway.advertised()
+	peers := s.appendPeers(nil, live, false)
+	silent := slices.DeleteFunc(s.gateway.view.RegisteredEntries(), func(entry member.Gateway) bool {
+		return slices.ContainsFunc(live, func(other member.Gateway) bool { return other.Name == entry.Name })
+	})
+	return s.appendPeers(peers, silent, true)
 }
 
-// peersAmong returns the other gateways among some that serve requests of gateways.
-func (s relaySource) peersAmong(entries []member.Gateway) []relay.Peer {
-	var peers []relay.Peer
+// appendPeers appends the other gateways among some that serve requests of gateways.
+func (s relaySource) appendPeers(peers []relay.Peer, entries []member.Gateway, silent bool) []relay.Peer {
 	for _, entry := range entries {
 		if entry.Name != s.gateway.settings.Name && entry.ControlAddress != "" {
-			peers = append(peers, relay.Peer{Name: entry.Name, Zone: entry.Zone, Address: entry.ControlAddress})
+			peers = append(peers, relay.Peer{Name: entry.Name, Zone: entry.Zone, Address: entry.ControlAddress, Silent: silent})
 		}
 	}
 	return peers
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -169,5 +169,5 @@
 		defer d.mu.Unlock()
 		return d.paths.Trusts(address, lastUsed)
 	}
-	return d.IsLost(address) && slices.ContainsFunc(d.source().Relays(), func(peer Peer) bool { return peer.Name == relayed.peer.Name })
+	return d.IsLost(address) && slices.ContainsFunc(d.source().Relays(), func(peer Peer) bool { return peer.Name == relayed.peer.Name && !peer.Silent })
 }
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -30,7 +30,7 @@
 	// The attempts have a time of their own, so that a gateway is not taken for one that does not answer when the request ends.
 	attemptCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.ConnectTimeout)
 	defer cancel()
-	p := &poll{peers: peers, results: make(chan dialed, len(peers)), ask: func(peer Peer) (net.Conn, error) { return d.askPeer(attemptCtx, peer, worker) }}
+	p := &poll{peers: peers, results: make(chan answer, len(peers)), ask: func(peer Peer) (net.Conn, error) { return d.askPeer(attemptCtx, peer, worker) }}
 	patience := time.NewTicker(d.settings.hedgeDelay(false) / 2)
 	defer patience.Stop()
 	defer p.closeRest()
@@ -55,13 +55,20 @@
 	// peers are the gateways that have not been asked.
 	peers   []Peer
 	ask     func(peer Peer) (net.Conn, error)
-	results chan dialed
-	pending int
+	results chan answer
+	// pending counts the gateways that have been asked and have not answered, and pendingLive those of them that are not silent.
+	pending, pendingLive int
 	// connected is set once a gateway connected. refused, silent, unsupported and other count the failures.
 	connected                           bool
 	refused, silent, unsupported, other int
 }
 
+// answer is the answer of a gateway.
+type answer struct {
+	dialed
+	peer Peer
+}
+
 // askNext asks the next gateway, if there is one.
 func (p *poll) askNext() {
 	if len(p.peers) == 0 {
@@ -69,22 +76,36 @@
 	}
 	peer := p.peers[0]
 	p.peers = p.peers[1:]
-	p.pending++
+	p.countPending(peer, 1)
 	go func() {
 		conn, err := p.ask(peer)
-		p.results <- dialed{conn, err}
+		p.results <- answer{dialed{conn, err}, peer}
 	}()
 }
 
-// add records an answer. It reports whether no further one is needed: a gateway connected, or enough are refused.
-func (p *poll) add(result dialed) (conn net.Conn, done bool) {
-	p.pending--
+// countPending counts a gateway that has been asked, or one less.
+func (p *poll) countPending(peer Peer, change int) {
+	p.pending += change
+	if !peer.Silent {
+		p.pendingLive += change
+	}
+}
+
+// add records an answer. It reports whether no further one is needed: a gateway connected, enough are refused, or only silent ones are left
+// although one could tell.
+func (p *poll) add(result answer) (conn net.Conn, done bool) {
+	p.countPending(result.peer, -1)
 	if result.err == nil {
 		p.connected = true
 		return result.conn, true
 	}
 	p.count(result.err)
-	return nil, p.refused >= minRefusals
+	return nil, p.refused >= minRefusals || (p.refused+p.silent > 0 && !p.awaitsLive())
+}
+
+// awaitsLive reports whether a gateway that is not silent has not answered. Silent ones are asked last.
+func (p *poll) awaitsLive() bool {
+	return p.pendingLive > 0 || (len(p.peers) > 0 && !p.peers[0].Silent)
 }
 
 // closeRest closes the connections of attempts that are still under way.
@@ -94,7 +115,9 @@
 	}
 	go func(pending int) {
 		for range pending {
-			closeResult(p.results)
+			if late := <-p.results; late.err == nil {
+				_ = late.conn.Close()
+			}
 		}
 	}(p.pending)
 }
@@ -180,8 +203,8 @@
 	}
 }
 
-// rankedPeers returns the gateways to ask for a connection to an address: those of the own zone first, and last those that failed recently. The
-// order differs from address to address, so that all of them share the work.
+// rankedPeers returns the gateways to ask for a connection to an address: those of the own zone first, and last those that failed recently and
+// those that are silent. The order differs from address to address, so that all of them share the work.
 func (d *Dialer) rankedPeers(address string) []Peer {
 	peers := slices.Clone(d.source().Relays())
 	d.mu.Lock()
@@ -189,6 +212,8 @@
 	now := time.Now()
 	rank := func(peer Peer) int {
 		switch {
+		case peer.Silent:
+			return 3
 		case now.Before(d.avoidedUntil[peer.Name]):
 			return 2
 		case peer.Zone != d.settings.Zone:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,6 +54,8 @@
 	Zone string
 	// Address is its control address, host:port.
 	Address string
+	// Silent is set if the gateway is registered, but has not been heard lately. It is asked only if no other one can tell.
+	Silent bool
 }
 
 // Source tells what the gateway knows of workers and other gateways. It must be safe for concurrent use.
@@ -66,8 +68,7 @@
 	WorkerAddresses() []string
 	// Siblings returns the addresses of some other workers of the same group, in random order, at most count.
 	Siblings(address string, count int) []string
-	// Relays returns the gateways that serve requests and are known to be alive, without this one. If there are none, it returns those that
-	// should be alive: only a gateway without others takes its own view for the state of the workers.
+	// Relays returns the other gateways that serve requests.
 	Relays() []Peer
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -235,6 +235,54 @@
 	}
 }
 
+// TestSilentGatewaysAreAskedLast guards against a worker that is not reached although a gateway which was not heard for a moment connects to it,
+// and against waiting for a gateway that does not answer when another one can tell.
+func TestSilentGatewaysAreAskedLast(t *testing.T) {
+	real, sibling := startWorker(t, echo), startWorker(t, idle)
+	for _, test := range []struct {
+		name string
+		// heard holds the workers of a gateway that is heard, or is nil, and silent the address of one that is not.
+		heard     map[string]string
+		silent    func(t *testing.T) string
+		connected bool
+		refused   bool
+	}{
+		{
+			name: "no other one", connected: true,
+			silent: func(t *testing.T) string { return newNode(t, "c", map[string]string{"w": real}, 8).peer.Address },
+		},
+		{
+			name: "the other one is cut off", heard: map[string]string{"w": closedAddress(t), "v": closedAddress(t)}, connected: true,
+			silent: func(t *testing.T) string { return newNode(t, "c", map[string]string{"w": real}, 8).peer.Address },
+		},
+		{
+			name: "the other one can tell", heard: map[string]string{"w": closedAddress(t), "v": sibling}, refused: true,
+			silent: func(t *testing.T) string { return startWorker(t, idle) },
+		},
+		{name: "it has ended", silent: closedAddress},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			closed := closedAddress(t)
+			a := newNode(t, "a", map[string]string{"w": closed}, 8)
+			// Whoever waits for the answer of a gateway that does not answer waits for this.
+			a.dialer.settings.ConnectTimeout = time.Hour
+			if test.heard != nil {
+				a.asks(newNode(t, "b", test.heard, 8))
+			}
+			a.known.peers = append(a.known.peers, Peer{Name: "c", Address: test.silent(t), Silent: true})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			conn, err := a.dialer.Dial(ctx, closed, false)
+			if err == nil {
+				_ = conn.Close()
+			}
+			if connected, refused := err == nil, errors.Is(err, syscall.ECONNREFUSED); connected != test.connected || refused != test.refused {
+				t.Errorf("got %v, want connected: %t, refused: %t", err, test.connected, test.refused)
+			}
+		})
+	}
+}
+
 // TestWorkerThatAnyGatewayReachesIsNotEnded guards against taking a worker for ended because most gateways have lost their path to it alone.
 func TestWorkerThatAnyGatewayReachesIsNotEnded(t *testing.T) {
 	real, sibling := startWorker(t, echo), startWorker(t, idle)
