Forward: the last prefill call of a stream is not given up

Callers saw a stream cut, with the reason "no worker takes the request now", after one engine stalled and the prefill call of the continuation was silent for a second or so. A silent prefill call was given up without asking whether another attempt could follow, as the response of a runner is; without a retry left, the request was then refused, and the stream, which had begun, could only be cut.

Once a request may have run, its prefill call is given up only for an attempt that can follow: there is time, another engine and a retry, which is taken. A request that can't have run is refused as before, truly.

--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/admission"
@@ -17,7 +18,11 @@
 	defer engine.finishUnless(&isEnded)
 	arrivals := &httpclient.Arrivals{}
 	if !engine.deferred {
-		patience := httpclient.NewPatience(engine.responseTimeout(), arrivals, func() { cancel(errSilent) })
+		patience := httpclient.NewPatience(engine.responseTimeout(), arrivals, func() {
+			if c.mayAbandonPrefill(engine.Worker.ID) {
+				cancel(errSilent)
+			}
+		})
 		defer patience.Stop()
 	}
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
@@ -42,6 +47,23 @@
 	return prompt, failure
 }
 
+// mayAbandonPrefill reports whether a silent prefill call is given up. After a possible run the caller can't be told that the request did not
+// run, so the call is given up only if another attempt can follow, for which a retry is taken. It runs while the goroutine of the call waits for
+// the engine.
+func (c *call) mayAbandonPrefill(engine string) bool {
+	if c.attempts.final() == decisionNotRun {
+		return true
+	}
+	if time.Until(c.deadline) < c.handler.settings.MinRemaining || c.attempts.reached+1 >= maxReachedWorkers {
+		return false
+	}
+	if !c.handler.dispatcher.hasAlternative(c.request, c.match.Group, append(slices.Clone(c.attempts.excluded), engine)) || !c.takeRetry() {
+		return false
+	}
+	c.attempts.retryPrepaid.Store(true)
+	return true
+}
+
 // urgencyClasses map expected prefill times of at most seconds to an urgency; lower values go first. Short prompts come first, so that few
 // prompts wait for long ones.
 var urgencyClasses = []struct {
