Forward: silent workers are given up only for one that can be reached

Callers got a 502 after 0.7 s of the 5 s that they had, for a repeatable request whose worker was at work on it: the worker was given up as silent after 0.4 s for another one, to which no connection could be opened. Both were excluded then, and none was left. The first worker would have responded after 1.2 s.

A connection to the other worker is opened before the silent one is given up, and is kept for the next attempt. If none accepts one, the attempt goes on. Since that takes time, the silence is confirmed once more after it, and the gate of the response is closed at the end of the attempt, so that no worker is given up, and no retry is taken, after that.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
@@ -231,7 +232,10 @@
 	gate := &responseGate{}
 	c.relay.acceptResponse = gate.accept
 	if timeout := c.responseTimeout(runner); timeout > 0 {
-		patience := httpclient.NewPatience(timeout, options.Arrivals, func() { c.abandonSilent(gate, cancel, runner.Worker.ID) })
+		defer gate.close()
+		patience := httpclient.NewPatience(timeout, options.Arrivals, func() {
+			go c.abandonSilent(ctx, gate, cancel, options.Arrivals, append(slices.Clone(c.attempts.excluded), runner.Worker.ID))
+		})
 		defer patience.Stop()
 	}
 	options.ResumeAfter = c.relay.lastEvent
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -41,6 +41,8 @@
 	run     func(ctx context.Context, number int, worker *backend.Worker, options RunOptions) (*Response, error)
 	prefill func(ctx context.Context, number int, worker *backend.Worker) (*PrefilledPrompt, error)
 
+	// connect is called to open a connection in advance; nil opens one.
+	connect func(worker *backend.Worker) error
 	// onRun is called for each run; may be nil.
 	onRun func(request *Request)
 
@@ -76,6 +78,13 @@
 	return &PrefilledPrompt{Engine: worker, Handle: fmt.Sprint("h", number)}, nil
 }
 
+func (f *fakeWorkers) Connect(_ context.Context, worker *backend.Worker) error {
+	if f.connect != nil {
+		return f.connect(worker)
+	}
+	return nil
+}
+
 func (f *fakeWorkers) ReleasePrompt(_ context.Context, prompt *PrefilledPrompt) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/forward/lastattempt_test.go
+++ b/internal/forward/lastattempt_test.go
@@ -51,6 +51,55 @@
 	}
 }
 
+// TestSlowWorkerIsNotAbandonedForUnreachableOnes guards against giving up a slow worker as silent for others that can't be reached: its response
+// is lost, although it is on time.
+func TestSlowWorkerIsNotAbandonedForUnreachableOnes(t *testing.T) {
+	const took = 3 * responseTimeoutBase
+	for _, isOneReachable := range []bool{false, true} {
+		workers := &fakeWorkers{}
+		isReachable := func(id string) bool {
+			first, other := workers.ranAt[0], "2"
+			if first == other {
+				other = "1"
+			}
+			return id == first || isOneReachable && id == other
+		}
+		workers.connect = func(worker *backend.Worker) error {
+			workers.mutex.Lock()
+			defer workers.mutex.Unlock()
+			if isReachable(worker.ID) {
+				return nil
+			}
+			return connectError
+		}
+		workers.run = func(ctx context.Context, number int, worker *backend.Worker, _ RunOptions) (*Response, error) {
+			if err := workers.connect(worker); err != nil {
+				return nil, err
+			}
+			if number > 1 {
+				return wholeResponse(http.StatusOK, "second"), nil
+			}
+			select {
+			case <-time.After(took):
+				return wholeResponse(http.StatusOK, "first"), nil
+			case <-ctx.Done():
+				return awaitCancel(ctx)
+			}
+		}
+		f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Timeout: 5 * time.Second}, allowance: 10}, workers)
+		set := backend.Set{}
+		for _, id := range []string{"0", "1", "2"} {
+			set[id] = &backend.Worker{ID: id, Group: "g", Address: id}
+		}
+		f.handler.dispatcher.SetWorkers(set)
+		want := map[bool]string{false: "first", true: "second"}[isOneReachable]
+		response, body, err := f.get(t)
+		if err != nil || response.StatusCode != http.StatusOK || body != want {
+			t.Errorf("one other reachable %t: got %v, %q, %v after attempts at %v", isOneReachable, response, body, err, workers.ranAt)
+		}
+	}
+}
+
 // TestWorkerIsNotAbandonedTooLate guards against giving up a silent worker when the patience with it ends so late, after a standstill of the
 // process, that no time is left for another one.
 func TestWorkerIsNotAbandonedTooLate(t *testing.T) {
@@ -66,7 +115,7 @@
 		}
 		gate := &responseGate{}
 		isCancelled := false
-		c.abandonSilent(gate, func(error) { isCancelled = true }, "0")
+		c.abandonSilent(t.Context(), gate, func(error) { isCancelled = true }, nil, []string{"0"})
 		if gate.abandoned == late || isCancelled == late {
 			t.Errorf("late %t: abandoned %t, cancelled %t", late, gate.abandoned, isCancelled)
 		}
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -85,14 +85,18 @@
 
 // hasAlternative reports whether a worker other than the excluded ones could run a request.
 func (d *Dispatcher) hasAlternative(request *Request, group *routing.Group, excluded []string) bool {
+	return d.alternative(request, group, excluded) != nil
+}
+
+// alternative returns the best worker other than the excluded ones that could run a request, or nil.
+func (d *Dispatcher) alternative(request *Request, group *routing.Group, excluded []string) *backend.Worker {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	query := balance.Query{Request: request.ID, Group: group.Name, Role: backend.RoleDecode, Zone: d.settings.Zone, Excluded: excluded, Concentrate: true}
 	if group.Engine == nil {
 		query.Role = backend.RoleNone
 	}
-	// Preferred returns nil if no worker is left.
-	return d.balancer.Preferred(d.now(), query) != nil
+	return d.balancer.Preferred(d.now(), query)
 }
 
 // placePlain picks a plain worker.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -115,6 +115,8 @@
 	Run(ctx context.Context, worker *backend.Worker, request *Request, options RunOptions) (*Response, error)
 	// Prefill has an engine prefill the prompt of a request.
 	Prefill(ctx context.Context, worker *backend.Worker, request *Request, options PrefillOptions) (*PrefilledPrompt, error)
+	// Connect makes sure that a connection to a worker is open, and keeps it for a later request.
+	Connect(ctx context.Context, worker *backend.Worker) error
 	// ReleasePrompt releases a prompt that will not be used.
 	ReleasePrompt(ctx context.Context, prompt *PrefilledPrompt)
 }
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/ctxsleep"
+	"github.com/granitebay/granitebay/internal/httpclient"
 )
 
 // responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit, because no other
@@ -20,15 +22,18 @@
 	return timeout
 }
 
-// abandonSilent abandons a silent worker if there is time for another one, there is one, and the budget has a retry for it. Otherwise the
-// attempt continues.
-func (c *call) abandonSilent(gate *responseGate, cancel context.CancelCauseFunc, worker string) {
+// abandonSilent abandons a silent worker if there is time for another one, one can be reached, and the budget has a retry for it. Otherwise the
+// attempt continues. Excluded are the silent worker and those of earlier attempts. The context is that of the attempt, and gate is closed when
+// the attempt ends.
+func (c *call) abandonSilent(
+	ctx context.Context, gate *responseGate, cancel context.CancelCauseFunc, arrivals *httpclient.Arrivals, excluded []string,
+) {
+	if !c.reachesAlternative(ctx, excluded) || !confirmSilence(ctx, arrivals) {
+		return
+	}
 	gate.abandon(func() bool {
 		if time.Until(c.deadline) < c.handler.settings.MinRemaining {
-			// The patience began anew after a standstill.
-			return false
-		}
-		if !c.handler.dispatcher.hasAlternative(c.request, c.match.Group, append(slices.Clone(c.attempts.excluded), worker)) {
+			// The patience began anew after a standstill, or the other worker was reached late.
 			return false
 		}
 		if !c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry() {
@@ -40,6 +45,34 @@
 	})
 }
 
+// reachesAlternative reports whether a worker other than the excluded ones accepts a connection. One that was chosen without that might leave the
+// request without any worker.
+func (c *call) reachesAlternative(ctx context.Context, excluded []string) bool {
+	for range maxUnreachableWorkers {
+		worker := c.handler.dispatcher.alternative(c.request, c.match.Group, excluded)
+		if worker == nil {
+			return false
+		}
+		if c.handler.workers.Connect(ctx, worker) == nil {
+			return true
+		}
+		excluded = append(excluded, worker.ID)
+	}
+	return false
+}
+
+// confirmSilence reports whether nothing of a response arrives before the context ends. Part of it may have arrived while another worker was
+// being reached.
+func confirmSilence(ctx context.Context, arrivals *httpclient.Arrivals) bool {
+	silence := httpclient.NewSilence(arrivals)
+	for again := silence.Confirm(); again > 0; again = silence.Confirm() {
+		if !ctxsleep.Sleep(ctx, again) {
+			return false
+		}
+	}
+	return true
+}
+
 // responseGate decides between forwarding a worker's response and abandoning the worker as silent.
 //
 // Invariant: only one of the two happens. Otherwise a timer that fires just as the response starts could cut off a response that the caller
@@ -65,3 +98,6 @@
 		g.abandoned = tryAbandon()
 	}
 }
+
+// close keeps the worker from being abandoned after its attempt has ended.
+func (g *responseGate) close() { g.accept() }
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -240,6 +240,20 @@
 	return exchange.run()
 }
 
+// Connect makes sure that a connection to an address is open, and keeps it for a later request. Errors are of type *Error.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	connection, err := c.pool.take(ctx, address, false)
+	if err == nil {
+		c.pool.putBack(connection)
+		return nil
+	}
+	err = &Error{Step: StepConnect, Peer: address, Cause: err}
+	if c.onFailure != nil {
+		c.onFailure(address, err)
+	}
+	return err
+}
+
 // closeDetectionDelay is how long RefusesConnections waits for the peer to close a new connection. The listener of a process that
 // is exiting may accept connections for some milliseconds.
 const closeDetectionDelay = 50 * time.Millisecond
