--- a/internal/forward/unanswered_test.go
+++ b/internal/forward/unanswered_test.go
@@ -94,8 +94,8 @@
 	}
 	for name, workers := range panics {
 		f := newFixture(t, fixtureOptions{engine: true, demand: backend.Demand{PromptTokens: 5000, OutputTokens: 10}}, workers)
-		if _, _, err := f.get(t); err != nil {
-			t.Errorf("%s: %v", name, err)
+		if response, _, err := f.get(t); err != nil || response.StatusCode != http.StatusInternalServerError {
+			t.Errorf("panic in %s: got %v, %v", name, response, err)
 		}
 		dispatcher := f.handler.dispatcher
 		dispatcher.mutex.Lock()
--- a/internal/httpclient/ended_test.go
+++ b/internal/httpclient/ended_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"time"
 )
 
 // TestEndedRequestIsNotSent guards against a worker that runs a request which ended before it was sent, and against an error by which such a
@@ -41,7 +40,10 @@
 			t.Errorf("got %v, which says that something was sent or that the connection failed", err)
 		}
 	}
-	time.Sleep(50 * time.Millisecond)
+	// The worker reads in order, so it has read all that was sent before a request that it has answered.
+	if _, err := send(client, address, "1", ""); err != nil {
+		t.Fatal(err)
+	}
 	if count := received.Load(); count > 0 {
 		t.Errorf("%d of %d requests were sent", count, tries)
 	}
