--- a/internal/completions/completions.go
+++ b/internal/completions/completions.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -140,14 +141,17 @@
 	return nil
 }
 
+// maxOutputTokens is the largest limit on the length of a response. No worker has memory for as many tokens, and sums of them don't overflow.
+const maxOutputTokens = math.MaxInt32
+
 // validate returns an error that lists each invalid field with its value and what is allowed.
 func (b *RequestBody) validate() error {
 	var errs []error
 	if b.Model == "" {
 		errs = append(errs, errors.Newf("field model: %q is not allowed; the name of a model is needed", b.Model))
 	}
-	if b.MaxTokens != nil && *b.MaxTokens < 1 {
-		errs = append(errs, errors.Newf("field max_tokens: %d is not allowed; a number above 0 is needed", *b.MaxTokens))
+	if b.MaxTokens != nil && (*b.MaxTokens < 1 || *b.MaxTokens > maxOutputTokens) {
+		errs = append(errs, errors.Newf("field max_tokens: %d is not allowed; a number from 1 to %d is needed", *b.MaxTokens, maxOutputTokens))
 	}
 	if b.SharedPrefixTokens < 0 {
 		errs = append(errs, errors.Newf("field shared_prefix_tokens: %d is not allowed; a number of at least 0 is needed", b.SharedPrefixTokens))
