--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -245,7 +245,11 @@
 	gate := &responseGate{}
 	c.relay.acceptResponse = gate.accept
 	if timeout := c.responseTimeout(runner); timeout > 0 {
-		patience := httpclient.NewPatience(timeout, options.Arrivals, func() { c.abandonSilent(gate, cancel, runner.Worker.ID) })
+		defer gate.close()
+		others := c.othersThan(runner.Worker)
+		patience := httpclient.NewPatience(timeout, options.Arrivals, func() {
+			go c.abandonSilent(ctx, gate, cancel, options.Arrivals, others)
+		})
 		defer patience.Stop()
 	}
 	options.ResumeAfter = c.relay.lastEvent
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -88,14 +88,20 @@
 
 // hasAlternative reports whether a worker of a version, nil for any, other than the excluded ones could run a request.
 func (d *Dispatcher) hasAlternative(request *Request, group *routing.Group, version *streamversion.Version, excluded []string) bool {
+	return d.alternative(request, group, version, excluded) != nil
+}
+
+// alternative returns the best worker of a version, nil for any, other than the excluded ones that could run a request, or nil.
+func (d *Dispatcher) alternative(
+	request *Request, group *routing.Group, version *streamversion.Version, excluded []string,
+) *backend.Worker {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	query := balance.Query{
 		Request: request.ID, Group: group.Name, Role: runnerRole(group), Zone: d.settings.Zone, Excluded: excluded, Eligible: ofVersion(version),
 		Concentrate: true,
 	}
-	// Preferred returns nil if no worker is left.
-	return d.balancer.Preferred(d.now(), query) != nil
+	return d.balancer.Preferred(d.now(), query)
 }
 
 // placePlain picks a plain worker.
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -17,7 +17,10 @@
 	defer engine.finishUnless(&isEnded)
 	arrivals := &httpclient.Arrivals{}
 	if timeout := c.prefillTimeout(engine); timeout > 0 {
-		patience := httpclient.NewPatience(timeout, arrivals, func() { c.abandonSilent(&responseGate{}, cancel, engine.Worker.ID) })
+		gate := &responseGate{}
+		defer gate.close()
+		others := c.othersThan(engine.Worker)
+		patience := httpclient.NewPatience(timeout, arrivals, func() { go c.abandonSilent(ctx, gate, cancel, arrivals, others) })
 		defer patience.Stop()
 	}
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -5,6 +5,11 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/ctxsleep"
+	"github.com/granitebay/granitebay/internal/httpclient"
+	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit, because no other
@@ -34,15 +39,17 @@
 	return timeout
 }
 
-// abandonSilent abandons a silent worker if there is time for another one, there is one, and the budget has a retry for it. Otherwise the
-// attempt continues.
-func (c *call) abandonSilent(gate *responseGate, cancel context.CancelCauseFunc, worker string) {
+// abandonSilent abandons a silent worker if there is time for another one, one can be reached, and the budget has a retry for it. Otherwise the
+// attempt continues. The context is that of the attempt, and gate is closed when the attempt ends.
+func (c *call) abandonSilent(
+	ctx context.Context, gate *responseGate, cancel context.CancelCauseFunc, arrivals *httpclient.Arrivals, others otherWorkers,
+) {
+	if !c.reachesAlternative(ctx, others) || !confirmSilence(ctx, arrivals) {
+		return
+	}
 	gate.abandon(func() bool {
 		if time.Until(c.deadline) < c.handler.settings.MinRemaining {
-			// The patience began anew after a standstill.
-			return false
-		}
-		if !c.handler.dispatcher.hasAlternative(c.request, c.match.Group, c.boundVersion(), append(slices.Clone(c.attempts.excluded), worker)) {
+			// The patience began anew after a standstill, or the other worker was reached late.
 			return false
 		}
 		if !c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry() {
@@ -54,6 +61,47 @@
 	})
 }
 
+// otherWorkers are the workers at which a request may run after an attempt.
+type otherWorkers struct {
+	// version is the only version of them, or nil for any. excluded are the worker of the attempt and those of earlier ones.
+	version  *streamversion.Version
+	excluded []string
+}
+
+// othersThan returns the workers at which the request may run after an attempt at a worker that begins now.
+func (c *call) othersThan(worker *backend.Worker) otherWorkers {
+	return otherWorkers{version: c.boundVersion(), excluded: append(slices.Clone(c.attempts.excluded), worker.ID)}
+}
+
+// reachesAlternative reports whether one of the other workers accepts a connection. One that was chosen without that might leave the request
+// without any worker.
+func (c *call) reachesAlternative(ctx context.Context, others otherWorkers) bool {
+	excluded := others.excluded
+	for range maxUnreachableWorkers {
+		worker := c.handler.dispatcher.alternative(c.request, c.match.Group, others.version, excluded)
+		if worker == nil {
+			return false
+		}
+		if c.handler.workers.Connect(ctx, worker) == nil {
+			return true
+		}
+		excluded = append(excluded, worker.ID)
+	}
+	return false
+}
+
+// confirmSilence reports whether nothing of a response arrives before the context ends. Part of it may have arrived while another worker was
+// being reached.
+func confirmSilence(ctx context.Context, arrivals *httpclient.Arrivals) bool {
+	silence := httpclient.NewSilence(arrivals)
+	for again := silence.Confirm(); again > 0; again = silence.Confirm() {
+		if !ctxsleep.Sleep(ctx, again) {
+			return false
+		}
+	}
+	return true
+}
+
 // responseGate decides between forwarding a worker's response and abandoning the worker as silent.
 //
 // Invariant: only one of the two happens. Otherwise a timer that fires just as the response starts could cut off a response that the caller
@@ -79,3 +127,6 @@
 		g.abandoned = tryAbandon()
 	}
 }
+
+// close keeps the worker from being abandoned after its attempt has ended.
+func (g *responseGate) close() { g.accept() }
