Callers: empty the queue of a listener before a stop closes it

What callers saw: a connection that was opened and whose request was sent shortly before a planned stop closed the listener was reset without a byte.

Cause: the goroutine of the stop closed the listener, and the kernel resets the connections that wait to be accepted then.

Evidence: TestQueuedConnectionsAreServedAtShutdown failed 5 of 5 without the fix, for all 32 connections in the queue.

Why it works: only the goroutine that accepts closes the listener, after it has found the queue empty, as only the reader of a connection closes that.

--- a/internal/accepting/accepting.go
+++ b/internal/accepting/accepting.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
+
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // Loop tracks the accept loop of a listener. It is safe for concurrent use.
@@ -52,22 +54,20 @@
 func New(logger *logrus.Entry) *Loop { return &Loop{logger: logger} }
 
 // Watch returns a listener whose Accept calls are tracked.
-func (l *Loop) Watch(listener net.Listener) net.Listener {
+func (l *Loop) Watch(listener netdial.Listener) netdial.Listener {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stateSince = time.Now()
-	if conn, ok := listener.(syscall.Conn); ok {
-		raw, err := conn.SyscallConn()
-		if err == nil {
-			l.socket = raw
-		}
+	// This fails only if the listener is closed.
+	if raw, err := listener.SyscallConn(); err == nil {
+		l.socket = raw
 	}
 	return &watchedListener{listener, l}
 }
 
 // watchedListener reports its Accept calls to a Loop.
 type watchedListener struct {
-	net.Listener
+	netdial.Listener
 	loop *Loop
 }
 
--- a/internal/accepting/accepting_test.go
+++ b/internal/accepting/accepting_test.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
+
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // newWatchedListener returns a Loop, the listener that it watches, and the underlying TCP listener.
@@ -24,7 +26,7 @@
 	if loop.Accepting(time.Now()) {
 		t.Error("connections are accepted before anything listens")
 	}
-	return loop, loop.Watch(listener), listener.(*net.TCPListener)
+	return loop, loop.Watch(listener.(*net.TCPListener)), listener.(*net.TCPListener)
 }
 
 // waitFor waits until Accepting returns the wanted value.
@@ -83,7 +85,7 @@
 }
 
 // failingListener fails as if no file descriptor were free.
-type failingListener struct{ net.Listener }
+type failingListener struct{ netdial.Listener }
 
 func (failingListener) Accept() (net.Conn, error) { return nil, syscall.EMFILE }
 
--- a/internal/callers/abort_test.go
+++ b/internal/callers/abort_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // TestAbortedResponseLooksBroken guards against an aborted response that looks complete. A response to an HTTP/1.0 request has no length and ends
@@ -27,7 +29,7 @@
 				panic(http.ErrAbortHandler)
 			}
 		})), &Traffic{}, &recordingObserver{}, logrus.NewEntry(logger))
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		listener, err := netdial.Listen("127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/callers/bench_test.go
+++ b/internal/callers/bench_test.go
@@ -1,16 +1,17 @@
 package callers
 
 import (
-	"net"
 	"runtime"
 	"testing"
 	"time"
+
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // newPlainTestServer returns a server whose listener does not use gates.
 func newPlainTestServer(b *testing.B) *testServer {
 	bench := newTestServer(b, time.Hour, time.Hour)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := netdial.Listen("127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/callers/closer_test.go
+++ b/internal/callers/closer_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // endOfRequest is what a handler sees when the context of its request ends.
@@ -53,7 +54,7 @@
 			base, cancelBase := context.WithCancel(context.Background())
 			defer cancelBase()
 			s.server.BaseContext = func(net.Listener) context.Context { return base }
-			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			listener, err := netdial.Listen("127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -3,7 +3,7 @@
 //
 // Invariants: a connection on which a request has started to arrive is not closed by the idle timeout or by the start of
 // shutdown; a timeout or the start of shutdown closes a connection only from the goroutine that reads it, after a final read
-// that found no data; and CloserOf returns which side closed a connection.
+// that found no data; the start of shutdown closes a listener only from the goroutine that accepts, after it has found the queue empty; and CloserOf returns which side closed a connection.
 package callers
 
 import (
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // Observer receives events about connections.
@@ -51,7 +52,7 @@
 	hasLongPolls bool
 
 	mu       sync.Mutex
-	listener net.Listener
+	listener netdial.Listener
 	conns    map[*connection]struct{}
 	// acceptLoops counts running accept loops. Such a loop may hold an accepted connection that is not in conns yet.
 	acceptLoops int
@@ -136,15 +137,15 @@
 	return time.Duration(s.headerTimeout.Load())
 }
 
-// Serve serves the connections of a listener until it is closed.
-func (s *Server) Serve(listener net.Listener) error {
+// Serve serves the connections of a listener until shutdown has emptied its queue.
+func (s *Server) Serve(listener netdial.Listener) error {
 	s.mu.Lock()
 	s.listener = listener
 	s.acceptLoops++
 	s.mu.Unlock()
 	defer s.acceptLoopDone()
 	if s.shutdownStart.Load() != nil {
-		_ = listener.Close()
+		drainQueue(listener)
 	}
 	return s.server.Serve(&trackingListener{listener, s})
 }
@@ -164,8 +165,8 @@
 // abortGrace is how long requests that are unfinished at the deadline of shutdown have to be answered.
 const abortGrace = 200 * time.Millisecond
 
-// Shutdown closes the listeners and idle connections of the servers, and waits until a deadline for connections on which
-// a request has started to arrive. It waits at least NewConnGrace. At the deadline it ends the contexts of the requests
+// Shutdown accepts the connections in the queues of the listeners, closes the listeners and idle connections of the servers, and waits until a
+// deadline for connections on which a request has started to arrive. It waits at least NewConnGrace. At the deadline it ends the contexts of the requests
 // with forward.ErrStopping, and waits for at most abortGrace longer. Apart from timeouts, no connection may be closed
 // from this side before the call, because a request may be in transit on any of them.
 func Shutdown(deadline time.Time, servers ...*Server) {
@@ -181,7 +182,7 @@
 	group.Wait()
 }
 
-// shutdown closes the listener and idle connections, and waits for those on which a request has started to arrive. New
+// shutdown lets the accept loop close the listener, closes idle connections, and waits for those on which a request has started to arrive. New
 // connections have NewConnGrace to send their first request. Each connection is closed by the goroutine that reads it;
 // http.Server.Shutdown could close one whose request was just read.
 func (s *Server) shutdown(ctx context.Context) {
@@ -207,12 +208,12 @@
 	}
 }
 
-// stopAccepting closes the listener and returns the open connections.
+// stopAccepting makes the accept loop empty the queue of the listener and close it, and returns the open connections.
 func (s *Server) stopAccepting() []*connection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.listener != nil {
-		_ = s.listener.Close()
+		drainQueue(s.listener)
 	}
 	s.drained = make(chan struct{})
 	conns := make([]*connection, 0, len(s.conns))
@@ -254,20 +255,3 @@
 	delete(s.conns, conn)
 	s.signalIfDrained()
 }
-
-// trackingListener wraps accepted connections and registers them with the server.
-type trackingListener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept implements net.Listener.
-func (l *trackingListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	conn := newConnection(accepted, l.server)
-	l.server.add(conn)
-	return conn, nil
-}
--- a/internal/callers/shutdown_test.go
+++ b/internal/callers/shutdown_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // TestShutdownClosesIdleConnectionsImmediately guards against a shutdown that waits for idle connections, or that does not wait
@@ -106,7 +108,7 @@
 	t.Run("a long poll is answered immediately", func(t *testing.T) {
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		listener, err := netdial.Listen("127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -174,7 +176,7 @@
 	logger.SetOutput(io.Discard)
 	internal := NewInternalServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
 		&recordingObserver{}, logrus.NewEntry(logger))
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := netdial.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -200,3 +202,46 @@
 		t.Errorf("a received request got no response: %v", err)
 	}
 }
+
+// TestQueuedConnectionsAreServedAtShutdown guards against connections in the queue of the listener that the start of shutdown resets.
+func TestQueuedConnectionsAreServedAtShutdown(t *testing.T) {
+	const queued = 32
+	s := newTestServer(t, time.Hour, time.Hour)
+	blocked := s.listener.afterAccept.close()
+	s.dial(t)
+	<-blocked
+	var queue []*testCaller
+	for range queued {
+		caller := s.dial(t)
+		if err := caller.send(requestFor("/1")); err != nil {
+			t.Fatal(err)
+		}
+		queue = append(queue, caller)
+	}
+	done := s.stop()
+	s.awaitShutdown()
+	s.listener.afterAccept.open()
+	for i, caller := range queue {
+		if err := caller.readResponse(); err != nil {
+			t.Errorf("connection %d of %d in the queue: %v", i, queued, err)
+		}
+		_ = caller.Close()
+	}
+	<-done
+	if _, err := net.Dial("tcp4", s.listener.Addr().String()); err == nil {
+		t.Error("a stopped server accepts connections")
+	}
+}
+
+// awaitShutdown waits until the server has begun to close its listener.
+func (s *testServer) awaitShutdown() {
+	for {
+		s.mu.Lock()
+		begun := s.drained != nil
+		s.mu.Unlock()
+		if begun {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // gate blocks goroutines that call wait while it is closed.
@@ -86,7 +87,7 @@
 
 // gatedListener accepts connections that can be blocked.
 type gatedListener struct {
-	net.Listener
+	netdial.Listener
 	beforeRead, afterRead, beforeFinalRead gate
 	// afterAccept blocks connections that were just accepted.
 	afterAccept gate
@@ -146,7 +147,7 @@
 // newTestServer returns a running server with the given timeouts.
 func newTestServer(t testing.TB, idleTimeout, headerTimeout time.Duration) *testServer {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := netdial.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -350,7 +349,7 @@
 }
 
 // listen opens a listener and serves it in the background. The error of serve only reports that the listener was closed.
-func (g *Gateway) listen(address string, serve func(net.Listener) error) error {
+func (g *Gateway) listen(address string, serve func(netdial.Listener) error) error {
 	listener, err := netdial.Listen(address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
@@ -360,7 +359,7 @@
 }
 
 // serveCallers serves callers and monitors the accept loop: the gateway is not ready while the loop is stalled.
-func (g *Gateway) serveCallers(listener net.Listener) error {
+func (g *Gateway) serveCallers(listener netdial.Listener) error {
 	return g.callers.Serve(g.accepting.Watch(listener))
 }
 
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -62,9 +62,16 @@
 	acceptedUnacknowledgedTimeout = 10 * time.Second
 )
 
+// Listener is a listener for TCP connections. Accept returns an error at the deadline.
+type Listener interface {
+	net.Listener
+	syscall.Conn
+	SetDeadline(deadline time.Time) error
+}
+
 // Listen listens at an address, host:port. Accepted connections fail if sent data stays unacknowledged, or if keep-alive
 // probes are not answered. With the defaults of package net that would take two and a half minutes.
-func Listen(address string) (net.Listener, error) {
+func Listen(address string) (Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: acceptedProbeIdle, Interval: acceptedProbeInterval, Count: acceptedProbeCount,
@@ -72,5 +79,9 @@
 		// Accepted sockets inherit this option from the listening socket.
 		Control: userTimeoutControl(acceptedUnacknowledgedTimeout),
 	}
-	return config.Listen(context.Background(), "tcp4", address)
+	listener, err := config.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return listener.(*net.TCPListener), nil
 }
