Callers: read on until the caller has its last response

What callers saw: a response that was cut, with a reset, behind which they had sent more: a pipelined request behind a response with Connection: close, or the rest of an invalid request.

Cause: the connection was closed with unread bytes. The kernel resets such a connection, and drops the part of the response that the caller has not received.

Connections that fail, that must be reset, or that this side gives up are closed at once, as before.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -60,6 +60,8 @@
 	cancelRequest atomic.Pointer[context.CancelCauseFunc]
 	// inHandler is set while the handler runs; responseStarted is set once bytes were written for the current request.
 	inHandler, responseStarted atomic.Bool
+	// resets is set if Close must reset the connection.
+	resets atomic.Bool
 }
 
 // newConnection wraps a connection that was just accepted.
@@ -177,14 +179,17 @@
 	return nil
 }
 
-// Close implements net.Conn. If part of a request has arrived and its handler has not run, it tells the observer, because
+// Close implements net.Conn. Behind a response it first waits for the caller to receive it. If part of a request has arrived and its handler has not run, it tells the observer, because
 // nothing else records such a request.
 func (c *connection) Close() error {
 	if !c.closed.Swap(true) {
-		c.server.remove(c)
+		defer c.server.remove(c)
 		if elapsed, notStarted := c.requestProgress(); !notStarted && !c.inHandler.Load() && !c.responseStarted.Load() {
 			c.server.observer.RequestNotHandled(c.closedBy(), c.RemoteAddr().String(), elapsed)
 		}
+		if c.mustLinger() {
+			c.linger()
+		}
 	}
 	return c.Conn.Close()
 }
@@ -303,6 +308,7 @@
 
 // resetOnClose makes Close reset the connection. The end of the connection would complete a response without a length, as HTTP/1.0 has them.
 func (c *connection) resetOnClose() {
+	c.resets.Store(true)
 	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		// This fails only if the connection is closed.
 		_ = conn.SetLinger(0)
--- /dev/null
+++ b/internal/callers/linger_test.go
@@ -0,0 +1,131 @@
+package callers
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/granitebay/granitebay/internal/netdial"
+)
+
+// unreadCase is what a caller has sent that the server does not read before it closes the connection.
+type unreadCase struct {
+	desc string
+	// request is sent first, and unread behind it, if not empty only after the handler has returned.
+	request, unread string
+	isUnreadLate    bool
+	wantStatus      int
+	wantBytes       int
+}
+
+// largeResponse is the size of a response that does not fit into the receive buffer of a caller.
+const largeResponse = 1 << 20
+
+// unreadCases are the ways in which bytes are left unread when a connection is closed behind a response.
+var unreadCases = []unreadCase{
+	{desc: "a pipelined request", request: requestFor("/1"), unread: requestFor("/2"), wantStatus: 200, wantBytes: largeResponse},
+	{desc: "a request pipelined after the response", request: requestFor("/1"), unread: requestFor("/2"), isUnreadLate: true, wantStatus: 200, wantBytes: largeResponse},
+	{desc: "many pipelined requests", request: requestFor("/1"), unread: strings.Repeat(requestFor("/2"), 2000), wantStatus: 200, wantBytes: largeResponse},
+	{desc: "a body", request: "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n", unread: strings.Repeat("b", 200_000), wantStatus: 200, wantBytes: largeResponse},
+	{desc: "a large body", request: "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n", unread: strings.Repeat("b", 900_000), wantStatus: 200, wantBytes: largeResponse},
+	{desc: "the rest of an invalid request", request: "GET / HTTP/1.1\r\nHost: a\r\nno header\r\n\r\n", unread: strings.Repeat("b", 200_000), wantStatus: 400, wantBytes: 1},
+}
+
+// TestResponseIsWholeBesideUnreadBytes guards against a response that is lost because its connection is closed with unread bytes: the kernel then
+// resets the connection, and drops what the caller has not received. A pipelined request must not reach the handler.
+func TestResponseIsWholeBesideUnreadBytes(t *testing.T) {
+	for _, test := range unreadCases {
+		t.Run(test.desc, func(t *testing.T) { test.run(t) })
+	}
+}
+
+// run plays a case with a caller that does not read until the server has written its response.
+func (c *unreadCase) run(t *testing.T) {
+	var requests atomic.Int32
+	returned := make(chan struct{})
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	s := NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1) > 1 {
+			return
+		}
+		defer close(returned)
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Length", strconv.Itoa(largeResponse))
+		_, _ = io.WriteString(w, strings.Repeat("r", largeResponse))
+	}), &Traffic{}, &recordingObserver{}, logrus.NewEntry(logger))
+	listener, err := netdial.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(s.Close)
+	dialed, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := dialed.(*net.TCPConn)
+	defer conn.Close()
+	_ = conn.SetReadBuffer(64 << 10)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		_, _ = io.WriteString(conn, c.request)
+		if c.isUnreadLate {
+			<-returned
+			time.Sleep(testDelay)
+		}
+		// The server may stop reading.
+		_, _ = io.WriteString(conn, c.unread)
+	}()
+	time.Sleep(testStall)
+	_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != c.wantStatus || len(body) < c.wantBytes {
+		t.Errorf("got status %d, %d bytes, %v", response.StatusCode, len(body), err)
+	}
+	<-sent
+	if got := requests.Load(); got > 1 {
+		t.Errorf("%d requests reached the handler", got)
+	}
+}
+
+// TestLingeringIsBounded guards against callers that keep a closed connection, and its resources, by never closing it or by sending on and on.
+func TestLingeringIsBounded(t *testing.T) {
+	for _, sendsOn := range []bool{false, true} {
+		s := newTestServer(t, time.Hour, time.Hour)
+		caller := s.dial(t)
+		if err := caller.send("GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if err := caller.readResponse(); err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		for s.traffic.Open.Load() > 0 && time.Since(start) < testTimeout {
+			if sendsOn {
+				// This fails once the connection is closed.
+				_ = caller.send(requestFor("/2"))
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(start); took > lingerTime+testStall {
+			t.Errorf("sends on %t: the connection was open for %v", sendsOn, took)
+		}
+		if _, handled := s.handled.Load("/2"); handled {
+			t.Errorf("sends on %t: a request behind the last response was handled", sendsOn)
+		}
+	}
+}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -46,6 +46,8 @@
 	idleTimeout, headerTimeout atomic.Int64
 	// shutdownStart is when shutdown began; nil before that.
 	shutdownStart atomic.Pointer[time.Time]
+	// closing is set once all connections are closed, whatever they do.
+	closing atomic.Bool
 	// cancelRequests ends the contexts of all requests.
 	cancelRequests context.CancelCauseFunc
 	// hasLongPolls is set if contexts end as shutdown begins, so that long polls return, and not at its end.
@@ -237,7 +239,10 @@
 }
 
 // Close closes the listener and all connections immediately.
-func (s *Server) Close() { _ = s.server.Close() }
+func (s *Server) Close() {
+	s.closing.Store(true)
+	_ = s.server.Close()
+}
 
 // add registers a connection.
 func (s *Server) add(conn *connection) {
