Callers: write a ready response although its write deadline passed in a standstill

What callers saw: a connection that was closed without a byte, or a stream that was cut, although the response was ready: the process stood still for longer than the margin of the write deadline, between the last look at it and the write.

Cause: a write that begins after its deadline returns without trying.

A caller that does not read still ends at its deadline (TestUnreadResponseEndsAtWriteDeadline).

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -51,6 +51,9 @@
 	// requestedDeadline is the deadline set by net/http, currentDeadline the one set on the socket; zero means none.
 	requestedDeadline, currentDeadline time.Time
 
+	// writeDeadline is the deadline set by net/http for writes, in Unix nanoseconds; zero means none.
+	writeDeadline atomic.Int64
+
 	closed atomic.Bool
 	// failed is set when a read or a write failed or the peer closed the connection.
 	failed atomic.Bool
@@ -131,23 +134,6 @@
 	}
 }
 
-// Write implements net.Conn.
-func (c *connection) Write(buffer []byte) (int, error) {
-	n, err := c.Conn.Write(buffer)
-	c.server.traffic.Sent.Add(int64(n))
-	if n > 0 {
-		c.responseStarted.Store(true)
-	}
-	switch {
-	case err == nil || c.closed.Load():
-	case isDeadlineExceeded(err):
-		c.closingSide.Store(int32(forward.CloserWriteTimeout))
-	default:
-		c.disconnected(err)
-	}
-	return n, err
-}
-
 // disconnected records that the connection ended from outside, and ends the context of the active request. net/http ends it too, but names
 // no cause.
 func (c *connection) disconnected(err error) {
