Roles: don't take an order for failed whose response was lost

Cause: each error of an order counted as failed, also where the engine may have taken it. Routing to the engine was resumed then. By reading, callers see requests that are refused by an engine which changes its role, and sent on to another one.

TestOutcomeOfOrder tells lost responses from refusals and connections that were not opened. TestLostResponsesAreNoRefusals shows for all kinds of calls that a lost response is no conflict, expired lease or refusal; it passed before.

The controller keeps routing to the engine stopped, and inspects it in its next step, which resumes routing if it has not taken the order. Planners still count the engine as one to try last.

--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -44,6 +44,9 @@
 	Running int
 }
 
+// ErrOutcomeUnknown is returned for an order whose response was lost, so that the engine may carry it out.
+var ErrOutcomeUnknown = errors.New("the engine may carry out the order, since its response was lost")
+
 // ErrWorkerReplaced is returned if another worker answers at the address of an engine, which means that the engine has ended.
 var ErrWorkerReplaced = errors.New("another worker answers at the address")
 
@@ -136,7 +139,7 @@
 	}
 }
 
-// OnOrder sets a callback for the outcome of each order: "accepted", "in place" or "failed". It must be called before Run.
+// OnOrder sets a callback for the outcome of each order: "accepted", "in place", "unknown" or "failed". It must be called before Run.
 func (c *Controller) OnOrder(onOrder func(outcome string)) { c.onOrder = onOrder }
 
 // SetReachability sets a function that reports whether this process reaches enough engines to give orders. While it does not, the controller
--- a/internal/roles/orders.go
+++ b/internal/roles/orders.go
@@ -79,7 +79,8 @@
 	}
 }
 
-// finishOrder records the result of an order, and resumes routing to the engine if the order failed.
+// finishOrder records the result of an order, and resumes routing to the engine if the order failed. If that is unknown, routing stays stopped until
+// the engine was inspected.
 func (c *Controller) finishOrder(change Change, err error) {
 	if c.onOrder != nil {
 		c.onOrder(orderOutcome(err))
@@ -90,6 +91,12 @@
 		log.Info("An engine already has or is taking the ordered role.")
 		return
 	}
+	if errors.Is(err, ErrOutcomeUnknown) {
+		c.pendingChanges.addUnconfirmed(change)
+		log.WithError(err).Warn("It is not known whether an engine takes the ordered role. It is inspected.")
+		c.recordChange(change, "unknown", "The response to the order was lost: "+err.Error()+".")
+		return
+	}
 	if err != nil {
 		c.fleet.SetRoleChange(change.Worker.ID, change.Worker.Role)
 		log.WithError(err).Warn("An order was not sent or not accepted.")
@@ -108,6 +115,8 @@
 		return "accepted"
 	case errors.Is(err, errRoleInPlace):
 		return "in place"
+	case errors.Is(err, ErrOutcomeUnknown):
+		return "unknown"
 	default:
 		return "failed"
 	}
--- a/internal/roles/transitions.go
+++ b/internal/roles/transitions.go
@@ -16,10 +16,10 @@
 // running requests. It is used by the control loop only.
 type pendingChanges struct{ changes map[string]*pendingChange }
 
-// pendingChange is a change that an engine has accepted.
+// pendingChange is a change that an engine has accepted, or may have accepted.
 type pendingChange struct {
 	change Change
-	// confirmedAt is when the engine accepted the change or was last inspected.
+	// confirmedAt is when the engine accepted the change or was last inspected; zero if neither is known.
 	confirmedAt time.Time
 }
 
@@ -28,6 +28,11 @@
 	p.changes[change.Worker.ID] = &pendingChange{change: change, confirmedAt: now}
 }
 
+// addUnconfirmed adds a change that an engine may have accepted. It is due at once.
+func (p *pendingChanges) addUnconfirmed(change Change) {
+	p.changes[change.Worker.ID] = &pendingChange{change: change}
+}
+
 // removeFinished removes the changes whose engine has its new role or no record any more.
 func (p *pendingChanges) removeFinished(groups map[string]*Group) {
 	currentRoles := map[string]backend.Role{}
@@ -82,6 +87,6 @@
 	default:
 		delete(c.pendingChanges.changes, worker.ID)
 		c.fleet.SetRoleChange(worker.ID, worker.Role)
-		c.logger.WithField("engine", worker.ID).Warn("An engine accepted an order but does not change its role.")
+		c.logger.WithField("engine", worker.ID).Warn("An engine got an order but does not change its role.")
 	}
 }
