--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -51,6 +51,9 @@
 	// requestedDeadline is the deadline set by net/http, currentDeadline the one set on the socket; zero means none.
 	requestedDeadline, currentDeadline time.Time
 
+	// writeDeadline is the deadline set by net/http for writes, in Unix nanoseconds; zero means none.
+	writeDeadline atomic.Int64
+
 	closed atomic.Bool
 	// failed is set when a read or a write failed or the peer closed the connection.
 	failed atomic.Bool
@@ -60,6 +63,8 @@
 	cancelRequest atomic.Pointer[context.CancelCauseFunc]
 	// inHandler is set while the handler runs; responseStarted is set once bytes were written for the current request.
 	inHandler, responseStarted atomic.Bool
+	// resets is set if Close must reset the connection.
+	resets atomic.Bool
 }
 
 // newConnection wraps a connection that was just accepted.
@@ -129,23 +134,6 @@
 	}
 }
 
-// Write implements net.Conn.
-func (c *connection) Write(buffer []byte) (int, error) {
-	n, err := c.Conn.Write(buffer)
-	c.server.traffic.Sent.Add(int64(n))
-	if n > 0 {
-		c.responseStarted.Store(true)
-	}
-	switch {
-	case err == nil || c.closed.Load():
-	case isDeadlineExceeded(err):
-		c.closingSide.Store(int32(forward.CloserWriteTimeout))
-	default:
-		c.disconnected(err)
-	}
-	return n, err
-}
-
 // disconnected records that the connection ended from outside, and ends the context of the active request. net/http ends it too, but names
 // no cause.
 func (c *connection) disconnected(err error) {
@@ -177,14 +165,17 @@
 	return nil
 }
 
-// Close implements net.Conn. If part of a request has arrived and its handler has not run, it tells the observer, because
+// Close implements net.Conn. Behind a response it first waits for the caller to receive it. If part of a request has arrived and its handler has not run, it tells the observer, because
 // nothing else records such a request.
 func (c *connection) Close() error {
 	if !c.closed.Swap(true) {
-		c.server.remove(c)
+		defer c.server.remove(c)
 		if elapsed, notStarted := c.requestProgress(); !notStarted && !c.inHandler.Load() && !c.responseStarted.Load() {
 			c.server.observer.RequestNotHandled(c.closedBy(), c.RemoteAddr().String(), elapsed)
 		}
+		if c.mustLinger() {
+			c.linger()
+		}
 	}
 	return c.Conn.Close()
 }
@@ -303,6 +294,7 @@
 
 // resetOnClose makes Close reset the connection. The end of the connection would complete a response without a length, as HTTP/1.0 has them.
 func (c *connection) resetOnClose() {
+	c.resets.Store(true)
 	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		// This fails only if the connection is closed.
 		_ = conn.SetLinger(0)
