Soak: resumptions count whenever two engines of their version serve

The rule has no condition on a second version: also while one version serves, resumptions have to go on half as often as new streams begin. The check counts these as well, so it is stricter.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -38,10 +38,10 @@
 	// WantBody is the complete expected answer.
 	WantBody string
 	// Stream is the ID of the first try of a resumed stream; empty for first tries. Resumption numbers the resumptions of a stream from one; it
-	// is zero for first tries. Serving tells which engines served when a resumption was sent.
-	Stream     string
-	Resumption int
-	Serving    Serving
+	// is zero for first tries. ServingEngines is the number of engines of the version of the stream that served when a resumption was sent.
+	Stream         string
+	Resumption     int
+	ServingEngines int
 }
 
 // crossedClose reports whether a request may have crossed the close of its connection by a timeout: the gateway has not read it whole.
--- a/internal/soak/versioncheck.go
+++ b/internal/soak/versioncheck.go
@@ -73,7 +73,7 @@
 
 // String implements fmt.Stringer.
 func (t resumptionTotals) String() string {
-	return fmt.Sprintf("%d resumptions went on, %d were refused, %d failed; while two versions served, %d of %d went on and %d of %d new streams began",
+	return fmt.Sprintf("%d resumptions went on, %d were refused, %d failed; of those while two workers of their version served, %d of %d went on; %d of %d new streams began",
 		t.wentOn, t.refused, t.failed, t.countedOn, t.counted, t.begun, t.sent)
 }
 
@@ -99,7 +99,7 @@
 		default:
 			t.failed++
 		}
-		if r.Resumption > 0 && counts && r.Serving.Versions > 1 && r.Serving.Own >= minServingEngines {
+		if r.Resumption > 0 && counts && r.ServingEngines >= minServingEngines {
 			t.counted, t.countedOn = t.counted+1, t.countedOn+count(hasBegun)
 		}
 	}
@@ -148,7 +148,7 @@
 	}
 }
 
-// checkResumptions: while two software versions serve, resumptions go on at least half as often as new streams begin.
+// checkResumptions: while two engines of their software version serve, resumptions go on at least half as often as new streams begin.
 func checkResumptions(h *History) []Violation {
 	t := h.resumptionTotals()
 	if t.counted < minResumptions || t.sent == 0 {
--- a/internal/soak/versioncheck_test.go
+++ b/internal/soak/versioncheck_test.go
@@ -56,7 +56,7 @@
 		h := &History{Gateways: []string{gateway}}
 		add := func(resumption, number int, hasBegun bool) {
 			r := answered(fmt.Sprintf("s%d-%d", number, resumption), KindStream, 10*time.Second+time.Duration(number)*time.Millisecond)
-			r.Gateway, r.Resumption, r.Serving = gateway, resumption, Serving{Versions: 2, Own: 2}
+			r.Gateway, r.Resumption, r.ServingEngines = gateway, resumption, 2
 			if !hasBegun {
 				r.Response = refused
 			}
@@ -98,8 +98,7 @@
 		{"half of the share of new streams", requests(100, 50, 20, 5), 0},
 		{"just enough of them", requests(100, 100, 12, 5), 1},
 		{"too few of them", requests(100, 100, 11, 0), 0},
-		{"a single version", change(requests(100, 100, 20, 0), func(r *RequestRecord) { r.Serving.Versions = 1 }), 0},
-		{"one engine of the version", change(requests(100, 100, 20, 0), func(r *RequestRecord) { r.Serving.Own = 1 }), 0},
+		{"one engine of the version", change(requests(100, 100, 20, 0), func(r *RequestRecord) { r.ServingEngines = 1 }), 0},
 		{"failures instead of refusals", change(requests(100, 100, 20, 0), func(r *RequestRecord) { r.Response = fleet.Response{Err: context.DeadlineExceeded} }), 1},
 		{"no connection", change(requests(100, 100, 20, 0), func(r *RequestRecord) { r.Response = fleet.Response{Err: fleet.ErrNotConnected} }), 0},
 		{"clients that left without an event", change(requests(100, 100, 20, 0), func(r *RequestRecord) { r.AbandonedAt = r.Ended }), 0},
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -135,21 +135,15 @@
 	w.options.Version = version
 }
 
-// Serving tells which engines could take a stream up again when a client sent it.
-type Serving struct {
-	// Versions is the number of software versions that engines have, and Own the number of engines of the version of the stream.
-	Versions, Own int
-}
-
-// serving returns which engines could take up a stream of a version now.
-func (s *system) serving(version string) Serving {
-	engines := map[string]int{}
+// servingEngines returns how many engines could take up a stream of a version now.
+func (s *system) servingEngines(version string) int {
+	engines := 0
 	for _, slot := range s.workers {
-		if worker := slot.currentWorker(); slot.options.Service == serviceEngine && worker.Serves("decode") {
-			engines[worker.Version()]++
+		if worker := slot.currentWorker(); slot.options.Service == serviceEngine && worker.Version() == version && worker.Serves("decode") {
+			engines++
 		}
 	}
-	return Serving{Versions: len(engines), Own: engines[version]}
+	return engines
 }
 
 // persistence is how a client behaves whose stream breaks. It resumes the stream at another gateway, at most maxResumptions times.
@@ -222,7 +216,7 @@
 			next.Request.AbortAfter = p.dropAfter[try+1]
 		}
 		if len(first.Response.Versions) > 0 {
-			next.Serving = s.serving(first.Response.Versions[0])
+			next.ServingEngines = s.servingEngines(first.Response.Versions[0])
 		}
 		done = s.send(next, 0, do)
 		s.recordRequest(done)
