Capacity: don't take an order for failed whose response was lost

Cause: after a lost response the executor went by the last number whose acceptance it had seen. If the plan returned to that number before the order was repeated, nothing was sent, and the platform booted workers that nobody wants.

By reading, the numbers were put right after the boot time, when the surplus shows.

Why it works: a pool whose last order has an unknown outcome is not up to date, so the wanted number is ordered again. A refusal has no effect and needs nothing.

--- a/internal/capacity/executor.go
+++ b/internal/capacity/executor.go
@@ -135,8 +135,8 @@
 	lastOrdered int
 	// nextChange is when the next order may be sent, and nextRetry when one for the same number may.
 	nextChange, nextRetry time.Time
-	// refused is set if the last order returned ErrUnavailable.
-	refused bool
+	// refused is set if the last order returned ErrUnavailable, and outcomeUnknown if it failed otherwise: the platform may have accepted it.
+	refused, outcomeUnknown bool
 	// missingSince is since when fewer workers are present than wanted; zero if none are missing.
 	missingSince time.Time
 }
--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -119,7 +119,7 @@
 		// Workers that boot here may replace those that another zone lacks, within the limit of this zone.
 		target = max(target, min(state.lastOrdered, group.Offer.MaxPerZone-group.Present[key.zone].OnDemand))
 	}
-	upToDate := current == target && (state.lastOrdered < 0 || state.lastOrdered == target)
+	upToDate := current == target && (state.lastOrdered < 0 || state.lastOrdered == target) && !state.outcomeUnknown
 	if upToDate || now.Before(state.nextChange) || (target == state.lastOrdered && now.Before(state.nextRetry)) {
 		return
 	}
@@ -141,6 +141,7 @@
 	state.nextRetry = now.Add(group.BootTime + e.settings.RetryDelay)
 	state.nextChange = now.Add(e.settings.ChangeInterval)
 	state.refused = errors.Is(err, ErrUnavailable)
+	state.outcomeUnknown = err != nil && !state.refused
 	if err != nil {
 		state.nextRetry = now.Add(e.settings.FailedRetryDelay)
 		state.nextChange = state.nextRetry
