Streams: records are handed over for as long as streams of a version that has gone may be taken up

A gateway that stopped handed its records over only while two versions had served within 6 s, although others need them for the lifetime of the longest streams.

--- a/internal/gateway/streammetrics.go
+++ b/internal/gateway/streammetrics.go
@@ -39,7 +39,8 @@
 		m.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q,known=%q,reason=%q}`, metricResumptions, report.Group, known, report.Reason)).Inc()
 	}
 	for _, attempt := range report.Attempts {
-		if attempt.Continues != forward.ContinuesNothing && attempt.Worker != "" && attempt.SoftwareVersion != report.Stream.Version.Software {
+		isBound := attempt.Continues != forward.ContinuesNothing || (report.IsResumption() && report.Stream.IsKnown())
+		if isBound && attempt.Worker != "" && attempt.SoftwareVersion != report.Stream.Version.Software {
 			m.set.GetOrCreateCounter(fmt.Sprintf(`%s{group=%q}`, metricMixedAttempts, report.Group)).Inc()
 		}
 	}
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -110,10 +110,10 @@
 	return outlook
 }
 
-// IsMixed reports whether the workers of a service have had several versions lately.
+// IsMixed reports whether the workers of a service have had several versions within the longest horizon.
 func (h *History) IsMixed(now time.Time) bool {
 	for service := range h.services {
-		if h.Outlook(now, []string{service}, horizonSlack).Versions > 1 {
+		if h.Outlook(now, []string{service}, maxHorizon).Versions > 1 {
 			return true
 		}
 	}
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -178,3 +178,23 @@
 		}
 	}
 }
+
+// TestHistoryStaysMixedForTheLongestStreams guards against records that are not handed over although the streams of a version that has gone may
+// still be taken up.
+func TestHistoryStaysMixedForTheLongestStreams(t *testing.T) {
+	history, known := NewHistory(), backend.Set{}
+	change := func(seconds float64, changes backend.Changes) {
+		history.Change(at(seconds), known, changes)
+		changes.Apply(known)
+	}
+	change(0, backend.Changes{Updated: []*backend.Worker{worker("w1", "a")}})
+	if history.IsMixed(at(1)) {
+		t.Error("one version is mixed")
+	}
+	change(1, backend.Changes{Updated: []*backend.Worker{worker("w2", "b")}, Removed: []string{"w1"}})
+	for seconds, want := range map[float64]bool{2: true, MaxLifetime.Seconds(): true, 1 + maxHorizon.Seconds(): false} {
+		if got := history.IsMixed(at(seconds)); got != want {
+			t.Errorf("after %v s: mixed %t", seconds, got)
+		}
+	}
+}
