Streams: a worker that isn't confirmed costs no repeat

Cause: a worker that was started again as another incarnation counted as a worker that the request had reached, so the next one took from the budget of repeats, which was used up after a few; and it was chosen first by the next stream again.

Change: nothing was sent, so the attempt counts as one that reached no worker; the incarnation counts as unreachable for other requests, too.

--- a/internal/forward/streamversion.go
+++ b/internal/forward/streamversion.go
@@ -125,7 +125,8 @@
 const confirmTimeout = 250 * time.Millisecond
 
 // confirmVersion asks the worker of a stream that is bound to a version whether it is still the incarnation of that version. Workers that don't
-// use their ids again check the id of each request themselves. If the worker is not confirmed, the assignment is finished.
+// use their ids again check the id of each request themselves. If the worker is not confirmed, the assignment is finished. The request was not
+// sent then, so that trying another worker is no repeat.
 func (c *call) confirmVersion(ctx context.Context, runner *Assignment) failureKind {
 	if c.handler.confirm == nil || !c.stream.IsKnown() || runner.Worker.ID == runner.Worker.RecordName() {
 		return failureNone
@@ -137,13 +138,13 @@
 		return failureNone
 	}
 	c.report.Err = err
-	failure := failureUnreachable
+	outcome := balance.OutcomeNone
 	if replaced := new(ReplacedError); errors.As(err, &replaced) {
-		failure = failureMisdirected
+		// The incarnation of the record has ended, for other requests as well.
+		outcome = balance.OutcomeUnreachable
 	}
-	// The request was not sent, so this says nothing about how the worker serves.
-	runner.finish(balance.OutcomeNone)
-	return failure
+	runner.finish(outcome)
+	return failureUnreachable
 }
 
 // endWithoutVersion ends a stream that no worker can continue, because none of its software version is left. Waiting would not help: workers
