Callers: close connections that a handler took over at once

Cause: the lingering close also waited for the other side of relayed connections, for up to 1 s, although the relay ends them in its own way.

Evidence: TestHijackedConnectionIsClosedAtOnce failed 5 of 5 without the fix.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -63,8 +63,8 @@
 	cancelRequest atomic.Pointer[context.CancelCauseFunc]
 	// inHandler is set while the handler runs; responseStarted is set once bytes were written for the current request.
 	inHandler, responseStarted atomic.Bool
-	// resets is set if Close must reset the connection.
-	resets atomic.Bool
+	// resets is set if Close must reset the connection, and hijacked if its handler has taken it over and ends it in its own way.
+	resets, hijacked atomic.Bool
 }
 
 // newConnection wraps a connection that was just accepted.
@@ -230,7 +230,9 @@
 		c.enterPhase(phaseIdle)
 	case http.StateActive:
 		c.enterPhase(phaseActive)
-	case http.StateNew, http.StateClosed, http.StateHijacked:
+	case http.StateHijacked:
+		c.hijacked.Store(true)
+	case http.StateNew, http.StateClosed:
 	}
 }
 
--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -16,7 +16,7 @@
 // mustLinger reports whether the connection is closed behind a response that the caller may not have received, by a side that knows of the
 // response.
 func (c *connection) mustLinger() bool {
-	return c.responseStarted.Load() && !c.failed.Load() && !c.resets.Load() && !c.server.closing.Load() &&
+	return c.responseStarted.Load() && !c.failed.Load() && !c.resets.Load() && !c.hijacked.Load() && !c.server.closing.Load() &&
 		forward.Closer(c.closingSide.Load()) == forward.CloserUnknown
 }
 
--- a/internal/callers/linger_test.go
+++ b/internal/callers/linger_test.go
@@ -129,3 +129,38 @@
 		}
 	}
 }
+
+// TestHijackedConnectionIsClosedAtOnce guards against a handler that waits for its peer although it ends the connection itself, as relays do.
+func TestHijackedConnectionIsClosedAtOnce(t *testing.T) {
+	took := make(chan time.Duration, 1)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	s := NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+		start := time.Now()
+		_ = conn.Close()
+		took <- time.Since(start)
+	}), &Traffic{}, &recordingObserver{}, logrus.NewEntry(logger))
+	listener, err := netdial.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(s.Close)
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, requestFor("/1")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-took; got > lingerTime/2 {
+		t.Errorf("the close took %v", got)
+	}
+}
