Client: open no connection in advance for a request that has ended

By reading: as a silent worker is about to be given up, connections to up to eight others are tried in turn. Once the deadline of the request passes meanwhile, each attempt at a further worker fails at once, is counted as a failed connection, and marks the direct path to a sound worker as one that hangs, so that this gateway relays no connection to it for a while.

Why it works: Connect looks at the context first, as Do does.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -240,8 +240,13 @@
 	return exchange.run()
 }
 
-// Connect makes sure that a connection to an address is open, and keeps it for a later request. Errors are of type *Error.
+// Connect makes sure that a connection to an address is open, and keeps it for a later request. If ctx has ended, nothing is opened. Errors are
+// of type *Error.
 func (c *Client) Connect(ctx context.Context, address string) error {
+	if ctx.Err() != nil {
+		// This says nothing about the address, so onFailure is not called.
+		return &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
+	}
 	connection, err := c.pool.take(ctx, address, false)
 	if err == nil {
 		c.pool.putBack(connection)
--- a/internal/httpclient/connect_test.go
+++ b/internal/httpclient/connect_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"testing"
+	"time"
 )
 
 // TestConnectOpensConnectionOfNextRequest guards against connections that are opened in advance and not used, and against a peer that counts as
@@ -34,3 +36,31 @@
 		t.Errorf("got %v for an address at which nothing listens", err)
 	}
 }
+
+// countingDialer counts the attempts to open a connection.
+type countingDialer struct {
+	plainDialer
+	dialed int
+}
+
+func (d *countingDialer) Dial(ctx context.Context, address string, directOnly bool) (net.Conn, error) {
+	d.dialed++
+	return d.plainDialer.Dial(ctx, address, directOnly)
+}
+
+// TestEndedContextConnectsNowhere guards against a peer that counts as one which does not answer because the context had ended before it was
+// asked: dialers and onFailure take a deadline that has passed for the silence of the peer.
+func TestEndedContextConnectsNowhere(t *testing.T) {
+	address := startWorker(t, func(net.Conn, *bufio.Reader, int) {})
+	dialer := &countingDialer{plainDialer: plainDialer{&net.Dialer{Timeout: time.Second}}}
+	client := NewWithDialer(DefaultSettings(), dialer)
+	failures := 0
+	client.OnFailure(func(string, error) { failures++ })
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now())
+	defer cancel()
+	err := client.Connect(ctx, address)
+	var failed *Error
+	if !errors.As(err, &failed) || failed.FailureCause() != CauseCancelled || dialer.dialed != 0 || failures != 0 {
+		t.Errorf("got %v after %d attempts, %d of them reported", err, dialer.dialed, failures)
+	}
+}
