Callers: read on until a caller has the response before a stop or an idle timeout

What callers see: a response, or the end of a stream, that is cut with a reset because the connection was closed as idle right behind it, and a pipelined request reached it after that.

Cause: connections that a timeout or a stop closes were closed at once, as nothing had arrived on them. A stop does so as soon as a response was written whose head went out before the stop, without Connection: close. The kernel answers what arrives later with a reset, and drops the part of the response that the caller has not received.

Why it works: such a connection lingers, too, if the caller has not acknowledged all bytes. Others are closed at once, so that a stop waits for no idle caller. The timeouts of the earlier phases don't apply while a connection lingers: with them the reading would end at once.

The server and the slow caller of TestResponseIsWholeBesideUnreadBytes are functions now; it checks the same.

--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -2,8 +2,12 @@
 
 import (
 	"io"
+	"net"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/granitebay/granitebay/internal/forward"
 )
 
@@ -13,11 +17,40 @@
 	lingerBytes = 4 << 20
 )
 
-// mustLinger reports whether the connection is closed behind a response that the caller may not have received, by a side that knows of the
-// response.
+// mustLinger reports whether the connection is closed behind a response that the caller may not have received.
 func (c *connection) mustLinger() bool {
-	return c.responseStarted.Load() && !c.failed.Load() && !c.resets.Load() && !c.server.closing.Load() &&
-		forward.Closer(c.closingSide.Load()) == forward.CloserUnknown
+	if c.failed.Load() || c.resets.Load() || c.server.closing.Load() {
+		return false
+	}
+	switch forward.Closer(c.closingSide.Load()) {
+	case forward.CloserUnknown:
+		return c.responseStarted.Load()
+	case forward.CloserWriteTimeout:
+		// The caller does not read.
+		return false
+	default:
+		return hasUnacknowledged(c.Conn)
+	}
+}
+
+// hasUnacknowledged reports whether the peer has not received all bytes that were written to a connection.
+func hasUnacknowledged(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unacknowledged := 0
+	// Control fails only if the connection is closed.
+	_ = raw.Control(func(descriptor uintptr) {
+		if count, err := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); err == nil {
+			unacknowledged = count
+		}
+	})
+	return unacknowledged > 0
 }
 
 // linger ends the sending side, and reads and discards what the caller sends until it closes the connection (RFC 9112, 9.6). The kernel resets a
@@ -26,6 +59,8 @@
 	if c.CloseWrite() != nil {
 		return
 	}
+	// The timeouts of the other phases have passed.
+	c.enterPhase(phaseActive)
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 	discarded, _ := io.CopyN(io.Discard, c.Conn, lingerBytes)
 	c.server.traffic.Received.Add(discarded)
--- a/internal/callers/linger_test.go
+++ b/internal/callers/linger_test.go
@@ -51,30 +51,15 @@
 func (c *unreadCase) run(t *testing.T) {
 	var requests atomic.Int32
 	returned := make(chan struct{})
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	s := NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
 		if requests.Add(1) > 1 {
 			return
 		}
 		defer close(returned)
 		w.Header().Set("Connection", "close")
-		w.Header().Set("Content-Length", strconv.Itoa(largeResponse))
-		_, _ = io.WriteString(w, strings.Repeat("r", largeResponse))
-	}), &Traffic{}, &recordingObserver{}, logrus.NewEntry(logger))
-	listener, err := netdial.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = s.Serve(listener) }()
-	t.Cleanup(s.Close)
-	dialed, err := net.Dial("tcp4", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn := dialed.(*net.TCPConn)
-	defer conn.Close()
-	_ = conn.SetReadBuffer(64 << 10)
+		writeLargeResponse(w)
+	})
+	conn := s.dialSlowCaller(t)
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
@@ -102,6 +87,85 @@
 	}
 }
 
+// servedServer is a running server and its listener.
+type servedServer struct {
+	*Server
+	listener netdial.Listener
+}
+
+// startServer serves callers with a handler.
+func startServer(t *testing.T, handle http.HandlerFunc) *servedServer {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	s := NewServer(handle, &Traffic{}, &recordingObserver{}, logrus.NewEntry(logger))
+	listener, err := netdial.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(s.Close)
+	return &servedServer{s, listener}
+}
+
+// dialSlowCaller opens a connection that takes little of a response which is not read.
+func (s *servedServer) dialSlowCaller(t *testing.T) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	return conn.(*net.TCPConn)
+}
+
+// writeLargeResponse writes a response of largeResponse bytes.
+func writeLargeResponse(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", strconv.Itoa(largeResponse))
+	_, _ = io.WriteString(w, strings.Repeat("r", largeResponse))
+}
+
+// TestResponseOutlastsIdleClose guards against a response that is lost because its connection is closed as idle before the caller has received it,
+// and the caller sends another request on it: the kernel then resets the connection.
+func TestResponseOutlastsIdleClose(t *testing.T) {
+	for _, test := range []struct {
+		desc string
+		// closes has the server close the connection as soon as the response was written.
+		closes func(s *Server)
+	}{
+		{"shutdown", func(s *Server) { go Shutdown(time.Now().Add(testTimeout), s) }},
+		{"idle timeout", func(s *Server) { s.SetTimeouts(time.Millisecond, 0) }},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			var s *servedServer
+			s = startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				test.closes(s.Server)
+				writeLargeResponse(w)
+			})
+			conn := s.dialSlowCaller(t)
+			if _, err := io.WriteString(conn, requestFor("/1")); err != nil {
+				t.Fatal(err)
+			}
+			// A connection that lingers is not closed yet.
+			for start := time.Now(); (s.traffic.Sent.Load() < largeResponse || s.traffic.Open.Load() > 0) && time.Since(start) < testStall; {
+				time.Sleep(time.Millisecond)
+			}
+			if _, err := io.WriteString(conn, requestFor("/2")); err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no response: %v", err)
+			}
+			if body, err := io.ReadAll(response.Body); err != nil || len(body) != largeResponse {
+				t.Errorf("got %d bytes, %v", len(body), err)
+			}
+		})
+	}
+}
+
 // TestLingeringIsBounded guards against callers that keep a closed connection, and its resources, by never closing it or by sending on and on.
 func TestLingeringIsBounded(t *testing.T) {
 	for _, sendsOn := range []bool{false, true} {
