Callers: a connection accepted during a stop has its time from the accept

What callers see: a connection that is opened while a stop begins and the process stands still is closed without a byte as it is accepted, although its request is on its way.

Cause: the time that a new connection has for its first request ran from the beginning of the stop, also for connections that are accepted after it from the queue of the listener.

Why it works: the time runs from the accept or the beginning of the stop, whichever is later. The deadline of the stop bounds it as before.

--- a/internal/callers/deadlines.go
+++ b/internal/callers/deadlines.go
@@ -48,7 +48,7 @@
 	case shutdownStart != nil && c.phase == phaseIdle:
 		end = c.timeoutStart
 	case shutdownStart != nil && c.phase == phaseNew:
-		end = earlier(end, shutdownStart.Add(NewConnGrace))
+		end = earlier(end, later(*shutdownStart, c.timeoutStart).Add(NewConnGrace))
 	case c.timeout == noTimeout:
 		return c.requestedDeadline
 	}
@@ -66,6 +66,14 @@
 	return b
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // refreshDeadline recomputes the read deadline. It also affects a read in progress.
 func (c *connection) refreshDeadline() {
 	c.mu.Lock()
--- a/internal/callers/shutdown_test.go
+++ b/internal/callers/shutdown_test.go
@@ -233,6 +233,23 @@
 	}
 }
 
+// TestConnectionAcceptedLateHasTimeAtShutdown guards against a connection that waited in the queue, for example while the process stood still, and
+// is closed as it is accepted although its first request is in transit.
+func TestConnectionAcceptedLateHasTimeAtShutdown(t *testing.T) {
+	s := newTestServer(t, time.Hour, time.Hour)
+	blocked := s.listener.afterAccept.close()
+	caller := s.dial(t)
+	<-blocked
+	s.stop()
+	s.awaitShutdown()
+	time.Sleep(NewConnGrace)
+	s.listener.afterAccept.open()
+	if caller.closedWithin(NewConnGrace / 3) {
+		t.Fatal("the connection was closed as it was accepted")
+	}
+	caller.finishRequest(t, requestFor("/1"))
+}
+
 // awaitShutdown waits until the server has begun to close its listener.
 func (s *testServer) awaitShutdown() {
 	for {
