Forward: open no connection for a retry that the budget does not have

What happens without it: each request at a silent worker opens a connection to another one before it asks the retry budget. Where many requests wait for one worker and the budget is exhausted, they open as many connections without use, and workers accept a limited number of them.

The denied retry is still counted once.

Why it works: the budget is asked before the connection. The retry is taken where it was, after the silence was confirmed.

--- a/internal/forward/lastattempt_test.go
+++ b/internal/forward/lastattempt_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,6 +153,35 @@
 	}
 }
 
+// TestNoConnectionIsOpenedWithoutRetry guards against connections to other workers, which accept a limited number, for requests at a silent worker
+// that can't be sent again because the retry budget is exhausted.
+func TestNoConnectionIsOpenedWithoutRetry(t *testing.T) {
+	const took = 2 * responseTimeoutBase
+	workers := &fakeWorkers{run: func(ctx context.Context, _ int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+		select {
+		case <-time.After(took):
+			return wholeResponse(http.StatusOK, "first"), nil
+		case <-ctx.Done():
+			return awaitCancel(ctx)
+		}
+	}}
+	var connects atomic.Int32
+	workers.connect = func(*backend.Worker) error {
+		connects.Add(1)
+		return nil
+	}
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Timeout: 5 * time.Second}}, workers)
+	if response, body, err := f.get(t); err != nil || response.StatusCode != http.StatusOK || body != "first" {
+		t.Errorf("got %v, %q, %v", response, body, err)
+	}
+	if got := connects.Load(); got > 0 {
+		t.Errorf("%d connections were opened", got)
+	}
+	if views := f.handler.dispatcher.Budgets(); len(views) != 1 || views[0].Denied != 1 {
+		t.Errorf("got the budgets %+v, want one denied retry", views)
+	}
+}
+
 // TestWorkerIsNotAbandonedTooLate guards against giving up a silent worker when the patience with it ends so late, after a standstill of the
 // process, that no time is left for another one.
 func TestWorkerIsNotAbandonedTooLate(t *testing.T) {
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -44,7 +44,8 @@
 func (c *call) abandonSilent(
 	ctx context.Context, gate *responseGate, cancel context.CancelCauseFunc, arrivals *httpclient.Arrivals, others otherWorkers,
 ) {
-	if !c.reachesAlternative(ctx, others) || !confirmSilence(ctx, arrivals) {
+	budget := c.handler.dispatcher.RetryBudget(c.match.Group.Name)
+	if !c.reachesAlternative(ctx, budget, others) || !confirmSilence(ctx, arrivals) {
 		return
 	}
 	gate.abandon(func() bool {
@@ -52,7 +53,7 @@
 			// The patience began anew after a standstill, or the other worker was reached late.
 			return false
 		}
-		if !c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry() {
+		if !budget.takeRetry() {
 			return false
 		}
 		c.attempts.retryPrepaid.Store(true)
@@ -73,13 +74,13 @@
 	return otherWorkers{version: c.boundVersion(), excluded: append(slices.Clone(c.attempts.excluded), worker.ID)}
 }
 
-// reachesAlternative reports whether one of the other workers accepts a connection. One that was chosen without that might leave the request
-// without any worker.
-func (c *call) reachesAlternative(ctx context.Context, others otherWorkers) bool {
+// reachesAlternative reports whether the budget has a retry and one of the other workers accepts a connection. One that was chosen without that
+// might leave the request without any worker. Workers accept a limited number of connections, so none is opened without a retry.
+func (c *call) reachesAlternative(ctx context.Context, budget RetryBudget, others otherWorkers) bool {
 	excluded := others.excluded
 	for range maxUnreachableWorkers {
 		worker := c.handler.dispatcher.alternative(c.request, c.match.Group, others.version, excluded)
-		if worker == nil {
+		if worker == nil || !budget.hasRetry() {
 			return false
 		}
 		if c.handler.workers.Connect(ctx, worker) == nil {
--- a/internal/forward/retrybudget.go
+++ b/internal/forward/retrybudget.go
@@ -173,23 +173,28 @@
 	group      string
 }
 
-// takeRetry implements retrySource. It reports an exhausted budget without holding the mutex, so that a blocked log does not block other
-// requests.
-func (r RetryBudget) takeRetry() bool {
-	granted, report := r.takeWithReport()
+// takeRetry implements retrySource.
+func (r RetryBudget) takeRetry() bool { return r.ask((*retrybudget.Budget).Spend) }
+
+// hasRetry reports whether a retry could be taken. If not, it counts as one that was denied.
+func (r RetryBudget) hasRetry() bool { return r.ask((*retrybudget.Budget).Check) }
+
+// ask asks the budget for a retry. It reports an exhausted budget without holding the mutex, so that a blocked log does not block other requests.
+func (r RetryBudget) ask(check func(budget *retrybudget.Budget, now time.Time, share float64) bool) bool {
+	granted, report := r.askWithReport(check)
 	if report != nil {
 		report()
 	}
 	return granted
 }
 
-// takeWithReport takes one retry. If the budget is exhausted and that should be reported, it returns the function to call.
-func (r RetryBudget) takeWithReport() (granted bool, report func()) {
+// askWithReport asks the budget for a retry. If the budget is exhausted and that should be reported, it returns the function to call.
+func (r RetryBudget) askWithReport(check func(budget *retrybudget.Budget, now time.Time, share float64) bool) (granted bool, report func()) {
 	r.dispatcher.mutex.Lock()
 	defer r.dispatcher.mutex.Unlock()
 	budgets, now := r.dispatcher.retries, r.dispatcher.retries.now()
 	budget, share := budgets.forGroup(r.group), budgets.share.At(now)
-	if budget.Spend(now, share) {
+	if check(budget.Budget, now, share) {
 		return true, nil
 	}
 	if !budgets.shouldReportExhausted(budget, now) {
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -95,13 +95,21 @@
 	b.credits += b.settings.Safety * b.settings.Ratio
 }
 
-// Spend takes one retry from the budget and reports whether there was one.
-func (b *Budget) Spend(now time.Time, share float64) bool {
+// Check reports whether there is a retry in the budget. If not, it counts as denied.
+func (b *Budget) Check(now time.Time, share float64) bool {
 	b.Accrue(now, share)
 	if b.credits < 1 {
 		b.denied++
 		return false
 	}
+	return true
+}
+
+// Spend takes one retry from the budget and reports whether there was one.
+func (b *Budget) Spend(now time.Time, share float64) bool {
+	if !b.Check(now, share) {
+		return false
+	}
 	b.granted++
 	b.credits--
 	return true
