Forward: test that a response is used which arrives while another worker is reached

No test failed when the second look at the silence, after a connection to another worker was opened, was taken out. TestResponseOutlastsConnectionToAnother fails 5 of 5 then (the request runs again at another worker), and passes 5 of 5 with the code as it is, under the race detector.

--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -193,6 +194,53 @@
 	}
 }
 
+// TestResponseOutlastsConnectionToAnother guards against a worker that is abandoned as silent although its response arrived while a connection to
+// another one was opened.
+func TestResponseOutlastsConnectionToAnother(t *testing.T) {
+	connecting, sent := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-connecting:
+		case <-r.Context().Done():
+			return
+		}
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		close(sent)
+	}))
+	defer server.Close()
+	// The reader is held until after the connection was opened.
+	client := httpclient.NewWithDialer(httpclient.DefaultSettings(), heldDialer{holdBefore: 1, hold: 3 * responseTimeoutBase})
+	workers := &fakeWorkers{
+		run: func(ctx context.Context, number int, _ *backend.Worker, options RunOptions) (*Response, error) {
+			if number > 1 {
+				return wholeResponse(http.StatusOK, "second"), nil
+			}
+			response, err := client.Do(ctx, server.Listener.Addr().String(), &httpclient.Request{
+				Method: http.MethodGet, Target: "/", Host: "w", Header: http.Header{}, Arrivals: options.Arrivals,
+			})
+			if err != nil {
+				return nil, err
+			}
+			return &Response{Status: response.Status, Header: http.Header{}, ContentLength: -1, Body: response.Body}, nil
+		},
+		connect: func(*backend.Worker) error {
+			close(connecting)
+			<-sent
+			return nil
+		},
+	}
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Timeout: 5 * time.Second}, allowance: 10}, workers)
+	if _, body, err := f.get(t); err != nil || body != "first" {
+		t.Errorf("got %q, %v after attempts at %v", body, err, workers.ranAt)
+	}
+	select {
+	case <-sent:
+	default:
+		t.Error("no connection was opened, so the test checks nothing")
+	}
+}
+
 // TestArrivedPromptIsNotAbandoned guards against an engine that is abandoned as silent although its response to a prefill call has arrived.
 func TestArrivedPromptIsNotAbandoned(t *testing.T) {
 	for _, dialer := range []heldDialer{{1, 0, prefillHold}, {0, 1, prefillHold}} {
