--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -283,6 +283,22 @@
 	}
 }
 
+// TestSilentGatewaysRankLast guards against asking a gateway that is not heard before one that is, and against leaving out one that is heard for it.
+func TestSilentGatewaysRankLast(t *testing.T) {
+	a := newNode(t, "a", nil, 8)
+	for i := range maxAskedPeers {
+		a.known.peers = append(a.known.peers, Peer{Name: fmt.Sprint("silent", i), Silent: true}, Peer{Name: fmt.Sprint("heard", i), Zone: "other"})
+	}
+	// A gateway that is heard ranks before silent ones even if it failed recently.
+	a.dialer.avoidedUntil["heard0"] = time.Now().Add(time.Hour)
+	for i := range 100 {
+		ranked := a.dialer.rankedPeers(fmt.Sprint("address", i))
+		if len(ranked) != maxAskedPeers || slices.ContainsFunc(ranked, func(peer Peer) bool { return peer.Silent }) {
+			t.Fatalf("got %+v", ranked)
+		}
+	}
+}
+
 // TestWorkerThatAnyGatewayReachesIsNotEnded guards against taking a worker for ended because most gateways have lost their path to it alone.
 func TestWorkerThatAnyGatewayReachesIsNotEnded(t *testing.T) {
 	real, sibling := startWorker(t, echo), startWorker(t, idle)
