Forward: try again to reach another worker than a silent one

What callers see: 504 at the deadline of a repeatable request whose worker is silent for good, although other workers are reachable again after a moment.

Cause: whether another worker can be reached was asked once, as the patience with the silent one ended. If none could, nothing asked again.

Why it works: the others are tried again after 0.5 s, 1 s, 2 s and so on, while enough time would be left. If there is no other worker or no retry, the attempt goes on as before.

--- a/internal/forward/lastattempt_test.go
+++ b/internal/forward/lastattempt_test.go
@@ -153,6 +153,31 @@
 	}
 }
 
+// TestSilentWorkerIsAbandonedOnceOthersAreReached guards against a request that waits for a silent worker until its deadline because the others
+// could not be reached for a moment.
+func TestSilentWorkerIsAbandonedOnceOthersAreReached(t *testing.T) {
+	const timeout = 5 * time.Second
+	workers := &fakeWorkers{run: func(ctx context.Context, number int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+		if number == 1 {
+			return awaitCancel(ctx)
+		}
+		return wholeResponse(http.StatusOK, "second"), nil
+	}}
+	reachableAt := time.Now().Add(2 * responseTimeoutBase)
+	workers.connect = func(*backend.Worker) error {
+		if time.Now().Before(reachableAt) {
+			return connectError
+		}
+		return nil
+	}
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Timeout: timeout}, allowance: 10}, workers)
+	start := time.Now()
+	response, body, err := f.get(t)
+	if took := time.Since(start); err != nil || response.StatusCode != http.StatusOK || body != "second" || took > timeout/2 {
+		t.Errorf("got %v, %q, %v after %v and attempts at %v", response, body, err, took, workers.ranAt)
+	}
+}
+
 // TestNoConnectionIsOpenedWithoutRetry guards against connections to other workers, which accept a limited number, for requests at a silent worker
 // that can't be sent again because the retry budget is exhausted.
 func TestNoConnectionIsOpenedWithoutRetry(t *testing.T) {
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -45,7 +45,7 @@
 	ctx context.Context, gate *responseGate, cancel context.CancelCauseFunc, arrivals *httpclient.Arrivals, others otherWorkers,
 ) {
 	budget := c.handler.dispatcher.RetryBudget(c.match.Group.Name)
-	if !c.reachesAlternative(ctx, budget, others) || !confirmSilence(ctx, arrivals) {
+	if !c.awaitAlternative(ctx, budget, others) || !confirmSilence(ctx, arrivals) {
 		return
 	}
 	gate.abandon(func() bool {
@@ -74,21 +74,39 @@
 	return otherWorkers{version: c.boundVersion(), excluded: append(slices.Clone(c.attempts.excluded), worker.ID)}
 }
 
-// reachesAlternative reports whether the budget has a retry and one of the other workers accepts a connection. One that was chosen without that
-// might leave the request without any worker. Workers accept a limited number of connections, so none is opened without a retry.
-func (c *call) reachesAlternative(ctx context.Context, budget RetryBudget, others otherWorkers) bool {
+// firstReachInterval is the time between the first two rounds of attempts to reach another worker. It doubles with each round.
+const firstReachInterval = 500 * time.Millisecond
+
+// awaitAlternative reports whether another worker accepts a connection before too little time is left for it or the context ends. It ends at
+// once if there is no other worker or no retry in the budget.
+func (c *call) awaitAlternative(ctx context.Context, budget RetryBudget, others otherWorkers) bool {
+	for interval := firstReachInterval; ; interval *= 2 {
+		reached, tried := c.reachAlternative(ctx, budget, others)
+		if reached || tried == 0 {
+			return reached
+		}
+		if time.Until(c.deadline)-interval < c.handler.settings.MinRemaining || !ctxsleep.Sleep(ctx, interval) {
+			return false
+		}
+	}
+}
+
+// reachAlternative reports whether the budget has a retry and one of the other workers accepts a connection, and how many were tried. One that
+// was chosen without that might leave the request without any worker. Workers accept a limited number of connections, so none is opened
+// without a retry.
+func (c *call) reachAlternative(ctx context.Context, budget RetryBudget, others otherWorkers) (reached bool, tried int) {
 	excluded := others.excluded
-	for range maxUnreachableWorkers {
+	for ; tried < maxUnreachableWorkers; tried++ {
 		worker := c.handler.dispatcher.alternative(c.request, c.match.Group, others.version, excluded)
 		if worker == nil || !budget.hasRetry() {
-			return false
+			return false, tried
 		}
 		if c.handler.workers.Connect(ctx, worker) == nil {
-			return true
+			return true, tried + 1
 		}
 		excluded = append(excluded, worker.ID)
 	}
-	return false
+	return false, tried
 }
 
 // confirmSilence reports whether nothing of a response arrives before the context ends. Part of it may have arrived while another worker was
