--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -165,8 +165,8 @@
 	return nil
 }
 
-// Close implements net.Conn. Behind a response it first waits for the caller to receive it. If part of a request has arrived and its handler has not run, it tells the observer, because
-// nothing else records such a request.
+// Close implements net.Conn. Behind a response it first waits for the caller to receive it. If part of a request has arrived
+// and its handler has not run, it tells the observer, because nothing else records such a request.
 func (c *connection) Close() error {
 	if !c.closed.Swap(true) {
 		defer c.server.remove(c)
--- a/internal/forward/lastattempt_test.go
+++ b/internal/forward/lastattempt_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,6 +153,60 @@
 	}
 }
 
+// TestSilentWorkerIsAbandonedOnceOthersAreReached guards against a request that waits for a silent worker until its deadline because the others
+// could not be reached for a moment.
+func TestSilentWorkerIsAbandonedOnceOthersAreReached(t *testing.T) {
+	const timeout = 5 * time.Second
+	workers := &fakeWorkers{run: func(ctx context.Context, number int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+		if number == 1 {
+			return awaitCancel(ctx)
+		}
+		return wholeResponse(http.StatusOK, "second"), nil
+	}}
+	reachableAt := time.Now().Add(2 * responseTimeoutBase)
+	workers.connect = func(*backend.Worker) error {
+		if time.Now().Before(reachableAt) {
+			return connectError
+		}
+		return nil
+	}
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Timeout: timeout}, allowance: 10}, workers)
+	start := time.Now()
+	response, body, err := f.get(t)
+	if took := time.Since(start); err != nil || response.StatusCode != http.StatusOK || body != "second" || took > timeout/2 {
+		t.Errorf("got %v, %q, %v after %v and attempts at %v", response, body, err, took, workers.ranAt)
+	}
+}
+
+// TestNoConnectionIsOpenedWithoutRetry guards against connections to other workers, which accept a limited number, for requests at a silent worker
+// that can't be sent again because the retry budget is exhausted.
+func TestNoConnectionIsOpenedWithoutRetry(t *testing.T) {
+	const took = 2 * responseTimeoutBase
+	workers := &fakeWorkers{run: func(ctx context.Context, _ int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+		select {
+		case <-time.After(took):
+			return wholeResponse(http.StatusOK, "first"), nil
+		case <-ctx.Done():
+			return awaitCancel(ctx)
+		}
+	}}
+	var connects atomic.Int32
+	workers.connect = func(*backend.Worker) error {
+		connects.Add(1)
+		return nil
+	}
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Timeout: 5 * time.Second}}, workers)
+	if response, body, err := f.get(t); err != nil || response.StatusCode != http.StatusOK || body != "first" {
+		t.Errorf("got %v, %q, %v", response, body, err)
+	}
+	if got := connects.Load(); got > 0 {
+		t.Errorf("%d connections were opened", got)
+	}
+	if views := f.handler.dispatcher.Budgets(); len(views) != 1 || views[0].Denied != 1 {
+		t.Errorf("got the budgets %+v, want one denied retry", views)
+	}
+}
+
 // TestWorkerIsNotAbandonedTooLate guards against giving up a silent worker when the patience with it ends so late, after a standstill of the
 // process, that no time is left for another one.
 func TestWorkerIsNotAbandonedTooLate(t *testing.T) {
