Stand-in fleet: a worker that restarts at once keeps its port

TestBoundStreamAvoidsRestartedWorker failed once in a run of all tests of software versions: 'listen tcp4 127.0.0.1:40267: bind: address already in use'. RestartAs closed the listener and opened another one, and in between the kernel refuses the port while connections to it are being opened, or gives it to others. The new server now gets a duplicate of the socket, which is never closed.

--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"net"
 	"net/http"
+	"os"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // CrashingBody is a marker: a request whose body contains it crashes each worker that runs it.
@@ -84,18 +87,33 @@
 	if w.crashed || w.stopped || w.replaced {
 		return nil
 	}
-	w.crashed, w.replaced = true, true
-	_ = w.server.Close()
-	listener, err := net.Listen("tcp4", w.listenAddress)
+	listener, err := duplicate(w.listener)
 	if err != nil {
 		return err
 	}
+	w.crashed, w.replaced = true, true
+	_ = w.server.Close()
 	options := w.options
 	options.Stage, options.Version = w.stage, version
 	w.successor = w.fleet.startOn(options, listener, w.address)
 	return nil
 }
 
+// duplicate returns another listener on the socket of a TCP listener. The socket stays open when the first one is closed, so that nobody else
+// takes its port.
+func duplicate(listener net.Listener) (net.Listener, error) {
+	withFile, ok := listener.(interface{ File() (*os.File, error) })
+	if !ok {
+		return nil, errors.Newf("duplicate a %T: not supported", listener)
+	}
+	file, err := withFile.File()
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return net.FileListener(file)
+}
+
 // Latest returns the current incarnation of the worker: itself, or the last restarted one.
 func (w *Worker) Latest() *Worker {
 	w.mutex.Lock()
@@ -117,7 +135,7 @@
 // startOn starts a worker on a listener and registers it.
 func (f *Fleet) startOn(options WorkerOptions, listener net.Listener, address string) *Worker {
 	worker := &Worker{
-		options: options, fleet: f, address: address, listenAddress: listener.Addr().String(), stage: options.Stage, handles: map[string]bool{},
+		options: options, fleet: f, address: address, listener: listener, listenAddress: listener.Addr().String(), stage: options.Stage, handles: map[string]bool{},
 		copies: map[string]int{},
 	}
 	if options.Version != "" {
--- a/internal/standin/fleet/versions_test.go
+++ b/internal/standin/fleet/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -69,3 +70,40 @@
 		t.Errorf("resumed: %+v", second)
 	}
 }
+
+// TestRestartKeepsPort guards against a worker whose port another process takes, or whose address refuses connections, while it restarts at once.
+func TestRestartKeepsPort(t *testing.T) {
+	const restarts = 50
+	worker, err := NewFleet().Start(WorkerOptions{ID: "w", Service: "llm", Stage: "decode", Version: "a", Slots: 4, Events: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { worker.Stop(true) })
+	done := make(chan struct{})
+	dialed := make(chan error, 1)
+	go func() {
+		for {
+			conn, err := net.Dial("tcp4", worker.Address())
+			if err != nil {
+				dialed <- err
+				return
+			}
+			_ = conn.Close()
+			select {
+			case <-done:
+				dialed <- nil
+				return
+			default:
+			}
+		}
+	}()
+	for number := range restarts {
+		if err := worker.Latest().RestartAs([]string{"b", "a"}[number%2]); err != nil {
+			t.Errorf("restart %d: %v", number, err)
+		}
+	}
+	close(done)
+	if err := <-dialed; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -69,6 +69,8 @@
 	options WorkerOptions
 	fleet   *Fleet
 	server  *http.Server
+	// listener is that of the server.
+	listener net.Listener
 	// address is the registered address, and listenAddress the one on which the worker listens.
 	address, listenAddress string
 
