Forward: stalled streams are given up only for an engine that can be reached

What callers see: a stream that is cut, although its engine goes on after a moment: it was given up as stalled for another engine to which no connection could be opened.

Cause: the same as for silent workers: the stall watch asked only whether another engine is known.

Why it works: where the stream has no copy, a connection to another engine is opened first.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -234,7 +234,7 @@
 	defer runner.finishUnless(&isEnded)
 	start := time.Now()
 	options.Arrivals = &httpclient.Arrivals{}
-	c.relay.watch = c.watchStalls(cancel, runner.Worker, held, options.Arrivals)
+	c.relay.watch = c.watchStalls(ctx, cancel, runner.Worker, held, options.Arrivals)
 	defer c.relay.watch.stop()
 	c.relay.onResponse = func() {
 		runner.responseStarted()
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -182,13 +182,20 @@
 	return d.migration.Broken(d.now(), run, means)
 }
 
+// hasRetry reports whether takeRetry would find a retry. If not, it counts as one that was denied.
+func (c *call) hasRetry() bool {
+	return c.attempts.retryPrepaid.Load() || c.handler.dispatcher.RetryBudget(c.match.Group.Name).hasRetry()
+}
+
 // takeRetry takes a retry from the budget unless one has been taken for the next attempt.
 func (c *call) takeRetry() bool {
 	return c.attempts.retryPrepaid.Swap(false) || c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry()
 }
 
 // watchStalls returns the watch for the response of a worker, or nil if it can't be continued elsewhere. Arrivals is what arrives of it.
-func (c *call) watchStalls(cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy, arrivals *httpclient.Arrivals) *stallWatch {
+func (c *call) watchStalls(
+	ctx context.Context, cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy, arrivals *httpclient.Arrivals,
+) *stallWatch {
 	rule := c.match.Rule
 	if rule.Patience <= 0 || c.match.Group.Engine == nil || !c.isStream() {
 		return nil
@@ -196,18 +203,21 @@
 	if held == nil && (!c.resumable() || !c.attempts.allowsAfterRun()) {
 		return nil
 	}
+	reach := &alternativeReach{}
 	return &stallWatch{
 		detector: migration.NewStallDetector(migration.DefaultStallSettings(), rule.Patience, 0),
 		silence:  httpclient.NewSilence(arrivals),
 		decide: func(time.Time) (bool, time.Duration) {
-			return c.decideOnStall(cancel, worker, held)
+			return c.decideOnStall(ctx, cancel, worker, held, reach)
 		},
 	}
 }
 
 // decideOnStall abandons a stalled response if the run can continue elsewhere and the budget has a retry for it. Otherwise it returns when
 // to decide again, zero for never. It runs while the goroutine of the call waits for the worker.
-func (c *call) decideOnStall(cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy) (bool, time.Duration) {
+func (c *call) decideOnStall(
+	ctx context.Context, cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy, reach *alternativeReach,
+) (bool, time.Duration) {
 	dispatcher := c.handler.dispatcher
 	run := c.migrationRun(worker, c.usableCopy(held))
 	means := migration.Means{Retry: true}
@@ -215,6 +225,12 @@
 		means.Elsewhere = dispatcher.hasAlternative(c.request, c.match.Group, c.boundVersion(), append(slices.Clone(c.attempts.excluded), worker.ID))
 	}
 	decision := dispatcher.decideOnStall(run, means)
+	if _, keeps := decision.(migration.Keep); !keeps && held == nil {
+		others := c.othersThan(worker)
+		if !reach.confirm(time.Now(), func() bool { return c.awaitAlternative(ctx, others) }) {
+			return false, reachRecheckInterval
+		}
+	}
 	if _, keeps := decision.(migration.Keep); !keeps && !c.takeRetry() {
 		means.Retry = false
 		decision = dispatcher.decideOnStall(run, means)
--- a/internal/forward/lastattempt_test.go
+++ b/internal/forward/lastattempt_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 )
@@ -153,6 +155,34 @@
 	}
 }
 
+// TestStalledStreamIsNotAbandonedForUnreachableEngines guards against a stream that is cut because its engine, which stalls for a moment, was given
+// up for others that can't be reached.
+func TestStalledStreamIsNotAbandonedForUnreachableEngines(t *testing.T) {
+	const stall = 10 * continuationPatience
+	workers := &fakeWorkers{connect: func(*backend.Worker) error { return connectError }}
+	workers.run = func(ctx context.Context, number int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+		if number > 1 {
+			return nil, connectError
+		}
+		reader, writer := io.Pipe()
+		context.AfterFunc(ctx, func() {
+			_ = reader.CloseWithError(&httpclient.Error{Step: httpclient.StepReceive, Peer: "w", Cause: context.Cause(ctx)})
+		})
+		go func() {
+			_, _ = io.WriteString(writer, firstEvents)
+			time.Sleep(stall)
+			_, _ = io.WriteString(writer, lastEvents)
+			_ = writer.Close()
+		}()
+		return &Response{Status: http.StatusOK, Header: http.Header{}, ContentLength: -1, Body: reader}, nil
+	}
+	rule := routing.Rule{Kind: routing.KindStream, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Patience: continuationPatience}
+	f := newFixture(t, fixtureOptions{rule: rule, engine: true, allowance: 10}, workers)
+	if _, body, err := f.get(t); err != nil || body != firstEvents+lastEvents {
+		t.Errorf("got %q, %v after attempts at %v", body, err, workers.ranAt)
+	}
+}
+
 // TestSilentWorkerIsAbandonedOnceOthersAreReached guards against a request that waits for a silent worker until its deadline because the others
 // could not be reached for a moment.
 func TestSilentWorkerIsAbandonedOnceOthersAreReached(t *testing.T) {
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -44,8 +44,7 @@
 func (c *call) abandonSilent(
 	ctx context.Context, gate *responseGate, cancel context.CancelCauseFunc, arrivals *httpclient.Arrivals, others otherWorkers,
 ) {
-	budget := c.handler.dispatcher.RetryBudget(c.match.Group.Name)
-	if !c.awaitAlternative(ctx, budget, others) || !confirmSilence(ctx, arrivals) {
+	if !c.awaitAlternative(ctx, others) || !confirmSilence(ctx, arrivals) {
 		return
 	}
 	gate.abandon(func() bool {
@@ -53,7 +52,7 @@
 			// The patience began anew after a standstill, or the other worker was reached late.
 			return false
 		}
-		if !budget.takeRetry() {
+		if !c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry() {
 			return false
 		}
 		c.attempts.retryPrepaid.Store(true)
@@ -79,9 +78,9 @@
 
 // awaitAlternative reports whether another worker accepts a connection before too little time is left for it or the context ends. It ends at
 // once if there is no other worker or no retry in the budget.
-func (c *call) awaitAlternative(ctx context.Context, budget RetryBudget, others otherWorkers) bool {
+func (c *call) awaitAlternative(ctx context.Context, others otherWorkers) bool {
 	for interval := firstReachInterval; ; interval *= 2 {
-		reached, tried := c.reachAlternative(ctx, budget, others)
+		reached, tried := c.reachAlternative(ctx, others)
 		if reached || tried == 0 {
 			return reached
 		}
@@ -94,11 +93,11 @@
 // reachAlternative reports whether the budget has a retry and one of the other workers accepts a connection, and how many were tried. One that
 // was chosen without that might leave the request without any worker. Workers accept a limited number of connections, so none is opened
 // without a retry.
-func (c *call) reachAlternative(ctx context.Context, budget RetryBudget, others otherWorkers) (reached bool, tried int) {
+func (c *call) reachAlternative(ctx context.Context, others otherWorkers) (reached bool, tried int) {
 	excluded := others.excluded
 	for ; tried < maxUnreachableWorkers; tried++ {
 		worker := c.handler.dispatcher.alternative(c.request, c.match.Group, others.version, excluded)
-		if worker == nil || !budget.hasRetry() {
+		if worker == nil || !c.hasRetry() {
 			return false, tried
 		}
 		if c.handler.workers.Connect(ctx, worker) == nil {
