--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -63,8 +63,8 @@
 	cancelRequest atomic.Pointer[context.CancelCauseFunc]
 	// inHandler is set while the handler runs; responseStarted is set once bytes were written for the current request.
 	inHandler, responseStarted atomic.Bool
-	// resets is set if Close must reset the connection.
-	resets atomic.Bool
+	// resets is set if Close must reset the connection, and hijacked if its handler has taken it over and ends it in its own way.
+	resets, hijacked atomic.Bool
 }
 
 // newConnection wraps a connection that was just accepted.
@@ -165,8 +165,8 @@
 	return nil
 }
 
-// Close implements net.Conn. Behind a response it first waits for the caller to receive it. If part of a request has arrived and its handler has not run, it tells the observer, because
-// nothing else records such a request.
+// Close implements net.Conn. Behind a response it first waits for the caller to receive it. If part of a request has arrived
+// and its handler has not run, it tells the observer, because nothing else records such a request.
 func (c *connection) Close() error {
 	if !c.closed.Swap(true) {
 		defer c.server.remove(c)
@@ -230,7 +230,9 @@
 		c.enterPhase(phaseIdle)
 	case http.StateActive:
 		c.enterPhase(phaseActive)
-	case http.StateNew, http.StateClosed, http.StateHijacked:
+	case http.StateHijacked:
+		c.hijacked.Store(true)
+	case http.StateNew, http.StateClosed:
 	}
 }
 
--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -19,7 +19,7 @@
 
 // mustLinger reports whether the connection is closed behind a response that the caller may not have received.
 func (c *connection) mustLinger() bool {
-	if c.failed.Load() || c.resets.Load() || c.server.closing.Load() {
+	if c.failed.Load() || c.resets.Load() || c.hijacked.Load() || c.server.closing.Load() {
 		return false
 	}
 	switch forward.Closer(c.closingSide.Load()) {
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -3,7 +3,8 @@
 //
 // Invariants: a connection on which a request has started to arrive is not closed by the idle timeout or by the start of
 // shutdown; a timeout or the start of shutdown closes a connection only from the goroutine that reads it, after a final read
-// that found no data; the start of shutdown closes a listener only from the goroutine that accepts, after it has found the queue empty; and CloserOf returns which side closed a connection.
+// that found no data; the start of shutdown closes a listener only from the goroutine that accepts, after it has found the
+// queue empty; and CloserOf returns which side closed a connection.
 package callers
 
 import (
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -264,8 +264,8 @@
 	}
 }
 
-// step releases the controller key after Resign, hands it over while this process reaches too few engines, acquires a free key, or, if this process may give orders, recovers lost roles or confirms
-// pending changes and makes the next ones.
+// step releases the controller key after Resign, hands it over while this process reaches too few engines, acquires a free
+// key, or, if this process may give orders, recovers lost roles or confirms pending changes and makes the next ones.
 func (c *Controller) step(ctx context.Context) {
 	if c.resigned.Load() {
 		c.release(ctx)
