Forward tests: a header of the test protocol has a name of its own

TestPlatformNamesOccurOnlyInThisPackage failed 2 of 2, as two tests used a header name of the platform for the fake protocol. The header has another name there; what the tests check is the same.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -32,7 +32,7 @@
 func (p plainProtocol) Read(incoming *http.Request) (*Request, error) {
 	return &Request{
 		ID: "r1", Method: incoming.Method, Target: incoming.RequestURI, Header: http.Header{}, Demand: p.demand,
-		ResumeAfter: incoming.Header.Get("Last-Event-Id"), Resumes: incoming.Header.Get("Resumes"),
+		ResumeAfter: incoming.Header.Get("Last-Event-Id"), Resumes: incoming.Header.Get("Begun-By"),
 	}, nil
 }
 
--- a/internal/forward/streamversion_test.go
+++ b/internal/forward/streamversion_test.go
@@ -145,7 +145,7 @@
 		t.Fatal(err)
 	}
 	request.Header.Set("Last-Event-Id", "3")
-	request.Header.Set("Resumes", "r0")
+	request.Header.Set("Begun-By", "r0")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
