Callers: a stop waits 50 ms for handshakes that have begun

A handshake that took longer than 5 ms from its first packet was reset when a stop closed the listener; callers of the same region may be 3 ms away one way, so that two packets and the caller's turn take longer. Listeners are plain TCP explicitly; until now they were so because an option failed on multipath TCP.

--- a/internal/callers/accept.go
+++ b/internal/callers/accept.go
@@ -30,8 +30,9 @@
 	return conn, nil
 }
 
-// handshakeTime is how long the accept loop waits for connections whose handshake has begun, after new handshakes were stopped.
-const handshakeTime = 5 * time.Millisecond
+// handshakeTime is how long the accept loop waits for connections whose handshake has begun, after new handshakes were stopped. It exceeds the
+// round trip to callers of the same region.
+const handshakeTime = 50 * time.Millisecond
 
 // drainQueue makes the accept loop of a listener empty the queue and close the listener.
 func drainQueue(listener netdial.Listener) {
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -79,6 +79,8 @@
 		// Accepted sockets inherit this option from the listening socket.
 		Control: userTimeoutControl(acceptedUnacknowledgedTimeout),
 	}
+	// Options and filters of a plain socket don't all hold for multipath TCP.
+	config.SetMultipathTCP(false)
 	listener, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
