Soak: leaving notices bind one incarnation of a worker

By the logs the notice came from the incarnation that started at ...122738, at 13.779 s; at 13.900 s the worker was started again under its id as another version (...133900), which announced nothing, and the request reached that one. So the case is allowed, and the check told incarnations apart by their ids alone. Arrivals and notices name the start of the worker now, and both checks of notices compare it; nothing else is let through (TestNoticesBindOneIncarnation).

--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -83,7 +83,11 @@
 // checkLeavingNotices: after a gateway has delivered a response in which a worker announced that it is leaving, requests sent
 // through this gateway later than the drain time do not reach the worker, unless the gateway exited or paused since.
 func checkLeavingNotices(h *History) []Violation {
-	type pair struct{ worker, gateway string }
+	type pair struct {
+		worker  string
+		born    int64
+		gateway string
+	}
 	requests := h.requestsByID()
 	announcedAt := map[pair]time.Time{}
 	for _, notice := range h.Notices {
@@ -91,7 +95,7 @@
 		if !notice.Leaving || len(runs) == 0 || runs[len(runs)-1].Worker != notice.Worker || r.Response.Err != nil || r.Response.Status != http.StatusOK {
 			continue
 		}
-		key := pair{notice.Worker, r.Gateway}
+		key := pair{notice.Worker, notice.Born, r.Gateway}
 		if first, known := announcedAt[key]; !known || r.Ended.Before(first) {
 			announcedAt[key] = r.Ended
 		}
@@ -99,7 +103,7 @@
 	var found []Violation
 	for _, arrival := range h.Arrivals {
 		r := requests[arrival.ID]
-		at, known := announcedAt[pair{arrival.Worker, r.Gateway}]
+		at, known := announcedAt[pair{arrival.Worker, arrival.Born, r.Gateway}]
 		if known && r.Sent.After(at.Add(drainTime)) && !h.wasInterrupted(r.Gateway, at, arrival.At) {
 			found = append(found, Violation{"DRAIN", arrival.ID, fmt.Sprintf("reached %s through %s, sent %s after the gateway had delivered the worker's leaving notice", arrival.Worker, r.Gateway, r.Sent.Sub(at))})
 		}
@@ -125,7 +129,7 @@
 		gateway, from, until := requests[notice.ID].Gateway, notice.At.Add(retryAfterSlack), notice.At.Add(notice.Rest)
 		count := 0
 		for _, arrival := range h.Arrivals {
-			if arrival.Worker == notice.Worker && arrival.At.After(from) && arrival.At.Before(until) && requests[arrival.ID].Gateway == gateway {
+			if arrival.Worker == notice.Worker && arrival.Born == notice.Born && arrival.At.After(from) && arrival.At.Before(until) && requests[arrival.ID].Gateway == gateway {
 				count++
 			}
 		}
--- a/internal/soak/versioncheck_test.go
+++ b/internal/soak/versioncheck_test.go
@@ -164,3 +164,22 @@
 		}
 	}
 }
+
+// TestNoticesBindOneIncarnation guards against a check that takes a worker which was started again under its ID for the one that announced that
+// it leaves, and against one that lets requests to the latter pass.
+func TestNoticesBindOneIncarnation(t *testing.T) {
+	const gateway = "g1"
+	before, late := answered("r1", KindStream, 0), answered("r2", KindStream, time.Minute)
+	before.Gateway, late.Gateway = gateway, gateway
+	h := &History{
+		Requests: []RequestRecord{before, late},
+		Runs:     map[string][]fleet.Run{"r1": {{Worker: "w"}}},
+		Notices:  []fleet.Notice{{ID: "r1", Worker: "w", Born: 1, Leaving: true, At: before.Sent}},
+	}
+	for born, want := range map[int64]int{1: 1, 2: 0} {
+		h.Arrivals = []fleet.Arrival{{ID: "r2", Worker: "w", Born: born, At: late.Sent}}
+		if found := checkLeavingNotices(h); len(found) != want {
+			t.Errorf("incarnation %d: %v", born, found)
+		}
+	}
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -77,6 +77,8 @@
 	ID      string
 	Service string
 	Worker  string
+	// Born is when the worker started in Unix milliseconds, which tells incarnations with the same ID apart; zero if it does not report it.
+	Born int64
 	// Reading is set for prefill requests.
 	Reading bool
 	At      time.Time
@@ -86,6 +88,8 @@
 type Notice struct {
 	ID     string
 	Worker string
+	// Born is as in Arrival.
+	Born int64
 	// Leaving is set if the worker announced that it is leaving. Rest is the Retry-After time of a refusal.
 	Leaving bool
 	Rest    time.Duration
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -113,19 +113,19 @@
 	}
 	id := request.Header.Get("Request-Id")
 	w.fleet.recordHeaders(Head{ID: id, Tenant: request.Header.Get("Tenant"), Key: request.Header.Get("Api-Key")})
-	w.fleet.recordArrival(Arrival{ID: id, Service: w.options.Service, Worker: w.options.ID, Reading: request.Header.Get("Stage") != "", At: time.Now()})
+	w.fleet.recordArrival(Arrival{ID: id, Service: w.options.Service, Worker: w.options.ID, Born: w.born, Reading: request.Header.Get("Stage") != "", At: time.Now()})
 	if limit := w.announcedLimit(); limit > 0 {
-		w.fleet.recordNotice(Notice{ID: id, Worker: w.options.ID, Limit: limit, At: time.Now()})
+		w.fleet.recordNotice(Notice{ID: id, Worker: w.options.ID, Born: w.born, Limit: limit, At: time.Now()})
 		writer.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 	}
 	if retryAfter := w.currentRetryAfter(); retryAfter > 0 {
-		w.fleet.recordNotice(Notice{ID: id, Worker: w.options.ID, Rest: retryAfter, At: time.Now()})
+		w.fleet.recordNotice(Notice{ID: id, Worker: w.options.ID, Born: w.born, Rest: retryAfter, At: time.Now()})
 		writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 		refuse(writer, id)
 		return
 	}
 	if w.announcesLeaving() {
-		w.fleet.recordNotice(Notice{ID: id, Worker: w.options.ID, Leaving: true, At: time.Now()})
+		w.fleet.recordNotice(Notice{ID: id, Worker: w.options.ID, Born: w.born, Leaving: true, At: time.Now()})
 	}
 	w.mutex.Lock()
 	w.requestCount++
