Soak: the check of recovery judges a round by its own requests

Left out are requests that fail after the quiet period and were sent within twice the time of the longest requests before its end; those that failed within it, or hung through it, count as before (TestRecoveryJudgesRequestsOfItsRound). A violation names its requests in full, five at most.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -392,6 +392,15 @@
 	return found
 }
 
+// maxShownRequests bounds the requests that a violation of checkRecovery lists.
+const maxShownRequests = 5
+
+// cutByNextRound reports whether a request of a quiet period was still in progress, for no longer than the longest requests take, when the next
+// round began, whose faults may have cut it.
+func cutByNextRound(r *RequestRecord, quiet Span) bool {
+	return r.Response.Err != nil && r.Ended.After(quiet.Ended) && quiet.Ended.Sub(r.Sent) < 2*fleet.LongWork
+}
+
 // checkRecovery: after the faults have ended, requests are served again.
 func checkRecovery(h *History) []Violation {
 	var found []Violation
@@ -399,7 +408,7 @@
 		sent, served := 0, 0
 		var failed []string
 		for _, r := range h.Requests {
-			if r.Sent.Before(quiet.Begun) || r.Sent.After(quiet.Ended) || !r.countsAsService() {
+			if r.Sent.Before(quiet.Begun) || r.Sent.After(quiet.Ended) || !r.countsAsService() || cutByNextRound(&r, quiet) {
 				continue
 			}
 			sent++
@@ -410,7 +419,7 @@
 			}
 		}
 		if sent < minQuietRequests || float64(served) < minServedShare*float64(sent) {
-			found = append(found, Violation{"RECOVER", fmt.Sprintf("round %d", i), fmt.Sprintf("%d of %d served after all faults had ended; %.5q", served, sent, failed)})
+			found = append(found, Violation{"RECOVER", fmt.Sprintf("round %d", i), fmt.Sprintf("%d of %d served after all faults had ended; %q", served, sent, failed[:min(len(failed), maxShownRequests)])})
 		}
 	}
 	return found
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -492,3 +492,31 @@
 		t.Errorf("cuts with seed %d: %t, with seed %d: %t", firstPathSeed-1, hasCut(firstPathSeed-1), firstPathSeed, hasCut(firstPathSeed))
 	}
 }
+
+// TestRecoveryJudgesRequestsOfItsRound guards against a check that blames a round for requests which the faults of the next one cut, and against
+// one that lets requests pass which failed within the quiet period or hung through it.
+func TestRecoveryJudgesRequestsOfItsRound(t *testing.T) {
+	quiet := Span{Begun: timeAt(0), Ended: timeAt(10 * time.Second)}
+	for _, test := range []struct {
+		desc        string
+		sent, ended time.Duration
+		want        int
+	}{
+		{"cut by the next round", 9500 * time.Millisecond, 10100 * time.Millisecond, 0},
+		{"cut within the quiet period", 9 * time.Second, 9900 * time.Millisecond, 1},
+		{"hung until the next round", 10*time.Second - 2*fleet.LongWork - time.Millisecond, 10100 * time.Millisecond, 1},
+	} {
+		h := &History{QuietPeriods: []Span{quiet}}
+		for i := range 2 * minQuietRequests {
+			h.Requests = append(h.Requests, answered(fmt.Sprint("r", i), KindStream, time.Second))
+		}
+		for i := range minQuietRequests {
+			r := answered(fmt.Sprint("f", i), KindStream, test.sent)
+			r.Ended, r.Response.Err = timeAt(test.ended), context.DeadlineExceeded
+			h.Requests = append(h.Requests, r)
+		}
+		if found := checkRecovery(h); len(found) != test.want {
+			t.Errorf("%s: %v", test.desc, found)
+		}
+	}
+}
