Gateway: lines of broken requests name the shared parts of their prompts

Requests that crash workers by a part of their prompts differ in their digests, so their lines looked unrelated. With the parts in the lines, what all of them have in common can be read off.

--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -4,9 +4,13 @@
 	"fmt"
 	"maps"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/granitebay/granitebay/internal/adminapi"
+	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/forward"
@@ -34,6 +38,8 @@
 	attempts        []forward.Attempt
 	err             error
 	digest          *poison.Digest
+	// sharedSegments are the ids of the prompt segments that other requests may share, set only with digest.
+	sharedSegments []string
 	// unanswered holds closed_by, step, peer, passed_on_to and configuration_age_ms of a request without a complete response; nil otherwise.
 	unanswered map[string]string
 	roleLoss   *forward.RoleLoss
@@ -56,6 +62,9 @@
 	if report.Request != nil {
 		d.id, d.resumeAfter, d.resumes = report.Request.ID, report.Request.ResumeAfter, report.Request.Resumes
 	}
+	if report.Request != nil && d.digest != nil {
+		d.sharedSegments = lo.Map(report.Request.Demand.SharedSegments(), func(segment backend.Segment, _ int) string { return segment.ID })
+	}
 	if report.Unanswered {
 		d.unanswered = map[string]string{
 			"closed_by": report.ClosedBy.String(), "step": report.Step(), "peer": report.Caller, "passed_on_to": report.LastWorker(),
@@ -97,6 +106,9 @@
 	if d.digest != nil {
 		inputs["asked"] = d.digest.String()
 	}
+	if len(d.sharedSegments) > 0 {
+		inputs["parts"] = strings.Join(d.sharedSegments, ",")
+	}
 	if d.timeToFirstByte > 0 {
 		inputs["first_byte_ms"] = strconv.FormatInt(d.timeToFirstByte.Milliseconds(), 10)
 	}
--- a/internal/gateway/decisions_test.go
+++ b/internal/gateway/decisions_test.go
@@ -4,8 +4,10 @@
 	"strings"
 	"testing"
 
+	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/poison"
 )
 
 // TestDescribeDeferredAttempt guards against decision records that do not tell why an attempt was deferred.
@@ -60,3 +62,16 @@
 		}
 	}
 }
+
+// TestBrokenRequestNamesSharedParts guards against lines of broken requests that hide which parts of their prompts they have in common.
+func TestBrokenRequestNamesSharedParts(t *testing.T) {
+	request := &forward.Request{Demand: backend.Demand{Segments: []backend.Segment{{ID: "5c1e"}, {ID: "91bd"}, {ID: "e440"}}}}
+	digest := poison.Request{}.Digest()
+	inputs := newRequestDecision(&forward.Report{Request: request, RequestDigest: &digest}).Record().Inputs
+	if want := "5c1e,91bd"; inputs["parts"] != want {
+		t.Errorf("parts is %q, want %q: the last part belongs to the request alone", inputs["parts"], want)
+	}
+	if parts, found := newRequestDecision(&forward.Report{Request: request}).Record().Inputs["parts"]; found {
+		t.Errorf("a request without a broken connection names its parts: %q", parts)
+	}
+}
