platform: a part of prompts that crashes workers, as a process test that fails

Requests that share one part of their prompts and nothing else crash worker after worker: each is another one to the guard, and none reaches a limit.

The stand-in workers crash by a part of prompts that is not the last one: before the first event, after it, and, where streams have neither a length nor chunks, with an end that looks whole. The body marker now aborts its response as well, where a second such request could have got an empty one in the moment of the crash.

--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +15,22 @@
 // CrashingBody is a marker: a request whose body contains it crashes each worker that runs it.
 const CrashingBody = "ends its worker"
 
+// crashingPartPrefix begins the IDs of all crashing parts, in lower case and without leading zeros.
+const crashingPartPrefix = "dead"
+
+// CrashingPart returns the ID of a crashing part of prompts: a request with it anywhere but in the last place of its prompt crashes each worker
+// that begins to answer it. Prefill calls do not.
+func CrashingPart(number int) string { return fmt.Sprintf("%s%04x", crashingPartPrefix, number) }
+
+// CrashPoint is when a request with a crashing part crashes its worker.
+type CrashPoint int
+
+// The crash points. Workers that send no events crash before their response.
+const (
+	CrashBeforeFirstEvent CrashPoint = iota
+	CrashAfterFirstEvent
+)
+
 // Timing of a worker crash.
 const (
 	// crashDelay is the time from the start of the run to the crash.
@@ -41,6 +59,31 @@
 // crashesWorker reports whether a request crashes the worker that runs it.
 func crashesWorker(body []byte) bool { return bytes.Contains(body, []byte(CrashingBody)) }
 
+// hasCrashingPart reports whether a prompt has a crashing part. The last segment belongs to the request alone and is none.
+func hasCrashingPart(request *http.Request) bool {
+	segments := parsePromptSegments(request.Header.Get("Prompt-Prefix"))
+	for _, segment := range segments[:max(len(segments)-1, 0)] {
+		if strings.HasPrefix(strings.TrimLeft(strings.ToLower(segment.id), "0"), crashingPartPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// crashPointOf returns when a request crashes the worker; found is false if it does not.
+func (w *Worker) crashPointOf(request *http.Request, body []byte) (point CrashPoint, found bool) {
+	switch {
+	case crashesWorker(body):
+		return CrashBeforeFirstEvent, true
+	case !hasCrashingPart(request):
+		return 0, false
+	case w.options.Stage == "" || request.URL.Path == completionsPath:
+		return CrashBeforeFirstEvent, true
+	default:
+		return w.options.PartCrash, true
+	}
+}
+
 // crashOn crashes the worker: its requests are aborted, its address refuses connections, and its record expires. The worker
 // restarts after restartDelay.
 func (w *Worker) crashOn(id string) {
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -194,9 +194,10 @@
 	}
 	resumed := request.Header.Get("Last-Event-Id")
 	w.fleet.recordRun(id, Run{Worker: w.options.ID, Version: w.Version(), Resumed: resumed, Continued: continued, Begun: time.Now()})
-	if crashesWorker(body) {
+	crashPoint, crashes := w.crashPointOf(request, body)
+	if crashes && crashPoint == CrashBeforeFirstEvent {
 		w.crashOn(id)
-		return
+		panic(http.ErrAbortHandler)
 	}
 	// The first event of a stream is sent without the delay of a long request.
 	firstDelay, stepDelay := w.options.Work, w.options.Work
@@ -236,15 +237,24 @@
 		_, _ = io.WriteString(writer, answer)
 		return
 	}
-	w.writeStream(writer, request, id, stepDelay, fault)
+	if crashes {
+		w.writeStream(writer, request, id, stepDelay, fault, 1)
+		w.crashOn(id)
+		// The response must not end as a whole one does.
+		panic(http.ErrAbortHandler)
+	}
+	w.writeStream(writer, request, id, stepDelay, fault, w.options.Events)
 }
 
-// writeStream writes the events after the last one that the client has received, at intervals of stepDelay.
-func (w *Worker) writeStream(writer http.ResponseWriter, request *http.Request, id string, step time.Duration, fault WorkerFault) {
+// writeStream writes up to maxEvents events after the last one that the client has received, at intervals of stepDelay.
+func (w *Worker) writeStream(writer http.ResponseWriter, request *http.Request, id string, step time.Duration, fault WorkerFault, maxEvents int) {
 	controller := http.NewResponseController(writer)
 	writer.Header().Set("Content-Type", "text/event-stream")
+	if w.options.Unframed {
+		writer.Header().Set("Transfer-Encoding", "identity")
+	}
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	for number := after + 1; number <= w.options.Events; number++ {
+	for number := after + 1; number <= min(w.options.Events, after+maxEvents); number++ {
 		if fault == WorkerCuts && number > after+1 {
 			_, _ = io.WriteString(writer, "id: "+strconv.Itoa(number)+"\nda")
 			_ = controller.Flush()
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -30,6 +30,11 @@
 	// StageChange is the duration of a stage change of an engine without a model. RecordLag delays updates of the worker's
 	// record, both after a stage change and after a restart.
 	StageChange, RecordLag time.Duration
+	// PartCrash is when a crashing part of a prompt crashes the worker.
+	PartCrash CrashPoint
+	// Unframed makes streams have neither a length nor chunks, so that they end with their connection. One that a crash ends between two events
+	// looks whole.
+	Unframed bool
 	// Model makes the worker a model engine that answers completions; nil makes each event take Work.
 	Model *ModelOptions
 }
