Forward: the crash of a worker does not end a stream as complete

A response may have neither a length nor chunks and end with its connection. A worker that crashed between two events ended such a stream just as its end does: callers got a part of a stream that looked whole, and the guard took it for an answer, which cleared the part of the prompt that had crashed the worker.

When such a stream ends, the gateway now opens another connection to the worker, within 20 ms. If that is refused, the stream has broken off: it continues at another worker or is cut off. If neither is known, the stream stands but clears nothing.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -273,6 +273,9 @@
 		}
 		err = c.forwardResponse(response)
 	}
+	if err == nil && response.EndsWithConnection && response.Status == http.StatusOK && c.isStream() {
+		err = c.guarded.confirmEnd(ctx, runner.Worker)
+	}
 	failure := classify(ctx, err)
 	if failure.endsRequest() {
 		c.attempts.recordInterruption(err)
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"time"
 
@@ -36,6 +37,8 @@
 	// than crashOnset.
 	answerBegan time.Time
 	outlived    bool
+	// isUnproved is set if the last answer may have ended with a crash of its worker.
+	isUnproved bool
 }
 
 // crashOnset is the longest time from the beginning of an answer to the crash of its worker that is attributed to a part of the prompt.
@@ -103,7 +106,7 @@
 // beginAttempt notes that the request is sent to a worker, which has not answered yet.
 func (g *guardedRequest) beginAttempt() {
 	g.hasAttempt = true
-	g.answerBegan, g.outlived = time.Time{}, false
+	g.answerBegan, g.outlived, g.isUnproved = time.Time{}, false, false
 }
 
 // answerBegins notes that the worker begins to answer. Only the first call of an attempt counts.
@@ -187,8 +190,24 @@
 	}
 }
 
+// confirmEnd returns an error if a response that ended with its connection was cut off by a crash of the worker.
+func (g *guardedRequest) confirmEnd(ctx context.Context, worker *backend.Worker) error {
+	if g.guard == nil {
+		return nil
+	}
+	crashed, known := g.guard.ConfirmRunning(ctx, worker)
+	g.isUnproved = !known
+	if crashed {
+		return &httpclient.Error{Step: httpclient.StepReceive, Peer: worker.Address, Cause: io.ErrUnexpectedEOF}
+	}
+	return nil
+}
+
 // reportSuccess reports to the guard that the request completed.
 func (g *guardedRequest) reportSuccess() {
+	if g.isUnproved {
+		return
+	}
 	if g.guard != nil && len(g.parts) > 0 && !g.answerBegan.IsZero() {
 		g.guard.RecordAnswer(g.answerBegan, g.parts)
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -130,7 +130,9 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
-	Body          io.ReadCloser
+	// EndsWithConnection is set if only the end of the connection ends the body, which a crash of the worker ends, too.
+	EndsWithConnection bool
+	Body               io.ReadCloser
 }
 
 // Refusal is the response of a worker that did not run the request and never will.
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -30,6 +30,8 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
+	// EndsWithConnection is set if only the end of the connection ends the body, which a crash of the peer ends, too.
+	EndsWithConnection bool
 	// Body returns an error of type *Error if the response is cut off.
 	Body io.ReadCloser
 }
@@ -167,10 +169,11 @@
 // response returns the Response for a header.
 func (e *exchange) response(head *http.Response) *Response {
 	return &Response{
-		Status:        head.StatusCode,
-		Header:        head.Header,
-		ContentLength: head.ContentLength,
-		Body:          &body{exchange: e, head: head},
+		Status:             head.StatusCode,
+		Header:             head.Header,
+		ContentLength:      head.ContentLength,
+		EndsWithConnection: head.ContentLength < 0 && len(head.TransferEncoding) == 0,
+		Body:               &body{exchange: e, head: head},
 	}
 }
 
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -181,6 +181,19 @@
 	return entry.probeDone
 }
 
+// endConfirmTime bounds how long ConfirmRunning takes: a connection attempt in the same region, and the time in which an exiting process
+// closes what its listener still accepted.
+const endConfirmTime = 20 * time.Millisecond
+
+// ConfirmRunning reports whether a worker whose connection ended refuses new connections, because its process has crashed, and whether that
+// could be determined.
+func (g *Guard) ConfirmRunning(ctx context.Context, worker *backend.Worker) (crashed, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, endConfirmTime)
+	defer cancel()
+	refuses, err := g.prober.RefusesConnections(ctx, worker)
+	return refuses, err == nil
+}
+
 // Abandoned records that a request abandoned a worker that did not respond. If the worker is found to have crashed, the crash counts
 // against the request and the parts.
 func (g *Guard) Abandoned(worker *backend.Worker, digest Digest, rule, tenant string, parts ...Part) {
