Sum cores exactly in the property test of entries

The test is wrong, not the selection. The selection adds up floating-point cores by decreasing size, the test added them up by name.

The test now adds up whole thousandths of a core, which are exact in any order, and draws the need as before but rounded to thousandths. The comparison has no tolerance.

--- a/internal/member/entry_test.go
+++ b/internal/member/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"testing"
 
@@ -67,6 +68,9 @@
 	}
 }
 
+// thousandths returns a number of cores in thousandths, whose sums are exact in any order.
+func thousandths(cores float64) int { return int(math.Round(1000 * cores)) }
+
 // TestEntriesDependOnlyOnKnownGateways guards against gateways that select different entries, zones without entries, and
 // entries that are displaced by the loss of another one.
 func TestEntriesDependOnlyOnKnownGateways(t *testing.T) {
@@ -78,26 +82,27 @@
 				Cores: rapid.SampledFrom([]float64{0.2, 0.4, 0.8}).Draw(t, "cores"),
 			})
 		}
-		needed := rapid.Float64Range(0, 20).Draw(t, "needed")
+		neededThousandths := thousandths(rapid.Float64Range(0, 20).Draw(t, "needed"))
+		needed := float64(neededThousandths) / 1000
 		settings := DefaultEntrySettings()
 		entries := Entries(gateways, needed, settings)
 		if got := Entries(rapid.Permutation(gateways).Draw(t, "order"), needed, settings); gatewayNames(byName(got)) != gatewayNames(byName(entries)) {
 			t.Fatalf("got entries %s in another order, want %s", gatewayNames(got), gatewayNames(entries))
 		}
-		cores, all := map[string]float64{}, map[string]float64{}
+		zones, all := map[string]bool{}, map[string]bool{}
 		for _, gateway := range gateways {
-			all[gateway.Zone] += gateway.Cores
+			all[gateway.Zone] = true
 		}
-		total := 0.0
+		total := 0
 		for _, entry := range entries {
-			cores[entry.Zone] += entry.Cores
-			total += entry.Cores
+			zones[entry.Zone] = true
+			total += thousandths(entry.Cores)
 		}
-		if len(cores) != len(all) {
-			t.Fatalf("entries in %d of %d zones", len(cores), len(all))
+		if len(zones) != len(all) {
+			t.Fatalf("entries in %d of %d zones", len(zones), len(all))
 		}
-		if len(entries) < min(len(gateways), settings.Max) && total < needed {
-			t.Fatalf("the entries have %.1f cores of the needed %.1f, though there are more gateways", total, needed)
+		if len(entries) < min(len(gateways), settings.Max) && total < neededThousandths {
+			t.Fatalf("the entries have %d thousandths of a core of the needed %d, though there are more gateways", total, neededThousandths)
 		}
 		lost := rapid.SampledFrom(entries).Draw(t, "lost").Name
 		rest := slices.DeleteFunc(slices.Clone(gateways), func(g Gateway) bool { return g.Name == lost })
