Select no entry too many when a sum of cores is rounded down

A fleet got one entry more than the need asks for where the need is a whole number of gateways: 9 entries of 0.4 cores for a need of 3.2, 48 for 18.8. The sizer writes such needs: from 28 entries of 0.4 cores it grows to 16.8, that is 42 entries, and 43 were selected.

The sum of floating-point cores may come out just below the need although the cores suffice. The selection now allows for that error, a billionth of a core.

Gateways of the build before still select the additional entry, so during an upgrade both builds may differ by that one.

--- a/internal/member/entry.go
+++ b/internal/member/entry.go
@@ -26,6 +26,10 @@
 	return EntrySettings{MaxAllEntries: 12, MinPerZone: 2, Min: 6, Max: 64}
 }
 
+// maxSumErrorCores is above the rounding error of the sum of the cores of all entries. A need can be a multiple of the cores
+// of a gateway, and without this margin a sum that is rounded down would add an entry.
+const maxSumErrorCores = 1e-9
+
 // Entries returns the entries: all gateways of a small fleet, in the given order, and otherwise the minimum number of each
 // zone and more until they have the needed cores, by name. It prefers gateways with more cores and distributes equal ones evenly over the zones. All processes that know the same
 // gateways select the same entries, and a lost entry is replaced in its own zone.
@@ -63,7 +67,7 @@
 		add(gateway)
 	}
 	for gateway := range ranked {
-		if len(entries) >= settings.Max || (len(entries) >= settings.Min && cores >= neededCores) {
+		if len(entries) >= settings.Max || (len(entries) >= settings.Min && cores >= neededCores-maxSumErrorCores) {
 			break
 		}
 		if !selected[gateway.Name] {
--- a/internal/member/entry_test.go
+++ b/internal/member/entry_test.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// TestEntriesAreSpreadOverZones guards against zones with fewer entries than others, and against fewer cores than needed.
+// TestEntriesAreSpreadOverZones guards against zones with fewer entries than others, and against fewer or more cores than
+// needed.
 func TestEntriesAreSpreadOverZones(t *testing.T) {
 	even := newFleet(30, 0.4, "g", "a", "b", "c")
 	tests := []struct {
@@ -54,7 +55,9 @@
 		{0, map[string]int{"a": 2, "b": 2, "c": 2}},
 		{2.4, map[string]int{"a": 2, "b": 2, "c": 2}},
 		{2.5, map[string]int{"a": 3, "b": 2, "c": 2}},
+		{3.2, map[string]int{"a": 3, "b": 3, "c": 2}},
 		{9.1, map[string]int{"a": 8, "b": 8, "c": 7}},
+		{18.8, map[string]int{"a": 16, "b": 16, "c": 15}},
 		{1000, map[string]int{"a": 22, "b": 21, "c": 21}},
 	}
 	for _, test := range tests {
@@ -71,8 +74,8 @@
 // thousandths returns a number of cores in thousandths, whose sums are exact in any order.
 func thousandths(cores float64) int { return int(math.Round(1000 * cores)) }
 
-// TestEntriesDependOnlyOnKnownGateways guards against gateways that select different entries, zones without entries, and
-// entries that are displaced by the loss of another one.
+// TestEntriesDependOnlyOnKnownGateways guards against gateways that select different entries, zones without entries, too
+// few or too many entries, and entries that are displaced by the loss of another one.
 func TestEntriesDependOnlyOnKnownGateways(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var gateways []Gateway
@@ -89,21 +92,30 @@
 		if got := Entries(rapid.Permutation(gateways).Draw(t, "order"), needed, settings); gatewayNames(byName(got)) != gatewayNames(byName(entries)) {
 			t.Fatalf("got entries %s in another order, want %s", gatewayNames(got), gatewayNames(entries))
 		}
-		zones, all := map[string]bool{}, map[string]bool{}
+		inZone, all := map[string][]int{}, map[string]bool{}
 		for _, gateway := range gateways {
 			all[gateway.Zone] = true
 		}
 		total := 0
 		for _, entry := range entries {
-			zones[entry.Zone] = true
-			total += thousandths(entry.Cores)
+			cores := thousandths(entry.Cores)
+			inZone[entry.Zone] = append(inZone[entry.Zone], cores)
+			total += cores
 		}
-		if len(zones) != len(all) {
-			t.Fatalf("entries in %d of %d zones", len(zones), len(all))
+		if len(inZone) != len(all) {
+			t.Fatalf("entries in %d of %d zones", len(inZone), len(all))
 		}
 		if len(entries) < min(len(gateways), settings.Max) && total < neededThousandths {
 			t.Fatalf("the entries have %d thousandths of a core of the needed %d, though there are more gateways", total, neededThousandths)
 		}
+		if len(gateways) > settings.MaxAllEntries && len(entries) > settings.Min {
+			for _, zone := range slices.Sorted(maps.Keys(inZone)) {
+				// A zone has more than its minimum only of gateways that were selected for their cores, the smallest last.
+				if cores := inZone[zone]; len(cores) > settings.MinPerZone && total-slices.Min(cores) >= neededThousandths {
+					t.Fatalf("the entries have %d thousandths of a core of the needed %d, enough without the smallest in zone %s", total, neededThousandths, zone)
+				}
+			}
+		}
 		lost := rapid.SampledFrom(entries).Draw(t, "lost").Name
 		rest := slices.DeleteFunc(slices.Clone(gateways), func(g Gateway) bool { return g.Name == lost })
 		after := Entries(rest, needed, settings)
