Soak: a leaving notice sent after the request had ended was not delivered

Trace of one play: r715 went to w2.1 over a path that was cut silently, was given up after 157 ms ("the worker was silent for too long") and served by w1.1 at 14.206 s. The held request reached w2.1 when the cut ended, after that had begun to drain at 16.327 s, and so had the last run and a notice. The check took the notice for delivered at 14.206 s, before the worker began to leave, and blamed a request sent at 16.313 s. The gateway logged the notice at 18.593 s.

A notice that its worker sent after the response to the request had ended is not taken for delivered any more. TestLateNoticesAreNotDelivered fails without that, and sees that a notice a millisecond before the end counts.

--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -92,7 +92,9 @@
 	announcedAt := map[pair]time.Time{}
 	for _, notice := range h.Notices {
 		r, runs := requests[notice.ID], h.Runs[notice.ID]
-		if !notice.Leaving || len(runs) == 0 || runs[len(runs)-1].Worker != notice.Worker || r.Response.Err != nil || r.Response.Status != http.StatusOK {
+		// A request that a cut held back may reach a worker after another one's response to it.
+		isLate := notice.At.After(r.Ended)
+		if !notice.Leaving || isLate || len(runs) == 0 || runs[len(runs)-1].Worker != notice.Worker || r.Response.Err != nil || r.Response.Status != http.StatusOK {
 			continue
 		}
 		key := pair{notice.Worker, notice.Born, r.Gateway}
--- a/internal/soak/versioncheck_test.go
+++ b/internal/soak/versioncheck_test.go
@@ -183,3 +183,22 @@
 		}
 	}
 }
+
+// TestLateNoticesAreNotDelivered guards against a check that takes a notice for delivered which the worker sent only after another worker's
+// response had ended the request.
+func TestLateNoticesAreNotDelivered(t *testing.T) {
+	const gateway = "g1"
+	cut, late := answered("r1", KindIdempotent, 0), answered("r2", KindIdempotent, time.Minute)
+	cut.Gateway, late.Gateway = gateway, gateway
+	h := &History{
+		Requests: []RequestRecord{cut, late},
+		Runs:     map[string][]fleet.Run{"r1": {{Worker: "other"}, {Worker: "w"}}},
+		Arrivals: []fleet.Arrival{{ID: "r2", Worker: "w", At: late.Sent}},
+	}
+	for at, want := range map[time.Time]int{cut.Ended.Add(-time.Millisecond): 1, cut.Ended.Add(time.Millisecond): 0} {
+		h.Notices = []fleet.Notice{{ID: "r1", Worker: "w", Leaving: true, At: at}}
+		if found := checkLeavingNotices(h); len(found) != want {
+			t.Errorf("notice %s after the response: %v, want %d", at.Sub(cut.Ended), found, want)
+		}
+	}
+}
