--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,7 +33,7 @@
 
 // checks lists all rules in reporting order.
 var checks = []check{
-	checkNonIdempotent, checkRefusals, checkResponses, checkLostConnections, checkUnanswered, checkExits, checkAbandoned, checkDrain, checkLeavingNotices, checkRetryAfter, checkLimits, checkOrders, checkRetryBudget, checkConfigDelays, checkRecovery, checkStartOfAll, checkBypass, checkCrashRetries, checkFalseBlocks, checkVersions, checkResumptions,
+	checkNonIdempotent, checkRefusals, checkResponses, checkLostConnections, checkUnanswered, checkExits, checkAbandoned, checkDrain, checkLeavingNotices, checkRetryAfter, checkLimits, checkOrders, checkRetryBudget, checkConfigDelays, checkRecovery, checkStartOfAll, checkBypass, checkCrashRetries, checkFalseBlocks, checkCrashingParts, checkSharedParts, checkVersions, checkResumptions,
 }
 
 // Check returns all violations in a history.
@@ -73,7 +73,7 @@
 func checkResponses(h *History) []Violation {
 	var found []Violation
 	for _, r := range h.Requests {
-		if r.Response.Status != http.StatusOK || r.CrashID > 0 {
+		if r.Response.Status != http.StatusOK || r.crashesWorkers() {
 			continue
 		}
 		switch {
@@ -408,7 +408,9 @@
 		sent, served := 0, 0
 		var failed []string
 		for _, r := range h.Requests {
-			if r.Sent.Before(quiet.Begun) || r.Sent.After(quiet.Ended) || !r.countsAsService() || cutByNextRound(&r, quiet) {
+			// Streams beside requests that still crash workers are the matter of checkSharedParts.
+			besidePart := r.Kind == KindStream && h.isBesidePart(&r)
+			if r.Sent.Before(quiet.Begun) || r.Sent.After(quiet.Ended) || !r.countsAsService() || besidePart || cutByNextRound(&r, quiet) {
 				continue
 			}
 			sent++
@@ -465,7 +467,7 @@
 func checkFalseBlocks(h *History) []Violation {
 	var found []Violation
 	for _, r := range h.Requests {
-		if r.CrashID == 0 && r.Response.Status == http.StatusUnprocessableEntity {
+		if !r.crashesWorkers() && r.Response.Status == http.StatusUnprocessableEntity {
 			found = append(found, Violation{"DENIED", r.Request.ID, "blocked although it does not crash workers: " + r.Response.Body})
 		}
 	}
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -190,6 +190,7 @@
 			return quiet, nil
 		}
 		quiet = append(quiet, Span{Begun: from, Ended: time.Now()})
+		s.endCrashingPart()
 		fmt.Fprintf(out, "round %d: %s; %s\n", number, describeFaults(faults), s.progress())
 		if found := Check(s.history(quiet)); len(found) > 0 {
 			return quiet, nil
@@ -235,6 +236,9 @@
 	if c.Seed >= firstVersionSeed {
 		fmt.Fprintln(out, h.resumptionTotals())
 	}
+	if c.Seed >= firstPartSeed {
+		fmt.Fprintln(out, h.describeParts())
+	}
 	if len(found) == 0 {
 		fmt.Fprintf(out, "no rule was broken in %d requests\n", len(h.Requests))
 		return nil
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -22,6 +22,8 @@
 	Kind    Kind
 	// CrashID numbers the worker-crashing requests from 1; repeats of a request share its number. It is 0 for other requests.
 	CrashID int
+	// PartID numbers the crashing parts of prompts from 1; the requests with a part share its number. It is 0 for other requests.
+	PartID int
 	// Gateway is the address to which the request was sent. Sent and Ended are the times of the call and of its end.
 	Gateway  string
 	Sent     time.Time
@@ -52,9 +54,12 @@
 // countsAsService reports whether a request has to be served if the system is well. A resumption is not served if no gateway that is left knows
 // its version; checkResumptions bounds how many are not.
 func (r *RequestRecord) countsAsService() bool {
-	return r.CrashID == 0 && r.Resumption == 0 && r.leftAt().IsZero() && !r.crossedClose()
+	return !r.crashesWorkers() && r.Resumption == 0 && r.leftAt().IsZero() && !r.crossedClose()
 }
 
+// crashesWorkers reports whether a request crashes each worker that runs it.
+func (r *RequestRecord) crashesWorkers() bool { return r.CrashID > 0 || r.PartID > 0 }
+
 // leftAt returns when the client disconnected, or seemed to, before the response was complete; zero if it did not.
 func (r *RequestRecord) leftAt() time.Time {
 	if !r.HalfClosedAt.IsZero() {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -71,6 +71,8 @@
 	case CrashingRequest:
 		s.crashingCount.Add(1)
 		s.sendCrashing.Store(true)
+	case CrashingPart:
+		s.crashingPart.Store(&f)
 	default:
 		if s.injectNotice(fault) || s.injectChange(fault, calm) || s.injectVersion(fault) {
 			return
@@ -112,7 +114,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.spans {
-		if s.spans[i].Ended.IsZero() {
+		// Requests with a crashing part come until the end of the round.
+		if _, isPart := s.spans[i].Fault.(CrashingPart); s.spans[i].Ended.IsZero() && !isPart {
 			s.spans[i].Ended = time.Now()
 		}
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -165,6 +165,15 @@
 
 // drawRound returns the faults of a round. They depend on the seed, the number of the round and the size of the system alone.
 func drawRound(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
+	parts, areOnly := drawCrashingPart(seed, number, gateways, workers, zones)
+	if areOnly {
+		return parts
+	}
+	return append(drawOtherRound(seed, number, gateways, workers, zones), parts...)
+}
+
+// drawOtherRound returns the faults of a round other than crashing parts with what happens beside them.
+func drawOtherRound(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
 	versions, areOnly := drawVersionChanges(seed, number, gateways, workers)
 	if areOnly {
 		return versions
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -42,6 +42,8 @@
 	// requests so far.
 	sendCrashing  atomic.Bool
 	crashingCount atomic.Int64
+	// crashingPart is the part of prompts that crashes workers at present; nil if there is none.
+	crashingPart atomic.Pointer[CrashingPart]
 
 	// stalls describes the stalls of this process. Only watchStalls writes it.
 	stalls []string
@@ -97,11 +99,13 @@
 	paths, changes bool
 	// versions returns the software version of the next worker at the start; nil if workers have none.
 	versions func() string
+	// partCrash is when crashing parts of prompts crash workers.
+	partCrash fleet.CrashPoint
 }
 
 // featuresOf returns the features for a seed.
 func featuresOf(seed uint64) features {
-	return features{paths: seed >= firstPathSeed, changes: seed >= firstChangeSeed, versions: initialVersions(seed)}
+	return features{paths: seed >= firstPathSeed, changes: seed >= firstChangeSeed, versions: initialVersions(seed), partCrash: partCrashOf(seed)}
 }
 
 // startSystem starts all components and waits until the gateways are ready.
@@ -123,6 +127,7 @@
 		if has.versions != nil {
 			options.Version = has.versions()
 		}
+		options.PartCrash = has.partCrash
 		slot := &workerSlot{number: i, options: options}
 		s.workers = append(s.workers, slot)
 		if err := s.startWorker(slot); err != nil {
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -20,6 +20,7 @@
 	crashingRandom := rand.New(rand.NewPCG(seed, crashingStream))
 	behaviorRandom := rand.New(rand.NewPCG(seed, seriesStream))
 	versionRandom := rand.New(rand.NewPCG(seed, versionStream))
+	partRandom := rand.New(rand.NewPCG(seed, partTrafficStream))
 	unpooled, pooling := fleet.NewCaller(false), fleet.NewPoolingCaller(s.dialer.dial)
 	defer pooling.Close()
 	directory := &cachedDirectory{system: s, caller: fleet.NewCaller(true)}
@@ -40,6 +41,9 @@
 		newConn := random.IntN(3) == 0
 		request := drawRequest(random, number, s.longPrompts.Load())
 		s.maybeMakeCrashing(crashingRandom, &request)
+		if seed >= firstPartSeed {
+			s.addParts(partRandom, &request)
+		}
 		gateways := directory.get(ctx)
 		if len(gateways) == 0 {
 			continue
@@ -96,7 +100,7 @@
 	abandons, long, abandonsLong := random.IntN(abandonOneIn) == 0, random.IntN(longRunningOneIn) == 0, random.IntN(2) == 0
 	delay := 1 + time.Duration(random.Int64N(int64(maxEarlyAbandon)))
 	switch {
-	case request.CrashID > 0:
+	case request.crashesWorkers():
 	case long && request.Kind == KindStream:
 		request.LongRunning = true
 		request.Request.Body += " " + fleet.LongBody
--- a/internal/soak/versioncheck.go
+++ b/internal/soak/versioncheck.go
@@ -82,7 +82,7 @@
 	var t resumptionTotals
 	for i := range h.Requests {
 		r := &h.Requests[i]
-		if r.Kind != KindStream || r.CrashID > 0 {
+		if r.Kind != KindStream || r.crashesWorkers() {
 			continue
 		}
 		hasBegun := r.Response.Status == http.StatusOK && r.Response.LastEventID() != ""
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -182,7 +182,7 @@
 	if request.Kind != KindStream || request.CrashID > 0 {
 		return persistence{}
 	}
-	if long && !request.LongRunning {
+	if long && !request.LongRunning && request.PartID == 0 {
 		request.LongRunning = true
 		request.Request.Body += " " + fleet.LongBody
 	}
@@ -225,7 +225,7 @@
 
 // resumptionOf returns the request that resumes a stream after its last event.
 func resumptionOf(first *RequestRecord, try int, lastEvent string) RequestRecord {
-	next := RequestRecord{Request: first.Request, Kind: first.Kind, LongRunning: first.LongRunning, Stream: first.Request.ID, Resumption: try}
+	next := RequestRecord{Request: first.Request, Kind: first.Kind, PartID: first.PartID, LongRunning: first.LongRunning, Stream: first.Request.ID, Resumption: try}
 	next.Request.ID = fmt.Sprintf("%s-resumed-%d", first.Request.ID, try)
 	next.Request.LastEventID, next.Request.Resumes, next.Request.AbortAfter = lastEvent, first.Request.ID, 0
 	var after int
--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,7 +27,11 @@
 	SharedTokens int
 	// SharedPrefix identifies the shared part of the prompt.
 	SharedPrefix string
-	Deadline     time.Duration
+	// Parts are the IDs of further parts of the prompt after the shared one, each of PartTokens. LastPart is the ID of the last part; empty for
+	// that of the request.
+	Parts    []string
+	LastPart string
+	Deadline time.Duration
 	// APIKey is the key of the client; empty if it sends none.
 	APIKey string
 	// LastEventID is the id of the last event that the client has of the stream it resumes; empty for a new one. Resumes is the ID of the
@@ -183,11 +188,25 @@
 	if r.PromptTokens > 0 {
 		request.Header.Set("Model", "m")
 		request.Header.Set("Token-Count", fmt.Sprintf("%d,30", r.PromptTokens))
-		request.Header.Set("Prompt-Prefix", fmt.Sprintf("%s:%d,%s:%d", r.SharedPrefix, r.SharedTokens, r.ID, r.PromptTokens-r.SharedTokens))
+		request.Header.Set("Prompt-Prefix", r.promptPrefix())
 	}
 	return request, nil
 }
 
+// PartTokens is the length of each of the Parts of a prompt.
+const PartTokens = 50
+
+// promptPrefix returns the parts of the prompt as in the Prompt-Prefix header.
+func (r Request) promptPrefix() string {
+	var parts strings.Builder
+	fmt.Fprintf(&parts, "%s:%d,", r.SharedPrefix, r.SharedTokens)
+	for _, part := range r.Parts {
+		fmt.Fprintf(&parts, "%s:%d,", part, PartTokens)
+	}
+	fmt.Fprintf(&parts, "%s:%d", cmp.Or(r.LastPart, r.ID), r.PromptTokens-r.SharedTokens-PartTokens*len(r.Parts))
+	return parts.String()
+}
+
 // StreamAnswer returns the complete answer of an engine that sends a number of events.
 func StreamAnswer(id string, events int) string {
 	var stream strings.Builder
--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -29,6 +29,8 @@
 const (
 	CrashBeforeFirstEvent CrashPoint = iota
 	CrashAfterFirstEvent
+	// CrashWithWholeEnd is CrashAfterFirstEvent with a response of neither a length nor chunks, which looks whole.
+	CrashWithWholeEnd
 )
 
 // Timing of a worker crash.
--- a/internal/standin/fleet/crash_test.go
+++ b/internal/standin/fleet/crash_test.go
@@ -43,6 +43,7 @@
 		{name: "spelled otherwise", segments: "aa:1,00" + strings.ToUpper(part) + ":1,bb:1", crashes: true, fails: true},
 		{name: "after the first event", segments: part + ":1,bb:1", options: WorkerOptions{PartCrash: CrashAfterFirstEvent}, crashes: true, fails: true, events: 1},
 		{name: "whole-looking", segments: part + ":1,bb:1", options: WorkerOptions{PartCrash: CrashAfterFirstEvent, Unframed: true}, crashes: true, events: 1},
+		{name: "whole-looking alone", segments: part + ":1,bb:1", options: WorkerOptions{PartCrash: CrashWithWholeEnd}, crashes: true, events: 1},
 		{name: "whole", segments: "aa:1,bb:1", options: WorkerOptions{Unframed: true}, events: 3},
 		{name: "last part", segments: "aa:1," + part + ":1", events: 3},
 	} {
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -238,6 +238,9 @@
 		return
 	}
 	if crashes {
+		if crashPoint == CrashWithWholeEnd {
+			setUnframed(writer)
+		}
 		w.writeStream(writer, request, id, stepDelay, fault, 1)
 		w.crashOn(id)
 		// The response must not end as a whole one does.
@@ -251,7 +254,7 @@
 	controller := http.NewResponseController(writer)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	if w.options.Unframed {
-		writer.Header().Set("Transfer-Encoding", "identity")
+		setUnframed(writer)
 	}
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for number := after + 1; number <= min(w.options.Events, after+maxEvents); number++ {
@@ -273,6 +276,9 @@
 	}
 }
 
+// setUnframed makes a response have neither a length nor chunks, so that it ends with its connection.
+func setUnframed(writer http.ResponseWriter) { writer.Header().Set("Transfer-Encoding", "identity") }
+
 // eventsBeforeStall is the number of events that WorkerStalls sends.
 const eventsBeforeStall = 5
 
