--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -61,15 +63,20 @@
 // crashesWorker reports whether a request crashes the worker that runs it.
 func crashesWorker(body []byte) bool { return bytes.Contains(body, []byte(CrashingBody)) }
 
-// hasCrashingPart reports whether a prompt has a crashing part. The last segment belongs to the request alone and is none.
-func hasCrashingPart(request *http.Request) bool {
-	segments := parsePromptSegments(request.Header.Get("Prompt-Prefix"))
-	for _, segment := range segments[:max(len(segments)-1, 0)] {
-		if strings.HasPrefix(strings.TrimLeft(strings.ToLower(segment.id), "0"), crashingPartPrefix) {
-			return true
-		}
+// hasCrashingPart reports whether a prompt has a crashing part. The last segment belongs to the request alone and is none. A completion request
+// has one if the first word of its prompt is the ID of one.
+func hasCrashingPart(request *http.Request, body []byte) bool {
+	if request.URL.Path == completionsPath {
+		var completion completionRequest
+		return json.Unmarshal(body, &completion) == nil && isCrashingPart(completion.Prompt)
 	}
-	return false
+	segments := parsePromptSegments(request.Header.Get("Prompt-Prefix"))
+	return slices.ContainsFunc(segments[:max(len(segments)-1, 0)], func(segment promptSegment) bool { return isCrashingPart(segment.id) })
+}
+
+// isCrashingPart reports whether a text begins with the ID of a crashing part, in upper or lower case, with leading zeros or without.
+func isCrashingPart(text string) bool {
+	return strings.HasPrefix(strings.TrimLeft(strings.ToLower(text), "0"), crashingPartPrefix)
 }
 
 // crashPointOf returns when a request crashes the worker; found is false if it does not.
@@ -77,7 +84,7 @@
 	switch {
 	case crashesWorker(body):
 		return CrashBeforeFirstEvent, true
-	case !hasCrashingPart(request):
+	case !hasCrashingPart(request, body):
 		return 0, false
 	case w.options.Stage == "" || request.URL.Path == completionsPath:
 		return CrashBeforeFirstEvent, true
