Workers: which incarnation of a worker is behind a connection

Preparation, nothing uses it yet: workers may be started again under their ids, and the id in a request does not tell incarnations apart. A connection belongs to one incarnation, so one that answers a question which was sent after a connection had been opened is the one behind it.

The client tells when the connection of a request was opened.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -96,6 +96,8 @@
 	Body   []byte
 	// Arrivals is told where the response arrives; may be nil.
 	Arrivals *Arrivals
+	// OnConnection is called before the request is sent, with the time at which its connection had been opened; may be nil.
+	OnConnection func(openedAt time.Time)
 	// DirectOnly keeps the request off connections that another process relays.
 	DirectOnly bool
 	// MatchResponse reports whether a response belongs to this request. Others are read and discarded. Nil accepts any
@@ -236,6 +238,9 @@
 		c.pool.putBack(connection)
 		return nil, &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
 	}
+	if request.OnConnection != nil {
+		request.OnConnection(connection.openedAt)
+	}
 	exchange := newExchange(ctx, c.pool, connection, request)
 	return exchange.run()
 }
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -18,6 +18,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// openedAt is a time at which the worker had accepted the connection.
+	openedAt time.Time
 	// idleSince is when the connection became idle, and idleDeadline until when it may be reused.
 	idleSince    time.Time
 	idleDeadline time.Time
@@ -106,7 +108,7 @@
 
 // newConnection returns a connection that has not been used.
 func newConnection(conn net.Conn, address string) *connection {
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferSize)}
+	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferSize), openedAt: time.Now()}
 }
 
 // put keeps a connection for reuse for at most idleTimeout.
