Streams: a stream that begins at a restarted worker is not taken for the version of the old record

What callers saw: a stream that began at a worker which had been started again under its id with another software version, before its record showed it, went on at the version of the old record when its caller took it up at another gateway. It held events of both.

Cause: the first event bound the stream to the version of the worker's record, and the id of a request names the record, not the incarnation.

Why it works: while a request is on its way on a connection whose incarnation is not known, the worker is asked when it started, on another connection; the first event waits for the answer, 50 ms at most. The incarnation of the record binds its version. Another one is told to the holders of the record instead of a version, and each gateway that knows its record has the version. If it can't be told which one it was, the holders are told so; the version is then refused, never deduced. A late answer is told when it is there. Requests on connections that are known already, and those that no other worker may go on with, ask nothing.

The same check ends a continuation, also from a copy, at a worker that was started again between the question before the request and the request. A run whose beginner was started again is not continued from a copy.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -29,6 +29,8 @@
 	newTruncationEvent func(Reason) []byte
 	// stream is the software version that began the stream; zero while it has not begun.
 	stream streamversion.Finding
+	// begunBy tells which incarnation of its worker began the stream; nil if the id of the request did.
+	begunBy *identification
 	// streamRef names the stream to other gateways.
 	streamRef streamversion.Stream
 	// prefills counts prefill calls that an engine accepted.
@@ -69,6 +71,7 @@
 		if !c.mayRunExclusively(status, bar) {
 			return c.refuseSuspect(ReasonSuspected)
 		}
+		c.learnVersion(ctx)
 		options := c.placeOptions(status)
 		placement, found := c.handler.dispatcher.Place(c.request, c.match.Group, options)
 		if !found && !c.handler.dispatcher.hasVersion(c.match.Group, options.Version, c.attempts.failed()) {
@@ -241,7 +244,9 @@
 		c.countUsage()
 	}
 	c.relay.onEvent = runner.eventArrived
-	c.relay.onFirstEvent = func() { c.streamBegins(runner.Worker) }
+	var identify func(ctx context.Context) (string, error)
+	c.relay.checkResponse = func() error { return c.checkIncarnation(ctx, runner.Worker, identify) }
+	c.relay.onFirstEvent = func() { c.streamBegins(ctx, runner.Worker, identify) }
 	gate := &responseGate{}
 	c.relay.acceptResponse = gate.accept
 	if timeout := c.responseTimeout(runner); timeout > 0 {
@@ -252,9 +257,10 @@
 		})
 		defer patience.Stop()
 	}
-	options.ResumeAfter = c.relay.lastEvent
+	options.ResumeAfter, options.Identify = c.relay.lastEvent, c.identifyIncarnation(runner.Worker, held)
 	response, err := c.handler.workers.Run(ctx, runner.Worker, c.request, options)
 	if err == nil {
+		identify = response.Identify
 		err = c.forwardResponse(response)
 	}
 	failure := classify(ctx, err)
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -292,6 +292,9 @@
 	if !c.guarded.hasStatus(poison.Clear, poison.Excused) {
 		return nil, "workers ended under the request"
 	}
+	if c.learnVersion(ctx); !isOfVersion(held.engine, c.boundVersion()) {
+		return nil, "the engine that began the run had been started again"
+	}
 	switch decision := dispatcher.decideOnBreak(c.migrationRun(worker, held), migration.Means{Retry: true}).(type) {
 	case migration.FromCopy:
 	case migration.GiveUp:
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -62,6 +62,9 @@
 	deadline time.Time
 	// onResponse is called at the first event of each worker's response.
 	onResponse func()
+	// checkResponse is called at the first event of each worker's response, after onResponse, and returns why its events must not be forwarded; may
+	// be nil.
+	checkResponse func() error
 	// onFirstEvent is called before the first event of the stream is written, unless an earlier request brought it; may be nil.
 	onFirstEvent func()
 	// onEvent is called for each event that a worker sends, in order, with the time that forwarding the one before took; may be nil.
@@ -118,6 +121,9 @@
 			}
 			accepted = true
 			r.onResponse()
+			if err := r.check(); err != nil {
+				return err
+			}
 		}
 		if r.onEvent != nil {
 			r.onEvent(forwarding)
@@ -136,6 +142,14 @@
 	}
 }
 
+// check calls checkResponse.
+func (r *relay) check() error {
+	if r.checkResponse == nil {
+		return nil
+	}
+	return r.checkResponse()
+}
+
 // announceFirstEvent calls onFirstEvent once.
 func (r *relay) announceFirstEvent() {
 	if r.begun {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -96,6 +96,8 @@
 	Urgency int
 	// Arrivals is told where the response arrives; may be nil.
 	Arrivals *httpclient.Arrivals
+	// Identify is set if it matters which incarnation of the worker sends the response.
+	Identify bool
 }
 
 // PrefillOptions configure how an engine prefills a prompt.
@@ -131,6 +133,9 @@
 	// ContentLength is -1 if unknown.
 	ContentLength int64
 	Body          io.ReadCloser
+	// Identify returns the id of the incarnation that sends the response. It may wait for an answer of the worker until ctx ends. Nil stands for
+	// the incarnation that was asked, because its id can't be used by another one, or because it does not matter.
+	Identify func(ctx context.Context) (string, error)
 }
 
 // Refusal is the response of a worker that did not run the request and never will.
--- a/internal/forward/streamversion.go
+++ b/internal/forward/streamversion.go
@@ -92,17 +92,81 @@
 	return func(worker *backend.Worker) bool { return isOfVersion(worker, version) }
 }
 
+// identification tells which incarnation of a worker sends a response.
+type identification struct {
+	worker   *backend.Worker
+	identify func(ctx context.Context) (string, error)
+}
+
+// version returns the version of the incarnation, or how it is known if its record is not there yet. It waits until ctx ends at most.
+func (i *identification) version(ctx context.Context) streamversion.Version {
+	id, err := i.identify(ctx)
+	switch {
+	case err != nil:
+		return streamversion.Version{Service: i.worker.Group, Incarnation: streamversion.UnknownIncarnation}
+	case id == i.worker.ID:
+		return versionOf(i.worker)
+	default:
+		return streamversion.Version{Service: i.worker.Group, Incarnation: id}
+	}
+}
+
+const (
+	// identifyPatience bounds how long the first event of a stream waits for the worker to say which incarnation it is. The worker is asked as the
+	// request is sent, so that the answer is mostly there.
+	identifyPatience = 50 * time.Millisecond
+	// identifyTimeout bounds how long an answer is awaited beside the stream.
+	identifyTimeout = 2 * time.Second
+)
+
+// identifyIncarnation reports whether it matters which incarnation of a worker sends the response, because another worker may go on with it, and
+// the id of the request does not tell. Held is the copy that the run gets, or nil.
+func (c *call) identifyIncarnation(worker *backend.Worker, held *runCopy) bool {
+	return worker.ID != worker.RecordName() && c.isStream() && (c.resumable() || held != nil || c.stream.IsKnown())
+}
+
 // streamBegins records which version sends the first event of the stream. An attempt that failed before its first event leaves the stream free
 // to begin at any version.
-func (c *call) streamBegins(worker *backend.Worker) {
-	c.stream = streamversion.Finding{Version: versionOf(worker), Source: streamversion.SourceOwnRun}
-	c.report.Stream = c.stream
-	if c.handler.streams != nil && c.resumable() {
-		c.handler.streams.Began(c.streamRef, c.stream.Version)
+func (c *call) streamBegins(ctx context.Context, worker *backend.Worker, identify func(ctx context.Context) (string, error)) {
+	version := versionOf(worker)
+	if identify != nil {
+		c.begunBy = &identification{worker: worker, identify: identify}
+		version = c.identifyWithin(ctx, identifyPatience)
+	}
+	c.bindTo(version)
+	if c.handler.streams == nil || !c.resumable() {
+		return
+	}
+	c.handler.streams.Began(c.streamRef, version)
+	if version.Incarnation == streamversion.UnknownIncarnation {
+		// The context of the attempt ends with it, but the caller may take the stream up again.
+		go c.handler.tellLate(context.WithoutCancel(ctx), c.streamRef, c.begunBy)
 	}
 }
 
-// boundVersion returns the version at which the stream must go on; nil while it has not begun.
+// tellLate records which version began a stream once its worker has told.
+func (h *Handler) tellLate(ctx context.Context, stream streamversion.Stream, begunBy *identification) {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	if version := begunBy.version(ctx); version.Incarnation != streamversion.UnknownIncarnation {
+		h.streams.Began(stream, version)
+	}
+}
+
+// identifyWithin returns the version of the incarnation that began the stream. It waits for a duration at most.
+func (c *call) identifyWithin(ctx context.Context, patience time.Duration) streamversion.Version {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	return c.begunBy.version(ctx)
+}
+
+// bindTo binds the stream to a version.
+func (c *call) bindTo(version streamversion.Version) {
+	c.stream = streamversion.Finding{Version: version, Source: streamversion.SourceOwnRun}
+	c.report.Stream = c.stream
+}
+
+// boundVersion returns the version at which the stream must go on; nil while it has not begun. No worker is of a version that is not known.
 func (c *call) boundVersion() *streamversion.Version {
 	if !c.stream.IsKnown() {
 		return nil
@@ -110,6 +174,52 @@
 	return &c.stream.Version
 }
 
+// learnVersion finds out the version of a stream that began at an incarnation whose record was not there, before it goes on at another worker.
+func (c *call) learnVersion(ctx context.Context) {
+	if c.begunBy == nil || c.stream.Version.IsTold() {
+		return
+	}
+	version := c.stream.Version
+	if version.Incarnation == streamversion.UnknownIncarnation {
+		version = c.identifyWithin(ctx, identifyPatience)
+	}
+	if !version.IsTold() {
+		version = c.handler.dispatcher.versionOfIncarnation(version)
+	}
+	c.bindTo(version)
+}
+
+// versionOfIncarnation returns the version of the incarnation that a version names, or the version as it is if the incarnation has no record.
+func (d *Dispatcher) versionOfIncarnation(version streamversion.Version) streamversion.Version {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	worker, found := d.balancer.Worker(version.Incarnation)
+	if !found || worker.Group != version.Service {
+		return version
+	}
+	return versionOf(worker)
+}
+
+// checkIncarnation returns an error unless the incarnation of the record sends the response of a worker that goes on with the stream. It was asked
+// before the request was sent, and may have been started again since.
+func (c *call) checkIncarnation(ctx context.Context, worker *backend.Worker, identify func(ctx context.Context) (string, error)) error {
+	if identify == nil || !c.stream.IsKnown() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	id, err := identify(ctx)
+	switch {
+	case err != nil:
+		// The error is that of the question, and must not be taken for one of the request.
+		return errors.Newf("identify, peer %s: %s", worker.Address, err.Error())
+	case id != worker.ID:
+		return &ReplacedError{Peer: worker.Address}
+	default:
+		return nil
+	}
+}
+
 // ReplacedError reports that another incarnation of a worker, of unknown version, runs at its address under its id.
 type ReplacedError struct {
 	// Peer is the address of the worker.
--- a/internal/forward/streamversion_test.go
+++ b/internal/forward/streamversion_test.go
@@ -137,6 +137,17 @@
 	return f.finding
 }
 
+// versions returns the versions that were told, in order.
+func (f *fakeStreams) versions() []streamversion.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var versions []streamversion.Version
+	for _, record := range f.began {
+		versions = append(versions, record.Version)
+	}
+	return versions
+}
+
 // resume sends a request that takes up a stream after its third event.
 func (f *fixture) resume(t *testing.T) (*http.Response, string, error) {
 	t.Helper()
@@ -285,3 +296,167 @@
 		})
 	}
 }
+
+// identity is what the worker of a response says of itself.
+type identity struct {
+	id  string
+	err error
+	// delay is the time from the response until the answer.
+	delay time.Duration
+}
+
+// from returns a Response.Identify for a response that arrives now.
+func (i identity) from(now time.Time) func(ctx context.Context) (string, error) {
+	return func(ctx context.Context) (string, error) {
+		select {
+		case <-time.After(time.Until(now.Add(i.delay))):
+			return i.id, i.err
+		case <-ctx.Done():
+			return "", context.Cause(ctx)
+		}
+	}
+}
+
+// newIdentifyingFixture returns a fixture whose engines have the versions and use their ids again. The responses, in order, are of the identities;
+// later ones, and those without an id, are of the incarnation of the record.
+func newIdentifyingFixture(t *testing.T, resumable bool, scripted *scriptedFleet, identities []identity, versions ...string) *fixture {
+	t.Helper()
+	f := newContinuationFixture(t, resumable, scripted)
+	f.setDecoders(0, versions...)
+	for i := range versions {
+		worker, _ := f.handler.dispatcher.balancer.Worker(fmt.Sprint("engine-0-", i))
+		reused := *worker
+		reused.Record = "reused"
+		f.handler.dispatcher.ChangeWorkers(backend.Changes{Updated: []*backend.Worker{&reused}})
+	}
+	f.workers.run = func(ctx context.Context, number int, worker *backend.Worker, options RunOptions) (*Response, error) {
+		response, err := scripted.run(ctx, number, worker, options)
+		if err != nil || !options.Identify {
+			return response, err
+		}
+		says := identity{}
+		if number <= len(identities) {
+			says = identities[number-1]
+		}
+		if says.id == "" && says.err == nil {
+			says.id = worker.ID
+		}
+		response.Identify = says.from(time.Now())
+		return response, nil
+	}
+	return f
+}
+
+// TestStreamBeginsAtTheIncarnationThatSendsIt guards against a stream that is taken for the version of an outdated record, because its worker was
+// started again under its id, and against one that can't go on although the worker is the one of the record.
+func TestStreamBeginsAtTheIncarnationThatSendsIt(t *testing.T) {
+	var (
+		old     = streamversion.Version{Service: "g", Software: "a"}
+		next    = streamversion.Version{Service: "g", Incarnation: "reused@2"}
+		unknown = streamversion.Version{Service: "g", Incarnation: streamversion.UnknownIncarnation}
+	)
+	for _, c := range []struct {
+		desc      string
+		resumable bool
+		says      identity
+		wantWhole bool
+		wantBegan []streamversion.Version
+	}{
+		{"the same incarnation", true, identity{}, true, []streamversion.Version{old}},
+		{"another incarnation", true, identity{id: "reused@2"}, false, []streamversion.Version{next}},
+		{"no answer", true, identity{err: io.ErrUnexpectedEOF}, false, []streamversion.Version{unknown}},
+		{"a late answer of the same incarnation", true, identity{delay: identifyPatience * 3 / 2}, true, []streamversion.Version{unknown, old}},
+		{"the same incarnation, with a copy", false, identity{}, true, nil},
+		{"another incarnation, with a copy", false, identity{id: "reused@2"}, false, nil},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			streams := &fakeStreams{}
+			f := newIdentifyingFixture(t, c.resumable, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}}, []identity{c.says}, "a", "a")
+			f.handler.SetStreamVersions(streams)
+			_, body, err := f.get(t)
+			f.server.Close()
+			if whole := err == nil && body == events(0, 8); whole != c.wantWhole {
+				t.Errorf("got %q, %v, ran at %v", body, err, f.workers.ranAt)
+			}
+			if !c.wantWhole && body != events(0, 3) {
+				t.Errorf("the caller got %q of the run that it has", body)
+			}
+			// A late answer is told beside the stream.
+			for range 100 {
+				if slices.Equal(streams.versions(), c.wantBegan) {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			t.Errorf("told %+v, want %+v", streams.versions(), c.wantBegan)
+		})
+	}
+}
+
+// TestStreamGoesOnOnceItsIncarnationIsRecorded guards against a stream that ends although its worker, started again under its id, has told its
+// version in its record since.
+func TestStreamGoesOnOnceItsIncarnationIsRecorded(t *testing.T) {
+	f := newIdentifyingFixture(t, true, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}}, []identity{{id: "reused@2"}}, "a", "b", "b")
+	f.handler.dispatcher.ChangeWorkers(backend.Changes{Removed: []string{"engine-0-1", "engine-0-2"}})
+	f.workers.onRun = func(*Request) {
+		f.handler.dispatcher.ChangeWorkers(backend.Changes{Updated: []*backend.Worker{
+			{ID: "reused@2", Record: "reused", Group: "g", Address: "engine-0-0", Role: backend.RoleDecode, Slots: 4, SoftwareVersion: "b"},
+			{ID: "other@1", Record: "other", Group: "g", Address: "engine-0-2", Role: backend.RoleDecode, Slots: 4, SoftwareVersion: "b"},
+			{ID: "third@1", Record: "third", Group: "g", Address: "engine-0-3", Role: backend.RoleDecode, Slots: 4, SoftwareVersion: "a"},
+		}})
+	}
+	_, body, err := f.get(t)
+	f.server.Close()
+	if err != nil || body != events(0, 8) {
+		t.Errorf("got %q, %v, ran at %v", body, err, f.workers.ranAt)
+	}
+	if ranAt := f.workers.ranAt; len(ranAt) != 2 || (ranAt[1] != "reused@2" && ranAt[1] != "other@1") {
+		t.Errorf("ran at %v", ranAt)
+	}
+}
+
+// TestRestartBesideTheQuestionEndsTheAttempt guards against a stream that goes on at a worker which was started again after it was asked and before
+// it got the request, and against a copy there.
+func TestRestartBesideTheQuestionEndsTheAttempt(t *testing.T) {
+	for _, resumable := range []bool{true, false} {
+		t.Run(fmt.Sprint("resumable ", resumable), func(t *testing.T) {
+			f := newIdentifyingFixture(t, resumable, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}}, []identity{{}, {id: "reused@2"}}, "a", "a")
+			f.handler.SetConfirmation(func(context.Context, *backend.Worker) error { return nil })
+			_, body, err := f.get(t)
+			f.server.Close()
+			if err == nil || body != events(0, 3) || len(f.workers.ranAt) != 2 {
+				t.Errorf("got %q, %v, ran at %v", body, err, f.workers.ranAt)
+			}
+		})
+	}
+}
+
+// TestIdentityIsAskedWhereItMatters guards against questions about streams that no other worker may go on with, and where the id of a request
+// tells the incarnation.
+func TestIdentityIsAskedWhereItMatters(t *testing.T) {
+	for _, c := range []struct {
+		desc      string
+		record    string
+		resumable bool
+		want      bool
+	}{
+		{"a resumable stream", "reused", true, true},
+		{"ids are not used again", "", true, false},
+		{"a stream without a copy", "reused", false, false},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			f := newIdentifyingFixture(t, c.resumable, &scriptedFleet{total: 8}, nil, "a")
+			worker, _ := f.handler.dispatcher.balancer.Worker("engine-0-0")
+			changed := *worker
+			changed.Record = c.record
+			f.handler.dispatcher.ChangeWorkers(backend.Changes{Updated: []*backend.Worker{&changed}})
+			if _, body, err := f.get(t); err != nil || body != events(0, 8) {
+				t.Errorf("got %q, %v", body, err)
+			}
+			f.server.Close()
+			if got := f.workers.runOptions[0].Identify; got != c.want {
+				t.Errorf("asked %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/streammetrics.go
+++ b/internal/gateway/streammetrics.go
@@ -62,6 +62,9 @@
 		return
 	}
 	inputs["stream_version"], inputs["version_known"] = d.stream.Version.Software, string(d.stream.Source)
+	if !d.stream.Version.IsTold() {
+		inputs["stream_begun_by"] = d.stream.Version.Incarnation
+	}
 	if d.stream.Source != streamversion.SourceOwnRun {
 		inputs["version_age_ms"] = strconv.FormatInt(d.stream.Age.Milliseconds(), 10)
 	}
--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -50,7 +50,7 @@
 		holders := s.peersFor(record.Key)
 		for _, holder := range holders[:min(recordHolders, len(holders))] {
 			byHolder[holder.PeerAddress] = append(byHolder[holder.PeerAddress], peersync.StreamVersion{
-				Key: uint64(record.Key), Service: record.Version.Service, Software: record.Version.Software, LifetimeMs: record.Lifetime.Milliseconds(),
+				Key: uint64(record.Key), Service: record.Version.Service, Software: record.Version.Encode(), LifetimeMs: record.Lifetime.Milliseconds(),
 			})
 		}
 	}
@@ -77,7 +77,7 @@
 			continue
 		}
 		record := streamversion.Record{
-			Key: streamversion.Key(version.Key), Version: streamversion.Version{Service: version.Service, Software: version.Software}, Lifetime: lifetime,
+			Key: streamversion.Key(version.Key), Version: streamversion.DecodeVersion(version.Service, version.Software), Lifetime: lifetime,
 		}
 		if s.records.Put(now, record) {
 			kept++
@@ -88,13 +88,16 @@
 	s.gateway.metrics.countStreamRecords("rejected", len(versions)-kept)
 }
 
-// handOver tells other gateways all records while several versions serve, because this gateway stops.
+// handOver tells other gateways all records while several versions serve, because this gateway stops, and otherwise those from which they can't
+// conclude the version.
 func (s *streamVersions) handOver() {
 	now := boottime.Now()
 	s.mu.Lock()
 	var records []streamversion.Record
 	if s.history.IsMixed(now) {
 		records = s.records.TakeAll(now)
+	} else {
+		records = s.records.TakeUntold(now)
 	}
 	s.mu.Unlock()
 	if len(records) > 0 {
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -45,6 +45,10 @@
 	record := streamversion.Record{Key: stream.Key, Version: version, Lifetime: stream.Lifetime}
 	s.mu.Lock()
 	isShared := streamversion.NeedsRecord(s.history.Outlook(now, stream.Services, stream.Horizon()), staleness)
+	if previous, _, found := s.records.Find(now, stream.Key); !version.IsTold() || (found && !previous.IsTold()) {
+		// Others would conclude from the records of the workers which version it is, and these are outdated.
+		isShared = true
+	}
 	s.records.PutLocal(now, record, isShared)
 	s.mu.Unlock()
 	if isShared {
@@ -55,14 +59,14 @@
 // Find implements forward.StreamVersions.
 func (s *streamVersions) Find(ctx context.Context, stream streamversion.Stream) streamversion.Finding {
 	if version, age, found := s.findRecord(stream.Key); found {
-		return streamversion.Finding{Version: version, Source: streamversion.SourceOwnRecord, Age: age}
+		return s.resolve(streamversion.Finding{Version: version, Source: streamversion.SourceOwnRecord, Age: age})
 	}
 	peers := s.peersFor(stream.Key)
 	answers := s.ask(ctx, peers, stream)
 	for _, answer := range answers {
 		if answer.Found {
 			age := time.Duration(answer.AgeMs) * time.Millisecond
-			return streamversion.Finding{Version: answer.Version(), Source: streamversion.SourcePeer, Age: age}
+			return s.resolve(streamversion.Finding{Version: answer.Version(), Source: streamversion.SourcePeer, Age: age})
 		}
 	}
 	evidence := streamversion.Evidence{Staleness: s.gateway.view.Staleness(), Horizon: stream.Horizon(), PeerCount: len(peers)}
@@ -78,6 +82,23 @@
 	return streamversion.Finding{Source: streamversion.SourceUnknown, Age: evidence.Staleness}
 }
 
+// resolve returns a finding with the version of the incarnation that it names, if any. The version is unknown if this gateway does not know the
+// incarnation.
+func (s *streamVersions) resolve(finding streamversion.Finding) streamversion.Finding {
+	if finding.Version.IsTold() {
+		return finding
+	}
+	s.gateway.workersMu.Lock()
+	worker := s.gateway.workers[finding.Version.Incarnation]
+	s.gateway.workersMu.Unlock()
+	if worker == nil || worker.Group != finding.Version.Service {
+		finding.Source = streamversion.SourceUnknown
+		return finding
+	}
+	finding.Version = streamversion.Version{Service: worker.Group, Software: worker.SoftwareVersion}
+	return finding
+}
+
 // findRecord returns the version of a record that this gateway keeps.
 func (s *streamVersions) findRecord(key streamversion.Key) (streamversion.Version, time.Duration, bool) {
 	s.mu.Lock()
@@ -91,7 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if version, age, found := s.records.Find(now, stream.Key); found {
-		return versionsync.Answer{Found: true, Service: version.Service, Software: version.Software, AgeMs: age.Milliseconds()}
+		return versionsync.Answer{Found: true, Service: version.Service, Software: version.Encode(), AgeMs: age.Milliseconds()}
 	}
 	outlook := s.history.Outlook(now, stream.Services, stream.Horizon())
 	outlook.IsComplete = outlook.IsComplete && staleness < stream.Horizon()
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -198,3 +198,59 @@
 		}
 	}
 }
+
+// TestVersionReplacesItsIncarnation guards against a stream that can't go on although the record of its worker has told the version since, and
+// against a version that is forgotten because what stood for it arrives later.
+func TestVersionReplacesItsIncarnation(t *testing.T) {
+	var (
+		unknown = Version{Service: versionA.Service, Incarnation: UnknownIncarnation}
+		first   = Version{Service: versionA.Service, Incarnation: "w@1"}
+		second  = Version{Service: versionA.Service, Incarnation: "w@2"}
+	)
+	for _, c := range []struct {
+		desc string
+		puts []Version
+		want Version
+		// wantFound is not set if the version is not known.
+		wantFound bool
+	}{
+		{"told late", []Version{unknown, first, versionA}, versionA, true},
+		{"in another order", []Version{versionA, unknown, first}, versionA, true},
+		{"an incarnation", []Version{unknown, first, unknown, first}, first, true},
+		{"nothing", []Version{unknown, unknown}, unknown, true},
+		{"two incarnations", []Version{first, second}, Version{}, false},
+		{"two versions", []Version{unknown, versionA, versionB}, Version{}, false},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			table := NewTable(10)
+			for _, version := range c.puts {
+				table.Put(at(0), Record{Key: 1, Version: version, Lifetime: time.Second})
+			}
+			if got, _, found := table.Find(at(0), 1); got != c.want || found != c.wantFound {
+				t.Errorf("found %+v, %t, want %+v, %t", got, found, c.want, c.wantFound)
+			}
+			wantUntold := 0
+			if c.wantFound && !c.want.IsTold() {
+				wantUntold = 1
+			}
+			if got := len(table.TakeUntold(at(0))); got != wantUntold {
+				t.Errorf("%d records tell no version, want %d", got, wantUntold)
+			}
+		})
+	}
+}
+
+// TestVersionsAreEncoded guards against an incarnation that another gateway takes for a version, and against a version that is taken for an
+// incarnation.
+func TestVersionsAreEncoded(t *testing.T) {
+	for _, version := range []Version{
+		versionA, {Service: "s"}, {Service: "s", Incarnation: "w@1"}, {Service: "s", Incarnation: UnknownIncarnation}, {Service: "s", Software: "incarnation w"},
+	} {
+		if got := DecodeVersion(version.Service, version.Encode()); got != version {
+			t.Errorf("%+v is decoded as %+v", version, got)
+		}
+		if !version.IsTold() && version.Encode() == version.Incarnation {
+			t.Errorf("%+v could be taken for a version", version)
+		}
+	}
+}
--- a/internal/streamversion/table.go
+++ b/internal/streamversion/table.go
@@ -33,7 +33,7 @@
 // Table holds the records of the streams that this gateway began, and of those that others told it of. It is not safe for concurrent use.
 //
 // Invariants: a record that was put is found, with the version of its first put, until its lifetime is over, unless two versions were put for
-// its key: then none is found. The table holds no more records than its limit.
+// its key: then none is found. An incarnation counts as the version until the version is put, and an unknown one until any is. The table holds no more records than its limit.
 type Table struct {
 	limit     int
 	entries   map[Key]*entry
@@ -79,7 +79,12 @@
 		existing = &entry{version: record.Version}
 		t.entries[record.Key] = existing
 	}
-	existing.isAmbiguous = existing.isAmbiguous || existing.version != record.Version
+	switch known, told := existing.version.rank(), record.Version.rank(); {
+	case told > known:
+		existing.version = record.Version
+	case told == known:
+		existing.isAmbiguous = existing.isAmbiguous || existing.version != record.Version
+	}
 	existing.putAt = now
 	if expiresAt := now.Add(record.Lifetime); expiresAt.After(existing.expiresAt) {
 		existing.expiresAt = expiresAt
@@ -106,6 +111,11 @@
 	return t.take(now, func(*entry) bool { return true })
 }
 
+// TakeUntold returns the records that tell no version, and marks them as shared.
+func (t *Table) TakeUntold(now time.Time) []Record {
+	return t.take(now, func(e *entry) bool { return !e.version.IsTold() })
+}
+
 // take returns the unexpired records that are wanted, and marks them as shared.
 func (t *Table) take(now time.Time, isWanted func(*entry) bool) []Record {
 	var records []Record
--- a/internal/versionsync/versionsync.go
+++ b/internal/versionsync/versionsync.go
@@ -52,7 +52,7 @@
 
 // Version returns the version of the record.
 func (a *Answer) Version() streamversion.Version {
-	return streamversion.Version{Service: a.Service, Software: a.Software}
+	return streamversion.DecodeVersion(a.Service, a.Software)
 }
 
 // Outlook returns the outlook of the gateway.
