Callers: bytes that wait unread on an accepted connection are counted and logged

Nothing told of a request that sits on an accepted connection which nobody reads: it is neither answered nor refused, and there is no line of it. Bytes that have waited for a second or more are counted (granitebay_connections_unread_total) and logged with the peer, the phase and the time.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -65,6 +65,8 @@
 	inHandler, responseStarted atomic.Bool
 	// resets is set if Close must reset the connection, and hijacked if its handler has taken it over and ends it in its own way.
 	resets, hijacked atomic.Bool
+	// unreadReported is set while unread bytes are reported. Only the goroutine that looks for them uses it.
+	unreadReported bool
 }
 
 // newConnection wraps a connection that was just accepted.
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -30,6 +30,8 @@
 	// RequestNotHandled reports a connection that was closed after part of a request arrived and before its handler ran, with
 	// the side that closed it and how long the request had been arriving.
 	RequestNotHandled(closedBy forward.Closer, peer string, elapsed time.Duration)
+	// Unread reports bytes that have arrived and that nobody reads.
+	Unread(bytes UnreadBytes)
 }
 
 // Traffic counts bytes received and sent, and open connections.
@@ -219,11 +221,17 @@
 		drainQueue(s.listener)
 	}
 	s.drained = make(chan struct{})
+	conns := s.openConns()
+	s.signalIfDrained()
+	return conns
+}
+
+// openConns returns the open connections. mu must be held.
+func (s *Server) openConns() []*connection {
 	conns := make([]*connection, 0, len(s.conns))
 	for conn := range s.conns {
 		conns = append(conns, conn)
 	}
-	s.signalIfDrained()
 	return conns
 }
 
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -117,6 +118,11 @@
 	o.add("closed by " + closedBy.String())
 }
 
+// Unread implements Observer.
+func (o *recordingObserver) Unread(bytes UnreadBytes) {
+	o.add(fmt.Sprint(bytes.Count, " unread bytes, ", bytes.Phase))
+}
+
 func (o *recordingObserver) add(event string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -290,6 +290,8 @@
 	g.tasks.Go(func() { g.barSyncer.run(ctx) })
 	g.tasks.Go(func() { g.engineMonitor.run(ctx) })
 	g.tasks.Go(func() { g.runDocumentRestore(ctx) })
+	servers := append([]*callers.Server{g.callers}, g.internalServers...)
+	g.tasks.Go(func() { callers.WatchUnread(ctx, servers...) })
 	if g.capacity != nil {
 		g.tasks.Go(func() { g.capacity.Run(ctx) })
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/granitebay/granitebay/internal/callers"
 	"github.com/granitebay/granitebay/internal/capacity"
 	"github.com/granitebay/granitebay/internal/changefeed"
 	"github.com/granitebay/granitebay/internal/decisionlog"
@@ -43,6 +44,8 @@
 	// counts caller connections that were closed by the idle timeout.
 	metricUnanswered   = "granitebay_requests_unanswered_total"
 	metricIdleTimeouts = "granitebay_connections_rested_out_total"
+	// metricUnread counts connections on which bytes had arrived that nobody read.
+	metricUnread = "granitebay_connections_unread_total"
 )
 
 // gatewayMetrics counts request outcomes and serves the metrics in text format. It implements forward.Observer and
@@ -418,6 +421,20 @@
 	}).Info("A connection ended with its request unanswered.")
 }
 
+// unreadReason is the rate limiting key of log lines about unread bytes.
+const unreadReason forward.Reason = "unread bytes"
+
+// Unread implements callers.Observer.
+func (m *gatewayMetrics) Unread(bytes callers.UnreadBytes) {
+	m.set.GetOrCreateCounter(metricUnread).Inc()
+	if !m.allowLog(unreadReason) {
+		return
+	}
+	m.logger.WithFields(logrus.Fields{
+		"peer": bytes.Peer, "awaits": bytes.Phase, "bytes": bytes.Count, "waited_ms": bytes.Waited.Milliseconds(),
+	}).Warn("Bytes of a caller have arrived and are not read.")
+}
+
 // ServeHTTP implements http.Handler.
 func (m *gatewayMetrics) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(writer)
