Callers: requests at awkward moments are answered, refused or closed before they were read

One request lay unread on an accepted connection in one run of platform.TestSilentWorkersKeepRequests, and nothing sent requests at a server of this package alone around its bounds while these change and the process stands still. TestRequestsAtAwkwardMoments does: 64 callers, heads and bodies in parts, two requests at once, in a process of its own that is suspended for up to 0.2 s again and again. It passes on the code as it is. With the last look before the close taken out it fails (1 of 1 run).

--- /dev/null
+++ b/internal/callers/awkward_test.go
@@ -0,0 +1,422 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/netdial"
+)
+
+var (
+	awkwardSeed = flag.Int64("awkward.seed", 1, "seed of TestRequestsAtAwkwardMoments")
+	awkwardTime = flag.Duration("awkward.for", 2*time.Second, "duration of each part of TestRequestsAtAwkwardMoments")
+)
+
+// serverProcessEnv is set in a process that serves the callers of TestRequestsAtAwkwardMoments. Its value is the seed of its timeouts.
+const serverProcessEnv = "GRANITEBAY_CALLERS_TEST_SERVER"
+
+// TestMain runs the tests, or the server of a test in a process of its own, which can be suspended without its callers.
+func TestMain(m *testing.M) {
+	if seed := os.Getenv(serverProcessEnv); seed != "" {
+		runServerProcess(seed)
+	}
+	os.Exit(m.Run())
+}
+
+// Words at the beginning of the lines that a server process prints.
+const (
+	wordAddress = "address"
+	wordHandled = "handled"
+	wordUnread  = "unread"
+)
+
+// lineWriter prints lines from several goroutines.
+type lineWriter struct{ mu sync.Mutex }
+
+func (w *lineWriter) print(words ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fmt.Println(words...)
+}
+
+// IdleTimeout implements Observer.
+func (w *lineWriter) IdleTimeout() {}
+
+// RequestNotHandled implements Observer.
+func (w *lineWriter) RequestNotHandled(forward.Closer, string, time.Duration) {}
+
+// Unread implements Observer.
+func (w *lineWriter) Unread(bytes UnreadBytes) { w.print(wordUnread, fmt.Sprintf("%+v", bytes)) }
+
+// awkwardBounds are the timeouts between which a server process changes at random. Callers rest for about one of them.
+var awkwardBounds = []time.Duration{40 * time.Millisecond, 80 * time.Millisecond, 120 * time.Millisecond}
+
+// runServerProcess serves until standard input ends. A seed of zero keeps the timeouts.
+func runServerProcess(seedText string) {
+	seed, err := strconv.ParseInt(seedText, 10, 64)
+	if err != nil {
+		panic(err)
+	}
+	listener, err := netdial.Listen("127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	output := &lineWriter{}
+	output.print(wordAddress, listener.Addr())
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	server := NewServer(CancelOnDisconnect(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		output.print(wordHandled, r.URL.Path)
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})), &Traffic{}, output, logrus.NewEntry(logger))
+	server.SetTimeouts(awkwardBounds[1], awkwardBounds[1])
+	if seed != 0 {
+		random := rand.New(rand.NewSource(seed))
+		go func() {
+			for {
+				server.SetTimeouts(awkwardBounds[random.Intn(len(awkwardBounds))], awkwardBounds[random.Intn(len(awkwardBounds))])
+				time.Sleep(time.Duration(random.Intn(50)) * time.Millisecond)
+			}
+		}()
+	}
+	go WatchUnread(context.Background(), server)
+	go func() { _ = server.Serve(listener) }()
+	_, _ = io.Copy(io.Discard, os.Stdin)
+	os.Exit(0)
+}
+
+// awkwardRun is a run of TestRequestsAtAwkwardMoments.
+type awkwardRun struct {
+	address string
+	process *os.Process
+	// bounds are the timeouts that may be in force.
+	bounds []time.Duration
+
+	mu sync.Mutex
+	// handled holds the paths of requests that reached the handler, and unread what the server process says of unread bytes.
+	handled  map[string]bool
+	unread   []string
+	outcomes []awkwardOutcome
+	// suspensions are the times in which the server process was suspended.
+	suspensions [][2]time.Time
+}
+
+// awkwardOutcome is what a caller saw of a request.
+type awkwardOutcome struct {
+	path string
+	// kind names how the request was sent.
+	kind string
+	rest time.Duration
+	// usableAt is when the connection was opened or its last response ended.
+	usableAt, sentAt, endedAt time.Time
+	// wasOpen is set if the server had not closed the connection when the request had been sent.
+	wasOpen bool
+	err     error
+}
+
+// startAwkwardRun starts a server process and returns a function that ends it and waits for its output.
+func startAwkwardRun(t *testing.T, seed int64) (*awkwardRun, func()) {
+	t.Helper()
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), fmt.Sprint(serverProcessEnv, "=", seed))
+	command.Stderr = os.Stderr
+	input, err := command.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	r := &awkwardRun{process: command.Process, bounds: awkwardBounds[1:2], handled: map[string]bool{}}
+	if seed != 0 {
+		r.bounds = awkwardBounds
+	}
+	address, ended := make(chan string, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for lines := bufio.NewScanner(output); lines.Scan(); {
+			word, rest, _ := strings.Cut(lines.Text(), " ")
+			r.mu.Lock()
+			switch word {
+			case wordAddress:
+				address <- rest
+			case wordHandled:
+				r.handled[rest] = true
+			case wordUnread:
+				r.unread = append(r.unread, rest)
+			}
+			r.mu.Unlock()
+		}
+	}()
+	stop := sync.OnceFunc(func() {
+		_ = input.Close()
+		<-ended
+		_ = command.Wait()
+	})
+	t.Cleanup(stop)
+	select {
+	case r.address = <-address:
+	case <-time.After(testTimeout):
+		_ = command.Process.Kill()
+		t.Fatal("the server process did not start")
+	}
+	return r, stop
+}
+
+// suspend suspends the server process again and again until a time.
+func (r *awkwardRun) suspend(random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(20+random.Intn(150)) * time.Millisecond)
+		start := time.Now()
+		_ = r.process.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(1+random.Intn(200)) * time.Millisecond)
+		_ = r.process.Signal(syscall.SIGCONT)
+		r.mu.Lock()
+		r.suspensions = append(r.suspensions, [2]time.Time{start, time.Now()})
+		r.mu.Unlock()
+	}
+}
+
+// Kinds of requests: sent whole, in two parts of the head, with the body after the head, and two at once.
+const (
+	kindWhole = iota
+	kindSplitHead
+	kindLateBody
+	kindPair
+	awkwardKinds
+)
+
+// awkwardKindNames are the names of the kinds.
+var awkwardKindNames = [awkwardKinds]string{"whole", "split head", "late body", "pair"}
+
+// maxBoundOffset is the largest distance of a request from a bound of its connection.
+const maxBoundOffset = 2 * time.Millisecond
+
+// call sends requests at awkward moments until a time, some on new connections.
+func (r *awkwardRun) call(number int, random *rand.Rand, until time.Time) {
+	var caller *testCaller
+	var usableAt time.Time
+	disconnect := func() {
+		if caller != nil {
+			_ = caller.Close()
+			caller = nil
+		}
+	}
+	defer disconnect()
+	for n := 0; time.Now().Before(until); n++ {
+		if random.Intn(4) == 0 {
+			disconnect()
+		}
+		if caller == nil {
+			conn, err := net.Dial("tcp4", r.address)
+			if err != nil {
+				return
+			}
+			caller, usableAt = &testCaller{conn, bufio.NewReader(conn)}, time.Now()
+		}
+		rest := time.Duration(0)
+		if random.Intn(4) > 0 {
+			rest = awkwardBounds[random.Intn(len(awkwardBounds))] + time.Duration(random.Int63n(int64(2*maxBoundOffset))) - maxBoundOffset
+		}
+		time.Sleep(rest)
+		if !r.exchange(caller, fmt.Sprintf("/%d/%d", number, n), random.Intn(awkwardKinds), rest, usableAt, random) {
+			disconnect()
+		}
+		usableAt = time.Now()
+	}
+}
+
+// exchange sends a request, or two, and reads the responses. It reports whether the connection can be used again.
+func (r *awkwardRun) exchange(caller *testCaller, path string, kind int, rest time.Duration, usableAt time.Time, random *rand.Rand) bool {
+	paths := []string{path}
+	first, second := requestFor(path), ""
+	switch kind {
+	case kindSplitHead:
+		cut := 1 + random.Intn(len(first)-1)
+		first, second = first[:cut], first[cut:]
+	case kindLateBody:
+		first, second = "POST "+path+" HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n", "body"
+	case kindPair:
+		paths = append(paths, path+"/next")
+		first += requestFor(paths[1])
+	}
+	err := caller.send(first)
+	if err == nil && second != "" {
+		time.Sleep(time.Duration(random.Int63n(int64(2 * maxBoundOffset))))
+		err = caller.send(second)
+	}
+	sentAt, wasOpen := time.Now(), isEstablished(caller.Conn)
+	for _, path := range paths {
+		if err == nil {
+			err = caller.readResponseTo(path)
+		}
+		r.mu.Lock()
+		r.outcomes = append(r.outcomes, awkwardOutcome{path, awkwardKindNames[kind], rest, usableAt, sentAt, time.Now(), wasOpen, err})
+		r.mu.Unlock()
+	}
+	return err == nil
+}
+
+// errWrongResponse is the error of a caller that got the response to another request.
+var errWrongResponse = errors.New("the response belongs to another request")
+
+// readResponseTo waits for the response to a path.
+func (c *testCaller) readResponseTo(path string) error {
+	_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK || string(body) != path {
+		return fmt.Errorf("%w: status %d, %q", errWrongResponse, response.StatusCode, body)
+	}
+	return nil
+}
+
+// tcpEstablished is the state of a connection that neither side has closed.
+const tcpEstablished = 1
+
+// isEstablished reports whether the other side has not closed a connection.
+func isEstablished(conn net.Conn) (established bool) {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		established = err == nil && info.State == tcpEstablished
+	})
+	return established
+}
+
+// maxCrossingTime is how long after a request was sent its connection may be closed by a server that has not seen it.
+const maxCrossingTime = 100 * time.Millisecond
+
+// judge returns the requests that were neither answered nor refused, although the server had read them or should have, and counts the outcomes.
+func (r *awkwardRun) judge() (faults []string, counts map[string]int) {
+	counts = map[string]int{}
+	for _, line := range r.unread {
+		faults = append(faults, "unread bytes: "+line)
+	}
+	for _, o := range r.outcomes {
+		took, timeout := o.endedAt.Sub(o.sentAt), net.Error(nil)
+		describe := func(what string) {
+			faults = append(faults, fmt.Sprintf("%s: %s, %s, after a rest of %s, open when sent %t, ended %s later: %v", what, o.path, o.kind, o.rest, o.wasOpen, took, o.err))
+		}
+		switch {
+		case o.err == nil:
+			counts["served"]++
+		case errors.Is(o.err, errWrongResponse):
+			describe("wrong response")
+		case errors.As(o.err, &timeout) && timeout.Timeout():
+			describe("no response and no end")
+		case r.handled[o.path]:
+			describe("handled")
+		case !o.wasOpen:
+			counts["closed before"]++
+		case r.crossedSuspended(&o):
+			counts["crossed, suspended"]++
+		case took > maxCrossingTime || r.wasSuspended(&o):
+			describe("closed late")
+		default:
+			counts["crossed"]++
+		}
+	}
+	return faults, counts
+}
+
+// suspendMargin is the most from the bound of a connection to the suspension of a server that has decided to close it and has not closed it.
+const suspendMargin = 15 * time.Millisecond
+
+// crossedSuspended reports whether the server process was suspended just as a bound of the connection ended: it had decided to close the connection
+// before the request came, and closed it when it went on.
+func (r *awkwardRun) crossedSuspended(o *awkwardOutcome) bool {
+	return r.anySuspension(o, func(start time.Time) bool {
+		return slices.ContainsFunc(r.bounds, func(bound time.Duration) bool { return start.Sub(o.usableAt.Add(bound)).Abs() < suspendMargin })
+	})
+}
+
+// wasSuspended reports whether the server process was suspended when a request had been sent.
+func (r *awkwardRun) wasSuspended(o *awkwardOutcome) bool {
+	return r.anySuspension(o, func(start time.Time) bool { return start.Before(o.sentAt) })
+}
+
+// anySuspension reports whether a suspension that overlaps the time from the sending of a request to its end began at a time that satisfies matches.
+func (r *awkwardRun) anySuspension(o *awkwardOutcome, matches func(start time.Time) bool) bool {
+	return slices.ContainsFunc(r.suspensions, func(suspension [2]time.Time) bool {
+		return suspension[0].Before(o.endedAt) && suspension[1].After(o.sentAt) && matches(suspension[0])
+	})
+}
+
+// awkwardCallers is the number of callers of TestRequestsAtAwkwardMoments.
+const awkwardCallers = 64
+
+// TestRequestsAtAwkwardMoments guards against requests that lie unread on a connection, and against requests that were read and not answered. Callers
+// send around the bounds of their connections while the bounds change and the server process is suspended.
+func TestRequestsAtAwkwardMoments(t *testing.T) {
+	for _, c := range []struct {
+		desc              string
+		changes, suspends bool
+	}{
+		{"around the bounds", false, false},
+		{"beside changes of the bounds", true, false},
+		{"beside standstills", false, true},
+		{"beside changes and standstills", true, true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			seed := int64(0)
+			if c.changes {
+				seed = *awkwardSeed
+			}
+			r, stop := startAwkwardRun(t, seed)
+			until := time.Now().Add(*awkwardTime)
+			var group sync.WaitGroup
+			for number := range awkwardCallers {
+				group.Go(func() { r.call(number, rand.New(rand.NewSource(*awkwardSeed*1000+int64(number))), until) })
+			}
+			if c.suspends {
+				r.suspend(rand.New(rand.NewSource(*awkwardSeed)), until)
+			}
+			group.Wait()
+			stop()
+			faults, counts := r.judge()
+			t.Logf("%d requests, %d suspensions: %v", len(r.outcomes), len(r.suspensions), counts)
+			const maxNamed = 5
+			if len(faults) > 0 {
+				t.Errorf("%d faults, including %q", len(faults), faults[:min(len(faults), maxNamed)])
+			}
+			if counts["served"] == 0 {
+				t.Error("no request was served, so the test checks nothing")
+			}
+		})
+	}
+}
