Callers: the last look and the close of the sending side are one step

A caller that sent a request on a connection which was open got a reset and no answer: the gateway had looked at the connection at its bound, found nothing, and done some bookkeeping before it closed it; a request that arrived in between lay unread in the socket.

The final read closes the sending side at once if it finds nothing, so the decision is visible to the caller before anything else is done.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -33,8 +33,8 @@
 // records which side closed it.
 //
 // Invariant: only the goroutine that reads the connection closes it on a timeout or at shutdown, and only after a final
-// non-blocking read that found no data. If a timer or another goroutine closed it, a request that has just arrived would
-// be lost.
+// non-blocking read that found no data, right behind which the sending side is closed. If a timer or another goroutine closed
+// it, or if anything else were done in between, a request that has just arrived would be lost.
 type connection struct {
 	net.Conn
 	server *Server
@@ -80,9 +80,10 @@
 	for {
 		n, err := c.Conn.Read(buffer)
 		if isDeadlineExceeded(err) && c.hasOwnTimeout() {
-			if n, err = c.tryRead(buffer); isDeadlineExceeded(err) && c.tryExtendDeadline() {
+			if c.tryExtendDeadline() {
 				continue
 			}
+			n, err = c.finalRead(buffer)
 		}
 		c.recordRead(n, len(buffer), err)
 		return n, err
--- a/internal/callers/deadlines.go
+++ b/internal/callers/deadlines.go
@@ -101,11 +101,23 @@
 	return (deadline.IsZero() || time.Now().Before(deadline)) && c.applyDeadline(deadline) == nil
 }
 
-// tryRead reads available data without blocking, whatever the deadline is. A read after its deadline returns without
+// finalRead reads available data without blocking, whatever the deadline is. A read after its deadline returns without
 // trying, although data may have arrived before, for example while the process was stalled; and shutdown may set a past
-// deadline at any moment. Only the goroutine that reads the connection may call it. It returns os.ErrDeadlineExceeded if
-// there is no data.
-func (c *connection) tryRead(buffer []byte) (int, error) {
+// deadline at any moment. If there is no data, finalRead closes the sending side and returns os.ErrDeadlineExceeded; nothing comes between the two,
+// since a request that arrives there is lost.
+func (c *connection) finalRead(buffer []byte) (int, error) {
+	return c.readSocket(func(descriptor int) (int, error) {
+		n, err := readNonblocking(descriptor, buffer)
+		if isDeadlineExceeded(err) {
+			// This fails only if the caller has reset the connection.
+			_ = syscall.Shutdown(descriptor, syscall.SHUT_WR)
+		}
+		return n, err
+	})
+}
+
+// readSocket calls read with the descriptor of the connection. Only the goroutine that reads the connection may call it.
+func (c *connection) readSocket(read func(descriptor int) (int, error)) (int, error) {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return 0, os.ErrDeadlineExceeded
@@ -115,7 +127,7 @@
 		return 0, err
 	}
 	n, readErr := 0, error(nil)
-	if err := raw.Control(func(descriptor uintptr) { n, readErr = readNonblocking(int(descriptor), buffer) }); err != nil {
+	if err := raw.Control(func(descriptor uintptr) { n, readErr = read(int(descriptor)) }); err != nil {
 		return 0, err
 	}
 	return n, readErr
--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -33,7 +34,10 @@
 	}
 }
 
-// hasUnacknowledged reports whether the peer has not received all bytes that were written to a connection.
+// tcpFinSent are the states of a connection whose FIN was sent and is not acknowledged: TCP_FIN_WAIT1, TCP_LAST_ACK and TCP_CLOSING on Linux.
+var tcpFinSent = []uint8{4, 9, 11}
+
+// hasUnacknowledged reports whether the peer has not received all bytes that were written to a connection. The end of the sending side is not one.
 func hasUnacknowledged(conn net.Conn) bool {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
@@ -46,8 +50,14 @@
 	unacknowledged := 0
 	// Control fails only if the connection is closed.
 	_ = raw.Control(func(descriptor uintptr) {
-		if count, err := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); err == nil {
-			unacknowledged = count
+		count, err := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+		if err != nil || count == 0 {
+			return
+		}
+		unacknowledged = count
+		// The kernel counts the FIN like a byte.
+		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && slices.Contains(tcpFinSent, info.State) {
+			unacknowledged--
 		}
 	})
 	return unacknowledged > 0
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -108,10 +108,27 @@
 type recordingObserver struct {
 	mu     sync.Mutex
 	events []string
+	// onIdleTimeout runs at each idle timeout; may be nil.
+	onIdleTimeout func()
+}
+
+// setOnIdleTimeout sets what runs at each idle timeout.
+func (o *recordingObserver) setOnIdleTimeout(run func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.onIdleTimeout = run
 }
 
 // IdleTimeout implements Observer.
-func (o *recordingObserver) IdleTimeout() { o.add("idle timeout") }
+func (o *recordingObserver) IdleTimeout() {
+	o.add("idle timeout")
+	o.mu.Lock()
+	run := o.onIdleTimeout
+	o.mu.Unlock()
+	if run != nil {
+		run()
+	}
+}
 
 // RequestNotHandled implements Observer.
 func (o *recordingObserver) RequestNotHandled(closedBy forward.Closer, _ string, _ time.Duration) {
--- /dev/null
+++ b/internal/callers/visibleclose_test.go
@@ -0,0 +1,31 @@
+package callers
+
+import (
+	"testing"
+	"time"
+)
+
+// TestDecidedCloseIsVisible guards against requests that are lost on a connection which is open for the caller, although the server has decided to
+// close it: between the last look at what has arrived and the close the process may stand still.
+func TestDecidedCloseIsVisible(t *testing.T) {
+	for desc, prepare := range map[string]func(caller *testCaller){
+		"idle":  func(caller *testCaller) { caller.request(t, "/1") },
+		"fresh": func(*testCaller) {},
+	} {
+		t.Run(desc, func(t *testing.T) {
+			s := newTestServer(t, testDelay, testDelay)
+			caller, isOpen := s.dial(t), make(chan bool, 1)
+			s.recorder.setOnIdleTimeout(func() {
+				open := true
+				for start := time.Now(); open && time.Since(start) < testStall; time.Sleep(testDelay / 10) {
+					open = isEstablished(caller.Conn)
+				}
+				isOpen <- open
+			})
+			prepare(caller)
+			if <-isOpen {
+				t.Error("the connection was open after the server had decided to close it")
+			}
+		})
+	}
+}
