Callers: a body that has arrived is read after the deadline of its reading

A caller whose request was refused lost its connection, or was answered 408, although its whole body had arrived: the process stood still for longer than the time for the rest of the body (50 ms), or until the deadline of the request, and a read that begins after its deadline returns without a look at what has arrived. Reads between requests looked already; reads of bodies do now, by netdial.ReadArrived, which doesn't block. Background reads of net/http, which it interrupts by a deadline in the past, are left as they are.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -74,16 +74,22 @@
 	return &connection{Conn: accepted, server: server, timeoutStart: time.Now(), timeout: server.timeoutFor(phaseNew)}
 }
 
-// Read implements net.Conn. It returns a timeout error only if a final read after the deadline found no data.
+// Read implements net.Conn. It returns a timeout error only if a final read after the deadline found no data, except to background reads of net/http,
+// which it interrupts by a deadline.
 func (c *connection) Read(buffer []byte) (int, error) {
 	c.refreshDeadline()
 	for {
 		n, err := c.Conn.Read(buffer)
-		if isDeadlineExceeded(err) && c.hasOwnTimeout() {
-			if c.tryExtendDeadline() {
+		if isDeadlineExceeded(err) {
+			switch {
+			case c.hasOwnTimeout() && c.tryExtendDeadline():
 				continue
+			case c.hasOwnTimeout():
+				n, err = c.finalRead(buffer)
+			case len(buffer) > backgroundReadBytes:
+				// Part of a body.
+				n, err = c.readArrived(buffer)
 			}
-			n, err = c.finalRead(buffer)
 		}
 		c.recordRead(n, len(buffer), err)
 		return n, err
--- a/internal/callers/deadlines.go
+++ b/internal/callers/deadlines.go
@@ -1,15 +1,12 @@
 package callers
 
 import (
-	"io"
-	"net"
 	"os"
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // abandonOnTimeout reports whether the connection must be closed after a read timed out, and records the reason in closingSide.
@@ -101,23 +98,10 @@
 	return (deadline.IsZero() || time.Now().Before(deadline)) && c.applyDeadline(deadline) == nil
 }
 
-// finalRead reads available data without blocking, whatever the deadline is. A read after its deadline returns without
-// trying, although data may have arrived before, for example while the process was stalled; and shutdown may set a past
-// deadline at any moment. If there is no data, finalRead closes the sending side and returns os.ErrDeadlineExceeded; nothing comes between the two,
-// since a request that arrives there is lost.
+// finalRead reads available data without blocking, whatever the deadline is: shutdown may set a past deadline at any moment. If there is no data, it
+// closes the sending side and returns os.ErrDeadlineExceeded; nothing comes between the two, since a request that arrives there is lost. Only the
+// goroutine that reads the connection may call it.
 func (c *connection) finalRead(buffer []byte) (int, error) {
-	return c.readSocket(func(descriptor int) (int, error) {
-		n, err := readNonblocking(descriptor, buffer)
-		if isDeadlineExceeded(err) {
-			// This fails only if the caller has reset the connection.
-			_ = syscall.Shutdown(descriptor, syscall.SHUT_WR)
-		}
-		return n, err
-	})
-}
-
-// readSocket calls read with the descriptor of the connection. Only the goroutine that reads the connection may call it.
-func (c *connection) readSocket(read func(descriptor int) (int, error)) (int, error) {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return 0, os.ErrDeadlineExceeded
@@ -127,26 +111,21 @@
 		return 0, err
 	}
 	n, readErr := 0, error(nil)
-	if err := raw.Control(func(descriptor uintptr) { n, readErr = read(int(descriptor)) }); err != nil {
+	if err := raw.Control(func(descriptor uintptr) {
+		if n, readErr = netdial.ReadNonblocking(int(descriptor), buffer); isDeadlineExceeded(readErr) {
+			// This fails only if the caller has reset the connection.
+			_ = syscall.Shutdown(int(descriptor), syscall.SHUT_WR)
+		}
+	}); err != nil {
 		return 0, err
 	}
 	return n, readErr
 }
 
-// readNonblocking reads from a non-blocking file descriptor.
-func readNonblocking(descriptor int, buffer []byte) (int, error) {
-	for {
-		n, err := syscall.Read(descriptor, buffer)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN):
-			return 0, os.ErrDeadlineExceeded
-		case err != nil:
-			return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", err)}
-		case n == 0:
-			return 0, io.EOF
-		default:
-			return n, nil
-		}
+// readArrived reads available data without blocking, whatever the deadline is.
+func (c *connection) readArrived(buffer []byte) (int, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return netdial.ReadArrived(conn, buffer)
 	}
+	return 0, os.ErrDeadlineExceeded
 }
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -270,22 +270,12 @@
 		return true
 	}
 	for {
-		if n, err := c.readArrived(make([]byte, 1024)); n == 0 {
+		if n, err := netdial.ReadArrived(c.Conn.(syscall.Conn), make([]byte, 1024)); n == 0 {
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
 	}
 }
 
-// readArrived reads what has arrived from the socket, past the buffer of the caller. It returns os.ErrDeadlineExceeded if there is nothing.
-func (c *testCaller) readArrived(buffer []byte) (n int, err error) {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	controlErr := raw.Control(func(descriptor uintptr) { n, err = readNonblocking(int(descriptor), buffer) })
-	return n, errors.Join(err, controlErr)
-}
-
 // testDelay is a connection timeout for tests, testStall a stall of the process that outlasts it.
 const (
 	testDelay = 100 * time.Millisecond
