Relay: the response to an upgrade that has arrived is read after a standstill

A gateway that stood still while it asked another one for a relayed connection closed the connection, which was open, and took the other gateway for unavailable: the read of its response began after the deadline and returned without a look. It reads what has arrived now.

Half a response and none are still errors.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -6,8 +6,13 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"os"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // Path is the path of requests for relayed connections at the control address of a gateway.
@@ -55,8 +60,26 @@
 // Read implements net.Conn.
 func (c *Conn) Read(buffer []byte) (int, error) { return c.chunks.Read(buffer) }
 
+// socket is a TCP connection.
+type socket interface {
+	net.Conn
+	syscall.Conn
+}
+
+// arrivedReader reads a connection, also what has arrived when its deadline passes: this process may have stood still.
+type arrivedReader struct{ socket }
+
+// Read implements io.Reader.
+func (r arrivedReader) Read(buffer []byte) (int, error) {
+	n, err := r.socket.Read(buffer)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return netdial.ReadArrived(r.socket, buffer)
+	}
+	return n, err
+}
+
 // upgrade asks the gateway at the other end of a connection to relay it to a worker. It closes the connection if that fails.
-func upgrade(conn *net.TCPConn, peer Peer, worker string, deadline time.Time) (*Conn, error) {
+func upgrade(conn socket, peer Peer, worker string, deadline time.Time) (*Conn, error) {
 	relayed, err := requestUpgrade(conn, peer, worker, deadline)
 	if err != nil {
 		_ = conn.Close()
@@ -65,7 +88,7 @@
 }
 
 // requestUpgrade is upgrade without the close.
-func requestUpgrade(conn *net.TCPConn, peer Peer, worker string, deadline time.Time) (*Conn, error) {
+func requestUpgrade(conn socket, peer Peer, worker string, deadline time.Time) (*Conn, error) {
 	if err := conn.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
@@ -79,7 +102,7 @@
 	if err := request.Write(conn); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(arrivedReader{conn})
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return nil, err
