--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -33,8 +33,8 @@
 // records which side closed it.
 //
 // Invariant: only the goroutine that reads the connection closes it on a timeout or at shutdown, and only after a final
-// non-blocking read that found no data. If a timer or another goroutine closed it, a request that has just arrived would
-// be lost.
+// non-blocking read that found no data, right behind which the sending side is closed. If a timer or another goroutine closed
+// it, or if anything else were done in between, a request that has just arrived would be lost.
 type connection struct {
 	net.Conn
 	server *Server
@@ -65,6 +65,8 @@
 	inHandler, responseStarted atomic.Bool
 	// resets is set if Close must reset the connection, and hijacked if its handler has taken it over and ends it in its own way.
 	resets, hijacked atomic.Bool
+	// unreadReported is set while unread bytes are reported. Only the goroutine that looks for them uses it.
+	unreadReported bool
 }
 
 // newConnection wraps a connection that was just accepted.
@@ -72,14 +74,21 @@
 	return &connection{Conn: accepted, server: server, timeoutStart: time.Now(), timeout: server.timeoutFor(phaseNew)}
 }
 
-// Read implements net.Conn. It returns a timeout error only if a final read after the deadline found no data.
+// Read implements net.Conn. It returns a timeout error only if a final read after the deadline found no data, except to background reads of net/http,
+// which it interrupts by a deadline.
 func (c *connection) Read(buffer []byte) (int, error) {
 	c.refreshDeadline()
 	for {
 		n, err := c.Conn.Read(buffer)
-		if isDeadlineExceeded(err) && c.hasOwnTimeout() {
-			if n, err = c.tryRead(buffer); isDeadlineExceeded(err) && c.tryExtendDeadline() {
+		if isDeadlineExceeded(err) {
+			switch {
+			case c.hasOwnTimeout() && c.tryExtendDeadline():
 				continue
+			case c.hasOwnTimeout():
+				n, err = c.finalRead(buffer)
+			case len(buffer) > backgroundReadBytes:
+				// Part of a body.
+				n, err = c.readArrived(buffer)
 			}
 		}
 		c.recordRead(n, len(buffer), err)
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -107,16 +108,38 @@
 type recordingObserver struct {
 	mu     sync.Mutex
 	events []string
+	// onIdleTimeout runs at each idle timeout; may be nil.
+	onIdleTimeout func()
+}
+
+// setOnIdleTimeout sets what runs at each idle timeout.
+func (o *recordingObserver) setOnIdleTimeout(run func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.onIdleTimeout = run
 }
 
 // IdleTimeout implements Observer.
-func (o *recordingObserver) IdleTimeout() { o.add("idle timeout") }
+func (o *recordingObserver) IdleTimeout() {
+	o.add("idle timeout")
+	o.mu.Lock()
+	run := o.onIdleTimeout
+	o.mu.Unlock()
+	if run != nil {
+		run()
+	}
+}
 
 // RequestNotHandled implements Observer.
 func (o *recordingObserver) RequestNotHandled(closedBy forward.Closer, _ string, _ time.Duration) {
 	o.add("closed by " + closedBy.String())
 }
 
+// Unread implements Observer.
+func (o *recordingObserver) Unread(bytes UnreadBytes) {
+	o.add(fmt.Sprint(bytes.Count, " unread bytes, ", bytes.Phase))
+}
+
 func (o *recordingObserver) add(event string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -239,11 +262,18 @@
 	}
 }
 
-// closedWithin reports whether the server closes the connection within a timeout, possibly after a response.
+// closedWithin reports whether the server closes the connection within a timeout, possibly after a response. Before it says no, it looks at what has
+// arrived, whatever the time is: a read that begins after its deadline returns without a look.
 func (c *testCaller) closedWithin(timeout time.Duration) bool {
 	_ = c.SetReadDeadline(time.Now().Add(timeout))
-	_, err := io.Copy(io.Discard, c.reader)
-	return !errors.Is(err, os.ErrDeadlineExceeded)
+	if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return true
+	}
+	for {
+		if n, err := netdial.ReadArrived(c.Conn.(syscall.Conn), make([]byte, 1024)); n == 0 {
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
 }
 
 // testDelay is a connection timeout for tests, testStall a stall of the process that outlasts it.
