Sight: requests that come after the close of an idle connection

Callers saw a reset or an end of their connection with no response, and the gateway said nothing: it closed an idle connection whole, and what came after was reset by the kernel.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -30,6 +30,9 @@
 	// RequestNotHandled reports a connection that was closed after part of a request arrived and before its handler ran, with
 	// the side that closed it and how long the request had been arriving.
 	RequestNotHandled(closedBy forward.Closer, peer string, elapsed time.Duration)
+	// RequestAfterClose reports that a caller has sent more, usually a request, after the sending side of its idle connection was closed, with
+	// why it was closed and for how long it had been. Such a request gets no response.
+	RequestAfterClose(closedBy forward.Closer, peer string, elapsed time.Duration)
 }
 
 // Traffic counts bytes received and sent, and open connections.
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -117,6 +117,11 @@
 	o.add("closed by " + closedBy.String())
 }
 
+// RequestAfterClose implements Observer.
+func (o *recordingObserver) RequestAfterClose(closedBy forward.Closer, _ string, _ time.Duration) {
+	o.add("request after the close by " + closedBy.String())
+}
+
 func (o *recordingObserver) add(event string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,9 +40,10 @@
 	metricWorkerEnds = "granitebay_worker_ends_total"
 	metricBarred     = "granitebay_barred_requests"
 	// metricUnanswered counts requests whose connections ended before a complete response was sent. metricIdleTimeouts
-	// counts caller connections that were closed by the idle timeout.
+	// counts caller connections that were closed by the idle timeout, and metricAfterClose requests that came after such a close or that of a stop.
 	metricUnanswered   = "granitebay_requests_unanswered_total"
 	metricIdleTimeouts = "granitebay_connections_rested_out_total"
+	metricAfterClose   = "granitebay_requests_after_close_total"
 )
 
 // gatewayMetrics counts request outcomes and serves the metrics in text format. It implements forward.Observer and
@@ -418,6 +419,17 @@
 	}).Info("A connection ended with its request unanswered.")
 }
 
+// RequestAfterClose implements callers.Observer.
+func (m *gatewayMetrics) RequestAfterClose(closedBy forward.Closer, peer string, elapsed time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{closed_by=%q}`, metricAfterClose, closedBy)).Inc()
+	if !m.allowLog(forward.Reason("after close: " + closedBy.String())) {
+		return
+	}
+	m.logger.WithFields(logrus.Fields{
+		"closed_by": closedBy.String(), "peer": peer, "after_ms": elapsed.Milliseconds(),
+	}).Info("A request came after the close of its connection.")
+}
+
 // ServeHTTP implements http.Handler.
 func (m *gatewayMetrics) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(writer)
