Callers: who keeps to the idle timeout does not meet its close

A caller that took up its connection just as the idle timeout closed it saw the connection end with no response. Callers and gateway start to count at different times: the gateway as it has written a response, callers as they have it, and a request takes its way as well. Nothing was announced, and a timeout that was decreased during a response held at its end.

Responses announce four fifths of the timeout in Keep-Alive. A decrease does not shorten the timeout behind a response that had begun. The connection stays open for a second beyond the timeout (half of a timeout below two seconds), and what comes in that time is served and counted (granitebay_requests_past_rest_total). So the close is later than anything a caller was told, by more than its round trip. What crosses it nevertheless stays unread and is reset.

TestResponseOutlastsIdleClose decreased the timeout within the handler, which no longer shortens it for that response. It is set before the request now, and the test checks that the connection was closed as idle, or its next request came after the close by the stop: the same close, and no pass without it.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -48,6 +48,9 @@
 	// the first byte of a later request.
 	timeoutStart time.Time
 	timeout      time.Duration
+	// promisedIdle is the idle timeout that was in effect when the last response began, from which its Keep-Alive header was derived. The next idle
+	// timeout is not shorter.
+	promisedIdle time.Duration
 	// requestedDeadline is the deadline set by net/http, currentDeadline the one set on the socket; zero means none.
 	requestedDeadline, currentDeadline time.Time
 
@@ -127,6 +130,9 @@
 	case phaseNew:
 		c.phase = phaseReadingHeader
 	case phaseIdle:
+		if c.timeout != noTimeout && time.Since(c.timeoutStart) > c.timeout {
+			c.server.observer.RequestPastIdleTimeout()
+		}
 		c.startPhase(phaseReadingHeader)
 	case phaseActive:
 		c.pipelined = bufferSize == backgroundReadBytes
@@ -256,6 +262,9 @@
 // startPhase switches to a phase that has its own timeout. mu must be held.
 func (c *connection) startPhase(next phase) {
 	c.phase, c.timeoutStart, c.timeout = next, time.Now(), c.server.timeoutFor(next)
+	if next == phaseIdle && c.timeout != noTimeout {
+		c.timeout = max(c.timeout, c.promisedIdle)
+	}
 }
 
 // connKey is the context key of the connection.
@@ -274,7 +283,7 @@
 	return forward.CloserUnknown
 }
 
-// trackHandler returns a handler that marks the connection while a request is being handled.
+// trackHandler returns a handler that marks the connection while a request is being handled, and announces how long it may be idle afterwards.
 func trackHandler(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connKey{}).(*connection)
@@ -283,6 +292,7 @@
 			return
 		}
 		conn.inHandler.Store(true)
+		conn.announceIdleTimeout(w.Header(), r)
 		isAborted := true
 		defer func() {
 			if isAborted && !r.ProtoAtLeast(1, 1) {
--- a/internal/callers/deadlines.go
+++ b/internal/callers/deadlines.go
@@ -43,6 +43,9 @@
 		return c.requestedDeadline
 	}
 	end := c.timeoutStart.Add(c.timeout)
+	if c.phase == phaseIdle {
+		end = end.Add(idleMargin(c.timeout))
+	}
 	shutdownStart := c.server.shutdownStart.Load()
 	switch {
 	case shutdownStart != nil && c.phase == phaseIdle:
--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -92,7 +92,7 @@
 	count, peeked := 0, make([]byte, 1)
 	// Read fails at the read deadline, and if the connection is closed.
 	err = raw.Read(func(descriptor uintptr) bool {
-		n, _, err := unix.Recvfrom(int(descriptor), peeked, unix.MSG_PEEK)
+		n, _, err := unix.Recvfrom(int(descriptor), peeked, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		count = n
 		return err != unix.EAGAIN && err != unix.EINTR
 	})
--- a/internal/callers/linger_test.go
+++ b/internal/callers/linger_test.go
@@ -131,18 +131,25 @@
 func TestResponseOutlastsIdleClose(t *testing.T) {
 	for _, test := range []struct {
 		desc string
-		// closes has the server close the connection as soon as the response was written.
-		closes func(s *Server)
+		// idleTimeout is the idle timeout, and stops is set if the server is shut down during the response. Both close the connection as soon as the
+		// response was written.
+		idleTimeout time.Duration
+		stops       bool
+		// wantEvent is the first event.
+		wantEvent string
 	}{
-		{"shutdown", func(s *Server) { go Shutdown(time.Now().Add(testTimeout), s) }},
-		{"idle timeout", func(s *Server) { s.SetTimeouts(time.Millisecond, 0) }},
+		{"shutdown", time.Hour, true, "request after the close by stop"},
+		{"idle timeout", time.Millisecond, false, "idle timeout"},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			var s *servedServer
 			s = startServer(t, func(w http.ResponseWriter, _ *http.Request) {
-				test.closes(s.Server)
+				if test.stops {
+					go Shutdown(time.Now().Add(testTimeout), s.Server)
+				}
 				writeLargeResponse(w)
 			})
+			s.SetTimeouts(test.idleTimeout, 0)
 			conn := s.dialSlowCaller(t)
 			if _, err := io.WriteString(conn, requestFor("/1")); err != nil {
 				t.Fatal(err)
@@ -162,6 +169,12 @@
 			if body, err := io.ReadAll(response.Body); err != nil || len(body) != largeResponse {
 				t.Errorf("got %d bytes, %v", len(body), err)
 			}
+			events := s.observer.(*recordingObserver)
+			for start := time.Now(); !strings.HasPrefix(events.String(), test.wantEvent); time.Sleep(time.Millisecond) {
+				if time.Since(start) > testTimeout {
+					t.Fatalf("recorded %q, want %q", events, test.wantEvent)
+				}
+			}
 		})
 	}
 }
--- /dev/null
+++ b/internal/callers/restbound_test.go
@@ -0,0 +1,136 @@
+package callers
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// restBound is an idle timeout long enough to be announced in whole seconds, and restDelay what a round trip and the scheduling of a caller on a
+// busy machine add to a rest.
+const (
+	restBound = 1500 * time.Millisecond
+	restDelay = 200 * time.Millisecond
+)
+
+// restCallers is the number of callers of each case. Their rests are spread evenly.
+const restCallers = 40
+
+// boundChanges are the changes of the idle timeout beside a caller that rests.
+var boundChanges = []struct {
+	desc string
+	// duringResponse changes the timeout between the header and the end of the response before the rest, and duringRest while the caller rests.
+	duringResponse, duringRest time.Duration
+}{
+	{desc: "no change"},
+	{desc: "shorter during the response", duringResponse: restBound / 10},
+	{desc: "shorter during the rest", duringRest: restBound / 10},
+	{desc: "longer during the rest", duringRest: 2 * restBound},
+}
+
+// TestRequestsAroundIdleTimeoutAreAnswered sends requests from just before the idle timeout to a round trip after it, while the timeout changes. It
+// guards against callers that keep to the timeout and whose requests cross the close of the connection, because they and the server start to count
+// at different times.
+func TestRequestsAroundIdleTimeoutAreAnswered(t *testing.T) {
+	for _, change := range boundChanges {
+		t.Run(change.desc, func(t *testing.T) {
+			t.Parallel()
+			s := newRestServer(t, change.duringResponse)
+			s.play(t, change.duringRest, func(i int, _ time.Duration) time.Duration {
+				return restBound - restDelay/10 + restDelay*time.Duration(i)/restCallers
+			})
+		})
+	}
+}
+
+// TestCallersThatHonorKeepAliveMeetNoClose guards against an announced time that is missing, that ends with or after the time at which the connection
+// is closed, or that a change of the idle timeout overtakes.
+func TestCallersThatHonorKeepAliveMeetNoClose(t *testing.T) {
+	for _, change := range boundChanges {
+		t.Run(change.desc, func(t *testing.T) {
+			t.Parallel()
+			s := newRestServer(t, change.duringResponse)
+			s.play(t, change.duringRest, func(i int, announced time.Duration) time.Duration {
+				if announced <= 0 || announced+restDelay >= restBound {
+					t.Errorf("%v is announced for a timeout of %v", announced, restBound)
+				}
+				return announced - restDelay/2 + restDelay*time.Duration(i)/restCallers
+			})
+		})
+	}
+}
+
+// restServer is a server whose idle timeout is restBound until the responses have begun.
+type restServer struct {
+	*servedServer
+	// begun counts the callers whose response has begun, and ended is closed once the responses may end.
+	begun sync.WaitGroup
+	ended chan struct{}
+}
+
+// newRestServer returns a server that changes its idle timeout, unless the new one is zero, between the headers and the ends of the first responses.
+func newRestServer(t *testing.T, duringResponse time.Duration) *restServer {
+	s := &restServer{ended: make(chan struct{})}
+	s.servedServer = startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/rest" {
+			_ = http.NewResponseController(w).Flush()
+			s.begun.Done()
+			<-s.ended
+		}
+		_, _ = io.WriteString(w, "served")
+	})
+	s.SetTimeouts(restBound, time.Hour)
+	s.begun.Add(restCallers)
+	go func() {
+		s.begun.Wait()
+		s.SetTimeouts(duringResponse, 0)
+		close(s.ended)
+	}()
+	return s
+}
+
+// play has callers rest after a response for a time that depends on their number and on the time that the response announced, and send another
+// request, which must be answered.
+func (s *restServer) play(t *testing.T, duringRest time.Duration, rest func(i int, announced time.Duration) time.Duration) {
+	time.AfterFunc(restBound/2, func() { s.SetTimeouts(duringRest, 0) })
+	var callers sync.WaitGroup
+	for i := range restCallers {
+		conn := s.dialSlowCaller(t)
+		callers.Go(func() {
+			caller := &testCaller{conn, bufio.NewReader(conn)}
+			if err := caller.send(requestFor("/rest")); err != nil {
+				t.Error(err)
+				return
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+			response, err := http.ReadResponse(caller.reader, nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+			}
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			resting := rest(i, announcedTime(response))
+			time.Sleep(resting)
+			if err = caller.send(requestFor("/next")); err == nil {
+				err = caller.readResponse()
+			}
+			if err != nil {
+				t.Errorf("no response after a rest of %v: %v", resting, err)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// announcedTime returns the time in the Keep-Alive header of a response, or zero if there is none.
+func announcedTime(response *http.Response) time.Duration {
+	seconds, _ := strconv.Atoi(strings.TrimPrefix(response.Header.Get("Keep-Alive"), "timeout="))
+	return time.Duration(seconds) * time.Second
+}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -30,6 +30,8 @@
 	// RequestNotHandled reports a connection that was closed after part of a request arrived and before its handler ran, with
 	// the side that closed it and how long the request had been arriving.
 	RequestNotHandled(closedBy forward.Closer, peer string, elapsed time.Duration)
+	// RequestPastIdleTimeout reports a request that came after the idle timeout of its connection, and before the connection was closed.
+	RequestPastIdleTimeout()
 	// RequestAfterClose reports that a caller has sent more, usually a request, after the sending side of its idle connection was closed, with
 	// why it was closed and for how long it had been. Such a request gets no response.
 	RequestAfterClose(closedBy forward.Closer, peer string, elapsed time.Duration)
@@ -48,6 +50,8 @@
 	// idleTimeout limits the time between two requests; headerTimeout the time to a complete header, from the accept or, for
 	// later requests, from their first byte. Both are in nanoseconds.
 	idleTimeout, headerTimeout atomic.Int64
+	// announced is the Keep-Alive header for the last idle timeout that was announced.
+	announced atomic.Pointer[keepAlive]
 	// shutdownStart is when shutdown began; nil before that.
 	shutdownStart atomic.Pointer[time.Time]
 	// closing is set once all connections are closed, whatever they do.
@@ -125,7 +129,7 @@
 
 // SetTimeouts changes the idle timeout and the header timeout. The header timeout runs from the accept for the first
 // request of a connection, and from the first byte for later ones. A zero value leaves a timeout unchanged. An increase
-// applies to all connections, a decrease only to timeouts that start afterwards.
+// applies to all connections, a decrease only to timeouts that start afterwards, and to the idle timeout behind responses that begin afterwards.
 func (s *Server) SetTimeouts(idleTimeout, headerTimeout time.Duration) {
 	if idleTimeout > 0 {
 		s.idleTimeout.Store(int64(idleTimeout))
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -117,6 +117,9 @@
 	o.add("closed by " + closedBy.String())
 }
 
+// RequestPastIdleTimeout implements Observer.
+func (o *recordingObserver) RequestPastIdleTimeout() { o.add("request past the idle timeout") }
+
 // RequestAfterClose implements Observer.
 func (o *recordingObserver) RequestAfterClose(closedBy forward.Closer, _ string, _ time.Duration) {
 	o.add("request after the close by " + closedBy.String())
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -44,7 +44,7 @@
 	status, err := readBody(writer, incoming, request, limit)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// Closing the connection keeps the unread rest of the body from being parsed as the next request.
-		writer.Header().Set("Connection", "close")
+		closeBehind(writer.Header())
 		return http.StatusRequestTimeout, err
 	}
 	// net/http keeps reading from the connection and would treat an expired read deadline as a disconnect.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -151,7 +151,7 @@
 	// A nil value keeps net/http from adding a Date header; the worker's is forwarded.
 	writer.Header()["Date"] = nil
 	if h.closeConnections.Load() {
-		writer.Header().Set("Connection", "close")
+		closeBehind(writer.Header())
 	}
 	report := Report{Arrived: arrived, Target: incoming.Host + pathOf(incoming), Caller: incoming.RemoteAddr}
 	action := h.serveRecovering(writer, incoming, &report)
@@ -186,7 +186,7 @@
 	}
 	header := writer.Header()
 	clear(header)
-	header.Set("Connection", "close")
+	closeBehind(header)
 	return respondError(writer, report, http.StatusInternalServerError, ReasonPanic)
 }
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -7,13 +7,19 @@
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
+// closeBehind makes the server close the connection behind the response with a header.
+func closeBehind(header http.Header) {
+	header.Set("Connection", "close")
+	header.Del("Keep-Alive")
+}
+
 // giveUp answers a request for which all attempts have failed. It aborts the connection only if the response has started. A caller that
 // seems to be gone is answered as well: it may have closed only its sending half, and the context may have ended for another reason.
 func (c *call) giveUp(failure failureKind, decided decision) connAction {
 	c.report.Reason = reasonOf(failure)
 	if failure == failureCallerGone {
 		// The contexts of all further requests on the connection have ended, too.
-		c.writer.Header().Set("Connection", "close")
+		closeBehind(c.writer.Header())
 	}
 	switch {
 	case c.relay.started && failure == failureCallerGone:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,9 +40,11 @@
 	metricWorkerEnds = "granitebay_worker_ends_total"
 	metricBarred     = "granitebay_barred_requests"
 	// metricUnanswered counts requests whose connections ended before a complete response was sent. metricIdleTimeouts
-	// counts caller connections that were closed by the idle timeout, and metricAfterClose requests that came after such a close or that of a stop.
+	// counts caller connections that were closed by the idle timeout, metricPastIdle requests that came after the timeout and before the close, and
+	// metricAfterClose those that came after such a close or that of a stop.
 	metricUnanswered   = "granitebay_requests_unanswered_total"
 	metricIdleTimeouts = "granitebay_connections_rested_out_total"
+	metricPastIdle     = "granitebay_requests_past_rest_total"
 	metricAfterClose   = "granitebay_requests_after_close_total"
 )
 
@@ -375,6 +377,9 @@
 // IdleTimeout implements callers.Observer.
 func (m *gatewayMetrics) IdleTimeout() { m.set.GetOrCreateCounter(metricIdleTimeouts).Inc() }
 
+// RequestPastIdleTimeout implements callers.Observer.
+func (m *gatewayMetrics) RequestPastIdleTimeout() { m.set.GetOrCreateCounter(metricPastIdle).Inc() }
+
 // recentChange is the time after a change of the configuration within which requests count as ended beside it: the time that gateways may take
 // to apply a change, and a second.
 const recentChange = 3 * time.Second
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -20,13 +20,14 @@
 	logger.SetOutput(io.Discard)
 	m := newGatewayMetrics(decisionlog.New("a", 16), logger)
 	m.IdleTimeout()
+	m.RequestPastIdleTimeout()
 	for _, closer := range []forward.Closer{forward.CloserCaller, forward.CloserHeaderTimeout, forward.CloserShutdown} {
 		m.RequestNotHandled(closer, "127.0.0.1:1", time.Second)
 	}
 	m.RequestAfterClose(forward.CloserIdleTimeout, "127.0.0.1:1", time.Second)
 	var text strings.Builder
 	m.set.WritePrometheus(&text)
-	for _, want := range []string{metricIdleTimeouts + " 1", metricAfterClose + `{closed_by="bound on rest"} 1`, `closed_by="caller"} 1`, `closed_by="bound on heads"} 1`, `closed_by="stop"} 1`} {
+	for _, want := range []string{metricIdleTimeouts + " 1", metricPastIdle + " 1", metricAfterClose + `{closed_by="bound on rest"} 1`, `closed_by="caller"} 1`, `closed_by="bound on heads"} 1`, `closed_by="stop"} 1`} {
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("%s is missing in %s", want, text.String())
 		}
