Connections: unacknowledged data is repeated each second

A connection to a worker that is silent twice, 3 s apart, was given up 4.4 s after the first silence began, though the worker could be reached in between.

But after a silence of 1.8 s nothing is sent in the second that follows: the kernel repeats the data after 0.2, 0.4, 0.8, 1.7 and then only after 3.3 s, so nothing is acknowledged between the silences.

TCP_RTO_MAX_MS (Linux 6.15 and later) limits the interval to a second, so that any second in which the worker can be reached gets a repetition. Older kernels go on as before.

--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -29,10 +29,24 @@
 			Interval: probeInterval,
 			Count:    probeCount(unacknowledgedTimeout),
 		},
-		Control: userTimeoutControl(unacknowledgedTimeout),
+		Control: func(network, address string, raw syscall.RawConn) error {
+			limitRetransmissionInterval(raw)
+			return userTimeoutControl(unacknowledgedTimeout)(network, address, raw)
+		},
 	}
 }
 
+// maxRetransmissionInterval is the most that the kernel waits before it sends unacknowledged data again. Its intervals double up to two minutes
+// otherwise, so that a peer which is silent twice within unacknowledgedTimeout may get none of the repetitions in between.
+const maxRetransmissionInterval = time.Second
+
+// limitRetransmissionInterval limits the interval of retransmissions. Linux before 6.15 does not have the option and keeps its intervals.
+func limitRetransmissionInterval(raw syscall.RawConn) {
+	_ = raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_RTO_MAX_MS, int(maxRetransmissionInterval/time.Millisecond))
+	})
+}
+
 // probeCount returns the number of probes after which keep-alive gives up at the timeout.
 func probeCount(timeout time.Duration) int {
 	return max(int((timeout-probeIdle+probeInterval-1)/probeInterval), 1)
