Callers: a stop waits 150 ms for handshakes that have begun

A caller that had connected and sent its request as the gateway stopped was reset if its handshake took longer than the 50 ms for which a stop keeps the listener open: the round trip to callers of other regions.

The wait is 150 ms; a stop ends 0.1 s later. A handshake that takes longer is still reset.

callers.TestHandshakesCompleteAtShutdown drops the last packets of handshakes by a socket filter until they are sent again: with 50 ms those that are completed 10 and 30 ms after the stop began are served, and those of 80, 120 and 150 ms are reset, 3 of 3 runs; with 150 ms those up to 120 ms are served, 8 of 8 runs. To wait only while the kernel lists a handshake was tried and left out: the list of sockets took 0.2 s to read beside 40,000 closed ones.

--- a/internal/callers/accept.go
+++ b/internal/callers/accept.go
@@ -31,8 +31,8 @@
 }
 
 // handshakeTime is how long the accept loop waits for connections whose handshake has begun, after new handshakes were stopped. It exceeds the
-// round trip to callers of the same region.
-const handshakeTime = 50 * time.Millisecond
+// round trip to most callers of other regions.
+const handshakeTime = 150 * time.Millisecond
 
 // drainQueue makes the accept loop of a listener empty the queue and close the listener.
 func drainQueue(listener netdial.Listener) {
