Streams: a refused continuation waits for a retry

A stalled stream that may be resumed was cut although another engine could have continued it: the stall took the last retry of the budget, the next engine refused the continuation, and the request was given up at once for lack of a second retry. The stalled engine had been given up by then.

Such a stream waits for a retry of the budget for a quarter of its caller's patience, of which the stall has taken half at most, and goes on with it. The budget is the same. Streams that broke, and requests without a first event, end as before.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -100,6 +100,9 @@
 		c.guarded.awaitProbe(ctx)
 		c.attempts.record(worker, failure)
 		decided := c.attempts.decide(failure, c.handler.dispatcher.RetryBudget(c.match.Group.Name))
+		if decided == decisionFail && !failure.mayHaveBeenAccepted() && c.awaitRetry(ctx) {
+			decided = decisionRetry
+		}
 		if decided != decisionRetry || (c.relay.started && !c.resumable()) {
 			c.guarded.delayFailure(ctx)
 			return c.giveUp(failure, decided)
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -192,6 +192,37 @@
 	return c.attempts.retryPrepaid.Swap(false) || c.handler.dispatcher.RetryBudget(c.match.Group.Name).takeRetry()
 }
 
+// Limits of how long a stream that has begun waits for a retry: a share of the patience of its caller, of which a stall may have taken half, and how
+// often the budget is asked in that time.
+const (
+	retryWaitShare = 4
+	retryWaitSteps = 10
+)
+
+// awaitRetry waits until the budget has a retry for a stream that has begun, whose continuation another worker has refused, and takes it. Without a
+// retry the stream would be cut. It returns false if there is none in time, and true also if the context ends.
+func (c *call) awaitRetry(ctx context.Context) bool {
+	wait := c.match.Rule.Patience / retryWaitShare
+	if wait <= 0 || !c.relay.started || !c.resumable() || !c.attempts.allowsAnother() {
+		return false
+	}
+	budget := c.handler.dispatcher.RetryBudget(c.match.Group.Name)
+	end := earliestSet(time.Now().Add(wait), c.deadline)
+	ticker := time.NewTicker(wait / retryWaitSteps)
+	defer ticker.Stop()
+	for time.Now().Before(end) {
+		select {
+		case <-ctx.Done():
+			return true
+		case <-ticker.C:
+		}
+		if !budget.isExhausted() && c.takeRetry() {
+			return true
+		}
+	}
+	return false
+}
+
 // watchStalls returns the watch for the response of a worker, or nil if it can't be continued elsewhere. Arrivals is what arrives of it.
 func (c *call) watchStalls(
 	ctx context.Context, cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy, arrivals *httpclient.Arrivals,
--- a/internal/forward/retrybudget.go
+++ b/internal/forward/retrybudget.go
@@ -179,6 +179,14 @@
 // hasRetry reports whether a retry could be taken. If not, it counts as one that was denied.
 func (r RetryBudget) hasRetry() bool { return r.ask((*retrybudget.Budget).Check) }
 
+// isExhausted reports whether the budget has no retry. It does not count as a retry that was denied.
+func (r RetryBudget) isExhausted() bool {
+	r.dispatcher.mutex.Lock()
+	defer r.dispatcher.mutex.Unlock()
+	budgets, now := r.dispatcher.retries, r.dispatcher.retries.now()
+	return budgets.forGroup(r.group).View(now, budgets.share.At(now)).Left < 1
+}
+
 // ask asks the budget for a retry. It reports an exhausted budget without holding the mutex, so that a blocked log does not block other requests.
 func (r RetryBudget) ask(check func(budget *retrybudget.Budget, now time.Time, share float64) bool) bool {
 	granted, report := r.askWithReport(check)
