Callers: an idle connection without a response on its way is closed whole again

A request that crossed the close of an idle connection was acknowledged, and its caller saw the end of the connection: it could not tell whether it had been read. Half-closing such connections and looking for a second what comes, which brought in to make these requests visible, has the kernel accept them. After a close of both sides it resets the connection at once.

What is left of the counter and its line: requests behind a response that is on its way, where there is no other way than to read on. Requests that come in the second before the close are counted as past the rest.

--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -28,10 +28,9 @@
 	case forward.CloserWriteTimeout:
 		// The caller does not read.
 		return false
-	case forward.CloserIdleTimeout:
-		// A request may be in transit.
-		return true
 	default:
+		// Without a response on its way the connection is closed at once: the kernel resets it when a request arrives, which shows its caller
+		// that the request was not read.
 		return hasUnacknowledged(c.Conn)
 	}
 }
@@ -56,9 +55,8 @@
 	return unacknowledged > 0
 }
 
-// linger ends the sending side, and waits until the caller closes the connection (RFC 9112, 9.6). The kernel resets a connection that is closed with
-// unread bytes, and drops what the caller has not received: such bytes are read and discarded while a response is on its way. They are not part of any
-// request that gets a response.
+// linger ends the sending side, and reads and discards what the caller sends until it closes the connection (RFC 9112, 9.6). The kernel resets a
+// connection that is closed with unread bytes, and drops what the caller has not received. What is read is not part of any request.
 func (c *connection) linger() {
 	if c.CloseWrite() != nil {
 		return
@@ -67,34 +65,10 @@
 	c.enterPhase(phaseActive)
 	start := time.Now()
 	_ = c.SetReadDeadline(start.Add(lingerTime))
-	closer := forward.Closer(c.closingSide.Load())
-	if closer != forward.CloserUnknown && c.awaitUnread() {
+	first, _ := io.CopyN(io.Discard, c.Conn, 1)
+	if closer := forward.Closer(c.closingSide.Load()); first > 0 && closer != forward.CloserUnknown {
 		c.server.observer.RequestAfterClose(closer, c.RemoteAddr().String(), time.Since(start))
-		if !hasUnacknowledged(c.Conn) {
-			// Its bytes stay unread. The reset tells the caller that the request was not read, so that it may be sent again.
-			return
-		}
-	}
-	discarded, _ := io.CopyN(io.Discard, c.Conn, lingerBytes)
-	c.server.traffic.Received.Add(discarded)
-}
-
-// awaitUnread waits until bytes arrive, and reports whether they have. It does not read them.
-func (c *connection) awaitUnread() bool {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	count, peeked := 0, make([]byte, 1)
-	// Read fails at the read deadline, and if the connection is closed.
-	err = raw.Read(func(descriptor uintptr) bool {
-		n, _, err := unix.Recvfrom(int(descriptor), peeked, unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		count = n
-		return err != unix.EAGAIN && err != unix.EINTR
-	})
-	return err == nil && count > 0
+	rest, _ := io.CopyN(io.Discard, c.Conn, lingerBytes)
+	c.server.traffic.Received.Add(first + rest)
 }
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -32,8 +32,8 @@
 	RequestNotHandled(closedBy forward.Closer, peer string, elapsed time.Duration)
 	// RequestPastIdleTimeout reports a request that came after the idle timeout of its connection, and before the connection was closed.
 	RequestPastIdleTimeout()
-	// RequestAfterClose reports that a caller has sent more, usually a request, after the sending side of its idle connection was closed, with
-	// why it was closed and for how long it had been. Such a request gets no response.
+	// RequestAfterClose reports that a caller has sent more, usually a request, after this side closed its sending side behind a response that was
+	// on its way, with why it was closed and for how long it had been. Such a request gets no response.
 	RequestAfterClose(closedBy forward.Closer, peer string, elapsed time.Duration)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,7 +41,7 @@
 	metricBarred     = "granitebay_barred_requests"
 	// metricUnanswered counts requests whose connections ended before a complete response was sent. metricIdleTimeouts
 	// counts caller connections that were closed by the idle timeout, metricPastIdle requests that came after the timeout and before the close, and
-	// metricAfterClose those that came after such a close or that of a stop.
+	// metricAfterClose those that came after such a close or that of a stop while a response was on its way.
 	metricUnanswered   = "granitebay_requests_unanswered_total"
 	metricIdleTimeouts = "granitebay_connections_rested_out_total"
 	metricPastIdle     = "granitebay_requests_past_rest_total"
