Callers: a first request just behind the header timeout is served

A caller that opened a connection and sent its first request just as the header timeout ended saw the connection end with no response, as behind the idle timeout. The timeout runs from the accept here, and from the opening there.

The margin of the idle timeout holds for the header timeout, too: a second, or half of a timeout below two seconds.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -126,13 +126,13 @@
 func (c *connection) bytesReceived(bufferSize int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if (c.phase == phaseNew || c.phase == phaseIdle) && c.timeout != noTimeout && time.Since(c.timeoutStart) > c.timeout {
+		c.server.observer.RequestPastIdleTimeout()
+	}
 	switch c.phase {
 	case phaseNew:
 		c.phase = phaseReadingHeader
 	case phaseIdle:
-		if c.timeout != noTimeout && time.Since(c.timeoutStart) > c.timeout {
-			c.server.observer.RequestPastIdleTimeout()
-		}
 		c.startPhase(phaseReadingHeader)
 	case phaseActive:
 		c.pipelined = bufferSize == backgroundReadBytes
--- a/internal/callers/deadlines.go
+++ b/internal/callers/deadlines.go
@@ -42,10 +42,7 @@
 	if c.phase == phaseActive {
 		return c.requestedDeadline
 	}
-	end := c.timeoutStart.Add(c.timeout)
-	if c.phase == phaseIdle {
-		end = end.Add(idleMargin(c.timeout))
-	}
+	end := c.timeoutStart.Add(c.timeout + timeoutMargin(c.timeout))
 	shutdownStart := c.server.shutdownStart.Load()
 	switch {
 	case shutdownStart != nil && c.phase == phaseIdle:
--- a/internal/callers/keepalive.go
+++ b/internal/callers/keepalive.go
@@ -23,13 +23,13 @@
 	return k
 }
 
-// maxIdleMargin is the most by which a connection outlasts its idle timeout. It covers the round trip and the scheduling of a caller that keeps to
-// the timeout.
-const maxIdleMargin = time.Second
+// maxTimeoutMargin is the most by which a connection outlasts a timeout. It covers the round trip and the scheduling of a caller that keeps to the
+// timeout.
+const maxTimeoutMargin = time.Second
 
-// idleMargin returns how long a connection stays open after its idle timeout. Requests that come in that time are served. A short timeout is
-// extended by half.
-func idleMargin(timeout time.Duration) time.Duration { return min(timeout/2, maxIdleMargin) }
+// timeoutMargin returns how long a connection stays open after its idle timeout or header timeout. Requests that come in that time are served. A
+// short timeout is extended by half.
+func timeoutMargin(timeout time.Duration) time.Duration { return min(timeout/2, maxTimeoutMargin) }
 
 // keepAliveOption is the value of the Connection header that goes with a Keep-Alive header (RFC 9110, 7.6.1).
 var keepAliveOption = []string{"keep-alive"}
--- a/internal/callers/restbound_test.go
+++ b/internal/callers/restbound_test.go
@@ -134,3 +134,39 @@
 	seconds, _ := strconv.Atoi(strings.TrimPrefix(response.Header.Get("Keep-Alive"), "timeout="))
 	return time.Duration(seconds) * time.Second
 }
+
+// TestFirstRequestsAroundHeaderTimeoutAreAnswered sends the first requests of connections from just before the header timeout to a round trip after
+// it, in one or two parts. It guards against callers that keep to the timeout and whose requests cross the close, and against a first header that is
+// cut off since it began late.
+func TestFirstRequestsAroundHeaderTimeoutAreAnswered(t *testing.T) {
+	const headerTimeout = restBound / 2
+	for _, firstPart := range []int{0, 10} {
+		t.Run(strconv.Itoa(firstPart), func(t *testing.T) {
+			t.Parallel()
+			s := newTestServer(t, time.Hour, headerTimeout)
+			var callers sync.WaitGroup
+			for i := range restCallers {
+				caller := s.dial(t)
+				opened := time.Now()
+				callers.Go(func() {
+					time.Sleep(time.Until(opened.Add(headerTimeout - restDelay/10 + restDelay*time.Duration(i)/restCallers)))
+					request := requestFor("/1")
+					err := caller.send(request[:firstPart])
+					if firstPart > 0 {
+						time.Sleep(restDelay / 4)
+					}
+					if err == nil {
+						err = caller.send(request[firstPart:])
+					}
+					if err == nil {
+						err = caller.readResponse()
+					}
+					if err != nil {
+						t.Errorf("no response to a first request %v after the opening: %v", time.Since(opened), err)
+					}
+				})
+			}
+			callers.Wait()
+		})
+	}
+}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -30,7 +30,8 @@
 	// RequestNotHandled reports a connection that was closed after part of a request arrived and before its handler ran, with
 	// the side that closed it and how long the request had been arriving.
 	RequestNotHandled(closedBy forward.Closer, peer string, elapsed time.Duration)
-	// RequestPastIdleTimeout reports a request that came after the idle timeout of its connection, and before the connection was closed.
+	// RequestPastIdleTimeout reports a request that came after the idle timeout of its connection, or on a new one after the header timeout, and
+	// before the connection was closed.
 	RequestPastIdleTimeout()
 	// RequestAfterClose reports that a caller has sent more, usually a request, after this side closed its sending side behind a response that was
 	// on its way, with why it was closed and for how long it had been. Such a request gets no response.
