--- /dev/null
+++ b/internal/callers/afterclose_test.go
@@ -0,0 +1,55 @@
+package callers
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// TestRequestAfterIdleCloseIsNotAcknowledged guards against requests that cross the close of an idle connection and are acknowledged, so that their
+// callers can't know that nobody has read them.
+func TestRequestAfterIdleCloseIsNotAcknowledged(t *testing.T) {
+	for _, test := range []struct{ desc, first string }{{"after a rest", requestFor("/1")}, {"a first request", ""}} {
+		t.Run(test.desc, func(t *testing.T) {
+			s := newTestServer(t, testDelay, testDelay)
+			caller := s.dial(t)
+			if test.first != "" {
+				caller.finishRequest(t, test.first)
+			}
+			conn := caller.Conn.(*net.TCPConn)
+			for start := time.Now(); infoOf(conn).State != tcpCloseWait; time.Sleep(time.Millisecond) {
+				if time.Since(start) > testTimeout {
+					t.Fatal("the connection is not closed")
+				}
+			}
+			if err := caller.send(requestFor("/late")); err != nil {
+				t.Fatal(err)
+			}
+			if info := infoOf(conn); info.State == tcpCloseWait && info.Unacked == 0 {
+				t.Error("the request was acknowledged")
+			}
+			if _, handled := s.handled.Load("/late"); handled {
+				t.Error("the request was handled")
+			}
+		})
+	}
+}
+
+// tcpCloseWait is the state of a connection whose other side has closed it.
+const tcpCloseWait = 8
+
+// infoOf returns what the kernel knows of a connection, or the zero value.
+func infoOf(conn *net.TCPConn) (result unix.TCPInfo) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return result
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			result = *info
+		}
+	})
+	return result
+}
--- a/internal/callers/deadlines.go
+++ b/internal/callers/deadlines.go
@@ -39,7 +39,7 @@
 	if c.phase == phaseActive {
 		return c.requestedDeadline
 	}
-	end := c.timeoutStart.Add(c.timeout)
+	end := c.timeoutStart.Add(c.timeout + timeoutMargin(c.timeout))
 	shutdownStart := c.server.shutdownStart.Load()
 	switch {
 	case shutdownStart != nil && c.phase == phaseIdle:
@@ -99,7 +99,7 @@
 }
 
 // finalRead reads available data without blocking, whatever the deadline is: shutdown may set a past deadline at any moment. If there is no data, it
-// closes the sending side and returns os.ErrDeadlineExceeded; nothing comes between the two, since a request that arrives there is lost. Only the
+// ends the connection and returns os.ErrDeadlineExceeded; nothing comes between the two, since a request that arrives there is lost. Only the
 // goroutine that reads the connection may call it.
 func (c *connection) finalRead(buffer []byte) (int, error) {
 	conn, ok := c.Conn.(syscall.Conn)
@@ -110,11 +110,17 @@
 	if err != nil {
 		return 0, err
 	}
+	// With both sides ended, the kernel resets the connection when a request arrives, which shows its caller that the request was not read. That
+	// would drop a response that is on its way.
+	how := syscall.SHUT_RDWR
+	if hasUnacknowledged(c.Conn) {
+		how = syscall.SHUT_WR
+	}
 	n, readErr := 0, error(nil)
 	if err := raw.Control(func(descriptor uintptr) {
 		if n, readErr = netdial.ReadNonblocking(int(descriptor), buffer); isDeadlineExceeded(readErr) {
 			// This fails only if the caller has reset the connection.
-			_ = syscall.Shutdown(int(descriptor), syscall.SHUT_WR)
+			_ = syscall.Shutdown(int(descriptor), how)
 		}
 	}); err != nil {
 		return 0, err
--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -30,6 +30,8 @@
 		// The caller does not read.
 		return false
 	default:
+		// Without a response on its way the connection is closed at once: the kernel resets it when a request arrives, which shows its caller
+		// that the request was not read.
 		return hasUnacknowledged(c.Conn)
 	}
 }
@@ -71,7 +73,12 @@
 	}
 	// The timeouts of the other phases have passed.
 	c.enterPhase(phaseActive)
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	discarded, _ := io.CopyN(io.Discard, c.Conn, lingerBytes)
-	c.server.traffic.Received.Add(discarded)
+	start := time.Now()
+	_ = c.SetReadDeadline(start.Add(lingerTime))
+	first, _ := io.CopyN(io.Discard, c.Conn, 1)
+	if closer := forward.Closer(c.closingSide.Load()); first > 0 && closer != forward.CloserUnknown {
+		c.server.observer.RequestAfterClose(closer, c.RemoteAddr().String(), time.Since(start))
+	}
+	rest, _ := io.CopyN(io.Discard, c.Conn, lingerBytes)
+	c.server.traffic.Received.Add(first + rest)
 }
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -32,6 +32,12 @@
 	RequestNotHandled(closedBy forward.Closer, peer string, elapsed time.Duration)
 	// Unread reports bytes that have arrived and that nobody reads.
 	Unread(bytes UnreadBytes)
+	// RequestPastIdleTimeout reports a request that came after the idle timeout of its connection, or on a new one after the header timeout, and
+	// before the connection was closed.
+	RequestPastIdleTimeout()
+	// RequestAfterClose reports that a caller has sent more, usually a request, after this side closed its sending side behind a response that was
+	// on its way, with why it was closed and for how long it had been. Such a request gets no response.
+	RequestAfterClose(closedBy forward.Closer, peer string, elapsed time.Duration)
 }
 
 // Traffic counts bytes received and sent, and open connections.
@@ -47,6 +53,8 @@
 	// idleTimeout limits the time between two requests; headerTimeout the time to a complete header, from the accept or, for
 	// later requests, from their first byte. Both are in nanoseconds.
 	idleTimeout, headerTimeout atomic.Int64
+	// announced is the Keep-Alive header for the last idle timeout that was announced.
+	announced atomic.Pointer[keepAlive]
 	// shutdownStart is when shutdown began; nil before that.
 	shutdownStart atomic.Pointer[time.Time]
 	// closing is set once all connections are closed, whatever they do.
@@ -124,7 +132,7 @@
 
 // SetTimeouts changes the idle timeout and the header timeout. The header timeout runs from the accept for the first
 // request of a connection, and from the first byte for later ones. A zero value leaves a timeout unchanged. An increase
-// applies to all connections, a decrease only to timeouts that start afterwards.
+// applies to all connections, a decrease only to timeouts that start afterwards, and to the idle timeout behind responses that begin afterwards.
 func (s *Server) SetTimeouts(idleTimeout, headerTimeout time.Duration) {
 	if idleTimeout > 0 {
 		s.idleTimeout.Store(int64(idleTimeout))
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -140,6 +140,14 @@
 	o.add(fmt.Sprint(bytes.Count, " unread bytes, ", bytes.Phase))
 }
 
+// RequestPastIdleTimeout implements Observer.
+func (o *recordingObserver) RequestPastIdleTimeout() { o.add("request past the idle timeout") }
+
+// RequestAfterClose implements Observer.
+func (o *recordingObserver) RequestAfterClose(closedBy forward.Closer, _ string, _ time.Duration) {
+	o.add("request after the close by " + closedBy.String())
+}
+
 func (o *recordingObserver) add(event string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,11 +41,14 @@
 	metricWorkerEnds = "granitebay_worker_ends_total"
 	metricBarred     = "granitebay_barred_requests"
 	// metricUnanswered counts requests whose connections ended before a complete response was sent. metricIdleTimeouts
-	// counts caller connections that were closed by the idle timeout.
+	// counts caller connections that were closed by the idle timeout, metricPastIdle requests that came after the timeout and before the close, and
+	// metricAfterClose those that came after such a close or that of a stop while a response was on its way.
 	metricUnanswered   = "granitebay_requests_unanswered_total"
 	metricIdleTimeouts = "granitebay_connections_rested_out_total"
 	// metricUnread counts connections on which bytes had arrived that nobody read.
-	metricUnread = "granitebay_connections_unread_total"
+	metricUnread     = "granitebay_connections_unread_total"
+	metricPastIdle   = "granitebay_requests_past_rest_total"
+	metricAfterClose = "granitebay_requests_after_close_total"
 )
 
 // gatewayMetrics counts request outcomes and serves the metrics in text format. It implements forward.Observer and
@@ -377,6 +380,9 @@
 // IdleTimeout implements callers.Observer.
 func (m *gatewayMetrics) IdleTimeout() { m.set.GetOrCreateCounter(metricIdleTimeouts).Inc() }
 
+// RequestPastIdleTimeout implements callers.Observer.
+func (m *gatewayMetrics) RequestPastIdleTimeout() { m.set.GetOrCreateCounter(metricPastIdle).Inc() }
+
 // recentChange is the time after a change of the configuration within which requests count as ended beside it: the time that gateways may take
 // to apply a change, and a second.
 const recentChange = 3 * time.Second
@@ -435,6 +441,17 @@
 	}).Warn("Bytes of a caller have arrived and are not read.")
 }
 
+// RequestAfterClose implements callers.Observer.
+func (m *gatewayMetrics) RequestAfterClose(closedBy forward.Closer, peer string, elapsed time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{closed_by=%q}`, metricAfterClose, closedBy)).Inc()
+	if !m.allowLog(forward.Reason("after close: " + closedBy.String())) {
+		return
+	}
+	m.logger.WithFields(logrus.Fields{
+		"closed_by": closedBy.String(), "peer": peer, "after_ms": elapsed.Milliseconds(),
+	}).Info("A request came after the close of its connection.")
+}
+
 // ServeHTTP implements http.Handler.
 func (m *gatewayMetrics) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(writer)
