Forward: a stream whose end proves nothing counts against its parts if the worker goes

In the soak, where connections to workers run through proxies, a connection to a crashed worker is accepted and closed at once.

The guard is told of such an end now. As with a connection that broke, a crash counts if the record of the worker goes without a notice, and is forgotten if a probe finds the worker. The stream stands, as it may be complete.

forward.TestUnprovedEndCountsWhenRecordGoes failed before, 3 of 3.

--- a/internal/forward/crashedend_test.go
+++ b/internal/forward/crashedend_test.go
@@ -89,3 +89,41 @@
 		t.Errorf("got %q and %v, want both events", body, err)
 	}
 }
+
+// unknownProber is a poison.Prober that can't determine whether workers run, as behind a proxy that accepts their connections.
+type unknownProber struct{}
+
+// RefusesConnections implements poison.Prober.
+func (unknownProber) RefusesConnections(context.Context, *backend.Worker) (bool, error) {
+	return false, io.ErrUnexpectedEOF
+}
+
+// TestUnprovedEndCountsWhenRecordGoes guards against a crash that is never counted, because its stream ended between two events and the address of
+// the worker neither refused nor accepted connections. The stream stands, as it may be complete.
+func TestUnprovedEndCountsWhenRecordGoes(t *testing.T) {
+	worker := &backend.Worker{}
+	workers := &fakeWorkers{run: func(_ context.Context, _ int, at *backend.Worker, _ RunOptions) (*Response, error) {
+		worker = at
+		return unframedStream(), nil
+	}}
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindStream}, demand: partsDemand}, workers)
+	var crashed []poison.Part
+	guard := poison.NewGuard(poison.DefaultSettings(), unknownProber{}, time.Now, func(event poison.Event) {
+		if ended, is := event.(poison.WorkerCrashed); is {
+			crashed = ended.Parts
+		}
+	})
+	f.handler.SetGuard(guard)
+	registered := backend.Set{}
+	for _, id := range []string{"0", "1", "2"} {
+		registered[id] = &backend.Worker{ID: id, Group: "g", Address: id}
+	}
+	guard.UpdateWorkers(registered.Diff(backend.Set{}))
+	if _, body, err := f.get(t); err != nil || !strings.Contains(body, "data: a") {
+		t.Errorf("got %q and %v, want a complete stream", body, err)
+	}
+	guard.UpdateWorkers(backend.Changes{Removed: []string{worker.ID}})
+	if len(crashed) != 1 || crashed[0] != poison.NewPart("g", "5c1e") {
+		t.Errorf("the crash counts against the parts %v, want 5c1e", crashed)
+	}
+}
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -190,15 +190,20 @@
 	}
 }
 
-// confirmEnd returns an error if a response that ended with its connection was cut off by a crash of the worker.
+// confirmEnd returns an error if a response that ended with its connection was cut off by a crash of the worker. Where that can't be determined,
+// the response stands.
 func (g *guardedRequest) confirmEnd(ctx context.Context, worker *backend.Worker) error {
 	if g.guard == nil {
 		return nil
 	}
 	crashed, known := g.guard.ConfirmRunning(ctx, worker)
-	g.isUnproved = !known
-	if crashed {
+	switch {
+	case crashed:
 		return &httpclient.Error{Step: httpclient.StepReceive, Peer: worker.Address, Cause: io.ErrUnexpectedEOF}
+	case !known:
+		// The guard counts a crash if the record of the worker goes.
+		g.isUnproved = true
+		g.guard.ConnectionBroke(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
 	}
 	return nil
 }
