Tests: incarnations on fake time

The checks of connections that are opened together depended on how soon goroutines run, and that of a late answer on two timers that are some ten milliseconds apart. New: an answer that a restart follows before the first event.

--- a/internal/forward/streamversion_test.go
+++ b/internal/forward/streamversion_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -301,19 +302,19 @@
 type identity struct {
 	id  string
 	err error
-	// delay is the time from the response until the answer.
-	delay time.Duration
+	// isLate is set if the answer is not there yet when it is first asked for.
+	isLate bool
 }
 
-// from returns a Response.Identify for a response that arrives now.
-func (i identity) from(now time.Time) func(ctx context.Context) (string, error) {
+// answers returns a Response.Identify.
+func (i identity) answers() func(ctx context.Context) (string, error) {
+	var calls atomic.Int64
 	return func(ctx context.Context) (string, error) {
-		select {
-		case <-time.After(time.Until(now.Add(i.delay))):
-			return i.id, i.err
-		case <-ctx.Done():
+		if calls.Add(1) == 1 && i.isLate {
+			<-ctx.Done()
 			return "", context.Cause(ctx)
 		}
+		return i.id, i.err
 	}
 }
 
@@ -341,7 +342,7 @@
 		if says.id == "" && says.err == nil {
 			says.id = worker.ID
 		}
-		response.Identify = says.from(time.Now())
+		response.Identify = says.answers()
 		return response, nil
 	}
 	return f
@@ -365,7 +366,7 @@
 		{"the same incarnation", true, identity{}, true, []streamversion.Version{old}},
 		{"another incarnation", true, identity{id: "reused@2"}, false, []streamversion.Version{next}},
 		{"no answer", true, identity{err: io.ErrUnexpectedEOF}, false, []streamversion.Version{unknown}},
-		{"a late answer of the same incarnation", true, identity{delay: identifyPatience * 3 / 2}, true, []streamversion.Version{unknown, old}},
+		{"a late answer of the same incarnation", true, identity{isLate: true}, true, []streamversion.Version{unknown, old}},
 		{"the same incarnation, with a copy", false, identity{}, true, nil},
 		{"another incarnation, with a copy", false, identity{id: "reused@2"}, false, nil},
 	} {
--- a/internal/incarnation/incarnation_test.go
+++ b/internal/incarnation/incarnation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -62,70 +63,94 @@
 
 // TestOneQuestionServesConnections guards against a question for each request, or for each of the connections that are opened together.
 func TestOneQuestionServesConnections(t *testing.T) {
-	worker := &asked{id: "w@1"}
-	tracker := NewTracker(worker.ask)
-	opened := time.Now()
-	for range 3 {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &asked{id: "w@1"}
+		tracker := NewTracker(worker.ask)
+		opened := time.Now()
 		var together []*Connection
 		for range 20 {
-			together = append(together, tracker.Use(recorded, opened))
+			together = append(together, tracker.Use(recorded, time.Now()))
+			time.Sleep(gatherTime / 40)
 		}
 		for _, c := range together {
 			wantIdentity(t, c, "w@1")
 		}
-	}
-	if got := worker.questions(); got != 1 {
-		t.Errorf("%d questions for connections that were opened before the first one, want 1", got)
-	}
-	wantIdentity(t, tracker.Use(recorded, time.Now()), "w@1")
-	if got := worker.questions(); got != 2 {
-		t.Errorf("%d questions after a new connection, want 2", got)
-	}
-	tracker.Answered(recorded, Answer{ID: "w@1", SentAt: time.Now()})
-	wantIdentity(t, tracker.Use(recorded, opened), "w@1")
-	if got := worker.questions(); got != 2 {
-		t.Errorf("%d questions after the worker was asked for another reason, want 2", got)
-	}
+		// They are used again.
+		for range together {
+			wantIdentity(t, tracker.Use(recorded, opened), "w@1")
+		}
+		if got := worker.questions(); got != 1 {
+			t.Errorf("%d questions for connections that are opened together, want 1", got)
+		}
+		time.Sleep(time.Millisecond)
+		wantIdentity(t, tracker.Use(recorded, time.Now()), "w@1")
+		if got := worker.questions(); got != 2 {
+			t.Errorf("%d questions after a new connection, want 2", got)
+		}
+		time.Sleep(time.Millisecond)
+		tracker.Answered(recorded, Answer{ID: "w@1", SentAt: time.Now()})
+		wantIdentity(t, tracker.Use(recorded, time.Now()), "w@1")
+		if got := worker.questions(); got != 2 {
+			t.Errorf("%d questions after the worker was asked for another reason, want 2", got)
+		}
+	})
 }
 
 // TestReplacedIncarnation guards against a connection that is taken for the incarnation of an outdated record, and against one of the incarnation
 // before that is taken for its successor's.
 func TestReplacedIncarnation(t *testing.T) {
-	worker := &asked{id: "w@1"}
-	tracker := NewTracker(worker.ask)
-	before := tracker.Use(recorded, time.Now())
-	wantIdentity(t, before, "w@1")
-	worker.set("w@2", nil)
-	opened := time.Now()
-	// The one of the record may have answered this request and ended before the question.
-	wantIdentity(t, tracker.Use(recorded, opened), "")
-	wantIdentity(t, tracker.Use(recorded, opened), "w@2")
-	wantIdentity(t, before, "w@1")
-	if got := worker.questions(); got != 2 {
-		t.Errorf("%d questions, want 2", got)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		worker := &asked{id: "w@1"}
+		tracker := NewTracker(worker.ask)
+		before := tracker.Use(recorded, time.Now())
+		wantIdentity(t, before, "w@1")
+		worker.set("w@2", nil)
+		time.Sleep(time.Millisecond)
+		opened := time.Now()
+		// The one of the record may have answered this request and ended before the question.
+		wantIdentity(t, tracker.Use(recorded, opened), "")
+		wantIdentity(t, tracker.Use(recorded, opened), "w@2")
+		wantIdentity(t, before, "w@1")
+		if got := worker.questions(); got != 2 {
+			t.Errorf("%d questions, want 2", got)
+		}
+	})
+}
+
+// TestAnswerStaysAfterARestart guards against a stream that can't go on because its worker was started again between its answer and the first
+// event.
+func TestAnswerStaysAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := NewTracker((&asked{id: "w@1"}).ask)
+		c := tracker.Use(recorded, time.Now())
+		time.Sleep(2 * gatherTime)
+		tracker.Answered(recorded, Answer{ID: "w@2", SentAt: time.Now()})
+		wantIdentity(t, c, "w@1")
+	})
 }
 
 // TestUnansweredQuestion guards against a connection that is taken for the incarnation of the record because the worker does not answer, and
 // against a wait for it that lasts longer than it may.
 func TestUnansweredQuestion(t *testing.T) {
-	worker := &asked{err: errors.New("no answer")}
-	tracker := NewTracker(worker.ask)
-	c := tracker.Use(recorded, time.Now())
-	wantIdentity(t, c, "")
-	if got := worker.questions(); got != askAttempts {
-		t.Errorf("%d questions, want %d", got, askAttempts)
-	}
-	wantIdentity(t, c, "")
-	worker.set("w@1", nil)
-	worker.delay = askTimeout / 2
-	c = tracker.Use(recorded, time.Now())
-	ctx, cancel := context.WithTimeout(t.Context(), askTimeout/10)
-	defer cancel()
-	if id, err := c.Identify(ctx); !errors.Is(err, context.DeadlineExceeded) {
-		t.Errorf("got %q, %v before the answer", id, err)
-	}
-	wantIdentity(t, c, "w@1")
+	synctest.Test(t, func(t *testing.T) {
+		worker := &asked{err: errors.New("no answer")}
+		tracker := NewTracker(worker.ask)
+		c := tracker.Use(recorded, time.Now())
+		wantIdentity(t, c, "")
+		if got := worker.questions(); got != askAttempts {
+			t.Errorf("%d questions, want %d", got, askAttempts)
+		}
+		wantIdentity(t, c, "")
+		worker.set("w@1", nil)
+		worker.delay = askTimeout / 2
+		c = tracker.Use(recorded, time.Now())
+		ctx, cancel := context.WithTimeout(t.Context(), askTimeout/10)
+		defer cancel()
+		if id, err := c.Identify(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %q, %v before the answer", id, err)
+		}
+		wantIdentity(t, c, "w@1")
+	})
 }
 
 // TestKnownIncarnationAnswers guards against a connection that is taken for another incarnation than the one that answers its request. A random
