Streams: a stall waits for no version and gives up no run that can't go on

What callers saw: a stream whose worker said late which incarnation it is, and that stalled after its first events, did not go on at another worker; and one that began at a worker which had been started again was given up at a stall although its copy could not be used.

Cause: the decision at a stall took the version as it was at the first event, and did not look at the version of the engine with the copy.

Why it works: the decision looks once more, without a wait, at what is known by then. It runs while the goroutine of the call waits for the worker, so both may write the version.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -71,7 +71,7 @@
 		if !c.mayRunExclusively(status, bar) {
 			return c.refuseSuspect(ReasonSuspected)
 		}
-		c.learnVersion(ctx)
+		c.learnVersion(ctx, identifyPatience)
 		options := c.placeOptions(status)
 		placement, found := c.handler.dispatcher.Place(c.request, c.match.Group, options)
 		if !found && !c.handler.dispatcher.hasVersion(c.match.Group, options.Version, c.attempts.failed()) {
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -219,6 +219,7 @@
 	ctx context.Context, cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy, reach *alternativeReach,
 ) (bool, time.Duration) {
 	dispatcher := c.handler.dispatcher
+	c.learnVersion(ctx, 0)
 	run := c.migrationRun(worker, c.usableCopy(held))
 	means := migration.Means{Retry: true}
 	if held == nil {
@@ -251,6 +252,9 @@
 	if held == nil || !c.guarded.hasStatus(poison.Clear, poison.Excused) || !c.handler.dispatcher.copyAvailable(held) {
 		return nil
 	}
+	if !isOfVersion(held.engine, c.boundVersion()) {
+		return nil
+	}
 	return held
 }
 
@@ -292,7 +296,7 @@
 	if !c.guarded.hasStatus(poison.Clear, poison.Excused) {
 		return nil, "workers ended under the request"
 	}
-	if c.learnVersion(ctx); !isOfVersion(held.engine, c.boundVersion()) {
+	if c.learnVersion(ctx, identifyPatience); !isOfVersion(held.engine, c.boundVersion()) {
 		return nil, "the engine that began the run had been started again"
 	}
 	switch decision := dispatcher.decideOnBreak(c.migrationRun(worker, held), migration.Means{Retry: true}).(type) {
--- a/internal/forward/streamversion.go
+++ b/internal/forward/streamversion.go
@@ -174,14 +174,15 @@
 	return &c.stream.Version
 }
 
-// learnVersion finds out the version of a stream that began at an incarnation whose record was not there, before it goes on at another worker.
-func (c *call) learnVersion(ctx context.Context) {
+// learnVersion finds out the version of a stream that began at an incarnation whose record was not there, before it goes on at another worker. It
+// waits for a duration at most.
+func (c *call) learnVersion(ctx context.Context, patience time.Duration) {
 	if c.begunBy == nil || c.stream.Version.IsTold() {
 		return
 	}
 	version := c.stream.Version
 	if version.Incarnation == streamversion.UnknownIncarnation {
-		version = c.identifyWithin(ctx, identifyPatience)
+		version = c.identifyWithin(ctx, patience)
 	}
 	if !version.IsTold() {
 		version = c.handler.dispatcher.versionOfIncarnation(version)
--- a/internal/forward/streamversion_test.go
+++ b/internal/forward/streamversion_test.go
@@ -360,19 +360,24 @@
 		desc      string
 		resumable bool
 		says      identity
+		end       ending
 		wantWhole bool
 		wantBegan []streamversion.Version
 	}{
-		{"the same incarnation", true, identity{}, true, []streamversion.Version{old}},
-		{"another incarnation", true, identity{id: "reused@2"}, false, []streamversion.Version{next}},
-		{"no answer", true, identity{err: io.ErrUnexpectedEOF}, false, []streamversion.Version{unknown}},
-		{"a late answer of the same incarnation", true, identity{isLate: true}, true, []streamversion.Version{unknown, old}},
-		{"the same incarnation, with a copy", false, identity{}, true, nil},
-		{"another incarnation, with a copy", false, identity{id: "reused@2"}, false, nil},
+		{"the same incarnation", true, identity{}, endBreak, true, []streamversion.Version{old}},
+		{"another incarnation", true, identity{id: "reused@2"}, endBreak, false, []streamversion.Version{next}},
+		{"no answer", true, identity{err: io.ErrUnexpectedEOF}, endBreak, false, []streamversion.Version{unknown}},
+		{"a late answer of the same incarnation", true, identity{isLate: true}, endBreak, true, []streamversion.Version{unknown, old}},
+		{"a late answer of the same incarnation, then a stall", true, identity{isLate: true}, endStall, true, []streamversion.Version{unknown, old}},
+		{"another incarnation, then a stall", true, identity{id: "reused@2"}, endStall, false, []streamversion.Version{next}},
+		{"the same incarnation, with a copy", false, identity{}, endBreak, true, nil},
+		{"a late answer, then a stall, with a copy", false, identity{isLate: true}, endStall, true, nil},
+		{"another incarnation, then a stall, with a copy", false, identity{id: "reused@2"}, endStall, false, nil},
+		{"another incarnation, with a copy", false, identity{id: "reused@2"}, endBreak, false, nil},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			streams := &fakeStreams{}
-			f := newIdentifyingFixture(t, c.resumable, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endBreak}}}, []identity{c.says}, "a", "a")
+			f := newIdentifyingFixture(t, c.resumable, &scriptedFleet{total: 8, responses: []scriptedResponse{{3, c.end}}}, []identity{c.says}, "a", "a")
 			f.handler.SetStreamVersions(streams)
 			_, body, err := f.get(t)
 			f.server.Close()
@@ -382,6 +387,9 @@
 			if !c.wantWhole && body != events(0, 3) {
 				t.Errorf("the caller got %q of the run that it has", body)
 			}
+			if failure := f.reports.last.Attempts[0].Failure; !c.wantWhole && failure == failureStalled.String() {
+				t.Errorf("the run was given up (%s), although no other worker may go on with it", failure)
+			}
 			// A late answer is told beside the stream.
 			for range 100 {
 				if slices.Equal(streams.versions(), c.wantBegan) {
