Soak: sound requests count also where no crash of a part counts any more

After a kill of all gateways the crashes before it do not count, and where no worker crashed after it the check of sound streams looked at nothing. It begins two contact times after the last crash of all then. The new case of TestChecksOfCrashingParts fails without that.

--- a/internal/soak/parts.go
+++ b/internal/soak/parts.go
@@ -154,9 +154,10 @@
 type partHistory struct {
 	span Span
 	part CrashingPart
-	// crashes are the times of the crashes that count, in order, and crashed is the number of all.
+	// crashes are the times of the crashes that count, in order. crashed is the number of all, and last the time of the last one.
 	crashes []time.Time
 	crashed int
+	last    time.Time
 }
 
 // partHistories returns the crashing parts under which workers crashed.
@@ -176,7 +177,8 @@
 		}
 		if len(at) > 0 {
 			slices.SortFunc(at, time.Time.Compare)
-			found = append(found, partHistory{span: span, part: part, crashes: h.rememberedCrashes(at), crashed: len(at)})
+			last := at[len(at)-1]
+			found = append(found, partHistory{span: span, part: part, crashes: h.rememberedCrashes(at), crashed: len(at), last: last})
 		}
 	}
 	return found
@@ -309,14 +311,14 @@
 // sharedServed returns how many sound streams began without crashes, and how many of those that share a first part at gateways in touch from
 // two contact times after the fifth crash on, or after the last one if there are fewer.
 func (h *History) sharedServed(p partHistory) (calm, crashing beginShare) {
-	if len(p.crashes) == 0 {
-		return calm, crashing
-	}
 	until := p.span.Ended
 	if until.IsZero() {
 		until = h.CollectedAt
 	}
-	from := p.crashes[min(len(p.crashes), partCrashThreshold)-1].Add(2 * contactTime)
+	from := p.last.Add(2 * contactTime)
+	if len(p.crashes) >= partCrashThreshold {
+		from = p.crashes[partCrashThreshold-1].Add(2 * contactTime)
+	}
 	crashing = h.soundStreams(from, until, func(r *RequestRecord) bool { return sharesPart(r, p.part) && h.inTouchLong(r) })
 	isPart := func(f Fault) bool { _, isPart := f.(CrashingPart); return isPart }
 	calm = h.soundStreams(p.span.Begun.Add(-calmTime), p.span.Begun, func(r *RequestRecord) bool {
--- a/internal/soak/parts_test.go
+++ b/internal/soak/parts_test.go
@@ -173,6 +173,8 @@
 		{name: "sound ones starve under four crashes", crashes: 4, begun: beforeOnly, want: []string{"LOST"}},
 		{name: "over half of the sound ones", crashes: 5, begun: overHalf},
 		{name: "all were killed before the bar", crashes: 5, late: 4, begun: always, exits: []ProcessExit{killed("a", 2*time.Second), killed("b", 2100*time.Millisecond)}},
+		{name: "sound ones starve though all were killed", crashes: 5, begun: beforeOnly,
+			exits: []ProcessExit{killed("a", 3*time.Second), killed("b", 3*time.Second)}, want: []string{"LOST"}},
 		{name: "one was killed", crashes: 5, late: 4, begun: always, exits: []ProcessExit{killed("a", 2*time.Second)}, want: []string{"BUDGET"}},
 		{name: "all were killed long after the bar", crashes: 5, late: 4, begun: always,
 			exits: []ProcessExit{killed("a", 6*time.Second), killed("b", 6*time.Second)}, want: []string{"BUDGET"}},
