--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -50,13 +50,16 @@
 	unacknowledged := 0
 	// Control fails only if the connection is closed.
 	_ = raw.Control(func(descriptor uintptr) {
-		count, err := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
-		if err != nil || count == 0 {
+		// The state comes first: an acknowledgement that arrives in between makes the result too small by the FIN, not too large.
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
 			return
 		}
-		unacknowledged = count
+		if count, err := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); err == nil {
+			unacknowledged = count
+		}
 		// The kernel counts the FIN like a byte.
-		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && slices.Contains(tcpFinSent, info.State) {
+		if slices.Contains(tcpFinSent, info.State) {
 			unacknowledged--
 		}
 	})
