Callers tests: a request that was read and not answered is a fault at awkward moments, too

A server that reads a request after the close of its sending side, and drops it, was not told from one that leaves it unread and resets the connection. Callers look at their connection 30 ms after its end: without a reset, all that was sent was read.

--- a/internal/callers/awkward_test.go
+++ b/internal/callers/awkward_test.go
@@ -130,9 +130,10 @@
 	rest time.Duration
 	// usableAt is when the connection was opened or its last response ended.
 	usableAt, sentAt, endedAt time.Time
-	// wasOpen is set if the server had not closed the connection when the request had been sent.
-	wasOpen bool
-	err     error
+	// wasOpen is set if the server had not closed the connection when the request had been sent, and wasRead if a request that was sent whole and got
+	// no response had been read.
+	wasOpen, wasRead bool
+	err              error
 }
 
 // startAwkwardRun starts a server process and returns a function that ends it and waits for its output.
@@ -275,8 +276,10 @@
 		if err == nil {
 			err = caller.readResponseTo(path)
 		}
+		endedAt := time.Now()
+		wasRead := err != nil && kind == kindWhole && hasReadAll(caller.Conn)
 		r.mu.Lock()
-		r.outcomes = append(r.outcomes, awkwardOutcome{path, awkwardKindNames[kind], rest, usableAt, sentAt, time.Now(), wasOpen, err})
+		r.outcomes = append(r.outcomes, awkwardOutcome{path, awkwardKindNames[kind], rest, usableAt, sentAt, endedAt, wasOpen, wasRead, err})
 		r.mu.Unlock()
 	}
 	return err == nil
@@ -302,20 +305,38 @@
 	return nil
 }
 
-// tcpEstablished is the state of a connection that neither side has closed.
-const tcpEstablished = 1
+// States of a connection: closed by neither side, and closed by the other side without a reset.
+const (
+	tcpEstablished = 1
+	tcpCloseWait   = 8
+)
 
 // isEstablished reports whether the other side has not closed a connection.
-func isEstablished(conn net.Conn) (established bool) {
+func isEstablished(conn net.Conn) bool { return tcpInfo(conn).State == tcpEstablished }
+
+// resetDelay is the time in which the reset of a connection reaches a caller on the same machine.
+const resetDelay = 30 * time.Millisecond
+
+// hasReadAll reports whether the other side closed a connection after it had read all that was sent: the kernel resets a connection that is closed with
+// unread bytes.
+func hasReadAll(conn net.Conn) bool {
+	time.Sleep(resetDelay)
+	info := tcpInfo(conn)
+	return info.State == tcpCloseWait && info.Unacked == 0
+}
+
+// tcpInfo returns what the kernel knows of a connection, or the zero value.
+func tcpInfo(conn net.Conn) (result unix.TCPInfo) {
 	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return result
 	}
 	_ = raw.Control(func(descriptor uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		established = err == nil && info.State == tcpEstablished
+		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			result = *info
+		}
 	})
-	return established
+	return result
 }
 
 // maxCrossingTime is how long after a request was sent its connection may be closed by a server that has not seen it.
@@ -341,6 +362,8 @@
 			describe("no response and no end")
 		case r.handled[o.path]:
 			describe("handled")
+		case o.wasRead && !r.suspendedNear(&o):
+			describe("read")
 		case !o.wasOpen:
 			counts["closed before"]++
 		case r.crossedSuspended(&o):
@@ -370,6 +393,14 @@
 	return r.anySuspension(o, func(start time.Time) bool { return start.Before(o.sentAt) })
 }
 
+// suspendedNear reports whether the server process was suspended from the sending of a request until its caller looked at the connection. A request
+// that arrives there after the close of the sending side stays unread until the process goes on.
+func (r *awkwardRun) suspendedNear(o *awkwardOutcome) bool {
+	return slices.ContainsFunc(r.suspensions, func(suspension [2]time.Time) bool {
+		return suspension[0].Before(o.endedAt.Add(2*resetDelay)) && suspension[1].After(o.sentAt)
+	})
+}
+
 // anySuspension reports whether a suspension that overlaps the time from the sending of a request to its end began at a time that satisfies matches.
 func (r *awkwardRun) anySuspension(o *awkwardOutcome, matches func(start time.Time) bool) bool {
 	return slices.ContainsFunc(r.suspensions, func(suspension [2]time.Time) bool {
