--- a/internal/callers/afterclose_test.go
+++ b/internal/callers/afterclose_test.go
@@ -37,9 +37,6 @@
 	}
 }
 
-// tcpCloseWait is the state of a connection whose other side has closed it.
-const tcpCloseWait = 8
-
 // infoOf returns what the kernel knows of a connection, or the zero value.
 func infoOf(conn *net.TCPConn) (result unix.TCPInfo) {
 	raw, err := conn.SyscallConn()
