--- a/internal/gateway/barsyncer.go
+++ b/internal/gateway/barsyncer.go
@@ -305,6 +305,11 @@
 	return wasBarred
 }
 
+// countBars returns the number of active bars of parts, or of requests.
+func (b *barSyncer) countBars(ofParts bool) int {
+	return lo.CountBy(b.guard.Bars(), func(bar poison.Bar) bool { return bar.Part.IsZero() != ofParts })
+}
+
 // Barred implements adminapi.Backend.
 func (a admin) Barred() []adminapi.BarredStatus {
 	return lo.Map(a.barSyncer.guard.Bars(), func(bar poison.Bar, _ int) adminapi.BarredStatus {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,8 @@
 	// of barred requests.
 	metricWorkerEnds = "granitebay_worker_ends_total"
 	metricBarred     = "granitebay_barred_requests"
+	// metricBarredParts is the number of barred parts of prompts.
+	metricBarredParts = "granitebay_barred_parts"
 	// metricUnanswered counts requests whose connections ended before a complete response was sent. metricIdleTimeouts
 	// counts caller connections that were closed by the idle timeout, metricPastIdle requests that came after the timeout and before the close, and
 	// metricAfterClose those that came after such a close or that of a stop while a response was on its way.
@@ -93,7 +95,8 @@
 	m.set.NewGauge("granitebay_gateways_reachable", func() float64 { return float64(len(g.view.Reachable())) })
 	m.set.NewGauge("granitebay_workers_known", func() float64 { return float64(g.knownWorkers()) })
 	m.set.NewGauge("granitebay_unreadable_items_total", func() float64 { return float64(g.view.Unreadable()) })
-	m.set.NewGauge(metricBarred, func() float64 { return float64(len(g.barSyncer.guard.Bars())) })
+	m.set.NewGauge(metricBarred, func() float64 { return float64(g.barSyncer.countBars(false)) })
+	m.set.NewGauge(metricBarredParts, func() float64 { return float64(g.barSyncer.countBars(true)) })
 	m.set.NewGauge("granitebay_requests_in_hand", func() float64 { return float64(g.handler.Active()) })
 	m.set.NewGauge(metricCopies, func() float64 { return float64(g.dispatcher.MigrationTotals().Copies) })
 	m.set.NewGauge(metricCopyBytes, func() float64 { return float64(g.dispatcher.MigrationTotals().CopyBytes) })
