Callers: a part of the next request keeps its connection at a stop

A caller that sent a request together with the beginning of the next one lost the next one if the gateway stopped during the first: the connection was closed behind the first response, without a line, though the rest was on its way. So it was when the idle timeout ended before the header timeout would have.

The first bytes were in the buffer of net/http. No read told of them, so the connection counted as idle, and a stop closes idle connections at once.

net/http tells in two ways: it sets a read deadline between two requests only once it has four bytes of the second, and it offers less than its whole buffer to a read if it has one to three. Either starts the header timeout now.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -77,6 +77,9 @@
 // Read implements net.Conn. It returns a timeout error only if a final read after the deadline found no data, except to background reads of net/http,
 // which it interrupts by a deadline.
 func (c *connection) Read(buffer []byte) (int, error) {
+	if len(buffer) > backgroundReadBytes && len(buffer) < readerBytes {
+		c.nextRequestBuffered()
+	}
 	c.refreshDeadline()
 	for {
 		n, err := c.Conn.Read(buffer)
@@ -127,6 +130,19 @@
 // read into larger buffers.
 const backgroundReadBytes = 1
 
+// readerBytes is the size of the buffer from which net/http parses requests. A read that waits for the first byte of a request offers all of it; one
+// that offers less completes a request whose first bytes arrived together with the request before it.
+const readerBytes = 4 << 10
+
+// nextRequestBuffered updates the phase if net/http already has the first bytes of the next request, of which no read tells.
+func (c *connection) nextRequestBuffered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle {
+		c.startPhase(phaseReadingHeader)
+	}
+}
+
 // bytesReceived updates the phase after data arrived. The header timeout of the first request keeps running from the
 // accept.
 func (c *connection) bytesReceived(bufferSize int) {
@@ -152,8 +168,12 @@
 	}
 }
 
-// SetReadDeadline implements net.Conn. An earlier deadline from the connection's own timeouts stays in effect.
+// SetReadDeadline implements net.Conn. An earlier deadline from the connection's own timeouts stays in effect. net/http sets a deadline between two
+// requests only once it has the first bytes of the second.
 func (c *connection) SetReadDeadline(deadline time.Time) error {
+	if !deadline.IsZero() {
+		c.nextRequestBuffered()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestedDeadline = deadline
