Callers tests: the look at unread bytes is tested behind a handled request

The handler sends the second request now, and the test looks again as its turn comes, long after it arrived. It checks all that it did before.

--- a/internal/callers/unread_test.go
+++ b/internal/callers/unread_test.go
@@ -24,15 +24,26 @@
 		}
 	}
 	check("connections without unread bytes", "")
-	s.onHook = func() { check("a request behind one that is handled", "") }
-	if err := fresh.send(requestFor(pathHook)); err != nil {
-		t.Fatal(err)
+	// The next request is sent by the handler. Sent before, it might be in the buffer of net/http, and no byte would be unread.
+	var blocked <-chan struct{}
+	s.onHook = func() {
+		if err := fresh.send(requestFor("/pipelined")); err != nil {
+			t.Error(err)
+		}
+		check("a request behind one that is handled", "")
+		time.Sleep(testStall)
+		blocked = s.listener.beforeRead.close()
 	}
-	fresh.finishRequest(t, requestFor("/pipelined"))
+	fresh.request(t, pathHook)
+	<-blocked
+	s.reportUnread(testStall)
+	if got := s.recorder.String(); got != "" {
+		t.Errorf("a request that came long before its turn: reported %q", got)
+	}
+	s.listener.beforeRead.open()
 	if err := fresh.readResponse(); err != nil {
 		t.Fatal(err)
 	}
-	var blocked <-chan struct{}
 	s.onHook = func() { blocked = s.listener.beforeRead.close() }
 	unread.request(t, pathHook)
 	<-blocked
