Callers: a request behind a decided close is reset

A caller whose request came just behind the end of an idle connection had it acknowledged: only the sending side was closed, and the connection was reset only with the close, which comes after bookkeeping and whatever the machine does meanwhile. In that time the caller could not know that nobody would read it.

The last look closes both sides in one call, unless a response is on its way. After that the kernel resets the connection when data arrives, whatever this process does.

--- a/internal/callers/deadlines.go
+++ b/internal/callers/deadlines.go
@@ -99,8 +99,9 @@
 }
 
 // finalRead reads available data without blocking, whatever the deadline is: shutdown may set a past deadline at any moment. If there is no data, it
-// closes the sending side and returns os.ErrDeadlineExceeded; nothing comes between the two, since a request that arrives there is lost. Only the
-// goroutine that reads the connection may call it.
+// closes both sides and returns os.ErrDeadlineExceeded; nothing comes between the two, since a request that arrives there is lost. The kernel resets
+// the connection when a request arrives later, which shows its caller that nobody reads it. If a response is on its way, which a reset would drop, only
+// the sending side is closed. Only the goroutine that reads the connection may call it.
 func (c *connection) finalRead(buffer []byte) (int, error) {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -111,10 +112,14 @@
 		return 0, err
 	}
 	n, readErr := 0, error(nil)
+	sides := syscall.SHUT_RDWR
+	if hasUnacknowledged(c.Conn) {
+		sides = syscall.SHUT_WR
+	}
 	if err := raw.Control(func(descriptor uintptr) {
 		if n, readErr = netdial.ReadNonblocking(int(descriptor), buffer); isDeadlineExceeded(readErr) {
 			// This fails only if the caller has reset the connection.
-			_ = syscall.Shutdown(int(descriptor), syscall.SHUT_WR)
+			_ = syscall.Shutdown(int(descriptor), sides)
 		}
 	}); err != nil {
 		return 0, err
--- a/internal/callers/visibleclose_test.go
+++ b/internal/callers/visibleclose_test.go
@@ -29,3 +29,31 @@
 		})
 	}
 }
+
+// TestRequestAfterDecidedCloseIsReset guards against a request that is acknowledged after the server has decided to close its connection. Its caller
+// can't know that nobody reads it, for as long as the process stands still before the close.
+func TestRequestAfterDecidedCloseIsReset(t *testing.T) {
+	for desc, prepare := range map[string]func(caller *testCaller){
+		"idle":  func(caller *testCaller) { caller.request(t, "/1") },
+		"fresh": func(*testCaller) {},
+	} {
+		t.Run(desc, func(t *testing.T) {
+			s := newTestServer(t, testDelay, testDelay)
+			caller, isReset := s.dial(t), make(chan bool, 1)
+			s.recorder.setOnIdleTimeout(func() {
+				err := caller.send(requestFor("/late"))
+				for start := time.Now(); err == nil && time.Since(start) < testStall; time.Sleep(testDelay / 10) {
+					err = caller.send("G")
+				}
+				isReset <- err != nil
+			})
+			prepare(caller)
+			if !<-isReset {
+				t.Error("the request was acknowledged, although nobody would read it")
+			}
+			if _, handled := s.handled.Load("/late"); handled {
+				t.Error("the request was handled")
+			}
+		})
+	}
+}
