Standins: a test of the parts of prompts in their header

TestPartsOfPrompts of the soak claimed to check the header, which it does not see; its head says what it checks. TestPromptPrefixAddsUp checks the header.

--- a/internal/soak/parts_test.go
+++ b/internal/soak/parts_test.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// TestPartsOfPrompts guards against requests whose parts do not show in their header, or do not add up to their prompt.
+// TestPartsOfPrompts guards against requests with the crashing part in another place than that of the round, or without other parts.
 func TestPartsOfPrompts(t *testing.T) {
 	s := &system{}
 	random := rand.New(rand.NewPCG(1, 1))
--- a/internal/standin/fleet/crash_test.go
+++ b/internal/standin/fleet/crash_test.go
@@ -77,3 +77,22 @@
 		})
 	}
 }
+
+// TestPromptPrefixAddsUp guards against prompts whose parts are missing in their header, or have other lengths than the prompt.
+func TestPromptPrefixAddsUp(t *testing.T) {
+	request := Request{ID: "r1", PromptTokens: 300, SharedTokens: 90, SharedPrefix: "a1"}
+	for _, test := range []struct {
+		parts    []string
+		lastPart string
+		want     string
+	}{
+		{nil, "", "a1:90,r1:210"},
+		{[]string{"c0"}, "", "a1:90,c0:50,r1:160"},
+		{[]string{"c0", "c1"}, "r0", "a1:90,c0:50,c1:50,r0:110"},
+	} {
+		request.Parts, request.LastPart = test.parts, test.lastPart
+		if got := request.promptPrefix(); got != test.want {
+			t.Errorf("parts %v: %s, want %s", test.parts, got, test.want)
+		}
+	}
+}
