--- a/internal/poison/part_bench_test.go
+++ b/internal/poison/part_bench_test.go
@@ -66,3 +66,26 @@
 		guard.PartStatus(parts)
 	}
 }
+
+// BenchmarkRequestCrashes measures what crashes of workers cost the table of requests, of which each worker ran 64.
+func BenchmarkRequestCrashes(b *testing.B) {
+	const requests = 64
+	for _, workers := range []int{1, 8, 300} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			var digests []Digest
+			for i := range workers * requests {
+				digests = append(digests, Request{Target: fmt.Sprint(i)}.Digest())
+			}
+			for b.Loop() {
+				table := NewTable(DefaultSettings())
+				now := time.Unix(1000, 0)
+				for i, digest := range digests {
+					table.RecordCrash(now, now, Crash{Digest: digest, Worker: fmt.Sprint("worker-", i/requests)}, "rule", "")
+				}
+				table.TakeUpdate(now, false)
+				table.Evaluate(now.Add(DefaultSettings().SettleDelay))
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(workers), "us/worker")
+		})
+	}
+}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -112,6 +112,8 @@
 	// unsentCrashes are not shared yet, and unsentChanges are the requests with a bar or success that is not shared yet.
 	unsentCrashes []Crash
 	unsentChanges map[Digest]bool
+	// evictAt is the number of entries from which on the next one may exceed a bound; looking for entries to evict takes a pass over all.
+	evictAt int
 	// parts explain crashes, too; nil if there are none.
 	parts *partTable
 }
@@ -120,7 +122,7 @@
 func NewTable(settings Settings) *Table {
 	return &Table{
 		settings: settings, suspects: map[Digest]*suspect{}, suspectsByWorker: map[string]map[Digest]bool{}, pending: map[Digest]bool{},
-		unsentChanges: map[Digest]bool{},
+		unsentChanges: map[Digest]bool{}, evictAt: min(settings.MaxSuspects, settings.MaxBarred),
 	}
 }
 
@@ -388,10 +390,11 @@
 
 // evict removes an eighth of the suspects, or of those that are or were barred, if there are too many: those with the oldest last report.
 func (t *Table) evict(now time.Time) {
-	if len(t.suspects) < min(t.settings.MaxSuspects, t.settings.MaxBarred) {
+	if len(t.suspects) < t.evictAt {
 		return
 	}
 	t.Expire(now)
+	room := t.settings.MaxSuspects
 	for _, kind := range []struct {
 		limit  int
 		barred bool
@@ -403,14 +406,18 @@
 			}
 		}
 		if len(candidates) < kind.limit {
+			room = min(room, kind.limit-len(candidates))
 			continue
 		}
 		slices.SortFunc(candidates, func(a, b Digest) int {
 			return cmp.Or(t.suspects[a].lastReport.Compare(t.suspects[b].lastReport), slices.Compare(a[:], b[:]))
 		})
 		const evictDivisor = 8
-		for _, digest := range candidates[:len(candidates)/evictDivisor+1] {
+		evicted := candidates[:len(candidates)/evictDivisor+1]
+		for _, digest := range evicted {
 			t.removeSuspect(digest)
 		}
+		room = min(room, kind.limit-len(candidates)+len(evicted))
 	}
+	t.evictAt = len(t.suspects) + max(room, 1)
 }
