Forward: requests with a suspect part run one at a time

Requests with a part that is suspect, but not barred, took turns by their own digests, and so ran side by side where only one should. The digest of the part decides now, as that of the request does for copies of one.

--- a/internal/callers/afterclose_test.go
+++ b/internal/callers/afterclose_test.go
@@ -4,8 +4,6 @@
 	"net"
 	"testing"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // TestRequestAfterIdleCloseIsNotAcknowledged guards against requests that cross the close of an idle connection and are acknowledged, so that their
@@ -19,7 +17,7 @@
 				caller.finishRequest(t, test.first)
 			}
 			conn := caller.Conn.(*net.TCPConn)
-			for start := time.Now(); infoOf(conn).State != tcpCloseWait; time.Sleep(time.Millisecond) {
+			for start := time.Now(); tcpInfo(conn).State != tcpCloseWait; time.Sleep(time.Millisecond) {
 				if time.Since(start) > testTimeout {
 					t.Fatal("the connection is not closed")
 				}
@@ -27,7 +25,7 @@
 			if err := caller.send(requestFor("/late")); err != nil {
 				t.Fatal(err)
 			}
-			if info := infoOf(conn); info.State == tcpCloseWait && info.Unacked == 0 {
+			if info := tcpInfo(conn); info.State == tcpCloseWait && info.Unacked == 0 {
 				t.Error("the request was acknowledged")
 			}
 			if _, handled := s.handled.Load("/late"); handled {
@@ -36,17 +34,3 @@
 		})
 	}
 }
-
-// infoOf returns what the kernel knows of a connection, or the zero value.
-func infoOf(conn *net.TCPConn) (result unix.TCPInfo) {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return result
-	}
-	_ = raw.Control(func(descriptor uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			result = *info
-		}
-	})
-	return result
-}
--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -382,7 +382,7 @@
 		match: routing.Match{Rule: &routing.Rule{}, Group: engineGroup},
 	}
 	place := func() int64 {
-		dispatcher.Place(c.request, engineGroup, c.placeOptions(poison.Clear))
+		dispatcher.Place(c.request, engineGroup, c.placeOptions(poison.Clear, poison.Bar{}))
 		total := int64(0)
 		for _, offered := range dispatcher.TakeUpdate(true).Offered {
 			total += offered.Tokens
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -40,8 +40,10 @@
 	// prefilledEngine is the engine that prefilled a prompt whose handle the runner refused. Its cache may still hold the prompt, so the
 	// next runner fetches it from there.
 	prefilledEngine *backend.Worker
-	// isExclusive is set while this call is the only copy of a suspect request that may run.
-	isExclusive bool
+	// isExclusive is set while this call is the only copy of a suspect request that may run, or the only request with a suspect part.
+	// exclusiveDigest is the digest of that request or part.
+	isExclusive     bool
+	exclusiveDigest poison.Digest
 	// usageCounted is set once the request has been counted for its tenant.
 	usageCounted bool
 	// lastError is the response of a worker that failed, sent to the caller if no attempt succeeds.
@@ -73,7 +75,7 @@
 			return c.refuseSuspect(ReasonSuspected)
 		}
 		c.learnVersion(ctx, identifyPatience)
-		options := c.placeOptions(status)
+		options := c.placeOptions(status, bar)
 		placement, found := c.handler.dispatcher.Place(c.request, c.match.Group, options)
 		if !found && !c.handler.dispatcher.hasVersion(c.match.Group, options.Version, c.attempts.failed()) {
 			return c.endWithoutVersion()
@@ -114,11 +116,12 @@
 	}
 }
 
-// placeOptions returns the placement constraints for the next attempt. Suspect requests are kept on separate workers.
-func (c *call) placeOptions(status poison.Status) PlaceOptions {
+// placeOptions returns the placement constraints for the next attempt. Suspect requests, or those with a suspect part, are kept on separate
+// workers.
+func (c *call) placeOptions(status poison.Status, bar poison.Bar) PlaceOptions {
 	options := PlaceOptions{Excluded: c.attempts.excluded, Version: c.boundVersion(), Colocated: c.decideColocation()}
 	if status == poison.Suspected {
-		options.SuspectKey = c.guarded.requestDigest().String()
+		options.SuspectKey = bar.Digest.String()
 	}
 	options.Rule, options.Deadline = c.match.Rule, c.deadline
 	options.Admission = c.admissionRequest()
--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -376,11 +376,11 @@
 		match: routing.Match{Rule: rule, Group: &routing.Group{}}, report: &Report{Arrived: time.Now().Add(-time.Second)},
 		attempts: attempts{rule: rule}, request: &Request{},
 	}
-	if options := c.placeOptions(poison.Clear); options.Objective != rule.Objective || options.Remaining >= 0 {
+	if options := c.placeOptions(poison.Clear, poison.Bar{}); options.Objective != rule.Objective || options.Remaining >= 0 {
 		t.Errorf("before the first event: %+v", options)
 	}
 	c.relay.started = true
-	options := c.placeOptions(poison.Clear)
+	options := c.placeOptions(poison.Clear, poison.Bar{})
 	if options.Objective != 0 || options.Remaining != 0 || options.Admission.Objective != 0 || options.Rule != rule {
 		t.Errorf("after the first event: %+v", options)
 	}
--- a/internal/forward/exclusive.go
+++ b/internal/forward/exclusive.go
@@ -71,21 +71,24 @@
 	delete(r.running, digest)
 }
 
-// mayRunExclusively reports whether the call may be placed now with regard to other copies of the same request.
+// mayRunExclusively reports whether the call may be placed now with regard to other copies of the same request, or to other requests with the
+// same suspect part.
 func (c *call) mayRunExclusively(status poison.Status, bar poison.Bar) bool {
 	if status != poison.Suspected || bar.DistinctCrashes < exclusiveMinCrashes {
 		return true
 	}
-	if !c.handler.exclusive.hasTurn(c.guarded.requestDigest(), c.handler.guard.SinceLastReport(bar)) {
+	if !c.handler.exclusive.hasTurn(bar.Digest, c.handler.guard.SinceLastReport(bar)) {
 		return false
 	}
-	c.isExclusive = c.isExclusive || c.handler.exclusive.begin(c.guarded.requestDigest())
+	if !c.isExclusive && c.handler.exclusive.begin(bar.Digest) {
+		c.isExclusive, c.exclusiveDigest = true, bar.Digest
+	}
 	return c.isExclusive
 }
 
 // endExclusive lets the next copy run if this call was the only one that may run.
 func (c *call) endExclusive() {
 	if c.isExclusive {
-		c.handler.exclusive.end(c.guarded.requestDigest())
+		c.handler.exclusive.end(c.exclusiveDigest)
 	}
 }
--- a/internal/forward/lastattempt_test.go
+++ b/internal/forward/lastattempt_test.go
@@ -91,7 +91,7 @@
 				match: routing.Match{Rule: &configuration.Rules[0], Group: &configuration.Groups[0]}, report: &Report{Arrived: time.Now()}, guarded: &guardedRequest{},
 			}
 			call.attempts.rule, call.attempts.reached = call.match.Rule, c.reached
-			placement, found := f.handler.dispatcher.Place(call.request, call.match.Group, call.placeOptions(poison.Clear))
+			placement, found := f.handler.dispatcher.Place(call.request, call.match.Group, call.placeOptions(poison.Clear, poison.Bar{}))
 			if !found || placement.Prefill == nil {
 				t.Fatalf("got the placement %+v, want one with a prefill engine", placement)
 			}
--- a/internal/forward/suspect_test.go
+++ b/internal/forward/suspect_test.go
@@ -102,3 +102,22 @@
 		t.Errorf("after %s: got %v, %v", time.Since(start), response, err)
 	}
 }
+
+// TestRequestsWithSuspectPartRunOneAtATime guards against requests that share a part under which workers crashed, differ in all else, and reach
+// workers side by side.
+func TestRequestsWithSuspectPartRunOneAtATime(t *testing.T) {
+	part := poison.NewPart("g", "5c1e")
+	bar := poison.Bar{Digest: part.Digest(), Part: part, DistinctCrashes: exclusiveMinCrashes}
+	handler := &Handler{guard: poison.NewGuard(poison.DefaultSettings(), nil, time.Now, func(poison.Event) {})}
+	newCall := func(path string) *call {
+		return &call{handler: handler, guarded: &guardedRequest{guard: handler.guard, request: &Request{Target: path}, parts: []poison.Part{part}}}
+	}
+	first, second := newCall("/1"), newCall("/2")
+	if !first.mayRunExclusively(poison.Suspected, bar) || second.mayRunExclusively(poison.Suspected, bar) {
+		t.Error("both requests with the part may run")
+	}
+	first.endExclusive()
+	if !second.mayRunExclusively(poison.Suspected, bar) {
+		t.Error("the second request may not run after the first")
+	}
+}
