--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -33,7 +33,7 @@
 // records which side closed it.
 //
 // Invariant: only the goroutine that reads the connection closes it on a timeout or at shutdown, and only after a final
-// non-blocking read that found no data, right behind which the sending side is closed. If a timer or another goroutine closed
+// non-blocking read that found no data, right behind which it is shut down. If a timer or another goroutine closed
 // it, or if anything else were done in between, a request that has just arrived would be lost.
 type connection struct {
 	net.Conn
