Poison: crashes before the start of a gateway bar no part there

Sound requests with a popular part were answered 422 for some seconds: gateways had been stopped for 1.8 s and killed beside a crashing part, and one that had run for 0.3 s heard of the crashes in the updates of the others, but of no answer in between.

A gateway counts only crashes after its own start: of earlier ones it can't know whether the part was answered since. Gateways that were up then decide about those.

--- a/internal/poison/partbarring.go
+++ b/internal/poison/partbarring.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 )
@@ -20,8 +22,11 @@
 }
 
 // span returns the times of the first and the last crash of a part, zero if there is none.
-func span(state *partState) (first, last time.Time) {
-	for _, at := range state.crashes {
+func span(state *partState) (first, last time.Time) { return spanOf(maps.Values(state.crashes)) }
+
+// spanOf returns the first and the last of the times, zero if there is none.
+func spanOf(times iter.Seq[time.Time]) (first, last time.Time) {
+	for at := range times {
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
@@ -32,11 +37,12 @@
 	return first, last
 }
 
-// unexplained returns the crashed workers of a part whose crashes no other barred part explains.
+// unexplained returns the crashed workers of a part whose crashes no other barred part explains. A gateway does not know which parts were
+// answered before its start, so earlier crashes don't count.
 func (t *partTable) unexplained(part Part, state *partState) []string {
 	var workers []string
-	for worker := range state.crashes {
-		if !t.explains(worker, part) {
+	for worker, at := range state.crashes {
+		if at.After(t.started) && !t.explains(worker, part) {
 			workers = append(workers, worker)
 		}
 	}
@@ -69,7 +75,13 @@
 	if !t.wasAnswered(state) {
 		return count >= limits.AmbiguousCrashLimit || !t.ambiguous(part, state, workers)
 	}
-	first, last := span(state)
+	first, last := spanOf(func(yield func(time.Time) bool) {
+		for _, worker := range workers {
+			if !yield(state.crashes[worker]) {
+				return
+			}
+		}
+	})
 	return count >= limits.AmbiguousCrashLimit && last.Sub(first) >= limits.UnansweredTime
 }
 
--- a/internal/poison/parttable_test.go
+++ b/internal/poison/parttable_test.go
@@ -270,3 +270,21 @@
 		t.Errorf("the other gateway has status %d with %d workers", status, len(bar.Workers))
 	}
 }
+
+// TestCrashesBeforeStartBarNoPart guards against a bar of a popular part by a gateway that was just started: it hears of earlier crashes, but not of
+// the answers in between.
+func TestCrashesBeforeStartBarNoPart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newPartTable(DefaultSettings())
+	table.start(now)
+	var crashes []PartCrash
+	for i := range 8 {
+		crashes = append(crashes, PartCrash{Worker: fmt.Sprint("w", i), AgoMs: int64(400 * (i + 1)), Group: "g", Parts: []string{"f"}})
+	}
+	now = now.Add(50 * time.Millisecond)
+	table.applyUpdate(now, &PartUpdate{Crashes: crashes})
+	table.evaluate(now.Add(DefaultSettings().SettleDelay))
+	if status, _ := table.status(now, part("f")); status != Clear {
+		t.Errorf("the part has status %d, want %d", status, Clear)
+	}
+}
