Forward: requests wait for workers that do not answer the opening of a connection

What callers saw: 503 after 0.6 s, or 502 after 0.7 s for a request that could run again, with 4 s of their time left, while both workers of the service fell silent for a second, one after the other.

Cause: an opening that is not answered within 0.3 s excludes the worker for the rest of the request. With two workers none is left after 0.6 s.

Change: when no worker is left, those that did not answer are tried again for up to 1.5 s, the longest silence of a sound worker. Nothing was sent to them, so this also holds for requests that may run once. A refused connection is an answer: requests do not wait for workers that have ended, nor for a role that is lost.

Ruled out: half of the objective as the bound of the wait.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -216,6 +216,8 @@
 	excluded []string
 	// refused are the excluded workers that refused the request.
 	refused []string
+	// unresponsive are the excluded workers that did not answer the opening of a connection. They may only be silent for a moment.
+	unresponsive []string
 	// retryPrepaid is set if the next retry has already been taken from the budget.
 	retryPrepaid atomic.Bool
 }
@@ -262,6 +264,25 @@
 	a.refused = nil
 }
 
+// recordUnresponsive records that a worker, at which an attempt failed, has not answered the opening of a connection.
+func (a *attempts) recordUnresponsive(worker string) { a.unresponsive = append(a.unresponsive, worker) }
+
+// forgetUnresponsive records that a worker does not accept connections for another reason than silence.
+func (a *attempts) forgetUnresponsive(worker string) {
+	a.unresponsive = slices.DeleteFunc(a.unresponsive, func(id string) bool { return id == worker })
+}
+
+// notUnresponsive returns the excluded workers except those that have not answered.
+func (a *attempts) notUnresponsive() []string {
+	return slices.DeleteFunc(slices.Clone(a.excluded), func(worker string) bool { return slices.Contains(a.unresponsive, worker) })
+}
+
+// reinclude makes an unresponsive worker eligible again.
+func (a *attempts) reinclude(worker string) {
+	a.forgetUnresponsive(worker)
+	a.excluded = slices.DeleteFunc(a.excluded, func(id string) bool { return id == worker })
+}
+
 // decide returns what to do after a failed attempt that has been recorded.
 func (a *attempts) decide(failure failureKind, retries retrySource) decision {
 	if failure.endsRequest() || !a.allowsAnother() || !a.takeRetry(retries) {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -77,17 +77,8 @@
 		c.learnVersion(ctx, identifyPatience)
 		options := c.placeOptions(status, bar)
 		placement, found := c.handler.dispatcher.Place(c.request, c.match.Group, options)
-		if !found && !c.handler.dispatcher.hasVersion(c.match.Group, options.Version, c.attempts.failed()) {
-			return c.endWithoutVersion()
-		}
-		if !found && options.SuspectKey == "" {
-			if c.awaitWorker(ctx) {
-				continue
-			}
-			return c.giveUp(failureRefused, c.attempts.final())
-		}
 		if !found {
-			if isDone, action := c.awaitTurn(ctx, options); isDone {
+			if isDone, action := c.withoutWorker(ctx, options); isDone {
 				return action
 			}
 			continue
@@ -116,6 +107,23 @@
 	}
 }
 
+// withoutWorker waits for a worker that takes the request, if one is expected in time. Otherwise it ends the request and returns true.
+func (c *call) withoutWorker(ctx context.Context, options PlaceOptions) (bool, connAction) {
+	isOfVersion := c.handler.dispatcher.hasVersion(c.match.Group, options.Version, c.attempts.failed())
+	switch {
+	case isOfVersion && options.SuspectKey != "":
+		return c.awaitTurn(ctx, options)
+	case isOfVersion && c.awaitWorker(ctx):
+		return false, connKeep
+	case c.awaitUnresponsive(ctx):
+		return false, connKeep
+	case !isOfVersion:
+		return true, c.endWithoutVersion()
+	default:
+		return true, c.giveUp(failureRefused, c.attempts.final())
+	}
+}
+
 // placeOptions returns the placement constraints for the next attempt. Suspect requests, or those with a suspect part, are kept on separate
 // workers.
 func (c *call) placeOptions(status poison.Status, bar poison.Bar) PlaceOptions {
@@ -299,6 +307,9 @@
 	case c.copyable() && !options.Continue:
 		c.handler.dispatcher.recordStream(c.match.Rule.Name, time.Since(start))
 	}
+	if isUnresponsive(err) && !failure.endsRequest() {
+		c.attempts.recordUnresponsive(runner.Worker.ID)
+	}
 	c.guarded.reportFailure(runner.Worker, failure, err)
 	c.handler.dispatcher.recordIfRefused(runner.Worker, err)
 	if c.match.Group.Engine == nil && failure.mayHaveBeenAccepted() && !nothingSent(err) {
