A waiting request whose part is barred meanwhile is not told to come back

Found by a test of requests that wait in a gateway while a part of their prompts is barred: 2 of its 10 cases failed. None reached a worker, but the caller got 503 with a Retry-After of 0.15 s ("no worker takes the request now") where the part was barred during a prefill and the budget had no retry left, and of 0.35 s ("a role is gone") where the engine that the request waited for did not come in time. It had to come back for the 422 that it was due.

Cause: the end of a request that did not run looked at the workers only; the bar is asked for before each attempt, and there was none. The refusal asks for the bar of a part first now.

Ruled out: a bar seen too late. The cases for room, a back-off, a restored role, a turn, a retry after a break, a refusal or silence, and a prefill passed before and after.

Proof: TestWaitingRequestIsRefusedOnceItsPartIsBarred, 10 runs and 10 under -race pass (0.3 s each). It guards: without the check before attempts four cases fail, without the one after a prefill two, without both nine (each lets a request through to a worker).

--- a/internal/forward/availability.go
+++ b/internal/forward/availability.go
@@ -7,6 +7,7 @@
 
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/ctxsleep"
+	"github.com/granitebay/granitebay/internal/poison"
 )
 
 // unavailability describes why no worker accepts a request now, and when one is expected to.
@@ -98,8 +99,12 @@
 	retryAfterJitter = 0.15
 )
 
-// refuseWithRetryAfter tells the caller that its request did not run and when to retry.
+// refuseWithRetryAfter tells the caller that its request did not run and when to retry. If a part of the prompt was barred meanwhile, it tells that
+// instead, since a retry would be in vain.
 func (c *call) refuseWithRetryAfter() connAction {
+	if status, bar := c.guarded.status(); status == poison.Barred && !bar.Part.IsZero() {
+		return respondBarred(c.writer, c.report, c.guarded, bar)
+	}
 	expected, known := c.unavailability()
 	reason := ReasonBackOff
 	if !known {
--- /dev/null
+++ b/internal/forward/partbar_test.go
@@ -0,0 +1,158 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/poison"
+	"github.com/granitebay/granitebay/internal/routing"
+)
+
+// sharedPart is the part of shortPrompt and longPrompt that other requests may share.
+var sharedPart = poison.NewPart("g", "a")
+
+// barTestPart makes a guard learn that a part is barred, as from the store.
+func barTestPart(guard *poison.Guard, part poison.Part) {
+	now := time.Now()
+	guard.ApplyBar(poison.Bar{
+		Digest: part.Digest(), Part: part, Workers: []string{"gone-1", "gone-2", "gone-3"}, Times: 1, Since: now, Until: now.Add(time.Hour), TrialDelay: time.Hour,
+	})
+}
+
+// barOnRun returns a fakeWorkers.run that bars the part as the first run begins and goes on as the given one. Later runs are answered.
+func barOnRun(guard *poison.Guard, first func(ctx context.Context, worker *backend.Worker) (*Response, error)) func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
+	return func(ctx context.Context, number int, worker *backend.Worker, _ RunOptions) (*Response, error) {
+		if number > 1 {
+			return wholeResponse(http.StatusOK, "answer"), nil
+		}
+		barTestPart(guard, sharedPart)
+		return first(ctx, worker)
+	}
+}
+
+// TestWaitingRequestIsRefusedOnceItsPartIsBarred guards against a request that waits in the gateway while a part of its prompt is barred, and
+// reaches a worker afterwards, or is told to come back.
+func TestWaitingRequestIsRefusedOnceItsPartIsBarred(t *testing.T) {
+	// barAfter is when the bar comes, and releaseAfter when what the request waits for comes.
+	const barAfter, releaseAfter = 40 * time.Millisecond, 120 * time.Millisecond
+	repeatable := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Objective: time.Second}
+	for _, c := range []struct {
+		name string
+		// start returns the fixture and does to it what makes the request wait. It bars the part at some time.
+		start func(t *testing.T, guard *poison.Guard, prober *crashProber) *fixture
+		// wantPrefills and wantRuns are what reaches workers, before the bar.
+		wantPrefills, wantRuns int
+	}{
+		{name: "for room", start: func(t *testing.T, guard *poison.Guard, _ *crashProber) *fixture {
+			f := newFullFixture(t, 5)
+			time.AfterFunc(barAfter, func() { barTestPart(guard, sharedPart) })
+			return f
+		}},
+		{name: "for the end of a back-off", start: func(t *testing.T, guard *poison.Guard, _ *crashProber) *fixture {
+			f := newFixture(t, fixtureOptions{rule: repeatable, demand: shortPrompt, allowance: 10}, answeringWorkers())
+			for i := range 3 {
+				f.handler.dispatcher.BackOff(fmt.Sprint(i), releaseAfter)
+			}
+			time.AfterFunc(barAfter, func() { barTestPart(guard, sharedPart) })
+			return f
+		}},
+		{name: "for a lost role that is restored", wantRuns: 3, start: func(t *testing.T, guard *poison.Guard, _ *crashProber) *fixture {
+			f, _ := newLostRoleFixture(t, 4*time.Second, 50*time.Millisecond)
+			dispatcher := f.handler.dispatcher
+			dispatcher.SetRoleChange("prefill0", backend.RoleDecode)
+			time.AfterFunc(barAfter, func() { barTestPart(guard, sharedPart) })
+			time.AfterFunc(releaseAfter, func() { dispatcher.RecordResponse("prefill0", backend.RoleDecode, false) })
+			return f
+		}},
+		{name: "for a lost role that is not restored in time", wantRuns: 3, start: func(t *testing.T, guard *poison.Guard, _ *crashProber) *fixture {
+			f, _ := newLostRoleFixture(t, 600*time.Millisecond, 50*time.Millisecond)
+			f.handler.dispatcher.SetRoleChange("prefill0", backend.RoleDecode)
+			time.AfterFunc(barAfter, func() { barTestPart(guard, sharedPart) })
+			return f
+		}},
+		{name: "for its turn", wantRuns: 1, start: func(t *testing.T, guard *poison.Guard, prober *crashProber) *fixture {
+			workers := answeringWorkers()
+			f := newFixture(t, fixtureOptions{rule: repeatable, demand: shortPrompt, allowance: 10}, workers)
+			workers.run = func(_ context.Context, number int, worker *backend.Worker, _ RunOptions) (*Response, error) {
+				if number > 1 {
+					return wholeResponse(http.StatusOK, "answer"), nil
+				}
+				prober.crash(worker.ID)
+				time.AfterFunc(barAfter, func() { barTestPart(guard, sharedPart) })
+				time.AfterFunc(releaseAfter, func() {
+					f.handler.dispatcher.ChangeWorkers(backend.Changes{
+						Updated: []*backend.Worker{{ID: "again", Group: "g", Address: worker.Address, Slots: 4}}, Removed: []string{worker.ID},
+					})
+				})
+				return nil, resetError
+			}
+			return f
+		}},
+		{name: "for a retry after a break", wantRuns: 1, start: func(t *testing.T, guard *poison.Guard, _ *crashProber) *fixture {
+			return newFixture(t, fixtureOptions{rule: repeatable, demand: shortPrompt, allowance: 10}, &fakeWorkers{
+				run: barOnRun(guard, func(context.Context, *backend.Worker) (*Response, error) { return nil, resetError }),
+			})
+		}},
+		{name: "for a retry after a refusal", wantRuns: 1, start: func(t *testing.T, guard *poison.Guard, _ *crashProber) *fixture {
+			return newFixture(t, fixtureOptions{rule: repeatable, demand: shortPrompt, allowance: 10}, &fakeWorkers{
+				run: barOnRun(guard, func(context.Context, *backend.Worker) (*Response, error) { return nil, refusalError }),
+			})
+		}},
+		{name: "for a silent worker", wantRuns: 1, start: func(t *testing.T, guard *poison.Guard, _ *crashProber) *fixture {
+			rule := repeatable
+			rule.Objective = 50 * time.Millisecond
+			return newFixture(t, fixtureOptions{rule: rule, demand: shortPrompt, allowance: 10}, &fakeWorkers{
+				run: barOnRun(guard, func(ctx context.Context, _ *backend.Worker) (*Response, error) { return awaitCancel(ctx) }),
+			})
+		}},
+		{name: "for its prefill", wantPrefills: 1, start: func(t *testing.T, guard *poison.Guard, _ *crashProber) *fixture {
+			workers := answeringWorkers()
+			workers.prefill = func(_ context.Context, _ int, worker *backend.Worker) (*PrefilledPrompt, error) {
+				barTestPart(guard, sharedPart)
+				return &PrefilledPrompt{Engine: worker, Handle: "h"}, nil
+			}
+			return newFixture(t, fixtureOptions{rule: repeatable, engine: true, demand: longPrompt, allowance: 10}, workers)
+		}},
+		{name: "for its prefill, without a retry", wantPrefills: 1, start: func(t *testing.T, guard *poison.Guard, _ *crashProber) *fixture {
+			workers := answeringWorkers()
+			workers.prefill = func(_ context.Context, _ int, worker *backend.Worker) (*PrefilledPrompt, error) {
+				barTestPart(guard, sharedPart)
+				return &PrefilledPrompt{Engine: worker, Handle: "h"}, nil
+			}
+			return newFixture(t, fixtureOptions{rule: repeatable, engine: true, demand: longPrompt}, workers)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			prober := &crashProber{crashed: map[string]bool{}}
+			var f *fixture
+			guard := poison.NewGuard(poison.DefaultSettings(), prober, time.Now, func(event poison.Event) {
+				if ended, is := event.(poison.WorkerCrashed); is {
+					f.handler.dispatcher.RecordCrash(ended.Worker.ID, ended.Age)
+				}
+			})
+			f = c.start(t, guard, prober)
+			f.handler.SetGuard(guard)
+			response, body, err := f.get(t)
+			if err != nil || response.StatusCode != http.StatusUnprocessableEntity || !strings.Contains(body, string(ReasonPartBarred)) {
+				t.Errorf("got %v, %q, %v, want status %d", response, body, err, http.StatusUnprocessableEntity)
+			}
+			f.server.Close()
+			if runs, prefills := len(f.workers.ranAt), len(f.workers.prefilledAt); runs != c.wantRuns || prefills != c.wantPrefills {
+				t.Errorf("%d runs and %d prefills, want %d and %d", runs, prefills, c.wantRuns, c.wantPrefills)
+			}
+		})
+	}
+}
+
+// answeringWorkers returns workers that answer each run.
+func answeringWorkers() *fakeWorkers {
+	return &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
+		return wholeResponse(http.StatusOK, "answer"), nil
+	}}
+}
