A bar holds for requests whose worker has been chosen, until they are sent

The bar was asked for when the worker was chosen. A request that then waited for a connection (up to 0.3 s, and longer through another gateway), or for the answer of a worker that is asked for its version before a stream goes on there (up to 0.25 s), was sent whatever came meanwhile. Callers saw what the crashed worker left: 502, or a stream cut off, where 422 was due, and the worker was lost.

Cause: the last look at the guard came before the last wait.

Change: the client of the workers asks once more when the connection is open and nothing has been sent, for runs, prefills and continuations alike. The connection is kept for the next request. The attempt ends as barred, which says nothing about the worker, takes no retry and leads to the refusal. A part barred during a prefill ends its attempt the same way; it took a retry before.

Why there: one place covers every send and every wait before it. Cancelling the attempt when a bar comes would need a watch on each request.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -19,6 +19,9 @@
 	errStalled  = errors.New("the worker stopped sending events")
 )
 
+// errBarred is why a request is not sent to a worker that has been chosen for it.
+var errBarred = errors.New("the request or a part of its prompt was barred meanwhile")
+
 // ErrStopping is the cause for which the contexts of requests end at the end of the grace period of a stopping gateway. It is a
 // context.Canceled, because it says nothing about workers.
 var ErrStopping error = stoppingError{}
@@ -44,6 +47,8 @@
 	failureRefused
 	// failureMisdirected means that the worker's address now belongs to another worker. Reports call it "moved".
 	failureMisdirected
+	// failureBarred means that nothing was sent, because the request or a part of its prompt was barred after the worker had been chosen.
+	failureBarred
 	// failureSilent means that the worker did not start to respond within the response timeout. The request may have run.
 	failureSilent
 	// failureStalled means that the worker stopped sending events within a response that could continue at another worker.
@@ -66,6 +71,7 @@
 	failureUnreachable: "unreachable",
 	failureRefused:     "refused",
 	failureMisdirected: "moved",
+	failureBarred:      "barred",
 	failureSilent:      "silent",
 	failureStalled:     "stalled",
 	failureBroken:      "broken",
@@ -103,7 +109,7 @@
 // mayHaveBeenAccepted reports whether the worker may have accepted the request.
 func (f failureKind) mayHaveBeenAccepted() bool {
 	switch f {
-	case failureUnreachable, failureRefused, failureMisdirected:
+	case failureUnreachable, failureRefused, failureMisdirected, failureBarred:
 		return false
 	default:
 		return true
@@ -164,6 +170,9 @@
 		}
 		return failureRefused
 	}
+	if errors.Is(err, errBarred) {
+		return failureBarred
+	}
 	if nothingSent(err) {
 		return failureUnreachable
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -103,6 +103,10 @@
 			c.guarded.reportSuccess()
 			return connKeep
 		}
+		if failure == failureBarred {
+			// The bar is the answer. No retry is needed for it.
+			continue
+		}
 		c.guarded.awaitProbe(ctx)
 		c.attempts.record(worker, failure)
 		decided := c.attempts.decide(failure, c.handler.dispatcher.RetryBudget(c.match.Group.Name))
@@ -166,12 +170,12 @@
 	if prompt == nil {
 		record.Score, record.Candidates = runner.Score, runner.Candidates
 	}
-	if c.guarded.hasStatus(poison.Pending, poison.Barred) {
+	if c.guarded.maySend() != nil {
 		// A part of the prompt was barred while an engine prefilled it.
 		c.releasePrompt(prompt)
 		runner.finish(balance.OutcomeNone)
-		c.recordAttempt(record, "barred: ", failureRefused)
-		return record.Worker, failureRefused
+		c.recordAttempt(record, "", failureBarred)
+		return record.Worker, failureBarred
 	}
 	if failure := c.confirmVersion(ctx, runner); failure != failureNone {
 		c.releasePrompt(prompt)
@@ -276,6 +280,7 @@
 		})
 		defer patience.Stop()
 	}
+	options.MaySend = c.guarded.maySend
 	options.ResumeAfter, options.Identify = c.relay.lastEvent, c.identifyIncarnation(runner.Worker, held)
 	response, err := c.handler.workers.Run(ctx, runner.Worker, c.request, options)
 	if err == nil {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -43,6 +43,8 @@
 
 	// connect is called to open a connection in advance; nil opens one.
 	connect func(worker *backend.Worker) error
+	// connecting is called while a connection for a run or a prefill opens; may be nil.
+	connecting func()
 	// onRun is called for each run; may be nil.
 	onRun func(request *Request)
 
@@ -55,6 +57,9 @@
 }
 
 func (f *fakeWorkers) Run(ctx context.Context, worker *backend.Worker, request *Request, options RunOptions) (*Response, error) {
+	if err := f.open(options.MaySend); err != nil {
+		return nil, err
+	}
 	if f.onRun != nil {
 		f.onRun(request)
 	}
@@ -67,6 +72,9 @@
 }
 
 func (f *fakeWorkers) Prefill(ctx context.Context, worker *backend.Worker, _ *Request, options PrefillOptions) (*PrefilledPrompt, error) {
+	if err := f.open(options.MaySend); err != nil {
+		return nil, err
+	}
 	f.mutex.Lock()
 	f.prefilledAt = append(f.prefilledAt, worker.ID)
 	f.prefillOptions = append(f.prefillOptions, options)
@@ -78,6 +86,20 @@
 	return &PrefilledPrompt{Engine: worker, Handle: fmt.Sprint("h", number)}, nil
 }
 
+// open opens a connection for a request, and returns an error if the request may not be sent any more.
+func (f *fakeWorkers) open(maySend func() error) error {
+	if f.connecting != nil {
+		f.connecting()
+	}
+	if maySend == nil {
+		return nil
+	}
+	if err := maySend(); err != nil {
+		return &httpclient.Error{Step: httpclient.StepConnect, Peer: "w", Cause: err}
+	}
+	return nil
+}
+
 func (f *fakeWorkers) Connect(_ context.Context, worker *backend.Worker) error {
 	if f.connect != nil {
 		return f.connect(worker)
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -144,6 +144,14 @@
 	return slices.Contains(statuses, status)
 }
 
+// maySend returns an error if the request must not be sent to a worker now.
+func (g *guardedRequest) maySend() error {
+	if g.hasStatus(poison.Pending, poison.Barred) {
+		return errBarred
+	}
+	return nil
+}
+
 // reportFailure reports to the guard that a connection to a worker broke during the request, or that a silent worker was abandoned. A
 // malformed response is not reported, since its worker is up.
 func (g *guardedRequest) reportFailure(worker *backend.Worker, failure failureKind, err error) {
--- a/internal/forward/partbar_test.go
+++ b/internal/forward/partbar_test.go
@@ -11,6 +11,7 @@
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // sharedPart is the part of shortPrompt and longPrompt that other requests may share.
@@ -150,6 +151,86 @@
 	}
 }
 
+// TestRequestOnItsWayIsNotSentOnceItsPartIsBarred guards against a request that reaches a worker although a part of its prompt was barred after
+// the worker had been chosen, while a connection opened or the worker was asked for its version.
+func TestRequestOnItsWayIsNotSentOnceItsPartIsBarred(t *testing.T) {
+	repeatable := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2}
+	resumable := routing.Rule{Kind: routing.KindStream, Resumable: true, MaxAttempts: 2}
+	finding := streamversion.Finding{Version: streamversion.Version{Service: "g", Software: "a"}, Source: streamversion.SourceOwnRecord}
+	for _, c := range []struct {
+		name    string
+		options fixtureOptions
+		// barAt is the number of the connection while which opens the part is barred; 0 bars it while the worker is asked for its version.
+		barAt int
+		// breaks makes the first run break.
+		breaks bool
+		// wantPrefills and wantRuns are what reaches workers, before the bar.
+		wantPrefills, wantRuns int
+	}{
+		{name: "connection of a run", options: fixtureOptions{rule: repeatable, demand: shortPrompt}, barAt: 1},
+		{name: "connection of the last retry", options: fixtureOptions{rule: repeatable, demand: shortPrompt, allowance: 1}, barAt: 2, breaks: true, wantRuns: 1},
+		{name: "connection of a prefill", options: fixtureOptions{rule: repeatable, engine: true, demand: longPrompt}, barAt: 1},
+		{name: "connection after a prefill", options: fixtureOptions{rule: repeatable, engine: true, demand: longPrompt}, barAt: 2, wantPrefills: 1},
+		{name: "version of the worker", options: fixtureOptions{rule: resumable, engine: true, demand: shortPrompt}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, time.Now, func(poison.Event) {})
+			workers := &fakeWorkers{run: func(_ context.Context, number int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+				if number == 1 && c.breaks {
+					return nil, resetError
+				}
+				return wholeResponse(http.StatusOK, "answer"), nil
+			}}
+			f := newFixture(t, c.options, workers)
+			f.handler.SetGuard(guard)
+			f.handler.SetStreamVersions(&fakeStreams{finding: finding})
+			if c.options.engine {
+				f.setDecoders(0, "a", "a", "a")
+			}
+			for i := range 3 {
+				if worker, found := f.handler.dispatcher.balancer.Worker(fmt.Sprint("engine-0-", i)); found {
+					reused := *worker
+					reused.Record = "reused"
+					f.handler.dispatcher.ChangeWorkers(backend.Changes{Updated: []*backend.Worker{&reused}})
+				}
+			}
+			var isAsked bool
+			f.handler.SetConfirmation(func(context.Context, *backend.Worker) error {
+				isAsked = true
+				barTestPart(guard, sharedPart)
+				return nil
+			})
+			connections := 0
+			workers.connecting = func() {
+				if connections++; connections == c.barAt {
+					barTestPart(guard, sharedPart)
+				}
+			}
+			send := f.get
+			if c.barAt == 0 {
+				send = f.resume
+			}
+			response, body, err := send(t)
+			if err != nil || response.StatusCode != http.StatusUnprocessableEntity || !strings.Contains(body, string(ReasonPartBarred)) {
+				t.Errorf("got %v, %q, %v, want status %d", response, body, err, http.StatusUnprocessableEntity)
+			}
+			f.server.Close()
+			if runs, prefills := len(workers.ranAt), len(workers.prefilledAt); runs != c.wantRuns || prefills != c.wantPrefills {
+				t.Errorf("%d runs and %d prefills, want %d and %d", runs, prefills, c.wantRuns, c.wantPrefills)
+			}
+			if isAsked != (c.barAt == 0) {
+				t.Errorf("the worker was asked for its version: %t, so the test checks nothing", isAsked)
+			}
+			for worker, status := range f.handler.dispatcher.balancer.WorkerStatuses(time.Now(), "g") {
+				if !status.Usable || status.Load != (backend.Load{}) {
+					t.Errorf("worker %s is usable: %t, with the load %+v", worker.ID, status.Usable, status.Load)
+				}
+			}
+		})
+	}
+}
+
 // answeringWorkers returns workers that answer each run.
 func answeringWorkers() *fakeWorkers {
 	return &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -26,9 +26,10 @@
 	c.guarded.beginAttempt()
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
 		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.prefillUrgency(), Arrivals: arrivals,
+		MaySend: c.guarded.maySend,
 	})
 	failure := classify(ctx, err)
-	if failure != failureRefused && failure != failureMisdirected && failure != failureUnreachable {
+	if failure.mayHaveBeenAccepted() {
 		c.prefills++
 	}
 	if failure == failureNone {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -96,6 +96,9 @@
 	Urgency int
 	// Arrivals is told where the response arrives; may be nil.
 	Arrivals *httpclient.Arrivals
+	// MaySend is called once a connection to the worker is open, before anything is sent, and returns why the request must not be sent any more;
+	// may be nil.
+	MaySend func() error
 	// Identify is set if it matters which incarnation of the worker sends the response.
 	Identify bool
 }
@@ -110,6 +113,9 @@
 	Urgency int
 	// Arrivals is told where the response arrives; may be nil.
 	Arrivals *httpclient.Arrivals
+	// MaySend is called once a connection to the worker is open, before anything is sent, and returns why the request must not be sent any more;
+	// may be nil.
+	MaySend func() error
 }
 
 // Workers sends requests to workers. Errors are of type *httpclient.Error, *Refusal or *InvalidResponse; other errors are treated like a
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -81,7 +81,7 @@
 		return ReasonTimeout
 	case failureError:
 		return ReasonWorkerError
-	case failureUnreachable, failureRefused, failureMisdirected:
+	case failureUnreachable, failureRefused, failureMisdirected, failureBarred:
 		return ReasonNoWorker
 	default:
 		return ReasonResponseTruncated
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -96,6 +96,8 @@
 	Body   []byte
 	// Arrivals is told where the response arrives; may be nil.
 	Arrivals *Arrivals
+	// MaySend is called once a connection is open, before anything is sent, and returns why the request must not be sent any more; may be nil.
+	MaySend func() error
 	// OnConnection is called before the request is sent, with the time at which its connection had been opened; may be nil.
 	OnConnection func(openedAt time.Time)
 	// DirectOnly keeps the request off connections that another process relays.
@@ -238,6 +240,12 @@
 		c.pool.putBack(connection)
 		return nil, &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
 	}
+	if request.MaySend != nil {
+		if err := request.MaySend(); err != nil {
+			c.pool.putBack(connection)
+			return nil, &Error{Step: StepConnect, Peer: address, Cause: err, unsent: true}
+		}
+	}
 	if request.OnConnection != nil {
 		request.OnConnection(connection.openedAt)
 	}
