Test: a broken stream does not go on once a part of its prompt is barred

Streams that break between events or within one, are refused at the next engine or break there again, with the bar just before that: those that callers take up after the last event and those that go on from a copy. No fault was found; the last look, as the connection opens, would have held a send alone, so the test also checks that no connection is opened and no attempt begun.

--- a/internal/forward/partbar_test.go
+++ b/internal/forward/partbar_test.go
@@ -231,6 +231,69 @@
 	}
 }
 
+// newBarredStreamFixture returns a continuation fixture for prompts with the shared part, and its guard.
+func newBarredStreamFixture(t *testing.T, resumable bool) (*fixture, *poison.Guard) {
+	t.Helper()
+	f := newContinuationFixture(t, resumable, &scriptedFleet{})
+	f.handler.protocol = plainProtocol{demand: backend.Demand{PromptTokens: 10, OutputTokens: 10, Segments: shortPrompt.Segments}}
+	guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, time.Now, func(poison.Event) {})
+	f.handler.SetGuard(guard)
+	return f, guard
+}
+
+// streamKinds are the ways by which a stream can go on at another engine.
+var streamKinds = []struct {
+	name      string
+	resumable bool
+}{{"resumed after its last event", true}, {"continued from its copy", false}}
+
+// TestBrokenStreamDoesNotGoOnOnceItsPartIsBarred guards against a stream that breaks or is refused elsewhere and goes on at another engine, or at
+// that with its copy, although a part of its prompt is barred by then.
+func TestBrokenStreamDoesNotGoOnOnceItsPartIsBarred(t *testing.T) {
+	for _, kind := range streamKinds {
+		for _, c := range []struct {
+			name      string
+			responses []scriptedResponse
+			// barAt is the number of the run in which the part is barred.
+			barAt    int
+			wantRuns int
+		}{
+			{"barred before a break", []scriptedResponse{{3, endBreak}}, 1, 1},
+			{"barred before a break within an event", []scriptedResponse{{3, endPartial}}, 1, 1},
+			{"barred before the continuation is refused", []scriptedResponse{{3, endBreak}, {0, endRefused}}, 2, 2},
+			{"barred before the continuation breaks", []scriptedResponse{{3, endBreak}, {5, endBreak}}, 2, 2},
+		} {
+			t.Run(kind.name+", "+c.name, func(t *testing.T) {
+				t.Parallel()
+				f, guard := newBarredStreamFixture(t, kind.resumable)
+				f.rule().MaxAttempts = maxReachedWorkers
+				scripted := &scriptedFleet{total: 8, responses: c.responses}
+				hadBackup, connections := false, 0
+				f.workers.connecting = func() { connections++ }
+				f.workers.run = func(ctx context.Context, number int, worker *backend.Worker, options RunOptions) (*Response, error) {
+					hadBackup = hadBackup || options.Backup != nil
+					if number == c.barAt {
+						barTestPart(guard, sharedPart)
+					}
+					return scripted.run(ctx, number, worker, options)
+				}
+				_, body, err := f.get(t)
+				f.server.Close()
+				if err == nil || !strings.HasPrefix(events(0, 8), body) || body == "" {
+					t.Errorf("got %q, %v, want a stream that is cut off", body, err)
+				}
+				attempts := len(f.reports.last.Attempts)
+				if runs := len(f.workers.ranAt); runs != c.wantRuns || connections != runs || attempts != runs {
+					t.Errorf("%d runs in %d attempts on %d connections, want %d", runs, attempts, connections, c.wantRuns)
+				}
+				if hadBackup == kind.resumable {
+					t.Errorf("the stream has a copy: %t, so the test checks nothing", hadBackup)
+				}
+			})
+		}
+	}
+}
+
 // answeringWorkers returns workers that answer each run.
 func answeringWorkers() *fakeWorkers {
 	return &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
