A stalled stream is not given up for an engine that a bar forbids

Found by a test of streams that stall after a part of their prompts was barred. No other engine got them. But a stream that could be taken up after its last event was cut off for nothing: the gateway gave its engine up after half of the caller's patience, took a retry from the budget, and found only then that the bar forbids the other engine. The caller had three of eight events, and the rest came 0.1 s later from the engine that had been given up. A stream with a copy was kept.

Cause: the decision on a stall asked whether there is another engine, and not whether the request may be sent there; with a copy it asks both.

Change: while the request may not be sent, there is no engine elsewhere. The stall is decided on again a moment later, as without a retry in the budget.

--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -254,7 +254,7 @@
 	run := c.migrationRun(worker, c.usableCopy(held))
 	means := migration.Means{Retry: true}
 	if held == nil {
-		means.Elsewhere = dispatcher.hasAlternative(c.request, c.match.Group, c.boundVersion(), append(slices.Clone(c.attempts.excluded), worker.ID))
+		means.Elsewhere = c.guarded.maySend() == nil && dispatcher.hasAlternative(c.request, c.match.Group, c.boundVersion(), append(slices.Clone(c.attempts.excluded), worker.ID))
 	}
 	decision := dispatcher.decideOnStall(run, means)
 	if _, keeps := decision.(migration.Keep); !keeps && held == nil {
--- a/internal/forward/partbar_test.go
+++ b/internal/forward/partbar_test.go
@@ -294,6 +294,37 @@
 	}
 }
 
+// TestStalledStreamStaysOnceItsPartIsBarred guards against a stream that stalls and goes on at another engine although a part of its prompt was
+// barred, and against one that is cut off for that, although its own engine goes on.
+func TestStalledStreamStaysOnceItsPartIsBarred(t *testing.T) {
+	for _, kind := range streamKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			t.Parallel()
+			f, guard := newBarredStreamFixture(t, kind.resumable)
+			f.workers.run = pausingRun(func(options RunOptions) {
+				if (options.Backup != nil) == kind.resumable {
+					t.Errorf("the stream has a copy: %t, so the test checks nothing", options.Backup != nil)
+				}
+				barTestPart(guard, sharedPart)
+			})
+			left := func() float64 { return f.handler.dispatcher.Budgets()[0].Left }
+			f.handler.dispatcher.RetryBudget("g").isExhausted()
+			before := left()
+			_, body, err := f.get(t)
+			f.server.Close()
+			if err != nil || body != events(0, 8) {
+				t.Errorf("got %q, %v, want the whole stream", body, err)
+			}
+			if runs := len(f.workers.ranAt); runs != 1 {
+				t.Errorf("%d runs, want 1", runs)
+			}
+			if after := left(); after < before {
+				t.Errorf("%v of %v retries are left, but none was of use", after, before)
+			}
+		})
+	}
+}
+
 // answeringWorkers returns workers that answer each run.
 func answeringWorkers() *fakeWorkers {
 	return &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
