A stream that is taken up is guarded in the group in which it goes on

Found by a test of resumptions under a rule with shares of two groups. A stream goes on in the group of the software version that began it, whichever group's turn it is. The guard was told the group whose turn it was: one of two resumptions with a part that is barred in their group reached a worker there, and the crash under it counted as evidence against the part of the other group, which no request had run in. Callers got 502 instead of 422, and each such resumption could end a worker.

Cause: the request was connected to the guard before the version was looked up.

Change: the version is looked up first. A barred resumption costs that look-up now, which is a question to other gateways at most; one whose version nobody knows gets its 503 before the 422.

Before: 1 of 2 resumptions reached a worker, evidence in the wrong group. After: none, and in the right one. TestResumptionIsGuardedInItsGroup, 10 runs and 10 under -race pass; in the order of before it fails.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -264,6 +264,12 @@
 		report.Err = err
 		return respondError(writer, report, http.StatusBadRequest, ReasonInvalid)
 	}
+	resumed, found := h.findStream(ctx, table, &match, request)
+	report.Stream, report.Group = resumed, match.Group.Name
+	if !found {
+		return respondError(writer, report, http.StatusServiceUnavailable, ReasonVersionUnknown)
+	}
+	// The parts of prompts are those of the group in which the stream goes on.
 	guarded := newGuardedRequest(h.guard, request, match)
 	switch guardStatus, bar := guarded.admit(&h.exclusive); guardStatus {
 	case poison.Pending:
@@ -271,11 +277,6 @@
 	case poison.Barred:
 		return respondBarred(writer, report, guarded, bar)
 	}
-	resumed, found := h.findStream(ctx, table, &match, request)
-	report.Stream, report.Group = resumed, match.Group.Name
-	if !found {
-		return respondError(writer, report, http.StatusServiceUnavailable, ReasonVersionUnknown)
-	}
 	if !h.tenants.Begin(match.Rule.Name, request.Tenant, match.Rule.MaxTenantInFlight) {
 		return respondRetryAfter(writer, report, ReasonTenantLimit, h.settings.RefusedRetryAfter)
 	}
--- a/internal/forward/partbar_test.go
+++ b/internal/forward/partbar_test.go
@@ -325,6 +325,55 @@
 	}
 }
 
+// TestResumptionIsGuardedInItsGroup guards against a stream that a caller takes up and that goes on in the group of the version which began it,
+// while the bars and the crashes of another group of its rule count.
+func TestResumptionIsGuardedInItsGroup(t *testing.T) {
+	const group = "h"
+	rule := routing.Rule{Kind: routing.KindStream, Resumable: true, MaxAttempts: 2}
+	f := newFixture(t, fixtureOptions{rule: rule, engine: true, demand: shortPrompt, allowance: 10}, &fakeWorkers{})
+	configuration := *f.handler.Table().Configuration()
+	other := configuration.Groups[0]
+	other.Name = group
+	configuration.Groups = append(configuration.Groups, other)
+	configuration.Rules[0].Shares = []routing.Share{{Group: "g", Weight: 1}, {Group: group, Weight: 1}}
+	f.handler.SetTable(routing.NewTable(&configuration, nil))
+	worker := &backend.Worker{ID: "h0", Group: group, Address: "h0", Role: backend.RoleDecode, Slots: 4, SoftwareVersion: "a"}
+	f.handler.dispatcher.ChangeWorkers(backend.Changes{Updated: []*backend.Worker{worker}})
+	version := streamversion.Version{Service: group, Software: "a"}
+	f.handler.SetStreamVersions(&fakeStreams{finding: streamversion.Finding{Version: version, Source: streamversion.SourceOwnRecord}})
+	prober := &crashProber{crashed: map[string]bool{}}
+	var crashed []poison.Part
+	guard := poison.NewGuard(poison.DefaultSettings(), prober, time.Now, func(event poison.Event) {
+		if ended, is := event.(poison.WorkerCrashed); is {
+			crashed = ended.Parts
+		}
+	})
+	f.handler.SetGuard(guard)
+	f.workers.run = func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
+		prober.crash(worker.ID)
+		return nil, resetError
+	}
+	if _, _, err := f.resume(t); err != nil {
+		t.Fatal(err)
+	}
+	if want := poison.NewPart(group, sharedPart.ID); len(crashed) != 1 || crashed[0] != want {
+		t.Errorf("the crash counts against the parts %v, want %v", crashed, want)
+	}
+	// The groups of the rule take turns.
+	const turns = 2
+	barTestPart(guard, poison.NewPart(group, sharedPart.ID))
+	ran := len(f.workers.ranAt)
+	for turn := range turns {
+		response, body, err := f.resume(t)
+		if err != nil || response.StatusCode != http.StatusUnprocessableEntity || !strings.Contains(body, string(ReasonPartBarred)) {
+			t.Errorf("turn %d: got %v, %q, %v, want status %d", turn, response, body, err, http.StatusUnprocessableEntity)
+		}
+	}
+	if runs := len(f.workers.ranAt) - ran; runs > 0 {
+		t.Errorf("%d requests with the barred part reached workers", runs)
+	}
+}
+
 // answeringWorkers returns workers that answer each run.
 func answeringWorkers() *fakeWorkers {
 	return &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
