A gateway that learns of a bar late does not repeat its trials

Found by a test of a gateway that learns of a bar from the store, as one that was cut off or has just started may, while trials of the part have begun elsewhere. It began the last one that was due again, at once, and any gateway could, as nobody had taken it in the time of the elected one: one more worker crashes for each gateway that joins so before a message of another one.

Cause: the store holds a bar as it was created, without the trials, so that each was taken for one that nobody had begun.

Change: a gateway that has learned of a bar begins no trial for two seconds, in which the others, which send all they know once a second, tell of the trials; where nobody does, the elected gateway begins the one that is due after that, and any other a second later. After a restart of all gateways that is one trial instead of one for each.

Ruled out: trials in the stored bar.

Before: TestTrialIsNotRepeatedWhereBarIsHeardLate fails in three checks. After: 10 runs and 10 under -race pass; package poison passes. It guards: without the time, without the wait for it, with one that never ends and without the count of others it fails, each tried alone.

--- a/internal/poison/partbarring.go
+++ b/internal/poison/partbarring.go
@@ -185,7 +185,7 @@
 	}
 	state.barCount++
 	state.trials = 0
-	state.barredSince, state.lastReport = now, now
+	state.barredSince, state.lastReport, state.heardAt = now, now, time.Time{}
 	state.barredUntil = now.Add(t.settings.barDuration(state.barCount))
 	t.unsentParts[part] = true
 	return state.bar(part)
@@ -224,7 +224,10 @@
 		return false
 	}
 	number, due := t.dueTrial(now, state)
-	if number < state.trials || (now.Sub(due) < t.settings.Parts.TrialElection && !isElected(number)) {
+	if heard := state.heardAt.Add(t.settings.Parts.TrialHearing); heard.After(due) {
+		due = heard
+	}
+	if number < state.trials || now.Before(due) || (now.Sub(due) < t.settings.Parts.TrialElection && !isElected(number)) {
 		return false
 	}
 	state.trials = number + 1
@@ -261,7 +264,7 @@
 	}
 	isNew := !now.Before(state.barredUntil)
 	state.barCount, state.barredSince, state.barredUntil = max(bar.Times, 1), earlier(bar.Since, now), bar.Until
-	state.trialDelay, state.trials, state.lastReport = bar.TrialDelay, 0, now
+	state.trialDelay, state.trials, state.lastReport, state.heardAt = bar.TrialDelay, 0, now, now
 	t.mergeBar(bar, state)
 	delete(t.due, bar.Part)
 	return isNew
--- a/internal/poison/parttable.go
+++ b/internal/poison/parttable.go
@@ -35,6 +35,9 @@
 	// TrialElection is how long only the elected gateway may begin a trial that is due. If it receives no request with the part, any gateway
 	// may.
 	TrialElection time.Duration
+	// TrialHearing is how long a gateway that has learned of a bar begins no trial. Bars in the store don't tell of the trials that have begun;
+	// the full updates of other gateways do, once a second.
+	TrialHearing time.Duration
 	// MaxParts and MaxAnswered bound the parts with crashes or bars, and those with nothing but an answer.
 	MaxParts, MaxAnswered int
 	// MaxCrashesPerPart bounds the crashes kept for one part; the earliest are dropped.
@@ -48,7 +51,7 @@
 	return PartSettings{
 		SuspectCrashes: 2, CrashLimit: 3, AmbiguousCrashLimit: 5, MinOtherRequests: 2, MinShare: 0.25, AmbiguousMinShare: 0.125,
 		AnswerMemory: time.Minute, UnansweredTime: 2 * time.Second, LearningTime: 10 * time.Second, LearningAnswers: 20,
-		TrialDelay: 3 * time.Second, AnsweredTrialDelay: 2 * time.Second, TrialBackoff: 8, TrialElection: time.Second, MaxParts: 4096, MaxAnswered: 16384, MaxCrashesPerPart: 64, MaxPerUpdate: 512,
+		TrialDelay: 3 * time.Second, AnsweredTrialDelay: 2 * time.Second, TrialBackoff: 8, TrialElection: time.Second, TrialHearing: 2 * time.Second, MaxParts: 4096, MaxAnswered: 16384, MaxCrashesPerPart: 64, MaxPerUpdate: 512,
 	}
 }
 
@@ -68,6 +71,8 @@
 	barCount                 int
 	barredSince, barredUntil time.Time
 	trialDelay               time.Duration
+	// heardAt is when this gateway learned of the bar; zero if it created it.
+	heardAt time.Time
 	// trials counts the trials of the bar that have begun, as far as this gateway knows.
 	trials int
 }
--- a/internal/poison/parttable_test.go
+++ b/internal/poison/parttable_test.go
@@ -190,6 +190,63 @@
 	}
 }
 
+// TestTrialIsNotRepeatedWhereBarIsHeardLate guards against a trial that each gateway repeats which learns of a bar from the store, where it does
+// not see the trials, and against a bar without trials after all gateways have learned of it that way.
+func TestTrialIsNotRepeatedWhereBarIsHeardLate(t *testing.T) {
+	limits := DefaultSettings().Parts
+	elected, other := func(int) bool { return true }, func(int) bool { return false }
+	s := newPartScript(t)
+	for i := range 3 {
+		s.crash(100*time.Millisecond, "b", fmt.Sprint("c", i))
+	}
+	s.settle()
+	s.now = s.now.Add(limits.TrialDelay)
+	if !s.table.beginTrial(s.now, part("b"), elected) {
+		t.Fatal("no trial began")
+	}
+	s.crash(100*time.Millisecond, "b", "trial")
+	s.now = s.now.Add(limits.TrialDelay)
+	stored := s.table.bars(s.now)[0]
+	value, err := stored.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if stored, err = DecodeBar(BarKey(stored.Digest), value); err != nil {
+		t.Fatal(err)
+	}
+	learn := func() *partTable {
+		table := newPartTable(DefaultSettings())
+		table.applyBar(s.now, stored)
+		if status, _ := table.status(s.now, part("b")); status != Barred {
+			t.Fatalf("the part has status %d, want %d", status, Barred)
+		}
+		return table
+	}
+	joined, alone := learn(), learn()
+	// The others send full updates once a second.
+	for _, after := range []time.Duration{0, 500 * time.Millisecond, 1300 * time.Millisecond} {
+		if joined.beginTrial(s.now.Add(after), part("b"), elected) {
+			t.Errorf("the trial began again %s after the gateway learned of the bar", after)
+		}
+	}
+	update := s.table.takeUpdate(s.now, true)
+	joined.applyUpdate(s.now, &update)
+	next := stored.Since.Add(limits.TrialDelay * time.Duration(limits.TrialBackoff))
+	if joined.beginTrial(next.Add(-time.Millisecond), part("b"), elected) {
+		t.Error("the trial began again, although another gateway had told of it")
+	}
+	if !joined.beginTrial(next, part("b"), elected) {
+		t.Error("the next trial did not begin")
+	}
+	heard := s.now.Add(limits.TrialHearing)
+	if alone.beginTrial(heard, part("b"), other) {
+		t.Error("a gateway that is not elected began a trial")
+	}
+	if !alone.beginTrial(heard, part("b"), elected) {
+		t.Error("no trial began where no gateway tells of any")
+	}
+}
+
 // TestPartIDsAreCanonical guards against a crashing part that callers write in several ways.
 func TestPartIDsAreCanonical(t *testing.T) {
 	for _, id := range []string{"5C1E", "005c1e", " 5c1e "} {
