A trial of a barred part is used up only once it was sent

Found while a test of a gateway that joins the others again was checked: its trial met a worker that had gone, its caller got 422, and the trial counted as done although nothing had reached a worker.

Cause: the request counted as sent when a worker had been chosen for it.

Change: it counts as sent when the connection is open and the client asks whether it may still send it. An attempt that reached nobody leaves the trial with the request, which goes on to another worker, or returns it.

Before: TestTrialEndsWithItsFirstSend, "the first worker is not reached", 422 and no run; after, answered by the second worker, which lifts the bar. Its other cases hold a trial to one send. It guards: without noting the send two cases fail, without asking for it the first.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -280,7 +280,7 @@
 		})
 		defer patience.Stop()
 	}
-	options.MaySend = c.guarded.maySend
+	options.MaySend = c.guarded.beginSend
 	options.ResumeAfter, options.Identify = c.relay.lastEvent, c.identifyIncarnation(runner.Worker, held)
 	response, err := c.handler.workers.Run(ctx, runner.Worker, c.request, options)
 	if err == nil {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -43,8 +43,8 @@
 
 	// connect is called to open a connection in advance; nil opens one.
 	connect func(worker *backend.Worker) error
-	// connecting is called while a connection for a run or a prefill opens; may be nil.
-	connecting func()
+	// connecting is called while a connection for a run or a prefill opens, and returns why it does not; may be nil.
+	connecting func() error
 	// onRun is called for each run; may be nil.
 	onRun func(request *Request)
 
@@ -89,7 +89,9 @@
 // open opens a connection for a request, and returns an error if the request may not be sent any more.
 func (f *fakeWorkers) open(maySend func() error) error {
 	if f.connecting != nil {
-		f.connecting()
+		if err := f.connecting(); err != nil {
+			return err
+		}
 	}
 	if maySend == nil {
 		return nil
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -30,9 +30,9 @@
 	probeDone <-chan struct{}
 	// connectionBroke is set once a connection to a worker broke during the request.
 	connectionBroke bool
-	// trialOf is the barred part whose trial the request is; zero if it is none, or has failed. hasAttempt is set once it was sent to a worker.
-	trialOf    poison.Part
-	hasAttempt bool
+	// trialOf is the barred part whose trial the request is; zero if it is none, or has failed. wasSent is set once it was sent to a worker.
+	trialOf poison.Part
+	wasSent bool
 	// answerBegan is when the worker of the current attempt began to answer; zero before. outlived is set once it has gone on for longer
 	// than crashOnset.
 	answerBegan time.Time
@@ -98,14 +98,13 @@
 
 // end lets another request be the trial of a barred part if this one was sent to no worker.
 func (g *guardedRequest) end() {
-	if !g.trialOf.IsZero() && !g.hasAttempt {
+	if !g.trialOf.IsZero() && !g.wasSent {
 		g.guard.ReturnTrial(g.trialOf)
 	}
 }
 
-// beginAttempt notes that the request is sent to a worker, which has not answered yet.
+// beginAttempt notes that a worker has been chosen, which has not answered yet.
 func (g *guardedRequest) beginAttempt() {
-	g.hasAttempt = true
 	g.answerBegan, g.outlived, g.isUnproved = time.Time{}, false, false
 }
 
@@ -152,13 +151,22 @@
 	return nil
 }
 
+// beginSend is called before the request is sent to a worker. It returns an error if it must not be sent now.
+func (g *guardedRequest) beginSend() error {
+	if err := g.maySend(); err != nil {
+		return err
+	}
+	g.wasSent = true
+	return nil
+}
+
 // reportFailure reports to the guard that a connection to a worker broke during the request, or that a silent worker was abandoned. A
 // malformed response is not reported, since its worker is up.
 func (g *guardedRequest) reportFailure(worker *backend.Worker, failure failureKind, err error) {
 	if g.guard == nil {
 		return
 	}
-	if failure != failureNone && g.hasAttempt {
+	if failure != failureNone && g.wasSent {
 		g.trialOf = poison.Part{}
 	}
 	var transport *httpclient.Error
--- a/internal/forward/partbar_test.go
+++ b/internal/forward/partbar_test.go
@@ -202,10 +202,11 @@
 				return nil
 			})
 			connections := 0
-			workers.connecting = func() {
+			workers.connecting = func() error {
 				if connections++; connections == c.barAt {
 					barTestPart(guard, sharedPart)
 				}
+				return nil
 			}
 			send := f.get
 			if c.barAt == 0 {
@@ -269,7 +270,10 @@
 				f.rule().MaxAttempts = maxReachedWorkers
 				scripted := &scriptedFleet{total: 8, responses: c.responses}
 				hadBackup, connections := false, 0
-				f.workers.connecting = func() { connections++ }
+				f.workers.connecting = func() error {
+					connections++
+					return nil
+				}
 				f.workers.run = func(ctx context.Context, number int, worker *backend.Worker, options RunOptions) (*Response, error) {
 					hadBackup = hadBackup || options.Backup != nil
 					if number == c.barAt {
@@ -374,6 +378,56 @@
 	}
 }
 
+// TestTrialEndsWithItsFirstSend guards against a trial of a barred part that is used up without having reached a worker, so that a mistaken bar
+// lasts until the next one, and against one that reaches several.
+func TestTrialEndsWithItsFirstSend(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// first is the error of the first attempt.
+		first                error
+		wantStatus, wantRuns int
+	}{
+		{"the first worker is not reached", connectError, http.StatusOK, 1},
+		{"the first worker refuses the request", refusalError, http.StatusUnprocessableEntity, 1},
+		{"the first worker breaks off", resetError, http.StatusUnprocessableEntity, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			workers := &fakeWorkers{}
+			connections := 0
+			workers.connecting = func() error {
+				if connections++; connections == 1 && c.first == connectError {
+					return connectError
+				}
+				return nil
+			}
+			workers.run = func(_ context.Context, number int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+				if number == 1 && c.first != connectError {
+					return nil, c.first
+				}
+				return wholeResponse(http.StatusOK, "answer"), nil
+			}
+			rule := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2}
+			f := newFixture(t, fixtureOptions{rule: rule, demand: shortPrompt, allowance: 10}, workers)
+			var elapsed time.Duration
+			guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, func() time.Time { return time.Now().Add(elapsed) }, func(poison.Event) {})
+			f.handler.SetGuard(guard)
+			now := time.Now()
+			guard.ApplyBar(poison.Bar{
+				Digest: sharedPart.Digest(), Part: sharedPart, Workers: []string{"gone-1", "gone-2", "gone-3"}, Times: 1, Since: now, Until: now.Add(time.Hour),
+				TrialDelay: time.Second,
+			})
+			elapsed = time.Second + 2*poison.DefaultSettings().Parts.TrialHearing
+			if response, body, err := f.get(t); err != nil || response.StatusCode != c.wantStatus {
+				t.Errorf("got %v, %q, %v, want status %d", response, body, err, c.wantStatus)
+			}
+			if runs := len(workers.ranAt); runs != c.wantRuns {
+				t.Errorf("%d runs, want %d", runs, c.wantRuns)
+			}
+		})
+	}
+}
+
 // answeringWorkers returns workers that answer each run.
 func answeringWorkers() *fakeWorkers {
 	return &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -26,7 +26,7 @@
 	c.guarded.beginAttempt()
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
 		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.prefillUrgency(), Arrivals: arrivals,
-		MaySend: c.guarded.maySend,
+		MaySend: c.guarded.beginSend,
 	})
 	failure := classify(ctx, err)
 	if failure.mayHaveBeenAccepted() {
