Gateway: lines and errors of bars hold for parts of prompts, too

The store holds bars of requests and of parts. The line of a removed bar, the record of its removal and the error of a write still called each a request.

--- a/internal/gateway/barsyncer.go
+++ b/internal/gateway/barsyncer.go
@@ -20,8 +20,8 @@
 )
 
 // barSyncer synchronizes bars with the store. A bar rejects requests with one digest, or with one part in their prompts,
-// which crashed workers, until it expires. In the store, bars outlive the gateways that created them and reach gateways that receive no updates from
-// those or start later.
+// which crashed workers, until it expires. In the store, bars outlive the gateways that created them and reach gateways
+// that receive no updates from those or start later.
 type barSyncer struct {
 	gateway *Gateway
 	guard   *poison.Guard
@@ -58,7 +58,7 @@
 	// barCommitTimeout bounds one change.
 	barCommitTimeout = time.Second
 	// barCleanupInterval is how often the leader removes old bars, and barRetention how long expired bars are kept:
-	// until then, one more worker crash under the request bars it again.
+	// until then, one more worker crash under the request, or under one with the part, bars it again.
 	barCleanupInterval = time.Minute
 	barRetention       = 24 * time.Hour
 )
@@ -140,7 +140,7 @@
 	return fields
 }
 
-// recordDecision records a decision about a request.
+// recordDecision records a decision about a bar.
 func (b *barSyncer) recordDecision(bar poison.Bar, outcome, reason string) {
 	record := decision.Record{Kind: decision.KindBar, Subject: bar.Digest.String(), Outcome: outcome, Reason: reason}
 	if len(bar.Workers) > 0 {
@@ -223,8 +223,8 @@
 }
 
 // apply writes one change. On a conflict another gateway has made a change, which the store will report; after other
-// errors the change is retried. A bar that is no longer in force, because the request completed or was released, is not
-// written.
+// errors the change is retried. A bar that is no longer in force, because a request completed or the bar was released, is
+// not written.
 func (b *barSyncer) apply(ctx context.Context, change pendingBar) {
 	if !change.remove && !b.guard.IsBarred(change.bar) {
 		return
@@ -233,7 +233,7 @@
 	if err == nil || errors.Is(err, store.ErrConflict) {
 		return
 	}
-	b.logger.WithError(err).WithField("asked", change.bar.Digest).Warn("Writing the bar of a request to the store failed; retrying.")
+	b.logger.WithError(err).WithField("asked", change.bar.Digest).Warn("Writing a bar to the store failed; retrying.")
 	change.due = time.Now().Add(barRetryDelay)
 	b.schedule(change)
 }
@@ -256,7 +256,7 @@
 		transaction.Puts = []store.Put{{Key: key, Value: value}}
 	}
 	_, err := b.gateway.dependencies.Store.Commit(ctx, transaction)
-	return errors.Wrapf(err, "update bar of request %s in store", change.bar.Digest)
+	return errors.Wrapf(err, "update bar %s in store", change.bar.Digest)
 }
 
 // removeExpired schedules the removal of old bars if this gateway is the leader.
@@ -273,14 +273,14 @@
 	}
 }
 
-// release removes the bar of a request on behalf of an operator and reports whether there was one. It fails if the store
+// release removes the bar with a digest on behalf of an operator and reports whether there was one. It fails if the store
 // rejects the change.
 func (b *barSyncer) release(ctx context.Context, digest poison.Digest) (bool, error) {
 	b.mu.Lock()
 	_, found := b.stored[digest]
 	b.mu.Unlock()
 	if !found {
-		// The bar may be about to be written. Releasing it here also clears it on the other gateways, as if the request had
+		// The bar may be about to be written. Releasing it here also clears it on the other gateways, as if a request had
 		// completed, which drops their pending writes.
 		return b.handleRemoved(digest), nil
 	}
@@ -299,8 +299,8 @@
 	b.mu.Unlock()
 	wasBarred := b.guard.Release(digest)
 	if wasBarred {
-		b.logger.WithField("asked", digest).Info("Request is no longer barred.")
-		b.recordDecision(poison.Bar{Digest: digest}, "released", "The bar of the request was removed from the store.")
+		b.logger.WithField("asked", digest).Info("Bar removed.")
+		b.recordDecision(poison.Bar{Digest: digest}, "released", "The bar was removed from the store.")
 	}
 	return wasBarred
 }
