--- a/internal/peersync/supplement.go
+++ b/internal/peersync/supplement.go
@@ -119,8 +119,7 @@
 // Empty reports whether there is nothing to send.
 func (s *Supplement) Empty() bool {
 	return len(s.Leaving) == 0 && len(s.Limits) == 0 && len(s.LoanRequests) == 0 && len(s.Loans) == 0 && len(s.Queued) == 0 &&
-		len(s.Promises) == 0 && len(s.EngineReports) == 0 && len(s.StreamVersions) == 0 &&
-		s.Parts == nil
+		len(s.Promises) == 0 && len(s.EngineReports) == 0 && len(s.StreamVersions) == 0 && s.Parts == nil
 }
 
 // Encode returns the encoding of a supplement.
