Forward: standby gateways begin no trials of barred parts

What callers saw: nothing, but each standby gateway that a caller still reached could crash a worker under a barred part.

Cause: a trial that has begun is told in updates, which entries send to each other only. Standby gateways know the bar from the store, without its trials, and once the second of the elected gateway was over each began the trial that was due. Most met a worker that had just crashed, which spent the trial; since a trial is used up only once it was sent, all reached one.

Change: a gateway that receives no updates begins no trials. A part that is barred by mistake is cleared by the trial of an entry, as before.

TestGatewayThatHearsNoOthersBeginsNoTrial could not be run before: what it sets did not exist.

--- a/internal/forward/exclusive.go
+++ b/internal/forward/exclusive.go
@@ -25,6 +25,8 @@
 type exclusiveRuns struct {
 	// isElected reports whether this gateway is elected for a key; if nil, it always is.
 	isElected func(key string) bool
+	// hearsOthers reports whether this gateway receives the updates of the others; if nil, it always does.
+	hearsOthers func() bool
 
 	mu      sync.Mutex
 	running map[poison.Digest]bool
@@ -36,6 +38,12 @@
 	h.exclusive.isElected = isElected
 }
 
+// SetTrialKnowledge sets the function that reports whether this gateway receives the updates of the others, which tell of the trials of barred parts.
+// While it doesn't, it begins none. Without the function, it always does. It must be called before the first request.
+func (h *Handler) SetTrialKnowledge(hearsOthers func() bool) {
+	h.exclusive.hearsOthers = hearsOthers
+}
+
 // hasTurn reports whether copies of a suspect request may start at this gateway. Turns are numbered by the time since the last crash, which
 // is about the same at all gateways.
 func (r *exclusiveRuns) hasTurn(digest poison.Digest, sinceCrash time.Duration) bool {
@@ -45,6 +53,9 @@
 	return sinceCrash%exclusiveTurn < exclusiveTurn-exclusiveRunTime && r.isElected(fmt.Sprint(digest, "/", int(sinceCrash/exclusiveTurn)))
 }
 
+// mayBeginTrials reports whether this gateway begins trials of barred parts at all. One that is not told of the trials of others would repeat them.
+func (r *exclusiveRuns) mayBeginTrials() bool { return r.hearsOthers == nil || r.hearsOthers() }
+
 // hasTrial reports whether this gateway begins a trial of a barred part.
 func (r *exclusiveRuns) hasTrial(part poison.Part, number int) bool {
 	return r.isElected == nil || r.isElected(fmt.Sprint(part.Digest(), "/trial/", number))
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -89,7 +89,7 @@
 	}
 	g.guard.CountRequest(g.parts)
 	status, bar := g.status()
-	if status == poison.Barred && !bar.Part.IsZero() {
+	if status == poison.Barred && !bar.Part.IsZero() && exclusive.mayBeginTrials() {
 		g.trialOf = g.guard.BeginTrial(g.parts, exclusive.hasTrial)
 		return g.status()
 	}
--- a/internal/forward/partbar_test.go
+++ b/internal/forward/partbar_test.go
@@ -428,6 +428,33 @@
 	}
 }
 
+// TestGatewayThatHearsNoOthersBeginsNoTrial guards against standby gateways that each repeat a trial which another gateway has begun, at the cost of a
+// worker each.
+func TestGatewayThatHearsNoOthersBeginsNoTrial(t *testing.T) {
+	workers := answeringWorkers()
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable}, demand: shortPrompt}, workers)
+	var elapsed time.Duration
+	guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, func() time.Time { return time.Now().Add(elapsed) }, func(poison.Event) {})
+	f.handler.SetGuard(guard)
+	hearsOthers := false
+	f.handler.SetTrialKnowledge(func() bool { return hearsOthers })
+	now := time.Now()
+	guard.ApplyBar(poison.Bar{
+		Digest: sharedPart.Digest(), Part: sharedPart, Workers: []string{"gone-1", "gone-2", "gone-3"}, Times: 1, Since: now, Until: now.Add(time.Hour),
+		TrialDelay: time.Second,
+	})
+	elapsed = time.Second + 2*poison.DefaultSettings().Parts.TrialHearing
+	for _, want := range []int{http.StatusUnprocessableEntity, http.StatusOK} {
+		if response, body, err := f.get(t); err != nil || response.StatusCode != want {
+			t.Errorf("hears others %t: got %v, %q, %v, want status %d", hearsOthers, response, body, err, want)
+		}
+		hearsOthers = true
+	}
+	if len(workers.ranAt) != 1 {
+		t.Errorf("%d requests with the barred part reached workers, want 1", len(workers.ranAt))
+	}
+}
+
 // answeringWorkers returns workers that answer each run.
 func answeringWorkers() *fakeWorkers {
 	return &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,6 +179,8 @@
 	g.barSyncer = newBarSyncer(g, dependencies.Prober)
 	g.handler.SetGuard(g.barSyncer.guard)
 	g.handler.SetSuspectElection(g.ownsKey)
+	// Entries send their updates to each other only.
+	g.handler.SetTrialKnowledge(g.isEntry)
 	if dependencies.Labelled != nil {
 		g.handler.ServeLabelled(dependencies.Labelled)
 	}
