Forward tests: the wait for a retry is tested with time left after the stall

Test fault, found by runs on one processor beside two busy processes: 6 of 12 runs of TestRefusedContinuationAwaitsRetry failed. The stream was cut before the refusal that the test is about, or the wait seemed too long by 0.1 s.

Cause: the patience of 2 s is as long as the timeout of the fixture's rule, so the stall, noticed after 1 s, left the other second for the wait of 0.5 s. If a timer shows that the process stood still, the patience with the worker begins anew, and the timeout was over first; so it is in the product, too.

Change: a patience of 4 s and a timeout of 40 s. The bounds keep their relation to the patience: a quarter for the wait, half for what the caller sees.

The test fails with the wait taken out and with one of the whole patience.

--- a/internal/forward/awaitretry_test.go
+++ b/internal/forward/awaitretry_test.go
@@ -12,7 +12,11 @@
 // TestRefusedContinuationAwaitsRetry has a stalled stream take the last retry for a continuation that is refused. It guards against a stream that is
 // cut although the budget has another retry a moment later, and against one that is held for longer than its caller waits.
 func TestRefusedContinuationAwaitsRetry(t *testing.T) {
-	const patience, refillAfter = 2 * time.Second, 100 * time.Millisecond
+	const (
+		patience, refillAfter = 4 * time.Second, 100 * time.Millisecond
+		// timeout leaves time for a stall that is noticed late: if a timer shows that this process stood still, the patience with a worker begins anew.
+		timeout = 10 * patience
+	)
 	for _, test := range []struct {
 		desc    string
 		refills bool
@@ -24,7 +28,8 @@
 			t.Parallel()
 			scripted := &scriptedFleet{total: 8, responses: []scriptedResponse{{3, endStall}, {0, endRefused}}}
 			f := newContinuationFixture(t, true, scripted)
-			f.handler.Table().Configuration().Rules[0].Patience = patience
+			rule := &f.handler.Table().Configuration().Rules[0]
+			rule.Patience, rule.Timeout = patience, timeout
 			dispatcher := f.handler.dispatcher
 			var refusedAt time.Time
 			f.workers.run = func(ctx context.Context, number int, worker *backend.Worker, options RunOptions) (*Response, error) {
