--- a/internal/callers/unread_test.go
+++ b/internal/callers/unread_test.go
@@ -60,6 +60,16 @@
 		t.Fatal(err)
 	}
 	check("a request that was read", want)
+	unread.request(t, pathHook)
+	<-blocked
+	if err := unread.send(request); err != nil {
+		t.Fatal(err)
+	}
+	check("another request that nobody reads", want+", "+want)
+	s.listener.beforeRead.open()
+	if err := unread.readResponse(); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // BenchmarkReportUnread measures the look at an idle connection.
