Callers tests: late callers are no judges of the header timeout

Test fault, found by runs on one processor beside two busy processes: 1 of 4 runs of TestFirstRequestsAroundHeaderTimeoutAreAnswered failed for a caller that got no processor time and sent its first request long after the margin of the timeout.

Change: requests are judged that were sent whole within the timeout and 0.3 s, as all are on a machine that is not busy, where the last one is sent after 0.23 s. The time counts from before the connection is opened, and a run without a judged request fails.

--- a/internal/callers/restbound_test.go
+++ b/internal/callers/restbound_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -139,15 +140,21 @@
 // it, in one or two parts. It guards against callers that keep to the timeout and whose requests cross the close, and against a first header that is
 // cut off since it began late.
 func TestFirstRequestsAroundHeaderTimeoutAreAnswered(t *testing.T) {
-	const headerTimeout = restBound / 2
+	const (
+		headerTimeout = restBound / 2
+		// maxSent is the latest end of a request that is answered.
+		maxSent = headerTimeout + restDelay + restDelay/2
+	)
 	for _, firstPart := range []int{0, 10} {
 		t.Run(strconv.Itoa(firstPart), func(t *testing.T) {
 			t.Parallel()
 			s := newTestServer(t, time.Hour, headerTimeout)
 			var callers sync.WaitGroup
+			var inTime atomic.Int32
 			for i := range restCallers {
-				caller := s.dial(t)
+				// The server starts to count later.
 				opened := time.Now()
+				caller := s.dial(t)
 				callers.Go(func() {
 					time.Sleep(time.Until(opened.Add(headerTimeout - restDelay/10 + restDelay*time.Duration(i)/restCallers)))
 					request := requestFor("/1")
@@ -158,15 +165,24 @@
 					if err == nil {
 						err = caller.send(request[firstPart:])
 					}
+					sent := time.Since(opened)
 					if err == nil {
 						err = caller.readResponse()
 					}
+					// On a busy machine a caller may be late.
+					if sent > maxSent {
+						return
+					}
+					inTime.Add(1)
 					if err != nil {
-						t.Errorf("no response to a first request %v after the opening: %v", time.Since(opened), err)
+						t.Errorf("no response to a first request %v after the opening: %v", sent, err)
 					}
 				})
 			}
 			callers.Wait()
+			if inTime.Load() == 0 {
+				t.Error("no request was sent in time, so the test checks nothing")
+			}
 		})
 	}
 }
