--- a/internal/callers/visibleclose_test.go
+++ b/internal/callers/visibleclose_test.go
@@ -5,13 +5,16 @@
 	"time"
 )
 
+// waitingCallers bring a connection to the states in which the server waits for a request.
+var waitingCallers = map[string]func(t *testing.T, caller *testCaller){
+	"idle":  func(t *testing.T, caller *testCaller) { caller.request(t, "/1") },
+	"fresh": func(*testing.T, *testCaller) {},
+}
+
 // TestDecidedCloseIsVisible guards against requests that are lost on a connection which is open for the caller, although the server has decided to
 // close it: between the last look at what has arrived and the close the process may stand still.
 func TestDecidedCloseIsVisible(t *testing.T) {
-	for desc, prepare := range map[string]func(caller *testCaller){
-		"idle":  func(caller *testCaller) { caller.request(t, "/1") },
-		"fresh": func(*testCaller) {},
-	} {
+	for desc, prepare := range waitingCallers {
 		t.Run(desc, func(t *testing.T) {
 			s := newTestServer(t, testDelay, testDelay)
 			caller, isOpen := s.dial(t), make(chan bool, 1)
@@ -22,7 +25,7 @@
 				}
 				isOpen <- open
 			})
-			prepare(caller)
+			prepare(t, caller)
 			if <-isOpen {
 				t.Error("the connection was open after the server had decided to close it")
 			}
@@ -33,10 +36,7 @@
 // TestRequestAfterDecidedCloseIsReset guards against a request that is acknowledged after the server has decided to close its connection. Its caller
 // can't know that nobody reads it, for as long as the process stands still before the close.
 func TestRequestAfterDecidedCloseIsReset(t *testing.T) {
-	for desc, prepare := range map[string]func(caller *testCaller){
-		"idle":  func(caller *testCaller) { caller.request(t, "/1") },
-		"fresh": func(*testCaller) {},
-	} {
+	for desc, prepare := range waitingCallers {
 		t.Run(desc, func(t *testing.T) {
 			s := newTestServer(t, testDelay, testDelay)
 			caller, isReset := s.dial(t), make(chan bool, 1)
@@ -47,7 +47,7 @@
 				}
 				isReset <- err != nil
 			})
-			prepare(caller)
+			prepare(t, caller)
 			if !<-isReset {
 				t.Error("the request was acknowledged, although nobody would read it")
 			}
