--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -48,8 +48,8 @@
 	// the first byte of a later request.
 	timeoutStart time.Time
 	timeout      time.Duration
-	// promisedIdle is the idle timeout that was in effect when the last response began, from which its Keep-Alive header was derived. The next idle
-	// timeout is not shorter.
+	// promisedIdle is the idle timeout that was in effect when the handler of the last request began, from which the Keep-Alive header of its response
+	// was derived. The next idle timeout is not shorter.
 	promisedIdle time.Duration
 	// requestedDeadline is the deadline set by net/http, currentDeadline the one set on the socket; zero means none.
 	requestedDeadline, currentDeadline time.Time
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -132,7 +132,8 @@
 
 // SetTimeouts changes the idle timeout and the header timeout. The header timeout runs from the accept for the first
 // request of a connection, and from the first byte for later ones. A zero value leaves a timeout unchanged. An increase
-// applies to all connections, a decrease only to timeouts that start afterwards, and to the idle timeout behind responses that begin afterwards.
+// applies to all connections, a decrease only to header timeouts that start afterwards, and to the idle timeouts behind requests whose handlers begin
+// afterwards.
 func (s *Server) SetTimeouts(idleTimeout, headerTimeout time.Duration) {
 	if idleTimeout > 0 {
 		s.idleTimeout.Store(int64(idleTimeout))
