--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -238,17 +238,22 @@
 		return
 	}
 	if crashes {
-		if crashPoint == CrashWithWholeEnd {
-			setUnframed(writer)
-		}
-		w.writeStream(writer, request, id, stepDelay, fault, 1)
-		w.crashOn(id)
-		// The response must not end as a whole one does.
-		panic(http.ErrAbortHandler)
+		w.crashInStream(writer, request, id, stepDelay, fault, crashPoint)
 	}
 	w.writeStream(writer, request, id, stepDelay, fault, w.options.Events)
 }
 
+// crashInStream writes the first event of a stream and crashes the worker. It does not return.
+func (w *Worker) crashInStream(writer http.ResponseWriter, request *http.Request, id string, step time.Duration, fault WorkerFault, point CrashPoint) {
+	if point == CrashWithWholeEnd {
+		setUnframed(writer)
+	}
+	w.writeStream(writer, request, id, step, fault, 1)
+	w.crashOn(id)
+	// The response must not end as a whole one does.
+	panic(http.ErrAbortHandler)
+}
+
 // writeStream writes up to maxEvents events after the last one that the client has received, at intervals of stepDelay.
 func (w *Worker) writeStream(writer http.ResponseWriter, request *http.Request, id string, step time.Duration, fault WorkerFault, maxEvents int) {
 	controller := http.NewResponseController(writer)
