Httpclient tests: a response that has arrived has been sent

TestResponseThatHasArrivedOutlastsItsRequest/whole failed once under -race at load 13: no byte of the response was read.

Change: the worker sends once the client has read the header, and the request ends 50 ms after the worker has sent.

--- a/internal/httpclient/unread_test.go
+++ b/internal/httpclient/unread_test.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// arrivalTime is the time in which what was sent arrives on the same machine.
+const arrivalTime = 50 * time.Millisecond
+
 // stopTime is the time within which workers have to learn that a request has ended.
 const stopTime = 500 * time.Millisecond
 
@@ -53,17 +56,19 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			closed := make(chan time.Time, 1)
+			hasHeader, hasSent := make(chan struct{}), make(chan struct{})
 			address := startWorker(t, func(connection net.Conn, reader *bufio.Reader, _ int) {
 				if _, _, err := readRequest(reader); err != nil {
 					return
 				}
 				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n"+test.length+"\r\n")
-				// The client has read the header, with what came with it.
-				time.Sleep(50 * time.Millisecond)
+				// The client reads the header with what comes with it.
+				<-hasHeader
 				_, _ = io.WriteString(connection, test.sent)
 				if test.ends {
 					_ = connection.(*net.TCPConn).CloseWrite()
 				}
+				close(hasSent)
 				_, _ = io.Copy(io.Discard, reader)
 				closed <- time.Now()
 			})
@@ -73,7 +78,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			time.Sleep(100 * time.Millisecond)
+			close(hasHeader)
+			<-hasSent
+			time.Sleep(arrivalTime)
 			ended := time.Now()
 			cancel(context.DeadlineExceeded)
 			time.Sleep(lateReadTime / 10)
