--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -222,9 +222,11 @@
 	// Digest is the digest of the request or the part. Release takes it.
 	Digest string `json:"asked"`
 	// Part is the id of a barred part, and Group the group whose workers it crashed; both are empty for a request.
-	Part  string `json:"part,omitempty"`
-	Group string `json:"group,omitempty"`
-	Rule  string `json:"rule"`
+	Part string `json:"part,omitempty"`
+	// SoftwareVersion is that of the workers for which a part is barred; empty for all workers.
+	SoftwareVersion string `json:"softwareVersion,omitempty"`
+	Group           string `json:"group,omitempty"`
+	Rule            string `json:"rule"`
 	// Tenant of the caller; empty if no tenants are configured.
 	Tenant string `json:"tenant"`
 	// Workers that exited while serving it, by ID.
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -129,7 +129,7 @@
 func (d *Dispatcher) hasFreeSlot(group string, options PlaceOptions) bool {
 	for worker, status := range d.balancer.WorkerStatuses(d.now(), group) {
 		isFree := worker.Role == backend.RoleDecode && status.Usable && status.Load.Decoding()+status.Load.Waiting < worker.Slots
-		if isFree && !slices.Contains(options.Excluded, worker.ID) && isOfVersion(worker, options.Version) {
+		if isFree && !slices.Contains(options.Excluded, worker.ID) && options.Versions.accepts(worker) {
 			return true
 		}
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -77,8 +77,17 @@
 		c.learnVersion(ctx, identifyPatience)
 		options := c.placeOptions(status, bar)
 		placement, found := c.handler.dispatcher.Place(c.request, c.match.Group, options)
-		if !found && !c.handler.dispatcher.hasVersion(c.match.Group, options.Version, c.attempts.failed()) {
-			return c.endWithoutVersion()
+		if !found && c.guarded.endVersionTrial() {
+			continue
+		}
+		if !found {
+			if status, bar := c.statusAtVersions(options.Versions); status >= poison.Pending {
+				return c.refuseBlocked(status, bar)
+			}
+			bound := versionFilter{bound: options.Versions.bound}
+			if !c.handler.dispatcher.hasVersion(c.match.Group, bound, c.attempts.failed()) {
+				return c.endWithoutVersion()
+			}
 		}
 		if !found && options.SuspectKey == "" {
 			if c.awaitWorker(ctx) {
@@ -119,7 +128,7 @@
 // placeOptions returns the placement constraints for the next attempt. Suspect requests, or those with a suspect part, are kept on separate
 // workers.
 func (c *call) placeOptions(status poison.Status, bar poison.Bar) PlaceOptions {
-	options := PlaceOptions{Excluded: c.attempts.excluded, Version: c.boundVersion(), Colocated: c.decideColocation()}
+	options := PlaceOptions{Excluded: c.attempts.excluded, Versions: c.versions(), Colocated: c.decideColocation()}
 	if status == poison.Suspected {
 		options.SuspectKey = bar.Digest.String()
 	}
@@ -166,7 +175,7 @@
 	if prompt == nil {
 		record.Score, record.Candidates = runner.Score, runner.Candidates
 	}
-	if c.guarded.hasStatus(poison.Pending, poison.Barred) {
+	if c.guarded.hasStatus(poison.Pending, poison.Barred) || !c.versions().acceptsSoftware(runner.Worker) {
 		// A part of the prompt was barred while an engine prefilled it.
 		c.releasePrompt(prompt)
 		runner.finish(balance.OutcomeNone)
@@ -253,7 +262,7 @@
 	options.Arrivals = &httpclient.Arrivals{}
 	c.relay.watch = c.watchStalls(ctx, cancel, runner.Worker, held, options.Arrivals)
 	defer c.relay.watch.stop()
-	c.guarded.beginAttempt()
+	c.guarded.beginAttempt(runner.Worker)
 	c.relay.onResponse = func() {
 		runner.responseStarted()
 		c.countUsage()
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -84,7 +84,7 @@
 		return nil
 	}
 	query := balance.Query{
-		Request: request.ID, Group: match.Group.Name, Role: backend.RoleDecode, Excluded: []string{run.Engine}, Eligible: ofVersion(&version),
+		Request: request.ID, Group: match.Group.Name, Role: backend.RoleDecode, Excluded: []string{run.Engine}, Eligible: versionFilter{bound: &version}.eligible(),
 	}
 	backup, found := d.balancer.Backup(now, query, func(zone string) bool { return (zone == run.Zone) != held.OtherZone })
 	if !found {
@@ -254,7 +254,7 @@
 	run := c.migrationRun(worker, c.usableCopy(held))
 	means := migration.Means{Retry: true}
 	if held == nil {
-		means.Elsewhere = dispatcher.hasAlternative(c.request, c.match.Group, c.boundVersion(), append(slices.Clone(c.attempts.excluded), worker.ID))
+		means.Elsewhere = dispatcher.hasAlternative(c.request, c.match.Group, c.versions(), append(slices.Clone(c.attempts.excluded), worker.ID))
 	}
 	decision := dispatcher.decideOnStall(run, means)
 	if _, keeps := decision.(migration.Keep); !keeps && held == nil {
@@ -283,7 +283,7 @@
 	if held == nil || !c.guarded.hasStatus(poison.Clear, poison.Excused) || !c.handler.dispatcher.copyAvailable(held) {
 		return nil
 	}
-	if !isOfVersion(held.engine, c.boundVersion()) {
+	if !c.versions().accepts(held.engine) {
 		return nil
 	}
 	return held
@@ -327,7 +327,7 @@
 	if !c.guarded.hasStatus(poison.Clear, poison.Excused) {
 		return nil, "workers ended under the request"
 	}
-	if c.learnVersion(ctx, identifyPatience); !isOfVersion(held.engine, c.boundVersion()) {
+	if c.learnVersion(ctx, identifyPatience); !c.versions().accepts(held.engine) {
 		return nil, "the engine that began the run had been started again"
 	}
 	switch decision := dispatcher.decideOnBreak(c.migrationRun(worker, held), migration.Means{Retry: true}).(type) {
--- a/internal/forward/dispatcher.go
+++ b/internal/forward/dispatcher.go
@@ -13,7 +13,6 @@
 	"github.com/granitebay/granitebay/internal/prefixcache"
 	"github.com/granitebay/granitebay/internal/retrybudget"
 	"github.com/granitebay/granitebay/internal/routing"
-	"github.com/granitebay/granitebay/internal/streamversion"
 	"github.com/granitebay/granitebay/internal/warmup"
 )
 
@@ -200,7 +199,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	query := balance.Query{
-		Group: group.Name, Role: runnerRole(group), SuspectKey: options.SuspectKey, Excluded: options.Excluded, Eligible: ofVersion(options.Version),
+		Group: group.Name, Role: runnerRole(group), SuspectKey: options.SuspectKey, Excluded: options.Excluded, Eligible: options.Versions.eligible(),
 	}
 	now := d.now()
 	wait := d.balancer.SuspectWait(now, query)
@@ -238,8 +237,8 @@
 	objective time.Duration
 	// suspectKey spreads suspect requests over workers; empty for other requests.
 	suspectKey string
-	// version restricts the engines that decode a prompt which this engine prefills; nil allows all.
-	version *streamversion.Version
+	// versions restricts the engines that decode a prompt which this engine prefills.
+	versions versionFilter
 	// urgency orders the queue of the decode engine. queued is what the request is counted for at the queue of the worker; zero if it is not.
 	urgency   int
 	queued    admission.Work
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -21,6 +21,8 @@
 	guard   *poison.Guard
 	request *Request
 	rule    string
+	// service is the service whose workers run the request.
+	service string
 	// parts are the parts of the prompt that other requests may share.
 	parts []poison.Part
 
@@ -33,6 +35,8 @@
 	// trialOf is the barred part whose trial the request is; zero if it is none, or has failed. hasAttempt is set once it was sent to a worker.
 	trialOf    poison.Part
 	hasAttempt bool
+	// worker is the worker of the current attempt; nil before the first.
+	worker *backend.Worker
 	// answerBegan is when the worker of the current attempt began to answer; zero before. outlived is set once it has gone on for longer
 	// than crashOnset.
 	answerBegan time.Time
@@ -46,7 +50,7 @@
 
 // newGuardedRequest returns a request to a group, connected to the guard.
 func newGuardedRequest(guard *poison.Guard, request *Request, match routing.Match) *guardedRequest {
-	g := &guardedRequest{guard: guard, request: request, rule: match.Rule.Name}
+	g := &guardedRequest{guard: guard, request: request, rule: match.Rule.Name, service: match.Group.Service()}
 	for _, segment := range request.Demand.SharedSegments() {
 		g.parts = append(g.parts, poison.NewPart(match.Group.Name, segment.ID))
 	}
@@ -73,7 +77,7 @@
 		return poison.Clear, poison.Bar{}
 	}
 	status, bar := g.guard.Status(g.requestDigest())
-	if !g.trialOf.IsZero() || len(g.parts) == 0 {
+	if g.isTrialAtAll() || len(g.parts) == 0 {
 		return status, bar
 	}
 	if partStatus, partBar := g.guard.PartStatus(g.parts); partStatus > status {
@@ -82,15 +86,59 @@
 	return status, bar
 }
 
-// admit returns the status of a request that has just arrived. A request with a barred part is let through if it is the trial of the part.
+// barredVersions returns the software versions of workers at which the request may not run, because a part of its prompt is barred or pending
+// there, and one of the bars. A nil request is not guarded.
+func (g *guardedRequest) barredVersions() ([]string, poison.Bar) {
+	if g == nil || g.guard == nil || len(g.parts) == 0 || !g.guard.HasSuspects() {
+		return nil, poison.Bar{}
+	}
+	if g.isTrialAtAll() {
+		return nil, poison.Bar{}
+	}
+	versions, bar := g.guard.BarredVersions(g.service, g.parts)
+	if trial := g.trialOf.Version; trial != "" {
+		versions = slices.DeleteFunc(versions, func(version string) bool { return version == trial })
+	}
+	return versions, bar
+}
+
+// isTrialAtAll reports whether the request is the trial of a part that is barred at all workers. It may run at any of them.
+func (g *guardedRequest) isTrialAtAll() bool { return !g.trialOf.IsZero() && g.trialOf.Version == "" }
+
+// trialVersion returns the software version at which the request is the trial of a part; empty if it is none.
+func (g *guardedRequest) trialVersion() string {
+	if g == nil {
+		return ""
+	}
+	return g.trialOf.Version
+}
+
+// endVersionTrial reports whether the request is the trial of a part at a software version, and makes it an ordinary one that runs at other
+// versions.
+func (g *guardedRequest) endVersionTrial() bool {
+	if g.trialOf.Version == "" {
+		return false
+	}
+	g.end()
+	g.trialOf = poison.Part{}
+	return true
+}
+
+// admit returns the status of a request that has just arrived. A request with a part that is barred, at all workers or at a software version, is
+// let through to them if it is the trial of the part.
 func (g *guardedRequest) admit(exclusive *exclusiveRuns) (poison.Status, poison.Bar) {
 	if g.guard == nil || !g.guard.HasSuspects() {
 		return poison.Clear, poison.Bar{}
 	}
-	g.guard.CountRequest(g.parts)
+	g.guard.CountRequest(g.service, g.parts)
 	status, bar := g.status()
-	if status == poison.Barred && !bar.Part.IsZero() {
-		g.trialOf = g.guard.BeginTrial(g.parts, exclusive.hasTrial)
+	isBarredPart := status == poison.Barred && !bar.Part.IsZero()
+	if status < poison.Pending {
+		versions, _ := g.barredVersions()
+		isBarredPart = len(versions) > 0
+	}
+	if isBarredPart {
+		g.trialOf = g.guard.BeginTrial(g.service, g.parts, exclusive.hasTrial)
 		return g.status()
 	}
 	return status, bar
@@ -104,8 +152,8 @@
 }
 
 // beginAttempt notes that the request is sent to a worker, which has not answered yet.
-func (g *guardedRequest) beginAttempt() {
-	g.hasAttempt = true
+func (g *guardedRequest) beginAttempt(worker *backend.Worker) {
+	g.hasAttempt, g.worker = true, worker
 	g.answerBegan, g.outlived, g.isUnproved = time.Time{}, false, false
 }
 
@@ -122,7 +170,7 @@
 		return
 	}
 	g.outlived = true
-	g.guard.RecordAnswer(g.answerBegan, g.parts)
+	g.guard.RecordAnswer(g.worker, g.answerBegan, g.parts)
 }
 
 // hasOutlived reports whether the current answer began longer than crashOnset ago.
@@ -214,7 +262,7 @@
 		return
 	}
 	if g.guard != nil && len(g.parts) > 0 && !g.answerBegan.IsZero() {
-		g.guard.RecordAnswer(g.answerBegan, g.parts)
+		g.guard.RecordAnswer(g.worker, g.answerBegan, g.parts)
 	}
 	if !g.hasStatus(poison.Clear) {
 		g.guard.RecordSuccess(g.requestDigest())
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -8,7 +8,6 @@
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/peersync"
 	"github.com/granitebay/granitebay/internal/routing"
-	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // Placement holds the worker of the next call for a request. The runner is the worker that runs the request; in a group of engines, it is
@@ -33,8 +32,8 @@
 type PlaceOptions struct {
 	// Excluded workers are not used.
 	Excluded []string
-	// Version restricts the workers that run the request to those of a software version; nil allows all.
-	Version *streamversion.Version
+	// Versions restricts the workers by the versions of their software.
+	Versions versionFilter
 	// Colocated makes the runner prefill the prompt itself.
 	Colocated bool
 	// SuspectKey is set for suspect requests. They are spread over workers by this key.
@@ -86,19 +85,17 @@
 	d.onPlacement = onPlacement
 }
 
-// hasAlternative reports whether a worker of a version, nil for any, other than the excluded ones could run a request.
-func (d *Dispatcher) hasAlternative(request *Request, group *routing.Group, version *streamversion.Version, excluded []string) bool {
-	return d.alternative(request, group, version, excluded) != nil
+// hasAlternative reports whether a worker of certain versions other than the excluded ones could run a request.
+func (d *Dispatcher) hasAlternative(request *Request, group *routing.Group, versions versionFilter, excluded []string) bool {
+	return d.alternative(request, group, versions, excluded) != nil
 }
 
-// alternative returns the best worker of a version, nil for any, other than the excluded ones that could run a request, or nil.
-func (d *Dispatcher) alternative(
-	request *Request, group *routing.Group, version *streamversion.Version, excluded []string,
-) *backend.Worker {
+// alternative returns the best worker of certain versions other than the excluded ones that could run a request, or nil.
+func (d *Dispatcher) alternative(request *Request, group *routing.Group, versions versionFilter, excluded []string) *backend.Worker {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	query := balance.Query{
-		Request: request.ID, Group: group.Name, Role: runnerRole(group), Zone: d.settings.Zone, Excluded: excluded, Eligible: ofVersion(version),
+		Request: request.ID, Group: group.Name, Role: runnerRole(group), Zone: d.settings.Zone, Excluded: excluded, Eligible: versions.eligible(),
 		Concentrate: true,
 	}
 	return d.balancer.Preferred(d.now(), query)
@@ -108,7 +105,7 @@
 func (d *Dispatcher) placePlain(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	choice, found := d.balancer.Pick(d.now(), balance.Query{
 		Request: request.ID, Group: group.Name, Role: backend.RoleNone, Zone: d.settings.Zone, Excluded: options.Excluded,
-		SuspectKey: options.SuspectKey, Eligible: ofVersion(options.Version), Concentrate: true,
+		SuspectKey: options.SuspectKey, Eligible: options.Versions.eligible(), Concentrate: true,
 	})
 	if !found {
 		return nil, false
@@ -145,7 +142,7 @@
 // too late yields to those that are on time.
 func (d *Dispatcher) placeOnEngines(request *Request, group *routing.Group, options PlaceOptions) (*Placement, bool) {
 	prompt := d.newPromptContext(request, group)
-	prompt.suspectKey, prompt.version = options.SuspectKey, options.Version
+	prompt.suspectKey, prompt.versions = options.SuspectKey, options.Versions
 	prompt.wanted = d.newWantedResponse(request, group, options)
 	if d.admission.Controls(group.Name) {
 		return d.placeAdmitted(prompt, options)
@@ -202,7 +199,7 @@
 	// A load without tokens would count as a request that decodes or waits to decode, but this engine only prefills it.
 	placement.Prefill = d.assign(choice, max(tokens, 1), prompt.deferred, objective)
 	placement.Prefill.suspectKey, placement.Prefill.wanted, placement.Prefill.urgency = prompt.suspectKey, prompt.wanted, start.Urgency
-	placement.Prefill.version = prompt.version
+	placement.Prefill.versions = prompt.versions
 	d.enterQueue(placement.Prefill, admission.Work{
 		Queue: admission.QueuePrefills, Urgency: placement.prefillUrgency(), Amount: placement.Prefill.load.PrefillTokens + placement.Prefill.load.DeferredTokens,
 	})
@@ -215,7 +212,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	prompt := d.newPromptContext(request, group)
-	prompt.suspectKey, prompt.version, prompt.prefilled, prompt.wanted = prefill.suspectKey, prefill.version, true, prefill.wanted
+	prompt.suspectKey, prompt.versions, prompt.prefilled, prompt.wanted = prefill.suspectKey, prefill.versions, true, prefill.wanted
 	prompt.slotOrder = d.admission.OrderOf(d.now(), group.Name, admission.QueueSlots, prefill.urgency)
 	choice, found := d.pickRunner(prompt, excluded, prefill.Worker)
 	if !found {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -23,7 +23,7 @@
 		patience := httpclient.NewPatience(timeout, arrivals, func() { go c.abandonSilent(ctx, gate, cancel, arrivals, others) })
 		defer patience.Stop()
 	}
-	c.guarded.beginAttempt()
+	c.guarded.beginAttempt(engine.Worker)
 	prompt, err := c.handler.workers.Prefill(ctx, engine.Worker, c.request, PrefillOptions{
 		Deadline: c.deadline, FetchFrom: placement.FetchFrom, Urgency: placement.prefillUrgency(), Arrivals: arrivals,
 	})
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -11,7 +11,6 @@
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/enginemodel"
 	"github.com/granitebay/granitebay/internal/routing"
-	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // promptContext holds what is needed to place one prompt.
@@ -26,8 +25,8 @@
 	// arrival. behindWaiting is set if it waits for a slot behind the deferred ones.
 	slotOrder, prefillOrder admission.Order
 	behindWaiting           bool
-	// version restricts the decode engines to those of a software version; nil allows all. The prompt may be prefilled at another version.
-	version *streamversion.Version
+	// versions restricts the engines by the versions of their software. The prompt may be prefilled at another version than that of the stream.
+	versions versionFilter
 	// suspectKey spreads suspect requests over workers; empty for other requests.
 	suspectKey string
 	// prefilled is set once the prompt has been prefilled.
@@ -72,9 +71,9 @@
 
 // query returns a query for an engine of a role.
 func (p *promptContext) query(role backend.Role, zone string, excluded []string) balance.Query {
-	order, eligible := p.slotOrder, ofVersion(p.version)
+	order, eligible := p.slotOrder, p.versions.eligible()
 	if role == backend.RolePrefill {
-		order, eligible = p.prefillOrder, nil
+		order, eligible = p.prefillOrder, p.versions.eligiblePrefill()
 	}
 	return balance.Query{
 		Response: p.wanted.forModel(p.dispatcher.now()),
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -9,7 +9,6 @@
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/ctxsleep"
 	"github.com/granitebay/granitebay/internal/httpclient"
-	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit, because no other
@@ -63,14 +62,14 @@
 
 // otherWorkers are the workers at which a request may run after an attempt.
 type otherWorkers struct {
-	// version is the only version of them, or nil for any. excluded are the worker of the attempt and those of earlier ones.
-	version  *streamversion.Version
+	// versions restricts them by the versions of their software. excluded are the worker of the attempt and those of earlier ones.
+	versions versionFilter
 	excluded []string
 }
 
 // othersThan returns the workers at which the request may run after an attempt at a worker that begins now.
 func (c *call) othersThan(worker *backend.Worker) otherWorkers {
-	return otherWorkers{version: c.boundVersion(), excluded: append(slices.Clone(c.attempts.excluded), worker.ID)}
+	return otherWorkers{versions: c.versions(), excluded: append(slices.Clone(c.attempts.excluded), worker.ID)}
 }
 
 // firstReachInterval is the time between the first two rounds of attempts to reach another worker. It doubles with each round.
@@ -96,7 +95,7 @@
 func (c *call) reachAlternative(ctx context.Context, others otherWorkers) (reached bool, tried int) {
 	excluded := others.excluded
 	for ; tried < maxUnreachableWorkers; tried++ {
-		worker := c.handler.dispatcher.alternative(c.request, c.match.Group, others.version, excluded)
+		worker := c.handler.dispatcher.alternative(c.request, c.match.Group, others.versions, excluded)
 		if worker == nil || !c.hasRetry() {
 			return false, tried
 		}
--- a/internal/forward/streamversion.go
+++ b/internal/forward/streamversion.go
@@ -79,17 +79,43 @@
 	return streamversion.Version{Service: worker.Group, Software: worker.SoftwareVersion}
 }
 
-// isOfVersion reports whether a worker has a software version; nil stands for any.
-func isOfVersion(worker *backend.Worker, version *streamversion.Version) bool {
-	return version == nil || versionOf(worker) == *version
+// versionFilter selects workers by the versions of their software. The zero value accepts all.
+type versionFilter struct {
+	// bound is the version of the workers that may run the request; nil allows all.
+	bound *streamversion.Version
+	// barred are the software versions at which a part of the prompt is barred, for runs and prefill calls.
+	barred []string
+	// trial is the software version at which the request is the trial of a barred part; empty if it is none.
+	trial string
 }
 
-// ofVersion returns the function that accepts the workers of a software version, or nil if the version is nil.
-func ofVersion(version *streamversion.Version) func(worker *backend.Worker) bool {
-	if version == nil {
+// isZero reports whether the filter accepts all workers.
+func (f versionFilter) isZero() bool { return f.bound == nil && len(f.barred) == 0 && f.trial == "" }
+
+// accepts reports whether a worker may run the request.
+func (f versionFilter) accepts(worker *backend.Worker) bool {
+	return (f.bound == nil || versionOf(worker) == *f.bound) && f.acceptsSoftware(worker)
+}
+
+// acceptsSoftware reports whether no bar keeps the request from the software version of a worker, whatever stream it continues.
+func (f versionFilter) acceptsSoftware(worker *backend.Worker) bool {
+	return !slices.Contains(f.barred, worker.SoftwareVersion) && (f.trial == "" || worker.SoftwareVersion == f.trial)
+}
+
+// eligible returns the function that accepts the workers that may run the request, or nil for all.
+func (f versionFilter) eligible() func(worker *backend.Worker) bool {
+	if f.isZero() {
 		return nil
 	}
-	return func(worker *backend.Worker) bool { return isOfVersion(worker, version) }
+	return f.accepts
+}
+
+// eligiblePrefill returns the function that accepts the workers that may prefill the prompt, or nil for all.
+func (f versionFilter) eligiblePrefill() func(worker *backend.Worker) bool {
+	if len(f.barred) == 0 && f.trial == "" {
+		return nil
+	}
+	return f.acceptsSoftware
 }
 
 // identification tells which incarnation of a worker sends a response.
@@ -174,6 +200,12 @@
 	return &c.stream.Version
 }
 
+// versions returns the versions of the workers at which the request may run now.
+func (c *call) versions() versionFilter {
+	barred, _ := c.guarded.barredVersions()
+	return versionFilter{bound: c.boundVersion(), barred: barred, trial: c.guarded.trialVersion()}
+}
+
 // learnVersion finds out the version of a stream that began at an incarnation whose record was not there, before it goes on at another worker. It
 // waits for a duration at most.
 func (c *call) learnVersion(ctx context.Context, patience time.Duration) {
@@ -273,16 +305,16 @@
 	}
 }
 
-// hasVersion reports whether a worker of a version, which may be nil for any, other than those at which the request failed can run requests of
-// a group, now or later.
-func (d *Dispatcher) hasVersion(group *routing.Group, version *streamversion.Version, failed []string) bool {
-	if version == nil {
+// hasVersion reports whether a worker of certain versions other than those at which the request failed can run requests of a group, now or
+// later.
+func (d *Dispatcher) hasVersion(group *routing.Group, versions versionFilter, failed []string) bool {
+	if versions.isZero() {
 		return true
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for worker := range d.balancer.OfGroup(group.Name) {
-		if worker.Role == runnerRole(group) && !worker.Draining && isOfVersion(worker, version) && !slices.Contains(failed, worker.ID) {
+		if worker.Role == runnerRole(group) && !worker.Draining && versions.accepts(worker) && !slices.Contains(failed, worker.ID) {
 			return true
 		}
 	}
--- a/internal/forward/suspect_test.go
+++ b/internal/forward/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,6 +14,7 @@
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
 // crashProber is a poison.Prober that reports the workers marked as crashed.
@@ -121,3 +123,82 @@
 		t.Error("the second request may not run after the first")
 	}
 }
+
+// newVersionedDispatcher returns a dispatcher of plain workers: one of the version "good" and two of the version "bad".
+func newVersionedDispatcher() (*Dispatcher, *routing.Group) {
+	dispatcher, _ := newBudgetDispatcher()
+	group := &routing.Group{Name: "g"}
+	dispatcher.SetGroups([]routing.Group{*group})
+	dispatcher.SetWorkers(backend.Set{
+		"good": {ID: "good", Group: "g", Address: "good", Slots: 4, SoftwareVersion: "good"},
+		"bad1": {ID: "bad1", Group: "g", Address: "bad1", Slots: 4, SoftwareVersion: "bad"},
+		"bad2": {ID: "bad2", Group: "g", Address: "bad2", Slots: 4, SoftwareVersion: "bad"},
+	})
+	return dispatcher, group
+}
+
+// TestBarredVersionsGetNoRequests guards against requests that reach workers of a version at which a part of their prompt is barred, against
+// trials at other versions, and against refusals while a worker of another version is left.
+func TestBarredVersionsGetNoRequests(t *testing.T) {
+	dispatcher, group := newVersionedDispatcher()
+	for number := range 20 {
+		request := &Request{ID: fmt.Sprint(number)}
+		for _, kind := range []struct {
+			filter versionFilter
+			want   string
+		}{
+			{versionFilter{barred: []string{"bad"}}, "good"},
+			{versionFilter{trial: "bad"}, "bad"},
+			{versionFilter{barred: []string{"bad", "good"}}, ""},
+			{versionFilter{bound: &streamversion.Version{Service: "g", Software: "bad"}, barred: []string{"bad"}}, ""},
+		} {
+			placement, found := dispatcher.Place(request, group, PlaceOptions{Versions: kind.filter})
+			got := ""
+			if found {
+				got = placement.Runner.Worker.SoftwareVersion
+				placement.Runner.finish(balance.OutcomeNone)
+			}
+			if got != kind.want {
+				t.Errorf("under %+v the request is placed at version %q, want %q", kind.filter, got, kind.want)
+			}
+			if has := dispatcher.hasVersion(group, kind.filter, nil); has != (kind.want != "") {
+				t.Errorf("under %+v a worker that may run the request is known: %t", kind.filter, has)
+			}
+		}
+	}
+}
+
+// TestBarAtOneVersionRestrictsRequest guards against a request that is refused, or may run at all workers, while a part of its prompt is barred
+// at one version, and against a trial of the bar that is no request at that version.
+func TestBarAtOneVersionRestrictsRequest(t *testing.T) {
+	part := poison.NewPart("g", "5c1e").AtVersion("bad")
+	now := time.Now()
+	guard := poison.NewGuard(poison.DefaultSettings(), nil, func() time.Time { return now }, func(poison.Event) {})
+	guard.UpdateWorkers(backend.Changes{Updated: []*backend.Worker{
+		{ID: "good", Group: "g", SoftwareVersion: "good"}, {ID: "bad", Group: "g", SoftwareVersion: "bad"},
+	}})
+	delay := poison.DefaultSettings().Parts.TrialDelay
+	guard.ApplyBar(poison.Bar{Digest: part.Digest(), Part: part, Workers: []string{"w"}, Times: 1, Since: now, Until: now.Add(time.Hour), TrialDelay: delay})
+	newRequest := func() *guardedRequest {
+		return &guardedRequest{guard: guard, request: &Request{}, service: "g", parts: []poison.Part{part.AtVersion("")}}
+	}
+	request := newRequest()
+	status, _ := request.admit(&exclusiveRuns{})
+	barred, bar := request.barredVersions()
+	if status != poison.Clear || !slices.Equal(barred, []string{"bad"}) || bar.Part != part || request.trialVersion() != "" {
+		t.Errorf("the request has status %d, is barred at %v by %v and a trial at %q", status, barred, bar.Part, request.trialVersion())
+	}
+	now = now.Add(delay)
+	trial, next := newRequest(), newRequest()
+	trial.admit(&exclusiveRuns{})
+	next.admit(&exclusiveRuns{})
+	if barred, _ := trial.barredVersions(); len(barred) > 0 || trial.trialVersion() != "bad" || next.trialVersion() != "" {
+		t.Errorf("the trial is one at %q, barred at %v, and the next request one at %q", trial.trialVersion(), barred, next.trialVersion())
+	}
+	if !trial.endVersionTrial() || trial.trialVersion() != "" {
+		t.Error("a trial that can't be placed does not become an ordinary request")
+	}
+	if next.admit(&exclusiveRuns{}); next.trialVersion() != "bad" {
+		t.Error("after a trial that was sent to no worker there is no other")
+	}
+}
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -42,6 +42,22 @@
 	return c.refuseSuspect(ReasonVerdictPending)
 }
 
+// statusAtVersions returns the status of a request that was not placed under a filter of versions: Barred or Pending, with such a bar, if a part
+// of its prompt is so at the software version of each worker that could run it, else Clear.
+func (c *call) statusAtVersions(versions versionFilter) (poison.Status, poison.Bar) {
+	_, bar := c.guarded.barredVersions()
+	dispatcher, group := c.handler.dispatcher, c.match.Group
+	isLeft := dispatcher.hasVersion(group, versions, nil) || !dispatcher.hasVersion(group, versionFilter{bound: versions.bound}, nil)
+	switch {
+	case bar.Part.IsZero() || len(versions.barred) == 0 || isLeft:
+		return poison.Clear, poison.Bar{}
+	case c.handler.guard.IsBarred(bar):
+		return poison.Barred, bar
+	default:
+		return poison.Pending, bar
+	}
+}
+
 // turnPollInterval is how often a waiting suspect request checks whether it may run.
 const turnPollInterval = 20 * time.Millisecond
 
--- a/internal/gateway/barsyncer.go
+++ b/internal/gateway/barsyncer.go
@@ -137,6 +137,9 @@
 	} else {
 		fields["prompt_part"], fields["group"] = bar.Part.ID, bar.Part.Group
 	}
+	if bar.Part.Version != "" {
+		fields["software_version"] = bar.Part.Version
+	}
 	return fields
 }
 
@@ -152,6 +155,9 @@
 	if !bar.Part.IsZero() {
 		record.Inputs = lo.Assign(record.Inputs, map[string]string{"part": bar.Part.ID, adminapi.InputGroup: bar.Part.Group})
 	}
+	if bar.Part.Version != "" {
+		record.Inputs = lo.Assign(record.Inputs, map[string]string{"softwareVersion": bar.Part.Version})
+	}
 	b.gateway.recordDecision(record)
 }
 
@@ -314,8 +320,8 @@
 func (a admin) Barred() []adminapi.BarredStatus {
 	return lo.Map(a.barSyncer.guard.Bars(), func(bar poison.Bar, _ int) adminapi.BarredStatus {
 		return adminapi.BarredStatus{
-			Digest: bar.Digest.String(), Part: bar.Part.ID, Group: bar.Part.Group, Rule: bar.Rule, Tenant: bar.Tenant, Workers: bar.Workers,
-			Times: bar.Times, Until: bar.Until,
+			Digest: bar.Digest.String(), Part: bar.Part.ID, Group: bar.Part.Group, SoftwareVersion: bar.Part.Version, Rule: bar.Rule,
+			Tenant: bar.Tenant, Workers: bar.Workers, Times: bar.Times, Until: bar.Until,
 		}
 	})
 }
--- a/internal/operator/barred.go
+++ b/internal/operator/barred.go
@@ -17,10 +17,10 @@
 
 // Run shows the barred requests and parts.
 func (getBarred) Run(s *session) error {
-	header := table.Row{"Digest", "Part", "Group", "Rule", "Of", "Exited workers", "Times", "Until"}
+	header := table.Row{"Digest", "Part", "Group", "At version", "Rule", "Of", "Exited workers", "Times", "Until"}
 	return showTable(s, s.client.Barred, header, func(bar adminapi.BarredStatus) table.Row {
 		return table.Row{
-			bar.Digest, orDash(bar.Part), orDash(bar.Group), orDash(bar.Rule), orDash(bar.Tenant), strings.Join(bar.Workers, ","), bar.Times, bar.Until.UTC().Format(time.RFC3339),
+			bar.Digest, orDash(bar.Part), orDash(bar.Group), orDash(bar.SoftwareVersion), orDash(bar.Rule), orDash(bar.Tenant), strings.Join(bar.Workers, ","), bar.Times, bar.Until.UTC().Format(time.RFC3339),
 		}
 	})
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -95,6 +95,8 @@
 	// workers with a record, nil before the first update.
 	disconnected map[string]*disconnectedWorker
 	registered   backend.Set
+	// versions counts the registered workers of each service by their software version.
+	versions map[string]map[string]int
 	// notify is called when there are changes for the other gateways; urgent means that they are sent without delay. It is nil if
 	// updates are not shared.
 	notify func(urgent bool)
@@ -125,6 +127,7 @@
 func NewGuard(settings Settings, prober Prober, now func() time.Time, emit func(Event)) *Guard {
 	g := &Guard{
 		prober: prober, now: now, emit: emit, table: NewTable(settings), parts: newPartTable(settings), disconnected: map[string]*disconnectedWorker{},
+		versions: map[string]map[string]int{},
 	}
 	g.table.parts, g.parts.mostByOneRequest = g.parts, g.table.mostByOneRequest
 	g.parts.start(now())
@@ -262,6 +265,7 @@
 	if g.registered == nil {
 		g.registered = backend.Set{}
 	}
+	g.countVersions(changes)
 	changes.Apply(g.registered)
 	now := g.now()
 	for id, entry := range g.disconnected {
@@ -294,7 +298,7 @@
 		g.table.RecordCrash(g.now(), entry.brokenAt, Crash{Digest: digest, Worker: entry.worker.ID}, info.rule, info.tenant)
 	}
 	event.Parts = slices.SortedFunc(maps.Keys(parts), compareParts)
-	g.parts.recordCrash(g.now(), entry.brokenAt, entry.worker.ID, event.Parts)
+	g.parts.recordCrash(g.now(), entry.brokenAt, entry.worker.ID, g.versionBeside(entry.worker), event.Parts)
 	clear(entry.requests)
 	if isNew {
 		g.emit(event)
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -16,6 +16,14 @@
 	Group string
 	// ID is the canonical id; see NewPart.
 	ID string
+	// Version is the software version of the workers to which the evidence and the bar are limited; empty for all workers.
+	Version string
+}
+
+// AtVersion returns the part limited to the workers of a software version.
+func (p Part) AtVersion(version string) Part {
+	p.Version = version
+	return p
 }
 
 // NewPart returns the part of a group with an id as a caller wrote it. Ids are hexadecimal numbers, so neither case nor leading zeros
@@ -38,7 +46,11 @@
 // fields.
 func (p Part) Digest() Digest {
 	sum := sha256.New()
-	for _, field := range []string{"prompt part", p.Group, p.ID} {
+	fields := []string{"prompt part", p.Group, p.ID}
+	if p.Version != "" {
+		fields = append(fields, p.Version)
+	}
+	for _, field := range fields {
 		var size [8]byte
 		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
 		sum.Write(size[:])
@@ -47,13 +59,22 @@
 	return Digest(sum.Sum(nil)[:digestBytes])
 }
 
+// isSamePart reports whether the parts are the same, whatever versions they are limited to.
+func (p Part) isSamePart(other Part) bool { return p.Group == other.Group && p.ID == other.ID }
+
 // IsZero reports whether p is no part.
 func (p Part) IsZero() bool { return p == Part{} }
 
 // String returns the part for logs.
-func (p Part) String() string { return p.ID + " of group " + p.Group }
+func (p Part) String() string {
+	text := p.ID + " of group " + p.Group
+	if p.Version != "" {
+		text += " at workers of version " + p.Version
+	}
+	return text
+}
 
 // compareParts orders parts.
 func compareParts(a, b Part) int {
-	return cmp.Or(strings.Compare(a.Group, b.Group), strings.Compare(a.ID, b.ID))
+	return cmp.Or(strings.Compare(a.Group, b.Group), strings.Compare(a.ID, b.ID), strings.Compare(a.Version, b.Version))
 }
--- a/internal/poison/part_bench_test.go
+++ b/internal/poison/part_bench_test.go
@@ -40,7 +40,7 @@
 				table := newPartTable(DefaultSettings())
 				now := time.Unix(1000, 0)
 				for worker := range parts {
-					table.recordCrash(now, now, fmt.Sprint("worker-", worker), parts[worker])
+					table.recordCrash(now, now, fmt.Sprint("worker-", worker), "", parts[worker])
 				}
 				update := table.takeUpdate(now, false)
 				now = now.Add(DefaultSettings().SettleDelay)
@@ -60,7 +60,7 @@
 // BenchmarkStatus measures the check of a request with three shared parts, beside a table that holds the evidence of a crash.
 func BenchmarkStatus(b *testing.B) {
 	guard := NewGuard(DefaultSettings(), nil, func() time.Time { return time.Unix(1000, 0) }, func(Event) {})
-	guard.parts.recordCrash(guard.Now(), guard.Now(), "worker", crashParts(0, 64))
+	guard.parts.recordCrash(guard.Now(), guard.Now(), "worker", "", crashParts(0, 64))
 	parts := crashParts(0, 1)
 	for b.Loop() {
 		guard.PartStatus(parts)
--- a/internal/poison/partbarring.go
+++ b/internal/poison/partbarring.go
@@ -59,6 +59,9 @@
 	if len(workers) == 0 {
 		return false
 	}
+	if _, isOfOne := t.atOneVersion(part, state); isOfOne {
+		return false
+	}
 	if state.barCount > 0 {
 		// After a first bar, a single crash is enough.
 		return true
@@ -73,7 +76,11 @@
 		return false
 	}
 	if !t.wasAnswered(state) {
-		return count >= limits.AmbiguousCrashLimit || !t.ambiguous(part, state, workers)
+		ambiguousLimit := limits.AmbiguousCrashLimit
+		if part.Version != "" {
+			ambiguousLimit = limits.AmbiguousVersionCrashLimit
+		}
+		return count >= ambiguousLimit || !t.ambiguous(part, state, workers)
 	}
 	first, last := spanOf(func(yield func(time.Time) bool) {
 		for _, worker := range workers {
@@ -85,6 +92,24 @@
 	return count >= limits.AmbiguousCrashLimit && last.Sub(first) >= limits.UnansweredTime
 }
 
+// atOneVersion returns the part at the version of its crashed workers, if all of them were of one version while others served beside them. Then
+// the part is barred at that version at most.
+func (t *partTable) atOneVersion(part Part, state *partState) (Part, bool) {
+	if part.Version != "" {
+		return Part{}, false
+	}
+	workers := slices.Collect(maps.Keys(state.crashes))
+	if len(workers) == 0 {
+		return Part{}, false
+	}
+	for other := range t.byWorker[workers[0]] {
+		if other.Version != "" && other.isSamePart(part) && coversAll(t.parts[other], workers) {
+			return other, true
+		}
+	}
+	return Part{}, false
+}
+
 // share returns the share of a part in the crashes of its group, from its first crash to its last.
 func (t *partTable) share(part Part, state *partState) float64 {
 	first, last := span(state)
@@ -106,7 +131,11 @@
 func (t *partTable) ambiguous(part Part, state *partState, workers []string) bool {
 	for other := range t.byWorker[workers[0]] {
 		candidate := t.parts[other]
-		if other != part && candidate.barCount == 0 && !t.wasAnswered(candidate) && coversAll(candidate, workers) {
+		if other.isSamePart(part) || (part.Version == "" && other.Version != "") {
+			// A part at one version is no other explanation, and does not delay a bar for all workers.
+			continue
+		}
+		if candidate.barCount == 0 && !t.wasAnswered(candidate) && coversAll(candidate, workers) {
 			return true
 		}
 	}
@@ -254,10 +283,7 @@
 		if !bar.Since.After(t.answered[bar.Part]) {
 			return false
 		}
-		t.evict(now)
-		state = &partState{digest: bar.Part.Digest(), crashes: map[string]time.Time{}, answeredAt: t.answered[bar.Part]}
-		delete(t.answered, bar.Part)
-		t.parts[bar.Part] = state
+		state = t.addPart(now, bar.Part)
 	}
 	isNew := !now.Before(state.barredUntil)
 	state.barCount, state.barredSince, state.barredUntil = max(bar.Times, 1), earlier(bar.Since, now), bar.Until
--- a/internal/poison/partsim_test.go
+++ b/internal/poison/partsim_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -25,6 +26,11 @@
 	// ownCrashes workers end by themselves, ownEvery apart, from the second second on. racks of them end at the same moment.
 	ownCrashes, racks int
 	ownEvery          time.Duration
+	// faultyShare is the share of the workers, one at least, whose software version the killer part crashes. The other version answers requests
+	// with the part.
+	faultyShare float64
+	// ownOfFaulty limits the workers that end by themselves to those of that version.
+	ownOfFaulty bool
 	// lossShare of the messages are lost, as many doubled, and half as many over a second late.
 	lossShare float64
 }
@@ -39,10 +45,15 @@
 		killerIndex: rapid.IntRange(0, 2).Draw(t, "killerIndex"), companion: rapid.Bool().Draw(t, "companion"),
 		ownCrashes: rapid.IntRange(0, 10).Draw(t, "ownCrashes"), racks: rapid.IntRange(1, 4).Draw(t, "racks"),
 		ownEvery:  time.Duration(rapid.IntRange(50, 1500).Draw(t, "ownMs")) * time.Millisecond,
-		lossShare: rapid.Float64Range(0, 0.2).Draw(t, "loss"),
+		lossShare: rapid.Float64Range(0, 0.2).Draw(t, "loss"), faultyShare: 1,
 	}
 }
 
+// faultyWorkers returns the number of workers of the version that the killer part crashes.
+func (p partPlan) faultyWorkers() int {
+	return max(int(math.Round(p.faultyShare*float64(p.workers))), 1)
+}
+
 // partSimulation runs requests whose prompts share parts through several gateways, on fake time.
 type partSimulation struct {
 	plan     partPlan
@@ -53,14 +64,15 @@
 	messages []simMessage
 	// requests counts the requests sent, for their digests and own parts.
 	requests int
-	// killerCrashes are the times of the crashes by the killer part, and killerSends those at which requests with it reached workers.
-	killerCrashes, killerSends []time.Time
+	// killerCrashes are the times of the crashes by the killer part, killerSends those at which requests with it reached workers, and
+	// faultySends those of them at which the worker was of the version that the part crashes.
+	killerCrashes, killerSends, faultySends []time.Time
 	// refusedSince is when the first request with a sound part was refused since the last one that was let through, and longestRefusal the
 	// longest time for which requests with a sound part were refused.
 	refusedSince   map[Part]time.Time
 	longestRefusal map[Part]time.Duration
-	// served and refused count sound requests.
-	served, refused int
+	// served and refused count sound requests, and killersServed requests with the killer part that the other version answered.
+	served, refused, killersServed int
 }
 
 // simGateway holds the tables of one gateway.
@@ -75,6 +87,8 @@
 	incarnation int
 	upAt        time.Time
 	running     []*simRun
+	// isFaulty is set if the worker is of the software version that the killer part crashes.
+	isFaulty bool
 }
 
 // simRun is an attempt of a request.
@@ -118,8 +132,9 @@
 		g.parts.start(s.now)
 		s.gateways = append(s.gateways, g)
 	}
-	for range plan.workers {
-		s.workers = append(s.workers, &simPartWorker{})
+	faulty := plan.faultyWorkers()
+	for index := range plan.workers {
+		s.workers = append(s.workers, &simPartWorker{isFaulty: index < faulty})
 	}
 	return s
 }
@@ -157,6 +172,10 @@
 func (s *partSimulation) send(run *simRun, isNew bool) {
 	g := s.gateways[run.gateway]
 	status, _ := g.table.Status(s.now, run.digest)
+	barred, trial := s.barredVersions(run, isNew)
+	if !trial.IsZero() {
+		run.triesLeft = 1
+	}
 	for _, part := range run.parts {
 		if isNew {
 			g.parts.countRequest(part)
@@ -168,7 +187,7 @@
 		if partStatus == Suspected {
 			partStatus = Pending
 		}
-		s.noteRefusal(run, part, partStatus == Barred)
+		s.noteRefusal(run, part, partStatus == Barred || s.isBarredAtAll(g, part))
 		isTrial := partStatus == Barred && g.parts.beginTrial(s.now, part, func(number int) bool { return number%len(s.gateways) == run.gateway })
 		if !isTrial {
 			status = max(status, partStatus)
@@ -178,29 +197,82 @@
 	}
 	var up []*simPartWorker
 	for _, worker := range s.workers {
-		if !s.now.Before(worker.upAt) {
+		version := s.versionBeside(worker)
+		isAllowed := !slices.Contains(barred, version)
+		if !trial.IsZero() {
+			isAllowed = version == trial.Version
+		}
+		if !s.now.Before(worker.upAt) && isAllowed {
 			up = append(up, worker)
 		}
 	}
 	if status >= Pending || run.triesLeft == 0 || len(up) == 0 {
+		g.parts.returnTrial(trial)
 		if !run.isKiller {
 			s.refused++
 		}
 		return
 	}
 	run.triesLeft--
-	if run.isKiller {
-		s.killerSends = append(s.killerSends, s.now)
-	}
 	run.begins = s.now.Add(time.Duration(20+s.random.IntN(60)) * time.Millisecond)
 	run.ends = run.begins.Add(time.Duration(50+s.random.IntN(400)) * time.Millisecond)
+	var crashes time.Time
 	if run.isKiller {
-		run.ends = run.begins.Add(time.Duration(30+s.random.IntN(30)) * time.Millisecond)
+		s.killerSends = append(s.killerSends, s.now)
+		crashes = run.begins.Add(time.Duration(30+s.random.IntN(30)) * time.Millisecond)
 	}
 	worker := up[s.random.IntN(len(up))]
+	if run.isKiller && worker.isFaulty {
+		s.faultySends = append(s.faultySends, s.now)
+		run.ends = crashes
+	}
 	worker.running = append(worker.running, run)
 }
 
+// simVersions are the software versions of the workers: the one that the killer part crashes and the other one.
+var simVersions = []string{"faulty", "other"}
+
+// versionBeside returns the version of a worker, or nothing if all workers are of one version.
+func (s *partSimulation) versionBeside(worker *simPartWorker) string {
+	switch {
+	case s.workers[len(s.workers)-1].isFaulty:
+		return ""
+	case worker.isFaulty:
+		return simVersions[0]
+	default:
+		return simVersions[1]
+	}
+}
+
+// barredVersions returns the versions at which a run may not be sent to workers, and the part at a version whose trial it is; zero if it is none.
+func (s *partSimulation) barredVersions(run *simRun, isNew bool) (barred []string, trial Part) {
+	g := s.gateways[run.gateway]
+	for _, version := range simVersions {
+		for _, part := range run.parts {
+			part := part.AtVersion(version)
+			if isNew {
+				g.parts.countRequest(part)
+			}
+			status, _ := g.parts.status(s.now, part)
+			if status >= Pending && !slices.Contains(barred, version) {
+				barred = append(barred, version)
+			}
+			if status == Barred && isNew && trial.IsZero() && g.parts.beginTrial(s.now, part, func(number int) bool { return number%len(s.gateways) == run.gateway }) {
+				trial = part
+			}
+		}
+	}
+	return barred, trial
+}
+
+// isBarredAtAll reports whether a part is barred at each of the versions by itself.
+func (s *partSimulation) isBarredAtAll(g *simGateway, part Part) bool {
+	return !slices.ContainsFunc(simVersions, func(version string) bool {
+		status, _ := g.parts.status(s.now, part.AtVersion(version))
+		return status != Barred
+	})
+}
+
 // noteRefusal notes whether the bar of a part refuses a sound request.
 func (s *partSimulation) noteRefusal(run *simRun, part Part, isRefused bool) {
 	since, found := s.refusedSince[part]
@@ -238,7 +310,7 @@
 	for _, run := range broken {
 		g := s.gateways[run.gateway]
 		g.table.RecordCrash(s.now, s.now, Crash{Digest: run.digest, Worker: id}, "r", "")
-		g.parts.recordCrash(s.now, s.now, id, run.parts)
+		g.parts.recordCrash(s.now, s.now, id, s.versionBeside(worker), run.parts)
 	}
 	for _, run := range broken {
 		if run.triesLeft == 2 {
@@ -252,7 +324,7 @@
 func (s *partSimulation) runWorkers() {
 	for index, worker := range s.workers {
 		isKilled := slices.ContainsFunc(worker.running, func(run *simRun) bool { return run.isKiller && !s.now.Before(run.ends) })
-		if isKilled {
+		if isKilled && worker.isFaulty {
 			s.killerCrashes = append(s.killerCrashes, s.now)
 			s.crash(index)
 			continue
@@ -261,13 +333,21 @@
 			if s.now.Before(run.ends) {
 				return false
 			}
-			s.served++
+			if run.isKiller {
+				s.killersServed++
+			} else {
+				s.served++
+			}
 			g := s.gateways[run.gateway]
 			g.table.RecordSuccess(s.now, s.now, run.digest)
 			g.parts.countAnswer()
 			for _, part := range run.parts {
 				voided, _ := g.parts.recordAnswer(s.now, run.begins, part)
 				g.table.reconsider(voided)
+				if version := s.versionBeside(worker); version != "" {
+					voided, _ := g.parts.recordAnswer(s.now, run.begins, part.AtVersion(version))
+					g.table.reconsider(voided)
+				}
 			}
 			return true
 		})
@@ -317,6 +397,10 @@
 // run plays the simulation.
 func (s *partSimulation) run() {
 	start := s.now
+	ending := len(s.workers)
+	if s.plan.ownOfFaulty {
+		ending = s.plan.faultyWorkers()
+	}
 	ownLeft, nextOwn := s.plan.ownCrashes, start.Add(simWarmup+2*time.Second)
 	for s.now.Sub(start) < simWarmup+simPartDuration {
 		s.now = s.now.Add(simPartStep)
@@ -330,7 +414,7 @@
 		}
 		if ownLeft > 0 && !s.now.Before(nextOwn) {
 			for range s.plan.racks {
-				s.crash(s.random.IntN(len(s.workers)))
+				s.crash(s.random.IntN(ending))
 			}
 			ownLeft--
 			nextOwn = s.now.Add(s.plan.ownEvery)
@@ -340,15 +424,15 @@
 	}
 }
 
-// lateKillerSends counts the sends of requests with the killer part later than the given time after its fifth crash.
-func (s *partSimulation) lateKillerSends(after time.Duration) int {
+// lateSends counts the sends at the given times that are later than the given time after the fifth crash by the killer part.
+func (s *partSimulation) lateSends(sends []time.Time, after time.Duration) int {
 	const crashes = 5
 	if len(s.killerCrashes) < crashes {
 		return 0
 	}
 	deadline := s.killerCrashes[crashes-1].Add(after)
 	late := 0
-	for _, at := range s.killerSends {
+	for _, at := range sends {
 		if at.After(deadline) {
 			late++
 		}
@@ -395,12 +479,29 @@
 // those of retried requests. Messages are lost, doubled and late.
 func TestCrashingPartIsBarredAmongSoundOnes(t *testing.T) {
 	forEachPartPlan(t, func(*partPlan) {}, func(t *testing.T, s *partSimulation) {
-		if late := s.lateKillerSends(barTime); late > maxLateKillers {
+		if late := s.lateSends(s.killerSends, barTime); late > maxLateKillers {
 			t.Errorf("%d requests with the part reached workers later than %s after the fifth of %d crashes", late, barTime, len(s.killerCrashes))
 		}
 	})
 }
 
+// versionShares are the shares of the workers of one of two software versions.
+var versionShares = []float64{0.1, 0.5, 0.9}
+
+// TestPartCrashingOneVersionIsBarred guards against a part of prompts that goes on crashing the workers of one software version, because those
+// of the other version answer requests with the part.
+func TestPartCrashingOneVersionIsBarred(t *testing.T) {
+	for _, share := range versionShares {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			forEachPartPlan(t, func(plan *partPlan) { plan.faultyShare = share }, func(t *testing.T, s *partSimulation) {
+				if late := s.lateSends(s.faultySends, barTime); late > maxLateKillers {
+					t.Errorf("%d requests with the part reached workers of the version that it crashes later than %s after the fifth of %d crashes", late, barTime, len(s.killerCrashes))
+				}
+			})
+		})
+	}
+}
+
 // TestOwnCrashesBarNoPart guards against bars of parts that were merely popular where workers ended by themselves, alone or in racks, each
 // of them twice on the mean.
 func TestOwnCrashesBarNoPart(t *testing.T) {
@@ -410,3 +511,17 @@
 		plan.ownCrashes = crashesPerWorker * plan.workers / plan.racks
 	}, func(*testing.T, *partSimulation) {})
 }
+
+// TestOwnCrashesOfVersionsBarNoPart guards against bars as TestOwnCrashesBarNoPart does, while two software versions serve side by side. In every
+// second plan only workers of one of them end by themselves, as those of a bad release do.
+func TestOwnCrashesOfVersionsBarNoPart(t *testing.T) {
+	const crashesPerWorker = 2
+	for _, share := range versionShares {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			forEachPartPlan(t, func(plan *partPlan) {
+				plan.faultyShare, plan.killerEvery, plan.ownOfFaulty = share, 0, plan.seed%2 == 1
+				plan.ownCrashes = crashesPerWorker * plan.workers / plan.racks
+			}, func(*testing.T, *partSimulation) {})
+		})
+	}
+}
--- a/internal/poison/parttable.go
+++ b/internal/poison/parttable.go
@@ -15,6 +15,9 @@
 	// CrashLimit is the number of distinct crashes that bars a part if no other part explains them as well, and AmbiguousCrashLimit the
 	// number that bars the likeliest one of several.
 	CrashLimit, AmbiguousCrashLimit int
+	// AmbiguousVersionCrashLimit replaces AmbiguousCrashLimit for a bar of a part at one software version that was not answered shortly before:
+	// the other versions go on serving requests with it, so a mistake costs little.
+	AmbiguousVersionCrashLimit int
 	// MinOtherRequests is the number of these crashes at which no single request may have run: otherwise that request, or its retries, is
 	// the likelier cause.
 	MinOtherRequests int
@@ -46,7 +49,7 @@
 // defaultPartSettings returns the settings of a gateway.
 func defaultPartSettings() PartSettings {
 	return PartSettings{
-		SuspectCrashes: 2, CrashLimit: 3, AmbiguousCrashLimit: 5, MinOtherRequests: 2, MinShare: 0.25, AmbiguousMinShare: 0.125,
+		SuspectCrashes: 2, CrashLimit: 3, AmbiguousCrashLimit: 5, AmbiguousVersionCrashLimit: 4, MinOtherRequests: 2, MinShare: 0.25, AmbiguousMinShare: 0.125,
 		AnswerMemory: time.Minute, UnansweredTime: 2 * time.Second, LearningTime: 10 * time.Second, LearningAnswers: 20,
 		TrialDelay: 3 * time.Second, AnsweredTrialDelay: 2 * time.Second, TrialBackoff: 8, TrialElection: time.Second, MaxParts: 4096, MaxAnswered: 16384, MaxCrashesPerPart: 64, MaxPerUpdate: 512,
 	}
@@ -76,6 +79,9 @@
 // requests. So evidence alone does not restrain parts that were answered shortly before; only a bar does, and any answer to a request with the part voids the evidence and the bar
 // up to the time when the answer began. It is a pure state machine: it reads no clock, and it is not safe for concurrent use.
 //
+// Evidence is kept for all workers and, while several software versions serve side by side, for each version by itself. Only answers of workers
+// of a version speak for a part at that version, and a bar at a version leaves the part to the others.
+//
 // A crash is identified by the incarnation of the worker, and repeated reports have no effect, so tables that receive the same reports
 // converge. The crashes under a part that is or was barred are attributed to it and count against no other part or request.
 //
@@ -98,6 +104,8 @@
 	// unsentWorkers have crashes that are not shared yet, and unsentParts are the parts with an answer or a bar that is not shared yet.
 	unsentWorkers map[string]bool
 	unsentParts   map[Part]bool
+	// hasVersions is set once there was evidence against a part at one software version.
+	hasVersions bool
 	// mostByOneRequest returns at how many of the workers a single request ran, at most; nil if requests are unknown.
 	mostByOneRequest func(workers []string) int
 }
@@ -123,16 +131,25 @@
 	}
 }
 
-// recordCrash records that a worker crashed while it ran requests with the parts of this gateway.
-func (t *partTable) recordCrash(now, at time.Time, worker string, parts []Part) {
+// recordCrash records that a worker crashed while it ran requests with the parts of this gateway. The crash also counts for its software
+// version alone, unless that is empty.
+func (t *partTable) recordCrash(now, at time.Time, worker, version string, parts []Part) {
 	for _, part := range parts {
-		t.mergeCrash(now, at, worker, part)
-		if state, found := t.parts[part]; found {
-			state.reportedHere = true
+		t.recordCrashOf(now, at, worker, part)
+		if version != "" {
+			t.recordCrashOf(now, at, worker, part.AtVersion(version))
 		}
 	}
 }
 
+// recordCrashOf records a crash under a part.
+func (t *partTable) recordCrashOf(now, at time.Time, worker string, part Part) {
+	t.mergeCrash(now, at, worker, part)
+	if state, found := t.parts[part]; found {
+		state.reportedHere = true
+	}
+}
+
 // mergeCrash adds a crash, unless it is known or the part was answered since.
 func (t *partTable) mergeCrash(now, at time.Time, worker string, part Part) {
 	t.start(now)
@@ -142,10 +159,7 @@
 		if !at.After(t.answered[part]) {
 			return
 		}
-		t.evict(now)
-		state = &partState{digest: part.Digest(), crashes: map[string]time.Time{}, answeredAt: t.answered[part]}
-		delete(t.answered, part)
-		t.parts[part] = state
+		state = t.addPart(now, part)
 	}
 	if _, known := state.crashes[worker]; known || !at.After(state.answeredAt) {
 		return
@@ -162,6 +176,16 @@
 	}
 }
 
+// addPart adds a part without evidence.
+func (t *partTable) addPart(now time.Time, part Part) *partState {
+	t.evict(now)
+	state := &partState{digest: part.Digest(), crashes: map[string]time.Time{}, answeredAt: t.answered[part]}
+	delete(t.answered, part)
+	t.parts[part] = state
+	t.hasVersions = t.hasVersions || part.Version != ""
+	return state
+}
+
 // noteCrash notes a crash for the share of parts in all of them.
 func (t *partTable) noteCrash(now, at time.Time, worker groupWorker) {
 	if _, known := t.crashed[worker]; known {
@@ -228,12 +252,26 @@
 	if len(voided) > 0 || lifted {
 		t.unsentParts[part] = true
 	}
+	if lifted {
+		t.reconsiderVersions(now, part, voided)
+	}
 	if len(state.crashes) == 0 {
 		delete(t.due, part)
 	}
 	return voided, lifted
 }
 
+// reconsiderVersions schedules the evaluation of a part at the versions of workers whose crashes its bar for all workers explained.
+func (t *partTable) reconsiderVersions(now time.Time, part Part, workers []string) {
+	for _, worker := range workers {
+		for other := range t.byWorker[worker] {
+			if _, scheduled := t.due[other]; other != part && other.isSamePart(part) && !scheduled {
+				t.due[other] = now
+			}
+		}
+	}
+}
+
 // countAnswer counts an answer to a request of this gateway.
 func (t *partTable) countAnswer() { t.answers = min(t.answers+1, t.settings.Parts.LearningAnswers) }
 
@@ -275,6 +313,14 @@
 	if _, pending := t.due[part]; pending && t.shouldBar(part, state) {
 		return Pending, state.bar(part)
 	}
+	if part.Version != "" {
+		// Requests with the part run at other versions, so being one at a time would tell little of this one.
+		return Clear, Bar{}
+	}
+	if limited, found := t.atOneVersion(part, state); found && t.parts[limited].barCount > 0 {
+		// The bar keeps the part from the version that it crashes.
+		return Clear, Bar{}
+	}
 	workers := t.unexplained(part, state)
 	if len(workers) < t.settings.Parts.SuspectCrashes || t.share(part, state) < t.settings.Parts.MinShare {
 		return Clear, Bar{}
@@ -292,10 +338,12 @@
 	}
 }
 
-// explains reports whether the crash of a worker is attributed to a part that is or was barred, other than the given one.
+// explains reports whether the crash of a worker is attributed to a part that is or was barred, other than the given one. A bar at one version does
+// not explain the crashes of the same part at all workers: those at another version add to them.
 func (t *partTable) explains(worker string, except Part) bool {
 	for part := range t.byWorker[worker] {
-		if part != except && t.parts[part].barCount > 0 {
+		isOwn := part == except || (except.Version == "" && part.isSamePart(except))
+		if !isOwn && t.parts[part].barCount > 0 {
 			return true
 		}
 	}
--- a/internal/poison/parttable_test.go
+++ b/internal/poison/parttable_test.go
@@ -1,7 +1,9 @@
 package poison
 
 import (
+	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -190,6 +192,147 @@
 	}
 }
 
+// crashAt reports the crash of another worker of a version, which serves beside others, under requests with the parts, after a time.
+func (s *partScript) crashAt(version string, after time.Duration, ids ...string) {
+	s.now = s.now.Add(after)
+	s.crashes++
+	for _, id := range ids {
+		s.table.recordCrash(s.now, s.now, fmt.Sprint("w", s.crashes), version, []Part{part(id)})
+	}
+}
+
+// answerAt reports that a worker of a version, which serves beside others, began to answer a request with the part now.
+func (s *partScript) answerAt(version, id string) {
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.answer(id)
+	s.table.recordAnswer(s.now, s.now, part(id).AtVersion(version))
+}
+
+// expectAt checks the status of a part at the workers of a version.
+func (s *partScript) expectAt(version, id string, want Status) {
+	s.t.Helper()
+	if got, _ := s.table.status(s.now, part(id).AtVersion(version)); got != want {
+		s.t.Errorf("the status of part %s at version %s is %d, want %d", id, version, got, want)
+	}
+}
+
+// TestAnswersOfOtherVersionLeaveCrashes guards against a part that goes on crashing the workers of one version because those of another one answer
+// requests with it, and against a bar at the other version.
+func TestAnswersOfOtherVersionLeaveCrashes(t *testing.T) {
+	s := newPartScript(t)
+	for i := range 3 {
+		s.crashAt("bad", 100*time.Millisecond, "b", fmt.Sprint("c", i))
+		s.answerAt("good", "b")
+	}
+	s.expectAt("bad", "b", Pending)
+	s.settle()
+	s.expectAt("bad", "b", Barred)
+	s.expectAt("good", "b", Clear)
+	s.expect("b", Clear)
+	s.answerAt("good", "b")
+	s.expectAt("bad", "b", Barred)
+	s.answerAt("bad", "b")
+	s.expectAt("bad", "b", Clear)
+}
+
+// TestAnswersOfSameVersionSpeakForPart guards against bars at one version of a part that its workers answer, too, between crashes.
+func TestAnswersOfSameVersionSpeakForPart(t *testing.T) {
+	s := newPartScript(t)
+	for range 10 {
+		s.crashAt("bad", 100*time.Millisecond, "m")
+		s.answerAt("bad", "m")
+		s.settle()
+		s.expectAt("bad", "m", Clear)
+	}
+}
+
+// TestPartOfAllVersionsIsBarredAtAll guards against a part that crashes the workers of two versions and needs the crashes for a bar at each.
+func TestPartOfAllVersionsIsBarredAtAll(t *testing.T) {
+	s := newPartScript(t)
+	for i, version := range []string{"one", "two", "one"} {
+		s.crashAt(version, 100*time.Millisecond, "b", fmt.Sprint("c", i))
+	}
+	if bars := s.settle(); len(bars) != 1 || bars[0].Part != part("b") {
+		t.Errorf("the bars are %v, want one of part b at all workers", bars)
+	}
+}
+
+// TestCrashesOfOneVersionBarPartThere guards against a bar at all workers where only those of one version crashed, and against three more crashes
+// before that bar where the part crashes the other version as well.
+func TestCrashesOfOneVersionBarPartThere(t *testing.T) {
+	s := newPartScript(t)
+	for i := range 3 {
+		s.crashAt("bad", 100*time.Millisecond, "b", fmt.Sprint("c", i))
+	}
+	s.settle()
+	s.expect("b", Clear)
+	s.expectAt("bad", "b", Barred)
+	s.crashAt("good", 100*time.Millisecond, "b", "c4")
+	s.settle()
+	s.expect("b", Barred)
+}
+
+// TestLiftedBarLeavesVersion guards against crashes for a second bar: a part was barred at all workers, one of another version ended beside them,
+// and a trial at that version is answered.
+func TestLiftedBarLeavesVersion(t *testing.T) {
+	s := newPartScript(t)
+	for i, version := range []string{"bad", "bad", "good"} {
+		s.crashAt(version, 100*time.Millisecond, "b", fmt.Sprint("c", i))
+	}
+	s.settle()
+	s.expect("b", Barred)
+	s.expectAt("bad", "b", Clear)
+	s.crashAt("bad", 10*time.Millisecond, "b", "c4")
+	s.answerAt("good", "b")
+	s.expect("b", Clear)
+	s.settle()
+	s.expectAt("bad", "b", Barred)
+	s.expectAt("good", "b", Clear)
+}
+
+// TestVersionedEvidenceIsShared guards against gateways that disagree about a part at one version, and against a message in which a build that
+// knows no versions takes evidence at one version for evidence at all workers.
+func TestVersionedEvidenceIsShared(t *testing.T) {
+	s := newPartScript(t)
+	peer := newPartTable(DefaultSettings())
+	expect := func(what string, want Status) {
+		t.Helper()
+		update := s.table.takeUpdate(s.now, true)
+		for _, crash := range update.Crashes {
+			if slices.Sort(crash.Parts); len(slices.Compact(crash.Parts)) < len(crash.Parts) || crash.Group != "g" {
+				t.Errorf("%s: the crash at all workers names a part twice: %+v", what, crash)
+			}
+		}
+		if len(update.Bars) > 0 {
+			t.Errorf("%s: the bars at all workers are %v, want none", what, update.Bars)
+		}
+		peer.applyUpdate(s.now, &update)
+		if got, _ := peer.status(s.now, part("b").AtVersion("bad")); got != want {
+			t.Errorf("%s: the other gateway has status %d, want %d", what, got, want)
+		}
+		if got, _ := peer.status(s.now, part("b")); got != Clear {
+			t.Errorf("%s: at all workers the other gateway has status %d, want %d", what, got, Clear)
+		}
+	}
+	peer.start(s.now)
+	for range DefaultSettings().Parts.LearningAnswers {
+		peer.countAnswer()
+	}
+	for i := range 3 {
+		s.crashAt("bad", 100*time.Millisecond, "b", fmt.Sprint("c", i))
+		if i < 2 {
+			expect("before the bar", Clear)
+		}
+		s.answerAt("good", "b")
+	}
+	expect("at the third crash", Pending)
+	s.settle()
+	expect("after the bar", Barred)
+	s.now = s.now.Add(time.Second)
+	s.answerAt("bad", "b")
+	expect("after an answer of the version", Clear)
+}
+
 // TestPartIDsAreCanonical guards against a crashing part that callers write in several ways.
 func TestPartIDsAreCanonical(t *testing.T) {
 	for _, id := range []string{"5C1E", "005c1e", " 5c1e "} {
@@ -225,6 +368,27 @@
 	}
 }
 
+// TestVersionedBarSurvivesInStore guards against a stored bar at one version that is read as one at all workers, also by builds that know no
+// versions: they must find no part in it.
+func TestVersionedBarSurvivesInStore(t *testing.T) {
+	limited := part("5c1e").AtVersion("v1")
+	bar := Bar{Digest: limited.Digest(), Part: limited, Workers: []string{"w1"}, Times: 1, Since: time.Unix(1000, 0), Until: time.Unix(2000, 0)}
+	value, err := bar.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := DecodeBar(BarKey(bar.Digest), value); err != nil || got.Part != limited {
+		t.Errorf("the stored bar is read as %+v, %v", got, err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(value, &fields); err != nil || fields["part"] != nil || fields["group"] != nil {
+		t.Errorf("the stored bar names a part at all workers: %s, %v", value, err)
+	}
+	if limited.Digest() == part("5c1e").Digest() || limited.Digest() == part("5c1e").AtVersion("v2").Digest() {
+		t.Error("parts at different versions have one digest")
+	}
+}
+
 // TestPartTableIsBounded guards against tables that grow with the parts that callers send, and against losing the part with the most crashes.
 func TestPartTableIsBounded(t *testing.T) {
 	s := newPartScript(t)
--- a/internal/poison/partupdate.go
+++ b/internal/poison/partupdate.go
@@ -13,10 +13,28 @@
 	Crashes []PartCrash  `cbor:"1,keyasint,omitempty"`
 	Answers []PartAnswer `cbor:"2,keyasint,omitempty"`
 	Bars    []PartBar    `cbor:"3,keyasint,omitempty"`
+	// ByVersion holds what is limited to the workers of a software version.
+	ByVersion map[string]*PartUpdate `cbor:"4,keyasint,omitempty"`
+}
+
+// at returns the part of the update that is limited to a software version, or the update itself for none.
+func (u *PartUpdate) at(version string) *PartUpdate {
+	if version == "" {
+		return u
+	}
+	if u.ByVersion == nil {
+		u.ByVersion = map[string]*PartUpdate{}
+	}
+	if u.ByVersion[version] == nil {
+		u.ByVersion[version] = &PartUpdate{}
+	}
+	return u.ByVersion[version]
 }
 
 // Empty reports whether there is nothing to send.
-func (u *PartUpdate) Empty() bool { return len(u.Crashes)+len(u.Answers)+len(u.Bars) == 0 }
+func (u *PartUpdate) Empty() bool {
+	return len(u.Crashes)+len(u.Answers)+len(u.Bars)+len(u.ByVersion) == 0
+}
 
 // PartCrash is the crash of a worker and the parts of the requests to one group that ran there.
 type PartCrash struct {
@@ -59,18 +77,22 @@
 	if t.empty() || (!full && len(t.unsentWorkers)+len(t.unsentParts) == 0) {
 		return update
 	}
-	update.Crashes = t.crashUpdates(now, full)
+	t.addCrashes(now, &update, full)
+	answers := 0
 	for part, state := range t.parts {
 		ago := now.Sub(state.answeredAt)
 		isRecent := !state.answeredAt.IsZero() && ago < t.settings.SuccessShareTime
-		if isRecent && (full || t.unsentParts[part]) && len(update.Answers) < t.settings.Parts.MaxPerUpdate {
-			update.Answers = append(update.Answers, PartAnswer{Group: part.Group, Part: part.ID, AgoMs: ago.Milliseconds()})
+		if isRecent && (full || t.unsentParts[part]) && answers < t.settings.Parts.MaxPerUpdate {
+			answers++
+			limited := update.at(part.Version)
+			limited.Answers = append(limited.Answers, PartAnswer{Group: part.Group, Part: part.ID, AgoMs: ago.Milliseconds()})
 		}
 	}
 	bars := t.bars(now)
 	for _, bar := range bars[max(len(bars)-t.settings.MaxPerUpdate, 0):] {
 		if full || t.unsentParts[bar.Part] {
-			update.Bars = append(update.Bars, PartBar{
+			limited := update.at(bar.Part.Version)
+			limited.Bars = append(limited.Bars, PartBar{
 				Group: bar.Part.Group, Part: bar.Part.ID, Workers: bar.Workers, Times: bar.Times, AgoMs: now.Sub(bar.Since).Milliseconds(),
 				LeftMs: bar.Until.Sub(now).Milliseconds(), TrialDelayMs: bar.TrialDelay.Milliseconds(), Trials: bar.Trials,
 			})
@@ -81,9 +103,9 @@
 	return update
 }
 
-// crashUpdates returns the crashes to send, latest first, with at most MaxPerUpdate parts. Crashes under barred parts are sent with their
-// bars.
-func (t *partTable) crashUpdates(now time.Time, full bool) []PartCrash {
+// addCrashes adds the crashes to send to an update, latest first, with at most MaxPerUpdate parts. Crashes under barred parts are sent with
+// their bars.
+func (t *partTable) addCrashes(now time.Time, update *PartUpdate, full bool) {
 	type crash struct {
 		worker string
 		at     time.Time
@@ -108,7 +130,6 @@
 	}
 	slices.SortFunc(crashes, func(a, b crash) int { return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.worker, b.worker)) })
 	left := t.settings.Parts.MaxPerUpdate
-	var updates []PartCrash
 	for _, c := range crashes {
 		if left == 0 {
 			break
@@ -119,33 +140,46 @@
 		})
 		c.parts = c.parts[:min(len(c.parts), left)]
 		left -= len(c.parts)
-		updates = append(updates, groupCrash(c.worker, now.Sub(c.at), c.parts)...)
+		update.addCrash(c.worker, now.Sub(c.at), c.parts)
 	}
-	return updates
 }
 
-// groupCrash returns the crash of a worker, split by the groups of the parts. A worker may serve several groups.
-func groupCrash(worker string, age time.Duration, parts []Part) []PartCrash {
-	byGroup := map[string][]string{}
+// addCrash adds the crash of a worker, split by the groups of the parts and the versions to which they are limited. A worker may serve several
+// groups.
+func (u *PartUpdate) addCrash(worker string, age time.Duration, parts []Part) {
+	byGroup := map[Part][]string{}
 	for _, part := range parts {
-		byGroup[part.Group] = append(byGroup[part.Group], part.ID)
+		key := Part{Group: part.Group, Version: part.Version}
+		byGroup[key] = append(byGroup[key], part.ID)
 	}
-	var crashes []PartCrash
-	for _, group := range slices.Sorted(maps.Keys(byGroup)) {
-		crashes = append(crashes, PartCrash{Worker: worker, AgoMs: age.Milliseconds(), Group: group, Parts: byGroup[group]})
+	for _, key := range slices.SortedFunc(maps.Keys(byGroup), compareParts) {
+		limited := u.at(key.Version)
+		limited.Crashes = append(limited.Crashes, PartCrash{Worker: worker, AgoMs: age.Milliseconds(), Group: key.Group, Parts: byGroup[key]})
 	}
-	return crashes
 }
 
 // applyUpdate merges an update of another gateway. It returns the bars that are new, and the workers whose crashes became void for a part.
 func (t *partTable) applyUpdate(now time.Time, update *PartUpdate) (newBars []Bar, voided []string) {
+	newBars, voided = t.applyUpdateAt(now, update, "")
+	for version, limited := range update.ByVersion {
+		if version == "" || limited == nil {
+			continue
+		}
+		bars, workers := t.applyUpdateAt(now, limited, version)
+		newBars, voided = append(newBars, bars...), append(voided, workers...)
+	}
+	return newBars, voided
+}
+
+// applyUpdateAt merges what an update tells of parts that are limited to a software version, or of those of all workers if it is empty.
+func (t *partTable) applyUpdateAt(now time.Time, update *PartUpdate, version string) (newBars []Bar, voided []string) {
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, answer := range update.Answers {
-		workers, _ := t.recordAnswer(now, ago(answer.AgoMs), NewPart(answer.Group, answer.Part))
+		workers, _ := t.recordAnswer(now, ago(answer.AgoMs), NewPart(answer.Group, answer.Part).AtVersion(version))
 		voided = append(voided, workers...)
 	}
 	for _, received := range update.Bars {
-		part := NewPart(received.Group, received.Part)
+		part := NewPart(received.Group, received.Part).AtVersion(version)
 		bar := Bar{
 			Digest: part.Digest(), Part: part, Workers: received.Workers, Times: received.Times, Since: ago(received.AgoMs),
 			Until: ago(-received.LeftMs), TrialDelay: time.Duration(received.TrialDelayMs) * time.Millisecond, Trials: received.Trials,
@@ -156,7 +190,7 @@
 	}
 	for _, crash := range update.Crashes {
 		for _, id := range crash.Parts {
-			t.mergeCrash(now, ago(crash.AgoMs), crash.Worker, NewPart(crash.Group, id))
+			t.mergeCrash(now, ago(crash.AgoMs), crash.Worker, NewPart(crash.Group, id).AtVersion(version))
 		}
 	}
 	return newBars, voided
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -26,14 +26,30 @@
 	Part         string `json:"part,omitempty"`
 	Group        string `json:"group,omitempty"`
 	TrialDelayMs int64  `json:"trialDelayMs,omitempty"`
+	// PartAtVersion replaces Part and Group in bars that are limited to a software version. Builds that don't know it keep such a bar as that of
+	// a request that never comes.
+	PartAtVersion *versionedPart `json:"partAtVersion,omitempty"`
+}
+
+// versionedPart is the stored form of a part that is limited to the workers of a software version.
+type versionedPart struct {
+	Part    string `json:"part"`
+	Group   string `json:"group"`
+	Version string `json:"version"`
 }
 
 // Encode returns the stored form of a bar.
 func (b Bar) Encode() ([]byte, error) {
-	value, err := json.Marshal(record{
+	written := record{
 		Rule: b.Rule, Tenant: b.Tenant, Workers: b.Workers, Times: b.Times, Since: b.Since.UTC(), Until: b.Until.UTC(),
-		Part: b.Part.ID, Group: b.Part.Group, TrialDelayMs: b.TrialDelay.Milliseconds(),
-	})
+		TrialDelayMs: b.TrialDelay.Milliseconds(),
+	}
+	if b.Part.Version == "" {
+		written.Part, written.Group = b.Part.ID, b.Part.Group
+	} else {
+		written.PartAtVersion = &versionedPart{Part: b.Part.ID, Group: b.Part.Group, Version: b.Part.Version}
+	}
+	value, err := json.Marshal(written)
 	return value, errors.Wrapf(err, "encode the bar of request %s", b.Digest)
 }
 
@@ -54,6 +70,9 @@
 		return Bar{}, errors.Wrapf(err, "read the bar %s", key)
 	}
 	part := Part{Group: read.Group, ID: read.Part}
+	if limited := read.PartAtVersion; limited != nil {
+		part = Part{Group: limited.Group, ID: limited.Part, Version: limited.Version}
+	}
 	if !part.IsZero() && part.Digest() != digest {
 		return Bar{}, errors.Newf("read the bar %s: it names the part %s, whose digest is %s", key, part, part.Digest())
 	}
