--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -113,7 +113,13 @@
 
 // withoutWorker waits for a worker that takes the request, if one is expected in time. Otherwise it ends the request and returns true.
 func (c *call) withoutWorker(ctx context.Context, options PlaceOptions) (bool, connAction) {
-	isOfVersion := c.handler.dispatcher.hasVersion(c.match.Group, options.Version, c.attempts.failed())
+	if c.guarded.endVersionTrial() {
+		return false, connKeep
+	}
+	if status, bar := c.statusAtVersions(options.Versions); status >= poison.Pending {
+		return true, c.refuseBlocked(status, bar)
+	}
+	isOfVersion := c.handler.dispatcher.hasVersion(c.match.Group, versionFilter{bound: options.Versions.bound}, c.attempts.failed())
 	switch {
 	case isOfVersion && options.SuspectKey != "":
 		return c.awaitTurn(ctx, options)
@@ -131,7 +137,7 @@
 // placeOptions returns the placement constraints for the next attempt. Suspect requests, or those with a suspect part, are kept on separate
 // workers.
 func (c *call) placeOptions(status poison.Status, bar poison.Bar) PlaceOptions {
-	options := PlaceOptions{Excluded: c.attempts.excluded, Version: c.boundVersion(), Colocated: c.decideColocation()}
+	options := PlaceOptions{Excluded: c.attempts.excluded, Versions: c.versions(), Colocated: c.decideColocation()}
 	if status == poison.Suspected {
 		options.SuspectKey = bar.Digest.String()
 	}
@@ -178,7 +184,7 @@
 	if prompt == nil {
 		record.Score, record.Candidates = runner.Score, runner.Candidates
 	}
-	if c.guarded.maySend() != nil {
+	if c.guarded.maySendTo(runner.Worker) != nil {
 		// A part of the prompt was barred while an engine prefilled it.
 		c.releasePrompt(prompt)
 		runner.finish(balance.OutcomeNone)
@@ -265,7 +271,7 @@
 	options.Arrivals = &httpclient.Arrivals{}
 	c.relay.watch = c.watchStalls(ctx, cancel, runner.Worker, held, options.Arrivals)
 	defer c.relay.watch.stop()
-	c.guarded.beginAttempt()
+	c.guarded.beginAttempt(runner.Worker)
 	c.relay.onResponse = func() {
 		runner.responseStarted()
 		c.countUsage()
@@ -288,7 +294,7 @@
 		})
 		defer patience.Stop()
 	}
-	options.MaySend = c.guarded.beginSend
+	options.MaySend = func() error { return c.guarded.beginSend(runner.Worker) }
 	options.ResumeAfter, options.Identify = c.relay.lastEvent, c.identifyIncarnation(runner.Worker, held)
 	response, err := c.handler.workers.Run(ctx, runner.Worker, c.request, options)
 	if err == nil {
--- a/internal/forward/unresponsive.go
+++ b/internal/forward/unresponsive.go
@@ -37,7 +37,7 @@
 		if c.reachUnresponsive(ctx) || !ctxsleep.Sleep(ctx, reconnectInterval) {
 			return true
 		}
-		if c.handler.dispatcher.hasAlternative(c.request, c.match.Group, c.boundVersion(), c.attempts.excluded) {
+		if c.handler.dispatcher.hasAlternative(c.request, c.match.Group, c.versions(), c.attempts.excluded) {
 			return true
 		}
 	}
@@ -46,10 +46,10 @@
 
 // reachUnresponsive opens a connection to the workers that have not answered one, the best first, until one accepts it.
 func (c *call) reachUnresponsive(ctx context.Context) bool {
-	dispatcher, version := c.handler.dispatcher, c.boundVersion()
+	dispatcher, versions := c.handler.dispatcher, c.versions()
 	excluded := c.attempts.notUnresponsive()
 	for range c.attempts.unresponsive {
-		worker := dispatcher.alternative(c.request, c.match.Group, version, excluded)
+		worker := dispatcher.alternative(c.request, c.match.Group, versions, excluded)
 		if worker == nil {
 			break
 		}
