--- a/internal/poison/partsim_test.go
+++ b/internal/poison/partsim_test.go
@@ -29,6 +29,8 @@
 	// faultyShare is the share of the workers, one at least, whose software version the killer part crashes. The other version answers requests
 	// with the part.
 	faultyShare float64
+	// crashesAll is set if the killer part crashes the workers of the other version, too.
+	crashesAll bool
 	// ownOfFaulty limits the workers that end by themselves to those of that version.
 	ownOfFaulty bool
 	// lossShare of the messages are lost, as many doubled, and half as many over a second late.
@@ -222,13 +224,18 @@
 		crashes = run.begins.Add(time.Duration(30+s.random.IntN(30)) * time.Millisecond)
 	}
 	worker := up[s.random.IntN(len(up))]
-	if run.isKiller && worker.isFaulty {
+	if run.isKiller && s.isCrashedBy(worker) {
 		s.faultySends = append(s.faultySends, s.now)
 		run.ends = crashes
 	}
 	worker.running = append(worker.running, run)
 }
 
+// isCrashedBy reports whether the killer part crashes a worker.
+func (s *partSimulation) isCrashedBy(worker *simPartWorker) bool {
+	return worker.isFaulty || s.plan.crashesAll
+}
+
 // simVersions are the software versions of the workers: the one that the killer part crashes and the other one.
 var simVersions = []string{"faulty", "other"}
 
@@ -324,7 +331,7 @@
 func (s *partSimulation) runWorkers() {
 	for index, worker := range s.workers {
 		isKilled := slices.ContainsFunc(worker.running, func(run *simRun) bool { return run.isKiller && !s.now.Before(run.ends) })
-		if isKilled && worker.isFaulty {
+		if isKilled && s.isCrashedBy(worker) {
 			s.killerCrashes = append(s.killerCrashes, s.now)
 			s.crash(index)
 			continue
@@ -502,6 +509,20 @@
 	}
 }
 
+// TestPartCrashingBothVersionsIsBarred guards against a part of prompts that crashes the workers of two software versions and escapes to the other one
+// when it is barred at the first.
+func TestPartCrashingBothVersionsIsBarred(t *testing.T) {
+	for _, share := range versionShares {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			forEachPartPlan(t, func(plan *partPlan) { plan.faultyShare, plan.crashesAll = share, true }, func(t *testing.T, s *partSimulation) {
+				if late := s.lateSends(s.killerSends, barTime); late > maxLateKillers {
+					t.Errorf("%d requests with the part reached workers later than %s after the fifth of %d crashes", late, barTime, len(s.killerCrashes))
+				}
+			})
+		})
+	}
+}
+
 // TestOwnCrashesBarNoPart guards against bars of parts that were merely popular where workers ended by themselves, alone or in racks, each
 // of them twice on the mean.
 func TestOwnCrashesBarNoPart(t *testing.T) {
