--- a/review/3/main.go
+++ b/review/3/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	_ "embed"
 	"fmt"
 	"net/http"
 	"os"
@@ -19,7 +20,7 @@
 	pollEvery = 2 * time.Second
 	pollers   = 6
 	// otherEvery is the time between two other requests, each with a path of its own.
-	otherEvery = 100 * time.Millisecond
+	otherEvery = 200 * time.Millisecond
 	firstCrash = 150 * time.Millisecond
 	crashEvery = 150 * time.Millisecond
 	downTime   = 3 * time.Second
@@ -35,19 +36,8 @@
 	os.Exit(code)
 }
 
-func configuration() map[string]any {
-	return map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "carrier-lookup", "host": "shop.example", "pathPrefix": "/lookup/", "kind": "idempotent", "timeoutMs": 1000, "targetLatencyMs": 150,
-			"priority": 2, "service": service, "maxAttempts": 2, "sticky": false, "resumable": false,
-		}},
-		"services": []any{
-			map[string]any{"name": service, "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": false},
-		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	}
-}
+//go:embed config.json
+var configuration []byte
 
 // member is a worker that is started anew after its crash, with another id.
 type member struct {
@@ -83,7 +73,7 @@
 	if err := d.StartStore(); err != nil {
 		return harness.ExitNotRun, err
 	}
-	if err := d.Put("op/config", configuration()); err != nil {
+	if err := d.Put(harness.Wire.ConfigKey, configuration); err != nil {
 		return harness.ExitNotRun, err
 	}
 	zones := []string{"memphis-hall", "jackson-hall", "mobile-hall"}
@@ -176,7 +166,7 @@
 					gateway = d.Gateways[number%len(d.Gateways)]
 				}
 				id := fmt.Sprintf("%s-%d-%d", kind, round, number)
-				header := map[string]string{"Deadline-Ms": fmt.Sprint(deadline.Milliseconds())}
+				header := map[string]string{harness.Wire.Deadline: fmt.Sprint(deadline.Milliseconds())}
 				answer := harness.Send(client, gateway.Callers, http.MethodGet, path(round, number), id, header, "")
 				d.Note("GET %s to %s -> %s", path(round, number), gateway.Name, answer)
 				c.add(answer, healthy)
@@ -202,7 +192,7 @@
 	default:
 	}
 	c.sent++
-	own := answer.Err == nil && answer.Header.Get("Response-Signature") == ""
+	own := answer.Err == nil && answer.Header.Get(harness.Wire.Signature) == ""
 	switch {
 	case answer.Err == nil && answer.Status == http.StatusOK:
 		c.served++
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 		flags.StringVar(&options.control, "control", "", "control address of the store")
 		flags.StringVar(&options.log, "log", "", "file to which runs are appended")
 		flags.IntVar(&options.slots, "slots", 6, "requests at a time")
+		flags.IntVar(&options.queue, "queue", 24, "requests that wait for a slot")
 		flags.DurationVar(&options.work, "work", 0, "time before the first byte of an answer")
 		flags.DurationVar(&options.send, "send", 0, "time between the two halves of an answer, or between two events")
 		flags.IntVar(&options.bytes, "bytes", 800, "bytes of an answer")
