Make the stand-ins of the review sound, and keep its exit codes apart

Engines take orders, change their stage, read prompts apart and hand them over, and workers stop at the deadline of a request; before, an order got 404. All processes end with the script, however that ends; a start that fails or a case that takes too long is 2.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -50,7 +50,7 @@
 
 func (m *member) start(d *harness.Deployment, number int) error {
 	m.starts++
-	process, err := d.StartWorker(m.name(number), "--service", service, "--zone", m.zone, "--listen", m.address, "--slots", "6", "--work", work.String())
+	process, err := d.StartWorker(m.name(number), m.address, "--service", service, "--zone", m.zone, "--slots", "6", "--work", work.String())
 	m.process = process
 	return err
 }
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -88,6 +89,19 @@
 	Name, Callers, Ready, settingFile string
 }
 
+// starts are run one after the other on a thread that lasts as long as this program. Linux ends a process with Pdeathsig when the thread that started it
+// ends, so all processes end with the program, whatever ends that.
+var starts = func() chan<- func() {
+	starts := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+	return starts
+}()
+
 // Trouble reports whether the case plays its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
@@ -107,16 +121,34 @@
 		return nil, err
 	}
 	d := &Deployment{Directory: directory, record: record, start: time.Now(), taken: map[int]bool{}}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	go func() {
-		<-signals
-		d.Close()
-		os.Exit(ExitNotRun)
-	}()
+	go d.closeEarly()
 	return d, nil
 }
 
+// maxDuration is how long a case may take, below the 120 s that it is given.
+const maxDuration = 112 * time.Second
+
+// closeEarly ends the case as one that couldn't run when it is stopped, when its script has ended, or when it takes too long.
+func (d *Deployment) closeEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	timeout, parent := time.After(maxDuration), os.Getppid()
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for isOver := false; !isOver; {
+		select {
+		case <-signals:
+			isOver = true
+		case <-timeout:
+			isOver = true
+		case <-ticker.C:
+			isOver = os.Getppid() != parent
+		}
+	}
+	d.Close()
+	os.Exit(ExitNotRun)
+}
+
 // Note writes a line to the record.
 func (d *Deployment) Note(format string, values ...any) {
 	d.mu.Lock()
@@ -161,7 +193,10 @@
 	command := exec.Command(path, arguments...)
 	command.Stdout, command.Stderr = output, output
 	command.Env = append(os.Environ(), environment...)
-	if err := command.Start(); err != nil {
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts <- func() { started <- command.Start() }
+	if err := <-started; err != nil {
 		return nil, err
 	}
 	_ = output.Close()
@@ -207,10 +242,24 @@
 	return response.Body.Close()
 }
 
-// StartWorker starts a worker with the given flags.
-func (d *Deployment) StartWorker(id string, arguments ...string) (*Process, error) {
-	arguments = append([]string{"worker", "--id", id, "--control", d.Control, "--log", filepath.Join(d.Directory, "runs.log")}, arguments...)
-	return d.Start("worker", nil, standinPath, arguments...)
+// StartWorker starts a worker with the given flags at an address, and waits until it serves there.
+func (d *Deployment) StartWorker(id, address string, arguments ...string) (*Process, error) {
+	arguments = append([]string{
+		"worker", "--id", id, "--listen", address, "--control", d.Control, "--log", filepath.Join(d.Directory, "runs.log"),
+	}, arguments...)
+	process, err := d.Start("worker", nil, standinPath, arguments...)
+	if err != nil {
+		return nil, err
+	}
+	return process, Eventually("worker "+id+" serves", func() bool {
+		client := http.Client{Timeout: time.Second}
+		response, err := client.Get("http://" + address + "/health")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.Header.Get(Wire.Instance) == id
+	})
 }
 
 // Runs returns the lines that the workers have logged.
--- a/review/harness/wire.go
+++ b/review/harness/wire.go
@@ -13,6 +13,7 @@
 var Wire = func() (names struct {
 	RequestID, Deadline, Signature, Model, Tokens, Prefix, Expect, Instance, NotExecuted string
 	ConfigKey, WorkerKeys, OperatorKeys, KeyPrefixQuery, WaitQuery, ReportPath           string
+	OrderPath, HandlePath, Stage, Source                                                 string
 }) {
 	if err := json.Unmarshal(wireNames, &names); err != nil {
 		panic(err)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -36,8 +37,17 @@
 	mu sync.Mutex
 	// taken counts the requests that run or wait for a slot.
 	taken int
+	// current is the stage of an engine now, orders the orders that it took, and changing is set while it carries one out.
+	current  string
+	orders   int
+	changing bool
+	// handles are the prompts that were read and not taken yet.
+	handles map[string]bool
 }
 
+// reconfigTime is how long an engine takes to change its stage, as the configuration of the cases says (reconfigS).
+const reconfigTime = 1100 * time.Millisecond
+
 // heartbeat is the time between two heartbeats of a worker.
 const heartbeat = 1200 * time.Millisecond
 
@@ -51,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	w := &worker{workerOptions: options, logFile: logFile, running: make(chan struct{}, options.slots)}
+	w := &worker{workerOptions: options, logFile: logFile, running: make(chan struct{}, options.slots), current: options.stage, handles: map[string]bool{}}
 	go w.beat()
 	for {
 		conn, err := listener.Accept()
@@ -64,23 +74,30 @@
 
 // beat keeps the entry of the worker in the store.
 func (w *worker) beat() {
+	for {
+		w.register()
+		time.Sleep(heartbeat)
+	}
+}
+
+// register writes the entry of the worker.
+func (w *worker) register() {
+	w.mu.Lock()
 	entry := map[string]any{
-		"service": w.service, "address": w.listen, "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready", "coldLeftMs": 0, "seqNo": 0,
+		"service": w.service, "address": w.listen, "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready", "coldLeftMs": 0, "seqNo": w.orders,
 	}
 	if w.stage != "" {
-		entry["stage"] = w.stage
+		entry["stage"] = w.current
 		entry["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 	}
+	w.mu.Unlock()
 	value, err := json.Marshal(entry)
 	if err != nil {
 		panic(err)
 	}
-	for {
-		response, err := http.Post("http://"+w.control+"/put?key="+url.QueryEscape(harness.Wire.WorkerKeys+w.id), "application/json", bytes.NewReader(value))
-		if err == nil {
-			_ = response.Body.Close()
-		}
-		time.Sleep(heartbeat)
+	response, err := http.Post("http://"+w.control+"/put?key="+url.QueryEscape(harness.Wire.WorkerKeys+w.id), "application/json", bytes.NewReader(value))
+	if err == nil {
+		_ = response.Body.Close()
 	}
 }
 
@@ -98,10 +115,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
 			return
 		}
-		if !w.handle(conn, request) {
+		if !w.handle(conn, request, body) {
 			return
 		}
 	}
@@ -113,31 +131,56 @@
 	return err == nil
 }
 
+// jsonHeader is the header of answers of the engines' own interface.
+const jsonHeader = "Content-Type: application/json\r\n"
+
 // handle answers one request and reports whether the connection goes on.
-func (w *worker) handle(conn net.Conn, request *http.Request) bool {
+func (w *worker) handle(conn net.Conn, request *http.Request, body []byte) bool {
 	id := request.Header.Get(harness.Wire.RequestID)
 	carried := ""
 	if id != "" {
 		carried = harness.Wire.RequestID + ": " + id + "\r\n"
 	}
-	switch expected := request.Header.Get(harness.Wire.Expect); {
+	expected := request.Header.Get(harness.Wire.Expect)
+	switch {
 	case request.URL.Path == "/health":
 		return framed(conn, http.StatusOK, harness.Wire.Instance+": "+w.id+"\r\n", "")
 	case expected != "" && expected != w.id:
 		return framed(conn, http.StatusMisdirectedRequest, carried+harness.Wire.Instance+": "+w.id+"\r\n", "")
-	case request.URL.Path == harness.Wire.ReportPath:
-		report, _ := json.Marshal(map[string]any{
-			"stage": w.stage, "models": []any{}, "busy": false, "seqNo": 0, "queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 400000, "kvHandles": 0,
-		})
-		return framed(conn, http.StatusOK, "Content-Type: application/json\r\n", string(report))
 	case strings.HasPrefix(request.URL.Path, "/v1/"):
-		return framed(conn, http.StatusNotFound, carried, "")
+		status, answer := w.answerCall(request, body)
+		return framed(conn, status, carried+jsonHeader, answer)
+	}
+	notRun := carried + harness.Wire.NotExecuted + ": 1\r\n"
+	reads := request.Header.Get(harness.Wire.Stage) != ""
+	switch stage, changing := w.stageNow(); {
+	case changing:
+		return framed(conn, http.StatusServiceUnavailable, notRun, "")
+	case w.stage != "" && reads != (stage != "decode"):
+		return framed(conn, http.StatusMisdirectedRequest, carried, "")
+	}
+	if source := request.Header.Get(harness.Wire.Source); source != "" && !takeHandle(source) {
+		return framed(conn, http.StatusServiceUnavailable, notRun, "")
 	}
-	if !w.begin() {
-		return framed(conn, http.StatusServiceUnavailable, carried+harness.Wire.NotExecuted+": 1\r\n", "")
+	deadline := time.Now().Add(time.Hour)
+	if millis, err := strconv.ParseFloat(request.Header.Get(harness.Wire.Deadline), 64); err == nil {
+		deadline = time.Now().Add(time.Duration(millis * float64(time.Millisecond)))
+	}
+	if !w.begin(deadline) {
+		return framed(conn, http.StatusServiceUnavailable, notRun, "")
 	}
 	defer w.done()
+	if reads {
+		time.Sleep(w.work)
+		answer, _ := json.Marshal(map[string]any{"kvHandle": w.keepHandle(id), "tokens": 300, "version": 1})
+		return framed(conn, http.StatusOK, carried+jsonHeader, string(answer))
+	}
 	w.note("runs %s", id)
+	if left := time.Until(deadline); left < w.work {
+		time.Sleep(left)
+		w.note("stops at the deadline of %s", id)
+		return framed(conn, http.StatusGatewayTimeout, carried+harness.Wire.Signature+": "+harness.Signature(id)+"\r\n", "")
+	}
 	time.Sleep(w.work)
 	pieces := harness.Pieces(id, w.bytes, w.events)
 	header := carried + harness.Wire.Signature + ": " + harness.Signature(id) + "\r\n"
@@ -183,8 +226,101 @@
 	return err == nil
 }
 
-// begin waits for a slot, and reports whether there was one or room to wait for it.
-func (w *worker) begin() bool {
+// stageNow returns the stage of an engine, and whether it changes it.
+func (w *worker) stageNow() (stage string, changing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.current, w.changing
+}
+
+// answerCall answers a call to the engines' own interface.
+func (w *worker) answerCall(request *http.Request, body []byte) (int, string) {
+	encode := func(value map[string]any) string {
+		encoded, _ := json.Marshal(value)
+		return string(encoded)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	path := request.URL.Path
+	w.note("call %s %s", request.Method, path)
+	switch {
+	case path == harness.Wire.ReportPath:
+		return http.StatusOK, encode(map[string]any{
+			"stage": w.current, "models": []any{}, "busy": w.changing, "seqNo": w.orders, "queued": max(w.taken-w.slots, 0), "running": min(w.taken, w.slots),
+			"kvUsed": 0, "kvTotal": 400000, "kvHandles": len(w.handles),
+		})
+	case path == harness.Wire.OrderPath:
+		return w.order(body), "{}"
+	case path == "/v1/kv-events":
+		return http.StatusOK, encode(map[string]any{"epoch": 1, "nextToken": 0, "lost": false, "events": []any{}})
+	case path == "/v1/kv-list":
+		return http.StatusOK, encode(map[string]any{"epoch": 1, "nextToken": 0, "held": []any{}})
+	case strings.HasPrefix(path, harness.Wire.HandlePath):
+		handle := strings.TrimPrefix(path, harness.Wire.HandlePath)
+		if !w.handles[handle] {
+			return http.StatusNotFound, "{}"
+		}
+		delete(w.handles, handle)
+		return http.StatusOK, "{}"
+	default:
+		return http.StatusNotFound, "{}"
+	}
+}
+
+// order takes an order to change the stage and returns the status of the answer. The mutex is held.
+func (w *worker) order(body []byte) int {
+	var order struct {
+		Op, Stage, Holder string
+		Fence             int64
+		Expected          *int
+	}
+	switch err := json.Unmarshal(body, &order); {
+	case err != nil || order.Op != "stage" || order.Holder == "" || order.Fence == 0 || (order.Stage != "prefill" && order.Stage != "decode"):
+		return http.StatusBadRequest
+	case w.changing || (order.Expected != nil && *order.Expected != w.orders):
+		return http.StatusConflict
+	case order.Stage == w.current:
+		return http.StatusOK
+	}
+	w.orders++
+	w.changing = true
+	w.note("changes to %s", order.Stage)
+	time.AfterFunc(reconfigTime, func() {
+		w.mu.Lock()
+		w.current, w.changing = order.Stage, false
+		w.mu.Unlock()
+		w.register()
+	})
+	return http.StatusAccepted
+}
+
+// keepHandle keeps the prompt of a request and returns its handle.
+func (w *worker) keepHandle(id string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	handle := fmt.Sprintf("%s-%s-%d", w.id, id, time.Now().UnixNano())
+	w.handles[handle] = true
+	return handle
+}
+
+// takeHandle takes a prompt from the engine that has read it, IP:PORT/HANDLE.
+func takeHandle(source string) bool {
+	address, handle, _ := strings.Cut(source, "/")
+	request, err := http.NewRequest(http.MethodDelete, "http://"+address+harness.Wire.HandlePath+handle, http.NoBody)
+	if err != nil {
+		return false
+	}
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// begin waits for a slot, and reports whether there was one, or room to wait for it, before the deadline of the request.
+func (w *worker) begin(deadline time.Time) bool {
 	w.mu.Lock()
 	if w.taken >= w.slots+w.queue {
 		w.mu.Unlock()
@@ -192,8 +328,17 @@
 	}
 	w.taken++
 	w.mu.Unlock()
-	w.running <- struct{}{}
-	return true
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case w.running <- struct{}{}:
+		return true
+	case <-timer.C:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.taken--
+		return false
+	}
 }
 
 // done frees a slot.
