Refusals: tell what shows that they belong to their requests

The hypotheses on requests that ran twice differ in one point: whether the refusal that a conclusion rests on named its request, and what its connection had carried before. Neither logs nor metrics told it. Each refusal now carries both to the decision of its request and to a counter, and requests that were sent again are counted, so that a clean run shows how often it met the case.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/httpclient"
@@ -254,6 +256,9 @@
 	if failure != failureNone {
 		record.Failure = prefix + failure.String()
 	}
+	if failure == failureRefused || failure == failureMisdirected {
+		errors.As(c.report.Err, &record.Refusal)
+	}
 	if failure == failureBroken && c.report.RequestDigest == nil {
 		digest := c.guarded.requestDigest()
 		c.report.RequestDigest = &digest
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -146,6 +146,17 @@
 // IsResumption reports whether the caller takes up a stream that an earlier request began.
 func (r *Report) IsResumption() bool { return r.Request != nil && r.Request.ResumeAfter != "" }
 
+// IsRepeat reports whether the request was sent to a worker after another one, or the same, had received it.
+func (r *Report) IsRepeat() bool {
+	reached := 0
+	for _, attempt := range r.Attempts {
+		if attempt.Failure != failureUnreachable.String() && attempt.Failure != failureBarred.String() && attempt.Worker != "" {
+			reached++
+		}
+	}
+	return reached > 1
+}
+
 // Step returns the step at which a request without a complete response ended.
 func (r *Report) Step() string {
 	switch {
@@ -202,6 +213,8 @@
 	UrgencyReason string
 	// Failure is empty if the attempt succeeded.
 	Failure string
+	// Refusal is the refusal of the worker or of the prefill engine, or nil.
+	Refusal *Refusal
 }
 
 // Observer receives the report of each request.
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -162,6 +162,9 @@
 	if attempt.Failure != "" {
 		text += ": " + attempt.Failure
 	}
+	if refusal := attempt.Refusal; refusal != nil {
+		text += fmt.Sprintf(" (status %d, names the request: %t, %s)", refusal.Status, refusal.Named, refusal.Connection)
+	}
 	if attempt.NotContinued != "" {
 		text += ", not continued: " + attempt.NotContinued
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,10 @@
 	metricRequests  = "granitebay_requests_total"
 	metricFirstByte = "granitebay_first_byte_seconds"
 	metricAttempts  = "granitebay_tries_total"
+	// metricRefusals counts the refusals of workers by what shows that they belong to their requests. metricRepeats counts the requests that were sent
+	// to a worker after one that had received them.
+	metricRefusals = "granitebay_worker_refusals_total"
+	metricRepeats  = "granitebay_requests_sent_again_total"
 	// metricDeferred counts requests that were deferred because they were expected to miss their objective.
 	metricDeferred = "granitebay_deferred_total"
 	// metricUrgency counts attempts that did not have the default urgency at the engine, because there was contention. metricHeldBack counts
@@ -308,6 +312,10 @@
 		m.pace.observeCourse(report.Group, attempt.Course)
 		name = fmt.Sprintf(`%s{group=%q,failure=%q}`, metricAttempts, report.Group, attempt.Failure)
 		m.set.GetOrCreateCounter(name).Inc()
+		if refusal := attempt.Refusal; refusal != nil {
+			name = fmt.Sprintf(`%s{group=%q,named="%t",connection=%q}`, metricRefusals, report.Group, refusal.Named, refusal.Connection)
+			m.set.GetOrCreateCounter(name).Inc()
+		}
 		if attempt.Continues != forward.ContinuesNothing {
 			m.countContinuation(report.Group, attempt)
 		}
@@ -318,6 +326,9 @@
 			m.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q}`, metricDeferred, report.Rule)).Inc()
 		}
 	}
+	if report.IsRepeat() {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q}`, metricRepeats, report.Rule)).Inc()
+	}
 	if report.HeldBack != "" {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`%s{rule=%q,refused="%t"}`, metricHeldBack, report.Rule, report.Reason == forward.ReasonNoRoom)).Inc()
 	}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -94,6 +94,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Key identifies the request if it may be sent more than once; may be empty.
+	Key string
 	// Arrivals is told where the response arrives; may be nil.
 	Arrivals *Arrivals
 	// MaySend is called once a connection is open, before anything is sent, and returns why the request must not be sent any more; may be nil.
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -30,6 +30,9 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
+	// Earlier is the number of requests that the connection carried before this one, and Repeated is set if one of them had the same key.
+	Earlier  int
+	Repeated bool
 	// EndsWithConnection is set if only the end of the connection ends the body, which a crash of the peer ends, too.
 	EndsWithConnection bool
 	// Body returns an error of type *Error if the response is cut off.
@@ -49,12 +52,15 @@
 	reads countingReader
 	// sent receives the result of a concurrent or failed write, once; nil if the request was written synchronously.
 	sent chan error
+	// repeated is set if the connection has carried a request with the same key before.
+	repeated bool
 }
 
 // newExchange prepares a request on a connection. From now on, the connection is closed when ctx ends.
 func newExchange(ctx context.Context, pool *pool, connection *connection, request *Request) *exchange {
 	e := &exchange{ctx: ctx, pool: pool, connection: connection, request: request, start: time.Now()}
 	e.reads.conn = connection.Conn
+	e.repeated = connection.begin(request.Key)
 	connection.reader.Reset(&e.reads)
 	request.Arrivals.attach(&e.reads)
 	e.stopWatch = context.AfterFunc(ctx, e.contextEnded)
@@ -172,6 +178,8 @@
 		Status:             head.StatusCode,
 		Header:             head.Header,
 		ContentLength:      head.ContentLength,
+		Earlier:            e.connection.requests - 1,
+		Repeated:           e.repeated,
 		EndsWithConnection: head.ContentLength < 0 && len(head.TransferEncoding) == 0,
 		Body:               &body{exchange: e, head: head},
 	}
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -20,11 +20,31 @@
 	reader  *bufio.Reader
 	// openedAt is a time at which the worker had accepted the connection.
 	openedAt time.Time
+	// requests counts the requests that the connection has carried. recentKeys are the keys of the last of them, the oldest first.
+	requests   int
+	recentKeys []string
 	// idleSince is when the connection became idle, and idleDeadline until when it may be reused.
 	idleSince    time.Time
 	idleDeadline time.Time
 }
 
+// maxRecentKeys bounds the keys that a connection remembers.
+const maxRecentKeys = 8
+
+// begin records a request with a key, and reports whether the connection has carried one with the same key lately.
+func (c *connection) begin(key string) (repeated bool) {
+	c.requests++
+	if key == "" {
+		return false
+	}
+	repeated = slices.Contains(c.recentKeys, key)
+	if len(c.recentKeys) == maxRecentKeys {
+		c.recentKeys = slices.Delete(c.recentKeys, 0, 1)
+	}
+	c.recentKeys = append(c.recentKeys, key)
+	return repeated
+}
+
 // readBufferSize is the read buffer of a connection. Headers and events are small.
 const readBufferSize = 2048
 
