--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -196,7 +196,7 @@
 	if options.Model != nil {
 		worker.model = newEngineModel(*options.Model)
 	}
-	worker.server = &http.Server{Handler: worker}
+	worker.server = &http.Server{Handler: worker, ConnContext: withClientConn}
 	go func() { _ = worker.server.Serve(listener) }()
 	f.mutex.Lock()
 	_, replaced := f.workers[worker.address]
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -15,6 +15,8 @@
 	// aliases are further addresses of workers, with their registered addresses.
 	aliases map[string]string
 	runs    map[string][]Run
+	// refusals counts the refusals of each request, by request ID.
+	refusals map[string]int
 	// arrivals are all requests that reached workers, including refused ones; orders are the accepted orders.
 	arrivals []Arrival
 	orders   []AcceptedOrder
@@ -172,7 +174,7 @@
 
 // NewFleet returns a fleet without workers and with an empty store.
 func NewFleet() *Fleet {
-	return &Fleet{Store: NewStore(), workers: map[string]*Worker{}, aliases: map[string]string{}, runs: map[string][]Run{}}
+	return &Fleet{Store: NewStore(), workers: map[string]*Worker{}, aliases: map[string]string{}, runs: map[string][]Run{}, refusals: map[string]int{}}
 }
 
 // Runs returns the runs recorded so far, by request ID.
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -14,6 +14,10 @@
 
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	sendLateBytes(request)
+	if id := request.Header.Get("Request-Id"); id != "" {
+		writer.Header().Set("Request-Id", id)
+	}
 	if w.announcesLeaving() {
 		writer.Header().Set("Server-Leaving", "1")
 	}
@@ -98,13 +102,6 @@
 	LongWork = 1200 * time.Millisecond
 )
 
-// refuse answers that a request was not executed.
-func refuse(writer http.ResponseWriter, id string) {
-	writer.Header().Set("Request-Id", id)
-	writer.Header().Set("Not-Executed", "1")
-	writer.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // serveRequest handles a prefill request or a run.
 func (w *Worker) serveRequest(writer http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
@@ -121,7 +118,7 @@
 	if retryAfter := w.currentRetryAfter(); retryAfter > 0 {
 		w.fleet.recordNotice(Notice{ID: id, Worker: w.options.ID, Born: w.born, Rest: retryAfter, At: time.Now()})
 		writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
-		refuse(writer, id)
+		w.refuse(writer, request)
 		return
 	}
 	if w.announcesLeaving() {
@@ -129,7 +126,7 @@
 	}
 	w.mutex.Lock()
 	w.requestCount++
-	shed := w.fault == WorkerSheds && w.requestCount%shedAcceptsOneIn != 0
+	shed := w.fault == WorkerSheds && w.requestCount%shedAcceptsOneIn != 0 || w.fault == WorkerShedsSome && w.requestCount%shedRefusesOneIn == 0
 	full := w.busy >= w.options.Slots || w.changingStage || w.fault == WorkerFull || shed
 	fault := w.fault
 	stage := w.stage
@@ -138,7 +135,7 @@
 	}
 	w.mutex.Unlock()
 	if full {
-		refuse(writer, id)
+		w.refuse(writer, request)
 		return
 	}
 	endWork := w.fleet.beginWork(id, w.options.ID)
@@ -183,7 +180,7 @@
 	source := request.Header.Get("Kv-Source")
 	continued := source == w.address+"/"+id
 	if continued && !w.takeCopy(id) || source != "" && !continued && !w.fleet.consumeHandle(source) {
-		refuse(writer, id)
+		w.refuse(writer, request)
 		return
 	}
 	if w.model != nil {
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -64,11 +64,16 @@
 	WorkerStalls
 	// WorkerSheds accepts only one in shedAcceptsOneIn requests.
 	WorkerSheds
+	// WorkerShedsSome refuses one in shedRefusesOneIn requests.
+	WorkerShedsSome
 )
 
 // shedAcceptsOneIn is the reciprocal of the share of requests that WorkerSheds accepts.
 const shedAcceptsOneIn = 5
 
+// shedRefusesOneIn is the reciprocal of the share of requests that WorkerShedsSome refuses.
+const shedRefusesOneIn = 4
+
 // Worker is a simulated worker: a plain one, or an engine in the prefill or decode stage.
 type Worker struct {
 	options WorkerOptions
@@ -86,6 +91,9 @@
 	busy         int
 	fault        WorkerFault
 	requestCount int
+	// refusals is how the worker refuses requests, and refusalCount how many it has refused.
+	refusals     Refusals
+	refusalCount int
 	handles      map[string]bool
 	// copies holds how many events each copied run of another worker had made, by request ID. With keepsNoCopies, there is no room for them.
 	copies        map[string]int
