Workers: a refusal without an id proves nothing on a shared connection

What callers saw: a request that must run once ran twice, or got 503 although it had run. Cause: a refusal that names no request was taken for one of the request that waits on its connection. A second copy of an earlier refusal in that place looks the same.

What responses on a connection say of the request that waits there is judged in one place, httpclient.provenance. A refusal without an id counts only as the first response on a connection that has carried no other request: nothing earlier can have caused it.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -153,35 +153,8 @@
 	Status int
 	// Misdirected is set if another worker than expected runs at the address.
 	Misdirected bool
-	// Named is set if the response names the request, and Connection tells what else it could belong to.
-	Named      bool
-	Connection ConnectionUse
-}
-
-// ConnectionUse describes the connection on which a worker responded.
-type ConnectionUse struct {
-	// Earlier is the number of requests that it had carried before, and Repeated is set if the same request was one of them.
-	Earlier  int
-	Repeated bool
-}
-
-// Names of the uses of a connection in logs and metrics.
-const (
-	useNew     = "new connection"
-	useOthers  = "connection of other requests"
-	useRequest = "connection of the same request"
-)
-
-// String returns the name of the use.
-func (c ConnectionUse) String() string {
-	switch {
-	case c.Repeated:
-		return useRequest
-	case c.Earlier > 0:
-		return useOthers
-	default:
-		return useNew
-	}
+	// Named is set if the response names the request, and Shared if its connection had carried other requests before.
+	Named, Shared bool
 }
 
 // Error implements error.
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -163,7 +163,7 @@
 		text += ": " + attempt.Failure
 	}
 	if refusal := attempt.Refusal; refusal != nil {
-		text += fmt.Sprintf(" (status %d, names the request: %t, %s)", refusal.Status, refusal.Named, refusal.Connection)
+		text += fmt.Sprintf(" (status %d, names the request: %t, shared connection: %t)", refusal.Status, refusal.Named, refusal.Shared)
 	}
 	if attempt.NotContinued != "" {
 		text += ", not continued: " + attempt.NotContinued
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -313,7 +313,7 @@
 		name = fmt.Sprintf(`%s{group=%q,failure=%q}`, metricAttempts, report.Group, attempt.Failure)
 		m.set.GetOrCreateCounter(name).Inc()
 		if refusal := attempt.Refusal; refusal != nil {
-			name = fmt.Sprintf(`%s{group=%q,named="%t",connection=%q}`, metricRefusals, report.Group, refusal.Named, refusal.Connection)
+			name = fmt.Sprintf(`%s{group=%q,named="%t",shared="%t"}`, metricRefusals, report.Group, refusal.Named, refusal.Shared)
 			m.set.GetOrCreateCounter(name).Inc()
 		}
 		if attempt.Continues != forward.ContinuesNothing {
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -94,26 +94,26 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	m := newGatewayMetrics(decisionlog.New("a", 16), logger)
-	refused := func(named bool, use forward.ConnectionUse) forward.Attempt {
-		return forward.Attempt{Worker: "w", Failure: "refused", Refusal: &forward.Refusal{Status: 503, Named: named, Connection: use}}
+	refused := func(named, shared bool) forward.Attempt {
+		return forward.Attempt{Worker: "w", Failure: "refused", Refusal: &forward.Refusal{Status: 503, Named: named, Shared: shared}}
 	}
 	m.RequestEnded(&forward.Report{Group: "g", Rule: "r", Attempts: []forward.Attempt{
-		refused(true, forward.ConnectionUse{}), refused(false, forward.ConnectionUse{Earlier: 3}), refused(true, forward.ConnectionUse{Earlier: 1, Repeated: true}),
+		refused(true, false), refused(false, true), refused(true, true),
 	}})
 	var text strings.Builder
 	m.set.WritePrometheus(&text)
 	for _, want := range []string{
-		metricRefusals + `{group="g",named="true",connection="new connection"} 1`,
-		metricRefusals + `{group="g",named="false",connection="connection of other requests"} 1`,
-		metricRefusals + `{group="g",named="true",connection="connection of the same request"} 1`,
+		metricRefusals + `{group="g",named="true",shared="false"} 1`,
+		metricRefusals + `{group="g",named="false",shared="true"} 1`,
+		metricRefusals + `{group="g",named="true",shared="true"} 1`,
 		metricRepeats + `{rule="r"} 1`,
 	} {
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("%s is missing in %s", want, text.String())
 		}
 	}
-	const want = "refused (status 503, names the request: false, connection of other requests)"
-	if got := describeAttempt(refused(false, forward.ConnectionUse{Earlier: 3})); !strings.Contains(got, want) {
+	const want = "refused (status 503, names the request: false, shared connection: true)"
+	if got := describeAttempt(refused(false, true)); !strings.Contains(got, want) {
 		t.Errorf("the attempt is described as %q, want %q in it", got, want)
 	}
 }
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -51,7 +51,12 @@
 	defer cancel()
 	response, err := client.Do(ctx, address, &Request{
 		Method: http.MethodPost, Target: "/a//b?c=%20d", Host: "host.example", Header: http.Header{"Id": {id}}, Body: []byte(body),
-		MatchResponse: func(_ int, header http.Header) bool { return header.Get("Id") == id },
+		Classify: func(_ int, header http.Header) ResponseKind {
+			if header.Get("Id") != id {
+				return KindOther
+			}
+			return KindResponse
+		},
 	})
 	if err != nil {
 		return "", err
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -30,9 +30,8 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
-	// Earlier is the number of requests that the connection carried before this one, and Repeated is set if one of them had the same key.
-	Earlier  int
-	Repeated bool
+	// Earlier is the number of requests that the connection carried before this one.
+	Earlier int
 	// EndsWithConnection is set if only the end of the connection ends the body, which a crash of the peer ends, too.
 	EndsWithConnection bool
 	// Body returns an error of type *Error if the response is cut off.
@@ -52,15 +51,13 @@
 	reads countingReader
 	// sent receives the result of a concurrent or failed write, once; nil if the request was written synchronously.
 	sent chan error
-	// repeated is set if the connection has carried a request with the same key before.
-	repeated bool
 }
 
 // newExchange prepares a request on a connection. From now on, the connection is closed when ctx ends.
 func newExchange(ctx context.Context, pool *pool, connection *connection, request *Request) *exchange {
 	e := &exchange{ctx: ctx, pool: pool, connection: connection, request: request, start: time.Now()}
 	e.reads.conn = connection.Conn
-	e.repeated = connection.begin(request.Key)
+	connection.provenance.requests++
 	connection.reader.Reset(&e.reads)
 	request.Arrivals.attach(&e.reads)
 	e.stopWatch = context.AfterFunc(ctx, e.contextEnded)
@@ -115,7 +112,7 @@
 		if err != nil {
 			return nil, e.fail(StepAwait, err)
 		}
-		if e.request.MatchResponse == nil || e.request.MatchResponse(head.StatusCode, head.Header) {
+		if e.accept(head) {
 			return e.response(head), nil
 		}
 		if _, err := io.Copy(io.Discard, head.Body); err != nil {
@@ -128,6 +125,18 @@
 	return nil, e.fail(StepAwait, errUnmatchedResponses)
 }
 
+// accept reports whether a response belongs to the request.
+func (e *exchange) accept(head *http.Response) bool {
+	kind := KindResponse
+	if e.request.Classify != nil {
+		kind = e.request.Classify(head.StatusCode, head.Header)
+	}
+	if kind == KindUnnamedRefusal {
+		e.pool.isolate(e.connection.address)
+	}
+	return e.connection.provenance.accept(e.request.Key, kind)
+}
+
 // send writes the request. Large requests are written concurrently with reading the response. After an error, there may be a response to read:
 // a worker may refuse a request and close the connection before all of it has arrived.
 func (e *exchange) send() error {
@@ -178,8 +187,7 @@
 		Status:             head.StatusCode,
 		Header:             head.Header,
 		ContentLength:      head.ContentLength,
-		Earlier:            e.connection.requests - 1,
-		Repeated:           e.repeated,
+		Earlier:            e.connection.provenance.requests - 1,
 		EndsWithConnection: head.ContentLength < 0 && len(head.TransferEncoding) == 0,
 		Body:               &body{exchange: e, head: head},
 	}
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -19,32 +19,13 @@
 	address string
 	reader  *bufio.Reader
 	// openedAt is a time at which the worker had accepted the connection.
-	openedAt time.Time
-	// requests counts the requests that the connection has carried. recentKeys are the keys of the last of them, the oldest first.
-	requests   int
-	recentKeys []string
+	openedAt   time.Time
+	provenance provenance
 	// idleSince is when the connection became idle, and idleDeadline until when it may be reused.
 	idleSince    time.Time
 	idleDeadline time.Time
 }
 
-// maxRecentKeys bounds the keys that a connection remembers.
-const maxRecentKeys = 8
-
-// begin records a request with a key, and reports whether the connection has carried one with the same key lately.
-func (c *connection) begin(key string) (repeated bool) {
-	c.requests++
-	if key == "" {
-		return false
-	}
-	repeated = slices.Contains(c.recentKeys, key)
-	if len(c.recentKeys) == maxRecentKeys {
-		c.recentKeys = slices.Delete(c.recentKeys, 0, 1)
-	}
-	c.recentKeys = append(c.recentKeys, key)
-	return repeated
-}
-
 // readBufferSize is the read buffer of a connection. Headers and events are small.
 const readBufferSize = 2048
 
@@ -59,17 +40,20 @@
 	// idleLimits holds, by address, how long connections may be idle, where a worker closed one earlier than its
 	// Keep-Alive header allowed.
 	idleLimits map[string]time.Duration
+	// isolatedUntil holds, by address, until when each request gets a connection of its own.
+	isolatedUntil map[string]time.Time
 }
 
 // newPool returns an empty pool.
 func newPool(settings Settings, dialer Dialer) *pool {
-	return &pool{settings: settings, dialer: dialer, idle: map[string][]*connection{}, idleLimits: map[string]time.Duration{}}
+	return &pool{settings: settings, dialer: dialer, idle: map[string][]*connection{}, idleLimits: map[string]time.Duration{}, isolatedUntil: map[string]time.Time{}}
 }
 
-// take returns the usable idle connection that was used last, or opens one. If directOnly is set, it returns none that is relayed.
-func (p *pool) take(ctx context.Context, address string, directOnly bool) (*connection, error) {
+// take returns the usable idle connection that was used last and may carry a request with a key, or opens one. If directOnly is set, it returns none
+// that is relayed.
+func (p *pool) take(ctx context.Context, address, key string, directOnly bool) (*connection, error) {
 	for {
-		conn := p.pop(address, directOnly)
+		conn := p.pop(address, key, directOnly)
 		if conn == nil {
 			return p.open(ctx, address, directOnly)
 		}
@@ -102,13 +86,13 @@
 	}
 }
 
-// pop removes and returns the connection that was used last, or nil.
-func (p *pool) pop(address string, directOnly bool) *connection {
+// pop removes and returns the connection that was used last and may carry a request with a key, or nil.
+func (p *pool) pop(address, key string, directOnly bool) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[address]
 	for i := len(idle) - 1; i >= 0; i-- {
-		if conn := idle[i]; !directOnly || p.dialer.IsDirect(conn.Conn) {
+		if conn := idle[i]; conn.provenance.mayCarry(key) && (!directOnly || p.dialer.IsDirect(conn.Conn)) {
 			p.idle[address] = slices.Delete(idle, i, i+1)
 			return conn
 		}
@@ -134,12 +118,16 @@
 // put keeps a connection for reuse for at most idleTimeout.
 func (p *pool) put(conn *connection, idleTimeout time.Duration) {
 	now := time.Now()
-	if idleTimeout <= 0 || conn.reader.Buffered() > 0 || !p.dialer.Usable(conn.Conn, conn.address, now) {
+	if idleTimeout <= 0 || conn.reader.Buffered() > 0 || conn.provenance.isSpent || !p.dialer.Usable(conn.Conn, conn.address, now) {
 		_ = conn.Close()
 		return
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if !conn.provenance.isUnused() && now.Before(p.isolatedUntil[conn.address]) {
+		_ = conn.Close()
+		return
+	}
 	if limit, found := p.idleLimits[conn.address]; found {
 		idleTimeout = min(idleTimeout, limit)
 	}
@@ -153,6 +141,23 @@
 	p.idle[conn.address] = append(idle, conn)
 }
 
+// isolationTime is how long each request to a peer gets a connection of its own after a refusal that named no request.
+const isolationTime = time.Minute
+
+// isolate gives each request to an address a connection of its own for isolationTime, so that a refusal without a name can belong to no other.
+func (p *pool) isolate(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.isolatedUntil[address] = time.Now().Add(isolationTime)
+	p.idle[address] = slices.DeleteFunc(p.idle[address], func(conn *connection) bool {
+		if conn.provenance.isUnused() {
+			return false
+		}
+		_ = conn.Close()
+		return true
+	})
+}
+
 // putBack keeps a connection that was taken and not used.
 func (p *pool) putBack(conn *connection) {
 	if conn.idleSince.IsZero() {
@@ -225,6 +230,7 @@
 	}
 	delete(p.idle, address)
 	delete(p.idleLimits, address)
+	delete(p.isolatedUntil, address)
 	p.dialer.Forget(address)
 }
 
--- /dev/null
+++ b/internal/httpclient/provenance.go
@@ -0,0 +1,42 @@
+package httpclient
+
+// ResponseKind is what a response says of the request that waits on its connection.
+type ResponseKind int
+
+// The kinds of responses. A refusal states that the peer has not processed a request and never will.
+const (
+	// KindResponse is the response to the request, and KindRefusal its refusal.
+	KindResponse ResponseKind = iota
+	KindRefusal
+	// KindUnnamedRefusal is a refusal that does not name its request.
+	KindUnnamedRefusal
+	// KindOther belongs to another request.
+	KindOther
+)
+
+// provenance judges which responses on a connection belong to the request that waits there. A peer may send a response twice, and the second copy may
+// come in the place where the next response is due.
+//
+// Invariant: a refusal that names no request counts only as the first response on a connection that has carried no other request.
+type provenance struct {
+	// requests counts the requests that the connection has carried.
+	requests int
+	// isSpent is set if the connection must not carry another request.
+	isSpent bool
+}
+
+// mayCarry reports whether a request with a key may be sent on the connection.
+func (p *provenance) mayCarry(string) bool { return !p.isSpent }
+
+// isUnused reports whether the connection has carried no request.
+func (p *provenance) isUnused() bool { return p.requests == 0 }
+
+// accept reports whether a response of a kind belongs to the request that was sent last. Others have to be discarded.
+func (p *provenance) accept(_ string, kind ResponseKind) bool {
+	accepted := kind != KindOther
+	if kind == KindUnnamedRefusal {
+		accepted = p.requests == 1
+		p.isSpent = true
+	}
+	return accepted
+}
