Workers: the response to an order is its own

What operators saw: an engine changes its role although its order was reported as not taken, or an order that was refused counts as done. Cause: orders, reports and other calls without an id took any response on their shared connections.

--- a/internal/httpclient/arrivals_test.go
+++ b/internal/httpclient/arrivals_test.go
@@ -136,7 +136,7 @@
 	client, arrivals := New(DefaultSettings()), &Arrivals{}
 	response := get(t, client, address, arrivals)
 	_, _ = io.ReadAll(response.Body)
-	connection := client.pool.pop(address, "", false)
+	connection := client.pool.pop(address, need{})
 	if connection == nil {
 		t.Fatal("the connection was not kept")
 	}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -104,6 +104,8 @@
 	OnConnection func(openedAt time.Time)
 	// DirectOnly keeps the request off connections that another process relays.
 	DirectOnly bool
+	// UnusedConnection keeps the request off connections that have carried another one, so that no response to that can be taken for its own.
+	UnusedConnection bool
 	// Classify returns what a response says of this request. Those that belong to others are read and discarded. Nil accepts any response.
 	Classify func(status int, header http.Header) ResponseKind
 }
@@ -233,7 +235,7 @@
 
 // do is Do without the callback and the first look at ctx.
 func (c *Client) do(ctx context.Context, address string, request *Request) (*Response, error) {
-	connection, err := c.pool.take(ctx, address, request.Key, request.DirectOnly)
+	connection, err := c.pool.take(ctx, address, need{key: request.Key, directOnly: request.DirectOnly, unused: request.UnusedConnection})
 	if err != nil {
 		return nil, &Error{Step: StepConnect, Peer: address, Cause: err}
 	}
@@ -261,7 +263,7 @@
 		// This says nothing about the address, so onFailure is not called.
 		return &Error{Step: StepConnect, Peer: address, Cause: context.Cause(ctx), unsent: true}
 	}
-	connection, err := c.pool.take(ctx, address, "", false)
+	connection, err := c.pool.take(ctx, address, need{})
 	if err == nil {
 		c.pool.putBack(connection)
 		return nil
--- a/internal/httpclient/late_test.go
+++ b/internal/httpclient/late_test.go
@@ -77,7 +77,7 @@
 	if content, err := io.ReadAll(response.Body); err != nil || string(content) != "abcd" {
 		t.Errorf("got %q, %v", content, err)
 	}
-	if connection := client.pool.pop(address, "", false); connection != nil {
+	if connection := client.pool.pop(address, need{}); connection != nil {
 		t.Error("a connection was kept whose context has ended")
 	}
 }
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -49,13 +49,32 @@
 	return &pool{settings: settings, dialer: dialer, idle: map[string][]*connection{}, idleLimits: map[string]time.Duration{}, isolatedUntil: map[string]time.Time{}}
 }
 
-// take returns the usable idle connection that was used last and may carry a request with a key, or opens one. If directOnly is set, it returns none
-// that is relayed.
-func (p *pool) take(ctx context.Context, address, key string, directOnly bool) (*connection, error) {
+// need is what a request needs of its connection.
+type need struct {
+	// key is that of the request.
+	key string
+	// directOnly excludes relayed connections, and unused those that have carried another request.
+	directOnly, unused bool
+}
+
+// isMetBy reports whether a connection is what the request needs.
+func (n need) isMetBy(conn *connection, dialer Dialer) bool {
+	switch {
+	case n.unused && !conn.provenance.isUnused():
+		return false
+	case n.directOnly && !dialer.IsDirect(conn.Conn):
+		return false
+	default:
+		return conn.provenance.mayCarry(n.key)
+	}
+}
+
+// take returns the usable idle connection that was used last and meets a need, or opens one.
+func (p *pool) take(ctx context.Context, address string, needed need) (*connection, error) {
 	for {
-		conn := p.pop(address, key, directOnly)
+		conn := p.pop(address, needed)
 		if conn == nil {
-			return p.open(ctx, address, directOnly)
+			return p.open(ctx, address, needed.directOnly)
 		}
 		now := time.Now()
 		if now.After(conn.idleDeadline) || !p.dialer.Usable(conn.Conn, address, conn.idleSince) {
@@ -86,13 +105,13 @@
 	}
 }
 
-// pop removes and returns the connection that was used last and may carry a request with a key, or nil.
-func (p *pool) pop(address, key string, directOnly bool) *connection {
+// pop removes and returns the connection that was used last and meets a need, or nil.
+func (p *pool) pop(address string, needed need) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[address]
 	for i := len(idle) - 1; i >= 0; i-- {
-		if conn := idle[i]; conn.provenance.mayCarry(key) && (!directOnly || p.dialer.IsDirect(conn.Conn)) {
+		if conn := idle[i]; needed.isMetBy(conn, p.dialer) {
 			p.idle[address] = slices.Delete(idle, i, i+1)
 			return conn
 		}
