Httpclient: heads and unneeded bodies without end end their connections

What callers saw: a request was held to its deadline and got 504, also one that its worker had refused, and the gateway grew until it fell over, while a worker sent bytes that are no response until its connection was closed. Cause: a head was read without a limit, and so were the bodies of refusals, of responses to other requests and of orders.

A head, with the informational ones before it, may have 64 KB, and has to begin as one. A body that nobody needs is read in the background, for 0.2 s and 64 KB, to keep its connection; the caller of Discard doesn't wait. So a refusal counts as soon as its head is there.

--- a/internal/httpclient/arrivals.go
+++ b/internal/httpclient/arrivals.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -41,13 +42,29 @@
 	conn net.Conn
 	// calls counts the beginnings and the ends of reads, so it is odd while a read is in progress.
 	calls atomic.Uint32
+	// isLimited is set while at most left bytes may be read. Only the reader uses both.
+	isLimited bool
+	left      int
 }
 
+// errHeadTooLong is returned for a head that exceeds its limit.
+var errHeadTooLong = errors.Newf("the head of the response exceeds %d bytes", maxHeadBytes)
+
+// limit bounds the bytes of the reads until unlimit is called.
+func (r *countingReader) limit(bytes int) { r.isLimited, r.left = true, bytes }
+
+// unlimit ends the effect of limit.
+func (r *countingReader) unlimit() { r.isLimited = false }
+
 // Read implements io.Reader.
 func (r *countingReader) Read(buffer []byte) (int, error) {
+	if r.isLimited && r.left <= 0 {
+		return 0, errHeadTooLong
+	}
 	r.calls.Add(1)
 	n, err := r.conn.Read(buffer)
 	r.calls.Add(1)
+	r.left -= n
 	return n, err
 }
 
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -21,6 +22,16 @@
 // maxSkippedResponses limits how many responses to other requests are discarded on one connection.
 const maxSkippedResponses = 3
 
+// maxHeadBytes bounds the head of a response, with the informational ones before it. maxDiscardedBytes bounds the body of a response that nobody
+// needs.
+const (
+	maxHeadBytes      = 64 << 10
+	maxDiscardedBytes = 64 << 10
+)
+
+// errNotHTTP is returned for bytes that begin no response.
+var errNotHTTP = errors.New("received bytes that are not a response")
+
 // errUnmatchedResponses is returned if every response received belongs to another request.
 var errUnmatchedResponses = errors.New("received only responses to other requests")
 
@@ -115,7 +126,7 @@
 		if e.accept(head) {
 			return e.response(head), nil
 		}
-		if _, err := io.Copy(io.Discard, head.Body); err != nil {
+		if err := discardBody(head.Body); err != nil {
 			return nil, e.fail(StepAwait, err)
 		}
 		if head.Close {
@@ -168,9 +179,32 @@
 	return writer.Flush()
 }
 
+// errBodyTooLong is returned for a body that nobody needs and that is not worth to be read to its end.
+var errBodyTooLong = errors.Newf("the body to discard exceeds %d bytes", maxDiscardedBytes)
+
+// discardBody reads a body of at most maxDiscardedBytes to its end.
+func discardBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes+1))
+	if err == nil && n > maxDiscardedBytes {
+		return errBodyTooLong
+	}
+	return err
+}
+
+// protocolName begins each response.
+const protocolName = "HTTP/"
+
 // readHead reads the next response header that is not informational (1xx).
 func (e *exchange) readHead() (*http.Response, error) {
+	e.reads.limit(maxHeadBytes)
+	defer e.reads.unlimit()
 	for {
+		if begin, err := e.connection.reader.Peek(len(protocolName)); err != nil || string(begin) != protocolName {
+			if len(begin) == 0 || strings.HasPrefix(protocolName, string(begin)) {
+				return nil, cmp.Or(err, io.ErrUnexpectedEOF)
+			}
+			return nil, errNotHTTP
+		}
 		head, err := http.ReadResponse(e.connection.reader, &http.Request{Method: e.request.Method})
 		if err != nil {
 			return nil, err
@@ -263,6 +297,39 @@
 	return settings.IdleTimeout
 }
 
+// discardTimeout bounds how long the connection of a body that nobody needs waits for its end.
+const discardTimeout = 200 * time.Millisecond
+
+// Discard is Close for a body that nobody needs, and keeps the connection if the body ends soon. It doesn't wait for that.
+func (r *Response) Discard() {
+	b, ok := r.Body.(*body)
+	if !ok || b.ended {
+		return
+	}
+	if r.ContentLength >= 0 && int(r.ContentLength) <= b.exchange.connection.reader.Buffered() {
+		_, _ = io.Copy(io.Discard, b)
+		return
+	}
+	if !b.exchange.stopWatch() {
+		_ = b.Close()
+		return
+	}
+	// The request may end before its body does.
+	b.exchange.stopWatch = func() bool { return true }
+	go b.discard()
+}
+
+// discard reads the body to its end in discardTimeout, or closes the connection.
+func (b *body) discard() {
+	defer b.Close()
+	conn := b.exchange.connection
+	if conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil || discardBody(b.head.Body) != nil || conn.SetReadDeadline(time.Time{}) != nil {
+		return
+	}
+	b.ended = true
+	b.exchange.finish(b.head)
+}
+
 // body is a response body.
 type body struct {
 	exchange *exchange
