Forward: responses without end don't exhaust the memory of a gateway

What callers saw: a gateway that falls over while a few workers send bodies or events without end. Cause: each buffered response may take 16 MB and each event 1 MB, whatever others take; a query about a worker 4 MB.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -29,6 +29,8 @@
 	source *bufio.Reader
 	// limit is the maximum size of an event in bytes.
 	limit int
+	// Hold reports whether an event may take so many bytes of memory; nil for any number up to the limit.
+	Hold func(size int) bool
 	// buffer holds the bytes of the current event.
 	buffer []byte
 }
@@ -80,7 +82,7 @@
 	for {
 		chunk, err := r.source.ReadSlice('\n')
 		r.buffer = append(r.buffer, chunk...)
-		if len(r.buffer) > r.limit {
+		if len(r.buffer) > r.limit || r.Hold != nil && !r.Hold(cap(r.buffer)) {
 			return ErrTooLong
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/bytebudget"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/tenant"
@@ -56,6 +57,7 @@
 	labelled             LabelledProtocol
 	workers              Workers
 	tenants              *tenantlimit.Limiter
+	responses            *bytebudget.Budget
 	recent               recentLabels
 	dispatcher           *Dispatcher
 	observer             Observer
@@ -79,7 +81,7 @@
 func NewHandler(settings Settings, protocol Protocol, workers Workers, dispatcher *Dispatcher, observer Observer) *Handler {
 	return &Handler{
 		settings: settings, protocol: protocol, workers: workers, dispatcher: dispatcher, observer: observer,
-		tenants: tenantlimit.New(dispatcher.concurrencyShareOf),
+		tenants: tenantlimit.New(dispatcher.concurrencyShareOf), responses: bytebudget.New(maxHeldBytes, smallResponseBytes),
 	}
 }
 
@@ -282,10 +284,12 @@
 	}
 	defer h.tenants.End(match.Rule.Name, request.Tenant)
 	h.dispatcher.CountRequest(match.Group.Name)
+	held := h.responses.Reserve()
+	defer held.Release()
 	current := &call{
 		handler: h, writer: writer, request: request, match: match, deadline: deadline, report: report, guarded: guarded,
 		attempts: attempts{rule: match.Rule, runOnce: request.RunOnce}, stream: resumed,
-		relay: relay{writer: writer, deadline: deadline, lastEvent: request.ResumeAfter, begun: request.ResumeAfter != ""},
+		relay: relay{writer: writer, deadline: deadline, lastEvent: request.ResumeAfter, begun: request.ResumeAfter != "", held: held},
 	}
 	current.streamRef = streamOf(table, match.Rule, request)
 	current.relay.onStart = func() { report.FirstByte = time.Now() }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/granitebay/granitebay/internal/bytebudget"
 	"github.com/granitebay/granitebay/internal/eventstream"
 )
 
@@ -18,6 +19,12 @@
 // maxBufferedBytes bounds the size of responses that are not streams.
 const maxBufferedBytes = 16 << 20
 
+// Bounds of the memory that the responses of all requests hold together: what goes beyond the first smallResponseBytes of each.
+const (
+	maxHeldBytes       = 20 << 20
+	smallResponseBytes = 64 << 10
+)
+
 // bufferedResponse is a complete response that is not a stream.
 type bufferedResponse struct {
 	status int
@@ -25,14 +32,11 @@
 	body   []byte
 }
 
-// readBuffered reads a complete response, so that nothing has been forwarded if it is truncated and the request is retried.
-func readBuffered(response *Response) (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+// readBuffered reads a complete response, which a reservation holds, so that nothing has been forwarded if it is truncated and the request is retried.
+func readBuffered(response *Response, held *bytebudget.Reservation) (*bufferedResponse, error) {
+	body, err := held.ReadAll(response.Body, maxBufferedBytes)
 	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxBufferedBytes {
-		return nil, errors.Newf("receive the response: it exceeds the limit of %d bytes", maxBufferedBytes)
+		return nil, errors.Wrap(err, "receive the response")
 	}
 	return &bufferedResponse{status: response.Status, header: response.Header, body: body}, nil
 }
@@ -71,6 +75,8 @@
 	onEvent func(forwarding time.Duration)
 	// acceptResponse is called before onResponse. It marks the response as started and reports whether it may be forwarded.
 	acceptResponse func() bool
+	// held holds the memory of the events; nil for any.
+	held *bytebudget.Reservation
 	// watch is told when the relay waits for the worker; nil if nothing watches for stalls.
 	watch *stallWatch
 	// started is set once the headers have been written, and onStart is called before that.
@@ -97,6 +103,7 @@
 // forwardEvents is stream without the flush after an error.
 func (r *relay) forwardEvents(response *Response) error {
 	events := eventstream.NewReader(response.Body, maxEventBytes)
+	events.Hold = r.held.Hold
 	accepted := false
 	var forwarding time.Duration
 	for {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -94,7 +94,7 @@
 	if c.match.Rule.Kind == routing.KindStream && response.Status == http.StatusOK && !c.request.Unstreamed {
 		return c.forwardStream(response)
 	}
-	buffered, err := readBuffered(response)
+	buffered, err := readBuffered(response, c.relay.held)
 	if err != nil {
 		return err
 	}
