Httpclient: idle connections that receive bytes are closed

What operators saw: connections that stay open, and receive buffers that stay full, while a worker sends without end after a whole response. Cause: idle connections were looked at only when the next request to the worker wanted one. Evidence: TestEndlessBytesCloseIdleConnection, still open after 2.5 s before.

While a client has idle connections, it looks at them each 2 s, and closes those that have received bytes and those whose time is over.

--- a/internal/httpclient/endless_test.go
+++ b/internal/httpclient/endless_test.go
@@ -103,6 +103,27 @@
 	}
 }
 
+// TestEndlessBytesCloseIdleConnection guards against an idle connection that stays open while its worker sends bytes after a whole response.
+func TestEndlessBytesCloseIdleConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address := startWorker(t, func(connection net.Conn, reader *bufio.Reader, _ int) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(connection, headOfOwn+"Content-Length: 2\r\n\r\nok")
+		time.Sleep(20 * time.Millisecond)
+		sendWithoutEnd(connection, "x")
+		close(closed)
+	})
+	if got, err := send(New(DefaultSettings()), address, "1", ""); err != nil || got != "ok" {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	const maxOpen = sweepInterval + 500*time.Millisecond
+	select {
+	case <-closed:
+	case <-time.After(maxOpen):
+		t.Errorf("the connection is still open after %s", maxOpen)
+	}
+}
+
 // TestSurplusBytesDoNotShortenRest guards against connections to a worker that are no longer used again, because bytes that came after a response are
 // taken for an early close.
 func TestSurplusBytesDoNotShortenRest(t *testing.T) {
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -40,6 +40,8 @@
 	// idleLimits holds, by address, how long connections may be idle, where a worker closed one earlier than its
 	// Keep-Alive header allowed.
 	idleLimits map[string]time.Duration
+	// isSweeping is set while sweep is scheduled.
+	isSweeping bool
 	// isolatedUntil holds, by address, until when each request gets a connection of its own.
 	isolatedUntil map[string]time.Time
 }
@@ -160,6 +162,42 @@
 		idle = idle[1:]
 	}
 	p.idle[conn.address] = append(idle, conn)
+	p.scheduleSweep()
+}
+
+// sweepInterval is the time between two looks at the idle connections. A peer that sends bytes without end is read from no longer than that.
+const sweepInterval = 2 * time.Second
+
+// scheduleSweep schedules a sweep unless one is. mutex must be held.
+func (p *pool) scheduleSweep() {
+	if !p.isSweeping {
+		p.isSweeping = true
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
+}
+
+// sweep closes the idle connections whose time is over, and those that have received bytes, which belong to no request. Connections that the peer has
+// closed are left to take, which learns from their age.
+func (p *pool) sweep() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.isSweeping = false
+	now := time.Now()
+	for address, idle := range p.idle {
+		kept := slices.DeleteFunc(idle, func(conn *connection) bool {
+			if !now.After(conn.idleDeadline) && idleStateOf(conn.Conn) != idleReceived {
+				return false
+			}
+			_ = conn.Close()
+			return true
+		})
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+		p.scheduleSweep()
+	}
 }
 
 // isolationTime is how long each request to a peer gets a connection of its own after a refusal that named no request.
