Soak: workers that refuse requests twice and without names, and how many were at risk

The soak's workers refused requests only where a test of limits or overload made them, once and with the id, and one request in four had to run once; so a round met few requests that were refused and then sent again, and no second copy. Seeds from 15000 on draw refusals of all workers, of one request in four or of everything for short times, with and without ids and second copies, beside kills, stops, standstills, restarts under the same id and silent workers; half of the repeatable requests have to run once then, and the soak says how many were refused and sent again.

--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -239,6 +239,9 @@
 	if c.Seed >= firstPartSeed {
 		fmt.Fprintln(out, h.describeParts())
 	}
+	if c.Seed >= firstRefusalSeed {
+		fmt.Fprintln(out, h.describeRefusals())
+	}
 	if len(found) == 0 {
 		fmt.Fprintf(out, "no rule was broken in %d requests\n", len(h.Requests))
 		return nil
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -105,7 +105,9 @@
 	Requests    []RequestRecord
 	Runs        map[string][]fleet.Run
 	Arrivals    []fleet.Arrival
-	Orders      []fleet.AcceptedOrder
+	// Refusals counts the refusals of each request by workers.
+	Refusals map[string]int
+	Orders   []fleet.AcceptedOrder
 	// Notices are the announcements of workers. Gateways are the client addresses of the gateways by index.
 	Notices []fleet.Notice
 	// Limits are the changes of announced request limits, in order.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -74,7 +74,7 @@
 	case CrashingPart:
 		s.crashingPart.Store(&f)
 	default:
-		if s.injectNotice(fault) || s.injectChange(fault, calm) || s.injectVersion(fault) {
+		if s.injectNotice(fault) || s.injectChange(fault, calm) || s.injectVersion(fault) || s.injectRefusals(fault) {
 			return
 		}
 		s.injectSeries(fault)
@@ -98,6 +98,7 @@
 	s.fleet.Store.SetFault(fleet.FaultNone, 0)
 	for _, slot := range s.workers {
 		slot.currentWorker().SetFault(fleet.WorkerGood)
+		slot.currentWorker().SetRefusals(fleet.RefusesOnce)
 		slot.currentProxy().Set(netproxy.ModePass)
 	}
 	for _, g := range s.gateways {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -165,7 +165,12 @@
 
 // drawRound returns the faults of a round. They depend on the seed, the number of the round and the size of the system alone.
 func drawRound(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
+	refusals, areOnly := drawRefusals(seed, number, gateways, workers)
+	if areOnly {
+		return refusals
+	}
 	parts, areOnly := drawCrashingPart(seed, number, gateways, workers, zones)
+	parts = append(parts, refusals...)
 	if areOnly {
 		return parts
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,6 +27,7 @@
 		{"gateways cut off from workers", "fes", 11_001, 2},
 		{"storm of configuration changes beside a reload, a planned stop and a standstill, callers at the bounds and half-closed ones", "fes", 12_017, 1},
 		{"workers of two software versions, replaced and restarted under their ids, gateways killed and stopped, streams resumed at others", "fes", 13_001, 1},
+		{"short rests of all workers, with refusals that name no request and are sent twice, beside gateways killed, suspended and reloaded", "fes", 15_103, 1},
 		{"a part of prompts that crashes workers, with ends that look whole, beside gateways killed and stopped", "fes", 14_021, 1},
 	} {
 		t.Run(test.faults, func(t *testing.T) {
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -325,7 +325,7 @@
 	defer s.mu.Unlock()
 	return &History{
 		CollectedAt: time.Now(), Exits: exits, Starts: starts, Work: s.fleet.Worked(),
-		Requests: append([]RequestRecord(nil), s.requests...), Runs: s.fleet.Runs(), Arrivals: s.fleet.Arrivals(), Orders: s.fleet.Orders(),
+		Requests: append([]RequestRecord(nil), s.requests...), Runs: s.fleet.Runs(), Arrivals: s.fleet.Arrivals(), Refusals: s.fleet.Refusals(), Orders: s.fleet.Orders(),
 		Crashes: s.fleet.Crashes(), Heads: s.fleet.Heads(), Notices: s.fleet.Notices(), Limits: s.fleet.Limits(), Gateways: addresses,
 		Spans: append([]Span(nil), s.spans...), Departures: append([]Departure(nil), s.departures...), QuietPeriods: quiet,
 		ConfigDelays: append([]time.Duration(nil), s.configDelays...),
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -20,6 +20,7 @@
 	crashingRandom := rand.New(rand.NewPCG(seed, crashingStream))
 	behaviorRandom := rand.New(rand.NewPCG(seed, seriesStream))
 	versionRandom := rand.New(rand.NewPCG(seed, versionStream))
+	refusalRandom := rand.New(rand.NewPCG(seed, refusalTrafficStream))
 	partRandom := rand.New(rand.NewPCG(seed, partTrafficStream))
 	unpooled, pooling := fleet.NewCaller(false), fleet.NewPoolingCaller(s.dialer.dial)
 	defer pooling.Close()
@@ -41,6 +42,9 @@
 		newConn := random.IntN(3) == 0
 		request := drawRequest(random, number, s.longPrompts.Load())
 		s.maybeMakeCrashing(crashingRandom, &request)
+		if seed >= firstRefusalSeed {
+			makeRunOnce(refusalRandom, &request)
+		}
 		if seed >= firstPartSeed {
 			s.addParts(partRandom, &request)
 		}
