--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -241,15 +241,6 @@
 	return runner, prompt, failureNone
 }
 
-// asNotRun returns the failure of a request whose prefill call failed. Failures that would mean that the request may have run become
-// failureRefused, because a prefill call does not run the request.
-func (f failureKind) asNotRun() failureKind {
-	if f.mayHaveRun() {
-		return failureRefused
-	}
-	return f
-}
-
 // recordAttempt adds an attempt to the report.
 func (c *call) recordAttempt(record Attempt, prefix string, failure failureKind) {
 	record.End = time.Now()
