Forward: a refusal at the deadline proves that the request has not run

What callers saw: 504, which promises nothing, for a request that its worker had refused, if its time was over or its caller left at the same moment; a caller of a request that must run once can't come back after it. Cause: an attempt that ended with the request counted as a possible run unless nothing had been sent. The same facts that prove it for a retry now prove it here, in provesNotRun.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -105,7 +105,7 @@
 
 // recordInterruption records that an attempt ended with an error because the request was given up.
 func (a *attempts) recordInterruption(err error) {
-	if !nothingSent(err) {
+	if !provesNotRun(err) {
 		a.interrupted = true
 	}
 }
--- a/internal/forward/attempts_test.go
+++ b/internal/forward/attempts_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
@@ -83,3 +84,27 @@
 		}
 	}
 }
+
+// TestRefusalAtDeadlineProvesNotRun guards against a caller who is told that its request may have run although its worker refused it, because its time
+// was over at the same moment.
+func TestRefusalAtDeadlineProvesNotRun(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want decision
+	}{
+		{&Refusal{Status: http.StatusServiceUnavailable}, decisionNotRun},
+		{&Refusal{Status: http.StatusMisdirectedRequest, Misdirected: true}, decisionNotRun},
+		{errBarred, decisionNotRun},
+		{&httpclient.Error{Step: httpclient.StepConnect}, decisionNotRun},
+		{&httpclient.Error{Step: httpclient.StepSend}, decisionFail},
+		{&httpclient.Error{Step: httpclient.StepAwait}, decisionFail},
+		{&InvalidResponse{}, decisionFail},
+		{&WorkerError{Status: http.StatusInternalServerError}, decisionFail},
+	} {
+		state := attempts{rule: &routing.Rule{Kind: routing.KindAtMostOnce, MaxAttempts: 1}}
+		state.recordInterruption(c.err)
+		if got := state.decide(failureDeadline, &fixedBudget{}); got != c.want {
+			t.Errorf("after %T (%v): decision %d, want %d", c.err, c.err, got, c.want)
+		}
+	}
+}
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -164,6 +164,12 @@
 	return failureBroken
 }
 
+// provesNotRun reports whether the error of an attempt proves that the worker has not run the request and never will.
+func provesNotRun(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) || errors.Is(err, errBarred) || nothingSent(err)
+}
+
 // nothingSent reports whether an attempt failed before any part of the request can have reached the worker.
 func nothingSent(err error) bool {
 	var transport *httpclient.Error
