Soak: a worker stops soon after its run has gone on elsewhere

Faults that keep the close of a connection from the worker or stop the gateway excuse it, as in the rule.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,7 +33,7 @@
 
 // checks lists all rules in reporting order.
 var checks = []check{
-	checkNonIdempotent, checkRefusals, checkResponses, checkLostConnections, checkUnanswered, checkExits, checkAbandoned, checkDrain, checkLeavingNotices, checkRetryAfter, checkLimits, checkOrders, checkRetryBudget, checkConfigDelays, checkRecovery, checkStartOfAll, checkBypass, checkCrashRetries, checkFalseBlocks, checkCrashingParts, checkSharedParts, checkVersions, checkResumptions,
+	checkNonIdempotent, checkRefusals, checkResponses, checkLostConnections, checkUnanswered, checkExits, checkAbandoned, checkDrain, checkLeavingNotices, checkRetryAfter, checkLimits, checkOrders, checkRetryBudget, checkConfigDelays, checkRecovery, checkStartOfAll, checkBypass, checkCrashRetries, checkFalseBlocks, checkCrashingParts, checkSharedParts, checkVersions, checkResumptions, checkContinuations,
 }
 
 // Check returns all violations in a history.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -56,6 +56,24 @@
 		{"TWICE", "non-idempotent request runs twice",
 			func(h *History) { h.Runs["r1"] = []fleet.Run{run("w1", 0), run("w2", time.Second)} },
 			func(h *History) { h.Requests[0].Kind = KindIdempotent }},
+		{"TWICE", "request goes on elsewhere while its first worker works",
+			func(h *History) {
+				h.Requests[0].Kind = KindIdempotent
+				h.Runs["r1"] = []fleet.Run{run("w1", 0), run("w2", time.Second)}
+				h.Work = []fleet.Work{{ID: "r1", Worker: "w1", Begun: timeAt(0), Ended: timeAt(time.Second + maxSecondRun + time.Millisecond)}}
+			},
+			func(h *History) { h.Work[0].Ended = timeAt(time.Second + maxSecondRun) }},
+		{"TWICE", "request goes on elsewhere while its first worker works, which is cut off",
+			func(h *History) {
+				h.Requests[0].Kind = KindIdempotent
+				h.Runs["r1"] = []fleet.Run{run("w1", 0), run("w2", time.Second), run("w1", 2*time.Second)}
+				h.Work = []fleet.Work{
+					{ID: "r1", Worker: "w1", Begun: timeAt(0), Ended: timeAt(5 * time.Second)}, {ID: "r1", Worker: "w1", Begun: timeAt(2 * time.Second), Ended: timeAt(9 * time.Second)},
+				}
+			},
+			func(h *History) {
+				h.Spans = []Span{{Fault: WorkerNetworkFault{Worker: 1}, Begun: timeAt(0), Ended: timeAt(time.Second)}}
+			}},
 		{"REFUSED", "refused request runs",
 			func(h *History) {
 				h.Requests[0].Response = fleet.Response{Status: http.StatusServiceUnavailable}
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -241,6 +241,7 @@
 	}
 	if c.Seed >= firstRefusalSeed {
 		fmt.Fprintln(out, h.describeRefusals())
+		fmt.Fprintln(out, h.describeContinuations())
 	}
 	if len(found) == 0 {
 		fmt.Fprintf(out, "no rule was broken in %d requests\n", len(h.Requests))
