Responses that belong to another request are counted and logged

An operator could not see that a worker sends second answers: they were discarded in silence. They are counted now, and the log names the peer, some lines a second at most.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,8 @@
 	Relay *relay.Dialer
 	// WatchConnections registers a callback for failed connections to workers. May be nil.
 	WatchConnections func(handle func(address string, err error))
+	// WatchDiscards registers a callback for responses of workers that belong to no request that waits. May be nil.
+	WatchDiscards func(handle func(address string))
 	// CloseIdleConnections closes idle connections to an address that no worker uses any more.
 	CloseIdleConnections func(address string)
 	// CloseUnusableConnections closes idle connections that are relayed by a gateway which no longer relays. May be nil.
@@ -203,6 +205,9 @@
 	if dependencies.WatchConnections != nil {
 		dependencies.WatchConnections(links.connectionFailed)
 	}
+	if dependencies.WatchDiscards != nil {
+		dependencies.WatchDiscards(g.metrics.countDiscard)
+	}
 	if dependencies.Relay != nil {
 		dependencies.Relay.SetSource(relaySource{g}, links.relayEvent)
 		g.relays = relay.NewHandler(dependencies.Relay)
--- a/internal/gateway/workerlinks.go
+++ b/internal/gateway/workerlinks.go
@@ -71,6 +71,7 @@
 // Names of the metrics about links to workers and orders.
 const (
 	metricLinkFailures   = "granitebay_worker_connections_failed_total"
+	metricDiscards       = "granitebay_worker_responses_discarded_total"
 	metricAbsenceReports = "granitebay_absence_reports_total"
 	metricOrders         = "granitebay_orders_total"
 )
@@ -80,6 +81,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{step=%q,cause=%q}`, metricLinkFailures, step, cause)).Inc()
 }
 
+// countDiscard counts and logs a response of a worker that belongs to no request that waits.
+func (m *gatewayMetrics) countDiscard(address string) {
+	m.set.GetOrCreateCounter(metricDiscards).Inc()
+	if m.allowLog(discardReason) {
+		logging.Component(m.logger.Logger, "workers").WithField("peer", address).Warn("A response belongs to another request than the one that waits.")
+	}
+}
+
+// discardReason is the rate limiting key of log lines about discarded responses.
+const discardReason = "discarded responses"
+
 // countOrder counts a role order by its outcome.
 func (m *gatewayMetrics) countOrder(outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{outcome=%q}`, metricOrders, outcome)).Inc()
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -149,6 +149,8 @@
 	pool     *pool
 	// onFailure is called with each error of Do; may be nil.
 	onFailure func(address string, err error)
+	// onDiscard is called with each response that belongs to no request that waits; may be nil.
+	onDiscard func(address string)
 }
 
 // Dialer opens the connections of a client, and decides which idle ones may be used again. It must be safe for concurrent use.
@@ -209,6 +211,10 @@
 // OnFailure sets a callback for each error of Do. It must be called before the first request, and the callback must not block.
 func (c *Client) OnFailure(onFailure func(address string, err error)) { c.onFailure = onFailure }
 
+// OnDiscard sets a callback for each response that is discarded, because it belongs to another request than the one that waits. It must be called
+// before the first request, and the callback must not block.
+func (c *Client) OnDiscard(onDiscard func(address string)) { c.onDiscard = onDiscard }
+
 // CloseIdle closes the idle connections to an address.
 func (c *Client) CloseIdle(address string) { c.pool.forget(address) }
 
@@ -253,6 +259,7 @@
 		request.OnConnection(connection.openedAt)
 	}
 	exchange := newExchange(ctx, c.pool, connection, request)
+	exchange.onDiscard = c.onDiscard
 	return exchange.run()
 }
 
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -62,6 +62,8 @@
 	reads countingReader
 	// sent receives the result of a concurrent or failed write, once; nil if the request was written synchronously.
 	sent chan error
+	// onDiscard is that of the client; may be nil.
+	onDiscard func(address string)
 }
 
 // newExchange prepares a request on a connection. From now on, the connection is closed when ctx ends.
@@ -126,6 +128,9 @@
 		if e.accept(head) {
 			return e.response(head), nil
 		}
+		if e.onDiscard != nil {
+			e.onDiscard(e.connection.address)
+		}
 		if err := discardBody(head.Body); err != nil {
 			return nil, e.fail(StepAwait, err)
 		}
