--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -35,9 +35,12 @@
 // readBuffered reads a complete response, which a reservation holds, so that nothing has been forwarded if it is truncated and the request is retried.
 func readBuffered(response *Response, held *bytebudget.Reservation) (*bufferedResponse, error) {
 	body, err := held.ReadAll(response.Body, maxBufferedBytes)
-	if err != nil {
+	if errors.IsAny(err, bytebudget.ErrTooLong, bytebudget.ErrExhausted) {
 		return nil, errors.Wrap(err, "receive the response")
 	}
+	if err != nil {
+		return nil, err
+	}
 	return &bufferedResponse{status: response.Status, header: response.Header, body: body}, nil
 }
 
