Poison: the log says what a gateway knew when it barred a part

Cause of the change: no line told why a gateway barred a part: how many distinct crashes it counted, how old they were, whether it knew of an answer and how long it had run. So the hypotheses of the incident could not be told apart by logs. 'A worker ended under requests' tells the age of the crash. Only logs change; the tests of the package pass.

--- a/internal/gateway/barsyncer.go
+++ b/internal/gateway/barsyncer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -79,7 +80,7 @@
 	case poison.WorkerCrashed:
 		b.gateway.dispatcher.RecordCrash(e.Worker.ID, e.Age)
 		digests := strings.Join(lo.Map(e.Requests, func(d poison.Digest, _ int) string { return d.String() }), ",")
-		b.logger.WithFields(logrus.Fields{"worker": e.Worker.ID, "peer": e.Worker.Address, "by": e.Evidence, "requests": len(e.Requests)}).
+		b.logger.WithFields(logrus.Fields{"worker": e.Worker.ID, "peer": e.Worker.Address, "by": e.Evidence, "requests": len(e.Requests), "ms_ago": e.Age.Milliseconds()}).
 			Warn("A worker ended under requests.")
 		b.gateway.metrics.countWorkerEnd(e.Worker.Group)
 		inputs := map[string]string{"asked": digests}
@@ -140,6 +141,21 @@
 	if bar.Part.Version != "" {
 		fields["software_version"] = bar.Part.Version
 	}
+	if bar.Basis != nil {
+		maps.Copy(fields, basisFields(*bar.Basis))
+	}
+	return fields
+}
+
+// basisFields returns the log fields of what this gateway knew of a barred part.
+func basisFields(basis poison.Basis) logrus.Fields {
+	fields := logrus.Fields{
+		"distinct": basis.DistinctCrashes, "first_ended_ms_ago": basis.FirstCrash.Milliseconds(), "last_ended_ms_ago": basis.LastCrash.Milliseconds(),
+		"known_answers": basis.Answers, "running_ms": basis.Running.Milliseconds(),
+	}
+	if basis.Answered >= 0 {
+		fields["answered_ms_ago"] = basis.Answered.Milliseconds()
+	}
 	return fields
 }
 
--- a/internal/poison/barring.go
+++ b/internal/poison/barring.go
@@ -115,6 +115,8 @@
 	LastReport time.Time
 	// DistinctCrashes is the number of distinct crashes, set for suspected requests only.
 	DistinctCrashes int
+	// Basis is what this gateway knew of the part; nil for requests and except in events.
+	Basis *Basis
 }
 
 // earlier returns the earlier of two times.
--- a/internal/poison/partbarring.go
+++ b/internal/poison/partbarring.go
@@ -217,7 +217,9 @@
 	state.barredSince, state.lastReport, state.heardAt = now, now, time.Time{}
 	state.barredUntil = now.Add(t.settings.barDuration(state.barCount))
 	t.unsentParts[part] = true
-	return state.bar(part)
+	bar := state.bar(part)
+	bar.Basis = t.basis(now, state)
+	return bar
 }
 
 // nextEvaluation returns the time of the next evaluation, or the zero time.
--- a/internal/poison/partupdate.go
+++ b/internal/poison/partupdate.go
@@ -185,6 +185,7 @@
 			Until: ago(-received.LeftMs), TrialDelay: time.Duration(received.TrialDelayMs) * time.Millisecond, Trials: received.Trials,
 		}
 		if t.applyBar(now, bar) {
+			bar.Basis = t.basis(now, t.parts[part])
 			newBars = append(newBars, bar)
 		}
 		if state, found := t.parts[part]; found {
