Poison: the time of a crash is that of the crash, not that of its notice

What callers saw: 422 for sound requests after many workers had gone dark at one moment. Cause: a worker that falls silent breaks no connection, so its crash counted at the time at which each gateway noticed that its record was gone. Records lapse one by one and gateways learn of it up to seconds late: one event became a series of distinct crashes, and a crash that an answer had voided counted again when another gateway noticed it later.

A crash now has bounds: the worker was alive at its last sign of life, and had crashed when the first request found it silent or its connection broke. Crashes are distinct only if no single moment explains them. Gateways merge the bounds by the incarnation of the worker, so a late notice adds nothing. Workers that break their connections, as those do that a request crashes, have the same times as before.

--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"slices"
 	"time"
 
@@ -161,6 +162,7 @@
 func (g *guardedRequest) answerBegins() {
 	if g.guard != nil && g.answerBegan.IsZero() {
 		g.answerBegan = g.guard.Now()
+		g.guard.Responded(g.worker)
 	}
 }
 
@@ -231,12 +233,21 @@
 	switch {
 	case failure == failureBroken && errors.As(err, &transport):
 		g.connectionBroke = true
+		if isTimeout(err) {
+			g.guard.Abandoned(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+		}
 		g.probeDone = g.guard.ConnectionBroke(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
 	case failure == failureSilent:
 		g.guard.Abandoned(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
 	}
 }
 
+// isTimeout reports whether a connection broke because nothing arrived for too long, so that its peer may have gone long before.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // awaitProbe waits until the guard knows whether the last worker has crashed, because the retry of a suspect request may not use all
 // workers. The guard limits the duration of the probe.
 func (g *guardedRequest) awaitProbe(ctx context.Context) {
--- a/internal/poison/barring.go
+++ b/internal/poison/barring.go
@@ -19,6 +19,9 @@
 
 // distinctCrashes counts the crashes of a suspect that are distinct. It sorts workers by crash time.
 func (t *Table) distinctCrashes(entry *suspect, workers []string) int {
+	if t.parts != nil {
+		return t.parts.times.distinct(entry.crashes, workers, t.settings.MinCrashInterval)
+	}
 	return distinctCrashes(entry.crashes, workers, t.settings.MinCrashInterval)
 }
 
--- a/internal/poison/basis.go
+++ b/internal/poison/basis.go
@@ -22,7 +22,7 @@
 func (t *partTable) basis(now time.Time, state *partState) *Basis {
 	first, last := span(state)
 	basis := &Basis{
-		DistinctCrashes: distinctCrashes(state.crashes, slices.Collect(maps.Keys(state.crashes)), t.settings.MinCrashInterval),
+		DistinctCrashes: t.times.distinct(state.crashes, slices.Collect(maps.Keys(state.crashes)), t.settings.MinCrashInterval),
 		FirstCrash:      now.Sub(first), LastCrash: now.Sub(last), Answered: -1, Answers: t.answers, Running: now.Sub(t.started),
 	}
 	if !state.answeredAt.IsZero() {
--- /dev/null
+++ b/internal/poison/crashtime.go
@@ -0,0 +1,197 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// crashTime bounds the moment at which a worker crashed. A connection that breaks tells the moment; a worker that falls silent crashed at some time
+// between its last sign of life and the first request that got no answer.
+type crashTime struct {
+	// broken is when the first connection broke; zero if none did.
+	broken time.Time
+	// silent is when the first request got no answer, and alive the last sign of life before; zero if there was none or it is not known.
+	silent, alive time.Time
+}
+
+// crashTimeTolerance is how far reports of the same moment may differ because of message delay.
+const crashTimeTolerance = 30 * time.Millisecond
+
+// isSilence reports whether the worker fell silent before any connection broke.
+func (c crashTime) isSilence() bool {
+	return !c.silent.IsZero() && (c.broken.IsZero() || c.silent.Before(c.broken.Add(crashTimeTolerance)))
+}
+
+// latest returns the time by which the worker had crashed.
+func (c crashTime) latest() time.Time {
+	if c.isSilence() {
+		return c.silent
+	}
+	return c.broken
+}
+
+// earliest returns the time until which the worker had not crashed; zero if that is not known.
+func (c crashTime) earliest() time.Time {
+	if c.isSilence() {
+		return c.alive
+	}
+	return c.broken
+}
+
+// merge returns what two gateways know together. A silence that the worker outlived was not its end. Otherwise the earlier times count: they are
+// those of the message with the shortest delay.
+func (c crashTime) merge(other crashTime) crashTime {
+	merged := crashTime{broken: earlierKnown(c.broken, other.broken)}
+	switch {
+	case c.silent.IsZero(), !other.silent.IsZero() && other.alive.After(c.silent):
+		merged.silent, merged.alive = other.silent, other.alive
+	case other.silent.IsZero(), c.alive.After(other.silent):
+		merged.silent, merged.alive = c.silent, c.alive
+	default:
+		merged.silent, merged.alive = earlierKnown(c.silent, other.silent), earlierKnown(c.alive, other.alive)
+	}
+	return merged
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// earlierKnown returns the earlier of two times that are not zero, or zero if both are.
+func earlierKnown(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
+// crashTimes holds when workers crashed, by the incarnation of the worker. Gateways notice a crash at different times; what counts is the crash.
+type crashTimes struct {
+	byWorker map[string]crashTime
+	// unsent are the workers that fell silent, as the other gateways have not been told yet.
+	unsent map[string]bool
+	// limit bounds the workers.
+	limit int
+}
+
+// newCrashTimes returns an empty record of at most limit workers.
+func newCrashTimes(limit int) *crashTimes {
+	return &crashTimes{byWorker: map[string]crashTime{}, unsent: map[string]bool{}, limit: limit}
+}
+
+// merge adds a report and reports whether the bounds have changed.
+func (c *crashTimes) merge(worker string, report crashTime) bool {
+	known, found := c.byWorker[worker]
+	if !found && len(c.byWorker) >= c.limit {
+		return false
+	}
+	merged := known.merge(report)
+	if merged == known {
+		return false
+	}
+	c.byWorker[worker] = merged
+	if merged.isSilence() {
+		c.unsent[worker] = true
+	}
+	return found
+}
+
+// latest returns the time by which a worker had crashed, or the given time if it is unknown.
+func (c *crashTimes) latest(worker string, unknown time.Time) time.Time {
+	if known, found := c.byWorker[worker]; found {
+		return known.latest()
+	}
+	return unknown
+}
+
+// earliest returns the time before which a worker had not crashed, or the given time if it is unknown.
+func (c *crashTimes) earliest(worker string, unknown time.Time) time.Time {
+	if known, found := c.byWorker[worker]; found {
+		return known.earliest()
+	}
+	return unknown
+}
+
+// expire forgets the crashes before the given time, except those of the workers that are kept.
+func (c *crashTimes) expire(before time.Time, keeps func(worker string) bool) {
+	maps.DeleteFunc(c.byWorker, func(worker string, known crashTime) bool { return known.latest().Before(before) && !keeps(worker) })
+	maps.DeleteFunc(c.unsent, func(worker string, _ bool) bool { _, found := c.byWorker[worker]; return !found })
+}
+
+// distinct counts the crashes of workers that are distinct: the fewest moments, at least minInterval apart, that explain all of them. Workers that
+// fell silent together, as a rack or a network does, count once, however late each was noticed. Crashes map the workers to times that stand in for
+// unknown ones.
+func (c *crashTimes) distinct(crashes map[string]time.Time, workers []string, minInterval time.Duration) int {
+	workers = slices.Clone(workers)
+	slices.SortFunc(workers, func(a, b string) int {
+		return cmp.Or(c.latest(a, crashes[a]).Compare(c.latest(b, crashes[b])), cmp.Compare(a, b))
+	})
+	count := 0
+	var last time.Time
+	for _, worker := range workers {
+		if count == 0 || c.earliest(worker, crashes[worker]).Sub(last) >= minInterval {
+			count++
+			last = c.latest(worker, crashes[worker])
+		}
+	}
+	return count
+}
+
+// span returns the time that certainly passed between the first and the last crash of the workers.
+func (c *crashTimes) span(crashes map[string]time.Time, workers []string) time.Duration {
+	var firstLatest, lastEarliest time.Time
+	for _, worker := range workers {
+		firstLatest = earlierKnown(firstLatest, c.latest(worker, crashes[worker]))
+		lastEarliest = later(lastEarliest, c.earliest(worker, crashes[worker]))
+	}
+	return max(lastEarliest.Sub(firstLatest), 0)
+}
+
+// SilentCrash is the crash of a worker that fell silent, as it is sent between gateways.
+type SilentCrash struct {
+	_ struct{} `cbor:",toarray"`
+	// Worker is the id of the worker's incarnation.
+	Worker string
+	// SilentAgoMs is the age of the first request that got no answer when it is sent, and AliveAgoMs that of the last sign of life, in milliseconds;
+	// the latter is negative if none is known.
+	SilentAgoMs, AliveAgoMs int64
+}
+
+// take returns the crashes of silent workers to send, latest first: those that have changed since the last call, or all if full is set.
+func (c *crashTimes) take(now time.Time, full bool, limit int) []SilentCrash {
+	var workers []string
+	for worker, known := range c.byWorker {
+		if known.isSilence() && (full || c.unsent[worker]) {
+			workers = append(workers, worker)
+		}
+	}
+	clear(c.unsent)
+	slices.SortFunc(workers, func(a, b string) int {
+		return cmp.Or(c.byWorker[b].silent.Compare(c.byWorker[a].silent), cmp.Compare(a, b))
+	})
+	var crashes []SilentCrash
+	for _, worker := range workers[:min(len(workers), limit)] {
+		known := c.byWorker[worker]
+		crash := SilentCrash{Worker: worker, SilentAgoMs: now.Sub(known.silent).Milliseconds(), AliveAgoMs: -1}
+		if !known.alive.IsZero() {
+			crash.AliveAgoMs = now.Sub(known.alive).Milliseconds()
+		}
+		crashes = append(crashes, crash)
+	}
+	return crashes
+}
+
+// crashTime returns the report of another gateway.
+func (s SilentCrash) crashTime(now time.Time) crashTime {
+	report := crashTime{silent: now.Add(-time.Duration(s.SilentAgoMs) * time.Millisecond)}
+	if s.AliveAgoMs >= 0 {
+		report.alive = now.Add(-time.Duration(s.AliveAgoMs) * time.Millisecond)
+	}
+	return report
+}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -95,6 +95,8 @@
 	// workers with a record, nil before the first update.
 	disconnected map[string]*disconnectedWorker
 	registered   backend.Set
+	// alive holds the last sign of life of the registered workers.
+	alive map[string]time.Time
 	// versions counts the registered workers of each service by their software version.
 	versions map[string]map[string]int
 	// notify is called when there are changes for the other gateways; urgent means that they are sent without delay. It is nil if
@@ -109,8 +111,9 @@
 // disconnectedWorker is a worker that may have crashed: a connection to it broke, or a request abandoned it because it did not respond.
 type disconnectedWorker struct {
 	worker *backend.Worker
-	// brokenAt is when the first connection broke, zero if none has. lastRequest is when a request was added last.
-	brokenAt, lastRequest time.Time
+	// brokenAt is when the first connection broke, and silentAt when the first request found the worker silent since its last sign of life; zero if
+	// none did. lastRequest is when a request was added last.
+	brokenAt, silentAt, lastRequest time.Time
 	// crashed is set once the crash is confirmed. probeDone is non-nil while a probe runs, and closed when it completes.
 	crashed   bool
 	probeDone chan struct{}
@@ -127,7 +130,7 @@
 func NewGuard(settings Settings, prober Prober, now func() time.Time, emit func(Event)) *Guard {
 	g := &Guard{
 		prober: prober, now: now, emit: emit, table: NewTable(settings), parts: newPartTable(settings), disconnected: map[string]*disconnectedWorker{},
-		versions: map[string]map[string]int{},
+		alive: map[string]time.Time{}, versions: map[string]map[string]int{},
 	}
 	g.table.parts, g.parts.mostByOneRequest = g.parts, g.table.mostByOneRequest
 	g.parts.start(now())
@@ -205,11 +208,32 @@
 	if g.isPlannedExit(worker) {
 		return
 	}
-	if entry := g.addRequest(worker, digest, requestInfo{rule, tenant, parts}); entry.crashed {
+	entry := g.addRequest(worker, digest, requestInfo{rule, tenant, parts})
+	if entry.silentAt.IsZero() {
+		entry.silentAt = g.now()
+	}
+	if entry.crashed {
 		g.recordCrash(entry, evidenceRefused)
 	}
 }
 
+// Responded records that a worker began to answer a request.
+func (g *Guard) Responded(worker *backend.Worker) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.signOfLife(worker, g.now())
+}
+
+// signOfLife records that a worker was up at the given time. The caller holds the mutex.
+func (g *Guard) signOfLife(worker *backend.Worker, now time.Time) {
+	if g.registered[worker.ID] != nil {
+		g.alive[worker.ID] = now
+	}
+	if entry := g.disconnected[worker.ID]; entry != nil && !entry.crashed {
+		entry.silentAt = time.Time{}
+	}
+}
+
 // isPlannedExit reports whether a worker drained or removed its record before its first connection broke. The caller holds the mutex.
 func (g *Guard) isPlannedExit(worker *backend.Worker) bool {
 	record := g.registered[worker.ID]
@@ -277,6 +301,9 @@
 			g.recordCrash(entry, evidenceNoRecord)
 		}
 	}
+	for _, id := range changes.Removed {
+		delete(g.alive, id)
+	}
 }
 
 // recordCrash counts a crash of the worker against the requests that it ran. The event is emitted once per crash, with the requests
@@ -285,20 +312,21 @@
 func (g *Guard) recordCrash(entry *disconnectedWorker, evidence string) {
 	isNew := !entry.crashed
 	entry.crashed = true
-	if entry.brokenAt.IsZero() {
-		entry.brokenAt = g.now()
+	if isNew {
+		g.parts.mergeTime(entry.worker.ID, g.crashTime(entry))
 	}
-	event := WorkerCrashed{Worker: entry.worker, Evidence: evidence, Age: g.now().Sub(entry.brokenAt)}
+	crashedAt := g.parts.times.latest(entry.worker.ID, g.now())
+	event := WorkerCrashed{Worker: entry.worker, Evidence: evidence, Age: g.now().Sub(crashedAt)}
 	parts := map[Part]bool{}
 	for digest, info := range entry.requests {
 		event.Requests = append(event.Requests, digest)
 		for _, part := range info.parts {
 			parts[part] = true
 		}
-		g.table.RecordCrash(g.now(), entry.brokenAt, Crash{Digest: digest, Worker: entry.worker.ID}, info.rule, info.tenant)
+		g.table.RecordCrash(g.now(), crashedAt, Crash{Digest: digest, Worker: entry.worker.ID}, info.rule, info.tenant)
 	}
 	event.Parts = slices.SortedFunc(maps.Keys(parts), compareParts)
-	g.parts.recordCrash(g.now(), entry.brokenAt, entry.worker.ID, g.versionBeside(entry.worker), event.Parts)
+	g.parts.recordCrash(g.now(), crashedAt, entry.worker.ID, g.versionBeside(entry.worker), event.Parts)
 	clear(entry.requests)
 	if isNew {
 		g.emit(event)
@@ -306,6 +334,19 @@
 	g.notifyChange()
 }
 
+// crashTime returns when a worker crashed, as this gateway knows it. The caller holds the mutex.
+func (g *Guard) crashTime(entry *disconnectedWorker) crashTime {
+	known := crashTime{broken: entry.brokenAt, silent: entry.silentAt, alive: g.alive[entry.worker.ID]}
+	if known.alive.After(known.broken) {
+		// The worker went on after that connection broke.
+		known.broken = time.Time{}
+	}
+	if known.broken.IsZero() && known.silent.IsZero() {
+		known.silent = g.now()
+	}
+	return known
+}
+
 // notifyChange notifies the other gateways and schedules the next evaluation. The caller holds the mutex.
 func (g *Guard) notifyChange() {
 	if g.notify != nil {
--- a/internal/poison/partbarring.go
+++ b/internal/poison/partbarring.go
@@ -67,7 +67,7 @@
 		return true
 	}
 	limits := t.settings.Parts
-	count := distinctCrashes(state.crashes, workers, t.settings.MinCrashInterval)
+	count := t.times.distinct(state.crashes, workers, t.settings.MinCrashInterval)
 	minShare := limits.MinShare
 	if count >= limits.AmbiguousCrashLimit {
 		minShare = limits.AmbiguousMinShare
@@ -82,14 +82,7 @@
 		}
 		return count >= ambiguousLimit || !t.ambiguous(part, state, workers)
 	}
-	first, last := spanOf(func(yield func(time.Time) bool) {
-		for _, worker := range workers {
-			if !yield(state.crashes[worker]) {
-				return
-			}
-		}
-	})
-	return count >= limits.AmbiguousCrashLimit && last.Sub(first) >= limits.UnansweredTime
+	return count >= limits.AmbiguousCrashLimit && t.times.span(state.crashes, workers) >= limits.UnansweredTime
 }
 
 // atOneVersion returns the part at the version of its crashed workers, if all of them were of one version while others served beside them. Then
@@ -303,7 +296,7 @@
 	state.trials = max(state.trials, bar.Trials)
 	for _, worker := range bar.Workers {
 		if _, known := state.crashes[worker]; !known {
-			t.addCrash(state.barredSince, bar.Part, state, worker)
+			t.addCrash(t.times.latest(worker, state.barredSince), bar.Part, state, worker)
 		}
 	}
 }
--- a/internal/poison/parttable.go
+++ b/internal/poison/parttable.go
@@ -98,6 +98,8 @@
 	started time.Time
 	answers int
 	parts   map[Part]*partState
+	// times tells when workers crashed.
+	times *crashTimes
 	// answered holds when parts without evidence were answered last.
 	answered map[Part]time.Time
 	// byWorker indexes the parts by the crashed workers.
@@ -121,7 +123,7 @@
 // newPartTable returns an empty table.
 func newPartTable(settings Settings) *partTable {
 	return &partTable{
-		settings: settings, parts: map[Part]*partState{}, answered: map[Part]time.Time{}, byWorker: map[string]map[Part]bool{},
+		settings: settings, parts: map[Part]*partState{}, times: newCrashTimes(settings.Parts.MaxParts), answered: map[Part]time.Time{}, byWorker: map[string]map[Part]bool{},
 		crashed: map[groupWorker]time.Time{}, due: map[Part]time.Time{}, unsentWorkers: map[string]bool{}, unsentParts: map[Part]bool{},
 	}
 }
@@ -155,7 +157,8 @@
 	}
 }
 
-// mergeCrash adds a crash, unless it is known or the part was answered since.
+// mergeCrash adds a crash, unless it is known or the part was answered since. The given time is that of the connection's break, unless it is known that
+// the worker had fallen silent before.
 func (t *partTable) mergeCrash(now, at time.Time, worker string, part Part) {
 	t.start(now)
 	t.noteCrash(now, at, groupWorker{part.Group, worker})
@@ -166,6 +169,7 @@
 		}
 		state = t.addPart(now, part)
 	}
+	at = t.timeOf(worker, at)
 	if _, known := state.crashes[worker]; known || !at.After(state.answeredAt) {
 		return
 	}
@@ -181,6 +185,28 @@
 	}
 }
 
+// timeOf returns the time by which a worker had crashed, given that of a report.
+func (t *partTable) timeOf(worker string, reported time.Time) time.Time {
+	t.mergeTime(worker, crashTime{broken: reported})
+	return t.times.latest(worker, reported)
+}
+
+// mergeTime merges a report of when a worker crashed. Crashes that an answer turns out to have followed are void.
+func (t *partTable) mergeTime(worker string, report crashTime) {
+	if !t.times.merge(worker, report) {
+		return
+	}
+	at := t.times.latest(worker, time.Time{})
+	for part := range t.byWorker[worker] {
+		state := t.parts[part]
+		if state.barCount == 0 && !at.After(state.answeredAt) {
+			t.removeCrash(part, state, worker)
+			continue
+		}
+		state.crashes[worker] = at
+	}
+}
+
 // addPart adds a part without evidence.
 func (t *partTable) addPart(now time.Time, part Part) *partState {
 	t.evict(now)
@@ -331,7 +357,7 @@
 		return Clear, Bar{}
 	}
 	bar := state.bar(part)
-	bar.DistinctCrashes = distinctCrashes(state.crashes, workers, t.settings.MinCrashInterval)
+	bar.DistinctCrashes = t.times.distinct(state.crashes, workers, t.settings.MinCrashInterval)
 	return Suspected, bar
 }
 
@@ -403,6 +429,7 @@
 	}
 	maps.DeleteFunc(t.answered, func(_ Part, at time.Time) bool { return now.Sub(at) > t.settings.Parts.AnswerMemory })
 	t.expireCrashed(now)
+	t.times.expire(now.Add(-t.settings.CrashRetention), func(worker string) bool { return t.byWorker[worker] != nil })
 }
 
 // evict makes room for another part if there are too many: it removes an eighth of them, expired ones and those with the fewest crashes first,
--- a/internal/poison/partupdate.go
+++ b/internal/poison/partupdate.go
@@ -15,6 +15,8 @@
 	Bars    []PartBar    `cbor:"3,keyasint,omitempty"`
 	// ByVersion holds what is limited to the workers of a software version.
 	ByVersion map[string]*PartUpdate `cbor:"4,keyasint,omitempty"`
+	// Silent tells of workers that crashed without breaking their connections, whatever ran there.
+	Silent []SilentCrash `cbor:"5,keyasint,omitempty"`
 }
 
 // at returns the part of the update that is limited to a software version, or the update itself for none.
@@ -33,7 +35,7 @@
 
 // Empty reports whether there is nothing to send.
 func (u *PartUpdate) Empty() bool {
-	return len(u.Crashes)+len(u.Answers)+len(u.Bars)+len(u.ByVersion) == 0
+	return len(u.Crashes)+len(u.Answers)+len(u.Bars)+len(u.ByVersion)+len(u.Silent) == 0
 }
 
 // PartCrash is the crash of a worker and the parts of the requests to one group that ran there.
@@ -73,7 +75,7 @@
 // takeUpdate returns the changes since the last call, or all recent state if full is set. The changes include crashes received from other
 // gateways, as these may have stopped since.
 func (t *partTable) takeUpdate(now time.Time, full bool) PartUpdate {
-	var update PartUpdate
+	update := PartUpdate{Silent: t.times.take(now, full, t.settings.MaxPerUpdate)}
 	if t.empty() || (!full && len(t.unsentWorkers)+len(t.unsentParts) == 0) {
 		return update
 	}
@@ -160,6 +162,9 @@
 
 // applyUpdate merges an update of another gateway. It returns the bars that are new, and the workers whose crashes became void for a part.
 func (t *partTable) applyUpdate(now time.Time, update *PartUpdate) (newBars []Bar, voided []string) {
+	for _, crash := range update.Silent {
+		t.mergeTime(crash.Worker, crash.crashTime(now))
+	}
 	newBars, voided = t.applyUpdateAt(now, update, "")
 	for version, limited := range update.ByVersion {
 		if version == "" || limited == nil {
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -163,6 +163,9 @@
 
 // mergeCrash adds a crash, unless it is known or the request succeeded since.
 func (t *Table) mergeCrash(now, crashedAt time.Time, crash Crash) {
+	if t.parts != nil {
+		crashedAt = t.parts.timeOf(crash.Worker, crashedAt)
+	}
 	entry, found := t.suspects[crash.Digest]
 	if found && !crashedAt.After(entry.succeededAt) {
 		return
@@ -220,6 +223,14 @@
 	return false
 }
 
+// crashedAt returns the time by which a worker had crashed, given the time that was first reported.
+func (t *Table) crashedAt(worker string, reported time.Time) time.Time {
+	if t.parts == nil {
+		return reported
+	}
+	return t.parts.times.latest(worker, reported)
+}
+
 // allCrashesCorrelated reports whether each crash under a suspect coincided with that of a worker where it did not run.
 func (t *Table) allCrashesCorrelated(entry *suspect) bool {
 	for _, at := range entry.crashes {
@@ -271,7 +282,7 @@
 func (t *Table) clearUntil(at time.Time, digest Digest, entry *suspect) map[Digest]bool {
 	others := map[Digest]bool{}
 	for worker, crashedAt := range entry.crashes {
-		if crashedAt.After(at) {
+		if t.crashedAt(worker, crashedAt).After(at) {
 			continue
 		}
 		delete(entry.crashes, worker)
