Poison: a part is barred on what is known of answers, not for want of hearing

What callers saw: 422 for sound requests at gateways that had served them all along. Cause: three crashes bar a part that nobody is known to have answered, and a gateway took its own silence for that. The excuse for gateways that have just started counted from the start of the process, so one that had stood by for a while, with no request of its own, was sure of parts that the others answered all the time. The others obeyed its bar, although they had answered the part since the crashes, and only an answer begun after the start of the bar lifted it.

- A gateway bars at three crashes only if it has recorded enough answers of the group within the time that an answer speaks for a part.
Else it waits for five that span two seconds, as for a part in use.
- At the second crash under a part, the gateways that know of an answer tell it, at once and with each full update.
- A bar is refuted by an answer that began after the last of its crashes.
The gateway with the answer tells the others, which lift the bar, and the one that created it removes it from the store.

--- a/internal/poison/basis.go
+++ b/internal/poison/basis.go
@@ -13,17 +13,17 @@
 	FirstCrash, LastCrash time.Duration
 	// Answered is the age of the latest answer with the part that the gateway knows; negative if it knows none.
 	Answered time.Duration
-	// Answers counts the answers that the gateway has recorded, up to PartSettings.LearningAnswers, and Running is how long it has run.
+	// Answers counts the answers of the group that the gateway has recorded, up to PartSettings.LearningAnswers, and Running is how long it has run.
 	Answers int
 	Running time.Duration
 }
 
 // basis returns what is known of a part.
-func (t *partTable) basis(now time.Time, state *partState) *Basis {
+func (t *partTable) basis(now time.Time, part Part, state *partState) *Basis {
 	first, last := span(state)
 	basis := &Basis{
 		DistinctCrashes: t.times.distinct(state.crashes, slices.Collect(maps.Keys(state.crashes)), t.settings.MinCrashInterval),
-		FirstCrash:      now.Sub(first), LastCrash: now.Sub(last), Answered: -1, Answers: t.answers, Running: now.Sub(t.started),
+		FirstCrash:      now.Sub(first), LastCrash: now.Sub(last), Answered: -1, Answers: len(t.recentAnswers[part.Group]), Running: now.Sub(t.started),
 	}
 	if !state.answeredAt.IsZero() {
 		basis.Answered = now.Sub(state.answeredAt)
--- a/internal/poison/evidence_test.go
+++ b/internal/poison/evidence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +56,99 @@
 	}
 }
 
+// TestGatewayWithoutAnswersBarsNoPart guards against a bar of a part in use by a gateway that has served nobody, as one that stands by: it knows of no
+// answer, and there were many.
+func TestGatewayWithoutAnswersBarsNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGuard(groupSet(4))
+		time.Sleep(time.Minute)
+		reportCrashes(g, 4, 100*time.Millisecond, "b")
+		waitForEvaluation()
+		expectPart(t, g, "b", Clear)
+	})
+}
+
+// TestOldAnswersTeachNothing guards against a bar of a part in use by a gateway whose last answers are old, as of one that was cut off from the workers.
+func TestOldAnswersTeachNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newLearnedGuard(groupSet(4))
+		time.Sleep(2 * DefaultSettings().Parts.AnswerMemory)
+		reportCrashes(g, 4, 100*time.Millisecond, "b")
+		waitForEvaluation()
+		expectPart(t, g, "b", Clear)
+	})
+}
+
+// TestAnswersOfOtherGroupTeachNothing guards against a bar of a part in use by a gateway that has served requests to another group only.
+func TestAnswersOfOtherGroupTeachNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGuard(groupSet(4))
+		for range DefaultSettings().Parts.LearningAnswers {
+			g.RecordAnswer(g.registered["w0"], g.Now(), []Part{NewPart("other", "a")})
+		}
+		time.Sleep(30 * time.Second)
+		reportCrashes(g, 4, 100*time.Millisecond, "b")
+		waitForEvaluation()
+		expectPart(t, g, "b", Clear)
+	})
+}
+
+// TestAnswersAreToldWhenWorkersCrash guards against a bar by a gateway that serves, but has not seen a part which another one answered shortly before.
+func TestAnswersAreToldWhenWorkersCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := groupSet(4)
+		ignorant, knowing := newLearnedGuard(workers), newLearnedGuard(workers)
+		knowing.RecordAnswer(workers["w0"], knowing.Now(), []Part{part("b")})
+		time.Sleep(10 * time.Second)
+		for i := range 4 {
+			time.Sleep(50 * time.Millisecond)
+			worker := workers[fmt.Sprint("w", i)]
+			knowing.prober.crash(worker.ID)
+			knowing.ConnectionBroke(worker, digestNamed(worker.ID), "rule", "", part("b"))
+			time.Sleep(5 * time.Millisecond)
+			update := knowing.TakePartUpdate(false)
+			ignorant.ApplyPartUpdate(&update)
+		}
+		waitForEvaluation()
+		expectPart(t, ignorant, "b", Clear)
+		expectPart(t, knowing, "b", Clear)
+	})
+}
+
+// TestHeardCrashesAreAnsweredWithAnswers guards against a bar by a gateway that reports crashes itself under a part that it has not answered, while
+// another one has.
+func TestHeardCrashesAreAnsweredWithAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := groupSet(4)
+		ignorant, knowing := newLearnedGuard(workers), newLearnedGuard(workers)
+		notified := 0
+		knowing.NotifyUpdates(func(urgent bool) {
+			if urgent {
+				notified++
+			}
+		})
+		knowing.RecordAnswer(workers["w0"], knowing.Now(), []Part{part("b")})
+		knowing.TakePartUpdate(false)
+		time.Sleep(10 * time.Second)
+		notified = 0
+		for i := range 4 {
+			time.Sleep(50 * time.Millisecond)
+			worker := workers[fmt.Sprint("w", i)]
+			ignorant.prober.crash(worker.ID)
+			ignorant.ConnectionBroke(worker, digestNamed(worker.ID), "rule", "", part("b"))
+			time.Sleep(5 * time.Millisecond)
+			update := ignorant.TakePartUpdate(false)
+			knowing.ApplyPartUpdate(&update)
+			if notified > 0 {
+				reply := knowing.TakePartUpdate(false)
+				ignorant.ApplyPartUpdate(&reply)
+			}
+		}
+		waitForEvaluation()
+		expectPart(t, ignorant, "b", Clear)
+	})
+}
+
 // TestWorkersSilentTogetherCountOnce guards against one event, such as a rack that goes dark, that counts as a series of crashes because the records of
 // its workers lapse one by one.
 func TestWorkersSilentTogetherCountOnce(t *testing.T) {
@@ -85,3 +180,161 @@
 		expectPart(t, g, "b", Clear)
 	})
 }
+
+// TestAnswerAfterCrashesRefutesBar guards against a bar that is believed by a gateway which has answered the part since the crashes, and that stays in
+// force at the others.
+func TestAnswerAfterCrashesRefutesBar(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := groupSet(8)
+		mistaken, knowing := newLearnedGuard(workers), newLearnedGuard(workers)
+		crashUnder(mistaken, workers, 0, 1, 2)
+		time.Sleep(10 * time.Millisecond)
+		update := mistaken.TakePartUpdate(false)
+		knowing.ApplyPartUpdate(&update)
+		time.Sleep(20 * time.Millisecond)
+		knowing.RecordAnswer(workers["w7"], knowing.Now(), []Part{part("b")})
+		time.Sleep(time.Second)
+		expectPart(t, mistaken, "b", Barred)
+		update = mistaken.TakePartUpdate(true)
+		knowing.ApplyPartUpdate(&update)
+		expectPart(t, knowing, "b", Clear)
+		update = knowing.TakePartUpdate(false)
+		mistaken.ApplyPartUpdate(&update)
+		expectPart(t, mistaken, "b", Clear)
+		if !slices.Contains(mistaken.events, "poison.Cleared") {
+			t.Errorf("the gateway that created the bar does not report that it is lifted: %v", mistaken.events)
+		}
+	})
+}
+
+// TestUnknownCrashTimesKeepBar guards against an answer from before a bar that lifts it although the times of its crashes are unknown.
+func TestUnknownCrashTimesKeepBar(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newLearnedGuard(groupSet(4))
+		g.RecordAnswer(g.registered["w0"], g.Now(), []Part{part("b")})
+		time.Sleep(time.Second)
+		now := g.Now()
+		g.ApplyBar(Bar{Part: part("b"), Digest: part("b").Digest(), Workers: []string{"x1", "x2", "x3"}, Times: 1, Since: now, Until: now.Add(time.Minute)})
+		expectPart(t, g, "b", Barred)
+	})
+}
+
+// darkDay is a fleet of guards before workers that fall silent in groups. Two of the gateways serve nobody.
+type darkDay struct {
+	random  *rand.Rand
+	guards  []*testGuard
+	workers backend.Set
+	// darkSince is when the first third of the workers fell silent; zero before.
+	darkSince time.Time
+}
+
+const (
+	darkGateways, darkStandbys = 6, 2
+	darkWorkers                = 40
+	darkParts                  = 60
+	// darkKnown is how long gateways go on sending requests to silent workers.
+	darkKnown = 4 * time.Second
+)
+
+// newDarkDay returns a fleet that has not served yet.
+func newDarkDay(seed uint64) *darkDay {
+	d := &darkDay{random: rand.New(rand.NewPCG(seed, 1)), workers: groupSet(darkWorkers)}
+	for range darkGateways + darkStandbys {
+		d.guards = append(d.guards, newTestGuard(d.workers))
+	}
+	return d
+}
+
+// serve sends requests for a while, each with one of many parts in use.
+func (d *darkDay) serve(duration time.Duration) {
+	const step = 10 * time.Millisecond
+	for range int(duration / step) {
+		time.Sleep(step)
+		g := d.guards[d.random.IntN(darkGateways)]
+		worker := d.workers[fmt.Sprint("w", d.random.IntN(darkWorkers))]
+		used := part(fmt.Sprint("p", d.random.IntN(darkParts)))
+		began := g.Now()
+		isDark := d.isDark(worker)
+		if isDark && time.Since(d.darkSince) > darkKnown {
+			continue
+		}
+		go d.run(g, worker, isDark, used, began, digestNamed(fmt.Sprint(d.random.Uint64())))
+	}
+}
+
+// isDark reports whether a worker has fallen silent.
+func (d *darkDay) isDark(worker *backend.Worker) bool {
+	var number int
+	_, _ = fmt.Sscanf(worker.ID, "w%d", &number)
+	return number < darkWorkers/3 && !d.darkSince.IsZero()
+}
+
+// run runs one request at a worker.
+func (d *darkDay) run(g *testGuard, worker *backend.Worker, isDark bool, used Part, began time.Time, digest Digest) {
+	if isDark {
+		time.Sleep(400 * time.Millisecond)
+		g.Abandoned(worker, digest, "rule", "", used)
+		return
+	}
+	time.Sleep(30 * time.Millisecond)
+	g.RecordAnswer(worker, began, []Part{used})
+}
+
+// fallDark lets a third of the workers fall silent. Their records lapse one by one, and each gateway learns of that with a delay of its own.
+func (d *darkDay) fallDark() {
+	d.darkSince = time.Now()
+	for _, g := range d.guards {
+		delay := time.Duration(d.random.IntN(2500)) * time.Millisecond
+		go func() {
+			time.Sleep(2400*time.Millisecond + delay)
+			left := backend.Set{}
+			for id, worker := range d.workers {
+				left[id] = worker
+			}
+			for i := range darkWorkers / 3 {
+				time.Sleep(80 * time.Millisecond)
+				delete(left, fmt.Sprint("w", i))
+				setWorkers(g, left)
+			}
+		}()
+	}
+}
+
+// exchange sends the updates of all gateways to each other until the given time.
+func (d *darkDay) exchange(until time.Time) {
+	for round := 0; time.Now().Before(until); round++ {
+		time.Sleep(20 * time.Millisecond)
+		for from, g := range d.guards {
+			update, parts := g.TakeUpdate(round%50 == 0), g.TakePartUpdate(round%50 == 0)
+			for to, other := range d.guards {
+				if to != from {
+					other.ApplyUpdate(update)
+					other.ApplyPartUpdate(&parts)
+				}
+			}
+		}
+	}
+}
+
+// TestWorkersThatGoDarkBarNoPart guards against bars of parts in use while many workers fall silent together, gateways learn of it late and some
+// gateways serve nobody.
+func TestWorkersThatGoDarkBarNoPart(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDarkDay(seed)
+				go d.exchange(time.Now().Add(24 * time.Second))
+				d.serve(14 * time.Second)
+				d.fallDark()
+				d.serve(8 * time.Second)
+				time.Sleep(3 * time.Second)
+				synctest.Wait()
+				for number, g := range d.guards {
+					if slices.Contains(g.events, "poison.BarCreated") {
+						t.Errorf("gateway %d barred a part or a request", number)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/poison/guardparts.go
+++ b/internal/poison/guardparts.go
@@ -112,7 +112,10 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	changed, lifted := false, false
-	g.parts.countAnswer()
+	g.signOfLife(worker, now)
+	if len(parts) > 0 {
+		g.parts.countAnswer(now, parts[0].Group)
+	}
 	for _, part := range g.answeredParts(worker, parts) {
 		voided, partLifted := g.parts.recordAnswer(now, at, part)
 		g.table.reconsider(voided)
@@ -201,6 +204,14 @@
 	defer g.mu.Unlock()
 	bars, voided := g.parts.applyUpdate(g.now(), update)
 	g.table.reconsider(voided)
+	for _, part := range g.parts.liftedHere {
+		// The gateway with the answer may not know what the store holds.
+		g.emit(Cleared{Digest: part.Digest(), Part: part, WasBarred: true})
+	}
+	g.parts.liftedHere = nil
+	if g.notify != nil && g.parts.hasUntoldAnswers() {
+		g.notify(true)
+	}
 	for _, bar := range bars {
 		g.emit(BarReceived{bar})
 	}
--- a/internal/poison/partbarring.go
+++ b/internal/poison/partbarring.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// wasAnswered reports whether a part has to be taken for one that was answered shortly before its first crash.
-func (t *partTable) wasAnswered(state *partState) bool {
+// wasAnswered reports whether a part has to be taken for one that was answered shortly before its first crash. A gateway that has recorded too few
+// answers, as one that stood by, was cut off or has just started, can't tell that there was none.
+func (t *partTable) wasAnswered(part Part, state *partState) bool {
 	first, _ := span(state)
-	isLearning := first.Sub(t.started) < t.settings.Parts.LearningTime && t.answers < t.settings.Parts.LearningAnswers
-	return isLearning || t.knownAnswered(state)
+	return t.knownAnswered(state) || !t.knowsAnswers(part.Group, first)
 }
 
 // knownAnswered reports whether a part was answered shortly before its first crash.
@@ -75,7 +75,7 @@
 	if count < limits.CrashLimit || t.byOneRequest(workers) || t.share(part, state) < minShare {
 		return false
 	}
-	if !t.wasAnswered(state) {
+	if !t.wasAnswered(part, state) {
 		ambiguousLimit := limits.AmbiguousCrashLimit
 		if part.Version != "" {
 			ambiguousLimit = limits.AmbiguousVersionCrashLimit
@@ -128,7 +128,7 @@
 			// A part at one version is no other explanation, and does not delay a bar for all workers.
 			continue
 		}
-		if candidate.barCount == 0 && !t.wasAnswered(candidate) && coversAll(candidate, workers) {
+		if candidate.barCount == 0 && !t.wasAnswered(other, candidate) && coversAll(candidate, workers) {
 			return true
 		}
 	}
@@ -206,12 +206,12 @@
 		state.trialDelay = t.settings.Parts.AnsweredTrialDelay
 	}
 	state.barCount++
-	state.trials = 0
+	state.trials, state.barredHere = 0, true
 	state.barredSince, state.lastReport, state.heardAt = now, now, time.Time{}
 	state.barredUntil = now.Add(t.settings.barDuration(state.barCount))
 	t.unsentParts[part] = true
 	bar := state.bar(part)
-	bar.Basis = t.basis(now, state)
+	bar.Basis = t.basis(now, part, state)
 	return bar
 }
 
@@ -269,29 +269,56 @@
 // applyBar applies a bar received from another gateway or the store. It reports whether it newly bars the part.
 func (t *partTable) applyBar(now time.Time, bar Bar) bool {
 	t.start(now)
-	state, found := t.parts[bar.Part]
-	if found && !bar.Since.After(state.answeredAt) {
+	if t.isRefuted(now, bar) {
 		return false
 	}
+	state, found := t.parts[bar.Part]
 	if found && state.barCount > 0 && !bar.Since.After(state.barredSince.Add(barTimeTolerance)) {
 		t.mergeBar(bar, state)
 		return false
 	}
 	if !found {
-		if !bar.Since.After(t.answered[bar.Part]) {
-			return false
-		}
 		state = t.addPart(now, bar.Part)
 	}
 	isNew := !now.Before(state.barredUntil)
 	state.barCount, state.barredSince, state.barredUntil = max(bar.Times, 1), earlier(bar.Since, now), bar.Until
-	state.trialDelay, state.trials, state.lastReport, state.heardAt = bar.TrialDelay, 0, now, now
+	state.trialDelay, state.trials, state.lastReport, state.heardAt, state.barredHere = bar.TrialDelay, 0, now, now, false
 	t.mergeBar(bar, state)
 	delete(t.due, bar.Part)
 	return isNew
 }
 
-// mergeBar adds the trials and the crashed workers of a bar that is in force. The times of crashes are not sent; they don't matter under a bar.
+// isRefuted reports whether a part was answered since a bar began, or since the last of the crashes that it is for. The gateways that believe the bar
+// are then told of the answer.
+func (t *partTable) isRefuted(now time.Time, bar Bar) bool {
+	state, found := t.parts[bar.Part]
+	answeredAt := t.answered[bar.Part]
+	if found {
+		answeredAt = state.answeredAt
+	}
+	if answeredAt.IsZero() || (bar.Since.After(answeredAt) && t.lastCrash(bar).After(answeredAt)) {
+		return false
+	}
+	if !found {
+		state = t.addPart(now, bar.Part)
+	}
+	t.tellAnswer(bar.Part, state)
+	return true
+}
+
+// lastCrash returns the time of the last crash that a bar is for: its start if one is unknown.
+func (t *partTable) lastCrash(bar Bar) time.Time {
+	last := time.Time{}
+	for _, worker := range bar.Workers {
+		last = later(last, t.times.latest(worker, bar.Since))
+	}
+	if last.IsZero() {
+		return bar.Since
+	}
+	return last
+}
+
+// mergeBar adds the trials and the crashed workers of a bar that is in force. Crashes of unknown times count as of its start.
 func (t *partTable) mergeBar(bar Bar, state *partState) {
 	state.trials = max(state.trials, bar.Trials)
 	for _, worker := range bar.Workers {
--- a/internal/poison/partsim_test.go
+++ b/internal/poison/partsim_test.go
@@ -347,7 +347,7 @@
 			}
 			g := s.gateways[run.gateway]
 			g.table.RecordSuccess(s.now, s.now, run.digest)
-			g.parts.countAnswer()
+			g.parts.countAnswer(s.now, "g")
 			for _, part := range run.parts {
 				voided, _ := g.parts.recordAnswer(s.now, run.begins, part)
 				g.table.reconsider(voided)
--- a/internal/poison/parttable.go
+++ b/internal/poison/parttable.go
@@ -27,9 +27,8 @@
 	// AnswerMemory is how long an answer speaks for a part. A part that was answered within that time before its first crash is barred only
 	// after AmbiguousCrashLimit crashes that span at least UnansweredTime: a popular part is under most crashes, whatever causes them.
 	AnswerMemory, UnansweredTime time.Duration
-	// LearningTime is how long after its start a gateway takes every part for one that was answered, since it does not know better, unless it
-	// has recorded LearningAnswers, by which it knows the popular parts.
-	LearningTime    time.Duration
+	// LearningAnswers is how many answers of a group a gateway must have recorded within AnswerMemory before the first crash to know the parts that
+	// are in use. Until then it takes every part for one that was answered.
 	LearningAnswers int
 	// TrialDelay is when after the start of a bar a first request is let through to find out whether the part still crashes workers, and
 	// AnsweredTrialDelay the same for a part that was answered shortly before its bar. Each further trial takes TrialBackoff times as long.
@@ -53,7 +52,7 @@
 func defaultPartSettings() PartSettings {
 	return PartSettings{
 		SuspectCrashes: 2, CrashLimit: 3, AmbiguousCrashLimit: 5, AmbiguousVersionCrashLimit: 4, MinOtherRequests: 2, MinShare: 0.25, AmbiguousMinShare: 0.125,
-		AnswerMemory: time.Minute, UnansweredTime: 2 * time.Second, LearningTime: 10 * time.Second, LearningAnswers: 20,
+		AnswerMemory: time.Minute, UnansweredTime: 2 * time.Second, LearningAnswers: 20,
 		TrialDelay: 3 * time.Second, AnsweredTrialDelay: 2 * time.Second, TrialBackoff: 8, TrialElection: time.Second, TrialHearing: 2 * time.Second, MaxParts: 4096, MaxAnswered: 16384, MaxCrashesPerPart: 64, MaxPerUpdate: 512,
 	}
 }
@@ -65,6 +64,8 @@
 	crashes map[string]time.Time
 	// answeredAt is when the latest known answer to a request with the part began; zero if none is known.
 	answeredAt time.Time
+	// isAnswerUntold is set while the other gateways are to be told of the latest answer, although it was before the crashes.
+	isAnswerUntold bool
 	// lastReport is when a crash or a bar was reported last. reportedHere is set once this gateway has reported a crash itself.
 	lastReport   time.Time
 	reportedHere bool
@@ -74,6 +75,8 @@
 	barCount                 int
 	barredSince, barredUntil time.Time
 	trialDelay               time.Duration
+	// barredHere is set if this gateway created the bar.
+	barredHere bool
 	// heardAt is when this gateway learned of the bar from the store; zero if it created the bar or heard of it from another gateway.
 	heardAt time.Time
 	// trials counts the trials of the bar that have begun, as far as this gateway knows.
@@ -94,10 +97,11 @@
 // MinCrashInterval after the previous one, and MinOtherRequests of them without the request that ran at the most of them.
 type partTable struct {
 	settings Settings
-	// started is the time of the first call, and answers counts the answers to requests since, up to LearningAnswers.
+	// started is the time of the first call.
 	started time.Time
-	answers int
-	parts   map[Part]*partState
+	// recentAnswers holds the times of the last LearningAnswers answers of each group at this gateway.
+	recentAnswers map[string][]time.Time
+	parts         map[Part]*partState
 	// times tells when workers crashed.
 	times *crashTimes
 	// answered holds when parts without evidence were answered last.
@@ -111,6 +115,8 @@
 	// unsentWorkers have crashes that are not shared yet, and unsentParts are the parts with an answer or a bar that is not shared yet.
 	unsentWorkers map[string]bool
 	unsentParts   map[Part]bool
+	// liftedHere are the bars of this gateway that answers at other gateways have lifted.
+	liftedHere []Part
 	// hasVersions is set once there was evidence against a part at one software version.
 	hasVersions bool
 	// mostByOneRequest returns at how many of the workers a single request ran, at most; nil if requests are unknown.
@@ -123,7 +129,7 @@
 // newPartTable returns an empty table.
 func newPartTable(settings Settings) *partTable {
 	return &partTable{
-		settings: settings, parts: map[Part]*partState{}, times: newCrashTimes(settings.Parts.MaxParts), answered: map[Part]time.Time{}, byWorker: map[string]map[Part]bool{},
+		settings: settings, recentAnswers: map[string][]time.Time{}, parts: map[Part]*partState{}, times: newCrashTimes(settings.Parts.MaxParts), answered: map[Part]time.Time{}, byWorker: map[string]map[Part]bool{},
 		crashed: map[groupWorker]time.Time{}, due: map[Part]time.Time{}, unsentWorkers: map[string]bool{}, unsentParts: map[Part]bool{},
 	}
 }
@@ -161,6 +167,7 @@
 // the worker had fallen silent before.
 func (t *partTable) mergeCrash(now, at time.Time, worker string, part Part) {
 	t.start(now)
+	at = t.timeOf(worker, at)
 	t.noteCrash(now, at, groupWorker{part.Group, worker})
 	state, found := t.parts[part]
 	if !found {
@@ -169,13 +176,15 @@
 		}
 		state = t.addPart(now, part)
 	}
-	at = t.timeOf(worker, at)
 	if _, known := state.crashes[worker]; known || !at.After(state.answeredAt) {
 		return
 	}
 	t.addCrash(at, part, state, worker)
 	state.lastReport = now
 	t.unsentWorkers[worker] = true
+	if len(state.crashes) >= t.settings.Parts.SuspectCrashes && t.knownAnswered(state) {
+		t.tellAnswer(part, state)
+	}
 	if state.barCount > 0 {
 		// Crashes under a bar are shared with it.
 		t.unsentParts[part] = true
@@ -207,6 +216,22 @@
 	}
 }
 
+// tellAnswer schedules the latest answer with a part to be told to the other gateways, which may not know that the part is in use.
+func (t *partTable) tellAnswer(part Part, state *partState) {
+	state.isAnswerUntold = true
+	t.unsentParts[part] = true
+}
+
+// hasUntoldAnswers reports whether the other gateways are to be told of answers before crashes.
+func (t *partTable) hasUntoldAnswers() bool {
+	for part := range t.unsentParts {
+		if t.parts[part].isAnswerUntold {
+			return true
+		}
+	}
+	return false
+}
+
 // addPart adds a part without evidence.
 func (t *partTable) addPart(now time.Time, part Part) *partState {
 	t.evict(now)
@@ -269,14 +294,14 @@
 	if !at.After(state.answeredAt) {
 		return nil, false
 	}
-	state.answeredAt = at
+	state.answeredAt, state.isAnswerUntold = at, false
 	for worker, crashedAt := range state.crashes {
 		if !crashedAt.After(at) {
 			voided = append(voided, worker)
 			t.removeCrash(part, state, worker)
 		}
 	}
-	if state.barCount > 0 && !state.barredSince.After(at) {
+	if state.barCount > 0 && (!state.barredSince.After(at) || (len(voided) > 0 && len(state.crashes) == 0)) {
 		lifted = now.Before(state.barredUntil)
 		state.barCount, state.barredSince, state.barredUntil = 0, time.Time{}, time.Time{}
 	}
@@ -303,8 +328,17 @@
 	}
 }
 
-// countAnswer counts an answer to a request of this gateway.
-func (t *partTable) countAnswer() { t.answers = min(t.answers+1, t.settings.Parts.LearningAnswers) }
+// countAnswer counts an answer of a group to a request of this gateway.
+func (t *partTable) countAnswer(now time.Time, group string) {
+	recent := append(t.recentAnswers[group], now)
+	t.recentAnswers[group] = recent[max(len(recent)-t.settings.Parts.LearningAnswers, 0):]
+}
+
+// knowsAnswers reports whether this gateway has recorded so many answers of a group that it would know the parts in use at the given time.
+func (t *partTable) knowsAnswers(group string, at time.Time) bool {
+	recent := t.recentAnswers[group]
+	return len(recent) >= t.settings.Parts.LearningAnswers && at.Sub(recent[0]) < t.settings.Parts.AnswerMemory
+}
 
 // rememberAnswer notes when a part without evidence was answered.
 func (t *partTable) rememberAnswer(now, at time.Time, part Part) {
@@ -338,7 +372,7 @@
 	if now.Before(state.barredUntil) {
 		return Barred, state.bar(part)
 	}
-	if len(state.crashes) < t.settings.Parts.SuspectCrashes || (state.barCount == 0 && t.wasAnswered(state)) {
+	if len(state.crashes) < t.settings.Parts.SuspectCrashes || (state.barCount == 0 && t.wasAnswered(part, state)) {
 		return Clear, Bar{}
 	}
 	if _, pending := t.due[part]; pending && t.shouldBar(part, state) {
--- a/internal/poison/parttable_test.go
+++ b/internal/poison/parttable_test.go
@@ -21,10 +21,10 @@
 func newPartScript(t *testing.T) *partScript {
 	s := &partScript{t: t, now: time.Unix(1000, 0), table: newPartTable(DefaultSettings())}
 	s.table.start(s.now)
+	s.now = s.now.Add(time.Minute)
 	for range DefaultSettings().Parts.LearningAnswers {
-		s.table.countAnswer()
+		s.table.countAnswer(s.now, "g")
 	}
-	s.now = s.now.Add(time.Minute)
 	return s
 }
 
@@ -373,7 +373,7 @@
 	}
 	peer.start(s.now)
 	for range DefaultSettings().Parts.LearningAnswers {
-		peer.countAnswer()
+		peer.countAnswer(s.now, "g")
 	}
 	for i := range 3 {
 		s.crashAt("bad", 100*time.Millisecond, "b", fmt.Sprint("c", i))
--- a/internal/poison/partupdate.go
+++ b/internal/poison/partupdate.go
@@ -83,9 +83,9 @@
 	answers := 0
 	for part, state := range t.parts {
 		ago := now.Sub(state.answeredAt)
-		isRecent := !state.answeredAt.IsZero() && ago < t.settings.SuccessShareTime
-		if isRecent && (full || t.unsentParts[part]) && answers < t.settings.Parts.MaxPerUpdate {
+		if t.sharesAnswer(state, ago) && (full || t.unsentParts[part]) && answers < t.settings.Parts.MaxPerUpdate {
 			answers++
+			state.isAnswerUntold = false
 			limited := update.at(part.Version)
 			limited.Answers = append(limited.Answers, PartAnswer{Group: part.Group, Part: part.ID, AgoMs: ago.Milliseconds()})
 		}
@@ -105,6 +105,18 @@
 	return update
 }
 
+// sharesAnswer reports whether the other gateways are to be told of the latest answer with a part, which is of the given age.
+func (t *partTable) sharesAnswer(state *partState, ago time.Duration) bool {
+	switch {
+	case state.answeredAt.IsZero():
+		return false
+	case state.isAnswerUntold, len(state.crashes) >= t.settings.Parts.SuspectCrashes:
+		return ago < t.settings.Parts.AnswerMemory
+	default:
+		return ago < t.settings.SuccessShareTime
+	}
+}
+
 // addCrashes adds the crashes to send to an update, latest first, with at most MaxPerUpdate parts. Crashes under barred parts are sent with
 // their bars.
 func (t *partTable) addCrashes(now time.Time, update *PartUpdate, full bool) {
@@ -180,7 +192,11 @@
 func (t *partTable) applyUpdateAt(now time.Time, update *PartUpdate, version string) (newBars []Bar, voided []string) {
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, answer := range update.Answers {
-		workers, _ := t.recordAnswer(now, ago(answer.AgoMs), NewPart(answer.Group, answer.Part).AtVersion(version))
+		part := NewPart(answer.Group, answer.Part).AtVersion(version)
+		workers, lifted := t.recordAnswer(now, ago(answer.AgoMs), part)
+		if lifted && t.parts[part].barredHere {
+			t.liftedHere = append(t.liftedHere, part)
+		}
 		voided = append(voided, workers...)
 	}
 	for _, received := range update.Bars {
@@ -190,7 +206,7 @@
 			Until: ago(-received.LeftMs), TrialDelay: time.Duration(received.TrialDelayMs) * time.Millisecond, Trials: received.Trials,
 		}
 		if t.applyBar(now, bar) {
-			bar.Basis = t.basis(now, t.parts[part])
+			bar.Basis = t.basis(now, part, t.parts[part])
 			newBars = append(newBars, bar)
 		}
 		if state, found := t.parts[part]; found {
