--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -63,7 +63,8 @@
 	// StoreUnavailable reports that the store failed; the items may be out of date from now on.
 	StoreUnavailable(err error)
 	// UpToDate reports that all changes that the store sent have been passed on. asOf is the time, by boottime, up to
-	// which all changes are known even if responses were delayed; zero while unknown.
+	// which all changes are known even if responses were delayed; zero while unknown. It may be long ago: a stale list, for
+	// example, does not advance it.
 	UpToDate(asOf time.Time)
 }
 
@@ -94,8 +95,8 @@
 	shortenNextWatch atomic.Bool
 
 	// mutex guards the fields below. Only the goroutine of Run writes them, except changed and storeAnsweredAt, which any
-	// goroutine may write. That goroutine may read its own fields without the mutex. It uses feedAnsweredAt and mustList, which
-	// no other goroutine reads, always without it.
+	// goroutine may write. That goroutine may read its own fields without the mutex. It uses feedAnsweredAt, listedStale and
+	// mustList, which no other goroutine reads, always without it.
 	mutex sync.Mutex
 	// table holds the items that the consumer has, and tombstones of deleted ones; nil before the first list.
 	table    *table
@@ -120,6 +121,8 @@
 	storeAnsweredAt time.Time
 	// storeUnavailable is set while calls to the store fail.
 	storeUnavailable bool
+	// listedStale is set if the last list was stale, so that it may be older than what the history has left.
+	listedStale bool
 	// mustList is set after a failed watch, as the store may have discarded changes that the watch did not receive and
 	// a new watch would not return them.
 	mustList bool
@@ -179,7 +182,7 @@
 	pause := r.firstRetryPause()
 	for ctx.Err() == nil {
 		if r.usesFeed() {
-			if r.pollFeed(ctx, feedPollWait) == nil {
+			if r.pollFeed(ctx, r.feedWait()) == nil {
 				continue
 			}
 			if r.awaitsShard() {
@@ -314,20 +317,23 @@
 		listedThrough = r.applyUnsharded(items)
 		return r.standby.Load()
 	}
-	items, revision, complete, err := r.store.ListUntil(ctx, r.prefix, stop)
+	started := boottime.Now()
+	listing, err := r.store.ListUntil(ctx, r.prefix, stop)
 	if err != nil {
 		return err
 	}
 	r.RecordStoreResponse()
 	r.dropRestart()
-	if !complete {
-		r.startWithoutShard(r.unshardedItems(items), revision, listedThrough)
+	if !listing.Complete {
+		r.startWithoutShard(r.unshardedItems(listing.Items), listing.Revision, listedThrough)
 		return nil
 	}
-	r.replace(Snapshot{Items: items, Revision: revision})
-	r.mustList = false
-	// A list may be a few seconds old, so it does not advance currentAsOf.
-	r.consumer.UpToDate(r.advanceCurrentAsOf(time.Time{}))
+	isReplaced := r.replace(Snapshot{Items: listing.Items, Revision: listing.Revision})
+	r.mustList, r.listedStale = false, listing.Stale
+	if !isReplaced || listing.Stale {
+		started = time.Time{}
+	}
+	r.consumer.UpToDate(r.advanceCurrentAsOf(started))
 	return nil
 }
 
@@ -375,6 +381,10 @@
 		if r.queryLister(ctx) {
 			return nil
 		}
+		if r.listedStale {
+			// The next list may be as old.
+			r.waitWithFeed(ctx, jitter(r.stretchPause(r.settings.MaxRetryPause)))
+		}
 		return r.listOrWait(ctx)
 	case err != nil && context.Cause(watchCtx) != nil && ctx.Err() == nil:
 		return errWatchRestarted
