Store tests: the staleness of a watch counts from when it begins

TestIdleStoreIsWatchedWithinMaxStaleness failed once at a load of 23: the second watch waited 200 ms, as the test's process was held up for 100 ms before it, which the replica rightly takes off the wait. The test now adds the time at which the watch began, so it checks the bound itself: the age at the end of the wait is within the same 50 ms of it. A longer wait still fails.

--- a/internal/store/freshness_test.go
+++ b/internal/store/freshness_test.go
@@ -16,6 +16,8 @@
 	Store
 	mutex sync.Mutex
 	waits []time.Duration
+	// watchedAt are the times at which the watches began.
+	watchedAt []time.Time
 	// fail makes watches fail immediately.
 	fail bool
 	// stale makes lists stale.
@@ -33,7 +35,7 @@
 
 func (s *idleStore) Watch(ctx context.Context, _ string, _ Revision, wait time.Duration) ([]Event, Revision, error) {
 	s.mutex.Lock()
-	s.waits = append(s.waits, wait)
+	s.waits, s.watchedAt = append(s.waits, wait), append(s.watchedAt, boottime.Now())
 	fail := s.fail
 	s.mutex.Unlock()
 	if fail {
@@ -66,8 +68,9 @@
 	if len(recorded.asOf) != 3 || !recorded.asOf[0].IsZero() {
 		t.Fatalf("after a list and two watches: got times %v, want three with the first zero", recorded.asOf)
 	}
-	if idle.waits[0] != minWatchWait || idle.waits[1] < 250*time.Millisecond || idle.waits[1] > 300*time.Millisecond {
-		t.Errorf("waits %v, want the minimum and then the staleness bound", idle.waits)
+	ageAfterWait := idle.watchedAt[1].Add(idle.waits[1]).Sub(recorded.asOf[1])
+	if idle.waits[0] != minWatchWait || ageAfterWait < 250*time.Millisecond || idle.waits[1] > 300*time.Millisecond {
+		t.Errorf("waits %v, age after the second one %s, want the minimum and then the staleness bound", idle.waits, ageAfterWait)
 	}
 	if first, second := recorded.asOf[1].Sub(started), recorded.asOf[2].Sub(started); first < minWatchWait || second < 350*time.Millisecond || recorded.asOf[2].After(boottime.Now()) {
 		t.Errorf("current as of %s and %s after the start", first, second)
