HTTP client: a reset that a write noticed is none that the response survives

What callers saw: a 200 with an empty or short body, framed as whole, when a worker answered without a length while a long request was still being written to it, and reset the connection. Cause: the kernel tells the error by which a connection ended once, to the first call that asks. Requests above 8 KB are written beside reading the response; when the write takes the reset, the read after it finds a regular end, and the end of the connection is what ends such a body.

At the end of a body that only the end of the connection ends, the client now looks at what the write got. Any error of the connection but EPIPE means that the peer didn't close it: EPIPE comes after its close, or after somebody else was told the error. A write that still waits is ended; the connection carries no further request in any case. Responses with a length or chunks, and requests that were written completely, take the same path as before.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/drain"
+	"github.com/granitebay/granitebay/internal/netdial"
 	"github.com/granitebay/granitebay/internal/standstill"
 )
 
@@ -229,11 +230,30 @@
 		Header:             head.Header,
 		ContentLength:      head.ContentLength,
 		Earlier:            e.connection.provenance.requests - 1,
-		EndsWithConnection: head.ContentLength < 0 && len(head.TransferEncoding) == 0,
+		EndsWithConnection: endsWithConnection(head),
 		Body:               &body{exchange: e, head: head},
 	}
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body.
+func endsWithConnection(head *http.Response) bool {
+	return head.ContentLength < 0 && len(head.TransferEncoding) == 0
+}
+
+// resetCause returns the error by which the connection ended a body, or nil if the peer closed it. The reader doesn't see an error that the writer
+// of the request has taken.
+func (e *exchange) resetCause(head *http.Response) error {
+	if e.sent == nil || !endsWithConnection(head) {
+		return nil
+	}
+	// The peer has ended its response, so the rest of the request is not written.
+	_ = e.connection.SetWriteDeadline(time.Now())
+	if err := <-e.sent; netdial.TookEnd(err) {
+		return err
+	}
+	return nil
+}
+
 // fail closes the connection and wraps the cause.
 func (e *exchange) fail(step Step, cause error) error {
 	e.stopWatch()
@@ -352,6 +372,9 @@
 	}
 	b.ended = true
 	if errors.Is(err, io.EOF) {
+		if cause := b.exchange.resetCause(b.head); cause != nil {
+			return count, b.exchange.fail(StepReceive, cause)
+		}
 		b.exchange.finish(b.head)
 		return count, io.EOF
 	}
