Relay: a connection that its worker reset gets no end mark

What callers saw: the same short 200s at a gateway that reaches a worker through another one. Cause: the relaying gateway sends an end mark if the worker closed its connection. It writes requests and reads responses in two goroutines; when a write takes the reset, the read finds a regular end, and the end mark tells the other gateway that a body without a length is whole.

The relaying gateway now keeps the error of the write that failed, and sends no end mark if that was the end of the connection.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/netdial"
 )
 
 // Handler relays connections for other gateways.
@@ -78,14 +80,15 @@
 	if _, err := io.WriteString(requester, response); err != nil {
 		return
 	}
+	requests := &requestWriter{worker: worker}
 	var toWorker sync.WaitGroup
 	toWorker.Go(func() {
-		forwardRequests(worker, buffered.Reader)
+		forwardRequests(requests, buffered.Reader)
 		// The requester closes its connection when it gives the request up, so the worker must learn of it.
 		_ = worker.Close()
 		_ = requester.Close()
 	})
-	forwardChunks(requester, worker)
+	forwardChunks(requester, worker, requests)
 	// This ends a write to a worker that no longer reads.
 	_ = worker.Close()
 	// Without the end mark, the requester takes the response for broken off.
@@ -101,6 +104,36 @@
 	_, _ = io.CopyBuffer(onlyWriter{io.Discard}, onlyReader{requester}, buffer)
 }
 
+// requestWriter writes requests to a worker. It is safe for concurrent use.
+type requestWriter struct {
+	worker net.Conn
+
+	// mu is held during a write, and err is the error of the first one that failed.
+	mu  sync.Mutex
+	err error
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(content []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err != nil {
+		return 0, w.err
+	}
+	n, err := w.worker.Write(content)
+	w.err = err
+	return n, err
+}
+
+// tookEnd reports whether a write took the error by which the connection to the worker ended, so that it seems closed to its reader. It ends the
+// writes.
+func (w *requestWriter) tookEnd() bool {
+	_ = w.worker.SetWriteDeadline(time.Now())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return netdial.TookEnd(w.err)
+}
+
 // closeTimeout is how long a requester may take to close a connection whose worker has closed its own.
 const closeTimeout = 500 * time.Millisecond
 
@@ -119,8 +152,8 @@
 // bufferSize is the size of the buffer of each direction. Headers and events are small.
 const bufferSize = 4 << 10
 
-// forwardChunks forwards the bytes of a worker in chunks, and an end mark if the worker closed its connection.
-func forwardChunks(requester io.Writer, worker io.Reader) {
+// forwardChunks forwards the bytes of a worker in chunks, and an end mark if the worker closed its connection, to which the requests are written.
+func forwardChunks(requester io.Writer, worker io.Reader, requests *requestWriter) {
 	output := bufio.NewWriterSize(requester, bufferSize+chunkOverhead)
 	chunks := httputil.NewChunkedWriter(output)
 	buffer := make([]byte, bufferSize)
@@ -134,7 +167,7 @@
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !requests.tookEnd() {
 			_ = chunks.Close()
 			_, _ = io.WriteString(output, "\r\n")
 			_ = output.Flush()
