HTTP client: runs that show that a close is not taken for a reset

A worker may close its sending half behind a body without a length, and reset the connection afterwards because of what is still being written to it. Each byte of two such responses, behind a request of 10 bytes and one of 4 MB that nobody reads: the response is whole wherever the worker closed it behind its head.

--- a/internal/httpclient/cut_test.go
+++ b/internal/httpclient/cut_test.go
@@ -44,17 +44,23 @@
 // cutEnd is how a worker ends a connection.
 type cutEnd struct {
 	desc string
-	// resets is set if the connection is reset, and pause the time before that.
-	resets bool
-	pause  time.Duration
+	// resets is set if the connection is reset before it was closed, and resetsAfter if that happens after it was. pause is the time before the reset.
+	resets, resetsAfter bool
+	pause               time.Duration
 }
 
-var cutEnds = []cutEnd{{"close", false, 0}, {"reset", true, 0}, {"reset after a pause", true, 5 * time.Millisecond}}
+var cutEnds = []cutEnd{
+	{desc: "close"}, {desc: "reset", resets: true}, {desc: "reset after a pause", resets: true, pause: 5 * time.Millisecond},
+	{desc: "close, then reset", resetsAfter: true, pause: 5 * time.Millisecond},
+}
 
 // end ends a connection.
 func (e cutEnd) end(connection *net.TCPConn) {
+	if e.resetsAfter {
+		_ = connection.CloseWrite()
+	}
 	time.Sleep(e.pause)
-	if e.resets {
+	if e.resets || e.resetsAfter {
 		_ = connection.SetLinger(0)
 		return
 	}
@@ -85,7 +91,7 @@
 	for _, response := range cutResponses {
 		for _, end := range cutEnds {
 			for _, requestBytes := range []int{smallRequest, unfinishedBytes} {
-				if requestBytes == unfinishedBytes && !response.endsWithConnection && end != cutEnds[1] {
+				if !response.endsWithConnection && (end.resetsAfter || requestBytes == unfinishedBytes && end != cutEnds[1]) {
 					continue
 				}
 				t.Run(fmt.Sprintf("%s, %s, request of %d bytes", response.desc, end.desc, requestBytes), func(t *testing.T) {
