Configuration: it is fresh as of when it was complete, not as of any answer

What callers saw: 401 (or 404) for requests that the configuration in force allows, for as long as the gateway had not heard of it. Clients don't come back after these. Cause: a sign of life of the store counted as news of the configuration. A renewed lease set its age to zero at a gateway that watches the store, though its watch may be silent for good; so did a stale list, and any response of an upstream, however old its items were.

The age now counts from the latest time as of which all changes are known, which the replica has tracked for the retry allowance: - A linearizable list is complete as of its start, a watch as of its start or the end of its full wait. A stale list and a renewed lease are evidence of nothing; the store's client says which kind of list it returns. - A follower knows as much as its upstream. The age that the upstream sends counts from the receipt of the request, which is after it was sent: so the follower stays on the safe side and the wait of its request no longer counts as age.

Changes of the store end watches sooner anyway.

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/granitebay/granitebay/internal/boottime"
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/store"
 )
@@ -78,6 +79,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	request.ReceivedAt = boottime.Now()
 	changes, served := awaitChanges(r.Context(), request, s.source, s.entries)
 	if !served {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/cluster/gateways.go
+++ b/internal/cluster/gateways.go
@@ -7,17 +7,12 @@
 	"github.com/granitebay/granitebay/internal/store"
 )
 
-// StoreAnswered records that the store responded to this process. If this process watches the store itself, its
-// configuration is then up to date. The store also responds to lease renewals of a standby gateway, which says nothing
-// about its configuration.
-func (v *View) StoreAnswered(followsStore bool) {
+// StoreAnswered records that the store responded to this process. That says nothing about the configuration: the store
+// also responds to lease renewals while a watch is silent.
+func (v *View) StoreAnswered() {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	now := v.now()
-	if followsStore {
-		v.configurationCheckedAt = now
-	}
-	v.gateways.StoreAnswered(now)
+	v.gateways.StoreAnswered(v.now())
 }
 
 // EntriesReported records the entries reported by another gateway, and those of them that it received heartbeats from.
@@ -27,12 +22,12 @@
 	v.gateways.EntriesReported(v.now(), entries, live)
 }
 
-// IsFresh reports whether the configuration was known to be current within the given time: by UpToDate, or by
-// StoreAnswered if this process watches the store. Otherwise it may be outdated.
+// IsFresh reports whether the configuration is known to have been current at some moment within the given time. Otherwise
+// it may be outdated.
 func (v *View) IsFresh(within time.Duration) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return !v.configurationCheckedAt.IsZero() && v.now().Sub(v.configurationCheckedAt) < within
+	return !v.asOf.IsZero() && v.now().Sub(v.asOf) < within
 }
 
 // IsNewFleet reports whether the whole fleet was started within the given time: there had never been a controller when this
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -105,10 +105,9 @@
 	fleetIsNew bool
 	// lastFailureAt is when a call to the store last failed or the store was last restored, initially the time of the start.
 	lastFailureAt time.Time
-	// configurationCheckedAt is when the configuration was last known to be current: UpToDate was called, or the store
-	// responded to this process while it watches the store.
-	configurationCheckedAt time.Time
-	document               configuration.Document
+	// asOf is the latest time passed to UpToDate: all changes up to then are known. It is zero while unknown.
+	asOf     time.Time
+	document configuration.Document
 }
 
 // NewView returns an empty view.
@@ -266,7 +265,9 @@
 	}
 	v.mutex.Lock()
 	v.currentAt = v.now()
-	v.configurationCheckedAt = v.currentAt
+	if asOf.After(v.asOf) {
+		v.asOf = asOf
+	}
 	v.gateways.StoreAnswered(v.currentAt)
 	isListed, fleetIsNew := v.gateways.IsListed(), v.fleetIsNew
 	v.mutex.Unlock()
--- a/internal/gateway/clusterlistener.go
+++ b/internal/gateway/clusterlistener.go
@@ -95,7 +95,7 @@
 	g.gracePeriod.Store(int64(settings.Grace))
 	g.addressTTL.Store(int64(min(settings.AddressTTL, settings.MaxAddressTTL)))
 	g.dispatcher.SetBudget(budgetSettings(settings))
-	g.replica.SetMaxStaleness(retrybudget.MaxListAge(settings.RetryWindow))
+	g.replica.SetMaxStaleness(maxStaleness(g.settings, settings.RetryWindow))
 	logging.Component(g.logger, "gateway").Info("Settings in force.")
 }
 
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -312,7 +312,7 @@
 // handleLease passes a lease, renewed by a call that began at start, to the controller. A long lease of a standby gateway
 // is not used for the controller key: after a failure, the next leader would wait too long for it to expire.
 func (g *Gateway) handleLease(start time.Time, lease int64, ttl time.Duration) {
-	g.view.StoreAnswered(g.isEntry())
+	g.view.StoreAnswered()
 	g.replica.RecordStoreResponse()
 	if ttl > g.settings.LeaseTTL {
 		lease = 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -243,7 +243,7 @@
 	g.replica.SetFeed(g.feedFollower)
 	g.replica.SetLister(g.lister)
 	g.replica.SetPropagationBound(settings.ConfigurationAge)
-	g.replica.SetMaxStaleness(retrybudget.MaxListAge(settings.RetryWindow))
+	g.replica.SetMaxStaleness(maxStaleness(settings, settings.RetryWindow))
 	g.tenantUsage = newTenantUsage(g)
 	if dependencies.Capacity != nil {
 		capacitySettings := capacity.DefaultSettings()
@@ -258,15 +258,26 @@
 	return g
 }
 
-// freshShare is the share of the maximum age of a configuration that is used: the age counts from when the answer of the store was read, which is
-// later than when it was given.
-const freshShare = 0.8
+// Shares of the maximum age of a configuration.
+const (
+	// freshShare is the share of that age that is used to reject requests.
+	freshShare = 0.8
+	// confirmShare is the share of it after which the store must confirm again that there are no changes. The rest allows
+	// for slow calls and for standby gateways, which learn of it later.
+	confirmShare = 0.4
+)
 
 // maxConfigurationAge returns how old a configuration may be by this gateway's count to reject a request as not allowed.
 func maxConfigurationAge(settings Settings) time.Duration {
 	return time.Duration(freshShare * float64(settings.ConfigurationAge))
 }
 
+// maxStaleness returns how old the items of the store may become while it answers: young enough to reject requests by their
+// configuration and to keep the share of the retry allowance.
+func maxStaleness(settings Settings, retryWindow time.Duration) time.Duration {
+	return min(retrybudget.MaxListAge(retryWindow), time.Duration(confirmShare*float64(settings.ConfigurationAge)))
+}
+
 // allKeys is the prefix of all keys: a single watch covers configuration, workers and gateways.
 const allKeys = ""
 
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -41,6 +42,11 @@
 	FaultBusy
 	// FaultDropResponses executes writes but never answers them.
 	FaultDropResponses
+	// FaultSilentWatches never answers watches, pending ones included. It answers all other calls.
+	FaultSilentWatches
+	// FaultOldLists answers 429 to lists, except to stale ones, which return the items as they were when the fault began. It answers all other
+	// calls.
+	FaultOldLists
 )
 
 // Store is an in-memory, linearizable key-value store with leases and watches.
@@ -57,9 +63,11 @@
 	leases    map[int64]lease
 	nextLease int64
 	fault     StoreFault
-	delay     time.Duration
-	calls     map[string]int
-	rewrite   func(key string, value []byte) []byte
+	// old holds the items and the revision that stale lists return with FaultOldLists.
+	old     Copy
+	delay   time.Duration
+	calls   map[string]int
+	rewrite func(key string, value []byte) []byte
 }
 
 // Rewrite installs a function that modifies every value written from now on, as a proxy between the store and its writers would.
@@ -81,6 +89,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.fault, s.delay = fault, delay
+	s.old = Copy{revision: s.revision, items: maps.Clone(s.items)}
 	s.changed.Broadcast()
 }
 
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -38,8 +38,8 @@
 	// or the sender does not report it. A sender that was partitioned from the store only notices when a call times
 	// out.
 	StoreSilence *int64 `json:"unansweredMs,omitempty"`
-	// Age is the time in milliseconds since the moment up to which the sender knows all changes; nil if there is none or
-	// the sender does not report it.
+	// Age is the time in milliseconds from the moment up to which the sender knows all changes until it received the
+	// request, negative if it learned of changes since; nil if there is no such moment or the sender does not report it.
 	Age *int64 `json:"ageMs,omitempty"`
 	// Entries names the gateways to which the sender directs callers.
 	Entries []string `json:"entries"`
@@ -64,6 +64,8 @@
 	AllShards bool
 	// Upstream is the name of the gateway to query; empty means any.
 	Upstream string
+	// ReceivedAt is when the responder received the request, by boottime; zero means now.
+	ReceivedAt time.Time
 }
 
 // Feed provides changes of the store from other processes.
@@ -89,6 +91,9 @@
 	// standbyWatchWait is the wait of a watch by a standby process whose feed has not answered for feedTimeout, and so the
 	// time until it retries the feed.
 	standbyWatchWait = 2 * time.Second
+	// feedPollFraction limits the wait of a request to a fraction of the propagation bound: the time up to which all changes
+	// are known advances only with the response.
+	feedPollFraction = 0.2
 	// probeWatchWait is the wait of a watch by a standby process whose feed answered recently, which only checks
 	// whether the store serves it.
 	probeWatchWait = 300 * time.Millisecond
@@ -98,6 +103,14 @@
 // Run.
 func (r *Replica) SetFeed(feed Feed) { r.feed = feed }
 
+// feedWait returns the wait of a request to the feed.
+func (r *Replica) feedWait() time.Duration {
+	if bound := r.propagationBound.Load(); bound > 0 {
+		return min(feedPollWait, time.Duration(feedPollFraction*float64(bound)))
+	}
+	return feedPollWait
+}
+
 // pollFeed requests the next changes from the feed and applies them. It keeps MinFeedInterval between requests.
 func (r *Replica) pollFeed(ctx context.Context, wait time.Duration) error {
 	sleep(ctx, time.Until(r.lastFeedPoll.Add(r.settings.MinFeedInterval)))
@@ -196,7 +209,7 @@
 func (r *Replica) SetLister(lister func() (name string, isOwn bool)) { r.lister = lister }
 
 // currentAsOf returns the time up to which all changes are known, given when their request was sent; zero if unknown. The
-// sender determined Age after that, so the result is never too late.
+// request was received after that, so the result is never too late.
 func (c Changes) currentAsOf(started time.Time) time.Time {
 	if c.Age == nil {
 		return time.Time{}
@@ -248,7 +261,10 @@
 	}
 	changes.FullShard = changes.Shards != request.Shards
 	now := boottime.Now()
-	changes.Age, changes.StoreSilence = millisecondsSince(r.currentAsOf, now), millisecondsSince(r.storeAnsweredAt, now)
+	if request.ReceivedAt.IsZero() {
+		request.ReceivedAt = now
+	}
+	changes.Age, changes.StoreSilence = millisecondsSince(r.currentAsOf, request.ReceivedAt), millisecondsSince(r.storeAnsweredAt, now)
 	if changes.Full || changes.FullShard {
 		changes.Changed = r.fullChanges(request, changes)
 		return changes, true
@@ -295,7 +311,8 @@
 	return events
 }
 
-// millisecondsSince returns the time since start, rounded up so that ages are never understated; nil for the zero time.
+// millisecondsSince returns the time since start, rounded up so that ages are never understated; nil for the zero time. It
+// is negative if start is later than now.
 func millisecondsSince(start, now time.Time) *int64 {
 	if start.IsZero() {
 		return nil
--- a/internal/store/instrumented.go
+++ b/internal/store/instrumented.go
@@ -44,11 +44,11 @@
 }
 
 // ListUntil implements Store.
-func (c instrumented) ListUntil(ctx context.Context, prefix string, stop func([]Item) bool) ([]Item, Revision, bool, error) {
+func (c instrumented) ListUntil(ctx context.Context, prefix string, stop func([]Item) bool) (Listing, error) {
 	started := time.Now()
-	items, revision, complete, err := c.store.ListUntil(ctx, prefix, stop)
+	listing, err := c.store.ListUntil(ctx, prefix, stop)
 	c.report(CallList, started, err)
-	return items, revision, complete, err
+	return listing, err
 }
 
 // Watch implements Store.
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -63,7 +63,8 @@
 	// StoreUnavailable reports that the store failed; the items may be out of date from now on.
 	StoreUnavailable(err error)
 	// UpToDate reports that all changes that the store sent have been passed on. asOf is the time, by boottime, up to
-	// which all changes are known even if responses were delayed; zero while unknown.
+	// which all changes are known even if responses were delayed; zero while unknown. It may be long ago: a stale list, for
+	// example, does not advance it.
 	UpToDate(asOf time.Time)
 }
 
@@ -179,7 +180,7 @@
 	pause := r.firstRetryPause()
 	for ctx.Err() == nil {
 		if r.usesFeed() {
-			if r.pollFeed(ctx, feedPollWait) == nil {
+			if r.pollFeed(ctx, r.feedWait()) == nil {
 				continue
 			}
 			if r.awaitsShard() {
@@ -314,20 +315,23 @@
 		listedThrough = r.applyUnsharded(items)
 		return r.standby.Load()
 	}
-	items, revision, complete, err := r.store.ListUntil(ctx, r.prefix, stop)
+	started := boottime.Now()
+	listing, err := r.store.ListUntil(ctx, r.prefix, stop)
 	if err != nil {
 		return err
 	}
 	r.RecordStoreResponse()
 	r.dropRestart()
-	if !complete {
-		r.startWithoutShard(r.unshardedItems(items), revision, listedThrough)
+	if !listing.Complete {
+		r.startWithoutShard(r.unshardedItems(listing.Items), listing.Revision, listedThrough)
 		return nil
 	}
-	r.replace(Snapshot{Items: items, Revision: revision})
+	isReplaced := r.replace(Snapshot{Items: listing.Items, Revision: listing.Revision})
 	r.mustList = false
-	// A list may be a few seconds old, so it does not advance currentAsOf.
-	r.consumer.UpToDate(r.advanceCurrentAsOf(time.Time{}))
+	if !isReplaced || listing.Stale {
+		started = time.Time{}
+	}
+	r.consumer.UpToDate(r.advanceCurrentAsOf(started))
 	return nil
 }
 
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -75,13 +75,13 @@
 const maxTombstones = 16 << 10
 
 // replace merges a snapshot into the replica and resets the consumer. Items with later revisions are kept, as a
-// snapshot may be a few seconds old.
-func (r *Replica) replace(snapshot Snapshot) {
+// snapshot may be a few seconds old. It does nothing and returns false if the snapshot is of an earlier era.
+func (r *Replica) replace(snapshot Snapshot) bool {
 	snapshot.Shards = max(snapshot.Shards, 1)
 	r.mutex.Lock()
 	if r.isFromEarlierEra(snapshot.Revision) {
 		r.mutex.Unlock()
-		return
+		return false
 	}
 	isRestored := r.isFromLaterEra(snapshot)
 	if isRestored {
@@ -108,6 +108,7 @@
 		r.consumer.Restored(snapshot.Revision.Era())
 	}
 	r.consumer.Reset(items)
+	return true
 }
 
 // replaceShard replaces the items with a snapshot if that or the replica holds a shard, and discards tombstones. The
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -71,6 +71,18 @@
 	TTL time.Duration
 }
 
+// Listing is the result of a list.
+type Listing struct {
+	// Items are the listed items, ordered by key.
+	Items []Item
+	// Revision is that of the store: a watch after it returns every change that the items do not include.
+	Revision Revision
+	// Complete reports that no pages are left.
+	Complete bool
+	// Stale reports that the items may be older than the call. Otherwise they contain all changes from before it.
+	Stale bool
+}
+
 // Store is a linearizable key-value store with leases and watches. Its errors name the operation and the peer. A call
 // that failed without a response may still take effect, even later.
 type Store interface {
@@ -78,8 +90,8 @@
 	// include. If the store is too busy for linearizable reads, the items may be a few seconds old.
 	List(ctx context.Context, prefix string) ([]Item, Revision, error)
 	// ListUntil is like List, reading pages in key order. After each page but the last it passes all items so far to
-	// stop, which may be nil, and ends early with complete unset if that returns true.
-	ListUntil(ctx context.Context, prefix string, stop func(items []Item) bool) (items []Item, revision Revision, complete bool, err error)
+	// stop, which may be nil, and ends early with an incomplete listing if that returns true.
+	ListUntil(ctx context.Context, prefix string, stop func(items []Item) bool) (Listing, error)
 	// Watch waits for changes below a prefix after a revision. It returns the events and the revision to continue from.
 	// The events are empty if there were none within the wait.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error)
