Store: a stale list after a forgotten history is followed by a pause

What callers saw: nothing by itself, but the store did. Cause: while the history is gone and lists are answered only if they are stale, the watch after such a list fails at once, and the next list followed without a pause. All these calls are priced, and refused lists count towards the limit of the whole fleet, which keeps it above the limit.

A replica whose last list was stale now waits up to the maximum retry pause before it lists again, and asks its feed meanwhile. A list that is not stale is newer than the history that is gone, so nothing changes after that.

--- a/internal/store/freshness_test.go
+++ b/internal/store/freshness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,13 +153,52 @@
 	}
 }
 
-// forgetfulStore has lost the history of its changes.
-type forgetfulStore struct{ idleStore }
+// forgetfulStore has lost the history of its changes. It counts the calls.
+type forgetfulStore struct {
+	idleStore
+	calls atomic.Int64
+}
+
+func (s *forgetfulStore) ListUntil(ctx context.Context, prefix string, stop func([]Item) bool) (Listing, error) {
+	s.calls.Add(1)
+	return s.idleStore.ListUntil(ctx, prefix, stop)
+}
 
 func (s *forgetfulStore) Watch(context.Context, string, Revision, time.Duration) ([]Event, Revision, error) {
+	s.calls.Add(1)
 	return nil, 0, ErrCompacted
 }
 
+// TestStaleListsAreSpaced guards against calls without a pause while the history is gone and stale lists are older than what is
+// left of it.
+func TestStaleListsAreSpaced(t *testing.T) {
+	const (
+		runTime = 2 * time.Second
+		// maxCalls allows for the shortest jittered pauses.
+		maxCalls = 20
+	)
+	store := &forgetfulStore{idleStore: idleStore{stale: true}}
+	replica := NewReplica(store, "", DefaultReplicaSettings(), &asOfRecorder{}, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), runTime)
+	defer cancel()
+	replica.Run(ctx)
+	if calls := store.calls.Load(); calls < 4 || calls > maxCalls {
+		t.Errorf("%d calls in %s, want 4 to %d", calls, runTime, maxCalls)
+	}
+	// A list that is not stale is newer than the history that is gone, so the watch goes on at once.
+	store = &forgetfulStore{}
+	replica = NewReplica(store, "", DefaultReplicaSettings(), &asOfRecorder{}, nil)
+	started := time.Now()
+	for range 3 {
+		if err := replica.step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(started); took > 100*time.Millisecond {
+		t.Errorf("lists that are not stale were delayed by %s", took)
+	}
+}
+
 // TestAgeIsCountedFromReceipt guards against a follower that is more certain than its upstream, and against one that counts
 // the wait of its request as age: it would reject nothing for good at an idle store.
 func TestAgeIsCountedFromReceipt(t *testing.T) {
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -95,8 +95,8 @@
 	shortenNextWatch atomic.Bool
 
 	// mutex guards the fields below. Only the goroutine of Run writes them, except changed and storeAnsweredAt, which any
-	// goroutine may write. That goroutine may read its own fields without the mutex. It uses feedAnsweredAt and mustList, which
-	// no other goroutine reads, always without it.
+	// goroutine may write. That goroutine may read its own fields without the mutex. It uses feedAnsweredAt, listedStale and
+	// mustList, which no other goroutine reads, always without it.
 	mutex sync.Mutex
 	// table holds the items that the consumer has, and tombstones of deleted ones; nil before the first list.
 	table    *table
@@ -121,6 +121,8 @@
 	storeAnsweredAt time.Time
 	// storeUnavailable is set while calls to the store fail.
 	storeUnavailable bool
+	// listedStale is set if the last list was stale, so that it may be older than what the history has left.
+	listedStale bool
 	// mustList is set after a failed watch, as the store may have discarded changes that the watch did not receive and
 	// a new watch would not return them.
 	mustList bool
@@ -327,7 +329,7 @@
 		return nil
 	}
 	isReplaced := r.replace(Snapshot{Items: listing.Items, Revision: listing.Revision})
-	r.mustList = false
+	r.mustList, r.listedStale = false, listing.Stale
 	if !isReplaced || listing.Stale {
 		started = time.Time{}
 	}
@@ -379,6 +381,10 @@
 		if r.queryLister(ctx) {
 			return nil
 		}
+		if r.listedStale {
+			// The next list may be as old.
+			r.waitWithFeed(ctx, jitter(r.stretchPause(r.settings.MaxRetryPause)))
+		}
 		return r.listOrWait(ctx)
 	case err != nil && context.Cause(watchCtx) != nil && ctx.Err() == nil:
 		return errWatchRestarted
