Requests: none is denied for good by a table that was replaced meanwhile

What callers saw: possibly a 401 or 404 by an outdated configuration right after a gateway that had been out of touch heard of the new one. Cause: a request is matched against a table, and then the gateway checks whether its configuration is fresh. Between both, the new table can take the place of the old one and be confirmed, so the evidence for the new one denied a request by the old one. A gateway that lacks processor time can stay between both for long.

The gateway now denies a request for good only if the table is still the one in force once freshness is known; otherwise 503 with Retry-After. The table changes before the configuration counts as confirmed.

TestKeysOfReplacedTableAreNotDenied failed before (401, want 503). Costs: one 503 for requests that are denied in the moment of a change.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -259,12 +259,12 @@
 	}
 	protocol, match, found := h.match(table, incoming)
 	if !found {
-		return h.respondDenied(writer, report, http.StatusNotFound, ReasonNoRule)
+		return h.respondDenied(writer, report, table, http.StatusNotFound, ReasonNoRule)
 	}
 	report.Rule, report.Group, report.Version = match.Rule.Name, match.Group.Name, table.Configuration().Version
 	owner, known := tenantOf(table.Configuration(), match.Rule, protocol.Key(incoming))
 	if !known {
-		return h.respondDenied(writer, report, http.StatusUnauthorized, ReasonUnknownKey)
+		return h.respondDenied(writer, report, table, http.StatusUnauthorized, ReasonUnknownKey)
 	}
 	request, err := protocol.Read(incoming)
 	if err != nil {
@@ -332,10 +332,11 @@
 	return configuration.Tenants.Find(key)
 }
 
-// respondDenied rejects a request that the configuration does not allow. If the configuration may be out of date, the caller is told to
-// retry instead.
-func (h *Handler) respondDenied(writer http.ResponseWriter, report *Report, status int, reason Reason) connAction {
-	if h.isConfigurationFresh != nil && !h.isConfigurationFresh() {
+// respondDenied rejects a request that the configuration of a table does not allow. If that configuration may be out of date, the caller is
+// told to retry instead.
+func (h *Handler) respondDenied(writer http.ResponseWriter, report *Report, table *routing.Table, status int, reason Reason) connAction {
+	// A table that replaced this one since may be what is up to date.
+	if h.isConfigurationFresh != nil && (!h.isConfigurationFresh() || h.table.Load() != table) {
 		return respondRetryAfter(writer, report, ReasonStale, h.settings.NotReadyRetryAfter)
 	}
 	return respondError(writer, report, status, reason)
--- a/internal/forward/keys_test.go
+++ b/internal/forward/keys_test.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// TestKeysOfReplacedTableAreNotDenied guards against a request that is denied for good by an outdated table, because another one took its place
+// and was confirmed after the request was matched.
+func TestKeysOfReplacedTableAreNotDenied(t *testing.T) {
+	workers := &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
+		return wholeResponse(200, "answer"), nil
+	}}
+	k := &keyFixture{fixture: newFixture(t, fixtureOptions{}, workers)}
+	var replaced atomic.Bool
+	k.handler.SetFreshness(func() bool {
+		if replaced.CompareAndSwap(false, true) {
+			k.setTenants(t, []string{"a=k1,k2"})
+		}
+		return true
+	})
+	k.setTenants(t, []string{"a=k1"})
+	k.request(t, "k2", http.StatusServiceUnavailable, nil)
+	k.request(t, "k2", http.StatusOK, nil)
+	k.request(t, "k3", http.StatusUnauthorized, nil)
+}
+
 // step runs one line of a script.
 func (k *keyFixture) step(t *testing.T, words []string) {
 	t.Helper()
