Requests: limits of an outdated configuration deny none for good

What callers saw: 413 or 431 for requests within the limits that are in force, at a gateway that had not heard of the raised ones. Clients don't come back after these. Cause: of the refusals that rest on the configuration, only 401 and 404 asked whether it was up to date.

413 and 431 now do so too; otherwise the answer is 503 with Retry-After. 400 and 408 rest on the request and its time alone.

TestLimitsOfOutdatedConfigurationDenyNothing failed before in its three cases of requests beyond the limits (431, 413, 413, want 503). Costs: 503 in place of 413 and 431 while the configuration is not confirmed.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -597,6 +598,49 @@
 	}
 }
 
+// TestLimitsOfOutdatedConfigurationDenyNothing guards against requests that are denied for good by limits which may have been raised since.
+func TestLimitsOfOutdatedConfigurationDenyNothing(t *testing.T) {
+	workers := &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
+		return wholeResponse(200, "x"), nil
+	}}
+	f := newFixture(t, fixtureOptions{}, workers)
+	var stale atomic.Bool
+	f.handler.SetFreshness(func() bool { return !stale.Load() })
+	for _, test := range []struct {
+		name string
+		// header and body are lengths.
+		header, body int
+		isChunked    bool
+		want         int
+	}{
+		{"long headers", 2000, 0, false, http.StatusRequestHeaderFieldsTooLarge},
+		{"long body", 1, 1001, false, http.StatusRequestEntityTooLarge},
+		{"long body of unknown length", 1, 1001, true, http.StatusRequestEntityTooLarge},
+		{"within the limits", 1, 1, false, http.StatusOK},
+	} {
+		for _, isStale := range []bool{true, false} {
+			stale.Store(isStale)
+			request, _ := http.NewRequest(http.MethodPost, f.server.URL+"/x", strings.NewReader(strings.Repeat("x", test.body)))
+			if test.isChunked {
+				request.ContentLength = -1
+			}
+			request.Header.Set("Long", strings.Repeat("x", test.header))
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatalf("%s: %v", test.name, err)
+			}
+			_ = response.Body.Close()
+			want := test.want
+			if isStale && want != http.StatusOK {
+				want = http.StatusServiceUnavailable
+			}
+			if response.StatusCode != want || (want == http.StatusServiceUnavailable) != (response.Header.Get("Retry-After") != "") {
+				t.Errorf("%s, stale: %t: got %d with %v, want %d", test.name, isStale, response.StatusCode, response.Header, want)
+			}
+		}
+	}
+}
+
 // TestGatewayErrorResponses guards against wrong status codes for requests that the gateway rejects itself.
 func TestGatewayErrorResponses(t *testing.T) {
 	workers := &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -255,7 +255,7 @@
 	}
 	limits := &table.Configuration().Limits
 	if limits.MaxHeaderBytes > 0 && headerBytes(incoming) > limits.MaxHeaderBytes {
-		return respondError(writer, report, http.StatusRequestHeaderFieldsTooLarge, ReasonInvalid)
+		return h.respondDenied(writer, report, table, http.StatusRequestHeaderFieldsTooLarge, ReasonInvalid)
 	}
 	protocol, match, found := h.match(table, incoming)
 	if !found {
@@ -283,6 +283,9 @@
 	status, err := readBodyByDeadline(writer, incoming, request, limits.MaxBodyBytes, deadline)
 	if err != nil {
 		report.Err = err
+		if status == http.StatusRequestEntityTooLarge {
+			return h.respondDenied(writer, report, table, status, ReasonInvalid)
+		}
 		return respondError(writer, report, status, bodyErrorReason(status))
 	}
 	report.bodyRead = true
