Configuration: none is fresh while the store holds a newer one that can't be read

What callers saw: possibly 401 or 404 for requests that a newer configuration allows, at a gateway that knows that there is one, but can't decode it or finds it invalid. Cause: such a gateway continues with the previous configuration, as it must, but still called it current.

The view keeps the revisions of configurations that it can't read, of both keys, until a later one is read or the key is deleted. Until then requests that the known configuration doesn't allow get 503 with Retry-After; all others are served as before.

Costs: 503 in place of 401 and 404 for as long as the unreadable configuration stands. Labels that don't fit the base configuration are not covered: the base alone is in force then, and requests by label get 404.

--- a/internal/cluster/configuration.go
+++ b/internal/cluster/configuration.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/configuration"
@@ -24,6 +26,7 @@
 	if err == nil {
 		err = configuration.Validate()
 	}
+	v.setReadable(item, err == nil)
 	if err != nil {
 		v.reportInvalid(err)
 		return
@@ -39,10 +42,12 @@
 func (v *View) applyLabelConfiguration(item store.Item) {
 	document, err := configuration.Decode(item.Value)
 	if err != nil {
+		v.setReadable(item, false)
 		v.reportInvalid(err)
 		return
 	}
 	snapshot, err := configuration.Compile(document)
+	v.setReadable(item, err == nil)
 	if err != nil {
 		v.reportInvalid(err)
 		return
@@ -56,6 +61,31 @@
 	v.publishConfiguration()
 }
 
+// dropUnreadable forgets the unreadable configurations that all items of the store lack.
+func (v *View) dropUnreadable(items []store.Item) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	for key := range v.unreadable {
+		if !slices.ContainsFunc(items, func(item store.Item) bool { return item.Key == key }) {
+			delete(v.unreadable, key)
+		}
+	}
+}
+
+// setReadable records whether a configuration could be read, or was deleted. A readable one does not outdate an unreadable one
+// that is newer.
+func (v *View) setReadable(item store.Item, isReadable bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	known, isUnreadable := v.unreadable[item.Key]
+	switch {
+	case !isReadable:
+		v.unreadable[item.Key] = max(known, item.Revision)
+	case isUnreadable && item.Revision >= known:
+		delete(v.unreadable, item.Key)
+	}
+}
+
 // publishConfiguration passes the merged configuration to the listener once there is a base configuration. If the merged
 // one is invalid, for example because a group selects from a removed service, it passes the base configuration alone.
 func (v *View) publishConfiguration() {
--- a/internal/cluster/gateways.go
+++ b/internal/cluster/gateways.go
@@ -23,11 +23,11 @@
 }
 
 // IsFresh reports whether the configuration is known to have been current at some moment within the given time. Otherwise
-// it may be outdated.
+// it may be outdated. It is outdated while the store holds a newer one that can't be read.
 func (v *View) IsFresh(within time.Duration) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return !v.asOf.IsZero() && v.now().Sub(v.asOf) < within
+	return len(v.unreadable) == 0 && !v.asOf.IsZero() && v.now().Sub(v.asOf) < within
 }
 
 // IsNewFleet reports whether the whole fleet was started within the given time: there had never been a controller when this
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -106,8 +106,10 @@
 	// lastFailureAt is when a call to the store last failed or the store was last restored, initially the time of the start.
 	lastFailureAt time.Time
 	// asOf is the latest time passed to UpToDate: all changes up to then are known. It is zero while unknown.
-	asOf     time.Time
-	document configuration.Document
+	asOf time.Time
+	// unreadable holds the revisions of configurations that can't be read, by key, until a later one can.
+	unreadable map[string]store.Revision
+	document   configuration.Document
 }
 
 // NewView returns an empty view.
@@ -117,6 +119,7 @@
 	return &View{
 		decoder: decoder, listener: listener, ownKey: ownKey, logger: logger, now: boottime.Now, roster: roster, gateways: gateways,
 		lastFailureAt: boottime.Now(), invalidLogLimiter: rate.NewLimiter(invalidLogsPerSecond, invalidLogBurst),
+		unreadable: map[string]store.Revision{},
 	}
 }
 
@@ -152,6 +155,7 @@
 	v.rosterMutex.Unlock()
 	// The first configuration makes the process ready, so the workers must be known before.
 	v.publishWorkers()
+	v.dropUnreadable(items)
 	for _, item := range items {
 		v.applyConfiguration(item)
 	}
@@ -206,7 +210,9 @@
 	workersChanged, gatewaysChanged := false, false
 	for _, event := range events {
 		workersChanged = v.applyWorker(event) || workersChanged
-		if !event.Deleted {
+		if event.Deleted {
+			v.setReadable(event.Item, true)
+		} else {
 			v.applyConfiguration(event.Item)
 		}
 		if strings.HasPrefix(event.Key, poison.BarPrefix) {
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -282,6 +283,48 @@
 	}
 }
 
+// TestUnreadableConfigurationIsNotFresh guards against a configuration that counts as current although the store holds a newer
+// one, which this process can't read.
+func TestUnreadableConfigurationIsNotFresh(t *testing.T) {
+	at := func(event store.Event, revision store.Revision) store.Event {
+		event.Revision = revision
+		return event
+	}
+	for _, test := range []struct {
+		name   string
+		events []store.Event
+		fresh  bool
+	}{
+		{"readable", []store.Event{at(putEvent("configuration", "22"), 2)}, true},
+		{"unreadable", []store.Event{at(putEvent("configuration", "22"), 2), at(putEvent("configuration", ""), 3)}, false},
+		{"an older one is passed again", []store.Event{
+			at(putEvent("configuration", "22"), 2), at(putEvent("configuration", ""), 3), at(putEvent("configuration", "22"), 2),
+		}, false},
+		{"replaced by a readable one", []store.Event{
+			at(putEvent("configuration", "22"), 2), at(putEvent("configuration", ""), 3), at(putEvent("configuration", "333"), 4),
+		}, true},
+		{"labels unreadable", []store.Event{at(putEvent("configuration", "22"), 2), at(putEvent(configuration.StoreKey, "{"), 3)}, false},
+		{"labels unreadable, other configuration replaced", []store.Event{
+			at(putEvent(configuration.StoreKey, "{"), 3), at(putEvent("configuration", "333"), 4),
+		}, false},
+		{"labels unreadable, then deleted", []store.Event{
+			at(putEvent(configuration.StoreKey, "{"), 3), {Item: store.Item{Key: configuration.StoreKey, Revision: 4}, Deleted: true},
+		}, true},
+		{"configuration deleted", []store.Event{at(putEvent("configuration", "22"), 2), {Item: store.Item{Key: "configuration", Revision: 3}, Deleted: true}}, true},
+	} {
+		view, _ := newTestView()
+		view.Apply(test.events)
+		view.UpToDate(view.now())
+		if got := view.IsFresh(time.Minute); got != test.fresh {
+			t.Errorf("%s: fresh: %t, want %t", test.name, got, test.fresh)
+		}
+		view.Reset(nil)
+		if !view.IsFresh(time.Minute) {
+			t.Errorf("%s: not fresh although the store holds no configuration that can't be read", test.name)
+		}
+	}
+}
+
 // TestWorkersAreReportedBeforeConfiguration guards against a gateway that is ready but knows no workers if it is
 // delayed between the two.
 func TestWorkersAreReportedBeforeConfiguration(t *testing.T) {
