Streams: the age of the list of workers is that of what it is known to contain

What callers saw: possibly a stream that goes on at another software version than the one that began it. Cause: gateways conclude from their lists of workers that there was only one version, if these are young enough, and the age counted from the last answer of the store or of an upstream. A stale list, and a response of an upstream whose own watch is silent, made it zero. Two gateways that know different versions could then both be sure.

View.Staleness is now the time since the moment as of which all changes are known, as for the configuration.

TestStalenessIsAgeOfKnownChanges failed before in its three cases (0 s, want more than an hour, 8 s and 3 s). Costs: while lists are stale, gateways tell each other of every stream that they begin, and refuse to take up those of unknown versions with 503.

--- a/internal/cluster/gateways.go
+++ b/internal/cluster/gateways.go
@@ -137,9 +137,10 @@
 	v.gateways.Leave()
 }
 
-// Staleness returns the time since UpToDate was last called.
+// Staleness returns the age of the items: the time since the moment as of which all changes are known. It is longer than any
+// bound while there is none.
 func (v *View) Staleness() time.Duration {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.now().Sub(v.currentAt)
+	return v.now().Sub(v.asOf)
 }
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -98,8 +98,6 @@
 
 	mutex    sync.Mutex
 	gateways *member.List
-	// currentAt is when UpToDate was last called.
-	currentAt time.Time
 	// listedAt is when the store was first listed, and fleetIsNew is set if there had never been a controller by then.
 	listedAt   time.Time
 	fleetIsNew bool
@@ -270,11 +268,10 @@
 		v.outageStartedAt = time.Time{}
 	}
 	v.mutex.Lock()
-	v.currentAt = v.now()
 	if asOf.After(v.asOf) {
 		v.asOf = asOf
 	}
-	v.gateways.StoreAnswered(v.currentAt)
+	v.gateways.StoreAnswered(v.now())
 	isListed, fleetIsNew := v.gateways.IsListed(), v.fleetIsNew
 	v.mutex.Unlock()
 	if isListed && !v.registrationSeenAt.IsZero() && !asOf.Before(v.registrationSeenAt) {
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -283,6 +283,30 @@
 	}
 }
 
+// TestStalenessIsAgeOfKnownChanges guards against a list of workers that counts as young because the store, or an upstream, answers
+// with old items: a gateway would conclude from it that there is only one software version.
+func TestStalenessIsAgeOfKnownChanges(t *testing.T) {
+	view, _ := newTestView()
+	start := time.Unix(1000, 0)
+	now := start
+	view.now = func() time.Time { return now }
+	view.UpToDate(time.Time{})
+	if got := view.Staleness(); got < time.Hour {
+		t.Errorf("after a stale list: stale for %s, want longer than any horizon", got)
+	}
+	view.UpToDate(start)
+	now = start.Add(8 * time.Second)
+	view.StoreAnswered()
+	view.UpToDate(start)
+	if got := view.Staleness(); got != 8*time.Second {
+		t.Errorf("after a stale list and a renewed lease: stale for %s, want 8s", got)
+	}
+	view.UpToDate(start.Add(5 * time.Second))
+	if got := view.Staleness(); got != 3*time.Second {
+		t.Errorf("after changes up to 3 s ago: stale for %s, want 3s", got)
+	}
+}
+
 // TestUnreadableConfigurationIsNotFresh guards against a configuration that counts as current although the store holds a newer
 // one, which this process can't read.
 func TestUnreadableConfigurationIsNotFresh(t *testing.T) {
