--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -255,16 +255,16 @@
 	}
 	limits := &table.Configuration().Limits
 	if limits.MaxHeaderBytes > 0 && headerBytes(incoming) > limits.MaxHeaderBytes {
-		return respondError(writer, report, http.StatusRequestHeaderFieldsTooLarge, ReasonInvalid)
+		return h.respondDenied(writer, report, table, http.StatusRequestHeaderFieldsTooLarge, ReasonInvalid)
 	}
 	protocol, match, found := h.match(table, incoming)
 	if !found {
-		return h.respondDenied(writer, report, http.StatusNotFound, ReasonNoRule)
+		return h.respondDenied(writer, report, table, http.StatusNotFound, ReasonNoRule)
 	}
 	report.Rule, report.Group, report.Version = match.Rule.Name, match.Group.Name, table.Configuration().Version
 	owner, known := tenantOf(table.Configuration(), match.Rule, protocol.Key(incoming))
 	if !known {
-		return h.respondDenied(writer, report, http.StatusUnauthorized, ReasonUnknownKey)
+		return h.respondDenied(writer, report, table, http.StatusUnauthorized, ReasonUnknownKey)
 	}
 	request, err := protocol.Read(incoming)
 	if err != nil {
@@ -283,6 +283,9 @@
 	status, err := readBodyByDeadline(writer, incoming, request, limits.MaxBodyBytes, deadline)
 	if err != nil {
 		report.Err = err
+		if status == http.StatusRequestEntityTooLarge {
+			return h.respondDenied(writer, report, table, status, ReasonInvalid)
+		}
 		return respondError(writer, report, status, bodyErrorReason(status))
 	}
 	report.bodyRead = true
@@ -332,10 +335,11 @@
 	return configuration.Tenants.Find(key)
 }
 
-// respondDenied rejects a request that the configuration does not allow. If the configuration may be out of date, the caller is told to
-// retry instead.
-func (h *Handler) respondDenied(writer http.ResponseWriter, report *Report, status int, reason Reason) connAction {
-	if h.isConfigurationFresh != nil && !h.isConfigurationFresh() {
+// respondDenied rejects a request that the configuration of a table does not allow. If that configuration may be out of date, the caller is
+// told to retry instead.
+func (h *Handler) respondDenied(writer http.ResponseWriter, report *Report, table *routing.Table, status int, reason Reason) connAction {
+	// A table that replaced this one since may be what is up to date.
+	if h.isConfigurationFresh != nil && (!h.isConfigurationFresh() || h.table.Load() != table) {
 		return respondRetryAfter(writer, report, ReasonStale, h.settings.NotReadyRetryAfter)
 	}
 	return respondError(writer, report, status, reason)
