Poison: one state for the bar of a request or a part and its trials

partState held the bar, its trials and their timing; they are a type of their own now, so that requests can have the same. Refutation of a bar by a success after its crashes moves to the record of crash times. No change of behaviour; the package's tests pass unchanged.

--- a/internal/poison/crashtime.go
+++ b/internal/poison/crashtime.go
@@ -153,6 +153,19 @@
 	return max(lastEarliest.Sub(firstLatest), 0)
 }
 
+// isRefuted reports whether something succeeded since a bar of it began, or since the last of the crashes that the bar is for. Crashes of unknown times
+// count as of the start of the bar.
+func (c *crashTimes) isRefuted(bar Bar, succeededAt time.Time) bool {
+	last := time.Time{}
+	for _, worker := range bar.Workers {
+		last = later(last, c.latest(worker, bar.Since))
+	}
+	if last.IsZero() {
+		last = bar.Since
+	}
+	return !succeededAt.IsZero() && !(bar.Since.After(succeededAt) && last.After(succeededAt))
+}
+
 // SilentCrash is the crash of a worker that fell silent, as it is sent between gateways.
 type SilentCrash struct {
 	_ struct{} `cbor:",toarray"`
--- a/internal/poison/partbarring.go
+++ b/internal/poison/partbarring.go
@@ -201,14 +201,12 @@
 
 // barPart bars a part.
 func (t *partTable) barPart(now time.Time, part Part, state *partState) Bar {
-	state.trialDelay = t.settings.Parts.TrialDelay
+	trialDelay := t.settings.Parts.TrialDelay
 	if state.barCount == 0 && t.knownAnswered(state) {
-		state.trialDelay = t.settings.Parts.AnsweredTrialDelay
+		trialDelay = t.settings.Parts.AnsweredTrialDelay
 	}
-	state.barCount++
-	state.trials, state.barredHere = 0, true
-	state.barredSince, state.lastReport, state.heardAt = now, now, time.Time{}
-	state.barredUntil = now.Add(t.settings.barDuration(state.barCount))
+	state.create(now, t.settings, trialDelay)
+	state.lastReport = now
 	t.unsentParts[part] = true
 	bar := state.bar(part)
 	bar.Basis = t.basis(now, part, state)
@@ -226,43 +224,21 @@
 	return next
 }
 
-// dueTrial returns the number of the latest trial of a barred part that is due, and since when; -1 if none is.
-func (t *partTable) dueTrial(now time.Time, state *partState) (number int, due time.Time) {
-	number = -1
-	if !now.Before(state.barredUntil) {
-		return number, due
-	}
-	delay := state.trialDelay
-	for next := state.barredSince.Add(delay); delay > 0 && !now.Before(next); next = state.barredSince.Add(delay) {
-		number, due = number+1, next
-		delay *= time.Duration(t.settings.Parts.TrialBackoff)
-	}
-	return number, due
-}
-
 // beginTrial reports whether a request with a barred part may be sent to a worker now, to find out whether the part still crashes workers.
 // isElected tells whether this gateway is the one to begin the trial with a number.
 func (t *partTable) beginTrial(now time.Time, part Part, isElected func(number int) bool) bool {
 	state, found := t.parts[part]
-	if !found {
-		return false
-	}
-	number, due := t.dueTrial(now, state)
-	if heard := state.heardAt.Add(t.settings.Parts.TrialHearing); heard.After(due) {
-		due = heard
-	}
-	if number < state.trials || now.Before(due) || (now.Sub(due) < t.settings.Parts.TrialElection && !isElected(number)) {
+	if !found || !state.beginTrial(now, t.settings.Parts, isElected) {
 		return false
 	}
-	state.trials = number + 1
 	t.unsentParts[part] = true
 	return true
 }
 
 // returnTrial undoes beginTrial for a request that was sent to no worker.
 func (t *partTable) returnTrial(part Part) {
-	if state, found := t.parts[part]; found && state.trials > 0 {
-		state.trials--
+	if state, found := t.parts[part]; found {
+		state.returnTrial()
 	}
 }
 
@@ -281,8 +257,8 @@
 		state = t.addPart(now, bar.Part)
 	}
 	isNew := !now.Before(state.barredUntil)
-	state.barCount, state.barredSince, state.barredUntil = max(bar.Times, 1), earlier(bar.Since, now), bar.Until
-	state.trialDelay, state.trials, state.lastReport, state.heardAt, state.barredHere = bar.TrialDelay, 0, now, now, false
+	state.receive(now, bar, bar.TrialDelay)
+	state.lastReport = now
 	t.mergeBar(bar, state)
 	delete(t.due, bar.Part)
 	return isNew
@@ -296,7 +272,7 @@
 	if found {
 		answeredAt = state.answeredAt
 	}
-	if answeredAt.IsZero() || (bar.Since.After(answeredAt) && t.lastCrash(bar).After(answeredAt)) {
+	if !t.times.isRefuted(bar, answeredAt) {
 		return false
 	}
 	if !found {
@@ -306,18 +282,6 @@
 	return true
 }
 
-// lastCrash returns the time of the last crash that a bar is for: its start if one is unknown.
-func (t *partTable) lastCrash(bar Bar) time.Time {
-	last := time.Time{}
-	for _, worker := range bar.Workers {
-		last = later(last, t.times.latest(worker, bar.Since))
-	}
-	if last.IsZero() {
-		return bar.Since
-	}
-	return last
-}
-
 // mergeBar adds the trials and the crashed workers of a bar that is in force. Crashes of unknown times count as of its start.
 func (t *partTable) mergeBar(bar Bar, state *partState) {
 	state.trials = max(state.trials, bar.Trials)
--- a/internal/poison/parttable.go
+++ b/internal/poison/parttable.go
@@ -71,16 +71,7 @@
 	reportedHere bool
 	// requests counts the requests with the part that this gateway received since the part has evidence.
 	requests int
-	// barCount counts the bars of the part; the last one lasts from barredSince to barredUntil. trialDelay is that of the bar.
-	barCount                 int
-	barredSince, barredUntil time.Time
-	trialDelay               time.Duration
-	// barredHere is set if this gateway created the bar.
-	barredHere bool
-	// heardAt is when this gateway learned of the bar from the store; zero if it created the bar or heard of it from another gateway.
-	heardAt time.Time
-	// trials counts the trials of the bar that have begun, as far as this gateway knows.
-	trials int
+	barState
 }
 
 // partTable tracks which parts of prompts were in requests at workers that crashed. Unlike a request, a part is shared with many sound
@@ -303,7 +294,7 @@
 	}
 	if state.barCount > 0 && (!state.barredSince.After(at) || (len(voided) > 0 && len(state.crashes) == 0)) {
 		lifted = now.Before(state.barredUntil)
-		state.barCount, state.barredSince, state.barredUntil = 0, time.Time{}, time.Time{}
+		state.lift()
 	}
 	if len(voided) > 0 || lifted {
 		t.unsentParts[part] = true
