Poison: copies of a request that were in flight together are one crash

Cause: crashes 30 ms apart counted as separate evidence, although all of these runs had begun before the first crash: the request did nothing between them. Nothing knew when a run had begun.

Now a crash counts only if its run began after the crash that was counted before: the fewest moments that explain all of them. forward notes when a request is sent to a worker and tells the guard; other gateways learn it from a field of PartUpdate that builds before skip. A crash without a start counts as before. Restraint of suspects (one at a time, few workers) still goes by all crashes, so nothing more is put at risk while copies are counted as one.

Cost: a clock reading per send; a start per crash and request in memory and in updates while something is suspected.

Tests changed: guard tests pass a Run in place of four arguments; the plays of TestOnlyKillersAreBarredAmongManyRequests and BenchmarkStrategies also tell when runs began, as gateways do. No bound was changed.

--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -38,6 +38,8 @@
 	wasSent bool
 	// worker is the worker of the current attempt; nil before the first.
 	worker *backend.Worker
+	// sentAt is when the request was sent to the worker; zero before.
+	sentAt time.Time
 	// answerBegan is when the worker of the current attempt began to answer; zero before. outlived is set once it has gone on for longer
 	// than crashOnset.
 	answerBegan time.Time
@@ -155,7 +157,7 @@
 // beginAttempt notes that a worker has been chosen, which has not answered yet.
 func (g *guardedRequest) beginAttempt(worker *backend.Worker) {
 	g.worker = worker
-	g.answerBegan, g.outlived, g.isUnproved = time.Time{}, false, false
+	g.sentAt, g.answerBegan, g.outlived, g.isUnproved = time.Time{}, time.Time{}, false, false
 }
 
 // answerBegins notes that the worker begins to answer. Only the first call of an attempt counts.
@@ -217,6 +219,9 @@
 		return err
 	}
 	g.wasSent = true
+	if g.guard != nil {
+		g.sentAt = g.guard.Now()
+	}
 	return nil
 }
 
@@ -234,14 +239,19 @@
 	case failure == failureBroken && errors.As(err, &transport):
 		g.connectionBroke = true
 		if isTimeout(err) {
-			g.guard.Abandoned(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+			g.guard.Abandoned(worker, g.run())
 		}
-		g.probeDone = g.guard.ConnectionBroke(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+		g.probeDone = g.guard.ConnectionBroke(worker, g.run())
 	case failure == failureSilent:
-		g.guard.Abandoned(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+		g.guard.Abandoned(worker, g.run())
 	}
 }
 
+// run describes the current attempt to the guard.
+func (g *guardedRequest) run() poison.Run {
+	return poison.Run{Digest: g.requestDigest(), Rule: g.rule, Tenant: g.request.Tenant, Began: g.sentAt, Parts: g.suspectParts()}
+}
+
 // isTimeout reports whether a connection broke because nothing arrived for too long, so that its peer may have gone long before.
 func isTimeout(err error) bool {
 	var timeout net.Error
@@ -288,7 +298,7 @@
 	case !known:
 		// The guard counts a crash if the record of the worker goes.
 		g.isUnproved = true
-		g.guard.ConnectionBroke(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+		g.guard.ConnectionBroke(worker, g.run())
 	}
 	return nil
 }
--- a/internal/forward/suspect_test.go
+++ b/internal/forward/suspect_test.go
@@ -202,3 +202,40 @@
 		t.Error("after a trial that was sent to no worker there is no other")
 	}
 }
+
+// TestCopiesInFlightAreNoSeriesOfCrashes guards against an often asked request that is barred because each worker crashed, one after the other, while it
+// ran a copy that had begun before the first crash.
+func TestCopiesInFlightAreNoSeriesOfCrashes(t *testing.T) {
+	const copies = 3
+	prober := &crashProber{crashed: map[string]bool{}}
+	var running sync.WaitGroup
+	running.Add(copies)
+	workers := &fakeWorkers{run: func(_ context.Context, number int, worker *backend.Worker, _ RunOptions) (*Response, error) {
+		running.Done()
+		running.Wait()
+		time.Sleep(time.Duration(number) * 150 * time.Millisecond)
+		prober.crash(worker.ID)
+		return nil, resetError
+	}}
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable}}, workers)
+	events := make(chan string, 100)
+	f.handler.SetGuard(poison.NewGuard(poison.DefaultSettings(), prober, time.Now, func(event poison.Event) { events <- fmt.Sprintf("%T", event) }))
+	var callers sync.WaitGroup
+	for range copies {
+		callers.Go(func() { _, _, _ = f.get(t) })
+	}
+	callers.Wait()
+	time.Sleep(2 * poison.DefaultSettings().SettleDelay)
+	crashes := 0
+	for len(events) > 0 {
+		switch event := <-events; event {
+		case "poison.WorkerCrashed":
+			crashes++
+		default:
+			t.Errorf("the guard reports a %s", event)
+		}
+	}
+	if crashes != copies {
+		t.Errorf("%d of %d workers crashed, so the test checks nothing", crashes, copies)
+	}
+}
--- a/internal/poison/barring.go
+++ b/internal/poison/barring.go
@@ -9,34 +9,30 @@
 
 // shouldBar reports whether to bar a suspect: it reached a crash limit, or crashed a worker after an earlier bar.
 func (t *Table) shouldBar(digest Digest, entry *suspect) bool {
-	if entry.barCount > 0 || t.distinctCrashes(entry, slices.Collect(maps.Keys(entry.crashes))) >= t.settings.AmbiguousCrashLimit {
+	if entry.barCount > 0 || t.distinctRuns(entry, slices.Collect(maps.Keys(entry.crashes))) >= t.settings.AmbiguousCrashLimit {
 		// After a first bar, a single crash is enough.
 		return true
 	}
 	unattributed := t.unattributed(digest, entry)
-	return t.distinctCrashes(entry, unattributed) >= t.settings.CrashLimit && !t.ambiguous(digest, unattributed)
+	return t.distinctRuns(entry, unattributed) >= t.settings.CrashLimit && !t.ambiguous(digest, unattributed)
 }
 
-// distinctCrashes counts the crashes of a suspect that are distinct. It sorts workers by crash time.
+// distinctCrashes counts the crashes of a suspect at distinct times. They restrain it, also those of runs that were in progress together.
 func (t *Table) distinctCrashes(entry *suspect, workers []string) int {
-	if t.parts != nil {
-		return t.parts.times.distinct(entry.crashes, workers, t.settings.MinCrashInterval)
-	}
-	return distinctCrashes(entry.crashes, workers, t.settings.MinCrashInterval)
+	return t.times().distinct(entry.crashes, workers, t.settings.MinCrashInterval)
 }
 
-// distinctCrashes counts the crashes that are at least minInterval after the previous counted one. It sorts workers by crash time.
-func distinctCrashes(crashes map[string]time.Time, workers []string, minInterval time.Duration) int {
-	slices.SortFunc(workers, func(a, b string) int { return crashes[a].Compare(crashes[b]) })
-	count := 0
-	var last time.Time
-	for _, worker := range workers {
-		if at := crashes[worker]; count == 0 || at.Sub(last) >= minInterval {
-			count++
-			last = at
-		}
+// distinctRuns counts the crashes of a suspect that are evidence by themselves: each run began after the crash that was counted before.
+func (t *Table) distinctRuns(entry *suspect, workers []string) int {
+	return t.times().distinctRuns(entry.crashes, entry.starts, workers, t.settings.MinCrashInterval)
+}
+
+// times tells when workers crashed.
+func (t *Table) times() *crashTimes {
+	if t.parts == nil {
+		return &crashTimes{}
 	}
-	return count
+	return t.parts.times
 }
 
 // ambiguous reports whether another suspect ran at all of the given workers, so that either may be the cause, or requests with a part of
--- a/internal/poison/crashtime.go
+++ b/internal/poison/crashtime.go
@@ -128,6 +128,12 @@
 // fell silent together, as a rack or a network does, count once, however late each was noticed. Crashes map the workers to times that stand in for
 // unknown ones.
 func (c *crashTimes) distinct(crashes map[string]time.Time, workers []string, minInterval time.Duration) int {
+	return c.distinctRuns(crashes, nil, workers, minInterval)
+}
+
+// distinctRuns is like distinct for crashes under the runs of one request, whose starts are given as far as they are known. Runs that were in progress
+// together count once: the request did nothing new between their crashes.
+func (c *crashTimes) distinctRuns(crashes, starts map[string]time.Time, workers []string, minInterval time.Duration) int {
 	workers = slices.Clone(workers)
 	slices.SortFunc(workers, func(a, b string) int {
 		return cmp.Or(c.latest(a, crashes[a]).Compare(c.latest(b, crashes[b])), cmp.Compare(a, b))
@@ -135,7 +141,9 @@
 	count := 0
 	var last time.Time
 	for _, worker := range workers {
-		if count == 0 || c.earliest(worker, crashes[worker]).Sub(last) >= minInterval {
+		start := starts[worker]
+		isApart := c.earliest(worker, crashes[worker]).Sub(last) >= minInterval && (start.IsZero() || start.After(last))
+		if count == 0 || isApart {
 			count++
 			last = c.latest(worker, crashes[worker])
 		}
--- a/internal/poison/evidence_test.go
+++ b/internal/poison/evidence_test.go
@@ -42,7 +42,7 @@
 	for _, number := range numbers {
 		worker := workers[fmt.Sprint("w", number)]
 		g.prober.unresponsive[worker.ID] = true
-		g.Abandoned(worker, digestNamed(worker.ID), "rule", "", part(id), part("c"+worker.ID))
+		g.Abandoned(worker, Run{Digest: digestNamed(worker.ID), Rule: "rule", Parts: []Part{part(id), part("c" + worker.ID)}})
 	}
 	time.Sleep(2400 * time.Millisecond)
 	left := backend.Set{}
@@ -104,7 +104,7 @@
 			time.Sleep(50 * time.Millisecond)
 			worker := workers[fmt.Sprint("w", i)]
 			knowing.prober.crash(worker.ID)
-			knowing.ConnectionBroke(worker, digestNamed(worker.ID), "rule", "", part("b"))
+			knowing.ConnectionBroke(worker, Run{Digest: digestNamed(worker.ID), Rule: "rule", Parts: []Part{part("b")}})
 			time.Sleep(5 * time.Millisecond)
 			update := knowing.TakePartUpdate(false)
 			ignorant.ApplyPartUpdate(&update)
@@ -135,7 +135,7 @@
 			time.Sleep(50 * time.Millisecond)
 			worker := workers[fmt.Sprint("w", i)]
 			ignorant.prober.crash(worker.ID)
-			ignorant.ConnectionBroke(worker, digestNamed(worker.ID), "rule", "", part("b"))
+			ignorant.ConnectionBroke(worker, Run{Digest: digestNamed(worker.ID), Rule: "rule", Parts: []Part{part("b")}})
 			time.Sleep(5 * time.Millisecond)
 			update := ignorant.TakePartUpdate(false)
 			knowing.ApplyPartUpdate(&update)
@@ -273,7 +273,7 @@
 func (d *darkDay) run(g *testGuard, worker *backend.Worker, isDark bool, used Part, began time.Time, digest Digest) {
 	if isDark {
 		time.Sleep(400 * time.Millisecond)
-		g.Abandoned(worker, digest, "rule", "", used)
+		g.Abandoned(worker, Run{Digest: digest, Rule: "rule", Parts: []Part{used}})
 		return
 	}
 	time.Sleep(30 * time.Millisecond)
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -117,13 +117,18 @@
 	// crashed is set once the crash is confirmed. probeDone is non-nil while a probe runs, and closed when it completes.
 	crashed   bool
 	probeDone chan struct{}
-	requests  map[Digest]requestInfo
+	requests  map[Digest]Run
 }
 
-// requestInfo describes a request to operators, and names the parts of its prompt that may have crashed the worker.
-type requestInfo struct {
-	rule, tenant string
-	parts        []Part
+// Run is an attempt of a request at a worker.
+type Run struct {
+	Digest Digest
+	// Rule is the routing rule that the request matches, and Tenant its caller, for operators.
+	Rule, Tenant string
+	// Began is when the request was sent to the worker; zero if that is not known.
+	Began time.Time
+	// Parts are the parts of the prompt that may have crashed the worker: none if the worker had been answering the request for a while.
+	Parts []Part
 }
 
 // NewGuard returns an empty guard that reports its events to emit.
@@ -164,15 +169,13 @@
 // ConnectionBroke records that the connection to a worker broke while it ran the request, and probes in the background whether the worker
 // crashed. The returned channel is closed when the probe completes; it is nil if the outcome is known already. The exit of a worker
 // that drains, or that removed its record, is planned and not counted.
-//
-// Parts are the parts of the prompt that may have crashed the worker: none if the worker had been answering the request for a while.
-func (g *Guard) ConnectionBroke(worker *backend.Worker, digest Digest, rule, tenant string, parts ...Part) <-chan struct{} {
+func (g *Guard) ConnectionBroke(worker *backend.Worker, run Run) <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.isPlannedExit(worker) {
 		return nil
 	}
-	entry := g.addRequest(worker, digest, requestInfo{rule, tenant, parts})
+	entry := g.addRequest(worker, run)
 	if entry.brokenAt.IsZero() {
 		entry.brokenAt = g.now()
 	}
@@ -202,13 +205,13 @@
 
 // Abandoned records that a request abandoned a worker that did not respond. If the worker is found to have crashed, the crash counts
 // against the request and the parts.
-func (g *Guard) Abandoned(worker *backend.Worker, digest Digest, rule, tenant string, parts ...Part) {
+func (g *Guard) Abandoned(worker *backend.Worker, run Run) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.isPlannedExit(worker) {
 		return
 	}
-	entry := g.addRequest(worker, digest, requestInfo{rule, tenant, parts})
+	entry := g.addRequest(worker, run)
 	if entry.silentAt.IsZero() {
 		entry.silentAt = g.now()
 	}
@@ -245,15 +248,17 @@
 const maxRequestsPerWorker = 512
 
 // addRequest adds a request to a worker that may have crashed. The caller holds the mutex.
-func (g *Guard) addRequest(worker *backend.Worker, digest Digest, info requestInfo) *disconnectedWorker {
+func (g *Guard) addRequest(worker *backend.Worker, run Run) *disconnectedWorker {
 	entry, found := g.disconnected[worker.ID]
 	if !found {
-		entry = &disconnectedWorker{worker: worker, requests: map[Digest]requestInfo{}}
+		entry = &disconnectedWorker{worker: worker, requests: map[Digest]Run{}}
 		g.disconnected[worker.ID] = entry
 	}
 	entry.lastRequest = g.now()
 	if len(entry.requests) < maxRequestsPerWorker {
-		entry.requests[digest] = info
+		// Of several copies the last one to begin counts.
+		run.Began = later(run.Began, entry.requests[run.Digest].Began)
+		entry.requests[run.Digest] = run
 	}
 	return entry
 }
@@ -318,12 +323,14 @@
 	crashedAt := g.parts.times.latest(entry.worker.ID, g.now())
 	event := WorkerCrashed{Worker: entry.worker, Evidence: evidence, Age: g.now().Sub(crashedAt)}
 	parts := map[Part]bool{}
-	for digest, info := range entry.requests {
+	for digest, run := range entry.requests {
 		event.Requests = append(event.Requests, digest)
-		for _, part := range info.parts {
+		for _, part := range run.Parts {
 			parts[part] = true
 		}
-		g.table.RecordCrash(g.now(), crashedAt, Crash{Digest: digest, Worker: entry.worker.ID}, info.rule, info.tenant)
+		crash := Crash{Digest: digest, Worker: entry.worker.ID}
+		g.table.RecordCrash(g.now(), crashedAt, crash, run.Rule, run.Tenant)
+		g.table.RecordStart(g.now(), run.Began, crash)
 	}
 	event.Parts = slices.SortedFunc(maps.Keys(parts), compareParts)
 	g.parts.recordCrash(g.now(), crashedAt, entry.worker.ID, g.versionBeside(entry.worker), event.Parts)
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -91,9 +91,9 @@
 		for id, worker := range workers {
 			time.Sleep(2 * DefaultSettings().MinCrashInterval)
 			g.prober.crash(id)
-			g.ConnectionBroke(worker, killer, "rule", "")
+			g.ConnectionBroke(worker, Run{Digest: killer, Rule: "rule"})
 			if id == "w1" {
-				g.ConnectionBroke(worker, harmless, "rule", "")
+				g.ConnectionBroke(worker, Run{Digest: harmless, Rule: "rule"})
 			}
 		}
 		waitForEvaluation()
@@ -126,7 +126,7 @@
 		setWorkers(g, backend.Set{"running": workers["running"], "unresponsive": workers["unresponsive"], "draining": &draining})
 		digest := digestNamed("request")
 		for _, worker := range workers {
-			g.ConnectionBroke(worker, digest, "rule", "")
+			g.ConnectionBroke(worker, Run{Digest: digest, Rule: "rule"})
 		}
 		waitForEvaluation()
 		time.Sleep(2 * recordTimeout)
@@ -145,7 +145,7 @@
 		g := newTestGuard(workers)
 		g.prober.unresponsive["w1"] = true
 		digest := digestNamed("request")
-		g.ConnectionBroke(workers["w1"], digest, "rule", "")
+		g.ConnectionBroke(workers["w1"], Run{Digest: digest, Rule: "rule"})
 		waitForEvaluation()
 		if got, _ := g.Status(digest); got != Clear {
 			t.Errorf("before the record was removed: status %d, want Clear", got)
@@ -187,12 +187,12 @@
 		killer, harmless := digestNamed("killer"), digestNamed("harmless")
 		for i, g := range guards {
 			worker := workers[fmt.Sprint("w", i+1)]
-			g.ConnectionBroke(worker, killer, "rule", "")
+			g.ConnectionBroke(worker, Run{Digest: killer, Rule: "rule"})
 			// The harmless request runs beside the killer twice, each time through another gateway.
 			if i < 2 {
 				other := guards[(i+1)%3]
 				other.prober.crash(worker.ID)
-				other.ConnectionBroke(worker, harmless, "rule", "")
+				other.ConnectionBroke(worker, Run{Digest: harmless, Rule: "rule"})
 			}
 			time.Sleep(40 * time.Millisecond)
 		}
@@ -217,10 +217,10 @@
 		g.prober.crash("w1")
 		abandoned, crashing := digestNamed("slow"), digestNamed("other")
 		for _, worker := range workers {
-			g.Abandoned(worker, abandoned, "rule", "")
+			g.Abandoned(worker, Run{Digest: abandoned, Rule: "rule"})
 		}
 		time.Sleep(time.Second)
-		g.ConnectionBroke(workers["w1"], crashing, "rule", "")
+		g.ConnectionBroke(workers["w1"], Run{Digest: crashing, Rule: "rule"})
 		waitForEvaluation()
 		setWorkers(g, backend.Set{"w1": workers["w1"], "running": workers["running"]})
 		if got, bar := g.Status(abandoned); got != Suspected || fmt.Sprint(bar.Workers) != "[w1 w2]" {
@@ -242,7 +242,7 @@
 		g.prober.crash("w1")
 		for i := range 5 {
 			digest := digestNamed(fmt.Sprint(i))
-			g.ConnectionBroke(workers["w1"], digest, "rule", "")
+			g.ConnectionBroke(workers["w1"], Run{Digest: digest, Rule: "rule"})
 			time.Sleep(3 * time.Millisecond)
 			synctest.Wait()
 			if got, _ := g.Status(digest); got != Suspected {
--- a/internal/poison/guardparts.go
+++ b/internal/poison/guardparts.go
@@ -192,7 +192,9 @@
 func (g *Guard) TakePartUpdate(full bool) PartUpdate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.parts.takeUpdate(g.now(), full)
+	update := g.parts.takeUpdate(g.now(), full)
+	update.Requests = g.table.TakeSupplement(g.now(), full)
+	return update
 }
 
 // ApplyPartUpdate merges an update of another gateway about parts.
@@ -202,6 +204,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.table.ApplySupplement(g.now(), update.Requests)
 	bars, voided := g.parts.applyUpdate(g.now(), update)
 	g.table.reconsider(voided)
 	for _, part := range g.parts.liftedHere {
--- a/internal/poison/guardparts_test.go
+++ b/internal/poison/guardparts_test.go
@@ -29,7 +29,7 @@
 		time.Sleep(2 * DefaultSettings().MinCrashInterval)
 		worker := workers[fmt.Sprint("w", number)]
 		g.prober.crash(worker.ID)
-		g.ConnectionBroke(worker, digestNamed(worker.ID), "rule", "", part("b"), part("c"+worker.ID))
+		g.ConnectionBroke(worker, Run{Digest: digestNamed(worker.ID), Rule: "rule", Parts: []Part{part("b"), part("c" + worker.ID)}})
 	}
 }
 
--- a/internal/poison/partupdate.go
+++ b/internal/poison/partupdate.go
@@ -17,6 +17,8 @@
 	ByVersion map[string]*PartUpdate `cbor:"4,keyasint,omitempty"`
 	// Silent tells of workers that crashed without breaking their connections, whatever ran there.
 	Silent []SilentCrash `cbor:"5,keyasint,omitempty"`
+	// Requests tells more of suspected requests than Update, whose length is fixed.
+	Requests []SuspectUpdate `cbor:"6,keyasint,omitempty"`
 }
 
 // at returns the part of the update that is limited to a software version, or the update itself for none.
@@ -35,7 +37,7 @@
 
 // Empty reports whether there is nothing to send.
 func (u *PartUpdate) Empty() bool {
-	return len(u.Crashes)+len(u.Answers)+len(u.Bars)+len(u.ByVersion)+len(u.Silent) == 0
+	return len(u.Crashes)+len(u.Answers)+len(u.Bars)+len(u.ByVersion)+len(u.Silent)+len(u.Requests) == 0
 }
 
 // PartCrash is the crash of a worker and the parts of the requests to one group that ran there.
--- a/internal/poison/simulation_test.go
+++ b/internal/poison/simulation_test.go
@@ -34,6 +34,8 @@
 	digest Digest
 	// stepsLeft until the request succeeds, or crashes its worker.
 	stepsLeft int
+	// began is when it reached its worker.
+	began     time.Time
 	triesLeft int
 }
 
@@ -60,6 +62,7 @@
 	}
 	for range 20 {
 		if w := &s.workers[s.random.IntN(len(s.workers))]; w.downSteps == 0 {
+			attempt.began = s.now
 			w.running = append(w.running, attempt)
 			return
 		}
@@ -102,7 +105,9 @@
 	w.incarnation++
 	w.downSteps, w.running = restartSteps, nil
 	for _, attempt := range running {
-		s.table.RecordCrash(s.now, s.now, Crash{Digest: attempt.digest, Worker: id}, "", "")
+		crash := Crash{Digest: attempt.digest, Worker: id}
+		s.table.RecordCrash(s.now, s.now, crash, "", "")
+		s.table.RecordStart(s.now, attempt.began, crash)
 		s.crashes[attempt.digest]++
 		if !s.harmless[attempt.digest] {
 			s.killerCrashes[attempt.digest]++
--- a/internal/poison/strategies_test.go
+++ b/internal/poison/strategies_test.go
@@ -132,6 +132,8 @@
 	arrived time.Time
 	gateway *simGateway
 	tries   int
+	// began is when the current try reached its worker.
+	began time.Time
 	// excluded are the workers that this attempt has tried. resent is set once the caller has retried.
 	excluded      []string
 	callerRetried bool
@@ -306,6 +308,7 @@
 // startRun runs a request at a worker.
 func (s *simulation) startRun(request *simRequest, w *simWorker, suspect bool) {
 	request.tries++
+	request.began = s.now
 	w.running[request] = true
 	incarnation := w.incarnation
 	if suspect {
@@ -379,9 +382,11 @@
 	for _, request := range s.sorted(disconnected) {
 		request.affected = true
 		request.excluded = append(request.excluded, id)
-		gateway := request.gateway
+		gateway, began := request.gateway, request.began
 		s.schedule(probeDelay, func() {
-			gateway.table.RecordCrash(s.now, brokenAt, poison.Crash{Digest: request.digest, Worker: id}, "rule", "")
+			crash := poison.Crash{Digest: request.digest, Worker: id}
+			gateway.table.RecordCrash(s.now, brokenAt, crash, "rule", "")
+			gateway.table.RecordStart(s.now, began, crash)
 			gateway.balancer.RecordCrash(s.now, brokenAt, id)
 			gateway.lastCrashReport = s.now
 			s.shareUpdate(gateway)
@@ -431,7 +436,7 @@
 
 // shareUpdate sends an update to the other gateways and schedules evaluations.
 func (s *simulation) shareUpdate(gateway *simGateway) {
-	update := gateway.table.TakeUpdate(s.now, false)
+	update, supplement := gateway.table.TakeUpdate(s.now, false), gateway.table.TakeSupplement(s.now, false)
 	sent := s.now
 	for _, other := range s.gateways {
 		if other == gateway {
@@ -440,6 +445,7 @@
 		delay := minShareDelay + time.Duration(s.random.Int64N(int64(maxShareDelay-minShareDelay)))
 		s.schedule(delay, func() {
 			other.table.ApplyUpdate(s.now, update)
+			other.table.ApplySupplement(s.now, supplement)
 			for _, crash := range update.Crashes {
 				other.balancer.RecordCrash(s.now, sent, crash.Worker)
 				other.lastCrashReport = s.now
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -74,6 +74,8 @@
 	// crashes maps the workers that crashed under the request to the time when their connections broke, or when the bar began that
 	// named them.
 	crashes map[string]time.Time
+	// starts maps those of the workers for which it is known to when the last run of the request there had begun.
+	starts map[string]time.Time
 	// lastReport is when a crash or a bar was reported last.
 	lastReport time.Time
 	// barCount counts the bars of the request; the last one lasts from barredSince to barredUntil.
@@ -101,7 +103,7 @@
 // ran at the same worker.
 //
 // Invariant: a request is barred only after at least CrashLimit workers crashed under it since its last success, each at least
-// MinCrashInterval after the previous one.
+// MinCrashInterval after the previous one and, where the start of the run is known, in a run that began after that crash.
 type Table struct {
 	settings Settings
 	suspects map[Digest]*suspect
@@ -111,6 +113,8 @@
 	pending map[Digest]bool
 	// unsentCrashes are not shared yet, and unsentChanges are the requests with a bar or success that is not shared yet.
 	unsentCrashes []Crash
+	// unsentRuns are the suspects with starts of runs that are not shared yet.
+	unsentRuns    map[Digest]bool
 	unsentChanges map[Digest]bool
 	// evictAt is the number of entries from which on the next one may exceed a bound; looking for entries to evict takes a pass over all.
 	evictAt int
@@ -122,7 +126,7 @@
 func NewTable(settings Settings) *Table {
 	return &Table{
 		settings: settings, suspects: map[Digest]*suspect{}, suspectsByWorker: map[string]map[Digest]bool{}, pending: map[Digest]bool{},
-		unsentChanges: map[Digest]bool{}, evictAt: min(settings.MaxSuspects, settings.MaxBarred),
+		unsentChanges: map[Digest]bool{}, unsentRuns: map[Digest]bool{}, evictAt: min(settings.MaxSuspects, settings.MaxBarred),
 	}
 }
 
@@ -161,6 +165,25 @@
 	}
 }
 
+// RecordStart records when the request of a recorded crash had begun to run at the worker. Of several copies the last one counts.
+func (t *Table) RecordStart(now, began time.Time, crash Crash) {
+	entry, found := t.suspects[crash.Digest]
+	if !found || !began.After(entry.starts[crash.Worker]) {
+		return
+	}
+	if _, crashed := entry.crashes[crash.Worker]; !crashed {
+		return
+	}
+	if entry.starts == nil {
+		entry.starts = map[string]time.Time{}
+	}
+	entry.starts[crash.Worker] = began
+	t.unsentRuns[crash.Digest] = true
+	if !now.Before(entry.barredUntil) {
+		t.pending[crash.Digest] = true
+	}
+}
+
 // mergeCrash adds a crash, unless it is known or the request succeeded since.
 func (t *Table) mergeCrash(now, crashedAt time.Time, crash Crash) {
 	if t.parts != nil {
@@ -225,10 +248,7 @@
 
 // crashedAt returns the time by which a worker had crashed, given the time that was first reported.
 func (t *Table) crashedAt(worker string, reported time.Time) time.Time {
-	if t.parts == nil {
-		return reported
-	}
-	return t.parts.times.latest(worker, reported)
+	return t.times().latest(worker, reported)
 }
 
 // allCrashesCorrelated reports whether each crash under a suspect coincided with that of a worker where it did not run.
@@ -285,8 +305,7 @@
 		if t.crashedAt(worker, crashedAt).After(at) {
 			continue
 		}
-		delete(entry.crashes, worker)
-		t.unindexCrash(digest, worker)
+		t.removeCrash(digest, entry, worker)
 		maps.Copy(others, t.suspectsByWorker[worker])
 	}
 	if !entry.barredSince.After(at) {
@@ -332,6 +351,14 @@
 	delete(t.suspects, digest)
 	delete(t.pending, digest)
 	delete(t.unsentChanges, digest)
+	delete(t.unsentRuns, digest)
+}
+
+// removeCrash removes a crash from a suspect and from the index.
+func (t *Table) removeCrash(digest Digest, entry *suspect, worker string) {
+	delete(entry.crashes, worker)
+	delete(entry.starts, worker)
+	t.unindexCrash(digest, worker)
 }
 
 // unindexCrash removes a crash of a suspect from the index.
@@ -381,8 +408,7 @@
 	}
 	for worker, at := range entry.crashes {
 		if now.Sub(at) > t.settings.CrashRetention {
-			delete(entry.crashes, worker)
-			t.unindexCrash(digest, worker)
+			t.removeCrash(digest, entry, worker)
 		}
 	}
 }
