Poison: a barred request gets trials, and a success lifts its bar everywhere

What callers saw: a request that was barred by mistake got 422 until the bar expired, ten minutes later or more: a barred request was sent to no worker, so no success could lift the bar.

Now it gets the trials that a barred part gets: three seconds after the start of the bar, and then eight times as late each time, one copy is let through, at the elected gateway in the first second, and runs once; gateways tell each other of trials in the same field as starts of runs. Its success lifts the bar everywhere; the gateway that created the bar removes it from the store. A success after the last of the crashes refutes a bar that is received later, as for parts. A bar from the store waits for word of the trials of others. A trial also goes back if the request is refused after its admission, as by the limit of its tenant (no test covers that path).

Cost: a request that does crash workers ends one more at each trial, as a part does.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -59,7 +59,6 @@
 
 // run makes attempts until one succeeds or no further attempt is allowed.
 func (c *call) run(ctx context.Context) connAction {
-	defer c.guarded.end()
 	defer c.endExclusive()
 	for {
 		if time.Until(c.deadline) < c.handler.settings.MinRemaining {
--- a/internal/forward/exclusive.go
+++ b/internal/forward/exclusive.go
@@ -38,7 +38,7 @@
 	h.exclusive.isElected = isElected
 }
 
-// SetTrialKnowledge sets the function that reports whether this gateway receives the updates of the others, which tell of the trials of barred parts.
+// SetTrialKnowledge sets the function that reports whether this gateway receives the updates of the others, which tell of the trials of bars.
 // While it doesn't, it begins none. Without the function, it always does. It must be called before the first request.
 func (h *Handler) SetTrialKnowledge(hearsOthers func() bool) {
 	h.exclusive.hearsOthers = hearsOthers
@@ -53,12 +53,12 @@
 	return sinceCrash%exclusiveTurn < exclusiveTurn-exclusiveRunTime && r.isElected(fmt.Sprint(digest, "/", int(sinceCrash/exclusiveTurn)))
 }
 
-// mayBeginTrials reports whether this gateway begins trials of barred parts at all. One that is not told of the trials of others would repeat them.
+// mayBeginTrials reports whether this gateway begins trials of bars at all. One that is not told of the trials of others would repeat them.
 func (r *exclusiveRuns) mayBeginTrials() bool { return r.hearsOthers == nil || r.hearsOthers() }
 
-// hasTrial reports whether this gateway begins a trial of a barred part.
-func (r *exclusiveRuns) hasTrial(part poison.Part, number int) bool {
-	return r.isElected == nil || r.isElected(fmt.Sprint(part.Digest(), "/trial/", number))
+// hasTrial reports whether this gateway begins a trial of the bar with a digest.
+func (r *exclusiveRuns) hasTrial(digest poison.Digest, number int) bool {
+	return r.isElected == nil || r.isElected(fmt.Sprint(digest, "/trial/", number))
 }
 
 // begin reports whether a copy may run now. If so, end must be called when it is done.
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -36,6 +36,8 @@
 	// trialOf is the barred part whose trial the request is; zero if it is none, or has failed. wasSent is set once it was sent to a worker.
 	trialOf poison.Part
 	wasSent bool
+	// isOwnTrial is set while the request is the trial of its own bar.
+	isOwnTrial bool
 	// worker is the worker of the current attempt; nil before the first.
 	worker *backend.Worker
 	// sentAt is when the request was sent to the worker; zero before.
@@ -80,6 +82,9 @@
 		return poison.Clear, poison.Bar{}
 	}
 	status, bar := g.guard.Status(g.requestDigest())
+	if g.isOwnTrial {
+		status, bar = poison.Clear, poison.Bar{}
+	}
 	if g.isTrialAtAll() || len(g.parts) == 0 {
 		return status, bar
 	}
@@ -127,8 +132,8 @@
 	return true
 }
 
-// admit returns the status of a request that has just arrived. A request with a part that is barred, at all workers or at a software version, is
-// let through to them if it is the trial of the part.
+// admit returns the status of a request that has just arrived. One that is barred, or has a part that is barred at all workers or at a software version,
+// is let through to them if it is the trial of that bar.
 func (g *guardedRequest) admit(exclusive *exclusiveRuns) (poison.Status, poison.Bar) {
 	if g.guard == nil || !g.guard.HasSuspects() {
 		return poison.Clear, poison.Bar{}
@@ -140,18 +145,36 @@
 		versions, _ := g.barredVersions()
 		isBarredPart = len(versions) > 0
 	}
-	if isBarredPart && exclusive.mayBeginTrials() {
-		g.trialOf = g.guard.BeginTrial(g.service, g.parts, exclusive.hasTrial)
-		return g.status()
+	switch {
+	case !exclusive.mayBeginTrials():
+		return status, bar
+	case isBarredPart:
+		g.trialOf = g.guard.BeginTrial(g.service, g.parts, func(part poison.Part, number int) bool { return exclusive.hasTrial(part.Digest(), number) })
+	case status == poison.Barred:
+		g.beginOwnTrial(exclusive)
+	default:
+		return status, bar
 	}
-	return status, bar
+	return g.status()
 }
 
-// end lets another request be the trial of a barred part if this one was sent to no worker.
+// beginOwnTrial makes a barred request the trial of its bar if one is due, unless a part of its prompt is barred as well.
+func (g *guardedRequest) beginOwnTrial(exclusive *exclusiveRuns) {
+	if status, _ := g.guard.PartStatus(g.parts); status >= poison.Pending {
+		return
+	}
+	digest := g.requestDigest()
+	g.isOwnTrial = g.guard.BeginRequestTrial(digest, func(number int) bool { return exclusive.hasTrial(digest, number) })
+}
+
+// end lets another request be the trial of a bar if this one was sent to no worker.
 func (g *guardedRequest) end() {
 	if !g.trialOf.IsZero() && !g.wasSent {
 		g.guard.ReturnTrial(g.trialOf)
 	}
+	if g.isOwnTrial && !g.wasSent {
+		g.guard.ReturnRequestTrial(g.requestDigest())
+	}
 }
 
 // beginAttempt notes that a worker has been chosen, which has not answered yet.
@@ -232,7 +255,7 @@
 		return
 	}
 	if failure != failureNone && g.wasSent {
-		g.trialOf = poison.Part{}
+		g.trialOf, g.isOwnTrial = poison.Part{}, false
 	}
 	var transport *httpclient.Error
 	switch {
@@ -311,7 +334,7 @@
 	if g.guard != nil && len(g.parts) > 0 && !g.answerBegan.IsZero() {
 		g.guard.RecordAnswer(g.worker, g.answerBegan, g.parts)
 	}
-	if !g.hasStatus(poison.Clear) {
+	if g.isOwnTrial || !g.hasStatus(poison.Clear) {
 		g.guard.RecordSuccess(g.requestDigest())
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -297,6 +297,7 @@
 	}
 	// The parts of prompts are those of the group in which the stream goes on.
 	guarded := newGuardedRequest(h.guard, request, match)
+	defer guarded.end()
 	switch guardStatus, bar := guarded.admit(&h.exclusive); guardStatus {
 	case poison.Pending:
 		return respondRetryAfter(writer, report, ReasonVerdictPending, h.settings.VerdictRetryAfter)
--- a/internal/forward/suspect_test.go
+++ b/internal/forward/suspect_test.go
@@ -239,3 +239,67 @@
 		t.Errorf("%d of %d workers crashed, so the test checks nothing", crashes, copies)
 	}
 }
+
+// TestBarredRequestIsTried guards against a barred request that is refused for as long as its bar lasts although it is sound again, against trials that are
+// used up without having reached a worker, and against one that reaches several.
+func TestBarredRequestIsTried(t *testing.T) {
+	const ok, barred = http.StatusOK, http.StatusUnprocessableEntity
+	for _, c := range []struct {
+		name string
+		// first is the error of the first attempt; nil if the worker answers.
+		first error
+		// want are the statuses of the first request and the next.
+		want     [2]int
+		wantRuns int
+	}{
+		{name: "it is answered", want: [2]int{ok, ok}, wantRuns: 2},
+		{name: "the first worker is not reached", first: connectError, want: [2]int{ok, ok}, wantRuns: 2},
+		{name: "the first worker refuses the request", first: refusalError, want: [2]int{http.StatusServiceUnavailable, barred}, wantRuns: 1},
+		{name: "the first worker breaks off", first: resetError, want: [2]int{http.StatusBadGateway, barred}, wantRuns: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			workers := answeringWorkers()
+			connections := 0
+			workers.connecting = func() error {
+				if connections++; connections == 1 && c.first == connectError {
+					return connectError
+				}
+				return nil
+			}
+			workers.run = func(_ context.Context, number int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+				if number == 1 && c.first != nil && c.first != connectError {
+					return nil, c.first
+				}
+				return wholeResponse(http.StatusOK, "answer"), nil
+			}
+			f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2}, allowance: 10}, workers)
+			var elapsed time.Duration
+			var cleared []poison.Cleared
+			guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, func() time.Time { return time.Now().Add(elapsed) }, func(event poison.Event) {
+				if event, is := event.(poison.Cleared); is {
+					cleared = append(cleared, event)
+				}
+			})
+			f.handler.SetGuard(guard)
+			now := time.Now()
+			digest := poison.Request{Method: http.MethodGet, Target: "/x"}.Digest()
+			guard.ApplyBar(poison.Bar{Digest: digest, Workers: []string{"gone-1", "gone-2", "gone-3"}, Times: 1, Since: now, Until: now.Add(time.Hour)})
+			if response, _, err := f.get(t); err != nil || response.StatusCode != barred {
+				t.Fatalf("with the bar: got %v, %v, want status %d", response, err, barred)
+			}
+			elapsed = poison.DefaultSettings().Parts.TrialDelay + poison.DefaultSettings().Parts.TrialElection
+			for i, want := range c.want {
+				if response, body, err := f.get(t); err != nil || response.StatusCode != want {
+					t.Errorf("request %d: got %v, %q, %v, want status %d", i, response, body, err, want)
+				}
+			}
+			if runs := len(workers.ranAt); runs != c.wantRuns {
+				t.Errorf("%d runs, want %d", runs, c.wantRuns)
+			}
+			if isLifted := len(cleared) == 1 && cleared[0].WasBarred; isLifted != (c.want[1] == ok) {
+				t.Errorf("the guard reports %v as cleared", cleared)
+			}
+		})
+	}
+}
--- a/internal/poison/barring.go
+++ b/internal/poison/barring.go
@@ -68,9 +68,8 @@
 		if now.Before(entry.barredUntil) || !t.shouldBar(digest, entry) {
 			continue
 		}
-		entry.barCount++
-		entry.barredSince, entry.lastReport = now, now
-		entry.barredUntil = now.Add(t.settings.barDuration(entry.barCount))
+		entry.create(now, t.settings, t.settings.Parts.TrialDelay)
+		entry.lastReport = now
 		bars = append(bars, entry.bar(digest))
 		t.unsentChanges[digest] = true
 	}
@@ -96,12 +95,13 @@
 // expires.
 type Bar struct {
 	Digest Digest
-	// Part is the barred part; zero for a barred request. TrialDelay is when after Since a first request with it is let through, Trials is
-	// how many were, and ReportedHere is set if this gateway reported a crash under it.
+	// Part is the barred part; zero for a barred request. TrialDelay is when after Since a first request with it is let through, and ReportedHere is
+	// set if this gateway reported a crash under it.
 	Part         Part
 	TrialDelay   time.Duration
-	Trials       int
 	ReportedHere bool
+	// Trials is how many trials have begun.
+	Trials int
 	// Rule is the routing rule that the request matches, and Tenant its caller, for operators.
 	Rule, Tenant string
 	// Workers are the ids of the worker incarnations that crashed under the request.
@@ -126,6 +126,24 @@
 	return b
 }
 
+// beginTrial reports whether a barred request may be sent to a worker now, to find out whether it still crashes workers. isElected tells whether this
+// gateway is the one to begin the trial with a number.
+func (t *Table) beginTrial(now time.Time, digest Digest, isElected func(number int) bool) bool {
+	entry, found := t.suspects[digest]
+	if !found || !entry.beginTrial(now, t.settings.Parts, isElected) {
+		return false
+	}
+	t.unsentTrials[digest] = true
+	return true
+}
+
+// returnTrial undoes beginTrial for a request that was sent to no worker.
+func (t *Table) returnTrial(digest Digest) {
+	if entry, found := t.suspects[digest]; found {
+		entry.returnTrial()
+	}
+}
+
 // Release clears all evidence against a request, and reports whether it was barred.
 func (t *Table) Release(now time.Time, digest Digest) bool {
 	entry, found := t.suspects[digest]
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -418,9 +418,45 @@
 	if g.now().Before(bar.Until) && apply(g.now(), bar) {
 		g.emit(BarReceived{bar})
 	}
+	if g.tellRefutation() {
+		g.emit(Cleared{Digest: bar.Digest, WasBarred: true})
+	}
 	g.updateHasSuspects()
 }
 
+// tellRefutation tells the other gateways of a success that has refuted the bar of a request, and reports whether there was one. The caller holds the
+// mutex.
+func (g *Guard) tellRefutation() bool {
+	hasRefuted := g.table.hasRefuted
+	g.table.hasRefuted = false
+	if hasRefuted && g.notify != nil {
+		g.notify(true)
+	}
+	return hasRefuted
+}
+
+// BeginRequestTrial reports whether a barred request may be sent to one worker, to find out whether it still crashes workers. isElected reports whether
+// this gateway is the one to begin the trial with a number.
+func (g *Guard) BeginRequestTrial(digest Digest, isElected func(number int) bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.table.beginTrial(g.now(), digest, isElected) {
+		return false
+	}
+	if g.notify != nil {
+		// The other gateways must not begin the same trial.
+		g.notify(true)
+	}
+	return true
+}
+
+// ReturnRequestTrial undoes BeginRequestTrial for a request that was sent to no worker.
+func (g *Guard) ReturnRequestTrial(digest Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.returnTrial(digest)
+}
+
 // Release clears all evidence against the request or the part with a digest, and reports whether it was barred.
 func (g *Guard) Release(digest Digest) bool {
 	g.mu.Lock()
@@ -488,6 +524,12 @@
 	for _, bar := range g.table.ApplyUpdate(g.now(), update) {
 		g.emit(BarReceived{bar})
 	}
+	for _, digest := range g.table.liftedHere {
+		// The gateway with the success may not know what the store holds.
+		g.emit(Cleared{Digest: digest, WasBarred: true})
+	}
+	g.table.liftedHere = nil
+	g.tellRefutation()
 	for _, crash := range update.Crashes {
 		g.emit(CrashReceived{Worker: crash.Worker, Age: time.Duration(crash.AgoMs) * time.Millisecond})
 	}
--- a/internal/poison/supplement.go
+++ b/internal/poison/supplement.go
@@ -11,6 +11,10 @@
 	Digest Digest `cbor:"1,keyasint"`
 	// Runs are the runs of the request that ended with a crash.
 	Runs []CrashedRun `cbor:"2,keyasint,omitempty"`
+	// Trials is how many trials of the bar of the request have begun; BarAgoMs is the age of the bar when it is sent, in milliseconds. Both are zero if
+	// the request isn't barred.
+	Trials   int   `cbor:"3,keyasint,omitempty"`
+	BarAgoMs int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // CrashedRun is a run of a request that ended with the crash of its worker.
@@ -26,11 +30,13 @@
 func (t *Table) TakeSupplement(now time.Time, full bool) []SuspectUpdate {
 	var digests []Digest
 	for digest, entry := range t.suspects {
-		if t.unsentRuns[digest] || (full && entry.barCount == 0 && len(entry.starts) > 0) {
+		isBarred := now.Before(entry.barredUntil)
+		if t.unsentRuns[digest] || t.unsentTrials[digest] || (full && (isBarred || (entry.barCount == 0 && len(entry.starts) > 0))) {
 			digests = append(digests, digest)
 		}
 	}
 	clear(t.unsentRuns)
+	clear(t.unsentTrials)
 	slices.SortFunc(digests, func(a, b Digest) int {
 		return cmp.Or(t.suspects[b].lastReport.Compare(t.suspects[a].lastReport), slices.Compare(a[:], b[:]))
 	})
@@ -39,6 +45,9 @@
 	for _, digest := range digests {
 		entry := t.suspects[digest]
 		update := SuspectUpdate{Digest: digest}
+		if now.Before(entry.barredUntil) {
+			update.Trials, update.BarAgoMs = entry.trials, max(now.Sub(entry.barredSince).Milliseconds(), 1)
+		}
 		for worker, began := range entry.starts {
 			if left == 0 {
 				break
@@ -55,6 +64,7 @@
 // ApplySupplement merges what another gateway tells of suspects.
 func (t *Table) ApplySupplement(now time.Time, updates []SuspectUpdate) {
 	for _, update := range updates {
+		t.mergeTrials(now, update)
 		for _, run := range update.Runs {
 			crash := Crash{Digest: update.Digest, Worker: run.Worker}
 			crashedAt := now.Add(-time.Duration(run.AgoMs) * time.Millisecond)
@@ -63,3 +73,18 @@
 		}
 	}
 }
+
+// mergeTrials merges the trials of the bar of a request that is in force here. A build that doesn't tell of trials begins none.
+func (t *Table) mergeTrials(now time.Time, update SuspectUpdate) {
+	entry, found := t.suspects[update.Digest]
+	if !found || update.BarAgoMs == 0 || !now.Before(entry.barredUntil) {
+		return
+	}
+	began := now.Add(-time.Duration(update.BarAgoMs) * time.Millisecond)
+	if began.Sub(entry.barredSince).Abs() > barTimeTolerance {
+		// That is an earlier or a later bar.
+		return
+	}
+	entry.trials = max(entry.trials, update.Trials)
+	entry.heardAt = time.Time{}
+}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -78,9 +78,7 @@
 	starts map[string]time.Time
 	// lastReport is when a crash or a bar was reported last.
 	lastReport time.Time
-	// barCount counts the bars of the request; the last one lasts from barredSince to barredUntil.
-	barCount                 int
-	barredSince, barredUntil time.Time
+	barState
 	// succeededAt is when the request last succeeded or was released; earlier crashes and bars are void. It is zero if it never did.
 	succeededAt time.Time
 	// rule and tenant are empty until this gateway has seen the request itself or received its bar.
@@ -91,7 +89,7 @@
 func (s *suspect) bar(digest Digest) Bar {
 	return Bar{
 		Digest: digest, Rule: s.rule, Tenant: s.tenant, Workers: slices.Sorted(maps.Keys(s.crashes)), Times: s.barCount, Since: s.barredSince, Until: s.barredUntil,
-		LastReport: s.lastReport,
+		Trials: s.trials, LastReport: s.lastReport,
 	}
 }
 
@@ -114,7 +112,13 @@
 	// unsentCrashes are not shared yet, and unsentChanges are the requests with a bar or success that is not shared yet.
 	unsentCrashes []Crash
 	// unsentRuns are the suspects with starts of runs that are not shared yet.
-	unsentRuns    map[Digest]bool
+	unsentRuns map[Digest]bool
+	// unsentTrials are the barred requests with a trial that is not shared yet.
+	unsentTrials map[Digest]bool
+	// hasRefuted is set once a success has refuted a bar of another gateway, which is to be told of it.
+	hasRefuted bool
+	// liftedHere are the bars of this gateway that successes at other gateways have lifted.
+	liftedHere    []Digest
 	unsentChanges map[Digest]bool
 	// evictAt is the number of entries from which on the next one may exceed a bound; looking for entries to evict takes a pass over all.
 	evictAt int
@@ -126,7 +130,7 @@
 func NewTable(settings Settings) *Table {
 	return &Table{
 		settings: settings, suspects: map[Digest]*suspect{}, suspectsByWorker: map[string]map[Digest]bool{}, pending: map[Digest]bool{},
-		unsentChanges: map[Digest]bool{}, unsentRuns: map[Digest]bool{}, evictAt: min(settings.MaxSuspects, settings.MaxBarred),
+		unsentChanges: map[Digest]bool{}, unsentRuns: map[Digest]bool{}, unsentTrials: map[Digest]bool{}, evictAt: min(settings.MaxSuspects, settings.MaxBarred),
 	}
 }
 
@@ -300,16 +304,17 @@
 
 // clearUntil voids the evidence against a request up to the given time. It returns the other suspects of the voided crashes.
 func (t *Table) clearUntil(at time.Time, digest Digest, entry *suspect) map[Digest]bool {
-	others := map[Digest]bool{}
+	others, isVoided := map[Digest]bool{}, false
 	for worker, crashedAt := range entry.crashes {
 		if t.crashedAt(worker, crashedAt).After(at) {
 			continue
 		}
+		isVoided = true
 		t.removeCrash(digest, entry, worker)
 		maps.Copy(others, t.suspectsByWorker[worker])
 	}
-	if !entry.barredSince.After(at) {
-		entry.barCount, entry.barredSince, entry.barredUntil = 0, time.Time{}, time.Time{}
+	if !entry.barredSince.After(at) || (isVoided && len(entry.crashes) == 0) {
+		entry.lift()
 	}
 	if len(entry.crashes) == 0 {
 		delete(t.pending, digest)
@@ -352,6 +357,7 @@
 	delete(t.pending, digest)
 	delete(t.unsentChanges, digest)
 	delete(t.unsentRuns, digest)
+	delete(t.unsentTrials, digest)
 }
 
 // removeCrash removes a crash from a suspect and from the index.
@@ -372,12 +378,17 @@
 // ApplyBar applies a bar received from another gateway or the store. It reports whether it newly bars the request.
 func (t *Table) ApplyBar(now time.Time, bar Bar) bool {
 	entry, found := t.suspects[bar.Digest]
+	if found && t.times().isRefuted(bar, entry.succeededAt) {
+		// The gateways that believe the bar are told of the success.
+		t.hasRefuted, t.unsentChanges[bar.Digest] = true, true
+		return false
+	}
 	if found && entry.barCount > 0 && entry.rule == "" {
 		// This gateway barred the request without knowing its rule.
 		entry.rule, entry.tenant = bar.Rule, bar.Tenant
 	}
 	isKnown := found && now.Before(entry.barredUntil) && bar.Times <= entry.barCount
-	if isKnown || (found && (!bar.Since.After(entry.succeededAt) || !bar.Since.After(entry.barredSince.Add(barTimeTolerance)))) {
+	if isKnown || (found && !bar.Since.After(entry.barredSince.Add(barTimeTolerance))) {
 		return false
 	}
 	if !found {
@@ -386,7 +397,7 @@
 		t.suspects[bar.Digest] = entry
 	}
 	isNew := !now.Before(entry.barredUntil)
-	entry.barCount, entry.barredSince, entry.barredUntil = max(bar.Times, 1), earlier(bar.Since, now), bar.Until
+	entry.receive(now, bar, t.settings.Parts.TrialDelay)
 	entry.lastReport = now
 	if bar.Rule != "" {
 		// A gateway that knows the crashes only from updates bars without the rule. A gateway that saw the request shares the rule.
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -67,7 +67,9 @@
 		}
 	}
 	for digest, entry := range t.suspects {
-		if ago := now.Sub(entry.succeededAt); ago < t.settings.SuccessShareTime && (full || t.unsentChanges[digest]) && len(update.Successes) < t.settings.MaxPerUpdate {
+		ago := now.Sub(entry.succeededAt)
+		isShared := (full && ago < t.settings.SuccessShareTime) || (t.unsentChanges[digest] && ago < t.settings.SuccessRetention)
+		if isShared && len(update.Successes) < t.settings.MaxPerUpdate {
 			update.Successes = append(update.Successes, SuccessUpdate{Digest: digest, AgoMs: ago.Milliseconds()})
 		}
 	}
@@ -82,6 +84,12 @@
 	return update
 }
 
+// isBarredHere reports whether this gateway created the bar of a request.
+func (t *Table) isBarredHere(digest Digest) bool {
+	entry, found := t.suspects[digest]
+	return found && entry.barredHere
+}
+
 // barUpdate returns a bar in the form that is sent.
 func barUpdate(now time.Time, bar Bar) BarUpdate {
 	return BarUpdate{
@@ -120,7 +128,10 @@
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	var newBars []Bar
 	for _, success := range update.Successes {
-		t.RecordSuccess(now, ago(success.AgoMs), success.Digest)
+		barredHere := t.isBarredHere(success.Digest)
+		if t.RecordSuccess(now, ago(success.AgoMs), success.Digest) == Barred && barredHere {
+			t.liftedHere = append(t.liftedHere, success.Digest)
+		}
 	}
 	for _, received := range update.Bars {
 		bar := Bar{
