Poison: silence of a worker is not the end of the runs there

So a worker seemed to have crashed 0.7 s earlier than its connections broke, before the copies were sent to it and to the next ones, which then counted as later runs.

Now a run ends when the first connection to the worker broke at some gateway; only where none did, the time of the crash counts, and never one before the start of the run. Gateways tell each other of both.

Evidence: TestSilenceDoesNotEndRun fails without it (Barred, want Suspected).

--- a/internal/poison/barring.go
+++ b/internal/poison/barring.go
@@ -24,7 +24,7 @@
 
 // distinctRuns counts the crashes of a suspect that are evidence by themselves: each run began after the crash that was counted before.
 func (t *Table) distinctRuns(entry *suspect, workers []string) int {
-	return t.times().distinctRuns(entry.crashes, entry.starts, workers, t.settings.MinCrashInterval)
+	return t.times().distinctRuns(entry.crashes, entry.runs, workers, t.settings.MinCrashInterval)
 }
 
 // times tells when workers crashed.
--- a/internal/poison/crashtime.go
+++ b/internal/poison/crashtime.go
@@ -131,21 +131,42 @@
 	return c.distinctRuns(crashes, nil, workers, minInterval)
 }
 
-// distinctRuns is like distinct for crashes under the runs of one request, whose starts are given as far as they are known. Runs that were in progress
+// runTimes bounds the runs of one request at a worker that crashed.
+type runTimes struct {
+	// began is when the last run was sent to the worker, and broke when the first connection to it broke; zero if that is not known.
+	began, broke time.Time
+}
+
+// merge returns what two gateways know together.
+func (r runTimes) merge(other runTimes) runTimes {
+	return runTimes{began: later(r.began, other.began), broke: earlierKnown(r.broke, other.broke)}
+}
+
+// ended returns the time by which the worker had crashed. Its silence doesn't tell: a run lasts longer than a gateway waits for its first byte. A worker to
+// which a run was sent had not crashed before.
+func (r runTimes) ended(crashedAt time.Time) time.Time {
+	if !r.broke.IsZero() {
+		return r.broke
+	}
+	return later(crashedAt, r.began)
+}
+
+// distinctRuns is like distinct for crashes under the runs of one request, whose times are given as far as they are known. Runs that were in progress
 // together count once: the request did nothing new between their crashes.
-func (c *crashTimes) distinctRuns(crashes, starts map[string]time.Time, workers []string, minInterval time.Duration) int {
+func (c *crashTimes) distinctRuns(crashes map[string]time.Time, runs map[string]runTimes, workers []string, minInterval time.Duration) int {
 	workers = slices.Clone(workers)
 	slices.SortFunc(workers, func(a, b string) int {
 		return cmp.Or(c.latest(a, crashes[a]).Compare(c.latest(b, crashes[b])), cmp.Compare(a, b))
 	})
 	count := 0
-	var last time.Time
+	var last, lastRun time.Time
 	for _, worker := range workers {
-		start := starts[worker]
-		isApart := c.earliest(worker, crashes[worker]).Sub(last) >= minInterval && (start.IsZero() || start.After(last))
+		began := runs[worker].began
+		isApart := c.earliest(worker, crashes[worker]).Sub(last) >= minInterval && (began.IsZero() || began.After(lastRun))
 		if count == 0 || isApart {
 			count++
 			last = c.latest(worker, crashes[worker])
+			lastRun = runs[worker].ended(last)
 		}
 	}
 	return count
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -330,7 +330,7 @@
 		}
 		crash := Crash{Digest: digest, Worker: entry.worker.ID}
 		g.table.RecordCrash(g.now(), crashedAt, crash, run.Rule, run.Tenant)
-		g.table.RecordStart(g.now(), run.Began, crash)
+		g.table.RecordRun(g.now(), run.Began, entry.brokenAt, crash)
 	}
 	event.Parts = slices.SortedFunc(maps.Keys(parts), compareParts)
 	g.parts.recordCrash(g.now(), crashedAt, entry.worker.ID, g.versionBeside(entry.worker), event.Parts)
--- a/internal/poison/runs_test.go
+++ b/internal/poison/runs_test.go
@@ -36,7 +36,7 @@
 				table := tables[rapid.IntRange(0, 2).Draw(t, "gateway")]
 				began := first.Add(-time.Duration(rapid.IntRange(1, 2000).Draw(t, "ran before the first crash")) * time.Millisecond)
 				table.RecordCrash(now, now, crash, "rule", "")
-				table.RecordStart(now, began, crash)
+				table.RecordRun(now, began, now, crash)
 			}
 			exchangeAll(now, tables)
 			now = now.Add(time.Duration(rapid.IntRange(50, 300).Draw(t, "until the next crash")) * time.Millisecond)
@@ -67,7 +67,7 @@
 			crash := Crash{Digest: killer, Worker: fmt.Sprint("w", crashes)}
 			crashes++
 			table.RecordCrash(now, now, crash, "rule", "")
-			table.RecordStart(now, began, crash)
+			table.RecordRun(now, began, now, crash)
 			exchangeAll(now, tables)
 		}
 		began := now
@@ -126,3 +126,32 @@
 		})
 	}
 }
+
+// TestSilenceDoesNotEndRun guards against copies in flight that count one by one because a worker had been silent for longer than a gateway waits, which
+// is taken for the time of its crash: a run was sent to it later, and its connection broke.
+func TestSilenceDoesNotEndRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := workerSet("w1", "w2", "w3")
+		reporting, other := newTestGuard(workers), newTestGuard(workers)
+		often := digestNamed("often")
+		for _, id := range []string{"w1", "w2", "w3"} {
+			reporting.Responded(workers[id])
+			time.Sleep(50 * time.Millisecond)
+			reporting.Abandoned(workers[id], Run{Digest: digestNamed("other" + id), Rule: "rule", Began: reporting.Now()})
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(700 * time.Millisecond)
+		began := reporting.Now()
+		for _, id := range []string{"w1", "w2", "w3"} {
+			time.Sleep(150 * time.Millisecond)
+			reporting.prober.crash(id)
+			reporting.ConnectionBroke(workers[id], Run{Digest: often, Rule: "rule", Began: began})
+			time.Sleep(5 * time.Millisecond)
+			tell(reporting, false, other)
+			time.Sleep(50 * time.Millisecond)
+		}
+		waitForEvaluation()
+		expectRequest(t, reporting, often, Suspected)
+		expectRequest(t, other, often, Suspected)
+	})
+}
--- a/internal/poison/simulation_test.go
+++ b/internal/poison/simulation_test.go
@@ -107,7 +107,7 @@
 	for _, attempt := range running {
 		crash := Crash{Digest: attempt.digest, Worker: id}
 		s.table.RecordCrash(s.now, s.now, crash, "", "")
-		s.table.RecordStart(s.now, attempt.began, crash)
+		s.table.RecordRun(s.now, attempt.began, s.now, crash)
 		s.crashes[attempt.digest]++
 		if !s.harmless[attempt.digest] {
 			s.killerCrashes[attempt.digest]++
--- a/internal/poison/strategies_test.go
+++ b/internal/poison/strategies_test.go
@@ -386,7 +386,7 @@
 		s.schedule(probeDelay, func() {
 			crash := poison.Crash{Digest: request.digest, Worker: id}
 			gateway.table.RecordCrash(s.now, brokenAt, crash, "rule", "")
-			gateway.table.RecordStart(s.now, began, crash)
+			gateway.table.RecordRun(s.now, began, brokenAt, crash)
 			gateway.balancer.RecordCrash(s.now, brokenAt, id)
 			gateway.lastCrashReport = s.now
 			s.shareUpdate(gateway)
--- a/internal/poison/supplement.go
+++ b/internal/poison/supplement.go
@@ -22,39 +22,46 @@
 	_ struct{} `cbor:",toarray"`
 	// Worker is the id of the worker's incarnation.
 	Worker string
-	// AgoMs is the age of the crash when it is sent, and RunMs how long before the crash the run had begun, in milliseconds.
-	AgoMs, RunMs int64
+	// AgoMs is the age of the crash when it is sent, and BeganAgoMs that of the start of the run, in milliseconds.
+	AgoMs, BeganAgoMs int64
+	// BrokeAgoMs is the age of the break of the connection; negative if none broke.
+	BrokeAgoMs int64
 }
 
-// TakeSupplement returns what has changed of the suspects since the last call, or all of the recent ones if full is set, with at most MaxPerUpdate runs.
+// TakeSupplement returns what has changed of the suspects since the last call, or all of the recent ones if full is set: at most MaxPerUpdate of them, and as
+// many runs. Trials that the other gateways have not been told of come first, because they must not begin the same ones.
 func (t *Table) TakeSupplement(now time.Time, full bool) []SuspectUpdate {
 	var digests []Digest
 	for digest, entry := range t.suspects {
 		isBarred := now.Before(entry.barredUntil)
-		if t.unsentRuns[digest] || t.unsentTrials[digest] || (full && (isBarred || (entry.barCount == 0 && len(entry.starts) > 0))) {
+		if t.unsentRuns[digest] || t.unsentTrials[digest] || (full && (isBarred || (entry.barCount == 0 && len(entry.runs) > 0))) {
 			digests = append(digests, digest)
 		}
 	}
-	clear(t.unsentRuns)
-	clear(t.unsentTrials)
 	slices.SortFunc(digests, func(a, b Digest) int {
-		return cmp.Or(t.suspects[b].lastReport.Compare(t.suspects[a].lastReport), slices.Compare(a[:], b[:]))
+		return cmp.Or(compareBools(t.unsentTrials[b], t.unsentTrials[a]), t.suspects[b].lastReport.Compare(t.suspects[a].lastReport), slices.Compare(a[:], b[:]))
 	})
+	clear(t.unsentRuns)
+	clear(t.unsentTrials)
 	left := t.settings.MaxPerUpdate
 	var updates []SuspectUpdate
-	for _, digest := range digests {
+	for _, digest := range digests[:min(len(digests), t.settings.MaxPerUpdate)] {
 		entry := t.suspects[digest]
 		update := SuspectUpdate{Digest: digest}
 		if now.Before(entry.barredUntil) {
 			update.Trials, update.BarAgoMs = entry.trials, max(now.Sub(entry.barredSince).Milliseconds(), 1)
 		}
-		for worker, began := range entry.starts {
+		for worker, times := range entry.runs {
 			if left == 0 {
 				break
 			}
 			left--
 			crashedAt := t.crashedAt(worker, entry.crashes[worker])
-			update.Runs = append(update.Runs, CrashedRun{Worker: worker, AgoMs: now.Sub(crashedAt).Milliseconds(), RunMs: crashedAt.Sub(began).Milliseconds()})
+			run := CrashedRun{Worker: worker, AgoMs: now.Sub(crashedAt).Milliseconds(), BeganAgoMs: now.Sub(times.began).Milliseconds(), BrokeAgoMs: -1}
+			if !times.broke.IsZero() {
+				run.BrokeAgoMs = now.Sub(times.broke).Milliseconds()
+			}
+			update.Runs = append(update.Runs, run)
 		}
 		updates = append(updates, update)
 	}
@@ -63,13 +70,17 @@
 
 // ApplySupplement merges what another gateway tells of suspects.
 func (t *Table) ApplySupplement(now time.Time, updates []SuspectUpdate) {
+	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, update := range updates {
 		t.mergeTrials(now, update)
 		for _, run := range update.Runs {
 			crash := Crash{Digest: update.Digest, Worker: run.Worker}
-			crashedAt := now.Add(-time.Duration(run.AgoMs) * time.Millisecond)
-			t.mergeCrash(now, crashedAt, crash)
-			t.RecordStart(now, crashedAt.Add(-time.Duration(run.RunMs)*time.Millisecond), crash)
+			t.mergeCrash(now, ago(run.AgoMs), crash)
+			var broke time.Time
+			if run.BrokeAgoMs >= 0 {
+				broke = ago(run.BrokeAgoMs)
+			}
+			t.RecordRun(now, ago(run.BeganAgoMs), broke, crash)
 		}
 	}
 }
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -74,8 +74,8 @@
 	// crashes maps the workers that crashed under the request to the time when their connections broke, or when the bar began that
 	// named them.
 	crashes map[string]time.Time
-	// starts maps those of the workers for which it is known to when the last run of the request there had begun.
-	starts map[string]time.Time
+	// runs maps those of the workers for which they are known to the times of the runs there.
+	runs map[string]runTimes
 	// lastReport is when a crash or a bar was reported last.
 	lastReport time.Time
 	barState
@@ -111,7 +111,7 @@
 	pending map[Digest]bool
 	// unsentCrashes are not shared yet, and unsentChanges are the requests with a bar or success that is not shared yet.
 	unsentCrashes []Crash
-	// unsentRuns are the suspects with starts of runs that are not shared yet.
+	// unsentRuns are the suspects with times of runs that are not shared yet.
 	unsentRuns map[Digest]bool
 	// unsentTrials are the barred requests with a trial that is not shared yet.
 	unsentTrials map[Digest]bool
@@ -169,19 +169,24 @@
 	}
 }
 
-// RecordStart records when the request of a recorded crash had begun to run at the worker. Of several copies the last one counts.
-func (t *Table) RecordStart(now, began time.Time, crash Crash) {
+// RecordRun records when the request of a recorded crash had begun to run at the worker, and when the connection broke; zero if none did. Of several copies
+// the last one counts.
+func (t *Table) RecordRun(now, began, broke time.Time, crash Crash) {
 	entry, found := t.suspects[crash.Digest]
-	if !found || !began.After(entry.starts[crash.Worker]) {
+	if !found || began.IsZero() {
 		return
 	}
 	if _, crashed := entry.crashes[crash.Worker]; !crashed {
 		return
 	}
-	if entry.starts == nil {
-		entry.starts = map[string]time.Time{}
+	run := entry.runs[crash.Worker].merge(runTimes{began, broke})
+	if run == entry.runs[crash.Worker] {
+		return
+	}
+	if entry.runs == nil {
+		entry.runs = map[string]runTimes{}
 	}
-	entry.starts[crash.Worker] = began
+	entry.runs[crash.Worker] = run
 	t.unsentRuns[crash.Digest] = true
 	if !now.Before(entry.barredUntil) {
 		t.pending[crash.Digest] = true
@@ -363,7 +368,7 @@
 // removeCrash removes a crash from a suspect and from the index.
 func (t *Table) removeCrash(digest Digest, entry *suspect, worker string) {
 	delete(entry.crashes, worker)
-	delete(entry.starts, worker)
+	delete(entry.runs, worker)
 	t.unindexCrash(digest, worker)
 }
 
--- a/internal/poison/update_test.go
+++ b/internal/poison/update_test.go
@@ -41,6 +41,46 @@
 	t.Logf("%d bytes encode %d crashes, %d successes and %d bars", len(encoded), len(update.Crashes), len(update.Successes), len(update.Bars))
 }
 
+// maxSupplementBytes bounds the supplement to an update, which shares the datagram as well.
+const maxSupplementBytes = 12 << 10
+
+// TestSupplementSizeIsBounded guards against supplements that exceed the datagram when very many requests are suspected and barred, and against a trial that
+// is left out of one for that.
+func TestSupplementSizeIsBounded(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	settings := DefaultSettings()
+	table := NewTable(settings)
+	for i := range 6 * settings.MaxPerUpdate {
+		for worker := range 3 {
+			began := now.Add(time.Duration(worker) * settings.SettleDelay)
+			crash := Crash{Digest: digestNamed(fmt.Sprint(i)), Worker: fmt.Sprintf("i-%010d-%d", i, worker)}
+			table.RecordCrash(now, began.Add(settings.MinCrashInterval), crash, "rule", "")
+			table.RecordRun(now, began, began.Add(settings.MinCrashInterval), crash)
+		}
+		if i == settings.MaxPerUpdate*3 {
+			now = now.Add(settings.SettleDelay)
+			table.Evaluate(now)
+		}
+	}
+	barred := digestNamed("0")
+	now = now.Add(settings.Parts.TrialDelay)
+	if !table.beginTrial(now, barred, elected) {
+		t.Fatal("the first request is not barred")
+	}
+	updates := table.TakeSupplement(now, true)
+	encoded, err := cbor.Marshal(updates)
+	if err != nil || len(encoded) > maxSupplementBytes {
+		t.Errorf("%d bytes encode %d suspects: %v", len(encoded), len(updates), err)
+	}
+	if len(updates) == 0 || updates[0].Digest != barred || updates[0].Trials != 1 {
+		t.Error("the trial is not told")
+	}
+	if unsent := table.TakeSupplement(now, false); len(unsent) > 0 {
+		t.Errorf("an incremental supplement repeats known state: %+v", unsent)
+	}
+	t.Logf("%d bytes encode %d suspects", len(encoded), len(updates))
+}
+
 func BenchmarkDigest(b *testing.B) {
 	for _, size := range []int{400, 15000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
