Forward: the trial of a bar is not given up because its worker is silent

A lookup takes 0.7 s.

Now the trial of a bar for all workers has no timeout for the start of its response, like a last attempt. That holds for parts as well.

--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -113,6 +113,11 @@
 // isTrialAtAll reports whether the request is the trial of a part that is barred at all workers. It may run at any of them.
 func (g *guardedRequest) isTrialAtAll() bool { return !g.trialOf.IsZero() && g.trialOf.Version == "" }
 
+// endsWithAttempt reports whether no other worker may run the request if the current attempt fails, because it is the trial of a bar for all workers.
+func (g *guardedRequest) endsWithAttempt() bool {
+	return g != nil && (g.isOwnTrial || g.isTrialAtAll())
+}
+
 // trialVersion returns the software version at which the request is the trial of a part; empty if it is none.
 func (g *guardedRequest) trialVersion() string {
 	if g == nil {
--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -14,7 +14,7 @@
 // responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit, because no other
 // attempt can follow.
 func (c *call) responseTimeout(runner *Assignment) time.Duration {
-	if c.relay.started || !c.attempts.allowsAfterRun() {
+	if c.relay.started || !c.attempts.allowsAfterRun() || c.guarded.endsWithAttempt() {
 		return 0
 	}
 	return c.timeoutWithin(runner)
@@ -23,7 +23,7 @@
 // prefillTimeout returns how long to wait for a prefilled prompt before trying another engine; zero means no limit, because no other attempt
 // can follow.
 func (c *call) prefillTimeout(engine *Assignment) time.Duration {
-	if !c.attempts.allowsAfterPrefill() {
+	if !c.attempts.allowsAfterPrefill() || c.guarded.endsWithAttempt() {
 		return 0
 	}
 	return c.timeoutWithin(engine)
--- a/internal/forward/suspect_test.go
+++ b/internal/forward/suspect_test.go
@@ -303,3 +303,31 @@
 		})
 	}
 }
+
+// TestTrialIsNotAbandonedForSilence guards against the trial of a barred request that is given up because its worker does not answer at once: no other
+// worker may run it, so the bar would outlast a sound request that takes its time.
+func TestTrialIsNotAbandonedForSilence(t *testing.T) {
+	workers := &fakeWorkers{run: func(ctx context.Context, _ int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+		select {
+		case <-time.After(300 * time.Millisecond):
+			return wholeResponse(http.StatusOK, "answer"), nil
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}}
+	rule := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Objective: 50 * time.Millisecond}
+	f := newFixture(t, fixtureOptions{rule: rule, allowance: 10}, workers)
+	var elapsed time.Duration
+	guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, func() time.Time { return time.Now().Add(elapsed) }, func(poison.Event) {})
+	f.handler.SetGuard(guard)
+	now := time.Now()
+	digest := poison.Request{Method: http.MethodGet, Target: "/x"}.Digest()
+	guard.ApplyBar(poison.Bar{Digest: digest, Workers: []string{"gone-1", "gone-2", "gone-3"}, Times: 1, Since: now, Until: now.Add(time.Hour)})
+	elapsed = poison.DefaultSettings().Parts.TrialDelay + poison.DefaultSettings().Parts.TrialElection
+	if response, body, err := f.get(t); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("got %v, %q, %v, want an answer", response, body, err)
+	}
+	if status, _ := guard.Status(digest); status != poison.Clear {
+		t.Errorf("status %d, want Clear", status)
+	}
+}
