--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -98,17 +98,16 @@
 
 	mutex    sync.Mutex
 	gateways *member.List
-	// currentAt is when UpToDate was last called.
-	currentAt time.Time
 	// listedAt is when the store was first listed, and fleetIsNew is set if there had never been a controller by then.
 	listedAt   time.Time
 	fleetIsNew bool
 	// lastFailureAt is when a call to the store last failed or the store was last restored, initially the time of the start.
 	lastFailureAt time.Time
-	// configurationCheckedAt is when the configuration was last known to be current: UpToDate was called, or the store
-	// responded to this process while it watches the store.
-	configurationCheckedAt time.Time
-	document               configuration.Document
+	// asOf is the latest time passed to UpToDate: all changes up to then are known. It is zero while unknown.
+	asOf time.Time
+	// unreadable holds the revisions of configurations that can't be read, by key, until a later one can.
+	unreadable map[string]store.Revision
+	document   configuration.Document
 }
 
 // NewView returns an empty view.
@@ -118,6 +117,7 @@
 	return &View{
 		decoder: decoder, listener: listener, ownKey: ownKey, logger: logger, now: boottime.Now, roster: roster, gateways: gateways,
 		lastFailureAt: boottime.Now(), invalidLogLimiter: rate.NewLimiter(invalidLogsPerSecond, invalidLogBurst),
+		unreadable: map[string]store.Revision{},
 	}
 }
 
@@ -153,6 +153,7 @@
 	v.rosterMutex.Unlock()
 	// The first configuration makes the process ready, so the workers must be known before.
 	v.publishWorkers()
+	v.dropUnreadable(items)
 	for _, item := range items {
 		v.applyConfiguration(item)
 	}
@@ -207,7 +208,9 @@
 	workersChanged, gatewaysChanged := false, false
 	for _, event := range events {
 		workersChanged = v.applyWorker(event) || workersChanged
-		if !event.Deleted {
+		if event.Deleted {
+			v.setReadable(event.Item, true)
+		} else {
 			v.applyConfiguration(event.Item)
 		}
 		if strings.HasPrefix(event.Key, poison.BarPrefix) {
@@ -265,9 +268,10 @@
 		v.outageStartedAt = time.Time{}
 	}
 	v.mutex.Lock()
-	v.currentAt = v.now()
-	v.configurationCheckedAt = v.currentAt
-	v.gateways.StoreAnswered(v.currentAt)
+	if asOf.After(v.asOf) {
+		v.asOf = asOf
+	}
+	v.gateways.StoreAnswered(v.now())
 	isListed, fleetIsNew := v.gateways.IsListed(), v.fleetIsNew
 	v.mutex.Unlock()
 	if isListed && !v.registrationSeenAt.IsZero() && !asOf.Before(v.registrationSeenAt) {
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/configuration"
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/roles"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -221,26 +222,130 @@
 	}
 }
 
-// TestStoreResponseDoesNotRefreshFollower guards against a standby gateway that considers its configuration fresh
-// because the store answers its lease renewals, while its upstreams send no changes.
-func TestStoreResponseDoesNotRefreshFollower(t *testing.T) {
+// TestOnlyNewsOfChangesKeepsConfigurationFresh guards against a configuration that counts as fresh because the store answers
+// other calls, such as lease renewals beside a silent watch, or because it answers with old items.
+func TestOnlyNewsOfChangesKeepsConfigurationFresh(t *testing.T) {
+	const within = 3 * time.Second
+	start := time.Unix(1000, 0)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	for _, test := range []struct {
+		name  string
+		play  func(view *View, now *time.Time)
+		fresh bool
+	}{
+		{"nothing is known", func(*View, *time.Time) {}, false},
+		{"all changes are known", func(view *View, now *time.Time) { view.UpToDate(*now) }, true},
+		{"leases are renewed, a watch is silent", func(view *View, now *time.Time) {
+			view.UpToDate(*now)
+			for *now = at(1); now.Before(at(4)); *now = now.Add(time.Second) {
+				view.StoreAnswered()
+			}
+		}, false},
+		{"the first list is stale", func(view *View, _ *time.Time) { view.UpToDate(time.Time{}) }, false},
+		{"a later list is stale", func(view *View, now *time.Time) {
+			view.UpToDate(*now)
+			*now = at(4)
+			view.UpToDate(at(0))
+		}, false},
+		{"the upstream's items are old", func(view *View, now *time.Time) {
+			*now = at(4)
+			view.UpToDate(at(1))
+		}, false},
+		{"the upstream's items are young", func(view *View, now *time.Time) {
+			*now = at(4)
+			view.UpToDate(at(2))
+		}, true},
+		{"an older response follows a newer one", func(view *View, now *time.Time) {
+			view.UpToDate(at(3))
+			view.UpToDate(at(0))
+			*now = at(4)
+		}, true},
+		{"the process was suspended", func(view *View, now *time.Time) {
+			view.UpToDate(*now)
+			*now = at(60)
+			view.Resumed()
+			view.StoreAnswered()
+		}, false},
+		{"the watch answers again", func(view *View, now *time.Time) {
+			view.UpToDate(*now)
+			*now = at(4)
+			view.StoreUnavailable(errors.New("silent"))
+			view.UpToDate(at(3))
+		}, true},
+	} {
+		view, _ := newTestView()
+		now := start
+		view.now = func() time.Time { return now }
+		test.play(view, &now)
+		if got := view.IsFresh(within); got != test.fresh {
+			t.Errorf("%s: fresh: %t, want %t", test.name, got, test.fresh)
+		}
+	}
+}
+
+// TestStalenessIsAgeOfKnownChanges guards against a list of workers that counts as young because the store, or an upstream, answers
+// with old items: a gateway would conclude from it that there is only one software version.
+func TestStalenessIsAgeOfKnownChanges(t *testing.T) {
 	view, _ := newTestView()
-	now := time.Unix(1000, 0)
+	start := time.Unix(1000, 0)
+	now := start
 	view.now = func() time.Time { return now }
-	view.UpToDate(now)
-	now = now.Add(4 * time.Second)
-	view.StoreAnswered(false)
-	if view.IsFresh(3 * time.Second) {
-		t.Error("a response to a standby gateway made the configuration fresh")
-	}
-	view.UpToDate(now)
-	if !view.IsFresh(3 * time.Second) {
-		t.Error("changes did not make the configuration fresh")
-	}
-	now = now.Add(4 * time.Second)
-	view.StoreAnswered(true)
-	if !view.IsFresh(3 * time.Second) {
-		t.Error("a response to a gateway that watches the store did not make the configuration fresh")
+	view.UpToDate(time.Time{})
+	if got := view.Staleness(); got < time.Hour {
+		t.Errorf("after a stale list: stale for %s, want longer than any horizon", got)
+	}
+	view.UpToDate(start)
+	now = start.Add(8 * time.Second)
+	view.StoreAnswered()
+	view.UpToDate(start)
+	if got := view.Staleness(); got != 8*time.Second {
+		t.Errorf("after a stale list and a renewed lease: stale for %s, want 8s", got)
+	}
+	view.UpToDate(start.Add(5 * time.Second))
+	if got := view.Staleness(); got != 3*time.Second {
+		t.Errorf("after changes up to 3 s ago: stale for %s, want 3s", got)
+	}
+}
+
+// TestUnreadableConfigurationIsNotFresh guards against a configuration that counts as current although the store holds a newer
+// one, which this process can't read.
+func TestUnreadableConfigurationIsNotFresh(t *testing.T) {
+	at := func(event store.Event, revision store.Revision) store.Event {
+		event.Revision = revision
+		return event
+	}
+	for _, test := range []struct {
+		name   string
+		events []store.Event
+		fresh  bool
+	}{
+		{"readable", []store.Event{at(putEvent("configuration", "22"), 2)}, true},
+		{"unreadable", []store.Event{at(putEvent("configuration", "22"), 2), at(putEvent("configuration", ""), 3)}, false},
+		{"an older one is passed again", []store.Event{
+			at(putEvent("configuration", "22"), 2), at(putEvent("configuration", ""), 3), at(putEvent("configuration", "22"), 2),
+		}, false},
+		{"replaced by a readable one", []store.Event{
+			at(putEvent("configuration", "22"), 2), at(putEvent("configuration", ""), 3), at(putEvent("configuration", "333"), 4),
+		}, true},
+		{"labels unreadable", []store.Event{at(putEvent("configuration", "22"), 2), at(putEvent(configuration.StoreKey, "{"), 3)}, false},
+		{"labels unreadable, other configuration replaced", []store.Event{
+			at(putEvent(configuration.StoreKey, "{"), 3), at(putEvent("configuration", "333"), 4),
+		}, false},
+		{"labels unreadable, then deleted", []store.Event{
+			at(putEvent(configuration.StoreKey, "{"), 3), {Item: store.Item{Key: configuration.StoreKey, Revision: 4}, Deleted: true},
+		}, true},
+		{"configuration deleted", []store.Event{at(putEvent("configuration", "22"), 2), {Item: store.Item{Key: "configuration", Revision: 3}, Deleted: true}}, true},
+	} {
+		view, _ := newTestView()
+		view.Apply(test.events)
+		view.UpToDate(view.now())
+		if got := view.IsFresh(time.Minute); got != test.fresh {
+			t.Errorf("%s: fresh: %t, want %t", test.name, got, test.fresh)
+		}
+		view.Reset(nil)
+		if !view.IsFresh(time.Minute) {
+			t.Errorf("%s: not fresh although the store holds no configuration that can't be read", test.name)
+		}
 	}
 }
 
