Streams: an end of which nobody can tell is not whole

Cause: a refused connection counts only if another gateway confirms it, which takes another worker of the service; without one, or without an answer within 20 ms, the end was "unknown", and unknown counted as whole.

- internal/completeness is the one answer to "is this response whole?": a pure judgement of evidence (framing, reset or ordinary end, the worker seen alive, refused, refused here only, silent, its record removed meanwhile) with the results whole, cut and unknown.
- Unknown is never whole.
A refusal here that nobody confirms ends the wait at once; else the worker is looked at again for 1.5 s at most, and 0.1 s beyond the end of the request.
The stream then ends without its last chunk, or goes on at another worker.
- The guard holds the end against nobody until a crash is confirmed or the record is gone, as before: a gateway that is cut off by refusals bars nothing.
The time of the end is kept as that of the crash, and parts are held to it, however long evidence was awaited.
- A worker lives if a new connection stays open (20 ms for streams, as before); it is kept for the next request, whose own the ended one would have been.
If the worker closes new ones at once, as a full one does, the others that are open tell.

Tests changed: forward.TestUnprovedEndCountsWhenRecordGoes required that such a stream stands as complete, which is the fault. It requires now that it is cut; the rest of it is the same: the crash counts against the part once the record goes. relay.TestRefusalNeedsConfirmation checks more. The probers of tests have the new method.

Cost: a live worker behind something that accepts and closes all connections, or silent for over 1.5 s, loses such a stream.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -302,10 +302,7 @@
 			c.guarded.answerBegins()
 		}
 		identify = response.Identify
-		err = c.forwardResponse(response)
-	}
-	if err == nil && response.EndsWithConnection && response.Status == http.StatusOK && c.isStream() {
-		err = c.guarded.confirmEnd(ctx, runner.Worker)
+		err = c.forwardResponse(ctx, response)
 	}
 	failure := classify(ctx, err)
 	if failure.endsRequest() {
--- a/internal/forward/crashedend_test.go
+++ b/internal/forward/crashedend_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/completeness"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 )
@@ -78,16 +79,31 @@
 	rule := routing.Rule{Kind: routing.KindStream, Resumable: true, MaxAttempts: 2}
 	f := newFixture(t, fixtureOptions{rule: rule, allowance: 10, demand: partsDemand}, workers)
 	f.handler.SetGuard(poison.NewGuard(poison.DefaultSettings(), prober, time.Now, func(poison.Event) {}))
-	// In a smaller group the stream would wait for the worker to be replaced.
+	f.addWorkers()
+	if _, body, err := f.get(t); err != nil || !strings.Contains(body, "data: a") || !strings.Contains(body, "data: b") {
+		t.Errorf("got %q and %v, want both events", body, err)
+	}
+}
+
+// withGuard adds a guard to the handler of a fixture and registers its workers.
+func (f *fixture) withGuard(prober poison.Prober, emit func(poison.Event)) {
+	guard := poison.NewGuard(poison.DefaultSettings(), prober, time.Now, emit)
+	registered := backend.Set{}
+	for _, id := range []string{"0", "1", "2"} {
+		registered[id] = &backend.Worker{ID: id, Group: "g", Address: id}
+	}
+	guard.UpdateWorkers(registered.Diff(backend.Set{}))
+	f.handler.SetGuard(guard)
+}
+
+// addWorkers adds workers to the group. In a smaller one a suspect request waits for the worker that it crashed to be replaced.
+func (f *fixture) addWorkers() {
 	set := backend.Set{}
 	for i := range 12 {
 		id := fmt.Sprint("more-", i)
 		set[id] = &backend.Worker{ID: id, Group: "g", Address: id, Slots: 4}
 	}
 	f.handler.dispatcher.SetWorkers(set)
-	if _, body, err := f.get(t); err != nil || !strings.Contains(body, "data: a") || !strings.Contains(body, "data: b") {
-		t.Errorf("got %q and %v, want both events", body, err)
-	}
 }
 
 // unknownProber is a poison.Prober that can't determine whether workers run, as behind a proxy that accepts their connections.
@@ -98,8 +114,13 @@
 	return false, io.ErrUnexpectedEOF
 }
 
+// Look implements poison.Prober.
+func (unknownProber) Look(context.Context, *backend.Worker, time.Duration) completeness.Worker {
+	return completeness.WorkerCloses
+}
+
 // TestUnprovedEndCountsWhenRecordGoes guards against a crash that is never counted, because its stream ended between two events and the address of
-// the worker neither refused nor accepted connections. The stream stands, as it may be complete.
+// the worker neither refused nor accepted connections, and against such a stream that passes for a complete one.
 func TestUnprovedEndCountsWhenRecordGoes(t *testing.T) {
 	worker := &backend.Worker{}
 	workers := &fakeWorkers{run: func(_ context.Context, _ int, at *backend.Worker, _ RunOptions) (*Response, error) {
@@ -119,11 +140,32 @@
 		registered[id] = &backend.Worker{ID: id, Group: "g", Address: id}
 	}
 	guard.UpdateWorkers(registered.Diff(backend.Set{}))
-	if _, body, err := f.get(t); err != nil || !strings.Contains(body, "data: a") {
-		t.Errorf("got %q and %v, want a complete stream", body, err)
+	if _, body, err := f.get(t); err == nil || !strings.Contains(body, "data: a") {
+		t.Errorf("got %q and %v, want a stream that is cut off after its event", body, err)
 	}
 	guard.UpdateWorkers(backend.Changes{Removed: []string{worker.ID}})
 	if len(crashed) != 1 || crashed[0] != poison.NewPart("g", "5c1e") {
 		t.Errorf("the crash counts against the parts %v, want 5c1e", crashed)
 	}
 }
+
+// TestStreamOfLostServiceIsNotComplete guards against streams that pass for complete ones because all workers of their service have ended, so that no
+// gateway can confirm that the addresses refuse connections.
+func TestStreamOfLostServiceIsNotComplete(t *testing.T) {
+	prober := &crashProber{crashed: map[string]bool{}, unconfirmed: map[string]bool{"0": true, "1": true, "2": true}}
+	workers := &fakeWorkers{run: func(context.Context, int, *backend.Worker, RunOptions) (*Response, error) {
+		return unframedStream(), nil
+	}}
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindStream}, demand: partsDemand}, workers)
+	answered := false
+	f.withGuard(prober, func(event poison.Event) {
+		_, isCleared := event.(poison.Cleared)
+		answered = answered || isCleared
+	})
+	if _, body, err := f.get(t); err == nil || !strings.Contains(body, "data: a") {
+		t.Errorf("got %q and %v, want a stream that is cut off after its event", body, err)
+	}
+	if answered {
+		t.Error("the end cleared a suspect")
+	}
+}
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -1,8 +1,8 @@
 package forward
 
 import (
+	"cmp"
 	"context"
-	"io"
 	"net"
 	"slices"
 	"time"
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/completeness"
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -42,8 +43,8 @@
 	// than crashOnset.
 	answerBegan time.Time
 	outlived    bool
-	// isUnproved is set if the last answer may have ended with a crash of its worker.
-	isUnproved bool
+	// answerEnded is when the response of the current attempt had been read to its end; zero before.
+	answerEnded time.Time
 }
 
 // crashOnset is the longest time from the beginning of an answer to the crash of its worker that is attributed to a part of the prompt.
@@ -155,7 +156,7 @@
 // beginAttempt notes that a worker has been chosen, which has not answered yet.
 func (g *guardedRequest) beginAttempt(worker *backend.Worker) {
 	g.worker = worker
-	g.answerBegan, g.outlived, g.isUnproved = time.Time{}, false, false
+	g.answerBegan, g.answerEnded, g.outlived = time.Time{}, time.Time{}, false
 }
 
 // answerBegins notes that the worker begins to answer. Only the first call of an attempt counts.
@@ -175,9 +176,10 @@
 	g.guard.RecordAnswer(g.worker, g.answerBegan, g.parts)
 }
 
-// hasOutlived reports whether the current answer began longer than crashOnset ago.
+// hasOutlived reports whether the current answer goes on, or went on, for longer than crashOnset.
 func (g *guardedRequest) hasOutlived() bool {
-	return !g.answerBegan.IsZero() && g.guard.Now().Sub(g.answerBegan) > crashOnset
+	end := cmp.Or(g.answerEnded, g.guard.Now())
+	return !g.answerBegan.IsZero() && end.Sub(g.answerBegan) > crashOnset
 }
 
 // suspectParts returns the parts of the prompt that may have crashed the worker of the current attempt.
@@ -275,29 +277,21 @@
 	}
 }
 
-// confirmEnd returns an error if a response that ended with its connection was cut off by a crash of the worker. Where that can't be determined,
-// the response stands.
-func (g *guardedRequest) confirmEnd(ctx context.Context, worker *backend.Worker) error {
-	if g.guard == nil {
-		return nil
+// confirmEnd returns an error unless a response that was read to its end is whole. Where nobody can tell, it is not.
+func (g *guardedRequest) confirmEnd(ctx context.Context, response *Response, settle time.Duration) error {
+	result := completeness.Evidence{Framing: completeness.FramingOf(response.EndsWithConnection)}.Judge()
+	if result == completeness.Unknown && g.guard != nil {
+		g.answerEnded = g.guard.Now()
+		result = g.guard.ConfirmEnd(ctx, g.worker, settle)
 	}
-	crashed, known := g.guard.ConfirmRunning(ctx, worker)
-	switch {
-	case crashed:
-		return &httpclient.Error{Step: httpclient.StepReceive, Peer: worker.Address, Cause: io.ErrUnexpectedEOF}
-	case !known:
-		// The guard counts a crash if the record of the worker goes.
-		g.isUnproved = true
-		g.guard.ConnectionBroke(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+	if cause := result.Err(); cause != nil {
+		return &httpclient.Error{Step: httpclient.StepReceive, Peer: g.worker.Address, Cause: cause}
 	}
 	return nil
 }
 
 // reportSuccess reports to the guard that the request completed.
 func (g *guardedRequest) reportSuccess() {
-	if g.isUnproved {
-		return
-	}
 	if g.guard != nil && len(g.parts) > 0 && !g.answerBegan.IsZero() {
 		g.guard.RecordAnswer(g.worker, g.answerBegan, g.parts)
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/granitebay/granitebay/internal/completeness"
 	"github.com/granitebay/granitebay/internal/routing"
 )
 
@@ -89,10 +91,10 @@
 }
 
 // forwardResponse sends the response of a worker to the caller. An error response is kept and not sent yet, since a retry may succeed.
-func (c *call) forwardResponse(response *Response) error {
+func (c *call) forwardResponse(ctx context.Context, response *Response) error {
 	defer response.Body.Close()
 	if c.match.Rule.Kind == routing.KindStream && response.Status == http.StatusOK && !c.request.Unstreamed {
-		return c.forwardStream(response)
+		return c.forwardStream(ctx, response)
 	}
 	buffered, err := readBuffered(response, c.relay.held)
 	if err != nil {
@@ -130,10 +132,13 @@
 }
 
 // forwardStream passes an event stream to the caller.
-func (c *call) forwardStream(response *Response) error {
+func (c *call) forwardStream(ctx context.Context, response *Response) error {
 	err := c.relay.stream(response)
 	if c.relay.started {
 		c.report.Status, c.report.Reason = http.StatusOK, ReasonServed
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	return c.guarded.confirmEnd(ctx, response, completeness.StreamSettleTime)
 }
--- a/internal/forward/suspect_test.go
+++ b/internal/forward/suspect_test.go
@@ -10,8 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/completeness"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/streamversion"
@@ -21,7 +24,9 @@
 type crashProber struct {
 	mutex   sync.Mutex
 	crashed map[string]bool
-	delay   time.Duration
+	// unconfirmed are the workers that refuse this gateway, while no other can tell.
+	unconfirmed map[string]bool
+	delay       time.Duration
 }
 
 // RefusesConnections implements poison.Prober.
@@ -29,9 +34,27 @@
 	time.Sleep(p.delay)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.unconfirmed[worker.ID] {
+		return false, errUnconfirmed
+	}
 	return p.crashed[worker.ID], nil
 }
 
+// Look implements poison.Prober.
+func (p *crashProber) Look(ctx context.Context, worker *backend.Worker, _ time.Duration) completeness.Worker {
+	switch refuses, err := p.RefusesConnections(ctx, worker); {
+	case err != nil:
+		return completeness.WorkerRefusesHere
+	case refuses:
+		return completeness.WorkerRefuses
+	default:
+		return completeness.WorkerAlive
+	}
+}
+
+// errUnconfirmed is the result for a worker that only this gateway was asked about.
+var errUnconfirmed = errors.New("no other gateway could confirm")
+
 // crash marks a worker as crashed.
 func (p *crashProber) crash(worker string) {
 	p.mutex.Lock()
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -205,7 +205,7 @@
 		_ = conn.Close()
 		return
 	}
-	c.pool.put(newConnection(conn, address), c.settings.IdleTimeout)
+	c.pool.put(c.pool.newConnection(conn, address), c.settings.IdleTimeout)
 }
 
 // OnFailure sets a callback for each error of Do. It must be called before the first request, and the callback must not block.
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -24,6 +24,14 @@
 	// idleSince is when the connection became idle, and idleDeadline until when it may be reused.
 	idleSince    time.Time
 	idleDeadline time.Time
+	// open holds the connection until it is closed.
+	open *openConnections
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.open.remove(c)
+	return c.Conn.Close()
 }
 
 // readBufferSize is the read buffer of a connection. Headers and events are small.
@@ -34,6 +42,8 @@
 	settings Settings
 	dialer   Dialer
 	opened   atomic.Int64
+	// connections are all that are open, with those that carry a request.
+	connections openConnections
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -130,12 +140,16 @@
 		return nil, errors.Wrap(err, "open connection")
 	}
 	p.opened.Add(1)
-	return newConnection(conn, address), nil
+	return p.newConnection(conn, address), nil
 }
 
 // newConnection returns a connection that has not been used.
-func newConnection(conn net.Conn, address string) *connection {
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferSize), openedAt: time.Now()}
+func (p *pool) newConnection(conn net.Conn, address string) *connection {
+	opened := &connection{
+		Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferSize), openedAt: time.Now(), open: &p.connections,
+	}
+	p.connections.add(opened)
+	return opened
 }
 
 // put keeps a connection for reuse for at most idleTimeout.
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -9,12 +9,15 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/completeness"
 )
 
 // Prober checks whether the process of a worker still runs.
 type Prober interface {
 	// RefusesConnections reports whether nothing listens at the worker's address any more. It returns an error if that cannot be determined.
 	RefusesConnections(ctx context.Context, worker *backend.Worker) (bool, error)
+	// Look looks at a worker whose connection has ended. One that lives keeps a connection open for the settle time.
+	Look(ctx context.Context, worker *backend.Worker, settle time.Duration) completeness.Worker
 }
 
 // Event is a change that a guard reports: WorkerCrashed, CrashReceived, BarCreated, BarReceived or Cleared.
@@ -187,17 +190,39 @@
 	return entry.probeDone
 }
 
-// endConfirmTime bounds how long ConfirmRunning takes: a connection attempt in the same region, and the time in which an exiting process
-// closes what its listener still accepted.
-const endConfirmTime = 20 * time.Millisecond
+// ConfirmEnd tells whether a response that ended with its connection in the ordinary way is whole. A connection to the worker has to stay open for the
+// settle time. If the response is not whole, its end counts as the time at which the connection broke, however long evidence was awaited.
+func (g *Guard) ConfirmEnd(ctx context.Context, worker *backend.Worker, settle time.Duration) completeness.Result {
+	endedAt, wasRegistered := g.now(), g.isRegistered(worker)
+	result := completeness.Await(ctx, func(ctx context.Context) completeness.Evidence {
+		evidence := completeness.Evidence{Framing: completeness.FramingConnection, Worker: g.prober.Look(ctx, worker, settle)}
+		evidence.RecordRemoved = wasRegistered && !g.isRegistered(worker)
+		return evidence
+	})
+	if result != completeness.Whole && ctx.Err() == nil {
+		g.recordEnd(worker, endedAt)
+	}
+	return result
+}
 
-// ConfirmRunning reports whether a worker whose connection ended refuses new connections, because its process has crashed, and whether that
-// could be determined.
-func (g *Guard) ConfirmRunning(ctx context.Context, worker *backend.Worker) (crashed, known bool) {
-	ctx, cancel := context.WithTimeout(ctx, endConfirmTime)
-	defer cancel()
-	refuses, err := g.prober.RefusesConnections(ctx, worker)
-	return refuses, err == nil
+// recordEnd records when a connection to a worker ended that ConnectionBroke will be called for.
+func (g *Guard) recordEnd(worker *backend.Worker, endedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.isPlannedExit(worker) {
+		return
+	}
+	entry := g.entry(worker)
+	if !entry.crashed && (entry.brokenAt.IsZero() || endedAt.Before(entry.brokenAt)) {
+		entry.brokenAt = endedAt
+	}
+}
+
+// isRegistered reports whether a worker has a record.
+func (g *Guard) isRegistered(worker *backend.Worker) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registered[worker.ID] != nil
 }
 
 // Abandoned records that a request abandoned a worker that did not respond. If the worker is found to have crashed, the crash counts
@@ -246,15 +271,21 @@
 
 // addRequest adds a request to a worker that may have crashed. The caller holds the mutex.
 func (g *Guard) addRequest(worker *backend.Worker, digest Digest, info requestInfo) *disconnectedWorker {
+	entry := g.entry(worker)
+	if len(entry.requests) < maxRequestsPerWorker {
+		entry.requests[digest] = info
+	}
+	return entry
+}
+
+// entry returns the entry of a worker that may have crashed, as one that a request was just added to. The caller holds the mutex.
+func (g *Guard) entry(worker *backend.Worker) *disconnectedWorker {
 	entry, found := g.disconnected[worker.ID]
 	if !found {
 		entry = &disconnectedWorker{worker: worker, requests: map[Digest]requestInfo{}}
 		g.disconnected[worker.ID] = entry
 	}
 	entry.lastRequest = g.now()
-	if len(entry.requests) < maxRequestsPerWorker {
-		entry.requests[digest] = info
-	}
 	return entry
 }
 
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/completeness"
 )
 
 // fakeProber returns probe results from the configured state of the workers.
@@ -36,6 +37,18 @@
 	return p.crashed[worker.ID], nil
 }
 
+// Look implements Prober.
+func (p *fakeProber) Look(ctx context.Context, worker *backend.Worker, _ time.Duration) completeness.Worker {
+	switch refuses, err := p.RefusesConnections(ctx, worker); {
+	case err != nil:
+		return completeness.WorkerUnseen
+	case refuses:
+		return completeness.WorkerRefuses
+	default:
+		return completeness.WorkerAlive
+	}
+}
+
 // crash makes probes of a worker report a crash.
 func (p *fakeProber) crash(worker string) {
 	p.mu.Lock()
@@ -254,3 +267,32 @@
 		}
 	})
 }
+
+// TestEndOfResponseIsTimeOfCrash guards against crashes that count as later than they were because evidence for the end of a response was awaited, and
+// against requests that are held against a worker which was seen alive.
+func TestEndOfResponseIsTimeOfCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &backend.Worker{ID: "w", Group: "g", Address: "w"}
+		prober := &fakeProber{crashed: map[string]bool{}, unresponsive: map[string]bool{}}
+		var crashed WorkerCrashed
+		guard := NewGuard(DefaultSettings(), prober, time.Now, func(event Event) {
+			if found, is := event.(WorkerCrashed); is {
+				crashed = found
+			}
+		})
+		guard.UpdateWorkers(backend.Set{"w": worker}.Diff(backend.Set{}))
+		if got := guard.ConfirmEnd(t.Context(), worker, completeness.SettleTime); got != completeness.Whole || len(guard.disconnected) != 0 {
+			t.Errorf("got %v with %d workers that may have crashed, want a whole response", got, len(guard.disconnected))
+		}
+		prober.unresponsive["w"] = true
+		endedAt := time.Now()
+		if got := guard.ConfirmEnd(t.Context(), worker, completeness.SettleTime); got != completeness.Unknown || time.Since(endedAt) < time.Second {
+			t.Errorf("got %v after %v, want an unknown end after some time", got, time.Since(endedAt))
+		}
+		<-guard.ConnectionBroke(worker, Digest{1}, "rule", "")
+		guard.UpdateWorkers(backend.Changes{Removed: []string{"w"}})
+		if took := time.Since(endedAt); crashed.Age != took || len(crashed.Requests) != 1 {
+			t.Errorf("the crash was %v ago, with %d requests; want %v, with one", crashed.Age, len(crashed.Requests), took)
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 package relay
 
 import (
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -85,6 +86,9 @@
 	return "connect to " + e.Address + " (no other gateway could confirm): " + e.Cause.Error()
 }
 
+// RefusedHere reports whether the worker refused the connection of this gateway, rather than not to answer.
+func (e *UnconfirmedError) RefusedHere() bool { return errors.Is(e.Cause, syscall.ECONNREFUSED) }
+
 // Errors of attempts through relays.
 var (
 	// errRefusedAtPeer means that the worker refuses connections of another gateway.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -231,6 +231,9 @@
 			if errors.Is(err, syscall.ECONNREFUSED) != test.refused || errors.As(err, &unconfirmed) == test.refused {
 				t.Errorf("got %v, want refused: %t", err, test.refused)
 			}
+			if unconfirmed != nil && !unconfirmed.RefusedHere() {
+				t.Errorf("%v does not tell that this gateway was refused", err)
+			}
 		})
 	}
 }
