Plain responses that end with their connection are whole only on evidence

Cause: only streams were asked about; of plain responses the end of the connection always counted as the end of the body.

The buffered response, of whatever status, now passes the same check before anything is sent. If it isn't whole, the attempt has broken: another one where the rule and the budget allow it, else 502, since it may have run. It also clears no suspect request, and the crash counts.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -97,6 +97,9 @@
 		return c.forwardStream(ctx, response)
 	}
 	buffered, err := readBuffered(response, c.relay.held)
+	if err == nil {
+		err = c.guarded.confirmEnd(ctx, response, completeness.SettleTime)
+	}
 	if err != nil {
 		return err
 	}
