Forward tests: the workers of cut responses have a guard that finds them alive

A response that only its connection ends is whole only if its worker is seen alive after the end, which a handler without a guard can't tell. The test has the guard of a gateway now; what it checks is the same.

--- a/internal/forward/cut_test.go
+++ b/internal/forward/cut_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/httpclient"
+	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/standin/cutserver"
 )
@@ -53,6 +54,8 @@
 			}}
 			const retries = 1e6
 			f := newFixture(t, fixtureOptions{rule: test.rule, engine: test.rule.Kind == routing.KindStream, allowance: retries}, workers)
+			// The workers run on, so that a regular end is one.
+			f.withGuard(&crashProber{crashed: map[string]bool{}}, func(poison.Event) {})
 			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, test.body) })
 			want := test.begin + test.body
 			cuts, err := cutserver.Play(handler, func(cut cutserver.Cut) {
