--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -59,7 +59,6 @@
 
 // run makes attempts until one succeeds or no further attempt is allowed.
 func (c *call) run(ctx context.Context) connAction {
-	defer c.guarded.end()
 	defer c.endExclusive()
 	for {
 		if time.Until(c.deadline) < c.handler.settings.MinRemaining {
@@ -302,10 +301,7 @@
 			c.guarded.answerBegins()
 		}
 		identify = response.Identify
-		err = c.forwardResponse(response)
-	}
-	if err == nil && response.EndsWithConnection && response.Status == http.StatusOK && c.isStream() {
-		err = c.guarded.confirmEnd(ctx, runner.Worker)
+		err = c.forwardResponse(ctx, response)
 	}
 	failure := classify(ctx, err)
 	if failure.endsRequest() {
--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -1,8 +1,8 @@
 package forward
 
 import (
+	"cmp"
 	"context"
-	"io"
 	"net"
 	"slices"
 	"time"
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/completeness"
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -36,14 +37,18 @@
 	// trialOf is the barred part whose trial the request is; zero if it is none, or has failed. wasSent is set once it was sent to a worker.
 	trialOf poison.Part
 	wasSent bool
+	// isOwnTrial is set while the request is the trial of its own bar.
+	isOwnTrial bool
 	// worker is the worker of the current attempt; nil before the first.
 	worker *backend.Worker
+	// sentAt is when the request was sent to the worker; zero before.
+	sentAt time.Time
 	// answerBegan is when the worker of the current attempt began to answer; zero before. outlived is set once it has gone on for longer
 	// than crashOnset.
 	answerBegan time.Time
 	outlived    bool
-	// isUnproved is set if the last answer may have ended with a crash of its worker.
-	isUnproved bool
+	// answerEnded is when the response of the current attempt had been read to its end; zero before.
+	answerEnded time.Time
 }
 
 // crashOnset is the longest time from the beginning of an answer to the crash of its worker that is attributed to a part of the prompt.
@@ -78,6 +83,9 @@
 		return poison.Clear, poison.Bar{}
 	}
 	status, bar := g.guard.Status(g.requestDigest())
+	if g.isOwnTrial {
+		status, bar = poison.Clear, poison.Bar{}
+	}
 	if g.isTrialAtAll() || len(g.parts) == 0 {
 		return status, bar
 	}
@@ -106,6 +114,11 @@
 // isTrialAtAll reports whether the request is the trial of a part that is barred at all workers. It may run at any of them.
 func (g *guardedRequest) isTrialAtAll() bool { return !g.trialOf.IsZero() && g.trialOf.Version == "" }
 
+// endsWithAttempt reports whether no other worker may run the request if the current attempt fails, because it is the trial of a bar for all workers.
+func (g *guardedRequest) endsWithAttempt() bool {
+	return g != nil && (g.isOwnTrial || g.isTrialAtAll())
+}
+
 // trialVersion returns the software version at which the request is the trial of a part; empty if it is none.
 func (g *guardedRequest) trialVersion() string {
 	if g == nil {
@@ -125,8 +138,8 @@
 	return true
 }
 
-// admit returns the status of a request that has just arrived. A request with a part that is barred, at all workers or at a software version, is
-// let through to them if it is the trial of the part.
+// admit returns the status of a request that has just arrived. One that is barred, or has a part that is barred at all workers or at a software version,
+// is let through to them if it is the trial of that bar.
 func (g *guardedRequest) admit(exclusive *exclusiveRuns) (poison.Status, poison.Bar) {
 	if g.guard == nil || !g.guard.HasSuspects() {
 		return poison.Clear, poison.Bar{}
@@ -138,24 +151,42 @@
 		versions, _ := g.barredVersions()
 		isBarredPart = len(versions) > 0
 	}
-	if isBarredPart && exclusive.mayBeginTrials() {
-		g.trialOf = g.guard.BeginTrial(g.service, g.parts, exclusive.hasTrial)
-		return g.status()
+	switch {
+	case !exclusive.mayBeginTrials():
+		return status, bar
+	case isBarredPart:
+		g.trialOf = g.guard.BeginTrial(g.service, g.parts, func(part poison.Part, number int) bool { return exclusive.hasTrial(part.Digest(), number) })
+	case status == poison.Barred:
+		g.beginOwnTrial(exclusive)
+	default:
+		return status, bar
 	}
-	return status, bar
+	return g.status()
+}
+
+// beginOwnTrial makes a barred request the trial of its bar if one is due, unless a part of its prompt is barred as well.
+func (g *guardedRequest) beginOwnTrial(exclusive *exclusiveRuns) {
+	if status, _ := g.guard.PartStatus(g.parts); status >= poison.Pending {
+		return
+	}
+	digest := g.requestDigest()
+	g.isOwnTrial = g.guard.BeginRequestTrial(digest, func(number int) bool { return exclusive.hasTrial(digest, number) })
 }
 
-// end lets another request be the trial of a barred part if this one was sent to no worker.
+// end lets another request be the trial of a bar if this one was sent to no worker.
 func (g *guardedRequest) end() {
 	if !g.trialOf.IsZero() && !g.wasSent {
 		g.guard.ReturnTrial(g.trialOf)
 	}
+	if g.isOwnTrial && !g.wasSent {
+		g.guard.ReturnRequestTrial(g.requestDigest())
+	}
 }
 
 // beginAttempt notes that a worker has been chosen, which has not answered yet.
 func (g *guardedRequest) beginAttempt(worker *backend.Worker) {
 	g.worker = worker
-	g.answerBegan, g.outlived, g.isUnproved = time.Time{}, false, false
+	g.sentAt, g.answerBegan, g.answerEnded, g.outlived = time.Time{}, time.Time{}, time.Time{}, false
 }
 
 // answerBegins notes that the worker begins to answer. Only the first call of an attempt counts.
@@ -175,9 +206,10 @@
 	g.guard.RecordAnswer(g.worker, g.answerBegan, g.parts)
 }
 
-// hasOutlived reports whether the current answer began longer than crashOnset ago.
+// hasOutlived reports whether the current answer goes on, or went on, for longer than crashOnset.
 func (g *guardedRequest) hasOutlived() bool {
-	return !g.answerBegan.IsZero() && g.guard.Now().Sub(g.answerBegan) > crashOnset
+	end := cmp.Or(g.answerEnded, g.guard.Now())
+	return !g.answerBegan.IsZero() && end.Sub(g.answerBegan) > crashOnset
 }
 
 // suspectParts returns the parts of the prompt that may have crashed the worker of the current attempt.
@@ -217,6 +249,9 @@
 		return err
 	}
 	g.wasSent = true
+	if g.guard != nil {
+		g.sentAt = g.guard.Now()
+	}
 	return nil
 }
 
@@ -227,21 +262,26 @@
 		return
 	}
 	if failure != failureNone && g.wasSent {
-		g.trialOf = poison.Part{}
+		g.trialOf, g.isOwnTrial = poison.Part{}, false
 	}
 	var transport *httpclient.Error
 	switch {
 	case failure == failureBroken && errors.As(err, &transport):
 		g.connectionBroke = true
 		if isTimeout(err) {
-			g.guard.Abandoned(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+			g.guard.Abandoned(worker, g.run())
 		}
-		g.probeDone = g.guard.ConnectionBroke(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+		g.probeDone = g.guard.ConnectionBroke(worker, g.run())
 	case failure == failureSilent:
-		g.guard.Abandoned(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+		g.guard.Abandoned(worker, g.run())
 	}
 }
 
+// run describes the current attempt to the guard.
+func (g *guardedRequest) run() poison.Run {
+	return poison.Run{Digest: g.requestDigest(), Rule: g.rule, Tenant: g.request.Tenant, Began: g.sentAt, Parts: g.suspectParts()}
+}
+
 // isTimeout reports whether a connection broke because nothing arrived for too long, so that its peer may have gone long before.
 func isTimeout(err error) bool {
 	var timeout net.Error
@@ -275,33 +315,25 @@
 	}
 }
 
-// confirmEnd returns an error if a response that ended with its connection was cut off by a crash of the worker. Where that can't be determined,
-// the response stands.
-func (g *guardedRequest) confirmEnd(ctx context.Context, worker *backend.Worker) error {
-	if g.guard == nil {
-		return nil
+// confirmEnd returns an error unless a response that was read to its end is whole. Where nobody can tell, it is not.
+func (g *guardedRequest) confirmEnd(ctx context.Context, response *Response, settle time.Duration) error {
+	result := completeness.Evidence{Framing: completeness.FramingOf(response.EndsWithConnection)}.Judge()
+	if result == completeness.Unknown && g.guard != nil {
+		g.answerEnded = g.guard.Now()
+		result = g.guard.ConfirmEnd(ctx, g.worker, settle)
 	}
-	crashed, known := g.guard.ConfirmRunning(ctx, worker)
-	switch {
-	case crashed:
-		return &httpclient.Error{Step: httpclient.StepReceive, Peer: worker.Address, Cause: io.ErrUnexpectedEOF}
-	case !known:
-		// The guard counts a crash if the record of the worker goes.
-		g.isUnproved = true
-		g.guard.ConnectionBroke(worker, g.requestDigest(), g.rule, g.request.Tenant, g.suspectParts()...)
+	if cause := result.Err(); cause != nil {
+		return &httpclient.Error{Step: httpclient.StepReceive, Peer: g.worker.Address, Cause: cause}
 	}
 	return nil
 }
 
 // reportSuccess reports to the guard that the request completed.
 func (g *guardedRequest) reportSuccess() {
-	if g.isUnproved {
-		return
-	}
 	if g.guard != nil && len(g.parts) > 0 && !g.answerBegan.IsZero() {
 		g.guard.RecordAnswer(g.worker, g.answerBegan, g.parts)
 	}
-	if !g.hasStatus(poison.Clear) {
+	if g.isOwnTrial || !g.hasStatus(poison.Clear) {
 		g.guard.RecordSuccess(g.requestDigest())
 	}
 }
--- a/internal/forward/suspect_test.go
+++ b/internal/forward/suspect_test.go
@@ -10,8 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/completeness"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/streamversion"
@@ -21,7 +24,9 @@
 type crashProber struct {
 	mutex   sync.Mutex
 	crashed map[string]bool
-	delay   time.Duration
+	// unconfirmed are the workers that refuse this gateway, while no other can tell.
+	unconfirmed map[string]bool
+	delay       time.Duration
 }
 
 // RefusesConnections implements poison.Prober.
@@ -29,9 +34,27 @@
 	time.Sleep(p.delay)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.unconfirmed[worker.ID] {
+		return false, errUnconfirmed
+	}
 	return p.crashed[worker.ID], nil
 }
 
+// Look implements poison.Prober.
+func (p *crashProber) Look(ctx context.Context, worker *backend.Worker, _ time.Duration) completeness.Worker {
+	switch refuses, err := p.RefusesConnections(ctx, worker); {
+	case err != nil:
+		return completeness.WorkerRefusesHere
+	case refuses:
+		return completeness.WorkerRefuses
+	default:
+		return completeness.WorkerAlive
+	}
+}
+
+// errUnconfirmed is the result for a worker that only this gateway was asked about.
+var errUnconfirmed = errors.New("no other gateway could confirm")
+
 // crash marks a worker as crashed.
 func (p *crashProber) crash(worker string) {
 	p.mutex.Lock()
@@ -202,3 +225,132 @@
 		t.Error("after a trial that was sent to no worker there is no other")
 	}
 }
+
+// TestCopiesInFlightAreNoSeriesOfCrashes guards against an often asked request that is barred because each worker crashed, one after the other, while it
+// ran a copy that had begun before the first crash.
+func TestCopiesInFlightAreNoSeriesOfCrashes(t *testing.T) {
+	const copies = 3
+	prober := &crashProber{crashed: map[string]bool{}}
+	var running sync.WaitGroup
+	running.Add(copies)
+	workers := &fakeWorkers{run: func(_ context.Context, number int, worker *backend.Worker, _ RunOptions) (*Response, error) {
+		running.Done()
+		running.Wait()
+		time.Sleep(time.Duration(number) * 150 * time.Millisecond)
+		prober.crash(worker.ID)
+		return nil, resetError
+	}}
+	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable}}, workers)
+	events := make(chan string, 100)
+	f.handler.SetGuard(poison.NewGuard(poison.DefaultSettings(), prober, time.Now, func(event poison.Event) { events <- fmt.Sprintf("%T", event) }))
+	var callers sync.WaitGroup
+	for range copies {
+		callers.Go(func() { _, _, _ = f.get(t) })
+	}
+	callers.Wait()
+	time.Sleep(2 * poison.DefaultSettings().SettleDelay)
+	crashes := 0
+	for len(events) > 0 {
+		switch event := <-events; event {
+		case "poison.WorkerCrashed":
+			crashes++
+		default:
+			t.Errorf("the guard reports a %s", event)
+		}
+	}
+	if crashes != copies {
+		t.Errorf("%d of %d workers crashed, so the test checks nothing", crashes, copies)
+	}
+}
+
+// TestBarredRequestIsTried guards against a barred request that is refused for as long as its bar lasts although it is sound again, against trials that are
+// used up without having reached a worker, and against one that reaches several.
+func TestBarredRequestIsTried(t *testing.T) {
+	const ok, barred = http.StatusOK, http.StatusUnprocessableEntity
+	for _, c := range []struct {
+		name string
+		// first is the error of the first attempt; nil if the worker answers.
+		first error
+		// want are the statuses of the first request and the next.
+		want     [2]int
+		wantRuns int
+	}{
+		{name: "it is answered", want: [2]int{ok, ok}, wantRuns: 2},
+		{name: "the first worker is not reached", first: connectError, want: [2]int{ok, ok}, wantRuns: 2},
+		{name: "the first worker refuses the request", first: refusalError, want: [2]int{http.StatusServiceUnavailable, barred}, wantRuns: 1},
+		{name: "the first worker breaks off", first: resetError, want: [2]int{http.StatusBadGateway, barred}, wantRuns: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			workers := answeringWorkers()
+			connections := 0
+			workers.connecting = func() error {
+				if connections++; connections == 1 && c.first == connectError {
+					return connectError
+				}
+				return nil
+			}
+			workers.run = func(_ context.Context, number int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+				if number == 1 && c.first != nil && c.first != connectError {
+					return nil, c.first
+				}
+				return wholeResponse(http.StatusOK, "answer"), nil
+			}
+			f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2}, allowance: 10}, workers)
+			var elapsed time.Duration
+			var cleared []poison.Cleared
+			guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, func() time.Time { return time.Now().Add(elapsed) }, func(event poison.Event) {
+				if event, is := event.(poison.Cleared); is {
+					cleared = append(cleared, event)
+				}
+			})
+			f.handler.SetGuard(guard)
+			now := time.Now()
+			digest := poison.Request{Method: http.MethodGet, Target: "/x"}.Digest()
+			guard.ApplyBar(poison.Bar{Digest: digest, Workers: []string{"gone-1", "gone-2", "gone-3"}, Times: 1, Since: now, Until: now.Add(time.Hour)})
+			if response, _, err := f.get(t); err != nil || response.StatusCode != barred {
+				t.Fatalf("with the bar: got %v, %v, want status %d", response, err, barred)
+			}
+			elapsed = poison.DefaultSettings().Parts.TrialDelay + poison.DefaultSettings().Parts.TrialElection
+			for i, want := range c.want {
+				if response, body, err := f.get(t); err != nil || response.StatusCode != want {
+					t.Errorf("request %d: got %v, %q, %v, want status %d", i, response, body, err, want)
+				}
+			}
+			if runs := len(workers.ranAt); runs != c.wantRuns {
+				t.Errorf("%d runs, want %d", runs, c.wantRuns)
+			}
+			if isLifted := len(cleared) == 1 && cleared[0].WasBarred; isLifted != (c.want[1] == ok) {
+				t.Errorf("the guard reports %v as cleared", cleared)
+			}
+		})
+	}
+}
+
+// TestTrialIsNotAbandonedForSilence guards against the trial of a barred request that is given up because its worker does not answer at once: no other
+// worker may run it, so the bar would outlast a sound request that takes its time.
+func TestTrialIsNotAbandonedForSilence(t *testing.T) {
+	workers := &fakeWorkers{run: func(ctx context.Context, _ int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+		select {
+		case <-time.After(300 * time.Millisecond):
+			return wholeResponse(http.StatusOK, "answer"), nil
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}}
+	rule := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Objective: 50 * time.Millisecond}
+	f := newFixture(t, fixtureOptions{rule: rule, allowance: 10}, workers)
+	var elapsed time.Duration
+	guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, func() time.Time { return time.Now().Add(elapsed) }, func(poison.Event) {})
+	f.handler.SetGuard(guard)
+	now := time.Now()
+	digest := poison.Request{Method: http.MethodGet, Target: "/x"}.Digest()
+	guard.ApplyBar(poison.Bar{Digest: digest, Workers: []string{"gone-1", "gone-2", "gone-3"}, Times: 1, Since: now, Until: now.Add(time.Hour)})
+	elapsed = poison.DefaultSettings().Parts.TrialDelay + poison.DefaultSettings().Parts.TrialElection
+	if response, body, err := f.get(t); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("got %v, %q, %v, want an answer", response, body, err)
+	}
+	if status, _ := guard.Status(digest); status != poison.Clear {
+		t.Errorf("status %d, want Clear", status)
+	}
+}
--- a/internal/poison/barring.go
+++ b/internal/poison/barring.go
@@ -9,34 +9,30 @@
 
 // shouldBar reports whether to bar a suspect: it reached a crash limit, or crashed a worker after an earlier bar.
 func (t *Table) shouldBar(digest Digest, entry *suspect) bool {
-	if entry.barCount > 0 || t.distinctCrashes(entry, slices.Collect(maps.Keys(entry.crashes))) >= t.settings.AmbiguousCrashLimit {
+	if entry.barCount > 0 || t.distinctRuns(entry, slices.Collect(maps.Keys(entry.crashes))) >= t.settings.AmbiguousCrashLimit {
 		// After a first bar, a single crash is enough.
 		return true
 	}
 	unattributed := t.unattributed(digest, entry)
-	return t.distinctCrashes(entry, unattributed) >= t.settings.CrashLimit && !t.ambiguous(digest, unattributed)
+	return t.distinctRuns(entry, unattributed) >= t.settings.CrashLimit && !t.ambiguous(digest, unattributed)
 }
 
-// distinctCrashes counts the crashes of a suspect that are distinct. It sorts workers by crash time.
+// distinctCrashes counts the crashes of a suspect at distinct times. They restrain it, also those of runs that were in progress together.
 func (t *Table) distinctCrashes(entry *suspect, workers []string) int {
-	if t.parts != nil {
-		return t.parts.times.distinct(entry.crashes, workers, t.settings.MinCrashInterval)
-	}
-	return distinctCrashes(entry.crashes, workers, t.settings.MinCrashInterval)
+	return t.times().distinct(entry.crashes, workers, t.settings.MinCrashInterval)
 }
 
-// distinctCrashes counts the crashes that are at least minInterval after the previous counted one. It sorts workers by crash time.
-func distinctCrashes(crashes map[string]time.Time, workers []string, minInterval time.Duration) int {
-	slices.SortFunc(workers, func(a, b string) int { return crashes[a].Compare(crashes[b]) })
-	count := 0
-	var last time.Time
-	for _, worker := range workers {
-		if at := crashes[worker]; count == 0 || at.Sub(last) >= minInterval {
-			count++
-			last = at
-		}
+// distinctRuns counts the crashes of a suspect that are evidence by themselves: each run began after the crash that was counted before.
+func (t *Table) distinctRuns(entry *suspect, workers []string) int {
+	return t.times().distinctRuns(entry.crashes, entry.runs, workers, t.settings.MinCrashInterval)
+}
+
+// times tells when workers crashed.
+func (t *Table) times() *crashTimes {
+	if t.parts == nil {
+		return &crashTimes{}
 	}
-	return count
+	return t.parts.times
 }
 
 // ambiguous reports whether another suspect ran at all of the given workers, so that either may be the cause, or requests with a part of
@@ -72,9 +68,8 @@
 		if now.Before(entry.barredUntil) || !t.shouldBar(digest, entry) {
 			continue
 		}
-		entry.barCount++
-		entry.barredSince, entry.lastReport = now, now
-		entry.barredUntil = now.Add(t.settings.barDuration(entry.barCount))
+		entry.create(now, t.settings, t.settings.Parts.TrialDelay)
+		entry.lastReport = now
 		bars = append(bars, entry.bar(digest))
 		t.unsentChanges[digest] = true
 	}
@@ -100,12 +95,13 @@
 // expires.
 type Bar struct {
 	Digest Digest
-	// Part is the barred part; zero for a barred request. TrialDelay is when after Since a first request with it is let through, Trials is
-	// how many were, and ReportedHere is set if this gateway reported a crash under it.
+	// Part is the barred part; zero for a barred request. TrialDelay is when after Since a first request with it is let through, and ReportedHere is
+	// set if this gateway reported a crash under it.
 	Part         Part
 	TrialDelay   time.Duration
-	Trials       int
 	ReportedHere bool
+	// Trials is how many trials have begun.
+	Trials int
 	// Rule is the routing rule that the request matches, and Tenant its caller, for operators.
 	Rule, Tenant string
 	// Workers are the ids of the worker incarnations that crashed under the request.
@@ -130,6 +126,24 @@
 	return b
 }
 
+// beginTrial reports whether a barred request may be sent to a worker now, to find out whether it still crashes workers. isElected tells whether this
+// gateway is the one to begin the trial with a number.
+func (t *Table) beginTrial(now time.Time, digest Digest, isElected func(number int) bool) bool {
+	entry, found := t.suspects[digest]
+	if !found || !entry.beginTrial(now, t.settings.Parts, isElected) {
+		return false
+	}
+	t.unsentTrials[digest] = true
+	return true
+}
+
+// returnTrial undoes beginTrial for a request that was sent to no worker.
+func (t *Table) returnTrial(digest Digest) {
+	if entry, found := t.suspects[digest]; found {
+		entry.returnTrial()
+	}
+}
+
 // Release clears all evidence against a request, and reports whether it was barred.
 func (t *Table) Release(now time.Time, digest Digest) bool {
 	entry, found := t.suspects[digest]
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -9,12 +9,15 @@
 	"time"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/completeness"
 )
 
 // Prober checks whether the process of a worker still runs.
 type Prober interface {
 	// RefusesConnections reports whether nothing listens at the worker's address any more. It returns an error if that cannot be determined.
 	RefusesConnections(ctx context.Context, worker *backend.Worker) (bool, error)
+	// Look looks at a worker whose connection has ended. One that lives keeps a connection open for the settle time.
+	Look(ctx context.Context, worker *backend.Worker, settle time.Duration) completeness.Worker
 }
 
 // Event is a change that a guard reports: WorkerCrashed, CrashReceived, BarCreated, BarReceived or Cleared.
@@ -117,13 +120,18 @@
 	// crashed is set once the crash is confirmed. probeDone is non-nil while a probe runs, and closed when it completes.
 	crashed   bool
 	probeDone chan struct{}
-	requests  map[Digest]requestInfo
+	requests  map[Digest]Run
 }
 
-// requestInfo describes a request to operators, and names the parts of its prompt that may have crashed the worker.
-type requestInfo struct {
-	rule, tenant string
-	parts        []Part
+// Run is an attempt of a request at a worker.
+type Run struct {
+	Digest Digest
+	// Rule is the routing rule that the request matches, and Tenant its caller, for operators.
+	Rule, Tenant string
+	// Began is when the request was sent to the worker; zero if that is not known.
+	Began time.Time
+	// Parts are the parts of the prompt that may have crashed the worker: none if the worker had been answering the request for a while.
+	Parts []Part
 }
 
 // NewGuard returns an empty guard that reports its events to emit.
@@ -133,6 +141,7 @@
 		alive: map[string]time.Time{}, versions: map[string]map[string]int{},
 	}
 	g.table.parts, g.parts.mostByOneRequest = g.parts, g.table.mostByOneRequest
+	g.parts.times.life = func(worker string) time.Time { return g.alive[worker] }
 	g.parts.start(now())
 	return g
 }
@@ -164,15 +173,13 @@
 // ConnectionBroke records that the connection to a worker broke while it ran the request, and probes in the background whether the worker
 // crashed. The returned channel is closed when the probe completes; it is nil if the outcome is known already. The exit of a worker
 // that drains, or that removed its record, is planned and not counted.
-//
-// Parts are the parts of the prompt that may have crashed the worker: none if the worker had been answering the request for a while.
-func (g *Guard) ConnectionBroke(worker *backend.Worker, digest Digest, rule, tenant string, parts ...Part) <-chan struct{} {
+func (g *Guard) ConnectionBroke(worker *backend.Worker, run Run) <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.isPlannedExit(worker) {
 		return nil
 	}
-	entry := g.addRequest(worker, digest, requestInfo{rule, tenant, parts})
+	entry := g.addRequest(worker, run)
 	if entry.brokenAt.IsZero() {
 		entry.brokenAt = g.now()
 	}
@@ -187,28 +194,50 @@
 	return entry.probeDone
 }
 
-// endConfirmTime bounds how long ConfirmRunning takes: a connection attempt in the same region, and the time in which an exiting process
-// closes what its listener still accepted.
-const endConfirmTime = 20 * time.Millisecond
+// ConfirmEnd tells whether a response that ended with its connection in the ordinary way is whole. A connection to the worker has to stay open for the
+// settle time. If the response is not whole, its end counts as the time at which the connection broke, however long evidence was awaited.
+func (g *Guard) ConfirmEnd(ctx context.Context, worker *backend.Worker, settle time.Duration) completeness.Result {
+	endedAt, wasRegistered := g.now(), g.isRegistered(worker)
+	result := completeness.Await(ctx, func(ctx context.Context) completeness.Evidence {
+		evidence := completeness.Evidence{Framing: completeness.FramingConnection, Worker: g.prober.Look(ctx, worker, settle)}
+		evidence.RecordRemoved = wasRegistered && !g.isRegistered(worker)
+		return evidence
+	})
+	if result != completeness.Whole && ctx.Err() == nil {
+		g.recordEnd(worker, endedAt)
+	}
+	return result
+}
 
-// ConfirmRunning reports whether a worker whose connection ended refuses new connections, because its process has crashed, and whether that
-// could be determined.
-func (g *Guard) ConfirmRunning(ctx context.Context, worker *backend.Worker) (crashed, known bool) {
-	ctx, cancel := context.WithTimeout(ctx, endConfirmTime)
-	defer cancel()
-	refuses, err := g.prober.RefusesConnections(ctx, worker)
-	return refuses, err == nil
+// recordEnd records when a connection to a worker ended that ConnectionBroke will be called for.
+func (g *Guard) recordEnd(worker *backend.Worker, endedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.isPlannedExit(worker) {
+		return
+	}
+	entry := g.entry(worker)
+	if !entry.crashed && (entry.brokenAt.IsZero() || endedAt.Before(entry.brokenAt)) {
+		entry.brokenAt = endedAt
+	}
+}
+
+// isRegistered reports whether a worker has a record.
+func (g *Guard) isRegistered(worker *backend.Worker) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registered[worker.ID] != nil
 }
 
 // Abandoned records that a request abandoned a worker that did not respond. If the worker is found to have crashed, the crash counts
 // against the request and the parts.
-func (g *Guard) Abandoned(worker *backend.Worker, digest Digest, rule, tenant string, parts ...Part) {
+func (g *Guard) Abandoned(worker *backend.Worker, run Run) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.isPlannedExit(worker) {
 		return
 	}
-	entry := g.addRequest(worker, digest, requestInfo{rule, tenant, parts})
+	entry := g.addRequest(worker, run)
 	if entry.silentAt.IsZero() {
 		entry.silentAt = g.now()
 	}
@@ -225,11 +254,11 @@
 }
 
 // signOfLife records that a worker was up at the given time. The caller holds the mutex.
-func (g *Guard) signOfLife(worker *backend.Worker, now time.Time) {
-	if g.registered[worker.ID] != nil {
-		g.alive[worker.ID] = now
+func (g *Guard) signOfLife(worker *backend.Worker, at time.Time) {
+	if g.registered[worker.ID] != nil && at.After(g.alive[worker.ID]) {
+		g.alive[worker.ID] = at
 	}
-	if entry := g.disconnected[worker.ID]; entry != nil && !entry.crashed {
+	if entry := g.disconnected[worker.ID]; entry != nil && !entry.crashed && at.After(entry.silentAt) {
 		entry.silentAt = time.Time{}
 	}
 }
@@ -245,16 +274,24 @@
 const maxRequestsPerWorker = 512
 
 // addRequest adds a request to a worker that may have crashed. The caller holds the mutex.
-func (g *Guard) addRequest(worker *backend.Worker, digest Digest, info requestInfo) *disconnectedWorker {
+func (g *Guard) addRequest(worker *backend.Worker, run Run) *disconnectedWorker {
+	entry := g.entry(worker)
+	if len(entry.requests) < maxRequestsPerWorker {
+		// Of several copies the last one to begin counts.
+		run.Began = later(run.Began, entry.requests[run.Digest].Began)
+		entry.requests[run.Digest] = run
+	}
+	return entry
+}
+
+// entry returns the entry of a worker that may have crashed, as one that a request was just added to. The caller holds the mutex.
+func (g *Guard) entry(worker *backend.Worker) *disconnectedWorker {
 	entry, found := g.disconnected[worker.ID]
 	if !found {
-		entry = &disconnectedWorker{worker: worker, requests: map[Digest]requestInfo{}}
+		entry = &disconnectedWorker{worker: worker, requests: map[Digest]Run{}}
 		g.disconnected[worker.ID] = entry
 	}
 	entry.lastRequest = g.now()
-	if len(entry.requests) < maxRequestsPerWorker {
-		entry.requests[digest] = info
-	}
 	return entry
 }
 
@@ -302,7 +339,9 @@
 		}
 	}
 	for _, id := range changes.Removed {
-		delete(g.alive, id)
+		if g.disconnected[id] == nil {
+			delete(g.alive, id)
+		}
 	}
 }
 
@@ -313,17 +352,19 @@
 	isNew := !entry.crashed
 	entry.crashed = true
 	if isNew {
-		g.parts.mergeTime(entry.worker.ID, g.crashTime(entry))
+		g.parts.mergeTime(g.now(), entry.worker.ID, g.crashTime(entry))
 	}
 	crashedAt := g.parts.times.latest(entry.worker.ID, g.now())
 	event := WorkerCrashed{Worker: entry.worker, Evidence: evidence, Age: g.now().Sub(crashedAt)}
 	parts := map[Part]bool{}
-	for digest, info := range entry.requests {
+	for digest, run := range entry.requests {
 		event.Requests = append(event.Requests, digest)
-		for _, part := range info.parts {
+		for _, part := range run.Parts {
 			parts[part] = true
 		}
-		g.table.RecordCrash(g.now(), crashedAt, Crash{Digest: digest, Worker: entry.worker.ID}, info.rule, info.tenant)
+		crash := Crash{Digest: digest, Worker: entry.worker.ID}
+		g.table.RecordCrash(g.now(), crashedAt, crash, run.Rule, run.Tenant)
+		g.table.RecordRun(g.now(), run.Began, entry.brokenAt, crash)
 	}
 	event.Parts = slices.SortedFunc(maps.Keys(parts), compareParts)
 	g.parts.recordCrash(g.now(), crashedAt, entry.worker.ID, g.versionBeside(entry.worker), event.Parts)
@@ -407,13 +448,55 @@
 	apply := g.table.ApplyBar
 	if !bar.Part.IsZero() {
 		apply = g.parts.applyBar
+		if g.parts.isRefuted(g.now(), bar) {
+			// The gateway that lifted the bar may have ended before it could remove it.
+			g.emit(Cleared{Digest: bar.Digest, Part: bar.Part, WasBarred: true})
+			g.notifyChange()
+			return
+		}
 	}
 	if g.now().Before(bar.Until) && apply(g.now(), bar) {
 		g.emit(BarReceived{bar})
 	}
+	if g.tellRefutation() {
+		g.emit(Cleared{Digest: bar.Digest, WasBarred: true})
+	}
 	g.updateHasSuspects()
 }
 
+// tellRefutation tells the other gateways of a success that has refuted the bar of a request, and reports whether there was one. The caller holds the
+// mutex.
+func (g *Guard) tellRefutation() bool {
+	hasRefuted := g.table.hasRefuted
+	g.table.hasRefuted = false
+	if hasRefuted && g.notify != nil {
+		g.notify(true)
+	}
+	return hasRefuted
+}
+
+// BeginRequestTrial reports whether a barred request may be sent to one worker, to find out whether it still crashes workers. isElected reports whether
+// this gateway is the one to begin the trial with a number.
+func (g *Guard) BeginRequestTrial(digest Digest, isElected func(number int) bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.table.beginTrial(g.now(), digest, isElected) {
+		return false
+	}
+	if g.notify != nil {
+		// The other gateways must not begin the same trial.
+		g.notify(true)
+	}
+	return true
+}
+
+// ReturnRequestTrial undoes BeginRequestTrial for a request that was sent to no worker.
+func (g *Guard) ReturnRequestTrial(digest Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.returnTrial(digest)
+}
+
 // Release clears all evidence against the request or the part with a digest, and reports whether it was barred.
 func (g *Guard) Release(digest Digest) bool {
 	g.mu.Lock()
@@ -468,6 +551,7 @@
 			delete(g.disconnected, id)
 		}
 	}
+	maps.DeleteFunc(g.alive, func(id string, _ time.Time) bool { return g.registered[id] == nil && g.disconnected[id] == nil })
 	g.updateHasSuspects()
 }
 
@@ -481,6 +565,12 @@
 	for _, bar := range g.table.ApplyUpdate(g.now(), update) {
 		g.emit(BarReceived{bar})
 	}
+	for _, digest := range g.table.liftedHere {
+		// The gateway with the success may not know what the store holds.
+		g.emit(Cleared{Digest: digest, WasBarred: true})
+	}
+	g.table.liftedHere = nil
+	g.tellRefutation()
 	for _, crash := range update.Crashes {
 		g.emit(CrashReceived{Worker: crash.Worker, Age: time.Duration(crash.AgoMs) * time.Millisecond})
 	}
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/backend"
+	"github.com/granitebay/granitebay/internal/completeness"
 )
 
 // fakeProber returns probe results from the configured state of the workers.
@@ -36,6 +37,18 @@
 	return p.crashed[worker.ID], nil
 }
 
+// Look implements Prober.
+func (p *fakeProber) Look(ctx context.Context, worker *backend.Worker, _ time.Duration) completeness.Worker {
+	switch refuses, err := p.RefusesConnections(ctx, worker); {
+	case err != nil:
+		return completeness.WorkerUnseen
+	case refuses:
+		return completeness.WorkerRefuses
+	default:
+		return completeness.WorkerAlive
+	}
+}
+
 // crash makes probes of a worker report a crash.
 func (p *fakeProber) crash(worker string) {
 	p.mu.Lock()
@@ -91,9 +104,9 @@
 		for id, worker := range workers {
 			time.Sleep(2 * DefaultSettings().MinCrashInterval)
 			g.prober.crash(id)
-			g.ConnectionBroke(worker, killer, "rule", "")
+			g.ConnectionBroke(worker, Run{Digest: killer, Rule: "rule"})
 			if id == "w1" {
-				g.ConnectionBroke(worker, harmless, "rule", "")
+				g.ConnectionBroke(worker, Run{Digest: harmless, Rule: "rule"})
 			}
 		}
 		waitForEvaluation()
@@ -126,7 +139,7 @@
 		setWorkers(g, backend.Set{"running": workers["running"], "unresponsive": workers["unresponsive"], "draining": &draining})
 		digest := digestNamed("request")
 		for _, worker := range workers {
-			g.ConnectionBroke(worker, digest, "rule", "")
+			g.ConnectionBroke(worker, Run{Digest: digest, Rule: "rule"})
 		}
 		waitForEvaluation()
 		time.Sleep(2 * recordTimeout)
@@ -145,7 +158,7 @@
 		g := newTestGuard(workers)
 		g.prober.unresponsive["w1"] = true
 		digest := digestNamed("request")
-		g.ConnectionBroke(workers["w1"], digest, "rule", "")
+		g.ConnectionBroke(workers["w1"], Run{Digest: digest, Rule: "rule"})
 		waitForEvaluation()
 		if got, _ := g.Status(digest); got != Clear {
 			t.Errorf("before the record was removed: status %d, want Clear", got)
@@ -187,12 +200,12 @@
 		killer, harmless := digestNamed("killer"), digestNamed("harmless")
 		for i, g := range guards {
 			worker := workers[fmt.Sprint("w", i+1)]
-			g.ConnectionBroke(worker, killer, "rule", "")
+			g.ConnectionBroke(worker, Run{Digest: killer, Rule: "rule"})
 			// The harmless request runs beside the killer twice, each time through another gateway.
 			if i < 2 {
 				other := guards[(i+1)%3]
 				other.prober.crash(worker.ID)
-				other.ConnectionBroke(worker, harmless, "rule", "")
+				other.ConnectionBroke(worker, Run{Digest: harmless, Rule: "rule"})
 			}
 			time.Sleep(40 * time.Millisecond)
 		}
@@ -217,10 +230,10 @@
 		g.prober.crash("w1")
 		abandoned, crashing := digestNamed("slow"), digestNamed("other")
 		for _, worker := range workers {
-			g.Abandoned(worker, abandoned, "rule", "")
+			g.Abandoned(worker, Run{Digest: abandoned, Rule: "rule"})
 		}
 		time.Sleep(time.Second)
-		g.ConnectionBroke(workers["w1"], crashing, "rule", "")
+		g.ConnectionBroke(workers["w1"], Run{Digest: crashing, Rule: "rule"})
 		waitForEvaluation()
 		setWorkers(g, backend.Set{"w1": workers["w1"], "running": workers["running"]})
 		if got, bar := g.Status(abandoned); got != Suspected || fmt.Sprint(bar.Workers) != "[w1 w2]" {
@@ -242,7 +255,7 @@
 		g.prober.crash("w1")
 		for i := range 5 {
 			digest := digestNamed(fmt.Sprint(i))
-			g.ConnectionBroke(workers["w1"], digest, "rule", "")
+			g.ConnectionBroke(workers["w1"], Run{Digest: digest, Rule: "rule"})
 			time.Sleep(3 * time.Millisecond)
 			synctest.Wait()
 			if got, _ := g.Status(digest); got != Suspected {
@@ -254,3 +267,32 @@
 		}
 	})
 }
+
+// TestEndOfResponseIsTimeOfCrash guards against crashes that count as later than they were because evidence for the end of a response was awaited, and
+// against requests that are held against a worker which was seen alive.
+func TestEndOfResponseIsTimeOfCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &backend.Worker{ID: "w", Group: "g", Address: "w"}
+		prober := &fakeProber{crashed: map[string]bool{}, unresponsive: map[string]bool{}}
+		var crashed WorkerCrashed
+		guard := NewGuard(DefaultSettings(), prober, time.Now, func(event Event) {
+			if found, is := event.(WorkerCrashed); is {
+				crashed = found
+			}
+		})
+		guard.UpdateWorkers(backend.Set{"w": worker}.Diff(backend.Set{}))
+		if got := guard.ConfirmEnd(t.Context(), worker, completeness.SettleTime); got != completeness.Whole || len(guard.disconnected) != 0 {
+			t.Errorf("got %v with %d workers that may have crashed, want a whole response", got, len(guard.disconnected))
+		}
+		prober.unresponsive["w"] = true
+		endedAt := time.Now()
+		if got := guard.ConfirmEnd(t.Context(), worker, completeness.SettleTime); got != completeness.Unknown || time.Since(endedAt) < time.Second {
+			t.Errorf("got %v after %v, want an unknown end after some time", got, time.Since(endedAt))
+		}
+		<-guard.ConnectionBroke(worker, Run{Digest: Digest{1}, Rule: "rule"})
+		guard.UpdateWorkers(backend.Changes{Removed: []string{"w"}})
+		if took := time.Since(endedAt); crashed.Age != took || len(crashed.Requests) != 1 {
+			t.Errorf("the crash was %v ago, with %d requests; want %v, with one", crashed.Age, len(crashed.Requests), took)
+		}
+	})
+}
--- a/internal/poison/guardparts_test.go
+++ b/internal/poison/guardparts_test.go
@@ -29,17 +29,24 @@
 		time.Sleep(2 * DefaultSettings().MinCrashInterval)
 		worker := workers[fmt.Sprint("w", number)]
 		g.prober.crash(worker.ID)
-		g.ConnectionBroke(worker, digestNamed(worker.ID), "rule", "", part("b"), part("c"+worker.ID))
+		g.ConnectionBroke(worker, Run{Digest: digestNamed(worker.ID), Rule: "rule", Parts: []Part{part("b"), part("c" + worker.ID)}})
 	}
 }
 
 // newLearnedGuard returns a guard that knows the popular parts.
-func newLearnedGuard(workers backend.Set) *testGuard {
-	g := newTestGuard(workers)
-	for range DefaultSettings().Parts.LearningAnswers {
-		g.RecordAnswer(workers["w0"], g.Now(), []Part{part("other")})
+func newLearnedGuard(workers backend.Set) *testGuard { return newLearnedGuards(workers, 1)[0] }
+
+// newLearnedGuards returns guards that know the popular parts.
+func newLearnedGuards(workers backend.Set, count int) []*testGuard {
+	guards := make([]*testGuard, count)
+	for i := range guards {
+		guards[i] = newTestGuard(workers)
+		for range DefaultSettings().Parts.LearningAnswers {
+			guards[i].RecordAnswer(workers["w0"], guards[i].Now(), []Part{part("other")})
+		}
 	}
-	return g
+	time.Sleep(DefaultSettings().Parts.LearningTime)
+	return guards
 }
 
 // TestPartIsBarredAtOneVersion guards against crashes at one version that answers of another one clear, against a bar that keeps requests from
--- /dev/null
+++ b/internal/poison/supplement.go
@@ -0,0 +1,101 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// SuspectUpdate supplements an Update by what builds before it don't know. Its fields are numbered, so that builds skip those that they don't know.
+type SuspectUpdate struct {
+	Digest Digest `cbor:"1,keyasint"`
+	// Runs are the runs of the request that ended with a crash.
+	Runs []CrashedRun `cbor:"2,keyasint,omitempty"`
+	// Trials is how many trials of the bar of the request have begun; BarAgoMs is the age of the bar when it is sent, in milliseconds. Both are zero if
+	// the request isn't barred.
+	Trials   int   `cbor:"3,keyasint,omitempty"`
+	BarAgoMs int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// CrashedRun is a run of a request that ended with the crash of its worker.
+type CrashedRun struct {
+	_ struct{} `cbor:",toarray"`
+	// Worker is the id of the worker's incarnation.
+	Worker string
+	// AgoMs is the age of the crash when it is sent, and BeganAgoMs that of the start of the run, in milliseconds.
+	AgoMs, BeganAgoMs int64
+	// BrokeAgoMs is the age of the break of the connection; negative if none broke.
+	BrokeAgoMs int64
+}
+
+// TakeSupplement returns what has changed of the suspects since the last call, or all of the recent ones if full is set: at most MaxPerUpdate of them, and as
+// many runs. Trials that the other gateways have not been told of come first, because they must not begin the same ones.
+func (t *Table) TakeSupplement(now time.Time, full bool) []SuspectUpdate {
+	var digests []Digest
+	for digest, entry := range t.suspects {
+		isBarred := now.Before(entry.barredUntil)
+		if t.unsentRuns[digest] || t.unsentTrials[digest] || (full && (isBarred || (entry.barCount == 0 && len(entry.runs) > 0))) {
+			digests = append(digests, digest)
+		}
+	}
+	slices.SortFunc(digests, func(a, b Digest) int {
+		return cmp.Or(compareBools(t.unsentTrials[b], t.unsentTrials[a]), t.suspects[b].lastReport.Compare(t.suspects[a].lastReport), slices.Compare(a[:], b[:]))
+	})
+	clear(t.unsentRuns)
+	clear(t.unsentTrials)
+	left := t.settings.MaxPerUpdate
+	var updates []SuspectUpdate
+	for _, digest := range digests[:min(len(digests), t.settings.MaxPerUpdate)] {
+		entry := t.suspects[digest]
+		update := SuspectUpdate{Digest: digest}
+		if now.Before(entry.barredUntil) {
+			update.Trials, update.BarAgoMs = entry.trials, max(now.Sub(entry.barredSince).Milliseconds(), 1)
+		}
+		for worker, times := range entry.runs {
+			if left == 0 {
+				break
+			}
+			left--
+			crashedAt := t.crashedAt(worker, entry.crashes[worker])
+			run := CrashedRun{Worker: worker, AgoMs: now.Sub(crashedAt).Milliseconds(), BeganAgoMs: now.Sub(times.began).Milliseconds(), BrokeAgoMs: -1}
+			if !times.broke.IsZero() {
+				run.BrokeAgoMs = now.Sub(times.broke).Milliseconds()
+			}
+			update.Runs = append(update.Runs, run)
+		}
+		updates = append(updates, update)
+	}
+	return updates
+}
+
+// ApplySupplement merges what another gateway tells of suspects.
+func (t *Table) ApplySupplement(now time.Time, updates []SuspectUpdate) {
+	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	for _, update := range updates {
+		t.mergeTrials(now, update)
+		for _, run := range update.Runs {
+			crash := Crash{Digest: update.Digest, Worker: run.Worker}
+			t.mergeCrash(now, ago(run.AgoMs), crash)
+			var broke time.Time
+			if run.BrokeAgoMs >= 0 {
+				broke = ago(run.BrokeAgoMs)
+			}
+			t.RecordRun(now, ago(run.BeganAgoMs), broke, crash)
+		}
+	}
+}
+
+// mergeTrials merges the trials of the bar of a request that is in force here. A build that doesn't tell of trials begins none.
+func (t *Table) mergeTrials(now time.Time, update SuspectUpdate) {
+	entry, found := t.suspects[update.Digest]
+	if !found || update.BarAgoMs == 0 || !now.Before(entry.barredUntil) {
+		return
+	}
+	began := now.Add(-time.Duration(update.BarAgoMs) * time.Millisecond)
+	if began.Sub(entry.barredSince).Abs() > barTimeTolerance {
+		// That is an earlier or a later bar.
+		return
+	}
+	entry.trials = max(entry.trials, update.Trials)
+	entry.heardAt = time.Time{}
+}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -74,11 +74,11 @@
 	// crashes maps the workers that crashed under the request to the time when their connections broke, or when the bar began that
 	// named them.
 	crashes map[string]time.Time
+	// runs maps those of the workers for which they are known to the times of the runs there.
+	runs map[string]runTimes
 	// lastReport is when a crash or a bar was reported last.
 	lastReport time.Time
-	// barCount counts the bars of the request; the last one lasts from barredSince to barredUntil.
-	barCount                 int
-	barredSince, barredUntil time.Time
+	barState
 	// succeededAt is when the request last succeeded or was released; earlier crashes and bars are void. It is zero if it never did.
 	succeededAt time.Time
 	// rule and tenant are empty until this gateway has seen the request itself or received its bar.
@@ -89,7 +89,7 @@
 func (s *suspect) bar(digest Digest) Bar {
 	return Bar{
 		Digest: digest, Rule: s.rule, Tenant: s.tenant, Workers: slices.Sorted(maps.Keys(s.crashes)), Times: s.barCount, Since: s.barredSince, Until: s.barredUntil,
-		LastReport: s.lastReport,
+		Trials: s.trials, LastReport: s.lastReport,
 	}
 }
 
@@ -101,7 +101,7 @@
 // ran at the same worker.
 //
 // Invariant: a request is barred only after at least CrashLimit workers crashed under it since its last success, each at least
-// MinCrashInterval after the previous one.
+// MinCrashInterval after the previous one and, where the start of the run is known, in a run that began after that crash.
 type Table struct {
 	settings Settings
 	suspects map[Digest]*suspect
@@ -111,6 +111,14 @@
 	pending map[Digest]bool
 	// unsentCrashes are not shared yet, and unsentChanges are the requests with a bar or success that is not shared yet.
 	unsentCrashes []Crash
+	// unsentRuns are the suspects with times of runs that are not shared yet.
+	unsentRuns map[Digest]bool
+	// unsentTrials are the barred requests with a trial that is not shared yet.
+	unsentTrials map[Digest]bool
+	// hasRefuted is set once a success has refuted a bar of another gateway, which is to be told of it.
+	hasRefuted bool
+	// liftedHere are the bars of this gateway that successes at other gateways have lifted.
+	liftedHere    []Digest
 	unsentChanges map[Digest]bool
 	// evictAt is the number of entries from which on the next one may exceed a bound; looking for entries to evict takes a pass over all.
 	evictAt int
@@ -122,7 +130,7 @@
 func NewTable(settings Settings) *Table {
 	return &Table{
 		settings: settings, suspects: map[Digest]*suspect{}, suspectsByWorker: map[string]map[Digest]bool{}, pending: map[Digest]bool{},
-		unsentChanges: map[Digest]bool{}, evictAt: min(settings.MaxSuspects, settings.MaxBarred),
+		unsentChanges: map[Digest]bool{}, unsentRuns: map[Digest]bool{}, unsentTrials: map[Digest]bool{}, evictAt: min(settings.MaxSuspects, settings.MaxBarred),
 	}
 }
 
@@ -161,10 +169,34 @@
 	}
 }
 
+// RecordRun records when the request of a recorded crash had begun to run at the worker, and when the connection broke; zero if none did. Of several copies
+// the last one counts.
+func (t *Table) RecordRun(now, began, broke time.Time, crash Crash) {
+	entry, found := t.suspects[crash.Digest]
+	if !found || began.IsZero() {
+		return
+	}
+	if _, crashed := entry.crashes[crash.Worker]; !crashed {
+		return
+	}
+	run := entry.runs[crash.Worker].merge(runTimes{began, broke})
+	if run == entry.runs[crash.Worker] {
+		return
+	}
+	if entry.runs == nil {
+		entry.runs = map[string]runTimes{}
+	}
+	entry.runs[crash.Worker] = run
+	t.unsentRuns[crash.Digest] = true
+	if !now.Before(entry.barredUntil) {
+		t.pending[crash.Digest] = true
+	}
+}
+
 // mergeCrash adds a crash, unless it is known or the request succeeded since.
 func (t *Table) mergeCrash(now, crashedAt time.Time, crash Crash) {
 	if t.parts != nil {
-		crashedAt = t.parts.timeOf(crash.Worker, crashedAt)
+		crashedAt = t.parts.timeOf(now, crash.Worker, crashedAt)
 	}
 	entry, found := t.suspects[crash.Digest]
 	if found && !crashedAt.After(entry.succeededAt) {
@@ -225,30 +257,28 @@
 
 // crashedAt returns the time by which a worker had crashed, given the time that was first reported.
 func (t *Table) crashedAt(worker string, reported time.Time) time.Time {
-	if t.parts == nil {
-		return reported
-	}
-	return t.parts.times.latest(worker, reported)
+	return t.times().latest(worker, reported)
 }
 
 // allCrashesCorrelated reports whether each crash under a suspect coincided with that of a worker where it did not run.
 func (t *Table) allCrashesCorrelated(entry *suspect) bool {
-	for _, at := range entry.crashes {
-		if !t.otherWorkerCrashed(entry, at) {
+	for worker, at := range entry.crashes {
+		if !t.otherWorkerCrashed(entry, worker, at) {
 			return false
 		}
 	}
 	return true
 }
 
-// otherWorkerCrashed reports whether a worker where the suspect did not run crashed within MinCrashInterval of the given time.
-func (t *Table) otherWorkerCrashed(entry *suspect, at time.Time) bool {
+// otherWorkerCrashed reports whether a worker where the suspect did not run may have crashed at the same moment as the given one, which crashed under the
+// suspect.
+func (t *Table) otherWorkerCrashed(entry *suspect, crashed string, at time.Time) bool {
 	for worker, suspects := range t.suspectsByWorker {
 		if _, here := entry.crashes[worker]; here {
 			continue
 		}
 		for digest := range suspects {
-			if t.suspects[digest].crashes[worker].Sub(at).Abs() < t.settings.MinCrashInterval {
+			if t.times().coincide(worker, t.suspects[digest].crashes[worker], crashed, at, t.settings.MinCrashInterval) {
 				return true
 			}
 			// All suspects of a worker have about the same crash time.
@@ -280,17 +310,17 @@
 
 // clearUntil voids the evidence against a request up to the given time. It returns the other suspects of the voided crashes.
 func (t *Table) clearUntil(at time.Time, digest Digest, entry *suspect) map[Digest]bool {
-	others := map[Digest]bool{}
+	others, isVoided := map[Digest]bool{}, false
 	for worker, crashedAt := range entry.crashes {
 		if t.crashedAt(worker, crashedAt).After(at) {
 			continue
 		}
-		delete(entry.crashes, worker)
-		t.unindexCrash(digest, worker)
+		isVoided = true
+		t.removeCrash(digest, entry, worker)
 		maps.Copy(others, t.suspectsByWorker[worker])
 	}
-	if !entry.barredSince.After(at) {
-		entry.barCount, entry.barredSince, entry.barredUntil = 0, time.Time{}, time.Time{}
+	if !entry.barredSince.After(at) || (isVoided && len(entry.crashes) == 0) {
+		entry.lift()
 	}
 	if len(entry.crashes) == 0 {
 		delete(t.pending, digest)
@@ -332,6 +362,15 @@
 	delete(t.suspects, digest)
 	delete(t.pending, digest)
 	delete(t.unsentChanges, digest)
+	delete(t.unsentRuns, digest)
+	delete(t.unsentTrials, digest)
+}
+
+// removeCrash removes a crash from a suspect and from the index.
+func (t *Table) removeCrash(digest Digest, entry *suspect, worker string) {
+	delete(entry.crashes, worker)
+	delete(entry.runs, worker)
+	t.unindexCrash(digest, worker)
 }
 
 // unindexCrash removes a crash of a suspect from the index.
@@ -345,12 +384,17 @@
 // ApplyBar applies a bar received from another gateway or the store. It reports whether it newly bars the request.
 func (t *Table) ApplyBar(now time.Time, bar Bar) bool {
 	entry, found := t.suspects[bar.Digest]
+	if found && t.times().isRefuted(bar, entry.succeededAt) {
+		// The gateways that believe the bar are told of the success.
+		t.hasRefuted, t.unsentChanges[bar.Digest] = true, true
+		return false
+	}
 	if found && entry.barCount > 0 && entry.rule == "" {
 		// This gateway barred the request without knowing its rule.
 		entry.rule, entry.tenant = bar.Rule, bar.Tenant
 	}
 	isKnown := found && now.Before(entry.barredUntil) && bar.Times <= entry.barCount
-	if isKnown || (found && (!bar.Since.After(entry.succeededAt) || !bar.Since.After(entry.barredSince.Add(barTimeTolerance)))) {
+	if isKnown || (found && !bar.Since.After(entry.barredSince.Add(barTimeTolerance))) {
 		return false
 	}
 	if !found {
@@ -359,7 +403,7 @@
 		t.suspects[bar.Digest] = entry
 	}
 	isNew := !now.Before(entry.barredUntil)
-	entry.barCount, entry.barredSince, entry.barredUntil = max(bar.Times, 1), earlier(bar.Since, now), bar.Until
+	entry.receive(now, bar, t.settings.Parts.TrialDelay)
 	entry.lastReport = now
 	if bar.Rule != "" {
 		// A gateway that knows the crashes only from updates bars without the rule. A gateway that saw the request shares the rule.
@@ -381,8 +425,7 @@
 	}
 	for worker, at := range entry.crashes {
 		if now.Sub(at) > t.settings.CrashRetention {
-			delete(entry.crashes, worker)
-			t.unindexCrash(digest, worker)
+			t.removeCrash(digest, entry, worker)
 		}
 	}
 }
