Poison: the silence of a worker is not kept as a broken connection

Cause: the time that counts for a crash was merged as that of a broken connection, also where the worker had fallen silent. It was told on as such, and a run ends when the first connection broke, so runs seemed to end at the silence. TestSilenceIsNoBrokenConnection failed before at the reporter and at the receiver.

--- a/internal/poison/crashtime.go
+++ b/internal/poison/crashtime.go
@@ -132,6 +132,12 @@
 	return found
 }
 
+// isSilenceAt reports whether a worker is known to have fallen silent at the given time, so that a report of its crash then is none of a broken connection.
+func (c *crashTimes) isSilenceAt(worker string, at time.Time) bool {
+	known, found := c.byWorker[worker]
+	return found && known.isSilence() && at.Sub(known.silent).Abs() < crashTimeTolerance
+}
+
 // latest returns the time by which a worker had crashed, or the given time if it is unknown.
 func (c *crashTimes) latest(worker string, unknown time.Time) time.Time {
 	if known, found := c.byWorker[worker]; found {
--- a/internal/poison/evidence_test.go
+++ b/internal/poison/evidence_test.go
@@ -253,6 +253,25 @@
 	})
 }
 
+// TestSilenceIsNoBrokenConnection guards against the time of a silence that is kept, and told, as that of a broken connection, which ends runs.
+func TestSilenceIsNoBrokenConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := groupSet(3)
+		reporter, receiver := newTestGuard(workers), newTestGuard(workers)
+		time.Sleep(400 * time.Millisecond)
+		fallSilent(reporter, workers, "b", 0)
+		parts, update := reporter.TakePartUpdate(false), reporter.TakeUpdate(false)
+		time.Sleep(5 * time.Millisecond)
+		receiver.ApplyPartUpdate(&parts)
+		receiver.ApplyUpdate(update)
+		for _, g := range []*testGuard{reporter, receiver} {
+			if known := g.parts.times.byWorker["w0"]; !known.isSilence() || !known.broken.IsZero() {
+				t.Errorf("the crash is known as %+v, want a silence and no broken connection", known)
+			}
+		}
+	})
+}
+
 // TestLateReportOfVoidCrashStaysVoid guards against crashes that answers have voided and that count again, because another gateway notices them
 // seconds later.
 func TestLateReportOfVoidCrashStaysVoid(t *testing.T) {
--- a/internal/poison/parttable.go
+++ b/internal/poison/parttable.go
@@ -196,7 +196,9 @@
 
 // timeOf returns the time by which a worker had crashed, given that of a report.
 func (t *partTable) timeOf(now time.Time, worker string, reported time.Time) time.Time {
-	t.mergeTime(now, worker, crashTime{broken: reported})
+	if !t.times.isSilenceAt(worker, reported) {
+		t.mergeTime(now, worker, crashTime{broken: reported})
+	}
 	return t.times.latest(worker, reported)
 }
 
