Poison: the first copy of a request at a worker tells when its run began

Cause: of several copies at a worker the last one to begin counted. Gateways leave a silent worker and send further copies, so a copy had reached each worker right before its crash, and the runs seemed to have begun one after the other although earlier copies were in flight at all workers.

The first copy counts now. A request that crashes its workers has no earlier copy that lives. TestLaterCopiesBarNoRequest failed before (both gateways bar).

--- a/internal/poison/crashtime.go
+++ b/internal/poison/crashtime.go
@@ -174,13 +174,13 @@
 
 // runTimes bounds the runs of one request at a worker that crashed.
 type runTimes struct {
-	// began is when the last run was sent to the worker, and broke when the first connection to it broke; zero if that is not known.
+	// began is when the first of the runs was sent to the worker, and broke when the first connection to it broke; zero if that is not known.
 	began, broke time.Time
 }
 
 // merge returns what two gateways know together.
 func (r runTimes) merge(other runTimes) runTimes {
-	return runTimes{began: later(r.began, other.began), broke: earlierKnown(r.broke, other.broke)}
+	return runTimes{began: earlierKnown(r.began, other.began), broke: earlierKnown(r.broke, other.broke)}
 }
 
 // ended returns the time by which the worker had crashed. Its silence doesn't tell: a run lasts longer than a gateway waits for its first byte. A worker to
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -277,8 +277,8 @@
 func (g *Guard) addRequest(worker *backend.Worker, run Run) *disconnectedWorker {
 	entry := g.entry(worker)
 	if len(entry.requests) < maxRequestsPerWorker {
-		// Of several copies the last one to begin counts.
-		run.Began = later(run.Began, entry.requests[run.Digest].Began)
+		// Of several copies the first one to begin counts.
+		run.Began = earlierKnown(run.Began, entry.requests[run.Digest].Began)
 		entry.requests[run.Digest] = run
 	}
 	return entry
--- a/internal/poison/runs_test.go
+++ b/internal/poison/runs_test.go
@@ -56,6 +56,29 @@
 	})
 }
 
+// TestLaterCopiesBarNoRequest guards against a bar of an often asked request because a further copy of it reached each worker right before the worker
+// crashed, while earlier copies were in flight at all of them.
+func TestLaterCopiesBarNoRequest(t *testing.T) {
+	first := time.Unix(1000, 0)
+	now, often := first, digestNamed("often")
+	tables := []*Table{NewTable(DefaultSettings()), NewTable(DefaultSettings())}
+	for i := range 6 {
+		crash := Crash{Digest: often, Worker: fmt.Sprint("w", i)}
+		for gateway, began := range []time.Time{first.Add(-time.Second), now.Add(-20 * time.Millisecond)} {
+			tables[gateway].RecordCrash(now, now, crash, "rule", "")
+			tables[gateway].RecordRun(now, began, now, crash)
+		}
+		exchangeAll(now, tables)
+		now = now.Add(150 * time.Millisecond)
+	}
+	now = now.Add(DefaultSettings().SettleDelay)
+	for number, table := range tables {
+		if bars := table.Evaluate(now); len(bars) > 0 {
+			t.Errorf("gateway %d bars the request", number)
+		}
+	}
+}
+
 // TestRunsAfterCrashesBarRequest guards against a request that crashes each worker and is not barred after three, because copies of it were in flight
 // together: three at one moment, then one after the other.
 func TestRunsAfterCrashesBarRequest(t *testing.T) {
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -170,7 +170,7 @@
 }
 
 // RecordRun records when the request of a recorded crash had begun to run at the worker, and when the connection broke; zero if none did. Of several copies
-// the last one counts.
+// the first one counts.
 func (t *Table) RecordRun(now, began, broke time.Time, crash Crash) {
 	entry, found := t.suspects[crash.Digest]
 	if !found || began.IsZero() {
