--- a/internal/forward/ratelimits_test.go
+++ b/internal/forward/ratelimits_test.go
@@ -52,12 +52,19 @@
 	if !d.AllowHealthCheck(id) {
 		t.Error("a worker without a limit may not be checked")
 	}
-	d.SetLimit(id, 20, 0)
+	const perSecond = 20
+	limitedAt := time.Now()
+	d.SetLimit(id, perSecond, 0)
 	if d.AllowHealthCheck(id) {
 		t.Error("a worker may be checked before it has capacity")
 	}
 	time.Sleep(60 * time.Millisecond)
-	if !d.AllowHealthCheck(id) || d.AllowHealthCheck(id) {
-		t.Error("a worker with capacity for one request may be checked twice, or not at all")
+	checks := 0
+	for d.AllowHealthCheck(id) {
+		checks++
+	}
+	// On a busy machine the sleep may take longer, and the worker then has capacity for more.
+	if capacity := int(time.Since(limitedAt).Seconds() * perSecond); checks < 1 || checks > capacity {
+		t.Errorf("a worker with capacity for %d requests may be checked %d times", capacity, checks)
 	}
 }
