Test servers: a play of cut responses ends if no request arrives any more

It returns an error after 20 such cuts in a row. Why the gateway sent the requests to no worker is not traced: the test is listed, and says what the caller got.

--- a/internal/forward/cut_test.go
+++ b/internal/forward/cut_test.go
@@ -69,7 +69,7 @@
 				case time.Since(start) > maxTime:
 					t.Errorf("%s: took %s", cut, time.Since(start))
 				case !wasCut.Load():
-					t.Errorf("%s: the worker got no request", cut)
+					t.Errorf("%s: the worker got no request, and the caller %v, %v", cut, response, err)
 				case isSuccess && !strings.HasPrefix(want, body):
 					t.Errorf("%s: the caller got %q", cut, body)
 				case isSuccess && err == nil && !cut.EndsRegularly() && (body != want || !cut.MayBeWhole()):
--- a/internal/standin/cutserver/cutserver.go
+++ b/internal/standin/cutserver/cutserver.go
@@ -60,10 +60,13 @@
 	return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 }
 
+// maxNotServed is the number of cuts in a row that may get no request.
+const maxNotServed = 20
+
 // Play calls a function for each cut of the responses of a handler: after each byte, in each framing, by a close and by a reset. The function makes
-// one request to the address. Play returns the number of cuts.
+// one request to the address. Play returns the number of cuts, and an error if requests have stopped to arrive.
 func Play(handler http.Handler, request func(cut Cut)) (int, error) {
-	cuts := 0
+	cuts, unserved := 0, 0
 	for _, framing := range framings {
 		for _, resets := range []bool{false, true} {
 			for missing, left := 0, true; left; missing++ {
@@ -78,7 +81,14 @@
 					sent <- serve(listener, handler, framing.frame, missing, resets)
 				}()
 				request(Cut{listener.Addr().String(), framing.name, missing, resets})
-				left = <-sent != 0
+				bytesSent := <-sent
+				left = bytesSent != 0
+				if unserved++; bytesSent != notServed {
+					unserved = 0
+				}
+				if unserved > maxNotServed {
+					return cuts, fmt.Errorf("no request reached the last %d cuts of the framing %q", unserved, framing.name)
+				}
 			}
 		}
 	}
