Poison: what others tell of runs and silences is passed on with full updates only

Cause: each gateway passed on at once what it had heard, so a crash cost a message from each gateway to each. That these messages filled the links is suspected, not shown. Own reports still go at once, and full updates each second make up for lost ones. The tests of the package pass, among them TestGuardsBecomeQuiet.

--- a/internal/poison/crashtime.go
+++ b/internal/poison/crashtime.go
@@ -92,7 +92,7 @@
 // crashTimes holds when workers crashed, by the incarnation of the worker. Gateways notice a crash at different times; what counts is the crash.
 type crashTimes struct {
 	byWorker map[string]crashTime
-	// unsent are the workers that fell silent, as the other gateways have not been told yet.
+	// unsent are the workers whose silence this gateway has noticed and not told yet. What others tell is passed on with full updates only.
 	unsent map[string]bool
 	// limit bounds the workers.
 	limit int
@@ -126,9 +126,6 @@
 		return false
 	}
 	c.byWorker[worker] = merged
-	if merged.isSilence() {
-		c.unsent[worker] = true
-	}
 	return found
 }
 
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -353,6 +353,7 @@
 	entry.crashed = true
 	if isNew {
 		g.parts.mergeTime(g.now(), entry.worker.ID, g.crashTime(entry))
+		g.parts.times.unsent[entry.worker.ID] = true
 	}
 	crashedAt := g.parts.times.latest(entry.worker.ID, g.now())
 	event := WorkerCrashed{Worker: entry.worker, Evidence: evidence, Age: g.now().Sub(crashedAt)}
--- a/internal/poison/supplement.go
+++ b/internal/poison/supplement.go
@@ -80,7 +80,7 @@
 			if run.BrokeAgoMs >= 0 {
 				broke = ago(run.BrokeAgoMs)
 			}
-			t.RecordRun(now, ago(run.BeganAgoMs), broke, crash)
+			t.mergeRun(now, ago(run.BeganAgoMs), broke, crash)
 		}
 	}
 }
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -169,28 +169,35 @@
 	}
 }
 
-// RecordRun records when the request of a recorded crash had begun to run at the worker, and when the connection broke; zero if none did. Of several copies
-// the first one counts.
+// RecordRun records when the request of a recorded crash of this gateway had begun to run at the worker, and when the connection broke; zero if none did.
+// Of several copies the first one counts.
 func (t *Table) RecordRun(now, began, broke time.Time, crash Crash) {
+	if t.mergeRun(now, began, broke, crash) {
+		t.unsentRuns[crash.Digest] = true
+	}
+}
+
+// mergeRun adds the times of a run, and reports whether they are news. What another gateway tells is passed on with full updates only.
+func (t *Table) mergeRun(now, began, broke time.Time, crash Crash) bool {
 	entry, found := t.suspects[crash.Digest]
 	if !found || began.IsZero() {
-		return
+		return false
 	}
 	if _, crashed := entry.crashes[crash.Worker]; !crashed {
-		return
+		return false
 	}
 	run := entry.runs[crash.Worker].merge(runTimes{began, broke})
 	if run == entry.runs[crash.Worker] {
-		return
+		return false
 	}
 	if entry.runs == nil {
 		entry.runs = map[string]runTimes{}
 	}
 	entry.runs[crash.Worker] = run
-	t.unsentRuns[crash.Digest] = true
 	if !now.Before(entry.barredUntil) {
 		t.pending[crash.Digest] = true
 	}
+	return true
 }
 
 // mergeCrash adds a crash, unless it is known or the request succeeded since.
