--- a/internal/peersync/exchange.go
+++ b/internal/peersync/exchange.go
@@ -236,9 +236,8 @@
 	}
 	message := e.source.TakeUpdate(full)
 	message.Full = full
-	// The supplement tells when the workers crashed that the message names.
-	e.sendSupplement(e.source.TakeSupplement(full))
 	e.sendMessage(message)
+	e.sendSupplement(e.source.TakeSupplement(full))
 }
 
 // sendMessage sends a message to all peers. Send errors are ignored, as datagrams may be lost anyway.
