Store: a gateway follows its feed while the store does not answer it

Callers saw: requests that reached workers over 3 s after these had begun to leave (DRAIN), through a gateway that the store did not answer.

Cause: an entry reads the feed of another one only between its calls to the store, and then once. A watch that gets no answer ends 2 s after its wait, a list or a dial after 1 to 1.5 s, and after the first response of the feed the rest of a pause passed without it.

Change: a call to the store that takes 250 ms longer than its wait goes on beside the feed, and a pause is spent with the feed as long as that answers. What a late response of the store adds is merged by revision, as before. A request to the feed that this gateway cancels is no failure of the upstream.

--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -319,3 +319,17 @@
 		}
 	}
 }
+
+// TestCancelledRequestIsNoFailure guards against skipping an upstream because this gateway ended its own request.
+func TestCancelledRequestIsNoFailure(t *testing.T) {
+	source := newSource(changeAt(4))
+	follower, _ := newFollower(changefeed.Upstream{Name: "x", Zone: "a", Address: serve(t, source)})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := follower.Next(ctx, requestAfter(4, time.Second)); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got error %v, want that of the context", err)
+	}
+	if changes, err := follower.Next(t.Context(), requestAfter(3, time.Second)); err != nil || changes.Revision != 4 {
+		t.Errorf("the next request: got %+v, %v", changes, err)
+	}
+}
--- a/internal/changefeed/follower.go
+++ b/internal/changefeed/follower.go
@@ -186,6 +186,9 @@
 		}
 		started := time.Now()
 		changes, err := f.requestChanges(ctx, upstream.Address, request)
+		if err != nil && ctx.Err() != nil {
+			return store.Changes{}, errors.Wrap(ctx.Err(), "request changes from other gateways")
+		}
 		f.reportOutcome(started, changes, err)
 		if err != nil {
 			// Query the next upstream. This one is only skipped here; the entries replace it once its heartbeats stop.
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -265,17 +265,6 @@
 	r.storeUnavailable = unavailable
 }
 
-// waitWithFeed waits before the next call to the store and polls the feed meanwhile, because the store may reject some
-// processes and serve others.
-func (r *Replica) waitWithFeed(ctx context.Context, pause time.Duration) {
-	end := time.Now().Add(pause)
-	if r.feed != nil && r.table != nil {
-		// Errors are ignored: the process continues with the items it has.
-		_ = r.pollFeed(ctx, pause)
-	}
-	sleep(ctx, time.Until(end))
-}
-
 // errWatchRestarted ends a watch that RestartWatch interrupts.
 var errWatchRestarted = errors.New("the watch was restarted")
 
@@ -311,14 +300,19 @@
 func (r *Replica) list(ctx context.Context) error {
 	var listedThrough string
 	stop := func(items []Item) bool {
-		if r.table != nil || r.feed == nil || listedThrough != "" || r.settings.Sharded == nil || !r.settings.Sharded(items[len(items)-1].Key) {
+		if r.feed == nil || listedThrough != "" || r.settings.Sharded == nil || !r.settings.Sharded(items[len(items)-1].Key) {
 			return false
 		}
 		listedThrough = r.applyUnsharded(items)
 		return r.standby.Load()
 	}
+	if r.table != nil {
+		stop = nil
+	}
 	started := boottime.Now()
-	listing, err := r.store.ListUntil(ctx, r.prefix, stop)
+	var listing Listing
+	var err error
+	r.callWithFeed(ctx, 0, func() { listing, err = r.store.ListUntil(ctx, r.prefix, stop) })
 	if err != nil {
 		return err
 	}
@@ -374,8 +368,11 @@
 		case <-stop:
 		}
 	}()
-	wait, started := r.watchWait(), boottime.Now()
-	events, revision, err := r.store.Watch(watchCtx, r.prefix, r.revision, wait)
+	wait, after, started := r.watchWait(), r.revision, boottime.Now()
+	var events []Event
+	var revision Revision
+	var err error
+	r.callWithFeed(ctx, wait, func() { events, revision, err = r.store.Watch(watchCtx, r.prefix, after, wait) })
 	switch {
 	case errors.Is(err, ErrCompacted):
 		if r.queryLister(ctx) {
