Poison: full updates share what they repeat among the gateways

Cause: each gateway repeated all recent evidence to each other one once a second, up to 128 requests, 128 runs, 128 silent workers and 512 parts. With the times of runs and silences that became 12 KB beside the 8 KB of a message. The full links kept them from hearing each other, and so kept them entries: the system did not recover after the split had healed.

Change: a full update carries what is new and all bars, as before, and of the rest a part that shrinks with the number of gateways; successive updates go through it in turn, each gateway from another place.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -214,6 +214,7 @@
 	}
 	g.feedFollower.SetUpstreams(upstreamsOf(entries))
 	g.setRetryGatewayCount(receivers.Standby, len(entries), len(suspects)+len(claimants), serving)
+	g.barSyncer.guard.SetGateways(len(receivers.Peers) + 1)
 	g.loadExchange.SetReceivers(receivers)
 }
 
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -153,6 +153,13 @@
 	g.notify = notify
 }
 
+// SetGateways sets the number of gateways that send full updates to each other, which share what these repeat.
+func (g *Guard) SetGateways(count int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.gateways, g.parts.gateways = count, count
+}
+
 // HasSuspects reports whether there is evidence against any request or part: one that is suspected or barred, or was until recently, before
 // it succeeded or was released, or its crashes or bar expired. If there is none, every request is Clear and callers need not compute digests.
 func (g *Guard) HasSuspects() bool { return g.hasSuspects.Load() }
--- a/internal/poison/partupdate.go
+++ b/internal/poison/partupdate.go
@@ -83,25 +83,20 @@
 	Trials int
 }
 
-// takeUpdate returns the changes since the last call, or all recent state if full is set. The changes include crashes received from other
-// gateways, as these may have stopped since.
+// takeUpdate returns the changes since the last call. If full is set, it repeats recent state: all bars, and of the rest some, the others with the next
+// full updates. The changes include crashes received from other gateways, as these may have stopped since.
 func (t *partTable) takeUpdate(now time.Time, full bool) PartUpdate {
-	update := PartUpdate{Silent: t.times.take(now, full, t.settings.MaxPerUpdate)}
+	var repeatedWorkers, repeated int
+	if full {
+		repeatedWorkers, repeated = maxRepeated(t.settings.MaxPerUpdate, t.gateways), maxRepeated(t.settings.Parts.MaxPerUpdate, t.gateways)
+	}
+	update := PartUpdate{Silent: t.times.take(now, t.settings.MaxPerUpdate, repeatedWorkers)}
 	if t.empty() || (!full && len(t.unsentWorkers)+len(t.unsentParts) == 0) {
 		return update
 	}
-	t.addCrashes(now, &update, full)
-	t.addInUse(&update, full)
-	answers := 0
-	for part, state := range t.parts {
-		ago := now.Sub(state.answeredAt)
-		if t.sharesAnswer(state, ago) && (full || t.unsentParts[part]) && answers < t.settings.Parts.MaxPerUpdate {
-			answers++
-			state.isRefutationUntold = false
-			limited := update.at(part.Version)
-			limited.Answers = append(limited.Answers, PartAnswer{Group: part.Group, Part: part.ID, AgoMs: ago.Milliseconds()})
-		}
-	}
+	t.addCrashes(now, &update, repeated)
+	t.addInUse(&update, repeated)
+	t.addAnswers(now, &update, repeated)
 	bars := t.bars(now)
 	for _, bar := range bars[max(len(bars)-t.settings.MaxPerUpdate, 0):] {
 		if full || t.unsentParts[bar.Part] {
@@ -117,69 +112,102 @@
 	return update
 }
 
+// addAnswers adds the latest answers to an update: those to be told now, up to MaxPerUpdate, and up to the given number of others.
+func (t *partTable) addAnswers(now time.Time, update *PartUpdate, repeated int) {
+	left := t.settings.Parts.MaxPerUpdate
+	for part, state := range t.parts {
+		ago := now.Sub(state.answeredAt)
+		isNew := t.unsentParts[part]
+		if !t.sharesAnswer(state, ago) || left == 0 || (!isNew && repeated == 0) {
+			continue
+		}
+		left--
+		if !isNew {
+			repeated--
+		}
+		state.isRefutationUntold = false
+		limited := update.at(part.Version)
+		limited.Answers = append(limited.Answers, PartAnswer{Group: part.Group, Part: part.ID, AgoMs: ago.Milliseconds()})
+	}
+}
+
 // sharesAnswer reports whether the other gateways are to be told of the latest answer with a part, which is of the given age.
 func (t *partTable) sharesAnswer(state *partState, ago time.Duration) bool {
 	return !state.answeredAt.IsZero() && (state.isRefutationUntold || ago < t.settings.SuccessShareTime)
 }
 
-// addInUse adds the parts in use to an update: those to be told now, or all under suspicion if full is set.
-func (t *partTable) addInUse(update *PartUpdate, full bool) {
-	count := 0
+// addInUse adds the parts in use to an update: those to be told now, up to MaxPerUpdate, and up to the given number of others under suspicion.
+func (t *partTable) addInUse(update *PartUpdate, repeated int) {
+	left := t.settings.Parts.MaxPerUpdate
 	for part, state := range t.parts {
-		isSuspect := full && state.barCount == 0 && len(state.crashes) >= t.settings.Parts.SuspectCrashes
-		if (state.isUseUntold || isSuspect) && t.hasAnswered(state) && count < t.settings.Parts.MaxPerUpdate {
-			count++
-			state.isUseUntold = false
-			limited := update.at(part.Version)
-			limited.InUse = append(limited.InUse, PartInUse{Group: part.Group, Part: part.ID})
+		isNew := state.isUseUntold
+		isRepeated := !isNew && repeated > 0 && state.barCount == 0 && len(state.crashes) >= t.settings.Parts.SuspectCrashes
+		if left == 0 || (!isNew && !isRepeated) || !t.hasAnswered(state) {
+			continue
+		}
+		left--
+		if isRepeated {
+			repeated--
 		}
+		state.isUseUntold = false
+		limited := update.at(part.Version)
+		limited.InUse = append(limited.InUse, PartInUse{Group: part.Group, Part: part.ID})
 	}
 }
 
-// addCrashes adds the crashes to send to an update, latest first, with at most MaxPerUpdate parts. Crashes under barred parts are sent with
-// their bars.
-func (t *partTable) addCrashes(now time.Time, update *PartUpdate, full bool) {
-	type crash struct {
-		worker string
-		at     time.Time
-		parts  []Part
-	}
-	var crashes []crash
-	workers := maps.Keys(t.unsentWorkers)
-	if full {
-		workers = maps.Keys(t.byWorker)
-	}
-	for worker := range workers {
-		c := crash{worker: worker}
-		for part := range t.byWorker[worker] {
-			if state := t.parts[part]; state.barCount == 0 {
-				c.parts = append(c.parts, part)
-				c.at = state.crashes[worker]
-			}
-		}
-		if len(c.parts) > 0 {
-			crashes = append(crashes, c)
+// workerCrash is the crash of a worker and the parts that it counts against. Crashes under barred parts are sent with their bars.
+type workerCrash struct {
+	worker string
+	at     time.Time
+	// parts are those with the most crashes first, which are the likeliest causes.
+	parts []Part
+}
+
+// workerCrash returns the crash of a worker; without parts if it counts against none.
+func (t *partTable) workerCrash(worker string) workerCrash {
+	c := workerCrash{worker: worker}
+	for part := range t.byWorker[worker] {
+		if state := t.parts[part]; state.barCount == 0 {
+			c.parts = append(c.parts, part)
+			c.at = state.crashes[worker]
 		}
 	}
-	slices.SortFunc(crashes, func(a, b crash) int { return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.worker, b.worker)) })
+	slices.SortFunc(c.parts, func(a, b Part) int {
+		return cmp.Or(len(t.parts[b].crashes)-len(t.parts[a].crashes), compareParts(a, b))
+	})
+	return c
+}
+
+// addCrashes adds the crashes to send to an update: those to be told now, latest first, with at most MaxPerUpdate parts, and others with up to the
+// given number of parts.
+func (t *partTable) addCrashes(now time.Time, update *PartUpdate, repeated int) {
+	var changed []workerCrash
+	for worker := range t.unsentWorkers {
+		changed = append(changed, t.workerCrash(worker))
+	}
+	slices.SortFunc(changed, func(a, b workerCrash) int { return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.worker, b.worker)) })
 	left := t.settings.Parts.MaxPerUpdate
-	for _, c := range crashes {
-		if left == 0 {
+	for _, c := range changed {
+		left -= update.addCrash(now, c, left)
+	}
+	repeated = min(repeated, left)
+	if repeated == 0 {
+		return
+	}
+	told := slices.DeleteFunc(slices.Collect(maps.Keys(t.byWorker)), func(worker string) bool { return t.unsentWorkers[worker] })
+	for _, worker := range t.toldWorkers.order(told) {
+		if repeated == 0 {
 			break
 		}
-		// The parts with the most crashes are the likeliest causes.
-		slices.SortFunc(c.parts, func(a, b Part) int {
-			return cmp.Or(len(t.parts[b].crashes)-len(t.parts[a].crashes), compareParts(a, b))
-		})
-		c.parts = c.parts[:min(len(c.parts), left)]
-		left -= len(c.parts)
-		update.addCrash(c.worker, now.Sub(c.at), c.parts)
+		repeated -= update.addCrash(now, t.workerCrash(worker), repeated)
+		t.toldWorkers.end(worker)
 	}
 }
 
-// addCrash adds the crash of a worker, split by the groups of the parts and the versions to which they are limited. A worker may serve several
-// groups.
-func (u *PartUpdate) addCrash(worker string, age time.Duration, parts []Part) {
+// addCrash adds the crash of a worker with at most the given number of parts, split by the groups of the parts and the versions to which they are
+// limited, and returns their number. A worker may serve several groups.
+func (u *PartUpdate) addCrash(now time.Time, c workerCrash, limit int) int {
+	parts := c.parts[:min(len(c.parts), limit)]
 	byGroup := map[Part][]string{}
 	for _, part := range parts {
 		key := Part{Group: part.Group, Version: part.Version}
@@ -187,8 +215,9 @@
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(byGroup), compareParts) {
 		limited := u.at(key.Version)
-		limited.Crashes = append(limited.Crashes, PartCrash{Worker: worker, AgoMs: age.Milliseconds(), Group: key.Group, Parts: byGroup[key]})
+		limited.Crashes = append(limited.Crashes, PartCrash{Worker: c.worker, AgoMs: now.Sub(c.at).Milliseconds(), Group: key.Group, Parts: byGroup[key]})
 	}
+	return len(parts)
 }
 
 // applyUpdate merges an update of another gateway. It returns the bars that are new, and the workers whose crashes became void for a part.
--- a/internal/poison/supplement.go
+++ b/internal/poison/supplement.go
@@ -28,46 +28,62 @@
 	BrokeAgoMs int64
 }
 
-// TakeSupplement returns what has changed of the suspects since the last call, or all of the recent ones if full is set: at most MaxPerUpdate of them, and as
-// many runs. Trials that the other gateways have not been told of come first, because they must not begin the same ones.
+// TakeSupplement returns what has changed of the suspects since the last call: at most MaxPerUpdate of them, and as many runs. Trials that the other
+// gateways have not been told of come first, because they must not begin the same ones. If full is set, it repeats what is known of barred requests,
+// and of some of the other suspects, the rest with the next full updates.
 func (t *Table) TakeSupplement(now time.Time, full bool) []SuspectUpdate {
-	var digests []Digest
+	var changed, told []Digest
 	for digest, entry := range t.suspects {
-		isBarred := now.Before(entry.barredUntil)
-		if t.unsentRuns[digest] || t.unsentTrials[digest] || (full && (isBarred || (entry.barCount == 0 && len(entry.runs) > 0))) {
-			digests = append(digests, digest)
+		switch {
+		case t.unsentRuns[digest], t.unsentTrials[digest], full && now.Before(entry.barredUntil):
+			changed = append(changed, digest)
+		case full && entry.barCount == 0 && len(entry.runs) > 0:
+			told = append(told, digest)
 		}
 	}
-	slices.SortFunc(digests, func(a, b Digest) int {
+	slices.SortFunc(changed, func(a, b Digest) int {
 		return cmp.Or(compareBools(t.unsentTrials[b], t.unsentTrials[a]), t.suspects[b].lastReport.Compare(t.suspects[a].lastReport), slices.Compare(a[:], b[:]))
 	})
 	clear(t.unsentRuns)
 	clear(t.unsentTrials)
-	left := t.settings.MaxPerUpdate
+	limit := t.settings.MaxPerUpdate
+	updates := t.suspectUpdates(now, changed[:min(len(changed), limit)], limit)
+	repeated := min(maxRepeated(limit, t.gateways), limit-len(updates))
+	return append(updates, t.suspectUpdates(now, t.toldSuspects.next(told, repeated), repeated)...)
+}
+
+// suspectUpdates returns what is known of suspects, with at most the given number of runs.
+func (t *Table) suspectUpdates(now time.Time, digests []Digest, maxRuns int) []SuspectUpdate {
 	var updates []SuspectUpdate
-	for _, digest := range digests[:min(len(digests), t.settings.MaxPerUpdate)] {
+	for _, digest := range digests {
 		entry := t.suspects[digest]
 		update := SuspectUpdate{Digest: digest}
 		if now.Before(entry.barredUntil) {
 			update.Trials, update.BarAgoMs = entry.trials, max(now.Sub(entry.barredSince).Milliseconds(), 1)
 		}
 		for worker, times := range entry.runs {
-			if left == 0 {
+			if maxRuns == 0 {
 				break
 			}
-			left--
-			crashedAt := t.crashedAt(worker, entry.crashes[worker])
-			run := CrashedRun{Worker: worker, AgoMs: now.Sub(crashedAt).Milliseconds(), BeganAgoMs: now.Sub(times.began).Milliseconds(), BrokeAgoMs: -1}
-			if !times.broke.IsZero() {
-				run.BrokeAgoMs = now.Sub(times.broke).Milliseconds()
-			}
-			update.Runs = append(update.Runs, run)
+			maxRuns--
+			update.Runs = append(update.Runs, t.crashedRun(now, worker, entry.crashes[worker], times))
 		}
 		updates = append(updates, update)
 	}
 	return updates
 }
 
+// crashedRun returns a run at a worker in the form that is sent. CrashedAt stands in for the time of the crash if that is unknown.
+func (t *Table) crashedRun(now time.Time, worker string, crashedAt time.Time, times runTimes) CrashedRun {
+	run := CrashedRun{
+		Worker: worker, AgoMs: now.Sub(t.crashedAt(worker, crashedAt)).Milliseconds(), BeganAgoMs: now.Sub(times.began).Milliseconds(), BrokeAgoMs: -1,
+	}
+	if !times.broke.IsZero() {
+		run.BrokeAgoMs = now.Sub(times.broke).Milliseconds()
+	}
+	return run
+}
+
 // ApplySupplement merges what another gateway tells of suspects.
 func (t *Table) ApplySupplement(now time.Time, updates []SuspectUpdate) {
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -45,18 +45,19 @@
 	Bars      []BarUpdate
 }
 
-// TakeUpdate returns the changes since the last call, or all recent state if full is set. The changes include crashes received from other
-// gateways, as these may have stopped since.
+// TakeUpdate returns the changes since the last call. If full is set, it repeats recent state: of many crashes and successes some, the others with
+// the next full updates. The changes include crashes received from other gateways, as these may have stopped since.
 func (t *Table) TakeUpdate(now time.Time, full bool) Update {
 	var update Update
 	if t.Empty() || (!full && len(t.unsentCrashes)+len(t.unsentChanges) == 0) {
 		return update
 	}
-	crashes := t.unsentCrashes
+	limit := t.settings.MaxPerUpdate
+	crashes, repeated := t.unsentCrashes[:min(len(t.unsentCrashes), limit)], maxRepeated(limit, t.gateways)
 	if full {
-		crashes = t.recentCrashes()
+		crashes = append(crashes, t.toldCrashes.next(t.recentCrashes(crashes), min(repeated, limit-len(crashes)))...)
 	}
-	for _, crash := range crashes[:min(len(crashes), t.settings.MaxPerUpdate)] {
+	for _, crash := range crashes {
 		entry := t.suspects[crash.Digest]
 		if entry == nil {
 			continue
@@ -68,13 +69,17 @@
 	}
 	for digest, entry := range t.suspects {
 		ago := now.Sub(entry.succeededAt)
-		isShared := (full && ago < t.settings.SuccessShareTime) || (t.unsentChanges[digest] && ago < t.settings.SuccessRetention)
-		if isShared && len(update.Successes) < t.settings.MaxPerUpdate {
+		isNew := t.unsentChanges[digest] && ago < t.settings.SuccessRetention
+		isRepeated := !isNew && full && ago < t.settings.SuccessShareTime && repeated > 0
+		if (isNew || isRepeated) && len(update.Successes) < limit {
 			update.Successes = append(update.Successes, SuccessUpdate{Digest: digest, AgoMs: ago.Milliseconds()})
 		}
+		if isRepeated {
+			repeated--
+		}
 	}
 	bars := t.Bars(now)
-	for _, bar := range bars[max(len(bars)-t.settings.MaxPerUpdate, 0):] {
+	for _, bar := range bars[max(len(bars)-limit, 0):] {
 		if full || t.unsentChanges[bar.Digest] {
 			update.Bars = append(update.Bars, barUpdate(now, bar))
 		}
@@ -98,31 +103,31 @@
 	}
 }
 
-// recentCrashes returns the crashes that have not expired, latest first. Those of barred requests are sent with their bars.
-func (t *Table) recentCrashes() []Crash {
-	type timedCrash struct {
-		Crash
-		at time.Time
+// recentCrashes returns the crashes that have not expired, except the given ones. Those of barred requests are sent with their bars.
+func (t *Table) recentCrashes(except []Crash) []Crash {
+	skipped := make(map[Crash]bool, len(except))
+	for _, crash := range except {
+		skipped[crash] = true
 	}
-	var timed []timedCrash
+	var crashes []Crash
 	for digest, entry := range t.suspects {
 		if entry.barCount > 0 {
 			continue
 		}
-		for worker, at := range entry.crashes {
-			timed = append(timed, timedCrash{Crash{Digest: digest, Worker: worker}, at})
+		for worker := range entry.crashes {
+			if crash := (Crash{Digest: digest, Worker: worker}); !skipped[crash] {
+				crashes = append(crashes, crash)
+			}
 		}
 	}
-	slices.SortFunc(timed, func(a, b timedCrash) int {
-		return cmp.Or(b.at.Compare(a.at), slices.Compare(a.Digest[:], b.Digest[:]), cmp.Compare(a.Worker, b.Worker))
-	})
-	crashes := make([]Crash, 0, len(timed))
-	for _, item := range timed {
-		crashes = append(crashes, item.Crash)
-	}
 	return crashes
 }
 
+// compareCrashes orders crashes by request and worker.
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(slices.Compare(a.Digest[:], b.Digest[:]), cmp.Compare(a.Worker, b.Worker))
+}
+
 // ApplyUpdate merges an update of another gateway, and returns the bars that are new.
 func (t *Table) ApplyUpdate(now time.Time, update Update) []Bar {
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
