Store: a watch that the feed has overtaken is no evidence

A watch goes on beside the feed, which may tell of a restore of the store meanwhile. A response from before the restore changed no item, but counted as 'all changes are known as of its start'. It is an error now; a list follows. TestWatchOfEarlierEraIsNoEvidence fails before.

--- a/internal/store/era.go
+++ b/internal/store/era.go
@@ -59,3 +59,10 @@
 	era := revision.Era()
 	return &era
 }
+
+// isOutdated reports whether a response is from an earlier era: the feed may have told of a restore while it was under way.
+func (r *Replica) isOutdated(revision Revision) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.isFromEarlierEra(revision)
+}
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -136,10 +136,7 @@
 // applyChanges applies the response to a request that was sent at started. It returns false if the response is of an
 // earlier era.
 func (r *Replica) applyChanges(started time.Time, changes Changes) bool {
-	r.mutex.Lock()
-	outdated := r.isFromEarlierEra(changes.Revision)
-	r.mutex.Unlock()
-	if outdated {
+	if r.isOutdated(changes.Revision) {
 		return false
 	}
 	r.feedAnsweredAt = boottime.Now()
--- a/internal/store/freshness_test.go
+++ b/internal/store/freshness_test.go
@@ -125,6 +125,17 @@
 	}
 }
 
+// TestWatchOfEarlierEraIsNoEvidence guards against a watch that counts as current although the feed has told of a restore since it began.
+func TestWatchOfEarlierEraIsNoEvidence(t *testing.T) {
+	recorded := &asOfRecorder{}
+	replica := NewReplica(&idleStore{}, "", DefaultReplicaSettings(), recorded, nil)
+	replica.SetMaxStaleness(minWatchWait)
+	replica.replace(Snapshot{Items: []Item{item("a", NewRevision(2, 3))}, Revision: NewRevision(2, 3)})
+	if err := replica.step(t.Context()); !errors.Is(err, errOutdated) || len(recorded.asOf) != 0 {
+		t.Errorf("after a watch that answers from an earlier era: current as of %v, %v", recorded.asOf, err)
+	}
+}
+
 // listingStore answers a list after a delay. It records when it was called.
 type listingStore struct {
 	Store
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -268,6 +268,9 @@
 // errWatchRestarted ends a watch that RestartWatch interrupts.
 var errWatchRestarted = errors.New("the watch was restarted")
 
+// errOutdated ends a watch that the feed has overtaken.
+var errOutdated = errors.New("the store answered as of before it was restored")
+
 // step gets missing items from the feed or by listing the store, and otherwise watches the store.
 func (r *Replica) step(ctx context.Context) error {
 	isPartial := r.shardCount == 0 || (r.shardCount > 1 && !r.standby.Load())
@@ -389,6 +392,9 @@
 		return err
 	}
 	r.RecordStoreResponse()
+	if r.isOutdated(revision) {
+		return errOutdated
+	}
 	pause := r.batchPause(events)
 	if newer := r.recordNewer(events, revision); len(newer) > 0 {
 		r.consumer.Apply(newer)
