HTTP client: the test of unsolicited bytes waits for them

TestUnsolicitedBytesCloseIdleConnection sent its second request 60 ms after the first, and its worker wrote the unsolicited bytes 20 ms after its response. Where the worker's goroutine was late, the bytes came after the second request and were its response for all the client can know. The product is right.

Change: the worker writes once the connection is idle, and the test goes on once the bytes have arrived. It also holds now that the connection was idle then, was closed, and carried no other request. The worker goes by requests, not by the number of the connection: a dial that is noticed late is repeated, which leaves a connection without a request.

--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -104,26 +105,64 @@
 	}
 }
 
+// TestUnsolicitedBytesCloseIdleConnection guards against taking bytes that arrive on an idle connection for the response to the next request.
 func TestUnsolicitedBytesCloseIdleConnection(t *testing.T) {
-	address := startWorker(t, func(connection net.Conn, reader *bufio.Reader, number int) {
-		_, _, _ = readRequest(reader)
-		if number == 1 {
-			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na")
-			time.Sleep(20 * time.Millisecond)
-			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\nwrong")
-			time.Sleep(time.Second)
+	isIdle, ended := make(chan struct{}), make(chan error, 1)
+	// A client whose process stands still while it connects may leave a connection without a request, so only the requests count.
+	address := startWorker(t, func(connection net.Conn, reader *bufio.Reader, _ int) {
+		request, _, err := readRequest(reader)
+		if err != nil {
+			return
+		}
+		if request.Header.Get("Id") == "2" {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\nright")
 			return
 		}
-		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\nright")
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na")
+		<-isIdle
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\nwrong")
+		_, err = reader.ReadByte()
+		ended <- err
 	})
 	client := New(DefaultSettings())
 	if _, err := send(client, address, "1", ""); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(60 * time.Millisecond)
+	idle := client.pool.idle[address]
+	if len(idle) != 1 {
+		t.Fatalf("%d connections are idle, want 1", len(idle))
+	}
+	close(isIdle)
+	awaitReadable(t, idle[0].Conn)
 	if got, err := send(client, address, "2", ""); err != nil || got != "right" {
 		t.Fatalf("got %q, %v", got, err)
 	}
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("the connection carried another request")
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the connection was not closed")
+	}
+}
+
+// awaitReadable waits until bytes have arrived on a connection, and leaves them there.
+func awaitReadable(t *testing.T, conn net.Conn) {
+	t.Helper()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var receiveErr error
+	err = raw.Read(func(descriptor uintptr) bool {
+		var buffer [1]byte
+		_, _, receiveErr = syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(receiveErr, syscall.EAGAIN)
+	})
+	if err != nil || receiveErr != nil {
+		t.Fatalf("await bytes: %v, %v", err, receiveErr)
+	}
 }
 
 func TestEarlyResponseClosesConnection(t *testing.T) {
