Cluster: the test of workers after an outage runs in fake time

TestWorkersWithoutRecordsExpireAfterOutage slept 60 ms while a worker expired after 31 ms. If its process stands still for the 29 ms in between, both timers are due at once, and the test looks before the expiry has run. The product is right.

Change: the test runs in fake time (testing/synctest). It also holds now that the worker stays until the end of the grace period; before, only that it was there right after the list.

--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -70,12 +71,15 @@
 
 const ownKey = member.KeyPrefix + "a"
 
+// outageGrace is how long workers outlast their records in the view of newTestView.
+const outageGrace = 30 * time.Millisecond
+
 // newTestView returns a view and its recorder.
 func newTestView() (*View, *recorder) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	recorded := &recorder{}
-	roster := backend.NewRoster(backend.RosterSettings{OutageGrace: 30 * time.Millisecond, OutageWindow: time.Second})
+	roster := backend.NewRoster(backend.RosterSettings{OutageGrace: outageGrace, OutageWindow: time.Second})
 	return NewView(fakeDecoder{}, recorded, member.NewList(member.Gateway{Name: "a"}), roster, ownKey, logger), recorded
 }
 
@@ -108,22 +112,26 @@
 // TestWorkersWithoutRecordsExpireAfterOutage guards against removing all workers when an outage expired their records, and
 // against keeping those that never return.
 func TestWorkersWithoutRecordsExpireAfterOutage(t *testing.T) {
-	view, recorded := newTestView()
-	view.Reset([]store.Item{putEvent("worker/1", "x").Item})
-	view.StoreUnavailable(errors.New("unavailable"))
-	view.Reset(nil)
-	workerCount := func() int {
-		view.rosterMutex.Lock()
-		defer view.rosterMutex.Unlock()
-		return recorded.workers
-	}
-	if workerCount() != 1 {
-		t.Error("the worker was removed during the outage")
-	}
-	time.Sleep(60 * time.Millisecond)
-	if workerCount() != 0 {
-		t.Error("the worker did not expire")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		view, recorded := newTestView()
+		view.now = time.Now
+		view.Reset([]store.Item{putEvent("worker/1", "x").Item})
+		view.StoreUnavailable(errors.New("unavailable"))
+		view.Reset(nil)
+		expectAfter := func(pause time.Duration, want int) {
+			t.Helper()
+			time.Sleep(pause)
+			synctest.Wait()
+			view.rosterMutex.Lock()
+			defer view.rosterMutex.Unlock()
+			if recorded.workers != want {
+				t.Errorf("got %d workers after another %s, want %d", recorded.workers, pause, want)
+			}
+		}
+		expectAfter(0, 1)
+		expectAfter(outageGrace-time.Nanosecond, 1)
+		expectAfter(outageGrace, 0)
+	})
 }
 
 // TestOwnRegistrationAndControllerAreReported guards against a deleted registration or controller key that the listener is
