Stand-in fleet: workers that are killed, and answer without a length

Behind the proxies of its paths the address of a crashed worker still accepted connections for a moment, so that it could pass for one of a worker that lives.

Now all responses of a worker can be unframed, switched at any time, plain ones in two halves; Kill ends a worker without the delay of a crash under a request, and Restart starts it again; the fleet counts the responses that an end cut so that they look whole, and tells who asks for it which addresses are down before the connections end, so that their paths refuse.

--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -97,22 +97,37 @@
 // restarts after restartDelay.
 func (w *Worker) crashOn(id string) {
 	time.Sleep(crashDelay)
+	if w.end(id) {
+		time.AfterFunc(restartDelay, w.restart)
+	}
+}
+
+// end ends the worker without notice, because of a request or not. It returns false if the worker has ended before.
+func (w *Worker) end(id string) bool {
 	w.mutex.Lock()
 	crashed := w.crashed
 	w.crashed = true
 	w.mutex.Unlock()
 	if crashed {
-		return
+		return false
 	}
 	w.fleet.recordCrash(Crash{Worker: w.options.ID, ID: id, At: time.Now()})
+	w.fleet.setDown(w.address, true)
 	_ = w.server.Close()
 	time.AfterFunc(recordExpiry, func() { w.fleet.Store.Delete("servers/" + w.options.ID) })
-	time.AfterFunc(restartDelay, w.restart)
+	return true
 }
 
 // Crash crashes the worker as a request with CrashingBody does, and returns once it has crashed.
 func (w *Worker) Crash() { w.crashOn("") }
 
+// Kill ends the worker at once, as the kernel ends a killed process: its open connections end in the ordinary way. It stays down until
+// Restart. Kill returns false if the worker has ended before.
+func (w *Worker) Kill() bool { return w.end("") }
+
+// Restart starts a killed worker again under a new ID, unless it was stopped.
+func (w *Worker) Restart() { w.restart() }
+
 // restart starts the worker again under a new ID, unless it was stopped.
 func (w *Worker) restart() {
 	w.mutex.Lock()
@@ -127,7 +142,7 @@
 	}
 	options := w.options
 	options.ID += "'"
-	options.Stage = w.stage
+	options.Stage, options.Unframed = w.stage, w.unframed
 	w.successor = w.fleet.startOn(options, listener, w.address)
 }
 
@@ -146,7 +161,7 @@
 	w.crashed, w.replaced = true, true
 	_ = w.server.Close()
 	options := w.options
-	options.Stage, options.Version = w.stage, version
+	options.Stage, options.Version, options.Unframed = w.stage, version, w.unframed
 	w.successor = w.fleet.startOn(options, listener, w.address)
 	return nil
 }
@@ -188,7 +203,7 @@
 func (f *Fleet) startOn(options WorkerOptions, listener net.Listener, address string) *Worker {
 	worker := &Worker{
 		options: options, fleet: f, address: address, listener: listener, listenAddress: listener.Addr().String(), stage: options.Stage, handles: map[string]bool{},
-		copies: map[string]int{},
+		copies: map[string]int{}, unframed: options.Unframed,
 	}
 	if options.Version != "" {
 		worker.born = time.Now().UnixMilli()
@@ -198,6 +213,7 @@
 	}
 	worker.server = &http.Server{Handler: worker, ConnContext: withClientConn}
 	go func() { _ = worker.server.Serve(listener) }()
+	f.setDown(worker.address, false)
 	f.mutex.Lock()
 	_, replaced := f.workers[worker.address]
 	f.workers[worker.address] = worker
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -17,6 +17,10 @@
 	runs    map[string][]Run
 	// refusals counts the refusals of each request, by request ID.
 	refusals map[string]int
+	// onDown is told the registered address of each worker that ends, before its connections do, and of each that starts; nil without a hook.
+	onDown func(address string, down bool)
+	// cuts counts the responses that look whole although the end of their worker cut them, by request ID.
+	cuts map[string]int
 	// arrivals are all requests that reached workers, including refused ones; orders are the accepted orders.
 	arrivals []Arrival
 	orders   []AcceptedOrder
@@ -174,7 +178,7 @@
 
 // NewFleet returns a fleet without workers and with an empty store.
 func NewFleet() *Fleet {
-	return &Fleet{Store: NewStore(), workers: map[string]*Worker{}, aliases: map[string]string{}, runs: map[string][]Run{}, refusals: map[string]int{}}
+	return &Fleet{Store: NewStore(), workers: map[string]*Worker{}, aliases: map[string]string{}, runs: map[string][]Run{}, refusals: map[string]int{}, cuts: map[string]int{}}
 }
 
 // Runs returns the runs recorded so far, by request ID.
@@ -231,6 +235,17 @@
 	f.aliases[alias] = registered
 }
 
+// NotifyDown makes the fleet call a function with the registered address of each worker that ends, before its listener and its connections are
+// closed, and of each that starts. It has to be set before the first worker starts.
+func (f *Fleet) NotifyDown(onDown func(address string, down bool)) { f.onDown = onDown }
+
+// setDown calls the hook of NotifyDown, if there is one.
+func (f *Fleet) setDown(address string, down bool) {
+	if f.onDown != nil {
+		f.onDown(address, down)
+	}
+}
+
 // worker returns the worker at an address or alias, or nil.
 func (f *Fleet) worker(address string) *Worker {
 	f.mutex.Lock()
--- a/internal/standin/fleet/serving.go
+++ b/internal/standin/fleet/serving.go
@@ -241,6 +241,10 @@
 	}
 	if w.options.Stage == "" {
 		answer := PlainAnswer(id, body)
+		if w.isUnframed() && fault != WorkerCuts {
+			w.writeUnframed(writer, request, id, answer)
+			return
+		}
 		writer.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 		if fault == WorkerCuts {
 			answer = answer[:len(answer)/2]
@@ -269,7 +273,8 @@
 func (w *Worker) writeStream(writer http.ResponseWriter, request *http.Request, id string, step time.Duration, fault WorkerFault, maxEvents int) {
 	controller := http.NewResponseController(writer)
 	writer.Header().Set("Content-Type", "text/event-stream")
-	if w.options.Unframed {
+	unframed := w.isUnframed() && fault != WorkerCuts
+	if unframed {
 		setUnframed(writer)
 	}
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
@@ -287,14 +292,14 @@
 		_ = controller.Flush()
 		w.sendCopy(request, id, number)
 		if !waitFor(step, request.Context().Done()) {
+			if unframed && number < w.options.Events {
+				w.recordCut(id)
+			}
 			return
 		}
 	}
 }
 
-// setUnframed makes a response have neither a length nor chunks, so that it ends with its connection.
-func setUnframed(writer http.ResponseWriter) { writer.Header().Set("Transfer-Encoding", "identity") }
-
 // eventsBeforeStall is the number of events that WorkerStalls sends.
 const eventsBeforeStall = 5
 
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -32,8 +32,8 @@
 	StageChange, RecordLag time.Duration
 	// PartCrash is when a crashing part of a prompt crashes the worker.
 	PartCrash CrashPoint
-	// Unframed makes streams have neither a length nor chunks, so that they end with their connection. One that a crash ends between two events
-	// looks whole.
+	// Unframed makes responses have neither a length nor chunks, so that they end with their connection. One that a crash ends between two
+	// parts looks whole.
 	Unframed bool
 	// Model makes the worker a model engine that answers completions; nil makes each event take Work.
 	Model *ModelOptions
@@ -98,9 +98,11 @@
 	// copies holds how many events each copied run of another worker had made, by request ID. With keepsNoCopies, there is no room for them.
 	copies        map[string]int
 	keepsNoCopies bool
-	nextID        int
-	orderHolders  []string
-	draining      bool
+	// unframed is as in WorkerOptions.
+	unframed     bool
+	nextID       int
+	orderHolders []string
+	draining     bool
 	// leaving is set while all responses announce that the worker is leaving, whether or not its record says so. Until shedUntil,
 	// the worker refuses all requests with a Retry-After of retryAfter.
 	leaving    bool
@@ -257,6 +259,7 @@
 	if next != nil {
 		next.Stop(crash)
 	}
+	w.fleet.setDown(w.address, true)
 	_ = w.server.Close()
 	if !crash {
 		w.fleet.Store.Delete("servers/" + w.options.ID)
--- a/internal/standin/workerpaths/workerpaths.go
+++ b/internal/standin/workerpaths/workerpaths.go
@@ -23,6 +23,8 @@
 	paths map[path]*link
 	// cuts are the faults on the paths of a gateway to the workers of a service; an empty service stands for all.
 	cuts map[cut]netproxy.Mode
+	// down holds the registered addresses of the workers that are down.
+	down map[string]bool
 }
 
 // path identifies the path of a gateway to the worker registered at an address.
@@ -39,7 +41,7 @@
 
 // New returns the paths to the workers of a fleet.
 func New(f *fleet.Fleet) *Paths {
-	return &Paths{fleet: f, paths: map[path]*link{}, cuts: map[cut]netproxy.Mode{}}
+	return &Paths{fleet: f, paths: map[path]*link{}, cuts: map[cut]netproxy.Mode{}, down: map[string]bool{}}
 }
 
 // Store returns the store as a gateway sees it: with the addresses of its own paths as those of the workers.
@@ -81,20 +83,40 @@
 	}
 	p.paths[id] = &link{proxy: proxy, service: service}
 	p.fleet.AddAlias(proxy.Address(), address)
-	proxy.Set(p.mode(gateway, service))
+	proxy.Set(p.mode(id, service))
 	return proxy.Address(), nil
 }
 
-// mode returns the fault on the paths of a gateway to a service. The mutex is held.
-func (p *Paths) mode(gateway, service string) netproxy.Mode {
-	for _, id := range []cut{{gateway, service}, {gateway, ""}} {
-		if mode, isCut := p.cuts[id]; isCut {
+// mode returns the fault on a path to a worker of a service. The mutex is held.
+func (p *Paths) mode(id path, service string) netproxy.Mode {
+	for _, each := range []cut{{id.gateway, service}, {id.gateway, ""}} {
+		if mode, isCut := p.cuts[each]; isCut {
 			return mode
 		}
 	}
+	return p.uncut(id)
+}
+
+// uncut returns the mode of a path without a fault: like the address of a worker that is down, it refuses connections. The mutex is held.
+func (p *Paths) uncut(id path) netproxy.Mode {
+	if p.down[id.address] {
+		return netproxy.ModeRefuse
+	}
 	return netproxy.ModePass
 }
 
+// SetDown sets whether the worker registered at an address is down, so that all paths to it refuse connections.
+func (p *Paths) SetDown(address string, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down[address] = down
+	for id, link := range p.paths {
+		if id.address == address {
+			link.proxy.Set(p.mode(id, link.service))
+		}
+	}
+}
+
 // Set injects a fault on the paths of a gateway to the workers of a service, or of all services if it is empty. It also applies to
 // workers that start later.
 func (p *Paths) Set(gateway, service string, mode netproxy.Mode) {
@@ -108,7 +130,11 @@
 	var set sync.WaitGroup
 	for id, link := range p.paths {
 		if id.gateway == gateway && (service == "" || link.service == service) {
-			set.Go(func() { link.proxy.Set(mode) })
+			applied := mode
+			if mode == netproxy.ModePass {
+				applied = p.uncut(id)
+			}
+			set.Go(func() { link.proxy.Set(applied) })
 		}
 	}
 	set.Wait()
@@ -119,8 +145,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.cuts)
-	for _, link := range p.paths {
-		link.proxy.Set(netproxy.ModePass)
+	for id, link := range p.paths {
+		link.proxy.Set(p.uncut(id))
 	}
 }
 
