Soak: workers that answer without a length, and crashes of a whole service or rack

The checks are those of before: MIXED and ORDER see a cut response without a length (TestCutUnframedResponsesBreakRules, with no gateway in between), and one lookup with 422 is DENIED. The report tells how many responses were cut, at how many of the crashed workers a lookup ran, and how late lookups were refused. Beside workers that restart under their IDs responses are framed: they never refuse a connection, so that nothing tells a cut response from a whole one.

--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -129,6 +129,9 @@
 	if s.variable != nil {
 		s.runBoundCallers(trafficCtx, c.Seed)
 	}
+	if s.steady {
+		s.runSteadyCallers(trafficCtx, c.Seed)
+	}
 	trafficDone := make(chan struct{})
 	go func() {
 		defer close(trafficDone)
@@ -246,6 +249,9 @@
 		fmt.Fprintln(out, h.describeRefusals())
 		fmt.Fprintln(out, h.describeContinuations())
 	}
+	if c.Seed >= firstUnframedSeed {
+		fmt.Fprintln(out, h.describeUnframed())
+	}
 	if len(found) == 0 {
 		fmt.Fprintf(out, "no rule was broken in %d requests\n", len(h.Requests))
 		return nil
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -118,7 +118,9 @@
 	Arrivals    []fleet.Arrival
 	// Refusals counts the refusals of each request by workers.
 	Refusals map[string]int
-	Orders   []fleet.AcceptedOrder
+	// Cuts counts the responses of each request that the end of a worker cut so that they look whole.
+	Cuts   map[string]int
+	Orders []fleet.AcceptedOrder
 	// Notices are the announcements of workers. Gateways are the client addresses of the gateways by index.
 	Notices []fleet.Notice
 	// Limits are the changes of announced request limits, in order.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -74,7 +74,7 @@
 	case CrashingPart:
 		s.crashingPart.Store(&f)
 	default:
-		if s.injectNotice(fault) || s.injectChange(fault, calm) || s.injectVersion(fault) || s.injectRefusals(fault) || s.injectQuota(fault) {
+		if s.injectNotice(fault) || s.injectChange(fault, calm) || s.injectVersion(fault) || s.injectRefusals(fault) || s.injectQuota(fault) || s.injectUnframed(fault) {
 			return
 		}
 		s.injectSeries(fault)
@@ -106,6 +106,7 @@
 		g.signal(syscall.SIGCONT)
 	}
 	s.background.Wait()
+	s.setUnframed(false)
 	for _, g := range s.gateways {
 		if err := g.start(); err != nil {
 			return err
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -134,7 +134,7 @@
 func isPlanned(f Fault) bool {
 	switch f.(type) {
 	case GatewayStop, GatewayReload, WorkerReplacement, WorkerLeavingNotice, WorkerLimitNotice, GatewayUpgrade, TimeoutChange, IdleTimeoutChange,
-		ExtraRoutes, SplitChange, GatewayQuota, TenantChange, LimitChange, WorkerUpgrade:
+		ExtraRoutes, SplitChange, GatewayQuota, TenantChange, LimitChange, WorkerUpgrade, UnframedResponses:
 		return true
 	default:
 		return false
@@ -165,6 +165,15 @@
 
 // drawRound returns the faults of a round. They depend on the seed, the number of the round and the size of the system alone.
 func drawRound(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
+	crashes, areOnly := drawUnframed(seed, number, zones)
+	if areOnly {
+		return crashes
+	}
+	return combineUnframed(crashes, drawFramedRound(seed, number, gateways, workers, zones))
+}
+
+// drawFramedRound returns the faults of a round other than crashes of all workers of a service or rack.
+func drawFramedRound(seed uint64, number, gateways, workers, zones int) []ScheduledFault {
 	if stops := drawStops(seed, number, gateways); len(stops) > 0 {
 		return stops
 	}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -56,7 +56,9 @@
 	attempts     int
 	idleTimeouts []idleTimeout
 	// variable are the variable parts of the configuration; nil if the seed has none.
-	variable     *variableParts
+	variable *variableParts
+	// steady is set if the configuration has the routes of the requests beside crashes of workers.
+	steady       bool
 	requests     []RequestRecord
 	spans        []Span
 	departures   []Departure
@@ -101,18 +103,20 @@
 	versions func() string
 	// partCrash is when crashing parts of prompts crash workers.
 	partCrash fleet.CrashPoint
+	// steady adds the requests that are sent all the time beside crashes of workers.
+	steady bool
 	// grace is the grace period of gateways; zero for the default, which no planned stop uses up.
 	grace time.Duration
 }
 
 // featuresOf returns the features for a seed.
 func featuresOf(seed uint64) features {
-	return features{paths: seed >= firstPathSeed, changes: seed >= firstChangeSeed, versions: initialVersions(seed), partCrash: partCrashOf(seed), grace: graceOf(seed)}
+	return features{paths: seed >= firstPathSeed, changes: seed >= firstChangeSeed, versions: initialVersions(seed), partCrash: partCrashOf(seed), grace: graceOf(seed), steady: seed >= firstUnframedSeed}
 }
 
 // startSystem starts all components and waits until the gateways are ready.
 func startSystem(ctx context.Context, shape shape, builds builds, folder string, has features) (*system, error) {
-	s := &system{shape: shape, builds: builds, fleet: fleet.NewFleet(), timeoutMs: 2500, dialer: newCallerDialer()}
+	s := &system{shape: shape, builds: builds, fleet: fleet.NewFleet(), timeoutMs: 2500, dialer: newCallerDialer(), steady: has.steady}
 	if has.grace > 0 {
 		s.timeoutMs = stopTimeoutMs
 	}
@@ -123,6 +127,10 @@
 	if has.paths {
 		s.paths = workerpaths.New(s.fleet)
 	}
+	if has.steady {
+		// An address that accepts connections after its worker has ended would pass for one of a worker that lives.
+		s.fleet.NotifyDown(s.paths.SetDown)
+	}
 	if has.changes {
 		parts := initialParts()
 		s.variable = &parts
@@ -260,6 +268,9 @@
 	if s.variable != nil {
 		s.variable.extend(&config)
 	}
+	if s.steady {
+		addSteadyRoutes(&config)
+	}
 	s.fleet.Configure(config)
 	return s.version
 }
@@ -333,7 +344,7 @@
 	return &History{
 		CollectedAt: time.Now(), Exits: exits, Starts: starts, Stops: stops, Work: s.fleet.Worked(),
 		Requests: append([]RequestRecord(nil), s.requests...), Runs: s.fleet.Runs(), Arrivals: s.fleet.Arrivals(), Refusals: s.fleet.Refusals(), Orders: s.fleet.Orders(),
-		Crashes: s.fleet.Crashes(), Heads: s.fleet.Heads(), Notices: s.fleet.Notices(), Limits: s.fleet.Limits(), Gateways: addresses,
+		Crashes: s.fleet.Crashes(), Heads: s.fleet.Heads(), Notices: s.fleet.Notices(), Limits: s.fleet.Limits(), Cuts: s.fleet.Cuts(), Gateways: addresses,
 		Spans: append([]Span(nil), s.spans...), Departures: append([]Departure(nil), s.departures...), QuietPeriods: quiet,
 		ConfigDelays: append([]time.Duration(nil), s.configDelays...),
 	}
