Forward: the watch for stalls has a package of its own

The watch that tells whether a response has stalled needs nothing of the dispatcher or the call: it joins migration.StallDetector, httpclient.Silence and standstill with a timer. Package migration has no clock, so it is no place for it.

Change: stallwatch.Watch, with the logic as it was. decide loses a parameter that its only caller did not use. The relay names the two methods that it needs.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -268,8 +268,9 @@
 	defer runner.finishUnless(&isEnded)
 	start := time.Now()
 	options.Arrivals = &httpclient.Arrivals{}
-	c.relay.watch = c.watchStalls(ctx, cancel, runner.Worker, held, options.Arrivals)
-	defer c.relay.watch.stop()
+	watch := c.watchStalls(ctx, cancel, runner.Worker, held, options.Arrivals)
+	defer watch.Stop()
+	c.relay.watch = watch
 	c.guarded.beginAttempt(runner.Worker)
 	c.relay.onResponse = func() {
 		runner.responseStarted()
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -12,6 +12,7 @@
 	"github.com/granitebay/granitebay/internal/migration"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
+	"github.com/granitebay/granitebay/internal/stallwatch"
 	"github.com/granitebay/granitebay/internal/streamversion"
 )
 
@@ -226,7 +227,7 @@
 // watchStalls returns the watch for the response of a worker, or nil if it can't be continued elsewhere. Arrivals is what arrives of it.
 func (c *call) watchStalls(
 	ctx context.Context, cancel context.CancelCauseFunc, worker *backend.Worker, held *runCopy, arrivals *httpclient.Arrivals,
-) *stallWatch {
+) *stallwatch.Watch {
 	rule := c.match.Rule
 	if rule.Patience <= 0 || c.match.Group.Engine == nil || !c.isStream() {
 		return nil
@@ -235,13 +236,10 @@
 		return nil
 	}
 	reach := &alternativeReach{}
-	return &stallWatch{
-		detector: migration.NewStallDetector(migration.DefaultStallSettings(), rule.Patience, 0),
-		silence:  httpclient.NewSilence(arrivals),
-		decide: func(time.Time) (bool, time.Duration) {
-			return c.decideOnStall(ctx, cancel, worker, held, reach)
-		},
-	}
+	detector := migration.NewStallDetector(migration.DefaultStallSettings(), rule.Patience, 0)
+	return stallwatch.New(detector, arrivals, func() (bool, time.Duration) {
+		return c.decideOnStall(ctx, cancel, worker, held, reach)
+	})
 }
 
 // decideOnStall abandons a stalled response if the run can continue elsewhere and the budget has a retry for it. Otherwise it returns when
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -82,8 +82,11 @@
 	acceptResponse func() bool
 	// held holds the memory of the events; nil for any.
 	held *bytebudget.Reservation
-	// watch is told when the relay waits for the worker; nil if nothing watches for stalls.
-	watch *stallWatch
+	// watch is told when the relay waits for the worker and when something has arrived, and reports whether an event may be forwarded.
+	watch interface {
+		Wait()
+		Received() bool
+	}
 	// started is set once the headers have been written, and onStart is called before that.
 	started bool
 	onStart func()
@@ -112,9 +115,9 @@
 	accepted := false
 	var forwarding time.Duration
 	for {
-		r.watch.wait()
+		r.watch.Wait()
 		event, err := events.Next()
-		current := r.watch.received()
+		current := r.watch.Received()
 		if err == io.EOF {
 			// The stream is whole, even if the response was just abandoned: all its events have been forwarded. A wrapped io.EOF is not its
 			// end, but says why it broke off.
--- a/internal/forward/stallwatch.go
+++ b/internal/stallwatch/stallwatch.go
@@ -1,4 +1,5 @@
-package forward
+// Package stallwatch watches the responses of workers for stalls: silence within a response for longer than the pace of its events explains.
+package stallwatch
 
 import (
 	"sync"
@@ -9,18 +10,17 @@
 	"github.com/granitebay/granitebay/internal/standstill"
 )
 
-// stallWatch watches one response for stalls. A nil watch does nothing.
+// Watch watches one response for stalls. A nil Watch does nothing. It is safe for concurrent use.
 //
-// Invariants: a response is abandoned only while the relay waits for its worker and nothing of it has arrived, so time that the caller takes or
+// Invariants: a response is abandoned only while its reader waits for the worker and nothing of it has arrived, so time that the caller takes or
 // that this process stands still does not count; once it is abandoned, no event of it is forwarded.
-type stallWatch struct {
-	// decide is called when the response has stalled, with mu held. It returns true to abandon the response, or else when to call again; zero
-	// for never.
-	decide func(now time.Time) (abandon bool, recheck time.Duration)
+type Watch struct {
+	// decide is called with mu held.
+	decide func() (abandon bool, recheck time.Duration)
 
 	mu       sync.Mutex
 	detector migration.StallDetector
-	// waitingSince is when the relay began to wait for the worker; zero while it does not wait.
+	// waitingSince is when the reader began to wait for the worker; zero while it does not wait.
 	waitingSince time.Time
 	// patientSince is when the patience with the worker began anew, because this process had stood still.
 	patientSince time.Time
@@ -33,8 +33,14 @@
 	due time.Time
 }
 
-// wait records that the relay waits for the worker.
-func (w *stallWatch) wait() {
+// New returns a watch of the response that arrives at arrivals, which may be nil. When the response has stalled, decide is called, which must not use
+// the watch. It returns true to abandon the response, or else when to call it again; zero for never.
+func New(detector migration.StallDetector, arrivals *httpclient.Arrivals, decide func() (abandon bool, recheck time.Duration)) *Watch {
+	return &Watch{decide: decide, detector: detector, silence: httpclient.NewSilence(arrivals)}
+}
+
+// Wait records that the reader of the response waits for the worker.
+func (w *Watch) Wait() {
 	if w == nil {
 		return
 	}
@@ -48,13 +54,13 @@
 }
 
 // checkAgain schedules the next check. mu must be held.
-func (w *stallWatch) checkAgain(now time.Time, after time.Duration) {
+func (w *Watch) checkAgain(now time.Time, after time.Duration) {
 	w.due = now.Add(after)
 	w.timer.Reset(after)
 }
 
-// received records that the worker sent an event or ended the response, and reports whether an event may be forwarded.
-func (w *stallWatch) received() bool {
+// Received records that the worker sent an event or ended the response, and reports whether an event may be forwarded.
+func (w *Watch) Received() bool {
 	if w == nil {
 		return true
 	}
@@ -68,7 +74,7 @@
 }
 
 // check runs when the response may have stalled. The timer is not restarted for each event, so it mostly finds newer events.
-func (w *stallWatch) check() {
+func (w *Watch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	limit := w.detector.Limit()
@@ -91,7 +97,7 @@
 		w.checkAgain(now, again)
 		return
 	}
-	abandon, recheck := w.decide(now)
+	abandon, recheck := w.decide()
 	w.abandoned = abandon
 	if !abandon && recheck > 0 {
 		w.checkAgain(now, recheck)
@@ -99,15 +105,15 @@
 }
 
 // silentSince returns since when the silence of the worker counts.
-func (w *stallWatch) silentSince() time.Time {
+func (w *Watch) silentSince() time.Time {
 	if w.patientSince.After(w.waitingSince) {
 		return w.patientSince
 	}
 	return w.waitingSince
 }
 
-// stop ends the watch.
-func (w *stallWatch) stop() {
+// Stop ends the watch.
+func (w *Watch) Stop() {
 	if w == nil {
 		return
 	}
