Forward tests: the retries of a fixture outlast a slow run

The retry budgets of newFixture lost their share after 6 s of real time: accrueFully confirms it up to 59 s of their clock, which goes on from 60 s, a confirmation is valid for 7 s (Share.At), and nothing confirms it again. Without a share the capacity of a budget is 0, attempts.decide ends each request with its first failure, and from that cut on TestCutResponsesAreNotWholeForCallers sees no request at the worker that continues a stream. Its two other parts take no retry. The gateway is right to give up retries that it may not make: the test took longer than the 6 s. The share of a fixture is confirmed for an hour ahead now. The clock of the budgets, what they earn and all checks are as before.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -220,13 +220,18 @@
 	return f
 }
 
-// accrueFully fills the retry budgets by advancing their clock by a minute, with the share confirmed every second.
+// accrueFully fills the retry budgets by advancing their clock by a minute, with the share confirmed every second. Nothing confirms the share while a
+// test runs, so it is confirmed for longer than any test takes: without a share there are no retries.
 func accrueFully(dispatcher *Dispatcher) {
+	const longestTest = time.Hour
 	start, elapsed := boottime.Now(), time.Duration(0)
 	dispatcher.retries.now = func() time.Time { return start.Add(elapsed) }
 	for ; elapsed < time.Minute; elapsed += time.Second {
 		dispatcher.ConfirmShare(start.Add(elapsed))
 	}
+	for ahead := time.Duration(0); ahead < longestTest; ahead += time.Second {
+		dispatcher.ConfirmShare(start.Add(elapsed + ahead))
+	}
 	dispatcher.retries.now = func() time.Time { return boottime.Now().Add(elapsed) }
 }
 
