Forward, HTTP client: sleeps that a context ends are those of ctxsleep

guardedRequest.delayFailure, call.awaitTurn and the waits of Client.Look each had a timer and a select of their own for what ctxsleep.Sleep does.

--- a/internal/forward/guarded.go
+++ b/internal/forward/guarded.go
@@ -11,6 +11,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/completeness"
+	"github.com/granitebay/granitebay/internal/ctxsleep"
 	"github.com/granitebay/granitebay/internal/httpclient"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
@@ -307,12 +308,7 @@
 	if !g.connectionBroke || g.hasStatus(poison.Clear, poison.Excused) {
 		return
 	}
-	timer := time.NewTimer(peerNotifyDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	ctxsleep.Sleep(ctx, peerNotifyDelay)
 }
 
 // confirmEnd returns an error unless a response that was read to its end is whole. Where nobody can tell, it is not.
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/granitebay/granitebay/internal/ctxsleep"
 	"github.com/granitebay/granitebay/internal/poison"
 )
 
@@ -76,13 +77,8 @@
 	if c.attempts.possibleRuns == 0 && !turn.IsShort {
 		return true, respondRetryAfter(c.writer, c.report, ReasonSuspected, max(turn.Wait, c.handler.settings.RefusedRetryAfter))
 	}
-	timer := time.NewTimer(turnPollInterval)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if ctxsleep.Sleep(ctx, turnPollInterval) {
 		return false, connKeep
-	case <-ctx.Done():
-		failure := classify(ctx, ctx.Err())
-		return true, c.giveUp(failure, c.attempts.final())
 	}
+	return true, c.giveUp(classify(ctx, ctx.Err()), c.attempts.final())
 }
--- a/internal/httpclient/liveness.go
+++ b/internal/httpclient/liveness.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/granitebay/granitebay/internal/completeness"
+	"github.com/granitebay/granitebay/internal/ctxsleep"
 )
 
 // Look looks whether the process at an address still runs after one of its connections has ended. It lives if a new connection stays open for the
@@ -23,7 +24,7 @@
 	if err != nil {
 		return refusalOf(err)
 	}
-	pause(ctx, settle)
+	ctxsleep.Sleep(ctx, settle)
 	if isOpen(conn.Conn) {
 		c.pool.put(conn, c.settings.IdleTimeout)
 		if ctx.Err() != nil {
@@ -51,16 +52,6 @@
 	}
 }
 
-// pause waits until a time has passed or ctx ends.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // isOpen reports whether a connection has not been ended by its peer. Unlike idleStateOf it may be called while another goroutine reads.
 func isOpen(conn net.Conn) bool {
 	descriptor, ok := conn.(syscall.Conn)
@@ -86,7 +77,7 @@
 	if !p.areOpen(address) {
 		return false
 	}
-	pause(ctx, duration)
+	ctxsleep.Sleep(ctx, duration)
 	return ctx.Err() == nil && p.areOpen(address)
 }
 
