HTTP client: the test of a refused connection keeps its port

TestErrorsReportFailedStep/no_listener failed once in a package run at a load of 16 to 20: it closed a listener and took its port for one that refuses, and something answered there.

--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -187,17 +188,12 @@
 }
 
 func TestErrorsReportFailedStep(t *testing.T) {
-	closedListener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = closedListener.Close()
 	tests := []struct {
 		desc    string
 		address string
 		want    Step
 	}{
-		{"no listener", closedListener.Addr().String(), StepConnect},
+		{"no listener", refusingAddress(t), StepConnect},
 		{"closed without a response", startWorker(t, func(_ net.Conn, reader *bufio.Reader, _ int) { _, _, _ = readRequest(reader) }), StepAwait},
 		{"not HTTP", startWorker(t, func(connection net.Conn, reader *bufio.Reader, _ int) {
 			_, _, _ = readRequest(reader)
@@ -225,6 +221,24 @@
 	}
 }
 
+// refusingAddress returns an address that refuses connections. Its port stays bound, so that nothing else can listen there.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	descriptor, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(descriptor) })
+	if err := syscall.Bind(descriptor, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(descriptor)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+}
+
 func TestCancelClosesConnection(t *testing.T) {
 	closed := make(chan struct{})
 	address := startWorker(t, func(_ net.Conn, reader *bufio.Reader, _ int) {
