Forward: the exclusive copy of a suspect request is not abandoned for silence

Callers saw: once all workers of a service had crashed while an often asked lookup of 1.2 s ran there, the lookup got 503, and one copy at a time 502 after some 142 ms, long after all workers were back.

Cause: copies of a suspect run one at a time, and the running one was abandoned as silent like any other, although others wait for what it shows. It never succeeded, so nothing cleared the suspect.

Change: it is waited for, as the trial of a bar is.

Evidence: TestExclusiveCopyIsNotAbandonedForSilence fails before (502).

--- a/internal/forward/responsegate.go
+++ b/internal/forward/responsegate.go
@@ -12,9 +12,9 @@
 )
 
 // responseTimeout returns how long to wait for the start of a response before trying another worker; zero means no limit, because no other
-// attempt can follow.
+// attempt can follow, or because others wait for what the attempt shows: whether a suspect request crashes its worker.
 func (c *call) responseTimeout(runner *Assignment) time.Duration {
-	if c.relay.started || !c.attempts.allowsAfterRun() || c.guarded.endsWithAttempt() {
+	if c.relay.started || !c.attempts.allowsAfterRun() || c.guarded.endsWithAttempt() || c.isExclusive {
 		return 0
 	}
 	return c.timeoutWithin(runner)
--- a/internal/forward/suspect_test.go
+++ b/internal/forward/suspect_test.go
@@ -15,6 +15,7 @@
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/completeness"
+	"github.com/granitebay/granitebay/internal/ctxsleep"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/streamversion"
@@ -327,19 +328,45 @@
 	}
 }
 
-// TestTrialIsNotAbandonedForSilence guards against the trial of a barred request that is given up because its worker does not answer at once: no other
-// worker may run it, so the bar would outlast a sound request that takes its time.
-func TestTrialIsNotAbandonedForSilence(t *testing.T) {
-	workers := &fakeWorkers{run: func(ctx context.Context, _ int, _ *backend.Worker, _ RunOptions) (*Response, error) {
-		select {
-		case <-time.After(300 * time.Millisecond):
-			return wholeResponse(http.StatusOK, "answer"), nil
-		case <-ctx.Done():
+// TestExclusiveCopyIsNotAbandonedForSilence guards against the only copy of a suspect request that may run being given up because its worker does not
+// answer at once: no other copy runs meanwhile, and the suspicion of a sound request that takes its time would never end.
+func TestExclusiveCopyIsNotAbandonedForSilence(t *testing.T) {
+	f := newFixture(t, fixtureOptions{rule: slowRule, allowance: 10}, slowWorkers())
+	guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, time.Now, func(poison.Event) {})
+	f.handler.SetGuard(guard)
+	digest := poison.Request{Method: http.MethodGet, Target: "/x"}.Digest()
+	guard.ApplyUpdate(poison.Update{Crashes: []poison.Crash{{Digest: digest, Worker: "gone-1", AgoMs: 60_000}, {Digest: digest, Worker: "gone-2", AgoMs: 30_000}}})
+	if status, bar := guard.Status(digest); status != poison.Suspected || bar.DistinctCrashes < exclusiveMinCrashes {
+		t.Fatalf("status %d with %d crashes, so the test checks nothing", status, bar.DistinctCrashes)
+	}
+	if response, body, err := f.get(t); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("got %v, %q, %v, want an answer", response, body, err)
+	}
+	if runs := len(f.workers.ranAt); runs != 1 {
+		t.Errorf("%d runs, want 1", runs)
+	}
+	if status, _ := guard.Status(digest); status != poison.Clear {
+		t.Errorf("status %d, want Clear", status)
+	}
+}
+
+// slowRule is a rule whose workers are given up before slowWorkers answer.
+var slowRule = routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Objective: 50 * time.Millisecond}
+
+// slowWorkers returns workers that take a while to answer.
+func slowWorkers() *fakeWorkers {
+	return &fakeWorkers{run: func(ctx context.Context, _ int, _ *backend.Worker, _ RunOptions) (*Response, error) {
+		if !ctxsleep.Sleep(ctx, 300*time.Millisecond) {
 			return nil, context.Cause(ctx)
 		}
+		return wholeResponse(http.StatusOK, "answer"), nil
 	}}
-	rule := routing.Rule{Kind: routing.KindRepeatable, MaxAttempts: 2, Objective: 50 * time.Millisecond}
-	f := newFixture(t, fixtureOptions{rule: rule, allowance: 10}, workers)
+}
+
+// TestTrialIsNotAbandonedForSilence guards against the trial of a barred request that is given up because its worker does not answer at once: no other
+// worker may run it, so the bar would outlast a sound request that takes its time.
+func TestTrialIsNotAbandonedForSilence(t *testing.T) {
+	f := newFixture(t, fixtureOptions{rule: slowRule, allowance: 10}, slowWorkers())
 	var elapsed time.Duration
 	guard := poison.NewGuard(poison.DefaultSettings(), &crashProber{}, func() time.Time { return time.Now().Add(elapsed) }, func(poison.Event) {})
 	f.handler.SetGuard(guard)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,6 +29,7 @@
 		{"workers of two software versions, replaced and restarted under their ids, gateways killed and stopped, streams resumed at others", "fes", 13_001, 1},
 		{"short rests of all workers, with refusals that name no request and are sent twice, beside gateways killed, suspended and reloaded", "fes", 15_103, 1},
 		{"planned stops of starved gateways, with streams that last longer than the grace period leaves", "fes", 16_003, 2},
+		{"all workers of the plain service killed 77 ms apart under answers without a length and lookups", "fes", 17_006, 1},
 	} {
 		t.Run(test.faults, func(t *testing.T) { checkSoak(t, test.deployment, test.seed, test.rounds) })
 	}
