--- a/internal/poison/partupdate.go
+++ b/internal/poison/partupdate.go
@@ -83,8 +83,8 @@
 	Trials int
 }
 
-// takeUpdate returns the changes since the last call. A full update also repeats all bars, the crashes of the given workers and some answers. The
-// changes include crashes received from other gateways, as these may have stopped since.
+// takeUpdate returns the changes since the last call. The changes include crashes received from other gateways, as these may have stopped since. A full
+// update, for which full is not nil, also repeats all bars, the crashes of its workers and some answers.
 func (t *partTable) takeUpdate(now time.Time, full *repetition) PartUpdate {
 	var repeated []string
 	if full != nil {
--- a/internal/poison/rotation.go
+++ b/internal/poison/rotation.go
@@ -5,7 +5,8 @@
 	"slices"
 )
 
-// Full updates are sent once a second by each gateway to each other one, so what a gateway receives grows with their number. They share it.
+// Full updates are sent once a second by each gateway to each other one, so what a gateway receives grows with their number. They share what they
+// repeat.
 const (
 	// fullShare is the number of gateways whose full updates may each repeat as much as fits into an update.
 	fullShare = 8
--- a/internal/poison/supplement.go
+++ b/internal/poison/supplement.go
@@ -30,8 +30,8 @@
 }
 
 // TakeSupplement returns what has changed of the suspects since the last call: at most MaxPerUpdate of them, and as many runs. Trials that the other
-// gateways have not been told of come first, because they must not begin the same ones. A full update also repeats what is known of barred requests,
-// and the runs at the given workers.
+// gateways have not been told of come first, because they must not begin the same ones. A full update, for which full is not nil, also repeats what is
+// known of barred requests, and the runs at its workers.
 func (t *Table) TakeSupplement(now time.Time, full *repetition) []SuspectUpdate {
 	var changed []Digest
 	for digest, entry := range t.suspects {
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -44,8 +44,8 @@
 	Bars      []BarUpdate
 }
 
-// TakeUpdate returns the changes since the last call. A full update also repeats all bars, the crashes of the given workers and some successes. The
-// changes include crashes received from other gateways, as these may have stopped since.
+// TakeUpdate returns the changes since the last call. The changes include crashes received from other gateways, as these may have stopped since. A full
+// update, for which full is not nil, also repeats all bars, the crashes of its workers and some successes.
 func (t *Table) TakeUpdate(now time.Time, full *repetition) Update {
 	var update Update
 	if t.Empty() || (full == nil && len(t.unsentCrashes)+len(t.unsentChanges) == 0) {
