--- a/internal/poison/rotation_test.go
+++ b/internal/poison/rotation_test.go
@@ -48,10 +48,10 @@
 	g.TakePartUpdate(false)
 }
 
-// TestFullUpdatesFitLinks guards against gateways that fill the links between them with what they know of many crashes: an eighth of a link of
+// TestFullUpdatesFitLinks guards against gateways that fill the links between them with what they know of many crashes: a sixteenth of a link of
 // 10 Mbit/s is for that, in each direction, however many gateways there are.
 func TestFullUpdatesFitLinks(t *testing.T) {
-	const maxPerSecond = 10_000_000 / 8 / 8
+	const maxPerSecond = 10_000_000 / 8 / 16
 	for _, gateways := range []int{2, 8, 30, 80} {
 		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
