Ask at the health path whether a worker outlived its response

A response that ends with its connection is whole only if the worker lives on.

Cause: a new connection that stays open for 2 ms passed for a sign of life. The kernel closes the connections of an exiting process and its listener one after the other, and accepts until the listener is closed.

Change: the worker is asked at its health path (Client.Ask), on an idle connection where there is one. Any answer after the end shows the process, and the id in it shows whether it is the same one.

TestLiveWorkerThatEndsResponsesWithConnectionsLosesNothing now has the same demands with and without a health path.

--- a/internal/completeness/completeness_test.go
+++ b/internal/completeness/completeness_test.go
@@ -31,6 +31,7 @@
 		{"silent, record removed", Evidence{Framing: FramingConnection, RecordRemoved: true}, Cut, false},
 		{"closes connections at once", Evidence{Framing: FramingConnection, Worker: WorkerCloses}, Unknown, true},
 		{"another process at the address", Evidence{Framing: FramingConnection, Worker: WorkerAlive, RecordRemoved: true}, Cut, false},
+		{"another process answers", Evidence{Framing: FramingConnection, Worker: WorkerReplaced}, Cut, false},
 	} {
 		if got, more := c.evidence.Judge(), c.evidence.AwaitsMore(); got != c.want || more != c.more {
 			t.Errorf("%s: got %v, awaits more: %t; want %v, %t", c.name, got, more, c.want, c.more)
@@ -42,7 +43,7 @@
 func TestUnmarkedResponseIsWholeOnlyIfWorkerIsSeen(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := Evidence{
-			Framing: FramingConnection, End: End(rapid.IntRange(0, 1).Draw(t, "end")), Worker: Worker(rapid.IntRange(0, 4).Draw(t, "worker")),
+			Framing: FramingConnection, End: End(rapid.IntRange(0, 1).Draw(t, "end")), Worker: Worker(rapid.IntRange(0, int(WorkerReplaced)).Draw(t, "worker")),
 			RecordRemoved: rapid.Bool().Draw(t, "record removed"),
 		}
 		isWhole := e.Judge() == Whole
--- a/internal/completeness/evidence.go
+++ b/internal/completeness/evidence.go
@@ -45,7 +45,7 @@
 const (
 	// WorkerUnseen has not answered, or was not asked.
 	WorkerUnseen Worker = iota
-	// WorkerAlive keeps a connection open.
+	// WorkerAlive answers, or keeps a connection open.
 	WorkerAlive
 	// WorkerCloses accepts connections and closes them at once: it is exiting or full, or something else listens at its address.
 	WorkerCloses
@@ -53,6 +53,8 @@
 	WorkerRefuses
 	// WorkerRefusesHere refuses this gateway, and no other one could tell: the whole service has ended, or this gateway is cut off.
 	WorkerRefusesHere
+	// WorkerReplaced means that another process answers at its address.
+	WorkerReplaced
 )
 
 // Evidence is what is known of the end of a response.
@@ -81,7 +83,7 @@
 		return Cut
 	case e.Framing == FramingMarked:
 		return Whole
-	case e.RecordRemoved, e.Worker == WorkerRefuses:
+	case e.RecordRemoved, e.Worker == WorkerRefuses, e.Worker == WorkerReplaced:
 		return Cut
 	case e.Worker == WorkerAlive:
 		return Whole
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -97,6 +98,8 @@
 type socketWorkers struct {
 	fakeWorkers
 	*httpclient.Client
+	// asks is set if the workers have a health path.
+	asks bool
 }
 
 // Run implements Workers.
@@ -125,10 +128,18 @@
 
 // Look implements poison.Prober.
 func (s *socketWorkers) Look(ctx context.Context, worker *backend.Worker, settle time.Duration) completeness.Worker {
+	if s.asks {
+		question := &httpclient.Request{Method: http.MethodGet, Target: healthPath, Host: "w", Header: http.Header{}}
+		return s.Client.Ask(ctx, worker.Address, question, func(http.Header) bool { return true }, settle)
+	}
 	return s.Client.Look(ctx, worker.Address, settle)
 }
 
-// serveUnframed answers each connection's only request with a body that ends with the connection, in two halves, and returns the address.
+// healthPath is where workers on real connections are asked whether they live.
+const healthPath = "/health"
+
+// serveUnframed answers requests with a body that ends with the connection, in two halves, and those of the health path with a length. It returns the
+// address.
 func serveUnframed(t *testing.T, body string) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -137,7 +148,12 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	serve := func(conn net.Conn) {
 		defer conn.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		reader := bufio.NewReader(conn)
+		request, err := http.ReadRequest(reader)
+		for ; err == nil && request.URL.Path == healthPath; request, err = http.ReadRequest(reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+		if err != nil {
 			return
 		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body[:len(body)/2])
@@ -164,25 +180,29 @@
 		maxOpened = requests + 10
 		body      = "the whole body of the response"
 	)
-	workers := &socketWorkers{Client: httpclient.New(httpclient.WorkerSettings())}
-	f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindAtMostOnce}}, &workers.fakeWorkers)
-	f.handler.workers = workers
-	address := serveUnframed(t, body)
-	f.handler.dispatcher.SetWorkers(backend.Set{"0": {ID: "0", Group: "g", Address: address, Slots: 64}})
-	f.withGuard(workers, func(poison.Event) {})
-	took := make([]time.Duration, 0, requests)
-	for number := range requests {
-		start := time.Now()
-		response, got, err := f.get(t)
-		took = append(took, time.Since(start))
-		if err != nil || response.StatusCode != http.StatusOK || got != body {
-			t.Fatalf("request %d: got %v, %q, %v", number, response, got, err)
-		}
-	}
-	slices.Sort(took)
-	opened := workers.ConnectionsOpened()
-	t.Logf("latency: median %v, 99th percentile %v; %d connections", took[requests/2], took[requests*99/100], opened)
-	if opened > maxOpened {
-		t.Errorf("%d connections were opened for %d responses, at most %d are allowed", opened, requests, maxOpened)
+	for _, asks := range []bool{false, true} {
+		t.Run(fmt.Sprintf("health path: %t", asks), func(t *testing.T) {
+			workers := &socketWorkers{Client: httpclient.New(httpclient.WorkerSettings()), asks: asks}
+			f := newFixture(t, fixtureOptions{rule: routing.Rule{Kind: routing.KindAtMostOnce}}, &workers.fakeWorkers)
+			f.handler.workers = workers
+			address := serveUnframed(t, body)
+			f.handler.dispatcher.SetWorkers(backend.Set{"0": {ID: "0", Group: "g", Address: address, Slots: 64}})
+			f.withGuard(workers, func(poison.Event) {})
+			took := make([]time.Duration, 0, requests)
+			for number := range requests {
+				start := time.Now()
+				response, got, err := f.get(t)
+				took = append(took, time.Since(start))
+				if err != nil || response.StatusCode != http.StatusOK || got != body {
+					t.Fatalf("request %d: got %v, %q, %v", number, response, got, err)
+				}
+			}
+			slices.Sort(took)
+			opened := workers.ConnectionsOpened()
+			t.Logf("latency: median %v, 99th percentile %v; %d connections", took[requests/2], took[requests*99/100], opened)
+			if opened > maxOpened {
+				t.Errorf("%d connections were opened for %d responses, at most %d are allowed", opened, requests, maxOpened)
+			}
+		})
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,7 +24,6 @@
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/netdial"
 	"github.com/granitebay/granitebay/internal/peersync"
-	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/relay"
 	"github.com/granitebay/granitebay/internal/rendezvous"
 	"github.com/granitebay/granitebay/internal/retrybudget"
@@ -54,7 +53,7 @@
 	// requests.
 	PromptCache forward.CacheQuerier
 	// Prober checks whether a worker's process has terminated.
-	Prober poison.Prober
+	Prober Prober
 	// Identify requests the health path at worker.Address and returns the ID of the worker that answers, which may be
 	// another one.
 	Identify func(ctx context.Context, worker *backend.Worker, path string) (string, error)
@@ -183,7 +182,7 @@
 		g.handler.SetConfirmation(g.confirmWorker)
 	}
 	g.callers = callers.NewServer(callers.CancelOnDisconnect(g.handler), &g.utilization.traffic, g.metrics, logging.Component(logger, "gateway"))
-	g.barSyncer = newBarSyncer(g, dependencies.Prober)
+	g.barSyncer = newBarSyncer(g, healthProber{Prober: dependencies.Prober, gateway: g})
 	g.handler.SetGuard(g.barSyncer.guard)
 	g.handler.SetSuspectElection(g.ownsKey)
 	// Entries send their updates to each other only.
