Store: a late watch does not bridge a gap that the feed has made

Cause: a watch goes on beside the feed since. The feed may replace the items by ones of an earlier revision meanwhile: a standby process that needs another shard gets it from an upstream that lags behind. The watch then raised the revision past changes that the new shard lacked, so nobody sent them again: of a worker that drains, for example.

Change: the response of such a watch is dropped, and the changes are requested from the earlier revision on.

--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -395,6 +395,10 @@
 	if r.isOutdated(revision) {
 		return errOutdated
 	}
+	if r.revision < after {
+		// The feed has replaced the items by ones of an earlier revision meanwhile, so the response lacks changes between the two.
+		return nil
+	}
 	pause := r.batchPause(events)
 	if newer := r.recordNewer(events, revision); len(newer) > 0 {
 		r.consumer.Apply(newer)
--- a/internal/store/slowstore_test.go
+++ b/internal/store/slowstore_test.go
@@ -120,3 +120,50 @@
 		})
 	}
 }
+
+// lateStore is a store whose watches answer late, with the events after their revision.
+type lateStore struct {
+	Store
+	delay    time.Duration
+	events   []Event
+	revision Revision
+}
+
+func (s *lateStore) Watch(ctx context.Context, _ string, after Revision, wait time.Duration) ([]Event, Revision, error) {
+	sleep(ctx, wait+s.delay)
+	var events []Event
+	for _, event := range s.events {
+		if event.Revision > after {
+			events = append(events, event)
+		}
+	}
+	return events, s.revision, nil
+}
+
+// TestLateWatchLeavesNoGap guards against changes that are never received because a watch that began after a revision answers once the feed has replaced
+// the items by ones of an earlier revision: those of a larger shard from an upstream that lags behind.
+func TestLateWatchLeavesNoGap(t *testing.T) {
+	drained := Event{Item: item("workers/drained", 98)}
+	store := &lateStore{delay: callSlack + 150*time.Millisecond, events: []Event{drained, {Item: item("a", 110)}}, revision: 110}
+	replica, _ := newShardedReplica(store, 0)
+	replica.replace(Snapshot{Revision: 100, Shards: 1 << 20})
+	replica.SetStandby(true)
+	replica.SetMaxStaleness(minWatchWait)
+	polls := 0
+	replica.SetFeed(feedFunc(func(request ChangesRequest) (Changes, error) {
+		if polls++; polls > 1 {
+			return Changes{}, ErrNoUpstream
+		}
+		// A shard of one holds all items.
+		return Changes{FullShard: true, Shards: 1, Revision: 95, Changed: []Event{{Item: item("workers/drained", 90)}}}, nil
+	}))
+	if err := replica.step(t.Context()); err != nil || polls == 0 {
+		t.Fatalf("%d requests to the feed, %v, so the test checks nothing", polls, err)
+	}
+	if err := replica.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := replica.table.get("workers/drained"); got.Revision != drained.Revision {
+		t.Errorf("the item has revision %d at revision %d, want %d", got.Revision, replica.revision, drained.Revision)
+	}
+}
