HTTP client: open connections show a process that ends a question only after 50 ms

Cause: a question sent on an idle connection that an exiting process closes fell back to its other connections, which had to stay open for 2 ms only.

Change: they have to stay open for as long as an answer is awaited.

Result: TestOpenConnectionsOfExitingPeerAreNoAnswer fails before (alive) and passes now; TestBusyConnectionShowsLife also asks a full peer. The package passes. The cost at workers that close new connections at once, 50 ms in place of 2 ms, was not measured.

--- a/internal/httpclient/liveness_test.go
+++ b/internal/httpclient/liveness_test.go
@@ -110,6 +110,9 @@
 	if got := client.Look(t.Context(), address, 20*time.Millisecond); got != completeness.WorkerAlive {
 		t.Errorf("got %d, want %d", got, completeness.WorkerAlive)
 	}
+	if got := ask(t.Context(), client, address, 20*time.Millisecond); got != completeness.WorkerAlive {
+		t.Errorf("asked: got %d, want %d", got, completeness.WorkerAlive)
+	}
 	cancel()
 	<-done
 	if left := client.pool.connections.to(address); len(left) != 0 {
--- a/internal/httpclient/question.go
+++ b/internal/httpclient/question.go
@@ -17,7 +17,8 @@
 // Ask asks the process at an address whether it still runs after one of its connections has ended. A connection that stays open shows less: the
 // listener of an exiting process accepts connections until it is closed, which may be after all others. Any response to the question shows a process;
 // isSame reports from its header whether it is the one that is looked for. An idle connection is used if there is one. A process that doesn't answer
-// in answerTime is looked at as Look does.
+// in answerTime is looked at as Look does. One that ends the connection of the question lives if all others stay open for as long: an exiting process
+// closes them one after the other.
 func (c *Client) Ask(
 	ctx context.Context, address string, question *Request, isSame func(header http.Header) bool, settle time.Duration,
 ) completeness.Worker {
@@ -42,7 +43,7 @@
 		return c.Look(ctx, address, settle)
 	case errors.As(err, &failure) && failure.NothingSent():
 		return refusalOf(err)
-	case c.pool.stayOpen(ctx, address, settle):
+	case c.pool.stayOpen(ctx, address, max(settle, answerTime)):
 		return completeness.WorkerAlive
 	default:
 		return completeness.WorkerCloses
--- a/internal/httpclient/question_test.go
+++ b/internal/httpclient/question_test.go
@@ -118,3 +118,44 @@
 		t.Errorf("got %d, want %d", got, completeness.WorkerRefuses)
 	}
 }
+
+// TestOpenConnectionsOfExitingPeerAreNoAnswer guards against an exiting process that passes for one that lives, because the question meets a connection
+// that it has closed, and its other connections are closed a moment later.
+func TestOpenConnectionsOfExitingPeerAreNoAnswer(t *testing.T) {
+	const settle, closesAfter = 2 * time.Millisecond, 15 * time.Millisecond
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, address := New(DefaultSettings()), listener.Addr().String()
+	var peers []net.Conn
+	var opened []*connection
+	for range 2 {
+		conn, err := client.pool.open(t.Context(), address, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		opened, peers = append(opened, conn), append(peers, peer)
+	}
+	for _, conn := range opened {
+		client.pool.put(conn, time.Minute)
+	}
+	_ = listener.Close()
+	time.AfterFunc(closesAfter, func() { _ = peers[0].Close() })
+	// The question is sent on the connection that was kept last.
+	go func() {
+		_, _, _ = readRequest(bufio.NewReader(peers[1]))
+		_ = peers[1].Close()
+	}()
+	if got := ask(t.Context(), client, address, settle); got == completeness.WorkerAlive {
+		t.Errorf("got %d while it exits", got)
+	}
+	time.Sleep(2 * closesAfter)
+	if got := ask(t.Context(), client, address, settle); got != completeness.WorkerRefuses {
+		t.Errorf("got %d after its end, want %d", got, completeness.WorkerRefuses)
+	}
+}
