HTTP client: nothing is asked once the context has ended

Cause: the context of a question ends by a callback, so one that had ended before could still take a connection and send the question, and the connection was closed.

Change: Ask looks at the context first, as Do does.

--- a/internal/httpclient/question.go
+++ b/internal/httpclient/question.go
@@ -22,6 +22,9 @@
 func (c *Client) Ask(
 	ctx context.Context, address string, question *Request, isSame func(header http.Header) bool, settle time.Duration,
 ) completeness.Worker {
+	if ctx.Err() != nil {
+		return completeness.WorkerUnseen
+	}
 	// A response leaves its connection open, so the contexts end only without one.
 	asking, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stopWatch := context.AfterFunc(ctx, cancel)
--- a/internal/httpclient/question_test.go
+++ b/internal/httpclient/question_test.go
@@ -159,3 +159,32 @@
 		t.Errorf("got %d after its end, want %d", got, completeness.WorkerRefuses)
 	}
 }
+
+// TestNothingIsAskedAfterEnd guards against a question that is sent, and that shows a process, although the context has ended.
+func TestNothingIsAskedAfterEnd(t *testing.T) {
+	const questions = 50
+	asked := make(chan struct{}, 2*questions)
+	address := startWorker(t, func(conn net.Conn, reader *bufio.Reader, _ int) {
+		for {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			asked <- struct{}{}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nInstance-Id: w\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	client := New(DefaultSettings())
+	if err := client.Connect(t.Context(), address); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range questions {
+		if got := ask(ctx, client, address, time.Millisecond); got != completeness.WorkerUnseen {
+			t.Fatalf("got %d, want %d", got, completeness.WorkerUnseen)
+		}
+	}
+	if got := ask(t.Context(), client, address, time.Millisecond); got != completeness.WorkerAlive || len(asked) != 1 || client.ConnectionsOpened() != 1 {
+		t.Errorf("got %d after %d questions on %d connections, want one of either", got, len(asked), client.ConnectionsOpened())
+	}
+}
