--- a/internal/httpclient/question_test.go
+++ b/internal/httpclient/question_test.go
@@ -118,3 +118,73 @@
 		t.Errorf("got %d, want %d", got, completeness.WorkerRefuses)
 	}
 }
+
+// TestOpenConnectionsOfExitingPeerAreNoAnswer guards against an exiting process that passes for one that lives, because the question meets a connection
+// that it has closed, and its other connections are closed a moment later.
+func TestOpenConnectionsOfExitingPeerAreNoAnswer(t *testing.T) {
+	const settle, closesAfter = 2 * time.Millisecond, 15 * time.Millisecond
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, address := New(DefaultSettings()), listener.Addr().String()
+	var peers []net.Conn
+	var opened []*connection
+	for range 2 {
+		conn, err := client.pool.open(t.Context(), address, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		opened, peers = append(opened, conn), append(peers, peer)
+	}
+	for _, conn := range opened {
+		client.pool.put(conn, time.Minute)
+	}
+	_ = listener.Close()
+	time.AfterFunc(closesAfter, func() { _ = peers[0].Close() })
+	// The question is sent on the connection that was kept last.
+	go func() {
+		_, _, _ = readRequest(bufio.NewReader(peers[1]))
+		_ = peers[1].Close()
+	}()
+	if got := ask(t.Context(), client, address, settle); got == completeness.WorkerAlive {
+		t.Errorf("got %d while it exits", got)
+	}
+	time.Sleep(2 * closesAfter)
+	if got := ask(t.Context(), client, address, settle); got != completeness.WorkerRefuses {
+		t.Errorf("got %d after its end, want %d", got, completeness.WorkerRefuses)
+	}
+}
+
+// TestNothingIsAskedAfterEnd guards against a question that is sent, and that shows a process, although the context has ended.
+func TestNothingIsAskedAfterEnd(t *testing.T) {
+	const questions = 50
+	asked := make(chan struct{}, 2*questions)
+	address := startWorker(t, func(conn net.Conn, reader *bufio.Reader, _ int) {
+		for {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			asked <- struct{}{}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nInstance-Id: w\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	client := New(DefaultSettings())
+	if err := client.Connect(t.Context(), address); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range questions {
+		if got := ask(ctx, client, address, time.Millisecond); got != completeness.WorkerUnseen {
+			t.Fatalf("got %d, want %d", got, completeness.WorkerUnseen)
+		}
+	}
+	if got := ask(t.Context(), client, address, time.Millisecond); got != completeness.WorkerAlive || len(asked) != 1 || client.ConnectionsOpened() != 1 {
+		t.Errorf("got %d after %d questions on %d connections, want one of either", got, len(asked), client.ConnectionsOpened())
+	}
+}
