Poison: the crash of a silent worker is passed on with its silence

Cause: a gateway passes on the crashes that it is told of with its next message, but their silences only with full updates. One that misses the first message and gets the second counts each worker as crashed at an exact moment, so that workers which fell silent together, as a network or a zone does, are several crashes there.

Change: each message tells the silences of the workers whose crashes it tells.

--- a/internal/poison/crashtime.go
+++ b/internal/poison/crashtime.go
@@ -92,7 +92,7 @@
 // crashTimes holds when workers crashed, by the incarnation of the worker. Gateways notice a crash at different times; what counts is the crash.
 type crashTimes struct {
 	byWorker map[string]crashTime
-	// unsent are the workers whose silence this gateway has noticed and not told yet. What others tell is passed on with full updates only.
+	// unsent are the workers whose silence the next update tells: those that this gateway has noticed, and those whose crashes it tells.
 	unsent map[string]bool
 	// limit bounds the workers.
 	limit int
@@ -135,6 +135,14 @@
 	return found && known.isSilence() && at.Sub(known.silent).Abs() < crashTimeTolerance
 }
 
+// tell makes the next update tell of the silence of a worker, if it fell silent: its crash is told with that update, and alone it would count as one
+// at an exact moment.
+func (c *crashTimes) tell(worker string) {
+	if c.byWorker[worker].isSilence() {
+		c.unsent[worker] = true
+	}
+}
+
 // latest returns the time by which a worker had crashed, or the given time if it is unknown.
 func (c *crashTimes) latest(worker string, unknown time.Time) time.Time {
 	if known, found := c.byWorker[worker]; found {
--- a/internal/poison/partupdate.go
+++ b/internal/poison/partupdate.go
@@ -90,6 +90,9 @@
 	if full != nil {
 		repeated = full.workers
 	}
+	for worker := range t.unsentWorkers {
+		t.times.tell(worker)
+	}
 	update := PartUpdate{Silent: t.times.take(now, t.settings.MaxPerUpdate, repeated)}
 	if t.empty() || (full == nil && len(t.unsentWorkers)+len(t.unsentParts) == 0) {
 		return update
--- a/internal/poison/repetition_test.go
+++ b/internal/poison/repetition_test.go
@@ -127,6 +127,58 @@
 	}
 }
 
+// TestPassedOnSilencesStayOneCrash guards against bars of a sound part and a sound request at a gateway that misses the messages of the one that noticed
+// the crashes, and hears of them from one that passes them on: workers that fell silent together are one crash only if that tells their silence as well.
+func TestPassedOnSilencesStayOneCrash(t *testing.T) {
+	const plays, dark, requestsEach = 10, 19, 8
+	barred := 0
+	for range plays {
+		synctest.Test(t, func(t *testing.T) {
+			workers := groupSet(dark + 4)
+			guards := newLearnedGuards(workers, 3)
+			receiver, passer, sender := guards[0], guards[1], guards[2]
+			left := groupSet(dark + 4)
+			for w := range dark {
+				worker := workers[fmt.Sprint("w", w)]
+				sender.prober.unresponsive[worker.ID] = true
+				for r := range requestsEach {
+					used := []Part{part(fmt.Sprint("p", w, "-", r))}
+					if r == 0 && w < 6 {
+						used = append(used, part("sound"))
+					}
+					digest := digestNamed(fmt.Sprint(w, "-", r))
+					if r == 1 && w < 6 {
+						digest = digestNamed("sound")
+					}
+					sender.Abandoned(worker, Run{Digest: digest, Rule: "rule", Parts: used, Began: sender.Now().Add(-time.Second)})
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(2 * time.Second)
+			pass := func(from, to *testGuard) {
+				update, parts := from.TakeUpdate(false), from.TakePartUpdate(false)
+				to.ApplyUpdate(update)
+				to.ApplyPartUpdate(&parts)
+			}
+			for w := range dark {
+				delete(left, fmt.Sprint("w", w))
+				setWorkers(sender, left)
+				time.Sleep(40 * time.Millisecond)
+				// The message to the receiver is lost.
+				pass(sender, passer)
+				pass(passer, receiver)
+			}
+			waitForEvaluation()
+			if createdBars(receiver) > 0 {
+				barred++
+			}
+		})
+	}
+	if barred > 0 {
+		t.Errorf("barred in %d of %d plays", barred, plays)
+	}
+}
+
 // TestLargeCrashesComeRound guards against runs and parts that no full update tells, because a worker has more of them than one may repeat.
 func TestLargeCrashesComeRound(t *testing.T) {
 	const workers, requestsEach, partsEach, seconds = 3, 12, 80, 100
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -65,6 +65,9 @@
 		if at, found := entry.crashes[crash.Worker]; found {
 			crash.AgoMs = now.Sub(at).Milliseconds()
 			update.Crashes = append(update.Crashes, crash)
+			if t.parts != nil {
+				t.parts.times.tell(crash.Worker)
+			}
 		}
 	}
 	update.Successes = t.successUpdates(now, full)
