Count a crash whose worker was started again before the probe

Cause: a probe took any connection that opens for a sign of life. The ends of these streams look whole, and the stand-in's address accepts and resets connections while its worker is down, so they were decided only when the worker's successor answered at the health path, 0.65 s after the crash. The probe that followed connected to the successor, and the guard forgot the crash with all that ran at the worker. What was left was the evidence of requests that broke at once, which were the sound ones beside it.

Change: where connections are accepted, the probe also asks at the health path (Look) whether it is the same worker that answers. If it is another process, the worker has ended. That costs a health check for each worker with a broken connection that accepts new ones, and where the check can't be made or isn't answered in time, a connection.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -80,6 +80,7 @@
 // Evidence for the crash of a worker.
 const (
 	evidenceRefused  = "its address refuses connections"
+	evidenceReplaced = "another process answers at its address"
 	evidenceNoRecord = "its record is gone and it did not announce that it leaves"
 )
 
@@ -306,6 +307,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	refuses, err := g.prober.RefusesConnections(ctx, entry.worker)
+	// Whatever accepts connections may be the worker's successor.
+	isReplaced := err == nil && !refuses && g.prober.Look(ctx, entry.worker, completeness.SettleTime) == completeness.WorkerReplaced
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// Waiting callers read the status next, so the crash is recorded before the channel is closed.
@@ -318,6 +321,8 @@
 		// Without a result, UpdateWorkers counts a crash if the worker's record is removed.
 	case refuses:
 		g.recordCrash(entry, evidenceRefused)
+	case isReplaced:
+		g.recordCrash(entry, evidenceReplaced)
 	default:
 		// The worker runs: only the connection broke.
 		delete(g.disconnected, entry.worker.ID)
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -19,7 +19,9 @@
 	mu           sync.Mutex
 	crashed      map[string]bool
 	unresponsive map[string]bool
-	probes       int
+	// replaced are the workers at whose addresses another process answers.
+	replaced map[string]bool
+	probes   int
 }
 
 // errProbeTimeout is the result for an unresponsive worker, which neither accepts nor refuses connections.
@@ -39,11 +41,16 @@
 
 // Look implements Prober.
 func (p *fakeProber) Look(ctx context.Context, worker *backend.Worker, _ time.Duration) completeness.Worker {
-	switch refuses, err := p.RefusesConnections(ctx, worker); {
+	refuses, err := p.RefusesConnections(ctx, worker)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
 	case err != nil:
 		return completeness.WorkerUnseen
 	case refuses:
 		return completeness.WorkerRefuses
+	case p.replaced[worker.ID]:
+		return completeness.WorkerReplaced
 	default:
 		return completeness.WorkerAlive
 	}
@@ -56,6 +63,13 @@
 	p.crashed[worker] = true
 }
 
+// replace makes another process answer at the address of a worker.
+func (p *fakeProber) replace(worker string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replaced[worker], p.unresponsive[worker] = true, false
+}
+
 // testGuard is a guard that records the types of its events.
 type testGuard struct {
 	*Guard
@@ -66,7 +80,7 @@
 
 // newTestGuard returns a guard with some registered workers.
 func newTestGuard(workers backend.Set) *testGuard {
-	g := &testGuard{prober: &fakeProber{crashed: map[string]bool{}, unresponsive: map[string]bool{}}}
+	g := &testGuard{prober: &fakeProber{crashed: map[string]bool{}, unresponsive: map[string]bool{}, replaced: map[string]bool{}}}
 	g.Guard = NewGuard(DefaultSettings(), g.prober, time.Now, func(event Event) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -247,6 +261,46 @@
 	})
 }
 
+// TestSuccessorAtAddressIsNoSignOfLife guards against a crash that is not counted because another process accepts connections at the address of the
+// worker by the time of the probe, as after the end of a response that was confirmed only then.
+func TestSuccessorAtAddressIsNoSignOfLife(t *testing.T) {
+	for _, looksWhole := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the end looks whole: %t", looksWhole), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				workers := workerSet("w1")
+				g := newTestGuard(workers)
+				part := NewPart("g", "a1")
+				first, second := digestNamed("first"), digestNamed("second")
+				endedAt := time.Now()
+				g.prober.unresponsive["w1"] = true
+				// The connections of one request break at once.
+				g.ConnectionBroke(workers["w1"], Run{Digest: first, Rule: "rule", Parts: []Part{part}})
+				time.AfterFunc(600*time.Millisecond, func() { g.prober.replace("w1") })
+				if looksWhole {
+					if got := g.ConfirmEnd(t.Context(), workers["w1"], completeness.StreamSettleTime); got != completeness.Cut {
+						t.Errorf("the end of the response: %v, want Cut", got)
+					}
+				} else {
+					time.Sleep(700 * time.Millisecond)
+				}
+				g.ConnectionBroke(workers["w1"], Run{Digest: second, Rule: "rule", Parts: []Part{part}})
+				waitForEvaluation()
+				for _, digest := range []Digest{first, second} {
+					if got, _ := g.Status(digest); got != Suspected {
+						t.Errorf("request %x: status %d, want Suspected", digest[:2], got)
+					}
+				}
+				if got := g.parts.parts[part]; got == nil || !got.crashes["w1"].Equal(endedAt) {
+					t.Errorf("the evidence against the part is %+v, want a crash at %v", got, endedAt)
+				}
+				if got := fmt.Sprint(g.events); got != "[poison.WorkerCrashed]" {
+					t.Errorf("events: %s", got)
+				}
+			})
+		})
+	}
+}
+
 // TestCrashIsReportedOnce guards against repeated events when the connections of several requests break in a row.
 func TestCrashIsReportedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -273,7 +327,7 @@
 func TestEndOfResponseIsTimeOfCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		worker := &backend.Worker{ID: "w", Group: "g", Address: "w"}
-		prober := &fakeProber{crashed: map[string]bool{}, unresponsive: map[string]bool{}}
+		prober := &fakeProber{crashed: map[string]bool{}, unresponsive: map[string]bool{}, replaced: map[string]bool{}}
 		var crashed WorkerCrashed
 		guard := NewGuard(DefaultSettings(), prober, time.Now, func(event Event) {
 			if found, is := event.(WorkerCrashed); is {
