--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -69,10 +69,6 @@
 			if t.parts != nil {
 				t.parts.times.tell(crash.Worker)
 			}
-			// A single crash is no series, whatever its run.
-			if len(entry.runs) > 0 && len(entry.crashes) > 1 {
-				t.unsentRuns[crash.Digest] = true
-			}
 		}
 	}
 	update.Successes = t.successUpdates(now, full)
