Roles: delete a controller key that has no lease

A key "controller" that another writer had left, without a lease, kept all gateways from giving orders, ordering workers and reporting usage for as long as it stood. The log said nothing.

Cause: a gateway acquires the key only if it is absent, and counts on its lease to remove it. A key without a lease is never removed. Where its value named a gateway and the gateway's lease, that gateway took itself for the holder.

Change: a key without a lease has no holder, whatever its value. A gateway that sees one at an unchanged revision for longer than the leases to which the key is bound deletes it at that revision, and the key is then acquired as ever, also by earlier builds. A key with a lease is never deleted.

Another writer may also overwrite the key of a holder. Then the lease of the holder goes on without the key, and a holder that doesn't learn of it, for example because its watch is silent, gives orders. So only the last holder in the history deletes the key, or others once its registration, which is bound to the same lease, has gone; lists that may be outdated don't count. A last holder that reaches no engines or is standby deletes the key as well. One that stays registered and never learns of the overwritten key, or is of an earlier build, keeps others from orders until it ends: two holders are worse than none.

Warnings name the key, its value and revision, and what is done or why not.

--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -43,8 +43,8 @@
 	WorkersChanged(changes backend.Changes)
 	// GatewaysChanged reports that the list of gateways changed.
 	GatewaysChanged()
-	// ControllerChanged passes the value and revision of the controller key; nil if no gateway holds it.
-	ControllerChanged(value []byte, revision store.Revision)
+	// ControllerChanged passes the controller key; nil if it is absent.
+	ControllerChanged(key *store.Item)
 	// UsageLedgerChanged passes the usage ledger.
 	UsageLedgerChanged(value []byte)
 	// BarsListed passes all stored bars of package poison, and BarChanged a change of one.
@@ -196,11 +196,11 @@
 func (v *View) publishController(items []store.Item) {
 	for _, item := range items {
 		if item.Key == roles.ControllerKey {
-			v.listener.ControllerChanged(item.Value, item.Revision)
+			v.listener.ControllerChanged(&item)
 			return
 		}
 	}
-	v.listener.ControllerChanged(nil, 0)
+	v.listener.ControllerChanged(nil)
 }
 
 // Apply implements store.Consumer.
@@ -217,7 +217,7 @@
 			v.listener.BarChanged(event)
 		}
 		if event.Key == roles.ControllerKey {
-			v.listener.ControllerChanged(event.Value, event.Revision)
+			v.listener.ControllerChanged(presentItem(event))
 		}
 		if event.Key == usage.Key && !event.Deleted {
 			v.listener.UsageLedgerChanged(event.Value)
@@ -235,6 +235,14 @@
 	}
 }
 
+// presentItem returns the item of an event, or nil if it was deleted.
+func presentItem(event store.Event) *store.Item {
+	if event.Deleted {
+		return nil
+	}
+	return &event.Item
+}
+
 // applyGateway applies an event to the list of gateways and reports whether the event concerns that list.
 func (v *View) applyGateway(event store.Event) bool {
 	if !member.IsListKey(event.Key) {
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -57,13 +57,18 @@
 	r.workers += len(changes.Updated) - len(changes.Removed)
 }
 
-func (r *recorder) StoreRestored(int64)                              {}
-func (r *recorder) GatewaysChanged()                                 {}
-func (r *recorder) ControllerChanged(value []byte, _ store.Revision) { r.controller = string(value) }
-func (r *recorder) UsageLedgerChanged([]byte)                        {}
-func (r *recorder) BarsListed([]store.Item)                          {}
-func (r *recorder) BarChanged(store.Event)                           {}
-func (r *recorder) Unregistered()                                    { r.unregistered++ }
+func (r *recorder) StoreRestored(int64) {}
+func (r *recorder) GatewaysChanged()    {}
+func (r *recorder) ControllerChanged(key *store.Item) {
+	r.controller = ""
+	if key != nil {
+		r.controller = string(key.Value)
+	}
+}
+func (r *recorder) UsageLedgerChanged([]byte) {}
+func (r *recorder) BarsListed([]store.Item)   {}
+func (r *recorder) BarChanged(store.Event)    {}
+func (r *recorder) Unregistered()             { r.unregistered++ }
 func (r *recorder) RegistrationConfirmed(at time.Time, fleetIsNew bool) {
 	r.confirmed, r.fleetIsNew = at, fleetIsNew
 }
--- a/internal/gateway/clusterlistener.go
+++ b/internal/gateway/clusterlistener.go
@@ -128,15 +128,19 @@
 }
 
 // ControllerChanged implements cluster.Listener.
-func (g *Gateway) ControllerChanged(value []byte, revision store.Revision) {
+func (g *Gateway) ControllerChanged(key *store.Item) {
 	rank := 0
 	for i, gateway := range g.Entries() {
 		if gateway.Name == g.settings.Name {
 			rank = i
 		}
 	}
-	g.controller.KeyChanged(boottime.Now(), value, revision, rank)
-	if g.setLeader(roles.HolderOf(value)) {
+	g.controller.KeyChanged(boottime.Now(), key, rank)
+	leader := ""
+	if key != nil && key.Lease != 0 {
+		leader = roles.HolderOf(key.Value)
+	}
+	if g.setLeader(leader) {
 		g.GatewaysChanged()
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -197,6 +197,7 @@
 	control := roles.DefaultControllerSettings()
 	control.Holder = settings.Name
 	control.Authority.ResumeDelay = settings.ResumeDelay
+	control.UnleasedKeyDelay = settings.LeaseTTL + control.Authority.ExpiryMargin
 	g.controller = roles.NewController(control, dependencies.Store, dependencies.Orderer, g.dispatcher, logging.Component(logger, "roles"), g.recordDecision)
 	g.engineMonitor = newEngineMonitor(g)
 	g.notices = newNoticeTracker(g)
--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -76,8 +76,11 @@
 	DrainDelay time.Duration
 	// OrderTimeout bounds one order or one store call.
 	OrderTimeout time.Duration
-	Planner      Settings
-	Authority    authority.Settings
+	// UnleasedKeyDelay is how long the controller key must stand unchanged without a lease until it is deleted. It must exceed the leases to
+	// which processes bind the key.
+	UnleasedKeyDelay time.Duration
+	Planner          Settings
+	Authority        authority.Settings
 	// Now is the clock for the lease and the orders. It must include the time in which the machine is suspended.
 	Now func() time.Time
 }
@@ -85,11 +88,12 @@
 // DefaultControllerSettings returns settings without a holder.
 func DefaultControllerSettings() ControllerSettings {
 	return ControllerSettings{
-		DrainDelay:   150 * time.Millisecond,
-		OrderTimeout: 1500 * time.Millisecond,
-		Planner:      DefaultSettings(),
-		Authority:    authority.DefaultSettings(),
-		Now:          boottime.Now,
+		DrainDelay:       150 * time.Millisecond,
+		OrderTimeout:     1500 * time.Millisecond,
+		UnleasedKeyDelay: 3700 * time.Millisecond,
+		Planner:          DefaultSettings(),
+		Authority:        authority.DefaultSettings(),
+		Now:              boottime.Now,
 	}
 }
 
@@ -126,6 +130,8 @@
 	// keyFree is set while no process holds the controller key. This process may acquire it from acquireAfter on.
 	keyFree      bool
 	acquireAfter time.Time
+	// unleased is the controller key while it has no lease; nil otherwise.
+	unleased *unleasedKey
 }
 
 // NewController returns a controller that is inactive until Run.
@@ -182,18 +188,20 @@
 	c.authority.Leased(startedAt, lease, ttl)
 }
 
-// KeyChanged records a new value of the controller key; nil means that it is free. Rank staggers the processes that try to acquire a free
-// key.
-func (c *Controller) KeyChanged(now time.Time, value []byte, revision store.Revision, rank int) {
+// KeyChanged records a change of the controller key; nil means that it is free. Rank staggers the processes that try to acquire a free key.
+func (c *Controller) KeyChanged(now time.Time, key *store.Item, rank int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.keyFree = value == nil
-	c.acquireAfter = now.Add(time.Duration(rank) * rankDelay)
+	stagger := time.Duration(rank) * rankDelay
+	c.keyFree = key == nil
+	c.acquireAfter = now.Add(stagger)
+	c.noteUnleased(now.Add(stagger), key)
 	var holder keyHolder
-	if value == nil || json.Unmarshal(value, &holder) != nil || holder.Holder != c.settings.Holder {
+	if key == nil || key.Lease == 0 || json.Unmarshal(key.Value, &holder) != nil || holder.Holder != c.settings.Holder {
 		c.authority.Lost()
 		return
 	}
+	revision := key.Revision
 	switch {
 	case holder.Lease != c.lease:
 		// An earlier process of the same name holds the key.
@@ -272,6 +280,7 @@
 		return
 	}
 	now := c.settings.Now()
+	c.deleteUnleased(ctx, now)
 	if c.reachesEngines != nil && !c.reachesEngines() {
 		c.handOver(ctx, now)
 		return
--- a/internal/roles/controller_test.go
+++ b/internal/roles/controller_test.go
@@ -123,7 +123,7 @@
 func TestOrdersCarryFenceAndOrderCount(t *testing.T) {
 	keys, orderer, fleet := &fakeStore{revision: 41}, &recordingOrderer{state: EngineState{Role: backend.RoleDecode, Orders: 7}}, &busyPrefillFleet{}
 	controller := newTestController(keys, orderer, fleet)
-	controller.KeyChanged(boottime.Now(), nil, 0, 0)
+	controller.KeyChanged(boottime.Now(), nil, 0)
 	runSteps(controller, 3)
 	if len(orderer.orders) != 0 {
 		t.Fatal("an order was sent without a lease")
@@ -138,7 +138,7 @@
 		t.Errorf("first order: %+v, want holder a, fence 42, 7 expected orders and role prefill", first)
 	}
 	before := len(orderer.orders)
-	controller.KeyChanged(boottime.Now(), []byte(`{"holder":"b","lease":9}`), 50, 0)
+	controller.KeyChanged(boottime.Now(), &store.Item{Value: []byte(`{"holder":"b","lease":9}`), Revision: 50, Lease: 9}, 0)
 	runSteps(controller, 3)
 	if len(orderer.orders) != before {
 		t.Error("an order was sent after another process acquired the key")
@@ -149,7 +149,7 @@
 	keys, orderer := &fakeStore{revision: 9, loseResponse: true}, &recordingOrderer{state: EngineState{Role: backend.RoleDecode}}
 	controller := newTestController(keys, orderer, &busyPrefillFleet{})
 	controller.LeaseRenewed(boottime.Now(), 5, time.Minute)
-	controller.KeyChanged(boottime.Now(), nil, 0, 0)
+	controller.KeyChanged(boottime.Now(), nil, 0)
 	runSteps(controller, 3)
 	if len(orderer.orders) != 0 {
 		t.Fatal("an order was sent although the holder of the key is unknown")
@@ -158,7 +158,7 @@
 	if err := json.Unmarshal(keys.value, &held); err != nil || held.Lease != 5 {
 		t.Fatalf("the value of the controller key is %s, want lease 5", keys.value)
 	}
-	controller.KeyChanged(boottime.Now(), keys.value, keys.revision, 0)
+	controller.KeyChanged(boottime.Now(), &store.Item{Value: keys.value, Revision: keys.revision, Lease: held.Lease}, 0)
 	runSteps(controller, 3)
 	if len(orderer.orders) == 0 || orderer.orders[0].Fence != 10 {
 		t.Errorf("orders: %+v, want at least one with fence 10", orderer.orders)
@@ -170,7 +170,7 @@
 	fleet := &busyPrefillFleet{}
 	controller := newTestController(&fakeStore{}, orderer, fleet)
 	controller.LeaseRenewed(boottime.Now(), 5, time.Minute)
-	controller.KeyChanged(boottime.Now(), nil, 0, 0)
+	controller.KeyChanged(boottime.Now(), nil, 0)
 	runSteps(controller, 4)
 	if len(fleet.roleChanges) < 2 || fleet.roleChanges[0] != backend.RolePrefill || fleet.roleChanges[1] != backend.RoleDecode {
 		t.Errorf("SetRoleChange was called with %v, want prefill and then decode", fleet.roleChanges)
@@ -181,7 +181,7 @@
 	orderer := &recordingOrderer{state: EngineState{Role: backend.RoleDecode, Busy: true}}
 	controller := newTestController(&fakeStore{}, orderer, &busyPrefillFleet{})
 	controller.LeaseRenewed(boottime.Now(), 5, time.Minute)
-	controller.KeyChanged(boottime.Now(), nil, 0, 0)
+	controller.KeyChanged(boottime.Now(), nil, 0)
 	runSteps(controller, 4)
 	if len(orderer.orders) != 0 {
 		t.Errorf("orders: %+v, want none", orderer.orders)
@@ -232,7 +232,7 @@
 		logger.SetOutput(io.Discard)
 		c := NewController(settings, keys, &recordingOrderer{}, &busyPrefillFleet{}, logger, func(decision.Record) {})
 		c.LeaseRenewed(boottime.Now(), 5, time.Hour)
-		c.KeyChanged(boottime.Now(), nil, 0, 0)
+		c.KeyChanged(boottime.Now(), nil, 0)
 		c.step(context.Background())
 		_, immediate := c.Authority()
 		time.Sleep(30 * time.Millisecond)
@@ -275,7 +275,7 @@
 	controller.settings.Now = func() time.Time { return now }
 	var reaches bool
 	controller.SetReachability(func() bool { return reaches })
-	controller.KeyChanged(now, nil, 0, 0)
+	controller.KeyChanged(now, nil, 0)
 	controller.LeaseRenewed(now, 5, time.Minute)
 	runSteps(controller, 3)
 	if keys.value != nil {
--- a/internal/roles/holder.go
+++ b/internal/roles/holder.go
@@ -153,10 +153,15 @@
 func (c *Controller) deleteKey(ctx context.Context, revision store.Revision) error {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
 	defer cancel()
-	_, err := c.store.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: ControllerKey, Revision: revision}}, Deletes: []string{ControllerKey}})
+	_, err := c.store.Commit(ctx, deletionAt(revision))
 	return err
 }
 
+// deletionAt returns the transaction that deletes the controller key if it still has a revision.
+func deletionAt(revision store.Revision) store.Transaction {
+	return store.Transaction{Conditions: []store.Condition{{Key: ControllerKey, Revision: revision}}, Deletes: []string{ControllerKey}}
+}
+
 // release deletes the controller key. If that fails, the key expires with its lease.
 func (c *Controller) release(ctx context.Context) {
 	c.mutex.Lock()
--- a/internal/roles/lostresponse_test.go
+++ b/internal/roles/lostresponse_test.go
@@ -33,7 +33,7 @@
 		// Later changes of this fleet would resume routing to another engine.
 		controller.settings.Planner.ChangeInterval = time.Hour
 		controller.LeaseRenewed(boottime.Now(), 5, time.Minute)
-		controller.KeyChanged(boottime.Now(), nil, 0, 0)
+		controller.KeyChanged(boottime.Now(), nil, 0)
 		runSteps(controller, 6)
 		if len(orderer.orders) == 0 {
 			t.Fatal("no order was sent")
--- a/internal/roles/suspended_test.go
+++ b/internal/roles/suspended_test.go
@@ -18,7 +18,7 @@
 	// A test cannot suspend the machine, so it sets the clock forward.
 	c.settings.Now = now
 	c.LeaseRenewed(now(), 5, 3*time.Second)
-	c.KeyChanged(now(), nil, 0, 0)
+	c.KeyChanged(now(), nil, 0)
 	c.step(context.Background())
 	if _, may := c.Authority(); !may {
 		t.Fatal("a holder with a lease may not call")
