Roles: replace a history of holders that can't be read

A key "controllers" that another writer had left kept all gateways from giving orders for as long as it stood, with a warning each second. One without holders, such as {}, let the next holder take itself for the first ever, which gives orders at once although the previous one may have given its last order just before.

Cause: the transaction that acquires the controller key needs the history, and a history that couldn't be decoded ended it. A history without holders passed for no history.

Change: a history that can't be read, has no holders or is longer than any that gateways write has been left by another writer: the previous holders are unknown. The next holder replaces it at the revision seen, and waits as one that held the key before. A controller key without a lease beside it stands for 30 s, longer than the watch of an unaware last holder can be silent until it lists the store.

TestOddHistoryIsReplaced and TestUnleasedKeyBesideOddHistoryIsReplacedLate fail without each of the checks.

--- a/internal/roles/controller.go
+++ b/internal/roles/controller.go
@@ -195,7 +195,7 @@
 	stagger := time.Duration(rank) * rankDelay
 	c.keyFree = key == nil
 	c.acquireAfter = now.Add(stagger)
-	c.noteUnleased(now.Add(stagger), key)
+	c.noteUnleased(now, stagger, key)
 	var holder keyHolder
 	if key == nil || key.Lease == 0 || json.Unmarshal(key.Value, &holder) != nil || holder.Holder != c.settings.Holder {
 		c.authority.Lost()
--- a/internal/roles/holder.go
+++ b/internal/roles/holder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/granitebay/granitebay/internal/authority"
 	"github.com/granitebay/granitebay/internal/decision"
@@ -34,15 +35,31 @@
 	// Era is the era of the store in which the entry was written. An entry of an earlier era may lack the last holders, because the store
 	// was restored.
 	Era int64 `json:"era,omitempty"`
+	// isUnknown is set if another writer has overwritten the history.
+	isUnknown bool
+}
+
+// maxHistoryBytes is more than a history needs.
+const maxHistoryBytes = 4 << 10
+
+// decodeHistory decodes a stored history. Processes write none without holders.
+func decodeHistory(value []byte) history {
+	var decoded history
+	if len(value) > maxHistoryBytes || json.Unmarshal(value, &decoded) != nil || len(decoded.Holders) == 0 {
+		return history{isUnknown: true}
+	}
+	return decoded
 }
 
 // maxInitialEra is the highest era of a store that was never restored, which is 0 or 1.
 const maxInitialEra = 1
 
 // succession classifies a process relative to the previous holders. It is a returning holder if another process has held the key since,
-// or if the store was restored and the history was written in an earlier era.
+// or if the store was restored and the history was written in an earlier era, or if the previous holders are unknown.
 func (h history) succession(name string, era int64) authority.Succession {
 	switch {
+	case h.isUnknown:
+		return authority.Returning
 	case era > maxInitialEra && h.Era != era:
 		return authority.Returning
 	case len(h.Holders) == 0:
@@ -101,9 +118,10 @@
 		if item.Key != ControllerHistoryKey {
 			continue
 		}
-		revision = item.Revision
-		if err := json.Unmarshal(item.Value, &previous); err != nil {
-			return previous, store.Transaction{}, errors.Wrap(err, "decode the history of controller key holders")
+		revision, previous = item.Revision, decodeHistory(item.Value)
+		if previous.isUnknown {
+			c.logger.WithFields(logrus.Fields{"key": item.Key, "value": loggedValue(item.Value), "revision": item.Revision.Number()}).Warn(
+				"The history of controller key holders can't be read, so no gateway wrote it. It is replaced, and the next holder waits as one that held the key before.")
 		}
 	}
 	holder, holderErr := json.Marshal(keyHolder{Holder: c.settings.Holder, Lease: lease})
--- a/internal/roles/unleased.go
+++ b/internal/roles/unleased.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +16,8 @@
 type unleasedKey struct {
 	revision store.Revision
 	value    []byte
+	// seenAt is when this process first saw the key.
+	seenAt time.Time
 	// deleteAfter is when this process may next try to delete the key.
 	deleteAfter time.Time
 	// reported is the last logged reason why the key is kept.
@@ -26,13 +27,16 @@
 // maxLoggedValueBytes bounds the part of the value of a key that is logged.
 const maxLoggedValueBytes = 64
 
+// loggedValue returns the part of the value of a key that is logged.
+func loggedValue(value []byte) string { return string(value[:min(len(value), maxLoggedValueBytes)]) }
+
 // fields returns the fields of log lines about the key.
 func (u *unleasedKey) fields() logrus.Fields {
-	return logrus.Fields{"key": ControllerKey, "value": string(u.value[:min(len(u.value), maxLoggedValueBytes)]), "revision": u.revision.Number()}
+	return logrus.Fields{"key": ControllerKey, "value": loggedValue(u.value), "revision": u.revision.Number()}
 }
 
 // noteUnleased records whether the controller key has a lease. Each write of the key starts the delay again. The caller holds the mutex.
-func (c *Controller) noteUnleased(from time.Time, key *store.Item) {
+func (c *Controller) noteUnleased(now time.Time, stagger time.Duration, key *store.Item) {
 	if key == nil || key.Lease != 0 {
 		c.unleased = nil
 		return
@@ -41,7 +45,7 @@
 		return
 	}
 	isNew := c.unleased == nil
-	c.unleased = &unleasedKey{revision: key.Revision, value: key.Value, deleteAfter: from.Add(c.settings.UnleasedKeyDelay)}
+	c.unleased = &unleasedKey{revision: key.Revision, value: key.Value, seenAt: now, deleteAfter: now.Add(stagger + c.settings.UnleasedKeyDelay)}
 	if isNew {
 		c.logger.WithFields(c.unleased.fields()).WithField("delay", c.settings.UnleasedKeyDelay).Warn(
 			"The controller key has no lease, so no gateway wrote it, and none gives orders. It is deleted if it stands unchanged for the delay and its last holder is not registered.")
@@ -51,6 +55,12 @@
 // errLastHolderRegistered is returned if the last holder of the controller key is registered.
 var errLastHolderRegistered = errors.New("the last holder of the controller key is registered and may not know yet that it has lost the key")
 
+// errLastHolderUnknown is returned if another writer has overwritten the history, too, until unknownHolderDelay has passed.
+var errLastHolderUnknown = errors.New("the last holder of the controller key is unknown")
+
+// unknownHolderDelay is longer than a watch of the last holder can be silent until it lists the store.
+const unknownHolderDelay = 30 * time.Second
+
 // deleteUnleased deletes the controller key if it has had no lease for UnleasedKeyDelay, so that processes may acquire it. Processes without
 // a lease, which can't, leave that to the others at first.
 func (c *Controller) deleteUnleased(ctx context.Context, now time.Time) {
@@ -72,7 +82,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
 	defer cancel()
-	transaction, err := c.deletion(ctx, key.revision)
+	transaction, err := c.deletion(ctx, key.revision, now.Sub(key.seenAt))
 	if err == nil {
 		_, err = c.store.Commit(ctx, transaction)
 	}
@@ -93,8 +103,8 @@
 
 // deletion returns the transaction that deletes the controller key at a revision. The last holder may be unaware that its key was overwritten:
 // its lease is valid, but no longer deletes the key. So any other process deletes the key only after the registration of the last holder, which
-// is bound to the same lease, has gone.
-func (c *Controller) deletion(ctx context.Context, revision store.Revision) (store.Transaction, error) {
+// is bound to the same lease, has gone, or, if the last holder is unknown, after unknownHolderDelay.
+func (c *Controller) deletion(ctx context.Context, revision store.Revision, age time.Duration) (store.Transaction, error) {
 	// The prefix also lists the history.
 	items, err := c.listCurrent(ctx, ControllerKey)
 	if err != nil {
@@ -106,9 +116,10 @@
 	}
 	var previous history
 	if stored, found := items[ControllerHistoryKey]; found {
-		if err := json.Unmarshal(stored.Value, &previous); err != nil {
-			return store.Transaction{}, errors.Wrap(err, "decode the history of controller key holders")
-		}
+		previous = decodeHistory(stored.Value)
+	}
+	if previous.isUnknown && age < unknownHolderDelay {
+		return store.Transaction{}, errLastHolderUnknown
 	}
 	if len(previous.Holders) > 0 && previous.Holders[0] != c.settings.Holder {
 		registration := member.KeyPrefix + previous.Holders[0]
--- a/internal/roles/unleased_test.go
+++ b/internal/roles/unleased_test.go
@@ -306,3 +306,56 @@
 		t.Error("the process may not order although lists are current")
 	}
 }
+
+// oddHistories are histories of holders that no process writes.
+var oddHistories = []string{
+	`{"holders":7}`, `{"holders":[]}`, `{}`, `null`, ``, "\xff", `{"holders":["a"],"era":"x"}`, `{"holders":["` + strings.Repeat("a", maxHistoryBytes) + `"]}`,
+}
+
+// TestOddHistoryIsReplaced guards against a history of holders that another writer has left, and that keeps all processes from acquiring the key,
+// or that lets the next holder take itself for the first.
+func TestOddHistoryIsReplaced(t *testing.T) {
+	for _, value := range oddHistories {
+		t.Run(fmt.Sprintf("%.30q", value), func(t *testing.T) {
+			keys := newItemStore()
+			keys.put(ControllerHistoryKey, value, 0)
+			p := newTestProcess("a", 5, keys)
+			p.run(time.Second)
+			if !p.HasAuthority() {
+				t.Fatal("the key was not acquired")
+			}
+			if _, mayCall := p.Authority(); mayCall || p.mayOrder() {
+				t.Error("the process may call or order at once")
+			}
+			p.run(p.settings.Authority.Handover)
+			if _, mayCall := p.Authority(); !mayCall || !p.mayOrder() {
+				t.Error("the process may not call or order after the handover")
+			}
+			if got := string(keys.items[ControllerHistoryKey].Value); got != `{"holders":["a"]}` {
+				t.Errorf("the history is %s", got)
+			}
+			if !strings.Contains(p.log.String(), "key=controllers") {
+				t.Errorf("the log doesn't name the history: %s", p.log)
+			}
+		})
+	}
+}
+
+// TestUnleasedKeyBesideOddHistoryIsReplacedLate guards against the early deletion of an overwritten key whose last holder is unknown, and against
+// one that stands for good.
+func TestUnleasedKeyBesideOddHistoryIsReplacedLate(t *testing.T) {
+	for _, value := range oddHistories {
+		keys := newItemStore()
+		keys.put(ControllerHistoryKey, value, 0)
+		keys.put(ControllerKey, `{"holder":7}`, 0)
+		p := newTestProcess("a", 5, keys)
+		p.run(unknownHolderDelay)
+		if p.HasAuthority() {
+			t.Errorf("%.30q: the key was replaced before the delay", value)
+		}
+		p.run(2*p.settings.UnleasedKeyDelay + p.settings.Authority.Handover)
+		if !p.mayOrder() {
+			t.Errorf("%.30q: the process may not order after the delay", value)
+		}
+	}
+}
