Usage: replace a ledger that can't be read

A key "usage" that another writer had left or overwritten kept all gateways from reporting usage for as long as it stood.

Cause: the reporter reads the ledger before it finalizes windows, and a ledger that couldn't be decoded ended each step.

Change: such a ledger is replaced, at the revision seen, by the newest that the gateway knows to have been stored, as after a restore of the store. A gateway that knows none begins with the present window, as it does without a ledger. A warning names the key, its value and the first window to be finalized.

--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -203,16 +203,34 @@
 		if item.Key != Key {
 			continue
 		}
+		r.revision = item.Revision
 		ledger, err := DecodeLedger(item.Value)
 		if err != nil {
-			return err
+			ledger = r.lastKnownLedger()
+			r.logger.WithError(err).WithFields(logrus.Fields{
+				"key": Key, "value": string(item.Value[:min(len(item.Value), maxLoggedValueBytes)]), "revision": item.Revision.Number(), "next": ledger.Next,
+			}).Warn(
+				"The usage ledger can't be read, so no gateway wrote it. It is replaced by the newest known one.")
 		}
-		r.ledger, r.revision = ledger, item.Revision
+		r.ledger = ledger
 	}
 	r.ledgerKnown = true
 	return r.restoreLedger(ctx)
 }
 
+// maxLoggedValueBytes bounds the part of an unreadable ledger that is logged.
+const maxLoggedValueBytes = 64
+
+// lastKnownLedger returns the newest ledger known to have been stored. Without one, reports begin with the present window, as in a new fleet.
+func (r *Reporter) lastKnownLedger() Ledger {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.newestLedger.Next > 0 {
+		return r.newestLedger
+	}
+	return Ledger{Next: WindowAt(r.now(), r.settings.Window)}
+}
+
 // ObserveLedger records a ledger that the store holds.
 func (r *Reporter) ObserveLedger(ledger Ledger) {
 	r.mu.Lock()
--- a/internal/usage/restore_test.go
+++ b/internal/usage/restore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"testing"
 	"time"
 
@@ -48,21 +49,79 @@
 	return nil
 }
 
+// newLedgerReporters returns a function that makes reporters of windows of a second, of which those named holder have the authority.
+func newLedgerReporters(ledgers store.Store, sent Sender, now *time.Time, holder *string) func(name string) *Reporter {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return func(name string) *Reporter {
+		settings := DefaultSettings()
+		settings.Holder, settings.Window, settings.CollectDelay = name, time.Second, 0
+		return NewReporter(settings, ledgers, sent, NewTally(name, 1), func() time.Time { return *now }, func() (int64, bool) {
+			return map[string]int64{"a": 1, "b": 2}[name], *holder == name
+		}, logger, func(decision.Record) {})
+	}
+}
+
+// TestUnreadableLedgerIsReplaced guards against a ledger that another writer has left and that keeps all gateways from reporting usage for good, and
+// against windows that are reported again or left out although the newest ledger is known.
+func TestUnreadableLedgerIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		desc string
+		// takesOver means that another reporter continues, and isKnown that it knows the newest ledger.
+		takesOver, isKnown bool
+	}{{"the holder goes on", false, true}, {"a new holder knows the newest ledger", true, true}, {"a new holder knows no ledger", true, false}} {
+		t.Run(c.desc, func(t *testing.T) {
+			ledgers, sent := &ledgerStore{revision: store.NewRevision(1, 10)}, reportCounts{}
+			now, holder := time.Unix(1_000_000, 0), "a"
+			reporter := newLedgerReporters(ledgers, sent, &now, &holder)
+			a, b := reporter("a"), reporter("b")
+			run := func(r *Reporter, windows int) {
+				for range 4 * windows {
+					now = now.Add(250 * time.Millisecond)
+					r.Step(t.Context(), now)
+				}
+			}
+			run(a, 8)
+			var newest Ledger
+			if err := json.Unmarshal(ledgers.value, &newest); err != nil {
+				t.Fatal(err)
+			}
+			before := len(sent)
+			ledgers.value = []byte(`{"next":"soon"}`)
+			ledgers.revision++
+			next := a
+			if c.takesOver {
+				holder, next = "b", b
+			}
+			if c.takesOver && c.isKnown {
+				b.ObserveLedger(newest)
+			}
+			run(next, 20)
+			if reported := len(sent) - before; reported < 15 {
+				t.Errorf("%d windows were reported in 20 s after the change", reported)
+			}
+			first, last, duplicates := int64(math.MaxInt64), int64(0), 0
+			for window, count := range sent {
+				first, last, duplicates = min(first, window), max(last, window), duplicates+count-1
+			}
+			if missing := last - first + 1 - int64(len(sent)); missing > 0 && c.isKnown {
+				t.Errorf("%d windows were left out: %v", missing, sent)
+			}
+			// The newest ledger may not show the last windows as accepted yet; these are reported again with the same count.
+			if duplicates > len(newest.Reports) {
+				t.Errorf("%d windows were reported again: %v", duplicates, sent)
+			}
+		})
+	}
+}
+
 // TestRestoredLedgerCausesNoDuplicateReports guards against reporting windows again after the store was restored from
 // a backup with an older ledger, both for a continuing leader and for a new one that knows the newest ledger.
 func TestRestoredLedgerCausesNoDuplicateReports(t *testing.T) {
 	for _, takesOver := range []bool{false, true} {
 		ledgers, sent := &ledgerStore{revision: store.NewRevision(1, 10)}, reportCounts{}
 		now, holder := time.Unix(1_000_000, 0), "a"
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
-		reporter := func(name string) *Reporter {
-			settings := DefaultSettings()
-			settings.Holder, settings.Window, settings.CollectDelay = name, time.Second, 0
-			return NewReporter(settings, ledgers, sent, NewTally(name, 1), func() time.Time { return now }, func() (int64, bool) {
-				return map[string]int64{"a": 1, "b": 2}[name], holder == name
-			}, logger, func(decision.Record) {})
-		}
+		reporter := newLedgerReporters(ledgers, sent, &now, &holder)
 		a, b := reporter("a"), reporter("b")
 		run := func(r *Reporter, windows int) {
 			for range 4 * windows {
