Entries: write their need at the revision of its key

A key "entries" that another writer had left, whose value couldn't be read, kept the leader from changing how many cores the entries need until it was gone, and so did the deletion of the key until the gateway next listed the store.

Cause: the condition of the write was the revision of the last readable value, none if there was none, or that of the deletion. The store compares it with the revision of the key, which has another or is absent.

Change: the list keeps the revision of the key whatever its value, and none after a deletion. A need that can't be read leaves the known one in force, also where the store is listed, and the leader writes that again, as it did after a restore.

Result: TestNeedIsWrittenAtRevisionOfKey fails without each of the three.

--- a/internal/cluster/gateways.go
+++ b/internal/cluster/gateways.go
@@ -95,8 +95,8 @@
 	return v.gateways.Find(v.now(), name)
 }
 
-// EntryNeed returns the number of cores that the entries need in total, and the revision at which it was written.
-func (v *View) EntryNeed() (cores float64, revision store.Revision) {
+// EntryNeed returns the number of cores that the entries need in total, the revision of its key, and whether the store holds the number.
+func (v *View) EntryNeed() (cores float64, revision store.Revision, isStored bool) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	return v.gateways.Need()
--- a/internal/gateway/entrysizing.go
+++ b/internal/gateway/entrysizing.go
@@ -39,11 +39,11 @@
 			continue
 		}
 		timer.Reset(sizingInterval)
-		need, revision := g.view.EntryNeed()
+		need, revision, isStored := g.view.EntryNeed()
 		if cores, changed := sizer.Next(time.Now(), g.entryUtilization(), need); changed {
 			g.writeNeed(ctx, cores, revision)
-		} else if need > 0 && revision == 0 {
-			// The store was restored from a backup without the value.
+		} else if need > 0 && !isStored {
+			// The store was restored from a backup without the value, or another writer has overwritten it.
 			g.writeNeed(ctx, need, revision)
 		}
 	}
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -61,8 +61,10 @@
 
 	settings EntrySettings
 	// neededCores is the minimum total number of cores of the entries.
-	neededCores  float64
+	neededCores float64
+	// needRevision is that of the key in the store, zero if it is absent, and needStored is set if its value is neededCores.
 	needRevision store.Revision
+	needStored   bool
 	// entrySince holds since when each entry is one, and unresponsiveUntil until when to skip gateways that were
 	// selected but sent no heartbeat.
 	entrySince        map[string]time.Time
@@ -103,9 +105,10 @@
 		}
 	}
 	previousCores := l.neededCores
-	l.neededCores, l.needRevision = 0, 0
+	l.neededCores, l.needRevision, l.needStored = 0, 0, false
 	for _, item := range items {
 		if item.Key == EntryNeedKey {
+			l.neededCores = previousCores
 			errs = append(errs, l.putNeed(item))
 		}
 	}
@@ -126,7 +129,7 @@
 func (l *List) Apply(now time.Time, event store.Event) error {
 	switch {
 	case event.Key == EntryNeedKey && event.Deleted:
-		l.neededCores, l.needRevision = 0, event.Revision
+		l.neededCores, l.needRevision, l.needStored = 0, 0, false
 		return nil
 	case event.Key == EntryNeedKey:
 		return l.putNeed(event.Item)
@@ -140,8 +143,9 @@
 	}
 }
 
-// putNeed sets the number of cores that the entries need.
+// putNeed sets the number of cores that the entries need. One that can't be read, which another writer has left, leaves the previous in force.
 func (l *List) putNeed(item store.Item) error {
+	l.needRevision, l.needStored = item.Revision, false
 	var need EntryNeed
 	if err := json.Unmarshal(item.Value, &need); err != nil {
 		return errors.Wrapf(err, "decode the cores that the entries need, key %s", item.Key)
@@ -149,12 +153,15 @@
 	if err := validateCores(need.Cores); err != nil {
 		return errors.Wrapf(err, "the cores that the entries need, key %s", item.Key)
 	}
-	l.neededCores, l.needRevision = need.Cores, item.Revision
+	l.neededCores, l.needStored = need.Cores, true
 	return nil
 }
 
-// Need returns the total number of cores that the entries need, and the revision at which it was written.
-func (l *List) Need() (cores float64, revision store.Revision) { return l.neededCores, l.needRevision }
+// Need returns the total number of cores that the entries need, the revision of its key, zero if that is absent, and whether the store holds the
+// number.
+func (l *List) Need() (cores float64, revision store.Revision, isStored bool) {
+	return l.neededCores, l.needRevision, l.needStored
+}
 
 // Outage records that the store is unavailable.
 func (l *List) Outage(now time.Time) { l.lastOutage = now }
--- a/internal/member/sizer_test.go
+++ b/internal/member/sizer_test.go
@@ -74,8 +74,8 @@
 	if got := len(entriesAt(list, startTime)); got != 10 {
 		t.Errorf("got %d entries for a need of 3.9 cores with gateways of 0.4 cores", got)
 	}
-	if _, revision := list.Need(); revision != 7 {
-		t.Errorf("got revision %d of the need", revision)
+	if _, revision, isStored := list.Need(); revision != 7 || !isStored {
+		t.Errorf("got revision %d of the need, stored: %t", revision, isStored)
 	}
 	if err := list.Apply(startTime, store.Event{Item: store.Item{Key: EntryNeedKey, Revision: 8}, Deleted: true}); err != nil {
 		t.Fatal(err)
@@ -84,3 +84,34 @@
 		t.Errorf("without a need: %s", got)
 	}
 }
+
+// TestNeedIsWrittenAtRevisionOfKey guards against a need that the controller can never write again, because another writer has deleted it or left
+// one that can't be read, and against gateways that drop the need that they know when they list the store.
+func TestNeedIsWrittenAtRevisionOfKey(t *testing.T) {
+	item := func(value string, revision store.Revision) store.Item {
+		return store.Item{Key: EntryNeedKey, Value: []byte(value), Revision: revision}
+	}
+	expect := func(t *testing.T, list *List, cores float64, revision store.Revision, isStored bool) {
+		t.Helper()
+		if gotCores, gotRevision, gotStored := list.Need(); gotCores != cores || gotRevision != revision || gotStored != isStored {
+			t.Errorf("got %v cores at revision %d, stored: %t; want %v at %d, stored: %t", gotCores, gotRevision, gotStored, cores, revision, isStored)
+		}
+	}
+	for _, value := range []string{`{"cores":"many"}`, `{"cores":-1}`, `[[]]`, ``, "\xff"} {
+		t.Run(value, func(t *testing.T) {
+			list := largeList("g00")
+			_ = list.Reset(startTime, []store.Item{item(value, 5)})
+			expect(t, list, 0, 5, false)
+			_ = list.Apply(startTime, store.Event{Item: item(`{"cores":3.9}`, 7)})
+			expect(t, list, 3.9, 7, true)
+			_ = list.Apply(startTime, store.Event{Item: item(value, 8)})
+			expect(t, list, 3.9, 8, false)
+			_ = list.Reset(startTime, []store.Item{item(value, 8)})
+			expect(t, list, 3.9, 8, false)
+			_ = list.Apply(startTime, store.Event{Item: item(`{"cores":3.9}`, 9)})
+			expect(t, list, 3.9, 9, true)
+			_ = list.Apply(startTime, store.Event{Item: store.Item{Key: EntryNeedKey, Revision: 10}, Deleted: true})
+			expect(t, list, 0, 0, false)
+		})
+	}
+}
