--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -53,7 +53,6 @@
 	}
 	limit := t.settings.MaxPerUpdate
 	crashes := t.unsentCrashes[:min(len(t.unsentCrashes), limit)]
-	t.tellRuns(crashes)
 	if full != nil {
 		repeated := t.crashesAt(full.workers, crashes)
 		crashes = append(crashes, repeated[:min(len(repeated), limit-len(crashes))]...)
@@ -83,15 +82,6 @@
 	return update
 }
 
-// tellRuns makes the next supplement tell the runs of requests whose crashes are told. A single crash is no series, whatever its run.
-func (t *Table) tellRuns(crashes []Crash) {
-	for _, crash := range crashes {
-		if entry := t.suspects[crash.Digest]; entry != nil && len(entry.runs) > 0 && len(entry.crashes) > 1 {
-			t.unsentRuns[crash.Digest] = true
-		}
-	}
-}
-
 // successUpdates returns the successes to send: those to be told now, and some others with a full update.
 func (t *Table) successUpdates(now time.Time, full *repetition) []SuccessUpdate {
 	limit := t.settings.MaxPerUpdate
