Poison: barred requests leave room for the runs of a full update

Cause: a supplement tells at most 128 suspects, barred ones first. With as many bars none was left for the suspects at the workers that a full update repeats, while their crashes were told: a gateway that knows them from full updates only counted copies that were in flight together one by one.

Change: what is repeated of barred requests comes last. The bounds are the same.

Result: TestBarredRequestsLeaveRoomForRuns fails before in 3 of 3 runs.

--- a/internal/poison/repetition_test.go
+++ b/internal/poison/repetition_test.go
@@ -179,6 +179,43 @@
 	}
 }
 
+// TestBarredRequestsLeaveRoomForRuns guards against a bar of a sound request at a gateway that knows crashes from full updates only, because barred
+// requests take the room of the runs but not that of the crashes.
+func TestBarredRequestsLeaveRoomForRuns(t *testing.T) {
+	const copies, seconds = 3, 10
+	synctest.Test(t, func(t *testing.T) {
+		guards := newLearnedGuards(groupSet(1), 2)
+		receiver, sender := guards[0], guards[1]
+		sender.SetGateways(fullShare)
+		for i := range DefaultSettings().MaxPerUpdate {
+			sender.ApplyBar(Bar{
+				Digest: digestNamed(fmt.Sprint("barred-", i)), Workers: []string{"a", "b", "c"}, Times: 1, Since: sender.Now(), Until: sender.Now().Add(time.Hour),
+				TrialDelay: time.Second,
+			})
+		}
+		sound := SuspectUpdate{Digest: digestNamed("sound")}
+		var crashes []Crash
+		for i := range copies {
+			worker, ago := fmt.Sprint("gone-", i), int64(1000-100*i)
+			crashes = append(crashes, Crash{Digest: sound.Digest, Worker: worker, AgoMs: ago})
+			sound.Runs = append(sound.Runs, CrashedRun{Worker: worker, AgoMs: ago, BeganAgoMs: 2000, BrokeAgoMs: ago})
+		}
+		sender.ApplyUpdate(Update{Crashes: crashes})
+		sender.ApplyPartUpdate(&PartUpdate{Requests: []SuspectUpdate{sound}})
+		// These messages are lost.
+		sender.TakeUpdate(false)
+		sender.TakePartUpdate(false)
+		for range seconds {
+			repeatTo(sender, receiver)
+			time.Sleep(time.Second)
+		}
+		waitForEvaluation()
+		if count := createdBars(receiver); count > 0 {
+			t.Errorf("%d bars", count)
+		}
+	})
+}
+
 // TestLargeCrashesComeRound guards against runs and parts that no full update tells, because a worker has more of them than one may repeat.
 func TestLargeCrashesComeRound(t *testing.T) {
 	const workers, requestsEach, partsEach, seconds = 3, 12, 80, 100
--- a/internal/poison/supplement.go
+++ b/internal/poison/supplement.go
@@ -30,18 +30,23 @@
 }
 
 // TakeSupplement returns what has changed of the suspects since the last call: at most MaxPerUpdate of them, and as many runs. Trials that the other
-// gateways have not been told of come first, because they must not begin the same ones. A full update, for which full is not nil, also repeats what is
-// known of barred requests, and the runs at its workers.
+// gateways have not been told of come first, because they must not begin the same ones. A full update, for which full is not nil, also repeats the runs
+// at its workers, since the crashes there are told, and what is known of barred requests, as far as there is room.
 func (t *Table) TakeSupplement(now time.Time, full *repetition) []SuspectUpdate {
-	var changed []Digest
+	var changed, barred []Digest
 	for digest, entry := range t.suspects {
-		if t.unsentRuns[digest] || t.unsentTrials[digest] || (full != nil && now.Before(entry.barredUntil)) {
+		switch {
+		case t.unsentRuns[digest] || t.unsentTrials[digest]:
 			changed = append(changed, digest)
+		case full != nil && now.Before(entry.barredUntil):
+			barred = append(barred, digest)
 		}
 	}
-	slices.SortFunc(changed, func(a, b Digest) int {
-		return cmp.Or(compareBools(t.unsentTrials[b], t.unsentTrials[a]), t.suspects[b].lastReport.Compare(t.suspects[a].lastReport), compareDigests(a, b))
-	})
+	for _, digests := range [][]Digest{changed, barred} {
+		slices.SortFunc(digests, func(a, b Digest) int {
+			return cmp.Or(compareBools(t.unsentTrials[b], t.unsentTrials[a]), t.suspects[b].lastReport.Compare(t.suspects[a].lastReport), compareDigests(a, b))
+		})
+	}
 	clear(t.unsentRuns)
 	clear(t.unsentTrials)
 	limit := t.settings.MaxPerUpdate
@@ -49,6 +54,12 @@
 	updates := t.changedSuspects(now, changed, limit)
 	if full != nil {
 		updates = append(updates, t.runsAt(now, full.workers, changed, limit-len(updates))...)
+		runs := 0
+		for _, update := range updates {
+			runs += len(update.Runs)
+		}
+		barred = barred[:min(len(barred), limit-len(updates))]
+		updates = append(updates, t.changedSuspects(now, barred, max(limit-runs, 0))...)
 	}
 	return updates
 }
