--- a/internal/poison/repetition_test.go
+++ b/internal/poison/repetition_test.go
@@ -179,6 +179,40 @@
 	}
 }
 
+// TestPassedOnRunsStayOneCrash guards against a bar of a sound request at a gateway that misses the messages about its crashes, and hears of them from
+// one that passes them on: copies that were in flight together are one crash only if that tells their runs as well.
+func TestPassedOnRunsStayOneCrash(t *testing.T) {
+	const plays, copies = 10, 4
+	barred := 0
+	for range plays {
+		synctest.Test(t, func(t *testing.T) {
+			guards := newLearnedGuards(groupSet(1), 2)
+			receiver, passer := guards[0], guards[1]
+			digest := digestNamed("sound")
+			for i := range copies {
+				worker, ago, began := fmt.Sprint("gone-", i), int64(5), int64(1000+100*i)
+				passer.ApplyUpdate(Update{Crashes: []Crash{{Digest: digest, Worker: worker, AgoMs: ago}}})
+				runs := []CrashedRun{{Worker: worker, AgoMs: ago, BeganAgoMs: began, BrokeAgoMs: ago}}
+				passer.ApplyPartUpdate(&PartUpdate{Requests: []SuspectUpdate{{Digest: digest, Runs: runs}}})
+				update, parts := passer.TakeUpdate(false), passer.TakePartUpdate(false)
+				receiver.ApplyUpdate(update)
+				receiver.ApplyPartUpdate(&parts)
+				time.Sleep(100 * time.Millisecond)
+			}
+			waitForEvaluation()
+			if createdBars(passer) > 0 {
+				t.Error("barred by the gateway that was told all, so the test checks nothing")
+			}
+			if createdBars(receiver) > 0 {
+				barred++
+			}
+		})
+	}
+	if barred > 0 {
+		t.Errorf("barred in %d of %d plays", barred, plays)
+	}
+}
+
 // TestBarredRequestsLeaveRoomForRuns guards against a bar of a sound request at a gateway that knows crashes from full updates only, because barred
 // requests take the room of the runs but not that of the crashes.
 func TestBarredRequestsLeaveRoomForRuns(t *testing.T) {
