--- a/internal/httpclient/question_test.go
+++ b/internal/httpclient/question_test.go
@@ -15,7 +15,7 @@
 
 // ask asks a peer at its health path, and expects it to be "w".
 func ask(ctx context.Context, client *Client, address string, settle time.Duration) completeness.Worker {
-	isSame := func(header http.Header) bool { return header.Get("Instance-Id") == "w" }
+	isSame := func(header http.Header) bool { return header.Get("Peer-Id") == "w" }
 	return client.Ask(ctx, address, &Request{Method: http.MethodGet, Target: "/health", Host: "w", Header: http.Header{}}, isSame, settle)
 }
 
@@ -26,7 +26,7 @@
 			if _, _, err := readRequest(reader); err != nil {
 				return
 			}
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nInstance-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nPeer-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
 		}
 		_, _, _ = readRequest(reader)
 	}
@@ -170,7 +170,7 @@
 				return
 			}
 			asked <- struct{}{}
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nInstance-Id: w\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nPeer-Id: w\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
 	client := New(DefaultSettings())
