Poison: a full table of answered parts takes each new part in constant time

Callers saw: every request waits for half a second of processor while others send streams whose prompts have 900 new parts each, within the header limit. Cause: once the table of answered parts held its 16,384, each new part scanned all of it for expired ones, under the lock that all requests take, and was then not recorded. Fix: the parts are kept in the order of their answers, and the oldest makes room. It costs the same at any size, and parts that many requests share stay known, since each answer moves them to the front: before, a full table knew no part that came into use later, which counts as not answered when workers crash under it.

--- a/internal/poison/partbarring.go
+++ b/internal/poison/partbarring.go
@@ -257,7 +257,7 @@
 // are then told of the answer.
 func (t *partTable) isRefuted(now time.Time, bar Bar) bool {
 	state, found := t.parts[bar.Part]
-	answeredAt := t.answered[bar.Part]
+	answeredAt := t.answered.of(bar.Part)
 	if found {
 		answeredAt = state.answeredAt
 	}
--- a/internal/poison/parttable.go
+++ b/internal/poison/parttable.go
@@ -100,7 +100,7 @@
 	// times tells when workers crashed.
 	times *crashTimes
 	// answered holds when parts without evidence were answered last.
-	answered map[Part]time.Time
+	answered *answerTimes
 	// byWorker indexes the parts by the crashed workers.
 	byWorker map[string]map[Part]bool
 	// crashed maps the workers that crashed under requests to a group to the time, whatever became of the evidence.
@@ -126,7 +126,7 @@
 // newPartTable returns an empty table.
 func newPartTable(settings Settings) *partTable {
 	return &partTable{
-		settings: settings, recorded: map[string]*answerRecord{}, parts: map[Part]*partState{}, inUse: map[Part]time.Time{}, times: newCrashTimes(settings.Parts.MaxParts), answered: map[Part]time.Time{}, byWorker: map[string]map[Part]bool{},
+		settings: settings, recorded: map[string]*answerRecord{}, parts: map[Part]*partState{}, inUse: map[Part]time.Time{}, times: newCrashTimes(settings.Parts.MaxParts), answered: newAnswerTimes(settings.Parts.MaxAnswered), byWorker: map[string]map[Part]bool{},
 		crashed: map[groupWorker]time.Time{}, due: map[Part]time.Time{}, unsentWorkers: map[string]bool{}, unsentParts: map[Part]bool{},
 		answers: newRotation(compareParts),
 	}
@@ -173,7 +173,7 @@
 	t.noteCrash(now, at, groupWorker{part.Group, worker})
 	state, found := t.parts[part]
 	if !found {
-		if !at.After(t.answered[part]) {
+		if !at.After(t.answered.of(part)) {
 			return
 		}
 		state = t.addPart(now, part)
@@ -234,8 +234,8 @@
 // addPart adds a part without evidence.
 func (t *partTable) addPart(now time.Time, part Part) *partState {
 	t.evict(now)
-	state := &partState{digest: part.Digest(), crashes: map[string]time.Time{}, answeredAt: t.answered[part]}
-	delete(t.answered, part)
+	state := &partState{digest: part.Digest(), crashes: map[string]time.Time{}, answeredAt: t.answered.of(part)}
+	t.answered.forget(part)
 	t.parts[part] = state
 	t.hasVersions = t.hasVersions || part.Version != ""
 	return state
@@ -287,7 +287,7 @@
 	t.start(now)
 	state, found := t.parts[part]
 	if !found {
-		t.rememberAnswer(now, at, part)
+		t.answered.record(part, at)
 		return nil, false
 	}
 	if !at.After(state.answeredAt) {
@@ -327,21 +327,6 @@
 	}
 }
 
-// rememberAnswer notes when a part without evidence was answered.
-func (t *partTable) rememberAnswer(now, at time.Time, part Part) {
-	if !at.After(t.answered[part]) {
-		return
-	}
-	if len(t.answered) >= t.settings.Parts.MaxAnswered {
-		maps.DeleteFunc(t.answered, func(_ Part, answeredAt time.Time) bool {
-			return now.Sub(answeredAt) > t.settings.Parts.AnswerMemory
-		})
-	}
-	if len(t.answered) < t.settings.Parts.MaxAnswered {
-		t.answered[part] = at
-	}
-}
-
 // countRequest counts a request with the part.
 func (t *partTable) countRequest(part Part) {
 	if state, found := t.parts[part]; found {
@@ -432,7 +417,7 @@
 	delete(t.due, part)
 	delete(t.unsentParts, part)
 	if !state.answeredAt.IsZero() {
-		t.answered[part] = state.answeredAt
+		t.answered.record(part, state.answeredAt)
 	}
 }
 
@@ -453,7 +438,7 @@
 		}
 	}
 	isOld := func(_ Part, at time.Time) bool { return now.Sub(at) > t.settings.Parts.AnswerMemory }
-	maps.DeleteFunc(t.answered, isOld)
+	t.answered.expire(now.Add(-t.settings.Parts.AnswerMemory))
 	maps.DeleteFunc(t.inUse, isOld)
 	t.expireCrashed(now)
 	t.times.expire(now.Add(-t.settings.CrashRetention), func(worker string) bool { return t.byWorker[worker] != nil })
--- a/internal/poison/parttable_test.go
+++ b/internal/poison/parttable_test.go
@@ -465,8 +465,8 @@
 	for i := range 2 * limits.MaxAnswered {
 		s.table.recordAnswer(s.now, s.now, part(fmt.Sprintf("e%x", i)))
 	}
-	if len(s.table.answered) > limits.MaxAnswered {
-		t.Errorf("%d answers are kept, at most %d are allowed", len(s.table.answered), limits.MaxAnswered)
+	if s.table.answered.len() > limits.MaxAnswered {
+		t.Errorf("%d answers are kept, at most %d are allowed", s.table.answered.len(), limits.MaxAnswered)
 	}
 	for _, crash := range s.table.takeUpdate(s.now, repeatAll(true, nil, s.table)).Crashes {
 		limits.MaxPerUpdate -= len(crash.Parts)
