Poison: answered parts don't keep the headers of their requests in memory

Callers could see the process end: 16,384 requests, each with one new part and 16 KiB of other text in its Prompt-Prefix header, hold 268 MB, on machines of 144. Cause: the id of a part is a piece of the header's value, which stays in memory as a whole while the table of answered parts keeps the piece. Fix: the table keeps a copy of the id, which has at most 64 bytes.

--- a/internal/poison/answertimes.go
+++ b/internal/poison/answertimes.go
@@ -2,11 +2,12 @@
 
 import (
 	"container/list"
+	"strings"
 	"time"
 )
 
 // answerTimes holds when parts without evidence were answered last, of the parts that were answered most recently. Callers choose the parts, so every
-// operation but expire takes constant time. It is not safe for concurrent use.
+// operation but expire takes constant time, and the parts hold no memory of their requests. It is not safe for concurrent use.
 //
 // Invariant: it holds at most limit parts, and one that is removed to make room was recorded before all others.
 type answerTimes struct {
@@ -51,6 +52,8 @@
 	if a.order.Len() >= a.limit {
 		a.remove(a.order.Back())
 	}
+	// The id may be a piece of a whole header.
+	part.ID = strings.Clone(part.ID)
 	a.elements[part] = a.order.PushFront(&answerTime{part, at})
 }
 
