Decisions: the log keeps excerpts of what callers chose

Callers could see the process end: the log keeps the last 2,048 decisions, and each held the id, the target, the last event and the error of its request whole, up to 16 KiB of header each, quoted again in the error. Fix: ids and the like are shortened to 256 bytes with their length, errors to 1,024, and 64 segments are named at most. Ordinary ids stay as they are, so explain finds them; log lines have the same texts.

--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -13,6 +13,7 @@
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/decision"
+	"github.com/granitebay/granitebay/internal/excerpt"
 	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/streamversion"
@@ -24,7 +25,13 @@
 // recordDecision adds a decision to the decision log.
 func (g *Gateway) recordDecision(record decision.Record) { g.decisions.Append(time.Now(), record) }
 
-// requestDecision is the decision log entry of a finished request. It does not retain the request body.
+// maxErrorBytes is the length to which the error of a request is shortened.
+const maxErrorBytes = 1024
+
+// maxRecordedSegments is the number of prompt segments of a request that are recorded.
+const maxRecordedSegments = 64
+
+// requestDecision is the decision log entry of a finished request. It does not retain the request: texts that the caller chose are shortened.
 type requestDecision struct {
 	id              string
 	target          string
@@ -36,8 +43,9 @@
 	duration        time.Duration
 	timeToFirstByte time.Duration
 	attempts        []forward.Attempt
-	err             error
-	digest          *poison.Digest
+	// err is the text of the error; empty if there is none.
+	err    string
+	digest *poison.Digest
 	// sharedSegments are the ids of the prompt segments that other requests may share, set only with digest.
 	sharedSegments []string
 	// unanswered holds closed_by, step, peer, passed_on_to, configuration_age_ms and cutInputs of a request without a complete response; nil otherwise.
@@ -56,14 +64,18 @@
 func newRequestDecision(report *forward.Report) requestDecision {
 	d := requestDecision{
 		rule: report.Rule, group: report.Group, version: report.Version, status: report.Status, reason: report.Reason,
-		duration: report.Ended.Sub(report.Arrived), attempts: report.Attempts, err: report.Err, target: report.Target, digest: report.RequestDigest,
+		duration: report.Ended.Sub(report.Arrived), attempts: report.Attempts, target: excerpt.Of(report.Target, excerpt.IDBytes), digest: report.RequestDigest,
 		roleLoss: report.Loss, heldBack: report.HeldBack, ended: report.Ended, stream: report.Stream,
 	}
 	if report.Request != nil {
-		d.id, d.resumeAfter, d.resumes = report.Request.ID, report.Request.ResumeAfter, report.Request.Resumes
+		d.id = excerpt.Of(report.Request.ID, excerpt.IDBytes)
+		d.resumeAfter, d.resumes = excerpt.Of(report.Request.ResumeAfter, excerpt.IDBytes), excerpt.Of(report.Request.Resumes, excerpt.IDBytes)
+	}
+	if report.Err != nil {
+		d.err = excerpt.Of(report.Err.Error(), maxErrorBytes)
 	}
 	if report.Request != nil && d.digest != nil {
-		d.sharedSegments = lo.Map(report.Request.Demand.SharedSegments(), func(segment backend.Segment, _ int) string { return segment.ID })
+		d.sharedSegments = recordedSegments(report.Request.Demand.SharedSegments())
 	}
 	if report.Unanswered {
 		d.unanswered = map[string]string{
@@ -78,6 +90,14 @@
 	return d
 }
 
+// recordedSegments returns the ids of the first segments.
+func recordedSegments(segments []backend.Segment) []string {
+	segments = segments[:min(len(segments), maxRecordedSegments)]
+	return lo.Map(segments, func(segment backend.Segment, _ int) string {
+		return strings.Clone(excerpt.Of(segment.ID, excerpt.IDBytes))
+	})
+}
+
 // cutInputs returns what is recorded of a request that the end of the grace period ended: when it had arrived after the stop began, how long its
 // worker had been silent, and how much of its response the caller had not acknowledged.
 func cutInputs(report *forward.Report) map[string]string {
@@ -141,8 +161,8 @@
 	if d.heldBack != "" {
 		inputs["held_back"] = d.heldBack
 	}
-	if d.err != nil {
-		inputs["error"] = d.err.Error()
+	if d.err != "" {
+		inputs["error"] = d.err
 	}
 	return inputs
 }
--- a/internal/gateway/decisions_test.go
+++ b/internal/gateway/decisions_test.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/balance"
+	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
 	"github.com/granitebay/granitebay/internal/poison"
 )
@@ -75,3 +81,34 @@
 		t.Errorf("a request without a broken connection names its parts: %q", parts)
 	}
 }
+
+// TestDecisionsHoldNoHeaders guards against a decision log whose memory grows with the headers of requests.
+func TestDecisionsHoldNoHeaders(t *testing.T) {
+	const headerBytes = 15 << 10
+	decisions := decisionlog.New("gateway", maxDecisions)
+	before := heapBytes()
+	for i := range maxDecisions {
+		text := strings.Repeat("x", headerBytes) + strconv.Itoa(i)
+		digest := poison.Digest{}
+		decisions.Append(time.Now(), newRequestDecision(&forward.Report{
+			Request: &forward.Request{
+				ID: text, ResumeAfter: text + "l", Resumes: text + "r", Body: []byte(text),
+				Demand: backend.Demand{Segments: []backend.Segment{{ID: text[:8]}, {ID: text}, {ID: "own"}}},
+			},
+			Target: text + "t", Err: errors.Newf("header Deadline-Ms: %q is not allowed", text), RequestDigest: &digest,
+		}))
+	}
+	const most = 8 << 10
+	if got := (heapBytes() - before) / maxDecisions; got > most {
+		t.Errorf("a decision holds %d bytes, at most %d are allowed", got, most)
+	}
+	runtime.KeepAlive(decisions)
+}
+
+// heapBytes returns the size of all reachable memory.
+func heapBytes() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
