Callers: headers are parsed once they are complete and within the limit

Callers saw: a process of 144 MB ends while 1,000 connections send 64 kB of short header lines each, at the callers' address or at the directory's; and a request whose header has 16 KiB on the wire, as the configuration allows, gets 431 if its lines have no space behind the colon. Cause: net/http parses what arrives into a map at once, up to 64 KiB whatever the configuration says, and a line of seven bytes takes a hundred there; the configured limit was applied to the parsed header afterwards, by an estimate of its size. Fix: the connection keeps a header until its end has arrived, and counts it as it arrives. Beyond the configured limit it answers 431 itself, or 503 with Retry-After while the configuration may be out of date, and closes. So a header that is not complete holds no more than its bytes, and the limit may be above 64 KiB. 16 KiB are allowed at the other ports. An ordinary request still reaches net/http in the buffer it was read into. Counted and logged, with the peer.

--- a/internal/callers/awkward_test.go
+++ b/internal/callers/awkward_test.go
@@ -68,6 +68,7 @@
 
 // RequestPastIdleTimeout implements Observer.
 func (w *lineWriter) RequestPastIdleTimeout() {}
+func (w *lineWriter) HeaderRefused(HeaderRefusal, int, string) {}
 
 // RequestAfterClose implements Observer.
 func (w *lineWriter) RequestAfterClose(forward.Closer, string, time.Duration) {}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -54,6 +54,12 @@
 	// requestedDeadline is the deadline set by net/http, currentDeadline the one set on the socket; zero means none.
 	requestedDeadline, currentDeadline time.Time
 
+	// header follows the header that is arriving. Only the goroutine that reads the connection uses it.
+	header headerReader
+
+	// headerSize is the size of the header of the active request. It is set before the handler runs.
+	headerSize int
+
 	// writeDeadline is the deadline set by net/http for writes, in Unix nanoseconds; zero means none.
 	writeDeadline atomic.Int64
 
@@ -83,6 +89,39 @@
 	if len(buffer) > backgroundReadBytes && len(buffer) < readerBytes {
 		c.nextRequestBuffered()
 	}
+	if len(c.header.ready) > 0 {
+		n := c.header.take(buffer)
+		c.bytesReceived(len(buffer))
+		return c.follow(buffer, n, nil)
+	}
+	n, err := c.receive(buffer)
+	if n == 0 {
+		return 0, err
+	}
+	return c.follow(buffer, n, err)
+}
+
+// follow passes on bytes that were read into a buffer, or keeps them if they are part of an incomplete header.
+func (c *connection) follow(buffer []byte, n int, err error) (int, error) {
+	if len(buffer) > backgroundReadBytes && c.isReadingHeader() {
+		if !c.header.isComplete {
+			return c.readHeader(buffer, n, err)
+		}
+	} else {
+		c.header.note(buffer[:n])
+	}
+	return n, err
+}
+
+// isReadingHeader reports whether part of a header has arrived and net/http has not got all of it.
+func (c *connection) isReadingHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseReadingHeader
+}
+
+// receive reads from the socket, as Read does.
+func (c *connection) receive(buffer []byte) (int, error) {
 	c.refreshDeadline()
 	for {
 		n, err := c.Conn.Read(buffer)
@@ -262,8 +301,10 @@
 		_ = c.SetWriteDeadline(time.Time{})
 		c.inHandler.Store(false)
 		c.responseStarted.Store(false)
+		c.header.next()
 		c.enterPhase(phaseIdle)
 	case http.StateActive:
+		c.headerSize = c.header.size
 		c.enterPhase(phaseActive)
 	case http.StateHijacked:
 		c.hijacked.Store(true)
@@ -312,6 +353,14 @@
 	return forward.CloserUnknown
 }
 
+// HeaderSize returns the size of the header of the request that ctx belongs to, as it arrived; zero if that is not known.
+func HeaderSize(ctx context.Context) int {
+	if conn, ok := ctx.Value(connKey{}).(*connection); ok {
+		return conn.headerSize
+	}
+	return 0
+}
+
 // Undelivered returns how many bytes the caller of the request that ctx belongs to has not acknowledged.
 func Undelivered(ctx context.Context) int {
 	if conn, ok := ctx.Value(connKey{}).(*connection); ok {
--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -24,7 +24,7 @@
 		return false
 	}
 	switch forward.Closer(c.closingSide.Load()) {
-	case forward.CloserUnknown:
+	case forward.CloserUnknown, forward.CloserRefusal:
 		return c.responseStarted.Load()
 	case forward.CloserWriteTimeout:
 		// The caller does not read.
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -36,6 +36,8 @@
 	// RequestPastIdleTimeout reports a request that came after the idle timeout of its connection, or on a new one after the header timeout, and
 	// before the connection was closed.
 	RequestPastIdleTimeout()
+	// HeaderRefused reports a request that was refused with a status before its header was parsed, and its connection closed.
+	HeaderRefused(refusal HeaderRefusal, status int, peer string)
 	// RequestAfterClose reports that a caller has sent more, usually a request, after this side closed its sending side behind a response that was
 	// on its way, with why it was closed and for how long it had been. Such a request gets no response.
 	RequestAfterClose(closedBy forward.Closer, peer string, elapsed time.Duration)
@@ -54,6 +56,10 @@
 	// idleTimeout limits the time between two requests; headerTimeout the time to a complete header, from the accept or, for
 	// later requests, from their first byte. Both are in nanoseconds.
 	idleTimeout, headerTimeout atomic.Int64
+	// maxHeaderBytes limits the size of a header as it arrives, with the request line.
+	maxHeaderBytes atomic.Int64
+	// headerTooLarge is set by SetHeaderTooLarge; nil without.
+	headerTooLarge func() (status int, retryAfter time.Duration)
 	// announced is the Keep-Alive header for the last idle timeout that was announced.
 	announced atomic.Pointer[keepAlive]
 	// shutdownStart is when shutdown began; nil before that.
@@ -83,11 +89,8 @@
 // defaultIdleTimeout applies until a configuration is loaded.
 const defaultIdleTimeout = 15 * time.Second
 
-// Limits of request headers. The timeout applies until SetTimeouts changes it.
-const (
-	maxHeaderBytes       = 64 << 10
-	defaultHeaderTimeout = 10 * time.Second
-)
+// defaultHeaderTimeout limits the time to a complete header until SetTimeouts changes it.
+const defaultHeaderTimeout = 10 * time.Second
 
 // wrapServer returns a Server that adds its own timeouts to those of an http.Server.
 func wrapServer(server *http.Server, traffic *Traffic, observer Observer, idleTimeout time.Duration) *Server {
@@ -99,13 +102,14 @@
 	server.ConnState, server.ConnContext = onConnState, connContext
 	s.idleTimeout.Store(int64(idleTimeout))
 	s.headerTimeout.Store(int64(defaultHeaderTimeout))
+	s.SetMaxHeaderBytes(defaultMaxHeaderBytes)
 	return s
 }
 
-// newHTTPServer returns an http.Server with the header size limit, the default header timeout and the error log.
+// newHTTPServer returns an http.Server with the default header timeout and the error log.
 func newHTTPServer(handler http.Handler, logger *logrus.Entry) *http.Server {
 	return &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout,
+		Handler: handler, MaxHeaderBytes: maxParsedBytes, ReadHeaderTimeout: defaultHeaderTimeout,
 		ErrorLog: log.New(errorLogWriter{logger}, "", 0),
 	}
 }
@@ -116,6 +120,7 @@
 func NewInternalServer(handler http.Handler, observer Observer, logger *logrus.Entry) *Server {
 	internal := wrapServer(newHTTPServer(handler, logger), &Traffic{}, observer, noTimeout)
 	internal.hasLongPolls = true
+	internal.SetMaxHeaderBytes(maxInternalHeaderBytes)
 	return internal
 }
 
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -141,6 +141,10 @@
 }
 
 // RequestPastIdleTimeout implements Observer.
+func (o *recordingObserver) HeaderRefused(refusal HeaderRefusal, status int, _ string) {
+	o.add(fmt.Sprint("refused with ", status, ": ", refusal))
+}
+
 func (o *recordingObserver) RequestPastIdleTimeout() { o.add("request past the idle timeout") }
 
 // RequestAfterClose implements Observer.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -67,6 +67,7 @@
 	onTenantStart        func(tenant string)
 	closerOf             func(ctx context.Context) Closer
 	undelivered          func(ctx context.Context) int
+	headerSize           func(ctx context.Context) int
 	exclusive            exclusiveRuns
 	streams              StreamVersions
 	confirm              func(ctx context.Context, worker *backend.Worker) error
@@ -122,6 +123,19 @@
 	h.undelivered = undelivered
 }
 
+// SetHeaderSize sets the function that returns the size of the header of a request as it arrived, or zero. Without it, the size is estimated. It must be
+// called before the first request.
+func (h *Handler) SetHeaderSize(headerSize func(ctx context.Context) int) { h.headerSize = headerSize }
+
+// HeaderTooLarge returns the status for a request whose header exceeds the limit of the configuration, and when its caller may come back if the
+// configuration may be out of date.
+func (h *Handler) HeaderTooLarge() (status int, retryAfter time.Duration) {
+	if table := h.table.Load(); table == nil || !h.isUpToDate(table) {
+		return http.StatusServiceUnavailable, h.settings.NotReadyRetryAfter
+	}
+	return http.StatusRequestHeaderFieldsTooLarge, 0
+}
+
 // SetTable sets the routing table for new requests.
 func (h *Handler) SetTable(table *routing.Table) {
 	h.dispatcher.SetGroups(table.Configuration().Groups)
@@ -254,7 +268,7 @@
 		return respondRetryAfter(writer, report, ReasonStopping, h.settings.StoppingRetryAfter)
 	}
 	limits := &table.Configuration().Limits
-	if limits.MaxHeaderBytes > 0 && headerBytes(incoming) > limits.MaxHeaderBytes {
+	if limits.MaxHeaderBytes > 0 && h.headerBytes(incoming) > limits.MaxHeaderBytes {
 		return h.respondDenied(writer, report, table, http.StatusRequestHeaderFieldsTooLarge, ReasonInvalid)
 	}
 	protocol, match, found := h.match(table, incoming)
@@ -339,13 +353,18 @@
 // respondDenied rejects a request that the configuration of a table does not allow. If that configuration may be out of date, the caller is
 // told to retry instead.
 func (h *Handler) respondDenied(writer http.ResponseWriter, report *Report, table *routing.Table, status int, reason Reason) connAction {
-	// A table that replaced this one since may be what is up to date.
-	if h.isConfigurationFresh != nil && (!h.isConfigurationFresh() || h.table.Load() != table) {
+	if !h.isUpToDate(table) {
 		return respondRetryAfter(writer, report, ReasonStale, h.settings.NotReadyRetryAfter)
 	}
 	return respondError(writer, report, status, reason)
 }
 
+// isUpToDate reports whether the configuration of a table may be used to reject a request.
+func (h *Handler) isUpToDate(table *routing.Table) bool {
+	// A table that replaced this one since may be what is up to date.
+	return h.isConfigurationFresh == nil || (h.isConfigurationFresh() && h.table.Load() == table)
+}
+
 // match returns the rule of a request and the protocol that its caller uses. The path is matched first, then the labels.
 func (h *Handler) match(table *routing.Table, incoming *http.Request) (Protocol, routing.Match, bool) {
 	if match, found := table.Match(incoming.Host, pathOf(incoming)); found {
@@ -368,8 +387,18 @@
 	return h.labelled, match, found
 }
 
-// headerBytes returns the size of the request line and the headers as received.
-func headerBytes(incoming *http.Request) int {
+// headerBytes returns the size of the header of a request as it arrived, or an estimate if that is not known.
+func (h *Handler) headerBytes(incoming *http.Request) int {
+	if h.headerSize != nil {
+		if size := h.headerSize(incoming.Context()); size > 0 {
+			return size
+		}
+	}
+	return parsedHeaderBytes(incoming)
+}
+
+// parsedHeaderBytes returns the size of the request line and the headers as they are usually written.
+func parsedHeaderBytes(incoming *http.Request) int {
 	const separators = len(": ") + len("\r\n")
 	size := len(incoming.Method) + len(incoming.RequestURI) + len(incoming.Proto) + len(incoming.Host) + len("Host") + 2*separators
 	for name, values := range incoming.Header {
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -62,6 +62,8 @@
 	// CloserTruncatedResponse closes a connection whose response was cut off at the worker, and CloserPanic one whose request caused a panic.
 	CloserTruncatedResponse
 	CloserPanic
+	// CloserRefusal is a refusal before the header was parsed.
+	CloserRefusal
 )
 
 // closerNames are the names of closers in logs and metrics.
@@ -74,6 +76,7 @@
 	CloserShutdown:          "stop",
 	CloserTruncatedResponse: "broken answer",
 	CloserPanic:             "panic",
+	CloserRefusal:           "refusal of the head",
 }
 
 // String returns the name of the closer as it appears in logs and metrics.
--- a/internal/gateway/clusterlistener.go
+++ b/internal/gateway/clusterlistener.go
@@ -21,6 +21,7 @@
 	g.handler.SetTable(routing.NewTable(changed, g.handler.Table()))
 	g.controller.SetGroups(changed.Groups)
 	g.callers.SetTimeouts(changed.Limits.IdleTimeout, changed.Limits.HeaderTimeout)
+	g.callers.SetMaxHeaderBytes(changed.Limits.MaxHeaderBytes)
 	logging.Component(g.logger, "gateway").WithFields(logrus.Fields{
 		"version": changed.Version, "revision": changed.Revision,
 		"idle_ms": changed.Limits.IdleTimeout.Milliseconds(), "header_ms": changed.Limits.HeaderTimeout.Milliseconds(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,12 +176,14 @@
 	g.handler.SetFreshness(func() bool { return g.view.IsFresh(maxConfigurationAge(settings)) })
 	g.handler.SetCloserFunc(callers.CloserOf)
 	g.handler.SetUndelivered(callers.Undelivered)
+	g.handler.SetHeaderSize(callers.HeaderSize)
 	g.streams = newStreamVersions(g)
 	g.handler.SetStreamVersions(g.streams)
 	if dependencies.Orderer != nil {
 		g.handler.SetConfirmation(g.confirmWorker)
 	}
 	g.callers = callers.NewServer(callers.CancelOnDisconnect(g.handler), &g.utilization.traffic, g.metrics, logging.Component(logger, "gateway"))
+	g.callers.SetHeaderTooLarge(g.handler.HeaderTooLarge)
 	g.barSyncer = newBarSyncer(g, healthProber{Prober: dependencies.Prober, gateway: g})
 	g.handler.SetGuard(g.barSyncer.guard)
 	g.handler.SetSuspectElection(g.ownsKey)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -52,9 +52,11 @@
 	metricUnanswered   = "granitebay_requests_unanswered_total"
 	metricIdleTimeouts = "granitebay_connections_rested_out_total"
 	// metricUnread counts connections on which bytes had arrived that nobody read.
-	metricUnread     = "granitebay_connections_unread_total"
-	metricPastIdle   = "granitebay_requests_past_rest_total"
-	metricAfterClose = "granitebay_requests_after_close_total"
+	metricUnread = "granitebay_connections_unread_total"
+	// metricHeaderRefused counts requests that were refused before their headers were parsed, by reason and status.
+	metricHeaderRefused = "granitebay_heads_refused_total"
+	metricPastIdle      = "granitebay_requests_past_rest_total"
+	metricAfterClose    = "granitebay_requests_after_close_total"
 )
 
 // gatewayMetrics counts request outcomes and serves the metrics in text format. It implements forward.Observer and
@@ -441,6 +443,15 @@
 	}).Info("A connection ended with its request unanswered.")
 }
 
+// HeaderRefused implements callers.Observer.
+func (m *gatewayMetrics) HeaderRefused(refusal callers.HeaderRefusal, status int, peer string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{reason=%q,status="%d"}`, metricHeaderRefused, refusal, status)).Inc()
+	if !m.allowLog(forward.Reason(refusal)) {
+		return
+	}
+	m.logger.WithFields(logrus.Fields{"reason": string(refusal), "status": status, "peer": peer}).Info("A request was refused before its head was read.")
+}
+
 // unreadReason is the rate limiting key of log lines about unread bytes.
 const unreadReason forward.Reason = "unread bytes"
 
