Header end: the search goes on from what net/http has got

A header that began in the read of the request before was taken for complete at the wrong place, when its connection had kept the rest of it: the state of the search was that of the last byte that had arrived, not of the last one that was passed on. Bytes that arrive with the request before are no longer estimated, so a pipelined header can't be refused for them.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -103,13 +103,10 @@
 
 // follow passes on bytes that were read into a buffer, or keeps them if they are part of an incomplete header.
 func (c *connection) follow(buffer []byte, n int, err error) (int, error) {
-	if len(buffer) > backgroundReadBytes && c.isReadingHeader() {
-		if !c.header.isComplete {
-			return c.readHeader(buffer, n, err)
-		}
-	} else {
-		c.header.note(buffer[:n])
+	if len(buffer) > backgroundReadBytes && c.isReadingHeader() && !c.header.isComplete {
+		return c.readHeader(buffer, n, err)
 	}
+	c.header.note(buffer[:n])
 	return n, err
 }
 
@@ -353,7 +350,8 @@
 	return forward.CloserUnknown
 }
 
-// HeaderSize returns the size of the header of the request that ctx belongs to, as it arrived; zero if that is not known.
+// HeaderSize returns the size of the header of the request that ctx belongs to, as it arrived, without what arrived together with the request before.
+// Zero means that this is all of it.
 func HeaderSize(ctx context.Context) int {
 	if conn, ok := ctx.Value(connKey{}).(*connection); ok {
 		return conn.headerSize
--- a/internal/callers/header.go
+++ b/internal/callers/header.go
@@ -16,7 +16,8 @@
 //
 // Invariant: net/http gets a header whole, unless the caller ended the connection within it, or its first bytes arrived together with the request before.
 type headerReader struct {
-	// size and lines count the header of the current request as it arrived, and isComplete is set once its end has arrived.
+	// size and lines count the header of the current request as it arrived, and isComplete is set once its end has arrived. What arrived with the request
+	// before is not part of size.
 	size, lines int
 	isComplete  bool
 	// held is what has arrived of an incomplete header, and ready what net/http has yet to read.
@@ -31,14 +32,14 @@
 // next prepares for the next request.
 func (h *headerReader) next() { h.size, h.lines, h.isComplete = 0, 0, false }
 
-// resume accounts for the first bytes of a header, which arrived with the request before.
-func (h *headerReader) resume(buffered int) {
-	if h.size == 0 && buffered > 0 {
-		h.size, h.lines = buffered, min(h.recentLines, buffered)
+// resume accounts for the lines of a header that arrived with the request before. Its bytes are not counted, as they can't be told from that request's.
+func (h *headerReader) resume() {
+	if h.size == 0 {
+		h.lines = h.recentLines
 	}
 }
 
-// note follows bytes that are no header.
+// note follows bytes that net/http gets, other than those of a header that is not complete.
 func (h *headerReader) note(content []byte) {
 	if len(content) <= readerBytes {
 		h.recentLines = bytes.Count(content, newline)
@@ -75,12 +76,8 @@
 		h.size += length + 1
 		start += length + 1
 	}
-	if start < len(content) {
-		rest := content[start:]
-		if h.isComplete {
-			h.note(rest)
-		}
-		h.last = rest[len(rest)-1]
+	if !h.isComplete && start < len(content) {
+		h.last = content[len(content)-1]
 	}
 }
 
@@ -93,10 +90,13 @@
 	return n
 }
 
-// complete makes what was held ready, followed by what arrived last.
-func (h *headerReader) complete(last []byte) {
-	h.ready, h.held = append(append(h.held, last...), h.ready...), nil
+// complete makes what was held ready, followed by the n bytes of the buffer that arrived last, and reads the first of it into the buffer.
+func (h *headerReader) complete(buffer []byte, n int) int {
+	h.ready, h.held = append(append(h.held, buffer[:n]...), h.ready...), nil
 	h.isComplete = true
+	n = h.take(buffer)
+	h.note(buffer[:n])
+	return n
 }
 
 // HeaderRefusal is why a request was refused whose header was not parsed.
@@ -107,7 +107,9 @@
 
 // readHeader passes on bytes of a header that were read into a buffer. It keeps an incomplete header and reads on, until it is complete or refused.
 func (c *connection) readHeader(buffer []byte, n int, err error) (int, error) {
-	c.header.resume(readerBytes - len(buffer))
+	if len(buffer) < readerBytes {
+		c.header.resume()
+	}
 	for {
 		c.header.scan(buffer[:n])
 		limit := int(c.server.maxHeaderBytes.Load())
@@ -115,17 +117,16 @@
 		case c.header.size > limit:
 			return 0, c.refuse(HeaderTooLarge)
 		case c.header.isComplete && len(c.header.held) == 0:
+			c.header.note(buffer[:n])
 			return n, err
 		case c.header.isComplete || (err != nil && n > 0):
-			c.header.complete(buffer[:n])
-			return c.header.take(buffer), nil
+			return c.header.complete(buffer, n), nil
 		}
 		c.header.held = append(c.header.held, buffer[:n]...)
 		if n, err = c.receive(buffer); n == 0 {
 			if err == io.EOF && len(c.header.held) > 0 {
 				// net/http tells the caller what is wrong with the part that has arrived.
-				c.header.complete(nil)
-				return c.header.take(buffer), nil
+				return c.header.complete(buffer, 0), nil
 			}
 			return 0, err
 		}
