Intake: requests that arrive share a bound on memory

Callers saw: a process of 144 MB ends while 400 connections send bodies of 3.5 MB short of their end, or whole, or 1,000 connections headers of 2,000 short lines, each within the limits of the configuration. Cause: each header and each body had a limit of its own, and all of them together none; a body with a length took its memory at once, and one without doubled its buffer unseen. Fix: what a header becomes when it is parsed, and the buffer of a body before it grows, are taken from one budget, a sixth of the memory of the machine (memoryMb, 128 by default; limits.requestMb). 16 KiB a connection are exempt, so ordinary requests don't meet it, and the budget is never less than the largest request that the configuration allows. When it is full, the connection goes that waits for its caller and has moved least recently, if that is a second ago; it must move by a sixteenth of what it holds to count as moving, so slow callers can't keep the budget until their deadline. What finds no room gets 503 with Retry-After; it has not been sent to a worker, so 'not run' is true. The collector of the runtime works harder from three quarters of the memory on, since it lets the heap double otherwise.

--- a/cmd/granitebay-gateway/main.go
+++ b/cmd/granitebay-gateway/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
@@ -50,6 +51,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(config.CollectorLimit())
 	program := platform.NewGateway(*config, logger)
 	if err := program.Start(); err != nil {
 		return err
--- a/internal/callers/accept.go
+++ b/internal/callers/accept.go
@@ -26,6 +26,7 @@
 		return nil, err
 	}
 	conn := newConnection(accepted, l.server)
+	conn.admit()
 	l.server.add(conn)
 	return conn, nil
 }
--- a/internal/callers/awkward_test.go
+++ b/internal/callers/awkward_test.go
@@ -68,8 +68,13 @@
 
 // RequestPastIdleTimeout implements Observer.
 func (w *lineWriter) RequestPastIdleTimeout() {}
+
+// HeaderRefused implements Observer.
 func (w *lineWriter) HeaderRefused(HeaderRefusal, int, string) {}
 
+// Evicted implements Observer.
+func (w *lineWriter) Evicted(Eviction) {}
+
 // RequestAfterClose implements Observer.
 func (w *lineWriter) RequestAfterClose(forward.Closer, string, time.Duration) {}
 
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/intake"
 )
 
 // phase is the state of a caller's connection in its request cycle.
@@ -60,6 +61,11 @@
 	// headerSize is the size of the header of the active request. It is set before the handler runs.
 	headerSize int
 
+	// share is what the connection holds; nil if that is not bounded.
+	share *intake.Conn
+	// lacksRoom is set if the header of the active request exceeds what all connections may hold. It is set before the handler runs.
+	lacksRoom bool
+
 	// writeDeadline is the deadline set by net/http for writes, in Unix nanoseconds; zero means none.
 	writeDeadline atomic.Int64
 
@@ -89,6 +95,10 @@
 	if len(buffer) > backgroundReadBytes && len(buffer) < readerBytes {
 		c.nextRequestBuffered()
 	}
+	if len(buffer) == backgroundReadBytes {
+		// The whole request has arrived.
+		c.share.Serve()
+	}
 	if len(c.header.ready) > 0 {
 		n := c.header.take(buffer)
 		c.bytesReceived(len(buffer))
@@ -110,6 +120,13 @@
 	return n, err
 }
 
+// inBody reports whether a read into a buffer of a size is one of the body of the active request.
+func (c *connection) inBody(bufferSize int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseActive && bufferSize > backgroundReadBytes
+}
+
 // isReadingHeader reports whether part of a header has arrived and net/http has not got all of it.
 func (c *connection) isReadingHeader() bool {
 	c.mu.Lock()
@@ -124,6 +141,10 @@
 		n, err := c.Conn.Read(buffer)
 		if isDeadlineExceeded(err) {
 			switch {
+			case c.share.IsEvicted():
+				if n, err = c.endEvicted(buffer); isEvictedError(err) {
+					return 0, err
+				}
 			case c.hasOwnTimeout() && c.tryExtendDeadline():
 				continue
 			case c.hasOwnTimeout():
@@ -134,6 +155,9 @@
 			}
 		}
 		c.recordRead(n, len(buffer), err)
+		if n > 0 && c.inBody(len(buffer)) {
+			c.share.Arrived(n)
+		}
 		return n, err
 	}
 }
@@ -241,6 +265,7 @@
 func (c *connection) Close() error {
 	if !c.closed.Swap(true) {
 		defer c.server.remove(c)
+		defer c.share.Close()
 		if elapsed, notStarted := c.requestProgress(); !notStarted && !c.inHandler.Load() && !c.responseStarted.Load() {
 			c.server.observer.RequestNotHandled(c.closedBy(), c.RemoteAddr().String(), elapsed)
 		}
@@ -299,12 +324,17 @@
 		c.inHandler.Store(false)
 		c.responseStarted.Store(false)
 		c.header.next()
+		c.share.Release()
+		c.share.AwaitCaller()
 		c.enterPhase(phaseIdle)
 	case http.StateActive:
 		c.headerSize = c.header.size
+		c.lacksRoom = !c.header.isComplete && !c.holdHeader()
+		c.share.AwaitCaller()
 		c.enterPhase(phaseActive)
 	case http.StateHijacked:
 		c.hijacked.Store(true)
+		c.share.Serve()
 	case http.StateNew, http.StateClosed:
 	}
 }
@@ -377,6 +407,10 @@
 		}
 		conn.inHandler.Store(true)
 		conn.announceIdleTimeout(w.Header(), r)
+		if conn.lacksRoom {
+			respondOverload(w)
+			return
+		}
 		isAborted := true
 		defer func() {
 			if isAborted && !r.ProtoAtLeast(1, 1) {
--- a/internal/callers/deadlines.go
+++ b/internal/callers/deadlines.go
@@ -16,6 +16,8 @@
 	switch {
 	case c.phase == phaseActive:
 		return false
+	case c.share.IsEvicted():
+		c.closingSide.Store(int32(forward.CloserEviction))
 	case c.server.shutdownStart.Load() != nil:
 		c.closingSide.Store(int32(forward.CloserShutdown))
 	case c.phase == phaseReadingHeader:
@@ -36,6 +38,9 @@
 
 // readDeadline returns the deadline of the next read; zero means none. mu must be held.
 func (c *connection) readDeadline() time.Time {
+	if c.share.IsEvicted() {
+		return evictedDeadline
+	}
 	if c.phase == phaseActive {
 		return c.requestedDeadline
 	}
--- a/internal/callers/header.go
+++ b/internal/callers/header.go
@@ -102,8 +102,11 @@
 // HeaderRefusal is why a request was refused whose header was not parsed.
 type HeaderRefusal string
 
-// HeaderTooLarge is the refusal of a header that exceeds its limit.
-const HeaderTooLarge HeaderRefusal = "the header exceeds its limit"
+// The refusals: of a header that exceeds its limit, and of one for which there is no room beside the requests of others.
+const (
+	HeaderTooLarge  HeaderRefusal = "the header exceeds its limit"
+	HeaderLacksRoom HeaderRefusal = HeaderRefusal(forward.ReasonOverload)
+)
 
 // readHeader passes on bytes of a header that were read into a buffer. It keeps an incomplete header and reads on, until it is complete or refused.
 func (c *connection) readHeader(buffer []byte, n int, err error) (int, error) {
@@ -116,6 +119,8 @@
 		switch {
 		case c.header.size > limit:
 			return 0, c.refuse(HeaderTooLarge)
+		case !c.holdHeader():
+			return 0, c.refuse(HeaderLacksRoom)
 		case c.header.isComplete && len(c.header.held) == 0:
 			c.header.note(buffer[:n])
 			return n, err
@@ -133,6 +138,35 @@
 	}
 }
 
+// holdHeader reports whether there is room for what net/http makes of the header that has arrived, or for the part that has arrived.
+func (c *connection) holdHeader() bool {
+	if !c.header.isComplete && c.header.size > 0 {
+		return c.share.Hold(c.header.size)
+	}
+	return c.share.Hold(HeaderCost(c.header.size, c.header.lines))
+}
+
+// respondOverload refuses a request for which there is no room.
+func respondOverload(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Connection", "close")
+	header.Del("Keep-Alive")
+	header.Set("Content-Type", "application/json")
+	header.Set("Retry-After", formatSeconds(overloadRetryAfter))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, refusalBody(HeaderLacksRoom))
+}
+
+// refusalBody returns the body of the response to a refused request.
+func refusalBody(refusal HeaderRefusal) string {
+	return `{"error":` + strconv.Quote(string(refusal)) + `}`
+}
+
+// formatSeconds returns a duration in seconds, as Retry-After has it.
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', -1, 64)
+}
+
 // refusalWriteTime bounds the time for writing a refusal, which fits into the buffer of the socket.
 const refusalWriteTime = time.Second
 
@@ -150,18 +184,18 @@
 
 // refusalResponse returns the response to a request that is refused before its header is parsed.
 func refusalResponse(refusal HeaderRefusal, status int, retryAfter time.Duration) []byte {
-	body := `{"error":` + strconv.Quote(string(refusal)) + `}`
+	body := refusalBody(refusal)
 	var response bytes.Buffer
 	fmt.Fprintf(&response, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
 	if status == http.StatusServiceUnavailable {
-		fmt.Fprintf(&response, "Retry-After: %s\r\n", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+		fmt.Fprintf(&response, "Retry-After: %s\r\n", formatSeconds(retryAfter))
 	}
 	response.WriteString("\r\n" + body)
 	return response.Bytes()
 }
 
 // overloadRetryAfter is when a caller may come back whose request was refused for lack of room.
-const overloadRetryAfter = 500 * time.Millisecond
+const overloadRetryAfter = forward.OverloadRetryAfter
 
 // SetHeaderTooLarge sets the function that returns the status of the response to a request whose header exceeds its limit, and when its caller may come
 // back if that is 503. Without it, the status is 431. It must be called before Serve.
--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -77,6 +77,9 @@
 	if c.CloseWrite() != nil {
 		return
 	}
+	// It may be evicted again.
+	c.share.Release()
+	c.share.Restore()
 	// The timeouts of the other phases have passed.
 	c.enterPhase(phaseActive)
 	start := time.Now()
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -21,6 +21,7 @@
 
 	"github.com/granitebay/granitebay/internal/drain"
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/intake"
 	"github.com/granitebay/granitebay/internal/netdial"
 )
 
@@ -38,6 +39,8 @@
 	RequestPastIdleTimeout()
 	// HeaderRefused reports a request that was refused with a status before its header was parsed, and its connection closed.
 	HeaderRefused(refusal HeaderRefusal, status int, peer string)
+	// Evicted reports a connection that has lost its place, and is closed unless its caller uses it before.
+	Evicted(eviction Eviction)
 	// RequestAfterClose reports that a caller has sent more, usually a request, after this side closed its sending side behind a response that was
 	// on its way, with why it was closed and for how long it had been. Such a request gets no response.
 	RequestAfterClose(closedBy forward.Closer, peer string, elapsed time.Duration)
@@ -58,6 +61,8 @@
 	idleTimeout, headerTimeout atomic.Int64
 	// maxHeaderBytes limits the size of a header as it arrives, with the request line.
 	maxHeaderBytes atomic.Int64
+	// intake bounds what the connections hold; nil if nothing does.
+	intake *intake.Listener
 	// headerTooLarge is set by SetHeaderTooLarge; nil without.
 	headerTooLarge func() (status int, retryAfter time.Duration)
 	// announced is the Keep-Alive header for the last idle timeout that was announced.
@@ -133,6 +138,9 @@
 	return len(line), nil
 }
 
+// SetIntake bounds what the connections of the server hold. It must be called before Serve.
+func (s *Server) SetIntake(bounds *intake.Listener) { s.intake = bounds }
+
 // noTimeout disables a timeout.
 const noTimeout = 0
 
--- a/internal/callers/testserver_test.go
+++ b/internal/callers/testserver_test.go
@@ -141,10 +141,17 @@
 }
 
 // RequestPastIdleTimeout implements Observer.
+// HeaderRefused implements Observer.
 func (o *recordingObserver) HeaderRefused(refusal HeaderRefusal, status int, _ string) {
 	o.add(fmt.Sprint("refused with ", status, ": ", refusal))
 }
 
+// Evicted implements Observer.
+func (o *recordingObserver) Evicted(eviction Eviction) {
+	o.add(fmt.Sprint("evicted for ", eviction.Reason, ", ", eviction.Phase))
+}
+
+// RequestPastIdleTimeout implements Observer.
 func (o *recordingObserver) RequestPastIdleTimeout() { o.add("request past the idle timeout") }
 
 // RequestAfterClose implements Observer.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -15,6 +15,7 @@
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/bytebudget"
 	"github.com/granitebay/granitebay/internal/drain"
+	"github.com/granitebay/granitebay/internal/intake"
 	"github.com/granitebay/granitebay/internal/poison"
 	"github.com/granitebay/granitebay/internal/routing"
 	"github.com/granitebay/granitebay/internal/tenant"
@@ -68,6 +69,7 @@
 	closerOf             func(ctx context.Context) Closer
 	undelivered          func(ctx context.Context) int
 	headerSize           func(ctx context.Context) int
+	share                func(ctx context.Context) *intake.Conn
 	exclusive            exclusiveRuns
 	streams              StreamVersions
 	confirm              func(ctx context.Context, worker *backend.Worker) error
@@ -123,6 +125,18 @@
 	h.undelivered = undelivered
 }
 
+// SetShare sets the function that returns what the connection of a request holds, which may be nil. Without it, requests hold as much as they need. It must
+// be called before the first request.
+func (h *Handler) SetShare(share func(ctx context.Context) *intake.Conn) { h.share = share }
+
+// shareOf returns what the connection of a request holds; nil if that is not bounded.
+func (h *Handler) shareOf(ctx context.Context) *intake.Conn {
+	if h.share == nil {
+		return nil
+	}
+	return h.share(ctx)
+}
+
 // SetHeaderSize sets the function that returns the size of the header of a request as it arrived, or zero. Without it, the size is estimated. It must be
 // called before the first request.
 func (h *Handler) SetHeaderSize(headerSize func(ctx context.Context) int) { h.headerSize = headerSize }
@@ -294,13 +308,12 @@
 	report.deadline = deadline
 	ctx, cancel := context.WithDeadlineCause(incoming.Context(), deadline, errDeadline)
 	defer cancel()
-	status, err := readBodyByDeadline(writer, incoming, request, limits.MaxBodyBytes, deadline)
-	if err != nil {
+	body := &bodyReader{
+		writer: writer, incoming: incoming, request: request, limit: limits.MaxBodyBytes, deadline: deadline, share: h.shareOf(incoming.Context()),
+	}
+	if status, err := body.readByDeadline(); err != nil {
 		report.Err = err
-		if status == http.StatusRequestEntityTooLarge {
-			return h.respondDenied(writer, report, table, status, ReasonInvalid)
-		}
-		return respondError(writer, report, status, bodyErrorReason(status))
+		return h.respondUnread(writer, report, table, status)
 	}
 	report.bodyRead = true
 	if err := protocol.Complete(request); err != nil {
@@ -342,6 +355,18 @@
 	return current.run(ctx)
 }
 
+// respondUnread responds to a request whose body could not be read.
+func (h *Handler) respondUnread(writer http.ResponseWriter, report *Report, table *routing.Table, status int) connAction {
+	switch status {
+	case http.StatusRequestEntityTooLarge:
+		return h.respondDenied(writer, report, table, status, ReasonInvalid)
+	case http.StatusServiceUnavailable:
+		return respondRetryAfter(writer, report, ReasonOverload, OverloadRetryAfter)
+	default:
+		return respondError(writer, report, status, bodyErrorReason(status))
+	}
+}
+
 // tenantOf returns the tenant that a key belongs to, nil if the rule needs none, or false if the key is unknown.
 func tenantOf(configuration *routing.Configuration, rule *routing.Rule, key string) (*tenant.Tenant, bool) {
 	if configuration.Tenants == nil || rule.Public {
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -40,6 +40,7 @@
 	ReasonSuspected         Reason = "workers ended under the request, and no more of them are put at risk now"
 	ReasonBarred            Reason = "the request is barred, because workers ended under it"
 	ReasonPartBarred        Reason = "a part of the prompt is barred, because workers ended under requests with it"
+	ReasonOverload          Reason = "the requests that arrive hold all the room that they may"
 	ReasonPanic             Reason = "the gateway failed while it served the request"
 )
 
@@ -64,6 +65,8 @@
 	CloserPanic
 	// CloserRefusal is a refusal before the header was parsed.
 	CloserRefusal
+	// CloserEviction took the place of the connection for another one.
+	CloserEviction
 )
 
 // closerNames are the names of closers in logs and metrics.
@@ -77,6 +80,7 @@
 	CloserTruncatedResponse: "broken answer",
 	CloserPanic:             "panic",
 	CloserRefusal:           "refusal of the head",
+	CloserEviction:          "eviction",
 }
 
 // String returns the name of the closer as it appears in logs and metrics.
--- a/internal/gateway/clusterlistener.go
+++ b/internal/gateway/clusterlistener.go
@@ -8,6 +8,7 @@
 
 	"github.com/granitebay/granitebay/internal/backend"
 	"github.com/granitebay/granitebay/internal/boottime"
+	"github.com/granitebay/granitebay/internal/callers"
 	"github.com/granitebay/granitebay/internal/decision"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/retrybudget"
@@ -16,12 +17,18 @@
 	"github.com/granitebay/granitebay/internal/store"
 )
 
+// largestRequest returns the most that one request within the limits can hold.
+func largestRequest(limits routing.Limits) int {
+	return callers.MaxHeaderCost(limits.MaxHeaderBytes) + int(limits.MaxBodyBytes) + 1
+}
+
 // ConfigurationChanged implements cluster.Listener.
 func (g *Gateway) ConfigurationChanged(changed *routing.Configuration) {
 	g.handler.SetTable(routing.NewTable(changed, g.handler.Table()))
 	g.controller.SetGroups(changed.Groups)
 	g.callers.SetTimeouts(changed.Limits.IdleTimeout, changed.Limits.HeaderTimeout)
 	g.callers.SetMaxHeaderBytes(changed.Limits.MaxHeaderBytes)
+	g.intake.SetLargest(largestRequest(changed.Limits))
 	logging.Component(g.logger, "gateway").WithFields(logrus.Fields{
 		"version": changed.Version, "revision": changed.Revision,
 		"idle_ms": changed.Limits.IdleTimeout.Milliseconds(), "header_ms": changed.Limits.HeaderTimeout.Milliseconds(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/drain"
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/intake"
 	"github.com/granitebay/granitebay/internal/logging"
 	"github.com/granitebay/granitebay/internal/member"
 	"github.com/granitebay/granitebay/internal/netdial"
@@ -88,13 +89,15 @@
 
 	handler *forward.Handler
 	// relays is nil if connections to workers are not relayed.
-	relays        *relay.Handler
-	dispatcher    *forward.Dispatcher
-	view          *cluster.View
-	replica       *store.Replica
-	registration  *member.Registration
-	controller    *roles.Controller
-	callers       *callers.Server
+	relays       *relay.Handler
+	dispatcher   *forward.Dispatcher
+	view         *cluster.View
+	replica      *store.Replica
+	registration *member.Registration
+	controller   *roles.Controller
+	callers      *callers.Server
+	// intake bounds what callers make this process hold while their requests arrive.
+	intake        *intake.Budget
 	accepting     *accepting.Loop
 	metrics       *gatewayMetrics
 	loadExchange  *peersync.Exchange
@@ -177,6 +180,7 @@
 	g.handler.SetCloserFunc(callers.CloserOf)
 	g.handler.SetUndelivered(callers.Undelivered)
 	g.handler.SetHeaderSize(callers.HeaderSize)
+	g.handler.SetShare(callers.ShareOf)
 	g.streams = newStreamVersions(g)
 	g.handler.SetStreamVersions(g.streams)
 	if dependencies.Orderer != nil {
@@ -184,6 +188,8 @@
 	}
 	g.callers = callers.NewServer(callers.CancelOnDisconnect(g.handler), &g.utilization.traffic, g.metrics, logging.Component(logger, "gateway"))
 	g.callers.SetHeaderTooLarge(g.handler.HeaderTooLarge)
+	g.intake = intake.New(settings.MaxRequestBytes(), time.Now)
+	g.callers.SetIntake(g.intake.NewListener(0))
 	g.barSyncer = newBarSyncer(g, healthProber{Prober: dependencies.Prober, gateway: g})
 	g.handler.SetGuard(g.barSyncer.guard)
 	g.handler.SetSuspectElection(g.ownsKey)
@@ -305,6 +311,7 @@
 			continue
 		}
 		server := callers.NewInternalServer(service.handler, g.metrics, logging.Component(g.logger, "gateway"))
+		server.SetIntake(g.intake.NewListener(0))
 		if err := g.listen(service.address, server.Serve); err != nil {
 			g.close()
 			return err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -55,8 +55,13 @@
 	metricUnread = "granitebay_connections_unread_total"
 	// metricHeaderRefused counts requests that were refused before their headers were parsed, by reason and status.
 	metricHeaderRefused = "granitebay_heads_refused_total"
-	metricPastIdle      = "granitebay_requests_past_rest_total"
-	metricAfterClose    = "granitebay_requests_after_close_total"
+	// metricEvicted counts connections that lost their places, by the bound that was reached and what they waited for. metricIntakeBytes is how many bytes
+	// requests hold beyond the exempt ones, and metricIntakeLimit their limit.
+	metricEvicted     = "granitebay_connections_evicted_total"
+	metricIntakeBytes = "granitebay_request_bytes"
+	metricIntakeLimit = "granitebay_request_bytes_limit"
+	metricPastIdle    = "granitebay_requests_past_rest_total"
+	metricAfterClose  = "granitebay_requests_after_close_total"
 )
 
 // gatewayMetrics counts request outcomes and serves the metrics in text format. It implements forward.Observer and
@@ -108,6 +113,8 @@
 	m.set.NewGauge(metricCopyBytes, func() float64 { return float64(g.dispatcher.MigrationTotals().CopyBytes) })
 	m.set.NewGauge(metricCopiesOverLimit, func() float64 { return float64(g.dispatcher.MigrationTotals().CopiesOverLimit) })
 	m.set.NewGauge(metricLostPaths, func() float64 { return float64(g.lostPaths()) })
+	m.set.NewGauge(metricIntakeBytes, func() float64 { held, _ := g.intake.Held(); return float64(held) })
+	m.set.NewGauge(metricIntakeLimit, func() float64 { _, limit := g.intake.Held(); return float64(limit) })
 	m.budgets, m.workersByVersion = g.dispatcher.Budgets, g.dispatcher.WorkersByVersion
 }
 
@@ -452,6 +459,17 @@
 	m.logger.WithFields(logrus.Fields{"reason": string(refusal), "status": status, "peer": peer}).Info("A request was refused before its head was read.")
 }
 
+// Evicted implements callers.Observer.
+func (m *gatewayMetrics) Evicted(eviction callers.Eviction) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{reason=%q,awaits=%q}`, metricEvicted, eviction.Reason, eviction.Phase)).Inc()
+	if !m.allowLog(forward.Reason("eviction: " + eviction.Reason)) {
+		return
+	}
+	m.logger.WithFields(logrus.Fields{
+		"reason": string(eviction.Reason), "peer": eviction.Peer, "awaits": eviction.Phase, "waited_ms": eviction.Waited.Milliseconds(),
+	}).Info("A connection lost its place, because it waited longest for its caller.")
+}
+
 // unreadReason is the rate limiting key of log lines about unread bytes.
 const unreadReason forward.Reason = "unread bytes"
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,6 +23,9 @@
 	// resource with an unknown limit, given as zero, is left out of the utilization.
 	LinkMbps    float64
 	Descriptors int
+	// MemoryBytes is the memory that the process may use, and RequestBytes what requests may hold of it together while they arrive and are served, beside
+	// a few kilobytes each; zero stands for a share of it.
+	MemoryBytes, RequestBytes int64
 	// ListenCallers, ListenReady, ListenDirectory and ListenAdmin are host:port. ListenAdmin serves operators and
 	// metrics.
 	ListenCallers   string
@@ -72,6 +75,23 @@
 	LogLevel string
 }
 
+// requestDivisor is the reciprocal of the share of the memory that requests may hold unless the settings say so.
+const requestDivisor = 6
+
+// MaxRequestBytes returns how many bytes requests may hold together.
+func (s *Settings) MaxRequestBytes() int {
+	if s.RequestBytes > 0 {
+		return int(s.RequestBytes)
+	}
+	return int(s.MemoryBytes / requestDivisor)
+}
+
+// collectorShare is the share of the memory from which on the collector of the runtime works harder instead of letting the heap grow.
+const collectorShare = 0.75
+
+// CollectorLimit returns the number of bytes to which the runtime should limit the memory that it manages.
+func (s *Settings) CollectorLimit() int64 { return int64(collectorShare * float64(s.MemoryBytes)) }
+
 // Limits of the connections that a gateway relays for others.
 const (
 	// relayDescriptors is the number of descriptors of a relayed connection, and relayShare the inverse share of all descriptors for them.
@@ -93,6 +113,7 @@
 func DefaultSettings() *Settings {
 	return &Settings{
 		Cores:          1,
+		MemoryBytes:    128 << 20,
 		Grace:          8 * time.Second,
 		AddressTTL:     drain.AcceptTime,
 		MaxAddressTTL:  5 * time.Second,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,8 +30,11 @@
 	// LinkMbps is the network bandwidth of the machine in Mbit/s; 0 means unknown.
 	LinkMbps float64 `json:"linkMbps"`
 	// Descriptors is the file descriptor limit of the process; 0 means unknown.
-	Descriptors int            `json:"descriptors"`
-	Listen      listenSettings `json:"listen"`
+	Descriptors int `json:"descriptors"`
+	// MemoryMB is the memory that the process may use, in MiB.
+	MemoryMB float64        `json:"memoryMb"`
+	Limits   limitSettings  `json:"limits"`
+	Listen   listenSettings `json:"listen"`
 	// Seeds are control addresses of gateways through which this one finds the fleet. Some may be unreachable, and the
 	// gateway's own address is ignored.
 	Seeds []string `json:"seeds"`
@@ -47,6 +50,12 @@
 	LogLevel string `json:"logLevel"`
 }
 
+// limitSettings bound what callers make the gateway hold; 0 stands for a share of the machine.
+type limitSettings struct {
+	// RequestMB is the memory that requests may hold together while they arrive and are served, in MiB.
+	RequestMB float64 `json:"requestMb"`
+}
+
 // listenSettings are the addresses that a gateway listens on.
 type listenSettings struct {
 	// Callers, Ready, Directory and Peers are required.
@@ -106,11 +115,15 @@
 	UsageDue strictyaml.Duration `json:"usageDue"`
 }
 
+// bytesPerMB is the number of bytes of a MiB.
+const bytesPerMB = 1 << 20
+
 // defaultFile returns the settings that apply where the file sets none. The required fields are empty.
 func defaultFile() settingsFile {
 	settings := gateway.DefaultSettings()
 	return settingsFile{
-		Cores: settings.Cores,
+		Cores:    settings.Cores,
+		MemoryMB: float64(settings.MemoryBytes) / bytesPerMB,
 		Timings: timingSettings{
 			Grace: strictyaml.Duration(settings.Grace), AddressTTL: strictyaml.Duration(settings.AddressTTL),
 			MaximumAddressTTL: strictyaml.Duration(settings.MaxAddressTTL), Lease: strictyaml.Duration(settings.LeaseTTL),
@@ -148,6 +161,7 @@
 	s := gateway.DefaultSettings()
 	s.Name, s.Zone, s.Cores = f.Name, f.Zone, f.Cores
 	s.LinkMbps, s.Descriptors = f.LinkMbps, f.Descriptors
+	s.MemoryBytes, s.RequestBytes = int64(f.MemoryMB*bytesPerMB), int64(f.Limits.RequestMB*bytesPerMB)
 	s.ListenCallers, s.ListenReady, s.ListenDirectory = f.Listen.Callers, f.Listen.Ready, f.Listen.Directory
 	s.ListenPeers, s.ListenControl, s.ListenAdmin = f.Listen.Peers, f.Listen.Control, f.Listen.Admin
 	s.Seeds = slices.DeleteFunc(slices.Clone(f.Seeds), func(seed string) bool { return seed == f.Listen.Control })
@@ -171,6 +185,8 @@
 		v.addError("name", f.Name, "is missing", "a name that no other gateway has")
 	}
 	v.checkPositive("cores", f.Cores)
+	v.checkPositive("memoryMb", f.MemoryMB)
+	v.checkNotNegative("limits.requestMb", f.Limits.RequestMB)
 	v.checkNotNegative("linkMbps", f.LinkMbps)
 	v.checkNotNegative("descriptors", float64(f.Descriptors))
 	v.checkAddress("listen.callers", f.Listen.Callers, true)
