Callers: each port holds a bounded number of connections

Callers saw: no answer or 503, a directory that doesn't answer and a gateway that isn't ready, while 500 connections that do nothing, or stop within a header or a body, and come back when closed, take all of a process's 300 descriptors. Cause: descriptors went to whoever connected first; the way to workers, the store and other gateways had none of its own, nor had the other ports.

--- a/internal/callers/accept.go
+++ b/internal/callers/accept.go
@@ -25,12 +25,37 @@
 	if err != nil {
 		return nil, err
 	}
+	if !l.server.awaitRoom() {
+		_ = accepted.Close()
+		return nil, net.ErrClosed
+	}
 	conn := newConnection(accepted, l.server)
 	conn.admit()
 	l.server.add(conn)
 	return conn, nil
 }
 
+// awaitRoom waits until there is room for another connection, which others make that have waited for their callers. Connections that come meanwhile stay in
+// the queue of the listener, so their callers wait instead of being refused. It returns false if the server is closed.
+func (s *Server) awaitRoom() bool {
+	for s.intake != nil && s.shutdownStart.Load() == nil {
+		found, again := s.intake.MakeRoom()
+		if s.closing.Load() {
+			return false
+		}
+		if found {
+			return true
+		}
+		timer := time.NewTimer(again)
+		select {
+		case <-s.intake.Freed():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return true
+}
+
 // handshakeTime is how long the accept loop waits for connections whose handshake has begun, after new handshakes were stopped. It exceeds the
 // round trip to most callers of other regions.
 const handshakeTime = 150 * time.Millisecond
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -154,6 +154,9 @@
 				n, err = c.readArrived(buffer)
 			}
 		}
+		if n > 0 {
+			c.keepPlace()
+		}
 		c.recordRead(n, len(buffer), err)
 		if n > 0 && c.inBody(len(buffer)) {
 			c.share.Arrived(n)
--- a/internal/callers/eviction.go
+++ b/internal/callers/eviction.go
@@ -37,16 +37,19 @@
 	c.refreshDeadline()
 }
 
-// endEvicted ends a read of an evicted connection. A request that has arrived on an idle connection is served, since its caller can't tell that nobody has
-// read it. What comes of a request that has begun does not save it, or a caller could hold its place with a byte at a time.
+// keepPlace keeps the place of a connection on which a request begins to arrive, even if it was just evicted: its caller could not tell that nobody has
+// read the request.
+func (c *connection) keepPlace() {
+	if current, _ := c.currentPhase(); c.share != nil && (current == phaseNew || current == phaseIdle) {
+		c.share.Restore()
+	}
+}
+
+// endEvicted ends a read of an evicted connection. One that is idle is looked at once more. What comes of a request that has begun does not save it, or a caller could hold its place with a byte at a time.
 func (c *connection) endEvicted(buffer []byte) (int, error) {
 	switch current, _ := c.currentPhase(); current {
 	case phaseNew, phaseIdle:
-		n, err := c.finalRead(buffer)
-		if n > 0 {
-			c.share.Restore()
-		}
-		return n, err
+		return c.finalRead(buffer)
 	case phaseActive:
 		return 0, &forward.EvictedError{}
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,7 +189,7 @@
 	g.callers = callers.NewServer(callers.CancelOnDisconnect(g.handler), &g.utilization.traffic, g.metrics, logging.Component(logger, "gateway"))
 	g.callers.SetHeaderTooLarge(g.handler.HeaderTooLarge)
 	g.intake = intake.New(settings.MaxRequestBytes(), time.Now)
-	g.callers.SetIntake(g.intake.NewListener(0))
+	g.callers.SetIntake(g.intake.NewListener(settings.connectionLimits().callers))
 	g.barSyncer = newBarSyncer(g, healthProber{Prober: dependencies.Prober, gateway: g})
 	g.handler.SetGuard(g.barSyncer.guard)
 	g.handler.SetSuspectElection(g.ownsKey)
@@ -293,14 +293,16 @@
 func (g *Gateway) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
+	limits := g.settings.connectionLimits()
 	services := []struct {
-		address string
-		handler http.Handler
+		address     string
+		handler     http.Handler
+		connections int
 	}{
-		{g.settings.ListenReady, g.dependencies.ReadyHandler(g.Ready)},
-		{g.settings.ListenDirectory, g.dependencies.DirectoryHandler(g.resolve)},
-		{g.settings.ListenAdmin, g.adminHandler()},
-		{g.settings.ListenControl, g.controlHandler()},
+		{g.settings.ListenReady, g.dependencies.ReadyHandler(g.Ready), limits.ready},
+		{g.settings.ListenDirectory, g.dependencies.DirectoryHandler(g.resolve), limits.directory},
+		{g.settings.ListenAdmin, g.adminHandler(), limits.admin},
+		{g.settings.ListenControl, g.controlHandler(), limits.control},
 	}
 	if err := g.listen(g.settings.ListenCallers, g.serveCallers); err != nil {
 		g.close()
@@ -311,7 +313,7 @@
 			continue
 		}
 		server := callers.NewInternalServer(service.handler, g.metrics, logging.Component(g.logger, "gateway"))
-		server.SetIntake(g.intake.NewListener(0))
+		server.SetIntake(g.intake.NewListener(service.connections))
 		if err := g.listen(service.address, server.Serve); err != nil {
 			g.close()
 			return err
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,6 +26,9 @@
 	// MemoryBytes is the memory that the process may use, and RequestBytes what requests may hold of it together while they arrive and are served, beside
 	// a few kilobytes each; zero stands for a share of it.
 	MemoryBytes, RequestBytes int64
+	// CallerConnections and DirectoryConnections are how many connections the listeners for callers and of the directory hold at a time; zero stands for a
+	// share of the descriptors.
+	CallerConnections, DirectoryConnections int
 	// ListenCallers, ListenReady, ListenDirectory and ListenAdmin are host:port. ListenAdmin serves operators and
 	// metrics.
 	ListenCallers   string
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -244,7 +244,7 @@
 	c.restore()
 }
 
-// Restore undoes an eviction, if the caller has used the connection before it was closed.
+// Restore undoes an eviction, if the caller has used the connection before it was closed, and counts as progress.
 func (c *Conn) Restore() {
 	if c == nil {
 		return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,6 +54,9 @@
 type limitSettings struct {
 	// RequestMB is the memory that requests may hold together while they arrive and are served, in MiB.
 	RequestMB float64 `json:"requestMb"`
+	// CallerConnections and DirectoryConnections are how many connections listen.callers and listen.directory hold at a time.
+	CallerConnections    int `json:"callerConnections"`
+	DirectoryConnections int `json:"directoryConnections"`
 }
 
 // listenSettings are the addresses that a gateway listens on.
@@ -162,6 +165,7 @@
 	s.Name, s.Zone, s.Cores = f.Name, f.Zone, f.Cores
 	s.LinkMbps, s.Descriptors = f.LinkMbps, f.Descriptors
 	s.MemoryBytes, s.RequestBytes = int64(f.MemoryMB*bytesPerMB), int64(f.Limits.RequestMB*bytesPerMB)
+	s.CallerConnections, s.DirectoryConnections = f.Limits.CallerConnections, f.Limits.DirectoryConnections
 	s.ListenCallers, s.ListenReady, s.ListenDirectory = f.Listen.Callers, f.Listen.Ready, f.Listen.Directory
 	s.ListenPeers, s.ListenControl, s.ListenAdmin = f.Listen.Peers, f.Listen.Control, f.Listen.Admin
 	s.Seeds = slices.DeleteFunc(slices.Clone(f.Seeds), func(seed string) bool { return seed == f.Listen.Control })
@@ -187,6 +191,8 @@
 	v.checkPositive("cores", f.Cores)
 	v.checkPositive("memoryMb", f.MemoryMB)
 	v.checkNotNegative("limits.requestMb", f.Limits.RequestMB)
+	v.checkNotNegative("limits.callerConnections", float64(f.Limits.CallerConnections))
+	v.checkNotNegative("limits.directoryConnections", float64(f.Limits.DirectoryConnections))
 	v.checkNotNegative("linkMbps", f.LinkMbps)
 	v.checkNotNegative("descriptors", float64(f.Descriptors))
 	v.checkAddress("listen.callers", f.Listen.Callers, true)
