Intake: headers that arrive with the request before are counted

Cause: such a header is in the buffer of net/http before its request begins, so the connection does not see it arrive, and counted none of its lines. Fix: the lines of the read that brought it count, which may be a few too many. If there is no room its request gets 503 when its handler begins.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -332,7 +332,7 @@
 		c.enterPhase(phaseIdle)
 	case http.StateActive:
 		c.headerSize = c.header.size
-		c.lacksRoom = !c.header.isComplete && !c.holdHeader()
+		c.lacksRoom = !c.header.isComplete && !c.holdResumedHeader()
 		c.share.AwaitCaller()
 		c.enterPhase(phaseActive)
 	case http.StateHijacked:
--- a/internal/callers/header.go
+++ b/internal/callers/header.go
@@ -41,8 +41,11 @@
 
 // note follows bytes that net/http gets, other than those of a header that is not complete.
 func (h *headerReader) note(content []byte) {
-	if len(content) <= readerBytes {
-		h.recentLines = bytes.Count(content, newline)
+	switch lines := bytes.Count(content[:min(len(content), readerBytes)], newline); {
+	case len(content) == backgroundReadBytes:
+		h.recentLines += lines
+	case len(content) <= readerBytes:
+		h.recentLines = lines
 	}
 	if end := bytes.LastIndexByte(content, '\n'); end >= 0 {
 		h.lineBytes = len(content) - end - 1
@@ -146,6 +149,12 @@
 	return c.share.Hold(HeaderCost(c.header.size, c.header.lines))
 }
 
+// holdResumedHeader reports whether there is room for a header all of which arrived with the request before.
+func (c *connection) holdResumedHeader() bool {
+	c.header.resume()
+	return c.holdHeader()
+}
+
 // respondOverload refuses a request for which there is no room.
 func respondOverload(w http.ResponseWriter) {
 	header := w.Header()
