Listeners: the receive buffers of connections are fixed

Cause: nothing bounded a receive buffer, and nobody reads a connection while its request is served. Fix: accepted connections get a buffer of an eighth of the memory shared by the callers' connections, from 16 KiB to 1 MiB (limits.receiveKb); set at the listener, since a window that was offered can't be taken back. The ports hold at most a connection for each 96 KiB of memory, too, where descriptors abound.

--- a/internal/gateway/connectionlimits.go
+++ b/internal/gateway/connectionlimits.go
@@ -16,6 +16,28 @@
 	minConnections = 8
 )
 
+// Memory of connections.
+const (
+	// connectionBytes is what a connection of a caller may take at most, beside the bytes that all requests share: its goroutine and its buffers, what it
+	// may hold of a request without asking, and its receive buffer. The small listeners have a connection for each smallMultiple of callers.
+	connectionBytes = 96 << 10
+	smallMultiple   = 4
+	// receiveDivisor is the reciprocal of the share of the memory that may lie unread in the receive buffers of all callers.
+	receiveDivisor = 8
+	// minReceiveBytes and maxReceiveBytes bound the receive buffer of a connection.
+	minReceiveBytes = 16 << 10
+	maxReceiveBytes = 1 << 20
+)
+
+// receiveBuffer returns the size of the receive buffer of a connection.
+func (s *Settings) receiveBuffer() int {
+	if s.ReceiveBytes > 0 {
+		return s.ReceiveBytes
+	}
+	perCaller := int(s.MemoryBytes) / receiveDivisor / s.connectionLimits().callers
+	return min(max(perCaller, minReceiveBytes), maxReceiveBytes)
+}
+
 // Descriptors that are no sockets.
 const (
 	// fileDivisor is the reciprocal of the share of all descriptors that is kept for files, and maxFiles the most that is.
@@ -30,18 +52,21 @@
 		descriptors = processDescriptors()
 	}
 	sockets := float64(descriptors - min(descriptors/fileDivisor, maxFiles))
-	limit := func(configured int, share float64) int {
-		if configured > 0 {
-			return configured
-		}
-		return max(int(share*sockets), minConnections)
-	}
-	return connectionLimits{
-		callers: limit(s.CallerConnections, callersShare), directory: limit(s.DirectoryConnections, directoryShare),
-		ready: limit(0, smallShare), admin: limit(0, smallShare),
+	inMemory := int(s.MemoryBytes / connectionBytes)
+	share := func(share float64, most int) int { return max(min(int(share*sockets), most), minConnections) }
+	limits := connectionLimits{
+		callers: share(callersShare, inMemory), directory: share(directoryShare, inMemory/smallMultiple),
+		ready: share(smallShare, inMemory/smallMultiple), admin: share(smallShare, inMemory/smallMultiple),
 		// The connections that other gateways relay here are among those of the control listener.
-		control: limit(0, controlShare) + s.MaxRelayed(),
+		control: share(controlShare, inMemory) + s.MaxRelayed(),
+	}
+	if s.CallerConnections > 0 {
+		limits.callers = s.CallerConnections
+	}
+	if s.DirectoryConnections > 0 {
+		limits.directory = s.DirectoryConnections
 	}
+	return limits
 }
 
 // processDescriptors returns the number of descriptors that this process may open.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -403,7 +403,7 @@
 
 // listen opens a listener and serves it in the background. The error of serve only reports that the listener was closed.
 func (g *Gateway) listen(address string, serve func(netdial.Listener) error) error {
-	listener, err := netdial.Listen(address)
+	listener, err := netdial.ListenBuffered(address, g.settings.receiveBuffer())
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -29,6 +29,8 @@
 	// CallerConnections and DirectoryConnections are how many connections the listeners for callers and of the directory hold at a time; zero stands for a
 	// share of the descriptors.
 	CallerConnections, DirectoryConnections int
+	// ReceiveBytes is the size of the receive buffer of a connection; zero stands for a share of the memory.
+	ReceiveBytes int
 	// ListenCallers, ListenReady, ListenDirectory and ListenAdmin are host:port. ListenAdmin serves operators and
 	// metrics.
 	ListenCallers   string
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// limitReceiveBuffer fixes the size of the receive buffer. Where the option is not known, the kernel keeps its own.
+func limitReceiveBuffer(raw syscall.RawConn, size int) {
+	_ = raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+	})
+}
+
 // Settings of accepted connections. They are more lenient than those of opened connections, so that a caller that is
 // unreachable for a few seconds keeps its connection. Its requests still end at their deadline.
 const (
@@ -85,13 +92,22 @@
 
 // Listen listens at an address, host:port. Accepted connections fail if sent data stays unacknowledged, or if keep-alive
 // probes are not answered. With the defaults of package net that would take two and a half minutes.
-func Listen(address string) (Listener, error) {
+func Listen(address string) (Listener, error) { return ListenBuffered(address, 0) }
+
+// ListenBuffered listens as Listen does. The receive buffers of accepted connections, in bytes, are fixed instead of growing by megabytes while nobody
+// reads; zero leaves them to the kernel, which doubles other sizes for its own bookkeeping.
+func ListenBuffered(address string, receiveBuffer int) (Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: acceptedProbeIdle, Interval: acceptedProbeInterval, Count: acceptedProbeCount,
 		},
-		// Accepted sockets inherit this option from the listening socket.
-		Control: userTimeoutControl(acceptedUnacknowledgedTimeout),
+		// Accepted sockets inherit these options from the listening socket.
+		Control: func(network, address string, raw syscall.RawConn) error {
+			if receiveBuffer > 0 {
+				limitReceiveBuffer(raw, receiveBuffer)
+			}
+			return userTimeoutControl(acceptedUnacknowledgedTimeout)(network, address, raw)
+		},
 	}
 	// Options and filters of a plain socket don't all hold for multipath TCP.
 	config.SetMultipathTCP(false)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,8 @@
 	// CallerConnections and DirectoryConnections are how many connections listen.callers and listen.directory hold at a time.
 	CallerConnections    int `json:"callerConnections"`
 	DirectoryConnections int `json:"directoryConnections"`
+	// ReceiveKB is the size of the receive buffer of a connection, in KiB.
+	ReceiveKB int `json:"receiveKb"`
 }
 
 // listenSettings are the addresses that a gateway listens on.
@@ -118,8 +120,11 @@
 	UsageDue strictyaml.Duration `json:"usageDue"`
 }
 
-// bytesPerMB is the number of bytes of a MiB.
-const bytesPerMB = 1 << 20
+// Numbers of bytes of a KiB and of a MiB.
+const (
+	bytesPerKB = 1 << 10
+	bytesPerMB = 1 << 20
+)
 
 // defaultFile returns the settings that apply where the file sets none. The required fields are empty.
 func defaultFile() settingsFile {
@@ -166,6 +171,7 @@
 	s.LinkMbps, s.Descriptors = f.LinkMbps, f.Descriptors
 	s.MemoryBytes, s.RequestBytes = int64(f.MemoryMB*bytesPerMB), int64(f.Limits.RequestMB*bytesPerMB)
 	s.CallerConnections, s.DirectoryConnections = f.Limits.CallerConnections, f.Limits.DirectoryConnections
+	s.ReceiveBytes = f.Limits.ReceiveKB * bytesPerKB
 	s.ListenCallers, s.ListenReady, s.ListenDirectory = f.Listen.Callers, f.Listen.Ready, f.Listen.Directory
 	s.ListenPeers, s.ListenControl, s.ListenAdmin = f.Listen.Peers, f.Listen.Control, f.Listen.Admin
 	s.Seeds = slices.DeleteFunc(slices.Clone(f.Seeds), func(seed string) bool { return seed == f.Listen.Control })
@@ -193,6 +199,7 @@
 	v.checkNotNegative("limits.requestMb", f.Limits.RequestMB)
 	v.checkNotNegative("limits.callerConnections", float64(f.Limits.CallerConnections))
 	v.checkNotNegative("limits.directoryConnections", float64(f.Limits.DirectoryConnections))
+	v.checkNotNegative("limits.receiveKb", float64(f.Limits.ReceiveKB))
 	v.checkNotNegative("linkMbps", f.LinkMbps)
 	v.checkNotNegative("descriptors", float64(f.Descriptors))
 	v.checkAddress("listen.callers", f.Listen.Callers, true)
