Completions: counting the words of a prompt takes no memory, and its copy counts

Cause: the words were collected in a slice, 16 bytes for each of two. Fix: they are counted and hashed one by one; TestSegmentsOfPrompts keeps the ids, which other gateways know. The copy that the JSON of a body becomes is taken from the budget of requests, whose least size counts it.

--- a/internal/completions/completions.go
+++ b/internal/completions/completions.go
@@ -165,31 +165,49 @@
 // demand returns the resources that the request needs. Tokens are approximated by words, which is enough for choosing a
 // worker. The last segment identifies the whole prompt; its tokens are those after the shared prefix.
 func (b *RequestBody) demand() backend.Demand {
-	words := strings.Fields(b.Prompt)
-	demand := backend.Demand{Model: b.Model, PromptTokens: len(words), OutputTokens: DefaultMaxTokens}
+	demand := backend.Demand{Model: b.Model, OutputTokens: DefaultMaxTokens}
 	if b.MaxTokens != nil {
 		demand.OutputTokens = *b.MaxTokens
 	}
-	shared := min(b.SharedPrefixTokens, len(words))
-	if shared > 0 {
-		demand.Segments = append(demand.Segments, backend.Segment{ID: segmentID(b.Model, words[:shared]), Tokens: shared})
+	// The words of a large prompt are not collected: a slice of them takes many times the memory of the prompt.
+	digest := newSegmentDigest(b.Model)
+	words, shared := 0, 0
+	for word := range strings.FieldsSeq(b.Prompt) {
+		if words == b.SharedPrefixTokens && words > 0 {
+			shared = words
+			demand.Segments = append(demand.Segments, backend.Segment{ID: segmentID(digest), Tokens: shared})
+		}
+		addWord(digest, word)
+		words++
+	}
+	if words == 0 {
+		return demand
 	}
-	if len(words) > 0 {
-		demand.Segments = append(demand.Segments, backend.Segment{ID: segmentID(b.Model, words), Tokens: len(words) - shared})
+	if b.SharedPrefixTokens >= words {
+		shared = words
+		demand.Segments = append(demand.Segments, backend.Segment{ID: segmentID(digest), Tokens: shared})
 	}
+	demand.PromptTokens = words
+	demand.Segments = append(demand.Segments, backend.Segment{ID: segmentID(digest), Tokens: words - shared})
 	return demand
 }
 
-// segmentID returns a hexadecimal hash that identifies a prompt segment of a model.
-func segmentID(model string, words []string) string {
+// newSegmentDigest returns the digest of a prompt of a model without words.
+func newSegmentDigest(model string) *xxhash.Digest {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(model)
-	for _, word := range words {
-		_, _ = digest.WriteString("\x00" + word)
-	}
-	return strconv.FormatUint(digest.Sum64(), 16)
+	return digest
 }
 
+// addWord adds the next word of a prompt.
+func addWord(digest *xxhash.Digest, word string) {
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(word)
+}
+
+// segmentID returns a hexadecimal hash that identifies the segment that ends with the last word that was added.
+func segmentID(digest *xxhash.Digest) string { return strconv.FormatUint(digest.Sum64(), 16) }
+
 // parseLabels parses KEY=VALUE pairs.
 func parseLabels(text string) (map[string]string, error) {
 	labels := map[string]string{}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -116,6 +116,14 @@
 	}
 }
 
+// holdParsed reports whether there is room for what a protocol makes of the body. One with labels copies it.
+func (b *bodyReader) holdParsed(protocol Protocol) bool {
+	if _, isLabelled := protocol.(LabelledProtocol); !isLabelled {
+		return true
+	}
+	return b.share.Hold(b.share.Size() + len(b.request.Body))
+}
+
 // Sizes of the buffer for a body, which grows as the body arrives: at first, for a body of unknown length, and for one with a length.
 const (
 	minBodyBuffer  = 512
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -316,6 +316,9 @@
 		return h.respondUnread(writer, report, table, status)
 	}
 	report.bodyRead = true
+	if !body.holdParsed(protocol) {
+		return respondRetryAfter(writer, report, ReasonOverload, OverloadRetryAfter)
+	}
 	if err := protocol.Complete(request); err != nil {
 		report.Err = err
 		return respondError(writer, report, http.StatusBadRequest, ReasonInvalid)
--- a/internal/gateway/clusterlistener.go
+++ b/internal/gateway/clusterlistener.go
@@ -17,9 +17,9 @@
 	"github.com/granitebay/granitebay/internal/store"
 )
 
-// largestRequest returns the most that one request within the limits can hold.
+// largestRequest returns the most that one request within the limits can hold, with what a protocol makes of its body.
 func largestRequest(limits routing.Limits) int {
-	return callers.MaxHeaderCost(limits.MaxHeaderBytes) + int(limits.MaxBodyBytes) + 1
+	return callers.MaxHeaderCost(limits.MaxHeaderBytes) + 2*int(limits.MaxBodyBytes+1)
 }
 
 // ConfigurationChanged implements cluster.Listener.
