Control port: half of the descriptors; overload is answered before HTTP/1.1 too

With an eighth of the descriptors a gateway could not serve the feed to a fleet in which few entries are left. No caller reaches that port. The response for a pipelined header without room was followed by a reset for HTTP/1.0 callers.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -410,17 +410,17 @@
 		}
 		conn.inHandler.Store(true)
 		conn.announceIdleTimeout(w.Header(), r)
-		if conn.lacksRoom {
-			respondOverload(w)
-			return
-		}
 		isAborted := true
 		defer func() {
 			if isAborted && !r.ProtoAtLeast(1, 1) {
 				conn.resetOnClose()
 			}
 		}()
-		handler.ServeHTTP(w, r)
+		if conn.lacksRoom {
+			respondOverload(w)
+		} else {
+			handler.ServeHTTP(w, r)
+		}
 		isAborted = false
 	})
 }
--- a/internal/gateway/connectionlimits.go
+++ b/internal/gateway/connectionlimits.go
@@ -6,11 +6,12 @@
 // other gateways have the descriptors that they need, however many connections come to one listener.
 type connectionLimits struct{ callers, directory, ready, control, admin int }
 
-// Shares of the descriptors for sockets. A request takes two, one for its caller and one for its worker.
+// Shares of the descriptors for sockets. A request takes two, one for its caller and one for its worker. No caller reaches the control listener, at which a
+// few gateways may have to serve all others.
 const (
 	callersShare   = 3.0 / 8
 	directoryShare = 1.0 / 8
-	controlShare   = 1.0 / 8
+	controlShare   = 1.0 / 2
 	smallShare     = 1.0 / 16
 	// minConnections is the least that a listener holds.
 	minConnections = 8
--- a/internal/gateway/decisions_test.go
+++ b/internal/gateway/decisions_test.go
@@ -13,6 +13,7 @@
 	"github.com/granitebay/granitebay/internal/balance"
 	"github.com/granitebay/granitebay/internal/decisionlog"
 	"github.com/granitebay/granitebay/internal/forward"
+	"github.com/granitebay/granitebay/internal/heaptest"
 	"github.com/granitebay/granitebay/internal/poison"
 )
 
@@ -86,7 +87,7 @@
 func TestDecisionsHoldNoHeaders(t *testing.T) {
 	const headerBytes = 15 << 10
 	decisions := decisionlog.New("gateway", maxDecisions)
-	before := heapBytes()
+	before := heaptest.Reachable()
 	for i := range maxDecisions {
 		text := strings.Repeat("x", headerBytes) + strconv.Itoa(i)
 		digest := poison.Digest{}
@@ -99,16 +100,8 @@
 		}))
 	}
 	const most = 8 << 10
-	if got := (heapBytes() - before) / maxDecisions; got > most {
+	if got := (heaptest.Reachable() - before) / maxDecisions; got > most {
 		t.Errorf("a decision holds %d bytes, at most %d are allowed", got, most)
 	}
 	runtime.KeepAlive(decisions)
 }
-
-// heapBytes returns the size of all reachable memory.
-func heapBytes() int {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int(stats.HeapAlloc)
-}
--- a/internal/poison/answertimes_test.go
+++ b/internal/poison/answertimes_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/granitebay/granitebay/internal/heaptest"
 )
 
 // TestUsedPartsStayKnown guards against a table full of parts that were asked for once, which then knows none of those that come later and looks at all of
@@ -37,25 +39,18 @@
 	const headerBytes, requests = 16 << 10, 4000
 	s := newPartScript(t)
 	s.table.recordAnswer(s.now, s.now, part("first"))
-	before := heapBytes()
+	before := heaptest.Reachable()
 	for i := range requests {
 		header := fmt.Sprintf("%08x:1,", i) + strings.Repeat("0", headerBytes)
 		s.table.recordAnswer(s.now, s.now, NewPart("g", header[:8]))
 	}
 	const most = 1 << 10
-	if got := (heapBytes() - before) / requests; got > most {
+	if got := (heaptest.Reachable() - before) / requests; got > most {
 		t.Errorf("an answer holds %d bytes, at most %d are allowed", got, most)
 	}
 	runtime.KeepAlive(s)
 }
 
-// heapBytes returns the size of all reachable memory.
-func heapBytes() int {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int(stats.HeapAlloc)
-}
 
 // TestAnswerTimes guards against a table that exceeds its limit, forgets a part other than the one recorded first, or goes back in time.
 func TestAnswerTimes(t *testing.T) {
