--- a/internal/poison/answertimes_test.go
+++ b/internal/poison/answertimes_test.go
@@ -51,7 +51,6 @@
 	runtime.KeepAlive(s)
 }
 
-
 // TestAnswerTimes guards against a table that exceeds its limit, forgets a part other than the one recorded first, or goes back in time.
 func TestAnswerTimes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
