--- a/internal/gateway/clusterlistener.go
+++ b/internal/gateway/clusterlistener.go
@@ -24,11 +24,12 @@
 
 // ConfigurationChanged implements cluster.Listener.
 func (g *Gateway) ConfigurationChanged(changed *routing.Configuration) {
+	// Before the table: a header that exceeds the limit before is not rejected by the new configuration.
+	g.callers.SetMaxHeaderBytes(changed.Limits.MaxHeaderBytes)
+	g.intake.SetLargest(largestRequest(changed.Limits))
 	g.handler.SetTable(routing.NewTable(changed, g.handler.Table()))
 	g.controller.SetGroups(changed.Groups)
 	g.callers.SetTimeouts(changed.Limits.IdleTimeout, changed.Limits.HeaderTimeout)
-	g.callers.SetMaxHeaderBytes(changed.Limits.MaxHeaderBytes)
-	g.intake.SetLargest(largestRequest(changed.Limits))
 	logging.Component(g.logger, "gateway").WithFields(logrus.Fields{
 		"version": changed.Version, "revision": changed.Revision,
 		"idle_ms": changed.Limits.IdleTimeout.Milliseconds(), "header_ms": changed.Limits.HeaderTimeout.Milliseconds(),
