--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standin-3 worker|reborn|stale [flags]")
+		fmt.Fprintln(os.Stderr, "usage: standin-3 worker|reborn|stale|crowd [flags]")
 		os.Exit(2)
 	}
 	flags := flag.NewFlagSet(os.Args[1], flag.ExitOnError)
@@ -52,6 +52,12 @@
 		trouble := flags.Bool("trouble", true, "with the disruption")
 		_ = flags.Parse(os.Args[2:])
 		os.Exit(runStale(*gateway, *record, *trouble))
+	case "crowd":
+		gateway := flags.String("gateway", "", "gateway program")
+		record := flags.String("record", "", "file of the record")
+		trouble := flags.Bool("trouble", true, "with the disruption")
+		_ = flags.Parse(os.Args[2:])
+		os.Exit(runCrowd(*gateway, *record, *trouble))
 	default:
 		fmt.Fprintln(os.Stderr, "unknown command")
 		os.Exit(2)
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -27,6 +27,7 @@
 	program, gateway, directory string
 	record                      *recorder
 	store                       *fleet.Store
+	machine                     machine
 
 	mu        sync.Mutex
 	processes []*process
@@ -38,6 +39,16 @@
 	runs []run
 }
 
+// machine is what the settings of a gateway say of its machine, and the bounds of its deployment.
+type machine struct {
+	cores                                          float64
+	memoryMB, descriptors, linkMbps                int
+	configurationMs, drainMs, contactMs, allowance int
+}
+
+// largeMachine is the machine of the cases that don't name another one.
+var largeMachine = machine{cores: 0.8, memoryMB: 536, descriptors: 4100, linkMbps: 200, configurationMs: 3000, drainMs: 3000, contactMs: 4000, allowance: 204}
+
 // run is a run that a worker began.
 type run struct {
 	request, worker string
@@ -109,7 +120,7 @@
 	}
 	s := &system{
 		program: program, gateway: gateway, directory: directory, record: &recorder{file: file, start: time.Now()}, store: fleet.NewStore(),
-		proxies: map[string]*netproxy.Proxy{},
+		proxies: map[string]*netproxy.Proxy{}, machine: largeMachine,
 	}
 	s.putURL, err = serve(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		var entry object
@@ -302,12 +313,13 @@
 	if err != nil {
 		return nil, err
 	}
+	m := s.machine
 	settings := fmt.Sprintf(`name: %q
 zone: zone-a
-cores: 0.8
-linkMbps: 200
-descriptors: 4100
-memoryMb: 536
+cores: %g
+linkMbps: %d
+descriptors: %d
+memoryMb: %d
 listen:
   callers: %q
   ready: %q
@@ -323,15 +335,15 @@
   maximumAddressTTL: "5s"
   lease: "3000ms"
   minimumLease: "1000ms"
-  configuration: "3000ms"
-  drain: "3000ms"
-  contact: "4000ms"
+  configuration: "%dms"
+  drain: "%dms"
+  contact: "%dms"
   thaw: "300ms"
 retries:
   ratio: 0.2
-  allowance: 204
+  allowance: %d
   window: "10s"
-`, a.name, a.callers, a.ready, a.directory, a.control, a.peers, a.admin, quoted, store)
+`, a.name, m.cores, m.linkMbps, m.descriptors, m.memoryMB, a.callers, a.ready, a.directory, a.control, a.peers, a.admin, quoted, store, m.configurationMs, m.drainMs, m.contactMs, m.allowance)
 	path := filepath.Join(s.directory, a.name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
