Review: workers of case 4 reject, fill up and read at a pace

Cause: a second look: they queued any number of requests, told no use of memory and read prompts at once, which a sound engine doesn't. Change: a queue of 8 beyond the slots, the memory of the site's engines and half their pace for prompts, as a decode worker has that reads by itself; six waves in place of three, as gateways refuse a wave in time now and then. The rule is the same: three ends on each of two machines.

--- a/review/standin-3/crowd.go
+++ b/review/standin-3/crowd.go
@@ -21,13 +21,17 @@
 	crowdedGateways = 2
 	crowdSize       = 1400
 	// waves is how often the crowd comes, and waveTime how long it stays.
-	waves    = 3
+	waves    = 6
 	waveTime = 5 * time.Second
+	// brokenEnds is how many ends of the process of a machine break the rule, on crowdedGateways machines.
+	brokenEnds = 3
 	// crowdTimeoutMs is the timeout of the route and the deadline of the clients.
 	crowdTimeoutMs = 6000
 	// crowdEvents is the number of events of a stream, and crowdPause the time between two.
 	crowdEvents = 17
 	crowdPause  = 100 * time.Millisecond
+	// engineTokens is the memory of an engine.
+	engineTokens = 442678
 	// headerBytes is the size of the header of a request; headerLimit is the limit of the configuration.
 	headerBytes = 16000
 	headerLimit = 16384
@@ -61,7 +65,7 @@
 	}
 	over := 0
 	for _, each := range c.machines {
-		if each.ends >= waves {
+		if each.ends >= brokenEnds {
 			over++
 		}
 	}
@@ -130,7 +134,7 @@
 		}},
 		"services": []object{{
 			"name": "assistant", "maxConns": 250, "healthPath": "/health", "engine": object{
-				"slots": 32, "kvCapacity": 442678, "tokenKvBytes": 163840, "linkMbps": 1400000, "stride": 7, "kvTtlS": 5, "reconfigS": 1.1, "backups": false,
+				"slots": 32, "kvCapacity": engineTokens, "tokenKvBytes": 163840, "linkMbps": 1400000, "stride": 7, "kvTtlS": 5, "reconfigS": 1.1, "backups": false,
 			},
 		}},
 		"limits": object{"maxHeaderBytes": headerLimit, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -138,7 +142,8 @@
 	for i := range crowdWorkers {
 		id := fmt.Sprintf("i-%d", i)
 		if _, err := c.start(id, nil, nil, c.program, "worker", "--id", id, "--address", freeAddress(), "--service", "assistant", "--stage", "decode",
-			"--store", c.putURL, "--events", fmt.Sprint(crowdEvents), "--pause", crowdPause.String(), "--slots", "32"); err != nil {
+			"--store", c.putURL, "--events", fmt.Sprint(crowdEvents), "--pause", crowdPause.String(), "--slots", "32", "--queue", "8",
+			"--memory", fmt.Sprint(engineTokens), "--pace", "24.8"); err != nil {
 			return err
 		}
 	}
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,7 +29,11 @@
 	// slots is the number of requests at work at once. Others wait, also the questions for the health.
 	slots int
 	free  chan struct{}
-	born  int64
+	// queue is the number of requests that may wait, beyond which others are rejected; negative if any number may. memory is the memory in tokens that
+	// requests at work share, and pace how many tokens of a prompt are read in a millisecond; zero if they are not played.
+	queue, memory int
+	pace          float64
+	born          int64
 
 	mu       sync.Mutex
 	stage    string
@@ -36,6 +41,8 @@
 	orders   int64
 	fence    int64
 	running  int
+	waiting  int
+	used     int
 	handles  map[string]bool
 	nextItem int
 }
@@ -121,6 +128,49 @@
 	}
 }
 
+// enqueue counts a request as waiting and returns the memory that it needs, or reports that it is rejected: too many wait, or it is larger than the memory.
+func (w *worker) enqueue(request *http.Request) (tokens int, hasRoom bool) {
+	if w.memory > 0 {
+		var prompt, output int
+		_, _ = fmt.Sscanf(request.Header.Get(names["tokens"]), "%d,%d", &prompt, &output)
+		tokens = prompt + output
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// A request that gets a slot at once counts as waiting for a moment.
+	if tokens > w.memory || w.queue >= 0 && w.waiting >= w.queue+max(w.slots-len(w.free), 0) {
+		return 0, false
+	}
+	w.waiting++
+	return tokens, true
+}
+
+// takeMemory waits for memory until the caller leaves, and reports whether there was some. It frees the slot if there was none.
+func (w *worker) takeMemory(request *http.Request, tokens int) bool {
+	for {
+		w.mu.Lock()
+		if tokens == 0 || w.used+tokens <= w.memory {
+			w.used += tokens
+			w.mu.Unlock()
+			return true
+		}
+		w.mu.Unlock()
+		select {
+		case <-request.Context().Done():
+			w.freeSlot()
+			return false
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// freeMemory frees memory.
+func (w *worker) freeMemory(tokens int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.used -= tokens
+}
+
 // freeSlot frees a slot.
 func (w *worker) freeSlot() { <-w.free }
 
@@ -129,8 +179,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	_ = json.NewEncoder(writer).Encode(object{
-		"stage": w.stage, "models": []object{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": w.busy, "seqNo": w.orders, "queued": 0,
-		"running": w.running, "kvUsed": 0, "kvTotal": 400000, "kvHandles": len(w.handles), "born": w.born,
+		"stage": w.stage, "models": []object{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": w.busy, "seqNo": w.orders, "queued": w.waiting,
+		"running": w.running, "kvUsed": w.used, "kvTotal": cmp.Or(w.memory, 400000), "kvHandles": len(w.handles), "born": w.born,
 	})
 }
 
@@ -207,10 +257,24 @@
 		_ = json.NewEncoder(writer).Encode(object{"kvHandle": handle, "tokens": 1000, "version": 1})
 		return
 	}
-	if !w.takeSlot(request) {
+	tokens, hasRoom := w.enqueue(request)
+	if !hasRoom {
+		writer.Header().Set(names["notExecuted"], "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	hasSlot := w.takeSlot(request) && w.takeMemory(request, tokens)
+	w.mu.Lock()
+	w.waiting--
+	w.mu.Unlock()
+	if !hasSlot {
 		return
 	}
 	defer w.freeSlot()
+	defer w.freeMemory(tokens)
+	if w.pace > 0 {
+		time.Sleep(time.Duration(float64(tokens) / w.pace * float64(time.Millisecond)))
+	}
 	w.mu.Lock()
 	w.running++
 	w.mu.Unlock()
