Response heads: one reader for connections to workers, store, gateways and relays

Cause: httpclient.exchange and relay.requestUpgrade each called http.ReadResponse by themselves, so a rule about heads would have to be kept twice. Change: internal/responsehead reads a head and skips the informational ones before it; both use it. What it accepts stays as it was. One difference at a relaying gateway: a response that begins with other bytes is given up at once and not at the end of its first line, and informational responses before the 101 are skipped.

--- a/internal/httpclient/arrivals.go
+++ b/internal/httpclient/arrivals.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/granitebay/granitebay/internal/responsehead"
 )
 
 // Arrivals tells whether part of a response has arrived that its reader has not taken. A timer alone doesn't: after a standstill of this
@@ -48,7 +50,7 @@
 }
 
 // errHeadTooLong is returned for a head that exceeds its limit.
-var errHeadTooLong = errors.Newf("the head of the response exceeds %d bytes", maxHeadBytes)
+var errHeadTooLong = errors.Newf("the head of the response exceeds %d bytes", responsehead.MaxBytes)
 
 // limit bounds the bytes of the reads until unlimit is called.
 func (r *countingReader) limit(bytes int) { r.isLimited, r.left = true, bytes }
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -14,6 +13,7 @@
 
 	"github.com/granitebay/granitebay/internal/drain"
 	"github.com/granitebay/granitebay/internal/netdial"
+	"github.com/granitebay/granitebay/internal/responsehead"
 	"github.com/granitebay/granitebay/internal/standstill"
 )
 
@@ -24,15 +24,8 @@
 // maxSkippedResponses limits how many responses to other requests are discarded on one connection.
 const maxSkippedResponses = 3
 
-// maxHeadBytes bounds the head of a response, with the informational ones before it. maxDiscardedBytes bounds the body of a response that nobody
-// needs.
-const (
-	maxHeadBytes      = 64 << 10
-	maxDiscardedBytes = 64 << 10
-)
-
-// errNotHTTP is returned for bytes that begin no response.
-var errNotHTTP = errors.New("received bytes that are not a response")
+// maxDiscardedBytes bounds the body of a response that nobody needs.
+const maxDiscardedBytes = 64 << 10
 
 // errUnmatchedResponses is returned if every response received belongs to another request.
 var errUnmatchedResponses = errors.New("received only responses to other requests")
@@ -199,28 +192,11 @@
 	return err
 }
 
-// protocolName begins each response.
-const protocolName = "HTTP/"
-
 // readHead reads the next response header that is not informational (1xx).
 func (e *exchange) readHead() (*http.Response, error) {
-	e.reads.limit(maxHeadBytes)
+	e.reads.limit(responsehead.MaxBytes)
 	defer e.reads.unlimit()
-	for {
-		if begin, err := e.connection.reader.Peek(len(protocolName)); err != nil || string(begin) != protocolName {
-			if len(begin) == 0 || strings.HasPrefix(protocolName, string(begin)) {
-				return nil, cmp.Or(err, io.ErrUnexpectedEOF)
-			}
-			return nil, errNotHTTP
-		}
-		head, err := http.ReadResponse(e.connection.reader, &http.Request{Method: e.request.Method})
-		if err != nil {
-			return nil, err
-		}
-		if head.StatusCode >= http.StatusOK {
-			return head, nil
-		}
-	}
+	return responsehead.Read(e.connection.reader, &http.Request{Method: e.request.Method})
 }
 
 // response returns the Response for a header.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/granitebay/granitebay/internal/netdial"
+	"github.com/granitebay/granitebay/internal/responsehead"
 )
 
 // Path is the path of requests for relayed connections at the control address of a gateway.
@@ -103,7 +104,7 @@
 		return nil, err
 	}
 	reader := bufio.NewReader(arrivedReader{conn})
-	response, err := http.ReadResponse(reader, request)
+	response, err := responsehead.Read(reader, request)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/responsehead/responsehead.go
@@ -0,0 +1,57 @@
+// Package responsehead reads the heads of HTTP/1.1 responses. All parts that read responses from a connection of their own use it.
+package responsehead
+
+import (
+	"bufio"
+	"cmp"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxBytes bounds the head of a response, with the informational ones before it. The reader that is given to Read has to keep it.
+const MaxBytes = 64 << 10
+
+// protocolName begins each response.
+const protocolName = "HTTP/"
+
+// errNotHTTP is returned for bytes that begin no response.
+var errNotHTTP = errors.New("received bytes that are not a response")
+
+// Read reads the head of the response to a request and skips the informational ones (1xx) before it. Of the request, only the method and the Upgrade
+// header count. After an error, nothing that follows on the connection can be attributed to a request.
+func Read(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for {
+		if err := peekProtocol(reader); err != nil {
+			return nil, err
+		}
+		head, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if isFinal(head) {
+			return head, nil
+		}
+	}
+}
+
+// isFinal reports whether no other response to the same request follows.
+func isFinal(head *http.Response) bool {
+	isUpgrade := head.StatusCode == http.StatusSwitchingProtocols && head.Request.Header.Get("Upgrade") != ""
+	return head.StatusCode >= http.StatusOK || isUpgrade
+}
+
+// peekProtocol returns an error unless the next bytes begin a response.
+func peekProtocol(reader *bufio.Reader) error {
+	begin, err := reader.Peek(len(protocolName))
+	switch {
+	case err == nil && string(begin) == protocolName:
+		return nil
+	case len(begin) == 0 || strings.HasPrefix(protocolName, string(begin)):
+		return cmp.Or(err, io.ErrUnexpectedEOF)
+	default:
+		return errNotHTTP
+	}
+}
