Response heads: a status outside 100 to 599 is no response

What callers saw: a worker whose response had status 000, 001, 099, +20 or -00 and no body gave them whatever came next on its connection as the response, with 200. Status 600 and 999 reached them as they were. At a relaying gateway, what followed such a head passed for its 101. Cause: net/http takes any three bytes that are a number, and the client skips every status below 200 as informational. Change: responsehead.Read rejects a status outside the range of RFC 9110. The connection is closed, a request that must run once gets 502, and one that may be repeated goes to another worker. Why it works: each reader of responses gets its heads from this function, and after its error the connection carries nothing more.

--- /dev/null
+++ b/internal/httpclient/malformedhead_test.go
@@ -0,0 +1,50 @@
+package httpclient
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/granitebay/granitebay/internal/standin/heads"
+)
+
+// TestMalformedHeadClosesConnection guards against a malformed head that is taken for the response to its request, and against bytes behind it that are
+// taken for the response to this request or the next one.
+func TestMalformedHeadClosesConnection(t *testing.T) {
+	const closeTime = time.Second
+	for _, response := range heads.Malformed {
+		t.Run(response.Desc, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			address := startWorker(t, func(connection net.Conn, reader *bufio.Reader, number int) {
+				if _, _, err := readRequest(reader); err != nil {
+					return
+				}
+				if number > 1 {
+					_, _ = io.WriteString(connection, headOfOwn+"Content-Length: 5\r\n\r\nhello")
+					return
+				}
+				_, _ = io.WriteString(connection, response.Text("Id: 1\r\n")+headOfOwn+"Content-Length: 6\r\n\r\nbehind")
+				_, _ = io.Copy(io.Discard, reader)
+				close(closed)
+			})
+			client := New(DefaultSettings())
+			got, err := send(client, address, "1", "")
+			var failed *Error
+			if !errors.As(err, &failed) || failed.Step != StepAwait || failed.FailureCause() != CauseOther {
+				t.Fatalf("got %q, %v, want a response that is malformed", got, err)
+			}
+			select {
+			case <-closed:
+			case <-time.After(closeTime):
+				t.Error("the connection was not closed")
+			}
+			if got, err := send(client, address, "1", ""); err != nil || got != "hello" {
+				t.Errorf("the next request got %q, %v", got, err)
+			}
+		})
+	}
+}
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -1,4 +1,8 @@
-// Package responsehead reads the heads of HTTP/1.1 responses. All parts that read responses from a connection of their own use it.
+// Package responsehead reads the heads of HTTP/1.1 responses. All parts that read responses from a connection of their own use it. The parser of net/http
+// accepts more than RFC 9110 and RFC 9112 allow; Read returns an error for that, so that a faulty peer's bytes are not taken for a response.
+//
+// Invariants of a head that Read returns:
+//   - its status is between 100 and 599, of three digits.
 package responsehead
 
 import (
@@ -28,6 +32,9 @@
 			return nil, err
 		}
 		head, err := http.ReadResponse(reader, request)
+		if err == nil {
+			err = checkStatus(head)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -37,6 +44,15 @@
 	}
 }
 
+// checkStatus returns an error for a status outside the range of RFC 9110. net/http accepts three bytes that are a number with or without a sign.
+func checkStatus(head *http.Response) error {
+	const minStatus, maxStatus = 100, 599
+	if head.StatusCode < minStatus || head.StatusCode > maxStatus {
+		return errors.Newf("the response has status %03d, allowed are %d to %d", head.StatusCode, minStatus, maxStatus)
+	}
+	return nil
+}
+
 // isFinal reports whether no other response to the same request follows.
 func isFinal(head *http.Response) bool {
 	isUpgrade := head.StatusCode == http.StatusSwitchingProtocols && head.Request.Header.Get("Upgrade") != ""
