Response heads: a field name that is not a token is no response

What callers saw: a worker whose head had a blank in a field name, or between a name and its colon, gave them a 200. Where the name was that of a framing field, they got another body than the worker's: with a blank behind Transfer-Encoding the chunks with their sizes, with one behind Content-Length all that came until the connection ended, here a whole second response. Cause: net/http keeps such a name as it is and doesn't reject it, so Header has 'Transfer-Encoding ' and no Transfer-Encoding, and the body is framed without it. Change: responsehead.Read rejects a head unless each field name is a token of RFC 9110. RFC 9112 lets a proxy remove blanks before the colon; here the response is given up instead, because its sender has not framed it by the field that it names. Evidence: on the code before, seven kinds of heads with a blank failed TestMalformedHeadIsNoResponse, TestMalformedHeadClosesConnection and TestMalformedUpgradeIsNoConnection, and on all three kinds of route TestMalformedHeadsDoNotReachCallers (21 of 108 responses, direct and relayed each). TestFieldNamesAreTokens, which tries each byte at each place, failed for the blank. All pass now. Handled before, and now in the list: names with control bytes, tabs, bytes above ASCII or separators, empty names, lines without a colon, values with control bytes; each got 502. Why it works: the names are checked after the parser has split the lines, by the rule that senders have to keep, so no field can be framing for one reader and unknown to another.

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -2,7 +2,8 @@
 // accepts more than RFC 9110 and RFC 9112 allow; Read returns an error for that, so that a faulty peer's bytes are not taken for a response.
 //
 // Invariants of a head that Read returns:
-//   - its status is between 100 and 599, of three digits.
+//   - its status is between 100 and 599;
+//   - the names of its fields are tokens, so a field that frames the body or ends the connection is found under its name.
 package responsehead
 
 import (
@@ -13,6 +14,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/granitebay/granitebay/internal/excerpt"
 )
 
 // MaxBytes bounds the head of a response, with the informational ones before it. The reader that is given to Read has to keep it.
@@ -33,7 +36,7 @@
 		}
 		head, err := http.ReadResponse(reader, request)
 		if err == nil {
-			err = checkStatus(head)
+			err = check(head)
 		}
 		if err != nil {
 			return nil, err
@@ -44,6 +47,14 @@
 	}
 }
 
+// check returns an error for a head that net/http accepts and the RFCs exclude.
+func check(head *http.Response) error {
+	if err := checkStatus(head); err != nil {
+		return err
+	}
+	return checkNames(head.Header)
+}
+
 // checkStatus returns an error for a status outside the range of RFC 9110. net/http accepts three bytes that are a number with or without a sign.
 func checkStatus(head *http.Response) error {
 	const minStatus, maxStatus = 100, 599
@@ -53,6 +64,31 @@
 	return nil
 }
 
+// checkNames returns an error if the name of a field is not a token. net/http leaves a name with a blank as it is, also if the blank is before the colon.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if !isToken(name) {
+			return errors.Newf("the response has field name %q, allowed are tokens", excerpt.Of(name, excerpt.IDBytes))
+		}
+	}
+	return nil
+}
+
+// tokenSymbols are the characters of tokens that are neither letters nor digits.
+const tokenSymbols = "!#$%&'*+-.^_`|~"
+
+// isToken reports whether a text is a token of RFC 9110.
+func isToken(text string) bool {
+	for _, char := range []byte(text) {
+		isLetter := 'a' <= char|0x20 && char|0x20 <= 'z'
+		isDigit := '0' <= char && char <= '9'
+		if !isLetter && !isDigit && strings.IndexByte(tokenSymbols, char) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
+
 // isFinal reports whether no other response to the same request follows.
 func isFinal(head *http.Response) bool {
 	isUpgrade := head.StatusCode == http.StatusSwitchingProtocols && head.Request.Header.Get("Upgrade") != ""
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -31,3 +31,22 @@
 		})
 	}
 }
+
+// TestFieldNamesAreTokens guards against a character in a field name that RFC 9110 excludes and Read accepts, or the other way round.
+func TestFieldNamesAreTokens(t *testing.T) {
+	const tokenChars = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for char := range 256 {
+		isExcluded := !strings.Contains(tokenChars, string(rune(char)))
+		switch char {
+		case ':', '\n':
+			// They end the name, or the line.
+			continue
+		}
+		for _, name := range []string{string([]byte{byte(char)}), string([]byte{'a', byte(char)}), string([]byte{'a', byte(char), 'b'})} {
+			text := "HTTP/1.1 200 OK\r\n" + name + ": c\r\nContent-Length: 0\r\n\r\n"
+			if _, err := read(text); (err != nil) != isExcluded {
+				t.Errorf("field name %q: got %v, want an error: %t", name, err, isExcluded)
+			}
+		}
+	}
+}
--- a/internal/standin/heads/heads.go
+++ b/internal/standin/heads/heads.go
@@ -1,11 +1,13 @@
 // Package heads lists responses whose heads RFC 9112 excludes, for tests of all parts that read responses.
 package heads
 
-// Parts of sound heads.
+// Parts of sound responses. The body is an event, so that it can reach callers on each kind of route.
 const (
+	body     = "id: 1\ndata: wrong\n\n"
 	version  = "HTTP/1.1"
 	StatusOK = "200 OK"
-	framed   = "Content-Length: 5\r\n\r\nwrong"
+	framed   = "Content-Length: 19\r\n\r\n" + body
+	chunked  = "13\r\n" + body + "\r\n0\r\n\r\n"
 	noBody   = "\r\n"
 )
 
@@ -28,7 +30,7 @@
 	{"status 000", version, "000 OK", framed},
 	{"status 000 without a reason", version, "000 ", noBody},
 	{"status 000 without a body", version, "000 OK", noBody},
-	{"status 000 in chunks", version, "000 OK", "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"},
+	{"status 000 in chunks", version, "000 OK", "Transfer-Encoding: chunked\r\n\r\n" + chunked},
 	{"status 001", version, "001 OK", noBody},
 	{"status 099", version, "099 OK", noBody},
 	{"status with a plus sign", version, "+20 OK", noBody},
@@ -41,4 +43,24 @@
 	{"status that is no number", version, "2x0 OK", framed},
 	{"no status", version, "", framed},
 	{"tab behind the status", version, "200\tOK", framed},
+	{"name with a blank inside", version, StatusOK, "A b: c\r\n" + framed},
+	{"name with a blank before the colon", version, StatusOK, "A : b\r\n" + framed},
+	{"name with a tab before the colon", version, StatusOK, "A\t: b\r\n" + framed},
+	{"name with a tab inside", version, StatusOK, "A\tb: c\r\n" + framed},
+	{"name with a NUL", version, StatusOK, "A\x00b: c\r\n" + framed},
+	{"name with a carriage return", version, StatusOK, "A\rb: c\r\n" + framed},
+	{"name with an escape", version, StatusOK, "A\x1bb: c\r\n" + framed},
+	{"name with a DEL", version, StatusOK, "A\x7fb: c\r\n" + framed},
+	{"name with a byte above ASCII", version, StatusOK, "A\xe9: b\r\n" + framed},
+	{"name in parentheses", version, StatusOK, "(A): b\r\n" + framed},
+	{"empty name", version, StatusOK, ": b\r\n" + framed},
+	{"no colon", version, StatusOK, "A\r\n" + framed},
+	{"blank before the colon of the length", version, StatusOK, "Content-Length : 19\r\n\r\n" + body},
+	{"blank before the colon of a second length", version, StatusOK, "Content-Length : 2\r\n" + framed},
+	{"blank before the colon of the coding", version, StatusOK, "Transfer-Encoding : chunked\r\n\r\n" + chunked},
+	{"blank before the colon of the coding, and a length", version, StatusOK, "Transfer-Encoding : chunked\r\n" + framed},
+	{"blank before the colon of Connection", version, StatusOK, "Connection : close\r\n" + framed},
+	{"value with a NUL", version, StatusOK, "A: b\x00c\r\n" + framed},
+	{"value with a carriage return", version, StatusOK, "A: b\rc\r\n" + framed},
+	{"value with an escape", version, StatusOK, "A: b\x1bc\r\n" + framed},
 }
