Response heads: a body with malformed trailers is not whole

What callers saw: a worker that sent a trailer with a blank in its name, or between its name and the colon, gave them a whole response with 200, and streams ended as whole ones. Cause: net/http parses trailers by the function that it uses for heads, which keeps such names as they are. Change: the body that responsehead.Read returns ends with an error in place of io.EOF if the name of a trailer is not a token. The connection is closed; a buffered response becomes a 502 or is asked for elsewhere, a stream ends without its last chunk. Handled before, and now in the list: trailers with control bytes, tabs, empty names, without a colon, or with a control byte in the value; each was a broken response. Why it works: the parser stores all trailers in the head before it returns io.EOF, so they are checked at the one place at which a body can end.

--- a/internal/httpclient/malformedhead_test.go
+++ b/internal/httpclient/malformedhead_test.go
@@ -14,8 +14,19 @@
 // TestMalformedHeadClosesConnection guards against a malformed head that is taken for the response to its request, and against bytes behind it that are
 // taken for the response to this request or the next one.
 func TestMalformedHeadClosesConnection(t *testing.T) {
+	checkMalformed(t, heads.Malformed, StepAwait)
+}
+
+// TestMalformedTrailersCloseConnection guards against the same for trailers.
+func TestMalformedTrailersCloseConnection(t *testing.T) {
+	checkMalformed(t, heads.MalformedTrailers, StepReceive)
+}
+
+// checkMalformed fails the test unless each response fails its request in a step and closes its connection.
+func checkMalformed(t *testing.T, malformed []heads.Response, step Step) {
+	t.Helper()
 	const closeTime = time.Second
-	for _, response := range heads.Malformed {
+	for _, response := range malformed {
 		t.Run(response.Desc, func(t *testing.T) {
 			t.Parallel()
 			closed := make(chan struct{})
@@ -34,7 +45,7 @@
 			client := New(DefaultSettings())
 			got, err := send(client, address, "1", "")
 			var failed *Error
-			if !errors.As(err, &failed) || failed.Step != StepAwait || failed.FailureCause() != CauseOther {
+			if !errors.As(err, &failed) || failed.Step != step || failed.FailureCause() != CauseOther {
 				t.Fatalf("got %q, %v, want a response that is malformed", got, err)
 			}
 			select {
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -4,6 +4,8 @@
 // Invariants of a head that Read returns:
 //   - its status is between 100 and 599;
 //   - the names of its fields are tokens, so a field that frames the body or ends the connection is found under its name.
+//
+// Its body ends with io.EOF only if the names of its trailers are tokens, too.
 package responsehead
 
 import (
@@ -42,6 +44,7 @@
 			return nil, err
 		}
 		if isFinal(head) {
+			head.Body = &body{head.Body, head}
 			return head, nil
 		}
 	}
@@ -89,6 +92,21 @@
 	return text != ""
 }
 
+// body is the body of a response.
+type body struct {
+	io.ReadCloser
+	head *http.Response
+}
+
+// Read implements io.Reader. At the end of the body, net/http has read its trailers into the head.
+func (b *body) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		return n, cmp.Or(checkNames(b.head.Trailer), err)
+	}
+	return n, err
+}
+
 // isFinal reports whether no other response to the same request follows.
 func isFinal(head *http.Response) bool {
 	isUpgrade := head.StatusCode == http.StatusSwitchingProtocols && head.Request.Header.Get("Upgrade") != ""
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -32,6 +33,21 @@
 	}
 }
 
+// TestMalformedTrailersEndNoBody guards against a body that counts as whole although the trailers behind it are malformed.
+func TestMalformedTrailersEndNoBody(t *testing.T) {
+	for _, response := range heads.MalformedTrailers {
+		t.Run(response.Desc, func(t *testing.T) {
+			head, err := read(response.Text(""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := io.ReadAll(head.Body); err == nil {
+				t.Errorf("read body %q with trailers %v", body, head.Trailer)
+			}
+		})
+	}
+}
+
 // TestFieldNamesAreTokens guards against a character in a field name that RFC 9110 excludes and Read accepts, or the other way round.
 func TestFieldNamesAreTokens(t *testing.T) {
 	const tokenChars = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
--- a/internal/standin/heads/heads.go
+++ b/internal/standin/heads/heads.go
@@ -9,6 +9,7 @@
 	framed   = "Content-Length: 19\r\n\r\n" + body
 	chunked  = "13\r\n" + body + "\r\n0\r\n\r\n"
 	noBody   = "\r\n"
+	lastPart = "Transfer-Encoding: chunked\r\n\r\n13\r\n" + body + "\r\n0\r\n"
 )
 
 // Response is a response as its peer sends it.
@@ -64,3 +65,17 @@
 	{"value with a carriage return", version, StatusOK, "A: b\rc\r\n" + framed},
 	{"value with an escape", version, StatusOK, "A: b\x1bc\r\n" + framed},
 }
+
+// MalformedTrailers are responses with trailers that the grammar excludes.
+var MalformedTrailers = []Response{
+	{"trailer with a blank in its name", version, StatusOK, lastPart + "A b: c\r\n\r\n"},
+	{"trailer with a blank before the colon", version, StatusOK, lastPart + "A : b\r\n\r\n"},
+	{"second trailer with a blank before the colon", version, StatusOK, lastPart + "A: b\r\nC : d\r\n\r\n"},
+	{"announced trailer with a blank before the colon", version, StatusOK, "Trailer: A\r\n" + lastPart + "A : b\r\n\r\n"},
+	{"trailer with a tab in its name", version, StatusOK, lastPart + "A\tb: c\r\n\r\n"},
+	{"trailer with a NUL in its name", version, StatusOK, lastPart + "A\x00: b\r\n\r\n"},
+	{"trailer with a DEL in its name", version, StatusOK, lastPart + "A\x7f: b\r\n\r\n"},
+	{"trailer with an empty name", version, StatusOK, lastPart + ": b\r\n\r\n"},
+	{"trailer without a colon", version, StatusOK, lastPart + "A\r\n\r\n"},
+	{"trailer with a NUL in its value", version, StatusOK, lastPart + "A: b\x00\r\n\r\n"},
+}
