Response heads: only HTTP/1.x is read as a response

What callers saw: responses of version HTTP/2.0, HTTP/3.0, HTTP/0.9 or HTTP/9.9 reached them as 200, one without a length with all that came until its connection ended. Cause: net/http reads the version and accepts any two digits; nothing compared it with the version whose format was read. Change: responsehead.Read rejects a major version other than 1. Every minor version stays allowed, as RFC 9110 has recipients read a higher one as the highest that they know. Why it works: a message of another major version has another format, so whatever its bytes look like they are no response that can be framed.

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -2,7 +2,7 @@
 // accepts more than RFC 9110 and RFC 9112 allow; Read returns an error for that, so that a faulty peer's bytes are not taken for a response.
 //
 // Invariants of a head that Read returns:
-//   - its status is between 100 and 599;
+//   - its version is HTTP/1.x, and its status is between 100 and 599;
 //   - the names of its fields are tokens, so a field that frames the body or ends the connection is found under its name.
 //
 // Its body ends with io.EOF only if the names of its trailers are tokens, too.
@@ -52,10 +52,15 @@
 
 // check returns an error for a head that net/http accepts and the RFCs exclude.
 func check(head *http.Response) error {
-	if err := checkStatus(head); err != nil {
-		return err
+	return cmp.Or(checkVersion(head), checkStatus(head), checkNames(head.Header))
+}
+
+// checkVersion returns an error for a version whose messages don't have the format that was read. net/http accepts all versions of two digits.
+func checkVersion(head *http.Response) error {
+	if head.ProtoMajor != 1 {
+		return errors.Newf("the response has version %s, allowed is HTTP/1.x", head.Proto)
 	}
-	return checkNames(head.Header)
+	return nil
 }
 
 // checkStatus returns an error for a status outside the range of RFC 9110. net/http accepts three bytes that are a number with or without a sign.
