Response heads: HTTP/1.0 has no transfer coding

What callers saw: a worker whose response of version HTTP/1.0 had Transfer-Encoding: chunked gave them the chunks with their sizes, and all that came until the connection ended, as the body, with 200; with a length besides, the body of that length. Cause: net/http drops the field of such a response without looking at it, so the body is framed in another way than its sender says, and the field is gone from the head that it returns. Change: responsehead reads a head of HTTP/1.0 as one of HTTP/1.1, so that the coding shows, and rejects it, as RFC 9112 has such a message count as faulty. An informational response of HTTP/1.0, which that version doesn't have, is rejected, too. Sound responses of HTTP/1.0 are read as before; their connection is closed behind them. Why it works: the parser treats both versions alike but for the coding and the end of the connection, and the latter is set afterwards.

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -3,6 +3,7 @@
 //
 // Invariants of a head that Read returns:
 //   - its version is HTTP/1.x, and its status is between 100 and 599;
+//   - it has no transfer coding if its version is HTTP/1.0;
 //   - the names of its fields are tokens, so a field that frames the body or ends the connection is found under its name.
 //
 // Its body ends with io.EOF only if the names of its trailers are tokens, too.
@@ -36,7 +37,7 @@
 		if err := peekProtocol(reader); err != nil {
 			return nil, err
 		}
-		head, err := http.ReadResponse(reader, request)
+		head, err := parse(reader, request)
 		if err == nil {
 			err = check(head)
 		}
@@ -50,6 +51,35 @@
 	}
 }
 
+// The first bytes of a response of HTTP/1.0, and of HTTP/1.1.
+const (
+	version10 = "HTTP/1.0"
+	version11 = "HTTP/1.1"
+)
+
+// parse reads a head as net/http does, with the difference that HTTP/1.0 has no transfer codings and no informational responses.
+func parse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	// An error of Peek is that of the next read, too.
+	if begin, _ := reader.Peek(len(version10)); string(begin) != version10 {
+		return http.ReadResponse(reader, request)
+	}
+	if _, err := reader.Discard(len(version10)); err != nil {
+		return nil, err
+	}
+	// net/http drops the Transfer-Encoding of HTTP/1.0 unseen. The new reader takes what follows on the connection, which is not used again.
+	head, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader(version11), reader)), request)
+	switch {
+	case err != nil:
+		return nil, err
+	case len(head.TransferEncoding) > 0:
+		return nil, errors.Newf("the response of version %s has transfer coding %q, allowed is none", version10, head.TransferEncoding)
+	case head.StatusCode < http.StatusOK:
+		return nil, errors.Newf("the response of version %s has status %03d, allowed are %d and above", version10, head.StatusCode, http.StatusOK)
+	}
+	head.Proto, head.ProtoMinor, head.Close = version10, 0, true
+	return head, nil
+}
+
 // check returns an error for a head that net/http accepts and the RFCs exclude.
 func check(head *http.Response) error {
 	return cmp.Or(checkVersion(head), checkStatus(head), checkNames(head.Header))
