Response heads: tests of unusual responses that stay allowed

Why: the checks of heads must not reject what sound workers may send. 31 responses that RFC 9112 allows, or lets a recipient accept, are read whole: HTTP/1.0 with and without a length, higher minor versions, odd blanks in the first line and around values, missing and odd reasons, informational heads, names of all token characters, folded lines, bare line feeds, repeated lengths, a length beside chunks, extensions of chunks, trailers.

--- a/internal/httpclient/malformedhead_test.go
+++ b/internal/httpclient/malformedhead_test.go
@@ -59,3 +59,35 @@
 		})
 	}
 }
+
+// TestUnusualResponsesAreWhole guards against a response that RFC 9112 allows, or lets a recipient accept, and that fails its request or harms the next one.
+func TestUnusualResponsesAreWhole(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		responses := heads.Unusual
+		if ends {
+			responses = heads.UnusualUntilEnd
+		}
+		for _, response := range responses {
+			t.Run(response.Desc, func(t *testing.T) {
+				t.Parallel()
+				address := startWorker(t, func(connection net.Conn, reader *bufio.Reader, _ int) {
+					for {
+						if _, _, err := readRequest(reader); err != nil {
+							return
+						}
+						_, _ = io.WriteString(connection, response.Text("Id: 1\r\n"))
+						if ends {
+							return
+						}
+					}
+				})
+				client := New(DefaultSettings())
+				for range 3 {
+					if got, err := send(client, address, "1", ""); err != nil || got != heads.UnusualBody {
+						t.Errorf("got %q, %v", got, err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -48,6 +49,21 @@
 	}
 }
 
+// TestUnusualResponsesAreRead guards against a response that is rejected, or read in part, although RFC 9112 allows it or lets a recipient accept it.
+func TestUnusualResponsesAreRead(t *testing.T) {
+	for _, response := range slices.Concat(heads.Unusual, heads.UnusualUntilEnd) {
+		t.Run(response.Desc, func(t *testing.T) {
+			head, err := read(response.Text(""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := io.ReadAll(head.Body); err != nil || string(body) != heads.UnusualBody {
+				t.Errorf("read body %q, %v", body, err)
+			}
+		})
+	}
+}
+
 // TestFieldNamesAreTokens guards against a character in a field name that RFC 9110 excludes and Read accepts, or the other way round.
 func TestFieldNamesAreTokens(t *testing.T) {
 	const tokenChars = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
--- a/internal/standin/heads/heads.go
+++ b/internal/standin/heads/heads.go
@@ -1,4 +1,4 @@
-// Package heads lists responses whose heads RFC 9112 excludes, for tests of all parts that read responses.
+// Package heads lists responses whose heads RFC 9112 excludes, and unusual ones that it allows, for tests of all parts that read responses.
 package heads
 
 // Parts of sound responses. The body is an event, so that it can reach callers on each kind of route.
@@ -88,6 +88,48 @@
 	{"value with an escape", version, StatusOK, "A: b\x1bc\r\n" + framed},
 }
 
+// UnusualBody is the body of the unusual responses.
+const UnusualBody = body
+
+// Unusual are responses that the grammar allows, or that RFC 9112 lets a recipient accept. Those in UnusualUntilEnd end with their connection.
+var (
+	Unusual = []Response{
+		{"version 1.0", "HTTP/1.0", StatusOK, framed},
+		{"version 1.0 that stays open", "HTTP/1.0", StatusOK, "Connection: keep-alive\r\n" + framed},
+		{"version 1.2", "HTTP/1.2", StatusOK, framed},
+		{"version 1.9 in chunks", "HTTP/1.9", StatusOK, "Transfer-Encoding: chunked\r\n\r\n" + chunked},
+		{"no reason", version, "200 ", framed},
+		{"no blank behind the status", version, "200", framed},
+		{"two blanks before the status", version, " 200 OK", framed},
+		{"reason of several words", version, "200 Quite all right", framed},
+		{"reason of bytes above ASCII", version, "200 \xe9\xe8", framed},
+		{"reason with a control byte", version, "200 O\x01K", framed},
+		{"status without a name", version, "299 Unnamed", framed},
+		{"informational heads", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 199 Unnamed\r\n\r\n" + version, StatusOK, framed},
+		{"name of all kinds of characters", version, StatusOK, "aZ09!#$%&'*+-.^_`|~: b\r\n" + framed},
+		{"name in lower case", version, StatusOK, "content-length: 19\r\n\r\n" + body},
+		{"no blank behind the colon", version, StatusOK, "Content-Length:19\r\n\r\n" + body},
+		{"blanks and tabs around the value", version, StatusOK, "Content-Length: \t 19 \t\r\n\r\n" + body},
+		{"blanks and tabs within the value", version, StatusOK, "A: b \t c\r\n" + framed},
+		{"empty value", version, StatusOK, "A:\r\n" + framed},
+		{"value of bytes above ASCII", version, StatusOK, "A: \xe9\xe8\r\n" + framed},
+		{"folded line", version, StatusOK, "A: b\r\n c\r\n\td\r\n" + framed},
+		{"line ends without a carriage return", version, StatusOK, "A: b\nContent-Length: 19\n\n" + body},
+		{"length twice", version, StatusOK, "Content-Length: 19\r\n" + framed},
+		{"length and chunks", version, StatusOK, "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked},
+		{"coding in upper case", version, StatusOK, "Transfer-Encoding: CHUNKED\r\n\r\n" + chunked},
+		{"chunk with an extension", version, StatusOK, "Transfer-Encoding: chunked\r\n\r\n13;a=b\r\n" + body + "\r\n0\r\n\r\n"},
+		{"trailers", version, StatusOK, lastPart + "A: b\r\nC:\r\n\r\n"},
+		{"announced trailer", version, StatusOK, "Trailer: A, B\r\n" + lastPart + "A: b\r\n\r\n"},
+		{"folded trailer", version, StatusOK, lastPart + "A: b\r\n c\r\n\r\n"},
+	}
+	UnusualUntilEnd = []Response{
+		{"version 1.0 without a length", "HTTP/1.0", StatusOK, "\r\n" + body},
+		{"version 1.9 without a length", "HTTP/1.9", StatusOK, "\r\n" + body},
+		{"no length, and a connection that is to stay open", version, StatusOK, "Connection: keep-alive\r\n\r\n" + body},
+	}
+)
+
 // MalformedTrailers are responses with trailers that the grammar excludes.
 var MalformedTrailers = []Response{
 	{"trailer with a blank in its name", version, StatusOK, lastPart + "A b: c\r\n\r\n"},
