Response heads: a response that switches protocols unasked is no response

What callers saw: a worker that answered with 101 gave them whatever followed on its connection as the response, with 200, as with status 000. A gateway took any 101 at the address of another one for a relayed connection, also to another protocol. Cause: the client skips every status below 200 as informational, but 101 ends HTTP on its connection; the relay looked at the status alone. Change: responsehead.Read rejects a 101 that doesn't name the protocol of the request's Upgrade header. Requests to workers have none. The relay's test sends the 101 that is otherwise sound beside each malformed field, too. Why it works: RFC 9110 has the server name the protocol that the request offered; whoever doesn't speaks something else from there on.

--- a/internal/relay/malformedhead_test.go
+++ b/internal/relay/malformedhead_test.go
@@ -13,19 +13,23 @@
 
 // TestMalformedUpgradeIsNoConnection guards against a relayed connection to whatever answers with a malformed head at the address of a gateway.
 func TestMalformedUpgradeIsNoConnection(t *testing.T) {
-	const timeout = time.Second
-	const switching = "101 Switching Protocols"
+	const (
+		timeout   = time.Second
+		switching = "101 Switching Protocols"
+		upgrades  = "Connection: Upgrade\r\nUpgrade: " + protocolName + "\r\n"
+	)
 	for _, response := range heads.Malformed {
 		t.Run(response.Desc, func(t *testing.T) {
 			t.Parallel()
+			fields := ""
 			if response.Status == heads.StatusOK {
-				response.Status = switching
+				response.Status, fields = switching, upgrades
 			}
 			address := startWorker(t, func(conn net.Conn) {
 				defer conn.Close()
 				reader := bufio.NewReader(conn)
 				if _, err := http.ReadRequest(reader); err == nil {
-					_, _ = io.WriteString(conn, response.Text("")+"HTTP/1.1 "+switching+"\r\n\r\n")
+					_, _ = io.WriteString(conn, response.Text(fields)+"HTTP/1.1 "+switching+"\r\n"+upgrades+"\r\n")
 				}
 				_, _ = io.Copy(io.Discard, reader)
 			})
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -3,6 +3,7 @@
 //
 // Invariants of a head that Read returns:
 //   - its version is HTTP/1.x, and its status is between 100 and 599;
+//   - its status is 101 only if it names the protocol that the request asks for;
 //   - it has no transfer coding if its version is HTTP/1.0;
 //   - the names of its fields are tokens, so a field that frames the body or ends the connection is found under its name.
 //
@@ -82,7 +83,7 @@
 
 // check returns an error for a head that net/http accepts and the RFCs exclude.
 func check(head *http.Response) error {
-	return cmp.Or(checkVersion(head), checkStatus(head), checkNames(head.Header))
+	return cmp.Or(checkVersion(head), checkStatus(head), checkNames(head.Header), checkUpgrade(head))
 }
 
 // checkVersion returns an error for a version whose messages don't have the format that was read. net/http accepts all versions of two digits.
@@ -142,10 +143,22 @@
 	return n, err
 }
 
+// checkUpgrade returns an error for a response that switches the connection to another protocol than the request asks for, if any. What follows it is no
+// response.
+func checkUpgrade(head *http.Response) error {
+	if head.StatusCode != http.StatusSwitchingProtocols {
+		return nil
+	}
+	asked, chosen := head.Request.Header.Get("Upgrade"), head.Header.Get("Upgrade")
+	if asked == "" || !strings.EqualFold(asked, chosen) {
+		return errors.Newf("the response switches to protocol %q, allowed is %q", excerpt.Of(chosen, excerpt.IDBytes), asked)
+	}
+	return nil
+}
+
 // isFinal reports whether no other response to the same request follows.
 func isFinal(head *http.Response) bool {
-	isUpgrade := head.StatusCode == http.StatusSwitchingProtocols && head.Request.Header.Get("Upgrade") != ""
-	return head.StatusCode >= http.StatusOK || isUpgrade
+	return head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols
 }
 
 // peekProtocol returns an error unless the next bytes begin a response.
--- a/internal/standin/heads/heads.go
+++ b/internal/standin/heads/heads.go
@@ -44,6 +44,8 @@
 	{"status that is no number", version, "2x0 OK", framed},
 	{"no status", version, "", framed},
 	{"tab behind the status", version, "200\tOK", framed},
+	{"unrequested upgrade", version, "101 Switching Protocols", noBody},
+	{"unrequested upgrade, named", version, "101 Switching Protocols", "Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"},
 	{"version 2.0", "HTTP/2.0", StatusOK, framed},
 	{"version 3.0", "HTTP/3.0", StatusOK, framed},
 	{"version 0.9", "HTTP/0.9", StatusOK, framed},
