Relays: the head of an upgrade is bounded

What was seen: whatever answers at the address of another gateway, such as a faulty worker at an address that is used again, can send a head without end. The gateway that asked for a relayed connection kept it until the time for the upgrade was over: 1.0 to 1.5 GB were allocated in a second. A machine of the users has 144 MB and more; its process would end with the requests of all its clients. Cause: the reader of the upgrade had a deadline and no bound in bytes, unlike that of requests to workers. Change: the head of an upgrade is bounded by responsehead.MaxBytes, as all others are. The bound ends with the head, so relayed bytes don't count. Why it works: the bound is set on the reader below the parser, so no kind of line escapes it.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -103,11 +104,13 @@
 	if err := request.Write(conn); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(arrivedReader{conn})
+	limited := &io.LimitedReader{R: arrivedReader{conn}, N: responsehead.MaxBytes}
+	reader := bufio.NewReader(limited)
 	response, err := responsehead.Read(reader, request)
 	if err != nil {
 		return nil, err
 	}
+	limited.N = math.MaxInt64
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return &Conn{Conn: conn, raw: conn, peer: peer, chunks: httputil.NewChunkedReader(reader)}, conn.SetDeadline(time.Time{})
 	}
