Response heads: an announced trailer whose name is not a token is no response

What callers saw: a head that announces a trailer with a blank in its name was a 200; since malformed trailers are rejected, its body ended with an error instead, so a stream had begun by then. Cause: net/http keeps the announced names beside the received ones, and only the end of the body checked them. Change: announced names are checked with the head, so the request is given up before anything is passed on. Evidence: the new head failed TestMalformedHeadIsNoResponse and TestMalformedHeadClosesConnection on the commit before; both pass now, and TestMalformedHeadsDoNotReachCallers with it (216 responses on each path). An announced name with a control byte was rejected before. Why it works: the names stand in the head, so they are known before the body is read.

--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -12,7 +12,7 @@
 
 // check returns an error for a head that net/http accepts and the RFCs exclude.
 func check(head *http.Response) error {
-	return cmp.Or(checkVersion(head), checkStatus(head), checkNames(head.Header), checkUpgrade(head))
+	return cmp.Or(checkVersion(head), checkStatus(head), checkNames(head.Header), checkNames(head.Trailer), checkUpgrade(head))
 }
 
 // checkVersion returns an error for a version whose messages don't have the format that was read. net/http accepts all versions of two digits.
@@ -32,7 +32,7 @@
 	return nil
 }
 
-// checkNames returns an error if the name of a field is not a token. net/http leaves a name with a blank as it is, also if the blank is before the colon.
+// checkNames returns an error if the name of a field, or of an announced trailer, is not a token. net/http leaves a name with a blank as it is, also if the blank is before the colon.
 func checkNames(fields http.Header) error {
 	for name := range fields {
 		if !isToken(name) {
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -5,7 +5,7 @@
 //   - its version is HTTP/1.x, and its status is between 100 and 599;
 //   - its status is 101 only if it names the protocol that the request asks for;
 //   - it has no transfer coding if its version is HTTP/1.0;
-//   - the names of its fields are tokens, so a field that frames the body or ends the connection is found under its name.
+//   - the names of its fields and of the trailers that it announces are tokens, so a field that frames the body or ends the connection is found under its name.
 //
 // Its body ends with io.EOF only if the names of its trailers are tokens, too.
 package responsehead
--- a/internal/standin/heads/heads.go
+++ b/internal/standin/heads/heads.go
@@ -84,6 +84,8 @@
 	{"coding twice", version, StatusOK, "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked},
 	{"two lengths", version, StatusOK, "Content-Length: 2\r\n" + framed},
 	{"length with a sign", version, StatusOK, "Content-Length: +19\r\n\r\n" + body},
+	{"announced trailer with a blank in its name", version, StatusOK, "Trailer: A b\r\n" + lastPart + "\r\n"},
+	{"announced trailer with a control byte in its name", version, StatusOK, "Trailer: A, B\x7f\r\n" + lastPart + "\r\n"},
 	{"blank before the colon of Connection", version, StatusOK, "Connection : close\r\n" + framed},
 	{"value with a NUL", version, StatusOK, "A: b\x00c\r\n" + framed},
 	{"value with a carriage return", version, StatusOK, "A: b\rc\r\n" + framed},
