--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -32,7 +32,8 @@
 	return nil
 }
 
-// checkNames returns an error if the name of a field, or of an announced trailer, is not a token. net/http leaves a name with a blank as it is, also if the blank is before the colon.
+// checkNames returns an error if the name of a field or a trailer is not a token. net/http accepts names with spaces, also before the colon, and leaves them
+// as they are.
 func checkNames(fields http.Header) error {
 	for name := range fields {
 		if !isToken(name) {
